--- /dev/null
+++ b/cmd/doorvalved/main.go
@@ -0,0 +1,94 @@
+// Command doorvalved is the daemon of doorvalve. It runs on every entry host.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+	"github.com/hashicorp/go-hclog"
+	"github.com/oklog/run"
+
+	"github.com/doorvalve/doorvalve/daemon"
+	"github.com/doorvalve/doorvalve/settings"
+
+	_ "runtime/cgo" // link to the C library as usual
+)
+
+type cli struct {
+	Settings string   `required:"" help:"File with the settings, JSON with comments."`
+	Run      runCmd   `cmd:"" default:"1" help:"Serve. SIGTERM or SIGINT begins a graceful shutdown; SIGUSR1 logs the state."`
+	Check    checkCmd `cmd:"" help:"Check the settings and exit."`
+}
+
+type checkCmd struct{}
+
+// Run checks the settings.
+func (*checkCmd) Run(c *cli) error {
+	_, err := settings.Load(c.Settings)
+	if err == nil {
+		fmt.Println(c.Settings + ": ok")
+	}
+	return err
+}
+
+type runCmd struct{}
+
+// Run serves.
+func (*runCmd) Run(c *cli) error {
+	set, err := settings.Load(c.Settings)
+	if err != nil {
+		return err
+	}
+	log := hclog.New(&hclog.LoggerOptions{Name: "doorvalved", Level: hclog.LevelFromString(set.LogLevel), JSONFormat: true, Output: os.Stderr})
+	d, err := daemon.New(set, log)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var g run.Group
+	g.Add(func() error { return d.Run(ctx) }, func(error) { cancel() })
+	addSignals(&g, d, log)
+	err = g.Run()
+	if daemon.IsStopped(err) {
+		return nil
+	}
+	return err
+}
+
+// addSignals adds the actor that turns signals into a shutdown or a dump.
+func addSignals(g *run.Group, d *daemon.Daemon, log hclog.Logger) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
+	done := make(chan struct{})
+	g.Add(func() error {
+		for {
+			select {
+			case <-done:
+				return nil
+			case s := <-signals:
+				if s == syscall.SIGUSR1 {
+					dump(d, log)
+					continue
+				}
+				d.Stop()
+			}
+		}
+	}, func(error) { close(done) })
+}
+
+func dump(d *daemon.Daemon, log hclog.Logger) {
+	state, err := json.Marshal(d.Dump())
+	log.Info("state", "dump", string(state), "error", err)
+}
+
+func main() {
+	var c cli
+	ctx := kong.Parse(&c, kong.Description("The daemon of doorvalve, a serving system for rarely used models."))
+	ctx.FatalIfErrorf(ctx.Run(&c))
+}
--- /dev/null
+++ b/coordination/admission/queue.go
@@ -0,0 +1,127 @@
+// Package admission keeps one unit's waiting requests in order of worth and
+// refuses, at the moment it is known, each one that cannot be answered before
+// its deadline. It does no I/O and reads no clock.
+package admission
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Item is one waiting request.
+type Item struct {
+	ID       uint64
+	Worth    int64 // higher is served first
+	Deadline time.Time
+}
+
+// Estimate is what is known about a unit's service.
+type Estimate struct {
+	// Ready is the time until the unit can take its first request.
+	Ready time.Duration
+	// Service is the time one request takes.
+	Service time.Duration
+	// Slots is how many requests this daemon can keep at once.
+	Slots int
+	// Refuse, if not empty, is why nothing can be served; After says when to
+	// come back.
+	Refuse string
+	After  time.Duration
+}
+
+// Reasons of a Refused item that the queue itself gives.
+const (
+	// ReasonDeadline: the request would be late.
+	ReasonDeadline = "deadline-cannot-be-met"
+	// ReasonQueueFull: the queue holds only requests of at least its worth.
+	ReasonQueueFull = "queue-full"
+	// ReasonOutranked: a worthier request took its place.
+	ReasonOutranked = "outranked"
+)
+
+// Refused is a request that has to be answered now.
+type Refused struct {
+	Item
+	Reason     string
+	RetryAfter time.Duration
+}
+
+// Queue is bounded and sorted. It is not safe for concurrent use.
+type Queue struct {
+	limit int
+	items []Item // best first
+}
+
+// NewQueue returns a queue of at most limit items.
+func NewQueue(limit int) *Queue { return &Queue{limit: limit} }
+
+// Len returns the number of waiting requests.
+func (q *Queue) Len() int { return len(q.items) }
+
+// Items returns the waiting requests, best first. The caller must not keep it.
+func (q *Queue) Items() []Item { return q.items }
+
+func before(a, b Item) int {
+	return cmp.Or(cmp.Compare(b.Worth, a.Worth), a.Deadline.Compare(b.Deadline), cmp.Compare(a.ID, b.ID))
+}
+
+// Push adds a request and returns those that are refused thereby, which may
+// include the request itself.
+func (q *Queue) Push(now time.Time, it Item, est Estimate) []Refused {
+	i, _ := slices.BinarySearchFunc(q.items, it, before)
+	if i >= q.limit {
+		return []Refused{{it, ReasonQueueFull, q.waitAt(len(q.items), est)}}
+	}
+	q.items = slices.Insert(q.items, i, it)
+	var refused []Refused
+	if len(q.items) > q.limit {
+		last := q.items[q.limit]
+		q.items = q.items[:q.limit]
+		refused = append(refused, Refused{last, ReasonOutranked, q.waitAt(q.limit, est)})
+	}
+	return append(refused, q.Review(now, est)...)
+}
+
+// Pop removes and returns the best request.
+func (q *Queue) Pop() (Item, bool) {
+	if len(q.items) == 0 {
+		return Item{}, false
+	}
+	it := q.items[0]
+	q.items = slices.Delete(q.items, 0, 1)
+	return it, true
+}
+
+// Remove takes out a request whose caller has gone.
+func (q *Queue) Remove(id uint64) bool {
+	before := len(q.items)
+	q.items = slices.DeleteFunc(q.items, func(it Item) bool { return it.ID == id })
+	return len(q.items) < before
+}
+
+// Review refuses each request that cannot be answered in time under est.
+func (q *Queue) Review(now time.Time, est Estimate) []Refused {
+	var refused []Refused
+	kept := q.items[:0]
+	for _, it := range q.items {
+		wait := q.waitAt(len(kept), est)
+		switch {
+		case est.Refuse != "":
+			refused = append(refused, Refused{it, est.Refuse, est.After})
+		case now.Add(wait + est.Service).After(it.Deadline):
+			refused = append(refused, Refused{it, ReasonDeadline, wait})
+		default:
+			kept = append(kept, it)
+		}
+	}
+	q.items = kept
+	return refused
+}
+
+// waitAt is the expected wait of the request at a position: the time until
+// the unit is ready, then one service time for each full round ahead of it.
+func (q *Queue) waitAt(position int, est Estimate) time.Duration {
+	rounds := position / max(1, est.Slots)
+	return est.Ready + time.Duration(rounds)*est.Service
+}
--- /dev/null
+++ b/coordination/claims/claims.go
@@ -0,0 +1,403 @@
+// Package claims makes requests that may not be repeated run at most once.
+// A key is claimed durably before its request goes to an endpoint. Keys hash
+// to shards; a shard is kept in one head object and sealed segments, and an
+// append of many keys is one conditional update of the head. The condition is
+// the fence: an owner with a stale view writes nothing. The package is a
+// state machine without I/O.
+package claims
+
+import (
+	"encoding/base64"
+	"encoding/binary"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// KeySize is the size of a hashed key in bytes.
+const KeySize = 16
+
+// Key is the hash of a caller's name and its idempotency key.
+type Key [KeySize]byte
+
+// MakeKey hashes a caller's name, a service's name and an idempotency key.
+func MakeKey(caller, service, idempotencyKey string) Key {
+	var k Key
+	text := caller + "\x00" + service + "\x00" + idempotencyKey
+	binary.BigEndian.PutUint64(k[:8], xxhash.Sum64String(text))
+	binary.BigEndian.PutUint64(k[8:], xxhash.Sum64String("2\x00"+text))
+	return k
+}
+
+// Shard returns the key's shard out of n.
+func (k Key) Shard(n int) uint32 {
+	return uint32(binary.BigEndian.Uint64(k[:8]) % uint64(max(1, n)))
+}
+
+// MarshalText implements encoding.TextMarshaler.
+func (k Key) MarshalText() ([]byte, error) {
+	return []byte(base64.RawURLEncoding.EncodeToString(k[:])), nil
+}
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (k *Key) UnmarshalText(text []byte) error {
+	b, err := base64.RawURLEncoding.DecodeString(string(text))
+	if err == nil && len(b) != KeySize {
+		err = fmt.Errorf("a key of %d bytes, found %d", KeySize, len(b))
+	}
+	copy(k[:], b)
+	return err
+}
+
+// Record is one claimed key.
+type Record struct {
+	Key     Key    `json:"k"`
+	ClaimID string `json:"c"` // names the one attempt that may be made
+	Unix    int64  `json:"t"` // seconds, when it was claimed
+}
+
+// SegmentRef names a sealed segment.
+type SegmentRef struct {
+	Name string `json:"n"`
+	Unix int64  `json:"t"` // of the newest record in it
+}
+
+// Head is the open end of a shard.
+type Head struct {
+	WriteID string       `json:"write_id"`
+	Open    []Record     `json:"open"`
+	Sealed  []SegmentRef `json:"sealed,omitempty"`
+}
+
+// Segment is a sealed part of a shard; it never changes.
+type Segment struct {
+	Records []Record `json:"records"`
+}
+
+// Outcome answers a claim.
+type Outcome int
+
+// The outcomes of a claim or release.
+const (
+	Unavailable Outcome = iota // nothing is known to be written; do not dispatch
+	Granted                    // the key is claimed for this claim id
+	Duplicate                  // the key was claimed before
+)
+
+// WriteOutcome is how a write ended.
+type WriteOutcome int
+
+// The outcomes of a write.
+const (
+	WriteOK WriteOutcome = iota
+	WriteConflict
+	WriteUnknown
+)
+
+// Event is an input of the machine.
+type Event interface{ claimsEvent() }
+
+// Claim asks for a key. ClaimID names the attempt.
+type Claim struct {
+	Key     Key
+	ClaimID string
+	Unix    int64
+}
+
+// Release gives back a key whose request has certainly not run.
+type Release struct {
+	Key     Key
+	ClaimID string
+}
+
+// ReadDone reports the head and all its sealed segments.
+type ReadDone struct {
+	Err      bool
+	Head     Head
+	Version  uint64
+	Segments map[string]Segment
+}
+
+// WriteDone reports the last write.
+type WriteDone struct {
+	Outcome WriteOutcome
+	Version uint64
+}
+
+// Forget drops what is waiting, because the platform does not answer.
+type Forget struct{}
+
+func (Claim) claimsEvent()     {}
+func (Release) claimsEvent()   {}
+func (ReadDone) claimsEvent()  {}
+func (WriteDone) claimsEvent() {}
+func (Forget) claimsEvent()    {}
+
+// Result answers a Claim or Release.
+type Result struct {
+	ClaimID string
+	Key     Key
+	Release bool
+	Outcome Outcome
+}
+
+// Write is a conditional update of the head, after the segment, if any, was
+// created.
+type Write struct {
+	Head            Head
+	ExpectedVersion uint64
+	Seal            *Segment
+	SealName        string
+}
+
+// Ready is what the caller has to do now.
+type Ready struct {
+	Read    bool
+	Write   *Write
+	Expired []SegmentRef // may be deleted
+	Results []Result
+}
+
+// Options configure a Shard.
+type Options struct {
+	Owner     string
+	Shard     uint32
+	Interval  time.Duration // least time between two writes
+	RetryWait time.Duration // after a failed read
+	Retention time.Duration
+	MaxOpen   int // records in the head before it is sealed
+}
+
+type request struct {
+	key     Key
+	claimID string
+	unix    int64
+	release bool
+}
+
+// Shard is one shard as its present owner sees it.
+type Shard struct {
+	opt     Options
+	head    Head
+	version uint64
+	current bool             // head was the newest at the last exchange
+	index   map[Key]string   // claimed keys by claim id
+	sealed  map[string][]Key // keys of each sealed segment
+	waiting []request
+	flying  []request // in the write that is out
+	next    *Head     // written by it
+	dropped []SegmentRef
+	busy    bool
+	at      time.Time // earliest next read or write
+	results []Result
+	expired []SegmentRef
+	writes  uint64
+}
+
+// NewShard returns a shard that has read nothing yet.
+func NewShard(opt Options) *Shard { return &Shard{opt: opt} }
+
+// Step takes one event.
+func (s *Shard) Step(now time.Time, e Event) {
+	switch e := e.(type) {
+	case Claim:
+		s.waiting = append(s.waiting, request{e.Key, e.ClaimID, e.Unix, false})
+	case Release:
+		s.waiting = append(s.waiting, request{e.Key, e.ClaimID, 0, true})
+	case ReadDone:
+		s.readDone(now, e)
+	case WriteDone:
+		s.writeDone(now, e)
+	case Forget:
+		s.fail(&s.waiting)
+	}
+}
+
+func (s *Shard) readDone(now time.Time, e ReadDone) {
+	s.busy = false
+	if e.Err {
+		s.at = now.Add(s.opt.RetryWait)
+		s.fail(&s.waiting)
+		return
+	}
+	s.head, s.version, s.current = e.Head, e.Version, true
+	s.index, s.sealed = map[Key]string{}, map[string][]Key{}
+	for name, seg := range e.Segments {
+		s.addSegment(name, seg.Records)
+	}
+	for _, r := range s.head.Open {
+		s.index[r.Key] = r.ClaimID
+	}
+	s.settle()
+}
+
+func (s *Shard) addSegment(name string, records []Record) {
+	keys := make([]Key, len(records))
+	for i, r := range records {
+		keys[i] = r.Key
+		s.index[r.Key] = r.ClaimID
+	}
+	s.sealed[name] = keys
+}
+
+// settle answers the requests of a write whose own answer was lost: its claim
+// ids are in the shard, or the write has not taken effect and, since its
+// condition no longer holds or is about to be used up, they are tried again.
+func (s *Shard) settle() {
+	s.waiting = append(s.flying, s.waiting...)
+	s.flying, s.next = nil, nil
+}
+
+func (s *Shard) writeDone(now time.Time, e WriteDone) {
+	s.busy = false
+	s.at = now.Add(s.opt.Interval)
+	if e.Outcome != WriteOK {
+		s.current = false
+		if e.Outcome == WriteConflict {
+			s.at = now
+		}
+		return
+	}
+	sealedNow := len(s.next.Sealed) > 0 && len(s.next.Open) == 0
+	if sealedNow {
+		ref := s.next.Sealed[len(s.next.Sealed)-1]
+		if _, known := s.sealed[ref.Name]; !known {
+			s.addSegment(ref.Name, s.head.Open)
+		}
+	}
+	s.head, s.version = *s.next, e.Version
+	for _, r := range s.flying {
+		if r.release {
+			if s.index[r.key] == r.claimID {
+				delete(s.index, r.key)
+			}
+		} else {
+			s.index[r.key] = r.claimID
+		}
+		s.answer(r, Granted)
+	}
+	s.flying, s.next = nil, nil
+	s.expired = append(s.expired, s.dropped...)
+	for _, ref := range s.dropped {
+		for _, k := range s.sealed[ref.Name] {
+			delete(s.index, k)
+		}
+		delete(s.sealed, ref.Name)
+	}
+	s.dropped = nil
+}
+
+func (s *Shard) answer(r request, o Outcome) {
+	s.results = append(s.results, Result{ClaimID: r.claimID, Key: r.key, Release: r.release, Outcome: o})
+}
+
+func (s *Shard) fail(list *[]request) {
+	for _, r := range *list {
+		s.answer(r, Unavailable)
+	}
+	*list = nil
+}
+
+// Ready returns what has to be done now.
+func (s *Shard) Ready(now time.Time) Ready {
+	r := Ready{}
+	if !s.busy && !now.Before(s.at) && len(s.waiting)+len(s.flying) > 0 {
+		if !s.current {
+			r.Read, s.busy = true, true
+		} else {
+			r.Write = s.write(now)
+		}
+	}
+	r.Results, s.results = s.results, nil
+	r.Expired, s.expired = s.expired, nil
+	return r
+}
+
+// NextAt returns when Ready may have something to write; zero when nothing
+// waits.
+func (s *Shard) NextAt() time.Time {
+	if s.busy || len(s.waiting)+len(s.flying) == 0 {
+		return time.Time{}
+	}
+	return s.at
+}
+
+// write builds the next head out of all that waits.
+//
+// Invariant: a key is granted only by a write whose condition is the version
+// of the head that index was built from, so no other daemon can have claimed
+// it in between.
+func (s *Shard) write(now time.Time) *Write {
+	next := Head{Open: slices.Clone(s.head.Open), Sealed: slices.Clone(s.head.Sealed)}
+	w := &Write{ExpectedVersion: s.version}
+	s.writes++
+	next.WriteID = fmt.Sprintf("%s-%d-%d", s.opt.Owner, now.UnixNano(), s.writes)
+	if len(next.Open) >= s.opt.MaxOpen {
+		w.SealName = fmt.Sprintf("%d-%s", s.opt.Shard, next.WriteID)
+		w.Seal = &Segment{Records: next.Open}
+		next.Sealed = append(next.Sealed, SegmentRef{Name: w.SealName, Unix: now.Unix()})
+		next.Open = nil
+		s.next, s.busy, w.Head = &next, true, next
+		return w // the waiting keys follow in the next write
+	}
+	s.expire(now, &next)
+	s.takeWaiting(&next)
+	if len(s.flying) == 0 {
+		return nil
+	}
+	s.next, s.busy, w.Head = &next, true, next
+	return w
+}
+
+func (s *Shard) expire(now time.Time, next *Head) {
+	oldest := now.Add(-s.opt.Retention).Unix()
+	s.dropped = nil
+	next.Sealed = slices.DeleteFunc(next.Sealed, func(ref SegmentRef) bool {
+		if ref.Unix >= oldest {
+			return false
+		}
+		s.dropped = append(s.dropped, ref)
+		return true
+	})
+}
+
+func (s *Shard) takeWaiting(next *Head) {
+	inBatch := map[Key]bool{}
+	var later []request
+	for _, r := range s.waiting {
+		holder, taken := s.index[r.key]
+		switch {
+		case inBatch[r.key]:
+			later = append(later, r)
+		case r.release && !s.releasable(next, r):
+			s.answer(r, Unavailable)
+		case r.release:
+			next.Open = slices.DeleteFunc(next.Open, func(rec Record) bool { return rec.Key == r.key && rec.ClaimID == r.claimID })
+			s.fly(r, inBatch)
+		case taken && holder == r.claimID:
+			s.answer(r, Granted) // a repeated claim, or a lost answer's
+		case taken:
+			s.answer(r, Duplicate)
+		default:
+			next.Open = append(next.Open, Record{Key: r.key, ClaimID: r.claimID, Unix: r.unix})
+			s.fly(r, inBatch)
+		}
+	}
+	s.waiting = later
+}
+
+func (s *Shard) fly(r request, inBatch map[Key]bool) {
+	inBatch[r.key] = true
+	s.flying = append(s.flying, r)
+}
+
+// releasable reports whether r's claim is still in the open part; a sealed
+// claim stays until its retention ends.
+func (s *Shard) releasable(next *Head, r request) bool {
+	return slices.ContainsFunc(next.Open, func(rec Record) bool { return rec.Key == r.key && rec.ClaimID == r.claimID })
+}
+
+// Size returns the number of keys held.
+func (s *Shard) Size() int { return len(s.index) }
--- /dev/null
+++ b/coordination/grants/grants.go
@@ -0,0 +1,221 @@
+// Package grants shares the slots of a group's endpoints among daemons in
+// order of worth. Each daemon reports what waits and what runs there; the
+// group's coordinator answers with credits, the number of requests that the
+// daemon may keep at an endpoint. The package does no I/O.
+package grants
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/doorvalve/doorvalve/coordination/placement"
+)
+
+// Waiting is a number of queued requests of one worth.
+type Waiting struct {
+	Worth    int64
+	Count    int
+	Deadline time.Time // the earliest
+}
+
+// UnitReport is a daemon's demand for one unit.
+type UnitReport struct {
+	Unit     string
+	Waiting  []Waiting
+	InFlight int
+	Arrivals int // since its last report
+}
+
+// Credit is a number of requests that a daemon may keep at an endpoint.
+type Credit struct {
+	Unit     string
+	Endpoint string
+	Limit    int
+}
+
+// ReportLife is how long a report counts. A daemon that has demand reports
+// several times within it.
+const ReportLife = 2 * time.Second
+
+// MaxWaitingPerItem bounds what one report can ask for, so that one daemon's
+// count cannot make the allocation slow.
+const MaxWaitingPerItem = 1024
+
+type report struct {
+	at    time.Time
+	units []UnitReport
+}
+
+// Book keeps the daemons' last reports.
+type Book struct {
+	reports  map[string]report
+	arrivals map[string]int
+}
+
+// NewBook returns an empty book.
+func NewBook() *Book {
+	return &Book{reports: map[string]report{}, arrivals: map[string]int{}}
+}
+
+// Report records what a daemon said at now.
+func (b *Book) Report(now time.Time, daemon string, units []UnitReport) {
+	b.reports[daemon] = report{at: now, units: units}
+	for _, u := range units {
+		b.arrivals[u.Unit] += u.Arrivals
+	}
+}
+
+func (b *Book) expire(now time.Time) {
+	for daemon, r := range b.reports {
+		if now.Sub(r.at) > ReportLife {
+			delete(b.reports, daemon)
+		}
+	}
+}
+
+// Demand adds up all reports; arrivals count once.
+func (b *Book) Demand(now time.Time) map[string]placement.Demand {
+	b.expire(now)
+	total := map[string]placement.Demand{}
+	for _, r := range b.reports {
+		for _, u := range r.units {
+			d := total[u.Unit]
+			d.InFlight += u.InFlight
+			for _, w := range u.Waiting {
+				d.Waiting += w.Count
+				d.Worth = max(d.Worth, w.Worth)
+			}
+			total[u.Unit] = d
+		}
+	}
+	for unit, n := range b.arrivals {
+		d := total[unit]
+		d.Arrivals = n
+		total[unit] = d
+	}
+	clear(b.arrivals)
+	return total
+}
+
+// item is one entry of the allocation, in the order in which slots go out.
+type item struct {
+	daemon   string
+	unit     string
+	running  bool
+	worth    int64
+	deadline time.Time
+	count    int
+}
+
+// Allocate returns each daemon's credits.
+//
+// Invariant: the credits for an endpoint never add up to more than its slots.
+// Running requests keep their slots; waiting ones get slots by worth, then by
+// deadline; what is left is shared among the daemons that use the unit.
+func (b *Book) Allocate(now time.Time, replicas []placement.Replica) map[string][]Credit {
+	b.expire(now)
+	a := newAllocation(replicas)
+	for _, it := range b.items() {
+		a.give(it)
+	}
+	a.shareRest(b)
+	return a.credits()
+}
+
+func (b *Book) items() []item {
+	var items []item
+	for daemon, r := range b.reports {
+		for _, u := range r.units {
+			if u.InFlight > 0 {
+				items = append(items, item{daemon: daemon, unit: u.Unit, running: true, count: u.InFlight})
+			}
+			for _, w := range u.Waiting {
+				items = append(items, item{daemon: daemon, unit: u.Unit, worth: w.Worth, deadline: w.Deadline, count: min(w.Count, MaxWaitingPerItem)})
+			}
+		}
+	}
+	slices.SortFunc(items, func(x, y item) int {
+		if x.running != y.running {
+			if x.running {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Or(cmp.Compare(y.worth, x.worth), x.deadline.Compare(y.deadline),
+			cmp.Compare(x.daemon, y.daemon), cmp.Compare(x.unit, y.unit))
+	})
+	return items
+}
+
+type creditKey struct{ daemon, unit, endpoint string }
+
+type allocation struct {
+	left  map[string]int      // slots left by endpoint
+	at    map[string][]string // endpoints by unit
+	given map[creditKey]int
+}
+
+func newAllocation(replicas []placement.Replica) *allocation {
+	a := &allocation{left: map[string]int{}, at: map[string][]string{}, given: map[creditKey]int{}}
+	for _, r := range replicas {
+		a.left[r.Endpoint.Name] = r.Endpoint.Slots
+		a.at[r.Unit] = append(a.at[r.Unit], r.Endpoint.Name)
+	}
+	return a
+}
+
+// give hands out slots for one item, each from the endpoint with most left.
+func (a *allocation) give(it item) {
+	for range it.count {
+		best := ""
+		for _, e := range a.at[it.unit] {
+			if a.left[e] > 0 && (best == "" || a.left[e] > a.left[best]) {
+				best = e
+			}
+		}
+		if best == "" {
+			return
+		}
+		a.left[best]--
+		a.given[creditKey{it.daemon, it.unit, best}]++
+	}
+}
+
+// shareRest gives standing credits: the slots left at an endpoint in equal
+// parts to the daemons that reported one of its units.
+func (a *allocation) shareRest(b *Book) {
+	users := map[string][]creditKey{}
+	for daemon, r := range b.reports {
+		for _, u := range r.units {
+			for _, e := range a.at[u.Unit] {
+				users[e] = append(users[e], creditKey{daemon, u.Unit, e})
+			}
+		}
+	}
+	for e, keys := range users {
+		slices.SortFunc(keys, func(x, y creditKey) int {
+			return cmp.Or(cmp.Compare(x.daemon, y.daemon), cmp.Compare(x.unit, y.unit))
+		})
+		for i := 0; a.left[e] > 0; i++ {
+			a.given[keys[i%len(keys)]]++
+			a.left[e]--
+		}
+	}
+}
+
+func (a *allocation) credits() map[string][]Credit {
+	byDaemon := map[string][]Credit{}
+	for k, n := range a.given {
+		byDaemon[k.daemon] = append(byDaemon[k.daemon], Credit{Unit: k.unit, Endpoint: k.endpoint, Limit: n})
+	}
+	for _, list := range byDaemon {
+		slices.SortFunc(list, func(x, y Credit) int {
+			return cmp.Or(cmp.Compare(x.Unit, y.Unit), cmp.Compare(x.Endpoint, y.Endpoint))
+		})
+	}
+	return byDaemon
+}
+
+// Len returns the number of daemons that have reported lately.
+func (b *Book) Len() int { return len(b.reports) }
--- /dev/null
+++ b/coordination/keepalive/keepalive.go
@@ -0,0 +1,164 @@
+// Package keepalive decides how long an unused replica is worth its memory.
+// It learns each unit's gaps between arrivals and its time of day, and weighs
+// the cost of a cold start against idle accelerator time with the weights of
+// the deployment. It does no I/O and reads no clock.
+package keepalive
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+// Options are the deployment's weights and bounds.
+type Options struct {
+	ColdStartWeight float64 // cost of one second of load that a request waits for
+	IdleWeight      float64 // cost of one idle accelerator second
+	MinIdle         time.Duration
+	MaxIdle         time.Duration
+}
+
+const (
+	gapBuckets   = 24 // bucket i holds gaps below 2^i seconds
+	gapDecay     = 0.98
+	priorWeight  = 1.0 // one observation's worth of prior belief
+	dayParts     = 96  // quarter hours
+	partLength   = 24 * time.Hour / dayParts
+	dayRate      = 0.34 // weight of the newest day
+	prewarmAhead = 1.5  // load times before the part begins
+)
+
+// unit is what is known of one unit.
+type unit struct {
+	last time.Time
+	gaps [gapBuckets]float64 // decayed counts
+	// dayPart is the learned probability of an arrival in each part of the day.
+	dayPart [dayParts]float64
+	seen    [dayParts]int64 // day on which the part was last updated
+	load    time.Duration
+}
+
+// Policy learns and decides. It is not safe for concurrent use.
+type Policy struct {
+	opt   Options
+	units map[string]*unit
+	start time.Time
+}
+
+// New returns a policy that has learned nothing.
+func New(opt Options) *Policy { return &Policy{opt: opt, units: map[string]*unit{}} }
+
+func (p *Policy) unit(name string) *unit {
+	u := p.units[name]
+	if u == nil {
+		u = &unit{}
+		p.units[name] = u
+	}
+	return u
+}
+
+// Arrived records n arrivals at now.
+func (p *Policy) Arrived(name string, n int, now time.Time) {
+	if p.start.IsZero() {
+		p.start = now
+	}
+	u := p.unit(name)
+	if !u.last.IsZero() {
+		for i := range u.gaps {
+			u.gaps[i] *= gapDecay
+		}
+		u.gaps[bucket(now.Sub(u.last))]++
+	}
+	u.last = now
+	part, day := partOf(now)
+	if u.seen[part] != day {
+		u.decayDays(part, day)
+		u.dayPart[part] += dayRate * (1 - u.dayPart[part])
+		u.seen[part] = day
+	}
+}
+
+// decayDays lowers a part's probability for each day without an arrival.
+func (u *unit) decayDays(part int, day int64) {
+	if u.seen[part] == 0 {
+		return
+	}
+	missed := min(day-u.seen[part]-1, 30)
+	u.dayPart[part] *= math.Pow(1-dayRate, float64(max(missed, 0)))
+}
+
+func bucket(gap time.Duration) int {
+	s := gap.Seconds()
+	if s < 1 {
+		return 0
+	}
+	return min(gapBuckets-1, 1+int(math.Log2(s)))
+}
+
+func partOf(t time.Time) (part int, day int64) {
+	since := time.Duration(t.UnixNano())
+	return int(since % (24 * time.Hour) / partLength), int64(since/(24*time.Hour)) + 1
+}
+
+// IdleFor returns how long the unit's replica is kept after its last use: the
+// time that minimises the expected cost of idling plus cold starts over the
+// learned gaps.
+func (p *Policy) IdleFor(name string, load time.Duration, now time.Time) time.Duration {
+	u := p.unit(name)
+	u.load = load
+	best, bestCost := time.Duration(0), math.Inf(1)
+	for i := range gapBuckets {
+		keep := time.Duration(math.Exp2(float64(i)) * float64(time.Second))
+		if i == 0 {
+			keep = 0
+		}
+		if cost := p.cost(u, keep, load); cost < bestCost {
+			best, bestCost = keep, cost
+		}
+	}
+	return min(max(best, p.opt.MinIdle), p.opt.MaxIdle)
+}
+
+// cost is the expected cost of one gap when the replica is kept for keep.
+// The prior spreads one observation evenly over the buckets.
+func (p *Policy) cost(u *unit, keep, load time.Duration) float64 {
+	total, cost := 0.0, 0.0
+	for i, n := range u.gaps {
+		weight := n + priorWeight/gapBuckets
+		total += weight
+		gap := math.Exp2(float64(i)) * 0.75 // middle of the bucket, in seconds
+		if gap <= keep.Seconds() {
+			cost += weight * p.opt.IdleWeight * gap
+			continue
+		}
+		cost += weight * (p.opt.IdleWeight*keep.Seconds() + p.opt.ColdStartWeight*load.Seconds())
+	}
+	return cost / total
+}
+
+// Prewarm lists units to load before they are asked for: those whose next
+// part of the day has had arrivals on most days, where the saved cold start
+// outweighs the idle time.
+func (p *Policy) Prewarm(now time.Time) []string {
+	var list []string
+	for name, u := range p.units {
+		if u.load == 0 {
+			continue
+		}
+		lead := time.Duration(prewarmAhead * float64(u.load))
+		part, day := partOf(now.Add(lead))
+		current, _ := partOf(now)
+		if part == current || u.seen[part] == 0 || u.seen[part] == day {
+			continue
+		}
+		missed := min(day-u.seen[part]-1, 30)
+		probability := u.dayPart[part] * math.Pow(1-dayRate, float64(max(missed, 0)))
+		saved := probability * p.opt.ColdStartWeight * u.load.Seconds()
+		spent := p.opt.IdleWeight * (lead + partLength/2).Seconds()
+		if saved > spent {
+			list = append(list, name)
+		}
+	}
+	slices.Sort(list)
+	return list
+}
--- /dev/null
+++ b/coordination/membership/membership.go
@@ -0,0 +1,428 @@
+// Package membership keeps each daemon's view of the others and spreads small
+// facts among them: a probe of one random member a period, indirect probes
+// before a suspicion, and changed entries carried on probes and on immediate
+// gossip to a few members. Nothing that must be agreed hangs on the view. The
+// package is a state machine without I/O; its cost for a daemon does not grow
+// with the number of members while nothing changes.
+package membership
+
+import (
+	"cmp"
+	"encoding/json"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Status of a member as the others see it.
+type Status string
+
+// The statuses, in the order in which they override each other within one
+// incarnation.
+const (
+	Alive   Status = "alive"
+	Suspect Status = "suspect"
+	Dead    Status = "dead"
+)
+
+var statusRank = map[Status]uint64{Alive: 0, Suspect: 1, Dead: 2}
+
+// Member is what a daemon tells of itself, with the others' view of it.
+type Member struct {
+	ID            string `json:"id"` // of this process, not of its host
+	Host          string `json:"host"`
+	PeerAddress   string `json:"peer"`
+	CallerAddress string `json:"caller"`
+	OperatorAddr  string `json:"operator"`
+	FailureDomain string `json:"domain"`
+	Status        Status `json:"status"`
+	Leaving       bool   `json:"leaving,omitempty"`
+	Incarnation   uint64 `json:"incarnation"`
+	Generation    uint64 `json:"generation"` // of the bundle in force there
+	Load          int    `json:"load"`       // 0 idle to 3 full
+}
+
+// Entry is one gossiped item; the higher version wins.
+type Entry struct {
+	Key     string
+	Version uint64
+	Value   []byte
+}
+
+// MemberPrefix starts the keys of members; other keys are free for facts.
+const MemberPrefix = "m/"
+
+const versionStatusBits = 2
+
+func memberEntry(m Member) Entry {
+	value, _ := json.Marshal(m) // a struct of strings and numbers always marshals
+	return Entry{Key: MemberPrefix + m.ID, Version: m.Incarnation<<versionStatusBits | statusRank[m.Status], Value: value}
+}
+
+// Options configure a Machine.
+type Options struct {
+	Period       time.Duration // between two probes
+	ProbeTimeout time.Duration // before indirect probes, and again before a suspicion
+	SuspectFor   time.Duration // before a suspect is dead
+	DeadFor      time.Duration // before a dead member is forgotten
+	Fanout       int           // members told at once of a change
+	MaxPiggyback int           // entries on one message
+	QuietBefore  time.Duration // quiet time before differing digests cause a full exchange
+	Seed         uint64
+}
+
+// DefaultOptions are the daemon's settings.
+func DefaultOptions(seed uint64) Options {
+	return Options{
+		Period: time.Second, ProbeTimeout: 500 * time.Millisecond, SuspectFor: 3 * time.Second,
+		DeadFor: time.Minute, Fanout: 3, MaxPiggyback: 24, QuietBefore: 3 * time.Second, Seed: seed,
+	}
+}
+
+// Message is gossip to one member.
+type Message struct {
+	To      Member
+	Digest  uint64
+	Entries []Entry
+	Full    bool
+	Probe   bool // its answer counts as a sign of life
+}
+
+// Indirect asks a member to probe another.
+type Indirect struct{ Via, Target Member }
+
+// Ready is what the caller has to send now.
+type Ready struct {
+	Messages  []Message
+	Indirects []Indirect
+}
+
+type entry struct {
+	Entry
+	member    *Member // for members
+	sends     int     // piggybacks left
+	changedAt time.Time
+}
+
+type probe struct {
+	target   string
+	sentAt   time.Time
+	indirect bool
+}
+
+// Machine is one daemon's view.
+type Machine struct {
+	opt      Options
+	rng      *rand.Rand
+	self     Member
+	entries  map[string]*entry
+	order    []string // probe order, shuffled
+	probing  *probe
+	nextAt   time.Time
+	lastNews time.Time
+	urgent   bool // there are entries to tell at once
+	fullTo   []string
+	digest   uint64
+	stale    bool // digest has to be computed anew
+	revision uint64
+}
+
+// New returns a view that holds only self.
+func New(opt Options, self Member, now time.Time) *Machine {
+	self.Status = Alive
+	m := &Machine{opt: opt, rng: rand.New(rand.NewPCG(opt.Seed, opt.Seed^0x9e3779b97f4a7c15)), self: self, entries: map[string]*entry{}}
+	m.nextAt = now
+	m.put(now, memberEntry(self))
+	return m
+}
+
+// Revision rises with each change of the view.
+func (m *Machine) Revision() uint64 { return m.revision }
+
+// Self returns this daemon's own record.
+func (m *Machine) Self() Member { return m.self }
+
+// Members returns the members that are not dead, ordered by id.
+func (m *Machine) Members() []Member {
+	var list []Member
+	for _, e := range m.entries {
+		if e.member != nil && e.member.Status != Dead {
+			list = append(list, *e.member)
+		}
+	}
+	slices.SortFunc(list, func(a, b Member) int { return cmp.Compare(a.ID, b.ID) })
+	return list
+}
+
+// Get returns a fact.
+func (m *Machine) Get(key string) (Entry, bool) {
+	e, ok := m.entries[key]
+	if !ok {
+		return Entry{}, false
+	}
+	return e.Entry, true
+}
+
+// Set offers a fact; it is taken if its version is higher than the known one.
+func (m *Machine) Set(now time.Time, e Entry) bool { return m.put(now, e) }
+
+// Update changes this daemon's own record and tells the others.
+func (m *Machine) Update(now time.Time, change func(*Member)) {
+	next := m.self
+	change(&next)
+	next.Incarnation++
+	m.self = next
+	m.put(now, memberEntry(next))
+}
+
+// Digest covers all entries of members that are not dead and all facts.
+func (m *Machine) Digest() uint64 {
+	if !m.stale {
+		return m.digest
+	}
+	var sum uint64
+	for key, e := range m.entries {
+		if e.member != nil && e.member.Status == Dead {
+			continue
+		}
+		sum ^= xxhash.Sum64String(key) * (2*e.Version + 1)
+	}
+	m.digest, m.stale = sum, false
+	return sum
+}
+
+// put takes an entry if it is news.
+func (m *Machine) put(now time.Time, e Entry) bool {
+	old := m.entries[e.Key]
+	if old != nil && old.Version >= e.Version {
+		return false
+	}
+	next := &entry{Entry: e, changedAt: now}
+	if strings.HasPrefix(e.Key, MemberPrefix) {
+		var member Member
+		if json.Unmarshal(e.Value, &member) != nil {
+			return false
+		}
+		if member.ID == m.self.ID && (member.Incarnation > m.self.Incarnation || member.Status != Alive) {
+			m.refute(now, member)
+			return true
+		}
+		if old == nil && member.Status == Dead {
+			return false // already forgotten here
+		}
+		next.member = &member
+	}
+	next.sends = m.retransmits()
+	m.entries[e.Key] = next
+	m.stale, m.urgent, m.lastNews = true, true, now
+	m.revision++
+	return true
+}
+
+// refute answers a suspicion of this daemon itself.
+func (m *Machine) refute(now time.Time, seen Member) {
+	m.self.Incarnation = max(m.self.Incarnation, seen.Incarnation) + 1
+	m.put(now, memberEntry(m.self))
+}
+
+func (m *Machine) retransmits() int {
+	return 3 * int(math.Ceil(math.Log2(float64(len(m.entries)+2))))
+}
+
+// Receive takes another daemon's gossip and returns the answer.
+func (m *Machine) Receive(now time.Time, from string, digest uint64, entries []Entry, full bool) []Entry {
+	for _, e := range entries {
+		m.put(now, e)
+	}
+	if full {
+		return m.all()
+	}
+	m.compare(now, from, digest)
+	return m.piggyback()
+}
+
+// Answer takes the answer to a message.
+func (m *Machine) Answer(now time.Time, from string, ok bool, digest uint64, entries []Entry) {
+	if !ok {
+		return
+	}
+	if m.probing != nil && m.probing.target == from {
+		m.probing = nil
+	}
+	for _, e := range entries {
+		m.put(now, e)
+	}
+	m.compare(now, from, digest)
+}
+
+// IndirectAnswer takes the answer to an indirect probe.
+func (m *Machine) IndirectAnswer(target string, alive bool) {
+	if alive && m.probing != nil && m.probing.target == target {
+		m.probing = nil
+	}
+}
+
+// compare asks for a full exchange when the digests still differ after a
+// quiet time; while news travels they differ all the time.
+func (m *Machine) compare(now time.Time, from string, digest uint64) {
+	if digest != m.Digest() && now.Sub(m.lastNews) >= m.opt.QuietBefore && !slices.Contains(m.fullTo, from) {
+		m.fullTo = append(m.fullTo, from)
+	}
+}
+
+func (m *Machine) all() []Entry {
+	var list []Entry
+	for _, e := range m.entries {
+		if e.member == nil || e.member.Status != Dead {
+			list = append(list, e.Entry)
+		}
+	}
+	return list
+}
+
+// piggyback picks the entries with most sends left.
+func (m *Machine) piggyback() []Entry {
+	var hot []*entry
+	for _, e := range m.entries {
+		if e.sends > 0 {
+			hot = append(hot, e)
+		}
+	}
+	slices.SortFunc(hot, func(a, b *entry) int {
+		return cmp.Or(cmp.Compare(b.sends, a.sends), cmp.Compare(a.Key, b.Key))
+	})
+	hot = hot[:min(len(hot), m.opt.MaxPiggyback)]
+	list := make([]Entry, len(hot))
+	for i, e := range hot {
+		e.sends--
+		list[i] = e.Entry
+	}
+	return list
+}
+
+// Join asks a seed for its whole state.
+func (m *Machine) Join(peerAddress string) Message {
+	return Message{To: Member{PeerAddress: peerAddress}, Digest: m.Digest(), Entries: m.all(), Full: true}
+}
+
+// Ready passes time on and returns what to send.
+func (m *Machine) Ready(now time.Time) Ready {
+	var r Ready
+	m.expire(now)
+	m.checkProbe(now, &r)
+	if m.urgent {
+		m.urgent = false
+		for _, to := range m.pick(m.opt.Fanout) {
+			r.Messages = append(r.Messages, Message{To: to, Digest: m.Digest(), Entries: m.piggyback()})
+		}
+	}
+	for _, id := range m.fullTo {
+		if e := m.entries[MemberPrefix+id]; e != nil && e.member.Status != Dead {
+			r.Messages = append(r.Messages, Message{To: *e.member, Digest: m.Digest(), Entries: m.all(), Full: true})
+			m.lastNews = now // one full exchange a quiet time
+		}
+	}
+	m.fullTo = nil
+	if m.probing == nil && !now.Before(m.nextAt) {
+		m.nextAt = now.Add(m.opt.Period)
+		if to, ok := m.nextTarget(); ok {
+			m.probing = &probe{target: to.ID, sentAt: now}
+			r.Messages = append(r.Messages, Message{To: to, Digest: m.Digest(), Entries: m.piggyback(), Probe: true})
+		}
+	}
+	return r
+}
+
+func (m *Machine) checkProbe(now time.Time, r *Ready) {
+	p := m.probing
+	if p == nil {
+		return
+	}
+	e := m.entries[MemberPrefix+p.target]
+	if e == nil || e.member.Status == Dead {
+		m.probing = nil
+		return
+	}
+	switch waited := now.Sub(p.sentAt); {
+	case waited >= 2*m.opt.ProbeTimeout:
+		m.probing = nil
+		m.mark(now, *e.member, Suspect)
+	case waited >= m.opt.ProbeTimeout && !p.indirect:
+		p.indirect = true
+		for _, via := range m.pick(m.opt.Fanout) {
+			if via.ID != p.target {
+				r.Indirects = append(r.Indirects, Indirect{Via: via, Target: *e.member})
+			}
+		}
+	}
+}
+
+func (m *Machine) mark(now time.Time, member Member, s Status) {
+	if statusRank[member.Status] >= statusRank[s] {
+		return
+	}
+	member.Status = s
+	m.put(now, memberEntry(member))
+}
+
+// expire turns suspects into dead members and forgets the dead.
+func (m *Machine) expire(now time.Time) {
+	for key, e := range m.entries {
+		if e.member == nil {
+			continue
+		}
+		age := now.Sub(e.changedAt)
+		switch {
+		case e.member.Status == Suspect && age >= m.opt.SuspectFor:
+			m.mark(now, *e.member, Dead)
+		case e.member.Status == Dead && age >= m.opt.DeadFor:
+			delete(m.entries, key)
+		}
+	}
+}
+
+// pick returns up to n random members other than self.
+func (m *Machine) pick(n int) []Member {
+	others := m.others()
+	m.rng.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	return others[:min(n, len(others))]
+}
+
+func (m *Machine) others() []Member {
+	return slices.DeleteFunc(m.Members(), func(o Member) bool { return o.ID == m.self.ID })
+}
+
+// nextTarget goes round all members in a random order, so that the longest
+// time without a probe is bounded.
+func (m *Machine) nextTarget() (Member, bool) {
+	for range 2 {
+		for len(m.order) > 0 {
+			id := m.order[0]
+			m.order = m.order[1:]
+			if e := m.entries[MemberPrefix+id]; e != nil && e.member.Status != Dead {
+				return *e.member, true
+			}
+		}
+		for _, o := range m.others() {
+			m.order = append(m.order, o.ID)
+		}
+		m.rng.Shuffle(len(m.order), func(i, j int) { m.order[i], m.order[j] = m.order[j], m.order[i] })
+	}
+	return Member{}, false
+}
+
+// Rendezvous orders members for a key by highest random weight, so that each
+// daemon with the same view picks the same one and few keys move when the
+// view changes.
+func Rendezvous(key string, members []Member) []Member {
+	list := slices.DeleteFunc(slices.Clone(members), func(m Member) bool { return m.Leaving || m.Status != Alive })
+	weight := func(m Member) uint64 { return xxhash.Sum64String(key + "\x00" + m.ID) }
+	slices.SortFunc(list, func(a, b Member) int {
+		return cmp.Or(cmp.Compare(weight(b), weight(a)), cmp.Compare(a.ID, b.ID))
+	})
+	return list
+}
--- /dev/null
+++ b/coordination/placement/decide.go
@@ -0,0 +1,434 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/doorvalve/doorvalve/protocol"
+	"github.com/doorvalve/doorvalve/state/bundle"
+)
+
+// evictionPatience is how long room that is being made for a unit keeps the
+// unit from asking for more room.
+const evictionPatience = 5 * time.Second
+
+// decide changes o, the object to be recorded, and reports whether it did.
+// It runs only under a held lease on an object that the lease's fence wrote.
+func (m *Machine) decide(now time.Time, o *Object) bool {
+	m.refillTokens(now)
+	changed := m.removeConfirmed(now, o)
+	changed = m.reconcile(o) || changed
+	changed = m.adopt(o) || changed
+	changed = m.unloadIdle(now, o) || changed
+	changed = m.placeDemanded(now, o) || changed
+	if changed {
+		for i := range o.Assignments {
+			o.Assignments[i].Fence = m.fence
+		}
+	}
+	return changed
+}
+
+// removeConfirmed drops assignments whose unload the endpoint has confirmed.
+//
+// Invariant: the confirming state was asked for after the unload was recorded
+// and after the endpoint accepted this fence. Where the endpoint does not
+// check numbers, every order that could still load the unit has lapsed and
+// every former holder has said that it is quiescent, or is gone.
+func (m *Machine) removeConfirmed(now time.Time, o *Object) bool {
+	before := len(o.Assignments)
+	o.Assignments = slices.DeleteFunc(o.Assignments, func(a Assignment) bool {
+		ep := m.endpoints[a.Endpoint]
+		if a.Phase != Unloading {
+			return false
+		}
+		if ep == nil {
+			return true // removed from the bundle by the operators
+		}
+		recorded, ok := m.recordedAt[a.Seq]
+		if !ok {
+			m.recordedAt[a.Seq] = now // recorded under an earlier fence
+			return false
+		}
+		if ep.stateFence != m.fence || !ep.asked.After(recorded) || ep.unit(a.Unit) != nil {
+			return false
+		}
+		if !ep.conf.ChecksFencing && (len(o.Former) > 0 || now.Before(ep.unsureUntil) || ep.orderOut) {
+			return false
+		}
+		delete(m.recordedAt, a.Seq)
+		return true
+	})
+	return len(o.Assignments) != before
+}
+
+// reconcile unloads what the bundle no longer wants.
+func (m *Machine) reconcile(o *Object) bool {
+	changed := false
+	kept := map[string]int{}
+	for i := range o.Assignments {
+		a := &o.Assignments[i]
+		if a.Phase == Unloading {
+			continue
+		}
+		u, known := m.conf.Units[a.Unit]
+		ep := m.endpoints[a.Endpoint]
+		wanted := known && ep != nil && !ep.leaving() && u.Version == a.Version && kept[a.Unit] < u.MaxReplicas
+		if wanted && a.Base != "" {
+			base := o.find(a.Base, a.Endpoint)
+			wanted = base != nil && base.Phase == Loaded
+		}
+		if wanted {
+			kept[a.Unit]++
+			continue
+		}
+		a.Phase = Unloading
+		changed = true
+	}
+	return changed
+}
+
+// adopt records replicas that the endpoints have and the record has not. One
+// that the bundle does not allow is recorded as unloading, so that it counts
+// until it is gone.
+func (m *Machine) adopt(o *Object) bool {
+	changed := false
+	for _, name := range m.endpointNames() {
+		ep := m.endpoints[name]
+		if ep.stateFence != m.fence {
+			continue
+		}
+		for _, eu := range ep.state.Units {
+			if o.find(eu.Unit, name) != nil {
+				continue
+			}
+			u, known := m.conf.Units[eu.Unit]
+			phase := Unloading
+			if known && eu.Version == u.Version && eu.Status != protocol.UnitUnloading &&
+				o.replicas(eu.Unit) < u.MaxReplicas && !ep.leaving() {
+				phase = Loaded
+			}
+			if !known {
+				u = bundle.Unit{Name: eu.Unit, Base: eu.Base}
+			}
+			u.Version, u.MemoryMiB = eu.Version, eu.MemoryMiB
+			o.add(u, name, phase)
+			changed = true
+		}
+	}
+	return changed
+}
+
+// unloadIdle unloads replicas that the policy no longer thinks worth keeping.
+func (m *Machine) unloadIdle(now time.Time, o *Object) bool {
+	if m.opt.Policy == nil {
+		return false
+	}
+	changed := false
+	for i := range o.Assignments {
+		a := &o.Assignments[i]
+		u := m.conf.Units[a.Unit]
+		if a.Phase != Loaded || !m.idle(o, a) || m.loadedReplicas(o, a.Unit) <= u.MinReplicas {
+			continue
+		}
+		since := m.idleSince(a)
+		if since.IsZero() {
+			m.lastActive[a.Unit] = now
+			continue
+		}
+		if now.Sub(since) >= m.opt.Policy.IdleFor(a.Unit, u.Load, now) {
+			a.Phase = Unloading
+			changed = true
+		}
+	}
+	return changed
+}
+
+func (m *Machine) loadedReplicas(o *Object, unit string) int {
+	n := 0
+	for i := range o.Assignments {
+		if a := &o.Assignments[i]; a.Unit == unit && a.Phase == Loaded {
+			n++
+		}
+	}
+	return n
+}
+
+// idle reports whether a replica is ready and nobody uses or awaits it, nor
+// an adapter on it.
+func (m *Machine) idle(o *Object, a *Assignment) bool {
+	ep := m.endpoints[a.Endpoint]
+	if ep == nil || !ready(ep, a.Unit) || ep.unit(a.Unit).Running > 0 {
+		return false
+	}
+	if d := m.demand[a.Unit]; d.Waiting+d.InFlight > 0 {
+		return false
+	}
+	for i := range o.Assignments {
+		if b := &o.Assignments[i]; b.Base == a.Unit && b.Endpoint == a.Endpoint {
+			return false
+		}
+	}
+	return true
+}
+
+func (m *Machine) idleSince(a *Assignment) time.Time {
+	since := m.lastActive[a.Unit]
+	if at := m.readyAt[loadKey(a.Unit, a.Endpoint)]; at.After(since) {
+		return at
+	}
+	return since
+}
+
+// wish is a unit that wants one more replica.
+type wish struct {
+	unit  bundle.Unit
+	worth int64
+}
+
+// placeDemanded assigns endpoints to units in order of worth.
+func (m *Machine) placeDemanded(now time.Time, o *Object) bool {
+	changed := false
+	for _, w := range m.wishes(now, o) {
+		if m.loading(o) >= m.conf.LoadsAtOnce || m.tokens < 1 {
+			break
+		}
+		if name, ok := m.roomFor(o, w.unit); ok {
+			o.add(w.unit, name, Loaded)
+			m.tokens--
+			delete(m.evicting, w.unit.Name)
+			changed = true
+			continue
+		}
+		if now.Sub(m.evicting[w.unit.Name]) < evictionPatience {
+			continue
+		}
+		if m.makeRoom(now, o, w) {
+			m.evicting[w.unit.Name] = now
+			changed = true
+		}
+	}
+	return changed
+}
+
+// wishes lists units that want a replica, the worthiest first.
+func (m *Machine) wishes(now time.Time, o *Object) []wish {
+	best := map[string]int64{}
+	want := func(unit string, worth int64) {
+		u, known := m.conf.Units[unit]
+		if !known || o.replicas(unit) >= u.MaxReplicas {
+			return
+		}
+		if w, ok := best[unit]; !ok || worth > w {
+			best[unit] = worth
+		}
+	}
+	for name, d := range m.demand {
+		if d.Waiting == 0 || !m.needsMore(o, name, d) {
+			continue
+		}
+		u := m.conf.Units[name]
+		if u.Base != "" && !m.baseReady(u) {
+			want(u.Base, d.Worth)
+			continue
+		}
+		want(name, d.Worth)
+	}
+	for name, u := range m.conf.Units {
+		if m.loadedReplicas(o, name) < u.MinReplicas {
+			want(name, worthOfMinimum)
+		}
+	}
+	if m.opt.Policy != nil {
+		for _, name := range m.opt.Policy.Prewarm(now) {
+			if o.replicas(name) == 0 {
+				want(name, worthOfPrewarm)
+			}
+		}
+	}
+	list := make([]wish, 0, len(best))
+	for name, worth := range best {
+		list = append(list, wish{unit: m.conf.Units[name], worth: worth})
+	}
+	slices.SortFunc(list, func(a, b wish) int {
+		return cmp.Or(cmp.Compare(b.worth, a.worth), cmp.Compare(a.unit.Name, b.unit.Name))
+	})
+	return list
+}
+
+// Worths of loads that nobody waits for yet; every waiting request goes first.
+const (
+	worthOfMinimum = -1
+	worthOfPrewarm = -2
+)
+
+// needsMore reports whether waiting requests call for one more replica: there
+// is none, or all are ready and more wait than one endpoint takes at once.
+func (m *Machine) needsMore(o *Object, unit string, d Demand) bool {
+	replicas, slots := 0, 0
+	for i := range o.Assignments {
+		a := &o.Assignments[i]
+		if a.Unit != unit {
+			continue
+		}
+		ep := m.endpoints[a.Endpoint]
+		if a.Phase != Loaded || ep == nil || !ready(ep, unit) {
+			return false // wait for what is under way
+		}
+		replicas++
+		slots = max(slots, ep.conf.Slots)
+	}
+	return replicas == 0 || d.Waiting > slots
+}
+
+func (m *Machine) baseReady(u bundle.Unit) bool {
+	for _, ep := range m.endpoints {
+		if !ep.leaving() && ready(ep, u.Base) {
+			return true
+		}
+	}
+	return false
+}
+
+// loading counts loads under way.
+func (m *Machine) loading(o *Object) int {
+	n := 0
+	for i := range o.Assignments {
+		a := &o.Assignments[i]
+		ep := m.endpoints[a.Endpoint]
+		if a.Phase == Loaded && ep != nil && !ep.down && !ready(ep, a.Unit) {
+			n++
+		}
+	}
+	return n
+}
+
+// free returns an endpoint's memory that neither the record nor the endpoint
+// itself counts as taken.
+//
+// Invariant: everything recorded counts, in any phase; everything observed
+// and not recorded counts too; the KV reserve is never given away.
+func (m *Machine) free(o *Object, ep *endpoint) int64 {
+	left := min(ep.conf.MemoryMiB, ep.state.MemoryMiB) - ep.conf.KVReserveMiB
+	for i := range o.Assignments {
+		a := &o.Assignments[i]
+		if a.Endpoint != ep.conf.Name {
+			continue
+		}
+		size := a.MemoryMiB
+		if u := ep.unit(a.Unit); u != nil {
+			size = max(size, u.MemoryMiB)
+		}
+		left -= size
+	}
+	for i := range ep.state.Units {
+		if u := &ep.state.Units[i]; o.find(u.Unit, ep.conf.Name) == nil {
+			left -= u.MemoryMiB
+		}
+	}
+	return left
+}
+
+// usable reports whether new work may be placed on ep.
+func (m *Machine) usable(ep *endpoint) bool {
+	return !ep.down && !ep.leaving() && ep.stateFence == m.fence && ep.claimed == m.fence
+}
+
+func (m *Machine) allowed(o *Object, ep *endpoint, u bundle.Unit) bool {
+	if !m.usable(ep) || o.find(u.Name, ep.conf.Name) != nil {
+		return false
+	}
+	if u.Base != "" {
+		base := o.find(u.Base, ep.conf.Name)
+		return base != nil && base.Phase == Loaded && ready(ep, u.Base)
+	}
+	return len(u.FailureDomains) == 0 || slices.Contains(u.FailureDomains, ep.conf.FailureDomain)
+}
+
+var tierRank = map[protocol.Tier]int{protocol.TierMemory: 0, protocol.TierDisk: 1, protocol.TierRemote: 2, "": 2}
+
+// roomFor picks the endpoint with the nearest checkpoint, then the one that
+// is left with the most memory.
+func (m *Machine) roomFor(o *Object, u bundle.Unit) (string, bool) {
+	best, bestRank, bestFree := "", 0, int64(0)
+	for _, name := range m.endpointNames() {
+		ep := m.endpoints[name]
+		free := m.free(o, ep)
+		if !m.allowed(o, ep, u) || free < u.MemoryMiB {
+			continue
+		}
+		rank := tierRank[ep.state.Cached[u.Name]]
+		if best == "" || rank < bestRank || rank == bestRank && free > bestFree {
+			best, bestRank, bestFree = name, rank, free
+		}
+	}
+	return best, best != ""
+}
+
+// makeRoom unloads idle replicas on the endpoint where that costs least.
+func (m *Machine) makeRoom(now time.Time, o *Object, w wish) bool {
+	var best []*Assignment
+	bestCost := 0.0
+	for _, name := range m.endpointNames() {
+		ep := m.endpoints[name]
+		if !m.allowed(o, ep, w.unit) {
+			continue
+		}
+		victims, cost, ok := m.victims(now, o, ep, w)
+		if ok && (best == nil || cost < bestCost) {
+			best, bestCost = victims, cost
+		}
+	}
+	for _, a := range best {
+		a.Phase = Unloading
+	}
+	return len(best) > 0
+}
+
+// victims picks idle replicas, the least likely to be missed first, until the
+// wish fits. The cost is the load time they would take again, weighed by how
+// lately each was used.
+func (m *Machine) victims(now time.Time, o *Object, ep *endpoint, w wish) (list []*Assignment, cost float64, ok bool) {
+	var idle []*Assignment
+	for i := range o.Assignments {
+		a := &o.Assignments[i]
+		if a.Endpoint != ep.conf.Name || a.Phase != Loaded || a.Unit == w.unit.Base || !m.idle(o, a) {
+			continue
+		}
+		if m.loadedReplicas(o, a.Unit) <= m.conf.Units[a.Unit].MinReplicas && w.worth < 0 {
+			continue
+		}
+		idle = append(idle, a)
+	}
+	slices.SortFunc(idle, func(a, b *Assignment) int {
+		return cmp.Compare(m.missed(now, a), m.missed(now, b))
+	})
+	free := m.free(o, ep)
+	for _, a := range idle {
+		if free >= w.unit.MemoryMiB {
+			break
+		}
+		list = append(list, a)
+		free += a.MemoryMiB
+		cost += m.missed(now, a)
+	}
+	return list, cost, len(list) > 0 && free >= w.unit.MemoryMiB
+}
+
+// missed estimates how much a replica would be missed: its load time over the
+// time it has been idle.
+func (m *Machine) missed(now time.Time, a *Assignment) float64 {
+	idle := now.Sub(m.idleSince(a)).Seconds()
+	return m.conf.Units[a.Unit].Load.Seconds() / (1 + idle)
+}
+
+func (m *Machine) refillTokens(now time.Time) {
+	if m.tokensAt.IsZero() {
+		m.tokens = float64(m.conf.LoadsAtOnce)
+	} else {
+		m.tokens += now.Sub(m.tokensAt).Seconds() * m.conf.LoadsPerSecond
+	}
+	m.tokens = min(m.tokens, float64(m.conf.LoadsAtOnce))
+	m.tokensAt = now
+}
--- /dev/null
+++ b/coordination/placement/estimate.go
@@ -0,0 +1,192 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/doorvalve/doorvalve/protocol"
+	"github.com/doorvalve/doorvalve/state/bundle"
+)
+
+// Replica is a unit that is ready at an endpoint that takes new work.
+type Replica struct {
+	Unit     string
+	Endpoint bundle.Endpoint
+	Running  int // as the endpoint reports it, with a lag
+}
+
+// Replicas lists the ready replicas, in order of endpoint name.
+func (m *Machine) Replicas() []Replica {
+	var list []Replica
+	for _, name := range m.endpointNames() {
+		ep := m.endpoints[name]
+		if ep.down || ep.leaving() {
+			continue
+		}
+		for _, u := range ep.state.Units {
+			if u.Status != protocol.UnitReady || m.unloading(u.Unit, name) || m.conf.Units[u.Unit].Name == "" {
+				continue
+			}
+			list = append(list, Replica{Unit: u.Unit, Endpoint: ep.conf, Running: u.Running})
+		}
+	}
+	return list
+}
+
+func (m *Machine) unloading(unit, endpoint string) bool {
+	a := m.obj.find(unit, endpoint)
+	return a != nil && a.Phase == Unloading
+}
+
+// Wait is the expected time until a unit can take a request.
+type Wait struct {
+	Time   time.Duration
+	Reason string        // why it cannot be served; empty when it can
+	After  time.Duration // when to come back, with Reason
+}
+
+// Reasons for which a unit cannot be served now.
+const (
+	ReasonUnknown  = "unknown-unit"
+	ReasonNotOurs  = "not-loaded-by-operator"
+	ReasonNoLease  = "no-placement-holder"
+	ReasonNoMemory = "no-memory"
+)
+
+// Estimate returns the wait for a unit at now.
+func (m *Machine) Estimate(unit string, now time.Time) Wait {
+	u, known := m.conf.Units[unit]
+	if !known {
+		return Wait{Reason: ReasonUnknown}
+	}
+	best, found := time.Duration(0), false
+	consider := func(d time.Duration) {
+		if !found || d < best {
+			best, found = d, true
+		}
+	}
+	for _, ep := range m.endpoints {
+		if ep.down || ep.leaving() {
+			continue
+		}
+		if ready(ep, unit) && !m.unloading(unit, ep.conf.Name) {
+			return Wait{}
+		}
+		if a := m.obj.find(unit, ep.conf.Name); a != nil && a.Phase == Loaded && (m.held || ep.conf.ChecksFencing) {
+			consider(m.remaining(now, u, ep))
+		}
+	}
+	if found {
+		return Wait{Time: best}
+	}
+	if m.unseen() {
+		return Wait{Time: firstLook}
+	}
+	if m.conf.Service.Mode != bundle.ModeManaged {
+		return Wait{Reason: ReasonNotOurs, After: time.Minute}
+	}
+	if !m.held && m.takeoverAt.After(now) {
+		return Wait{Time: m.takeoverAt.Sub(now) + m.queuedLoad(now, u)}
+	}
+	if !m.held {
+		return Wait{Reason: ReasonNoLease, After: 2 * m.opt.OrderTTL}
+	}
+	return Wait{Time: m.queuedLoad(now, u)}
+}
+
+// firstLook is how long the first answers of the endpoints may take.
+const firstLook = 100 * time.Millisecond
+
+// unseen reports whether some endpoint has neither answered nor failed yet, as
+// on a daemon that has just become the coordinator.
+func (m *Machine) unseen() bool {
+	for _, ep := range m.endpoints {
+		if ep.asked.IsZero() && !ep.down {
+			return true
+		}
+	}
+	return false
+}
+
+// remaining is the expected rest of a load that is recorded. One that takes
+// longer than expected is expected to take as long again as it is overdue.
+func (m *Machine) remaining(now time.Time, u bundle.Unit, ep *endpoint) time.Duration {
+	full := m.loadTime(u, ep)
+	start, ok := m.loadedAt[loadKey(u.Name, ep.conf.Name)]
+	if !ok {
+		return full
+	}
+	left := full - now.Sub(start)
+	if left < 0 {
+		left = -left
+	}
+	return max(left, minRemaining)
+}
+
+// minRemaining keeps an estimate from promising an instant end.
+const minRemaining = 20 * time.Millisecond
+
+// memoryTierFactor is the part of a full load that a checkpoint in memory takes.
+const memoryTierFactor = 0.1
+
+func (m *Machine) loadTime(u bundle.Unit, ep *endpoint) time.Duration {
+	factor := m.slowdown
+	if ep != nil && ep.state.Cached[u.Name] == protocol.TierMemory {
+		factor = memoryTierFactor
+	}
+	return time.Duration(float64(u.Load) * factor)
+}
+
+// queuedLoad is the expected wait for a load that is not decided yet: the
+// loads before it, in rounds of as many as the weight store takes at once.
+func (m *Machine) queuedLoad(now time.Time, u bundle.Unit) time.Duration {
+	ahead := m.loading(m.obj)
+	worth := m.demand[u.Name].Worth
+	for name, d := range m.demand {
+		if name != u.Name && d.Waiting > 0 && d.Worth > worth && m.obj.replicas(name) == 0 {
+			ahead++
+		}
+	}
+	rounds := ahead / max(1, m.conf.LoadsAtOnce)
+	total := time.Duration(rounds+1) * m.loadTime(u, nil)
+	if u.Base != "" && !m.baseReady(u) {
+		total += m.loadTime(m.conf.Units[u.Base], nil)
+	}
+	return total
+}
+
+// ClaimedFence returns the lease fence that an endpoint has accepted.
+func (m *Machine) ClaimedFence(endpoint string) uint64 {
+	if ep := m.endpoints[endpoint]; ep != nil {
+		return ep.claimed
+	}
+	return 0
+}
+
+// Former lists former holders that may still have orders out.
+func (m *Machine) Former() []FormerHolder {
+	if !m.held || !m.mine {
+		return nil
+	}
+	return m.obj.Former
+}
+
+// SetPolicy replaces the policy.
+func (m *Machine) SetPolicy(p Policy) { m.opt.Policy = p }
+
+// Unsettled reports whether requests wait or a unit is changing its state, so
+// that the endpoints are worth asking often.
+func (m *Machine) Unsettled() bool {
+	for _, d := range m.demand {
+		if d.Waiting > 0 {
+			return true
+		}
+	}
+	for i := range m.obj.Assignments {
+		a := &m.obj.Assignments[i]
+		ep := m.endpoints[a.Endpoint]
+		if ep != nil && !ep.down && (a.Phase == Unloading || !ready(ep, a.Unit)) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/coordination/rollout/rollout.go
@@ -0,0 +1,101 @@
+// Package rollout holds the rules by which a bundle comes into force: review,
+// sign-off of the exact digest by somebody other than its author, and one
+// pointer that only moves to higher generations. It does no I/O.
+package rollout
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/zeebo/errs"
+)
+
+// Error is the class of every error that this package creates.
+var Error = errs.Class("rollout")
+
+// Review is what is recorded of a proposed bundle.
+type Review struct {
+	Digest   string    `json:"digest"`
+	Author   string    `json:"author"`
+	Note     string    `json:"note,omitempty"`
+	At       time.Time `json:"at"`
+	SignOffs []string  `json:"sign_offs,omitempty"`
+}
+
+// SignOff adds who to the review.
+func (r Review) SignOff(who string) (Review, error) {
+	switch {
+	case who == "":
+		return r, Error.New("a sign-off needs a name")
+	case who == r.Author:
+		return r, Error.New("%s is the author of %s; somebody else must sign it off", who, Short(r.Digest))
+	case slices.Contains(r.SignOffs, who):
+		return r, nil
+	}
+	r.SignOffs = append(slices.Clone(r.SignOffs), who)
+	return r, nil
+}
+
+// Step is one move of the pointer.
+type Step struct {
+	Generation uint64    `json:"generation"`
+	Digest     string    `json:"digest"`
+	Author     string    `json:"author"`
+	SignedBy   []string  `json:"signed_by"`
+	RolledBy   string    `json:"rolled_by"`
+	At         time.Time `json:"at"`
+}
+
+// MaxHistory bounds the steps that the pointer keeps.
+const MaxHistory = 50
+
+// Pointer names the bundle in force, with the newest steps first.
+type Pointer struct {
+	Step
+	WriteID string `json:"write_id"`
+	History []Step `json:"history,omitempty"`
+}
+
+// Conflict says that another rollout came first.
+type Conflict struct {
+	Expected uint64
+	Winner   Step
+}
+
+// Error implements error.
+func (c *Conflict) Error() string {
+	return fmt.Sprintf("generation %d is in force, not %d: %s rolled out %s at %s",
+		c.Winner.Generation, c.Expected, c.Winner.RolledBy, Short(c.Winner.Digest), c.Winner.At.Format(time.RFC3339))
+}
+
+// Advance returns the pointer after a rollout of the reviewed digest.
+// expected is the generation that the operator saw in force.
+func Advance(p Pointer, r Review, expected uint64, by, writeID string, at time.Time) (Pointer, error) {
+	if p.Generation != expected {
+		return p, &Conflict{Expected: expected, Winner: p.Step}
+	}
+	if len(r.SignOffs) == 0 {
+		return p, Error.New("%s has no sign-off yet", Short(r.Digest))
+	}
+	next := Pointer{WriteID: writeID, Step: Step{
+		Generation: expected + 1, Digest: r.Digest, Author: r.Author, SignedBy: r.SignOffs, RolledBy: by, At: at,
+	}}
+	if p.Generation > 0 {
+		next.History = append([]Step{p.Step}, p.History...)
+		next.History = next.History[:min(len(next.History), MaxHistory)]
+	}
+	return next, nil
+}
+
+// Adopt reports whether a daemon whose generation is current takes one that is
+// offered.
+//
+// Invariant: a daemon never goes back to a lower generation, whatever a late
+// watch, a replayed event or a peer with an old view offers.
+func Adopt(current, offered uint64) bool { return offered > current }
+
+const shortDigest = 12
+
+// Short returns the first characters of a digest, for people.
+func Short(digest string) string { return digest[:min(len(digest), shortDigest)] }
--- /dev/null
+++ b/daemon/daemon.go
@@ -0,0 +1,410 @@
+// Package daemon puts the parts of one doorvalved process together.
+package daemon
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/oklog/run"
+	"github.com/uber-go/tally/v4"
+	promreporter "github.com/uber-go/tally/v4/prometheus"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/doorvalve/doorvalve/coordination/drain"
+	"github.com/doorvalve/doorvalve/coordination/membership"
+	"github.com/doorvalve/doorvalve/driver/claimer"
+	"github.com/doorvalve/doorvalve/driver/gate"
+	"github.com/doorvalve/doorvalve/driver/gossip"
+	"github.com/doorvalve/doorvalve/driver/placer"
+	"github.com/doorvalve/doorvalve/driver/rollout"
+	"github.com/doorvalve/doorvalve/protocol/peerpb"
+	"github.com/doorvalve/doorvalve/settings"
+	"github.com/doorvalve/doorvalve/state/bundle"
+	"github.com/doorvalve/doorvalve/state/snapshot"
+	"github.com/doorvalve/doorvalve/transport/callers"
+	"github.com/doorvalve/doorvalve/transport/engine"
+	"github.com/doorvalve/doorvalve/transport/operators"
+	"github.com/doorvalve/doorvalve/transport/peers"
+	"github.com/doorvalve/doorvalve/transport/platform"
+	"github.com/doorvalve/doorvalve/transport/proxy"
+)
+
+// engineTimeout bounds each state question and order to an endpoint.
+const engineTimeout = 2 * time.Second
+
+// Daemon is one process.
+type Daemon struct {
+	set      settings.Settings
+	log      hclog.Logger
+	self     string
+	started  time.Time
+	platform *platform.Client
+	engines  *engine.Client
+	peers    *peers.Client
+	gossip   *gossip.Gossip
+	rollout  *rollout.Rollout
+	claimer  *claimer.Claimer
+	callers  *callers.Server
+	metrics  tally.Scope
+	reporter promreporter.Reporter
+	closer   interface{ Close() error }
+
+	gates atomic.Pointer[map[string]*gate.Gate]
+
+	mu      sync.Mutex // placers and drain
+	placers map[string]*placer.Placer
+	runCtx  context.Context
+	drain   *drain.Machine
+	phase   atomic.Pointer[drain.Phase]
+
+	reporters map[string]*reporter
+	listeners [3]net.Listener
+	done      chan struct{} // closed when the shutdown is complete
+}
+
+// New returns a daemon with its listeners open, so that its addresses are
+// known before it runs.
+func New(set settings.Settings, log hclog.Logger) (*Daemon, error) {
+	d := &Daemon{
+		set: set, self: set.Host + "-" + nonce(), started: time.Now(), drain: drain.New(),
+		placers: map[string]*placer.Placer{}, reporters: map[string]*reporter{}, done: make(chan struct{}),
+	}
+	d.log = log.With("daemon", d.self)
+	for i, address := range []string{set.Callers.Listen, set.Peers.Listen, set.Operators.Listen} {
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			d.closeListeners()
+			return nil, err
+		}
+		d.listeners[i] = l
+	}
+	d.reporter = promreporter.NewReporter(promreporter.Options{Registerer: prometheus.NewRegistry()})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix: "doorvalve", CachedReporter: d.reporter, Separator: promreporter.DefaultSeparator, OmitCardinalityMetrics: true,
+	}, time.Second)
+	d.metrics, d.closer = scope, closer
+	d.platform = platform.New(platform.Options{URL: set.Platform.URL, Timeout: set.Platform.Timeout.D()})
+	d.engines = engine.New(engineTimeout)
+	d.peers = peers.NewClient()
+	d.gossip = gossip.New(d.log.Named("gossip"), d.peers, d.seeds, membership.DefaultOptions(uint64(time.Now().UnixNano())), d.member())
+	d.rollout = rollout.New(d.log.Named("rollout"), d.platform, d.peers, d.gossip)
+	d.rollout.OnChange(d.configure)
+	d.claimer = claimer.New(claimer.Options{
+		Self: d.self, Platform: d.platform, Peers: d.peers, Members: d.gossip.Members, Config: d.claimsConfig, Log: d.log.Named("claims"),
+	})
+	d.gates.Store(&map[string]*gate.Gate{})
+	d.setPhase(drain.Serving)
+	d.callers = callers.New(callers.Options{
+		Self: d.self, Limits: set.Limits, Config: d.rollout.Current, Gate: d.gate, Members: d.gossip.Members, Phase: d.Phase,
+		Claimer: d.claimer, Proxy: proxy.New(set.Limits.AnswerBytes), Log: d.log.Named("callers"), Metrics: d.metrics,
+		EndpointLeaving: d.endpointLeaving,
+	})
+	return d, nil
+}
+
+func nonce() string {
+	var b [4]byte
+	_, _ = rand.Read(b[:]) // never fails
+	return hex.EncodeToString(b[:])
+}
+
+func (d *Daemon) closeListeners() {
+	for _, l := range d.listeners {
+		if l != nil {
+			_ = l.Close()
+		}
+	}
+}
+
+func (d *Daemon) member() membership.Member {
+	return membership.Member{
+		ID: d.self, Host: d.set.Host, FailureDomain: d.set.FailureDomain, CallerAddress: d.CallerAddress(),
+		PeerAddress: d.PeerAddress(), OperatorAddr: d.OperatorAddress(),
+	}
+}
+
+// ID returns the daemon's id, unique to this process.
+func (d *Daemon) ID() string { return d.self }
+
+// CallerAddress returns the callers' listener's address.
+func (d *Daemon) CallerAddress() string { return d.listeners[0].Addr().String() }
+
+// PeerAddress returns the peers' listener's address.
+func (d *Daemon) PeerAddress() string { return d.listeners[1].Addr().String() }
+
+// OperatorAddress returns the operators' listener's address.
+func (d *Daemon) OperatorAddress() string { return d.listeners[2].Addr().String() }
+
+// seeds returns the peers to join by.
+func (d *Daemon) seeds(ctx context.Context) []string {
+	list := append([]string(nil), d.set.Peers.Seeds...)
+	hosts, err := d.platform.Hosts(ctx)
+	if err != nil {
+		return list
+	}
+	for _, h := range hosts {
+		if h.Role == platform.RoleEntry && !h.Leaving {
+			list = append(list, h.Address)
+		}
+	}
+	return list
+}
+
+func (d *Daemon) claimsConfig() bundle.Claims {
+	if s := d.rollout.Current(); s != nil {
+		return s.Bundle.Claims
+	}
+	return bundle.Claims{Shards: 1, Retention: bundle.Duration(time.Hour)}
+}
+
+func (d *Daemon) gate(unit string) *gate.Gate { return (*d.gates.Load())[unit] }
+
+// configure brings a snapshot into force: gates for all units, and a placer
+// and a reporter for each service.
+func (d *Daemon) configure(s *snapshot.Snapshot) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	old := *d.gates.Load()
+	next := make(map[string]*gate.Gate, len(s.Units))
+	for _, svc := range s.Bundle.Services {
+		r := d.reporterFor(svc.Name)
+		gates := map[string]*gate.Gate{}
+		if svc.Kind == bundle.KindPlain {
+			gates[svc.Name] = d.keepGate(old, svc.Name, r)
+		}
+		for name, u := range s.Units {
+			if u.Service == svc.Name {
+				gates[name] = d.keepGate(old, name, r)
+			}
+		}
+		for name, g := range gates {
+			next[name] = g
+		}
+		r.configure(svc, gates)
+		d.placerFor(svc.Name).Configure(s)
+	}
+	d.gates.Store(&next)
+}
+
+func (d *Daemon) keepGate(old map[string]*gate.Gate, unit string, r *reporter) *gate.Gate {
+	if g := old[unit]; g != nil {
+		return g
+	}
+	return gate.New(unit, d.set.Limits.QueueLength, r.kickNow)
+}
+
+// reporterFor returns a service's reporter; the caller holds the mutex.
+func (d *Daemon) reporterFor(service string) *reporter {
+	r := d.reporters[service]
+	if r == nil {
+		r = newReporter(service, d)
+		d.reporters[service] = r
+		if d.runCtx != nil {
+			go r.run(d.runCtx)
+		}
+	}
+	return r
+}
+
+// placerFor returns a service's placer; the caller holds the mutex.
+func (d *Daemon) placerFor(service string) *placer.Placer {
+	p := d.placers[service]
+	if p == nil {
+		p = placer.New(placer.Options{
+			Group: service, Self: d.self, LeaseTerm: d.set.LeaseTerm.D(), Platform: d.platform, Engines: d.engines, Roles: (*roles)(d), Log: d.log.Named("placement"),
+		})
+		d.placers[service] = p
+		if d.runCtx != nil {
+			go p.Run(d.runCtx)
+		}
+	}
+	return p
+}
+
+func (d *Daemon) endpointLeaving(endpoint string) {
+	for _, g := range *d.gates.Load() {
+		g.DropEndpoint(endpoint)
+	}
+}
+
+// Run serves until the shutdown is complete or ctx ends.
+func (d *Daemon) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer func() { _ = d.closer.Close() }()
+	d.start(ctx)
+	var g run.Group
+	d.addServer(&g, 0, d.callers.Handler())
+	d.addServer(&g, 1, peerpb.NewPeerServer((*peerServer)(d)))
+	d.addServer(&g, 2, operators.New(operators.Options{
+		Tokens: d.set.Operators.Tokens, Rollout: d.rollout, Members: d.gossip.Members, Dump: func() any { return d.Dump() }, Stop: d.Stop,
+		Metrics: d.reporter.HTTPHandler(), Log: d.log.Named("operators"),
+	}).Handler())
+	d.addActor(&g, ctx, d.gossip.Run)
+	d.addActor(&g, ctx, d.rollout.Run)
+	d.addActor(&g, ctx, d.runDrain)
+	d.addActor(&g, ctx, d.runReview)
+	d.log.Info("started", "callers", d.CallerAddress(), "peers", d.PeerAddress(), "operators", d.OperatorAddress(), "failure_domain", d.set.FailureDomain)
+	err := g.Run()
+	d.log.Info("stopped", "error", err)
+	return err
+}
+
+// start runs the placers and reporters of a configuration that came first.
+func (d *Daemon) start(ctx context.Context) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.runCtx = ctx
+	for _, p := range d.placers {
+		go p.Run(ctx)
+	}
+	for _, r := range d.reporters {
+		go r.run(ctx)
+	}
+}
+
+func (d *Daemon) addActor(g *run.Group, ctx context.Context, f func(context.Context) error) {
+	ctx, cancel := context.WithCancel(ctx)
+	g.Add(func() error { return f(ctx) }, func(error) { cancel() })
+}
+
+// closeTimeout bounds the closing of listeners after the last request ended.
+const closeTimeout = time.Second
+
+func (d *Daemon) addServer(g *run.Group, i int, h http.Handler) {
+	srv := &http.Server{Handler: h, MaxHeaderBytes: d.set.Limits.HeaderBytes, ReadHeaderTimeout: 10 * time.Second, ErrorLog: d.log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug})}
+	serve := func() error { return srv.Serve(d.listeners[i]) }
+	if t := d.set.Operators.TLS; i == 2 && t != nil {
+		serve = func() error { return srv.ServeTLS(d.listeners[i], t.Cert, t.Key) }
+	}
+	g.Add(func() error {
+		err := serve()
+		if errors.Is(err, http.ErrServerClosed) {
+			return nil
+		}
+		return err
+	}, func(error) {
+		ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+		defer cancel()
+		if srv.Shutdown(ctx) != nil {
+			_ = srv.Close()
+		}
+	})
+}
+
+// Phase returns where the daemon is in its life.
+func (d *Daemon) Phase() drain.Phase { return *d.phase.Load() }
+
+func (d *Daemon) setPhase(p drain.Phase) { d.phase.Store(&p) }
+
+// Stop begins the graceful shutdown.
+func (d *Daemon) Stop() {
+	ttl := time.Duration(0)
+	if s := d.rollout.Current(); s != nil {
+		ttl = s.Bundle.AddressTTL.D()
+	}
+	d.mu.Lock()
+	d.drain.Stop(time.Now(), ttl)
+	d.setPhase(d.drain.Phase())
+	placers := make([]*placer.Placer, 0, len(d.placers))
+	for _, p := range d.placers {
+		placers = append(placers, p)
+	}
+	d.mu.Unlock()
+	d.log.Info("graceful shutdown begins", "address_ttl", ttl.String())
+	d.gossip.Update(func(m *membership.Member) { m.Leaving = true })
+	for _, p := range placers {
+		p.Release()
+	}
+}
+
+// errStopped ends the run group after a complete shutdown.
+var errStopped = errors.New("shutdown complete")
+
+// IsStopped reports whether err is the end of a graceful shutdown.
+func IsStopped(err error) bool { return errors.Is(err, errStopped) }
+
+const drainTick = 50 * time.Millisecond
+
+func (d *Daemon) runDrain(ctx context.Context) error {
+	t := time.NewTicker(drainTick)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-t.C:
+			if d.stepDrain(now) == drain.Done {
+				return errStopped
+			}
+		}
+	}
+}
+
+func (d *Daemon) stepDrain(now time.Time) drain.Phase {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	released := true
+	for _, p := range d.placers {
+		released = released && p.Released()
+	}
+	phase := d.drain.Step(now, d.callers.InProgress(), released)
+	if phase != d.Phase() {
+		d.log.Info("graceful shutdown", "phase", phase, "in_progress", d.callers.InProgress())
+	}
+	d.setPhase(phase)
+	return phase
+}
+
+// reviewEvery is how often waiting requests are looked at for those that have
+// run out of time.
+const reviewEvery = 20 * time.Millisecond
+
+func (d *Daemon) runReview(ctx context.Context) error {
+	t := time.NewTicker(reviewEvery)
+	defer t.Stop()
+	for n := 0; ; n++ {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-t.C:
+			for _, g := range *d.gates.Load() {
+				g.Review(now)
+			}
+			if n%loadEvery == 0 {
+				d.announceLoad()
+			}
+		}
+	}
+}
+
+const (
+	loadEvery  = 100 // reviews between two looks at the load
+	loadLevels = 3
+)
+
+// announceLoad tells the peers a coarse load level, only when it has changed.
+func (d *Daemon) announceLoad() {
+	level := min(loadLevels, loadLevels*d.callers.InProgress()/max(1, d.set.Limits.Connections/4))
+	if d.gossip.Self().Load != level {
+		d.gossip.Update(func(m *membership.Member) { m.Load = level })
+	}
+}
+
+// hostOf returns the host's part of a daemon's id.
+func hostOf(id string) string {
+	if i := strings.LastIndex(id, "-"); i >= 0 {
+		return id[:i]
+	}
+	return id
+}
--- /dev/null
+++ b/daemon/dump.go
@@ -0,0 +1,59 @@
+package daemon
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/doorvalve/doorvalve/coordination/drain"
+	"github.com/doorvalve/doorvalve/coordination/membership"
+	"github.com/doorvalve/doorvalve/driver/gate"
+	"github.com/doorvalve/doorvalve/driver/placer"
+)
+
+// Dump is a daemon's whole state, for people.
+type Dump struct {
+	ID            string              `json:"id"`
+	Host          string              `json:"host"`
+	FailureDomain string              `json:"failure_domain"`
+	Phase         drain.Phase         `json:"phase"`
+	Uptime        string              `json:"uptime"`
+	Generation    uint64              `json:"generation"`
+	Digest        string              `json:"digest"`
+	InProgress    int                 `json:"in_progress"`
+	PlatformCalls int64               `json:"platform_calls"`
+	PeerMessages  int64               `json:"gossip_messages"`
+	Members       []membership.Member `json:"members"`
+	Groups        []placer.View       `json:"groups"`
+	Gates         []gate.View         `json:"gates"` // those in use
+	ClaimKeys     map[uint32]int      `json:"claim_keys"`
+}
+
+// Dump returns the daemon's state.
+func (d *Daemon) Dump() Dump {
+	out := Dump{
+		ID: d.self, Host: d.set.Host, FailureDomain: d.set.FailureDomain, Phase: d.Phase(),
+		Uptime: time.Since(d.started).Round(time.Second).String(), InProgress: d.callers.InProgress(),
+		PlatformCalls: d.platform.Calls(), PeerMessages: d.gossip.Messages(), Members: d.gossip.Members(), ClaimKeys: d.claimer.Sizes(),
+	}
+	if s := d.rollout.Current(); s != nil {
+		out.Generation, out.Digest = s.Generation, s.Digest
+	}
+	d.mu.Lock()
+	placers := make([]*placer.Placer, 0, len(d.placers))
+	for _, p := range d.placers {
+		placers = append(placers, p)
+	}
+	d.mu.Unlock()
+	for _, p := range placers {
+		out.Groups = append(out.Groups, p.View())
+	}
+	slices.SortFunc(out.Groups, func(a, b placer.View) int { return strings.Compare(a.Group, b.Group) })
+	for _, g := range *d.gates.Load() {
+		if v := g.View(); v.Queued+v.InFlight > 0 || len(v.Slots) > 0 {
+			out.Gates = append(out.Gates, v)
+		}
+	}
+	slices.SortFunc(out.Gates, func(a, b gate.View) int { return strings.Compare(a.Unit, b.Unit) })
+	return out
+}
--- /dev/null
+++ b/daemon/reporter.go
@@ -0,0 +1,205 @@
+package daemon
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/doorvalve/doorvalve/coordination/admission"
+	"github.com/doorvalve/doorvalve/driver/gate"
+	"github.com/doorvalve/doorvalve/protocol/peerpb"
+	"github.com/doorvalve/doorvalve/state/bundle"
+	"github.com/doorvalve/doorvalve/transport/peers"
+)
+
+const (
+	reportWaiting = 50 * time.Millisecond  // between reports while requests wait
+	reportRunning = 500 * time.Millisecond // between reports while requests run or have run lately
+	reportLeast   = 5 * time.Millisecond   // between two reports, whatever happens
+	reportIdle    = 2 * time.Second        // after its last use a unit is reported no more
+	demandTimeout = time.Second
+	// noAnswerFor is how long the coordinator may be silent before waiting
+	// requests are refused.
+	noAnswerFor = 2 * time.Second
+)
+
+// reporter tells one group's coordinator the demand of this daemon and brings
+// back credits and estimates. An idle daemon sends nothing.
+type reporter struct {
+	group string
+	d     *Daemon
+	kick  chan struct{}
+
+	mu       sync.Mutex
+	service  bundle.Service
+	gates    map[string]*gate.Gate
+	credited map[string]bool // units that hold credit
+	answered time.Time
+}
+
+func newReporter(group string, d *Daemon) *reporter {
+	return &reporter{group: group, d: d, kick: make(chan struct{}, 1), credited: map[string]bool{}, answered: time.Now()}
+}
+
+func (r *reporter) configure(s bundle.Service, gates map[string]*gate.Gate) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.service, r.gates = s, gates
+}
+
+func (r *reporter) kickNow() {
+	select {
+	case r.kick <- struct{}{}:
+	default:
+	}
+}
+
+// run reports until ctx ends.
+func (r *reporter) run(ctx context.Context) {
+	t := time.NewTicker(reportWaiting)
+	defer t.Stop()
+	last := time.Time{}
+	for {
+		kicked := false
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.kick:
+			kicked = true
+		case <-t.C:
+		}
+		units, waiting := r.demand()
+		if len(units) == 0 || !kicked && !waiting && time.Since(last) < reportRunning {
+			continue
+		}
+		if d := reportLeast - time.Since(last); d > 0 {
+			time.Sleep(d)
+			units, _ = r.demand()
+		}
+		last = time.Now()
+		r.report(ctx, units)
+	}
+}
+
+// activeUnit is a unit with demand.
+type activeUnit struct {
+	name string
+	gate *gate.Gate
+}
+
+// demand lists the units in use and takes the credit from those that are not.
+func (r *reporter) demand() (units []activeUnit, waiting bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	for name, g := range r.gates {
+		wait, running := g.Busy()
+		if wait || running || now.Sub(g.LastUse()) < reportIdle {
+			units = append(units, activeUnit{name, g})
+			waiting = waiting || wait
+		} else if r.credited[name] {
+			delete(r.credited, name)
+			g.Update(now, nil, admission.Estimate{})
+		}
+	}
+	return units, waiting
+}
+
+func (r *reporter) report(ctx context.Context, units []activeUnit) {
+	req := &peerpb.DemandRequest{From: r.d.self, Group: r.group}
+	now := time.Now()
+	for _, u := range units {
+		req.Units = append(req.Units, unitDemand(now, u))
+	}
+	resp := r.ask(ctx, req)
+	now = time.Now()
+	if resp == nil || !resp.Coordinator {
+		r.unanswered(now, units)
+		return
+	}
+	r.answered = now
+	r.apply(now, units, resp)
+}
+
+// ask calls the coordinator, which may be this daemon.
+func (r *reporter) ask(ctx context.Context, req *peerpb.DemandRequest) *peerpb.DemandResponse {
+	m, ok := r.d.coordinator(r.group)
+	if !ok {
+		return nil
+	}
+	if m.ID == r.d.self {
+		if p := r.d.placer(r.group); p != nil {
+			return p.HandleDemand(req)
+		}
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, demandTimeout)
+	defer cancel()
+	resp, err := r.d.peers.To(m.PeerAddress).Demand(ctx, req)
+	if err != nil {
+		r.d.log.Debug("demand not answered", "group", r.group, "coordinator", m.ID, "error", err)
+		return nil
+	}
+	return resp
+}
+
+// unanswered keeps the credits and, after a while, refuses what waits without.
+func (r *reporter) unanswered(now time.Time, units []activeUnit) {
+	if now.Sub(r.answered) < noAnswerFor {
+		return
+	}
+	for _, u := range units {
+		u.gate.Fail(now, "no-coordinator", r.d.set.LeaseTerm.D()+peers.CallTimeout)
+	}
+}
+
+func unitDemand(now time.Time, u activeUnit) *peerpb.UnitDemand {
+	rep := u.gate.Report()
+	d := &peerpb.UnitDemand{Unit: u.name, InFlight: rep.InFlight, Arrivals: rep.Arrivals}
+	for _, it := range rep.Waiting { // best first, so equal worths are neighbours
+		n := len(d.Waiting)
+		if n > 0 && d.Waiting[n-1].Worth == it.Worth {
+			d.Waiting[n-1].Count++
+			continue
+		}
+		d.Waiting = append(d.Waiting, &peerpb.Waiting{Worth: it.Worth, Count: 1, EarliestDeadlineMs: it.Deadline.Sub(now).Milliseconds()})
+	}
+	return d
+}
+
+// apply hands credits and estimates to the gates.
+func (r *reporter) apply(now time.Time, units []activeUnit, resp *peerpb.DemandResponse) {
+	r.mu.Lock()
+	endpoints := map[string]bundle.Endpoint{}
+	for _, e := range r.service.Endpoints {
+		endpoints[e.Name] = e
+	}
+	r.mu.Unlock()
+	credits := map[string][]gate.Credit{}
+	for _, c := range resp.Credits {
+		if e, ok := endpoints[c.Endpoint]; ok {
+			credits[c.Unit] = append(credits[c.Unit], gate.Credit{Endpoint: e, Limit: int(c.Limit)})
+		}
+	}
+	estimates := map[string]admission.Estimate{}
+	for _, e := range resp.Estimates {
+		estimates[e.Unit] = estimateFrom(e.WaitMs, e.Reason)
+	}
+	for _, u := range units {
+		u.gate.Update(now, credits[u.name], estimates[u.name])
+		if len(credits[u.name]) > 0 {
+			r.mu.Lock()
+			r.credited[u.name] = true
+			r.mu.Unlock()
+		}
+	}
+}
+
+// estimateFrom reads the wire form: a negative wait with a reason is a refusal
+// whose time to come back is -wait-1.
+func estimateFrom(waitMs int64, reason string) admission.Estimate {
+	if reason != "" {
+		return admission.Estimate{Refuse: reason, After: time.Duration(-waitMs-1) * time.Millisecond}
+	}
+	return admission.Estimate{Ready: time.Duration(waitMs) * time.Millisecond}
+}
--- /dev/null
+++ b/daemon/roles.go
@@ -0,0 +1,151 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/doorvalve/doorvalve/coordination/drain"
+	"github.com/doorvalve/doorvalve/coordination/membership"
+	"github.com/doorvalve/doorvalve/driver/placer"
+	"github.com/doorvalve/doorvalve/protocol/peerpb"
+)
+
+// roles tells the placers what the membership says of this daemon.
+type roles Daemon
+
+// leaseFact names a group's lease holder among the daemons.
+type leaseFact struct {
+	Holder string `json:"holder"` // empty after a release
+}
+
+const leasePrefix = "l/"
+
+// candidates is how many daemons try to hold one group's lease.
+const candidates = 2
+
+// coordinator returns the daemon that answers a group's demand: the holder of
+// its lease while it is alive, or else the first by rendezvous.
+func (d *Daemon) coordinator(group string) (membership.Member, bool) {
+	members := d.gossip.Members()
+	if e, ok := d.gossip.Get(leasePrefix + group); ok {
+		var f leaseFact
+		if json.Unmarshal(e.Value, &f) == nil && f.Holder != "" {
+			for _, m := range members {
+				if m.ID == f.Holder && m.Status != membership.Dead && !m.Leaving {
+					return m, true
+				}
+			}
+		}
+	}
+	list := membership.Rendezvous(group, members)
+	if len(list) == 0 {
+		return membership.Member{}, false
+	}
+	return list[0], true
+}
+
+// Coordinates implements placer.Roles.
+func (r *roles) Coordinates(group string) bool {
+	m, ok := (*Daemon)(r).coordinator(group)
+	return ok && m.ID == r.self
+}
+
+// Candidate implements placer.Roles.
+func (r *roles) Candidate(group string) bool {
+	d := (*Daemon)(r)
+	if d.Phase() != drain.Serving {
+		return false
+	}
+	list := membership.Rendezvous(group, d.gossip.Members())
+	for i := range list[:min(candidates, len(list))] {
+		if list[i].ID == d.self {
+			return true
+		}
+	}
+	return false
+}
+
+// Leaving implements placer.Roles.
+func (r *roles) Leaving(endpoint string) bool { return r.rollout.Leaving(endpoint) }
+
+// Held implements placer.Roles. The fact's version orders a release after the
+// hold of the same fence, and both before the next fence.
+func (r *roles) Held(group string, fence uint64, held bool) {
+	f := leaseFact{Holder: r.self}
+	version := 2 * fence
+	if !held {
+		f.Holder = ""
+		version++
+	}
+	value, _ := json.Marshal(f) // one string always marshals
+	r.gossip.Set(membership.Entry{Key: leasePrefix + group, Version: version, Value: value})
+}
+
+// Quiescent implements placer.Roles: the former holder says so itself, or
+// another process runs in its place on its host, or the host has left the
+// platform's list.
+func (r *roles) Quiescent(ctx context.Context, holder, group string, fence uint64) bool {
+	d := (*Daemon)(r)
+	for _, m := range d.gossip.Members() {
+		if m.ID == holder {
+			resp, err := d.peers.To(m.PeerAddress).Handover(ctx, &peerpb.HandoverRequest{Group: group, Fence: fence})
+			return err == nil && resp.Quiescent
+		}
+		if m.Host == hostOf(holder) {
+			return true
+		}
+	}
+	hosts, err := d.platform.Hosts(ctx)
+	if err != nil {
+		return false
+	}
+	for _, h := range hosts {
+		if h.Name == hostOf(holder) {
+			return false
+		}
+	}
+	return true
+}
+
+// peerServer serves the other daemons.
+type peerServer Daemon
+
+// Gossip implements peerpb.Peer.
+func (s *peerServer) Gossip(_ context.Context, req *peerpb.GossipRequest) (*peerpb.GossipResponse, error) {
+	return s.gossip.HandleGossip(req), nil
+}
+
+// Probe implements peerpb.Peer.
+func (s *peerServer) Probe(ctx context.Context, req *peerpb.ProbeRequest) (*peerpb.ProbeResponse, error) {
+	return s.gossip.HandleProbe(ctx, req), nil
+}
+
+// Fetch implements peerpb.Peer.
+func (s *peerServer) Fetch(_ context.Context, req *peerpb.FetchRequest) (*peerpb.FetchResponse, error) {
+	return s.rollout.HandleFetch(req), nil
+}
+
+// Demand implements peerpb.Peer.
+func (s *peerServer) Demand(_ context.Context, req *peerpb.DemandRequest) (*peerpb.DemandResponse, error) {
+	if p := (*Daemon)(s).placer(req.Group); p != nil {
+		return p.HandleDemand(req), nil
+	}
+	return &peerpb.DemandResponse{}, nil
+}
+
+// Claim implements peerpb.Peer.
+func (s *peerServer) Claim(ctx context.Context, req *peerpb.ClaimRequest) (*peerpb.ClaimResponse, error) {
+	return s.claimer.HandleClaim(ctx, req), nil
+}
+
+// Handover implements peerpb.Peer.
+func (s *peerServer) Handover(_ context.Context, req *peerpb.HandoverRequest) (*peerpb.HandoverResponse, error) {
+	p := (*Daemon)(s).placer(req.Group)
+	return &peerpb.HandoverResponse{Quiescent: p == nil || p.Quiescent(req.Fence)}, nil
+}
+
+func (d *Daemon) placer(group string) *placer.Placer {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.placers[group]
+}
--- /dev/null
+++ b/driver/claimer/claimer.go
@@ -0,0 +1,258 @@
+// Package claimer drives the claim shards: it finds a shard's owner among the
+// daemons, and runs the shards that this daemon owns.
+package claimer
+
+import (
+	"context"
+	"errors"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/doorvalve/doorvalve/coordination/claims"
+	"github.com/doorvalve/doorvalve/coordination/membership"
+	"github.com/doorvalve/doorvalve/protocol/peerpb"
+	"github.com/doorvalve/doorvalve/state/bundle"
+	"github.com/doorvalve/doorvalve/transport/peers"
+	"github.com/doorvalve/doorvalve/transport/platform"
+)
+
+const (
+	writeInterval = 20 * time.Millisecond // least time between two appends to a shard
+	readRetry     = 200 * time.Millisecond
+	maxOpen       = 128 // records in a shard's head before it is sealed
+	callTimeout   = 1500 * time.Millisecond
+)
+
+// Options configure a Claimer.
+type Options struct {
+	Self     string
+	Platform *platform.Client
+	Peers    *peers.Client
+	Members  func() []membership.Member
+	Config   func() bundle.Claims
+	Log      hclog.Logger
+}
+
+// Claimer is safe for concurrent use.
+type Claimer struct {
+	opt    Options
+	mu     sync.Mutex
+	shards map[uint32]*shard
+}
+
+// New returns a claimer that has read nothing.
+func New(opt Options) *Claimer { return &Claimer{opt: opt, shards: map[uint32]*shard{}} }
+
+// Claim claims a key for the attempt named by claimID. Unless it returns
+// Granted, the request must not be dispatched.
+func (c *Claimer) Claim(ctx context.Context, key claims.Key, claimID string) claims.Outcome {
+	return c.ask(ctx, key, claimID, false)
+}
+
+// Release gives back a key whose request has certainly not run.
+func (c *Claimer) Release(ctx context.Context, key claims.Key, claimID string) claims.Outcome {
+	return c.ask(ctx, key, claimID, true)
+}
+
+// ask goes to the shard's owner, and to the next candidate when that does not
+// answer. Both may believe to be the owner; the platform's condition decides.
+func (c *Claimer) ask(ctx context.Context, key claims.Key, claimID string, release bool) claims.Outcome {
+	n := key.Shard(c.opt.Config().Shards)
+	owners := membership.Rendezvous("claims/"+strconv.Itoa(int(n)), c.opt.Members())
+	for _, m := range owners[:min(len(owners), 2)] {
+		if m.ID == c.opt.Self {
+			return c.local(ctx, n, key, claimID, release)
+		}
+		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		resp, err := c.opt.Peers.To(m.PeerAddress).Claim(callCtx, &peerpb.ClaimRequest{Shard: n, Key: key[:], ClaimId: claimID, Release: release})
+		cancel()
+		if err == nil && resp.Outcome != peerpb.ClaimOutcome_UNAVAILABLE {
+			return fromWire[resp.Outcome]
+		}
+		if ctx.Err() != nil {
+			return claims.Unavailable
+		}
+	}
+	return c.local(ctx, n, key, claimID, release)
+}
+
+var fromWire = map[peerpb.ClaimOutcome]claims.Outcome{
+	peerpb.ClaimOutcome_UNAVAILABLE: claims.Unavailable,
+	peerpb.ClaimOutcome_GRANTED:     claims.Granted,
+	peerpb.ClaimOutcome_DUPLICATE:   claims.Duplicate,
+}
+
+var toWire = map[claims.Outcome]peerpb.ClaimOutcome{
+	claims.Unavailable: peerpb.ClaimOutcome_UNAVAILABLE,
+	claims.Granted:     peerpb.ClaimOutcome_GRANTED,
+	claims.Duplicate:   peerpb.ClaimOutcome_DUPLICATE,
+}
+
+// HandleClaim serves the Claim call.
+func (c *Claimer) HandleClaim(ctx context.Context, req *peerpb.ClaimRequest) *peerpb.ClaimResponse {
+	var key claims.Key
+	if len(req.Key) != claims.KeySize {
+		return &peerpb.ClaimResponse{}
+	}
+	copy(key[:], req.Key)
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return &peerpb.ClaimResponse{Outcome: toWire[c.local(ctx, req.Shard, key, req.ClaimId, req.Release)]}
+}
+
+func (c *Claimer) local(ctx context.Context, n uint32, key claims.Key, claimID string, release bool) claims.Outcome {
+	return c.shard(n).do(ctx, key, claimID, release)
+}
+
+func (c *Claimer) shard(n uint32) *shard {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.shards[n]
+	if s == nil {
+		s = &shard{name: strconv.Itoa(int(n)), platform: c.opt.Platform, waiters: map[waiter]chan claims.Outcome{}}
+		s.m = claims.NewShard(claims.Options{
+			Owner: c.opt.Self, Shard: n, Interval: writeInterval, RetryWait: readRetry,
+			Retention: c.opt.Config().Retention.D(), MaxOpen: maxOpen,
+		})
+		c.shards[n] = s
+	}
+	return s
+}
+
+// Sizes returns the number of keys held for each shard, for a dump.
+func (c *Claimer) Sizes() map[uint32]int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	sizes := map[uint32]int{}
+	for n, s := range c.shards {
+		s.mu.Lock()
+		sizes[n] = s.m.Size()
+		s.mu.Unlock()
+	}
+	return sizes
+}
+
+type waiter struct {
+	claimID string
+	release bool
+}
+
+// shard runs one machine: every event is followed by what the machine asks
+// for.
+type shard struct {
+	name     string
+	platform *platform.Client
+
+	mu      sync.Mutex
+	m       *claims.Shard
+	waiters map[waiter]chan claims.Outcome
+	timer   *time.Timer
+}
+
+func (s *shard) do(ctx context.Context, key claims.Key, claimID string, release bool) claims.Outcome {
+	ch := make(chan claims.Outcome, 1)
+	w := waiter{claimID, release}
+	s.mu.Lock()
+	s.waiters[w] = ch
+	if release {
+		s.step(claims.Release{Key: key, ClaimID: claimID})
+	} else {
+		s.step(claims.Claim{Key: key, ClaimID: claimID, Unix: time.Now().Unix()})
+	}
+	s.mu.Unlock()
+	select {
+	case out := <-ch:
+		return out
+	case <-ctx.Done():
+		s.mu.Lock()
+		delete(s.waiters, w)
+		s.mu.Unlock()
+		return claims.Unavailable
+	}
+}
+
+// step feeds the machine; the caller holds the mutex.
+func (s *shard) step(e claims.Event) {
+	s.m.Step(time.Now(), e)
+	s.pump()
+}
+
+func (s *shard) pump() {
+	r := s.m.Ready(time.Now())
+	switch {
+	case r.Read:
+		go s.read()
+	case r.Write != nil:
+		go s.write(*r.Write)
+	}
+	for _, res := range r.Results {
+		w := waiter{res.ClaimID, res.Release}
+		if ch := s.waiters[w]; ch != nil {
+			delete(s.waiters, w)
+			ch <- res.Outcome
+		}
+	}
+	for _, ref := range r.Expired {
+		go func() { _ = s.platform.Delete(context.Background(), platform.KindSegment, ref.Name) }()
+	}
+	s.schedule()
+}
+
+func (s *shard) schedule() {
+	at := s.m.NextAt()
+	if at.IsZero() || s.timer != nil {
+		return
+	}
+	s.timer = time.AfterFunc(max(0, time.Until(at)), func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.timer = nil
+		s.pump()
+	})
+}
+
+// read gets the head and its sealed segments.
+func (s *shard) read() {
+	ctx := context.Background() // each call has the platform's timeout
+	e := claims.ReadDone{Segments: map[string]claims.Segment{}}
+	version, err := s.platform.Get(ctx, platform.KindClaim, s.name, &e.Head)
+	if errors.Is(err, platform.ErrNotFound) {
+		err = nil
+	}
+	e.Version = version
+	for _, ref := range e.Head.Sealed {
+		if err != nil {
+			break
+		}
+		var seg claims.Segment
+		_, err = s.platform.Get(ctx, platform.KindSegment, ref.Name, &seg)
+		e.Segments[ref.Name] = seg
+	}
+	e.Err = err != nil
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.step(e)
+}
+
+// write creates the sealed segment, if any, and then updates the head.
+func (s *shard) write(w claims.Write) {
+	ctx := context.Background()
+	out := platform.OK
+	if w.Seal != nil {
+		_, out = s.platform.Put(ctx, platform.KindSegment, w.SealName, 0, w.Seal)
+	}
+	var version uint64
+	if out == platform.OK {
+		version, out = s.platform.Put(ctx, platform.KindClaim, s.name, w.ExpectedVersion, w.Head)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.step(claims.WriteDone{Outcome: outcomes[out], Version: version})
+}
+
+var outcomes = map[platform.Outcome]claims.WriteOutcome{
+	platform.OK: claims.WriteOK, platform.Conflict: claims.WriteConflict, platform.Unknown: claims.WriteUnknown,
+}
--- /dev/null
+++ b/driver/gate/gate.go
@@ -0,0 +1,371 @@
+// Package gate is one unit's door on the path of a request: while the daemon
+// has credit at an endpoint, a request takes it with atomic operations alone;
+// otherwise the request waits in order of worth.
+package gate
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/doorvalve/doorvalve/coordination/admission"
+	"github.com/doorvalve/doorvalve/protocol"
+	"github.com/doorvalve/doorvalve/state/bundle"
+)
+
+// Slot is the credit at one endpoint.
+type Slot struct {
+	Endpoint bundle.Endpoint
+	limit    atomic.Int64
+	used     atomic.Int64
+	// avoidUntil keeps new requests away after an error, as Unix nanoseconds.
+	avoidUntil atomic.Int64
+}
+
+// Used returns the number of requests at the endpoint.
+func (s *Slot) Used() int64 { return s.used.Load() }
+
+// Limit returns the credit.
+func (s *Slot) Limit() int64 { return s.limit.Load() }
+
+// take takes one unit of credit if there is one.
+func (s *Slot) take(now int64) bool {
+	if s.avoidUntil.Load() > now {
+		return false
+	}
+	for {
+		used := s.used.Load()
+		if used >= s.limit.Load() {
+			return false
+		}
+		if s.used.CompareAndSwap(used, used+1) {
+			return true
+		}
+	}
+}
+
+// Credit is what the coordinator allows at an endpoint.
+type Credit struct {
+	Endpoint bundle.Endpoint
+	Limit    int
+}
+
+type outcome struct {
+	slot    *Slot
+	refusal *protocol.Refusal
+}
+
+// Gate is safe for concurrent use.
+type Gate struct {
+	unit  string
+	kick  func() // asks for credit at once
+	slots atomic.Pointer[[]*Slot]
+
+	queued   atomic.Int64
+	inFlight atomic.Int64
+	arrivals atomic.Int64
+	lastUse  atomic.Int64 // Unix nanoseconds
+	service  atomic.Int64 // mean time of a request, in nanoseconds
+
+	mu      sync.Mutex // queue, waiters and estimate; not on the path while there is credit
+	queue   *admission.Queue
+	waiters map[uint64]chan outcome
+	nextID  uint64
+	est     admission.Estimate
+}
+
+// New returns a gate without credit. kick is called when a request waits.
+func New(unit string, queueLength int, kick func()) *Gate {
+	g := &Gate{unit: unit, kick: kick, queue: admission.NewQueue(queueLength), waiters: map[uint64]chan outcome{}}
+	g.slots.Store(&[]*Slot{})
+	return g
+}
+
+// Request is what the gate needs to know of a request.
+type Request struct {
+	Worth    int64
+	Deadline time.Time
+	Affinity uint64 // hash of the prompt's prefix; 0 for none
+}
+
+// Acquire takes a slot, waiting in order of worth. The refusal is final and
+// returned at the moment it is decided.
+func (g *Gate) Acquire(ctx context.Context, r Request) (*Slot, *protocol.Refusal) {
+	now := time.Now()
+	g.arrivals.Add(1)
+	g.lastUse.Store(now.UnixNano())
+	if g.queued.Load() == 0 {
+		if s := g.tryTake(r.Affinity, now); s != nil {
+			return s, nil
+		}
+	}
+	return g.wait(ctx, now, r)
+}
+
+// tryTake prefers the endpoint that the prefix hashes to, then the one with
+// the most credit left, so that affinity never overrides the load bound.
+func (g *Gate) tryTake(affinity uint64, now time.Time) *Slot {
+	slots := *g.slots.Load()
+	if len(slots) == 0 {
+		return nil
+	}
+	nanos := now.UnixNano()
+	if affinity != 0 {
+		if s := slots[affinity%uint64(len(slots))]; s.take(nanos) {
+			g.inFlight.Add(1)
+			return s
+		}
+	}
+	for range len(slots) {
+		best := mostLeft(slots, nanos)
+		if best == nil {
+			return nil
+		}
+		if best.take(nanos) {
+			g.inFlight.Add(1)
+			return best
+		}
+	}
+	return nil
+}
+
+func mostLeft(slots []*Slot, now int64) *Slot {
+	var best *Slot
+	bestLeft := int64(0)
+	for _, s := range slots {
+		left := s.limit.Load() - s.used.Load()
+		if left > bestLeft && s.avoidUntil.Load() <= now {
+			best, bestLeft = s, left
+		}
+	}
+	return best
+}
+
+func (g *Gate) wait(ctx context.Context, now time.Time, r Request) (*Slot, *protocol.Refusal) {
+	g.mu.Lock()
+	g.nextID++
+	id := g.nextID
+	ch := make(chan outcome, 1)
+	g.waiters[id] = ch
+	refused := g.queue.Push(now, admission.Item{ID: id, Worth: r.Worth, Deadline: r.Deadline}, g.estimate())
+	g.refuse(refused)
+	g.dispatch(now)
+	waiting := g.queue.Len()
+	g.mu.Unlock()
+	if waiting > 0 {
+		g.kick()
+	}
+	select {
+	case out := <-ch:
+		return out.slot, out.refusal
+	case <-ctx.Done():
+		return nil, g.abandon(id, ch)
+	}
+}
+
+// abandon takes a request out whose caller has gone or whose time is over.
+func (g *Gate) abandon(id uint64, ch chan outcome) *protocol.Refusal {
+	g.mu.Lock()
+	if g.queue.Remove(id) {
+		delete(g.waiters, id)
+		g.queued.Store(int64(g.queue.Len()))
+		g.mu.Unlock()
+		return protocol.Refuse(http.StatusServiceUnavailable, admission.ReasonDeadline, "the request's time ended in the queue", time.Second)
+	}
+	g.mu.Unlock()
+	out := <-ch // decided in between
+	if out.slot != nil {
+		g.Release(out.slot, 0)
+		return protocol.Refuse(http.StatusServiceUnavailable, admission.ReasonDeadline, "the request's time ended in the queue", time.Second)
+	}
+	return out.refusal
+}
+
+// estimate completes the coordinator's estimate; the caller holds the mutex.
+func (g *Gate) estimate() admission.Estimate {
+	est := g.est
+	est.Service = time.Duration(g.service.Load())
+	for _, s := range *g.slots.Load() {
+		est.Slots += int(s.limit.Load())
+	}
+	return est
+}
+
+// refuse answers refused requests; the caller holds the mutex.
+func (g *Gate) refuse(refused []admission.Refused) {
+	for _, r := range refused {
+		status := http.StatusServiceUnavailable
+		if r.Reason == admission.ReasonQueueFull || r.Reason == admission.ReasonOutranked {
+			status = http.StatusTooManyRequests
+		}
+		g.finish(r.ID, outcome{refusal: protocol.Refuse(status, r.Reason, g.unit+" cannot be served in time", max(r.RetryAfter, minRetryAfter))})
+	}
+	g.queued.Store(int64(g.queue.Len()))
+}
+
+// minRetryAfter keeps refused callers from coming back at once.
+const minRetryAfter = 100 * time.Millisecond
+
+func (g *Gate) finish(id uint64, out outcome) {
+	if ch := g.waiters[id]; ch != nil {
+		delete(g.waiters, id)
+		ch <- out
+	}
+}
+
+// dispatch hands free credit to the worthiest; the caller holds the mutex.
+func (g *Gate) dispatch(now time.Time) {
+	for g.queue.Len() > 0 {
+		s := g.tryTake(0, now)
+		if s == nil {
+			break
+		}
+		it, _ := g.queue.Pop()
+		g.finish(it.ID, outcome{slot: s})
+	}
+	g.queued.Store(int64(g.queue.Len()))
+}
+
+// serviceWeight is the weight of the newest time in the mean: 1/8.
+const serviceWeight = 8
+
+// Release gives a slot back. took is the time of a request that ran, or 0.
+func (g *Gate) Release(s *Slot, took time.Duration) {
+	if took > 0 {
+		old := g.service.Load()
+		g.service.Store(old + (int64(took)-old)/serviceWeight)
+	}
+	s.used.Add(-1)
+	g.inFlight.Add(-1)
+	g.lastUse.Store(time.Now().UnixNano())
+	if g.queued.Load() > 0 {
+		g.mu.Lock()
+		g.dispatch(time.Now())
+		g.mu.Unlock()
+	}
+}
+
+// Avoid keeps new requests away from a slot's endpoint for a while.
+func (g *Gate) Avoid(s *Slot, d time.Duration) {
+	s.avoidUntil.Store(time.Now().Add(d).UnixNano())
+}
+
+// Update sets the credits and the estimate, answers the requests that are
+// thereby out of time and starts those that now can.
+func (g *Gate) Update(now time.Time, credits []Credit, est admission.Estimate) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.est = est
+	g.setCredits(credits)
+	g.dispatch(now)
+	g.refuse(g.queue.Review(now, g.estimate()))
+}
+
+// Fail keeps the credits, as the last accepted state, and refuses what waits
+// for credit that nobody can give.
+func (g *Gate) Fail(now time.Time, reason string, after time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.est.Refuse, g.est.After = reason, after
+	g.dispatch(now)
+	if len(*g.slots.Load()) > 0 {
+		g.est.Refuse = ""
+	}
+	g.refuse(g.queue.Review(now, g.estimate()))
+}
+
+// Review answers the requests that have run out of time.
+func (g *Gate) Review(now time.Time) {
+	if g.queued.Load() == 0 {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.dispatch(now)
+	g.refuse(g.queue.Review(now, g.estimate()))
+}
+
+// setCredits builds a new list, keeping the slots of endpoints that stay, so
+// that requests in progress still count.
+func (g *Gate) setCredits(credits []Credit) {
+	old := map[string]*Slot{}
+	for _, s := range *g.slots.Load() {
+		old[s.Endpoint.Name] = s
+	}
+	next := make([]*Slot, 0, len(credits))
+	for _, c := range credits {
+		s := old[c.Endpoint.Name]
+		if s == nil || s.Endpoint.Address != c.Endpoint.Address {
+			s = &Slot{Endpoint: c.Endpoint}
+		}
+		s.limit.Store(int64(c.Limit))
+		delete(old, c.Endpoint.Name)
+		next = append(next, s)
+	}
+	for _, s := range old {
+		s.limit.Store(0)
+	}
+	g.slots.Store(&next)
+}
+
+// DropEndpoint takes away the credit at an endpoint that is leaving.
+func (g *Gate) DropEndpoint(name string) {
+	for _, s := range *g.slots.Load() {
+		if s.Endpoint.Name == name {
+			s.limit.Store(0)
+		}
+	}
+}
+
+// Report is what the daemon tells the coordinator.
+type Report struct {
+	Waiting  []admission.Item
+	InFlight int64
+	Arrivals int64
+	LastUse  time.Time
+	Service  time.Duration
+}
+
+// Report returns the present demand; arrivals are counted once.
+func (g *Gate) Report() Report {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return Report{
+		Waiting: append([]admission.Item(nil), g.queue.Items()...), InFlight: g.inFlight.Load(),
+		Arrivals: g.arrivals.Swap(0), LastUse: time.Unix(0, g.lastUse.Load()), Service: time.Duration(g.service.Load()),
+	}
+}
+
+// Busy reports whether requests wait or run.
+func (g *Gate) Busy() (waiting, running bool) {
+	return g.queued.Load() > 0, g.inFlight.Load() > 0
+}
+
+// LastUse returns when a request last arrived or ended.
+func (g *Gate) LastUse() time.Time { return time.Unix(0, g.lastUse.Load()) }
+
+// View is the gate's state for a dump.
+type View struct {
+	Unit     string     `json:"unit"`
+	Queued   int64      `json:"queued"`
+	InFlight int64      `json:"in_flight"`
+	Slots    []SlotView `json:"slots,omitempty"`
+}
+
+// SlotView is one endpoint's credit for a dump.
+type SlotView struct {
+	Endpoint string `json:"endpoint"`
+	Used     int64  `json:"used"`
+	Limit    int64  `json:"limit"`
+}
+
+// View returns the gate's state.
+func (g *Gate) View() View {
+	v := View{Unit: g.unit, Queued: g.queued.Load(), InFlight: g.inFlight.Load()}
+	for _, s := range *g.slots.Load() {
+		v.Slots = append(v.Slots, SlotView{Endpoint: s.Endpoint.Name, Used: s.Used(), Limit: s.Limit()})
+	}
+	return v
+}
--- /dev/null
+++ b/driver/placer/demand.go
@@ -0,0 +1,100 @@
+package placer
+
+import (
+	"time"
+
+	"github.com/doorvalve/doorvalve/coordination/grants"
+	"github.com/doorvalve/doorvalve/coordination/placement"
+	"github.com/doorvalve/doorvalve/protocol/peerpb"
+	"github.com/doorvalve/doorvalve/state/bundle"
+)
+
+// HandleDemand serves the Demand call.
+func (p *Placer) HandleDemand(req *peerpb.DemandRequest) *peerpb.DemandResponse {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	if p.place == nil || !p.opt.Roles.Coordinates(p.opt.Group) {
+		return &peerpb.DemandResponse{}
+	}
+	p.book.Report(now, req.From, fromWire(now, req.Units))
+	p.place.Step(now, placement.DemandChanged{Units: p.book.Demand(now)})
+	p.allocate(now)
+	resp := &peerpb.DemandResponse{Coordinator: true}
+	for _, c := range p.allocated[req.From] {
+		resp.Credits = append(resp.Credits, &peerpb.Credit{Unit: c.Unit, Endpoint: c.Endpoint, Limit: int64(c.Limit)})
+	}
+	for _, u := range req.Units {
+		resp.Estimates = append(resp.Estimates, p.estimate(now, u.Unit))
+	}
+	return resp
+}
+
+// ReasonScripts says that the operator's scripts still run the service.
+const ReasonScripts = "left-to-scripts"
+
+func (p *Placer) estimate(now time.Time, unit string) *peerpb.Estimate {
+	e := &peerpb.Estimate{Unit: unit}
+	if p.service.Mode == bundle.ModeScripts {
+		e.WaitMs, e.Reason = -1, ReasonScripts
+		return e
+	}
+	w := p.place.Estimate(unit, now)
+	if w.Reason != "" {
+		e.WaitMs, e.Reason = -w.After.Milliseconds()-1, w.Reason
+		return e
+	}
+	e.WaitMs = w.Time.Milliseconds()
+	return e
+}
+
+// allocate shares the slots anew. With many reports it does so only now and
+// then, so that its cost does not grow with the square of the daemons.
+func (p *Placer) allocate(now time.Time) {
+	if p.book.Len() > smallBook && now.Sub(p.allocAt) < allocateEvery {
+		return
+	}
+	p.allocAt = now
+	p.replicas = p.place.Replicas()
+	p.allocated = p.book.Allocate(now, p.replicas)
+}
+
+func fromWire(now time.Time, units []*peerpb.UnitDemand) []grants.UnitReport {
+	list := make([]grants.UnitReport, len(units))
+	for i, u := range units {
+		r := grants.UnitReport{Unit: u.Unit, InFlight: int(u.InFlight), Arrivals: int(u.Arrivals)}
+		for _, w := range u.Waiting {
+			r.Waiting = append(r.Waiting, grants.Waiting{
+				Worth: w.Worth, Count: int(w.Count), Deadline: now.Add(time.Duration(w.EarliestDeadlineMs) * time.Millisecond),
+			})
+		}
+		list[i] = r
+	}
+	return list
+}
+
+// View is a placer's state for a dump.
+type View struct {
+	Group     string           `json:"group"`
+	Held      bool             `json:"held"`
+	Fence     uint64           `json:"fence"`
+	Until     time.Time        `json:"until"`
+	Object    placement.Object `json:"placement"`
+	Ready     []string         `json:"ready"`
+	Reporting int              `json:"reporting_daemons"`
+}
+
+// View returns the placer's state.
+func (p *Placer) View() View {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	v := View{Group: p.opt.Group, Held: p.held, Until: p.lease.Until(), Reporting: p.book.Len()}
+	if p.place == nil {
+		return v
+	}
+	v.Fence, v.Object = p.place.Fence(), p.place.Object()
+	for _, r := range p.replicas {
+		v.Ready = append(v.Ready, r.Unit+"@"+r.Endpoint.Name)
+	}
+	return v
+}
--- /dev/null
+++ b/driver/placer/placer.go
@@ -0,0 +1,394 @@
+// Package placer drives one group's coordination on one daemon: the lease and
+// the placement it guards, the endpoints' states, and the sharing of slots.
+package placer
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/doorvalve/doorvalve/coordination/grants"
+	"github.com/doorvalve/doorvalve/coordination/keepalive"
+	"github.com/doorvalve/doorvalve/coordination/lease"
+	"github.com/doorvalve/doorvalve/coordination/placement"
+	"github.com/doorvalve/doorvalve/protocol"
+	"github.com/doorvalve/doorvalve/state/bundle"
+	"github.com/doorvalve/doorvalve/state/snapshot"
+	"github.com/doorvalve/doorvalve/transport/engine"
+	"github.com/doorvalve/doorvalve/transport/platform"
+)
+
+const (
+	tick          = 25 * time.Millisecond
+	pollBusy      = 100 * time.Millisecond // while loads are under way or requests wait
+	pollRest      = time.Second
+	orderTTL      = 3 * time.Second
+	resendAfter   = time.Second
+	retryAfter    = 250 * time.Millisecond
+	marginDivisor = 4 // a holder stops a quarter of the term early
+	allocateEvery = 20 * time.Millisecond
+	demandEvery   = 250 * time.Millisecond
+	// smallBook is the number of reports up to which every report is answered
+	// with a fresh allocation.
+	smallBook = 16
+)
+
+// Roles tells a placer what the membership says of it. All functions must be
+// safe for concurrent use.
+type Roles interface {
+	// Coordinates reports whether this daemon answers the group's demand.
+	Coordinates(group string) bool
+	// Candidate reports whether this daemon should try to hold the lease.
+	Candidate(group string) bool
+	// Leaving reports whether an endpoint is being taken out of service.
+	Leaving(endpoint string) bool
+	// Held tells all daemons who holds the group's lease.
+	Held(group string, fence uint64, held bool)
+	// Quiescent asks whether a former holder has no orders out any more.
+	Quiescent(ctx context.Context, holder, group string, fence uint64) bool
+}
+
+// Options configure a Placer.
+type Options struct {
+	Group     string
+	Self      string
+	LeaseTerm time.Duration
+	Platform  *platform.Client
+	Engines   *engine.Client
+	Roles     Roles
+	Log       hclog.Logger
+}
+
+type poll struct {
+	out bool
+	at  time.Time // of the last one
+}
+
+// Placer is safe for concurrent use.
+type Placer struct {
+	opt Options
+	log hclog.Logger
+
+	mu        sync.Mutex
+	service   bundle.Service
+	lease     *lease.Machine
+	place     *placement.Machine
+	book      *grants.Book
+	polls     map[string]*poll
+	policy    bundle.Policy
+	held      bool
+	releasing bool
+	allocated map[string][]grants.Credit
+	allocAt   time.Time
+	demandAt  time.Time
+	asked     time.Time // last question to former holders
+	asking    bool
+	replicas  []placement.Replica
+}
+
+// New returns a placer for one group.
+func New(opt Options) *Placer {
+	return &Placer{
+		opt: opt, log: opt.Log.With("group", opt.Group), book: grants.NewBook(), polls: map[string]*poll{},
+		lease: lease.New(lease.Options{Self: opt.Self, Term: opt.LeaseTerm, Margin: opt.LeaseTerm / marginDivisor}),
+	}
+}
+
+// Configure brings a generation into force.
+func (p *Placer) Configure(s *snapshot.Snapshot) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	conf := placement.NewConfig(s.Generation, s.Bundle, p.opt.Group)
+	if conf.Service.Kind == bundle.KindPlain {
+		// A plain service is one unit that is always loaded.
+		conf.Service.Mode = bundle.ModeWatched
+		conf.Units = map[string]bundle.Unit{p.opt.Group: {Name: p.opt.Group, Service: p.opt.Group, MaxReplicas: len(conf.Service.Endpoints)}}
+	}
+	if p.place == nil || p.policy != s.Bundle.Policy {
+		p.newPlacement(s.Bundle.Policy)
+	}
+	p.service = conf.Service
+	p.place.Step(time.Now(), placement.ConfigChanged{Config: conf})
+	for _, e := range p.service.Endpoints {
+		if p.polls[e.Name] == nil {
+			p.polls[e.Name] = &poll{}
+		}
+	}
+}
+
+// newPlacement makes the machine on the first configuration. A later change of
+// the policy alone keeps the machine.
+func (p *Placer) newPlacement(policy bundle.Policy) {
+	p.policy = policy
+	keep := keepalive.New(keepalive.Options{
+		ColdStartWeight: policy.ColdStartWeight, IdleWeight: policy.IdleWeight,
+		MinIdle: policy.MinIdle.D(), MaxIdle: policy.MaxIdle.D(),
+	})
+	if p.place != nil {
+		p.place.SetPolicy(keep)
+		return
+	}
+	p.place = placement.New(placement.Options{
+		Self: p.opt.Self, OrderTTL: orderTTL, ResendAfter: resendAfter, RetryAfter: retryAfter, Policy: keep,
+	})
+}
+
+// Run passes time on until ctx ends.
+func (p *Placer) Run(ctx context.Context) {
+	t := time.NewTicker(tick)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			p.step(ctx, time.Now())
+		}
+	}
+}
+
+// Release gives the lease up for a planned stop.
+func (p *Placer) Release() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.releasing = true
+	p.lease.Step(time.Now(), lease.Release{})
+}
+
+// Released reports whether the lease is not held any more.
+func (p *Placer) Released() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_, held := p.lease.Holds(time.Now())
+	return !held
+}
+
+// step passes time on and does what the machines ask for.
+func (p *Placer) step(ctx context.Context, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.place == nil || p.service.Name == "" || p.service.Mode == bundle.ModeScripts {
+		return
+	}
+	managed := p.service.Kind == bundle.KindEngine && p.service.Mode == bundle.ModeManaged
+	coordinates := p.held || p.opt.Roles.Coordinates(p.opt.Group)
+	candidate := managed && p.opt.Roles.Candidate(p.opt.Group)
+	if !coordinates && !candidate && !p.releasing {
+		return // nothing here concerns this daemon
+	}
+	if managed {
+		p.stepLease(ctx, now, candidate)
+	}
+	if coordinates {
+		p.pollEndpoints(ctx, now)
+		p.refreshDemand(now)
+	}
+	for _, e := range p.service.Endpoints {
+		p.place.Step(now, placement.HostLeaving{Endpoint: e.Name, Leaving: p.opt.Roles.Leaving(e.Name)})
+	}
+	if managed {
+		p.askFormer(ctx, now)
+		p.act(ctx, now)
+	}
+	p.replicas = p.place.Replicas()
+}
+
+// refreshDemand lets the demand of daemons that report no more lapse.
+func (p *Placer) refreshDemand(now time.Time) {
+	if now.Sub(p.demandAt) < demandEvery {
+		return
+	}
+	p.demandAt = now
+	p.place.Step(now, placement.DemandChanged{Units: p.book.Demand(now)})
+}
+
+func (p *Placer) stepLease(ctx context.Context, now time.Time, candidate bool) {
+	p.lease.Step(now, lease.Candidate{Yes: candidate && !p.releasing})
+	r := p.lease.Ready(now)
+	switch {
+	case r.Read:
+		go p.readLease(ctx)
+	case r.Write != nil:
+		go p.writeLease(ctx, *r.Write)
+	}
+	fence, held := p.lease.Holds(now)
+	if held != p.held {
+		p.log.Info("placement lease changed", "held", held, "fence", fence)
+		p.held = held
+		go p.opt.Roles.Held(p.opt.Group, p.lease.Seen().Fence, held)
+	}
+	p.place.Step(now, placement.LeaseChanged{Held: held, Fence: fence, TakeoverAt: p.lease.TakeoverAt(now)})
+}
+
+func (p *Placer) readLease(ctx context.Context) {
+	var rec lease.Record
+	version, err := p.opt.Platform.Get(ctx, platform.KindLease, p.opt.Group, &rec)
+	missing := errors.Is(err, platform.ErrNotFound)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lease.Step(time.Now(), lease.ReadDone{Err: err != nil && !missing, Found: err == nil, Record: rec, Version: version})
+}
+
+func (p *Placer) writeLease(ctx context.Context, w lease.Write) {
+	version, out := p.opt.Platform.Put(ctx, platform.KindLease, p.opt.Group, w.ExpectedVersion, w.Record)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lease.Step(time.Now(), lease.WriteDone{Outcome: leaseOutcome[out], Version: version})
+}
+
+var leaseOutcome = map[platform.Outcome]lease.Outcome{
+	platform.OK: lease.WriteOK, platform.Conflict: lease.WriteConflict, platform.Unknown: lease.WriteUnknown,
+}
+
+var placementOutcome = map[platform.Outcome]placement.Outcome{
+	platform.OK: placement.WriteOK, platform.Conflict: placement.WriteConflict, platform.Unknown: placement.WriteUnknown,
+}
+
+// act carries out what the placement asks for.
+func (p *Placer) act(ctx context.Context, now time.Time) {
+	r := p.place.Ready(now)
+	switch {
+	case r.Read:
+		go p.readPlacement(ctx)
+	case r.Write != nil:
+		go p.writePlacement(ctx, *r.Write)
+	}
+	for _, o := range r.Orders {
+		go p.sendOrder(ctx, o)
+	}
+}
+
+func (p *Placer) readPlacement(ctx context.Context) {
+	var o placement.Object
+	version, err := p.opt.Platform.Get(ctx, platform.KindPlacement, p.opt.Group, &o)
+	missing := errors.Is(err, platform.ErrNotFound)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.place.Step(time.Now(), placement.ReadDone{Err: err != nil && !missing, Found: err == nil, Object: o, Version: version})
+}
+
+func (p *Placer) writePlacement(ctx context.Context, w placement.Write) {
+	version, out := p.opt.Platform.Put(ctx, platform.KindPlacement, p.opt.Group, w.ExpectedVersion, w.Object)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.place.Step(time.Now(), placement.WriteDone{Outcome: placementOutcome[out], Version: version})
+	p.act(ctx, time.Now())
+}
+
+// sendOrder checks the lease once more right before it sends.
+func (p *Placer) sendOrder(ctx context.Context, o protocol.Order) {
+	e, ok := p.mayOrder(time.Now(), o)
+	if !ok {
+		p.orderDone(placement.OrderDone{Order: o})
+		return
+	}
+	sent, err := p.opt.Engines.Order(ctx, e.Address, o)
+	if o.Kind != protocol.OrderClaim || err != nil {
+		p.log.Info("order", "kind", o.Kind, "model", o.Unit, "version", o.Version, "endpoint", o.EndpointID, "fence", o.Fence, "sent", sent, "error", err)
+	}
+	p.orderDone(placement.OrderDone{Order: o, Sent: sent, OK: err == nil})
+}
+
+func (p *Placer) orderDone(e placement.OrderDone) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.place.Step(time.Now(), e)
+	if poll := p.polls[e.Order.EndpointID]; poll != nil {
+		poll.at = time.Time{} // look at the effect at once
+	}
+}
+
+func (p *Placer) mayOrder(now time.Time, o protocol.Order) (bundle.Endpoint, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	e, ok := p.endpoint(o.EndpointID)
+	if !ok || now.After(o.ExpiresAt) {
+		return e, false
+	}
+	fence, held := p.lease.Holds(now)
+	if held && fence == o.Fence>>placement.OrderNumberBits {
+		return e, true
+	}
+	return e, !held && e.ChecksFencing && o.Kind == protocol.OrderLoad
+}
+
+func (p *Placer) endpoint(name string) (bundle.Endpoint, bool) {
+	for _, e := range p.service.Endpoints {
+		if e.Name == name {
+			return e, true
+		}
+	}
+	return bundle.Endpoint{}, false
+}
+
+// pollEndpoints asks the endpoints for their state, more often while
+// something changes.
+func (p *Placer) pollEndpoints(ctx context.Context, now time.Time) {
+	every := pollRest
+	if p.place.Unsettled() {
+		every = pollBusy
+	}
+	for _, e := range p.service.Endpoints {
+		poll := p.polls[e.Name]
+		if poll.out || now.Sub(poll.at) < every {
+			continue
+		}
+		poll.out, poll.at = true, now
+		go p.pollOne(ctx, e, p.place.ClaimedFence(e.Name), now)
+	}
+}
+
+func (p *Placer) pollOne(ctx context.Context, e bundle.Endpoint, fence uint64, asked time.Time) {
+	var state protocol.EngineState
+	var err error
+	if p.service.Kind == bundle.KindPlain {
+		state, err = p.opt.Engines.Health(ctx, e, p.opt.Group)
+	} else {
+		state, err = p.opt.Engines.State(ctx, e)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.polls[e.Name].out = false
+	if err != nil {
+		p.place.Step(time.Now(), placement.EndpointDown{Endpoint: e.Name})
+		return
+	}
+	state.Endpoint = e.Name
+	p.place.Step(time.Now(), placement.Observed{State: state, Fence: fence, Asked: asked})
+}
+
+// askFormer asks daemons that lost the lease whether orders are still out.
+func (p *Placer) askFormer(ctx context.Context, now time.Time) {
+	former := p.place.Former()
+	if len(former) == 0 || p.asking || now.Sub(p.asked) < retryAfter {
+		return
+	}
+	p.asked, p.asking = now, true
+	go func() {
+		var quiescent []uint64
+		for _, f := range former {
+			if f.Holder == p.opt.Self || p.opt.Roles.Quiescent(ctx, f.Holder, p.opt.Group, f.Fence) {
+				quiescent = append(quiescent, f.Fence)
+			}
+		}
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.asking = false
+		for _, fence := range quiescent {
+			p.place.Step(time.Now(), placement.FormerQuiescent{Fence: fence})
+		}
+	}()
+}
+
+// Quiescent reports whether this daemon does not hold fence and none of its
+// orders can still arrive.
+func (p *Placer) Quiescent(fence uint64) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	held, ok := p.lease.Holds(now)
+	return (!ok || held != fence) && (p.place == nil || p.place.Quiescent(now))
+}
--- /dev/null
+++ b/driver/rollout/actions.go
@@ -0,0 +1,153 @@
+package rollout
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"time"
+
+	rules "github.com/doorvalve/doorvalve/coordination/rollout"
+
+	"github.com/doorvalve/doorvalve/state/bundle"
+	"github.com/doorvalve/doorvalve/transport/platform"
+)
+
+// ErrUnsettled says that the platform did not answer and that the change may
+// have been accepted.
+var ErrUnsettled = errors.New("the platform did not answer; the change may have been accepted: look at the status before trying again")
+
+// readBacks is how often a lost answer is looked after before giving up.
+const readBacks = 3
+
+// Drain is the object that takes an endpoint out of service.
+type Drain struct {
+	On bool      `json:"on"`
+	By string    `json:"by"`
+	At time.Time `json:"at"`
+}
+
+func writeID() string {
+	var b [8]byte
+	_, _ = rand.Read(b[:]) // never fails
+	return hex.EncodeToString(b[:])
+}
+
+// Propose stores a checked bundle for review and returns its digest.
+func (r *Rollout) Propose(ctx context.Context, content []byte, author, note string) (string, error) {
+	if _, err := bundle.Parse("bundle", content); err != nil {
+		return "", err
+	}
+	digest := bundle.Digest(content)
+	if err := r.create(ctx, platform.KindBundle, digest, string(content)); err != nil {
+		return "", err
+	}
+	review := rules.Review{Digest: digest, Author: author, Note: note, At: time.Now().UTC()}
+	return digest, r.create(ctx, platform.KindReview, digest, review)
+}
+
+// create writes an object that may be there already. Its name is its content's
+// digest, so an existing one is the same.
+func (r *Rollout) create(ctx context.Context, kind platform.Kind, name string, v any) error {
+	for range readBacks {
+		if _, out := r.platform.Put(ctx, kind, name, 0, v); out != platform.Unknown {
+			return nil
+		}
+		var any json.RawMessage
+		if _, err := r.platform.Get(ctx, kind, name, &any); err == nil {
+			return nil
+		}
+	}
+	return ErrUnsettled
+}
+
+// SignOff records that who has reviewed the exact digest.
+func (r *Rollout) SignOff(ctx context.Context, digest, who string) error {
+	for range readBacks {
+		var review rules.Review
+		version, err := r.platform.Get(ctx, platform.KindReview, digest, &review)
+		if err != nil {
+			return err
+		}
+		next, err := review.SignOff(who)
+		if err != nil {
+			return err
+		}
+		if len(next.SignOffs) == len(review.SignOffs) {
+			return nil // recorded before, perhaps by a write whose answer was lost
+		}
+		if _, out := r.platform.Put(ctx, platform.KindReview, digest, version, next); out == platform.OK {
+			return nil
+		}
+	}
+	return ErrUnsettled
+}
+
+// Advance rolls a signed-off digest out. expected is the generation that the
+// operator saw in force. A lost answer is settled by reading back and
+// comparing the write's id.
+func (r *Rollout) Advance(ctx context.Context, digest string, expected uint64, by string) (rules.Pointer, error) {
+	var review rules.Review
+	if _, err := r.platform.Get(ctx, platform.KindReview, digest, &review); err != nil {
+		return rules.Pointer{}, err
+	}
+	id := writeID()
+	for range readBacks {
+		var p rules.Pointer
+		version, err := r.platform.Get(ctx, platform.KindConfig, PointerName, &p)
+		if err != nil && !errors.Is(err, platform.ErrNotFound) {
+			continue
+		}
+		if p.WriteID == id {
+			r.offer(p)
+			return p, nil
+		}
+		next, err := rules.Advance(p, review, expected, by, id, time.Now().UTC())
+		if err != nil {
+			return p, err
+		}
+		if _, out := r.platform.Put(ctx, platform.KindConfig, PointerName, version, next); out == platform.OK {
+			r.offer(next)
+			return next, nil
+		}
+	}
+	return rules.Pointer{}, ErrUnsettled
+}
+
+// Pointer reads the pointer with its history.
+func (r *Rollout) Pointer(ctx context.Context) (rules.Pointer, error) {
+	var p rules.Pointer
+	_, err := r.platform.Get(ctx, platform.KindConfig, PointerName, &p)
+	if errors.Is(err, platform.ErrNotFound) {
+		return p, nil
+	}
+	return p, err
+}
+
+// Content reads a proposed bundle.
+func (r *Rollout) Content(ctx context.Context, digest string) (string, error) {
+	var text string
+	_, err := r.platform.Get(ctx, platform.KindBundle, digest, &text)
+	return text, err
+}
+
+// SetDrain takes an endpoint out of service, or back.
+func (r *Rollout) SetDrain(ctx context.Context, endpoint string, on bool, by string) error {
+	for range readBacks {
+		var d Drain
+		version, err := r.platform.Get(ctx, platform.KindDrain, endpoint, &d)
+		if err != nil && !errors.Is(err, platform.ErrNotFound) {
+			return err
+		}
+		if version > 0 && d.On == on {
+			r.setDrainFact(endpoint, version, on)
+			return nil
+		}
+		next := Drain{On: on, By: by, At: time.Now().UTC()}
+		if _, out := r.platform.Put(ctx, platform.KindDrain, endpoint, version, next); out == platform.Conflict {
+			continue
+		}
+	}
+	return ErrUnsettled
+}
--- /dev/null
+++ b/e2e/race_on_test.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package e2e_test
+
+const raceEnabled = true
--- /dev/null
+++ b/e2e/replicas_test.go
@@ -0,0 +1,83 @@
+package e2e_test
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/doorvalve/doorvalve/standin/engine"
+)
+
+// The holder is killed while a load is running: the next holder adopts the
+// load, and no second replica appears at any engine.
+func TestReplicasHolderKilledMidLoad(t *testing.T) {
+	o := defaults()
+	o.loadTime = 3 * time.Second
+	w := newWorld(t, o)
+	holder := w.holder()
+	check := w.watchReplicas("m0", 1)
+	var other *proc
+	for _, p := range w.daemons {
+		if p != holder {
+			other = p
+		}
+	}
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		text, r := other.complete("m0", "x", 4)
+		if r.ok() && text != engine.Answer("x", 4) {
+			t.Errorf("wrong answer %q", text)
+		}
+	})
+	w.eventually("a load is running", func() bool { return w.replicas("m0") == 1 })
+	holder.kill()
+	wg.Wait()
+	w.holder()
+	w.eventually("served after the takeover", func() bool {
+		text, r := other.complete("m0", "y", 4)
+		return r.ok() && text == engine.Answer("y", 4)
+	})
+	check()
+	w.checkMemory()
+}
+
+// The holder is frozen past its lease, with orders about to be sent, and woken
+// after another has taken over.
+func TestReplicasHolderFrozenPastLease(t *testing.T) {
+	for name, fencing := range map[string]bool{"checking": true, "ignoring": false} {
+		t.Run(name, func(t *testing.T) {
+			o := defaults()
+			o.fencing = fencing
+			o.loadTime = 200 * time.Millisecond
+			w := newWorld(t, o)
+			holder := w.holder()
+			checks := []func(){w.watchReplicas("m0", 1), w.watchReplicas("m1", 1), w.watchReplicas("m2", 1)}
+			var other *proc
+			for _, p := range w.daemons {
+				if p != holder {
+					other = p
+				}
+			}
+			var wg sync.WaitGroup
+			for _, m := range []string{"m0", "m1", "m2"} {
+				wg.Go(func() { other.complete(m, "x", 4) })
+			}
+			time.Sleep(3 * time.Millisecond) // somewhere between demand, record and order
+			holder.freeze()
+			w.eventually("served after the takeover", func() bool {
+				text, r := other.complete("m0", "y", 4)
+				return r.ok() && text == engine.Answer("y", 4)
+			})
+			holder.unfreeze()
+			wg.Wait()
+			w.eventually("served by the woken daemon", func() bool {
+				text, r := holder.complete("m1", "z", 4)
+				return r.ok() && text == engine.Answer("z", 4)
+			})
+			for _, check := range checks {
+				check()
+			}
+			w.checkMemory()
+		})
+	}
+}
--- /dev/null
+++ b/protocol/verdict.go
@@ -0,0 +1,161 @@
+// Package protocol holds the typed messages, verdicts and header names that
+// the processes of doorvalve exchange. It does no I/O.
+package protocol
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/zeebo/errs"
+)
+
+// Error is the class of every error that this package creates.
+var Error = errs.Class("protocol")
+
+// Verdict says whether a request may have run at an endpoint.
+type Verdict int
+
+// The verdicts, from the one that allows a retry to the one that forbids it.
+const (
+	// NotRun means that no endpoint has run any part of the request.
+	NotRun Verdict = iota
+	// MayHaveRun means that an endpoint may have run the request.
+	MayHaveRun
+	// Ran means that an endpoint has run the request.
+	Ran
+)
+
+var verdictNames = [...]string{NotRun: "not run", MayHaveRun: "may have run", Ran: "ran"}
+
+// String returns the verdict as callers see it in a problem document.
+func (v Verdict) String() string {
+	if v < NotRun || v > Ran {
+		return fmt.Sprintf("verdict(%d)", int(v))
+	}
+	return verdictNames[v]
+}
+
+// MarshalText implements encoding.TextMarshaler.
+func (v Verdict) MarshalText() ([]byte, error) { return []byte(v.String()), nil }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (v *Verdict) UnmarshalText(text []byte) error {
+	for i, name := range verdictNames {
+		if name == string(text) {
+			*v = Verdict(i)
+			return nil
+		}
+	}
+	return Error.New("unknown verdict %q", text)
+}
+
+// Header names on the callers' and endpoints' side.
+const (
+	// HeaderTimeout is the time the caller gives the request, in whole
+	// milliseconds from its arrival.
+	HeaderTimeout = "Doorvalve-Timeout-Ms"
+	// HeaderIdempotencyKey marks a request that may not be repeated.
+	HeaderIdempotencyKey = "Idempotency-Key"
+	// HeaderRequestID names one request across all its attempts.
+	HeaderRequestID = "Doorvalve-Request-Id"
+	// HeaderAttemptID names one attempt; an endpoint echoes it.
+	HeaderAttemptID = "Doorvalve-Attempt-Id"
+	// HeaderResumeOffset asks an engine to resume the named attempt's
+	// stream from this event offset.
+	HeaderResumeOffset = "Doorvalve-Resume-Offset"
+	// HeaderPriority carries the worth of the request to the engine.
+	HeaderPriority = "Doorvalve-Priority"
+	// HeaderVerdict carries the verdict on refusals.
+	HeaderVerdict = "Doorvalve-Verdict"
+	// HeaderLeaving is set to "true" by an endpoint that is leaving.
+	HeaderLeaving = "Doorvalve-Leaving"
+	// ContentTypeProblem is the media type of RFC 9457.
+	ContentTypeProblem = "application/problem+json"
+)
+
+// Refusal is the final answer to a request that was not answered by an
+// endpoint: an RFC 9457 problem with a verdict and the time to come back.
+type Refusal struct {
+	Status     int           // HTTP status code
+	Reason     string        // short, stable, machine-readable
+	Detail     string        // for people
+	Verdict    Verdict       // whether the request may have run
+	RetryAfter time.Duration // zero when repeating cannot help
+}
+
+// Error implements error.
+func (r *Refusal) Error() string {
+	return fmt.Sprintf("%s: %s (%s)", r.Reason, r.Detail, r.Verdict)
+}
+
+// problem is the wire form of a Refusal.
+type problem struct {
+	Type       string  `json:"type"`
+	Title      string  `json:"title"`
+	Status     int     `json:"status"`
+	Detail     string  `json:"detail,omitempty"`
+	Verdict    Verdict `json:"verdict"`
+	RetryAfter int64   `json:"retry_after_ms,omitempty"`
+}
+
+const problemTypePrefix = "urn:doorvalve:"
+
+// MarshalJSON writes the RFC 9457 form.
+func (r *Refusal) MarshalJSON() ([]byte, error) {
+	return json.Marshal(problem{
+		Type: problemTypePrefix + r.Reason, Title: http.StatusText(r.Status), Status: r.Status,
+		Detail: r.Detail, Verdict: r.Verdict, RetryAfter: r.RetryAfter.Milliseconds(),
+	})
+}
+
+// UnmarshalJSON reads the RFC 9457 form.
+func (r *Refusal) UnmarshalJSON(data []byte) error {
+	var p problem
+	if err := json.Unmarshal(data, &p); err != nil {
+		return Error.Wrap(err)
+	}
+	reason := p.Type
+	if len(reason) > len(problemTypePrefix) && reason[:len(problemTypePrefix)] == problemTypePrefix {
+		reason = reason[len(problemTypePrefix):]
+	}
+	*r = Refusal{
+		Status: p.Status, Reason: reason, Detail: p.Detail, Verdict: p.Verdict,
+		RetryAfter: time.Duration(p.RetryAfter) * time.Millisecond,
+	}
+	return nil
+}
+
+// WriteTo writes the refusal as an HTTP answer.
+func (r *Refusal) WriteTo(w http.ResponseWriter) {
+	h := w.Header()
+	h.Set("Content-Type", ContentTypeProblem)
+	h.Set(HeaderVerdict, r.Verdict.String())
+	if r.RetryAfter > 0 {
+		h.Set("Retry-After", RetryAfterSeconds(r.RetryAfter))
+	}
+	w.WriteHeader(r.Status)
+	body, err := json.Marshal(r)
+	if err == nil {
+		_, _ = w.Write(body)
+	}
+}
+
+// RetryAfterSeconds renders d as a Retry-After value: whole seconds, rounded
+// up, at least one.
+func RetryAfterSeconds(d time.Duration) string {
+	return strconv.FormatInt(max(1, int64(math.Ceil(d.Seconds()))), 10)
+}
+
+// Refuse builds a refusal whose verdict is NotRun.
+func Refuse(status int, reason, detail string, retryAfter time.Duration) *Refusal {
+	return &Refusal{Status: status, Reason: reason, Detail: detail, Verdict: NotRun, RetryAfter: retryAfter}
+}
+
+// Unsure builds a refusal whose verdict is MayHaveRun.
+func Unsure(status int, reason, detail string) *Refusal {
+	return &Refusal{Status: status, Reason: reason, Detail: detail, Verdict: MayHaveRun}
+}
--- /dev/null
+++ b/standin/store/store.go
@@ -0,0 +1,118 @@
+// Package store is a stand-in for the rate-limited weight store.
+package store
+
+import (
+	"encoding/json"
+	"net/http"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/doorvalve/doorvalve/standin/fault"
+)
+
+// Options are the store's limits.
+type Options struct {
+	LoadsPerSecond float64
+	AtOnce         int           // at full speed; more share the same speed
+	PerGiB         time.Duration // time to read one GiB at full speed
+}
+
+// Counts are the store's totals.
+type Counts struct {
+	Fetches int `json:"fetches"`
+	Now     int `json:"now"`
+	Peak    int `json:"peak"`
+}
+
+// Store is the stand-in.
+type Store struct {
+	Faults *fault.Injector
+
+	opt     Options
+	limiter *rate.Limiter
+	mu      sync.Mutex
+	counts  Counts
+	slow    float64
+}
+
+// New returns an idle store.
+func New(opt Options) *Store {
+	return &Store{
+		Faults: fault.New(), opt: opt, slow: 1,
+		limiter: rate.NewLimiter(rate.Limit(opt.LoadsPerSecond), max(1, int(opt.LoadsPerSecond))),
+	}
+}
+
+// SetSlowdown multiplies the time of each fetch.
+func (s *Store) SetSlowdown(f float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.slow = f
+}
+
+// Counts returns the totals.
+func (s *Store) Counts() Counts {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.counts
+}
+
+// Handler serves POST /fetch?mib=N, which answers when the weights are read.
+func (s *Store) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /fetch", s.fetch)
+	mux.HandleFunc("GET /control/counts", func(w http.ResponseWriter, _ *http.Request) { _ = json.NewEncoder(w).Encode(s.Counts()) })
+	mux.HandleFunc("POST /control/slow", func(w http.ResponseWriter, r *http.Request) {
+		var f float64
+		if err := json.NewDecoder(r.Body).Decode(&f); err != nil || f <= 0 {
+			http.Error(w, "a factor above 0 is needed", http.StatusBadRequest)
+			return
+		}
+		s.SetSlowdown(f)
+	})
+	return s.Faults.Wrap(mux)
+}
+
+// step is how often a fetch looks at how many share the store.
+const step = 10 * time.Millisecond
+
+func (s *Store) fetch(w http.ResponseWriter, r *http.Request) {
+	var mib int64
+	if err := json.NewDecoder(r.Body).Decode(&mib); err != nil || mib <= 0 {
+		http.Error(w, "a size in MiB is needed", http.StatusBadRequest)
+		return
+	}
+	if s.limiter.Wait(r.Context()) != nil {
+		return
+	}
+	s.enter(1)
+	defer s.enter(-1)
+	left := float64(s.opt.PerGiB) * float64(mib) / 1024
+	for left > 0 {
+		select {
+		case <-time.After(step):
+		case <-r.Context().Done():
+			return
+		}
+		left -= float64(step) * s.speed()
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Store) enter(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.counts.Now += n
+	s.counts.Peak = max(s.counts.Peak, s.counts.Now)
+	if n > 0 {
+		s.counts.Fetches++
+	}
+}
+
+func (s *Store) speed() float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return min(1, float64(s.opt.AtOnce)/float64(max(1, s.counts.Now))) / s.slow
+}
--- /dev/null
+++ b/transport/callers/call.go
@@ -0,0 +1,363 @@
+package callers
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/labstack/echo/v4"
+
+	"github.com/doorvalve/doorvalve/coordination/claims"
+	"github.com/doorvalve/doorvalve/driver/gate"
+	"github.com/doorvalve/doorvalve/protocol"
+	"github.com/doorvalve/doorvalve/state/bundle"
+	"github.com/doorvalve/doorvalve/state/snapshot"
+	"github.com/doorvalve/doorvalve/transport/proxy"
+)
+
+// call is one caller's request on its way.
+type call struct {
+	id       string
+	unit     string
+	uri      string // at the endpoint
+	method   string
+	header   http.Header
+	body     []byte
+	worth    int64
+	deadline time.Time
+	affinity uint64
+	stream   bool
+	engine   bool // the endpoint echoes attempt ids
+	// key is set for a request that may run at most once.
+	key  *claims.Key
+	gate *gate.Gate
+}
+
+// completionHead is the part of a model call that routing needs.
+type completionHead struct {
+	Model  string `json:"model"`
+	Stream bool   `json:"stream"`
+}
+
+// prefixBytes is how much of a body counts as its prefix for affinity.
+const prefixBytes = 1024
+
+func (s *Server) completion(c echo.Context, conf *snapshot.Snapshot) *protocol.Refusal {
+	r := c.Request()
+	cl, ident, refusal := s.newCall(r, conf)
+	if refusal != nil {
+		return refusal
+	}
+	var head completionHead
+	if err := json.Unmarshal(cl.body, &head); err != nil || head.Model == "" {
+		return protocol.Refuse(http.StatusBadRequest, "bad-request", `a JSON body with "model" is needed`, 0)
+	}
+	unit, ok := conf.Units[head.Model]
+	if !ok {
+		return protocol.Refuse(http.StatusNotFound, "unknown-model", "no model or adapter "+strconv.Quote(head.Model)+" in the configuration", 0)
+	}
+	cl.unit, cl.uri, cl.stream, cl.engine = unit.Name, r.URL.Path, head.Stream, true
+	cl.worth += unit.Worth
+	cl.affinity = xxhash.Sum64(cl.body[:min(len(cl.body), prefixBytes)])
+	if refusal := cl.setKey(r, ident, unit.Service, false); refusal != nil {
+		return refusal
+	}
+	return s.run(c, cl)
+}
+
+func (s *Server) service(c echo.Context, conf *snapshot.Snapshot) *protocol.Refusal {
+	r := c.Request()
+	name := c.Param("service")
+	svc := conf.Bundle.Service(name)
+	if svc == nil || svc.Kind != bundle.KindPlain {
+		return protocol.Refuse(http.StatusNotFound, "unknown-service", "no plain service "+strconv.Quote(name)+" in the configuration", 0)
+	}
+	cl, ident, refusal := s.newCall(r, conf)
+	if refusal != nil {
+		return refusal
+	}
+	cl.unit = name
+	path := strings.TrimPrefix(r.URL.Path, servicesPrefix+name)
+	if path == "" {
+		path = "/"
+	}
+	cl.uri = path
+	if r.URL.RawQuery != "" {
+		cl.uri += "?" + r.URL.RawQuery
+	}
+	if refusal := cl.setKey(r, ident, name, snapshot.NonRepeatable(svc, r.Method, path)); refusal != nil {
+		return refusal
+	}
+	return s.run(c, cl)
+}
+
+// newCall reads what all calls have in common.
+func (s *Server) newCall(r *http.Request, conf *snapshot.Snapshot) (*call, snapshot.Identity, *protocol.Refusal) {
+	now := time.Now()
+	ident, ok := conf.Identify(r.Header.Get("Authorization"))
+	if !ok {
+		return nil, ident, protocol.Refuse(http.StatusUnauthorized, "unknown-caller", "a known bearer token is needed", 0)
+	}
+	timeout := ident.Class.Timeout.D()
+	if text := r.Header.Get(protocol.HeaderTimeout); text != "" {
+		ms, err := strconv.ParseInt(text, 10, 32)
+		if err != nil || ms <= 0 {
+			return nil, ident, protocol.Refuse(http.StatusBadRequest, "bad-timeout", protocol.HeaderTimeout+" must be whole milliseconds above 0", 0)
+		}
+		timeout = min(time.Duration(ms)*time.Millisecond, conf.Bundle.Claims.Retention.D())
+	}
+	body, err := io.ReadAll(io.LimitReader(r.Body, s.opt.Limits.BodyBytes+1))
+	if err != nil {
+		return nil, ident, protocol.Refuse(http.StatusBadRequest, "body-cut", "the body did not arrive whole", 0)
+	}
+	if int64(len(body)) > s.opt.Limits.BodyBytes {
+		return nil, ident, protocol.Refuse(http.StatusRequestEntityTooLarge, "body-too-large", fmt.Sprintf("a body may have %d bytes", s.opt.Limits.BodyBytes), 0)
+	}
+	return &call{
+		id: s.requestID(), method: r.Method, header: r.Header, body: body, worth: ident.Class.Worth, deadline: now.Add(timeout),
+	}, ident, nil
+}
+
+// maxKeyBytes bounds an idempotency key.
+const maxKeyBytes = 256
+
+// setKey reads the idempotency key; required calls are refused without one.
+func (cl *call) setKey(r *http.Request, ident snapshot.Identity, service string, required bool) *protocol.Refusal {
+	text := r.Header.Get(protocol.HeaderIdempotencyKey)
+	switch {
+	case text == "" && required:
+		return protocol.Refuse(http.StatusBadRequest, "key-needed", "this call may not be repeated and needs an "+protocol.HeaderIdempotencyKey, 0)
+	case len(text) > maxKeyBytes:
+		return protocol.Refuse(http.StatusBadRequest, "key-too-long", fmt.Sprintf("an %s may have %d bytes", protocol.HeaderIdempotencyKey, maxKeyBytes), 0)
+	case text != "":
+		key := claims.MakeKey(ident.Caller, service, text)
+		cl.key = &key
+	}
+	return nil
+}
+
+// Bounds of the attempts of one request.
+const (
+	maxAttempts     = 6
+	avoidAfterError = 500 * time.Millisecond
+	avoidAfterFull  = 20 * time.Millisecond
+	releaseTimeout  = 2 * time.Second
+)
+
+// run serves a call and gives its final answer, or returns the refusal.
+func (s *Server) run(c echo.Context, cl *call) *protocol.Refusal {
+	s.budget.Earn()
+	cl.gate = s.opt.Gate(cl.unit)
+	if cl.gate == nil {
+		return protocol.Refuse(http.StatusServiceUnavailable, "not-ready", cl.unit+" is not known here yet", retryAfterStart)
+	}
+	ctx := c.Request().Context()
+	if cl.key != nil {
+		// The caller's leaving must not cut off a request that may not be repeated.
+		ctx = context.WithoutCancel(ctx)
+	}
+	ctx, cancel := context.WithDeadline(ctx, cl.deadline)
+	defer cancel()
+	out := newAnswer(c.Response(), cl)
+	refusal := s.attempts(ctx, cl, out)
+	if refusal != nil && out.started() {
+		out.fail(refusal)
+	}
+	return refusal
+}
+
+// attempts tries endpoints until one has answered.
+func (s *Server) attempts(ctx context.Context, cl *call, out *answer) *protocol.Refusal {
+	claimed := false
+	for n := 1; ; n++ {
+		slot, refusal := cl.gate.Acquire(ctx, gate.Request{Worth: cl.worth, Deadline: cl.deadline, Affinity: cl.affinity})
+		if refusal == nil && cl.key != nil && !claimed {
+			if refusal = s.claim(ctx, cl); refusal != nil {
+				cl.gate.Release(slot, 0)
+				return refusal
+			}
+			claimed = true
+		}
+		if refusal != nil {
+			s.unclaim(cl, claimed)
+			if out.started() {
+				refusal.Verdict = protocol.MayHaveRun
+			}
+			return refusal
+		}
+		f := s.attempt(ctx, cl, slot, n, out)
+		if f == nil {
+			return nil
+		}
+		s.opt.Log.Debug("attempt failed", "request", cl.id, "attempt", n, "model", cl.unit, "endpoint", slot.Endpoint.Name, "verdict", f.Verdict.String(), "reason", f.Reason, "error", f.Err)
+		if !s.mayRetry(ctx, cl, f, n, out) {
+			s.unclaim(cl, claimed && f.Verdict == protocol.NotRun)
+			return finalRefusal(f, out)
+		}
+		s.metrics.retries.Inc(1)
+	}
+}
+
+// attempt makes one attempt at one endpoint.
+func (s *Server) attempt(ctx context.Context, cl *call, slot *gate.Slot, n int, out *answer) *proxy.Failure {
+	start := time.Now()
+	req := &proxy.Request{
+		Method: cl.method, URI: cl.uri, Header: cl.header, Body: cl.body, RequestID: cl.id,
+		AttemptID: cl.id + "." + strconv.Itoa(n), Worth: cl.worth, Repeatable: cl.key == nil, MustEcho: cl.engine,
+	}
+	var f *proxy.Failure
+	if cl.stream {
+		f = s.opt.Proxy.Stream(ctx, slot.Endpoint.Address, req, &out.progress, out)
+	} else {
+		var whole *proxy.Answer
+		if whole, f = s.opt.Proxy.Whole(ctx, slot.Endpoint.Address, req); f == nil {
+			out.whole(whole)
+		}
+	}
+	took := time.Since(start)
+	if f != nil {
+		took = 0
+		s.avoid(cl, slot, f)
+	}
+	cl.gate.Release(slot, took)
+	return f
+}
+
+// avoid keeps new requests away from an endpoint that failed.
+func (s *Server) avoid(cl *call, slot *gate.Slot, f *proxy.Failure) {
+	switch {
+	case f.Leaving:
+		s.opt.EndpointLeaving(slot.Endpoint.Name)
+		cl.gate.Avoid(slot, avoidAfterError)
+	case f.Full:
+		cl.gate.Avoid(slot, avoidAfterFull)
+	case f.Err != nil && f.Reason != "caller-gone" && f.Reason != "deadline-passed":
+		cl.gate.Avoid(slot, avoidAfterError)
+	}
+}
+
+// mayRetry allows a retry of what has not run, of a stream that can go on, and
+// of what may be repeated while the caller has seen nothing of it.
+func (s *Server) mayRetry(ctx context.Context, cl *call, f *proxy.Failure, n int, out *answer) bool {
+	if ctx.Err() != nil || n >= maxAttempts || f.Err == proxy.ErrCallerGone {
+		return false
+	}
+	if f.Verdict == protocol.MayHaveRun && cl.key != nil {
+		return false
+	}
+	if f.Full {
+		return true
+	}
+	return s.budget.Spend()
+}
+
+func (s *Server) claim(ctx context.Context, cl *call) *protocol.Refusal {
+	switch s.opt.Claimer.Claim(ctx, *cl.key, cl.id) {
+	case claims.Granted:
+		if ctx.Err() == nil {
+			return nil
+		}
+		s.unclaim(cl, true)
+		return protocol.Refuse(http.StatusServiceUnavailable, "deadline-passed", "the key was claimed too late", retryAfterStart)
+	case claims.Duplicate:
+		return protocol.Unsure(http.StatusConflict, "duplicate-key", "a request with this key was accepted before")
+	default:
+		// Nothing is dispatched under this claim, so "not run" is true even
+		// if the claim was written; it is released in the background.
+		go s.unclaim(cl, true)
+		return protocol.Refuse(http.StatusServiceUnavailable, "claims-unavailable", "the key cannot be recorded now", retryAfterStart)
+	}
+}
+
+// unclaim gives the key of a request back that has certainly not run, so that
+// the caller can send it again.
+func (s *Server) unclaim(cl *call, claimed bool) {
+	if !claimed {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+	defer cancel()
+	s.opt.Claimer.Release(ctx, *cl.key, cl.id)
+}
+
+// finalRefusal turns the last attempt's failure into the answer.
+func finalRefusal(f *proxy.Failure, out *answer) *protocol.Refusal {
+	r := &protocol.Refusal{Status: http.StatusBadGateway, Reason: f.Reason, Detail: f.Error(), Verdict: f.Verdict}
+	if out.started() {
+		r.Verdict = protocol.MayHaveRun
+	}
+	switch {
+	case f.Reason == "deadline-passed":
+		r.Status = http.StatusGatewayTimeout
+	case f.Verdict == protocol.NotRun:
+		r.Status, r.RetryAfter = http.StatusServiceUnavailable, retryAfterStart
+	}
+	return r
+}
+
+// answer is the way to the caller.
+type answer struct {
+	w        http.ResponseWriter
+	cl       *call
+	progress proxy.Progress
+	begun    bool
+}
+
+func newAnswer(w http.ResponseWriter, cl *call) *answer { return &answer{w: w, cl: cl} }
+
+// started reports whether the caller has seen a part of the answer.
+func (a *answer) started() bool { return a.begun }
+
+// Event implements proxy.Sink.
+func (a *answer) Event(data []byte) error {
+	if !a.begun {
+		a.begun = true
+		a.w.Header().Set("Content-Type", "text/event-stream")
+		a.w.Header().Set(protocol.HeaderRequestID, a.cl.id)
+		a.w.WriteHeader(http.StatusOK)
+	}
+	var b bytes.Buffer
+	b.WriteString("data: ")
+	b.Write(data)
+	b.WriteString("\n\n")
+	if _, err := a.w.Write(b.Bytes()); err != nil {
+		return err
+	}
+	if f, ok := a.w.(http.Flusher); ok {
+		f.Flush()
+	}
+	return nil
+}
+
+// fail ends a stream that cannot be finished with an error event in place of
+// the end mark.
+func (a *answer) fail(r *protocol.Refusal) {
+	body, err := json.Marshal(r)
+	if err == nil {
+		_, _ = fmt.Fprintf(a.w, "event: error\ndata: %s\n\n", body)
+	}
+}
+
+// answerHeaders are passed on to the caller.
+var answerHeaders = []string{"Content-Type", "Location", "ETag", "Cache-Control", "Last-Modified", "Content-Disposition"}
+
+func (a *answer) whole(w *proxy.Answer) {
+	a.begun = true
+	h := a.w.Header()
+	for _, name := range answerHeaders {
+		if v := w.Header.Get(name); v != "" {
+			h.Set(name, v)
+		}
+	}
+	h.Set(protocol.HeaderRequestID, a.cl.id)
+	h.Set("Content-Length", strconv.Itoa(len(w.Body)))
+	a.w.WriteHeader(w.Status)
+	_, _ = a.w.Write(w.Body)
+}
--- /dev/null
+++ b/transport/callers/server.go
@@ -0,0 +1,142 @@
+// Package callers serves the callers: model calls in the form they already
+// use, plain services under their prefix, and the addresses to call.
+package callers
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/labstack/echo/v4"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/doorvalve/doorvalve/coordination"
+	"github.com/doorvalve/doorvalve/coordination/claims"
+	"github.com/doorvalve/doorvalve/coordination/drain"
+	"github.com/doorvalve/doorvalve/coordination/membership"
+	"github.com/doorvalve/doorvalve/driver/gate"
+	"github.com/doorvalve/doorvalve/protocol"
+	"github.com/doorvalve/doorvalve/settings"
+	"github.com/doorvalve/doorvalve/state/snapshot"
+	"github.com/doorvalve/doorvalve/transport/proxy"
+)
+
+// Claimer claims keys of requests that may not be repeated.
+type Claimer interface {
+	Claim(ctx context.Context, key claims.Key, claimID string) claims.Outcome
+	Release(ctx context.Context, key claims.Key, claimID string) claims.Outcome
+}
+
+// Options are what the server needs of the rest of the daemon. All functions
+// must be safe for concurrent use and cheap.
+type Options struct {
+	Self    string
+	Limits  settings.Limits
+	Config  func() *snapshot.Snapshot
+	Gate    func(unit string) *gate.Gate
+	Members func() []membership.Member
+	Phase   func() drain.Phase
+	Claimer Claimer
+	Proxy   *proxy.Client
+	Log     hclog.Logger
+	Metrics tally.Scope
+	// EndpointLeaving is told of an endpoint that says it takes no new work.
+	EndpointLeaving func(endpoint string)
+}
+
+// Server is safe for concurrent use.
+type Server struct {
+	opt      Options
+	budget   *coordination.RetryBudget
+	active   atomic.Int64
+	sequence atomic.Uint64
+	metrics  metrics
+}
+
+type metrics struct {
+	answered, refusedNotRun, refusedUnsure, retries tally.Counter
+	duration                                        tally.Histogram
+}
+
+// New returns a server.
+func New(opt Options) *Server {
+	m := opt.Metrics.SubScope("caller")
+	return &Server{opt: opt, budget: coordination.NewRetryBudget(), metrics: metrics{
+		answered: m.Counter("requests_answered_total"), refusedNotRun: m.Counter("requests_refused_not_run_total"),
+		refusedUnsure: m.Counter("requests_failed_may_have_run_total"), retries: m.Counter("attempts_retried_total"),
+		duration: m.Histogram("request_duration_seconds", tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 18)),
+	}}
+}
+
+// InProgress returns the number of requests that have no final answer yet.
+func (s *Server) InProgress() int { return int(s.active.Load()) }
+
+// servicesPrefix is the path under which plain services stand.
+const servicesPrefix = "/services/"
+
+// Handler returns the routes.
+func (s *Server) Handler() http.Handler {
+	e := echo.New()
+	e.HTTPErrorHandler = func(err error, c echo.Context) {
+		if !c.Response().Committed {
+			protocol.Refuse(http.StatusNotFound, "no-such-path", err.Error(), 0).WriteTo(c.Response())
+		}
+	}
+	e.GET("/v1/addresses", s.addresses)
+	e.GET("/v1/models", s.models)
+	e.POST("/v1/chat/completions", s.counted(s.completion))
+	e.POST("/v1/completions", s.counted(s.completion))
+	e.Any(servicesPrefix+":service", s.counted(s.service))
+	e.Any(servicesPrefix+":service/*", s.counted(s.service))
+	return e
+}
+
+// retryAfterStart is when to come back to a daemon that has no configuration
+// yet or is about to stop.
+const retryAfterStart = time.Second
+
+// counted bounds the requests in progress and gives the final answer to those
+// that are refused.
+func (s *Server) counted(serve func(echo.Context, *snapshot.Snapshot) *protocol.Refusal) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		start := time.Now()
+		active := s.active.Add(1)
+		defer s.active.Add(-1)
+		refusal := s.admit(c, active, serve)
+		s.metrics.duration.RecordDuration(time.Since(start))
+		switch {
+		case refusal == nil:
+			s.metrics.answered.Inc(1)
+			return nil
+		case refusal.Verdict == protocol.NotRun:
+			s.metrics.refusedNotRun.Inc(1)
+		default:
+			s.metrics.refusedUnsure.Inc(1)
+		}
+		if !c.Response().Committed {
+			refusal.WriteTo(c.Response())
+		}
+		return nil
+	}
+}
+
+func (s *Server) admit(c echo.Context, active int64, serve func(echo.Context, *snapshot.Snapshot) *protocol.Refusal) *protocol.Refusal {
+	config := s.opt.Config()
+	switch {
+	case active > int64(s.opt.Limits.Connections):
+		return protocol.Refuse(http.StatusTooManyRequests, "too-many-requests", "this daemon serves as many requests as it may", retryAfterStart)
+	case config == nil:
+		return protocol.Refuse(http.StatusServiceUnavailable, "no-configuration", "this daemon has no configuration yet", retryAfterStart)
+	case s.opt.Phase() == drain.Finishing || s.opt.Phase() == drain.Done:
+		return protocol.Refuse(http.StatusServiceUnavailable, "stopping", "this daemon stops; ask for addresses anew", retryAfterStart)
+	}
+	return serve(c, config)
+}
+
+// requestID names a request. The daemon's id is unique to its process.
+func (s *Server) requestID() string {
+	return s.opt.Self + "-" + strconv.FormatUint(s.sequence.Add(1), 36)
+}
--- /dev/null
+++ b/transport/engine/client.go
@@ -0,0 +1,133 @@
+// Package engine is the client of model engines and plain services for what
+// is not a caller's request: their state and orders to them.
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"github.com/doorvalve/doorvalve/protocol"
+	"github.com/doorvalve/doorvalve/state/bundle"
+)
+
+// Error is the class of every error that this package creates.
+var Error = errs.Class("engine")
+
+// MaxIdlePerEndpoint bounds idle connections to one endpoint.
+const MaxIdlePerEndpoint = 4
+
+// Client is safe for concurrent use.
+type Client struct {
+	http    *http.Client
+	timeout time.Duration
+
+	mu   sync.Mutex
+	last map[string]cached // by address
+}
+
+type cached struct {
+	etag  string
+	state protocol.EngineState
+}
+
+// New returns a client whose calls take at most timeout.
+func New(timeout time.Duration) *Client {
+	t := &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: timeout}).DialContext,
+		MaxIdleConnsPerHost: MaxIdlePerEndpoint,
+		IdleConnTimeout:     30 * time.Second,
+	}
+	return &Client{http: &http.Client{Transport: t, Timeout: timeout}, timeout: timeout, last: map[string]cached{}}
+}
+
+// State returns an engine's state. An unchanged one costs a short answer.
+func (c *Client) State(ctx context.Context, e bundle.Endpoint) (protocol.EngineState, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.Address+"/state", nil)
+	if err != nil {
+		return protocol.EngineState{}, Error.Wrap(err)
+	}
+	c.mu.Lock()
+	last := c.last[e.Address]
+	c.mu.Unlock()
+	if last.etag != "" {
+		req.Header.Set("If-None-Match", last.etag)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return protocol.EngineState{}, Error.Wrap(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	switch resp.StatusCode {
+	case http.StatusNotModified:
+		return last.state, nil
+	case http.StatusOK:
+	default:
+		return protocol.EngineState{}, Error.New("state of %s: status %d", e.Name, resp.StatusCode)
+	}
+	var s protocol.EngineState
+	if err := json.NewDecoder(resp.Body).Decode(&s); err != nil {
+		return s, Error.Wrap(err)
+	}
+	c.mu.Lock()
+	c.last[e.Address] = cached{etag: resp.Header.Get("ETag"), state: s}
+	c.mu.Unlock()
+	return s, nil
+}
+
+// Health returns a plain service's state in the same form: the service itself
+// is its only unit.
+func (c *Client) Health(ctx context.Context, e bundle.Endpoint, service string) (protocol.EngineState, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.Address+"/healthz", nil)
+	if err != nil {
+		return protocol.EngineState{}, Error.Wrap(err)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return protocol.EngineState{}, Error.Wrap(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return protocol.EngineState{}, Error.New("health of %s: status %d", e.Name, resp.StatusCode)
+	}
+	return protocol.EngineState{
+		Endpoint: e.Name, Slots: e.Slots, Leaving: resp.Header.Get(protocol.HeaderLeaving) == "true",
+		Units: []protocol.EngineUnit{{Unit: service, Status: protocol.UnitReady}},
+	}, nil
+}
+
+// Order sends an order. sent is false when it certainly never left.
+func (c *Client) Order(ctx context.Context, address string, o protocol.Order) (sent bool, err error) {
+	body, err := json.Marshal(o)
+	if err != nil {
+		return false, Error.Wrap(err)
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/orders", bytes.NewReader(body))
+	if err != nil {
+		return false, Error.Wrap(err)
+	}
+	req.GetBody = nil // never sent twice by the transport
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return !IsDialError(err), Error.Wrap(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusAccepted {
+		return true, Error.New("order %s %s: status %d", o.Kind, o.Unit, resp.StatusCode)
+	}
+	return true, nil
+}
+
+// IsDialError reports whether err is a failure to connect, so that nothing of
+// the request was sent.
+func IsDialError(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
--- /dev/null
+++ b/transport/platform/client.go
@@ -0,0 +1,208 @@
+// Package platform is the client of the platform's object API and host list.
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/zeebo/errs"
+)
+
+// Error is the class of every error that this package creates.
+var Error = errs.Class("platform")
+
+// ErrNotFound says that the platform answered and has no such object.
+var ErrNotFound = errors.New("no such object")
+
+// Kind is a kind of object.
+type Kind string
+
+// The kinds that the system keeps.
+const (
+	KindBundle    Kind = "bundle"    // immutable content, by digest
+	KindReview    Kind = "review"    // author and sign-offs, by digest
+	KindConfig    Kind = "config"    // the pointer to the bundle in force
+	KindLease     Kind = "lease"     // by group
+	KindPlacement Kind = "placement" // by group
+	KindClaim     Kind = "claim"     // heads, by shard
+	KindSegment   Kind = "segment"   // sealed claims
+	KindDrain     Kind = "drain"     // endpoints drained by operators
+)
+
+// Outcome is how a conditional write ended.
+type Outcome int
+
+// The outcomes of a write.
+const (
+	// OK: the write took effect.
+	OK Outcome = iota
+	// Conflict: the version differs; nothing was written.
+	Conflict
+	// Unknown: no usable answer; the write may have taken effect.
+	Unknown
+)
+
+// Object is one stored value.
+type Object struct {
+	Kind    Kind            `json:"kind"`
+	Name    string          `json:"name"`
+	Version uint64          `json:"version"`
+	Value   json.RawMessage `json:"value"`
+	Deleted bool            `json:"deleted"`
+}
+
+// Host is one entry of the host list, which lags behind reality.
+type Host struct {
+	Name    string `json:"name"`
+	Address string `json:"address"`
+	Role    string `json:"role"`
+	Leaving bool   `json:"leaving"`
+}
+
+// Roles of hosts.
+const (
+	RoleEntry    = "entry"
+	RoleEndpoint = "endpoint"
+)
+
+// Options configure a Client.
+type Options struct {
+	URL     string
+	Timeout time.Duration // of each call but a watch
+}
+
+// Client calls the platform. It is safe for concurrent use.
+type Client struct {
+	opt   Options
+	http  *http.Client
+	calls atomic.Int64
+}
+
+// New returns a client.
+func New(opt Options) *Client {
+	t := &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: opt.Timeout}).DialContext,
+		MaxIdleConnsPerHost: 16,
+		IdleConnTimeout:     30 * time.Second,
+	}
+	return &Client{opt: opt, http: &http.Client{Transport: t}}
+}
+
+// Calls returns the number of calls made.
+func (c *Client) Calls() int64 { return c.calls.Load() }
+
+func (c *Client) do(ctx context.Context, method, path string, version string, body []byte, timeout time.Duration) (int, []byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, c.opt.URL+path, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, Error.Wrap(err)
+	}
+	if version != "" {
+		req.Header.Set("If-Match", version)
+	}
+	c.calls.Add(1)
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return 0, nil, Error.Wrap(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	answer, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, answer, Error.Wrap(err)
+}
+
+func (c *Client) getJSON(ctx context.Context, path string, timeout time.Duration, v any) error {
+	status, body, err := c.do(ctx, http.MethodGet, path, "", nil, timeout)
+	switch {
+	case err != nil:
+		return err
+	case status == http.StatusNotFound:
+		return ErrNotFound
+	case status != http.StatusOK:
+		return Error.New("GET %s: status %d", path, status)
+	}
+	return Error.Wrap(json.Unmarshal(body, v))
+}
+
+func objectPath(kind Kind, name string) string {
+	return "/objects/" + string(kind) + "/" + url.PathEscape(name)
+}
+
+// Get reads an object's value into v and returns its version. It returns
+// ErrNotFound when the platform says that there is none.
+func (c *Client) Get(ctx context.Context, kind Kind, name string, v any) (version uint64, err error) {
+	var o Object
+	if err := c.getJSON(ctx, objectPath(kind, name), c.opt.Timeout, &o); err != nil {
+		return 0, err
+	}
+	return o.Version, Error.Wrap(json.Unmarshal(o.Value, v))
+}
+
+// List returns all objects of a kind.
+func (c *Client) List(ctx context.Context, kind Kind) ([]Object, error) {
+	var list []Object
+	err := c.getJSON(ctx, "/objects/"+string(kind), c.opt.Timeout, &list)
+	return list, err
+}
+
+// Put writes v if the object's version is still expected; 0 means that the
+// object must not exist.
+func (c *Client) Put(ctx context.Context, kind Kind, name string, expected uint64, v any) (version uint64, outcome Outcome) {
+	body, err := json.Marshal(v)
+	if err != nil {
+		return 0, Unknown
+	}
+	status, answer, err := c.do(ctx, http.MethodPut, objectPath(kind, name), fmt.Sprint(expected), body, c.opt.Timeout)
+	switch {
+	case err == nil && status == http.StatusConflict:
+		return 0, Conflict
+	case err != nil || status != http.StatusOK:
+		return 0, Unknown
+	}
+	var o Object
+	if json.Unmarshal(answer, &o) != nil {
+		return 0, Unknown
+	}
+	return o.Version, OK
+}
+
+// Delete removes an object; an absent one is no error.
+func (c *Client) Delete(ctx context.Context, kind Kind, name string) error {
+	_, _, err := c.do(ctx, http.MethodDelete, objectPath(kind, name), "", nil, c.opt.Timeout)
+	return err
+}
+
+// Watched is the answer to a watch.
+type Watched struct {
+	Revision uint64   `json:"revision"`
+	Objects  []Object `json:"objects"`
+}
+
+// Watch waits up to wait for a change of one of the kinds after a revision.
+func (c *Client) Watch(ctx context.Context, kinds []Kind, since uint64, wait time.Duration) (Watched, error) {
+	names := make([]string, len(kinds))
+	for i, k := range kinds {
+		names[i] = string(k)
+	}
+	var w Watched
+	path := fmt.Sprintf("/watch?kinds=%s&since=%d&wait_ms=%d", strings.Join(names, ","), since, wait.Milliseconds())
+	err := c.getJSON(ctx, path, wait+c.opt.Timeout, &w)
+	return w, err
+}
+
+// Hosts returns the host list.
+func (c *Client) Hosts(ctx context.Context) ([]Host, error) {
+	var list []Host
+	err := c.getJSON(ctx, "/hosts", c.opt.Timeout, &list)
+	return list, err
+}
--- /dev/null
+++ b/transport/proxy/proxy.go
@@ -0,0 +1,174 @@
+// Package proxy sends one attempt of a caller's request to one endpoint and
+// says of each failure whether the request may have run there.
+package proxy
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/doorvalve/doorvalve/protocol"
+	"github.com/doorvalve/doorvalve/transport/engine"
+)
+
+// Request is one attempt.
+type Request struct {
+	Method     string
+	URI        string // path and query at the endpoint
+	Header     http.Header
+	Body       []byte
+	RequestID  string
+	AttemptID  string
+	Worth      int64
+	Repeatable bool
+	// ResumeFrom is the offset of the last stream event that arrived; 0 for a
+	// new stream.
+	ResumeFrom int
+	// MustEcho says that the endpoint echoes the attempt's id.
+	MustEcho bool
+}
+
+// Failure is an attempt without a whole answer.
+type Failure struct {
+	Verdict protocol.Verdict
+	Reason  string
+	Err     error
+	Leaving bool // the endpoint takes no new work
+	Full    bool // the endpoint's slots are taken
+}
+
+// Error implements error.
+func (f *Failure) Error() string {
+	if f.Err != nil {
+		return f.Reason + ": " + f.Err.Error()
+	}
+	return f.Reason
+}
+
+// Client sends attempts. It is safe for concurrent use.
+type Client struct {
+	repeatable *http.Client
+	// once opens a connection for each request, so that no reused connection
+	// can break under it and nothing is sent twice.
+	once        *http.Client
+	answerBytes int64
+}
+
+// dialTimeout bounds the time to connect to an endpoint.
+const dialTimeout = 500 * time.Millisecond
+
+// New returns a client. Answers that are not streamed may have answerBytes.
+func New(answerBytes int64) *Client {
+	dial := (&net.Dialer{Timeout: dialTimeout}).DialContext
+	return &Client{
+		repeatable:  &http.Client{Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 256, IdleConnTimeout: 30 * time.Second, DisableCompression: true}},
+		once:        &http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true}},
+		answerBytes: answerBytes,
+	}
+}
+
+// bodyReader hides the type of the body, so that the transport cannot rewind
+// it and send a request a second time by itself.
+type bodyReader struct{ io.Reader }
+
+// hopHeaders are not passed on.
+var hopHeaders = []string{
+	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
+	"Transfer-Encoding", "Upgrade", "Authorization", protocol.HeaderTimeout, "Content-Length", "Accept-Encoding",
+}
+
+// send sends the request and classifies a failure before the answer's header.
+func (c *Client) send(ctx context.Context, address string, r *Request) (*http.Response, *Failure) {
+	req, err := http.NewRequestWithContext(ctx, r.Method, "http://"+address+r.URI, bodyReader{bytes.NewReader(r.Body)})
+	if err != nil {
+		return nil, &Failure{Verdict: protocol.NotRun, Reason: "bad-request", Err: err}
+	}
+	req.ContentLength = int64(len(r.Body))
+	if r.Header != nil {
+		req.Header = r.Header.Clone()
+	}
+	for _, h := range hopHeaders {
+		req.Header.Del(h)
+	}
+	req.Header.Set(protocol.HeaderRequestID, r.RequestID)
+	req.Header.Set(protocol.HeaderAttemptID, r.AttemptID)
+	req.Header.Set(protocol.HeaderPriority, strconv.FormatInt(r.Worth, 10))
+	if r.ResumeFrom > 0 {
+		req.Header.Set(protocol.HeaderResumeOffset, strconv.Itoa(r.ResumeFrom))
+	}
+	client := c.once
+	if r.Repeatable {
+		client = c.repeatable
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return nil, classify(err)
+	}
+	if f := refusedUnrun(resp); f != nil {
+		_ = resp.Body.Close()
+		return nil, f
+	}
+	if got := resp.Header.Get(protocol.HeaderAttemptID); got != r.AttemptID && (got != "" || r.MustEcho) {
+		_ = resp.Body.Close()
+		return nil, &Failure{Verdict: protocol.MayHaveRun, Reason: "crossed-answer"}
+	}
+	return resp, nil
+}
+
+func classify(err error) *Failure {
+	if engine.IsDialError(err) {
+		return &Failure{Verdict: protocol.NotRun, Reason: "endpoint-unreachable", Err: err}
+	}
+	if errors.Is(err, context.DeadlineExceeded) {
+		return &Failure{Verdict: protocol.MayHaveRun, Reason: "deadline-passed", Err: err}
+	}
+	return &Failure{Verdict: protocol.MayHaveRun, Reason: "endpoint-failed", Err: err}
+}
+
+// refusedUnrun recognises an endpoint's own word that it has not run the
+// request. Any other status is the endpoint's answer.
+func refusedUnrun(resp *http.Response) *Failure {
+	if resp.Header.Get(protocol.HeaderVerdict) != protocol.NotRun.String() {
+		return nil
+	}
+	if resp.StatusCode != http.StatusServiceUnavailable && resp.StatusCode != http.StatusTooManyRequests {
+		return nil
+	}
+	var refusal protocol.Refusal
+	_ = json.NewDecoder(io.LimitReader(resp.Body, 4096)).Decode(&refusal) // only the reason is used
+	return &Failure{
+		Verdict: protocol.NotRun, Reason: "endpoint-refused", Err: errors.New(refusal.Reason),
+		Leaving: refusal.Reason == "leaving" || resp.Header.Get(protocol.HeaderLeaving) == "true",
+		Full:    resp.StatusCode == http.StatusTooManyRequests,
+	}
+}
+
+// Answer is a whole answer.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// Whole returns an endpoint's whole answer, or a failure; never a part.
+func (c *Client) Whole(ctx context.Context, address string, r *Request) (*Answer, *Failure) {
+	resp, f := c.send(ctx, address, r)
+	if f != nil {
+		return nil, f
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, c.answerBytes+1))
+	if err != nil {
+		return nil, &Failure{Verdict: protocol.MayHaveRun, Reason: "answer-cut", Err: err}
+	}
+	if int64(len(body)) > c.answerBytes {
+		return nil, &Failure{Verdict: protocol.MayHaveRun, Reason: "answer-too-large"}
+	}
+	return &Answer{Status: resp.StatusCode, Header: resp.Header, Body: body}, nil
+}
--- /dev/null
+++ b/transport/proxy/stream.go
@@ -0,0 +1,91 @@
+package proxy
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/doorvalve/doorvalve/protocol"
+)
+
+// maxEventBytes bounds one event of a stream.
+const maxEventBytes = 1 << 20
+
+// doneMark ends a stream that is whole.
+const doneMark = "[DONE]"
+
+// Sink takes a stream on its way to the caller.
+type Sink interface {
+	// Event takes the data of one event, in order and without gaps.
+	Event(data []byte) error
+}
+
+// ErrCallerGone says that the sink does not take the stream any more.
+var ErrCallerGone = errors.New("the caller has gone")
+
+// Progress is how far a stream has come, across its attempts.
+type Progress struct {
+	Offset int // of the last event handed on
+	Done   bool
+}
+
+// Stream hands the events of one attempt to the sink. It checks each event's
+// attempt and offset, so that a crossed, doubled or missing event is never
+// handed on. After a failure, a further attempt may go on from p.
+func (c *Client) Stream(ctx context.Context, address string, r *Request, p *Progress, sink Sink) *Failure {
+	r.ResumeFrom = p.Offset
+	resp, f := c.send(ctx, address, r)
+	if f != nil {
+		return f
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK || !strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
+		return &Failure{Verdict: protocol.MayHaveRun, Reason: "not-a-stream", Err: fmt.Errorf("status %d", resp.StatusCode)}
+	}
+	scanner := bufio.NewScanner(resp.Body)
+	scanner.Buffer(make([]byte, 0, 4096), maxEventBytes)
+	id := ""
+	for scanner.Scan() {
+		line := scanner.Bytes()
+		switch {
+		case bytes.HasPrefix(line, []byte("id: ")):
+			id = string(line[len("id: "):])
+		case bytes.HasPrefix(line, []byte("data: ")):
+			if f := p.take(r.AttemptID, id, line[len("data: "):], sink); f != nil {
+				return f
+			}
+			if p.Done {
+				return nil
+			}
+		}
+	}
+	if err := scanner.Err(); err != nil {
+		return &Failure{Verdict: protocol.MayHaveRun, Reason: "stream-cut", Err: err}
+	}
+	return &Failure{Verdict: protocol.MayHaveRun, Reason: "stream-cut"}
+}
+
+// take checks one event and hands it on.
+func (p *Progress) take(attempt, id string, data []byte, sink Sink) *Failure {
+	name, offsetText, _ := strings.Cut(id, ":")
+	offset, err := strconv.Atoi(offsetText)
+	switch {
+	case name != attempt || err != nil:
+		return &Failure{Verdict: protocol.MayHaveRun, Reason: "crossed-answer"}
+	case offset <= p.Offset:
+		return nil // doubled
+	case offset != p.Offset+1:
+		return &Failure{Verdict: protocol.MayHaveRun, Reason: "stream-gap"}
+	}
+	if err := sink.Event(data); err != nil {
+		return &Failure{Verdict: protocol.MayHaveRun, Reason: "caller-gone", Err: ErrCallerGone}
+	}
+	p.Offset = offset
+	p.Done = string(data) == doneMark
+	return nil
+}
