--- /dev/null
+++ b/cmd/doorvalvectl/main.go
@@ -0,0 +1,69 @@
+// Command doorvalvectl is the operators' tool of doorvalve.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/alecthomas/kong"
+)
+
+// Exit codes beside 0.
+const (
+	exitFailed   = 1 // the command was refused or could not be done
+	exitUnsure   = 3 // no answer; the change may have been accepted
+	exitConflict = 4 // another change came first
+)
+
+type cli struct {
+	Address []string `env:"DOORVALVE_ADDRESS" sep:"," placeholder:"IP:PORT" help:"Operators' listeners of daemons; the first that answers is used."`
+	Token   string   `env:"DOORVALVE_TOKEN" help:"Operator's token; better given in the environment."`
+	CA      string   `name:"ca" help:"PEM file with the certificate authority; switches to TLS."`
+	Output  string   `short:"o" enum:"text,json" default:"text" help:"Output: text or json."`
+
+	Bundle   bundleCmd   `cmd:"" help:"Check, compare, propose, read and sign off bundles."`
+	Rollout  rolloutCmd  `cmd:"" help:"Bring a signed-off bundle into force."`
+	Status   statusCmd   `cmd:"" help:"Show which daemon runs which generation."`
+	History  historyCmd  `cmd:"" help:"Show the rollouts, newest first."`
+	Drain    drainCmd    `cmd:"" help:"Take a host or an endpoint out of service."`
+	Undrain  undrainCmd  `cmd:"" help:"Bring an endpoint back into service."`
+	Dump     dumpCmd     `cmd:"" help:"Print the state of one or all daemons."`
+	Settings settingsCmd `cmd:"" help:"Check a daemon's settings file."`
+}
+
+const description = `The operators' tool of doorvalve.
+
+Examples:
+  doorvalvectl bundle check site.hujson
+  doorvalvectl bundle propose site.hujson --note "new hazard model"
+  doorvalvectl bundle signoff 3f0a9c...        (by somebody else than the author)
+  doorvalvectl rollout 3f0a9c... --expect 41   (41 is the generation in force)
+  doorvalvectl status -o json
+  doorvalvectl drain endpoint lm-w3
+
+Exit codes: 0 done, 1 refused or failed, 3 no answer and perhaps accepted,
+4 another change came first.`
+
+func main() {
+	var c cli
+	ctx := kong.Parse(&c, kong.Name("doorvalvectl"), kong.Description(description), kong.UsageOnError())
+	err := ctx.Run(&c)
+	if err == nil {
+		return
+	}
+	fmt.Fprintln(os.Stderr, err)
+	os.Exit(exitCode(err))
+}
+
+func exitCode(err error) int {
+	var refused *refusedError
+	switch {
+	case errors.As(err, &refused) && refused.conflict():
+		return exitConflict
+	case errors.As(err, &refused) && refused.unsure(), errors.Is(err, errNoAnswer):
+		return exitUnsure
+	default:
+		return exitFailed
+	}
+}
