--- a/coordination/lease/lease.go
+++ b/coordination/lease/lease.go
@@ -181,6 +181,9 @@
 	}
 	m.seen = e.Record
 	m.pending = nil
+	if m.mayTake(now) {
+		m.nextAt = now
+	}
 }
 
 func (m *Machine) writeDone(now time.Time, e WriteDone) {
--- a/transport/callers/call.go
+++ b/transport/callers/call.go
@@ -51,7 +51,7 @@
 
 func (s *Server) completion(c echo.Context, conf *snapshot.Snapshot) *protocol.Refusal {
 	r := c.Request()
-	cl, ident, refusal := s.newCall(r, conf)
+	cl, ident, refusal := s.newCall(c, conf)
 	if refusal != nil {
 		return refusal
 	}
@@ -79,7 +79,7 @@
 	if svc == nil || svc.Kind != bundle.KindPlain {
 		return protocol.Refuse(http.StatusNotFound, "unknown-service", "no plain service "+strconv.Quote(name)+" in the configuration", 0)
 	}
-	cl, ident, refusal := s.newCall(r, conf)
+	cl, ident, refusal := s.newCall(c, conf)
 	if refusal != nil {
 		return refusal
 	}
@@ -99,8 +99,9 @@
 }
 
 // newCall reads what all calls have in common.
-func (s *Server) newCall(r *http.Request, conf *snapshot.Snapshot) (*call, snapshot.Identity, *protocol.Refusal) {
-	now := time.Now()
+func (s *Server) newCall(c echo.Context, conf *snapshot.Snapshot) (*call, snapshot.Identity, *protocol.Refusal) {
+	r, now, id := c.Request(), time.Now(), s.requestID()
+	c.Response().Header().Set(protocol.HeaderRequestID, id)
 	ident, ok := conf.Identify(r.Header.Get("Authorization"))
 	if !ok {
 		return nil, ident, protocol.Refuse(http.StatusUnauthorized, "unknown-caller", "a known bearer token is needed", 0)
@@ -121,7 +122,7 @@
 		return nil, ident, protocol.Refuse(http.StatusRequestEntityTooLarge, "body-too-large", fmt.Sprintf("a body may have %d bytes", s.opt.Limits.BodyBytes), 0)
 	}
 	return &call{
-		id: s.requestID(), method: r.Method, header: r.Header, body: body, worth: ident.Class.Worth, deadline: now.Add(timeout),
+		id: id, method: r.Method, header: r.Header, body: body, worth: ident.Class.Worth, deadline: now.Add(timeout),
 	}, ident, nil
 }
 
@@ -165,7 +166,7 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, cl.deadline)
 	defer cancel()
-	out := newAnswer(c.Response(), cl)
+	out := newAnswer(c.Response())
 	refusal := s.attempts(ctx, cl, out)
 	if refusal != nil && out.started() {
 		out.fail(refusal)
@@ -305,12 +306,11 @@
 // answer is the way to the caller.
 type answer struct {
 	w        http.ResponseWriter
-	cl       *call
 	progress proxy.Progress
 	begun    bool
 }
 
-func newAnswer(w http.ResponseWriter, cl *call) *answer { return &answer{w: w, cl: cl} }
+func newAnswer(w http.ResponseWriter) *answer { return &answer{w: w} }
 
 // started reports whether the caller has seen a part of the answer.
 func (a *answer) started() bool { return a.begun }
@@ -320,7 +320,6 @@
 	if !a.begun {
 		a.begun = true
 		a.w.Header().Set("Content-Type", "text/event-stream")
-		a.w.Header().Set(protocol.HeaderRequestID, a.cl.id)
 		a.w.WriteHeader(http.StatusOK)
 	}
 	var b bytes.Buffer
@@ -356,7 +355,6 @@
 			h.Set(name, v)
 		}
 	}
-	h.Set(protocol.HeaderRequestID, a.cl.id)
 	h.Set("Content-Length", strconv.Itoa(len(w.Body)))
 	a.w.WriteHeader(w.Status)
 	_, _ = a.w.Write(w.Body)
