callers: the verdict of a request is the worst of all its attempts

Cause: after an attempt that may have run, a retry that the gate refused was answered "not run" with the last refusal's verdict. The release of a claimed key followed the last verdict too. Found by TestAnswersNotRunIsTrue/answer_lost, red: six requests answered "not run" had run once or twice by the engines' own counts. Ruled out: the proxy's classification (each attempt's own verdict was right).

--- /dev/null
+++ b/e2e/answers_test.go
@@ -0,0 +1,183 @@
+package e2e_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/doorvalve/doorvalve/protocol"
+	"github.com/doorvalve/doorvalve/standin/engine"
+	"github.com/doorvalve/doorvalve/standin/fault"
+)
+
+// runs adds up how often each request id ran at the engines.
+func (w *world) runs() map[string]int {
+	total := map[string]int{}
+	for _, e := range w.engines {
+		for id, n := range e.Stats().Runs {
+			total[id] += n
+		}
+	}
+	return total
+}
+
+// Streams are cut again and again: they are resumed, and each caller gets its
+// own answer byte for byte.
+func TestAnswersCutStreamsResumed(t *testing.T) {
+	w := newWorld(t, defaults())
+	if _, _, r := w.daemons[0].stream("m0", "warm", 2); !r.ok() {
+		t.Fatalf("warm-up: %d %v", r.status, r.refusal)
+	}
+	for _, e := range w.engines {
+		e.CutStreamsAfter(7)
+	}
+	var wg sync.WaitGroup
+	for i := range 6 {
+		wg.Go(func() {
+			prompt := fmt.Sprintf("prompt %d", i)
+			text, whole, r := w.daemons[i%3].stream("m0", prompt, 30)
+			if !r.ok() || !whole || text != engine.Answer(prompt, 30) {
+				t.Errorf("%d: status %d, whole %v, %q, tail %q", i, r.status, whole, text, tail(r.body, 200))
+			}
+		})
+	}
+	wg.Wait()
+}
+
+// An engine answers under another attempt's id: nothing of it reaches a caller.
+func TestAnswersCrossedNeverDelivered(t *testing.T) {
+	w := newWorld(t, defaults())
+	if _, r := w.daemons[0].complete("m0", "warm", 2); !r.ok() {
+		t.Fatalf("warm-up: %d %v", r.status, r.refusal)
+	}
+	for _, e := range w.engines {
+		e.CrossAnswers(true)
+	}
+	text, r := w.daemons[1].complete("m0", "x", 4, protocol.HeaderTimeout, "3000")
+	if r.ok() || text != "" || r.refusal.Verdict == protocol.NotRun {
+		t.Errorf("whole answer: status %d, text %q, verdict %v", r.status, text, r.refusal.Verdict)
+	}
+	text, whole, r := w.daemons[1].stream("m0", "x", 4)
+	if text != "" || whole {
+		t.Errorf("stream: status %d, text %q, whole %v", r.status, text, whole)
+	}
+	for _, e := range w.engines {
+		e.CrossAnswers(false)
+	}
+	w.eventually("served again", func() bool {
+		text, r := w.daemons[1].complete("m0", "x", 4)
+		return r.ok() && text == engine.Answer("x", 4)
+	})
+}
+
+// Faults at each step of the path of a model's request: whatever is answered
+// "not run" ran at no engine, by the engines' own counts.
+func TestAnswersNotRunIsTrue(t *testing.T) {
+	steps := map[string]func(*world){
+		"endpoint fails":         func(w *world) { w.eachEngine(fault.Settings{Fail: true, Path: "/v1/"}) },
+		"answer lost":            func(w *world) { w.eachEngine(fault.Settings{LoseAnswers: -1, Path: "/v1/"}) },
+		"endpoint frozen":        func(w *world) { w.eachEngine(fault.Settings{Freeze: true, Path: "/v1/"}) },
+		"endpoint frozen wholly": func(w *world) { w.eachEngine(fault.Settings{Freeze: true}) },
+		"orders fail":            func(w *world) { w.eachEngine(fault.Settings{Fail: true, Path: "/orders"}) },
+		"platform away":          func(w *world) { w.platform.Faults.Set(fault.Settings{Fail: true}) },
+		"endpoint leaves":        func(w *world) { w.eachEngineLeaving() },
+		"coordinator is killed":  func(w *world) { w.holder().kill() },
+		"coordinator is frozen": func(w *world) {
+			holder := w.holder()
+			holder.freeze()
+			time.AfterFunc(3*time.Second, holder.unfreeze)
+		},
+		"nothing, but a slow run": func(w *world) { w.eachEngine(fault.Settings{DelayMs: 300, Path: "/v1/"}) },
+	}
+	for name, cause := range steps {
+		t.Run(name, func(t *testing.T) {
+			o := defaults()
+			o.slots = 2
+			o.tokenTime = 10 * time.Millisecond
+			w := newWorld(t, o)
+			if _, r := w.daemons[0].complete("m0", "warm", 2); !r.ok() {
+				t.Fatalf("warm-up: %d %v", r.status, r.refusal)
+			}
+			before := w.runs()
+			var mu sync.Mutex
+			var replies []reply
+			var wg sync.WaitGroup
+			ask := func(n int) {
+				for i := range n {
+					wg.Go(func() {
+						_, r := w.daemons[i%3].complete(fmt.Sprintf("m%d", i%3), fmt.Sprint(i), 5, protocol.HeaderTimeout, "1500")
+						mu.Lock()
+						defer mu.Unlock()
+						replies = append(replies, r)
+					})
+				}
+			}
+			ask(6)
+			time.Sleep(20 * time.Millisecond)
+			cause(w)
+			ask(12)
+			wg.Wait()
+			w.eachEngine(fault.Settings{})
+			time.Sleep(50 * time.Millisecond) // what was held back runs now
+			ran := w.runs()
+			refused := 0
+			for _, r := range replies {
+				if r.ok() || r.err != nil || r.refusal.Verdict != protocol.NotRun {
+					continue
+				}
+				refused++
+				id := r.header.Get(protocol.HeaderRequestID)
+				if id == "" || ran[id] != before[id] {
+					t.Errorf("%q was \"not run\" (%s) and ran %d times", id, r.refusal.Reason, ran[id])
+				}
+			}
+			t.Logf("%d of %d refused as not run", refused, len(replies))
+		})
+	}
+}
+
+func (w *world) eachEngine(f fault.Settings) {
+	for _, e := range w.engines {
+		e.Faults.Set(f)
+	}
+}
+
+func (w *world) eachEngineLeaving() {
+	for _, e := range w.engines {
+		e.SetLeaving(true)
+	}
+}
+
+// Bad input gets a clear 4xx, "not run".
+func TestAnswersBadInput(t *testing.T) {
+	w := newWorld(t, defaults())
+	p := w.daemons[0]
+	cases := []struct {
+		name, method, path, body string
+		headers                  []string
+		status                   int
+		reason                   string
+	}{
+		{"no JSON", "POST", "/v1/completions", "hello", nil, 400, "bad-request"},
+		{"no model", "POST", "/v1/completions", "{}", nil, 400, "bad-request"},
+		{"unknown model", "POST", "/v1/completions", `{"model":"nope"}`, nil, 404, "unknown-model"},
+		{"unknown service", "GET", "/services/nope/x", "", nil, 404, "unknown-service"},
+		{"unknown path", "GET", "/nope", "", nil, 404, "no-such-path"},
+		{"bad token", "POST", "/v1/completions", `{"model":"m0"}`, []string{"Authorization", "Bearer nope"}, 401, "unknown-caller"},
+		{"bad timeout", "POST", "/v1/completions", `{"model":"m0"}`, []string{protocol.HeaderTimeout, "soon"}, 400, "bad-timeout"},
+		{"large body", "POST", "/v1/completions", `{"model":"m0","prompt":"` + strings.Repeat("x", 200000) + `"}`, nil, 413, "body-too-large"},
+		{"long key", "POST", "/services/app/orders", "{}", []string{"Idempotency-Key", strings.Repeat("k", 300)}, 400, "key-too-long"},
+	}
+	for _, c := range cases {
+		r := p.call(c.method, c.path, c.body, c.headers...)
+		if r.status != c.status || r.refusal.Reason != c.reason || r.refusal.Verdict != protocol.NotRun {
+			t.Errorf("%s: %d %+v %v", c.name, r.status, r.refusal, r.err)
+		}
+	}
+	if r := p.call("GET", "/v1/models", "", "X-Large", strings.Repeat("x", 64<<10)); r.status != http.StatusRequestHeaderFieldsTooLarge {
+		t.Errorf("large header: %d", r.status)
+	}
+}
--- a/transport/callers/call.go
+++ b/transport/callers/call.go
@@ -177,6 +177,7 @@
 // attempts tries endpoints until one has answered.
 func (s *Server) attempts(ctx context.Context, cl *call, out *answer) *protocol.Refusal {
 	claimed := false
+	verdict := protocol.NotRun // the worst of all attempts
 	for n := 1; ; n++ {
 		slot, refusal := cl.gate.Acquire(ctx, gate.Request{Worth: cl.worth, Deadline: cl.deadline, Affinity: cl.affinity})
 		if refusal == nil && cl.key != nil && !claimed {
@@ -187,20 +188,19 @@
 			claimed = true
 		}
 		if refusal != nil {
-			s.unclaim(cl, claimed)
-			if out.started() {
-				refusal.Verdict = protocol.MayHaveRun
-			}
+			s.unclaim(cl, claimed && verdict == protocol.NotRun)
+			refusal.Verdict = max(refusal.Verdict, verdict)
 			return refusal
 		}
 		f := s.attempt(ctx, cl, slot, n, out)
 		if f == nil {
 			return nil
 		}
+		verdict = max(verdict, f.Verdict)
 		s.opt.Log.Debug("attempt failed", "request", cl.id, "attempt", n, "model", cl.unit, "endpoint", slot.Endpoint.Name, "verdict", f.Verdict.String(), "reason", f.Reason, "error", f.Err)
 		if !s.mayRetry(ctx, cl, f, n, out) {
-			s.unclaim(cl, claimed && f.Verdict == protocol.NotRun)
-			return finalRefusal(f, out)
+			s.unclaim(cl, claimed && verdict == protocol.NotRun)
+			return finalRefusal(f, verdict)
 		}
 		s.metrics.retries.Inc(1)
 	}
@@ -288,16 +288,14 @@
 	s.opt.Claimer.Release(ctx, *cl.key, cl.id)
 }
 
-// finalRefusal turns the last attempt's failure into the answer.
-func finalRefusal(f *proxy.Failure, out *answer) *protocol.Refusal {
-	r := &protocol.Refusal{Status: http.StatusBadGateway, Reason: f.Reason, Detail: f.Error(), Verdict: f.Verdict}
-	if out.started() {
-		r.Verdict = protocol.MayHaveRun
-	}
+// finalRefusal turns the last attempt's failure into the answer. verdict is the
+// worst of all attempts.
+func finalRefusal(f *proxy.Failure, verdict protocol.Verdict) *protocol.Refusal {
+	r := &protocol.Refusal{Status: http.StatusBadGateway, Reason: f.Reason, Detail: f.Error(), Verdict: verdict}
 	switch {
 	case f.Reason == "deadline-passed":
 		r.Status = http.StatusGatewayTimeout
-	case f.Verdict == protocol.NotRun:
+	case verdict == protocol.NotRun:
 		r.Status, r.RetryAfter = http.StatusServiceUnavailable, retryAfterStart
 	}
 	return r
