--- /dev/null
+++ b/e2e/overload_test.go
@@ -0,0 +1,232 @@
+package e2e_test
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/doorvalve/doorvalve/protocol"
+	"github.com/doorvalve/doorvalve/standin/engine"
+	"github.com/doorvalve/doorvalve/standin/fault"
+	"github.com/doorvalve/doorvalve/state/bundle"
+)
+
+// timed is a reply with the part of its time that it took.
+type timed struct {
+	reply
+	text string
+	took time.Duration
+}
+
+// Twice the capacity, at all daemons, by callers of different worth: each
+// request gets exactly one final answer before its deadline; a refusal comes
+// long before it, with the time to come back; the worthier are served more.
+func TestOverloadServedOrRefusedInOrderOfWorth(t *testing.T) {
+	const timeout = 6 * time.Second
+	o := defaults()
+	o.engines, o.slots, o.tokenTime = 1, 4, 20*time.Millisecond
+	w := newWorld(t, o)
+	if _, r := w.daemons[0].complete("m0", "warm", 2); !r.ok() {
+		t.Fatalf("warm-up: %d %v", r.status, r.refusal)
+	}
+	const each = 90 // of each class; a request takes 200 ms, so about 120 fit into the time
+	var mu sync.Mutex
+	byClass := map[string][]timed{}
+	var wg sync.WaitGroup
+	for i := range each {
+		for class, headers := range map[string][]string{"crew": nil, "night": {"Authorization", "Bearer night"}} {
+			wg.Go(func() {
+				prompt := fmt.Sprintf("%s %d", class, i)
+				start := time.Now()
+				text, r := w.daemons[i%3].complete("m0", prompt, 10, append([]string{protocol.HeaderTimeout, fmt.Sprint(timeout.Milliseconds())}, headers...)...)
+				mu.Lock()
+				defer mu.Unlock()
+				if r.ok() && text != engine.Answer(prompt, 10) {
+					t.Errorf("%s got %q", prompt, text)
+				}
+				byClass[class] = append(byClass[class], timed{r, text, time.Since(start)})
+			})
+		}
+	}
+	wg.Wait()
+	served := map[string]int{}
+	for class, list := range byClass {
+		if len(list) != each {
+			t.Errorf("%s: %d final answers, want %d", class, len(list), each)
+		}
+		for _, r := range list {
+			switch {
+			case r.ok():
+				served[class]++
+			case r.err != nil:
+				t.Errorf("%s: dropped: %v", class, r.err)
+			case r.refusal.Verdict == protocol.NotRun && (r.header.Get("Retry-After") == "" || r.refusal.RetryAfter <= 0):
+				t.Errorf("%s: refused without the time to come back: %v", class, r.refusal)
+			}
+		}
+	}
+	t.Logf("served: crew %d, night %d of %d each", served["crew"], served["night"], each)
+	if served["crew"] <= served["night"] {
+		t.Errorf("served %d crew requests and %d night requests", served["crew"], served["night"])
+	}
+}
+
+// A cold start that cannot be over before the deadline is refused at once, not
+// near the deadline. The bound is a part of the request's own deadline.
+func TestOverloadColdStartRefusedAtOnce(t *testing.T) {
+	o := defaults()
+	o.loadTime = 5 * time.Second
+	w := newWorld(t, o)
+	w.holder()
+	for _, p := range w.daemons {
+		start := time.Now()
+		_, r := p.complete("m0", "x", 4, protocol.HeaderTimeout, "4000")
+		if took := time.Since(start); r.ok() || r.refusal.Verdict != protocol.NotRun || took > 2*time.Second {
+			t.Errorf("%s: status %d, %v after %s of 4 s", p.name, r.status, r.refusal, took)
+		}
+		if r.refusal.RetryAfter <= 0 {
+			t.Errorf("%s: no time to come back: %v", p.name, r.refusal)
+		}
+	}
+}
+
+// More models than memory: they are loaded one after the other, memory is
+// never overcommitted, and every request is served or refused.
+func TestMemoryPressure(t *testing.T) {
+	o := defaults()
+	o.models, o.adapters = 12, 3
+	o.loadTime = 100 * time.Millisecond
+	o.change = func(b *bundle.Bundle) { b.Policy.MinIdle = bundle.Duration(0) }
+	w := newWorld(t, o)
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	ok := 0
+	for i := range 60 {
+		wg.Go(func() {
+			model := fmt.Sprintf("m%d", i%12)
+			if i%10 == 9 {
+				model = fmt.Sprintf("a%d", i%3)
+			}
+			text, r := w.daemons[i%3].complete(model, fmt.Sprint(i), 3)
+			mu.Lock()
+			defer mu.Unlock()
+			switch {
+			case r.ok() && text == engine.Answer(fmt.Sprint(i), 3):
+				ok++
+			case r.ok() || r.err != nil || r.refusal.RetryAfter <= 0:
+				t.Errorf("%s: status %d, %q, %v, %v", model, r.status, text, r.refusal, r.err)
+			}
+		})
+	}
+	wg.Wait()
+	t.Logf("%d of 60 served", ok)
+	if ok < 30 {
+		t.Errorf("only %d of 60 served", ok)
+	}
+	for i := range 12 {
+		if n := w.replicas(fmt.Sprintf("m%d", i)); n > 1 {
+			t.Errorf("m%d has %d replicas", i, n)
+		}
+	}
+	w.checkMemory()
+}
+
+// All daemons are killed and new ones start: they find what is loaded, adopt
+// it and load nothing twice.
+func TestMemoryRestartAdopts(t *testing.T) {
+	o := defaults()
+	w := newWorld(t, o)
+	for i := range 3 {
+		if _, r := w.daemons[i].complete(fmt.Sprintf("m%d", i), "x", 2); !r.ok() {
+			t.Fatalf("m%d: %d %v", i, r.status, r.refusal)
+		}
+	}
+	// A script has loaded a unit that nobody declared; its memory counts.
+	w.engines["w0"].Preload(protocol.EngineUnit{Unit: "stranger", Version: "1", MemoryMiB: 1000})
+	for _, p := range w.daemons {
+		p.kill()
+	}
+	for i := range 3 {
+		w.startDaemon(fmt.Sprintf("fresh%d", i), "hall-a", o)
+	}
+	w.inForce(1)
+	for i := range 3 {
+		w.eventually(fmt.Sprintf("m%d served", i), func() bool {
+			text, r := w.living()[i].complete(fmt.Sprintf("m%d", i), "y", 3)
+			return r.ok() && text == engine.Answer("y", 3)
+		})
+	}
+	loads := 0
+	for _, e := range w.engines {
+		for _, n := range e.Stats().Loads {
+			loads += n
+		}
+	}
+	if loads != 3 {
+		t.Errorf("%d loads, want the 3 from before the restart", loads)
+	}
+	w.checkMemory()
+}
+
+// Writes of the placement take effect and their answers are lost.
+func TestReplicasAnswersLost(t *testing.T) {
+	o := defaults()
+	w := newWorld(t, o)
+	w.holder()
+	check := w.watchReplicas("m0", 1)
+	w.platform.Faults.Set(fault.Settings{LoseAnswers: 5, Path: "/objects/placement/", Method: "PUT"})
+	var wg sync.WaitGroup
+	for i := range 9 {
+		wg.Go(func() {
+			if text, r := w.daemons[i%3].complete("m0", "x", 3); !r.ok() || text != engine.Answer("x", 3) {
+				t.Errorf("status %d, %q, %v", r.status, text, r.refusal)
+			}
+		})
+	}
+	wg.Wait()
+	check()
+	w.checkMemory()
+}
+
+// The platform is away for longer than the lease: what is loaded is served on;
+// what would need a recorded decision is refused at once; where endpoints check
+// fencing numbers, a recorded replica that its endpoint lost is loaded again.
+func TestOutageServesFromLastState(t *testing.T) {
+	o := defaults()
+	w := newWorld(t, o)
+	if _, r := w.daemons[0].complete("m0", "x", 2); !r.ok() {
+		t.Fatalf("m0: %d %v", r.status, r.refusal)
+	}
+	holder := w.holder()
+	w.platform.Faults.Set(fault.Settings{Fail: true})
+	w.eventually("the lease has lapsed", func() bool {
+		d, err := holder.dump()
+		return err == nil && len(d.Groups) == 2 && !d.Groups[0].Held && !d.Groups[1].Held
+	})
+	for _, p := range w.daemons {
+		if text, r := p.complete("m0", "during", 3); !r.ok() || text != engine.Answer("during", 3) {
+			t.Errorf("%s: m0 in the outage: %d %v", p.name, r.status, r.refusal)
+		}
+		start := time.Now()
+		_, r := p.complete("m3", "x", 2, protocol.HeaderTimeout, "20000")
+		if took := time.Since(start); r.ok() || r.refusal.Verdict != protocol.NotRun || r.refusal.RetryAfter <= 0 || took > 10*time.Second {
+			t.Errorf("%s: m3 in the outage: %d %v after %s of 20 s", p.name, r.status, r.refusal, took)
+		}
+	}
+	for name, e := range w.engines {
+		if e.Forget("m0") {
+			t.Logf("%s has lost m0", name)
+		}
+	}
+	w.eventually("m0 is woken in the outage", func() bool {
+		text, r := w.daemons[1].complete("m0", "woken", 3)
+		return r.ok() && text == engine.Answer("woken", 3)
+	})
+	w.platform.Faults.Set(fault.Settings{})
+	w.eventually("m3 is served after the outage", func() bool {
+		text, r := w.daemons[2].complete("m3", "after", 3)
+		return r.ok() && text == engine.Answer("after", 3)
+	})
+	w.checkMemory()
+}
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -261,3 +261,14 @@
 		delete(e.units, o.Unit)
 	}
 }
+
+// Forget drops a unit, as an engine does that was restarted. It reports
+// whether the unit was there.
+func (e *Engine) Forget(unit string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	_, ok := e.units[unit]
+	delete(e.units, unit)
+	e.version++
+	return ok
+}
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -325,3 +325,20 @@
 	p.SetHosts(list)
 	w.WriteHeader(http.StatusNoContent)
 }
+
+// Replay shows watchers an object's oldest content once more, as a watch does
+// that lags and repeats itself. Reads and conditional updates are not touched.
+func (p *Platform) Replay(kind, name string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, o := range p.log {
+		if o.Kind == kind && o.Name == name {
+			p.revision++
+			o.Version = p.revision
+			p.log = append(p.log, o)
+			close(p.changed)
+			p.changed = make(chan struct{})
+			return
+		}
+	}
+}
