--- a/coordination/placement/decide.go
+++ b/coordination/placement/decide.go
@@ -368,6 +368,9 @@
 
 // makeRoom unloads idle replicas on the endpoint where that costs least.
 func (m *Machine) makeRoom(now time.Time, o *Object, w wish) bool {
+	if m.opt.Eviction == EvictNever {
+		return false
+	}
 	var best []*Assignment
 	bestCost := 0.0
 	for _, name := range m.endpointNames() {
@@ -420,6 +423,9 @@
 // time it has been idle.
 func (m *Machine) missed(now time.Time, a *Assignment) float64 {
 	idle := now.Sub(m.idleSince(a)).Seconds()
+	if m.opt.Eviction == EvictOldest {
+		return 1 / (1 + idle)
+	}
 	return m.conf.Units[a.Unit].Load.Seconds() / (1 + idle)
 }
 
--- a/coordination/placement/machine.go
+++ b/coordination/placement/machine.go
@@ -22,8 +22,23 @@
 	ResendAfter time.Duration // wait before an order without effect is repeated
 	RetryAfter  time.Duration // wait before a failed read or write is repeated
 	Policy      Policy
+	Eviction    Eviction
 }
 
+// Eviction says which idle replicas make room for a unit that is asked for.
+type Eviction int
+
+// The ways of eviction.
+const (
+	// EvictCheapest unloads those that are missed least: the load time they
+	// would take again over the time they have been idle.
+	EvictCheapest Eviction = iota
+	// EvictOldest unloads the least recently used.
+	EvictOldest
+	// EvictNever unloads nothing.
+	EvictNever
+)
+
 // endpoint is what the machine knows of one endpoint.
 type endpoint struct {
 	conf        bundle.Endpoint
--- /dev/null
+++ b/replay/arrivals.go
@@ -0,0 +1,139 @@
+package replay
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/doorvalve/doorvalve/state/bundle"
+)
+
+// Shape is when and how often the units of one class are called.
+type Shape struct {
+	Prefix    string // of the names of the units
+	Class     string
+	PerDay    float64 // bursts a day of the unit most called; the others fall off as 1/rank
+	From, To  float64 // hours of the day
+	Scheduled float64 // part of the bursts that come at the same minute each day
+	BurstMean float64 // requests in a burst
+}
+
+// Tsasan is the shape of the field crews' calls: daily crews by daylight, and
+// reports all day; bursts when a crew arrives.
+func Tsasan() []Shape {
+	return []Shape{
+		{Prefix: "summary", Class: "crew", PerDay: 60, From: 6, To: 19, Scheduled: 0.2, BurstMean: 6},
+		{Prefix: "crew", Class: "crew", PerDay: 10, From: 6, To: 19, Scheduled: 0.2, BurstMean: 3},
+		{Prefix: "hazard", Class: "certification", PerDay: 16, From: 0, To: 24, Scheduled: 0.1, BurstMean: 2},
+		{Prefix: "slope", Class: "batch", PerDay: 4, From: 0, To: 24, BurstMean: 2},
+	}
+}
+
+// Hinokuni is the shape of the desk's calls: two day shifts with fixed gate
+// closures, and reviews at night.
+func Hinokuni() []Shape {
+	return []Shape{
+		{Prefix: "draft", Class: "trader", PerDay: 40, From: 7, To: 21, Scheduled: 0.8, BurstMean: 5},
+		{Prefix: "desk", Class: "trader", PerDay: 8, From: 7, To: 21, Scheduled: 0.8, BurstMean: 3},
+		{Prefix: "review", Class: "review", PerDay: 8, From: 1, To: 5, Scheduled: 0.9, BurstMean: 4},
+		{Prefix: "clause", Class: "clerk", PerDay: 10, From: 8, To: 19, Scheduled: 0.3, BurstMean: 2},
+	}
+}
+
+// burstSpread is the time over which a burst's requests arrive.
+const burstSpread = 3 * time.Second
+
+// Generate draws the arrivals of some days. The same seed gives the same ones.
+func Generate(b *bundle.Bundle, shapes []Shape, days int, seed uint64) []Arrival {
+	rng := Seeded(seed)
+	var list []Arrival
+	for _, s := range shapes {
+		rank := 0
+		for _, u := range b.Units() {
+			if !strings.HasPrefix(u.Name, s.Prefix+"-") {
+				continue
+			}
+			rank++
+			list = append(list, s.unit(rng, u.Name, s.PerDay/float64(rank), days)...)
+		}
+	}
+	slices.SortFunc(list, func(a, b Arrival) int { return int(a.At - b.At) })
+	return list
+}
+
+// unit draws one unit's bursts: some at fixed minutes, the others anywhere in
+// the hours of the shape.
+func (s Shape) unit(rng *rand.Rand, name string, perDay float64, days int) []Arrival {
+	var list []Arrival
+	anywhere := func() time.Duration {
+		return time.Duration((s.From + rng.Float64()*(s.To-s.From)) * float64(time.Hour))
+	}
+	fixed := make([]time.Duration, int(math.Round(perDay*s.Scheduled)))
+	for i := range fixed {
+		fixed[i] = anywhere()
+	}
+	for day := range days {
+		midnight := time.Duration(day) * 24 * time.Hour
+		for _, at := range fixed {
+			jitter := time.Duration(rng.NormFloat64() * float64(time.Minute))
+			list = append(list, s.burst(rng, name, max(0, midnight+at+jitter))...)
+		}
+		for range poisson(rng, perDay*(1-s.Scheduled)) {
+			list = append(list, s.burst(rng, name, midnight+anywhere())...)
+		}
+	}
+	return list
+}
+
+func (s Shape) burst(rng *rand.Rand, name string, at time.Duration) []Arrival {
+	list := make([]Arrival, 1+poisson(rng, s.BurstMean-1))
+	for i := range list {
+		list[i] = Arrival{At: at + time.Duration(rng.Float64()*float64(burstSpread)), Unit: name, Class: s.Class}
+	}
+	return list
+}
+
+func poisson(rng *rand.Rand, mean float64) int {
+	limit, p, n := math.Exp(-mean), rng.Float64(), 0
+	for p > limit {
+		p *= rng.Float64()
+		n++
+	}
+	return n
+}
+
+// Overload draws requests at a multiple of a service's capacity for units that
+// are asked for all the time, half of each class.
+func Overload(b *bundle.Bundle, service string, units, classes []string, times float64, service1, length time.Duration, seed uint64) []Arrival {
+	rng := Seeded(seed)
+	slots := 0
+	for _, e := range b.Service(service).Endpoints {
+		slots += e.Slots
+	}
+	n := int(times * float64(slots) * length.Seconds() / service1.Seconds())
+	list := make([]Arrival, n)
+	for i := range list {
+		list[i] = Arrival{
+			At: time.Duration(rng.Float64() * float64(length)), Unit: units[rng.IntN(len(units))], Class: classes[rng.IntN(len(classes))],
+		}
+	}
+	slices.SortFunc(list, func(a, b Arrival) int { return int(a.At - b.At) })
+	return list
+}
+
+// Fixed is the baseline of one idle time for all units.
+type Fixed time.Duration
+
+// Arrived implements placement.Policy.
+func (Fixed) Arrived(string, int, time.Time) {}
+
+// IdleFor implements placement.Policy.
+func (f Fixed) IdleFor(string, time.Duration, time.Time) time.Duration { return time.Duration(f) }
+
+// Prewarm implements placement.Policy.
+func (Fixed) Prewarm(time.Time) []string { return nil }
+
+// Never is the idle time of the baselines that unload nothing by themselves.
+const Never = Fixed(math.MaxInt64)
