--- a/coordination/admission/queue.go
+++ b/coordination/admission/queue.go
@@ -83,14 +83,18 @@
 	return append(refused, q.Review(now, est)...)
 }
 
-// Pop removes and returns the best request.
-func (q *Queue) Pop() (Item, bool) {
-	if len(q.items) == 0 {
-		return Item{}, false
+// Pop removes and returns the best request that can still be answered in time
+// if it starts now, and the better ones that cannot.
+func (q *Queue) Pop(now time.Time, est Estimate) (it Item, ok bool, refused []Refused) {
+	for len(q.items) > 0 {
+		it = q.items[0]
+		q.items = slices.Delete(q.items, 0, 1)
+		if !now.Add(est.Service).After(it.Deadline) {
+			return it, true, refused
+		}
+		refused = append(refused, Refused{it, ReasonDeadline, est.Service})
 	}
-	it := q.items[0]
-	q.items = slices.Delete(q.items, 0, 1)
-	return it, true
+	return Item{}, false, refused
 }
 
 // Remove takes out a request whose caller has gone.
--- a/driver/gate/gate.go
+++ b/driver/gate/gate.go
@@ -222,7 +222,13 @@
 		if s == nil {
 			break
 		}
-		it, _ := g.queue.Pop()
+		it, ok, refused := g.queue.Pop(now, g.estimate())
+		g.refuse(refused)
+		if !ok {
+			s.used.Add(-1)
+			g.inFlight.Add(-1)
+			break
+		}
 		g.finish(it.ID, outcome{slot: s})
 	}
 	g.queued.Store(int64(g.queue.Len()))
--- a/replay/replay.go
+++ b/replay/replay.go
@@ -350,7 +350,11 @@
 		if ep == nil {
 			return
 		}
-		it, _ := r.queue(unit).Pop()
+		it, ok, refused := r.queue(unit).Pop(r.now, r.estimate(unit))
+		r.refuse(refused)
+		if !ok {
+			continue
+		}
 		req := r.requests[it.ID]
 		delete(r.requests, it.ID)
 		ep.running++
