--- a/coordination/keepalive/keepalive.go
+++ b/coordination/keepalive/keepalive.go
@@ -8,6 +8,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/doorvalve/doorvalve/coordination/placement"
 )
 
 // Options are the deployment's weights and bounds.
@@ -26,6 +28,8 @@
 	partLength   = 24 * time.Hour / dayParts
 	dayRate      = 0.34 // weight of the newest day
 	prewarmAhead = 1.5  // load times before the part begins
+	burstGap     = 5 * time.Second
+	burstRate    = 0.2 // weight of the newest burst
 )
 
 // unit is what is known of one unit.
@@ -35,7 +39,9 @@
 	// dayPart is the learned probability of an arrival in each part of the day.
 	dayPart [dayParts]float64
 	seen    [dayParts]int64 // day on which the part was last updated
-	load    time.Duration
+	cost    placement.Cost
+	burst   float64 // mean number of requests that would wait for one load
+	inBurst int     // requests since the last gap longer than a load
 }
 
 // Policy learns and decides. It is not safe for concurrent use.
@@ -63,12 +69,10 @@
 		p.start = now
 	}
 	u := p.unit(name)
-	if !u.last.IsZero() {
-		for i := range u.gaps {
-			u.gaps[i] *= gapDecay
-		}
-		u.gaps[bucket(now.Sub(u.last))]++
+	if gap := now.Sub(u.last); u.last.IsZero() || gap > max(u.cost.Load, burstGap) {
+		u.endBurst(gap)
 	}
+	u.inBurst += n
 	u.last = now
 	part, day := partOf(now)
 	if u.seen[part] != day {
@@ -78,6 +82,24 @@
 	}
 }
 
+// endBurst records a gap that was long enough to unload the unit in, and the
+// size of the burst before it. Gaps inside a burst tell nothing: no policy
+// would unload in them.
+func (u *unit) endBurst(gap time.Duration) {
+	if u.last.IsZero() {
+		return
+	}
+	for i := range u.gaps {
+		u.gaps[i] *= gapDecay
+	}
+	u.gaps[bucket(gap)]++
+	if u.burst == 0 {
+		u.burst = float64(u.inBurst)
+	}
+	u.burst += burstRate * (float64(u.inBurst) - u.burst)
+	u.inBurst = 0
+}
+
 // decayDays lowers a part's probability for each day without an arrival.
 func (u *unit) decayDays(part int, day int64) {
 	if u.seen[part] == 0 {
@@ -103,49 +125,55 @@
 // IdleFor returns how long the unit's replica is kept after its last use: the
 // time that minimises the expected cost of idling plus cold starts over the
 // learned gaps.
-func (p *Policy) IdleFor(name string, load time.Duration, now time.Time) time.Duration {
+func (p *Policy) IdleFor(name string, cost placement.Cost, now time.Time) time.Duration {
 	u := p.unit(name)
-	u.load = load
+	u.cost = cost
 	best, bestCost := time.Duration(0), math.Inf(1)
 	for i := range gapBuckets {
 		keep := time.Duration(math.Exp2(float64(i)) * float64(time.Second))
 		if i == 0 {
 			keep = 0
 		}
-		if cost := p.cost(u, keep, load); cost < bestCost {
+		if cost := p.expected(u, keep); cost < bestCost {
 			best, bestCost = keep, cost
 		}
 	}
 	return min(max(best, p.opt.MinIdle), p.opt.MaxIdle)
 }
 
-// cost is the expected cost of one gap when the replica is kept for keep.
+// expected is the expected cost of one gap when the replica is kept for keep.
 // The prior spreads one observation evenly over the buckets.
-func (p *Policy) cost(u *unit, keep, load time.Duration) float64 {
+func (p *Policy) expected(u *unit, keep time.Duration) float64 {
+	idle, cold := p.opt.IdleWeight*u.cost.Share, p.coldCost(u)
 	total, cost := 0.0, 0.0
 	for i, n := range u.gaps {
 		weight := n + priorWeight/gapBuckets
 		total += weight
 		gap := math.Exp2(float64(i)) * 0.75 // middle of the bucket, in seconds
 		if gap <= keep.Seconds() {
-			cost += weight * p.opt.IdleWeight * gap
+			cost += weight * idle * gap
 			continue
 		}
-		cost += weight * (p.opt.IdleWeight*keep.Seconds() + p.opt.ColdStartWeight*load.Seconds())
+		cost += weight * (idle*keep.Seconds() + cold)
 	}
 	return cost / total
 }
 
+// coldCost is the cost of one cold start: all requests of a burst wait.
+func (p *Policy) coldCost(u *unit) float64 {
+	return p.opt.ColdStartWeight * u.cost.Load.Seconds() * max(1, u.burst)
+}
+
 // Prewarm lists units to load before they are asked for: those whose next
 // part of the day has had arrivals on most days, where the saved cold start
 // outweighs the idle time.
 func (p *Policy) Prewarm(now time.Time) []string {
 	var list []string
 	for name, u := range p.units {
-		if u.load == 0 {
+		if u.cost.Load == 0 {
 			continue
 		}
-		lead := time.Duration(prewarmAhead * float64(u.load))
+		lead := time.Duration(prewarmAhead * float64(u.cost.Load))
 		part, day := partOf(now.Add(lead))
 		current, _ := partOf(now)
 		if part == current || u.seen[part] == 0 || u.seen[part] == day {
@@ -153,8 +181,8 @@
 		}
 		missed := min(day-u.seen[part]-1, 30)
 		probability := u.dayPart[part] * math.Pow(1-dayRate, float64(max(missed, 0)))
-		saved := probability * p.opt.ColdStartWeight * u.load.Seconds()
-		spent := p.opt.IdleWeight * (lead + partLength/2).Seconds()
+		saved := probability * p.coldCost(u)
+		spent := p.opt.IdleWeight * u.cost.Share * (lead + partLength/2).Seconds()
 		if saved > spent {
 			list = append(list, name)
 		}
--- a/coordination/placement/decide.go
+++ b/coordination/placement/decide.go
@@ -137,7 +137,7 @@
 			m.lastActive[a.Unit] = now
 			continue
 		}
-		if now.Sub(since) >= m.opt.Policy.IdleFor(a.Unit, u.Load, now) {
+		if now.Sub(since) >= m.opt.Policy.IdleFor(a.Unit, m.cost(a, u), now) {
 			a.Phase = Unloading
 			changed = true
 		}
@@ -145,6 +145,14 @@
 	return changed
 }
 
+func (m *Machine) cost(a *Assignment, u bundle.Unit) Cost {
+	c := Cost{Load: time.Duration(float64(u.Load) * m.slowdown), Share: 1}
+	if ep := m.endpoints[a.Endpoint]; ep != nil && ep.conf.MemoryMiB > 0 {
+		c.Share = float64(a.MemoryMiB) / float64(ep.conf.MemoryMiB)
+	}
+	return c
+}
+
 func (m *Machine) loadedReplicas(o *Object, unit string) int {
 	n := 0
 	for i := range o.Assignments {
--- a/coordination/placement/object.go
+++ b/coordination/placement/object.go
@@ -128,11 +128,17 @@
 	Arrivals int // since the last Demand
 }
 
+// Cost is what a replica costs.
+type Cost struct {
+	Load  time.Duration // time to load it again
+	Share float64       // part of an accelerator's memory that it holds
+}
+
 // Policy decides how long an unused replica is worth keeping and what to
 // load before it is asked for.
 type Policy interface {
 	Arrived(unit string, n int, now time.Time)
-	IdleFor(unit string, load time.Duration, now time.Time) time.Duration
+	IdleFor(unit string, cost Cost, now time.Time) time.Duration
 	Prewarm(now time.Time) []string
 }
 
--- a/e2e/orders_test.go
+++ b/e2e/orders_test.go
@@ -181,6 +181,13 @@
 // a second time, and the verdict is not "not run".
 func TestOrdersAnswerOfServiceLost(t *testing.T) {
 	w := newWorld(t, defaults())
+	for range 4 { // leave idle connections behind
+		for _, p := range w.daemons {
+			if r := p.call("GET", "/services/app/x", ""); !r.ok() {
+				t.Fatalf("warm-up: %d %v", r.status, r.refusal)
+			}
+		}
+	}
 	for _, s := range w.services {
 		s.Faults.Set(fault.Settings{LoseAnswers: -1, Path: "/orders"})
 	}
--- a/replay/arrivals.go
+++ b/replay/arrivals.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/doorvalve/doorvalve/coordination/placement"
 	"github.com/doorvalve/doorvalve/state/bundle"
 )
 
@@ -130,7 +131,7 @@
 func (Fixed) Arrived(string, int, time.Time) {}
 
 // IdleFor implements placement.Policy.
-func (f Fixed) IdleFor(string, time.Duration, time.Time) time.Duration { return time.Duration(f) }
+func (f Fixed) IdleFor(string, placement.Cost, time.Time) time.Duration { return time.Duration(f) }
 
 // Prewarm implements placement.Policy.
 func (Fixed) Prewarm(time.Time) []string { return nil }
--- a/replay/replay.go
+++ b/replay/replay.go
@@ -72,6 +72,15 @@
 	return sorted[min(len(sorted)-1, int(q*float64(len(sorted))))]
 }
 
+// Sum adds up waits.
+func Sum(waits []time.Duration) time.Duration {
+	total := time.Duration(0)
+	for _, w := range waits {
+		total += w
+	}
+	return total
+}
+
 // tick is the step of virtual time while something happens.
 const tick = 250 * time.Millisecond
 
