membership: flat cost at rest; answers to full exchanges are not told again

Also an entry heard again from others is now told less. Ruled out: a lower retransmit factor alone (not tried further, the answers were most of it).

--- a/coordination/membership/membership.go
+++ b/coordination/membership/membership.go
@@ -108,6 +108,10 @@
 	changedAt time.Time
 }
 
+func (e *entry) dead() bool { return e.member != nil && e.member.Status == Dead }
+
+func (e *entry) aging() bool { return e.member != nil && e.member.Status != Alive }
+
 type probe struct {
 	target   string
 	sentAt   time.Time
@@ -127,14 +131,16 @@
 	urgent   bool // there are entries to tell at once
 	fullTo   []string
 	digest   uint64
-	stale    bool // digest has to be computed anew
+	hot      map[string]bool // keys of entries with sends left
+	aging    map[string]bool // keys of suspect and dead members
 	revision uint64
 }
 
 // New returns a view that holds only self.
 func New(opt Options, self Member, now time.Time) *Machine {
 	self.Status = Alive
-	m := &Machine{opt: opt, rng: rand.New(rand.NewPCG(opt.Seed, opt.Seed^0x9e3779b97f4a7c15)), self: self, entries: map[string]*entry{}}
+	m := &Machine{opt: opt, rng: rand.New(rand.NewPCG(opt.Seed, opt.Seed^0x9e3779b97f4a7c15)), self: self,
+		entries: map[string]*entry{}, hot: map[string]bool{}, aging: map[string]bool{}}
 	m.nextAt = now
 	m.put(now, memberEntry(self))
 	return m
@@ -180,25 +186,58 @@
 }
 
 // Digest covers all entries of members that are not dead and all facts.
-func (m *Machine) Digest() uint64 {
-	if !m.stale {
-		return m.digest
+func (m *Machine) Digest() uint64 { return m.digest }
+
+// mix adds an entry to the digest, or takes it out again.
+func (m *Machine) mix(e *entry) {
+	if e != nil && !e.dead() {
+		m.digest ^= xxhash.Sum64String(e.Key) * (2*e.Version + 1)
 	}
-	var sum uint64
-	for key, e := range m.entries {
-		if e.member != nil && e.member.Status == Dead {
-			continue
-		}
-		sum ^= xxhash.Sum64String(key) * (2*e.Version + 1)
+}
+
+// store replaces an entry and keeps what is derived from it.
+func (m *Machine) store(e *entry) {
+	m.drop(e.Key)
+	m.entries[e.Key] = e
+	m.mix(e)
+	if e.aging() {
+		m.aging[e.Key] = true
+	}
+	if e.sends > 0 {
+		m.hot[e.Key] = true
+	}
+	m.revision++
+}
+
+// heardAgain spreads an entry less the more often others tell of it, so that
+// news that all know by now costs nothing.
+func (m *Machine) heardAgain(e *entry) {
+	if e.sends > 0 {
+		e.sends--
 	}
-	m.digest, m.stale = sum, false
-	return sum
+	if e.sends == 0 {
+		delete(m.hot, e.Key)
+	}
+}
+
+func (m *Machine) drop(key string) {
+	m.mix(m.entries[key])
+	delete(m.entries, key)
+	delete(m.aging, key)
+	delete(m.hot, key)
 }
 
 // put takes an entry if it is news.
-func (m *Machine) put(now time.Time, e Entry) bool {
+func (m *Machine) put(now time.Time, e Entry) bool { return m.learn(now, e, true) }
+
+// learn takes an entry if it is news. tell says that others may not know it
+// yet; the answer to a full exchange holds what the others know already.
+func (m *Machine) learn(now time.Time, e Entry, tell bool) bool {
 	old := m.entries[e.Key]
 	if old != nil && old.Version >= e.Version {
+		if old.Version == e.Version {
+			m.heardAgain(old)
+		}
 		return false
 	}
 	next := &entry{Entry: e, changedAt: now}
@@ -216,10 +255,12 @@
 		}
 		next.member = &member
 	}
-	next.sends = m.retransmits()
-	m.entries[e.Key] = next
-	m.stale, m.urgent, m.lastNews = true, true, now
-	m.revision++
+	if tell {
+		next.sends = m.retransmits()
+		m.urgent = true
+	}
+	m.lastNews = now
+	m.store(next)
 	return true
 }
 
@@ -246,7 +287,8 @@
 }
 
 // Answer takes the answer to a message.
-func (m *Machine) Answer(now time.Time, from string, ok bool, digest uint64, entries []Entry) {
+// full says that the message was a full exchange.
+func (m *Machine) Answer(now time.Time, from string, ok bool, digest uint64, entries []Entry, full bool) {
 	if !ok {
 		return
 	}
@@ -254,7 +296,7 @@
 		m.probing = nil
 	}
 	for _, e := range entries {
-		m.put(now, e)
+		m.learn(now, e, !full)
 	}
 	m.compare(now, from, digest)
 }
@@ -287,10 +329,8 @@
 // piggyback picks the entries with most sends left.
 func (m *Machine) piggyback() []Entry {
 	var hot []*entry
-	for _, e := range m.entries {
-		if e.sends > 0 {
-			hot = append(hot, e)
-		}
+	for key := range m.hot {
+		hot = append(hot, m.entries[key])
 	}
 	slices.SortFunc(hot, func(a, b *entry) int {
 		return cmp.Or(cmp.Compare(b.sends, a.sends), cmp.Compare(a.Key, b.Key))
@@ -298,7 +338,7 @@
 	hot = hot[:min(len(hot), m.opt.MaxPiggyback)]
 	list := make([]Entry, len(hot))
 	for i, e := range hot {
-		e.sends--
+		m.heardAgain(e)
 		list[i] = e.Entry
 	}
 	return list
@@ -371,16 +411,14 @@
 
 // expire turns suspects into dead members and forgets the dead.
 func (m *Machine) expire(now time.Time) {
-	for key, e := range m.entries {
-		if e.member == nil {
-			continue
-		}
+	for key := range m.aging {
+		e := m.entries[key]
 		age := now.Sub(e.changedAt)
 		switch {
 		case e.member.Status == Suspect && age >= m.opt.SuspectFor:
 			m.mark(now, *e.member, Dead)
 		case e.member.Status == Dead && age >= m.opt.DeadFor:
-			delete(m.entries, key)
+			m.drop(key)
 		}
 	}
 }
--- /dev/null
+++ b/coordination/membership/membership_test.go
@@ -0,0 +1,188 @@
+package membership
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// network delivers messages between machines in virtual time, with one tick of
+// delay, and counts them.
+type network struct {
+	now      time.Time
+	machines map[string]*Machine
+	cut      map[string]bool // members that neither send nor receive
+	messages map[string]int  // sent, by member
+	bytes    map[string]int
+}
+
+const tick = 50 * time.Millisecond
+
+func newNetwork(n int) *network {
+	w := &network{now: time.Unix(1_000_000, 0), machines: map[string]*Machine{}, cut: map[string]bool{}, messages: map[string]int{}, bytes: map[string]int{}}
+	for i := range n {
+		w.add(i)
+	}
+	return w
+}
+
+func id(i int) string { return fmt.Sprintf("d%03d", i) }
+
+func (w *network) add(i int) {
+	self := Member{ID: id(i), Host: id(i), PeerAddress: id(i), CallerAddress: "10.0.0.1:7001", OperatorAddr: "10.0.0.1:7201", FailureDomain: "hall-a", Generation: 1}
+	m := New(DefaultOptions(uint64(i)), self, w.now)
+	w.machines[id(i)] = m
+	if i > 0 {
+		seed := w.machines[id(0)]
+		join := m.Join(id(0))
+		answer := seed.Receive(w.now, id(i), join.Digest, join.Entries, true)
+		m.Answer(w.now, id(0), true, seed.Digest(), answer, true)
+	}
+}
+
+func size(entries []Entry) int {
+	n := 40 // the call itself, without HTTP's headers
+	for _, e := range entries {
+		n += len(e.Key) + len(e.Value) + 12
+	}
+	return n
+}
+
+// step passes one tick on everywhere.
+func (w *network) step() {
+	w.now = w.now.Add(tick)
+	for i := range len(w.machines) {
+		from := id(i)
+		m := w.machines[from]
+		if w.cut[from] {
+			continue
+		}
+		r := m.Ready(w.now)
+		for _, msg := range r.Messages {
+			w.messages[from]++
+			w.bytes[from] += size(msg.Entries)
+			to := w.machines[msg.To.PeerAddress]
+			if to == nil || w.cut[msg.To.PeerAddress] {
+				m.Answer(w.now, msg.To.ID, false, 0, nil, msg.Full)
+				continue
+			}
+			answer := to.Receive(w.now, from, msg.Digest, msg.Entries, msg.Full)
+			w.bytes[from] += size(answer)
+			m.Answer(w.now, msg.To.ID, true, to.Digest(), answer, msg.Full)
+		}
+		for _, ind := range r.Indirects {
+			w.messages[from]++
+			m.IndirectAnswer(ind.Target.ID, !w.cut[ind.Via.ID] && !w.cut[ind.Target.ID])
+		}
+	}
+}
+
+func (w *network) run(d time.Duration) {
+	for end := w.now.Add(d); w.now.Before(end); {
+		w.step()
+	}
+}
+
+// until returns the time until f holds for every machine that is not cut off.
+func (w *network) until(limit time.Duration, f func(*Machine) bool) (time.Duration, bool) {
+	begin := w.now
+	for w.now.Sub(begin) < limit {
+		all := true
+		for i := range len(w.machines) {
+			all = all && (w.cut[id(i)] || f(w.machines[id(i)]))
+		}
+		if all {
+			return w.now.Sub(begin), true
+		}
+		w.step()
+	}
+	return limit, false
+}
+
+// The cost of a member at rest does not grow with their number, and a change
+// reaches all within seconds, at sizes up to the one that is planned for.
+func TestMembershipCostIsFlat(t *testing.T) {
+	const (
+		maxMessagesASecond = 1.2
+		maxBytesASecond    = 200.0
+		maxSpread          = 2 * time.Second
+		maxDetect          = 15 * time.Second
+	)
+	for _, n := range []int{7, 50, 150, 370} {
+		w := newNetwork(n)
+		spread, ok := w.until(60*time.Second, func(m *Machine) bool { return len(m.Members()) == n })
+		if !ok {
+			t.Fatalf("%d members do not know each other", n)
+		}
+		w.run(time.Minute) // what a start of all at once leaves to tell is told by then
+		clear(w.messages)
+		clear(w.bytes)
+		w.run(20 * time.Second)
+		messages, bytes := 0, 0
+		for i := range n {
+			messages += w.messages[id(i)]
+			bytes += w.bytes[id(i)]
+		}
+		perMessage := float64(messages) / float64(n) / 20
+		perBytes := float64(bytes) / float64(n) / 20
+		w.machines[id(n-1)].Set(w.now, Entry{Key: "config", Version: 9, Value: []byte("x")})
+		change, ok := w.until(60*time.Second, func(m *Machine) bool { e, _ := m.Get("config"); return e.Version == 9 })
+		if !ok || change > maxSpread {
+			t.Errorf("%d members: a change took %s, at most %s allowed", n, change, maxSpread)
+		}
+		w.cut[id(1)] = true
+		detect, ok := w.until(60*time.Second, func(m *Machine) bool { return len(m.Members()) == n-1 })
+		if !ok || detect > maxDetect {
+			t.Errorf("%d members: a death took %s, at most %s allowed", n, detect, maxDetect)
+		}
+		t.Logf("%d members: join %s, at rest %.2f messages/s and %.0f bytes/s each, change %s, death %s", n, spread, perMessage, perBytes, change, detect)
+		if perMessage > maxMessagesASecond || perBytes > maxBytesASecond {
+			t.Errorf("%d members: %.2f messages and %.0f bytes a second each at rest", n, perMessage, perBytes)
+		}
+	}
+}
+
+// A daemon that slept and was called dead comes back by itself, and a part of
+// the members that was cut off finds the rest again.
+func TestMembershipComesBack(t *testing.T) {
+	w := newNetwork(9)
+	w.run(5 * time.Second)
+	for i := range 3 {
+		w.cut[id(i)] = true
+	}
+	if _, ok := w.until(60*time.Second, func(m *Machine) bool { return len(m.Members()) == 6 }); !ok {
+		t.Fatal("the cut was not noticed")
+	}
+	clear(w.cut)
+	if d, ok := w.until(120*time.Second, func(m *Machine) bool { return len(m.Members()) == 9 }); !ok {
+		t.Errorf("not together again after %s", d)
+	}
+}
+
+// A lower version never replaces a higher one, whoever sends it.
+func TestMembershipNeverGoesBack(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	m := New(DefaultOptions(1), Member{ID: "a"}, now)
+	m.Set(now, Entry{Key: "config", Version: 5, Value: []byte("new")})
+	m.Receive(now, "b", 0, []Entry{{Key: "config", Version: 4, Value: []byte("old")}}, false)
+	if e, _ := m.Get("config"); e.Version != 5 || string(e.Value) != "new" {
+		t.Errorf("went back to %+v", e)
+	}
+}
+
+func TestRendezvousMovesLittle(t *testing.T) {
+	var members []Member
+	for i := range 10 {
+		members = append(members, Member{ID: id(i), Status: Alive})
+	}
+	moved := 0
+	for k := range 1000 {
+		key := fmt.Sprint(k)
+		if Rendezvous(key, members)[0].ID != Rendezvous(key, members[:9])[0].ID {
+			moved++
+		}
+	}
+	if moved < 50 || moved > 160 {
+		t.Errorf("%d of 1000 keys moved when one of ten members left", moved)
+	}
+}
--- a/driver/gossip/gossip.go
+++ b/driver/gossip/gossip.go
@@ -152,7 +152,7 @@
 		g.log.Trace("gossip failed", "to", msg.To.PeerAddress, "error", err)
 		return
 	}
-	g.do(func(now time.Time) { g.m.Answer(now, msg.To.ID, true, resp.Digest, fromWire(resp.Entries)) })
+	g.do(func(now time.Time) { g.m.Answer(now, msg.To.ID, true, resp.Digest, fromWire(resp.Entries), msg.Full) })
 }
 
 func (g *Gossip) probe(ind membership.Indirect) {
