--- a/cmd/doorvalve-bench/main.go
+++ b/cmd/doorvalve-bench/main.go
@@ -10,6 +10,11 @@
 type cli struct {
 	Policy   policyCmd   `cmd:"" help:"Replay arrivals in virtual time under several policies."`
 	Overload overloadCmd `cmd:"" help:"Replay twice the capacity in virtual time by order of admission."`
+	Load     loadCmd     `cmd:"" help:"Send requests through a daemon and directly to an endpoint, and compare."`
+	Rest     restCmd     `cmd:"" help:"Measure what running daemons spend while nothing is asked of them."`
+	InForce  inForceCmd  `cmd:"" help:"Measure until a generation is in force everywhere."`
+	Slopes   slopesCmd   `cmd:"" help:"Measure the state machines alone at several sizes."`
+	Fit      fitCmd      `cmd:"" help:"Fit slopes, write the table and a plot of each."`
 }
 
 func main() {
--- /dev/null
+++ b/cmd/doorvalve-bench/slopes.go
@@ -0,0 +1,264 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"runtime"
+	"time"
+
+	"github.com/doorvalve/doorvalve/coordination/claims"
+	"github.com/doorvalve/doorvalve/coordination/grants"
+	"github.com/doorvalve/doorvalve/coordination/membership"
+	"github.com/doorvalve/doorvalve/coordination/placement"
+	"github.com/doorvalve/doorvalve/protocol"
+	"github.com/doorvalve/doorvalve/replay"
+	"github.com/doorvalve/doorvalve/state/bundle"
+	"github.com/doorvalve/doorvalve/state/snapshot"
+)
+
+type slopesCmd struct{}
+
+// Run prints one CSV line a measurement.
+func (*slopesCmd) Run() error {
+	for _, measure := range []func() []point{configuration, groupByEndpoints, groupByUnits, sharing, claimShards, members} {
+		if err := write(os.Stdout, measure()...); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// timed returns the mean time of f in microseconds, over at least a quarter of
+// a second.
+func timed(f func()) float64 {
+	const least = 250 * time.Millisecond
+	f()
+	start, n := time.Now(), 0
+	for time.Since(start) < least {
+		f()
+		n++
+	}
+	return float64(time.Since(start).Microseconds()) / float64(n)
+}
+
+// held returns the memory in KB that what f builds holds on to.
+func held(f func() any) float64 {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	v := f()
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	runtime.KeepAlive(v)
+	return max(0, float64(after.HeapAlloc)-float64(before.HeapAlloc)) / 1000
+}
+
+// makeBundle declares a group of engines with models and adapters.
+func makeBundle(engines, models, adapters int) *bundle.Bundle {
+	b := &bundle.Bundle{
+		Format: bundle.Format, FailureDomains: []string{"a"}, AddressTTL: bundle.Duration(5 * time.Second), DefaultClass: "c",
+		Classes: []bundle.Class{{Name: "c", Worth: 1, Timeout: bundle.Duration(30 * time.Second)}},
+		Claims:  bundle.Claims{Shards: 8, Retention: bundle.Duration(time.Hour)},
+		Policy:  bundle.Policy{ColdStartWeight: 40, IdleWeight: 1, MaxIdle: bundle.Duration(time.Hour), LoadsAtOnce: 4, LoadsPerSecond: 3},
+	}
+	svc := bundle.Service{Name: "lm", Kind: bundle.KindEngine, Mode: bundle.ModeManaged}
+	for i := range engines {
+		svc.Endpoints = append(svc.Endpoints, bundle.Endpoint{Name: fmt.Sprintf("worker-%d", i), Address: fmt.Sprintf("10.0.%d.%d:9000", i/250, i%250+1), FailureDomain: "a", MemoryMiB: 655360, KVReserveMiB: 65536, Slots: 64, ChecksFencing: true})
+	}
+	b.Services = []bundle.Service{svc}
+	for i := range models {
+		b.Models = append(b.Models, bundle.Model{Name: fmt.Sprintf("model-%d", i), Service: "lm", Version: "1", MemoryMiB: 14336, Load: bundle.Duration(2 * time.Second), MaxReplicas: 8})
+	}
+	for i := range adapters {
+		b.Adapters = append(b.Adapters, bundle.Adapter{Name: fmt.Sprintf("adapter-%d", i), Base: fmt.Sprintf("model-%d", i%max(1, models)), Version: "1", MemoryMiB: 256, Load: bundle.Duration(time.Second), MaxReplicas: 2})
+	}
+	return b
+}
+
+// configuration measures a bundle against the adapters that it declares.
+func configuration() []point {
+	var points []point
+	for _, adapters := range []int{60, 300, 900, 1800} {
+		content, _ := json.Marshal(makeBundle(600, 98, adapters)) // plain values always marshal
+		x := float64(adapters)
+		points = append(points,
+			point{"configuration", "bundle", "KB", "adapters", x, float64(len(content)) / 1000},
+			point{"configuration", "adoption of a generation", "µs", "adapters", x, timed(func() { parse(content) })},
+			point{"configuration", "snapshot in memory", "KB", "adapters", x, held(func() any { return parse(content) })})
+	}
+	return points
+}
+
+func parse(content []byte) *snapshot.Snapshot {
+	b, err := bundle.Parse("bench", content)
+	if err != nil {
+		panic(err) // the benchmark's own bundle is wrong
+	}
+	return snapshot.New(1, "", content, b)
+}
+
+// group is a placement machine with everything loaded that is recorded.
+type group struct {
+	m      *placement.Machine
+	now    time.Time
+	states []protocol.EngineState
+	object placement.Object
+}
+
+func newGroup(engines, models, adapters int) *group {
+	g := &group{now: time.Unix(1_000_000, 0)}
+	b := makeBundle(engines, models, adapters)
+	g.m = placement.New(placement.Options{Self: "bench", OrderTTL: 3 * time.Second, ResendAfter: time.Second, RetryAfter: time.Second, Policy: replay.Never})
+	g.m.Step(g.now, placement.ConfigChanged{Config: placement.NewConfig(1, b, "lm")})
+	g.m.Step(g.now, placement.LeaseChanged{Held: true, Fence: 1})
+	g.m.Ready(g.now)
+	object := placement.Object{Holder: "bench", Fence: 1}
+	for i, e := range b.Services[0].Endpoints {
+		s := protocol.EngineState{Endpoint: e.Name, MemoryMiB: e.MemoryMiB, Slots: e.Slots}
+		for j, u := range b.Units() {
+			if j%engines != i && (u.Base == "" || j%models%engines != i) {
+				continue
+			}
+			object.NextSeq++
+			object.Assignments = append(object.Assignments, placement.Assignment{Unit: u.Name, Version: u.Version, Base: u.Base, Endpoint: e.Name, MemoryMiB: u.MemoryMiB, Phase: placement.Loaded, Seq: object.NextSeq, Fence: 1})
+			s.Units = append(s.Units, protocol.EngineUnit{Unit: u.Name, Version: u.Version, Base: u.Base, Status: protocol.UnitReady, MemoryMiB: u.MemoryMiB, Seq: object.NextSeq})
+		}
+		g.states = append(g.states, s)
+	}
+	g.object = object
+	g.m.Step(g.now, placement.ReadDone{Found: true, Object: object, Version: 1})
+	g.observe()
+	return g
+}
+
+// observe is one round of endpoint reports with the decision after it.
+func (g *group) observe() {
+	g.now = g.now.Add(time.Second)
+	for _, s := range g.states {
+		g.m.Step(g.now, placement.Observed{State: s, Fence: 1, Asked: g.now})
+	}
+	r := g.m.Ready(g.now)
+	for _, o := range r.Orders {
+		g.m.Step(g.now, placement.OrderDone{Order: o, Sent: true, OK: true})
+	}
+}
+
+func groupByEndpoints() []point {
+	var points []point
+	for _, engines := range []int{9, 18, 36, 72} {
+		g := newGroup(engines, 98, 200)
+		points = append(points,
+			point{"placement group", "one round of reports and decision", "µs", "endpoints", float64(engines), timed(g.observe)},
+			point{"placement group", "memory", "KB", "endpoints", float64(engines), held(func() any { return newGroup(engines, 98, 200) })})
+	}
+	return points
+}
+
+func groupByUnits() []point {
+	var points []point
+	for _, adapters := range []int{60, 300, 900, 1800} {
+		g := newGroup(9, 98, adapters)
+		object, _ := json.Marshal(g.object)
+		state, _ := json.Marshal(g.states[0])
+		x := float64(adapters)
+		points = append(points,
+			point{"placement group", "one round of reports and decision", "µs", "adapters loaded", x, timed(g.observe)},
+			point{"placement group", "recorded object", "KB", "adapters loaded", x, float64(len(object)) / 1000},
+			point{"endpoint reports", "a changed report", "KB", "adapters loaded", x, float64(len(state)) / 1000})
+	}
+	return points
+}
+
+// sharing measures one allocation of slots against the daemons that report.
+func sharing() []point {
+	var points []point
+	for _, daemons := range []int{7, 50, 150, 370} {
+		now := time.Unix(1_000_000, 0)
+		book := grants.NewBook()
+		for d := range daemons {
+			book.Report(now, fmt.Sprintf("daemon-%d", d), []grants.UnitReport{{Unit: "model-0", InFlight: 1}, {Unit: "model-1", Waiting: []grants.Waiting{{Worth: 5, Count: 2, Deadline: now}}}})
+		}
+		var replicas []placement.Replica
+		for e := range 8 {
+			for u := range 4 {
+				replicas = append(replicas, placement.Replica{Unit: fmt.Sprintf("model-%d", u), Endpoint: bundle.Endpoint{Name: fmt.Sprint("e", e), Slots: 64}})
+			}
+		}
+		points = append(points, point{"sharing of slots", "one allocation", "µs", "daemons", float64(daemons), timed(func() { book.Allocate(now, replicas) })})
+	}
+	return points
+}
+
+// claimShards measures one shard against the claims a second that it takes.
+func claimShards() []point {
+	var points []point
+	for _, rate := range []int{3, 10, 30, 100, 300} {
+		writes, bytes := claimRun(rate)
+		x := float64(rate)
+		points = append(points,
+			point{"claims", "writes of a shard", "1/s", "claims/s", x, writes},
+			point{"claims", "bytes written of a shard", "KB/s", "claims/s", x, bytes / 1000},
+			point{"claims", "memory of an hour's keys of a shard", "MB", "claims/s", x, held(func() any { return claimIndex(rate * 3600) }) / 1000})
+	}
+	return points
+}
+
+// claimRun drives one shard for ten seconds of virtual time, with claims
+// evenly spread and a platform that answers in 3 ms.
+func claimRun(rate int) (writesPerSecond, bytesPerSecond float64) {
+	const seconds, answer = 10, 3 * time.Millisecond
+	s := claims.NewShard(claims.Options{Owner: "bench", Interval: 20 * time.Millisecond, RetryWait: time.Second, Retention: time.Hour, MaxOpen: 128})
+	now := time.Unix(1_000_000, 0)
+	version, writes, bytes, asked := uint64(0), 0, 0, 0
+	var out claims.Event
+	var due time.Time
+	for end := now.Add(seconds * time.Second); now.Before(end); now = now.Add(time.Millisecond) {
+		for float64(asked) < float64(rate)*now.Sub(end.Add(-seconds*time.Second)).Seconds() {
+			asked++
+			s.Step(now, claims.Claim{Key: claims.MakeKey("c", "s", fmt.Sprint(asked)), ClaimID: fmt.Sprintf("entry-12-0123abcd-%x", asked), Unix: now.Unix()})
+		}
+		if out != nil && !now.Before(due) {
+			s.Step(now, out)
+			out = nil
+		}
+		r := s.Ready(now)
+		if r.Read {
+			out, due = claims.ReadDone{Version: version}, now.Add(answer)
+		}
+		if r.Write != nil {
+			body, _ := json.Marshal(r.Write.Head)
+			version++
+			writes++
+			bytes += len(body)
+			out, due = claims.WriteDone{Outcome: claims.WriteOK, Version: version}, now.Add(answer)
+		}
+	}
+	return float64(writes) / seconds, float64(bytes) / seconds
+}
+
+func claimIndex(n int) any {
+	index := make(map[claims.Key]string, n)
+	for i := range n {
+		index[claims.MakeKey("c", "s", fmt.Sprint(i))] = fmt.Sprintf("entry-12-0123abcd-%x", i)
+	}
+	return index
+}
+
+// members measures a view's memory; its traffic is measured by daemons and by
+// the membership package's test.
+func members() []point {
+	var points []point
+	for _, n := range []int{7, 50, 150, 370} {
+		points = append(points, point{"membership", "view in memory", "KB", "daemons", float64(n), held(func() any {
+			now := time.Unix(1_000_000, 0)
+			m := membership.New(membership.DefaultOptions(1), membership.Member{ID: "self"}, now)
+			for i := range n {
+				value, _ := json.Marshal(membership.Member{ID: fmt.Sprintf("entry-%d-0123abcd", i), Host: fmt.Sprint("entry-", i), PeerAddress: "10.0.0.1:7100", CallerAddress: "10.0.0.1:7000", OperatorAddr: "10.0.0.1:7200", FailureDomain: "hall-a", Status: membership.Alive})
+				m.Set(now, membership.Entry{Key: fmt.Sprintf("%sentry-%d-0123abcd", membership.MemberPrefix, i), Version: 4, Value: value})
+			}
+			return m
+		})})
+	}
+	return points
+}
--- a/cmd/doorvalve-standin/main.go
+++ b/cmd/doorvalve-standin/main.go
@@ -80,6 +80,7 @@
 		Store    storeCmd    `cmd:"" help:"Weight store."`
 		Engine   engineCmd   `cmd:"" help:"Model engine."`
 		Service  serviceCmd  `cmd:"" help:"Plain service."`
+		Fleet    fleetCmd    `cmd:"" help:"Platform, weight store and many endpoints in one process, with a bundle for them."`
 	}
 	ctx := kong.Parse(&cli, kong.Description("Stand-ins for the systems around doorvalve; for demonstrations and tests."))
 	ctx.FatalIfErrorf(ctx.Run())
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -283,7 +283,11 @@
 
 func (d *Daemon) addServer(g *run.Group, i int, h http.Handler) {
 	srv := &http.Server{Handler: h, MaxHeaderBytes: d.set.Limits.HeaderBytes, ReadHeaderTimeout: 10 * time.Second, ErrorLog: d.log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug})}
-	serve := func() error { return srv.Serve(d.listeners[i]) }
+	listener := d.listeners[i]
+	if i == 1 {
+		listener = d.peers.Meter().Listener(listener)
+	}
+	serve := func() error { return srv.Serve(listener) }
 	if t := d.set.Operators.TLS; i == 2 && t != nil {
 		serve = func() error { return srv.ServeTLS(d.listeners[i], t.Cert, t.Key) }
 	}
--- a/daemon/dump.go
+++ b/daemon/dump.go
@@ -9,6 +9,7 @@
 	"github.com/doorvalve/doorvalve/coordination/membership"
 	"github.com/doorvalve/doorvalve/driver/gate"
 	"github.com/doorvalve/doorvalve/driver/placer"
+	"github.com/doorvalve/doorvalve/transport/meter"
 )
 
 // Dump is a daemon's whole state, for people.
@@ -23,18 +24,27 @@
 	InProgress    int                 `json:"in_progress"`
 	PlatformCalls int64               `json:"platform_calls"`
 	PeerMessages  int64               `json:"gossip_messages"`
+	Bytes         ControlBytes        `json:"control_bytes"`
 	Members       []membership.Member `json:"members"`
 	Groups        []placer.View       `json:"groups"`
 	Gates         []gate.View         `json:"gates"` // those in use
 	ClaimKeys     map[uint32]int      `json:"claim_keys"`
 }
 
+// ControlBytes are the bytes spent on control since the start, by role.
+type ControlBytes struct {
+	Platform  meter.Counts `json:"platform"`
+	Peers     meter.Counts `json:"peers"`
+	Endpoints meter.Counts `json:"endpoints"`
+}
+
 // Dump returns the daemon's state.
 func (d *Daemon) Dump() Dump {
 	out := Dump{
 		ID: d.self, Host: d.set.Host, FailureDomain: d.set.FailureDomain, Phase: d.Phase(),
 		Uptime: time.Since(d.started).Round(time.Second).String(), InProgress: d.callers.InProgress(),
 		PlatformCalls: d.platform.Calls(), PeerMessages: d.gossip.Messages(), Members: d.gossip.Members(), ClaimKeys: d.claimer.Sizes(),
+		Bytes: ControlBytes{Platform: d.platform.Bytes(), Peers: d.peers.Meter().Counts(), Endpoints: d.engines.Bytes()},
 	}
 	if s := d.rollout.Current(); s != nil {
 		out.Generation, out.Digest = s.Generation, s.Digest
--- a/e2e/stop_test.go
+++ b/e2e/stop_test.go
@@ -12,7 +12,7 @@
 
 // streamTokens makes a stream longer than a daemon takes to close its
 // listeners, so that only the graceful shutdown keeps it whole.
-const streamTokens = 400
+const streamTokens = 900
 
 // All daemons are replaced one after the other under traffic, with streams in
 // progress and callers that hold older address answers for their whole life.
--- a/transport/engine/client.go
+++ b/transport/engine/client.go
@@ -16,6 +16,7 @@
 
 	"github.com/doorvalve/doorvalve/protocol"
 	"github.com/doorvalve/doorvalve/state/bundle"
+	"github.com/doorvalve/doorvalve/transport/meter"
 )
 
 // Error is the class of every error that this package creates.
@@ -26,8 +27,8 @@
 
 // Client is safe for concurrent use.
 type Client struct {
-	http    *http.Client
-	timeout time.Duration
+	http  *http.Client
+	meter meter.Meter
 
 	mu   sync.Mutex
 	last map[string]cached // by address
@@ -40,14 +41,15 @@
 
 // New returns a client whose calls take at most timeout.
 func New(timeout time.Duration) *Client {
-	t := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: timeout}).DialContext,
-		MaxIdleConnsPerHost: MaxIdlePerEndpoint,
-		IdleConnTimeout:     30 * time.Second,
-	}
-	return &Client{http: &http.Client{Transport: t, Timeout: timeout}, timeout: timeout, last: map[string]cached{}}
+	c := &Client{last: map[string]cached{}}
+	t := &http.Transport{DialContext: c.meter.Dial(timeout), MaxIdleConnsPerHost: MaxIdlePerEndpoint, IdleConnTimeout: 30 * time.Second}
+	c.http = &http.Client{Transport: t, Timeout: timeout}
+	return c
 }
 
+// Bytes returns the bytes exchanged.
+func (c *Client) Bytes() meter.Counts { return c.meter.Counts() }
+
 // State returns an engine's state. An unchanged one costs a short answer.
 func (c *Client) State(ctx context.Context, e bundle.Endpoint) (protocol.EngineState, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.Address+"/state", nil)
--- a/transport/peers/peers.go
+++ b/transport/peers/peers.go
@@ -2,12 +2,12 @@
 package peers
 
 import (
-	"net"
 	"net/http"
 	"sync"
 	"time"
 
 	"github.com/doorvalve/doorvalve/protocol/peerpb"
+	"github.com/doorvalve/doorvalve/transport/meter"
 )
 
 // CallTimeout bounds each call between daemons.
@@ -17,20 +17,22 @@
 // use.
 type Client struct {
 	http    *http.Client
+	meter   meter.Meter
 	mu      sync.Mutex
 	clients map[string]peerpb.Peer
 }
 
 // NewClient returns a client.
 func NewClient() *Client {
-	t := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: CallTimeout}).DialContext,
-		MaxIdleConnsPerHost: 4,
-		IdleConnTimeout:     30 * time.Second,
-	}
-	return &Client{http: &http.Client{Transport: t, Timeout: CallTimeout}, clients: map[string]peerpb.Peer{}}
+	c := &Client{clients: map[string]peerpb.Peer{}}
+	t := &http.Transport{DialContext: c.meter.Dial(CallTimeout), MaxIdleConnsPerHost: 4, IdleConnTimeout: 30 * time.Second}
+	c.http = &http.Client{Transport: t, Timeout: CallTimeout}
+	return c
 }
 
+// Meter returns the meter of the connections to and from peers.
+func (c *Client) Meter() *meter.Meter { return &c.meter }
+
 // maxClients bounds the cache; it is emptied when daemons have come and gone.
 const maxClients = 1024
 
--- a/transport/platform/client.go
+++ b/transport/platform/client.go
@@ -8,7 +8,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/url"
 	"strings"
@@ -16,6 +15,8 @@
 	"time"
 
 	"github.com/zeebo/errs"
+
+	"github.com/doorvalve/doorvalve/transport/meter"
 )
 
 // Error is the class of every error that this package creates.
@@ -86,18 +87,19 @@
 	opt   Options
 	http  *http.Client
 	calls atomic.Int64
+	meter meter.Meter
 }
 
 // New returns a client.
 func New(opt Options) *Client {
-	t := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: opt.Timeout}).DialContext,
-		MaxIdleConnsPerHost: 16,
-		IdleConnTimeout:     30 * time.Second,
-	}
-	return &Client{opt: opt, http: &http.Client{Transport: t}}
+	c := &Client{opt: opt}
+	c.http = &http.Client{Transport: &http.Transport{DialContext: c.meter.Dial(opt.Timeout), MaxIdleConnsPerHost: 16, IdleConnTimeout: 30 * time.Second}}
+	return c
 }
 
+// Bytes returns the bytes exchanged.
+func (c *Client) Bytes() meter.Counts { return c.meter.Counts() }
+
 // Calls returns the number of calls made.
 func (c *Client) Calls() int64 { return c.calls.Load() }
 
