claims, placement, bundle, sharing: slopes that were over a node's budget

Cause: each append wrote up to 128 open records of 75 bytes again, 50 times a second. Now 32 of 35 bytes, 20 times. Segments of a level are merged now, 16 to one; TestClaimsWritesStayFlat bounds the names. Ruled out for claims: one object for each append (no rewriting at all, but a takeover would read 20 objects for each second of retention).

--- a/cmd/doorvalve-bench/slopes.go
+++ b/cmd/doorvalve-bench/slopes.go
@@ -208,7 +208,7 @@
 // evenly spread and a platform that answers in 3 ms.
 func claimRun(rate int) (writesPerSecond, bytesPerSecond float64) {
 	const seconds, answer = 10, 3 * time.Millisecond
-	s := claims.NewShard(claims.Options{Owner: "bench", Interval: 20 * time.Millisecond, RetryWait: time.Second, Retention: time.Hour, MaxOpen: 128})
+	s := claims.NewShard(claims.Options{Owner: "bench", Interval: claims.DefaultInterval, RetryWait: time.Second, Retention: time.Hour, MaxOpen: claims.DefaultMaxOpen})
 	now := time.Unix(1_000_000, 0)
 	version, writes, bytes, asked := uint64(0), 0, 0, 0
 	var out claims.Event
@@ -216,7 +216,7 @@
 	for end := now.Add(seconds * time.Second); now.Before(end); now = now.Add(time.Millisecond) {
 		for float64(asked) < float64(rate)*now.Sub(end.Add(-seconds*time.Second)).Seconds() {
 			asked++
-			s.Step(now, claims.Claim{Key: claims.MakeKey("c", "s", fmt.Sprint(asked)), ClaimID: fmt.Sprintf("entry-12-0123abcd-%x", asked), Unix: now.Unix()})
+			s.Step(now, claims.Claim{Key: claims.MakeKey("c", "s", fmt.Sprint(asked)), ClaimID: fmt.Sprintf("entry-12-0123abcd-%x", asked)})
 		}
 		if out != nil && !now.Before(due) {
 			s.Step(now, out)
@@ -231,6 +231,10 @@
 			version++
 			writes++
 			bytes += len(body)
+			if r.Write.Seal != nil {
+				body, _ = json.Marshal(r.Write.Seal)
+				bytes += len(body)
+			}
 			out, due = claims.WriteDone{Outcome: claims.WriteOK, Version: version}, now.Add(answer)
 		}
 	}
@@ -238,9 +242,9 @@
 }
 
 func claimIndex(n int) any {
-	index := make(map[claims.Key]string, n)
+	index := make(map[claims.Key]claims.Mark, n)
 	for i := range n {
-		index[claims.MakeKey("c", "s", fmt.Sprint(i))] = fmt.Sprintf("entry-12-0123abcd-%x", i)
+		index[claims.MakeKey("c", "s", fmt.Sprint(i))] = claims.Mark(i)
 	}
 	return index
 }
--- a/coordination/claims/claims.go
+++ b/coordination/claims/claims.go
@@ -16,6 +16,20 @@
 	"github.com/cespare/xxhash/v2"
 )
 
+// The daemon's settings of a shard. Each append writes the open records again,
+// so their number and the interval bound a shard's bytes a second.
+const (
+	DefaultInterval = 50 * time.Millisecond
+	DefaultMaxOpen  = 32
+)
+
+// Segments of one level are merged into one of the next, so that the head
+// names few of them and a takeover reads few.
+const (
+	mergeFanIn = 16
+	maxLevel   = 2 // 32*16*16 records, about 270 KB
+)
+
 // KeySize is the size of a hashed key in bytes.
 const KeySize = 16
 
@@ -36,32 +50,47 @@
 	return uint32(binary.BigEndian.Uint64(k[:8]) % uint64(max(1, n)))
 }
 
+// Record is one claimed key with the mark of the one attempt that may be made.
+// It is written as 32 characters, since the open records are written again
+// with each append.
+type Record struct {
+	Key  Key
+	Mark Mark
+}
+
+// Mark is the hash of a claim id.
+type Mark uint64
+
+// MarkOf hashes a claim id.
+func MarkOf(claimID string) Mark { return Mark(xxhash.Sum64String(claimID)) }
+
+const recordSize = KeySize + 8
+
 // MarshalText implements encoding.TextMarshaler.
-func (k Key) MarshalText() ([]byte, error) {
-	return []byte(base64.RawURLEncoding.EncodeToString(k[:])), nil
+func (r Record) MarshalText() ([]byte, error) {
+	b := binary.BigEndian.AppendUint64(r.Key[:], uint64(r.Mark))
+	return []byte(base64.RawURLEncoding.EncodeToString(b)), nil
 }
 
 // UnmarshalText implements encoding.TextUnmarshaler.
-func (k *Key) UnmarshalText(text []byte) error {
+func (r *Record) UnmarshalText(text []byte) error {
 	b, err := base64.RawURLEncoding.DecodeString(string(text))
-	if err == nil && len(b) != KeySize {
-		err = fmt.Errorf("a key of %d bytes, found %d", KeySize, len(b))
+	if err != nil {
+		return err
 	}
-	copy(k[:], b)
-	return err
-}
-
-// Record is one claimed key.
-type Record struct {
-	Key     Key    `json:"k"`
-	ClaimID string `json:"c"` // names the one attempt that may be made
-	Unix    int64  `json:"t"` // seconds, when it was claimed
+	if len(b) != recordSize {
+		return fmt.Errorf("a record of %d bytes, found %d", recordSize, len(b))
+	}
+	copy(r.Key[:], b)
+	r.Mark = Mark(binary.BigEndian.Uint64(b[KeySize:]))
+	return nil
 }
 
 // SegmentRef names a sealed segment.
 type SegmentRef struct {
-	Name string `json:"n"`
-	Unix int64  `json:"t"` // of the newest record in it
+	Name  string `json:"n"`
+	Unix  int64  `json:"t"`           // when its newest record was sealed
+	Level int    `json:"l,omitempty"` // how often its records were merged
 }
 
 // Head is the open end of a shard.
@@ -103,7 +132,6 @@
 type Claim struct {
 	Key     Key
 	ClaimID string
-	Unix    int64
 }
 
 // Release gives back a key whose request has certainly not run.
@@ -173,19 +201,22 @@
 type request struct {
 	key     Key
 	claimID string
-	unix    int64
 	release bool
 	after   int // reads begun before it came
 }
 
+func (r request) mark() Mark     { return MarkOf(r.claimID) }
+func (r request) record() Record { return Record{Key: r.key, Mark: r.mark()} }
+
 // Shard is one shard as its present owner sees it.
 type Shard struct {
 	opt     Options
 	head    Head
 	version uint64
 	current bool             // head was the newest at the last exchange
-	index   map[Key]string   // claimed keys by claim id
+	index   map[Key]Mark     // claimed keys
 	sealed  map[string][]Key // keys of each sealed segment
+	sealing *sealing         // of the write that is out
 	waiting []request
 	flying  []request // in the write that is out
 	next    *Head     // written by it
@@ -205,9 +236,9 @@
 func (s *Shard) Step(now time.Time, e Event) {
 	switch e := e.(type) {
 	case Claim:
-		s.waiting = append(s.waiting, request{e.Key, e.ClaimID, e.Unix, false, s.reads})
+		s.waiting = append(s.waiting, request{e.Key, e.ClaimID, false, s.reads})
 	case Release:
-		s.waiting = append(s.waiting, request{e.Key, e.ClaimID, 0, true, s.reads})
+		s.waiting = append(s.waiting, request{e.Key, e.ClaimID, true, s.reads})
 	case ReadDone:
 		s.readDone(now, e)
 	case WriteDone:
@@ -225,12 +256,12 @@
 		return
 	}
 	s.head, s.version, s.current = e.Head, e.Version, true
-	s.index, s.sealed = map[Key]string{}, map[string][]Key{}
+	s.index, s.sealed = map[Key]Mark{}, map[string][]Key{}
 	for name, seg := range e.Segments {
 		s.addSegment(name, seg.Records)
 	}
 	for _, r := range s.head.Open {
-		s.index[r.Key] = r.ClaimID
+		s.index[r.Key] = r.Mark
 	}
 	s.settle()
 }
@@ -239,7 +270,7 @@
 	keys := make([]Key, len(records))
 	for i, r := range records {
 		keys[i] = r.Key
-		s.index[r.Key] = r.ClaimID
+		s.index[r.Key] = r.Mark
 	}
 	s.sealed[name] = keys
 }
@@ -256,27 +287,22 @@
 	s.busy = false
 	s.at = now.Add(s.opt.Interval)
 	if e.Outcome != WriteOK {
-		s.current = false
 		if e.Outcome == WriteConflict {
 			s.at = now
+			s.dropSealing()
 		}
+		s.current, s.sealing = false, nil
 		return
 	}
-	sealedNow := len(s.next.Sealed) > 0 && len(s.next.Open) == 0
-	if sealedNow {
-		ref := s.next.Sealed[len(s.next.Sealed)-1]
-		if _, known := s.sealed[ref.Name]; !known {
-			s.addSegment(ref.Name, s.head.Open)
-		}
-	}
+	s.settleSealing()
 	s.head, s.version = *s.next, e.Version
 	for _, r := range s.flying {
 		if r.release {
-			if s.index[r.key] == r.claimID {
+			if s.index[r.key] == r.mark() {
 				delete(s.index, r.key)
 			}
 		} else {
-			s.index[r.key] = r.claimID
+			s.index[r.key] = r.mark()
 		}
 		s.answer(r, Granted)
 	}
@@ -291,6 +317,33 @@
 	s.dropped = nil
 }
 
+// sealing is a segment that the write which is out creates.
+type sealing struct {
+	name   string
+	keys   []Key
+	merged []SegmentRef // that it replaces
+}
+
+// settleSealing takes over the segment of a write that took effect.
+func (s *Shard) settleSealing() {
+	if s.sealing == nil {
+		return
+	}
+	s.sealed[s.sealing.name] = s.sealing.keys
+	for _, ref := range s.sealing.merged {
+		delete(s.sealed, ref.Name)
+		s.expired = append(s.expired, ref)
+	}
+	s.sealing = nil
+}
+
+// dropSealing gives up the segment of a write that certainly had no effect.
+func (s *Shard) dropSealing() {
+	if s.sealing != nil {
+		s.expired = append(s.expired, SegmentRef{Name: s.sealing.name})
+	}
+}
+
 func (s *Shard) answer(r request, o Outcome) {
 	s.results = append(s.results, Result{ClaimID: r.claimID, Key: r.key, Release: r.release, Outcome: o})
 }
@@ -337,11 +390,7 @@
 	w := &Write{ExpectedVersion: s.version}
 	s.writes++
 	next.WriteID = fmt.Sprintf("%s-%d-%d", s.opt.Owner, now.UnixNano(), s.writes)
-	if len(next.Open) >= s.opt.MaxOpen {
-		w.SealName = fmt.Sprintf("%d-%s", s.opt.Shard, next.WriteID)
-		w.Seal = &Segment{Records: next.Open}
-		next.Sealed = append(next.Sealed, SegmentRef{Name: w.SealName, Unix: now.Unix()})
-		next.Open = nil
+	if s.seal(now, &next, w) || s.merge(&next, w) {
 		s.next, s.busy, w.Head = &next, true, next
 		return w // the waiting keys follow in the next write
 	}
@@ -355,6 +404,57 @@
 	return w
 }
 
+// seal moves the open records to a segment when there are many.
+func (s *Shard) seal(now time.Time, next *Head, w *Write) bool {
+	if len(next.Open) < s.opt.MaxOpen {
+		return false
+	}
+	ref := SegmentRef{Name: s.segmentName(next), Unix: now.Unix()}
+	w.SealName, w.Seal = ref.Name, &Segment{Records: next.Open}
+	s.sealing = &sealing{name: ref.Name}
+	for _, r := range next.Open {
+		s.sealing.keys = append(s.sealing.keys, r.Key)
+	}
+	next.Sealed = append(next.Sealed, ref)
+	next.Open = nil
+	return true
+}
+
+func (s *Shard) segmentName(next *Head) string {
+	return fmt.Sprintf("%d-%s", s.opt.Shard, next.WriteID)
+}
+
+// merge makes one segment of those of a level when there are many. A sealed
+// key is never released, so the index still holds its mark.
+func (s *Shard) merge(next *Head, w *Write) bool {
+	for level := range maxLevel {
+		var old []SegmentRef
+		for _, ref := range next.Sealed {
+			if ref.Level == level {
+				old = append(old, ref)
+			}
+		}
+		if len(old) < mergeFanIn {
+			continue
+		}
+		merged := SegmentRef{Name: s.segmentName(next), Level: level + 1}
+		seg := &Segment{}
+		s.sealing = &sealing{name: merged.Name, merged: old}
+		for _, ref := range old {
+			merged.Unix = max(merged.Unix, ref.Unix)
+			for _, k := range s.sealed[ref.Name] {
+				seg.Records = append(seg.Records, Record{Key: k, Mark: s.index[k]})
+				s.sealing.keys = append(s.sealing.keys, k)
+			}
+		}
+		next.Sealed = slices.DeleteFunc(next.Sealed, func(ref SegmentRef) bool { return ref.Level == level })
+		next.Sealed = append(next.Sealed, merged)
+		w.SealName, w.Seal = merged.Name, seg
+		return true
+	}
+	return false
+}
+
 func (s *Shard) expire(now time.Time, next *Head) {
 	oldest := now.Add(-s.opt.Retention).Unix()
 	s.dropped = nil
@@ -378,9 +478,9 @@
 		case r.release && !s.releasable(next, r):
 			s.answer(r, Unavailable)
 		case r.release:
-			next.Open = slices.DeleteFunc(next.Open, func(rec Record) bool { return rec.Key == r.key && rec.ClaimID == r.claimID })
+			next.Open = slices.DeleteFunc(next.Open, func(rec Record) bool { return rec == r.record() })
 			s.fly(r, inBatch)
-		case taken && holder == r.claimID:
+		case taken && holder == r.mark():
 			s.answer(r, Granted) // a repeated claim, or a lost answer's
 		case taken && r.after < s.reads:
 			s.answer(r, Duplicate)
@@ -390,7 +490,7 @@
 			later = append(later, r)
 			s.current = false
 		default:
-			next.Open = append(next.Open, Record{Key: r.key, ClaimID: r.claimID, Unix: r.unix})
+			next.Open = append(next.Open, r.record())
 			s.fly(r, inBatch)
 		}
 	}
@@ -405,7 +505,7 @@
 // releasable reports whether r's claim is still in the open part; a sealed
 // claim stays until its retention ends.
 func (s *Shard) releasable(next *Head, r request) bool {
-	return slices.ContainsFunc(next.Open, func(rec Record) bool { return rec.Key == r.key && rec.ClaimID == r.claimID })
+	return slices.Contains(next.Open, r.record())
 }
 
 // Size returns the number of keys held.
--- a/coordination/claims/claims_test.go
+++ b/coordination/claims/claims_test.go
@@ -35,7 +35,11 @@
 func (p *platform) read() ReadDone {
 	e := ReadDone{Head: p.head, Version: p.version, Segments: map[string]Segment{}}
 	for _, ref := range p.head.Sealed {
-		e.Segments[ref.Name] = p.segments[ref.Name]
+		seg, ok := p.segments[ref.Name]
+		if !ok {
+			return ReadDone{Err: true} // another owner has merged it meanwhile
+		}
+		e.Segments[ref.Name] = seg
 	}
 	return e
 }
@@ -113,7 +117,7 @@
 			if in.release {
 				o.s.Step(now, Release{Key: in.key, ClaimID: in.claimID})
 			} else {
-				o.s.Step(now, Claim{Key: in.key, ClaimID: in.claimID, Unix: now.Unix()})
+				o.s.Step(now, Claim{Key: in.key, ClaimID: in.claimID})
 			}
 		}
 		add := func(in claimInput, out Outcome, end int64) {
@@ -177,6 +181,9 @@
 func stepOwner(t *rapid.T, now time.Time, o *owner, p *platform, collect func([]Result)) {
 	if !o.waiting {
 		o.out = o.s.Ready(now)
+		for _, ref := range o.out.Expired {
+			delete(p.segments, ref.Name)
+		}
 		collect(o.out.Results)
 		o.waiting = o.out.Read || o.out.Write != nil
 		return
@@ -212,6 +219,9 @@
 	for end := now.Add(d); now.Before(end); now = now.Add(time.Millisecond) {
 		r := o.s.Ready(now)
 		results = append(results, r.Results...)
+		for _, ref := range r.Expired {
+			delete(p.segments, ref.Name)
+		}
 		if r.Read {
 			o.s.Step(now, p.read())
 		}
@@ -233,11 +243,11 @@
 	for _, rate := range []int{10, 100, 1000} {
 		p := &platform{segments: map[string]Segment{}}
 		o := newOwner("a")
-		o.s.opt.MaxOpen = 128
+		o.s.opt.MaxOpen = DefaultMaxOpen
 		now := time.Unix(1_000_000, 0)
 		granted := 0
 		for i := range rate {
-			o.s.Step(now, Claim{Key: MakeKey("c", "s", fmt.Sprint(i)), ClaimID: fmt.Sprint(i), Unix: now.Unix()})
+			o.s.Step(now, Claim{Key: MakeKey("c", "s", fmt.Sprint(i)), ClaimID: fmt.Sprint(i)})
 			var results []Result
 			now, results = run(o, p, now, time.Second/time.Duration(rate))
 			granted += len(results)
@@ -247,6 +257,9 @@
 		if granted += len(results); granted != rate {
 			t.Errorf("%d of %d claims granted", granted, rate)
 		}
+		if refs := len(p.head.Sealed); refs > 2*mergeFanIn || refs != len(p.segments) {
+			t.Errorf("%d claims: the head names %d segments of %d kept", rate, refs, len(p.segments))
+		}
 		if writes > maxWritesASecond {
 			t.Errorf("%d claims a second took %d writes, at most %d allowed", rate, writes, maxWritesASecond)
 		}
@@ -281,23 +294,23 @@
 			t.Fatalf("results %+v, want one with outcome %d", results, want)
 		}
 	}
-	o.s.Step(now, Claim{Key: k, ClaimID: "1", Unix: now.Unix()})
+	o.s.Step(now, Claim{Key: k, ClaimID: "1"})
 	expect(Granted)
-	o.s.Step(now, Claim{Key: k, ClaimID: "2", Unix: now.Unix()})
+	o.s.Step(now, Claim{Key: k, ClaimID: "2"})
 	expect(Duplicate)
 	o.s.Step(now, Release{Key: k, ClaimID: "1"})
 	expect(Granted)
-	o.s.Step(now, Claim{Key: k, ClaimID: "3", Unix: now.Unix()})
+	o.s.Step(now, Claim{Key: k, ClaimID: "3"})
 	expect(Granted)
 	for i := range 8 { // seal it
-		o.s.Step(now, Claim{Key: MakeKey("c", "s", fmt.Sprint("f", i)), ClaimID: fmt.Sprint("f", i), Unix: now.Unix()})
+		o.s.Step(now, Claim{Key: MakeKey("c", "s", fmt.Sprint("f", i)), ClaimID: fmt.Sprint("f", i)})
 		expect(Granted)
 	}
-	o.s.Step(now, Claim{Key: k, ClaimID: "4", Unix: now.Unix()})
+	o.s.Step(now, Claim{Key: k, ClaimID: "4"})
 	expect(Duplicate)
 	now = now.Add(2 * time.Hour)
-	o.s.Step(now, Claim{Key: MakeKey("c", "s", "later"), ClaimID: "5", Unix: now.Unix()})
+	o.s.Step(now, Claim{Key: MakeKey("c", "s", "later"), ClaimID: "5"})
 	expect(Granted)
-	o.s.Step(now, Claim{Key: k, ClaimID: "6", Unix: now.Unix()})
+	o.s.Step(now, Claim{Key: k, ClaimID: "6"})
 	expect(Granted)
 }
--- a/coordination/placement/decide.go
+++ b/coordination/placement/decide.go
@@ -37,8 +37,7 @@
 // check numbers, every order that could still load the unit has lapsed and
 // every former holder has said that it is quiescent, or is gone.
 func (m *Machine) removeConfirmed(now time.Time, o *Object) bool {
-	before := len(o.Assignments)
-	o.Assignments = slices.DeleteFunc(o.Assignments, func(a Assignment) bool {
+	return o.remove(func(a Assignment) bool {
 		ep := m.endpoints[a.Endpoint]
 		if a.Phase != Unloading {
 			return false
@@ -60,7 +59,6 @@
 		delete(m.recordedAt, a.Seq)
 		return true
 	})
-	return len(o.Assignments) != before
 }
 
 // reconcile unloads what the bundle no longer wants.
@@ -155,8 +153,8 @@
 
 func (m *Machine) loadedReplicas(o *Object, unit string) int {
 	n := 0
-	for i := range o.Assignments {
-		if a := &o.Assignments[i]; a.Unit == unit && a.Phase == Loaded {
+	for _, i := range o.of(unit) {
+		if o.Assignments[i].Phase == Loaded {
 			n++
 		}
 	}
@@ -173,8 +171,8 @@
 	if d := m.demand[a.Unit]; d.Waiting+d.InFlight > 0 {
 		return false
 	}
-	for i := range o.Assignments {
-		if b := &o.Assignments[i]; b.Base == a.Unit && b.Endpoint == a.Endpoint {
+	for _, i := range o.adapters(a.Unit) {
+		if o.Assignments[i].Endpoint == a.Endpoint {
 			return false
 		}
 	}
@@ -275,11 +273,8 @@
 // is none, or all are ready and more wait than one endpoint takes at once.
 func (m *Machine) needsMore(o *Object, unit string, d Demand) bool {
 	replicas, slots := 0, 0
-	for i := range o.Assignments {
+	for _, i := range o.of(unit) {
 		a := &o.Assignments[i]
-		if a.Unit != unit {
-			continue
-		}
 		ep := m.endpoints[a.Endpoint]
 		if a.Phase != Loaded || ep == nil || !ready(ep, unit) {
 			return false // wait for what is under way
--- a/coordination/placement/machine.go
+++ b/coordination/placement/machine.go
@@ -43,9 +43,10 @@
 type endpoint struct {
 	conf        bundle.Endpoint
 	state       protocol.EngineState
-	asked       time.Time // when state was asked for; zero: never seen
-	stateFence  uint64    // lease fence under which state was asked for
-	claimed     uint64    // lease fence that the endpoint has accepted
+	units       map[string]*protocol.EngineUnit // of state, by name
+	asked       time.Time                       // when state was asked for; zero: never seen
+	stateFence  uint64                          // lease fence under which state was asked for
+	claimed     uint64                          // lease fence that the endpoint has accepted
 	down        bool
 	hostLeaving bool
 	orderOut    bool // one order at a time, so that they arrive in order
@@ -56,12 +57,15 @@
 func (e *endpoint) leaving() bool { return e.conf.Drain || e.hostLeaving || e.state.Leaving }
 
 func (e *endpoint) unit(name string) *protocol.EngineUnit {
-	for i := range e.state.Units {
-		if e.state.Units[i].Unit == name {
-			return &e.state.Units[i]
-		}
+	return e.units[name]
+}
+
+func (e *endpoint) setState(s protocol.EngineState) {
+	e.state = s
+	e.units = make(map[string]*protocol.EngineUnit, len(s.Units))
+	for i := range s.Units {
+		e.units[s.Units[i].Unit] = &s.Units[i]
 	}
-	return nil
 }
 
 // Machine is the placement of one group as one daemon sees it.
@@ -242,7 +246,8 @@
 	for _, u := range e.State.Units {
 		m.observedUnit(now, ep, u)
 	}
-	ep.state, ep.asked, ep.stateFence, ep.down = e.State, e.Asked, e.Fence, false
+	ep.setState(e.State)
+	ep.asked, ep.stateFence, ep.down = e.Asked, e.Fence, false
 }
 
 // observedUnit learns load times from the change of a unit's status.
--- a/coordination/placement/object.go
+++ b/coordination/placement/object.go
@@ -51,29 +51,67 @@
 	NextSeq     uint64         `json:"next_seq"`
 	Assignments []Assignment   `json:"assignments"`
 	Former      []FormerHolder `json:"former,omitempty"`
+
+	byUnit map[string][]int // places in Assignments; nil: to be built
+	byBase map[string][]int // of adapters, by the model they stand on
 }
 
 func (o *Object) clone() *Object {
 	c := *o
 	c.Assignments = slices.Clone(o.Assignments)
 	c.Former = slices.Clone(o.Former)
+	c.byUnit, c.byBase = nil, nil
 	return &c
 }
 
-// replicas counts the unit's assignments, whatever their phase.
-func (o *Object) replicas(unit string) int {
-	n := 0
+// index builds the lookup by unit, so that a decision's time grows with the
+// assignments and not with their square.
+func (o *Object) index() {
+	if o.byUnit != nil {
+		return
+	}
+	o.byUnit, o.byBase = make(map[string][]int, len(o.Assignments)), map[string][]int{}
 	for i := range o.Assignments {
-		if o.Assignments[i].Unit == unit {
-			n++
-		}
+		o.enter(i)
 	}
-	return n
+}
+
+func (o *Object) enter(i int) {
+	a := &o.Assignments[i]
+	o.byUnit[a.Unit] = append(o.byUnit[a.Unit], i)
+	if a.Base != "" {
+		o.byBase[a.Base] = append(o.byBase[a.Base], i)
+	}
+}
+
+// remove drops assignments and reports whether there were any to drop.
+func (o *Object) remove(drop func(Assignment) bool) bool {
+	before := len(o.Assignments)
+	o.Assignments = slices.DeleteFunc(o.Assignments, drop)
+	o.byUnit, o.byBase = nil, nil
+	return len(o.Assignments) != before
+}
+
+// of returns the places of a unit's assignments.
+func (o *Object) of(unit string) []int {
+	o.index()
+	return o.byUnit[unit]
+}
+
+// adapters returns the places of the adapters on a model.
+func (o *Object) adapters(model string) []int {
+	o.index()
+	return o.byBase[model]
+}
+
+// replicas counts the unit's assignments, whatever their phase.
+func (o *Object) replicas(unit string) int {
+	return len(o.of(unit))
 }
 
 func (o *Object) find(unit, endpoint string) *Assignment {
-	for i := range o.Assignments {
-		if a := &o.Assignments[i]; a.Unit == unit && a.Endpoint == endpoint {
+	for _, i := range o.of(unit) {
+		if a := &o.Assignments[i]; a.Endpoint == endpoint {
 			return a
 		}
 	}
@@ -86,6 +124,9 @@
 		Unit: u.Name, Version: u.Version, Base: u.Base, Endpoint: endpoint, MemoryMiB: u.MemoryMiB,
 		Phase: phase, Seq: o.NextSeq, Fence: o.Fence,
 	})
+	if o.byUnit != nil {
+		o.enter(len(o.Assignments) - 1)
+	}
 }
 
 // Config is what the bundle says about the group.
--- a/driver/claimer/claimer.go
+++ b/driver/claimer/claimer.go
@@ -20,10 +20,8 @@
 )
 
 const (
-	writeInterval = 20 * time.Millisecond // least time between two appends to a shard
-	readRetry     = 200 * time.Millisecond
-	maxOpen       = 128 // records in a shard's head before it is sealed
-	callTimeout   = 1500 * time.Millisecond
+	readRetry   = 200 * time.Millisecond
+	callTimeout = 1500 * time.Millisecond
 )
 
 // Options configure a Claimer.
@@ -114,8 +112,8 @@
 	if s == nil {
 		s = &shard{name: strconv.Itoa(int(n)), platform: c.opt.Platform, waiters: map[waiter]chan claims.Outcome{}}
 		s.m = claims.NewShard(claims.Options{
-			Owner: c.opt.Self, Shard: n, Interval: writeInterval, RetryWait: readRetry,
-			Retention: c.opt.Config().Retention.D(), MaxOpen: maxOpen,
+			Owner: c.opt.Self, Shard: n, Interval: claims.DefaultInterval, RetryWait: readRetry,
+			Retention: c.opt.Config().Retention.D(), MaxOpen: claims.DefaultMaxOpen,
 		})
 		c.shards[n] = s
 	}
@@ -160,7 +158,7 @@
 	if release {
 		s.step(claims.Release{Key: key, ClaimID: claimID})
 	} else {
-		s.step(claims.Claim{Key: key, ClaimID: claimID, Unix: time.Now().Unix()})
+		s.step(claims.Claim{Key: key, ClaimID: claimID})
 	}
 	s.mu.Unlock()
 	select {
--- a/driver/placer/demand.go
+++ b/driver/placer/demand.go
@@ -49,14 +49,15 @@
 }
 
 // allocate shares the slots anew. With many reports it does so only now and
-// then, so that its cost does not grow with the square of the daemons.
+// then, so that its cost neither grows with the square of the daemons nor
+// takes more than a fiftieth of a core.
 func (p *Placer) allocate(now time.Time) {
-	if p.book.Len() > smallBook && now.Sub(p.allocAt) < allocateEvery {
+	if p.book.Len() > smallBook && now.Before(p.allocNext) {
 		return
 	}
-	p.allocAt = now
 	p.replicas = p.place.Replicas()
 	p.allocated = p.book.Allocate(now, p.replicas)
+	p.allocNext = now.Add(max(allocateEvery, allocateRest*time.Since(now)))
 }
 
 func fromWire(now time.Time, units []*peerpb.UnitDemand) []grants.UnitReport {
--- a/driver/placer/placer.go
+++ b/driver/placer/placer.go
@@ -30,6 +30,7 @@
 	retryAfter    = 250 * time.Millisecond
 	marginDivisor = 4 // a holder stops a quarter of the term early
 	allocateEvery = 20 * time.Millisecond
+	allocateRest  = 50 // times what the last allocation took
 	demandEvery   = 250 * time.Millisecond
 	// smallBook is the number of reports up to which every report is answered
 	// with a fresh allocation.
@@ -82,7 +83,7 @@
 	held      bool
 	releasing bool
 	allocated map[string][]grants.Credit
-	allocAt   time.Time
+	allocNext time.Time // not before, with many reports
 	demandAt  time.Time
 	asked     time.Time // last question to former holders
 	asking    bool
--- a/state/bundle/parse.go
+++ b/state/bundle/parse.go
@@ -66,7 +66,7 @@
 	if err != nil {
 		return nil, Issues{{File: file, Line: lineOfSyntaxError(err), Field: "(file)", Want: "JSON with comments: " + err.Error()}}
 	}
-	lines := indexLines(content, root)
+	lines := &Lines{content: content}
 	root.Standardize() // keeps offsets: comments become spaces
 	dec := json.NewDecoder(bytes.NewReader(root.Pack()))
 	dec.DisallowUnknownFields()
@@ -97,13 +97,29 @@
 }
 
 // Lines maps the path of a field, such as "models[2].memory_mib", to its line.
+//
+// It is built only when a fault is to be named: a daemon that takes a bundle
+// which was checked before needs no lines.
 type Lines struct {
-	byPath map[string]int
-	byName map[string]int // first line of a field name
+	content []byte
+	byPath  map[string]int
+	byName  map[string]int // first line of a field name
+}
+
+// build indexes the content on the first use.
+func (l *Lines) build() {
+	if l.byPath != nil {
+		return
+	}
+	l.byPath, l.byName = map[string]int{}, map[string]int{}
+	if root, err := hujson.Parse(l.content); err == nil {
+		l.walk(l.content, "", root)
+	}
 }
 
 // Of returns the line of path, or of its nearest parent that is present.
 func (l *Lines) Of(path string) int {
+	l.build()
 	for path != "" {
 		if line, ok := l.byPath[path]; ok {
 			return line
@@ -117,12 +133,9 @@
 	return 1
 }
 
-func (l *Lines) firstNamed(name string) int { return l.byName[name] }
-
-func indexLines(content []byte, root hujson.Value) *Lines {
-	l := &Lines{byPath: map[string]int{}, byName: map[string]int{}}
-	l.walk(content, "", root)
-	return l
+func (l *Lines) firstNamed(name string) int {
+	l.build()
+	return l.byName[name]
 }
 
 func (l *Lines) walk(content []byte, path string, v hujson.Value) {
