gate: an old estimate refuses nobody

Cause: the coordinator's last estimate stayed in force without end, so a request that came minutes after a refusal was refused by the same reason, at once. Found by TestModesMoveOverAndBack, red: a model that had become managed and adopted was still answered left-to-scripts. An estimate counts for a second now and its wait shrinks with its age. Ruled out: the placer (its answers were new).

--- a/cmd/doorvalve-bench/main.go
+++ b/cmd/doorvalve-bench/main.go
@@ -10,6 +10,7 @@
 type cli struct {
 	Policy   policyCmd   `cmd:"" help:"Replay arrivals in virtual time under several policies."`
 	Overload overloadCmd `cmd:"" help:"Replay twice the capacity in virtual time by order of admission."`
+	Call     callCmd     `cmd:"" help:"Send one request; a small HTTP client for scripts."`
 	Load     loadCmd     `cmd:"" help:"Send requests through a daemon and directly to an endpoint, and compare."`
 	Rest     restCmd     `cmd:"" help:"Measure what running daemons spend while nothing is asked of them."`
 	InForce  inForceCmd  `cmd:"" help:"Measure until a generation is in force everywhere."`
--- a/cmd/doorvalve-bench/policy.go
+++ b/cmd/doorvalve-bench/policy.go
@@ -3,8 +3,15 @@
 import (
 	"fmt"
 	"os"
+	"path/filepath"
+	"strings"
 	"time"
 
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+
 	"github.com/doorvalve/doorvalve/coordination/keepalive"
 	"github.com/doorvalve/doorvalve/coordination/placement"
 	"github.com/doorvalve/doorvalve/replay"
@@ -41,6 +48,7 @@
 type policyCmd struct {
 	Days int    `default:"4" help:"Days to replay."`
 	Seed uint64 `default:"1" help:"Seed of the arrivals."`
+	Plot string `help:"Folder for a plot of each deployment."`
 }
 
 // variant is one row of the table.
@@ -81,6 +89,7 @@
 		fmt.Printf("\n%s: %d requests in %d days, seed %d\n\n", s.name, len(arrivals), c.Days, c.Seed)
 		fmt.Println("| policy | cold starts | cold p50 s | cold p99 s | waited for loads, s |  idle accelerator hours | loads | refused |")
 		fmt.Println("| --- | --- | --- | --- | --- | --- | --- | --- |")
+		curve := &tradeOff{title: s.name}
 		for _, v := range variants(b, s.weight) {
 			r := replay.Run(replay.Options{
 				Bundle: b, Service: s.service, Arrivals: arrivals, Length: time.Duration(c.Days) * 24 * time.Hour,
@@ -88,11 +97,47 @@
 			})
 			fmt.Printf("| %s | %d | %.1f | %.1f | %.0f | %.1f | %d | %d |\n", v.name, len(r.Cold), replay.Quantile(r.Cold, 0.5).Seconds(),
 				replay.Quantile(r.Cold, 0.99).Seconds(), replay.Sum(r.Cold).Seconds(), r.IdleHours, r.Loads, r.Refused)
+			curve.add(v, r)
+		}
+		if c.Plot != "" {
+			if err := curve.save(filepath.Join(c.Plot, "policy-"+strings.ToLower(s.name)+".png")); err != nil {
+				return err
+			}
 		}
 	}
 	return nil
 }
 
+// tradeOff is the curve between the two measures.
+type tradeOff struct {
+	title          string
+	learned, fixed plotter.XYs
+}
+
+// add takes a run in; runs that refused requests are not comparable.
+func (t *tradeOff) add(v variant, r replay.Result) {
+	if r.Refused > 0 {
+		return
+	}
+	xy := plotter.XY{X: r.IdleHours, Y: replay.Sum(r.Cold).Seconds()}
+	if strings.HasPrefix(v.name, "learned") {
+		t.learned = append(t.learned, xy)
+	} else {
+		t.fixed = append(t.fixed, xy)
+	}
+}
+
+func (t *tradeOff) save(file string) error {
+	p := plot.New()
+	p.Title.Text = t.title
+	p.X.Label.Text, p.Y.Label.Text = "idle accelerator hours", "seconds waited for loads"
+	p.X.Min, p.Y.Min = 0, 0
+	if err := plotutil.AddLinePoints(p, "learned, by weight", t.learned, "baselines", t.fixed); err != nil {
+		return err
+	}
+	return p.Save(14*vg.Centimeter, 9*vg.Centimeter, file)
+}
+
 type overloadCmd struct {
 	Times float64 `default:"2" help:"Multiple of the capacity."`
 	Seed  uint64  `default:"1" help:"Seed of the arrivals."`
@@ -118,16 +163,19 @@
 		fmt.Printf("\n%s: %d requests in %s, %g times the capacity, seed %d\n\n", s.name, len(arrivals), overloadLength, c.Times, c.Seed)
 		fmt.Println("| order | class | arrived | served | refused | worth delivered | late |")
 		fmt.Println("| --- | --- | --- | --- | --- | --- | --- |")
-		for name, order := range map[string]replay.Admission{"by worth": replay.ByWorth, "first come first served": replay.FirstComeFirstServed} {
+		for _, o := range []struct {
+			name  string
+			order replay.Admission
+		}{{"by worth", replay.ByWorth}, {"first come first served", replay.FirstComeFirstServed}} {
 			r := replay.Run(replay.Options{
 				Bundle: b, Service: s.service, Arrivals: arrivals, Length: overloadLength + 10*time.Minute,
-				Policy: replay.Never, Admission: order, Service1: serviceTime, QueueLen: queueLength,
+				Policy: replay.Never, Admission: o.order, Service1: serviceTime, QueueLen: queueLength,
 			})
 			for _, class := range classes {
 				cr := r.Classes[class]
-				fmt.Printf("| %s | %s | %d | %d | %d | | |\n", name, class, cr.Arrived, cr.Served, cr.Refused)
+				fmt.Printf("| %s | %s | %d | %d | %d | | |\n", o.name, class, cr.Arrived, cr.Served, cr.Refused)
 			}
-			fmt.Printf("| %s | all | %d | %d | %d | %d | %d |\n", name, r.Requests, r.Served, r.Refused, r.Worth, r.Late)
+			fmt.Printf("| %s | all | %d | %d | %d | %d | %d |\n", o.name, r.Requests, r.Served, r.Refused, r.Worth, r.Late)
 		}
 	}
 	return nil
--- a/coordination/membership/membership.go
+++ b/coordination/membership/membership.go
@@ -79,7 +79,7 @@
 func DefaultOptions(seed uint64) Options {
 	return Options{
 		Period: time.Second, ProbeTimeout: 500 * time.Millisecond, SuspectFor: 3 * time.Second,
-		DeadFor: time.Minute, Fanout: 3, MaxPiggyback: 24, QuietBefore: 3 * time.Second, Seed: seed,
+		DeadFor: time.Minute, Fanout: 3, MaxPiggyback: 24, QuietBefore: time.Second, Seed: seed,
 	}
 }
 
@@ -210,12 +210,17 @@
 }
 
 // heardAgain spreads an entry less the more often others tell of it, so that
-// news that all know by now costs nothing.
+// news that most know by now costs little. The last send is kept: each member
+// tells once more at its next probe, in case the first gossip missed somebody.
 func (m *Machine) heardAgain(e *entry) {
-	if e.sends > 0 {
+	if e.sends > 1 {
 		e.sends--
 	}
-	if e.sends == 0 {
+}
+
+// told counts one send.
+func (m *Machine) told(e *entry) {
+	if e.sends--; e.sends == 0 {
 		delete(m.hot, e.Key)
 	}
 }
@@ -338,7 +343,7 @@
 	hot = hot[:min(len(hot), m.opt.MaxPiggyback)]
 	list := make([]Entry, len(hot))
 	for i, e := range hot {
-		m.heardAgain(e)
+		m.told(e)
 		list[i] = e.Entry
 	}
 	return list
--- a/coordination/membership/membership_test.go
+++ b/coordination/membership/membership_test.go
@@ -186,3 +186,29 @@
 		t.Errorf("%d of 1000 keys moved when one of ten members left", moved)
 	}
 }
+
+// The slowest of many changes still reaches all members within seconds: a
+// member that the first gossip misses must not wait for a quiet time.
+func TestMembershipSlowestChange(t *testing.T) {
+	const maxSlowest = 2500 * time.Millisecond
+	for _, c := range []struct{ members, changes int }{{3, 100}, {6, 200}, {12, 200}, {48, 50}} {
+		w := newNetwork(c.members)
+		w.run(20 * time.Second)
+		var slowest, total time.Duration
+		for i := range c.changes {
+			version := uint64(i + 1)
+			w.machines[id(i%c.members)].Set(w.now, Entry{Key: "config", Version: version, Value: []byte("x")})
+			took, ok := w.until(30*time.Second, func(m *Machine) bool { e, _ := m.Get("config"); return e.Version == version })
+			if !ok {
+				t.Fatalf("%d members: a change was lost", c.members)
+			}
+			slowest = max(slowest, took)
+			total += took
+			w.run(5 * time.Second)
+		}
+		t.Logf("%d members: mean %s, slowest %s of %d changes", c.members, total/time.Duration(c.changes), slowest, c.changes)
+		if slowest > maxSlowest {
+			t.Errorf("%d members: the slowest change took %s, at most %s allowed", c.members, slowest, maxSlowest)
+		}
+	}
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -60,6 +60,7 @@
 	closer   interface{ Close() error }
 
 	gates atomic.Pointer[map[string]*gate.Gate]
+	roles sync.Map // by group; values are role
 
 	mu      sync.Mutex // placers and drain
 	placers map[string]*placer.Placer
--- a/daemon/reporter.go
+++ b/daemon/reporter.go
@@ -59,16 +59,22 @@
 	t := time.NewTicker(reportWaiting)
 	defer t.Stop()
 	last := time.Time{}
+	idle := true
 	for {
 		kicked := false
+		tick := t.C
+		if idle {
+			tick = nil // the next request has no credit, and kicks
+		}
 		select {
 		case <-ctx.Done():
 			return
 		case <-r.kick:
 			kicked = true
-		case <-t.C:
+		case <-tick:
 		}
 		units, waiting := r.demand()
+		idle = len(units) == 0
 		if len(units) == 0 || !kicked && !waiting && time.Since(last) < reportRunning {
 			continue
 		}
--- a/daemon/roles.go
+++ b/daemon/roles.go
@@ -23,10 +23,41 @@
 // candidates is how many daemons try to hold one group's lease.
 const candidates = 2
 
-// coordinator returns the daemon that answers a group's demand: the holder of
-// its lease while it is alive, or else the first by rendezvous.
-func (d *Daemon) coordinator(group string) (membership.Member, bool) {
+// role is what the membership says of one group.
+type role struct {
+	revision    uint64 // of the view that it was worked out from
+	coordinator membership.Member
+	known       bool // there is a coordinator
+	candidate   bool // this daemon is among those that try to hold the lease
+}
+
+// role looks a group's role up and works it out anew only after the view has
+// changed, so that asking often costs little with many daemons and groups.
+func (d *Daemon) role(group string) role {
+	revision := d.gossip.Revision()
+	if r, ok := d.roles.Load(group); ok && r.(role).revision == revision {
+		return r.(role)
+	}
+	r := role{revision: revision}
 	members := d.gossip.Members()
+	r.coordinator, r.known = d.findCoordinator(group, members)
+	list := membership.Rendezvous(group, members)
+	for i := range list[:min(candidates, len(list))] {
+		r.candidate = r.candidate || list[i].ID == d.self
+	}
+	d.roles.Store(group, r)
+	return r
+}
+
+// coordinator returns the daemon that answers a group's demand.
+func (d *Daemon) coordinator(group string) (membership.Member, bool) {
+	r := d.role(group)
+	return r.coordinator, r.known
+}
+
+// findCoordinator picks the holder of the group's lease while it is alive, or
+// else the first by rendezvous.
+func (d *Daemon) findCoordinator(group string, members []membership.Member) (membership.Member, bool) {
 	if e, ok := d.gossip.Get(leasePrefix + group); ok {
 		var f leaseFact
 		if json.Unmarshal(e.Value, &f) == nil && f.Holder != "" {
@@ -56,13 +87,7 @@
 	if d.Phase() != drain.Serving {
 		return false
 	}
-	list := membership.Rendezvous(group, d.gossip.Members())
-	for i := range list[:min(candidates, len(list))] {
-		if list[i].ID == d.self {
-			return true
-		}
-	}
-	return false
+	return d.role(group).candidate
 }
 
 // Leaving implements placer.Roles.
--- a/driver/gate/gate.go
+++ b/driver/gate/gate.go
@@ -74,6 +74,7 @@
 	waiters map[uint64]chan outcome
 	nextID  uint64
 	est     admission.Estimate
+	estAt   time.Time // when est came
 }
 
 // New returns a gate without credit. kick is called when a request waits.
@@ -149,7 +150,7 @@
 	id := g.nextID
 	ch := make(chan outcome, 1)
 	g.waiters[id] = ch
-	refused := g.queue.Push(now, admission.Item{ID: id, Worth: r.Worth, Deadline: r.Deadline}, g.estimate())
+	refused := g.queue.Push(now, admission.Item{ID: id, Worth: r.Worth, Deadline: r.Deadline}, g.estimate(now))
 	g.refuse(refused)
 	g.dispatch(now)
 	waiting := g.queue.Len()
@@ -183,9 +184,17 @@
 	return out.refusal
 }
 
+// estimateLife is how long an estimate counts. Reports are more frequent while
+// requests wait; an older estimate says nothing of a request that comes now.
+const estimateLife = time.Second
+
 // estimate completes the coordinator's estimate; the caller holds the mutex.
-func (g *Gate) estimate() admission.Estimate {
-	est := g.est
+func (g *Gate) estimate(now time.Time) admission.Estimate {
+	var est admission.Estimate
+	if age := now.Sub(g.estAt); age <= estimateLife {
+		est = g.est
+		est.Ready = max(0, est.Ready-age)
+	}
 	est.Service = time.Duration(g.service.Load())
 	for _, s := range *g.slots.Load() {
 		est.Slots += int(s.limit.Load())
@@ -222,7 +231,7 @@
 		if s == nil {
 			break
 		}
-		it, ok, refused := g.queue.Pop(now, g.estimate())
+		it, ok, refused := g.queue.Pop(now, g.estimate(now))
 		g.refuse(refused)
 		if !ok {
 			s.used.Add(-1)
@@ -263,10 +272,10 @@
 func (g *Gate) Update(now time.Time, credits []Credit, est admission.Estimate) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.est = est
+	g.est, g.estAt = est, now
 	g.setCredits(credits)
 	g.dispatch(now)
-	g.refuse(g.queue.Review(now, g.estimate()))
+	g.refuse(g.queue.Review(now, g.estimate(now)))
 }
 
 // Fail keeps the credits, as the last accepted state, and refuses what waits
@@ -274,12 +283,12 @@
 func (g *Gate) Fail(now time.Time, reason string, after time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.est.Refuse, g.est.After = reason, after
+	g.est, g.estAt = admission.Estimate{Refuse: reason, After: after}, now
 	g.dispatch(now)
 	if len(*g.slots.Load()) > 0 {
 		g.est.Refuse = ""
 	}
-	g.refuse(g.queue.Review(now, g.estimate()))
+	g.refuse(g.queue.Review(now, g.estimate(now)))
 }
 
 // Review answers the requests that have run out of time.
@@ -290,7 +299,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.dispatch(now)
-	g.refuse(g.queue.Review(now, g.estimate()))
+	g.refuse(g.queue.Review(now, g.estimate(now)))
 }
 
 // setCredits builds a new list, keeping the slots of endpoints that stay, so
--- a/driver/gate/gate_test.go
+++ b/driver/gate/gate_test.go
@@ -151,3 +151,21 @@
 		}
 	})
 }
+
+// An estimate that came long ago refuses nobody.
+func TestGateOldEstimateIsForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := New("m", 16, func() {})
+		g.Update(time.Now(), nil, admission.Estimate{Refuse: "left-to-scripts", After: time.Minute})
+		time.Sleep(2 * estimateLife)
+		go func() {
+			time.Sleep(10 * time.Millisecond)
+			g.Update(time.Now(), []Credit{credit("a", 1)}, admission.Estimate{})
+		}()
+		s, refusal := g.Acquire(context.Background(), Request{Deadline: time.Now().Add(time.Minute)})
+		if refusal != nil {
+			t.Fatalf("refused by an old estimate: %v", refusal)
+		}
+		g.Release(s, time.Millisecond)
+	})
+}
--- a/driver/gossip/gossip.go
+++ b/driver/gossip/gossip.go
@@ -34,6 +34,7 @@
 	onChange []func()
 	members  atomic.Pointer[[]membership.Member]
 	messages atomic.Int64
+	revision atomic.Uint64
 }
 
 // New returns a driver for one daemon.
@@ -50,6 +51,9 @@
 // Members returns the present view; the caller must not change it.
 func (g *Gossip) Members() []membership.Member { return *g.members.Load() }
 
+// Revision rises with each change of the view.
+func (g *Gossip) Revision() uint64 { return g.revision.Load() }
+
 // Messages returns the number of messages sent.
 func (g *Gossip) Messages() int64 { return g.messages.Load() }
 
@@ -103,6 +107,7 @@
 		g.seen = r
 		list := g.m.Members()
 		g.members.Store(&list)
+		g.revision.Store(r)
 		return true
 	}
 	return false
--- a/driver/placer/demand.go
+++ b/driver/placer/demand.go
@@ -55,8 +55,7 @@
 	if p.book.Len() > smallBook && now.Before(p.allocNext) {
 		return
 	}
-	p.replicas = p.place.Replicas()
-	p.allocated = p.book.Allocate(now, p.replicas)
+	p.allocated = p.book.Allocate(now, p.place.Replicas())
 	p.allocNext = now.Add(max(allocateEvery, allocateRest*time.Since(now)))
 }
 
@@ -94,7 +93,7 @@
 		return v
 	}
 	v.Fence, v.Object = p.place.Fence(), p.place.Object()
-	for _, r := range p.replicas {
+	for _, r := range p.place.Replicas() {
 		v.Ready = append(v.Ready, r.Unit+"@"+r.Endpoint.Name)
 	}
 	return v
--- a/driver/placer/placer.go
+++ b/driver/placer/placer.go
@@ -31,7 +31,8 @@
 	marginDivisor = 4 // a holder stops a quarter of the term early
 	allocateEvery = 20 * time.Millisecond
 	allocateRest  = 50 // times what the last allocation took
-	demandEvery   = 250 * time.Millisecond
+	refreshEvery  = 250 * time.Millisecond
+	restTick      = 250 * time.Millisecond // while this daemon has no part in the group
 	// smallBook is the number of reports up to which every report is answered
 	// with a fresh allocation.
 	smallBook = 16
@@ -73,21 +74,20 @@
 	opt Options
 	log hclog.Logger
 
-	mu        sync.Mutex
-	service   bundle.Service
-	lease     *lease.Machine
-	place     *placement.Machine
-	book      *grants.Book
-	polls     map[string]*poll
-	policy    bundle.Policy
-	held      bool
-	releasing bool
-	allocated map[string][]grants.Credit
-	allocNext time.Time // not before, with many reports
-	demandAt  time.Time
-	asked     time.Time // last question to former holders
-	asking    bool
-	replicas  []placement.Replica
+	mu          sync.Mutex
+	service     bundle.Service
+	lease       *lease.Machine
+	place       *placement.Machine
+	book        *grants.Book
+	polls       map[string]*poll
+	policy      bundle.Policy
+	held        bool
+	releasing   bool
+	allocated   map[string][]grants.Credit
+	allocNext   time.Time // not before, with many reports
+	refreshedAt time.Time
+	asked       time.Time // last question to former holders
+	asking      bool
 }
 
 // New returns a placer for one group.
@@ -139,14 +139,18 @@
 
 // Run passes time on until ctx ends.
 func (p *Placer) Run(ctx context.Context) {
-	t := time.NewTicker(tick)
+	t := time.NewTimer(tick)
 	defer t.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-t.C:
-			p.step(ctx, time.Now())
+		}
+		if p.step(ctx, time.Now()) {
+			t.Reset(tick)
+		} else {
+			t.Reset(restTick)
 		}
 	}
 }
@@ -167,42 +171,44 @@
 	return !held
 }
 
-// step passes time on and does what the machines ask for.
-func (p *Placer) step(ctx context.Context, now time.Time) {
+// step passes time on and does what the machines ask for. It reports whether
+// this daemon has a part in the group.
+func (p *Placer) step(ctx context.Context, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.place == nil || p.service.Name == "" || p.service.Mode == bundle.ModeScripts {
-		return
+		return false
 	}
 	managed := p.service.Kind == bundle.KindEngine && p.service.Mode == bundle.ModeManaged
 	coordinates := p.held || p.opt.Roles.Coordinates(p.opt.Group)
 	candidate := managed && p.opt.Roles.Candidate(p.opt.Group)
 	if !coordinates && !candidate && !p.releasing {
-		return // nothing here concerns this daemon
+		return false
 	}
 	if managed {
 		p.stepLease(ctx, now, candidate)
 	}
 	if coordinates {
 		p.pollEndpoints(ctx, now)
-		p.refreshDemand(now)
-	}
-	for _, e := range p.service.Endpoints {
-		p.place.Step(now, placement.HostLeaving{Endpoint: e.Name, Leaving: p.opt.Roles.Leaving(e.Name)})
+		p.refresh(now)
 	}
 	if managed {
 		p.askFormer(ctx, now)
 		p.act(ctx, now)
 	}
-	p.replicas = p.place.Replicas()
+	return true
 }
 
-// refreshDemand lets the demand of daemons that report no more lapse.
-func (p *Placer) refreshDemand(now time.Time) {
-	if now.Sub(p.demandAt) < demandEvery {
+// refresh lets the demand of daemons that report no more lapse, and looks for
+// endpoints that are taken out of service.
+func (p *Placer) refresh(now time.Time) {
+	if now.Sub(p.refreshedAt) < refreshEvery {
 		return
 	}
-	p.demandAt = now
+	p.refreshedAt = now
+	for _, e := range p.service.Endpoints {
+		p.place.Step(now, placement.HostLeaving{Endpoint: e.Name, Leaving: p.opt.Roles.Leaving(e.Name)})
+	}
 	p.place.Step(now, placement.DemandChanged{Units: p.book.Demand(now)})
 }
 
--- /dev/null
+++ b/replay/replay_test.go
@@ -0,0 +1,89 @@
+package replay
+
+import (
+	"os"
+	"testing"
+	"time"
+
+	"github.com/doorvalve/doorvalve/coordination/keepalive"
+	"github.com/doorvalve/doorvalve/coordination/placement"
+	"github.com/doorvalve/doorvalve/state/bundle"
+)
+
+func load(t *testing.T, name string) *bundle.Bundle {
+	t.Helper()
+	content, err := os.ReadFile("../examples/" + name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b, err := bundle.Parse(name, content)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
+
+const day = 24 * time.Hour
+
+func replayDay(b *bundle.Bundle, service string, arrivals []Arrival, p placement.Policy, e placement.Eviction) Result {
+	return Run(Options{Bundle: b, Service: service, Arrivals: arrivals, Length: day, Policy: p, Eviction: e, Service1: 2 * time.Second, QueueLen: 256})
+}
+
+// The learned policy stays better than fixed idle times on one measure without
+// being worse on the other, and cold starts and idle hours stay within bounds,
+// in virtual time.
+func TestPolicyBounds(t *testing.T) {
+	cases := []struct {
+		file, service string
+		shapes        []Shape
+		weight        float64
+		fixed         time.Duration
+		maxCold       int
+		maxTail       time.Duration
+		maxIdle       float64
+	}{
+		{"tsasan.hujson", "assist-lm", Tsasan(), 40, 5 * time.Minute, 1100, 6 * time.Second, 13},
+		{"hinokuni.hujson", "bid-llm", Hinokuni(), 40, 5 * time.Minute, 850, 6 * time.Second, 8},
+	}
+	for _, c := range cases {
+		b := load(t, c.file)
+		arrivals := Generate(b, c.shapes, 1, 1)
+		learned := replayDay(b, c.service, arrivals, keepalive.New(keepalive.Options{
+			ColdStartWeight: c.weight, IdleWeight: 1, MinIdle: b.Policy.MinIdle.D(), MaxIdle: b.Policy.MaxIdle.D(),
+		}), placement.EvictCheapest)
+		fixed := replayDay(b, c.service, arrivals, Fixed(c.fixed), placement.EvictOldest)
+		t.Logf("%s: learned %d cold, p99 %s, %.1f idle hours; fixed %s: %d cold, p99 %s, %.1f idle hours", c.file,
+			len(learned.Cold), Quantile(learned.Cold, 0.99), learned.IdleHours, c.fixed, len(fixed.Cold), Quantile(fixed.Cold, 0.99), fixed.IdleHours)
+		if len(learned.Cold) > c.maxCold || Quantile(learned.Cold, 0.99) > c.maxTail || learned.IdleHours > c.maxIdle {
+			t.Errorf("%s: over the bounds", c.file)
+		}
+		if learned.Late > 0 || learned.Served+learned.Refused != learned.Requests {
+			t.Errorf("%s: %d late, %d served and %d refused of %d", c.file, learned.Late, learned.Served, learned.Refused, learned.Requests)
+		}
+	}
+}
+
+// At twice the capacity, order of worth delivers more worth than first come
+// first served, and nothing is answered late.
+func TestOverloadDeliversWorth(t *testing.T) {
+	const leastGain = 1.15
+	for file, service := range map[string]string{"tsasan.hujson": "assist-lm", "hinokuni.hujson": "bid-llm"} {
+		b := load(t, file)
+		var units, classes []string
+		for _, m := range b.Models[:9] {
+			units = append(units, m.Name)
+		}
+		for _, c := range b.Classes {
+			classes = append(classes, c.Name)
+		}
+		arrivals := Overload(b, service, units, classes, 2, 2*time.Second, time.Minute, 1)
+		worth := func(a Admission) Result {
+			return Run(Options{Bundle: b, Service: service, Arrivals: arrivals, Length: 10 * time.Minute, Policy: Never, Admission: a, Service1: 2 * time.Second, QueueLen: 256})
+		}
+		ours, fcfs := worth(ByWorth), worth(FirstComeFirstServed)
+		t.Logf("%s: worth %d by worth, %d first come first served", file, ours.Worth, fcfs.Worth)
+		if float64(ours.Worth) < leastGain*float64(fcfs.Worth) || ours.Late > 0 {
+			t.Errorf("%s: worth %d against %d, %d late", file, ours.Worth, fcfs.Worth, ours.Late)
+		}
+	}
+}
--- /dev/null
+++ b/settings/settings_test.go
@@ -0,0 +1,45 @@
+package settings
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/doorvalve/doorvalve/state/bundle"
+)
+
+func TestSettings(t *testing.T) {
+	content, err := os.ReadFile(filepath.Join("..", "examples", "entry-1.hujson"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Parse("s", content); err != nil {
+		t.Fatal(err)
+	}
+	cases := []struct{ name, from, to, field string }{
+		{"unknown field", `"host"`, `"hots"`, "hots"},
+		{"host name", `"127.0.0.1:7001"`, `"localhost:7001"`, "callers.listen"},
+		{"overlap", `"127.0.0.1:7101"`, `"0.0.0.0:7001"`, "peers.listen"},
+		{"platform name", `http://127.0.0.1:7900`, `http://platform:7900`, "platform.url"},
+		{"impossible duration", `"timeout": "1s"`, `"timeout": "10s"`, "platform.timeout"},
+		{"short lease", `"lease_term": "6s"`, `"lease_term": "6ms"`, "lease_term"},
+	}
+	for _, c := range cases {
+		changed := strings.Replace(string(content), c.from, c.to, 1)
+		_, err := Parse("s", []byte(changed))
+		var issues bundle.Issues
+		if !errors.As(err, &issues) {
+			t.Errorf("%s: %v", c.name, err)
+			continue
+		}
+		found := false
+		for _, i := range issues {
+			found = found || i.Field == c.field && i.Line > 1
+		}
+		if !found {
+			t.Errorf("%s: %v", c.name, err)
+		}
+	}
+}
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -60,6 +60,7 @@
 	RefusedOld    int            `json:"refused_old_fence"`
 	PeakMemoryMiB int64          `json:"peak_memory_mib"`
 	PeakRunning   int            `json:"peak_running"`
+	Orders        int            `json:"orders"`
 	LastStart     time.Time      `json:"last_start"` // of the newest request
 }
 
@@ -86,6 +87,9 @@
 	return c
 }
 
+// Orders returns the number of orders received.
+func (e *Engine) Orders() int { return e.Stats().Orders }
+
 // Units returns the units that take memory now.
 func (e *Engine) Units() []protocol.EngineUnit { return e.state().Units }
 
@@ -180,6 +184,7 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.stats.Orders++
 	if e.opt.ChecksFencing && o.Fence < e.fence {
 		e.stats.RefusedOld++
 		http.Error(w, "old fencing number", http.StatusPreconditionFailed)
