placement: nothing new is placed before every endpoint has been seen

Cause: a holder placed a model that waits as soon as one endpoint was claimed and seen, while another one, not seen yet, held an unrecorded replica of it (left by scripts): two replicas where one was allowed. Found by TestModesMoveOverAndBack, red: "the adopted model was loaded 1 times". TestPlacementSurveysBeforeItPlaces is the case on the state machine, red without the guard. An endpoint that does not answer is left out: what it holds unrecorded is adopted or unloaded when it comes back.

gate: estimates are dropped when the configuration changes.

--- a/coordination/placement/decide.go
+++ b/coordination/placement/decide.go
@@ -195,6 +195,9 @@
 
 // placeDemanded assigns endpoints to units in order of worth.
 func (m *Machine) placeDemanded(now time.Time, o *Object) bool {
+	if !m.surveyed() {
+		return false
+	}
 	changed := false
 	for _, w := range m.wishes(now, o) {
 		if m.loading(o) >= m.conf.LoadsAtOnce || m.tokens < 1 {
@@ -338,6 +341,20 @@
 	return !ep.down && !ep.leaving() && ep.stateFence == m.fence && ep.claimed == m.fence
 }
 
+// surveyed reports whether each endpoint that answers has been claimed and seen
+// under this fence.
+//
+// Invariant: nothing new is placed before, since an endpoint that is not seen
+// yet may hold replicas that nobody has recorded.
+func (m *Machine) surveyed() bool {
+	for _, ep := range m.endpoints {
+		if !ep.down && ep.stateFence != m.fence {
+			return false
+		}
+	}
+	return true
+}
+
 func (m *Machine) allowed(o *Object, ep *endpoint, u bundle.Unit) bool {
 	if !m.usable(ep) || o.find(u.Name, ep.conf.Name) != nil {
 		return false
--- a/coordination/placement/placement_test.go
+++ b/coordination/placement/placement_test.go
@@ -416,3 +416,48 @@
 		})
 	}
 }
+
+// A script has loaded a model on one endpoint. The new holder has seen only the
+// other one when the model is asked for: it must not load a second replica.
+func TestPlacementSurveysBeforeItPlaces(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	m := New(Options{Self: "x", OrderTTL: ttl, ResendAfter: time.Second, RetryAfter: time.Second, Policy: fixed(time.Hour)})
+	svc := bundle.Service{Name: "g", Kind: bundle.KindEngine, Mode: bundle.ModeManaged}
+	for _, name := range []string{"e0", "e1"} {
+		svc.Endpoints = append(svc.Endpoints, bundle.Endpoint{Name: name, MemoryMiB: memory, Slots: 4, ChecksFencing: true})
+	}
+	unit := bundle.Unit{Name: "m0", Version: "1", MemoryMiB: 40, Load: load, MaxReplicas: 1}
+	m.Step(now, ConfigChanged{Config: Config{Generation: 1, Service: svc, Units: map[string]bundle.Unit{"m0": unit}, LoadsAtOnce: 4, LoadsPerSecond: 100}})
+	m.Step(now, LeaseChanged{Held: true, Fence: 1})
+	drive := func() (orders []protocol.Order) {
+		for range 5 {
+			now = now.Add(10 * time.Millisecond)
+			r := m.Ready(now)
+			if r.Read {
+				m.Step(now, ReadDone{})
+			}
+			if r.Write != nil {
+				m.Step(now, WriteDone{Outcome: WriteOK, Version: r.Write.ExpectedVersion + 1})
+			}
+			for _, o := range r.Orders {
+				m.Step(now, OrderDone{Order: o, Sent: true, OK: true})
+				if o.Kind == protocol.OrderLoad {
+					orders = append(orders, o)
+				}
+			}
+		}
+		return orders
+	}
+	drive()
+	m.Step(now, DemandChanged{Units: map[string]Demand{"m0": {Waiting: 1, Worth: 1}}})
+	m.Step(now, Observed{State: protocol.EngineState{Endpoint: "e1", MemoryMiB: memory}, Fence: 1, Asked: now})
+	if orders := drive(); len(orders) > 0 {
+		t.Fatalf("loaded before all endpoints were seen: %+v", orders)
+	}
+	m.Step(now, Observed{State: protocol.EngineState{Endpoint: "e0", MemoryMiB: memory, Units: []protocol.EngineUnit{
+		{Unit: "m0", Version: "1", Status: protocol.UnitReady, MemoryMiB: 40},
+	}}, Fence: 1, Asked: now})
+	if orders := drive(); len(orders) > 0 || m.obj.replicas("m0") != 1 || m.obj.Assignments[0].Endpoint != "e0" {
+		t.Errorf("orders %+v, record %+v", orders, m.obj.Assignments)
+	}
+}
--- a/daemon/reporter.go
+++ b/daemon/reporter.go
@@ -45,6 +45,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.service, r.gates = s, gates
+	for _, g := range gates {
+		g.ForgetEstimate()
+	}
 }
 
 func (r *reporter) kickNow() {
--- a/driver/gate/gate.go
+++ b/driver/gate/gate.go
@@ -278,6 +278,13 @@
 	g.refuse(g.queue.Review(now, g.estimate(now)))
 }
 
+// ForgetEstimate drops the estimate, as after a change of the configuration.
+func (g *Gate) ForgetEstimate() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.estAt = time.Time{}
+}
+
 // Fail keeps the credits, as the last accepted state, and refuses what waits
 // for credit that nobody can give.
 func (g *Gate) Fail(now time.Time, reason string, after time.Duration) {
