--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -96,7 +96,7 @@
 	d.metrics, d.closer = scope, closer
 	d.platform = platform.New(platform.Options{URL: set.Platform.URL, Timeout: set.Platform.Timeout.D()})
 	d.engines = engine.New(engineTimeout)
-	d.peers = peers.NewClient()
+	d.peers = peers.NewClient(set.Peers.Token)
 	d.gossip = gossip.New(d.log.Named("gossip"), d.peers, d.seeds, membership.DefaultOptions(uint64(time.Now().UnixNano())), d.member())
 	d.rollout = rollout.New(d.log.Named("rollout"), d.platform, d.peers, d.gossip)
 	d.rollout.OnChange(d.configure)
@@ -246,7 +246,7 @@
 	d.start(ctx)
 	var g run.Group
 	d.addServer(&g, 0, d.callers.Handler())
-	d.addServer(&g, 1, peerpb.NewPeerServer((*peerServer)(d)))
+	d.addServer(&g, 1, peers.Guard(d.set.Peers.Token, peerpb.NewPeerServer((*peerServer)(d))))
 	d.addServer(&g, 2, operators.New(operators.Options{
 		Tokens: d.set.Operators.Tokens, Rollout: d.rollout, Members: d.gossip.Members, Dump: func() any { return d.Dump() }, Stop: d.Stop,
 		Metrics: d.reporter.HTTPHandler(), Log: d.log.Named("operators"),
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -37,6 +37,9 @@
 type Peers struct {
 	Listen string   `json:"listen"`
 	Seeds  []string `json:"seeds,omitempty"` // used beside the platform's host list
+	// Token is a secret that all daemons share; a call without it is refused.
+	// Empty leaves the listener open, for trials on one machine.
+	Token string `json:"token,omitempty"`
 }
 
 // Operators is the listener for operators.
@@ -120,6 +123,9 @@
 	}
 }
 
+// minPeerToken is the least length of the daemons' shared secret.
+const minPeerToken = 16
+
 // Bounds of the lease term: shorter ones lapse in ordinary pauses, longer
 // ones leave a group without a holder for too long.
 const (
@@ -133,6 +139,7 @@
 	c.want(hclog.LevelFromString(s.LogLevel) != hclog.NoLevel, "log_level", "trace, debug, info, warn or error, found %q", s.LogLevel)
 	c.want(s.LeaseTerm.D() >= minLeaseTerm && s.LeaseTerm.D() <= maxLeaseTerm, "lease_term", "a duration from %s to %s", minLeaseTerm, maxLeaseTerm)
 	c.listeners(s)
+	c.want(s.Peers.Token == "" || len(s.Peers.Token) >= minPeerToken, "peers.token", "a secret of at least %d characters, or none", minPeerToken)
 	for i, seed := range s.Peers.Seeds {
 		_, err := netip.ParseAddrPort(seed)
 		c.want(err == nil, fmt.Sprintf("peers.seeds[%d]", i), "an IP number and a port, found %q", seed)
--- a/state/bundle/check.go
+++ b/state/bundle/check.go
@@ -63,7 +63,7 @@
 		path := fmt.Sprintf("classes[%d]", i)
 		c.names("class", seen, path+".name", class.Name)
 		c.want(class.Worth >= 0, path+".worth", "a worth of 0 or more")
-		c.want(class.Timeout.D() > 0 && class.Timeout.D() <= 24*time.Hour, path+".timeout", "a duration above 0 and up to 24h")
+		c.want(class.Timeout.D() > 0 && class.Timeout.D() <= b.Claims.Retention.D(), path+".timeout", "a duration above 0 and up to claims.retention")
 	}
 	c.want(b.DefaultClass == "" || b.Class(b.DefaultClass) != nil, "default_class", "the name of a class, found %q", b.DefaultClass)
 	c.want(b.DefaultClass != "" || len(b.Callers) > 0, "callers", "callers, or a default_class for callers without a token")
--- a/transport/callers/call.go
+++ b/transport/callers/call.go
@@ -214,13 +214,11 @@
 		AttemptID: cl.id + "." + strconv.Itoa(n), Worth: cl.worth, Repeatable: cl.key == nil, MustEcho: cl.engine,
 	}
 	var f *proxy.Failure
+	var whole *proxy.Answer
 	if cl.stream {
 		f = s.opt.Proxy.Stream(ctx, slot.Endpoint.Address, req, &out.progress, out)
 	} else {
-		var whole *proxy.Answer
-		if whole, f = s.opt.Proxy.Whole(ctx, slot.Endpoint.Address, req); f == nil {
-			out.whole(whole)
-		}
+		whole, f = s.opt.Proxy.Whole(ctx, slot.Endpoint.Address, req)
 	}
 	took := time.Since(start)
 	if f != nil {
@@ -228,6 +226,9 @@
 		s.avoid(cl, slot, f)
 	}
 	cl.gate.Release(slot, took)
+	if whole != nil {
+		out.whole(whole) // a slow caller holds no slot
+	}
 	return f
 }
 
--- a/transport/peers/peers.go
+++ b/transport/peers/peers.go
@@ -2,6 +2,8 @@
 package peers
 
 import (
+	"crypto/sha256"
+	"crypto/subtle"
 	"net/http"
 	"sync"
 	"time"
@@ -22,11 +24,46 @@
 	clients map[string]peerpb.Peer
 }
 
-// NewClient returns a client.
-func NewClient() *Client {
+// tokenHeader carries the secret that all daemons share.
+const tokenHeader = "Doorvalve-Peer-Token"
+
+// withToken adds the secret to each call.
+type withToken struct {
+	token string
+	next  http.RoundTripper
+}
+
+// RoundTrip implements http.RoundTripper.
+func (w withToken) RoundTrip(r *http.Request) (*http.Response, error) {
+	r = r.Clone(r.Context()) // a RoundTripper must not change the request
+	r.Header.Set(tokenHeader, w.token)
+	return w.next.RoundTrip(r)
+}
+
+// Guard refuses calls without the secret; an empty one lets all in.
+func Guard(token string, next http.Handler) http.Handler {
+	if token == "" {
+		return next
+	}
+	want := sha256.Sum256([]byte(token))
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		given := sha256.Sum256([]byte(r.Header.Get(tokenHeader)))
+		if subtle.ConstantTimeCompare(given[:], want[:]) != 1 {
+			http.Error(w, "the daemons' shared token is needed", http.StatusUnauthorized)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// NewClient returns a client that shows the token, if any.
+func NewClient(token string) *Client {
 	c := &Client{clients: map[string]peerpb.Peer{}}
 	t := &http.Transport{DialContext: c.meter.Dial(CallTimeout), MaxIdleConnsPerHost: 4, IdleConnTimeout: 30 * time.Second}
 	c.http = &http.Client{Transport: t, Timeout: CallTimeout}
+	if token != "" {
+		c.http.Transport = withToken{token, t}
+	}
 	return c
 }
 
