--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -300,19 +300,25 @@
 	return found, p.changed
 }
 
-func (p *Platform) getHosts(w http.ResponseWriter, _ *http.Request) {
+func (p *Platform) getHosts(w http.ResponseWriter, r *http.Request) {
 	if !p.allow(w, p.reads) {
 		return
 	}
 	p.mu.Lock()
 	p.counts.Hosts++
-	list := []Host{}
-	for _, c := range p.hosts {
+	list, version := []Host{}, 0
+	for i, c := range p.hosts {
 		if time.Since(c.at) >= p.lag {
-			list = c.list
+			list, version = c.list, i+1
 		}
 	}
 	p.mu.Unlock()
+	tag := strconv.Quote(strconv.Itoa(version))
+	w.Header().Set("ETag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
 	writeJSON(w, list)
 }
 
--- a/transport/platform/client.go
+++ b/transport/platform/client.go
@@ -88,6 +88,7 @@
 	http  *http.Client
 	calls atomic.Int64
 	meter meter.Meter
+	hosts atomic.Pointer[hostList] // last seen
 }
 
 // New returns a client.
@@ -202,9 +203,41 @@
 	return w, err
 }
 
-// Hosts returns the host list.
+// hostList is a host list with its entity tag.
+type hostList struct {
+	etag string
+	list []Host
+}
+
+// Hosts returns the host list; the caller must not change it. An unchanged list
+// costs a short answer where the platform knows entity tags.
 func (c *Client) Hosts(ctx context.Context) ([]Host, error) {
-	var list []Host
-	err := c.getJSON(ctx, "/hosts", c.opt.Timeout, &list)
-	return list, err
+	ctx, cancel := context.WithTimeout(ctx, c.opt.Timeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.opt.URL+"/hosts", nil)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	last := c.hosts.Load()
+	if last != nil && last.etag != "" {
+		req.Header.Set("If-None-Match", last.etag)
+	}
+	c.calls.Add(1)
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode == http.StatusNotModified && last != nil {
+		return last.list, nil
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, Error.New("host list: status %d", resp.StatusCode)
+	}
+	next := &hostList{etag: resp.Header.Get("ETag")}
+	if err := json.NewDecoder(resp.Body).Decode(&next.list); err != nil {
+		return nil, Error.Wrap(err)
+	}
+	c.hosts.Store(next)
+	return next.list, nil
 }
