--- a/cmd/doorvalve-bench/slopes.go
+++ b/cmd/doorvalve-bench/slopes.go
@@ -235,7 +235,7 @@
 				body, _ = json.Marshal(r.Write.Seal)
 				bytes += len(body)
 			}
-			out, due = claims.WriteDone{Outcome: claims.WriteOK, Version: version}, now.Add(answer)
+			out, due = claims.WriteDone{Outcome: protocol.WriteOK, Version: version}, now.Add(answer)
 		}
 	}
 	return float64(writes) / seconds, float64(bytes) / seconds
--- a/coordination/claims/claims.go
+++ b/coordination/claims/claims.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/doorvalve/doorvalve/protocol"
 )
 
 // The daemon's settings of a shard. Each append writes the open records again,
@@ -115,16 +117,6 @@
 	Duplicate                  // the key was claimed before
 )
 
-// WriteOutcome is how a write ended.
-type WriteOutcome int
-
-// The outcomes of a write.
-const (
-	WriteOK WriteOutcome = iota
-	WriteConflict
-	WriteUnknown
-)
-
 // Event is an input of the machine.
 type Event interface{ claimsEvent() }
 
@@ -150,7 +142,7 @@
 
 // WriteDone reports the last write.
 type WriteDone struct {
-	Outcome WriteOutcome
+	Outcome protocol.WriteOutcome
 	Version uint64
 }
 
@@ -286,8 +278,8 @@
 func (s *Shard) writeDone(now time.Time, e WriteDone) {
 	s.busy = false
 	s.at = now.Add(s.opt.Interval)
-	if e.Outcome != WriteOK {
-		if e.Outcome == WriteConflict {
+	if e.Outcome != protocol.WriteOK {
+		if e.Outcome == protocol.WriteConflict {
 			s.at = now
 			s.dropSealing()
 		}
--- a/coordination/claims/claims_test.go
+++ b/coordination/claims/claims_test.go
@@ -9,6 +9,8 @@
 
 	"github.com/anishathalye/porcupine"
 	"pgregory.net/rapid"
+
+	"github.com/doorvalve/doorvalve/protocol"
 )
 
 // platform is the object API with conditional updates.
@@ -200,15 +202,15 @@
 	switch rapid.IntRange(0, 5).Draw(t, "write") {
 	case 0:
 		o.late = append(o.late, *o.out.Write)
-		o.s.Step(now, WriteDone{Outcome: WriteUnknown})
+		o.s.Step(now, WriteDone{Outcome: protocol.WriteUnknown})
 	case 1:
 		p.put(*o.out.Write)
-		o.s.Step(now, WriteDone{Outcome: WriteUnknown})
+		o.s.Step(now, WriteDone{Outcome: protocol.WriteUnknown})
 	default:
 		if p.put(*o.out.Write) {
-			o.s.Step(now, WriteDone{Outcome: WriteOK, Version: p.version})
+			o.s.Step(now, WriteDone{Outcome: protocol.WriteOK, Version: p.version})
 		} else {
-			o.s.Step(now, WriteDone{Outcome: WriteConflict})
+			o.s.Step(now, WriteDone{Outcome: protocol.WriteConflict})
 		}
 	}
 }
@@ -227,9 +229,9 @@
 		}
 		if r.Write != nil {
 			if p.put(*r.Write) {
-				o.s.Step(now, WriteDone{Outcome: WriteOK, Version: p.version})
+				o.s.Step(now, WriteDone{Outcome: protocol.WriteOK, Version: p.version})
 			} else {
-				o.s.Step(now, WriteDone{Outcome: WriteConflict})
+				o.s.Step(now, WriteDone{Outcome: protocol.WriteConflict})
 			}
 		}
 	}
--- a/coordination/lease/lease.go
+++ b/coordination/lease/lease.go
@@ -6,6 +6,8 @@
 import (
 	"fmt"
 	"time"
+
+	"github.com/doorvalve/doorvalve/protocol"
 )
 
 // Record is the object that the lease is kept in.
@@ -17,16 +19,6 @@
 	WriteID  string        `json:"write_id"` // tells a lost answer's write from others
 }
 
-// Outcome is how a write ended.
-type Outcome int
-
-// The outcomes of a write.
-const (
-	WriteOK       Outcome = iota
-	WriteConflict         // the condition did not hold; nothing was written
-	WriteUnknown          // no answer; the write may have taken effect
-)
-
 // Event is an input of the machine.
 type Event interface{ leaseEvent() }
 
@@ -43,7 +35,7 @@
 
 // WriteDone reports the write that Ready asked for last.
 type WriteDone struct {
-	Outcome Outcome
+	Outcome protocol.WriteOutcome
 	Version uint64 // after WriteOK
 }
 
@@ -189,16 +181,16 @@
 func (m *Machine) writeDone(now time.Time, e WriteDone) {
 	m.busy = false
 	switch e.Outcome {
-	case WriteOK:
+	case protocol.WriteOK:
 		m.version, m.found = e.Version, true
 		m.firstSeen = now
 		m.adopt(*m.pending)
-	case WriteConflict:
+	case protocol.WriteConflict:
 		m.pending = nil
 		m.until = time.Time{}
 		m.nextAt = now
 		m.haveRead = false
-	case WriteUnknown:
+	case protocol.WriteUnknown:
 		m.nextAt = now
 		m.haveRead = false
 	}
--- a/coordination/lease/lease_test.go
+++ b/coordination/lease/lease_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"github.com/doorvalve/doorvalve/protocol"
 )
 
 const term = 6 * time.Second
@@ -103,15 +105,15 @@
 	}
 	switch rapid.IntRange(0, 4).Draw(t, "write") {
 	case 0: // lost before it took effect
-		d.m.Step(now, WriteDone{Outcome: WriteUnknown})
+		d.m.Step(now, WriteDone{Outcome: protocol.WriteUnknown})
 	case 1: // answer lost after it took effect
 		s.put(*d.out.Write)
-		d.m.Step(now, WriteDone{Outcome: WriteUnknown})
+		d.m.Step(now, WriteDone{Outcome: protocol.WriteUnknown})
 	default:
 		if s.put(*d.out.Write) {
-			d.m.Step(now, WriteDone{Outcome: WriteOK, Version: s.version})
+			d.m.Step(now, WriteDone{Outcome: protocol.WriteOK, Version: s.version})
 		} else {
-			d.m.Step(now, WriteDone{Outcome: WriteConflict})
+			d.m.Step(now, WriteDone{Outcome: protocol.WriteConflict})
 		}
 	}
 }
@@ -132,7 +134,7 @@
 		if r.Write != nil {
 			writes++
 			s.put(*r.Write)
-			m.Step(now, WriteDone{Outcome: WriteOK, Version: s.version})
+			m.Step(now, WriteDone{Outcome: protocol.WriteOK, Version: s.version})
 		}
 	}
 	if fence, ok := m.Holds(now); !ok || fence != 1 {
--- a/coordination/placement/machine.go
+++ b/coordination/placement/machine.go
@@ -203,7 +203,7 @@
 func (m *Machine) writeDone(now time.Time, e WriteDone) {
 	m.busy = false
 	switch e.Outcome {
-	case WriteOK:
+	case protocol.WriteOK:
 		if m.pending == nil {
 			return // the lease changed in between
 		}
@@ -214,10 +214,10 @@
 				m.recordedAt[a.Seq] = now
 			}
 		}
-	case WriteConflict, WriteUnknown:
+	case protocol.WriteConflict, protocol.WriteUnknown:
 		m.read = false
 		m.retryAt = now
-		if e.Outcome == WriteUnknown {
+		if e.Outcome == protocol.WriteUnknown {
 			m.retryAt = now.Add(m.opt.RetryAfter)
 		}
 	}
--- a/coordination/placement/object.go
+++ b/coordination/placement/object.go
@@ -208,19 +208,9 @@
 	Version uint64
 }
 
-// Outcome is how a write ended.
-type Outcome int
-
-// The outcomes of a write.
-const (
-	WriteOK Outcome = iota
-	WriteConflict
-	WriteUnknown
-)
-
 // WriteDone reports the write that Ready asked for last.
 type WriteDone struct {
-	Outcome Outcome
+	Outcome protocol.WriteOutcome
 	Version uint64
 }
 
--- a/coordination/placement/placement_test.go
+++ b/coordination/placement/placement_test.go
@@ -207,15 +207,15 @@
 			w.leaseRec, w.leaseVersion = wr.Record, w.leaseVersion+1
 		}
 		if !w.chance("answer lost", 8) {
-			out, version := lease.WriteConflict, w.leaseVersion
+			out, version := protocol.WriteConflict, w.leaseVersion
 			if took {
-				out = lease.WriteOK
+				out = protocol.WriteOK
 			}
 			d.send(func() { d.l.Step(w.now, lease.WriteDone{Outcome: out, Version: version}) })
 			return
 		}
 	}
-	d.send(func() { d.l.Step(w.now, lease.WriteDone{Outcome: lease.WriteUnknown}) })
+	d.send(func() { d.l.Step(w.now, lease.WriteDone{Outcome: protocol.WriteUnknown}) })
 }
 
 func (w *world) writeObject(d *daemon, wr Write) {
@@ -225,15 +225,15 @@
 			w.obj, w.objVersion = *wr.Object.clone(), w.objVersion+1
 		}
 		if !w.chance("answer lost", 8) {
-			out, version := WriteConflict, w.objVersion
+			out, version := protocol.WriteConflict, w.objVersion
 			if took {
-				out = WriteOK
+				out = protocol.WriteOK
 			}
 			d.send(func() { d.p.Step(w.now, WriteDone{Outcome: out, Version: version}) })
 			return
 		}
 	}
-	d.send(func() { d.p.Step(w.now, WriteDone{Outcome: WriteUnknown}) })
+	d.send(func() { d.p.Step(w.now, WriteDone{Outcome: protocol.WriteUnknown}) })
 }
 
 // order is sent some time after it was decided; the daemon may be frozen in
@@ -437,7 +437,7 @@
 				m.Step(now, ReadDone{})
 			}
 			if r.Write != nil {
-				m.Step(now, WriteDone{Outcome: WriteOK, Version: r.Write.ExpectedVersion + 1})
+				m.Step(now, WriteDone{Outcome: protocol.WriteOK, Version: r.Write.ExpectedVersion + 1})
 			}
 			for _, o := range r.Orders {
 				m.Step(now, OrderDone{Order: o, Sent: true, OK: true})
--- a/coordination/retry.go
+++ b/coordination/retry/retry.go
@@ -1,12 +1,11 @@
-// Package coordination holds small decisions that need no package of their
-// own; the larger ones are in its sub-packages.
-package coordination
+// Package retry bounds the retries of a daemon.
+package retry
 
 import "sync/atomic"
 
-// RetryBudget lets retries grow only with the requests, so that a failing
+// Budget lets retries grow only with the requests, so that a failing
 // endpoint is not buried under them. It is safe for concurrent use.
-type RetryBudget struct {
+type Budget struct {
 	tenths atomic.Int64
 }
 
@@ -16,22 +15,22 @@
 	budgetMax        = 1000 // at most a hundred retries in store
 )
 
-// NewRetryBudget returns a full budget.
-func NewRetryBudget() *RetryBudget {
-	b := &RetryBudget{}
+// NewBudget returns a full budget.
+func NewBudget() *Budget {
+	b := &Budget{}
 	b.tenths.Store(budgetMax)
 	return b
 }
 
 // Earn counts one request.
-func (b *RetryBudget) Earn() {
+func (b *Budget) Earn() {
 	if v := b.tenths.Load(); v < budgetMax {
 		b.tenths.CompareAndSwap(v, min(v+budgetPerRequest, budgetMax))
 	}
 }
 
 // Spend takes one retry out, if there is one.
-func (b *RetryBudget) Spend() bool {
+func (b *Budget) Spend() bool {
 	for {
 		v := b.tenths.Load()
 		if v < budgetPerRetry {
--- a/driver/claimer/claimer.go
+++ b/driver/claimer/claimer.go
@@ -13,6 +13,7 @@
 
 	"github.com/doorvalve/doorvalve/coordination/claims"
 	"github.com/doorvalve/doorvalve/coordination/membership"
+	"github.com/doorvalve/doorvalve/protocol"
 	"github.com/doorvalve/doorvalve/protocol/peerpb"
 	"github.com/doorvalve/doorvalve/state/bundle"
 	"github.com/doorvalve/doorvalve/transport/peers"
@@ -238,19 +239,15 @@
 // write creates the sealed segment, if any, and then updates the head.
 func (s *shard) write(w claims.Write) {
 	ctx := context.Background()
-	out := platform.OK
+	out := protocol.WriteOK
 	if w.Seal != nil {
 		_, out = s.platform.Put(ctx, platform.KindSegment, w.SealName, 0, w.Seal)
 	}
 	var version uint64
-	if out == platform.OK {
+	if out == protocol.WriteOK {
 		version, out = s.platform.Put(ctx, platform.KindClaim, s.name, w.ExpectedVersion, w.Head)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.step(claims.WriteDone{Outcome: outcomes[out], Version: version})
-}
-
-var outcomes = map[platform.Outcome]claims.WriteOutcome{
-	platform.OK: claims.WriteOK, platform.Conflict: claims.WriteConflict, platform.Unknown: claims.WriteUnknown,
+	s.step(claims.WriteDone{Outcome: out, Version: version})
 }
--- a/driver/placer/placer.go
+++ b/driver/placer/placer.go
@@ -248,15 +248,7 @@
 	version, out := p.opt.Platform.Put(ctx, platform.KindLease, p.opt.Group, w.ExpectedVersion, w.Record)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.lease.Step(time.Now(), lease.WriteDone{Outcome: leaseOutcome[out], Version: version})
-}
-
-var leaseOutcome = map[platform.Outcome]lease.Outcome{
-	platform.OK: lease.WriteOK, platform.Conflict: lease.WriteConflict, platform.Unknown: lease.WriteUnknown,
-}
-
-var placementOutcome = map[platform.Outcome]placement.Outcome{
-	platform.OK: placement.WriteOK, platform.Conflict: placement.WriteConflict, platform.Unknown: placement.WriteUnknown,
+	p.lease.Step(time.Now(), lease.WriteDone{Outcome: out, Version: version})
 }
 
 // act carries out what the placement asks for.
@@ -286,7 +278,7 @@
 	version, out := p.opt.Platform.Put(ctx, platform.KindPlacement, p.opt.Group, w.ExpectedVersion, w.Object)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.place.Step(time.Now(), placement.WriteDone{Outcome: placementOutcome[out], Version: version})
+	p.place.Step(time.Now(), placement.WriteDone{Outcome: out, Version: version})
 	p.act(ctx, time.Now())
 }
 
--- a/driver/rollout/actions.go
+++ b/driver/rollout/actions.go
@@ -10,6 +10,7 @@
 
 	rules "github.com/doorvalve/doorvalve/coordination/rollout"
 
+	"github.com/doorvalve/doorvalve/protocol"
 	"github.com/doorvalve/doorvalve/state/bundle"
 	"github.com/doorvalve/doorvalve/transport/platform"
 )
@@ -51,7 +52,7 @@
 // digest, so an existing one is the same.
 func (r *Rollout) create(ctx context.Context, kind platform.Kind, name string, v any) error {
 	for range readBacks {
-		if _, out := r.platform.Put(ctx, kind, name, 0, v); out != platform.Unknown {
+		if _, out := r.platform.Put(ctx, kind, name, 0, v); out != protocol.WriteUnknown {
 			return nil
 		}
 		var any json.RawMessage
@@ -77,7 +78,7 @@
 		if len(next.SignOffs) == len(review.SignOffs) {
 			return nil // recorded before, perhaps by a write whose answer was lost
 		}
-		if _, out := r.platform.Put(ctx, platform.KindReview, digest, version, next); out == platform.OK {
+		if _, out := r.platform.Put(ctx, platform.KindReview, digest, version, next); out == protocol.WriteOK {
 			return nil
 		}
 	}
@@ -107,7 +108,7 @@
 		if err != nil {
 			return p, err
 		}
-		if _, out := r.platform.Put(ctx, platform.KindConfig, PointerName, version, next); out == platform.OK {
+		if _, out := r.platform.Put(ctx, platform.KindConfig, PointerName, version, next); out == protocol.WriteOK {
 			r.offer(next)
 			return next, nil
 		}
@@ -145,7 +146,7 @@
 			return nil
 		}
 		next := Drain{On: on, By: by, At: time.Now().UTC()}
-		if _, out := r.platform.Put(ctx, platform.KindDrain, endpoint, version, next); out == platform.Conflict {
+		if _, out := r.platform.Put(ctx, platform.KindDrain, endpoint, version, next); out == protocol.WriteConflict {
 			continue
 		}
 	}
--- a/replay/replay.go
+++ b/replay/replay.go
@@ -309,7 +309,7 @@
 		}
 		if ready.Write != nil {
 			version++
-			r.m.Step(r.now, placement.WriteDone{Outcome: placement.WriteOK, Version: version})
+			r.m.Step(r.now, placement.WriteDone{Outcome: protocol.WriteOK, Version: version})
 		}
 		for _, o := range ready.Orders {
 			r.order(o)
--- a/transport/callers/server.go
+++ b/transport/callers/server.go
@@ -13,10 +13,10 @@
 	"github.com/labstack/echo/v4"
 	"github.com/uber-go/tally/v4"
 
-	"github.com/doorvalve/doorvalve/coordination"
 	"github.com/doorvalve/doorvalve/coordination/claims"
 	"github.com/doorvalve/doorvalve/coordination/drain"
 	"github.com/doorvalve/doorvalve/coordination/membership"
+	"github.com/doorvalve/doorvalve/coordination/retry"
 	"github.com/doorvalve/doorvalve/driver/gate"
 	"github.com/doorvalve/doorvalve/protocol"
 	"github.com/doorvalve/doorvalve/settings"
@@ -50,7 +50,7 @@
 // Server is safe for concurrent use.
 type Server struct {
 	opt      Options
-	budget   *coordination.RetryBudget
+	budget   *retry.Budget
 	active   atomic.Int64
 	sequence atomic.Uint64
 	metrics  metrics
@@ -64,7 +64,7 @@
 // New returns a server.
 func New(opt Options) *Server {
 	m := opt.Metrics.SubScope("caller")
-	return &Server{opt: opt, budget: coordination.NewRetryBudget(), metrics: metrics{
+	return &Server{opt: opt, budget: retry.NewBudget(), metrics: metrics{
 		answered: m.Counter("requests_answered_total"), refusedNotRun: m.Counter("requests_refused_not_run_total"),
 		refusedUnsure: m.Counter("requests_failed_may_have_run_total"), retries: m.Counter("attempts_retried_total"),
 		duration: m.Histogram("request_duration_seconds", tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 18)),
--- a/transport/platform/client.go
+++ b/transport/platform/client.go
@@ -16,6 +16,7 @@
 
 	"github.com/zeebo/errs"
 
+	"github.com/doorvalve/doorvalve/protocol"
 	"github.com/doorvalve/doorvalve/transport/meter"
 )
 
@@ -40,19 +41,6 @@
 	KindDrain     Kind = "drain"     // endpoints drained by operators
 )
 
-// Outcome is how a conditional write ended.
-type Outcome int
-
-// The outcomes of a write.
-const (
-	// OK: the write took effect.
-	OK Outcome = iota
-	// Conflict: the version differs; nothing was written.
-	Conflict
-	// Unknown: no usable answer; the write may have taken effect.
-	Unknown
-)
-
 // Object is one stored value.
 type Object struct {
 	Kind    Kind            `json:"kind"`
@@ -160,23 +148,23 @@
 
 // Put writes v if the object's version is still expected; 0 means that the
 // object must not exist.
-func (c *Client) Put(ctx context.Context, kind Kind, name string, expected uint64, v any) (version uint64, outcome Outcome) {
+func (c *Client) Put(ctx context.Context, kind Kind, name string, expected uint64, v any) (version uint64, outcome protocol.WriteOutcome) {
 	body, err := json.Marshal(v)
 	if err != nil {
-		return 0, Unknown
+		return 0, protocol.WriteUnknown
 	}
 	status, answer, err := c.do(ctx, http.MethodPut, objectPath(kind, name), fmt.Sprint(expected), body, c.opt.Timeout)
 	switch {
 	case err == nil && status == http.StatusConflict:
-		return 0, Conflict
+		return 0, protocol.WriteConflict
 	case err != nil || status != http.StatusOK:
-		return 0, Unknown
+		return 0, protocol.WriteUnknown
 	}
 	var o Object
 	if json.Unmarshal(answer, &o) != nil {
-		return 0, Unknown
+		return 0, protocol.WriteUnknown
 	}
-	return o.Version, OK
+	return o.Version, protocol.WriteOK
 }
 
 // Delete removes an object; an absent one is no error.
