admission: the wait is estimated with the daemon's share of slots, not its credit of the moment

Cause: with equal worth everywhere one daemon has all credit for a moment and the others none. Those estimated with one slot and refused worthy requests, while the one with all credit accepted unworthy ones. The coordinator now tells the unit's slots over the daemons that use it. Ruled out: the queue's order (property test) and the allocation (by worth).

--- a/coordination/admission/queue.go
+++ b/coordination/admission/queue.go
@@ -22,8 +22,10 @@
 	Ready time.Duration
 	// Service is the time one request takes.
 	Service time.Duration
-	// Slots is how many requests this daemon can keep at once.
-	Slots int
+	// Slots is how many requests this daemon can keep at once on average: its
+	// share of the unit's slots. Its present credit says less, since credit
+	// moves between daemons from one report to the next.
+	Slots float64
 	// Refuse, if not empty, is why nothing can be served; After says when to
 	// come back.
 	Refuse string
@@ -126,6 +128,9 @@
 // waitAt is the expected wait of the request at a position: the time until
 // the unit is ready, then one service time for each full round ahead of it.
 func (q *Queue) waitAt(position int, est Estimate) time.Duration {
-	rounds := position / max(1, est.Slots)
-	return est.Ready + time.Duration(rounds)*est.Service
+	slots := est.Slots
+	if slots <= 0 {
+		slots = 1
+	}
+	return est.Ready + time.Duration(float64(position)/slots)*est.Service
 }
--- a/coordination/grants/grants.go
+++ b/coordination/grants/grants.go
@@ -217,5 +217,18 @@
 	return byDaemon
 }
 
+// Users returns the number of daemons that have lately reported a unit.
+func (b *Book) Users(unit string) int {
+	n := 0
+	for _, r := range b.reports {
+		for _, u := range r.units {
+			if u.Unit == unit {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // Len returns the number of daemons that have reported lately.
 func (b *Book) Len() int { return len(b.reports) }
--- a/daemon/reporter.go
+++ b/daemon/reporter.go
@@ -192,7 +192,9 @@
 	}
 	estimates := map[string]admission.Estimate{}
 	for _, e := range resp.Estimates {
-		estimates[e.Unit] = estimateFrom(e.WaitMs, e.Reason)
+		est := estimateFrom(e.WaitMs, e.Reason)
+		est.Slots = float64(e.ShareMillislots) / 1000
+		estimates[e.Unit] = est
 	}
 	for _, u := range units {
 		u.gate.Update(now, credits[u.name], estimates[u.name])
--- a/driver/gate/gate.go
+++ b/driver/gate/gate.go
@@ -196,8 +196,10 @@
 		est.Ready = max(0, est.Ready-age)
 	}
 	est.Service = time.Duration(g.service.Load())
-	for _, s := range *g.slots.Load() {
-		est.Slots += int(s.limit.Load())
+	if est.Slots == 0 {
+		for _, s := range *g.slots.Load() {
+			est.Slots += float64(s.limit.Load())
+		}
 	}
 	return est
 }
--- a/driver/placer/demand.go
+++ b/driver/placer/demand.go
@@ -45,9 +45,21 @@
 		return e
 	}
 	e.WaitMs = w.Time.Milliseconds()
+	e.ShareMillislots = int64(1000*p.slots(unit)) / int64(max(1, p.book.Users(unit)))
 	return e
 }
 
+// slots adds up the slots of a unit's ready replicas.
+func (p *Placer) slots(unit string) int {
+	n := 0
+	for _, r := range p.place.Replicas() {
+		if r.Unit == unit {
+			n += r.Endpoint.Slots
+		}
+	}
+	return n
+}
+
 // allocate shares the slots anew. With many reports it does so only now and
 // then, so that its cost neither grows with the square of the daemons nor
 // takes more than a fiftieth of a core.
--- a/replay/replay.go
+++ b/replay/replay.go
@@ -216,7 +216,7 @@
 			slots += e.conf.Slots
 		}
 	}
-	return admission.Estimate{Ready: w.Time, Service: r.opt.Service1, Slots: slots, Refuse: w.Reason, After: w.After}
+	return admission.Estimate{Ready: w.Time, Service: r.opt.Service1, Slots: float64(slots), Refuse: w.Reason, After: w.After}
 }
 
 func (r *run) refuse(list []admission.Refused) {
