--- a/cmd/doorvalve-bench/slopes.go
+++ b/cmd/doorvalve-bench/slopes.go
@@ -7,11 +7,14 @@
 	"runtime"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/doorvalve/doorvalve/coordination/claims"
 	"github.com/doorvalve/doorvalve/coordination/grants"
 	"github.com/doorvalve/doorvalve/coordination/membership"
 	"github.com/doorvalve/doorvalve/coordination/placement"
 	"github.com/doorvalve/doorvalve/protocol"
+	"github.com/doorvalve/doorvalve/protocol/peerpb"
 	"github.com/doorvalve/doorvalve/replay"
 	"github.com/doorvalve/doorvalve/state/bundle"
 	"github.com/doorvalve/doorvalve/state/snapshot"
@@ -21,7 +24,7 @@
 
 // Run prints one CSV line a measurement.
 func (*slopesCmd) Run() error {
-	for _, measure := range []func() []point{configuration, groupByEndpoints, groupByUnits, sharing, claimShards, members} {
+	for _, measure := range []func() []point{configuration, groupByEndpoints, groupByUnits, sharing, reports, claimShards, members} {
 		if err := write(os.Stdout, measure()...); err != nil {
 			return err
 		}
@@ -190,6 +193,24 @@
 	return points
 }
 
+// reports measures a daemon's report and its answer, without HTTP's headers,
+// against the units in use.
+func reports() []point {
+	var points []point
+	for _, units := range []int{1, 4, 16, 64} {
+		req := &peerpb.DemandRequest{From: "entry-12-0123abcd", Group: "assist-lm"}
+		resp := &peerpb.DemandResponse{Coordinator: true}
+		for u := range units {
+			name := fmt.Sprintf("model-%d", u)
+			req.Units = append(req.Units, &peerpb.UnitDemand{Unit: name, InFlight: 3, Arrivals: 5, Waiting: []*peerpb.Waiting{{Worth: 100, Count: 2, EarliestDeadlineMs: 25000}}})
+			resp.Credits = append(resp.Credits, &peerpb.Credit{Unit: name, Endpoint: fmt.Sprintf("assist-lm-w%d", u), Limit: 8})
+			resp.Estimates = append(resp.Estimates, &peerpb.Estimate{Unit: name, WaitMs: 1200, ShareMillislots: 8000})
+		}
+		points = append(points, point{"sharing of slots", "a report and its answer", "B", "units in use", float64(units), float64(proto.Size(req) + proto.Size(resp))})
+	}
+	return points
+}
+
 // claimShards measures one shard against the claims a second that it takes.
 func claimShards() []point {
 	var points []point
