--- a/coordination/claims/claims.go
+++ b/coordination/claims/claims.go
@@ -146,14 +146,10 @@
 	Version uint64
 }
 
-// Forget drops what is waiting, because the platform does not answer.
-type Forget struct{}
-
 func (Claim) claimsEvent()     {}
 func (Release) claimsEvent()   {}
 func (ReadDone) claimsEvent()  {}
 func (WriteDone) claimsEvent() {}
-func (Forget) claimsEvent()    {}
 
 // Result answers a Claim or Release.
 type Result struct {
@@ -235,8 +231,6 @@
 		s.readDone(now, e)
 	case WriteDone:
 		s.writeDone(now, e)
-	case Forget:
-		s.fail(&s.waiting)
 	}
 }
 
--- a/coordination/placement/estimate.go
+++ b/coordination/placement/estimate.go
@@ -46,10 +46,9 @@
 
 // Reasons for which a unit cannot be served now.
 const (
-	ReasonUnknown  = "unknown-unit"
-	ReasonNotOurs  = "not-loaded-by-operator"
-	ReasonNoLease  = "no-placement-holder"
-	ReasonNoMemory = "no-memory"
+	ReasonUnknown = "unknown-unit"
+	ReasonNotOurs = "not-loaded-by-operator"
+	ReasonNoLease = "no-placement-holder"
 )
 
 // Estimate returns the wait for a unit at now.
