settings, bundle: one checker of fields in place of two

settings had written the bundle's checker again: the same three fields and the same want with its line lookup. bundle.Checker serves both now.

--- a/settings/settings.go
+++ b/settings/settings.go
@@ -103,25 +103,16 @@
 	if err != nil {
 		return s, err
 	}
-	c := checker{file: file, lines: lines}
+	c := checker{bundle.NewChecker(file, lines)}
 	c.check(s)
-	if len(c.issues) > 0 {
-		return s, c.issues
+	if issues := c.Issues(); len(issues) > 0 {
+		return s, issues
 	}
 	return s, nil
 }
 
-type checker struct {
-	file   string
-	lines  *bundle.Lines
-	issues bundle.Issues
-}
-
-func (c *checker) want(ok bool, path, format string, args ...any) {
-	if !ok {
-		c.issues = append(c.issues, bundle.Issue{File: c.file, Line: c.lines.Of(path), Field: path, Want: fmt.Sprintf(format, args...)})
-	}
-}
+// checker checks settings.
+type checker struct{ *bundle.Checker }
 
 // minPeerToken is the least length of the daemons' shared secret.
 const minPeerToken = 16
@@ -133,50 +124,50 @@
 	maxLeaseTerm = time.Minute
 )
 
-func (c *checker) check(s Settings) {
-	c.want(s.Host != "", "host", "the name of this host")
-	c.want(s.FailureDomain != "", "failure_domain", "the failure domain of this host")
-	c.want(hclog.LevelFromString(s.LogLevel) != hclog.NoLevel, "log_level", "trace, debug, info, warn or error, found %q", s.LogLevel)
-	c.want(s.LeaseTerm.D() >= minLeaseTerm && s.LeaseTerm.D() <= maxLeaseTerm, "lease_term", "a duration from %s to %s", minLeaseTerm, maxLeaseTerm)
+func (c checker) check(s Settings) {
+	c.Want(s.Host != "", "host", "the name of this host")
+	c.Want(s.FailureDomain != "", "failure_domain", "the failure domain of this host")
+	c.Want(hclog.LevelFromString(s.LogLevel) != hclog.NoLevel, "log_level", "trace, debug, info, warn or error, found %q", s.LogLevel)
+	c.Want(s.LeaseTerm.D() >= minLeaseTerm && s.LeaseTerm.D() <= maxLeaseTerm, "lease_term", "a duration from %s to %s", minLeaseTerm, maxLeaseTerm)
 	c.listeners(s)
-	c.want(s.Peers.Token == "" || len(s.Peers.Token) >= minPeerToken, "peers.token", "a secret of at least %d characters, or none", minPeerToken)
+	c.Want(s.Peers.Token == "" || len(s.Peers.Token) >= minPeerToken, "peers.token", "a secret of at least %d characters, or none", minPeerToken)
 	for i, seed := range s.Peers.Seeds {
 		_, err := netip.ParseAddrPort(seed)
-		c.want(err == nil, fmt.Sprintf("peers.seeds[%d]", i), "an IP number and a port, found %q", seed)
+		c.Want(err == nil, fmt.Sprintf("peers.seeds[%d]", i), "an IP number and a port, found %q", seed)
 	}
 	u, err := url.Parse(s.Platform.URL)
-	c.want(err == nil && (u.Scheme == "http" || u.Scheme == "https") && ipHost(u), "platform.url", "an http or https URL with an IP number, found %q", s.Platform.URL)
-	c.want(s.Platform.Timeout.D() > 0 && s.Platform.Timeout.D() < s.LeaseTerm.D(), "platform.timeout", "a duration above 0 and below lease_term")
-	c.want(s.Limits.BodyBytes > 0, "limits.body_bytes", "a number above 0")
-	c.want(s.Limits.HeaderBytes > 0, "limits.header_bytes", "a number above 0")
-	c.want(s.Limits.AnswerBytes > 0, "limits.answer_bytes", "a number above 0")
-	c.want(s.Limits.QueueLength > 0, "limits.queue_length", "a number above 0")
-	c.want(s.Limits.Connections > 0, "limits.connections", "a number above 0")
+	c.Want(err == nil && (u.Scheme == "http" || u.Scheme == "https") && ipHost(u), "platform.url", "an http or https URL with an IP number, found %q", s.Platform.URL)
+	c.Want(s.Platform.Timeout.D() > 0 && s.Platform.Timeout.D() < s.LeaseTerm.D(), "platform.timeout", "a duration above 0 and below lease_term")
+	c.Want(s.Limits.BodyBytes > 0, "limits.body_bytes", "a number above 0")
+	c.Want(s.Limits.HeaderBytes > 0, "limits.header_bytes", "a number above 0")
+	c.Want(s.Limits.AnswerBytes > 0, "limits.answer_bytes", "a number above 0")
+	c.Want(s.Limits.QueueLength > 0, "limits.queue_length", "a number above 0")
+	c.Want(s.Limits.Connections > 0, "limits.connections", "a number above 0")
 	names := map[string]bool{}
 	for i, t := range s.Operators.Tokens {
 		at := fmt.Sprintf("operators.tokens[%d]", i)
-		c.want(t.Name != "" && !names[t.Name], at+".name", "a name of its own")
-		c.want(len(t.TokenSHA256) == 64, at+".token_sha256", "the SHA-256 of the token in hex")
+		c.Want(t.Name != "" && !names[t.Name], at+".name", "a name of its own")
+		c.Want(len(t.TokenSHA256) == 64, at+".token_sha256", "the SHA-256 of the token in hex")
 		names[t.Name] = true
 	}
 	if t := s.Operators.TLS; t != nil {
-		c.want(t.Cert != "" && t.Key != "", "operators.tls", "both cert and key")
+		c.Want(t.Cert != "" && t.Key != "", "operators.tls", "both cert and key")
 	}
 }
 
-func (c *checker) listeners(s Settings) {
+func (c checker) listeners(s Settings) {
 	seen := map[netip.AddrPort]string{}
 	for _, l := range []struct{ path, address string }{
 		{"callers.listen", s.Callers.Listen}, {"peers.listen", s.Peers.Listen}, {"operators.listen", s.Operators.Listen},
 	} {
 		addr, err := netip.ParseAddrPort(l.address)
-		c.want(err == nil, l.path, "an IP number and a port, found %q", l.address)
+		c.Want(err == nil, l.path, "an IP number and a port, found %q", l.address)
 		if err != nil || addr.Port() == 0 {
 			continue
 		}
 		for other, path := range seen {
 			overlap := other.Port() == addr.Port() && (other.Addr() == addr.Addr() || other.Addr().IsUnspecified() || addr.Addr().IsUnspecified())
-			c.want(!overlap, l.path, "an address of its own; %s overlaps", path)
+			c.Want(!overlap, l.path, "an address of its own; %s overlaps", path)
 		}
 		seen[addr] = l.path
 	}
--- a/state/bundle/check.go
+++ b/state/bundle/check.go
@@ -19,114 +19,124 @@
 var namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._:-]*$`)
 var sha256Pattern = regexp.MustCompile(`^[0-9a-f]{64}$`)
 
-// checker collects faults with their lines.
-type checker struct {
+// Checker collects the faults of a file with their lines.
+type Checker struct {
 	file   string
 	lines  *Lines
 	issues Issues
 }
 
-func (c *checker) want(ok bool, path, format string, args ...any) {
+// NewChecker returns a checker for a file that DecodeStrict has read.
+func NewChecker(file string, lines *Lines) *Checker { return &Checker{file: file, lines: lines} }
+
+// Want records a fault at path unless ok; format says what was expected.
+func (c *Checker) Want(ok bool, path, format string, args ...any) {
 	if ok {
 		return
 	}
 	c.issues = append(c.issues, Issue{File: c.file, Line: c.lines.Of(path), Field: path, Want: fmt.Sprintf(format, args...)})
 }
 
+// Issues returns the faults found.
+func (c *Checker) Issues() Issues { return c.issues }
+
+// checker checks a bundle.
+type checker struct{ *Checker }
+
 // names checks that names are well formed and unique.
-func (c *checker) names(kind string, seen map[string]string, path, name string) {
-	c.want(len(name) <= maxNameLen && namePattern.MatchString(name), path, "a %s name of letters, digits and ._:-, found %q", kind, name)
+func (c checker) names(kind string, seen map[string]string, path, name string) {
+	c.Want(len(name) <= maxNameLen && namePattern.MatchString(name), path, "a %s name of letters, digits and ._:-, found %q", kind, name)
 	if other, dup := seen[name]; dup {
-		c.want(false, path, "a unique name; %q stands at %s too", name, other)
+		c.Want(false, path, "a unique name; %q stands at %s too", name, other)
 	}
 	seen[name] = path
 }
 
 func check(b *Bundle, file string, lines *Lines) Issues {
-	c := &checker{file: file, lines: lines}
-	c.want(b.Format == Format, "format", "%d", Format)
-	c.want(len(b.FailureDomains) > 0, "failure_domains", "at least one failure domain")
-	c.want(b.AddressTTL.D() >= time.Second && b.AddressTTL.D() <= MaxAddressTTL, "address_ttl", "a duration from 1s to %s", MaxAddressTTL)
+	c := checker{NewChecker(file, lines)}
+	c.Want(b.Format == Format, "format", "%d", Format)
+	c.Want(len(b.FailureDomains) > 0, "failure_domains", "at least one failure domain")
+	c.Want(b.AddressTTL.D() >= time.Second && b.AddressTTL.D() <= MaxAddressTTL, "address_ttl", "a duration from 1s to %s", MaxAddressTTL)
 	c.classes(b)
-	c.want(b.Claims.Shards >= 1 && b.Claims.Shards <= MaxShards, "claims.shards", "a number from 1 to %d", MaxShards)
-	c.want(b.Claims.Retention.D() >= time.Minute, "claims.retention", "a duration of 1m or more")
+	c.Want(b.Claims.Shards >= 1 && b.Claims.Shards <= MaxShards, "claims.shards", "a number from 1 to %d", MaxShards)
+	c.Want(b.Claims.Retention.D() >= time.Minute, "claims.retention", "a duration of 1m or more")
 	c.policy(b.Policy)
 	c.services(b)
 	c.units(b)
-	return c.issues
+	return c.Issues()
 }
 
-func (c *checker) classes(b *Bundle) {
-	c.want(len(b.Classes) > 0, "classes", "at least one class")
+func (c checker) classes(b *Bundle) {
+	c.Want(len(b.Classes) > 0, "classes", "at least one class")
 	seen := map[string]string{}
 	for i, class := range b.Classes {
 		path := fmt.Sprintf("classes[%d]", i)
 		c.names("class", seen, path+".name", class.Name)
-		c.want(class.Worth >= 0, path+".worth", "a worth of 0 or more")
-		c.want(class.Timeout.D() > 0 && class.Timeout.D() <= b.Claims.Retention.D(), path+".timeout", "a duration above 0 and up to claims.retention")
+		c.Want(class.Worth >= 0, path+".worth", "a worth of 0 or more")
+		c.Want(class.Timeout.D() > 0 && class.Timeout.D() <= b.Claims.Retention.D(), path+".timeout", "a duration above 0 and up to claims.retention")
 	}
-	c.want(b.DefaultClass == "" || b.Class(b.DefaultClass) != nil, "default_class", "the name of a class, found %q", b.DefaultClass)
-	c.want(b.DefaultClass != "" || len(b.Callers) > 0, "callers", "callers, or a default_class for callers without a token")
+	c.Want(b.DefaultClass == "" || b.Class(b.DefaultClass) != nil, "default_class", "the name of a class, found %q", b.DefaultClass)
+	c.Want(b.DefaultClass != "" || len(b.Callers) > 0, "callers", "callers, or a default_class for callers without a token")
 	callers := map[string]string{}
 	tokens := map[string]string{}
 	for i, caller := range b.Callers {
 		path := fmt.Sprintf("callers[%d]", i)
 		c.names("caller", callers, path+".name", caller.Name)
-		c.want(b.Class(caller.Class) != nil, path+".class", "the name of a class, found %q", caller.Class)
-		c.want(sha256Pattern.MatchString(caller.TokenSHA256), path+".token_sha256", "the SHA-256 of the token in lower-case hex")
+		c.Want(b.Class(caller.Class) != nil, path+".class", "the name of a class, found %q", caller.Class)
+		c.Want(sha256Pattern.MatchString(caller.TokenSHA256), path+".token_sha256", "the SHA-256 of the token in lower-case hex")
 		other, dup := tokens[caller.TokenSHA256]
-		c.want(!dup, path+".token_sha256", "a token of its own; %s has the same", other)
+		c.Want(!dup, path+".token_sha256", "a token of its own; %s has the same", other)
 		tokens[caller.TokenSHA256] = path
 	}
 }
 
-func (c *checker) policy(p Policy) {
-	c.want(p.ColdStartWeight > 0, "policy.cold_start_weight", "a number above 0")
-	c.want(p.IdleWeight > 0, "policy.idle_weight", "a number above 0")
-	c.want(p.MinIdle >= 0, "policy.min_idle", "a duration of 0 or more")
-	c.want(p.MaxIdle >= p.MinIdle && p.MaxIdle > 0, "policy.max_idle", "a duration of min_idle or more")
-	c.want(p.LoadsAtOnce >= 1, "policy.loads_at_once", "1 or more")
-	c.want(p.LoadsPerSecond > 0, "policy.loads_per_second", "a number above 0")
+func (c checker) policy(p Policy) {
+	c.Want(p.ColdStartWeight > 0, "policy.cold_start_weight", "a number above 0")
+	c.Want(p.IdleWeight > 0, "policy.idle_weight", "a number above 0")
+	c.Want(p.MinIdle >= 0, "policy.min_idle", "a duration of 0 or more")
+	c.Want(p.MaxIdle >= p.MinIdle && p.MaxIdle > 0, "policy.max_idle", "a duration of min_idle or more")
+	c.Want(p.LoadsAtOnce >= 1, "policy.loads_at_once", "1 or more")
+	c.Want(p.LoadsPerSecond > 0, "policy.loads_per_second", "a number above 0")
 }
 
-func (c *checker) services(b *Bundle) {
+func (c checker) services(b *Bundle) {
 	seen, endpoints, addresses := map[string]string{}, map[string]string{}, map[string]string{}
 	for i, s := range b.Services {
 		path := fmt.Sprintf("services[%d]", i)
 		c.names("service", seen, path+".name", s.Name)
-		c.want(s.Kind == KindEngine || s.Kind == KindPlain, path+".kind", `"engine" or "plain", found %q`, s.Kind)
-		c.want(s.Mode == ModeScripts || s.Mode == ModeWatched || s.Mode == ModeManaged, path+".mode", `"scripts", "watched" or "managed", found %q`, s.Mode)
-		c.want(len(s.Endpoints) > 0, path+".endpoints", "at least one endpoint")
-		c.want(s.Kind == KindPlain || len(s.NonRepeatable) == 0, path+".non_repeatable", "none for an engine service")
+		c.Want(s.Kind == KindEngine || s.Kind == KindPlain, path+".kind", `"engine" or "plain", found %q`, s.Kind)
+		c.Want(s.Mode == ModeScripts || s.Mode == ModeWatched || s.Mode == ModeManaged, path+".mode", `"scripts", "watched" or "managed", found %q`, s.Mode)
+		c.Want(len(s.Endpoints) > 0, path+".endpoints", "at least one endpoint")
+		c.Want(s.Kind == KindPlain || len(s.NonRepeatable) == 0, path+".non_repeatable", "none for an engine service")
 		for j, r := range s.NonRepeatable {
 			at := fmt.Sprintf("%s.non_repeatable[%d]", path, j)
-			c.want(r.Method != "" && r.Method == strings.ToUpper(r.Method), at+".method", "an HTTP method in upper case, found %q", r.Method)
-			c.want(strings.HasPrefix(r.Path, "/"), at+".path", "a path that starts with /, found %q", r.Path)
+			c.Want(r.Method != "" && r.Method == strings.ToUpper(r.Method), at+".method", "an HTTP method in upper case, found %q", r.Method)
+			c.Want(strings.HasPrefix(r.Path, "/"), at+".path", "a path that starts with /, found %q", r.Path)
 		}
 		for j, e := range s.Endpoints {
 			at := fmt.Sprintf("%s.endpoints[%d]", path, j)
 			c.names("endpoint", endpoints, at+".name", e.Name)
 			c.endpoint(b, s, at, e)
 			other, dup := addresses[e.Address]
-			c.want(!dup, at+".address", "an address of its own; %s has the same", other)
+			c.Want(!dup, at+".address", "an address of its own; %s has the same", other)
 			addresses[e.Address] = at
 		}
 	}
 }
 
-func (c *checker) endpoint(b *Bundle, s Service, at string, e Endpoint) {
+func (c checker) endpoint(b *Bundle, s Service, at string, e Endpoint) {
 	addr, err := netip.ParseAddrPort(e.Address)
-	c.want(err == nil && addr.Port() != 0, at+".address", "an IP number and a port, found %q", e.Address)
-	c.want(slices.Contains(b.FailureDomains, e.FailureDomain), at+".failure_domain", "one of failure_domains, found %q", e.FailureDomain)
-	c.want(e.Slots >= 1, at+".slots", "1 or more")
+	c.Want(err == nil && addr.Port() != 0, at+".address", "an IP number and a port, found %q", e.Address)
+	c.Want(slices.Contains(b.FailureDomains, e.FailureDomain), at+".failure_domain", "one of failure_domains, found %q", e.FailureDomain)
+	c.Want(e.Slots >= 1, at+".slots", "1 or more")
 	if s.Kind != KindEngine {
 		return
 	}
-	c.want(e.MemoryMiB > 0, at+".memory_mib", "the accelerator memory, above 0")
-	c.want(e.KVReserveMiB >= 0 && e.KVReserveMiB < e.MemoryMiB, at+".kv_reserve_mib", "0 or more and less than memory_mib")
+	c.Want(e.MemoryMiB > 0, at+".memory_mib", "the accelerator memory, above 0")
+	c.Want(e.KVReserveMiB >= 0 && e.KVReserveMiB < e.MemoryMiB, at+".kv_reserve_mib", "0 or more and less than memory_mib")
 }
 
-func (c *checker) units(b *Bundle) {
+func (c checker) units(b *Bundle) {
 	seen := map[string]string{}
 	models := map[string]Model{}
 	for i, m := range b.Models {
@@ -134,28 +144,28 @@
 		c.names("model", seen, path+".name", m.Name)
 		models[m.Name] = m
 		s := b.Service(m.Service)
-		c.want(s != nil && s.Kind == KindEngine, path+".service", "the name of an engine service, found %q", m.Service)
+		c.Want(s != nil && s.Kind == KindEngine, path+".service", "the name of an engine service, found %q", m.Service)
 		c.unit(path, m.Version, m.MemoryMiB, m.Load, m.MaxReplicas)
-		c.want(m.MinReplicas >= 0 && m.MinReplicas <= m.MaxReplicas, path+".min_replicas", "0 to max_replicas")
+		c.Want(m.MinReplicas >= 0 && m.MinReplicas <= m.MaxReplicas, path+".min_replicas", "0 to max_replicas")
 		for _, d := range m.FailureDomains {
-			c.want(slices.Contains(b.FailureDomains, d), path+".failure_domains", "members of failure_domains, found %q", d)
+			c.Want(slices.Contains(b.FailureDomains, d), path+".failure_domains", "members of failure_domains, found %q", d)
 		}
-		c.want(s == nil || fitsSomewhere(s, m.MemoryMiB), path+".memory_mib", "a size that fits an endpoint of %s", m.Service)
+		c.Want(s == nil || fitsSomewhere(s, m.MemoryMiB), path+".memory_mib", "a size that fits an endpoint of %s", m.Service)
 	}
 	for i, a := range b.Adapters {
 		path := fmt.Sprintf("adapters[%d]", i)
 		c.names("adapter", seen, path+".name", a.Name)
 		_, ok := models[a.Base]
-		c.want(ok, path+".base", "the name of a model, found %q", a.Base)
+		c.Want(ok, path+".base", "the name of a model, found %q", a.Base)
 		c.unit(path, a.Version, a.MemoryMiB, a.Load, a.MaxReplicas)
 	}
 }
 
-func (c *checker) unit(path, version string, memory int64, load Duration, maxReplicas int) {
-	c.want(version != "", path+".version", "a version")
-	c.want(memory > 0, path+".memory_mib", "a size above 0")
-	c.want(load > 0, path+".load", "a duration above 0")
-	c.want(maxReplicas >= 1, path+".max_replicas", "1 or more")
+func (c checker) unit(path, version string, memory int64, load Duration, maxReplicas int) {
+	c.Want(version != "", path+".version", "a version")
+	c.Want(memory > 0, path+".memory_mib", "a size above 0")
+	c.Want(load > 0, path+".load", "a duration above 0")
+	c.Want(maxReplicas >= 1, path+".max_replicas", "1 or more")
 }
 
 func fitsSomewhere(s *Service, memory int64) bool {
