--- a/cmd/doorvalved/main.go
+++ b/cmd/doorvalved/main.go
@@ -20,8 +20,9 @@
 )
 
 type cli struct {
-	Settings string   `required:"" help:"File with the settings, JSON with comments."`
+	Settings string   `required:"" env:"DOORVALVE_BOOT" help:"File with the settings, JSON with comments."`
 	Run      runCmd   `cmd:"" default:"1" help:"Serve. SIGTERM or SIGINT begins a graceful shutdown; SIGUSR1 logs the state."`
+	Edge     edgeCmd  `cmd:"" help:"Serve with desired state and endpoints from the platform's store. SIGTERM begins a graceful shutdown; SIGHUP reads the settings again."`
 	Check    checkCmd `cmd:"" help:"Check the settings and exit."`
 }
 
--- /dev/null
+++ b/coordination/discovery/registry.go
@@ -0,0 +1,169 @@
+package discovery
+
+import (
+	"errors"
+	"time"
+
+	"github.com/doorvalve/doorvalve/state/fleet"
+)
+
+// Registry is the endpoints as one daemon believes them.
+//
+// Invariants: a description never goes back to an older revision; an endpoint
+// that was seen leaving never takes new requests again under the same id; an
+// endpoint whose entry is missing after an outage of the store stays until
+// lapseGrace has passed since the store is back, and no longer.
+type Registry struct {
+	lapseGrace time.Duration
+	entries    map[string]*entry
+	removed    map[string]uint64 // revision at which an id was seen removed
+	revision   uint64
+	changed    bool
+}
+
+type entry struct {
+	endpoint *fleet.Endpoint
+	// missingUntil is set while the entry is missing from the store but kept.
+	missingUntil time.Time
+}
+
+// ErrHistoryLost says that the store cannot tell what changed since the
+// revision that was asked for.
+var ErrHistoryLost = errors.New("the history since this revision is gone")
+
+// Change is one change of the endpoint list.
+type Change struct {
+	ID       string
+	Removed  bool
+	Endpoint *fleet.Endpoint // nil when removed
+	Revision uint64
+}
+
+// maxRemoved bounds the memory of removed ids.
+const maxRemoved = 4096
+
+// NewRegistry returns an empty registry. lapseGrace is how long an entry that
+// lapsed in an outage of the store may be missing after the store's return.
+func NewRegistry(lapseGrace time.Duration) *Registry {
+	return &Registry{lapseGrace: lapseGrace, entries: map[string]*entry{}, removed: map[string]uint64{}}
+}
+
+// List replaces all that is known by a list as of revision. outage says that
+// the store was away before, so that missing entries may only have lapsed.
+func (r *Registry) List(now time.Time, list []*fleet.Endpoint, revision uint64, outage bool) {
+	if revision < r.revision {
+		return // a list from a peer that knows less
+	}
+	r.revision = revision
+	present := make(map[string]bool, len(list))
+	for _, e := range list {
+		present[e.ID] = true
+		r.put(e)
+	}
+	for id, en := range r.entries {
+		if present[id] {
+			continue
+		}
+		if outage && !en.endpoint.Leaving {
+			if en.missingUntil.IsZero() {
+				en.missingUntil = now.Add(r.lapseGrace)
+			}
+			continue
+		}
+		if en.missingUntil.IsZero() || en.endpoint.Leaving {
+			r.drop(id, revision)
+		}
+	}
+}
+
+// Put takes a changed description.
+func (r *Registry) Put(e *fleet.Endpoint, revision uint64) {
+	r.revision = max(r.revision, revision)
+	r.put(e)
+}
+
+func (r *Registry) put(e *fleet.Endpoint) {
+	if at, ok := r.removed[e.ID]; ok {
+		if e.Revision <= at {
+			return
+		}
+		delete(r.removed, e.ID)
+	}
+	old := r.entries[e.ID]
+	if old == nil {
+		r.entries[e.ID] = &entry{endpoint: e}
+		r.changed = true
+		return
+	}
+	old.missingUntil = time.Time{}
+	if e.Revision <= old.endpoint.Revision {
+		return
+	}
+	if old.endpoint.Leaving && !e.Leaving {
+		kept := *e
+		kept.Leaving, kept.Remaining = true, old.endpoint.Remaining
+		e = &kept
+	}
+	old.endpoint = e
+	r.changed = true
+}
+
+// Remove takes the removal of an entry. outage says that the store was away
+// just before, so that the entry may only have lapsed.
+func (r *Registry) Remove(now time.Time, id string, revision uint64, outage bool) {
+	r.revision = max(r.revision, revision)
+	en := r.entries[id]
+	if en == nil {
+		return
+	}
+	if outage && !en.endpoint.Leaving {
+		en.missingUntil = now.Add(r.lapseGrace)
+		return
+	}
+	r.drop(id, revision)
+}
+
+func (r *Registry) drop(id string, revision uint64) {
+	delete(r.entries, id)
+	if len(r.removed) >= maxRemoved {
+		clear(r.removed)
+	}
+	r.removed[id] = revision
+	r.changed = true
+}
+
+// Leave marks an endpoint as leaving, by its own word.
+func (r *Registry) Leave(id string) {
+	en := r.entries[id]
+	if en == nil || en.endpoint.Leaving {
+		return
+	}
+	leaving := *en.endpoint
+	leaving.Leaving = true
+	en.endpoint = &leaving
+	r.changed = true
+}
+
+// Expire drops the entries that are still missing after their grace.
+func (r *Registry) Expire(now time.Time) {
+	for id, en := range r.entries {
+		if !en.missingUntil.IsZero() && !now.Before(en.missingUntil) {
+			r.drop(id, r.revision)
+		}
+	}
+}
+
+// Revision returns the newest revision known.
+func (r *Registry) Revision() uint64 { return r.revision }
+
+// View returns the present view and whether it differs from the last one
+// taken.
+func (r *Registry) View() (*fleet.View, bool) {
+	changed := r.changed
+	r.changed = false
+	list := make([]*fleet.Endpoint, 0, len(r.entries))
+	for _, en := range r.entries {
+		list = append(list, en.endpoint)
+	}
+	return fleet.NewView(r.revision, list), changed
+}
--- a/coordination/lease/lease.go
+++ b/coordination/lease/lease.go
@@ -4,6 +4,7 @@
 package lease
 
 import (
+	"errors"
 	"fmt"
 	"time"
 
@@ -19,6 +20,9 @@
 	WriteID  string        `json:"write_id"` // tells a lost answer's write from others
 }
 
+// ErrNotFound says that the platform answered and has no such object.
+var ErrNotFound = errors.New("no such object")
+
 // Event is an input of the machine.
 type Event interface{ leaseEvent() }
 
--- /dev/null
+++ b/coordination/residency/planner.go
@@ -0,0 +1,452 @@
+package residency
+
+import (
+	"slices"
+	"time"
+
+	"github.com/doorvalve/doorvalve/state/fleet"
+)
+
+// replica is a model at an engine, loaded or on its way.
+type replica struct {
+	adapters map[string]*adapter
+	// readyAt is when requests can start; in the past for a loaded model.
+	readyAt time.Time
+	// confirmed says that the engine itself has named the model since the load
+	// was ordered.
+	confirmed bool
+	lastUse   time.Time
+	keepUntil time.Time // promised to a caller until then
+}
+
+type adapter struct {
+	readyAt time.Time
+	lastUse time.Time
+}
+
+// pending is an order that the engine has not been seen to complete.
+type pending struct {
+	order    Order
+	level    Level
+	answered bool // accepted; now in progress
+	sentAt   time.Time
+	endsAt   time.Time // expected
+}
+
+// worker is what the planner believes of one engine.
+type worker struct {
+	endpoint *fleet.Endpoint
+	known    bool // its sequence and models are known
+	sequence uint64
+	models   map[string]*replica
+	inMemory map[string]bool
+	onDisk   map[string]bool
+
+	order *pending
+	plan  []planned // loads to come, in order
+	notTo time.Time // no order before then
+	// unloaded is when unloads were accepted, by model; older descriptions
+	// still name the model.
+	unloaded map[string]time.Time
+	probe    time.Time // next report is wanted then; zero: none
+	asking   bool      // a report is on its way
+}
+
+// planned is a load that has been decided and not ordered yet.
+type planned struct {
+	model   string
+	adapter string
+	urgent  bool // a request waits for it
+	since   time.Time
+}
+
+// demand is what one daemon said last.
+type demand struct {
+	at     time.Time
+	active map[string]int // requests running or waiting, by model
+}
+
+// Planner is the residency of one service. It is not safe for concurrent use.
+//
+// Invariants: an engine has at most one order without a known end; an order
+// names the number of orders that its decision was based on, so that it has no
+// effect on any other state; the models and adapters that an engine holds or
+// may come to hold never exceed its memory and adapter slots.
+type Planner struct {
+	opt        Options
+	conf       Config
+	workers    map[string]*worker
+	held       bool
+	fence      uint64
+	ordersFrom time.Time
+	demands    map[string]*demand
+	rates      map[string]float64 // wanted recently, by model; decays
+	starts     []time.Time        // loads from the store, newest last
+}
+
+// New returns a planner that knows nothing.
+func New(opt Options) *Planner {
+	return &Planner{opt: opt, workers: map[string]*worker{}, demands: map[string]*demand{}, rates: map[string]float64{}}
+}
+
+// Configure takes the service's models.
+func (p *Planner) Configure(c Config) { p.conf = c }
+
+// Lease reports whether this daemon holds the lease. No order is sent before
+// from, so that a former holder's last order is a whole lease term away.
+func (p *Planner) Lease(now time.Time, held bool, fence uint64, from time.Time) {
+	if held && !p.held || fence != p.fence {
+		for _, w := range p.workers {
+			w.order, w.plan, w.known = nil, nil, false
+			w.probe = now
+		}
+	}
+	p.held, p.fence, p.ordersFrom = held, fence, from
+}
+
+// Held reports whether the planner acts under a lease.
+func (p *Planner) Held() bool { return p.held }
+
+// Endpoints takes the present view.
+func (p *Planner) Endpoints(now time.Time, list []*fleet.Endpoint) {
+	present := make(map[string]bool, len(list))
+	for _, e := range list {
+		present[e.ID] = true
+		w := p.workers[e.ID]
+		if w == nil {
+			w = &worker{models: map[string]*replica{}, inMemory: map[string]bool{}, onDisk: map[string]bool{}, unloaded: map[string]time.Time{}, probe: now}
+			p.workers[e.ID] = w
+		}
+		w.endpoint = e
+		p.adopt(now, w, e.Sequence, false, e.Models, nil, e.InMemory, e.OnDisk, false)
+	}
+	for id := range p.workers {
+		if !present[id] {
+			delete(p.workers, id)
+		}
+	}
+}
+
+// Reported takes an engine's report.
+func (p *Planner) Reported(now time.Time, r Report) {
+	w := p.workers[r.EndpointID]
+	if w == nil {
+		return
+	}
+	w.asking = false
+	w.probe = time.Time{}
+	p.adopt(now, w, r.Sequence, r.Busy, r.Models, r.Coming, r.InMemory, r.OnDisk, true)
+	if !w.known || w.order != nil {
+		w.probe = now.Add(reportLag)
+	}
+}
+
+// ReportFailed takes the failure to get a report.
+func (p *Planner) ReportFailed(now time.Time, id string) {
+	if w := p.workers[id]; w != nil {
+		w.asking = false
+		w.probe = now.Add(2 * reportLag)
+	}
+}
+
+// adopt takes an engine's own description, from its entry in the store or from
+// a report. Descriptions from before the last accepted order say nothing.
+func (p *Planner) adopt(now time.Time, w *worker, sequence uint64, busy bool, models []fleet.Loaded, coming []AdapterRef, inMemory, onDisk []string, report bool) {
+	if w.known && sequence < w.sequence {
+		return
+	}
+	if o := w.order; o != nil {
+		p.adoptDuring(now, w, o, sequence, busy, models, report)
+		if w.order != nil {
+			return
+		}
+	}
+	newer := sequence > w.sequence
+	w.sequence = sequence
+	w.known = w.known || report || sequence == 0
+	w.inMemory, w.onDisk = set(inMemory), set(onDisk)
+	if busy && w.order == nil {
+		w.notTo = now.Add(retryBusy)
+		w.probe = now.Add(reportLag)
+	}
+	seen := map[string]bool{}
+	for _, m := range models {
+		seen[m.Model] = true
+		if !newer && w.stillNamed(now, m.Model, busy, report) {
+			continue
+		}
+		p.adoptModel(now, w, m)
+	}
+	for name, r := range w.models {
+		// Without an accepted order between, only a report that is younger
+		// than the load tells that a model is not there.
+		if !seen[name] && (newer || report && !busy && now.After(r.readyAt.Add(reportLag))) {
+			delete(w.models, name)
+		}
+	}
+	for _, c := range coming {
+		if r := w.models[c.Model]; r != nil && r.adapters[c.Adapter] == nil {
+			r.adapters[c.Adapter] = &adapter{readyAt: now.Add(adapterLoad), lastUse: now}
+		}
+	}
+}
+
+// stillNamed reports whether a description names a model only because the
+// unload that this daemon has ordered is not done or not reported yet.
+func (w *worker) stillNamed(now time.Time, model string, busy, report bool) bool {
+	at, ok := w.unloaded[model]
+	if !ok {
+		return false
+	}
+	if !report || busy || now.Before(at.Add(2*reportLag)) {
+		return true
+	}
+	delete(w.unloaded, model)
+	return false
+}
+
+func (p *Planner) adoptModel(now time.Time, w *worker, m fleet.Loaded) {
+	r := w.models[m.Model]
+	if r == nil {
+		r = &replica{adapters: map[string]*adapter{}}
+		w.models[m.Model] = r
+	}
+	r.confirmed = true
+	if r.readyAt.After(now) {
+		r.readyAt = now
+	}
+	for _, a := range m.Adapters {
+		if r.adapters[a] == nil {
+			r.adapters[a] = &adapter{}
+		}
+	}
+	for a, state := range r.adapters {
+		if !slices.Contains(m.Adapters, a) && now.After(state.readyAt.Add(2*time.Second)) && now.After(state.lastUse.Add(2*time.Second)) {
+			delete(r.adapters, a)
+		}
+	}
+}
+
+// adoptDuring looks whether a description tells how the order ended.
+func (p *Planner) adoptDuring(now time.Time, w *worker, o *pending, sequence uint64, busy bool, models []fleet.Loaded, report bool) {
+	if sequence <= o.order.Expect {
+		if report && !o.answered && now.After(o.sentAt.Add(retryUnanswered+reportLag)) {
+			p.dropOrder(w) // not accepted so far; its expectation guards a repeat
+		}
+		return
+	}
+	o.answered = true
+	has := slices.ContainsFunc(models, func(m fleet.Loaded) bool { return m.Model == o.order.Model })
+	switch {
+	case busy:
+		o.endsAt = maxTime(o.endsAt, now.Add(retryBusy))
+	case o.order.Unload && !has, !o.order.Unload && has:
+		p.endOrder(now, w)
+	case report && now.After(o.endsAt.Add(loadOverdue)):
+		p.dropOrder(w)
+	}
+}
+
+// endOrder records that the engine has completed its order.
+func (p *Planner) endOrder(now time.Time, w *worker) {
+	o := w.order
+	w.order = nil
+	w.sequence = max(w.sequence, o.order.Expect+1)
+	if o.order.Adapter != "" {
+		return
+	}
+	if o.order.Unload {
+		delete(w.models, o.order.Model)
+		w.unloaded[o.order.Model] = now
+		return
+	}
+	delete(w.unloaded, o.order.Model)
+	if r := w.models[o.order.Model]; r != nil && r.readyAt.After(now) {
+		r.readyAt = now
+	}
+	w.onDisk[o.order.Model] = true
+}
+
+// dropOrder forgets an order that has had no effect.
+func (p *Planner) dropOrder(w *worker) {
+	o := w.order
+	w.order = nil
+	if o.order.Unload {
+		return
+	}
+	r := w.models[o.order.Model]
+	switch {
+	case r == nil:
+	case o.order.Adapter != "":
+		delete(r.adapters, o.order.Adapter)
+	case !r.confirmed:
+		delete(w.models, o.order.Model)
+	}
+}
+
+// Ordered takes the outcome of an order.
+func (p *Planner) Ordered(now time.Time, order Order, outcome Outcome) {
+	w := p.workers[order.EndpointID]
+	if w == nil || w.order == nil || w.order.order != order {
+		return
+	}
+	switch outcome {
+	case Accepted:
+		p.accepted(now, w)
+	case Holds:
+		w.order.endsAt = now
+		p.endOrder(now, w)
+		// Whether an order that already held was counted is not certain.
+		w.known, w.probe = false, now.Add(reportLag)
+	case Busy:
+		p.dropOrder(w)
+		w.notTo = now.Add(retryBusy)
+		w.probe = now
+	case Refused, Unsent:
+		p.dropOrder(w)
+		w.notTo = now.Add(retryUnanswered)
+		w.probe = now
+	case Unanswered:
+		w.notTo = now.Add(retryUnanswered)
+		w.probe = now.Add(retryUnanswered)
+	}
+}
+
+func (p *Planner) accepted(now time.Time, w *worker) {
+	o := w.order
+	o.answered = true
+	w.sequence = o.order.Expect + 1
+	switch {
+	case o.order.Adapter != "":
+		p.endOrder(now, w) // the engine is not busy with it
+	case o.order.Unload:
+		// The next order tells by its answer whether the unload is done.
+		p.endOrder(now, w)
+	default:
+		o.endsAt = now.Add(p.loadTime(o.level, o.order.Model))
+		if r := w.models[o.order.Model]; r != nil {
+			r.readyAt = o.endsAt.Add(orderMargin)
+		}
+		w.probe = o.endsAt.Add(orderMargin)
+	}
+}
+
+// loadTime estimates a load. Loads from the store slow each other down beyond
+// the number that it serves at once.
+func (p *Planner) loadTime(l Level, model string) time.Duration {
+	m := p.conf.Engine.Models[model]
+	switch l {
+	case Memory:
+		return m.FromMemory
+	case Disk:
+		return m.FromDisk
+	case Store:
+		crowd := max(1, float64(p.storeLoads())/float64(max(1, p.opt.StoreAtOnce)))
+		return time.Duration(float64(m.FromStore) * crowd)
+	}
+	return 0
+}
+
+// storeLoads counts the loads from the store that are in progress.
+func (p *Planner) storeLoads() int {
+	n := 0
+	for _, w := range p.workers {
+		if w.order != nil && w.order.level == Store && !w.order.order.Unload && w.order.order.Adapter == "" {
+			n++
+		}
+	}
+	return n
+}
+
+func (w *worker) level(model string) Level {
+	switch {
+	case w.models[model] != nil:
+		return Resident
+	case w.inMemory[model]:
+		return Memory
+	case w.onDisk[model]:
+		return Disk
+	}
+	return Store
+}
+
+func (w *worker) usable() bool { return w.endpoint != nil && !w.endpoint.Leaving }
+
+// Demand takes what a daemon says of its requests: running or waiting, by
+// model.
+func (p *Planner) Demand(now time.Time, daemon string, active map[string]int) {
+	p.demands[daemon] = &demand{at: now, active: active}
+	for model, n := range active {
+		if n == 0 {
+			continue
+		}
+		for _, w := range p.workers {
+			if r := w.models[model]; r != nil {
+				r.lastUse = now
+			}
+		}
+	}
+}
+
+// active sums what runs or waits for a model over all daemons.
+func (p *Planner) active(now time.Time) map[string]int {
+	sum := map[string]int{}
+	for daemon, d := range p.demands {
+		if now.Sub(d.at) > demandLife {
+			delete(p.demands, daemon)
+			continue
+		}
+		for model, n := range d.active {
+			sum[model] += n
+		}
+	}
+	return sum
+}
+
+// needed is the number of replicas that a model's running requests ask for.
+func needed(active int) int {
+	if active == 0 {
+		return 0
+	}
+	if active < perReplica/4 {
+		return 1
+	}
+	return 1 + (active+perReplica-1)/perReplica
+}
+
+// replicas counts a model's replicas at usable engines, also those planned.
+func (p *Planner) replicas(model string) int {
+	n := 0
+	for _, w := range p.workers {
+		if !w.usable() {
+			continue
+		}
+		if w.models[model] != nil {
+			n++
+			continue
+		}
+		if w.plans(model, "") {
+			n++
+		}
+	}
+	return n
+}
+
+func (w *worker) plans(model, adapter string) bool {
+	return slices.ContainsFunc(w.plan, func(pl planned) bool { return pl.model == model && pl.adapter == adapter })
+}
+
+func set(list []string) map[string]bool {
+	s := make(map[string]bool, len(list))
+	for _, v := range list {
+		s[v] = true
+	}
+	return s
+}
+
+func maxTime(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/coordination/residency/types.go
@@ -0,0 +1,166 @@
+// Package residency decides which models and adapters each engine of a
+// service holds: what is loaded where, from which copy, and what makes room.
+// It is a state machine without I/O, run by the daemon that holds the
+// service's lease. Copies lie at three levels: loaded, in an engine's host
+// memory or on its disk, and in the weight store.
+package residency
+
+import (
+	"time"
+
+	"github.com/doorvalve/doorvalve/state/fleet"
+	"github.com/doorvalve/doorvalve/state/routing"
+)
+
+// Order asks one engine to load or unload one model or adapter.
+type Order struct {
+	EndpointID string
+	Address    string
+	Unload     bool
+	Model      string
+	Adapter    string // empty for the model itself
+	// Expect is the number of orders that the engine must have accepted
+	// before; the engine refuses the order otherwise, also when it arrives
+	// late.
+	Expect uint64
+	Holder string // the host that sends it
+	Fence  uint64 // rises with each new holder
+}
+
+// Outcome is how an order ended.
+type Outcome int
+
+// The outcomes of an order.
+const (
+	// Accepted: the engine carries the order out.
+	Accepted Outcome = iota
+	// Holds: the engine is already in the ordered state.
+	Holds
+	// Busy: another order is in progress, or the engine has accepted orders
+	// that this daemon does not know of.
+	Busy
+	// Refused: the engine will never carry the order out.
+	Refused
+	// Unanswered: the engine may carry the order out, now or later.
+	Unanswered
+	// Unsent: the order has certainly not left this daemon.
+	Unsent
+)
+
+// String returns the name used in logs.
+func (o Outcome) String() string {
+	return [...]string{"accepted", "holds", "busy", "refused", "unanswered", "unsent"}[o]
+}
+
+// Report is an engine's own word on its state, some hundred milliseconds old.
+type Report struct {
+	EndpointID string
+	Sequence   uint64 // orders accepted
+	Busy       bool   // an order is in progress
+	Models     []fleet.Loaded
+	Coming     []AdapterRef // adapters on their way
+	InMemory   []string
+	OnDisk     []string
+}
+
+// AdapterRef names an adapter of a model.
+type AdapterRef struct{ Model, Adapter string }
+
+// Level is the nearest place of a copy of a model at an engine.
+type Level int
+
+// The levels, nearest first.
+const (
+	Resident Level = iota // loaded
+	Memory
+	Disk
+	Store
+)
+
+// String returns the name used in logs.
+func (l Level) String() string { return [...]string{"resident", "memory", "disk", "store"}[l] }
+
+// Want is a request's need for a model.
+type Want struct {
+	Model   string
+	Adapter string
+	Rank    int // of the request; 0 is first
+	// Avoid is an endpoint that has just failed for this request.
+	Avoid string
+}
+
+// Answer says where a wanted model is or will be.
+type Answer struct {
+	EndpointID string
+	// ReadyIn is how long until the endpoint can start a request; zero when it
+	// can now.
+	ReadyIn time.Duration
+	// Level is where the copy comes from.
+	Level Level
+	// Refused is set when the model cannot be had; ReadyIn then says when
+	// to ask again.
+	Refused string
+}
+
+// Reasons of a refused Answer.
+const (
+	RefusedNoHolder  = "no-coordinator"
+	RefusedNoModel   = "unknown-model"
+	RefusedNoRoom    = "no-room"
+	RefusedNoEngines = "no-engines"
+)
+
+// Options configure a Planner.
+type Options struct {
+	Holder string // this host
+	// StoreAtOnce is the number of loads that the weight store serves at full
+	// speed.
+	StoreAtOnce int
+	// RateWindow and RateFactor bound the loads from the store that begin
+	// within a window, beside Engine.LoadsPerSecond.
+	RateWindow time.Duration
+	RateFactor float64
+}
+
+// Config is the service that is planned for.
+type Config struct {
+	Service string
+	Engine  *routing.Engine
+}
+
+// Ready is what the driver has to do now.
+type Ready struct {
+	Orders []Order
+	Probes []string // endpoints whose report is wanted
+}
+
+const (
+	// perReplica is the number of running requests that one replica is meant
+	// to carry: well below an engine's slots, since each more slows all.
+	perReplica = 20
+	// idleAfter is how long after its last use a model counts as idle; shorter
+	// than most answers take would make unloads wait for them.
+	idleAfter = 3 * time.Second
+	// promiseFor is how long a model is kept for a caller that was told when
+	// to come back.
+	promiseFor = 2500 * time.Millisecond
+	// demandLife is how long a daemon's report of its demand counts.
+	demandLife = 3 * time.Second
+	// adapterLoad is the estimate of an adapter's load time; the desired state
+	// does not tell it, engines take some milliseconds to some tens.
+	adapterLoad = 20 * time.Millisecond
+	// orderMargin is added to a load's declared time before the model counts
+	// as ready.
+	orderMargin = 30 * time.Millisecond
+	// reportLag is how old an engine's report is, at most.
+	reportLag = 250 * time.Millisecond
+	// retryBusy is the pause after an order that found the engine busy.
+	retryBusy = 80 * time.Millisecond
+	// retryUnanswered is the pause after an order without an answer.
+	retryUnanswered = 400 * time.Millisecond
+	// unloadWait is the estimate for an unload that has to wait for runs.
+	unloadWait = 1500 * time.Millisecond
+	// loadOverdue is how long after its expected end a load that no report
+	// confirms is given up on.
+	loadOverdue = 4 * time.Second
+)
--- /dev/null
+++ b/coordination/residency/want.go
@@ -0,0 +1,304 @@
+package residency
+
+import (
+	"slices"
+	"time"
+)
+
+// Want answers where a request for a model should go, and plans a load where
+// none holds it.
+func (p *Planner) Want(now time.Time, want Want) Answer {
+	if p.conf.Engine == nil {
+		return Answer{Refused: RefusedNoModel}
+	}
+	if _, ok := p.conf.Engine.Models[want.Model]; !ok {
+		return Answer{Refused: RefusedNoModel}
+	}
+	p.rates[want.Model]++
+	if a, ok := p.wantResident(now, want); ok {
+		return a
+	}
+	if !p.held {
+		return Answer{Refused: RefusedNoHolder, ReadyIn: time.Second}
+	}
+	a, ok := p.wantPlanned(now, want)
+	if !ok {
+		a, ok = p.planLoad(now, want)
+	}
+	if !ok {
+		return Answer{Refused: RefusedNoRoom, ReadyIn: idleAfter}
+	}
+	if wait := p.ordersFrom.Sub(now); wait > 0 {
+		a.ReadyIn += wait
+	}
+	return a
+}
+
+// wantResident finds an engine that holds the model or is loading it.
+func (p *Planner) wantResident(now time.Time, want Want) (Answer, bool) {
+	var best *worker
+	bestCost := time.Duration(0)
+	for id, w := range p.workers {
+		r := w.models[want.Model]
+		if r == nil || !w.usable() || id == want.Avoid {
+			continue
+		}
+		cost, ok := p.residentCost(now, w, r, want)
+		if ok && (best == nil || cost < bestCost || cost == bestCost && r.lastUse.Before(best.models[want.Model].lastUse)) {
+			best, bestCost = w, cost
+		}
+	}
+	if best == nil {
+		return Answer{}, false
+	}
+	r := best.models[want.Model]
+	r.lastUse = now
+	a := Answer{EndpointID: best.endpoint.ID, Level: Resident, ReadyIn: max(0, r.readyAt.Sub(now))}
+	if want.Adapter != "" {
+		a.ReadyIn = max(a.ReadyIn, p.wantAdapter(now, best, r, want))
+	}
+	r.keepUntil = maxTime(r.keepUntil, now.Add(a.ReadyIn+promiseFor))
+	return a, true
+}
+
+// residentCost ranks the engines that hold a model: those that are ready
+// first, those with the adapter before others.
+func (p *Planner) residentCost(now time.Time, w *worker, r *replica, want Want) (time.Duration, bool) {
+	cost := max(0, r.readyAt.Sub(now))
+	if want.Adapter == "" {
+		return cost, true
+	}
+	if a := r.adapters[want.Adapter]; a != nil {
+		return max(cost, a.readyAt.Sub(now)), true
+	}
+	if w.plans(want.Model, want.Adapter) {
+		return cost + adapterLoad, true
+	}
+	if !p.held {
+		return 0, false
+	}
+	// Engines with fewer adapters first, so that they spread.
+	return cost + adapterLoad + time.Duration(w.adapterCount())*time.Millisecond, true
+}
+
+func (w *worker) adapterCount() int {
+	n := 0
+	for _, r := range w.models {
+		n += len(r.adapters)
+	}
+	for _, pl := range w.plan {
+		if pl.adapter != "" {
+			n++
+		}
+	}
+	return n
+}
+
+// wantAdapter plans the adapter's load where it is missing and returns the
+// time until it is there.
+func (p *Planner) wantAdapter(now time.Time, w *worker, r *replica, want Want) time.Duration {
+	if a := r.adapters[want.Adapter]; a != nil {
+		a.lastUse = now
+		return max(0, a.readyAt.Sub(now))
+	}
+	if !w.plans(want.Model, want.Adapter) {
+		w.plan = append(w.plan, planned{model: want.Model, adapter: want.Adapter, urgent: true, since: now})
+	}
+	wait := adapterLoad
+	if o := w.order; o != nil && !o.answered {
+		wait += retryBusy
+	}
+	return wait
+}
+
+// wantPlanned finds a load that is planned already.
+func (p *Planner) wantPlanned(now time.Time, want Want) (Answer, bool) {
+	for id, w := range p.workers {
+		if !w.usable() || id == want.Avoid || !w.plans(want.Model, "") {
+			continue
+		}
+		for i := range w.plan {
+			if w.plan[i].model == want.Model {
+				w.plan[i].urgent = true
+			}
+		}
+		return Answer{EndpointID: id, Level: w.level(want.Model), ReadyIn: p.planTime(now, w, want.Model)}, true
+	}
+	return Answer{}, false
+}
+
+// planTime estimates when a planned model will be ready.
+func (p *Planner) planTime(now time.Time, w *worker, model string) time.Duration {
+	t := time.Duration(0)
+	if o := w.order; o != nil {
+		t = max(retryBusy, o.endsAt.Sub(now))
+	}
+	for _, pl := range w.plan {
+		if pl.adapter != "" {
+			continue
+		}
+		t += p.stepTime(w, pl.model)
+		if pl.model == model {
+			break
+		}
+	}
+	return t + orderMargin
+}
+
+// stepTime is the time of one load, with the wait for the store's places.
+func (p *Planner) stepTime(w *worker, model string) time.Duration {
+	l := w.level(model)
+	t := p.loadTime(l, model)
+	if l == Store {
+		t += p.storeQueue(t)
+	}
+	return t
+}
+
+// storeQueue estimates the wait for one of the store's places.
+func (p *Planner) storeQueue(each time.Duration) time.Duration {
+	waiting := 0
+	for _, w := range p.workers {
+		for _, pl := range w.plan {
+			if pl.adapter == "" && pl.urgent && w.level(pl.model) == Store {
+				waiting++
+			}
+		}
+	}
+	free := max(1, p.opt.StoreAtOnce) - p.storeLoads()
+	if waiting < free {
+		return 0
+	}
+	return time.Duration(float64(each) * float64(waiting-free+1) / float64(max(1, p.opt.StoreAtOnce)))
+}
+
+// planLoad chooses the engine that will have the model ready first.
+func (p *Planner) planLoad(now time.Time, want Want) (Answer, bool) {
+	w, t := p.bestEngine(now, want.Model, want.Avoid)
+	if w == nil {
+		return Answer{}, false
+	}
+	level := w.level(want.Model)
+	w.plan = insertPlan(w.plan, planned{model: want.Model, urgent: true, since: now})
+	return Answer{EndpointID: w.endpoint.ID, Level: level, ReadyIn: t}, true
+}
+
+// insertPlan puts an urgent load before those that nobody waits for.
+func insertPlan(plan []planned, next planned) []planned {
+	for i := range plan {
+		if !plan[i].urgent {
+			return slices.Insert(plan, i, next)
+		}
+	}
+	return append(plan, next)
+}
+
+// bestEngine returns the engine with the least time until the model is ready,
+// and that time.
+func (p *Planner) bestEngine(now time.Time, model, avoid string) (*worker, time.Duration) {
+	var best *worker
+	bestTime := time.Duration(0)
+	for _, id := range p.ids() {
+		w := p.workers[id]
+		if id == avoid || !w.usable() || !w.known || w.models[model] != nil {
+			continue
+		}
+		cost, ok := p.roomCost(now, w, model)
+		if !ok {
+			continue
+		}
+		t := p.planTime(now, w, "") + p.stepTime(w, model) + cost
+		if best == nil || t < bestTime {
+			best, bestTime = w, t
+		}
+	}
+	return best, bestTime
+}
+
+func (p *Planner) ids() []string {
+	ids := make([]string, 0, len(p.workers))
+	for id := range p.workers {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// memory returns what the engine's models and adapters take, in MB, with
+// those that are on their way.
+func (p *Planner) memory(w *worker) float64 {
+	sum := 0.0
+	for name, r := range w.models {
+		m := p.conf.Engine.Models[name]
+		sum += m.SizeMB + float64(len(r.adapters))*m.AdapterMB
+	}
+	return sum
+}
+
+// roomCost returns the time that making room for a model takes, and a small
+// penalty for what is lost by it; false when there can be no room now.
+func (p *Planner) roomCost(now time.Time, w *worker, model string) (time.Duration, bool) {
+	need := p.memory(w) + p.plannedMemory(w) + p.conf.Engine.Models[model].SizeMB
+	if need <= p.conf.Engine.MemoryMB {
+		return 0, true
+	}
+	victims := p.victims(now, w)
+	cost := time.Duration(0)
+	for _, v := range victims {
+		need -= p.conf.Engine.Models[v.name].SizeMB
+		cost += v.cost
+		if need <= p.conf.Engine.MemoryMB {
+			return cost, true
+		}
+	}
+	return 0, false
+}
+
+func (p *Planner) plannedMemory(w *worker) float64 {
+	sum := 0.0
+	for _, pl := range w.plan {
+		if pl.adapter == "" {
+			sum += p.conf.Engine.Models[pl.model].SizeMB
+		}
+	}
+	return sum
+}
+
+// victim is a model that may make way, with the cost of that.
+type victim struct {
+	name string
+	cost time.Duration
+}
+
+// victims returns the models of an engine that may be unloaded, the cheapest
+// first: replicas beyond what the demand asks for, then the longest unused.
+func (p *Planner) victims(now time.Time, w *worker) []victim {
+	active := p.active(now)
+	var list []victim
+	for name, r := range w.models {
+		if now.Before(r.keepUntil) || r.readyAt.After(now) || w.order != nil && w.order.order.Model == name {
+			continue
+		}
+		spare := p.replicas(name) > max(1, needed(active[name]))
+		idle := now.Sub(r.lastUse)
+		switch {
+		case spare && idle > idleAfter:
+			list = append(list, victim{name, 0})
+		case spare:
+			list = append(list, victim{name, unloadWait})
+		case active[name] == 0 && idle > idleAfter:
+			// Longer unused is cheaper: at most a tenth of a second apart.
+			list = append(list, victim{name, 100*time.Millisecond - min(90*time.Millisecond, idle/1000)})
+		}
+	}
+	slices.SortFunc(list, func(a, b victim) int {
+		if a.cost != b.cost {
+			return int(a.cost - b.cost)
+		}
+		if a.name < b.name {
+			return -1
+		}
+		return 1
+	})
+	return list
+}
--- a/coordination/retry/retry.go
+++ b/coordination/retry/retry.go
@@ -6,37 +6,58 @@
 // Budget lets retries grow only with the requests, so that a failing
 // endpoint is not buried under them. It is safe for concurrent use.
 type Budget struct {
-	tenths atomic.Int64
+	credit  atomic.Int64 // in thousandths of a retry
+	earn    int64        // by each request
+	mostNow atomic.Int64 // bound of credit
 }
 
 const (
-	budgetPerRequest = 2    // tenths of a retry earned by each request
-	budgetPerRetry   = 10   // tenths spent by each retry
-	budgetMax        = 1000 // at most a hundred retries in store
+	perRetry = 1000 // thousandths spent by each retry
+
+	// defaultRatio is the retries earned by each request.
+	defaultRatio = 0.2
+	// defaultBurst is the most retries in store.
+	defaultBurst = 100
 )
 
-// NewBudget returns a full budget.
-func NewBudget() *Budget {
-	b := &Budget{}
-	b.tenths.Store(budgetMax)
+// NewBudget returns a full budget with the default figures.
+func NewBudget() *Budget { return NewBudgetOf(defaultRatio, defaultBurst) }
+
+// NewBudgetOf returns a full budget: each request earns ratio of a retry, and
+// at most burst retries are in store.
+func NewBudgetOf(ratio, burst float64) *Budget {
+	b := &Budget{earn: int64(ratio * perRetry)}
+	b.mostNow.Store(int64(burst * perRetry))
+	b.credit.Store(int64(burst * perRetry))
 	return b
 }
 
+// SetBurst changes the most retries in store, as when daemons that share a
+// bound come or go.
+func (b *Budget) SetBurst(burst float64) {
+	most := int64(burst * perRetry)
+	b.mostNow.Store(most)
+	if v := b.credit.Load(); v > most {
+		b.credit.CompareAndSwap(v, most)
+	}
+}
+
 // Earn counts one request.
 func (b *Budget) Earn() {
-	if v := b.tenths.Load(); v < budgetMax {
-		b.tenths.CompareAndSwap(v, min(v+budgetPerRequest, budgetMax))
+	most := b.mostNow.Load()
+	if v := b.credit.Load(); v < most {
+		b.credit.CompareAndSwap(v, min(v+b.earn, most))
 	}
 }
 
 // Spend takes one retry out, if there is one.
 func (b *Budget) Spend() bool {
 	for {
-		v := b.tenths.Load()
-		if v < budgetPerRetry {
+		v := b.credit.Load()
+		if v < perRetry {
 			return false
 		}
-		if b.tenths.CompareAndSwap(v, v-budgetPerRetry) {
+		if b.credit.CompareAndSwap(v, v-perRetry) {
 			return true
 		}
 	}
--- /dev/null
+++ b/daemon/edgedaemon/daemon.go
@@ -0,0 +1,275 @@
+// Package edgedaemon puts the parts of one doorvalved process together that
+// takes its desired state and endpoints from the platform's store.
+package edgedaemon
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/oklog/run"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/uber-go/tally/v4"
+	promreporter "github.com/uber-go/tally/v4/prometheus"
+
+	"github.com/doorvalve/doorvalve/coordination/balance"
+	"github.com/doorvalve/doorvalve/coordination/membership"
+	"github.com/doorvalve/doorvalve/coordination/residency"
+	"github.com/doorvalve/doorvalve/coordination/retry"
+	"github.com/doorvalve/doorvalve/driver/coordinator"
+	"github.com/doorvalve/doorvalve/driver/decisions"
+	"github.com/doorvalve/doorvalve/driver/gossip"
+	"github.com/doorvalve/doorvalve/driver/storeview"
+	"github.com/doorvalve/doorvalve/platform"
+	"github.com/doorvalve/doorvalve/protocol/fleetpb"
+	"github.com/doorvalve/doorvalve/protocol/peerpb"
+	"github.com/doorvalve/doorvalve/settings"
+	"github.com/doorvalve/doorvalve/transport/edge"
+	"github.com/doorvalve/doorvalve/transport/peers"
+)
+
+const (
+	// engineTimeout bounds each order and report: engines are a millisecond
+	// away and answer at once.
+	engineTimeout = 600 * time.Millisecond
+	// metricsEvery is how often counters are handed to the reporter.
+	metricsEvery = 5 * time.Second
+	// retryPart keeps the daemons together below the bound on retries, since
+	// each knows only its own requests.
+	retryPart = 0.7
+	// memoryPart is the part of the memory limit at which the collector works
+	// harder; the rest is for what it does not count.
+	memoryPart = 0.6
+	// collectAt is the growth of the heap, in percent, between two
+	// collections.
+	collectAt = 100
+	// flushPart is the part of the time that an event may take through the
+	// daemon for which events are gathered.
+	flushPart = 0.4
+	// requestsPerDescriptor: a request needs one connection to its caller and
+	// one to its endpoint, beside those that are idle.
+	requestsPerDescriptor = 0.3
+)
+
+// Daemon is one process.
+type Daemon struct {
+	set      settings.Edge
+	log      *decisions.Log
+	self     string
+	store    *platform.Store
+	view     *storeview.View
+	gossip   *gossip.Gossip
+	peers    *peers.Client
+	balancer *balance.Balancer
+	budget   *retry.Budget
+	callers  *edge.Server
+	metrics  tally.Scope
+	reporter promreporter.Reporter
+	closer   io.Closer
+	engines  *platform.EngineClient
+
+	listeners listeners
+	servers   []*http.Server
+
+	mu           sync.Mutex
+	coordinators map[string]*coordinator.Coordinator
+	fleets       map[string]fleetpb.Fleet // clients, by address
+	runCtx       context.Context
+	stopping     atomic.Int64 // Unix nanoseconds of the stop; 0 while serving
+	lastSent     map[string]int
+}
+
+type listeners struct{ callers, directory, readiness, peers, metrics net.Listener }
+
+// New returns a daemon with its listeners open.
+func New(set settings.Edge, log *decisions.Log) (*Daemon, error) {
+	debug.SetGCPercent(collectAt)
+	debug.SetMemoryLimit(int64(float64(set.Limits.MemoryMB<<20) * memoryPart))
+	d := &Daemon{
+		set: set, log: log, self: set.Host + "-" + nonce(), coordinators: map[string]*coordinator.Coordinator{},
+		fleets: map[string]fleetpb.Fleet{}, lastSent: map[string]int{},
+		peers: peers.NewClient(""), balancer: balance.New(set.FailureDomain),
+		budget: retry.NewBudgetOf(set.Retries.Ratio*retryPart, set.Retries.Extra*retryPart),
+	}
+	if err := d.listen(); err != nil {
+		return nil, err
+	}
+	d.reporter = promreporter.NewReporter(promreporter.Options{Registerer: prometheus.NewRegistry()})
+	d.metrics, d.closer = tally.NewRootScope(tally.ScopeOptions{
+		Prefix: "doorvalve", CachedReporter: d.reporter, Separator: promreporter.DefaultSeparator, OmitCardinalityMetrics: true,
+	}, metricsEvery)
+	d.store = platform.NewStore(set.Store.Address, set.Store.Timeout.D())
+	d.engines = platform.NewEngineClient(engineTimeout)
+	d.view = storeview.New(storeview.Options{Store: d.store, Decode: platform.DecodeDesiredState, Log: log, Peer: d.anyPeer})
+	d.view.OnChange(d.changed)
+	d.gossip = gossip.New(hclog.NewNullLogger(), d.peers, d.seeds, membership.DefaultOptions(uint64(time.Now().UnixNano())), d.member())
+	d.callers = edge.New(edge.Options{
+		Table: d.view.Table, View: d.view.Endpoints, Draining: d.draining, Dialect: platform.Dialect{}, Locator: d, Balancer: d.balancer,
+		Budget: d.budget, Log: log, Metrics: d.metrics, EndpointLeaving: d.view.EndpointLeaving,
+		FlushEvery:  time.Duration(float64(set.Timing.Pass.D()) * flushPart),
+		Connections: int64(float64(set.Limits.Descriptors) * requestsPerDescriptor),
+	})
+	return d, nil
+}
+
+func nonce() string {
+	var b [4]byte
+	_, _ = rand.Read(b[:]) // never fails
+	return hex.EncodeToString(b[:])
+}
+
+func (d *Daemon) listen() error {
+	l := d.set.Listen
+	for _, x := range []struct {
+		to      *net.Listener
+		address string
+	}{
+		{&d.listeners.callers, l.Callers}, {&d.listeners.directory, l.Directory}, {&d.listeners.readiness, l.Readiness},
+		{&d.listeners.peers, l.Peers}, {&d.listeners.metrics, l.Metrics},
+	} {
+		if x.address == "" {
+			continue
+		}
+		listener, err := net.Listen("tcp", x.address)
+		if err != nil {
+			return err
+		}
+		*x.to = listener
+	}
+	return nil
+}
+
+func (d *Daemon) member() membership.Member {
+	return membership.Member{ID: d.self, Host: d.set.Host, FailureDomain: d.set.FailureDomain, CallerAddress: d.set.Listen.Callers, PeerAddress: d.set.Listen.Peers}
+}
+
+// seeds returns the peers to join by: those of the settings and the holders of
+// the leases that were read.
+func (d *Daemon) seeds(context.Context) []string {
+	list := append([]string(nil), d.set.Peers.Seeds...)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, c := range d.coordinators {
+		if h := c.Holder(); h != "" {
+			list = append(list, h)
+		}
+	}
+	return list
+}
+
+// changed brings a new desired state or new endpoints to the coordinators.
+func (d *Daemon) changed() {
+	table, view := d.view.Table(), d.view.Endpoints()
+	d.balancer.Keep(view)
+	if table == nil {
+		return
+	}
+	if d.gossip.Self().Generation != table.Version {
+		d.gossip.Update(func(m *membership.Member) { m.Generation = table.Version })
+	}
+	for name, svc := range table.Services {
+		if svc.Engine == nil {
+			continue
+		}
+		c := d.coordinatorFor(name)
+		c.Configure(svc.Engine)
+		c.Endpoints(view.ByService[name])
+	}
+}
+
+// coordinatorFor returns a service's coordinator.
+func (d *Daemon) coordinatorFor(service string) *coordinator.Coordinator {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	c := d.coordinators[service]
+	if c != nil {
+		return c
+	}
+	c = coordinator.New(coordinator.Options{
+		Service: service, Self: d.set.Listen.Peers, Lease: d.store, Engines: d.engines, OrderGap: d.set.Timing.OrderGap.D(),
+		Planner:   residency.Options{StoreAtOnce: d.set.Loads.AtOnce, RateWindow: d.set.Loads.Window.D(), RateFactor: d.set.Loads.Factor},
+		Candidate: d.candidate, Held: d.holderChanged, Log: d.log, Metrics: d.metrics,
+	})
+	d.coordinators[service] = c
+	if d.runCtx != nil {
+		go c.Run(d.runCtx)
+	}
+	return c
+}
+
+// errStopped ends the run group after a complete shutdown.
+var errStopped = errors.New("shutdown complete")
+
+// IsStopped reports whether err is the end of a graceful shutdown.
+func IsStopped(err error) bool { return errors.Is(err, errStopped) }
+
+// Run serves until the shutdown is complete or ctx ends.
+func (d *Daemon) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer func() { _ = d.closer.Close() }()
+	d.mu.Lock()
+	d.runCtx = ctx
+	d.mu.Unlock()
+	var g run.Group
+	d.addServer(&g, d.listeners.callers, d.callers.Handler(), callerHeaderTimeout)
+	d.addServer(&g, d.listeners.directory, platform.DirectoryHandler(d), callerHeaderTimeout)
+	d.addServer(&g, d.listeners.readiness, platform.ReadinessHandler(d), callerHeaderTimeout)
+	d.addServer(&g, d.listeners.peers, d.peerHandler(), callerHeaderTimeout)
+	if d.listeners.metrics != nil {
+		d.addServer(&g, d.listeners.metrics, d.reporter.HTTPHandler(), callerHeaderTimeout)
+	}
+	for _, actor := range []func(context.Context) error{
+		d.gossip.Run, d.view.RunDesiredState, d.view.RunEndpoints, d.view.RunPeers, d.runDemand, d.runStop,
+	} {
+		actorCtx, stop := context.WithCancel(ctx)
+		g.Add(func() error { return actor(actorCtx) }, func(error) { stop() })
+	}
+	d.log.Info(decisions.EventStart, "daemon", d.self, "callers", d.set.Listen.Callers, "peers", d.set.Listen.Peers, "failure_domain", d.set.FailureDomain, "store", d.set.Store.Address)
+	err := g.Run()
+	lost, skipped := d.log.Lost()
+	d.log.Info(decisions.EventStopped, "daemon", d.self, "reason", err, "lines_lost", lost, "lines_skipped", skipped)
+	return err
+}
+
+const (
+	// callerHeaderTimeout bounds the reading of a request's header.
+	callerHeaderTimeout = 5 * time.Second
+	// callerIdleTimeout is how long an idle connection of a caller is kept,
+	// longer than callers are told to keep theirs.
+	callerIdleTimeout = 75 * time.Second
+	// maxHeaderBytes bounds a request's header.
+	maxHeaderBytes = 32 << 10
+)
+
+func (d *Daemon) addServer(g *run.Group, l net.Listener, h http.Handler, headerTimeout time.Duration) {
+	srv := &http.Server{
+		Handler: h, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout,
+		ErrorLog: d.log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
+	}
+	d.servers = append(d.servers, srv)
+	g.Add(func() error {
+		err := srv.Serve(l)
+		if errors.Is(err, http.ErrServerClosed) {
+			return nil
+		}
+		return err
+	}, func(error) { _ = srv.Close() })
+}
+
+// peerHandler serves the other daemons.
+func (d *Daemon) peerHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(fleetpb.FleetPathPrefix, fleetpb.NewFleetServer((*fleetServer)(d)))
+	mux.Handle(peerpb.PeerPathPrefix, peerpb.NewPeerServer(&gossipServer{gossip: d.gossip}))
+	return mux
+}
--- /dev/null
+++ b/daemon/edgedaemon/peers.go
@@ -0,0 +1,247 @@
+package edgedaemon
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"github.com/doorvalve/doorvalve/coordination/membership"
+	"github.com/doorvalve/doorvalve/coordination/residency"
+	"github.com/doorvalve/doorvalve/driver/coordinator"
+	"github.com/doorvalve/doorvalve/driver/decisions"
+	"github.com/doorvalve/doorvalve/driver/gossip"
+	"github.com/doorvalve/doorvalve/protocol/fleetpb"
+	"github.com/doorvalve/doorvalve/protocol/peerpb"
+)
+
+// holderPrefix starts the keys of the facts that name a service's coordinator.
+const holderPrefix = "holder/"
+
+// candidates is the number of daemons that try to take a vacant lease: one
+// more than needed, and few enough that the reads cost little.
+const candidates = 2
+
+// candidate reports whether this daemon should try to hold a service's lease.
+func (d *Daemon) candidate(service string) bool {
+	if d.draining() || d.view.Silent(time.Now()) {
+		return false
+	}
+	ranked := membership.Rendezvous(service, d.alive())
+	for i := range min(candidates, len(ranked)) {
+		if ranked[i].ID == d.self {
+			return true
+		}
+	}
+	return false
+}
+
+// alive returns the members that take part, this daemon among them.
+func (d *Daemon) alive() []membership.Member {
+	var list []membership.Member
+	for _, m := range d.gossip.Members() {
+		if m.Status == membership.Alive && !m.Leaving {
+			list = append(list, m)
+		}
+	}
+	return list
+}
+
+// holderChanged tells the other daemons who coordinates a service.
+func (d *Daemon) holderChanged(service string, fence uint64, held bool) {
+	if held {
+		d.gossip.Set(membership.Entry{Key: holderPrefix + service, Version: fence, Value: []byte(d.set.Listen.Peers)})
+	}
+}
+
+// holder returns the address of a service's coordinator, empty if unknown.
+func (d *Daemon) holder(service string) string {
+	if e, ok := d.gossip.Get(holderPrefix + service); ok {
+		return string(e.Value)
+	}
+	return ""
+}
+
+// coordinates returns a service's coordinator on this daemon, or nil.
+func (d *Daemon) coordinates(service string) *coordinator.Coordinator {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.coordinators[service]
+}
+
+func (d *Daemon) fleet(address string) fleetpb.Fleet {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	c := d.fleets[address]
+	if c == nil {
+		c = fleetpb.NewFleetProtobufClient("http://"+address, d.peers.HTTP())
+		d.fleets[address] = c
+	}
+	return c
+}
+
+// anyPeer returns a random other daemon, or nil.
+func (d *Daemon) anyPeer() fleetpb.Fleet {
+	var others []string
+	for _, m := range d.alive() {
+		if m.ID != d.self {
+			others = append(others, m.PeerAddress)
+		}
+	}
+	if len(others) == 0 {
+		return nil
+	}
+	return d.fleet(others[rand.IntN(len(others))])
+}
+
+const (
+	// wantTimeout bounds a question to the coordinator, which answers from
+	// memory.
+	wantTimeout = 300 * time.Millisecond
+	// noHolderPause is when to ask again while no daemon coordinates.
+	noHolderPause = time.Second
+)
+
+// Want implements edge.Locator.
+func (d *Daemon) Want(ctx context.Context, service string, w residency.Want) residency.Answer {
+	own := d.coordinates(service)
+	address := d.holder(service)
+	if own != nil && (own.Holds() || address == "" || address == d.set.Listen.Peers) {
+		return own.Want(w)
+	}
+	if address == "" {
+		return residency.Answer{Refused: residency.RefusedNoHolder, ReadyIn: noHolderPause}
+	}
+	ctx, cancel := context.WithTimeout(ctx, wantTimeout)
+	defer cancel()
+	resp, err := d.fleet(address).Want(ctx, &fleetpb.WantRequest{Service: service, Model: w.Model, Adapter: w.Adapter, Rank: int32(w.Rank), Avoid: w.Avoid})
+	if err != nil {
+		d.log.Info(decisions.EventDependencyLost, "dependency", "coordinator", "service", service, "holder", address, "error", err)
+		return residency.Answer{Refused: residency.RefusedNoHolder, ReadyIn: noHolderPause}
+	}
+	return residency.Answer{EndpointID: resp.Endpoint, ReadyIn: time.Duration(resp.ReadyInMs) * time.Millisecond, Level: residency.Level(resp.Level), Refused: resp.Refused}
+}
+
+// demandEvery is how often a daemon tells the coordinators what runs and
+// waits.
+const demandEvery = 700 * time.Millisecond
+
+// runDemand tells the coordinators of this daemon's requests, until ctx ends.
+func (d *Daemon) runDemand(ctx context.Context) error {
+	t := time.NewTicker(demandEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+		}
+		d.shareRetries()
+		for service, active := range d.callers.Demand() {
+			d.tellDemand(ctx, service, active)
+		}
+	}
+}
+
+// shareRetries takes this daemon's part of the retries that all may make.
+func (d *Daemon) shareRetries() {
+	d.budget.SetBurst(max(1, d.set.Retries.Extra*retryPart/float64(max(1, len(d.alive())))))
+}
+
+func (d *Daemon) tellDemand(ctx context.Context, service string, active map[string]int) {
+	if len(active) == 0 && d.lastSent[service] == 0 {
+		return
+	}
+	d.lastSent[service] = len(active)
+	if own := d.coordinates(service); own != nil && own.Holds() {
+		own.Demand(d.self, active)
+		return
+	}
+	address := d.holder(service)
+	if address == "" {
+		return
+	}
+	req := &fleetpb.DemandRequest{Daemon: d.self, Service: service, Active: make(map[string]int32, len(active))}
+	for model, n := range active {
+		req.Active[model] = int32(n)
+	}
+	ctx, cancel := context.WithTimeout(ctx, wantTimeout)
+	defer cancel()
+	if _, err := d.fleet(address).Demand(ctx, req); err != nil {
+		d.log.Debug("demand not told", "service", service, "holder", address, "error", err)
+	}
+}
+
+// fleetServer serves fleetpb.Fleet.
+type fleetServer Daemon
+
+// Want implements fleetpb.Fleet.
+func (s *fleetServer) Want(_ context.Context, req *fleetpb.WantRequest) (*fleetpb.WantResponse, error) {
+	c := (*Daemon)(s).coordinates(req.Service)
+	if c == nil {
+		return &fleetpb.WantResponse{Refused: residency.RefusedNoHolder, ReadyInMs: noHolderPause.Milliseconds()}, nil
+	}
+	a := c.Want(residency.Want{Model: req.Model, Adapter: req.Adapter, Rank: int(req.Rank), Avoid: req.Avoid})
+	return &fleetpb.WantResponse{Endpoint: a.EndpointID, ReadyInMs: ceilMs(a.ReadyIn), Level: int32(a.Level), Refused: a.Refused}, nil
+}
+
+// ceilMs rounds up, so that a wait is never told too short.
+func ceilMs(d time.Duration) int64 { return int64((d + time.Millisecond - 1) / time.Millisecond) }
+
+// Demand implements fleetpb.Fleet.
+func (s *fleetServer) Demand(_ context.Context, req *fleetpb.DemandRequest) (*fleetpb.DemandResponse, error) {
+	if c := (*Daemon)(s).coordinates(req.Service); c != nil {
+		active := make(map[string]int, len(req.Active))
+		for model, n := range req.Active {
+			active[model] = int(n)
+		}
+		c.Demand(req.Daemon, active)
+	}
+	return &fleetpb.DemandResponse{}, nil
+}
+
+// State implements fleetpb.Fleet.
+func (s *fleetServer) State(_ context.Context, req *fleetpb.StateRequest) (*fleetpb.StateResponse, error) {
+	return s.view.State(req)
+}
+
+// gossipServer serves the part of peerpb.Peer that these daemons use.
+type gossipServer struct {
+	peerpb.Peer
+	gossip *gossip.Gossip
+}
+
+// Gossip implements peerpb.Peer.
+func (s *gossipServer) Gossip(_ context.Context, req *peerpb.GossipRequest) (*peerpb.GossipResponse, error) {
+	return s.gossip.HandleGossip(req), nil
+}
+
+// Probe implements peerpb.Peer.
+func (s *gossipServer) Probe(ctx context.Context, req *peerpb.ProbeRequest) (*peerpb.ProbeResponse, error) {
+	return s.gossip.HandleProbe(ctx, req), nil
+}
+
+// errUnused answers calls that these daemons do not make.
+var errUnused = twirp.WrapError(twirp.NewError(twirp.Unimplemented, "not served here"), errors.New("edge daemon"))
+
+// Fetch implements peerpb.Peer.
+func (*gossipServer) Fetch(context.Context, *peerpb.FetchRequest) (*peerpb.FetchResponse, error) {
+	return nil, errUnused
+}
+
+// Demand implements peerpb.Peer.
+func (*gossipServer) Demand(context.Context, *peerpb.DemandRequest) (*peerpb.DemandResponse, error) {
+	return nil, errUnused
+}
+
+// Claim implements peerpb.Peer.
+func (*gossipServer) Claim(context.Context, *peerpb.ClaimRequest) (*peerpb.ClaimResponse, error) {
+	return nil, errUnused
+}
+
+// Handover implements peerpb.Peer.
+func (*gossipServer) Handover(context.Context, *peerpb.HandoverRequest) (*peerpb.HandoverResponse, error) {
+	return nil, errUnused
+}
--- /dev/null
+++ b/driver/coordinator/coordinator.go
@@ -0,0 +1,291 @@
+// Package coordinator drives the residency of one service on one daemon: the
+// lease that lets one daemon at a time give orders, the planner, its orders
+// and the engines' reports.
+package coordinator
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/doorvalve/doorvalve/coordination/lease"
+	"github.com/doorvalve/doorvalve/coordination/residency"
+	"github.com/doorvalve/doorvalve/driver/decisions"
+	"github.com/doorvalve/doorvalve/protocol"
+	"github.com/doorvalve/doorvalve/state/fleet"
+	"github.com/doorvalve/doorvalve/state/routing"
+)
+
+const (
+	heldTick = 25 * time.Millisecond  // while this daemon holds the lease
+	restTick = 200 * time.Millisecond // otherwise
+	// leaseTerm is the life of a lease without renewal. A renewal is due every
+	// third of it, and the store may take half a second on a slow day.
+	leaseTerm = 2 * time.Second
+	// marginDivisor: a holder stops a quarter of the term early.
+	marginDivisor = 4
+	// orderSlack is added to the gap between two holders' orders: the time
+	// that an order may take on its way.
+	orderSlack = 300 * time.Millisecond
+)
+
+// LeaseStore keeps the lease.
+type LeaseStore interface {
+	ReadLease(ctx context.Context, name string, v any) (version uint64, err error)
+	WriteLease(ctx context.Context, name string, expected uint64, record any) (version uint64, outcome protocol.WriteOutcome, err error)
+}
+
+// Engines takes orders and gives reports.
+type Engines interface {
+	Order(ctx context.Context, o residency.Order) (residency.Outcome, error)
+	Report(ctx context.Context, id, address string) (residency.Report, error)
+}
+
+// Options configure a Coordinator.
+type Options struct {
+	Service string
+	Self    string // this host's peer address; names the holder
+	Lease   LeaseStore
+	Engines Engines
+	// OrderGap is the least time between orders of two holders.
+	OrderGap time.Duration
+	Planner  residency.Options
+	// Candidate reports whether this daemon should try to hold the lease.
+	Candidate func(service string) bool
+	// Held is told when this daemon takes or loses the lease.
+	Held    func(service string, fence uint64, held bool)
+	Log     *decisions.Log
+	Metrics tally.Scope
+}
+
+// Coordinator is safe for concurrent use.
+type Coordinator struct {
+	opt Options
+
+	mu        sync.Mutex
+	lease     *lease.Machine
+	former    string // holder of the record that was taken over
+	plan      *residency.Planner
+	held      bool
+	releasing bool
+	addresses map[string]string // of endpoints, by id
+	kick      chan struct{}
+	metrics   metrics
+}
+
+type metrics struct {
+	orders, unanswered, probes, wants, leases tally.Counter
+}
+
+// New returns a coordinator without a lease.
+func New(opt Options) *Coordinator {
+	opt.Planner.Holder = opt.Self
+	m := opt.Metrics.SubScope("coordinator")
+	return &Coordinator{
+		opt: opt, plan: residency.New(opt.Planner), addresses: map[string]string{}, kick: make(chan struct{}, 1),
+		lease: lease.New(lease.Options{Self: opt.Self, Term: leaseTerm, Margin: leaseTerm / marginDivisor}),
+		metrics: metrics{
+			orders: m.Counter("orders_sent_total"), unanswered: m.Counter("orders_unanswered_total"), probes: m.Counter("reports_asked_total"),
+			wants: m.Counter("models_wanted_total"), leases: m.Counter("lease_changes_total"),
+		},
+	}
+}
+
+// Configure takes the service's engines from the desired state.
+func (c *Coordinator) Configure(e *routing.Engine) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.plan.Configure(residency.Config{Service: c.opt.Service, Engine: e})
+}
+
+// Endpoints takes the present view.
+func (c *Coordinator) Endpoints(list []*fleet.Endpoint) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	clear(c.addresses)
+	for _, e := range list {
+		c.addresses[e.ID] = e.Address
+	}
+	c.plan.Endpoints(time.Now(), list)
+	c.wake()
+}
+
+// wake makes the loop run at once.
+func (c *Coordinator) wake() {
+	select {
+	case c.kick <- struct{}{}:
+	default:
+	}
+}
+
+// Want answers where a model is or will be.
+func (c *Coordinator) Want(w residency.Want) residency.Answer {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.metrics.wants.Inc(1)
+	a := c.plan.Want(time.Now(), w)
+	c.wake()
+	return a
+}
+
+// Demand takes what a daemon says of its requests.
+func (c *Coordinator) Demand(daemon string, active map[string]int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.plan.Demand(time.Now(), daemon, active)
+}
+
+// Holds reports whether this daemon holds the lease.
+func (c *Coordinator) Holds() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.held
+}
+
+// Holder returns the holder that the lease's record names, if it was read.
+func (c *Coordinator) Holder() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lease.Seen().Holder
+}
+
+// Release gives the lease up, for a planned stop.
+func (c *Coordinator) Release() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.releasing = true
+	c.lease.Step(time.Now(), lease.Release{})
+	c.wake()
+}
+
+// Run passes time on until ctx ends.
+func (c *Coordinator) Run(ctx context.Context) {
+	t := time.NewTimer(0)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.kick:
+		case <-t.C:
+		}
+		if c.step(ctx, time.Now()) {
+			t.Reset(heldTick)
+		} else {
+			t.Reset(restTick)
+		}
+	}
+}
+
+// step does what the machines ask for, and reports whether the lease is held.
+func (c *Coordinator) step(ctx context.Context, now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stepLease(ctx, now)
+	if !c.held {
+		return false
+	}
+	r := c.plan.Ready(now)
+	for _, id := range r.Probes {
+		c.metrics.probes.Inc(1)
+		go c.report(ctx, id, c.addresses[id])
+	}
+	for _, o := range r.Orders {
+		go c.order(ctx, o)
+	}
+	return true
+}
+
+func (c *Coordinator) stepLease(ctx context.Context, now time.Time) {
+	c.lease.Step(now, lease.Candidate{Yes: !c.releasing && c.opt.Candidate(c.opt.Service)})
+	r := c.lease.Ready(now)
+	switch {
+	case r.Read:
+		go c.readLease(ctx)
+	case r.Write != nil:
+		if seen := c.lease.Seen(); seen.Fence != r.Write.Record.Fence {
+			c.former = seen.Holder // empty after a release
+		}
+		go c.writeLease(ctx, *r.Write)
+	}
+	fence, held := c.lease.Holds(now)
+	if held != c.held {
+		c.leaseChanged(now, fence, held)
+	}
+}
+
+// leaseChanged begins or ends the giving of orders. The caller holds the
+// mutex.
+func (c *Coordinator) leaseChanged(now time.Time, fence uint64, held bool) {
+	c.held = held
+	c.metrics.leases.Inc(1)
+	from := now
+	if held && fence > 1 && c.former != c.opt.Self {
+		from = now.Add(c.opt.OrderGap + orderSlack)
+	}
+	c.plan.Lease(now, held, fence, from)
+	c.opt.Log.Info(decisions.EventLease, "service", c.opt.Service, "held", held, "fence", fence, "former", c.former, "orders_in_ms", from.Sub(now).Milliseconds())
+	go c.opt.Held(c.opt.Service, fence, held)
+}
+
+func (c *Coordinator) readLease(ctx context.Context) {
+	var rec lease.Record
+	version, err := c.opt.Lease.ReadLease(ctx, c.opt.Service, &rec)
+	missing := errors.Is(err, lease.ErrNotFound)
+	if err != nil && !missing {
+		c.opt.Log.Debug("lease not read", "service", c.opt.Service, "error", err)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lease.Step(time.Now(), lease.ReadDone{Err: err != nil && !missing, Found: err == nil, Record: rec, Version: version})
+	c.wake()
+}
+
+func (c *Coordinator) writeLease(ctx context.Context, w lease.Write) {
+	version, outcome, err := c.opt.Lease.WriteLease(ctx, c.opt.Service, w.ExpectedVersion, w.Record)
+	if err != nil {
+		c.opt.Log.Info("lease not written", "service", c.opt.Service, "fence", w.Record.Fence, "error", err)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lease.Step(time.Now(), lease.WriteDone{Outcome: outcome, Version: version})
+	c.wake()
+}
+
+// order checks the lease once more right before it sends.
+func (c *Coordinator) order(ctx context.Context, o residency.Order) {
+	c.mu.Lock()
+	fence, held := c.lease.Holds(time.Now())
+	c.mu.Unlock()
+	outcome, err := residency.Unsent, errors.New("the lease ran out")
+	started := time.Now()
+	if held && fence == o.Fence {
+		c.metrics.orders.Inc(1)
+		outcome, err = c.opt.Engines.Order(ctx, o)
+	}
+	if outcome == residency.Unanswered {
+		c.metrics.unanswered.Inc(1)
+	}
+	c.opt.Log.Info(decisions.EventOrder, "endpoint", o.EndpointID, "unload", o.Unload, "model", o.Model, "adapter", o.Adapter, "expect", o.Expect,
+		"fence", o.Fence, "outcome", outcome.String(), "ms", time.Since(started).Milliseconds(), "error", err)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.plan.Ordered(time.Now(), o, outcome)
+	c.wake()
+}
+
+func (c *Coordinator) report(ctx context.Context, id, address string) {
+	r, err := c.opt.Engines.Report(ctx, id, address)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err != nil {
+		c.opt.Log.Debug("no report", "endpoint", id, "error", err)
+		c.plan.ReportFailed(time.Now(), id)
+		return
+	}
+	c.plan.Reported(time.Now(), r)
+	c.wake()
+}
--- /dev/null
+++ b/driver/decisions/log.go
@@ -0,0 +1,143 @@
+// Package decisions writes the log that explains afterwards what a daemon
+// decided: one JSON line for each decision that touches a request or changes
+// what the daemon believes. Writing never blocks: a reader that stops costs
+// lines, which are counted.
+package decisions
+
+import (
+	"io"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+)
+
+// Events of the log. docs/OPERATIONS.md explains each.
+const (
+	EventStart            = "daemon started"
+	EventStop             = "daemon stopping"
+	EventStopped          = "daemon stopped"
+	EventReload           = "settings reloaded"
+	EventDependencyLost   = "dependency lost"
+	EventDependencyBack   = "dependency regained"
+	EventDesiredState     = "desired state in force"
+	EventDesiredRejected  = "desired state rejected"
+	EventEndpoints        = "endpoints changed"
+	EventEndpointRejected = "endpoint entry rejected"
+	EventLease            = "lease changed"
+	EventOrder            = "order sent"
+	EventAnswered         = "request answered"
+	EventRefused          = "request refused"
+	EventFailed           = "request failed"
+	EventRetried          = "attempt failed, trying again"
+	EventWaiting          = "request waits for a model"
+	EventPlaced           = "model located"
+	EventAvoided          = "endpoint avoided"
+)
+
+const (
+	// queueLines bounds the lines that wait to be written: a second of the
+	// busiest daemon.
+	queueLines = 2048
+	// routinePerSecond bounds the lines about successes; those beyond are
+	// counted and left out, so that failures always find room.
+	routinePerSecond = 200
+)
+
+// Log is safe for concurrent use.
+type Log struct {
+	hclog.Logger
+	sink    *sink
+	second  atomic.Int64
+	routine atomic.Int64
+	skipped atomic.Int64
+}
+
+// New returns a log that writes to w from a goroutine of its own.
+func New(w io.Writer, name string, level hclog.Level) *Log {
+	s := &sink{lines: make(chan []byte, queueLines), done: make(chan struct{})}
+	go s.run(w)
+	return &Log{sink: s, Logger: hclog.New(&hclog.LoggerOptions{Name: name, Level: level, JSONFormat: true, Output: s, TimeFormat: "2006-01-02T15:04:05.000Z07:00"})}
+}
+
+// Routine logs a success, unless many were logged in this second.
+func (l *Log) Routine(event string, args ...any) {
+	now := time.Now().Unix()
+	if l.second.Swap(now) != now {
+		l.routine.Store(0)
+	}
+	if l.routine.Add(1) > routinePerSecond {
+		l.skipped.Add(1)
+		return
+	}
+	l.Info(event, args...)
+}
+
+// Lost returns the lines that found no room, and the successes left out.
+func (l *Log) Lost() (lost, skipped int64) { return l.sink.lost.Load(), l.skipped.Load() }
+
+// Close writes what waits, for a short while.
+func (l *Log) Close() {
+	close(l.sink.lines)
+	select {
+	case <-l.sink.done:
+	case <-time.After(closeTimeout):
+	}
+}
+
+// closeTimeout bounds the writing of the last lines.
+const closeTimeout = 200 * time.Millisecond
+
+// sink hands lines to a goroutine that writes them.
+type sink struct {
+	lines  chan []byte
+	done   chan struct{}
+	closed atomic.Bool
+	lost   atomic.Int64
+}
+
+// Write implements io.Writer; it never blocks and never fails.
+func (s *sink) Write(line []byte) (int, error) {
+	defer func() { _ = recover() }() // a line after Close is lost
+	select {
+	case s.lines <- append([]byte(nil), line...):
+	default:
+		s.lost.Add(1)
+	}
+	return len(line), nil
+}
+
+// maxBatch bounds the bytes written by one call.
+const maxBatch = 16 << 10
+
+// batchPause lets lines gather, so that one call writes several.
+const batchPause = 100 * time.Millisecond
+
+func (s *sink) run(w io.Writer) {
+	defer close(s.done)
+	var batch []byte
+	for line := range s.lines {
+		batch = append(batch[:0], line...)
+		time.Sleep(batchPause)
+		batch = s.gather(batch)
+		if _, err := w.Write(batch); err != nil {
+			s.lost.Add(1)
+		}
+	}
+}
+
+// gather adds the lines that wait, up to a bound.
+func (s *sink) gather(batch []byte) []byte {
+	for len(batch) < maxBatch {
+		select {
+		case line, ok := <-s.lines:
+			if !ok {
+				return batch
+			}
+			batch = append(batch, line...)
+		default:
+			return batch
+		}
+	}
+	return batch
+}
--- /dev/null
+++ b/settings/edge.go
@@ -0,0 +1,134 @@
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/doorvalve/doorvalve/state/bundle"
+)
+
+// Edge are the settings of a daemon whose desired state and endpoints come
+// from the platform's store.
+type Edge struct {
+	Host          string      `json:"host"`
+	FailureDomain string      `json:"failure_domain"`
+	Listen        EdgeListen  `json:"listen"`
+	Peers         EdgePeers   `json:"peers"`
+	Store         EdgeStore   `json:"store"`
+	Limits        EdgeLimits  `json:"limits"`
+	Timing        EdgeTiming  `json:"timing"`
+	Retries       EdgeRetries `json:"retries"`
+	Loads         EdgeLoads   `json:"loads"`
+	LogLevel      string      `json:"log_level"`
+}
+
+// EdgeListen are the daemon's listeners.
+type EdgeListen struct {
+	Callers   string `json:"callers"`
+	Directory string `json:"directory"` // callers that ask where to connect
+	Readiness string `json:"readiness"` // the platform's own checks
+	Peers     string `json:"peers"`
+	Metrics   string `json:"metrics"`
+}
+
+// EdgePeers are the other daemons as far as they are known at the start.
+type EdgePeers struct {
+	Seeds []string `json:"seeds"` // may be stale
+}
+
+// EdgeStore is the platform's store.
+type EdgeStore struct {
+	Address string          `json:"address"`
+	Timeout bundle.Duration `json:"timeout"` // of a call that does not wait for changes
+}
+
+// EdgeLimits bound what the daemon takes.
+type EdgeLimits struct {
+	MemoryMB    int64 `json:"memory_mb"` // of the process; beyond it, it is killed
+	Descriptors int64 `json:"descriptors"`
+}
+
+// EdgeTiming are times that the platform and the daemons have agreed on.
+type EdgeTiming struct {
+	// AddressTTL is how long callers keep an answer of the directory; some
+	// keep it three times as long.
+	AddressTTL bundle.Duration `json:"address_ttl"`
+	// Grace is the time between a request to stop and the kill.
+	Grace bundle.Duration `json:"grace"`
+	// OrderGap is the least time between orders of two holders to one engine.
+	OrderGap bundle.Duration `json:"order_gap"`
+	// Pass is how long an event of a stream may take through the daemon.
+	Pass bundle.Duration `json:"pass"`
+}
+
+// EdgeRetries bound the retries of all daemons together.
+type EdgeRetries struct {
+	Ratio float64 `json:"ratio"` // of the requests
+	Extra float64 `json:"extra"` // beside, within a window
+}
+
+// EdgeLoads bound the loads from the weight store.
+type EdgeLoads struct {
+	Window bundle.Duration `json:"window"`
+	Factor float64         `json:"factor"` // of the declared rate, within a window
+	AtOnce int             `json:"at_once"`
+}
+
+// LoadEdge reads and checks a file.
+func LoadEdge(file string) (Edge, error) {
+	content, err := os.ReadFile(file)
+	if err != nil {
+		return Edge{}, err
+	}
+	return ParseEdge(file, content)
+}
+
+// ParseEdge reads and checks settings. Faults come back all at once, as
+// bundle.Issues.
+func ParseEdge(file string, content []byte) (Edge, error) {
+	s := Edge{LogLevel: "info"}
+	lines, err := bundle.DecodeStrict(file, content, &s)
+	if err != nil {
+		return s, err
+	}
+	c := checker{bundle.NewChecker(file, lines)}
+	c.checkEdge(s)
+	if issues := c.Issues(); len(issues) > 0 {
+		return s, issues
+	}
+	return s, nil
+}
+
+func (c checker) checkEdge(s Edge) {
+	c.Want(s.Host != "", "host", "the name of this host")
+	c.Want(s.FailureDomain != "", "failure_domain", "the failure domain of this host")
+	c.Want(hclog.LevelFromString(s.LogLevel) != hclog.NoLevel, "log_level", "trace, debug, info, warn or error, found %q", s.LogLevel)
+	for _, l := range []struct{ path, address string }{
+		{"listen.callers", s.Listen.Callers}, {"listen.directory", s.Listen.Directory}, {"listen.readiness", s.Listen.Readiness},
+		{"listen.peers", s.Listen.Peers}, {"store.address", s.Store.Address},
+	} {
+		_, err := netip.ParseAddrPort(l.address)
+		c.Want(err == nil, l.path, "an IP number and a port, found %q", l.address)
+	}
+	if s.Listen.Metrics != "" {
+		_, err := netip.ParseAddrPort(s.Listen.Metrics)
+		c.Want(err == nil, "listen.metrics", "an IP number and a port, or nothing, found %q", s.Listen.Metrics)
+	}
+	for i, seed := range s.Peers.Seeds {
+		_, err := netip.ParseAddrPort(seed)
+		c.Want(err == nil, fmt.Sprintf("peers.seeds[%d]", i), "an IP number and a port, found %q", seed)
+	}
+	c.Want(s.Store.Timeout.D() > 0, "store.timeout", "a duration above 0")
+	c.Want(s.Limits.MemoryMB > 0, "limits.memory_mb", "a number above 0")
+	c.Want(s.Limits.Descriptors > 0, "limits.descriptors", "a number above 0")
+	c.Want(s.Timing.AddressTTL.D() > 0, "timing.address_ttl", "a duration above 0")
+	c.Want(s.Timing.Grace.D() > 0, "timing.grace", "a duration above 0")
+	c.Want(s.Timing.OrderGap.D() > 0, "timing.order_gap", "a duration above 0")
+	c.Want(s.Timing.Pass.D() > 0, "timing.pass", "a duration above 0")
+	c.Want(s.Retries.Ratio >= 0 && s.Retries.Extra >= 0, "retries", "numbers of at least 0")
+	c.Want(s.Loads.AtOnce > 0, "loads.at_once", "a number above 0")
+	c.Want(s.Loads.Window.D() > 0 && s.Loads.Factor > 0, "loads", "a window and a factor above 0")
+}
--- /dev/null
+++ b/state/fleet/fleet.go
@@ -0,0 +1,72 @@
+// Package fleet holds what a daemon believes of the endpoints at one moment,
+// as an immutable view that requests read without locks.
+package fleet
+
+import (
+	"slices"
+	"time"
+)
+
+// Loaded is one model that an endpoint holds.
+type Loaded struct {
+	Model    string
+	Version  int
+	Adapters []string
+}
+
+// Endpoint is one process of a service, from one start to its end.
+type Endpoint struct {
+	ID      string // new with each start
+	Service string
+	Address string
+	Domain  string // failure domain
+	Slots   int
+	// Leaving endpoints get no new requests.
+	Leaving bool
+	// Remaining is the time left until a leaving endpoint is gone, as it was
+	// announced; zero when unknown.
+	Remaining time.Duration
+	// Sequence counts the orders that the endpoint has accepted.
+	Sequence uint64
+	Models   []Loaded
+	InMemory []string // models with a copy in host memory
+	OnDisk   []string // models with a copy on the endpoint's disk
+	// Revision is the platform's revision of this description.
+	Revision uint64
+}
+
+// Has reports whether the endpoint holds the model and, unless empty, the
+// adapter.
+func (e *Endpoint) Has(model, adapter string) bool {
+	for i := range e.Models {
+		if e.Models[i].Model == model {
+			return adapter == "" || slices.Contains(e.Models[i].Adapters, adapter)
+		}
+	}
+	return false
+}
+
+// View is the endpoints as of one revision. It does not change.
+type View struct {
+	Revision  uint64
+	ByID      map[string]*Endpoint
+	ByService map[string][]*Endpoint // sorted by id
+}
+
+// NewView indexes endpoints.
+func NewView(revision uint64, list []*Endpoint) *View {
+	v := &View{Revision: revision, ByID: make(map[string]*Endpoint, len(list)), ByService: map[string][]*Endpoint{}}
+	for _, e := range list {
+		v.ByID[e.ID] = e
+		v.ByService[e.Service] = append(v.ByService[e.Service], e)
+	}
+	for _, es := range v.ByService {
+		slices.SortFunc(es, func(a, b *Endpoint) int {
+			if a.ID < b.ID {
+				return -1
+			}
+			return 1
+		})
+	}
+	return v
+}
--- /dev/null
+++ b/state/routing/table.go
@@ -0,0 +1,173 @@
+// Package routing holds the routes, services and models of one version of the
+// desired state, as an immutable table that requests read without locks.
+package routing
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Kind says how often a route's requests may run.
+type Kind int
+
+// The kinds of route.
+const (
+	// Unsafe requests run at most once.
+	Unsafe Kind = iota
+	// Safe requests may be repeated.
+	Safe
+	// Streaming answers are a series of events; unless the route is resumable
+	// they run at most once.
+	Streaming
+)
+
+// String returns the name used in logs.
+func (k Kind) String() string {
+	return [...]string{"unsafe", "safe", "streaming"}[k]
+}
+
+// Share is one service's part of a route's requests.
+type Share struct {
+	Service string
+	Weight  int
+}
+
+// Route says where requests of one host and path prefix go.
+type Route struct {
+	Name   string
+	Host   string
+	Prefix string // begins and ends with a slash
+	Kind   Kind
+	// Timeout is the longest time that a caller is kept waiting for the end of
+	// an answer.
+	Timeout time.Duration
+	// Target is the latency objective: to the first event of a stream, to the
+	// whole answer otherwise.
+	Target time.Duration
+	// Patience is how long a caller waits for the first event of a stream
+	// before it leaves.
+	Patience time.Duration
+	// GapTarget is the longest pause between two events of a stream.
+	GapTarget time.Duration
+	Rank      int // 0 is served first
+	Attempts  int // endpoints that one request may run at, at most
+	Sticky    bool
+	Resumable bool
+	Shares    []Share
+}
+
+// Repeatable reports whether a request may run a second time, or go on at a
+// second endpoint.
+func (r *Route) Repeatable() bool {
+	return r.Kind == Safe || r.Kind == Streaming && r.Resumable
+}
+
+// Service picks the service for a request by its id, in the proportion of the
+// weights, so that every daemon picks alike.
+func (r *Route) Service(requestID string) string {
+	if len(r.Shares) == 0 {
+		return ""
+	}
+	total := 0
+	for _, s := range r.Shares {
+		total += s.Weight
+	}
+	if total <= 0 {
+		return r.Shares[0].Service
+	}
+	at := int(xxhash.Sum64String(requestID) % uint64(total))
+	for _, s := range r.Shares {
+		if at < s.Weight {
+			return s.Service
+		}
+		at -= s.Weight
+	}
+	return r.Shares[0].Service
+}
+
+// Model is one model that a service's engines can load.
+type Model struct {
+	Name     string
+	SizeMB   float64 // of the weights
+	Adapters int
+	// Adapter size in MB; it shares the engine's memory with the weights.
+	AdapterMB float64
+	// Load times by the place of the nearest copy.
+	FromStore, FromDisk, FromMemory time.Duration
+}
+
+// Engine describes the engines of a service.
+type Engine struct {
+	Slots          int     // requests that run at once
+	CacheTokens    int     // tokens that running requests and the prefix cache share
+	MemoryMB       float64 // for weights and adapters
+	AdapterSlots   int
+	LoadsPerSecond float64 // that the weight store takes over all engines
+	Models         map[string]Model
+}
+
+// Service is a group of equal endpoints.
+type Service struct {
+	Name            string
+	HealthPath      string
+	ConnectionLimit int     // per endpoint, over all callers
+	Engine          *Engine // nil for a plain service
+}
+
+// Limits bound what a caller may send.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Table is one version of the desired state. It does not change.
+type Table struct {
+	Version  uint64
+	Limits   Limits
+	Services map[string]*Service
+
+	byHost map[string][]*Route // longest prefix first
+}
+
+// NewTable indexes the routes.
+func NewTable(version uint64, limits Limits, services []*Service, routes []*Route) *Table {
+	t := &Table{Version: version, Limits: limits, Services: map[string]*Service{}, byHost: map[string][]*Route{}}
+	for _, s := range services {
+		t.Services[s.Name] = s
+	}
+	for _, r := range routes {
+		t.byHost[r.Host] = append(t.byHost[r.Host], r)
+	}
+	for _, list := range t.byHost {
+		slices.SortStableFunc(list, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
+	}
+	return t
+}
+
+// Match returns the route with the longest prefix of path, or nil. host may
+// carry a port.
+func (t *Table) Match(host, path string) *Route {
+	if name, _, found := strings.Cut(host, ":"); found {
+		host = name
+	}
+	for _, r := range t.byHost[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Routes returns the number of routes.
+func (t *Table) Routes() int {
+	n := 0
+	for _, list := range t.byHost {
+		n += len(list)
+	}
+	return n
+}
--- /dev/null
+++ b/transport/edge/attempt.go
@@ -0,0 +1,184 @@
+package edge
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/doorvalve/doorvalve/protocol"
+	"github.com/doorvalve/doorvalve/state/fleet"
+	"github.com/doorvalve/doorvalve/state/routing"
+)
+
+const (
+	// dialTimeout bounds connecting to an endpoint: they are a millisecond or
+	// two away, and one that is dark never answers.
+	dialTimeout = 300 * time.Millisecond
+	// idleTimeout is how long a connection to an endpoint is kept unused.
+	idleTimeout = 4 * time.Second
+	// maxAnswerBytes bounds an answer that is not a stream.
+	maxAnswerBytes = 16 << 20
+	// idlePerEndpoint bounds the unused connections kept to one endpoint.
+	idlePerEndpoint = 8
+)
+
+// client sends requests to endpoints.
+type client struct {
+	// kept reuses connections, for requests that may be repeated.
+	kept *http.Transport
+	// once opens a connection for each request, so that none that may run only
+	// once goes out on a connection that the endpoint has just closed.
+	once *http.Transport
+}
+
+func newClient() *client {
+	dial := (&net.Dialer{Timeout: dialTimeout, KeepAlive: -1}).DialContext
+	return &client{
+		kept: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: idlePerEndpoint, IdleConnTimeout: idleTimeout, DisableCompression: true, ReadBufferSize: bufferBytes, WriteBufferSize: bufferBytes},
+		once: &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true, ReadBufferSize: bufferBytes, WriteBufferSize: bufferBytes},
+	}
+}
+
+// bufferBytes is the size of a connection's buffers: some events of a stream.
+const bufferBytes = 4 << 10
+
+// failure is an attempt without an answer for the caller.
+type failure struct {
+	verdict protocol.Verdict
+	reason  string
+	err     error
+	absent  bool // the endpoint is another process, or does not hold the model
+	loading bool // the endpoint is still loading the model
+	leaving bool
+}
+
+// body hides the type of the content, so that the transport cannot send a
+// request a second time by itself.
+type body struct{ io.Reader }
+
+// send sends a request to an endpoint and reads the answer's header.
+func (s *Server) send(ctx context.Context, q *request, e *fleet.Endpoint, lastEventID string) (*http.Response, protocol.AnswerMark, *failure) {
+	req := &http.Request{
+		Method: q.method, Host: q.host, ContentLength: int64(len(q.body)), Body: io.NopCloser(body{bytes.NewReader(q.body)}),
+		URL:   &url.URL{Scheme: "http", Host: e.Address, Opaque: q.uri},
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		Header: s.opt.Dialect.Outbound(q.header, protocol.Attempt{
+			EndpointID: e.ID, TimeLeft: time.Until(q.deadline), Rank: q.route.Rank, LastEventID: lastEventID,
+		}),
+	}
+	transport := s.client.once
+	if q.route.Repeatable() {
+		transport = s.client.kept
+	}
+	resp, err := transport.RoundTrip(req.WithContext(ctx))
+	if err != nil {
+		return nil, protocol.AnswerMark{}, classify(ctx, err)
+	}
+	mark := s.opt.Dialect.ReadAnswer(resp.StatusCode, resp.Header)
+	if f := refusedByEndpoint(resp, mark, q); f != nil {
+		_, _ = io.CopyN(io.Discard, resp.Body, bufferBytes) // lets the connection be kept
+		_ = resp.Body.Close()
+		return nil, mark, f
+	}
+	if f := foreign(resp, mark, q); f != nil {
+		_ = resp.Body.Close()
+		return nil, mark, f
+	}
+	return resp, mark, nil
+}
+
+// classify says of an error before the answer whether the request may have
+// run.
+func classify(ctx context.Context, err error) *failure {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return &failure{verdict: protocol.NotRun, reason: "endpoint-unreachable", err: err}
+	}
+	if ctx.Err() != nil {
+		return &failure{verdict: protocol.MayHaveRun, reason: "no-answer-in-time", err: ctx.Err()}
+	}
+	return &failure{verdict: protocol.MayHaveRun, reason: "endpoint-failed", err: err}
+}
+
+// refusedByEndpoint recognises the endpoint's word that the request has not
+// run.
+func refusedByEndpoint(resp *http.Response, mark protocol.AnswerMark, q *request) *failure {
+	if !mark.NotRun || mark.RequestID != "" && mark.RequestID != q.call.ID {
+		return nil
+	}
+	f := &failure{verdict: protocol.NotRun, reason: "endpoint-refused", err: fmt.Errorf("status %d", resp.StatusCode)}
+	switch {
+	case mark.WrongEndpoint:
+		f.absent, f.reason = true, "not-held-there"
+	case resp.StatusCode == http.StatusServiceUnavailable && q.call.Model != "" && q.waited > 0:
+		f.loading = true
+	}
+	return f
+}
+
+// foreign recognises answers that are not to this request, and successes that
+// the endpoint did not make. They have been sent in place of its answer, so
+// the request may have run.
+func foreign(resp *http.Response, mark protocol.AnswerMark, q *request) *failure {
+	switch {
+	case mark.RequestID != q.call.ID:
+		return &failure{verdict: protocol.MayHaveRun, reason: "crossed-answer", err: fmt.Errorf("answer to %q", mark.RequestID)}
+	case resp.StatusCode < http.StatusMultipleChoices && !mark.Sealed:
+		return &failure{verdict: protocol.MayHaveRun, reason: "unsealed-answer"}
+	}
+	return nil
+}
+
+// firstAnswerPart is the part of a caller's patience after which a request
+// that may be repeated is taken from an endpoint that has not answered.
+const firstAnswerPart = 2
+
+// attempt sends a request to one endpoint and brings the answer back. more
+// says that another endpoint may be tried afterwards.
+func (s *Server) attempt(ctx context.Context, q *request, e *fleet.Endpoint, a *answer, more bool) *failure {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	s.opt.Balancer.Started(e.ID)
+	ok := false
+	defer func() { s.opt.Balancer.Ended(time.Now(), e.ID, q.unit(), ok) }()
+	stop := func() bool { return true }
+	if q.route.Repeatable() && more {
+		t := time.AfterFunc(firstAnswerTime(q), func() { cancel(errSlow) })
+		stop = t.Stop
+	}
+	resp, mark, f := s.send(ctx, q, e, a.lastID)
+	if f != nil {
+		stop()
+		return f
+	}
+	defer func() { _ = resp.Body.Close() }()
+	a.endpoint = e.ID
+	if q.route.Kind == routing.Streaming && resp.StatusCode == http.StatusOK {
+		f = a.stream(resp, func() { stop() })
+	} else {
+		f = a.whole(resp, mark, more && q.route.Repeatable())
+		stop()
+	}
+	ok = f == nil
+	return f
+}
+
+var errSlow = errors.New("no answer within the time for a first one")
+
+// firstAnswerTime is how long an endpoint may take before another is tried.
+func firstAnswerTime(q *request) time.Duration {
+	t := q.route.Patience / firstAnswerPart
+	if q.route.Kind != routing.Streaming {
+		t = q.route.Target
+	}
+	return max(t, minFirstAnswer)
+}
+
+// minFirstAnswer keeps ordinary pauses from looking like silence.
+const minFirstAnswer = 250 * time.Millisecond
--- /dev/null
+++ b/transport/edge/run.go
@@ -0,0 +1,237 @@
+package edge
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/doorvalve/doorvalve/coordination/balance"
+	"github.com/doorvalve/doorvalve/coordination/residency"
+	"github.com/doorvalve/doorvalve/coordination/waiting"
+	"github.com/doorvalve/doorvalve/driver/decisions"
+	"github.com/doorvalve/doorvalve/protocol"
+	"github.com/doorvalve/doorvalve/state/fleet"
+)
+
+const (
+	// maxSends bounds the times that one request is offered to endpoints, most
+	// of which are refusals that cost little.
+	maxSends = 5
+	// loadingPause is the wait before an endpoint that is still loading is
+	// tried again.
+	loadingPause = 100 * time.Millisecond
+	// askPause bounds the wait between two questions to the coordinator.
+	askPause = time.Second
+)
+
+// run tries endpoints until one has answered. It returns nil when the caller
+// has its answer.
+func (s *Server) run(ctx context.Context, q *request, a *answer) *protocol.Refusal {
+	s.opt.Budget.Earn()
+	verdict := protocol.NotRun // the worst of all attempts
+	ran := 0                   // endpoints that the request may have run at
+	var exclude []string
+	var last *failure
+	for sends := 0; ; sends++ {
+		if ctx.Err() != nil {
+			return s.outOfTime(q, verdict)
+		}
+		if sends > 0 {
+			if sends >= maxSends || !s.opt.Budget.Spend() {
+				return giveUp(last, verdict)
+			}
+			s.metrics.retried.Inc(1)
+		}
+		e, refusal := s.locate(ctx, q, exclude)
+		if refusal != nil {
+			if last != nil && verdict != protocol.NotRun {
+				return giveUp(last, verdict)
+			}
+			return refusal
+		}
+		f := s.attempt(ctx, q, e, a, ran+1 < q.route.Attempts)
+		if f == nil {
+			return nil
+		}
+		last = f
+		verdict = max(verdict, f.verdict)
+		if f.verdict != protocol.NotRun {
+			ran++
+		}
+		if s.learn(ctx, q, e, f) {
+			exclude = append(exclude, e.ID)
+		}
+		again := f.verdict == protocol.NotRun && verdict == protocol.NotRun ||
+			q.route.Repeatable() && ran < q.route.Attempts
+		s.opt.Log.Info(decisions.EventRetried, "request", q.call.ID, "endpoint", e.ID, "endpoint_revision", e.Revision, "reason", f.reason, "error", f.err,
+			"verdict", f.verdict.String(), "again", again, "ms", time.Since(q.arrived).Milliseconds())
+		if !again || ctx.Err() != nil && verdict != protocol.NotRun {
+			if ctx.Err() != nil {
+				return s.outOfTime(q, verdict)
+			}
+			return giveUp(f, verdict)
+		}
+	}
+}
+
+func (s *Server) outOfTime(q *request, verdict protocol.Verdict) *protocol.Refusal {
+	if verdict == protocol.NotRun {
+		return protocol.Refuse(http.StatusServiceUnavailable, "out-of-time", "the request's time is over", retryBusy)
+	}
+	return protocol.Unsure(http.StatusGatewayTimeout, "out-of-time", "the request's time is over")
+}
+
+// giveUp turns the last failure into the final answer.
+func giveUp(f *failure, verdict protocol.Verdict) *protocol.Refusal {
+	if verdict == protocol.NotRun {
+		return protocol.Refuse(http.StatusServiceUnavailable, f.reason, "no endpoint took the request", retryBusy)
+	}
+	r := protocol.Unsure(http.StatusBadGateway, f.reason, "the endpoint's answer did not arrive")
+	r.Verdict = verdict
+	return r
+}
+
+// learn takes what a failure tells of the endpoint, and reports whether this
+// request should keep away from it.
+func (s *Server) learn(ctx context.Context, q *request, e *fleet.Endpoint, f *failure) (exclude bool) {
+	now := time.Now()
+	switch {
+	case ctx.Err() != nil:
+		return false
+	case f.absent:
+		s.opt.Balancer.Absent(now, e.ID, q.unit())
+		return q.call.Model == ""
+	case f.loading:
+		sleep(ctx, loadingPause)
+		return false
+	case f.leaving:
+		s.opt.EndpointLeaving(e.ID)
+		return true
+	}
+	d := s.opt.Balancer.Failed(now, e.ID)
+	s.opt.Log.Info(decisions.EventAvoided, "request", q.call.ID, "endpoint", e.ID, "reason", f.reason, "for_ms", d.Milliseconds())
+	return true
+}
+
+// locate finds the endpoint for a request, waiting for its model if that is
+// worth it.
+func (s *Server) locate(ctx context.Context, q *request, exclude []string) (*fleet.Endpoint, *protocol.Refusal) {
+	if q.service.Engine == nil || q.call.Model == "" {
+		return s.locatePlain(q, exclude)
+	}
+	for {
+		if e := s.locateKnown(q, exclude); e != nil {
+			return e, nil
+		}
+		avoid := ""
+		if len(exclude) > 0 {
+			avoid = exclude[len(exclude)-1]
+		}
+		ans := s.opt.Locator.Want(ctx, q.service.Name, residency.Want{Model: q.call.Model, Adapter: q.call.Adapter, Rank: q.route.Rank, Avoid: avoid})
+		if ctx.Err() != nil {
+			return nil, s.outOfTime(q, protocol.NotRun)
+		}
+		if ans.Refused != "" {
+			if e := s.locateAny(q, exclude); e != nil {
+				return e, nil
+			}
+			if ans.Refused == residency.RefusedNoModel {
+				return nil, protocol.Refuse(http.StatusServiceUnavailable, ans.Refused, "the service has no such model", retryBusy)
+			}
+		}
+		if ans.Refused == "" && ans.ReadyIn <= 0 {
+			if e := s.opt.View().ByID[ans.EndpointID]; e != nil && !e.Leaving {
+				s.opt.Balancer.Present(e.ID, q.unit())
+				return e, nil
+			}
+			ans.ReadyIn = loadingPause // the list does not name it yet, or not any more
+		}
+		if refusal := s.wait(ctx, q, ans); refusal != nil {
+			return nil, refusal
+		}
+	}
+}
+
+// wait waits for a model, or refuses the request.
+func (s *Server) wait(ctx context.Context, q *request, ans residency.Answer) *protocol.Refusal {
+	elapsed := time.Since(q.arrived)
+	d := waiting.Decide(waiting.Input{
+		ReadyIn: ans.ReadyIn, Elapsed: elapsed, TimeLeft: time.Until(q.deadline), Target: q.route.Target,
+		Patience: q.route.Patience, Returned: q.returned,
+	})
+	if !d.Wait {
+		reason := ans.Refused
+		if reason == "" {
+			reason = "model-loading"
+		}
+		return protocol.Refuse(http.StatusServiceUnavailable, reason, "the model is not loaded: "+ans.Level.String()+" at "+ans.EndpointID, d.RetryAfter)
+	}
+	s.opt.Log.Info(decisions.EventWaiting, "request", q.call.ID, "model", q.unit(), "endpoint", ans.EndpointID, "level", ans.Level.String(), "ready_in_ms", ans.ReadyIn.Milliseconds(), "elapsed_ms", elapsed.Milliseconds())
+	sleep(ctx, min(max(ans.ReadyIn, time.Millisecond), askPause))
+	q.waited = time.Since(q.arrived)
+	s.metrics.waited.RecordDuration(time.Since(q.arrived) - elapsed)
+	if ctx.Err() != nil {
+		return s.outOfTime(q, protocol.NotRun)
+	}
+	return nil
+}
+
+func (s *Server) locatePlain(q *request, exclude []string) (*fleet.Endpoint, *protocol.Refusal) {
+	list := s.opt.View().ByService[q.service.Name]
+	e := s.opt.Balancer.Pick(time.Now(), list, balance.Query{Exclude: exclude})
+	if e == nil {
+		return nil, protocol.Refuse(http.StatusServiceUnavailable, "no-endpoint", "no endpoint of the service takes requests", retryBusy)
+	}
+	return e, nil
+}
+
+// holders returns the endpoints that are listed with the request's model and
+// adapter.
+func (s *Server) holders(q *request) []*fleet.Endpoint {
+	list := s.opt.View().ByService[q.service.Name]
+	return slices.DeleteFunc(slices.Clone(list), func(e *fleet.Endpoint) bool { return e.Leaving || !e.Has(q.call.Model, q.call.Adapter) })
+}
+
+// locateKnown picks an endpoint without a question to the coordinator, where
+// several hold the model or one has just served it here.
+func (s *Server) locateKnown(q *request, exclude []string) *fleet.Endpoint {
+	if q.call.Adapter != "" {
+		return nil
+	}
+	holders := s.holders(q)
+	e := s.opt.Balancer.Pick(time.Now(), holders, balance.Query{Unit: q.unit(), Affinity: affinity(q), Exclude: exclude})
+	if e == nil {
+		return nil
+	}
+	if len(holders) >= severalHolders || s.opt.Balancer.Vouched(time.Now(), e.ID, q.unit()) {
+		return e
+	}
+	return nil
+}
+
+// severalHolders is the number of holders from which a model counts as in
+// steady use: one of them going costs a refusal, not a load.
+const severalHolders = 2
+
+// locateAny picks any listed holder, when the coordinator cannot be asked.
+func (s *Server) locateAny(q *request, exclude []string) *fleet.Endpoint {
+	return s.opt.Balancer.Pick(time.Now(), s.holders(q), balance.Query{Unit: q.unit(), Affinity: affinity(q), Exclude: exclude})
+}
+
+func affinity(q *request) string {
+	if !q.route.Sticky {
+		return ""
+	}
+	return q.call.Prefix
+}
+
+// sleep waits, or until ctx ends.
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/transport/edge/server.go
@@ -0,0 +1,349 @@
+// Package edge serves callers by the routes of the desired state: it matches a
+// request to a route, finds an endpoint, forwards the request there and brings
+// the answer back, whole or as a stream that goes on at another endpoint when
+// the first one breaks off.
+package edge
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/doorvalve/doorvalve/coordination/balance"
+	"github.com/doorvalve/doorvalve/coordination/residency"
+	"github.com/doorvalve/doorvalve/coordination/retry"
+	"github.com/doorvalve/doorvalve/driver/decisions"
+	"github.com/doorvalve/doorvalve/protocol"
+	"github.com/doorvalve/doorvalve/state/fleet"
+	"github.com/doorvalve/doorvalve/state/routing"
+)
+
+// Locator finds the engine that holds or will hold a model.
+type Locator interface {
+	// Want asks the service's coordinator.
+	Want(ctx context.Context, service string, w residency.Want) residency.Answer
+}
+
+// Options are what the server needs of the rest of the daemon. Functions must
+// be safe for concurrent use and cheap.
+type Options struct {
+	Table    func() *routing.Table
+	View     func() *fleet.View
+	Draining func() bool
+	Dialect  protocol.Dialect
+	Locator  Locator
+	Balancer *balance.Balancer
+	Budget   *retry.Budget
+	Log      *decisions.Log
+	Metrics  tally.Scope
+	// EndpointLeaving is told of an endpoint's own word that it leaves.
+	EndpointLeaving func(id string)
+	// FlushEvery is how long events of a stream may be gathered before they
+	// are written; the first event is written at once.
+	FlushEvery time.Duration
+	// Connections bounds the requests in progress.
+	Connections int64
+}
+
+// Server is safe for concurrent use.
+type Server struct {
+	opt     Options
+	client  *client
+	active  atomic.Int64
+	metrics metrics
+
+	mu      sync.Mutex
+	demand  map[string]map[string]int // requests running or waiting, by service and model
+	longest sync.Map                  // route name -> *atomic.Int64: longest time left seen, ns
+}
+
+type metrics struct {
+	answered, refused, failed, retried, resumed, gone tally.Counter
+	duration, firstEvent, waited                      tally.Histogram
+}
+
+// New returns a server.
+func New(opt Options) *Server {
+	m := opt.Metrics.SubScope("caller")
+	buckets := tally.MustMakeExponentialDurationBuckets(5*time.Millisecond, 2, 14)
+	return &Server{opt: opt, client: newClient(), demand: map[string]map[string]int{}, metrics: metrics{
+		answered: m.Counter("requests_answered_total"), refused: m.Counter("requests_refused_total"),
+		failed: m.Counter("requests_failed_total"), retried: m.Counter("attempts_retried_total"),
+		resumed: m.Counter("streams_resumed_total"), gone: m.Counter("callers_gone_total"),
+		duration: m.Histogram("request_duration_seconds", buckets), firstEvent: m.Histogram("first_event_seconds", buckets),
+		waited: m.Histogram("model_wait_seconds", buckets),
+	}}
+}
+
+// InProgress returns the number of requests without a final answer.
+func (s *Server) InProgress() int { return int(s.active.Load()) }
+
+// Demand returns the requests running or waiting, by service and model.
+func (s *Server) Demand() map[string]map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make(map[string]map[string]int, len(s.demand))
+	for service, models := range s.demand {
+		m := make(map[string]int, len(models))
+		for model, n := range models {
+			m[model] = n
+		}
+		out[service] = m
+	}
+	return out
+}
+
+func (s *Server) count(service, model string, n int) {
+	if model == "" {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	models := s.demand[service]
+	if models == nil {
+		models = map[string]int{}
+		s.demand[service] = models
+	}
+	models[model] += n
+	if models[model] == 0 {
+		delete(models, model)
+	}
+}
+
+// Handler returns the callers' handler.
+func (s *Server) Handler() http.Handler {
+	e := echo.New()
+	e.Pre(func(echo.HandlerFunc) echo.HandlerFunc {
+		return func(c echo.Context) error {
+			s.serve(c.Response(), c.Request())
+			return nil
+		}
+	})
+	return e
+}
+
+// request is one caller's request on its way.
+type request struct {
+	call     protocol.Call
+	route    *routing.Route
+	service  *routing.Service
+	method   string
+	uri      string // path and query as the caller sent them
+	host     string
+	header   http.Header
+	body     []byte
+	arrived  time.Time
+	deadline time.Time
+	version  uint64 // of the desired state that it is served by
+	returned bool   // its caller has been sent away before
+	waited   time.Duration
+}
+
+func (q *request) unit() string {
+	if q.call.Adapter != "" {
+		return q.call.Model + "/" + q.call.Adapter
+	}
+	return q.call.Model
+}
+
+// Times to come back when nothing better is known.
+const (
+	retryNoState  = 500 * time.Millisecond
+	retryBusy     = 300 * time.Millisecond
+	retryDraining = 100 * time.Millisecond
+)
+
+// defaultTimeLeft is the time of a request whose caller and route name none.
+const defaultTimeLeft = 30 * time.Second
+
+// serve gives one request its final answer.
+func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+	arrived := time.Now()
+	active := s.active.Add(1)
+	defer s.active.Add(-1)
+	if s.opt.Draining() {
+		w.Header().Set("Connection", "close")
+	}
+	q, refusal := s.read(w, r, arrived, active)
+	if refusal != nil {
+		s.refuse(w, r, q, refusal)
+		return
+	}
+	s.count(q.service.Name, q.call.Model, 1)
+	defer s.count(q.service.Name, q.call.Model, -1)
+	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
+	defer cancel()
+	_ = http.NewResponseController(w).SetWriteDeadline(q.deadline.Add(writeSlack)) // not all writers have deadlines
+	a := &answer{w: w, server: s, q: q}
+	refusal = s.run(ctx, q, a)
+	s.metrics.duration.RecordDuration(time.Since(arrived))
+	switch {
+	case refusal == nil:
+		s.metrics.answered.Inc(1)
+		s.opt.Log.Routine(decisions.EventAnswered, "request", q.call.ID, "route", q.route.Name, "model", q.unit(), "status", a.status,
+			"ms", time.Since(arrived).Milliseconds(), "first_event_ms", a.firstAfter().Milliseconds(), "waited_ms", q.waited.Milliseconds(), "endpoint", a.endpoint, "version", q.version)
+	case r.Context().Err() != nil:
+		s.metrics.gone.Inc(1)
+		s.opt.Log.Info(decisions.EventFailed, "request", q.call.ID, "route", q.route.Name, "model", q.unit(), "reason", "caller gone", "ms", time.Since(arrived).Milliseconds(), "endpoint", a.endpoint)
+		panic(http.ErrAbortHandler)
+	case a.begun:
+		// A part has been sent; only a broken connection tells the caller.
+		s.metrics.failed.Inc(1)
+		s.logEnd(decisions.EventFailed, q, refusal, a.endpoint)
+		panic(http.ErrAbortHandler)
+	default:
+		s.refuse(w, r, q, refusal)
+	}
+}
+
+// writeSlack is how long after its deadline an answer may still be written.
+const writeSlack = 2 * time.Second
+
+func (s *Server) logEnd(event string, q *request, refusal *protocol.Refusal, endpoint string) {
+	if q == nil {
+		s.opt.Log.Info(event, "reason", refusal.Reason, "detail", refusal.Detail, "status", refusal.Status)
+		return
+	}
+	route := ""
+	if q.route != nil {
+		route = q.route.Name
+	}
+	s.opt.Log.Info(event, "request", q.call.ID, "route", route, "model", q.unit(), "status", refusal.Status, "reason", refusal.Reason, "detail", refusal.Detail,
+		"verdict", refusal.Verdict.String(), "retry_after_ms", refusal.RetryAfter.Milliseconds(), "ms", time.Since(q.arrived).Milliseconds(),
+		"time_left_ms", time.Until(q.deadline).Milliseconds(), "endpoint", endpoint, "version", q.version, "returned", q.returned)
+}
+
+// refuse writes a refusal as the final answer.
+func (s *Server) refuse(w http.ResponseWriter, r *http.Request, q *request, refusal *protocol.Refusal) {
+	s.metrics.refused.Inc(1)
+	s.logEnd(decisions.EventRefused, q, refusal, "")
+	h := w.Header()
+	if q != nil && q.call.ID != "" {
+		h.Set(protocol.HeaderRequestID, q.call.ID)
+	}
+	if refusal.Status == http.StatusRequestEntityTooLarge {
+		s.drain(w, r)
+	}
+	wait := refusal.RetryAfter
+	refusal.RetryAfter = 0 // written here, with fractions
+	if wait > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 2, 64))
+	}
+	refusal.WriteTo(w)
+}
+
+// drainBytes and drainTime bound what is read of a body that is too large, so
+// that the caller can read the refusal before the connection closes.
+const (
+	drainBytes = 8 << 20
+	drainTime  = time.Second
+)
+
+func (s *Server) drain(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Connection", "close")
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(drainTime)) // best effort
+	_, _ = io.CopyN(io.Discard, r.Body, drainBytes)                              // what it held does not matter
+}
+
+// read checks a request and finds its route.
+func (s *Server) read(w http.ResponseWriter, r *http.Request, arrived time.Time, active int64) (*request, *protocol.Refusal) {
+	table := s.opt.Table()
+	if table == nil {
+		return nil, protocol.Refuse(http.StatusServiceUnavailable, "no-desired-state", "this daemon has no desired state yet", retryNoState)
+	}
+	call, err := s.opt.Dialect.ReadCall(r.Header)
+	q := &request{call: call, arrived: arrived, deadline: arrived.Add(defaultTimeLeft), method: r.Method, uri: r.RequestURI, host: r.Host, header: r.Header, version: table.Version}
+	if err != nil {
+		return q, protocol.Refuse(http.StatusBadRequest, "bad-request", err.Error(), 0)
+	}
+	if r.URL.Path == "" || r.URL.Path[0] != '/' || len(q.uri) > 1 && q.uri[1] == '/' || q.uri[0] != '/' {
+		return q, protocol.Refuse(http.StatusBadRequest, "bad-request", "the path must begin with one slash", 0)
+	}
+	q.route = table.Match(r.Host, r.URL.EscapedPath())
+	if q.route == nil {
+		return q, protocol.Refuse(http.StatusNotFound, "no-route", "no route matches", 0)
+	}
+	if active > s.opt.Connections {
+		return q, protocol.Refuse(http.StatusServiceUnavailable, "too-many-requests", "this daemon serves as many requests as it may", retryBusy)
+	}
+	q.service = table.Services[q.route.Service(call.ID)]
+	if q.service == nil {
+		return q, protocol.Refuse(http.StatusServiceUnavailable, "no-service", "the route's service is not declared", retryBusy)
+	}
+	s.setDeadline(q)
+	if refusal := s.readBody(w, r, q, table.Limits); refusal != nil {
+		return q, refusal
+	}
+	return q, nil
+}
+
+// setDeadline takes the shorter of the caller's and the route's time.
+func (s *Server) setDeadline(q *request) {
+	left := q.call.TimeLeft
+	if left == 0 {
+		left = defaultTimeLeft
+	}
+	if q.route.Timeout > 0 {
+		left = min(left, q.route.Timeout)
+	}
+	q.deadline = q.arrived.Add(left)
+	if q.call.TimeLeft == 0 {
+		return
+	}
+	v, _ := s.longest.LoadOrStore(q.route.Name, &atomic.Int64{})
+	longest := v.(*atomic.Int64)
+	if now := int64(q.call.TimeLeft); now > longest.Load() {
+		longest.Store(now)
+	}
+	q.returned = float64(q.call.TimeLeft) < returnedPart*float64(longest.Load())
+}
+
+// returnedPart is the part of the longest time left that was seen on a route
+// below which a request has spent some of its time elsewhere.
+const returnedPart = 0.97
+
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request, q *request, limits routing.Limits) *protocol.Refusal {
+	if r.ContentLength > limits.BodyBytes {
+		return protocol.Refuse(http.StatusRequestEntityTooLarge, "body-too-large", "the body is larger than the limit", 0)
+	}
+	if r.Body == nil || r.ContentLength == 0 {
+		return nil
+	}
+	rc := http.NewResponseController(w)
+	_ = rc.SetReadDeadline(q.deadline) // not all writers have deadlines
+	body, err := readAll(r.Body, r.ContentLength, limits.BodyBytes)
+	_ = rc.SetReadDeadline(time.Time{})
+	switch {
+	case errors.Is(err, errTooLarge):
+		return protocol.Refuse(http.StatusRequestEntityTooLarge, "body-too-large", "the body is larger than the limit", 0)
+	case err != nil:
+		w.Header().Set("Connection", "close")
+		return protocol.Refuse(http.StatusRequestTimeout, "body-incomplete", "the body did not arrive: "+err.Error(), 0)
+	}
+	q.body = body
+	return nil
+}
+
+var errTooLarge = errors.New("too large")
+
+// readAll reads at most limit bytes; size is the declared length or -1.
+func readAll(r io.Reader, size, limit int64) ([]byte, error) {
+	if size > 0 {
+		body := make([]byte, size)
+		_, err := io.ReadFull(r, body)
+		return body, err
+	}
+	body, err := io.ReadAll(io.LimitReader(r, limit+1))
+	if err == nil && int64(len(body)) > limit {
+		return nil, errTooLarge
+	}
+	return body, err
+}
--- a/transport/peers/peers.go
+++ b/transport/peers/peers.go
@@ -87,3 +87,6 @@
 	}
 	return p
 }
+
+// HTTP returns the client that carries the calls.
+func (c *Client) HTTP() *http.Client { return c.http }
--- a/transport/platform/client.go
+++ b/transport/platform/client.go
@@ -5,7 +5,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -16,6 +15,7 @@
 
 	"github.com/zeebo/errs"
 
+	"github.com/doorvalve/doorvalve/coordination/lease"
 	"github.com/doorvalve/doorvalve/protocol"
 	"github.com/doorvalve/doorvalve/transport/meter"
 )
@@ -24,7 +24,7 @@
 var Error = errs.Class("platform")
 
 // ErrNotFound says that the platform answered and has no such object.
-var ErrNotFound = errors.New("no such object")
+var ErrNotFound = lease.ErrNotFound
 
 // Kind is a kind of object.
 type Kind string
