--- a/coordination/residency/planner.go
+++ b/coordination/residency/planner.go
@@ -82,6 +82,7 @@
 	demands    map[string]*demand
 	rates      map[string]float64 // wanted recently, by model; decays
 	starts     []time.Time        // loads from the store, newest last
+	grownAt    time.Time          // when an engine was new last
 }
 
 // New returns a planner that knows nothing.
@@ -116,9 +117,13 @@
 		if w == nil {
 			w = &worker{models: map[string]*replica{}, inMemory: map[string]bool{}, onDisk: map[string]bool{}, unloaded: map[string]time.Time{}, probe: now}
 			p.workers[e.ID] = w
+			p.grownAt = now
 		}
+		older := w.endpoint != nil && w.endpoint.Revision == e.Revision
 		w.endpoint = e
-		p.adopt(now, w, e.Sequence, false, e.Models, nil, e.InMemory, e.OnDisk, false)
+		if !older {
+			p.adoptEntry(now, w)
+		}
 	}
 	for id := range p.workers {
 		if !present[id] {
@@ -127,6 +132,28 @@
 	}
 }
 
+// adoptEntry takes an engine's entry in the store. An entry does not say which
+// orders it knows of, so it counts only until a report has come.
+func (p *Planner) adoptEntry(now time.Time, w *worker) {
+	for _, m := range w.endpoint.OnDisk {
+		w.onDisk[m] = true
+	}
+	if w.known {
+		return
+	}
+	w.inMemory = set(w.endpoint.InMemory)
+	seen := map[string]bool{}
+	for _, m := range w.endpoint.Models {
+		seen[m.Model] = true
+		p.adoptModel(now, w, m)
+	}
+	for name := range w.models {
+		if !seen[name] {
+			delete(w.models, name)
+		}
+	}
+}
+
 // Reported takes an engine's report.
 func (p *Planner) Reported(now time.Time, r Report) {
 	w := p.workers[r.EndpointID]
@@ -135,7 +162,7 @@
 	}
 	w.asking = false
 	w.probe = time.Time{}
-	p.adopt(now, w, r.Sequence, r.Busy, r.Models, r.Coming, r.InMemory, r.OnDisk, true)
+	p.adopt(now, w, r)
 	if !w.known || w.order != nil {
 		w.probe = now.Add(reportLag)
 	}
@@ -149,56 +176,53 @@
 	}
 }
 
-// adopt takes an engine's own description, from its entry in the store or from
-// a report. Descriptions from before the last accepted order say nothing.
-func (p *Planner) adopt(now time.Time, w *worker, sequence uint64, busy bool, models []fleet.Loaded, coming []AdapterRef, inMemory, onDisk []string, report bool) {
-	if w.known && sequence < w.sequence {
+// adopt takes a report. One from before the last accepted order says nothing.
+func (p *Planner) adopt(now time.Time, w *worker, rep Report) {
+	if w.known && rep.Sequence < w.sequence {
 		return
 	}
 	if o := w.order; o != nil {
-		p.adoptDuring(now, w, o, sequence, busy, models, report)
+		p.adoptDuring(now, w, o, rep)
 		if w.order != nil {
 			return
 		}
 	}
-	newer := sequence > w.sequence
-	w.sequence = sequence
-	w.known = w.known || report || sequence == 0
-	w.inMemory, w.onDisk = set(inMemory), set(onDisk)
-	if busy && w.order == nil {
+	newer := rep.Sequence > w.sequence || !w.known
+	w.sequence, w.known = rep.Sequence, true
+	w.inMemory, w.onDisk = set(rep.InMemory), set(rep.OnDisk)
+	if rep.Busy {
 		w.notTo = now.Add(retryBusy)
 		w.probe = now.Add(reportLag)
 	}
 	seen := map[string]bool{}
-	for _, m := range models {
+	for _, m := range rep.Models {
 		seen[m.Model] = true
-		if !newer && w.stillNamed(now, m.Model, busy, report) {
-			continue
+		if newer || !w.stillNamed(now, m.Model, rep.Busy) {
+			p.adoptModel(now, w, m)
 		}
-		p.adoptModel(now, w, m)
 	}
 	for name, r := range w.models {
 		// Without an accepted order between, only a report that is younger
 		// than the load tells that a model is not there.
-		if !seen[name] && (newer || report && !busy && now.After(r.readyAt.Add(reportLag))) {
+		if !seen[name] && (newer || !rep.Busy && now.After(r.readyAt.Add(reportLag))) {
 			delete(w.models, name)
 		}
 	}
-	for _, c := range coming {
+	for _, c := range rep.Coming {
 		if r := w.models[c.Model]; r != nil && r.adapters[c.Adapter] == nil {
 			r.adapters[c.Adapter] = &adapter{readyAt: now.Add(adapterLoad), lastUse: now}
 		}
 	}
 }
 
-// stillNamed reports whether a description names a model only because the
-// unload that this daemon has ordered is not done or not reported yet.
-func (w *worker) stillNamed(now time.Time, model string, busy, report bool) bool {
+// stillNamed reports whether a report names a model only because the unload
+// that this daemon has ordered is not done or not reported yet.
+func (w *worker) stillNamed(now time.Time, model string, busy bool) bool {
 	at, ok := w.unloaded[model]
 	if !ok {
 		return false
 	}
-	if !report || busy || now.Before(at.Add(2*reportLag)) {
+	if busy || now.Before(at.Add(2*reportLag)) {
 		return true
 	}
 	delete(w.unloaded, model)
@@ -227,22 +251,22 @@
 	}
 }
 
-// adoptDuring looks whether a description tells how the order ended.
-func (p *Planner) adoptDuring(now time.Time, w *worker, o *pending, sequence uint64, busy bool, models []fleet.Loaded, report bool) {
-	if sequence <= o.order.Expect {
-		if report && !o.answered && now.After(o.sentAt.Add(retryUnanswered+reportLag)) {
+// adoptDuring looks whether a report tells how the order ended.
+func (p *Planner) adoptDuring(now time.Time, w *worker, o *pending, rep Report) {
+	if rep.Sequence <= o.order.Expect {
+		if !o.answered && now.After(o.sentAt.Add(retryUnanswered+reportLag)) {
 			p.dropOrder(w) // not accepted so far; its expectation guards a repeat
 		}
 		return
 	}
 	o.answered = true
-	has := slices.ContainsFunc(models, func(m fleet.Loaded) bool { return m.Model == o.order.Model })
+	has := slices.ContainsFunc(rep.Models, func(m fleet.Loaded) bool { return m.Model == o.order.Model })
 	switch {
-	case busy:
+	case rep.Busy:
 		o.endsAt = maxTime(o.endsAt, now.Add(retryBusy))
 	case o.order.Unload && !has, !o.order.Unload && has:
 		p.endOrder(now, w)
-	case report && now.After(o.endsAt.Add(loadOverdue)):
+	case now.After(o.endsAt.Add(loadOverdue)):
 		p.dropOrder(w)
 	}
 }
--- a/coordination/residency/ready.go
+++ b/coordination/residency/ready.go
@@ -224,6 +224,9 @@
 // planCopies brings models that no engine has a copy of near, while the store
 // has places free: afterwards they are a disk's load time away.
 func (p *Planner) planCopies(now time.Time) {
+	if now.Sub(p.grownAt) < settleFor {
+		return
+	}
 	free := max(1, p.opt.StoreAtOnce) - p.storeLoads()
 	for _, w := range p.workers {
 		for _, pl := range w.plan {
--- a/coordination/residency/types.go
+++ b/coordination/residency/types.go
@@ -160,6 +160,10 @@
 	retryUnanswered = 400 * time.Millisecond
 	// unloadWait is the estimate for an unload that has to wait for runs.
 	unloadWait = 1500 * time.Millisecond
+	// settleFor is how long no engine must have been new before models are
+	// brought near that nobody asks for: engines register within some
+	// heartbeats of their start, and the model may be on one of them.
+	settleFor = 1500 * time.Millisecond
 	// loadOverdue is how long after its expected end a load that no report
 	// confirms is given up on.
 	loadOverdue = 4 * time.Second
--- a/state/fleet/fleet.go
+++ b/state/fleet/fleet.go
@@ -26,11 +26,9 @@
 	// Remaining is the time left until a leaving endpoint is gone, as it was
 	// announced; zero when unknown.
 	Remaining time.Duration
-	// Sequence counts the orders that the endpoint has accepted.
-	Sequence uint64
-	Models   []Loaded
-	InMemory []string // models with a copy in host memory
-	OnDisk   []string // models with a copy on the endpoint's disk
+	Models    []Loaded
+	InMemory  []string // models with a copy in host memory
+	OnDisk    []string // models with a copy on the endpoint's disk
 	// Revision is the platform's revision of this description.
 	Revision uint64
 }
