--- a/coordination/residency/planner.go
+++ b/coordination/residency/planner.go
@@ -188,7 +188,10 @@
 		}
 	}
 	newer := rep.Sequence > w.sequence || !w.known
-	w.sequence, w.known = rep.Sequence, true
+	// What an engine will hold after an order that this planner has not given
+	// is not in the report; it becomes known when the engine is done.
+	foreign := rep.Busy && newer
+	w.sequence, w.known = rep.Sequence, !foreign
 	w.inMemory, w.onDisk = set(rep.InMemory), set(rep.OnDisk)
 	if rep.Busy {
 		w.notTo = now.Add(retryBusy)
