--- a/daemon/edgedaemon/daemon.go
+++ b/daemon/edgedaemon/daemon.go
@@ -257,13 +257,20 @@
 		ErrorLog: d.log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 	}
 	d.servers = append(d.servers, srv)
+	over := make(chan struct{})
 	g.Add(func() error {
 		err := srv.Serve(l)
-		if errors.Is(err, http.ErrServerClosed) {
-			return nil
+		if !errors.Is(err, http.ErrServerClosed) {
+			return err
 		}
-		return err
-	}, func(error) { _ = srv.Close() })
+		// A graceful shutdown ends Serve at once; the group must go on until
+		// the requests in progress are finished.
+		<-over
+		return nil
+	}, func(error) {
+		close(over)
+		_ = srv.Close()
+	})
 }
 
 // peerHandler serves the other daemons.
