--- a/coordination/residency/planner.go
+++ b/coordination/residency/planner.go
@@ -28,9 +28,9 @@
 type pending struct {
 	order    Order
 	level    Level
-	answered bool // accepted; now in progress
-	sentAt   time.Time
+	answered bool      // accepted; now in progress
 	endsAt   time.Time // expected
+	unsureAt time.Time // when the answer was given up on; zero before
 }
 
 // worker is what the planner believes of one engine.
@@ -80,14 +80,14 @@
 	fence      uint64
 	ordersFrom time.Time
 	demands    map[string]*demand
-	rates      map[string]float64 // wanted recently, by model; decays
-	starts     []time.Time        // loads from the store, newest last
-	grownAt    time.Time          // when an engine was new last
+	values     map[string]*value // of what was wanted lately, by model
+	starts     []time.Time       // loads from the store, newest last
+	grownAt    time.Time         // when an engine was new last
 }
 
 // New returns a planner that knows nothing.
 func New(opt Options) *Planner {
-	return &Planner{opt: opt, workers: map[string]*worker{}, demands: map[string]*demand{}, rates: map[string]float64{}}
+	return &Planner{opt: opt, workers: map[string]*worker{}, demands: map[string]*demand{}, values: map[string]*value{}}
 }
 
 // Configure takes the service's models.
@@ -257,7 +257,7 @@
 // adoptDuring looks whether a report tells how the order ended.
 func (p *Planner) adoptDuring(now time.Time, w *worker, o *pending, rep Report) {
 	if rep.Sequence <= o.order.Expect {
-		if !o.answered && now.After(o.sentAt.Add(retryUnanswered+reportLag)) {
+		if !o.answered && !o.unsureAt.IsZero() && now.After(o.unsureAt.Add(reportLag)) {
 			p.dropOrder(w) // not accepted so far; its expectation guards a repeat
 		}
 		return
@@ -334,6 +334,7 @@
 		w.notTo = now.Add(retryUnanswered)
 		w.probe = now
 	case Unanswered:
+		w.order.unsureAt = now
 		w.notTo = now.Add(retryUnanswered)
 		w.probe = now.Add(retryUnanswered)
 	}
--- a/coordination/residency/ready.go
+++ b/coordination/residency/ready.go
@@ -25,7 +25,7 @@
 	}
 	p.planReplicas(now)
 	p.planCopies(now)
-	for _, w := range p.byUrgency() {
+	for _, w := range p.byValue(now) {
 		if o, ok := p.nextOrder(now, w); ok {
 			r.Orders = append(r.Orders, o)
 		}
@@ -53,26 +53,53 @@
 	}
 }
 
-// byUrgency returns the engines with waiting requests first, so that those get
-// the store's places.
-func (p *Planner) byUrgency() []*worker {
-	var list []*worker
+// byValue returns the engines that have something planned, those with the most
+// wanted model first, so that it gets the store's places.
+func (p *Planner) byValue(now time.Time) []*worker {
+	type ranked struct {
+		w     *worker
+		first planned
+	}
+	var list []ranked
 	for _, id := range p.ids() {
 		if w := p.workers[id]; len(w.plan) > 0 {
-			list = append(list, w)
+			list = append(list, ranked{w, p.sortedPlan(now, w)[0]})
 		}
 	}
-	slices.SortStableFunc(list, func(a, b *worker) int {
-		x, y := a.plan[0], b.plan[0]
-		if x.urgent != y.urgent {
-			if x.urgent {
-				return -1
-			}
-			return 1
-		}
-		return x.since.Compare(y.since)
-	})
-	return list
+	slices.SortStableFunc(list, func(a, b ranked) int { return p.comparePlanned(now, a.first, b.first) })
+	out := make([]*worker, len(list))
+	for i := range list {
+		out[i] = list[i].w
+	}
+	return out
+}
+
+// comparePlanned puts adapters first, which take milliseconds, then what
+// requests wait for, the most wanted first.
+func (p *Planner) comparePlanned(now time.Time, a, b planned) int {
+	return cmp.Or(
+		-compareBool(a.adapter != "", b.adapter != ""),
+		-compareBool(a.urgent, b.urgent),
+		cmp.Compare(p.value(now, b.model), p.value(now, a.model)),
+		a.since.Compare(b.since),
+	)
+}
+
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	}
+	return -1
+}
+
+// sortedPlan returns an engine's plan in the order in which it is carried out.
+func (p *Planner) sortedPlan(now time.Time, w *worker) []planned {
+	plan := slices.Clone(w.plan)
+	slices.SortStableFunc(plan, func(a, b planned) int { return p.comparePlanned(now, a, b) })
+	return plan
 }
 
 // nextOrder returns the order that brings an engine's plan forward.
@@ -80,29 +107,27 @@
 	if w.order != nil || !w.known || !w.usable() || now.Before(w.notTo) {
 		return Order{}, false
 	}
-	for len(w.plan) > 0 {
-		pl := w.plan[p.adapterFirst(w)]
+	for _, pl := range p.sortedPlan(now, w) {
 		if p.planDone(w, pl) {
-			w.plan = slices.DeleteFunc(w.plan, func(x planned) bool { return x == pl })
+			w.unplan(pl)
 			continue
 		}
 		if pl.adapter != "" {
+			if r := w.models[pl.model]; !r.confirmed && r.readyAt.After(now) {
+				continue // its model comes first
+			}
 			return p.adapterOrder(now, w, pl)
 		}
+		if w.level(pl.model) == Store && !p.mayLoadFromStore(now, pl.urgent) {
+			continue
+		}
 		return p.modelOrder(now, w, pl)
 	}
 	return Order{}, false
 }
 
-// adapterFirst returns the place of the first adapter in the plan, which takes
-// milliseconds, or 0.
-func (p *Planner) adapterFirst(w *worker) int {
-	for i, pl := range w.plan {
-		if r := w.models[pl.model]; pl.adapter != "" && r != nil && r.confirmed {
-			return i
-		}
-	}
-	return 0
+func (w *worker) unplan(pl planned) {
+	w.plan = slices.DeleteFunc(w.plan, func(x planned) bool { return x == pl })
 }
 
 func (p *Planner) planDone(w *worker, pl planned) bool {
@@ -122,16 +147,13 @@
 	if p.memory(w)+m.SizeMB > p.conf.Engine.MemoryMB {
 		victims := p.victims(now, w)
 		if len(victims) == 0 || !pl.urgent && victims[0].cost >= unloadWait {
-			w.plan = slices.DeleteFunc(w.plan, func(x planned) bool { return x == pl })
+			w.unplan(pl)
 			return Order{}, false
 		}
 		return p.send(now, w, Order{Unload: true, Model: victims[0].name}, Resident), true
 	}
 	level := w.level(pl.model)
-	if level == Store && !p.mayLoadFromStore(now, pl.urgent) {
-		return Order{}, false
-	}
-	w.plan = slices.DeleteFunc(w.plan, func(x planned) bool { return x == pl })
+	w.unplan(pl)
 	o := p.send(now, w, Order{Model: pl.model}, level)
 	w.models[pl.model] = &replica{adapters: map[string]*adapter{}, readyAt: w.order.endsAt.Add(orderMargin), lastUse: now, keepUntil: keepFrom(w.order.endsAt, pl.urgent)}
 	if level == Store {
@@ -150,7 +172,11 @@
 
 // mayLoadFromStore keeps to the store's places and to its rate of loads.
 func (p *Planner) mayLoadFromStore(now time.Time, urgent bool) bool {
-	if p.storeLoads() >= max(1, p.opt.StoreAtOnce) {
+	places := max(1, p.opt.StoreAtOnce)
+	if urgent {
+		places += urgentBeyond
+	}
+	if p.storeLoads() >= places {
 		return false
 	}
 	p.starts = slices.DeleteFunc(p.starts, func(t time.Time) bool { return now.Sub(t) > p.opt.RateWindow })
@@ -169,14 +195,14 @@
 	if held >= p.conf.Engine.AdapterSlots || p.memory(w)+m.AdapterMB > p.conf.Engine.MemoryMB {
 		model, name, ok := oldestAdapter(w, now)
 		if !ok {
-			w.plan = slices.DeleteFunc(w.plan, func(x planned) bool { return x == pl })
+			w.unplan(pl)
 			return Order{}, false
 		}
 		o := p.send(now, w, Order{Unload: true, Model: model, Adapter: name}, Resident)
 		delete(w.models[model].adapters, name)
 		return o, true
 	}
-	w.plan = slices.DeleteFunc(w.plan, func(x planned) bool { return x == pl })
+	w.unplan(pl)
 	o := p.send(now, w, Order{Model: pl.model, Adapter: pl.adapter}, Resident)
 	r.adapters[pl.adapter] = &adapter{readyAt: now.Add(adapterLoad), lastUse: now}
 	return o, true
@@ -204,7 +230,7 @@
 	if !o.Unload && o.Adapter == "" {
 		end = now.Add(p.loadTime(level, o.Model))
 	}
-	w.order = &pending{order: o, level: level, sentAt: now, endsAt: end}
+	w.order = &pending{order: o, level: level, endsAt: end}
 	return o
 }
 
@@ -238,7 +264,7 @@
 	if free <= 0 {
 		return
 	}
-	for _, model := range p.missing() {
+	for _, model := range p.missing(now) {
 		w := p.quietEngine(now, model)
 		if w == nil {
 			return
@@ -252,7 +278,7 @@
 
 // missing returns the models without a copy at any usable engine, the most
 // wanted first.
-func (p *Planner) missing() []string {
+func (p *Planner) missing(now time.Time) []string {
 	var list []string
 	for name := range p.conf.Engine.Models {
 		found := false
@@ -267,7 +293,7 @@
 		}
 	}
 	slices.SortFunc(list, func(a, b string) int {
-		return cmp.Or(cmp.Compare(p.rates[b], p.rates[a]), cmp.Compare(a, b))
+		return cmp.Or(cmp.Compare(p.value(now, b), p.value(now, a)), cmp.Compare(a, b))
 	})
 	return list
 }
--- a/coordination/residency/types.go
+++ b/coordination/residency/types.go
@@ -87,6 +87,9 @@
 	Rank    int // of the request; 0 is first
 	// Avoid is an endpoint that has just failed for this request.
 	Avoid string
+	// Absent is an endpoint that has just said that it does not hold the model
+	// or adapter.
+	Absent string
 }
 
 // Answer says where a wanted model is or will be.
@@ -156,8 +159,19 @@
 	reportLag = 250 * time.Millisecond
 	// retryBusy is the pause after an order that found the engine busy.
 	retryBusy = 80 * time.Millisecond
+	// valueHalfLife is how fast old wants lose weight against new ones: some
+	// loads from the store.
+	valueHalfLife = 8 * time.Second
+	// rankWeight is how much more a request weighs than one of the next rank.
+	rankWeight = 4
+	// ranks is the number of ranks that weigh differently.
+	ranks = 4
+	// urgentBeyond is the number of loads beyond the store's places that may
+	// run for models that requests wait for: all are then a little slower, but
+	// none waits for a place.
+	urgentBeyond = 1
 	// retryUnanswered is the pause after an order without an answer.
-	retryUnanswered = 400 * time.Millisecond
+	retryUnanswered = 100 * time.Millisecond
 	// unloadWait is the estimate for an unload that has to wait for runs.
 	unloadWait = 1500 * time.Millisecond
 	// settleFor is how long no engine must have been new before models are
--- a/coordination/residency/want.go
+++ b/coordination/residency/want.go
@@ -14,7 +14,10 @@
 	if _, ok := p.conf.Engine.Models[want.Model]; !ok {
 		return Answer{Refused: RefusedNoModel}
 	}
-	p.rates[want.Model]++
+	p.wanted(now, want)
+	if want.Absent != "" {
+		p.absent(now, want)
+	}
 	if a, ok := p.wantResident(now, want); ok {
 		return a
 	}
@@ -34,6 +37,27 @@
 	return a
 }
 
+// absent takes an engine's word that it does not hold what it was thought to.
+// A report has to tell what it does hold.
+func (p *Planner) absent(now time.Time, want Want) {
+	w := p.workers[want.Absent]
+	if w == nil {
+		return
+	}
+	r := w.models[want.Model]
+	if r == nil || r.readyAt.After(now) {
+		return
+	}
+	if a := r.adapters[want.Adapter]; a != nil && want.Adapter != "" {
+		if a.readyAt.Before(now) {
+			delete(r.adapters, want.Adapter) // a repeated order is harmless
+		}
+		return
+	}
+	r.readyAt = now.Add(reportLag)
+	w.probe = now
+}
+
 // wantResident finds an engine that holds the model or is loading it.
 func (p *Planner) wantResident(now time.Time, want Want) (Answer, bool) {
 	var best *worker
@@ -127,14 +151,15 @@
 	return Answer{}, false
 }
 
-// planTime estimates when a planned model will be ready.
+// planTime estimates when a planned model will be ready, or, without a model,
+// when the engine is done with all that is planned.
 func (p *Planner) planTime(now time.Time, w *worker, model string) time.Duration {
 	t := time.Duration(0)
 	if o := w.order; o != nil {
 		t = max(retryBusy, o.endsAt.Sub(now))
 	}
-	for _, pl := range w.plan {
-		if pl.adapter != "" {
+	for _, pl := range p.sortedPlan(now, w) {
+		if pl.adapter != "" || model == "" && !pl.urgent {
 			continue
 		}
 		t += p.stepTime(w, pl.model)
@@ -165,7 +190,7 @@
 			}
 		}
 	}
-	free := max(1, p.opt.StoreAtOnce) - p.storeLoads()
+	free := max(1, p.opt.StoreAtOnce) + urgentBeyond - p.storeLoads()
 	if waiting < free {
 		return 0
 	}
@@ -179,20 +204,10 @@
 		return Answer{}, false
 	}
 	level := w.level(want.Model)
-	w.plan = insertPlan(w.plan, planned{model: want.Model, urgent: true, since: now})
+	w.plan = append(w.plan, planned{model: want.Model, urgent: true, since: now})
 	return Answer{EndpointID: w.endpoint.ID, Level: level, ReadyIn: t}, true
 }
 
-// insertPlan puts an urgent load before those that nobody waits for.
-func insertPlan(plan []planned, next planned) []planned {
-	for i := range plan {
-		if !plan[i].urgent {
-			return slices.Insert(plan, i, next)
-		}
-	}
-	return append(plan, next)
-}
-
 // bestEngine returns the engine with the least time until the model is ready,
 // and that time.
 func (p *Planner) bestEngine(now time.Time, model, avoid string) (*worker, time.Duration) {
--- a/daemon/edgedaemon/daemon.go
+++ b/daemon/edgedaemon/daemon.go
@@ -40,7 +40,7 @@
 const (
 	// engineTimeout bounds each order and report: engines are a millisecond
 	// away and answer at once.
-	engineTimeout = 600 * time.Millisecond
+	engineTimeout = 300 * time.Millisecond
 	// metricsEvery is how often counters are handed to the reporter.
 	metricsEvery = 5 * time.Second
 	// retryPart keeps the daemons together below the bound on retries, since
--- a/daemon/edgedaemon/peers.go
+++ b/daemon/edgedaemon/peers.go
@@ -116,7 +116,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, wantTimeout)
 	defer cancel()
-	resp, err := d.fleet(address).Want(ctx, &fleetpb.WantRequest{Service: service, Model: w.Model, Adapter: w.Adapter, Rank: int32(w.Rank), Avoid: w.Avoid})
+	resp, err := d.fleet(address).Want(ctx, &fleetpb.WantRequest{Service: service, Model: w.Model, Adapter: w.Adapter, Rank: int32(w.Rank), Avoid: w.Avoid, Absent: w.Absent})
 	if err != nil {
 		d.log.Info(decisions.EventDependencyLost, "dependency", "coordinator", "service", service, "holder", address, "error", err)
 		return residency.Answer{Refused: residency.RefusedNoHolder, ReadyIn: noHolderPause}
@@ -183,7 +183,7 @@
 	if c == nil {
 		return &fleetpb.WantResponse{Refused: residency.RefusedNoHolder, ReadyInMs: noHolderPause.Milliseconds()}, nil
 	}
-	a := c.Want(residency.Want{Model: req.Model, Adapter: req.Adapter, Rank: int(req.Rank), Avoid: req.Avoid})
+	a := c.Want(residency.Want{Model: req.Model, Adapter: req.Adapter, Rank: int(req.Rank), Avoid: req.Avoid, Absent: req.Absent})
 	return &fleetpb.WantResponse{Endpoint: a.EndpointID, ReadyInMs: ceilMs(a.ReadyIn), Level: int32(a.Level), Refused: a.Refused}, nil
 }
 
--- a/transport/edge/attempt.go
+++ b/transport/edge/attempt.go
@@ -56,6 +56,8 @@
 	absent  bool // the endpoint is another process, or does not hold the model
 	loading bool // the endpoint is still loading the model
 	leaving bool
+	// endpoint is the id of the endpoint that was asked.
+	endpoint string
 }
 
 // body hides the type of the content, so that the transport cannot send a
--- a/transport/edge/run.go
+++ b/transport/edge/run.go
@@ -43,7 +43,7 @@
 			}
 			s.metrics.retried.Inc(1)
 		}
-		e, refusal := s.locate(ctx, q, exclude)
+		e, refusal := s.locate(ctx, q, exclude, absentAt(last))
 		if refusal != nil {
 			if last != nil && verdict != protocol.NotRun {
 				return giveUp(last, verdict)
@@ -55,6 +55,7 @@
 			return nil
 		}
 		last = f
+		f.endpoint = e.ID
 		verdict = max(verdict, f.verdict)
 		if f.verdict != protocol.NotRun {
 			ran++
@@ -92,6 +93,15 @@
 	return r
 }
 
+// absentAt returns the endpoint that has just said that it does not hold the
+// model, empty if none did.
+func absentAt(f *failure) string {
+	if f == nil || !f.absent {
+		return ""
+	}
+	return f.endpoint
+}
+
 // learn takes what a failure tells of the endpoint, and reports whether this
 // request should keep away from it.
 func (s *Server) learn(ctx context.Context, q *request, e *fleet.Endpoint, f *failure) (exclude bool) {
@@ -116,7 +126,7 @@
 
 // locate finds the endpoint for a request, waiting for its model if that is
 // worth it.
-func (s *Server) locate(ctx context.Context, q *request, exclude []string) (*fleet.Endpoint, *protocol.Refusal) {
+func (s *Server) locate(ctx context.Context, q *request, exclude []string, absent string) (*fleet.Endpoint, *protocol.Refusal) {
 	if q.service.Engine == nil || q.call.Model == "" {
 		return s.locatePlain(q, exclude)
 	}
@@ -128,7 +138,8 @@
 		if len(exclude) > 0 {
 			avoid = exclude[len(exclude)-1]
 		}
-		ans := s.opt.Locator.Want(ctx, q.service.Name, residency.Want{Model: q.call.Model, Adapter: q.call.Adapter, Rank: q.route.Rank, Avoid: avoid})
+		ans := s.opt.Locator.Want(ctx, q.service.Name, residency.Want{Model: q.call.Model, Adapter: q.call.Adapter, Rank: q.route.Rank, Avoid: avoid, Absent: absent})
+		absent = "" // told once
 		if ctx.Err() != nil {
 			return nil, s.outOfTime(q, protocol.NotRun)
 		}
