--- a/coordination/retry/retry.go
+++ b/coordination/retry/retry.go
@@ -26,16 +26,18 @@
 // NewBudgetOf returns a full budget: each request earns ratio of a retry, and
 // at most burst retries are in store.
 func NewBudgetOf(ratio, burst float64) *Budget {
-	b := NewEmptyBudget(ratio)
+	b := NewEarnedBudget(ratio)
 	b.SetBurst(burst)
 	b.credit.Store(b.mostNow.Load())
 	return b
 }
 
-// NewEmptyBudget returns a budget that is earned from nothing, so that daemons
-// which restart do not bring retries of their own each time.
-func NewEmptyBudget(ratio float64) *Budget {
-	return &Budget{earn: int64(ratio * perRetry)}
+// NewEarnedBudget returns a budget with a single retry in store, so that
+// daemons which restart do not bring a burst of retries of their own each time.
+func NewEarnedBudget(ratio float64) *Budget {
+	b := &Budget{earn: int64(ratio * perRetry)}
+	b.credit.Store(perRetry)
+	return b
 }
 
 // SetBurst changes the most retries in store, as when daemons that share a
--- a/daemon/edgedaemon/stop.go
+++ b/daemon/edgedaemon/stop.go
@@ -42,6 +42,16 @@
 	d.log.Info(decisions.EventReload, "daemon", d.self, "retry_extra", set.Retries.Extra, "loads_at_once", set.Loads.AtOnce)
 }
 
+// ends returns when a stopping daemon ends what is in progress; zero while it
+// serves.
+func (d *Daemon) ends() time.Time {
+	since := d.stopping.Load()
+	if since == 0 {
+		return time.Time{}
+	}
+	return time.Unix(0, since).Add(d.set.Timing.Grace.D() - finishReserve)
+}
+
 func (d *Daemon) draining() bool { return d.stopping.Load() != 0 }
 
 // Serving implements platform.Directory.
@@ -103,7 +113,7 @@
 func (d *Daemon) finish(ctx context.Context, since time.Time) error {
 	grace := d.set.Timing.Grace.D()
 	wait(ctx, time.Until(since.Add(time.Duration(float64(grace)*lingerPart))))
-	end, cancel := context.WithDeadline(ctx, since.Add(grace-finishReserve))
+	end, cancel := context.WithDeadline(ctx, d.ends())
 	defer cancel()
 	done := make(chan struct{}, len(d.servers))
 	for _, srv := range d.servers[:1] {
--- a/transport/edge/run.go
+++ b/transport/edge/run.go
@@ -21,6 +21,9 @@
 	// loadingPause is the wait before an endpoint that is still loading is
 	// tried again.
 	loadingPause = 100 * time.Millisecond
+	// lastWait is the time that a draining daemon must have left for the answer
+	// of a request that waits for its model.
+	lastWait = 2500 * time.Millisecond
 	// askPause bounds the wait between two questions to the coordinator.
 	askPause = time.Second
 )
@@ -167,6 +170,9 @@
 // wait waits for a model, or refuses the request.
 func (s *Server) wait(ctx context.Context, q *request, ans residency.Answer) *protocol.Refusal {
 	elapsed := time.Since(q.arrived)
+	if ends := s.opt.Ends(); !ends.IsZero() && time.Until(ends) < ans.ReadyIn+lastWait {
+		return protocol.Refuse(http.StatusServiceUnavailable, "stopping", "this daemon stops before the model is loaded", retryDraining)
+	}
 	d := waiting.Decide(waiting.Input{
 		ReadyIn: ans.ReadyIn, Elapsed: elapsed, TimeLeft: time.Until(q.deadline), Target: q.route.Target,
 		Patience: q.route.Patience, Returned: q.returned,
--- a/transport/edge/server.go
+++ b/transport/edge/server.go
@@ -38,6 +38,9 @@
 	Table    func() *routing.Table
 	View     func() *fleet.View
 	Draining func() bool
+	// Ends returns when a draining daemon ends what is in progress; zero while
+	// it serves.
+	Ends     func() time.Time
 	Dialect  protocol.Dialect
 	Locator  Locator
 	Balancer *balance.Balancer
@@ -161,6 +164,10 @@
 	retryDraining = 100 * time.Millisecond
 )
 
+// lastStream is the time that a draining daemon must have left to begin a
+// stream: most end within it.
+const lastStream = 5 * time.Second
+
 // defaultTimeLeft is the time of a request whose caller and route name none.
 const defaultTimeLeft = 30 * time.Second
 
@@ -271,6 +278,9 @@
 	if q.route == nil {
 		return q, protocol.Refuse(http.StatusNotFound, "no-route", "no route matches", 0)
 	}
+	if s.opt.Draining() && q.route.Kind == routing.Streaming && time.Until(s.opt.Ends()) < lastStream {
+		return q, protocol.Refuse(http.StatusServiceUnavailable, "stopping", "this daemon stops before the stream would end", retryDraining)
+	}
 	if active > s.opt.Connections {
 		return q, protocol.Refuse(http.StatusServiceUnavailable, "too-many-requests", "this daemon serves as many requests as it may", retryBusy)
 	}
