residency: an adapter's unload frees its slot only when the engine has accepted it

Also: a report that tells of more orders than the planner knows is taken whole, with what a foreign order may bring.

--- a/coordination/residency/planner.go
+++ b/coordination/residency/planner.go
@@ -185,13 +185,13 @@
 	if w.known && rep.Sequence < w.sequence {
 		return
 	}
+	newer := rep.Sequence > w.sequence || !w.known
 	if o := w.order; o != nil {
 		p.adoptDuring(now, w, o, rep)
 		if w.order != nil {
 			return
 		}
 	}
-	newer := rep.Sequence > w.sequence || !w.known
 	// What an engine will hold after an order that this planner has not given
 	// is not in the report; it becomes known when the engine is done.
 	foreign := rep.Busy && newer
@@ -284,6 +284,9 @@
 	w.order = nil
 	w.sequence = max(w.sequence, o.order.Expect+1)
 	if o.order.Adapter != "" {
+		if r := w.models[o.order.Model]; r != nil && o.order.Unload {
+			delete(r.adapters, o.order.Adapter)
+		}
 		return
 	}
 	if o.order.Unload {
@@ -325,6 +328,10 @@
 	case Accepted:
 		p.accepted(now, w)
 	case Holds:
+		if w.order.order.Adapter != "" && w.order.order.Unload {
+			p.accepted(now, w) // an unused adapter is unloaded at once
+			return
+		}
 		w.order.endsAt = now
 		p.endOrder(now, w)
 		// Whether an order that already held was counted is not certain.
--- a/coordination/residency/planner_test.go
+++ b/coordination/residency/planner_test.go
@@ -34,6 +34,8 @@
 	fence   uint64
 	// chance decides the fate of an order; nil: all are answered.
 	chance func() string
+	// silent decides whether an engine gives no report; nil: it always does.
+	silent func() bool
 	orders int
 }
 
@@ -101,9 +103,11 @@
 	}
 	r := w.p.Ready(w.now)
 	for _, id := range r.Probes {
-		if e := w.engine(id); e != nil {
+		if e := w.engine(id); e != nil && (w.silent == nil || !w.silent()) {
 			w.p.Reported(w.now, e.report(w.now, w.lag))
+			continue
 		}
+		w.p.ReportFailed(w.now, id)
 	}
 	for _, o := range r.Orders {
 		w.orders++
@@ -265,6 +269,29 @@
 	}
 }
 
+// An adapter's unload that has not reached its engine frees no slot, also when
+// no report comes.
+func TestUnloadThatWasNotAcceptedFreesNothing(t *testing.T) {
+	w := newWorld(3, 1)
+	w.run(time.Second)
+	for i := 1; i <= 3; i++ {
+		w.p.Want(w.now, Want{Model: "m00", Adapter: fmt.Sprintf("a%d", i)})
+		w.run(2 * time.Second)
+	}
+	fates := []string{"unsent"}
+	w.chance = func() string {
+		fate := ""
+		if len(fates) > 0 {
+			fate, fates = fates[0], fates[1:]
+		}
+		return fate
+	}
+	w.silent = func() bool { return true }
+	w.p.Want(w.now, Want{Model: "m00", Adapter: "a4"})
+	w.run(3 * time.Second)
+	w.check(t)
+}
+
 // Whatever happens to orders, reports and engines, no engine is ordered beyond
 // its memory or adapter slots, and a wanted model is there in the end.
 func TestNeverBeyondMemory(t *testing.T) {
@@ -274,6 +301,7 @@
 		w.lag = time.Duration(rapid.IntRange(0, 250).Draw(t, "lag")) * time.Millisecond
 		fates := []string{"", "", "", "lost", "late", "answer lost", "unsent"}
 		w.chance = func() string { return rapid.SampledFrom(fates).Draw(t, "fate") }
+		w.silent = func() bool { return rapid.IntRange(0, 3).Draw(t, "report") == 0 }
 		for range rapid.IntRange(5, 25).Draw(t, "steps") {
 			w.event(t, models)
 			w.run(time.Duration(rapid.IntRange(1, 60).Draw(t, "wait")) * 20 * time.Millisecond)
--- a/coordination/residency/ready.go
+++ b/coordination/residency/ready.go
@@ -195,9 +195,7 @@
 			w.unplan(pl)
 			return Order{}, false
 		}
-		o := p.send(now, w, Order{Unload: true, Model: model, Adapter: name}, Resident)
-		delete(w.models[model].adapters, name)
-		return o, true
+		return p.send(now, w, Order{Unload: true, Model: model, Adapter: name}, Resident), true
 	}
 	w.unplan(pl)
 	o := p.send(now, w, Order{Model: pl.model, Adapter: pl.adapter}, Resident)
