--- a/coordination/residency/planner.go
+++ b/coordination/residency/planner.go
@@ -41,6 +41,8 @@
 type worker struct {
 	endpoint *fleet.Endpoint
 	known    bool // its sequence and models are known
+	down     bool // it does not answer; it gets nothing until it reports
+	silent   int  // reports that did not come, in a row
 	sequence uint64
 	models   map[string]*replica
 	inMemory map[string]bool
@@ -164,7 +166,7 @@
 	if w == nil {
 		return
 	}
-	w.asking = false
+	w.asking, w.down, w.silent = false, false, 0
 	w.probe = time.Time{}
 	p.adopt(now, w, r)
 	if !w.known || w.order != nil {
@@ -176,7 +178,9 @@
 func (p *Planner) ReportFailed(now time.Time, id string) {
 	if w := p.workers[id]; w != nil {
 		w.asking = false
-		w.probe = now.Add(2 * reportLag)
+		w.silent++
+		w.down = w.down || w.silent >= silentReports
+		w.probe = now.Add(min(probeMost, reportLag<<min(w.silent, probeDoublings)))
 	}
 }
 
@@ -342,6 +346,7 @@
 		w.probe = now
 	case Refused, Unsent:
 		p.dropOrder(w)
+		w.down = true
 		w.notTo = now.Add(retryUnanswered)
 		w.probe = now
 	case Unanswered:
@@ -418,7 +423,7 @@
 	return Store
 }
 
-func (w *worker) usable() bool { return w.endpoint != nil && !w.endpoint.Leaving }
+func (w *worker) usable() bool { return !w.endpoint.Leaving && !w.down }
 
 // Demand takes what a daemon says of its requests: running or waiting, by
 // model.
--- a/coordination/residency/ready.go
+++ b/coordination/residency/ready.go
@@ -294,11 +294,12 @@
 }
 
 // quietEngine returns the engine that is missed least while it loads from the
-// store: it has nothing planned and the fewest models that only it can bring
-// back.
+// store: it has nothing planned and the fewest models that are in use there or
+// that only it can bring back.
 func (p *Planner) quietEngine(now time.Time, model string) *worker {
 	var best *worker
 	bestOnly := 0
+	active := p.active(now)
 	for _, id := range p.ids() {
 		w := p.workers[id]
 		if !w.usable() || !w.known || w.order != nil || len(w.plan) > 0 || now.Before(w.notTo) {
@@ -307,7 +308,7 @@
 		if cost, ok := p.roomCost(now, w, model); !ok || cost >= unloadWait {
 			continue
 		}
-		if only := p.onlyHere(w); best == nil || only < bestOnly {
+		if only := p.onlyHere(w) + p.inUse(w, active); best == nil || only < bestOnly {
 			best, bestOnly = w, only
 		}
 	}
--- a/coordination/residency/types.go
+++ b/coordination/residency/types.go
@@ -157,6 +157,16 @@
 	orderMargin = 30 * time.Millisecond
 	// reportLag is how old an engine's report is, at most.
 	reportLag = 250 * time.Millisecond
+	// silentReports is the number of reports in a row that do not come after
+	// which an engine counts as down.
+	silentReports = 2
+	// probeMost and probeDoublings bound the growing pause between reports
+	// that do not come.
+	probeMost      = 2 * time.Second
+	probeDoublings = 3
+	// activeCost is what an engine's models in use count against a long load
+	// there, which keeps their adapters out meanwhile.
+	activeCost = 400 * time.Millisecond
 	// retryBusy is the pause after an order that found the engine busy.
 	retryBusy = 80 * time.Millisecond
 	// valueHalfLife is how fast old wants lose weight against new ones: some
--- a/coordination/residency/want.go
+++ b/coordination/residency/want.go
@@ -95,6 +95,8 @@
 	if a := r.adapters[want.Adapter]; a != nil {
 		return max(cost, a.readyAt.Sub(now)), true
 	}
+	// An engine takes no adapter while it carries out another order.
+	cost = max(cost, w.freeIn(now))
 	if w.plans(want.Model, want.Adapter) {
 		return cost + adapterLoad, true
 	}
@@ -128,11 +130,15 @@
 	if !w.plans(want.Model, want.Adapter) {
 		w.plan = append(w.plan, planned{model: want.Model, adapter: want.Adapter, urgent: true, since: now})
 	}
-	wait := adapterLoad
-	if o := w.order; o != nil && !o.answered {
-		wait += retryBusy
+	return w.freeIn(now) + adapterLoad
+}
+
+// freeIn returns how long the engine's order in progress will take.
+func (w *worker) freeIn(now time.Time) time.Duration {
+	if w.order == nil {
+		return 0
 	}
-	return wait
+	return max(0, w.order.endsAt.Sub(now))
 }
 
 // wantPlanned finds a load that is planned already.
@@ -213,6 +219,7 @@
 func (p *Planner) bestEngine(now time.Time, model, avoid string) (*worker, time.Duration) {
 	var best *worker
 	bestTime := time.Duration(0)
+	active := p.active(now)
 	for _, id := range p.ids() {
 		w := p.workers[id]
 		if id == avoid || !w.usable() || !w.known || w.models[model] != nil {
@@ -223,6 +230,9 @@
 			continue
 		}
 		t := p.planTime(now, w, "") + p.stepTime(w, model) + cost
+		if w.level(model) == Store {
+			t += time.Duration(p.inUse(w, active)) * activeCost
+		}
 		if best == nil || t < bestTime {
 			best, bestTime = w, t
 		}
@@ -230,6 +240,17 @@
 	return best, bestTime
 }
 
+// inUse counts an engine's models that requests run on or wait for.
+func (p *Planner) inUse(w *worker, active map[string]int) int {
+	n := 0
+	for name := range w.models {
+		if active[name] > 0 {
+			n++
+		}
+	}
+	return n
+}
+
 func (p *Planner) ids() []string {
 	ids := make([]string, 0, len(p.workers))
 	for id := range p.workers {
