--- a/coordination/residency/planner.go
+++ b/coordination/residency/planner.go
@@ -68,8 +68,8 @@
 
 // demand is what one daemon said last.
 type demand struct {
-	at     time.Time
-	active map[string]int // requests running or waiting, by model
+	Demand
+	at time.Time
 }
 
 // Planner is the residency of one service. It is not safe for concurrent use.
@@ -425,22 +425,31 @@
 
 func (w *worker) usable() bool { return !w.endpoint.Leaving && !w.down }
 
-// Demand takes what a daemon says of its requests: running or waiting, by
-// model.
-func (p *Planner) Demand(now time.Time, daemon string, active map[string]int) {
-	p.demands[daemon] = &demand{at: now, active: active}
-	for model, n := range active {
-		if n == 0 {
+// Demand takes what a daemon says of its requests.
+func (p *Planner) Demand(now time.Time, daemon string, d Demand) {
+	p.demands[daemon] = &demand{Demand: d, at: now}
+	for place, n := range d.Running {
+		w := p.workers[place.EndpointID]
+		if n == 0 || w == nil {
 			continue
 		}
-		for _, w := range p.workers {
-			if r := w.models[model]; r != nil {
-				r.lastUse = now
-			}
+		if r := w.models[place.Model]; r != nil {
+			r.lastUse = now
 		}
 	}
 }
 
+// running counts the requests of a model at an engine, over all daemons.
+func (p *Planner) running(now time.Time, id, model string) int {
+	n := 0
+	for _, d := range p.demands {
+		if now.Sub(d.at) <= demandLife {
+			n += d.Running[Place{id, model}]
+		}
+	}
+	return n
+}
+
 // active sums what runs or waits for a model over all daemons.
 func (p *Planner) active(now time.Time) map[string]int {
 	sum := map[string]int{}
@@ -449,7 +458,7 @@
 			delete(p.demands, daemon)
 			continue
 		}
-		for model, n := range d.active {
+		for model, n := range d.Active {
 			sum[model] += n
 		}
 	}
--- a/coordination/residency/planner_test.go
+++ b/coordination/residency/planner_test.go
@@ -292,6 +292,26 @@
 	w.check(t)
 }
 
+// A replica on which requests run does not make way, even where there are more
+// replicas than needed: its unload would keep the engine from all else.
+func TestReplicaInUseDoesNotMakeWay(t *testing.T) {
+	w := newWorld(4, 1)
+	e := w.engines[0]
+	e.onDisk["m03"] = true
+	for range 10 {
+		w.run(500 * time.Millisecond)
+		w.p.Demand(w.now, "d", Demand{Active: map[string]int{"m00": 1}, Running: map[Place]int{{"e0", "m00"}: 1}})
+	}
+	w.p.Want(w.now, Want{Model: "m03"})
+	w.run(2 * time.Second)
+	if _, ok := e.models["m00"]; !ok {
+		t.Fatal("the model with a running request was unloaded")
+	}
+	if _, ok := e.models["m03"]; !ok {
+		t.Fatalf("the wanted model is not loaded: %v", e.loaded())
+	}
+}
+
 // Whatever happens to orders, reports and engines, no engine is ordered beyond
 // its memory or adapter slots, and a wanted model is there in the end.
 func TestNeverBeyondMemory(t *testing.T) {
@@ -328,7 +348,8 @@
 		e.publish()
 		w.entries()
 	case 4:
-		w.p.Demand(w.now, "d", map[string]int{model: rapid.IntRange(0, 60).Draw(t, "active")})
+		n := rapid.IntRange(0, 60).Draw(t, "active")
+		w.p.Demand(w.now, "d", Demand{Active: map[string]int{model: n}, Running: map[Place]int{{e.endpoint.ID, model}: n}})
 	case 5:
 		w.p.Want(w.now, Want{Model: model, Absent: e.endpoint.ID})
 	case 6, 7:
--- a/coordination/residency/ready.go
+++ b/coordination/residency/ready.go
@@ -146,7 +146,7 @@
 	m := p.conf.Engine.Models[pl.model]
 	if p.memory(w)+m.SizeMB > p.conf.Engine.MemoryMB {
 		victims := p.victims(now, w)
-		if len(victims) == 0 || !pl.urgent && victims[0].cost >= unloadWait {
+		if len(victims) == 0 {
 			w.unplan(pl)
 			return Order{}, false
 		}
@@ -305,7 +305,7 @@
 		if !w.usable() || !w.known || w.order != nil || len(w.plan) > 0 || now.Before(w.notTo) {
 			continue
 		}
-		if cost, ok := p.roomCost(now, w, model); !ok || cost >= unloadWait {
+		if _, ok := p.roomCost(now, w, model); !ok {
 			continue
 		}
 		if only := p.onlyHere(w) + p.inUse(w, active); best == nil || only < bestOnly {
--- a/coordination/residency/types.go
+++ b/coordination/residency/types.go
@@ -92,6 +92,15 @@
 	Absent string
 }
 
+// Place is a model at an endpoint.
+type Place struct{ EndpointID, Model string }
+
+// Demand is what one daemon says of its requests.
+type Demand struct {
+	Active  map[string]int // requests running or waiting, by model
+	Running map[Place]int  // requests that an endpoint was sent and has not ended
+}
+
 // Answer says where a wanted model is or will be.
 type Answer struct {
 	EndpointID string
@@ -141,9 +150,10 @@
 	// perReplica is the number of running requests that one replica is meant
 	// to carry: well below an engine's slots, since each more slows all.
 	perReplica = 20
-	// idleAfter is how long after its last use a model counts as idle; shorter
-	// than most answers take would make unloads wait for them.
-	idleAfter = 3 * time.Second
+	// idleAfter is how long after it was named for a request a model counts as
+	// idle, unless daemons say that requests run: longer than the pause
+	// between two of their reports.
+	idleAfter = 1200 * time.Millisecond
 	// promiseFor is how long a model is kept for a caller that was told when
 	// to come back.
 	promiseFor = 2500 * time.Millisecond
@@ -182,8 +192,6 @@
 	urgentBeyond = 1
 	// retryUnanswered is the pause after an order without an answer.
 	retryUnanswered = 100 * time.Millisecond
-	// unloadWait is the estimate for an unload that has to wait for runs.
-	unloadWait = 1500 * time.Millisecond
 	// settleFor is how long no engine must have been new before models are
 	// brought near that nobody asks for: engines register within some
 	// heartbeats of their start, and the model may be on one of them.
--- a/coordination/residency/want.go
+++ b/coordination/residency/want.go
@@ -317,14 +317,14 @@
 		if now.Before(r.keepUntil) || r.readyAt.After(now) || w.order != nil && w.order.order.Model == name {
 			continue
 		}
-		spare := p.replicas(name) > max(1, needed(active[name]))
 		idle := now.Sub(r.lastUse)
+		if idle < idleAfter || p.running(now, w.endpoint.ID, name) > 0 {
+			continue // its unload would wait for them, and keep the engine busy
+		}
 		switch {
-		case spare && idle > idleAfter:
+		case p.replicas(name) > max(1, needed(active[name])):
 			list = append(list, victim{name, 0})
-		case spare:
-			list = append(list, victim{name, unloadWait})
-		case active[name] == 0 && idle > idleAfter:
+		case active[name] == 0:
 			// Longer unused is cheaper: at most a tenth of a second apart.
 			list = append(list, victim{name, 100*time.Millisecond - min(90*time.Millisecond, idle/1000)})
 		}
--- a/daemon/edgedaemon/peers.go
+++ b/daemon/edgedaemon/peers.go
@@ -139,8 +139,8 @@
 		case <-t.C:
 		}
 		d.shareRetries(len(d.alive()))
-		for service, active := range d.callers.Demand() {
-			d.tellDemand(ctx, service, active)
+		for service, demand := range d.callers.Demand() {
+			d.tellDemand(ctx, service, demand)
 		}
 	}
 }
@@ -155,23 +155,26 @@
 	d.budget.SetBurst(max(1, d.set.Retries.Extra*retryPart/float64(max(leastSharing, alive))))
 }
 
-func (d *Daemon) tellDemand(ctx context.Context, service string, active map[string]int) {
-	if len(active) == 0 && d.lastSent[service] == 0 {
+func (d *Daemon) tellDemand(ctx context.Context, service string, demand residency.Demand) {
+	if len(demand.Active) == 0 && d.lastSent[service] == 0 {
 		return
 	}
-	d.lastSent[service] = len(active)
+	d.lastSent[service] = len(demand.Active)
 	if own := d.coordinates(service); own != nil && own.Holds() {
-		own.Demand(d.self, active)
+		own.Demand(d.self, demand)
 		return
 	}
 	address := d.holder(service)
 	if address == "" {
 		return
 	}
-	req := &fleetpb.DemandRequest{Daemon: d.self, Service: service, Active: make(map[string]int32, len(active))}
-	for model, n := range active {
+	req := &fleetpb.DemandRequest{Daemon: d.self, Service: service, Active: make(map[string]int32, len(demand.Active))}
+	for model, n := range demand.Active {
 		req.Active[model] = int32(n)
 	}
+	for place, n := range demand.Running {
+		req.Running = append(req.Running, &fleetpb.Running{Endpoint: place.EndpointID, Model: place.Model, Requests: int32(n)})
+	}
 	ctx, cancel := context.WithTimeout(ctx, wantTimeout)
 	defer cancel()
 	if _, err := d.fleet(address).Demand(ctx, req); err != nil {
@@ -198,11 +201,14 @@
 // Demand implements fleetpb.Fleet.
 func (s *fleetServer) Demand(_ context.Context, req *fleetpb.DemandRequest) (*fleetpb.DemandResponse, error) {
 	if c := (*Daemon)(s).coordinates(req.Service); c != nil {
-		active := make(map[string]int, len(req.Active))
+		demand := residency.Demand{Active: make(map[string]int, len(req.Active)), Running: make(map[residency.Place]int, len(req.Running))}
 		for model, n := range req.Active {
-			active[model] = int(n)
+			demand.Active[model] = int(n)
+		}
+		for _, r := range req.Running {
+			demand.Running[residency.Place{EndpointID: r.Endpoint, Model: r.Model}] = int(r.Requests)
 		}
-		c.Demand(req.Daemon, active)
+		c.Demand(req.Daemon, demand)
 	}
 	return &fleetpb.DemandResponse{}, nil
 }
--- a/driver/coordinator/coordinator.go
+++ b/driver/coordinator/coordinator.go
@@ -132,10 +132,10 @@
 }
 
 // Demand takes what a daemon says of its requests.
-func (c *Coordinator) Demand(daemon string, active map[string]int) {
+func (c *Coordinator) Demand(daemon string, d residency.Demand) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.plan.Demand(time.Now(), daemon, active)
+	c.plan.Demand(time.Now(), daemon, d)
 }
 
 // Holds reports whether this daemon holds the lease.
--- a/transport/edge/attempt.go
+++ b/transport/edge/attempt.go
@@ -147,6 +147,8 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	s.opt.Balancer.Started(e.ID)
+	s.countRunning(q, e.ID, 1)
+	defer s.countRunning(q, e.ID, -1)
 	ok := false
 	defer func() { s.opt.Balancer.Ended(time.Now(), e.ID, q.unit(), ok) }()
 	stop := func() bool { return true }
--- a/transport/edge/server.go
+++ b/transport/edge/server.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"net/http"
 	"strconv"
 	"sync"
@@ -64,8 +65,8 @@
 	metrics metrics
 
 	mu      sync.Mutex
-	demand  map[string]map[string]int // requests running or waiting, by service and model
-	longest sync.Map                  // route name -> *atomic.Int64: longest time left seen, ns
+	demand  map[string]residency.Demand // by service
+	longest sync.Map                    // route name -> *atomic.Int64: longest time left seen, ns
 }
 
 type metrics struct {
@@ -77,7 +78,7 @@
 func New(opt Options) *Server {
 	m := opt.Metrics.SubScope("caller")
 	buckets := tally.MustMakeExponentialDurationBuckets(5*time.Millisecond, 2, 14)
-	return &Server{opt: opt, client: newClient(), demand: map[string]map[string]int{}, metrics: metrics{
+	return &Server{opt: opt, client: newClient(), demand: map[string]residency.Demand{}, metrics: metrics{
 		answered: m.Counter("requests_answered_total"), refused: m.Counter("requests_refused_total"),
 		failed: m.Counter("requests_failed_total"), retried: m.Counter("attempts_retried_total"),
 		resumed: m.Counter("streams_resumed_total"), gone: m.Counter("callers_gone_total"),
@@ -89,35 +90,48 @@
 // InProgress returns the number of requests without a final answer.
 func (s *Server) InProgress() int { return int(s.active.Load()) }
 
-// Demand returns the requests running or waiting, by service and model.
-func (s *Server) Demand() map[string]map[string]int {
+// Demand returns the requests running or waiting, by service.
+func (s *Server) Demand() map[string]residency.Demand {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out := make(map[string]map[string]int, len(s.demand))
-	for service, models := range s.demand {
-		m := make(map[string]int, len(models))
-		for model, n := range models {
-			m[model] = n
-		}
-		out[service] = m
+	out := make(map[string]residency.Demand, len(s.demand))
+	for service, d := range s.demand {
+		out[service] = residency.Demand{Active: maps.Clone(d.Active), Running: maps.Clone(d.Running)}
 	}
 	return out
 }
 
-func (s *Server) count(service, model string, n int) {
-	if model == "" {
+// countActive adds n to the requests of a model that run or wait.
+func (s *Server) countActive(q *request, n int) {
+	s.countDemand(q, func(d residency.Demand) { add(d.Active, q.call.Model, n) })
+}
+
+// countRunning adds n to the requests of a model at an endpoint.
+func (s *Server) countRunning(q *request, endpoint string, n int) {
+	s.countDemand(q, func(d residency.Demand) {
+		add(d.Running, residency.Place{EndpointID: endpoint, Model: q.call.Model}, n)
+	})
+}
+
+func (s *Server) countDemand(q *request, change func(residency.Demand)) {
+	if q.call.Model == "" {
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	models := s.demand[service]
-	if models == nil {
-		models = map[string]int{}
-		s.demand[service] = models
+	d, ok := s.demand[q.service.Name]
+	if !ok {
+		d = residency.Demand{Active: map[string]int{}, Running: map[residency.Place]int{}}
+		s.demand[q.service.Name] = d
 	}
-	models[model] += n
-	if models[model] == 0 {
-		delete(models, model)
+	change(d)
+}
+
+// add changes a count and forgets it at zero.
+func add[K comparable](m map[K]int, k K, n int) {
+	m[k] += n
+	if m[k] == 0 {
+		delete(m, k)
 	}
 }
 
@@ -184,8 +198,8 @@
 		s.refuse(w, r, q, refusal)
 		return
 	}
-	s.count(q.service.Name, q.call.Model, 1)
-	defer s.count(q.service.Name, q.call.Model, -1)
+	s.countActive(q, 1)
+	defer s.countActive(q, -1)
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
 	defer cancel()
 	_ = http.NewResponseController(w).SetWriteDeadline(q.deadline.Add(writeSlack)) // not all writers have deadlines
