--- a/coordination/residency/planner.go
+++ b/coordination/residency/planner.go
@@ -31,6 +31,7 @@
 	answered bool      // accepted; now in progress
 	endsAt   time.Time // expected
 	unsureAt time.Time // when the answer was given up on; zero before
+	askedAt  time.Time // when requests asked for the load last; zero if none did
 }
 
 func (o *pending) loadsFromStore() bool {
@@ -48,9 +49,10 @@
 	inMemory map[string]bool
 	onDisk   map[string]bool
 
-	order *pending
-	plan  []planned // loads to come, in order
-	notTo time.Time // no order before then
+	order    *pending
+	adapters []adapterWant // to be loaded, in order
+	notTo    time.Time     // no order before then
+	refused  int           // orders in a row that found the engine busy
 	// unloaded is when unloads were accepted, by model; older descriptions
 	// still name the model.
 	unloaded map[string]time.Time
@@ -58,12 +60,14 @@
 	asking   bool      // a report is on its way
 }
 
-// planned is a load that has been decided and not ordered yet.
-type planned struct {
-	model   string
-	adapter string
-	urgent  bool // a request waits for it
-	since   time.Time
+// adapterWant is an adapter that a request waits for.
+type adapterWant struct{ model, adapter string }
+
+// wanted is a model that is to be loaded.
+type wanted struct {
+	asked time.Time // by a request, last
+	// extra says that the model is held already and more replicas are needed.
+	extra bool
 }
 
 // demand is what one daemon said last.
@@ -86,14 +90,17 @@
 	fence      uint64
 	ordersFrom time.Time
 	demands    map[string]*demand
-	values     map[string]*value // of what was wanted lately, by model
-	starts     []time.Time       // loads from the store, newest last
-	grownAt    time.Time         // when an engine was new last
+	wants      map[string]*wanted // models to be loaded
+	values     map[string]*value  // of what was wanted lately, by model
+	slots      []slot             // the schedule as last made
+	slotsAt    time.Time
+	starts     []time.Time // loads from the store, newest last
+	grownAt    time.Time   // when an engine was new last
 }
 
 // New returns a planner that knows nothing.
 func New(opt Options) *Planner {
-	return &Planner{opt: opt, workers: map[string]*worker{}, demands: map[string]*demand{}, values: map[string]*value{}}
+	return &Planner{opt: opt, workers: map[string]*worker{}, demands: map[string]*demand{}, wants: map[string]*wanted{}, values: map[string]*value{}}
 }
 
 // Configure takes the service's models.
@@ -104,7 +111,7 @@
 func (p *Planner) Lease(now time.Time, held bool, fence uint64, from time.Time) {
 	if held && !p.held || fence != p.fence {
 		for _, w := range p.workers {
-			w.order, w.plan, w.known = nil, nil, false
+			w.order, w.adapters, w.known = nil, nil, false
 			w.probe = now
 		}
 	}
@@ -319,6 +326,9 @@
 		delete(r.adapters, o.order.Adapter)
 	case !r.confirmed:
 		delete(w.models, o.order.Model)
+		if !o.askedAt.IsZero() && p.wants[o.order.Model] == nil {
+			p.wants[o.order.Model] = &wanted{asked: o.askedAt}
+		}
 	}
 }
 
@@ -342,7 +352,8 @@
 		w.known, w.probe = false, now.Add(reportLag)
 	case Busy:
 		p.dropOrder(w)
-		w.notTo = now.Add(retryBusy)
+		w.refused++
+		w.notTo = now.Add(retryBusy * time.Duration(min(w.refused, busyDoublings)))
 		w.probe = now
 	case Refused, Unsent:
 		p.dropOrder(w)
@@ -366,6 +377,7 @@
 
 func (p *Planner) accepted(now time.Time, w *worker) {
 	o := w.order
+	w.refused = 0
 	p.countStart(now, o)
 	o.answered = true
 	w.sequence = o.order.Expect + 1
@@ -476,18 +488,12 @@
 	return 1 + (active+perReplica-1)/perReplica
 }
 
-// replicas counts a model's replicas at usable engines, also those planned.
+// replicas counts a model's replicas at usable engines, also those on their
+// way.
 func (p *Planner) replicas(model string) int {
 	n := 0
 	for _, w := range p.workers {
-		if !w.usable() {
-			continue
-		}
-		if w.models[model] != nil {
-			n++
-			continue
-		}
-		if w.plans(model, "") {
+		if w.usable() && w.models[model] != nil {
 			n++
 		}
 	}
@@ -495,7 +501,7 @@
 }
 
 func (w *worker) plans(model, adapter string) bool {
-	return slices.ContainsFunc(w.plan, func(pl planned) bool { return pl.model == model && pl.adapter == adapter })
+	return slices.Contains(w.adapters, adapterWant{model, adapter})
 }
 
 func set(list []string) map[string]bool {
--- a/coordination/residency/ready.go
+++ b/coordination/residency/ready.go
@@ -23,16 +23,28 @@
 	if !p.held || now.Before(p.ordersFrom) {
 		return r
 	}
-	p.planReplicas(now)
-	p.planCopies(now)
-	for _, w := range p.byValue(now) {
-		if o, ok := p.nextOrder(now, w); ok {
+	p.wantReplicas(now)
+	p.schedule(now)
+	for _, id := range p.ids() {
+		if o, ok := p.adapterNext(now, p.workers[id]); ok {
 			r.Orders = append(r.Orders, o)
 		}
 	}
+	for _, s := range p.slots {
+		if o, ok := p.modelNext(now, s); ok {
+			r.Orders = append(r.Orders, o)
+		}
+	}
+	r.Orders = append(r.Orders, p.copies(now)...)
+	p.slots = nil
 	return r
 }
 
+// free reports whether an order may go to an engine now.
+func (p *Planner) free(now time.Time, w *worker) bool {
+	return w.order == nil && w.known && w.usable() && !now.Before(w.notTo)
+}
+
 // passTime ends loads from near copies by the clock; loads from the store,
 // whose time depends on others, wait for the engine's word.
 func (p *Planner) passTime(now time.Time, w *worker) {
@@ -53,109 +65,47 @@
 	}
 }
 
-// byValue returns the engines that have something planned, those with the most
-// wanted model first, so that it gets the store's places.
-func (p *Planner) byValue(now time.Time) []*worker {
-	type ranked struct {
-		w     *worker
-		first planned
-	}
-	var list []ranked
-	for _, id := range p.ids() {
-		if w := p.workers[id]; len(w.plan) > 0 {
-			list = append(list, ranked{w, p.sortedPlan(now, w)[0]})
-		}
-	}
-	slices.SortStableFunc(list, func(a, b ranked) int { return p.comparePlanned(now, a.first, b.first) })
-	out := make([]*worker, len(list))
-	for i := range list {
-		out[i] = list[i].w
-	}
-	return out
-}
-
-// comparePlanned puts adapters first, which take milliseconds, then what
-// requests wait for, the most wanted first.
-func (p *Planner) comparePlanned(now time.Time, a, b planned) int {
-	return cmp.Or(
-		-compareBool(a.adapter != "", b.adapter != ""),
-		-compareBool(a.urgent, b.urgent),
-		cmp.Compare(p.value(now, b.model), p.value(now, a.model)),
-		a.since.Compare(b.since),
-	)
-}
-
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case a:
-		return 1
-	}
-	return -1
-}
-
-// sortedPlan returns an engine's plan in the order in which it is carried out.
-func (p *Planner) sortedPlan(now time.Time, w *worker) []planned {
-	plan := slices.Clone(w.plan)
-	slices.SortStableFunc(plan, func(a, b planned) int { return p.comparePlanned(now, a, b) })
-	return plan
-}
-
-// nextOrder returns the order that brings an engine's plan forward.
-func (p *Planner) nextOrder(now time.Time, w *worker) (Order, bool) {
-	if w.order != nil || !w.known || !w.usable() || now.Before(w.notTo) {
-		return Order{}, false
-	}
-	for _, pl := range p.sortedPlan(now, w) {
-		if p.planDone(w, pl) {
-			w.unplan(pl)
-			continue
-		}
-		if pl.adapter != "" {
-			if r := w.models[pl.model]; !r.confirmed && r.readyAt.After(now) {
-				continue // its model comes first
-			}
-			return p.adapterOrder(now, w, pl)
-		}
-		if w.level(pl.model) == Store && !p.mayLoadFromStore(now, pl.urgent) {
+// adapterNext returns the order for an adapter that a request waits for.
+func (p *Planner) adapterNext(now time.Time, w *worker) (Order, bool) {
+	for len(w.adapters) > 0 && p.free(now, w) {
+		a := w.adapters[0]
+		r := w.models[a.model]
+		if r == nil || r.adapters[a.adapter] != nil {
+			w.adapters = w.adapters[1:] // its model is gone, or it is there
 			continue
 		}
-		return p.modelOrder(now, w, pl)
+		return p.adapterOrder(now, w, a)
 	}
 	return Order{}, false
 }
 
-func (w *worker) unplan(pl planned) {
-	w.plan = slices.DeleteFunc(w.plan, func(x planned) bool { return x == pl })
-}
-
-func (p *Planner) planDone(w *worker, pl planned) bool {
-	if _, ok := p.conf.Engine.Models[pl.model]; !ok {
-		return true
+// modelNext returns the order that brings a wanted model nearer, if its engine
+// is free: one that makes room, or the load.
+func (p *Planner) modelNext(now time.Time, s slot) (Order, bool) {
+	if s.startIn > 0 || !p.free(now, s.w) {
+		return Order{}, false
 	}
-	r := w.models[pl.model]
-	if pl.adapter == "" {
-		return r != nil
+	if s.level == Store && !p.mayLoadFromStore(now, !s.extra) {
+		return Order{}, false
 	}
-	return r == nil || r.adapters[pl.adapter] != nil
+	o, ok := p.modelOrder(now, s.w, s.model, !s.extra)
+	if ok && !o.Unload && !s.extra {
+		s.w.order.askedAt = p.wants[s.model].asked
+	}
+	return o, ok
 }
 
-// modelOrder makes room, or loads.
-func (p *Planner) modelOrder(now time.Time, w *worker, pl planned) (Order, bool) {
-	m := p.conf.Engine.Models[pl.model]
-	if p.memory(w)+m.SizeMB > p.conf.Engine.MemoryMB {
+// modelOrder makes room for a model, or loads it.
+func (p *Planner) modelOrder(now time.Time, w *worker, model string, urgent bool) (Order, bool) {
+	if p.memory(w)+p.conf.Engine.Models[model].SizeMB > p.conf.Engine.MemoryMB {
 		victims := p.victims(now, w)
 		if len(victims) == 0 {
-			w.unplan(pl)
 			return Order{}, false
 		}
 		return p.send(now, w, Order{Unload: true, Model: victims[0].name}, Resident), true
 	}
-	level := w.level(pl.model)
-	w.unplan(pl)
-	o := p.send(now, w, Order{Model: pl.model}, level)
-	w.models[pl.model] = &replica{adapters: map[string]*adapter{}, readyAt: w.order.endsAt.Add(orderMargin), lastUse: now, keepUntil: keepFrom(w.order.endsAt, pl.urgent)}
+	o := p.send(now, w, Order{Model: model}, w.level(model))
+	w.models[model] = &replica{adapters: map[string]*adapter{}, readyAt: w.order.endsAt.Add(orderMargin), lastUse: now, keepUntil: keepFrom(w.order.endsAt, urgent)}
 	return o, true
 }
 
@@ -182,25 +132,22 @@
 }
 
 // adapterOrder makes room among the adapters, or loads one.
-func (p *Planner) adapterOrder(now time.Time, w *worker, pl planned) (Order, bool) {
-	r := w.models[pl.model]
-	m := p.conf.Engine.Models[pl.model]
+func (p *Planner) adapterOrder(now time.Time, w *worker, a adapterWant) (Order, bool) {
 	held := 0
-	for _, x := range w.models {
-		held += len(x.adapters)
+	for _, r := range w.models {
+		held += len(r.adapters)
 	}
-	if held >= p.conf.Engine.AdapterSlots || p.memory(w)+m.AdapterMB > p.conf.Engine.MemoryMB {
+	if held >= p.conf.Engine.AdapterSlots || p.memory(w)+p.conf.Engine.Models[a.model].AdapterMB > p.conf.Engine.MemoryMB {
 		model, name, ok := oldestAdapter(w, now)
 		if !ok {
-			w.unplan(pl)
+			w.adapters = w.adapters[1:]
 			return Order{}, false
 		}
 		return p.send(now, w, Order{Unload: true, Model: model, Adapter: name}, Resident), true
 	}
-	w.unplan(pl)
-	o := p.send(now, w, Order{Model: pl.model, Adapter: pl.adapter}, Resident)
-	r.adapters[pl.adapter] = &adapter{readyAt: now.Add(adapterLoad), lastUse: now}
-	return o, true
+	w.adapters = w.adapters[1:]
+	w.models[a.model].adapters[a.adapter] = &adapter{readyAt: now.Add(adapterLoad), lastUse: now}
+	return p.send(now, w, Order{Model: a.model, Adapter: a.adapter}, Resident), true
 }
 
 // adapterIdle is how long an adapter must be unused before it makes way.
@@ -229,46 +176,48 @@
 	return o
 }
 
-// planReplicas plans loads for models whose running requests ask for more
-// replicas than there are.
-func (p *Planner) planReplicas(now time.Time) {
+// wantReplicas wants more replicas of models whose running requests ask for
+// them.
+func (p *Planner) wantReplicas(now time.Time) {
 	for model, n := range p.active(now) {
-		if _, ok := p.conf.Engine.Models[model]; !ok || p.replicas(model) >= needed(n) {
+		have := p.replicas(model)
+		if _, ok := p.conf.Engine.Models[model]; !ok || have == 0 || have >= needed(n) {
 			continue
 		}
-		if w, _ := p.bestEngine(now, model, ""); w != nil {
-			w.plan = append(w.plan, planned{model: model, urgent: n > perReplica, since: now})
+		if p.wants[model] == nil {
+			p.wants[model] = &wanted{extra: true}
 		}
+		p.wants[model].asked = now
 	}
 }
 
-// planCopies brings models that no engine has a copy of near, while the store
-// has places free: afterwards they are a disk's load time away.
-func (p *Planner) planCopies(now time.Time) {
+// copies brings models near that no engine has a copy of, while the store has
+// places free: afterwards they are a disk's load time away.
+func (p *Planner) copies(now time.Time) []Order {
 	if now.Sub(p.grownAt) < settleFor {
-		return
+		return nil
 	}
 	free := max(1, p.opt.StoreAtOnce) - p.storeLoads()
-	for _, w := range p.workers {
-		for _, pl := range w.plan {
-			if pl.adapter == "" && w.level(pl.model) == Store {
-				free--
-			}
+	for _, s := range p.slots {
+		if s.level == Store {
+			free--
 		}
 	}
-	if free <= 0 {
-		return
-	}
+	var orders []Order
 	for _, model := range p.missing(now) {
+		if free <= 0 {
+			break
+		}
 		w := p.quietEngine(now, model)
-		if w == nil {
-			return
+		if w == nil || !p.mayLoadFromStore(now, false) {
+			break
 		}
-		w.plan = append(w.plan, planned{model: model, since: now})
-		if free--; free <= 0 {
-			return
+		if o, ok := p.modelOrder(now, w, model, false); ok {
+			orders = append(orders, o)
+			free--
 		}
 	}
+	return orders
 }
 
 // missing returns the models without a copy at any usable engine, the most
@@ -278,12 +227,12 @@
 	for name := range p.conf.Engine.Models {
 		found := false
 		for _, w := range p.workers {
-			if w.usable() && (w.level(name) != Store || w.plans(name, "")) {
+			if w.usable() && w.level(name) != Store {
 				found = true
 				break
 			}
 		}
-		if !found {
+		if !found && p.wants[name] == nil {
 			list = append(list, name)
 		}
 	}
@@ -302,10 +251,10 @@
 	active := p.active(now)
 	for _, id := range p.ids() {
 		w := p.workers[id]
-		if !w.usable() || !w.known || w.order != nil || len(w.plan) > 0 || now.Before(w.notTo) {
+		if !p.free(now, w) || p.scheduled(w) {
 			continue
 		}
-		if _, ok := p.roomCost(now, w, model); !ok {
+		if _, ok := p.roomCost(now, w, model, 0); !ok {
 			continue
 		}
 		if only := p.onlyHere(w) + p.inUse(w, active); best == nil || only < bestOnly {
@@ -315,6 +264,11 @@
 	return best
 }
 
+// scheduled reports whether a wanted model will be loaded at an engine.
+func (p *Planner) scheduled(w *worker) bool {
+	return slices.ContainsFunc(p.slots, func(s slot) bool { return s.w == w })
+}
+
 // onlyHere counts the models that are not loaded and have their only copy at
 // the engine.
 func (p *Planner) onlyHere(w *worker) int {
--- a/coordination/residency/types.go
+++ b/coordination/residency/types.go
@@ -190,6 +190,18 @@
 	// run for models that requests wait for: all are then a little slower, but
 	// none waits for a place.
 	urgentBeyond = 1
+	// busyDoublings bounds the growing pause between such orders.
+	busyDoublings = 4
+	// wantLife is how long a model is still to be loaded after a request asked
+	// for it: callers that were sent away come back within it.
+	wantLife = 9 * time.Second
+	// scheduleMost bounds the models that are scheduled at a time.
+	scheduleMost = 64
+	// scheduleLife is how long a schedule is good for answers.
+	scheduleLife = 20 * time.Millisecond
+	// extraWeight is what one more replica of a model is worth against the
+	// first one.
+	extraWeight = 0.25
 	// retryUnanswered is the pause after an order without an answer.
 	retryUnanswered = 100 * time.Millisecond
 	// settleFor is how long no engine must have been new before models are
--- a/coordination/residency/want.go
+++ b/coordination/residency/want.go
@@ -24,10 +24,7 @@
 	if !p.held {
 		return Answer{Refused: RefusedNoHolder, ReadyIn: time.Second}
 	}
-	a, ok := p.wantPlanned(now, want)
-	if !ok {
-		a, ok = p.planLoad(now, want)
-	}
+	a, ok := p.wantLoad(now, want)
 	if !ok {
 		return Answer{Refused: RefusedNoRoom, ReadyIn: idleAfter}
 	}
@@ -112,12 +109,7 @@
 	for _, r := range w.models {
 		n += len(r.adapters)
 	}
-	for _, pl := range w.plan {
-		if pl.adapter != "" {
-			n++
-		}
-	}
-	return n
+	return n + len(w.adapters)
 }
 
 // wantAdapter plans the adapter's load where it is missing and returns the
@@ -128,7 +120,7 @@
 		return max(0, a.readyAt.Sub(now))
 	}
 	if !w.plans(want.Model, want.Adapter) {
-		w.plan = append(w.plan, planned{model: want.Model, adapter: want.Adapter, urgent: true, since: now})
+		w.adapters = append(w.adapters, adapterWant{want.Model, want.Adapter})
 	}
 	return w.freeIn(now) + adapterLoad
 }
@@ -141,103 +133,24 @@
 	return max(0, w.order.endsAt.Sub(now))
 }
 
-// wantPlanned finds a load that is planned already.
-func (p *Planner) wantPlanned(now time.Time, want Want) (Answer, bool) {
-	for id, w := range p.workers {
-		if !w.usable() || id == want.Avoid || !w.plans(want.Model, "") {
-			continue
-		}
-		for i := range w.plan {
-			if w.plan[i].model == want.Model {
-				w.plan[i].urgent = true
-			}
-		}
-		return Answer{EndpointID: id, Level: w.level(want.Model), ReadyIn: p.planTime(now, w, want.Model)}, true
-	}
-	return Answer{}, false
-}
-
-// planTime estimates when a planned model will be ready, or, without a model,
-// when the engine is done with all that is planned.
-func (p *Planner) planTime(now time.Time, w *worker, model string) time.Duration {
-	t := time.Duration(0)
-	if o := w.order; o != nil {
-		t = max(retryBusy, o.endsAt.Sub(now))
-	}
-	for _, pl := range p.sortedPlan(now, w) {
-		if pl.adapter != "" || model == "" && !pl.urgent {
-			continue
-		}
-		t += p.stepTime(w, pl.model)
-		if pl.model == model {
-			break
-		}
-	}
-	return t + orderMargin
-}
-
-// stepTime is the time of one load, with the wait for the store's places.
-func (p *Planner) stepTime(w *worker, model string) time.Duration {
-	l := w.level(model)
-	t := p.loadTime(l, model)
-	if l == Store {
-		t += p.storeQueue(t)
-	}
-	return t
-}
-
-// storeQueue estimates the wait for one of the store's places.
-func (p *Planner) storeQueue(each time.Duration) time.Duration {
-	waiting := 0
-	for _, w := range p.workers {
-		for _, pl := range w.plan {
-			if pl.adapter == "" && pl.urgent && w.level(pl.model) == Store {
-				waiting++
-			}
-		}
-	}
-	free := max(1, p.opt.StoreAtOnce) + urgentBeyond - p.storeLoads()
-	if waiting < free {
-		return 0
-	}
-	return time.Duration(float64(each) * float64(waiting-free+1) / float64(max(1, p.opt.StoreAtOnce)))
-}
-
-// planLoad chooses the engine that will have the model ready first.
-func (p *Planner) planLoad(now time.Time, want Want) (Answer, bool) {
-	w, t := p.bestEngine(now, want.Model, want.Avoid)
+// wantLoad has the model loaded and says where and when that will be.
+func (p *Planner) wantLoad(now time.Time, want Want) (Answer, bool) {
+	w := p.wants[want.Model]
 	if w == nil {
-		return Answer{}, false
+		w = &wanted{}
+		p.wants[want.Model] = w
+		p.slots = nil
 	}
-	level := w.level(want.Model)
-	w.plan = append(w.plan, planned{model: want.Model, urgent: true, since: now})
-	return Answer{EndpointID: w.endpoint.ID, Level: level, ReadyIn: t}, true
-}
-
-// bestEngine returns the engine with the least time until the model is ready,
-// and that time.
-func (p *Planner) bestEngine(now time.Time, model, avoid string) (*worker, time.Duration) {
-	var best *worker
-	bestTime := time.Duration(0)
-	active := p.active(now)
-	for _, id := range p.ids() {
-		w := p.workers[id]
-		if id == avoid || !w.usable() || !w.known || w.models[model] != nil {
-			continue
-		}
-		cost, ok := p.roomCost(now, w, model)
-		if !ok {
-			continue
-		}
-		t := p.planTime(now, w, "") + p.stepTime(w, model) + cost
-		if w.level(model) == Store {
-			t += time.Duration(p.inUse(w, active)) * activeCost
-		}
-		if best == nil || t < bestTime {
-			best, bestTime = w, t
+	w.asked, w.extra = now, false
+	if p.slots == nil || now.Sub(p.slotsAt) > scheduleLife {
+		p.schedule(now)
+	}
+	for _, s := range p.slots {
+		if s.model == want.Model {
+			return Answer{EndpointID: s.w.endpoint.ID, Level: s.level, ReadyIn: s.readyIn}, true
 		}
 	}
-	return best, bestTime
+	return Answer{}, false
 }
 
 // inUse counts an engine's models that requests run on or wait for.
@@ -271,16 +184,16 @@
 	return sum
 }
 
-// roomCost returns the time that making room for a model takes, and a small
-// penalty for what is lost by it; false when there can be no room now.
-func (p *Planner) roomCost(now time.Time, w *worker, model string) (time.Duration, bool) {
-	need := p.memory(w) + p.plannedMemory(now, w, model) + p.conf.Engine.Models[model].SizeMB
+// roomCost returns a penalty for what is lost by making room for a model,
+// beside the memory that other loads will take; false when there can be no
+// room now.
+func (p *Planner) roomCost(now time.Time, w *worker, model string, reserved float64) (time.Duration, bool) {
+	need := p.memory(w) + reserved + p.conf.Engine.Models[model].SizeMB
 	if need <= p.conf.Engine.MemoryMB {
 		return 0, true
 	}
-	victims := p.victims(now, w)
 	cost := time.Duration(0)
-	for _, v := range victims {
+	for _, v := range p.victims(now, w) {
 		need -= p.conf.Engine.Models[v.name].SizeMB
 		cost += v.cost
 		if need <= p.conf.Engine.MemoryMB {
@@ -290,18 +203,6 @@
 	return 0, false
 }
 
-// plannedMemory returns what the planned loads take that are worth as much as
-// the model; those worth less wait for it.
-func (p *Planner) plannedMemory(now time.Time, w *worker, model string) float64 {
-	sum := 0.0
-	for _, pl := range w.plan {
-		if pl.adapter == "" && pl.model != model && pl.urgent && p.value(now, pl.model) >= p.value(now, model) {
-			sum += p.conf.Engine.Models[pl.model].SizeMB
-		}
-	}
-	return sum
-}
-
 // victim is a model that may make way, with the cost of that.
 type victim struct {
 	name string
