--- a/coordination/residency/planner.go
+++ b/coordination/residency/planner.go
@@ -479,10 +479,10 @@
 
 // needed is the number of replicas that a model's running requests ask for.
 func needed(active int) int {
-	if active == 0 {
+	switch {
+	case active == 0:
 		return 0
-	}
-	if active < perReplica/4 {
+	case active < severalFrom:
 		return 1
 	}
 	return 1 + (active+perReplica-1)/perReplica
--- a/coordination/residency/ready.go
+++ b/coordination/residency/ready.go
@@ -82,7 +82,7 @@
 // modelNext returns the order that brings a wanted model nearer, if its engine
 // is free: one that makes room, or the load.
 func (p *Planner) modelNext(now time.Time, s slot) (Order, bool) {
-	if s.startIn > 0 || !p.free(now, s.w) {
+	if !p.free(now, s.w) {
 		return Order{}, false
 	}
 	if s.level == Store && !p.mayLoadFromStore(now, !s.extra) {
@@ -105,16 +105,12 @@
 		return p.send(now, w, Order{Unload: true, Model: victims[0].name}, Resident), true
 	}
 	o := p.send(now, w, Order{Model: model}, w.level(model))
-	w.models[model] = &replica{adapters: map[string]*adapter{}, readyAt: w.order.endsAt.Add(orderMargin), lastUse: now, keepUntil: keepFrom(w.order.endsAt, urgent)}
-	return o, true
-}
-
-// keepFrom returns until when a new replica is kept for those that wait.
-func keepFrom(ready time.Time, urgent bool) time.Time {
+	r := &replica{adapters: map[string]*adapter{}, readyAt: w.order.endsAt.Add(orderMargin), lastUse: now, keepUntil: w.order.endsAt}
 	if urgent {
-		return ready.Add(promiseFor)
+		r.keepUntil = now.Add(keepFor(w.order.endsAt.Sub(now)))
 	}
-	return ready
+	w.models[model] = r
+	return o, true
 }
 
 // mayLoadFromStore keeps to the store's places and to its rate of loads.
--- a/coordination/residency/schedule.go
+++ b/coordination/residency/schedule.go
@@ -41,7 +41,7 @@
 func (p *Planner) newDraft(now time.Time) *draft {
 	d := &draft{freeIn: map[*worker]time.Duration{}, reserved: map[*worker]float64{}}
 	for _, w := range p.workers {
-		d.freeIn[w] = max(w.freeIn(now), w.notTo.Sub(now), 0)
+		d.freeIn[w] = w.freeIn(now)
 		if w.order != nil && w.order.loadsFromStore() {
 			d.store = append(d.store, w.freeIn(now))
 		}
--- a/coordination/residency/types.go
+++ b/coordination/residency/types.go
@@ -149,14 +149,21 @@
 const (
 	// perReplica is the number of running requests that one replica is meant
 	// to carry: well below an engine's slots, since each more slows all.
-	perReplica = 20
+	perReplica = 40
+	// severalFrom is the number of running requests from which a model has a
+	// second replica, so that the loss of one engine costs no load.
+	severalFrom = 8
 	// idleAfter is how long after it was named for a request a model counts as
 	// idle, unless daemons say that requests run: longer than the pause
 	// between two of their reports.
-	idleAfter = 1200 * time.Millisecond
-	// promiseFor is how long a model is kept for a caller that was told when
-	// to come back.
-	promiseFor = 2500 * time.Millisecond
+	idleAfter = 800 * time.Millisecond
+	// keepWaiting is how long a model is kept after it is ready for a request
+	// that waits for it.
+	keepWaiting = 400 * time.Millisecond
+	// keepReturning is how long it is kept for a caller that was told when to
+	// come back, as those are that would wait longer than returnsAfter.
+	keepReturning = 1200 * time.Millisecond
+	returnsAfter  = 1500 * time.Millisecond
 	// demandLife is how long a daemon's report of its demand counts.
 	demandLife = 3 * time.Second
 	// adapterLoad is the estimate of an adapter's load time; the desired state
@@ -192,6 +199,9 @@
 	urgentBeyond = 1
 	// busyDoublings bounds the growing pause between such orders.
 	busyDoublings = 4
+	// refusedMost bounds how long an engine that refuses orders is taken to go
+	// on with what it does.
+	refusedMost = 12
 	// wantLife is how long a model is still to be loaded after a request asked
 	// for it: callers that were sent away come back within it.
 	wantLife = 9 * time.Second
--- a/coordination/residency/want.go
+++ b/coordination/residency/want.go
@@ -78,10 +78,19 @@
 	if want.Adapter != "" {
 		a.ReadyIn = max(a.ReadyIn, p.wantAdapter(now, best, r, want))
 	}
-	r.keepUntil = maxTime(r.keepUntil, now.Add(a.ReadyIn+promiseFor))
+	r.keepUntil = maxTime(r.keepUntil, now.Add(keepFor(a.ReadyIn)))
 	return a, true
 }
 
+// keepFor returns how long a model is kept for a request that can start in
+// readyIn.
+func keepFor(readyIn time.Duration) time.Duration {
+	if readyIn > returnsAfter {
+		return readyIn + keepReturning
+	}
+	return readyIn + keepWaiting
+}
+
 // residentCost ranks the engines that hold a model: those that are ready
 // first, those with the adapter before others.
 func (p *Planner) residentCost(now time.Time, w *worker, r *replica, want Want) (time.Duration, bool) {
@@ -125,12 +134,14 @@
 	return w.freeIn(now) + adapterLoad
 }
 
-// freeIn returns how long the engine's order in progress will take.
+// freeIn returns how long the engine's order in progress will take. One that
+// has refused orders goes on with something that takes longer than was thought.
 func (w *worker) freeIn(now time.Time) time.Duration {
-	if w.order == nil {
-		return 0
+	t := max(0, w.notTo.Sub(now), retryBusy*time.Duration(min(w.refused, refusedMost)))
+	if w.order != nil {
+		t = max(t, w.order.endsAt.Sub(now))
 	}
-	return max(0, w.order.endsAt.Sub(now))
+	return t
 }
 
 // wantLoad has the model loaded and says where and when that will be.
--- a/daemon/edgedaemon/peers.go
+++ b/daemon/edgedaemon/peers.go
@@ -126,7 +126,7 @@
 
 // demandEvery is how often a daemon tells the coordinators what runs and
 // waits.
-const demandEvery = 700 * time.Millisecond
+const demandEvery = 400 * time.Millisecond
 
 // runDemand tells the coordinators of this daemon's requests, until ctx ends.
 func (d *Daemon) runDemand(ctx context.Context) error {
