--- a/coordination/residency/planner_test.go
+++ b/coordination/residency/planner_test.go
@@ -259,6 +259,9 @@
 	w := newWorld(9, 2)
 	w.p.Lease(w.now, true, 9, w.now.Add(3*time.Second))
 	w.p.Want(w.now, Want{Model: "m08"})
+	if a := w.p.Want(w.now, Want{Model: "m00", Adapter: "a1"}); a.ReadyIn < 2*time.Second {
+		t.Fatalf("an adapter that needs an order is promised in %v", a.ReadyIn)
+	}
 	w.run(2900 * time.Millisecond)
 	if w.orders != 0 {
 		t.Fatalf("%d orders were sent too early", w.orders)
--- a/coordination/residency/want.go
+++ b/coordination/residency/want.go
@@ -131,7 +131,7 @@
 	if !w.plans(want.Model, want.Adapter) {
 		w.adapters = append(w.adapters, adapterWant{want.Model, want.Adapter})
 	}
-	return w.freeIn(now) + adapterLoad
+	return max(w.freeIn(now), p.ordersFrom.Sub(now)) + adapterLoad
 }
 
 // freeIn returns how long the engine's order in progress will take. One that
