--- /dev/null
+++ b/cmd/doorvalvectl/explain.go
@@ -0,0 +1,154 @@
+package main
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strings"
+	"time"
+)
+
+// explainCmd prints what the daemons' logs tell of one request.
+type explainCmd struct {
+	ID     string        `arg:"" help:"The request's id."`
+	Files  []string      `arg:"" optional:"" help:"Logs of daemons; standard input without any."`
+	Around time.Duration `default:"10s" help:"Orders, leases and endpoints are shown from so long before the request."`
+}
+
+// logLine is one line of a daemon's log.
+type logLine struct {
+	At      time.Time
+	Event   string
+	Fields  map[string]any
+	content string
+}
+
+// Run prints the timeline.
+func (e *explainCmd) Run() error {
+	lines, err := e.read()
+	if err != nil {
+		return err
+	}
+	timeline := explain(lines, e.ID, e.Around)
+	if len(timeline) == 0 {
+		return fmt.Errorf("no line of these logs names request %s", e.ID)
+	}
+	for _, l := range timeline {
+		fmt.Println(l.String())
+	}
+	return nil
+}
+
+func (e *explainCmd) read() ([]logLine, error) {
+	if len(e.Files) == 0 {
+		return parseLog(os.Stdin), nil
+	}
+	var all []logLine
+	for _, name := range e.Files {
+		f, err := os.Open(name)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, parseLog(f)...)
+		if err := f.Close(); err != nil {
+			return nil, err
+		}
+	}
+	return all, nil
+}
+
+// maxLogLine bounds one line.
+const maxLogLine = 1 << 20
+
+// parseLog reads the JSON lines of a log; what stands before the first brace
+// of a line, as a collector's prefix, and other lines are passed over.
+func parseLog(r io.Reader) []logLine {
+	var lines []logLine
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(nil, maxLogLine)
+	for scanner.Scan() {
+		text := scanner.Text()
+		start := strings.IndexByte(text, '{')
+		if start < 0 {
+			continue
+		}
+		l := logLine{content: text}
+		if json.Unmarshal([]byte(text[start:]), &l.Fields) != nil {
+			continue
+		}
+		at, _ := l.Fields["@timestamp"].(string)
+		l.Event, _ = l.Fields["@message"].(string)
+		var err error
+		if l.At, err = time.Parse(time.RFC3339Nano, at); err == nil {
+			lines = append(lines, l)
+		}
+	}
+	return lines
+}
+
+// explain picks the lines of a request and, from around before it to its end,
+// those on its models and endpoints, on leases, dependencies and the desired
+// state.
+func explain(lines []logLine, id string, around time.Duration) []logLine {
+	about := map[string]bool{}
+	var first, last time.Time
+	for _, l := range lines {
+		if l.Fields["request"] != id {
+			continue
+		}
+		if first.IsZero() || l.At.Before(first) {
+			first = l.At
+		}
+		if l.At.After(last) {
+			last = l.At
+		}
+		for _, field := range []string{"endpoint", "model"} {
+			if v, _ := l.Fields[field].(string); v != "" {
+				model, _, _ := strings.Cut(v, "/")
+				about[model] = true
+			}
+		}
+	}
+	if first.IsZero() {
+		return nil
+	}
+	var out []logLine
+	for _, l := range lines {
+		if l.Fields["request"] == id || l.Fields["request"] == nil && !l.At.Before(first.Add(-around)) && !l.At.After(last) && l.concerns(about) {
+			out = append(out, l)
+		}
+	}
+	slices.SortStableFunc(out, func(a, b logLine) int { return a.At.Compare(b.At) })
+	return out
+}
+
+// concerns reports whether a line that names no request bears on models or
+// endpoints, or on all requests.
+func (l *logLine) concerns(about map[string]bool) bool {
+	if l.Event != "order sent" {
+		return true
+	}
+	endpoint, _ := l.Fields["endpoint"].(string)
+	model, _ := l.Fields["model"].(string)
+	return about[endpoint] || about[model]
+}
+
+// String returns the line as people read it.
+func (l *logLine) String() string {
+	keys := make([]string, 0, len(l.Fields))
+	for k, v := range l.Fields {
+		if !strings.HasPrefix(k, "@") && v != nil && v != "" {
+			keys = append(keys, k)
+		}
+	}
+	slices.Sort(keys)
+	var b strings.Builder
+	b.WriteString(l.At.Format("15:04:05.000") + "  " + l.Event)
+	for _, k := range keys {
+		fmt.Fprintf(&b, "  %s=%v", k, l.Fields[k])
+	}
+	return b.String()
+}
--- /dev/null
+++ b/cmd/doorvalvectl/explain_test.go
@@ -0,0 +1,36 @@
+package main
+
+import (
+	"strings"
+	"testing"
+	"time"
+)
+
+const sampleLog = `
+not a line of a log
+host-1 {"@message":"order sent","@timestamp":"2026-10-14T04:07:35.000Z","endpoint":"i-1","model":"m","outcome":"accepted"}
+host-1 {"@message":"order sent","@timestamp":"2026-10-14T04:07:35.500Z","endpoint":"i-9","model":"other","outcome":"accepted"}
+host-1 {"@message":"lease changed","@timestamp":"2026-10-14T04:07:34.000Z","fence":2}
+host-2 {"@message":"request refused","@timestamp":"2026-10-14T04:07:36.000Z","request":"r1","model":"m/a1","endpoint":""}
+host-2 {"@message":"request answered","@timestamp":"2026-10-14T04:07:36.000Z","request":"r2","model":"m"}
+host-1 {"@message":"lease changed","@timestamp":"2026-10-14T04:09:00.000Z","fence":3}
+host-1 {"@message":"lease changed","@timestamp":"2026-10-14T04:00:00.000Z","fence":1}
+`
+
+func TestExplainPicksWhatBearsOnARequest(t *testing.T) {
+	got := explain(parseLog(strings.NewReader(sampleLog)), "r1", 10*time.Second)
+	var events []string
+	for _, l := range got {
+		events = append(events, l.String())
+	}
+	text := strings.Join(events, "\n")
+	want := "04:07:34.000  lease changed  fence=2\n" +
+		"04:07:35.000  order sent  endpoint=i-1  model=m  outcome=accepted\n" +
+		"04:07:36.000  request refused  model=m/a1  request=r1"
+	if text != want {
+		t.Fatalf("got\n%s\nwant\n%s", text, want)
+	}
+	if explain(parseLog(strings.NewReader(sampleLog)), "r3", time.Second) != nil {
+		t.Fatal("a request that no line names was explained")
+	}
+}
--- a/cmd/doorvalvectl/main.go
+++ b/cmd/doorvalvectl/main.go
@@ -29,6 +29,7 @@
 	Drain    drainCmd    `cmd:"" help:"Take a host or an endpoint out of service."`
 	Undrain  undrainCmd  `cmd:"" help:"Bring an endpoint back into service."`
 	Dump     dumpCmd     `cmd:"" help:"Print the state of one or all daemons."`
+	Explain  explainCmd  `cmd:"" help:"Print what the daemons' logs tell of one request."`
 	Settings settingsCmd `cmd:"" help:"Check a daemon's settings file."`
 }
 
@@ -41,6 +42,7 @@
   doorvalvectl rollout 3f0a9c... --expect 41   (41 is the generation in force)
   doorvalvectl status -o json
   doorvalvectl drain endpoint lm-w3
+  doorvalvectl explain 418fea9a12e3acf5 host-1.log host-2.log
 
 Exit codes: 0 done, 1 refused or failed, 3 no answer and perhaps accepted,
 4 another change came first.`
--- a/daemon/edgedaemon/daemon.go
+++ b/daemon/edgedaemon/daemon.go
@@ -45,7 +45,7 @@
 	metricsEvery = 5 * time.Second
 	// retryPart keeps the daemons together below the bound on retries, since
 	// each knows only its own requests.
-	retryPart = 0.7
+	retryPart = 0.85
 	// memoryPart is the part of the memory limit at which the collector works
 	// harder; the rest is for what it does not count.
 	memoryPart = 0.6
@@ -86,6 +86,7 @@
 	runCtx       context.Context
 	stopping     atomic.Int64 // Unix nanoseconds of the stop; 0 while serving
 	lastSent     map[string]int
+	holders      holderHealth
 }
 
 type listeners struct{ callers, directory, readiness, peers, metrics net.Listener }
--- a/daemon/edgedaemon/peers.go
+++ b/daemon/edgedaemon/peers.go
@@ -111,16 +111,22 @@
 	if own != nil && (own.Holds() || address == "" || address == d.set.Listen.Peers) {
 		return own.Want(w)
 	}
-	if address == "" {
+	if address == "" || d.holders.silent(address, time.Now()) {
 		return residency.Answer{Refused: residency.RefusedNoHolder, ReadyIn: noHolderPause}
 	}
+	caller := ctx
 	ctx, cancel := context.WithTimeout(ctx, wantTimeout)
 	defer cancel()
 	resp, err := d.fleet(address).Want(ctx, &fleetpb.WantRequest{Service: service, Model: w.Model, Adapter: w.Adapter, Rank: int32(w.Rank), Avoid: w.Avoid, Absent: w.Absent})
 	if err != nil {
-		d.log.Info(decisions.EventDependencyLost, "dependency", "coordinator", "service", service, "holder", address, "error", err)
+		if caller.Err() == nil && d.holders.failed(address, time.Now()) {
+			d.log.Warn(decisions.EventDependencyLost, "dependency", "coordinator", "service", service, "holder", address, "error", err)
+		}
 		return residency.Answer{Refused: residency.RefusedNoHolder, ReadyIn: noHolderPause}
 	}
+	if d.holders.answered(address) {
+		d.log.Info(decisions.EventDependencyBack, "dependency", "coordinator", "service", service, "holder", address)
+	}
 	return residency.Answer{EndpointID: resp.Endpoint, ReadyIn: time.Duration(resp.ReadyInMs) * time.Millisecond, Level: residency.Level(resp.Level), Refused: resp.Refused}
 }
 
--- a/driver/decisions/log.go
+++ b/driver/decisions/log.go
@@ -29,9 +29,8 @@
 	EventAnswered         = "request answered"
 	EventRefused          = "request refused"
 	EventFailed           = "request failed"
-	EventRetried          = "attempt failed, trying again"
+	EventAttemptFailed    = "attempt failed"
 	EventWaiting          = "request waits for a model"
-	EventPlaced           = "model located"
 	EventAvoided          = "endpoint avoided"
 )
 
--- a/transport/edge/run.go
+++ b/transport/edge/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"slices"
 	"time"
@@ -68,7 +69,7 @@
 		}
 		again := f.verdict == protocol.NotRun && verdict == protocol.NotRun ||
 			q.route.Repeatable() && ran < q.route.Attempts
-		s.opt.Log.Info(decisions.EventRetried, "request", q.call.ID, "endpoint", e.ID, "endpoint_revision", e.Revision, "reason", f.reason, "error", f.err,
+		s.opt.Log.Info(decisions.EventAttemptFailed, "request", q.call.ID, "endpoint", e.ID, "endpoint_revision", e.Revision, "reason", f.reason, "error", f.err,
 			"verdict", f.verdict.String(), "again", again, "ms", time.Since(q.arrived).Milliseconds())
 		if !again || ctx.Err() != nil && verdict != protocol.NotRun {
 			if ctx.Err() != nil {
@@ -182,7 +183,8 @@
 		if reason == "" {
 			reason = "model-loading"
 		}
-		return protocol.Refuse(http.StatusServiceUnavailable, reason, "the model is not loaded: "+ans.Level.String()+" at "+ans.EndpointID, d.RetryAfter)
+		detail := fmt.Sprintf("the model is not ready: endpoint %q, copy %s, in %d ms", ans.EndpointID, ans.Level, ans.ReadyIn.Milliseconds())
+		return protocol.Refuse(http.StatusServiceUnavailable, reason, detail, d.RetryAfter)
 	}
 	s.opt.Log.Info(decisions.EventWaiting, "request", q.call.ID, "model", q.unit(), "endpoint", ans.EndpointID, "level", ans.Level.String(), "ready_in_ms", ans.ReadyIn.Milliseconds(), "elapsed_ms", elapsed.Milliseconds())
 	sleep(ctx, min(max(ans.ReadyIn, time.Millisecond), askPause))
--- a/transport/edge/server.go
+++ b/transport/edge/server.go
@@ -195,7 +195,7 @@
 	}
 	q, refusal := s.read(w, r, arrived, active)
 	if refusal != nil {
-		s.refuse(w, r, q, refusal)
+		s.refuse(w, r, q, refusal, "")
 		return
 	}
 	s.countActive(q, 1)
@@ -221,7 +221,7 @@
 		s.logEnd(decisions.EventFailed, q, refusal, a.endpoint)
 		panic(http.ErrAbortHandler)
 	default:
-		s.refuse(w, r, q, refusal)
+		s.refuse(w, r, q, refusal, a.endpoint)
 	}
 }
 
@@ -239,13 +239,18 @@
 	}
 	s.opt.Log.Info(event, "request", q.call.ID, "route", route, "model", q.unit(), "status", refusal.Status, "reason", refusal.Reason, "detail", refusal.Detail,
 		"verdict", refusal.Verdict.String(), "retry_after_ms", refusal.RetryAfter.Milliseconds(), "ms", time.Since(q.arrived).Milliseconds(),
-		"time_left_ms", time.Until(q.deadline).Milliseconds(), "endpoint", endpoint, "version", q.version, "returned", q.returned)
+		"time_left_ms", time.Until(q.deadline).Milliseconds(), "endpoint", endpoint, "version", q.version, "returned", q.returned,
+		"endpoints_revision", s.opt.View().Revision)
 }
 
 // refuse writes a refusal as the final answer.
-func (s *Server) refuse(w http.ResponseWriter, r *http.Request, q *request, refusal *protocol.Refusal) {
-	s.metrics.refused.Inc(1)
-	s.logEnd(decisions.EventRefused, q, refusal, "")
+func (s *Server) refuse(w http.ResponseWriter, r *http.Request, q *request, refusal *protocol.Refusal, endpoint string) {
+	event, count := decisions.EventRefused, s.metrics.refused
+	if refusal.Verdict != protocol.NotRun {
+		event, count = decisions.EventFailed, s.metrics.failed
+	}
+	count.Inc(1)
+	s.logEnd(event, q, refusal, endpoint)
 	h := w.Header()
 	if q != nil && q.call.ID != "" {
 		h.Set(protocol.HeaderRequestID, q.call.ID)
