--- a/driver/decisions/log.go
+++ b/driver/decisions/log.go
@@ -89,10 +89,9 @@
 
 // sink hands lines to a goroutine that writes them.
 type sink struct {
-	lines  chan []byte
-	done   chan struct{}
-	closed atomic.Bool
-	lost   atomic.Int64
+	lines chan []byte
+	done  chan struct{}
+	lost  atomic.Int64
 }
 
 // Write implements io.Writer; it never blocks and never fails.
--- a/driver/storeview/storeview.go
+++ b/driver/storeview/storeview.go
@@ -69,7 +69,6 @@
 	config      *discovery.Follower
 	outageUntil time.Time // entries that go missing before may only have lapsed
 	onChange    []func()
-	rejected    uint64 // desired states that could not be read
 }
 
 // New returns a view that knows nothing.
