--- a/driver/placer/placer.go
+++ b/driver/placer/placer.go
@@ -341,14 +341,14 @@
 			continue
 		}
 		poll.out, poll.at = true, now
-		go p.pollOne(ctx, e, p.place.ClaimedFence(e.Name), now)
+		go p.pollOne(ctx, p.service.Kind, e, p.place.ClaimedFence(e.Name), now)
 	}
 }
 
-func (p *Placer) pollOne(ctx context.Context, e bundle.Endpoint, fence uint64, asked time.Time) {
+func (p *Placer) pollOne(ctx context.Context, kind bundle.Kind, e bundle.Endpoint, fence uint64, asked time.Time) {
 	var state protocol.EngineState
 	var err error
-	if p.service.Kind == bundle.KindPlain {
+	if kind == bundle.KindPlain {
 		state, err = p.opt.Engines.Health(ctx, e, p.opt.Group)
 	} else {
 		state, err = p.opt.Engines.State(ctx, e)
