--- /dev/null
+++ b/coordination/residency/bench_test.go
@@ -0,0 +1,70 @@
+package residency
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// bigWorld is a service of the size that the users plan for next: 90 engines,
+// 480 models.
+func bigWorld() *world {
+	w := newWorld(480, 90)
+	for i := 270; i < 480; i++ {
+		for j := range 3 {
+			w.engines[(i+j*30)%90].onDisk[fmt.Sprintf("m%02d", i)] = true
+		}
+	}
+	for range 10 {
+		w.step()
+	}
+	for i := range 40 {
+		w.p.Demand(w.now, fmt.Sprint("d", i), Demand{Active: map[string]int{fmt.Sprintf("m%02d", i): 3}, Running: map[Place]int{{fmt.Sprintf("e%d", i/3), fmt.Sprintf("m%02d", i)}: 3}})
+	}
+	return w
+}
+
+func BenchmarkReady(b *testing.B) {
+	w := bigWorld()
+	for i := 300; i < 330; i++ {
+		w.p.Want(w.now, Want{Model: fmt.Sprintf("m%02d", i)})
+	}
+	w.p.ordersFrom = w.now.Add(time.Hour)
+	b.ReportAllocs()
+	for b.Loop() {
+		w.p.ordersFrom = w.now
+		w.p.schedule(w.p.newDraft(w.now))
+	}
+}
+
+func BenchmarkWant(b *testing.B) {
+	w := bigWorld()
+	b.ReportAllocs()
+	i := 0
+	for b.Loop() {
+		i++
+		w.p.Want(w.now, Want{Model: fmt.Sprintf("m%02d", i%270)})
+	}
+}
+
+func BenchmarkStepAtRest(b *testing.B) {
+	w := bigWorld()
+	b.ReportAllocs()
+	for b.Loop() {
+		w.now = w.now.Add(25 * time.Millisecond)
+		w.p.Ready(w.now)
+	}
+}
+
+// A schedule at the size planned for next derives the engines' state once: it
+// used to grow with the product of wanted models, engines and daemons.
+func TestScheduleStaysCheap(t *testing.T) {
+	w := bigWorld()
+	for i := 300; i < 330; i++ {
+		w.p.Want(w.now, Want{Model: fmt.Sprintf("m%02d", i)})
+	}
+	const most = 800 // some for each engine and each wanted model
+	if n := testing.AllocsPerRun(5, func() { w.p.schedule(w.p.newDraft(w.now)) }); n > most {
+		t.Fatalf("%v allocations for one schedule", n)
+	}
+}
--- a/coordination/residency/planner.go
+++ b/coordination/residency/planner.go
@@ -1,6 +1,7 @@
 package residency
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -96,6 +97,7 @@
 	slotsAt    time.Time
 	starts     []time.Time // loads from the store, newest last
 	grownAt    time.Time   // when an engine was new last
+	sorted     []*worker   // by id, so that decisions repeat
 }
 
 // New returns a planner that knows nothing.
@@ -143,6 +145,11 @@
 			delete(p.workers, id)
 		}
 	}
+	p.sorted = p.sorted[:0]
+	for _, w := range p.workers {
+		p.sorted = append(p.sorted, w)
+	}
+	slices.SortFunc(p.sorted, func(a, b *worker) int { return cmp.Compare(a.endpoint.ID, b.endpoint.ID) })
 }
 
 // adoptEntry takes an engine's entry in the store. An entry does not say which
@@ -388,7 +395,7 @@
 		// The next order tells by its answer whether the unload is done.
 		p.endOrder(now, w)
 	default:
-		o.endsAt = now.Add(p.loadTime(o.level, o.order.Model))
+		o.endsAt = now.Add(p.loadTime(o.level, o.order.Model, p.storeLoads()))
 		if r := w.models[o.order.Model]; r != nil {
 			r.readyAt = o.endsAt.Add(orderMargin)
 		}
@@ -396,9 +403,9 @@
 	}
 }
 
-// loadTime estimates a load. Loads from the store slow each other down beyond
+// loadTime estimates a load beside storeLoads from the store. Loads from the store slow each other down beyond
 // the number that it serves at once.
-func (p *Planner) loadTime(l Level, model string) time.Duration {
+func (p *Planner) loadTime(l Level, model string, storeLoads int) time.Duration {
 	m := p.conf.Engine.Models[model]
 	switch l {
 	case Memory:
@@ -406,7 +413,7 @@
 	case Disk:
 		return m.FromDisk
 	case Store:
-		crowd := max(1, float64(p.storeLoads())/float64(max(1, p.opt.StoreAtOnce)))
+		crowd := max(1, float64(storeLoads)/float64(max(1, p.opt.StoreAtOnce)))
 		return time.Duration(float64(m.FromStore) * crowd)
 	}
 	return 0
@@ -451,32 +458,6 @@
 	}
 }
 
-// running counts the requests of a model at an engine, over all daemons.
-func (p *Planner) running(now time.Time, id, model string) int {
-	n := 0
-	for _, d := range p.demands {
-		if now.Sub(d.at) <= demandLife {
-			n += d.Running[Place{id, model}]
-		}
-	}
-	return n
-}
-
-// active sums what runs or waits for a model over all daemons.
-func (p *Planner) active(now time.Time) map[string]int {
-	sum := map[string]int{}
-	for daemon, d := range p.demands {
-		if now.Sub(d.at) > demandLife {
-			delete(p.demands, daemon)
-			continue
-		}
-		for model, n := range d.Active {
-			sum[model] += n
-		}
-	}
-	return sum
-}
-
 // needed is the number of replicas that a model's running requests ask for.
 func needed(active int) int {
 	switch {
@@ -488,22 +469,21 @@
 	return 1 + (active+perReplica-1)/perReplica
 }
 
-// replicas counts a model's replicas at usable engines, also those on their
-// way.
-func (p *Planner) replicas(model string) int {
-	n := 0
-	for _, w := range p.workers {
-		if w.usable() && w.models[model] != nil {
-			n++
-		}
-	}
-	return n
-}
-
 func (w *worker) plans(model, adapter string) bool {
 	return slices.Contains(w.adapters, adapterWant{model, adapter})
 }
 
+// memory returns what the engine's models and adapters take, in MB, with
+// those that are on their way.
+func (p *Planner) memory(w *worker) float64 {
+	sum := 0.0
+	for name, r := range w.models {
+		m := p.conf.Engine.Models[name]
+		sum += m.SizeMB + float64(len(r.adapters))*m.AdapterMB
+	}
+	return sum
+}
+
 func set(list []string) map[string]bool {
 	s := make(map[string]bool, len(list))
 	for _, v := range list {
--- a/coordination/residency/ready.go
+++ b/coordination/residency/ready.go
@@ -12,30 +12,30 @@
 	if p.conf.Engine == nil {
 		return r
 	}
-	for _, id := range p.ids() {
-		w := p.workers[id]
+	for _, w := range p.sorted {
 		p.passTime(now, w)
 		if p.held && !w.asking && !w.probe.IsZero() && !now.Before(w.probe) {
 			w.asking = true
-			r.Probes = append(r.Probes, id)
+			r.Probes = append(r.Probes, w.endpoint.ID)
 		}
 	}
 	if !p.held || now.Before(p.ordersFrom) {
 		return r
 	}
-	p.wantReplicas(now)
-	p.schedule(now)
-	for _, id := range p.ids() {
-		if o, ok := p.adapterNext(now, p.workers[id]); ok {
+	d := p.newDraft(now)
+	p.wantReplicas(d)
+	p.schedule(d)
+	for _, w := range p.sorted {
+		if o, ok := p.adapterNext(now, w); ok {
 			r.Orders = append(r.Orders, o)
 		}
 	}
 	for _, s := range p.slots {
-		if o, ok := p.modelNext(now, s); ok {
+		if o, ok := p.modelNext(d, s); ok {
 			r.Orders = append(r.Orders, o)
 		}
 	}
-	r.Orders = append(r.Orders, p.copies(now)...)
+	r.Orders = append(r.Orders, p.copies(d)...)
 	p.slots = nil
 	return r
 }
@@ -81,14 +81,14 @@
 
 // modelNext returns the order that brings a wanted model nearer, if its engine
 // is free: one that makes room, or the load.
-func (p *Planner) modelNext(now time.Time, s slot) (Order, bool) {
-	if !p.free(now, s.w) {
+func (p *Planner) modelNext(d *draft, s slot) (Order, bool) {
+	if !p.free(d.now, s.w) {
 		return Order{}, false
 	}
-	if s.level == Store && !p.mayLoadFromStore(now, !s.extra) {
+	if s.level == Store && !p.mayLoadFromStore(d.now, !s.extra) {
 		return Order{}, false
 	}
-	o, ok := p.modelOrder(now, s.w, s.model, !s.extra)
+	o, ok := p.modelOrder(d, s.w, s.model, !s.extra)
 	if ok && !o.Unload && !s.extra {
 		s.w.order.askedAt = p.wants[s.model].asked
 	}
@@ -96,12 +96,18 @@
 }
 
 // modelOrder makes room for a model, or loads it.
-func (p *Planner) modelOrder(now time.Time, w *worker, model string, urgent bool) (Order, bool) {
+func (p *Planner) modelOrder(d *draft, w *worker, model string, urgent bool) (Order, bool) {
+	now := d.now
 	if p.memory(w)+p.conf.Engine.Models[model].SizeMB > p.conf.Engine.MemoryMB {
-		victims := p.victims(now, w)
+		victims := p.victimsOf(d, w)
 		if len(victims) == 0 {
 			return Order{}, false
 		}
+		// Another replica of it must not make way at the same time.
+		d.replicas[victims[0].name]--
+		for _, e := range d.engines {
+			e.derived = false
+		}
 		return p.send(now, w, Order{Unload: true, Model: victims[0].name}, Resident), true
 	}
 	o := p.send(now, w, Order{Model: model}, w.level(model))
@@ -166,7 +172,7 @@
 	o.Expect, o.Holder, o.Fence = w.sequence, p.opt.Holder, p.fence
 	end := now
 	if !o.Unload && o.Adapter == "" {
-		end = now.Add(p.loadTime(level, o.Model))
+		end = now.Add(p.loadTime(level, o.Model, p.storeLoads()))
 	}
 	w.order = &pending{order: o, level: level, endsAt: end}
 	return o
@@ -174,22 +180,23 @@
 
 // wantReplicas wants more replicas of models whose running requests ask for
 // them.
-func (p *Planner) wantReplicas(now time.Time) {
-	for model, n := range p.active(now) {
-		have := p.replicas(model)
+func (p *Planner) wantReplicas(d *draft) {
+	for model, n := range d.active {
+		have := d.replicas[model]
 		if _, ok := p.conf.Engine.Models[model]; !ok || have == 0 || have >= needed(n) {
 			continue
 		}
 		if p.wants[model] == nil {
 			p.wants[model] = &wanted{extra: true}
 		}
-		p.wants[model].asked = now
+		p.wants[model].asked = d.now
 	}
 }
 
 // copies brings models near that no engine has a copy of, while the store has
 // places free: afterwards they are a disk's load time away.
-func (p *Planner) copies(now time.Time) []Order {
+func (p *Planner) copies(d *draft) []Order {
+	now := d.now
 	if now.Sub(p.grownAt) < settleFor {
 		return nil
 	}
@@ -199,16 +206,19 @@
 			free--
 		}
 	}
+	if free <= 0 {
+		return nil
+	}
 	var orders []Order
 	for _, model := range p.missing(now) {
 		if free <= 0 {
 			break
 		}
-		w := p.quietEngine(now, model)
+		w := p.quietEngine(d, model)
 		if w == nil || !p.mayLoadFromStore(now, false) {
 			break
 		}
-		if o, ok := p.modelOrder(now, w, model, false); ok {
+		if o, ok := p.modelOrder(d, w, model, false); ok {
 			orders = append(orders, o)
 			free--
 		}
@@ -219,16 +229,15 @@
 // missing returns the models without a copy at any usable engine, the most
 // wanted first.
 func (p *Planner) missing(now time.Time) []string {
+	near := map[string]bool{}
+	for _, w := range p.sorted {
+		if w.usable() {
+			w.near(near)
+		}
+	}
 	var list []string
 	for name := range p.conf.Engine.Models {
-		found := false
-		for _, w := range p.workers {
-			if w.usable() && w.level(name) != Store {
-				found = true
-				break
-			}
-		}
-		if !found && p.wants[name] == nil {
+		if !near[name] && p.wants[name] == nil {
 			list = append(list, name)
 		}
 	}
@@ -238,22 +247,33 @@
 	return list
 }
 
+// near adds the models that an engine has a copy of.
+func (w *worker) near(set map[string]bool) {
+	for name := range w.models {
+		set[name] = true
+	}
+	for name := range w.inMemory {
+		set[name] = true
+	}
+	for name := range w.onDisk {
+		set[name] = true
+	}
+}
+
 // quietEngine returns the engine that is missed least while it loads from the
 // store: it has nothing planned and the fewest models that are in use there or
 // that only it can bring back.
-func (p *Planner) quietEngine(now time.Time, model string) *worker {
+func (p *Planner) quietEngine(d *draft, model string) *worker {
 	var best *worker
 	bestOnly := 0
-	active := p.active(now)
-	for _, id := range p.ids() {
-		w := p.workers[id]
-		if !p.free(now, w) || p.scheduled(w) {
+	for _, w := range p.sorted {
+		if !p.free(d.now, w) || p.scheduled(w) {
 			continue
 		}
-		if _, ok := p.roomCost(now, w, model, 0); !ok {
+		if _, ok := p.roomCost(d, w, model); !ok {
 			continue
 		}
-		if only := p.onlyHere(w) + p.inUse(w, active); best == nil || only < bestOnly {
+		if only := p.onlyHere(w) + d.engines[w].inUse; best == nil || only < bestOnly {
 			best, bestOnly = w, only
 		}
 	}
--- a/coordination/residency/schedule.go
+++ b/coordination/residency/schedule.go
@@ -16,51 +16,27 @@
 	readyIn time.Duration
 }
 
-// draft is a schedule in the making.
-type draft struct {
-	freeIn   map[*worker]time.Duration // when an engine has done what is ahead
-	reserved map[*worker]float64       // memory of loads ahead, in MB
-	store    []time.Duration           // when each place of the store is free
-}
-
 // schedule decides from scratch, most wanted first, which engine will have
 // each wanted model ready soonest. Nothing is bound to an engine before its
 // order is sent, so a better way that opens is taken.
-func (p *Planner) schedule(now time.Time) {
-	p.slots, p.slotsAt = p.slots[:0], now
-	d := p.newDraft(now)
-	active := p.active(now)
-	for _, model := range p.wantedModels(now) {
-		if s, ok := p.place(now, d, model, active); ok {
+func (p *Planner) schedule(d *draft) {
+	p.slots, p.slotsAt = p.slots[:0], d.now
+	for _, model := range p.wantedModels(d) {
+		if s, ok := p.place(d, model); ok {
 			s.extra = p.wants[model].extra
 			p.slots = append(p.slots, s)
 		}
 	}
 }
 
-func (p *Planner) newDraft(now time.Time) *draft {
-	d := &draft{freeIn: map[*worker]time.Duration{}, reserved: map[*worker]float64{}}
-	for _, w := range p.workers {
-		d.freeIn[w] = w.freeIn(now)
-		if w.order != nil && w.order.loadsFromStore() {
-			d.store = append(d.store, w.freeIn(now))
-		}
-	}
-	places := max(1, p.opt.StoreAtOnce) + urgentBeyond
-	for len(d.store) < places {
-		d.store = append(d.store, 0)
-	}
-	slices.Sort(d.store)
-	return d
-}
-
 // wantedModels returns the models to be loaded, the most wanted first, and
 // forgets those that nobody asks for any more.
-func (p *Planner) wantedModels(now time.Time) []string {
+func (p *Planner) wantedModels(d *draft) []string {
+	now := d.now
 	var list []string
 	for model, w := range p.wants {
 		_, declared := p.conf.Engine.Models[model]
-		held := !w.extra && p.replicas(model) > 0
+		held := !w.extra && d.replicas[model] > 0
 		if !declared || held || now.Sub(w.asked) > wantLife {
 			delete(p.wants, model)
 			continue
@@ -82,24 +58,23 @@
 }
 
 // place chooses the engine that will have the model ready first.
-func (p *Planner) place(now time.Time, d *draft, model string, active map[string]int) (slot, bool) {
+func (p *Planner) place(d *draft, model string) (slot, bool) {
 	best := slot{}
 	bestCost := time.Duration(0)
-	for _, id := range p.ids() {
-		w := p.workers[id]
+	for _, w := range p.sorted {
 		if !w.usable() || !w.known || w.models[model] != nil {
 			continue
 		}
-		penalty, ok := p.roomCost(now, w, model, d.reserved[w])
+		penalty, ok := p.roomCost(d, w, model)
 		if !ok {
 			continue
 		}
-		s := slot{model: model, w: w, level: w.level(model), startIn: d.freeIn[w]}
+		s := slot{model: model, w: w, level: w.level(model), startIn: d.engines[w].freeIn}
 		if s.level == Store {
 			s.startIn = max(s.startIn, d.store[0])
-			penalty += time.Duration(p.inUse(w, active)) * activeCost
+			penalty += time.Duration(d.engines[w].inUse) * activeCost
 		}
-		s.readyIn = s.startIn + p.loadTime(s.level, model) + orderMargin
+		s.readyIn = s.startIn + p.loadTime(s.level, model, d.storeLoads) + orderMargin
 		if cost := s.readyIn + penalty; best.w == nil || cost < bestCost {
 			best, bestCost = s, cost
 		}
@@ -107,8 +82,9 @@
 	if best.w == nil {
 		return best, false
 	}
-	d.freeIn[best.w] = best.readyIn
-	d.reserved[best.w] += p.conf.Engine.Models[model].SizeMB
+	e := d.engines[best.w]
+	e.freeIn = best.readyIn
+	e.reserved += p.conf.Engine.Models[model].SizeMB
 	if best.level == Store {
 		d.store[0] = best.readyIn
 		slices.Sort(d.store)
--- a/coordination/residency/want.go
+++ b/coordination/residency/want.go
@@ -1,9 +1,6 @@
 package residency
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // Want answers where a request for a model should go, and plans a load where
 // none holds it.
@@ -154,7 +151,7 @@
 	}
 	w.asked, w.extra = now, false
 	if p.slots == nil || now.Sub(p.slotsAt) > scheduleLife {
-		p.schedule(now)
+		p.schedule(p.newDraft(now))
 	}
 	for _, s := range p.slots {
 		if s.model == want.Model {
@@ -163,92 +160,3 @@
 	}
 	return Answer{}, false
 }
-
-// inUse counts an engine's models that requests run on or wait for.
-func (p *Planner) inUse(w *worker, active map[string]int) int {
-	n := 0
-	for name := range w.models {
-		if active[name] > 0 {
-			n++
-		}
-	}
-	return n
-}
-
-func (p *Planner) ids() []string {
-	ids := make([]string, 0, len(p.workers))
-	for id := range p.workers {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	return ids
-}
-
-// memory returns what the engine's models and adapters take, in MB, with
-// those that are on their way.
-func (p *Planner) memory(w *worker) float64 {
-	sum := 0.0
-	for name, r := range w.models {
-		m := p.conf.Engine.Models[name]
-		sum += m.SizeMB + float64(len(r.adapters))*m.AdapterMB
-	}
-	return sum
-}
-
-// roomCost returns a penalty for what is lost by making room for a model,
-// beside the memory that other loads will take; false when there can be no
-// room now.
-func (p *Planner) roomCost(now time.Time, w *worker, model string, reserved float64) (time.Duration, bool) {
-	need := p.memory(w) + reserved + p.conf.Engine.Models[model].SizeMB
-	if need <= p.conf.Engine.MemoryMB {
-		return 0, true
-	}
-	cost := time.Duration(0)
-	for _, v := range p.victims(now, w) {
-		need -= p.conf.Engine.Models[v.name].SizeMB
-		cost += v.cost
-		if need <= p.conf.Engine.MemoryMB {
-			return cost, true
-		}
-	}
-	return 0, false
-}
-
-// victim is a model that may make way, with the cost of that.
-type victim struct {
-	name string
-	cost time.Duration
-}
-
-// victims returns the models of an engine that may be unloaded, the cheapest
-// first: replicas beyond what the demand asks for, then the longest unused.
-func (p *Planner) victims(now time.Time, w *worker) []victim {
-	active := p.active(now)
-	var list []victim
-	for name, r := range w.models {
-		if now.Before(r.keepUntil) || r.readyAt.After(now) || w.order != nil && w.order.order.Model == name {
-			continue
-		}
-		idle := now.Sub(r.lastUse)
-		if idle < idleAfter || p.running(now, w.endpoint.ID, name) > 0 {
-			continue // its unload would wait for them, and keep the engine busy
-		}
-		switch {
-		case p.replicas(name) > max(1, needed(active[name])):
-			list = append(list, victim{name, 0})
-		case active[name] == 0:
-			// Longer unused is cheaper: at most a tenth of a second apart.
-			list = append(list, victim{name, 100*time.Millisecond - min(90*time.Millisecond, idle/1000)})
-		}
-	}
-	slices.SortFunc(list, func(a, b victim) int {
-		if a.cost != b.cost {
-			return int(a.cost - b.cost)
-		}
-		if a.name < b.name {
-			return -1
-		}
-		return 1
-	})
-	return list
-}
--- a/daemon/edgedaemon/daemon.go
+++ b/daemon/edgedaemon/daemon.go
@@ -111,7 +111,7 @@
 	d.shareRetries(1)
 	d.store = platform.NewStore(set.Store.Address, set.Store.Timeout.D())
 	d.engines = platform.NewEngineClient(engineTimeout)
-	d.view = storeview.New(storeview.Options{Store: d.store, Decode: platform.DecodeDesiredState, Log: log, Peer: d.anyPeer})
+	d.view = storeview.New(storeview.Options{Store: d.store, Decode: platform.DecodeDesiredState, Log: log, Peer: d.anyPeer, LeaveWithin: set.Timing.LeaveWithin.D()})
 	d.view.OnChange(d.changed)
 	d.gossip = gossip.New(hclog.NewNullLogger(), d.peers, d.seeds, membership.DefaultOptions(uint64(time.Now().UnixNano())), d.member())
 	d.callers = edge.New(edge.Options{
--- a/driver/storeview/storeview.go
+++ b/driver/storeview/storeview.go
@@ -31,10 +31,10 @@
 	// partition is noticed before the platform expects this daemon to be up to
 	// date again, long enough to cost little.
 	watchFor = 2500 * time.Millisecond
-	// gatherFor is the pause between two watches of the endpoints, so that
-	// changes which come together cost one call; endpoints that leave must be
-	// known within two seconds.
-	gatherFor = 350 * time.Millisecond
+	// gatherPart is the part of the time in which a leaving endpoint must get
+	// no more requests that changes of the endpoints may gather, so that those
+	// which come together cost one call.
+	gatherPart = 0.3
 	// retryAfter is the pause after a failed call.
 	retryAfter = 250 * time.Millisecond
 	// emptyRetry is the pause while there is no desired state yet.
@@ -54,6 +54,9 @@
 	Log    *decisions.Log
 	// Peer returns another daemon to ask, or nil.
 	Peer func() fleetpb.Fleet
+	// LeaveWithin is the time in which a leaving endpoint must get no more
+	// requests.
+	LeaveWithin time.Duration
 }
 
 // View is safe for concurrent use.
@@ -75,7 +78,7 @@
 func New(opt Options) *View {
 	v := &View{
 		opt: opt, registry: discovery.NewRegistry(lapseGrace),
-		endpoints: discovery.NewFollower(discovery.FollowOptions{Pause: gatherFor, Retry: retryAfter}),
+		endpoints: discovery.NewFollower(discovery.FollowOptions{Pause: time.Duration(gatherPart * float64(opt.LeaveWithin)), Retry: retryAfter}),
 		config:    discovery.NewFollower(discovery.FollowOptions{Retry: retryAfter}),
 	}
 	v.view.Store(fleet.NewView(0, nil))
--- a/settings/edge.go
+++ b/settings/edge.go
@@ -60,6 +60,9 @@
 	Grace bundle.Duration `json:"grace"`
 	// OrderGap is the least time between orders of two holders to one engine.
 	OrderGap bundle.Duration `json:"order_gap"`
+	// LeaveWithin is the time in which an endpoint that has announced that it
+	// leaves must get no more requests.
+	LeaveWithin bundle.Duration `json:"leave_within"`
 	// Pass is how long an event of a stream may take through the daemon.
 	Pass bundle.Duration `json:"pass"`
 }
@@ -127,6 +130,7 @@
 	c.Want(s.Timing.AddressTTL.D() > 0, "timing.address_ttl", "a duration above 0")
 	c.Want(s.Timing.Grace.D() > 0, "timing.grace", "a duration above 0")
 	c.Want(s.Timing.OrderGap.D() > 0, "timing.order_gap", "a duration above 0")
+	c.Want(s.Timing.LeaveWithin.D() > 0, "timing.leave_within", "a duration above 0")
 	c.Want(s.Timing.Pass.D() > 0, "timing.pass", "a duration above 0")
 	c.Want(s.Retries.Ratio >= 0 && s.Retries.Extra >= 0, "retries", "numbers of at least 0")
 	c.Want(s.Loads.AtOnce > 0, "loads.at_once", "a number above 0")
