edge: an answer is given up on for silence only where another endpoint can take the request

It also ended answers of the only engine that held the model, where the retry could not go anywhere. One compare-and-swap decides now between begun and given up, and the retry is paid for before.

--- a/coordination/residency/draft.go
+++ b/coordination/residency/draft.go
@@ -43,8 +43,7 @@
 		}
 		p.countReplicas(d, w)
 	}
-	places := max(1, p.opt.StoreAtOnce) + urgentBeyond
-	for len(d.store) < places {
+	for len(d.store) < max(1, p.opt.StoreAtOnce) {
 		d.store = append(d.store, 0)
 	}
 	slices.Sort(d.store)
--- a/coordination/residency/ready.go
+++ b/coordination/residency/ready.go
@@ -85,7 +85,7 @@
 	if !p.free(d.now, s.w) {
 		return Order{}, false
 	}
-	if s.level == Store && !p.mayLoadFromStore(d.now, !s.extra) {
+	if s.level == Store && !p.mayLoadFromStore(d.now) {
 		return Order{}, false
 	}
 	o, ok := p.modelOrder(d, s.w, s.model, !s.extra)
@@ -120,12 +120,8 @@
 }
 
 // mayLoadFromStore keeps to the store's places and to its rate of loads.
-func (p *Planner) mayLoadFromStore(now time.Time, urgent bool) bool {
-	places := max(1, p.opt.StoreAtOnce)
-	if urgent {
-		places += urgentBeyond
-	}
-	if p.storeLoads() >= places {
+func (p *Planner) mayLoadFromStore(now time.Time) bool {
+	if p.storeLoads() >= max(1, p.opt.StoreAtOnce) {
 		return false
 	}
 	p.starts = slices.DeleteFunc(p.starts, func(t time.Time) bool { return now.Sub(t) > p.opt.RateWindow })
@@ -215,7 +211,7 @@
 			break
 		}
 		w := p.quietEngine(d, model)
-		if w == nil || !p.mayLoadFromStore(now, false) {
+		if w == nil || !p.mayLoadFromStore(now) {
 			break
 		}
 		if o, ok := p.modelOrder(d, w, model, false); ok {
--- a/coordination/residency/types.go
+++ b/coordination/residency/types.go
@@ -193,10 +193,6 @@
 	rankWeight = 4
 	// ranks is the number of ranks that weigh differently.
 	ranks = 4
-	// urgentBeyond is the number of loads beyond the store's places that may
-	// run for models that requests wait for: all are then a little slower, but
-	// none waits for a place.
-	urgentBeyond = 1
 	// busyDoublings bounds the growing pause between such orders.
 	busyDoublings = 4
 	// refusedMost bounds how long an engine that refuses orders is taken to go
--- a/transport/edge/answer.go
+++ b/transport/edge/answer.go
@@ -31,11 +31,14 @@
 }
 
 // whole hands an answer on once it is complete.
-func (a *answer) whole(resp *http.Response, mark protocol.AnswerMark, again bool) *failure {
+func (a *answer) whole(resp *http.Response, w *firstAnswer, again bool) *failure {
 	content, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
 	if err != nil {
 		return &failure{verdict: protocol.MayHaveRun, reason: "answer-cut", err: err}
 	}
+	if !w.begin() {
+		return &failure{verdict: protocol.MayHaveRun, reason: "no-answer-in-time", err: errSlow}
+	}
 	if len(content) > maxAnswerBytes {
 		return &failure{verdict: protocol.MayHaveRun, reason: "answer-too-large"}
 	}
@@ -70,9 +73,10 @@
 // maxEventBytes bounds an event that is not complete yet.
 const maxEventBytes = 1 << 20
 
-// stream hands whole events on as they arrive. begun is called with the first.
-// A stream may go on at another endpoint after its last whole event.
-func (a *answer) stream(resp *http.Response, begun func()) *failure {
+// stream hands whole events on as they arrive, unless the answer was given up
+// on before the first. A stream may go on at another endpoint after its last
+// whole event.
+func (a *answer) stream(resp *http.Response, w *firstAnswer) *failure {
 	var pending []byte // the part of an event that has arrived
 	buf := make([]byte, bufferBytes)
 	for {
@@ -80,7 +84,9 @@
 		pending = append(pending, buf[:n]...)
 		if end := bytes.LastIndex(pending, eventEnd); end >= 0 {
 			end += len(eventEnd)
-			begun()
+			if !w.begin() {
+				return &failure{verdict: protocol.MayHaveRun, reason: "no-answer-in-time", err: errSlow}
+			}
 			if f := a.events(resp, pending[:end]); f != nil {
 				return f
 			}
--- a/transport/edge/attempt.go
+++ b/transport/edge/attempt.go
@@ -9,6 +9,8 @@
 	"net"
 	"net/http"
 	"net/url"
+	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/doorvalve/doorvalve/protocol"
@@ -58,6 +60,7 @@
 	leaving bool
 	// endpoint is the id of the endpoint that was asked.
 	endpoint string
+	paid     bool // the retry has been taken out of the budget
 }
 
 // body hides the type of the content, so that the transport cannot send a
@@ -65,7 +68,7 @@
 type body struct{ io.Reader }
 
 // send sends a request to an endpoint and reads the answer's header.
-func (s *Server) send(ctx context.Context, q *request, e *fleet.Endpoint, lastEventID string) (*http.Response, protocol.AnswerMark, *failure) {
+func (s *Server) send(ctx context.Context, q *request, e *fleet.Endpoint, lastEventID string) (*http.Response, *failure) {
 	req := &http.Request{
 		Method: q.method, Host: q.host, ContentLength: int64(len(q.body)), Body: io.NopCloser(body{bytes.NewReader(q.body)}),
 		URL:   &url.URL{Scheme: "http", Host: e.Address, Opaque: q.uri},
@@ -80,19 +83,19 @@
 	}
 	resp, err := transport.RoundTrip(req.WithContext(ctx))
 	if err != nil {
-		return nil, protocol.AnswerMark{}, classify(ctx, err)
+		return nil, classify(ctx, err)
 	}
 	mark := s.opt.Dialect.ReadAnswer(resp.StatusCode, resp.Header)
 	if f := refusedByEndpoint(resp, mark, q); f != nil {
 		_, _ = io.CopyN(io.Discard, resp.Body, bufferBytes) // lets the connection be kept
 		_ = resp.Body.Close()
-		return nil, mark, f
+		return nil, f
 	}
 	if f := foreign(resp, mark, q); f != nil {
 		_ = resp.Body.Close()
-		return nil, mark, f
+		return nil, f
 	}
-	return resp, mark, nil
+	return resp, nil
 }
 
 // classify says of an error before the answer whether the request may have
@@ -151,28 +154,69 @@
 	defer s.countRunning(q, e.ID, -1)
 	ok := false
 	defer func() { s.opt.Balancer.Ended(time.Now(), e.ID, q.unit(), ok) }()
-	stop := func() bool { return true }
+	w := &firstAnswer{}
 	if q.route.Repeatable() && more {
-		t := time.AfterFunc(firstAnswerTime(q), func() { cancel(errSlow) })
-		stop = t.Stop
+		t := time.AfterFunc(firstAnswerTime(q), func() {
+			if s.hasOther(q, e.ID) && w.giveUp(s.opt.Budget.Spend) {
+				cancel(errSlow)
+			}
+		})
+		defer t.Stop()
 	}
-	resp, mark, f := s.send(ctx, q, e, a.lastID)
-	if f != nil {
-		stop()
-		return f
+	resp, f := s.send(ctx, q, e, a.lastID)
+	if f == nil {
+		a.endpoint = e.ID
+		f = s.deliver(q, a, resp, w, more)
+		_ = resp.Body.Close()
 	}
-	defer func() { _ = resp.Body.Close() }()
-	a.endpoint = e.ID
-	if q.route.Kind == routing.Streaming && resp.StatusCode == http.StatusOK {
-		f = a.stream(resp, func() { stop() })
-	} else {
-		f = a.whole(resp, mark, more && q.route.Repeatable())
-		stop()
+	if f != nil {
+		f.paid = w.gaveUp()
 	}
 	ok = f == nil
 	return f
 }
 
+// deliver brings an answer back whose header has come.
+func (s *Server) deliver(q *request, a *answer, resp *http.Response, w *firstAnswer, more bool) *failure {
+	if q.route.Kind == routing.Streaming && resp.StatusCode == http.StatusOK {
+		return a.stream(resp, w)
+	}
+	return a.whole(resp, w, more && q.route.Repeatable())
+}
+
+// hasOther reports whether another endpoint can serve a request now.
+func (s *Server) hasOther(q *request, id string) bool {
+	list := s.opt.View().ByService[q.service.Name]
+	if q.service.Engine != nil && q.call.Model != "" {
+		list = s.holders(q)
+	}
+	return slices.ContainsFunc(list, func(e *fleet.Endpoint) bool { return e.ID != id && !e.Leaving })
+}
+
+// firstAnswer decides once whether an endpoint's answer has begun or has been
+// given up on: a part that comes just after goes to nobody.
+type firstAnswer struct{ state atomic.Int32 }
+
+const (
+	answerWaiting = iota
+	answerBegun
+	answerGivenUp
+)
+
+// begin reports whether the answer may go to the caller.
+func (w *firstAnswer) begin() bool {
+	return w.state.CompareAndSwap(answerWaiting, answerBegun) || w.state.Load() == answerBegun
+}
+
+// giveUp gives the answer up unless it has begun, if spend allows the retry.
+func (w *firstAnswer) giveUp(spend func() bool) bool {
+	return w.state.Load() == answerWaiting && spend() && w.state.CompareAndSwap(answerWaiting, answerGivenUp)
+}
+
+// gaveUp reports whether the answer was given up on, so that its retry is paid
+// for.
+func (w *firstAnswer) gaveUp() bool { return w.state.Load() == answerGivenUp }
+
 var errSlow = errors.New("no answer within the time for a first one")
 
 // firstAnswerTime is how long an endpoint may take before another is tried.
--- a/transport/edge/run.go
+++ b/transport/edge/run.go
@@ -42,7 +42,7 @@
 			return s.outOfTime(q, verdict)
 		}
 		if sends > 0 {
-			if sends >= maxSends || !s.opt.Budget.Spend() {
+			if sends >= maxSends || !last.paid && !s.opt.Budget.Spend() {
 				return giveUp(last, verdict)
 			}
 			s.metrics.retried.Inc(1)
