--- /dev/null
+++ b/coordination/residency/outcome.go
@@ -0,0 +1,137 @@
+package residency
+
+import "time"
+
+// endOrder records that the engine has completed its order.
+func (p *Planner) endOrder(now time.Time, w *worker) {
+	o := w.order
+	w.order = nil
+	w.sequence = max(w.sequence, o.order.Expect+1)
+	if o.order.Adapter != "" {
+		if r := w.models[o.order.Model]; r != nil && o.order.Unload {
+			delete(r.adapters, o.order.Adapter)
+		}
+		return
+	}
+	if o.order.Unload {
+		delete(w.models, o.order.Model)
+		w.unloaded[o.order.Model] = now
+		return
+	}
+	delete(w.unloaded, o.order.Model)
+	if r := w.models[o.order.Model]; r != nil && r.readyAt.After(now) {
+		r.readyAt = now
+	}
+	w.onDisk[o.order.Model] = true
+}
+
+// dropOrder forgets an order that has had no effect.
+func (p *Planner) dropOrder(w *worker) {
+	o := w.order
+	w.order = nil
+	if o.order.Unload {
+		return
+	}
+	r := w.models[o.order.Model]
+	switch {
+	case r == nil:
+	case o.order.Adapter != "":
+		delete(r.adapters, o.order.Adapter)
+	case !r.confirmed:
+		delete(w.models, o.order.Model)
+		if !o.askedAt.IsZero() && p.wants[o.order.Model] == nil {
+			p.wants[o.order.Model] = &wanted{asked: o.askedAt}
+		}
+	}
+}
+
+// Ordered takes the outcome of an order.
+func (p *Planner) Ordered(now time.Time, order Order, outcome Outcome) {
+	w := p.workers[order.EndpointID]
+	if w == nil || w.order == nil || w.order.order != order {
+		return
+	}
+	switch outcome {
+	case Accepted:
+		p.accepted(now, w)
+	case Holds:
+		if w.order.order.Adapter != "" && w.order.order.Unload {
+			p.accepted(now, w) // an unused adapter is unloaded at once
+			return
+		}
+		w.order.endsAt = now
+		p.endOrder(now, w)
+		// Whether an order that already held was counted is not certain.
+		w.known, w.probe = false, now.Add(reportLag)
+	case Busy:
+		p.dropOrder(w)
+		w.refused++
+		w.notTo = now.Add(retryBusy * time.Duration(min(w.refused, busyDoublings)))
+		w.probe = now
+	case Refused, Unsent:
+		p.dropOrder(w)
+		w.down = true
+		w.notTo = now.Add(retryUnanswered)
+		w.probe = now
+	case Unanswered:
+		p.countStart(now, w.order)
+		w.order.unsureAt = now
+		w.notTo = now.Add(retryUnanswered)
+		w.probe = now.Add(retryUnanswered)
+	}
+}
+
+// countStart counts a load from the store that has begun, or may have.
+func (p *Planner) countStart(now time.Time, o *pending) {
+	if o.loadsFromStore() {
+		p.starts = append(p.starts, now)
+	}
+}
+
+func (p *Planner) accepted(now time.Time, w *worker) {
+	o := w.order
+	w.refused = 0
+	p.countStart(now, o)
+	o.answered = true
+	w.sequence = o.order.Expect + 1
+	switch {
+	case o.order.Adapter != "":
+		p.endOrder(now, w) // the engine is not busy with it
+	case o.order.Unload:
+		// The next order tells by its answer whether the unload is done.
+		p.endOrder(now, w)
+	default:
+		o.endsAt = now.Add(p.loadTime(o.level, o.order.Model, p.storeLoads()))
+		if r := w.models[o.order.Model]; r != nil {
+			r.readyAt = o.endsAt.Add(orderMargin)
+		}
+		w.probe = o.endsAt.Add(orderMargin)
+	}
+}
+
+// loadTime estimates a load beside storeLoads from the store. Loads from the store slow each other down beyond
+// the number that it serves at once.
+func (p *Planner) loadTime(l Level, model string, storeLoads int) time.Duration {
+	m := p.conf.Engine.Models[model]
+	switch l {
+	case Memory:
+		return m.FromMemory
+	case Disk:
+		return m.FromDisk
+	case Store:
+		crowd := max(1, float64(storeLoads)/float64(max(1, p.opt.StoreAtOnce)))
+		return time.Duration(float64(m.FromStore) * crowd)
+	}
+	return 0
+}
+
+// storeLoads counts the loads from the store that are in progress.
+func (p *Planner) storeLoads() int {
+	n := 0
+	for _, w := range p.workers {
+		if w.order != nil && w.order.loadsFromStore() {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/transport/edge/demand.go
@@ -0,0 +1,52 @@
+package edge
+
+import (
+	"maps"
+
+	"github.com/doorvalve/doorvalve/coordination/residency"
+)
+
+// Demand returns the requests running or waiting, by service.
+func (s *Server) Demand() map[string]residency.Demand {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make(map[string]residency.Demand, len(s.demand))
+	for service, d := range s.demand {
+		out[service] = residency.Demand{Active: maps.Clone(d.Active), Running: maps.Clone(d.Running)}
+	}
+	return out
+}
+
+// countActive adds n to the requests of a model that run or wait.
+func (s *Server) countActive(q *request, n int) {
+	s.countDemand(q, func(d residency.Demand) { add(d.Active, q.call.Model, n) })
+}
+
+// countRunning adds n to the requests of a model at an endpoint.
+func (s *Server) countRunning(q *request, endpoint string, n int) {
+	s.countDemand(q, func(d residency.Demand) {
+		add(d.Running, residency.Place{EndpointID: endpoint, Model: q.call.Model}, n)
+	})
+}
+
+func (s *Server) countDemand(q *request, change func(residency.Demand)) {
+	if q.call.Model == "" {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	d, ok := s.demand[q.service.Name]
+	if !ok {
+		d = residency.Demand{Active: map[string]int{}, Running: map[residency.Place]int{}}
+		s.demand[q.service.Name] = d
+	}
+	change(d)
+}
+
+// add changes a count and forgets it at zero.
+func add[K comparable](m map[K]int, k K, n int) {
+	m[k] += n
+	if m[k] == 0 {
+		delete(m, k)
+	}
+}
--- a/transport/edge/server.go
+++ b/transport/edge/server.go
@@ -6,9 +6,6 @@
 
 import (
 	"context"
-	"errors"
-	"io"
-	"maps"
 	"net/http"
 	"strconv"
 	"sync"
@@ -90,51 +87,6 @@
 // InProgress returns the number of requests without a final answer.
 func (s *Server) InProgress() int { return int(s.active.Load()) }
 
-// Demand returns the requests running or waiting, by service.
-func (s *Server) Demand() map[string]residency.Demand {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	out := make(map[string]residency.Demand, len(s.demand))
-	for service, d := range s.demand {
-		out[service] = residency.Demand{Active: maps.Clone(d.Active), Running: maps.Clone(d.Running)}
-	}
-	return out
-}
-
-// countActive adds n to the requests of a model that run or wait.
-func (s *Server) countActive(q *request, n int) {
-	s.countDemand(q, func(d residency.Demand) { add(d.Active, q.call.Model, n) })
-}
-
-// countRunning adds n to the requests of a model at an endpoint.
-func (s *Server) countRunning(q *request, endpoint string, n int) {
-	s.countDemand(q, func(d residency.Demand) {
-		add(d.Running, residency.Place{EndpointID: endpoint, Model: q.call.Model}, n)
-	})
-}
-
-func (s *Server) countDemand(q *request, change func(residency.Demand)) {
-	if q.call.Model == "" {
-		return
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	d, ok := s.demand[q.service.Name]
-	if !ok {
-		d = residency.Demand{Active: map[string]int{}, Running: map[residency.Place]int{}}
-		s.demand[q.service.Name] = d
-	}
-	change(d)
-}
-
-// add changes a count and forgets it at zero.
-func add[K comparable](m map[K]int, k K, n int) {
-	m[k] += n
-	if m[k] == 0 {
-		delete(m, k)
-	}
-}
-
 // Handler returns the callers' handler.
 func (s *Server) Handler() http.Handler {
 	e := echo.New()
@@ -266,19 +218,6 @@
 	refusal.WriteTo(w)
 }
 
-// drainBytes and drainTime bound what is read of a body that is too large, so
-// that the caller can read the refusal before the connection closes.
-const (
-	drainBytes = 8 << 20
-	drainTime  = time.Second
-)
-
-func (s *Server) drain(w http.ResponseWriter, r *http.Request) {
-	w.Header().Set("Connection", "close")
-	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(drainTime)) // best effort
-	_, _ = io.CopyN(io.Discard, r.Body, drainBytes)                              // what it held does not matter
-}
-
 // read checks a request and finds its route.
 func (s *Server) read(w http.ResponseWriter, r *http.Request, arrived time.Time, active int64) (*request, *protocol.Refusal) {
 	table := s.opt.Table()
@@ -338,41 +277,3 @@
 // returnedPart is the part of the longest time left that was seen on a route
 // below which a request has spent some of its time elsewhere.
 const returnedPart = 0.97
-
-func (s *Server) readBody(w http.ResponseWriter, r *http.Request, q *request, limits routing.Limits) *protocol.Refusal {
-	if r.ContentLength > limits.BodyBytes {
-		return protocol.Refuse(http.StatusRequestEntityTooLarge, "body-too-large", "the body is larger than the limit", 0)
-	}
-	if r.Body == nil || r.ContentLength == 0 {
-		return nil
-	}
-	rc := http.NewResponseController(w)
-	_ = rc.SetReadDeadline(q.deadline) // not all writers have deadlines
-	body, err := readAll(r.Body, r.ContentLength, limits.BodyBytes)
-	_ = rc.SetReadDeadline(time.Time{})
-	switch {
-	case errors.Is(err, errTooLarge):
-		return protocol.Refuse(http.StatusRequestEntityTooLarge, "body-too-large", "the body is larger than the limit", 0)
-	case err != nil:
-		w.Header().Set("Connection", "close")
-		return protocol.Refuse(http.StatusRequestTimeout, "body-incomplete", "the body did not arrive: "+err.Error(), 0)
-	}
-	q.body = body
-	return nil
-}
-
-var errTooLarge = errors.New("too large")
-
-// readAll reads at most limit bytes; size is the declared length or -1.
-func readAll(r io.Reader, size, limit int64) ([]byte, error) {
-	if size > 0 {
-		body := make([]byte, size)
-		_, err := io.ReadFull(r, body)
-		return body, err
-	}
-	body, err := io.ReadAll(io.LimitReader(r, limit+1))
-	if err == nil && int64(len(body)) > limit {
-		return nil, errTooLarge
-	}
-	return body, err
-}
