--- a/coordination/discovery/discovery_test.go
+++ b/coordination/discovery/discovery_test.go
@@ -52,18 +52,18 @@
 }
 
 func TestRemovedEndpointIsGoneAtOnce(t *testing.T) {
-	r := NewRegistry(grace)
-	r.List(start, []*fleet.Endpoint{endpoint("a", 1, false)}, 1, false)
-	r.Remove(start, "a", 2, false)
+	r := NewRegistry()
+	r.List(start, []*fleet.Endpoint{endpoint("a", 1, false)}, 1, time.Time{})
+	r.Remove(start, "a", 2, time.Time{})
 	if usable(r, "a") {
 		t.Fatal("an endpoint whose entry was removed still takes requests")
 	}
 }
 
 func TestLapsedEntryStaysForItsGrace(t *testing.T) {
-	r := NewRegistry(grace)
-	r.List(start, []*fleet.Endpoint{endpoint("a", 1, false), endpoint("b", 1, true)}, 1, false)
-	r.List(start, nil, 5, true)
+	r := NewRegistry()
+	r.List(start, []*fleet.Endpoint{endpoint("a", 1, false), endpoint("b", 1, true)}, 1, time.Time{})
+	r.List(start, nil, 5, start.Add(grace))
 	r.Expire(start.Add(grace - time.Millisecond))
 	if !usable(r, "a") {
 		t.Fatal("an entry that lapsed in an outage was taken for gone")
@@ -78,9 +78,9 @@
 }
 
 func TestLapsedEntryComesBack(t *testing.T) {
-	r := NewRegistry(grace)
-	r.List(start, []*fleet.Endpoint{endpoint("a", 1, false)}, 1, false)
-	r.List(start, nil, 5, true)
+	r := NewRegistry()
+	r.List(start, []*fleet.Endpoint{endpoint("a", 1, false)}, 1, time.Time{})
+	r.List(start, nil, 5, start.Add(grace))
 	r.Put(endpoint("a", 6, false), 6)
 	r.Expire(start.Add(time.Minute))
 	if !usable(r, "a") {
@@ -88,11 +88,32 @@
 	}
 }
 
+// An endpoint that leaves just after the store's return gets no longer grace
+// than one that went missing in the outage.
+func TestGraceEndsAtAFixedTime(t *testing.T) {
+	r := NewRegistry()
+	r.List(start, []*fleet.Endpoint{endpoint("a", 1, false)}, 1, time.Time{})
+	until := start.Add(grace)
+	r.Remove(start.Add(700*time.Millisecond), "a", 6, until)
+	r.Expire(until)
+	if usable(r, "a") {
+		t.Fatal("its grace was counted from its removal")
+	}
+}
+
+// graceOf returns the end of a grace, or none.
+func graceOf(t *rapid.T, now time.Time) time.Time {
+	if rapid.Bool().Draw(t, "outage") {
+		return now.Add(grace)
+	}
+	return time.Time{}
+}
+
 // Random histories, with stale lists and changes that come again: what is
 // believed never goes back.
 func TestRegistryNeverGoesBack(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		r := NewRegistry(grace)
+		r := NewRegistry()
 		now, revision := start, uint64(1)
 		left := map[string]bool{}
 		newest := map[string]uint64{}
@@ -105,10 +126,10 @@
 			case 0, 1:
 				r.Put(endpoint(id, revision, leaving), revision)
 			case 2:
-				r.Remove(now, id, revision, rapid.Bool().Draw(t, "outage"))
+				r.Remove(now, id, revision, graceOf(t, now))
 			case 3:
 				stale := uint64(rapid.IntRange(0, int(revision)).Draw(t, "stale"))
-				r.List(now, []*fleet.Endpoint{endpoint(id, stale, leaving)}, stale, rapid.Bool().Draw(t, "outage"))
+				r.List(now, []*fleet.Endpoint{endpoint(id, stale, leaving)}, stale, graceOf(t, now))
 			case 4:
 				r.Leave(id)
 			}
--- a/coordination/discovery/registry.go
+++ b/coordination/discovery/registry.go
@@ -11,14 +11,13 @@
 //
 // Invariants: a description never goes back to an older revision; an endpoint
 // that was seen leaving never takes new requests again under the same id; an
-// endpoint whose entry is missing after an outage of the store stays until
-// lapseGrace has passed since the store is back, and no longer.
+// endpoint whose entry goes missing in an outage of the store, or within a
+// grace after its return, stays until that grace is over, and no longer.
 type Registry struct {
-	lapseGrace time.Duration
-	entries    map[string]*entry
-	removed    map[string]uint64 // revision at which an id was seen removed
-	revision   uint64
-	changed    bool
+	entries  map[string]*entry
+	removed  map[string]uint64 // revision at which an id was seen removed
+	revision uint64
+	changed  bool
 }
 
 type entry struct {
@@ -42,15 +41,14 @@
 // maxRemoved bounds the memory of removed ids.
 const maxRemoved = 4096
 
-// NewRegistry returns an empty registry. lapseGrace is how long an entry that
-// lapsed in an outage of the store may be missing after the store's return.
-func NewRegistry(lapseGrace time.Duration) *Registry {
-	return &Registry{lapseGrace: lapseGrace, entries: map[string]*entry{}, removed: map[string]uint64{}}
+// NewRegistry returns an empty registry.
+func NewRegistry() *Registry {
+	return &Registry{entries: map[string]*entry{}, removed: map[string]uint64{}}
 }
 
-// List replaces all that is known by a list as of revision. outage says that
-// the store was away before, so that missing entries may only have lapsed.
-func (r *Registry) List(now time.Time, list []*fleet.Endpoint, revision uint64, outage bool) {
+// List replaces all that is known by a list as of revision. Until graceUntil,
+// entries that are missing may only have lapsed while the store was away.
+func (r *Registry) List(now time.Time, list []*fleet.Endpoint, revision uint64, graceUntil time.Time) {
 	if revision < r.revision {
 		return // a list from a peer that knows less
 	}
@@ -64,15 +62,7 @@
 		if present[id] {
 			continue
 		}
-		if outage && !en.endpoint.Leaving {
-			if en.missingUntil.IsZero() {
-				en.missingUntil = now.Add(r.lapseGrace)
-			}
-			continue
-		}
-		if en.missingUntil.IsZero() || en.endpoint.Leaving {
-			r.drop(id, revision)
-		}
+		r.missing(now, id, en, revision, graceUntil)
 	}
 }
 
@@ -108,19 +98,35 @@
 	r.changed = true
 }
 
-// Remove takes the removal of an entry. outage says that the store was away
-// just before, so that the entry may only have lapsed.
-func (r *Registry) Remove(now time.Time, id string, revision uint64, outage bool) {
+// Remove takes the removal of an entry. Until graceUntil, it may only have
+// lapsed while the store was away.
+func (r *Registry) Remove(now time.Time, id string, revision uint64, graceUntil time.Time) {
 	r.revision = max(r.revision, revision)
-	en := r.entries[id]
-	if en == nil {
-		return
+	if en := r.entries[id]; en != nil {
+		r.missing(now, id, en, revision, graceUntil)
 	}
-	if outage && !en.endpoint.Leaving {
-		en.missingUntil = now.Add(r.lapseGrace)
+}
+
+// missing keeps an entry for the rest of the grace, or drops it. A grace is
+// never made longer by another loss of the entry.
+func (r *Registry) missing(now time.Time, id string, en *entry, revision uint64, graceUntil time.Time) {
+	if en.endpoint.Leaving || !now.Before(graceUntil) && en.missingUntil.IsZero() {
+		r.drop(id, revision)
 		return
 	}
-	r.drop(id, revision)
+	if en.missingUntil.IsZero() {
+		en.missingUntil = graceUntil
+	}
+}
+
+// Missing reports whether an entry is kept that the store does not have.
+func (r *Registry) Missing() bool {
+	for _, en := range r.entries {
+		if !en.missingUntil.IsZero() {
+			return true
+		}
+	}
+	return false
 }
 
 func (r *Registry) drop(id string, revision uint64) {
--- a/coordination/residency/types.go
+++ b/coordination/residency/types.go
@@ -156,7 +156,7 @@
 	// idleAfter is how long after it was named for a request a model counts as
 	// idle, unless daemons say that requests run: longer than the pause
 	// between two of their reports.
-	idleAfter = 800 * time.Millisecond
+	idleAfter = 500 * time.Millisecond
 	// keepWaiting is how long a model is kept after it is ready for a request
 	// that waits for it.
 	keepWaiting = 400 * time.Millisecond
@@ -190,7 +190,7 @@
 	// loads from the store.
 	valueHalfLife = 8 * time.Second
 	// rankWeight is how much more a request weighs than one of the next rank.
-	rankWeight = 4
+	rankWeight = 8
 	// ranks is the number of ranks that weigh differently.
 	ranks = 4
 	// busyDoublings bounds the growing pause between such orders.
--- a/driver/storeview/storeview.go
+++ b/driver/storeview/storeview.go
@@ -42,6 +42,8 @@
 	// lapseGrace is how long an entry that lapsed in an outage of the store
 	// may be missing after the store's return.
 	lapseGrace = 2 * time.Second
+	// graceTick is how often entries in their grace are looked at.
+	graceTick = 100 * time.Millisecond
 	// peersAfter is how long the store must be silent before peers are asked,
 	// and the pause between two questions.
 	peersAfter = 600 * time.Millisecond
@@ -65,19 +67,19 @@
 	table atomic.Pointer[routing.Table]
 	view  atomic.Pointer[fleet.View]
 
-	mu          sync.Mutex
-	raw         []byte // of the desired state in force
-	registry    *discovery.Registry
-	endpoints   *discovery.Follower
-	config      *discovery.Follower
-	outageUntil time.Time // entries that go missing before may only have lapsed
-	onChange    []func()
+	mu         sync.Mutex
+	raw        []byte // of the desired state in force
+	registry   *discovery.Registry
+	endpoints  *discovery.Follower
+	config     *discovery.Follower
+	graceUntil time.Time // entries that go missing before may only have lapsed
+	onChange   []func()
 }
 
 // New returns a view that knows nothing.
 func New(opt Options) *View {
 	v := &View{
-		opt: opt, registry: discovery.NewRegistry(lapseGrace),
+		opt: opt, registry: discovery.NewRegistry(),
 		endpoints: discovery.NewFollower(discovery.FollowOptions{Pause: time.Duration(gatherPart * float64(opt.LeaveWithin)), Retry: retryAfter}),
 		config:    discovery.NewFollower(discovery.FollowOptions{Retry: retryAfter}),
 	}
@@ -230,21 +232,20 @@
 	v.logUnreadable(unreadable)
 	v.mu.Lock()
 	now := time.Now()
-	outage := v.noteOutage(now)
-	v.registry.List(now, list, revision, outage)
+	v.registry.List(now, list, revision, v.grace(now))
 	v.endpoints.Listed(now, revision)
 	v.mu.Unlock()
 	v.publish("store")
 	return nil
 }
 
-// noteOutage reports whether entries may have lapsed while the store was away;
-// the caller holds the mutex.
-func (v *View) noteOutage(now time.Time) bool {
+// grace returns until when entries that go missing may only have lapsed while
+// the store was away; the caller holds the mutex.
+func (v *View) grace(now time.Time) time.Time {
 	if !v.endpoints.FailingSince().IsZero() {
-		v.outageUntil = now.Add(lapseGrace)
+		v.graceUntil = now.Add(lapseGrace)
 	}
-	return now.Before(v.outageUntil)
+	return v.graceUntil
 }
 
 func (v *View) watchEndpoints(ctx context.Context) error {
@@ -255,10 +256,10 @@
 	v.logUnreadable(unreadable)
 	v.mu.Lock()
 	now := time.Now()
-	outage := v.noteOutage(now)
+	until := v.grace(now)
 	for _, c := range changes {
 		if c.Removed {
-			v.registry.Remove(now, c.ID, c.Revision, outage)
+			v.registry.Remove(now, c.ID, c.Revision, until)
 		} else {
 			v.registry.Put(c.Endpoint, c.Revision)
 		}
@@ -324,10 +325,15 @@
 // RunPeers drops entries whose grace is over and asks other daemons while the
 // store is silent, until ctx ends.
 func (v *View) RunPeers(ctx context.Context) error {
+	asked := time.Now()
 	for ctx.Err() == nil {
-		sleep(ctx, peersAfter)
+		sleep(ctx, v.peersPause())
 		v.publish("grace")
 		now := time.Now()
+		if now.Sub(asked) < peersAfter {
+			continue
+		}
+		asked = now
 		v.mu.Lock()
 		silent := silentFor(v.endpoints, now) || silentFor(v.config, now) || v.table.Load() == nil
 		v.mu.Unlock()
@@ -338,6 +344,16 @@
 	return nil
 }
 
+// peersPause is short while a grace runs, so that it ends in time.
+func (v *View) peersPause() time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.registry.Missing() {
+		return graceTick
+	}
+	return peersAfter
+}
+
 func silentFor(f *discovery.Follower, now time.Time) bool {
 	since := f.FailingSince()
 	return !since.IsZero() && now.Sub(since) >= peersAfter
@@ -374,7 +390,7 @@
 		return
 	}
 	v.mu.Lock()
-	v.registry.List(time.Now(), list, resp.EndpointsRevision, false)
+	v.registry.List(time.Now(), list, resp.EndpointsRevision, time.Time{})
 	v.mu.Unlock()
 	v.publish("peer")
 }
