residency: adapters that are in use or on their way hold their slots

Only a report that does not name it frees the slot now. TestAdapterInUseHoldsItsSlotUntilItIsGone was red; TestNeverBeyondMemory 20,000 cases with adapters that take up to 1.5 s.

--- a/coordination/residency/adopt.go
+++ b/coordination/residency/adopt.go
@@ -64,10 +64,20 @@
 			delete(w.models, name)
 		}
 	}
-	for _, c := range rep.Coming {
-		if r := w.models[c.Model]; r != nil && r.adapters[c.Adapter] == nil {
-			r.adapters[c.Adapter] = &adapter{readyAt: now.Add(adapterLoad), lastUse: now}
+	adoptComing(now, w, rep.Coming)
+}
+
+// adoptComing takes the adapters on their way, which hold their slots.
+func adoptComing(now time.Time, w *worker, coming []AdapterRef) {
+	for _, c := range coming {
+		r := w.models[c.Model]
+		if r == nil {
+			continue
+		}
+		if r.adapters[c.Adapter] == nil {
+			r.adapters[c.Adapter] = &adapter{lastUse: now}
 		}
+		r.adapters[c.Adapter].readyAt = now.Add(adapterLoad)
 	}
 }
 
@@ -100,9 +110,11 @@
 			r.adapters[a] = &adapter{}
 		}
 	}
-	for a, state := range r.adapters {
-		if !slices.Contains(m.Adapters, a) && now.After(state.readyAt.Add(2*time.Second)) && now.After(state.lastUse.Add(2*time.Second)) {
-			delete(r.adapters, a)
+	for name, a := range r.adapters {
+		// A report that knows of every accepted order names each adapter, or
+		// has it on its way; one that was just ordered may be younger.
+		if !slices.Contains(m.Adapters, name) && (a.leaving || now.After(a.readyAt.Add(reportLag))) {
+			delete(r.adapters, name)
 		}
 	}
 }
--- a/coordination/residency/engine_test.go
+++ b/coordination/residency/engine_test.go
@@ -19,6 +19,11 @@
 	doneAt   time.Time
 	during   Order
 	runsEnd  time.Time // unloads wait for it
+	// coming are adapters on their way, and leaving ones that requests still
+	// use, with the time at which they are there or gone.
+	coming, leaving map[AdapterRef]time.Time
+	// adapterTime is how long an adapter takes to come.
+	adapterTime time.Duration
 	// overloaded is set when the engine was ordered beyond its memory or
 	// adapter slots, which crashes it.
 	overloaded bool
@@ -31,7 +36,7 @@
 }
 
 func newSimEngine(conf *routing.Engine, id string, models ...string) *simEngine {
-	e := &simEngine{conf: conf, models: map[string][]string{}, onDisk: map[string]bool{}, endpoint: &fleet.Endpoint{ID: id, Service: "s", Address: id, Revision: 1}}
+	e := &simEngine{conf: conf, models: map[string][]string{}, coming: map[AdapterRef]time.Time{}, leaving: map[AdapterRef]time.Time{}, onDisk: map[string]bool{}, endpoint: &fleet.Endpoint{ID: id, Service: "s", Address: id, Revision: 1}}
 	for _, m := range models {
 		e.models[m] = nil
 		e.onDisk[m] = true
@@ -70,12 +75,36 @@
 		e.busy = false
 		if e.during.Unload {
 			delete(e.models, e.during.Model)
+			for ref := range e.coming {
+				if ref.Model == e.during.Model {
+					delete(e.coming, ref)
+				}
+			}
 		} else {
 			e.models[e.during.Model] = nil
 			e.onDisk[e.during.Model] = true
 		}
 	}
+	for ref, at := range e.coming {
+		if !now.Before(at) {
+			delete(e.coming, ref)
+			if _, ok := e.models[ref.Model]; ok {
+				e.models[ref.Model] = append(e.models[ref.Model], ref.Adapter)
+			}
+		}
+	}
+	for ref, at := range e.leaving {
+		if !now.Before(at) {
+			delete(e.leaving, ref)
+			e.models[ref.Model] = slices.DeleteFunc(e.models[ref.Model], func(a string) bool { return a == ref.Adapter })
+		}
+	}
+	var coming []AdapterRef
+	for ref := range e.coming {
+		coming = append(coming, ref)
+	}
 	e.history = append(e.history, simState{now, Report{
+		Coming:     coming,
 		EndpointID: e.endpoint.ID, Sequence: e.sequence, Busy: e.busy, Models: e.loaded(), OnDisk: keys(e.onDisk),
 	}})
 }
@@ -99,7 +128,7 @@
 	case e.busy || o.Expect != e.sequence:
 		return Busy
 	case o.Adapter != "":
-		return e.adapterOrder(o, holds)
+		return e.adapterOrder(now, o, holds)
 	case o.Unload != holds:
 		return Holds
 	}
@@ -120,21 +149,27 @@
 	return Accepted
 }
 
-func (e *simEngine) adapterOrder(o Order, holds bool) Outcome {
+func (e *simEngine) adapterOrder(now time.Time, o Order, holds bool) Outcome {
 	if !holds {
 		return Refused
 	}
-	has := slices.Contains(e.models[o.Model], o.Adapter)
+	ref := AdapterRef{o.Model, o.Adapter}
+	has := slices.Contains(e.models[o.Model], o.Adapter) || !e.coming[ref].IsZero()
 	if o.Unload != has {
 		return Holds
 	}
 	e.sequence++
+	if o.Unload && now.Before(e.runsEnd) {
+		e.leaving[ref] = e.runsEnd
+		return Accepted
+	}
 	if o.Unload {
+		delete(e.coming, ref)
 		e.models[o.Model] = slices.DeleteFunc(e.models[o.Model], func(a string) bool { return a == o.Adapter })
 		return Holds
 	}
-	e.models[o.Model] = append(e.models[o.Model], o.Adapter)
-	total := 0
+	e.coming[ref] = now.Add(e.adapterTime)
+	total := len(e.coming)
 	for _, adapters := range e.models {
 		total += len(adapters)
 	}
--- a/coordination/residency/outcome.go
+++ b/coordination/residency/outcome.go
@@ -53,6 +53,10 @@
 	}
 	switch outcome {
 	case Accepted:
+		if w.order.order.Adapter != "" && w.order.order.Unload {
+			p.adapterLeaves(now, w)
+			return
+		}
 		p.accepted(now, w)
 	case Holds:
 		if w.order.order.Adapter != "" && w.order.order.Unload {
@@ -81,6 +85,18 @@
 	}
 }
 
+// adapterLeaves records an accepted unload of an adapter that requests still
+// use: its slot is free when a report does not name it any more.
+func (p *Planner) adapterLeaves(now time.Time, w *worker) {
+	o := w.order.order
+	w.order, w.refused = nil, 0
+	w.sequence = o.Expect + 1
+	w.probe = now.Add(reportLag)
+	if r := w.models[o.Model]; r != nil && r.adapters[o.Adapter] != nil {
+		r.adapters[o.Adapter].leaving = true
+	}
+}
+
 // countStart counts a load from the store that has begun, or may have.
 func (p *Planner) countStart(now time.Time, o *pending) {
 	if o.loadsFromStore() {
--- a/coordination/residency/planner.go
+++ b/coordination/residency/planner.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/doorvalve/doorvalve/state/fleet"
@@ -23,6 +24,9 @@
 type adapter struct {
 	readyAt time.Time
 	lastUse time.Time
+	// leaving says that its unload was accepted; it holds its slot until a
+	// report does not name it any more.
+	leaving bool
 }
 
 // pending is an order that the engine has not been seen to complete.
@@ -198,8 +202,14 @@
 		if n == 0 || w == nil {
 			continue
 		}
-		if r := w.models[place.Model]; r != nil {
-			r.lastUse = now
+		model, name, _ := strings.Cut(place.Model, "/")
+		r := w.models[model]
+		if r == nil {
+			continue
+		}
+		r.lastUse = now
+		if a := r.adapters[name]; a != nil {
+			a.lastUse = now
 		}
 	}
 }
--- a/coordination/residency/planner_test.go
+++ b/coordination/residency/planner_test.go
@@ -295,6 +295,40 @@
 	w.check(t)
 }
 
+// An adapter that takes long to come holds its slot meanwhile, also when an
+// endpoint has said that it is not there yet.
+func TestAdapterOnItsWayHoldsItsSlot(t *testing.T) {
+	w := newWorld(3, 1)
+	w.engines[0].adapterTime = 3 * time.Second
+	w.run(time.Second)
+	for i := 1; i <= 4; i++ {
+		name := fmt.Sprintf("a%d", i)
+		w.p.Want(w.now, Want{Model: "m00", Adapter: name})
+		w.run(300 * time.Millisecond)
+		w.p.Want(w.now, Want{Model: "m00", Adapter: name, Absent: "e0"})
+		w.run(300 * time.Millisecond)
+		w.check(t)
+	}
+}
+
+// An adapter that requests still use leaves later: its slot is not free when
+// its unload is accepted.
+func TestAdapterInUseHoldsItsSlotUntilItIsGone(t *testing.T) {
+	w := newWorld(3, 1)
+	w.run(time.Second)
+	for i := 1; i <= 3; i++ {
+		w.p.Want(w.now, Want{Model: "m00", Adapter: fmt.Sprintf("a%d", i)})
+		w.run(time.Second)
+	}
+	w.run(2 * time.Second)
+	w.engines[0].runsEnd = w.now.Add(5 * time.Second)
+	for range 20 {
+		w.p.Want(w.now, Want{Model: "m00", Adapter: "a4"})
+		w.run(200 * time.Millisecond)
+		w.check(t)
+	}
+}
+
 // A replica on which requests run does not make way, even where there are more
 // replicas than needed: its unload would keep the engine from all else.
 func TestReplicaInUseDoesNotMakeWay(t *testing.T) {
@@ -355,6 +389,8 @@
 		w.p.Demand(w.now, "d", Demand{Active: map[string]int{model: n}, Running: map[Place]int{{e.endpoint.ID, model}: n}})
 	case 5:
 		w.p.Want(w.now, Want{Model: model, Absent: e.endpoint.ID})
+		w.p.Want(w.now, Want{Model: model, Adapter: fmt.Sprintf("a%d", rapid.IntRange(1, 4).Draw(t, "adapter")), Absent: e.endpoint.ID})
+		e.adapterTime = time.Duration(rapid.IntRange(0, 1500).Draw(t, "adapter time")) * time.Millisecond
 	case 6, 7:
 		w.p.Want(w.now, Want{Model: model, Adapter: fmt.Sprintf("a%d", rapid.IntRange(1, 4).Draw(t, "adapter"))})
 	default:
--- a/coordination/residency/ready.go
+++ b/coordination/residency/ready.go
@@ -141,6 +141,9 @@
 			w.adapters = w.adapters[1:]
 			return Order{}, false
 		}
+		if model == "" {
+			return Order{}, false // one is on its way out
+		}
 		return p.send(now, w, Order{Unload: true, Model: model, Adapter: name}, Resident), true
 	}
 	w.adapters = w.adapters[1:]
@@ -151,10 +154,15 @@
 // adapterIdle is how long an adapter must be unused before it makes way.
 const adapterIdle = time.Second
 
+// oldestAdapter returns the adapter that is unused for longest. With one on its
+// way out already, it returns ok and no name.
 func oldestAdapter(w *worker, now time.Time) (model, name string, ok bool) {
 	oldest := now.Add(-adapterIdle)
 	for m, r := range w.models {
 		for a, state := range r.adapters {
+			if state.leaving {
+				return "", "", true
+			}
 			if state.lastUse.Before(oldest) && state.readyAt.Before(now) {
 				oldest, model, name, ok = state.lastUse, m, a, true
 			}
--- a/coordination/residency/types.go
+++ b/coordination/residency/types.go
@@ -92,7 +92,7 @@
 	Absent string
 }
 
-// Place is a model at an endpoint.
+// Place is a model, or an adapter as MODEL/ADAPTER, at an endpoint.
 type Place struct{ EndpointID, Model string }
 
 // Demand is what one daemon says of its requests.
--- a/coordination/residency/want.go
+++ b/coordination/residency/want.go
@@ -43,9 +43,9 @@
 		return
 	}
 	if a := r.adapters[want.Adapter]; a != nil && want.Adapter != "" {
-		if a.readyAt.Before(now) {
-			delete(r.adapters, want.Adapter) // a repeated order is harmless
-		}
+		// It may be on its way and hold its slot: only a report takes it away.
+		a.readyAt = maxTime(a.readyAt, now.Add(2*adapterLoad))
+		w.probe = now
 		return
 	}
 	r.readyAt = now.Add(reportLag)
@@ -95,7 +95,7 @@
 	if want.Adapter == "" {
 		return cost, true
 	}
-	if a := r.adapters[want.Adapter]; a != nil {
+	if a := r.adapters[want.Adapter]; a != nil && !a.leaving {
 		return max(cost, a.readyAt.Sub(now)), true
 	}
 	// An engine takes no adapter while it carries out another order.
@@ -122,6 +122,9 @@
 // time until it is there.
 func (p *Planner) wantAdapter(now time.Time, w *worker, r *replica, want Want) time.Duration {
 	if a := r.adapters[want.Adapter]; a != nil {
+		if a.leaving {
+			return reportLag // it has to go before it can come again
+		}
 		a.lastUse = now
 		return max(0, a.readyAt.Sub(now))
 	}
--- a/transport/edge/demand.go
+++ b/transport/edge/demand.go
@@ -26,6 +26,9 @@
 func (s *Server) countRunning(q *request, endpoint string, n int) {
 	s.countDemand(q, func(d residency.Demand) {
 		add(d.Running, residency.Place{EndpointID: endpoint, Model: q.call.Model}, n)
+		if q.call.Adapter != "" {
+			add(d.Running, residency.Place{EndpointID: endpoint, Model: q.unit()}, n)
+		}
 	})
 }
 
