--- a/transport/edge/run.go
+++ b/transport/edge/run.go
@@ -29,58 +29,85 @@
 	askPause = time.Second
 )
 
+// tries is what has become of a request's attempts so far.
+type tries struct {
+	sends   int              // attempts begun
+	ran     int              // endpoints that the request may have run at
+	verdict protocol.Verdict // the worst of all attempts
+	exclude []string         // endpoints that have failed it
+	last    *failure
+}
+
+// note records a failed attempt.
+func (t *tries) note(f *failure, endpoint string) {
+	f.endpoint = endpoint
+	t.last = f
+	t.verdict = max(t.verdict, f.verdict)
+	if f.verdict != protocol.NotRun {
+		t.ran++
+	}
+}
+
+// again reports whether the request may go to another endpoint: it has not
+// run, or it may be repeated. A stream goes on only after an event whose id is
+// known.
+func (t *tries) again(q *request, a *answer) bool {
+	if t.verdict == protocol.NotRun {
+		return true
+	}
+	resumable := !a.begun || a.lastID != ""
+	return q.route.Repeatable() && t.ran < q.route.Attempts && resumable
+}
+
 // run tries endpoints until one has answered. It returns nil when the caller
 // has its answer.
 func (s *Server) run(ctx context.Context, q *request, a *answer) *protocol.Refusal {
 	s.opt.Budget.Earn()
-	verdict := protocol.NotRun // the worst of all attempts
-	ran := 0                   // endpoints that the request may have run at
-	var exclude []string
-	var last *failure
-	for sends := 0; ; sends++ {
+	t := &tries{}
+	for ; ; t.sends++ {
 		if ctx.Err() != nil {
-			return s.outOfTime(q, verdict)
+			return s.outOfTime(t.verdict)
 		}
-		if sends > 0 {
-			if sends >= maxSends || !last.paid && !s.opt.Budget.Spend() {
-				return giveUp(last, verdict)
-			}
-			s.metrics.retried.Inc(1)
+		if t.sends > 0 && !s.payRetry(t) {
+			return giveUp(t)
 		}
-		e, refusal := s.locate(ctx, q, exclude, absentAt(last))
-		if refusal != nil {
-			if last != nil && verdict != protocol.NotRun {
-				return giveUp(last, verdict)
-			}
+		e, refusal := s.locate(ctx, q, t)
+		switch {
+		case refusal != nil && t.verdict != protocol.NotRun:
+			return giveUp(t)
+		case refusal != nil:
 			return refusal
 		}
-		f := s.attempt(ctx, q, e, a, ran+1 < q.route.Attempts)
+		f := s.attempt(ctx, q, e, a, t.ran+1 < q.route.Attempts)
 		if f == nil {
 			return nil
 		}
-		last = f
-		f.endpoint = e.ID
-		verdict = max(verdict, f.verdict)
-		if f.verdict != protocol.NotRun {
-			ran++
-		}
+		t.note(f, e.ID)
 		if s.learn(ctx, q, e, f) {
-			exclude = append(exclude, e.ID)
+			t.exclude = append(t.exclude, e.ID)
 		}
-		again := f.verdict == protocol.NotRun && verdict == protocol.NotRun ||
-			q.route.Repeatable() && ran < q.route.Attempts
+		again := t.again(q, a)
 		s.opt.Log.Info(decisions.EventAttemptFailed, "request", q.call.ID, "endpoint", e.ID, "endpoint_revision", e.Revision, "reason", f.reason, "error", f.err,
 			"verdict", f.verdict.String(), "again", again, "ms", time.Since(q.arrived).Milliseconds())
-		if !again || ctx.Err() != nil && verdict != protocol.NotRun {
-			if ctx.Err() != nil {
-				return s.outOfTime(q, verdict)
-			}
-			return giveUp(f, verdict)
+		if !again && ctx.Err() == nil {
+			return giveUp(t)
 		}
+		if !again {
+			return s.outOfTime(t.verdict)
+		}
+	}
+}
+
+// payRetry takes a further attempt out of the budget.
+func (s *Server) payRetry(t *tries) bool {
+	if t.sends >= maxSends || !t.last.paid && !s.opt.Budget.Spend() {
+		return false
 	}
+	s.metrics.retried.Inc(1)
+	return true
 }
 
-func (s *Server) outOfTime(q *request, verdict protocol.Verdict) *protocol.Refusal {
+func (s *Server) outOfTime(verdict protocol.Verdict) *protocol.Refusal {
 	if verdict == protocol.NotRun {
 		return protocol.Refuse(http.StatusServiceUnavailable, "out-of-time", "the request's time is over", retryBusy)
 	}
@@ -88,22 +115,22 @@
 }
 
 // giveUp turns the last failure into the final answer.
-func giveUp(f *failure, verdict protocol.Verdict) *protocol.Refusal {
-	if verdict == protocol.NotRun {
-		return protocol.Refuse(http.StatusServiceUnavailable, f.reason, "no endpoint took the request", retryBusy)
+func giveUp(t *tries) *protocol.Refusal {
+	if t.verdict == protocol.NotRun {
+		return protocol.Refuse(http.StatusServiceUnavailable, t.last.reason, "no endpoint took the request", retryBusy)
 	}
-	r := protocol.Unsure(http.StatusBadGateway, f.reason, "the endpoint's answer did not arrive")
-	r.Verdict = verdict
+	r := protocol.Unsure(http.StatusBadGateway, t.last.reason, "the endpoint's answer did not arrive")
+	r.Verdict = t.verdict
 	return r
 }
 
 // absentAt returns the endpoint that has just said that it does not hold the
 // model, empty if none did.
-func absentAt(f *failure) string {
-	if f == nil || !f.absent {
+func (t *tries) absentAt() string {
+	if t.last == nil || !t.last.absent {
 		return ""
 	}
-	return f.endpoint
+	return t.last.endpoint
 }
 
 // learn takes what a failure tells of the endpoint, and reports whether this
@@ -130,7 +157,8 @@
 
 // locate finds the endpoint for a request, waiting for its model if that is
 // worth it.
-func (s *Server) locate(ctx context.Context, q *request, exclude []string, absent string) (*fleet.Endpoint, *protocol.Refusal) {
+func (s *Server) locate(ctx context.Context, q *request, t *tries) (*fleet.Endpoint, *protocol.Refusal) {
+	exclude, absent := t.exclude, t.absentAt()
 	if q.service.Engine == nil || q.call.Model == "" {
 		return s.locatePlain(q, exclude)
 	}
@@ -145,7 +173,7 @@
 		ans := s.opt.Locator.Want(ctx, q.service.Name, residency.Want{Model: q.call.Model, Adapter: q.call.Adapter, Rank: q.route.Rank, Avoid: avoid, Absent: absent})
 		absent = "" // told once
 		if ctx.Err() != nil {
-			return nil, s.outOfTime(q, protocol.NotRun)
+			return nil, s.outOfTime(protocol.NotRun)
 		}
 		if ans.Refused != "" {
 			if e := s.locateAny(q, exclude); e != nil {
@@ -191,7 +219,7 @@
 	q.waited = time.Since(q.arrived)
 	s.metrics.waited.RecordDuration(time.Since(q.arrived) - elapsed)
 	if ctx.Err() != nil {
-		return s.outOfTime(q, protocol.NotRun)
+		return s.outOfTime(protocol.NotRun)
 	}
 	return nil
 }
