edgedaemon: a stop is timed by the steady clock; answers of the directory name up to 64 daemons in no order

Read as a newcomer: the stop's time was kept as a time of day, which may step; beyond 16 daemons of a failure domain the last ones were never named.

--- a/daemon/edgedaemon/daemon.go
+++ b/daemon/edgedaemon/daemon.go
@@ -78,13 +78,15 @@
 	engines  *platform.EngineClient
 
 	listeners listeners
-	servers   []*http.Server
+	// callerServer is shut down gracefully; the others end with the process.
+	callerServer *http.Server
 
 	mu           sync.Mutex
 	coordinators map[string]*coordinator.Coordinator
 	fleets       map[string]fleetpb.Fleet // clients, by address
 	runCtx       context.Context
-	stopping     atomic.Int64 // Unix nanoseconds of the stop; 0 while serving
+	stopping     atomic.Pointer[time.Time] // when the stop began; nil while serving
+	stopped      chan struct{}             // closed then
 	lastSent     map[string]int
 	holders      holderHealth
 }
@@ -97,7 +99,7 @@
 	debug.SetMemoryLimit(int64(float64(set.Limits.MemoryMB<<20) * memoryPart))
 	d := &Daemon{
 		set: set, log: log, self: set.Host + "-" + nonce(), coordinators: map[string]*coordinator.Coordinator{},
-		fleets: map[string]fleetpb.Fleet{}, lastSent: map[string]int{},
+		fleets: map[string]fleetpb.Fleet{}, lastSent: map[string]int{}, stopped: make(chan struct{}),
 		peers: peers.NewClient(""), balancer: balance.New(set.FailureDomain),
 		budget: retry.NewEarnedBudget(set.Retries.Ratio * retryPart),
 	}
@@ -223,12 +225,12 @@
 	d.runCtx = ctx
 	d.mu.Unlock()
 	var g run.Group
-	d.addServer(&g, d.listeners.callers, d.callers.Handler(), callerHeaderTimeout)
-	d.addServer(&g, d.listeners.directory, platform.DirectoryHandler(d), callerHeaderTimeout)
-	d.addServer(&g, d.listeners.readiness, platform.ReadinessHandler(d), callerHeaderTimeout)
-	d.addServer(&g, d.listeners.peers, d.peerHandler(), callerHeaderTimeout)
+	d.callerServer = d.addServer(&g, d.listeners.callers, d.callers.Handler())
+	d.addServer(&g, d.listeners.directory, platform.DirectoryHandler(d))
+	d.addServer(&g, d.listeners.readiness, platform.ReadinessHandler(d))
+	d.addServer(&g, d.listeners.peers, d.peerHandler())
 	if d.listeners.metrics != nil {
-		d.addServer(&g, d.listeners.metrics, d.reporter.HTTPHandler(), callerHeaderTimeout)
+		d.addServer(&g, d.listeners.metrics, d.reporter.HTTPHandler())
 	}
 	for _, actor := range []func(context.Context) error{
 		d.gossip.Run, d.view.RunDesiredState, d.view.RunEndpoints, d.view.RunPeers, d.runDemand, d.runStop,
@@ -253,12 +255,12 @@
 	maxHeaderBytes = 32 << 10
 )
 
-func (d *Daemon) addServer(g *run.Group, l net.Listener, h http.Handler, headerTimeout time.Duration) {
+// addServer adds an actor that serves a listener.
+func (d *Daemon) addServer(g *run.Group, l net.Listener, h http.Handler) *http.Server {
 	srv := &http.Server{
-		Handler: h, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout,
+		Handler: h, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout,
 		ErrorLog: d.log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 	}
-	d.servers = append(d.servers, srv)
 	over := make(chan struct{})
 	g.Add(func() error {
 		err := srv.Serve(l)
@@ -273,6 +275,7 @@
 		close(over)
 		_ = srv.Close()
 	})
+	return srv
 }
 
 // peerHandler serves the other daemons.
--- a/daemon/edgedaemon/stop.go
+++ b/daemon/edgedaemon/stop.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"net/http"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -18,22 +18,22 @@
 	// finishReserve is the end of the grace period that is kept for the exit
 	// itself.
 	finishReserve = 400 * time.Millisecond
-	// stopTick is how often a stopping daemon looks whether it is done.
-	stopTick = 50 * time.Millisecond
 )
 
 // Stop begins the graceful shutdown.
 func (d *Daemon) Stop() {
-	if !d.stopping.CompareAndSwap(0, time.Now().UnixNano()) {
+	now := time.Now()
+	if !d.stopping.CompareAndSwap(nil, &now) {
 		return
 	}
 	d.log.Info(decisions.EventStop, "daemon", d.self, "in_progress", d.callers.InProgress(), "grace_ms", d.set.Timing.Grace.D().Milliseconds())
 	d.gossip.Update(func(m *membership.Member) { m.Leaving = true })
 	d.mu.Lock()
-	defer d.mu.Unlock()
 	for _, c := range d.coordinators {
 		c.Release()
 	}
+	d.mu.Unlock()
+	close(d.stopped)
 }
 
 // Reload takes settings that have changed. Addresses stay until the next
@@ -46,13 +46,13 @@
 // serves.
 func (d *Daemon) ends() time.Time {
 	since := d.stopping.Load()
-	if since == 0 {
+	if since == nil {
 		return time.Time{}
 	}
-	return time.Unix(0, since).Add(d.set.Timing.Grace.D() - finishReserve)
+	return since.Add(d.set.Timing.Grace.D() - finishReserve)
 }
 
-func (d *Daemon) draining() bool { return d.stopping.Load() != 0 }
+func (d *Daemon) draining() bool { return d.stopping.Load() != nil }
 
 // Serving implements platform.Directory.
 func (d *Daemon) Serving() bool { return !d.draining() && d.view.Table() != nil }
@@ -79,51 +79,28 @@
 	}
 	slices.Sort(all)
 	all = slices.Compact(all)
+	// Where there are more than an answer may name, each answer names others.
+	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
 	return all[:min(len(all), maxAddresses)], int(max(1, d.set.Timing.AddressTTL.D().Seconds()))
 }
 
-// maxAddresses bounds an answer of the directory.
-const maxAddresses = 16
+// maxAddresses bounds an answer of the directory: callers take no more.
+const maxAddresses = 64
 
-// runStop ends the daemon after a graceful shutdown.
+// runStop ends the daemon after a graceful shutdown: it takes requests for a
+// while, then finishes those in progress.
 func (d *Daemon) runStop(ctx context.Context) error {
-	for {
-		t := time.NewTimer(d.stopPause())
-		select {
-		case <-ctx.Done():
-			t.Stop()
-			return nil
-		case <-t.C:
-		}
-		if since := d.stopping.Load(); since != 0 {
-			return d.finish(ctx, time.Unix(0, since))
-		}
-	}
-}
-
-// stopPause looks seldom while nothing is asked.
-func (d *Daemon) stopPause() time.Duration {
-	if d.draining() {
-		return stopTick
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-d.stopped:
 	}
-	return 4 * stopTick
-}
-
-// finish takes requests for a while, then finishes those in progress.
-func (d *Daemon) finish(ctx context.Context, since time.Time) error {
-	grace := d.set.Timing.Grace.D()
-	wait(ctx, time.Until(since.Add(time.Duration(float64(grace)*lingerPart))))
-	end, cancel := context.WithDeadline(ctx, d.ends())
+	since := *d.stopping.Load()
+	wait(ctx, time.Until(since.Add(time.Duration(float64(d.set.Timing.Grace.D())*lingerPart))))
+	ctx, cancel := context.WithDeadline(ctx, d.ends())
 	defer cancel()
-	done := make(chan struct{}, len(d.servers))
-	for _, srv := range d.servers[:1] {
-		go func(srv *http.Server) {
-			_ = srv.Shutdown(end) // what is left at the end is cut off by the kill anyway
-			done <- struct{}{}
-		}(srv)
-	}
-	for range d.servers[:1] {
-		<-done
+	if err := d.callerServer.Shutdown(ctx); err != nil {
+		d.log.Warn("requests cut off at the end of the grace period", "in_progress", d.callers.InProgress(), "error", err)
 	}
 	return errStopped
 }
