--- a/cmd/doorvalved/edge.go
+++ b/cmd/doorvalved/edge.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"os"
-	"os/signal"
 	"syscall"
 
 	"github.com/hashicorp/go-hclog"
@@ -33,7 +32,13 @@
 	defer cancel()
 	var g run.Group
 	g.Add(func() error { return d.Run(ctx) }, func(error) { cancel() })
-	addEdgeSignals(&g, d, log, c.Settings)
+	addSignals(&g, func(s os.Signal) {
+		if s == syscall.SIGHUP {
+			reload(d, log, c.Settings)
+			return
+		}
+		d.Stop()
+	}, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	err = g.Run()
 	if edgedaemon.IsStopped(err) {
 		return nil
@@ -41,29 +46,12 @@
 	return err
 }
 
-// addEdgeSignals adds the actor that turns signals into a shutdown or a
-// reload.
-func addEdgeSignals(g *run.Group, d *edgedaemon.Daemon, log *decisions.Log, file string) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	done := make(chan struct{})
-	g.Add(func() error {
-		for {
-			select {
-			case <-done:
-				return nil
-			case s := <-signals:
-				if s != syscall.SIGHUP {
-					d.Stop()
-					continue
-				}
-				set, err := settings.LoadEdge(file)
-				if err != nil {
-					log.Error("settings not reloaded", "file", file, "error", err)
-					continue
-				}
-				d.Reload(set)
-			}
-		}
-	}, func(error) { close(done) })
+// reload reads the settings again.
+func reload(d *edgedaemon.Daemon, log *decisions.Log, file string) {
+	set, err := settings.LoadEdge(file)
+	if err != nil {
+		log.Error("settings not reloaded", "file", file, "error", err)
+		return
+	}
+	d.Reload(set)
 }
--- a/cmd/doorvalved/main.go
+++ b/cmd/doorvalved/main.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"os"
-	"os/signal"
 	"syscall"
 
 	"github.com/alecthomas/kong"
@@ -54,7 +53,13 @@
 	defer cancel()
 	var g run.Group
 	g.Add(func() error { return d.Run(ctx) }, func(error) { cancel() })
-	addSignals(&g, d, log)
+	addSignals(&g, func(s os.Signal) {
+		if s == syscall.SIGUSR1 {
+			dump(d, log)
+			return
+		}
+		d.Stop()
+	}, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
 	err = g.Run()
 	if daemon.IsStopped(err) {
 		return nil
@@ -62,27 +67,6 @@
 	return err
 }
 
-// addSignals adds the actor that turns signals into a shutdown or a dump.
-func addSignals(g *run.Group, d *daemon.Daemon, log hclog.Logger) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
-	done := make(chan struct{})
-	g.Add(func() error {
-		for {
-			select {
-			case <-done:
-				return nil
-			case s := <-signals:
-				if s == syscall.SIGUSR1 {
-					dump(d, log)
-					continue
-				}
-				d.Stop()
-			}
-		}
-	}, func(error) { close(done) })
-}
-
 func dump(d *daemon.Daemon, log hclog.Logger) {
 	state, err := json.Marshal(d.Dump())
 	log.Info("state", "dump", string(state), "error", err)
--- a/coordination/balance/balance.go
+++ b/coordination/balance/balance.go
@@ -36,7 +36,6 @@
 	avoidUntil time.Time
 	absent     map[string]time.Time // units that it does not hold, until then
 	used       map[string]time.Time // units that it has served, last time
-	seen       time.Time
 }
 
 // Balancer is safe for concurrent use.
@@ -124,7 +123,6 @@
 	defer b.mu.Unlock()
 	l := b.load(id)
 	l.running--
-	l.seen = now
 	if ok {
 		l.failures = 0
 		l.avoidUntil = time.Time{}
--- a/coordination/residency/draft.go
+++ b/coordination/residency/draft.go
@@ -43,7 +43,7 @@
 		}
 		p.countReplicas(d, w)
 	}
-	for len(d.store) < max(1, p.opt.StoreAtOnce) {
+	for len(d.store) < p.opt.StoreAtOnce {
 		d.store = append(d.store, 0)
 	}
 	slices.Sort(d.store)
--- a/coordination/residency/outcome.go
+++ b/coordination/residency/outcome.go
@@ -111,10 +111,9 @@
 	o.answered = true
 	w.sequence = o.order.Expect + 1
 	switch {
-	case o.order.Adapter != "":
-		p.endOrder(now, w) // the engine is not busy with it
-	case o.order.Unload:
-		// The next order tells by its answer whether the unload is done.
+	case o.order.Adapter != "", o.order.Unload:
+		// The engine is not busy with an adapter; whether an unload is done
+		// the next order tells by its answer.
 		p.endOrder(now, w)
 	default:
 		o.endsAt = now.Add(p.loadTime(o.level, o.order.Model, p.storeLoads()))
@@ -125,8 +124,8 @@
 	}
 }
 
-// loadTime estimates a load beside storeLoads from the store. Loads from the store slow each other down beyond
-// the number that it serves at once.
+// loadTime estimates a load beside storeLoads from the store, which slow each
+// other down beyond the number that it serves at once.
 func (p *Planner) loadTime(l Level, model string, storeLoads int) time.Duration {
 	m := p.conf.Engine.Models[model]
 	switch l {
@@ -135,7 +134,7 @@
 	case Disk:
 		return m.FromDisk
 	case Store:
-		crowd := max(1, float64(storeLoads)/float64(max(1, p.opt.StoreAtOnce)))
+		crowd := max(1, float64(storeLoads)/float64(p.opt.StoreAtOnce))
 		return time.Duration(float64(m.FromStore) * crowd)
 	}
 	return 0
--- a/coordination/residency/planner.go
+++ b/coordination/residency/planner.go
@@ -106,6 +106,7 @@
 
 // New returns a planner that knows nothing.
 func New(opt Options) *Planner {
+	opt.StoreAtOnce = max(1, opt.StoreAtOnce)
 	return &Planner{opt: opt, workers: map[string]*worker{}, demands: map[string]*demand{}, wants: map[string]*wanted{}, values: map[string]*value{}}
 }
 
@@ -124,9 +125,6 @@
 	p.held, p.fence, p.ordersFrom = held, fence, from
 }
 
-// Held reports whether the planner acts under a lease.
-func (p *Planner) Held() bool { return p.held }
-
 // Endpoints takes the present view.
 func (p *Planner) Endpoints(now time.Time, list []*fleet.Endpoint) {
 	present := make(map[string]bool, len(list))
--- a/coordination/residency/ready.go
+++ b/coordination/residency/ready.go
@@ -121,7 +121,7 @@
 
 // mayLoadFromStore keeps to the store's places and to its rate of loads.
 func (p *Planner) mayLoadFromStore(now time.Time) bool {
-	if p.storeLoads() >= max(1, p.opt.StoreAtOnce) {
+	if p.storeLoads() >= p.opt.StoreAtOnce {
 		return false
 	}
 	p.starts = slices.DeleteFunc(p.starts, func(t time.Time) bool { return now.Sub(t) > p.opt.RateWindow })
@@ -131,11 +131,7 @@
 
 // adapterOrder makes room among the adapters, or loads one.
 func (p *Planner) adapterOrder(now time.Time, w *worker, a adapterWant) (Order, bool) {
-	held := 0
-	for _, r := range w.models {
-		held += len(r.adapters)
-	}
-	if held >= p.conf.Engine.AdapterSlots || p.memory(w)+p.conf.Engine.Models[a.model].AdapterMB > p.conf.Engine.MemoryMB {
+	if w.heldAdapters() >= p.conf.Engine.AdapterSlots || p.memory(w)+p.conf.Engine.Models[a.model].AdapterMB > p.conf.Engine.MemoryMB {
 		model, name, ok := oldestAdapter(w, now)
 		if !ok {
 			w.adapters = w.adapters[1:]
@@ -204,7 +200,7 @@
 	if now.Sub(p.grownAt) < settleFor {
 		return nil
 	}
-	free := max(1, p.opt.StoreAtOnce) - p.storeLoads()
+	free := p.opt.StoreAtOnce - p.storeLoads()
 	for _, s := range p.slots {
 		if s.level == Store {
 			free--
--- a/coordination/residency/schedule.go
+++ b/coordination/residency/schedule.go
@@ -12,7 +12,6 @@
 	extra   bool
 	w       *worker
 	level   Level
-	startIn time.Duration
 	readyIn time.Duration
 }
 
@@ -69,12 +68,13 @@
 		if !ok {
 			continue
 		}
-		s := slot{model: model, w: w, level: w.level(model), startIn: d.engines[w].freeIn}
+		s := slot{model: model, w: w, level: w.level(model)}
+		startIn := d.engines[w].freeIn
 		if s.level == Store {
-			s.startIn = max(s.startIn, d.store[0])
+			startIn = max(startIn, d.store[0])
 			penalty += time.Duration(d.engines[w].inUse) * activeCost
 		}
-		s.readyIn = s.startIn + p.loadTime(s.level, model, d.storeLoads) + orderMargin
+		s.readyIn = startIn + p.loadTime(s.level, model, d.storeLoads) + orderMargin
 		if cost := s.readyIn + penalty; best.w == nil || cost < bestCost {
 			best, bestCost = s, cost
 		}
--- a/coordination/residency/want.go
+++ b/coordination/residency/want.go
@@ -107,15 +107,16 @@
 		return 0, false
 	}
 	// Engines with fewer adapters first, so that they spread.
-	return cost + adapterLoad + time.Duration(w.adapterCount())*time.Millisecond, true
+	return cost + adapterLoad + time.Duration(w.heldAdapters()+len(w.adapters))*time.Millisecond, true
 }
 
-func (w *worker) adapterCount() int {
+// heldAdapters counts the adapters that hold a slot of the engine.
+func (w *worker) heldAdapters() int {
 	n := 0
 	for _, r := range w.models {
 		n += len(r.adapters)
 	}
-	return n + len(w.adapters)
+	return n
 }
 
 // wantAdapter plans the adapter's load where it is missing and returns the
--- a/coordination/waiting/waiting.go
+++ b/coordination/waiting/waiting.go
@@ -27,10 +27,10 @@
 	// firstEvent is the time that an endpoint takes to the first event, with
 	// room to spare: a long prompt and a full batch.
 	firstEvent = 250 * time.Millisecond
-	// prompt is the part of the objective in which a refusal costs the caller
+	// promptPart is the part of the objective in which a refusal costs the caller
 	// little; afterwards waiting on is better than asking again.
 	promptPart = 4
-	// honoured is the part of the time left up to which callers keep to a
+	// honouredPart is the part of the time left up to which callers keep to a
 	// Retry-After.
 	honouredPart = 3
 	// returnMargin is added to the time to come back, so that the model is
--- a/daemon/edgedaemon/stop.go
+++ b/daemon/edgedaemon/stop.go
@@ -8,6 +8,7 @@
 
 	"github.com/doorvalve/doorvalve/coordination/membership"
 	"github.com/doorvalve/doorvalve/driver/decisions"
+	"github.com/doorvalve/doorvalve/internal/pause"
 	"github.com/doorvalve/doorvalve/settings"
 )
 
@@ -96,7 +97,7 @@
 	case <-d.stopped:
 	}
 	since := *d.stopping.Load()
-	wait(ctx, time.Until(since.Add(time.Duration(float64(d.set.Timing.Grace.D())*lingerPart))))
+	pause.For(ctx, time.Until(since.Add(time.Duration(float64(d.set.Timing.Grace.D())*lingerPart))))
 	ctx, cancel := context.WithDeadline(ctx, d.ends())
 	defer cancel()
 	if err := d.callerServer.Shutdown(ctx); err != nil {
@@ -104,12 +105,3 @@
 	}
 	return errStopped
 }
-
-func wait(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(max(0, d))
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/driver/rollout/rollout.go
+++ b/driver/rollout/rollout.go
@@ -18,6 +18,7 @@
 
 	"github.com/doorvalve/doorvalve/coordination/membership"
 	"github.com/doorvalve/doorvalve/driver/gossip"
+	"github.com/doorvalve/doorvalve/internal/pause"
 	"github.com/doorvalve/doorvalve/protocol/peerpb"
 	"github.com/doorvalve/doorvalve/state/bundle"
 	"github.com/doorvalve/doorvalve/state/snapshot"
@@ -85,7 +86,7 @@
 	wg.Go(func() { r.watchHosts(ctx) })
 	for ctx.Err() == nil {
 		if !r.adoptOffered(ctx) {
-			sleep(ctx, retryWait)
+			pause.For(ctx, retryWait)
 			continue
 		}
 		select {
@@ -97,13 +98,6 @@
 	return nil
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 func (r *Rollout) generation() uint64 {
 	if s := r.current.Load(); s != nil {
 		return s.Generation
@@ -214,12 +208,12 @@
 	since, readAt := uint64(0), time.Time{}
 	for ctx.Err() == nil {
 		if r.generation() > 0 && !r.watching(watchers) {
-			sleep(ctx, time.Second)
+			pause.For(ctx, time.Second)
 			continue
 		}
 		if time.Since(readAt) >= rereadEvery {
 			if !r.readPointer(ctx) {
-				sleep(ctx, retryWait)
+				pause.For(ctx, retryWait)
 				continue
 			}
 			readAt = time.Now()
@@ -227,7 +221,7 @@
 		w, err := r.platform.Watch(ctx, []platform.Kind{platform.KindConfig, platform.KindDrain}, since, watchWait)
 		if err != nil {
 			readAt = time.Time{}
-			sleep(ctx, retryWait)
+			pause.For(ctx, retryWait)
 			continue
 		}
 		since = w.Revision
@@ -301,7 +295,7 @@
 				r.hostFacts(s, hosts)
 			}
 		}
-		sleep(ctx, hostsEvery)
+		pause.For(ctx, hostsEvery)
 	}
 }
 
--- a/driver/storeview/storeview.go
+++ b/driver/storeview/storeview.go
@@ -13,6 +13,7 @@
 
 	"github.com/doorvalve/doorvalve/coordination/discovery"
 	"github.com/doorvalve/doorvalve/driver/decisions"
+	"github.com/doorvalve/doorvalve/internal/pause"
 	"github.com/doorvalve/doorvalve/protocol/fleetpb"
 	"github.com/doorvalve/doorvalve/state/fleet"
 	"github.com/doorvalve/doorvalve/state/routing"
@@ -123,7 +124,7 @@
 		var err error
 		switch action {
 		case discovery.Wait:
-			sleep(ctx, time.Until(until))
+			pause.For(ctx, time.Until(until))
 			continue
 		case discovery.List:
 			err = list(ctx)
@@ -157,22 +158,13 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(max(0, d))
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 func (v *View) readDesired(ctx context.Context) error {
 	raw, revision, err := v.opt.Store.ReadDesiredState(ctx)
 	if err != nil {
 		return err
 	}
 	if raw == nil && v.Table() == nil {
-		sleep(ctx, emptyRetry)
+		pause.For(ctx, emptyRetry)
 	}
 	v.adoptDesired(raw, "store", revision)
 	v.mu.Lock()
@@ -327,7 +319,7 @@
 func (v *View) RunPeers(ctx context.Context) error {
 	asked := time.Now()
 	for ctx.Err() == nil {
-		sleep(ctx, v.peersPause())
+		pause.For(ctx, v.peersPause())
 		v.publish("grace")
 		now := time.Now()
 		if now.Sub(asked) < peersAfter {
--- a/transport/edge/run.go
+++ b/transport/edge/run.go
@@ -11,6 +11,7 @@
 	"github.com/doorvalve/doorvalve/coordination/residency"
 	"github.com/doorvalve/doorvalve/coordination/waiting"
 	"github.com/doorvalve/doorvalve/driver/decisions"
+	"github.com/doorvalve/doorvalve/internal/pause"
 	"github.com/doorvalve/doorvalve/protocol"
 	"github.com/doorvalve/doorvalve/state/fleet"
 )
@@ -144,7 +145,7 @@
 		s.opt.Balancer.Absent(now, e.ID, q.unit())
 		return q.call.Model == ""
 	case f.loading:
-		sleep(ctx, loadingPause)
+		pause.For(ctx, loadingPause)
 		return false
 	case f.leaving:
 		s.opt.EndpointLeaving(e.ID)
@@ -215,7 +216,7 @@
 		return protocol.Refuse(http.StatusServiceUnavailable, reason, detail, d.RetryAfter)
 	}
 	s.opt.Log.Info(decisions.EventWaiting, "request", q.call.ID, "model", q.unit(), "endpoint", ans.EndpointID, "level", ans.Level.String(), "ready_in_ms", ans.ReadyIn.Milliseconds(), "elapsed_ms", elapsed.Milliseconds())
-	sleep(ctx, min(max(ans.ReadyIn, time.Millisecond), askPause))
+	pause.For(ctx, min(max(ans.ReadyIn, time.Millisecond), askPause))
 	q.waited = time.Since(q.arrived)
 	s.metrics.waited.RecordDuration(time.Since(q.arrived) - elapsed)
 	if ctx.Err() != nil {
@@ -272,13 +273,3 @@
 	}
 	return q.call.Prefix
 }
-
-// sleep waits, or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
