storeview: a silent watch is noticed within 1.8 s; a timeout drops idle connections

Watches now wait 0.3 and 0.6 of the drain bound and have 0.6 s of slack; a call that times out drops the idle connections of its transport. Test: TestSilentWatchIsNoticed (virtual time), TestOneTimeoutIsEnough, both red before.

--- a/driver/storeview/storeview.go
+++ b/driver/storeview/storeview.go
@@ -28,14 +28,18 @@
 }
 
 const (
-	// watchFor is how long a watch waits: short enough that one that died in a
-	// partition is noticed before the platform expects this daemon to be up to
-	// date again, long enough to cost little.
-	watchFor = 2500 * time.Millisecond
-	// gatherPart is the part of the time in which a leaving endpoint must get
-	// no more requests that changes of the endpoints may gather, so that those
-	// which come together cost one call.
-	gatherPart = 0.3
+	// gatherPart, watchPart and configPart are parts of the time in which a
+	// leaving endpoint must get no more requests. Changes of the endpoints
+	// gather for the first, so that those which come together cost one call; a
+	// watch of the endpoints waits for the second, one of the desired state for
+	// the third: a watch that has gone silent must be noticed before the
+	// platform expects this daemon to be up to date again.
+	gatherPart = 0.2
+	watchPart  = 0.3
+	configPart = 0.6
+	// watchSlack is how much later than its end a watch may be answered by a
+	// slow store before it counts as dead.
+	watchSlack = 600 * time.Millisecond
 	// retryAfter is the pause after a failed call.
 	retryAfter = 250 * time.Millisecond
 	// emptyRetry is the pause while there is no desired state yet.
@@ -81,13 +85,19 @@
 func New(opt Options) *View {
 	v := &View{
 		opt: opt, registry: discovery.NewRegistry(),
-		endpoints: discovery.NewFollower(discovery.FollowOptions{Pause: time.Duration(gatherPart * float64(opt.LeaveWithin)), Retry: retryAfter}),
-		config:    discovery.NewFollower(discovery.FollowOptions{Retry: retryAfter}),
+		config: discovery.NewFollower(discovery.FollowOptions{Retry: retryAfter}),
 	}
+	v.endpoints = discovery.NewFollower(discovery.FollowOptions{Pause: v.part(gatherPart), Retry: retryAfter})
 	v.view.Store(fleet.NewView(0, nil))
 	return v
 }
 
+// part returns a part of the time in which a leaving endpoint must get no more
+// requests.
+func (v *View) part(p float64) time.Duration {
+	return time.Duration(p * float64(v.opt.LeaveWithin))
+}
+
 // Table returns the desired state in force, nil before the first.
 func (v *View) Table() *routing.Table { return v.table.Load() }
 
@@ -174,7 +184,10 @@
 }
 
 func (v *View) watchDesired(ctx context.Context) error {
-	raw, revision, err := v.opt.Store.WatchDesiredState(ctx, v.since(v.config), watchFor)
+	wait := v.part(configPart)
+	ctx, cancel := context.WithTimeout(ctx, wait+watchSlack)
+	defer cancel()
+	raw, revision, err := v.opt.Store.WatchDesiredState(ctx, v.since(v.config), wait)
 	if err != nil {
 		return err
 	}
@@ -241,7 +254,10 @@
 }
 
 func (v *View) watchEndpoints(ctx context.Context) error {
-	changes, revision, unreadable, err := v.opt.Store.WatchEndpoints(ctx, v.since(v.endpoints), watchFor)
+	wait := v.part(watchPart)
+	ctx, cancel := context.WithTimeout(ctx, wait+watchSlack)
+	defer cancel()
+	changes, revision, unreadable, err := v.opt.Store.WatchEndpoints(ctx, v.since(v.endpoints), wait)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/driver/storeview/storeview_test.go
@@ -0,0 +1,253 @@
+package storeview
+
+import (
+	"context"
+	"encoding/binary"
+	"errors"
+	"io"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/doorvalve/doorvalve/coordination/discovery"
+	"github.com/doorvalve/doorvalve/driver/decisions"
+	"github.com/doorvalve/doorvalve/protocol/fleetpb"
+	"github.com/doorvalve/doorvalve/state/fleet"
+	"github.com/doorvalve/doorvalve/state/routing"
+)
+
+// fakeStore is a store in virtual time. Watches that are open when it goes
+// silent hear nothing any more; new calls are answered.
+type fakeStore struct {
+	mu       sync.Mutex
+	revision uint64
+	config   uint64 // version of the desired state, as of configAt
+	configAt uint64
+	list     []*fleet.Endpoint
+	changes  []discovery.Change
+	away     bool
+	silent   int           // watches of earlier numbers hear nothing
+	changed  chan struct{} // closed at the next change
+	calls    int
+	failed   int
+}
+
+func newFakeStore() *fakeStore {
+	return &fakeStore{revision: 1, config: 1, configAt: 1, changed: make(chan struct{})}
+}
+
+var errAway = errors.New("the store is away")
+
+func (s *fakeStore) call() (number int, err error) {
+	s.calls++
+	if s.away {
+		s.failed++
+		return s.calls, errAway
+	}
+	return s.calls, nil
+}
+
+func (s *fakeStore) tell() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// setEndpoint writes an endpoint's entry.
+func (s *fakeStore) setEndpoint(e fleet.Endpoint) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	e.Revision = s.revision
+	s.list = slices.DeleteFunc(s.list, func(o *fleet.Endpoint) bool { return o.ID == e.ID })
+	s.list = append(s.list, &e)
+	s.changes = append(s.changes, discovery.Change{ID: e.ID, Endpoint: &e, Revision: s.revision})
+	s.tell()
+}
+
+// remove removes an endpoint's entry.
+func (s *fakeStore) remove(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.list = slices.DeleteFunc(s.list, func(o *fleet.Endpoint) bool { return o.ID == id })
+	s.changes = append(s.changes, discovery.Change{ID: id, Removed: true, Revision: s.revision})
+	s.tell()
+}
+
+func (s *fakeStore) setConfig(version uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.config, s.configAt = version, s.revision
+	s.tell()
+}
+
+func (s *fakeStore) setAway(away bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away = away
+	s.tell()
+}
+
+// goSilent silences the watches that are open now.
+func (s *fakeStore) goSilent() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent = s.calls + 1
+}
+
+func (s *fakeStore) counts() (calls, failed int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls, s.failed
+}
+
+func encodeVersion(v uint64) []byte { return binary.BigEndian.AppendUint64(nil, v) }
+
+func decodeVersion(raw []byte) (*routing.Table, error) {
+	return &routing.Table{Version: binary.BigEndian.Uint64(raw)}, nil
+}
+
+func (s *fakeStore) ListEndpoints(context.Context) ([]*fleet.Endpoint, uint64, []error, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, err := s.call(); err != nil {
+		return nil, 0, nil, err
+	}
+	return slices.Clone(s.list), s.revision, nil, nil
+}
+
+func (s *fakeStore) ReadDesiredState(context.Context) ([]byte, uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, err := s.call(); err != nil {
+		return nil, 0, err
+	}
+	return encodeVersion(s.config), s.revision, nil
+}
+
+// wait blocks until ready says that there is something to tell, the wait is
+// over or the store is away. ready is called with the mutex held.
+func (s *fakeStore) wait(ctx context.Context, d time.Duration, ready func() bool) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	number, err := s.call()
+	end := time.Now().Add(d)
+	for err == nil {
+		heard := number >= s.silent
+		left := time.Until(end)
+		switch {
+		case heard && s.away:
+			return errAway
+		case heard && (ready() || left <= 0):
+			return nil
+		case !heard:
+			left = time.Hour
+		}
+		changed := s.changed
+		s.mu.Unlock()
+		t := time.NewTimer(left)
+		select {
+		case <-ctx.Done():
+			err = ctx.Err()
+		case <-changed:
+		case <-t.C:
+		}
+		t.Stop()
+		s.mu.Lock()
+	}
+	return err
+}
+
+func (s *fakeStore) WatchEndpoints(ctx context.Context, since uint64, wait time.Duration) (changes []discovery.Change, revision uint64, unreadable []error, err error) {
+	after := func() []discovery.Change {
+		i := slices.IndexFunc(s.changes, func(c discovery.Change) bool { return c.Revision > since })
+		if i < 0 {
+			return nil
+		}
+		return slices.Clone(s.changes[i:])
+	}
+	err = s.wait(ctx, wait, func() bool { return len(after()) > 0 })
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return after(), s.revision, nil, err
+}
+
+func (s *fakeStore) WatchDesiredState(ctx context.Context, since uint64, wait time.Duration) (raw []byte, revision uint64, err error) {
+	err = s.wait(ctx, wait, func() bool { return s.configAt > since })
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.configAt > since {
+		raw = encodeVersion(s.config)
+	}
+	return raw, s.revision, err
+}
+
+// leaveWithin is the bound that the views of the tests work to.
+const leaveWithin = 2 * time.Second
+
+// bubble runs a test in virtual time.
+type bubble struct {
+	t   *testing.T
+	ctx context.Context
+	log *decisions.Log
+}
+
+func inBubble(t *testing.T, f func(b *bubble)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		b := &bubble{t: t, ctx: ctx, log: decisions.New(io.Discard, "test", hclog.Off)}
+		defer func() {
+			cancel()
+			synctest.Wait()
+			b.log.Close()
+		}()
+		f(b)
+	})
+}
+
+// view returns a running view of a store.
+func (b *bubble) view(s Store, change func(*Options)) *View {
+	opt := Options{Store: s, Decode: decodeVersion, Log: b.log, LeaveWithin: leaveWithin, Peer: func() fleetpb.Fleet { return nil }}
+	if change != nil {
+		change(&opt)
+	}
+	v, ctx := New(opt), b.ctx
+	for _, run := range []func(context.Context) error{v.RunDesiredState, v.RunEndpoints, v.RunPeers} {
+		go func() { _ = run(ctx) }()
+	}
+	return v
+}
+
+func (v *View) takes(id string) bool {
+	e := v.Endpoints().ByID[id]
+	return e != nil && !e.Leaving
+}
+
+// Open connections to the store go silent without a reset. The platform expects
+// this daemon to be up to date again a stable window, three seconds, later.
+func TestSilentWatchIsNoticed(t *testing.T) {
+	inBubble(t, func(b *bubble) {
+		s := newFakeStore()
+		s.setEndpoint(fleet.Endpoint{ID: "a", Service: "llm"})
+		v := b.view(s, nil)
+		time.Sleep(5 * time.Second)
+		if v.Table().Version != 1 || !v.takes("a") {
+			t.Fatal("the view did not follow the store")
+		}
+		s.goSilent()
+		s.setConfig(2)
+		s.setEndpoint(fleet.Endpoint{ID: "a", Service: "llm", Leaving: true})
+		time.Sleep(2500 * time.Millisecond)
+		if v.Table().Version != 2 {
+			t.Error("a silent watch of the desired state was not noticed")
+		}
+		if v.takes("a") {
+			t.Error("a silent watch of the endpoints was not noticed")
+		}
+	})
+}
--- a/transport/edge/attempt.go
+++ b/transport/edge/attempt.go
@@ -169,8 +169,9 @@
 		f = s.deliver(q, a, resp, w, more)
 		_ = resp.Body.Close()
 	}
-	if f != nil {
-		f.paid = w.gaveUp()
+	if f != nil && w.gaveUp() {
+		f.paid = true
+		s.client.kept.CloseIdleConnections() // they may be as dead as the one that was waited on
 	}
 	ok = f == nil
 	return f
--- a/transport/peers/peers.go
+++ b/transport/peers/peers.go
@@ -10,6 +10,7 @@
 
 	"github.com/doorvalve/doorvalve/protocol/peerpb"
 	"github.com/doorvalve/doorvalve/transport/meter"
+	"github.com/doorvalve/doorvalve/transport/silence"
 )
 
 // CallTimeout bounds each call between daemons.
@@ -59,7 +60,7 @@
 // NewClient returns a client that shows the token, if any.
 func NewClient(token string) *Client {
 	c := &Client{clients: map[string]peerpb.Peer{}}
-	t := &http.Transport{DialContext: c.meter.Dial(CallTimeout), MaxIdleConnsPerHost: 4, IdleConnTimeout: 30 * time.Second}
+	t := silence.Transport{Transport: &http.Transport{DialContext: c.meter.Dial(CallTimeout), MaxIdleConnsPerHost: 4, IdleConnTimeout: 30 * time.Second}}
 	c.http = &http.Client{Transport: t, Timeout: CallTimeout}
 	if token != "" {
 		c.http.Transport = withToken{token, t}
--- /dev/null
+++ b/transport/silence/silence_test.go
@@ -0,0 +1,95 @@
+package silence
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+)
+
+type connKey struct{}
+
+// silentServer answers until its connections are silenced; new ones work.
+type silentServer struct {
+	*httptest.Server
+	mu      sync.Mutex
+	opened  int
+	silent  int // connections up to this one are dead
+	holding chan struct{}
+	end     chan struct{}
+}
+
+func newSilentServer(t *testing.T) *silentServer {
+	s := &silentServer{holding: make(chan struct{}), end: make(chan struct{})}
+	s.Server = httptest.NewUnstartedServer(http.HandlerFunc(s.serve))
+	s.Config.ConnContext = func(ctx context.Context, _ net.Conn) context.Context {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.opened++
+		return context.WithValue(ctx, connKey{}, s.opened)
+	}
+	s.Start()
+	t.Cleanup(func() { close(s.end); s.Close() })
+	return s
+}
+
+func (s *silentServer) serve(_ http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	dead := r.Context().Value(connKey{}).(int) <= s.silent
+	s.mu.Unlock()
+	if dead {
+		<-s.end
+	}
+	if r.URL.Path == "/hold" {
+		<-s.holding
+	}
+}
+
+func (s *silentServer) get(c *http.Client, path string, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, s.URL+path, nil)
+	if err != nil {
+		return err
+	}
+	resp, err := c.Do(req)
+	if err != nil {
+		return err
+	}
+	return resp.Body.Close()
+}
+
+// One request without an answer is enough: the next goes out on a new
+// connection, however many silent ones were kept.
+func TestOneTimeoutIsEnough(t *testing.T) {
+	s := newSilentServer(t)
+	c := &http.Client{Transport: Transport{&http.Transport{MaxIdleConnsPerHost: 8}}}
+	const patience = 20 * time.Second
+	var wg sync.WaitGroup
+	for range 4 {
+		wg.Go(func() {
+			if err := s.get(c, "/hold", patience); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	for opened := 0; opened < 4; time.Sleep(time.Millisecond) {
+		s.mu.Lock()
+		opened = s.opened
+		s.mu.Unlock()
+	}
+	close(s.holding)
+	wg.Wait()
+	s.mu.Lock()
+	s.silent = s.opened
+	s.mu.Unlock()
+	if s.get(c, "/", 50*time.Millisecond) == nil {
+		t.Fatal("a silent connection answered")
+	}
+	if err := s.get(c, "/", patience); err != nil {
+		t.Fatalf("the next request waited on another silent connection: %v", err)
+	}
+}
