--- a/coordination/discovery/follow.go
+++ b/coordination/discovery/follow.go
@@ -23,8 +23,9 @@
 	// Pause between two watches, so that changes that come together cost one
 	// call.
 	Pause time.Duration
-	// Retry is the pause after a failed call.
-	Retry time.Duration
+	// Retry is the pause after a failed call; it doubles up to RetryMost with
+	// each further one in a row.
+	Retry, RetryMost time.Duration
 }
 
 // Follower decides between listing and watching one kind of object.
@@ -36,7 +37,8 @@
 	since    uint64
 	synced   bool
 	nextAt   time.Time
-	failedAt time.Time // first failure in a row; zero after a success
+	failures int       // in a row
+	failedAt time.Time // the first of them; zero after a success
 	okAt     time.Time // last success
 }
 
@@ -65,7 +67,7 @@
 
 // Listed reports a whole list as of a revision.
 func (f *Follower) Listed(now time.Time, revision uint64) {
-	f.since, f.synced = revision, true
+	f.since = revision
 	f.succeeded(now)
 }
 
@@ -79,15 +81,21 @@
 }
 
 func (f *Follower) succeeded(now time.Time) {
-	f.failedAt, f.okAt, f.nextAt = time.Time{}, now, now
+	f.Rest()
+	f.synced, f.okAt, f.nextAt = true, now, now
 }
 
-// HistoryLost reports that the store cannot tell what came after Since.
+// HistoryLost reports that the store cannot tell what came after Since: it is
+// there, and has said nothing.
 func (f *Follower) HistoryLost(now time.Time) {
-	f.synced = false
-	f.succeeded(now)
+	f.Rest()
+	f.nextAt = now
 }
 
+// Rest ends the following for as long as this daemon takes what it follows from
+// another one; the next call is a list.
+func (f *Follower) Rest() { f.synced, f.failedAt, f.failures = false, time.Time{}, 0 }
+
 // Failed reports a call without a usable answer. A watch that failed may have
 // missed what the store has told no one, so the next call is a list.
 func (f *Follower) Failed(now time.Time) {
@@ -95,5 +103,9 @@
 		f.failedAt = now
 	}
 	f.synced = false
-	f.nextAt = now.Add(f.opt.Retry)
+	f.nextAt = now.Add(min(max(f.opt.Retry, f.opt.RetryMost), f.opt.Retry<<min(f.failures, maxDoublings)))
+	f.failures++
 }
+
+// maxDoublings keeps the growing pause from overflowing.
+const maxDoublings = 10
--- /dev/null
+++ b/coordination/relay/relay_test.go
@@ -0,0 +1,149 @@
+package relay
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/doorvalve/doorvalve/coordination/discovery"
+	"github.com/doorvalve/doorvalve/coordination/membership"
+	"github.com/doorvalve/doorvalve/state/fleet"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func members(n, domains int) []membership.Member {
+	list := make([]membership.Member, n)
+	for i := range list {
+		list[i] = membership.Member{ID: fmt.Sprintf("d%d", i), FailureDomain: fmt.Sprintf("z%d", i%domains), Status: membership.Alive}
+	}
+	return list
+}
+
+func TestFewDaemonsFollowTheStore(t *testing.T) {
+	for n, most := range map[int]int{1: 1, 2: 2, 6: 2, 79: 4, 370: 15} {
+		list := members(n, 3)
+		watching, polls := 0, map[string]int{}
+		for _, m := range list {
+			watches, order := Upstreams(m, list)
+			if watches {
+				watching++
+				continue
+			}
+			if len(order) != most {
+				t.Fatalf("%d daemons: %s may take from %d watchers, not %d", n, m.ID, len(order), most)
+			}
+			polls[order[0].ID]++
+		}
+		if watching != most {
+			t.Errorf("%d of %d daemons follow the store, not %d", watching, n, most)
+		}
+		for id, p := range polls {
+			if p > 4*followersPerWatcher {
+				t.Errorf("%d daemons: %d of them poll %s first", n, p, id)
+			}
+		}
+	}
+}
+
+func TestOwnFailureDomainFirst(t *testing.T) {
+	list := members(79, 3)
+	watchers := map[string]bool{}
+	for _, w := range Watchers(list) {
+		watchers[w.FailureDomain] = true
+	}
+	for _, m := range list {
+		watches, order := Upstreams(m, list)
+		if !watches && watchers[m.FailureDomain] && order[0].FailureDomain != m.FailureDomain {
+			t.Fatalf("%s in %s takes from %s first", m.ID, m.FailureDomain, order[0].FailureDomain)
+		}
+	}
+}
+
+func TestAgeIsNeverForgotten(t *testing.T) {
+	s := NewSource(time.Second)
+	if s.FreshUntil().After(start) {
+		t.Fatal("fresh before the first word")
+	}
+	s.Heard(start, 400*time.Millisecond)
+	if got := s.FreshUntil(); got != start.Add(600*time.Millisecond) {
+		t.Fatalf("fresh until %v", got.Sub(start))
+	}
+	first := s.Pick(2)
+	s.Heard(start.Add(100*time.Millisecond), 5*time.Second)
+	if got := s.FreshUntil(); got != start.Add(600*time.Millisecond) {
+		t.Fatalf("older news moved it to %v", got.Sub(start))
+	}
+	if s.Pick(2) == first {
+		t.Fatal("an upstream that is behind is asked again")
+	}
+}
+
+// follower applies deltas as a daemon does.
+type follower struct {
+	registry *discovery.Registry
+	cursor   uint64
+	known    bool
+}
+
+func (f *follower) poll(now time.Time, l *ChangeLog, v *fleet.View) {
+	d := l.Since(f.cursor, f.known, v)
+	f.cursor, f.known = l.Change(), true
+	if d.Whole {
+		f.registry.List(now, d.Endpoints, v.Revision, time.Time{})
+		return
+	}
+	for _, e := range d.Endpoints {
+		f.registry.Put(e, v.Revision)
+	}
+	for _, id := range d.Gone {
+		f.registry.Remove(now, id, v.Revision, time.Time{})
+	}
+}
+
+// Random changes of a watcher's view and polls by a follower that now and then
+// loses its place or the watcher's memory of departures: after a poll, both
+// have the same endpoints.
+func TestFollowerHasWhatTheWatcherHas(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		watcher, l := discovery.NewRegistry(), NewChangeLog()
+		f := &follower{registry: discovery.NewRegistry()}
+		view, _ := watcher.View()
+		revision, now := uint64(1), start
+		left := map[string]bool{}
+		for range rapid.IntRange(1, 60).Draw(t, "events") {
+			revision++
+			id := fmt.Sprintf("e%d", rapid.IntRange(0, 5).Draw(t, "id"))
+			switch rapid.IntRange(0, 6).Draw(t, "event") {
+			case 0, 1, 2:
+				left[id] = left[id] || rapid.Bool().Draw(t, "leaving") // never comes back under its id
+				watcher.Put(&fleet.Endpoint{ID: id, Service: "s", Revision: revision, Leaving: left[id]}, revision)
+			case 3:
+				watcher.Remove(now, id, revision, time.Time{})
+			case 4:
+				f.known = false
+			case 5:
+				l.forgotten = l.change
+				l.gone = nil
+			case 6:
+				f.poll(now, l, view)
+			}
+			if next, changed := watcher.View(); changed {
+				l.Record(view, next)
+				view = next
+			}
+		}
+		f.poll(now, l, view)
+		got, _ := f.registry.View()
+		if len(got.ByID) != len(view.ByID) {
+			t.Fatalf("the follower has %d endpoints, the watcher %d", len(got.ByID), len(view.ByID))
+		}
+		for id, e := range view.ByID {
+			if g := got.ByID[id]; g == nil || g.Revision != e.Revision || g.Leaving != e.Leaving {
+				t.Fatalf("%s: the follower has %+v, the watcher %+v", id, g, e)
+			}
+		}
+	})
+}
--- a/daemon/edgedaemon/daemon.go
+++ b/daemon/edgedaemon/daemon.go
@@ -113,7 +113,10 @@
 	d.shareRetries(1)
 	d.store = platform.NewStore(set.Store.Address, set.Store.Timeout.D())
 	d.engines = platform.NewEngineClient(engineTimeout)
-	d.view = storeview.New(storeview.Options{Store: d.store, Decode: platform.DecodeDesiredState, Log: log, Peer: d.anyPeer, LeaveWithin: set.Timing.LeaveWithin.D()})
+	d.view = storeview.New(storeview.Options{
+		Store: d.store, Decode: platform.DecodeDesiredState, Log: log, Self: d.self, Peer: d.anyPeer, Upstreams: d.upstreams,
+		LeaveWithin: set.Timing.LeaveWithin.D(),
+	})
 	d.view.OnChange(d.changed)
 	d.gossip = gossip.New(hclog.NewNullLogger(), d.peers, d.seeds, membership.DefaultOptions(uint64(time.Now().UnixNano())), d.member())
 	d.callers = edge.New(edge.Options{
@@ -233,7 +236,7 @@
 		d.addServer(&g, d.listeners.metrics, d.reporter.HTTPHandler())
 	}
 	for _, actor := range []func(context.Context) error{
-		d.gossip.Run, d.view.RunDesiredState, d.view.RunEndpoints, d.view.RunPeers, d.runDemand, d.runStop,
+		d.gossip.Run, d.view.RunDesiredState, d.view.RunEndpoints, d.view.RunRelay, d.view.RunPeers, d.runDemand, d.runStop,
 	} {
 		actorCtx, stop := context.WithCancel(ctx)
 		g.Add(func() error { return actor(actorCtx) }, func(error) { stop() })
--- a/daemon/edgedaemon/peers.go
+++ b/daemon/edgedaemon/peers.go
@@ -9,6 +9,7 @@
 	"github.com/twitchtv/twirp"
 
 	"github.com/doorvalve/doorvalve/coordination/membership"
+	"github.com/doorvalve/doorvalve/coordination/relay"
 	"github.com/doorvalve/doorvalve/coordination/residency"
 	"github.com/doorvalve/doorvalve/driver/coordinator"
 	"github.com/doorvalve/doorvalve/driver/decisions"
@@ -96,6 +97,16 @@
 	return d.fleet(others[rand.IntN(len(others))])
 }
 
+// upstreams reports whether this daemon follows the store itself, and returns
+// the daemons to take from otherwise, the best first.
+func (d *Daemon) upstreams() (watches bool, order []fleetpb.Fleet) {
+	watches, members := relay.Upstreams(d.member(), d.alive())
+	for _, m := range members {
+		order = append(order, d.fleet(m.PeerAddress))
+	}
+	return watches, order
+}
+
 const (
 	// wantTimeout bounds a question to the coordinator, which answers from
 	// memory.
@@ -219,9 +230,9 @@
 	return &fleetpb.DemandResponse{}, nil
 }
 
-// State implements fleetpb.Fleet.
-func (s *fleetServer) State(_ context.Context, req *fleetpb.StateRequest) (*fleetpb.StateResponse, error) {
-	return s.view.State(req)
+// Follow implements fleetpb.Fleet.
+func (s *fleetServer) Follow(ctx context.Context, req *fleetpb.FollowRequest) (*fleetpb.FollowResponse, error) {
+	return s.view.Follow(ctx, req)
 }
 
 // gossipServer serves the part of peerpb.Peer that these daemons use.
--- a/driver/coordinator/coordinator.go
+++ b/driver/coordinator/coordinator.go
@@ -25,6 +25,9 @@
 	// leaseTerm is the life of a lease without renewal. A renewal is due every
 	// third of it, and the store may take half a second on a slow day.
 	leaseTerm = 2 * time.Second
+	// leaseTimeout bounds a call for the lease: one whose answer is lost must
+	// leave the time to read back before the hold ends.
+	leaseTimeout = leaseTerm / 4
 	// marginDivisor: a holder stops a quarter of the term early.
 	marginDivisor = 4
 	// orderSlack is added to the gap between two holders' orders: the time
@@ -232,6 +235,8 @@
 }
 
 func (c *Coordinator) readLease(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, leaseTimeout)
+	defer cancel()
 	var rec lease.Record
 	version, err := c.opt.Lease.ReadLease(ctx, c.opt.Service, &rec)
 	missing := errors.Is(err, lease.ErrNotFound)
@@ -245,6 +250,8 @@
 }
 
 func (c *Coordinator) writeLease(ctx context.Context, w lease.Write) {
+	ctx, cancel := context.WithTimeout(ctx, leaseTimeout)
+	defer cancel()
 	version, outcome, err := c.opt.Lease.WriteLease(ctx, c.opt.Service, w.ExpectedVersion, w.Record)
 	if err != nil {
 		c.opt.Log.Info("lease not written", "service", c.opt.Service, "fence", w.Record.Fence, "error", err)
--- a/driver/decisions/log.go
+++ b/driver/decisions/log.go
@@ -24,6 +24,7 @@
 	EventDesiredRejected  = "desired state rejected"
 	EventEndpoints        = "endpoints changed"
 	EventEndpointRejected = "endpoint entry rejected"
+	EventStoreRole        = "role towards the store changed"
 	EventLease            = "lease changed"
 	EventOrder            = "order sent"
 	EventAnswered         = "request answered"
--- a/driver/storeview/storeview_test.go
+++ b/driver/storeview/storeview_test.go
@@ -212,12 +212,15 @@
 
 // view returns a running view of a store.
 func (b *bubble) view(s Store, change func(*Options)) *View {
-	opt := Options{Store: s, Decode: decodeVersion, Log: b.log, LeaveWithin: leaveWithin, Peer: func() fleetpb.Fleet { return nil }}
+	opt := Options{
+		Store: s, Decode: decodeVersion, Log: b.log, LeaveWithin: leaveWithin, Self: "alone", Peer: func() fleetpb.Fleet { return nil },
+		Upstreams: func() (bool, []fleetpb.Fleet) { return true, nil },
+	}
 	if change != nil {
 		change(&opt)
 	}
 	v, ctx := New(opt), b.ctx
-	for _, run := range []func(context.Context) error{v.RunDesiredState, v.RunEndpoints, v.RunPeers} {
+	for _, run := range []func(context.Context) error{v.RunDesiredState, v.RunEndpoints, v.RunRelay, v.RunPeers} {
 		go func() { _ = run(ctx) }()
 	}
 	return v
@@ -251,3 +254,240 @@
 		}
 	})
 }
+
+// upstream is another daemon's view as a peer: reachable, or silent.
+type upstream struct {
+	fleetpb.Fleet
+	view  *View
+	mu    sync.Mutex
+	mute  bool
+	polls int
+}
+
+func (u *upstream) setMute(mute bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.mute = mute
+}
+
+func (u *upstream) Follow(ctx context.Context, req *fleetpb.FollowRequest) (*fleetpb.FollowResponse, error) {
+	u.mu.Lock()
+	mute := u.mute
+	u.polls++
+	u.mu.Unlock()
+	if mute {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	return u.view.Follow(ctx, req)
+}
+
+// follower returns a running view that takes from others, and its own way to
+// the store.
+func (b *bubble) follower(s Store, order ...*upstream) *View {
+	list := make([]fleetpb.Fleet, len(order))
+	for i, u := range order {
+		list[i] = u
+	}
+	return b.view(s, func(o *Options) {
+		o.Self = "follower"
+		o.Upstreams = func() (bool, []fleetpb.Fleet) { return false, list }
+	})
+}
+
+// way is the same store as one daemon reaches it.
+type way struct {
+	*fakeStore
+	mu  sync.Mutex
+	cut bool
+	n   int
+}
+
+func (w *way) call() error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.n++
+	if w.cut {
+		return errAway
+	}
+	return nil
+}
+
+func (w *way) setCut(cut bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cut = cut
+}
+
+func (w *way) calls() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.n
+}
+
+func (w *way) ListEndpoints(ctx context.Context) ([]*fleet.Endpoint, uint64, []error, error) {
+	if err := w.call(); err != nil {
+		return nil, 0, nil, err
+	}
+	return w.fakeStore.ListEndpoints(ctx)
+}
+
+func (w *way) ReadDesiredState(ctx context.Context) ([]byte, uint64, error) {
+	if err := w.call(); err != nil {
+		return nil, 0, err
+	}
+	return w.fakeStore.ReadDesiredState(ctx)
+}
+
+// A watch over a way that is cut hears nothing until it is given up on.
+func (w *way) WatchEndpoints(ctx context.Context, since uint64, wait time.Duration) ([]discovery.Change, uint64, []error, error) {
+	if w.call() != nil {
+		<-ctx.Done()
+		return nil, 0, nil, ctx.Err()
+	}
+	return w.fakeStore.WatchEndpoints(ctx, since, wait)
+}
+
+func (w *way) WatchDesiredState(ctx context.Context, since uint64, wait time.Duration) ([]byte, uint64, error) {
+	if w.call() != nil {
+		<-ctx.Done()
+		return nil, 0, ctx.Err()
+	}
+	return w.fakeStore.WatchDesiredState(ctx, since, wait)
+}
+
+// pair is two daemons that follow the store and one that takes from them.
+type pair struct {
+	store    *fakeStore
+	ways     [3]*way
+	first    *upstream
+	second   *upstream
+	follower *View
+}
+
+func (b *bubble) pair() *pair {
+	p := &pair{store: newFakeStore()}
+	for i := range p.ways {
+		p.ways[i] = &way{fakeStore: p.store}
+	}
+	named := func(name string) func(*Options) { return func(o *Options) { o.Self = name } }
+	p.store.setEndpoint(fleet.Endpoint{ID: "a", Service: "llm"})
+	p.store.setEndpoint(fleet.Endpoint{ID: "b", Service: "llm"})
+	p.first = &upstream{view: b.view(p.ways[0], named("first"))}
+	p.second = &upstream{view: b.view(p.ways[1], named("second"))}
+	p.follower = b.follower(p.ways[2], p.first, p.second)
+	time.Sleep(5 * time.Second)
+	if p.follower.Table().Version != 1 || !p.follower.takes("a") || !p.follower.takes("b") {
+		b.t.Fatal("the follower does not know what the others know")
+	}
+	return p
+}
+
+// change writes what must be in force within the drain bound.
+func (p *pair) change() {
+	p.store.setConfig(2)
+	p.store.setEndpoint(fleet.Endpoint{ID: "a", Service: "llm", Leaving: true})
+	p.store.remove("b")
+}
+
+func (p *pair) inForce(t *testing.T) {
+	t.Helper()
+	if p.follower.Table().Version != 2 {
+		t.Error("the desired state is not in force")
+	}
+	if p.follower.takes("a") || p.follower.takes("b") {
+		t.Error("endpoints that leave or are gone still take requests")
+	}
+}
+
+// In calm, a daemon that takes from others makes no call to the store, and
+// hears of changes as soon as they do.
+func TestFollowerNeedsNoStore(t *testing.T) {
+	inBubble(t, func(b *bubble) {
+		p := b.pair()
+		before := p.ways[2].calls()
+		time.Sleep(time.Minute)
+		if n := p.ways[2].calls() - before; n != 0 {
+			t.Errorf("%d calls to the store in a calm minute", n)
+		}
+		p.change()
+		time.Sleep(600 * time.Millisecond)
+		p.inForce(t)
+	})
+}
+
+// Whatever happens to the daemon that it takes from, a follower that reaches
+// the store has a change in force within the drain bound of its confirmation.
+func TestFollowerKeepsTheBound(t *testing.T) {
+	for name, harm := range map[string]func(p *pair){
+		"upstream frozen":        func(p *pair) { p.first.setMute(true) },
+		"both upstreams frozen":  func(p *pair) { p.first.setMute(true); p.second.setMute(true) },
+		"upstream cut off":       func(p *pair) { p.ways[0].setCut(true) },
+		"both upstreams cut off": func(p *pair) { p.ways[0].setCut(true); p.ways[1].setCut(true) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			for offset := time.Duration(0); offset < 2*time.Second; offset += 130 * time.Millisecond {
+				inBubble(t, func(b *bubble) {
+					p := b.pair()
+					time.Sleep(offset)
+					harm(p)
+					p.change()
+					time.Sleep(leaveWithin - 400*time.Millisecond)
+					p.inForce(t)
+				})
+			}
+		})
+	}
+}
+
+// A daemon that the store turns away hears of changes through the others.
+func TestFollowerThatTheStoreTurnsAway(t *testing.T) {
+	inBubble(t, func(b *bubble) {
+		p := b.pair()
+		p.ways[2].setCut(true)
+		p.ways[0].setCut(true)
+		time.Sleep(5 * time.Second)
+		p.change()
+		time.Sleep(leaveWithin)
+		p.inForce(t)
+	})
+}
+
+// Entries that one upstream still keeps in their grace, and the next does not
+// know, are not kept for ever.
+func TestFollowerForgetsWithItsUpstream(t *testing.T) {
+	inBubble(t, func(b *bubble) {
+		p := b.pair()
+		p.store.setAway(true)
+		time.Sleep(3 * time.Second)
+		p.store.remove("a")
+		p.ways[2].setCut(true) // it hears of the return through others only
+		p.store.setAway(false)
+		time.Sleep(1500 * time.Millisecond)
+		p.first.setMute(true)
+		p.second.setMute(true)
+		time.Sleep(4 * time.Second)
+		p.second.setMute(false)
+		time.Sleep(2 * time.Second)
+		if p.follower.takes("a") {
+			t.Error("an entry is kept that nobody names any more")
+		}
+		if !p.follower.takes("b") {
+			t.Error("an entry that stayed is gone")
+		}
+	})
+}
+
+// Calls to a store that is away grow rarer.
+func TestFailedCallsGrowRarer(t *testing.T) {
+	inBubble(t, func(b *bubble) {
+		s := newFakeStore()
+		b.view(s, nil)
+		time.Sleep(5 * time.Second)
+		s.setAway(true)
+		time.Sleep(10 * time.Second)
+		if _, failed := s.counts(); failed > 28 {
+			t.Errorf("%d failed calls in ten seconds", failed)
+		}
+	})
+}
