edge: the only holder that refuses is asked again; vacancies of a coordinator are estimated

Now the only holder is named again after 250 ms; a vacancy is estimated from the lease term and the order gap, or from the outage of the store.

--- a/coordination/residency/types.go
+++ b/coordination/residency/types.go
@@ -85,7 +85,8 @@
 	Model   string
 	Adapter string
 	Rank    int // of the request; 0 is first
-	// Avoid is an endpoint that has just failed for this request.
+	// Avoid is an endpoint that has just failed for this request; it is named
+	// again only if no other holds the model, and after a pause.
 	Avoid string
 	// Absent is an endpoint that has just said that it does not hold the model
 	// or adapter.
@@ -184,6 +185,11 @@
 	// activeCost is what an engine's models in use count against a long load
 	// there, which keeps their adapters out meanwhile.
 	activeCost = 400 * time.Millisecond
+	// avoidedCost keeps a request away from the endpoint that has just failed
+	// it, unless no other holds the model: it then waits for avoidedPause, in
+	// which a full engine ends some requests.
+	avoidedCost  = time.Hour
+	avoidedPause = 250 * time.Millisecond
 	// retryBusy is the pause after an order that found the engine busy.
 	retryBusy = 80 * time.Millisecond
 	// valueHalfLife is how fast old wants lose weight against new ones: some
--- a/coordination/residency/want.go
+++ b/coordination/residency/want.go
@@ -58,10 +58,13 @@
 	bestCost := time.Duration(0)
 	for id, w := range p.workers {
 		r := w.models[want.Model]
-		if r == nil || !w.usable() || id == want.Avoid {
+		if r == nil || !w.usable() {
 			continue
 		}
 		cost, ok := p.residentCost(now, w, r, want)
+		if id == want.Avoid {
+			cost += avoidedCost
+		}
 		if ok && (best == nil || cost < bestCost || cost == bestCost && r.lastUse.Before(best.models[want.Model].lastUse)) {
 			best, bestCost = w, cost
 		}
@@ -72,6 +75,9 @@
 	r := best.models[want.Model]
 	r.lastUse = now
 	a := Answer{EndpointID: best.endpoint.ID, Level: Resident, ReadyIn: max(0, r.readyAt.Sub(now))}
+	if best.endpoint.ID == want.Avoid {
+		a.ReadyIn = max(a.ReadyIn, avoidedPause)
+	}
 	if want.Adapter != "" {
 		a.ReadyIn = max(a.ReadyIn, p.wantAdapter(now, best, r, want))
 	}
--- a/daemon/edgedaemon/daemon.go
+++ b/daemon/edgedaemon/daemon.go
@@ -89,6 +89,7 @@
 	stopped      chan struct{}             // closed then
 	lastSent     map[string]int
 	holders      holderHealth
+	vacancies    vacancies
 }
 
 type listeners struct{ callers, directory, readiness, peers, metrics net.Listener }
@@ -101,7 +102,8 @@
 		set: set, log: log, self: set.Host + "-" + nonce(), coordinators: map[string]*coordinator.Coordinator{},
 		fleets: map[string]fleetpb.Fleet{}, lastSent: map[string]int{}, stopped: make(chan struct{}),
 		peers: peers.NewClient(""), balancer: balance.New(set.FailureDomain),
-		budget: retry.NewEarnedBudget(set.Retries.Ratio * retryPart),
+		budget:    retry.NewEarnedBudget(set.Retries.Ratio * retryPart),
+		vacancies: vacancies{takeover: coordinator.Takeover(set.Timing.OrderGap.D())},
 	}
 	if err := d.listen(); err != nil {
 		return nil, err
--- a/daemon/edgedaemon/peers.go
+++ b/daemon/edgedaemon/peers.go
@@ -111,19 +111,32 @@
 	// wantTimeout bounds a question to the coordinator, which answers from
 	// memory.
 	wantTimeout = 300 * time.Millisecond
-	// noHolderPause is when to ask again while no daemon coordinates.
+	// noHolderPause is what a daemon that does not coordinate a service tells
+	// one that thought so.
 	noHolderPause = time.Second
 )
 
 // Want implements edge.Locator.
 func (d *Daemon) Want(ctx context.Context, service string, w residency.Want) residency.Answer {
+	a := d.ask(ctx, service, w)
+	if a.Refused != residency.RefusedNoHolder {
+		d.vacancies.filled(service)
+		return a
+	}
+	now := time.Now()
+	a.ReadyIn = d.vacancies.readyIn(now, service, d.view.Silent(now))
+	return a
+}
+
+// ask asks a service's coordinator.
+func (d *Daemon) ask(ctx context.Context, service string, w residency.Want) residency.Answer {
 	own := d.coordinates(service)
 	address := d.holder(service)
 	if own != nil && (own.Holds() || address == "" || address == d.set.Listen.Peers) {
 		return own.Want(w)
 	}
 	if address == "" || d.holders.silent(address, time.Now()) {
-		return residency.Answer{Refused: residency.RefusedNoHolder, ReadyIn: noHolderPause}
+		return residency.Answer{Refused: residency.RefusedNoHolder}
 	}
 	caller := ctx
 	ctx, cancel := context.WithTimeout(ctx, wantTimeout)
@@ -133,7 +146,7 @@
 		if caller.Err() == nil && d.holders.failed(address, time.Now()) {
 			d.log.Warn(decisions.EventDependencyLost, "dependency", "coordinator", "service", service, "holder", address, "error", err)
 		}
-		return residency.Answer{Refused: residency.RefusedNoHolder, ReadyIn: noHolderPause}
+		return residency.Answer{Refused: residency.RefusedNoHolder}
 	}
 	if d.holders.answered(address) {
 		d.log.Info(decisions.EventDependencyBack, "dependency", "coordinator", "service", service, "holder", address)
--- a/driver/coordinator/coordinator.go
+++ b/driver/coordinator/coordinator.go
@@ -35,6 +35,10 @@
 	orderSlack = 300 * time.Millisecond
 )
 
+// Takeover returns how long a service is without orders after its coordinator
+// has died, when its successor must leave a gap between their orders.
+func Takeover(orderGap time.Duration) time.Duration { return leaseTerm + orderGap + orderSlack }
+
 // LeaseStore keeps the lease.
 type LeaseStore interface {
 	ReadLease(ctx context.Context, name string, v any) (version uint64, err error)
--- a/transport/edge/run.go
+++ b/transport/edge/run.go
@@ -163,14 +163,14 @@
 	if q.service.Engine == nil || q.call.Model == "" {
 		return s.locatePlain(q, exclude)
 	}
+	avoid := ""
+	if len(exclude) > 0 {
+		avoid = exclude[len(exclude)-1]
+	}
 	for {
 		if e := s.locateKnown(q, exclude); e != nil {
 			return e, nil
 		}
-		avoid := ""
-		if len(exclude) > 0 {
-			avoid = exclude[len(exclude)-1]
-		}
 		ans := s.opt.Locator.Want(ctx, q.service.Name, residency.Want{Model: q.call.Model, Adapter: q.call.Adapter, Rank: q.route.Rank, Avoid: avoid, Absent: absent})
 		absent = "" // told once
 		if ctx.Err() != nil {
@@ -194,6 +194,7 @@
 		if refusal := s.wait(ctx, q, ans); refusal != nil {
 			return nil, refusal
 		}
+		avoid = "" // it has had its pause
 	}
 }
 
