callers: a body that is far too large is drained before its 413; a body that names a field twice is refused

Tests, red without the guards: TestBadInputTooLargeBodyIsAnswered, TestBadInputModelNamedTwice, TestParseHead; FuzzParseHead.

--- a/transport/callers/call.go
+++ b/transport/callers/call.go
@@ -4,8 +4,8 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -19,6 +19,7 @@
 	"github.com/doorvalve/doorvalve/protocol"
 	"github.com/doorvalve/doorvalve/state/bundle"
 	"github.com/doorvalve/doorvalve/state/snapshot"
+	"github.com/doorvalve/doorvalve/transport/bodies"
 	"github.com/doorvalve/doorvalve/transport/proxy"
 )
 
@@ -40,12 +41,6 @@
 	gate *gate.Gate
 }
 
-// completionHead is the part of a model call that routing needs.
-type completionHead struct {
-	Model  string `json:"model"`
-	Stream bool   `json:"stream"`
-}
-
 // prefixBytes is how much of a body counts as its prefix for affinity.
 const prefixBytes = 1024
 
@@ -55,9 +50,9 @@
 	if refusal != nil {
 		return refusal
 	}
-	var head completionHead
-	if err := json.Unmarshal(cl.body, &head); err != nil || head.Model == "" {
-		return protocol.Refuse(http.StatusBadRequest, "bad-request", `a JSON body with "model" is needed`, 0)
+	head, err := parseHead(cl.body)
+	if err != nil {
+		return protocol.Refuse(http.StatusBadRequest, "bad-request", err.Error(), 0)
 	}
 	unit, ok := conf.Units[head.Model]
 	if !ok {
@@ -114,12 +109,13 @@
 		}
 		timeout = min(time.Duration(ms)*time.Millisecond, conf.Bundle.Claims.Retention.D())
 	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, s.opt.Limits.BodyBytes+1))
-	if err != nil {
-		return nil, ident, protocol.Refuse(http.StatusBadRequest, "body-cut", "the body did not arrive whole", 0)
-	}
-	if int64(len(body)) > s.opt.Limits.BodyBytes {
+	body, err := bodies.Read(r, s.opt.Limits.BodyBytes)
+	switch {
+	case errors.Is(err, bodies.ErrTooLarge):
+		bodies.Drain(c.Response(), r)
 		return nil, ident, protocol.Refuse(http.StatusRequestEntityTooLarge, "body-too-large", fmt.Sprintf("a body may have %d bytes", s.opt.Limits.BodyBytes), 0)
+	case err != nil:
+		return nil, ident, protocol.Refuse(http.StatusBadRequest, "body-cut", "the body did not arrive whole", 0)
 	}
 	return &call{
 		id: id, method: r.Method, header: r.Header, body: body, worth: ident.Class.Worth, deadline: now.Add(timeout),
--- a/transport/edge/server.go
+++ b/transport/edge/server.go
@@ -22,6 +22,7 @@
 	"github.com/doorvalve/doorvalve/protocol"
 	"github.com/doorvalve/doorvalve/state/fleet"
 	"github.com/doorvalve/doorvalve/state/routing"
+	"github.com/doorvalve/doorvalve/transport/bodies"
 )
 
 // Locator finds the engine that holds or will hold a model.
@@ -208,7 +209,7 @@
 		h.Set(protocol.HeaderRequestID, q.call.ID)
 	}
 	if refusal.Status == http.StatusRequestEntityTooLarge {
-		s.drain(w, r)
+		bodies.Drain(w, r)
 	}
 	wait := refusal.RetryAfter
 	refusal.RetryAfter = 0 // written here, with fractions
