storeview: compact deltas, watchers in each large failure domain, a start beside others needs no store

Endpoints travel as protobuf without copies; failure domains with 8 daemons or more have watchers of their own; a start waits 0.15 s for others to tell it.

--- a/coordination/relay/relay.go
+++ b/coordination/relay/relay.go
@@ -16,17 +16,44 @@
 	// followersPerWatcher bounds the daemons that poll one watcher: two polls a
 	// second of each are some hundredths of a core.
 	followersPerWatcher = 24
+	// largeDomain is the number of daemons from which a failure domain has a
+	// watcher of its own: fewer cost less by polling another domain.
+	largeDomain = 8
 	// watchersKey ranks the daemons that follow the store.
 	watchersKey = "store-watchers"
 )
 
-// Watchers returns the daemons that follow the store themselves. Daemons with
-// the same view of the members pick the same ones, and few change when a
-// member comes or goes.
+// Watchers returns the daemons that follow the store themselves: some of each
+// large failure domain, so that little is sent between domains, and two at
+// least. Daemons with the same view of the members pick the same ones, and few
+// change when a member comes or goes.
 func Watchers(members []membership.Member) []membership.Member {
 	ranked := membership.Rendezvous(watchersKey, members)
-	n := max(leastWatchers, (len(ranked)+followersPerWatcher)/(followersPerWatcher+1))
-	return ranked[:min(n, len(ranked))]
+	inDomain := map[string]int{}
+	for _, m := range ranked {
+		inDomain[m.FailureDomain]++
+	}
+	var watchers, others []membership.Member
+	taken := map[string]int{}
+	for _, m := range ranked {
+		if taken[m.FailureDomain] < ownWatchers(inDomain[m.FailureDomain]) {
+			taken[m.FailureDomain]++
+			watchers = append(watchers, m)
+		} else {
+			others = append(others, m)
+		}
+	}
+	missing := leastWatchers - len(watchers)
+	return append(watchers, others[:min(max(0, missing), len(others))]...)
+}
+
+// ownWatchers returns how many daemons of a failure domain with n daemons
+// follow the store for the others there.
+func ownWatchers(n int) int {
+	if n < largeDomain {
+		return 0
+	}
+	return (n + followersPerWatcher) / (followersPerWatcher + 1)
 }
 
 // Upstreams reports whether a daemon follows the store itself, and otherwise
--- a/driver/storeview/follow.go
+++ b/driver/storeview/follow.go
@@ -78,10 +78,13 @@
 func (v *View) relayedUntil(f *discovery.Follower, what string) time.Time {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	now, until := time.Now(), v.source.FreshUntil()
+	if v.source.SeenAt().IsZero() {
+		return v.directFrom // nobody has told anything yet
+	}
 	if v.watches {
 		return time.Time{}
 	}
-	now, until := time.Now(), v.source.FreshUntil()
 	if !now.Before(until) {
 		return until
 	}
--- a/driver/storeview/peers.go
+++ b/driver/storeview/peers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
 	"github.com/doorvalve/doorvalve/coordination/discovery"
@@ -10,7 +9,6 @@
 	"github.com/doorvalve/doorvalve/driver/decisions"
 	"github.com/doorvalve/doorvalve/internal/pause"
 	"github.com/doorvalve/doorvalve/protocol/fleetpb"
-	"github.com/doorvalve/doorvalve/state/fleet"
 )
 
 const (
@@ -29,6 +27,11 @@
 	// rolePause is the pause before a daemon that follows the store looks again
 	// whether it still should.
 	rolePause = 500 * time.Millisecond
+	// startGrace is how long a daemon that has just started waits for others to
+	// tell it what the store says: they are a join and a poll away. It looks
+	// for them each startPause.
+	startGrace = 150 * time.Millisecond
+	startPause = 20 * time.Millisecond
 	// maxPoll bounds the wait that a caller of Follow may ask for.
 	maxPoll = 2 * time.Second
 	// graceTick is how often entries in their grace are looked at.
@@ -53,7 +56,7 @@
 		watches, order := v.opt.Upstreams()
 		v.setRole(watches)
 		if watches {
-			pause.For(ctx, rolePause)
+			pause.For(ctx, v.lookAgain())
 			continue
 		}
 		v.mu.Lock()
@@ -73,6 +76,15 @@
 	return nil
 }
 
+// lookAgain returns the pause before a daemon that follows the store looks
+// again whether it still should.
+func (v *View) lookAgain() time.Duration {
+	if time.Now().Before(v.directFrom) {
+		return startPause
+	}
+	return rolePause
+}
+
 // setRole logs whether this daemon follows the store itself.
 func (v *View) setRole(watches bool) {
 	v.mu.Lock()
@@ -158,13 +170,7 @@
 
 // take adopts what another daemon has told.
 func (v *View) take(resp *fleetpb.FollowResponse, age time.Duration) error {
-	var list []*fleet.Endpoint
-	if len(resp.Endpoints) > 0 {
-		if err := json.Unmarshal(resp.Endpoints, &list); err != nil {
-			v.opt.Log.Error(decisions.EventEndpointRejected, "from", "peer", "source", resp.Source, "error", err)
-			return err
-		}
-	}
+	list := fromWire(resp.Endpoints)
 	if len(resp.Config) > 0 {
 		if err := v.adoptDesired(resp.Config, "peer", resp.EndpointsRevision); err != nil {
 			return err
@@ -199,7 +205,8 @@
 	for over := req.WaitMs <= 0; ; {
 		resp, delta, told := v.newer(req)
 		if over || len(resp.Config) > 0 || !delta.Empty() || v.SeenAt().After(first) {
-			return encodeDelta(resp, delta)
+			resp.Whole, resp.Gone, resp.Endpoints = delta.Whole, delta.Gone, toWire(delta.Endpoints)
+			return resp, nil
 		}
 		select {
 		case <-ctx.Done():
@@ -254,13 +261,3 @@
 	}
 	return v.endpoints.SeenAt()
 }
-
-func encodeDelta(resp *fleetpb.FollowResponse, d relay.Delta) (*fleetpb.FollowResponse, error) {
-	resp.Whole, resp.Gone = d.Whole, d.Gone
-	if len(d.Endpoints) == 0 {
-		return resp, nil
-	}
-	encoded, err := json.Marshal(d.Endpoints)
-	resp.Endpoints = encoded
-	return resp, err
-}
--- a/driver/storeview/storeview.go
+++ b/driver/storeview/storeview.go
@@ -55,6 +55,7 @@
 	endpoints  *discovery.Follower
 	config     *discovery.Follower
 	graceUntil time.Time // entries that go missing before may only have lapsed
+	directFrom time.Time // the store is asked from then on, at the latest
 	watches    bool      // this daemon follows the store itself
 	source     *relay.Source
 	place      place            // in the changes of the upstream
@@ -71,6 +72,7 @@
 	}
 	v.endpoints = discovery.NewFollower(discovery.FollowOptions{Pause: v.part(gatherPart), Retry: retryFirst, RetryMost: retryMost})
 	v.source = relay.NewSource(v.part(stalePart))
+	v.directFrom = time.Now().Add(startGrace)
 	v.view.Store(fleet.NewView(0, nil))
 	return v
 }
--- /dev/null
+++ b/driver/storeview/wire.go
@@ -0,0 +1,37 @@
+package storeview
+
+import (
+	"time"
+
+	"github.com/doorvalve/doorvalve/protocol/fleetpb"
+	"github.com/doorvalve/doorvalve/state/fleet"
+)
+
+// toWire encodes endpoints for another daemon, without the copies of models.
+func toWire(list []*fleet.Endpoint) []*fleetpb.Endpoint {
+	out := make([]*fleetpb.Endpoint, len(list))
+	for i, e := range list {
+		out[i] = &fleetpb.Endpoint{
+			Id: e.ID, Service: e.Service, Address: e.Address, Domain: e.Domain, Slots: int32(e.Slots),
+			Leaving: e.Leaving, RemainingMs: e.Remaining.Milliseconds(), Revision: e.Revision,
+		}
+		for _, m := range e.Models {
+			out[i].Models = append(out[i].Models, &fleetpb.Loaded{Model: m.Model, Version: int32(m.Version), Adapters: m.Adapters})
+		}
+	}
+	return out
+}
+
+func fromWire(list []*fleetpb.Endpoint) []*fleet.Endpoint {
+	out := make([]*fleet.Endpoint, len(list))
+	for i, e := range list {
+		out[i] = &fleet.Endpoint{
+			ID: e.Id, Service: e.Service, Address: e.Address, Domain: e.Domain, Slots: int(e.Slots),
+			Leaving: e.Leaving, Remaining: time.Duration(e.RemainingMs) * time.Millisecond, Revision: e.Revision,
+		}
+		for _, m := range e.Models {
+			out[i].Models = append(out[i].Models, fleet.Loaded{Model: m.Model, Version: int(m.Version), Adapters: m.Adapters})
+		}
+	}
+	return out
+}
