residency: a holder that a daemon cannot reach is asked at once, and replaced

A daemon's failed connection now has the coordinator ask the engine; one report that does not come then is enough.

--- a/coordination/residency/planner.go
+++ b/coordination/residency/planner.go
@@ -46,9 +46,10 @@
 // worker is what the planner believes of one engine.
 type worker struct {
 	endpoint *fleet.Endpoint
-	known    bool // its sequence and models are known
-	down     bool // it does not answer; it gets nothing until it reports
-	silent   int  // reports that did not come, in a row
+	known    bool      // its sequence and models are known
+	down     bool      // it does not answer; it gets nothing until it reports
+	silent   int       // reports that did not come, in a row
+	heardAt  time.Time // of the last report
 	sequence uint64
 	models   map[string]*replica
 	inMemory map[string]bool
@@ -160,7 +161,7 @@
 	if w == nil {
 		return
 	}
-	w.asking, w.down, w.silent = false, false, 0
+	w.asking, w.down, w.silent, w.heardAt = false, false, 0, now
 	w.probe = time.Time{}
 	p.adopt(now, w, r)
 	if !w.known || w.order != nil {
--- a/coordination/residency/planner_test.go
+++ b/coordination/residency/planner_test.go
@@ -142,6 +142,37 @@
 	}
 }
 
+// A holder that a daemon cannot reach, and that gives no report when it is
+// asked at once, is replaced long before its entry in the store lapses.
+func TestUnreachableHolderIsReplaced(t *testing.T) {
+	w := newWorld(12, 3)
+	w.run(time.Second)
+	want := Want{Model: "m00"}
+	first := w.p.Want(w.now, want)
+	if first.EndpointID != "e0" {
+		t.Fatalf("m00 is at %q", first.EndpointID)
+	}
+	w.engines = w.engines[1:] // it has crashed; its entry is still there
+	want.Avoid, want.Unreachable = "e0", true
+	w.p.Want(w.now, want)
+	w.run(100 * time.Millisecond)
+	if a := w.p.Want(w.now, Want{Model: "m00"}); a.EndpointID == "e0" || a.Refused != "" {
+		t.Fatalf("still expected at the engine that is gone: %+v", a)
+	}
+}
+
+// A daemon that cannot reach an engine proves nothing while the engine answers
+// the coordinator.
+func TestUnreachableForOneDaemonOnly(t *testing.T) {
+	w := newWorld(12, 3)
+	w.run(time.Second)
+	w.p.Want(w.now, Want{Model: "m00", Avoid: "e0", Unreachable: true})
+	w.run(time.Second)
+	if a := w.p.Want(w.now, Want{Model: "m00"}); a.EndpointID != "e0" || a.ReadyIn > 0 {
+		t.Fatalf("given up on for one daemon's word: %+v", a)
+	}
+}
+
 func (w *world) check(t interface{ Fatalf(string, ...any) }) {
 	for _, e := range w.engines {
 		if e.overloaded {
--- a/coordination/residency/types.go
+++ b/coordination/residency/types.go
@@ -88,6 +88,8 @@
 	// Avoid is an endpoint that has just failed for this request; it is named
 	// again only if no other holds the model, and after a pause.
 	Avoid string
+	// Unreachable says that the connection to Avoid could not be opened.
+	Unreachable bool
 	// Absent is an endpoint that has just said that it does not hold the model
 	// or adapter.
 	Absent string
--- a/coordination/residency/want.go
+++ b/coordination/residency/want.go
@@ -15,6 +15,9 @@
 	if want.Absent != "" {
 		p.absent(now, want)
 	}
+	if want.Unreachable {
+		p.unreachable(now, want.Avoid)
+	}
 	if a, ok := p.wantResident(now, want); ok {
 		return a
 	}
@@ -31,6 +34,18 @@
 	return a
 }
 
+// unreachable takes a daemon's word that it cannot connect to an engine. The
+// engine is asked for a report at once, and one that does not come is enough to
+// take it for down.
+func (p *Planner) unreachable(now time.Time, id string) {
+	w := p.workers[id]
+	if w == nil || w.down || now.Sub(w.heardAt) < reportLag {
+		return
+	}
+	w.silent = max(w.silent, silentReports-1)
+	w.probe = now
+}
+
 // absent takes an engine's word that it does not hold what it was thought to.
 // A report has to tell what it does hold.
 func (p *Planner) absent(now time.Time, want Want) {
--- a/daemon/edgedaemon/peers.go
+++ b/daemon/edgedaemon/peers.go
@@ -141,7 +141,7 @@
 	caller := ctx
 	ctx, cancel := context.WithTimeout(ctx, wantTimeout)
 	defer cancel()
-	resp, err := d.fleet(address).Want(ctx, &fleetpb.WantRequest{Service: service, Model: w.Model, Adapter: w.Adapter, Rank: int32(w.Rank), Avoid: w.Avoid, Absent: w.Absent})
+	resp, err := d.fleet(address).Want(ctx, &fleetpb.WantRequest{Service: service, Model: w.Model, Adapter: w.Adapter, Rank: int32(w.Rank), Avoid: w.Avoid, Unreachable: w.Unreachable, Absent: w.Absent})
 	if err != nil {
 		if caller.Err() == nil && d.holders.failed(address, time.Now()) {
 			d.log.Warn(decisions.EventDependencyLost, "dependency", "coordinator", "service", service, "holder", address, "error", err)
@@ -221,7 +221,7 @@
 	if c == nil {
 		return &fleetpb.WantResponse{Refused: residency.RefusedNoHolder, ReadyInMs: noHolderPause.Milliseconds()}, nil
 	}
-	a := c.Want(residency.Want{Model: req.Model, Adapter: req.Adapter, Rank: int(req.Rank), Avoid: req.Avoid, Absent: req.Absent})
+	a := c.Want(residency.Want{Model: req.Model, Adapter: req.Adapter, Rank: int(req.Rank), Avoid: req.Avoid, Unreachable: req.Unreachable, Absent: req.Absent})
 	return &fleetpb.WantResponse{Endpoint: a.EndpointID, ReadyInMs: ceilMs(a.ReadyIn), Level: int32(a.Level), Refused: a.Refused}, nil
 }
 
--- a/transport/edge/attempt.go
+++ b/transport/edge/attempt.go
@@ -56,8 +56,10 @@
 	reason  string
 	err     error
 	absent  bool // the endpoint is another process, or does not hold the model
-	loading bool // the endpoint is still loading the model
-	leaving bool
+	// unreachable says that no connection could be opened.
+	unreachable bool
+	loading     bool // the endpoint is still loading the model
+	leaving     bool
 	// endpoint is the id of the endpoint that was asked.
 	endpoint string
 	paid     bool // the retry has been taken out of the budget
@@ -103,7 +105,7 @@
 func classify(ctx context.Context, err error) *failure {
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" {
-		return &failure{verdict: protocol.NotRun, reason: "endpoint-unreachable", err: err}
+		return &failure{verdict: protocol.NotRun, reason: "endpoint-unreachable", err: err, unreachable: true}
 	}
 	if ctx.Err() != nil {
 		return &failure{verdict: protocol.MayHaveRun, reason: "no-answer-in-time", err: ctx.Err()}
--- a/transport/edge/run.go
+++ b/transport/edge/run.go
@@ -159,7 +159,7 @@
 // locate finds the endpoint for a request, waiting for its model if that is
 // worth it.
 func (s *Server) locate(ctx context.Context, q *request, t *tries) (*fleet.Endpoint, *protocol.Refusal) {
-	exclude, absent := t.exclude, t.absentAt()
+	exclude, absent, unreachable := t.exclude, t.absentAt(), t.last != nil && t.last.unreachable
 	if q.service.Engine == nil || q.call.Model == "" {
 		return s.locatePlain(q, exclude)
 	}
@@ -171,8 +171,8 @@
 		if e := s.locateKnown(q, exclude); e != nil {
 			return e, nil
 		}
-		ans := s.opt.Locator.Want(ctx, q.service.Name, residency.Want{Model: q.call.Model, Adapter: q.call.Adapter, Rank: q.route.Rank, Avoid: avoid, Absent: absent})
-		absent = "" // told once
+		ans := s.opt.Locator.Want(ctx, q.service.Name, residency.Want{Model: q.call.Model, Adapter: q.call.Adapter, Rank: q.route.Rank, Avoid: avoid, Unreachable: unreachable, Absent: absent})
+		absent, unreachable = "", false // told once
 		if ctx.Err() != nil {
 			return nil, s.outOfTime(protocol.NotRun)
 		}
