--- a/transport/edge/answer.go
+++ b/transport/edge/answer.go
@@ -18,9 +18,11 @@
 	q        *request
 	begun    bool // the caller has seen the header
 	status   int
-	endpoint string    // that answered last
-	lastID   string    // of the last event handed on; empty before the first
-	first    time.Time // when the first event was handed on
+	endpoint string        // that answered last
+	lastID   string        // of the last event handed on; empty before the first
+	first    time.Time     // when the first event was handed on
+	last     time.Time     // when the last ones were
+	gap      time.Duration // the longest pause between two events
 }
 
 func (a *answer) firstAfter() time.Duration {
@@ -125,10 +127,7 @@
 		a.w.Header().Del("Content-Length")
 		a.w.WriteHeader(resp.StatusCode)
 	}
-	if a.first.IsZero() {
-		a.first = time.Now()
-		a.server.metrics.firstEvent.RecordDuration(a.firstAfter())
-	}
+	a.timeEvents(time.Now())
 	if _, err := a.w.Write(content); err != nil {
 		return &failure{verdict: protocol.MayHaveRun, reason: "caller-gone", err: err}
 	}
@@ -141,6 +140,17 @@
 	return nil
 }
 
+// timeEvents notes when events were handed on.
+func (a *answer) timeEvents(now time.Time) {
+	if a.first.IsZero() {
+		a.first = now
+		a.server.metrics.firstEvent.RecordDuration(a.firstAfter())
+	} else {
+		a.gap = max(a.gap, now.Sub(a.last))
+	}
+	a.last = now
+}
+
 var idField = []byte("id:")
 
 // lastEventID returns the id of the last event that has one.
--- a/transport/edge/server.go
+++ b/transport/edge/server.go
@@ -163,7 +163,7 @@
 	case refusal == nil:
 		s.metrics.answered.Inc(1)
 		s.opt.Log.Routine(decisions.EventAnswered, "request", q.call.ID, "route", q.route.Name, "model", q.unit(), "status", a.status,
-			"ms", time.Since(arrived).Milliseconds(), "first_event_ms", a.firstAfter().Milliseconds(), "waited_ms", q.waited.Milliseconds(), "endpoint", a.endpoint, "version", q.version)
+			"ms", time.Since(arrived).Milliseconds(), "first_event_ms", a.firstAfter().Milliseconds(), "longest_gap_ms", a.gap.Milliseconds(), "waited_ms", q.waited.Milliseconds(), "endpoint", a.endpoint, "version", q.version)
 	case r.Context().Err() != nil:
 		s.metrics.gone.Inc(1)
 		s.opt.Log.Info(decisions.EventFailed, "request", q.call.ID, "route", q.route.Name, "model", q.unit(), "reason", "caller gone", "ms", time.Since(arrived).Milliseconds(), "endpoint", a.endpoint)
