--- a/coordination/residency/planner_test.go
+++ b/coordination/residency/planner_test.go
@@ -37,6 +37,19 @@
 	// silent decides whether an engine gives no report; nil: it always does.
 	silent func() bool
 	orders int
+	// accepted is told of each order that an engine accepts; nil: nobody.
+	accepted func(Order)
+}
+
+// holders returns the number of engines that hold a model.
+func (w *world) holders(model string) int {
+	n := 0
+	for _, e := range w.engines {
+		if _, ok := e.models[model]; ok {
+			n++
+		}
+	}
+	return n
 }
 
 // lateOrder is an order without an answer that is carried out later.
@@ -111,7 +124,11 @@
 	}
 	for _, o := range r.Orders {
 		w.orders++
-		w.p.Ordered(w.now, o, w.send(o))
+		outcome := w.send(o)
+		if w.accepted != nil && outcome == Accepted {
+			w.accepted(o)
+		}
+		w.p.Ordered(w.now, o, outcome)
 	}
 }
 
@@ -142,6 +159,25 @@
 	}
 }
 
+// A busy model gets the replicas that its requests ask for and no more, however
+// long they take to load.
+func TestNoMoreReplicasThanNeeded(t *testing.T) {
+	w := newWorld(12, 6)
+	loads := 0
+	w.accepted = func(o Order) {
+		if o.Model == "m00" && !o.Unload {
+			loads++
+		}
+	}
+	for range 10 {
+		w.p.Demand(w.now, "d", Demand{Active: map[string]int{"m00": 20}, Running: map[Place]int{{"e0", "m00"}: 20}})
+		w.run(time.Second)
+	}
+	if held := w.holders("m00"); held != needed(20) || loads != needed(20)-1 {
+		t.Fatalf("%d replicas after %d loads, %d are needed", held, loads, needed(20))
+	}
+}
+
 // A holder that a daemon cannot reach, and that gives no report when it is
 // asked at once, is replaced long before its entry in the store lapses.
 func TestUnreachableHolderIsReplaced(t *testing.T) {
--- a/coordination/residency/ready.go
+++ b/coordination/residency/ready.go
@@ -179,8 +179,13 @@
 }
 
 // wantReplicas wants more replicas of models whose running requests ask for
-// them.
+// them, and no more of those that have enough, loaded or on their way.
 func (p *Planner) wantReplicas(d *draft) {
+	for model, w := range p.wants {
+		if w.extra && d.replicas[model] >= needed(d.active[model]) {
+			delete(p.wants, model)
+		}
+	}
 	for model, n := range d.active {
 		have := d.replicas[model]
 		if _, ok := p.conf.Engine.Models[model]; !ok || have == 0 || have >= needed(n) {
