edge: a stream whose endpoint falls silent goes on at another one

Cause: a dark or mute engine in the middle of a resumable stream cost the whole answer: its caller leaves after a pause of 2 to 2.4 s, and only silence before the first event was given up on. The same watch (transport/edge/watch.go) now runs between events: half of the caller's patience, another holder and the retry budget are needed.

--- a/transport/edge/answer.go
+++ b/transport/edge/answer.go
@@ -33,13 +33,13 @@
 }
 
 // whole hands an answer on once it is complete.
-func (a *answer) whole(resp *http.Response, w *firstAnswer, again bool) *failure {
+func (a *answer) whole(resp *http.Response, w *silenceWatch, again bool) *failure {
 	content, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
 	if err != nil {
 		return &failure{verdict: protocol.MayHaveRun, reason: "answer-cut", err: err}
 	}
 	if !w.begin() {
-		return &failure{verdict: protocol.MayHaveRun, reason: "no-answer-in-time", err: errSlow}
+		return &failure{verdict: protocol.MayHaveRun, reason: "no-answer-in-time", err: errSilent}
 	}
 	if len(content) > maxAnswerBytes {
 		return &failure{verdict: protocol.MayHaveRun, reason: "answer-too-large"}
@@ -78,7 +78,7 @@
 // stream hands whole events on as they arrive, unless the answer was given up
 // on before the first. A stream may go on at another endpoint after its last
 // whole event.
-func (a *answer) stream(resp *http.Response, w *firstAnswer) *failure {
+func (a *answer) stream(resp *http.Response, w *silenceWatch) *failure {
 	var pending []byte // the part of an event that has arrived
 	buf := make([]byte, bufferBytes)
 	for {
@@ -87,11 +87,12 @@
 		if end := bytes.LastIndex(pending, eventEnd); end >= 0 {
 			end += len(eventEnd)
 			if !w.begin() {
-				return &failure{verdict: protocol.MayHaveRun, reason: "no-answer-in-time", err: errSlow}
+				return &failure{verdict: protocol.MayHaveRun, reason: "no-answer-in-time", err: errSilent}
 			}
 			if f := a.events(resp, pending[:end]); f != nil {
 				return f
 			}
+			w.heard(a.lastID != "")
 			pending = append(pending[:0], pending[end:]...)
 		}
 		switch {
--- a/transport/edge/attempt.go
+++ b/transport/edge/attempt.go
@@ -10,7 +10,6 @@
 	"net/http"
 	"net/url"
 	"slices"
-	"sync/atomic"
 	"time"
 
 	"github.com/doorvalve/doorvalve/protocol"
@@ -142,10 +141,6 @@
 	return nil
 }
 
-// firstAnswerPart is the part of a caller's patience after which a request
-// that may be repeated is taken from an endpoint that has not answered.
-const firstAnswerPart = 2
-
 // attempt sends a request to one endpoint and brings the answer back. more
 // says that another endpoint may be tried afterwards.
 func (s *Server) attempt(ctx context.Context, q *request, e *fleet.Endpoint, a *answer, more bool) *failure {
@@ -156,15 +151,8 @@
 	defer s.countRunning(q, e.ID, -1)
 	ok := false
 	defer func() { s.opt.Balancer.Ended(time.Now(), e.ID, q.unit(), ok) }()
-	w := &firstAnswer{}
-	if q.route.Repeatable() && more {
-		t := time.AfterFunc(firstAnswerTime(q), func() {
-			if s.hasOther(q, e.ID) && w.giveUp(s.opt.Budget.Spend) {
-				cancel(errSlow)
-			}
-		})
-		defer t.Stop()
-	}
+	w := s.watch(q, e, more, cancel)
+	defer w.stop()
 	resp, f := s.send(ctx, q, e, a.lastID)
 	if f == nil {
 		a.endpoint = e.ID
@@ -180,7 +168,7 @@
 }
 
 // deliver brings an answer back whose header has come.
-func (s *Server) deliver(q *request, a *answer, resp *http.Response, w *firstAnswer, more bool) *failure {
+func (s *Server) deliver(q *request, a *answer, resp *http.Response, w *silenceWatch, more bool) *failure {
 	if q.route.Kind == routing.Streaming && resp.StatusCode == http.StatusOK {
 		return a.stream(resp, w)
 	}
@@ -195,41 +183,3 @@
 	}
 	return slices.ContainsFunc(list, func(e *fleet.Endpoint) bool { return e.ID != id && !e.Leaving })
 }
-
-// firstAnswer decides once whether an endpoint's answer has begun or has been
-// given up on: a part that comes just after goes to nobody.
-type firstAnswer struct{ state atomic.Int32 }
-
-const (
-	answerWaiting = iota
-	answerBegun
-	answerGivenUp
-)
-
-// begin reports whether the answer may go to the caller.
-func (w *firstAnswer) begin() bool {
-	return w.state.CompareAndSwap(answerWaiting, answerBegun) || w.state.Load() == answerBegun
-}
-
-// giveUp gives the answer up unless it has begun, if spend allows the retry.
-func (w *firstAnswer) giveUp(spend func() bool) bool {
-	return w.state.Load() == answerWaiting && spend() && w.state.CompareAndSwap(answerWaiting, answerGivenUp)
-}
-
-// gaveUp reports whether the answer was given up on, so that its retry is paid
-// for.
-func (w *firstAnswer) gaveUp() bool { return w.state.Load() == answerGivenUp }
-
-var errSlow = errors.New("no answer within the time for a first one")
-
-// firstAnswerTime is how long an endpoint may take before another is tried.
-func firstAnswerTime(q *request) time.Duration {
-	t := q.route.Patience / firstAnswerPart
-	if q.route.Kind != routing.Streaming {
-		t = q.route.Target
-	}
-	return max(t, minFirstAnswer)
-}
-
-// minFirstAnswer keeps ordinary pauses from looking like silence.
-const minFirstAnswer = 250 * time.Millisecond
