coordinator: a restarted holder takes its lease back at once; metrics of the store and of the view

Cause: after a kill of the holder, its restarted daemon was a candidate only by the luck of a new id; the others wait for the rest of the lease and for the gap between two holders, 5.3 s. To engines the same host is the same holder.

--- a/daemon/edgedaemon/daemon.go
+++ b/daemon/edgedaemon/daemon.go
@@ -113,7 +113,7 @@
 		Prefix: "doorvalve", CachedReporter: d.reporter, Separator: promreporter.DefaultSeparator, OmitCardinalityMetrics: true,
 	}, metricsEvery)
 	d.shareRetries(1)
-	d.store = platform.NewStore(set.Store.Address, set.Store.Timeout.D())
+	d.store = platform.NewStore(set.Store.Address, set.Store.Timeout.D(), d.metrics)
 	d.engines = platform.NewEngineClient(engineTimeout)
 	d.view = storeview.New(storeview.Options{
 		Store: d.store, Decode: platform.DecodeDesiredState, Log: log, Self: d.self, Peer: d.anyPeer, Upstreams: d.upstreams,
@@ -238,7 +238,7 @@
 		d.addServer(&g, d.listeners.metrics, d.reporter.HTTPHandler())
 	}
 	for _, actor := range []func(context.Context) error{
-		d.gossip.Run, d.view.RunDesiredState, d.view.RunEndpoints, d.view.RunRelay, d.view.RunPeers, d.runDemand, d.runStop,
+		d.gossip.Run, d.view.RunDesiredState, d.view.RunEndpoints, d.view.RunRelay, d.view.RunPeers, d.runGauges, d.runDemand, d.runStop,
 	} {
 		actorCtx, stop := context.WithCancel(ctx)
 		g.Add(func() error { return actor(actorCtx) }, func(error) { stop() })
--- /dev/null
+++ b/daemon/edgedaemon/metrics.go
@@ -0,0 +1,52 @@
+package edgedaemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+)
+
+// gauges tell how the daemon stands; they are set each metricsEvery.
+type gauges struct {
+	endpointsAge, desiredVersion, endpoints, inProgress, members, linesLost, linesSkipped tally.Gauge
+}
+
+func newGauges(scope tally.Scope) gauges {
+	view, log := scope.SubScope("view"), scope.SubScope("log")
+	return gauges{
+		endpointsAge: view.Gauge("endpoints_age_seconds"), desiredVersion: view.Gauge("desired_state_version"), endpoints: view.Gauge("endpoints"),
+		inProgress: scope.SubScope("caller").Gauge("requests_in_progress"), members: scope.SubScope("membership").Gauge("daemons_alive"),
+		linesLost: log.Gauge("lines_lost"), linesSkipped: log.Gauge("lines_skipped"),
+	}
+}
+
+// runGauges sets the gauges until ctx ends.
+func (d *Daemon) runGauges(ctx context.Context) error {
+	g := newGauges(d.metrics)
+	t := time.NewTicker(metricsEvery)
+	defer t.Stop()
+	for {
+		d.setGauges(g)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+		}
+	}
+}
+
+func (d *Daemon) setGauges(g gauges) {
+	if seen := d.view.SeenAt(); !seen.IsZero() {
+		g.endpointsAge.Update(time.Since(seen).Seconds())
+	}
+	if table := d.view.Table(); table != nil {
+		g.desiredVersion.Update(float64(table.Version))
+	}
+	g.endpoints.Update(float64(len(d.view.Endpoints().ByID)))
+	g.inProgress.Update(float64(d.callers.InProgress()))
+	g.members.Update(float64(len(d.alive())))
+	lost, skipped := d.log.Lost()
+	g.linesLost.Update(float64(lost))
+	g.linesSkipped.Update(float64(skipped))
+}
--- a/daemon/edgedaemon/peers.go
+++ b/daemon/edgedaemon/peers.go
@@ -25,11 +25,15 @@
 // more than needed, and few enough that the reads cost little.
 const candidates = 2
 
-// candidate reports whether this daemon should try to hold a service's lease.
-func (d *Daemon) candidate(service string) bool {
+// candidate reports whether this daemon should try to hold a service's lease. A
+// former holder should, whatever the others: it is the same one to engines.
+func (d *Daemon) candidate(service string, former bool) bool {
 	if d.draining() || d.view.Silent(time.Now()) {
 		return false
 	}
+	if former {
+		return true
+	}
 	ranked := membership.Rendezvous(service, d.alive())
 	for i := range min(candidates, len(ranked)) {
 		if ranked[i].ID == d.self {
--- a/driver/coordinator/coordinator.go
+++ b/driver/coordinator/coordinator.go
@@ -60,8 +60,9 @@
 	// OrderGap is the least time between orders of two holders.
 	OrderGap time.Duration
 	Planner  residency.Options
-	// Candidate reports whether this daemon should try to hold the lease.
-	Candidate func(service string) bool
+	// Candidate reports whether this daemon should try to hold the lease. former
+	// says that the lease's record names this host.
+	Candidate func(service string, former bool) bool
 	// Held is told when this daemon takes or loses the lease.
 	Held    func(service string, fence uint64, held bool)
 	Log     *decisions.Log
@@ -84,7 +85,7 @@
 }
 
 type metrics struct {
-	orders, unanswered, probes, wants, leases tally.Counter
+	probes, wants, leases tally.Counter
 }
 
 // New returns a coordinator without a lease.
@@ -95,8 +96,7 @@
 		opt: opt, plan: residency.New(opt.Planner), addresses: map[string]string{}, kick: make(chan struct{}, 1),
 		lease: lease.New(lease.Options{Self: opt.Self, Term: leaseTerm, Margin: leaseTerm / marginDivisor}),
 		metrics: metrics{
-			orders: m.Counter("orders_sent_total"), unanswered: m.Counter("orders_unanswered_total"), probes: m.Counter("reports_asked_total"),
-			wants: m.Counter("models_wanted_total"), leases: m.Counter("lease_changes_total"),
+			probes: m.Counter("reports_asked_total"), wants: m.Counter("models_wanted_total"), leases: m.Counter("lease_changes_total"),
 		},
 	}
 }
@@ -207,7 +207,7 @@
 }
 
 func (c *Coordinator) stepLease(ctx context.Context, now time.Time) {
-	c.lease.Step(now, lease.Candidate{Yes: !c.releasing && c.opt.Candidate(c.opt.Service)})
+	c.lease.Step(now, lease.Candidate{Yes: !c.releasing && c.opt.Candidate(c.opt.Service, c.wasHolder())})
 	r := c.lease.Ready(now)
 	switch {
 	case r.Read:
@@ -224,6 +224,11 @@
 	}
 }
 
+// wasHolder reports whether this host is the one that the lease's record names,
+// as after a restart of its daemon. It is the same holder to engines, and may
+// order at once where another would have to wait; the caller holds the mutex.
+func (c *Coordinator) wasHolder() bool { return c.lease.Seen().Holder == c.opt.Self }
+
 // leaseChanged begins or ends the giving of orders. The caller holds the
 // mutex.
 func (c *Coordinator) leaseChanged(now time.Time, fence uint64, held bool) {
@@ -274,12 +279,9 @@
 	outcome, err := residency.Unsent, errors.New("the lease ran out")
 	started := time.Now()
 	if held && fence == o.Fence {
-		c.metrics.orders.Inc(1)
 		outcome, err = c.opt.Engines.Order(ctx, o)
 	}
-	if outcome == residency.Unanswered {
-		c.metrics.unanswered.Inc(1)
-	}
+	c.opt.Metrics.Tagged(map[string]string{"outcome": outcome.String()}).SubScope("coordinator").Counter("orders_total").Inc(1)
 	c.opt.Log.Info(decisions.EventOrder, "endpoint", o.EndpointID, "unload", o.Unload, "model", o.Model, "adapter", o.Adapter, "expect", o.Expect,
 		"fence", o.Fence, "outcome", outcome.String(), "ms", time.Since(started).Milliseconds(), "error", err)
 	c.mu.Lock()
--- /dev/null
+++ b/driver/coordinator/coordinator_test.go
@@ -0,0 +1,132 @@
+package coordinator
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/doorvalve/doorvalve/coordination/lease"
+	"github.com/doorvalve/doorvalve/coordination/residency"
+	"github.com/doorvalve/doorvalve/driver/decisions"
+	"github.com/doorvalve/doorvalve/protocol"
+)
+
+// fakeLease keeps one lease in memory.
+type fakeLease struct {
+	mu      sync.Mutex
+	record  lease.Record
+	version uint64
+}
+
+func (f *fakeLease) ReadLease(_ context.Context, _ string, v any) (uint64, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.version == 0 {
+		return 0, lease.ErrNotFound
+	}
+	raw, err := json.Marshal(f.record)
+	if err != nil {
+		return 0, err
+	}
+	return f.version, json.Unmarshal(raw, v)
+}
+
+func (f *fakeLease) WriteLease(_ context.Context, _ string, expected uint64, record any) (uint64, protocol.WriteOutcome, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if expected != f.version {
+		return 0, protocol.WriteConflict, nil
+	}
+	f.record = record.(lease.Record)
+	f.version++
+	return f.version, protocol.WriteOK, nil
+}
+
+// noEngines answers nothing.
+type noEngines struct{}
+
+var errNoEngine = errors.New("no engine")
+
+func (noEngines) Order(context.Context, residency.Order) (residency.Outcome, error) {
+	return residency.Unsent, errNoEngine
+}
+
+func (noEngines) Report(context.Context, string, string) (residency.Report, error) {
+	return residency.Report{}, errNoEngine
+}
+
+const orderGap = 3 * time.Second
+
+// start runs a coordinator over a lease; it ends with the test.
+func start(t *testing.T, f *fakeLease, self string, candidate bool) *Coordinator {
+	ctx, cancel := context.WithCancel(t.Context())
+	log := decisions.New(io.Discard, "test", hclog.Off)
+	c := New(Options{
+		Service: "llm", Self: self, Lease: f, Engines: noEngines{}, OrderGap: orderGap, Planner: residency.Options{StoreAtOnce: 1},
+		Candidate: func(_ string, former bool) bool { return candidate || former }, Held: func(string, uint64, bool) {}, Log: log, Metrics: tally.NoopScope,
+	})
+	go c.Run(ctx)
+	t.Cleanup(func() {
+		cancel()
+		synctest.Wait()
+		log.Close()
+	})
+	return c
+}
+
+// A host that held the lease before its daemon was restarted takes it back at
+// once, whoever the candidates are: to engines it is the same holder.
+func TestRestartedHolderTakesItsLeaseBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeLease{record: lease.Record{Holder: "h1", Fence: 7, Term: leaseTerm}, version: 3}
+		c := start(t, f, "h1", false)
+		time.Sleep(time.Second)
+		if !c.Holds() {
+			t.Fatal("the lease waits for its term to end, and its engines for the gap between two holders")
+		}
+		if f.record.Fence != 8 {
+			t.Fatalf("fence %d after 7", f.record.Fence)
+		}
+	})
+}
+
+// A daemon that is no candidate leaves the lease of another host alone, also
+// when it has lapsed.
+func TestNoCandidateTakesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeLease{record: lease.Record{Holder: "h2", Fence: 7, Term: leaseTerm}, version: 3}
+		c := start(t, f, "h1", false)
+		time.Sleep(time.Minute)
+		if c.Holds() || f.record.Holder != "h2" {
+			t.Fatalf("taken: %+v", f.record)
+		}
+	})
+}
+
+// A candidate takes a lapsed lease after a term, and gives no order before the
+// gap between two holders is over.
+func TestCandidateTakesOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeLease{record: lease.Record{Holder: "h2", Fence: 7, Term: leaseTerm}, version: 3}
+		c := start(t, f, "h1", true)
+		time.Sleep(leaseTerm - 50*time.Millisecond)
+		if c.Holds() {
+			t.Fatal("taken before its term was over")
+		}
+		time.Sleep(time.Second)
+		if !c.Holds() || f.record.Fence != 8 {
+			t.Fatalf("not taken: %+v", f.record)
+		}
+		if a := c.Want(residency.Want{Model: "m"}); a.Refused != residency.RefusedNoModel {
+			t.Fatalf("%+v", a)
+		}
+	})
+}
--- a/transport/edge/run.go
+++ b/transport/edge/run.go
@@ -79,6 +79,9 @@
 		case refusal != nil:
 			return refusal
 		}
+		if a.begun {
+			s.metrics.resumed.Inc(1)
+		}
 		f := s.attempt(ctx, q, e, a, t.ran+1 < q.route.Attempts)
 		if f == nil {
 			return nil
