--- a/daemon/edgedaemon/daemon.go
+++ b/daemon/edgedaemon/daemon.go
@@ -182,9 +182,7 @@
 	if table == nil {
 		return
 	}
-	if d.gossip.Self().Generation != table.Version {
-		d.gossip.Update(func(m *membership.Member) { m.Generation = table.Version })
-	}
+	d.announceState(table.Version)
 	for name, svc := range table.Services {
 		if svc.Engine == nil {
 			continue
@@ -195,6 +193,15 @@
 	}
 }
 
+// announceState tells the others, once, that this daemon has a desired state
+// and so can serve. Later versions are not told: each would send an entry of
+// every member to every member.
+func (d *Daemon) announceState(version uint64) {
+	if d.gossip.Self().Generation == 0 {
+		d.gossip.Update(func(m *membership.Member) { m.Generation = version })
+	}
+}
+
 // coordinatorFor returns a service's coordinator.
 func (d *Daemon) coordinatorFor(service string) *coordinator.Coordinator {
 	d.mu.Lock()
