--- a/driver/decisions/log_test.go
+++ b/driver/decisions/log_test.go
@@ -1,14 +1,14 @@
 package decisions
 
 import (
-	"bytes"
 	"io"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+
+	"github.com/doorvalve/doorvalve/internal/syncbuf"
 )
 
 // answered writes the line that each served request costs.
@@ -24,31 +24,18 @@
 	mostBytes       = 350
 )
 
-type counter struct {
-	mu sync.Mutex
-	n  int
-}
-
-func (c *counter) Write(p []byte) (int, error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.n += len(p)
-	return len(p), nil
-}
-
 func TestLineIsCheap(t *testing.T) {
 	l := New(io.Discard, "doorvalved", hclog.Info)
 	defer l.Close()
 	if n := testing.AllocsPerRun(100, func() { answered(l) }); n > mostAllocations {
 		t.Errorf("%.0f allocations a line", n)
 	}
-	c := &counter{}
+	c := &syncbuf.Buffer{}
 	one := New(c, "doorvalved", hclog.Info)
 	answered(one)
 	one.Close()
-	t.Logf("%d bytes", c.n)
-	if c.n == 0 || c.n > mostBytes {
-		t.Errorf("%d bytes a line", c.n)
+	if n := len(c.String()); n == 0 || n > mostBytes {
+		t.Errorf("%d bytes a line", n)
 	}
 }
 
@@ -78,7 +65,7 @@
 
 // Many successes leave room for failures: they are left out and counted.
 func TestSuccessesAreSampled(t *testing.T) {
-	var b lockedBuffer
+	var b syncbuf.Buffer
 	l := New(&b, "doorvalved", hclog.Info)
 	second := time.Now().Unix()
 	const lines = 5 * routinePerSecond
@@ -97,23 +84,6 @@
 	}
 }
 
-type lockedBuffer struct {
-	mu sync.Mutex
-	b  bytes.Buffer
-}
-
-func (l *lockedBuffer) Write(p []byte) (int, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.b.Write(p)
-}
-
-func (l *lockedBuffer) String() string {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.b.String()
-}
-
 func BenchmarkLine(b *testing.B) {
 	l := New(io.Discard, "doorvalved", hclog.Info)
 	defer l.Close()
--- a/e2e/harness_test.go
+++ b/e2e/harness_test.go
@@ -16,12 +16,12 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
-	"sync"
 	"syscall"
 	"testing"
 	"time"
 
 	"github.com/doorvalve/doorvalve/daemon"
+	"github.com/doorvalve/doorvalve/internal/syncbuf"
 	"github.com/doorvalve/doorvalve/protocol"
 	"github.com/doorvalve/doorvalve/standin/engine"
 	"github.com/doorvalve/doorvalve/standin/fault"
@@ -195,28 +195,11 @@
 	cmd                      *exec.Cmd
 	callers, peers, operator string
 	settings                 string
-	log                      *lockedBuffer
+	log                      *syncbuf.Buffer
 	exited                   chan struct{}
 	err                      error
 }
 
-type lockedBuffer struct {
-	mu sync.Mutex
-	b  bytes.Buffer
-}
-
-func (l *lockedBuffer) Write(p []byte) (int, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.b.Write(p)
-}
-
-func (l *lockedBuffer) String() string {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.b.String()
-}
-
 func freeAddress(t *testing.T) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -249,7 +232,7 @@
 }
 
 func (p *proc) start() {
-	p.log = &lockedBuffer{}
+	p.log = &syncbuf.Buffer{}
 	p.exited = make(chan struct{})
 	p.cmd = exec.Command(binary, "--settings", p.settings)
 	p.cmd.Stdout, p.cmd.Stderr = p.log, p.log // lines on the first, data races on the second
