storeview: waits are bounded where endpoints have long to leave

Cause, by reading: with a drain bound of 3 s a poll could outlast the 2 s of a call between daemons, and from 4 s on a silent watch would have been noticed too late. Test: TestLongDrainBound, red before for the watch.

--- a/driver/storeview/follow.go
+++ b/driver/storeview/follow.go
@@ -20,6 +20,10 @@
 	gatherPart = 0.2
 	watchPart  = 0.3
 	configPart = 0.6
+	// watchMost and configMost bound the waits where that time is long: the
+	// platform's windows do not grow with it.
+	watchMost  = 900 * time.Millisecond
+	configMost = 1500 * time.Millisecond
 	// watchSlack is how much later than its end a watch may be answered by a
 	// slow store before it counts as dead.
 	watchSlack = 600 * time.Millisecond
@@ -130,7 +134,7 @@
 }
 
 func (v *View) watchDesired(ctx context.Context) error {
-	wait := v.part(configPart)
+	wait := min(v.part(configPart), configMost)
 	ctx, cancel := context.WithTimeout(ctx, wait+watchSlack)
 	defer cancel()
 	raw, revision, err := v.opt.Store.WatchDesiredState(ctx, v.since(v.config), wait)
@@ -176,7 +180,7 @@
 }
 
 func (v *View) watchEndpoints(ctx context.Context) error {
-	wait := v.part(watchPart)
+	wait := min(v.part(watchPart), watchMost)
 	ctx, cancel := context.WithTimeout(ctx, wait+watchSlack)
 	defer cancel()
 	changes, revision, unreadable, err := v.opt.Store.WatchEndpoints(ctx, v.since(v.endpoints), wait)
--- a/driver/storeview/peers.go
+++ b/driver/storeview/peers.go
@@ -32,8 +32,9 @@
 	// for them each startPause.
 	startGrace = 150 * time.Millisecond
 	startPause = 20 * time.Millisecond
-	// maxPoll bounds the wait that a caller of Follow may ask for.
-	maxPoll = 2 * time.Second
+	// maxPoll bounds the wait of a poll: with pollSlack, it must be over before
+	// a call between daemons times out.
+	maxPoll = 1500 * time.Millisecond
 	// graceTick is how often entries in their grace are looked at.
 	graceTick = 100 * time.Millisecond
 	// peersAfter is how long the store must be silent before peers are asked,
@@ -62,7 +63,7 @@
 		v.mu.Lock()
 		upstream := order[v.source.Pick(len(order))]
 		v.mu.Unlock()
-		wait := v.part(pollPart)
+		wait := min(v.part(pollPart), maxPoll)
 		age, err := v.poll(ctx, upstream, wait, wait+pollSlack)
 		if err != nil {
 			v.mu.Lock()
--- a/driver/storeview/storeview_test.go
+++ b/driver/storeview/storeview_test.go
@@ -18,6 +18,7 @@
 	"github.com/doorvalve/doorvalve/protocol/fleetpb"
 	"github.com/doorvalve/doorvalve/state/fleet"
 	"github.com/doorvalve/doorvalve/state/routing"
+	"github.com/doorvalve/doorvalve/transport/peers"
 )
 
 // fakeStore is a store in virtual time. Watches that are open when it goes
@@ -187,8 +188,12 @@
 	return raw, s.revision, err
 }
 
-// leaveWithin is the bound that the views of the tests work to.
-const leaveWithin = 2 * time.Second
+// leaveWithin is the bound that the views of the tests work to, but for
+// longDrain.
+const (
+	leaveWithin = 2 * time.Second
+	longDrain   = 8 * time.Second
+)
 
 // bubble runs a test in virtual time.
 type bubble struct {
@@ -258,10 +263,11 @@
 // upstream is another daemon's view as a peer: reachable, or silent.
 type upstream struct {
 	fleetpb.Fleet
-	view  *View
-	mu    sync.Mutex
-	mute  bool
-	polls int
+	view *View
+	mu   sync.Mutex
+	mute bool
+	// longest is the time of the longest poll.
+	longest time.Duration
 }
 
 func (u *upstream) setMute(mute bool) {
@@ -273,13 +279,17 @@
 func (u *upstream) Follow(ctx context.Context, req *fleetpb.FollowRequest) (*fleetpb.FollowResponse, error) {
 	u.mu.Lock()
 	mute := u.mute
-	u.polls++
 	u.mu.Unlock()
 	if mute {
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
-	return u.view.Follow(ctx, req)
+	start := time.Now()
+	resp, err := u.view.Follow(ctx, req)
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.longest = max(u.longest, time.Since(start))
+	return resp, err
 }
 
 // follower returns a running view that takes from others, and its own way to
@@ -514,3 +524,32 @@
 		}
 	})
 }
+
+// Where endpoints have long to leave, silent connections are noticed as early
+// as anywhere, and polls end before calls between daemons time out.
+func TestLongDrainBound(t *testing.T) {
+	inBubble(t, func(b *bubble) {
+		s := newFakeStore()
+		long := func(o *Options) { o.LeaveWithin = longDrain }
+		v := b.view(s, long)
+		up := &upstream{view: v}
+		b.view(s, func(o *Options) {
+			long(o)
+			o.Self = "follower"
+			o.Upstreams = func() (bool, []fleetpb.Fleet) { return false, []fleetpb.Fleet{up} }
+		})
+		time.Sleep(10 * time.Second)
+		up.mu.Lock()
+		longest := up.longest
+		up.mu.Unlock()
+		if longest == 0 || longest >= peers.CallTimeout {
+			t.Errorf("a poll took %v", longest)
+		}
+		s.goSilent()
+		s.setConfig(2)
+		time.Sleep(2500 * time.Millisecond)
+		if v.Table().Version != 2 {
+			t.Error("a silent watch of the desired state was not noticed")
+		}
+	})
+}
