--- a/coordination/residency/planner_test.go
+++ b/coordination/residency/planner_test.go
@@ -178,6 +178,24 @@
 	}
 }
 
+// A model whose only replica is overrun gets another one, though daemons do not
+// ask for it and rare models are asked for all the while.
+func TestOverrunModelGetsAReplica(t *testing.T) {
+	w := newWorld(90, 6)
+	for i := range 70 {
+		running := 1
+		if i >= 20 { // the weight store has its hands full by then
+			running = 80
+		}
+		w.p.Demand(w.now, "d", Demand{Active: map[string]int{"m00": running}, Running: map[Place]int{{"e0", "m00"}: running}})
+		w.p.Want(w.now, Want{Model: fmt.Sprintf("m%02d", 20+i)})
+		w.run(200 * time.Millisecond)
+	}
+	if n := w.holders("m00"); n < 2 {
+		t.Fatalf("%d replica for 80 running requests after 10 s", n)
+	}
+}
+
 // A holder that a daemon cannot reach, and that gives no report when it is
 // asked at once, is replaced long before its entry in the store lapses.
 func TestUnreachableHolderIsReplaced(t *testing.T) {
--- a/coordination/residency/schedule.go
+++ b/coordination/residency/schedule.go
@@ -43,17 +43,21 @@
 		list = append(list, model)
 	}
 	slices.SortFunc(list, func(a, b string) int {
-		return cmp.Or(cmp.Compare(p.weight(now, b), p.weight(now, a)), cmp.Compare(a, b))
+		return cmp.Or(cmp.Compare(p.weight(d, b), p.weight(d, a)), cmp.Compare(a, b))
 	})
 	return list[:min(len(list), scheduleMost)]
 }
 
-// weight is what loading a wanted model is worth.
-func (p *Planner) weight(now time.Time, model string) float64 {
-	if p.wants[model].extra {
-		return extraWeight * p.value(now, model)
+// weight is what loading a wanted model is worth. One more replica of a busy
+// model is worth what its requests weigh that run now, the more the fuller its
+// replicas are: daemons that find it loaded do not ask for it.
+func (p *Planner) weight(d *draft, model string) float64 {
+	if !p.wants[model].extra {
+		return p.value(d.now, model)
 	}
-	return p.value(now, model)
+	active, replicas := float64(d.active[model]), float64(max(1, d.replicas[model]))
+	full := min(1, active/replicas/perReplica)
+	return busyWeight * active * full * full
 }
 
 // place chooses the engine that will have the model ready first.
--- a/coordination/residency/types.go
+++ b/coordination/residency/types.go
@@ -213,9 +213,9 @@
 	scheduleMost = 64
 	// scheduleLife is how long a schedule is good for answers.
 	scheduleLife = 20 * time.Millisecond
-	// extraWeight is what one more replica of a model is worth against the
-	// first one.
-	extraWeight = 0.25
+	// busyWeight is what a running request of a busy model weighs for one more
+	// replica: as much as a want of the second rank.
+	busyWeight = 64
 	// retryUnanswered is the pause after an order without an answer.
 	retryUnanswered = 100 * time.Millisecond
 	// settleFor is how long no engine must have been new before models are
