--- a/e2e/stop_test.go
+++ b/e2e/stop_test.go
@@ -49,7 +49,7 @@
 				until := time.Now().Add(time.Duration(a.TTLMs) * time.Millisecond)
 				for time.Now().Before(until) && !stop.Load() {
 					mu.Lock()
-					p := byAddress[a.Addresses[0].Address]
+					p := byAddress[a.Addresses[c%len(a.Addresses)].Address] // each daemon has callers
 					mu.Unlock()
 					prompt := fmt.Sprintf("caller %d call %d", c, n)
 					text, whole, r := p.stream("m0", prompt, streamTokens)
