--- a/e2e/harness_test.go
+++ b/e2e/harness_test.go
@@ -21,6 +21,7 @@
 	"time"
 
 	"github.com/doorvalve/doorvalve/daemon"
+	"github.com/doorvalve/doorvalve/internal/freeport"
 	"github.com/doorvalve/doorvalve/internal/syncbuf"
 	"github.com/doorvalve/doorvalve/protocol"
 	"github.com/doorvalve/doorvalve/standin/engine"
@@ -201,12 +202,11 @@
 }
 
 func freeAddress(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := freeport.Address()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	return address
 }
 
 func (w *world) startDaemon(name, domain string, o options) *proc {
