--- a/driver/storeview/peers.go
+++ b/driver/storeview/peers.go
@@ -225,11 +225,11 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	view := v.view.Load()
-	resp := &fleetpb.FollowResponse{Source: v.opt.Self, Change: v.log.Change(), EndpointsRevision: view.Revision, AgeMs: v.ageMs(time.Now())}
+	resp := &fleetpb.FollowResponse{Source: v.opt.Self, Change: v.changes.Change(), EndpointsRevision: view.Revision, AgeMs: v.ageMs(time.Now())}
 	if t := v.table.Load(); t != nil && t.Version > req.ConfigVersion {
 		resp.Config = v.raw
 	}
-	delta := v.log.Since(req.Change, req.Source == v.opt.Self, view)
+	delta := v.changes.Since(req.Change, req.Source == v.opt.Self, view)
 	if delta.Whole && view.Revision < req.EndpointsRevision {
 		// The caller knows more. It gets a place in these changes only with a
 		// whole list, so that it keeps nothing that none of them names.
--- a/driver/storeview/storeview.go
+++ b/driver/storeview/storeview.go
@@ -59,7 +59,7 @@
 	watches    bool      // this daemon follows the store itself
 	source     *relay.Source
 	place      place            // in the changes of the upstream
-	log        *relay.ChangeLog // of this daemon's view, for those that take from it
+	changes    *relay.ChangeLog // of this daemon's view, for those that take from it
 	told       chan struct{}    // closed when there is something newer to tell
 	onChange   []func()
 }
@@ -67,7 +67,7 @@
 // New returns a view that knows nothing.
 func New(opt Options) *View {
 	v := &View{
-		opt: opt, registry: discovery.NewRegistry(), watches: true, log: relay.NewChangeLog(), told: make(chan struct{}),
+		opt: opt, registry: discovery.NewRegistry(), watches: true, changes: relay.NewChangeLog(), told: make(chan struct{}),
 		config: discovery.NewFollower(discovery.FollowOptions{Retry: retryFirst, RetryMost: retryMost}),
 	}
 	v.endpoints = discovery.NewFollower(discovery.FollowOptions{Pause: v.part(gatherPart), Retry: retryFirst, RetryMost: retryMost})
@@ -149,7 +149,7 @@
 	next, changed := v.registry.View()
 	if changed {
 		v.view.Store(next)
-		v.log.Record(old, next)
+		v.changes.Record(old, next)
 		v.tell()
 	}
 	v.mu.Unlock()
