--- a/driver/storeview/storeview_test.go
+++ b/driver/storeview/storeview_test.go
@@ -329,6 +329,12 @@
 	w.cut = cut
 }
 
+func (w *way) isCut() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.cut
+}
+
 func (w *way) calls() int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -355,7 +361,12 @@
 		<-ctx.Done()
 		return nil, 0, nil, ctx.Err()
 	}
-	return w.fakeStore.WatchEndpoints(ctx, since, wait)
+	changes, revision, unreadable, err := w.fakeStore.WatchEndpoints(ctx, since, wait)
+	if w.isCut() {
+		<-ctx.Done()
+		return nil, 0, nil, ctx.Err()
+	}
+	return changes, revision, unreadable, err
 }
 
 func (w *way) WatchDesiredState(ctx context.Context, since uint64, wait time.Duration) ([]byte, uint64, error) {
@@ -363,7 +374,12 @@
 		<-ctx.Done()
 		return nil, 0, ctx.Err()
 	}
-	return w.fakeStore.WatchDesiredState(ctx, since, wait)
+	raw, revision, err := w.fakeStore.WatchDesiredState(ctx, since, wait)
+	if w.isCut() {
+		<-ctx.Done()
+		return nil, 0, ctx.Err()
+	}
+	return raw, revision, err
 }
 
 // pair is two daemons that follow the store and one that takes from them.
