--- a/coordination/residency/planner_test.go
+++ b/coordination/residency/planner_test.go
@@ -215,6 +215,20 @@
 	}
 }
 
+// The endpoint that has just failed a request is named again only where no
+// other holds the model, and after a pause.
+func TestFailedHolderIsNamedAfterAPause(t *testing.T) {
+	w := newWorld(12, 3)
+	w.run(time.Second)
+	a := w.p.Want(w.now, Want{Model: "m00", Avoid: "e0"})
+	if a.EndpointID != "e0" || a.ReadyIn != avoidedPause || a.Refused != "" {
+		t.Fatalf("the only holder: %+v", a)
+	}
+	if a := w.p.Want(w.now, Want{Model: "m00"}); a.EndpointID != "e0" || a.ReadyIn != 0 {
+		t.Fatalf("for another request: %+v", a)
+	}
+}
+
 // A daemon that cannot reach an engine proves nothing while the engine answers
 // the coordinator.
 func TestUnreachableForOneDaemonOnly(t *testing.T) {
