storeview: large desired states are read from the store, not through other daemons

By reading: watchers on links of 10 Mbit/s sent the whole content to some 19 followers each. Above 16 KiB followers are told the version and read it from the store, or from the upstream if the store turns them away. Test: TestLargeDesiredStateIsReadFromTheStore.

--- a/driver/storeview/peers.go
+++ b/driver/storeview/peers.go
@@ -35,6 +35,10 @@
 	// maxPoll bounds the wait of a poll: with pollSlack, it must be over before
 	// a call between daemons times out.
 	maxPoll = 1500 * time.Millisecond
+	// inlineConfig bounds the desired states that are sent to followers in
+	// bytes: larger ones they read from the store themselves, since one daemon's
+	// link does not carry them to all others in time.
+	inlineConfig = 16 << 10
 	// graceTick is how often entries in their grace are looked at.
 	graceTick = 100 * time.Millisecond
 	// peersAfter is how long the store must be silent before peers are asked,
@@ -65,6 +69,9 @@
 		v.mu.Unlock()
 		wait := min(v.part(pollPart), maxPoll)
 		age, err := v.poll(ctx, upstream, wait, wait+pollSlack)
+		if err == nil && v.behind() {
+			err = v.catchUp(ctx, upstream)
+		}
 		if err != nil {
 			v.mu.Lock()
 			v.source.Failed()
@@ -77,6 +84,26 @@
 	return nil
 }
 
+// behind reports whether an upstream has a newer desired state in force.
+func (v *View) behind() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	t := v.table.Load()
+	return v.upstreamVersion > 0 && (t == nil || t.Version < v.upstreamVersion)
+}
+
+// catchUp reads a desired state that is too large for a poll: from the store,
+// or from the upstream where the store does not answer.
+func (v *View) catchUp(ctx context.Context, upstream fleetpb.Fleet) error {
+	read, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	if err := v.readDesired(read); err == nil && !v.behind() {
+		return nil
+	}
+	_, err := v.poll(ctx, upstream, 0, peerTimeout)
+	return err
+}
+
 // lookAgain returns the pause before a daemon that follows the store looks
 // again whether it still should.
 func (v *View) lookAgain() time.Duration {
@@ -190,6 +217,7 @@
 		}
 	}
 	v.place = place{resp.Source, resp.Change}
+	v.upstreamVersion = resp.ConfigVersion
 	v.source.Heard(now, age)
 	v.mu.Unlock()
 	v.publish("peer")
@@ -205,7 +233,7 @@
 	first := v.SeenAt()
 	for over := req.WaitMs <= 0; ; {
 		resp, delta, told := v.newer(req)
-		if over || len(resp.Config) > 0 || !delta.Empty() || v.SeenAt().After(first) {
+		if over || resp.ConfigVersion > req.ConfigVersion || !delta.Empty() || v.SeenAt().After(first) {
 			resp.Whole, resp.Gone, resp.Endpoints = delta.Whole, delta.Gone, toWire(delta.Endpoints)
 			return resp, nil
 		}
@@ -226,8 +254,11 @@
 	defer v.mu.Unlock()
 	view := v.view.Load()
 	resp := &fleetpb.FollowResponse{Source: v.opt.Self, Change: v.changes.Change(), EndpointsRevision: view.Revision, AgeMs: v.ageMs(time.Now())}
-	if t := v.table.Load(); t != nil && t.Version > req.ConfigVersion {
-		resp.Config = v.raw
+	if t := v.table.Load(); t != nil {
+		resp.ConfigVersion = t.Version
+		if t.Version > req.ConfigVersion && (req.WaitMs <= 0 || len(v.raw) <= inlineConfig) {
+			resp.Config = v.raw
+		}
 	}
 	delta := v.changes.Since(req.Change, req.Source == v.opt.Self, view)
 	if delta.Whole && view.Revision < req.EndpointsRevision {
--- a/driver/storeview/storeview.go
+++ b/driver/storeview/storeview.go
@@ -58,10 +58,12 @@
 	directFrom time.Time // the store is asked from then on, at the latest
 	watches    bool      // this daemon follows the store itself
 	source     *relay.Source
-	place      place            // in the changes of the upstream
-	changes    *relay.ChangeLog // of this daemon's view, for those that take from it
-	told       chan struct{}    // closed when there is something newer to tell
-	onChange   []func()
+	place      place // in the changes of the upstream
+	// upstreamVersion is of the desired state in force there.
+	upstreamVersion uint64
+	changes         *relay.ChangeLog // of this daemon's view, for those that take from it
+	told            chan struct{}    // closed when there is something newer to tell
+	onChange        []func()
 }
 
 // New returns a view that knows nothing.
--- a/driver/storeview/storeview_test.go
+++ b/driver/storeview/storeview_test.go
@@ -35,6 +35,7 @@
 	changed  chan struct{} // closed at the next change
 	calls    int
 	failed   int
+	padding  int // bytes added to the desired state
 }
 
 func newFakeStore() *fakeStore {
@@ -109,6 +110,9 @@
 
 func encodeVersion(v uint64) []byte { return binary.BigEndian.AppendUint64(nil, v) }
 
+// large is the size of a desired state that polls do not carry.
+const large = inlineConfig + 1
+
 func decodeVersion(raw []byte) (*routing.Table, error) {
 	return &routing.Table{Version: binary.BigEndian.Uint64(raw)}, nil
 }
@@ -128,7 +132,11 @@
 	if _, err := s.call(); err != nil {
 		return nil, 0, err
 	}
-	return encodeVersion(s.config), s.revision, nil
+	return s.encoded(), s.revision, nil
+}
+
+func (s *fakeStore) encoded() []byte {
+	return append(encodeVersion(s.config), make([]byte, s.padding)...)
 }
 
 // wait blocks until ready says that there is something to tell, the wait is
@@ -183,7 +191,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.configAt > since {
-		raw = encodeVersion(s.config)
+		raw = s.encoded()
 	}
 	return raw, s.revision, err
 }
@@ -569,3 +577,27 @@
 		}
 	})
 }
+
+// A large desired state does not travel through the upstream, whose link would
+// not carry it to all: the follower is told and reads it from the store, or
+// from the upstream if the store turns it away.
+func TestLargeDesiredStateIsReadFromTheStore(t *testing.T) {
+	for _, cut := range []bool{false, true} {
+		inBubble(t, func(b *bubble) {
+			p := b.pair()
+			p.ways[2].setCut(cut)
+			before := p.ways[2].calls()
+			p.store.mu.Lock()
+			p.store.padding = large
+			p.store.mu.Unlock()
+			p.store.setConfig(2)
+			time.Sleep(100 * time.Millisecond)
+			if p.follower.Table().Version != 2 {
+				t.Errorf("cut off %v: not in force", cut)
+			}
+			if n := p.ways[2].calls() - before; n != 1 {
+				t.Errorf("cut off %v: %d reads of the store", cut, n)
+			}
+		})
+	}
+}
