One way to serve in both commands; a poll's failure is logged in one place; an estimate that nobody read is gone

Read as a newcomer: run and edge had the same run group, signals and end. A poll at an upstream that failed left no line in the log, only one at any peer did; poll logs it now for both, at debug. What a daemon without the lease answered as the time to come back was always replaced by the asker's own estimate since vacancies are estimated. Behaviour as before.

--- a/cmd/doorvalved/edge.go
+++ b/cmd/doorvalved/edge.go
@@ -1,12 +1,10 @@
 package main
 
 import (
-	"context"
 	"os"
 	"syscall"
 
 	"github.com/hashicorp/go-hclog"
-	"github.com/oklog/run"
 
 	"github.com/doorvalve/doorvalve/daemon/edgedaemon"
 	"github.com/doorvalve/doorvalve/driver/decisions"
@@ -28,22 +26,7 @@
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	var g run.Group
-	g.Add(func() error { return d.Run(ctx) }, func(error) { cancel() })
-	addSignals(&g, func(s os.Signal) {
-		if s == syscall.SIGHUP {
-			reload(d, log, c.Settings)
-			return
-		}
-		d.Stop()
-	}, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	err = g.Run()
-	if edgedaemon.IsStopped(err) {
-		return nil
-	}
-	return err
+	return serve(d, edgedaemon.IsStopped, syscall.SIGHUP, func() { reload(d, log, c.Settings) })
 }
 
 // reload reads the settings again.
--- a/cmd/doorvalved/main.go
+++ b/cmd/doorvalved/main.go
@@ -2,7 +2,6 @@
 package main
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
 	"os"
@@ -10,7 +9,6 @@
 
 	"github.com/alecthomas/kong"
 	"github.com/hashicorp/go-hclog"
-	"github.com/oklog/run"
 
 	"github.com/doorvalve/doorvalve/daemon"
 	"github.com/doorvalve/doorvalve/driver/decisions"
@@ -51,22 +49,7 @@
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	var g run.Group
-	g.Add(func() error { return d.Run(ctx) }, func(error) { cancel() })
-	addSignals(&g, func(s os.Signal) {
-		if s == syscall.SIGUSR1 {
-			dump(d, log)
-			return
-		}
-		d.Stop()
-	}, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
-	err = g.Run()
-	if daemon.IsStopped(err) {
-		return nil
-	}
-	return err
+	return serve(d, daemon.IsStopped, syscall.SIGUSR1, func() { dump(d, log) })
 }
 
 func dump(d *daemon.Daemon, log *decisions.Log) {
--- a/coordination/residency/types.go
+++ b/coordination/residency/types.go
@@ -113,7 +113,7 @@
 	// Level is where the copy comes from.
 	Level Level
 	// Refused is set when the model cannot be had; ReadyIn then says when
-	// to ask again.
+	// to ask again, except without a coordinator: who asked estimates that.
 	Refused string
 }
 
--- a/coordination/residency/want.go
+++ b/coordination/residency/want.go
@@ -22,7 +22,7 @@
 		return a
 	}
 	if !p.held {
-		return Answer{Refused: RefusedNoHolder, ReadyIn: time.Second}
+		return Answer{Refused: RefusedNoHolder}
 	}
 	a, ok := p.wantLoad(now, want)
 	if !ok {
--- a/daemon/edgedaemon/peers.go
+++ b/daemon/edgedaemon/peers.go
@@ -111,16 +111,11 @@
 	return watches, order
 }
 
-const (
-	// wantTimeout bounds a question to the coordinator, which answers from
-	// memory.
-	wantTimeout = 300 * time.Millisecond
-	// noHolderPause is what a daemon that does not coordinate a service tells
-	// one that thought so.
-	noHolderPause = time.Second
-)
+// wantTimeout bounds a question to the coordinator, which answers from memory.
+const wantTimeout = 300 * time.Millisecond
 
-// Want implements edge.Locator.
+// Want implements edge.Locator. How long a service is without a coordinator is
+// estimated here, whoever says that it has none.
 func (d *Daemon) Want(ctx context.Context, service string, w residency.Want) residency.Answer {
 	a := d.ask(ctx, service, w)
 	if a.Refused != residency.RefusedNoHolder {
@@ -223,7 +218,7 @@
 func (s *fleetServer) Want(_ context.Context, req *fleetpb.WantRequest) (*fleetpb.WantResponse, error) {
 	c := (*Daemon)(s).coordinates(req.Service)
 	if c == nil {
-		return &fleetpb.WantResponse{Refused: residency.RefusedNoHolder, ReadyInMs: noHolderPause.Milliseconds()}, nil
+		return &fleetpb.WantResponse{Refused: residency.RefusedNoHolder}, nil
 	}
 	a := c.Want(residency.Want{Model: req.Model, Adapter: req.Adapter, Rank: int(req.Rank), Avoid: req.Avoid, Unreachable: req.Unreachable, Absent: req.Absent})
 	return &fleetpb.WantResponse{Endpoint: a.EndpointID, ReadyInMs: ceilMs(a.ReadyIn), Level: int32(a.Level), Refused: a.Refused}, nil
--- a/driver/storeview/peers.go
+++ b/driver/storeview/peers.go
@@ -97,10 +97,12 @@
 func (v *View) catchUp(ctx context.Context, upstream fleetpb.Fleet) error {
 	read, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	if err := v.readDesired(read); err == nil && !v.behind() {
+	err := v.readDesired(read)
+	if err == nil && !v.behind() {
 		return nil
 	}
-	_, err := v.poll(ctx, upstream, 0, peerTimeout)
+	v.opt.Log.Debug("desired state taken from the upstream", "store_error", err)
+	_, err = v.poll(ctx, upstream, 0, peerTimeout)
 	return err
 }
 
@@ -143,9 +145,7 @@
 		if !silent || peer == nil {
 			continue
 		}
-		if _, err := v.poll(ctx, peer, 0, peerTimeout); err != nil {
-			v.opt.Log.Debug("peer did not answer", "error", err)
-		}
+		_, _ = v.poll(ctx, peer, 0, peerTimeout) // logs its failure; another peer is next
 	}
 	return nil
 }
@@ -184,6 +184,7 @@
 	}
 	resp, err := peer.Follow(ctx, req)
 	if err != nil {
+		v.opt.Log.Debug("peer did not answer", "error", err)
 		return 0, err
 	}
 	age = maxAge
