residency: slow first events ask for one more replica of a model

One more replica was wanted by the number of running requests (15 there), and weighed less than a single want of a rare model. What saturates is the reading of prompts, which the number of running requests does not show.

Change: daemons tell with their demand how many first events came at each endpoint and how many needed over 0.8 of the objective. Its weight against rare models: its slow answers, as if they were wants. Nothing is taken from settings or declared.

--- a/coordination/residency/draft.go
+++ b/coordination/residency/draft.go
@@ -13,6 +13,7 @@
 	active   map[string]int // requests running or waiting, by model
 	running  map[Place]int
 	replicas map[string]int // of each model, less those that are making way
+	pressed  map[string]int // replicas that a model's slow answers ask for
 	engines  map[*worker]*engineDraft
 	store    []time.Duration // when each place of the store is free
 	// storeLoads is the number of loads from the store in progress.
@@ -43,6 +44,7 @@
 		}
 		p.countReplicas(d, w)
 	}
+	d.pressed = p.pressedReplicas(d)
 	for len(d.store) < p.opt.StoreAtOnce {
 		d.store = append(d.store, 0)
 	}
@@ -50,6 +52,9 @@
 	return d
 }
 
+// needed is the number of replicas that a model's requests ask for.
+func (d *draft) needed(model string) int { return max(needed(d.active[model]), d.pressed[model]) }
+
 // sumDemand adds up what the daemons said lately.
 func (p *Planner) sumDemand(d *draft) {
 	for daemon, said := range p.demands {
@@ -152,7 +157,7 @@
 		return 0, false // its unload would wait for them, and keep the engine busy
 	}
 	switch {
-	case d.replicas[name] > max(1, needed(d.active[name])):
+	case d.replicas[name] > max(1, d.needed(name)):
 		return 0, true
 	case d.active[name] == 0:
 		return idleCost - min(idleGain, idle/1000), true
--- a/coordination/residency/planner.go
+++ b/coordination/residency/planner.go
@@ -96,9 +96,10 @@
 	fence      uint64
 	ordersFrom time.Time
 	demands    map[string]*demand
-	wants      map[string]*wanted // models to be loaded
-	values     map[string]*value  // of what was wanted lately, by model
-	slots      []slot             // the schedule as last made
+	wants      map[string]*wanted   // models to be loaded
+	values     map[string]*value    // of what was wanted lately, by model
+	pressures  map[string]*pressure // of models in use
+	slots      []slot               // the schedule as last made
 	slotsAt    time.Time
 	starts     []time.Time // loads from the store, newest last
 	grownAt    time.Time   // when an engine was new last
@@ -108,7 +109,7 @@
 // New returns a planner that knows nothing.
 func New(opt Options) *Planner {
 	opt.StoreAtOnce = max(1, opt.StoreAtOnce)
-	return &Planner{opt: opt, workers: map[string]*worker{}, demands: map[string]*demand{}, wants: map[string]*wanted{}, values: map[string]*value{}}
+	return &Planner{opt: opt, workers: map[string]*worker{}, demands: map[string]*demand{}, wants: map[string]*wanted{}, values: map[string]*value{}, pressures: map[string]*pressure{}}
 }
 
 // Configure takes the service's models.
@@ -196,6 +197,9 @@
 // Demand takes what a daemon says of its requests.
 func (p *Planner) Demand(now time.Time, daemon string, d Demand) {
 	p.demands[daemon] = &demand{Demand: d, at: now}
+	for place, first := range d.First {
+		p.pressed(now, place.Model, first)
+	}
 	for place, n := range d.Running {
 		w := p.workers[place.EndpointID]
 		if n == 0 || w == nil {
--- a/coordination/residency/ready.go
+++ b/coordination/residency/ready.go
@@ -182,13 +182,13 @@
 // them, and no more of those that have enough, loaded or on their way.
 func (p *Planner) wantReplicas(d *draft) {
 	for model, w := range p.wants {
-		if w.extra && d.replicas[model] >= needed(d.active[model]) {
+		if w.extra && d.replicas[model] >= d.needed(model) {
 			delete(p.wants, model)
 		}
 	}
-	for model, n := range d.active {
+	for model := range d.active {
 		have := d.replicas[model]
-		if _, ok := p.conf.Engine.Models[model]; !ok || have == 0 || have >= needed(n) {
+		if _, ok := p.conf.Engine.Models[model]; !ok || have == 0 || have >= d.needed(model) {
 			continue
 		}
 		if p.wants[model] == nil {
--- a/coordination/residency/schedule.go
+++ b/coordination/residency/schedule.go
@@ -57,7 +57,7 @@
 	}
 	active, replicas := float64(d.active[model]), float64(max(1, d.replicas[model]))
 	full := min(1, active/replicas/perReplica)
-	return busyWeight * active * full * full
+	return max(busyWeight*active*full*full, p.pressureWeight(d.now, model))
 }
 
 // place chooses the engine that will have the model ready first.
--- a/coordination/residency/types.go
+++ b/coordination/residency/types.go
@@ -102,6 +102,16 @@
 type Demand struct {
 	Active  map[string]int // requests running or waiting, by model
 	Running map[Place]int  // requests that an endpoint was sent and has not ended
+	// First tells how fast endpoints began to answer since the daemon said so
+	// last; adapters count for their model.
+	First map[Place]FirstEvents
+}
+
+// FirstEvents counts first events of answers.
+type FirstEvents struct {
+	Count int
+	Slow  int // came near the latency objective or after it
+	Rank  int // of the most urgent of these requests; 0 is first
 }
 
 // Answer says where a wanted model is or will be.
--- a/coordination/residency/value.go
+++ b/coordination/residency/value.go
@@ -18,7 +18,12 @@
 		v = &value{at: now}
 		p.values[want.Model] = v
 	}
-	v.sum, v.at = v.now(now)+math.Pow(rankWeight, float64(ranks-1-min(ranks-1, max(0, want.Rank)))), now
+	v.sum, v.at = v.now(now)+rankValue(want.Rank), now
+}
+
+// rankValue is what one request of a rank weighs.
+func rankValue(rank int) float64 {
+	return math.Pow(rankWeight, float64(ranks-1-min(ranks-1, max(0, rank))))
 }
 
 func (v *value) now(now time.Time) float64 {
--- a/daemon/edgedaemon/peers.go
+++ b/daemon/edgedaemon/peers.go
@@ -203,7 +203,12 @@
 		req.Active[model] = int32(n)
 	}
 	for place, n := range demand.Running {
-		req.Running = append(req.Running, &fleetpb.Running{Endpoint: place.EndpointID, Model: place.Model, Requests: int32(n)})
+		first := demand.First[place]
+		delete(demand.First, place)
+		req.Running = append(req.Running, runningAt(place, n, first))
+	}
+	for place, first := range demand.First {
+		req.Running = append(req.Running, runningAt(place, 0, first))
 	}
 	ctx, cancel := context.WithTimeout(ctx, wantTimeout)
 	defer cancel()
@@ -212,6 +217,13 @@
 	}
 }
 
+func runningAt(place residency.Place, requests int, first residency.FirstEvents) *fleetpb.Running {
+	return &fleetpb.Running{
+		Endpoint: place.EndpointID, Model: place.Model, Requests: int32(requests),
+		FirstEvents: int32(first.Count), Slow: int32(first.Slow), Rank: int32(first.Rank),
+	}
+}
+
 // leasePeers returns some of the other daemons, at random, as ways to the
 // store.
 func (d *Daemon) leasePeers(most int) []leaserelay.Peer {
@@ -255,12 +267,18 @@
 // Demand implements fleetpb.Fleet.
 func (s *fleetServer) Demand(_ context.Context, req *fleetpb.DemandRequest) (*fleetpb.DemandResponse, error) {
 	if c := (*Daemon)(s).coordinates(req.Service); c != nil {
-		demand := residency.Demand{Active: make(map[string]int, len(req.Active)), Running: make(map[residency.Place]int, len(req.Running))}
+		demand := residency.Demand{
+			Active: make(map[string]int, len(req.Active)), Running: make(map[residency.Place]int, len(req.Running)), First: map[residency.Place]residency.FirstEvents{},
+		}
 		for model, n := range req.Active {
 			demand.Active[model] = int(n)
 		}
 		for _, r := range req.Running {
-			demand.Running[residency.Place{EndpointID: r.Endpoint, Model: r.Model}] = int(r.Requests)
+			place := residency.Place{EndpointID: r.Endpoint, Model: r.Model}
+			demand.Running[place] = int(r.Requests)
+			if r.FirstEvents > 0 {
+				demand.First[place] = residency.FirstEvents{Count: int(r.FirstEvents), Slow: int(r.Slow), Rank: int(r.Rank)}
+			}
 		}
 		c.Demand(req.Daemon, demand)
 	}
--- a/transport/edge/answer.go
+++ b/transport/edge/answer.go
@@ -19,6 +19,7 @@
 	begun    bool // the caller has seen the header
 	status   int
 	endpoint string        // that answered last
+	sent     time.Time     // when the request was sent to it
 	lastID   string        // of the last event handed on; empty before the first
 	first    time.Time     // when the first event was handed on
 	last     time.Time     // when the last ones were
@@ -146,6 +147,7 @@
 	if a.first.IsZero() {
 		a.first = now
 		a.server.metrics.firstEvent.RecordDuration(a.firstAfter())
+		a.server.countFirst(a.q, a.endpoint, now.Sub(a.sent))
 	} else {
 		a.gap = max(a.gap, now.Sub(a.last))
 	}
--- a/transport/edge/attempt.go
+++ b/transport/edge/attempt.go
@@ -153,6 +153,7 @@
 	defer func() { s.opt.Balancer.Ended(time.Now(), e.ID, q.unit(), ok) }()
 	w := s.watch(q, e, more, cancel)
 	defer w.stop()
+	a.sent = time.Now()
 	resp, f := s.send(ctx, q, e, a.lastID)
 	if f == nil {
 		a.endpoint = e.ID
@@ -163,6 +164,9 @@
 		f.paid = true
 		s.client.kept.CloseIdleConnections() // they may be as dead as the one that was waited on
 	}
+	if f != nil && f.verdict != protocol.NotRun && a.first.IsZero() {
+		s.countFirst(q, e.ID, time.Since(a.sent))
+	}
 	ok = f == nil
 	return f
 }
--- a/transport/edge/demand.go
+++ b/transport/edge/demand.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"time"
 
 	"github.com/doorvalve/doorvalve/coordination/residency"
 )
@@ -12,11 +13,35 @@
 	defer s.mu.Unlock()
 	out := make(map[string]residency.Demand, len(s.demand))
 	for service, d := range s.demand {
-		out[service] = residency.Demand{Active: maps.Clone(d.Active), Running: maps.Clone(d.Running)}
+		out[service] = residency.Demand{Active: maps.Clone(d.Active), Running: maps.Clone(d.Running), First: maps.Clone(d.First)}
+		clear(d.First)
 	}
 	return out
 }
 
+// slowPart is the part of the latency objective after which a first event
+// counts as slow: a model's replicas are to be joined by another one before its
+// answers are late.
+const slowPart = 0.8
+
+// countFirst notes how long an endpoint took to begin its answer, or to not
+// begin it.
+func (s *Server) countFirst(q *request, endpoint string, after time.Duration) {
+	slow := float64(after) > slowPart*float64(q.route.Target)
+	s.countDemand(q, func(d residency.Demand) {
+		place := residency.Place{EndpointID: endpoint, Model: q.call.Model}
+		f, known := d.First[place]
+		if !known || q.route.Rank < f.Rank {
+			f.Rank = q.route.Rank
+		}
+		f.Count++
+		if slow {
+			f.Slow++
+		}
+		d.First[place] = f
+	})
+}
+
 // countActive adds n to the requests of a model that run or wait.
 func (s *Server) countActive(q *request, n int) {
 	s.countDemand(q, func(d residency.Demand) { add(d.Active, q.call.Model, n) })
@@ -40,7 +65,7 @@
 	defer s.mu.Unlock()
 	d, ok := s.demand[q.service.Name]
 	if !ok {
-		d = residency.Demand{Active: map[string]int{}, Running: map[residency.Place]int{}}
+		d = residency.Demand{Active: map[string]int{}, Running: map[residency.Place]int{}, First: map[residency.Place]residency.FirstEvents{}}
 		s.demand[q.service.Name] = d
 	}
 	change(d)
--- /dev/null
+++ b/transport/edge/demand_test.go
@@ -0,0 +1,32 @@
+package edge
+
+import (
+	"testing"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/doorvalve/doorvalve/coordination/residency"
+	"github.com/doorvalve/doorvalve/protocol"
+	"github.com/doorvalve/doorvalve/state/routing"
+)
+
+func testRequest() *request {
+	return &request{
+		call: protocol.Call{ID: "r", Model: "m"}, service: &routing.Service{Name: "llm"},
+		route: &routing.Route{Target: time.Second, Rank: 1},
+	}
+}
+
+func TestFirstEventsAreToldOnce(t *testing.T) {
+	s, q := New(Options{Metrics: tally.NoopScope}), testRequest()
+	s.countFirst(q, "e", 100*time.Millisecond)
+	s.countFirst(q, "e", 900*time.Millisecond)
+	place := residency.Place{EndpointID: "e", Model: "m"}
+	if got, want := s.Demand()["llm"].First[place], (residency.FirstEvents{Count: 2, Slow: 1, Rank: 1}); got != want {
+		t.Fatalf("got %+v, want %+v", got, want)
+	}
+	if got := s.Demand()["llm"].First; len(got) != 0 {
+		t.Fatalf("told again: %+v", got)
+	}
+}
