--- a/coordination/residency/pressure_test.go
+++ b/coordination/residency/pressure_test.go
@@ -6,15 +6,15 @@
 	"time"
 )
 
-// pressed says that requests of a model begin at an engine, so many a second of
-// which a part is slow, for a while.
-func (w *world) serve(d time.Duration, engine, model string, perSecond, slow float64) {
+// serve says for a while that requests of a model run and begin at an engine, so
+// many a second of which a part is slow.
+func (w *world) serve(d time.Duration, engine, model string, running int, perSecond, slow float64) {
 	const tick = 400 * time.Millisecond // as daemons tell
 	place := Place{engine, model}
 	for ; d > 0; d -= tick {
 		n := perSecond * tick.Seconds()
 		w.p.Demand(w.now, "d", Demand{
-			Active: map[string]int{model: 15}, Running: map[Place]int{place: 15},
+			Active: map[string]int{model: running}, Running: map[Place]int{place: running},
 			First: map[Place]FirstEvents{place: {Count: int(n), Slow: int(n * slow)}},
 		})
 		w.run(tick)
@@ -28,10 +28,14 @@
 // 44 requests a second for the busiest model, 640 prompt tokens at 38.7 a ms.
 func TestSlowAnswersAskForAReplica(t *testing.T) {
 	w := newWorld(90, 6)
-	for i := range 12 {
+	for i := range 18 {
 		w.p.Want(w.now, Want{Model: fmt.Sprintf("m%02d", 20+i)})
 		w.p.Want(w.now, Want{Model: fmt.Sprintf("m%02d", 40+i)})
-		w.serve(800*time.Millisecond, "e0", "m00", 30, 0.5)
+		if i < 6 { // the weight store has its hands full by then
+			w.serve(800*time.Millisecond, "e0", "m00", 3, 10, 0)
+			continue
+		}
+		w.serve(800*time.Millisecond, "e0", "m00", 15, 30, 0.5)
 	}
 	if n := w.holders("m00"); n < 2 {
 		t.Fatalf("%d replica after 10 s of slow answers", n)
@@ -51,14 +55,14 @@
 	}
 	for range 25 {
 		if w.holders("m00") == 1 {
-			w.serve(400*time.Millisecond, "e0", "m00", 30, 0.5)
+			w.serve(400*time.Millisecond, "e0", "m00", 15, 30, 0.5)
 		}
 	}
 	after := loads
 	if after == 0 {
 		t.Fatal("no replica for slow answers")
 	}
-	w.serve(10*time.Second, "e0", "m00", 30, 0)
+	w.serve(10*time.Second, "e0", "m00", 15, 30, 0)
 	d := w.p.newDraft(w.now)
 	if got := d.needed("m00"); got != 2 {
 		t.Errorf("%d replicas are needed for what one did not carry", got)
@@ -66,7 +70,7 @@
 	if loads != after {
 		t.Errorf("%d loads more with fast answers", loads-after)
 	}
-	w.serve(10*time.Second, "e0", "m00", 3, 0)
+	w.serve(10*time.Second, "e0", "m00", 15, 3, 0)
 	d = w.p.newDraft(w.now)
 	if got := d.pressed["m00"]; got > 1 {
 		t.Errorf("%d replicas for a tenth of the load", got)
@@ -77,7 +81,7 @@
 func TestReplicasComeOneAtATime(t *testing.T) {
 	w := newWorld(12, 6)
 	for range 40 {
-		w.serve(400*time.Millisecond, "e0", "m00", 30, 1)
+		w.serve(400*time.Millisecond, "e0", "m00", 15, 30, 1)
 		d := w.p.newDraft(w.now)
 		ready, _ := w.p.readyReplicas(w.now, "m00")
 		if need := d.pressed["m00"]; need > ready+1 {
