residency: daemons tell at once when a model begins or ceases to run somewhere

Change: a daemon tells its demand 40 ms after a count at an endpoint has left or reached zero; a model counts as idle after 0.2 s in place of 0.5 s.

--- a/coordination/residency/types.go
+++ b/coordination/residency/types.go
@@ -169,7 +169,7 @@
 	// idleAfter is how long after it was named for a request a model counts as
 	// idle, unless daemons say that requests run: longer than the pause
 	// between two of their reports.
-	idleAfter = 500 * time.Millisecond
+	idleAfter = 200 * time.Millisecond
 	// keepWaiting is how long a model is kept after it is ready for a request
 	// that waits for it.
 	keepWaiting = 400 * time.Millisecond
--- a/daemon/edgedaemon/peers.go
+++ b/daemon/edgedaemon/peers.go
@@ -15,6 +15,7 @@
 	"github.com/doorvalve/doorvalve/driver/decisions"
 	"github.com/doorvalve/doorvalve/driver/gossip"
 	"github.com/doorvalve/doorvalve/driver/leaserelay"
+	"github.com/doorvalve/doorvalve/internal/pause"
 	"github.com/doorvalve/doorvalve/protocol/fleetpb"
 	"github.com/doorvalve/doorvalve/protocol/peerpb"
 )
@@ -154,9 +155,14 @@
 	return residency.Answer{EndpointID: resp.Endpoint, ReadyIn: time.Duration(resp.ReadyInMs) * time.Millisecond, Level: residency.Level(resp.Level), Refused: resp.Refused}
 }
 
-// demandEvery is how often a daemon tells the coordinators what runs and
-// waits.
-const demandEvery = 400 * time.Millisecond
+const (
+	// demandEvery is how often a daemon tells the coordinators what runs and
+	// waits, when nothing urges it.
+	demandEvery = 400 * time.Millisecond
+	// demandSoon is how soon it tells them that a model has begun or ceased to
+	// run at an endpoint. What changes meanwhile goes along.
+	demandSoon = 40 * time.Millisecond
+)
 
 // runDemand tells the coordinators of this daemon's requests, until ctx ends.
 func (d *Daemon) runDemand(ctx context.Context) error {
@@ -167,6 +173,9 @@
 		case <-ctx.Done():
 			return nil
 		case <-t.C:
+		case <-d.callers.DemandTurned():
+			pause.For(ctx, demandSoon)
+			t.Reset(demandEvery)
 		}
 		d.shareRetries(len(d.alive()))
 		for service, demand := range d.callers.Demand() {
--- a/transport/edge/demand.go
+++ b/transport/edge/demand.go
@@ -50,13 +50,30 @@
 // countRunning adds n to the requests of a model at an endpoint.
 func (s *Server) countRunning(q *request, endpoint string, n int) {
 	s.countDemand(q, func(d residency.Demand) {
-		add(d.Running, residency.Place{EndpointID: endpoint, Model: q.call.Model}, n)
+		place := residency.Place{EndpointID: endpoint, Model: q.call.Model}
+		before := d.Running[place]
+		add(d.Running, place, n)
+		if before == 0 || before+n == 0 {
+			s.demandTurned()
+		}
 		if q.call.Adapter != "" {
 			add(d.Running, residency.Place{EndpointID: endpoint, Model: q.unit()}, n)
 		}
 	})
 }
 
+// demandTurned says that a model has begun or ceased to run at an endpoint.
+func (s *Server) demandTurned() {
+	select {
+	case s.turned <- struct{}{}:
+	default:
+	}
+}
+
+// DemandTurned receives when a model has begun or ceased to run at an endpoint:
+// the coordinator may put another in its place at once.
+func (s *Server) DemandTurned() <-chan struct{} { return s.turned }
+
 func (s *Server) countDemand(q *request, change func(residency.Demand)) {
 	if q.call.Model == "" {
 		return
--- a/transport/edge/demand_test.go
+++ b/transport/edge/demand_test.go
@@ -11,6 +11,15 @@
 	"github.com/doorvalve/doorvalve/state/routing"
 )
 
+func turned(s *Server) bool {
+	select {
+	case <-s.DemandTurned():
+		return true
+	default:
+		return false
+	}
+}
+
 func testRequest() *request {
 	return &request{
 		call: protocol.Call{ID: "r", Model: "m"}, service: &routing.Service{Name: "llm"},
@@ -18,6 +27,21 @@
 	}
 }
 
+// The coordinator is told at once when a model begins or ceases to run at an
+// endpoint, and not of each request of a busy one.
+func TestDemandTurns(t *testing.T) {
+	s, q := New(Options{Metrics: tally.NoopScope}), testRequest()
+	for i, step := range []struct {
+		n    int
+		want bool
+	}{{1, true}, {1, false}, {-1, false}, {-1, true}} {
+		s.countRunning(q, "e", step.n)
+		if got := turned(s); got != step.want {
+			t.Errorf("step %d: turned %v", i, got)
+		}
+	}
+}
+
 func TestFirstEventsAreToldOnce(t *testing.T) {
 	s, q := New(Options{Metrics: tally.NoopScope}), testRequest()
 	s.countFirst(q, "e", 100*time.Millisecond)
--- a/transport/edge/server.go
+++ b/transport/edge/server.go
@@ -64,7 +64,8 @@
 
 	mu      sync.Mutex
 	demand  map[string]residency.Demand // by service
-	longest sync.Map                    // route name -> *atomic.Int64: longest time left seen, ns
+	turned  chan struct{}
+	longest sync.Map // route name -> *atomic.Int64: longest time left seen, ns
 }
 
 type metrics struct {
@@ -76,7 +77,7 @@
 func New(opt Options) *Server {
 	m := opt.Metrics.SubScope("caller")
 	buckets := tally.MustMakeExponentialDurationBuckets(5*time.Millisecond, 2, 14)
-	return &Server{opt: opt, client: newClient(), demand: map[string]residency.Demand{}, metrics: metrics{
+	return &Server{opt: opt, client: newClient(), demand: map[string]residency.Demand{}, turned: make(chan struct{}, 1), metrics: metrics{
 		answered: m.Counter("requests_answered_total"), refused: m.Counter("requests_refused_total"),
 		failed: m.Counter("requests_failed_total"), retried: m.Counter("attempts_retried_total"),
 		resumed: m.Counter("streams_resumed_total"), gone: m.Counter("callers_gone_total"),
