waiting: one rule, from the estimate and its measured error; no windows

Cause: who waits was decided by windows: a quarter of the objective in which a refusal cost little, a third of the time left, and a guess (0.97 of the longest time left) of who had been here before. By the users' new accounting a refusal followed by a success earns nothing extra, so all three only sent callers away that would have been served by waiting.

Change: a request waits if it can meet its objective, or if its model will be there, with the margin of estimates of that kind, before its caller leaves. The margin is learned from each wait: it settles where 9 in 10 estimates are covered. What has begun waits without the margin. All others are refused at once with the time of the estimate, also those that have waited when the estimate turns out wrong. After its pause an engine that failed a request may serve it again. New: model_wait_beyond_estimate_seconds; margin_ms in the log; "request not resumed" names what was in the way.

--- a/coordination/waiting/waiting.go
+++ b/coordination/waiting/waiting.go
@@ -7,13 +7,14 @@
 // Input is what the decision hangs on.
 type Input struct {
 	ReadyIn  time.Duration // until an endpoint can start the request
-	Elapsed  time.Duration // since the request arrived
+	Margin   time.Duration // by which ReadyIn may err
+	Elapsed  time.Duration // since the request arrived, or its caller got the last event
 	TimeLeft time.Duration // until its deadline
 	Target   time.Duration // its latency objective
-	Patience time.Duration // until its caller leaves, from the arrival
-	// Returned says that the caller has been here before with this request:
-	// it has waited outside already.
-	Returned bool
+	Patience time.Duration // until its caller leaves, from the same moment as Elapsed
+	// Begun says that an endpoint has worked on the request, so that it cannot
+	// be refused any more: ended now, it has failed.
+	Begun bool
 }
 
 // Decision is what becomes of the request.
@@ -27,9 +28,6 @@
 	// firstEvent is the time that an endpoint takes to the first event, with
 	// room to spare: a long prompt and a full batch.
 	firstEvent = 250 * time.Millisecond
-	// promptPart is the part of the objective in which a refusal costs the caller
-	// little; afterwards waiting on is better than asking again.
-	promptPart = 4
 	// honouredPart is the part of the time left up to which callers keep to a
 	// Retry-After.
 	honouredPart = 3
@@ -40,23 +38,23 @@
 	minRetryAfter = 100 * time.Millisecond
 )
 
-// Decide is pure. A request that can meet its objective waits. One that cannot
-// is sent away with the time at which its model will be there, unless it came
-// back already, or would have to come back too early: it then waits while its
-// caller does.
+// Decide is pure. A request waits if it is likely to be served: within its
+// objective, or with the estimate's margin before its caller leaves. One that an
+// endpoint has begun goes on while there is a chance. All others are refused at
+// once with the time at which the model will be there: worth counts from the
+// caller's first try, so that a refusal gains nothing where waiting succeeds, and
+// waiting in vain costs the caller more the longer it lasts.
 func Decide(in Input) Decision {
 	need := in.ReadyIn + firstEvent
-	if in.Elapsed+need <= in.Target {
-		return Decision{Wait: true}
-	}
-	inTime := need < in.TimeLeft && in.Elapsed+need < in.Patience
-	back := in.ReadyIn + returnMargin
-	prompt := in.Elapsed <= in.Target/promptPart
-	if !in.Returned && prompt && back <= in.TimeLeft/honouredPart {
-		return Decision{RetryAfter: max(back, minRetryAfter)}
+	if in.Begun {
+		return Decision{Wait: in.lasts(need), RetryAfter: minRetryAfter}
 	}
-	if inTime {
+	if in.Elapsed+need <= in.Target && in.lasts(need) || in.lasts(need+in.Margin) {
 		return Decision{Wait: true}
 	}
-	return Decision{RetryAfter: max(minRetryAfter, min(back, in.TimeLeft/honouredPart))}
+	back := min(in.ReadyIn+returnMargin, in.TimeLeft/honouredPart)
+	return Decision{RetryAfter: max(minRetryAfter, back)}
 }
+
+// lasts reports whether the caller is still there after a time.
+func (in Input) lasts(t time.Duration) bool { return t < in.TimeLeft && in.Elapsed+t < in.Patience }
--- a/driver/decisions/log.go
+++ b/driver/decisions/log.go
@@ -31,6 +31,7 @@
 	EventRefused          = "request refused"
 	EventFailed           = "request failed"
 	EventAttemptFailed    = "attempt failed"
+	EventNotResumed       = "request not resumed"
 	EventWaiting          = "request waits for a model"
 	EventAvoided          = "endpoint avoided"
 )
--- a/transport/edge/run.go
+++ b/transport/edge/run.go
@@ -37,6 +37,11 @@
 	verdict protocol.Verdict // the worst of all attempts
 	exclude []string         // endpoints that have failed it
 	last    *failure
+	heard   time.Time // when the caller got the last event; zero before the first
+	// estimated is when the model was first said to be there, on what source;
+	// zero while nothing was said.
+	estimated time.Time
+	source    waiting.Source
 }
 
 // note records a failed attempt.
@@ -73,8 +78,10 @@
 			return giveUp(t)
 		}
 		e, refusal := s.locate(ctx, q, t)
+		s.observeWait(t, refusal == nil)
 		switch {
 		case refusal != nil && t.verdict != protocol.NotRun:
+			s.opt.Log.Info(decisions.EventNotResumed, "request", q.call.ID, "reason", refusal.Reason, "detail", refusal.Detail, "ms", time.Since(q.arrived).Milliseconds())
 			return giveUp(t)
 		case refusal != nil:
 			return refusal
@@ -87,6 +94,7 @@
 			return nil
 		}
 		t.note(f, e.ID)
+		t.heard = a.last
 		if s.learn(ctx, q, e, f) {
 			t.exclude = append(t.exclude, e.ID)
 		}
@@ -194,32 +202,43 @@
 			}
 			ans.ReadyIn = loadingPause // the list does not name it yet, or not any more
 		}
-		if refusal := s.wait(ctx, q, ans); refusal != nil {
+		if refusal := s.wait(ctx, q, t, ans); refusal != nil {
 			return nil, refusal
 		}
-		avoid = "" // it has had its pause
+		if avoid != "" { // it has had its pause
+			exclude, avoid = without(exclude, avoid), ""
+		}
 	}
 }
 
 // wait waits for a model, or refuses the request.
-func (s *Server) wait(ctx context.Context, q *request, ans residency.Answer) *protocol.Refusal {
+func (s *Server) wait(ctx context.Context, q *request, t *tries, ans residency.Answer) *protocol.Refusal {
 	elapsed := time.Since(q.arrived)
 	if ends := s.opt.Ends(); !ends.IsZero() && time.Until(ends) < ans.ReadyIn+lastWait {
 		return protocol.Refuse(http.StatusServiceUnavailable, "stopping", "this daemon stops before the model is loaded", retryDraining)
 	}
+	silent := elapsed // as the caller sees it
+	if !t.heard.IsZero() {
+		silent = time.Since(t.heard)
+	}
+	source := sourceOf(ans)
+	margin := s.margins.Of(source)
 	d := waiting.Decide(waiting.Input{
-		ReadyIn: ans.ReadyIn, Elapsed: elapsed, TimeLeft: time.Until(q.deadline), Target: q.route.Target,
-		Patience: q.route.Patience, Returned: q.returned,
+		ReadyIn: ans.ReadyIn, Margin: margin, Elapsed: silent, TimeLeft: time.Until(q.deadline), Target: q.route.Target,
+		Patience: q.route.Patience, Begun: t.verdict != protocol.NotRun,
 	})
 	if !d.Wait {
 		reason := ans.Refused
 		if reason == "" {
 			reason = "model-loading"
 		}
-		detail := fmt.Sprintf("the model is not ready: endpoint %q, copy %s, in %d ms", ans.EndpointID, ans.Level, ans.ReadyIn.Milliseconds())
+		detail := fmt.Sprintf("the model is not ready: endpoint %q, copy %s, in %d ms, margin %d ms", ans.EndpointID, ans.Level, ans.ReadyIn.Milliseconds(), margin.Milliseconds())
 		return protocol.Refuse(http.StatusServiceUnavailable, reason, detail, d.RetryAfter)
 	}
-	s.opt.Log.Info(decisions.EventWaiting, "request", q.call.ID, "model", q.unit(), "endpoint", ans.EndpointID, "level", ans.Level.String(), "ready_in_ms", ans.ReadyIn.Milliseconds(), "elapsed_ms", elapsed.Milliseconds())
+	if t.estimated.IsZero() {
+		t.estimated, t.source = time.Now().Add(ans.ReadyIn), source
+	}
+	s.opt.Log.Info(decisions.EventWaiting, "request", q.call.ID, "model", q.unit(), "endpoint", ans.EndpointID, "level", ans.Level.String(), "ready_in_ms", ans.ReadyIn.Milliseconds(), "margin_ms", margin.Milliseconds(), "elapsed_ms", elapsed.Milliseconds())
 	pause.For(ctx, min(max(ans.ReadyIn, time.Millisecond), askPause))
 	q.waited = time.Since(q.arrived)
 	s.metrics.waited.RecordDuration(time.Since(q.arrived) - elapsed)
@@ -229,6 +248,39 @@
 	return nil
 }
 
+// sourceOf says what an answer's estimate rests on.
+func sourceOf(ans residency.Answer) waiting.Source {
+	switch {
+	case ans.Refused != "" || ans.EndpointID == "":
+		return waiting.Vacancy
+	case ans.Level == residency.Resident:
+		return waiting.Loaded
+	case ans.Level == residency.Store:
+		return waiting.Far
+	}
+	return waiting.Near
+}
+
+// observeWait compares the end of a wait with what was said at its begin. A wait
+// that was given up tells something only where the model is overdue.
+func (s *Server) observeWait(t *tries, there bool) {
+	if t.estimated.IsZero() {
+		return
+	}
+	late := time.Since(t.estimated)
+	t.estimated = time.Time{}
+	if !there && late <= s.margins.Of(t.source) {
+		return
+	}
+	s.margins.Observe(t.source, late)
+	s.metrics.waitError.RecordDuration(max(0, late))
+}
+
+// without returns a copy of a list without one entry.
+func without(list []string, entry string) []string {
+	return slices.DeleteFunc(slices.Clone(list), func(e string) bool { return e == entry })
+}
+
 func (s *Server) locatePlain(q *request, exclude []string) (*fleet.Endpoint, *protocol.Refusal) {
 	list := s.opt.View().ByService[q.service.Name]
 	e := s.opt.Balancer.Pick(time.Now(), list, balance.Query{Exclude: exclude})
--- a/transport/edge/server.go
+++ b/transport/edge/server.go
@@ -18,6 +18,7 @@
 	"github.com/doorvalve/doorvalve/coordination/balance"
 	"github.com/doorvalve/doorvalve/coordination/residency"
 	"github.com/doorvalve/doorvalve/coordination/retry"
+	"github.com/doorvalve/doorvalve/coordination/waiting"
 	"github.com/doorvalve/doorvalve/driver/decisions"
 	"github.com/doorvalve/doorvalve/protocol"
 	"github.com/doorvalve/doorvalve/state/fleet"
@@ -65,24 +66,25 @@
 	mu      sync.Mutex
 	demand  map[string]residency.Demand // by service
 	turned  chan struct{}
+	margins *waiting.Margins
 	longest sync.Map // route name -> *atomic.Int64: longest time left seen, ns
 }
 
 type metrics struct {
 	answered, refused, failed, retried, resumed, gone tally.Counter
-	duration, firstEvent, waited                      tally.Histogram
+	duration, firstEvent, waited, waitError           tally.Histogram
 }
 
 // New returns a server.
 func New(opt Options) *Server {
 	m := opt.Metrics.SubScope("caller")
 	buckets := tally.MustMakeExponentialDurationBuckets(5*time.Millisecond, 2, 14)
-	return &Server{opt: opt, client: newClient(), demand: map[string]residency.Demand{}, turned: make(chan struct{}, 1), metrics: metrics{
+	return &Server{opt: opt, client: newClient(), demand: map[string]residency.Demand{}, turned: make(chan struct{}, 1), margins: waiting.NewMargins(), metrics: metrics{
 		answered: m.Counter("requests_answered_total"), refused: m.Counter("requests_refused_total"),
 		failed: m.Counter("requests_failed_total"), retried: m.Counter("attempts_retried_total"),
 		resumed: m.Counter("streams_resumed_total"), gone: m.Counter("callers_gone_total"),
 		duration: m.Histogram("request_duration_seconds", buckets), firstEvent: m.Histogram("first_event_seconds", buckets),
-		waited: m.Histogram("model_wait_seconds", buckets),
+		waited: m.Histogram("model_wait_seconds", buckets), waitError: m.Histogram("model_wait_beyond_estimate_seconds", buckets),
 	}}
 }
 
@@ -114,7 +116,6 @@
 	arrived  time.Time
 	deadline time.Time
 	version  uint64 // of the desired state that it is served by
-	returned bool   // its caller has been sent away before
 	waited   time.Duration
 }
 
@@ -193,7 +194,7 @@
 	}
 	s.opt.Log.Info(event, "request", q.call.ID, "route", route, "model", q.unit(), "status", refusal.Status, "reason", refusal.Reason, "detail", refusal.Detail,
 		"verdict", refusal.Verdict.String(), "retry_after_ms", refusal.RetryAfter.Milliseconds(), "ms", time.Since(q.arrived).Milliseconds(),
-		"time_left_ms", time.Until(q.deadline).Milliseconds(), "endpoint", endpoint, "version", q.version, "returned", q.returned,
+		"time_left_ms", time.Until(q.deadline).Milliseconds(), "endpoint", endpoint, "version", q.version,
 		"endpoints_revision", s.opt.View().Revision)
 }
 
@@ -265,17 +266,4 @@
 		left = min(left, q.route.Timeout)
 	}
 	q.deadline = q.arrived.Add(left)
-	if q.call.TimeLeft == 0 {
-		return
-	}
-	v, _ := s.longest.LoadOrStore(q.route.Name, &atomic.Int64{})
-	longest := v.(*atomic.Int64)
-	if now := int64(q.call.TimeLeft); now > longest.Load() {
-		longest.Store(now)
-	}
-	q.returned = float64(q.call.TimeLeft) < returnedPart*float64(longest.Load())
 }
-
-// returnedPart is the part of the longest time left that was seen on a route
-// below which a request has spent some of its time elsewhere.
-const returnedPart = 0.97
