coordinator: steps are at least 15 ms apart; a draft takes the maps of the last

Cause: on the grown sites the coordinator steps at each want, more than a hundred a second, each step deriving the state of 89 engines anew, on a host of 0.19 cores perhaps; and each looked for models without any copy near over all copies.

Change: a step follows the last by 15 ms at least, a draft reuses its maps, models without a copy are looked for each 250 ms, replicas that are ready are counted once a draft.

--- a/coordination/residency/draft.go
+++ b/coordination/residency/draft.go
@@ -14,6 +14,7 @@
 	active   map[string]int // requests running or waiting, by model
 	running  map[Place]int
 	replicas map[string]int // of each model, less those that are making way
+	ready    map[string]readiness
 	pressed  map[string]int // replicas that a model's slow answers ask for
 	runTime  time.Duration  // of a request, on average
 	engines  map[*worker]*engineDraft
@@ -32,11 +33,11 @@
 	derived  bool // victims have been found
 }
 
+// newDraft returns the draft of a step. It takes the maps of the last one, which
+// is not used any more: a step comes some tens of times a second.
 func (p *Planner) newDraft(now time.Time) *draft {
-	d := &draft{
-		now: now, active: map[string]int{}, running: map[Place]int{}, replicas: map[string]int{},
-		engines: make(map[*worker]*engineDraft, len(p.sorted)),
-	}
+	d := &p.draft
+	d.reset(now)
 	p.sumDemand(d)
 	for _, w := range p.sorted {
 		d.engines[w] = &engineDraft{freeIn: w.freeIn(now), memory: p.memory(w), inUse: d.countInUse(w)}
@@ -55,6 +56,18 @@
 	return d
 }
 
+func (d *draft) reset(now time.Time) {
+	if d.engines == nil {
+		*d = draft{active: map[string]int{}, running: map[Place]int{}, replicas: map[string]int{}, ready: map[string]readiness{}, engines: map[*worker]*engineDraft{}}
+	}
+	clear(d.active)
+	clear(d.running)
+	clear(d.replicas)
+	clear(d.ready)
+	clear(d.engines)
+	d.now, d.store, d.storeLoads = now, d.store[:0], 0
+}
+
 // needed is the number of replicas that a model's requests ask for.
 func (d *draft) needed(model string) int { return max(needed(d.active[model]), d.pressed[model]) }
 
@@ -79,13 +92,23 @@
 	if !w.usable() {
 		return
 	}
-	for model := range w.models {
+	for model, r := range w.models {
 		if o := w.order; o == nil || !o.order.Unload || o.order.Adapter != "" || o.order.Model != model {
 			d.replicas[model]++
 		}
+		if !r.readyAt.After(d.now) {
+			known := d.ready[model]
+			d.ready[model] = readiness{known.replicas + 1, maxTime(known.since, r.readyAt)}
+		}
 	}
 }
 
+// readiness is how many engines hold a model, and since when the newest does.
+type readiness struct {
+	replicas int
+	since    time.Time
+}
+
 func (d *draft) countInUse(w *worker) int {
 	n := 0
 	for name := range w.models {
--- a/coordination/residency/planner.go
+++ b/coordination/residency/planner.go
@@ -103,7 +103,9 @@
 	slotsAt    time.Time
 	starts     []time.Time // loads from the store, newest last
 	grownAt    time.Time   // when an engine was new last
+	copiesAt   time.Time   // models without a near copy are looked for then
 	sorted     []*worker   // by id, so that decisions repeat
+	draft      draft       // of the last step
 }
 
 // New returns a planner that knows nothing.
--- a/coordination/residency/pressure.go
+++ b/coordination/residency/pressure.go
@@ -78,38 +78,24 @@
 			delete(p.pressures, model)
 			continue
 		}
-		ready, newest := p.readyReplicas(d.now, model)
-		if ready == 0 {
+		ready := d.ready[model]
+		if ready.replicas == 0 {
 			continue
 		}
-		each := s.rate() / float64(ready)
+		each := s.rate() / float64(ready.replicas)
 		switch {
-		case s.isPressed() && ready == d.replicas[model] && d.now.Sub(newest) > pressureSettles:
+		case s.isPressed() && ready.replicas == d.replicas[model] && d.now.Sub(ready.since) > pressureSettles:
 			s.perReplica = each
 		case s.perReplica > 0 && s.slow < calmShare*s.count:
 			s.perReplica = max(s.perReplica, each)
 		}
 		if s.perReplica > 0 {
-			need[model] = min(int(math.Ceil(s.rate()/(s.perReplica*headroom))), ready+1, max(1, len(p.sorted)/2))
+			need[model] = min(int(math.Ceil(s.rate()/(s.perReplica*headroom))), ready.replicas+1, max(1, len(p.sorted)/2))
 		}
 	}
 	return need
 }
 
-// readyReplicas counts the engines that hold a model, and returns since when
-// the newest does.
-func (p *Planner) readyReplicas(now time.Time, model string) (n int, newest time.Time) {
-	for _, w := range p.sorted {
-		r := w.models[model]
-		if r == nil || !w.usable() || r.readyAt.After(now) {
-			continue
-		}
-		n++
-		newest = maxTime(newest, r.readyAt)
-	}
-	return n, newest
-}
-
 // pressureWeight is what one more replica is worth against the wants of other
 // models: its slow answers, as if they were wants.
 func (p *Planner) pressureWeight(now time.Time, model string) float64 {
--- a/coordination/residency/pressure_test.go
+++ b/coordination/residency/pressure_test.go
@@ -83,7 +83,7 @@
 	for range 40 {
 		w.serve(400*time.Millisecond, "e0", "m00", 15, 30, 1)
 		d := w.p.newDraft(w.now)
-		ready, _ := w.p.readyReplicas(w.now, "m00")
+		ready := d.ready["m00"].replicas
 		if need := d.pressed["m00"]; need > ready+1 {
 			t.Fatalf("%d replicas are wanted where %d are ready", need, ready)
 		}
--- a/coordination/residency/ready.go
+++ b/coordination/residency/ready.go
@@ -202,7 +202,7 @@
 // places free: afterwards they are a disk's load time away.
 func (p *Planner) copies(d *draft) []Order {
 	now := d.now
-	if now.Sub(p.grownAt) < settleFor {
+	if now.Sub(p.grownAt) < settleFor || now.Before(p.copiesAt) {
 		return nil
 	}
 	free := p.opt.StoreAtOnce - p.storeLoads()
@@ -214,6 +214,7 @@
 	if free <= 0 {
 		return nil
 	}
+	p.copiesAt = now.Add(copiesEvery)
 	var orders []Order
 	for _, model := range p.missing(now) {
 		if free <= 0 {
--- a/coordination/residency/types.go
+++ b/coordination/residency/types.go
@@ -232,6 +232,9 @@
 	// brought near that nobody asks for: engines register within some
 	// heartbeats of their start, and the model may be on one of them.
 	settleFor = 1500 * time.Millisecond
+	// copiesEvery is the pause between two looks for models without a near copy:
+	// each goes over all copies, and a load takes seconds.
+	copiesEvery = 250 * time.Millisecond
 	// loadOverdue is how long after its expected end a load that no report
 	// confirms is given up on.
 	loadOverdue = 4 * time.Second
--- a/driver/coordinator/coordinator.go
+++ b/driver/coordinator/coordinator.go
@@ -14,6 +14,7 @@
 	"github.com/doorvalve/doorvalve/coordination/lease"
 	"github.com/doorvalve/doorvalve/coordination/residency"
 	"github.com/doorvalve/doorvalve/driver/decisions"
+	"github.com/doorvalve/doorvalve/internal/pause"
 	"github.com/doorvalve/doorvalve/protocol"
 	"github.com/doorvalve/doorvalve/state/fleet"
 	"github.com/doorvalve/doorvalve/state/routing"
@@ -22,6 +23,9 @@
 const (
 	heldTick = 25 * time.Millisecond  // while this daemon holds the lease
 	restTick = 200 * time.Millisecond // otherwise
+	// leastStep is the least time between two steps: what comes meanwhile is
+	// decided together. Orders and loads take longer by far.
+	leastStep = 15 * time.Millisecond
 	// leaseTerm is the life of a lease without renewal. A renewal is due every
 	// third of it, and the store may take half a second on a slow day.
 	leaseTerm = 2 * time.Second
@@ -184,6 +188,7 @@
 		} else {
 			t.Reset(restTick)
 		}
+		pause.For(ctx, leastStep)
 	}
 }
 
