edgedaemon: a coordinator that stops keeps its lease until its process ends

Whoever took it had to leave a gap of 3.3 s before its first order, though the stopping daemon lives 5 to 8 s more and its restart, 0.6 s later, may order at once as the same host.

Change: the lease is neither released nor refused a renewal while the daemon drains. If the host does not come back, the lease lapses 2 s after its end, as after a crash. coordinator.Release has no caller and is gone.

Test: TestStoppingCoordinatorGivesOrders, red before.

--- a/daemon/edgedaemon/stop.go
+++ b/daemon/edgedaemon/stop.go
@@ -21,7 +21,9 @@
 	finishReserve = 400 * time.Millisecond
 )
 
-// Stop begins the graceful shutdown.
+// Stop begins the graceful shutdown. A lease that this daemon holds is kept and
+// lapses with the process: until then it coordinates, and its restart takes the
+// lease back at once, where another host would have to leave a gap.
 func (d *Daemon) Stop() {
 	now := time.Now()
 	if !d.stopping.CompareAndSwap(nil, &now) {
@@ -29,11 +31,6 @@
 	}
 	d.log.Info(decisions.EventStop, "daemon", d.self, "in_progress", d.callers.InProgress(), "grace_ms", d.set.Timing.Grace.D().Milliseconds())
 	d.gossip.Update(func(m *membership.Member) { m.Leaving = true })
-	d.mu.Lock()
-	for _, c := range d.coordinators {
-		c.Release()
-	}
-	d.mu.Unlock()
 	close(d.stopped)
 }
 
--- a/driver/coordinator/coordinator.go
+++ b/driver/coordinator/coordinator.go
@@ -82,7 +82,6 @@
 	former    string // holder of the record that was taken over
 	plan      *residency.Planner
 	held      bool
-	releasing bool
 	addresses map[string]string // of endpoints, by id
 	kick      chan struct{}
 	metrics   metrics
@@ -163,15 +162,6 @@
 	return c.lease.Seen().Holder
 }
 
-// Release gives the lease up, for a planned stop.
-func (c *Coordinator) Release() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.releasing = true
-	c.lease.Step(time.Now(), lease.Release{})
-	c.wake()
-}
-
 // Run passes time on until ctx ends.
 func (c *Coordinator) Run(ctx context.Context) {
 	t := time.NewTimer(0)
@@ -212,14 +202,14 @@
 }
 
 func (c *Coordinator) stepLease(ctx context.Context, now time.Time) {
-	c.lease.Step(now, lease.Candidate{Yes: !c.releasing && c.opt.Candidate(c.opt.Service, c.wasHolder())})
+	c.lease.Step(now, lease.Candidate{Yes: c.opt.Candidate(c.opt.Service, c.wasHolder())})
 	r := c.lease.Ready(now)
 	switch {
 	case r.Read:
 		go c.readLease(ctx)
 	case r.Write != nil:
 		if seen := c.lease.Seen(); seen.Fence != r.Write.Record.Fence {
-			c.former = seen.Holder // empty after a release
+			c.former = seen.Holder
 		}
 		go c.writeLease(ctx, *r.Write)
 	}
