--- a/coordination/residency/pressure_test.go
+++ b/coordination/residency/pressure_test.go
@@ -77,11 +77,13 @@
 	}
 }
 
-// Replicas come one at a time: each has time to show its effect.
+// Replicas come one at a time, also when the load trebles: each has time to show
+// its effect.
 func TestReplicasComeOneAtATime(t *testing.T) {
 	w := newWorld(12, 6)
+	w.serve(2*time.Second, "e0", "m00", 15, 30, 1)
 	for range 40 {
-		w.serve(400*time.Millisecond, "e0", "m00", 15, 30, 1)
+		w.serve(400*time.Millisecond, "e0", "m00", 15, 90, 1)
 		d := w.p.newDraft(w.now)
 		ready := d.ready["m00"].replicas
 		if need := d.pressed["m00"]; need > ready+1 {
