--- /dev/null
+++ b/daemon/edgedaemon/leases.go
@@ -0,0 +1,33 @@
+package edgedaemon
+
+import (
+	"context"
+	"math/rand/v2"
+
+	"github.com/doorvalve/doorvalve/driver/leaserelay"
+	"github.com/doorvalve/doorvalve/protocol/fleetpb"
+)
+
+// leasePeers returns some of the other daemons, at random, as ways to the
+// store.
+func (d *Daemon) leasePeers(most int) []leaserelay.Peer {
+	members := d.alive()
+	rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
+	var list []leaserelay.Peer
+	for _, m := range members {
+		if len(list) < most && m.ID != d.self {
+			list = append(list, d.fleet(m.PeerAddress))
+		}
+	}
+	return list
+}
+
+// ReadLease implements fleetpb.Fleet.
+func (s *fleetServer) ReadLease(ctx context.Context, req *fleetpb.ReadLeaseRequest) (*fleetpb.ReadLeaseResponse, error) {
+	return leaserelay.Server{Store: s.store}.ReadLease(ctx, req)
+}
+
+// WriteLease implements fleetpb.Fleet.
+func (s *fleetServer) WriteLease(ctx context.Context, req *fleetpb.WriteLeaseRequest) (*fleetpb.WriteLeaseResponse, error) {
+	return leaserelay.Server{Store: s.store}.WriteLease(ctx, req)
+}
--- a/daemon/edgedaemon/peers.go
+++ b/daemon/edgedaemon/peers.go
@@ -14,8 +14,6 @@
 	"github.com/doorvalve/doorvalve/driver/coordinator"
 	"github.com/doorvalve/doorvalve/driver/decisions"
 	"github.com/doorvalve/doorvalve/driver/gossip"
-	"github.com/doorvalve/doorvalve/driver/leaserelay"
-	"github.com/doorvalve/doorvalve/internal/pause"
 	"github.com/doorvalve/doorvalve/protocol/fleetpb"
 	"github.com/doorvalve/doorvalve/protocol/peerpb"
 )
@@ -155,111 +153,9 @@
 	return residency.Answer{EndpointID: resp.Endpoint, ReadyIn: time.Duration(resp.ReadyInMs) * time.Millisecond, Level: residency.Level(resp.Level), Refused: resp.Refused}
 }
 
-const (
-	// demandEvery is how often a daemon tells the coordinators what runs and
-	// waits, when nothing urges it.
-	demandEvery = 400 * time.Millisecond
-	// demandSoon is how soon it tells them that a model has begun or ceased to
-	// run at an endpoint. What changes meanwhile goes along.
-	demandSoon = 40 * time.Millisecond
-)
-
-// runDemand tells the coordinators of this daemon's requests, until ctx ends.
-func (d *Daemon) runDemand(ctx context.Context) error {
-	t := time.NewTicker(demandEvery)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-t.C:
-		case <-d.callers.DemandTurned():
-			pause.For(ctx, demandSoon)
-			t.Reset(demandEvery)
-		}
-		d.shareRetries(len(d.alive()))
-		for service, demand := range d.callers.Demand() {
-			d.tellDemand(ctx, service, demand)
-		}
-	}
-}
-
-// leastSharing is the number of daemons that are taken to share the retries
-// until more are known: a daemon that has just started, or is cut off, must not
-// take them all.
-const leastSharing = 6
-
-// shareRetries takes this daemon's part of the retries that all may make.
-func (d *Daemon) shareRetries(alive int) {
-	d.budget.SetBurst(max(1, d.set.Retries.Extra*retryPart/float64(max(leastSharing, alive))))
-}
-
-func (d *Daemon) tellDemand(ctx context.Context, service string, demand residency.Demand) {
-	if len(demand.Active) == 0 && d.lastSent[service] == 0 {
-		return
-	}
-	d.lastSent[service] = len(demand.Active)
-	if own := d.coordinates(service); own != nil && own.Holds() {
-		own.Demand(d.self, demand)
-		return
-	}
-	address := d.holder(service)
-	if address == "" {
-		return
-	}
-	req := &fleetpb.DemandRequest{Daemon: d.self, Service: service, Active: make(map[string]int32, len(demand.Active))}
-	for model, n := range demand.Active {
-		req.Active[model] = int32(n)
-	}
-	for place, n := range demand.Running {
-		first := demand.First[place]
-		delete(demand.First, place)
-		req.Running = append(req.Running, runningAt(place, n, first))
-	}
-	for place, first := range demand.First {
-		req.Running = append(req.Running, runningAt(place, 0, first))
-	}
-	ctx, cancel := context.WithTimeout(ctx, wantTimeout)
-	defer cancel()
-	if _, err := d.fleet(address).Demand(ctx, req); err != nil {
-		d.log.Debug("demand not told", "service", service, "holder", address, "error", err)
-	}
-}
-
-func runningAt(place residency.Place, requests int, first residency.FirstEvents) *fleetpb.Running {
-	return &fleetpb.Running{
-		Endpoint: place.EndpointID, Model: place.Model, Requests: int32(requests),
-		FirstEvents: int32(first.Count), Slow: int32(first.Slow), Rank: int32(first.Rank),
-	}
-}
-
-// leasePeers returns some of the other daemons, at random, as ways to the
-// store.
-func (d *Daemon) leasePeers(most int) []leaserelay.Peer {
-	members := d.alive()
-	rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
-	var list []leaserelay.Peer
-	for _, m := range members {
-		if len(list) < most && m.ID != d.self {
-			list = append(list, d.fleet(m.PeerAddress))
-		}
-	}
-	return list
-}
-
 // fleetServer serves fleetpb.Fleet.
 type fleetServer Daemon
 
-// ReadLease implements fleetpb.Fleet.
-func (s *fleetServer) ReadLease(ctx context.Context, req *fleetpb.ReadLeaseRequest) (*fleetpb.ReadLeaseResponse, error) {
-	return leaserelay.Server{Store: s.store}.ReadLease(ctx, req)
-}
-
-// WriteLease implements fleetpb.Fleet.
-func (s *fleetServer) WriteLease(ctx context.Context, req *fleetpb.WriteLeaseRequest) (*fleetpb.WriteLeaseResponse, error) {
-	return leaserelay.Server{Store: s.store}.WriteLease(ctx, req)
-}
-
 // Want implements fleetpb.Fleet.
 func (s *fleetServer) Want(_ context.Context, req *fleetpb.WantRequest) (*fleetpb.WantResponse, error) {
 	c := (*Daemon)(s).coordinates(req.Service)
@@ -273,27 +169,6 @@
 // ceilMs rounds up, so that a wait is never told too short.
 func ceilMs(d time.Duration) int64 { return int64((d + time.Millisecond - 1) / time.Millisecond) }
 
-// Demand implements fleetpb.Fleet.
-func (s *fleetServer) Demand(_ context.Context, req *fleetpb.DemandRequest) (*fleetpb.DemandResponse, error) {
-	if c := (*Daemon)(s).coordinates(req.Service); c != nil {
-		demand := residency.Demand{
-			Active: make(map[string]int, len(req.Active)), Running: make(map[residency.Place]int, len(req.Running)), First: map[residency.Place]residency.FirstEvents{},
-		}
-		for model, n := range req.Active {
-			demand.Active[model] = int(n)
-		}
-		for _, r := range req.Running {
-			place := residency.Place{EndpointID: r.Endpoint, Model: r.Model}
-			demand.Running[place] = int(r.Requests)
-			if r.FirstEvents > 0 {
-				demand.First[place] = residency.FirstEvents{Count: int(r.FirstEvents), Slow: int(r.Slow), Rank: int(r.Rank)}
-			}
-		}
-		c.Demand(req.Daemon, demand)
-	}
-	return &fleetpb.DemandResponse{}, nil
-}
-
 // Follow implements fleetpb.Fleet.
 func (s *fleetServer) Follow(ctx context.Context, req *fleetpb.FollowRequest) (*fleetpb.FollowResponse, error) {
 	return s.view.Follow(ctx, req)
--- /dev/null
+++ b/transport/edge/locate.go
@@ -0,0 +1,188 @@
+package edge
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/doorvalve/doorvalve/coordination/balance"
+	"github.com/doorvalve/doorvalve/coordination/residency"
+	"github.com/doorvalve/doorvalve/coordination/waiting"
+	"github.com/doorvalve/doorvalve/driver/decisions"
+	"github.com/doorvalve/doorvalve/internal/pause"
+	"github.com/doorvalve/doorvalve/protocol"
+	"github.com/doorvalve/doorvalve/state/fleet"
+)
+
+const (
+	// lastWait is the time that a draining daemon must have left for the answer
+	// of a request that waits for its model.
+	lastWait = 2500 * time.Millisecond
+	// askPause bounds the wait between two questions to the coordinator.
+	askPause = time.Second
+)
+
+// locate finds the endpoint for a request, waiting for its model if that is
+// worth it.
+func (s *Server) locate(ctx context.Context, q *request, t *tries) (*fleet.Endpoint, *protocol.Refusal) {
+	exclude, absent, unreachable := t.exclude, t.absentAt(), t.last != nil && t.last.unreachable
+	if q.service.Engine == nil || q.call.Model == "" {
+		return s.locatePlain(q, exclude)
+	}
+	avoid := ""
+	if len(exclude) > 0 {
+		avoid = exclude[len(exclude)-1]
+	}
+	for {
+		if e := s.locateKnown(q, exclude); e != nil {
+			return e, nil
+		}
+		ans := s.opt.Locator.Want(ctx, q.service.Name, residency.Want{Model: q.call.Model, Adapter: q.call.Adapter, Rank: q.route.Rank, Avoid: avoid, Unreachable: unreachable, Absent: absent})
+		absent, unreachable = "", false // told once
+		if ctx.Err() != nil {
+			return nil, s.outOfTime(protocol.NotRun)
+		}
+		if ans.Refused != "" {
+			if e := s.locateAny(q, exclude); e != nil {
+				return e, nil
+			}
+			if ans.Refused == residency.RefusedNoModel {
+				return nil, protocol.Refuse(http.StatusServiceUnavailable, ans.Refused, "the service has no such model", retryBusy)
+			}
+		}
+		if ans.Refused == "" && ans.ReadyIn <= 0 {
+			if e := s.opt.View().ByID[ans.EndpointID]; e != nil && !e.Leaving {
+				s.opt.Balancer.Present(e.ID, q.unit())
+				return e, nil
+			}
+			ans.ReadyIn = loadingPause // the list does not name it yet, or not any more
+		}
+		if refusal := s.wait(ctx, q, t, ans); refusal != nil {
+			return nil, refusal
+		}
+		if avoid != "" { // it has had its pause
+			exclude, avoid = without(exclude, avoid), ""
+		}
+	}
+}
+
+// wait waits for a model, or refuses the request.
+func (s *Server) wait(ctx context.Context, q *request, t *tries, ans residency.Answer) *protocol.Refusal {
+	elapsed := time.Since(q.arrived)
+	if ends := s.opt.Ends(); !ends.IsZero() && time.Until(ends) < ans.ReadyIn+lastWait {
+		return protocol.Refuse(http.StatusServiceUnavailable, "stopping", "this daemon stops before the model is loaded", retryDraining)
+	}
+	silent := elapsed // as the caller sees it
+	if !t.heard.IsZero() {
+		silent = time.Since(t.heard)
+	}
+	source := sourceOf(ans)
+	margin := s.margins.Of(source)
+	d := waiting.Decide(waiting.Input{
+		ReadyIn: ans.ReadyIn, Margin: margin, Elapsed: silent, TimeLeft: time.Until(q.deadline), Target: q.route.Target,
+		Patience: q.route.Patience, Begun: t.verdict != protocol.NotRun,
+	})
+	if !d.Wait {
+		reason := ans.Refused
+		if reason == "" {
+			reason = "model-loading"
+		}
+		detail := fmt.Sprintf("the model is not ready: endpoint %q, copy %s, in %d ms, margin %d ms", ans.EndpointID, ans.Level, ans.ReadyIn.Milliseconds(), margin.Milliseconds())
+		return protocol.Refuse(http.StatusServiceUnavailable, reason, detail, d.RetryAfter)
+	}
+	if t.estimated.IsZero() {
+		t.estimated, t.source = time.Now().Add(ans.ReadyIn), source
+	}
+	s.opt.Log.Info(decisions.EventWaiting, "request", q.call.ID, "model", q.unit(), "endpoint", ans.EndpointID, "level", ans.Level.String(), "ready_in_ms", ans.ReadyIn.Milliseconds(), "margin_ms", margin.Milliseconds(), "elapsed_ms", elapsed.Milliseconds())
+	pause.For(ctx, min(max(ans.ReadyIn, time.Millisecond), askPause))
+	q.waited = time.Since(q.arrived)
+	s.metrics.waited.RecordDuration(time.Since(q.arrived) - elapsed)
+	if ctx.Err() != nil {
+		return s.outOfTime(protocol.NotRun)
+	}
+	return nil
+}
+
+// sourceOf says what an answer's estimate rests on.
+func sourceOf(ans residency.Answer) waiting.Source {
+	switch {
+	case ans.Refused != "" || ans.EndpointID == "":
+		return waiting.Vacancy
+	case ans.Level == residency.Resident:
+		return waiting.Loaded
+	case ans.Level == residency.Store:
+		return waiting.Far
+	}
+	return waiting.Near
+}
+
+// observeWait compares the end of a wait with what was said at its begin. A wait
+// that was given up tells something only where the model is overdue.
+func (s *Server) observeWait(t *tries, there bool) {
+	if t.estimated.IsZero() {
+		return
+	}
+	late := time.Since(t.estimated)
+	t.estimated = time.Time{}
+	if !there && late <= s.margins.Of(t.source) {
+		return
+	}
+	s.margins.Observe(t.source, late)
+	s.metrics.waitError.RecordDuration(max(0, late))
+}
+
+// without returns a copy of a list without one entry.
+func without(list []string, entry string) []string {
+	return slices.DeleteFunc(slices.Clone(list), func(e string) bool { return e == entry })
+}
+
+func (s *Server) locatePlain(q *request, exclude []string) (*fleet.Endpoint, *protocol.Refusal) {
+	list := s.opt.View().ByService[q.service.Name]
+	e := s.opt.Balancer.Pick(time.Now(), list, balance.Query{Exclude: exclude})
+	if e == nil {
+		return nil, protocol.Refuse(http.StatusServiceUnavailable, "no-endpoint", "no endpoint of the service takes requests", retryBusy)
+	}
+	return e, nil
+}
+
+// holders returns the endpoints that are listed with the request's model and
+// adapter.
+func (s *Server) holders(q *request) []*fleet.Endpoint {
+	list := s.opt.View().ByService[q.service.Name]
+	return slices.DeleteFunc(slices.Clone(list), func(e *fleet.Endpoint) bool { return e.Leaving || !e.Has(q.call.Model, q.call.Adapter) })
+}
+
+// locateKnown picks an endpoint without a question to the coordinator, where
+// several hold the model or one has just served it here.
+func (s *Server) locateKnown(q *request, exclude []string) *fleet.Endpoint {
+	if q.call.Adapter != "" {
+		return nil
+	}
+	holders := s.holders(q)
+	e := s.opt.Balancer.Pick(time.Now(), holders, balance.Query{Unit: q.unit(), Affinity: affinity(q), Exclude: exclude})
+	if e == nil {
+		return nil
+	}
+	if len(holders) >= severalHolders || s.opt.Balancer.Vouched(time.Now(), e.ID, q.unit()) {
+		return e
+	}
+	return nil
+}
+
+// severalHolders is the number of holders from which a model counts as in
+// steady use: one of them going costs a refusal, not a load.
+const severalHolders = 2
+
+// locateAny picks any listed holder, when the coordinator cannot be asked.
+func (s *Server) locateAny(q *request, exclude []string) *fleet.Endpoint {
+	return s.opt.Balancer.Pick(time.Now(), s.holders(q), balance.Query{Unit: q.unit(), Affinity: affinity(q), Exclude: exclude})
+}
+
+func affinity(q *request) string {
+	if !q.route.Sticky {
+		return ""
+	}
+	return q.call.Prefix
+}
