residency: who finds no place in the schedule is told when the first engine is free

Cause: a model beyond what all engines can take up, as in a burst on rare models, was answered "no room, in 0.2 s".

Change: the time is when the first engine will have done what the schedule has ahead of it, and the mean run time, after the gap between two holders' orders.

Test: TestNoRoomNamesATime, red before.

--- a/coordination/residency/load_test.go
+++ b/coordination/residency/load_test.go
@@ -89,3 +89,21 @@
 		t.Fatal("the place is not taken 150 ms after its request has ended")
 	}
 }
+
+// Load: a burst on more rare models than all engines hold together. Those that
+// the schedule has no place for are told when the first engine will have done
+// what is ahead of it, not to ask again at once.
+func TestNoRoomNamesATime(t *testing.T) {
+	w := newWorld(30, 2) // six places
+	for i := 6; i < 30; i++ {
+		w.engines[i%2].onDisk[fmt.Sprintf("m%02d", i)] = true
+	}
+	w.run(4 * time.Second)
+	var last Answer
+	for i := 6; i < 30; i++ {
+		last = w.p.Want(w.now, Want{Model: fmt.Sprintf("m%02d", i)})
+	}
+	if last.Refused != RefusedNoRoom || last.ReadyIn < 2*time.Second || last.ReadyIn > 6*time.Second {
+		t.Fatalf("%+v, want some seconds: three loads of 0.8 s are ahead at each engine", last)
+	}
+}
--- a/coordination/residency/want.go
+++ b/coordination/residency/want.go
@@ -26,7 +26,7 @@
 	}
 	a, ok := p.wantLoad(now, want)
 	if !ok {
-		return Answer{Refused: RefusedNoRoom, ReadyIn: idleAfter}
+		a = Answer{Refused: RefusedNoRoom, ReadyIn: p.roomIn()}
 	}
 	if wait := p.ordersFrom.Sub(now); wait > 0 {
 		a.ReadyIn += wait
@@ -185,3 +185,16 @@
 	}
 	return Answer{}, false
 }
+
+// roomIn estimates when there will be room for a model that the schedule has no
+// place for: the first engine that has done what is ahead lets requests run
+// before it takes another model.
+func (p *Planner) roomIn() time.Duration {
+	first := time.Duration(-1)
+	for _, w := range p.sorted {
+		if e := p.draft.engines[w]; e != nil && w.usable() && w.known && (first < 0 || e.freeIn < first) {
+			first = e.freeIn
+		}
+	}
+	return max(idleAfter, first+p.draft.runTime)
+}
