--- a/transport/edge/server.go
+++ b/transport/edge/server.go
@@ -67,7 +67,6 @@
 	demand  map[string]residency.Demand // by service
 	turned  chan struct{}
 	margins *waiting.Margins
-	longest sync.Map // route name -> *atomic.Int64: longest time left seen, ns
 }
 
 type metrics struct {
