residency: daemons tell the less often of changes the more they are

Cause, by reading, for the sizes planned for: each daemon told the coordinator at each change of a model's use, 40 ms apart: up to 25 messages a second each, 1,900 from the 77 daemons of the grown customer's site and 9,000 from 370.

Change: a coordinator gets 300 such messages a second at most; a daemon waits as long as that takes, the planner takes a model for idle 160 ms after that time. Nothing changes up to 12 daemons.

Tests: TestTellsAreBounded, red without the bound.

--- a/coordination/residency/draft.go
+++ b/coordination/residency/draft.go
@@ -204,7 +204,7 @@
 
 // usedFor estimates how long a model will still be used at an engine.
 func (p *Planner) usedFor(d *draft, w *worker, name string, r *replica) time.Duration {
-	t := max(0, r.keepUntil.Sub(d.now), r.readyAt.Sub(d.now), idleAfter-d.now.Sub(r.lastUse))
+	t := max(0, r.keepUntil.Sub(d.now), r.readyAt.Sub(d.now), p.idleAfter()-d.now.Sub(r.lastUse))
 	if d.active[name] > 0 || d.running[Place{w.endpoint.ID, name}] > 0 {
 		t = max(0, r.readyAt.Sub(d.now)) + max(d.runTime, t)
 	}
@@ -236,3 +236,7 @@
 	}
 	return min(mostRunTime, max(leastRunTime, time.Duration(float64(running)/rate*float64(time.Second))))
 }
+
+// idleAfter is how long after it was named for a request a model counts as idle,
+// unless daemons say that requests run.
+func (p *Planner) idleAfter() time.Duration { return TellSoon(len(p.demands)) + idleMargin }
--- a/coordination/residency/load_test.go
+++ b/coordination/residency/load_test.go
@@ -90,6 +90,23 @@
 	}
 }
 
+// Load: all daemons tell at every change. A coordinator gets no more of that than
+// a small host can take, however many they are, and does not take a model for
+// idle before they have had the time to tell that it runs.
+func TestTellsAreBounded(t *testing.T) {
+	w := newWorld(3, 1)
+	for n := 1; n <= 400; n++ {
+		w.p.Demand(w.now, fmt.Sprint("d", n), Demand{})
+		soon := TellSoon(n)
+		if perSecond := float64(n) / soon.Seconds(); perSecond > tellsMost+1 {
+			t.Fatalf("%d daemons tell %.0f times a second", n, perSecond)
+		}
+		if idle := w.p.idleAfter(); idle <= soon {
+			t.Fatalf("%d daemons tell after %v, a model is idle after %v", n, soon, idle)
+		}
+	}
+}
+
 // Load: a burst on more rare models than all engines hold together. Those that
 // the schedule has no place for are told when the first engine will have done
 // what is ahead of it, not to ask again at once.
--- a/coordination/residency/pressure.go
+++ b/coordination/residency/pressure.go
@@ -21,8 +21,6 @@
 	pressureSettles = 1500 * time.Millisecond
 	// headroom is the part of what a replica could carry that it is meant to.
 	headroom = 0.8
-	// toldEvery is the time that a daemon's first word of a model covers.
-	toldEvery = 400 * time.Millisecond
 	// lostPart is the part of a request's worth that is lost with a late answer.
 	lostPart = 0.5
 )
@@ -55,7 +53,7 @@
 func (p *Planner) pressed(now time.Time, model string, f FirstEvents) {
 	s := p.pressures[model]
 	if s == nil {
-		s = &pressure{at: now, seconds: toldEvery.Seconds()}
+		s = &pressure{at: now, seconds: TellEvery.Seconds()}
 		p.pressures[model] = s
 	}
 	s.fade(now)
--- a/coordination/residency/types.go
+++ b/coordination/residency/types.go
@@ -166,10 +166,10 @@
 	// severalFrom is the number of running requests from which a model has a
 	// second replica, so that the loss of one engine costs no load.
 	severalFrom = 8
-	// idleAfter is how long after it was named for a request a model counts as
-	// idle, unless daemons say that requests run: longer than the pause
-	// between two of their reports.
-	idleAfter = 200 * time.Millisecond
+	// idleMargin is added to the time in which daemons tell that a request runs
+	// before a model counts as idle that was named for one: the way of the
+	// request and of the message.
+	idleMargin = 160 * time.Millisecond
 	// keepWaiting is how long a model is kept after it is ready for a request
 	// that waits for it.
 	keepWaiting = 400 * time.Millisecond
@@ -239,3 +239,23 @@
 	// confirms is given up on.
 	loadOverdue = 4 * time.Second
 )
+
+// TellEvery is how often a daemon tells a coordinator what runs and waits, when
+// nothing urges it and they are not so many that TellSoon is longer.
+const TellEvery = 400 * time.Millisecond
+
+const (
+	// tellLeast is the least time after which a daemon tells that a model has
+	// begun or ceased to run at an endpoint. What changes meanwhile goes along.
+	tellLeast = 40 * time.Millisecond
+	// tellsMost is the number of such messages a second that a coordinator is to
+	// get from all daemons: each costs it some 0.1 ms of processor time, and a
+	// host may have a fifth of a core.
+	tellsMost = 300
+)
+
+// TellSoon returns how soon each of so many daemons tells that a model has begun
+// or ceased to run at an endpoint.
+func TellSoon(daemons int) time.Duration {
+	return max(tellLeast, time.Duration(daemons)*time.Second/tellsMost)
+}
--- a/coordination/residency/want.go
+++ b/coordination/residency/want.go
@@ -196,5 +196,5 @@
 			first = e.freeIn
 		}
 	}
-	return max(idleAfter, first+p.draft.runTime)
+	return max(p.idleAfter(), first+p.draft.runTime)
 }
--- a/daemon/edgedaemon/demand.go
+++ b/daemon/edgedaemon/demand.go
@@ -9,29 +9,22 @@
 	"github.com/doorvalve/doorvalve/protocol/fleetpb"
 )
 
-const (
-	// demandEvery is how often a daemon tells the coordinators what runs and
-	// waits, when nothing urges it.
-	demandEvery = 400 * time.Millisecond
-	// demandSoon is how soon it tells them that a model has begun or ceased to
-	// run at an endpoint. What changes meanwhile goes along.
-	demandSoon = 40 * time.Millisecond
-)
-
 // runDemand tells the coordinators of this daemon's requests, until ctx ends.
 func (d *Daemon) runDemand(ctx context.Context) error {
-	t := time.NewTicker(demandEvery)
+	t := time.NewTicker(residency.TellEvery)
 	defer t.Stop()
 	for {
+		alive := len(d.alive())
+		soon := residency.TellSoon(alive)
+		t.Reset(max(residency.TellEvery, soon))
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-t.C:
 		case <-d.callers.DemandTurned():
-			pause.For(ctx, demandSoon)
-			t.Reset(demandEvery)
+			pause.For(ctx, soon)
 		}
-		d.shareRetries(len(d.alive()))
+		d.shareRetries(alive)
 		for service, demand := range d.callers.Demand() {
 			d.tellDemand(ctx, service, demand)
 		}
