--- a/coordination/residency/draft.go
+++ b/coordination/residency/draft.go
@@ -1,7 +1,6 @@
 package residency
 
 import (
-	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -13,10 +12,10 @@
 	now      time.Time
 	active   map[string]int // requests running or waiting, by model
 	running  map[Place]int
-	replicas map[string]int // of each model, less those that are making way
-	ready    map[string]readiness
-	pressed  map[string]int // replicas that a model's slow answers ask for
-	runTime  time.Duration  // of a request, on average
+	replicas map[string]int       // of each model, less those that are making way
+	ready    map[string]readiness // of models that are loaded
+	pressed  map[string]int       // replicas that a model's slow answers ask for
+	runTime  time.Duration        // of a request, on average
 	engines  map[*worker]*engineDraft
 	store    []time.Duration // when each place of the store is free
 	// storeLoads is the number of loads from the store in progress.
@@ -119,101 +118,11 @@
 	return n
 }
 
-// room is what making room for a model at an engine takes.
-type room struct {
-	wait time.Duration // until the last model that makes way can be unloaded
-	cost time.Duration // a penalty for what is lost
-}
-
-// roomFor returns what it takes to make room for a model, beside the memory
-// that other loads will take; false when there will be none soon.
-func (p *Planner) roomFor(d *draft, w *worker, model string) (room, bool) {
-	e := d.engines[w]
-	need := e.memory + e.reserved + p.conf.Engine.Models[model].SizeMB
-	var r room
-	if need <= p.conf.Engine.MemoryMB {
-		return r, true
-	}
-	for _, v := range p.victimsOf(d, w) {
-		need -= p.conf.Engine.Models[v.name].SizeMB
-		r.cost += v.cost
-		r.wait = max(r.wait, v.wait)
-		if need <= p.conf.Engine.MemoryMB {
-			return r, true
-		}
-	}
-	return room{}, false
-}
-
-// victim is a model that may make way.
-type victim struct {
-	name string
-	wait time.Duration // until it can be unloaded; zero: now
-	cost time.Duration // of its loss
-}
-
-// victimsOf returns the models of an engine that may be unloaded, the cheapest
-// first: replicas beyond what the demand asks for, then the longest unused.
-func (p *Planner) victimsOf(d *draft, w *worker) []victim {
-	e := d.engines[w]
-	if e.derived {
-		return e.victims
-	}
-	var list []victim
-	for name, r := range w.models {
-		if v, ok := p.victim(d, w, name, r); ok {
-			list = append(list, v)
-		}
-	}
-	slices.SortFunc(list, func(a, b victim) int {
-		return cmp.Or(cmp.Compare(a.wait, b.wait), cmp.Compare(a.cost, b.cost), cmp.Compare(a.name, b.name))
-	})
-	e.victims, e.derived = list, true
-	return list
-}
-
-const (
-	// idleCost is the most that an idle model costs as a victim, so that the
-	// time to a load decides first.
-	idleCost = 100 * time.Millisecond
-	// idleGain is the most that a long pause takes off, a thousandth of it.
-	idleGain = 90 * time.Millisecond
-)
-
-// victim returns what unloading a model takes; false when it stays. A model
-// that single requests use stays until they have ended: an unload would wait for
-// them and keep the engine from all else.
-func (p *Planner) victim(d *draft, w *worker, name string, r *replica) (victim, bool) {
-	if w.order != nil && w.order.order.Model == name && w.order.order.Unload {
-		return victim{}, false
-	}
-	v := victim{name: name, wait: p.usedFor(d, w, name, r)}
-	idle := d.now.Sub(r.lastUse)
-	switch {
-	case d.replicas[name] > max(1, d.needed(name)):
-		return v, v.wait == 0 // in use, it goes on being sent requests
-	case d.active[name] == 0:
-		v.cost = idleCost - max(0, min(idleGain, idle/1000))
-		return v, true
-	case d.active[name] < severalFrom && d.pressed[name] == 0:
-		v.cost = idleCost
-		return v, true
-	}
-	return victim{}, false
-}
-
-// usedFor estimates how long a model will still be used at an engine.
-func (p *Planner) usedFor(d *draft, w *worker, name string, r *replica) time.Duration {
-	t := max(0, r.keepUntil.Sub(d.now), r.readyAt.Sub(d.now), p.idleAfter()-d.now.Sub(r.lastUse))
-	if d.active[name] > 0 || d.running[Place{w.endpoint.ID, name}] > 0 {
-		t = max(0, r.readyAt.Sub(d.now)) + max(d.runTime, t)
-	}
-	return t
-}
-
 const (
 	// runTimeUnknown is how long a request is taken to run while nothing is
 	// known; leastRunTime and mostRunTime bound what is derived from few.
+	// A second is what the users' longer streams take at an engine that is not
+	// full; the bounds are the ends of what was seen.
 	runTimeUnknown = time.Second
 	leastRunTime   = 200 * time.Millisecond
 	mostRunTime    = 6 * time.Second
--- a/coordination/residency/pressure.go
+++ b/coordination/residency/pressure.go
@@ -7,21 +7,24 @@
 
 const (
 	// pressureHalfLife is how fast first events are forgotten: demand moves
-	// within seconds.
+	// within seconds on the users' days.
 	pressureHalfLife = 1500 * time.Millisecond
-	// pressedShare of slow first events asks for one more replica; pressedLeast
-	// keeps single ones from it.
+	// pressedShare of slow first events asks for one more replica. From trials:
+	// 0.25 of a lower bound took too many places from rare models.
 	pressedShare = 0.3
+	// pressedLeast, in requests, keeps one or two slow ones from asking for it.
 	pressedLeast = 3.0
 	// calmShare of slow first events says that the replicas carry what they
-	// have.
+	// have: a third of pressedShare, so that the two do not alternate.
 	calmShare = 0.1
 	// pressureSettles is how long a new replica has to show its effect: daemons
 	// learn of it within a heartbeat of its engine.
 	pressureSettles = 1500 * time.Millisecond
-	// headroom is the part of what a replica could carry that it is meant to.
+	// headroom is the part of what a replica could carry that it is meant to, so
+	// that one fewer is tried only when the load has fallen by a fifth.
 	headroom = 0.8
-	// lostPart is the part of a request's worth that is lost with a late answer.
+	// lostPart is the part of a request's worth that is taken to be lost with a
+	// late answer. From trials: a tenth of it left models pressed for longer.
 	lostPart = 0.5
 )
 
@@ -29,10 +32,10 @@
 // replica carries depends on the model, its prompts and what else its engine
 // does; none of that is declared, so it is learned from the first events.
 type pressure struct {
-	count, slow float64 // first events lately, fading
-	seconds     float64 // in which they came, fading in the same way
-	at          time.Time
-	rank        int
+	count, slow float64   // first events lately, fading
+	seconds     float64   // in which they came, fading in the same way
+	at          time.Time // of the last fading
+	rank        int       // of the most urgent requests that a daemon told of last
 	// perReplica is the first events a second of one replica at which the model
 	// was pressed, or which it has carried since; zero if it never was.
 	perReplica float64
