--- a/driver/leaserelay/leaserelay_test.go
+++ b/driver/leaserelay/leaserelay_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -197,10 +198,10 @@
 				o := &object{}
 				own, other := &host{object: o}, &host{object: o}
 				r := relayOf(own, &host{object: o, how: how}, other)
-				changes := 0
+				var changes atomic.Int64
 				c := coordinator.New(coordinator.Options{
 					Service: "llm", Self: "a", Lease: r, Engines: noEngines{}, OrderGap: 3 * time.Second, Planner: residency.Options{StoreAtOnce: 1},
-					Candidate: func(string, bool) bool { return true }, Held: func(string, uint64, bool) { changes++ },
+					Candidate: func(string, bool) bool { return true }, Held: func(string, uint64, bool) { changes.Add(1) },
 					Log: r.log, Metrics: tally.NoopScope,
 				})
 				ctx, cancel := context.WithCancel(t.Context())
@@ -215,8 +216,8 @@
 				}
 				own.turnAway(nil)
 				time.Sleep(2 * time.Second)
-				if changes != 1 {
-					t.Errorf("the lease changed hands %d times", changes)
+				if n := changes.Load(); n != 1 {
+					t.Errorf("the lease changed hands %d times", n)
 				}
 				cancel()
 				synctest.Wait()
