membership: a new member is probed in the present round

A daemon goes round the members that it knew when its round began, one a second; all daemons start within a second of each other, so a member that most hear of just after that is in nobody's round for as many seconds as there are members.

Change: a member that is new is put at a random place of the present round. The order hangs on the member's id as well as on the seed, which comes from the clock.

Tests: TestNewMemberIsProbedInThisRound (69 daemons, red: 10 s; bound 7 s), TestDaemonsStartedTogetherNoticeADeath (one seed for all, red: 13 s).

--- a/coordination/membership/membership.go
+++ b/coordination/membership/membership.go
@@ -136,10 +136,13 @@
 	revision uint64
 }
 
-// New returns a view that holds only self.
+// New returns a view that holds only self. What is random hangs on the seed and
+// on the member's id: daemons that start at the same moment with a seed of the
+// clock would otherwise probe the same members at the same time, and one that
+// dies would not be probed by any of them for many seconds.
 func New(opt Options, self Member, now time.Time) *Machine {
 	self.Status = Alive
-	m := &Machine{opt: opt, rng: rand.New(rand.NewPCG(opt.Seed, opt.Seed^0x9e3779b97f4a7c15)), self: self,
+	m := &Machine{opt: opt, rng: rand.New(rand.NewPCG(opt.Seed, xxhash.Sum64String(self.ID))), self: self,
 		entries: map[string]*entry{}, hot: map[string]bool{}, aging: map[string]bool{}}
 	m.nextAt = now
 	m.put(now, memberEntry(self))
@@ -259,6 +262,9 @@
 			return false // already forgotten here
 		}
 		next.member = &member
+		if old == nil {
+			m.probeInThisRound(member.ID)
+		}
 	}
 	if tell {
 		next.sends = m.retransmits()
@@ -439,6 +445,15 @@
 	return slices.DeleteFunc(m.Members(), func(o Member) bool { return o.ID == m.self.ID })
 }
 
+// probeInThisRound puts a new member among those that are still to be probed in
+// this round: one that dies soon after it came would else not be probed by anybody
+// before the next round, which is as many seconds away as there are members.
+func (m *Machine) probeInThisRound(id string) {
+	if id != m.self.ID && len(m.order) > 0 {
+		m.order = slices.Insert(m.order, m.rng.IntN(len(m.order)+1), id)
+	}
+}
+
 // nextTarget goes round all members in a random order, so that the longest
 // time without a probe is bounded.
 func (m *Machine) nextTarget() (Member, bool) {
--- a/coordination/membership/membership_test.go
+++ b/coordination/membership/membership_test.go
@@ -12,14 +12,19 @@
 	now      time.Time
 	machines map[string]*Machine
 	cut      map[string]bool // members that neither send nor receive
-	messages map[string]int  // sent, by member
+	seed     func(i int) uint64
+	messages map[string]int // sent, by member
 	bytes    map[string]int
 }
 
 const tick = 50 * time.Millisecond
 
 func newNetwork(n int) *network {
-	w := &network{now: time.Unix(1_000_000, 0), machines: map[string]*Machine{}, cut: map[string]bool{}, messages: map[string]int{}, bytes: map[string]int{}}
+	return newSeededNetwork(n, func(i int) uint64 { return uint64(i) })
+}
+
+func newSeededNetwork(n int, seed func(i int) uint64) *network {
+	w := &network{seed: seed, now: time.Unix(1_000_000, 0), machines: map[string]*Machine{}, cut: map[string]bool{}, messages: map[string]int{}, bytes: map[string]int{}}
 	for i := range n {
 		w.add(i)
 	}
@@ -30,7 +35,7 @@
 
 func (w *network) add(i int) {
 	self := Member{ID: id(i), Host: id(i), PeerAddress: id(i), CallerAddress: "10.0.0.1:7001", OperatorAddr: "10.0.0.1:7201", FailureDomain: "hall-a", Generation: 1}
-	m := New(DefaultOptions(uint64(i)), self, w.now)
+	m := New(DefaultOptions(w.seed(i)), self, w.now)
 	w.machines[id(i)] = m
 	if i > 0 {
 		seed := w.machines[id(0)]
@@ -99,6 +104,51 @@
 	return limit, false
 }
 
+// Pattern: a daemon comes to 69 others, in the middle of their round of probes,
+// and loses power soon afterwards. Figures: the grown users' site, where all start
+// within a second and those that are known last were probed by nobody for 21 s.
+func TestNewMemberIsProbedInThisRound(t *testing.T) {
+	w := newNetwork(69)
+	w.run(3 * time.Second)
+	w.add(69)
+	w.run(5 * time.Second)
+	w.cut[id(69)] = true
+	took, ok := w.until(20*time.Second, func(m *Machine) bool {
+		for _, o := range m.Members() {
+			if o.ID == id(69) && o.Status == Alive {
+				return false
+			}
+		}
+		return true
+	})
+	if !ok || took > 7*time.Second {
+		t.Fatalf("still alive to some after %v", took)
+	}
+}
+
+// Pattern: 69 daemons start at the same moment, with the same seed, and one loses
+// power. Figures: the grown users' site; a directory must not name a host that has
+// been off for 7 s, and callers keep an answer for 2 s.
+func TestDaemonsStartedTogetherNoticeADeath(t *testing.T) {
+	const n = 69
+	for _, victim := range []int{3, 17, 29, 41, 68} {
+		w := newSeededNetwork(n, func(int) uint64 { return 7 })
+		w.run(10 * time.Second)
+		w.cut[id(victim)] = true
+		took, ok := w.until(20*time.Second, func(m *Machine) bool {
+			for _, o := range m.Members() {
+				if o.ID == id(victim) && o.Status == Alive {
+					return false
+				}
+			}
+			return true
+		})
+		if !ok || took > 7*time.Second {
+			t.Errorf("%s is still alive to some after %v", id(victim), took)
+		}
+	}
+}
+
 // The cost of a member at rest does not grow with their number, and a change
 // reaches all within seconds, at sizes up to the one that is planned for.
 func TestMembershipCostIsFlat(t *testing.T) {
