sight: late answers, upstreams left, entries kept while missing, and the age of the list that a request's endpoint was chosen from

The log could not tell apart why a daemon still sent to an endpoint that was leaving: an old list, an entry kept as after an outage, a late answer, or an early choice. No logic is changed.

--- a/coordination/discovery/registry.go
+++ b/coordination/discovery/registry.go
@@ -47,10 +47,11 @@
 }
 
 // List replaces all that is known by a list as of revision. Until graceUntil,
-// entries that are missing may only have lapsed while the store was away.
-func (r *Registry) List(now time.Time, list []*fleet.Endpoint, revision uint64, graceUntil time.Time) {
+// entries that are missing may only have lapsed while the store was away; it
+// returns those that go missing now and are kept.
+func (r *Registry) List(now time.Time, list []*fleet.Endpoint, revision uint64, graceUntil time.Time) (kept []string) {
 	if revision < r.revision {
-		return // a list from a peer that knows less
+		return nil // a list from a peer that knows less
 	}
 	r.revision = revision
 	present := make(map[string]bool, len(list))
@@ -62,8 +63,9 @@
 		if present[id] {
 			continue
 		}
-		r.missing(now, id, en, revision, graceUntil)
+		kept = append(kept, r.missing(now, id, en, revision, graceUntil)...)
 	}
+	return kept
 }
 
 // Put takes a changed description.
@@ -99,24 +101,28 @@
 }
 
 // Remove takes the removal of an entry. Until graceUntil, it may only have
-// lapsed while the store was away.
-func (r *Registry) Remove(now time.Time, id string, revision uint64, graceUntil time.Time) {
+// lapsed while the store was away; it returns the id if it is kept for that.
+func (r *Registry) Remove(now time.Time, id string, revision uint64, graceUntil time.Time) (kept []string) {
 	r.revision = max(r.revision, revision)
 	if en := r.entries[id]; en != nil {
-		r.missing(now, id, en, revision, graceUntil)
+		return r.missing(now, id, en, revision, graceUntil)
 	}
+	return nil
 }
 
 // missing keeps an entry for the rest of the grace, or drops it. A grace is
-// never made longer by another loss of the entry.
-func (r *Registry) missing(now time.Time, id string, en *entry, revision uint64, graceUntil time.Time) {
+// never made longer by another loss of the entry. It returns the id of an entry
+// whose grace begins.
+func (r *Registry) missing(now time.Time, id string, en *entry, revision uint64, graceUntil time.Time) (kept []string) {
 	if en.endpoint.Leaving || !now.Before(graceUntil) && en.missingUntil.IsZero() {
 		r.drop(id, revision)
-		return
+		return nil
 	}
-	if en.missingUntil.IsZero() {
-		en.missingUntil = graceUntil
+	if !en.missingUntil.IsZero() {
+		return nil
 	}
+	en.missingUntil = graceUntil
+	return []string{id}
 }
 
 // Missing reports whether an entry is kept that the store does not have.
--- a/daemon/edgedaemon/daemon.go
+++ b/daemon/edgedaemon/daemon.go
@@ -123,7 +123,7 @@
 	d.view.OnChange(d.changed)
 	d.gossip = gossip.New(hclog.NewNullLogger(), d.peers, d.seeds, membership.DefaultOptions(uint64(time.Now().UnixNano())), d.member())
 	d.callers = edge.New(edge.Options{
-		Table: d.view.Table, View: d.view.Endpoints, Draining: d.draining, Ends: d.ends, Dialect: platform.Dialect{}, Locator: d, Balancer: d.balancer,
+		Table: d.view.Table, View: d.view.Endpoints, ViewAge: d.view.Age, Draining: d.draining, Ends: d.ends, Dialect: platform.Dialect{}, Locator: d, Balancer: d.balancer,
 		Budget: d.budget, Log: log, Metrics: d.metrics, EndpointLeaving: d.view.EndpointLeaving,
 		FlushEvery:  time.Duration(float64(set.Timing.Pass.D()) * flushPart),
 		Connections: int64(float64(set.Limits.Descriptors) * requestsPerDescriptor),
--- a/driver/storeview/follow.go
+++ b/driver/storeview/follow.go
@@ -33,6 +33,9 @@
 	retryMost  = time.Second
 	// emptyRetry is the pause while there is no desired state yet.
 	emptyRetry = 200 * time.Millisecond
+	// lateAnswer is how much later than asked for an answer is logged as late:
+	// many times the way to the store or to another daemon and back.
+	lateAnswer = 300 * time.Millisecond
 	// lapseGrace is how long an entry that lapsed in an outage of the store
 	// may be missing after the store's return.
 	lapseGrace = 2 * time.Second
@@ -40,12 +43,12 @@
 
 // RunDesiredState follows the desired state until ctx ends.
 func (v *View) RunDesiredState(ctx context.Context) error {
-	return v.follow(ctx, v.config, "desired state", v.readDesired, v.watchDesired)
+	return v.follow(ctx, v.config, kindDesired, v.readDesired, v.watchDesired)
 }
 
 // RunEndpoints follows the endpoints until ctx ends.
 func (v *View) RunEndpoints(ctx context.Context) error {
-	return v.follow(ctx, v.endpoints, "endpoints", v.listEndpoints, v.watchEndpoints)
+	return v.follow(ctx, v.endpoints, kindEndpoints, v.listEndpoints, v.watchEndpoints)
 }
 
 // follow does what a follower asks for.
@@ -60,14 +63,17 @@
 		failing := f.FailingSince()
 		v.mu.Unlock()
 		var err error
+		started := time.Now()
 		switch action {
 		case discovery.Wait:
 			pause.For(ctx, time.Until(until))
 			continue
 		case discovery.List:
 			err = list(ctx)
+			v.logLate("store", what, time.Since(started), err)
 		case discovery.Watch:
 			err = watch(ctx)
+			v.logLate("store", what, time.Since(started)-v.watchWait(what), err)
 		}
 		if ctx.Err() != nil {
 			return nil
@@ -77,6 +83,28 @@
 	return nil
 }
 
+// Kinds of object that are followed, as the log names them.
+const (
+	kindDesired   = "desired state"
+	kindEndpoints = "endpoints"
+)
+
+// watchWait returns how long a watch of a kind may wait for a change.
+func (v *View) watchWait(kind string) time.Duration {
+	if kind == kindDesired {
+		return min(v.part(configPart), configMost)
+	}
+	return min(v.part(watchPart), watchMost)
+}
+
+// logLate logs an answer that took long beyond the wait that was asked for: what
+// it tells may be as much older than it seems.
+func (v *View) logLate(from, what string, took time.Duration, err error) {
+	if took >= lateAnswer {
+		v.opt.Log.Info(decisions.EventLateAnswer, "from", from, "of", what, "late_ms", took.Milliseconds(), "error", err)
+	}
+}
+
 // relayedUntil returns until when a follower may rest, because this daemon
 // takes what it follows from another one; zero if it may not.
 func (v *View) relayedUntil(f *discovery.Follower, what string) time.Time {
@@ -134,7 +162,7 @@
 }
 
 func (v *View) watchDesired(ctx context.Context) error {
-	wait := min(v.part(configPart), configMost)
+	wait := v.watchWait(kindDesired)
 	ctx, cancel := context.WithTimeout(ctx, wait+watchSlack)
 	defer cancel()
 	raw, revision, err := v.opt.Store.WatchDesiredState(ctx, v.since(v.config), wait)
@@ -162,10 +190,13 @@
 	v.logUnreadable(unreadable)
 	v.mu.Lock()
 	now := time.Now()
-	v.registry.List(now, list, revision, v.grace(now))
+	failing := v.endpoints.FailingSince()
+	until := v.grace(now)
+	kept := v.registry.List(now, list, revision, until)
 	v.endpoints.Listed(now, revision)
 	v.tell()
 	v.mu.Unlock()
+	v.logKept(kept, now, until, failing)
 	v.publish("store")
 	return nil
 }
@@ -180,7 +211,7 @@
 }
 
 func (v *View) watchEndpoints(ctx context.Context) error {
-	wait := min(v.part(watchPart), watchMost)
+	wait := v.watchWait(kindEndpoints)
 	ctx, cancel := context.WithTimeout(ctx, wait+watchSlack)
 	defer cancel()
 	changes, revision, unreadable, err := v.opt.Store.WatchEndpoints(ctx, v.since(v.endpoints), wait)
@@ -190,10 +221,12 @@
 	v.logUnreadable(unreadable)
 	v.mu.Lock()
 	now := time.Now()
+	failing := v.endpoints.FailingSince()
 	until := v.grace(now)
+	var kept []string
 	for _, c := range changes {
 		if c.Removed {
-			v.registry.Remove(now, c.ID, c.Revision, until)
+			kept = append(kept, v.registry.Remove(now, c.ID, c.Revision, until)...)
 		} else {
 			v.registry.Put(c.Endpoint, c.Revision)
 		}
@@ -201,10 +234,24 @@
 	v.endpoints.Watched(now, revision, len(changes) > 0)
 	v.tell()
 	v.mu.Unlock()
+	v.logKept(kept, now, until, failing)
 	v.publish("store")
 	return nil
 }
 
+// logKept logs entries that the store does not have and that are kept, because
+// they may only have lapsed while it was away.
+func (v *View) logKept(ids []string, now, until, failing time.Time) {
+	if len(ids) == 0 {
+		return
+	}
+	failed := int64(0)
+	if !failing.IsZero() {
+		failed = now.Sub(failing).Milliseconds()
+	}
+	v.opt.Log.Info(decisions.EventEndpointKept, "endpoints", ids, "for_ms", until.Sub(now).Milliseconds(), "store_failed_for_ms", failed)
+}
+
 func (v *View) logUnreadable(unreadable []error) {
 	for _, err := range unreadable {
 		v.opt.Log.Error(decisions.EventEndpointRejected, "error", err)
--- a/driver/storeview/peers.go
+++ b/driver/storeview/peers.go
@@ -68,6 +68,7 @@
 		upstream := order[v.source.Pick(len(order))]
 		v.mu.Unlock()
 		wait := min(v.part(pollPart), maxPoll)
+		started := time.Now()
 		age, err := v.poll(ctx, upstream, wait, wait+pollSlack)
 		if err == nil && v.behind() {
 			err = v.catchUp(ctx, upstream)
@@ -78,6 +79,7 @@
 			v.mu.Unlock()
 		}
 		if err != nil || age >= v.part(stalePart) {
+			v.opt.Log.Info(decisions.EventUpstreamLeft, "error", err, "age_ms", age.Milliseconds(), "took_ms", time.Since(started).Milliseconds())
 			pause.For(ctx, pollRetry)
 		}
 	}
@@ -182,7 +184,9 @@
 	if t := v.Table(); t != nil {
 		req.ConfigVersion = t.Version
 	}
+	started := time.Now()
 	resp, err := peer.Follow(ctx, req)
+	v.logLate("peer", kindEndpoints, time.Since(started)-wait, err)
 	if err != nil {
 		v.opt.Log.Debug("peer did not answer", "error", err)
 		return 0, err
@@ -288,6 +292,16 @@
 	return v.seenAt()
 }
 
+// Age returns how old what is believed of the endpoints may be; maxAge before the
+// first word.
+func (v *View) Age() time.Duration {
+	seen := v.SeenAt()
+	if seen.IsZero() {
+		return maxAge
+	}
+	return time.Since(seen)
+}
+
 func (v *View) seenAt() time.Time {
 	if at := v.source.SeenAt(); at.After(v.endpoints.SeenAt()) {
 		return at
--- a/transport/edge/answer.go
+++ b/transport/edge/answer.go
@@ -20,6 +20,7 @@
 	status   int
 	endpoint string        // that answered last
 	sent     time.Time     // when the request was sent to it
+	viewAge  time.Duration // of the view that it was chosen from
 	lastID   string        // of the last event handed on; empty before the first
 	first    time.Time     // when the first event was handed on
 	last     time.Time     // when the last ones were
--- a/transport/edge/attempt.go
+++ b/transport/edge/attempt.go
@@ -153,7 +153,7 @@
 	defer func() { s.opt.Balancer.Ended(time.Now(), e.ID, q.unit(), ok) }()
 	w := s.watch(q, e, more, cancel)
 	defer w.stop()
-	a.sent = time.Now()
+	a.sent, a.viewAge = time.Now(), s.opt.ViewAge()
 	resp, f := s.send(ctx, q, e, a.lastID)
 	if f == nil {
 		a.endpoint = e.ID
--- a/transport/edge/server.go
+++ b/transport/edge/server.go
@@ -35,8 +35,10 @@
 // Options are what the server needs of the rest of the daemon. Functions must
 // be safe for concurrent use and cheap.
 type Options struct {
-	Table    func() *routing.Table
-	View     func() *fleet.View
+	Table func() *routing.Table
+	View  func() *fleet.View
+	// ViewAge returns how old what the view says may be.
+	ViewAge  func() time.Duration
 	Draining func() bool
 	// Ends returns when a draining daemon ends what is in progress; zero while
 	// it serves.
@@ -164,7 +166,7 @@
 	case refusal == nil:
 		s.metrics.answered.Inc(1)
 		s.opt.Log.Routine(decisions.EventAnswered, "request", q.call.ID, "route", q.route.Name, "model", q.unit(), "status", a.status,
-			"ms", time.Since(arrived).Milliseconds(), "first_event_ms", a.firstAfter().Milliseconds(), "longest_gap_ms", a.gap.Milliseconds(), "waited_ms", q.waited.Milliseconds(), "endpoint", a.endpoint, "version", q.version)
+			"ms", time.Since(arrived).Milliseconds(), "first_event_ms", a.firstAfter().Milliseconds(), "longest_gap_ms", a.gap.Milliseconds(), "waited_ms", q.waited.Milliseconds(), "sent_ms", a.sent.Sub(arrived).Milliseconds(), "endpoints_age_ms", a.viewAge.Milliseconds(), "endpoint", a.endpoint, "version", q.version)
 	case r.Context().Err() != nil:
 		s.metrics.gone.Inc(1)
 		s.opt.Log.Info(decisions.EventFailed, "request", q.call.ID, "route", q.route.Name, "model", q.unit(), "reason", "caller gone", "ms", time.Since(arrived).Milliseconds(), "endpoint", a.endpoint)
