--- a/driver/storeview/storeview_test.go
+++ b/driver/storeview/storeview_test.go
@@ -318,7 +318,22 @@
 	*fakeStore
 	mu  sync.Mutex
 	cut bool
-	n   int
+	// hung says that calls for the desired state are not answered, as where a
+	// full link does not bring a large answer through; the others are.
+	hung bool
+	n    int
+}
+
+func (w *way) setHung(hung bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.hung = hung
+}
+
+func (w *way) isHung() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.hung
 }
 
 func (w *way) call() error {
@@ -360,6 +375,10 @@
 	if err := w.call(); err != nil {
 		return nil, 0, err
 	}
+	if w.isHung() {
+		<-ctx.Done()
+		return nil, 0, ctx.Err()
+	}
 	return w.fakeStore.ReadDesiredState(ctx)
 }
 
@@ -383,7 +402,7 @@
 		return nil, 0, ctx.Err()
 	}
 	raw, revision, err := w.fakeStore.WatchDesiredState(ctx, since, wait)
-	if w.isCut() {
+	if w.isCut() || w.isHung() {
 		<-ctx.Done()
 		return nil, 0, ctx.Err()
 	}
