--- a/coordination/discovery/discovery_test.go
+++ b/coordination/discovery/discovery_test.go
@@ -29,11 +29,11 @@
 	if a, _ := f.Next(start); a != List {
 		t.Fatalf("first action %v", a)
 	}
-	f.Listed(start, 7)
+	f.Listed(start, start, 7)
 	if a, _ := f.Next(start); a != Watch || f.Since() != 7 {
 		t.Fatalf("action %v since %d after a list", a, f.Since())
 	}
-	f.Watched(start, 9, true)
+	f.Watched(start, start, 0, 9, true)
 	if a, until := f.Next(start); a != Wait || until != start.Add(100*time.Millisecond) {
 		t.Fatalf("action %v until %v after changes", a, until)
 	}
@@ -41,7 +41,7 @@
 	if a, _ := f.Next(start); a != List {
 		t.Fatalf("action %v after lost history", a)
 	}
-	f.Listed(start, 12)
+	f.Listed(start, start, 12)
 	f.Failed(start)
 	if a, _ := f.Next(start); a != Wait {
 		t.Fatalf("action %v right after a failure", a)
--- a/coordination/discovery/follow.go
+++ b/coordination/discovery/follow.go
@@ -30,8 +30,9 @@
 
 // Follower decides between listing and watching one kind of object.
 //
-// Invariant: a watch continues only from the revision up to which every
-// change has been seen; after lost history it lists again.
+// Invariants: a watch continues only from the revision up to which every
+// change has been seen; after lost history it lists again. What has been seen is
+// never taken for younger than it can be, however long an answer was on its way.
 type Follower struct {
 	opt      FollowOptions
 	since    uint64
@@ -39,7 +40,7 @@
 	nextAt   time.Time
 	failures int       // in a row
 	failedAt time.Time // the first of them; zero after a success
-	okAt     time.Time // last success
+	asOf     time.Time // every change up to then has been seen
 }
 
 // NewFollower returns a follower that has seen nothing.
@@ -62,27 +63,40 @@
 // FailingSince returns the first of the failures in a row, or zero.
 func (f *Follower) FailingSince() time.Time { return f.failedAt }
 
-// SeenAt returns the time of the last answer.
-func (f *Follower) SeenAt() time.Time { return f.okAt }
+// Failures returns the number of failures in a row.
+func (f *Follower) Failures() int { return f.failures }
 
-// Listed reports a whole list as of a revision.
-func (f *Follower) Listed(now time.Time, revision uint64) {
+// SeenAt returns the time up to which every change has been seen.
+func (f *Follower) SeenAt() time.Time { return f.asOf }
+
+// Listed reports a whole list as of a revision, which was asked for at a time: it
+// holds what was true then.
+func (f *Follower) Listed(asked, now time.Time, revision uint64) {
 	f.since = revision
-	f.succeeded(now)
+	f.succeeded(asked, now)
 }
 
-// Watched reports the answer to a watch. changed says whether it held events.
-func (f *Follower) Watched(now time.Time, revision uint64, changed bool) {
+// Watched reports the answer to a watch that was to wait for so long. changed says
+// whether it held events. Without any, none came during the wait; with some,
+// nothing says how long they were on their way.
+func (f *Follower) Watched(asked, now time.Time, wait time.Duration, revision uint64, changed bool) {
 	f.since = max(f.since, revision)
-	f.succeeded(now)
+	asOf := asked
+	if !changed && now.Sub(asked) >= wait {
+		asOf = asked.Add(wait)
+	}
+	f.succeeded(asOf, now)
 	if changed {
 		f.nextAt = now.Add(f.opt.Pause)
 	}
 }
 
-func (f *Follower) succeeded(now time.Time) {
+func (f *Follower) succeeded(asOf, now time.Time) {
 	f.Rest()
-	f.synced, f.okAt, f.nextAt = true, now, now
+	f.synced, f.nextAt = true, now
+	if asOf.After(f.asOf) {
+		f.asOf = asOf
+	}
 }
 
 // HistoryLost reports that the store cannot tell what came after Since: it is
--- /dev/null
+++ b/coordination/discovery/outage.go
@@ -0,0 +1,44 @@
+package discovery
+
+import "time"
+
+const (
+	// lapseBeats is the number of heartbeats that an outage of the store must
+	// swallow before an entry can lapse in it: entries lapse after three, and the
+	// last one may have come a whole interval before the outage.
+	lapseBeats = 2
+	// outageFailures is the number of calls in a row that fail in an outage: a
+	// single one is as well a full link or a connection that has died.
+	outageFailures = 2
+	// lapseGrace is how long after the store's return an entry that lapsed in an
+	// outage may be missing; the endpoint writes it again at its next heartbeat.
+	lapseGrace = 2 * time.Second
+)
+
+// Outage decides until when an entry that is missing may only have lapsed while
+// the store was away. An entry that is kept for that is one that the platform
+// removed, if there was no outage: its endpoint gets requests for lapseGrace more,
+// which no bound on leaving endpoints allows.
+//
+// Invariant: there is no grace where this daemon, or one that it hears from, has
+// heard the store since entries could have lapsed.
+type Outage struct {
+	heartbeat time.Duration // of the endpoints
+	until     time.Time
+}
+
+// NewOutage returns an outage that is over. heartbeat is the time between two
+// heartbeats of an endpoint.
+func NewOutage(heartbeat time.Duration) *Outage { return &Outage{heartbeat: heartbeat} }
+
+// Answered takes an answer of the store. seen is the time up to which its changes
+// were known before, through anybody, and failures the number of calls that had
+// failed in a row.
+func (o *Outage) Answered(now, seen time.Time, failures int) {
+	if failures >= outageFailures && now.Sub(seen) >= lapseBeats*o.heartbeat {
+		o.until = now.Add(lapseGrace)
+	}
+}
+
+// GraceUntil returns until when entries that go missing are kept.
+func (o *Outage) GraceUntil() time.Time { return o.until }
--- /dev/null
+++ b/coordination/discovery/outage_test.go
@@ -0,0 +1,53 @@
+package discovery
+
+import (
+	"testing"
+	"time"
+)
+
+func TestOnlyAnOutageKeepsMissingEntries(t *testing.T) {
+	const heartbeat = 1200 * time.Millisecond
+	for name, c := range map[string]struct {
+		unheard  time.Duration // since anybody that this daemon hears from heard the store
+		failures int
+		grace    bool
+	}{
+		"one call lost":                        {3 * heartbeat, 1, false},
+		"some calls lost, others hear":         {heartbeat, 5, false},
+		"an outage too short for a lapse":      {2*heartbeat - time.Millisecond, 4, false},
+		"an outage in which entries can lapse": {2 * heartbeat, 2, true},
+		"a long outage":                        {time.Minute, 50, true},
+	} {
+		o := NewOutage(heartbeat)
+		o.Answered(start, start.Add(-c.unheard), c.failures)
+		if got := o.GraceUntil().After(start); got != c.grace {
+			t.Errorf("%s: grace %v", name, got)
+		}
+	}
+}
+
+// What is seen is as old as its question, unless the store says that nothing
+// changed while it waited.
+func TestAgeCountsFromTheQuestion(t *testing.T) {
+	const wait, late = 900 * time.Millisecond, 700 * time.Millisecond
+	f := NewFollower(FollowOptions{})
+	asked := start
+	f.Listed(asked, asked.Add(late), 1)
+	if got := f.SeenAt(); got != asked {
+		t.Errorf("a list that was late is as of %v after its question", got.Sub(asked))
+	}
+	asked = start.Add(time.Second)
+	f.Watched(asked, asked.Add(wait+late), wait, 1, false)
+	if got := f.SeenAt(); got != asked.Add(wait) {
+		t.Errorf("a watch without changes is as of %v after its question", got.Sub(asked))
+	}
+	asked = start.Add(10 * time.Second)
+	f.Watched(asked, asked.Add(wait/2), wait, 2, true)
+	if got := f.SeenAt(); got != asked {
+		t.Errorf("a watch with changes is as of %v after its question", got.Sub(asked))
+	}
+	f.Watched(asked.Add(-time.Second), asked, wait, 2, true)
+	if got := f.SeenAt(); got != asked {
+		t.Error("what was seen went back")
+	}
+}
--- a/coordination/relay/relay_test.go
+++ b/coordination/relay/relay_test.go
@@ -63,17 +63,26 @@
 }
 
 func TestAgeIsNeverForgotten(t *testing.T) {
+	ago := func(now time.Time, endpoints, desired time.Duration) Seen {
+		return Seen{Endpoints: now.Add(-endpoints), DesiredState: now.Add(-desired)}
+	}
 	s := NewSource(time.Second)
-	if s.FreshUntil().After(start) {
+	if s.FreshUntil(Endpoints).After(start) || s.FreshUntil(DesiredState).After(start) {
 		t.Fatal("fresh before the first word")
 	}
-	s.Heard(start, 400*time.Millisecond)
-	if got := s.FreshUntil(); got != start.Add(600*time.Millisecond) {
-		t.Fatalf("fresh until %v", got.Sub(start))
+	told := ago(start, 400*time.Millisecond, 300*time.Millisecond)
+	s.Heard(start, told, told)
+	if got := s.FreshUntil(Endpoints); got != start.Add(600*time.Millisecond) {
+		t.Fatalf("endpoints are fresh until %v", got.Sub(start))
+	}
+	if got := s.FreshUntil(DesiredState); got != start.Add(700*time.Millisecond) {
+		t.Fatalf("the desired state is fresh until %v", got.Sub(start))
 	}
 	first := s.Pick(2)
-	s.Heard(start.Add(100*time.Millisecond), 5*time.Second)
-	if got := s.FreshUntil(); got != start.Add(600*time.Millisecond) {
+	now := start.Add(100 * time.Millisecond)
+	told = ago(now, 5*time.Second, 5*time.Second)
+	s.Heard(now, told, told)
+	if got := s.FreshUntil(Endpoints); got != start.Add(600*time.Millisecond) {
 		t.Fatalf("older news moved it to %v", got.Sub(start))
 	}
 	if s.Pick(2) == first {
@@ -81,6 +90,36 @@
 	}
 }
 
+// A desired state that an upstream has only named is not known here, and no reason
+// to leave the upstream.
+func TestNamedDesiredStateIsNotKnown(t *testing.T) {
+	s := NewSource(time.Second)
+	first := s.Pick(2)
+	s.Heard(start, Seen{Endpoints: start, DesiredState: start}, Seen{Endpoints: start})
+	if s.Pick(2) != first {
+		t.Error("the upstream is left")
+	}
+	if !s.FreshUntil(DesiredState).IsZero() || s.FreshUntil(Endpoints).IsZero() {
+		t.Error("what was taken over is not what is known")
+	}
+}
+
+// An upstream that is up to date with one kind only is behind.
+func TestUpstreamBehindWithOneKindIsLeft(t *testing.T) {
+	for _, seen := range []Seen{
+		{Endpoints: start, DesiredState: start.Add(-2 * time.Second)},
+		{Endpoints: start.Add(-2 * time.Second), DesiredState: start},
+		{Endpoints: start},
+	} {
+		s := NewSource(time.Second)
+		first := s.Pick(2)
+		s.Heard(start, seen, seen)
+		if s.Pick(2) == first {
+			t.Errorf("%v: asked again", seen)
+		}
+	}
+}
+
 // follower applies deltas as a daemon does.
 type follower struct {
 	registry *discovery.Registry
--- a/daemon/edgedaemon/daemon.go
+++ b/daemon/edgedaemon/daemon.go
@@ -118,12 +118,12 @@
 	d.engines = platform.NewEngineClient(engineTimeout)
 	d.view = storeview.New(storeview.Options{
 		Store: d.store, Decode: platform.DecodeDesiredState, Log: log, Self: d.self, Peer: d.anyPeer, Upstreams: d.upstreams,
-		LeaveWithin: set.Timing.LeaveWithin.D(),
+		Within: min(set.Timing.LeaveWithin.D(), set.Timing.ApplyWithin.D()), Heartbeat: set.Timing.EndpointHeartbeat.D(),
 	})
 	d.view.OnChange(d.changed)
 	d.gossip = gossip.New(hclog.NewNullLogger(), d.peers, d.seeds, membership.DefaultOptions(uint64(time.Now().UnixNano())), d.member())
 	d.callers = edge.New(edge.Options{
-		Table: d.view.Table, View: d.view.Endpoints, ViewAge: d.view.Age, Draining: d.draining, Ends: d.ends, Dialect: platform.Dialect{}, Locator: d, Balancer: d.balancer,
+		Table: d.view.Table, View: d.view.Endpoints, ViewAge: d.endpointsAge, Draining: d.draining, Ends: d.ends, Dialect: platform.Dialect{}, Locator: d, Balancer: d.balancer,
 		Budget: d.budget, Log: log, Metrics: d.metrics, EndpointLeaving: d.view.EndpointLeaving,
 		FlushEvery:  time.Duration(float64(set.Timing.Pass.D()) * flushPart),
 		Connections: int64(float64(set.Limits.Descriptors) * requestsPerDescriptor),
@@ -246,7 +246,7 @@
 		d.addServer(&g, d.listeners.metrics, d.reporter.HTTPHandler())
 	}
 	for _, actor := range []func(context.Context) error{
-		d.gossip.Run, d.view.RunDesiredState, d.view.RunEndpoints, d.view.RunRelay, d.view.RunPeers, d.runGauges, d.runDemand, d.runStop,
+		d.gossip.Run, d.view.RunDesiredState, d.view.RunEndpoints, d.view.RunRelay, d.view.RunCatchUp, d.view.RunPeers, d.runGauges, d.runDemand, d.runStop,
 	} {
 		actorCtx, stop := context.WithCancel(ctx)
 		g.Add(func() error { return actor(actorCtx) }, func(error) { stop() })
--- a/daemon/edgedaemon/daemon_test.go
+++ b/daemon/edgedaemon/daemon_test.go
@@ -22,7 +22,7 @@
 		Listen: settings.EdgeListen{Callers: "127.0.0.1:0", Directory: "127.0.0.1:0", Readiness: "127.0.0.1:0", Peers: "127.0.0.1:0"},
 		Store:  settings.EdgeStore{Address: "127.0.0.1:1", Timeout: bundle.Duration(time.Second)},
 		Limits: settings.EdgeLimits{MemoryMB: 128, Descriptors: 1024},
-		Timing: settings.EdgeTiming{LeaveWithin: bundle.Duration(2 * time.Second), Pass: bundle.Duration(100 * time.Millisecond)},
+		Timing: settings.EdgeTiming{LeaveWithin: bundle.Duration(2 * time.Second), ApplyWithin: bundle.Duration(2 * time.Second), Pass: bundle.Duration(100 * time.Millisecond)},
 	}, log)
 	if err != nil {
 		t.Fatal(err)
--- a/daemon/edgedaemon/metrics.go
+++ b/daemon/edgedaemon/metrics.go
@@ -5,17 +5,19 @@
 	"time"
 
 	"github.com/uber-go/tally/v4"
+
+	"github.com/doorvalve/doorvalve/coordination/relay"
 )
 
 // gauges tell how the daemon stands; they are set each metricsEvery.
 type gauges struct {
-	endpointsAge, desiredVersion, endpoints, inProgress, members, linesLost, linesSkipped tally.Gauge
+	endpointsAge, desiredAge, desiredVersion, endpoints, inProgress, members, linesLost, linesSkipped tally.Gauge
 }
 
 func newGauges(scope tally.Scope) gauges {
 	view, log := scope.SubScope("view"), scope.SubScope("log")
 	return gauges{
-		endpointsAge: view.Gauge("endpoints_age_seconds"), desiredVersion: view.Gauge("desired_state_version"), endpoints: view.Gauge("endpoints"),
+		endpointsAge: view.Gauge("endpoints_age_seconds"), desiredAge: view.Gauge("desired_state_age_seconds"), desiredVersion: view.Gauge("desired_state_version"), endpoints: view.Gauge("endpoints"),
 		inProgress: scope.SubScope("caller").Gauge("requests_in_progress"), members: scope.SubScope("membership").Gauge("daemons_alive"),
 		linesLost: log.Gauge("lines_lost"), linesSkipped: log.Gauge("lines_skipped"),
 	}
@@ -37,9 +39,8 @@
 }
 
 func (d *Daemon) setGauges(g gauges) {
-	if seen := d.view.SeenAt(); !seen.IsZero() {
-		g.endpointsAge.Update(time.Since(seen).Seconds())
-	}
+	g.endpointsAge.Update(d.endpointsAge().Seconds())
+	g.desiredAge.Update(d.view.Age(relay.DesiredState).Seconds())
 	if table := d.view.Table(); table != nil {
 		g.desiredVersion.Update(float64(table.Version))
 	}
@@ -50,3 +51,6 @@
 	g.linesLost.Update(float64(lost))
 	g.linesSkipped.Update(float64(skipped))
 }
+
+// endpointsAge returns how old what is believed of the endpoints may be.
+func (d *Daemon) endpointsAge() time.Duration { return d.view.Age(relay.Endpoints) }
--- /dev/null
+++ b/driver/storeview/age_test.go
@@ -0,0 +1,166 @@
+package storeview
+
+import (
+	"testing"
+	"time"
+
+	"github.com/doorvalve/doorvalve/coordination/relay"
+	"github.com/doorvalve/doorvalve/protocol/fleetpb"
+	"github.com/doorvalve/doorvalve/state/fleet"
+)
+
+// Answers of upstreams that are long on their way, as over a full link, are not
+// taken for younger than they are: the follower asks the store in time. Where the
+// store turns it away as well, it knows how old its view is.
+func TestAgeCountsTheWay(t *testing.T) {
+	const late = 1100 * time.Millisecond
+	for offset := time.Duration(0); offset < 2*time.Second; offset += 130 * time.Millisecond {
+		inBubble(t, func(b *bubble) {
+			p := b.pair()
+			for _, u := range []*upstream{p.first, p.second} {
+				u.mu.Lock()
+				u.late = late
+				u.mu.Unlock()
+			}
+			time.Sleep(3*time.Second + offset)
+			p.change()
+			time.Sleep(leaveWithin - 200*time.Millisecond)
+			p.inForce(t)
+		})
+	}
+}
+
+// How old a daemon says that its view is, is never less than it is: whatever an
+// endpoint's entry says now, the view shows what it said that long ago, or later.
+func TestAgeIsNeverTooYoung(t *testing.T) {
+	inBubble(t, func(b *bubble) {
+		p := b.pair()
+		p.first.mu.Lock()
+		p.first.late = 350 * time.Millisecond
+		p.first.mu.Unlock()
+		written := map[uint64]time.Time{}
+		for i := range 200 {
+			p.store.setEndpoint(fleet.Endpoint{ID: "a", Service: "llm", Slots: i})
+			p.store.mu.Lock()
+			written[p.store.revision] = time.Now()
+			p.store.mu.Unlock()
+			time.Sleep(time.Duration(37+i%90) * time.Millisecond)
+			view, age := p.follower.Endpoints(), p.follower.Age(relay.Endpoints)
+			shown := view.ByID["a"].Revision
+			for revision, at := range written {
+				if revision > shown && time.Since(at) > age {
+					t.Fatalf("change %d: written %v ago and not shown, the view says that it is %v old", i, time.Since(at), age)
+				}
+			}
+		}
+	})
+}
+
+// A large desired state that can be packed goes with the polls: no daemon that takes
+// from others reads it from the store.
+func TestDesiredStateIsSentPacked(t *testing.T) {
+	inBubble(t, func(b *bubble) {
+		p := b.pair()
+		before := p.ways[2].calls()
+		p.store.mu.Lock()
+		p.store.padding, p.store.plain = 20*large, true
+		p.store.mu.Unlock()
+		p.store.setConfig(2)
+		time.Sleep(100 * time.Millisecond)
+		if p.follower.Table().Version != 2 {
+			t.Error("not in force")
+		}
+		if n := p.ways[2].calls() - before; n != 0 {
+			t.Errorf("%d reads of the store", n)
+		}
+	})
+}
+
+// What another daemon sends is bounded and checked before it is decoded.
+func TestPackedDesiredStateIsBounded(t *testing.T) {
+	if _, err := unpack([]byte("no gzip")); err == nil {
+		t.Error("content that is not packed is taken")
+	}
+	huge := &desiredContent{raw: make([]byte, maxDesiredBytes+1)}
+	if _, err := unpack(huge.pack()); err == nil {
+		t.Error("content beyond any object of the store is taken")
+	}
+}
+
+// A daemon that begins to follow the store, because another one went, asks it at
+// once: others take from it from then on.
+func TestNewWatcherAsksAtOnce(t *testing.T) {
+	inBubble(t, func(b *bubble) {
+		p := b.pair()
+		watches := make(chan struct{})
+		own := &way{fakeStore: p.store}
+		v := b.view(own, func(o *Options) {
+			o.Self = "third"
+			follows := o.Upstreams
+			o.Upstreams = func() (bool, []fleetpb.Fleet) {
+				select {
+				case <-watches:
+					return follows()
+				default:
+					return false, []fleetpb.Fleet{p.first}
+				}
+			}
+		})
+		time.Sleep(5 * time.Second)
+		close(watches)
+		p.first.setMute(true)
+		p.change()
+		time.Sleep(maxPoll + pollSlack) // the poll that is on its way is given up on
+		if v.takes("a") || v.takes("b") {
+			t.Error("endpoints that leave or are gone still take requests")
+		}
+	})
+}
+
+// A removal during an outage keeps the entry for the grace after the store's
+// return: it may only have lapsed. One after the grace does not.
+func TestLapseInAnOutageIsWaitedFor(t *testing.T) {
+	inBubble(t, func(b *bubble) {
+		s := newFakeStore()
+		s.setEndpoint(fleet.Endpoint{ID: "a", Service: "llm"})
+		s.setEndpoint(fleet.Endpoint{ID: "b", Service: "llm"})
+		v := b.view(s, nil)
+		time.Sleep(5 * time.Second)
+		s.setAway(true)
+		time.Sleep(5 * time.Second)
+		s.remove("a")
+		s.setAway(false)
+		time.Sleep(retryMost + 500*time.Millisecond)
+		if !v.takes("a") {
+			t.Error("an entry that lapsed in an outage was dropped at once")
+		}
+		time.Sleep(2 * time.Second)
+		if v.takes("a") || !v.takes("b") {
+			t.Error("the grace did not end")
+		}
+	})
+}
+
+// A watcher that the store has turned away, and that hears of it through others,
+// keeps nothing for its own return: the store was there all the while.
+func TestTurnedAwayIsNoOutage(t *testing.T) {
+	for offset := time.Duration(0); offset < 2*time.Second; offset += 130 * time.Millisecond {
+		inBubble(t, func(b *bubble) {
+			p := b.pair()
+			own := &way{fakeStore: p.store}
+			v := b.view(own, func(o *Options) {
+				o.Self = "third"
+				o.Peer = func() fleetpb.Fleet { return p.first }
+			})
+			time.Sleep(5 * time.Second)
+			own.setCut(true)
+			time.Sleep(6*time.Second + offset)
+			own.setCut(false)
+			p.change()
+			time.Sleep(leaveWithin - 200*time.Millisecond)
+			if v.takes("a") || v.takes("b") {
+				t.Errorf("offset %v: endpoints that leave or are gone still take requests", offset)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/driver/storeview/desired.go
@@ -0,0 +1,144 @@
+package storeview
+
+import (
+	"bytes"
+	"compress/gzip"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/doorvalve/doorvalve/coordination/relay"
+	"github.com/doorvalve/doorvalve/internal/pause"
+)
+
+// maxDesiredBytes bounds a desired state: the store takes no larger objects.
+const maxDesiredBytes = 8 << 20
+
+// desiredContent is a desired state as the operator wrote it, and as it is sent to
+// other daemons: packed, since routes and models repeat the names of a few fields.
+// What a link of 10 Mbit/s takes half a second for would else not reach several
+// daemons in time.
+type desiredContent struct {
+	raw    []byte
+	once   sync.Once
+	packed []byte
+}
+
+// pack returns the content as it is sent. It is safe for concurrent use.
+func (c *desiredContent) pack() []byte {
+	c.once.Do(func() {
+		var b bytes.Buffer
+		w, _ := gzip.NewWriterLevel(&b, gzip.BestSpeed) // a level that exists
+		_, _ = w.Write(c.raw)                           // a buffer takes all
+		_ = w.Close()
+		c.packed = b.Bytes()
+	})
+	return c.packed
+}
+
+var errDesiredTooLarge = errors.New("larger than any object of the store")
+
+// unpack returns the content that another daemon has sent.
+func unpack(packed []byte) ([]byte, error) {
+	r, err := gzip.NewReader(bytes.NewReader(packed))
+	if err != nil {
+		return nil, fmt.Errorf("desired state of a peer: %w", err)
+	}
+	raw, err := io.ReadAll(io.LimitReader(r, maxDesiredBytes+1))
+	if err == nil && len(raw) > maxDesiredBytes {
+		err = errDesiredTooLarge
+	}
+	if err != nil {
+		return nil, fmt.Errorf("desired state of a peer: %w", err)
+	}
+	return raw, nil
+}
+
+// RunCatchUp brings desired states into force that an upstream has named and that
+// are too large for its answers, until ctx ends. It runs beside the polls: what is
+// believed of the endpoints does not wait for a large transfer.
+func (v *View) RunCatchUp(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-v.named:
+		}
+		for ctx.Err() == nil && v.behind() {
+			if err := v.catchUp(ctx); err != nil {
+				pause.For(ctx, pollRetry)
+			}
+		}
+	}
+}
+
+// behind reports whether the upstream has a newer desired state in force.
+func (v *View) behind() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.upstream.version > v.version()
+}
+
+// version returns the version of the desired state in force, 0 for none.
+func (v *View) version() uint64 {
+	if t := v.table.Load(); t != nil {
+		return t.Version
+	}
+	return 0
+}
+
+// catchUp reads a desired state from the store, or takes it from the upstream where
+// the store does not answer.
+func (v *View) catchUp(ctx context.Context) error {
+	err := v.readDesired(ctx)
+	if err == nil && !v.behind() {
+		return nil
+	}
+	v.opt.Log.Debug("desired state taken from the upstream", "store_error", err)
+	v.mu.Lock()
+	from := v.upstream.peer
+	v.mu.Unlock()
+	_, err = v.poll(ctx, from, 0, peerTimeout)
+	return err
+}
+
+// readDesired reads the desired state from the store. Reads at the same time are
+// one: it is the largest answer there is.
+func (v *View) readDesired(ctx context.Context) error {
+	_, err, _ := v.reads.Do("", func() (any, error) {
+		asked := time.Now()
+		raw, revision, err := v.opt.Store.ReadDesiredState(ctx)
+		v.logLate("store", relay.DesiredState, asked, err)
+		if err != nil {
+			return nil, err
+		}
+		if raw == nil && v.Table() == nil {
+			pause.For(ctx, emptyRetry)
+		}
+		_ = v.adoptDesired(raw, "store", revision) // the last good one stays in force
+		v.mu.Lock()
+		defer v.mu.Unlock()
+		v.config.Listed(asked, time.Now(), revision)
+		v.tell()
+		return nil, nil
+	})
+	return err
+}
+
+func (v *View) watchDesired(ctx context.Context) error {
+	asked, wait, since := v.beginWatch(v.config, relay.DesiredState)
+	raw, revision, err := v.opt.Store.WatchDesiredState(ctx, since, wait, watchSlack)
+	v.logLate("store", relay.DesiredState, asked.Add(wait), err)
+	if err != nil {
+		return err
+	}
+	_ = v.adoptDesired(raw, "store", revision) // the last good one stays in force
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.config.Watched(asked, time.Now(), wait, revision, raw != nil)
+	v.tell()
+	return nil
+}
--- a/driver/storeview/follow.go
+++ b/driver/storeview/follow.go
@@ -6,17 +6,18 @@
 	"time"
 
 	"github.com/doorvalve/doorvalve/coordination/discovery"
+	"github.com/doorvalve/doorvalve/coordination/relay"
 	"github.com/doorvalve/doorvalve/driver/decisions"
 	"github.com/doorvalve/doorvalve/internal/pause"
 )
 
 const (
 	// gatherPart, watchPart and configPart are parts of the time in which a
-	// leaving endpoint must get no more requests. Changes of the endpoints
-	// gather for the first, so that those which come together cost one call; a
-	// watch of the endpoints waits for the second, one of the desired state for
-	// the third: a watch that has gone silent must be noticed before the
-	// platform expects this daemon to be up to date again.
+	// change must be in force. Changes of the endpoints gather for the first, so
+	// that those which come together cost one call; a watch of the endpoints
+	// waits for the second, one of the desired state for the third: a watch that
+	// has gone silent must be noticed before the platform expects this daemon to
+	// be up to date again.
 	gatherPart = 0.2
 	watchPart  = 0.3
 	configPart = 0.6
@@ -24,8 +25,14 @@
 	// platform's windows do not grow with it.
 	watchMost  = 900 * time.Millisecond
 	configMost = 1500 * time.Millisecond
-	// watchSlack is how much later than its end a watch may be answered by a
-	// slow store before it counts as dead.
+	// refreshPart and watchLeast shorten a watch after one that brought changes,
+	// of which only the question's time is known: it ends before what is known is
+	// older than the first, and waits for the second at least. Daemons that take
+	// from this one would leave it at stalePart.
+	refreshPart = 0.55
+	watchLeast  = 0.1
+	// watchSlack is how much later than its end a watch may begin to be answered
+	// by a slow store before it counts as dead.
 	watchSlack = 600 * time.Millisecond
 	// retryFirst is the pause after a failed call; it doubles up to retryMost
 	// with each further one, since failed calls are priced as well.
@@ -36,26 +43,23 @@
 	// lateAnswer is how much later than asked for an answer is logged as late:
 	// many times the way to the store or to another daemon and back.
 	lateAnswer = 300 * time.Millisecond
-	// lapseGrace is how long an entry that lapsed in an outage of the store
-	// may be missing after the store's return.
-	lapseGrace = 2 * time.Second
 )
 
 // RunDesiredState follows the desired state until ctx ends.
 func (v *View) RunDesiredState(ctx context.Context) error {
-	return v.follow(ctx, v.config, kindDesired, v.readDesired, v.watchDesired)
+	return v.follow(ctx, v.config, relay.DesiredState, v.readDesired, v.watchDesired)
 }
 
 // RunEndpoints follows the endpoints until ctx ends.
 func (v *View) RunEndpoints(ctx context.Context) error {
-	return v.follow(ctx, v.endpoints, kindEndpoints, v.listEndpoints, v.watchEndpoints)
+	return v.follow(ctx, v.endpoints, relay.Endpoints, v.listEndpoints, v.watchEndpoints)
 }
 
 // follow does what a follower asks for.
-func (v *View) follow(ctx context.Context, f *discovery.Follower, what string, list, watch func(context.Context) error) error {
+func (v *View) follow(ctx context.Context, f *discovery.Follower, kind relay.Kind, list, watch func(context.Context) error) error {
 	for ctx.Err() == nil {
-		if until := v.relayedUntil(f, what); time.Now().Before(until) {
-			pause.For(ctx, time.Until(until))
+		if until, role := v.relayedUntil(f, kind); time.Now().Before(until) {
+			pause.Until(ctx, until, role)
 			continue
 		}
 		v.mu.Lock()
@@ -63,166 +67,124 @@
 		failing := f.FailingSince()
 		v.mu.Unlock()
 		var err error
-		started := time.Now()
 		switch action {
 		case discovery.Wait:
 			pause.For(ctx, time.Until(until))
 			continue
 		case discovery.List:
 			err = list(ctx)
-			v.logLate("store", what, time.Since(started), err)
 		case discovery.Watch:
 			err = watch(ctx)
-			v.logLate("store", what, time.Since(started)-v.watchWait(what), err)
 		}
 		if ctx.Err() != nil {
 			return nil
 		}
-		v.settle(f, what, failing, err)
+		v.settle(f, kind, failing, err)
 	}
 	return nil
 }
 
-// Kinds of object that are followed, as the log names them.
-const (
-	kindDesired   = "desired state"
-	kindEndpoints = "endpoints"
-)
-
-// watchWait returns how long a watch of a kind may wait for a change.
-func (v *View) watchWait(kind string) time.Duration {
-	if kind == kindDesired {
-		return min(v.part(configPart), configMost)
+// beginWatch returns when a watch of a kind is asked for, how long it may wait and
+// the revision that it starts from.
+func (v *View) beginWatch(f *discovery.Follower, kind relay.Kind) (asked time.Time, wait time.Duration, since uint64) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	asked = time.Now()
+	wait = min(v.part(watchPart), watchMost)
+	if kind == relay.DesiredState {
+		wait = min(v.part(configPart), configMost)
 	}
-	return min(v.part(watchPart), watchMost)
+	left := v.part(refreshPart) - asked.Sub(f.SeenAt())
+	return asked, min(wait, max(left, v.part(watchLeast))), f.Since()
 }
 
-// logLate logs an answer that took long beyond the wait that was asked for: what
-// it tells may be as much older than it seems.
-func (v *View) logLate(from, what string, took time.Duration, err error) {
-	if took >= lateAnswer {
-		v.opt.Log.Info(decisions.EventLateAnswer, "from", from, "of", what, "late_ms", took.Milliseconds(), "error", err)
+// logLate logs an answer that came long after it was due: what it tells may be as
+// much older.
+func (v *View) logLate(from string, kind relay.Kind, due time.Time, err error) {
+	if late := time.Since(due); late >= lateAnswer {
+		v.opt.Log.Info(decisions.EventLateAnswer, "from", from, "of", kind.String(), "late_ms", late.Milliseconds(), "error", err)
 	}
 }
 
 // relayedUntil returns until when a follower may rest, because this daemon
-// takes what it follows from another one; zero if it may not.
-func (v *View) relayedUntil(f *discovery.Follower, what string) time.Time {
+// takes what it follows from another one, zero if it may not; and a channel that is
+// closed when its role changes before.
+func (v *View) relayedUntil(f *discovery.Follower, kind relay.Kind) (until time.Time, role <-chan struct{}) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	now, until := time.Now(), v.source.FreshUntil()
-	if v.source.SeenAt().IsZero() {
-		return v.directFrom // nobody has told anything yet
+	now, until := time.Now(), v.source.FreshUntil(kind)
+	if until.IsZero() {
+		return v.directFrom, nil // nobody has told anything yet
 	}
 	if v.watches {
-		return time.Time{}
+		return time.Time{}, nil
 	}
 	if !now.Before(until) {
-		return until
+		return until, nil
 	}
 	if failing := f.FailingSince(); !failing.IsZero() {
-		v.opt.Log.Info(decisions.EventDependencyBack, "dependency", "store", "of", what, "through", "peer", "after_ms", now.Sub(failing).Milliseconds())
+		v.opt.Log.Info(decisions.EventDependencyBack, "dependency", "store", "of", kind.String(), "through", "peer", "after_ms", now.Sub(failing).Milliseconds())
 	}
 	f.Rest()
-	return until
+	return until, v.roleTaken
 }
 
 // settle records how a call ended and logs the loss and return of the store.
-func (v *View) settle(f *discovery.Follower, what string, failing time.Time, err error) {
+func (v *View) settle(f *discovery.Follower, kind relay.Kind, failing time.Time, err error) {
 	now := time.Now()
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	switch {
 	case errors.Is(err, discovery.ErrHistoryLost):
 		f.HistoryLost(now)
-		v.opt.Log.Info(decisions.EventDependencyLost, "dependency", "store history", "of", what, "since_revision", f.Since())
+		v.opt.Log.Info(decisions.EventDependencyLost, "dependency", "store history", "of", kind.String(), "since_revision", f.Since())
 	case err != nil:
 		f.Failed(now)
 		if failing.IsZero() {
-			v.opt.Log.Warn(decisions.EventDependencyLost, "dependency", "store", "of", what, "error", err, "revision", f.Since())
+			v.opt.Log.Warn(decisions.EventDependencyLost, "dependency", "store", "of", kind.String(), "error", err, "revision", f.Since())
 		}
 	case !failing.IsZero():
-		v.opt.Log.Info(decisions.EventDependencyBack, "dependency", "store", "of", what, "after_ms", now.Sub(failing).Milliseconds(), "revision", f.Since())
-	}
-}
-
-func (v *View) readDesired(ctx context.Context) error {
-	raw, revision, err := v.opt.Store.ReadDesiredState(ctx)
-	if err != nil {
-		return err
-	}
-	if raw == nil && v.Table() == nil {
-		pause.For(ctx, emptyRetry)
+		v.opt.Log.Info(decisions.EventDependencyBack, "dependency", "store", "of", kind.String(), "after_ms", now.Sub(failing).Milliseconds(), "revision", f.Since())
 	}
-	_ = v.adoptDesired(raw, "store", revision) // the last good one stays in force
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	v.config.Listed(time.Now(), revision)
-	return nil
-}
-
-func (v *View) watchDesired(ctx context.Context) error {
-	wait := v.watchWait(kindDesired)
-	ctx, cancel := context.WithTimeout(ctx, wait+watchSlack)
-	defer cancel()
-	raw, revision, err := v.opt.Store.WatchDesiredState(ctx, v.since(v.config), wait)
-	if err != nil {
-		return err
-	}
-	_ = v.adoptDesired(raw, "store", revision) // the last good one stays in force
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	v.config.Watched(time.Now(), revision, raw != nil)
-	return nil
-}
-
-func (v *View) since(f *discovery.Follower) uint64 {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return f.Since()
 }
 
 func (v *View) listEndpoints(ctx context.Context) error {
+	asked := time.Now()
 	list, revision, unreadable, err := v.opt.Store.ListEndpoints(ctx)
+	v.logLate("store", relay.Endpoints, asked, err)
 	if err != nil {
 		return err
 	}
 	v.logUnreadable(unreadable)
 	v.mu.Lock()
 	now := time.Now()
-	failing := v.endpoints.FailingSince()
-	until := v.grace(now)
-	kept := v.registry.List(now, list, revision, until)
-	v.endpoints.Listed(now, revision)
+	v.noteOutage(now)
+	kept := v.registry.List(now, list, revision, v.outage.GraceUntil())
+	v.endpoints.Listed(asked, now, revision)
 	v.tell()
 	v.mu.Unlock()
-	v.logKept(kept, now, until, failing)
+	v.logKept(kept)
 	v.publish("store")
 	return nil
 }
 
-// grace returns until when entries that go missing may only have lapsed while
-// the store was away; the caller holds the mutex.
-func (v *View) grace(now time.Time) time.Time {
-	if !v.endpoints.FailingSince().IsZero() {
-		v.graceUntil = now.Add(lapseGrace)
-	}
-	return v.graceUntil
+// noteOutage takes an answer of the store before it changes what is known; the
+// caller holds the mutex.
+func (v *View) noteOutage(now time.Time) {
+	v.outage.Answered(now, v.seen()[relay.Endpoints], v.endpoints.Failures())
 }
 
 func (v *View) watchEndpoints(ctx context.Context) error {
-	wait := v.watchWait(kindEndpoints)
-	ctx, cancel := context.WithTimeout(ctx, wait+watchSlack)
-	defer cancel()
-	changes, revision, unreadable, err := v.opt.Store.WatchEndpoints(ctx, v.since(v.endpoints), wait)
+	asked, wait, since := v.beginWatch(v.endpoints, relay.Endpoints)
+	changes, revision, unreadable, err := v.opt.Store.WatchEndpoints(ctx, since, wait, watchSlack)
+	v.logLate("store", relay.Endpoints, asked.Add(wait), err)
 	if err != nil {
 		return err
 	}
 	v.logUnreadable(unreadable)
 	v.mu.Lock()
 	now := time.Now()
-	failing := v.endpoints.FailingSince()
-	until := v.grace(now)
+	until := v.outage.GraceUntil() // a watch follows a list, which has ended an outage
 	var kept []string
 	for _, c := range changes {
 		if c.Removed {
@@ -231,25 +193,24 @@
 			v.registry.Put(c.Endpoint, c.Revision)
 		}
 	}
-	v.endpoints.Watched(now, revision, len(changes) > 0)
+	v.endpoints.Watched(asked, now, wait, revision, len(changes) > 0)
 	v.tell()
 	v.mu.Unlock()
-	v.logKept(kept, now, until, failing)
+	v.logKept(kept)
 	v.publish("store")
 	return nil
 }
 
 // logKept logs entries that the store does not have and that are kept, because
 // they may only have lapsed while it was away.
-func (v *View) logKept(ids []string, now, until, failing time.Time) {
+func (v *View) logKept(ids []string) {
 	if len(ids) == 0 {
 		return
 	}
-	failed := int64(0)
-	if !failing.IsZero() {
-		failed = now.Sub(failing).Milliseconds()
-	}
-	v.opt.Log.Info(decisions.EventEndpointKept, "endpoints", ids, "for_ms", until.Sub(now).Milliseconds(), "store_failed_for_ms", failed)
+	v.mu.Lock()
+	left := time.Until(v.outage.GraceUntil())
+	v.mu.Unlock()
+	v.opt.Log.Info(decisions.EventEndpointKept, "endpoints", ids, "for_ms", left.Milliseconds())
 }
 
 func (v *View) logUnreadable(unreadable []error) {
--- a/driver/storeview/peers.go
+++ b/driver/storeview/peers.go
@@ -12,16 +12,17 @@
 )
 
 const (
-	// stalePart and pollPart are parts of the time in which a leaving endpoint
-	// must get no more requests. What was heard through another daemon is good
+	// stalePart and pollPart are parts of the time in which a change must be in
+	// force. What was heard through another daemon is good
 	// for the first: longer than a watcher takes to hear from the store again
-	// (gatherPart + watchPart), with time left to ask the store. An upstream
+	// (refreshPart), with time left to ask the store. An upstream
 	// answers within the second, also when it has heard nothing.
 	stalePart = 0.7
 	pollPart  = 0.6
 	// pollSlack is how much later an upstream may answer before it counts as
-	// gone: some times the way there and back.
-	pollSlack = 300 * time.Millisecond
+	// gone: the time that a link of 10 Mbit/s takes for a whole list to each of
+	// some ten daemons.
+	pollSlack = 400 * time.Millisecond
 	// pollRetry is the pause after an upstream that did not answer or is behind.
 	pollRetry = 100 * time.Millisecond
 	// rolePause is the pause before a daemon that follows the store looks again
@@ -35,9 +36,9 @@
 	// maxPoll bounds the wait of a poll: with pollSlack, it must be over before
 	// a call between daemons times out.
 	maxPoll = 1500 * time.Millisecond
-	// inlineConfig bounds the desired states that are sent to followers in
-	// bytes: larger ones they read from the store themselves, since one daemon's
-	// link does not carry them to all others in time.
+	// inlineConfig bounds the desired states that are sent to all followers, in
+	// packed bytes: a link of 10 Mbit/s carries it to relay.followersPerWatcher
+	// daemons in 0.3 s. Larger ones they read from the store themselves.
 	inlineConfig = 16 << 10
 	// graceTick is how often entries in their grace are looked at.
 	graceTick = 100 * time.Millisecond
@@ -48,15 +49,21 @@
 	peerTimeout = time.Second
 )
 
-// place is how far this daemon has read another one's changes.
-type place struct {
+// upstreamState is what is known of the daemon that this one takes from.
+type upstreamState struct {
+	peer fleetpb.Fleet // that answered last
+	// source and change are how far its changes have been read.
 	source string
 	change uint64
+	heard  uint64 // how often it had heard from the store by its last answer
+	// version is of the desired state in force there.
+	version uint64
 }
 
 // RunRelay takes from upstreams what the store says, unless this daemon follows
 // it itself, until ctx ends.
 func (v *View) RunRelay(ctx context.Context) error {
+	failing := false // the last upstream, which has been logged
 	for ctx.Err() == nil {
 		watches, order := v.opt.Upstreams()
 		v.setRole(watches)
@@ -67,47 +74,24 @@
 		v.mu.Lock()
 		upstream := order[v.source.Pick(len(order))]
 		v.mu.Unlock()
-		wait := min(v.part(pollPart), maxPoll)
-		started := time.Now()
+		wait, started := min(v.part(pollPart), maxPoll), time.Now()
 		age, err := v.poll(ctx, upstream, wait, wait+pollSlack)
-		if err == nil && v.behind() {
-			err = v.catchUp(ctx, upstream)
-		}
 		if err != nil {
 			v.mu.Lock()
 			v.source.Failed()
 			v.mu.Unlock()
 		}
-		if err != nil || age >= v.part(stalePart) {
+		failed := err != nil || age >= v.part(stalePart)
+		if failed && !failing {
 			v.opt.Log.Info(decisions.EventUpstreamLeft, "error", err, "age_ms", age.Milliseconds(), "took_ms", time.Since(started).Milliseconds())
+		}
+		if failing = failed; failing {
 			pause.For(ctx, pollRetry)
 		}
 	}
 	return nil
 }
 
-// behind reports whether an upstream has a newer desired state in force.
-func (v *View) behind() bool {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	t := v.table.Load()
-	return v.upstreamVersion > 0 && (t == nil || t.Version < v.upstreamVersion)
-}
-
-// catchUp reads a desired state that is too large for a poll: from the store,
-// or from the upstream where the store does not answer.
-func (v *View) catchUp(ctx context.Context, upstream fleetpb.Fleet) error {
-	read, cancel := context.WithTimeout(ctx, peerTimeout)
-	defer cancel()
-	err := v.readDesired(read)
-	if err == nil && !v.behind() {
-		return nil
-	}
-	v.opt.Log.Debug("desired state taken from the upstream", "store_error", err)
-	_, err = v.poll(ctx, upstream, 0, peerTimeout)
-	return err
-}
-
 // lookAgain returns the pause before a daemon that follows the store looks
 // again whether it still should.
 func (v *View) lookAgain() time.Duration {
@@ -117,11 +101,17 @@
 	return rolePause
 }
 
-// setRole logs whether this daemon follows the store itself.
+// setRole logs whether this daemon follows the store itself. One that begins to
+// asks the store at once, not when what it has heard gets old: others may begin to
+// take from it.
 func (v *View) setRole(watches bool) {
 	v.mu.Lock()
 	changed := watches != v.watches
 	v.watches = watches
+	if changed && watches {
+		close(v.roleTaken)
+		v.roleTaken = make(chan struct{})
+	}
 	v.mu.Unlock()
 	if changed {
 		v.opt.Log.Info(decisions.EventStoreRole, "follows_store", watches)
@@ -174,38 +164,56 @@
 	return silentFor(v.endpoints, now)
 }
 
-// poll takes what is newer from another daemon, and returns how old it is.
+// poll takes what is newer from another daemon, and returns how old it is. One that
+// waits need not be told again of a desired state that this daemon is reading.
 func (v *View) poll(ctx context.Context, peer fleetpb.Fleet, wait, timeout time.Duration) (age time.Duration, err error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	v.mu.Lock()
-	req := &fleetpb.FollowRequest{Source: v.place.source, Change: v.place.change, EndpointsRevision: v.registry.Revision(), WaitMs: wait.Milliseconds()}
-	v.mu.Unlock()
-	if t := v.Table(); t != nil {
-		req.ConfigVersion = t.Version
+	req := &fleetpb.FollowRequest{
+		Source: v.upstream.source, Change: v.upstream.change, ConfigVersion: v.version(), EndpointsRevision: v.registry.Revision(), WaitMs: wait.Milliseconds(),
+		Heard: v.upstream.heard,
+	}
+	if wait > 0 {
+		req.ConfigVersion = max(req.ConfigVersion, v.upstream.version)
 	}
-	started := time.Now()
+	v.mu.Unlock()
+	asked := time.Now()
 	resp, err := peer.Follow(ctx, req)
-	v.logLate("peer", kindEndpoints, time.Since(started)-wait, err)
 	if err != nil {
+		v.logLate("peer", relay.Endpoints, asked.Add(wait), err)
 		v.opt.Log.Debug("peer did not answer", "error", err)
 		return 0, err
 	}
-	age = maxAge
-	if resp.AgeMs >= 0 {
-		age = time.Duration(resp.AgeMs) * time.Millisecond
+	made := asked.Add(milliseconds(resp.HeldMs)) // or later: the way there is not counted
+	v.logLate("peer", relay.Endpoints, made, nil)
+	seen := relay.Seen{relay.Endpoints: asOf(made, resp.AgeMs), relay.DesiredState: asOf(made, resp.ConfigAgeMs)}
+	return seen.Age(time.Now(), maxAge), v.take(peer, resp, seen)
+}
+
+func milliseconds(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
+
+// asOf returns up to when something is known that was so old when it was told; zero
+// where it is not known. Ages that are told are above zero.
+func asOf(told time.Time, ageMs int64) time.Time {
+	if ageMs <= 0 {
+		return time.Time{}
 	}
-	return age, v.take(resp, age)
+	return told.Add(-milliseconds(ageMs))
 }
 
 // maxAge is the age of what does not come from the store at all.
 const maxAge = time.Hour
 
 // take adopts what another daemon has told.
-func (v *View) take(resp *fleetpb.FollowResponse, age time.Duration) error {
+func (v *View) take(peer fleetpb.Fleet, resp *fleetpb.FollowResponse, seen relay.Seen) error {
 	list := fromWire(resp.Endpoints)
-	if len(resp.Config) > 0 {
-		if err := v.adoptDesired(resp.Config, "peer", resp.EndpointsRevision); err != nil {
+	if len(resp.PackedConfig) > 0 {
+		raw, err := unpack(resp.PackedConfig)
+		if err == nil {
+			err = v.adoptDesired(raw, "peer", resp.EndpointsRevision)
+		}
+		if err != nil {
 			return err
 		}
 	}
@@ -221,90 +229,124 @@
 			v.registry.Remove(now, id, resp.EndpointsRevision, time.Time{})
 		}
 	}
-	v.place = place{resp.Source, resp.Change}
-	v.upstreamVersion = resp.ConfigVersion
-	v.source.Heard(now, age)
+	v.upstream = upstreamState{peer: peer, source: resp.Source, change: resp.Change, heard: resp.Heard, version: resp.ConfigVersion}
+	taken := seen
+	if v.version() < resp.ConfigVersion {
+		taken[relay.DesiredState] = time.Time{} // known by its version only
+		v.catchUpSoon()
+	}
+	v.source.Heard(now, seen, taken)
+	v.tell()
 	v.mu.Unlock()
 	v.publish("peer")
 	return nil
 }
 
+// catchUpSoon wakes RunCatchUp.
+func (v *View) catchUpSoon() {
+	select {
+	case v.named <- struct{}{}:
+	default: // it is awake
+	}
+}
+
 // Follow answers another daemon's poll: at once if there is something newer
 // than it knows, otherwise when there is, when the store has answered again, or
 // when its wait is over.
 func (v *View) Follow(ctx context.Context, req *fleetpb.FollowRequest) (*fleetpb.FollowResponse, error) {
-	end := time.NewTimer(min(maxPoll, time.Duration(req.WaitMs)*time.Millisecond))
+	asked := time.Now()
+	end := time.NewTimer(min(maxPoll, milliseconds(req.WaitMs)))
 	defer end.Stop()
-	first := v.SeenAt()
 	for over := req.WaitMs <= 0; ; {
-		resp, delta, told := v.newer(req)
-		if over || resp.ConfigVersion > req.ConfigVersion || !delta.Empty() || v.SeenAt().After(first) {
-			resp.Whole, resp.Gone, resp.Endpoints = delta.Whole, delta.Gone, toWire(delta.Endpoints)
-			return resp, nil
+		a := v.newer(req)
+		if over || a.resp.ConfigVersion > req.ConfigVersion || !a.delta.Empty() || a.resp.Heard > req.Heard {
+			a.attachDesired(req)
+			a.resp.Whole, a.resp.Gone, a.resp.Endpoints = a.delta.Whole, a.delta.Gone, toWire(a.delta.Endpoints)
+			a.tellAges(asked, time.Now())
+			return a.resp, nil
 		}
 		select {
 		case <-ctx.Done():
 			return nil, ctx.Err()
-		case <-told:
+		case <-a.told:
 		case <-end.C:
 			over = true
 		}
 	}
 }
 
-// newer returns what the caller of Follow does not know yet, and a channel that
-// is closed when there is more.
-func (v *View) newer(req *fleetpb.FollowRequest) (*fleetpb.FollowResponse, relay.Delta, <-chan struct{}) {
+// news is what the caller of Follow does not know yet.
+type news struct {
+	resp    *fleetpb.FollowResponse
+	delta   relay.Delta
+	desired *desiredContent // nil before the first
+	seen    relay.Seen
+	told    <-chan struct{} // closed when there is more
+}
+
+// newer returns what the caller of Follow does not know yet.
+func (v *View) newer(req *fleetpb.FollowRequest) *news {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	view := v.view.Load()
-	resp := &fleetpb.FollowResponse{Source: v.opt.Self, Change: v.changes.Change(), EndpointsRevision: view.Revision, AgeMs: v.ageMs(time.Now())}
-	if t := v.table.Load(); t != nil {
-		resp.ConfigVersion = t.Version
-		if t.Version > req.ConfigVersion && (req.WaitMs <= 0 || len(v.raw) <= inlineConfig) {
-			resp.Config = v.raw
-		}
-	}
-	delta := v.changes.Since(req.Change, req.Source == v.opt.Self, view)
-	if delta.Whole && view.Revision < req.EndpointsRevision {
+	a := &news{resp: &fleetpb.FollowResponse{Source: v.opt.Self, Change: v.changes.Change(), Heard: v.heard, ConfigVersion: v.version(), EndpointsRevision: view.Revision}}
+	a.desired, a.seen, a.told = v.desired, v.seen(), v.told
+	a.delta = v.changes.Since(req.Change, req.Source == v.opt.Self, view)
+	if a.delta.Whole && view.Revision < req.EndpointsRevision {
 		// The caller knows more. It gets a place in these changes only with a
 		// whole list, so that it keeps nothing that none of them names.
-		delta, resp.Source = relay.Delta{}, ""
+		a.delta, a.resp.Source = relay.Delta{}, ""
 	}
-	return resp, delta, v.told
+	return a
 }
 
-// ageMs returns the milliseconds since the store answered this daemon or
-// whoever it takes from, negative if it never did; the caller holds the mutex.
-func (v *View) ageMs(now time.Time) int64 {
-	seen := v.seenAt()
+// attachDesired adds the desired state, if it is newer, and small or asked for
+// without a wait.
+func (a *news) attachDesired(req *fleetpb.FollowRequest) {
+	if a.desired == nil || a.resp.ConfigVersion <= req.ConfigVersion {
+		return
+	}
+	if packed := a.desired.pack(); req.WaitMs <= 0 || len(packed) <= inlineConfig {
+		a.resp.PackedConfig = packed
+	}
+}
+
+// tellAges adds how old what is told is, rounded up, and how long the question
+// waited, rounded down: it is never taken for younger than it is.
+func (a *news) tellAges(asked, now time.Time) {
+	a.resp.AgeMs = ageMs(a.seen[relay.Endpoints], now)
+	a.resp.ConfigAgeMs = ageMs(a.seen[relay.DesiredState], now)
+	a.resp.HeldMs = now.Sub(asked).Milliseconds()
+}
+
+// ageMs returns an age in milliseconds, above zero, negative for unknown.
+func ageMs(seen, now time.Time) int64 {
 	if seen.IsZero() {
 		return -1
 	}
-	return now.Sub(seen).Milliseconds() + 1 // rounded up: never younger than it is
+	return now.Sub(seen).Milliseconds() + 1
 }
 
-// SeenAt returns the time up to which the endpoints in the store have been
-// followed, by this daemon or by those that it takes from.
-func (v *View) SeenAt() time.Time {
+// Seen returns the time up to which the store has been followed, by this daemon or
+// by those that it takes from.
+func (v *View) Seen() relay.Seen {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.seenAt()
+	return v.seen()
 }
 
-// Age returns how old what is believed of the endpoints may be; maxAge before the
-// first word.
-func (v *View) Age() time.Duration {
-	seen := v.SeenAt()
-	if seen.IsZero() {
-		return maxAge
-	}
-	return time.Since(seen)
+// seen is Seen; the caller holds the mutex.
+func (v *View) seen() relay.Seen {
+	own := relay.Seen{relay.Endpoints: v.endpoints.SeenAt(), relay.DesiredState: v.config.SeenAt()}
+	return relay.Latest(own, v.source.Seen())
 }
 
-func (v *View) seenAt() time.Time {
-	if at := v.source.SeenAt(); at.After(v.endpoints.SeenAt()) {
-		return at
+// Age returns how old what is believed of a kind may be; maxAge before the first
+// word.
+func (v *View) Age(kind relay.Kind) time.Duration {
+	at := v.Seen()[kind]
+	if at.IsZero() {
+		return maxAge
 	}
-	return v.endpoints.SeenAt()
+	return time.Since(at)
 }
--- a/driver/storeview/storeview.go
+++ b/driver/storeview/storeview.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/sync/singleflight"
+
 	"github.com/doorvalve/doorvalve/coordination/discovery"
 	"github.com/doorvalve/doorvalve/coordination/relay"
 	"github.com/doorvalve/doorvalve/driver/decisions"
@@ -21,9 +23,11 @@
 // Store is the platform's store as far as it is followed.
 type Store interface {
 	ListEndpoints(ctx context.Context) (list []*fleet.Endpoint, revision uint64, unreadable []error, err error)
-	WatchEndpoints(ctx context.Context, since uint64, wait time.Duration) (changes []discovery.Change, revision uint64, unreadable []error, err error)
 	ReadDesiredState(ctx context.Context) (raw []byte, revision uint64, err error)
-	WatchDesiredState(ctx context.Context, since uint64, wait time.Duration) (raw []byte, revision uint64, err error)
+	// The watches wait for a change, and for slack longer until their answer
+	// begins; what bounds its transfer is the size of the answer.
+	WatchEndpoints(ctx context.Context, since uint64, wait, slack time.Duration) (changes []discovery.Change, revision uint64, unreadable []error, err error)
+	WatchDesiredState(ctx context.Context, since uint64, wait, slack time.Duration) (raw []byte, revision uint64, err error)
 }
 
 // Options configure a View.
@@ -38,9 +42,11 @@
 	// Upstreams reports whether this daemon follows the store itself, and
 	// returns whom it takes from otherwise, the best first.
 	Upstreams func() (watches bool, order []fleetpb.Fleet)
-	// LeaveWithin is the time in which a leaving endpoint must get no more
-	// requests.
-	LeaveWithin time.Duration
+	// Within is the time in which a change in the store must be in force here: a
+	// leaving endpoint gets no more requests, a desired state is served by.
+	Within time.Duration
+	// Heartbeat is the time between two heartbeats of an endpoint.
+	Heartbeat time.Duration
 }
 
 // View is safe for concurrent use.
@@ -50,26 +56,31 @@
 	view  atomic.Pointer[fleet.View]
 
 	mu         sync.Mutex
-	raw        []byte // of the desired state in force
+	desired    *desiredContent // in force; nil before the first
 	registry   *discovery.Registry
 	endpoints  *discovery.Follower
 	config     *discovery.Follower
-	graceUntil time.Time // entries that go missing before may only have lapsed
+	outage     *discovery.Outage
 	directFrom time.Time // the store is asked from then on, at the latest
 	watches    bool      // this daemon follows the store itself
 	source     *relay.Source
-	place      place // in the changes of the upstream
-	// upstreamVersion is of the desired state in force there.
-	upstreamVersion uint64
-	changes         *relay.ChangeLog // of this daemon's view, for those that take from it
-	told            chan struct{}    // closed when there is something newer to tell
-	onChange        []func()
+	upstream   upstreamState
+	changes    *relay.ChangeLog // of this daemon's view, for those that take from it
+	told       chan struct{}    // closed when there is something newer to tell
+	toldSeen   relay.Seen       // when it was closed last
+	heard      uint64           // counts how often more was seen
+	roleTaken  chan struct{}    // closed when this daemon begins to follow the store itself
+	onChange   []func()
+
+	reads singleflight.Group // of the desired state
+	named chan struct{}      // holds one when an upstream has named a newer desired state
 }
 
 // New returns a view that knows nothing.
 func New(opt Options) *View {
 	v := &View{
 		opt: opt, registry: discovery.NewRegistry(), watches: true, changes: relay.NewChangeLog(), told: make(chan struct{}),
+		roleTaken: make(chan struct{}), named: make(chan struct{}, 1), outage: discovery.NewOutage(opt.Heartbeat),
 		config: discovery.NewFollower(discovery.FollowOptions{Retry: retryFirst, RetryMost: retryMost}),
 	}
 	v.endpoints = discovery.NewFollower(discovery.FollowOptions{Pause: v.part(gatherPart), Retry: retryFirst, RetryMost: retryMost})
@@ -79,10 +90,9 @@
 	return v
 }
 
-// part returns a part of the time in which a leaving endpoint must get no more
-// requests.
+// part returns a part of the time in which a change must be in force.
 func (v *View) part(p float64) time.Duration {
-	return time.Duration(p * float64(v.opt.LeaveWithin))
+	return time.Duration(p * float64(v.opt.Within))
 }
 
 // Table returns the desired state in force, nil before the first.
@@ -120,7 +130,7 @@
 		v.mu.Unlock()
 		return nil
 	}
-	v.raw = raw
+	v.desired = &desiredContent{raw: raw}
 	v.table.Store(t)
 	v.tell()
 	v.mu.Unlock()
@@ -139,6 +149,10 @@
 
 // tell wakes those that wait for something newer; the caller holds the mutex.
 func (v *View) tell() {
+	if seen := v.seen(); seen.After(v.toldSeen) {
+		v.toldSeen = seen
+		v.heard++
+	}
 	close(v.told)
 	v.told = make(chan struct{})
 }
--- a/driver/storeview/storeview_test.go
+++ b/driver/storeview/storeview_test.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"testing"
@@ -35,7 +36,8 @@
 	changed  chan struct{} // closed at the next change
 	calls    int
 	failed   int
-	padding  int // bytes added to the desired state
+	padding  int  // bytes added to the desired state
+	plain    bool // they can be packed
 }
 
 func newFakeStore() *fakeStore {
@@ -136,7 +138,11 @@
 }
 
 func (s *fakeStore) encoded() []byte {
-	return append(encodeVersion(s.config), make([]byte, s.padding)...)
+	padding := make([]byte, s.padding)
+	if !s.plain {
+		_, _ = rand.NewChaCha8([32]byte{}).Read(padding) // never fails
+	}
+	return append(encodeVersion(s.config), padding...)
 }
 
 // wait blocks until ready says that there is something to tell, the wait is
@@ -172,7 +178,7 @@
 	return err
 }
 
-func (s *fakeStore) WatchEndpoints(ctx context.Context, since uint64, wait time.Duration) (changes []discovery.Change, revision uint64, unreadable []error, err error) {
+func (s *fakeStore) WatchEndpoints(ctx context.Context, since uint64, wait, slack time.Duration) (changes []discovery.Change, revision uint64, unreadable []error, err error) {
 	after := func() []discovery.Change {
 		i := slices.IndexFunc(s.changes, func(c discovery.Change) bool { return c.Revision > since })
 		if i < 0 {
@@ -180,13 +186,17 @@
 		}
 		return slices.Clone(s.changes[i:])
 	}
+	ctx, cancel := context.WithTimeout(ctx, wait+slack)
+	defer cancel()
 	err = s.wait(ctx, wait, func() bool { return len(after()) > 0 })
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return after(), s.revision, nil, err
 }
 
-func (s *fakeStore) WatchDesiredState(ctx context.Context, since uint64, wait time.Duration) (raw []byte, revision uint64, err error) {
+func (s *fakeStore) WatchDesiredState(ctx context.Context, since uint64, wait, slack time.Duration) (raw []byte, revision uint64, err error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+slack)
+	defer cancel()
 	err = s.wait(ctx, wait, func() bool { return s.configAt > since })
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -197,10 +207,13 @@
 }
 
 // leaveWithin is the bound that the views of the tests work to, but for
-// longDrain.
+// longDrain; answerWithin is how long a call may hang.
 const (
 	leaveWithin = 2 * time.Second
 	longDrain   = 8 * time.Second
+	heartbeat   = 1200 * time.Millisecond
+
+	answerWithin = 1500 * time.Millisecond
 )
 
 // bubble runs a test in virtual time.
@@ -226,14 +239,14 @@
 // view returns a running view of a store.
 func (b *bubble) view(s Store, change func(*Options)) *View {
 	opt := Options{
-		Store: s, Decode: decodeVersion, Log: b.log, LeaveWithin: leaveWithin, Self: "alone", Peer: func() fleetpb.Fleet { return nil },
+		Store: s, Decode: decodeVersion, Log: b.log, Within: leaveWithin, Heartbeat: heartbeat, Self: "alone", Peer: func() fleetpb.Fleet { return nil },
 		Upstreams: func() (bool, []fleetpb.Fleet) { return true, nil },
 	}
 	if change != nil {
 		change(&opt)
 	}
 	v, ctx := New(opt), b.ctx
-	for _, run := range []func(context.Context) error{v.RunDesiredState, v.RunEndpoints, v.RunRelay, v.RunPeers} {
+	for _, run := range []func(context.Context) error{v.RunDesiredState, v.RunEndpoints, v.RunRelay, v.RunCatchUp, v.RunPeers} {
 		go func() { _ = run(ctx) }()
 	}
 	return v
@@ -274,6 +287,8 @@
 	view *View
 	mu   sync.Mutex
 	mute bool
+	// late is how long its answers are on their way.
+	late time.Duration
 	// longest is the time of the longest poll.
 	longest time.Duration
 }
@@ -286,7 +301,7 @@
 
 func (u *upstream) Follow(ctx context.Context, req *fleetpb.FollowRequest) (*fleetpb.FollowResponse, error) {
 	u.mu.Lock()
-	mute := u.mute
+	mute, late := u.mute, u.late
 	u.mu.Unlock()
 	if mute {
 		<-ctx.Done()
@@ -294,6 +309,11 @@
 	}
 	start := time.Now()
 	resp, err := u.view.Follow(ctx, req)
+	select {
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-time.After(late):
+	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.longest = max(u.longest, time.Since(start))
@@ -376,6 +396,8 @@
 		return nil, 0, err
 	}
 	if w.isHung() {
+		ctx, cancel := context.WithTimeout(ctx, answerWithin)
+		defer cancel()
 		<-ctx.Done()
 		return nil, 0, ctx.Err()
 	}
@@ -383,12 +405,14 @@
 }
 
 // A watch over a way that is cut hears nothing until it is given up on.
-func (w *way) WatchEndpoints(ctx context.Context, since uint64, wait time.Duration) ([]discovery.Change, uint64, []error, error) {
+func (w *way) WatchEndpoints(ctx context.Context, since uint64, wait, slack time.Duration) ([]discovery.Change, uint64, []error, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+slack)
+	defer cancel()
 	if w.call() != nil {
 		<-ctx.Done()
 		return nil, 0, nil, ctx.Err()
 	}
-	changes, revision, unreadable, err := w.fakeStore.WatchEndpoints(ctx, since, wait)
+	changes, revision, unreadable, err := w.fakeStore.WatchEndpoints(ctx, since, wait, slack)
 	if w.isCut() {
 		<-ctx.Done()
 		return nil, 0, nil, ctx.Err()
@@ -396,12 +420,14 @@
 	return changes, revision, unreadable, err
 }
 
-func (w *way) WatchDesiredState(ctx context.Context, since uint64, wait time.Duration) ([]byte, uint64, error) {
+func (w *way) WatchDesiredState(ctx context.Context, since uint64, wait, slack time.Duration) ([]byte, uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+slack)
+	defer cancel()
 	if w.call() != nil {
 		<-ctx.Done()
 		return nil, 0, ctx.Err()
 	}
-	raw, revision, err := w.fakeStore.WatchDesiredState(ctx, since, wait)
+	raw, revision, err := w.fakeStore.WatchDesiredState(ctx, since, wait, slack)
 	if w.isCut() || w.isHung() {
 		<-ctx.Done()
 		return nil, 0, ctx.Err()
@@ -573,7 +599,7 @@
 func TestLongDrainBound(t *testing.T) {
 	inBubble(t, func(b *bubble) {
 		s := newFakeStore()
-		long := func(o *Options) { o.LeaveWithin = longDrain }
+		long := func(o *Options) { o.Within = longDrain }
 		v := b.view(s, long)
 		up := &upstream{view: v}
 		b.view(s, func(o *Options) {
--- a/internal/pause/pause.go
+++ b/internal/pause/pause.go
@@ -15,3 +15,14 @@
 	case <-t.C:
 	}
 }
+
+// Until waits until a time, until early is closed, or until ctx ends.
+func Until(ctx context.Context, end time.Time, early <-chan struct{}) {
+	t := time.NewTimer(max(0, time.Until(end)))
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-early:
+	case <-t.C:
+	}
+}
--- a/settings/edge.go
+++ b/settings/edge.go
@@ -63,6 +63,10 @@
 	// LeaveWithin is the time in which an endpoint that has announced that it
 	// leaves must get no more requests.
 	LeaveWithin bundle.Duration `json:"leave_within"`
+	// ApplyWithin is the time in which a new desired state must be in force.
+	ApplyWithin bundle.Duration `json:"apply_within"`
+	// EndpointHeartbeat is the time between two heartbeats of an endpoint.
+	EndpointHeartbeat bundle.Duration `json:"endpoint_heartbeat"`
 	// Pass is how long an event of a stream may take through the daemon.
 	Pass bundle.Duration `json:"pass"`
 }
@@ -131,6 +135,8 @@
 	c.Want(s.Timing.Grace.D() > 0, "timing.grace", "a duration above 0")
 	c.Want(s.Timing.OrderGap.D() > 0, "timing.order_gap", "a duration above 0")
 	c.Want(s.Timing.LeaveWithin.D() > 0, "timing.leave_within", "a duration above 0")
+	c.Want(s.Timing.ApplyWithin.D() > 0, "timing.apply_within", "a duration above 0")
+	c.Want(s.Timing.EndpointHeartbeat.D() > 0, "timing.endpoint_heartbeat", "a duration above 0")
 	c.Want(s.Timing.Pass.D() > 0, "timing.pass", "a duration above 0")
 	c.Want(s.Retries.Ratio >= 0 && s.Retries.Extra >= 0, "retries", "numbers of at least 0")
 	c.Want(s.Loads.AtOnce > 0, "loads.at_once", "a number above 0")
--- a/transport/silence/silence_test.go
+++ b/transport/silence/silence_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -93,3 +95,62 @@
 		t.Fatalf("the next request waited on another silent connection: %v", err)
 	}
 }
+
+// slowServer begins its answers at once or late, and ends them late.
+func slowServer(t *testing.T, begin, end <-chan struct{}) *httptest.Server {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		<-begin
+		_, _ = w.Write([]byte("begun "))
+		w.(http.Flusher).Flush()
+		<-end
+		_, _ = w.Write([]byte("ended"))
+	}))
+	t.Cleanup(s.Close)
+	return s
+}
+
+// An answer that has begun in time is not cut off when that time is over.
+func TestTransferHasATimeOfItsOwn(t *testing.T) {
+	begin, end := make(chan struct{}), make(chan struct{})
+	close(begin)
+	s := slowServer(t, begin, end)
+	const within, transfer = 500 * time.Millisecond, time.Minute
+	ctx, limit := Limit(context.Background(), within)
+	defer limit.End()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, s.URL, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(limit.Explain(err))
+	}
+	defer func() { _ = resp.Body.Close() }()
+	limit.Extend(transfer)
+	time.AfterFunc(2*within, func() { close(end) })
+	content, err := io.ReadAll(resp.Body)
+	if err != nil || string(content) != "begun ended" {
+		t.Fatalf("%q, %v", content, limit.Explain(err))
+	}
+}
+
+// One that does not begin in time is given up on, and says why.
+func TestAnswerMustBegin(t *testing.T) {
+	begin := make(chan struct{})
+	s := slowServer(t, begin, begin)
+	defer close(begin)
+	ctx, limit := Limit(context.Background(), 20*time.Millisecond)
+	defer limit.End()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, s.URL, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err == nil {
+		_ = resp.Body.Close()
+		t.Fatal("an answer that did not begin")
+	}
+	if err := limit.Explain(err); !errors.Is(err, context.DeadlineExceeded) {
+		t.Fatalf("the reason is lost: %v", err)
+	}
+}
