edge: a begun stream waits for the retry budget and for a place; a silent engine is left only for one that takes requests

Change: what an endpoint has worked on waits, while its caller waits, for credit and, where all holders have refused it, for a place; the watch of a silent engine looks for a holder that is not avoided, and looks again, instead of once.

--- a/coordination/balance/balance.go
+++ b/coordination/balance/balance.go
@@ -142,6 +142,14 @@
 	return d
 }
 
+// Avoided reports whether an endpoint has just failed or refused requests, so that
+// they keep away from it.
+func (b *Balancer) Avoided(now time.Time, id string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return now.Before(b.load(id).avoidUntil)
+}
+
 // Absent records an endpoint's word that it does not hold a unit.
 func (b *Balancer) Absent(now time.Time, id, unit string) {
 	b.mu.Lock()
--- a/transport/edge/attempt.go
+++ b/transport/edge/attempt.go
@@ -179,11 +179,19 @@
 	return a.whole(resp, w, more && q.route.Repeatable())
 }
 
-// hasOther reports whether another endpoint can serve a request now.
+// hasOther reports whether another endpoint can serve a request now. One that has just
+// refused others cannot: a stream taken from an engine that is only slow would end.
 func (s *Server) hasOther(q *request, id string) bool {
-	list := s.opt.View().ByService[q.service.Name]
+	now := time.Now()
+	return slices.ContainsFunc(s.candidates(q), func(e *fleet.Endpoint) bool {
+		return e.ID != id && !e.Leaving && !s.opt.Balancer.Avoided(now, e.ID)
+	})
+}
+
+// candidates returns the endpoints that can serve a request now, by the list.
+func (s *Server) candidates(q *request) []*fleet.Endpoint {
 	if q.service.Engine != nil && q.call.Model != "" {
-		list = s.holders(q)
+		return s.holders(q)
 	}
-	return slices.ContainsFunc(list, func(e *fleet.Endpoint) bool { return e.ID != id && !e.Leaving })
+	return s.opt.View().ByService[q.service.Name]
 }
--- a/transport/edge/locate.go
+++ b/transport/edge/locate.go
@@ -74,14 +74,10 @@
 	if ends := s.opt.Ends(); !ends.IsZero() && time.Until(ends) < ans.ReadyIn+lastWait {
 		return protocol.Refuse(http.StatusServiceUnavailable, "stopping", "this daemon stops before the model is loaded", retryDraining)
 	}
-	silent := elapsed // as the caller sees it
-	if !t.heard.IsZero() {
-		silent = time.Since(t.heard)
-	}
 	source := sourceOf(ans)
 	margin := s.margins.Of(source)
 	d := waiting.Decide(waiting.Input{
-		ReadyIn: ans.ReadyIn, Margin: margin, Elapsed: silent, TimeLeft: time.Until(q.deadline), Target: q.route.Target,
+		ReadyIn: ans.ReadyIn, Margin: margin, Elapsed: t.silentFor(q), TimeLeft: time.Until(q.deadline), Target: q.route.Target,
 		Patience: q.route.Patience, Begun: t.verdict != protocol.NotRun,
 	})
 	if !d.Wait {
--- a/transport/edge/run.go
+++ b/transport/edge/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/doorvalve/doorvalve/coordination/waiting"
@@ -13,9 +14,19 @@
 )
 
 const (
-	// maxSends bounds the times that one request is offered to endpoints, most
-	// of which are refusals that cost little.
+	// maxSends bounds the times that a request is offered to endpoints that has
+	// not run; most of them are refusals that cost little. One that has begun is
+	// bounded by its caller's patience.
 	maxSends = 5
+	// refusedPause is the pause before the endpoints that have all refused a
+	// request that has begun are asked again, some steps of an engine's batch; it
+	// doubles up to refusedMost, a sixth of the shortest patience of a caller.
+	refusedPause = 100 * time.Millisecond
+	refusedMost  = 400 * time.Millisecond
+	// budgetPause is the pause between two looks at an empty retry budget: a
+	// daemon with 5 requests a second, the fewest on the grown installations, earns
+	// a tenth of a retry in it.
+	budgetPause = 100 * time.Millisecond
 	// loadingPause is the wait before an endpoint that is still loading is
 	// tried again.
 	loadingPause = 100 * time.Millisecond
@@ -27,6 +38,7 @@
 	ran     int              // endpoints that the request may have run at
 	verdict protocol.Verdict // the worst of all attempts
 	exclude []string         // endpoints that have failed it
+	pauses  int              // made because all endpoints had refused it
 	last    *failure
 	heard   time.Time // when the caller got the last event; zero before the first
 	// estimated is when the model was first said to be there, on what source;
@@ -65,7 +77,7 @@
 		if ctx.Err() != nil {
 			return s.outOfTime(t.verdict)
 		}
-		if t.sends > 0 && !s.payRetry(t) {
+		if t.sends > 0 && !s.payRetry(ctx, q, t) {
 			return giveUp(t)
 		}
 		e, refusal := s.locate(ctx, q, t)
@@ -101,13 +113,54 @@
 	}
 }
 
-// payRetry takes a further attempt out of the budget.
-func (s *Server) payRetry(t *tries) bool {
-	if t.sends >= maxSends || !t.last.paid && !s.opt.Budget.Spend() {
+// payRetry takes a further attempt out of the budget. A request that has not run is
+// refused when the budget is empty. One that an endpoint has worked on can only fail,
+// so while its caller waits, it waits for the credit that other requests earn, and
+// for a place, where all endpoints that could go on with it have refused it.
+func (s *Server) payRetry(ctx context.Context, q *request, t *tries) bool {
+	begun := t.verdict != protocol.NotRun
+	if !begun && t.sends >= maxSends {
 		return false
 	}
-	s.metrics.retried.Inc(1)
-	return true
+	if begun && t.last.verdict == protocol.NotRun && !s.hasUntried(q, t) {
+		d := min(refusedPause<<t.pauses, refusedMost)
+		t.pauses++
+		if !t.outlasts(q, d) {
+			return false
+		}
+		pause.For(ctx, d)
+	}
+	paid := t.last.paid || s.opt.Budget.Spend()
+	for !paid && begun && ctx.Err() == nil && t.outlasts(q, budgetPause) {
+		pause.For(ctx, budgetPause)
+		paid = s.opt.Budget.Spend()
+	}
+	if paid {
+		s.metrics.retried.Inc(1)
+	}
+	return paid
+}
+
+// hasUntried reports whether an endpoint that can serve a request has not been asked
+// yet.
+func (s *Server) hasUntried(q *request, t *tries) bool {
+	return slices.ContainsFunc(s.candidates(q), func(e *fleet.Endpoint) bool { return !e.Leaving && !slices.Contains(t.exclude, e.ID) })
+}
+
+// outlasts reports whether the caller is still there when an answer goes on after a
+// pause.
+func (t *tries) outlasts(q *request, d time.Duration) bool {
+	return waiting.Decide(waiting.Input{
+		ReadyIn: d, Elapsed: t.silentFor(q), TimeLeft: time.Until(q.deadline), Patience: q.route.Patience, Begun: true,
+	}).Wait
+}
+
+// silentFor returns for how long the caller has heard nothing.
+func (t *tries) silentFor(q *request) time.Duration {
+	if t.heard.IsZero() {
+		return time.Since(q.arrived)
+	}
+	return time.Since(t.heard)
 }
 
 func (s *Server) outOfTime(verdict protocol.Verdict) *protocol.Refusal {
--- a/transport/edge/watch.go
+++ b/transport/edge/watch.go
@@ -17,6 +17,9 @@
 	silencePart = 2
 	// minSilence keeps ordinary pauses from looking like silence.
 	minSilence = 250 * time.Millisecond
+	// silenceRecheck is the pause before it is looked again whether another
+	// endpoint can take a request from one that is silent.
+	silenceRecheck = 100 * time.Millisecond
 )
 
 // silenceTime is how long an endpoint may be silent before another is tried.
@@ -38,6 +41,7 @@
 	within bool          // also between two events of a stream
 	after  time.Duration // of silence
 	timer  *time.Timer   // nil where nothing is given up on
+	ended  atomic.Bool   // there is nothing to give up any more
 }
 
 const (
@@ -52,15 +56,22 @@
 	if !more || !q.route.Repeatable() {
 		return w
 	}
-	w.timer = time.AfterFunc(w.after, func() {
-		if s.hasOther(q, e.ID) && w.giveUp(s.opt.Budget.Spend) {
+	w.timer = time.AfterFunc(time.Hour, func() {
+		switch {
+		case w.ended.Load():
+		case s.hasOther(q, e.ID) && w.giveUp(s.opt.Budget.Spend):
 			cancel(errSilent)
+		default:
+			w.timer.Reset(silenceRecheck)
 		}
 	})
+	w.timer.Reset(w.after)
 	return w
 }
 
+// stop ends the watch: nothing is given up any more.
 func (w *silenceWatch) stop() {
+	w.ended.Store(true)
 	if w.timer != nil {
 		w.timer.Stop()
 	}
@@ -78,7 +89,7 @@
 		return
 	}
 	if !w.within || !resumable {
-		w.timer.Stop()
+		w.stop()
 		return
 	}
 	w.timer.Reset(w.after)
