storeview: a list that is not taken gives no place in its sender's changes

Cause, from reading: polls of a random peer run beside those of the upstream, so that a whole list can come that is older than what another daemon has told meanwhile. It was left aside, and its sender's changes were read on from there: an entry that only the other one kept would never have been named as gone.

Change: the next answer is a whole list again.

--- a/driver/storeview/age_test.go
+++ b/driver/storeview/age_test.go
@@ -205,3 +205,27 @@
 		p.inForce(t)
 	})
 }
+
+// A whole list that is not taken, because another daemon has told more since it was
+// asked for, gives no place in its sender's changes: what only others kept would never
+// be named as gone.
+func TestListNotTakenGivesNoPlace(t *testing.T) {
+	inBubble(t, func(b *bubble) {
+		v := New(Options{Store: newFakeStore(), Decode: decodeVersion, Log: b.log, Within: leaveWithin, Heartbeat: heartbeat})
+		kept := fleetpb.Endpoint{Id: "kept", Service: "llm", Revision: 9}
+		list := func(source string, revision uint64, endpoints ...*fleetpb.Endpoint) {
+			resp := &fleetpb.FollowResponse{Source: source, Change: 1, Whole: true, Endpoints: endpoints, EndpointsRevision: revision}
+			if err := v.take(nil, resp, relay.Seen{}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		list("newer", 10, &kept)
+		if v.upstream.source != "newer" || !v.takes("kept") {
+			t.Fatal("the first list is not taken")
+		}
+		list("older", 5)
+		if v.upstream.source != "" {
+			t.Errorf("the next answer holds only what has changed at %s", v.upstream.source)
+		}
+	})
+}
--- a/driver/storeview/relay.go
+++ b/driver/storeview/relay.go
@@ -160,7 +160,14 @@
 	}
 	v.mu.Lock()
 	now := time.Now()
+	source := resp.Source
 	if resp.Whole {
+		if resp.EndpointsRevision < v.registry.Revision() {
+			// Another daemon has told more meanwhile, and the list is not taken.
+			// Without a place in the changes there, the next answer is a list
+			// again: an entry that only others kept is else never named as gone.
+			source = ""
+		}
 		v.registry.List(now, list, resp.EndpointsRevision, time.Time{})
 	} else {
 		for _, e := range list {
@@ -170,7 +177,7 @@
 			v.registry.Remove(now, id, resp.EndpointsRevision, time.Time{})
 		}
 	}
-	v.upstream = upstreamState{peer: peer, source: resp.Source, change: resp.Change, heard: resp.Heard, version: resp.ConfigVersion}
+	v.upstream = upstreamState{peer: peer, source: source, change: resp.Change, heard: resp.Heard, version: resp.ConfigVersion}
 	taken := seen
 	if v.version() < resp.ConfigVersion {
 		taken[relay.DesiredState] = time.Time{} // known by its version only
