--- a/coordination/discovery/outage.go
+++ b/coordination/discovery/outage.go
@@ -23,7 +23,8 @@
 // s after its removal when any failed call counted; with the rule below none kept one.
 //
 // Invariant: there is no grace where this daemon, or one that it hears from, has
-// heard the store since entries could have lapsed.
+// heard the store since entries could have lapsed. So each daemon decides by itself:
+// that another one keeps an entry is no reason to.
 type Outage struct {
 	heartbeat time.Duration // of the endpoints
 	until     time.Time
@@ -33,11 +34,18 @@
 // heartbeats of an endpoint.
 func NewOutage(heartbeat time.Duration) *Outage { return &Outage{heartbeat: heartbeat} }
 
-// Answered takes an answer of the store. seen is the time up to which its changes
-// were known before, through anybody, and failures the number of calls that had
-// failed in a row.
+// Answered takes an answer of the store to this daemon. seen is the time up to which
+// its changes were known before, through anybody, and failures the number of calls
+// that had failed in a row.
 func (o *Outage) Answered(now, seen time.Time, failures int) {
-	if failures >= outageFailures && now.Sub(seen) >= lapseBeats*o.heartbeat {
+	if failures >= outageFailures {
+		o.Heard(now, seen)
+	}
+}
+
+// Heard takes the word of another daemon that the store has answered it lately.
+func (o *Outage) Heard(now, seen time.Time) {
+	if !seen.IsZero() && now.Sub(seen) >= lapseBeats*o.heartbeat {
 		o.until = now.Add(lapseGrace)
 	}
 }
--- a/coordination/discovery/outage_test.go
+++ b/coordination/discovery/outage_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/doorvalve/doorvalve/state/fleet"
 )
 
 func TestOnlyAnOutageKeepsMissingEntries(t *testing.T) {
@@ -26,6 +28,47 @@
 	}
 }
 
+// Another daemon's word ends an outage as well, for a daemon that had heard of the
+// store before.
+func TestOutageEndsByTheWordOfOthers(t *testing.T) {
+	const heartbeat = 1200 * time.Millisecond
+	for name, c := range map[string]struct {
+		seen  time.Time
+		grace bool
+	}{
+		"heard just before":  {start.Add(-time.Second), false},
+		"heard long before":  {start.Add(-2 * heartbeat), true},
+		"never heard before": {time.Time{}, false},
+	} {
+		o := NewOutage(heartbeat)
+		o.Heard(start, c.seen)
+		if got := o.GraceUntil().After(start); got != c.grace {
+			t.Errorf("%s: grace %v", name, got)
+		}
+	}
+}
+
+// An entry that is kept is marked, so that other daemons can decide by themselves, and
+// the mark goes when the entry is back, also unchanged.
+func TestKeptEntryIsMarked(t *testing.T) {
+	r := NewRegistry()
+	r.List(start, []*fleet.Endpoint{endpoint("a", 1, false)}, 1, time.Time{})
+	if kept := r.List(start, nil, 5, start.Add(grace)); len(kept) != 1 {
+		t.Fatalf("kept %v", kept)
+	}
+	if v, changed := r.View(); !changed || !v.ByID["a"].Missing {
+		t.Fatal("the entry is not marked")
+	}
+	r.List(start, []*fleet.Endpoint{endpoint("a", 1, false)}, 6, start.Add(grace))
+	if v, changed := r.View(); !changed || v.ByID["a"].Missing {
+		t.Fatal("the mark stays")
+	}
+	r.Expire(start.Add(time.Minute))
+	if !usable(r, "a") {
+		t.Fatal("an entry that is back was dropped")
+	}
+}
+
 // What is seen is as old as its question, unless the store says that nothing
 // changed while it waited.
 func TestAgeCountsFromTheQuestion(t *testing.T) {
--- a/coordination/discovery/registry.go
+++ b/coordination/discovery/registry.go
@@ -88,7 +88,8 @@
 		return
 	}
 	old.missingUntil = time.Time{}
-	if e.Revision <= old.endpoint.Revision {
+	back := old.endpoint.Missing && e.Revision == old.endpoint.Revision
+	if e.Revision <= old.endpoint.Revision && !back {
 		return
 	}
 	if old.endpoint.Leaving && !e.Leaving {
@@ -121,7 +122,10 @@
 	if !en.missingUntil.IsZero() {
 		return nil
 	}
-	en.missingUntil = graceUntil
+	missing := *en.endpoint
+	missing.Missing = true
+	en.endpoint, en.missingUntil = &missing, graceUntil
+	r.changed = true
 	return []string{id}
 }
 
--- a/driver/storeview/age_test.go
+++ b/driver/storeview/age_test.go
@@ -43,7 +43,8 @@
 			written[p.store.revision] = time.Now()
 			p.store.mu.Unlock()
 			time.Sleep(time.Duration(37+i%90) * time.Millisecond)
-			view, age := p.follower.Endpoints(), p.follower.Age(relay.Endpoints)
+			age := p.follower.Age(relay.Endpoints) // before the view, which may change between
+			view := p.follower.Endpoints()
 			shown := view.ByID["a"].Revision
 			for revision, at := range written {
 				if revision > shown && time.Since(at) > age {
@@ -229,3 +230,24 @@
 		}
 	})
 }
+
+// A daemon that takes from others has seen an outage as they have, and keeps what may
+// have lapsed in it, whoever tells it first that the store is back.
+func TestLapseIsWaitedForBehindAnUpstream(t *testing.T) {
+	atOffsets(t, func(b *bubble, offset time.Duration) {
+		p := b.pair()
+		time.Sleep(offset)
+		p.store.setAway(true)
+		time.Sleep(5 * time.Second)
+		p.store.remove("a")
+		p.store.setAway(false)
+		time.Sleep(retryMost + 500*time.Millisecond)
+		if !p.follower.takes("a") {
+			t.Errorf("offset %v: an entry that lapsed in an outage was dropped at once", offset)
+		}
+		time.Sleep(2 * time.Second)
+		if p.follower.takes("a") || !p.follower.takes("b") {
+			t.Errorf("offset %v: the grace did not end", offset)
+		}
+	})
+}
--- a/driver/storeview/follow.go
+++ b/driver/storeview/follow.go
@@ -161,10 +161,11 @@
 	v.noteOutage(now)
 	kept := v.registry.List(now, list, revision, v.outage.GraceUntil())
 	v.endpoints.Listed(asked, now, revision)
+	c := v.refresh()
 	v.tell()
 	v.mu.Unlock()
 	v.logKept(kept)
-	v.publish("store")
+	v.announce(c, "store")
 	return nil
 }
 
@@ -194,10 +195,11 @@
 		}
 	}
 	v.endpoints.Watched(asked, now, wait, revision, len(changes) > 0)
+	c := v.refresh()
 	v.tell()
 	v.mu.Unlock()
 	v.logKept(kept)
-	v.publish("store")
+	v.announce(c, "store")
 	return nil
 }
 
--- a/driver/storeview/relay.go
+++ b/driver/storeview/relay.go
@@ -148,7 +148,6 @@
 
 // take adopts what another daemon has told.
 func (v *View) take(peer fleetpb.Fleet, resp *fleetpb.FollowResponse, seen relay.Seen) error {
-	list := fromWire(resp.Endpoints)
 	if len(resp.PackedConfig) > 0 {
 		raw, err := unpack(resp.PackedConfig)
 		if err == nil {
@@ -160,36 +159,57 @@
 	}
 	v.mu.Lock()
 	now := time.Now()
-	source := resp.Source
-	if resp.Whole {
-		if resp.EndpointsRevision < v.registry.Revision() {
-			// Another daemon has told more meanwhile, and the list is not taken.
-			// Without a place in the changes there, the next answer is a list
-			// again: an entry that only others kept is else never named as gone.
-			source = ""
-		}
-		v.registry.List(now, list, resp.EndpointsRevision, time.Time{})
-	} else {
-		for _, e := range list {
-			v.registry.Put(e, resp.EndpointsRevision)
-		}
-		for _, id := range resp.Gone {
-			v.registry.Remove(now, id, resp.EndpointsRevision, time.Time{})
-		}
+	if now.Sub(seen[relay.Endpoints]) < v.part(stalePart) {
+		v.outage.Heard(now, v.seen()[relay.Endpoints])
+	}
+	kept, whole := v.takeEndpoints(now, resp)
+	v.upstream = upstreamState{peer: peer, source: resp.Source, change: resp.Change, heard: resp.Heard, version: resp.ConfigVersion}
+	if resp.Whole && !whole {
+		// Without a place in the changes there, the next answer is a list again: an
+		// entry that only others kept is else never named as gone.
+		v.upstream.source = ""
 	}
-	v.upstream = upstreamState{peer: peer, source: source, change: resp.Change, heard: resp.Heard, version: resp.ConfigVersion}
 	taken := seen
 	if v.version() < resp.ConfigVersion {
 		taken[relay.DesiredState] = time.Time{} // known by its version only
 		v.catchUpSoon()
 	}
 	v.source.Heard(now, seen, taken)
+	c := v.refresh()
 	v.tell()
 	v.mu.Unlock()
-	v.publish("peer")
+	v.logKept(kept)
+	v.announce(c, "peer")
 	return nil
 }
 
+// takeEndpoints adopts another daemon's endpoints, the caller holds the mutex. What
+// that one keeps though the store does not have it is missing here as well. It returns
+// the ids that are kept here, and whether a whole list was taken: not if another daemon
+// has told more since it was asked for.
+func (v *View) takeEndpoints(now time.Time, resp *fleetpb.FollowResponse) (kept []string, whole bool) {
+	list, gone, until := fromWire(resp.Endpoints), resp.Gone, v.outage.GraceUntil()
+	present := list[:0]
+	for _, e := range list {
+		if e.Missing {
+			gone = append(gone, e.ID)
+		} else {
+			present = append(present, e)
+		}
+	}
+	if resp.Whole {
+		whole = resp.EndpointsRevision >= v.registry.Revision()
+		return v.registry.List(now, present, resp.EndpointsRevision, until), whole
+	}
+	for _, e := range present {
+		v.registry.Put(e, resp.EndpointsRevision)
+	}
+	for _, id := range gone {
+		kept = append(kept, v.registry.Remove(now, id, resp.EndpointsRevision, until)...)
+	}
+	return kept, false
+}
+
 // catchUpSoon wakes RunCatchUp.
 func (v *View) catchUpSoon() {
 	select {
--- a/driver/storeview/storeview.go
+++ b/driver/storeview/storeview.go
@@ -157,25 +157,42 @@
 	v.told = make(chan struct{})
 }
 
-// publish makes a changed view visible.
-func (v *View) publish(from string) {
-	v.mu.Lock()
+// viewChange is a change of the view of the endpoints.
+type viewChange struct{ old, next *fleet.View } // the same where nothing changed
+
+// refresh makes what the registry knows the view; the caller holds the mutex. Whoever
+// takes what is newer into the registry does this before it lets go of the mutex: the
+// view is never older than what Seen tells.
+func (v *View) refresh() viewChange {
 	v.registry.Expire(time.Now())
 	old := v.view.Load()
 	next, changed := v.registry.View()
-	if changed {
-		v.view.Store(next)
-		v.changes.Record(old, next)
-		v.tell()
-	}
-	v.mu.Unlock()
 	if !changed {
+		return viewChange{old, old}
+	}
+	v.view.Store(next)
+	v.changes.Record(old, next)
+	v.tell()
+	return viewChange{old, next}
+}
+
+// announce logs a change of the view and tells the rest of the daemon.
+func (v *View) announce(c viewChange, from string) {
+	if c.old == c.next {
 		return
 	}
-	v.logChange(old, next, from)
+	v.logChange(c.old, c.next, from)
 	v.changed()
 }
 
+// publish makes a changed view visible.
+func (v *View) publish(from string) {
+	v.mu.Lock()
+	c := v.refresh()
+	v.mu.Unlock()
+	v.announce(c, from)
+}
+
 func (v *View) logChange(old, next *fleet.View, from string) {
 	var come, gone, leaving []string
 	for id, e := range next.ByID {
--- a/driver/storeview/storeview_test.go
+++ b/driver/storeview/storeview_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/doorvalve/doorvalve/coordination/discovery"
 	"github.com/doorvalve/doorvalve/driver/decisions"
+	"github.com/doorvalve/doorvalve/internal/pause"
 	"github.com/doorvalve/doorvalve/protocol/fleetpb"
 	"github.com/doorvalve/doorvalve/state/fleet"
 	"github.com/doorvalve/doorvalve/state/routing"
@@ -316,10 +317,9 @@
 	}
 	start := time.Now()
 	resp, err := u.view.Follow(ctx, req)
-	select {
-	case <-ctx.Done():
+	pause.For(ctx, late)
+	if ctx.Err() != nil {
 		return nil, ctx.Err()
-	case <-time.After(late):
 	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
--- a/driver/storeview/wire.go
+++ b/driver/storeview/wire.go
@@ -13,7 +13,7 @@
 	for i, e := range list {
 		out[i] = &fleetpb.Endpoint{
 			Id: e.ID, Service: e.Service, Address: e.Address, Domain: e.Domain, Slots: int32(e.Slots),
-			Leaving: e.Leaving, RemainingMs: e.Remaining.Milliseconds(), Revision: e.Revision,
+			Leaving: e.Leaving, Missing: e.Missing, RemainingMs: e.Remaining.Milliseconds(), Revision: e.Revision,
 		}
 		for _, m := range e.Models {
 			out[i].Models = append(out[i].Models, &fleetpb.Loaded{Model: m.Model, Version: int32(m.Version), Adapters: m.Adapters})
@@ -27,7 +27,7 @@
 	for i, e := range list {
 		out[i] = &fleet.Endpoint{
 			ID: e.Id, Service: e.Service, Address: e.Address, Domain: e.Domain, Slots: int(e.Slots),
-			Leaving: e.Leaving, Remaining: time.Duration(e.RemainingMs) * time.Millisecond, Revision: e.Revision,
+			Leaving: e.Leaving, Missing: e.Missing, Remaining: time.Duration(e.RemainingMs) * time.Millisecond, Revision: e.Revision,
 		}
 		for _, m := range e.Models {
 			out[i].Models = append(out[i].Models, fleet.Loaded{Model: m.Model, Version: int(m.Version), Adapters: m.Adapters})
--- a/state/fleet/fleet.go
+++ b/state/fleet/fleet.go
@@ -23,6 +23,9 @@
 	Slots   int
 	// Leaving endpoints get no new requests.
 	Leaving bool
+	// Missing endpoints have no entry in the platform's store. They are kept for a
+	// while, since the entry may only have lapsed in an outage, and get requests.
+	Missing bool
 	// Remaining is the time left until a leaving endpoint is gone, as it was
 	// announced; zero when unknown.
 	Remaining time.Duration
