discovery: one rule for the end of an outage, whoever tells of it

A daemon whose link is full can be deaf for two heartbeats with none, and would keep what was removed.

Change: the rule for its own answers holds for the word of others.

--- a/coordination/discovery/outage.go
+++ b/coordination/discovery/outage.go
@@ -34,18 +34,12 @@
 // heartbeats of an endpoint.
 func NewOutage(heartbeat time.Duration) *Outage { return &Outage{heartbeat: heartbeat} }
 
-// Answered takes an answer of the store to this daemon. seen is the time up to which
-// its changes were known before, through anybody, and failures the number of calls
-// that had failed in a row.
-func (o *Outage) Answered(now, seen time.Time, failures int) {
-	if failures >= outageFailures {
-		o.Heard(now, seen)
-	}
-}
-
-// Heard takes the word of another daemon that the store has answered it lately.
-func (o *Outage) Heard(now, seen time.Time) {
-	if !seen.IsZero() && now.Sub(seen) >= lapseBeats*o.heartbeat {
+// Ended takes an answer of the store, to this daemon or told by another one. seen is
+// the time up to which its changes were known before, through anybody, zero for never,
+// and failures the number of this daemon's own calls that had failed in a row: a link
+// that is only full brings answers late, and rarely loses two.
+func (o *Outage) Ended(now, seen time.Time, failures int) {
+	if failures >= outageFailures && !seen.IsZero() && now.Sub(seen) >= lapseBeats*o.heartbeat {
 		o.until = now.Add(lapseGrace)
 	}
 }
--- a/coordination/discovery/outage_test.go
+++ b/coordination/discovery/outage_test.go
@@ -10,7 +10,7 @@
 func TestOnlyAnOutageKeepsMissingEntries(t *testing.T) {
 	const heartbeat = 1200 * time.Millisecond
 	for name, c := range map[string]struct {
-		unheard  time.Duration // since anybody that this daemon hears from heard the store
+		unheard  time.Duration // since anybody that this daemon hears from heard the store; 0: never
 		failures int
 		grace    bool
 	}{
@@ -19,29 +19,14 @@
 		"an outage too short for a lapse":      {2*heartbeat - time.Millisecond, 4, false},
 		"an outage in which entries can lapse": {2 * heartbeat, 2, true},
 		"a long outage":                        {time.Minute, 50, true},
+		"nothing was known before":             {0, 5, false},
 	} {
 		o := NewOutage(heartbeat)
-		o.Answered(start, start.Add(-c.unheard), c.failures)
-		if got := o.GraceUntil().After(start); got != c.grace {
-			t.Errorf("%s: grace %v", name, got)
+		seen := time.Time{}
+		if c.unheard > 0 {
+			seen = start.Add(-c.unheard)
 		}
-	}
-}
-
-// Another daemon's word ends an outage as well, for a daemon that had heard of the
-// store before.
-func TestOutageEndsByTheWordOfOthers(t *testing.T) {
-	const heartbeat = 1200 * time.Millisecond
-	for name, c := range map[string]struct {
-		seen  time.Time
-		grace bool
-	}{
-		"heard just before":  {start.Add(-time.Second), false},
-		"heard long before":  {start.Add(-2 * heartbeat), true},
-		"never heard before": {time.Time{}, false},
-	} {
-		o := NewOutage(heartbeat)
-		o.Heard(start, c.seen)
+		o.Ended(start, seen, c.failures)
 		if got := o.GraceUntil().After(start); got != c.grace {
 			t.Errorf("%s: grace %v", name, got)
 		}
--- a/driver/storeview/follow.go
+++ b/driver/storeview/follow.go
@@ -169,10 +169,10 @@
 	return nil
 }
 
-// noteOutage takes an answer of the store before it changes what is known; the
-// caller holds the mutex.
+// noteOutage takes an answer of the store, also one that another daemon tells of,
+// before it changes what is known; the caller holds the mutex.
 func (v *View) noteOutage(now time.Time) {
-	v.outage.Answered(now, v.seen()[relay.Endpoints], v.endpoints.Failures())
+	v.outage.Ended(now, v.seen()[relay.Endpoints], v.endpoints.Failures())
 }
 
 func (v *View) watchEndpoints(ctx context.Context) error {
--- a/driver/storeview/relay.go
+++ b/driver/storeview/relay.go
@@ -160,7 +160,7 @@
 	v.mu.Lock()
 	now := time.Now()
 	if now.Sub(seen[relay.Endpoints]) < v.part(stalePart) {
-		v.outage.Heard(now, v.seen()[relay.Endpoints])
+		v.noteOutage(now)
 	}
 	kept, whole := v.takeEndpoints(now, resp)
 	v.upstream = upstreamState{peer: peer, source: resp.Source, change: resp.Change, heard: resp.Heard, version: resp.ConfigVersion}
