--- a/coordination/balance/balance.go
+++ b/coordination/balance/balance.go
@@ -4,6 +4,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -43,15 +44,15 @@
 	domain string
 
 	mu    sync.Mutex
-	loads map[string]*load
+	loads map[fleet.Incarnation]*load
 }
 
 // New returns a balancer for a daemon in a failure domain.
 func New(domain string) *Balancer {
-	return &Balancer{domain: domain, loads: map[string]*load{}}
+	return &Balancer{domain: domain, loads: map[fleet.Incarnation]*load{}}
 }
 
-func (b *Balancer) load(id string) *load {
+func (b *Balancer) load(id fleet.Incarnation) *load {
 	l := b.loads[id]
 	if l == nil {
 		l = &load{absent: map[string]time.Time{}, used: map[string]time.Time{}}
@@ -64,7 +65,7 @@
 type Query struct {
 	Unit     string // MODEL or MODEL/ADAPTER; empty for plain services
 	Affinity string // shared part of the prompt; empty for none
-	Exclude  []string
+	Exclude  []fleet.Incarnation
 }
 
 // Pick returns the endpoint with the least load, or nil. Endpoints that have
@@ -75,10 +76,10 @@
 	var best *fleet.Endpoint
 	bestCost := 0.0
 	for _, e := range candidates {
-		if e.Leaving || contains(q.Exclude, e.ID) {
+		if e.Leaving || slices.ContainsFunc(q.Exclude, e.Life().Same) {
 			continue
 		}
-		l := b.load(e.ID)
+		l := b.load(e.Life())
 		if q.Unit != "" && now.Before(l.absent[q.Unit]) {
 			continue
 		}
@@ -110,7 +111,7 @@
 }
 
 // Started counts a request that is sent.
-func (b *Balancer) Started(id string) {
+func (b *Balancer) Started(id fleet.Incarnation) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.load(id).running++
@@ -118,7 +119,7 @@
 
 // Ended counts a request that has ended. ok says that the endpoint answered
 // as it should.
-func (b *Balancer) Ended(now time.Time, id, unit string, ok bool) {
+func (b *Balancer) Ended(now time.Time, id fleet.Incarnation, unit string, ok bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	l := b.load(id)
@@ -132,7 +133,7 @@
 
 // Failed keeps requests away from an endpoint for a while that grows with its
 // failures in a row; it returns that while.
-func (b *Balancer) Failed(now time.Time, id string) time.Duration {
+func (b *Balancer) Failed(now time.Time, id fleet.Incarnation) time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	l := b.load(id)
@@ -144,14 +145,14 @@
 
 // Avoided reports whether an endpoint has just failed or refused requests, so that
 // they keep away from it.
-func (b *Balancer) Avoided(now time.Time, id string) bool {
+func (b *Balancer) Avoided(now time.Time, id fleet.Incarnation) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return now.Before(b.load(id).avoidUntil)
 }
 
 // Absent records an endpoint's word that it does not hold a unit.
-func (b *Balancer) Absent(now time.Time, id, unit string) {
+func (b *Balancer) Absent(now time.Time, id fleet.Incarnation, unit string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	l := b.load(id)
@@ -160,7 +161,7 @@
 }
 
 // Present withdraws Absent, on the coordinator's word.
-func (b *Balancer) Present(id, unit string) {
+func (b *Balancer) Present(id fleet.Incarnation, unit string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	delete(b.load(id).absent, unit)
@@ -168,7 +169,7 @@
 
 // Vouched reports whether this daemon has lately been served a unit by the
 // endpoint, so that the coordinator need not be asked.
-func (b *Balancer) Vouched(now time.Time, id, unit string) bool {
+func (b *Balancer) Vouched(now time.Time, id fleet.Incarnation, unit string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	at, ok := b.load(id).used[unit]
@@ -180,17 +181,8 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for id, l := range b.loads {
-		if view.ByID[id] == nil && l.running == 0 {
+		if view.Of(id) == nil && l.running == 0 {
 			delete(b.loads, id)
 		}
 	}
 }
-
-func contains(list []string, s string) bool {
-	for _, v := range list {
-		if v == s {
-			return true
-		}
-	}
-	return false
-}
--- a/coordination/balance/balance_test.go
+++ b/coordination/balance/balance_test.go
@@ -9,6 +9,8 @@
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
+func life(id string) fleet.Incarnation { return fleet.Incarnation{ID: id} }
+
 func endpoints(ids ...string) []*fleet.Endpoint {
 	var list []*fleet.Endpoint
 	for _, id := range ids {
@@ -21,13 +23,13 @@
 	b := New("d-a")
 	list := endpoints("a", "b")
 	for range 4 {
-		b.Started("a")
+		b.Started(life("a"))
 	}
 	if e := b.Pick(start, list, Query{}); e.ID != "b" {
 		t.Fatalf("picked %s with four requests running", e.ID)
 	}
 	for range 4 {
-		b.Ended(start, "a", "", true)
+		b.Ended(start, life("a"), "", true)
 	}
 	if e := b.Pick(start, list, Query{}); e.ID != "a" {
 		t.Fatalf("picked %s in another failure domain at equal load", e.ID)
@@ -37,8 +39,8 @@
 func TestFailedEndpointIsAvoidedForAWhile(t *testing.T) {
 	b := New("x")
 	list := endpoints("a", "b")
-	first := b.Failed(start, "a")
-	second := b.Failed(start, "a")
+	first := b.Failed(start, life("a"))
+	second := b.Failed(start, life("a"))
 	if second <= first {
 		t.Fatalf("a second failure in a row is avoided for %v, the first for %v", second, first)
 	}
@@ -63,15 +65,15 @@
 	b := New("x")
 	list := endpoints("a", "b")
 	list[1].Leaving = true
-	b.Absent(start, "a", "m")
+	b.Absent(start, life("a"), "m")
 	if e := b.Pick(start, list, Query{Unit: "m"}); e != nil {
 		t.Fatalf("picked %s", e.ID)
 	}
-	b.Present("a", "m")
+	b.Present(life("a"), "m")
 	if e := b.Pick(start, list, Query{Unit: "m"}); e == nil || e.ID != "a" {
 		t.Fatal("the coordinator's word must count")
 	}
-	if e := b.Pick(start, list, Query{Unit: "m", Exclude: []string{"a"}}); e != nil {
+	if e := b.Pick(start, list, Query{Unit: "m", Exclude: []fleet.Incarnation{life("a")}}); e != nil {
 		t.Fatal("an excluded endpoint was picked")
 	}
 }
@@ -91,3 +93,21 @@
 		t.Fatalf("the same prompt was spread: %v", count)
 	}
 }
+
+// What was learned of an endpoint ends with its life.
+func TestNextLifeIsNotAvoided(t *testing.T) {
+	b := New("d-a")
+	before := fleet.Incarnation{ID: "a", Born: 1000}
+	b.Failed(start, before)
+	b.Absent(start, before, "m")
+	b.Started(before)
+	list := endpoints("a")
+	list[0].Born = 2000
+	if e := b.Pick(start, list, Query{Unit: "m"}); e == nil || b.Avoided(start, e.Life()) {
+		t.Fatal("the next life pays for the one before")
+	}
+	b.Ended(start, before, "m", true)
+	if b.Vouched(start, list[0].Life(), "m") {
+		t.Fatal("a success of the life before vouches for the next one")
+	}
+}
--- a/coordination/discovery/discovery_test.go
+++ b/coordination/discovery/discovery_test.go
@@ -131,7 +131,7 @@
 				stale := uint64(rapid.IntRange(0, int(revision)).Draw(t, "stale"))
 				r.List(now, []*fleet.Endpoint{endpoint(id, stale, leaving)}, stale, graceOf(t, now))
 			case 4:
-				r.Leave(id)
+				r.Leave(fleet.Incarnation{ID: id})
 			}
 			r.Expire(now)
 			v, _ := r.View()
@@ -153,3 +153,56 @@
 		}
 	})
 }
+
+func bornAt(id string, born int64, revision uint64, leaving bool) *fleet.Endpoint {
+	e := endpoint(id, revision, leaving)
+	e.Born = born
+	return e
+}
+
+// An endpoint that starts again under its id is a new one: it takes requests though the
+// life before was leaving, and nothing that is told of that life later changes it.
+func TestNextLifeUnderTheSameID(t *testing.T) {
+	r := NewRegistry()
+	r.Put(bornAt("e", 1000, 5, true), 5)
+	r.Put(bornAt("e", 2000, 6, false), 6)
+	now := time.Now()
+	check := func(step string) {
+		t.Helper()
+		v, _ := r.View()
+		if e := v.ByID["e"]; e == nil || e.Born != 2000 || e.Leaving {
+			t.Fatalf("%s: %+v", step, e)
+		}
+	}
+	check("the next life")
+	r.Put(bornAt("e", 1000, 9, true), 9)
+	check("a write of the life before that was carried out late")
+	r.Remove(now, "e", 5, time.Time{})
+	check("the removal of the life before")
+	r.Leave(fleet.Incarnation{ID: "e", Born: 1000})
+	check("the word of the life before that it leaves")
+	r.Leave(fleet.Incarnation{ID: "e", Born: 2000})
+	if v, _ := r.View(); !v.ByID["e"].Leaving {
+		t.Fatal("its own word counts")
+	}
+}
+
+// An entry that turns unusable names no endpoint, also where an outage of the store
+// would keep one that is missing; an older one changes nothing.
+func TestUnusableEntryIsNotUsed(t *testing.T) {
+	r := NewRegistry()
+	r.Put(endpoint("a", 5, false), 5)
+	r.Put(endpoint("b", 5, false), 5)
+	r.Unusable("a", 4)
+	if v, _ := r.View(); v.ByID["a"] == nil {
+		t.Fatal("an older entry was taken")
+	}
+	r.Unusable("a", 6)
+	if v, _ := r.View(); v.ByID["a"] != nil || v.ByID["b"] == nil {
+		t.Fatalf("%v", v.ByID)
+	}
+	r.Put(endpoint("a", 7, false), 7)
+	if v, _ := r.View(); v.ByID["a"] == nil {
+		t.Fatal("it was written again")
+	}
+}
--- a/coordination/discovery/registry.go
+++ b/coordination/discovery/registry.go
@@ -9,9 +9,9 @@
 
 // Registry is the endpoints as one daemon believes them.
 //
-// Invariants: a description never goes back to an older revision; an endpoint
-// that was seen leaving never takes new requests again under the same id; an
-// endpoint whose entry goes missing in an outage of the store, or within a
+// Invariants: a description never goes back to an older revision, nor to an earlier
+// life of its id; an endpoint that was seen leaving takes no new requests for the
+// rest of that life; an endpoint whose entry goes missing in an outage of the store, or within a
 // grace after its return, stays until that grace is over, and no longer.
 type Registry struct {
 	entries  map[string]*entry
@@ -34,10 +34,18 @@
 type Change struct {
 	ID       string
 	Removed  bool
-	Endpoint *fleet.Endpoint // nil when removed
+	Unusable *Unusable       // set where the entry is there and names no endpoint to use
+	Endpoint *fleet.Endpoint // nil when removed or unusable
 	Revision uint64
 }
 
+// Unusable is an entry that names no endpoint to use: another writer may have made it.
+type Unusable struct {
+	ID       string // empty where it cannot be read
+	Revision uint64
+	Reason   error
+}
+
 // maxRemoved bounds the memory of removed ids.
 const maxRemoved = 4096
 
@@ -87,6 +95,14 @@
 		r.changed = true
 		return
 	}
+	if e.Life().Before(old.endpoint.Life()) {
+		return
+	}
+	if old.endpoint.Life().Before(e.Life()) {
+		r.entries[e.ID] = &entry{endpoint: e}
+		r.changed = true
+		return
+	}
 	old.missingUntil = time.Time{}
 	back := old.endpoint.Missing && e.Revision == old.endpoint.Revision
 	if e.Revision <= old.endpoint.Revision && !back {
@@ -105,12 +121,21 @@
 // lapsed while the store was away; it returns the id if it is kept for that.
 func (r *Registry) Remove(now time.Time, id string, revision uint64, graceUntil time.Time) (kept []string) {
 	r.revision = max(r.revision, revision)
-	if en := r.entries[id]; en != nil {
+	if en := r.entries[id]; en != nil && en.endpoint.Revision <= revision {
 		return r.missing(now, id, en, revision, graceUntil)
 	}
 	return nil
 }
 
+// Unusable takes an entry that names no endpoint to use: what was known under its id
+// is not used any more.
+func (r *Registry) Unusable(id string, revision uint64) {
+	r.revision = max(r.revision, revision)
+	if en := r.entries[id]; en != nil && en.endpoint.Revision <= revision {
+		r.drop(id, revision)
+	}
+}
+
 // missing keeps an entry for the rest of the grace, or drops it. A grace is
 // never made longer by another loss of the entry. It returns the id of an entry
 // whose grace begins.
@@ -149,9 +174,9 @@
 }
 
 // Leave marks an endpoint as leaving, by its own word.
-func (r *Registry) Leave(id string) {
-	en := r.entries[id]
-	if en == nil || en.endpoint.Leaving {
+func (r *Registry) Leave(life fleet.Incarnation) {
+	en := r.entries[life.ID]
+	if en == nil || en.endpoint.Leaving || !en.endpoint.Life().Same(life) {
 		return
 	}
 	leaving := *en.endpoint
--- a/coordination/residency/engine_test.go
+++ b/coordination/residency/engine_test.go
@@ -30,13 +30,19 @@
 	history    []simState // for reports that lag
 }
 
+// firstBorn is the start of the engines that have not started again, long ago.
+var firstBorn = start.Add(-time.Hour).UnixMilli()
+
+// life names an engine whose starts are not told apart.
+func life(id string) fleet.Incarnation { return fleet.Incarnation{ID: id} }
+
 type simState struct {
 	at     time.Time
 	report Report
 }
 
 func newSimEngine(conf *routing.Engine, id string, models ...string) *simEngine {
-	e := &simEngine{conf: conf, models: map[string][]string{}, coming: map[AdapterRef]time.Time{}, leaving: map[AdapterRef]time.Time{}, onDisk: map[string]bool{}, endpoint: &fleet.Endpoint{ID: id, Service: "s", Address: id, Revision: 1}}
+	e := &simEngine{conf: conf, models: map[string][]string{}, coming: map[AdapterRef]time.Time{}, leaving: map[AdapterRef]time.Time{}, onDisk: map[string]bool{}, endpoint: &fleet.Endpoint{ID: id, Born: firstBorn, Service: "s", Address: id, Revision: 1}}
 	for _, m := range models {
 		e.models[m] = nil
 		e.onDisk[m] = true
@@ -69,6 +75,18 @@
 	return sum
 }
 
+// restart ends the engine's life and begins the next under the same id: it holds
+// nothing but its disk, and counts orders anew.
+func (e *simEngine) restart(now time.Time) {
+	next := newSimEngine(e.conf, e.endpoint.ID)
+	next.onDisk, next.adapterTime = e.onDisk, e.adapterTime
+	next.endpoint.Born, next.endpoint.Revision = now.UnixMilli(), e.endpoint.Revision
+	next.publish()
+	next.overloaded = e.overloaded
+	*e = *next
+	e.advance(now)
+}
+
 // advance completes the order in progress.
 func (e *simEngine) advance(now time.Time) {
 	if e.busy && !now.Before(e.doneAt) {
@@ -104,8 +122,8 @@
 		coming = append(coming, ref)
 	}
 	e.history = append(e.history, simState{now, Report{
-		Coming:     coming,
-		EndpointID: e.endpoint.ID, Sequence: e.sequence, Busy: e.busy, Models: e.loaded(), OnDisk: keys(e.onDisk),
+		Coming:   coming,
+		Endpoint: e.endpoint.Life(), Sequence: e.sequence, Busy: e.busy, Models: e.loaded(), OnDisk: keys(e.onDisk),
 	}})
 }
 
--- a/coordination/residency/load_test.go
+++ b/coordination/residency/load_test.go
@@ -20,7 +20,7 @@
 	}
 	fromStore := 0
 	w.accepted = func(o Order) {
-		if !o.Unload && !w.engine(o.EndpointID).onDisk[o.Model] {
+		if !o.Unload && !w.engine(o.Endpoint.ID).onDisk[o.Model] {
 			fromStore++
 		}
 	}
@@ -28,7 +28,7 @@
 	busy := Demand{Active: map[string]int{}, Running: map[Place]int{}, First: map[Place]FirstEvents{}}
 	for i := range 18 {
 		model := fmt.Sprintf("m%02d", i)
-		place := Place{fmt.Sprintf("e%d", i/3), model}
+		place := Place{life(fmt.Sprintf("e%d", i/3)), model}
 		busy.Active[model], busy.Running[place] = 1, 1
 		busy.First[place] = FirstEvents{Count: 1}
 	}
@@ -60,7 +60,7 @@
 	w.run(time.Second)
 	d := Demand{Active: map[string]int{}, Running: map[Place]int{}}
 	for _, m := range []string{"m00", "m01", "m02"} {
-		d.Active[m], d.Running[Place{"e0", m}] = 30, 30
+		d.Active[m], d.Running[Place{life("e0"), m}] = 30, 30
 	}
 	w.p.Demand(w.now, "d", d)
 	if a := w.p.Want(w.now, Want{Model: "m03"}); a.Refused != RefusedNoRoom {
@@ -78,7 +78,7 @@
 	d := Demand{Active: map[string]int{}, Running: map[Place]int{}}
 	for _, m := range []string{"m00", "m01", "m02"} {
 		w.p.Want(w.now, Want{Model: m})
-		d.Active[m], d.Running[Place{"e0", m}] = 1, 1
+		d.Active[m], d.Running[Place{life("e0"), m}] = 1, 1
 	}
 	w.p.Demand(w.now, "d", d)
 	w.p.Want(w.now, Want{Model: "m03"})
--- a/coordination/residency/outcome.go
+++ b/coordination/residency/outcome.go
@@ -47,8 +47,12 @@
 
 // Ordered takes the outcome of an order.
 func (p *Planner) Ordered(now time.Time, order Order, outcome Outcome) {
-	w := p.workers[order.EndpointID]
-	if w == nil || w.order == nil || w.order.order != order {
+	w := p.workers[order.Endpoint.ID]
+	if w == nil {
+		return
+	}
+	w.noteLate(now, order, outcome)
+	if w.order == nil || w.order.order != order {
 		return
 	}
 	switch outcome {
--- a/coordination/residency/planner.go
+++ b/coordination/residency/planner.go
@@ -43,8 +43,9 @@
 	return o.level == Store && !o.order.Unload && o.order.Adapter == ""
 }
 
-// worker is what the planner believes of one engine.
+// worker is what the planner believes of one engine, in one of its lives.
 type worker struct {
+	life     fleet.Incarnation
 	endpoint *fleet.Endpoint
 	known    bool      // its sequence and models are known
 	down     bool      // it does not answer; it gets nothing until it reports
@@ -64,6 +65,10 @@
 	unloaded map[string]time.Time
 	probe    time.Time // next report is wanted then; zero: none
 	asking   bool      // a report is on its way
+	late     []lateOrder
+	// unknownLate says that a former coordinator may have sent an order to an earlier
+	// life of the engine, which is not known here and may still be carried out.
+	unknownLate bool
 }
 
 // adapterWant is an adapter that a request waits for.
@@ -91,10 +96,12 @@
 type Planner struct {
 	opt        Options
 	conf       Config
+	largest    float64 // model, in MB
 	workers    map[string]*worker
 	held       bool
 	fence      uint64
 	ordersFrom time.Time
+	tookOver   time.Time // when the lease was taken
 	demands    map[string]*demand
 	wants      map[string]*wanted   // models to be loaded
 	values     map[string]*value    // of what was wanted lately, by model
@@ -115,13 +122,25 @@
 }
 
 // Configure takes the service's models.
-func (p *Planner) Configure(c Config) { p.conf = c }
+func (p *Planner) Configure(c Config) {
+	p.conf, p.largest = c, 0
+	if c.Engine == nil {
+		return
+	}
+	for _, m := range c.Engine.Models {
+		p.largest = max(p.largest, m.SizeMB)
+	}
+}
 
 // Lease reports whether this daemon holds the lease. No order is sent before
 // from, so that a former holder's last order is a whole lease term away.
 func (p *Planner) Lease(now time.Time, held bool, fence uint64, from time.Time) {
 	if held && !p.held || fence != p.fence {
+		p.tookOver = now
 		for _, w := range p.workers {
+			if o := w.order; o != nil && !o.answered {
+				w.mayComeLate(now, o.order)
+			}
 			w.order, w.adapters, w.known = nil, nil, false
 			w.probe = now
 		}
@@ -135,14 +154,19 @@
 	for _, e := range list {
 		present[e.ID] = true
 		w := p.workers[e.ID]
-		if w == nil {
-			w = &worker{models: map[string]*replica{}, inMemory: map[string]bool{}, onDisk: map[string]bool{}, unloaded: map[string]time.Time{}, probe: now}
+		switch {
+		case w == nil:
+			w = newWorker(now, e.Life())
 			p.workers[e.ID] = w
 			p.grownAt = now
+		case e.Life().Before(w.life):
+			continue // the engine itself has told of a later life
+		case w.life.Before(e.Life()):
+			w = p.reborn(now, w, e.Life())
 		}
-		older := w.endpoint != nil && w.endpoint.Revision == e.Revision
+		known := w.endpoint != nil && w.endpoint.Revision == e.Revision
 		w.endpoint = e
-		if !older {
+		if !known {
 			p.adoptEntry(now, w)
 		}
 	}
@@ -151,6 +175,15 @@
 			delete(p.workers, id)
 		}
 	}
+	p.sortWorkers()
+}
+
+func newWorker(now time.Time, life fleet.Incarnation) *worker {
+	return &worker{life: life, models: map[string]*replica{}, inMemory: map[string]bool{}, onDisk: map[string]bool{}, unloaded: map[string]time.Time{}, probe: now}
+}
+
+// sortWorkers makes the order in which engines are gone through.
+func (p *Planner) sortWorkers() {
 	p.sorted = p.sorted[:0]
 	for _, w := range p.workers {
 		p.sorted = append(p.sorted, w)
@@ -160,10 +193,16 @@
 
 // Reported takes an engine's report.
 func (p *Planner) Reported(now time.Time, r Report) {
-	w := p.workers[r.EndpointID]
-	if w == nil {
+	w := p.workers[r.Endpoint.ID]
+	if w == nil || r.Endpoint.Before(w.life) {
 		return
 	}
+	if w.life.Before(r.Endpoint) {
+		w = p.rebornUnlisted(now, w, r.Endpoint)
+	}
+	if w.life.Born == 0 {
+		w.life = r.Endpoint
+	}
 	w.asking, w.down, w.silent, w.heardAt = false, false, 0, now
 	w.probe = time.Time{}
 	p.adopt(now, w, r)
@@ -173,8 +212,8 @@
 }
 
 // ReportFailed takes the failure to get a report.
-func (p *Planner) ReportFailed(now time.Time, id string) {
-	if w := p.workers[id]; w != nil {
+func (p *Planner) ReportFailed(now time.Time, life fleet.Incarnation) {
+	if w := p.workerOf(life); w != nil {
 		w.asking = false
 		w.silent++
 		w.down = w.down || w.silent >= silentReports
@@ -198,12 +237,13 @@
 
 // Demand takes what a daemon says of its requests.
 func (p *Planner) Demand(now time.Time, daemon string, d Demand) {
+	d.Running = p.ofPresentLives(d.Running)
 	p.demands[daemon] = &demand{Demand: d, at: now}
 	for place, first := range d.First {
 		p.pressed(now, place.Model, first)
 	}
 	for place, n := range d.Running {
-		w := p.workers[place.EndpointID]
+		w := p.workers[place.Endpoint.ID]
 		if n == 0 || w == nil {
 			continue
 		}
@@ -242,6 +282,12 @@
 		m := p.conf.Engine.Models[name]
 		sum += m.SizeMB + float64(len(r.adapters))*m.AdapterMB
 	}
+	for _, l := range w.late {
+		sum += w.unplanned(l, p.conf.Engine)
+	}
+	if w.unknownLate {
+		sum += p.largest
+	}
 	return sum
 }
 
--- a/coordination/residency/planner_test.go
+++ b/coordination/residency/planner_test.go
@@ -30,7 +30,8 @@
 	engines []*simEngine
 	p       *Planner
 	lag     time.Duration
-	late    []lateOrder
+	late    []delayedOrder
+	lateBy  time.Duration // how late an order with the fate "late" comes
 	fence   uint64
 	// chance decides the fate of an order; nil: all are answered.
 	chance func() string
@@ -52,14 +53,14 @@
 	return n
 }
 
-// lateOrder is an order without an answer that is carried out later.
-type lateOrder struct {
+// delayedOrder is an order without an answer that is carried out later.
+type delayedOrder struct {
 	at    time.Time
 	order Order
 }
 
 func newWorld(models, engines int) *world {
-	w := &world{now: start, conf: testEngine(models), lag: 200 * time.Millisecond}
+	w := &world{now: start, conf: testEngine(models), lag: 200 * time.Millisecond, lateBy: 3 * time.Second}
 	for i := range engines {
 		var held []string
 		for j := range 3 {
@@ -107,7 +108,7 @@
 	}
 	for i := 0; i < len(w.late); i++ {
 		if !w.late[i].at.After(w.now) {
-			if e := w.engine(w.late[i].order.EndpointID); e != nil {
+			if e := w.engine(w.late[i].order.Endpoint.ID); e != nil {
 				e.order(w.now, w.late[i].order)
 			}
 			w.late = append(w.late[:i], w.late[i+1:]...)
@@ -115,12 +116,12 @@
 		}
 	}
 	r := w.p.Ready(w.now)
-	for _, id := range r.Probes {
-		if e := w.engine(id); e != nil && (w.silent == nil || !w.silent()) {
+	for _, life := range r.Probes {
+		if e := w.engine(life.ID); e != nil && (w.silent == nil || !w.silent()) {
 			w.p.Reported(w.now, e.report(w.now, w.lag))
 			continue
 		}
-		w.p.ReportFailed(w.now, id)
+		w.p.ReportFailed(w.now, life)
 	}
 	for _, o := range r.Orders {
 		w.orders++
@@ -137,14 +138,14 @@
 	if w.chance != nil {
 		fate = w.chance()
 	}
-	e := w.engine(o.EndpointID)
+	e := w.engine(o.Endpoint.ID)
 	switch {
 	case e == nil || fate == "unsent":
 		return Unsent
 	case fate == "lost":
 		return Unanswered
 	case fate == "late":
-		w.late = append(w.late, lateOrder{w.now.Add(3 * time.Second), o})
+		w.late = append(w.late, delayedOrder{w.now.Add(w.lateBy), o})
 		return Unanswered
 	case fate == "answer lost":
 		e.order(w.now, o)
@@ -170,7 +171,7 @@
 		}
 	}
 	for range 10 {
-		w.p.Demand(w.now, "d", Demand{Active: map[string]int{"m00": 20}, Running: map[Place]int{{"e0", "m00"}: 20}})
+		w.p.Demand(w.now, "d", Demand{Active: map[string]int{"m00": 20}, Running: map[Place]int{{life("e0"), "m00"}: 20}})
 		w.run(time.Second)
 	}
 	if held := w.holders("m00"); held != needed(20) || loads != needed(20)-1 {
@@ -187,7 +188,7 @@
 		if i >= 20 { // the weight store has its hands full by then
 			running = 80
 		}
-		w.p.Demand(w.now, "d", Demand{Active: map[string]int{"m00": running}, Running: map[Place]int{{"e0", "m00"}: running}})
+		w.p.Demand(w.now, "d", Demand{Active: map[string]int{"m00": running}, Running: map[Place]int{{life("e0"), "m00"}: running}})
 		w.p.Want(w.now, Want{Model: fmt.Sprintf("m%02d", 20+i)})
 		w.run(200 * time.Millisecond)
 	}
@@ -203,14 +204,14 @@
 	w.run(time.Second)
 	want := Want{Model: "m00"}
 	first := w.p.Want(w.now, want)
-	if first.EndpointID != "e0" {
-		t.Fatalf("m00 is at %q", first.EndpointID)
+	if first.Endpoint.ID != "e0" {
+		t.Fatalf("m00 is at %q", first.Endpoint.ID)
 	}
 	w.engines = w.engines[1:] // it has crashed; its entry is still there
-	want.Avoid, want.Unreachable = "e0", true
+	want.Avoid, want.Unreachable = life("e0"), true
 	w.p.Want(w.now, want)
 	w.run(100 * time.Millisecond)
-	if a := w.p.Want(w.now, Want{Model: "m00"}); a.EndpointID == "e0" || a.Refused != "" {
+	if a := w.p.Want(w.now, Want{Model: "m00"}); a.Endpoint.ID == "e0" || a.Refused != "" {
 		t.Fatalf("still expected at the engine that is gone: %+v", a)
 	}
 }
@@ -220,11 +221,11 @@
 func TestFailedHolderIsNamedAfterAPause(t *testing.T) {
 	w := newWorld(12, 3)
 	w.run(time.Second)
-	a := w.p.Want(w.now, Want{Model: "m00", Avoid: "e0"})
-	if a.EndpointID != "e0" || a.ReadyIn != avoidedPause || a.Refused != "" {
+	a := w.p.Want(w.now, Want{Model: "m00", Avoid: life("e0")})
+	if a.Endpoint.ID != "e0" || a.ReadyIn != avoidedPause || a.Refused != "" {
 		t.Fatalf("the only holder: %+v", a)
 	}
-	if a := w.p.Want(w.now, Want{Model: "m00"}); a.EndpointID != "e0" || a.ReadyIn != 0 {
+	if a := w.p.Want(w.now, Want{Model: "m00"}); a.Endpoint.ID != "e0" || a.ReadyIn != 0 {
 		t.Fatalf("for another request: %+v", a)
 	}
 }
@@ -234,9 +235,9 @@
 func TestUnreachableForOneDaemonOnly(t *testing.T) {
 	w := newWorld(12, 3)
 	w.run(time.Second)
-	w.p.Want(w.now, Want{Model: "m00", Avoid: "e0", Unreachable: true})
+	w.p.Want(w.now, Want{Model: "m00", Avoid: life("e0"), Unreachable: true})
 	w.run(time.Second)
-	if a := w.p.Want(w.now, Want{Model: "m00"}); a.EndpointID != "e0" || a.ReadyIn > 0 {
+	if a := w.p.Want(w.now, Want{Model: "m00"}); a.Endpoint.ID != "e0" || a.ReadyIn > 0 {
 		t.Fatalf("given up on for one daemon's word: %+v", a)
 	}
 }
@@ -329,7 +330,7 @@
 	w := newWorld(3, 1)
 	w.run(time.Second)
 	delete(w.engines[0].models, "m01")
-	a := w.p.Want(w.now, Want{Model: "m01", Absent: "e0"})
+	a := w.p.Want(w.now, Want{Model: "m01", Absent: life("e0")})
 	if a.Refused == "" && a.ReadyIn == 0 {
 		t.Fatalf("answer %+v names the engine that has just said no", a)
 	}
@@ -404,7 +405,7 @@
 		name := fmt.Sprintf("a%d", i)
 		w.p.Want(w.now, Want{Model: "m00", Adapter: name})
 		w.run(300 * time.Millisecond)
-		w.p.Want(w.now, Want{Model: "m00", Adapter: name, Absent: "e0"})
+		w.p.Want(w.now, Want{Model: "m00", Adapter: name, Absent: life("e0")})
 		w.run(300 * time.Millisecond)
 		w.check(t)
 	}
@@ -436,7 +437,7 @@
 	e.onDisk["m03"] = true
 	for range 10 {
 		w.run(500 * time.Millisecond)
-		w.p.Demand(w.now, "d", Demand{Active: map[string]int{"m00": 1}, Running: map[Place]int{{"e0", "m00"}: 1}})
+		w.p.Demand(w.now, "d", Demand{Active: map[string]int{"m00": 1}, Running: map[Place]int{{life("e0"), "m00"}: 1}})
 	}
 	w.p.Want(w.now, Want{Model: "m03"})
 	w.run(2 * time.Second)
@@ -469,9 +470,14 @@
 func (w *world) event(t *rapid.T, models int) {
 	model := fmt.Sprintf("m%02d", rapid.IntRange(0, models-1).Draw(t, "model"))
 	e := w.engines[rapid.IntRange(0, len(w.engines)-1).Draw(t, "engine")]
-	switch rapid.IntRange(0, 9).Draw(t, "event") {
+	switch rapid.IntRange(0, 11).Draw(t, "event") {
 	case 0:
 		w.takeOver()
+	case 10, 11: // the engine restarts under the same id, and the store may tell later
+		e.restart(w.now)
+		if rapid.Bool().Draw(t, "told") {
+			w.entries()
+		}
 	case 1: // the engine restarts: empty, with its disk, under a new id
 		next := newSimEngine(w.conf, fmt.Sprintf("%s'", e.endpoint.ID))
 		next.onDisk = e.onDisk
@@ -485,10 +491,10 @@
 		w.entries()
 	case 4:
 		n := rapid.IntRange(0, 60).Draw(t, "active")
-		w.p.Demand(w.now, "d", Demand{Active: map[string]int{model: n}, Running: map[Place]int{{e.endpoint.ID, model}: n}})
+		w.p.Demand(w.now, "d", Demand{Active: map[string]int{model: n}, Running: map[Place]int{{e.endpoint.Life(), model}: n}})
 	case 5:
-		w.p.Want(w.now, Want{Model: model, Absent: e.endpoint.ID})
-		w.p.Want(w.now, Want{Model: model, Adapter: fmt.Sprintf("a%d", rapid.IntRange(1, 4).Draw(t, "adapter")), Absent: e.endpoint.ID})
+		w.p.Want(w.now, Want{Model: model, Absent: e.endpoint.Life()})
+		w.p.Want(w.now, Want{Model: model, Adapter: fmt.Sprintf("a%d", rapid.IntRange(1, 4).Draw(t, "adapter")), Absent: e.endpoint.Life()})
 		e.adapterTime = time.Duration(rapid.IntRange(0, 1500).Draw(t, "adapter time")) * time.Millisecond
 	case 6, 7:
 		w.p.Want(w.now, Want{Model: model, Adapter: fmt.Sprintf("a%d", rapid.IntRange(1, 4).Draw(t, "adapter"))})
--- a/coordination/residency/pressure_test.go
+++ b/coordination/residency/pressure_test.go
@@ -10,7 +10,7 @@
 // many a second of which a part is slow.
 func (w *world) serve(d time.Duration, engine, model string, running int, perSecond, slow float64) {
 	const tick = 400 * time.Millisecond // as daemons tell
-	place := Place{engine, model}
+	place := Place{life(engine), model}
 	for ; d > 0; d -= tick {
 		n := perSecond * tick.Seconds()
 		w.p.Demand(w.now, "d", Demand{
--- a/coordination/residency/ready.go
+++ b/coordination/residency/ready.go
@@ -16,7 +16,7 @@
 		p.passTime(now, w)
 		if p.held && !w.asking && !w.probe.IsZero() && !now.Before(w.probe) {
 			w.asking = true
-			r.Probes = append(r.Probes, w.endpoint.ID)
+			r.Probes = append(r.Probes, w.life)
 		}
 	}
 	if !p.held || now.Before(p.ordersFrom) {
@@ -48,6 +48,8 @@
 // passTime ends loads from near copies by the clock; loads from the store,
 // whose time depends on others, wait for the engine's word.
 func (p *Planner) passTime(now time.Time, w *worker) {
+	w.forgetLate(now)
+	w.unknownLate = p.mayHaveUnknownLate(now, w)
 	o := w.order
 	if o == nil || !o.answered || o.order.Unload || o.order.Adapter != "" || now.Before(o.endsAt.Add(orderMargin)) {
 		return
@@ -168,7 +170,7 @@
 }
 
 func (p *Planner) send(now time.Time, w *worker, o Order, level Level) Order {
-	o.EndpointID, o.Address = w.endpoint.ID, w.endpoint.Address
+	o.Endpoint, o.Address = w.life, w.endpoint.Address
 	o.Expect, o.Holder, o.Fence = w.sequence, p.opt.Holder, p.fence
 	end := now
 	if !o.Unload && o.Adapter == "" {
--- a/coordination/residency/types.go
+++ b/coordination/residency/types.go
@@ -14,11 +14,11 @@
 
 // Order asks one engine to load or unload one model or adapter.
 type Order struct {
-	EndpointID string
-	Address    string
-	Unload     bool
-	Model      string
-	Adapter    string // empty for the model itself
+	Endpoint fleet.Incarnation
+	Address  string
+	Unload   bool
+	Model    string
+	Adapter  string // empty for the model itself
 	// Expect is the number of orders that the engine must have accepted
 	// before; the engine refuses the order otherwise, also when it arrives
 	// late.
@@ -54,13 +54,13 @@
 
 // Report is an engine's own word on its state, some hundred milliseconds old.
 type Report struct {
-	EndpointID string
-	Sequence   uint64 // orders accepted
-	Busy       bool   // an order is in progress
-	Models     []fleet.Loaded
-	Coming     []AdapterRef // adapters on their way
-	InMemory   []string
-	OnDisk     []string
+	Endpoint fleet.Incarnation
+	Sequence uint64 // orders accepted
+	Busy     bool   // an order is in progress
+	Models   []fleet.Loaded
+	Coming   []AdapterRef // adapters on their way
+	InMemory []string
+	OnDisk   []string
 }
 
 // AdapterRef names an adapter of a model.
@@ -87,16 +87,19 @@
 	Rank    int // of the request; 0 is first
 	// Avoid is an endpoint that has just failed for this request; it is named
 	// again only if no other holds the model, and after a pause.
-	Avoid string
+	Avoid fleet.Incarnation
 	// Unreachable says that the connection to Avoid could not be opened.
 	Unreachable bool
 	// Absent is an endpoint that has just said that it does not hold the model
 	// or adapter.
-	Absent string
+	Absent fleet.Incarnation
 }
 
 // Place is a model, or an adapter as MODEL/ADAPTER, at an endpoint.
-type Place struct{ EndpointID, Model string }
+type Place struct {
+	Endpoint fleet.Incarnation
+	Model    string
+}
 
 // Demand is what one daemon says of its requests.
 type Demand struct {
@@ -116,7 +119,7 @@
 
 // Answer says where a wanted model is or will be.
 type Answer struct {
-	EndpointID string
+	Endpoint fleet.Incarnation
 	// ReadyIn is how long until the endpoint can start a request; zero when it
 	// can now.
 	ReadyIn time.Duration
@@ -156,7 +159,7 @@
 // Ready is what the driver has to do now.
 type Ready struct {
 	Orders []Order
-	Probes []string // endpoints whose report is wanted
+	Probes []fleet.Incarnation // endpoints whose report is wanted
 }
 
 const (
@@ -235,6 +238,9 @@
 	// copiesEvery is the pause between two looks for models without a near copy:
 	// each goes over all copies, and a load takes seconds.
 	copiesEvery = 250 * time.Millisecond
+	// lateOrderLife is how long after it was sent an order without an answer may
+	// still be carried out: seconds, by the platform's pages; 12 s were seen.
+	lateOrderLife = 15 * time.Second
 	// loadOverdue is how long after its expected end a load that no report
 	// confirms is given up on.
 	loadOverdue = 4 * time.Second
--- a/coordination/residency/want.go
+++ b/coordination/residency/want.go
@@ -1,6 +1,10 @@
 package residency
 
-import "time"
+import (
+	"time"
+
+	"github.com/doorvalve/doorvalve/state/fleet"
+)
 
 // Want answers where a request for a model should go, and plans a load where
 // none holds it.
@@ -12,7 +16,7 @@
 		return Answer{Refused: RefusedNoModel}
 	}
 	p.wanted(now, want)
-	if want.Absent != "" {
+	if !want.Absent.IsZero() {
 		p.absent(now, want)
 	}
 	if want.Unreachable {
@@ -37,8 +41,8 @@
 // unreachable takes a daemon's word that it cannot connect to an engine. The
 // engine is asked for a report at once, and one that does not come is enough to
 // take it for down.
-func (p *Planner) unreachable(now time.Time, id string) {
-	w := p.workers[id]
+func (p *Planner) unreachable(now time.Time, life fleet.Incarnation) {
+	w := p.workerOf(life)
 	if w == nil || w.down || now.Sub(w.heardAt) < reportLag {
 		return
 	}
@@ -49,7 +53,7 @@
 // absent takes an engine's word that it does not hold what it was thought to.
 // A report has to tell what it does hold.
 func (p *Planner) absent(now time.Time, want Want) {
-	w := p.workers[want.Absent]
+	w := p.workerOf(want.Absent)
 	if w == nil {
 		return
 	}
@@ -71,13 +75,13 @@
 func (p *Planner) wantResident(now time.Time, want Want) (Answer, bool) {
 	var best *worker
 	bestCost := time.Duration(0)
-	for id, w := range p.workers {
+	for _, w := range p.workers {
 		r := w.models[want.Model]
 		if r == nil || !w.usable() {
 			continue
 		}
 		cost, ok := p.residentCost(now, w, r, want)
-		if id == want.Avoid {
+		if want.Avoid.Same(w.life) {
 			cost += avoidedCost
 		}
 		if ok && (best == nil || cost < bestCost || cost == bestCost && r.lastUse.Before(best.models[want.Model].lastUse)) {
@@ -89,8 +93,8 @@
 	}
 	r := best.models[want.Model]
 	r.lastUse = now
-	a := Answer{EndpointID: best.endpoint.ID, Level: Resident, ReadyIn: max(0, r.readyAt.Sub(now))}
-	if best.endpoint.ID == want.Avoid {
+	a := Answer{Endpoint: best.life, Level: Resident, ReadyIn: max(0, r.readyAt.Sub(now))}
+	if want.Avoid.Same(best.life) {
 		a.ReadyIn = max(a.ReadyIn, avoidedPause)
 	}
 	if want.Adapter != "" {
@@ -137,6 +141,14 @@
 	for _, r := range w.models {
 		n += len(r.adapters)
 	}
+	for _, l := range w.late {
+		if l.order.Adapter != "" && !l.order.Endpoint.Same(w.life) {
+			n++
+		}
+	}
+	if w.unknownLate {
+		n++
+	}
 	return n
 }
 
@@ -180,7 +192,7 @@
 	}
 	for _, s := range p.slots {
 		if s.model == want.Model {
-			return Answer{EndpointID: s.w.endpoint.ID, Level: s.level, ReadyIn: s.readyIn}, true
+			return Answer{Endpoint: s.w.life, Level: s.level, ReadyIn: s.readyIn}, true
 		}
 	}
 	return Answer{}, false
--- a/daemon/edgedaemon/demand.go
+++ b/daemon/edgedaemon/demand.go
@@ -7,6 +7,7 @@
 	"github.com/doorvalve/doorvalve/coordination/residency"
 	"github.com/doorvalve/doorvalve/internal/pause"
 	"github.com/doorvalve/doorvalve/protocol/fleetpb"
+	"github.com/doorvalve/doorvalve/state/fleet"
 )
 
 // runDemand tells the coordinators of this daemon's requests, until ctx ends.
@@ -75,7 +76,7 @@
 
 func runningAt(place residency.Place, requests int, first residency.FirstEvents) *fleetpb.Running {
 	return &fleetpb.Running{
-		Endpoint: place.EndpointID, Model: place.Model, Requests: int32(requests),
+		Endpoint: place.Endpoint.ID, Born: place.Endpoint.Born, Model: place.Model, Requests: int32(requests),
 		FirstEvents: int32(first.Count), Slow: int32(first.Slow), Rank: int32(first.Rank),
 	}
 }
@@ -90,7 +91,7 @@
 			demand.Active[model] = int(n)
 		}
 		for _, r := range req.Running {
-			place := residency.Place{EndpointID: r.Endpoint, Model: r.Model}
+			place := residency.Place{Endpoint: fleet.Incarnation{ID: r.Endpoint, Born: r.Born}, Model: r.Model}
 			demand.Running[place] = int(r.Requests)
 			if r.FirstEvents > 0 {
 				demand.First[place] = residency.FirstEvents{Count: int(r.FirstEvents), Slow: int(r.Slow), Rank: int(r.Rank)}
--- a/daemon/edgedaemon/metrics.go
+++ b/daemon/edgedaemon/metrics.go
@@ -11,13 +11,13 @@
 
 // gauges tell how the daemon stands; they are set each metricsEvery.
 type gauges struct {
-	endpointsAge, desiredAge, desiredVersion, endpoints, inProgress, members, linesLost, linesSkipped tally.Gauge
+	endpointsAge, desiredAge, desiredVersion, endpoints, unusable, inProgress, members, linesLost, linesSkipped tally.Gauge
 }
 
 func newGauges(scope tally.Scope) gauges {
 	view, log := scope.SubScope("view"), scope.SubScope("log")
 	return gauges{
-		endpointsAge: view.Gauge("endpoints_age_seconds"), desiredAge: view.Gauge("desired_state_age_seconds"), desiredVersion: view.Gauge("desired_state_version"), endpoints: view.Gauge("endpoints"),
+		endpointsAge: view.Gauge("endpoints_age_seconds"), desiredAge: view.Gauge("desired_state_age_seconds"), desiredVersion: view.Gauge("desired_state_version"), endpoints: view.Gauge("endpoints"), unusable: view.Gauge("unusable_entries"),
 		inProgress: scope.SubScope("caller").Gauge("requests_in_progress"), members: scope.SubScope("membership").Gauge("daemons_alive"),
 		linesLost: log.Gauge("lines_lost"), linesSkipped: log.Gauge("lines_skipped"),
 	}
@@ -45,6 +45,7 @@
 		g.desiredVersion.Update(float64(table.Version))
 	}
 	g.endpoints.Update(float64(len(d.view.Endpoints().ByID)))
+	g.unusable.Update(float64(d.view.Unusable()))
 	g.inProgress.Update(float64(d.callers.InProgress()))
 	g.members.Update(float64(len(d.alive())))
 	lost, skipped := d.log.Lost()
--- a/daemon/edgedaemon/peers.go
+++ b/daemon/edgedaemon/peers.go
@@ -16,6 +16,7 @@
 	"github.com/doorvalve/doorvalve/driver/gossip"
 	"github.com/doorvalve/doorvalve/protocol/fleetpb"
 	"github.com/doorvalve/doorvalve/protocol/peerpb"
+	"github.com/doorvalve/doorvalve/state/fleet"
 )
 
 // holderPrefix starts the keys of the facts that name a service's coordinator.
@@ -140,7 +141,7 @@
 	caller := ctx
 	ctx, cancel := context.WithTimeout(ctx, wantTimeout)
 	defer cancel()
-	resp, err := d.fleet(address).Want(ctx, &fleetpb.WantRequest{Service: service, Model: w.Model, Adapter: w.Adapter, Rank: int32(w.Rank), Avoid: w.Avoid, Unreachable: w.Unreachable, Absent: w.Absent})
+	resp, err := d.fleet(address).Want(ctx, &fleetpb.WantRequest{Service: service, Model: w.Model, Adapter: w.Adapter, Rank: int32(w.Rank), Avoid: w.Avoid.ID, AvoidBorn: w.Avoid.Born, Unreachable: w.Unreachable, Absent: w.Absent.ID, AbsentBorn: w.Absent.Born})
 	if err != nil {
 		if caller.Err() == nil && d.holders.failed(address, time.Now()) {
 			d.log.Warn(decisions.EventDependencyLost, "dependency", "coordinator", "service", service, "holder", address, "error", err)
@@ -150,7 +151,7 @@
 	if d.holders.answered(address) {
 		d.log.Info(decisions.EventDependencyBack, "dependency", "coordinator", "service", service, "holder", address)
 	}
-	return residency.Answer{EndpointID: resp.Endpoint, ReadyIn: time.Duration(resp.ReadyInMs) * time.Millisecond, Level: residency.Level(resp.Level), Refused: resp.Refused}
+	return residency.Answer{Endpoint: fleet.Incarnation{ID: resp.Endpoint, Born: resp.Born}, ReadyIn: time.Duration(resp.ReadyInMs) * time.Millisecond, Level: residency.Level(resp.Level), Refused: resp.Refused}
 }
 
 // fleetServer serves fleetpb.Fleet.
@@ -162,8 +163,11 @@
 	if c == nil {
 		return &fleetpb.WantResponse{Refused: residency.RefusedNoHolder}, nil
 	}
-	a := c.Want(residency.Want{Model: req.Model, Adapter: req.Adapter, Rank: int(req.Rank), Avoid: req.Avoid, Unreachable: req.Unreachable, Absent: req.Absent})
-	return &fleetpb.WantResponse{Endpoint: a.EndpointID, ReadyInMs: ceilMs(a.ReadyIn), Level: int32(a.Level), Refused: a.Refused}, nil
+	a := c.Want(residency.Want{
+		Model: req.Model, Adapter: req.Adapter, Rank: int(req.Rank), Unreachable: req.Unreachable,
+		Avoid: fleet.Incarnation{ID: req.Avoid, Born: req.AvoidBorn}, Absent: fleet.Incarnation{ID: req.Absent, Born: req.AbsentBorn},
+	})
+	return &fleetpb.WantResponse{Endpoint: a.Endpoint.ID, Born: a.Endpoint.Born, ReadyInMs: ceilMs(a.ReadyIn), Level: int32(a.Level), Refused: a.Refused}, nil
 }
 
 // ceilMs rounds up, so that a wait is never told too short.
--- a/driver/coordinator/coordinator.go
+++ b/driver/coordinator/coordinator.go
@@ -52,7 +52,7 @@
 // Engines takes orders and gives reports.
 type Engines interface {
 	Order(ctx context.Context, o residency.Order) (residency.Outcome, error)
-	Report(ctx context.Context, id, address string) (residency.Report, error)
+	Report(ctx context.Context, life fleet.Incarnation, address string) (residency.Report, error)
 }
 
 // Options configure a Coordinator.
@@ -191,9 +191,9 @@
 		return false
 	}
 	r := c.plan.Ready(now)
-	for _, id := range r.Probes {
+	for _, life := range r.Probes {
 		c.metrics.probes.Inc(1)
-		go c.report(ctx, id, c.addresses[id])
+		go c.report(ctx, life, c.addresses[life.ID])
 	}
 	for _, o := range r.Orders {
 		go c.order(ctx, o)
@@ -277,7 +277,7 @@
 		outcome, err = c.opt.Engines.Order(ctx, o)
 	}
 	c.opt.Metrics.Tagged(map[string]string{"outcome": outcome.String()}).SubScope("coordinator").Counter("orders_total").Inc(1)
-	c.opt.Log.Info(decisions.EventOrder, "endpoint", o.EndpointID, "unload", o.Unload, "model", o.Model, "adapter", o.Adapter, "expect", o.Expect,
+	c.opt.Log.Info(decisions.EventOrder, "endpoint", o.Endpoint.ID, "born", o.Endpoint.Born, "unload", o.Unload, "model", o.Model, "adapter", o.Adapter, "expect", o.Expect,
 		"fence", o.Fence, "outcome", outcome.String(), "ms", time.Since(started).Milliseconds(), "error", err)
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -285,13 +285,13 @@
 	c.wake()
 }
 
-func (c *Coordinator) report(ctx context.Context, id, address string) {
-	r, err := c.opt.Engines.Report(ctx, id, address)
+func (c *Coordinator) report(ctx context.Context, life fleet.Incarnation, address string) {
+	r, err := c.opt.Engines.Report(ctx, life, address)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if err != nil {
-		c.opt.Log.Debug("no report", "endpoint", id, "error", err)
-		c.plan.ReportFailed(time.Now(), id)
+		c.opt.Log.Debug("no report", "endpoint", life.ID, "error", err)
+		c.plan.ReportFailed(time.Now(), life)
 		return
 	}
 	c.plan.Reported(time.Now(), r)
--- a/driver/coordinator/coordinator_test.go
+++ b/driver/coordinator/coordinator_test.go
@@ -17,6 +17,7 @@
 	"github.com/doorvalve/doorvalve/coordination/residency"
 	"github.com/doorvalve/doorvalve/driver/decisions"
 	"github.com/doorvalve/doorvalve/protocol"
+	"github.com/doorvalve/doorvalve/state/fleet"
 )
 
 // fakeLease keeps one lease in memory.
@@ -59,7 +60,7 @@
 	return residency.Unsent, errNoEngine
 }
 
-func (noEngines) Report(context.Context, string, string) (residency.Report, error) {
+func (noEngines) Report(context.Context, fleet.Incarnation, string) (residency.Report, error) {
 	return residency.Report{}, errNoEngine
 }
 
--- a/driver/leaserelay/leaserelay_test.go
+++ b/driver/leaserelay/leaserelay_test.go
@@ -19,6 +19,7 @@
 	"github.com/doorvalve/doorvalve/driver/coordinator"
 	"github.com/doorvalve/doorvalve/driver/decisions"
 	"github.com/doorvalve/doorvalve/protocol"
+	"github.com/doorvalve/doorvalve/state/fleet"
 )
 
 var errTurnedAway = errors.New("status 429")
@@ -184,7 +185,7 @@
 	return residency.Unsent, errTurnedAway
 }
 
-func (noEngines) Report(context.Context, string, string) (residency.Report, error) {
+func (noEngines) Report(context.Context, fleet.Incarnation, string) (residency.Report, error) {
 	return residency.Report{}, errTurnedAway
 }
 
--- a/driver/storeview/follow.go
+++ b/driver/storeview/follow.go
@@ -150,20 +150,22 @@
 
 func (v *View) listEndpoints(ctx context.Context) error {
 	asked := time.Now()
-	list, revision, unreadable, err := v.opt.Store.ListEndpoints(ctx)
+	list, revision, unusable, err := v.opt.Store.ListEndpoints(ctx)
 	v.logLate("store", relay.Endpoints, asked, err)
 	if err != nil {
 		return err
 	}
-	v.logUnreadable(unreadable)
 	v.mu.Lock()
 	now := time.Now()
 	v.noteOutage(now)
+	fresh := v.takeUnusable(unusable, revision)
+	v.forgetUnusable(unusable)
 	kept := v.registry.List(now, list, revision, v.outage.GraceUntil())
 	v.endpoints.Listed(asked, now, revision)
 	c := v.refresh()
 	v.tell()
 	v.mu.Unlock()
+	v.logUnusable(fresh)
 	v.logKept(kept)
 	v.announce(c, "store")
 	return nil
@@ -177,20 +179,24 @@
 
 func (v *View) watchEndpoints(ctx context.Context) error {
 	asked, wait, since := v.beginWatch(v.endpoints, relay.Endpoints)
-	changes, revision, unreadable, err := v.opt.Store.WatchEndpoints(ctx, since, wait, watchSlack)
+	changes, revision, err := v.opt.Store.WatchEndpoints(ctx, since, wait, watchSlack)
 	v.logLate("store", relay.Endpoints, asked.Add(wait), err)
 	if err != nil {
 		return err
 	}
-	v.logUnreadable(unreadable)
 	v.mu.Lock()
 	now := time.Now()
 	until := v.outage.GraceUntil() // a watch follows a list, which has ended an outage
 	var kept []string
+	var fresh []discovery.Unusable
 	for _, c := range changes {
-		if c.Removed {
+		delete(v.unusable, c.ID)
+		switch {
+		case c.Removed:
 			kept = append(kept, v.registry.Remove(now, c.ID, c.Revision, until)...)
-		} else {
+		case c.Unusable != nil:
+			fresh = append(fresh, v.takeUnusable([]discovery.Unusable{*c.Unusable}, c.Revision)...)
+		default:
 			v.registry.Put(c.Endpoint, c.Revision)
 		}
 	}
@@ -198,6 +204,7 @@
 	c := v.refresh()
 	v.tell()
 	v.mu.Unlock()
+	v.logUnusable(fresh)
 	v.logKept(kept)
 	v.announce(c, "store")
 	return nil
@@ -214,9 +221,3 @@
 	v.mu.Unlock()
 	v.opt.Log.Info(decisions.EventEndpointKept, "endpoints", ids, "for_ms", left.Milliseconds())
 }
-
-func (v *View) logUnreadable(unreadable []error) {
-	for _, err := range unreadable {
-		v.opt.Log.Error(decisions.EventEndpointRejected, "error", err)
-	}
-}
--- a/driver/storeview/storeview.go
+++ b/driver/storeview/storeview.go
@@ -22,11 +22,11 @@
 
 // Store is the platform's store as far as it is followed.
 type Store interface {
-	ListEndpoints(ctx context.Context) (list []*fleet.Endpoint, revision uint64, unreadable []error, err error)
+	ListEndpoints(ctx context.Context) (list []*fleet.Endpoint, revision uint64, unusable []discovery.Unusable, err error)
 	ReadDesiredState(ctx context.Context) (raw []byte, revision uint64, err error)
 	// The watches wait for a change, and for slack longer until their answer
 	// begins; what bounds its transfer is the size of the answer.
-	WatchEndpoints(ctx context.Context, since uint64, wait, slack time.Duration) (changes []discovery.Change, revision uint64, unreadable []error, err error)
+	WatchEndpoints(ctx context.Context, since uint64, wait, slack time.Duration) (changes []discovery.Change, revision uint64, err error)
 	WatchDesiredState(ctx context.Context, since uint64, wait, slack time.Duration) (raw []byte, revision uint64, err error)
 }
 
@@ -61,8 +61,9 @@
 	endpoints  *discovery.Follower
 	config     *discovery.Follower
 	outage     *discovery.Outage
-	directFrom time.Time // the store is asked from then on, at the latest
-	watches    bool      // this daemon follows the store itself
+	unusable   map[string]uint64 // entries that name no endpoint to use: revision, by id
+	directFrom time.Time         // the store is asked from then on, at the latest
+	watches    bool              // this daemon follows the store itself
 	source     *relay.Source
 	upstream   upstreamState
 	changes    *relay.ChangeLog // of this daemon's view, for those that take from it
@@ -80,7 +81,7 @@
 func New(opt Options) *View {
 	v := &View{
 		opt: opt, registry: discovery.NewRegistry(), watches: true, changes: relay.NewChangeLog(), told: make(chan struct{}),
-		roleTaken: make(chan struct{}), named: make(chan struct{}, 1), outage: discovery.NewOutage(opt.Heartbeat),
+		unusable: map[string]uint64{}, roleTaken: make(chan struct{}), named: make(chan struct{}, 1), outage: discovery.NewOutage(opt.Heartbeat),
 		config: discovery.NewFollower(discovery.FollowOptions{Retry: retryFirst, RetryMost: retryMost}),
 	}
 	v.endpoints = discovery.NewFollower(discovery.FollowOptions{Pause: v.part(gatherPart), Retry: retryFirst, RetryMost: retryMost})
@@ -140,9 +141,9 @@
 }
 
 // EndpointLeaving takes an endpoint's own word that it leaves.
-func (v *View) EndpointLeaving(id string) {
+func (v *View) EndpointLeaving(life fleet.Incarnation) {
 	v.mu.Lock()
-	v.registry.Leave(id)
+	v.registry.Leave(life)
 	v.mu.Unlock()
 	v.publish("endpoint")
 }
@@ -182,6 +183,7 @@
 		return
 	}
 	v.logChange(c.old, c.next, from)
+	v.logReborn(c.old, c.next, from)
 	v.changed()
 }
 
--- a/driver/storeview/storeview_test.go
+++ b/driver/storeview/storeview_test.go
@@ -120,7 +120,7 @@
 	return &routing.Table{Version: binary.BigEndian.Uint64(raw)}, nil
 }
 
-func (s *fakeStore) ListEndpoints(context.Context) ([]*fleet.Endpoint, uint64, []error, error) {
+func (s *fakeStore) ListEndpoints(context.Context) ([]*fleet.Endpoint, uint64, []discovery.Unusable, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if _, err := s.call(); err != nil {
@@ -179,7 +179,7 @@
 	return err
 }
 
-func (s *fakeStore) WatchEndpoints(ctx context.Context, since uint64, wait, slack time.Duration) (changes []discovery.Change, revision uint64, unreadable []error, err error) {
+func (s *fakeStore) WatchEndpoints(ctx context.Context, since uint64, wait, slack time.Duration) (changes []discovery.Change, revision uint64, err error) {
 	after := func() []discovery.Change {
 		i := slices.IndexFunc(s.changes, func(c discovery.Change) bool { return c.Revision > since })
 		if i < 0 {
@@ -192,7 +192,7 @@
 	err = s.wait(ctx, wait, func() bool { return len(after()) > 0 })
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return after(), s.revision, nil, err
+	return after(), s.revision, err
 }
 
 func (s *fakeStore) WatchDesiredState(ctx context.Context, since uint64, wait, slack time.Duration) (raw []byte, revision uint64, err error) {
@@ -391,7 +391,7 @@
 	return w.n
 }
 
-func (w *way) ListEndpoints(ctx context.Context) ([]*fleet.Endpoint, uint64, []error, error) {
+func (w *way) ListEndpoints(ctx context.Context) ([]*fleet.Endpoint, uint64, []discovery.Unusable, error) {
 	if err := w.call(); err != nil {
 		return nil, 0, nil, err
 	}
@@ -412,19 +412,19 @@
 }
 
 // A watch over a way that is cut hears nothing until it is given up on.
-func (w *way) WatchEndpoints(ctx context.Context, since uint64, wait, slack time.Duration) ([]discovery.Change, uint64, []error, error) {
+func (w *way) WatchEndpoints(ctx context.Context, since uint64, wait, slack time.Duration) ([]discovery.Change, uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+slack)
 	defer cancel()
 	if w.call() != nil {
 		<-ctx.Done()
-		return nil, 0, nil, ctx.Err()
+		return nil, 0, ctx.Err()
 	}
-	changes, revision, unreadable, err := w.fakeStore.WatchEndpoints(ctx, since, wait, slack)
+	changes, revision, err := w.fakeStore.WatchEndpoints(ctx, since, wait, slack)
 	if w.isCut() {
 		<-ctx.Done()
-		return nil, 0, nil, ctx.Err()
+		return nil, 0, ctx.Err()
 	}
-	return changes, revision, unreadable, err
+	return changes, revision, err
 }
 
 func (w *way) WatchDesiredState(ctx context.Context, since uint64, wait, slack time.Duration) ([]byte, uint64, error) {
--- a/state/fleet/fleet.go
+++ b/state/fleet/fleet.go
@@ -16,7 +16,8 @@
 
 // Endpoint is one process of a service, from one start to its end.
 type Endpoint struct {
-	ID      string // new with each start
+	ID      string // may be used again by the next start
+	Born    int64  // see Incarnation
 	Service string
 	Address string
 	Domain  string // failure domain
@@ -36,6 +37,9 @@
 	Revision uint64
 }
 
+// Life returns the incarnation that the description is of.
+func (e *Endpoint) Life() Incarnation { return Incarnation{ID: e.ID, Born: e.Born} }
+
 // Has reports whether the endpoint holds the model and, unless empty, the
 // adapter.
 func (e *Endpoint) Has(model, adapter string) bool {
@@ -54,6 +58,15 @@
 	ByService map[string][]*Endpoint // sorted by id
 }
 
+// Of returns the endpoint of an incarnation, nil if the view has none of its id or
+// of another life.
+func (v *View) Of(i Incarnation) *Endpoint {
+	if e := v.ByID[i.ID]; e != nil && e.Life().Same(i) {
+		return e
+	}
+	return nil
+}
+
 // NewView indexes endpoints.
 func NewView(revision uint64, list []*Endpoint) *View {
 	v := &View{Revision: revision, ByID: make(map[string]*Endpoint, len(list)), ByService: map[string][]*Endpoint{}}
--- /dev/null
+++ b/state/fleet/incarnation.go
@@ -0,0 +1,27 @@
+package fleet
+
+// Incarnation is one life of an endpoint, from one start of its process to its
+// end. An endpoint may start again under the same id: it then holds nothing of
+// what it held, except copies on its disk, and counts its orders from zero. What
+// was learned of one incarnation says nothing of the next.
+type Incarnation struct {
+	ID string
+	// Born is when the process started, in Unix milliseconds by its own clock; zero
+	// where the platform does not tell. It tells incarnations of one id apart and
+	// is never compared with another clock.
+	Born int64
+}
+
+// IsZero reports whether no incarnation is named.
+func (i Incarnation) IsZero() bool { return i.ID == "" }
+
+// Before reports whether i is known to be an earlier life of other's id.
+func (i Incarnation) Before(other Incarnation) bool {
+	return i.ID == other.ID && i.Born != 0 && other.Born != 0 && i.Born < other.Born
+}
+
+// Same reports whether both may be the same life: the id is the same, and nothing
+// tells their starts apart.
+func (i Incarnation) Same(other Incarnation) bool {
+	return i.ID == other.ID && (i.Born == other.Born || i.Born == 0 || other.Born == 0)
+}
--- a/transport/edge/answer.go
+++ b/transport/edge/answer.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/doorvalve/doorvalve/protocol"
+	"github.com/doorvalve/doorvalve/state/fleet"
 )
 
 // answer is the way back to the caller.
@@ -18,13 +19,13 @@
 	q        *request
 	begun    bool // the caller has seen the header
 	status   int
-	endpoint string        // that answered last
-	sent     time.Time     // when the request was sent to it
-	viewAge  time.Duration // of the view that it was chosen from
-	lastID   string        // of the last event handed on; empty before the first
-	first    time.Time     // when the first event was handed on
-	last     time.Time     // when the last ones were
-	gap      time.Duration // the longest pause between two events
+	endpoint fleet.Incarnation // that answered last
+	sent     time.Time         // when the request was sent to it
+	viewAge  time.Duration     // of the view that it was chosen from
+	lastID   string            // of the last event handed on; empty before the first
+	first    time.Time         // when the first event was handed on
+	last     time.Time         // when the last ones were
+	gap      time.Duration     // the longest pause between two events
 }
 
 func (a *answer) firstAfter() time.Duration {
--- a/transport/edge/attempt.go
+++ b/transport/edge/attempt.go
@@ -59,9 +59,8 @@
 	unreachable bool
 	loading     bool // the endpoint is still loading the model
 	leaving     bool
-	// endpoint is the id of the endpoint that was asked.
-	endpoint string
-	paid     bool // the retry has been taken out of the budget
+	endpoint    fleet.Incarnation // that was asked
+	paid        bool              // the retry has been taken out of the budget
 }
 
 // body hides the type of the content, so that the transport cannot send a
@@ -146,17 +145,17 @@
 func (s *Server) attempt(ctx context.Context, q *request, e *fleet.Endpoint, a *answer, more bool) *failure {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	s.opt.Balancer.Started(e.ID)
-	s.countRunning(q, e.ID, 1)
-	defer s.countRunning(q, e.ID, -1)
+	s.opt.Balancer.Started(e.Life())
+	s.countRunning(q, e.Life(), 1)
+	defer s.countRunning(q, e.Life(), -1)
 	ok := false
-	defer func() { s.opt.Balancer.Ended(time.Now(), e.ID, q.unit(), ok) }()
+	defer func() { s.opt.Balancer.Ended(time.Now(), e.Life(), q.unit(), ok) }()
 	w := s.watch(q, e, more, cancel)
 	defer w.stop()
 	a.sent, a.viewAge = time.Now(), s.opt.ViewAge()
 	resp, f := s.send(ctx, q, e, a.lastID)
 	if f == nil {
-		a.endpoint = e.ID
+		a.endpoint = e.Life()
 		f = s.deliver(q, a, resp, w, more)
 		_ = resp.Body.Close()
 	}
@@ -165,7 +164,7 @@
 		s.client.kept.CloseIdleConnections() // they may be as dead as the one that was waited on
 	}
 	if f != nil && f.verdict != protocol.NotRun && a.first.IsZero() {
-		s.countFirst(q, e.ID, time.Since(a.sent))
+		s.countFirst(q, e.Life(), time.Since(a.sent))
 	}
 	ok = f == nil
 	return f
@@ -184,7 +183,7 @@
 func (s *Server) hasOther(q *request, id string) bool {
 	now := time.Now()
 	return slices.ContainsFunc(s.candidates(q), func(e *fleet.Endpoint) bool {
-		return e.ID != id && !e.Leaving && !s.opt.Balancer.Avoided(now, e.ID)
+		return e.ID != id && !e.Leaving && !s.opt.Balancer.Avoided(now, e.Life())
 	})
 }
 
--- a/transport/edge/demand.go
+++ b/transport/edge/demand.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/doorvalve/doorvalve/coordination/residency"
+	"github.com/doorvalve/doorvalve/state/fleet"
 )
 
 // Demand returns the requests running or waiting, by service.
@@ -26,10 +27,10 @@
 
 // countFirst notes how long an endpoint took to begin its answer, or to not
 // begin it.
-func (s *Server) countFirst(q *request, endpoint string, after time.Duration) {
+func (s *Server) countFirst(q *request, endpoint fleet.Incarnation, after time.Duration) {
 	slow := float64(after) > slowPart*float64(q.route.Target)
 	s.countDemand(q, func(d residency.Demand) {
-		place := residency.Place{EndpointID: endpoint, Model: q.call.Model}
+		place := residency.Place{Endpoint: endpoint, Model: q.call.Model}
 		f, known := d.First[place]
 		if !known || q.route.Rank < f.Rank {
 			f.Rank = q.route.Rank
@@ -48,16 +49,16 @@
 }
 
 // countRunning adds n to the requests of a model at an endpoint.
-func (s *Server) countRunning(q *request, endpoint string, n int) {
+func (s *Server) countRunning(q *request, endpoint fleet.Incarnation, n int) {
 	s.countDemand(q, func(d residency.Demand) {
-		place := residency.Place{EndpointID: endpoint, Model: q.call.Model}
+		place := residency.Place{Endpoint: endpoint, Model: q.call.Model}
 		before := d.Running[place]
 		add(d.Running, place, n)
 		if before == 0 || before+n == 0 {
 			s.demandTurned()
 		}
 		if q.call.Adapter != "" {
-			add(d.Running, residency.Place{EndpointID: endpoint, Model: q.unit()}, n)
+			add(d.Running, residency.Place{Endpoint: endpoint, Model: q.unit()}, n)
 		}
 	})
 }
--- a/transport/edge/demand_test.go
+++ b/transport/edge/demand_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/doorvalve/doorvalve/coordination/residency"
 	"github.com/doorvalve/doorvalve/protocol"
+	"github.com/doorvalve/doorvalve/state/fleet"
 	"github.com/doorvalve/doorvalve/state/routing"
 )
 
@@ -35,7 +36,7 @@
 		n    int
 		want bool
 	}{{1, true}, {1, false}, {-1, false}, {-1, true}} {
-		s.countRunning(q, "e", step.n)
+		s.countRunning(q, fleet.Incarnation{ID: "e"}, step.n)
 		if got := turned(s); got != step.want {
 			t.Errorf("step %d: turned %v", i, got)
 		}
@@ -44,9 +45,9 @@
 
 func TestFirstEventsAreToldOnce(t *testing.T) {
 	s, q := New(Options{Metrics: tally.NoopScope}), testRequest()
-	s.countFirst(q, "e", 100*time.Millisecond)
-	s.countFirst(q, "e", 900*time.Millisecond)
-	place := residency.Place{EndpointID: "e", Model: "m"}
+	s.countFirst(q, fleet.Incarnation{ID: "e"}, 100*time.Millisecond)
+	s.countFirst(q, fleet.Incarnation{ID: "e"}, 900*time.Millisecond)
+	place := residency.Place{Endpoint: fleet.Incarnation{ID: "e"}, Model: "m"}
 	if got, want := s.Demand()["llm"].First[place], (residency.FirstEvents{Count: 2, Slow: 1, Rank: 1}); got != want {
 		t.Fatalf("got %+v, want %+v", got, want)
 	}
--- a/transport/edge/locate.go
+++ b/transport/edge/locate.go
@@ -31,7 +31,7 @@
 	if q.service.Engine == nil || q.call.Model == "" {
 		return s.locatePlain(q, exclude)
 	}
-	avoid := ""
+	var avoid fleet.Incarnation
 	if len(exclude) > 0 {
 		avoid = exclude[len(exclude)-1]
 	}
@@ -40,7 +40,7 @@
 			return e, nil
 		}
 		ans := s.opt.Locator.Want(ctx, q.service.Name, residency.Want{Model: q.call.Model, Adapter: q.call.Adapter, Rank: q.route.Rank, Avoid: avoid, Unreachable: unreachable, Absent: absent})
-		absent, unreachable = "", false // told once
+		absent, unreachable = fleet.Incarnation{}, false // told once
 		if ctx.Err() != nil {
 			return nil, s.outOfTime(protocol.NotRun)
 		}
@@ -53,8 +53,8 @@
 			}
 		}
 		if ans.Refused == "" && ans.ReadyIn <= 0 {
-			if e := s.opt.View().ByID[ans.EndpointID]; e != nil && !e.Leaving {
-				s.opt.Balancer.Present(e.ID, q.unit())
+			if e := s.opt.View().Of(ans.Endpoint); e != nil && !e.Leaving {
+				s.opt.Balancer.Present(e.Life(), q.unit())
 				return e, nil
 			}
 			ans.ReadyIn = loadingPause // the list does not name it yet, or not any more
@@ -62,8 +62,8 @@
 		if refusal := s.wait(ctx, q, t, ans); refusal != nil {
 			return nil, refusal
 		}
-		if avoid != "" { // it has had its pause
-			exclude, avoid = without(exclude, avoid), ""
+		if !avoid.IsZero() { // it has had its pause
+			exclude, avoid = without(exclude, avoid), fleet.Incarnation{}
 		}
 	}
 }
@@ -85,13 +85,13 @@
 		if reason == "" {
 			reason = "model-loading"
 		}
-		detail := fmt.Sprintf("the model is not ready: endpoint %q, copy %s, in %d ms, margin %d ms", ans.EndpointID, ans.Level, ans.ReadyIn.Milliseconds(), margin.Milliseconds())
+		detail := fmt.Sprintf("the model is not ready: endpoint %q, copy %s, in %d ms, margin %d ms", ans.Endpoint.ID, ans.Level, ans.ReadyIn.Milliseconds(), margin.Milliseconds())
 		return protocol.Refuse(http.StatusServiceUnavailable, reason, detail, d.RetryAfter)
 	}
 	if t.estimated.IsZero() {
 		t.estimated, t.source = time.Now().Add(ans.ReadyIn), source
 	}
-	s.opt.Log.Info(decisions.EventWaiting, "request", q.call.ID, "model", q.unit(), "endpoint", ans.EndpointID, "level", ans.Level.String(), "ready_in_ms", ans.ReadyIn.Milliseconds(), "margin_ms", margin.Milliseconds(), "elapsed_ms", elapsed.Milliseconds())
+	s.opt.Log.Info(decisions.EventWaiting, "request", q.call.ID, "model", q.unit(), "endpoint", ans.Endpoint.ID, "level", ans.Level.String(), "ready_in_ms", ans.ReadyIn.Milliseconds(), "margin_ms", margin.Milliseconds(), "elapsed_ms", elapsed.Milliseconds())
 	pause.For(ctx, min(max(ans.ReadyIn, time.Millisecond), askPause))
 	q.waited = time.Since(q.arrived)
 	s.metrics.waited.RecordDuration(time.Since(q.arrived) - elapsed)
@@ -104,7 +104,7 @@
 // sourceOf says what an answer's estimate rests on.
 func sourceOf(ans residency.Answer) waiting.Source {
 	switch {
-	case ans.Refused != "" || ans.EndpointID == "":
+	case ans.Refused != "" || ans.Endpoint.IsZero():
 		return waiting.Vacancy
 	case ans.Level == residency.Resident:
 		return waiting.Loaded
@@ -130,11 +130,11 @@
 }
 
 // without returns a copy of a list without one entry.
-func without(list []string, entry string) []string {
-	return slices.DeleteFunc(slices.Clone(list), func(e string) bool { return e == entry })
+func without(list []fleet.Incarnation, entry fleet.Incarnation) []fleet.Incarnation {
+	return slices.DeleteFunc(slices.Clone(list), func(e fleet.Incarnation) bool { return e == entry })
 }
 
-func (s *Server) locatePlain(q *request, exclude []string) (*fleet.Endpoint, *protocol.Refusal) {
+func (s *Server) locatePlain(q *request, exclude []fleet.Incarnation) (*fleet.Endpoint, *protocol.Refusal) {
 	list := s.opt.View().ByService[q.service.Name]
 	e := s.opt.Balancer.Pick(time.Now(), list, balance.Query{Exclude: exclude})
 	if e == nil {
@@ -152,7 +152,7 @@
 
 // locateKnown picks an endpoint without a question to the coordinator, where
 // several hold the model or one has just served it here.
-func (s *Server) locateKnown(q *request, exclude []string) *fleet.Endpoint {
+func (s *Server) locateKnown(q *request, exclude []fleet.Incarnation) *fleet.Endpoint {
 	if q.call.Adapter != "" {
 		return nil
 	}
@@ -161,7 +161,7 @@
 	if e == nil {
 		return nil
 	}
-	if len(holders) >= severalHolders || s.opt.Balancer.Vouched(time.Now(), e.ID, q.unit()) {
+	if len(holders) >= severalHolders || s.opt.Balancer.Vouched(time.Now(), e.Life(), q.unit()) {
 		return e
 	}
 	return nil
@@ -172,7 +172,7 @@
 const severalHolders = 2
 
 // locateAny picks any listed holder, when the coordinator cannot be asked.
-func (s *Server) locateAny(q *request, exclude []string) *fleet.Endpoint {
+func (s *Server) locateAny(q *request, exclude []fleet.Incarnation) *fleet.Endpoint {
 	return s.opt.Balancer.Pick(time.Now(), s.holders(q), balance.Query{Unit: q.unit(), Affinity: affinity(q), Exclude: exclude})
 }
 
--- a/transport/edge/run.go
+++ b/transport/edge/run.go
@@ -18,11 +18,11 @@
 
 // tries is what has become of a request's attempts so far.
 type tries struct {
-	sends   int              // attempts begun
-	ran     int              // endpoints that the request may have run at
-	verdict protocol.Verdict // the worst of all attempts
-	exclude []string         // endpoints that have failed it
-	pauses  int              // made because all endpoints had refused it
+	sends   int                 // attempts begun
+	ran     int                 // endpoints that the request may have run at
+	verdict protocol.Verdict    // the worst of all attempts
+	exclude []fleet.Incarnation // endpoints that have failed it
+	pauses  int                 // made because all endpoints had refused it
 	last    *failure
 	heard   time.Time // when the caller got the last event; zero before the first
 	// estimated is when the model was first said to be there, on what source;
@@ -32,7 +32,7 @@
 }
 
 // note records a failed attempt.
-func (t *tries) note(f *failure, endpoint string) {
+func (t *tries) note(f *failure, endpoint fleet.Incarnation) {
 	f.endpoint = endpoint
 	t.last = f
 	t.verdict = max(t.verdict, f.verdict)
@@ -80,10 +80,10 @@
 		if f == nil {
 			return nil
 		}
-		t.note(f, e.ID)
+		t.note(f, e.Life())
 		t.heard = a.last
 		if s.learn(ctx, q, e, f) {
-			t.exclude = append(t.exclude, e.ID)
+			t.exclude = append(t.exclude, e.Life())
 		}
 		again := t.again(q, a)
 		s.opt.Log.Info(decisions.EventAttemptFailed, "request", q.call.ID, "endpoint", e.ID, "endpoint_revision", e.Revision, "reason", f.reason, "error", f.err,
@@ -115,10 +115,10 @@
 }
 
 // absentAt returns the endpoint that has just said that it does not hold the
-// model, empty if none did.
-func (t *tries) absentAt() string {
+// model, none if none did.
+func (t *tries) absentAt() fleet.Incarnation {
 	if t.last == nil || !t.last.absent {
-		return ""
+		return fleet.Incarnation{}
 	}
 	return t.last.endpoint
 }
@@ -131,16 +131,16 @@
 	case ctx.Err() != nil:
 		return false
 	case f.absent:
-		s.opt.Balancer.Absent(now, e.ID, q.unit())
+		s.opt.Balancer.Absent(now, e.Life(), q.unit())
 		return q.call.Model == ""
 	case f.loading:
 		pause.For(ctx, loadingPause)
 		return false
 	case f.leaving:
-		s.opt.EndpointLeaving(e.ID)
+		s.opt.EndpointLeaving(e.Life())
 		return true
 	}
-	d := s.opt.Balancer.Failed(now, e.ID)
+	d := s.opt.Balancer.Failed(now, e.Life())
 	s.opt.Log.Info(decisions.EventAvoided, "request", q.call.ID, "endpoint", e.ID, "reason", f.reason, "for_ms", d.Milliseconds())
 	return true
 }
--- a/transport/edge/server.go
+++ b/transport/edge/server.go
@@ -50,7 +50,7 @@
 	Log      *decisions.Log
 	Metrics  tally.Scope
 	// EndpointLeaving is told of an endpoint's own word that it leaves.
-	EndpointLeaving func(id string)
+	EndpointLeaving func(fleet.Incarnation)
 	// FlushEvery is how long events of a stream may be gathered before they
 	// are written; the first event is written at once.
 	FlushEvery time.Duration
@@ -166,18 +166,18 @@
 	case refusal == nil:
 		s.metrics.answered.Inc(1)
 		s.opt.Log.Routine(decisions.EventAnswered, "request", q.call.ID, "route", q.route.Name, "model", q.unit(), "status", a.status,
-			"ms", time.Since(arrived).Milliseconds(), "first_event_ms", a.firstAfter().Milliseconds(), "longest_gap_ms", a.gap.Milliseconds(), "waited_ms", q.waited.Milliseconds(), "sent_ms", a.sent.Sub(arrived).Milliseconds(), "endpoints_age_ms", a.viewAge.Milliseconds(), "endpoint", a.endpoint, "version", q.version)
+			"ms", time.Since(arrived).Milliseconds(), "first_event_ms", a.firstAfter().Milliseconds(), "longest_gap_ms", a.gap.Milliseconds(), "waited_ms", q.waited.Milliseconds(), "sent_ms", a.sent.Sub(arrived).Milliseconds(), "endpoints_age_ms", a.viewAge.Milliseconds(), "endpoint", a.endpoint.ID, "version", q.version)
 	case r.Context().Err() != nil:
 		s.metrics.gone.Inc(1)
-		s.opt.Log.Info(decisions.EventFailed, "request", q.call.ID, "route", q.route.Name, "model", q.unit(), "reason", "caller gone", "ms", time.Since(arrived).Milliseconds(), "endpoint", a.endpoint)
+		s.opt.Log.Info(decisions.EventFailed, "request", q.call.ID, "route", q.route.Name, "model", q.unit(), "reason", "caller gone", "ms", time.Since(arrived).Milliseconds(), "endpoint", a.endpoint.ID)
 		panic(http.ErrAbortHandler)
 	case a.begun:
 		// A part has been sent; only a broken connection tells the caller.
 		s.metrics.failed.Inc(1)
-		s.logEnd(decisions.EventFailed, q, refusal, a.endpoint)
+		s.logEnd(decisions.EventFailed, q, refusal, a.endpoint.ID)
 		panic(http.ErrAbortHandler)
 	default:
-		s.refuse(w, r, q, refusal, a.endpoint)
+		s.refuse(w, r, q, refusal, a.endpoint.ID)
 	}
 }
 
--- a/transport/edge/watch_test.go
+++ b/transport/edge/watch_test.go
@@ -36,7 +36,7 @@
 		ctx, cancel := context.WithCancelCause(t.Context())
 		defer cancel(nil)
 		for range 4 {
-			s.opt.Balancer.Failed(time.Now(), "full")
+			s.opt.Balancer.Failed(time.Now(), fleet.Incarnation{ID: "full"})
 		}
 		free := time.Now().Add(2400 * time.Millisecond) // the fourth time in a row
 		w := s.watch(q, view.ByID["slow"], true, cancel)
