residency: how many loads the weight store serves at once is learned

Where a store serves one load at full speed, four at once take four times as long each: the first model comes after 53 s in place of 13 s, and four engines take no other order meanwhile.

Change: each load from the store counts those beside it. One that is overdue, by the engine's own report, lowers the number to what its slowness shows; one that is as fast as alone with all places taken raises it. What was learned goes to the next coordinator by a fact of the membership.

Result in virtual time (TestPlacesOfTheStoreAreLearned): 1, 2, 4 and 9 places are learned within 70 s from the same start, to one above at most.

--- a/coordination/residency/adopt.go
+++ b/coordination/residency/adopt.go
@@ -131,8 +131,10 @@
 	has := slices.ContainsFunc(rep.Models, func(m fleet.Loaded) bool { return m.Model == o.order.Model })
 	switch {
 	case rep.Busy:
+		p.learnPlaces(now, o, false)
 		o.endsAt = maxTime(o.endsAt, now.Add(retryBusy))
 	case o.order.Unload && !has, !o.order.Unload && has:
+		p.learnPlaces(now, o, true)
 		p.endOrder(now, w)
 	case now.After(o.endsAt.Add(loadOverdue)):
 		p.dropOrder(w)
--- a/coordination/residency/draft.go
+++ b/coordination/residency/draft.go
@@ -52,7 +52,7 @@
 	}
 	d.pressed = p.pressedReplicas(d)
 	d.runTime = p.meanRunTime(d)
-	for len(d.store) < p.opt.StoreAtOnce {
+	for len(d.store) < p.places.Places {
 		d.store = append(d.store, 0)
 	}
 	slices.Sort(d.store)
--- a/coordination/residency/engine_test.go
+++ b/coordination/residency/engine_test.go
@@ -16,9 +16,11 @@
 	models   map[string][]string // loaded, with adapters
 	onDisk   map[string]bool
 	busy     bool
-	doneAt   time.Time
-	during   Order
-	runsEnd  time.Time // unloads wait for it
+	// fromStore says that the order in progress is a load from the store.
+	fromStore bool
+	doneAt    time.Time
+	during    Order
+	runsEnd   time.Time // unloads wait for it
 	// coming are adapters on their way, and leaving ones that requests still
 	// use, with the time at which they are there or gone.
 	coming, leaving map[AdapterRef]time.Time
@@ -90,7 +92,7 @@
 // advance completes the order in progress.
 func (e *simEngine) advance(now time.Time) {
 	if e.busy && !now.Before(e.doneAt) {
-		e.busy = false
+		e.busy, e.fromStore = false, false
 		if e.during.Unload {
 			delete(e.models, e.during.Model)
 			for ref := range e.coming {
@@ -160,6 +162,7 @@
 		e.overloaded = true
 	}
 	took := e.conf.Models[o.Model].FromStore
+	e.fromStore = !e.onDisk[o.Model]
 	if e.onDisk[o.Model] {
 		took = e.conf.Models[o.Model].FromDisk
 	}
--- a/coordination/residency/outcome.go
+++ b/coordination/residency/outcome.go
@@ -120,6 +120,7 @@
 		// the next order tells by its answer.
 		p.endOrder(now, w)
 	default:
+		o.store.began = now
 		o.endsAt = now.Add(p.loadTime(o.level, o.order.Model, p.storeLoads()))
 		if r := w.models[o.order.Model]; r != nil {
 			r.readyAt = o.endsAt.Add(orderMargin)
@@ -138,7 +139,7 @@
 	case Disk:
 		return m.FromDisk
 	case Store:
-		crowd := max(1, float64(storeLoads)/float64(p.opt.StoreAtOnce))
+		crowd := max(1, float64(storeLoads)/float64(p.places.Places))
 		return time.Duration(float64(m.FromStore) * crowd)
 	}
 	return 0
--- a/coordination/residency/planner.go
+++ b/coordination/residency/planner.go
@@ -37,6 +37,7 @@
 	answered bool      // accepted; now in progress
 	endsAt   time.Time // expected
 	unsureAt time.Time // when the answer was given up on; zero before
+	store    storeLoad // of a load from the store
 	askedAt  time.Time // when requests asked for the load last; zero if none did
 }
 
@@ -116,12 +117,13 @@
 	copiesAt   time.Time   // models without a near copy are looked for then
 	sorted     []*worker   // by id, so that decisions repeat
 	draft      draft       // of the last step
+	places     StorePlaces // of the weight store
+	watchedAt  time.Time   // when its loads were looked at last
 }
 
 // New returns a planner that knows nothing.
 func New(opt Options) *Planner {
-	opt.StoreAtOnce = max(1, opt.StoreAtOnce)
-	return &Planner{opt: opt, workers: map[string]*worker{}, demands: map[string]*demand{}, wants: map[string]*wanted{}, values: map[string]*value{}, pressures: map[string]*pressure{}}
+	return &Planner{opt: opt, places: newStorePlaces(opt.StoreAtOnce), workers: map[string]*worker{}, demands: map[string]*demand{}, wants: map[string]*wanted{}, values: map[string]*value{}, pressures: map[string]*pressure{}}
 }
 
 // Configure takes the service's models.
--- a/coordination/residency/planner_test.go
+++ b/coordination/residency/planner_test.go
@@ -35,6 +35,8 @@
 	fence   uint64
 	// chance decides the fate of an order; nil: all are answered.
 	chance func() string
+	// beforeStep is called before each step; nil: nothing is.
+	beforeStep func(step time.Duration)
 	// silent decides whether an engine gives no report; nil: it always does.
 	silent func() bool
 	orders int
@@ -103,6 +105,9 @@
 // step passes 20 ms.
 func (w *world) step() {
 	w.now = w.now.Add(20 * time.Millisecond)
+	if w.beforeStep != nil {
+		w.beforeStep(20 * time.Millisecond)
+	}
 	for _, e := range w.engines {
 		e.advance(w.now)
 	}
--- a/coordination/residency/ready.go
+++ b/coordination/residency/ready.go
@@ -19,6 +19,7 @@
 			r.Probes = append(r.Probes, w.life)
 		}
 	}
+	p.watchStore(now)
 	if !p.held || now.Before(p.ordersFrom) {
 		return r
 	}
@@ -123,7 +124,7 @@
 
 // mayLoadFromStore keeps to the store's places and to its rate of loads.
 func (p *Planner) mayLoadFromStore(now time.Time) bool {
-	if p.storeLoads() >= p.opt.StoreAtOnce {
+	if p.storeLoads() >= p.places.Places {
 		return false
 	}
 	p.starts = slices.DeleteFunc(p.starts, func(t time.Time) bool { return now.Sub(t) > p.opt.RateWindow })
@@ -207,7 +208,7 @@
 	if now.Sub(p.grownAt) < settleFor || now.Before(p.copiesAt) {
 		return nil
 	}
-	free := p.opt.StoreAtOnce - p.storeLoads()
+	free := p.places.Places - p.storeLoads()
 	for _, s := range p.slots {
 		if s.level == Store {
 			free--
--- /dev/null
+++ b/coordination/residency/storeplaces_test.go
@@ -0,0 +1,50 @@
+package residency
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// shareStore makes loads from the store take longer beyond a number of places, as the
+// platform's pages say.
+func (w *world) shareStore(places int) {
+	w.beforeStep = func(step time.Duration) {
+		n := 0
+		for _, e := range w.engines {
+			if e.fromStore {
+				n++
+			}
+		}
+		for _, e := range w.engines {
+			if e.fromStore && n > places {
+				e.doneAt = e.doneAt.Add(time.Duration(float64(step) * (1 - float64(places)/float64(n))))
+			}
+		}
+	}
+}
+
+// However many loads the weight store serves at once, the planner learns it from how
+// long they take, from the same start.
+func TestPlacesOfTheStoreAreLearned(t *testing.T) {
+	for _, places := range []int{1, 2, 4, 9} {
+		w := newWorld(0, 24)
+		w.conf.Models, w.conf.LoadsPerSecond = testEngine(400).Models, 100
+		w.p = New(Options{Holder: "h", StoreAtOnce: 2, RateWindow: 5 * time.Second, RateFactor: 1.1})
+		w.p.Configure(Config{Service: "s", Engine: w.conf})
+		w.p.Lease(w.now, true, 1, w.now)
+		w.entries()
+		w.shareStore(places)
+		next := 0
+		for range 70 {
+			for range 4 {
+				w.p.Want(w.now, Want{Model: fmt.Sprintf("m%02d", next%400)})
+				next++
+			}
+			w.run(time.Second)
+		}
+		if got := w.p.Places().Places; got < places || got > places+1 {
+			t.Errorf("with %d places, %d were learned", places, got)
+		}
+	}
+}
--- a/coordination/residency/types.go
+++ b/coordination/residency/types.go
@@ -141,8 +141,8 @@
 // Options configure a Planner.
 type Options struct {
 	Holder string // this host
-	// StoreAtOnce is the number of loads that the weight store serves at full
-	// speed.
+	// StoreAtOnce is the number of loads that the weight store is taken to serve at
+	// full speed until loads have shown it.
 	StoreAtOnce int
 	// RateWindow and RateFactor bound the loads from the store that begin
 	// within a window, beside Engine.LoadsPerSecond.
--- a/daemon/edgedaemon/peers.go
+++ b/daemon/edgedaemon/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"strconv"
 	"time"
 
 	"github.com/twitchtv/twirp"
@@ -62,6 +63,37 @@
 	}
 }
 
+// placesPrefix starts the keys of the facts that tell how many loads at once a service's
+// weight store was learned to serve.
+const placesPrefix = "store-places/"
+
+// placesChanges is the number of changes that a coordinator can tell under one fence.
+const placesChanges = 1 << 20
+
+// storePlaces returns what coordinators have learned of a service's weight store; zero
+// if that is nothing.
+func (d *Daemon) storePlaces(service string) int {
+	e, ok := d.gossip.Get(placesPrefix + service)
+	if !ok {
+		return 0
+	}
+	places, err := strconv.Atoi(string(e.Value))
+	if err != nil {
+		d.log.Warn(decisions.EventStorePlaces, "service", service, "error", err)
+		return 0
+	}
+	return places
+}
+
+// storePlacesLearned tells the other daemons, one of which coordinates next.
+func (d *Daemon) storePlacesLearned(service string, fence uint64, places int) {
+	version := fence * placesChanges
+	if e, ok := d.gossip.Get(placesPrefix + service); ok {
+		version = max(version, e.Version+1)
+	}
+	d.gossip.Set(membership.Entry{Key: placesPrefix + service, Version: version, Value: []byte(strconv.Itoa(places))})
+}
+
 // holder returns the address of a service's coordinator, empty if unknown.
 func (d *Daemon) holder(service string) string {
 	if e, ok := d.gossip.Get(holderPrefix + service); ok {
--- a/driver/coordinator/coordinator.go
+++ b/driver/coordinator/coordinator.go
@@ -68,9 +68,13 @@
 	// says that the lease's record names this host.
 	Candidate func(service string, former bool) bool
 	// Held is told when this daemon takes or loses the lease.
-	Held    func(service string, fence uint64, held bool)
-	Log     *decisions.Log
-	Metrics tally.Scope
+	Held func(service string, fence uint64, held bool)
+	// Places returns how many loads at once the weight store was learned to serve, by
+	// this or a former coordinator, zero if nobody knows; PlacesLearned is told of it.
+	Places        func(service string) int
+	PlacesLearned func(service string, fence uint64, places int)
+	Log           *decisions.Log
+	Metrics       tally.Scope
 }
 
 // Coordinator is safe for concurrent use.
@@ -82,6 +86,7 @@
 	former    string // holder of the record that was taken over
 	plan      *residency.Planner
 	held      bool
+	places    int               // of the weight store, as PlacesLearned was told last
 	addresses map[string]string // of endpoints, by id
 	kick      chan struct{}
 	metrics   metrics
@@ -205,9 +210,23 @@
 	for _, o := range r.Orders {
 		go c.order(ctx, o)
 	}
+	c.tellPlaces()
 	return true
 }
 
+// tellPlaces tells what was learned of the weight store, when that has changed. The
+// caller holds the mutex.
+func (c *Coordinator) tellPlaces() {
+	learned := c.plan.Places()
+	if learned.Places == c.places {
+		return
+	}
+	fence, _ := c.lease.Holds(time.Now())
+	c.opt.Log.Info(decisions.EventStorePlaces, "service", c.opt.Service, "places", learned.Places, "before", c.places)
+	c.places = learned.Places
+	go c.opt.PlacesLearned(c.opt.Service, fence, learned.Places)
+}
+
 func (c *Coordinator) stepLease(ctx context.Context, now time.Time) {
 	c.lease.Step(now, lease.Candidate{Yes: c.opt.Candidate(c.opt.Service, c.wasHolder())})
 	r := c.lease.Ready(now)
@@ -240,6 +259,10 @@
 	if held && fence > 1 && c.former != c.opt.Self {
 		from = now.Add(c.opt.OrderGap + orderSlack)
 	}
+	if held {
+		c.places = c.opt.Places(c.opt.Service)
+		c.plan.SetPlaces(c.places)
+	}
 	c.plan.Lease(now, held, fence, from)
 	c.opt.Log.Info(decisions.EventLease, "service", c.opt.Service, "held", held, "fence", fence, "former", c.former, "orders_in_ms", from.Sub(now).Milliseconds())
 	go c.opt.Held(c.opt.Service, fence, held)
--- a/driver/coordinator/coordinator_test.go
+++ b/driver/coordinator/coordinator_test.go
@@ -72,7 +72,7 @@
 	log := decisions.New(io.Discard, "test", hclog.Off)
 	c := New(Options{
 		Service: "llm", Self: self, Lease: f, Engines: noEngines{}, OrderGap: orderGap, Planner: residency.Options{StoreAtOnce: 1},
-		Candidate: func(_ string, former bool) bool { return candidate || former }, Held: func(string, uint64, bool) {}, Log: log, Metrics: tally.NoopScope,
+		Candidate: func(_ string, former bool) bool { return candidate || former }, Held: func(string, uint64, bool) {}, Places: func(string) int { return 0 }, PlacesLearned: func(string, uint64, int) {}, Log: log, Metrics: tally.NoopScope,
 	})
 	go c.Run(ctx)
 	t.Cleanup(func() {
--- a/driver/decisions/log.go
+++ b/driver/decisions/log.go
@@ -24,6 +24,7 @@
 	EventDesiredRejected  = "desired state rejected"
 	EventEndpoints        = "endpoints changed"
 	EventEndpointRejected = "endpoint entry rejected"
+	EventStorePlaces      = "store places learned"
 	EventEndpointReborn   = "endpoint started again"
 	EventStoreRole        = "role towards the store changed"
 	EventLateAnswer       = "answer came late"
--- a/driver/leaserelay/leaserelay_test.go
+++ b/driver/leaserelay/leaserelay_test.go
@@ -202,7 +202,7 @@
 				var changes atomic.Int64
 				c := coordinator.New(coordinator.Options{
 					Service: "llm", Self: "a", Lease: r, Engines: noEngines{}, OrderGap: 3 * time.Second, Planner: residency.Options{StoreAtOnce: 1},
-					Candidate: func(string, bool) bool { return true }, Held: func(string, uint64, bool) { changes.Add(1) },
+					Candidate: func(string, bool) bool { return true }, Held: func(string, uint64, bool) { changes.Add(1) }, Places: func(string) int { return 0 }, PlacesLearned: func(string, uint64, int) {},
 					Log: r.log, Metrics: tally.NoopScope,
 				})
 				ctx, cancel := context.WithCancel(t.Context())
