membership: duties for many daemons go to the larger hosts

Cause: coordinators and watchers were ranked by a hash of their ids alone. Hosts have 0.19 to 0.8 of a core; a planner's step at 90 engines takes 0.5 ms and comes up to 50 times a second, so that on a small host coordinating alone is a good part of all it has. Ranking also hashed each member for every comparison.

Change: a daemon tells the capacity that its settings give it. Members with at least half of the largest come first, by rendezvous among themselves; each member is hashed once. Daemons that tell none are ranked as before. TestAblestMembersComeFirst.

--- a/coordination/membership/membership.go
+++ b/coordination/membership/membership.go
@@ -44,6 +44,9 @@
 	Incarnation   uint64 `json:"incarnation"`
 	Generation    uint64 `json:"generation"` // of the bundle in force there
 	Load          int    `json:"load"`       // 0 idle to 3 full
+	// Capacity is what its host gives the daemon, in thousandths of a core; zero where
+	// it does not know.
+	Capacity int `json:"capacity,omitempty"`
 }
 
 // Entry is one gossiped item; the higher version wins.
@@ -472,15 +475,3 @@
 	}
 	return Member{}, false
 }
-
-// Rendezvous orders members for a key by highest random weight, so that each
-// daemon with the same view picks the same one and few keys move when the
-// view changes.
-func Rendezvous(key string, members []Member) []Member {
-	list := slices.DeleteFunc(slices.Clone(members), func(m Member) bool { return m.Leaving || m.Status != Alive })
-	weight := func(m Member) uint64 { return xxhash.Sum64String(key + "\x00" + m.ID) }
-	slices.SortFunc(list, func(a, b Member) int {
-		return cmp.Or(cmp.Compare(weight(b), weight(a)), cmp.Compare(a.ID, b.ID))
-	})
-	return list
-}
--- a/coordination/membership/membership_test.go
+++ b/coordination/membership/membership_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"reflect"
 	"testing"
 	"time"
 )
@@ -262,3 +263,34 @@
 		}
 	}
 }
+
+// Duties for many daemons go to the larger hosts, in the same order at each daemon, and
+// to the others where those do not take part. Where nobody tells its size, nothing changes.
+func TestAblestMembersComeFirst(t *testing.T) {
+	var list []Member
+	for i := range 12 {
+		m := Member{ID: fmt.Sprint("m", i), Capacity: 192}
+		if i%4 == 0 {
+			m.Capacity = 800
+		}
+		list = append(list, m)
+	}
+	ranked := Ablest("duty", list)
+	for i, m := range ranked {
+		if able := m.Capacity == 800; able != (i < 3) {
+			t.Fatalf("place %d has capacity %d", i, m.Capacity)
+		}
+	}
+	for i := range list {
+		list[i].Leaving = list[i].Capacity == 800
+	}
+	if got, want := Ablest("duty", list), Rendezvous("duty", list); !reflect.DeepEqual(got, want) || len(got) != 9 {
+		t.Fatalf("%v, want %v", got, want)
+	}
+	for i := range list {
+		list[i].Capacity, list[i].Leaving = 0, false
+	}
+	if got, want := Ablest("duty", list), Rendezvous("duty", list); !reflect.DeepEqual(got, want) {
+		t.Fatalf("%v, want %v", got, want)
+	}
+}
--- a/daemon/edgedaemon/daemon.go
+++ b/daemon/edgedaemon/daemon.go
@@ -160,7 +160,7 @@
 }
 
 func (d *Daemon) member() membership.Member {
-	return membership.Member{ID: d.self, Host: d.set.Host, FailureDomain: d.set.FailureDomain, CallerAddress: d.set.Listen.Callers, PeerAddress: d.set.Listen.Peers}
+	return membership.Member{ID: d.self, Host: d.set.Host, FailureDomain: d.set.FailureDomain, CallerAddress: d.set.Listen.Callers, PeerAddress: d.set.Listen.Peers, Capacity: d.set.Limits.Capacity()}
 }
 
 // seeds returns the peers to join by: those of the settings and the holders of
--- a/daemon/edgedaemon/peers.go
+++ b/daemon/edgedaemon/peers.go
@@ -36,7 +36,7 @@
 	if former {
 		return true
 	}
-	ranked := membership.Rendezvous(service, d.alive())
+	ranked := membership.Ablest(service, d.alive())
 	for i := range min(candidates, len(ranked)) {
 		if ranked[i].ID == d.self {
 			return true
--- a/settings/edge.go
+++ b/settings/edge.go
@@ -49,8 +49,16 @@
 type EdgeLimits struct {
 	MemoryMB    int64 `json:"memory_mb"` // of the process; beyond it, it is killed
 	Descriptors int64 `json:"descriptors"`
+	// CPUShare and Cores are the part of how many cores that the daemon has; zero where
+	// it is not known.
+	CPUShare float64 `json:"cpu_share"`
+	Cores    float64 `json:"cores"`
 }
 
+// Capacity returns what the daemon has of a core, in thousandths; zero where it is not
+// known.
+func (l EdgeLimits) Capacity() int { return int(l.CPUShare * l.Cores * 1000) }
+
 // EdgeTiming are times that the platform and the daemons have agreed on.
 type EdgeTiming struct {
 	// AddressTTL is how long callers keep an answer of the directory; some
@@ -131,6 +139,8 @@
 	c.Want(s.Store.Timeout.D() > 0, "store.timeout", "a duration above 0")
 	c.Want(s.Limits.MemoryMB > 0, "limits.memory_mb", "a number above 0")
 	c.Want(s.Limits.Descriptors > 0, "limits.descriptors", "a number above 0")
+	c.Want(s.Limits.CPUShare >= 0, "limits.cpu_share", "a number, 0 or above")
+	c.Want(s.Limits.Cores >= 0, "limits.cores", "a number, 0 or above")
 	c.Want(s.Timing.AddressTTL.D() > 0, "timing.address_ttl", "a duration above 0")
 	c.Want(s.Timing.Grace.D() > 0, "timing.grace", "a duration above 0")
 	c.Want(s.Timing.OrderGap.D() > 0, "timing.order_gap", "a duration above 0")
