--- a/coordination/membership/membership_test.go
+++ b/coordination/membership/membership_test.go
@@ -269,7 +269,7 @@
 func TestAblestMembersComeFirst(t *testing.T) {
 	var list []Member
 	for i := range 12 {
-		m := Member{ID: fmt.Sprint("m", i), Capacity: 192}
+		m := Member{ID: fmt.Sprint("m", i), Status: Alive, Capacity: 192}
 		if i%4 == 0 {
 			m.Capacity = 800
 		}
