residency: the order after an unload waits for as long as unloads were seen to take

Cause: no report tells when an unload is done.

Change: the first order after an unload tells whether it came too soon. The wait grows by 19 ms with each refusal and shrinks by 1 ms with each acceptance, so that one in twenty is refused.

--- a/coordination/residency/engine_test.go
+++ b/coordination/residency/engine_test.go
@@ -16,6 +16,8 @@
 	models   map[string][]string // loaded, with adapters
 	onDisk   map[string]bool
 	busy     bool
+	// unloadTime is how long an unload takes where nothing runs; zero: 10 ms.
+	unloadTime time.Duration
 	// fromStore says that the order in progress is a load from the store.
 	fromStore bool
 	doneAt    time.Time
@@ -155,7 +157,7 @@
 	e.sequence++
 	e.busy, e.during = true, o
 	if o.Unload {
-		e.doneAt = maxTime(now.Add(10*time.Millisecond), e.runsEnd)
+		e.doneAt = maxTime(now.Add(max(e.unloadTime, 10*time.Millisecond)), e.runsEnd)
 		return Accepted
 	}
 	if e.memory()+e.conf.Models[o.Model].SizeMB > e.conf.MemoryMB {
--- a/coordination/residency/load_test.go
+++ b/coordination/residency/load_test.go
@@ -6,6 +6,29 @@
 	"time"
 )
 
+// Load: models come and go at full engines, each swap an unload and a load. An engine that
+// is still unloading refuses the next order, and nothing else tells when it is done: with
+// orders as soon as the unload was accepted, half of the loads were refused once.
+func TestSwapsWaitForTheUnload(t *testing.T) {
+	for _, takes := range []time.Duration{10 * time.Millisecond, 70 * time.Millisecond, 150 * time.Millisecond} {
+		w := newWorld(12, 2)
+		for _, e := range w.engines {
+			e.unloadTime = takes
+			for i := range 12 {
+				e.onDisk[fmt.Sprintf("m%02d", i)] = true
+			}
+		}
+		w.refused = 0
+		for i := range 400 {
+			w.p.Want(w.now, Want{Model: fmt.Sprintf("m%02d", i%12)})
+			w.run(400 * time.Millisecond)
+		}
+		if part := float64(w.refused) / float64(w.orders); part > 0.05 {
+			t.Errorf("unloads of %v: %.3f of %d orders were refused, want at most 0.05", takes, part, w.orders)
+		}
+	}
+}
+
 // Load: many rare models are asked for at once. Every place of every engine is
 // in use by a single short request, so that nothing can make way at this
 // moment, and each model has one copy near. A load from the weight store would
--- a/coordination/residency/outcome.go
+++ b/coordination/residency/outcome.go
@@ -16,6 +16,7 @@
 	if o.order.Unload {
 		delete(w.models, o.order.Model)
 		w.unloaded[o.order.Model] = now
+		w.notTo, w.afterUnload = maxTime(w.notTo, now.Add(p.unloadTakes)), true
 		return
 	}
 	delete(w.unloaded, o.order.Model)
@@ -55,6 +56,7 @@
 	if w.order == nil || w.order.order != order {
 		return
 	}
+	p.learnUnload(w, outcome)
 	switch outcome {
 	case Accepted:
 		if w.order.order.Adapter != "" && w.order.order.Unload {
@@ -89,6 +91,32 @@
 	}
 }
 
+const (
+	// unloadMost bounds how long an engine is taken to carry out an unload of a model that
+	// nothing runs on. It is learned from nothing: no report tells when an unload is done,
+	// only the answer to the next order.
+	unloadMost = 400 * time.Millisecond
+	// unloadStep moves the estimate, and unloadRefused is the part of the orders after an
+	// unload that may find it not done: each costs a call and the pause after it.
+	unloadStep    = 20 * time.Millisecond
+	unloadRefused = 0.05
+)
+
+// learnUnload learns from the first order after an unload whether it came too soon.
+func (p *Planner) learnUnload(w *worker, outcome Outcome) {
+	if !w.afterUnload {
+		return
+	}
+	w.afterUnload = false
+	switch outcome {
+	case Busy:
+		p.unloadTakes += time.Duration(float64(unloadStep) * (1 - unloadRefused))
+	case Accepted:
+		p.unloadTakes -= time.Duration(float64(unloadStep) * unloadRefused)
+	}
+	p.unloadTakes = min(unloadMost, max(0, p.unloadTakes))
+}
+
 // adapterLeaves records an accepted unload of an adapter that requests still
 // use: its slot is free when a report does not name it any more.
 func (p *Planner) adapterLeaves(now time.Time, w *worker) {
--- a/coordination/residency/planner.go
+++ b/coordination/residency/planner.go
@@ -70,6 +70,8 @@
 	running  int         // requests that daemons say run here, as of the last step
 	named    []time.Time // when requests were sent here by an answer that daemons have not told of yet
 	late     []lateOrder
+	// afterUnload says that no order has been answered since the last unload.
+	afterUnload bool
 	// unknownLate says that a former coordinator may have sent an order to an earlier
 	// life of the engine, which is not known here and may still be carried out.
 	unknownLate bool
@@ -118,7 +120,9 @@
 	sorted     []*worker   // by id, so that decisions repeat
 	draft      draft       // of the last step
 	places     StorePlaces // of the weight store
-	watchedAt  time.Time   // when its loads were looked at last
+	// unloadTakes is how long engines take to carry out an unload, as was learned.
+	unloadTakes time.Duration
+	watchedAt   time.Time // when its loads were looked at last
 }
 
 // New returns a planner that knows nothing.
--- a/coordination/residency/planner_test.go
+++ b/coordination/residency/planner_test.go
@@ -38,8 +38,9 @@
 	// beforeStep is called before each step; nil: nothing is.
 	beforeStep func(step time.Duration)
 	// silent decides whether an engine gives no report; nil: it always does.
-	silent func() bool
-	orders int
+	silent  func() bool
+	orders  int
+	refused int // orders that found an engine busy
 	// accepted is told of each order that an engine accepts; nil: nobody.
 	accepted func(Order)
 }
@@ -131,6 +132,9 @@
 	for _, o := range r.Orders {
 		w.orders++
 		outcome := w.send(o)
+		if outcome == Busy {
+			w.refused++
+		}
 		if w.accepted != nil && outcome == Accepted {
 			w.accepted(o)
 		}
