--- a/driver/storeview/follow.go
+++ b/driver/storeview/follow.go
@@ -155,19 +155,15 @@
 	if err != nil {
 		return err
 	}
-	v.mu.Lock()
-	now := time.Now()
-	v.noteOutage(now)
-	fresh := v.takeUnusable(unusable, revision)
-	v.forgetUnusable(unusable)
-	kept := v.registry.List(now, list, revision, v.outage.GraceUntil())
-	v.endpoints.Listed(asked, now, revision)
-	c := v.refresh()
-	v.tell()
-	v.mu.Unlock()
+	var fresh []discovery.Unusable
+	v.takeIn("store", func(now time.Time) (kept []string) {
+		v.noteOutage(now)
+		fresh = v.takeUnusable(unusable, revision)
+		v.forgetUnusable(unusable)
+		v.endpoints.Listed(asked, now, revision)
+		return v.registry.List(now, list, revision, v.outage.GraceUntil())
+	})
 	v.logUnusable(fresh)
-	v.logKept(kept)
-	v.announce(c, "store")
 	return nil
 }
 
@@ -184,30 +180,34 @@
 	if err != nil {
 		return err
 	}
-	v.mu.Lock()
-	now := time.Now()
-	until := v.outage.GraceUntil() // a watch follows a list, which has ended an outage
-	var kept []string
 	var fresh []discovery.Unusable
+	v.takeIn("store", func(now time.Time) (kept []string) {
+		kept, fresh = v.takeChanges(now, changes)
+		v.endpoints.Watched(asked, now, wait, revision, len(changes) > 0)
+		return kept
+	})
+	v.logUnusable(fresh)
+	return nil
+}
+
+// takeChanges brings what a watch has told into the registry, and returns the entries that
+// are kept though the store does not have them and those that are news as unusable; the
+// caller holds the mutex.
+func (v *View) takeChanges(now time.Time, changes []discovery.Change) (kept []string, fresh []discovery.Unusable) {
+	until := v.outage.GraceUntil() // a watch follows a list, which has ended an outage
 	for _, c := range changes {
-		delete(v.unusable, c.ID)
 		switch {
 		case c.Removed:
+			delete(v.unusable, c.ID)
 			kept = append(kept, v.registry.Remove(now, c.ID, c.Revision, until)...)
 		case c.Unusable != nil:
 			fresh = append(fresh, v.takeUnusable([]discovery.Unusable{*c.Unusable}, c.Revision)...)
 		default:
+			delete(v.unusable, c.ID)
 			v.registry.Put(c.Endpoint, c.Revision)
 		}
 	}
-	v.endpoints.Watched(asked, now, wait, revision, len(changes) > 0)
-	c := v.refresh()
-	v.tell()
-	v.mu.Unlock()
-	v.logUnusable(fresh)
-	v.logKept(kept)
-	v.announce(c, "store")
-	return nil
+	return kept, fresh
 }
 
 // logKept logs entries that the store does not have and that are kept, because
--- a/driver/storeview/relay.go
+++ b/driver/storeview/relay.go
@@ -157,8 +157,13 @@
 			return err
 		}
 	}
-	v.mu.Lock()
-	now := time.Now()
+	v.takeIn("peer", func(now time.Time) []string { return v.takeFrom(now, peer, resp, seen) })
+	return nil
+}
+
+// takeFrom adopts another daemon's endpoints and the place in its changes; the caller holds
+// the mutex.
+func (v *View) takeFrom(now time.Time, peer fleetpb.Fleet, resp *fleetpb.FollowResponse, seen relay.Seen) (kept []string) {
 	if now.Sub(seen[relay.Endpoints]) < v.part(stalePart) {
 		v.noteOutage(now)
 	}
@@ -175,12 +180,7 @@
 		v.catchUpSoon()
 	}
 	v.source.Heard(now, seen, taken)
-	c := v.refresh()
-	v.tell()
-	v.mu.Unlock()
-	v.logKept(kept)
-	v.announce(c, "peer")
-	return nil
+	return kept
 }
 
 // takeEndpoints adopts another daemon's endpoints, the caller holds the mutex. What
--- a/driver/storeview/storeview.go
+++ b/driver/storeview/storeview.go
@@ -173,10 +173,22 @@
 	}
 	v.view.Store(next)
 	v.changes.Record(old, next)
-	v.tell()
 	return viewChange{old, next}
 }
 
+// takeIn lets take bring what is newer into the registry, makes it visible, and tells
+// those that wait for it. take is called with the mutex held, and returns the entries
+// that are kept though the store does not have them.
+func (v *View) takeIn(from string, take func(now time.Time) (kept []string)) {
+	v.mu.Lock()
+	kept := take(time.Now())
+	c := v.refresh()
+	v.tell()
+	v.mu.Unlock()
+	v.logKept(kept)
+	v.announce(c, from)
+}
+
 // announce logs a change of the view and tells the rest of the daemon.
 func (v *View) announce(c viewChange, from string) {
 	if c.old == c.next {
@@ -191,6 +203,9 @@
 func (v *View) publish(from string) {
 	v.mu.Lock()
 	c := v.refresh()
+	if c.old != c.next {
+		v.tell()
+	}
 	v.mu.Unlock()
 	v.announce(c, from)
 }
