--- a/driver/storeview/bound_test.go
+++ b/driver/storeview/bound_test.go
@@ -97,6 +97,7 @@
 	store   *fakeStore
 	members []*member
 	version uint64
+	lives   bool // endpoints start again and entries are spoiled
 
 	mu  sync.Mutex
 	log []string // of the harms
@@ -165,6 +166,9 @@
 // change writes a change and returns whether it is in force at a member.
 func (f *randomFleet) change(i int) (what string, inForce func(v *View) bool) {
 	id := fmt.Sprint("e", i)
+	if f.lives && f.rng.IntN(2) == 0 {
+		return f.changeLife(id)
+	}
 	switch f.rng.IntN(3) {
 	case 0:
 		f.version++
@@ -172,7 +176,7 @@
 		f.store.setConfig(version)
 		return fmt.Sprint("version ", version), func(v *View) bool { return v.Table().Version >= version }
 	case 1:
-		f.store.setEndpoint(fleet.Endpoint{ID: id, Service: "llm", Leaving: true})
+		f.store.setEndpoint(f.endpoint(id, firstLife, true))
 		return id + " leaving", func(v *View) bool { return !v.takes(id) }
 	default:
 		f.store.remove(id)
@@ -180,35 +184,78 @@
 	}
 }
 
+// firstLife and nextLife are the starts of endpoints under one id.
+const firstLife, nextLife = 1000, 2000
+
+// endpoint returns an entry of an endpoint; platforms that know no lives tell no start.
+func (f *randomFleet) endpoint(id string, born int64, leaving bool) fleet.Endpoint {
+	e := fleet.Endpoint{ID: id, Service: "llm", Leaving: leaving}
+	if f.lives {
+		e.Born = born
+	}
+	return e
+}
+
+// changeLife starts an endpoint again under its id, or spoils its entry.
+func (f *randomFleet) changeLife(id string) (what string, inForce func(v *View) bool) {
+	if f.rng.IntN(2) == 0 {
+		f.store.spoil(id)
+		return id + " spoiled", func(v *View) bool { return !v.takes(id) }
+	}
+	f.store.setEndpoint(f.endpoint(id, firstLife, true))
+	f.store.setEndpoint(f.endpoint(id, nextLife, false))
+	if f.rng.IntN(2) == 0 {
+		f.store.setEndpoint(f.endpoint(id, firstLife, true)) // a write that was carried out late
+		f.store.setEndpoint(f.endpoint(id, nextLife, false))
+	}
+	return id + " started again", func(v *View) bool {
+		e := v.Endpoints().ByID[id]
+		return e != nil && e.Born == nextLife && !e.Leaving
+	}
+}
+
 // Whatever happens to the others, in series and overlapping, a daemon whose own way to
 // the store is sound has each change in force within the bound.
 func TestBoundHoldsUnderRandomHarms(t *testing.T) {
-	const changes = 40
 	seeds := slices.Clone(boundRegressions)
 	for i := range *boundRuns {
 		seeds = append(seeds, *boundSeed+i)
 	}
 	for _, seed := range seeds {
-		inBubble(t, func(b *bubble) {
-			f := newRandomFleet(b, seed)
-			for i := range changes {
-				f.store.setEndpoint(fleet.Endpoint{ID: fmt.Sprint("e", i), Service: "llm"})
-			}
-			time.Sleep(calmBefore + 2*time.Second)
-			go f.harmSome()
-			for i := range changes {
-				time.Sleep(time.Duration(f.rng.IntN(1500)) * time.Millisecond)
-				asked := f.sound()
-				what, inForce := f.change(i)
-				time.Sleep(leaveWithin - boundMargin)
-				still := f.sound()
-				for _, m := range asked {
-					if slices.Contains(still, m) && !inForce(m.peer.view) {
-						t.Errorf("seed %d: %s has no %s, %v after the start; harms: %v", seed, m.name, what, time.Since(testStart), f.lastHarms())
-						return
-					}
+		checkBound(t, seed, false)
+	}
+}
+
+// The same holds where endpoints start again under their ids, and other writers spoil
+// entries: the next life gets requests, and what is spoiled none.
+func TestBoundHoldsForLivesUnderRandomHarms(t *testing.T) {
+	for i := range *boundRuns {
+		checkBound(t, *boundSeed+i, true)
+	}
+}
+
+func checkBound(t *testing.T, seed uint64, lives bool) {
+	const changes = 40
+	inBubble(t, func(b *bubble) {
+		f := newRandomFleet(b, seed)
+		f.lives = lives
+		for i := range changes {
+			f.store.setEndpoint(f.endpoint(fmt.Sprint("e", i), firstLife, false))
+		}
+		time.Sleep(calmBefore + 2*time.Second)
+		go f.harmSome()
+		for i := range changes {
+			time.Sleep(time.Duration(f.rng.IntN(1500)) * time.Millisecond)
+			asked := f.sound()
+			what, inForce := f.change(i)
+			time.Sleep(leaveWithin - boundMargin)
+			still := f.sound()
+			for _, m := range asked {
+				if slices.Contains(still, m) && !inForce(m.peer.view) {
+					t.Errorf("seed %d: %s has no %s, %v after the start; harms: %v", seed, m.name, what, time.Since(testStart), f.lastHarms())
+					return
 				}
 			}
-		})
-	}
+		}
+	})
 }
--- a/driver/storeview/storeview_test.go
+++ b/driver/storeview/storeview_test.go
@@ -31,6 +31,7 @@
 	config   uint64 // version of the desired state, as of configAt
 	configAt uint64
 	list     []*fleet.Endpoint
+	unusable []discovery.Unusable
 	changes  []discovery.Change
 	away     bool
 	silent   int           // watches of earlier numbers hear nothing
@@ -67,7 +68,7 @@
 	defer s.mu.Unlock()
 	s.revision++
 	e.Revision = s.revision
-	s.list = slices.DeleteFunc(s.list, func(o *fleet.Endpoint) bool { return o.ID == e.ID })
+	s.drop(e.ID)
 	s.list = append(s.list, &e)
 	s.changes = append(s.changes, discovery.Change{ID: e.ID, Endpoint: &e, Revision: s.revision})
 	s.tell()
@@ -78,11 +79,29 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision++
-	s.list = slices.DeleteFunc(s.list, func(o *fleet.Endpoint) bool { return o.ID == id })
+	s.drop(id)
 	s.changes = append(s.changes, discovery.Change{ID: id, Removed: true, Revision: s.revision})
 	s.tell()
 }
 
+// drop takes an entry out; the caller holds the mutex.
+func (s *fakeStore) drop(id string) {
+	s.list = slices.DeleteFunc(s.list, func(o *fleet.Endpoint) bool { return o.ID == id })
+	s.unusable = slices.DeleteFunc(s.unusable, func(u discovery.Unusable) bool { return u.ID == id })
+}
+
+// spoil makes an entry name no endpoint to use, as by another writer.
+func (s *fakeStore) spoil(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.drop(id)
+	u := discovery.Unusable{ID: id, Revision: s.revision, Reason: errors.New("no address")}
+	s.unusable = append(s.unusable, u)
+	s.changes = append(s.changes, discovery.Change{ID: id, Unusable: &u, Revision: s.revision})
+	s.tell()
+}
+
 func (s *fakeStore) setConfig(version uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -126,7 +145,7 @@
 	if _, err := s.call(); err != nil {
 		return nil, 0, nil, err
 	}
-	return slices.Clone(s.list), s.revision, nil, nil
+	return slices.Clone(s.list), s.revision, slices.Clone(s.unusable), nil
 }
 
 func (s *fakeStore) ReadDesiredState(context.Context) ([]byte, uint64, error) {
