residency: a freed place is told at once; copies ahead leave a place of the store free

And models that demand had moved to stayed at the nine engines with a copy, 60 to 90% of their answers late for 25 s: the store, which serves one load of 13 s at a time, was busy with copies of models that nobody had asked for.

Change: the end of what a coordinator's answer began is told within 40 ms, all daemons together at most 600 times a second; a model counts as idle from that word, and from its naming only until daemons have told of it. Copies ahead leave one place of the store free. Orders are logged with the level of the copy.

Red first: TestPlaceIsFreeAtOnceAmongManyDaemons.

--- a/coordination/residency/draft.go
+++ b/coordination/residency/draft.go
@@ -167,6 +167,10 @@
 	return min(mostRunTime, max(leastRunTime, time.Duration(float64(running)/rate*float64(time.Second))))
 }
 
+// endedAfter is how long after daemons told last that a model runs it counts as idle: a
+// daemon that has just been served there may send another request without a question.
+const endedAfter = tellLeast + idleMargin
+
 // idleAfter is how long after it was named for a request a model counts as idle,
 // unless daemons say that requests run.
 func (p *Planner) idleAfter() time.Duration { return TellSoon(len(p.demands)) + idleMargin }
--- a/coordination/residency/planner.go
+++ b/coordination/residency/planner.go
@@ -19,6 +19,7 @@
 	// was ordered.
 	confirmed bool
 	lastUse   time.Time
+	lastNamed time.Time // for a request, by an answer
 	keepUntil time.Time // promised to a caller until then
 }
 
--- a/coordination/residency/ready.go
+++ b/coordination/residency/ready.go
@@ -114,7 +114,7 @@
 		return p.send(now, w, Order{Unload: true, Model: victims[0].name}, Resident), true
 	}
 	o := p.send(now, w, Order{Model: model}, w.level(model))
-	r := &replica{adapters: map[string]*adapter{}, readyAt: w.order.endsAt.Add(orderMargin), lastUse: now, keepUntil: w.order.endsAt}
+	r := &replica{adapters: map[string]*adapter{}, readyAt: w.order.endsAt.Add(orderMargin), lastUse: now, lastNamed: now, keepUntil: w.order.endsAt}
 	if urgent {
 		r.keepUntil = now.Add(keepFor(w.order.endsAt.Sub(now)))
 	}
@@ -172,7 +172,7 @@
 
 func (p *Planner) send(now time.Time, w *worker, o Order, level Level) Order {
 	o.Endpoint, o.Address = w.life, w.endpoint.Address
-	o.Expect, o.Holder, o.Fence = w.sequence, p.opt.Holder, p.fence
+	o.Expect, o.Holder, o.Fence, o.Level = w.sequence, p.opt.Holder, p.fence, level
 	end := now
 	if !o.Unload && o.Adapter == "" {
 		end = now.Add(p.loadTime(level, o.Model, p.storeLoads()))
@@ -202,13 +202,16 @@
 }
 
 // copies brings models near that no engine has a copy of, while the store has
-// places free: afterwards they are a disk's load time away.
+// places free: afterwards they are a disk's load time away. One place stays free for
+// what is asked for: a store of few places has none otherwise for the seconds of a load,
+// and the replica of a model that demand has moved to comes as much later.
 func (p *Planner) copies(d *draft) []Order {
+	const keptPlaces = 1
 	now := d.now
 	if now.Sub(p.grownAt) < settleFor || now.Before(p.copiesAt) {
 		return nil
 	}
-	free := p.places.Places - p.storeLoads()
+	free := p.places.Places - keptPlaces - p.storeLoads()
 	for _, s := range p.slots {
 		if s.level == Store {
 			free--
--- /dev/null
+++ b/coordination/residency/tell_test.go
@@ -0,0 +1,87 @@
+package residency
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// A freed place is told of within tellLeast while there are few of them, and all daemons
+// together tell no more of them than a coordinator is to get.
+func TestPaceOfWordsOnDemand(t *testing.T) {
+	for _, c := range []struct {
+		daemons                   int
+		sinceTold                 time.Duration
+		turned, freed, wantWithin time.Duration // after now; negative: did not happen
+	}{
+		{6, time.Second, -1, -1, 400 * time.Millisecond},
+		{6, time.Second, 0, -1, 40 * time.Millisecond},
+		{6, time.Second, -1, 0, 40 * time.Millisecond},
+		{195, time.Second, 0, -1, 650 * time.Millisecond},
+		{195, 400 * time.Millisecond, -1, 0, 40 * time.Millisecond},
+		{195, 100 * time.Millisecond, -1, 0, 225 * time.Millisecond},
+		{375, 0, -1, 0, 625 * time.Millisecond},
+	} {
+		var p Pace
+		p.Told(start, c.daemons)
+		now := start.Add(c.sinceTold)
+		if c.wantWithin == 400*time.Millisecond {
+			now = start
+		}
+		if c.turned >= 0 {
+			p.Turned(now, c.daemons)
+		}
+		if c.freed >= 0 {
+			p.Freed(now, c.daemons)
+		}
+		if got := p.Due().Sub(now); got > c.wantWithin {
+			t.Errorf("%+v: due in %v", c, got)
+		}
+	}
+	var p Pace
+	told := 0
+	for now := start; now.Before(start.Add(10 * time.Second)); now = now.Add(5 * time.Millisecond) {
+		p.Freed(now, 195)
+		if !now.Before(p.Due()) {
+			told++
+			p.Told(now, 195)
+		}
+	}
+	if most := 10 * freedMost / 195; told > most+1 {
+		t.Errorf("one of 195 daemons told %d times in 10 s, want at most %d", told, most)
+	}
+}
+
+// Load: hundreds of daemons and more rare models than places, each asked for by one
+// request of two seconds. The place of a request is free for the next model as soon as
+// its daemon has said so: with the time that all daemons together take to tell as the
+// measure, it stood idle for 0.8 s more, a third of what the request had run.
+func TestPlaceIsFreeAtOnceAmongManyDaemons(t *testing.T) {
+	w := newWorld(4, 1)
+	w.engines[0].onDisk["m03"] = true
+	for i := range 195 {
+		w.p.Demand(w.now, fmt.Sprint("d", i), Demand{})
+	}
+	w.run(time.Second)
+	var d Demand
+	for _, m := range []string{"m00", "m01", "m02"} {
+		w.p.Want(w.now, Want{Model: m})
+	}
+	for range 4 { // two seconds of running, told as often as by 195 daemons
+		for i := range 195 {
+			w.p.Demand(w.now, fmt.Sprint("d", i), Demand{})
+		}
+		d = Demand{Active: map[string]int{}, Running: map[Place]int{}}
+		for _, m := range []string{"m00", "m01", "m02"} {
+			d.Active[m], d.Running[Place{life("e0"), m}] = 1, 1
+		}
+		w.p.Demand(w.now, "d0", d)
+		w.run(TellSoon(195) - 50*time.Millisecond)
+	}
+	w.p.Want(w.now, Want{Model: "m03"})
+	w.p.Demand(w.now, "d0", Demand{})
+	w.run(100 * time.Millisecond)
+	if !w.engines[0].busy || w.engines[0].during.Model != "m03" {
+		t.Fatal("the place is not taken 100 ms after its daemon has told that it is free")
+	}
+}
--- a/coordination/residency/types.go
+++ b/coordination/residency/types.go
@@ -19,6 +19,8 @@
 	Unload   bool
 	Model    string
 	Adapter  string // empty for the model itself
+	// Level is where a load's copy lies; it is only logged.
+	Level Level
 	// Expect is the number of orders that the engine must have accepted
 	// before; the engine refuses the order otherwise, also when it arrives
 	// late.
@@ -247,23 +249,3 @@
 	// confirms is given up on.
 	loadOverdue = 4 * time.Second
 )
-
-// TellEvery is how often a daemon tells a coordinator what runs and waits, when
-// nothing urges it and they are not so many that TellSoon is longer.
-const TellEvery = 400 * time.Millisecond
-
-const (
-	// tellLeast is the least time after which a daemon tells that a model has
-	// begun or ceased to run at an endpoint. What changes meanwhile goes along.
-	tellLeast = 40 * time.Millisecond
-	// tellsMost is the number of such messages a second that a coordinator is to
-	// get from all daemons: each costs it some 0.1 ms of processor time, and a
-	// host may have a fifth of a core.
-	tellsMost = 300
-)
-
-// TellSoon returns how soon each of so many daemons tells that a model has begun
-// or ceased to run at an endpoint.
-func TellSoon(daemons int) time.Duration {
-	return max(tellLeast, time.Duration(daemons)*time.Second/tellsMost)
-}
--- a/coordination/residency/victims.go
+++ b/coordination/residency/victims.go
@@ -91,7 +91,7 @@
 
 // usedFor estimates how long a model will still be used at an engine.
 func (p *Planner) usedFor(d *draft, w *worker, name string, r *replica) time.Duration {
-	t := max(0, r.keepUntil.Sub(d.now), r.readyAt.Sub(d.now), p.idleAfter()-d.now.Sub(r.lastUse))
+	t := max(0, r.keepUntil.Sub(d.now), r.readyAt.Sub(d.now), p.idleAfter()-d.now.Sub(r.lastNamed), endedAfter-d.now.Sub(r.lastUse))
 	if d.active[name] > 0 || d.running[Place{w.life, name}] > 0 {
 		t = max(0, r.readyAt.Sub(d.now)) + max(d.runTime, t)
 	}
--- a/coordination/residency/want.go
+++ b/coordination/residency/want.go
@@ -93,7 +93,7 @@
 		return Answer{}, false
 	}
 	r := best.models[want.Model]
-	r.lastUse = now
+	r.lastUse, r.lastNamed = now, now
 	best.sentTo(now)
 	a := Answer{Endpoint: best.life, Level: Resident, ReadyIn: max(0, r.readyAt.Sub(now))}
 	if want.Avoid.Same(best.life) {
--- a/daemon/edgedaemon/demand.go
+++ b/daemon/edgedaemon/demand.go
@@ -5,30 +5,34 @@
 	"time"
 
 	"github.com/doorvalve/doorvalve/coordination/residency"
-	"github.com/doorvalve/doorvalve/internal/pause"
 	"github.com/doorvalve/doorvalve/protocol/fleetpb"
 	"github.com/doorvalve/doorvalve/state/fleet"
 )
 
 // runDemand tells the coordinators of this daemon's requests, until ctx ends.
 func (d *Daemon) runDemand(ctx context.Context) error {
-	t := time.NewTicker(residency.TellEvery)
-	defer t.Stop()
+	alive := len(d.alive())
+	var pace residency.Pace
+	pace.Told(time.Now(), alive)
+	due := time.NewTimer(0)
+	defer due.Stop()
 	for {
-		alive := len(d.alive())
-		soon := residency.TellSoon(alive)
-		t.Reset(max(residency.TellEvery, soon))
+		due.Reset(time.Until(pace.Due()))
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-t.C:
 		case <-d.callers.DemandTurned():
-			pause.For(ctx, soon)
-		}
-		d.shareRetries(alive)
-		d.balancer.Share(alive)
-		for service, demand := range d.callers.Demand() {
-			d.tellDemand(ctx, service, demand, soon)
+			pace.Turned(time.Now(), alive)
+		case <-d.callers.PlaceFreed():
+			pace.Freed(time.Now(), alive)
+		case <-due.C:
+			alive = len(d.alive())
+			d.shareRetries(alive)
+			d.balancer.Share(alive)
+			for service, demand := range d.callers.Demand() {
+				d.tellDemand(ctx, service, demand, alive)
+			}
+			pace.Told(time.Now(), alive)
 		}
 	}
 }
@@ -44,8 +48,8 @@
 }
 
 // tellDemand tells a service's coordinator of this daemon's requests, and takes its word
-// on those of all. each is how often daemons tell at the least.
-func (d *Daemon) tellDemand(ctx context.Context, service string, demand residency.Demand, each time.Duration) {
+// on those of all. alive is the number of daemons.
+func (d *Daemon) tellDemand(ctx context.Context, service string, demand residency.Demand, alive int) {
 	if len(demand.Active) == 0 && d.lastSent[service] == 0 {
 		return
 	}
@@ -53,7 +57,7 @@
 	mine := d.balancer.Own()
 	if own := d.coordinates(service); own != nil && own.Holds() {
 		own.Demand(d.self, demand)
-		d.toldRunning(service, own.Running(), mine, each)
+		d.toldRunning(service, own.Running(), mine, alive)
 		return
 	}
 	address := d.holder(service)
@@ -79,7 +83,7 @@
 		d.log.Debug("demand not told", "service", service, "holder", address, "error", err)
 		return
 	}
-	d.toldRunning(service, d.lists.running(d.view.Endpoints().ByService[service], resp), mine, each)
+	d.toldRunning(service, d.lists.running(d.view.Endpoints().ByService[service], resp), mine, alive)
 }
 
 func runningAt(place residency.Place, requests int, first residency.FirstEvents) *fleetpb.Running {
--- a/daemon/edgedaemon/running.go
+++ b/daemon/edgedaemon/running.go
@@ -88,8 +88,8 @@
 
 // toldRunning takes what runs at the endpoints of a service, with mine of it by this
 // daemon. What the others have told is half as old as the time between two of their
-// words, on average.
-func (d *Daemon) toldRunning(service string, list []residency.Running, mine balance.Running, each time.Duration) {
+// words, on average; alive is their number.
+func (d *Daemon) toldRunning(service string, list []residency.Running, mine balance.Running, alive int) {
 	if list == nil {
 		return
 	}
@@ -97,5 +97,6 @@
 	for _, r := range list {
 		all[r.Endpoint] = r.Requests
 	}
+	each := max(residency.TellEvery, residency.TellSoon(alive))
 	d.balancer.Told(service, time.Now().Add(-each/2), all, mine)
 }
--- a/driver/coordinator/coordinator.go
+++ b/driver/coordinator/coordinator.go
@@ -307,7 +307,7 @@
 		outcome, err = c.opt.Engines.Order(ctx, o)
 	}
 	c.opt.Metrics.Tagged(map[string]string{"outcome": outcome.String()}).SubScope("coordinator").Counter("orders_total").Inc(1)
-	c.opt.Log.Info(decisions.EventOrder, "endpoint", o.Endpoint.ID, "born", o.Endpoint.Born, "unload", o.Unload, "model", o.Model, "adapter", o.Adapter, "expect", o.Expect,
+	c.opt.Log.Info(decisions.EventOrder, "endpoint", o.Endpoint.ID, "born", o.Endpoint.Born, "unload", o.Unload, "model", o.Model, "adapter", o.Adapter, "level", o.Level.String(), "expect", o.Expect,
 		"fence", o.Fence, "outcome", outcome.String(), "ms", time.Since(started).Milliseconds(), "error", err)
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/transport/edge/demand.go
+++ b/transport/edge/demand.go
@@ -54,8 +54,11 @@
 		place := residency.Place{Endpoint: endpoint, Model: q.call.Model}
 		before := d.Running[place]
 		add(d.Running, place, n)
-		if before == 0 || before+n == 0 {
-			s.demandTurned()
+		switch {
+		case before+n == 0 && q.named:
+			signal(s.freed)
+		case before == 0 || before+n == 0:
+			signal(s.turned)
 		}
 		if q.call.Adapter != "" {
 			add(d.Running, residency.Place{Endpoint: endpoint, Model: q.unit()}, n)
@@ -63,18 +66,21 @@
 	})
 }
 
-// demandTurned says that a model has begun or ceased to run at an endpoint.
-func (s *Server) demandTurned() {
+// signal wakes who waits for a channel, once.
+func signal(c chan struct{}) {
 	select {
-	case s.turned <- struct{}{}:
+	case c <- struct{}{}:
 	default:
 	}
 }
 
-// DemandTurned receives when a model has begun or ceased to run at an endpoint:
-// the coordinator may put another in its place at once.
+// DemandTurned receives when a model has begun or ceased to run at an endpoint.
 func (s *Server) DemandTurned() <-chan struct{} { return s.turned }
 
+// PlaceFreed receives when a model has ceased to run at an endpoint that the coordinator
+// had named for it: it may put another in its place at once.
+func (s *Server) PlaceFreed() <-chan struct{} { return s.freed }
+
 func (s *Server) countDemand(q *request, change func(residency.Demand)) {
 	if q.call.Model == "" {
 		return
--- a/transport/edge/locate.go
+++ b/transport/edge/locate.go
@@ -36,6 +36,7 @@
 		avoid = exclude[len(exclude)-1]
 	}
 	for {
+		q.named = false
 		if e := s.locateKnown(q, exclude); e != nil {
 			return e, nil
 		}
@@ -55,6 +56,7 @@
 		if ans.Refused == "" && ans.ReadyIn <= 0 {
 			if e := s.opt.View().Of(ans.Endpoint); e != nil && !e.Leaving {
 				s.opt.Balancer.Present(e.Life(), q.unit())
+				q.named = true
 				return e, nil
 			}
 			ans.ReadyIn = loadingPause // the list does not name it yet, or not any more
--- a/transport/edge/server.go
+++ b/transport/edge/server.go
@@ -68,6 +68,7 @@
 	mu      sync.Mutex
 	demand  map[string]residency.Demand // by service
 	turned  chan struct{}
+	freed   chan struct{}
 	margins *waiting.Margins
 }
 
@@ -80,7 +81,7 @@
 func New(opt Options) *Server {
 	m := opt.Metrics.SubScope("caller")
 	buckets := tally.MustMakeExponentialDurationBuckets(5*time.Millisecond, 2, 14)
-	return &Server{opt: opt, client: newClient(), demand: map[string]residency.Demand{}, turned: make(chan struct{}, 1), margins: waiting.NewMargins(), metrics: metrics{
+	return &Server{opt: opt, client: newClient(), demand: map[string]residency.Demand{}, turned: make(chan struct{}, 1), freed: make(chan struct{}, 1), margins: waiting.NewMargins(), metrics: metrics{
 		answered: m.Counter("requests_answered_total"), refused: m.Counter("requests_refused_total"),
 		failed: m.Counter("requests_failed_total"), retried: m.Counter("attempts_retried_total"),
 		resumed: m.Counter("streams_resumed_total"), gone: m.Counter("callers_gone_total"),
@@ -118,6 +119,7 @@
 	deadline time.Time
 	version  uint64 // of the desired state that it is served by
 	waited   time.Duration
+	named    bool // the coordinator named the endpoint
 }
 
 func (q *request) unit() string {
