--- a/coordination/balance/told.go
+++ b/coordination/balance/told.go
@@ -57,10 +57,10 @@
 // milliseconds old. All daemons are told about the same, so that each taking the
 // endpoint that looked emptiest would fill it beyond the others before they are told
 // again. Each therefore assumes that the requests which go out meanwhile fill the
-// endpoints up to one level, and goes to each with the probability of its part of that
-// water: to the emptiest alone where few requests come, to all alike where many do.
+// endpoints up to one level (water-filling), and goes to each with the probability of its
+// part of them: to the emptiest alone where few requests come, to all alike where many do.
 func (b *Balancer) pickTold(now time.Time, s *service, usable []*fleet.Endpoint, q Query) *fleet.Endpoint {
-	basins := make([]basin, len(usable))
+	options := make([]option, len(usable))
 	running := 0
 	for i, e := range usable {
 		l := b.load(e.Life())
@@ -72,11 +72,11 @@
 		if l.running+l.others >= slots(e) {
 			level += fullCost
 		}
-		basins[i] = basin{level: level, width: float64(slots(e)), endpoint: e}
+		options[i] = option{level: level, slots: float64(slots(e)), endpoint: e}
 	}
 	// By Little's law: so many begin a second as run, over how long they run.
 	unseen := now.Sub(s.toldAt).Seconds() * float64(running) / s.runTime.Seconds()
-	return fill(basins, 1+unseen, b.rng.Float64())
+	return waterFill(options, 1+unseen, b.rng.Float64())
 }
 
 // crowdedAt is the part of an endpoint's slots from which it counts as crowded: with what
@@ -98,33 +98,34 @@
 	})
 }
 
-// basin is an endpoint as a vessel: how full it is, and its slots.
-type basin struct {
-	level, width float64
-	endpoint     *fleet.Endpoint
+// option is an endpoint that a request may go to.
+type option struct {
+	level    float64 // of its slots that are taken, with what else counts against it
+	slots    float64
+	endpoint *fleet.Endpoint
 }
 
-// fill pours so many requests into the basins and returns the endpoint of the one at a
-// part of the water, from 0 to 1.
-func fill(basins []basin, water, part float64) *fleet.Endpoint {
-	slices.SortFunc(basins, func(a, b basin) int { return cmp.Compare(a.level, b.level) })
-	// The lowest n basins fill up to one level, if that is below the next one.
-	width, volume, level := 0.0, 0.0, 0.0
-	for i, b := range basins {
-		width += b.width
-		volume += b.width * b.level
-		level = (water + volume) / width
-		if i+1 == len(basins) || level <= basins[i+1].level {
+// waterFill sends so many requests to the options, always to the lowest level, and returns
+// the endpoint of the one at a part of them, from 0 to 1.
+func waterFill(options []option, requests, part float64) *fleet.Endpoint {
+	slices.SortFunc(options, func(a, b option) int { return cmp.Compare(a.level, b.level) })
+	// The lowest of them fill up to one level, if that is below the next one.
+	slots, taken, level := 0.0, 0.0, 0.0
+	for i, o := range options {
+		slots += o.slots
+		taken += o.slots * o.level
+		level = (requests + taken) / slots
+		if i+1 == len(options) || level <= options[i+1].level {
 			break
 		}
 	}
-	at := part * water
-	for _, b := range basins {
-		if at -= b.width * (level - b.level); at < 0 {
-			return b.endpoint
+	at := part * requests
+	for _, o := range options {
+		if at -= o.slots * (level - o.level); at < 0 {
+			return o.endpoint
 		}
 	}
-	return basins[0].endpoint
+	return options[0].endpoint
 }
 
 // affinityRank orders endpoints for the shared part of a prompt, from 0: each part has
--- a/coordination/residency/rare_test.go
+++ b/coordination/residency/rare_test.go
@@ -24,9 +24,9 @@
 	waits    []time.Duration
 	left     int // requests whose caller has left before
 	askedFor int
-	// single holds when each slot of an engine is free, where engines queue what they
+	// slotFreeAt holds when each slot of an engine is free, where engines queue what they
 	// cannot begin; nil: they begin all at once.
-	single     map[string][]time.Time
+	slotFreeAt map[string][]time.Time
 	refuses    bool // requests that would begin late at a full engine
 	turnedAway int
 }
@@ -186,7 +186,7 @@
 	r.place = Place{a.Endpoint, r.model}
 	begins := l.now
 	run := time.Duration(float64(rareRun) * math.Exp(0.6*l.rng.NormFloat64()-0.18))
-	if l.single != nil {
+	if l.slotFreeAt != nil {
 		if l.refuses && a.StartsIn > 150*time.Millisecond {
 			l.turnedAway++
 			drop(r.daemon.demand.Active, r.model)
@@ -204,10 +204,10 @@
 
 // slot takes the slot of an engine that is free first, and returns when.
 func (l *rareLoad) slot(id string, run time.Duration) time.Time {
-	slots := l.single[id]
+	slots := l.slotFreeAt[id]
 	if slots == nil {
 		slots = make([]time.Time, 12)
-		l.single[id] = slots
+		l.slotFreeAt[id] = slots
 	}
 	first := 0
 	for i := range slots {
@@ -289,7 +289,7 @@
 			e.publish()
 		}
 		w.takeOver()
-		l := &rareLoad{world: w, rng: rand.New(rand.NewPCG(3, 3)), models: 1, rate: 54, single: map[string][]time.Time{}, refuses: refuses}
+		l := &rareLoad{world: w, rng: rand.New(rand.NewPCG(3, 3)), models: 1, rate: 54, slotFreeAt: map[string][]time.Time{}, refuses: refuses}
 		for i := range 195 {
 			d := &rareDaemon{name: fmt.Sprint("d", i), demand: Demand{Active: map[string]int{}, Running: map[Place]int{}}}
 			d.pace.Told(l.now.Add(time.Duration(l.rng.IntN(650))*time.Millisecond), 195)
