residency: a place is kept free only where an engine may have started again since an order

Cause, by reading: a new coordinator kept a model's memory free for 15 s at each engine that had started in the last 30 s, also at those that had never been ordered anything by anybody before it. A takeover in the first seconds of a deployment so took one place of three from all.

Change: only engines that started within the time that an order may be on its way, and that hold no more than they were ordered to load: who starts again begins empty. Red first: TestPlacesAreKeptFreeOnlyAfterARestart.

--- a/coordination/residency/lives.go
+++ b/coordination/residency/lives.go
@@ -54,14 +54,18 @@
 	})
 }
 
+// clockSlack is by how much an engine's clock may be ahead of this host's, beside a jump.
+const clockSlack = time.Second
+
 // mayHaveUnknownLate reports whether an order of a former coordinator may still come to
-// an engine that has started since it was sent. The engine's clock is compared with this
-// host's, with room for a jump of seconds.
+// an engine that has started since it was sent. An engine that holds more than it was ever
+// ordered to load has not started again: those begin empty. Keeping a model's memory free
+// takes a place of three, so it is not done for any that may be old enough.
 func (p *Planner) mayHaveUnknownLate(now time.Time, w *worker) bool {
-	if p.fence <= 1 || w.life.Born == 0 || now.Sub(p.tookOver) >= lateOrderLife {
+	if p.fence <= 1 || w.life.Born == 0 || now.Sub(p.tookOver) >= lateOrderLife || uint64(len(w.models)) > w.sequence {
 		return false
 	}
-	return now.Sub(time.UnixMilli(w.life.Born)) < 2*lateOrderLife
+	return now.Sub(time.UnixMilli(w.life.Born)) < lateOrderLife+clockSlack
 }
 
 // reborn replaces what is believed of an engine by what is known of its next life:
--- a/coordination/residency/lives_test.go
+++ b/coordination/residency/lives_test.go
@@ -106,3 +106,29 @@
 		t.Fatal("a daemon that tells no start speaks of the present life")
 	}
 }
+
+// A new coordinator keeps a place free only at engines that may have started since an
+// order of the former one: not at those that hold what nobody has ordered, nor at those that
+// have run for longer than an order may be on its way.
+func TestPlacesAreKeptFreeOnlyAfterARestart(t *testing.T) {
+	for _, c := range []struct {
+		what     string
+		age      time.Duration
+		sequence uint64
+		want     bool
+	}{
+		{"started again", 5 * time.Second, 3, true},
+		{"as it was first started", 5 * time.Second, 2, false},
+		{"has run for long", 20 * time.Second, 3, false},
+	} {
+		w := newWorld(3, 1)
+		e := w.engines[0]
+		e.endpoint.Born, e.sequence = w.now.Add(-c.age).UnixMilli(), c.sequence
+		e.publish()
+		w.takeOver()
+		w.run(400 * time.Millisecond)
+		if got := w.p.workers["e0"].unknownLate; got != c.want {
+			t.Errorf("%s: place kept free %v, want %v", c.what, got, c.want)
+		}
+	}
+}
