--- a/coordination/balance/fleet_test.go
+++ b/coordination/balance/fleet_test.go
@@ -189,3 +189,39 @@
 		}
 	}
 }
+
+// The choice of a holder, with counts of all daemons at hand.
+func BenchmarkPick(b *testing.B) {
+	for _, engines := range []int{9, 124, 600} {
+		b.Run(fmt.Sprint(engines, " engines"), func(b *testing.B) {
+			s := newSite(1, engines, 12, 1, 6)
+			all := Running{}
+			for i, e := range s.engines {
+				all[e.Life()] = i % 12
+			}
+			s.daemons[0].Told("llm", start, all, Running{})
+			q := Query{Unit: "m", Affinity: "part"}
+			b.ReportAllocs()
+			for b.Loop() {
+				s.daemons[0].Pick(start, s.holders[0], q)
+			}
+		})
+	}
+}
+
+// Taking a coordinator's word on all engines.
+func BenchmarkTold(b *testing.B) {
+	for _, engines := range []int{9, 124, 600} {
+		b.Run(fmt.Sprint(engines, " engines"), func(b *testing.B) {
+			s := newSite(1, engines, 12, 1, 6)
+			all := Running{}
+			for i, e := range s.engines {
+				all[e.Life()] = i % 12
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				s.daemons[0].Told("llm", start, all, s.daemons[0].Own())
+			}
+		})
+	}
+}
--- a/coordination/residency/rare_test.go
+++ b/coordination/residency/rare_test.go
@@ -309,3 +309,33 @@
 		}
 	}
 }
+
+// A coordinator's work at the sizes of six, 195 and 375 daemons: a step with all that they
+// told, a word of one of them, and an answer to one.
+func BenchmarkCoordinator(b *testing.B) {
+	for _, c := range []struct{ daemons, engines, models int }{{6, 9, 50}, {195, 124, 627}, {375, 600, 1800}} {
+		l := newRareLoad(c.engines, c.models, 2, c.daemons, 0.3, 1)
+		l.rate = 0.6 * float64(c.engines)
+		l.play(3 * time.Second)
+		said := l.daemons[0].demand
+		b.Run(fmt.Sprintf("step/%d daemons", c.daemons), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				l.p.schedule(l.p.newDraft(l.now))
+			}
+		})
+		b.Run(fmt.Sprintf("word/%d daemons", c.daemons), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				l.p.Demand(l.now, l.daemons[0].name, said)
+			}
+		})
+		b.Run(fmt.Sprintf("answer/%d daemons", c.daemons), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				l.p.Want(l.now, Want{Model: "hot00", Rank: 1, Daemon: l.daemons[0].name})
+				l.p.forgetSent(l.now.Add(time.Second), l.daemons[0].name)
+			}
+		})
+	}
+}
