residency: engines without a copy are looked at only where the others are later; lives may be the same where a start is not told

What was sent to an engine is forgotten by lives that may be the same, else a start that becomes known later would leave its count for ever; one of two equal functions is gone.

--- a/coordination/residency/running.go
+++ b/coordination/residency/running.go
@@ -23,10 +23,6 @@
 	return list
 }
 
-// toldWithin is how long it takes until daemons have told of a request that an answer
-// has sent to an engine.
-func (p *Planner) toldWithin() time.Duration { return TellSoon(len(p.demands)) + idleMargin }
-
 // sentRequest is a request that an answer has sent to an engine and that its daemon has
 // not told of yet.
 type sentRequest struct {
@@ -47,12 +43,12 @@
 
 // forgetSent forgets what a daemon has told of by now, and what it should have.
 func (p *Planner) forgetSent(now time.Time, daemon string) {
-	told, overdue := now.Add(-answerWay), now.Add(-p.toldWithin())
+	told, overdue := now.Add(-answerWay), now.Add(-p.idleAfter())
 	p.sent = slices.DeleteFunc(p.sent, func(s sentRequest) bool {
 		if !(s.daemon == daemon && s.at.Before(told)) && s.at.After(overdue) {
 			return false
 		}
-		if w := p.workers[s.life.ID]; w != nil && w.life == s.life {
+		if w := p.workers[s.life.ID]; w != nil && w.life.Same(s.life) {
 			w.sent--
 		}
 		return true
--- a/coordination/residency/schedule.go
+++ b/coordination/residency/schedule.go
@@ -60,12 +60,31 @@
 	return max(busyWeight*active*full*full, p.pressureWeight(d.now, model))
 }
 
-// place chooses the engine that will have the model ready first.
+// place chooses the engine that will have the model ready first. One without a copy is no
+// sooner than a load from the store takes, and is only looked at where the others are later.
 func (p *Planner) place(d *draft, model string) (slot, bool) {
-	best := slot{}
-	bestCost := time.Duration(0)
+	best, cost := p.soonest(d, model, slot{}, 0, func(l Level) bool { return l != Store })
+	if best.w == nil || cost >= p.conf.Engine.Models[model].FromStore {
+		best, _ = p.soonest(d, model, best, cost, func(l Level) bool { return l == Store })
+	}
+	if best.w == nil {
+		return best, false
+	}
+	e := d.engines[best.w]
+	e.freeIn = best.readyIn
+	e.reserved += p.conf.Engine.Models[model].SizeMB
+	if best.level == Store {
+		d.store[0] = best.readyIn
+		slices.Sort(d.store)
+	}
+	return best, true
+}
+
+// soonest returns the slot of least cost at the engines whose copy of the model lies at a
+// level that is asked for, or best if none costs less.
+func (p *Planner) soonest(d *draft, model string, best slot, bestCost time.Duration, asked func(Level) bool) (slot, time.Duration) {
 	for _, w := range p.sorted {
-		if !w.usable() || !w.known || w.models[model] != nil {
+		if !w.usable() || !w.known || w.models[model] != nil || !asked(w.level(model)) {
 			continue
 		}
 		r, ok := p.roomFor(d, w, model)
@@ -84,15 +103,5 @@
 			best, bestCost = s, cost
 		}
 	}
-	if best.w == nil {
-		return best, false
-	}
-	e := d.engines[best.w]
-	e.freeIn = best.readyIn
-	e.reserved += p.conf.Engine.Models[model].SizeMB
-	if best.level == Store {
-		d.store[0] = best.readyIn
-		slices.Sort(d.store)
-	}
-	return best, true
+	return best, bestCost
 }
