--- a/coordination/residency/want.go
+++ b/coordination/residency/want.go
@@ -75,7 +75,7 @@
 func (p *Planner) wantResident(now time.Time, want Want) (Answer, bool) {
 	var best *worker
 	bestCost := time.Duration(0)
-	for _, w := range p.workers {
+	for _, w := range p.sorted {
 		r := w.models[want.Model]
 		if r == nil || !w.usable() {
 			continue
