--- a/coordination/balance/fleet_test.go
+++ b/coordination/balance/fleet_test.go
@@ -190,15 +190,20 @@
 	}
 }
 
+// runningSite returns a site of one daemon, and what runs at its engines.
+func runningSite(engines int) (*site, Running) {
+	s, all := newSite(1, engines, 12, 1, 6), Running{}
+	for i, e := range s.engines {
+		all[e.Life()] = i % 12
+	}
+	return s, all
+}
+
 // The choice of a holder, with counts of all daemons at hand.
 func BenchmarkPick(b *testing.B) {
 	for _, engines := range []int{9, 124, 600} {
 		b.Run(fmt.Sprint(engines, " engines"), func(b *testing.B) {
-			s := newSite(1, engines, 12, 1, 6)
-			all := Running{}
-			for i, e := range s.engines {
-				all[e.Life()] = i % 12
-			}
+			s, all := runningSite(engines)
 			s.daemons[0].Told("llm", start, all, Running{})
 			q := Query{Unit: "m", Affinity: "part"}
 			b.ReportAllocs()
@@ -213,11 +218,7 @@
 func BenchmarkTold(b *testing.B) {
 	for _, engines := range []int{9, 124, 600} {
 		b.Run(fmt.Sprint(engines, " engines"), func(b *testing.B) {
-			s := newSite(1, engines, 12, 1, 6)
-			all := Running{}
-			for i, e := range s.engines {
-				all[e.Life()] = i % 12
-			}
+			s, all := runningSite(engines)
 			b.ReportAllocs()
 			for b.Loop() {
 				s.daemons[0].Told("llm", start, all, s.daemons[0].Own())
--- a/coordination/residency/outcome.go
+++ b/coordination/residency/outcome.go
@@ -149,7 +149,7 @@
 		p.endOrder(now, w)
 	default:
 		o.store.began = now
-		o.endsAt = now.Add(p.loadTime(o.level, o.order.Model, p.storeLoads()))
+		o.endsAt = now.Add(p.loadTime(o.order.Level, o.order.Model, p.storeLoads()))
 		if r := w.models[o.order.Model]; r != nil {
 			r.readyAt = o.endsAt.Add(orderMargin)
 		}
--- a/coordination/residency/planner.go
+++ b/coordination/residency/planner.go
@@ -34,7 +34,6 @@
 // pending is an order that the engine has not been seen to complete.
 type pending struct {
 	order    Order
-	level    Level
 	answered bool      // accepted; now in progress
 	endsAt   time.Time // expected
 	unsureAt time.Time // when the answer was given up on; zero before
@@ -43,7 +42,7 @@
 }
 
 func (o *pending) loadsFromStore() bool {
-	return o.level == Store && !o.order.Unload && o.order.Adapter == ""
+	return o.order.Level == Store && !o.order.Unload && o.order.Adapter == ""
 }
 
 // worker is what the planner believes of one engine, in one of its lives.
--- a/coordination/residency/ready.go
+++ b/coordination/residency/ready.go
@@ -55,7 +55,7 @@
 	if o == nil || !o.answered || o.order.Unload || o.order.Adapter != "" || now.Before(o.endsAt.Add(orderMargin)) {
 		return
 	}
-	if o.level != Store {
+	if o.order.Level != Store {
 		p.endOrder(now, w)
 		w.probe = now.Add(reportLag)
 		return
@@ -177,7 +177,7 @@
 	if !o.Unload && o.Adapter == "" {
 		end = now.Add(p.loadTime(level, o.Model, p.storeLoads()))
 	}
-	w.order = &pending{order: o, level: level, endsAt: end}
+	w.order = &pending{order: o, endsAt: end}
 	return o
 }
 
--- a/coordination/residency/types.go
+++ b/coordination/residency/types.go
@@ -19,7 +19,7 @@
 	Unload   bool
 	Model    string
 	Adapter  string // empty for the model itself
-	// Level is where a load's copy lies; it is only logged.
+	// Level is where the copy of a load lies.
 	Level Level
 	// Expect is the number of orders that the engine must have accepted
 	// before; the engine refuses the order otherwise, also when it arrives
