--- /dev/null
+++ b/protocol/fingerprint.go
@@ -0,0 +1,31 @@
+package protocol
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+)
+
+// Fingerprint identifies a request by what stays the same when its caller sends it
+// again, under another request id and to another daemon: method, host, path with query,
+// caller and body. It is the first half of a SHA-256, so that nobody can make a request
+// that passes for another one's.
+type Fingerprint [16]byte
+
+// FingerprintOf returns the fingerprint of a request. caller is what the caller is known
+// by: its name where it has one, else its address without the port.
+func FingerprintOf(method, host, uri, caller string, body []byte) Fingerprint {
+	h := sha256.New()
+	for _, part := range []string{method, host, uri, caller} {
+		var length [4]byte
+		binary.LittleEndian.PutUint32(length[:], uint32(len(part)))
+		_, _ = h.Write(length[:])    // never fails
+		_, _ = h.Write([]byte(part)) // never fails
+	}
+	_, _ = h.Write(body) // never fails
+	var sum [sha256.Size]byte
+	return Fingerprint(h.Sum(sum[:0])[:len(Fingerprint{})])
+}
+
+// String returns the form used in logs.
+func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
--- a/transport/callers/call.go
+++ b/transport/callers/call.go
@@ -40,6 +40,7 @@
 	// key is set for a request that may run at most once.
 	key  *claims.Key
 	gate *gate.Gate
+	print protocol.Fingerprint
 	// For the log: what became of the request.
 	class      string
 	generation uint64
@@ -127,6 +128,7 @@
 	cl := &call{
 		id: id, method: r.Method, header: r.Header, body: body, worth: ident.Class.Worth, deadline: now.Add(timeout),
 		class: ident.Class.Name, generation: conf.Generation,
+		print: protocol.FingerprintOf(r.Method, r.Host, r.URL.RequestURI(), ident.Caller, body),
 	}
 	c.Set(callKey, cl)
 	return cl, ident, nil
@@ -208,7 +210,7 @@
 		verdict = max(verdict, f.Verdict)
 		again := s.mayRetry(ctx, cl, f, n, out)
 		s.opt.Log.Info(decisions.EventAttemptFailed, "request", cl.id, "attempt", n, "model", cl.unit, "endpoint", slot.Endpoint.Name,
-			"reason", f.Reason, "error", f.Err, "verdict", f.Verdict.String(), "again", again, "queued_ms", cl.queued.Milliseconds(), "generation", cl.generation)
+			"reason", f.Reason, "error", f.Err, "verdict", f.Verdict.String(), "again", again, "fingerprint", cl.print.String(), "queued_ms", cl.queued.Milliseconds(), "generation", cl.generation)
 		if !again {
 			s.unclaim(cl, claimed && verdict == protocol.NotRun)
 			return finalRefusal(f, verdict)
--- a/transport/edge/attempt.go
+++ b/transport/edge/attempt.go
@@ -59,6 +59,7 @@
 	unreachable bool
 	loading     bool // the endpoint is still loading the model
 	leaving     bool
+	began       bool              // events of the answer had come from the endpoint
 	endpoint    fleet.Incarnation // that was asked
 	paid        bool              // the retry has been taken out of the budget
 }
@@ -154,12 +155,16 @@
 	w := s.watch(q, e, more, cancel)
 	defer w.stop()
 	a.sent, a.viewAge = time.Now(), s.opt.ViewAge()
+	heard := a.last
 	resp, f := s.send(ctx, q, e, a.lastID)
 	if f == nil {
 		a.endpoint = e.Life()
 		f = s.deliver(q, a, resp, w, more)
 		_ = resp.Body.Close()
 	}
+	if f != nil {
+		f.began = a.last != heard
+	}
 	if f != nil && w.gaveUp() {
 		f.paid = true
 		s.client.kept.CloseIdleConnections() // they may be as dead as the one that was waited on
--- a/transport/edge/server.go
+++ b/transport/edge/server.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -115,6 +116,8 @@
 	host     string
 	header   http.Header
 	body     []byte
+	caller   string                // its address without the port
+	print    *protocol.Fingerprint // nil until it is asked for
 	arrived  time.Time
 	deadline time.Time
 	version  uint64 // of the desired state that it is served by
@@ -122,6 +125,15 @@
 	named    bool // the coordinator named the endpoint
 }
 
+// fingerprint identifies the request when its caller sends it again.
+func (q *request) fingerprint() protocol.Fingerprint {
+	if q.print == nil {
+		print := protocol.FingerprintOf(q.method, q.host, q.uri, q.caller, q.body)
+		q.print = &print
+	}
+	return *q.print
+}
+
 func (q *request) unit() string {
 	if q.call.Adapter != "" {
 		return q.call.Model + "/" + q.call.Adapter
@@ -231,7 +243,7 @@
 		return nil, protocol.Refuse(http.StatusServiceUnavailable, "no-desired-state", "this daemon has no desired state yet", retryNoState)
 	}
 	call, err := s.opt.Dialect.ReadCall(r.Header)
-	q := &request{call: call, arrived: arrived, deadline: arrived.Add(defaultTimeLeft), method: r.Method, uri: r.RequestURI, host: r.Host, header: r.Header, version: table.Version}
+	q := &request{call: call, arrived: arrived, deadline: arrived.Add(defaultTimeLeft), method: r.Method, uri: r.RequestURI, host: r.Host, caller: callerOf(r), header: r.Header, version: table.Version}
 	if err != nil {
 		return q, protocol.Refuse(http.StatusBadRequest, "bad-request", err.Error(), 0)
 	}
@@ -259,6 +271,15 @@
 	return q, nil
 }
 
+// callerOf returns what a caller is known by.
+func callerOf(r *http.Request) string {
+	host, _, err := net.SplitHostPort(r.RemoteAddr)
+	if err != nil {
+		return r.RemoteAddr // all of it tells callers apart as well
+	}
+	return host
+}
+
 // setDeadline takes the shorter of the caller's and the route's time.
 func (s *Server) setDeadline(q *request) {
 	left := q.call.TimeLeft
