--- a/transport/callers/call.go
+++ b/transport/callers/call.go
@@ -38,8 +38,8 @@
 	stream   bool
 	engine   bool // the endpoint echoes attempt ids
 	// key is set for a request that may run at most once.
-	key  *claims.Key
-	gate *gate.Gate
+	key   *claims.Key
+	gate  *gate.Gate
 	print protocol.Fingerprint
 	// For the log: what became of the request.
 	class      string
