quarantine: the own interface and its plain services use the same decision

Endpoints of this interface keep their names and tell no lives, so ends of one name more than two seconds apart are of two lives.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -27,10 +27,13 @@
 	"github.com/doorvalve/doorvalve/driver/gate"
 	"github.com/doorvalve/doorvalve/driver/gossip"
 	"github.com/doorvalve/doorvalve/driver/placer"
+	"github.com/doorvalve/doorvalve/driver/quarantiner"
 	"github.com/doorvalve/doorvalve/driver/rollout"
 	"github.com/doorvalve/doorvalve/protocol/peerpb"
+	"github.com/doorvalve/doorvalve/protocol/quarantinepb"
 	"github.com/doorvalve/doorvalve/settings"
 	"github.com/doorvalve/doorvalve/state/bundle"
+	"github.com/doorvalve/doorvalve/state/fleet"
 	"github.com/doorvalve/doorvalve/state/snapshot"
 	"github.com/doorvalve/doorvalve/transport/callers"
 	"github.com/doorvalve/doorvalve/transport/engine"
@@ -55,6 +58,7 @@
 	gossip   *gossip.Gossip
 	rollout  *rollout.Rollout
 	claimer  *claimer.Claimer
+	keeper   *quarantiner.Keeper
 	callers  *callers.Server
 	metrics  tally.Scope
 	reporter promreporter.Reporter
@@ -104,11 +108,14 @@
 	d.claimer = claimer.New(claimer.Options{
 		Self: d.self, Platform: d.platform, Peers: d.peers, Members: d.gossip.Members, Config: d.claimsConfig, Log: d.log.Named("claims"),
 	})
+	d.keeper = quarantiner.New(quarantiner.Options{
+		Self: d.self, Members: d.gossip.Members, Peer: d.quarantinePeer, Endpoint: d.endpointState, Log: d.log.Part("quarantine"), Metrics: d.metrics,
+	})
 	d.gates.Store(&map[string]*gate.Gate{})
 	d.setPhase(drain.Serving)
 	d.callers = callers.New(callers.Options{
 		Self: d.self, Limits: set.Limits, Config: d.rollout.Current, Gate: d.gate, Members: d.gossip.Members, Phase: d.Phase,
-		Claimer: d.claimer, Proxy: proxy.New(set.Limits.AnswerBytes), Log: d.log.Part("callers"), Metrics: d.metrics,
+		Claimer: d.claimer, Quarantine: d.keeper, Proxy: proxy.New(set.Limits.AnswerBytes), Log: d.log.Part("callers"), Metrics: d.metrics,
 		EndpointLeaving: d.endpointLeaving,
 	})
 	return d, nil
@@ -247,13 +254,14 @@
 	d.start(ctx)
 	var g run.Group
 	d.addServer(&g, 0, d.callers.Handler())
-	d.addServer(&g, 1, peers.Guard(d.set.Peers.Token, peerpb.NewPeerServer((*peerServer)(d))))
+	d.addServer(&g, 1, peers.Guard(d.set.Peers.Token, d.peerHandler()))
 	d.addServer(&g, 2, operators.New(operators.Options{
 		Tokens: d.set.Operators.Tokens, Rollout: d.rollout, Members: d.gossip.Members, Dump: func() any { return d.Dump() }, Stop: d.Stop,
 		Metrics: d.reporter.HTTPHandler(), Log: d.log.Part("operators"),
 	}).Handler())
 	d.addActor(&g, ctx, d.gossip.Run)
 	d.addActor(&g, ctx, d.rollout.Run)
+	d.addActor(&g, ctx, d.keeper.Run)
 	d.addActor(&g, ctx, d.runDrain)
 	d.addActor(&g, ctx, d.runReview)
 	d.log.Info(decisions.EventStart, "callers", d.CallerAddress(), "peers", d.PeerAddress(), "operators", d.OperatorAddress(), "failure_domain", d.set.FailureDomain)
@@ -263,6 +271,35 @@
 	return err
 }
 
+// peerHandler serves the other daemons.
+func (d *Daemon) peerHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(quarantinepb.QuarantinePathPrefix, quarantinepb.NewQuarantineServer(d.keeper))
+	mux.Handle(peerpb.PeerPathPrefix, peerpb.NewPeerServer((*peerServer)(d)))
+	return mux
+}
+
+// quarantinePeer returns the client of another daemon's quarantine.
+func (d *Daemon) quarantinePeer(address string) quarantinepb.Quarantine {
+	return quarantinepb.NewQuarantineProtobufClient("http://"+address, d.peers.HTTP())
+}
+
+// endpointState reports whether an endpoint is declared, and as draining.
+func (d *Daemon) endpointState(life fleet.Incarnation) (listed, leaving bool) {
+	s := d.rollout.Current()
+	if s == nil {
+		return true, false // nothing says that it has gone
+	}
+	for _, svc := range s.Bundle.Services {
+		for _, e := range svc.Endpoints {
+			if e.Name == life.ID {
+				return true, e.Drain
+			}
+		}
+	}
+	return false, true // taken out of the configuration
+}
+
 // start runs the placers and reporters of a configuration that came first.
 func (d *Daemon) start(ctx context.Context) {
 	d.mu.Lock()
--- a/protocol/fingerprint.go
+++ b/protocol/fingerprint.go
@@ -7,19 +7,20 @@
 )
 
 // Fingerprint identifies a request by what stays the same when it comes again, under
-// another request id and to another daemon: method, host, path, caller and body. It is the
+// another request id and to another daemon: method, path, caller and body. It is the
 // first half of a SHA-256, so that nobody can make a request that passes for another one's.
 type Fingerprint [16]byte
 
 // FingerprintOf returns the fingerprint of a request. caller is the caller's name, empty
 // where it shows none: an address names nobody, since callers share addresses and change
-// them. The query counts only where there is no body, which says more.
-func FingerprintOf(method, host, path, query, caller string, body []byte) Fingerprint {
+// them. The host is left out, since it may name the daemon that was called. The query counts
+// only where there is no body, which says more.
+func FingerprintOf(method, path, query, caller string, body []byte) Fingerprint {
 	if len(body) > 0 {
 		query = ""
 	}
 	h := sha256.New()
-	for _, part := range []string{method, host, path, query, caller} {
+	for _, part := range []string{method, path, query, caller} {
 		var length [4]byte
 		binary.LittleEndian.PutUint32(length[:], uint32(len(part)))
 		_, _ = h.Write(length[:])    // never fails
--- a/transport/callers/call.go
+++ b/transport/callers/call.go
@@ -15,10 +15,14 @@
 	"github.com/labstack/echo/v4"
 
 	"github.com/doorvalve/doorvalve/coordination/claims"
+	"github.com/doorvalve/doorvalve/coordination/quarantine"
 	"github.com/doorvalve/doorvalve/driver/decisions"
 	"github.com/doorvalve/doorvalve/driver/gate"
+	"github.com/doorvalve/doorvalve/driver/quarantiner"
+	"github.com/doorvalve/doorvalve/internal/clock"
 	"github.com/doorvalve/doorvalve/protocol"
 	"github.com/doorvalve/doorvalve/state/bundle"
+	"github.com/doorvalve/doorvalve/state/fleet"
 	"github.com/doorvalve/doorvalve/state/snapshot"
 	"github.com/doorvalve/doorvalve/transport/bodies"
 	"github.com/doorvalve/doorvalve/transport/proxy"
@@ -38,9 +42,10 @@
 	stream   bool
 	engine   bool // the endpoint echoes attempt ids
 	// key is set for a request that may run at most once.
-	key   *claims.Key
-	gate  *gate.Gate
-	print protocol.Fingerprint
+	key     *claims.Key
+	gate    *gate.Gate
+	print   protocol.Fingerprint
+	version string // of the model; empty for services
 	// For the log: what became of the request.
 	class      string
 	generation uint64
@@ -67,6 +72,7 @@
 		return protocol.Refuse(http.StatusNotFound, "unknown-model", "no model or adapter "+strconv.Quote(head.Model)+" in the configuration", 0)
 	}
 	cl.unit, cl.uri, cl.stream, cl.engine = unit.Name, r.URL.Path, head.Stream, true
+	cl.version = unit.Version
 	cl.worth += unit.Worth
 	cl.affinity = xxhash.Sum64(cl.body[:min(len(cl.body), prefixBytes)])
 	if refusal := cl.setKey(r, ident, unit.Service, false); refusal != nil {
@@ -128,7 +134,7 @@
 	cl := &call{
 		id: id, method: r.Method, header: r.Header, body: body, worth: ident.Class.Worth, deadline: now.Add(timeout),
 		class: ident.Class.Name, generation: conf.Generation,
-		print: protocol.FingerprintOf(r.Method, r.Host, r.URL.Path, r.URL.RawQuery, ident.Caller, body),
+		print: protocol.FingerprintOf(r.Method, r.URL.Path, r.URL.RawQuery, ident.Caller, body),
 	}
 	c.Set(callKey, cl)
 	return cl, ident, nil
@@ -188,7 +194,7 @@
 	verdict := protocol.NotRun // the worst of all attempts
 	for n := 1; ; n++ {
 		asked := time.Now()
-		slot, refusal := cl.gate.Acquire(ctx, gate.Request{Worth: cl.worth, Deadline: cl.deadline, Affinity: cl.affinity})
+		slot, refusal := s.acquire(ctx, cl)
 		cl.queued += time.Since(asked)
 		if refusal == nil && cl.key != nil && !claimed {
 			if refusal = s.claim(ctx, cl); refusal != nil {
@@ -219,9 +225,44 @@
 	}
 }
 
+// acquire takes a slot at an endpoint for a call that may be sent. One that is held back is
+// refused before it waits, and once more at the last moment.
+func (s *Server) acquire(ctx context.Context, cl *call) (*gate.Slot, *protocol.Refusal) {
+	if refusal := s.opt.Quarantine.Waits(cl.fingerprint, cl.software); refusal != nil {
+		return nil, refusal
+	}
+	slot, refusal := cl.gate.Acquire(ctx, gate.Request{Worth: cl.worth, Deadline: cl.deadline, Affinity: cl.affinity})
+	if refusal != nil {
+		return nil, refusal
+	}
+	if refusal := s.opt.Quarantine.Admit(ctx, cl.fingerprint, cl.software); refusal != nil {
+		cl.gate.Release(slot, 0)
+		return nil, refusal
+	}
+	return slot, nil
+}
+
+func (cl *call) fingerprint() protocol.Fingerprint { return cl.print }
+
+// software names what a call runs on, by the configuration that it is served by.
+func (cl *call) software() quarantine.Software { return quarantine.SoftwareOf(cl.unit, cl.version) }
+
+// tellQuarantine tells how an attempt ended that was sent at some time.
+func (s *Server) tellQuarantine(ctx context.Context, cl *call, e bundle.Endpoint, sent time.Time, began bool, f *proxy.Failure) {
+	life := fleet.Incarnation{ID: e.Name} // lives of these endpoints are not told apart
+	switch {
+	case f == nil:
+		s.opt.Quarantine.Served(cl.fingerprint, sent)
+	case f.Reason == proxy.ReasonUnreachable:
+		s.opt.Quarantine.Refused(life, f.Err)
+	case f.Broken && ctx.Err() == nil:
+		s.opt.Quarantine.Broke(ctx, quarantiner.Attempt{Fingerprint: cl.print, Life: life, Address: e.Address, Sent: sent, Began: began, Software: cl.software()})
+	}
+}
+
 // attempt makes one attempt at one endpoint.
 func (s *Server) attempt(ctx context.Context, cl *call, slot *gate.Slot, n int, out *answer) *proxy.Failure {
-	start := time.Now()
+	start, sent, heard := time.Now(), clock.Now(), out.progress.Offset
 	req := &proxy.Request{
 		Method: cl.method, URI: cl.uri, Header: cl.header, Body: cl.body, RequestID: cl.id,
 		AttemptID: cl.id + "." + strconv.Itoa(n), Worth: cl.worth, Repeatable: cl.key == nil, MustEcho: cl.engine,
@@ -234,6 +275,7 @@
 		whole, f = s.opt.Proxy.Whole(ctx, slot.Endpoint.Address, req)
 	}
 	took := time.Since(start)
+	s.tellQuarantine(ctx, cl, slot.Endpoint, sent, out.progress.Offset > heard, f)
 	if f != nil {
 		took = 0
 		s.avoid(cl, slot, f)
--- a/transport/callers/server.go
+++ b/transport/callers/server.go
@@ -18,6 +18,7 @@
 	"github.com/doorvalve/doorvalve/coordination/retry"
 	"github.com/doorvalve/doorvalve/driver/decisions"
 	"github.com/doorvalve/doorvalve/driver/gate"
+	"github.com/doorvalve/doorvalve/driver/quarantiner"
 	"github.com/doorvalve/doorvalve/protocol"
 	"github.com/doorvalve/doorvalve/settings"
 	"github.com/doorvalve/doorvalve/state/snapshot"
@@ -41,8 +42,10 @@
 	Phase   func() drain.Phase
 	Claimer Claimer
 	Proxy   *proxy.Client
-	Log     *decisions.Log
-	Metrics tally.Scope
+	// Quarantine holds requests back under which endpoints end.
+	Quarantine *quarantiner.Keeper
+	Log        *decisions.Log
+	Metrics    tally.Scope
 	// EndpointLeaving is told of an endpoint that says it takes no new work.
 	EndpointLeaving func(endpoint string)
 }
--- a/transport/edge/server.go
+++ b/transport/edge/server.go
@@ -17,7 +17,6 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/doorvalve/doorvalve/coordination/balance"
-	"github.com/doorvalve/doorvalve/coordination/quarantine"
 	"github.com/doorvalve/doorvalve/coordination/residency"
 	"github.com/doorvalve/doorvalve/coordination/retry"
 	"github.com/doorvalve/doorvalve/coordination/waiting"
@@ -35,16 +34,6 @@
 	Want(ctx context.Context, service string, w residency.Want) residency.Answer
 }
 
-// Quarantine knows the requests under which endpoints end; driver/quarantiner says more of
-// each method.
-type Quarantine interface {
-	Waits(print func() protocol.Fingerprint, on func() quarantine.Software) *protocol.Refusal
-	Admit(ctx context.Context, print func() protocol.Fingerprint, on func() quarantine.Software) *protocol.Refusal
-	Broke(ctx context.Context, a quarantiner.Attempt)
-	Refused(life fleet.Incarnation, err error)
-	Served(print func() protocol.Fingerprint, sent time.Time)
-}
-
 // Options are what the server needs of the rest of the daemon. Functions must
 // be safe for concurrent use and cheap.
 type Options struct {
@@ -61,7 +50,7 @@
 	Balancer *balance.Balancer
 	Budget   *retry.Budget
 	// Quarantine holds requests back under which endpoints end.
-	Quarantine Quarantine
+	Quarantine *quarantiner.Keeper
 	Log        *decisions.Log
 	Metrics    tally.Scope
 	// EndpointLeaving is told of an endpoint's own word that it leaves.
@@ -142,7 +131,7 @@
 func (q *request) fingerprint() protocol.Fingerprint {
 	if q.print == nil {
 		path, query, _ := strings.Cut(q.uri, "?")
-		print := protocol.FingerprintOf(q.method, q.host, path, query, "", q.body) // callers show no names here
+		print := protocol.FingerprintOf(q.method, path, query, "", q.body) // callers show no names here
 		q.print = &print
 	}
 	return *q.print
--- a/transport/proxy/proxy.go
+++ b/transport/proxy/proxy.go
@@ -41,8 +41,12 @@
 	Err     error
 	Leaving bool // the endpoint takes no new work
 	Full    bool // the endpoint's slots are taken
+	Broken  bool // the connection to the endpoint broke
 }
 
+// ReasonUnreachable is the reason of an attempt whose connection could not be opened.
+const ReasonUnreachable = "endpoint-unreachable"
+
 // Error implements error.
 func (f *Failure) Error() string {
 	if f.Err != nil {
@@ -123,12 +127,12 @@
 
 func classify(err error) *Failure {
 	if engine.IsDialError(err) {
-		return &Failure{Verdict: protocol.NotRun, Reason: "endpoint-unreachable", Err: err}
+		return &Failure{Verdict: protocol.NotRun, Reason: ReasonUnreachable, Err: err}
 	}
 	if errors.Is(err, context.DeadlineExceeded) {
 		return &Failure{Verdict: protocol.MayHaveRun, Reason: "deadline-passed", Err: err}
 	}
-	return &Failure{Verdict: protocol.MayHaveRun, Reason: "endpoint-failed", Err: err}
+	return &Failure{Verdict: protocol.MayHaveRun, Reason: "endpoint-failed", Err: err, Broken: true}
 }
 
 // refusedUnrun recognises an endpoint's own word that it has not run the
@@ -165,7 +169,7 @@
 	defer func() { _ = resp.Body.Close() }()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, c.answerBytes+1))
 	if err != nil {
-		return nil, &Failure{Verdict: protocol.MayHaveRun, Reason: "answer-cut", Err: err}
+		return nil, &Failure{Verdict: protocol.MayHaveRun, Reason: "answer-cut", Err: err, Broken: true}
 	}
 	if int64(len(body)) > c.answerBytes {
 		return nil, &Failure{Verdict: protocol.MayHaveRun, Reason: "answer-too-large"}
--- a/transport/proxy/stream.go
+++ b/transport/proxy/stream.go
@@ -65,9 +65,9 @@
 		}
 	}
 	if err := scanner.Err(); err != nil {
-		return &Failure{Verdict: protocol.MayHaveRun, Reason: "stream-cut", Err: err}
+		return &Failure{Verdict: protocol.MayHaveRun, Reason: "stream-cut", Err: err, Broken: true}
 	}
-	return &Failure{Verdict: protocol.MayHaveRun, Reason: "stream-cut"}
+	return &Failure{Verdict: protocol.MayHaveRun, Reason: "stream-cut", Broken: true}
 }
 
 // take checks one event and hands it on.
