--- a/daemon/edgedaemon/peers.go
+++ b/daemon/edgedaemon/peers.go
@@ -15,6 +15,7 @@
 	"github.com/doorvalve/doorvalve/driver/coordinator"
 	"github.com/doorvalve/doorvalve/driver/decisions"
 	"github.com/doorvalve/doorvalve/driver/gossip"
+	"github.com/doorvalve/doorvalve/internal/clock"
 	"github.com/doorvalve/doorvalve/protocol/fleetpb"
 	"github.com/doorvalve/doorvalve/protocol/peerpb"
 	"github.com/doorvalve/doorvalve/protocol/quarantinepb"
@@ -31,7 +32,7 @@
 // candidate reports whether this daemon should try to hold a service's lease. A
 // former holder should, whatever the others: it is the same one to engines.
 func (d *Daemon) candidate(service string, former bool) bool {
-	if d.draining() || d.view.Silent(time.Now()) {
+	if d.draining() || d.view.Silent(clock.Now()) {
 		return false
 	}
 	if former {
@@ -169,7 +170,7 @@
 		return a
 	}
 	now := time.Now()
-	a.ReadyIn = d.vacancies.readyIn(now, service, d.view.StoreAway(now))
+	a.ReadyIn = d.vacancies.readyIn(now, service, d.view.StoreAway(clock.Now()))
 	return a
 }
 
--- a/driver/coordinator/coordinator.go
+++ b/driver/coordinator/coordinator.go
@@ -14,6 +14,7 @@
 	"github.com/doorvalve/doorvalve/coordination/lease"
 	"github.com/doorvalve/doorvalve/coordination/residency"
 	"github.com/doorvalve/doorvalve/driver/decisions"
+	"github.com/doorvalve/doorvalve/internal/clock"
 	"github.com/doorvalve/doorvalve/internal/pause"
 	"github.com/doorvalve/doorvalve/protocol"
 	"github.com/doorvalve/doorvalve/state/fleet"
@@ -73,8 +74,11 @@
 	// this or a former coordinator, zero if nobody knows; PlacesLearned is told of it.
 	Places        func(service string) int
 	PlacesLearned func(service string, fence uint64, places int)
-	Log           *decisions.Log
-	Metrics       tally.Scope
+	// Clock goes on while the host is suspended, so that the lease lapses meanwhile; nil:
+	// the system's.
+	Clock   clock.Clock
+	Log     *decisions.Log
+	Metrics tally.Scope
 }
 
 // Coordinator is safe for concurrent use.
@@ -99,6 +103,9 @@
 // New returns a coordinator without a lease.
 func New(opt Options) *Coordinator {
 	opt.Planner.Holder = opt.Self
+	if opt.Clock == nil {
+		opt.Clock = clock.Now
+	}
 	m := opt.Metrics.SubScope("coordinator")
 	return &Coordinator{
 		opt: opt, plan: residency.New(opt.Planner), addresses: map[string]string{}, kick: make(chan struct{}, 1),
@@ -124,7 +131,7 @@
 	for _, e := range list {
 		c.addresses[e.ID] = e.Address
 	}
-	c.plan.Endpoints(time.Now(), list)
+	c.plan.Endpoints(c.opt.Clock(), list)
 	c.wake()
 }
 
@@ -141,7 +148,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.metrics.wants.Inc(1)
-	a := c.plan.Want(time.Now(), w)
+	a := c.plan.Want(c.opt.Clock(), w)
 	c.wake()
 	return a
 }
@@ -150,7 +157,7 @@
 func (c *Coordinator) Demand(daemon string, d residency.Demand) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.plan.Demand(time.Now(), daemon, d)
+	c.plan.Demand(c.opt.Clock(), daemon, d)
 }
 
 // Running returns what runs at each engine, by what all daemons have told lately.
@@ -185,7 +192,7 @@
 		case <-c.kick:
 		case <-t.C:
 		}
-		if c.step(ctx, time.Now()) {
+		if c.step(ctx, c.opt.Clock()) {
 			t.Reset(heldTick)
 		} else {
 			t.Reset(restTick)
@@ -221,7 +228,7 @@
 	if learned.Places == c.places {
 		return
 	}
-	fence, _ := c.lease.Holds(time.Now())
+	fence, _ := c.lease.Holds(c.opt.Clock())
 	c.opt.Log.Info(decisions.EventStorePlaces, "service", c.opt.Service, "places", learned.Places, "before", c.places)
 	c.places = learned.Places
 	go c.opt.PlacesLearned(c.opt.Service, fence, learned.Places)
@@ -279,7 +286,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.lease.Step(time.Now(), lease.ReadDone{Err: err != nil && !missing, Found: err == nil, Record: rec, Version: version})
+	c.lease.Step(c.opt.Clock(), lease.ReadDone{Err: err != nil && !missing, Found: err == nil, Record: rec, Version: version})
 	c.wake()
 }
 
@@ -292,14 +299,14 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.lease.Step(time.Now(), lease.WriteDone{Outcome: outcome, Version: version})
+	c.lease.Step(c.opt.Clock(), lease.WriteDone{Outcome: outcome, Version: version})
 	c.wake()
 }
 
 // order checks the lease once more right before it sends.
 func (c *Coordinator) order(ctx context.Context, o residency.Order) {
 	c.mu.Lock()
-	fence, held := c.lease.Holds(time.Now())
+	fence, held := c.lease.Holds(c.opt.Clock())
 	c.mu.Unlock()
 	outcome, err := residency.Unsent, errors.New("the lease ran out")
 	started := time.Now()
@@ -311,7 +318,7 @@
 		"fence", o.Fence, "outcome", outcome.String(), "ms", time.Since(started).Milliseconds(), "error", err)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.plan.Ordered(time.Now(), o, outcome)
+	c.plan.Ordered(c.opt.Clock(), o, outcome)
 	c.wake()
 }
 
@@ -321,9 +328,9 @@
 	defer c.mu.Unlock()
 	if err != nil {
 		c.opt.Log.Debug("no report", "endpoint", life.ID, "error", err)
-		c.plan.ReportFailed(time.Now(), life)
+		c.plan.ReportFailed(c.opt.Clock(), life)
 		return
 	}
-	c.plan.Reported(time.Now(), r)
+	c.plan.Reported(c.opt.Clock(), r)
 	c.wake()
 }
--- /dev/null
+++ b/driver/coordinator/suspended_test.go
@@ -0,0 +1,60 @@
+package coordinator
+
+import (
+	"context"
+	"io"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/doorvalve/doorvalve/coordination/residency"
+	"github.com/doorvalve/doorvalve/driver/decisions"
+)
+
+// countingEngines takes orders.
+type countingEngines struct {
+	noEngines
+	orders atomic.Int64
+}
+
+func (e *countingEngines) Order(context.Context, residency.Order) (residency.Outcome, error) {
+	e.orders.Add(1)
+	return residency.Accepted, nil
+}
+
+// A host is suspended for ten seconds, and its lease lapses meanwhile by the clock of all
+// others. The order that it was about to send as it fell asleep does not go out when it
+// wakes, though no timer of its own has run.
+func TestSuspendedHolderSendsNoOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var suspended atomic.Int64
+		engines, f := &countingEngines{}, &fakeLease{}
+		log := decisions.New(io.Discard, "test", hclog.Off)
+		c := New(Options{
+			Service: "llm", Self: "h1", Lease: f, Engines: engines, OrderGap: orderGap, Planner: residency.Options{StoreAtOnce: 1},
+			Candidate: func(string, bool) bool { return true }, Held: func(string, uint64, bool) {}, Places: func(string) int { return 0 },
+			PlacesLearned: func(string, uint64, int) {}, Log: log, Metrics: tally.NoopScope,
+			Clock: func() time.Time { return time.Now().Add(time.Duration(suspended.Load())) },
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		go c.Run(ctx)
+		time.Sleep(10 * time.Second)
+		cancel()
+		synctest.Wait()
+		o := residency.Order{Fence: f.record.Fence}
+		c.order(t.Context(), o)
+		if n := engines.orders.Load(); n != 1 {
+			t.Fatalf("%d orders of the holder", n)
+		}
+		suspended.Store(int64(10 * time.Second))
+		c.order(t.Context(), o)
+		if n := engines.orders.Load(); n != 1 {
+			t.Fatal("an order went out under a lease that had lapsed")
+		}
+		log.Close()
+	})
+}
--- a/driver/placer/placer.go
+++ b/driver/placer/placer.go
@@ -13,6 +13,7 @@
 	"github.com/doorvalve/doorvalve/coordination/lease"
 	"github.com/doorvalve/doorvalve/coordination/placement"
 	"github.com/doorvalve/doorvalve/driver/decisions"
+	"github.com/doorvalve/doorvalve/internal/clock"
 	"github.com/doorvalve/doorvalve/protocol"
 	"github.com/doorvalve/doorvalve/state/bundle"
 	"github.com/doorvalve/doorvalve/state/snapshot"
@@ -159,14 +160,14 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.releasing = true
-	p.lease.Step(time.Now(), lease.Release{})
+	p.lease.Step(clock.Now(), lease.Release{})
 }
 
 // Released reports whether the lease is not held any more.
 func (p *Placer) Released() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	_, held := p.lease.Holds(time.Now())
+	_, held := p.lease.Holds(clock.Now())
 	return !held
 }
 
@@ -212,15 +213,15 @@
 }
 
 func (p *Placer) stepLease(ctx context.Context, now time.Time, candidate bool) {
-	p.lease.Step(now, lease.Candidate{Yes: candidate && !p.releasing})
-	r := p.lease.Ready(now)
+	p.lease.Step(clock.Now(), lease.Candidate{Yes: candidate && !p.releasing})
+	r := p.lease.Ready(clock.Now())
 	switch {
 	case r.Read:
 		go p.readLease(ctx)
 	case r.Write != nil:
 		go p.writeLease(ctx, *r.Write)
 	}
-	fence, held := p.lease.Holds(now)
+	fence, held := p.lease.Holds(clock.Now())
 	if held != p.held {
 		p.log.Info(decisions.EventLease, "service", p.opt.Group, "held", held, "fence", fence)
 		p.held = held
@@ -231,7 +232,18 @@
 			go p.opt.Roles.Held(p.opt.Group, p.lease.Seen().Fence, held)
 		}
 	}
-	p.place.Step(now, placement.LeaseChanged{Held: held, Fence: fence, TakeoverAt: p.lease.TakeoverAt(now)})
+	p.place.Step(now, placement.LeaseChanged{Held: held, Fence: fence, TakeoverAt: p.takeoverAt(now)})
+}
+
+// takeoverAt is the lease's, whose clock goes on while the host is suspended, by the clock
+// of the placement, whose orders bear the time of day.
+func (p *Placer) takeoverAt(now time.Time) time.Time {
+	leaseNow := clock.Now()
+	at := p.lease.TakeoverAt(leaseNow)
+	if at.IsZero() {
+		return at
+	}
+	return now.Add(at.Sub(leaseNow))
 }
 
 func (p *Placer) readLease(ctx context.Context) {
@@ -240,14 +252,14 @@
 	missing := errors.Is(err, platform.ErrNotFound)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.lease.Step(time.Now(), lease.ReadDone{Err: err != nil && !missing, Found: err == nil, Record: rec, Version: version})
+	p.lease.Step(clock.Now(), lease.ReadDone{Err: err != nil && !missing, Found: err == nil, Record: rec, Version: version})
 }
 
 func (p *Placer) writeLease(ctx context.Context, w lease.Write) {
 	version, out := p.opt.Platform.Put(ctx, platform.KindLease, p.opt.Group, w.ExpectedVersion, w.Record)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.lease.Step(time.Now(), lease.WriteDone{Outcome: out, Version: version})
+	p.lease.Step(clock.Now(), lease.WriteDone{Outcome: out, Version: version})
 }
 
 // act carries out what the placement asks for.
@@ -311,7 +323,7 @@
 	if !ok || now.After(o.ExpiresAt) {
 		return e, false
 	}
-	fence, held := p.lease.Holds(now)
+	fence, held := p.lease.Holds(clock.Now())
 	if held && fence == o.Fence>>placement.OrderNumberBits {
 		return e, true
 	}
@@ -392,6 +404,6 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
-	held, ok := p.lease.Holds(now)
+	held, ok := p.lease.Holds(clock.Now())
 	return (!ok || held != fence) && (p.place == nil || p.place.Quiescent(now))
 }
--- a/driver/storeview/age.go
+++ b/driver/storeview/age.go
@@ -52,5 +52,5 @@
 	if at.IsZero() {
 		return maxAge
 	}
-	return time.Since(at)
+	return v.opt.Clock().Sub(at)
 }
--- a/driver/storeview/desired.go
+++ b/driver/storeview/desired.go
@@ -8,7 +8,6 @@
 	"fmt"
 	"io"
 	"sync"
-	"time"
 
 	"github.com/doorvalve/doorvalve/coordination/relay"
 	"github.com/doorvalve/doorvalve/internal/pause"
@@ -109,7 +108,7 @@
 // one: it is the largest answer there is.
 func (v *View) readDesired(ctx context.Context) error {
 	_, err, _ := v.reads.Do("", func() (any, error) {
-		asked := time.Now()
+		asked := v.opt.Clock()
 		raw, revision, err := v.opt.Store.ReadDesiredState(ctx)
 		v.logLate("store", relay.DesiredState, asked, err)
 		if err != nil {
@@ -121,7 +120,7 @@
 		_ = v.adoptDesired(raw, "store", revision) // the last good one stays in force
 		v.mu.Lock()
 		defer v.mu.Unlock()
-		v.config.Listed(asked, time.Now(), revision)
+		v.config.Listed(asked, v.opt.Clock(), revision)
 		v.tell()
 		return nil, nil
 	})
@@ -138,7 +137,7 @@
 	_ = v.adoptDesired(raw, "store", revision) // the last good one stays in force
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.config.Watched(asked, time.Now(), wait, revision, raw != nil)
+	v.config.Watched(asked, v.opt.Clock(), wait, revision, raw != nil)
 	v.tell()
 	return nil
 }
--- a/driver/storeview/follow.go
+++ b/driver/storeview/follow.go
@@ -58,18 +58,18 @@
 // follow does what a follower asks for.
 func (v *View) follow(ctx context.Context, f *discovery.Follower, kind relay.Kind, list, watch func(context.Context) error) error {
 	for ctx.Err() == nil {
-		if until, role := v.relayedUntil(f, kind); time.Now().Before(until) {
-			pause.Until(ctx, until, role)
+		if until, role := v.relayedUntil(f, kind); v.opt.Clock().Before(until) {
+			pause.Until(ctx, time.Now().Add(until.Sub(v.opt.Clock())), role)
 			continue
 		}
 		v.mu.Lock()
-		action, until := f.Next(time.Now())
+		action, until := f.Next(v.opt.Clock())
 		failing := f.FailingSince()
 		v.mu.Unlock()
 		var err error
 		switch action {
 		case discovery.Wait:
-			pause.For(ctx, time.Until(until))
+			pause.For(ctx, until.Sub(v.opt.Clock()))
 			continue
 		case discovery.List:
 			err = list(ctx)
@@ -89,7 +89,7 @@
 func (v *View) beginWatch(f *discovery.Follower, kind relay.Kind) (asked time.Time, wait time.Duration, since uint64) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	asked = time.Now()
+	asked = v.opt.Clock()
 	wait = min(v.part(watchPart), watchMost)
 	if kind == relay.DesiredState {
 		wait = min(v.part(configPart), configMost)
@@ -101,7 +101,7 @@
 // logLate logs an answer that came long after it was due: what it tells may be as
 // much older.
 func (v *View) logLate(from string, kind relay.Kind, due time.Time, err error) {
-	if late := time.Since(due); late >= lateAnswer {
+	if late := v.opt.Clock().Sub(due); late >= lateAnswer {
 		v.opt.Log.Info(decisions.EventLateAnswer, "from", from, "of", kind.String(), "late_ms", late.Milliseconds(), "error", err)
 	}
 }
@@ -112,7 +112,7 @@
 func (v *View) relayedUntil(f *discovery.Follower, kind relay.Kind) (until time.Time, role <-chan struct{}) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	now, until := time.Now(), v.source.FreshUntil(kind)
+	now, until := v.opt.Clock(), v.source.FreshUntil(kind)
 	if until.IsZero() {
 		return v.directFrom, nil // nobody has told anything yet
 	}
@@ -131,7 +131,7 @@
 
 // settle records how a call ended and logs the loss and return of the store.
 func (v *View) settle(f *discovery.Follower, kind relay.Kind, failing time.Time, err error) {
-	now := time.Now()
+	now := v.opt.Clock()
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	switch {
@@ -149,7 +149,7 @@
 }
 
 func (v *View) listEndpoints(ctx context.Context) error {
-	asked := time.Now()
+	asked := v.opt.Clock()
 	list, revision, unusable, err := v.opt.Store.ListEndpoints(ctx)
 	v.logLate("store", relay.Endpoints, asked, err)
 	if err != nil {
@@ -217,7 +217,7 @@
 		return
 	}
 	v.mu.Lock()
-	left := time.Until(v.outage.GraceUntil())
+	left := v.outage.GraceUntil().Sub(v.opt.Clock())
 	v.mu.Unlock()
 	v.opt.Log.Info(decisions.EventEndpointKept, "endpoints", ids, "for_ms", left.Milliseconds())
 }
--- a/driver/storeview/peers.go
+++ b/driver/storeview/peers.go
@@ -18,11 +18,11 @@
 // RunPeers drops entries whose grace is over and asks other daemons while the
 // store is silent, until ctx ends.
 func (v *View) RunPeers(ctx context.Context) error {
-	asked := time.Now()
+	asked := v.opt.Clock()
 	for ctx.Err() == nil {
 		pause.For(ctx, v.peersPause())
 		v.publish("grace")
-		now := time.Now()
+		now := v.opt.Clock()
 		if now.Sub(asked) < peersAfter {
 			continue
 		}
--- a/driver/storeview/relay.go
+++ b/driver/storeview/relay.go
@@ -64,7 +64,7 @@
 		v.mu.Lock()
 		upstream := order[v.source.Pick(len(order))]
 		v.mu.Unlock()
-		wait, started := min(v.part(pollPart), maxPoll), time.Now()
+		wait, started := min(v.part(pollPart), maxPoll), v.opt.Clock()
 		age, err := v.poll(ctx, upstream, wait, wait+pollSlack)
 		if err != nil {
 			v.mu.Lock()
@@ -73,7 +73,7 @@
 		}
 		failed := err != nil || age >= v.part(stalePart)
 		if failed && !failing {
-			v.opt.Log.Info(decisions.EventUpstreamLeft, "error", err, "age_ms", age.Milliseconds(), "took_ms", time.Since(started).Milliseconds())
+			v.opt.Log.Info(decisions.EventUpstreamLeft, "error", err, "age_ms", age.Milliseconds(), "took_ms", v.opt.Clock().Sub(started).Milliseconds())
 		}
 		if failing = failed; failing {
 			pause.For(ctx, pollRetry)
@@ -85,7 +85,7 @@
 // lookAgain returns the pause before a daemon that follows the store looks
 // again whether it still should.
 func (v *View) lookAgain() time.Duration {
-	if time.Now().Before(v.directFrom) {
+	if v.opt.Clock().Before(v.directFrom) {
 		return startPause
 	}
 	return rolePause
@@ -122,7 +122,7 @@
 		req.ConfigVersion = max(req.ConfigVersion, v.upstream.version)
 	}
 	v.mu.Unlock()
-	asked := time.Now()
+	asked := v.opt.Clock()
 	resp, err := peer.Follow(ctx, req)
 	if err != nil {
 		v.logLate("peer", relay.Endpoints, asked.Add(wait), err)
@@ -132,7 +132,7 @@
 	made := asked.Add(milliseconds(resp.HeldMs)) // or later: the way there is not counted
 	v.logLate("peer", relay.Endpoints, made, nil)
 	seen := relay.Seen{relay.Endpoints: asOf(made, resp.AgeMs), relay.DesiredState: asOf(made, resp.ConfigAgeMs)}
-	return seen.Age(time.Now(), maxAge), v.take(peer, resp, seen)
+	return seen.Age(v.opt.Clock(), maxAge), v.take(peer, resp, seen)
 }
 
 func milliseconds(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
--- a/driver/storeview/serve.go
+++ b/driver/storeview/serve.go
@@ -17,7 +17,7 @@
 // than it knows, otherwise when there is, when the store has answered again, when
 // what is known here gets too old to rely on, or when its wait is over.
 func (v *View) Follow(ctx context.Context, req *fleetpb.FollowRequest) (*fleetpb.FollowResponse, error) {
-	asked := time.Now()
+	asked := v.opt.Clock()
 	end := time.NewTimer(min(maxPoll, milliseconds(req.WaitMs), v.freshFor(asked)))
 	defer end.Stop()
 	for over := req.WaitMs <= 0; ; {
@@ -25,7 +25,7 @@
 		if over || a.resp.ConfigVersion > req.ConfigVersion || !a.delta.Empty() || a.resp.Heard > req.Heard {
 			a.attachDesired(req)
 			a.resp.Whole, a.resp.Gone, a.resp.Endpoints = a.delta.Whole, a.delta.Gone, toWire(a.delta.Endpoints)
-			a.tellAges(asked, time.Now())
+			a.tellAges(asked, v.opt.Clock())
 			return a.resp, nil
 		}
 		select {
--- a/driver/storeview/storeview.go
+++ b/driver/storeview/storeview.go
@@ -15,6 +15,7 @@
 	"github.com/doorvalve/doorvalve/coordination/discovery"
 	"github.com/doorvalve/doorvalve/coordination/relay"
 	"github.com/doorvalve/doorvalve/driver/decisions"
+	"github.com/doorvalve/doorvalve/internal/clock"
 	"github.com/doorvalve/doorvalve/protocol/fleetpb"
 	"github.com/doorvalve/doorvalve/state/fleet"
 	"github.com/doorvalve/doorvalve/state/routing"
@@ -47,6 +48,9 @@
 	Within time.Duration
 	// Heartbeat is the time between two heartbeats of an endpoint.
 	Heartbeat time.Duration
+	// Clock goes on while the host is suspended, so that what was heard before is as old
+	// as it is; nil: the system's.
+	Clock clock.Clock
 }
 
 // View is safe for concurrent use.
@@ -79,6 +83,9 @@
 
 // New returns a view that knows nothing.
 func New(opt Options) *View {
+	if opt.Clock == nil {
+		opt.Clock = clock.Now
+	}
 	v := &View{
 		opt: opt, registry: discovery.NewRegistry(), watches: true, changes: relay.NewChangeLog(), told: make(chan struct{}),
 		unusable: map[string]uint64{}, roleTaken: make(chan struct{}), named: make(chan struct{}, 1), outage: discovery.NewOutage(opt.Heartbeat),
@@ -86,7 +93,7 @@
 	}
 	v.endpoints = discovery.NewFollower(discovery.FollowOptions{Pause: v.part(gatherPart), Retry: retryFirst, RetryMost: retryMost})
 	v.source = relay.NewSource(v.part(stalePart))
-	v.directFrom = time.Now().Add(startGrace)
+	v.directFrom = v.opt.Clock().Add(startGrace)
 	v.view.Store(fleet.NewView(0, nil))
 	return v
 }
@@ -165,7 +172,7 @@
 // takes what is newer into the registry does this before it lets go of the mutex: the
 // view is never older than what Seen tells.
 func (v *View) refresh() viewChange {
-	v.registry.Expire(time.Now())
+	v.registry.Expire(v.opt.Clock())
 	old := v.view.Load()
 	next, changed := v.registry.View()
 	if !changed {
@@ -181,7 +188,7 @@
 // that are kept though the store does not have them.
 func (v *View) takeIn(from string, take func(now time.Time) (kept []string)) {
 	v.mu.Lock()
-	kept := take(time.Now())
+	kept := take(v.opt.Clock())
 	c := v.refresh()
 	v.tell()
 	v.mu.Unlock()
--- /dev/null
+++ b/driver/storeview/suspended_test.go
@@ -0,0 +1,25 @@
+package storeview
+
+import (
+	"testing"
+	"time"
+
+	"github.com/doorvalve/doorvalve/coordination/relay"
+)
+
+// What was heard before a host was suspended is as old afterwards as it is.
+func TestAgeCountsSuspension(t *testing.T) {
+	suspended := time.Duration(0)
+	start := time.Now()
+	v := New(Options{Within: time.Second, Clock: func() time.Time { return start.Add(suspended) }})
+	v.mu.Lock()
+	v.endpoints.Listed(start, start, 1)
+	v.mu.Unlock()
+	if age := v.Age(relay.Endpoints); age != 0 {
+		t.Fatalf("%v old at once", age)
+	}
+	suspended = 10 * time.Second
+	if age := v.Age(relay.Endpoints); age != suspended {
+		t.Fatalf("%v old after %v", age, suspended)
+	}
+}
