--- a/transport/edge/run.go
+++ b/transport/edge/run.go
@@ -62,7 +62,7 @@
 	s.opt.Budget.Earn()
 	t := &tries{}
 	for ; ; t.sends++ {
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || q.timeLeft() <= 0 {
 			return s.outOfTime(t.verdict)
 		}
 		if t.sends > 0 && !s.payRetry(ctx, q, t, a.begun) {
@@ -118,6 +118,9 @@
 	if refusal := s.opt.Quarantine.Admit(ctx, q.fingerprint, on); refusal != nil {
 		return nil, refusal
 	}
+	if q.timeLeft() <= 0 { // its host was suspended while it waited
+		return nil, s.outOfTime(t.verdict)
+	}
 	return e, nil
 }
 
--- a/transport/edge/server.go
+++ b/transport/edge/server.go
@@ -22,6 +22,7 @@
 	"github.com/doorvalve/doorvalve/coordination/waiting"
 	"github.com/doorvalve/doorvalve/driver/decisions"
 	"github.com/doorvalve/doorvalve/driver/quarantiner"
+	"github.com/doorvalve/doorvalve/internal/clock"
 	"github.com/doorvalve/doorvalve/protocol"
 	"github.com/doorvalve/doorvalve/state/fleet"
 	"github.com/doorvalve/doorvalve/state/routing"
@@ -122,11 +123,18 @@
 	print    *protocol.Fingerprint // nil until it is asked for
 	arrived  time.Time
 	deadline time.Time
-	version  uint64 // of the desired state that it is served by
+	asleep   time.Duration // that the host had been suspended when it arrived
+	version  uint64        // of the desired state that it is served by
 	waited   time.Duration
 	named    bool // the coordinator named the endpoint
 }
 
+// timeLeft returns how long the caller waits yet. The deadline stands still while the host
+// is suspended, its caller does not.
+func (q *request) timeLeft() time.Duration {
+	return time.Until(q.deadline) - (clock.Suspended() - q.asleep)
+}
+
 // fingerprint identifies the request when its caller sends it again.
 func (q *request) fingerprint() protocol.Fingerprint {
 	if q.print == nil {
@@ -246,7 +254,7 @@
 		return nil, protocol.Refuse(http.StatusServiceUnavailable, "no-desired-state", "this daemon has no desired state yet", retryNoState)
 	}
 	call, err := s.opt.Dialect.ReadCall(r.Header)
-	q := &request{call: call, arrived: arrived, deadline: arrived.Add(defaultTimeLeft), method: r.Method, uri: r.RequestURI, host: r.Host, header: r.Header, version: table.Version}
+	q := &request{call: call, arrived: arrived, deadline: arrived.Add(defaultTimeLeft), asleep: clock.Suspended(), method: r.Method, uri: r.RequestURI, host: r.Host, header: r.Header, version: table.Version}
 	if err != nil {
 		return q, protocol.Refuse(http.StatusBadRequest, "bad-request", err.Error(), 0)
 	}
