quarantine: what is held back outlasts all daemons; endpoints taken out of the list end by plan

One daemon writes the requests that are held back to a record in the platform's store when they change; it is read only when an endpoint has ended under a request and the record is not known yet. TestRecordOutlastsAllDaemons: after all five daemons start anew, the first end brings the hold back; at most 8 calls to the store. An endpoint that was not listed any more as its connections broke had left without a word of it: nobody is blamed.

--- a/coordination/quarantine/machine.go
+++ b/coordination/quarantine/machine.go
@@ -330,12 +330,24 @@
 func (m *Machine) Digest() uint64 {
 	var digest uint64
 	for _, c := range m.cases {
-		h := xxhash.New()
-		_, _ = h.Write(c.Fingerprint[:]) // never fails
-		for _, e := range c.Ends {
-			digest += endDigest(c.Fingerprint, e)
-		}
-		digest += h.Sum64() * uint64(2*c.Trials+1)
+		digest += c.digest()
+	}
+	return digest
+}
+
+// DigestOf names cases as Machine.Digest does.
+func DigestOf(cases []Case) uint64 {
+	var digest uint64
+	for i := range cases {
+		digest += cases[i].digest()
+	}
+	return digest
+}
+
+func (c *Case) digest() uint64 {
+	digest := xxhash.Sum64(c.Fingerprint[:]) * uint64(2*c.Trials+1)
+	for _, e := range c.Ends {
+		digest += endDigest(c.Fingerprint, e)
 	}
 	return digest
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -109,7 +109,7 @@
 		Self: d.self, Platform: d.platform, Peers: d.peers, Members: d.gossip.Members, Config: d.claimsConfig, Log: d.log.Named("claims"),
 	})
 	d.keeper = quarantiner.New(quarantiner.Options{
-		Self: d.self, Members: d.gossip.Members, Peer: d.quarantinePeer, Endpoint: d.endpointState, Log: d.log.Part("quarantine"), Metrics: d.metrics,
+		Self: d.self, Members: d.gossip.Members, Peer: d.quarantinePeer, Endpoint: d.endpointState, Store: d.platform, Log: d.log.Part("quarantine"), Metrics: d.metrics,
 	})
 	d.gates.Store(&map[string]*gate.Gate{})
 	d.setPhase(drain.Serving)
--- a/daemon/edgedaemon/daemon.go
+++ b/daemon/edgedaemon/daemon.go
@@ -127,7 +127,7 @@
 	d.view.OnChange(d.changed)
 	d.gossip = gossip.New(hclog.NewNullLogger(), d.peers, d.seeds, membership.DefaultOptions(uint64(time.Now().UnixNano())), d.member())
 	d.keeper = quarantiner.New(quarantiner.Options{
-		Self: d.self, Members: d.alive, Peer: d.quarantinePeer, Endpoint: d.endpointState, Log: log, Metrics: d.metrics,
+		Self: d.self, Members: d.alive, Peer: d.quarantinePeer, Endpoint: d.endpointState, Store: d.store, Log: log, Metrics: d.metrics,
 	})
 	d.callers = edge.New(edge.Options{
 		Table: d.view.Table, View: d.view.Endpoints, ViewAge: d.endpointsAge, Draining: d.draining, Ends: d.ends, Dialect: platform.Dialect{}, Locator: d, Balancer: d.balancer,
--- a/driver/decisions/log.go
+++ b/driver/decisions/log.go
@@ -43,6 +43,7 @@
 	EventHeldBack         = "request held back"
 	EventReleased         = "request held back no more"
 	EventTrial            = "trial of a request held back"
+	EventQuarantineRecord = "record of requests held back"
 )
 
 // Events of daemons with bundles of their own.
--- a/driver/quarantiner/broken.go
+++ b/driver/quarantiner/broken.go
@@ -42,8 +42,9 @@
 // known at first: connections are also cut on the way.
 type broken struct {
 	address  string
-	leaving  bool // it had said so: its end is no surprise
+	leaving  bool // it had said so, or was listed no more: its end is no surprise
 	since    time.Time
+	order    int64 // see quarantine.End
 	ended    bool
 	checks   int
 	checkAt  time.Time     // of the next question
@@ -55,7 +56,8 @@
 // there: the next endpoint is chosen after that, a few milliseconds later.
 func (k *Keeper) Broke(ctx context.Context, a Attempt) {
 	now := k.opt.Clock()
-	_, leaving := k.opt.Endpoint(a.Life)
+	listed, leaving := k.opt.Endpoint(a.Life)
+	leaving = leaving || !listed // taken out before its connections broke
 	k.mu.Lock()
 	b := k.broken[a.Life]
 	if b == nil {
@@ -64,10 +66,9 @@
 			k.opt.Log.Warn(decisions.EventEndpointEnded, "endpoint", a.Life.ID, "error", "too many endpoints broke at once; this one is not looked at")
 			return
 		}
-		b = &broken{address: a.Address, leaving: leaving, since: now}
+		b = &broken{address: a.Address, leaving: leaving, since: now, order: time.Now().UnixMilli()}
 		k.broken[a.Life] = b
 	}
-	b.leaving = b.leaving || leaving
 	leaving = b.leaving
 	b.attempts = append(b.attempts, a)
 	k.mu.Unlock()
@@ -138,7 +139,7 @@
 	k.opt.Log.Info(decisions.EventEndpointEnded, "endpoint", life.ID, "born", life.Born, "attempts", len(attempts), "after_ms", k.opt.Clock().Sub(b.since).Milliseconds())
 	k.step(func(now time.Time) {
 		for _, a := range attempts {
-			end := quarantine.End{Life: life, Doubtful: a.Began || k.served.lately(a.Fingerprint, a.Sent), Sent: a.Sent, At: b.since, Order: b.since.UnixMilli()}
+			end := quarantine.End{Life: life, Doubtful: a.Began || k.served.lately(a.Fingerprint, a.Sent), Sent: a.Sent, At: b.since, Order: b.order}
 			k.m.Ended(now, quarantine.Report{Fingerprint: a.Fingerprint, End: end, Software: a.Software})
 		}
 	})
--- a/driver/quarantiner/quarantiner.go
+++ b/driver/quarantiner/quarantiner.go
@@ -64,7 +64,9 @@
 	// Endpoint reports whether an endpoint is listed, and as leaving.
 	Endpoint func(fleet.Incarnation) (listed, leaving bool)
 	// Dial connects to an endpoint to see whether it is there; nil: over TCP.
-	Dial    func(ctx context.Context, address string) error
+	Dial func(ctx context.Context, address string) error
+	// Store keeps what must outlast all daemons; nil: nothing does.
+	Store   Store
 	Clock   clock.Clock
 	Log     *decisions.Log
 	Metrics tally.Scope
@@ -84,6 +86,7 @@
 	known atomic.Int64 // cases
 
 	served servedTable
+	record record
 
 	mu      sync.Mutex
 	m       *quarantine.Machine
@@ -330,6 +333,7 @@
 		now := k.opt.Clock()
 		k.check(ctx)
 		k.gauge(now)
+		k.keepRecord(ctx, now)
 		if wait, ok := k.comparePause(now); ok && now.Sub(compared) >= wait {
 			compared = now
 			k.compare(ctx)
--- a/driver/quarantiner/quarantiner_test.go
+++ b/driver/quarantiner/quarantiner_test.go
@@ -326,3 +326,37 @@
 		}
 	})
 }
+
+// All daemons lose power at once. The first end under the request that was held back brings
+// the record back, and with it the time of the next trial. The store is called a few times.
+func TestRecordOutlastsAllDaemons(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		in := newInstallation(5, 9, 1)
+		defer in.stop()
+		time.Sleep(2 * time.Second)
+		for i := range 3 {
+			endUnder(in.hosts[i], "bad", fmt.Sprint("x", i))
+		}
+		time.Sleep(3 * time.Second)
+		for _, h := range in.hosts {
+			h.start()
+		}
+		time.Sleep(2 * time.Second)
+		in.hosts[2].serve("bad", true)
+		time.Sleep(2 * time.Second)
+		for _, h := range in.hosts {
+			if refused, _ := h.serve("bad", true); !refused {
+				t.Fatalf("%s has forgotten", h.name)
+			}
+		}
+		if n := len(in.ends["bad"]); n > attempts {
+			t.Errorf("%d more ended", n)
+		}
+		time.Sleep(50 * time.Second)
+		in.store.mu.Lock()
+		defer in.store.mu.Unlock()
+		if in.store.calls > 8 {
+			t.Errorf("%d calls to the store", in.store.calls)
+		}
+	})
+}
--- a/transport/platform/client.go
+++ b/transport/platform/client.go
@@ -40,6 +40,7 @@
 	KindClaim     Kind = "claim"     // heads, by shard
 	KindSegment   Kind = "segment"   // sealed claims
 	KindDrain     Kind = "drain"     // endpoints drained by operators
+	KindHeldBack  Kind = "held-back" // requests under which endpoints end
 )
 
 // Object is one stored value.
@@ -231,3 +232,19 @@
 	c.hosts.Store(next)
 	return next.list, nil
 }
+
+// heldBackName is the only object of its kind.
+const heldBackName = "main"
+
+// ReadHeldBack decodes the record of the requests that are held back into v; ErrNotFound
+// says that there is none.
+func (c *Client) ReadHeldBack(ctx context.Context, v any) (version uint64, err error) {
+	return c.Get(ctx, KindHeldBack, heldBackName, v)
+}
+
+// WriteHeldBack writes that record if its version is still expected; 0 means that it must
+// not exist.
+func (c *Client) WriteHeldBack(ctx context.Context, expected uint64, record any) (version uint64, outcome protocol.WriteOutcome, err error) {
+	version, outcome = c.Put(ctx, KindHeldBack, heldBackName, expected, record)
+	return version, outcome, nil
+}
