quarantine: a new version of a service's program is a reason for a trial

The version that endpoints tell of their program goes with the view and names, with the service and the model's version, what a request runs on.

--- a/driver/storeview/wire.go
+++ b/driver/storeview/wire.go
@@ -12,7 +12,7 @@
 	out := make([]*fleetpb.Endpoint, len(list))
 	for i, e := range list {
 		out[i] = &fleetpb.Endpoint{
-			Id: e.ID, Born: e.Born, Service: e.Service, Address: e.Address, Domain: e.Domain, Slots: int32(e.Slots),
+			Id: e.ID, Born: e.Born, Service: e.Service, Address: e.Address, Domain: e.Domain, Slots: int32(e.Slots), Software: e.Software,
 			Leaving: e.Leaving, Missing: e.Missing, RemainingMs: e.Remaining.Milliseconds(), Revision: e.Revision,
 		}
 		for _, m := range e.Models {
@@ -26,7 +26,7 @@
 	out := make([]*fleet.Endpoint, len(list))
 	for i, e := range list {
 		out[i] = &fleet.Endpoint{
-			ID: e.Id, Born: e.Born, Service: e.Service, Address: e.Address, Domain: e.Domain, Slots: int(e.Slots),
+			ID: e.Id, Born: e.Born, Service: e.Service, Address: e.Address, Domain: e.Domain, Slots: int(e.Slots), Software: e.Software,
 			Leaving: e.Leaving, Missing: e.Missing, Remaining: time.Duration(e.RemainingMs) * time.Millisecond, Revision: e.Revision,
 		}
 		for _, m := range e.Models {
--- a/state/fleet/fleet.go
+++ b/state/fleet/fleet.go
@@ -22,6 +22,8 @@
 	Address string
 	Domain  string // failure domain
 	Slots   int
+	// Software names the version of the endpoint's program, empty where it tells none.
+	Software string
 	// Leaving endpoints get no new requests.
 	Leaving bool
 	// Missing endpoints have no entry in the platform's store. They are kept for a
--- a/transport/edge/run.go
+++ b/transport/edge/run.go
@@ -136,18 +136,23 @@
 	}
 }
 
-// software names what a request runs on: the service, the model and the newest version of
-// it that an endpoint has loaded.
+// software names what a request runs on: the service, the newest program of its endpoints,
+// the model and the newest version of it that one has loaded. A program's version is text:
+// the longer, then the later in the alphabet, counts as the newer, so that while versions
+// change all daemons name the same.
 func (s *Server) software(q *request) quarantine.Software {
-	newest := 0
+	newest, program := 0, ""
 	for _, e := range s.opt.View().ByService[q.service.Name] {
+		if len(e.Software) > len(program) || len(e.Software) == len(program) && e.Software > program {
+			program = e.Software
+		}
 		for _, m := range e.Models {
 			if m.Model == q.call.Model {
 				newest = max(newest, m.Version)
 			}
 		}
 	}
-	return quarantine.SoftwareOf(q.service.Name, q.call.Model, strconv.Itoa(newest))
+	return quarantine.SoftwareOf(q.service.Name, program, q.call.Model, strconv.Itoa(newest))
 }
 
 func (s *Server) outOfTime(verdict protocol.Verdict) *protocol.Refusal {
