--- a/cmd/doorvalvectl/explain.go
+++ b/cmd/doorvalvectl/explain.go
@@ -91,9 +91,9 @@
 
 // explain picks the lines of a request and, from around before it to its end,
 // those on its models and endpoints, on leases, dependencies and the desired
-// state.
+// state; and, however long before, those on the same request under other ids.
 func explain(lines []logLine, id string, around time.Duration) []logLine {
-	about := map[string]bool{}
+	about, prints := map[string]bool{}, map[string]bool{}
 	var first, last time.Time
 	for _, l := range lines {
 		if l.Fields["request"] != id {
@@ -105,6 +105,9 @@
 		if l.At.After(last) {
 			last = l.At
 		}
+		if print, _ := l.Fields["fingerprint"].(string); print != "" {
+			prints[print] = true
+		}
 		for _, field := range []string{"endpoint", "model"} {
 			if v, _ := l.Fields[field].(string); v != "" {
 				model, _, _ := strings.Cut(v, "/")
@@ -117,6 +120,10 @@
 	}
 	var out []logLine
 	for _, l := range lines {
+		if print, _ := l.Fields["fingerprint"].(string); prints[print] && !l.At.After(last) {
+			out = append(out, l)
+			continue
+		}
 		if l.Fields["request"] == id || l.Fields["request"] == nil && !l.At.Before(first.Add(-around)) && !l.At.After(last) && l.concerns(about) {
 			out = append(out, l)
 		}
--- a/cmd/doorvalvectl/explain_test.go
+++ b/cmd/doorvalvectl/explain_test.go
@@ -34,3 +34,19 @@
 		t.Fatal("a request that no line names was explained")
 	}
 }
+
+const heldBackLog = `
+host-1 {"@message":"attempt failed","@timestamp":"2026-10-14T04:07:35.000Z","request":"r0","fingerprint":"f1","endpoint":"i-1"}
+host-2 {"@message":"attempt failed","@timestamp":"2026-10-14T04:07:35.500Z","request":"r8","fingerprint":"f2","endpoint":"i-1"}
+host-1 {"@message":"request held back","@timestamp":"2026-10-14T04:07:36.000Z","fingerprint":"f1"}
+host-3 {"@message":"request refused","@timestamp":"2026-10-14T04:08:36.000Z","request":"r9","reason":"held-back","fingerprint":"f1"}
+`
+
+// A request that is refused because it was held back leads to the engines that ended under
+// it before, under other ids and at other daemons.
+func TestExplainLeadsFromARefusalToTheEnds(t *testing.T) {
+	got := explain(parseLog(strings.NewReader(heldBackLog)), "r9", time.Second)
+	if len(got) != 3 || got[0].Fields["request"] != "r0" || got[1].Event != "request held back" || got[2].Fields["request"] != "r9" {
+		t.Fatalf("%+v", got)
+	}
+}
--- a/driver/quarantiner/quarantiner.go
+++ b/driver/quarantiner/quarantiner.go
@@ -6,9 +6,11 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -54,6 +56,9 @@
 	retryUndecided = time.Second
 )
 
+// ReasonHeldBack is the reason of a refusal because endpoints have ended under a request.
+const ReasonHeldBack = "held-back"
+
 // Options are what a Keeper needs of the rest of the daemon.
 type Options struct {
 	Self string // id of this daemon
@@ -157,8 +162,8 @@
 
 func (k *Keeper) refuse(s quarantine.Standing, after time.Duration) *protocol.Refusal {
 	k.metrics.refused.Inc(1)
-	detail := "endpoints have ended under this request, one after the other; it is tried again later"
-	return protocol.Refuse(http.StatusServiceUnavailable, "held-back", detail+" (fingerprint "+s.Case.Fingerprint.String()+")", max(after, retryUndecided))
+	detail := fmt.Sprintf("endpoints have ended under this request, one after the other: %s; it is tried again later", strings.Join(s.Lives(), ", "))
+	return protocol.Refuse(http.StatusServiceUnavailable, ReasonHeldBack, detail, max(after, retryUndecided))
 }
 
 // trial asks the daemon that decides on the request whether its trial may go through now:
--- a/transport/edge/server.go
+++ b/transport/edge/server.go
@@ -218,10 +218,14 @@
 	if q.route != nil {
 		route = q.route.Name
 	}
-	s.opt.Log.Info(event, "request", q.call.ID, "route", route, "model", q.unit(), "status", refusal.Status, "reason", refusal.Reason, "detail", refusal.Detail,
+	fields := []any{"request", q.call.ID, "route", route, "model", q.unit(), "status", refusal.Status, "reason", refusal.Reason, "detail", refusal.Detail,
 		"verdict", refusal.Verdict.String(), "retry_after_ms", refusal.RetryAfter.Milliseconds(), "ms", time.Since(q.arrived).Milliseconds(),
 		"time_left_ms", time.Until(q.deadline).Milliseconds(), "endpoint", endpoint, "version", q.version,
-		"endpoints_revision", s.opt.View().Revision)
+		"endpoints_revision", s.opt.View().Revision}
+	if refusal.Reason == quarantiner.ReasonHeldBack {
+		fields = append(fields, "fingerprint", q.fingerprint().String())
+	}
+	s.opt.Log.Info(event, fields...)
 }
 
 // refuse writes a refusal as the final answer.
