edge: an endpoint that has ended gets no requests, and what it never got is no retry

Counted in the logs of the incident: 263 of some 450 innocent requests that were unserved while engines crashed were refused as endpoint-unreachable: sent again and again to engines that had ended and were still listed (3.6 s), each try paid from the retry budget. Where nothing listens, the endpoint is out for a second, doubling to four; other daemons' word of an end counts as well; the coordinator is asked for another.

--- a/coordination/balance/balance.go
+++ b/coordination/balance/balance.go
@@ -17,6 +17,10 @@
 	// doubles with each further one up to avoidMost.
 	avoidFirst = 300 * time.Millisecond
 	avoidMost  = 4 * time.Second
+	// goneFirst is how long an endpoint at which nothing listens gets no requests at all;
+	// it doubles with each further refusal up to avoidMost. One that has ended comes back
+	// under another id, or after seconds.
+	goneFirst = time.Second
 	// absentFor is how long an endpoint's word that it does not hold a model
 	// counts against an older entry in the list.
 	absentFor = 2500 * time.Millisecond
@@ -35,6 +39,8 @@
 	others     int // running by the other daemons, as was told last
 	failures   int // in a row
 	avoidUntil time.Time
+	refusals   int                  // of connections, in a row
+	goneUntil  time.Time            // nothing listens there until then
 	absent     map[string]time.Time // units that it does not hold, until then
 	used       map[string]time.Time // units that it has served, last time
 }
@@ -102,14 +108,14 @@
 	return b.pickOwn(usable, q)
 }
 
-// usable returns the endpoints that may be asked: without those that have just
-// failed, unless all have.
+// usable returns the endpoints that may be asked: without those that are gone, and without
+// those that have just failed, unless all have.
 func (b *Balancer) usable(now time.Time, candidates []*fleet.Endpoint, q Query) []*fleet.Endpoint {
 	var sound, avoided []*fleet.Endpoint
 	for _, e := range candidates {
 		l := b.load(e.Life())
 		switch {
-		case e.Leaving, slices.ContainsFunc(q.Exclude, e.Life().Same):
+		case e.Leaving, now.Before(l.goneUntil), slices.ContainsFunc(q.Exclude, e.Life().Same):
 		case q.Unit != "" && now.Before(l.absent[q.Unit]):
 		case now.Before(l.avoidUntil):
 			avoided = append(avoided, e)
@@ -172,8 +178,8 @@
 	if !ok {
 		return
 	}
-	l.failures = 0
-	l.avoidUntil = time.Time{}
+	l.failures, l.refusals = 0, 0
+	l.avoidUntil, l.goneUntil = time.Time{}, time.Time{}
 	l.used[unit] = now
 	s := b.service(e.Service)
 	s.runTime += time.Duration(runTimeStep * float64(took-s.runTime))
@@ -191,6 +197,28 @@
 	return d
 }
 
+// Gone keeps all requests away from an endpoint at which nothing listens, as it refused a
+// connection or as other daemons say. Requests that would be sent there in vain are told
+// at once what else there is: where engines ended one after the other, 263 of 450 unserved
+// requests had been sent to engines that had ended.
+func (b *Balancer) Gone(now time.Time, id fleet.Incarnation) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	l := b.load(id)
+	if now.Before(l.goneUntil) {
+		return // told by several requests at once
+	}
+	l.goneUntil = now.Add(min(avoidMost, goneFirst<<min(l.refusals, 8)))
+	l.refusals++
+}
+
+// IsGone reports whether nothing listens at an endpoint.
+func (b *Balancer) IsGone(now time.Time, id fleet.Incarnation) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return now.Before(b.load(id).goneUntil)
+}
+
 // Avoided reports whether an endpoint has just failed or refused requests, so that
 // they keep away from it.
 func (b *Balancer) Avoided(now time.Time, id fleet.Incarnation) bool {
--- a/coordination/balance/balance_test.go
+++ b/coordination/balance/balance_test.go
@@ -142,3 +142,28 @@
 		t.Fatal("the one that has failed is left out")
 	}
 }
+
+// An endpoint at which nothing listens is not picked, also where there is no other: its
+// requests are told at once what else there is. One request finds out when it is back.
+func TestEndedEndpointIsNotPicked(t *testing.T) {
+	b := New("x", 1)
+	list := endpoints("a")
+	for range 5 { // of one end, as many requests notice
+		b.Gone(start, life("a"))
+	}
+	if e := b.Pick(start.Add(goneFirst-time.Millisecond), list, Query{}); e != nil || !b.IsGone(start, life("a")) {
+		t.Fatalf("picked %v", e)
+	}
+	if e := b.Pick(start.Add(goneFirst), list, Query{}); e == nil {
+		t.Fatal("it is never asked again")
+	}
+	again := start.Add(goneFirst)
+	b.Gone(again, life("a"))
+	if e := b.Pick(again.Add(2*goneFirst-time.Millisecond), list, Query{}); e != nil {
+		t.Fatal("the second refusal counts as little as the first")
+	}
+	b.Ended(again, list[0], "", time.Millisecond, true)
+	if e := b.Pick(again, list, Query{}); e == nil {
+		t.Fatal("it has answered, and is not picked")
+	}
+}
--- a/daemon/edgedaemon/daemon.go
+++ b/daemon/edgedaemon/daemon.go
@@ -36,6 +36,7 @@
 	"github.com/doorvalve/doorvalve/protocol/peerpb"
 	"github.com/doorvalve/doorvalve/protocol/quarantinepb"
 	"github.com/doorvalve/doorvalve/settings"
+	"github.com/doorvalve/doorvalve/state/fleet"
 	"github.com/doorvalve/doorvalve/transport/edge"
 	"github.com/doorvalve/doorvalve/transport/peers"
 )
@@ -127,7 +128,7 @@
 	d.view.OnChange(d.changed)
 	d.gossip = gossip.New(hclog.NewNullLogger(), d.peers, d.seeds, membership.DefaultOptions(uint64(time.Now().UnixNano())), d.member())
 	d.keeper = quarantiner.New(quarantiner.Options{
-		Self: d.self, Members: d.alive, Peer: d.quarantinePeer, Endpoint: d.endpointState, Store: d.store, Log: log, Metrics: d.metrics,
+		Self: d.self, Members: d.alive, Peer: d.quarantinePeer, Endpoint: d.endpointState, Ended: func(life fleet.Incarnation) { d.balancer.Gone(time.Now(), life) }, Store: d.store, Log: log, Metrics: d.metrics,
 	})
 	d.callers = edge.New(edge.Options{
 		Table: d.view.Table, View: d.view.Endpoints, ViewAge: d.endpointsAge, Draining: d.draining, Ends: d.ends, Dialect: platform.Dialect{}, Locator: d, Balancer: d.balancer,
--- a/driver/quarantiner/broken.go
+++ b/driver/quarantiner/broken.go
@@ -135,6 +135,7 @@
 	}
 	b.attempts = nil
 	k.mu.Unlock()
+	k.opt.Ended(life)
 	k.metrics.ended.Inc(int64(len(attempts)))
 	k.opt.Log.Info(decisions.EventEndpointEnded, "endpoint", life.ID, "born", life.Born, "attempts", len(attempts), "after_ms", k.opt.Clock().Sub(b.since).Milliseconds())
 	k.step(func(now time.Time) {
--- a/driver/quarantiner/quarantiner.go
+++ b/driver/quarantiner/quarantiner.go
@@ -51,6 +51,8 @@
 	syncPause = 100 * time.Millisecond
 	// expireEvery is how often old cases are looked for.
 	expireEvery = 10 * time.Second
+	// justEnded is how long after its end others are told not to ask an endpoint.
+	justEnded = time.Second
 	// retryUndecided is when to come back if the daemon that decides on a trial cannot
 	// be asked.
 	retryUndecided = time.Second
@@ -70,6 +72,8 @@
 	Endpoint func(fleet.Incarnation) (listed, leaving bool)
 	// Dial connects to an endpoint to see whether it is there; nil: over TCP.
 	Dial func(ctx context.Context, address string) error
+	// Ended is told of endpoints that have just ended, as this daemon or another has seen.
+	Ended func(fleet.Incarnation)
 	// Store keeps what must outlast all daemons; nil: nothing does.
 	Store   Store
 	Clock   clock.Clock
@@ -110,6 +114,9 @@
 	if opt.Clock == nil {
 		opt.Clock = clock.Now
 	}
+	if opt.Ended == nil {
+		opt.Ended = func(fleet.Incarnation) {}
+	}
 	if opt.Dial == nil {
 		opt.Dial = dial
 	}
@@ -323,8 +330,17 @@
 
 // learn takes what another daemon has told.
 func (k *Keeper) learn(cases []quarantine.Case) {
-	if len(cases) > 0 {
-		k.step(func(now time.Time) { k.m.Merge(now, cases) })
+	if len(cases) == 0 {
+		return
+	}
+	k.step(func(now time.Time) { k.m.Merge(now, cases) })
+	now := k.opt.Clock()
+	for i := range cases {
+		for _, e := range cases[i].Ends {
+			if now.Sub(e.At) < justEnded {
+				k.opt.Ended(e.Life)
+			}
+		}
 	}
 }
 
--- a/transport/edge/attempt.go
+++ b/transport/edge/attempt.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/url"
 	"slices"
+	"syscall"
 	"time"
 
 	"github.com/doorvalve/doorvalve/protocol"
@@ -57,12 +58,14 @@
 	absent  bool // the endpoint is another process, or does not hold the model
 	// unreachable says that no connection could be opened.
 	unreachable bool
-	loading     bool // the endpoint is still loading the model
-	leaving     bool
-	began       bool              // events of the answer had come from the endpoint
-	broken      bool              // the connection to the endpoint broke
-	endpoint    fleet.Incarnation // that was asked
-	paid        bool              // the retry has been taken out of the budget
+	// refused says that nothing listens at the endpoint: the request has not reached it.
+	refused  bool
+	loading  bool // the endpoint is still loading the model
+	leaving  bool
+	began    bool              // events of the answer had come from the endpoint
+	broken   bool              // the connection to the endpoint broke
+	endpoint fleet.Incarnation // that was asked
+	paid     bool              // the retry has been taken out of the budget
 }
 
 // body hides the type of the content, so that the transport cannot send a
@@ -105,7 +108,7 @@
 func classify(ctx context.Context, err error) *failure {
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" {
-		return &failure{verdict: protocol.NotRun, reason: "endpoint-unreachable", err: err, unreachable: true}
+		return &failure{verdict: protocol.NotRun, reason: "endpoint-unreachable", err: err, unreachable: true, refused: errors.Is(err, syscall.ECONNREFUSED)}
 	}
 	if ctx.Err() != nil {
 		return &failure{verdict: protocol.MayHaveRun, reason: "no-answer-in-time", err: ctx.Err()}
--- a/transport/edge/locate.go
+++ b/transport/edge/locate.go
@@ -54,12 +54,12 @@
 			}
 		}
 		if ans.Refused == "" && ans.ReadyIn <= 0 {
-			if e := s.opt.View().Of(ans.Endpoint); e != nil && !e.Leaving {
+			if e := s.opt.View().Of(ans.Endpoint); e != nil && !e.Leaving && !s.opt.Balancer.IsGone(time.Now(), e.Life()) {
 				s.opt.Balancer.Present(e.Life(), q.unit())
 				q.named = true
 				return e, s.join(q, t, ans)
 			}
-			ans.ReadyIn = loadingPause // the list does not name it yet, or not any more
+			ans.ReadyIn = loadingPause // the list does not name it yet, or not any more; or it has ended
 		}
 		if refusal := s.wait(ctx, q, t, ans); refusal != nil {
 			return nil, refusal
--- a/transport/edge/retry.go
+++ b/transport/edge/retry.go
@@ -39,7 +39,9 @@
 	if begun && !s.awaitPlace(ctx, q, t) {
 		return false
 	}
-	paid := t.last.paid || s.opt.Budget.Spend()
+	// What was refused with the connection has reached nobody: another endpoint is its
+	// first, and no retry.
+	paid := t.last.paid || t.last.refused || s.opt.Budget.Spend()
 	if !paid && begun {
 		paid = s.awaitBudget(ctx, q, t)
 	}
--- a/transport/edge/run.go
+++ b/transport/edge/run.go
@@ -198,6 +198,9 @@
 		s.opt.EndpointLeaving(e.Life())
 		return true
 	}
+	if f.refused {
+		s.opt.Balancer.Gone(now, e.Life())
+	}
 	d := s.opt.Balancer.Failed(now, e.Life())
 	s.opt.Log.Info(decisions.EventAvoided, "request", q.call.ID, "endpoint", e.ID, "reason", f.reason, "for_ms", d.Milliseconds())
 	return true
