--- a/coordination/quarantine/merge_test.go
+++ b/coordination/quarantine/merge_test.go
@@ -115,6 +115,9 @@
 	}
 	b.Merge(at(40), a.All())
 	a.Merge(at(40), b.All())
+	third := seen{"bad", "e0", 0, 0.1, false}.report() // a daemon that was cut off has the first one yet
+	third.End.At = at(50)
+	a.Merge(at(40), []Case{{Fingerprint: third.Fingerprint, Ends: []End{third.End}}})
 	if a.HasNews() || b.HasNews() || a.Digest() != b.Digest() {
 		t.Fatalf("they go on telling each other:\n%+v\n%+v", a.All(), b.All())
 	}
