quarantiner: split by task; who asks for a trial tells the case; idle daemons wake once a second

A daemon that had missed a request's story granted its trial without counting it. While anything was known, each daemon woke 20 times a second for an hour.

--- a/driver/quarantiner/broken.go
+++ b/driver/quarantiner/broken.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"errors"
+	"net"
+	"syscall"
 	"time"
 
 	"github.com/doorvalve/doorvalve/coordination/quarantine"
@@ -186,3 +189,15 @@
 		k.count(life, b)
 	}
 }
+
+// refusedConnection reports whether an error says that nothing listens at the address.
+func refusedConnection(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+
+// dial is how an endpoint is asked whether it is there.
+func dial(ctx context.Context, address string) error {
+	conn, err := (&net.Dialer{Timeout: checkTimeout, KeepAlive: -1}).DialContext(ctx, "tcp", address)
+	if err != nil {
+		return err
+	}
+	return conn.Close()
+}
--- a/driver/quarantiner/quarantiner.go
+++ b/driver/quarantiner/quarantiner.go
@@ -5,15 +5,11 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"math/rand/v2"
-	"net"
 	"net/http"
 	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -187,7 +183,7 @@
 	} else {
 		ctx, cancel := context.WithTimeout(ctx, callTimeout)
 		defer cancel()
-		resp, err := k.opt.Peer(judge.PeerAddress).Trial(ctx, &quarantinepb.TrialRequest{Fingerprint: print[:], Software: uint64(on)})
+		resp, err := k.opt.Peer(judge.PeerAddress).Trial(ctx, &quarantinepb.TrialRequest{Software: uint64(on), Case: caseToWire(k.opt.Clock(), &s.Case)})
 		if err != nil {
 			k.opt.Log.Info(decisions.EventTrial, "fingerprint", print.String(), "decides", judge.ID, "granted", false, "error", err)
 			return k.refuse(s, retryUndecided)
@@ -257,28 +253,6 @@
 	}
 }
 
-// runTell tells the others what is new until ctx ends: the first at once, what comes
-// shortly after together, since an endpoint ends under requests of many daemons.
-func (k *Keeper) runTell(ctx context.Context) {
-	for ctx.Err() == nil {
-		select {
-		case <-ctx.Done():
-			return
-		case <-k.news:
-		}
-		k.mu.Lock()
-		cases, more := k.m.News()
-		k.mu.Unlock()
-		if more {
-			signal(k.news)
-		}
-		if len(cases) > 0 {
-			k.tell(&quarantinepb.ExchangeRequest{Cases: toWire(k.opt.Clock(), cases)})
-		}
-		pause.For(ctx, tellEvery)
-	}
-}
-
 func signal(c chan struct{}) {
 	select {
 	case c <- struct{}{}:
@@ -295,55 +269,6 @@
 	k.opt.Log.Info(decisions.EventHeldBack, append(fields, "blame", s.Blame, "last_ms_ago", now.Sub(s.Last()).Milliseconds(), "trial_in_ms", s.Due.Sub(now).Milliseconds())...)
 }
 
-// others returns the other daemons in a random order.
-func (k *Keeper) others() []membership.Member {
-	var list []membership.Member
-	for _, m := range k.opt.Members() {
-		if m.ID != k.opt.Self {
-			list = append(list, m)
-		}
-	}
-	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-	return list
-}
-
-// tell sends news to some other daemons at once.
-func (k *Keeper) tell(req *quarantinepb.ExchangeRequest) {
-	list := k.others()
-	for _, m := range list[:min(fanout, len(list))] {
-		go func() { _, _ = k.exchange(context.Background(), m, req) }() // a comparison makes up for what is lost
-	}
-}
-
-// exchange makes one call and takes its answer.
-func (k *Keeper) exchange(ctx context.Context, m membership.Member, req *quarantinepb.ExchangeRequest) (*quarantinepb.ExchangeResponse, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	k.metrics.told.Inc(1)
-	resp, err := k.opt.Peer(m.PeerAddress).Exchange(ctx, req)
-	if err != nil {
-		return nil, err
-	}
-	k.learn(fromWire(k.opt.Clock(), resp.Cases))
-	return resp, nil
-}
-
-// learn takes what another daemon has told.
-func (k *Keeper) learn(cases []quarantine.Case) {
-	if len(cases) == 0 {
-		return
-	}
-	k.step(func(now time.Time) { k.m.Merge(now, cases) })
-	now := k.opt.Clock()
-	for i := range cases {
-		for _, e := range cases[i].Ends {
-			if now.Sub(e.At) < justEnded {
-				k.opt.Ended(e.Life)
-			}
-		}
-	}
-}
-
 // Run asks the others what they know, then passes time on until ctx ends.
 func (k *Keeper) Run(ctx context.Context) error {
 	k.sync(ctx)
@@ -366,8 +291,11 @@
 // await waits for a tick while something goes on, for longer while nothing does.
 func (k *Keeper) await(ctx context.Context) {
 	d := expireEvery
-	if k.known.Load() > 0 || k.watching() {
+	switch wait, known := k.comparePause(k.opt.Clock()); {
+	case k.watching():
 		d = tick
+	case known:
+		d = min(wait, recordPause)
 	}
 	pause.Until(ctx, time.Now().Add(d), k.wake)
 }
@@ -386,104 +314,3 @@
 	k.metrics.held.Update(float64(len(*k.held.Load())))
 	k.metrics.cases.Update(float64(k.known.Load()))
 }
-
-// sync asks others for all that they know, until one has answered that has not just
-// started itself.
-func (k *Keeper) sync(ctx context.Context) {
-	defer close(k.synced)
-	for ctx.Err() == nil && k.opt.Clock().Sub(k.started) < syncWithin {
-		list := k.others()
-		for _, m := range list[:min(fanout, len(list))] {
-			resp, err := k.exchange(ctx, m, &quarantinepb.ExchangeRequest{Ask: true})
-			if err == nil && resp.Settled {
-				return
-			}
-		}
-		pause.For(ctx, syncPause)
-	}
-}
-
-func (k *Keeper) settled() bool {
-	select {
-	case <-k.synced:
-		return true
-	default:
-		return false
-	}
-}
-
-// comparePause returns the pause between two comparisons; there are none while nothing is
-// known.
-func (k *Keeper) comparePause(now time.Time) (time.Duration, bool) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	switch {
-	case k.m.Cases() == 0:
-		return 0, false
-	case now.Sub(k.newsAt) < spreadFor:
-		return compareSoon, true
-	}
-	return compareLater, true
-}
-
-// compare brings this daemon and another one to the same belief.
-func (k *Keeper) compare(ctx context.Context) {
-	list := k.others()
-	if len(list) == 0 {
-		return
-	}
-	k.mu.Lock()
-	digest := k.m.Digest()
-	k.mu.Unlock()
-	resp, err := k.exchange(ctx, list[0], &quarantinepb.ExchangeRequest{Ask: true, Digest: digest})
-	if err != nil || resp.Digest == digest {
-		return // another one is next
-	}
-	k.mu.Lock()
-	req := &quarantinepb.ExchangeRequest{Digest: k.m.Digest()}
-	if req.Digest != resp.Digest {
-		req.Cases = toWire(k.opt.Clock(), k.m.All())
-	}
-	k.mu.Unlock()
-	if len(req.Cases) > 0 {
-		_, _ = k.exchange(ctx, list[0], req) // the next comparison makes up for it
-	}
-}
-
-// Exchange implements quarantinepb.Quarantine.
-func (k *Keeper) Exchange(_ context.Context, req *quarantinepb.ExchangeRequest) (*quarantinepb.ExchangeResponse, error) {
-	k.learn(fromWire(k.opt.Clock(), req.Cases))
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	resp := &quarantinepb.ExchangeResponse{Digest: k.m.Digest(), Settled: k.settled()}
-	if req.Ask && req.Digest != resp.Digest {
-		resp.Cases = toWire(k.opt.Clock(), k.m.All())
-	}
-	return resp, nil
-}
-
-// errFingerprint refuses a trial of nothing.
-var errFingerprint = errors.New("the fingerprint is not whole")
-
-// Trial implements quarantinepb.Quarantine.
-func (k *Keeper) Trial(_ context.Context, req *quarantinepb.TrialRequest) (*quarantinepb.TrialResponse, error) {
-	var print protocol.Fingerprint
-	if len(req.Fingerprint) != len(print) {
-		return nil, errFingerprint
-	}
-	print = protocol.Fingerprint(req.Fingerprint)
-	granted, known := k.grant(print, quarantine.Software(req.Software))
-	return &quarantinepb.TrialResponse{Granted: granted, Case: caseToWire(k.opt.Clock(), &known)}, nil
-}
-
-// refusedConnection reports whether an error says that nothing listens at the address.
-func refusedConnection(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
-
-// dial is how an endpoint is asked whether it is there.
-func dial(ctx context.Context, address string) error {
-	conn, err := (&net.Dialer{Timeout: checkTimeout, KeepAlive: -1}).DialContext(ctx, "tcp", address)
-	if err != nil {
-		return err
-	}
-	return conn.Close()
-}
--- a/driver/quarantiner/quarantiner_test.go
+++ b/driver/quarantiner/quarantiner_test.go
@@ -154,6 +154,37 @@
 	})
 }
 
+// The daemon that decides has missed the whole story: it goes by the word of the one that
+// asks, and lets one through.
+func TestIgnorantJudgeGrantsOneTrial(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		in := newInstallation(2, 1, 1)
+		defer in.stop()
+		time.Sleep(2 * time.Second)
+		print := printOf("bad")()
+		asks, decides := in.hosts[0], in.hosts[1]
+		if judge, _ := asks.current().judge(print); judge.ID == asks.name {
+			asks, decides = decides, asks
+		}
+		for i := range 3 {
+			endUnder(asks, "bad", fmt.Sprint("x", i))
+		}
+		time.Sleep(61 * time.Second)
+		k := decides.current()
+		k.mu.Lock()
+		k.m = quarantine.New()
+		k.mu.Unlock()
+		for want := range 2 {
+			if refused := asks.current().Admit(context.Background(), printOf("bad"), onV1) != nil; refused != (want == 1) {
+				t.Fatalf("question %d: refused %v", want, refused)
+			}
+		}
+		if refused := k.Admit(context.Background(), printOf("bad"), onV1) != nil; !refused {
+			t.Fatal("a second trial, by the daemon that decides")
+		}
+	})
+}
+
 // A daemon whose host was suspended for a minute tries a request no sooner than the others
 // think, and a refusal that it gave before is not believed to be newer than it is.
 func TestSuspendedHostKeepsTime(t *testing.T) {
--- a/internal/clock/clock_test.go
+++ b/internal/clock/clock_test.go
@@ -12,7 +12,7 @@
 			t.Fatalf("suspended for %v", s)
 		}
 	}
-	if d := Now().Sub(time.Now()); d > time.Second || d < -time.Second {
+	if d := time.Until(Now()); d > time.Second || d < -time.Second {
 		t.Fatalf("differs by %v", d)
 	}
 }
