--- a/driver/quarantiner/quarantiner.go
+++ b/driver/quarantiner/quarantiner.go
@@ -41,8 +41,9 @@
 	// callTimeout bounds a call to another daemon, which answers from memory.
 	callTimeout = 300 * time.Millisecond
 	// syncWithin bounds the time after a start in which a daemon that has found nobody
-	// to ask keeps requests waiting.
-	syncWithin = time.Second
+	// to ask keeps requests waiting: what the first desired state takes as well, so that a
+	// start of all daemons at once is not slower by it.
+	syncWithin = 500 * time.Millisecond
 	// syncPause is the pause between two rounds of questions meanwhile.
 	syncPause = 100 * time.Millisecond
 	// expireEvery is how often old cases are looked for.
