quarantine: one check of a refused connection, no copy of the held requests for each answer, clearer names

The edge and the quarantiner asked an error the same question; the names of two counts of ends told them apart badly; each answer while anything was known published the held requests anew. Behaviour as before.

--- a/coordination/quarantine/blame.go
+++ b/coordination/quarantine/blame.go
@@ -5,7 +5,7 @@
 // standing judges a case by itself and by what else ran where its endpoints ended.
 func (m *Machine) standing(c *Case) Standing {
 	s := Standing{Case: c.clone()}
-	mine := c.unforgiven()
+	mine := c.wholeEnds()
 	for i, e := range c.Ends {
 		switch {
 		case e.Forgiven || m.explained(c, e, mine):
@@ -26,7 +26,7 @@
 func (m *Machine) explained(c *Case, e End, mine int) bool {
 	for print := range m.byLife[e.Life] {
 		other := m.cases[print]
-		if other != c && other.unforgiven() > mine && !other.forgave(e) {
+		if other != c && other.wholeEnds() > mine && !other.forgave(e) {
 			return true
 		}
 	}
--- a/coordination/quarantine/machine.go
+++ b/coordination/quarantine/machine.go
@@ -52,7 +52,7 @@
 // request which ends every other endpoint is held back in the end.
 func (m *Machine) Served(now time.Time, print protocol.Fingerprint, sent time.Time) {
 	c := m.cases[print]
-	if c == nil || c.unforgivenLeft() == 0 {
+	if c == nil || c.endsLeft() == 0 {
 		return
 	}
 	next := c.clone()
@@ -172,7 +172,8 @@
 	return cmp.Or(cmp.Compare(a.Order, b.Order), cmp.Compare(a.Life.ID, b.Life.ID), cmp.Compare(a.Life.Born, b.Life.Born))
 }
 
-func (c *Case) unforgivenLeft() int {
+// endsLeft returns the ends that still count, doubtful ones as well.
+func (c *Case) endsLeft() int {
 	n := 0
 	for _, e := range c.Ends {
 		if !e.Forgiven {
@@ -256,7 +257,7 @@
 		if m.held[c.Fingerprint].Held() {
 			return mostEnds + 1
 		}
-		return c.unforgivenLeft()
+		return c.endsLeft()
 	}
 	slices.SortFunc(list, func(a, b *Case) int {
 		return cmp.Or(cmp.Compare(rank(b), rank(a)), b.last().Compare(a.last()), bytes.Compare(a.Fingerprint[:], b.Fingerprint[:]))
--- a/coordination/quarantine/quarantine_test.go
+++ b/coordination/quarantine/quarantine_test.go
@@ -136,11 +136,11 @@
 		t.Fatal("no trial")
 	}
 	m.Served(at(71), print, at(70))
-	if len(m.Held()) != 0 || m.cases[print].unforgivenLeft() != 0 {
+	if len(m.Held()) != 0 || m.cases[print].endsLeft() != 0 {
 		t.Fatal("it passed its trial and is held back")
 	}
 	m.Merge(at(42), []Case{{Fingerprint: print, Ends: []End{crasher[0].report().End}}})
-	if m.cases[print].unforgivenLeft() != 0 {
+	if m.cases[print].endsLeft() != 0 {
 		t.Fatal("another daemon's older word undid it")
 	}
 }
--- a/coordination/quarantine/types.go
+++ b/coordination/quarantine/types.go
@@ -145,8 +145,8 @@
 	return c.TriedAt
 }
 
-// unforgiven returns the whole ends that still count, whatever else ran there.
-func (c *Case) unforgiven() int {
+// wholeEnds returns the whole ends that still count, whatever else ran there.
+func (c *Case) wholeEnds() int {
 	n := 0
 	for _, e := range c.Ends {
 		if !e.Forgiven && !e.Doubtful {
--- a/driver/quarantiner/broken.go
+++ b/driver/quarantiner/broken.go
@@ -86,7 +86,7 @@
 // Refused takes it that connecting to an endpoint failed: if nothing listens there, the
 // attempts that broke shortly before ended with it.
 func (k *Keeper) Refused(life fleet.Incarnation, err error) {
-	if !refusedConnection(err) {
+	if !RefusedConnection(err) {
 		return
 	}
 	k.mu.Lock()
@@ -116,7 +116,7 @@
 	case mine:
 		err := k.opt.Dial(context.WithoutCancel(ctx), b.address)
 		k.mu.Lock()
-		b.ended = b.ended || refusedConnection(err)
+		b.ended = b.ended || RefusedConnection(err)
 		close(b.checking)
 		b.checking = nil
 		k.mu.Unlock()
@@ -190,8 +190,8 @@
 	}
 }
 
-// refusedConnection reports whether an error says that nothing listens at the address.
-func refusedConnection(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+// RefusedConnection reports whether an error says that nothing listens at the address.
+func RefusedConnection(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
 
 // dial is how an endpoint is asked whether it is there.
 func dial(ctx context.Context, address string) error {
--- a/driver/quarantiner/quarantiner.go
+++ b/driver/quarantiner/quarantiner.go
@@ -236,11 +236,12 @@
 	now := k.opt.Clock()
 	k.mu.Lock()
 	f(now)
-	turned := k.m.Turned()
-	held := k.m.Held()
-	k.held.Store(&held)
+	turned, news := k.m.Turned(), k.m.HasNews()
+	if news || len(turned) > 0 { // an answer to a request without a case changes nothing
+		held := k.m.Held()
+		k.held.Store(&held)
+	}
 	k.known.Store(int64(k.m.Cases()))
-	news := k.m.HasNews()
 	if news {
 		k.newsAt = now
 	}
--- a/transport/edge/attempt.go
+++ b/transport/edge/attempt.go
@@ -10,9 +10,9 @@
 	"net/http"
 	"net/url"
 	"slices"
-	"syscall"
 	"time"
 
+	"github.com/doorvalve/doorvalve/driver/quarantiner"
 	"github.com/doorvalve/doorvalve/protocol"
 	"github.com/doorvalve/doorvalve/state/fleet"
 	"github.com/doorvalve/doorvalve/state/routing"
@@ -108,7 +108,7 @@
 func classify(ctx context.Context, err error) *failure {
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" {
-		return &failure{verdict: protocol.NotRun, reason: "endpoint-unreachable", err: err, unreachable: true, refused: errors.Is(err, syscall.ECONNREFUSED)}
+		return &failure{verdict: protocol.NotRun, reason: "endpoint-unreachable", err: err, unreachable: true, refused: quarantiner.RefusedConnection(err)}
 	}
 	if ctx.Err() != nil {
 		return &failure{verdict: protocol.MayHaveRun, reason: "no-answer-in-time", err: ctx.Err()}
