--- a/coordination/balance/balance.go
+++ b/coordination/balance/balance.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/doorvalve/doorvalve/coordination/limit"
 	"github.com/doorvalve/doorvalve/state/fleet"
 )
 
@@ -39,6 +40,9 @@
 	others     int // running by the other daemons, as was told last
 	failures   int // in a row
 	avoidUntil time.Time
+	limit      float64              // requests a second that the endpoint takes from all daemons; only if limited
+	limited    bool                 // it names a limit
+	fullUntil  time.Time            // it has no room within its limit until then
 	refusals   int                  // of connections, in a row
 	goneUntil  time.Time            // nothing listens there until then
 	absent     map[string]time.Time // units that it does not hold, until then
@@ -108,14 +112,14 @@
 	return b.pickOwn(usable, q)
 }
 
-// usable returns the endpoints that may be asked: without those that are gone, and without
-// those that have just failed, unless all have.
+// usable returns the endpoints that may be asked: without those that are gone or have no room
+// within their limits, and without those that have just failed, unless all have.
 func (b *Balancer) usable(now time.Time, candidates []*fleet.Endpoint, q Query) []*fleet.Endpoint {
 	var sound, avoided []*fleet.Endpoint
 	for _, e := range candidates {
 		l := b.load(e.Life())
 		switch {
-		case e.Leaving, now.Before(l.goneUntil), slices.ContainsFunc(q.Exclude, e.Life().Same):
+		case e.Leaving, now.Before(l.goneUntil), now.Before(l.fullUntil), slices.ContainsFunc(q.Exclude, e.Life().Same):
 		case q.Unit != "" && now.Before(l.absent[q.Unit]):
 		case now.Before(l.avoidUntil):
 			avoided = append(avoided, e)
@@ -144,7 +148,7 @@
 	var best *fleet.Endpoint
 	bestCost := 0.0
 	for _, e := range usable {
-		part := float64(slots(e)) / float64(b.daemons)
+		part := float64(b.slots(e)) / float64(b.daemons)
 		cost := float64(b.load(e.Life()).running) + b.rng.Float64() // spreads daemons that know the same
 		cost += min(ownAffinityMost, affinity*part) * affinityRank(e, q)
 		switch {
@@ -219,12 +223,61 @@
 	return now.Before(b.load(id).goneUntil)
 }
 
-// Avoided reports whether an endpoint has just failed or refused requests, so that
-// they keep away from it.
+// Avoided reports whether an endpoint has just failed or refused requests, or has no room
+// within its limit, so that they keep away from it.
 func (b *Balancer) Avoided(now time.Time, id fleet.Incarnation) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return now.Before(b.load(id).avoidUntil)
+	l := b.load(id)
+	return now.Before(l.avoidUntil) || now.Before(l.fullUntil)
+}
+
+// Limited takes the limit that an endpoint names: it counts as what the endpoint can work on at
+// once. limited is false where it names none any more.
+func (b *Balancer) Limited(id fleet.Incarnation, rate float64, limited bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	l := b.load(id)
+	l.limit, l.limited = rate, limited
+	if !limited {
+		l.fullUntil = time.Time{}
+	}
+}
+
+// Full keeps requests away from an endpoint that has no room within its limit for a while.
+func (b *Balancer) Full(now time.Time, id fleet.Incarnation, d time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.load(id).fullUntil = now.Add(d)
+}
+
+// FullOf returns the endpoints among some that have no room within their limits, and the time
+// until the first of them has.
+func (b *Balancer) FullOf(now time.Time, candidates []*fleet.Endpoint) (full []fleet.Incarnation, roomIn time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, e := range candidates {
+		l := b.loads[e.Life()]
+		if l == nil || e.Leaving || !now.Before(l.fullUntil) {
+			continue
+		}
+		if d := l.fullUntil.Sub(now); len(full) == 0 || d < roomIn {
+			roomIn = d
+		}
+		full = append(full, e.Life())
+	}
+	return full, roomIn
+}
+
+// slots returns how many requests an endpoint works on at once: as it declares, or less under a
+// limit.
+func (b *Balancer) slots(e *fleet.Endpoint) int {
+	declared := max(1, e.Slots)
+	l := b.loads[e.Life()]
+	if l == nil || !l.limited {
+		return declared
+	}
+	return min(declared, limit.Word{Rate: l.limit, Limited: true}.Capacity(b.service(e.Service).runTime))
 }
 
 // Absent records an endpoint's word that it does not hold a unit.
@@ -269,6 +322,3 @@
 	defer b.mu.Unlock()
 	b.daemons = max(1, daemons)
 }
-
-// slots returns how many requests an endpoint works on at once, as it declares.
-func slots(e *fleet.Endpoint) int { return max(1, e.Slots) }
--- a/coordination/balance/told.go
+++ b/coordination/balance/told.go
@@ -65,14 +65,14 @@
 	for i, e := range usable {
 		l := b.load(e.Life())
 		running += l.running + l.others
-		level := float64(l.running+l.others)/float64(slots(e)) + affinity*affinityRank(e, q)
+		level := float64(l.running+l.others)/float64(b.slots(e)) + affinity*affinityRank(e, q)
 		if e.Domain != b.domain {
 			level += otherDomain
 		}
-		if l.running+l.others >= slots(e) {
+		if l.running+l.others >= b.slots(e) {
 			level += fullCost
 		}
-		options[i] = option{level: level, slots: float64(slots(e)), endpoint: e}
+		options[i] = option{level: level, slots: float64(b.slots(e)), endpoint: e}
 	}
 	// By Little's law: so many begin a second as run, over how long they run.
 	unseen := now.Sub(s.toldAt).Seconds() * float64(running) / s.runTime.Seconds()
@@ -94,7 +94,7 @@
 	}
 	return !slices.ContainsFunc(usable, func(e *fleet.Endpoint) bool {
 		l := b.load(e.Life())
-		return float64(l.running+l.others) < crowdedAt*float64(slots(e))
+		return float64(l.running+l.others) < crowdedAt*float64(b.slots(e))
 	})
 }
 
--- /dev/null
+++ b/coordination/limit/book.go
@@ -0,0 +1,162 @@
+// Package limit decides what a daemon believes of the limits that endpoints name in their
+// answers: the requests a second that an endpoint takes from all daemons together. The newest
+// word counts, whoever heard it; it holds for one life of the endpoint, and ends when an answer
+// bears none any more. The package is a state machine without I/O: words and the time go in,
+// changes of belief and what others must be told come out.
+//
+// Invariant: versions of an endpoint's words only rise, at each daemon.
+package limit
+
+import (
+	"time"
+
+	"github.com/doorvalve/doorvalve/state/fleet"
+)
+
+// Word is what an endpoint has said last.
+type Word struct {
+	Rate    float64 // requests a second from all daemons; without meaning unless Limited
+	Limited bool    // else the endpoint names no limit any more
+	Version uint64
+	By      string // daemon that heard it
+}
+
+// Change is a belief that has changed.
+type Change struct {
+	Life        fleet.Incarnation
+	Before, Now Word
+	// Tell says that the other daemons should be told: it is the begin or the end of a
+	// limit, or the first change in a while.
+	Tell bool
+}
+
+const (
+	// tellChange is the least time between two changes of a limit that daemons tell each
+	// other. That one begins or ends is told at once; its owner is told with each draw.
+	tellChange = time.Second
+	// Remember is how long the end of a limit is remembered: late words of it are no news.
+	Remember = 10 * time.Minute
+)
+
+// belief is what is known of one life of an endpoint.
+type belief struct {
+	word Word
+	// learned is when the word was heard last. What an answer says to a request that was sent
+	// after it is newer; of others that cannot be told.
+	learned time.Time
+	told    Word
+	toldAt  time.Time
+}
+
+// Book is the beliefs of one daemon. It is not safe for concurrent use.
+type Book struct {
+	self    string
+	beliefs map[fleet.Incarnation]*belief
+}
+
+// New returns a book of a daemon that has heard nothing.
+func New(self string) *Book { return &Book{self: self, beliefs: map[fleet.Incarnation]*belief{}} }
+
+// Heard takes what an answer says to a request that was sent at some time.
+func (b *Book) Heard(now, sent time.Time, life fleet.Incarnation, rate float64, limited bool) (Change, bool) {
+	k := b.beliefs[life]
+	switch {
+	case k == nil && !limited:
+		return Change{}, false
+	case k == nil:
+		k = &belief{}
+		b.beliefs[life] = k
+	case sent.Before(k.learned):
+		return Change{}, false // an earlier word may have overtaken a later one on its way
+	}
+	k.learned = now
+	before := k.word
+	if before.Limited == limited && (!limited || before.Rate == rate) {
+		return b.overdue(now, life, k)
+	}
+	k.word = Word{Rate: rate, Limited: limited, Version: max(before.Version+1, uint64(now.UnixMilli())), By: b.self}
+	tell := before.Limited != limited || now.Sub(k.toldAt) >= tellChange
+	if tell {
+		k.told, k.toldAt = k.word, now
+	}
+	return Change{Life: life, Before: before, Now: k.word, Tell: tell}, true
+}
+
+// overdue returns a change that was not told when it came, or a limit that was told so long ago
+// that daemons which start now would not hear of it.
+func (b *Book) overdue(now time.Time, life fleet.Incarnation, k *belief) (Change, bool) {
+	untold := k.word.By == b.self && k.told.Version != k.word.Version && now.Sub(k.toldAt) >= tellChange
+	old := k.word.Limited && k.word.age(now) > Remember/2
+	if !untold && !old {
+		return Change{}, false
+	}
+	if old {
+		k.word.Version, k.word.By = uint64(now.UnixMilli()), b.self
+	}
+	k.told, k.toldAt = k.word, now
+	return Change{Life: life, Before: k.word, Now: k.word, Tell: true}, true
+}
+
+// age returns about how long ago a word was new: its version is a time of day, unless words
+// came faster than that.
+func (w Word) age(now time.Time) time.Duration {
+	return time.Duration(now.UnixMilli()-int64(w.Version)) * time.Millisecond
+}
+
+// Stale reports whether a word of some version is so old that daemons forget it.
+func Stale(now time.Time, version uint64) bool { return Word{Version: version}.age(now) > Remember }
+
+// Told takes what another daemon has heard.
+func (b *Book) Told(now time.Time, life fleet.Incarnation, w Word) (Change, bool) {
+	k := b.beliefs[life]
+	if k == nil {
+		k = &belief{}
+		b.beliefs[life] = k
+	}
+	if w.Version <= k.word.Version {
+		return Change{}, false
+	}
+	before := k.word
+	k.word, k.learned = w, now
+	return Change{Life: life, Before: before, Now: w}, before.Limited != w.Limited || before.Rate != w.Rate
+}
+
+// Of returns the last word of an endpoint's life.
+func (b *Book) Of(life fleet.Incarnation) (Word, bool) {
+	if k := b.beliefs[life]; k != nil {
+		return k.word, true
+	}
+	return Word{}, false
+}
+
+// Keep forgets lives that have ended, and limits that ended long ago; it returns the limits
+// that it has forgotten.
+func (b *Book) Keep(now time.Time, listed func(fleet.Incarnation) bool) []Change {
+	var dropped []Change
+	for life, k := range b.beliefs {
+		long := now.Sub(k.learned) > Remember
+		switch {
+		case k.word.Limited && !listed(life) && now.Sub(k.learned) > unlistedFor:
+			dropped = append(dropped, Change{Life: life, Before: k.word})
+			delete(b.beliefs, life)
+		case !k.word.Limited && long:
+			delete(b.beliefs, life)
+		}
+	}
+	return dropped
+}
+
+// unlistedFor is how long the limit of an endpoint that is not listed is kept after its last
+// word: a list may be older than the word, or miss an entry for a while.
+const unlistedFor = time.Minute
+
+// Limited returns the lives that name a limit now, with their last words.
+func (b *Book) Limited() map[fleet.Incarnation]Word {
+	limited := map[fleet.Incarnation]Word{}
+	for life, k := range b.beliefs {
+		if k.word.Limited {
+			limited[life] = k.word
+		}
+	}
+	return limited
+}
--- a/coordination/membership/membership.go
+++ b/coordination/membership/membership.go
@@ -76,6 +76,9 @@
 	MaxPiggyback int           // entries on one message
 	QuietBefore  time.Duration // quiet time before differing digests cause a full exchange
 	Seed         uint64
+	// Stale reports whether a fact is too old to be kept or learned; nil: none is. All
+	// members must come to the same answer within seconds, or they tell each other for ever.
+	Stale func(now time.Time, e Entry) bool
 }
 
 // DefaultOptions are the daemon's settings.
@@ -98,10 +101,11 @@
 // Indirect asks a member to probe another.
 type Indirect struct{ Via, Target Member }
 
-// Ready is what the caller has to send now.
+// Ready is what the caller has to do now.
 type Ready struct {
 	Messages  []Message
 	Indirects []Indirect
+	Facts     []Entry // that were learned
 }
 
 type entry struct {
@@ -133,6 +137,8 @@
 	lastNews time.Time
 	urgent   bool // there are entries to tell at once
 	fullTo   []string
+	facts    []Entry   // learned and not handed out yet
+	staleAt  time.Time // when stale facts were looked for last
 	digest   uint64
 	hot      map[string]bool // keys of entries with sends left
 	aging    map[string]bool // keys of suspect and dead members
@@ -268,6 +274,11 @@
 		if old == nil {
 			m.probeInThisRound(member.ID)
 		}
+	} else {
+		if m.opt.Stale != nil && m.opt.Stale(now, e) {
+			return false
+		}
+		m.facts = append(m.facts, e)
 	}
 	if tell {
 		next.sends = m.retransmits()
@@ -381,6 +392,7 @@
 		}
 	}
 	m.fullTo = nil
+	r.Facts, m.facts = m.facts, nil
 	if m.probing == nil && !now.Before(m.nextAt) {
 		m.nextAt = now.Add(m.opt.Period)
 		if to, ok := m.nextTarget(); ok {
@@ -435,6 +447,22 @@
 			m.drop(key)
 		}
 	}
+	m.dropStale(now)
+}
+
+// staleEvery is the pause between two looks for stale facts.
+const staleEvery = time.Second
+
+func (m *Machine) dropStale(now time.Time) {
+	if m.opt.Stale == nil || now.Sub(m.staleAt) < staleEvery {
+		return
+	}
+	m.staleAt = now
+	for key, e := range m.entries {
+		if e.member == nil && m.opt.Stale(now, e.Entry) {
+			m.drop(key)
+		}
+	}
 }
 
 // pick returns up to n random members other than self.
--- a/coordination/quota/client.go
+++ b/coordination/quota/client.go
@@ -10,7 +10,7 @@
 	Admit Verdict = iota
 	// Ask: the owner has to be asked first.
 	Ask
-	// Refuse: the workspace is over its quota.
+	// Refuse: the subject is over its limits.
 	Refuse
 )
 
@@ -30,7 +30,7 @@
 	pastStep = 1.0 / 16
 )
 
-// Client is one daemon's side for all workspaces. It is not safe for concurrent use.
+// Client is one daemon's side for all subjects. It is not safe for concurrent use.
 type Client struct {
 	self     string
 	backMost time.Duration
@@ -55,6 +55,8 @@
 	offered   float64 // since the last draw
 	requests  int
 	askFrom   time.Time
+	roomAt    time.Time // by the owner's last word
+	usedAt    time.Time // when something was offered or granted last
 	spare     float64   // for callers that come back
 	fullUntil time.Time // until then new requests alone are taken to be too many
 	backlog   float64   // of refused units, at backlogAt
@@ -75,11 +77,11 @@
 	units float64
 }
 
-func (c *Client) account(workspace string) *account {
-	a := c.accounts[workspace]
+func (c *Client) account(subject string) *account {
+	a := c.accounts[subject]
 	if a == nil {
 		a = &account{}
-		c.accounts[workspace] = a
+		c.accounts[subject] = a
 	}
 	return a
 }
@@ -99,8 +101,9 @@
 }
 
 // Offer notes that a caller asks for something. It is called once for each request.
-func (c *Client) Offer(workspace string, cost float64) {
-	a := c.account(workspace)
+func (c *Client) Offer(now time.Time, subject string, cost float64) {
+	a := c.account(subject)
+	a.usedAt = now
 	a.offered += cost
 	a.requests++
 }
@@ -108,8 +111,8 @@
 // Take decides on a request with what this daemon holds. late says that it has missed its
 // latency objective already: while new requests alone are more than the quota, what there is
 // goes to those that can be in time.
-func (c *Client) Take(now time.Time, workspace string, cost float64, late bool) Verdict {
-	a := c.account(workspace)
+func (c *Client) Take(now time.Time, subject string, cost float64, late bool) Verdict {
+	a := c.account(subject)
 	if late && now.Before(a.fullUntil) {
 		return Refuse
 	}
@@ -136,28 +139,59 @@
 // Refused notes a refusal, and returns when its caller is to come back: after those that were
 // refused before it, at the rate at which the quota has room for them. While new requests
 // alone are too many it has none for any: then a window later.
-func (c *Client) Refused(now time.Time, workspace string, cost float64) time.Duration {
-	a := c.account(workspace)
+func (c *Client) Refused(now time.Time, subject string, cost float64) time.Duration {
+	a := c.account(subject)
 	if a.spare <= 0 {
 		a.backlog, a.backlogAt = 0, now
 		return c.backMost
 	}
-	a.backlog = max(0, a.backlog-a.spare*now.Sub(a.backlogAt).Seconds()) + cost
-	a.backlog = min(a.backlog, a.spare*c.backMost.Seconds())
+	a.backlog = min(a.backlogNow(now)+cost, a.spare*c.backMost.Seconds())
 	a.backlogAt = now
-	return max(time.Duration(a.backlog/a.spare*float64(time.Second)), a.askFrom.Sub(now), backLeast)
+	return c.Wait(now, subject)
+}
+
+// Wait returns when a request is let through, after those that were refused before it.
+func (c *Client) Wait(now time.Time, subject string) time.Duration {
+	a := c.account(subject)
+	if a.spare <= 0 && now.Before(a.fullUntil) {
+		return c.backMost
+	}
+	wait := max(a.askFrom.Sub(now), a.roomAt.Sub(now), backLeast)
+	if a.spare <= 0 {
+		return wait
+	}
+	return max(wait, time.Duration(a.backlogNow(now)/a.spare*float64(time.Second)))
+}
+
+// backlogNow returns the refused units that are still to come back.
+func (a *account) backlogNow(now time.Time) float64 {
+	return max(0, a.backlog-a.spare*now.Sub(a.backlogAt).Seconds())
+}
+
+// RoomIn returns the time until there is room for one more request, by the owner's last word.
+func (c *Client) RoomIn(now time.Time, subject string) time.Duration {
+	return max(0, c.account(subject).roomAt.Sub(now))
+}
+
+// Forget drops what is known of subjects that nobody has sent for in a long time.
+func (c *Client) Forget(now time.Time) {
+	for subject, a := range c.accounts {
+		if now.Sub(a.usedAt) > idleAfter {
+			delete(c.accounts, subject)
+		}
+	}
 }
 
 // Return takes back what a request was let through with that has not run.
-func (c *Client) Return(now time.Time, workspace string, cost float64) {
-	a := c.account(workspace)
+func (c *Client) Return(now time.Time, subject string, cost float64) {
+	a := c.account(subject)
 	a.pay(now, cost)
 }
 
 // Begin returns the question to an owner, for requests that wait.
-func (c *Client) Begin(now time.Time, workspace, owner string, l Limits, need float64, waiting int) Draw {
-	a := c.account(workspace)
-	d := Draw{Daemon: c.self, Workspace: workspace, Limits: l, Need: need, Waiting: waiting, Used: a.used, Offered: a.offered, Requests: a.requests}
+func (c *Client) Begin(now time.Time, subject, owner string, l Limits, need float64, waiting int) Draw {
+	a := c.account(subject)
+	d := Draw{Daemon: c.self, Subject: subject, Limits: l, Need: need, Waiting: waiting, Used: a.used, Offered: a.offered, Requests: a.requests}
 	d.Elsewhere = a.elsewhere(now, owner, c.backMost)
 	d.Inform = a.summaryOf != owner || now.Sub(a.summaryAt) > informEvery
 	if a.summary != nil && a.summaryOf != owner {
@@ -171,8 +205,8 @@
 }
 
 // Granted takes the answer to the last question.
-func (c *Client) Granted(now time.Time, workspace, owner string, g Grant) {
-	a := c.account(workspace)
+func (c *Client) Granted(now time.Time, subject, owner string, g Grant) {
+	a := c.account(subject)
 	a.pay(now, g.Units)
 	a.ahead, a.until = g.Ahead, a.sentAt.Add(AheadLife) // no later than by the owner's clock
 	a.spare = g.Spare
@@ -180,7 +214,7 @@
 	if g.Over && g.Spare <= 0 {
 		a.fullUntil = now.Add(fullFor)
 	}
-	a.askFrom = now.Add(g.Again)
+	a.askFrom, a.roomAt = now.Add(g.Again), now.Add(g.RoomIn)
 	if g.Summary != nil {
 		a.summary, a.summaryOf, a.summaryAt = g.Summary, owner, a.sentAt
 	}
@@ -211,10 +245,10 @@
 	return list
 }
 
-// Share returns what part of a workspace's quota this daemon has got lately.
-func (c *Client) Share(now time.Time, workspace string, sustained float64) float64 {
+// Share returns what part of a subject's quota this daemon has got lately.
+func (c *Client) Share(now time.Time, subject string, sustained float64) float64 {
 	sum := 0.0
-	for _, p := range c.account(workspace).past {
+	for _, p := range c.account(subject).past {
 		if now.Sub(p.at) < latelyOver {
 			sum += p.units
 		}
@@ -223,8 +257,8 @@
 }
 
 // Failed takes it that the last question was not answered: what it told is told again.
-func (c *Client) Failed(workspace string) {
-	a := c.account(workspace)
+func (c *Client) Failed(subject string) {
+	a := c.account(subject)
 	a.used += a.sent.Used
 	a.offered += a.sent.Offered
 	a.requests += a.sent.Requests
--- a/coordination/quota/owner.go
+++ b/coordination/quota/owner.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// Owner keeps the buckets of the workspaces that this daemon owns, or is taken to own. It is
-// not safe for concurrent use.
+// Owner keeps the buckets of the subjects that this daemon owns, or is taken to own. It is not
+// safe for concurrent use.
 //
 // Invariant: what was granted and accounted for never exceeds what the buckets held; what is
 // authorized ahead, over all daemons, is room in the window that nobody else gets.
@@ -53,7 +53,7 @@
 // missing who may draw from another owner.
 func (o *Owner) Draw(now time.Time, d Draw, part float64) Grant {
 	l := Limits{Rate: d.Limits.Rate * part, Burst: d.Limits.Burst * part}
-	b := o.bucket(now, d.Workspace, o.bounds.depth(l))
+	b := o.bucket(now, d.Subject, o.bounds.depth(l))
 	o.inform(now, b, d)
 	rate := o.bounds.Sustained(l)
 	if b.ignorant(now, o.bounds.Window) {
@@ -64,6 +64,7 @@
 	s := b.share(d.Daemon)
 	o.account(now, b, s, d)
 	g := o.grant(now, b, s, d, l, part*o.bounds.over(d.Limits))
+	g.RoomIn = max(g.Again, o.roomIn(now, b, d, l, part*o.bounds.over(d.Limits)))
 	if g.Units > 0 || g.Ahead > 0 {
 		b.granted = now
 	}
@@ -95,19 +96,42 @@
 		return g
 	}
 	surplus := max(0, room) / surplusPer.Seconds()
-	g.Units = max(0, min((rate+surplus)*g.Again.Seconds()*mine, room))
+	each := (rate + surplus) * mine // a second
+	if each*AheadLife.Seconds() < d.each() {
+		g.Units = b.take(now, d, room, depth) // its part would lapse before it is a request
+		return g
+	}
+	g.Units = max(0, min(each*g.Again.Seconds(), room))
 	b.spend(now, g.Units)
 	return g
 }
 
-func (o *Owner) bucket(now time.Time, workspace string, burst float64) *bucket {
-	b := o.buckets[workspace]
+// roomIn returns the time until the bucket holds one more request like those that wait.
+func (o *Owner) roomIn(now time.Time, b *bucket, d Draw, l Limits, slack float64) time.Duration {
+	depth, rate := o.bounds.depth(l), o.bounds.Sustained(l)
+	missing := min(d.each(), depth) - (b.level - o.locked(now, b, l, depth, startPart*slack))
+	if missing <= 0 || rate <= 0 {
+		return 0
+	}
+	return min(roomMost, time.Duration(missing/rate*float64(time.Second)))
+}
+
+// each returns the mean of the requests that wait.
+func (d *Draw) each() float64 {
+	if d.Waiting <= 0 {
+		return 0
+	}
+	return d.Need / float64(d.Waiting)
+}
+
+func (o *Owner) bucket(now time.Time, subject string, burst float64) *bucket {
+	b := o.buckets[subject]
 	if b == nil {
 		b = &bucket{
 			level: burst, at: now, since: now, swept: now, calmAt: now, window: newWindow(o.bounds.Window),
 			demand: meter{over: demandOver}, requests: meter{over: demandOver}, shares: map[string]*share{},
 		}
-		o.buckets[workspace] = b
+		o.buckets[subject] = b
 	}
 	return b
 }
@@ -246,7 +270,7 @@
 	if d.Waiting == 0 || d.Need <= 0 {
 		return 0
 	}
-	each := d.Need / float64(d.Waiting)
+	each := d.each()
 	units := d.Need
 	if room < min(d.Need, burst) {
 		units = max(0, each*math.Floor(room/each))
@@ -302,9 +326,18 @@
 	Informed bool    `json:"informed"`  // of what an owner before gave
 }
 
-// View returns how a workspace's bucket stands, if there is one here.
-func (o *Owner) View(now time.Time, workspace string) (View, bool) {
-	b := o.buckets[workspace]
+// Forget drops the buckets that nobody has drawn from for long.
+func (o *Owner) Forget(now time.Time) {
+	for subject, b := range o.buckets {
+		if now.Sub(b.at) > idleAfter {
+			delete(o.buckets, subject)
+		}
+	}
+}
+
+// View returns how a subject's bucket stands, if there is one here.
+func (o *Owner) View(now time.Time, subject string) (View, bool) {
+	b := o.buckets[subject]
 	if b == nil {
 		return View{}, false
 	}
--- a/coordination/quota/quota_test.go
+++ b/coordination/quota/quota_test.go
@@ -22,7 +22,7 @@
 
 // draw is a question of a daemon for one request.
 func draw(daemon string, units float64) Draw {
-	return Draw{Daemon: daemon, Workspace: "w", Limits: limits, Need: units, Waiting: 1, Offered: units, Requests: 1}
+	return Draw{Daemon: daemon, Subject: "w", Limits: limits, Need: units, Waiting: 1, Offered: units, Requests: 1}
 }
 
 // drain lets daemons ask for requests of 100 units until one is refused, and returns what
@@ -131,7 +131,7 @@
 	now, ahead := at(20), 0.0
 	for i := 0; ahead == 0 && i < 40; i++ {
 		now = now.Add(200 * time.Millisecond)
-		c.Offer("w", 20)
+		c.Offer(now, "w", 20)
 		if c.Take(now, "w", 20, false) == Ask {
 			g := o.Draw(now, c.Begin(now, "w", "a", limits, 20, 1), 1)
 			c.Granted(now, "w", "a", g)
@@ -248,7 +248,7 @@
 	now := at(1)
 	b.ReportAllocs()
 	for b.Loop() {
-		c.Offer("w", 1)
+		c.Offer(now, "w", 1)
 		c.Take(now, "w", 1, false)
 	}
 }
--- a/coordination/quota/types.go
+++ b/coordination/quota/types.go
@@ -1,7 +1,8 @@
-// Package quota shares what each workspace may send out over all daemons. One daemon,
-// the workspace's owner, keeps its token bucket; the others draw from it for the requests
-// that they get, or are authorized ahead for those that will follow. Both sides are state
-// machines without I/O: what was asked and the time go in, grants and decisions come out.
+// Package quota shares a rate out that only all daemons together can keep: what a workspace
+// may send, or what an endpoint takes. One daemon, the owner of that subject, keeps its token
+// bucket; the others draw from it for the requests that they get, or are authorized ahead for
+// those that will follow. Both sides are state machines without I/O: what was asked and the time
+// go in, grants and decisions come out.
 //
 // What all daemons let through in a window stays within the limits and the slack that was
 // agreed on, whoever fails: what is authorized ahead is room that nobody else gets, and what an
@@ -13,7 +14,7 @@
 	"time"
 )
 
-// Limits are the bounds of one workspace, in the units of its quota.
+// Limits are the bounds of one subject, in requests or tokens.
 type Limits struct {
 	Rate  float64 // a second
 	Burst float64
@@ -25,6 +26,9 @@
 	Window  time.Duration
 	Overage float64
 	Slack   float64
+	// Depth is the part of what may be over that a bucket holds beside the burst, for
+	// subjects whose limits have none.
+	Depth float64
 }
 
 // perWindow returns what the limits allow in a window.
@@ -51,9 +55,12 @@
 	if b.Window <= 0 {
 		return l.Burst
 	}
-	return min(l.Burst, l.Burst/2+startPart*b.over(l))
+	return min(l.Burst, l.Burst/2+startPart*b.over(l)) + b.Depth*b.over(l)
 }
 
+// inWindow returns what an owner gives in a window at the most.
+func (b Bounds) inWindow(l Limits) float64 { return b.perWindow(l) + b.Depth*b.over(l) }
+
 // over returns the units by which all daemons may exceed the limits in a window.
 func (b Bounds) over(l Limits) float64 {
 	return b.Overage*b.perWindow(l) + b.Slack
@@ -89,7 +96,7 @@
 	// paced.
 	tightDemand = 0.75
 	tightLevel  = 0.4
-	// asksMost is the number of draws a second that an owner is to get for a workspace
+	// asksMost is the number of draws a second that an owner is to get for a subject
 	// which is over its limit: a call costs the two daemons up to 0.9 ms of processor time
 	// (19 s for 22,000 calls among 71 daemons), and what is refused needs no answer of its
 	// own. Beyond it daemons draw for a time ahead.
@@ -114,15 +121,19 @@
 	sameTime = 50 * time.Millisecond
 	// forgetAfter is how long a daemon that does not draw is remembered.
 	forgetAfter = 30 * time.Second
+	// idleAfter is how long a subject that nobody sends for is remembered.
+	idleAfter = 10 * time.Minute
+	// roomMost bounds the time until there is room, where the rate is next to nothing.
+	roomMost = time.Minute
 )
 
-// Draw is a daemon's question to a workspace's owner.
+// Draw is a daemon's question to a subject's owner.
 type Draw struct {
-	Daemon    string
-	Workspace string
-	Limits    Limits
-	Need      float64 // units of the requests that wait for the answer
-	Waiting   int     // requests that do
+	Daemon  string
+	Subject string // name of the workspace, or life of the endpoint
+	Limits  Limits
+	Need    float64 // units of the requests that wait for the answer
+	Waiting int     // requests that do
 	// Used is what it has let through of what it was authorized ahead, since its last draw.
 	Used float64
 	// Offered and Requests are what callers have asked for since its last draw, those that
@@ -162,11 +173,14 @@
 	Ahead float64
 	// Again is the time before which the daemon must not draw again.
 	Again time.Duration
-	// Over says that the workspace is near its limit or over it. Spare is then what this
+	// Over says that the subject is near its limit or over it. Spare is then what this
 	// daemon's part of the rate leaves for callers that come back, in units a second; zero
 	// while new requests alone are too many.
-	Over    bool
-	Spare   float64
+	Over  bool
+	Spare float64
+	// RoomIn is the time until there is room for one more request like those that wait, if
+	// nobody else takes it.
+	RoomIn  time.Duration
 	Summary *Summary // if it was asked for
 }
 
--- a/coordination/quota/window.go
+++ b/coordination/quota/window.go
@@ -55,7 +55,7 @@
 		return l.Burst
 	}
 	w.move(now)
-	return bounds.perWindow(l) - w.sum
+	return bounds.inWindow(l) - w.sum
 }
 
 // summaryParts is the number of parts in which a window is told.
--- a/coordination/residency/draft.go
+++ b/coordination/residency/draft.go
@@ -105,7 +105,7 @@
 
 // countReplicas counts an engine's models, also those on their way.
 func (p *Planner) countReplicas(d *draft, w *worker) {
-	if !w.usable() {
+	if !w.usable() || w.isFull(d.now) {
 		return
 	}
 	for model, r := range w.models {
--- a/coordination/residency/planner.go
+++ b/coordination/residency/planner.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/doorvalve/doorvalve/coordination/limit"
 	"github.com/doorvalve/doorvalve/state/fleet"
 )
 
@@ -72,6 +73,8 @@
 	late     []lateOrder
 	// afterUnload says that no order has been answered since the last unload.
 	afterUnload bool
+	// fullUntil is until when the engine counts as one without room within its limit.
+	fullUntil time.Time
 	// unknownLate says that a former coordinator may have sent an order to an earlier
 	// life of the engine, which is not known here and may still be carried out.
 	unknownLate bool
@@ -122,13 +125,14 @@
 	places     StorePlaces // of the weight store
 	// unloadTakes is how long engines take to carry out an unload, as was learned.
 	unloadTakes time.Duration
+	limits      map[fleet.Incarnation]limit.Word // that engines name
 	sent        []sentRequest
 	watchedAt   time.Time // when its loads were looked at last
 }
 
 // New returns a planner that knows nothing.
 func New(opt Options) *Planner {
-	return &Planner{opt: opt, places: newStorePlaces(opt.StoreAtOnce), workers: map[string]*worker{}, demands: map[string]*demand{}, wants: map[string]*wanted{}, values: map[string]*value{}, pressures: map[string]*pressure{}}
+	return &Planner{opt: opt, places: newStorePlaces(opt.StoreAtOnce), workers: map[string]*worker{}, limits: map[fleet.Incarnation]limit.Word{}, demands: map[string]*demand{}, wants: map[string]*wanted{}, values: map[string]*value{}, pressures: map[string]*pressure{}}
 }
 
 // Configure takes the service's models.
--- a/coordination/residency/running.go
+++ b/coordination/residency/running.go
@@ -84,14 +84,14 @@
 // startsIn estimates how long one more request waits for a slot of an engine: requests
 // queue beyond the slots, and as many slots come free in the time of a run as there are.
 func (p *Planner) startsIn(w *worker) time.Duration {
-	slots := max(1, w.endpoint.Slots)
+	slots := p.capacity(w)
 	queued := max(0, w.load()+1-slots)
 	return time.Duration(float64(p.runTime()) * float64(queued) / float64(slots))
 }
 
 // loadCost is what an engine's load counts against sending a request there.
 func (p *Planner) loadCost(w *worker) time.Duration {
-	full := min(1, float64(w.load())/float64(max(1, w.endpoint.Slots)))
+	full := min(1, float64(w.load())/float64(p.capacity(w)))
 	return p.startsIn(w) + time.Duration(full*float64(spreadCost))
 }
 
--- a/coordination/residency/types.go
+++ b/coordination/residency/types.go
@@ -97,6 +97,9 @@
 	// Absent is an endpoint that has just said that it does not hold the model
 	// or adapter.
 	Absent fleet.Incarnation
+	// Full are endpoints that hold the model and have no room now within the limits that they
+	// name themselves.
+	Full []fleet.Incarnation
 }
 
 // Place is a model, or an adapter as MODEL/ADAPTER, at an endpoint.
--- a/coordination/residency/want.go
+++ b/coordination/residency/want.go
@@ -22,6 +22,7 @@
 	if want.Unreachable {
 		p.unreachable(now, want.Avoid)
 	}
+	p.full(now, want.Full)
 	if a, ok := p.wantResident(now, want); ok {
 		return a
 	}
@@ -77,7 +78,7 @@
 	bestCost := time.Duration(0)
 	for _, w := range p.sorted {
 		r := w.models[want.Model]
-		if r == nil || !w.usable() {
+		if r == nil || !w.usable() || w.isFull(now) {
 			continue
 		}
 		cost, ok := p.residentCost(now, w, r, want)
--- a/daemon/edgedaemon/daemon.go
+++ b/daemon/edgedaemon/daemon.go
@@ -132,16 +132,17 @@
 		Within: min(set.Timing.LeaveWithin.D(), set.Timing.ApplyWithin.D()), Heartbeat: set.Timing.EndpointHeartbeat.D(),
 	})
 	d.view.OnChange(d.changed)
-	d.gossip = gossip.New(hclog.NewNullLogger(), d.peers, d.seeds, membership.DefaultOptions(uint64(time.Now().UnixNano())), d.member())
+	d.gossip = gossip.New(hclog.NewNullLogger(), d.peers, d.seeds, gossipOptions(), d.member())
 	d.keeper = quarantiner.New(quarantiner.Options{
 		Self: d.self, Members: d.alive, Peer: d.peers.Quarantines().To, Endpoint: d.endpointState, Ended: func(life fleet.Incarnation) { d.balancer.Gone(time.Now(), life) }, Store: d.store, Log: log, Metrics: d.metrics,
 	})
 	d.shares = quotas.New(quotas.Options{
 		Self: d.self, Bounds: quota.Bounds{Window: set.Quotas.Window.D(), Overage: set.Quotas.Overage, Slack: set.Quotas.Slack},
-		Members: d.gossip.Members, Revision: d.gossip.Revision, Directory: d.workspaces, Peer: d.peers.Quotas().To, Log: log, Metrics: d.metrics,
+		Members: d.gossip.Members, Revision: d.gossip.Revision, Directory: d.workspaces, Listed: d.endpointListed, Tell: d.gossip.Set, Limited: d.endpointLimited, Peer: d.peers.Quotas().To, Log: log, Metrics: d.metrics,
 	})
+	d.gossip.OnFact(d.shares.Endpoints().Fact)
 	d.callers = edge.New(edge.Options{
-		StateAge: d.stateAge, Access: access.Bounds{Apply: set.Timing.ApplyWithin.D(), Revoke: set.Timing.RevokeWithin.D()}, Quotas: d.shares,
+		StateAge: d.stateAge, Access: access.Bounds{Apply: set.Timing.ApplyWithin.D(), Revoke: set.Timing.RevokeWithin.D()}, Quotas: d.shares, Limits: d.shares.Endpoints(),
 		Table: d.view.Table, View: d.view.Endpoints, ViewAge: d.endpointsAge, Draining: d.draining, Ends: d.ends, Dialect: platform.Dialect{}, Locator: d, Balancer: d.balancer,
 		Budget: d.budget, Quarantine: d.keeper, Log: log, Metrics: d.metrics, EndpointLeaving: d.view.EndpointLeaving,
 		FlushEvery:  time.Duration(float64(set.Timing.Pass.D()) * flushPart),
@@ -150,6 +151,13 @@
 	return d, nil
 }
 
+// gossipOptions are the settings of the membership.
+func gossipOptions() membership.Options {
+	opt := membership.DefaultOptions(uint64(time.Now().UnixNano()))
+	opt.Stale = quotas.StaleFact
+	return opt
+}
+
 func nonce() string {
 	var b [4]byte
 	_, _ = rand.Read(b[:]) // never fails
@@ -235,6 +243,9 @@
 		Planner:   residency.Options{StoreAtOnce: d.set.Loads.AtOnce, RateWindow: d.set.Loads.Window.D(), RateFactor: d.set.Loads.Factor},
 		Candidate: d.candidate, Held: d.holderChanged, Places: d.storePlaces, PlacesLearned: d.storePlacesLearned, Log: d.log, Metrics: d.metrics,
 	})
+	for life, w := range d.shares.Endpoints().Limited() {
+		c.Limited(life, w)
+	}
 	d.coordinators[service] = c
 	if d.runCtx != nil {
 		go c.Run(d.runCtx)
--- a/daemon/edgedaemon/peers.go
+++ b/daemon/edgedaemon/peers.go
@@ -9,6 +9,7 @@
 
 	"github.com/twitchtv/twirp"
 
+	"github.com/doorvalve/doorvalve/coordination/limit"
 	"github.com/doorvalve/doorvalve/coordination/membership"
 	"github.com/doorvalve/doorvalve/coordination/relay"
 	"github.com/doorvalve/doorvalve/coordination/residency"
@@ -132,6 +133,11 @@
 	return e != nil, e != nil && e.Leaving
 }
 
+// endpointListed reports whether an endpoint is listed in some life.
+func (d *Daemon) endpointListed(life fleet.Incarnation) bool {
+	return d.view.Endpoints().Of(life) != nil
+}
+
 // anyPeer returns a random other daemon, or nil.
 func (d *Daemon) anyPeer() fleetpb.Fleet {
 	var others []string
@@ -186,7 +192,7 @@
 	caller := ctx
 	ctx, cancel := context.WithTimeout(ctx, wantTimeout)
 	defer cancel()
-	resp, err := d.fleet(address).Want(ctx, &fleetpb.WantRequest{Service: service, Model: w.Model, Adapter: w.Adapter, Rank: int32(w.Rank), Avoid: w.Avoid.ID, AvoidBorn: w.Avoid.Born, Unreachable: w.Unreachable, Absent: w.Absent.ID, AbsentBorn: w.Absent.Born, Daemon: w.Daemon})
+	resp, err := d.fleet(address).Want(ctx, &fleetpb.WantRequest{Service: service, Model: w.Model, Adapter: w.Adapter, Rank: int32(w.Rank), Avoid: w.Avoid.ID, AvoidBorn: w.Avoid.Born, Unreachable: w.Unreachable, Absent: w.Absent.ID, AbsentBorn: w.Absent.Born, Daemon: w.Daemon, Full: livesToWire(w.Full)})
 	if err != nil {
 		if caller.Err() == nil && d.holders.failed(address, time.Now()) {
 			d.log.Warn(decisions.EventDependencyLost, "dependency", "coordinator", "service", service, "holder", address, "error", err)
@@ -211,10 +217,37 @@
 	a := c.Want(residency.Want{
 		Model: req.Model, Adapter: req.Adapter, Rank: int(req.Rank), Unreachable: req.Unreachable, Daemon: req.Daemon,
 		Avoid: fleet.Incarnation{ID: req.Avoid, Born: req.AvoidBorn}, Absent: fleet.Incarnation{ID: req.Absent, Born: req.AbsentBorn},
+		Full: livesFromWire(req.Full),
 	})
 	return &fleetpb.WantResponse{Endpoint: a.Endpoint.ID, Born: a.Endpoint.Born, ReadyInMs: ceilMs(a.ReadyIn), StartsInMs: ceilMs(a.StartsIn), Level: int32(a.Level), Refused: a.Refused}, nil
 }
 
+func livesToWire(list []fleet.Incarnation) []*fleetpb.Life {
+	out := make([]*fleetpb.Life, len(list))
+	for i, life := range list {
+		out[i] = &fleetpb.Life{Endpoint: life.ID, Born: life.Born}
+	}
+	return out
+}
+
+func livesFromWire(list []*fleetpb.Life) []fleet.Incarnation {
+	out := make([]fleet.Incarnation, len(list))
+	for i, life := range list {
+		out[i] = fleet.Incarnation{ID: life.Endpoint, Born: life.Born}
+	}
+	return out
+}
+
+// endpointLimited brings the limit that an endpoint names to what chooses endpoints.
+func (d *Daemon) endpointLimited(life fleet.Incarnation, w limit.Word) {
+	d.balancer.Limited(life, w.Rate, w.Limited)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, c := range d.coordinators {
+		c.Limited(life, w)
+	}
+}
+
 // ceilMs rounds up, so that a wait is never told too short.
 func ceilMs(d time.Duration) int64 { return int64((d + time.Millisecond - 1) / time.Millisecond) }
 
--- a/driver/coordinator/coordinator.go
+++ b/driver/coordinator/coordinator.go
@@ -12,6 +12,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/doorvalve/doorvalve/coordination/lease"
+	"github.com/doorvalve/doorvalve/coordination/limit"
 	"github.com/doorvalve/doorvalve/coordination/residency"
 	"github.com/doorvalve/doorvalve/driver/decisions"
 	"github.com/doorvalve/doorvalve/internal/clock"
@@ -137,6 +138,14 @@
 }
 
 // wake makes the loop run at once.
+// Limited takes the limit that an engine names, or that it names none any more.
+func (c *Coordinator) Limited(life fleet.Incarnation, w limit.Word) {
+	c.mu.Lock()
+	c.plan.Limited(life, w)
+	c.mu.Unlock()
+	c.wake()
+}
+
 func (c *Coordinator) wake() { wake.Once(c.kick) }
 
 // Want answers where a model is or will be.
--- a/driver/decisions/log.go
+++ b/driver/decisions/log.go
@@ -47,6 +47,8 @@
 	EventOverQuota        = "workspace over its quota"
 	EventWorkspaces       = "workspaces in force"
 	EventUnreadHeader     = "unknown answer header"
+	EventEndpointLimit    = "limit of an endpoint changed"
+	EventLimitUnreadable  = "limit of an endpoint cannot be read"
 )
 
 // Events of daemons with bundles of their own.
--- a/driver/gossip/gossip.go
+++ b/driver/gossip/gossip.go
@@ -32,6 +32,7 @@
 	m        *membership.Machine
 	seen     uint64
 	onChange []func()
+	onFact   []func(membership.Entry)
 	members  atomic.Pointer[[]membership.Member]
 	messages atomic.Int64
 	revision atomic.Uint64
@@ -48,6 +49,10 @@
 // be called before Run.
 func (g *Gossip) OnChange(f func()) { g.onChange = append(g.onChange, f) }
 
+// OnFact adds a function that is called with each fact that is learned. It must be called
+// before Run.
+func (g *Gossip) OnFact(f func(membership.Entry)) { g.onFact = append(g.onFact, f) }
+
 // Members returns the present view; the caller must not change it.
 func (g *Gossip) Members() []membership.Member { return *g.members.Load() }
 
@@ -89,6 +94,11 @@
 	ready := g.m.Ready(now)
 	changed := g.publish()
 	g.mu.Unlock()
+	for _, fact := range ready.Facts {
+		for _, tell := range g.onFact {
+			tell(fact)
+		}
+	}
 	for _, msg := range ready.Messages {
 		go g.send(msg)
 	}
--- a/driver/quarantiner/quarantiner.go
+++ b/driver/quarantiner/quarantiner.go
@@ -148,12 +148,18 @@
 	number int
 }
 
-// Admit is Waits at the moment of sending: a request whose trial is due goes through if
-// the daemon that decides on it says so. One that has just started asks others first.
-func (k *Keeper) Admit(ctx context.Context, print func() protocol.Fingerprint, on func() quarantine.Software) (Trial, *protocol.Refusal) {
+// Settle waits until a daemon that has just started has asked others what they know, or has
+// found nobody to ask.
+func (k *Keeper) Settle(ctx context.Context) {
 	if !k.settled() {
 		pause.Until(ctx, time.Now().Add(syncWithin), k.synced)
 	}
+}
+
+// Admit is Waits at the moment of sending: a request whose trial is due goes through if
+// the daemon that decides on it says so. One that has just started asks others first.
+func (k *Keeper) Admit(ctx context.Context, print func() protocol.Fingerprint, on func() quarantine.Software) (Trial, *protocol.Refusal) {
+	k.Settle(ctx)
 	if refusal := k.Waits(print, on); refusal != nil {
 		return Trial{}, refusal
 	}
--- a/driver/quotas/fleet_test.go
+++ b/driver/quotas/fleet_test.go
@@ -13,6 +13,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/doorvalve/doorvalve/coordination/limit"
 	"github.com/doorvalve/doorvalve/coordination/membership"
 	"github.com/doorvalve/doorvalve/coordination/quota"
 	"github.com/doorvalve/doorvalve/driver/decisions"
@@ -20,8 +21,8 @@
 	"github.com/doorvalve/doorvalve/state/workspace"
 )
 
-// fleet is daemons in virtual time, with the workspaces that callers send for.
-type fleet struct {
+// installation is daemons in virtual time, with the workspaces that callers send for.
+type installation struct {
 	log    *decisions.Log
 	bounds quota.Bounds
 
@@ -44,7 +45,7 @@
 
 // host runs one daemon after the other.
 type host struct {
-	in    *fleet
+	in    *installation
 	name  string
 	index int
 
@@ -57,6 +58,10 @@
 	frozen time.Time // until then
 	goneAt time.Time // since when others hear nothing; zero while they do
 	backAt time.Time // since when this daemon is up
+	// settledAt is when it had heard what the others know, and full until when it sends
+	// nothing to the endpoint that has no room.
+	settledAt time.Time
+	full      time.Time
 }
 
 // deadAfter is how long others take a daemon for alive that they hear no more, and joinFor
@@ -66,8 +71,8 @@
 	joinFor   = 200 * time.Millisecond
 )
 
-func newFleet(hosts int, seed uint64, list ...workspace.Declared) *fleet {
-	in := &fleet{
+func newInstallation(hosts int, seed uint64, list ...workspace.Declared) *installation {
+	in := &installation{
 		log: decisions.New(io.Discard, "test", hclog.Off), rng: rand.New(rand.NewPCG(seed, 0)),
 		bounds:    quota.Bounds{Window: 8 * time.Second, Overage: 0.1, Slack: 17000},
 		directory: workspace.NewDirectory(list), version: 1, passed: map[string][]passed{}, refused: map[string]int{}, offered: map[string][]passed{},
@@ -81,7 +86,7 @@
 	return in
 }
 
-func (in *fleet) end() {
+func (in *installation) end() {
 	for _, h := range in.hosts {
 		h.stop()
 	}
@@ -98,15 +103,65 @@
 	h.mu.Unlock()
 	k := New(Options{
 		Self: h.id, Bounds: h.in.bounds, Members: h.members, Revision: func() uint64 { return uint64(time.Now().UnixNano() / int64(100*time.Millisecond)) },
-		Directory: h.in.workspaces, Peer: func(address string) quotapb.Quotas { return link{h, address} }, Clock: time.Now, Log: h.in.log, Metrics: tally.NoopScope,
+		Directory: h.in.workspaces, Tell: h.tell, Peer: func(address string) quotapb.Quotas { return link{h, address} }, Clock: time.Now, Log: h.in.log, Metrics: tally.NoopScope,
 	})
 	h.mu.Lock()
 	if h.stop != nil {
 		h.stop()
 	}
 	h.keeper, h.stop = k, cancel
+	h.full = time.Time{}
 	h.mu.Unlock()
 	go func() { _ = k.Run(ctx) }()
+	go h.hearFacts(k)
+}
+
+// factDelay bounds the time that a fact takes to most daemons, and factLate to the few that
+// the first round has missed.
+const (
+	factDelay = 50 * time.Millisecond
+	factLate  = 900 * time.Millisecond
+)
+
+// tell takes a fact to all other daemons that can be reached: one in twenty hears it late.
+func (h *host) tell(f membership.Entry) {
+	for _, o := range h.in.hosts {
+		if o == h {
+			continue
+		}
+		d := time.Duration(h.in.chance(int(factDelay)))
+		if h.in.chance(20) == 0 {
+			d += time.Duration(h.in.chance(int(factLate)))
+		}
+		time.AfterFunc(d, func() {
+			if k := o.current(); k != nil && !h.isCut() && !o.isCut() {
+				k.Endpoints().Fact(f)
+			}
+		})
+	}
+}
+
+// hearFacts brings a daemon that has just joined the facts that the others know.
+func (h *host) hearFacts(k *Keeper) {
+	time.Sleep(joinFor)
+	for _, o := range h.in.hosts {
+		other := o.current()
+		if o == h || other == nil || o.isCut() || h.isCut() {
+			continue
+		}
+		for life, w := range other.Endpoints().Limited() {
+			k.Endpoints().Fact(factOf(limit.Change{Life: life, Now: w}))
+		}
+	}
+	h.mu.Lock()
+	h.settledAt = time.Now()
+	h.mu.Unlock()
+}
+
+func (h *host) isCut() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.cut
 }
 
 // kill ends a daemon; the next one starts after a while.
@@ -174,20 +229,20 @@
 	return list
 }
 
-func (in *fleet) workspaces() (*workspace.Directory, uint64) {
+func (in *installation) workspaces() (*workspace.Directory, uint64) {
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	return in.directory, in.version
 }
 
-func (in *fleet) declare(list ...workspace.Declared) {
+func (in *installation) declare(list ...workspace.Declared) {
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	in.directory = workspace.NewDirectory(list)
 	in.version++
 }
 
-func (in *fleet) chance(n int) int {
+func (in *installation) chance(n int) int {
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	return in.rng.IntN(n)
@@ -231,7 +286,7 @@
 }
 
 // serve lets a request come at a daemon; it is not counted if that one is down.
-func (in *fleet) serve(h *host, name string, cost float64) {
+func (in *installation) serve(h *host, name string, cost float64) {
 	k := h.current()
 	if k == nil {
 		return
@@ -262,7 +317,7 @@
 const requestCost = 1000
 
 // send lets callers send for a while.
-func (in *fleet) send(l load, d time.Duration) {
+func (in *installation) send(l load, d time.Duration) {
 	hosts := l.hosts
 	if hosts == nil {
 		hosts = in.hosts
@@ -287,7 +342,7 @@
 
 // worst returns the most units that went through in a window, beyond what the rule allows
 // in it; negative where that was never reached.
-func (in *fleet) worst(name string, l quota.Limits) float64 {
+func (in *installation) worst(name string, l quota.Limits) float64 {
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	list := in.passed[name]
@@ -306,7 +361,7 @@
 }
 
 // between returns the units that went through in some time.
-func (in *fleet) between(name string, from, to time.Time) float64 {
+func (in *installation) between(name string, from, to time.Time) float64 {
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	sum := 0.0
@@ -326,7 +381,7 @@
 
 // central returns what one token bucket for all would have made of what came, and what went
 // through.
-func (in *fleet) central(name string, l quota.Limits) (central bucket, through float64) {
+func (in *installation) central(name string, l quota.Limits) (central bucket, through float64) {
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	level, at := l.Burst, time.Time{}
--- a/driver/quotas/metrics_test.go
+++ b/driver/quotas/metrics_test.go
@@ -21,9 +21,7 @@
 	for range rounds {
 		for i := range workspaces {
 			d := declared("workspace-"+strconv.Itoa(i), 1, 1)
-			k.mu.Lock()
-			_ = k.refuse(&d.Workspace, 1)
-			k.mu.Unlock()
+			_ = k.workspaces.refuse(&d.Workspace, 1)
 		}
 	}
 	own, sum := 0, int64(0)
--- a/driver/quotas/quotas_test.go
+++ b/driver/quotas/quotas_test.go
@@ -56,7 +56,7 @@
 				for _, l := range loads {
 					list = append(list, declared(l.name, l.limit, l.limit))
 				}
-				in := newFleet(daemons, 1, list...)
+				in := newInstallation(daemons, 1, list...)
 				defer in.end()
 				time.Sleep(5 * time.Second)
 				for _, l := range loads {
@@ -88,7 +88,7 @@
 func TestChangedQuotaBinds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const sends, low = 60_000, 20_000
-		in := newFleet(20, 1, declared("w", 100_000, 100_000))
+		in := newInstallation(20, 1, declared("w", 100_000, 100_000))
 		defer in.end()
 		time.Sleep(5 * time.Second)
 		go in.send(load{name: "w", rate: steady(sends)}, 40*time.Second)
@@ -150,13 +150,13 @@
 	daemons := []int{7, 20, 71}[rng.IntN(3)]
 	limits := quota.Limits{Rate: []float64{4_200, 40_000, 270_000}[rng.IntN(3)]}
 	limits.Burst = limits.Rate * []float64{1, 3.6}[rng.IntN(2)]
-	in := newFleet(daemons, seed, declared("w", limits.Rate, limits.Burst))
+	in := newInstallation(daemons, seed, declared("w", limits.Rate, limits.Burst))
 	defer in.end()
 	time.Sleep(5 * time.Second)
 	harms := []string{}
 	go in.send(load{name: "w", rate: waves(rng, limits.Rate), hosts: gathered(rng, in.hosts)}, harmsFor)
 	for start := time.Now(); time.Since(start) < harmsFor-5*time.Second; {
-		harms = append(harms, in.harm(rng))
+		harms = append(harms, in.harm(rng, "quota/w"))
 		time.Sleep(time.Duration(1000+rng.IntN(7000)) * time.Millisecond)
 	}
 	time.Sleep(15 * time.Second)
@@ -185,8 +185,9 @@
 	return hosts[:max(1, len(hosts)/5)]
 }
 
-// harm does one thing to some daemons and returns its name.
-func (in *fleet) harm(rng *rand.Rand) string {
+// harm does one thing to some daemons, among them the owner of the subject of a key, and
+// returns its name.
+func (in *installation) harm(rng *rand.Rand, key string) string {
 	some := func(part float64) []*host {
 		list := slices.Clone(in.hosts)
 		rng.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
@@ -215,16 +216,16 @@
 		}
 		return "a fifth freezes"
 	case 4:
-		go in.ownerOf("w").freeze(2 * down)
+		go in.ownerOf(key).freeze(2 * down)
 		return "the owner freezes"
 	}
-	go in.ownerOf("w").kill(down)
+	go in.ownerOf(key).kill(down)
 	return "the owner ends"
 }
 
-// ownerOf returns the host whose daemon owns a workspace's quota, by the first one's view.
-func (in *fleet) ownerOf(name string) *host {
-	owner := membership.Ablest(ownersKey+name, in.hosts[0].members())[0]
+// ownerOf returns the host whose daemon owns the subject of a key, by the first one's view.
+func (in *installation) ownerOf(key string) *host {
+	owner := membership.Ablest(key, in.hosts[0].members())[0]
 	i := slices.IndexFunc(in.hosts, func(h *host) bool { return h.name == owner.Host })
 	return in.hosts[i]
 }
--- a/driver/quotas/roster.go
+++ b/driver/quotas/roster.go
@@ -8,7 +8,7 @@
 	"github.com/doorvalve/doorvalve/coordination/membership"
 )
 
-// roster is what this daemon makes of the others: who owns which quota, who does not
+// roster is what this daemon makes of the others: who owns which subject, who does not
 // answer, who is missing.
 type roster struct {
 	opt     *Options
@@ -27,9 +27,6 @@
 // requests through on its own.
 const missedFor = 30 * time.Second
 
-// ownersKey starts the keys by which daemons are ranked.
-const ownersKey = "quota/"
-
 const (
 	// joinWithin bounds the time after a start in which a daemon that knows no other one
 	// waits for them, and joinPause is the pause between two looks. One that took itself for
@@ -49,14 +46,14 @@
 	}
 }
 
-// owners returns the daemons that own a workspace's quota, the best first and at most
-// some; those that have not answered lately are passed over.
-func (r *roster) owners(workspace string, most int) []membership.Member {
+// owners returns the daemons that own the subject of a key, the best first and at most some;
+// those that have not answered lately are passed over.
+func (r *roster) owners(key string, most int) []membership.Member {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.opt.Clock()
 	var list []membership.Member
-	for _, m := range r.rank(workspace) {
+	for _, m := range r.rank(key) {
 		if len(list) == most {
 			break
 		}
@@ -72,17 +69,23 @@
 // are silent.
 const rankKept = 8
 
-// rank returns the first daemons for a workspace; the caller holds the mutex.
-func (r *roster) rank(workspace string) []membership.Member {
+// ranksKept bounds the keys whose ranks are kept.
+const ranksKept = 4096
+
+// rank returns the first daemons for a key; the caller holds the mutex.
+func (r *roster) rank(key string) []membership.Member {
 	if rev := r.opt.Revision(); rev != r.revision {
 		clear(r.ranked)
 		r.revision = rev
 	}
-	list, ok := r.ranked[workspace]
+	list, ok := r.ranked[key]
 	if !ok {
-		list = membership.Ablest(ownersKey+workspace, r.opt.Members())
+		list = membership.Ablest(key, r.opt.Members())
 		list = append([]membership.Member(nil), list[:min(rankKept, len(list))]...)
-		r.ranked[workspace] = list
+		if len(r.ranked) >= ranksKept {
+			clear(r.ranked)
+		}
+		r.ranked[key] = list
 	}
 	return list
 }
@@ -93,12 +96,12 @@
 // heard notes that another daemon has asked this one or answered it.
 func (r *roster) heard() { r.heardAt.Store(r.opt.Clock().UnixNano()) }
 
-// cutOff reports whether this daemon comes to own a quota only because those before it do not
+// cutOff reports whether this daemon comes to own a subject only because those before it do not
 // answer, while nobody else talks to it either: then not they are gone, but this one is, and
 // they go on without it.
-func (r *roster) cutOff(workspace string) bool {
+func (r *roster) cutOff(key string) bool {
 	r.mu.Lock()
-	ranked := r.rank(workspace)
+	ranked := r.rank(key)
 	r.mu.Unlock()
 	if len(ranked) == 0 || ranked[0].ID == r.opt.Self {
 		return false
--- a/driver/quotas/serve.go
+++ b/driver/quotas/serve.go
@@ -12,25 +12,23 @@
 )
 
 // draw asks another daemon.
-func (k *Keeper) draw(m membership.Member, d quota.Draw, version uint64, timeout time.Duration, forwarded bool) (quota.Grant, string, error) {
+func (s *sharer) draw(m membership.Member, d quota.Draw, version uint64, timeout time.Duration, forwarded bool) (quota.Grant, string, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	resp, err := k.opt.Peer(m.PeerAddress).Draw(ctx, &quotapb.DrawRequest{
-		Daemon: d.Daemon, Workspace: d.Workspace, Version: version, Rate: d.Limits.Rate, Burst: d.Limits.Burst, Need: d.Need, Waiting: int32(d.Waiting), Used: d.Used,
+	resp, err := s.opt.Peer(m.PeerAddress).Draw(ctx, &quotapb.DrawRequest{
+		Daemon: d.Daemon, Subject: d.Subject, Kind: s.kind, Version: version, Rate: d.Limits.Rate, Burst: d.Limits.Burst, Need: d.Need, Waiting: int32(d.Waiting), Used: d.Used,
 		Offered: d.Offered, Requests: int32(d.Requests), Elsewhere: pastToWire(d.Elsewhere), Summary: summaryToWire(d.Summary), Inform: d.Inform, Forwarded: forwarded,
 	})
 	if err != nil {
 		return quota.Grant{}, "", err
 	}
-	return quota.Grant{Units: resp.Units, Ahead: resp.Ahead, Again: time.Duration(resp.AgainMs) * time.Millisecond, Over: resp.Over, Spare: resp.Spare, Summary: summaryFromWire(resp.Summary)}, resp.Owner, nil
+	return quota.Grant{Units: resp.Units, Ahead: resp.Ahead, Again: time.Duration(resp.AgainMs) * time.Millisecond, RoomIn: time.Duration(resp.RoomInMs) * time.Millisecond, Over: resp.Over, Spare: resp.Spare, Summary: summaryFromWire(resp.Summary)}, resp.Owner, nil
 }
 
 // errCount refuses a question that no daemon asks.
 var errCount = errors.New("counts of a draw must be numbers of at least 0")
 
-// Draw implements quotapb.Quotas. A daemon that is asked though it takes another one
-// for the owner asks that one: whoever asks may be cut off from it. If it does not answer,
-// this one takes its place.
+// Draw implements quotapb.Quotas.
 func (k *Keeper) Draw(_ context.Context, req *quotapb.DrawRequest) (*quotapb.DrawResponse, error) {
 	for _, count := range []float64{req.Need, req.Used, req.Offered, req.Rate, req.Burst} {
 		if !(count >= 0 && count <= math.MaxFloat64) {
@@ -38,44 +36,50 @@
 		}
 	}
 	k.fleet.heard()
+	shared := k.workspaces.shared
+	if req.Kind == quotapb.Kind_ENDPOINT {
+		shared = k.endpoints.shared
+	}
+	return shared.answer(req), nil
+}
+
+// answer answers another daemon. One that is asked though it takes another one for the owner
+// asks that one: whoever asks may be cut off from it. If it does not answer, this one takes its
+// place.
+func (s *sharer) answer(req *quotapb.DrawRequest) *quotapb.DrawResponse {
+	limits, none := s.newest(req.Subject, req.Version, quota.Limits{Rate: req.Rate, Burst: req.Burst})
+	if none {
+		return toWire(quota.Grant{Units: req.Need}, s.opt.Self)
+	}
 	d := quota.Draw{
-		Daemon: req.Daemon, Workspace: req.Workspace, Limits: k.newest(req), Need: req.Need, Waiting: int(req.Waiting), Used: req.Used, Offered: req.Offered, Requests: int(req.Requests),
+		Daemon: req.Daemon, Subject: req.Subject, Limits: limits, Need: req.Need, Waiting: int(req.Waiting), Used: req.Used, Offered: req.Offered, Requests: int(req.Requests),
 		Elsewhere: pastFromWire(req.Elsewhere), Summary: summaryFromWire(req.Summary), Inform: req.Inform,
 	}
 	if !req.Forwarded {
-		if g, owner, ok := k.forward(d, req.Version); ok {
-			return toWire(g, owner), nil
+		if g, owner, ok := s.forward(d, req.Version); ok {
+			return toWire(g, owner)
 		}
 	}
-	return toWire(k.own(d, k.fleet.part()), k.opt.Self), nil
+	return toWire(s.own(d, s.fleet.part()), s.opt.Self)
 }
 
 // forward asks the daemon that this one takes for the owner, and reports whether another
 // one is and has answered.
-func (k *Keeper) forward(d quota.Draw, version uint64) (quota.Grant, string, bool) {
-	owners := k.fleet.owners(d.Workspace, 1)
-	if len(owners) == 0 || owners[0].ID == k.opt.Self {
+func (s *sharer) forward(d quota.Draw, version uint64) (quota.Grant, string, bool) {
+	owners := s.fleet.owners(s.key(d.Subject), 1)
+	if len(owners) == 0 || owners[0].ID == s.opt.Self {
 		return quota.Grant{}, "", false
 	}
-	k.metrics.forwarded.Inc(1)
-	g, owner, err := k.draw(owners[0], d, version, forwardTimeout, true)
+	s.metrics.forwarded.Inc(1)
+	g, owner, err := s.draw(owners[0], d, version, forwardTimeout, true)
 	if err != nil {
-		k.fleet.failed(owners[0].ID)
+		s.fleet.failed(owners[0].ID)
 	}
 	return g, owner, err == nil
 }
 
-// newest returns the limits of the newer desired state, the asking daemon's or this one's.
-func (k *Keeper) newest(req *quotapb.DrawRequest) quota.Limits {
-	directory, version := k.opt.Directory()
-	if w := directory.Named(req.Workspace); w != nil && version >= req.Version && w.Quota.Bounded() {
-		return limitsOf(w)
-	}
-	return quota.Limits{Rate: req.Rate, Burst: req.Burst}
-}
-
 func toWire(g quota.Grant, owner string) *quotapb.DrawResponse {
-	return &quotapb.DrawResponse{Units: g.Units, Ahead: g.Ahead, AgainMs: g.Again.Milliseconds(), Over: g.Over, Spare: g.Spare, Owner: owner, Summary: summaryToWire(g.Summary)}
+	return &quotapb.DrawResponse{Units: g.Units, Ahead: g.Ahead, AgainMs: g.Again.Milliseconds(), RoomInMs: g.RoomIn.Milliseconds(), Over: g.Over, Spare: g.Spare, Owner: owner, Summary: summaryToWire(g.Summary)}
 }
 
 func pastToWire(list []quota.Past) []*quotapb.Past {
--- /dev/null
+++ b/driver/quotas/sharer.go
@@ -0,0 +1,237 @@
+package quotas
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/doorvalve/doorvalve/coordination/membership"
+	"github.com/doorvalve/doorvalve/coordination/quota"
+	"github.com/doorvalve/doorvalve/driver/decisions"
+	"github.com/doorvalve/doorvalve/protocol/quotapb"
+)
+
+// sharer shares the rates of all subjects of one kind out: it draws from their owners for the
+// requests of this daemon, and answers as an owner.
+type sharer struct {
+	kind    quotapb.Kind
+	name    string // of the kind, in logs and in the keys by which daemons are ranked
+	opt     *Options
+	fleet   *roster
+	metrics *metrics
+	bounds  quota.Bounds
+	// newest returns the limits of the newer word on a subject, the asking daemon's or this
+	// one's; none says that there is no limit any more.
+	newest func(subject string, version uint64, told quota.Limits) (limits quota.Limits, none bool)
+	// unreached returns what this daemon goes by while it reaches no owner.
+	unreached func(now time.Time, d quota.Draw) quota.Grant
+
+	mu     sync.Mutex
+	client *quota.Client
+	flight map[string]*flight
+
+	ownMu sync.Mutex
+	owner *quota.Owner
+}
+
+// flight is a question on its way, for the requests that came before it left; those that
+// come later wait for the next.
+type flight struct {
+	need    float64
+	waiting int
+	left    bool
+	done    chan struct{}
+	next    *flight
+}
+
+// claim is what a request takes of a subject's rate.
+type claim struct {
+	subject string
+	limits  quota.Limits
+	version uint64 // of the word that the limits are of
+	cost    float64
+	late    bool // the request has missed its latency objective already
+}
+
+func newSharer(k *Keeper, kind quotapb.Kind, name string, bounds quota.Bounds) *sharer {
+	return &sharer{
+		kind: kind, name: name, opt: &k.opt, fleet: &k.fleet, metrics: &k.metrics, bounds: bounds,
+		client: quota.NewClient(k.opt.Self, bounds), owner: quota.NewOwner(k.opt.Self, bounds, k.opt.Clock()), flight: map[string]*flight{},
+	}
+}
+
+// take reports whether a request is let through, asking the subject's owner where this daemon
+// has nothing at hand.
+func (s *sharer) take(ctx context.Context, c claim) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.opt.Clock()
+	s.client.Offer(now, c.subject, c.cost)
+	verdict := s.client.Take(now, c.subject, c.cost, c.late)
+	if verdict == quota.Ask {
+		f := s.join(c)
+		s.mu.Unlock()
+		select {
+		case <-f.done:
+		case <-ctx.Done():
+		}
+		s.mu.Lock()
+		verdict = s.client.Take(s.opt.Clock(), c.subject, c.cost, c.late)
+	}
+	return verdict == quota.Admit
+}
+
+// refused notes a refusal, and returns when its caller is to come back.
+func (s *sharer) refused(subject string, cost float64) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.client.Refused(s.opt.Clock(), subject, cost)
+}
+
+// roomIn returns the time until there is room for one more request.
+func (s *sharer) roomIn(subject string) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.client.RoomIn(s.opt.Clock(), subject)
+}
+
+// wait returns when a request would be let through.
+func (s *sharer) wait(subject string) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.client.Wait(s.opt.Clock(), subject)
+}
+
+// giveBack takes back what a request was let through with that has not run.
+func (s *sharer) giveBack(t Ticket) {
+	if t.cost <= 0 {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.client.Return(s.opt.Clock(), t.subject, t.cost)
+}
+
+// join adds a request to the next question for its subject, and sends it if none is on its
+// way; the caller holds the mutex.
+func (s *sharer) join(c claim) *flight {
+	f := s.flight[c.subject]
+	switch {
+	case f == nil:
+		f = &flight{done: make(chan struct{})}
+		s.flight[c.subject] = f
+		go s.fly(c, f)
+	case f.left:
+		if f.next == nil {
+			f.next = &flight{done: make(chan struct{})}
+		}
+		f = f.next
+	}
+	f.need += c.cost
+	f.waiting++
+	return f
+}
+
+// fly asks for a flight's requests and for those that came meanwhile, until none wait.
+func (s *sharer) fly(c claim, f *flight) {
+	for f != nil {
+		s.ask(c, f)
+		s.mu.Lock()
+		close(f.done)
+		f = f.next
+		if f == nil {
+			delete(s.flight, c.subject)
+		} else {
+			s.flight[c.subject] = f
+		}
+		s.mu.Unlock()
+	}
+}
+
+// ask asks the owner of a subject, and those after it where it does not answer.
+func (s *sharer) ask(c claim, f *flight) {
+	s.fleet.join()
+	key := s.key(c.subject)
+	for _, m := range s.fleet.owners(key, ownersAsked) {
+		if m.ID == s.opt.Self && s.fleet.cutOff(key) {
+			break
+		}
+		d := s.begin(c, m.ID, f)
+		if m.ID == s.opt.Self {
+			s.granted(c.subject, m.ID, s.own(d, s.fleet.part()))
+			return
+		}
+		s.metrics.draws.Inc(1)
+		g, owner, err := s.draw(m, d, c.version, drawTimeout, false)
+		if err == nil {
+			s.fleet.heard()
+			s.granted(c.subject, owner, g)
+			return
+		}
+		s.fail(c.subject, m, err)
+	}
+	d := s.begin(c, s.opt.Self, f)
+	s.granted(c.subject, s.opt.Self, s.unreached(s.opt.Clock(), d))
+}
+
+// key is what daemons are ranked by for a subject.
+func (s *sharer) key(subject string) string { return s.name + "/" + subject }
+
+func (s *sharer) begin(c claim, owner string, f *flight) quota.Draw {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f.left = true
+	return s.client.Begin(s.opt.Clock(), c.subject, owner, c.limits, f.need, f.waiting)
+}
+
+func (s *sharer) granted(subject, owner string, g quota.Grant) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.client.Granted(s.opt.Clock(), subject, owner, g)
+}
+
+func (s *sharer) fail(subject string, m membership.Member, err error) {
+	s.metrics.failed.Inc(1)
+	if s.fleet.failed(m.ID) {
+		s.opt.Log.Info(decisions.EventDependencyLost, "dependency", "quota owner", "kind", s.name, "subject", subject, "owner", m.ID, "error", err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.client.Failed(subject)
+}
+
+// own answers as an owner.
+func (s *sharer) own(d quota.Draw, part float64) quota.Grant {
+	s.ownMu.Lock()
+	defer s.ownMu.Unlock()
+	return s.owner.Draw(s.opt.Clock(), d, part)
+}
+
+// share returns what part of a subject's limits this daemon has got lately.
+func (s *sharer) share(now time.Time, subject string, limits quota.Limits) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.client.Share(now, subject, s.bounds.Sustained(limits))
+}
+
+// view returns how a subject's bucket stands, if this daemon takes itself for its owner.
+func (s *sharer) view(subject string) (quota.View, bool) {
+	owners := s.fleet.owners(s.key(subject), 1)
+	if len(owners) == 0 || owners[0].ID != s.opt.Self {
+		return quota.View{}, false
+	}
+	s.ownMu.Lock()
+	defer s.ownMu.Unlock()
+	return s.owner.View(s.opt.Clock(), subject)
+}
+
+// forget drops what is known of subjects that nobody sends for any more.
+func (s *sharer) forget() {
+	now := s.opt.Clock()
+	s.mu.Lock()
+	s.client.Forget(now)
+	s.mu.Unlock()
+	s.ownMu.Lock()
+	s.owner.Forget(now)
+	s.ownMu.Unlock()
+}
--- a/driver/quotas/view.go
+++ b/driver/quotas/view.go
@@ -21,22 +21,14 @@
 	directory, _ := k.opt.Directory()
 	list := make([]View, 0, len(directory.List()))
 	for _, w := range directory.List() {
-		k.mu.Lock()
-		n := k.counts[w.Name]
-		k.mu.Unlock()
+		k.workspaces.mu.Lock()
+		n := k.workspaces.counts[w.Name]
+		k.workspaces.mu.Unlock()
 		v := View{Workspace: w.Name, Rate: w.Quota.Rate, Burst: w.Quota.Burst, Passed: n.passed, Refused: n.refused}
-		k.ownMu.Lock()
-		if owned, ok := k.owner.View(k.opt.Clock(), w.Name); ok && k.owns(w.Name) {
+		if owned, ok := k.workspaces.shared.view(w.Name); ok {
 			v.Owned = &owned
 		}
-		k.ownMu.Unlock()
 		list = append(list, v)
 	}
 	return list
 }
-
-// owns reports whether this daemon takes itself for a workspace's owner.
-func (k *Keeper) owns(workspace string) bool {
-	owners := k.fleet.owners(workspace, 1)
-	return len(owners) > 0 && owners[0].ID == k.opt.Self
-}
--- a/protocol/call.go
+++ b/protocol/call.go
@@ -42,6 +42,7 @@
 	// WrongEndpoint: another process has the address, or it does not hold the
 	// model.
 	WrongEndpoint bool
+	Limit         RateLimit // that the endpoint names
 }
 
 // Dialect reads and writes the headers that callers and endpoints use.
--- a/transport/edge/attempt.go
+++ b/transport/edge/attempt.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/doorvalve/doorvalve/driver/quarantiner"
+	"github.com/doorvalve/doorvalve/internal/clock"
 	"github.com/doorvalve/doorvalve/protocol"
 	"github.com/doorvalve/doorvalve/state/fleet"
 	"github.com/doorvalve/doorvalve/state/routing"
@@ -83,6 +84,7 @@
 			Keyed: q.table.Workspaces.Keyed(), Workspace: q.workspace(),
 		}),
 	}
+	sent := clock.Now()
 	transport := s.client.once
 	if q.route.Repeatable() {
 		transport = s.client.kept
@@ -93,6 +95,9 @@
 	}
 	mark := s.opt.Dialect.ReadAnswer(resp.StatusCode, resp.Header)
 	s.noteUnread(q, e, s.opt.Dialect.Unread(resp.Header))
+	if isWord(resp.StatusCode, mark, q) {
+		s.opt.Limits.Heard(e.Life(), sent, mark.Limit)
+	}
 	if f := refusedByEndpoint(resp, mark, q); f != nil {
 		_, _ = io.CopyN(io.Discard, resp.Body, bufferBytes) // lets the connection be kept
 		_ = resp.Body.Close()
@@ -105,6 +110,18 @@
 	return resp, nil
 }
 
+// isWord reports whether an answer says whether its endpoint names a limit. One that refuses
+// says so only if it names one: it may come from what stands before the endpoint.
+func isWord(status int, mark protocol.AnswerMark, q *request) bool {
+	switch {
+	case mark.WrongEndpoint, mark.RequestID != "" && mark.RequestID != q.call.ID:
+		return false
+	case mark.NotRun:
+		return mark.Limit.Named
+	}
+	return mark.Sealed || mark.RequestID != "" && status >= http.StatusInternalServerError && mark.Limit.Named
+}
+
 // classify says of an error before the answer whether the request may have
 // run.
 func classify(ctx context.Context, err error) *failure {
--- a/transport/edge/locate.go
+++ b/transport/edge/locate.go
@@ -29,7 +29,7 @@
 func (s *Server) locate(ctx context.Context, q *request, t *tries) (*fleet.Endpoint, *protocol.Refusal) {
 	exclude, absent, unreachable := t.exclude, t.absentAt(), t.last != nil && t.last.unreachable
 	if q.service.Engine == nil || q.call.Model == "" {
-		return s.locatePlain(q, exclude)
+		return s.locatePlain(ctx, q, t)
 	}
 	var avoid fleet.Incarnation
 	if len(exclude) > 0 {
@@ -40,7 +40,8 @@
 		if e := s.locateKnown(q, exclude); e != nil {
 			return e, nil
 		}
-		ans := s.opt.Locator.Want(ctx, q.service.Name, residency.Want{Model: q.call.Model, Adapter: q.call.Adapter, Rank: q.rank, Avoid: avoid, Unreachable: unreachable, Absent: absent})
+		full := s.full(s.holders(q))
+		ans := s.opt.Locator.Want(ctx, q.service.Name, residency.Want{Model: q.call.Model, Adapter: q.call.Adapter, Rank: q.rank, Avoid: avoid, Unreachable: unreachable, Absent: absent, Full: full.lives})
 		absent, unreachable = fleet.Incarnation{}, false // told once
 		if ctx.Err() != nil {
 			return nil, s.outOfTime(protocol.NotRun)
@@ -61,7 +62,8 @@
 			}
 			ans.ReadyIn = loadingPause // the list does not name it yet, or not any more; or it has ended
 		}
-		if refusal := s.wait(ctx, q, t, ans); refusal != nil {
+		refusal := s.waitSooner(ctx, q, t, ans, full)
+		if refusal != nil {
 			return nil, refusal
 		}
 		if !avoid.IsZero() { // it has had its pause
@@ -70,6 +72,15 @@
 	}
 }
 
+// waitSooner waits for room at an endpoint that holds the model, or for the model at another
+// one, whichever is there sooner.
+func (s *Server) waitSooner(ctx context.Context, q *request, t *tries, ans residency.Answer, full fullEndpoints) *protocol.Refusal {
+	if len(full.lives) > 0 && (ans.Refused != "" || full.roomIn < ans.ReadyIn) {
+		return s.awaitRoom(ctx, q, t, full)
+	}
+	return s.wait(ctx, q, t, ans)
+}
+
 // join refuses a request that would begin too late at the endpoint that the coordinator
 // has named, which is full. One that an endpoint has worked on goes on, and so does one
 // that is more urgent than others: endpoints admit it before them.
@@ -151,13 +162,20 @@
 	return slices.DeleteFunc(slices.Clone(list), func(e fleet.Incarnation) bool { return e == entry })
 }
 
-func (s *Server) locatePlain(q *request, exclude []fleet.Incarnation) (*fleet.Endpoint, *protocol.Refusal) {
-	list := s.opt.View().ByService[q.service.Name]
-	e := s.opt.Balancer.Pick(time.Now(), list, balance.Query{Exclude: exclude})
-	if e == nil {
-		return nil, protocol.Refuse(http.StatusServiceUnavailable, "no-endpoint", "no endpoint of the service takes requests", retryBusy)
+func (s *Server) locatePlain(ctx context.Context, q *request, t *tries) (*fleet.Endpoint, *protocol.Refusal) {
+	for {
+		list := s.opt.View().ByService[q.service.Name]
+		if e := s.opt.Balancer.Pick(time.Now(), list, balance.Query{Exclude: t.exclude}); e != nil {
+			return e, nil
+		}
+		full := s.full(list)
+		if len(full.lives) == 0 {
+			return nil, protocol.Refuse(http.StatusServiceUnavailable, "no-endpoint", "no endpoint of the service takes requests", retryBusy)
+		}
+		if refusal := s.awaitRoom(ctx, q, t, full); refusal != nil {
+			return nil, refusal
+		}
 	}
-	return e, nil
 }
 
 // holders returns the endpoints that are listed with the request's model and
--- a/transport/edge/run.go
+++ b/transport/edge/run.go
@@ -110,21 +110,21 @@
 	if refusal := s.opt.Quarantine.Waits(q.fingerprint, on); refusal != nil {
 		return nil, refusal
 	}
-	e, refusal := s.locate(ctx, q, t)
-	s.observeWait(t, refusal == nil)
+	e, refusal := s.locateWithRoom(ctx, q, t)
 	if refusal != nil {
 		return nil, refusal
 	}
 	if q.trial, refusal = s.opt.Quarantine.Admit(ctx, q.fingerprint, on); refusal != nil {
+		s.opt.Limits.Return(q.pass)
 		return nil, refusal
 	}
-	if refusal := s.stillGood(q); refusal != nil {
-		s.opt.Quarantine.GiveBack(q.trial)
-		return nil, refusal
+	if refusal = s.stillGood(q); refusal == nil && q.timeLeft() <= 0 { // its host was suspended while it waited
+		refusal = s.outOfTime(t.verdict)
 	}
-	if q.timeLeft() <= 0 { // its host was suspended while it waited
+	if refusal != nil {
+		s.opt.Limits.Return(q.pass)
 		s.opt.Quarantine.GiveBack(q.trial)
-		return nil, s.outOfTime(t.verdict)
+		return nil, refusal
 	}
 	return e, nil
 }
@@ -134,6 +134,9 @@
 	if f.verdict == protocol.NotRun {
 		s.opt.Quarantine.GiveBack(q.trial)
 	}
+	if f.unreachable {
+		s.opt.Limits.Return(q.pass)
+	}
 	switch {
 	case f.unreachable:
 		s.opt.Quarantine.Refused(e.Life(), f.err)
--- a/transport/edge/server.go
+++ b/transport/edge/server.go
@@ -59,6 +59,8 @@
 	Access access.Bounds
 	// Quotas counts requests for their workspaces.
 	Quotas *quotas.Keeper
+	// Limits keeps to the limits that endpoints name.
+	Limits *quotas.Endpoints
 	// Quarantine holds requests back under which endpoints end.
 	Quarantine *quarantiner.Keeper
 	Log        *decisions.Log
@@ -137,6 +139,7 @@
 	stateAge time.Duration         // how old that may have been
 	who      *workspace.Workspace  // that it is counted for; nil: nobody
 	ticket   quotas.Ticket         // that it was let through with
+	pass     quotas.Ticket         // for the endpoint of this attempt, if that names a limit
 	rank     int                   // 0 is served first
 	active   int64                 // requests in progress, this one among them
 	arrived  time.Time
