limits: one record in the store outlasts all daemons; young owners, owners that are cut off

Cause: nobody knew any more that it named a limit, until the first answers told it again. Change: one daemon writes the limits to the store when one begins, ends or changes by a quarter, at most once a second; each daemon reads them once as it starts. An owner that has just started gives more of what is beyond a limit (0.7 of it over all starts in a window, where a bucket holds 0.2). A daemon that may be cut off asks one more before it takes itself for that.

--- a/coordination/limit/rate.go
+++ b/coordination/limit/rate.go
@@ -8,7 +8,7 @@
 
 // Bounds are what endpoints bear: in each window one and a half times their limit, and some
 // requests more. A bucket holds a part of what is beyond the limit, one request at the least.
-var Bounds = quota.Bounds{Window: 4 * time.Second, Overage: 0.5, Slack: 5, Depth: 0.2}
+var Bounds = quota.Bounds{Window: 4 * time.Second, Overage: 0.5, Slack: 5, Depth: 0.2, Young: 0.7}
 
 // trickle is the least rate, in requests a second, at which an endpoint is asked that names a
 // lower limit: only an answer tells that its need is over. It is a part of the requests that
--- a/coordination/quota/owner.go
+++ b/coordination/quota/owner.go
@@ -155,7 +155,8 @@
 	}
 	if age := now.Sub(o.started); age < o.bounds.Window {
 		unused := l.Rate * b.since.Sub(o.started).Seconds() // before anybody asked
-		start = min(start, start*age.Seconds()/o.bounds.Window.Seconds()+unused)
+		young := o.bounds.Young * start / startPart
+		start = min(start, young*age.Seconds()/o.bounds.Window.Seconds()+unused)
 	}
 	return max(0, depth-start)
 }
--- a/coordination/quota/types.go
+++ b/coordination/quota/types.go
@@ -29,6 +29,9 @@
 	// Depth is the part of what may be over that a bucket holds beside the burst, for
 	// subjects whose limits have none.
 	Depth float64
+	// Young is the part of what may be over that all owners together give who have started
+	// within one window, before they are told what went through.
+	Young float64
 }
 
 // perWindow returns what the limits allow in a window.
@@ -81,6 +84,8 @@
 	// startPart is the part of the slack that a new owner gives before the others have told
 	// it what they got from the one before. The rest is for counts that are a little off.
 	startPart = 0.3
+	// YoungPart is Bounds.Young for subjects with a burst, which a bucket holds already.
+	YoungPart = startPart
 	// aheadPart is the part of what a window has room for that may be authorized ahead, over
 	// all daemons. It is room that nobody else gets, so the limits hold whoever uses it.
 	aheadPart = 0.35
--- a/daemon/edgedaemon/daemon.go
+++ b/daemon/edgedaemon/daemon.go
@@ -137,8 +137,8 @@
 		Self: d.self, Members: d.alive, Peer: d.peers.Quarantines().To, Endpoint: d.endpointState, Ended: func(life fleet.Incarnation) { d.balancer.Gone(time.Now(), life) }, Store: d.store, Log: log, Metrics: d.metrics,
 	})
 	d.shares = quotas.New(quotas.Options{
-		Self: d.self, Bounds: quota.Bounds{Window: set.Quotas.Window.D(), Overage: set.Quotas.Overage, Slack: set.Quotas.Slack},
-		Members: d.gossip.Members, Revision: d.gossip.Revision, Directory: d.workspaces, Listed: d.endpointListed, Tell: d.gossip.Set, Limited: d.endpointLimited, Peer: d.peers.Quotas().To, Log: log, Metrics: d.metrics,
+		Self: d.self, Bounds: quota.Bounds{Window: set.Quotas.Window.D(), Overage: set.Quotas.Overage, Slack: set.Quotas.Slack, Young: quota.YoungPart},
+		Members: d.gossip.Members, Revision: d.gossip.Revision, Directory: d.workspaces, Listed: d.endpointListed, Tell: d.gossip.Set, Limited: d.endpointLimited, Store: d.store, Peer: d.peers.Quotas().To, Log: log, Metrics: d.metrics,
 	})
 	d.gossip.OnFact(d.shares.Endpoints().Fact)
 	d.callers = edge.New(edge.Options{
--- a/driver/quotas/endpoints.go
+++ b/driver/quotas/endpoints.go
@@ -13,6 +13,7 @@
 	"github.com/doorvalve/doorvalve/coordination/membership"
 	"github.com/doorvalve/doorvalve/coordination/quota"
 	"github.com/doorvalve/doorvalve/driver/decisions"
+	"github.com/doorvalve/doorvalve/internal/wake"
 	"github.com/doorvalve/doorvalve/protocol"
 	"github.com/doorvalve/doorvalve/protocol/quotapb"
 	"github.com/doorvalve/doorvalve/state/fleet"
@@ -36,6 +37,10 @@
 	shared  *sharer
 	limited atomic.Pointer[map[fleet.Incarnation]limit.Word]
 
+	settled chan struct{} // closed when the record has been read, or could not be
+	news    chan struct{} // limits have begun or ended
+	record  record
+
 	mu         sync.Mutex
 	book       *limit.Book
 	toldFrom   time.Time // when the present second of telling began
@@ -44,7 +49,7 @@
 }
 
 func newEndpoints(k *Keeper) *Endpoints {
-	e := &Endpoints{opt: &k.opt, metrics: &k.metrics, book: limit.New(k.opt.Self), unreadable: map[string]bool{}}
+	e := &Endpoints{opt: &k.opt, metrics: &k.metrics, book: limit.New(k.opt.Self), unreadable: map[string]bool{}, settled: make(chan struct{}), news: make(chan struct{}, 1)}
 	e.shared = newSharer(k, quotapb.Kind_ENDPOINT, "limit", limit.Bounds)
 	e.shared.newest, e.shared.unreached = e.newest, e.unreached
 	e.limited.Store(&map[fleet.Incarnation]limit.Word{})
@@ -140,6 +145,7 @@
 		return
 	}
 	e.opt.Limited(c.Life, c.Now)
+	wake.Once(e.news)
 	if c.Before.Limited != c.Now.Limited || c.Tell {
 		e.opt.Log.Info(decisions.EventEndpointLimit, "endpoint", c.Life.ID, "born", c.Life.Born, "limited", c.Now.Limited, "rate", c.Now.Rate, "before", c.Before.Rate, "heard_by", c.Now.By, "age_ms", now.UnixMilli()-int64(c.Now.Version))
 	}
--- a/driver/quotas/quotas.go
+++ b/driver/quotas/quotas.go
@@ -55,6 +55,8 @@
 	// that begins, changes or ends here; nil: nobody is.
 	Tell    func(membership.Entry)
 	Limited func(fleet.Incarnation, limit.Word)
+	// Store keeps what must outlast all daemons; nil: nothing does.
+	Store   Store
 	Peer    func(address string) quotapb.Quotas
 	Clock   clock.Clock
 	Log     *decisions.Log
@@ -111,11 +113,13 @@
 
 // Run looks after the daemons that are there until ctx ends. Where nothing is shared it rests.
 func (k *Keeper) Run(ctx context.Context) error {
+	k.endpoints.readFirst(ctx)
 	for ctx.Err() == nil {
-		pause.For(ctx, tick)
+		pause.Until(ctx, time.Now().Add(tick), k.endpoints.news)
 		k.endpoints.keep()
+		k.endpoints.keepRecord(ctx)
 		if directory, _ := k.opt.Directory(); !directory.Keyed() && !k.endpoints.any() {
-			pause.For(ctx, restTick)
+			pause.Until(ctx, time.Now().Add(restTick), k.endpoints.news)
 			continue
 		}
 		k.fleet.look()
--- a/driver/quotas/roster.go
+++ b/driver/quotas/roster.go
@@ -1,6 +1,7 @@
 package quotas
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -96,6 +97,17 @@
 // heard notes that another daemon has asked this one or answered it.
 func (r *roster) heard() { r.heardAt.Store(r.opt.Clock().UnixNano()) }
 
+// toAsk returns the daemons to ask for a subject, one after the other: its owners, and in place
+// of this daemon, if that may be cut off, another one whose answer tells that it is not.
+func (r *roster) toAsk(key string) []membership.Member {
+	list := r.owners(key, ownersAsked+1)
+	self := slices.IndexFunc(list, func(m membership.Member) bool { return m.ID == r.opt.Self })
+	if self >= 0 && r.cutOff(key) {
+		return slices.Delete(list, self, self+1)
+	}
+	return list[:min(len(list), ownersAsked)]
+}
+
 // cutOff reports whether this daemon comes to own a subject only because those before it do not
 // answer, while nobody else talks to it either: then not they are gone, but this one is, and
 // they go on without it.
--- a/driver/quotas/sharer.go
+++ b/driver/quotas/sharer.go
@@ -152,10 +152,7 @@
 func (s *sharer) ask(c claim, f *flight) {
 	s.fleet.join()
 	key := s.key(c.subject)
-	for _, m := range s.fleet.owners(key, ownersAsked) {
-		if m.ID == s.opt.Self && s.fleet.cutOff(key) {
-			break
-		}
+	for _, m := range s.fleet.toAsk(key) {
 		d := s.begin(c, m.ID, f)
 		if m.ID == s.opt.Self {
 			s.granted(c.subject, m.ID, s.own(d, s.fleet.part()))
--- a/transport/edge/limits.go
+++ b/transport/edge/limits.go
@@ -25,6 +25,7 @@
 func (s *Server) locateWithRoom(ctx context.Context, q *request, t *tries) (*fleet.Endpoint, *protocol.Refusal) {
 	q.pass = quotas.Ticket{}
 	s.opt.Quarantine.Settle(ctx) // a daemon that has just started hears first what others know
+	s.opt.Limits.Settle(ctx)
 	for range placesTried {
 		e, refusal := s.locate(ctx, q, t)
 		s.observeWait(t, refusal == nil)
--- a/transport/platform/client.go
+++ b/transport/platform/client.go
@@ -41,6 +41,7 @@
 	KindSegment   Kind = "segment"   // sealed claims
 	KindDrain     Kind = "drain"     // endpoints drained by operators
 	KindHeldBack  Kind = "held-back" // requests under which endpoints end
+	KindLimits    Kind = "limits"    // that endpoints name
 )
 
 // Object is one stored value.
@@ -233,8 +234,11 @@
 	return next.list, nil
 }
 
-// heldBackName is the only object of its kind.
-const heldBackName = "main"
+// Names of the objects that are the only ones of their kinds.
+const (
+	heldBackName = "main"
+	limitsName   = "main"
+)
 
 // ReadHeldBack decodes the record of the requests that are held back into v; ErrNotFound
 // says that there is none.
@@ -248,3 +252,16 @@
 	version, outcome = c.Put(ctx, KindHeldBack, heldBackName, expected, record)
 	return version, outcome, nil
 }
+
+// ReadLimits decodes the record of the endpoints' limits into v; ErrNotFound says that there
+// is none.
+func (c *Client) ReadLimits(ctx context.Context, v any) (version uint64, err error) {
+	return c.Get(ctx, KindLimits, limitsName, v)
+}
+
+// WriteLimits writes that record if its version is still expected; 0 means that it must not
+// exist.
+func (c *Client) WriteLimits(ctx context.Context, expected uint64, record any) (version uint64, outcome protocol.WriteOutcome, err error) {
+	version, outcome = c.Put(ctx, KindLimits, limitsName, expected, record)
+	return version, outcome, nil
+}
