own interface: an endpoint that names a limit gets what it got before: the test, red

Three daemons, 50 calls a second: 201 in 4 s at a limit of 2 a second (allowed 17); with a limit of 0 at all endpoints calls are still served. Endpoints of this interface name it in Doorvalve-Rate-Limit.

--- /dev/null
+++ b/e2e/limits_test.go
@@ -0,0 +1,81 @@
+package e2e_test
+
+import (
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/doorvalve/doorvalve/standin/service"
+	"github.com/doorvalve/doorvalve/state/bundle"
+)
+
+// An endpoint said in its answers how many requests a second it takes from all daemons together,
+// and got as many as before: on this interface, too, nobody read the word, and no daemon alone
+// could have kept to it.
+func TestEndpointThatNamesALimitIsPaced(t *testing.T) {
+	const (
+		says   = "2"
+		most   = 17 // one and a half times as many in 4 s, and 5
+		window = 4 * time.Second
+		known  = 3 * time.Second
+	)
+	o := defaults()
+	o.engines, o.models, o.plain = 0, 0, 2
+	o.change = func(b *bundle.Bundle) { b.Services = b.Services[1:] } // without the engines
+	w := newWorld(t, o)
+	services := []*service.Service{w.services["app0"], w.services["app1"]}
+	w.eventually("calls are served", func() bool { return w.daemons[0].call("POST", "/services/app/x", "first").ok() })
+	services[0].SetRateLimit(says)
+	named := time.Now()
+	served, all := w.press(known + 2*window)
+	arrived := services[0].Arrived()
+	worst, first := 0, 0
+	for i, at := range arrived {
+		for at.Sub(arrived[first]) > window || arrived[first].Before(named.Add(known)) && first < i {
+			first++
+		}
+		worst = max(worst, i-first+1)
+	}
+	if worst > most {
+		t.Errorf("%d requests in 4 s at a limit of %s a second, allowed %d", worst, says, most)
+	}
+	if served < all*99/100 {
+		t.Errorf("%d of %d served though another endpoint has room", served, all)
+	}
+	services[0].SetRateLimit("")
+	before := len(services[0].Arrived())
+	w.press(5 * time.Second)
+	if n := len(services[0].Arrived()) - before; n < 60 {
+		t.Errorf("%d requests in the 5 s after the limit had ended", n)
+	}
+	services[0].SetRateLimit("0")
+	services[1].SetRateLimit("0")
+	w.press(known)
+	r := w.daemons[0].call("POST", "/services/app/x", "too many")
+	if r.status != http.StatusServiceUnavailable || r.refusal.Reason != "endpoints-limited" || r.header.Get("Retry-After") == "" {
+		t.Errorf("with no room anywhere a call got %d %q, Retry-After %q", r.status, r.refusal.Reason, r.header.Get("Retry-After"))
+	}
+}
+
+// press sends calls to the daemons in turn for a while and returns how many were served.
+func (w *world) press(d time.Duration) (served, all int) {
+	const every = 20 * time.Millisecond
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	ticker := time.NewTicker(every)
+	defer ticker.Stop()
+	for end := time.Now().Add(d); time.Now().Before(end); all++ {
+		<-ticker.C
+		daemon := w.daemons[all%len(w.daemons)]
+		wg.Go(func() {
+			if daemon.call("POST", "/services/app/x", "body").ok() {
+				mu.Lock()
+				defer mu.Unlock()
+				served++
+			}
+		})
+	}
+	wg.Wait()
+	return served, all
+}
--- a/protocol/verdict.go
+++ b/protocol/verdict.go
@@ -73,6 +73,9 @@
 	HeaderVerdict = "Doorvalve-Verdict"
 	// HeaderLeaving is set to "true" by an endpoint that is leaving.
 	HeaderLeaving = "Doorvalve-Leaving"
+	// HeaderRateLimit is what an endpoint says in each of its answers while it is in need:
+	// the requests a second, a decimal number, that it takes from all daemons together.
+	HeaderRateLimit = "Doorvalve-Rate-Limit"
 	// ContentTypeProblem is the media type of RFC 9457.
 	ContentTypeProblem = "application/problem+json"
 )
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -25,6 +26,8 @@
 	calls   int
 	leaving bool
 	lastNew time.Time
+	limit   string // that it names; empty: none
+	arrived []time.Time
 }
 
 // New returns a service that has run nothing.
@@ -57,6 +60,20 @@
 	s.leaving = yes
 }
 
+// SetRateLimit makes the service say how many requests a second it takes; empty: it says nothing.
+func (s *Service) SetRateLimit(limit string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limit = limit
+}
+
+// Arrived returns when calls have come.
+func (s *Service) Arrived() []time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.arrived)
+}
+
 // Handler serves any method and path.
 func (s *Service) Handler() http.Handler {
 	mux := http.NewServeMux()
@@ -85,6 +102,10 @@
 	s.mu.Lock()
 	s.calls++
 	s.lastNew = time.Now()
+	s.arrived = append(s.arrived, s.lastNew)
+	if s.limit != "" {
+		w.Header().Set(protocol.HeaderRateLimit, s.limit)
+	}
 	if key := r.Header.Get(protocol.HeaderIdempotencyKey); key != "" {
 		s.runs[key]++
 	}
