own interface: limits that endpoints name in Doorvalve-Rate-Limit, by the same decision

What callers saw: nothing; an endpoint at 2 a second got 201 requests in 4 s. Cause: as on the platform, nobody read the word. Change: the proxy hands it on, the call is counted for its endpoint once it has a slot there (driver/quotas.Endpoints, as on the platform); a gate passes endpoints without room over, and refuses at once where none has any.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -106,7 +106,7 @@
 	d.platform = platform.New(platform.Options{URL: set.Platform.URL, Timeout: set.Platform.Timeout.D()})
 	d.engines = engine.New(engineTimeout)
 	d.peers = peers.NewClient(set.Peers.Token)
-	d.gossip = gossip.New(d.log.Named("gossip"), d.peers, d.seeds, membership.DefaultOptions(uint64(time.Now().UnixNano())), d.member())
+	d.gossip = gossip.New(d.log.Named("gossip"), d.peers, d.seeds, gossip.Options(quotas.StaleFact), d.member())
 	d.rollout = rollout.New(d.log.Part("rollout"), d.platform, d.peers, d.gossip)
 	d.rollout.OnChange(d.configure)
 	d.claimer = claimer.New(claimer.Options{
@@ -116,13 +116,14 @@
 		Self: d.self, Members: d.gossip.Members, Peer: d.peers.Quarantines().To, Endpoint: d.endpointState, Store: d.platform, Log: d.log.Part("quarantine"), Metrics: d.metrics,
 	})
 	d.quotas = quotas.New(quotas.Options{
-		Self: d.self, Members: d.gossip.Members, Revision: d.gossip.Revision, Directory: d.workspaces, Peer: d.peers.Quotas().To, Log: d.log.Part("quotas"), Metrics: d.metrics,
+		Self: d.self, Members: d.gossip.Members, Revision: d.gossip.Revision, Directory: d.workspaces, Listed: d.endpointListed, Tell: d.gossip.Set, Store: d.platform, Peer: d.peers.Quotas().To, Log: d.log.Part("quotas"), Metrics: d.metrics,
 	})
+	d.gossip.OnFact(d.quotas.Endpoints().Fact)
 	d.gates.Store(&map[string]*gate.Gate{})
 	d.setPhase(drain.Serving)
 	d.callers = callers.New(callers.Options{
 		Self: d.self, Limits: set.Limits, Config: d.rollout.Current, Gate: d.gate, Members: d.gossip.Members, Phase: d.Phase,
-		Claimer: d.claimer, Quarantine: d.keeper, Quotas: d.quotas, Proxy: proxy.New(set.Limits.AnswerBytes), Log: d.log.Part("callers"), Metrics: d.metrics,
+		Claimer: d.claimer, Quarantine: d.keeper, Quotas: d.quotas, RateLimits: d.quotas.Endpoints(), Proxy: proxy.New(set.Limits.AnswerBytes), Log: d.log.Part("callers"), Metrics: d.metrics,
 		EndpointLeaving: d.endpointLeaving,
 	})
 	return d, nil
@@ -297,6 +298,12 @@
 	return s.Workspaces, s.Generation
 }
 
+// endpointListed reports whether an endpoint is declared.
+func (d *Daemon) endpointListed(life fleet.Incarnation) bool {
+	listed, _ := d.endpointState(life)
+	return listed
+}
+
 // endpointState reports whether an endpoint is declared, and as draining.
 func (d *Daemon) endpointState(life fleet.Incarnation) (listed, leaving bool) {
 	s := d.rollout.Current()
--- a/daemon/dump.go
+++ b/daemon/dump.go
@@ -31,6 +31,7 @@
 	Gates         []gate.View         `json:"gates"` // those in use
 	ClaimKeys     map[uint32]int      `json:"claim_keys"`
 	Workspaces    []quotas.View       `json:"workspaces"`
+	Limits        []quotas.LimitView  `json:"endpoint_limits"` // that endpoints name now
 }
 
 // ControlBytes are the bytes spent on control since the start, by role.
@@ -45,7 +46,7 @@
 	out := Dump{
 		ID: d.self, Host: d.set.Host, FailureDomain: d.set.FailureDomain, Phase: d.Phase(),
 		Uptime: time.Since(d.started).Round(time.Second).String(), InProgress: d.callers.InProgress(),
-		PlatformCalls: d.platform.Calls(), PeerMessages: d.gossip.Messages(), Members: d.gossip.Members(), ClaimKeys: d.claimer.Sizes(), Workspaces: d.quotas.View(),
+		PlatformCalls: d.platform.Calls(), PeerMessages: d.gossip.Messages(), Members: d.gossip.Members(), ClaimKeys: d.claimer.Sizes(), Workspaces: d.quotas.View(), Limits: d.quotas.Endpoints().Views(),
 		Bytes: ControlBytes{Platform: d.platform.Bytes(), Peers: d.peers.Meter().Counts(), Endpoints: d.engines.Bytes()},
 	}
 	if s := d.rollout.Current(); s != nil {
--- a/daemon/edgedaemon/daemon.go
+++ b/daemon/edgedaemon/daemon.go
@@ -132,7 +132,7 @@
 		Within: min(set.Timing.LeaveWithin.D(), set.Timing.ApplyWithin.D()), Heartbeat: set.Timing.EndpointHeartbeat.D(),
 	})
 	d.view.OnChange(d.changed)
-	d.gossip = gossip.New(hclog.NewNullLogger(), d.peers, d.seeds, gossipOptions(), d.member())
+	d.gossip = gossip.New(hclog.NewNullLogger(), d.peers, d.seeds, gossip.Options(quotas.StaleFact), d.member())
 	d.keeper = quarantiner.New(quarantiner.Options{
 		Self: d.self, Members: d.alive, Peer: d.peers.Quarantines().To, Endpoint: d.endpointState, Ended: func(life fleet.Incarnation) { d.balancer.Gone(time.Now(), life) }, Store: d.store, Log: log, Metrics: d.metrics,
 	})
@@ -151,13 +151,6 @@
 	return d, nil
 }
 
-// gossipOptions are the settings of the membership.
-func gossipOptions() membership.Options {
-	opt := membership.DefaultOptions(uint64(time.Now().UnixNano()))
-	opt.Stale = quotas.StaleFact
-	return opt
-}
-
 func nonce() string {
 	var b [4]byte
 	_, _ = rand.Read(b[:]) // never fails
--- a/driver/gate/gate.go
+++ b/driver/gate/gate.go
@@ -22,6 +22,8 @@
 	used     atomic.Int64
 	// avoidUntil keeps new requests away after an error, as Unix nanoseconds.
 	avoidUntil atomic.Int64
+	// fullUntil does so while the endpoint has no room within the limit that it names.
+	fullUntil atomic.Int64
 }
 
 // Used returns the number of requests at the endpoint.
@@ -32,7 +34,7 @@
 
 // take takes one unit of credit if there is one.
 func (s *Slot) take(now int64) bool {
-	if s.avoidUntil.Load() > now {
+	if s.avoided(now) {
 		return false
 	}
 	for {
@@ -46,6 +48,8 @@
 	}
 }
 
+func (s *Slot) avoided(now int64) bool { return s.avoidUntil.Load() > now || s.fullUntil.Load() > now }
+
 // Credit is what the coordinator allows at an endpoint.
 type Credit struct {
 	Endpoint bundle.Endpoint
@@ -137,7 +141,7 @@
 	bestLeft := int64(0)
 	for _, s := range slots {
 		left := s.limit.Load() - s.used.Load()
-		if left > bestLeft && s.avoidUntil.Load() <= now {
+		if left > bestLeft && !s.avoided(now) {
 			best, bestLeft = s, left
 		}
 	}
@@ -269,6 +273,28 @@
 	s.avoidUntil.Store(time.Now().Add(d).UnixNano())
 }
 
+// Full keeps new requests away from a slot's endpoint that has no room within its limit.
+func (g *Gate) Full(s *Slot, d time.Duration) {
+	s.fullUntil.Store(time.Now().Add(d).UnixNano())
+}
+
+// AllFull reports whether all endpoints that this daemon has credit at are without room within
+// their limits; room is then the one that has room first.
+func (g *Gate) AllFull(now time.Time) (room string, all bool) {
+	soonest := int64(0)
+	for _, s := range *g.slots.Load() {
+		until := s.fullUntil.Load()
+		switch {
+		case s.limit.Load() == 0:
+		case until <= now.UnixNano():
+			return "", false
+		case room == "" || until < soonest:
+			room, soonest = s.Endpoint.Name, until
+		}
+	}
+	return room, room != ""
+}
+
 // Update sets the credits and the estimate, answers the requests that are
 // thereby out of time and starts those that now can.
 func (g *Gate) Update(now time.Time, credits []Credit, est admission.Estimate) {
--- a/driver/gossip/gossip.go
+++ b/driver/gossip/gossip.go
@@ -38,6 +38,13 @@
 	revision atomic.Uint64
 }
 
+// Options are the settings of a daemon's membership; stale says which facts are too old.
+func Options(stale func(now time.Time, f membership.Entry) bool) membership.Options {
+	opt := membership.DefaultOptions(uint64(time.Now().UnixNano()))
+	opt.Stale = stale
+	return opt
+}
+
 // New returns a driver for one daemon.
 func New(log hclog.Logger, client *peers.Client, seeds Seeds, opt membership.Options, self membership.Member) *Gossip {
 	g := &Gossip{log: log, client: client, seeds: seeds, m: membership.New(opt, self, time.Now())}
--- a/transport/callers/call.go
+++ b/transport/callers/call.go
@@ -49,6 +49,7 @@
 	print   protocol.Fingerprint
 	trial   quarantiner.Trial // that this attempt is
 	ticket  quotas.Ticket     // that it was let through with
+	pass    quotas.Ticket     // for the endpoint of this attempt, if that names a limit
 	version string            // of the model; empty for services
 	// For the log: what became of the request.
 	class      string
@@ -264,11 +265,12 @@
 	if refusal := s.opt.Quarantine.Waits(cl.fingerprint, cl.software); refusal != nil {
 		return nil, refusal
 	}
-	slot, refusal := cl.gate.Acquire(ctx, gate.Request{Worth: cl.worth, Deadline: cl.deadline, Affinity: cl.affinity})
+	slot, refusal := s.acquireWithRoom(ctx, cl)
 	if refusal != nil {
 		return nil, refusal
 	}
 	if cl.trial, refusal = s.opt.Quarantine.Admit(ctx, cl.fingerprint, cl.software); refusal != nil {
+		s.opt.RateLimits.Return(cl.pass)
 		cl.gate.Release(slot, 0)
 		return nil, refusal
 	}
@@ -282,7 +284,7 @@
 
 // tellQuarantine tells how an attempt ended that was sent at some time.
 func (s *Server) tellQuarantine(ctx context.Context, cl *call, e bundle.Endpoint, sent time.Time, began bool, f *proxy.Failure) {
-	life := fleet.Incarnation{ID: e.Name} // lives of these endpoints are not told apart
+	life := lifeOf(e)
 	if f != nil && f.Verdict == protocol.NotRun {
 		s.opt.Quarantine.GiveBack(cl.trial)
 	}
@@ -296,12 +298,16 @@
 	}
 }
 
+// lifeOf names an endpoint; lives of these endpoints are not told apart.
+func lifeOf(e bundle.Endpoint) fleet.Incarnation { return fleet.Incarnation{ID: e.Name} }
+
 // attempt makes one attempt at one endpoint.
 func (s *Server) attempt(ctx context.Context, cl *call, slot *gate.Slot, n int, out *answer) *proxy.Failure {
 	start, sent, heard := time.Now(), clock.Now(), out.progress.Offset
 	req := &proxy.Request{
 		Method: cl.method, URI: cl.uri, Header: cl.header, Body: cl.body, RequestID: cl.id,
 		AttemptID: cl.id + "." + strconv.Itoa(n), Worth: cl.worth, Repeatable: cl.key == nil, MustEcho: cl.engine,
+		Heard: func(limit protocol.RateLimit) { s.opt.RateLimits.Heard(lifeOf(slot.Endpoint), sent, limit) },
 	}
 	var f *proxy.Failure
 	var whole *proxy.Answer
@@ -310,6 +316,9 @@
 	} else {
 		whole, f = s.opt.Proxy.Whole(ctx, slot.Endpoint.Address, req)
 	}
+	if f != nil && f.Reason == proxy.ReasonUnreachable {
+		s.opt.RateLimits.Return(cl.pass)
+	}
 	took := time.Since(start)
 	s.tellQuarantine(ctx, cl, slot.Endpoint, sent, out.progress.Offset > heard, f)
 	if f != nil {
--- a/transport/callers/server.go
+++ b/transport/callers/server.go
@@ -46,9 +46,11 @@
 	// Quarantine holds requests back under which endpoints end.
 	Quarantine *quarantiner.Keeper
 	// Quotas counts requests for their workspaces.
-	Quotas  *quotas.Keeper
-	Log     *decisions.Log
-	Metrics tally.Scope
+	Quotas *quotas.Keeper
+	// RateLimits keeps to the limits that endpoints name.
+	RateLimits *quotas.Endpoints
+	Log        *decisions.Log
+	Metrics    tally.Scope
 	// EndpointLeaving is told of an endpoint that says it takes no new work.
 	EndpointLeaving func(endpoint string)
 }
--- a/transport/proxy/proxy.go
+++ b/transport/proxy/proxy.go
@@ -32,6 +32,9 @@
 	ResumeFrom int
 	// MustEcho says that the endpoint echoes the attempt's id.
 	MustEcho bool
+	// Heard takes what the endpoint says of the requests that it takes, if it answers; nil:
+	// nobody does.
+	Heard func(protocol.RateLimit)
 }
 
 // Failure is an attempt without a whole answer.
@@ -114,17 +117,28 @@
 	if err != nil {
 		return nil, classify(err)
 	}
+	limit := protocol.ReadRateLimit(resp.Header[protocol.HeaderRateLimit])
 	if f := refusedUnrun(resp); f != nil {
 		_ = resp.Body.Close()
+		if limit.Named { // a refusal without one may come from what stands before the endpoint
+			r.heard(limit)
+		}
 		return nil, f
 	}
 	if got := resp.Header.Get(protocol.HeaderAttemptID); got != r.AttemptID && (got != "" || r.MustEcho) {
 		_ = resp.Body.Close()
 		return nil, &Failure{Verdict: protocol.MayHaveRun, Reason: "crossed-answer"}
 	}
+	r.heard(limit)
 	return resp, nil
 }
 
+func (r *Request) heard(limit protocol.RateLimit) {
+	if r.Heard != nil {
+		r.Heard(limit)
+	}
+}
+
 func classify(err error) *Failure {
 	if engine.IsDialError(err) {
 		return &Failure{Verdict: protocol.NotRun, Reason: ReasonUnreachable, Err: err}
