--- a/coordination/quota/owner.go
+++ b/coordination/quota/owner.go
@@ -36,6 +36,7 @@
 	shares   map[string]*share
 	ahead    float64 // over all daemons
 	swept    time.Time
+	scarce   map[int]time.Time // by rank: when requests found no room last
 }
 
 // share is one daemon's part.
@@ -63,7 +64,13 @@
 	b.sweep(now)
 	s := b.share(d.Daemon)
 	o.account(now, b, s, d)
-	g := o.grant(now, b, s, d, l, part*o.bounds.over(d.Limits))
+	g := Grant{Over: true}
+	if !b.scarceFor(now, d.Rank) {
+		g = o.grant(now, b, s, d, l, part*o.bounds.over(d.Limits))
+	}
+	if g.Units < d.Need {
+		b.scarce[d.Rank] = now
+	}
 	g.RoomIn = max(g.Again, o.roomIn(now, b, d, l, part*o.bounds.over(d.Limits)))
 	if g.Units > 0 || g.Ahead > 0 {
 		b.granted = now
@@ -129,7 +136,7 @@
 	if b == nil {
 		b = &bucket{
 			level: burst, at: now, since: now, swept: now, calmAt: now, window: newWindow(o.bounds.Window),
-			demand: meter{over: demandOver}, requests: meter{over: demandOver}, shares: map[string]*share{},
+			demand: meter{over: demandOver}, requests: meter{over: demandOver}, shares: map[string]*share{}, scarce: map[int]time.Time{},
 		}
 		o.buckets[subject] = b
 	}
@@ -194,6 +201,17 @@
 	b.level = min(b.level, burst)
 }
 
+// scarceFor reports whether more urgent requests than those of a rank have just found no room:
+// what there is goes to them.
+func (b *bucket) scarceFor(now time.Time, rank int) bool {
+	for other, at := range b.scarce {
+		if other < rank && now.Sub(at) < scarceFor {
+			return true
+		}
+	}
+	return false
+}
+
 // spend takes units out of the bucket; below zero they come back.
 func (b *bucket) spend(now time.Time, units float64) {
 	b.level -= units
--- a/coordination/quota/types.go
+++ b/coordination/quota/types.go
@@ -126,6 +126,9 @@
 	sameTime = 50 * time.Millisecond
 	// forgetAfter is how long a daemon that does not draw is remembered.
 	forgetAfter = 30 * time.Second
+	// scarceFor is how long after a request found no room less urgent ones get none: callers
+	// that go on asking are heard several times in it.
+	scarceFor = time.Second
 	// idleAfter is how long a subject that nobody sends for is remembered.
 	idleAfter = 10 * time.Minute
 	// roomMost bounds the time until there is room, where the rate is next to nothing.
@@ -139,6 +142,7 @@
 	Limits  Limits
 	Need    float64 // units of the requests that wait for the answer
 	Waiting int     // requests that do
+	Rank    int     // of the most urgent of them; 0 is first
 	// Used is what it has let through of what it was authorized ahead, since its last draw.
 	Used float64
 	// Offered and Requests are what callers have asked for since its last draw, those that
--- a/driver/quotas/endpoints.go
+++ b/driver/quotas/endpoints.go
@@ -65,15 +65,15 @@
 // Limited returns all limits that endpoints name now. It must not be changed.
 func (e *Endpoints) Limited() map[fleet.Incarnation]limit.Word { return *e.limited.Load() }
 
-// Admit counts a request for the endpoint that it is about to be sent to. If the endpoint has no
-// room within its limit, it returns the time until it has.
-func (e *Endpoints) Admit(ctx context.Context, life fleet.Incarnation) (t Ticket, ok bool, roomIn time.Duration) {
+// Admit counts a request of some rank, 0 first, for the endpoint that it is about to be sent to.
+// If the endpoint has no room within its limit, it returns the time until it has.
+func (e *Endpoints) Admit(ctx context.Context, life fleet.Incarnation, rank int) (t Ticket, ok bool, roomIn time.Duration) {
 	w, limited := e.Limit(life)
 	if !limited {
 		return Ticket{}, true, 0
 	}
 	subject := subjectOf(life)
-	if e.shared.take(ctx, claim{subject: subject, limits: w.Limits(), version: w.Version, cost: oneRequest}) {
+	if e.shared.take(ctx, claim{subject: subject, limits: w.Limits(), version: w.Version, cost: oneRequest, rank: rank}) {
 		return Ticket{subject, oneRequest}, true, 0
 	}
 	e.metrics.heldBack.Inc(1)
--- a/driver/quotas/endpoints_test.go
+++ b/driver/quotas/endpoints_test.go
@@ -11,7 +11,7 @@
 )
 
 func newTarget(in *installation) *target {
-	return &target{in: in, life: fleet.Incarnation{ID: "i-1", Born: 7}}
+	return &target{in: in, life: fleet.Incarnation{ID: "i-1", Born: 7}, byRank: map[int]int{}}
 }
 
 // An endpoint names a limit far below what daemons send: within a second all of them keep to
@@ -103,6 +103,25 @@
 	})
 }
 
+// What an endpoint takes is less than what callers want: the most urgent requests get nearly all
+// of it, at whichever daemons they come.
+func TestScarceRoomGoesToTheMostUrgent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		in := newInstallation(20, 1)
+		defer in.end()
+		e := newTarget(in)
+		e.ranks = 3
+		e.say(4, true)
+		time.Sleep(10 * time.Second)
+		go e.press(in.hosts, steady(30), 40*time.Second)
+		time.Sleep(42 * time.Second)
+		if e.byRank[0] < 8*(e.byRank[1]+e.byRank[2]) {
+			t.Errorf("by rank %v", e.byRank)
+		}
+		t.Logf("by rank %v", e.byRank)
+	})
+}
+
 // Daemons end, are cut off, freeze and start all at once, callers gather at a few of them,
 // while an endpoint's limit rises, falls, ends and begins: whatever comes, it gets no more than
 // it bears, and most of what it takes.
--- a/driver/quotas/serve.go
+++ b/driver/quotas/serve.go
@@ -16,7 +16,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	resp, err := s.opt.Peer(m.PeerAddress).Draw(ctx, &quotapb.DrawRequest{
-		Daemon: d.Daemon, Subject: d.Subject, Kind: s.kind, Version: version, Rate: d.Limits.Rate, Burst: d.Limits.Burst, Need: d.Need, Waiting: int32(d.Waiting), Used: d.Used,
+		Daemon: d.Daemon, Subject: d.Subject, Kind: s.kind, Version: version, Rate: d.Limits.Rate, Burst: d.Limits.Burst, Need: d.Need, Waiting: int32(d.Waiting), Rank: int32(d.Rank), Used: d.Used,
 		Offered: d.Offered, Requests: int32(d.Requests), Elsewhere: pastToWire(d.Elsewhere), Summary: summaryToWire(d.Summary), Inform: d.Inform, Forwarded: forwarded,
 	})
 	if err != nil {
@@ -52,7 +52,7 @@
 		return toWire(quota.Grant{Units: req.Need}, s.opt.Self)
 	}
 	d := quota.Draw{
-		Daemon: req.Daemon, Subject: req.Subject, Limits: limits, Need: req.Need, Waiting: int(req.Waiting), Used: req.Used, Offered: req.Offered, Requests: int(req.Requests),
+		Daemon: req.Daemon, Subject: req.Subject, Limits: limits, Need: req.Need, Waiting: int(req.Waiting), Rank: int(req.Rank), Used: req.Used, Offered: req.Offered, Requests: int(req.Requests),
 		Elsewhere: pastFromWire(req.Elsewhere), Summary: summaryFromWire(req.Summary), Inform: req.Inform,
 	}
 	if !req.Forwarded {
--- a/driver/quotas/sharer.go
+++ b/driver/quotas/sharer.go
@@ -39,6 +39,7 @@
 type flight struct {
 	need    float64
 	waiting int
+	rank    int // of the most urgent of them
 	left    bool
 	done    chan struct{}
 	next    *flight
@@ -50,6 +51,7 @@
 	limits  quota.Limits
 	version uint64 // of the word that the limits are of
 	cost    float64
+	rank    int  // 0 is first
 	late    bool // the request has missed its latency objective already
 }
 
@@ -127,6 +129,9 @@
 		}
 		f = f.next
 	}
+	if f.waiting == 0 || c.rank < f.rank {
+		f.rank = c.rank
+	}
 	f.need += c.cost
 	f.waiting++
 	return f
@@ -178,7 +183,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	f.left = true
-	return s.client.Begin(s.opt.Clock(), c.subject, owner, c.limits, f.need, f.waiting)
+	d := s.client.Begin(s.opt.Clock(), c.subject, owner, c.limits, f.need, f.waiting)
+	d.Rank = f.rank
+	return d
 }
 
 func (s *sharer) granted(subject, owner string, g quota.Grant) {
--- a/driver/quotas/target_test.go
+++ b/driver/quotas/target_test.go
@@ -20,6 +20,17 @@
 	said     []saidLimit // in order
 	arrivals []time.Time
 	offered  []time.Time
+	// ranks is how many ranks requests have, each as many; byRank is what came of each.
+	ranks  int
+	byRank map[int]int
+}
+
+// rank returns that of the next request.
+func (t *target) rank() int {
+	if t.ranks == 0 {
+		return 0
+	}
+	return t.in.chance(t.ranks)
 }
 
 // saidLimit is what the endpoint says from some time on.
@@ -53,7 +64,7 @@
 
 // serve lets a request come at a daemon that would send it to the endpoint. Like the balancer,
 // the daemon passes the endpoint over while that has no room.
-func (t *target) serve(h *host) {
+func (t *target) serve(h *host, rank int) {
 	k := h.current()
 	h.mu.Lock()
 	skip := h.settledAt.Before(h.backAt) || time.Now().Before(h.full)
@@ -68,7 +79,7 @@
 		return
 	}
 	k.Endpoints().Settle(context.Background())
-	_, ok, roomIn := k.Endpoints().Admit(context.Background(), t.life)
+	_, ok, roomIn := k.Endpoints().Admit(context.Background(), t.life, rank)
 	if !ok {
 		h.mu.Lock()
 		h.full = time.Now().Add(roomIn)
@@ -79,6 +90,7 @@
 	time.Sleep(time.Duration(1+t.in.chance(3)) * time.Millisecond)
 	t.mu.Lock()
 	t.arrivals = append(t.arrivals, time.Now())
+	t.byRank[rank]++
 	t.mu.Unlock()
 	time.Sleep(answersIn)
 	said := t.at(time.Now())
@@ -96,7 +108,7 @@
 		t.in.mu.Unlock()
 		time.Sleep(min(gap, time.Second))
 		if gap < time.Second {
-			go t.serve(hosts[t.in.chance(len(hosts))])
+			go t.serve(hosts[t.in.chance(len(hosts))], t.rank())
 		}
 	}
 	time.Sleep(time.Second)
--- a/transport/callers/limits.go
+++ b/transport/callers/limits.go
@@ -31,7 +31,7 @@
 		if refusal != nil {
 			return nil, refusal
 		}
-		pass, ok, roomIn := s.opt.RateLimits.Admit(ctx, lifeOf(slot.Endpoint))
+		pass, ok, roomIn := s.opt.RateLimits.Admit(ctx, lifeOf(slot.Endpoint), 0)
 		if ok {
 			cl.pass = pass
 			return slot, nil
--- a/transport/edge/limits.go
+++ b/transport/edge/limits.go
@@ -32,7 +32,7 @@
 		if refusal != nil {
 			return nil, refusal
 		}
-		pass, ok, roomIn := s.opt.Limits.Admit(ctx, e.Life())
+		pass, ok, roomIn := s.opt.Limits.Admit(ctx, e.Life(), q.rank)
 		if ok {
 			q.pass = pass
 			return e, nil
