limits: what is told of changes is bounded for all daemons together; doorvalvectl limits; explain leads to them

A limit that changes with each answer was told by each daemon once a second, 375 times a second in all, by reading; now once a second whoever heard it, and an endpoint that says now this, now that costs no more. A wait for a model or for a retry is decided by a clock that counts a suspension (transport/edge), as sending is.

--- a/cmd/doorvalvectl/explain.go
+++ b/cmd/doorvalvectl/explain.go
@@ -91,10 +91,12 @@
 
 // explain picks the lines of a request and, from around before it to its end,
 // those on its models and endpoints, on leases, dependencies and the desired
-// state; and, however long before, those on the same request under other ids.
+// state; and, however long before, those on the same request under other ids, and on the
+// limits of endpoints if they are why it was refused.
 func explain(lines []logLine, id string, around time.Duration) []logLine {
 	about, prints := map[string]bool{}, map[string]bool{}
 	var first, last time.Time
+	limited := false
 	for _, l := range lines {
 		if l.Fields["request"] != id {
 			continue
@@ -108,6 +110,7 @@
 		if print, _ := l.Fields["fingerprint"].(string); print != "" {
 			prints[print] = true
 		}
+		limited = limited || l.Fields["reason"] == "endpoints-limited"
 		for _, field := range []string{"endpoint", "model"} {
 			if v, _ := l.Fields[field].(string); v != "" {
 				model, _, _ := strings.Cut(v, "/")
@@ -124,6 +127,10 @@
 			out = append(out, l)
 			continue
 		}
+		if limited && l.Event == "limit of an endpoint changed" && !l.At.After(last) {
+			out = append(out, l)
+			continue
+		}
 		if l.Fields["request"] == id || l.Fields["request"] == nil && !l.At.Before(first.Add(-around)) && !l.At.After(last) && l.concerns(about) {
 			out = append(out, l)
 		}
--- a/cmd/doorvalvectl/explain_test.go
+++ b/cmd/doorvalvectl/explain_test.go
@@ -4,6 +4,10 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/doorvalve/doorvalve/coordination/quota"
+	"github.com/doorvalve/doorvalve/daemon"
+	"github.com/doorvalve/doorvalve/driver/quotas"
 )
 
 const sampleLog = `
@@ -50,3 +54,31 @@
 		t.Fatalf("%+v", got)
 	}
 }
+
+const limitedLog = `
+host-1 {"@message":"limit of an endpoint changed","@timestamp":"2026-10-14T04:07:35.000Z","endpoint":"i-1","limited":true,"rate":2}
+host-2 {"@message":"request refused","@timestamp":"2026-10-14T04:09:35.000Z","request":"r1","reason":"endpoints-limited"}
+host-2 {"@message":"request refused","@timestamp":"2026-10-14T04:09:36.000Z","request":"r2","reason":"no-endpoint"}
+`
+
+// A request that is refused because endpoints take no more leads to the limits that they named.
+func TestExplainLeadsFromARefusalToTheLimit(t *testing.T) {
+	got := explain(parseLog(strings.NewReader(limitedLog)), "r1", time.Second)
+	if len(got) != 2 || got[0].Fields["endpoint"] != "i-1" {
+		t.Fatalf("%+v", got)
+	}
+	if got := explain(parseLog(strings.NewReader(limitedLog)), "r2", time.Second); len(got) != 1 {
+		t.Fatalf("another reason: %+v", got)
+	}
+}
+
+func TestEndpointLimitsOfAllDaemons(t *testing.T) {
+	view := quotas.LimitView{Endpoint: "app1", Rate: 2, HeardBy: "b"}
+	owned := view
+	owned.Owned = &quota.View{Demand: 7}
+	got := endpointLimits([]daemon.Dump{{ID: "a", Limits: []quotas.LimitView{view}}, {ID: "b", Limits: []quotas.LimitView{owned}}, {ID: "c"}})
+	want := EndpointLimit{Endpoint: "app1", Rate: 2, HeardBy: "b", Daemons: 2, Demand: 7, Owner: "b"}
+	if len(got) != 1 || got[0] != want {
+		t.Fatalf("%+v", got)
+	}
+}
--- /dev/null
+++ b/cmd/doorvalvectl/limits.go
@@ -0,0 +1,65 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/doorvalve/doorvalve/daemon"
+)
+
+type limitsCmd struct{}
+
+// EndpointLimit is what all daemons say of one endpoint's limit.
+type EndpointLimit struct {
+	Endpoint string  `json:"endpoint"`
+	Rate     float64 `json:"requests_per_second"`
+	HeardBy  string  `json:"heard_by"` // daemon that got the answer
+	Daemons  int     `json:"daemons"`  // that know of it
+	Demand   float64 `json:"demand_per_second"`
+	Owner    string  `json:"owner"` // daemon that gives it out
+}
+
+// Run shows the endpoints that name a limit, by what all daemons named by --address say.
+func (c *limitsCmd) Run(cl *cli) error {
+	dumps, failed := cl.dumps()
+	list := endpointLimits(dumps)
+	err := cl.print(list, func() {
+		t := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+		fmt.Fprintln(t, "ENDPOINT\tLIMIT\tDEMAND\tKNOWN TO\tHEARD BY\tOWNER")
+		for _, l := range list {
+			fmt.Fprintf(t, "%s\t%g/s\t%.1f/s\t%d of %d\t%s\t%s\n", l.Endpoint, l.Rate, l.Demand, l.Daemons, len(dumps), l.HeardBy, l.Owner)
+		}
+		_ = t.Flush() // to the terminal
+	})
+	if err != nil {
+		return err
+	}
+	return failed
+}
+
+// endpointLimits adds up what daemons say.
+func endpointLimits(dumps []daemon.Dump) []EndpointLimit {
+	byName := map[string]*EndpointLimit{}
+	for _, d := range dumps {
+		for _, v := range d.Limits {
+			l := byName[v.Endpoint]
+			if l == nil {
+				l = &EndpointLimit{Endpoint: v.Endpoint, Rate: v.Rate, HeardBy: v.HeardBy}
+				byName[v.Endpoint] = l
+			}
+			l.Daemons++
+			if v.Owned != nil {
+				l.Owner, l.Demand = d.ID, v.Owned.Demand
+			}
+		}
+	}
+	list := make([]EndpointLimit, 0, len(byName))
+	for _, l := range byName {
+		list = append(list, *l)
+	}
+	slices.SortFunc(list, func(a, b EndpointLimit) int { return strings.Compare(a.Endpoint, b.Endpoint) })
+	return list
+}
--- a/cmd/doorvalvectl/main.go
+++ b/cmd/doorvalvectl/main.go
@@ -30,6 +30,7 @@
 	Undrain undrainCmd `cmd:"" help:"Bring an endpoint back into service."`
 	Dump    dumpCmd    `cmd:"" help:"Print the state of one or all daemons."`
 
+	Limits     limitsCmd     `cmd:"" help:"Show endpoints that ask for fewer requests in their answers."`
 	Workspaces workspacesCmd `cmd:"" help:"Show workspaces, what they use of their quota and what is refused."`
 
 	Explain  explainCmd  `cmd:"" help:"Print what the daemons' logs tell of one request."`
--- a/coordination/balance/balance.go
+++ b/coordination/balance/balance.go
@@ -310,7 +310,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for id, l := range b.loads {
-		if view.Of(id) == nil && l.running == 0 {
+		if view.Of(id) == nil && l.running == 0 && !l.limited {
 			delete(b.loads, id)
 		}
 	}
--- a/coordination/limit/book.go
+++ b/coordination/limit/book.go
@@ -31,9 +31,11 @@
 }
 
 const (
-	// tellChange is the least time between two changes of a limit that daemons tell each
-	// other. That one begins or ends is told at once; its owner is told with each draw.
+	// tellChange is the least time between two changes of a limit that any daemon tells the
+	// others: its owner is told with each draw. That one begins or ends is told at once, unless
+	// that came within tellTurn: an endpoint that says now this, now that costs no more.
 	tellChange = time.Second
+	tellTurn   = 100 * time.Millisecond
 	// Remember is how long the end of a limit is remembered: late words of it are no news.
 	Remember = 10 * time.Minute
 )
@@ -75,26 +77,50 @@
 		return b.overdue(now, life, k)
 	}
 	k.word = Word{Rate: rate, Limited: limited, Version: max(before.Version+1, uint64(now.UnixMilli())), By: b.self}
-	tell := before.Limited != limited || now.Sub(k.toldAt) >= tellChange
+	least := tellChange
+	if before.Limited != limited {
+		least = tellTurn
+	}
+	tell := now.Sub(k.toldAt) >= least
 	if tell {
 		k.told, k.toldAt = k.word, now
 	}
 	return Change{Life: life, Before: before, Now: k.word, Tell: tell}, true
 }
 
+// Untold returns the changes that were not told when they came and should be by now.
+func (b *Book) Untold(now time.Time) []Change {
+	var list []Change
+	for life, k := range b.beliefs {
+		if k.untold(b.self, now) {
+			list = append(list, k.tell(now, life))
+		}
+	}
+	return list
+}
+
 // overdue returns a change that was not told when it came, or a limit that was told so long ago
 // that daemons which start now would not hear of it.
 func (b *Book) overdue(now time.Time, life fleet.Incarnation, k *belief) (Change, bool) {
-	untold := k.word.By == b.self && k.told.Version != k.word.Version && now.Sub(k.toldAt) >= tellChange
-	old := k.word.Limited && k.word.age(now) > Remember/2
-	if !untold && !old {
-		return Change{}, false
-	}
-	if old {
+	if k.word.Limited && k.word.age(now) > Remember/2 {
 		k.word.Version, k.word.By = uint64(now.UnixMilli()), b.self
+		return k.tell(now, life), true
+	}
+	if k.untold(b.self, now) {
+		return k.tell(now, life), true
 	}
+	return Change{}, false
+}
+
+// untold reports whether a daemon should tell now what it has heard and not told.
+func (k *belief) untold(self string, now time.Time) bool {
+	return k.word.By == self && k.told.Version != k.word.Version && now.Sub(k.toldAt) >= tellChange
+}
+
+// tell returns the last word to be told.
+func (k *belief) tell(now time.Time, life fleet.Incarnation) Change {
 	k.told, k.toldAt = k.word, now
-	return Change{Life: life, Before: k.word, Now: k.word, Tell: true}, true
+	return Change{Life: life, Before: k.word, Now: k.word, Tell: true}
 }
 
 // age returns about how long ago a word was new: its version is a time of day, unless words
@@ -118,6 +144,7 @@
 	}
 	before := k.word
 	k.word, k.learned = w, now
+	k.told, k.toldAt = w, now
 	return Change{Life: life, Before: before, Now: w}, before.Limited != w.Limited || before.Rate != w.Rate
 }
 
--- a/coordination/limit/book_test.go
+++ b/coordination/limit/book_test.go
@@ -80,11 +80,18 @@
 		{1, 2, true, true}, {1.1, 2, true, false}, {1.2, 2.1, true, false}, {1.9, 2.1, true, false}, {2.1, 2.1, true, true}, {2.2, 2.1, true, false},
 		{2.3, 0, false, true}, {2.4, 0, false, false}, {2.5, 3, true, true},
 		{250, 3, true, false}, {250 + 300, 3, true, true}, {551, 3, true, false},
+		{600, 0, false, true}, {600.05, 3, true, false}, {600.08, 0, false, false},
 	} {
 		if got := tells(c.seconds, c.rate, c.limited); got != c.told {
 			t.Errorf("at %g s, %g a second: told %v, want %v", c.seconds, c.rate, got, c.told)
 		}
 	}
+	if n := len(b.Untold(at(600.5))); n != 0 {
+		t.Errorf("%d changes told shortly after the last", n)
+	}
+	if n := len(b.Untold(at(602))); n != 1 || len(b.Untold(at(602.1))) != 0 {
+		t.Errorf("%d changes told late, want one, once", n)
+	}
 }
 
 // What is known of an endpoint ends with its life, and what is told of it with time.
--- a/coordination/residency/planner.go
+++ b/coordination/residency/planner.go
@@ -186,7 +186,6 @@
 	for id := range p.workers {
 		if !present[id] {
 			delete(p.workers, id)
-			delete(p.limits, id)
 		}
 	}
 	p.sortWorkers()
--- a/driver/quotas/endpoints.go
+++ b/driver/quotas/endpoints.go
@@ -198,18 +198,24 @@
 	}
 }
 
-// keep forgets endpoints that are gone.
+// keep tells what was not told when it came, and forgets endpoints that are gone.
 func (e *Endpoints) keep() {
-	if !e.any() {
-		return
-	}
 	now := e.opt.Clock()
 	e.mu.Lock()
+	var untold []limit.Change
+	for _, c := range e.book.Untold(now) {
+		if e.mayTell(now) {
+			untold = append(untold, c)
+		}
+	}
 	dropped := e.book.Keep(now, e.opt.Listed)
 	if len(dropped) > 0 {
 		e.publish()
 	}
 	e.mu.Unlock()
+	for _, c := range untold {
+		e.opt.Tell(factOf(c))
+	}
 	for _, c := range dropped {
 		e.changed(now, c)
 	}
--- a/transport/edge/locate.go
+++ b/transport/edge/locate.go
@@ -88,7 +88,7 @@
 	if t.verdict != protocol.NotRun || q.rank < q.service.LeastUrgent {
 		return nil
 	}
-	d := waiting.Join(waiting.QueueInput{StartsIn: ans.StartsIn, Elapsed: time.Since(q.arrived), TimeLeft: time.Until(q.deadline), Target: q.route.Target})
+	d := waiting.Join(waiting.QueueInput{StartsIn: ans.StartsIn, Elapsed: time.Since(q.arrived), TimeLeft: q.timeLeft(), Target: q.route.Target})
 	if d.Wait {
 		return nil
 	}
@@ -105,7 +105,7 @@
 	source := sourceOf(ans)
 	margin := s.margins.Of(source)
 	d := waiting.Decide(waiting.Input{
-		ReadyIn: ans.ReadyIn, Margin: margin, Elapsed: t.silentFor(q), TimeLeft: time.Until(q.deadline), Target: q.route.Target,
+		ReadyIn: ans.ReadyIn, Margin: margin, Elapsed: t.silentFor(q), TimeLeft: q.timeLeft(), Target: q.route.Target,
 		Patience: q.route.Patience, Begun: t.verdict != protocol.NotRun,
 	})
 	if !d.Wait {
--- a/transport/edge/retry.go
+++ b/transport/edge/retry.go
@@ -88,7 +88,7 @@
 // pause.
 func (t *tries) outlasts(q *request, d time.Duration) bool {
 	return waiting.Decide(waiting.Input{
-		ReadyIn: d, Elapsed: t.silentFor(q), TimeLeft: time.Until(q.deadline), Patience: q.route.Patience, Begun: true,
+		ReadyIn: d, Elapsed: t.silentFor(q), TimeLeft: q.timeLeft(), Patience: q.route.Patience, Begun: true,
 	}).Wait
 }
 
