record: one way to keep an object of the store that outlasts all daemons

It stood twice, for requests that are held back and for limits of endpoints, with a stand-in each. Behaviour as before, but that the calls of the quarantine's record have a time limit (300 ms).

--- a/driver/quarantiner/fleet_test.go
+++ b/driver/quarantiner/fleet_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -15,12 +14,12 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/uber-go/tally/v4"
 
-	"github.com/doorvalve/doorvalve/coordination/lease"
 	"github.com/doorvalve/doorvalve/coordination/membership"
 	"github.com/doorvalve/doorvalve/coordination/quarantine"
 	"github.com/doorvalve/doorvalve/driver/decisions"
 	"github.com/doorvalve/doorvalve/protocol"
 	"github.com/doorvalve/doorvalve/protocol/quarantinepb"
+	"github.com/doorvalve/doorvalve/standin/record"
 	"github.com/doorvalve/doorvalve/state/fleet"
 )
 
@@ -34,7 +33,7 @@
 	calls   int
 	sends   map[string][]send
 	ends    map[string][]time.Time
-	store   *heldStore
+	store   *record.Store
 	untold  map[string]int // ends that only a daemon saw which was cut off or ended then
 }
 
@@ -58,7 +57,7 @@
 }
 
 func newInstallation(hosts, engines int, seed uint64) *installation {
-	in := &installation{log: decisions.New(io.Discard, "test", hclog.Off), rng: rand.New(rand.NewPCG(seed, 0)), sends: map[string][]send{}, ends: map[string][]time.Time{}, untold: map[string]int{}, store: &heldStore{}}
+	in := &installation{log: decisions.New(io.Discard, "test", hclog.Off), rng: rand.New(rand.NewPCG(seed, 0)), sends: map[string][]send{}, ends: map[string][]time.Time{}, untold: map[string]int{}, store: &record.Store{}}
 	for i := range engines {
 		in.engines = append(in.engines, &engine{in: in, name: fmt.Sprintf("e%d", i), up: true, over: make(chan struct{})})
 	}
@@ -347,36 +346,3 @@
 	}
 	return n
 }
-
-// heldStore keeps the record in memory.
-type heldStore struct {
-	mu      sync.Mutex
-	raw     []byte
-	version uint64
-	calls   int
-}
-
-func (s *heldStore) ReadHeldBack(_ context.Context, v any) (uint64, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.calls++
-	if s.version == 0 {
-		return 0, lease.ErrNotFound
-	}
-	return s.version, json.Unmarshal(s.raw, v)
-}
-
-func (s *heldStore) WriteHeldBack(_ context.Context, expected uint64, record any) (uint64, protocol.WriteOutcome, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.calls++
-	if expected != s.version {
-		return 0, protocol.WriteConflict, nil
-	}
-	raw, err := json.Marshal(record)
-	if err != nil {
-		return 0, protocol.WriteUnknown, err
-	}
-	s.raw, s.version = raw, s.version+1
-	return s.version, protocol.WriteOK, nil
-}
--- a/driver/quarantiner/quarantiner.go
+++ b/driver/quarantiner/quarantiner.go
@@ -17,6 +17,7 @@
 	"github.com/doorvalve/doorvalve/coordination/membership"
 	"github.com/doorvalve/doorvalve/coordination/quarantine"
 	"github.com/doorvalve/doorvalve/driver/decisions"
+	"github.com/doorvalve/doorvalve/driver/record"
 	"github.com/doorvalve/doorvalve/internal/clock"
 	"github.com/doorvalve/doorvalve/internal/pause"
 	"github.com/doorvalve/doorvalve/internal/wake"
@@ -73,7 +74,7 @@
 	// Ended is told of endpoints that have just ended, as this daemon or another has seen.
 	Ended func(fleet.Incarnation)
 	// Store keeps what must outlast all daemons; nil: nothing does.
-	Store   Store
+	Store   record.Store
 	Clock   clock.Clock
 	Log     *decisions.Log
 	Metrics tally.Scope
@@ -93,7 +94,9 @@
 	known atomic.Int64 // cases
 
 	served servedTable
-	record record
+	// Only Run uses the record, and the digest of what it holds.
+	record   record.Record
+	recorded uint64
 
 	mu      sync.Mutex
 	m       *quarantine.Machine
@@ -119,7 +122,7 @@
 		opt.Dial = dial
 	}
 	s := opt.Metrics.SubScope("quarantine")
-	k := &Keeper{opt: opt, synced: make(chan struct{}), started: opt.Clock(), wake: make(chan struct{}, 1), news: make(chan struct{}, 1), m: quarantine.New(), broken: map[fleet.Incarnation]*broken{}, metrics: metrics{
+	k := &Keeper{opt: opt, synced: make(chan struct{}), started: opt.Clock(), wake: make(chan struct{}, 1), news: make(chan struct{}, 1), m: quarantine.New(), record: record.New(opt.Store, recordName), broken: map[fleet.Incarnation]*broken{}, metrics: metrics{
 		ended: s.Counter("attempts_ended_with_endpoint_total"), refused: s.Counter("requests_refused_total"), trials: s.Counter("trials_total"),
 		told: s.Counter("messages_total"), held: s.Gauge("requests_held"), cases: s.Gauge("cases"),
 	}}
@@ -324,7 +327,7 @@
 	case k.watching():
 		d = tick
 	case known:
-		d = min(wait, recordPause)
+		d = min(wait, record.Pause)
 	}
 	pause.Until(ctx, time.Now().Add(d), k.wake)
 }
--- a/driver/quarantiner/quarantiner_test.go
+++ b/driver/quarantiner/quarantiner_test.go
@@ -489,10 +489,8 @@
 			t.Errorf("%d more ended", n)
 		}
 		time.Sleep(50 * time.Second)
-		in.store.mu.Lock()
-		defer in.store.mu.Unlock()
-		if in.store.calls > 8 {
-			t.Errorf("%d calls to the store", in.store.calls)
+		if n := in.store.Calls(); n > 8 {
+			t.Errorf("%d calls to the store", n)
 		}
 	})
 }
--- a/driver/quotas/endpoints.go
+++ b/driver/quotas/endpoints.go
@@ -13,6 +13,7 @@
 	"github.com/doorvalve/doorvalve/coordination/membership"
 	"github.com/doorvalve/doorvalve/coordination/quota"
 	"github.com/doorvalve/doorvalve/driver/decisions"
+	"github.com/doorvalve/doorvalve/driver/record"
 	"github.com/doorvalve/doorvalve/internal/wake"
 	"github.com/doorvalve/doorvalve/protocol"
 	"github.com/doorvalve/doorvalve/protocol/quotapb"
@@ -39,7 +40,9 @@
 
 	settled chan struct{} // closed when the record has been read, or could not be
 	news    chan struct{} // limits have begun or ended
-	record  record
+	// Only Run uses the record, and what it holds.
+	record   record.Record
+	recorded map[fleet.Incarnation]float64
 
 	mu         sync.Mutex
 	book       *limit.Book
@@ -49,7 +52,7 @@
 }
 
 func newEndpoints(k *Keeper) *Endpoints {
-	e := &Endpoints{opt: &k.opt, metrics: &k.metrics, book: limit.New(k.opt.Self), unreadable: map[string]bool{}, settled: make(chan struct{}), news: make(chan struct{}, 1)}
+	e := &Endpoints{opt: &k.opt, metrics: &k.metrics, book: limit.New(k.opt.Self), unreadable: map[string]bool{}, settled: make(chan struct{}), news: make(chan struct{}, 1), record: record.New(k.opt.Store, recordName)}
 	e.shared = newSharer(k, quotapb.Kind_ENDPOINT, "limit", limit.Bounds)
 	e.shared.newest, e.shared.unreached = e.newest, e.unreached
 	e.limited.Store(&map[fleet.Incarnation]limit.Word{})
--- a/driver/quotas/fleet_test.go
+++ b/driver/quotas/fleet_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -14,13 +13,12 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/uber-go/tally/v4"
 
-	"github.com/doorvalve/doorvalve/coordination/lease"
 	"github.com/doorvalve/doorvalve/coordination/limit"
 	"github.com/doorvalve/doorvalve/coordination/membership"
 	"github.com/doorvalve/doorvalve/coordination/quota"
 	"github.com/doorvalve/doorvalve/driver/decisions"
-	"github.com/doorvalve/doorvalve/protocol"
 	"github.com/doorvalve/doorvalve/protocol/quotapb"
+	"github.com/doorvalve/doorvalve/standin/record"
 	"github.com/doorvalve/doorvalve/state/workspace"
 )
 
@@ -38,48 +36,12 @@
 	passed    map[string][]passed
 	refused   map[string]int
 	offered   map[string][]passed
-	store     limitsStore
-}
-
-// limitsStore keeps the record of limits in memory, with the time that a store takes.
-type limitsStore struct {
-	mu      sync.Mutex
-	raw     []byte
-	version uint64
-	calls   int
+	store     *record.Store
 }
 
+// storeTakes is the time that a call to the store takes.
 const storeTakes = 5 * time.Millisecond
 
-// ReadLimits implements Store.
-func (s *limitsStore) ReadLimits(_ context.Context, v any) (uint64, error) {
-	time.Sleep(storeTakes)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.calls++
-	if s.version == 0 {
-		return 0, lease.ErrNotFound
-	}
-	return s.version, json.Unmarshal(s.raw, v)
-}
-
-// WriteLimits implements Store.
-func (s *limitsStore) WriteLimits(_ context.Context, expected uint64, record any) (uint64, protocol.WriteOutcome, error) {
-	time.Sleep(storeTakes)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.calls++
-	if expected != s.version {
-		return 0, protocol.WriteConflict, nil
-	}
-	raw, err := json.Marshal(record)
-	if err != nil {
-		return 0, protocol.WriteUnknown, err
-	}
-	s.raw, s.version = raw, s.version+1
-	return s.version, protocol.WriteOK, nil
-}
-
 // passed is a request that was let through, or came.
 type passed struct {
 	at   time.Time
@@ -118,7 +80,7 @@
 	in := &installation{
 		log: decisions.New(io.Discard, "test", hclog.Off), rng: rand.New(rand.NewPCG(seed, 0)),
 		bounds:    quota.Bounds{Window: 8 * time.Second, Overage: 0.1, Slack: 17000, Young: quota.YoungPart},
-		directory: workspace.NewDirectory(list), version: 1, passed: map[string][]passed{}, refused: map[string]int{}, offered: map[string][]passed{},
+		directory: workspace.NewDirectory(list), version: 1, passed: map[string][]passed{}, refused: map[string]int{}, offered: map[string][]passed{}, store: &record.Store{Takes: storeTakes},
 	}
 	for i := range hosts {
 		in.hosts = append(in.hosts, &host{in: in, name: fmt.Sprintf("h%d", i), index: i})
@@ -146,7 +108,7 @@
 	h.mu.Unlock()
 	k := New(Options{
 		Self: h.id, Bounds: h.in.bounds, Members: h.members, Revision: func() uint64 { return uint64(time.Now().UnixNano() / int64(100*time.Millisecond)) },
-		Directory: h.in.workspaces, Tell: h.tell, Store: &h.in.store, Peer: func(address string) quotapb.Quotas { return link{h, address} }, Clock: time.Now, Log: h.in.log, Metrics: tally.NoopScope,
+		Directory: h.in.workspaces, Tell: h.tell, Store: h.in.store, Peer: func(address string) quotapb.Quotas { return link{h, address} }, Clock: time.Now, Log: h.in.log, Metrics: tally.NoopScope,
 	})
 	h.mu.Lock()
 	if h.stop != nil {
--- a/driver/quotas/quotas.go
+++ b/driver/quotas/quotas.go
@@ -14,6 +14,7 @@
 	"github.com/doorvalve/doorvalve/coordination/membership"
 	"github.com/doorvalve/doorvalve/coordination/quota"
 	"github.com/doorvalve/doorvalve/driver/decisions"
+	"github.com/doorvalve/doorvalve/driver/record"
 	"github.com/doorvalve/doorvalve/internal/clock"
 	"github.com/doorvalve/doorvalve/internal/pause"
 	"github.com/doorvalve/doorvalve/protocol/quotapb"
@@ -56,7 +57,7 @@
 	Tell    func(membership.Entry)
 	Limited func(fleet.Incarnation, limit.Word)
 	// Store keeps what must outlast all daemons; nil: nothing does.
-	Store   Store
+	Store   record.Store
 	Peer    func(address string) quotapb.Quotas
 	Clock   clock.Clock
 	Log     *decisions.Log
--- a/driver/quotas/record.go
+++ b/driver/quotas/record.go
@@ -3,17 +3,13 @@
 import (
 	"cmp"
 	"context"
-	"errors"
 	"maps"
 	"slices"
 	"time"
 
-	"github.com/doorvalve/doorvalve/coordination/lease"
 	"github.com/doorvalve/doorvalve/coordination/limit"
-	"github.com/doorvalve/doorvalve/coordination/membership"
 	"github.com/doorvalve/doorvalve/driver/decisions"
 	"github.com/doorvalve/doorvalve/internal/pause"
-	"github.com/doorvalve/doorvalve/protocol"
 	"github.com/doorvalve/doorvalve/state/fleet"
 )
 
@@ -22,20 +18,11 @@
 // the store as well: written by one daemon when one begins, ends or has changed by much, read by
 // each daemon once, as it starts.
 
-// Store keeps the record.
-type Store interface {
-	// ReadLimits returns lease.ErrNotFound if there is none.
-	ReadLimits(ctx context.Context, v any) (version uint64, err error)
-	WriteLimits(ctx context.Context, expected uint64, record any) (version uint64, outcome protocol.WriteOutcome, err error)
-}
-
 const (
-	// recordPause is the least time between two calls to the store.
-	recordPause = time.Second
-	// recordTimeout bounds a call.
-	recordTimeout = 300 * time.Millisecond
-	// recordKey ranks the daemons that write the record.
-	recordKey = "limits-record"
+	// recordName names the record in the store.
+	recordName = "limits"
+	// readPause is the pause between two tries to read the record as this daemon starts.
+	readPause = 100 * time.Millisecond
 	// recordChange is by which part a limit has to change to be written again: who reads it
 	// hears the true one with the first answer.
 	recordChange = 0.25
@@ -55,14 +42,6 @@
 	Version  uint64  `json:"version"`
 }
 
-// record is what this daemon knows of the record. Only Run uses it.
-type record struct {
-	known   bool // what the store holds
-	version uint64
-	holds   map[fleet.Incarnation]float64
-	triedAt time.Time
-}
-
 // Settle waits until a daemon that has just started has read which limits there are, for a
 // while.
 func (e *Endpoints) Settle(ctx context.Context) {
@@ -76,96 +55,81 @@
 // readFirst reads the record as this daemon starts.
 func (e *Endpoints) readFirst(ctx context.Context) {
 	defer close(e.settled)
-	for e.opt.Store != nil && ctx.Err() == nil && e.opt.Clock().Sub(e.shared.fleet.started) < joinWithin {
+	for e.record.Kept() && ctx.Err() == nil && e.opt.Clock().Sub(e.shared.fleet.started) < joinWithin {
 		err := e.readRecord(ctx)
 		if err == nil {
 			return
 		}
 		e.opt.Log.Info(decisions.EventLimitsRecord, "read", false, "error", err)
-		pause.For(ctx, recordTimeout/3)
+		pause.For(ctx, readPause)
 	}
 }
 
 // keepRecord writes the record, if that is due and this daemon's to do.
 func (e *Endpoints) keepRecord(ctx context.Context) {
-	now := e.opt.Clock()
-	if e.opt.Store == nil || now.Sub(e.record.triedAt) < recordPause {
+	if !e.record.Due(e.opt.Clock()) {
 		return
 	}
-	limited := e.Limited()
-	if e.record.known && !e.record.differs(limited) || !e.record.known && len(limited) == 0 || !e.writesRecord() {
+	limited, known := e.Limited(), e.record.Known()
+	if known && !differs(e.recorded, limited) || !known && len(limited) == 0 || !e.record.IsWriter(e.opt.Self, e.opt.Members()) {
 		return
 	}
-	e.record.triedAt = now
 	var err error
-	if e.record.known {
+	if known {
 		err = e.writeRecord(ctx, limited)
 	} else {
 		err = e.readRecord(ctx)
 	}
 	if err != nil {
-		e.opt.Log.Info(decisions.EventLimitsRecord, "read", e.record.known, "limited", len(limited), "error", err)
+		e.opt.Log.Info(decisions.EventLimitsRecord, "read", known, "limited", len(limited), "error", err)
 	}
 }
 
-// differs reports whether the record should be written for some limits.
-func (r *record) differs(limited map[fleet.Incarnation]limit.Word) bool {
-	if len(limited) != len(r.holds) {
+// differs reports whether limits should be written that were recorded otherwise.
+func differs(recorded map[fleet.Incarnation]float64, limited map[fleet.Incarnation]limit.Word) bool {
+	if len(limited) != len(recorded) {
 		return true
 	}
 	for life, w := range limited {
-		held, ok := r.holds[life]
-		if !ok || max(held-w.Rate, w.Rate-held) > recordChange*held {
+		rate, ok := recorded[life]
+		if !ok || max(rate-w.Rate, w.Rate-rate) > recordChange*rate {
 			return true
 		}
 	}
 	return false
 }
 
-// writesRecord reports whether this daemon is the one that writes the record.
-func (e *Endpoints) writesRecord() bool {
-	ranked := membership.Rendezvous(recordKey, e.opt.Members())
-	return len(ranked) > 0 && ranked[0].ID == e.opt.Self
-}
-
 func (e *Endpoints) readRecord(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
-	defer cancel()
 	var rec limitsRecord
-	version, err := e.opt.Store.ReadLimits(ctx, &rec)
-	if err != nil && !errors.Is(err, lease.ErrNotFound) {
+	if err := e.record.Read(ctx, e.opt.Clock(), &rec); err != nil {
 		return err
 	}
-	e.record.known, e.record.version, e.record.holds = true, version, map[fleet.Incarnation]float64{}
+	e.recorded = map[fleet.Incarnation]float64{}
 	for _, l := range rec.Limits {
 		life := fleet.Incarnation{ID: l.Endpoint, Born: l.Born}
-		e.record.holds[life] = l.Rate
-		e.learn(life, limit.Word{Rate: max(0, l.Rate), Limited: true, Version: l.Version, By: "record"})
+		e.recorded[life] = l.Rate
+		e.learn(life, limit.Word{Rate: max(0, l.Rate), Limited: true, Version: l.Version, By: recordName})
 	}
 	if len(rec.Limits) > 0 {
-		e.opt.Log.Info(decisions.EventLimitsRecord, "read", true, "limited", len(rec.Limits), "version", version)
+		e.opt.Log.Info(decisions.EventLimitsRecord, "read", true, "limited", len(rec.Limits), "version", e.record.Version())
 	}
 	return nil
 }
 
 func (e *Endpoints) writeRecord(ctx context.Context, limited map[fleet.Incarnation]limit.Word) error {
-	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
-	defer cancel()
-	holds := make(map[fleet.Incarnation]float64, len(limited))
+	recorded := make(map[fleet.Incarnation]float64, len(limited))
 	var rec limitsRecord
 	for _, life := range slices.SortedFunc(maps.Keys(limited), func(a, b fleet.Incarnation) int { return cmp.Compare(a.ID, b.ID) }) {
 		w := limited[life]
-		holds[life] = w.Rate
+		recorded[life] = w.Rate
 		if len(rec.Limits) < recordMost {
 			rec.Limits = append(rec.Limits, recordedLimit{life.ID, life.Born, w.Rate, w.Version})
 		}
 	}
-	version, outcome, err := e.opt.Store.WriteLimits(ctx, e.record.version, rec)
-	if outcome != protocol.WriteOK {
-		e.record.known = false // another daemon has written, or may have
-		return err
+	written, err := e.record.Write(ctx, e.opt.Clock(), rec)
+	if written {
+		e.recorded = recorded
+		e.opt.Log.Info(decisions.EventLimitsRecord, "written", true, "limited", len(limited), "version", e.record.Version())
 	}
-	e.record.version, e.record.holds = version, holds
-	e.opt.Log.Info(decisions.EventLimitsRecord, "written", true, "limited", len(limited), "version", version)
-	return nil
+	return err
 }
--- /dev/null
+++ b/driver/record/record.go
@@ -0,0 +1,87 @@
+// Package record keeps one object of the store that outlasts all daemons: one daemon writes it
+// when what it tells has changed, and it is read by those that know nothing yet. Each write is
+// conditional, so that two daemons that both take themselves for the writer cost a conflict.
+package record
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/doorvalve/doorvalve/coordination/lease"
+	"github.com/doorvalve/doorvalve/coordination/membership"
+	"github.com/doorvalve/doorvalve/protocol"
+)
+
+// Store keeps records by name.
+type Store interface {
+	// ReadRecord decodes a record into v; it returns lease.ErrNotFound if there is none.
+	ReadRecord(ctx context.Context, name string, v any) (version uint64, err error)
+	// WriteRecord writes a record if its version is still expected; 0 means that it must not
+	// exist.
+	WriteRecord(ctx context.Context, name string, expected uint64, v any) (version uint64, outcome protocol.WriteOutcome, err error)
+}
+
+// Pause is the least time between two calls to the store.
+const Pause = time.Second
+
+// timeout bounds a call.
+const timeout = 300 * time.Millisecond
+
+// Record is what this daemon knows of one record. It is not safe for concurrent use.
+type Record struct {
+	store   Store
+	name    string
+	known   bool // what the store holds
+	version uint64
+	triedAt time.Time
+}
+
+// New returns a record that has not been read; a nil store keeps nothing.
+func New(store Store, name string) Record { return Record{store: store, name: name} }
+
+// Kept reports whether there is a store to keep it.
+func (r *Record) Kept() bool { return r.store != nil }
+
+// Due reports whether the last call is long enough ago for the next one.
+func (r *Record) Due(now time.Time) bool { return r.store != nil && now.Sub(r.triedAt) >= Pause }
+
+// Known reports whether this daemon knows what the store holds.
+func (r *Record) Known() bool { return r.known }
+
+// Version returns that of what the store holds, 0 if that is nothing.
+func (r *Record) Version() uint64 { return r.version }
+
+// IsWriter reports whether this daemon, of all members, is the one that writes the record.
+func (r *Record) IsWriter(self string, members []membership.Member) bool {
+	ranked := membership.Rendezvous(r.name+"-record", members)
+	return len(ranked) > 0 && ranked[0].ID == self
+}
+
+// Read decodes the record into v, which stays as it is if there is none.
+func (r *Record) Read(ctx context.Context, now time.Time, v any) error {
+	r.triedAt = now
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	version, err := r.store.ReadRecord(ctx, r.name, v)
+	if err != nil && !errors.Is(err, lease.ErrNotFound) {
+		return err
+	}
+	r.known, r.version = true, version
+	return nil
+}
+
+// Write replaces the record by v, and reports whether it has. If it has not, what the store holds
+// is not known any more.
+func (r *Record) Write(ctx context.Context, now time.Time, v any) (written bool, err error) {
+	r.triedAt = now
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	version, outcome, err := r.store.WriteRecord(ctx, r.name, r.version, v)
+	if outcome != protocol.WriteOK {
+		r.known = false // another daemon has written, or may have
+		return false, err
+	}
+	r.version = version
+	return true, nil
+}
--- a/transport/platform/client.go
+++ b/transport/platform/client.go
@@ -234,34 +234,17 @@
 	return next.list, nil
 }
 
-// Names of the objects that are the only ones of their kinds.
-const (
-	heldBackName = "main"
-	limitsName   = "main"
-)
-
-// ReadHeldBack decodes the record of the requests that are held back into v; ErrNotFound
-// says that there is none.
-func (c *Client) ReadHeldBack(ctx context.Context, v any) (version uint64, err error) {
-	return c.Get(ctx, KindHeldBack, heldBackName, v)
-}
-
-// WriteHeldBack writes that record if its version is still expected; 0 means that it must
-// not exist.
-func (c *Client) WriteHeldBack(ctx context.Context, expected uint64, record any) (version uint64, outcome protocol.WriteOutcome, err error) {
-	version, outcome = c.Put(ctx, KindHeldBack, heldBackName, expected, record)
-	return version, outcome, nil
-}
+// recordObject is the only object of a record's kind.
+const recordObject = "main"
 
-// ReadLimits decodes the record of the endpoints' limits into v; ErrNotFound says that there
-// is none.
-func (c *Client) ReadLimits(ctx context.Context, v any) (version uint64, err error) {
-	return c.Get(ctx, KindLimits, limitsName, v)
+// ReadRecord decodes the record of a name into v; ErrNotFound says that there is none.
+func (c *Client) ReadRecord(ctx context.Context, name string, v any) (version uint64, err error) {
+	return c.Get(ctx, Kind(name), recordObject, v)
 }
 
-// WriteLimits writes that record if its version is still expected; 0 means that it must not
-// exist.
-func (c *Client) WriteLimits(ctx context.Context, expected uint64, record any) (version uint64, outcome protocol.WriteOutcome, err error) {
-	version, outcome = c.Put(ctx, KindLimits, limitsName, expected, record)
+// WriteRecord writes the record of a name if its version is still expected; 0 means that it
+// must not exist.
+func (c *Client) WriteRecord(ctx context.Context, name string, expected uint64, v any) (version uint64, outcome protocol.WriteOutcome, err error) {
+	version, outcome = c.Put(ctx, Kind(name), recordObject, expected, v)
 	return version, outcome, nil
 }
