--- a/coordination/quota/owner.go
+++ b/coordination/quota/owner.go
@@ -65,7 +65,7 @@
 	s := b.share(d.Daemon)
 	o.account(now, b, s, d)
 	g := Grant{Over: true}
-	if !b.scarceFor(now, d.Rank) {
+	if !b.outranked(now, d.Rank) {
 		g = o.grant(now, b, s, d, l, part*o.bounds.over(d.Limits))
 	}
 	if g.Units < d.Need {
@@ -201,9 +201,9 @@
 	b.level = min(b.level, burst)
 }
 
-// scarceFor reports whether more urgent requests than those of a rank have just found no room:
+// outranked reports whether more urgent requests than those of a rank have just found no room:
 // what there is goes to them.
-func (b *bucket) scarceFor(now time.Time, rank int) bool {
+func (b *bucket) outranked(now time.Time, rank int) bool {
 	for other, at := range b.scarce {
 		if other < rank && now.Sub(at) < scarceFor {
 			return true
