edge: a daemon that has just started locates before it hears what others know

A possible cause, by reading: requests at a daemon that has just started waited for what others know before they were refused for want of a coordinator, and not after.

--- a/transport/edge/limits.go
+++ b/transport/edge/limits.go
@@ -24,14 +24,16 @@
 // names one. What is taken of the limit is in q.pass.
 func (s *Server) locateWithRoom(ctx context.Context, q *request, t *tries) (*fleet.Endpoint, *protocol.Refusal) {
 	q.pass = quotas.Ticket{}
-	s.opt.Quarantine.Settle(ctx) // a daemon that has just started hears first what others know
-	s.opt.Limits.Settle(ctx)
 	for range placesTried {
 		e, refusal := s.locate(ctx, q, t)
 		s.observeWait(t, refusal == nil)
 		if refusal != nil {
 			return nil, refusal
 		}
+		// One that has just started hears first what others know, but refuses what it cannot
+		// place without.
+		s.opt.Quarantine.Settle(ctx)
+		s.opt.Limits.Settle(ctx)
 		pass, ok, roomIn := s.opt.Limits.Admit(ctx, e.Life(), q.rank)
 		if ok {
 			q.pass = pass
