--- a/transport/callers/limits.go
+++ b/transport/callers/limits.go
@@ -15,9 +15,6 @@
 // placesTried bounds the endpoints that are asked for room within their limits for one attempt.
 const placesTried = 8
 
-// reasonLimited is the reason of a refusal because endpoints take no more now, by their own word.
-const reasonLimited = "endpoints-limited"
-
 // acquireWithRoom takes a slot at an endpoint that has room within its limit, if it names one.
 // What is taken of the limit is in cl.pass.
 func (s *Server) acquireWithRoom(ctx context.Context, cl *call) (*gate.Slot, *protocol.Refusal) {
@@ -39,7 +36,7 @@
 		cl.gate.Full(slot, roomIn)
 		cl.gate.Release(slot, 0)
 	}
-	return nil, protocol.Refuse(http.StatusServiceUnavailable, reasonLimited, cl.unit+": endpoints take no more requests now, by their own word", retryAfterStart)
+	return nil, protocol.Refuse(http.StatusServiceUnavailable, quotas.ReasonLimited, cl.unit+": endpoints take no more requests now, by their own word", retryAfterStart)
 }
 
 // refuseLimited refuses a call whose endpoints have no room within their limits; endpoint is the
@@ -47,5 +44,5 @@
 func (s *Server) refuseLimited(cl *call, endpoint string) *protocol.Refusal {
 	after := s.opt.RateLimits.Refused(fleet.Incarnation{ID: endpoint})
 	detail := fmt.Sprintf("%s: endpoints take no more requests now, by their own word: %q among them, room in %d ms", cl.unit, endpoint, after.Milliseconds())
-	return protocol.Refuse(http.StatusServiceUnavailable, reasonLimited, detail, after)
+	return protocol.Refuse(http.StatusServiceUnavailable, quotas.ReasonLimited, detail, after)
 }
--- a/transport/edge/limits.go
+++ b/transport/edge/limits.go
@@ -17,9 +17,6 @@
 // Those without are passed over for a while by all requests, so that few have to ask again.
 const placesTried = 8
 
-// reasonLimited is the reason of a refusal because endpoints take no more now, by their own word.
-const reasonLimited = "endpoints-limited"
-
 // locateWithRoom finds an endpoint that can serve a request and has room within its limit, if it
 // names one. What is taken of the limit is in q.pass.
 func (s *Server) locateWithRoom(ctx context.Context, q *request, t *tries) (*fleet.Endpoint, *protocol.Refusal) {
@@ -81,9 +78,9 @@
 // refuseLimited refuses a request whose endpoints have no room within their limits.
 func (s *Server) refuseLimited(q *request, full fullEndpoints) *protocol.Refusal {
 	if len(full.lives) == 0 {
-		return protocol.Refuse(http.StatusServiceUnavailable, reasonLimited, "endpoints take no more requests now, by their own word", retryBusy)
+		return protocol.Refuse(http.StatusServiceUnavailable, quotas.ReasonLimited, "endpoints take no more requests now, by their own word", retryBusy)
 	}
 	after := max(full.roomIn, s.opt.Limits.Refused(full.lives[0]))
 	detail := fmt.Sprintf("%d endpoints take no more requests now, by their own word: %q among them, room in %d ms", len(full.lives), full.lives[0].ID, full.roomIn.Milliseconds())
-	return protocol.Refuse(http.StatusServiceUnavailable, reasonLimited, detail, after)
+	return protocol.Refuse(http.StatusServiceUnavailable, quotas.ReasonLimited, detail, after)
 }
