endpoints: what they say of themselves is one typed value; leaving and pauses show in the log

Seen: endpoints said that they leave, and asked for rest, and no daemon read it. Server-Leaving showed once a daemon as an unknown header; Retry-After of an endpoint stood among the known ones and showed nowhere. What is said is now decoded in one place into protocol.Backpressure, and each answer that bears a word has a line. No decision depends on it yet.

--- a/driver/decisions/log.go
+++ b/driver/decisions/log.go
@@ -48,6 +48,7 @@
 	EventWorkspaces       = "workspaces in force"
 	EventUnreadHeader     = "unknown answer header"
 	EventEndpointLimit    = "limit of an endpoint changed"
+	EventBackpressure     = "endpoint leaves or asks for a pause"
 	EventLimitsRecord     = "record of endpoints' limits"
 	EventLimitUnreadable  = "limit of an endpoint cannot be read"
 )
--- a/protocol/call.go
+++ b/protocol/call.go
@@ -42,7 +42,8 @@
 	// WrongEndpoint: another process has the address, or it does not hold the
 	// model.
 	WrongEndpoint bool
-	Limit         RateLimit // that the endpoint names
+	EndpointID    string // that made the answer; empty where it does not say
+	Says          Backpressure
 }
 
 // Dialect reads and writes the headers that callers and endpoints use.
@@ -52,7 +53,7 @@
 	// Outbound turns a caller's headers into those for an endpoint: it drops
 	// what concerns one connection or is for this system alone to set.
 	Outbound(h http.Header, a Attempt) http.Header
-	// ReadAnswer reads an endpoint's answer.
+	// ReadAnswer reads the header of an endpoint's answer.
 	ReadAnswer(status int, h http.Header) AnswerMark
 	// Unread returns the names of an answer's headers that mean nothing here: they are
 	// neither read nor among those that every HTTP answer may have.
--- a/transport/edge/attempt.go
+++ b/transport/edge/attempt.go
@@ -12,6 +12,7 @@
 	"slices"
 	"time"
 
+	"github.com/doorvalve/doorvalve/driver/decisions"
 	"github.com/doorvalve/doorvalve/driver/quarantiner"
 	"github.com/doorvalve/doorvalve/internal/clock"
 	"github.com/doorvalve/doorvalve/protocol"
@@ -96,8 +97,9 @@
 	mark := s.opt.Dialect.ReadAnswer(resp.StatusCode, resp.Header)
 	s.noteUnread(q, e, s.opt.Dialect.Unread(resp.Header))
 	if isWord(resp.StatusCode, mark, q) {
-		s.opt.Limits.Heard(e.Life(), sent, mark.Limit)
+		s.opt.Limits.Heard(e.Life(), sent, mark.Says.Limit)
 	}
+	s.noteSaid(q, e, resp.StatusCode, mark.Says)
 	if f := refusedByEndpoint(resp, mark, q); f != nil {
 		_, _ = io.CopyN(io.Discard, resp.Body, bufferBytes) // lets the connection be kept
 		_ = resp.Body.Close()
@@ -117,9 +119,16 @@
 	case mark.WrongEndpoint, mark.RequestID != "" && mark.RequestID != q.call.ID:
 		return false
 	case mark.NotRun:
-		return mark.Limit.Named
+		return mark.Says.Limit.Named
+	}
+	return mark.Sealed || mark.RequestID != "" && status >= http.StatusInternalServerError && mark.Says.Limit.Named
+}
+
+// noteSaid logs that an endpoint leaves or asks for a pause.
+func (s *Server) noteSaid(q *request, e *fleet.Endpoint, status int, says protocol.Backpressure) {
+	if says.Leaving || says.Pause != (protocol.Pause{}) {
+		s.opt.Log.Routine(decisions.EventBackpressure, "request", q.call.ID, "endpoint", e.ID, "status", status, "leaving", says.Leaving, "pause_ms", says.Pause.For.Milliseconds(), "unreadable", says.Pause.Unreadable)
 	}
-	return mark.Sealed || mark.RequestID != "" && status >= http.StatusInternalServerError && mark.Limit.Named
 }
 
 // classify says of an error before the answer whether the request may have
