--- /dev/null
+++ b/coordination/backpressure/book_test.go
@@ -0,0 +1,191 @@
+package backpressure
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/doorvalve/doorvalve/coordination/limit"
+	"github.com/doorvalve/doorvalve/state/fleet"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+const leaveWithin = 2 * time.Second
+
+func newBook() *Book { return New(Options{LeaveWithin: leaveWithin}) }
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+var one = fleet.Incarnation{ID: "e", Born: 1000}
+
+// Guards against a pause that ends early: by a success of an older request, by a shorter word, by
+// one without a word, or by a limit that has room again.
+func TestPauseEndsAtItsTimeOnly(t *testing.T) {
+	b := newBook()
+	b.Pause(start, one, 3*time.Second, 64)
+	b.Answered(at(time.Second), start.Add(-time.Second), one)
+	b.Pause(at(time.Second), one, 500*time.Millisecond, 64)
+	b.Limit(at(time.Second), one, limit.Word{Rate: 5, Limited: true})
+	b.Full(at(time.Second), one, time.Millisecond)
+	b.Limit(at(2*time.Second), one, limit.Word{})
+	for _, d := range []time.Duration{0, time.Second, 2 * time.Second, 2999 * time.Millisecond} {
+		if got := b.Look(at(d), one); got.Open || got.Reason != Paused || got.In < 3*time.Second-d {
+			t.Errorf("after %v: %+v", d, got)
+		}
+	}
+	if !b.Look(at(4*time.Second), one).Open {
+		t.Error("still closed after the pause and its spread")
+	}
+	b.Pause(at(4*time.Second), one, time.Second, 64)
+	b.Pause(at(4*time.Second), one, 9*time.Second, 64)
+	if got := b.Look(at(12*time.Second), one); got.Open {
+		t.Error("the longest word does not count")
+	}
+}
+
+// Guards against a crowd after a pause: one request at a time goes to the endpoint until an answer
+// to one that was sent after the pause shows that it takes requests again.
+func TestAfterAPauseOneRequestTries(t *testing.T) {
+	b := newBook()
+	b.Pause(start, one, time.Second, 64)
+	now := at(2 * time.Second)
+	if !b.Admit(now, one).Open || b.Admit(now, one).Open || b.Look(now, one).Open {
+		t.Fatal("not just one request at once")
+	}
+	now = now.Add(trialEvery)
+	if !b.Admit(now, one).Open {
+		t.Fatal("none follows one that is not answered")
+	}
+	b.Answered(now, start, one)
+	if b.Admit(now, one).Open {
+		t.Fatal("an answer to a request from before the pause counts")
+	}
+	b.Answered(now.Add(time.Millisecond), now, one)
+	for range 10 {
+		if !b.Admit(now.Add(time.Millisecond), one).Open {
+			t.Fatal("closed though it takes requests again")
+		}
+	}
+}
+
+// Guards against daemons that all resume in one moment.
+func TestDaemonsResumeAtDifferentTimes(t *testing.T) {
+	const daemons, slots = 375, 64
+	perSecond := map[int64]int{}
+	for i := range daemons {
+		b := New(Options{LeaveWithin: leaveWithin, Seed: uint64(i)})
+		b.Share(daemons)
+		b.Pause(start, one, 10*time.Second, slots)
+		in := b.Look(start, one).In
+		if in < 10*time.Second {
+			t.Fatalf("resumes after %v of 10 s", in)
+		}
+		perSecond[int64(in/time.Second)]++
+	}
+	for second, n := range perSecond {
+		if n > slots*3/2 {
+			t.Errorf("%d daemons resume in second %d at an endpoint of %d slots", n, second, slots)
+		}
+	}
+}
+
+// Guards against a leaving endpoint that is used after the time in which requests may come to it,
+// and against one that is not used where nothing else serves.
+func TestLeavingEndpointIsALastResortForAWhile(t *testing.T) {
+	for name, c := range map[string]struct {
+		ready time.Time
+		until time.Duration
+	}{
+		"listed as staying now":          {start, 1500 * time.Millisecond},
+		"listed as staying a second ago": {start.Add(-time.Second), 500 * time.Millisecond},
+		"listed as leaving, or not":      {time.Time{}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBook()
+			if !b.Leaves(start, one, c.ready) || b.Leaves(at(time.Second), one, at(time.Second)) {
+				t.Fatal("news once, whoever tells it again")
+			}
+			for d := time.Duration(0); d < 5*time.Second; d += 100 * time.Millisecond {
+				got := b.Admit(at(d), one)
+				if got.Open || got.LastResort != (d < c.until) || got.Closed() == got.LastResort {
+					t.Fatalf("after %v: %+v", d, got)
+				}
+			}
+		})
+	}
+}
+
+// Guards against words of one life that are taken for another's.
+func TestWordsHoldForOneLife(t *testing.T) {
+	b := newBook()
+	next := fleet.Incarnation{ID: "e", Born: 2000}
+	b.Leaves(start, one, start)
+	b.Pause(start, one, time.Minute, 1)
+	if !b.Look(start, next).Open {
+		t.Error("the next life is closed")
+	}
+	b.Pause(start, next, time.Second, 1)
+	b.Leaves(start, one, start)
+	if got := b.Look(start, next); got.Reason != Paused || got.In > 2*time.Second {
+		t.Errorf("a late word of the life before changed it: %+v", got)
+	}
+	unborn := fleet.Incarnation{ID: "u"}
+	b.Leaves(start, unborn, time.Time{})
+	if b.Look(start, fleet.Incarnation{ID: "u", Born: 5}).Open {
+		t.Error("a word is lost where the start of the life is told later")
+	}
+}
+
+// Whatever is said in whatever order, a life that leaves is never open, and no request is admitted
+// within the time that was asked for.
+func TestWhatWasSaidIsKept(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := newBook()
+		now := start
+		var asked time.Time
+		left, leftAt := false, time.Time{}
+		for range rapid.IntRange(1, 60).Draw(t, "events") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 900).Draw(t, "ms")) * time.Millisecond)
+			switch rapid.IntRange(0, 6).Draw(t, "event") {
+			case 0:
+				d := time.Duration(rapid.IntRange(1, 4000).Draw(t, "pause")) * time.Millisecond
+				b.Pause(now, one, d, 1+rapid.IntRange(0, 64).Draw(t, "slots"))
+				asked = later(asked, now.Add(d))
+			case 1:
+				if rapid.IntRange(0, 5).Draw(t, "leaves") == 0 {
+					b.Leaves(now, one, now)
+					if !left {
+						left, leftAt = true, now
+					}
+				}
+			case 2:
+				b.Answered(now, now.Add(-time.Duration(rapid.IntRange(0, 3000).Draw(t, "ago"))*time.Millisecond), one)
+			case 3:
+				b.Limit(now, one, limit.Word{Rate: 1, Limited: rapid.Bool().Draw(t, "limited")})
+			case 4:
+				b.Full(now, one, time.Duration(rapid.IntRange(0, 500).Draw(t, "full"))*time.Millisecond)
+			case 5:
+				b.Keep(now, func(fleet.Incarnation) bool { return rapid.Bool().Draw(t, "listed") })
+			default:
+				d := b.Admit(now, one)
+				switch {
+				case left && d.Open:
+					t.Fatalf("open after it has said that it leaves: %+v", d)
+				case left && d.LastResort && !now.Before(leftAt.Add(leaveWithin)):
+					t.Fatalf("used %v after it has said that it leaves", now.Sub(leftAt))
+				case !d.Closed() && now.Before(asked):
+					t.Fatalf("admitted %v before the end of a pause", asked.Sub(now))
+				}
+			}
+		}
+	})
+}
+
+func BenchmarkLookWhereNothingWasSaid(b *testing.B) {
+	book := newBook()
+	for b.Loop() {
+		book.Look(start, one)
+	}
+}
--- /dev/null
+++ b/coordination/backpressure/main_test.go
@@ -0,0 +1,9 @@
+package backpressure
+
+import (
+	"testing"
+
+	"github.com/doorvalve/doorvalve/internal/fixedseed"
+)
+
+func TestMain(m *testing.M) { fixedseed.Main(m, "2000") }
--- a/coordination/balance/balance.go
+++ b/coordination/balance/balance.go
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"github.com/doorvalve/doorvalve/coordination/limit"
+	"github.com/doorvalve/doorvalve/coordination/backpressure"
 	"github.com/doorvalve/doorvalve/state/fleet"
 )
 
@@ -40,9 +40,6 @@
 	others     int // running by the other daemons, as was told last
 	failures   int // in a row
 	avoidUntil time.Time
-	limit      float64              // requests a second that the endpoint takes from all daemons; only if limited
-	limited    bool                 // it names a limit
-	fullUntil  time.Time            // it has no room within its limit until then
 	refusals   int                  // of connections, in a row
 	goneUntil  time.Time            // nothing listens there until then
 	absent     map[string]time.Time // units that it does not hold, until then
@@ -58,6 +55,7 @@
 // Balancer is safe for concurrent use.
 type Balancer struct {
 	domain string
+	said   *backpressure.Book
 
 	mu       sync.Mutex
 	rng      *rand.Rand
@@ -66,10 +64,10 @@
 	daemons  int // that share the requests
 }
 
-// New returns a balancer for a daemon in a failure domain. seed is for its choices
-// between equals.
-func New(domain string, seed uint64) *Balancer {
-	return &Balancer{domain: domain, rng: rand.New(rand.NewPCG(seed, 0)), loads: map[fleet.Incarnation]*load{}, services: map[string]*service{}, daemons: 1}
+// New returns a balancer for a daemon in a failure domain, that keeps to what endpoints have
+// said. seed is for its choices between equals.
+func New(domain string, seed uint64, said *backpressure.Book) *Balancer {
+	return &Balancer{domain: domain, said: said, rng: rand.New(rand.NewPCG(seed, 0)), loads: map[fleet.Incarnation]*load{}, services: map[string]*service{}, daemons: 1}
 }
 
 func (b *Balancer) load(id fleet.Incarnation) *load {
@@ -98,7 +96,7 @@
 }
 
 // Pick returns the endpoint for a request, or nil. Endpoints that have just failed
-// are taken only where there are no others.
+// are taken only where there are no others, those that leave not at all.
 func (b *Balancer) Pick(now time.Time, candidates []*fleet.Endpoint, q Query) *fleet.Endpoint {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -112,14 +110,14 @@
 	return b.pickOwn(usable, q)
 }
 
-// usable returns the endpoints that may be asked: without those that are gone or have no room
-// within their limits, and without those that have just failed, unless all have.
+// usable returns the endpoints that may be asked: without those that are gone or want no requests
+// now, and without those that have just failed, unless all have.
 func (b *Balancer) usable(now time.Time, candidates []*fleet.Endpoint, q Query) []*fleet.Endpoint {
 	var sound, avoided []*fleet.Endpoint
 	for _, e := range candidates {
 		l := b.load(e.Life())
 		switch {
-		case e.Leaving, now.Before(l.goneUntil), now.Before(l.fullUntil), slices.ContainsFunc(q.Exclude, e.Life().Same):
+		case e.Leaving, now.Before(l.goneUntil), !b.said.Look(now, e.Life()).Open, slices.ContainsFunc(q.Exclude, e.Life().Same):
 		case q.Unit != "" && now.Before(l.absent[q.Unit]):
 		case now.Before(l.avoidUntil):
 			avoided = append(avoided, e)
@@ -223,61 +221,55 @@
 	return now.Before(b.load(id).goneUntil)
 }
 
-// Avoided reports whether an endpoint has just failed or refused requests, or has no room
-// within its limit, so that they keep away from it.
+// Avoided reports whether an endpoint has just failed or refused requests, or wants none now, so
+// that they keep away from it.
 func (b *Balancer) Avoided(now time.Time, id fleet.Incarnation) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	l := b.load(id)
-	return now.Before(l.avoidUntil) || now.Before(l.fullUntil)
+	return now.Before(b.load(id).avoidUntil) || !b.said.Look(now, id).Open
 }
 
-// Limited takes the limit that an endpoint names: it counts as what the endpoint can work on at
-// once. limited is false where it names none any more.
-func (b *Balancer) Limited(id fleet.Incarnation, rate float64, limited bool) {
+// PickLeaving returns an endpoint that leaves and may still serve what no other can, or nil.
+func (b *Balancer) PickLeaving(now time.Time, candidates []*fleet.Endpoint, q Query) *fleet.Endpoint {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	l := b.load(id)
-	l.limit, l.limited = rate, limited
-	if !limited {
-		l.fullUntil = time.Time{}
+	var may []*fleet.Endpoint
+	for _, e := range candidates {
+		if l := b.load(e.Life()); now.Before(l.goneUntil) || slices.ContainsFunc(q.Exclude, e.Life().Same) {
+			continue
+		}
+		if b.said.Look(now, e.Life()).LastResort {
+			may = append(may, e)
+		}
 	}
+	return b.pickOwn(may, q)
 }
 
-// Full keeps requests away from an endpoint that has no room within its limit for a while.
-func (b *Balancer) Full(now time.Time, id fleet.Incarnation, d time.Duration) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.load(id).fullUntil = now.Add(d)
-}
-
-// FullOf returns the endpoints among some that have no room within their limits, and the time
-// until the first of them has.
-func (b *Balancer) FullOf(now time.Time, candidates []*fleet.Endpoint) (full []fleet.Incarnation, roomIn time.Duration) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
+// Shut returns the endpoints among some that want no requests for a while, by their own word, and
+// when the first of them takes some.
+func (b *Balancer) Shut(now time.Time, candidates []*fleet.Endpoint) (shut []fleet.Incarnation, opensIn time.Duration) {
 	for _, e := range candidates {
-		l := b.loads[e.Life()]
-		if l == nil || e.Leaving || !now.Before(l.fullUntil) {
+		d := b.said.Look(now, e.Life())
+		if e.Leaving || !d.Closed() || d.Reason == backpressure.Leaving {
 			continue
 		}
-		if d := l.fullUntil.Sub(now); len(full) == 0 || d < roomIn {
-			roomIn = d
+		if len(shut) == 0 || d.In < opensIn {
+			opensIn = d.In
 		}
-		full = append(full, e.Life())
+		shut = append(shut, e.Life())
 	}
-	return full, roomIn
+	return shut, opensIn
 }
 
 // slots returns how many requests an endpoint works on at once: as it declares, or less under a
 // limit.
 func (b *Balancer) slots(e *fleet.Endpoint) int {
 	declared := max(1, e.Slots)
-	l := b.loads[e.Life()]
-	if l == nil || !l.limited {
+	w, limited := b.said.LimitOf(e.Life())
+	if !limited {
 		return declared
 	}
-	return min(declared, limit.Word{Rate: l.limit, Limited: true}.Capacity(b.service(e.Service).runTime))
+	return min(declared, w.Capacity(b.service(e.Service).runTime))
 }
 
 // Absent records an endpoint's word that it does not hold a unit.
@@ -310,7 +302,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for id, l := range b.loads {
-		if view.Of(id) == nil && l.running == 0 && !l.limited {
+		if view.Of(id) == nil && l.running == 0 {
 			delete(b.loads, id)
 		}
 	}
--- a/coordination/balance/balance_test.go
+++ b/coordination/balance/balance_test.go
@@ -4,11 +4,16 @@
 	"testing"
 	"time"
 
+	"github.com/doorvalve/doorvalve/coordination/backpressure"
 	"github.com/doorvalve/doorvalve/state/fleet"
 )
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
+func newBalancer(domain string, seed uint64) *Balancer {
+	return New(domain, seed, backpressure.New(backpressure.Options{LeaveWithin: 2 * time.Second}))
+}
+
 func life(id string) fleet.Incarnation { return fleet.Incarnation{ID: id} }
 
 func endpoints(ids ...string) []*fleet.Endpoint {
@@ -20,7 +25,7 @@
 }
 
 func TestPickTakesTheLeastLoaded(t *testing.T) {
-	b := New("d-a", 1)
+	b := newBalancer("d-a", 1)
 	list := endpoints("a", "b")
 	for range 4 {
 		b.Started(list[0])
@@ -37,7 +42,7 @@
 }
 
 func TestFailedEndpointIsAvoidedForAWhile(t *testing.T) {
-	b := New("x", 1)
+	b := newBalancer("x", 1)
 	list := endpoints("a", "b")
 	first := b.Failed(start, life("a"))
 	second := b.Failed(start, life("a"))
@@ -62,7 +67,7 @@
 }
 
 func TestAbsentUnitAndLeavingEndpointAreNeverPicked(t *testing.T) {
-	b := New("x", 1)
+	b := newBalancer("x", 1)
 	list := endpoints("a", "b")
 	list[1].Leaving = true
 	b.Absent(start, life("a"), "m")
@@ -79,7 +84,7 @@
 }
 
 func TestAffinityKeepsAPromptTogetherUntilLoadSays(t *testing.T) {
-	b := New("x", 1)
+	b := newBalancer("x", 1)
 	b.Share(6)
 	list := endpoints("a", "b", "c", "d")
 	count := map[string]int{}
@@ -97,7 +102,7 @@
 
 // What was learned of an endpoint ends with its life.
 func TestNextLifeIsNotAvoided(t *testing.T) {
-	b := New("d-a", 1)
+	b := newBalancer("d-a", 1)
 	before := fleet.Incarnation{ID: "a", Born: 1000}
 	b.Failed(start, before)
 	b.Absent(start, before, "m")
@@ -118,7 +123,7 @@
 // Holders are crowded where each has more than three of four slots taken, by what all
 // daemons were told to have running and what this one has sent since.
 func TestCrowdedHolders(t *testing.T) {
-	b := New("x", 1)
+	b := newBalancer("x", 1)
 	list := endpoints("a", "b")
 	for _, e := range list {
 		e.Service, e.Slots = "llm", 12
@@ -146,7 +151,7 @@
 // An endpoint at which nothing listens is not picked, also where there is no other: its
 // requests are told at once what else there is. One request finds out when it is back.
 func TestEndedEndpointIsNotPicked(t *testing.T) {
-	b := New("x", 1)
+	b := newBalancer("x", 1)
 	list := endpoints("a")
 	for range 5 { // of one end, as many requests notice
 		b.Gone(start, life("a"))
--- a/coordination/balance/fleet_test.go
+++ b/coordination/balance/fleet_test.go
@@ -40,7 +40,7 @@
 func newSite(daemons, engines, slots, models, holders int) *site {
 	s := &site{now: start, running: Running{}, arrivals: Running{}, runTime: 2 * time.Second, prompts: 4}
 	for i := range daemons {
-		b := New(fmt.Sprint("d", i%5), uint64(i))
+		b := newBalancer(fmt.Sprint("d", i%5), uint64(i))
 		b.Share(daemons)
 		s.daemons, s.said = append(s.daemons, b), append(s.said, Running{})
 	}
--- a/coordination/balance/limits_test.go
+++ b/coordination/balance/limits_test.go
@@ -3,15 +3,18 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/doorvalve/doorvalve/coordination/backpressure"
+	"github.com/doorvalve/doorvalve/coordination/limit"
 )
 
 // An endpoint without room within its limit is passed over until it has, also where there is no
 // other: what is sent there would be more than it takes.
 func TestEndpointWithoutRoomIsPassedOver(t *testing.T) {
-	b := New("x", 1)
+	b := newBalancer("x", 1)
 	list := endpoints("a", "b")
-	b.Limited(life("a"), 1, true)
-	b.Full(start, life("a"), time.Second)
+	b.said.Limit(start, life("a"), limit.Word{Rate: 1, Limited: true})
+	b.said.Full(start, life("a"), time.Second)
 	for range 50 {
 		if e := b.Pick(start, list, Query{}); e.ID != "b" {
 			t.Fatal("picked one without room")
@@ -20,7 +23,7 @@
 	if e := b.Pick(start, list[:1], Query{}); e != nil {
 		t.Fatal("picked the only one, which has no room")
 	}
-	full, roomIn := b.FullOf(start.Add(400*time.Millisecond), list)
+	full, roomIn := b.Shut(start.Add(400*time.Millisecond), list)
 	if len(full) != 1 || full[0] != life("a") || roomIn != 600*time.Millisecond {
 		t.Fatalf("%v without room, for %v", full, roomIn)
 	}
@@ -30,8 +33,8 @@
 	if e := b.Pick(start.Add(time.Second), list[:1], Query{}); e == nil {
 		t.Error("passed over though it has room again")
 	}
-	b.Full(start, life("a"), time.Minute)
-	b.Limited(life("a"), 0, false)
+	b.said.Full(start, life("a"), time.Minute)
+	b.said.Limit(start, life("a"), limit.Word{})
 	if e := b.Pick(start.Add(time.Second), list[:1], Query{}); e == nil {
 		t.Error("passed over after its limit has ended")
 	}
@@ -40,10 +43,10 @@
 // A limit is what an endpoint can work on: of many requests it gets the part that it takes, and
 // it goes on getting some, which tell when its need is over.
 func TestLimitedEndpointGetsItsPart(t *testing.T) {
-	b := New("x", 1)
+	b := newBalancer("x", 1)
 	list := endpoints("a", "b")
 	b.Told("", start, Running{}, Running{})
-	b.Limited(life("a"), 2, true)
+	b.said.Limit(start, life("a"), limit.Word{Rate: 2, Limited: true})
 	got := 0
 	const requests = 1000
 	for range requests {
@@ -55,3 +58,32 @@
 		t.Errorf("%d of %d requests for an endpoint that takes two at once, beside one that takes 64", got, requests)
 	}
 }
+
+// Guards against requests to the only endpoint within its pause, also after successes of requests
+// that had begun before, and against a leaving endpoint that is picked beside others.
+func TestEndpointThatPausesOrLeavesIsNotPicked(t *testing.T) {
+	b := newBalancer("x", 1)
+	list := endpoints("a", "b")
+	b.said.Pause(start, life("a"), 3*time.Second, 64)
+	b.Started(list[0])
+	b.Ended(start.Add(time.Second), list[0], "", time.Second, true)
+	if e := b.Pick(start.Add(2*time.Second), list[:1], Query{}); e != nil {
+		t.Error("picked within the pause")
+	}
+	if shut, in := b.Shut(start.Add(2*time.Second), list[:1]); len(shut) != 1 || in < time.Second {
+		t.Errorf("%v shut for %v", shut, in)
+	}
+	b.said.Leaves(start, life("b"), start)
+	if e := b.Pick(start, list[1:], Query{}); e != nil {
+		t.Error("picked one that leaves")
+	}
+	if e := b.PickLeaving(start.Add(time.Second), list, Query{}); e == nil || e.ID != "b" {
+		t.Errorf("%v for what no other can serve", e)
+	}
+	if e := b.PickLeaving(start.Add(2*time.Second), list, Query{}); e != nil {
+		t.Error("picked later than an endpoint that leaves may get requests")
+	}
+	if d := b.said.Look(start, life("b")); d.Open || d.Reason != backpressure.Leaving {
+		t.Errorf("%+v", d)
+	}
+}
--- a/coordination/discovery/discovery_test.go
+++ b/coordination/discovery/discovery_test.go
@@ -88,6 +88,31 @@
 	}
 }
 
+// Guards against a leaving endpoint that takes requests again: its entry may come only after its
+// own word, lapse in an outage and be back, or be read anew, and says that it is ready each time.
+func TestOwnWordOfLeavingOutlastsTheEntry(t *testing.T) {
+	r := NewRegistry()
+	r.Leave(fleet.Incarnation{ID: "a", Born: 1000})
+	r.Put(bornAt("a", 1000, 3, false), 3)
+	if usable(r, "a") {
+		t.Fatal("an entry that came after the word takes requests")
+	}
+	r.List(start, nil, 5, start.Add(grace))
+	r.Put(bornAt("a", 1000, 6, false), 6)
+	if usable(r, "a") {
+		t.Fatal("an entry that lapsed and is back takes requests")
+	}
+	r.Remove(start, "a", 7, time.Time{})
+	r.List(start, []*fleet.Endpoint{bornAt("a", 1000, 8, false), endpoint("b", 8, false)}, 8, time.Time{})
+	if usable(r, "a") || !usable(r, "b") {
+		t.Fatal("a list that was read anew took the word back, or it holds for others")
+	}
+	r.Put(bornAt("a", 2000, 9, false), 9)
+	if !usable(r, "a") {
+		t.Fatal("the next life is not free of the word")
+	}
+}
+
 // An endpoint that leaves just after the store's return gets no longer grace
 // than one that went missing in the outage.
 func TestGraceEndsAtAFixedTime(t *testing.T) {
--- a/coordination/discovery/registry.go
+++ b/coordination/discovery/registry.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"maps"
 	"time"
 
 	"github.com/doorvalve/doorvalve/state/fleet"
@@ -10,12 +11,14 @@
 // Registry is the endpoints as one daemon believes them.
 //
 // Invariants: a description never goes back to an older revision, nor to an earlier
-// life of its id; an endpoint that was seen leaving takes no new requests for the
-// rest of that life; an endpoint whose entry goes missing in an outage of the store, or within a
+// life of its id; an endpoint that was seen leaving, or has said so itself, is leaving for the
+// rest of that life, also when its entry lapses and is back; an endpoint whose entry goes missing in an outage of the store, or within a
 // grace after its return, stays until that grace is over, and no longer.
 type Registry struct {
-	entries  map[string]*entry
-	removed  map[string]uint64 // revision at which an id was seen removed
+	entries map[string]*entry
+	removed map[string]uint64 // revision at which an id was seen removed
+	// leaving are the lives that have said themselves that they leave, by id.
+	leaving  map[string]fleet.Incarnation
 	revision uint64
 	changed  bool
 }
@@ -46,12 +49,15 @@
 	Reason   error
 }
 
-// maxRemoved bounds the memory of removed ids.
-const maxRemoved = 4096
+// maxRemoved bounds the memory of removed ids, and maxLeft that of lives that leave.
+const (
+	maxRemoved = 4096
+	maxLeft    = 4096
+)
 
 // NewRegistry returns an empty registry.
 func NewRegistry() *Registry {
-	return &Registry{entries: map[string]*entry{}, removed: map[string]uint64{}}
+	return &Registry{entries: map[string]*entry{}, removed: map[string]uint64{}, leaving: map[string]fleet.Incarnation{}}
 }
 
 // List replaces all that is known by a list as of revision. Until graceUntil,
@@ -83,6 +89,7 @@
 }
 
 func (r *Registry) put(e *fleet.Endpoint) {
+	e = r.withOwnWord(e)
 	if at, ok := r.removed[e.ID]; ok {
 		if e.Revision <= at {
 			return
@@ -173,16 +180,39 @@
 	r.changed = true
 }
 
-// Leave marks an endpoint as leaving, by its own word.
+// Leave marks a life as leaving, by its own word, whether it is listed now or later.
 func (r *Registry) Leave(life fleet.Incarnation) {
+	if known := r.leaving[life.ID]; known.Born == 0 || known.Before(life) {
+		r.forgetLeft()
+		r.leaving[life.ID] = life
+	}
 	en := r.entries[life.ID]
-	if en == nil || en.endpoint.Leaving || !en.endpoint.Life().Same(life) {
+	if en == nil {
 		return
 	}
-	leaving := *en.endpoint
-	leaving.Leaving = true
-	en.endpoint = &leaving
-	r.changed = true
+	if marked := r.withOwnWord(en.endpoint); marked != en.endpoint {
+		en.endpoint = marked
+		r.changed = true
+	}
+}
+
+// withOwnWord returns a description with the endpoint's own word that it leaves.
+func (r *Registry) withOwnWord(e *fleet.Endpoint) *fleet.Endpoint {
+	left, ok := r.leaving[e.ID]
+	if !ok || e.Leaving || !left.Same(e.Life()) {
+		return e
+	}
+	marked := *e
+	marked.Leaving = true
+	return &marked
+}
+
+// forgetLeft makes room for one more life that leaves: those that are not listed go first.
+func (r *Registry) forgetLeft() {
+	if len(r.leaving) < maxLeft {
+		return
+	}
+	maps.DeleteFunc(r.leaving, func(id string, _ fleet.Incarnation) bool { return r.entries[id] == nil })
 }
 
 // Expire drops the entries that are still missing after their grace.
--- a/daemon/edgedaemon/daemon.go
+++ b/daemon/edgedaemon/daemon.go
@@ -22,6 +22,7 @@
 	promreporter "github.com/uber-go/tally/v4/prometheus"
 
 	"github.com/doorvalve/doorvalve/coordination/access"
+	"github.com/doorvalve/doorvalve/coordination/backpressure"
 	"github.com/doorvalve/doorvalve/coordination/balance"
 	"github.com/doorvalve/doorvalve/coordination/membership"
 	"github.com/doorvalve/doorvalve/coordination/quota"
@@ -34,6 +35,8 @@
 	"github.com/doorvalve/doorvalve/driver/quarantiner"
 	"github.com/doorvalve/doorvalve/driver/quotas"
 	"github.com/doorvalve/doorvalve/driver/storeview"
+	"github.com/doorvalve/doorvalve/driver/throttle"
+	"github.com/doorvalve/doorvalve/internal/clock"
 	"github.com/doorvalve/doorvalve/platform"
 	"github.com/doorvalve/doorvalve/protocol/fleetpb"
 	"github.com/doorvalve/doorvalve/protocol/peerpb"
@@ -81,6 +84,8 @@
 	budget   *retry.Budget
 	keeper   *quarantiner.Keeper
 	shares   *quotas.Keeper
+	said     *backpressure.Book
+	throttle *throttle.Keeper
 	callers  *edge.Server
 	metrics  tally.Scope
 	reporter promreporter.Reporter
@@ -109,10 +114,12 @@
 func New(set settings.Edge, log *decisions.Log) (*Daemon, error) {
 	debug.SetGCPercent(collectAt)
 	debug.SetMemoryLimit(int64(float64(set.Limits.MemoryMB<<20) * memoryPart))
+	said := backpressure.New(backpressure.Options{LeaveWithin: set.Timing.LeaveWithin.D(), Seed: uint64(time.Now().UnixNano())})
 	d := &Daemon{
-		set: set, log: log, self: set.Host + "-" + nonce(), coordinators: map[string]*coordinator.Coordinator{},
+		said: said,
+		set:  set, log: log, self: set.Host + "-" + nonce(), coordinators: map[string]*coordinator.Coordinator{},
 		lastSent: map[string]int{}, stopped: make(chan struct{}),
-		peers: peers.NewClient(""), balancer: balance.New(set.FailureDomain, uint64(time.Now().UnixNano())),
+		peers: peers.NewClient(""), balancer: balance.New(set.FailureDomain, uint64(time.Now().UnixNano()), said),
 		budget:    retry.NewEarnedBudget(set.Retries.Ratio * retryPart),
 		vacancies: vacancies{takeover: coordinator.Takeover(set.Timing.OrderGap.D())},
 	}
@@ -126,25 +133,29 @@
 	}, metricsEvery)
 	d.shareRetries(1)
 	d.store = platform.NewStore(set.Store.Address, set.Store.Timeout.D(), d.metrics)
-	d.engines = platform.NewEngineClient(engineTimeout)
+	d.engines = platform.NewEngineClient(engineTimeout, d.engineSaid)
 	d.view = storeview.New(storeview.Options{
 		Store: d.store, Decode: platform.DecodeDesiredState, Log: log, Self: d.self, Peer: d.anyPeer, Upstreams: d.upstreams,
 		Within: min(set.Timing.LeaveWithin.D(), set.Timing.ApplyWithin.D()), Heartbeat: set.Timing.EndpointHeartbeat.D(),
 	})
 	d.view.OnChange(d.changed)
-	d.gossip = gossip.New(hclog.NewNullLogger(), d.peers, d.seeds, gossip.Options(quotas.StaleFact), d.member())
+	d.gossip = gossip.New(hclog.NewNullLogger(), d.peers, d.seeds, gossip.Options(staleFact), d.member())
 	d.keeper = quarantiner.New(quarantiner.Options{
-		Self: d.self, Members: d.alive, Peer: d.peers.Quarantines().To, Endpoint: d.endpointState, Ended: func(life fleet.Incarnation) { d.balancer.Gone(time.Now(), life) }, Store: d.store, Log: log, Metrics: d.metrics,
+		Self: d.self, Members: d.alive, Peer: d.peers.Quarantines().To, Endpoint: d.endpointState, Ended: func(life fleet.Incarnation) { d.balancer.Gone(clock.Now(), life) }, Store: d.store, Log: log, Metrics: d.metrics,
 	})
 	d.shares = quotas.New(quotas.Options{
 		Self: d.self, Bounds: quota.Bounds{Window: set.Quotas.Window.D(), Overage: set.Quotas.Overage, Slack: set.Quotas.Slack, Young: quota.YoungPart},
 		Members: d.gossip.Members, Revision: d.gossip.Revision, Directory: d.workspaces, Listed: d.endpointListed, Tell: d.gossip.Set, Limited: d.endpointLimited, Store: d.store, Peer: d.peers.Quotas().To, Log: log, Metrics: d.metrics,
 	})
+	d.throttle = throttle.New(throttle.Options{
+		Self: d.self, Book: said, Limits: d.shares.Endpoints(), ReadyAt: d.endpointReadyAt, Listed: d.endpointListed, Leaving: d.view.EndpointLeaving, Tell: d.gossip.Set, Log: log, Metrics: d.metrics,
+	})
 	d.gossip.OnFact(d.shares.Endpoints().Fact)
+	d.gossip.OnFact(d.throttle.Fact)
 	d.callers = edge.New(edge.Options{
-		StateAge: d.stateAge, Access: access.Bounds{Apply: set.Timing.ApplyWithin.D(), Revoke: set.Timing.RevokeWithin.D()}, Quotas: d.shares, Limits: d.shares.Endpoints(),
+		StateAge: d.stateAge, Access: access.Bounds{Apply: set.Timing.ApplyWithin.D(), Revoke: set.Timing.RevokeWithin.D()}, Quotas: d.shares, Throttle: d.throttle,
 		Table: d.view.Table, View: d.view.Endpoints, ViewAge: d.endpointsAge, Draining: d.draining, Ends: d.ends, Dialect: platform.Dialect{}, Locator: d, Balancer: d.balancer,
-		Budget: d.budget, Quarantine: d.keeper, Log: log, Metrics: d.metrics, EndpointLeaving: d.view.EndpointLeaving,
+		Budget: d.budget, Quarantine: d.keeper, Log: log, Metrics: d.metrics,
 		FlushEvery:  time.Duration(float64(set.Timing.Pass.D()) * flushPart),
 		Connections: int64(float64(set.Limits.Descriptors) * requestsPerDescriptor),
 	})
@@ -269,7 +280,7 @@
 		d.addServer(&g, d.listeners.metrics, d.reporter.HTTPHandler())
 	}
 	for _, actor := range []func(context.Context) error{
-		d.gossip.Run, d.view.RunDesiredState, d.view.RunEndpoints, d.view.RunRelay, d.view.RunCatchUp, d.view.RunPeers, d.keeper.Run, d.shares.Run, d.runGauges, d.runDemand, d.runStop,
+		d.gossip.Run, d.view.RunDesiredState, d.view.RunEndpoints, d.view.RunRelay, d.view.RunCatchUp, d.view.RunPeers, d.keeper.Run, d.shares.Run, d.throttle.Run, d.runGauges, d.runDemand, d.runStop,
 	} {
 		actorCtx, stop := context.WithCancel(ctx)
 		g.Add(func() error { return actor(actorCtx) }, func(error) { stop() })
--- a/daemon/edgedaemon/peers.go
+++ b/daemon/edgedaemon/peers.go
@@ -16,7 +16,10 @@
 	"github.com/doorvalve/doorvalve/driver/coordinator"
 	"github.com/doorvalve/doorvalve/driver/decisions"
 	"github.com/doorvalve/doorvalve/driver/gossip"
+	"github.com/doorvalve/doorvalve/driver/quotas"
+	"github.com/doorvalve/doorvalve/driver/throttle"
 	"github.com/doorvalve/doorvalve/internal/clock"
+	"github.com/doorvalve/doorvalve/protocol"
 	"github.com/doorvalve/doorvalve/protocol/fleetpb"
 	"github.com/doorvalve/doorvalve/protocol/peerpb"
 	"github.com/doorvalve/doorvalve/state/fleet"
@@ -138,6 +141,35 @@
 	return d.view.Endpoints().Of(life) != nil
 }
 
+// endpointReadyAt returns up to when an endpoint is known to be listed as one that stays; zero if
+// it is not. While nobody hears from the store that is now: it cannot have taken its word.
+func (d *Daemon) endpointReadyAt(life fleet.Incarnation) time.Time {
+	now := clock.Now()
+	e := d.view.Endpoints().Of(life)
+	age := d.endpointsAge()
+	switch {
+	case e == nil || e.Leaving:
+		return time.Time{}
+	case age > d.set.Timing.LeaveWithin.D():
+		return now
+	}
+	return now.Add(-age)
+}
+
+// engineSaid takes what an engine says of itself in an answer to this daemon's coordinators.
+func (d *Daemon) engineSaid(life fleet.Incarnation, says protocol.Backpressure) {
+	slots := 1
+	if e := d.view.Endpoints().Of(life); e != nil {
+		slots = e.Slots
+	}
+	d.throttle.Heard(throttle.Answer{Life: life, Slots: slots, Sent: clock.Now(), Says: says})
+}
+
+// staleFact reports whether a fact is too old to be kept.
+func staleFact(now time.Time, f membership.Entry) bool {
+	return quotas.StaleFact(now, f) || throttle.StaleFact(now, f)
+}
+
 // anyPeer returns a random other daemon, or nil.
 func (d *Daemon) anyPeer() fleetpb.Fleet {
 	var others []string
@@ -240,7 +272,7 @@
 
 // endpointLimited brings the limit that an endpoint names to what chooses endpoints.
 func (d *Daemon) endpointLimited(life fleet.Incarnation, w limit.Word) {
-	d.balancer.Limited(life, w.Rate, w.Limited)
+	d.throttle.Limited(life, w)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, c := range d.coordinators {
--- a/daemon/edgedaemon/running.go
+++ b/daemon/edgedaemon/running.go
@@ -3,12 +3,12 @@
 import (
 	"encoding/binary"
 	"slices"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/doorvalve/doorvalve/coordination/balance"
 	"github.com/doorvalve/doorvalve/coordination/residency"
+	"github.com/doorvalve/doorvalve/internal/clock"
 	"github.com/doorvalve/doorvalve/protocol/fleetpb"
 	"github.com/doorvalve/doorvalve/state/fleet"
 )
@@ -98,5 +98,5 @@
 		all[r.Endpoint] = r.Requests
 	}
 	each := max(residency.TellEvery, residency.TellSoon(alive))
-	d.balancer.Told(service, time.Now().Add(-each/2), all, mine)
+	d.balancer.Told(service, clock.Now().Add(-each/2), all, mine)
 }
--- a/driver/decisions/log.go
+++ b/driver/decisions/log.go
@@ -48,7 +48,11 @@
 	EventWorkspaces       = "workspaces in force"
 	EventUnreadHeader     = "unknown answer header"
 	EventEndpointLimit    = "limit of an endpoint changed"
-	EventBackpressure     = "endpoint leaves or asks for a pause"
+	EventEndpointLeaves   = "endpoint leaves, by its own word"
+	EventEndpointPauses   = "endpoint asks for a pause"
+	EventEndpointResumed  = "endpoint takes requests again"
+	EventPauseUnreadable  = "pause of an endpoint cannot be read"
+	EventFactUnreadable   = "fact cannot be read"
 	EventLimitsRecord     = "record of endpoints' limits"
 	EventLimitUnreadable  = "limit of an endpoint cannot be read"
 )
--- a/driver/quotas/endpoints.go
+++ b/driver/quotas/endpoints.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -78,7 +77,7 @@
 	if !limited {
 		return Ticket{}, true, 0
 	}
-	subject := subjectOf(life)
+	subject := life.String()
 	if e.shared.take(ctx, claim{subject: subject, limits: w.Limits(), version: w.Version, cost: oneRequest, rank: rank}) {
 		return Ticket{subject, oneRequest}, true, 0
 	}
@@ -95,11 +94,11 @@
 
 // Refused notes that a caller was refused for want of room, and returns when it is to come back.
 func (e *Endpoints) Refused(life fleet.Incarnation) time.Duration {
-	return e.shared.refused(subjectOf(life), oneRequest)
+	return e.shared.refused(life.String(), oneRequest)
 }
 
 // Wait returns when a request would find room at an endpoint that has none now.
-func (e *Endpoints) Wait(life fleet.Incarnation) time.Duration { return e.shared.wait(subjectOf(life)) }
+func (e *Endpoints) Wait(life fleet.Incarnation) time.Duration { return e.shared.wait(life.String()) }
 
 // Return takes back what a request was let through with that has not reached the endpoint.
 func (e *Endpoints) Return(t Ticket) { e.shared.giveBack(t) }
@@ -232,7 +231,7 @@
 
 // newest returns the limits of the newer word on an endpoint.
 func (e *Endpoints) newest(subject string, version uint64, told quota.Limits) (limits quota.Limits, none bool) {
-	life, err := lifeOf(subject)
+	life, err := fleet.ParseIncarnation(subject)
 	if err != nil {
 		return told, false
 	}
@@ -257,7 +256,7 @@
 	list := []LimitView{}
 	for life, w := range *e.limited.Load() {
 		v := LimitView{Endpoint: life.ID, Rate: w.Rate, HeardBy: w.By}
-		if owned, ok := e.shared.view(subjectOf(life)); ok {
+		if owned, ok := e.shared.view(life.String()); ok {
 			v.Owned = &owned
 		}
 		list = append(list, v)
@@ -274,18 +273,6 @@
 	Owned *quota.View `json:"owned,omitempty"`
 }
 
-// subjectOf names an endpoint's life.
-func subjectOf(life fleet.Incarnation) string {
-	return life.ID + "/" + strconv.FormatInt(life.Born, 36)
-}
-
-// lifeOf is the reverse of subjectOf.
-func lifeOf(subject string) (fleet.Incarnation, error) {
-	i := strings.LastIndexByte(subject, '/')
-	born, err := strconv.ParseInt(subject[i+1:], 36, 64)
-	return fleet.Incarnation{ID: subject[:max(0, i)], Born: born}, err
-}
-
 // fact is the value of a fact that tells a limit.
 type fact struct {
 	Rate    float64 `json:"rate"`
@@ -295,11 +282,11 @@
 
 func factOf(c limit.Change) membership.Entry {
 	value, _ := json.Marshal(fact{c.Now.Rate, c.Now.Limited, c.Now.By}) // rates are finite
-	return membership.Entry{Key: FactPrefix + subjectOf(c.Life), Version: c.Now.Version, Value: value}
+	return membership.Entry{Key: FactPrefix + c.Life.String(), Version: c.Now.Version, Value: value}
 }
 
 func readFact(f membership.Entry) (fleet.Incarnation, limit.Word, error) {
-	life, err := lifeOf(strings.TrimPrefix(f.Key, FactPrefix))
+	life, err := fleet.ParseIncarnation(strings.TrimPrefix(f.Key, FactPrefix))
 	if err != nil {
 		return life, limit.Word{}, err
 	}
--- a/driver/quotas/endpoints_test.go
+++ b/driver/quotas/endpoints_test.go
@@ -165,7 +165,7 @@
 	sends := []float64{10, 30, 60}[rng.IntN(3)]
 	hosts := gathered(rng, in.hosts)
 	go e.press(hosts, steady(sends), harmsFor)
-	key := "limit/" + subjectOf(e.life)
+	key := "limit/" + e.life.String()
 	harms, came, central := []string{}, 0, 0
 	for start := time.Now(); time.Since(start) < harmsFor-10*time.Second; {
 		rate := []float64{0.4, 1.1, 2, 8, 20}[rng.IntN(5)]
--- a/state/fleet/incarnation.go
+++ b/state/fleet/incarnation.go
@@ -1,5 +1,10 @@
 package fleet
 
+import (
+	"strconv"
+	"strings"
+)
+
 // Incarnation is one life of an endpoint, from one start of its process to its
 // end. An endpoint may start again under the same id: it then holds nothing of
 // what it held, except copies on its disk, and counts its orders from zero. What
@@ -12,6 +17,19 @@
 	Born int64
 }
 
+// String names the incarnation; ParseIncarnation reads it.
+func (i Incarnation) String() string { return i.ID + "/" + strconv.FormatInt(i.Born, bornBase) }
+
+// bornBase is the base in which the start of an incarnation is written in its name.
+const bornBase = 36
+
+// ParseIncarnation is the reverse of Incarnation.String.
+func ParseIncarnation(name string) (Incarnation, error) {
+	i := strings.LastIndexByte(name, '/')
+	born, err := strconv.ParseInt(name[i+1:], bornBase, 64)
+	return Incarnation{ID: name[:max(0, i)], Born: born}, err
+}
+
 // IsZero reports whether no incarnation is named.
 func (i Incarnation) IsZero() bool { return i.ID == "" }
 
--- a/transport/edge/attempt.go
+++ b/transport/edge/attempt.go
@@ -12,8 +12,8 @@
 	"slices"
 	"time"
 
-	"github.com/doorvalve/doorvalve/driver/decisions"
 	"github.com/doorvalve/doorvalve/driver/quarantiner"
+	"github.com/doorvalve/doorvalve/driver/throttle"
 	"github.com/doorvalve/doorvalve/internal/clock"
 	"github.com/doorvalve/doorvalve/protocol"
 	"github.com/doorvalve/doorvalve/state/fleet"
@@ -62,8 +62,8 @@
 	unreachable bool
 	// refused says that nothing listens at the endpoint: the request has not reached it.
 	refused  bool
-	loading  bool // the endpoint is still loading the model
-	leaving  bool
+	loading  bool              // the endpoint is still loading the model
+	paused   bool              // the endpoint wants a pause
 	began    bool              // events of the answer had come from the endpoint
 	broken   bool              // the connection to the endpoint broke
 	endpoint fleet.Incarnation // that was asked
@@ -96,10 +96,7 @@
 	}
 	mark := s.opt.Dialect.ReadAnswer(resp.StatusCode, resp.Header)
 	s.noteUnread(q, e, s.opt.Dialect.Unread(resp.Header))
-	if isWord(resp.StatusCode, mark, q) {
-		s.opt.Limits.Heard(e.Life(), sent, mark.Says.Limit)
-	}
-	s.noteSaid(q, e, resp.StatusCode, mark.Says)
+	s.heard(q, e, sent, resp.StatusCode, mark)
 	if f := refusedByEndpoint(resp, mark, q); f != nil {
 		_, _ = io.CopyN(io.Discard, resp.Body, bufferBytes) // lets the connection be kept
 		_ = resp.Body.Close()
@@ -112,23 +109,22 @@
 	return resp, nil
 }
 
-// isWord reports whether an answer says whether its endpoint names a limit. One that refuses
-// says so only if it names one: it may come from what stands before the endpoint.
-func isWord(status int, mark protocol.AnswerMark, q *request) bool {
-	switch {
-	case mark.WrongEndpoint, mark.RequestID != "" && mark.RequestID != q.call.ID:
-		return false
-	case mark.NotRun:
-		return mark.Says.Limit.Named
-	}
-	return mark.Sealed || mark.RequestID != "" && status >= http.StatusInternalServerError && mark.Says.Limit.Named
-}
-
-// noteSaid logs that an endpoint leaves or asks for a pause.
-func (s *Server) noteSaid(q *request, e *fleet.Endpoint, status int, says protocol.Backpressure) {
-	if says.Leaving || says.Pause != (protocol.Pause{}) {
-		s.opt.Log.Routine(decisions.EventBackpressure, "request", q.call.ID, "endpoint", e.ID, "status", status, "leaving", says.Leaving, "pause_ms", says.Pause.For.Milliseconds(), "unreadable", says.Pause.Unreadable)
-	}
+// heard takes what an answer says of its endpoint. One that is to another request, or may come
+// from another process, says nothing; a refusal says what it names only, since it may come from
+// what stands before the endpoint.
+func (s *Server) heard(q *request, e *fleet.Endpoint, sent time.Time, status int, mark protocol.AnswerMark) {
+	ours := mark.RequestID == q.call.ID
+	own := mark.Sealed && (ours || mark.RequestID == "")
+	refuses := mark.NotRun && (ours || mark.RequestID == "")
+	fails := ours && status >= http.StatusInternalServerError
+	other := mark.EndpointID != "" && mark.EndpointID != e.ID
+	misdirected := mark.WrongEndpoint && mark.EndpointID != e.ID
+	if other || misdirected || !own && !refuses && !fails {
+		return
+	}
+	s.opt.Throttle.Heard(throttle.Answer{
+		Life: e.Life(), Slots: e.Slots, Request: q.call.ID, Sent: sent, Says: mark.Says, Whole: own && !mark.NotRun,
+	})
 }
 
 // classify says of an error before the answer whether the request may have
@@ -154,6 +150,8 @@
 	switch {
 	case mark.WrongEndpoint:
 		f.absent, f.reason = true, "not-held-there"
+	case mark.Says.Pause.For > 0:
+		f.paused, f.reason = true, "endpoint-paused"
 	case resp.StatusCode == http.StatusServiceUnavailable && q.call.Model != "" && q.waited > 0:
 		f.loading = true
 	}
@@ -183,7 +181,7 @@
 	s.countRunning(q, e.Life(), 1)
 	defer s.countRunning(q, e.Life(), -1)
 	ok := false
-	defer func() { s.opt.Balancer.Ended(time.Now(), e, q.unit(), time.Since(began), ok) }()
+	defer func() { s.opt.Balancer.Ended(clock.Now(), e, q.unit(), time.Since(began), ok) }()
 	w := s.watch(q, e, more, cancel)
 	defer w.stop()
 	a.sent, a.viewAge = time.Now(), s.opt.ViewAge()
@@ -220,7 +218,7 @@
 // hasOther reports whether another endpoint can serve a request now. One that has just
 // refused others cannot: a stream taken from an engine that is only slow would end.
 func (s *Server) hasOther(q *request, id string) bool {
-	now := time.Now()
+	now := clock.Now()
 	return slices.ContainsFunc(s.candidates(q), func(e *fleet.Endpoint) bool {
 		return e.ID != id && !e.Leaving && !s.opt.Balancer.Avoided(now, e.Life())
 	})
--- a/transport/edge/locate.go
+++ b/transport/edge/locate.go
@@ -11,6 +11,7 @@
 	"github.com/doorvalve/doorvalve/coordination/residency"
 	"github.com/doorvalve/doorvalve/coordination/waiting"
 	"github.com/doorvalve/doorvalve/driver/decisions"
+	"github.com/doorvalve/doorvalve/internal/clock"
 	"github.com/doorvalve/doorvalve/internal/pause"
 	"github.com/doorvalve/doorvalve/protocol"
 	"github.com/doorvalve/doorvalve/state/fleet"
@@ -40,8 +41,8 @@
 		if e := s.locateKnown(q, exclude); e != nil {
 			return e, nil
 		}
-		full := s.full(s.holders(q))
-		ans := s.opt.Locator.Want(ctx, q.service.Name, residency.Want{Model: q.call.Model, Adapter: q.call.Adapter, Rank: q.rank, Avoid: avoid, Unreachable: unreachable, Absent: absent, Full: full.lives})
+		shut := s.shut(s.holders(q))
+		ans := s.opt.Locator.Want(ctx, q.service.Name, residency.Want{Model: q.call.Model, Adapter: q.call.Adapter, Rank: q.rank, Avoid: avoid, Unreachable: unreachable, Absent: absent, Full: shut.lives})
 		absent, unreachable = fleet.Incarnation{}, false // told once
 		if ctx.Err() != nil {
 			return nil, s.outOfTime(protocol.NotRun)
@@ -55,14 +56,17 @@
 			}
 		}
 		if ans.Refused == "" && ans.ReadyIn <= 0 {
-			if e := s.opt.View().Of(ans.Endpoint); e != nil && !e.Leaving && !s.opt.Balancer.IsGone(time.Now(), e.Life()) {
+			if e := s.opt.View().Of(ans.Endpoint); e != nil && s.takes(e) {
 				s.opt.Balancer.Present(e.Life(), q.unit())
 				q.named = true
 				return e, s.join(q, t, ans)
 			}
-			ans.ReadyIn = loadingPause // the list does not name it yet, or not any more; or it has ended
+			ans.ReadyIn = loadingPause // the list does not name it yet, or not any more; or it takes none
 		}
-		refusal := s.waitSooner(ctx, q, t, ans, full)
+		if e := s.leavingThatServes(q, exclude); e != nil {
+			return e, nil
+		}
+		refusal := s.waitSooner(ctx, q, t, ans, shut)
 		if refusal != nil {
 			return nil, refusal
 		}
@@ -72,11 +76,16 @@
 	}
 }
 
-// waitSooner waits for room at an endpoint that holds the model, or for the model at another
-// one, whichever is there sooner.
-func (s *Server) waitSooner(ctx context.Context, q *request, t *tries, ans residency.Answer, full fullEndpoints) *protocol.Refusal {
-	if len(full.lives) > 0 && (ans.Refused != "" || full.roomIn < ans.ReadyIn) {
-		return s.awaitRoom(ctx, q, t, full)
+// takes reports whether an endpoint takes requests now.
+func (s *Server) takes(e *fleet.Endpoint) bool {
+	return !e.Leaving && !s.opt.Balancer.IsGone(clock.Now(), e.Life()) && !s.opt.Throttle.Look(e.Life()).Closed()
+}
+
+// waitSooner waits for an endpoint that holds the model and wants no requests now, or for the
+// model at another one, whichever is there sooner.
+func (s *Server) waitSooner(ctx context.Context, q *request, t *tries, ans residency.Answer, shut shutEndpoints) *protocol.Refusal {
+	if len(shut.lives) > 0 && (ans.Refused != "" || shut.opensIn < ans.ReadyIn) {
+		return s.awaitOpen(ctx, q, t, shut)
 	}
 	return s.wait(ctx, q, t, ans)
 }
@@ -165,24 +174,32 @@
 func (s *Server) locatePlain(ctx context.Context, q *request, t *tries) (*fleet.Endpoint, *protocol.Refusal) {
 	for {
 		list := s.opt.View().ByService[q.service.Name]
-		if e := s.opt.Balancer.Pick(time.Now(), list, balance.Query{Exclude: t.exclude}); e != nil {
+		if e := s.opt.Balancer.Pick(clock.Now(), list, balance.Query{Exclude: t.exclude}); e != nil {
 			return e, nil
 		}
-		full := s.full(list)
-		if len(full.lives) == 0 {
+		if e := s.leavingThatServes(q, t.exclude); e != nil {
+			return e, nil
+		}
+		shut := s.shut(list)
+		if len(shut.lives) == 0 {
 			return nil, protocol.Refuse(http.StatusServiceUnavailable, "no-endpoint", "no endpoint of the service takes requests", retryBusy)
 		}
-		if refusal := s.awaitRoom(ctx, q, t, full); refusal != nil {
+		if refusal := s.awaitOpen(ctx, q, t, shut); refusal != nil {
 			return nil, refusal
 		}
 	}
 }
 
 // holders returns the endpoints that are listed with the request's model and
-// adapter.
+// adapter, and stay.
 func (s *Server) holders(q *request) []*fleet.Endpoint {
-	list := s.opt.View().ByService[q.service.Name]
-	return slices.DeleteFunc(slices.Clone(list), func(e *fleet.Endpoint) bool { return e.Leaving || !e.Has(q.call.Model, q.call.Adapter) })
+	held := holding(s.opt.View().ByService[q.service.Name], q)
+	return slices.DeleteFunc(held, func(e *fleet.Endpoint) bool { return e.Leaving })
+}
+
+// holding returns those of a list that hold a request's model and adapter.
+func holding(list []*fleet.Endpoint, q *request) []*fleet.Endpoint {
+	return slices.DeleteFunc(slices.Clone(list), func(e *fleet.Endpoint) bool { return !e.Has(q.call.Model, q.call.Adapter) })
 }
 
 // locateKnown picks an endpoint without a question to the coordinator, where
@@ -192,14 +209,14 @@
 		return nil
 	}
 	holders := s.holders(q)
-	e := s.opt.Balancer.Pick(time.Now(), holders, balance.Query{Unit: q.unit(), Affinity: affinity(q), Exclude: exclude})
+	e := s.opt.Balancer.Pick(clock.Now(), holders, balance.Query{Unit: q.unit(), Affinity: affinity(q), Exclude: exclude})
 	if e == nil {
 		return nil
 	}
-	if s.opt.Balancer.Crowded(time.Now(), holders, balance.Query{Unit: q.unit(), Exclude: exclude}) {
+	if s.opt.Balancer.Crowded(clock.Now(), holders, balance.Query{Unit: q.unit(), Exclude: exclude}) {
 		return nil // the coordinator knows of each request that it has named an endpoint for
 	}
-	if len(holders) >= severalHolders || s.opt.Balancer.Vouched(time.Now(), e.Life(), q.unit()) {
+	if len(holders) >= severalHolders || s.opt.Balancer.Vouched(clock.Now(), e.Life(), q.unit()) {
 		return e
 	}
 	return nil
@@ -211,7 +228,7 @@
 
 // locateAny picks any listed holder, when the coordinator cannot be asked.
 func (s *Server) locateAny(q *request, exclude []fleet.Incarnation) *fleet.Endpoint {
-	return s.opt.Balancer.Pick(time.Now(), s.holders(q), balance.Query{Unit: q.unit(), Affinity: affinity(q), Exclude: exclude})
+	return s.opt.Balancer.Pick(clock.Now(), s.holders(q), balance.Query{Unit: q.unit(), Affinity: affinity(q), Exclude: exclude})
 }
 
 func affinity(q *request) string {
--- a/transport/edge/retry.go
+++ b/transport/edge/retry.go
@@ -81,7 +81,9 @@
 // hasUntried reports whether an endpoint that can serve a request has not been asked
 // yet.
 func (s *Server) hasUntried(q *request, t *tries) bool {
-	return slices.ContainsFunc(s.candidates(q), func(e *fleet.Endpoint) bool { return !e.Leaving && !slices.ContainsFunc(t.exclude, e.Life().Same) })
+	return slices.ContainsFunc(s.candidates(q), func(e *fleet.Endpoint) bool {
+		return s.takes(e) && !slices.ContainsFunc(t.exclude, e.Life().Same)
+	})
 }
 
 // outlasts reports whether the caller is still there when an answer goes on after a
--- a/transport/edge/run.go
+++ b/transport/edge/run.go
@@ -66,13 +66,13 @@
 			return s.outOfTime(t.verdict)
 		}
 		if t.sends > 0 && !s.payRetry(ctx, q, t, a.begun) {
-			return giveUp(t)
+			return s.giveUp(q, t)
 		}
 		e, refusal := s.place(ctx, q, t)
 		switch {
 		case refusal != nil && t.verdict != protocol.NotRun:
 			s.opt.Log.Info(decisions.EventNotResumed, "request", q.call.ID, "reason", refusal.Reason, "detail", refusal.Detail, "ms", time.Since(q.arrived).Milliseconds())
-			return giveUp(t)
+			return s.giveUp(q, t)
 		case refusal != nil:
 			return refusal
 		}
@@ -94,7 +94,7 @@
 		s.opt.Log.Info(decisions.EventAttemptFailed, "request", q.call.ID, "endpoint", e.ID, "endpoint_revision", e.Revision, "reason", f.reason, "error", f.err,
 			"verdict", f.verdict.String(), "again", again, "fingerprint", q.fingerprint().String(), "began", f.began, "sent_ms", a.sent.Sub(q.arrived).Milliseconds(), "endpoints_age_ms", a.viewAge.Milliseconds(), "ms", time.Since(q.arrived).Milliseconds())
 		if !again && ctx.Err() == nil {
-			return giveUp(t)
+			return s.giveUp(q, t)
 		}
 		if !again {
 			return s.outOfTime(t.verdict)
@@ -102,6 +102,10 @@
 	}
 }
 
+// placesTried bounds the endpoints that are chosen for one attempt and turn out to take no
+// requests. They are passed over for a while by all requests, so that few have to choose again.
+const placesTried = 8
+
 // place finds the endpoint for a request that may be sent. One that is held back is refused
 // before it waits for a model, and once more at the last moment: others may have found out
 // meanwhile.
@@ -110,23 +114,48 @@
 	if refusal := s.opt.Quarantine.Waits(q.fingerprint, on); refusal != nil {
 		return nil, refusal
 	}
-	e, refusal := s.locateWithRoom(ctx, q, t)
-	if refusal != nil {
-		return nil, refusal
+	for range placesTried {
+		e, refusal := s.locate(ctx, q, t)
+		s.observeWait(t, refusal == nil)
+		if refusal != nil {
+			return nil, refusal
+		}
+		admitted, refusal := s.admit(ctx, q, t, e, on)
+		if refusal != nil {
+			return nil, refusal
+		}
+		if admitted {
+			return e, nil
+		}
 	}
+	return nil, s.refuseShut(q, s.shut(s.candidates(q)))
+}
+
+// admit is the last question before a request is sent to an endpoint, whatever way it was chosen.
+// What the request takes is in q.trial and q.pass.
+func (s *Server) admit(ctx context.Context, q *request, t *tries, e *fleet.Endpoint, on func() quarantine.Software) (admitted bool, refusal *protocol.Refusal) {
+	// One that has just started hears first what others know, but refuses what it cannot
+	// place without.
+	s.opt.Quarantine.Settle(ctx)
+	s.opt.Throttle.Settle(ctx)
 	if q.trial, refusal = s.opt.Quarantine.Admit(ctx, q.fingerprint, on); refusal != nil {
-		s.opt.Limits.Return(q.pass)
-		return nil, refusal
+		return false, refusal
+	}
+	pass, d := s.opt.Throttle.Admit(ctx, e.Life(), q.rank)
+	if d.Closed() {
+		s.opt.Quarantine.GiveBack(q.trial)
+		return false, nil
 	}
 	if refusal = s.stillGood(q); refusal == nil && q.timeLeft() <= 0 { // its host was suspended while it waited
 		refusal = s.outOfTime(t.verdict)
 	}
 	if refusal != nil {
-		s.opt.Limits.Return(q.pass)
+		s.opt.Throttle.Return(pass)
 		s.opt.Quarantine.GiveBack(q.trial)
-		return nil, refusal
+		return false, refusal
 	}
-	return e, nil
+	q.pass = pass
+	return true, nil
 }
 
 // tellQuarantine tells of a failure that may mean that the endpoint has ended.
@@ -135,7 +164,7 @@
 		s.opt.Quarantine.GiveBack(q.trial)
 	}
 	if f.unreachable {
-		s.opt.Limits.Return(q.pass)
+		s.opt.Throttle.Return(q.pass)
 	}
 	switch {
 	case f.unreachable:
@@ -174,8 +203,11 @@
 }
 
 // giveUp turns the last failure into the final answer.
-func giveUp(t *tries) *protocol.Refusal {
+func (s *Server) giveUp(q *request, t *tries) *protocol.Refusal {
 	if t.verdict == protocol.NotRun {
+		if shut := s.shut(s.candidates(q)); t.last.paused && shut.all {
+			return s.refuseShut(q, shut)
+		}
 		return protocol.Refuse(http.StatusServiceUnavailable, t.last.reason, "no endpoint took the request", retryBusy)
 	}
 	r := protocol.Unsure(http.StatusBadGateway, t.last.reason, "the endpoint's answer did not arrive")
@@ -195,7 +227,7 @@
 // learn takes what a failure tells of the endpoint, and reports whether this
 // request should keep away from it.
 func (s *Server) learn(ctx context.Context, q *request, e *fleet.Endpoint, f *failure) (exclude bool) {
-	now := time.Now()
+	now := clock.Now()
 	switch {
 	case ctx.Err() != nil:
 		return false
@@ -205,9 +237,8 @@
 	case f.loading:
 		pause.For(ctx, loadingPause)
 		return false
-	case f.leaving:
-		s.opt.EndpointLeaving(e.Life())
-		return true
+	case f.paused:
+		return true // what it has said itself keeps requests away
 	}
 	if f.refused {
 		s.opt.Balancer.Gone(now, e.Life())
--- a/transport/edge/server.go
+++ b/transport/edge/server.go
@@ -24,6 +24,7 @@
 	"github.com/doorvalve/doorvalve/driver/decisions"
 	"github.com/doorvalve/doorvalve/driver/quarantiner"
 	"github.com/doorvalve/doorvalve/driver/quotas"
+	"github.com/doorvalve/doorvalve/driver/throttle"
 	"github.com/doorvalve/doorvalve/internal/clock"
 	"github.com/doorvalve/doorvalve/protocol"
 	"github.com/doorvalve/doorvalve/state/fleet"
@@ -59,14 +60,12 @@
 	Access access.Bounds
 	// Quotas counts requests for their workspaces.
 	Quotas *quotas.Keeper
-	// Limits keeps to the limits that endpoints name.
-	Limits *quotas.Endpoints
+	// Throttle keeps to what endpoints say of themselves.
+	Throttle *throttle.Keeper
 	// Quarantine holds requests back under which endpoints end.
 	Quarantine *quarantiner.Keeper
 	Log        *decisions.Log
 	Metrics    tally.Scope
-	// EndpointLeaving is told of an endpoint's own word that it leaves.
-	EndpointLeaving func(fleet.Incarnation)
 	// FlushEvery is how long events of a stream may be gathered before they
 	// are written; the first event is written at once.
 	FlushEvery time.Duration
--- a/transport/edge/watch_test.go
+++ b/transport/edge/watch_test.go
@@ -10,6 +10,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/doorvalve/doorvalve/coordination/backpressure"
 	"github.com/doorvalve/doorvalve/coordination/balance"
 	"github.com/doorvalve/doorvalve/coordination/retry"
 	"github.com/doorvalve/doorvalve/driver/decisions"
@@ -28,7 +29,7 @@
 		holds := []fleet.Loaded{{Model: "m"}}
 		view := fleet.NewView(1, []*fleet.Endpoint{{ID: "slow", Service: "llm", Models: holds}, {ID: "full", Service: "llm", Models: holds}})
 		s := New(Options{
-			View: func() *fleet.View { return view }, Balancer: balance.New("z", 1), Budget: retry.NewBudget(), Log: log, Metrics: tally.NoopScope,
+			View: func() *fleet.View { return view }, Balancer: balance.New("z", 1, said()), Budget: retry.NewBudget(), Log: log, Metrics: tally.NoopScope,
 		})
 		q := testRequest()
 		q.service.Engine = &routing.Engine{}
@@ -60,7 +61,7 @@
 		holds := []fleet.Loaded{{Model: "m"}}
 		view := fleet.NewView(1, []*fleet.Endpoint{{ID: "a", Service: "llm", Models: holds}, {ID: "b", Service: "llm", Models: holds}})
 		budget := retry.NewBudgetOf(0, 1)
-		s := New(Options{View: func() *fleet.View { return view }, Balancer: balance.New("z", 1), Budget: budget, Log: log, Metrics: tally.NoopScope})
+		s := New(Options{View: func() *fleet.View { return view }, Balancer: balance.New("z", 1, said()), Budget: budget, Log: log, Metrics: tally.NoopScope})
 		q := testRequest()
 		q.service.Engine = &routing.Engine{}
 		q.route.Kind, q.route.Resumable, q.route.Attempts, q.route.Patience = routing.Streaming, true, 2, 2*time.Second
@@ -81,7 +82,7 @@
 	for _, begun := range []bool{false, true} {
 		synctest.Test(t, func(t *testing.T) {
 			view := fleet.NewView(1, nil)
-			s := New(Options{View: func() *fleet.View { return view }, Balancer: balance.New("z", 1), Budget: retry.NewBudgetOf(0, 0), Metrics: tally.NoopScope})
+			s := New(Options{View: func() *fleet.View { return view }, Balancer: balance.New("z", 1, said()), Budget: retry.NewBudgetOf(0, 0), Metrics: tally.NoopScope})
 			q := testRequest()
 			q.arrived, q.deadline, q.route.Patience = time.Now(), time.Now().Add(time.Minute), patience
 			tr := &tries{sends: 1, ran: 1, verdict: protocol.MayHaveRun, last: &failure{verdict: protocol.MayHaveRun}}
@@ -94,3 +95,6 @@
 		})
 	}
 }
+
+// said returns a book in which no endpoint has said anything.
+func said() *backpressure.Book { return backpressure.New(backpressure.Options{}) }
