--- a/cmd/doorvalvectl/explain.go
+++ b/cmd/doorvalvectl/explain.go
@@ -91,12 +91,12 @@
 
 // explain picks the lines of a request and, from around before it to its end,
 // those on its models and endpoints, on leases, dependencies and the desired
-// state; and, however long before, those on the same request under other ids, and on the
-// limits of endpoints if they are why it was refused.
+// state; and, however long before, those on the same request under other ids, and on what endpoints
+// have said of themselves if that is why it was refused.
 func explain(lines []logLine, id string, around time.Duration) []logLine {
 	about, prints := map[string]bool{}, map[string]bool{}
 	var first, last time.Time
-	limited := false
+	said := ""
 	for _, l := range lines {
 		if l.Fields["request"] != id {
 			continue
@@ -110,7 +110,9 @@
 		if print, _ := l.Fields["fingerprint"].(string); print != "" {
 			prints[print] = true
 		}
-		limited = limited || l.Fields["reason"] == "endpoints-limited"
+		if reason, _ := l.Fields["reason"].(string); saidEvents[reason] != "" {
+			said = saidEvents[reason]
+		}
 		for _, field := range []string{"endpoint", "model"} {
 			if v, _ := l.Fields[field].(string); v != "" {
 				model, _, _ := strings.Cut(v, "/")
@@ -127,7 +129,7 @@
 			out = append(out, l)
 			continue
 		}
-		if limited && l.Event == "limit of an endpoint changed" && !l.At.After(last) {
+		if said != "" && l.Event == said && !l.At.After(last) {
 			out = append(out, l)
 			continue
 		}
@@ -139,6 +141,12 @@
 	return out
 }
 
+// saidEvents are the events that lead from a reason of a refusal to what endpoints have said.
+var saidEvents = map[string]string{
+	"endpoints-limited": "limit of an endpoint changed",
+	"endpoint-paused":   "endpoint asks for a pause",
+}
+
 // concerns reports whether a line that names no request bears on models or
 // endpoints, or on all requests.
 func (l *logLine) concerns(about map[string]bool) bool {
--- a/cmd/doorvalvectl/explain_test.go
+++ b/cmd/doorvalvectl/explain_test.go
@@ -72,6 +72,19 @@
 	}
 }
 
+const pausedLog = `
+host-1 {"@message":"endpoint asks for a pause","@timestamp":"2026-10-14T04:07:35.000Z","endpoint":"i-1","heard_on":"r0","for_ms":90000}
+host-1 {"@message":"request refused","@timestamp":"2026-10-14T04:08:35.000Z","request":"r1","reason":"endpoint-paused"}
+`
+
+// A request that is refused because endpoints want a pause leads to who asked for it, and when.
+func TestExplainLeadsFromARefusalToThePause(t *testing.T) {
+	got := explain(parseLog(strings.NewReader(pausedLog)), "r1", time.Second)
+	if len(got) != 2 || got[0].Fields["heard_on"] != "r0" {
+		t.Fatalf("%+v", got)
+	}
+}
+
 func TestEndpointLimitsOfAllDaemons(t *testing.T) {
 	view := quotas.LimitView{Endpoint: "app1", Rate: 2, HeardBy: "b"}
 	owned := view
--- a/coordination/backpressure/book.go
+++ b/coordination/backpressure/book.go
@@ -85,6 +85,7 @@
 	noRoom   time.Time // within its limit, until then
 	limit    limit.Word
 	said     time.Time // last
+	line     line
 }
 
 // New returns a book in which nothing was said.
@@ -98,6 +99,9 @@
 // Share tells how many daemons share the requests.
 func (b *Book) Share(daemons int) { b.daemons.Store(int64(max(1, daemons))) }
 
+// Silent reports whether no life of an id has said anything; it is cheaper than a Look.
+func (b *Book) Silent(id string) bool { return (*b.entries.Load())[id] == nil }
+
 // find returns the locked entry of a life, nil if that has said nothing.
 func (b *Book) find(life fleet.Incarnation) *entry {
 	e := (*b.entries.Load())[life.ID]
@@ -140,7 +144,7 @@
 // reset begins another life.
 func (e *entry) reset(life fleet.Incarnation) {
 	e.life, e.closesAt, e.pauseUntil, e.spread, e.resuming, e.triedAt = life, time.Time{}, time.Time{}, 0, false, time.Time{}
-	e.noRoom, e.limit = time.Time{}, limit.Word{}
+	e.noRoom, e.limit, e.line = time.Time{}, limit.Word{}, line{}
 }
 
 // Leaves takes the word of a life that it leaves, from itself or another daemon. ready is up to
@@ -238,30 +242,43 @@
 }
 
 // Look says whether a request might go to an endpoint now.
-func (b *Book) Look(now time.Time, life fleet.Incarnation) Decision {
+func (b *Book) Look(now time.Time, life fleet.Incarnation, a Ask) Decision {
 	e := b.find(life)
 	if e == nil {
 		return Decision{Open: true}
 	}
 	defer e.mu.Unlock()
-	return e.decide(now)
+	return e.decideFor(now, a)
 }
 
 // Admit is the last question before a request is sent: an endpoint whose pause has just ended is
 // taken by it for a moment. Decision.LastResort admits it, too.
-func (b *Book) Admit(now time.Time, life fleet.Incarnation) Decision {
+func (b *Book) Admit(now time.Time, life fleet.Incarnation, a Ask) Decision {
 	e := b.find(life)
 	if e == nil {
 		return Decision{Open: true}
 	}
 	defer e.mu.Unlock()
-	d := e.decide(now)
+	d := e.decideFor(now, a)
 	if !d.Closed() && e.resuming {
 		e.triedAt = now
 	}
 	return d
 }
 
+// decideFor is decide for one request: where others wait before it, the endpoint is not open.
+func (e *entry) decideFor(now time.Time, a Ask) Decision {
+	d := e.decide(now)
+	if d.Closed() || !e.orders() || e.line.ahead(a) == 0 {
+		return d
+	}
+	reason := Limited
+	if e.resuming {
+		reason = Paused
+	}
+	return Decision{Reason: reason, In: trialEvery}
+}
+
 // decide is the one decision on what a life has said.
 func (e *entry) decide(now time.Time) Decision {
 	opens, reason := e.noRoom, Limited
--- a/coordination/backpressure/book_test.go
+++ b/coordination/backpressure/book_test.go
@@ -31,16 +31,16 @@
 	b.Full(at(time.Second), one, time.Millisecond)
 	b.Limit(at(2*time.Second), one, limit.Word{})
 	for _, d := range []time.Duration{0, time.Second, 2 * time.Second, 2999 * time.Millisecond} {
-		if got := b.Look(at(d), one); got.Open || got.Reason != Paused || got.In < 3*time.Second-d {
+		if got := b.Look(at(d), one, Ask{}); got.Open || got.Reason != Paused || got.In < 3*time.Second-d {
 			t.Errorf("after %v: %+v", d, got)
 		}
 	}
-	if !b.Look(at(4*time.Second), one).Open {
+	if !b.Look(at(4*time.Second), one, Ask{}).Open {
 		t.Error("still closed after the pause and its spread")
 	}
 	b.Pause(at(4*time.Second), one, time.Second, 64)
 	b.Pause(at(4*time.Second), one, 9*time.Second, 64)
-	if got := b.Look(at(12*time.Second), one); got.Open {
+	if got := b.Look(at(12*time.Second), one, Ask{}); got.Open {
 		t.Error("the longest word does not count")
 	}
 }
@@ -51,20 +51,20 @@
 	b := newBook()
 	b.Pause(start, one, time.Second, 64)
 	now := at(2 * time.Second)
-	if !b.Admit(now, one).Open || b.Admit(now, one).Open || b.Look(now, one).Open {
+	if !b.Admit(now, one, Ask{}).Open || b.Admit(now, one, Ask{}).Open || b.Look(now, one, Ask{}).Open {
 		t.Fatal("not just one request at once")
 	}
 	now = now.Add(trialEvery)
-	if !b.Admit(now, one).Open {
+	if !b.Admit(now, one, Ask{}).Open {
 		t.Fatal("none follows one that is not answered")
 	}
 	b.Answered(now, start, one)
-	if b.Admit(now, one).Open {
+	if b.Admit(now, one, Ask{}).Open {
 		t.Fatal("an answer to a request from before the pause counts")
 	}
 	b.Answered(now.Add(time.Millisecond), now, one)
 	for range 10 {
-		if !b.Admit(now.Add(time.Millisecond), one).Open {
+		if !b.Admit(now.Add(time.Millisecond), one, Ask{}).Open {
 			t.Fatal("closed though it takes requests again")
 		}
 	}
@@ -78,7 +78,7 @@
 		b := New(Options{LeaveWithin: leaveWithin, Seed: uint64(i)})
 		b.Share(daemons)
 		b.Pause(start, one, 10*time.Second, slots)
-		in := b.Look(start, one).In
+		in := b.Look(start, one, Ask{}).In
 		if in < 10*time.Second {
 			t.Fatalf("resumes after %v of 10 s", in)
 		}
@@ -108,7 +108,7 @@
 				t.Fatal("news once, whoever tells it again")
 			}
 			for d := time.Duration(0); d < 5*time.Second; d += 100 * time.Millisecond {
-				got := b.Admit(at(d), one)
+				got := b.Admit(at(d), one, Ask{})
 				if got.Open || got.LastResort != (d < c.until) || got.Closed() == got.LastResort {
 					t.Fatalf("after %v: %+v", d, got)
 				}
@@ -123,17 +123,17 @@
 	next := fleet.Incarnation{ID: "e", Born: 2000}
 	b.Leaves(start, one, start)
 	b.Pause(start, one, time.Minute, 1)
-	if !b.Look(start, next).Open {
+	if !b.Look(start, next, Ask{}).Open {
 		t.Error("the next life is closed")
 	}
 	b.Pause(start, next, time.Second, 1)
 	b.Leaves(start, one, start)
-	if got := b.Look(start, next); got.Reason != Paused || got.In > 2*time.Second {
+	if got := b.Look(start, next, Ask{}); got.Reason != Paused || got.In > 2*time.Second {
 		t.Errorf("a late word of the life before changed it: %+v", got)
 	}
 	unborn := fleet.Incarnation{ID: "u"}
 	b.Leaves(start, unborn, time.Time{})
-	if b.Look(start, fleet.Incarnation{ID: "u", Born: 5}).Open {
+	if b.Look(start, fleet.Incarnation{ID: "u", Born: 5}, Ask{}).Open {
 		t.Error("a word is lost where the start of the life is told later")
 	}
 }
@@ -169,7 +169,7 @@
 			case 5:
 				b.Keep(now, func(fleet.Incarnation) bool { return rapid.Bool().Draw(t, "listed") })
 			default:
-				d := b.Admit(now, one)
+				d := b.Admit(now, one, Ask{})
 				switch {
 				case left && d.Open:
 					t.Fatalf("open after it has said that it leaves: %+v", d)
@@ -186,6 +186,6 @@
 func BenchmarkLookWhereNothingWasSaid(b *testing.B) {
 	book := newBook()
 	for b.Loop() {
-		book.Look(start, one)
+		book.Look(start, one, Ask{})
 	}
 }
--- a/coordination/balance/balance.go
+++ b/coordination/balance/balance.go
@@ -93,6 +93,7 @@
 	Unit     string // MODEL or MODEL/ADAPTER; empty for plain services
 	Affinity string // shared part of the prompt; empty for none
 	Exclude  []fleet.Incarnation
+	Ask      backpressure.Ask // the request's, in the lines of those that wait
 }
 
 // Pick returns the endpoint for a request, or nil. Endpoints that have just failed
@@ -117,7 +118,7 @@
 	for _, e := range candidates {
 		l := b.load(e.Life())
 		switch {
-		case e.Leaving, now.Before(l.goneUntil), !b.said.Look(now, e.Life()).Open, slices.ContainsFunc(q.Exclude, e.Life().Same):
+		case e.Leaving, now.Before(l.goneUntil), !b.said.Look(now, e.Life(), q.Ask).Open, slices.ContainsFunc(q.Exclude, e.Life().Same):
 		case q.Unit != "" && now.Before(l.absent[q.Unit]):
 		case now.Before(l.avoidUntil):
 			avoided = append(avoided, e)
@@ -226,7 +227,7 @@
 func (b *Balancer) Avoided(now time.Time, id fleet.Incarnation) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return now.Before(b.load(id).avoidUntil) || !b.said.Look(now, id).Open
+	return now.Before(b.load(id).avoidUntil) || !b.said.Look(now, id, backpressure.Ask{}).Open
 }
 
 // PickLeaving returns an endpoint that leaves and may still serve what no other can, or nil.
@@ -238,27 +239,29 @@
 		if l := b.load(e.Life()); now.Before(l.goneUntil) || slices.ContainsFunc(q.Exclude, e.Life().Same) {
 			continue
 		}
-		if b.said.Look(now, e.Life()).LastResort {
+		if b.said.Look(now, e.Life(), q.Ask).LastResort {
 			may = append(may, e)
 		}
 	}
 	return b.pickOwn(may, q)
 }
 
-// Shut returns the endpoints among some that want no requests for a while, by their own word, and
-// when the first of them takes some.
-func (b *Balancer) Shut(now time.Time, candidates []*fleet.Endpoint) (shut []fleet.Incarnation, opensIn time.Duration) {
+// Shut returns the endpoints among some that stay and want no request like this one now, by their
+// own word.
+func (b *Balancer) Shut(now time.Time, candidates []*fleet.Endpoint, a backpressure.Ask) (shut []*fleet.Endpoint) {
 	for _, e := range candidates {
-		d := b.said.Look(now, e.Life())
-		if e.Leaving || !d.Closed() || d.Reason == backpressure.Leaving {
-			continue
-		}
-		if len(shut) == 0 || d.In < opensIn {
-			opensIn = d.In
+		if d := b.said.Look(now, e.Life(), a); !e.Leaving && d.Closed() && d.Reason != backpressure.Leaving {
+			shut = append(shut, e)
 		}
-		shut = append(shut, e.Life())
 	}
-	return shut, opensIn
+	return shut
+}
+
+// Rate returns how many requests a second an endpoint works on for this daemon, by Little's law.
+func (b *Balancer) Rate(e *fleet.Endpoint) float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return float64(b.slots(e)) / b.service(e.Service).runTime.Seconds() / float64(b.daemons)
 }
 
 // slots returns how many requests an endpoint works on at once: as it declares, or less under a
--- a/coordination/balance/limits_test.go
+++ b/coordination/balance/limits_test.go
@@ -23,9 +23,9 @@
 	if e := b.Pick(start, list[:1], Query{}); e != nil {
 		t.Fatal("picked the only one, which has no room")
 	}
-	full, roomIn := b.Shut(start.Add(400*time.Millisecond), list)
-	if len(full) != 1 || full[0] != life("a") || roomIn != 600*time.Millisecond {
-		t.Fatalf("%v without room, for %v", full, roomIn)
+	shut := b.Shut(start.Add(400*time.Millisecond), list, backpressure.Ask{})
+	if in := b.said.Turn(start.Add(400*time.Millisecond), life("a"), backpressure.Ask{}, 1); len(shut) != 1 || shut[0] != list[0] || in != 600*time.Millisecond {
+		t.Fatalf("%v without room, for %v", shut, in)
 	}
 	if !b.Avoided(start, life("a")) {
 		t.Error("counts as one that can take a request from another")
@@ -70,8 +70,8 @@
 	if e := b.Pick(start.Add(2*time.Second), list[:1], Query{}); e != nil {
 		t.Error("picked within the pause")
 	}
-	if shut, in := b.Shut(start.Add(2*time.Second), list[:1]); len(shut) != 1 || in < time.Second {
-		t.Errorf("%v shut for %v", shut, in)
+	if shut := b.Shut(start.Add(2*time.Second), list[:1], backpressure.Ask{}); len(shut) != 1 {
+		t.Errorf("%v shut", shut)
 	}
 	b.said.Leaves(start, life("b"), start)
 	if e := b.Pick(start, list[1:], Query{}); e != nil {
@@ -83,7 +83,7 @@
 	if e := b.PickLeaving(start.Add(2*time.Second), list, Query{}); e != nil {
 		t.Error("picked later than an endpoint that leaves may get requests")
 	}
-	if d := b.said.Look(start, life("b")); d.Open || d.Reason != backpressure.Leaving {
+	if d := b.said.Look(start, life("b"), backpressure.Ask{}); d.Open || d.Reason != backpressure.Leaving {
 		t.Errorf("%+v", d)
 	}
 }
--- a/coordination/quota/client.go
+++ b/coordination/quota/client.go
@@ -58,6 +58,7 @@
 	roomAt    time.Time // by the owner's last word
 	usedAt    time.Time // when something was offered or granted last
 	spare     float64   // for callers that come back
+	part      float64   // of the rate
 	fullUntil time.Time // until then new requests alone are taken to be too many
 	backlog   float64   // of refused units, at backlogAt
 	backlogAt time.Time
@@ -173,6 +174,10 @@
 	return max(0, c.account(subject).roomAt.Sub(now))
 }
 
+// Part returns the part of the rate, in units a second, that this daemon may count on, by the
+// owner's last word.
+func (c *Client) Part(subject string) float64 { return c.account(subject).part }
+
 // Forget drops what is known of subjects that nobody has sent for in a long time.
 func (c *Client) Forget(now time.Time) {
 	for subject, a := range c.accounts {
@@ -209,7 +214,7 @@
 	a := c.account(subject)
 	a.pay(now, g.Units)
 	a.ahead, a.until = g.Ahead, a.sentAt.Add(AheadLife) // no later than by the owner's clock
-	a.spare = g.Spare
+	a.spare, a.part = g.Spare, g.Part
 	a.fullUntil = time.Time{}
 	if g.Over && g.Spare <= 0 {
 		a.fullUntil = now.Add(fullFor)
--- a/coordination/quota/owner.go
+++ b/coordination/quota/owner.go
@@ -37,8 +37,23 @@
 	ahead    float64 // over all daemons
 	swept    time.Time
 	scarce   map[int]time.Time // by rank: when requests found no room last
+	heads    map[string]head   // by daemon
 }
 
+// head is the first of the requests that wait at a daemon.
+type head struct {
+	rank     int
+	deadline time.Time // when its caller leaves
+	until    time.Time // it asks again by then, or it does not wait any more
+}
+
+func (h head) before(o head) bool {
+	return h.rank < o.rank || h.rank == o.rank && h.deadline.Before(o.deadline)
+}
+
+// headSlack is by how much a daemon may ask later than it was told to.
+const headSlack = 250 * time.Millisecond
+
 // share is one daemon's part.
 type share struct {
 	demand   meter
@@ -67,11 +82,13 @@
 	g := Grant{Over: true}
 	if !b.outranked(now, d.Rank) {
 		g = o.grant(now, b, s, d, l, part*o.bounds.over(d.Limits))
+		g.Part = rate * b.shareOf(now, s)
 	}
 	if g.Units < d.Need {
 		b.scarce[d.Rank] = now
 	}
 	g.RoomIn = max(g.Again, o.roomIn(now, b, d, l, part*o.bounds.over(d.Limits)))
+	b.noteHead(now, d, g)
 	if g.Units > 0 || g.Ahead > 0 {
 		b.granted = now
 	}
@@ -87,7 +104,7 @@
 	rate, depth := o.bounds.Sustained(l), o.bounds.depth(l)
 	left := b.window.room(now, o.bounds, l) - b.ahead
 	held := min(b.level, left)
-	room := min(held, b.level-o.locked(now, b, l, depth, startPart*slack))
+	room := min(held, b.level-o.locked(now, b, l, depth, startPart*slack)) - b.aheadOf(now, d)
 	pressed := b.demand.rate(now) > tightDemand*rate
 	if held >= tightLevel*depth && (room >= tightLevel*startPart*slack || !pressed) {
 		g := Grant{Units: b.take(now, d, room, depth)}
@@ -113,14 +130,15 @@
 	return g
 }
 
-// roomIn returns the time until the bucket holds one more request like those that wait.
+// roomIn returns the time until the bucket holds one more request like those that wait, rounded up,
+// so that who asks again then finds it.
 func (o *Owner) roomIn(now time.Time, b *bucket, d Draw, l Limits, slack float64) time.Duration {
 	depth, rate := o.bounds.depth(l), o.bounds.Sustained(l)
-	missing := min(d.each(), depth) - (b.level - o.locked(now, b, l, depth, startPart*slack))
+	missing := min(d.each(), depth) + b.aheadOf(now, d) - (b.level - o.locked(now, b, l, depth, startPart*slack))
 	if missing <= 0 || rate <= 0 {
 		return 0
 	}
-	return min(roomMost, time.Duration(missing/rate*float64(time.Second)))
+	return min(roomMost, time.Duration(math.Ceil(missing/rate*1000))*time.Millisecond)
 }
 
 // each returns the mean of the requests that wait.
@@ -136,7 +154,7 @@
 	if b == nil {
 		b = &bucket{
 			level: burst, at: now, since: now, swept: now, calmAt: now, window: newWindow(o.bounds.Window),
-			demand: meter{over: demandOver}, requests: meter{over: demandOver}, shares: map[string]*share{}, scarce: map[int]time.Time{},
+			demand: meter{over: demandOver}, requests: meter{over: demandOver}, shares: map[string]*share{}, scarce: map[int]time.Time{}, heads: map[string]head{},
 		}
 		o.buckets[subject] = b
 	}
@@ -212,6 +230,37 @@
 	return false
 }
 
+// aheadOf returns the units of the requests that wait at other daemons and come before a draw.
+func (b *bucket) aheadOf(now time.Time, d Draw) float64 {
+	if d.Need <= 0 {
+		return 0
+	}
+	first := d.first(now)
+	units := 0.0
+	for daemon, h := range b.heads {
+		if daemon != d.Daemon && now.Before(h.until) && h.before(first) {
+			units += d.each()
+		}
+	}
+	return units
+}
+
+// first returns the first of the requests of a draw as one that waits.
+func (d *Draw) first(now time.Time) head { return head{rank: d.Rank, deadline: now.Add(d.Left)} }
+
+// noteHead remembers a request that goes on waiting after a grant. A daemon lets no request ask
+// before one of its own that comes first: that one does not wait any more.
+func (b *bucket) noteHead(now time.Time, d Draw, g Grant) {
+	first := d.first(now)
+	if d.Need <= 0 || g.Units >= d.Need || b.heads[d.Daemon].before(first) {
+		delete(b.heads, d.Daemon)
+	}
+	if d.Waits && g.Units < d.Need {
+		first.until = now.Add(g.RoomIn + headSlack)
+		b.heads[d.Daemon] = first
+	}
+}
+
 // spend takes units out of the bucket; below zero they come back.
 func (b *bucket) spend(now time.Time, units float64) {
 	b.level -= units
@@ -233,6 +282,7 @@
 		}
 		if now.Sub(s.drawn) > forgetAfter {
 			delete(b.shares, id)
+			delete(b.heads, id)
 		}
 	}
 }
@@ -335,6 +385,15 @@
 	return sum
 }
 
+// shareOf returns a daemon's part of the demand.
+func (b *bucket) shareOf(now time.Time, s *share) float64 {
+	total := b.totalDemand(now)
+	if total <= 0 {
+		return 0
+	}
+	return s.demand.rate(now) / total
+}
+
 // View is how a bucket stands, for people.
 type View struct {
 	Level    float64 `json:"level"`
--- a/coordination/quota/quota_test.go
+++ b/coordination/quota/quota_test.go
@@ -267,3 +267,45 @@
 		o.Draw(at(float64(i)/2700), d, 1)
 	}
 }
+
+// Guards against a request that overtakes one which waits at another daemon: what there is room for
+// goes to the more urgent, then to the one whose caller leaves first. One that does not ask again
+// when it was told to holds nobody back.
+func TestWaitingRequestsGoInOrderOverAllDaemons(t *testing.T) {
+	one := Bounds{Window: 4 * time.Second, Overage: 0.5, Slack: 5, Depth: 0.2}
+	asks := func(daemon string, rank int, left time.Duration, waits bool) Draw {
+		return Draw{Daemon: daemon, Subject: "e", Limits: Limits{Rate: 1}, Need: 1, Waiting: 1, Offered: 1, Requests: 1, Rank: rank, Left: left, Waits: waits}
+	}
+	o := NewOwner("o", one, longAgo)
+	now := at(10)
+	for o.Draw(now, asks("z", 1, time.Minute, false), 1).Units > 0 {
+	}
+	g := o.Draw(now, asks("a", 1, 5*time.Second, true), 1)
+	if g.Units > 0 || g.RoomIn <= 0 || g.RoomIn > time.Second {
+		t.Fatalf("the first that waits: %+v", g)
+	}
+	if later := o.Draw(now, asks("b", 1, 9*time.Second, true), 1); later.Units > 0 || later.RoomIn < g.RoomIn+900*time.Millisecond {
+		t.Errorf("one that comes after it: %+v, room for the first in %v", later, g.RoomIn)
+	}
+	now = now.Add(g.RoomIn)
+	if g := o.Draw(now, asks("c", 1, 15*time.Second, false), 1); g.Units > 0 {
+		t.Error("a new one overtakes those that wait")
+	}
+	if g := o.Draw(now, asks("a", 1, 3*time.Second, true), 1); g.Units < 1 {
+		t.Errorf("the first has its turn: %+v", g)
+	}
+	// b does not ask again: its place is over a little after the time that it was told.
+	now = now.Add(2*time.Second + headSlack)
+	if g := o.Draw(now, asks("c", 1, 15*time.Second, false), 1); g.Units < 1 {
+		t.Errorf("held back for one that does not ask any more: %+v", g)
+	}
+	now = now.Add(100 * time.Millisecond)
+	for o.Draw(now, asks("z", 1, time.Minute, false), 1).Units > 0 {
+	}
+	o.Draw(now, asks("b", 1, 2*time.Second, true), 1)
+	o.Draw(now, Draw{Daemon: "b", Subject: "e", Limits: Limits{Rate: 1}}, 1) // stops waiting
+	now = now.Add(time.Second)
+	if g := o.Draw(now, asks("c", 1, 15*time.Second, false), 1); g.Units < 1 {
+		t.Errorf("held back for one that has said that it waits no more: %+v", g)
+	}
+}
--- a/coordination/quota/types.go
+++ b/coordination/quota/types.go
@@ -143,6 +143,10 @@
 	Need    float64 // units of the requests that wait for the answer
 	Waiting int     // requests that do
 	Rank    int     // of the most urgent of them; 0 is first
+	// Left is the time until the caller of that one leaves, and Waits says that it asks again
+	// until it is let through. Requests that wait are let through in order over all daemons.
+	Left  time.Duration
+	Waits bool
 	// Used is what it has let through of what it was authorized ahead, since its last draw.
 	Used float64
 	// Offered and Requests are what callers have asked for since its last draw, those that
@@ -187,6 +191,9 @@
 	// while new requests alone are too many.
 	Over  bool
 	Spare float64
+	// Part is the part of the rate, in units a second, that the daemon may count on by what it
+	// and the others have asked for lately; zero while more urgent requests leave none.
+	Part float64
 	// RoomIn is the time until there is room for one more request like those that wait, if
 	// nobody else takes it.
 	RoomIn  time.Duration
--- a/coordination/waiting/waiting.go
+++ b/coordination/waiting/waiting.go
@@ -15,6 +15,9 @@
 	// Begun says that an endpoint has worked on the request, so that it cannot
 	// be refused any more: ended now, it has failed.
 	Begun bool
+	// Again says that it has waited before, in vain: then it waits only while it can be within
+	// its objective.
+	Again bool
 }
 
 // Decision is what becomes of the request.
@@ -49,7 +52,7 @@
 	if in.Begun {
 		return Decision{Wait: in.lasts(need), RetryAfter: minRetryAfter}
 	}
-	if in.Elapsed+need <= in.Target && in.lasts(need) || in.lasts(need+in.Margin) {
+	if in.Elapsed+need <= in.Target && in.lasts(need) || !in.Again && in.lasts(need+in.Margin) {
 		return Decision{Wait: true}
 	}
 	back := min(in.ReadyIn+returnMargin, in.TimeLeft/honouredPart)
--- a/coordination/waiting/waiting_test.go
+++ b/coordination/waiting/waiting_test.go
@@ -26,6 +26,8 @@
 		{"who has waited long waits on for what is near", func(in *Input) { in.ReadyIn, in.Elapsed = 1*time.Second, 7*time.Second }, true, 0, 0},
 		{"what has begun waits without the margin", func(in *Input) { in.ReadyIn, in.Margin, in.Begun = 6*time.Second, 9*time.Second, true }, true, 0, 0},
 		{"what has begun does not wait past its caller", func(in *Input) { in.ReadyIn, in.Elapsed, in.Begun = 6*time.Second, 4*time.Second, true }, false, 0, time.Second},
+		{"what has waited in vain waits again within its objective", func(in *Input) { in.ReadyIn, in.Again = 2*time.Second, true }, true, 0, 0},
+		{"what has waited in vain does not wait beyond it", func(in *Input) { in.ReadyIn, in.Again = 3*time.Second, true }, false, 3 * time.Second, 4 * time.Second},
 		{"nothing is waited for past the deadline", func(in *Input) { in.ReadyIn, in.TimeLeft = 6*time.Second, 3*time.Second }, false, 100 * ms, time.Second},
 	}
 	for _, c := range cases {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -20,7 +20,9 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/doorvalve/doorvalve/coordination/backpressure"
 	"github.com/doorvalve/doorvalve/coordination/drain"
+	"github.com/doorvalve/doorvalve/coordination/limit"
 	"github.com/doorvalve/doorvalve/coordination/membership"
 	"github.com/doorvalve/doorvalve/driver/claimer"
 	"github.com/doorvalve/doorvalve/driver/decisions"
@@ -30,6 +32,8 @@
 	"github.com/doorvalve/doorvalve/driver/quarantiner"
 	"github.com/doorvalve/doorvalve/driver/quotas"
 	"github.com/doorvalve/doorvalve/driver/rollout"
+	"github.com/doorvalve/doorvalve/driver/throttle"
+	"github.com/doorvalve/doorvalve/internal/clock"
 	"github.com/doorvalve/doorvalve/protocol/peerpb"
 	"github.com/doorvalve/doorvalve/protocol/quarantinepb"
 	"github.com/doorvalve/doorvalve/protocol/quotapb"
@@ -63,6 +67,8 @@
 	claimer  *claimer.Claimer
 	keeper   *quarantiner.Keeper
 	quotas   *quotas.Keeper
+	said     *backpressure.Book
+	throttle *throttle.Keeper
 	callers  *callers.Server
 	metrics  tally.Scope
 	reporter promreporter.Reporter
@@ -87,6 +93,7 @@
 func New(set settings.Settings, log *decisions.Log) (*Daemon, error) {
 	d := &Daemon{
 		set: set, self: set.Host + "-" + nonce(), started: time.Now(), drain: drain.New(),
+		said:    backpressure.New(backpressure.Options{Seed: uint64(time.Now().UnixNano())}),
 		placers: map[string]*placer.Placer{}, reporters: map[string]*reporter{}, done: make(chan struct{}),
 	}
 	d.log = log.With("daemon", d.self)
@@ -116,14 +123,18 @@
 		Self: d.self, Members: d.gossip.Members, Peer: d.peers.Quarantines().To, Endpoint: d.endpointState, Store: d.platform, Log: d.log.Part("quarantine"), Metrics: d.metrics,
 	})
 	d.quotas = quotas.New(quotas.Options{
-		Self: d.self, Members: d.gossip.Members, Revision: d.gossip.Revision, Directory: d.workspaces, Listed: d.endpointListed, Tell: d.gossip.Set, Store: d.platform, Peer: d.peers.Quotas().To, Log: d.log.Part("quotas"), Metrics: d.metrics,
+		Self: d.self, Members: d.gossip.Members, Revision: d.gossip.Revision, Directory: d.workspaces, Listed: d.endpointListed, Tell: d.gossip.Set, Limited: func(life fleet.Incarnation, w limit.Word) { d.throttle.Limited(life, w) }, Store: d.platform, Peer: d.peers.Quotas().To, Log: d.log.Part("quotas"), Metrics: d.metrics,
+	})
+	d.throttle = throttle.New(throttle.Options{
+		Self: d.self, Book: d.said, Limits: d.quotas.Endpoints(), ReadyAt: func(fleet.Incarnation) time.Time { return time.Time{} },
+		Listed: d.endpointListed, Leaving: func(fleet.Incarnation) {}, Tell: d.gossip.Set, Log: d.log.Part("throttle"), Metrics: d.metrics,
 	})
 	d.gossip.OnFact(d.quotas.Endpoints().Fact)
 	d.gates.Store(&map[string]*gate.Gate{})
 	d.setPhase(drain.Serving)
 	d.callers = callers.New(callers.Options{
 		Self: d.self, Limits: set.Limits, Config: d.rollout.Current, Gate: d.gate, Members: d.gossip.Members, Phase: d.Phase,
-		Claimer: d.claimer, Quarantine: d.keeper, Quotas: d.quotas, RateLimits: d.quotas.Endpoints(), Proxy: proxy.New(set.Limits.AnswerBytes), Log: d.log.Part("callers"), Metrics: d.metrics,
+		Claimer: d.claimer, Quarantine: d.keeper, Quotas: d.quotas, Throttle: d.throttle, Proxy: proxy.New(set.Limits.AnswerBytes), Log: d.log.Part("callers"), Metrics: d.metrics,
 		EndpointLeaving: d.endpointLeaving,
 	})
 	return d, nil
@@ -217,7 +228,7 @@
 	if g := old[unit]; g != nil {
 		return g
 	}
-	return gate.New(unit, d.set.Limits.QueueLength, r.kickNow)
+	return gate.New(unit, d.set.Limits.QueueLength, r.kickNow, d.endpointClosed)
 }
 
 // reporterFor returns a service's reporter; the caller holds the mutex.
@@ -248,6 +259,11 @@
 	return p
 }
 
+// endpointClosed reports whether an endpoint takes no requests now, by its own word.
+func (d *Daemon) endpointClosed(e bundle.Endpoint) bool {
+	return !d.said.Silent(e.Name) && d.said.Look(clock.Now(), fleet.Incarnation{ID: e.Name}, backpressure.Ask{}).Closed()
+}
+
 func (d *Daemon) endpointLeaving(endpoint string) {
 	for _, g := range *d.gates.Load() {
 		g.DropEndpoint(endpoint)
@@ -271,6 +287,7 @@
 	d.addActor(&g, ctx, d.rollout.Run)
 	d.addActor(&g, ctx, d.keeper.Run)
 	d.addActor(&g, ctx, d.quotas.Run)
+	d.addActor(&g, ctx, d.throttle.Run)
 	d.addActor(&g, ctx, d.runDrain)
 	d.addActor(&g, ctx, d.runReview)
 	d.log.Info(decisions.EventStart, "callers", d.CallerAddress(), "peers", d.PeerAddress(), "operators", d.OperatorAddress(), "failure_domain", d.set.FailureDomain)
--- a/driver/gate/gate.go
+++ b/driver/gate/gate.go
@@ -22,8 +22,7 @@
 	used     atomic.Int64
 	// avoidUntil keeps new requests away after an error, as Unix nanoseconds.
 	avoidUntil atomic.Int64
-	// fullUntil does so while the endpoint has no room within the limit that it names.
-	fullUntil atomic.Int64
+	closed     func(bundle.Endpoint) bool // by the endpoint's own word
 }
 
 // Used returns the number of requests at the endpoint.
@@ -48,7 +47,7 @@
 	}
 }
 
-func (s *Slot) avoided(now int64) bool { return s.avoidUntil.Load() > now || s.fullUntil.Load() > now }
+func (s *Slot) avoided(now int64) bool { return s.avoidUntil.Load() > now || s.closed(s.Endpoint) }
 
 // Credit is what the coordinator allows at an endpoint.
 type Credit struct {
@@ -63,9 +62,10 @@
 
 // Gate is safe for concurrent use.
 type Gate struct {
-	unit  string
-	kick  func() // asks for credit at once
-	slots atomic.Pointer[[]*Slot]
+	unit   string
+	kick   func() // asks for credit at once
+	closed func(bundle.Endpoint) bool
+	slots  atomic.Pointer[[]*Slot]
 
 	queued   atomic.Int64
 	inFlight atomic.Int64
@@ -81,9 +81,10 @@
 	estAt   time.Time // when est came
 }
 
-// New returns a gate without credit. kick is called when a request waits.
-func New(unit string, queueLength int, kick func()) *Gate {
-	g := &Gate{unit: unit, kick: kick, queue: admission.NewQueue(queueLength), waiters: map[uint64]chan outcome{}}
+// New returns a gate without credit. kick is called when a request waits; closed says of an
+// endpoint that it takes no requests now, by its own word.
+func New(unit string, queueLength int, kick func(), closed func(bundle.Endpoint) bool) *Gate {
+	g := &Gate{unit: unit, kick: kick, closed: closed, queue: admission.NewQueue(queueLength), waiters: map[uint64]chan outcome{}}
 	g.slots.Store(&[]*Slot{})
 	return g
 }
@@ -273,26 +274,20 @@
 	s.avoidUntil.Store(time.Now().Add(d).UnixNano())
 }
 
-// Full keeps new requests away from a slot's endpoint that has no room within its limit.
-func (g *Gate) Full(s *Slot, d time.Duration) {
-	s.fullUntil.Store(time.Now().Add(d).UnixNano())
-}
-
-// AllFull reports whether all endpoints that this daemon has credit at are without room within
-// their limits; room is then the one that has room first.
-func (g *Gate) AllFull(now time.Time) (room string, all bool) {
-	soonest := int64(0)
+// Shut returns the endpoints that this daemon has credit at, if all of them take no requests now by
+// their own word.
+func (g *Gate) Shut() []bundle.Endpoint {
+	var list []bundle.Endpoint
 	for _, s := range *g.slots.Load() {
-		until := s.fullUntil.Load()
 		switch {
 		case s.limit.Load() == 0:
-		case until <= now.UnixNano():
-			return "", false
-		case room == "" || until < soonest:
-			room, soonest = s.Endpoint.Name, until
+		case !g.closed(s.Endpoint):
+			return nil
+		default:
+			list = append(list, s.Endpoint)
 		}
 	}
-	return room, room != ""
+	return list
 }
 
 // Update sets the credits and the estimate, answers the requests that are
@@ -348,7 +343,7 @@
 	for _, c := range credits {
 		s := old[c.Endpoint.Name]
 		if s == nil || s.Endpoint.Address != c.Endpoint.Address {
-			s = &Slot{Endpoint: c.Endpoint}
+			s = &Slot{Endpoint: c.Endpoint, closed: g.closed}
 		}
 		s.limit.Store(int64(c.Limit))
 		delete(old, c.Endpoint.Name)
--- a/driver/gate/gate_test.go
+++ b/driver/gate/gate_test.go
@@ -22,7 +22,7 @@
 
 // While a daemon has credit, a request takes no lock and allocates nothing.
 func TestGateCreditAllocatesNothing(t *testing.T) {
-	g := New("m", 16, func() { t.Error("credit was asked for") })
+	g := New("m", 16, func() { t.Error("credit was asked for") }, allOpen)
 	g.Update(time.Now(), []Credit{credit("a", 4), credit("b", 4)}, admission.Estimate{})
 	ctx, req := context.Background(), Request{Worth: 1, Deadline: time.Now().Add(time.Hour), Affinity: 7}
 	g.mu.Lock() // the path must not need it
@@ -44,7 +44,7 @@
 // give up.
 func TestGateEveryRequestAnsweredOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		g := New("m", 50, func() {})
+		g := New("m", 50, func() {}, allOpen)
 		g.service.Store(int64(100 * time.Millisecond))
 		start := time.Now()
 		var mu sync.Mutex
@@ -105,7 +105,7 @@
 // Without a coordinator, waiting requests are refused, and credit is kept.
 func TestGateFailKeepsCredit(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		g := New("m", 16, func() {})
+		g := New("m", 16, func() {}, allOpen)
 		g.Update(time.Now(), []Credit{credit("a", 1)}, admission.Estimate{})
 		deadline := time.Now().Add(time.Minute)
 		s, refusal := g.Acquire(context.Background(), Request{Deadline: deadline})
@@ -121,7 +121,7 @@
 			t.Fatalf("refused although credit was kept: %v", refusal)
 		}
 		g.Release(s, time.Second)
-		empty := New("n", 16, func() {})
+		empty := New("n", 16, func() {}, allOpen)
 		go func() {
 			time.Sleep(time.Second)
 			empty.Fail(time.Now(), "no-coordinator", 5*time.Second)
@@ -133,7 +133,7 @@
 }
 
 func BenchmarkGateWithCredit(b *testing.B) {
-	g := New("m", 16, func() {})
+	g := New("m", 16, func() {}, allOpen)
 	var credits []Credit
 	for i := range 8 {
 		credits = append(credits, credit(fmt.Sprint("e", i), 1024))
@@ -155,7 +155,7 @@
 // An estimate that came long ago refuses nobody.
 func TestGateOldEstimateIsForgotten(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		g := New("m", 16, func() {})
+		g := New("m", 16, func() {}, allOpen)
 		g.Update(time.Now(), nil, admission.Estimate{Refuse: "left-to-scripts", After: time.Minute})
 		time.Sleep(2 * estimateLife)
 		go func() {
@@ -169,3 +169,26 @@
 		g.Release(s, time.Millisecond)
 	})
 }
+
+func allOpen(bundle.Endpoint) bool { return false }
+
+// Guards against credit that is used at an endpoint that takes no requests now by its own word, and
+// against requests that wait in the queue for it alone.
+func TestGateKeepsToWhatEndpointsSay(t *testing.T) {
+	closed := map[string]bool{"a": true}
+	g := New("m", 16, func() {}, func(e bundle.Endpoint) bool { return closed[e.Name] })
+	now := time.Now()
+	g.Update(now, []Credit{{Endpoint: bundle.Endpoint{Name: "a"}, Limit: 9}, {Endpoint: bundle.Endpoint{Name: "b"}, Limit: 1}}, admission.Estimate{})
+	s, refusal := g.Acquire(t.Context(), Request{Deadline: now.Add(time.Second)})
+	if refusal != nil || s.Endpoint.Name != "b" || g.Shut() != nil {
+		t.Fatalf("%+v, %v, shut %v", s, refusal, g.Shut())
+	}
+	closed["b"] = true
+	if shut := g.Shut(); len(shut) != 2 {
+		t.Errorf("%v are shut", shut)
+	}
+	closed = map[string]bool{}
+	if s, refusal := g.Acquire(t.Context(), Request{Deadline: now.Add(time.Second)}); refusal != nil || s.Endpoint.Name != "a" {
+		t.Errorf("%+v, %v", s, refusal)
+	}
+}
--- a/driver/quotas/endpoints.go
+++ b/driver/quotas/endpoints.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/doorvalve/doorvalve/coordination/backpressure"
 	"github.com/doorvalve/doorvalve/coordination/limit"
 	"github.com/doorvalve/doorvalve/coordination/membership"
 	"github.com/doorvalve/doorvalve/coordination/quota"
@@ -70,21 +71,28 @@
 // Limited returns all limits that endpoints name now. It must not be changed.
 func (e *Endpoints) Limited() map[fleet.Incarnation]limit.Word { return *e.limited.Load() }
 
-// Admit counts a request of some rank, 0 first, for the endpoint that it is about to be sent to.
-// If the endpoint has no room within its limit, it returns the time until it has.
-func (e *Endpoints) Admit(ctx context.Context, life fleet.Incarnation, rank int) (t Ticket, ok bool, roomIn time.Duration) {
+// Admit counts a request for the endpoint that it is about to be sent to. If the endpoint has no
+// room within its limit, it returns the time until it has.
+func (e *Endpoints) Admit(ctx context.Context, life fleet.Incarnation, a backpressure.Ask) (t Ticket, ok bool, roomIn time.Duration) {
 	w, limited := e.Limit(life)
 	if !limited {
 		return Ticket{}, true, 0
 	}
 	subject := life.String()
-	if e.shared.take(ctx, claim{subject: subject, limits: w.Limits(), version: w.Version, cost: oneRequest, rank: rank}) {
+	if e.shared.take(ctx, claim{subject: subject, limits: w.Limits(), version: w.Version, cost: oneRequest, rank: a.Rank, waits: a.Place != nil, timeLeft: max(0, a.Deadline.Sub(e.opt.Clock()))}) {
 		return Ticket{subject, oneRequest}, true, 0
 	}
 	e.metrics.heldBack.Inc(1)
 	return Ticket{}, false, max(e.shared.roomIn(subject), roomLeast)
 }
 
+// StopWaiting takes a request out that was held back and will not ask again.
+func (e *Endpoints) StopWaiting(life fleet.Incarnation) {
+	if w, limited := e.Limit(life); limited {
+		e.shared.stopWaiting(claim{subject: life.String(), limits: w.Limits(), version: w.Version})
+	}
+}
+
 // oneRequest is what a request takes of a limit, which counts requests.
 const oneRequest = 1
 
@@ -92,13 +100,9 @@
 // daemon.
 const roomLeast = 20 * time.Millisecond
 
-// Refused notes that a caller was refused for want of room, and returns when it is to come back.
-func (e *Endpoints) Refused(life fleet.Incarnation) time.Duration {
-	return e.shared.refused(life.String(), oneRequest)
-}
-
-// Wait returns when a request would find room at an endpoint that has none now.
-func (e *Endpoints) Wait(life fleet.Incarnation) time.Duration { return e.shared.wait(life.String()) }
+// Part returns the part of an endpoint's limit, in requests a second, that this daemon may count
+// on; zero where nobody has said.
+func (e *Endpoints) Part(life fleet.Incarnation) float64 { return e.shared.part(life.String()) }
 
 // Return takes back what a request was let through with that has not reached the endpoint.
 func (e *Endpoints) Return(t Ticket) { e.shared.giveBack(t) }
--- a/driver/quotas/serve.go
+++ b/driver/quotas/serve.go
@@ -16,13 +16,13 @@
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	resp, err := s.opt.Peer(m.PeerAddress).Draw(ctx, &quotapb.DrawRequest{
-		Daemon: d.Daemon, Subject: d.Subject, Kind: s.kind, Version: version, Rate: d.Limits.Rate, Burst: d.Limits.Burst, Need: d.Need, Waiting: int32(d.Waiting), Rank: int32(d.Rank), Used: d.Used,
+		Daemon: d.Daemon, Subject: d.Subject, Kind: s.kind, Version: version, Rate: d.Limits.Rate, Burst: d.Limits.Burst, Need: d.Need, Waiting: int32(d.Waiting), Rank: int32(d.Rank), LeftMs: d.Left.Milliseconds(), Waits: d.Waits, Used: d.Used,
 		Offered: d.Offered, Requests: int32(d.Requests), Elsewhere: pastToWire(d.Elsewhere), Summary: summaryToWire(d.Summary), Inform: d.Inform, Forwarded: forwarded,
 	})
 	if err != nil {
 		return quota.Grant{}, "", err
 	}
-	return quota.Grant{Units: resp.Units, Ahead: resp.Ahead, Again: time.Duration(resp.AgainMs) * time.Millisecond, RoomIn: time.Duration(resp.RoomInMs) * time.Millisecond, Over: resp.Over, Spare: resp.Spare, Summary: summaryFromWire(resp.Summary)}, resp.Owner, nil
+	return quota.Grant{Units: resp.Units, Ahead: resp.Ahead, Again: time.Duration(resp.AgainMs) * time.Millisecond, RoomIn: time.Duration(resp.RoomInMs) * time.Millisecond, Over: resp.Over, Spare: resp.Spare, Part: resp.Part, Summary: summaryFromWire(resp.Summary)}, resp.Owner, nil
 }
 
 // errCount refuses a question that no daemon asks.
@@ -52,7 +52,7 @@
 		return toWire(quota.Grant{Units: req.Need}, s.opt.Self)
 	}
 	d := quota.Draw{
-		Daemon: req.Daemon, Subject: req.Subject, Limits: limits, Need: req.Need, Waiting: int(req.Waiting), Rank: int(req.Rank), Used: req.Used, Offered: req.Offered, Requests: int(req.Requests),
+		Daemon: req.Daemon, Subject: req.Subject, Limits: limits, Need: req.Need, Waiting: int(req.Waiting), Rank: int(req.Rank), Left: time.Duration(req.LeftMs) * time.Millisecond, Waits: req.Waits, Used: req.Used, Offered: req.Offered, Requests: int(req.Requests),
 		Elsewhere: pastFromWire(req.Elsewhere), Summary: summaryFromWire(req.Summary), Inform: req.Inform,
 	}
 	if !req.Forwarded {
@@ -79,7 +79,7 @@
 }
 
 func toWire(g quota.Grant, owner string) *quotapb.DrawResponse {
-	return &quotapb.DrawResponse{Units: g.Units, Ahead: g.Ahead, AgainMs: g.Again.Milliseconds(), RoomInMs: g.RoomIn.Milliseconds(), Over: g.Over, Spare: g.Spare, Owner: owner, Summary: summaryToWire(g.Summary)}
+	return &quotapb.DrawResponse{Units: g.Units, Ahead: g.Ahead, AgainMs: g.Again.Milliseconds(), RoomInMs: g.RoomIn.Milliseconds(), Over: g.Over, Spare: g.Spare, Part: g.Part, Owner: owner, Summary: summaryToWire(g.Summary)}
 }
 
 func pastToWire(list []quota.Past) []*quotapb.Past {
--- a/driver/quotas/sharer.go
+++ b/driver/quotas/sharer.go
@@ -39,7 +39,7 @@
 type flight struct {
 	need    float64
 	waiting int
-	rank    int // of the most urgent of them
+	first   claim // the one that comes before the others
 	left    bool
 	done    chan struct{}
 	next    *flight
@@ -53,6 +53,15 @@
 	cost    float64
 	rank    int  // 0 is first
 	late    bool // the request has missed its latency objective already
+	// waits says that the request asks again until it is let through, and was counted before as
+	// one that callers ask for; timeLeft is the time until its caller leaves.
+	waits    bool
+	timeLeft time.Duration
+}
+
+// before reports whether a claim on the same subject comes first.
+func (c claim) before(o claim) bool {
+	return c.rank < o.rank || c.rank == o.rank && c.timeLeft < o.timeLeft
 }
 
 func newSharer(k *Keeper, kind quotapb.Kind, name string, bounds quota.Bounds) *sharer {
@@ -68,7 +77,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.opt.Clock()
-	s.client.Offer(now, c.subject, c.cost)
+	if !c.waits {
+		s.client.Offer(now, c.subject, c.cost)
+	}
 	verdict := s.client.Take(now, c.subject, c.cost, c.late)
 	if verdict == quota.Ask {
 		f := s.join(c)
@@ -97,11 +108,11 @@
 	return s.client.RoomIn(s.opt.Clock(), subject)
 }
 
-// wait returns when a request would be let through.
-func (s *sharer) wait(subject string) time.Duration {
+// part returns the part of a subject's rate that this daemon may count on.
+func (s *sharer) part(subject string) float64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.client.Wait(s.opt.Clock(), subject)
+	return s.client.Part(subject)
 }
 
 // giveBack takes back what a request was let through with that has not run.
@@ -129,8 +140,8 @@
 		}
 		f = f.next
 	}
-	if f.waiting == 0 || c.rank < f.rank {
-		f.rank = c.rank
+	if f.waiting == 0 || c.before(f.first) {
+		f.first = c
 	}
 	f.need += c.cost
 	f.waiting++
@@ -176,6 +187,22 @@
 	s.granted(c.subject, s.opt.Self, s.unreached(s.opt.Clock(), d))
 }
 
+// stopWaiting tells the owner that a claim which waited does not any more: those that come after
+// it need not be held back. A question that is about to leave tells it as well.
+func (s *sharer) stopWaiting(c claim) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f := s.flight[c.subject]
+	switch {
+	case f == nil:
+		f = &flight{first: c, done: make(chan struct{})}
+		s.flight[c.subject] = f
+		go s.fly(c, f)
+	case f.left && f.next == nil:
+		f.next = &flight{first: c, done: make(chan struct{})}
+	}
+}
+
 // key is what daemons are ranked by for a subject.
 func (s *sharer) key(subject string) string { return s.name + "/" + subject }
 
@@ -184,7 +211,7 @@
 	defer s.mu.Unlock()
 	f.left = true
 	d := s.client.Begin(s.opt.Clock(), c.subject, owner, c.limits, f.need, f.waiting)
-	d.Rank = f.rank
+	d.Rank, d.Left, d.Waits = f.first.rank, f.first.timeLeft, f.first.waits
 	return d
 }
 
--- a/driver/quotas/target_test.go
+++ b/driver/quotas/target_test.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/doorvalve/doorvalve/coordination/backpressure"
 	"github.com/doorvalve/doorvalve/coordination/limit"
 	"github.com/doorvalve/doorvalve/protocol"
 	"github.com/doorvalve/doorvalve/state/fleet"
@@ -79,7 +80,7 @@
 		return
 	}
 	k.Endpoints().Settle(context.Background())
-	_, ok, roomIn := k.Endpoints().Admit(context.Background(), t.life, rank)
+	_, ok, roomIn := k.Endpoints().Admit(context.Background(), t.life, backpressure.Ask{Rank: rank})
 	if !ok {
 		h.mu.Lock()
 		h.full = time.Now().Add(roomIn)
--- a/driver/throttle/throttle.go
+++ b/driver/throttle/throttle.go
@@ -80,8 +80,8 @@
 // Answer is an endpoint's answer, as far as it says something of the endpoint.
 type Answer struct {
 	Life    fleet.Incarnation
-	Slots   int // requests that the endpoint works on at once
-	Request string
+	Slots   int       // requests that the endpoint works on at once
+	Request string    // id of the one that it answers
 	Sent    time.Time // when the request was, by the daemon's clock
 	Says    protocol.Backpressure
 	// Whole says that what is not said counts, too: the answer is the endpoint's own.
@@ -104,7 +104,7 @@
 	case a.Says.Pause.For > 0:
 		k.pauses(now, a)
 	case a.Whole && k.opt.Book.Answered(now, a.Sent, a.Life):
-		k.opt.Log.Info(decisions.EventEndpointResumed, "endpoint", a.Life.ID, "request", a.Request)
+		k.opt.Log.Info(decisions.EventEndpointResumed, "endpoint", a.Life.ID, "heard_on", a.Request)
 	}
 }
 
@@ -112,8 +112,8 @@
 func (k *Keeper) pauses(now time.Time, a Answer) {
 	k.metrics.pauses.Inc(1)
 	if k.opt.Book.Pause(now, a.Life, a.Says.Pause.For, a.Slots) {
-		in := k.opt.Book.Look(now, a.Life).In
-		k.opt.Log.Info(decisions.EventEndpointPauses, "endpoint", a.Life.ID, "born", a.Life.Born, "request", a.Request, "asked_ms", a.Says.Pause.For.Milliseconds(), "for_ms", in.Milliseconds())
+		in := k.opt.Book.Look(now, a.Life, backpressure.Ask{}).In
+		k.opt.Log.Info(decisions.EventEndpointPauses, "endpoint", a.Life.ID, "born", a.Life.Born, "heard_on", a.Request, "asked_ms", a.Says.Pause.For.Milliseconds(), "for_ms", in.Milliseconds())
 	}
 }
 
@@ -123,7 +123,7 @@
 		return
 	}
 	k.metrics.leaves.Inc(1)
-	k.opt.Log.Info(decisions.EventEndpointLeaves, "endpoint", life.ID, "born", life.Born, "heard_by", heardBy, "request", request, "last_resort", k.opt.Book.Look(now, life).LastResort)
+	k.opt.Log.Info(decisions.EventEndpointLeaves, "endpoint", life.ID, "born", life.Born, "heard_by", heardBy, "heard_on", request, "last_resort", k.opt.Book.Look(now, life, backpressure.Ask{}).LastResort)
 	k.opt.Leaving(life)
 	if heardBy == k.opt.Self {
 		k.opt.Tell(leavingFact(now, life, heardBy))
@@ -143,30 +143,30 @@
 	}
 	k.mu.Unlock()
 	if !known {
-		k.opt.Log.Warn(decisions.EventPauseUnreadable, "endpoint", a.Life.ID, "request", a.Request, "value", a.Says.Pause.Unreadable)
+		k.opt.Log.Warn(decisions.EventPauseUnreadable, "endpoint", a.Life.ID, "heard_on", a.Request, "value", a.Says.Pause.Unreadable)
 	}
 }
 
 // Look says whether a request might go to an endpoint now.
-func (k *Keeper) Look(life fleet.Incarnation) backpressure.Decision {
-	return k.opt.Book.Look(k.opt.Clock(), life)
+func (k *Keeper) Look(life fleet.Incarnation, a backpressure.Ask) backpressure.Decision {
+	return k.opt.Book.Look(k.opt.Clock(), life, a)
 }
 
 // Settle waits until a daemon that has just started has read what must outlast it.
 func (k *Keeper) Settle(ctx context.Context) { k.opt.Limits.Settle(ctx) }
 
-// Admit is the last question before a request of some rank, 0 first, is sent to an endpoint. A
-// request that is not closed out may go; what it takes of the endpoint's limit is the ticket.
-func (k *Keeper) Admit(ctx context.Context, life fleet.Incarnation, rank int) (quotas.Ticket, backpressure.Decision) {
-	if d := k.Look(life); d.Closed() {
+// Admit is the last question before a request is sent to an endpoint. One that is not closed to it
+// may be asked; what the request takes of the endpoint's limit is the ticket.
+func (k *Keeper) Admit(ctx context.Context, life fleet.Incarnation, a backpressure.Ask) (quotas.Ticket, backpressure.Decision) {
+	if d := k.Look(life, a); d.Closed() {
 		return quotas.Ticket{}, k.count(d)
 	}
-	ticket, ok, roomIn := k.opt.Limits.Admit(ctx, life, rank)
+	ticket, ok, roomIn := k.opt.Limits.Admit(ctx, life, a)
 	if !ok {
 		k.opt.Book.Full(k.opt.Clock(), life, roomIn)
 		return quotas.Ticket{}, k.count(backpressure.Decision{Reason: backpressure.Limited, In: roomIn})
 	}
-	d := k.opt.Book.Admit(k.opt.Clock(), life)
+	d := k.opt.Book.Admit(k.opt.Clock(), life, a)
 	if d.Closed() {
 		k.opt.Limits.Return(ticket)
 		return quotas.Ticket{}, k.count(d)
@@ -185,22 +185,31 @@
 // Return takes back what a request was admitted with that has not reached the endpoint.
 func (k *Keeper) Return(t quotas.Ticket) { k.opt.Limits.Return(t) }
 
-// Wait returns when a request would be taken by an endpoint that takes none now.
-func (k *Keeper) Wait(life fleet.Incarnation) time.Duration {
-	d := k.Look(life)
-	if d.Reason == backpressure.Limited {
-		return max(d.In, k.opt.Limits.Wait(life))
+// Turn returns the time until a request is taken by an endpoint, at this daemon's part of the
+// limit that the endpoint names, or else at a rate in requests a second.
+func (k *Keeper) Turn(life fleet.Incarnation, a backpressure.Ask, rate float64) time.Duration {
+	if _, limited := k.opt.Limits.Limit(life); limited {
+		rate = k.opt.Limits.Part(life)
 	}
-	return d.In
+	return k.opt.Book.Turn(k.opt.Clock(), life, a, rate)
 }
 
-// Refused notes that a caller was refused since an endpoint takes no request now, and returns when
-// it is to come back.
-func (k *Keeper) Refused(life fleet.Incarnation) time.Duration {
-	if k.Look(life).Reason == backpressure.Limited {
-		return k.opt.Limits.Refused(life)
+// Join lets a request wait in an endpoint's line. It must quit.
+func (k *Keeper) Join(life fleet.Incarnation, a backpressure.Ask) *backpressure.Place {
+	return k.opt.Book.Join(k.opt.Clock(), life, a)
+}
+
+// Quit ends the wait of a request; admitted says that it has come to its turn.
+func (k *Keeper) Quit(p *backpressure.Place, admitted bool) {
+	k.opt.Book.Quit(p)
+	if !admitted {
+		k.opt.Limits.StopWaiting(p.Life())
 	}
-	return k.Look(life).In
+}
+
+// Promise notes that a caller was told to come back after a time.
+func (k *Keeper) Promise(life fleet.Incarnation, a backpressure.Ask, in time.Duration) {
+	k.opt.Book.Promise(k.opt.Clock(), life, a, in)
 }
 
 // Limited takes a limit that begins, changes or ends.
--- /dev/null
+++ b/driver/throttle/throttle_test.go
@@ -0,0 +1,134 @@
+package throttle
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/doorvalve/doorvalve/coordination/backpressure"
+	"github.com/doorvalve/doorvalve/coordination/membership"
+	"github.com/doorvalve/doorvalve/driver/decisions"
+	"github.com/doorvalve/doorvalve/driver/quotas"
+	"github.com/doorvalve/doorvalve/internal/syncbuf"
+	"github.com/doorvalve/doorvalve/protocol"
+	"github.com/doorvalve/doorvalve/protocol/quotapb"
+	"github.com/doorvalve/doorvalve/state/fleet"
+	"github.com/doorvalve/doorvalve/state/workspace"
+)
+
+const leaveWithin = 2 * time.Second
+
+var one = fleet.Incarnation{ID: "i-1", Born: 1000}
+
+// daemons are keepers that tell each other facts at once.
+type daemons struct {
+	now     time.Time
+	keepers []*Keeper
+	left    [][]fleet.Incarnation // that each was told to leave
+	told    int                   // facts
+	log     *syncbuf.Buffer
+}
+
+func newDaemons(n int) *daemons {
+	d := &daemons{now: time.Now(), left: make([][]fleet.Incarnation, n), log: &syncbuf.Buffer{}}
+	log := decisions.New(io.MultiWriter(d.log), "test", hclog.Info)
+	clock := func() time.Time { return d.now }
+	for i := range n {
+		self := fmt.Sprint("d", i)
+		shares := quotas.New(quotas.Options{
+			Self: self, Members: func() []membership.Member { return []membership.Member{{ID: self}} }, Revision: func() uint64 { return 1 },
+			Directory: func() (*workspace.Directory, uint64) { return nil, 0 }, Peer: func(string) quotapb.Quotas { return nil }, Clock: clock, Log: log, Metrics: tally.NoopScope,
+		})
+		d.keepers = append(d.keepers, New(Options{
+			Self: self, Book: backpressure.New(backpressure.Options{LeaveWithin: leaveWithin}), Limits: shares.Endpoints(),
+			ReadyAt: func(fleet.Incarnation) time.Time { return d.now }, Listed: func(fleet.Incarnation) bool { return true },
+			Leaving: func(life fleet.Incarnation) { d.left[i] = append(d.left[i], life) }, Tell: func(f membership.Entry) { d.tell(i, f) },
+			Clock: clock, Log: log, Metrics: tally.NoopScope,
+		}))
+	}
+	d.now = d.now.Add(time.Minute) // they have looked for others in vain
+	return d
+}
+
+func (d *daemons) tell(from int, f membership.Entry) {
+	d.told++
+	for i, k := range d.keepers {
+		if i != from && !StaleFact(d.now, f) {
+			k.Fact(f)
+		}
+	}
+}
+
+func says(b protocol.Backpressure) Answer {
+	return Answer{Life: one, Slots: 64, Request: "r1", Says: b, Whole: true}
+}
+
+// Guards against daemons that go on sending to an endpoint of which only another one was told that
+// it leaves, and against each of them telling all.
+func TestAllDaemonsKnowThatAnEndpointLeaves(t *testing.T) {
+	d := newDaemons(3)
+	d.keepers[1].Heard(says(protocol.Backpressure{Leaving: true}))
+	for range 3 {
+		for i, k := range d.keepers {
+			k.Heard(says(protocol.Backpressure{Leaving: true}))
+			if !slices.Equal(d.left[i], []fleet.Incarnation{one}) {
+				t.Errorf("daemon %d was told %v", i, d.left[i])
+			}
+			if _, got := k.Admit(t.Context(), one, backpressure.Ask{}); got.Open || !got.LastResort {
+				t.Errorf("daemon %d: %+v", i, got)
+			}
+		}
+	}
+	if d.told != 1 {
+		t.Errorf("%d facts for one endpoint", d.told)
+	}
+	d.now = d.now.Add(leaveWithin)
+	for i, k := range d.keepers {
+		if _, got := k.Admit(t.Context(), one, backpressure.Ask{}); !got.Closed() {
+			t.Errorf("daemon %d after the bound: %+v", i, got)
+		}
+	}
+}
+
+// A pause concerns the daemon that was asked for it, and costs one log line.
+func TestPauseConcernsOneDaemon(t *testing.T) {
+	d := newDaemons(2)
+	for range 50 {
+		d.keepers[0].Heard(says(protocol.Backpressure{Pause: protocol.Pause{For: 3 * time.Second}}))
+	}
+	if _, got := d.keepers[0].Admit(t.Context(), one, backpressure.Ask{}); !got.Closed() || got.Reason != backpressure.Paused {
+		t.Errorf("%+v", got)
+	}
+	if _, got := d.keepers[1].Admit(t.Context(), one, backpressure.Ask{}); !got.Open || d.told > 0 {
+		t.Errorf("another daemon: %+v, %d facts", got, d.told)
+	}
+	d.keepers[0].opt.Log.Close()
+	if n := strings.Count(d.log.String(), decisions.EventEndpointPauses); n != 1 {
+		t.Errorf("%d lines for one pause", n)
+	}
+}
+
+// What cannot be read is logged once for each endpoint and keeps no request away.
+func TestUnreadableWordsKeepNothingAway(t *testing.T) {
+	d := newDaemons(1)
+	k := d.keepers[0]
+	for range 9 {
+		k.Heard(says(protocol.Backpressure{Pause: protocol.ReadPause([]string{"soon"}, "", d.now)}))
+	}
+	for _, f := range []membership.Entry{{Key: FactPrefix + "no life", Value: []byte("{}")}, {Key: FactPrefix + one.String(), Value: []byte("x")}, {Key: "other/x"}} {
+		k.Fact(f)
+	}
+	if _, got := k.Admit(t.Context(), one, backpressure.Ask{}); !got.Open {
+		t.Errorf("%+v", got)
+	}
+	k.opt.Log.Close()
+	if n := strings.Count(d.log.String(), decisions.EventPauseUnreadable); n != 1 {
+		t.Errorf("%d lines", n)
+	}
+}
--- a/standin/engine/complete.go
+++ b/standin/engine/complete.go
@@ -51,6 +51,7 @@
 	if prompt == "" {
 		prompt = string(req.Messages)
 	}
+	e.tellState(w.Header())
 	if refusal := e.start(req.Model, r.Header.Get(protocol.HeaderRequestID)); refusal != nil {
 		refusal.WriteTo(w)
 		return
@@ -106,18 +107,32 @@
 	_, _ = fmt.Fprintf(w, "id: %s:%d\ndata: [DONE]\n\n", attempt, req.MaxTokens+1)
 }
 
+// tellState says in an answer that the engine leaves, or asks for a pause.
+func (e *Engine) tellState(h http.Header) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.leaving {
+		h.Set(protocol.HeaderLeaving, "true")
+	}
+	if e.pause != "" {
+		h.Set("Retry-After", e.pause)
+	}
+}
+
 // start takes a slot, or refuses before anything has run.
 func (e *Engine) start(model, requestID string) *protocol.Refusal {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	u := e.units[model]
 	switch {
+	case e.pause != "":
+		return protocol.Refuse(http.StatusServiceUnavailable, "overloaded", "this engine wants a pause", 0)
 	case e.leaving:
-		return protocol.Refuse(http.StatusServiceUnavailable, "leaving", "this engine takes no new work", time.Second)
+		return protocol.Refuse(http.StatusServiceUnavailable, "leaving", "this engine takes no new work", 0)
 	case u == nil || u.Status != protocol.UnitReady:
-		return protocol.Refuse(http.StatusServiceUnavailable, "not-loaded", model+" is not loaded here", time.Second)
+		return protocol.Refuse(http.StatusServiceUnavailable, "not-loaded", model+" is not loaded here", 0)
 	case e.running >= e.opt.Slots:
-		return protocol.Refuse(http.StatusTooManyRequests, "full", "all slots are taken", time.Second)
+		return protocol.Refuse(http.StatusTooManyRequests, "full", "all slots are taken", 0)
 	}
 	e.running++
 	u.Running++
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -50,6 +50,7 @@
 	lagAt   time.Time
 	cutAt   int // cut streams after this many tokens; 0: never
 	crossed bool
+	pause   string // that it asks for as it refuses all requests; empty: it serves
 }
 
 // Stats are the engine's own counts, the judge in tests.
@@ -101,6 +102,13 @@
 	e.version++
 }
 
+// SetPause makes the engine refuse all requests and ask for a pause, in seconds; empty: it serves.
+func (e *Engine) SetPause(seconds string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.pause = seconds
+}
+
 // CutStreamsAfter cuts each new stream after n tokens; 0 stops cutting.
 func (e *Engine) CutStreamsAfter(n int) {
 	e.mu.Lock()
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -27,6 +27,7 @@
 	leaving bool
 	lastNew time.Time
 	limit   string // that it names; empty: none
+	pause   string // that it asks for as it refuses all calls; empty: it serves
 	arrived []time.Time
 }
 
@@ -67,6 +68,13 @@
 	s.limit = limit
 }
 
+// SetPause makes the service refuse all calls and ask for a pause, in seconds; empty: it serves.
+func (s *Service) SetPause(seconds string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pause = seconds
+}
+
 // Arrived returns when calls have come.
 func (s *Service) Arrived() []time.Time {
 	s.mu.Lock()
@@ -106,6 +114,15 @@
 	if s.limit != "" {
 		w.Header().Set(protocol.HeaderRateLimit, s.limit)
 	}
+	if s.leaving {
+		w.Header().Set(protocol.HeaderLeaving, "true")
+	}
+	if s.pause != "" {
+		w.Header().Set("Retry-After", s.pause)
+		s.mu.Unlock()
+		protocol.Refuse(http.StatusServiceUnavailable, "overloaded", "this service wants a pause", 0).WriteTo(w)
+		return
+	}
 	if key := r.Header.Get(protocol.HeaderIdempotencyKey); key != "" {
 		s.runs[key]++
 	}
--- a/transport/callers/call.go
+++ b/transport/callers/call.go
@@ -265,12 +265,12 @@
 	if refusal := s.opt.Quarantine.Waits(cl.fingerprint, cl.software); refusal != nil {
 		return nil, refusal
 	}
-	slot, refusal := s.acquireWithRoom(ctx, cl)
+	slot, refusal := s.acquireOpen(ctx, cl)
 	if refusal != nil {
 		return nil, refusal
 	}
 	if cl.trial, refusal = s.opt.Quarantine.Admit(ctx, cl.fingerprint, cl.software); refusal != nil {
-		s.opt.RateLimits.Return(cl.pass)
+		s.opt.Throttle.Return(cl.pass)
 		cl.gate.Release(slot, 0)
 		return nil, refusal
 	}
@@ -307,7 +307,7 @@
 	req := &proxy.Request{
 		Method: cl.method, URI: cl.uri, Header: cl.header, Body: cl.body, RequestID: cl.id,
 		AttemptID: cl.id + "." + strconv.Itoa(n), Worth: cl.worth, Repeatable: cl.key == nil, MustEcho: cl.engine,
-		Heard: func(limit protocol.RateLimit) { s.opt.RateLimits.Heard(lifeOf(slot.Endpoint), sent, limit) },
+		Heard: func(says protocol.Backpressure, whole bool) { s.heard(cl, slot.Endpoint, sent, says, whole) },
 	}
 	var f *proxy.Failure
 	var whole *proxy.Answer
@@ -317,7 +317,7 @@
 		whole, f = s.opt.Proxy.Whole(ctx, slot.Endpoint.Address, req)
 	}
 	if f != nil && f.Reason == proxy.ReasonUnreachable {
-		s.opt.RateLimits.Return(cl.pass)
+		s.opt.Throttle.Return(cl.pass)
 	}
 	took := time.Since(start)
 	s.tellQuarantine(ctx, cl, slot.Endpoint, sent, out.progress.Offset > heard, f)
@@ -336,15 +336,15 @@
 func (s *Server) avoid(cl *call, slot *gate.Slot, f *proxy.Failure) {
 	avoid := avoidAfterError
 	switch {
-	case f.Leaving:
-		s.opt.EndpointLeaving(slot.Endpoint.Name)
+	case f.Leaving, f.Paused:
+		return // what it has said itself keeps requests away
 	case f.Full:
 		avoid = avoidAfterFull
 	case f.Err == nil || f.Reason == "caller-gone" || f.Reason == "deadline-passed":
 		return
 	}
 	cl.gate.Avoid(slot, avoid)
-	s.opt.Log.Info(decisions.EventAvoided, "request", cl.id, "endpoint", slot.Endpoint.Name, "reason", f.Reason, "leaving", f.Leaving, "for_ms", avoid.Milliseconds())
+	s.opt.Log.Info(decisions.EventAvoided, "request", cl.id, "endpoint", slot.Endpoint.Name, "reason", f.Reason, "for_ms", avoid.Milliseconds())
 }
 
 // mayRetry allows a retry of what has not run, of a stream that can go on, and
--- a/transport/callers/server.go
+++ b/transport/callers/server.go
@@ -20,6 +20,7 @@
 	"github.com/doorvalve/doorvalve/driver/gate"
 	"github.com/doorvalve/doorvalve/driver/quarantiner"
 	"github.com/doorvalve/doorvalve/driver/quotas"
+	"github.com/doorvalve/doorvalve/driver/throttle"
 	"github.com/doorvalve/doorvalve/protocol"
 	"github.com/doorvalve/doorvalve/settings"
 	"github.com/doorvalve/doorvalve/state/snapshot"
@@ -47,10 +48,10 @@
 	Quarantine *quarantiner.Keeper
 	// Quotas counts requests for their workspaces.
 	Quotas *quotas.Keeper
-	// RateLimits keeps to the limits that endpoints name.
-	RateLimits *quotas.Endpoints
-	Log        *decisions.Log
-	Metrics    tally.Scope
+	// Throttle keeps to what endpoints say of themselves.
+	Throttle *throttle.Keeper
+	Log      *decisions.Log
+	Metrics  tally.Scope
 	// EndpointLeaving is told of an endpoint that says it takes no new work.
 	EndpointLeaving func(endpoint string)
 }
--- /dev/null
+++ b/transport/callers/shut.go
@@ -0,0 +1,74 @@
+package callers
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/doorvalve/doorvalve/coordination/backpressure"
+	"github.com/doorvalve/doorvalve/driver/gate"
+	"github.com/doorvalve/doorvalve/driver/quotas"
+	"github.com/doorvalve/doorvalve/driver/throttle"
+	"github.com/doorvalve/doorvalve/protocol"
+	"github.com/doorvalve/doorvalve/state/bundle"
+)
+
+// placesTried bounds the endpoints that are chosen for one attempt and turn out to take no requests.
+const placesTried = 8
+
+// acquireOpen takes a slot at an endpoint that takes requests, by its own word. What the call takes
+// of the endpoint's limit is in cl.pass.
+func (s *Server) acquireOpen(ctx context.Context, cl *call) (*gate.Slot, *protocol.Refusal) {
+	cl.pass = quotas.Ticket{}
+	s.opt.Throttle.Settle(ctx)
+	for range placesTried {
+		if shut := cl.gate.Shut(); len(shut) > 0 {
+			return nil, s.refuseShut(cl, shut)
+		}
+		slot, refusal := cl.gate.Acquire(ctx, gate.Request{Worth: cl.worth, Deadline: cl.deadline, Affinity: cl.affinity})
+		if refusal != nil {
+			return nil, refusal
+		}
+		pass, d := s.opt.Throttle.Admit(ctx, lifeOf(slot.Endpoint), cl.ask())
+		if !d.Closed() {
+			cl.pass = pass
+			return slot, nil
+		}
+		cl.gate.Release(slot, 0)
+	}
+	return nil, protocol.Refuse(http.StatusServiceUnavailable, string(backpressure.Limited), cl.unit+": endpoints take no more requests now, by their own word", retryAfterStart)
+}
+
+// ask is the call's place among those that come back.
+func (cl *call) ask() backpressure.Ask { return backpressure.Ask{Deadline: cl.deadline} }
+
+// refuseShut refuses a call whose endpoints take no requests now, and tells its caller when the
+// first of them takes it.
+func (s *Server) refuseShut(cl *call, shut []bundle.Endpoint) *protocol.Refusal {
+	var first bundle.Endpoint
+	turn := time.Duration(0)
+	for i, e := range shut {
+		if in := s.opt.Throttle.Turn(lifeOf(e), cl.ask(), float64(e.Slots)); i == 0 || in < turn {
+			first, turn = e, in
+		}
+	}
+	reason := s.opt.Throttle.Look(lifeOf(first), cl.ask()).Reason
+	s.opt.Throttle.Promise(lifeOf(first), cl.ask(), turn)
+	detail := fmt.Sprintf("%s: %d endpoints take no more requests now, by their own word: %q the first, in %d ms", cl.unit, len(shut), first.Name, turn.Milliseconds())
+	return protocol.Refuse(http.StatusServiceUnavailable, string(reason), detail, max(turn, retryLeast))
+}
+
+// retryLeast keeps refused callers from coming back at once.
+const retryLeast = 100 * time.Millisecond
+
+// heard takes what an endpoint says of itself in an answer to a call that was sent at some time.
+// Lives of these endpoints are not told apart: that one leaves holds until the coordinator, which
+// asks the endpoint itself, gives credit again.
+func (s *Server) heard(cl *call, e bundle.Endpoint, sent time.Time, says protocol.Backpressure, whole bool) {
+	if says.Leaving {
+		says.Leaving = false
+		s.opt.EndpointLeaving(e.Name)
+	}
+	s.opt.Throttle.Heard(throttle.Answer{Life: lifeOf(e), Slots: e.Slots, Request: cl.id, Sent: sent, Says: says, Whole: whole})
+}
--- a/transport/edge/locate.go
+++ b/transport/edge/locate.go
@@ -38,17 +38,17 @@
 	}
 	for {
 		q.named = false
-		if e := s.locateKnown(q, exclude); e != nil {
+		if e := s.locateKnown(q, t, exclude); e != nil {
 			return e, nil
 		}
-		shut := s.shut(s.holders(q))
+		shut := s.shut(q, t, s.holders(q))
 		ans := s.opt.Locator.Want(ctx, q.service.Name, residency.Want{Model: q.call.Model, Adapter: q.call.Adapter, Rank: q.rank, Avoid: avoid, Unreachable: unreachable, Absent: absent, Full: shut.lives})
 		absent, unreachable = fleet.Incarnation{}, false // told once
 		if ctx.Err() != nil {
 			return nil, s.outOfTime(protocol.NotRun)
 		}
 		if ans.Refused != "" {
-			if e := s.locateAny(q, exclude); e != nil {
+			if e := s.locateAny(q, t, exclude); e != nil {
 				return e, nil
 			}
 			if ans.Refused == residency.RefusedNoModel {
@@ -56,14 +56,14 @@
 			}
 		}
 		if ans.Refused == "" && ans.ReadyIn <= 0 {
-			if e := s.opt.View().Of(ans.Endpoint); e != nil && s.takes(e) {
+			if e := s.opt.View().Of(ans.Endpoint); e != nil && s.takes(q, t, e) {
 				s.opt.Balancer.Present(e.Life(), q.unit())
 				q.named = true
 				return e, s.join(q, t, ans)
 			}
 			ans.ReadyIn = loadingPause // the list does not name it yet, or not any more; or it takes none
 		}
-		if e := s.leavingThatServes(q, exclude); e != nil {
+		if e := s.leavingThatServes(q, t); e != nil {
 			return e, nil
 		}
 		refusal := s.waitSooner(ctx, q, t, ans, shut)
@@ -76,16 +76,16 @@
 	}
 }
 
-// takes reports whether an endpoint takes requests now.
-func (s *Server) takes(e *fleet.Endpoint) bool {
-	return !e.Leaving && !s.opt.Balancer.IsGone(clock.Now(), e.Life()) && !s.opt.Throttle.Look(e.Life()).Closed()
+// takes reports whether an endpoint takes a request now.
+func (s *Server) takes(q *request, t *tries, e *fleet.Endpoint) bool {
+	return !e.Leaving && !s.opt.Balancer.IsGone(clock.Now(), e.Life()) && s.opt.Throttle.Look(e.Life(), t.ask(q)).Open
 }
 
 // waitSooner waits for an endpoint that holds the model and wants no requests now, or for the
 // model at another one, whichever is there sooner.
 func (s *Server) waitSooner(ctx context.Context, q *request, t *tries, ans residency.Answer, shut shutEndpoints) *protocol.Refusal {
-	if len(shut.lives) > 0 && (ans.Refused != "" || shut.opensIn < ans.ReadyIn) {
-		return s.awaitOpen(ctx, q, t, shut)
+	if len(shut.lives) > 0 && (ans.Refused != "" || shut.turn < ans.ReadyIn) {
+		return s.awaitTurn(ctx, q, t, shut)
 	}
 	return s.wait(ctx, q, t, ans)
 }
@@ -174,17 +174,17 @@
 func (s *Server) locatePlain(ctx context.Context, q *request, t *tries) (*fleet.Endpoint, *protocol.Refusal) {
 	for {
 		list := s.opt.View().ByService[q.service.Name]
-		if e := s.opt.Balancer.Pick(clock.Now(), list, balance.Query{Exclude: t.exclude}); e != nil {
+		if e := s.opt.Balancer.Pick(clock.Now(), list, balance.Query{Exclude: t.exclude, Ask: t.ask(q)}); e != nil {
 			return e, nil
 		}
-		if e := s.leavingThatServes(q, t.exclude); e != nil {
+		if e := s.leavingThatServes(q, t); e != nil {
 			return e, nil
 		}
-		shut := s.shut(list)
+		shut := s.shut(q, t, list)
 		if len(shut.lives) == 0 {
 			return nil, protocol.Refuse(http.StatusServiceUnavailable, "no-endpoint", "no endpoint of the service takes requests", retryBusy)
 		}
-		if refusal := s.awaitOpen(ctx, q, t, shut); refusal != nil {
+		if refusal := s.awaitTurn(ctx, q, t, shut); refusal != nil {
 			return nil, refusal
 		}
 	}
@@ -204,16 +204,16 @@
 
 // locateKnown picks an endpoint without a question to the coordinator, where
 // several hold the model or one has just served it here.
-func (s *Server) locateKnown(q *request, exclude []fleet.Incarnation) *fleet.Endpoint {
+func (s *Server) locateKnown(q *request, t *tries, exclude []fleet.Incarnation) *fleet.Endpoint {
 	if q.call.Adapter != "" {
 		return nil
 	}
 	holders := s.holders(q)
-	e := s.opt.Balancer.Pick(clock.Now(), holders, balance.Query{Unit: q.unit(), Affinity: affinity(q), Exclude: exclude})
+	e := s.opt.Balancer.Pick(clock.Now(), holders, balance.Query{Unit: q.unit(), Affinity: affinity(q), Exclude: exclude, Ask: t.ask(q)})
 	if e == nil {
 		return nil
 	}
-	if s.opt.Balancer.Crowded(clock.Now(), holders, balance.Query{Unit: q.unit(), Exclude: exclude}) {
+	if s.opt.Balancer.Crowded(clock.Now(), holders, balance.Query{Unit: q.unit(), Exclude: exclude, Ask: t.ask(q)}) {
 		return nil // the coordinator knows of each request that it has named an endpoint for
 	}
 	if len(holders) >= severalHolders || s.opt.Balancer.Vouched(clock.Now(), e.Life(), q.unit()) {
@@ -227,8 +227,8 @@
 const severalHolders = 2
 
 // locateAny picks any listed holder, when the coordinator cannot be asked.
-func (s *Server) locateAny(q *request, exclude []fleet.Incarnation) *fleet.Endpoint {
-	return s.opt.Balancer.Pick(clock.Now(), s.holders(q), balance.Query{Unit: q.unit(), Affinity: affinity(q), Exclude: exclude})
+func (s *Server) locateAny(q *request, t *tries, exclude []fleet.Incarnation) *fleet.Endpoint {
+	return s.opt.Balancer.Pick(clock.Now(), s.holders(q), balance.Query{Unit: q.unit(), Affinity: affinity(q), Exclude: exclude, Ask: t.ask(q)})
 }
 
 func affinity(q *request) string {
--- a/transport/edge/retry.go
+++ b/transport/edge/retry.go
@@ -81,8 +81,13 @@
 // hasUntried reports whether an endpoint that can serve a request has not been asked
 // yet.
 func (s *Server) hasUntried(q *request, t *tries) bool {
-	return slices.ContainsFunc(s.candidates(q), func(e *fleet.Endpoint) bool {
-		return s.takes(e) && !slices.ContainsFunc(t.exclude, e.Life().Same)
+	return s.untriedAmong(q, t, s.candidates(q))
+}
+
+// untriedAmong is hasUntried for some endpoints.
+func (s *Server) untriedAmong(q *request, t *tries, candidates []*fleet.Endpoint) bool {
+	return slices.ContainsFunc(candidates, func(e *fleet.Endpoint) bool {
+		return s.takes(q, t, e) && !slices.ContainsFunc(t.exclude, e.Life().Same)
 	})
 }
 
--- a/transport/edge/run.go
+++ b/transport/edge/run.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"github.com/doorvalve/doorvalve/coordination/backpressure"
 	"github.com/doorvalve/doorvalve/coordination/quarantine"
 	"github.com/doorvalve/doorvalve/coordination/waiting"
 	"github.com/doorvalve/doorvalve/driver/decisions"
@@ -33,6 +34,10 @@
 	// zero while nothing was said.
 	estimated time.Time
 	source    waiting.Source
+	// place is the request's in the line of an endpoint that it waits for, nil if it does not,
+	// and waitsUntil is until when the last such wait was to end at the latest.
+	place      *backpressure.Place
+	waitsUntil time.Time
 }
 
 // note records a failed attempt.
@@ -61,6 +66,7 @@
 func (s *Server) run(ctx context.Context, q *request, a *answer) *protocol.Refusal {
 	s.opt.Budget.Earn()
 	t := &tries{}
+	defer func() { s.quitLine(t, false) }()
 	for ; ; t.sends++ {
 		if ctx.Err() != nil || q.timeLeft() <= 0 {
 			return s.outOfTime(t.verdict)
@@ -128,7 +134,7 @@
 			return e, nil
 		}
 	}
-	return nil, s.refuseShut(q, s.shut(s.candidates(q)))
+	return nil, s.refuseShut(q, t, s.shut(q, t, s.candidates(q)))
 }
 
 // admit is the last question before a request is sent to an endpoint, whatever way it was chosen.
@@ -141,7 +147,7 @@
 	if q.trial, refusal = s.opt.Quarantine.Admit(ctx, q.fingerprint, on); refusal != nil {
 		return false, refusal
 	}
-	pass, d := s.opt.Throttle.Admit(ctx, e.Life(), q.rank)
+	pass, d := s.opt.Throttle.Admit(ctx, e.Life(), t.ask(q))
 	if d.Closed() {
 		s.opt.Quarantine.GiveBack(q.trial)
 		return false, nil
@@ -155,6 +161,7 @@
 		return false, refusal
 	}
 	q.pass = pass
+	s.quitLine(t, true)
 	return true, nil
 }
 
@@ -205,8 +212,8 @@
 // giveUp turns the last failure into the final answer.
 func (s *Server) giveUp(q *request, t *tries) *protocol.Refusal {
 	if t.verdict == protocol.NotRun {
-		if shut := s.shut(s.candidates(q)); t.last.paused && shut.all {
-			return s.refuseShut(q, shut)
+		if shut := s.shut(q, t, s.candidates(q)); t.last.paused && shut.all {
+			return s.refuseShut(q, t, shut)
 		}
 		return protocol.Refuse(http.StatusServiceUnavailable, t.last.reason, "no endpoint took the request", retryBusy)
 	}
@@ -238,7 +245,7 @@
 		pause.For(ctx, loadingPause)
 		return false
 	case f.paused:
-		return true // what it has said itself keeps requests away
+		return false // what it has said itself keeps all requests away
 	}
 	if f.refused {
 		s.opt.Balancer.Gone(now, e.Life())
--- a/transport/edge/shut.go
+++ b/transport/edge/shut.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/doorvalve/doorvalve/coordination/backpressure"
@@ -15,67 +16,118 @@
 	"github.com/doorvalve/doorvalve/state/fleet"
 )
 
-// shutEndpoints are endpoints that want no requests for a while, by their own word.
+const (
+	// turnRecheck bounds the pause between two looks whether a waiting request's turn has come.
+	turnRecheck = 100 * time.Millisecond
+	// turnMargin and turnMarginPart, of the time until a turn, are by how much the estimate of
+	// that time may err.
+	turnMargin     = 250 * time.Millisecond
+	turnMarginPart = 0.25
+)
+
+// marginOf returns by how much an estimate of the time until a turn may err.
+func marginOf(turn time.Duration) time.Duration {
+	return turnMargin + time.Duration(turnMarginPart*float64(turn))
+}
+
+// shutEndpoints are endpoints that want no request like this one now, by their own word.
 type shutEndpoints struct {
-	lives   []fleet.Incarnation
-	all     bool                // that are not leaving
-	opensIn time.Duration       // until a request would be taken by one of them
-	reason  backpressure.Reason // of the one that opens first
+	lives  []fleet.Incarnation
+	all    bool                // no other endpoint takes the request
+	first  fleet.Incarnation   // that takes the request first
+	turn   time.Duration       // until then
+	reason backpressure.Reason // of that one
+}
+
+// ask is the request's place among those that wait. An answer that has begun goes on before others.
+func (t *tries) ask(q *request) backpressure.Ask {
+	a := backpressure.Ask{Rank: q.rank, Deadline: q.deadline, Place: t.place}
+	if t.verdict != protocol.NotRun {
+		a.Rank = -1
+	}
+	return a
+}
+
+// shut returns the endpoints among some that want no request like this one now.
+func (s *Server) shut(q *request, t *tries, candidates []*fleet.Endpoint) shutEndpoints {
+	shut := shutEndpoints{all: !s.untriedAmong(q, t, candidates)}
+	for _, e := range s.opt.Balancer.Shut(clock.Now(), candidates, t.ask(q)) {
+		turn := s.opt.Throttle.Turn(e.Life(), t.ask(q), s.opt.Balancer.Rate(e))
+		if len(shut.lives) == 0 || turn < shut.turn {
+			shut.first, shut.turn = e.Life(), turn
+			shut.reason = s.opt.Throttle.Look(e.Life(), t.ask(q)).Reason
+		}
+		shut.lives = append(shut.lives, e.Life())
+	}
+	return shut
 }
 
-// shut returns the endpoints among some that want no requests for a while.
-func (s *Server) shut(candidates []*fleet.Endpoint) shutEndpoints {
-	lives, opensIn := s.opt.Balancer.Shut(clock.Now(), candidates)
-	if len(lives) == 0 {
-		return shutEndpoints{}
+// awaitTurn waits until an endpoint takes the request, in the line of the one that will first, or
+// refuses it at once if that is too late for its caller.
+func (s *Server) awaitTurn(ctx context.Context, q *request, t *tries, shut shutEndpoints) *protocol.Refusal {
+	if t.place != nil && !slices.Contains(shut.lives, t.place.Life()) {
+		s.quitLine(t, false)
 	}
-	staying := 0
-	for _, e := range candidates {
-		if !e.Leaving {
-			staying++
+	if t.place == nil {
+		if !t.worthWaiting(q, shut.turn) {
+			return s.refuseShut(q, t, shut)
 		}
+		t.waitsUntil = clock.Now().Add(shut.turn + marginOf(shut.turn))
+		t.place = s.opt.Throttle.Join(shut.first, t.ask(q))
 	}
-	first := lives[0]
-	wait := s.opt.Throttle.Wait(first)
-	for _, life := range lives[1:] {
-		if w := s.opt.Throttle.Wait(life); w < wait {
-			first, wait = life, w
+	for {
+		now := s.shut(q, t, s.candidates(q))
+		switch {
+		case !slices.Contains(now.lives, t.place.Life()) || now.turn <= 0 || !now.all:
+			return nil // a look at all endpoints shows which takes it
+		case t.verdict == protocol.NotRun && clock.Now().Add(now.turn).After(t.waitsUntil):
+			return s.refuseShut(q, t, now)
+		}
+		pause.For(ctx, min(now.turn, turnRecheck))
+		if ctx.Err() != nil {
+			return s.outOfTime(protocol.NotRun)
 		}
 	}
-	return shutEndpoints{lives: lives, all: len(lives) == staying, opensIn: max(wait, opensIn), reason: s.opt.Throttle.Look(first).Reason}
 }
 
-// awaitOpen waits until endpoints take requests again, or refuses the request.
-func (s *Server) awaitOpen(ctx context.Context, q *request, t *tries, shut shutEndpoints) *protocol.Refusal {
-	d := waiting.Decide(waiting.Input{
-		ReadyIn: shut.opensIn, Elapsed: t.silentFor(q), TimeLeft: q.timeLeft(), Target: q.route.Target, Patience: q.route.Patience, Begun: t.verdict != protocol.NotRun,
-	})
-	if !d.Wait {
-		return s.refuseShut(q, shut)
-	}
-	pause.For(ctx, shut.opensIn)
-	if ctx.Err() != nil {
-		return s.outOfTime(protocol.NotRun)
+// worthWaiting reports whether a request should wait for its turn. One that has waited before, in
+// vain, waits again only while it can be in time.
+func (t *tries) worthWaiting(q *request, turn time.Duration) bool {
+	return waiting.Decide(waiting.Input{
+		ReadyIn: turn, Margin: marginOf(turn), Elapsed: t.silentFor(q), TimeLeft: q.timeLeft(), Target: q.route.Target, Patience: q.route.Patience,
+		Begun: t.verdict != protocol.NotRun, Again: !t.waitsUntil.IsZero(),
+	}).Wait
+}
+
+// quitLine ends the request's wait in a line, if it is in one; admitted says that it has come to its
+// turn.
+func (s *Server) quitLine(t *tries, admitted bool) {
+	if t.place != nil {
+		s.opt.Throttle.Quit(t.place, admitted)
+		t.place = nil
 	}
-	return nil
 }
 
-// refuseShut refuses a request whose endpoints want none now.
-func (s *Server) refuseShut(q *request, shut shutEndpoints) *protocol.Refusal {
+// refuseShut refuses a request whose endpoints want none now, and tells its caller when its turn is.
+func (s *Server) refuseShut(q *request, t *tries, shut shutEndpoints) *protocol.Refusal {
 	if len(shut.lives) == 0 {
 		return protocol.Refuse(http.StatusServiceUnavailable, string(backpressure.Limited), "endpoints take no more requests now, by their own word", retryBusy)
 	}
-	after := max(shut.opensIn, s.opt.Throttle.Refused(shut.lives[0]))
-	detail := fmt.Sprintf("%d endpoints take no more requests now, by their own word: %q among them, the first takes some in %d ms", len(shut.lives), shut.lives[0].ID, shut.opensIn.Milliseconds())
-	return protocol.Refuse(http.StatusServiceUnavailable, string(shut.reason), detail, after)
+	s.quitLine(t, false)
+	s.opt.Throttle.Promise(shut.first, t.ask(q), shut.turn)
+	detail := fmt.Sprintf("%d endpoints take no more requests now, by their own word: %q the first, in %d ms", len(shut.lives), shut.first.ID, shut.turn.Milliseconds())
+	return protocol.Refuse(http.StatusServiceUnavailable, string(shut.reason), detail, max(shut.turn, retryLeast))
 }
 
+// retryLeast keeps refused callers from coming back at once.
+const retryLeast = 100 * time.Millisecond
+
 // leavingThatServes returns an endpoint that leaves and may still serve a request that no other
 // can, or nil.
-func (s *Server) leavingThatServes(q *request, exclude []fleet.Incarnation) *fleet.Endpoint {
+func (s *Server) leavingThatServes(q *request, t *tries) *fleet.Endpoint {
 	list := s.opt.View().ByService[q.service.Name]
 	if q.call.Model != "" && q.service.Engine != nil {
 		list = holding(list, q)
 	}
-	return s.opt.Balancer.PickLeaving(clock.Now(), list, balance.Query{Unit: q.unit(), Exclude: exclude})
+	return s.opt.Balancer.PickLeaving(clock.Now(), list, balance.Query{Unit: q.unit(), Exclude: t.exclude, Ask: t.ask(q)})
 }
--- a/transport/proxy/proxy.go
+++ b/transport/proxy/proxy.go
@@ -32,9 +32,9 @@
 	ResumeFrom int
 	// MustEcho says that the endpoint echoes the attempt's id.
 	MustEcho bool
-	// Heard takes what the endpoint says of the requests that it takes, if it answers; nil:
-	// nobody does.
-	Heard func(protocol.RateLimit)
+	// Heard takes what the endpoint says of itself, if it answers; whole says that what is not
+	// said counts, too. nil: nobody does.
+	Heard func(says protocol.Backpressure, whole bool)
 }
 
 // Failure is an attempt without a whole answer.
@@ -43,6 +43,7 @@
 	Reason  string
 	Err     error
 	Leaving bool // the endpoint takes no new work
+	Paused  bool // the endpoint wants a pause
 	Full    bool // the endpoint's slots are taken
 	Broken  bool // the connection to the endpoint broke
 }
@@ -117,28 +118,39 @@
 	if err != nil {
 		return nil, classify(err)
 	}
-	limit := protocol.ReadRateLimit(resp.Header[protocol.HeaderRateLimit])
+	says := backpressure(resp)
 	if f := refusedUnrun(resp); f != nil {
 		_ = resp.Body.Close()
-		if limit.Named { // a refusal without one may come from what stands before the endpoint
-			r.heard(limit)
-		}
+		says.Leaving, f.Paused = f.Leaving, says.Pause.For > 0
+		r.heard(says, false) // it may come from what stands before the endpoint
 		return nil, f
 	}
 	if got := resp.Header.Get(protocol.HeaderAttemptID); got != r.AttemptID && (got != "" || r.MustEcho) {
 		_ = resp.Body.Close()
 		return nil, &Failure{Verdict: protocol.MayHaveRun, Reason: "crossed-answer"}
 	}
-	r.heard(limit)
+	r.heard(says, true)
 	return resp, nil
 }
 
-func (r *Request) heard(limit protocol.RateLimit) {
+func (r *Request) heard(says protocol.Backpressure, whole bool) {
 	if r.Heard != nil {
-		r.Heard(limit)
+		r.Heard(says, whole)
 	}
 }
 
+// backpressure reads what an endpoint says of itself in an answer.
+func backpressure(resp *http.Response) protocol.Backpressure {
+	says := protocol.Backpressure{
+		Leaving: protocol.ReadLeaving(resp.Header[protocol.HeaderLeaving]),
+		Limit:   protocol.ReadRateLimit(resp.Header[protocol.HeaderRateLimit]),
+	}
+	if resp.StatusCode == http.StatusServiceUnavailable {
+		says.Pause = protocol.ReadPause(resp.Header["Retry-After"], resp.Header.Get("Date"), time.Now())
+	}
+	return says
+}
+
 func classify(err error) *Failure {
 	if engine.IsDialError(err) {
 		return &Failure{Verdict: protocol.NotRun, Reason: ReasonUnreachable, Err: err}
@@ -162,7 +174,7 @@
 	_ = json.NewDecoder(io.LimitReader(resp.Body, 4096)).Decode(&refusal) // only the reason is used
 	return &Failure{
 		Verdict: protocol.NotRun, Reason: "endpoint-refused", Err: errors.New(refusal.Reason),
-		Leaving: refusal.Reason == "leaving" || resp.Header.Get(protocol.HeaderLeaving) == "true",
+		Leaving: refusal.Reason == "leaving" || protocol.ReadLeaving(resp.Header[protocol.HeaderLeaving]),
 		Full:    resp.StatusCode == http.StatusTooManyRequests,
 	}
 }
