--- a/coordination/balance/balance.go
+++ b/coordination/balance/balance.go
@@ -28,7 +28,7 @@
 	// usedFor is how long a success at an endpoint vouches for its model.
 	usedFor = 3 * time.Second
 	// runTimeUnknown is how long a request is taken to run while none has ended
-	// here: what the users' longer streams take at an engine that is not full.
+	// here.
 	runTimeUnknown = time.Second
 	// runTimeStep is the weight of one request's run time in the mean.
 	runTimeStep = 0.05
@@ -202,8 +202,7 @@
 
 // Gone keeps all requests away from an endpoint at which nothing listens, as it refused a
 // connection or as other daemons say. Requests that would be sent there in vain are told
-// at once what else there is: where engines ended one after the other, 263 of 450 unserved
-// requests had been sent to engines that had ended.
+// at once what else there is.
 func (b *Balancer) Gone(now time.Time, id fleet.Incarnation) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/coordination/balance/told.go
+++ b/coordination/balance/told.go
@@ -15,10 +15,10 @@
 	// long as a coordinator counts what a daemon has told it.
 	toldLife = 3 * time.Second
 	// otherDomain is the cost of another failure domain, as a share of an endpoint's
-	// slots. From trials with engines of 64 slots, where it was nine requests.
+	// slots.
 	otherDomain = 0.14
 	// affinity is the gain of the endpoint that has most probably read the prompt's
-	// shared part, in the same unit and from the same trials: twelve requests of 64.
+	// shared part, in the same unit.
 	affinity = 0.19
 	// fullCost is the cost of an endpoint without a free slot, in the same unit: neither
 	// a failure domain nor a prompt is worth waiting in a queue for.
--- a/coordination/quota/types.go
+++ b/coordination/quota/types.go
@@ -102,9 +102,8 @@
 	tightDemand = 0.75
 	tightLevel  = 0.4
 	// asksMost is the number of draws a second that an owner is to get for a subject
-	// which is over its limit: a call costs the two daemons up to 0.9 ms of processor time
-	// (19 s for 22,000 calls among 71 daemons), and what is refused needs no answer of its
-	// own. Beyond it daemons draw for a time ahead.
+	// which is over its limit: a call costs both daemons processor time, and what is refused
+	// needs no answer of its own. Beyond it daemons draw for a time ahead.
 	asksMost = 150
 	// paceMost bounds the time between two draws of a daemon.
 	paceMost = time.Second
--- a/coordination/residency/draft.go
+++ b/coordination/residency/draft.go
@@ -138,8 +138,6 @@
 const (
 	// runTimeUnknown is how long a request is taken to run while nothing is
 	// known; leastRunTime and mostRunTime bound what is derived from few.
-	// A second is what the users' longer streams take at an engine that is not
-	// full; the bounds are the ends of what was seen.
 	runTimeUnknown = time.Second
 	leastRunTime   = 200 * time.Millisecond
 	mostRunTime    = 6 * time.Second
--- a/coordination/residency/pressure.go
+++ b/coordination/residency/pressure.go
@@ -7,10 +7,10 @@
 
 const (
 	// pressureHalfLife is how fast first events are forgotten: demand moves
-	// within seconds on the users' days.
+	// within seconds.
 	pressureHalfLife = 1500 * time.Millisecond
-	// pressedShare of slow first events asks for one more replica. From trials:
-	// 0.25 of a lower bound took too many places from rare models.
+	// pressedShare of slow first events asks for one more replica; less would take
+	// places from rare models.
 	pressedShare = 0.3
 	// pressedLeast, in requests, keeps one or two slow ones from asking for it.
 	pressedLeast = 3.0
@@ -24,7 +24,7 @@
 	// that one fewer is tried only when the load has fallen by a fifth.
 	headroom = 0.8
 	// lostPart is the part of a request's worth that is taken to be lost with a
-	// late answer. From trials: a tenth of it left models pressed for longer.
+	// late answer.
 	lostPart = 0.5
 )
 
--- a/coordination/residency/types.go
+++ b/coordination/residency/types.go
@@ -174,8 +174,7 @@
 const (
 	// replicaShare is the part of an engine's slots that the running requests of one
 	// replica are meant to take: each more slows all, and the engine's other models
-	// need some. From trials with engines of 64 slots, where 60 requests in place of
-	// 40 gained nothing.
+	// need some.
 	replicaShare = 0.625
 	// severalFrom is the number of running requests from which a model has a
 	// second replica, so that the loss of one engine costs no load.
@@ -250,7 +249,7 @@
 	// each goes over all copies, and a load takes seconds.
 	copiesEvery = 250 * time.Millisecond
 	// lateOrderLife is how long after it was sent an order without an answer may
-	// still be carried out: seconds, by the platform's pages; 12 s were seen.
+	// still be carried out.
 	lateOrderLife = 15 * time.Second
 	// loadOverdue is how long after its expected end a load that no report
 	// confirms is given up on.
--- a/coordination/waiting/margin.go
+++ b/coordination/waiting/margin.go
@@ -28,8 +28,7 @@
 	marginMost = 10 * time.Second
 )
 
-// startMargins are the margins before anything was observed: what 9 in 10
-// estimates erred by on the new customer's standard days.
+// startMargins are the margins before anything was observed.
 var startMargins = [sources]time.Duration{Loaded: 500 * time.Millisecond, Near: 1500 * time.Millisecond, Far: 1200 * time.Millisecond, Vacancy: 2 * time.Second}
 
 // Margins learn by how much the estimates of the time to a model err. They are
--- a/transport/edge/retry.go
+++ b/transport/edge/retry.go
@@ -29,9 +29,7 @@
 // payRetry takes a further attempt out of the budget, and reports whether there is
 // one. begun says that the caller has a part of the answer: then it waits, while its
 // caller does, for a place and for credit, since the answer can only break off. All
-// others are told at once, and can try again themselves. Counted in the logs of days
-// on which many streams break off at once: 25 to 60 of some 6,700 streams ended
-// without the wait, with seconds left.
+// others are told at once, and can try again themselves.
 func (s *Server) payRetry(ctx context.Context, q *request, t *tries, begun bool) bool {
 	if !begun && t.sends >= maxSends {
 		return false
