own interface: a model whose endpoints all take no requests now is loaded elsewhere; a stopping daemon's waits

Cause: the coordinator hears what waits in queues, and such calls are refused at once and wait nowhere. Change: gates count them, daemons tell them with their demand, and a model whose ready replicas take none gets one more replica, by the worth of the refused calls and within max_replicas.

edge: a daemon that stops refuses what would have its turn too late, as it does for models. Daemons that share a pause are counted when it begins, on both interfaces.

--- a/coordination/grants/grants.go
+++ b/coordination/grants/grants.go
@@ -25,6 +25,10 @@
 	Waiting  []Waiting
 	InFlight int
 	Arrivals int // since its last report
+	// Shut counts the calls that were refused since then because all endpoints with credit take
+	// none now, by their own word; ShutWorth is that of the last one.
+	Shut      int
+	ShutWorth int64
 }
 
 // Credit is a number of requests that a daemon may keep at an endpoint.
@@ -86,6 +90,10 @@
 				d.Waiting += w.Count
 				d.Worth = max(d.Worth, w.Worth)
 			}
+			if u.Shut > 0 {
+				d.Shut += u.Shut
+				d.Worth = max(d.Worth, u.ShutWorth)
+			}
 			total[u.Unit] = d
 		}
 	}
--- a/coordination/placement/decide.go
+++ b/coordination/placement/decide.go
@@ -234,7 +234,7 @@
 		}
 	}
 	for name, d := range m.demand {
-		if d.Waiting == 0 || !m.needsMore(o, name, d) {
+		if d.Waiting+d.Shut == 0 || !m.needsMore(o, name, d) {
 			continue
 		}
 		u := m.conf.Units[name]
@@ -272,8 +272,8 @@
 	worthOfPrewarm = -2
 )
 
-// needsMore reports whether waiting requests call for one more replica: there
-// is none, or all are ready and more wait than one endpoint takes at once.
+// needsMore reports whether requests call for one more replica: there is none, or all are ready
+// and more wait than one endpoint takes at once, or none of them takes requests now.
 func (m *Machine) needsMore(o *Object, unit string, d Demand) bool {
 	replicas, slots := 0, 0
 	for _, i := range o.of(unit) {
@@ -285,7 +285,7 @@
 		replicas++
 		slots = max(slots, ep.conf.Slots)
 	}
-	return replicas == 0 || d.Waiting > slots
+	return replicas == 0 || d.Waiting > slots || d.Shut > 0
 }
 
 func (m *Machine) baseReady(u bundle.Unit) bool {
--- a/coordination/placement/machine.go
+++ b/coordination/placement/machine.go
@@ -280,7 +280,7 @@
 
 func (m *Machine) demandChanged(now time.Time, units map[string]Demand) {
 	for unit, d := range units {
-		if d.Waiting+d.InFlight+d.Arrivals > 0 {
+		if d.Waiting+d.Shut+d.InFlight+d.Arrivals > 0 {
 			m.lastActive[unit] = now
 		}
 		if d.Arrivals > 0 && m.opt.Policy != nil {
--- a/coordination/placement/object.go
+++ b/coordination/placement/object.go
@@ -164,7 +164,8 @@
 // Demand is what all daemons together ask of a unit.
 type Demand struct {
 	Waiting  int   // requests in queues
-	Worth    int64 // of the worthiest waiting request
+	Shut     int   // requests refused lately since all replicas take none now, by their own word
+	Worth    int64 // of the worthiest of both
 	InFlight int
 	Arrivals int // since the last Demand
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -127,7 +127,7 @@
 	})
 	d.throttle = throttle.New(throttle.Options{
 		Self: d.self, Book: d.said, Limits: d.quotas.Endpoints(), ReadyAt: func(fleet.Incarnation) time.Time { return time.Time{} },
-		Listed: d.endpointListed, Leaving: func(fleet.Incarnation) {}, Tell: d.gossip.Set, Log: d.log.Part("throttle"), Metrics: d.metrics,
+		Daemons: func() int { return len(d.gossip.Members()) }, Listed: d.endpointListed, Leaving: func(fleet.Incarnation) {}, Tell: d.gossip.Set, Log: d.log.Part("throttle"), Metrics: d.metrics,
 	})
 	d.gossip.OnFact(d.quotas.Endpoints().Fact)
 	d.gates.Store(&map[string]*gate.Gate{})
--- a/daemon/edgedaemon/daemon.go
+++ b/daemon/edgedaemon/daemon.go
@@ -84,7 +84,6 @@
 	budget   *retry.Budget
 	keeper   *quarantiner.Keeper
 	shares   *quotas.Keeper
-	said     *backpressure.Book
 	throttle *throttle.Keeper
 	callers  *edge.Server
 	metrics  tally.Scope
@@ -116,8 +115,7 @@
 	debug.SetMemoryLimit(int64(float64(set.Limits.MemoryMB<<20) * memoryPart))
 	said := backpressure.New(backpressure.Options{LeaveWithin: set.Timing.LeaveWithin.D(), Seed: uint64(time.Now().UnixNano())})
 	d := &Daemon{
-		said: said,
-		set:  set, log: log, self: set.Host + "-" + nonce(), coordinators: map[string]*coordinator.Coordinator{},
+		set: set, log: log, self: set.Host + "-" + nonce(), coordinators: map[string]*coordinator.Coordinator{},
 		lastSent: map[string]int{}, stopped: make(chan struct{}),
 		peers: peers.NewClient(""), balancer: balance.New(set.FailureDomain, uint64(time.Now().UnixNano()), said),
 		budget:    retry.NewEarnedBudget(set.Retries.Ratio * retryPart),
@@ -148,7 +146,7 @@
 		Members: d.gossip.Members, Revision: d.gossip.Revision, Directory: d.workspaces, Listed: d.endpointListed, Tell: d.gossip.Set, Limited: d.endpointLimited, Store: d.store, Peer: d.peers.Quotas().To, Log: log, Metrics: d.metrics,
 	})
 	d.throttle = throttle.New(throttle.Options{
-		Self: d.self, Book: said, Limits: d.shares.Endpoints(), ReadyAt: d.endpointReadyAt, Listed: d.endpointListed, Leaving: d.view.EndpointLeaving, Tell: d.gossip.Set, Log: log, Metrics: d.metrics,
+		Self: d.self, Book: said, Limits: d.shares.Endpoints(), ReadyAt: d.endpointReadyAt, Daemons: func() int { return len(d.alive()) }, Listed: d.endpointListed, Leaving: d.view.EndpointLeaving, Tell: d.gossip.Set, Log: log, Metrics: d.metrics,
 	})
 	d.gossip.OnFact(d.shares.Endpoints().Fact)
 	d.gossip.OnFact(d.throttle.Fact)
--- a/daemon/edgedaemon/demand.go
+++ b/daemon/edgedaemon/demand.go
@@ -29,7 +29,6 @@
 			alive = len(d.alive())
 			d.shareRetries(alive)
 			d.balancer.Share(alive)
-			d.said.Share(alive)
 			for service, demand := range d.callers.Demand() {
 				d.tellDemand(ctx, service, demand, alive)
 			}
--- a/daemon/reporter.go
+++ b/daemon/reporter.go
@@ -160,7 +160,7 @@
 
 func unitDemand(now time.Time, u activeUnit) *peerpb.UnitDemand {
 	rep := u.gate.Report()
-	d := &peerpb.UnitDemand{Unit: u.name, InFlight: rep.InFlight, Arrivals: rep.Arrivals}
+	d := &peerpb.UnitDemand{Unit: u.name, InFlight: rep.InFlight, Arrivals: rep.Arrivals, Shut: rep.Shut, ShutWorth: rep.ShutWorth}
 	for _, it := range rep.Waiting { // best first, so equal worths are neighbours
 		n := len(d.Waiting)
 		if n > 0 && d.Waiting[n-1].Worth == it.Worth {
--- a/driver/gate/gate.go
+++ b/driver/gate/gate.go
@@ -70,6 +70,8 @@
 	queued   atomic.Int64
 	inFlight atomic.Int64
 	arrivals atomic.Int64
+	shut     atomic.Int64 // requests refused since all endpoints take none now, since the last report
+	worth    atomic.Int64 // of the last of them
 	lastUse  atomic.Int64 // Unix nanoseconds
 	service  atomic.Int64 // mean time of a request, in nanoseconds
 
@@ -290,6 +292,15 @@
 	return list
 }
 
+// RefusedShut notes a request that was refused since all endpoints take none now: the coordinator
+// may have another one that does.
+func (g *Gate) RefusedShut(worth int64) {
+	g.shut.Add(1)
+	g.worth.Store(worth)
+	g.lastUse.Store(time.Now().UnixNano())
+	g.kick()
+}
+
 // Update sets the credits and the estimate, answers the requests that are
 // thereby out of time and starts those that now can.
 func (g *Gate) Update(now time.Time, credits []Credit, est admission.Estimate) {
@@ -371,15 +382,18 @@
 	Arrivals int64
 	LastUse  time.Time
 	Service  time.Duration
+	// Shut counts the requests that were refused since all endpoints take none now, and
+	// ShutWorth is that of the last one.
+	Shut, ShutWorth int64
 }
 
-// Report returns the present demand; arrivals are counted once.
+// Report returns the present demand; arrivals and refusals are counted once.
 func (g *Gate) Report() Report {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return Report{
 		Waiting: append([]admission.Item(nil), g.queue.Items()...), InFlight: g.inFlight.Load(),
-		Arrivals: g.arrivals.Swap(0), LastUse: time.Unix(0, g.lastUse.Load()), Service: time.Duration(g.service.Load()),
+		Arrivals: g.arrivals.Swap(0), Shut: g.shut.Swap(0), ShutWorth: g.worth.Load(), LastUse: time.Unix(0, g.lastUse.Load()), Service: time.Duration(g.service.Load()),
 	}
 }
 
--- a/driver/placer/demand.go
+++ b/driver/placer/demand.go
@@ -74,7 +74,7 @@
 func fromWire(now time.Time, units []*peerpb.UnitDemand) []grants.UnitReport {
 	list := make([]grants.UnitReport, len(units))
 	for i, u := range units {
-		r := grants.UnitReport{Unit: u.Unit, InFlight: int(u.InFlight), Arrivals: int(u.Arrivals)}
+		r := grants.UnitReport{Unit: u.Unit, InFlight: int(u.InFlight), Arrivals: int(u.Arrivals), Shut: int(u.Shut), ShutWorth: u.ShutWorth}
 		for _, w := range u.Waiting {
 			r.Waiting = append(r.Waiting, grants.Waiting{
 				Worth: w.Worth, Count: int(w.Count), Deadline: now.Add(time.Duration(w.EarliestDeadlineMs) * time.Millisecond),
--- a/driver/throttle/throttle.go
+++ b/driver/throttle/throttle.go
@@ -35,6 +35,8 @@
 	// ReadyAt returns up to when an endpoint is known to be listed as not leaving; zero if it is
 	// listed as leaving, or not at all.
 	ReadyAt func(fleet.Incarnation) time.Time
+	// Daemons returns how many daemons share the requests.
+	Daemons func() int
 	// Listed reports whether an endpoint is listed in some life.
 	Listed func(fleet.Incarnation) bool
 	// Leaving is told of each life that says it leaves, or of which another daemon tells it.
@@ -111,6 +113,7 @@
 // pauses takes an endpoint's word that it wants a pause.
 func (k *Keeper) pauses(now time.Time, a Answer) {
 	k.metrics.pauses.Inc(1)
+	k.opt.Book.Share(k.opt.Daemons())
 	if k.opt.Book.Pause(now, a.Life, a.Says.Pause.For, a.Slots) {
 		in := k.opt.Book.Look(now, a.Life, backpressure.Ask{}).In
 		k.opt.Log.Info(decisions.EventEndpointPauses, "endpoint", a.Life.ID, "born", a.Life.Born, "heard_on", a.Request, "asked_ms", a.Says.Pause.For.Milliseconds(), "for_ms", in.Milliseconds())
--- a/driver/throttle/throttle_test.go
+++ b/driver/throttle/throttle_test.go
@@ -47,7 +47,7 @@
 		})
 		d.keepers = append(d.keepers, New(Options{
 			Self: self, Book: backpressure.New(backpressure.Options{LeaveWithin: leaveWithin}), Limits: shares.Endpoints(),
-			ReadyAt: func(fleet.Incarnation) time.Time { return d.now }, Listed: func(fleet.Incarnation) bool { return true },
+			ReadyAt: func(fleet.Incarnation) time.Time { return d.now }, Listed: func(fleet.Incarnation) bool { return true }, Daemons: func() int { return n },
 			Leaving: func(life fleet.Incarnation) { d.left[i] = append(d.left[i], life) }, Tell: func(f membership.Entry) { d.tell(i, f) },
 			Clock: clock, Log: log, Metrics: tally.NoopScope,
 		}))
--- a/e2e/backpressure_test.go
+++ b/e2e/backpressure_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/doorvalve/doorvalve/standin/engine"
 	"github.com/doorvalve/doorvalve/standin/service"
 	"github.com/doorvalve/doorvalve/state/bundle"
 )
@@ -79,3 +80,31 @@
 		return cameBetween(one, from, time.Now()) > 0
 	})
 }
+
+// Guards against callers who are refused until the only replica of their model takes requests again:
+// another engine loads it meanwhile.
+func TestModelOfAnEngineThatPausesIsLoadedElsewhere(t *testing.T) {
+	const pause = 40 * time.Second
+	o := defaults()
+	o.change = func(b *bundle.Bundle) { b.Models[0].MaxReplicas = 2 }
+	w := newWorld(t, o)
+	w.eventually("the model is served", func() bool { _, r := w.daemons[0].complete("m0", "first", 4); return r.ok() })
+	for _, e := range w.engines {
+		for _, u := range e.Units() {
+			if u.Unit == "m0" {
+				e.SetPause(strconv.Itoa(int(pause.Seconds())))
+			}
+		}
+	}
+	asked := time.Now()
+	w.eventually("another engine serves it", func() bool {
+		text, r := w.daemons[0].complete("m0", "next", 4)
+		return r.ok() && text == engine.Answer("next", 4)
+	})
+	if took := time.Since(asked); took > pause/2 {
+		t.Errorf("served again after %v", took)
+	}
+	if n := w.replicas("m0"); n != 2 {
+		t.Errorf("%d replicas", n)
+	}
+}
--- a/transport/callers/shut.go
+++ b/transport/callers/shut.go
@@ -53,6 +53,7 @@
 			first, turn = e, in
 		}
 	}
+	cl.gate.RefusedShut(cl.worth)
 	reason := s.opt.Throttle.Look(lifeOf(first), cl.ask()).Reason
 	s.opt.Throttle.Promise(lifeOf(first), cl.ask(), turn)
 	detail := fmt.Sprintf("%s: %d endpoints take no more requests now, by their own word: %q the first, in %d ms", cl.unit, len(shut), first.Name, turn.Milliseconds())
--- a/transport/edge/locate.go
+++ b/transport/edge/locate.go
@@ -108,7 +108,7 @@
 // wait waits for a model, or refuses the request.
 func (s *Server) wait(ctx context.Context, q *request, t *tries, ans residency.Answer) *protocol.Refusal {
 	elapsed := time.Since(q.arrived)
-	if ends := s.opt.Ends(); !ends.IsZero() && time.Until(ends) < ans.ReadyIn+lastWait {
+	if s.stopsBefore(ans.ReadyIn) {
 		return protocol.Refuse(http.StatusServiceUnavailable, "stopping", "this daemon stops before the model is loaded", retryDraining)
 	}
 	source := sourceOf(ans)
@@ -138,6 +138,13 @@
 	return nil
 }
 
+// stopsBefore reports whether this daemon stops before a request that can begin after a wait would
+// be answered.
+func (s *Server) stopsBefore(wait time.Duration) bool {
+	ends := s.opt.Ends()
+	return !ends.IsZero() && time.Until(ends) < wait+lastWait
+}
+
 // sourceOf says what an answer's estimate rests on.
 func sourceOf(ans residency.Answer) waiting.Source {
 	switch {
--- a/transport/edge/shut.go
+++ b/transport/edge/shut.go
@@ -82,6 +82,8 @@
 			return nil // a look at all endpoints shows which takes it
 		case t.verdict == protocol.NotRun && clock.Now().Add(now.turn).After(t.waitsUntil):
 			return s.refuseShut(q, t, now)
+		case t.verdict == protocol.NotRun && s.stopsBefore(now.turn):
+			return protocol.Refuse(http.StatusServiceUnavailable, "stopping", "this daemon stops before the request has its turn", retryDraining)
 		}
 		pause.For(ctx, min(now.turn, turnRecheck))
 		if ctx.Err() != nil {
