backpressure: a pause that begins while endpoints are forgotten does not lock up the daemon

Found by reading: a pause locked its endpoint and then the book, for the random spread; forgetting locks the book and then each endpoint. A daemon in which both met would have answered nothing more. The random numbers have a lock of their own. TestBookIsSafeForConcurrentUse locks up on the code before (timed out after 20 s) and takes 0.1 s now.

--- a/coordination/backpressure/book.go
+++ b/coordination/backpressure/book.go
@@ -67,8 +67,10 @@
 	daemons atomic.Int64
 	entries atomic.Pointer[map[string]*entry] // by id; replaced when an id is added or dropped
 
-	mu  sync.Mutex // guards the replacing of entries, and rng
-	rng *rand.Rand
+	mu sync.Mutex // guards the replacing of entries; locked before that of an entry
+
+	rngMu sync.Mutex
+	rng   *rand.Rand
 }
 
 // entry is the newest life of an id that has said something.
@@ -198,8 +200,8 @@
 // requests in a second, so that they do not all come at once.
 func (b *Book) spread(d time.Duration, slots int) time.Duration {
 	all := time.Duration(float64(b.daemons.Load()) / float64(max(1, slots)) * float64(time.Second))
-	b.mu.Lock()
-	defer b.mu.Unlock()
+	b.rngMu.Lock()
+	defer b.rngMu.Unlock()
 	return time.Duration(b.rng.Float64() * float64(min(d, all)))
 }
 
--- a/coordination/backpressure/book_test.go
+++ b/coordination/backpressure/book_test.go
@@ -1,6 +1,8 @@
 package backpressure
 
 import (
+	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -183,6 +185,34 @@
 	})
 }
 
+// Guards against locks that are taken in two orders: endpoints are forgotten while others ask for a
+// pause.
+func TestBookIsSafeForConcurrentUse(t *testing.T) {
+	b := newBook()
+	var wg sync.WaitGroup
+	for i := range 4 {
+		wg.Go(func() {
+			for n := range 2000 {
+				life := fleet.Incarnation{ID: fmt.Sprint(n % 7)}
+				now := at(time.Duration(n) * time.Second)
+				switch (n + i) % 5 {
+				case 0:
+					b.Pause(now, life, time.Second, 8)
+				case 1:
+					b.Keep(now.Add(time.Hour), func(fleet.Incarnation) bool { return false })
+				case 2:
+					b.Quit(b.Join(now, life, leavingIn(time.Minute)))
+				case 3:
+					b.Admit(now, life, Ask{})
+				case 4:
+					b.Leaves(now, life, now)
+				}
+			}
+		})
+	}
+	wg.Wait()
+}
+
 func BenchmarkLookWhereNothingWasSaid(b *testing.B) {
 	book := newBook()
 	for b.Loop() {
