quota: what is given back late counts as used

Cause, by reading and by the test: a request takes its part of the quota as it arrives; refused after a wait it gives that back, and another request runs with it, up to the length of the wait and 5 s later, in a window that the owner has counted nothing of it in. More requests wait and are refused since endpoints ask for pauses; those that waited for a model always did. Change: what was held for longer than a sixteenth of the window is not given back. A request that is refused at once, as most are, gives back as before.

--- a/driver/quotas/endpoints.go
+++ b/driver/quotas/endpoints.go
@@ -80,7 +80,7 @@
 	}
 	subject := life.String()
 	if e.shared.take(ctx, claim{subject: subject, limits: w.Limits(), version: w.Version, cost: oneRequest, rank: a.Rank, waits: a.Place != nil, timeLeft: max(0, a.Deadline.Sub(e.opt.Clock()))}) {
-		return Ticket{subject, oneRequest}, true, 0
+		return Ticket{subject, oneRequest, e.opt.Clock()}, true, 0
 	}
 	e.metrics.heldBack.Inc(1)
 	return Ticket{}, false, max(e.shared.roomIn(subject), roomLeast)
--- a/driver/quotas/quotas.go
+++ b/driver/quotas/quotas.go
@@ -110,6 +110,7 @@
 type Ticket struct {
 	subject string
 	cost    float64
+	at      time.Time // when it was let through
 }
 
 // Run looks after the daemons that are there until ctx ends. Where nothing is shared it rests.
--- a/driver/quotas/quotas_test.go
+++ b/driver/quotas/quotas_test.go
@@ -229,3 +229,46 @@
 	i := slices.IndexFunc(in.hosts, func(h *host) bool { return h.name == owner.Host })
 	return in.hosts[i]
 }
+
+// Guards against requests that hold their part of a window while they wait, are refused, and give it
+// back for others in a window that has been used already.
+func TestWhatIsGivenBackLateIsUsed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := declared("w", 1000, 1000)
+		in := newInstallation(1, 1, w)
+		defer in.end()
+		in.bounds.Slack = 0
+		time.Sleep(20 * time.Second)
+		k := in.hosts[0].current()
+		all := func() (tickets []Ticket) {
+			for {
+				ticket, refusal := k.Admit(t.Context(), &w.Workspace, 100, false)
+				if refusal != nil {
+					return tickets
+				}
+				tickets = append(tickets, ticket)
+			}
+		}
+		held := all()
+		time.Sleep(in.bounds.Window / 2)
+		for _, ticket := range held {
+			k.Return(ticket)
+		}
+		ran := len(all())
+		for range 40 {
+			time.Sleep(in.bounds.Window / 80)
+			ran += len(all())
+		}
+		limits := quota.Limits{Rate: 1000, Burst: 1000}
+		if most := (1 + in.bounds.Overage) * (limits.Rate*in.bounds.Window.Seconds()/2 + limits.Burst); float64(ran*100) > most {
+			t.Errorf("%d units ran in half a window and what was held before it, allowed %.0f", ran*100, most)
+		}
+		now := all()
+		for _, ticket := range now {
+			k.Return(ticket)
+		}
+		if again := all(); len(again) < len(now) {
+			t.Errorf("%d of %d are there again that were given back at once", len(again), len(now))
+		}
+	})
+}
--- a/driver/quotas/sharer.go
+++ b/driver/quotas/sharer.go
@@ -115,14 +115,23 @@
 	return s.client.Part(subject)
 }
 
-// giveBack takes back what a request was let through with that has not run.
+// returnPart is the part of a window within which what was let through can be given back.
+const returnPart = 1.0 / 16
+
+// giveBack takes back what a request was let through with that has not run. What was held for longer
+// counts as used: its owner has counted it at the time when it was let through, and others would run
+// with it in a window that does not hold it.
 func (s *sharer) giveBack(t Ticket) {
 	if t.cost <= 0 {
 		return
 	}
+	now := s.opt.Clock()
+	if s.bounds.Window > 0 && now.Sub(t.at) > time.Duration(returnPart*float64(s.bounds.Window)) {
+		return
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.client.Return(s.opt.Clock(), t.subject, t.cost)
+	s.client.Return(now, t.subject, t.cost)
 }
 
 // join adds a request to the next question for its subject, and sends it if none is on its
--- a/driver/quotas/workspaces.go
+++ b/driver/quotas/workspaces.go
@@ -48,7 +48,7 @@
 	_, version := k.opt.Directory()
 	if k.workspaces.shared.take(ctx, claim{subject: w.Name, limits: limitsOf(w), version: version, cost: cost, late: late}) {
 		k.workspaces.count(w.Name, counts{passed: 1})
-		return Ticket{w.Name, cost}, nil
+		return Ticket{w.Name, cost, k.opt.Clock()}, nil
 	}
 	k.workspaces.count(w.Name, counts{refused: 1})
 	return Ticket{}, k.workspaces.refuse(w, cost)
