--- a/driver/quotas/endpoints.go
+++ b/driver/quotas/endpoints.go
@@ -30,9 +30,6 @@
 	unreachedPause = 200 * time.Millisecond
 )
 
-// ReasonLimited is the reason of a refusal because endpoints take no more now, by their own word.
-const ReasonLimited = "endpoints-limited"
-
 // Endpoints keeps to the limits that endpoints name. While none does, a request costs a read.
 // It is safe for concurrent use.
 type Endpoints struct {
