--- a/coordination/discovery/registry.go
+++ b/coordination/discovery/registry.go
@@ -21,8 +21,18 @@
 	leaving  map[string]fleet.Incarnation
 	revision uint64
 	changed  bool
+	aside    SetAside
 }
 
+// SetAside is what was told and not taken since it was older than what is known.
+type SetAside struct {
+	Lists     int      // whole lists
+	Endpoints []string // ids whose description or removal was
+}
+
+// Empty reports whether nothing was set aside.
+func (a *SetAside) Empty() bool { return a.Lists == 0 && len(a.Endpoints) == 0 }
+
 type entry struct {
 	endpoint *fleet.Endpoint
 	// missingUntil is set while the entry is missing from the store but kept.
@@ -65,7 +75,8 @@
 // returns those that go missing now and are kept.
 func (r *Registry) List(now time.Time, list []*fleet.Endpoint, revision uint64, graceUntil time.Time) (kept []string) {
 	if revision < r.revision {
-		return nil // a list from a peer that knows less
+		r.aside.Lists++
+		return nil
 	}
 	r.revision = revision
 	present := make(map[string]bool, len(list))
@@ -92,6 +103,7 @@
 	e = r.withOwnWord(e)
 	if at, ok := r.removed[e.ID]; ok {
 		if e.Revision <= at {
+			r.setAside(e.ID)
 			return
 		}
 		delete(r.removed, e.ID)
@@ -103,6 +115,7 @@
 		return
 	}
 	if e.Life().Before(old.endpoint.Life()) {
+		r.setAside(e.ID)
 		return
 	}
 	if old.endpoint.Life().Before(e.Life()) {
@@ -112,6 +125,9 @@
 	}
 	old.missingUntil = time.Time{}
 	back := old.endpoint.Missing && e.Revision == old.endpoint.Revision
+	if e.Revision < old.endpoint.Revision {
+		r.setAside(e.ID)
+	}
 	if e.Revision <= old.endpoint.Revision && !back {
 		return
 	}
@@ -128,10 +144,25 @@
 // lapsed while the store was away; it returns the id if it is kept for that.
 func (r *Registry) Remove(now time.Time, id string, revision uint64, graceUntil time.Time) (kept []string) {
 	r.revision = max(r.revision, revision)
-	if en := r.entries[id]; en != nil && en.endpoint.Revision <= revision {
-		return r.missing(now, id, en, revision, graceUntil)
+	en := r.entries[id]
+	if en == nil {
+		return nil
+	}
+	if revision < en.endpoint.Revision {
+		r.setAside(id)
+		return nil
 	}
-	return nil
+	return r.missing(now, id, en, revision, graceUntil)
+}
+
+// setAside notes a description or removal that was not taken.
+func (r *Registry) setAside(id string) { r.aside.Endpoints = append(r.aside.Endpoints, id) }
+
+// TakeSetAside returns what was set aside since the last call.
+func (r *Registry) TakeSetAside() SetAside {
+	a := r.aside
+	r.aside = SetAside{}
+	return a
 }
 
 // Unusable takes an entry that names no endpoint to use: what was known under its id
--- a/daemon/edgedaemon/daemon.go
+++ b/daemon/edgedaemon/daemon.go
@@ -130,11 +130,11 @@
 		Prefix: "doorvalve", CachedReporter: d.reporter, Separator: promreporter.DefaultSeparator, OmitCardinalityMetrics: true,
 	}, metricsEvery)
 	d.shareRetries(1)
-	d.store = platform.NewStore(set.Store.Address, set.Store.Timeout.D(), d.metrics)
+	d.store = platform.NewStore(set.Store.Address, set.Store.Timeout.D(), log, d.metrics)
 	d.engines = platform.NewEngineClient(engineTimeout, d.engineSaid)
 	d.view = storeview.New(storeview.Options{
 		Store: d.store, Decode: platform.DecodeDesiredState, Log: log, Self: d.self, Peer: d.anyPeer, Upstreams: d.upstreams,
-		Within: min(set.Timing.LeaveWithin.D(), set.Timing.ApplyWithin.D()), Heartbeat: set.Timing.EndpointHeartbeat.D(),
+		Within: min(set.Timing.LeaveWithin.D(), set.Timing.ApplyWithin.D()), Heartbeat: set.Timing.EndpointHeartbeat.D(), Metrics: d.metrics,
 	})
 	d.view.OnChange(d.changed)
 	d.gossip = gossip.New(hclog.NewNullLogger(), d.peers, d.seeds, gossip.Options(staleFact), d.member())
--- a/driver/storeview/storeview.go
+++ b/driver/storeview/storeview.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/uber-go/tally/v4"
 	"golang.org/x/sync/singleflight"
 
 	"github.com/doorvalve/doorvalve/coordination/discovery"
@@ -48,6 +49,8 @@
 	Within time.Duration
 	// Heartbeat is the time between two heartbeats of an endpoint.
 	Heartbeat time.Duration
+	// Metrics takes the counters; nil: nobody does.
+	Metrics tally.Scope
 	// Clock goes on while the host is suspended, so that what was heard before is as old
 	// as it is; nil: the system's.
 	Clock clock.Clock
@@ -76,6 +79,7 @@
 	heard      uint64           // counts how often more was seen
 	roleTaken  chan struct{}    // closed when this daemon begins to follow the store itself
 	onChange   []func()
+	setAside   tally.Counter
 
 	reads singleflight.Group // of the desired state
 	named chan struct{}      // holds one when an upstream has named a newer desired state
@@ -86,8 +90,12 @@
 	if opt.Clock == nil {
 		opt.Clock = clock.Now
 	}
+	if opt.Metrics == nil {
+		opt.Metrics = tally.NoopScope
+	}
 	v := &View{
-		opt: opt, registry: discovery.NewRegistry(), watches: true, changes: relay.NewChangeLog(), told: make(chan struct{}),
+		setAside: opt.Metrics.SubScope("view").Counter("answers_set_aside_total"),
+		opt:      opt, registry: discovery.NewRegistry(), watches: true, changes: relay.NewChangeLog(), told: make(chan struct{}),
 		unusable: map[string]uint64{}, roleTaken: make(chan struct{}), named: make(chan struct{}, 1), outage: discovery.NewOutage(opt.Heartbeat),
 		config: discovery.NewFollower(discovery.FollowOptions{Retry: retryFirst, RetryMost: retryMost}),
 	}
@@ -204,8 +212,11 @@
 	kept := take(v.opt.Clock())
 	c := v.refresh()
 	v.tell()
+	aside := v.registry.TakeSetAside()
+	known := v.registry.Revision()
 	v.mu.Unlock()
 	v.logKept(kept)
+	v.logSetAside(aside, from, known)
 	v.announce(c, from)
 }
 
@@ -230,6 +241,19 @@
 	v.announce(c, from)
 }
 
+// loggedIDs bounds the endpoints that one line names.
+const loggedIDs = 8
+
+// logSetAside logs what an answer told that was older than what is known.
+func (v *View) logSetAside(a discovery.SetAside, from string, known uint64) {
+	if a.Empty() {
+		return
+	}
+	v.setAside.Inc(1)
+	v.opt.Log.Info(decisions.EventSetAside, "from", from, "of", relay.Endpoints.String(), "lists", a.Lists,
+		"endpoints", a.Endpoints[:min(len(a.Endpoints), loggedIDs)], "others", max(0, len(a.Endpoints)-loggedIDs), "revision", known)
+}
+
 func (v *View) logChange(old, next *fleet.View, from string) {
 	var come, gone, leaving []string
 	for id, e := range next.ByID {
