--- /dev/null
+++ b/coordination/lease/restore_test.go
@@ -0,0 +1,139 @@
+package lease
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/doorvalve/doorvalve/protocol"
+)
+
+// restoredStore is a store that comes back from older copies of itself: what it has acknowledged
+// since is lost, and its revisions are given out again.
+type restoredStore struct {
+	store
+	revision uint64
+	copies   []restoredStore
+	late     []Write // that were not answered, and may be carried out at any time
+}
+
+func (s *restoredStore) put(w Write) bool {
+	before := s.version
+	if !s.store.put(w) {
+		return false
+	}
+	s.revision++
+	s.version = max(s.revision, before+1)
+	return true
+}
+
+// copyNow keeps what the store can be restored from.
+func (s *restoredStore) copyNow() {
+	s.copies = append(s.copies, restoredStore{store: s.store, revision: s.revision})
+}
+
+// restore brings the store back from one of its copies; later ones are gone.
+func (s *restoredStore) restore(i int) {
+	c := s.copies[i]
+	s.store, s.revision, s.copies = c.store, c.revision, s.copies[:i+1]
+}
+
+// carryOutLate carries one unanswered write out, if its condition holds by now.
+func (s *restoredStore) carryOutLate(i int) {
+	w := s.late[i]
+	s.late = append(s.late[:i:i], s.late[i+1:]...)
+	s.put(w)
+}
+
+// Guards against two holders at once, a fence that is given out twice and one that falls, where
+// the store comes back from older copies, any number of times, and carries out writes late.
+func TestLeaseOneHolderThroughRestores(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := &restoredStore{}
+		now := time.Unix(1_000_000, 0)
+		var daemons []*daemon
+		for _, name := range []string{"a", "b", "c"} {
+			d := &daemon{m: New(Options{Self: name, Term: term, Margin: term / 4})}
+			d.m.Step(now, Candidate{Yes: true})
+			daemons = append(daemons, d)
+		}
+		s.copyNow()
+		var last struct {
+			fence  uint64
+			holder string
+		}
+		check := func() {
+			holders := 0
+			for _, d := range daemons {
+				fence, ok := d.m.Holds(now)
+				if !ok {
+					continue
+				}
+				holders++
+				if fence < last.fence || fence == last.fence && d.m.opt.Self != last.holder {
+					t.Fatalf("fence %d of %s after %d of %s", fence, d.m.opt.Self, last.fence, last.holder)
+				}
+				last.fence, last.holder = fence, d.m.opt.Self
+			}
+			if holders > 1 {
+				t.Fatalf("%d holders", holders)
+			}
+		}
+		for range rapid.IntRange(10, 400).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms")) * time.Millisecond)
+			check()
+			switch rapid.IntRange(0, 19).Draw(t, "store") {
+			case 0:
+				s.restore(rapid.IntRange(0, len(s.copies)-1).Draw(t, "copy"))
+			case 1, 2:
+				s.copyNow()
+			case 3, 4:
+				s.revision += uint64(rapid.IntRange(1, 3).Draw(t, "others"))
+			case 5, 6:
+				if len(s.late) > 0 {
+					s.carryOutLate(rapid.IntRange(0, len(s.late)-1).Draw(t, "late"))
+				}
+			}
+			d := daemons[rapid.IntRange(0, 2).Draw(t, "daemon")]
+			if rapid.IntRange(0, 99).Draw(t, "stop") == 0 {
+				d.m.Step(now, Release{})
+			}
+			stepRestored(t, now, d, s)
+			check()
+		}
+	})
+}
+
+// stepRestored lets the store answer what is out, or asks for more.
+func stepRestored(t *rapid.T, now time.Time, d *daemon, s *restoredStore) {
+	if !d.waiting {
+		d.out = d.m.Ready(now)
+		d.waiting = d.out.Read || d.out.Write != nil
+		return
+	}
+	d.waiting = false
+	if d.out.Read {
+		if rapid.IntRange(0, 4).Draw(t, "outage") == 0 {
+			d.m.Step(now, ReadDone{Err: true})
+			return
+		}
+		d.m.Step(now, ReadDone{Found: s.version > 0, Record: s.rec, Version: s.version})
+		return
+	}
+	w := *d.out.Write
+	switch rapid.IntRange(0, 5).Draw(t, "write") {
+	case 0: // carried out later, or never
+		s.late = append(s.late, w)
+		d.m.Step(now, WriteDone{Outcome: protocol.WriteUnknown})
+	case 1: // answer lost after it took effect
+		s.put(w)
+		d.m.Step(now, WriteDone{Outcome: protocol.WriteUnknown})
+	default:
+		if s.put(w) {
+			d.m.Step(now, WriteDone{Outcome: protocol.WriteOK, Version: s.version})
+		} else {
+			d.m.Step(now, WriteDone{Outcome: protocol.WriteConflict})
+		}
+	}
+}
