--- a/cmd/doorvalve-bench/slopes.go
+++ b/cmd/doorvalve-bench/slopes.go
@@ -18,6 +18,7 @@
 	"github.com/doorvalve/doorvalve/replay"
 	"github.com/doorvalve/doorvalve/state/bundle"
 	"github.com/doorvalve/doorvalve/state/snapshot"
+	"github.com/doorvalve/doorvalve/state/storeversion"
 )
 
 type slopesCmd struct{}
@@ -130,7 +131,7 @@
 		g.states = append(g.states, s)
 	}
 	g.object = object
-	g.m.Step(g.now, placement.ReadDone{Found: true, Object: object, Version: 1})
+	g.m.Step(g.now, placement.ReadDone{Found: true, Object: object, Version: storeversion.Version{Revision: 1}})
 	g.observe()
 	return g
 }
@@ -245,7 +246,7 @@
 		}
 		r := s.Ready(now)
 		if r.Read {
-			out, due = claims.ReadDone{Version: version}, now.Add(answer)
+			out, due = claims.ReadDone{Version: storeversion.Version{Revision: version}}, now.Add(answer)
 		}
 		if r.Write != nil {
 			body, _ := json.Marshal(r.Write.Head)
@@ -256,7 +257,7 @@
 				body, _ = json.Marshal(r.Write.Seal)
 				bytes += len(body)
 			}
-			out, due = claims.WriteDone{Outcome: protocol.WriteOK, Version: version}, now.Add(answer)
+			out, due = claims.WriteDone{Outcome: protocol.WriteOK, Version: storeversion.Version{Revision: version}}, now.Add(answer)
 		}
 	}
 	return float64(writes) / seconds, float64(bytes) / seconds
--- a/coordination/claims/claims.go
+++ b/coordination/claims/claims.go
@@ -16,6 +16,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/doorvalve/doorvalve/protocol"
+	"github.com/doorvalve/doorvalve/state/storeversion"
 )
 
 // The daemon's settings of a shard. Each append writes the open records again,
@@ -136,14 +137,14 @@
 type ReadDone struct {
 	Err      bool
 	Head     Head
-	Version  uint64
+	Version  storeversion.Version
 	Segments map[string]Segment
 }
 
 // WriteDone reports the last write.
 type WriteDone struct {
 	Outcome protocol.WriteOutcome
-	Version uint64
+	Version storeversion.Version
 }
 
 func (Claim) claimsEvent()     {}
@@ -163,7 +164,7 @@
 // created.
 type Write struct {
 	Head            Head
-	ExpectedVersion uint64
+	ExpectedVersion storeversion.Version
 	Seal            *Segment
 	SealName        string
 }
@@ -200,7 +201,7 @@
 type Shard struct {
 	opt     Options
 	head    Head
-	version uint64
+	version storeversion.Version
 	current bool             // head was the newest at the last exchange
 	index   map[Key]Mark     // claimed keys
 	sealed  map[string][]Key // keys of each sealed segment
--- a/coordination/claims/claims_test.go
+++ b/coordination/claims/claims_test.go
@@ -11,12 +11,13 @@
 	"pgregory.net/rapid"
 
 	"github.com/doorvalve/doorvalve/protocol"
+	"github.com/doorvalve/doorvalve/state/storeversion"
 )
 
 // platform is the object API with conditional updates.
 type platform struct {
 	head     Head
-	version  uint64
+	version  storeversion.Version
 	segments map[string]Segment
 	writes   int
 }
@@ -30,7 +31,7 @@
 	}
 	p.writes++
 	p.head = w.Head
-	p.version++
+	p.version.Revision++
 	return true
 }
 
--- a/coordination/discovery/aside_test.go
+++ b/coordination/discovery/aside_test.go
@@ -10,14 +10,14 @@
 
 // What is older than what is known changes nothing, and is named for the log.
 func TestOlderAnswersAreNamed(t *testing.T) {
-	r := NewRegistry()
-	r.List(start, []*fleet.Endpoint{endpoint("a", 5, false), endpoint("b", 6, false)}, 9, time.Time{})
+	r := NewRegistry(testHeartbeat)
+	r.List(start, []*fleet.Endpoint{endpoint("a", 5, false), endpoint("b", 6, false)}, at(9), time.Time{})
 	if a := r.TakeSetAside(); !a.Empty() {
 		t.Fatalf("%+v set aside of the first list", a)
 	}
-	r.List(start, nil, 8, time.Time{})
-	r.Put(endpoint("a", 4, true), 9)
-	r.Remove(start, "b", 5, time.Time{})
+	r.List(start, nil, at(8), time.Time{})
+	r.Put(endpoint("a", 4, true), at(9))
+	r.Remove(start, "b", at(5), time.Time{})
 	a := r.TakeSetAside()
 	if a.Lists != 1 || !slices.Equal(a.Endpoints, []string{"a", "b"}) {
 		t.Fatalf("%+v set aside, want one list, a and b", a)
--- a/coordination/discovery/follow.go
+++ b/coordination/discovery/follow.go
@@ -3,7 +3,11 @@
 // and entries that lapse. Its types are state machines without I/O.
 package discovery
 
-import "time"
+import (
+	"time"
+
+	"github.com/doorvalve/doorvalve/state/storeversion"
+)
 
 // Action is what a Follower asks for next.
 type Action int
@@ -30,12 +34,12 @@
 
 // Follower decides between listing and watching one kind of object.
 //
-// Invariants: a watch continues only from the revision up to which every
+// Invariants: a watch continues only from the version up to which every
 // change has been seen; after lost history it lists again. What has been seen is
 // never taken for younger than it can be, however long an answer was on its way.
 type Follower struct {
 	opt      FollowOptions
-	since    uint64
+	since    storeversion.Version
 	synced   bool
 	nextAt   time.Time
 	failures int       // in a row
@@ -57,8 +61,8 @@
 	return Watch, now
 }
 
-// Since returns the revision that a watch starts from.
-func (f *Follower) Since() uint64 { return f.since }
+// Since returns the version that a watch starts from.
+func (f *Follower) Since() storeversion.Version { return f.since }
 
 // FailingSince returns the first of the failures in a row, or zero.
 func (f *Follower) FailingSince() time.Time { return f.failedAt }
@@ -69,18 +73,18 @@
 // SeenAt returns the time up to which every change has been seen.
 func (f *Follower) SeenAt() time.Time { return f.asOf }
 
-// Listed reports a whole list as of a revision, which was asked for at a time: it
+// Listed reports a whole list as of a version, which was asked for at a time: it
 // holds what was true then.
-func (f *Follower) Listed(asked, now time.Time, revision uint64) {
-	f.since = revision
+func (f *Follower) Listed(asked, now time.Time, version storeversion.Version) {
+	f.since = version
 	f.succeeded(asked, now)
 }
 
 // Watched reports the answer to a watch that was to wait for so long. changed says
 // whether it held events. Without any, none came during the wait; with some,
 // nothing says how long they were on their way.
-func (f *Follower) Watched(asked, now time.Time, wait time.Duration, revision uint64, changed bool) {
-	f.since = max(f.since, revision)
+func (f *Follower) Watched(asked, now time.Time, wait time.Duration, version storeversion.Version, changed bool) {
+	f.since = storeversion.Max(f.since, version)
 	asOf := asked
 	if !changed && now.Sub(asked) >= wait {
 		asOf = asked.Add(wait)
@@ -110,6 +114,9 @@
 // another one; the next call is a list.
 func (f *Follower) Rest() { f.synced, f.failedAt, f.failures = false, time.Time{}, 0 }
 
+// Relist makes the next call a list.
+func (f *Follower) Relist() { f.synced = false }
+
 // Failed reports a call without a usable answer. A watch that failed may have
 // missed what the store has told no one, so the next call is a list.
 func (f *Follower) Failed(now time.Time) {
--- a/coordination/discovery/outage.go
+++ b/coordination/discovery/outage.go
@@ -16,16 +16,13 @@
 )
 
 // Outage decides until when an entry that is missing may only have lapsed while
-// the store was away. An entry that is kept for that is one that the platform
-// removed, if there was no outage: its endpoint gets requests for lapseGrace more,
-// which no bound on leaving endpoints allows. By the logs of a day on which the store
-// turns a third of 79 daemons away again and again, 25 of them kept an endpoint for 4 s
-// after its removal when any failed call counted, of a bound of 3 s; with the rule
-// below, none of those that the store served kept one.
+// the store was away, or may be missing from the copy that it came back from. An entry
+// that is kept for that is one that the platform removed, if there was no outage: its
+// endpoint gets requests for lapseGrace more, which no bound on leaving endpoints allows.
 //
 // Invariant: there is no grace where this daemon, or one that it hears from, has
-// heard the store since entries could have lapsed. So each daemon decides by itself:
-// that another one keeps an entry is no reason to.
+// heard the store since entries could have lapsed, and the store's generation is the same.
+// So each daemon decides by itself: that another one keeps an entry is no reason to.
 type Outage struct {
 	heartbeat time.Duration // of the endpoints
 	until     time.Time
@@ -45,5 +42,9 @@
 	}
 }
 
+// Restored takes the first answer of a later generation of the store: endpoints write again what
+// the copy lacks.
+func (o *Outage) Restored(now time.Time) { o.until = now.Add(lapseGrace) }
+
 // GraceUntil returns until when entries that go missing are kept.
 func (o *Outage) GraceUntil() time.Time { return o.until }
--- a/coordination/discovery/outage_test.go
+++ b/coordination/discovery/outage_test.go
@@ -36,15 +36,15 @@
 // An entry that is kept is marked, so that other daemons can decide by themselves, and
 // the mark goes when the entry is back, also unchanged.
 func TestKeptEntryIsMarked(t *testing.T) {
-	r := NewRegistry()
-	r.List(start, []*fleet.Endpoint{endpoint("a", 1, false)}, 1, time.Time{})
-	if kept := r.List(start, nil, 5, start.Add(grace)); len(kept) != 1 {
+	r := NewRegistry(testHeartbeat)
+	r.List(start, []*fleet.Endpoint{endpoint("a", 1, false)}, at(1), time.Time{})
+	if kept := r.List(start, nil, at(5), start.Add(grace)); len(kept) != 1 {
 		t.Fatalf("kept %v", kept)
 	}
 	if v, changed := r.View(); !changed || !v.ByID["a"].Missing {
 		t.Fatal("the entry is not marked")
 	}
-	r.List(start, []*fleet.Endpoint{endpoint("a", 1, false)}, 6, start.Add(grace))
+	r.List(start, []*fleet.Endpoint{endpoint("a", 1, false)}, at(6), start.Add(grace))
 	if v, changed := r.View(); !changed || v.ByID["a"].Missing {
 		t.Fatal("the mark stays")
 	}
@@ -60,21 +60,21 @@
 	const wait, late = 900 * time.Millisecond, 700 * time.Millisecond
 	f := NewFollower(FollowOptions{})
 	asked := start
-	f.Listed(asked, asked.Add(late), 1)
+	f.Listed(asked, asked.Add(late), at(1))
 	if got := f.SeenAt(); got != asked {
 		t.Errorf("a list that was late is as of %v after its question", got.Sub(asked))
 	}
 	asked = start.Add(time.Second)
-	f.Watched(asked, asked.Add(wait+late), wait, 1, false)
+	f.Watched(asked, asked.Add(wait+late), wait, at(1), false)
 	if got := f.SeenAt(); got != asked.Add(wait) {
 		t.Errorf("a watch without changes is as of %v after its question", got.Sub(asked))
 	}
 	asked = start.Add(10 * time.Second)
-	f.Watched(asked, asked.Add(wait/2), wait, 2, true)
+	f.Watched(asked, asked.Add(wait/2), wait, at(2), true)
 	if got := f.SeenAt(); got != asked {
 		t.Errorf("a watch with changes is as of %v after its question", got.Sub(asked))
 	}
-	f.Watched(asked.Add(-time.Second), asked, wait, 2, true)
+	f.Watched(asked.Add(-time.Second), asked, wait, at(2), true)
 	if got := f.SeenAt(); got != asked {
 		t.Error("what was seen went back")
 	}
--- /dev/null
+++ b/coordination/discovery/restore_test.go
@@ -0,0 +1,236 @@
+package discovery
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/doorvalve/doorvalve/state/fleet"
+	"github.com/doorvalve/doorvalve/state/storeversion"
+)
+
+// in returns a version of a generation of the store.
+func in(generation, revision uint64) storeversion.Version {
+	return storeversion.Version{Generation: generation, Revision: revision}
+}
+
+// described returns the description of an endpoint in its first life.
+func described(id string, version storeversion.Version, leaving bool) *fleet.Endpoint {
+	return &fleet.Endpoint{ID: id, Born: 1000, Service: "s", Address: id, Version: version, Leaving: leaving}
+}
+
+// Guards against a view that stays as it was before the store came back from a copy, since its
+// revisions are lower by then.
+func TestRestoredStoreIsBelieved(t *testing.T) {
+	r := NewRegistry(testHeartbeat)
+	r.List(start, []*fleet.Endpoint{described("a", in(1, 92), false), described("b", in(1, 93), false)}, in(1, 96), time.Time{})
+	r.List(start, []*fleet.Endpoint{described("a", in(2, 50), false), described("new", in(2, 51), false)}, in(2, 52), time.Time{})
+	if usable(r, "b") || !usable(r, "new") {
+		t.Fatal("the list of the restored store was not taken")
+	}
+	r.Put(described("a", in(2, 60), true), in(2, 60))
+	if usable(r, "a") {
+		t.Fatal("a word of the restored store was not taken")
+	}
+	r.Put(described("new", in(1, 99), true), in(1, 99))
+	r.List(start, nil, in(1, 120), time.Time{})
+	if !usable(r, "new") {
+		t.Fatal("an answer of before the restore was taken")
+	}
+	if aside := r.TakeSetAside(); aside.Lists != 1 || len(aside.Endpoints) != 1 {
+		t.Fatalf("%+v set aside, want one list and one description", aside)
+	}
+}
+
+// Guards against requests to a life that had left, which the copy names as one that stays.
+func TestCopyBringsNoLifeBackThatHasLeft(t *testing.T) {
+	r := NewRegistry(testHeartbeat)
+	for _, id := range []string{"said", "leaving", "left"} {
+		r.Put(described(id, in(1, 10), false), in(1, 10))
+	}
+	r.Leave(fleet.Incarnation{ID: "said", Born: 1000})
+	r.Put(described("leaving", in(1, 11), true), in(1, 11))
+	r.Put(described("left", in(1, 12), true), in(1, 12))
+	r.Remove(start, "left", in(1, 13), time.Time{})
+	var copied []*fleet.Endpoint
+	for _, id := range []string{"said", "leaving", "left"} {
+		copied = append(copied, described(id, in(2, 10), false))
+	}
+	r.List(start, copied, in(2, 10), start.Add(grace))
+	for now := start; now.Before(start.Add(time.Minute)); now = now.Add(time.Second) {
+		r.Expire(now)
+		for _, id := range []string{"said", "leaving", "left"} {
+			if usable(r, id) {
+				t.Fatalf("%s takes requests again %v after the restore", id, now.Sub(start))
+			}
+		}
+	}
+}
+
+// Guards against requests to an endpoint that was removed before the restore and that the copy
+// names: until it writes itself again, or the store would have dropped the entry of a dead one.
+func TestRemovedEndpointThatTheCopyNames(t *testing.T) {
+	begin := func() *Registry {
+		r := NewRegistry(testHeartbeat)
+		r.Put(described("a", in(1, 10), false), in(1, 10))
+		r.Remove(start, "a", in(1, 12), time.Time{})
+		r.List(start, []*fleet.Endpoint{described("a", in(2, 10), false)}, in(2, 10), time.Time{})
+		r.Expire(start)
+		return r
+	}
+	r := begin()
+	if usable(r, "a") {
+		t.Fatal("it is used as soon as the copy names it")
+	}
+	r.List(start, []*fleet.Endpoint{described("a", in(2, 10), false)}, in(2, 14), time.Time{})
+	if usable(r, "a") {
+		t.Fatal("it is used though it has not written itself again")
+	}
+	r.Put(described("a", in(2, 15), false), in(2, 15))
+	if !usable(r, "a") {
+		t.Fatal("it has written itself again and is not used")
+	}
+	r = begin()
+	r.Remove(start, "a", in(2, 16), time.Time{})
+	r.Expire(start.Add(time.Minute))
+	if usable(r, "a") {
+		t.Fatal("its entry lapsed and it is used")
+	}
+	r = begin()
+	later := start.Add(lapseBeatsMost * testHeartbeat)
+	if r.WantsList(later.Add(-time.Millisecond)) || !r.WantsList(later) {
+		t.Fatal("a list is asked for before dead entries have lapsed, or never")
+	}
+	r.List(later, []*fleet.Endpoint{described("a", in(2, 10), false)}, in(2, 17), time.Time{})
+	if !usable(r, "a") {
+		t.Fatal("it lives on and is never used again")
+	}
+	r = begin()
+	next := described("a", in(2, 17), false)
+	next.Born = 2000
+	r.Put(next, in(2, 17))
+	if !usable(r, "a") {
+		t.Fatal("its next life is not used")
+	}
+}
+
+// Guards against requests that are refused since the copy lacks their endpoint, which writes itself
+// again within the grace.
+func TestEndpointThatTheCopyLacksIsKept(t *testing.T) {
+	r, o := NewRegistry(testHeartbeat), NewOutage(testHeartbeat)
+	r.Put(described("a", in(1, 90), false), in(1, 90))
+	o.Restored(start)
+	if kept := r.List(start, nil, in(2, 50), o.GraceUntil()); len(kept) != 1 || !usable(r, "a") {
+		t.Fatal("an endpoint that the copy lacks is not kept")
+	}
+	r.Expire(start.Add(lapseGrace - time.Millisecond))
+	if !usable(r, "a") {
+		t.Fatal("it is dropped before the grace is over")
+	}
+	r.Expire(start.Add(lapseGrace))
+	if usable(r, "a") {
+		t.Fatal("it is kept beyond the grace")
+	}
+}
+
+// Random histories of a store that comes back from copies: what is believed never goes back, no life
+// that was seen leaving takes requests again, and what the store names lastly is used in the end.
+func TestRegistryThroughRestores(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r, o := NewRegistry(testHeartbeat), NewOutage(testHeartbeat)
+		now, version := start, in(1, 10)
+		stored := map[string]*fleet.Endpoint{}
+		type copied struct {
+			at      storeversion.Version
+			entries map[string]*fleet.Endpoint
+		}
+		copies := []copied{{version, map[string]*fleet.Endpoint{}}}
+		left, newest := map[string]int64{}, storeversion.Version{}
+		born := map[string]int64{}
+		list := func() {
+			var all []*fleet.Endpoint
+			for _, e := range stored {
+				all = append(all, e)
+			}
+			r.List(now, all, version, o.GraceUntil())
+		}
+		for range rapid.IntRange(1, 60).Draw(t, "events") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms")) * time.Millisecond)
+			id := fmt.Sprint("e", rapid.IntRange(0, 3).Draw(t, "id"))
+			switch rapid.IntRange(0, 7).Draw(t, "event") {
+			case 0, 1, 2:
+				version.Revision++
+				if born[id] == 0 || rapid.IntRange(0, 4).Draw(t, "again") == 0 {
+					born[id] += 1000
+				}
+				e := described(id, version, rapid.IntRange(0, 3).Draw(t, "leaving") == 0 || left[id] == born[id])
+				e.Born = born[id]
+				stored[id] = e
+				r.Put(e, version)
+			case 3:
+				if stored[id] != nil {
+					version.Revision++
+					delete(stored, id)
+					r.Remove(now, id, version, time.Time{})
+				}
+			case 4:
+				entries := map[string]*fleet.Endpoint{}
+				for id, e := range stored {
+					entries[id] = e
+				}
+				copies = append(copies, copied{version, entries})
+			case 5:
+				i := rapid.IntRange(0, len(copies)-1).Draw(t, "copy")
+				version = in(version.Generation+1, copies[i].at.Revision)
+				stored = map[string]*fleet.Endpoint{}
+				for id, e := range copies[i].entries {
+					again := *e
+					again.Version.Generation = version.Generation
+					stored[id] = &again
+				}
+				copies = copies[:i+1]
+				o.Restored(now)
+				list()
+			case 6:
+				list()
+			case 7: // an answer that was on its way since before
+				r.List(now, nil, in(version.Generation-1, version.Revision+50), time.Time{})
+			}
+			r.Expire(now)
+			v, _ := r.View()
+			if v.Version.Before(newest) {
+				t.Fatalf("the view went back from %v to %v", newest, v.Version)
+			}
+			newest = v.Version
+			for id, e := range v.ByID {
+				if e.Leaving {
+					left[id] = max(left[id], e.Born)
+				} else if left[id] >= e.Born {
+					t.Fatalf("%s takes requests again after it was seen leaving", id)
+				}
+			}
+		}
+		r.Expire(now)
+		for range 2 {
+			now = now.Add(time.Minute)
+			r.Expire(now)
+			list()
+		}
+		v, _ := r.View()
+		for id, e := range stored {
+			if e.Leaving || e.Born < born[id] {
+				continue // the copy names a life that has ended
+			}
+			if got := v.ByID[id]; got == nil || got.Born < e.Born {
+				t.Fatalf("%s, which the store names as one that stays, is not used: %+v", id, got)
+			}
+		}
+		for id := range v.ByID {
+			if stored[id] == nil {
+				t.Fatalf("%s, which the store does not name, is used", id)
+			}
+		}
+	})
+}
--- a/coordination/lease/lease.go
+++ b/coordination/lease/lease.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/doorvalve/doorvalve/protocol"
+	"github.com/doorvalve/doorvalve/state/storeversion"
 )
 
 // Record is the object that the lease is kept in.
@@ -34,13 +35,13 @@
 	Err     bool
 	Found   bool
 	Record  Record
-	Version uint64
+	Version storeversion.Version // without a revision, where there is no object
 }
 
 // WriteDone reports the write that Ready asked for last.
 type WriteDone struct {
 	Outcome protocol.WriteOutcome
-	Version uint64 // after WriteOK
+	Version storeversion.Version // after WriteOK
 }
 
 // Release gives the lease up, for a planned stop.
@@ -58,7 +59,7 @@
 // Write is a conditional update of the object.
 type Write struct {
 	Record          Record
-	ExpectedVersion uint64 // 0: the object must not exist
+	ExpectedVersion storeversion.Version // absent: the object must not exist
 }
 
 // Ready is what the caller has to do now. At most one of the fields is set.
@@ -81,10 +82,10 @@
 	candidate bool
 	releasing bool
 
-	seen       Record    // last record read
-	found      bool      // the object exists
-	version    uint64    // of seen
-	firstSeen  time.Time // when version was first seen by this daemon
+	seen       Record               // last record read
+	found      bool                 // the object exists
+	version    storeversion.Version // of seen
+	firstSeen  time.Time            // when version was first seen by this daemon
 	haveRead   bool
 	readFailed bool // the last read had no answer
 
--- a/coordination/lease/lease_test.go
+++ b/coordination/lease/lease_test.go
@@ -7,6 +7,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/doorvalve/doorvalve/protocol"
+	"github.com/doorvalve/doorvalve/state/storeversion"
 )
 
 const term = 6 * time.Second
@@ -14,15 +15,15 @@
 // store is the platform's object with conditional updates.
 type store struct {
 	rec     Record
-	version uint64
+	version storeversion.Version
 }
 
 func (s *store) put(w Write) bool {
-	if w.ExpectedVersion != s.version {
+	if w.ExpectedVersion.Revision != s.version.Revision {
 		return false
 	}
 	s.rec = w.Record
-	s.version++
+	s.version.Revision++
 	return true
 }
 
@@ -100,7 +101,7 @@
 			d.m.Step(now, ReadDone{Err: true})
 			return
 		}
-		d.m.Step(now, ReadDone{Found: s.version > 0, Record: s.rec, Version: s.version})
+		d.m.Step(now, ReadDone{Found: !s.version.Absent(), Record: s.rec, Version: s.version})
 		return
 	}
 	switch rapid.IntRange(0, 4).Draw(t, "write") {
@@ -129,7 +130,7 @@
 		now = now.Add(10 * time.Millisecond)
 		r := m.Ready(now)
 		if r.Read {
-			m.Step(now, ReadDone{Found: s.version > 0, Record: s.rec, Version: s.version})
+			m.Step(now, ReadDone{Found: !s.version.Absent(), Record: s.rec, Version: s.version})
 		}
 		if r.Write != nil {
 			writes++
--- a/coordination/lease/restore_test.go
+++ b/coordination/lease/restore_test.go
@@ -7,6 +7,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/doorvalve/doorvalve/protocol"
+	"github.com/doorvalve/doorvalve/state/storeversion"
 )
 
 // restoredStore is a store that comes back from older copies of itself: what it has acknowledged
@@ -19,12 +20,11 @@
 }
 
 func (s *restoredStore) put(w Write) bool {
-	before := s.version
 	if !s.store.put(w) {
 		return false
 	}
-	s.revision++
-	s.version = max(s.revision, before+1)
+	s.revision = max(s.revision+1, s.version.Revision)
+	s.version.Revision = s.revision
 	return true
 }
 
@@ -35,8 +35,9 @@
 
 // restore brings the store back from one of its copies; later ones are gone.
 func (s *restoredStore) restore(i int) {
-	c := s.copies[i]
+	c, generation := s.copies[i], s.version.Generation+1
 	s.store, s.revision, s.copies = c.store, c.revision, s.copies[:i+1]
+	s.version.Generation = generation
 }
 
 // carryOutLate carries one unanswered write out, if its condition holds by now.
@@ -50,7 +51,7 @@
 // the store comes back from older copies, any number of times, and carries out writes late.
 func TestLeaseOneHolderThroughRestores(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		s := &restoredStore{}
+		s := &restoredStore{store: store{version: storeversion.Version{Generation: 1}}}
 		now := time.Unix(1_000_000, 0)
 		var daemons []*daemon
 		for _, name := range []string{"a", "b", "c"} {
@@ -118,7 +119,7 @@
 			d.m.Step(now, ReadDone{Err: true})
 			return
 		}
-		d.m.Step(now, ReadDone{Found: s.version > 0, Record: s.rec, Version: s.version})
+		d.m.Step(now, ReadDone{Found: !s.version.Absent(), Record: s.rec, Version: s.version})
 		return
 	}
 	w := *d.out.Write
--- a/coordination/placement/machine.go
+++ b/coordination/placement/machine.go
@@ -7,6 +7,7 @@
 
 	"github.com/doorvalve/doorvalve/protocol"
 	"github.com/doorvalve/doorvalve/state/bundle"
+	"github.com/doorvalve/doorvalve/state/storeversion"
 )
 
 // OrderNumberBits is the part of an order's fencing number that counts the
@@ -78,7 +79,7 @@
 	takeoverAt time.Time
 	fence      uint64  // of the lease held now or last
 	obj        *Object // recorded, as last read or written
-	version    uint64
+	version    storeversion.Version
 	read       bool // obj was read under the present fence
 	mine       bool // obj was written under the present fence
 
--- a/coordination/placement/object.go
+++ b/coordination/placement/object.go
@@ -12,6 +12,7 @@
 
 	"github.com/doorvalve/doorvalve/protocol"
 	"github.com/doorvalve/doorvalve/state/bundle"
+	"github.com/doorvalve/doorvalve/state/storeversion"
 )
 
 // Phase is what the record wants of an assignment.
@@ -206,13 +207,13 @@
 	Err     bool
 	Found   bool
 	Object  Object
-	Version uint64
+	Version storeversion.Version
 }
 
 // WriteDone reports the write that Ready asked for last.
 type WriteDone struct {
 	Outcome protocol.WriteOutcome
-	Version uint64
+	Version storeversion.Version
 }
 
 // OrderDone reports how an order ended.
@@ -261,7 +262,7 @@
 // Write is a conditional update of the object.
 type Write struct {
 	Object          Object
-	ExpectedVersion uint64
+	ExpectedVersion storeversion.Version
 }
 
 // Ready is what the caller has to do now.
--- a/coordination/placement/placement_test.go
+++ b/coordination/placement/placement_test.go
@@ -11,6 +11,7 @@
 	"github.com/doorvalve/doorvalve/coordination/lease"
 	"github.com/doorvalve/doorvalve/protocol"
 	"github.com/doorvalve/doorvalve/state/bundle"
+	"github.com/doorvalve/doorvalve/state/storeversion"
 )
 
 const (
@@ -94,9 +95,9 @@
 	conf    Config
 
 	leaseRec     lease.Record
-	leaseVersion uint64
+	leaseVersion storeversion.Version
 	obj          Object
-	objVersion   uint64
+	objVersion   storeversion.Version
 	lateOrders   []func() // orders in the network whose sender gave up
 	quiet        bool     // no faults
 	delayOrders  bool     // all of them
@@ -167,7 +168,7 @@
 	lr := d.l.Ready(w.now)
 	if lr.Read {
 		rec, version := w.leaseRec, w.leaseVersion
-		d.send(func() { d.l.Step(w.now, lease.ReadDone{Found: version > 0, Record: rec, Version: version}) })
+		d.send(func() { d.l.Step(w.now, lease.ReadDone{Found: !version.Absent(), Record: rec, Version: version}) })
 	}
 	if lr.Write != nil {
 		w.writeLease(d, *lr.Write)
@@ -188,7 +189,7 @@
 	r := d.p.Ready(w.now)
 	if r.Read {
 		obj, version := *w.obj.clone(), w.objVersion
-		d.send(func() { d.p.Step(w.now, ReadDone{Found: version > 0, Object: obj, Version: version}) })
+		d.send(func() { d.p.Step(w.now, ReadDone{Found: !version.Absent(), Object: obj, Version: version}) })
 	}
 	if r.Write != nil {
 		w.writeObject(d, *r.Write)
@@ -204,7 +205,7 @@
 	took := false
 	if !w.chance("lost before", 8) {
 		if took = wr.ExpectedVersion == w.leaseVersion; took {
-			w.leaseRec, w.leaseVersion = wr.Record, w.leaseVersion+1
+			w.leaseRec, w.leaseVersion = wr.Record, w.leaseVersion.At(w.leaseVersion.Revision+1)
 		}
 		if !w.chance("answer lost", 8) {
 			out, version := protocol.WriteConflict, w.leaseVersion
@@ -222,7 +223,7 @@
 	if !w.chance("lost before", 8) {
 		took := wr.ExpectedVersion == w.objVersion
 		if took {
-			w.obj, w.objVersion = *wr.Object.clone(), w.objVersion+1
+			w.obj, w.objVersion = *wr.Object.clone(), w.objVersion.At(w.objVersion.Revision+1)
 		}
 		if !w.chance("answer lost", 8) {
 			out, version := protocol.WriteConflict, w.objVersion
@@ -437,7 +438,7 @@
 				m.Step(now, ReadDone{})
 			}
 			if r.Write != nil {
-				m.Step(now, WriteDone{Outcome: protocol.WriteOK, Version: r.Write.ExpectedVersion + 1})
+				m.Step(now, WriteDone{Outcome: protocol.WriteOK, Version: storeversion.Version{Revision: r.Write.ExpectedVersion.Revision + 1}})
 			}
 			for _, o := range r.Orders {
 				m.Step(now, OrderDone{Order: o, Sent: true, OK: true})
--- a/coordination/relay/relay_test.go
+++ b/coordination/relay/relay_test.go
@@ -10,6 +10,7 @@
 	"github.com/doorvalve/doorvalve/coordination/discovery"
 	"github.com/doorvalve/doorvalve/coordination/membership"
 	"github.com/doorvalve/doorvalve/state/fleet"
+	"github.com/doorvalve/doorvalve/state/storeversion"
 )
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -131,14 +132,14 @@
 	d := l.Since(f.cursor, f.known, v)
 	f.cursor, f.known = l.Change(), true
 	if d.Whole {
-		f.registry.List(now, d.Endpoints, v.Revision, time.Time{})
+		f.registry.List(now, d.Endpoints, v.Version, time.Time{})
 		return
 	}
 	for _, e := range d.Endpoints {
-		f.registry.Put(e, v.Revision)
+		f.registry.Put(e, v.Version)
 	}
 	for _, id := range d.Gone {
-		f.registry.Remove(now, id, v.Revision, time.Time{})
+		f.registry.Remove(now, id, v.Version, time.Time{})
 	}
 }
 
@@ -147,8 +148,8 @@
 // have the same endpoints.
 func TestFollowerHasWhatTheWatcherHas(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		watcher, l := discovery.NewRegistry(), NewChangeLog()
-		f := &follower{registry: discovery.NewRegistry()}
+		watcher, l := discovery.NewRegistry(time.Second), NewChangeLog()
+		f := &follower{registry: discovery.NewRegistry(time.Second)}
 		view, _ := watcher.View()
 		revision, now := uint64(1), start
 		left := map[string]bool{}
@@ -158,9 +159,9 @@
 			switch rapid.IntRange(0, 6).Draw(t, "event") {
 			case 0, 1, 2:
 				left[id] = left[id] || rapid.Bool().Draw(t, "leaving") // never comes back under its id
-				watcher.Put(&fleet.Endpoint{ID: id, Service: "s", Revision: revision, Leaving: left[id]}, revision)
+				watcher.Put(&fleet.Endpoint{ID: id, Service: "s", Version: storeversion.Version{Revision: revision}, Leaving: left[id]}, storeversion.Version{Revision: revision})
 			case 3:
-				watcher.Remove(now, id, revision, time.Time{})
+				watcher.Remove(now, id, storeversion.Version{Revision: revision}, time.Time{})
 			case 4:
 				f.known = false
 			case 5:
@@ -180,7 +181,7 @@
 			t.Fatalf("the follower has %d endpoints, the watcher %d", len(got.ByID), len(view.ByID))
 		}
 		for id, e := range view.ByID {
-			if g := got.ByID[id]; g == nil || g.Revision != e.Revision || g.Leaving != e.Leaving {
+			if g := got.ByID[id]; g == nil || g.Version != e.Version || g.Leaving != e.Leaving {
 				t.Fatalf("%s: the follower has %+v, the watcher %+v", id, g, e)
 			}
 		}
--- a/coordination/residency/engine_test.go
+++ b/coordination/residency/engine_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/doorvalve/doorvalve/state/fleet"
 	"github.com/doorvalve/doorvalve/state/routing"
+	"github.com/doorvalve/doorvalve/state/storeversion"
 )
 
 // simEngine is an engine as the platform's pages describe it, in virtual time.
@@ -48,7 +49,7 @@
 }
 
 func newSimEngine(conf *routing.Engine, id string, models ...string) *simEngine {
-	e := &simEngine{conf: conf, models: map[string][]string{}, coming: map[AdapterRef]time.Time{}, leaving: map[AdapterRef]time.Time{}, onDisk: map[string]bool{}, endpoint: &fleet.Endpoint{ID: id, Born: firstBorn, Service: "s", Address: id, Revision: 1}}
+	e := &simEngine{conf: conf, models: map[string][]string{}, coming: map[AdapterRef]time.Time{}, leaving: map[AdapterRef]time.Time{}, onDisk: map[string]bool{}, endpoint: &fleet.Endpoint{ID: id, Born: firstBorn, Service: "s", Address: id, Version: storeversion.Version{Revision: 1}}}
 	for _, m := range models {
 		e.models[m] = nil
 		e.onDisk[m] = true
@@ -60,7 +61,7 @@
 // publish writes the engine's entry in the store.
 func (e *simEngine) publish() {
 	next := *e.endpoint
-	next.Revision++
+	next.Version.Revision++
 	next.Models, next.OnDisk = e.loaded(), keys(e.onDisk)
 	e.endpoint = &next
 }
@@ -86,7 +87,7 @@
 func (e *simEngine) restart(now time.Time) {
 	next := newSimEngine(e.conf, e.endpoint.ID)
 	next.onDisk, next.adapterTime = e.onDisk, e.adapterTime
-	next.endpoint.Born, next.endpoint.Revision = now.UnixMilli(), e.endpoint.Revision
+	next.endpoint.Born, next.endpoint.Version = now.UnixMilli(), e.endpoint.Version
 	next.publish()
 	next.overloaded = e.overloaded
 	*e = *next
--- a/coordination/residency/planner.go
+++ b/coordination/residency/planner.go
@@ -177,7 +177,7 @@
 		case w.life.Before(e.Life()):
 			w = p.reborn(now, w, e.Life())
 		}
-		known := w.endpoint != nil && w.endpoint.Revision == e.Revision
+		known := w.endpoint != nil && w.endpoint.Version == e.Version
 		w.endpoint = e
 		if !known {
 			p.adoptEntry(now, w)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -27,6 +27,7 @@
 	"github.com/doorvalve/doorvalve/driver/claimer"
 	"github.com/doorvalve/doorvalve/driver/decisions"
 	"github.com/doorvalve/doorvalve/driver/gate"
+	"github.com/doorvalve/doorvalve/driver/generations"
 	"github.com/doorvalve/doorvalve/driver/gossip"
 	"github.com/doorvalve/doorvalve/driver/placer"
 	"github.com/doorvalve/doorvalve/driver/quarantiner"
@@ -60,19 +61,21 @@
 	self     string
 	started  time.Time
 	platform *platform.Client
-	engines  *engine.Client
-	peers    *peers.Client
-	gossip   *gossip.Gossip
-	rollout  *rollout.Rollout
-	claimer  *claimer.Claimer
-	keeper   *quarantiner.Keeper
-	quotas   *quotas.Keeper
-	said     *backpressure.Book
-	throttle *throttle.Keeper
-	callers  *callers.Server
-	metrics  tally.Scope
-	reporter promreporter.Reporter
-	closer   interface{ Close() error }
+	// generations keeps the highest generation of the platform that was heard of.
+	generations *generations.Tracker
+	engines     *engine.Client
+	peers       *peers.Client
+	gossip      *gossip.Gossip
+	rollout     *rollout.Rollout
+	claimer     *claimer.Claimer
+	keeper      *quarantiner.Keeper
+	quotas      *quotas.Keeper
+	said        *backpressure.Book
+	throttle    *throttle.Keeper
+	callers     *callers.Server
+	metrics     tally.Scope
+	reporter    promreporter.Reporter
+	closer      interface{ Close() error }
 
 	gates atomic.Pointer[map[string]*gate.Gate]
 	roles sync.Map // by group; values are role
@@ -110,7 +113,8 @@
 		Prefix: "doorvalve", CachedReporter: d.reporter, Separator: promreporter.DefaultSeparator, OmitCardinalityMetrics: true,
 	}, time.Second)
 	d.metrics, d.closer = scope, closer
-	d.platform = platform.New(platform.Options{URL: set.Platform.URL, Timeout: set.Platform.Timeout.D()})
+	d.generations = generations.New(d.log, d.metrics)
+	d.platform = platform.New(platform.Options{URL: set.Platform.URL, Timeout: set.Platform.Timeout.D(), Generations: d.generations})
 	d.engines = engine.New(engineTimeout)
 	d.peers = peers.NewClient(set.Peers.Token)
 	d.gossip = gossip.New(d.log.Named("gossip"), d.peers, d.seeds, gossip.Options(quotas.StaleFact), d.member())
@@ -120,10 +124,10 @@
 		Self: d.self, Platform: d.platform, Peers: d.peers, Members: d.gossip.Members, Config: d.claimsConfig, Log: d.log.Named("claims"),
 	})
 	d.keeper = quarantiner.New(quarantiner.Options{
-		Self: d.self, Members: d.gossip.Members, Peer: d.peers.Quarantines().To, Endpoint: d.endpointState, Store: d.platform, Log: d.log.Part("quarantine"), Metrics: d.metrics,
+		Self: d.self, Members: d.gossip.Members, Peer: d.peers.Quarantines().To, Endpoint: d.endpointState, Store: d.platform, Generations: d.generations, Log: d.log.Part("quarantine"), Metrics: d.metrics,
 	})
 	d.quotas = quotas.New(quotas.Options{
-		Self: d.self, Members: d.gossip.Members, Revision: d.gossip.Revision, Directory: d.workspaces, Listed: d.endpointListed, Tell: d.gossip.Set, Limited: func(life fleet.Incarnation, w limit.Word) { d.throttle.Limited(life, w) }, Store: d.platform, Peer: d.peers.Quotas().To, Log: d.log.Part("quotas"), Metrics: d.metrics,
+		Self: d.self, Members: d.gossip.Members, Revision: d.gossip.Revision, Directory: d.workspaces, Listed: d.endpointListed, Tell: d.gossip.Set, Limited: func(life fleet.Incarnation, w limit.Word) { d.throttle.Limited(life, w) }, Store: d.platform, Generations: d.generations, Peer: d.peers.Quotas().To, Log: d.log.Part("quotas"), Metrics: d.metrics,
 	})
 	d.throttle = throttle.New(throttle.Options{
 		Self: d.self, Book: d.said, Limits: d.quotas.Endpoints(), ReadyAt: func(fleet.Incarnation) time.Time { return time.Time{} },
--- a/daemon/edgedaemon/daemon.go
+++ b/daemon/edgedaemon/daemon.go
@@ -30,6 +30,7 @@
 	"github.com/doorvalve/doorvalve/coordination/retry"
 	"github.com/doorvalve/doorvalve/driver/coordinator"
 	"github.com/doorvalve/doorvalve/driver/decisions"
+	"github.com/doorvalve/doorvalve/driver/generations"
 	"github.com/doorvalve/doorvalve/driver/gossip"
 	"github.com/doorvalve/doorvalve/driver/leaserelay"
 	"github.com/doorvalve/doorvalve/driver/quarantiner"
@@ -73,23 +74,25 @@
 
 // Daemon is one process.
 type Daemon struct {
-	set      settings.Edge
-	log      *decisions.Log
-	self     string
-	store    *platform.Store
-	view     *storeview.View
-	gossip   *gossip.Gossip
-	peers    *peers.Client
-	balancer *balance.Balancer
-	budget   *retry.Budget
-	keeper   *quarantiner.Keeper
-	shares   *quotas.Keeper
-	throttle *throttle.Keeper
-	callers  *edge.Server
-	metrics  tally.Scope
-	reporter promreporter.Reporter
-	closer   io.Closer
-	engines  *platform.EngineClient
+	set   settings.Edge
+	log   *decisions.Log
+	self  string
+	store *platform.Store
+	// generations keeps the highest generation of the store that was heard of.
+	generations *generations.Tracker
+	view        *storeview.View
+	gossip      *gossip.Gossip
+	peers       *peers.Client
+	balancer    *balance.Balancer
+	budget      *retry.Budget
+	keeper      *quarantiner.Keeper
+	shares      *quotas.Keeper
+	throttle    *throttle.Keeper
+	callers     *edge.Server
+	metrics     tally.Scope
+	reporter    promreporter.Reporter
+	closer      io.Closer
+	engines     *platform.EngineClient
 
 	listeners listeners
 	// callerServer is shut down gracefully; the others end with the process.
@@ -130,20 +133,21 @@
 		Prefix: "doorvalve", CachedReporter: d.reporter, Separator: promreporter.DefaultSeparator, OmitCardinalityMetrics: true,
 	}, metricsEvery)
 	d.shareRetries(1)
-	d.store = platform.NewStore(set.Store.Address, set.Store.Timeout.D(), log, d.metrics)
+	d.generations = generations.New(log, d.metrics)
+	d.store = platform.NewStore(set.Store.Address, set.Store.Timeout.D(), d.generations, log, d.metrics)
 	d.engines = platform.NewEngineClient(engineTimeout, d.engineSaid)
 	d.view = storeview.New(storeview.Options{
 		Store: d.store, Decode: platform.DecodeDesiredState, Log: log, Self: d.self, Peer: d.anyPeer, Upstreams: d.upstreams,
-		Within: min(set.Timing.LeaveWithin.D(), set.Timing.ApplyWithin.D()), Heartbeat: set.Timing.EndpointHeartbeat.D(), Metrics: d.metrics,
+		Within: min(set.Timing.LeaveWithin.D(), set.Timing.ApplyWithin.D()), Heartbeat: set.Timing.EndpointHeartbeat.D(), Generations: d.generations, Metrics: d.metrics,
 	})
 	d.view.OnChange(d.changed)
 	d.gossip = gossip.New(hclog.NewNullLogger(), d.peers, d.seeds, gossip.Options(staleFact), d.member())
 	d.keeper = quarantiner.New(quarantiner.Options{
-		Self: d.self, Members: d.alive, Peer: d.peers.Quarantines().To, Endpoint: d.endpointState, Ended: func(life fleet.Incarnation) { d.balancer.Gone(clock.Now(), life) }, Store: d.store, Log: log, Metrics: d.metrics,
+		Self: d.self, Members: d.alive, Peer: d.peers.Quarantines().To, Endpoint: d.endpointState, Ended: func(life fleet.Incarnation) { d.balancer.Gone(clock.Now(), life) }, Store: d.store, Generations: d.generations, Log: log, Metrics: d.metrics,
 	})
 	d.shares = quotas.New(quotas.Options{
 		Self: d.self, Bounds: quota.Bounds{Window: set.Quotas.Window.D(), Overage: set.Quotas.Overage, Slack: set.Quotas.Slack, Young: quota.YoungPart},
-		Members: d.gossip.Members, Revision: d.gossip.Revision, Directory: d.workspaces, Listed: d.endpointListed, Tell: d.gossip.Set, Limited: d.endpointLimited, Store: d.store, Peer: d.peers.Quotas().To, Log: log, Metrics: d.metrics,
+		Members: d.gossip.Members, Revision: d.gossip.Revision, Directory: d.workspaces, Listed: d.endpointListed, Tell: d.gossip.Set, Limited: d.endpointLimited, Store: d.store, Generations: d.generations, Peer: d.peers.Quotas().To, Log: log, Metrics: d.metrics,
 	})
 	d.throttle = throttle.New(throttle.Options{
 		Self: d.self, Book: said, Limits: d.shares.Endpoints(), ReadyAt: d.endpointReadyAt, Daemons: func() int { return len(d.alive()) }, Listed: d.endpointListed, Leaving: d.view.EndpointLeaving, Tell: d.gossip.Set, Log: log, Metrics: d.metrics,
@@ -241,7 +245,7 @@
 		return c
 	}
 	c = coordinator.New(coordinator.Options{
-		Service: service, Self: d.set.Listen.Peers, Lease: leaserelay.New(d.store, d.leasePeers, d.log), Engines: d.engines, OrderGap: d.set.Timing.OrderGap.D(),
+		Service: service, Self: d.set.Listen.Peers, Lease: leaserelay.New(d.store, d.leasePeers, d.generations, d.log), Engines: d.engines, OrderGap: d.set.Timing.OrderGap.D(),
 		Planner:   residency.Options{StoreAtOnce: d.set.Loads.AtOnce, RateWindow: d.set.Loads.Window.D(), RateFactor: d.set.Loads.Factor},
 		Candidate: d.candidate, Held: d.holderChanged, Places: d.storePlaces, PlacesLearned: d.storePlacesLearned, Log: d.log, Metrics: d.metrics,
 	})
--- a/daemon/edgedaemon/leases.go
+++ b/daemon/edgedaemon/leases.go
@@ -22,12 +22,17 @@
 	return list
 }
 
+// leaseServer reads and writes leases for other daemons.
+func (d *Daemon) leaseServer() leaserelay.Server {
+	return leaserelay.Server{Store: d.store, Generations: d.generations}
+}
+
 // ReadLease implements fleetpb.Fleet.
 func (s *fleetServer) ReadLease(ctx context.Context, req *fleetpb.ReadLeaseRequest) (*fleetpb.ReadLeaseResponse, error) {
-	return leaserelay.Server{Store: s.store}.ReadLease(ctx, req)
+	return (*Daemon)(s).leaseServer().ReadLease(ctx, req)
 }
 
 // WriteLease implements fleetpb.Fleet.
 func (s *fleetServer) WriteLease(ctx context.Context, req *fleetpb.WriteLeaseRequest) (*fleetpb.WriteLeaseResponse, error) {
-	return leaserelay.Server{Store: s.store}.WriteLease(ctx, req)
+	return (*Daemon)(s).leaseServer().WriteLease(ctx, req)
 }
--- a/driver/claimer/claimer.go
+++ b/driver/claimer/claimer.go
@@ -16,6 +16,7 @@
 	"github.com/doorvalve/doorvalve/protocol"
 	"github.com/doorvalve/doorvalve/protocol/peerpb"
 	"github.com/doorvalve/doorvalve/state/bundle"
+	"github.com/doorvalve/doorvalve/state/storeversion"
 	"github.com/doorvalve/doorvalve/transport/peers"
 	"github.com/doorvalve/doorvalve/transport/platform"
 )
@@ -241,9 +242,9 @@
 	ctx := context.Background()
 	out := protocol.WriteOK
 	if w.Seal != nil {
-		_, out = s.platform.Put(ctx, platform.KindSegment, w.SealName, 0, w.Seal)
+		_, out = s.platform.Put(ctx, platform.KindSegment, w.SealName, s.platform.Absent(), w.Seal)
 	}
-	var version uint64
+	var version storeversion.Version
 	if out == protocol.WriteOK {
 		version, out = s.platform.Put(ctx, platform.KindClaim, s.name, w.ExpectedVersion, w.Head)
 	}
--- a/driver/coordinator/coordinator.go
+++ b/driver/coordinator/coordinator.go
@@ -21,6 +21,7 @@
 	"github.com/doorvalve/doorvalve/protocol"
 	"github.com/doorvalve/doorvalve/state/fleet"
 	"github.com/doorvalve/doorvalve/state/routing"
+	"github.com/doorvalve/doorvalve/state/storeversion"
 )
 
 const (
@@ -48,8 +49,9 @@
 
 // LeaseStore keeps the lease.
 type LeaseStore interface {
-	ReadLease(ctx context.Context, name string, v any) (version uint64, err error)
-	WriteLease(ctx context.Context, name string, expected uint64, record any) (version uint64, outcome protocol.WriteOutcome, err error)
+	// ReadLease returns lease.ErrNotFound, with the store's generation, if there is none.
+	ReadLease(ctx context.Context, name string, v any) (version storeversion.Version, err error)
+	WriteLease(ctx context.Context, name string, expected storeversion.Version, record any) (version storeversion.Version, outcome protocol.WriteOutcome, err error)
 }
 
 // Engines takes orders and gives reports.
@@ -137,7 +139,6 @@
 	c.wake()
 }
 
-// wake makes the loop run at once.
 // Limited takes the limit that an engine names, or that it names none any more.
 func (c *Coordinator) Limited(life fleet.Incarnation, w limit.Word) {
 	c.mu.Lock()
@@ -146,6 +147,7 @@
 	c.wake()
 }
 
+// wake makes the loop run at once.
 func (c *Coordinator) wake() { wake.Once(c.kick) }
 
 // Want answers where a model is or will be.
--- a/driver/coordinator/coordinator_test.go
+++ b/driver/coordinator/coordinator_test.go
@@ -18,36 +18,37 @@
 	"github.com/doorvalve/doorvalve/driver/decisions"
 	"github.com/doorvalve/doorvalve/protocol"
 	"github.com/doorvalve/doorvalve/state/fleet"
+	"github.com/doorvalve/doorvalve/state/storeversion"
 )
 
 // fakeLease keeps one lease in memory.
 type fakeLease struct {
 	mu      sync.Mutex
 	record  lease.Record
-	version uint64
+	version storeversion.Version
 }
 
-func (f *fakeLease) ReadLease(_ context.Context, _ string, v any) (uint64, error) {
+func (f *fakeLease) ReadLease(_ context.Context, _ string, v any) (storeversion.Version, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.version == 0 {
-		return 0, lease.ErrNotFound
+	if f.version.Absent() {
+		return f.version, lease.ErrNotFound
 	}
 	raw, err := json.Marshal(f.record)
 	if err != nil {
-		return 0, err
+		return f.version, err
 	}
 	return f.version, json.Unmarshal(raw, v)
 }
 
-func (f *fakeLease) WriteLease(_ context.Context, _ string, expected uint64, record any) (uint64, protocol.WriteOutcome, error) {
+func (f *fakeLease) WriteLease(_ context.Context, _ string, expected storeversion.Version, record any) (storeversion.Version, protocol.WriteOutcome, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if expected != f.version {
-		return 0, protocol.WriteConflict, nil
+	if expected.Revision != f.version.Revision {
+		return f.version.At(0), protocol.WriteConflict, nil
 	}
 	f.record = record.(lease.Record)
-	f.version++
+	f.version.Revision++
 	return f.version, protocol.WriteOK, nil
 }
 
@@ -87,7 +88,7 @@
 // once, whoever the candidates are: to engines it is the same holder.
 func TestRestartedHolderTakesItsLeaseBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := &fakeLease{record: lease.Record{Holder: "h1", Fence: 7, Term: leaseTerm}, version: 3}
+		f := &fakeLease{record: lease.Record{Holder: "h1", Fence: 7, Term: leaseTerm}, version: storeversion.Version{Revision: 3}}
 		c := start(t, f, "h1", false)
 		time.Sleep(time.Second)
 		if !c.Holds() {
@@ -103,7 +104,7 @@
 // when it has lapsed.
 func TestNoCandidateTakesNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := &fakeLease{record: lease.Record{Holder: "h2", Fence: 7, Term: leaseTerm}, version: 3}
+		f := &fakeLease{record: lease.Record{Holder: "h2", Fence: 7, Term: leaseTerm}, version: storeversion.Version{Revision: 3}}
 		c := start(t, f, "h1", false)
 		time.Sleep(time.Minute)
 		if c.Holds() || f.record.Holder != "h2" {
@@ -116,7 +117,7 @@
 // gap between two holders is over.
 func TestCandidateTakesOver(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := &fakeLease{record: lease.Record{Holder: "h2", Fence: 7, Term: leaseTerm}, version: 3}
+		f := &fakeLease{record: lease.Record{Holder: "h2", Fence: 7, Term: leaseTerm}, version: storeversion.Version{Revision: 3}}
 		c := start(t, f, "h1", true)
 		time.Sleep(leaseTerm - 50*time.Millisecond)
 		if c.Holds() {
--- a/driver/decisions/log.go
+++ b/driver/decisions/log.go
@@ -31,6 +31,7 @@
 	EventUpstreamLeft     = "upstream left"
 	EventSetAside         = "answer set aside as older"
 	EventGeneration       = "store generation changed"
+	EventRestored         = "endpoints taken anew after a restore"
 	EventGenerationUnread = "store generation cannot be read"
 	EventEndpointKept     = "missing endpoint kept"
 	EventLease            = "lease changed"
--- a/driver/leaserelay/leaserelay.go
+++ b/driver/leaserelay/leaserelay.go
@@ -15,8 +15,10 @@
 	"github.com/doorvalve/doorvalve/coordination/lease"
 	"github.com/doorvalve/doorvalve/driver/coordinator"
 	"github.com/doorvalve/doorvalve/driver/decisions"
+	"github.com/doorvalve/doorvalve/driver/generations"
 	"github.com/doorvalve/doorvalve/protocol"
 	"github.com/doorvalve/doorvalve/protocol/fleetpb"
+	"github.com/doorvalve/doorvalve/state/storeversion"
 )
 
 const (
@@ -37,45 +39,46 @@
 
 // Relay implements coordinator.LeaseStore. It is safe for concurrent use.
 type Relay struct {
-	store coordinator.LeaseStore
-	peers func(most int) []Peer
-	log   *decisions.Log
-	away  atomic.Bool // the last answer came through a peer
+	store       coordinator.LeaseStore
+	peers       func(most int) []Peer
+	generations *generations.Tracker
+	log         *decisions.Log
+	away        atomic.Bool // the last answer came through a peer
 }
 
 // New returns a relay to the store. peers returns other daemons, most at the
 // most, in the order in which they are asked.
-func New(store coordinator.LeaseStore, peers func(most int) []Peer, log *decisions.Log) *Relay {
-	return &Relay{store: store, peers: peers, log: log}
+func New(store coordinator.LeaseStore, peers func(most int) []Peer, heard *generations.Tracker, log *decisions.Log) *Relay {
+	return &Relay{store: store, peers: peers, generations: heard, log: log}
 }
 
 // readAnswer is the store's answer to a read.
 type readAnswer struct {
 	found   bool
-	version uint64
+	version storeversion.Version
 	record  json.RawMessage
 }
 
 // writeAnswer is the store's answer to a conditional write.
 type writeAnswer struct {
 	outcome protocol.WriteOutcome
-	version uint64
+	version storeversion.Version
 }
 
 // way is one way to the store.
 type way interface {
 	read(ctx context.Context, name string) (readAnswer, error)
-	write(ctx context.Context, name string, expected uint64, record json.RawMessage) (writeAnswer, error)
+	write(ctx context.Context, name string, expected storeversion.Version, record json.RawMessage) (writeAnswer, error)
 }
 
 // ReadLease implements coordinator.LeaseStore.
-func (r *Relay) ReadLease(ctx context.Context, name string, v any) (uint64, error) {
+func (r *Relay) ReadLease(ctx context.Context, name string, v any) (storeversion.Version, error) {
 	a, _, err := race(ctx, r, name, func(ctx context.Context, w way) (readAnswer, error) { return w.read(ctx, name) })
 	switch {
 	case err != nil:
-		return 0, err
+		return storeversion.Version{}, err
 	case !a.found:
-		return 0, lease.ErrNotFound
+		return a.version, lease.ErrNotFound
 	}
 	return a.version, json.Unmarshal(a.record, v)
 }
@@ -83,28 +86,28 @@
 // WriteLease implements coordinator.LeaseStore. The write may reach the store
 // more than once; its condition lets at most one take effect, so after a
 // second try a conflict does not say that nothing was written.
-func (r *Relay) WriteLease(ctx context.Context, name string, expected uint64, record any) (uint64, protocol.WriteOutcome, error) {
+func (r *Relay) WriteLease(ctx context.Context, name string, expected storeversion.Version, record any) (storeversion.Version, protocol.WriteOutcome, error) {
 	encoded, err := json.Marshal(record)
 	if err != nil {
-		return 0, protocol.WriteUnknown, err
+		return storeversion.Version{}, protocol.WriteUnknown, err
 	}
 	a, tries, err := race(ctx, r, name, func(ctx context.Context, w way) (writeAnswer, error) {
 		return w.write(ctx, name, expected, encoded)
 	})
 	switch {
 	case err != nil:
-		return 0, protocol.WriteUnknown, err
+		return storeversion.Version{}, protocol.WriteUnknown, err
 	case a.outcome == protocol.WriteConflict && tries > 1:
-		return 0, protocol.WriteUnknown, nil
+		return a.version, protocol.WriteUnknown, nil
 	}
 	return a.version, a.outcome, nil
 }
 
 // ways returns the ways to the store, the best first.
 func (r *Relay) ways() []way {
-	list := []way{direct{r.store}}
+	list := []way{direct{r.store, r.generations}}
 	for _, p := range r.peers(mostPeers) {
-		list = append(list, through{p})
+		list = append(list, through{p, r.generations})
 	}
 	return list
 }
@@ -169,19 +172,23 @@
 }
 
 // direct is the way from this daemon.
-type direct struct{ store coordinator.LeaseStore }
+type direct struct {
+	store       coordinator.LeaseStore
+	generations *generations.Tracker
+}
 
 func (d direct) read(ctx context.Context, name string) (readAnswer, error) {
 	var a readAnswer
 	version, err := d.store.ReadLease(ctx, name, &a.record)
+	a.version = version
 	if errors.Is(err, lease.ErrNotFound) {
 		return a, nil
 	}
-	a.found, a.version = true, version
+	a.found = true
 	return a, err
 }
 
-func (d direct) write(ctx context.Context, name string, expected uint64, record json.RawMessage) (writeAnswer, error) {
+func (d direct) write(ctx context.Context, name string, expected storeversion.Version, record json.RawMessage) (writeAnswer, error) {
 	version, outcome, err := d.store.WriteLease(ctx, name, expected, record)
 	if err == nil && outcome == protocol.WriteUnknown {
 		err = errNoAnswer
@@ -193,44 +200,58 @@
 var errNoAnswer = errors.New("the store gave no usable answer")
 
 // through is the way through another daemon.
-type through struct{ peer Peer }
+type through struct {
+	peer        Peer
+	generations *generations.Tracker
+}
+
+// heard returns a version that another daemon has told.
+func (t through) heard(generation, revision uint64) storeversion.Version {
+	t.generations.Heard(generation, "peer")
+	return storeversion.Version{Generation: generation, Revision: revision}
+}
 
 func (t through) read(ctx context.Context, name string) (readAnswer, error) {
 	resp, err := t.peer.ReadLease(ctx, &fleetpb.ReadLeaseRequest{Name: name})
 	if err != nil {
 		return readAnswer{}, err
 	}
-	return readAnswer{resp.Found, resp.Version, resp.Record}, nil
+	return readAnswer{resp.Found, t.heard(resp.Generation, resp.Version), resp.Record}, nil
 }
 
-func (t through) write(ctx context.Context, name string, expected uint64, record json.RawMessage) (writeAnswer, error) {
-	resp, err := t.peer.WriteLease(ctx, &fleetpb.WriteLeaseRequest{Name: name, Expected: expected, Record: record})
-	switch {
-	case err != nil:
+func (t through) write(ctx context.Context, name string, expected storeversion.Version, record json.RawMessage) (writeAnswer, error) {
+	resp, err := t.peer.WriteLease(ctx, &fleetpb.WriteLeaseRequest{Name: name, Expected: expected.Revision, Generation: expected.Generation, Record: record})
+	if err != nil {
 		return writeAnswer{}, err
-	case !resp.Written:
-		return writeAnswer{outcome: protocol.WriteConflict}, nil
 	}
-	return writeAnswer{protocol.WriteOK, resp.Version}, nil
+	a := writeAnswer{protocol.WriteConflict, t.heard(resp.Generation, resp.Version)}
+	if resp.Written {
+		a.outcome = protocol.WriteOK
+	}
+	return a, nil
 }
 
 // Server answers other daemons from this daemon's own way to the store.
-type Server struct{ Store coordinator.LeaseStore }
+type Server struct {
+	Store       coordinator.LeaseStore
+	Generations *generations.Tracker
+}
 
 // ReadLease serves fleetpb.Fleet.
 func (s Server) ReadLease(ctx context.Context, req *fleetpb.ReadLeaseRequest) (*fleetpb.ReadLeaseResponse, error) {
-	a, err := direct{s.Store}.read(ctx, req.Name)
+	a, err := direct{s.Store, s.Generations}.read(ctx, req.Name)
 	if err != nil {
 		return nil, err
 	}
-	return &fleetpb.ReadLeaseResponse{Found: a.found, Version: a.version, Record: a.record}, nil
+	return &fleetpb.ReadLeaseResponse{Found: a.found, Version: a.version.Revision, Generation: a.version.Generation, Record: a.record}, nil
 }
 
 // WriteLease serves fleetpb.Fleet.
 func (s Server) WriteLease(ctx context.Context, req *fleetpb.WriteLeaseRequest) (*fleetpb.WriteLeaseResponse, error) {
-	a, err := direct{s.Store}.write(ctx, req.Name, req.Expected, req.Record)
+	expected := storeversion.Version{Generation: req.Generation, Revision: req.Expected}
+	a, err := direct{s.Store, s.Generations}.write(ctx, req.Name, expected, req.Record)
 	if err != nil {
 		return nil, err
 	}
-	return &fleetpb.WriteLeaseResponse{Written: a.outcome == protocol.WriteOK, Version: a.version}, nil
+	return &fleetpb.WriteLeaseResponse{Written: a.outcome == protocol.WriteOK, Version: a.version.Revision, Generation: a.version.Generation}, nil
 }
--- a/driver/leaserelay/leaserelay_test.go
+++ b/driver/leaserelay/leaserelay_test.go
@@ -20,6 +20,7 @@
 	"github.com/doorvalve/doorvalve/driver/decisions"
 	"github.com/doorvalve/doorvalve/protocol"
 	"github.com/doorvalve/doorvalve/state/fleet"
+	"github.com/doorvalve/doorvalve/state/storeversion"
 )
 
 var errTurnedAway = errors.New("status 429")
@@ -28,7 +29,7 @@
 type object struct {
 	mu      sync.Mutex
 	record  json.RawMessage
-	version uint64
+	version storeversion.Version
 	writes  int // that took effect
 }
 
@@ -66,39 +67,39 @@
 	return ctx.Err()
 }
 
-func (h *host) ReadLease(ctx context.Context, _ string, v any) (uint64, error) {
+func (h *host) ReadLease(ctx context.Context, _ string, v any) (storeversion.Version, error) {
 	if err := h.admitted(ctx); err != nil {
-		return 0, err
+		return storeversion.Version{}, err
 	}
 	h.object.mu.Lock()
 	defer h.object.mu.Unlock()
-	if h.object.version == 0 {
-		return 0, lease.ErrNotFound
+	if h.object.version.Absent() {
+		return h.object.version, lease.ErrNotFound
 	}
 	return h.object.version, json.Unmarshal(h.object.record, v)
 }
 
-func (h *host) WriteLease(ctx context.Context, _ string, expected uint64, record any) (uint64, protocol.WriteOutcome, error) {
+func (h *host) WriteLease(ctx context.Context, _ string, expected storeversion.Version, record any) (storeversion.Version, protocol.WriteOutcome, error) {
 	if err := h.admitted(ctx); err != nil {
-		return 0, protocol.WriteUnknown, err
+		return storeversion.Version{}, protocol.WriteUnknown, err
 	}
 	raw, err := json.Marshal(record)
 	if err != nil {
-		return 0, protocol.WriteUnknown, err
+		return storeversion.Version{}, protocol.WriteUnknown, err
 	}
 	h.object.mu.Lock()
 	defer h.object.mu.Unlock()
-	if expected != h.object.version {
-		return 0, protocol.WriteConflict, nil
+	if expected.Revision != h.object.version.Revision {
+		return storeversion.Version{}, protocol.WriteConflict, nil
 	}
 	h.object.record = raw
-	h.object.version++
+	h.object.version.Revision++
 	h.object.writes++
 	if h.unanswered {
 		h.object.mu.Unlock()
 		<-ctx.Done()
 		h.object.mu.Lock()
-		return 0, protocol.WriteUnknown, ctx.Err()
+		return storeversion.Version{}, protocol.WriteUnknown, ctx.Err()
 	}
 	return h.object.version, protocol.WriteOK, nil
 }
@@ -109,10 +110,10 @@
 	return New(own, func(int) []Peer {
 		var list []Peer
 		for _, p := range peers {
-			list = append(list, Server{p})
+			list = append(list, Server{Store: p})
 		}
 		return list
-	}, quiet())
+	}, nil, quiet())
 }
 
 func TestPeersAreAskedOnlyWhenTheStoreDoesNotAnswer(t *testing.T) {
@@ -121,7 +122,7 @@
 		own, peer := &host{object: o}, &host{object: o}
 		r := relayOf(own, peer)
 		defer r.log.Close()
-		if _, outcome, err := r.WriteLease(t.Context(), "llm", 0, lease.Record{Holder: "a"}); outcome != protocol.WriteOK || err != nil {
+		if _, outcome, err := r.WriteLease(t.Context(), "llm", storeversion.Version{}, lease.Record{Holder: "a"}); outcome != protocol.WriteOK || err != nil {
 			t.Fatalf("write: %v, %v", outcome, err)
 		}
 		if peer.calls != 0 {
@@ -131,7 +132,7 @@
 			own.turnAway(how)
 			var rec lease.Record
 			version, err := r.ReadLease(t.Context(), "llm", &rec)
-			if err != nil || version != 1 || rec.Holder != "a" {
+			if err != nil || version.Revision != 1 || rec.Holder != "a" {
 				t.Fatalf("read through a peer: %d, %+v, %v", version, rec, err)
 			}
 		}
@@ -158,7 +159,7 @@
 		own := &host{object: o, unanswered: true}
 		r := relayOf(own, &host{object: o})
 		defer r.log.Close()
-		_, outcome, err := r.WriteLease(t.Context(), "llm", 0, lease.Record{Holder: "a"})
+		_, outcome, err := r.WriteLease(t.Context(), "llm", storeversion.Version{}, lease.Record{Holder: "a"})
 		if outcome != protocol.WriteUnknown || err != nil || o.writes != 1 {
 			t.Fatalf("outcome %v, error %v, %d writes", outcome, err, o.writes)
 		}
@@ -172,7 +173,7 @@
 		defer r.log.Close()
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
-		if _, outcome, err := r.WriteLease(ctx, "llm", 0, lease.Record{}); err == nil || outcome != protocol.WriteUnknown {
+		if _, outcome, err := r.WriteLease(ctx, "llm", storeversion.Version{}, lease.Record{}); err == nil || outcome != protocol.WriteUnknown {
 			t.Fatalf("got %v, %v", outcome, err)
 		}
 	})
--- a/driver/quarantiner/quarantiner.go
+++ b/driver/quarantiner/quarantiner.go
@@ -17,6 +17,7 @@
 	"github.com/doorvalve/doorvalve/coordination/membership"
 	"github.com/doorvalve/doorvalve/coordination/quarantine"
 	"github.com/doorvalve/doorvalve/driver/decisions"
+	"github.com/doorvalve/doorvalve/driver/generations"
 	"github.com/doorvalve/doorvalve/driver/record"
 	"github.com/doorvalve/doorvalve/internal/clock"
 	"github.com/doorvalve/doorvalve/internal/pause"
@@ -74,10 +75,12 @@
 	// Ended is told of endpoints that have just ended, as this daemon or another has seen.
 	Ended func(fleet.Incarnation)
 	// Store keeps what must outlast all daemons; nil: nothing does.
-	Store   record.Store
-	Clock   clock.Clock
-	Log     *decisions.Log
-	Metrics tally.Scope
+	Store record.Store
+	// Generations keeps the highest generation of the store; nil: it names none.
+	Generations *generations.Tracker
+	Clock       clock.Clock
+	Log         *decisions.Log
+	Metrics     tally.Scope
 }
 
 // Keeper is safe for concurrent use.
@@ -122,7 +125,7 @@
 		opt.Dial = dial
 	}
 	s := opt.Metrics.SubScope("quarantine")
-	k := &Keeper{opt: opt, synced: make(chan struct{}), started: opt.Clock(), wake: make(chan struct{}, 1), news: make(chan struct{}, 1), m: quarantine.New(), record: record.New(opt.Store, recordName), broken: map[fleet.Incarnation]*broken{}, metrics: metrics{
+	k := &Keeper{opt: opt, synced: make(chan struct{}), started: opt.Clock(), wake: make(chan struct{}, 1), news: make(chan struct{}, 1), m: quarantine.New(), record: record.New(opt.Store, opt.Generations, recordName), broken: map[fleet.Incarnation]*broken{}, metrics: metrics{
 		ended: s.Counter("attempts_ended_with_endpoint_total"), refused: s.Counter("requests_refused_total"), trials: s.Counter("trials_total"),
 		told: s.Counter("messages_total"), held: s.Gauge("requests_held"), cases: s.Gauge("cases"),
 	}}
--- a/driver/quarantiner/record.go
+++ b/driver/quarantiner/record.go
@@ -60,7 +60,7 @@
 	if err := k.record.Read(ctx, now, &rec); err != nil {
 		return err
 	}
-	if k.record.Version() == 0 {
+	if k.record.Version().Absent() {
 		k.recorded = quarantine.DigestOf(nil)
 		return nil
 	}
--- a/driver/quotas/endpoints.go
+++ b/driver/quotas/endpoints.go
@@ -52,7 +52,7 @@
 }
 
 func newEndpoints(k *Keeper) *Endpoints {
-	e := &Endpoints{opt: &k.opt, metrics: &k.metrics, book: limit.New(k.opt.Self), unreadable: map[string]bool{}, settled: make(chan struct{}), news: make(chan struct{}, 1), record: record.New(k.opt.Store, recordName)}
+	e := &Endpoints{opt: &k.opt, metrics: &k.metrics, book: limit.New(k.opt.Self), unreadable: map[string]bool{}, settled: make(chan struct{}), news: make(chan struct{}, 1), record: record.New(k.opt.Store, k.opt.Generations, recordName)}
 	e.shared = newSharer(k, quotapb.Kind_ENDPOINT, "limit", limit.Bounds)
 	e.shared.newest, e.shared.unreached = e.newest, e.unreached
 	e.limited.Store(&map[fleet.Incarnation]limit.Word{})
--- a/driver/quotas/quotas.go
+++ b/driver/quotas/quotas.go
@@ -14,6 +14,7 @@
 	"github.com/doorvalve/doorvalve/coordination/membership"
 	"github.com/doorvalve/doorvalve/coordination/quota"
 	"github.com/doorvalve/doorvalve/driver/decisions"
+	"github.com/doorvalve/doorvalve/driver/generations"
 	"github.com/doorvalve/doorvalve/driver/record"
 	"github.com/doorvalve/doorvalve/internal/clock"
 	"github.com/doorvalve/doorvalve/internal/pause"
@@ -57,11 +58,13 @@
 	Tell    func(membership.Entry)
 	Limited func(fleet.Incarnation, limit.Word)
 	// Store keeps what must outlast all daemons; nil: nothing does.
-	Store   record.Store
-	Peer    func(address string) quotapb.Quotas
-	Clock   clock.Clock
-	Log     *decisions.Log
-	Metrics tally.Scope
+	Store record.Store
+	// Generations keeps the highest generation of the store; nil: it names none.
+	Generations *generations.Tracker
+	Peer        func(address string) quotapb.Quotas
+	Clock       clock.Clock
+	Log         *decisions.Log
+	Metrics     tally.Scope
 }
 
 // Keeper is safe for concurrent use.
--- a/driver/record/record.go
+++ b/driver/record/record.go
@@ -10,16 +10,19 @@
 
 	"github.com/doorvalve/doorvalve/coordination/lease"
 	"github.com/doorvalve/doorvalve/coordination/membership"
+	"github.com/doorvalve/doorvalve/driver/generations"
 	"github.com/doorvalve/doorvalve/protocol"
+	"github.com/doorvalve/doorvalve/state/storeversion"
 )
 
 // Store keeps records by name.
 type Store interface {
-	// ReadRecord decodes a record into v; it returns lease.ErrNotFound if there is none.
-	ReadRecord(ctx context.Context, name string, v any) (version uint64, err error)
-	// WriteRecord writes a record if its version is still expected; 0 means that it must not
-	// exist.
-	WriteRecord(ctx context.Context, name string, expected uint64, v any) (version uint64, outcome protocol.WriteOutcome, err error)
+	// ReadRecord decodes a record into v; it returns lease.ErrNotFound, with the store's
+	// generation, if there is none.
+	ReadRecord(ctx context.Context, name string, v any) (version storeversion.Version, err error)
+	// WriteRecord writes a record if its version is still expected; an absent one means that it
+	// must not exist.
+	WriteRecord(ctx context.Context, name string, expected storeversion.Version, v any) (version storeversion.Version, outcome protocol.WriteOutcome, err error)
 }
 
 // Pause is the least time between two calls to the store.
@@ -30,15 +33,18 @@
 
 // Record is what this daemon knows of one record. It is not safe for concurrent use.
 type Record struct {
-	store   Store
-	name    string
-	known   bool // what the store holds
-	version uint64
-	triedAt time.Time
+	store       Store
+	generations *generations.Tracker
+	name        string
+	known       bool // what the store held at version
+	version     storeversion.Version
+	triedAt     time.Time
 }
 
 // New returns a record that has not been read; a nil store keeps nothing.
-func New(store Store, name string) Record { return Record{store: store, name: name} }
+func New(store Store, heard *generations.Tracker, name string) Record {
+	return Record{store: store, generations: heard, name: name}
+}
 
 // Kept reports whether there is a store to keep it.
 func (r *Record) Kept() bool { return r.store != nil }
@@ -49,8 +55,8 @@
 // Known reports whether this daemon knows what the store holds.
 func (r *Record) Known() bool { return r.known }
 
-// Version returns that of what the store holds, 0 if that is nothing.
-func (r *Record) Version() uint64 { return r.version }
+// Version returns that of what the store holds, an absent one if that is nothing.
+func (r *Record) Version() storeversion.Version { return r.version }
 
 // IsWriter reports whether this daemon, of all members, is the one that writes the record.
 func (r *Record) IsWriter(self string, members []membership.Member) bool {
--- a/driver/rollout/actions.go
+++ b/driver/rollout/actions.go
@@ -52,7 +52,7 @@
 // digest, so an existing one is the same.
 func (r *Rollout) create(ctx context.Context, kind platform.Kind, name string, v any) error {
 	for range readBacks {
-		if _, out := r.platform.Put(ctx, kind, name, 0, v); out != protocol.WriteUnknown {
+		if _, out := r.platform.Put(ctx, kind, name, r.platform.Absent(), v); out != protocol.WriteUnknown {
 			return nil
 		}
 		var any json.RawMessage
@@ -141,7 +141,7 @@
 		if err != nil && !errors.Is(err, platform.ErrNotFound) {
 			return err
 		}
-		if version > 0 && d.On == on {
+		if !version.Absent() && d.On == on {
 			r.setDrainFact(endpoint, version, on)
 			return nil
 		}
--- a/driver/rollout/rollout.go
+++ b/driver/rollout/rollout.go
@@ -22,6 +22,7 @@
 	"github.com/doorvalve/doorvalve/protocol/peerpb"
 	"github.com/doorvalve/doorvalve/state/bundle"
 	"github.com/doorvalve/doorvalve/state/snapshot"
+	"github.com/doorvalve/doorvalve/state/storeversion"
 	"github.com/doorvalve/doorvalve/transport/peers"
 	"github.com/doorvalve/doorvalve/transport/platform"
 )
@@ -201,7 +202,7 @@
 
 // watch waits for moves of the pointer, and reads it anew now and then.
 func (r *Rollout) watch(ctx context.Context) {
-	since, readAt := uint64(0), time.Time{}
+	since, readAt := storeversion.Version{}, time.Time{}
 	for ctx.Err() == nil {
 		if r.generation() > 0 && !r.watching(watchers) {
 			pause.For(ctx, time.Second)
@@ -217,20 +218,27 @@
 			readAt = time.Now()
 		}
 		w, err := r.platform.Watch(ctx, []platform.Kind{platform.KindConfig, platform.KindDrain}, since, watchWait)
-		r.platformAnswered(ctx, err)
+		if !errors.Is(err, platform.ErrHistoryLost) {
+			r.platformAnswered(ctx, err)
+		}
+		if errors.Is(err, platform.ErrHistoryLost) {
+			r.log.Info(decisions.EventDependencyLost, "dependency", "platform history", "of", "configuration", "since_revision", since)
+			since, readAt = storeversion.Version{}, time.Time{}
+			continue
+		}
 		if err != nil {
 			readAt = time.Time{}
 			pause.For(ctx, retryWait)
 			continue
 		}
-		since = w.Revision
+		since = storeversion.Version{Generation: w.Generation, Revision: w.Revision}
 		for _, o := range w.Objects {
-			r.watched(o)
+			r.watched(o, w.Generation)
 		}
 	}
 }
 
-func (r *Rollout) watched(o platform.Object) {
+func (r *Rollout) watched(o platform.Object, generation uint64) {
 	switch o.Kind {
 	case platform.KindConfig:
 		var p rules.Pointer
@@ -238,7 +246,7 @@
 			r.offer(p)
 		}
 	case platform.KindDrain:
-		r.drainFact(o)
+		r.drainFact(o, generation)
 	}
 }
 
@@ -268,23 +276,23 @@
 		return err
 	}
 	r.offer(p)
-	drains, err := r.platform.List(ctx, platform.KindDrain)
+	drains, generation, err := r.platform.List(ctx, platform.KindDrain)
 	for _, o := range drains {
-		r.drainFact(o)
+		r.drainFact(o, generation)
 	}
 	return err
 }
 
-func (r *Rollout) drainFact(o platform.Object) {
+func (r *Rollout) drainFact(o platform.Object, generation uint64) {
 	var drain Drain
 	if o.Deleted || json.Unmarshal(o.Value, &drain) != nil {
 		return
 	}
-	r.setDrainFact(o.Name, o.Version, drain.On)
+	r.setDrainFact(o.Name, storeversion.Version{Generation: generation, Revision: o.Version}, drain.On)
 }
 
-func (r *Rollout) setDrainFact(endpoint string, version uint64, on bool) {
-	r.gossip.Set(membership.Entry{Key: drainPrefix + endpoint, Version: version, Value: []byte(flag(on))})
+func (r *Rollout) setDrainFact(endpoint string, version storeversion.Version, on bool) {
+	r.gossip.Set(membership.Entry{Key: drainPrefix + endpoint, Version: version.Number(), Value: []byte(flag(on))})
 }
 
 func flag(b bool) string {
--- a/driver/storeview/age_test.go
+++ b/driver/storeview/age_test.go
@@ -45,7 +45,7 @@
 			time.Sleep(time.Duration(37+i%90) * time.Millisecond)
 			age := p.follower.Age(relay.Endpoints) // before the view, which may change between
 			view := p.follower.Endpoints()
-			shown := view.ByID["a"].Revision
+			shown := view.ByID["a"].Version.Revision
 			for revision, at := range written {
 				if revision > shown && time.Since(at) > age {
 					t.Fatalf("change %d: written %v ago and not shown, the view says that it is %v old", i, time.Since(at), age)
--- a/driver/storeview/desired.go
+++ b/driver/storeview/desired.go
@@ -109,18 +109,21 @@
 func (v *View) readDesired(ctx context.Context) error {
 	_, err, _ := v.reads.Do("", func() (any, error) {
 		asked := v.opt.Clock()
-		raw, revision, err := v.opt.Store.ReadDesiredState(ctx)
+		raw, stored, err := v.opt.Store.ReadDesiredState(ctx)
 		v.logLate("store", relay.DesiredState, asked, err)
+		if err == nil {
+			err = v.heardStore(stored, relay.DesiredState)
+		}
 		if err != nil {
 			return nil, err
 		}
 		if raw == nil && v.Table() == nil {
 			pause.For(ctx, emptyRetry)
 		}
-		_ = v.adoptDesired(raw, "store", revision) // the last good one stays in force
+		_ = v.adoptDesired(raw, "store", stored) // the last good one stays in force
 		v.mu.Lock()
 		defer v.mu.Unlock()
-		v.config.Listed(asked, v.opt.Clock(), revision)
+		v.config.Listed(asked, v.opt.Clock(), stored)
 		v.tell()
 		return nil, nil
 	})
@@ -129,15 +132,18 @@
 
 func (v *View) watchDesired(ctx context.Context) error {
 	asked, wait, since := v.beginWatch(v.config, relay.DesiredState)
-	raw, revision, err := v.opt.Store.WatchDesiredState(ctx, since, wait, watchSlack)
+	raw, stored, err := v.opt.Store.WatchDesiredState(ctx, since, wait, watchSlack)
 	v.logLate("store", relay.DesiredState, asked.Add(wait), err)
+	if err == nil {
+		err = v.continues(since, stored, relay.DesiredState)
+	}
 	if err != nil {
 		return err
 	}
-	_ = v.adoptDesired(raw, "store", revision) // the last good one stays in force
+	_ = v.adoptDesired(raw, "store", stored) // the last good one stays in force
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.config.Watched(asked, v.opt.Clock(), wait, revision, raw != nil)
+	v.config.Watched(asked, v.opt.Clock(), wait, stored, raw != nil)
 	v.tell()
 	return nil
 }
--- a/driver/storeview/follow.go
+++ b/driver/storeview/follow.go
@@ -9,6 +9,7 @@
 	"github.com/doorvalve/doorvalve/coordination/relay"
 	"github.com/doorvalve/doorvalve/driver/decisions"
 	"github.com/doorvalve/doorvalve/internal/pause"
+	"github.com/doorvalve/doorvalve/state/storeversion"
 )
 
 const (
@@ -85,8 +86,8 @@
 }
 
 // beginWatch returns when a watch of a kind is asked for, how long it may wait and
-// the revision that it starts from.
-func (v *View) beginWatch(f *discovery.Follower, kind relay.Kind) (asked time.Time, wait time.Duration, since uint64) {
+// the version that it starts from.
+func (v *View) beginWatch(f *discovery.Follower, kind relay.Kind) (asked time.Time, wait time.Duration, since storeversion.Version) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	asked = v.opt.Clock()
@@ -150,40 +151,76 @@
 
 func (v *View) listEndpoints(ctx context.Context) error {
 	asked := v.opt.Clock()
-	list, revision, unusable, err := v.opt.Store.ListEndpoints(ctx)
+	list, stored, unusable, err := v.opt.Store.ListEndpoints(ctx)
 	v.logLate("store", relay.Endpoints, asked, err)
+	if err == nil {
+		err = v.heardStore(stored, relay.Endpoints)
+	}
 	if err != nil {
 		return err
 	}
 	var fresh []discovery.Unusable
 	v.takeIn("store", func(now time.Time) (kept []string) {
-		v.noteOutage(now)
-		fresh = v.takeUnusable(unusable, revision)
+		v.noteOutage(now, stored)
+		fresh = v.takeUnusable(unusable, stored)
 		v.forgetUnusable(unusable)
-		v.endpoints.Listed(asked, now, revision)
-		return v.registry.List(now, list, revision, v.outage.GraceUntil())
+		v.endpoints.Listed(asked, now, stored)
+		return v.registry.List(now, list, stored, v.outage.GraceUntil())
 	})
 	v.logUnusable(fresh)
 	return nil
 }
 
-// noteOutage takes an answer of the store, also one that another daemon tells of,
-// before it changes what is known; the caller holds the mutex.
-func (v *View) noteOutage(now time.Time) {
+// noteOutage takes an answer of the store as of a version, also one that another daemon tells
+// of, before it changes what is known; the caller holds the mutex.
+func (v *View) noteOutage(now time.Time, stored storeversion.Version) {
 	v.outage.Ended(now, v.seen()[relay.Endpoints], v.endpoints.Failures())
+	if known := v.registry.Version(); known.Generation < stored.Generation && !known.Absent() {
+		v.outage.Restored(now)
+	}
+}
+
+// errOlderGeneration says that an answer was given by the store before it came back from a copy
+// that this daemon has heard of.
+var errOlderGeneration = errors.New("the answer is of an older generation of the store")
+
+// heardStore takes the version that an answer of the store is as of, and returns why what the answer
+// tells cannot be used.
+func (v *View) heardStore(stored storeversion.Version, of relay.Kind) error {
+	v.opt.Generations.Heard(stored.Generation, "store")
+	if highest := v.opt.Generations.Highest(); stored.Generation < highest {
+		v.noteSetAside("store", of, stored, storeversion.Version{Generation: highest})
+		return errOlderGeneration
+	}
+	return nil
+}
+
+// continues returns why the answer to a watch from a version, as of another one, does not tell
+// all that has changed since.
+func (v *View) continues(since, stored storeversion.Version, of relay.Kind) error {
+	if err := v.heardStore(stored, of); err != nil {
+		return err
+	}
+	if stored.Generation != since.Generation {
+		return discovery.ErrHistoryLost
+	}
+	return nil
 }
 
 func (v *View) watchEndpoints(ctx context.Context) error {
 	asked, wait, since := v.beginWatch(v.endpoints, relay.Endpoints)
-	changes, revision, err := v.opt.Store.WatchEndpoints(ctx, since, wait, watchSlack)
+	changes, stored, err := v.opt.Store.WatchEndpoints(ctx, since, wait, watchSlack)
 	v.logLate("store", relay.Endpoints, asked.Add(wait), err)
+	if err == nil {
+		err = v.continues(since, stored, relay.Endpoints)
+	}
 	if err != nil {
 		return err
 	}
 	var fresh []discovery.Unusable
 	v.takeIn("store", func(now time.Time) (kept []string) {
 		kept, fresh = v.takeChanges(now, changes)
-		v.endpoints.Watched(asked, now, wait, revision, len(changes) > 0)
+		v.endpoints.Watched(asked, now, wait, stored, len(changes) > 0)
 		return kept
 	})
 	v.logUnusable(fresh)
@@ -199,12 +236,12 @@
 		switch {
 		case c.Removed:
 			delete(v.unusable, c.ID)
-			kept = append(kept, v.registry.Remove(now, c.ID, c.Revision, until)...)
+			kept = append(kept, v.registry.Remove(now, c.ID, c.Version, until)...)
 		case c.Unusable != nil:
-			fresh = append(fresh, v.takeUnusable([]discovery.Unusable{*c.Unusable}, c.Revision)...)
+			fresh = append(fresh, v.takeUnusable([]discovery.Unusable{*c.Unusable}, c.Version)...)
 		default:
 			delete(v.unusable, c.ID)
-			v.registry.Put(c.Endpoint, c.Revision)
+			v.registry.Put(c.Endpoint, c.Version)
 		}
 	}
 	return kept, fresh
--- a/driver/storeview/lives.go
+++ b/driver/storeview/lives.go
@@ -7,25 +7,26 @@
 	"github.com/doorvalve/doorvalve/coordination/discovery"
 	"github.com/doorvalve/doorvalve/driver/decisions"
 	"github.com/doorvalve/doorvalve/state/fleet"
+	"github.com/doorvalve/doorvalve/state/storeversion"
 )
 
 // maxUnusable bounds the unusable entries that are remembered, so that any number of
 // them takes little memory; beyond it they are logged each time they are read.
 const maxUnusable = 1024
 
-// takeUnusable takes entries that name no endpoint to use, as of a revision, and
+// takeUnusable takes entries that name no endpoint to use, as of a version of the store, and
 // returns those that are news. What was known under their ids is not used any more; the
 // caller holds the mutex.
-func (v *View) takeUnusable(list []discovery.Unusable, revision uint64) (fresh []discovery.Unusable) {
+func (v *View) takeUnusable(list []discovery.Unusable, stored storeversion.Version) (fresh []discovery.Unusable) {
 	for _, u := range list {
 		if u.ID != "" {
-			v.registry.Unusable(u.ID, revision)
+			v.registry.Unusable(u.ID, stored)
 		}
-		if at, ok := v.unusable[u.ID]; !ok || at != u.Revision {
+		if at, ok := v.unusable[u.ID]; !ok || at != u.Version {
 			fresh = append(fresh, u)
 		}
 		if len(v.unusable) < maxUnusable {
-			v.unusable[u.ID] = u.Revision
+			v.unusable[u.ID] = u.Version
 		}
 	}
 	return fresh
@@ -34,7 +35,7 @@
 // forgetUnusable drops the entries that a whole list does not name as unusable any more;
 // the caller holds the mutex.
 func (v *View) forgetUnusable(list []discovery.Unusable) {
-	maps.DeleteFunc(v.unusable, func(id string, _ uint64) bool {
+	maps.DeleteFunc(v.unusable, func(id string, _ storeversion.Version) bool {
 		return !slices.ContainsFunc(list, func(u discovery.Unusable) bool { return u.ID == id })
 	})
 }
@@ -52,7 +53,7 @@
 
 func (v *View) logUnusable(list []discovery.Unusable) {
 	for _, u := range list[:min(len(list), loggedUnusable)] {
-		v.opt.Log.Error(decisions.EventEndpointRejected, "endpoint", u.ID, "revision", u.Revision, "error", u.Reason, "others", len(list)-1)
+		v.opt.Log.Error(decisions.EventEndpointRejected, "endpoint", u.ID, "revision", u.Version, "error", u.Reason, "others", len(list)-1)
 	}
 }
 
@@ -64,7 +65,7 @@
 		if o == nil || !o.Life().Before(e.Life()) {
 			continue
 		}
-		v.opt.Log.Info(decisions.EventEndpointReborn, "endpoint", id, "born", e.Born, "born_before", o.Born, "was_leaving", o.Leaving, "revision", e.Revision, "from", from,
+		v.opt.Log.Info(decisions.EventEndpointReborn, "endpoint", id, "born", e.Born, "born_before", o.Born, "was_leaving", o.Leaving, "revision", e.Version, "from", from,
 			"models_dropped", len(o.Models))
 	}
 }
--- a/driver/storeview/peers.go
+++ b/driver/storeview/peers.go
@@ -22,6 +22,7 @@
 	for ctx.Err() == nil {
 		pause.For(ctx, v.peersPause())
 		v.publish("grace")
+		v.confirmRevived()
 		now := v.opt.Clock()
 		if now.Sub(asked) < peersAfter {
 			continue
@@ -39,11 +40,21 @@
 	return nil
 }
 
-// peersPause is short while a grace runs, so that it ends in time.
+// confirmRevived asks for a whole list once dead entries that a restored store names have lapsed.
+func (v *View) confirmRevived() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.registry.WantsList(v.opt.Clock()) {
+		v.endpoints.Relist()
+		v.upstream.source = "" // the next answer is a whole list
+	}
+}
+
+// peersPause is short while the registry waits for something to end, so that it does in time.
 func (v *View) peersPause() time.Duration {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if v.registry.Missing() {
+	if v.registry.Pending() {
 		return graceTick
 	}
 	return peersAfter
--- a/driver/storeview/relay.go
+++ b/driver/storeview/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/doorvalve/doorvalve/coordination/relay"
@@ -9,6 +10,7 @@
 	"github.com/doorvalve/doorvalve/internal/pause"
 	"github.com/doorvalve/doorvalve/internal/wake"
 	"github.com/doorvalve/doorvalve/protocol/fleetpb"
+	"github.com/doorvalve/doorvalve/state/storeversion"
 )
 
 const (
@@ -115,9 +117,10 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	v.mu.Lock()
+	known := v.registry.Version()
 	req := &fleetpb.FollowRequest{
-		Source: v.upstream.source, Change: v.upstream.change, ConfigVersion: v.version(), EndpointsRevision: v.registry.Revision(), WaitMs: wait.Milliseconds(),
-		Heard: v.upstream.heard,
+		Source: v.upstream.source, Change: v.upstream.change, ConfigVersion: v.version(), EndpointsRevision: known.Revision, Generation: known.Generation,
+		WaitMs: wait.Milliseconds(), Heard: v.upstream.heard,
 	}
 	if wait > 0 {
 		req.ConfigVersion = max(req.ConfigVersion, v.upstream.version)
@@ -152,21 +155,46 @@
 	if len(resp.PackedConfig) > 0 {
 		raw, err := unpack(resp.PackedConfig)
 		if err == nil {
-			err = v.adoptDesired(raw, "peer", resp.EndpointsRevision)
+			err = v.adoptDesired(raw, "peer", toldVersion(resp))
 		}
 		if err != nil {
 			return err
 		}
 	}
+	if err := v.heardPeer(toldVersion(resp)); err != nil {
+		return err
+	}
 	v.takeIn("peer", func(now time.Time) []string { return v.takeFrom(now, peer, resp, seen) })
 	return nil
 }
 
+// toldVersion returns the version of the store that another daemon's endpoints are as of.
+func toldVersion(resp *fleetpb.FollowResponse) storeversion.Version {
+	return storeversion.Version{Generation: resp.Generation, Revision: resp.EndpointsRevision}
+}
+
+// errPeerBehind says that another daemon has not heard yet that the store has come back from a copy.
+var errPeerBehind = errors.New("the daemon knows an older generation of the store only")
+
+// heardPeer takes the version of the store that another daemon's endpoints are as of, and returns
+// why they cannot be used: what is known here of a later generation would look older.
+func (v *View) heardPeer(told storeversion.Version) error {
+	v.opt.Generations.Heard(told.Generation, "peer")
+	v.mu.Lock()
+	known := v.registry.Version()
+	v.mu.Unlock()
+	if told.Generation < known.Generation {
+		v.noteSetAside("peer", relay.Endpoints, told, known)
+		return errPeerBehind
+	}
+	return nil
+}
+
 // takeFrom adopts another daemon's endpoints and the place in its changes; the caller holds
 // the mutex.
 func (v *View) takeFrom(now time.Time, peer fleetpb.Fleet, resp *fleetpb.FollowResponse, seen relay.Seen) (kept []string) {
 	if now.Sub(seen[relay.Endpoints]) < v.part(stalePart) {
-		v.noteOutage(now)
+		v.noteOutage(now, toldVersion(resp))
 	}
 	kept, whole := v.takeEndpoints(now, resp)
 	v.upstream = upstreamState{peer: peer, source: resp.Source, change: resp.Change, heard: resp.Heard, version: resp.ConfigVersion}
@@ -189,7 +217,7 @@
 // the ids that are kept here, and whether a whole list was taken: not if another daemon
 // has told more since it was asked for.
 func (v *View) takeEndpoints(now time.Time, resp *fleetpb.FollowResponse) (kept []string, whole bool) {
-	list, gone, until := fromWire(resp.Endpoints), resp.Gone, v.outage.GraceUntil()
+	list, gone, until, told := fromWire(resp.Endpoints), resp.Gone, v.outage.GraceUntil(), toldVersion(resp)
 	present := list[:0]
 	for _, e := range list {
 		if e.Missing {
@@ -199,14 +227,14 @@
 		}
 	}
 	if resp.Whole {
-		whole = resp.EndpointsRevision >= v.registry.Revision()
-		return v.registry.List(now, present, resp.EndpointsRevision, until), whole
+		whole = !told.Before(v.registry.Version())
+		return v.registry.List(now, present, told, until), whole
 	}
 	for _, e := range present {
-		v.registry.Put(e, resp.EndpointsRevision)
+		v.registry.Put(e, told)
 	}
 	for _, id := range gone {
-		kept = append(kept, v.registry.Remove(now, id, resp.EndpointsRevision, until)...)
+		kept = append(kept, v.registry.Remove(now, id, told, until)...)
 	}
 	return kept, false
 }
--- /dev/null
+++ b/driver/storeview/restore_test.go
@@ -0,0 +1,272 @@
+package storeview
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/doorvalve/doorvalve/coordination/membership"
+	"github.com/doorvalve/doorvalve/coordination/relay"
+	"github.com/doorvalve/doorvalve/internal/pause"
+	"github.com/doorvalve/doorvalve/protocol/fleetpb"
+	"github.com/doorvalve/doorvalve/state/fleet"
+)
+
+const (
+	// writtenAgain is how long after the store's return all that is alive has written itself again.
+	writtenAgain = 2 * time.Second
+	// lapsed is how long after its return the store has dropped the entries of what is dead.
+	lapsed = 3*heartbeat + time.Second
+)
+
+// restoring is a random fleet whose store comes back from copies.
+type restoring struct {
+	*randomFleet
+	born   map[string]int64 // of the endpoints that are alive and stay
+	ended  map[string]int64 // life that left or was removed last
+	copies []storeCopy
+}
+
+func (r *restoring) write(id string, leaving bool) {
+	r.store.setEndpoint(fleet.Endpoint{ID: id, Born: r.born[id], Service: "llm", Leaving: leaving})
+}
+
+// restore takes the store away for a moment and brings it back from a copy. Who is alive writes
+// itself again, the operator the desired state, and the entries of who is not lapse.
+func (r *restoring) restore() {
+	c := r.copies[max(0, len(r.copies)-1-r.rng.IntN(4))]
+	r.note(fmt.Sprintf("%v restored to revision %d", time.Since(testStart), c.revision))
+	r.store.setAway(true)
+	time.Sleep(time.Duration(r.rng.IntN(3000)) * time.Millisecond)
+	r.store.restore(c)
+	r.store.setAway(false)
+	r.store.setConfig(r.version)
+	r.copies = r.copies[:0]
+	pauses := rand.New(rand.NewPCG(r.rng.Uint64(), 2))
+	for id := range r.born {
+		at := time.Duration(pauses.Int64N(int64(writtenAgain)))
+		go func() {
+			pause.For(r.ctx, at)
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			if born, alive := r.born[id]; alive {
+				r.store.setEndpoint(fleet.Endpoint{ID: id, Born: born, Service: "llm"})
+			}
+		}()
+	}
+	for _, e := range c.list {
+		if r.born[e.ID] != e.Born {
+			go func() {
+				pause.For(r.ctx, lapsed)
+				r.mu.Lock()
+				defer r.mu.Unlock()
+				if _, alive := r.born[e.ID]; !alive {
+					r.store.remove(e.ID)
+				}
+			}()
+		}
+	}
+}
+
+// change ends one endpoint, or begins one, or writes a desired state.
+func (r *restoring) change() (what string, inForce func(v *View) bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	id := fmt.Sprint("e", r.rng.IntN(8))
+	born, alive := r.born[id]
+	switch {
+	case r.rng.IntN(4) == 0:
+		r.version++
+		version := r.version
+		r.store.setConfig(version)
+		return fmt.Sprint("version ", version), func(v *View) bool { return v.Table().Version >= version }
+	case !alive:
+		r.born[id] = r.ended[id] + 1000
+		r.write(id, false)
+		return id + " begins", func(v *View) bool { return v.takes(id) }
+	case r.rng.IntN(2) == 0:
+		r.write(id, true)
+	default:
+		r.store.remove(id)
+	}
+	delete(r.born, id)
+	r.ended[id] = born
+	return id + " ends", func(v *View) bool { return !v.takes(id) }
+}
+
+// watchEnded reports a view that takes a life again that it had known and seen end.
+func (r *restoring) watchEnded(t *testing.T, m *member) {
+	known, ended := map[string]int64{}, map[string]int64{}
+	for r.ctx.Err() == nil {
+		v := m.peer.view.Endpoints()
+		r.mu.Lock()
+		for id, born := range r.ended {
+			e := v.ByID[id]
+			switch {
+			case e == nil || e.Leaving || e.Born > born:
+				ended[id] = max(ended[id], min(born, known[id]))
+			case ended[id] >= e.Born:
+				t.Errorf("seed %d: %s takes %s again, which had ended, %v after the start", r.seed, m.name, id, time.Since(testStart))
+				ended[id] = 0
+			}
+		}
+		for id, e := range v.ByID {
+			known[id] = e.Born
+		}
+		r.mu.Unlock()
+		pause.For(r.ctx, 50*time.Millisecond)
+	}
+}
+
+// Guards against a view that does not follow a store that comes back from copies, any number of
+// times, beside all other harms: each change made after all is written again is in force within the
+// bound at each daemon whose way to the store is sound, and no life that ended comes back.
+func TestBoundHoldsThroughRestores(t *testing.T) {
+	for i := range *boundRuns {
+		checkBoundThroughRestores(t, *boundSeed+i)
+	}
+}
+
+func checkBoundThroughRestores(t *testing.T, seed uint64) {
+	const changes = 30
+	inBubble(t, func(b *bubble) {
+		r := &restoring{randomFleet: newRandomFleet(b, seed), born: map[string]int64{}, ended: map[string]int64{}}
+		r.store.generation = 1
+		for i := range 6 {
+			id := fmt.Sprint("e", i)
+			r.born[id] = 1000
+			r.write(id, false)
+		}
+		time.Sleep(calmBefore + 2*time.Second)
+		go r.harmSome()
+		for _, m := range r.members {
+			go r.watchEnded(t, m)
+		}
+		for range changes {
+			r.copies = append(r.copies, r.store.copyNow())
+			if r.rng.IntN(4) == 0 {
+				r.restore()
+				time.Sleep(writtenAgain + time.Second)
+			}
+			time.Sleep(time.Duration(r.rng.IntN(1500)) * time.Millisecond)
+			asked := r.sound()
+			what, inForce := r.change()
+			time.Sleep(leaveWithin - boundMargin)
+			still := r.sound()
+			for _, m := range asked {
+				if slices.Contains(still, m) && !inForce(m.peer.view) {
+					t.Errorf("seed %d: %s has no %s, %v after the start; harms: %v", seed, m.name, what, time.Since(testStart), r.lastHarms())
+					return
+				}
+			}
+		}
+	})
+}
+
+// manyDaemons returns running views of daemons that choose their roles as real ones do.
+func (b *bubble) manyDaemons(s *fakeStore, n int) []*View {
+	var members []membership.Member
+	for i := range n {
+		members = append(members, membership.Member{ID: fmt.Sprint("d", i), Host: fmt.Sprint("h", i), FailureDomain: fmt.Sprint("z", i%9), Status: membership.Alive})
+	}
+	peers := map[string]*upstream{}
+	for _, m := range members {
+		peers[m.ID] = &upstream{}
+	}
+	var views []*View
+	for _, m := range members {
+		peers[m.ID].mute = true // until all have begun
+	}
+	for i, m := range members {
+		watches, order := relay.Upstreams(m, members)
+		var list []fleetpb.Fleet
+		for _, u := range order {
+			list = append(list, peers[u.ID])
+		}
+		v := b.view(s, func(o *Options) {
+			o.Self = m.ID
+			o.Upstreams = func() (bool, []fleetpb.Fleet) { return watches, list }
+			o.Peer = func() fleetpb.Fleet { return peers[members[(i+1)%n].ID] }
+		})
+		peers[m.ID].view = v
+		views = append(views, v)
+	}
+	for _, u := range peers {
+		u.setMute(false)
+	}
+	return views
+}
+
+// Guards against daemons that stay behind a restored store, or all ask it at its return: whatever
+// their number, a word said right after it is in force at all of them within the bound.
+func TestRestoreReachesAllDaemons(t *testing.T) {
+	for _, n := range []int{3, 7, 24, 375} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			inBubble(t, func(b *bubble) {
+				s := newFakeStore()
+				s.generation = 1
+				for i := range 12 {
+					s.setEndpoint(fleet.Endpoint{ID: fmt.Sprint("e", i), Born: 1000, Service: "llm"})
+				}
+				views := b.manyDaemons(s, n)
+				time.Sleep(5 * time.Second)
+				c := s.copyNow()
+				for range 30 {
+					s.setEndpoint(fleet.Endpoint{ID: "e0", Born: 1000, Service: "llm"})
+				}
+				s.setEndpoint(fleet.Endpoint{ID: "new", Born: 1000, Service: "llm"})
+				time.Sleep(5 * time.Second)
+				before, _ := s.counts()
+				time.Sleep(5 * time.Second)
+				calm, _ := s.counts()
+				s.restore(c)
+				s.setEndpoint(fleet.Endpoint{ID: "e0", Born: 1000, Service: "llm", Leaving: true})
+				s.setEndpoint(fleet.Endpoint{ID: "comer", Born: 1000, Service: "llm"})
+				time.Sleep(leaveWithin - boundMargin)
+				for i, v := range views {
+					if v.takes("e0") || !v.takes("comer") || !v.takes("new") {
+						t.Errorf("daemon %d: e0 %v, comer %v, new (kept) %v", i, v.takes("e0"), v.takes("comer"), v.takes("new"))
+						return
+					}
+				}
+				time.Sleep(5*time.Second - (leaveWithin - boundMargin))
+				after, _ := s.counts()
+				if most := 2*(calm-before) + 4*n/10; after-calm > most {
+					t.Errorf("%d calls in the 5 s after the restore, %d in the 5 s before it", after-calm, calm-before)
+				}
+				for i, v := range views {
+					if v.takes("new") {
+						t.Errorf("daemon %d keeps what the copy lacks and nobody has written again", i)
+						return
+					}
+				}
+				t.Logf("%d daemons: %d calls in the 5 s before the restore, %d in the 5 s after", n, calm-before, after-calm)
+			})
+		})
+	}
+}
+
+// An answer that was given before the restore, and comes after it, changes nothing.
+func TestAnswerOfBeforeTheRestoreIsSetAside(t *testing.T) {
+	inBubble(t, func(b *bubble) {
+		s := newFakeStore()
+		s.generation = 3
+		s.setEndpoint(fleet.Endpoint{ID: "a", Born: 1000, Service: "llm"})
+		v := b.view(s, nil)
+		time.Sleep(3 * time.Second)
+		age := v.Age(relay.Endpoints)
+		v.opt.Generations.Heard(4, "peer")
+		time.Sleep(3 * time.Second)
+		if got := v.Age(relay.Endpoints); got < age+2*time.Second {
+			t.Errorf("answers of an older generation keep the view young: %v, %v before", got, age)
+		}
+		if !v.Silent(v.opt.Clock()) {
+			t.Error("the store counts as heard")
+		}
+		if !v.takes("a") {
+			t.Error("what is known is forgotten")
+		}
+	})
+}
--- a/driver/storeview/serve.go
+++ b/driver/storeview/serve.go
@@ -6,6 +6,7 @@
 
 	"github.com/doorvalve/doorvalve/coordination/relay"
 	"github.com/doorvalve/doorvalve/protocol/fleetpb"
+	"github.com/doorvalve/doorvalve/state/storeversion"
 )
 
 // inlineConfig bounds the desired states that are sent to all followers, in packed
@@ -63,10 +64,10 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	view := v.view.Load()
-	a := &news{resp: &fleetpb.FollowResponse{Source: v.opt.Self, Change: v.changes.Change(), Heard: v.heard, ConfigVersion: v.version(), EndpointsRevision: view.Revision}}
+	a := &news{resp: &fleetpb.FollowResponse{Source: v.opt.Self, Change: v.changes.Change(), Heard: v.heard, ConfigVersion: v.version(), EndpointsRevision: view.Version.Revision, Generation: view.Version.Generation}}
 	a.desired, a.seen, a.told = v.desired, v.seen(), v.told
 	a.delta = v.changes.Since(req.Change, req.Source == v.opt.Self, view)
-	if a.delta.Whole && view.Revision < req.EndpointsRevision {
+	if known := (storeversion.Version{Generation: req.Generation, Revision: req.EndpointsRevision}); a.delta.Whole && view.Version.Before(known) {
 		// The caller knows more. It gets a place in these changes only with a
 		// whole list, so that it keeps nothing that none of them names.
 		a.delta, a.resp.Source = relay.Delta{}, ""
--- a/driver/storeview/storeview.go
+++ b/driver/storeview/storeview.go
@@ -16,20 +16,22 @@
 	"github.com/doorvalve/doorvalve/coordination/discovery"
 	"github.com/doorvalve/doorvalve/coordination/relay"
 	"github.com/doorvalve/doorvalve/driver/decisions"
+	"github.com/doorvalve/doorvalve/driver/generations"
 	"github.com/doorvalve/doorvalve/internal/clock"
 	"github.com/doorvalve/doorvalve/protocol/fleetpb"
 	"github.com/doorvalve/doorvalve/state/fleet"
 	"github.com/doorvalve/doorvalve/state/routing"
+	"github.com/doorvalve/doorvalve/state/storeversion"
 )
 
 // Store is the platform's store as far as it is followed.
 type Store interface {
-	ListEndpoints(ctx context.Context) (list []*fleet.Endpoint, revision uint64, unusable []discovery.Unusable, err error)
-	ReadDesiredState(ctx context.Context) (raw []byte, revision uint64, err error)
+	ListEndpoints(ctx context.Context) (list []*fleet.Endpoint, version storeversion.Version, unusable []discovery.Unusable, err error)
+	ReadDesiredState(ctx context.Context) (raw []byte, version storeversion.Version, err error)
 	// The watches wait for a change, and for slack longer until their answer
 	// begins; what bounds its transfer is the size of the answer.
-	WatchEndpoints(ctx context.Context, since uint64, wait, slack time.Duration) (changes []discovery.Change, revision uint64, err error)
-	WatchDesiredState(ctx context.Context, since uint64, wait, slack time.Duration) (raw []byte, revision uint64, err error)
+	WatchEndpoints(ctx context.Context, since storeversion.Version, wait, slack time.Duration) (changes []discovery.Change, version storeversion.Version, err error)
+	WatchDesiredState(ctx context.Context, since storeversion.Version, wait, slack time.Duration) (raw []byte, version storeversion.Version, err error)
 }
 
 // Options configure a View.
@@ -49,6 +51,8 @@
 	Within time.Duration
 	// Heartbeat is the time between two heartbeats of an endpoint.
 	Heartbeat time.Duration
+	// Generations keeps the highest generation of the store; nil: the view's own.
+	Generations *generations.Tracker
 	// Metrics takes the counters; nil: nobody does.
 	Metrics tally.Scope
 	// Clock goes on while the host is suspended, so that what was heard before is as old
@@ -68,9 +72,9 @@
 	endpoints  *discovery.Follower
 	config     *discovery.Follower
 	outage     *discovery.Outage
-	unusable   map[string]uint64 // entries that name no endpoint to use: revision, by id
-	directFrom time.Time         // the store is asked from then on, at the latest
-	watches    bool              // this daemon follows the store itself
+	unusable   map[string]storeversion.Version // entries that name no endpoint to use, by id
+	directFrom time.Time                       // the store is asked from then on, at the latest
+	watches    bool                            // this daemon follows the store itself
 	source     *relay.Source
 	upstream   upstreamState
 	changes    *relay.ChangeLog // of this daemon's view, for those that take from it
@@ -93,16 +97,19 @@
 	if opt.Metrics == nil {
 		opt.Metrics = tally.NoopScope
 	}
+	if opt.Generations == nil {
+		opt.Generations = generations.New(opt.Log, opt.Metrics)
+	}
 	v := &View{
 		setAside: opt.Metrics.SubScope("view").Counter("answers_set_aside_total"),
-		opt:      opt, registry: discovery.NewRegistry(), watches: true, changes: relay.NewChangeLog(), told: make(chan struct{}),
-		unusable: map[string]uint64{}, roleTaken: make(chan struct{}), named: make(chan struct{}, 1), outage: discovery.NewOutage(opt.Heartbeat),
+		opt:      opt, registry: discovery.NewRegistry(opt.Heartbeat), watches: true, changes: relay.NewChangeLog(), told: make(chan struct{}),
+		unusable: map[string]storeversion.Version{}, roleTaken: make(chan struct{}), named: make(chan struct{}, 1), outage: discovery.NewOutage(opt.Heartbeat),
 		config: discovery.NewFollower(discovery.FollowOptions{Retry: retryFirst, RetryMost: retryMost}),
 	}
 	v.endpoints = discovery.NewFollower(discovery.FollowOptions{Pause: v.part(gatherPart), Retry: retryFirst, RetryMost: retryMost})
 	v.source = relay.NewSource(v.part(stalePart))
 	v.directFrom = v.opt.Clock().Add(startGrace)
-	v.view.Store(fleet.NewView(0, nil))
+	v.view.Store(fleet.NewView(storeversion.Version{}, nil))
 	return v
 }
 
@@ -131,13 +138,13 @@
 // returns for one that cannot be read.
 //
 // Invariant: the version in force never goes back.
-func (v *View) adoptDesired(raw []byte, from string, revision uint64) error {
+func (v *View) adoptDesired(raw []byte, from string, stored storeversion.Version) error {
 	if raw == nil {
 		return nil
 	}
 	t, err := v.opt.Decode(raw)
 	if err != nil {
-		v.opt.Log.Error(decisions.EventDesiredRejected, "from", from, "revision", revision, "error", err)
+		v.opt.Log.Error(decisions.EventDesiredRejected, "from", from, "revision", stored, "error", err)
 		return err
 	}
 	v.mu.Lock()
@@ -150,7 +157,7 @@
 	v.table.Store(t)
 	v.tell()
 	v.mu.Unlock()
-	v.opt.Log.Info(decisions.EventDesiredState, "version", t.Version, "from", from, "revision", revision, "routes", t.Routes())
+	v.opt.Log.Info(decisions.EventDesiredState, "version", t.Version, "from", from, "revision", stored, "routes", t.Routes())
 	v.logWorkspaces(old, t)
 	v.changed()
 	return nil
@@ -209,12 +216,16 @@
 // that are kept though the store does not have them.
 func (v *View) takeIn(from string, take func(now time.Time) (kept []string)) {
 	v.mu.Lock()
+	before := v.registry.Version()
 	kept := take(v.opt.Clock())
 	c := v.refresh()
 	v.tell()
 	aside := v.registry.TakeSetAside()
-	known := v.registry.Revision()
+	known := v.registry.Version()
 	v.mu.Unlock()
+	if before.Generation < known.Generation && !before.Absent() {
+		v.logRestored(before, known, from, c, kept)
+	}
 	v.logKept(kept)
 	v.logSetAside(aside, from, known)
 	v.announce(c, from)
@@ -245,7 +256,7 @@
 const loggedIDs = 8
 
 // logSetAside logs what an answer told that was older than what is known.
-func (v *View) logSetAside(a discovery.SetAside, from string, known uint64) {
+func (v *View) logSetAside(a discovery.SetAside, from string, known storeversion.Version) {
 	if a.Empty() {
 		return
 	}
@@ -254,6 +265,23 @@
 		"endpoints", a.Endpoints[:min(len(a.Endpoints), loggedIDs)], "others", max(0, len(a.Endpoints)-loggedIDs), "revision", known)
 }
 
+// noteSetAside counts and logs an answer that is set aside as a whole.
+func (v *View) noteSetAside(from string, of relay.Kind, told, known storeversion.Version) {
+	v.setAside.Inc(1)
+	v.opt.Log.Info(decisions.EventSetAside, "from", from, "of", of.String(), "lists", 1, "told", told, "revision", known)
+}
+
+// logRestored logs that the endpoints were taken anew, of a later generation of the store.
+func (v *View) logRestored(before, known storeversion.Version, from string, c viewChange, kept []string) {
+	changed := 0
+	for id, e := range c.next.ByID {
+		if o := c.old.ByID[id]; o == nil || o.Leaving != e.Leaving || !o.Life().Same(e.Life()) {
+			changed++
+		}
+	}
+	v.opt.Log.Info(decisions.EventRestored, "before", before, "revision", known, "from", from, "endpoints", len(c.next.ByID), "changed", changed, "kept", len(kept))
+}
+
 func (v *View) logChange(old, next *fleet.View, from string) {
 	var come, gone, leaving []string
 	for id, e := range next.ByID {
@@ -271,6 +299,6 @@
 		}
 	}
 	if len(come)+len(gone)+len(leaving) > 0 {
-		v.opt.Log.Info(decisions.EventEndpoints, "revision", next.Revision, "from", from, "come", come, "gone", gone, "leaving", leaving, "endpoints", len(next.ByID))
+		v.opt.Log.Info(decisions.EventEndpoints, "revision", next.Version, "from", from, "come", come, "gone", gone, "leaving", leaving, "endpoints", len(next.ByID))
 	}
 }
--- a/driver/storeview/storeview_test.go
+++ b/driver/storeview/storeview_test.go
@@ -20,26 +20,30 @@
 	"github.com/doorvalve/doorvalve/protocol/fleetpb"
 	"github.com/doorvalve/doorvalve/state/fleet"
 	"github.com/doorvalve/doorvalve/state/routing"
+	"github.com/doorvalve/doorvalve/state/storeversion"
 	"github.com/doorvalve/doorvalve/transport/peers"
 )
 
 // fakeStore is a store in virtual time. Watches that are open when it goes
-// silent hear nothing any more; new calls are answered.
+// silent hear nothing any more; new calls are answered. It names no generation before it
+// is told to.
 type fakeStore struct {
-	mu       sync.Mutex
-	revision uint64
-	config   uint64 // version of the desired state, as of configAt
-	configAt uint64
-	list     []*fleet.Endpoint
-	unusable []discovery.Unusable
-	changes  []discovery.Change
-	away     bool
-	silent   int           // watches of earlier numbers hear nothing
-	changed  chan struct{} // closed at the next change
-	calls    int
-	failed   int
-	padding  int  // bytes added to the desired state
-	plain    bool // they can be packed
+	mu         sync.Mutex
+	generation uint64
+	revision   uint64
+	oldest     uint64 // watches from before have lost their history
+	config     uint64 // version of the desired state, as of configAt
+	configAt   uint64
+	list       []*fleet.Endpoint
+	unusable   []discovery.Unusable
+	changes    []discovery.Change
+	away       bool
+	silent     int           // watches of earlier numbers hear nothing
+	changed    chan struct{} // closed at the next change
+	calls      int
+	failed     int
+	padding    int  // bytes added to the desired state
+	plain      bool // they can be packed
 }
 
 func newFakeStore() *fakeStore {
@@ -67,10 +71,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision++
-	e.Revision = s.revision
+	e.Version = s.now()
 	s.drop(e.ID)
 	s.list = append(s.list, &e)
-	s.changes = append(s.changes, discovery.Change{ID: e.ID, Endpoint: &e, Revision: s.revision})
+	s.changes = append(s.changes, discovery.Change{ID: e.ID, Endpoint: &e, Version: s.now()})
 	s.tell()
 }
 
@@ -80,7 +84,7 @@
 	defer s.mu.Unlock()
 	s.revision++
 	s.drop(id)
-	s.changes = append(s.changes, discovery.Change{ID: id, Removed: true, Revision: s.revision})
+	s.changes = append(s.changes, discovery.Change{ID: id, Removed: true, Version: s.now()})
 	s.tell()
 }
 
@@ -96,9 +100,9 @@
 	defer s.mu.Unlock()
 	s.revision++
 	s.drop(id)
-	u := discovery.Unusable{ID: id, Revision: s.revision, Reason: errors.New("no address")}
+	u := discovery.Unusable{ID: id, Version: s.now(), Reason: errors.New("no address")}
 	s.unusable = append(s.unusable, u)
-	s.changes = append(s.changes, discovery.Change{ID: id, Unusable: &u, Revision: s.revision})
+	s.changes = append(s.changes, discovery.Change{ID: id, Unusable: &u, Version: s.now()})
 	s.tell()
 }
 
@@ -139,22 +143,71 @@
 	return &routing.Table{Version: binary.BigEndian.Uint64(raw)}, nil
 }
 
-func (s *fakeStore) ListEndpoints(context.Context) ([]*fleet.Endpoint, uint64, []discovery.Unusable, error) {
+// now returns the store's version; the caller holds the mutex.
+func (s *fakeStore) now() storeversion.Version {
+	return storeversion.Version{Generation: s.generation, Revision: s.revision}
+}
+
+// storeCopy is what a fakeStore can be restored from.
+type storeCopy struct {
+	revision, config, configAt uint64
+	list                       []*fleet.Endpoint
+	unusable                   []discovery.Unusable
+}
+
+func (s *fakeStore) copyNow() storeCopy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return storeCopy{s.revision, s.config, s.configAt, slices.Clone(s.list), slices.Clone(s.unusable)}
+}
+
+// restore brings the store back from a copy: what was acknowledged since is lost, and its
+// revisions are given out again.
+func (s *fakeStore) restore(c storeCopy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.generation++
+	s.revision, s.config, s.configAt = c.revision, c.config, c.configAt
+	s.list, s.unusable = nil, nil
+	for _, e := range c.list {
+		again := *e
+		again.Version.Generation = s.generation
+		s.list = append(s.list, &again)
+	}
+	for _, u := range c.unusable {
+		u.Version.Generation = s.generation
+		s.unusable = append(s.unusable, u)
+	}
+	s.changes = nil
+	s.oldest = c.revision
+	s.tell()
+}
+
+func (s *fakeStore) ListEndpoints(context.Context) ([]*fleet.Endpoint, storeversion.Version, []discovery.Unusable, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if _, err := s.call(); err != nil {
-		return nil, 0, nil, err
+		return nil, s.now(), nil, err
 	}
-	return slices.Clone(s.list), s.revision, slices.Clone(s.unusable), nil
+	return slices.Clone(s.list), s.now(), slices.Clone(s.unusable), nil
 }
 
-func (s *fakeStore) ReadDesiredState(context.Context) ([]byte, uint64, error) {
+func (s *fakeStore) ReadDesiredState(context.Context) ([]byte, storeversion.Version, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if _, err := s.call(); err != nil {
-		return nil, 0, err
+		return nil, s.now(), err
+	}
+	return s.encoded(), s.now(), nil
+}
+
+// lostHistory returns an error for a watch from a revision that the store cannot tell the changes
+// since; the caller holds the mutex.
+func (s *fakeStore) lostHistory(since uint64) error {
+	if since < s.oldest || since > s.revision {
+		return discovery.ErrHistoryLost
 	}
-	return s.encoded(), s.revision, nil
+	return nil
 }
 
 func (s *fakeStore) encoded() []byte {
@@ -198,9 +251,9 @@
 	return err
 }
 
-func (s *fakeStore) WatchEndpoints(ctx context.Context, since uint64, wait, slack time.Duration) (changes []discovery.Change, revision uint64, err error) {
+func (s *fakeStore) WatchEndpoints(ctx context.Context, since storeversion.Version, wait, slack time.Duration) (changes []discovery.Change, version storeversion.Version, err error) {
 	after := func() []discovery.Change {
-		i := slices.IndexFunc(s.changes, func(c discovery.Change) bool { return c.Revision > since })
+		i := slices.IndexFunc(s.changes, func(c discovery.Change) bool { return c.Version.Revision > since.Revision })
 		if i < 0 {
 			return nil
 		}
@@ -208,22 +261,28 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+slack)
 	defer cancel()
-	err = s.wait(ctx, wait, func() bool { return len(after()) > 0 })
+	err = s.wait(ctx, wait, func() bool { return len(after()) > 0 || s.lostHistory(since.Revision) != nil })
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return after(), s.revision, err
+	if lost := s.lostHistory(since.Revision); err == nil && lost != nil {
+		return nil, s.now(), lost
+	}
+	return after(), s.now(), err
 }
 
-func (s *fakeStore) WatchDesiredState(ctx context.Context, since uint64, wait, slack time.Duration) (raw []byte, revision uint64, err error) {
+func (s *fakeStore) WatchDesiredState(ctx context.Context, since storeversion.Version, wait, slack time.Duration) (raw []byte, version storeversion.Version, err error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+slack)
 	defer cancel()
-	err = s.wait(ctx, wait, func() bool { return s.configAt > since })
+	err = s.wait(ctx, wait, func() bool { return s.configAt > since.Revision || s.lostHistory(since.Revision) != nil })
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.configAt > since {
+	if lost := s.lostHistory(since.Revision); err == nil && lost != nil {
+		return nil, s.now(), lost
+	}
+	if s.configAt > since.Revision {
 		raw = s.encoded()
 	}
-	return raw, s.revision, err
+	return raw, s.now(), err
 }
 
 // leaveWithin is the bound that the views of the tests work to, but for
@@ -410,55 +469,55 @@
 	return w.n
 }
 
-func (w *way) ListEndpoints(ctx context.Context) ([]*fleet.Endpoint, uint64, []discovery.Unusable, error) {
+func (w *way) ListEndpoints(ctx context.Context) ([]*fleet.Endpoint, storeversion.Version, []discovery.Unusable, error) {
 	if err := w.call(); err != nil {
-		return nil, 0, nil, err
+		return nil, storeversion.Version{}, nil, err
 	}
 	return w.fakeStore.ListEndpoints(ctx)
 }
 
-func (w *way) ReadDesiredState(ctx context.Context) ([]byte, uint64, error) {
+func (w *way) ReadDesiredState(ctx context.Context) ([]byte, storeversion.Version, error) {
 	if err := w.call(); err != nil {
-		return nil, 0, err
+		return nil, storeversion.Version{}, err
 	}
 	if w.isHung() {
 		ctx, cancel := context.WithTimeout(ctx, answerWithin)
 		defer cancel()
 		<-ctx.Done()
-		return nil, 0, ctx.Err()
+		return nil, storeversion.Version{}, ctx.Err()
 	}
 	return w.fakeStore.ReadDesiredState(ctx)
 }
 
 // A watch over a way that is cut hears nothing until it is given up on.
-func (w *way) WatchEndpoints(ctx context.Context, since uint64, wait, slack time.Duration) ([]discovery.Change, uint64, error) {
+func (w *way) WatchEndpoints(ctx context.Context, since storeversion.Version, wait, slack time.Duration) ([]discovery.Change, storeversion.Version, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+slack)
 	defer cancel()
 	if w.call() != nil {
 		<-ctx.Done()
-		return nil, 0, ctx.Err()
+		return nil, storeversion.Version{}, ctx.Err()
 	}
-	changes, revision, err := w.fakeStore.WatchEndpoints(ctx, since, wait, slack)
+	changes, version, err := w.fakeStore.WatchEndpoints(ctx, since, wait, slack)
 	if w.isCut() {
 		<-ctx.Done()
-		return nil, 0, ctx.Err()
+		return nil, storeversion.Version{}, ctx.Err()
 	}
-	return changes, revision, err
+	return changes, version, err
 }
 
-func (w *way) WatchDesiredState(ctx context.Context, since uint64, wait, slack time.Duration) ([]byte, uint64, error) {
+func (w *way) WatchDesiredState(ctx context.Context, since storeversion.Version, wait, slack time.Duration) ([]byte, storeversion.Version, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+slack)
 	defer cancel()
 	if w.call() != nil {
 		<-ctx.Done()
-		return nil, 0, ctx.Err()
+		return nil, storeversion.Version{}, ctx.Err()
 	}
-	raw, revision, err := w.fakeStore.WatchDesiredState(ctx, since, wait, slack)
+	raw, version, err := w.fakeStore.WatchDesiredState(ctx, since, wait, slack)
 	if w.isCut() || w.isHung() {
 		<-ctx.Done()
-		return nil, 0, ctx.Err()
+		return nil, storeversion.Version{}, ctx.Err()
 	}
-	return raw, revision, err
+	return raw, version, err
 }
 
 // pair is two daemons that follow the store and one that takes from them.
--- a/driver/storeview/suspended_test.go
+++ b/driver/storeview/suspended_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/doorvalve/doorvalve/coordination/relay"
+	"github.com/doorvalve/doorvalve/state/storeversion"
 )
 
 // What was heard before a host was suspended is as old afterwards as it is.
@@ -13,7 +14,7 @@
 	start := time.Now()
 	v := New(Options{Within: time.Second, Clock: func() time.Time { return start.Add(suspended) }})
 	v.mu.Lock()
-	v.endpoints.Listed(start, start, 1)
+	v.endpoints.Listed(start, start, storeversion.Version{Revision: 1})
 	v.mu.Unlock()
 	if age := v.Age(relay.Endpoints); age != 0 {
 		t.Fatalf("%v old at once", age)
--- a/driver/storeview/wire.go
+++ b/driver/storeview/wire.go
@@ -5,6 +5,7 @@
 
 	"github.com/doorvalve/doorvalve/protocol/fleetpb"
 	"github.com/doorvalve/doorvalve/state/fleet"
+	"github.com/doorvalve/doorvalve/state/storeversion"
 )
 
 // toWire encodes endpoints for another daemon, without the copies of models.
@@ -13,7 +14,7 @@
 	for i, e := range list {
 		out[i] = &fleetpb.Endpoint{
 			Id: e.ID, Born: e.Born, Service: e.Service, Address: e.Address, Domain: e.Domain, Slots: int32(e.Slots), Software: e.Software,
-			Leaving: e.Leaving, Missing: e.Missing, RemainingMs: e.Remaining.Milliseconds(), Revision: e.Revision,
+			Leaving: e.Leaving, Missing: e.Missing, RemainingMs: e.Remaining.Milliseconds(), Revision: e.Version.Revision, Generation: e.Version.Generation,
 		}
 		for _, m := range e.Models {
 			out[i].Models = append(out[i].Models, &fleetpb.Loaded{Model: m.Model, Version: int32(m.Version), Adapters: m.Adapters})
@@ -27,7 +28,7 @@
 	for i, e := range list {
 		out[i] = &fleet.Endpoint{
 			ID: e.Id, Born: e.Born, Service: e.Service, Address: e.Address, Domain: e.Domain, Slots: int(e.Slots), Software: e.Software,
-			Leaving: e.Leaving, Missing: e.Missing, Remaining: time.Duration(e.RemainingMs) * time.Millisecond, Revision: e.Revision,
+			Leaving: e.Leaving, Missing: e.Missing, Remaining: time.Duration(e.RemainingMs) * time.Millisecond, Version: storeversion.Version{Generation: e.Generation, Revision: e.Revision},
 		}
 		for _, m := range e.Models {
 			out[i].Models = append(out[i].Models, fleet.Loaded{Model: m.Model, Version: int(m.Version), Adapters: m.Adapters})
--- a/replay/replay.go
+++ b/replay/replay.go
@@ -14,6 +14,7 @@
 	"github.com/doorvalve/doorvalve/coordination/placement"
 	"github.com/doorvalve/doorvalve/protocol"
 	"github.com/doorvalve/doorvalve/state/bundle"
+	"github.com/doorvalve/doorvalve/state/storeversion"
 )
 
 // Admission is the order in which waiting requests are served.
@@ -301,14 +302,14 @@
 	}
 	clear(r.arrived)
 	r.m.Step(r.now, placement.DemandChanged{Units: demand})
-	version := uint64(1)
+	version := storeversion.Version{Revision: 1}
 	for range 4 {
 		ready := r.m.Ready(r.now)
 		if ready.Read {
 			r.m.Step(r.now, placement.ReadDone{Version: version})
 		}
 		if ready.Write != nil {
-			version++
+			version.Revision++
 			r.m.Step(r.now, placement.WriteDone{Outcome: protocol.WriteOK, Version: version})
 		}
 		for _, o := range ready.Orders {
--- a/standin/record/record.go
+++ b/standin/record/record.go
@@ -9,6 +9,7 @@
 
 	"github.com/doorvalve/doorvalve/coordination/lease"
 	"github.com/doorvalve/doorvalve/protocol"
+	"github.com/doorvalve/doorvalve/state/storeversion"
 )
 
 // Store keeps one record. It is safe for concurrent use.
@@ -18,10 +19,16 @@
 
 	mu      sync.Mutex
 	raw     []byte
-	version uint64
+	version storeversion.Version
 	calls   int
 }
 
+// Copy is what a Store can be restored from.
+type Copy struct {
+	raw     []byte
+	version storeversion.Version
+}
+
 // Calls returns the number of calls so far.
 func (s *Store) Calls() int {
 	s.mu.Lock()
@@ -29,31 +36,52 @@
 	return s.calls
 }
 
+// CopyNow returns what the store can be restored from later.
+func (s *Store) CopyNow() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Copy{s.raw, s.version}
+}
+
+// Restore brings the store back from a copy, as its next generation.
+func (s *Store) Restore(c Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.raw, s.version = c.raw, storeversion.Version{Generation: s.version.Generation + 1, Revision: c.version.Revision}
+}
+
+// Generation returns the store's.
+func (s *Store) Generation() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.version.Generation
+}
+
 // ReadRecord returns the record, whatever its name.
-func (s *Store) ReadRecord(_ context.Context, _ string, v any) (uint64, error) {
+func (s *Store) ReadRecord(_ context.Context, _ string, v any) (storeversion.Version, error) {
 	time.Sleep(s.Takes)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls++
-	if s.version == 0 {
-		return 0, lease.ErrNotFound
+	if s.version.Absent() {
+		return s.version, lease.ErrNotFound
 	}
 	return s.version, json.Unmarshal(s.raw, v)
 }
 
-// WriteRecord replaces the record if its version is the one expected.
-func (s *Store) WriteRecord(_ context.Context, _ string, expected uint64, v any) (uint64, protocol.WriteOutcome, error) {
+// WriteRecord replaces the record if its revision is the one expected.
+func (s *Store) WriteRecord(_ context.Context, _ string, expected storeversion.Version, v any) (storeversion.Version, protocol.WriteOutcome, error) {
 	time.Sleep(s.Takes)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls++
-	if expected != s.version {
-		return 0, protocol.WriteConflict, nil
+	if expected.Revision != s.version.Revision {
+		return s.version.At(0), protocol.WriteConflict, nil
 	}
 	raw, err := json.Marshal(v)
 	if err != nil {
-		return 0, protocol.WriteUnknown, err
+		return s.version.At(0), protocol.WriteUnknown, err
 	}
-	s.raw, s.version = raw, s.version+1
+	s.raw, s.version = raw, s.version.At(s.version.Revision+1)
 	return s.version, protocol.WriteOK, nil
 }
--- a/state/fleet/fleet.go
+++ b/state/fleet/fleet.go
@@ -5,6 +5,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/doorvalve/doorvalve/state/storeversion"
 )
 
 // Loaded is one model that an endpoint holds.
@@ -35,8 +37,8 @@
 	Models    []Loaded
 	InMemory  []string // models with a copy in host memory
 	OnDisk    []string // models with a copy on the endpoint's disk
-	// Revision is the platform's revision of this description.
-	Revision uint64
+	// Version is that of this description in the platform's store.
+	Version storeversion.Version
 }
 
 // Life returns the incarnation that the description is of.
@@ -53,9 +55,9 @@
 	return false
 }
 
-// View is the endpoints as of one revision. It does not change.
+// View is the endpoints as of one version of the store. It does not change.
 type View struct {
-	Revision  uint64
+	Version   storeversion.Version
 	ByID      map[string]*Endpoint
 	ByService map[string][]*Endpoint // sorted by id
 }
@@ -70,8 +72,8 @@
 }
 
 // NewView indexes endpoints.
-func NewView(revision uint64, list []*Endpoint) *View {
-	v := &View{Revision: revision, ByID: make(map[string]*Endpoint, len(list)), ByService: map[string][]*Endpoint{}}
+func NewView(version storeversion.Version, list []*Endpoint) *View {
+	v := &View{Version: version, ByID: make(map[string]*Endpoint, len(list)), ByService: map[string][]*Endpoint{}}
 	for _, e := range list {
 		v.ByID[e.ID] = e
 		v.ByService[e.Service] = append(v.ByService[e.Service], e)
--- a/transport/edge/run.go
+++ b/transport/edge/run.go
@@ -97,7 +97,7 @@
 			t.exclude = append(t.exclude, e.Life())
 		}
 		again := t.again(q, a)
-		s.opt.Log.Info(decisions.EventAttemptFailed, "request", q.call.ID, "endpoint", e.ID, "endpoint_revision", e.Revision, "reason", f.reason, "error", f.err,
+		s.opt.Log.Info(decisions.EventAttemptFailed, "request", q.call.ID, "endpoint", e.ID, "endpoint_revision", e.Version, "reason", f.reason, "error", f.err,
 			"verdict", f.verdict.String(), "again", again, "fingerprint", q.fingerprint().String(), "began", f.began, "sent_ms", a.sent.Sub(q.arrived).Milliseconds(), "endpoints_age_ms", a.viewAge.Milliseconds(), "ms", time.Since(q.arrived).Milliseconds())
 		if !again && ctx.Err() == nil {
 			return s.giveUp(q, t)
--- a/transport/edge/server.go
+++ b/transport/edge/server.go
@@ -257,7 +257,7 @@
 	fields := []any{"request", q.call.ID, "route", route, "model", q.unit(), "status", refusal.Status, "reason", refusal.Reason, "detail", refusal.Detail,
 		"verdict", refusal.Verdict.String(), "retry_after_ms", refusal.RetryAfter.Milliseconds(), "ms", time.Since(q.arrived).Milliseconds(),
 		"time_left_ms", time.Until(q.deadline).Milliseconds(), "endpoint", endpoint, "version", q.version(), "state_age_ms", q.stateAge.Milliseconds(), "workspace", q.workspace(),
-		"endpoints_revision", s.opt.View().Revision}
+		"endpoints_revision", s.opt.View().Version}
 	if refusal.Reason == quarantiner.ReasonHeldBack {
 		fields = append(fields, "fingerprint", q.fingerprint().String())
 	}
--- a/transport/edge/watch_test.go
+++ b/transport/edge/watch_test.go
@@ -17,6 +17,7 @@
 	"github.com/doorvalve/doorvalve/protocol"
 	"github.com/doorvalve/doorvalve/state/fleet"
 	"github.com/doorvalve/doorvalve/state/routing"
+	"github.com/doorvalve/doorvalve/state/storeversion"
 )
 
 // A request at an engine that is silent goes to another holder of its model only while
@@ -27,7 +28,7 @@
 		log := decisions.New(io.Discard, "test", hclog.Off)
 		defer log.Close()
 		holds := []fleet.Loaded{{Model: "m"}}
-		view := fleet.NewView(1, []*fleet.Endpoint{{ID: "slow", Service: "llm", Models: holds}, {ID: "full", Service: "llm", Models: holds}})
+		view := fleet.NewView(storeversion.Version{Revision: 1}, []*fleet.Endpoint{{ID: "slow", Service: "llm", Models: holds}, {ID: "full", Service: "llm", Models: holds}})
 		s := New(Options{
 			View: func() *fleet.View { return view }, Balancer: balance.New("z", 1, said()), Budget: retry.NewBudget(), Log: log, Metrics: tally.NoopScope,
 		})
@@ -59,7 +60,7 @@
 		log := decisions.New(io.Discard, "test", hclog.Off)
 		defer log.Close()
 		holds := []fleet.Loaded{{Model: "m"}}
-		view := fleet.NewView(1, []*fleet.Endpoint{{ID: "a", Service: "llm", Models: holds}, {ID: "b", Service: "llm", Models: holds}})
+		view := fleet.NewView(storeversion.Version{Revision: 1}, []*fleet.Endpoint{{ID: "a", Service: "llm", Models: holds}, {ID: "b", Service: "llm", Models: holds}})
 		budget := retry.NewBudgetOf(0, 1)
 		s := New(Options{View: func() *fleet.View { return view }, Balancer: balance.New("z", 1, said()), Budget: budget, Log: log, Metrics: tally.NoopScope})
 		q := testRequest()
@@ -81,7 +82,7 @@
 	const patience = 2 * time.Second
 	for _, begun := range []bool{false, true} {
 		synctest.Test(t, func(t *testing.T) {
-			view := fleet.NewView(1, nil)
+			view := fleet.NewView(storeversion.Version{Revision: 1}, nil)
 			s := New(Options{View: func() *fleet.View { return view }, Balancer: balance.New("z", 1, said()), Budget: retry.NewBudgetOf(0, 0), Metrics: tally.NoopScope})
 			q := testRequest()
 			q.arrived, q.deadline, q.route.Patience = time.Now(), time.Now().Add(time.Minute), patience
--- a/transport/platform/client.go
+++ b/transport/platform/client.go
@@ -9,14 +9,18 @@
 	"io"
 	"net/http"
 	"net/url"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
 
 	"github.com/zeebo/errs"
 
+	"github.com/doorvalve/doorvalve/coordination/discovery"
 	"github.com/doorvalve/doorvalve/coordination/lease"
+	"github.com/doorvalve/doorvalve/driver/generations"
 	"github.com/doorvalve/doorvalve/protocol"
+	"github.com/doorvalve/doorvalve/state/storeversion"
 	"github.com/doorvalve/doorvalve/transport/meter"
 	"github.com/doorvalve/doorvalve/transport/silence"
 )
@@ -27,6 +31,9 @@
 // ErrNotFound says that the platform answered and has no such object.
 var ErrNotFound = lease.ErrNotFound
 
+// ErrHistoryLost says that the platform cannot tell what has changed since a version.
+var ErrHistoryLost = discovery.ErrHistoryLost
+
 // Kind is a kind of object.
 type Kind string
 
@@ -71,8 +78,14 @@
 type Options struct {
 	URL     string
 	Timeout time.Duration // until the answer to a call begins that is no watch
+	// Generations hears of the generation that each answer names; nil: nobody does.
+	Generations *generations.Tracker
 }
 
+// headerGeneration names the platform's generation in each of its answers: it rises each time its
+// objects come back from a copy. A platform that never says one has a single generation.
+const headerGeneration = "Platform-Generation"
+
 // Client calls the platform. It is safe for concurrent use.
 type Client struct {
 	opt   Options
@@ -95,12 +108,39 @@
 // Calls returns the number of calls made.
 func (c *Client) Calls() int64 { return c.calls.Load() }
 
-func (c *Client) do(ctx context.Context, method, path string, version string, body []byte, timeout time.Duration) (int, []byte, error) {
+// answer is what the platform said to a call.
+type answer struct {
+	status     int
+	generation uint64
+	body       []byte
+}
+
+// at returns a version of the platform's generation.
+func (a *answer) at(revision uint64) storeversion.Version {
+	return storeversion.Version{Generation: a.generation, Revision: revision}
+}
+
+// generationOf returns the generation that an answer names. One that names none counts as of the
+// highest one heard of.
+func (c *Client) generationOf(h http.Header, call string) (uint64, error) {
+	text := h.Get(headerGeneration)
+	if text == "" {
+		return c.opt.Generations.Highest(), nil
+	}
+	named, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		return 0, Error.New("%s: want a whole number, found %q", headerGeneration, text)
+	}
+	c.opt.Generations.Heard(named, call)
+	return named, nil
+}
+
+func (c *Client) do(ctx context.Context, method, path string, version string, body []byte, timeout time.Duration) (a answer, err error) {
 	ctx, limit := silence.Limit(ctx, timeout)
 	defer limit.End()
 	req, err := http.NewRequestWithContext(ctx, method, c.opt.URL+path, bytes.NewReader(body))
 	if err != nil {
-		return 0, nil, Error.Wrap(err)
+		return a, Error.Wrap(err)
 	}
 	if version != "" {
 		req.Header.Set("If-Match", version)
@@ -108,25 +148,32 @@
 	c.calls.Add(1)
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return 0, nil, Error.Wrap(limit.Explain(err))
+		return a, Error.Wrap(limit.Explain(err))
 	}
 	defer func() { _ = resp.Body.Close() }()
+	a.status = resp.StatusCode
+	if a.generation, err = c.generationOf(resp.Header, method); err != nil {
+		return a, err
+	}
 	limit.Extend(silence.TransferTimeout)
-	answer, err := io.ReadAll(resp.Body)
-	return resp.StatusCode, answer, Error.Wrap(limit.Explain(err))
+	a.body, err = io.ReadAll(resp.Body)
+	return a, Error.Wrap(limit.Explain(err))
 }
 
-func (c *Client) getJSON(ctx context.Context, path string, timeout time.Duration, v any) error {
-	status, body, err := c.do(ctx, http.MethodGet, path, "", nil, timeout)
+// getJSON decodes an answer into v. It returns the platform's generation also with ErrNotFound.
+func (c *Client) getJSON(ctx context.Context, path string, timeout time.Duration, v any) (answer, error) {
+	a, err := c.do(ctx, http.MethodGet, path, "", nil, timeout)
 	switch {
 	case err != nil:
-		return err
-	case status == http.StatusNotFound:
-		return ErrNotFound
-	case status != http.StatusOK:
-		return Error.New("GET %s: status %d", path, status)
+		return a, err
+	case a.status == http.StatusNotFound:
+		return a, ErrNotFound
+	case a.status == http.StatusGone:
+		return a, ErrHistoryLost
+	case a.status != http.StatusOK:
+		return a, Error.New("GET %s: status %d", path, a.status)
 	}
-	return Error.Wrap(json.Unmarshal(body, v))
+	return a, Error.Wrap(json.Unmarshal(a.body, v))
 }
 
 func objectPath(kind Kind, name string) string {
@@ -134,64 +181,80 @@
 }
 
 // Get reads an object's value into v and returns its version. It returns
-// ErrNotFound when the platform says that there is none.
-func (c *Client) Get(ctx context.Context, kind Kind, name string, v any) (version uint64, err error) {
+// ErrNotFound, with the platform's generation, when there is none.
+func (c *Client) Get(ctx context.Context, kind Kind, name string, v any) (storeversion.Version, error) {
 	var o Object
-	if err := c.getJSON(ctx, objectPath(kind, name), c.opt.Timeout, &o); err != nil {
-		return 0, err
+	a, err := c.getJSON(ctx, objectPath(kind, name), c.opt.Timeout, &o)
+	if err != nil {
+		return a.at(0), err
 	}
-	return o.Version, Error.Wrap(json.Unmarshal(o.Value, v))
+	return a.at(o.Version), Error.Wrap(json.Unmarshal(o.Value, v))
 }
 
-// List returns all objects of a kind.
-func (c *Client) List(ctx context.Context, kind Kind) ([]Object, error) {
-	var list []Object
-	err := c.getJSON(ctx, "/objects/"+string(kind), c.opt.Timeout, &list)
-	return list, err
+// List returns all objects of a kind, and the generation that their versions are of.
+func (c *Client) List(ctx context.Context, kind Kind) (list []Object, generation uint64, err error) {
+	a, err := c.getJSON(ctx, "/objects/"+string(kind), c.opt.Timeout, &list)
+	return list, a.generation, err
 }
 
-// Put writes v if the object's version is still expected; 0 means that the
-// object must not exist.
-func (c *Client) Put(ctx context.Context, kind Kind, name string, expected uint64, v any) (version uint64, outcome protocol.WriteOutcome) {
+// Put writes v if the object's version is still expected; an absent one means that the object must
+// not exist. A version of an older generation than the platform's is no condition, as its revision
+// may by now be that of another content: it is not sent, and a write that met one has an unknown
+// outcome.
+func (c *Client) Put(ctx context.Context, kind Kind, name string, expected storeversion.Version, v any) (version storeversion.Version, outcome protocol.WriteOutcome) {
+	if c.opt.Generations.Outdated(expected) {
+		return storeversion.Version{Generation: c.opt.Generations.Highest()}, protocol.WriteConflict
+	}
 	body, err := json.Marshal(v)
 	if err != nil {
-		return 0, protocol.WriteUnknown
+		return version, protocol.WriteUnknown
 	}
-	status, answer, err := c.do(ctx, http.MethodPut, objectPath(kind, name), fmt.Sprint(expected), body, c.opt.Timeout)
+	a, err := c.do(ctx, http.MethodPut, objectPath(kind, name), fmt.Sprint(expected.Revision), body, c.opt.Timeout)
 	switch {
-	case err == nil && status == http.StatusConflict:
-		return 0, protocol.WriteConflict
-	case err != nil || status != http.StatusOK:
-		return 0, protocol.WriteUnknown
+	case err == nil && a.status == http.StatusConflict:
+		return a.at(0), protocol.WriteConflict
+	case err != nil || a.status != http.StatusOK:
+		return version, protocol.WriteUnknown
 	}
 	var o Object
-	if json.Unmarshal(answer, &o) != nil {
-		return 0, protocol.WriteUnknown
+	if json.Unmarshal(a.body, &o) != nil || a.generation != expected.Generation {
+		return version, protocol.WriteUnknown
 	}
-	return o.Version, protocol.WriteOK
+	return a.at(o.Version), protocol.WriteOK
+}
+
+// Absent returns the condition that an object must not exist.
+func (c *Client) Absent() storeversion.Version {
+	return storeversion.Version{Generation: c.opt.Generations.Highest()}
 }
 
 // Delete removes an object; an absent one is no error.
 func (c *Client) Delete(ctx context.Context, kind Kind, name string) error {
-	_, _, err := c.do(ctx, http.MethodDelete, objectPath(kind, name), "", nil, c.opt.Timeout)
+	_, err := c.do(ctx, http.MethodDelete, objectPath(kind, name), "", nil, c.opt.Timeout)
 	return err
 }
 
 // Watched is the answer to a watch.
 type Watched struct {
-	Revision uint64   `json:"revision"`
-	Objects  []Object `json:"objects"`
+	Revision   uint64   `json:"revision"`
+	Objects    []Object `json:"objects"`
+	Generation uint64   `json:"-"` // of the revisions
 }
 
-// Watch waits up to wait for a change of one of the kinds after a revision.
-func (c *Client) Watch(ctx context.Context, kinds []Kind, since uint64, wait time.Duration) (Watched, error) {
+// Watch waits up to wait for a change of one of the kinds after a version. It returns
+// ErrHistoryLost where the platform's objects have come back from a copy since.
+func (c *Client) Watch(ctx context.Context, kinds []Kind, since storeversion.Version, wait time.Duration) (Watched, error) {
 	names := make([]string, len(kinds))
 	for i, k := range kinds {
 		names[i] = string(k)
 	}
 	var w Watched
-	path := fmt.Sprintf("/watch?kinds=%s&since=%d&wait_ms=%d", strings.Join(names, ","), since, wait.Milliseconds())
-	err := c.getJSON(ctx, path, wait+c.opt.Timeout, &w)
+	path := fmt.Sprintf("/watch?kinds=%s&since=%d&wait_ms=%d", strings.Join(names, ","), since.Revision, wait.Milliseconds())
+	a, err := c.getJSON(ctx, path, wait+c.opt.Timeout, &w)
+	if err == nil && a.generation != since.Generation && !since.Absent() {
+		err = ErrHistoryLost
+	}
+	w.Generation = a.generation
 	return w, err
 }
 
@@ -238,13 +301,13 @@
 const recordObject = "main"
 
 // ReadRecord decodes the record of a name into v; ErrNotFound says that there is none.
-func (c *Client) ReadRecord(ctx context.Context, name string, v any) (version uint64, err error) {
+func (c *Client) ReadRecord(ctx context.Context, name string, v any) (storeversion.Version, error) {
 	return c.Get(ctx, Kind(name), recordObject, v)
 }
 
-// WriteRecord writes the record of a name if its version is still expected; 0 means that it
-// must not exist.
-func (c *Client) WriteRecord(ctx context.Context, name string, expected uint64, v any) (version uint64, outcome protocol.WriteOutcome, err error) {
+// WriteRecord writes the record of a name if its version is still expected; an absent one means
+// that it must not exist.
+func (c *Client) WriteRecord(ctx context.Context, name string, expected storeversion.Version, v any) (version storeversion.Version, outcome protocol.WriteOutcome, err error) {
 	version, outcome = c.Put(ctx, Kind(name), recordObject, expected, v)
 	return version, outcome, nil
 }
