lease: it outlasts a store that comes back from a copy, and fences rise through all generations

What callers could have seen: two coordinators that order one engine, or a fence given out twice, after a restore (no report of the users; by TestLeaseOneHolderThroughRestores, red on the code before: "fence 1 of b after 1 of a").

Cause: the lease's record counted in whatever state the store came back. A former holder found its own old record and took it for free at once; a released or missing one looked free; the next fence rose from an old number; a condition of the old generation could meet another record's revision.

Change: a record names the generation of the version that it replaced, and grants nothing in another. Such a record, and one that a later generation lacks, is taken after a whole term from its first sight only; who holds by its own clock writes it again at once, under its fence, also after a conflict. A version of an older generation is no condition: it is not sent, through other daemons neither. Fences begin above all of the generation before (the generation in the high bits), and rise above what the record and the membership's facts know: what the copy lost may be known to nobody, and what was overwritten within a generation is known to the others. Whether a lease was ever held is no longer told by the number 1. A taker that cannot know who held last leaves the whole gap before its first order. Where nothing is recorded, only a first start (a setting that the platform gives) may take the lease at once.

--- a/coordination/lease/restore_test.go
+++ b/coordination/lease/restore_test.go
@@ -138,3 +138,77 @@
 		}
 	}
 }
+
+// The same where daemons start again, one at a time, and hear of fences and generations from the
+// others: the next process of a host has its former record for its own, but not one that a restored
+// store has brought back.
+func TestLeaseOneHolderThroughRestoresAndRestarts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := &restoredStore{store: store{version: storeversion.Version{Generation: 1}}}
+		now := time.Unix(1_000_000, 0)
+		first := rapid.Bool().Draw(t, "first start")
+		begin := func(name string) *daemon {
+			d := &daemon{m: New(Options{Self: name, Term: term, Margin: term / 4, FirstStart: first})}
+			d.m.Step(now, Candidate{Yes: true})
+			return d
+		}
+		daemons := []*daemon{begin("a"), begin("b"), begin("c")}
+		for _, d := range daemons {
+			d.m.Step(now, Heard{Generation: s.version.Generation})
+		}
+		first = false
+		s.copyNow()
+		var last struct {
+			fence  uint64
+			holder int
+		}
+		held := false
+		check := func() {
+			holders := 0
+			for i, d := range daemons {
+				fence, ok := d.m.Holds(now)
+				if !ok {
+					continue
+				}
+				holders++
+				if fence < last.fence || fence == last.fence && i != last.holder {
+					t.Fatalf("fence %d of %s after %d of %s", fence, d.m.opt.Self, last.fence, daemons[last.holder].m.opt.Self)
+				}
+				if fence > last.fence && d.m.First() && held {
+					t.Fatalf("%s takes itself for the first holder after another", d.m.opt.Self)
+				}
+				last.fence, last.holder, held = fence, i, true
+			}
+			if holders > 1 {
+				t.Fatalf("%d holders", holders)
+			}
+		}
+		for range rapid.IntRange(10, 300).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms")) * time.Millisecond)
+			check()
+			switch rapid.IntRange(0, 19).Draw(t, "store") {
+			case 0:
+				s.restore(rapid.IntRange(0, len(s.copies)-1).Draw(t, "copy"))
+			case 1, 2:
+				s.copyNow()
+			case 3, 4:
+				s.revision += uint64(rapid.IntRange(1, 3).Draw(t, "others"))
+			case 5, 6:
+				if len(s.late) > 0 {
+					s.carryOutLate(rapid.IntRange(0, len(s.late)-1).Draw(t, "late"))
+				}
+			}
+			i := rapid.IntRange(0, len(daemons)-1).Draw(t, "daemon")
+			if rapid.IntRange(0, 19).Draw(t, "restart") == 0 {
+				daemons[i] = begin(daemons[i].m.opt.Self)
+			}
+			told := Heard{Fence: last.fence}
+			if rapid.Bool().Draw(t, "told") {
+				told.Generation = s.version.Generation
+			}
+			daemons[i].m.Step(now, told)
+			stepRestored(t, now, daemons[i], s)
+			check()
+		}
+	})
+}
--- a/coordination/residency/bench_test.go
+++ b/coordination/residency/bench_test.go
@@ -29,10 +29,10 @@
 	for i := 300; i < 330; i++ {
 		w.p.Want(w.now, Want{Model: fmt.Sprintf("m%02d", i)})
 	}
-	w.p.ordersFrom = w.now.Add(time.Hour)
+	w.p.lease.OrdersFrom = w.now.Add(time.Hour)
 	b.ReportAllocs()
 	for b.Loop() {
-		w.p.ordersFrom = w.now
+		w.p.lease.OrdersFrom = w.now
 		w.p.schedule(w.p.newDraft(w.now))
 	}
 }
--- a/coordination/residency/lives.go
+++ b/coordination/residency/lives.go
@@ -62,7 +62,7 @@
 // ordered to load has not started again: those begin empty. Keeping a model's memory free
 // takes a place of three, so it is not done for any that may be old enough.
 func (p *Planner) mayHaveUnknownLate(now time.Time, w *worker) bool {
-	if p.fence <= 1 || w.life.Born == 0 || now.Sub(p.tookOver) >= lateOrderLife || uint64(len(w.models)) > w.sequence {
+	if p.lease.First || w.life.Born == 0 || now.Sub(p.tookOver) >= lateOrderLife || uint64(len(w.models)) > w.sequence {
 		return false
 	}
 	return now.Sub(time.UnixMilli(w.life.Born)) < lateOrderLife+clockSlack
--- a/coordination/residency/planner.go
+++ b/coordination/residency/planner.go
@@ -102,26 +102,24 @@
 // effect on any other state; the models and adapters that an engine holds or
 // may come to hold never exceed its memory and adapter slots.
 type Planner struct {
-	opt        Options
-	conf       Config
-	largest    float64 // model, in MB
-	workers    map[string]*worker
-	held       bool
-	fence      uint64
-	ordersFrom time.Time
-	tookOver   time.Time // when the lease was taken
-	demands    map[string]*demand
-	wants      map[string]*wanted   // models to be loaded
-	values     map[string]*value    // of what was wanted lately, by model
-	pressures  map[string]*pressure // of models in use
-	slots      []slot               // the schedule as last made
-	slotsAt    time.Time
-	starts     []time.Time // loads from the store, newest last
-	grownAt    time.Time   // when an engine was new last
-	copiesAt   time.Time   // models without a near copy are looked for then
-	sorted     []*worker   // by id, so that decisions repeat
-	draft      draft       // of the last step
-	places     StorePlaces // of the weight store
+	opt       Options
+	conf      Config
+	largest   float64 // model, in MB
+	workers   map[string]*worker
+	lease     Lease
+	tookOver  time.Time // when the lease was taken
+	demands   map[string]*demand
+	wants     map[string]*wanted   // models to be loaded
+	values    map[string]*value    // of what was wanted lately, by model
+	pressures map[string]*pressure // of models in use
+	slots     []slot               // the schedule as last made
+	slotsAt   time.Time
+	starts    []time.Time // loads from the store, newest last
+	grownAt   time.Time   // when an engine was new last
+	copiesAt  time.Time   // models without a near copy are looked for then
+	sorted    []*worker   // by id, so that decisions repeat
+	draft     draft       // of the last step
+	places    StorePlaces // of the weight store
 	// unloadTakes is how long engines take to carry out an unload, as was learned.
 	unloadTakes time.Duration
 	limits      map[string]limitedLife // that engines name, by id
@@ -145,10 +143,19 @@
 	}
 }
 
-// Lease reports whether this daemon holds the lease. No order is sent before
-// from, so that a former holder's last order is a whole lease term away.
-func (p *Planner) Lease(now time.Time, held bool, fence uint64, from time.Time) {
-	if held && !p.held || fence != p.fence {
+// Lease is whether this daemon holds the lease.
+type Lease struct {
+	Held  bool
+	Fence uint64
+	First bool // nobody has held it before
+	// OrdersFrom is when the first order may be sent, so that a former holder's last one is a
+	// whole lease term away.
+	OrdersFrom time.Time
+}
+
+// Lease takes whether this daemon holds the lease.
+func (p *Planner) Lease(now time.Time, l Lease) {
+	if l.Held && !p.lease.Held || l.Fence != p.lease.Fence {
 		p.tookOver = now
 		for _, w := range p.workers {
 			if o := w.order; o != nil && !o.answered {
@@ -158,7 +165,7 @@
 			w.probe = now
 		}
 	}
-	p.held, p.fence, p.ordersFrom = held, fence, from
+	p.lease = l
 }
 
 // Endpoints takes the present view.
--- a/coordination/residency/planner_test.go
+++ b/coordination/residency/planner_test.go
@@ -82,7 +82,7 @@
 	w.fence++
 	w.p = New(Options{Holder: fmt.Sprintf("h%d", w.fence), StoreAtOnce: 4, RateWindow: 5 * time.Second, RateFactor: 1.1})
 	w.p.Configure(Config{Service: "s", Engine: w.conf})
-	w.p.Lease(w.now, true, w.fence, w.now)
+	w.p.Lease(w.now, Lease{Held: true, Fence: w.fence, First: w.fence == 1, OrdersFrom: w.now})
 	w.entries()
 }
 
@@ -366,7 +366,7 @@
 
 func TestNoOrderBeforeTheFormerHolderIsSilent(t *testing.T) {
 	w := newWorld(9, 2)
-	w.p.Lease(w.now, true, 9, w.now.Add(3*time.Second))
+	w.p.Lease(w.now, Lease{Held: true, Fence: 9, OrdersFrom: w.now.Add(3 * time.Second)})
 	w.p.Want(w.now, Want{Model: "m08"})
 	if a := w.p.Want(w.now, Want{Model: "m00", Adapter: "a1"}); a.ReadyIn < 2*time.Second {
 		t.Fatalf("an adapter that needs an order is promised in %v", a.ReadyIn)
--- a/coordination/residency/ready.go
+++ b/coordination/residency/ready.go
@@ -14,13 +14,13 @@
 	}
 	for _, w := range p.sorted {
 		p.passTime(now, w)
-		if p.held && !w.asking && !w.probe.IsZero() && !now.Before(w.probe) {
+		if p.lease.Held && !w.asking && !w.probe.IsZero() && !now.Before(w.probe) {
 			w.asking = true
 			r.Probes = append(r.Probes, w.life)
 		}
 	}
 	p.watchStore(now)
-	if !p.held || now.Before(p.ordersFrom) {
+	if !p.lease.Held || now.Before(p.lease.OrdersFrom) {
 		return r
 	}
 	d := p.newDraft(now)
@@ -172,7 +172,7 @@
 
 func (p *Planner) send(now time.Time, w *worker, o Order, level Level) Order {
 	o.Endpoint, o.Address = w.life, w.endpoint.Address
-	o.Expect, o.Holder, o.Fence, o.Level = w.sequence, p.opt.Holder, p.fence, level
+	o.Expect, o.Holder, o.Fence, o.Level = w.sequence, p.opt.Holder, p.lease.Fence, level
 	end := now
 	if !o.Unload && o.Adapter == "" {
 		end = now.Add(p.loadTime(level, o.Model, p.storeLoads()))
--- a/coordination/residency/storeplaces_test.go
+++ b/coordination/residency/storeplaces_test.go
@@ -32,7 +32,7 @@
 		w.conf.Models, w.conf.LoadsPerSecond = testEngine(400).Models, 100
 		w.p = New(Options{Holder: "h", StoreAtOnce: 2, RateWindow: 5 * time.Second, RateFactor: 1.1})
 		w.p.Configure(Config{Service: "s", Engine: w.conf})
-		w.p.Lease(w.now, true, 1, w.now)
+		w.p.Lease(w.now, Lease{Held: true, Fence: 1, First: true, OrdersFrom: w.now})
 		w.entries()
 		w.shareStore(places)
 		next := 0
--- a/coordination/residency/want.go
+++ b/coordination/residency/want.go
@@ -26,14 +26,14 @@
 	if a, ok := p.wantResident(now, want); ok {
 		return a
 	}
-	if !p.held {
+	if !p.lease.Held {
 		return Answer{Refused: RefusedNoHolder}
 	}
 	a, ok := p.wantLoad(now, want)
 	if !ok {
 		a = Answer{Refused: RefusedNoRoom, ReadyIn: p.roomIn()}
 	}
-	if wait := p.ordersFrom.Sub(now); wait > 0 {
+	if wait := p.lease.OrdersFrom.Sub(now); wait > 0 {
 		a.ReadyIn += wait
 	}
 	return a
@@ -132,7 +132,7 @@
 	if w.plans(want.Model, want.Adapter) {
 		return cost + adapterLoad, true
 	}
-	if !p.held {
+	if !p.lease.Held {
 		return 0, false
 	}
 	// Engines with fewer adapters first, so that they spread.
@@ -169,7 +169,7 @@
 	if !w.plans(want.Model, want.Adapter) {
 		w.adapters = append(w.adapters, adapterWant{want.Model, want.Adapter})
 	}
-	return max(w.freeIn(now), p.ordersFrom.Sub(now)) + adapterLoad
+	return max(w.freeIn(now), p.lease.OrdersFrom.Sub(now)) + adapterLoad
 }
 
 // freeIn returns how long the engine's order in progress will take. One that
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -253,7 +253,7 @@
 	p := d.placers[service]
 	if p == nil {
 		p = placer.New(placer.Options{
-			Group: service, Self: d.self, LeaseTerm: d.set.LeaseTerm.D(), Platform: d.platform, Engines: d.engines, Roles: (*roles)(d), Log: d.log.Part("placement"),
+			Group: service, Self: d.self, LeaseTerm: d.set.LeaseTerm.D(), FirstStart: d.set.FirstStart, Generations: d.generations, Platform: d.platform, Engines: d.engines, Roles: (*roles)(d), Log: d.log.Part("placement"),
 		})
 		d.placers[service] = p
 		if d.runCtx != nil {
--- a/daemon/edgedaemon/daemon.go
+++ b/daemon/edgedaemon/daemon.go
@@ -247,7 +247,7 @@
 	c = coordinator.New(coordinator.Options{
 		Service: service, Self: d.set.Listen.Peers, Lease: leaserelay.New(d.store, d.leasePeers, d.generations, d.log), Engines: d.engines, OrderGap: d.set.Timing.OrderGap.D(),
 		Planner:   residency.Options{StoreAtOnce: d.set.Loads.AtOnce, RateWindow: d.set.Loads.Window.D(), RateFactor: d.set.Loads.Factor},
-		Candidate: d.candidate, Held: d.holderChanged, Places: d.storePlaces, PlacesLearned: d.storePlacesLearned, Log: d.log, Metrics: d.metrics,
+		Candidate: d.candidate, Held: d.holderChanged, Heard: d.leaseHeard, FirstStart: d.set.FirstStart, Places: d.storePlaces, PlacesLearned: d.storePlacesLearned, Log: d.log, Metrics: d.metrics,
 	})
 	for life, w := range d.shares.Endpoints().Limited() {
 		c.Limited(life, w)
--- a/daemon/edgedaemon/leases.go
+++ b/daemon/edgedaemon/leases.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 
+	"github.com/doorvalve/doorvalve/coordination/lease"
 	"github.com/doorvalve/doorvalve/driver/leaserelay"
 	"github.com/doorvalve/doorvalve/protocol/fleetpb"
 )
@@ -27,6 +28,16 @@
 	return leaserelay.Server{Store: d.store, Generations: d.generations}
 }
 
+// leaseHeard returns what this daemon has heard of the store's generation and of the fences of a
+// service's lease.
+func (d *Daemon) leaseHeard(service string) lease.Heard {
+	h := lease.Heard{Generation: d.generations.Highest()}
+	if e, ok := d.gossip.Get(holderPrefix + service); ok {
+		h.Fence = e.Version
+	}
+	return h
+}
+
 // ReadLease implements fleetpb.Fleet.
 func (s *fleetServer) ReadLease(ctx context.Context, req *fleetpb.ReadLeaseRequest) (*fleetpb.ReadLeaseResponse, error) {
 	return (*Daemon)(s).leaseServer().ReadLease(ctx, req)
--- a/daemon/roles.go
+++ b/daemon/roles.go
@@ -93,11 +93,24 @@
 // Leaving implements placer.Roles.
 func (r *roles) Leaving(endpoint string) bool { return r.rollout.Leaving(endpoint) }
 
+// Fence implements placer.Roles.
+func (r *roles) Fence(group string) uint64 {
+	e, ok := r.gossip.Get(leasePrefix + group)
+	if !ok {
+		return 0
+	}
+	return e.Version / versionsPerFence
+}
+
+// versionsPerFence is the number of versions of a lease's fact under one fence: its hold and its
+// release.
+const versionsPerFence = 2
+
 // Held implements placer.Roles. The fact's version orders a release after the
 // hold of the same fence, and both before the next fence.
 func (r *roles) Held(group string, fence uint64, held bool) {
 	f := leaseFact{Holder: r.self}
-	version := 2 * fence
+	version := versionsPerFence * fence
 	if !held {
 		f.Holder = ""
 		version++
--- a/driver/coordinator/coordinator.go
+++ b/driver/coordinator/coordinator.go
@@ -74,6 +74,10 @@
 	Candidate func(service string, former bool) bool
 	// Held is told when this daemon takes or loses the lease.
 	Held func(service string, fence uint64, held bool)
+	// Heard returns what this daemon has heard of the store's generation and of the lease's fences.
+	Heard func(service string) lease.Heard
+	// FirstStart says that the whole system starts for the first time.
+	FirstStart bool
 	// Places returns how many loads at once the weight store was learned to serve, by
 	// this or a former coordinator, zero if nobody knows; PlacesLearned is told of it.
 	Places        func(service string) int
@@ -110,10 +114,13 @@
 	if opt.Clock == nil {
 		opt.Clock = clock.Now
 	}
+	if opt.Heard == nil {
+		opt.Heard = func(string) lease.Heard { return lease.Heard{} }
+	}
 	m := opt.Metrics.SubScope("coordinator")
 	return &Coordinator{
 		opt: opt, plan: residency.New(opt.Planner), addresses: map[string]string{}, kick: make(chan struct{}, 1),
-		lease: lease.New(lease.Options{Self: opt.Self, Term: leaseTerm, Margin: leaseTerm / marginDivisor}),
+		lease: lease.New(lease.Options{Self: opt.Self, Term: leaseTerm, Margin: leaseTerm / marginDivisor, FirstStart: opt.FirstStart}),
 		metrics: metrics{
 			probes: m.Counter("reports_asked_total"), wants: m.Counter("models_wanted_total"), leases: m.Counter("lease_changes_total"),
 		},
@@ -243,13 +250,14 @@
 
 func (c *Coordinator) stepLease(ctx context.Context, now time.Time) {
 	c.lease.Step(now, lease.Candidate{Yes: c.opt.Candidate(c.opt.Service, c.wasHolder())})
+	c.lease.Step(now, c.opt.Heard(c.opt.Service))
 	r := c.lease.Ready(now)
 	switch {
 	case r.Read:
 		go c.readLease(ctx)
 	case r.Write != nil:
-		if seen := c.lease.Seen(); seen.Fence != r.Write.Record.Fence {
-			c.former = seen.Holder
+		if fence, held := c.lease.Holds(now); !held || fence != r.Write.Record.Fence {
+			c.former = c.lease.FormerHolder()
 		}
 		go c.writeLease(ctx, *r.Write)
 	}
@@ -270,14 +278,14 @@
 	c.held = held
 	c.metrics.leases.Inc(1)
 	from := now
-	if held && fence > 1 && c.former != c.opt.Self {
+	if held && !c.lease.First() && c.former != c.opt.Self {
 		from = now.Add(c.opt.OrderGap + orderSlack)
 	}
 	if held {
 		c.places = c.opt.Places(c.opt.Service)
 		c.plan.SetPlaces(c.places)
 	}
-	c.plan.Lease(now, held, fence, from)
+	c.plan.Lease(now, residency.Lease{Held: held, Fence: fence, First: c.lease.First(), OrdersFrom: from})
 	c.opt.Log.Info(decisions.EventLease, "service", c.opt.Service, "held", held, "fence", fence, "former", c.former, "orders_in_ms", from.Sub(now).Milliseconds())
 	go c.opt.Held(c.opt.Service, fence, held)
 }
--- a/driver/leaserelay/leaserelay.go
+++ b/driver/leaserelay/leaserelay.go
@@ -188,7 +188,12 @@
 	return a, err
 }
 
+// write does not send a condition on a version of an older generation than the store's: its revision
+// may by now be that of another content.
 func (d direct) write(ctx context.Context, name string, expected storeversion.Version, record json.RawMessage) (writeAnswer, error) {
+	if d.generations.Outdated(expected) {
+		return writeAnswer{protocol.WriteConflict, storeversion.Version{Generation: d.generations.Highest()}}, nil
+	}
 	version, outcome, err := d.store.WriteLease(ctx, name, expected, record)
 	if err == nil && outcome == protocol.WriteUnknown {
 		err = errNoAnswer
--- a/driver/leaserelay/leaserelay_test.go
+++ b/driver/leaserelay/leaserelay_test.go
@@ -18,7 +18,9 @@
 	"github.com/doorvalve/doorvalve/coordination/residency"
 	"github.com/doorvalve/doorvalve/driver/coordinator"
 	"github.com/doorvalve/doorvalve/driver/decisions"
+	"github.com/doorvalve/doorvalve/driver/generations"
 	"github.com/doorvalve/doorvalve/protocol"
+	"github.com/doorvalve/doorvalve/protocol/fleetpb"
 	"github.com/doorvalve/doorvalve/state/fleet"
 	"github.com/doorvalve/doorvalve/state/storeversion"
 )
@@ -228,3 +230,23 @@
 		})
 	}
 }
+
+// Guards against a condition that meets another content of the same revision: a version of an older
+// generation of the store is not sent, neither for this daemon nor for another one.
+func TestConditionOfAnOlderGenerationIsNotSent(t *testing.T) {
+	heard := generations.New(quiet(), tally.NoopScope)
+	heard.Heard(3, "test")
+	own := &host{object: &object{}}
+	expected := storeversion.Version{Generation: 2, Revision: 4}
+	r := New(own, func(int) []Peer { return nil }, heard, quiet())
+	if version, outcome, err := r.WriteLease(t.Context(), "llm", expected, lease.Record{}); outcome != protocol.WriteConflict || version.Generation != 3 || err != nil {
+		t.Errorf("version %v, outcome %v, error %v", version, outcome, err)
+	}
+	resp, err := Server{Store: own, Generations: heard}.WriteLease(t.Context(), &fleetpb.WriteLeaseRequest{Name: "llm", Expected: expected.Revision, Generation: expected.Generation, Record: []byte("{}")})
+	if err != nil || resp.Written || resp.Generation != 3 {
+		t.Errorf("for another daemon: %+v, %v", resp, err)
+	}
+	if own.calls != 0 {
+		t.Errorf("%d calls", own.calls)
+	}
+}
--- a/driver/placer/placer.go
+++ b/driver/placer/placer.go
@@ -13,6 +13,7 @@
 	"github.com/doorvalve/doorvalve/coordination/lease"
 	"github.com/doorvalve/doorvalve/coordination/placement"
 	"github.com/doorvalve/doorvalve/driver/decisions"
+	"github.com/doorvalve/doorvalve/driver/generations"
 	"github.com/doorvalve/doorvalve/internal/clock"
 	"github.com/doorvalve/doorvalve/protocol"
 	"github.com/doorvalve/doorvalve/state/bundle"
@@ -47,6 +48,8 @@
 	Candidate(group string) bool
 	// Leaving reports whether an endpoint is being taken out of service.
 	Leaving(endpoint string) bool
+	// Fence returns the highest fence of the group's lease that this daemon has heard of.
+	Fence(group string) uint64
 	// Held tells all daemons who holds the group's lease.
 	Held(group string, fence uint64, held bool)
 	// Quiescent asks whether a former holder has no orders out any more.
@@ -58,10 +61,14 @@
 	Group     string
 	Self      string
 	LeaseTerm time.Duration
-	Platform  *platform.Client
-	Engines   *engine.Client
-	Roles     Roles
-	Log       *decisions.Log
+	// FirstStart says that the whole system starts for the first time.
+	FirstStart bool
+	// Generations keeps the highest generation of the platform; nil: it names none.
+	Generations *generations.Tracker
+	Platform    *platform.Client
+	Engines     *engine.Client
+	Roles       Roles
+	Log         *decisions.Log
 }
 
 type poll struct {
@@ -94,7 +101,7 @@
 func New(opt Options) *Placer {
 	return &Placer{
 		opt: opt, log: opt.Log.With("group", opt.Group), book: grants.NewBook(), polls: map[string]*poll{},
-		lease: lease.New(lease.Options{Self: opt.Self, Term: opt.LeaseTerm, Margin: opt.LeaseTerm / marginDivisor}),
+		lease: lease.New(lease.Options{Self: opt.Self, Term: opt.LeaseTerm, Margin: opt.LeaseTerm / marginDivisor, FirstStart: opt.FirstStart}),
 	}
 }
 
@@ -214,6 +221,7 @@
 
 func (p *Placer) stepLease(ctx context.Context, now time.Time, candidate bool) {
 	p.lease.Step(clock.Now(), lease.Candidate{Yes: candidate && !p.releasing})
+	p.lease.Step(clock.Now(), lease.Heard{Generation: p.opt.Generations.Highest(), Fence: p.opt.Roles.Fence(p.opt.Group)})
 	r := p.lease.Ready(clock.Now())
 	switch {
 	case r.Read:
@@ -229,7 +237,7 @@
 		// in an outage, this one knows the group best and stays its
 		// coordinator.
 		if held || p.releasing {
-			go p.opt.Roles.Held(p.opt.Group, p.lease.Seen().Fence, held)
+			go p.opt.Roles.Held(p.opt.Group, p.lease.Fence(), held)
 		}
 	}
 	p.place.Step(now, placement.LeaseChanged{Held: held, Fence: fence, TakeoverAt: p.takeoverAt(now)})
--- a/settings/edge.go
+++ b/settings/edge.go
@@ -22,6 +22,9 @@
 	Timing        EdgeTiming  `json:"timing"`
 	Retries       EdgeRetries `json:"retries"`
 	Loads         EdgeLoads   `json:"loads"`
+	// FirstStart says that the whole system starts for the first time: nobody has held a lease
+	// before, which a restored store could have lost.
+	FirstStart bool `json:"first_start"`
 	// Quotas is left out where workspaces have none.
 	Quotas   EdgeQuotas `json:"quotas"`
 	LogLevel string     `json:"log_level"`
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -26,6 +26,9 @@
 	LogLevel      string    `json:"log_level"`
 	// LeaseTerm is the life of a placement lease without renewal.
 	LeaseTerm bundle.Duration `json:"lease_term"`
+	// FirstStart says that the whole system starts for the first time: nobody has held a lease
+	// before, which a restored platform could have lost.
+	FirstStart bool `json:"first_start"`
 }
 
 // Callers is the listener for callers.
