records: what the store lost in a restore is written again, once, by its one writer

What callers could have seen: after a restore and a restart of all daemons, requests held back go to endpoints again and limits of endpoints are unknown (no report; found by reading).

Cause: a record counted as known for good after one read or write, and was written again only when its content changed; its condition was of the old generation.

Change: what is known of a record is of the generation of its version. In a later one it is read and, where it differs from what is known here, written again by its one writer, a call a second at most; a condition of an older generation is not sent, and a write that met one is read back.

Red before: TestLimitsOutlastARestore (none of 7 daemons knows the limit), TestRecordOutlastsARestore (no such object).

--- a/driver/quarantiner/fleet_test.go
+++ b/driver/quarantiner/fleet_test.go
@@ -17,6 +17,7 @@
 	"github.com/doorvalve/doorvalve/coordination/membership"
 	"github.com/doorvalve/doorvalve/coordination/quarantine"
 	"github.com/doorvalve/doorvalve/driver/decisions"
+	"github.com/doorvalve/doorvalve/driver/generations"
 	"github.com/doorvalve/doorvalve/protocol"
 	"github.com/doorvalve/doorvalve/protocol/quarantinepb"
 	"github.com/doorvalve/doorvalve/standin/record"
@@ -34,7 +35,8 @@
 	sends   map[string][]send
 	ends    map[string][]time.Time
 	store   *record.Store
-	untold  map[string]int // ends that only a daemon saw which was cut off or ended then
+	heard   *generations.Tracker // of the store, by all daemons
+	untold  map[string]int       // ends that only a daemon saw which was cut off or ended then
 }
 
 // host runs one daemon's keeper after the other.
@@ -58,6 +60,7 @@
 
 func newInstallation(hosts, engines int, seed uint64) *installation {
 	in := &installation{log: decisions.New(io.Discard, "test", hclog.Off), rng: rand.New(rand.NewPCG(seed, 0)), sends: map[string][]send{}, ends: map[string][]time.Time{}, untold: map[string]int{}, store: &record.Store{}}
+	in.heard = generations.New(in.log, tally.NoopScope)
 	for i := range engines {
 		in.engines = append(in.engines, &engine{in: in, name: fmt.Sprintf("e%d", i), up: true, over: make(chan struct{})})
 	}
@@ -90,7 +93,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	k := New(Options{
 		Self: h.name, Members: h.in.members, Peer: func(address string) quarantinepb.Quarantine { return link{h, address} },
-		Endpoint: h.in.endpoint, Dial: h.in.dial, Clock: h.now, Store: h.in.store, Log: h.in.log, Metrics: tally.NoopScope,
+		Endpoint: h.in.endpoint, Dial: h.in.dial, Clock: h.now, Store: h.in.store, Generations: h.in.heard, Log: h.in.log, Metrics: tally.NoopScope,
 	})
 	h.mu.Lock()
 	if h.stop != nil {
--- a/driver/quarantiner/quarantiner_test.go
+++ b/driver/quarantiner/quarantiner_test.go
@@ -12,8 +12,11 @@
 	"testing/synctest"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/doorvalve/doorvalve/coordination/quarantine"
 	"github.com/doorvalve/doorvalve/protocol"
+	"github.com/doorvalve/doorvalve/protocol/quarantinepb"
 	"github.com/doorvalve/doorvalve/state/fleet"
 )
 
@@ -494,3 +497,33 @@
 		}
 	})
 }
+
+// Guards against a record that is gone for good where the store comes back from a copy of before: one
+// daemon writes it again. The store is called a few times.
+func TestRecordOutlastsARestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		in := newInstallation(5, 9, 1)
+		defer in.stop()
+		copied := in.store.CopyNow()
+		time.Sleep(2 * time.Second)
+		for i := range 3 {
+			endUnder(in.hosts[i], "bad", fmt.Sprint("x", i))
+		}
+		time.Sleep(3 * time.Second)
+		before := in.store.Calls()
+		in.store.Restore(copied)
+		in.heard.Heard(in.store.Generation(), "test")
+		time.Sleep(3 * time.Second)
+		if n := in.store.Calls() - before; n > 2 {
+			t.Errorf("%d calls to the store after its return, want a read and a write", n)
+		}
+		var rec heldBackRecord
+		if _, err := in.store.ReadRecord(t.Context(), recordName, &rec); err != nil {
+			t.Fatalf("the record was not written again: %v", err)
+		}
+		var told quarantinepb.ExchangeRequest
+		if err := proto.Unmarshal(rec.Cases, &told); err != nil || len(told.Cases) != 1 {
+			t.Errorf("%d cases in the record, want 1 (%v)", len(told.Cases), err)
+		}
+	})
+}
--- a/driver/quotas/endpoints_test.go
+++ b/driver/quotas/endpoints_test.go
@@ -190,3 +190,34 @@
 	}
 	return float64(came) / float64(central)
 }
+
+// Guards against limits that are gone from the store for good where it comes back from a copy of
+// before: one daemon writes them again, and all that start anew know of them.
+func TestLimitsOutlastARestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		in := newInstallation(7, 1)
+		defer in.end()
+		copied := in.store.CopyNow()
+		e := newTarget(in)
+		time.Sleep(5 * time.Second)
+		e.say(2, true)
+		go e.press(in.hosts, steady(20), 4*time.Second)
+		time.Sleep(8 * time.Second)
+		before := in.store.Calls()
+		in.store.Restore(copied)
+		in.heard.Heard(in.store.Generation(), "test")
+		time.Sleep(4 * time.Second)
+		if n := in.store.Calls() - before; n > 2 {
+			t.Errorf("%d calls to the store after its return, want a read and a write", n)
+		}
+		for _, h := range in.hosts {
+			h.start()
+		}
+		time.Sleep(3 * time.Second)
+		for _, h := range in.hosts {
+			if len(h.keeper.Endpoints().Limited()) != 1 {
+				t.Errorf("%s knows of no limit", h.name)
+			}
+		}
+	})
+}
--- a/driver/quotas/fleet_test.go
+++ b/driver/quotas/fleet_test.go
@@ -17,6 +17,7 @@
 	"github.com/doorvalve/doorvalve/coordination/membership"
 	"github.com/doorvalve/doorvalve/coordination/quota"
 	"github.com/doorvalve/doorvalve/driver/decisions"
+	"github.com/doorvalve/doorvalve/driver/generations"
 	"github.com/doorvalve/doorvalve/protocol/quotapb"
 	"github.com/doorvalve/doorvalve/standin/record"
 	"github.com/doorvalve/doorvalve/state/workspace"
@@ -37,6 +38,7 @@
 	refused   map[string]int
 	offered   map[string][]passed
 	store     *record.Store
+	heard     *generations.Tracker // of the store, by all daemons
 }
 
 // storeTakes is the time that a call to the store takes.
@@ -82,6 +84,7 @@
 		bounds:    quota.Bounds{Window: 8 * time.Second, Overage: 0.1, Slack: 17000, Young: quota.YoungPart},
 		directory: workspace.NewDirectory(list), version: 1, passed: map[string][]passed{}, refused: map[string]int{}, offered: map[string][]passed{}, store: &record.Store{Takes: storeTakes},
 	}
+	in.heard = generations.New(in.log, tally.NoopScope)
 	for i := range hosts {
 		in.hosts = append(in.hosts, &host{in: in, name: fmt.Sprintf("h%d", i), index: i})
 	}
@@ -108,7 +111,7 @@
 	h.mu.Unlock()
 	k := New(Options{
 		Self: h.id, Bounds: h.in.bounds, Members: h.members, Revision: func() uint64 { return uint64(time.Now().UnixNano() / int64(100*time.Millisecond)) },
-		Directory: h.in.workspaces, Tell: h.tell, Store: h.in.store, Peer: func(address string) quotapb.Quotas { return link{h, address} }, Clock: time.Now, Log: h.in.log, Metrics: tally.NoopScope,
+		Directory: h.in.workspaces, Tell: h.tell, Store: h.in.store, Generations: h.in.heard, Peer: func(address string) quotapb.Quotas { return link{h, address} }, Clock: time.Now, Log: h.in.log, Metrics: tally.NoopScope,
 	})
 	h.mu.Lock()
 	if h.stop != nil {
--- a/driver/record/record.go
+++ b/driver/record/record.go
@@ -52,8 +52,9 @@
 // Due reports whether the last call is long enough ago for the next one.
 func (r *Record) Due(now time.Time) bool { return r.store != nil && now.Sub(r.triedAt) >= Pause }
 
-// Known reports whether this daemon knows what the store holds.
-func (r *Record) Known() bool { return r.known }
+// Known reports whether this daemon knows what the store holds: not where the store has come back
+// from a copy since.
+func (r *Record) Known() bool { return r.known && !r.generations.Outdated(r.version) }
 
 // Version returns that of what the store holds, an absent one if that is nothing.
 func (r *Record) Version() storeversion.Version { return r.version }
@@ -73,6 +74,7 @@
 	if err != nil && !errors.Is(err, lease.ErrNotFound) {
 		return err
 	}
+	r.generations.Heard(version.Generation, "record")
 	r.known, r.version = true, version
 	return nil
 }
@@ -80,12 +82,15 @@
 // Write replaces the record by v, and reports whether it has. If it has not, what the store holds
 // is not known any more.
 func (r *Record) Write(ctx context.Context, now time.Time, v any) (written bool, err error) {
+	if !r.Known() {
+		return false, nil
+	}
 	r.triedAt = now
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	version, outcome, err := r.store.WriteRecord(ctx, r.name, r.version, v)
-	if outcome != protocol.WriteOK {
-		r.known = false // another daemon has written, or may have
+	if outcome != protocol.WriteOK || version.Generation != r.version.Generation {
+		r.known = false // another daemon has written, or may have, or the store has been restored
 		return false, err
 	}
 	r.version = version
