lease: a first start counts in the generation in which the lease was read first

Red before: TestFirstStartCountsInItsGenerationOnly ("generations [0 1]: taken 0s after the first sight of the later one").

--- a/coordination/lease/lease.go
+++ b/coordination/lease/lease.go
@@ -106,7 +106,8 @@
 	readFailed bool // the last read had no answer
 
 	generation      uint64 // of the store, the highest heard of
-	firstGeneration uint64 // heard of first
+	firstGeneration uint64 // heard of first, 0 where the store named none
+	everRead        bool
 	highest         uint64 // fence that was given out, as far as is known
 
 	busy    bool      // a read or a write is out
@@ -208,7 +209,7 @@
 func (m *Machine) current() bool { return m.haveRead && m.version.Generation == m.generation }
 
 func (m *Machine) hearGeneration(g uint64) {
-	if m.firstGeneration == 0 {
+	if m.firstGeneration == 0 && !m.everRead {
 		m.firstGeneration = g
 	}
 	m.generation = max(m.generation, g)
@@ -225,7 +226,7 @@
 	if !m.haveRead || e.Version != m.version {
 		m.firstSeen = now
 	}
-	m.haveRead = true
+	m.haveRead, m.everRead = true, true
 	m.found, m.version, m.seen = e.Found, e.Version, e.Record
 	m.highest = max(m.highest, e.Record.Fence)
 	m.nextAt = now.Add(m.opt.Term / 4)
--- a/coordination/lease/restore_test.go
+++ b/coordination/lease/restore_test.go
@@ -212,3 +212,32 @@
 		}
 	})
 }
+
+// Guards against a first start that is believed after a restore: the store may have lost the lease,
+// also where it had named no generation before.
+func TestFirstStartCountsInItsGenerationOnly(t *testing.T) {
+	for _, generations := range [][2]uint64{{0, 1}, {1, 2}} {
+		now := time.Unix(1_000_000, 0)
+		m := New(Options{Self: "a", Term: term, Margin: term / 4, FirstStart: true})
+		if r := m.Ready(now); !r.Read {
+			t.Fatalf("%+v before anything is read", r)
+		}
+		m.Step(now, ReadDone{Version: storeversion.Version{Generation: generations[0]}})
+		m.Step(now, Heard{Generation: generations[1]})
+		m.Step(now, Candidate{Yes: true})
+		if r := m.Ready(now); !r.Read {
+			t.Fatalf("%+v in a generation of which nothing is read", r)
+		}
+		m.Step(now, ReadDone{Version: storeversion.Version{Generation: generations[1]}})
+		for passed := time.Duration(0); passed < term; passed += term / 10 {
+			if r := m.Ready(now.Add(passed)); r.Write != nil {
+				t.Fatalf("generations %v: taken %v after the first sight of the later one", generations, passed)
+			} else if r.Read {
+				m.Step(now.Add(passed), ReadDone{Version: storeversion.Version{Generation: generations[1]}})
+			}
+		}
+		if r := m.Ready(now.Add(2 * term)); r.Write == nil || m.First() {
+			t.Fatalf("generations %v: %+v after a term, first %v", generations, r, m.First())
+		}
+	}
+}
