storeview: a daemon that starts after a restore takes the newest desired state that others know

What callers could have seen: answers by an older desired state at a daemon that started after the store came back from a copy, until the operator had written again (found by reading).

Cause: a daemon that follows the store itself asked others only while the store was silent or it had none at all. Change: those who take from it name the version that they know; while that is above its own it asks others, every 0.6 s. Red before: TestStartingDaemonTakesTheNewestDesiredState (version 1, want 3).

--- a/driver/storeview/peers.go
+++ b/driver/storeview/peers.go
@@ -15,8 +15,8 @@
 	peersAfter = 600 * time.Millisecond
 )
 
-// RunPeers drops entries whose grace is over and asks other daemons while the
-// store is silent, until ctx ends.
+// RunPeers drops entries whose grace is over, and asks other daemons while the store is silent or
+// names an older desired state than they know, until ctx ends.
 func (v *View) RunPeers(ctx context.Context) error {
 	asked := v.opt.Clock()
 	for ctx.Err() == nil {
@@ -29,10 +29,10 @@
 		}
 		asked = now
 		v.mu.Lock()
-		silent := silentFor(v.endpoints, now) || silentFor(v.config, now) || v.table.Load() == nil
+		ask := silentFor(v.endpoints, now) || silentFor(v.config, now) || v.version() < max(1, v.asked.Load())
 		v.mu.Unlock()
 		peer := v.opt.Peer()
-		if !silent || peer == nil {
+		if !ask || peer == nil {
 			continue
 		}
 		_, _ = v.poll(ctx, peer, 0, peerTimeout) // logs its failure; another peer is next
--- a/driver/storeview/restore_test.go
+++ b/driver/storeview/restore_test.go
@@ -270,3 +270,40 @@
 		}
 	})
 }
+
+// Guards against a desired state that goes back for the callers of a daemon that starts after the store
+// came back from a copy: it takes the newest that others know, before the operator has written again.
+func TestStartingDaemonTakesTheNewestDesiredState(t *testing.T) {
+	for _, size := range []int{0, large} {
+		inBubble(t, func(b *bubble) {
+			s := newFakeStore()
+			s.generation, s.padding = 1, size
+			s.setEndpoint(fleet.Endpoint{ID: "a", Service: "llm"})
+			old, starting := &upstream{}, &upstream{}
+			old.view = b.view(s, func(o *Options) { o.Self = "old" })
+			time.Sleep(2 * time.Second)
+			c := s.copyNow()
+			s.setConfig(3)
+			time.Sleep(2 * time.Second)
+			s.restore(c)
+			starting.view = b.view(s, func(o *Options) {
+				o.Self, o.Peer = "starting", func() fleetpb.Fleet { return old }
+			})
+			follower := b.view(s, func(o *Options) {
+				o.Self = "follower"
+				o.Upstreams = func() (bool, []fleetpb.Fleet) { return false, []fleetpb.Fleet{old, starting} }
+			})
+			time.Sleep(500 * time.Millisecond)
+			old.setMute(true) // the follower turns to the daemon that has just started
+			time.Sleep(2 * time.Second)
+			old.setMute(false)
+			time.Sleep(2 * time.Second)
+			if got := starting.view.Table().Version; got != 3 {
+				t.Errorf("%d bytes: the starting daemon is at version %d, want 3", size, got)
+			}
+			if got := follower.Table().Version; got != 3 {
+				t.Errorf("%d bytes: the follower is at version %d, want 3", size, got)
+			}
+		})
+	}
+}
--- a/driver/storeview/serve.go
+++ b/driver/storeview/serve.go
@@ -19,6 +19,7 @@
 // what is known here gets too old to rely on, or when its wait is over.
 func (v *View) Follow(ctx context.Context, req *fleetpb.FollowRequest) (*fleetpb.FollowResponse, error) {
 	asked := v.opt.Clock()
+	v.noteAsked(req.ConfigVersion)
 	end := time.NewTimer(min(maxPoll, milliseconds(req.WaitMs), v.freshFor(asked)))
 	defer end.Stop()
 	for over := req.WaitMs <= 0; ; {
@@ -39,6 +40,16 @@
 	}
 }
 
+// noteAsked keeps the highest version of a desired state that others know: a restored store may name
+// an older one to a daemon that has just started.
+func (v *View) noteAsked(version uint64) {
+	for known := v.asked.Load(); known < version; known = v.asked.Load() {
+		if v.asked.CompareAndSwap(known, version) {
+			return
+		}
+	}
+}
+
 // freshFor returns for how long more what is known here is young enough to rely on, so
 // that a daemon which takes from this one leaves it then and not at the end of its
 // poll; maxAge if it is too old already, and nothing gets worse by the wait.
--- a/driver/storeview/storeview.go
+++ b/driver/storeview/storeview.go
@@ -87,6 +87,7 @@
 
 	reads singleflight.Group // of the desired state
 	named chan struct{}      // holds one when an upstream has named a newer desired state
+	asked atomic.Uint64      // highest version of a desired state that those who take from this daemon know
 }
 
 // New returns a view that knows nothing.
