own interface: the platform comes back from a copy, and nothing that was decided goes back

The own interface and its stand-in name a generation, too (Platform-Generation); the stand-in is restored from copies and answers 410 to watches from what it does not have.

Change: versions with generations in leases, placements, claims, facts of drains; a condition of an older generation is not sent. The owner of a shard writes again what it has granted and the copy lacks, also if nobody asks, unless another owner has written since (TestClaimsOutlastARestore, red without: granted, want duplicate; TestFormerOwnerRestoresNothing). The holder of a placement keeps what it has recorded. A holder that cannot know who held last sends no order before those of others have lapsed, and where endpoints do not check fences asks the last one known. The first watcher writes rollout and drains again, and logs it.

Not covered: claims that only a daemon knew which ended at the same time; a drain that an operator changed right before its daemon ended, before any other heard of it.

--- a/coordination/claims/claims.go
+++ b/coordination/claims/claims.go
@@ -7,6 +7,7 @@
 package claims
 
 import (
+	"bytes"
 	"encoding/base64"
 	"encoding/binary"
 	"fmt"
@@ -141,16 +142,20 @@
 	Segments map[string]Segment
 }
 
-// WriteDone reports the last write.
+// WriteDone reports the last write. Its version tells the platform's generation also after a conflict.
 type WriteDone struct {
 	Outcome protocol.WriteOutcome
 	Version storeversion.Version
 }
 
+// Heard tells of the platform's generation.
+type Heard struct{ Generation uint64 }
+
 func (Claim) claimsEvent()     {}
 func (Release) claimsEvent()   {}
 func (ReadDone) claimsEvent()  {}
 func (WriteDone) claimsEvent() {}
+func (Heard) claimsEvent()     {}
 
 // Result answers a Claim or Release.
 type Result struct {
@@ -203,6 +208,9 @@
 	head    Head
 	version storeversion.Version
 	current bool             // head was the newest at the last exchange
+	owns    bool             // no other owner has written since, as far as is known
+	stale   bool             // the platform has been restored since the head was read
+	restore []Record         // granted here, and lost by the platform in a restore
 	index   map[Key]Mark     // claimed keys
 	sealed  map[string][]Key // keys of each sealed segment
 	sealing *sealing         // of the write that is out
@@ -228,6 +236,9 @@
 		s.waiting = append(s.waiting, request{e.Key, e.ClaimID, false, s.reads})
 	case Release:
 		s.waiting = append(s.waiting, request{e.Key, e.ClaimID, true, s.reads})
+	case Heard:
+		s.stale = s.owns && s.version.Generation < e.Generation
+		s.current = s.current && !s.stale
 	case ReadDone:
 		s.readDone(now, e)
 	case WriteDone:
@@ -242,7 +253,8 @@
 		s.fail(&s.waiting)
 		return
 	}
-	s.head, s.version, s.current = e.Head, e.Version, true
+	restored, before := s.owns && s.version.Generation < e.Version.Generation, s.index
+	s.head, s.version, s.current, s.owns, s.stale = e.Head, e.Version, true, true, false
 	s.index, s.sealed = map[Key]Mark{}, map[string][]Key{}
 	for name, seg := range e.Segments {
 		s.addSegment(name, seg.Records)
@@ -250,9 +262,27 @@
 	for _, r := range s.head.Open {
 		s.index[r.Key] = r.Mark
 	}
+	if restored {
+		s.takeOver(before)
+	} else {
+		s.restore = nil
+	}
 	s.settle()
 }
 
+// takeOver keeps what was granted here and is gone from a restored platform. It is written again
+// before anything else.
+func (s *Shard) takeOver(before map[Key]Mark) {
+	s.restore = nil
+	for key, mark := range before {
+		if _, ok := s.index[key]; !ok {
+			s.index[key] = mark
+			s.restore = append(s.restore, Record{Key: key, Mark: mark})
+		}
+	}
+	slices.SortFunc(s.restore, func(a, b Record) int { return bytes.Compare(a.Key[:], b.Key[:]) })
+}
+
 func (s *Shard) addSegment(name string, records []Record) {
 	keys := make([]Key, len(records))
 	for i, r := range records {
@@ -277,12 +307,13 @@
 		if e.Outcome == protocol.WriteConflict {
 			s.at = now
 			s.dropSealing()
+			s.owns = s.owns && s.version.Generation < e.Version.Generation
 		}
 		s.current, s.sealing = false, nil
 		return
 	}
 	s.settleSealing()
-	s.head, s.version = *s.next, e.Version
+	s.head, s.version, s.restore = *s.next, e.Version, nil
 	for _, r := range s.flying {
 		if r.release {
 			if s.index[r.key] == r.mark() {
@@ -345,7 +376,7 @@
 // Ready returns what has to be done now.
 func (s *Shard) Ready(now time.Time) Ready {
 	r := Ready{}
-	if !s.busy && !now.Before(s.at) && len(s.waiting)+len(s.flying) > 0 {
+	if !s.busy && !now.Before(s.at) && s.wants() {
 		if !s.current {
 			r.Read, s.busy = true, true
 			s.reads++
@@ -361,19 +392,25 @@
 // NextAt returns when Ready may have something to write; zero when nothing
 // waits.
 func (s *Shard) NextAt() time.Time {
-	if s.busy || len(s.waiting)+len(s.flying) == 0 {
+	if s.busy || !s.wants() {
 		return time.Time{}
 	}
 	return s.at
 }
 
+// wants reports whether there is something to read or write: requests, or what a restored platform
+// may have lost.
+func (s *Shard) wants() bool {
+	return len(s.waiting)+len(s.flying)+len(s.restore) > 0 || s.stale
+}
+
 // write builds the next head out of all that waits.
 //
 // Invariant: a key is granted only by a write whose condition is the version
 // of the head that index was built from, so no other daemon can have claimed
 // it in between.
 func (s *Shard) write(now time.Time) *Write {
-	next := Head{Open: slices.Clone(s.head.Open), Sealed: slices.Clone(s.head.Sealed)}
+	next := Head{Open: append(slices.Clone(s.head.Open), s.restore...), Sealed: slices.Clone(s.head.Sealed)}
 	w := &Write{ExpectedVersion: s.version}
 	s.writes++
 	next.WriteID = fmt.Sprintf("%s-%d-%d", s.opt.Owner, now.UnixNano(), s.writes)
@@ -383,7 +420,7 @@
 	}
 	s.expire(now, &next)
 	s.takeWaiting(&next)
-	if len(s.flying) == 0 {
+	if len(s.flying)+len(s.restore) == 0 {
 		s.dropped = nil
 		return nil
 	}
--- /dev/null
+++ b/coordination/claims/restore_test.go
@@ -0,0 +1,105 @@
+package claims
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/doorvalve/doorvalve/protocol"
+	"github.com/doorvalve/doorvalve/state/storeversion"
+)
+
+// restore brings the platform back from a copy: what was acknowledged since is lost.
+func (p *platform) restore(c platform) {
+	generation := p.version.Generation + 1
+	p.head, p.segments = c.head, map[string]Segment{}
+	for name, seg := range c.segments {
+		p.segments[name] = seg
+	}
+	p.version = storeversion.Version{Generation: generation, Revision: c.version.Revision}
+}
+
+func (p *platform) copyNow() platform {
+	c := platform{head: p.head, version: p.version, segments: map[string]Segment{}}
+	for name, seg := range p.segments {
+		c.segments[name] = seg
+	}
+	return c
+}
+
+// carryOut answers all that an owner asks of the platform and returns the outcomes of its claims. As
+// the client does, it sends no condition of an older generation.
+func carryOut(p *platform, o *owner, now *time.Time) map[string]Outcome {
+	outcomes := map[string]Outcome{}
+	for range 40 {
+		*now = now.Add(50 * time.Millisecond)
+		r := o.s.Ready(*now)
+		for _, res := range r.Results {
+			outcomes[res.ClaimID] = res.Outcome
+		}
+		switch {
+		case r.Read:
+			o.s.Step(*now, p.read())
+		case r.Write != nil && r.Write.ExpectedVersion.Generation == p.version.Generation && p.put(*r.Write):
+			o.s.Step(*now, WriteDone{Outcome: protocol.WriteOK, Version: p.version})
+		case r.Write != nil:
+			o.s.Step(*now, WriteDone{Outcome: protocol.WriteConflict, Version: p.version.At(0)})
+		}
+	}
+	return outcomes
+}
+
+// Guards against a request that may run once and runs again, since the platform lost its claim in a
+// restore: the owner knows what it has granted and writes it again, also if nobody asks.
+func TestClaimsOutlastARestore(t *testing.T) {
+	for _, n := range []int{1, 3, 40} {
+		now := time.Unix(1_000_000, 0)
+		p := &platform{segments: map[string]Segment{}, version: storeversion.Version{Generation: 1}}
+		o := newOwner("a")
+		c := p.copyNow()
+		for i := range n {
+			o.s.Step(now, Claim{Key: MakeKey("c", "s", fmt.Sprint(i)), ClaimID: fmt.Sprint("first", i)})
+			if got := carryOut(p, o, &now); got[fmt.Sprint("first", i)] != Granted {
+				t.Fatalf("%d of %d: %v", i, n, got)
+			}
+		}
+		p.restore(c)
+		o.s.Step(now, Heard{Generation: p.version.Generation})
+		carryOut(p, o, &now)
+		next := newOwner("b")
+		for i := range n {
+			for _, by := range []*owner{o, next} {
+				id := fmt.Sprint("again", i, by.s.opt.Owner)
+				by.s.Step(now, Claim{Key: MakeKey("c", "s", fmt.Sprint(i)), ClaimID: id})
+				if got := carryOut(p, by, &now); got[id] != Duplicate {
+					t.Fatalf("%d of %d at %s after the restore: %v, want a duplicate", i, n, by.s.opt.Owner, got)
+				}
+			}
+		}
+	}
+}
+
+// What another owner has released is not claimed again by one that knew of it before.
+func TestFormerOwnerRestoresNothing(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	p := &platform{segments: map[string]Segment{}, version: storeversion.Version{Generation: 1}}
+	a, b := newOwner("a"), newOwner("b")
+	c := p.copyNow()
+	key, other := MakeKey("c", "s", "1"), MakeKey("c", "s", "2")
+	a.s.Step(now, Claim{Key: key, ClaimID: "x"})
+	carryOut(p, a, &now)
+	b.s.Step(now, Release{Key: key, ClaimID: "x"})
+	carryOut(p, b, &now)
+	a.s.Step(now, Claim{Key: other, ClaimID: "y"}) // meets b's write
+	r := a.s.Ready(now.Add(time.Second))
+	if r.Write == nil || p.put(*r.Write) {
+		t.Fatalf("%+v: the condition holds", r)
+	}
+	a.s.Step(now, WriteDone{Outcome: protocol.WriteConflict, Version: p.version.At(0)})
+	p.restore(c)
+	carryOut(p, a, &now)
+	a.s.Step(now, Claim{Key: key, ClaimID: "z"})
+	if got := carryOut(p, a, &now); got["z"] != Granted {
+		t.Fatalf("%v, want granted", got)
+	}
+}
--- a/coordination/lease/lease.go
+++ b/coordination/lease/lease.go
@@ -118,6 +118,7 @@
 	own    Record    // by which the lease is held, or was last
 	until  time.Time // held until then by this daemon's own clock
 	first  bool      // nobody has held the lease before own
+	former bool      // the record says who has
 	writes uint64
 }
 
@@ -156,6 +157,10 @@
 	return soon
 }
 
+// FormerUnknown reports whether somebody may have held the lease before the present hold whom no
+// record names, since the store came back from a copy.
+func (m *Machine) FormerUnknown() bool { return !m.first && !m.former }
+
 // FormerHolder returns who held the lease last, as the record read last says; empty where it has been
 // released, or where what was read is of before the store came back from a copy: others may have
 // held it since.
@@ -323,7 +328,7 @@
 		return m.write(now, r)
 	}
 	if m.mayTake(now) {
-		m.first = m.neverHeld()
+		m.first, m.former = m.neverHeld(), m.granted()
 		return m.write(now, Record{Holder: m.opt.Self, Fence: m.nextFence(), Term: m.opt.Term})
 	}
 	m.busy = true
--- a/coordination/membership/membership.go
+++ b/coordination/membership/membership.go
@@ -186,6 +186,18 @@
 	return e.Entry, true
 }
 
+// Facts returns the facts whose keys begin with a prefix, by key.
+func (m *Machine) Facts(prefix string) []Entry {
+	var list []Entry
+	for key, e := range m.entries {
+		if strings.HasPrefix(key, prefix) {
+			list = append(list, e.Entry)
+		}
+	}
+	slices.SortFunc(list, func(a, b Entry) int { return cmp.Compare(a.Key, b.Key) })
+	return list
+}
+
 // Set offers a fact; it is taken if its version is higher than the known one.
 func (m *Machine) Set(now time.Time, e Entry) bool { return m.put(now, e) }
 
--- a/coordination/placement/machine.go
+++ b/coordination/placement/machine.go
@@ -82,6 +82,7 @@
 	version    storeversion.Version
 	read       bool // obj was read under the present fence
 	mine       bool // obj was written under the present fence
+	rewrite    bool // a restored platform has lost obj
 
 	busy    bool
 	pending *Object
@@ -183,7 +184,7 @@
 	m.held, m.takeoverAt = e.Held, e.TakeoverAt
 	if e.Held && e.Fence != m.fence {
 		m.fence = e.Fence
-		m.read, m.mine, m.pending = false, false, nil
+		m.read, m.mine, m.rewrite, m.pending = false, false, false, nil
 	}
 }
 
@@ -194,7 +195,13 @@
 		return
 	}
 	m.read = true
+	restored := m.version.Generation < e.Version.Generation
 	m.version = e.Version
+	if restored && m.mine && e.Object.Fence <= m.fence {
+		// The holder knows what it has recorded better than the copy does.
+		m.rewrite, m.pending = true, nil
+		return
+	}
 	m.obj = e.Object.clone()
 	// A lost answer's write that took effect is found by its id.
 	m.mine = e.Found && e.Object.Fence == m.fence && e.Object.Holder == m.opt.Self
@@ -208,7 +215,7 @@
 		if m.pending == nil {
 			return // the lease changed in between
 		}
-		m.obj, m.version, m.pending = m.pending, e.Version, nil
+		m.obj, m.version, m.pending, m.rewrite = m.pending, e.Version, nil, false
 		m.mine = m.obj.Fence == m.fence
 		for _, a := range m.obj.Assignments {
 			if _, ok := m.recordedAt[a.Seq]; a.Phase == Unloading && !ok {
@@ -323,6 +330,9 @@
 		next.Holder, next.Fence = m.opt.Self, m.fence
 		return false, m.write(now, next)
 	}
+	if m.rewrite {
+		return false, m.write(now, next)
+	}
 	if !m.dirty {
 		return false, nil
 	}
--- a/coordination/rollout/rollout.go
+++ b/coordination/rollout/rollout.go
@@ -88,6 +88,17 @@
 	return next, nil
 }
 
+// Restore returns the pointer that brings a step back over an older one, which a restored platform
+// names.
+func Restore(older Pointer, s Step, writeID string) Pointer {
+	next := Pointer{WriteID: writeID, Step: s, History: older.History}
+	if older.Generation > 0 {
+		next.History = append([]Step{older.Step}, older.History...)
+		next.History = next.History[:min(len(next.History), MaxHistory)]
+	}
+	return next
+}
+
 // Adopt reports whether a daemon whose generation is current takes one that is
 // offered.
 //
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -123,6 +123,7 @@
 	d.claimer = claimer.New(claimer.Options{
 		Self: d.self, Platform: d.platform, Peers: d.peers, Members: d.gossip.Members, Config: d.claimsConfig, Log: d.log.Named("claims"),
 	})
+	d.generations.OnRise(d.claimer.PlatformRestored)
 	d.keeper = quarantiner.New(quarantiner.Options{
 		Self: d.self, Members: d.gossip.Members, Peer: d.peers.Quarantines().To, Endpoint: d.endpointState, Store: d.platform, Generations: d.generations, Log: d.log.Part("quarantine"), Metrics: d.metrics,
 	})
--- a/daemon/roles.go
+++ b/daemon/roles.go
@@ -93,13 +93,15 @@
 // Leaving implements placer.Roles.
 func (r *roles) Leaving(endpoint string) bool { return r.rollout.Leaving(endpoint) }
 
-// Fence implements placer.Roles.
-func (r *roles) Fence(group string) uint64 {
+// LastHolder implements placer.Roles.
+func (r *roles) LastHolder(group string) (holder string, fence uint64) {
 	e, ok := r.gossip.Get(leasePrefix + group)
 	if !ok {
-		return 0
+		return "", 0
 	}
-	return e.Version / versionsPerFence
+	var f leaseFact
+	_ = json.Unmarshal(e.Value, &f) // a fact that cannot be read names no holder
+	return f.Holder, e.Version / versionsPerFence
 }
 
 // versionsPerFence is the number of versions of a lease's fact under one fence: its hold and its
--- a/driver/claimer/claimer.go
+++ b/driver/claimer/claimer.go
@@ -5,6 +5,8 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -122,6 +124,18 @@
 	return s
 }
 
+// PlatformRestored lets each shard write again what a restored platform may have lost.
+func (c *Claimer) PlatformRestored(generation uint64) {
+	c.mu.Lock()
+	shards := slices.Collect(maps.Values(c.shards))
+	c.mu.Unlock()
+	for _, s := range shards {
+		s.mu.Lock()
+		s.step(claims.Heard{Generation: generation})
+		s.mu.Unlock()
+	}
+}
+
 // Sizes returns the number of keys held for each shard, for a dump.
 func (c *Claimer) Sizes() map[uint32]int {
 	c.mu.Lock()
--- a/driver/decisions/log.go
+++ b/driver/decisions/log.go
@@ -71,6 +71,7 @@
 	EventEndpointDrain  = "endpoint drain changed"
 	EventStopAsked      = "shutdown asked for"
 	EventStateRequested = "state dump"
+	EventRestoredState  = "state written again after a restore"
 )
 
 const (
--- a/driver/generations/generations.go
+++ b/driver/generations/generations.go
@@ -3,6 +3,7 @@
 package generations
 
 import (
+	"sync"
 	"sync/atomic"
 
 	"github.com/uber-go/tally/v4"
@@ -16,6 +17,9 @@
 	log     *decisions.Log
 	highest atomic.Uint64
 	gauge   tally.Gauge
+
+	mu     sync.Mutex
+	onRise []func(generation uint64)
 }
 
 // New returns a tracker that has heard of none.
@@ -33,11 +37,27 @@
 		if t.highest.CompareAndSwap(before, generation) {
 			t.gauge.Update(float64(generation))
 			t.log.Info(decisions.EventGeneration, "generation", generation, "before", before, "from", from)
+			t.tell(generation)
 			return
 		}
 	}
 }
 
+// OnRise adds a function that is called with each higher generation, in a goroutine of its own.
+func (t *Tracker) OnRise(f func(generation uint64)) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.onRise = append(t.onRise, f)
+}
+
+func (t *Tracker) tell(generation uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, f := range t.onRise {
+		go f(generation)
+	}
+}
+
 // Outdated reports whether a version is of an older generation than the store's: it is no condition
 // for a write, as its revision may by now be that of another content.
 func (t *Tracker) Outdated(v storeversion.Version) bool { return v.Generation < t.Highest() }
--- a/driver/gossip/gossip.go
+++ b/driver/gossip/gossip.go
@@ -83,6 +83,13 @@
 	return g.m.Get(key)
 }
 
+// Facts returns the facts whose keys begin with a prefix.
+func (g *Gossip) Facts(prefix string) []membership.Entry {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.m.Facts(prefix)
+}
+
 // Set offers a fact to all daemons.
 func (g *Gossip) Set(e membership.Entry) {
 	g.do(func(now time.Time) { g.m.Set(now, e) })
--- a/driver/placer/placer.go
+++ b/driver/placer/placer.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -48,8 +49,9 @@
 	Candidate(group string) bool
 	// Leaving reports whether an endpoint is being taken out of service.
 	Leaving(endpoint string) bool
-	// Fence returns the highest fence of the group's lease that this daemon has heard of.
-	Fence(group string) uint64
+	// LastHolder returns who held the group's lease under the highest fence that this daemon has heard
+	// of; the holder is empty after a release.
+	LastHolder(group string) (holder string, fence uint64)
 	// Held tells all daemons who holds the group's lease.
 	Held(group string, fence uint64, held bool)
 	// Quiescent asks whether a former holder has no orders out any more.
@@ -81,14 +83,18 @@
 	opt Options
 	log *decisions.Log
 
-	mu          sync.Mutex
-	service     bundle.Service
-	lease       *lease.Machine
-	place       *placement.Machine
-	book        *grants.Book
-	polls       map[string]*poll
-	policy      bundle.Policy
-	held        bool
+	mu      sync.Mutex
+	service bundle.Service
+	lease   *lease.Machine
+	place   *placement.Machine
+	book    *grants.Book
+	polls   map[string]*poll
+	policy  bundle.Policy
+	held    bool
+	// ordersFrom and unrecorded hold orders back after a restore of the platform has lost who held the
+	// lease: until the orders of the last holder have lapsed, and it has none out any more.
+	ordersFrom  time.Time
+	unrecorded  *placement.FormerHolder
 	releasing   bool
 	allocated   map[string][]grants.Credit
 	allocNext   time.Time // not before, with many reports
@@ -221,7 +227,8 @@
 
 func (p *Placer) stepLease(ctx context.Context, now time.Time, candidate bool) {
 	p.lease.Step(clock.Now(), lease.Candidate{Yes: candidate && !p.releasing})
-	p.lease.Step(clock.Now(), lease.Heard{Generation: p.opt.Generations.Highest(), Fence: p.opt.Roles.Fence(p.opt.Group)})
+	last, fence := p.opt.Roles.LastHolder(p.opt.Group)
+	p.lease.Step(clock.Now(), lease.Heard{Generation: p.opt.Generations.Highest(), Fence: fence})
 	r := p.lease.Ready(clock.Now())
 	switch {
 	case r.Read:
@@ -229,10 +236,14 @@
 	case r.Write != nil:
 		go p.writeLease(ctx, *r.Write)
 	}
+	former := placement.FormerHolder{Holder: last, Fence: fence}
 	fence, held := p.lease.Holds(clock.Now())
 	if held != p.held {
 		p.log.Info(decisions.EventLease, "service", p.opt.Group, "held", held, "fence", fence)
-		p.held = held
+		p.held, p.ordersFrom, p.unrecorded = held, time.Time{}, nil
+		if held && p.lease.FormerUnknown() {
+			p.awaitFormer(now, former)
+		}
 		// A lapse is not announced: until another daemon holds the lease, as
 		// in an outage, this one knows the group best and stays its
 		// coordinator.
@@ -240,7 +251,18 @@
 			go p.opt.Roles.Held(p.opt.Group, p.lease.Fence(), held)
 		}
 	}
-	p.place.Step(now, placement.LeaseChanged{Held: held, Fence: fence, TakeoverAt: p.takeoverAt(now)})
+	p.place.Step(now, placement.LeaseChanged{Held: held && p.unrecorded == nil && !now.Before(p.ordersFrom), Fence: fence, TakeoverAt: p.takeoverAt(now)})
+}
+
+// awaitFormer holds orders back until those of a holder that no record names have lapsed. Endpoints
+// that do not check fencing numbers take them later as well, so the last holder known is asked.
+func (p *Placer) awaitFormer(now time.Time, last placement.FormerHolder) {
+	p.ordersFrom = now.Add(orderTTL)
+	checks := !slices.ContainsFunc(p.service.Endpoints, func(e bundle.Endpoint) bool { return !e.ChecksFencing })
+	if checks || last.Holder == "" || last.Holder == p.opt.Self {
+		return
+	}
+	p.unrecorded = &last
 }
 
 // takeoverAt is the lease's, whose clock goes on while the host is suspended, by the clock
@@ -385,7 +407,10 @@
 
 // askFormer asks daemons that lost the lease whether orders are still out.
 func (p *Placer) askFormer(ctx context.Context, now time.Time) {
-	former := p.place.Former()
+	former := slices.Clone(p.place.Former())
+	if p.unrecorded != nil {
+		former = append(former, *p.unrecorded)
+	}
 	if len(former) == 0 || p.asking || now.Sub(p.asked) < retryAfter {
 		return
 	}
@@ -402,6 +427,9 @@
 		p.asking = false
 		for _, fence := range quiescent {
 			p.place.Step(time.Now(), placement.FormerQuiescent{Fence: fence})
+			if p.unrecorded != nil && p.unrecorded.Fence == fence {
+				p.unrecorded = nil
+			}
 		}
 	}()
 }
--- a/driver/rollout/rollout.go
+++ b/driver/rollout/rollout.go
@@ -268,19 +268,23 @@
 // platform did not answer.
 func (r *Rollout) readPointer(ctx context.Context) error {
 	var p rules.Pointer
-	_, err := r.platform.Get(ctx, platform.KindConfig, PointerName, &p)
-	switch {
-	case errors.Is(err, platform.ErrNotFound):
-		return nil
-	case err != nil:
+	version, err := r.platform.Get(ctx, platform.KindConfig, PointerName, &p)
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
 		return err
 	}
 	r.offer(p)
+	if p.Generation < r.generation() && r.watching(1) {
+		r.restorePointer(ctx, p, version)
+	}
 	drains, generation, err := r.platform.List(ctx, platform.KindDrain)
+	if err != nil {
+		return err
+	}
+	r.restoreDrains(ctx, drains, generation)
 	for _, o := range drains {
 		r.drainFact(o, generation)
 	}
-	return err
+	return nil
 }
 
 func (r *Rollout) drainFact(o platform.Object, generation uint64) {
@@ -288,6 +292,10 @@
 	if o.Deleted || json.Unmarshal(o.Value, &drain) != nil {
 		return
 	}
+	known, ok := r.gossip.Get(drainPrefix + o.Name)
+	if ok && storeversion.GenerationOf(known.Version) < generation && string(known.Value) != flag(drain.On) {
+		return // of the copy that the platform came back from; see restoreDrains
+	}
 	r.setDrainFact(o.Name, storeversion.Version{Generation: generation, Revision: o.Version}, drain.On)
 }
 
--- a/e2e/harness_test.go
+++ b/e2e/harness_test.go
@@ -215,7 +215,7 @@
 	p.settings = filepath.Join(w.t.TempDir(), name+".hujson")
 	text := fmt.Sprintf(`{
 		// written by the test
-		"host": %q, "failure_domain": %q, "log_level": "debug", "lease_term": %q,
+		"host": %q, "failure_domain": %q, "log_level": "debug", "lease_term": %q, "first_start": true,
 		"callers": {"listen": %q}, "peers": {"listen": %q, "token": "shared-by-all-daemons"},
 		"operators": {"listen": %q, "tokens": [{"name": "anna", "token_sha256": %q}, {"name": "bo", "token_sha256": %q}]},
 		"platform": {"url": %q, "timeout": "500ms"},
@@ -231,7 +231,21 @@
 	return p
 }
 
+// startedAgain tells the next process that it is not the first of its host.
+func (p *proc) startedAgain() {
+	text, err := os.ReadFile(p.settings)
+	if err == nil {
+		err = os.WriteFile(p.settings, bytes.Replace(text, []byte(`"first_start": true`), []byte(`"first_start": false`), 1), 0o600)
+	}
+	if err != nil {
+		p.w.t.Fatal(err)
+	}
+}
+
 func (p *proc) start() {
+	if p.log != nil {
+		p.startedAgain()
+	}
 	p.log = &syncbuf.Buffer{}
 	p.exited = make(chan struct{})
 	p.cmd = exec.Command(binary, "--settings", p.settings)
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"io"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -58,16 +59,18 @@
 type Platform struct {
 	Faults *fault.Injector
 
-	mu       sync.Mutex
-	revision uint64
-	objects  map[string]*Object
-	log      []Object      // every change, for watches
-	changed  chan struct{} // closed at each change
-	counts   Counts
-	hosts    []hostChange
-	lag      time.Duration
-	writes   *rate.Limiter
-	reads    *rate.Limiter
+	mu         sync.Mutex
+	generation uint64 // rises with each restore
+	revision   uint64
+	objects    map[string]*Object
+	log        []Object      // every change, for watches
+	changed    chan struct{} // closed at each change
+	gone       chan struct{} // closed at the next restore: what waits gets no answer
+	counts     Counts
+	hosts      []hostChange
+	lag        time.Duration
+	writes     *rate.Limiter
+	reads      *rate.Limiter
 }
 
 // Options are the stand-in's rates and lags.
@@ -80,7 +83,7 @@
 // New returns an empty platform.
 func New(opt Options) *Platform {
 	return &Platform{
-		Faults: fault.New(), objects: map[string]*Object{}, changed: make(chan struct{}),
+		Faults: fault.New(), generation: 1, objects: map[string]*Object{}, changed: make(chan struct{}), gone: make(chan struct{}),
 		counts: Counts{ByKind: map[string]int{}}, lag: opt.HostLag,
 		writes: limiter(opt.WritesPerSecond), reads: limiter(opt.ReadsPerSecond),
 	}
@@ -123,7 +126,44 @@
 	mux.HandleFunc("GET /hosts", p.getHosts)
 	mux.HandleFunc("POST /control/hosts", p.postHosts)
 	mux.HandleFunc("GET /control/counts", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, p.Counts()) })
-	return p.Faults.Wrap(mux)
+	return p.Faults.Wrap(p.named(mux))
+}
+
+// headerGeneration names the platform's generation in each answer.
+const headerGeneration = "Platform-Generation"
+
+func (p *Platform) named(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		p.mu.Lock()
+		w.Header().Set(headerGeneration, strconv.FormatUint(p.generation, 10))
+		p.mu.Unlock()
+		next.ServeHTTP(w, r)
+	})
+}
+
+// Copy is what a platform can be restored from.
+type Copy struct {
+	revision uint64
+	objects  map[string]*Object
+	log      []Object
+}
+
+// CopyNow returns what the platform can be restored from later.
+func (p *Platform) CopyNow() Copy {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return Copy{p.revision, maps.Clone(p.objects), slices.Clone(p.log)}
+}
+
+// Restore brings the objects back from a copy: what was acknowledged since is lost, and its versions
+// are given out again. Watches that wait end.
+func (p *Platform) Restore(c Copy) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.generation++
+	p.revision, p.objects, p.log = c.revision, maps.Clone(c.objects), slices.Clone(c.log)
+	close(p.gone)
+	p.gone = make(chan struct{})
 }
 
 func writeJSON(w http.ResponseWriter, v any) {
@@ -260,16 +300,23 @@
 	kinds := strings.Split(q.Get("kinds"), ",")
 	p.mu.Lock()
 	p.counts.Watches++
+	gone := p.gone
 	p.mu.Unlock()
 	timeout := time.After(time.Duration(waitMs) * time.Millisecond)
 	for {
 		found, changed := p.since(since, kinds)
+		if found.Revision < since {
+			http.Error(w, "no such revision", http.StatusGone)
+			return
+		}
 		if len(found.Objects) > 0 {
 			writeJSON(w, found)
 			return
 		}
 		select {
 		case <-changed:
+		case <-gone:
+			panic(http.ErrAbortHandler)
 		case <-timeout:
 			writeJSON(w, found)
 			return
--- a/state/storeversion/storeversion.go
+++ b/state/storeversion/storeversion.go
@@ -41,6 +41,9 @@
 // facts among daemons are. It holds for revisions below 2^44 and generations below 2^20.
 func (v Version) Number() uint64 { return v.Generation<<revisionBits | v.Revision }
 
+// GenerationOf returns the generation of a version by its Number.
+func GenerationOf(number uint64) uint64 { return number >> revisionBits }
+
 // String returns generation/revision.
 func (v Version) String() string {
 	return strconv.FormatUint(v.Generation, 10) + "/" + strconv.FormatUint(v.Revision, 10)
