keys: what a restored store says proves nothing until the operator has written again

What callers could have seen: a key that was taken away is taken after a restore, by a daemon that had not heard of the newest desired state and reads an older one as the newest (found by writing the proof test with restores).

Cause: the age of the desired state is the proof that a key is good, and any answer of the store made it young. Change: with a later generation, heard from the store or from another daemon, the proof stays where it was for the two seconds in which the operator writes again. Readiness, ages between daemons and metrics go on as before.

--- a/coordination/discovery/outage.go
+++ b/coordination/discovery/outage.go
@@ -13,6 +13,9 @@
 	// lapseGrace is how long after the store's return an entry that lapsed in an
 	// outage may be missing; the endpoint writes it again at its next heartbeat.
 	lapseGrace = 2 * time.Second
+	// WrittenAgainWithin is how long after its return the operator has written again what a store
+	// that has come back from a copy had lost.
+	WrittenAgainWithin = lapseGrace
 )
 
 // Outage decides until when an entry that is missing may only have lapsed while
--- a/daemon/edgedaemon/peers.go
+++ b/daemon/edgedaemon/peers.go
@@ -128,7 +128,7 @@
 }
 
 // stateAge returns how old the desired state in force may be.
-func (d *Daemon) stateAge() time.Duration { return d.view.Age(relay.DesiredState) }
+func (d *Daemon) stateAge() time.Duration { return d.view.ProvenAge() }
 
 // endpointState reports whether an endpoint is listed, and as leaving.
 func (d *Daemon) endpointState(life fleet.Incarnation) (listed, leaving bool) {
--- a/driver/storeview/follow.go
+++ b/driver/storeview/follow.go
@@ -188,6 +188,9 @@
 // tells cannot be used.
 func (v *View) heardStore(stored storeversion.Version, of relay.Kind) error {
 	v.opt.Generations.Heard(stored.Generation, "store")
+	v.mu.Lock()
+	v.heardGeneration(v.opt.Clock(), stored.Generation)
+	v.mu.Unlock()
 	if highest := v.opt.Generations.Highest(); stored.Generation < highest {
 		v.noteSetAside("store", of, stored, storeversion.Version{Generation: highest})
 		return errOlderGeneration
--- a/driver/storeview/relay.go
+++ b/driver/storeview/relay.go
@@ -161,7 +161,7 @@
 			return err
 		}
 	}
-	if err := v.heardPeer(toldVersion(resp)); err != nil {
+	if err := v.heardPeer(resp); err != nil {
 		return err
 	}
 	v.takeIn("peer", func(now time.Time) []string { return v.takeFrom(now, peer, resp, seen) })
@@ -176,11 +176,14 @@
 // errPeerBehind says that another daemon has not heard yet that the store has come back from a copy.
 var errPeerBehind = errors.New("the daemon knows an older generation of the store only")
 
-// heardPeer takes the version of the store that another daemon's endpoints are as of, and returns
-// why they cannot be used: what is known here of a later generation would look older.
-func (v *View) heardPeer(told storeversion.Version) error {
-	v.opt.Generations.Heard(told.Generation, "peer")
+// heardPeer takes what another daemon has heard of the store's generation, and returns why its
+// endpoints cannot be used: they are of an older one than those known here.
+func (v *View) heardPeer(resp *fleetpb.FollowResponse) error {
+	told := toldVersion(resp)
+	heard := max(told.Generation, resp.HighestGeneration)
+	v.opt.Generations.Heard(heard, "peer")
 	v.mu.Lock()
+	v.heardGeneration(v.opt.Clock(), heard)
 	known := v.registry.Version()
 	v.mu.Unlock()
 	if told.Generation < known.Generation {
--- a/driver/storeview/serve.go
+++ b/driver/storeview/serve.go
@@ -75,7 +75,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	view := v.view.Load()
-	a := &news{resp: &fleetpb.FollowResponse{Source: v.opt.Self, Change: v.changes.Change(), Heard: v.heard, ConfigVersion: v.version(), EndpointsRevision: view.Version.Revision, Generation: view.Version.Generation}}
+	a := &news{resp: &fleetpb.FollowResponse{Source: v.opt.Self, Change: v.changes.Change(), Heard: v.heard, ConfigVersion: v.version(), EndpointsRevision: view.Version.Revision, Generation: view.Version.Generation, HighestGeneration: v.opt.Generations.Highest()}}
 	a.desired, a.seen, a.told = v.desired, v.seen(), v.told
 	a.delta = v.changes.Since(req.Change, req.Source == v.opt.Self, view)
 	if known := (storeversion.Version{Generation: req.Generation, Revision: req.EndpointsRevision}); a.delta.Whole && view.Version.Before(known) {
--- a/driver/storeview/storeview.go
+++ b/driver/storeview/storeview.go
@@ -72,6 +72,7 @@
 	endpoints  *discovery.Follower
 	config     *discovery.Follower
 	outage     *discovery.Outage
+	proof      proof
 	unusable   map[string]storeversion.Version // entries that name no endpoint to use, by id
 	directFrom time.Time                       // the store is asked from then on, at the latest
 	watches    bool                            // this daemon follows the store itself
