one way to log once for each name, one least time to come back

decisions.Once serves the headers that nobody reads, limits and pauses that cannot be read (three copies before); protocol.MinRetryAfter the four places that had one of their own. No behaviour changes.

--- a/coordination/waiting/queue.go
+++ b/coordination/waiting/queue.go
@@ -1,6 +1,10 @@
 package waiting
 
-import "time"
+import (
+	"time"
+
+	"github.com/doorvalve/doorvalve/protocol"
+)
 
 // QueueInput is what the decision to join a queue hangs on.
 type QueueInput struct {
@@ -19,5 +23,5 @@
 	if in.StartsIn <= 0 || in.Elapsed+in.StartsIn+firstEvent <= in.Target {
 		return Decision{Wait: true}
 	}
-	return Decision{RetryAfter: max(minRetryAfter, min(in.StartsIn, in.TimeLeft/honouredPart))}
+	return Decision{RetryAfter: max(protocol.MinRetryAfter, min(in.StartsIn, in.TimeLeft/honouredPart))}
 }
--- a/coordination/waiting/queue_test.go
+++ b/coordination/waiting/queue_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/doorvalve/doorvalve/protocol"
 )
 
 func TestJoin(t *testing.T) {
@@ -24,7 +26,7 @@
 		if d.Wait != c.join {
 			t.Errorf("%s: joins %v", c.what, d.Wait)
 		}
-		if !d.Wait && (d.RetryAfter < minRetryAfter || d.RetryAfter > c.comeBackWithin) {
+		if !d.Wait && (d.RetryAfter < protocol.MinRetryAfter || d.RetryAfter > c.comeBackWithin) {
 			t.Errorf("%s: come back in %v, want at most %v", c.what, d.RetryAfter, c.comeBackWithin)
 		}
 	}
--- a/coordination/waiting/waiting.go
+++ b/coordination/waiting/waiting.go
@@ -2,7 +2,11 @@
 // at once with the time to come back.
 package waiting
 
-import "time"
+import (
+	"time"
+
+	"github.com/doorvalve/doorvalve/protocol"
+)
 
 // Input is what the decision hangs on.
 type Input struct {
@@ -37,8 +41,6 @@
 	// returnMargin is added to the time to come back, so that the model is
 	// there when the caller is.
 	returnMargin = 200 * time.Millisecond
-	// minRetryAfter keeps callers from coming back at once.
-	minRetryAfter = 100 * time.Millisecond
 )
 
 // Decide is pure. A request waits if it is likely to be served: within its
@@ -50,13 +52,13 @@
 func Decide(in Input) Decision {
 	need := in.ReadyIn + firstEvent
 	if in.Begun {
-		return Decision{Wait: in.lasts(need), RetryAfter: minRetryAfter}
+		return Decision{Wait: in.lasts(need), RetryAfter: protocol.MinRetryAfter}
 	}
 	if in.Elapsed+need <= in.Target && in.lasts(need) || !in.Again && in.lasts(need+in.Margin) {
 		return Decision{Wait: true}
 	}
 	back := min(in.ReadyIn+returnMargin, in.TimeLeft/honouredPart)
-	return Decision{RetryAfter: max(minRetryAfter, back)}
+	return Decision{RetryAfter: max(protocol.MinRetryAfter, back)}
 }
 
 // lasts reports whether the caller is still there after a time.
--- a/coordination/waiting/waiting_test.go
+++ b/coordination/waiting/waiting_test.go
@@ -4,6 +4,8 @@
 	"math/rand/v2"
 	"testing"
 	"time"
+
+	"github.com/doorvalve/doorvalve/protocol"
 )
 
 const ms = time.Millisecond
@@ -47,7 +49,7 @@
 		for left := 50 * ms; left < 25*time.Second; left += 490 * ms {
 			for _, margin := range []time.Duration{0, 3 * time.Second} {
 				d := Decide(Input{ReadyIn: ready, Margin: margin, TimeLeft: left, Target: 400 * ms, Patience: 2400 * ms})
-				if !d.Wait && (d.RetryAfter < minRetryAfter || d.RetryAfter > max(minRetryAfter, left/honouredPart)) {
+				if !d.Wait && (d.RetryAfter < protocol.MinRetryAfter || d.RetryAfter > max(protocol.MinRetryAfter, left/honouredPart)) {
 					t.Fatalf("ready in %v, %v left: %+v", ready, left, d)
 				}
 				if d.Wait && (ready > left || ready > 2400*ms) {
--- a/driver/gate/gate.go
+++ b/driver/gate/gate.go
@@ -218,14 +218,11 @@
 		if r.Reason == admission.ReasonQueueFull || r.Reason == admission.ReasonOutranked {
 			status = http.StatusTooManyRequests
 		}
-		g.finish(r.ID, outcome{refusal: protocol.Refuse(status, r.Reason, g.unit+" cannot be served in time", max(r.RetryAfter, minRetryAfter))})
+		g.finish(r.ID, outcome{refusal: protocol.Refuse(status, r.Reason, g.unit+" cannot be served in time", max(r.RetryAfter, protocol.MinRetryAfter))})
 	}
 	g.queued.Store(int64(g.queue.Len()))
 }
 
-// minRetryAfter keeps refused callers from coming back at once.
-const minRetryAfter = 100 * time.Millisecond
-
 func (g *Gate) finish(id uint64, out outcome) {
 	if ch := g.waiters[id]; ch != nil {
 		delete(g.waiters, id)
--- a/driver/quotas/endpoints.go
+++ b/driver/quotas/endpoints.go
@@ -46,13 +46,13 @@
 
 	mu         sync.Mutex
 	book       *limit.Book
-	toldFrom   time.Time // when the present second of telling began
-	told       int       // limits in it
-	unreadable map[string]bool
+	toldFrom   time.Time      // when the present second of telling began
+	told       int            // limits in it
+	unreadable decisions.Once // endpoints whose limits were logged as unreadable
 }
 
 func newEndpoints(k *Keeper) *Endpoints {
-	e := &Endpoints{opt: &k.opt, metrics: &k.metrics, book: limit.New(k.opt.Self), unreadable: map[string]bool{}, settled: make(chan struct{}), news: make(chan struct{}, 1), record: record.New(k.opt.Store, k.opt.Generations, recordName)}
+	e := &Endpoints{opt: &k.opt, metrics: &k.metrics, book: limit.New(k.opt.Self), settled: make(chan struct{}), news: make(chan struct{}, 1), record: record.New(k.opt.Store, k.opt.Generations, recordName)}
 	e.shared = newSharer(k, quotapb.Kind_ENDPOINT, "limit", limit.Bounds)
 	e.shared.newest, e.shared.unreached = e.newest, e.unreached
 	e.limited.Store(&map[fleet.Incarnation]limit.Word{})
@@ -160,20 +160,11 @@
 // noteUnreadable counts limits that are no numbers and logs the first of each endpoint.
 func (e *Endpoints) noteUnreadable(life fleet.Incarnation, said protocol.RateLimit) {
 	e.metrics.unreadable.Inc(1)
-	e.mu.Lock()
-	known := e.unreadable[life.ID] || len(e.unreadable) >= unreadableKept
-	if !known {
-		e.unreadable[life.ID] = true
-	}
-	e.mu.Unlock()
-	if !known {
+	if e.unreadable.First(life.ID) {
 		e.opt.Log.Warn(decisions.EventLimitUnreadable, "endpoint", life.ID, "value", said.Unreadable)
 	}
 }
 
-// unreadableKept bounds the endpoints that are logged for limits that cannot be read.
-const unreadableKept = 64
-
 // StaleFact reports whether a fact is a limit that was told too long ago to be kept.
 func StaleFact(now time.Time, f membership.Entry) bool {
 	return strings.HasPrefix(f.Key, FactPrefix) && limit.Stale(now, f.Version)
--- a/driver/throttle/throttle.go
+++ b/driver/throttle/throttle.go
@@ -54,7 +54,7 @@
 	metrics metrics
 
 	mu         sync.Mutex
-	unreadable map[string]bool // endpoints whose pauses were logged as unreadable
+	unreadable decisions.Once // endpoints whose pauses were logged as unreadable
 }
 
 type metrics struct {
@@ -73,7 +73,7 @@
 	for _, r := range []backpressure.Reason{backpressure.Leaving, backpressure.Paused, backpressure.Limited} {
 		held[r] = m.Tagged(map[string]string{"reason": string(r)}).Counter("requests_held_back_total")
 	}
-	return &Keeper{opt: opt, unreadable: map[string]bool{}, metrics: metrics{
+	return &Keeper{opt: opt, metrics: metrics{
 		held: held, leaves: m.Counter("endpoints_leaving_heard_total"), pauses: m.Counter("pauses_heard_total"), unreadable: m.Counter("pauses_unreadable_total"),
 		endpointsLeaving: m.Gauge("endpoints_leaving"), endpointsPaused: m.Gauge("endpoints_paused"),
 	}}
@@ -133,19 +133,10 @@
 	}
 }
 
-// unreadableKept bounds the endpoints that are logged for pauses that cannot be read.
-const unreadableKept = 64
-
 // noteUnreadable counts pauses that cannot be read and logs the first of each endpoint.
 func (k *Keeper) noteUnreadable(a Answer) {
 	k.metrics.unreadable.Inc(1)
-	k.mu.Lock()
-	known := k.unreadable[a.Life.ID] || len(k.unreadable) >= unreadableKept
-	if !known {
-		k.unreadable[a.Life.ID] = true
-	}
-	k.mu.Unlock()
-	if !known {
+	if k.unreadable.First(a.Life.ID) {
 		k.opt.Log.Warn(decisions.EventPauseUnreadable, "endpoint", a.Life.ID, "heard_on", a.Request, "value", a.Says.Pause.Unreadable)
 	}
 }
--- a/protocol/verdict.go
+++ b/protocol/verdict.go
@@ -153,6 +153,9 @@
 	return strconv.FormatInt(max(1, int64(math.Ceil(d.Seconds()))), 10)
 }
 
+// MinRetryAfter keeps refused callers from coming back at once.
+const MinRetryAfter = 100 * time.Millisecond
+
 // Refuse builds a refusal whose verdict is NotRun.
 func Refuse(status int, reason, detail string, retryAfter time.Duration) *Refusal {
 	return &Refusal{Status: status, Reason: reason, Detail: detail, Verdict: NotRun, RetryAfter: retryAfter}
--- a/transport/callers/shut.go
+++ b/transport/callers/shut.go
@@ -57,12 +57,9 @@
 	reason := s.opt.Throttle.Look(lifeOf(first), cl.ask()).Reason
 	s.opt.Throttle.Promise(lifeOf(first), cl.ask(), turn)
 	detail := fmt.Sprintf("%s: %d endpoints take no more requests now, by their own word: %q the first, in %d ms", cl.unit, len(shut), first.Name, turn.Milliseconds())
-	return protocol.Refuse(http.StatusServiceUnavailable, string(reason), detail, max(turn, retryLeast))
+	return protocol.Refuse(http.StatusServiceUnavailable, string(reason), detail, max(turn, protocol.MinRetryAfter))
 }
 
-// retryLeast keeps refused callers from coming back at once.
-const retryLeast = 100 * time.Millisecond
-
 // heard takes what an endpoint says of itself in an answer to a call that was sent at some time.
 // Lives of these endpoints are not told apart: that one leaves holds until the coordinator, which
 // asks the endpoint itself, gives credit again.
--- a/transport/edge/server.go
+++ b/transport/edge/server.go
@@ -85,7 +85,7 @@
 	turned  chan struct{}
 	freed   chan struct{}
 	margins *waiting.Margins
-	unread  unread
+	unread  decisions.Once // names of headers that nobody reads
 }
 
 type metrics struct {
--- a/transport/edge/shut.go
+++ b/transport/edge/shut.go
@@ -118,12 +118,9 @@
 	s.quitLine(t, false)
 	s.opt.Throttle.Promise(shut.first, t.ask(q), shut.turn)
 	detail := fmt.Sprintf("%d endpoints take no more requests now, by their own word: %q the first, in %d ms", len(shut.lives), shut.first.ID, shut.turn.Milliseconds())
-	return protocol.Refuse(http.StatusServiceUnavailable, string(shut.reason), detail, max(shut.turn, retryLeast))
+	return protocol.Refuse(http.StatusServiceUnavailable, string(shut.reason), detail, max(shut.turn, protocol.MinRetryAfter))
 }
 
-// retryLeast keeps refused callers from coming back at once.
-const retryLeast = 100 * time.Millisecond
-
 // leavingThatServes returns an endpoint that leaves and may still serve a request that no other
 // can, or nil.
 func (s *Server) leavingThatServes(q *request, t *tries) *fleet.Endpoint {
