--- a/daemon/edgedaemon/daemon.go
+++ b/daemon/edgedaemon/daemon.go
@@ -134,7 +134,7 @@
 	}, metricsEvery)
 	d.shareRetries(1)
 	d.generations = generations.New(log, d.metrics)
-	d.store = platform.NewStore(set.Store.Address, set.Store.Timeout.D(), d.generations, log, d.metrics)
+	d.store = platform.NewStore(set.Store.Address, set.Store.Timeout.D(), d.generations, d.metrics)
 	d.engines = platform.NewEngineClient(engineTimeout, d.engineSaid)
 	d.view = storeview.New(storeview.Options{
 		Store: d.store, Decode: platform.DecodeDesiredState, Log: log, Self: d.self, Peer: d.anyPeer, Upstreams: d.upstreams,
--- a/driver/generations/generations.go
+++ b/driver/generations/generations.go
@@ -3,10 +3,12 @@
 package generations
 
 import (
+	"strconv"
 	"sync"
 	"sync/atomic"
 
 	"github.com/uber-go/tally/v4"
+	"github.com/zeebo/errs"
 
 	"github.com/doorvalve/doorvalve/driver/decisions"
 	"github.com/doorvalve/doorvalve/state/storeversion"
@@ -16,6 +18,7 @@
 type Tracker struct {
 	log     *decisions.Log
 	highest atomic.Uint64
+	unnamed atomic.Bool // the last answer named none, and one before did
 	gauge   tally.Gauge
 
 	mu     sync.Mutex
@@ -27,6 +30,37 @@
 	return &Tracker{log: log, gauge: metrics.SubScope("store").Gauge("generation")}
 }
 
+// Error is the class of every error that this package creates.
+var Error = errs.Class("generation")
+
+// Read returns the generation that the header of an answer names, and hears of it. One that names none
+// counts as of the highest one heard of: a store that never names one has a single generation. One that
+// cannot be read is an error, as the answer may be anybody's. from says who answered what.
+func (t *Tracker) Read(header, from string) (uint64, error) {
+	if t == nil {
+		return 0, nil
+	}
+	if header == "" {
+		highest := t.Highest()
+		if unnamed := highest > 0; unnamed && !t.unnamed.Swap(true) {
+			t.log.Error(decisions.EventGenerationUnread, "value", "", "from", from, "taken_for", highest)
+		}
+		return highest, nil
+	}
+	named, err := strconv.ParseUint(header, 10, 64)
+	if err != nil {
+		value := strconv.Quote(header[:min(len(header), shownBytes)])
+		t.log.Error(decisions.EventGenerationUnread, "value", value, "from", from)
+		return 0, Error.New("want a whole number, found %s", value)
+	}
+	t.unnamed.Store(false)
+	t.Heard(named, from)
+	return named, nil
+}
+
+// shownBytes bounds what is shown of a header that cannot be read.
+const shownBytes = 80
+
 // Heard takes a generation that an answer names; 0 where it names none. from says who answered
 // what, for the log.
 func (t *Tracker) Heard(generation uint64, from string) {
--- a/transport/platform/client.go
+++ b/transport/platform/client.go
@@ -9,7 +9,6 @@
 	"io"
 	"net/http"
 	"net/url"
-	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -120,21 +119,6 @@
 	return storeversion.Version{Generation: a.generation, Revision: revision}
 }
 
-// generationOf returns the generation that an answer names. One that names none counts as of the
-// highest one heard of.
-func (c *Client) generationOf(h http.Header, call string) (uint64, error) {
-	text := h.Get(headerGeneration)
-	if text == "" {
-		return c.opt.Generations.Highest(), nil
-	}
-	named, err := strconv.ParseUint(text, 10, 64)
-	if err != nil {
-		return 0, Error.New("%s: want a whole number, found %q", headerGeneration, text)
-	}
-	c.opt.Generations.Heard(named, call)
-	return named, nil
-}
-
 func (c *Client) do(ctx context.Context, method, path string, version string, body []byte, timeout time.Duration) (a answer, err error) {
 	ctx, limit := silence.Limit(ctx, timeout)
 	defer limit.End()
@@ -152,8 +136,8 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	a.status = resp.StatusCode
-	if a.generation, err = c.generationOf(resp.Header, method); err != nil {
-		return a, err
+	if a.generation, err = c.opt.Generations.Read(resp.Header.Get(headerGeneration), method); err != nil {
+		return a, Error.Wrap(err)
 	}
 	limit.Extend(silence.TransferTimeout)
 	a.body, err = io.ReadAll(resp.Body)
