--- a/driver/coordinator/restore_test.go
+++ b/driver/coordinator/restore_test.go
@@ -20,6 +20,20 @@
 	}
 }
 
+// kept returns the record in the store.
+func (f *fakeLease) kept() lease.Record {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.record
+}
+
+// fence returns that of the coordinator's present hold, or of its last one.
+func (c *Coordinator) fence() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lease.Fence()
+}
+
 // without returns the longest time that a coordinator does not hold the lease within another.
 func without(c *Coordinator, within time.Duration) (longest time.Duration) {
 	gap := time.Duration(0)
@@ -49,16 +63,16 @@
 				}
 				other := start(t, f, "h2", true)
 				time.Sleep(time.Second)
-				fence := holder.lease.Fence()
+				fence := holder.fence()
 				f.restore(copied)
 				if gap := without(holder, 10*time.Second); gap > 50*time.Millisecond {
 					t.Errorf("the holder was without the lease for %v", gap)
 				}
-				if other.Holds() || holder.lease.Fence() != fence {
-					t.Errorf("another holds it: %v, fence %d, %d before", other.Holds(), holder.lease.Fence(), fence)
+				if other.Holds() || holder.fence() != fence {
+					t.Errorf("another holds it: %v, fence %d, %d before", other.Holds(), holder.fence(), fence)
 				}
-				if f.record.Holder != "h1" || f.record.Generation != 2 {
-					t.Errorf("the record was not written again: %+v", f.record)
+				if rec := f.kept(); rec.Holder != "h1" || rec.Generation != 2 {
+					t.Errorf("the record was not written again: %+v", rec)
 				}
 			})
 		})
@@ -84,7 +98,7 @@
 				if took := time.Since(restored); took < leaseTerm || took > 2*leaseTerm {
 					t.Errorf("taken %v after the restore, want a term of %v", took, leaseTerm)
 				}
-				if fence := c.lease.Fence(); fence <= 9 {
+				if fence := c.fence(); fence <= 9 {
 					t.Errorf("fence %d after 9", fence)
 				}
 			})
