--- a/driver/throttle/throttle.go
+++ b/driver/throttle/throttle.go
@@ -8,7 +8,6 @@
 	"context"
 	"encoding/json"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -53,7 +52,6 @@
 	opt     Options
 	metrics metrics
 
-	mu         sync.Mutex
 	unreadable decisions.Once // endpoints whose pauses were logged as unreadable
 }
 
