--- a/driver/storeview/bound_test.go
+++ b/driver/storeview/bound_test.go
@@ -105,6 +105,7 @@
 
 func newRandomFleet(b *bubble, seed uint64) *randomFleet {
 	f := &randomFleet{bubble: b, seed: seed, rng: rand.New(rand.NewPCG(seed, 0)), store: newFakeStore(), version: 1}
+	f.store.generation = 1
 	for i := range fleetWatchers + fleetFollowers {
 		f.members = append(f.members, &member{name: fmt.Sprint("d", i), way: &way{fakeStore: f.store}, peer: &upstream{}})
 	}
--- a/driver/storeview/restore_test.go
+++ b/driver/storeview/restore_test.go
@@ -133,7 +133,6 @@
 	const changes = 30
 	inBubble(t, func(b *bubble) {
 		r := &restoring{randomFleet: newRandomFleet(b, seed), born: map[string]int64{}, ended: map[string]int64{}}
-		r.store.generation = 1
 		for i := range 6 {
 			id := fmt.Sprint("e", i)
 			r.born[id] = 1000
--- a/driver/storeview/revoke_test.go
+++ b/driver/storeview/revoke_test.go
@@ -54,7 +54,6 @@
 	const changes = 60
 	inBubble(t, func(b *bubble) {
 		f := newRandomFleet(b, seed)
-		f.store.generation = 1
 		if seed%2 == 0 {
 			f.store.mu.Lock()
 			f.store.padding = large // named first, and fetched afterwards
