--- a/coordination/discovery/registry.go
+++ b/coordination/discovery/registry.go
@@ -187,7 +187,7 @@
 
 // mayBeOfTheCopy reports whether a restored store may name an endpoint only since its copy is older
 // than the removal: in a later generation, the same life, and not written again since it was first
-// named there. Such an entry is put by.
+// named there. Such an entry is held back.
 func (r *Registry) mayBeOfTheCopy(e *fleet.Endpoint, gone removal) bool {
 	if e.Version.Generation == gone.at.Generation || gone.life.Before(e.Life()) {
 		return false
@@ -334,7 +334,7 @@
 	}
 }
 
-// WantsList reports whether a whole list would tell which of the entries that were put by live on:
+// WantsList reports whether a whole list would tell which of the entries that were held back live on:
 // dead ones have lapsed by now.
 func (r *Registry) WantsList(now time.Time) bool {
 	for _, back := range r.revived {
