--- a/coordination/rollout/rollout.go
+++ b/coordination/rollout/rollout.go
@@ -78,22 +78,16 @@
 	if len(r.SignOffs) == 0 {
 		return p, Error.New("%s has no sign-off yet", Short(r.Digest))
 	}
-	next := Pointer{WriteID: writeID, Step: Step{
+	return p.Follow(Step{
 		Generation: expected + 1, Digest: r.Digest, Author: r.Author, SignedBy: r.SignOffs, RolledBy: by, At: at,
-	}}
-	if p.Generation > 0 {
-		next.History = append([]Step{p.Step}, p.History...)
-		next.History = next.History[:min(len(next.History), MaxHistory)]
-	}
-	return next, nil
+	}, writeID), nil
 }
 
-// Restore returns the pointer that brings a step back over an older one, which a restored platform
-// names.
-func Restore(older Pointer, s Step, writeID string) Pointer {
-	next := Pointer{WriteID: writeID, Step: s, History: older.History}
-	if older.Generation > 0 {
-		next.History = append([]Step{older.Step}, older.History...)
+// Follow returns the pointer that moves to a step.
+func (p Pointer) Follow(s Step, writeID string) Pointer {
+	next := Pointer{WriteID: writeID, Step: s}
+	if p.Generation > 0 {
+		next.History = append([]Step{p.Step}, p.History...)
 		next.History = next.History[:min(len(next.History), MaxHistory)]
 	}
 	return next
--- a/driver/rollout/restore.go
+++ b/driver/rollout/restore.go
@@ -31,7 +31,7 @@
 	}
 	outcome := protocol.WriteUnknown
 	if err == nil {
-		_, outcome = r.platform.Put(ctx, platform.KindConfig, PointerName, version, rules.Restore(older, step, writeID()))
+		_, outcome = r.platform.Put(ctx, platform.KindConfig, PointerName, version, older.Follow(step, writeID()))
 	}
 	r.log.Warn(decisions.EventRestoredState, "of", "rollout", "generation", step.Generation, "before", older.Generation, "written", outcome == protocol.WriteOK, "error", err)
 }
