placer: the last holder is read when it is needed, in one place

Each step of each group decoded the fact of the lease's holder to use its version only, and the fact was decoded in two places. Decisions as before.

--- a/daemon/roles.go
+++ b/daemon/roles.go
@@ -6,6 +6,7 @@
 
 	"github.com/doorvalve/doorvalve/coordination/drain"
 	"github.com/doorvalve/doorvalve/coordination/membership"
+	"github.com/doorvalve/doorvalve/coordination/placement"
 	"github.com/doorvalve/doorvalve/driver/placer"
 	"github.com/doorvalve/doorvalve/protocol/peerpb"
 )
@@ -58,13 +59,10 @@
 // findCoordinator picks the holder of the group's lease while it is alive, or
 // else the first by rendezvous.
 func (d *Daemon) findCoordinator(group string, members []membership.Member) (membership.Member, bool) {
-	if e, ok := d.gossip.Get(leasePrefix + group); ok {
-		var f leaseFact
-		if json.Unmarshal(e.Value, &f) == nil && f.Holder != "" {
-			for _, m := range members {
-				if m.ID == f.Holder && m.Status != membership.Dead && !m.Leaving {
-					return m, true
-				}
+	if last := (*roles)(d).LastHolder(group); last.Holder != "" {
+		for _, m := range members {
+			if m.ID == last.Holder && m.Status != membership.Dead && !m.Leaving {
+				return m, true
 			}
 		}
 	}
@@ -93,15 +91,18 @@
 // Leaving implements placer.Roles.
 func (r *roles) Leaving(endpoint string) bool { return r.rollout.Leaving(endpoint) }
 
+// Fence implements placer.Roles.
+func (r *roles) Fence(group string) uint64 {
+	e, _ := r.gossip.Get(leasePrefix + group)
+	return e.Version / versionsPerFence
+}
+
 // LastHolder implements placer.Roles.
-func (r *roles) LastHolder(group string) (holder string, fence uint64) {
-	e, ok := r.gossip.Get(leasePrefix + group)
-	if !ok {
-		return "", 0
-	}
+func (r *roles) LastHolder(group string) placement.FormerHolder {
+	e, _ := r.gossip.Get(leasePrefix + group)
 	var f leaseFact
-	_ = json.Unmarshal(e.Value, &f) // a fact that cannot be read names no holder
-	return f.Holder, e.Version / versionsPerFence
+	_ = json.Unmarshal(e.Value, &f) // a fact that is not there or cannot be read names no holder
+	return placement.FormerHolder{Holder: f.Holder, Fence: e.Version / versionsPerFence}
 }
 
 // versionsPerFence is the number of versions of a lease's fact under one fence: its hold and its
--- a/driver/placer/placer.go
+++ b/driver/placer/placer.go
@@ -49,9 +49,10 @@
 	Candidate(group string) bool
 	// Leaving reports whether an endpoint is being taken out of service.
 	Leaving(endpoint string) bool
-	// LastHolder returns who held the group's lease under the highest fence that this daemon has heard
-	// of; the holder is empty after a release.
-	LastHolder(group string) (holder string, fence uint64)
+	// Fence returns the highest fence of the group's lease that this daemon has heard of.
+	Fence(group string) uint64
+	// LastHolder returns who held the lease under that fence, empty after a release.
+	LastHolder(group string) placement.FormerHolder
 	// Held tells all daemons who holds the group's lease.
 	Held(group string, fence uint64, held bool)
 	// Quiescent asks whether a former holder has no orders out any more.
@@ -227,8 +228,7 @@
 
 func (p *Placer) stepLease(ctx context.Context, now time.Time, candidate bool) {
 	p.lease.Step(clock.Now(), lease.Candidate{Yes: candidate && !p.releasing})
-	last, fence := p.opt.Roles.LastHolder(p.opt.Group)
-	p.lease.Step(clock.Now(), lease.Heard{Generation: p.opt.Generations.Highest(), Fence: fence})
+	p.lease.Step(clock.Now(), lease.Heard{Generation: p.opt.Generations.Highest(), Fence: p.opt.Roles.Fence(p.opt.Group)})
 	r := p.lease.Ready(clock.Now())
 	switch {
 	case r.Read:
@@ -236,13 +236,12 @@
 	case r.Write != nil:
 		go p.writeLease(ctx, *r.Write)
 	}
-	former := placement.FormerHolder{Holder: last, Fence: fence}
 	fence, held := p.lease.Holds(clock.Now())
 	if held != p.held {
 		p.log.Info(decisions.EventLease, "service", p.opt.Group, "held", held, "fence", fence)
 		p.held, p.ordersFrom, p.unrecorded = held, time.Time{}, nil
 		if held && p.lease.FormerUnknown() {
-			p.awaitFormer(now, former)
+			p.awaitFormer(now)
 		}
 		// A lapse is not announced: until another daemon holds the lease, as
 		// in an outage, this one knows the group best and stays its
@@ -256,8 +255,9 @@
 
 // awaitFormer holds orders back until those of a holder that no record names have lapsed. Endpoints
 // that do not check fencing numbers take them later as well, so the last holder known is asked.
-func (p *Placer) awaitFormer(now time.Time, last placement.FormerHolder) {
+func (p *Placer) awaitFormer(now time.Time) {
 	p.ordersFrom = now.Add(orderTTL)
+	last := p.opt.Roles.LastHolder(p.opt.Group)
 	checks := !slices.ContainsFunc(p.service.Endpoints, func(e bundle.Endpoint) bool { return !e.ChecksFencing })
 	if checks || last.Holder == "" || last.Holder == p.opt.Self {
 		return
