--- a/coordination/lease/lease_test.go
+++ b/coordination/lease/lease_test.go
@@ -35,6 +35,36 @@
 	frozenTo time.Time
 }
 
+// holds is the newest hold that was seen, by any daemon.
+type holds struct {
+	fence  uint64
+	holder string
+}
+
+// check asks that one daemon holds at the most, that no fence is given out twice or falls, and that
+// nobody takes itself for the first holder after another.
+func (h *holds) check(t *rapid.T, now time.Time, daemons []*daemon) {
+	holders := 0
+	for _, d := range daemons {
+		fence, ok := d.m.Holds(now)
+		if !ok {
+			continue
+		}
+		holders++
+		self := d.m.opt.Self
+		if fence < h.fence || fence == h.fence && self != h.holder {
+			t.Fatalf("fence %d of %s after %d of %s", fence, self, h.fence, h.holder)
+		}
+		if fence > h.fence && h.fence > 0 && d.m.First() {
+			t.Fatalf("%s takes itself for the first holder after another", self)
+		}
+		h.fence, h.holder = fence, self
+	}
+	if holders > 1 {
+		t.Fatalf("%d holders", holders)
+	}
+}
+
 // Two daemons never hold the lease at once, and fences rise, whatever is
 // delayed, lost, frozen or released.
 func TestLeaseOneHolder(t *testing.T) {
@@ -48,24 +78,8 @@
 			d.m.Step(now, Candidate{Yes: true})
 			daemons = append(daemons, d)
 		}
-		lastFence, lastHolder := uint64(0), ""
-		check := func() {
-			holders := 0
-			for _, d := range daemons {
-				fence, ok := d.m.Holds(now)
-				if !ok {
-					continue
-				}
-				holders++
-				if fence < lastFence || fence == lastFence && d.m.opt.Self != lastHolder {
-					t.Fatalf("fence %d of %s after %d of %s", fence, d.m.opt.Self, lastFence, lastHolder)
-				}
-				lastFence, lastHolder = fence, d.m.opt.Self
-			}
-			if holders > 1 {
-				t.Fatalf("%d holders", holders)
-			}
-		}
+		var seen holds
+		check := func() { seen.check(t, now, daemons) }
 		for range rapid.IntRange(10, 400).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms")) * time.Millisecond)
 			d := daemons[rapid.IntRange(0, 2).Draw(t, "daemon")]
--- a/coordination/lease/restore_test.go
+++ b/coordination/lease/restore_test.go
@@ -60,27 +60,8 @@
 			daemons = append(daemons, d)
 		}
 		s.copyNow()
-		var last struct {
-			fence  uint64
-			holder string
-		}
-		check := func() {
-			holders := 0
-			for _, d := range daemons {
-				fence, ok := d.m.Holds(now)
-				if !ok {
-					continue
-				}
-				holders++
-				if fence < last.fence || fence == last.fence && d.m.opt.Self != last.holder {
-					t.Fatalf("fence %d of %s after %d of %s", fence, d.m.opt.Self, last.fence, last.holder)
-				}
-				last.fence, last.holder = fence, d.m.opt.Self
-			}
-			if holders > 1 {
-				t.Fatalf("%d holders", holders)
-			}
-		}
+		var seen holds
+		check := func() { seen.check(t, now, daemons) }
 		for range rapid.IntRange(10, 400).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms")) * time.Millisecond)
 			check()
@@ -158,31 +139,8 @@
 		}
 		first = false
 		s.copyNow()
-		var last struct {
-			fence  uint64
-			holder int
-		}
-		held := false
-		check := func() {
-			holders := 0
-			for i, d := range daemons {
-				fence, ok := d.m.Holds(now)
-				if !ok {
-					continue
-				}
-				holders++
-				if fence < last.fence || fence == last.fence && i != last.holder {
-					t.Fatalf("fence %d of %s after %d of %s", fence, d.m.opt.Self, last.fence, daemons[last.holder].m.opt.Self)
-				}
-				if fence > last.fence && d.m.First() && held {
-					t.Fatalf("%s takes itself for the first holder after another", d.m.opt.Self)
-				}
-				last.fence, last.holder, held = fence, i, true
-			}
-			if holders > 1 {
-				t.Fatalf("%d holders", holders)
-			}
-		}
+		var seen holds
+		check := func() { seen.check(t, now, daemons) }
 		for range rapid.IntRange(10, 300).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms")) * time.Millisecond)
 			check()
@@ -202,7 +160,7 @@
 			if rapid.IntRange(0, 19).Draw(t, "restart") == 0 {
 				daemons[i] = begin(daemons[i].m.opt.Self)
 			}
-			told := Heard{Fence: last.fence}
+			told := Heard{Fence: seen.fence}
 			if rapid.Bool().Draw(t, "told") {
 				told.Generation = s.version.Generation
 			}
