edgedaemon: an older view does not replace a newer one

Cause: applyView runs on the goroutines of the desired state and of the endpoints. One that had read the empty view could hand it to the coordinator after the newer one, and no engine was planned with until the next change. Change: the view is read and applied under one lock. Result: TestOlderViewDoesNotReplaceNewer; red without the lock.

--- a/daemon/edgedaemon/daemon.go
+++ b/daemon/edgedaemon/daemon.go
@@ -45,6 +45,7 @@
 	"github.com/doorvalve/doorvalve/protocol/quotapb"
 	"github.com/doorvalve/doorvalve/settings"
 	"github.com/doorvalve/doorvalve/state/fleet"
+	"github.com/doorvalve/doorvalve/state/routing"
 	"github.com/doorvalve/doorvalve/transport/edge"
 	"github.com/doorvalve/doorvalve/transport/peers"
 )
@@ -113,6 +114,7 @@
 	lastSent     map[string]int            // active models in the last demand message, by service; only runDemand uses it
 	lists        endpointLists             // only runDemand uses it
 	holders      holderHealth
+	views        viewApplier
 	vacancies    vacancies
 }
 
@@ -216,10 +218,13 @@
 	return list
 }
 
-// applyView passes a changed desired state and endpoint view to the balancer
+// applyView passes the newest desired state and endpoint view to the balancer
 // and to the coordinators.
 func (d *Daemon) applyView() {
-	table, view := d.view.Table(), d.view.Endpoints()
+	d.views.apply(func() (*routing.Table, *fleet.View) { return d.view.Table(), d.view.Endpoints() }, d.useView)
+}
+
+func (d *Daemon) useView(table *routing.Table, view *fleet.View) {
 	d.balancer.Retain(view)
 	if table == nil {
 		return
