discovery: an older description does not end the grace of a missing entry

Cause: put cleared the deadline of a missing entry before it compared versions. Change: the deadline is cleared only when the description is replaced. Result: TestOlderDescriptionDoesNotEndTheGrace.

--- a/coordination/discovery/outage_test.go
+++ b/coordination/discovery/outage_test.go
@@ -55,6 +55,21 @@
 	}
 }
 
+// Guards against an entry that outlives its grace: an older description, as a relay may deliver it
+// late, must not cancel the deadline of an entry that is missing from the store.
+func TestOlderDescriptionDoesNotEndTheGrace(t *testing.T) {
+	r := NewRegistry(testHeartbeat)
+	r.List(start, []*fleet.Endpoint{endpoint("a", 4, false)}, at(4), time.Time{})
+	if kept := r.List(start, nil, at(5), start.Add(grace)); len(kept) != 1 {
+		t.Fatalf("kept %v, want one entry", kept)
+	}
+	r.Put(endpoint("a", 3, false), at(3))
+	r.Expire(start.Add(grace))
+	if usable(r, "a") {
+		t.Fatal("the entry is still used after its grace")
+	}
+}
+
 // Checks that an answer counts as of the time of its request, and a watch without
 // changes as of the end of its wait.
 func TestAgeCountsFromTheQuestion(t *testing.T) {
--- a/coordination/discovery/registry.go
+++ b/coordination/discovery/registry.go
@@ -164,7 +164,6 @@
 		r.changed = true
 		return
 	}
-	old.missingUntil = time.Time{}
 	returned := old.endpoint.Missing && e.Version == old.endpoint.Version
 	if e.Version.Before(old.endpoint.Version) {
 		r.discard(e.ID)
@@ -177,7 +176,7 @@
 		kept.Leaving, kept.Remaining = true, old.endpoint.Remaining
 		e = &kept
 	}
-	old.endpoint = e
+	old.endpoint, old.missingUntil = e, time.Time{}
 	r.changed = true
 }
 
