rollout: a confirmed drain is reported at once

Cause: SetDrain went on after a successful write as after a conflict, and could end with an unknown outcome and no published fact. Change: a confirmed write publishes the fact and returns. Result: no test of its own; by reading.

--- a/driver/rollout/actions.go
+++ b/driver/rollout/actions.go
@@ -148,8 +148,9 @@
 			return nil
 		}
 		next := Drain{On: on, By: by, At: time.Now().UTC()}
-		if _, out := r.platform.Put(ctx, platform.KindDrain, endpoint, version, next); out == protocol.WriteConflict {
-			continue
+		if written, out := r.platform.Put(ctx, platform.KindDrain, endpoint, version, next); out == protocol.WriteOK {
+			r.setDrainFact(endpoint, written, on)
+			return nil
 		}
 	}
 	return ErrOutcomeUnknown
