quotas: summaries with unusable numbers are ignored

Cause: level and usage of a peer's summary were taken over without a check for NaN, infinity or negative usage. Change: such a summary counts as none. Result: covered by reading; the checks of draws are unchanged.

--- a/driver/quotas/serve.go
+++ b/driver/quotas/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/doorvalve/doorvalve/coordination/membership"
@@ -25,6 +26,8 @@
 	return quota.Grant{Units: resp.Units, Allowance: resp.Ahead, NextDrawIn: time.Duration(resp.AgainMs) * time.Millisecond, RetryAfter: time.Duration(resp.RoomInMs) * time.Millisecond, NearLimit: resp.Over, SpareRate: resp.Spare, RateShare: resp.Part, Summary: summaryFromWire(resp.Summary)}, resp.Owner, nil
 }
 
+func isFinite(n float64) bool { return !math.IsNaN(n) && !math.IsInf(n, 0) }
+
 // errInvalidCount rejects draws with counts that no daemon sends.
 var errInvalidCount = errors.New("counts of a draw must be numbers of at least 0")
 
@@ -107,8 +110,10 @@
 	return &quotapb.Summary{Owner: s.Owner, AgeMs: s.Age.Milliseconds(), Level: s.Level, Used: s.Used}
 }
 
+// summaryFromWire returns nil for a summary without usable numbers: an owner that took over an
+// infinite or negative level would grant everything or nothing.
 func summaryFromWire(s *quotapb.Summary) *quota.Summary {
-	if s == nil {
+	if s == nil || !isFinite(s.Level) || slices.ContainsFunc(s.Used, func(n float64) bool { return !(n >= 0) || !isFinite(n) }) {
 		return nil
 	}
 	return &quota.Summary{Owner: s.Owner, Age: time.Duration(max(0, s.AgeMs)) * time.Millisecond, Level: s.Level, Used: s.Used}
