residency: requests for a model state their time and work

Cause: the coordinator plans without the size, the slack and the remaining time of the requests that wait for a model. Change: Want has Slack, TimeLeft, Work and Returning, carried in the existing fields of WantRequest. No decision uses them yet.

--- a/coordination/residency/types.go
+++ b/coordination/residency/types.go
@@ -9,6 +9,7 @@
 import (
 	"time"
 
+	"github.com/doorvalve/doorvalve/coordination/workcost"
 	"github.com/doorvalve/doorvalve/state/fleet"
 	"github.com/doorvalve/doorvalve/state/routing"
 )
@@ -103,6 +104,15 @@
 	// Full lists endpoints that hold the model but have no capacity left now under the rate
 	// limits that they report.
 	Full []fleet.Incarnation
+	// TimeLeft is the time until the caller gives up; zero if it is not known.
+	TimeLeft time.Duration
+	// Slack is the time until the request must start to meet its objective; negative if it
+	// cannot meet it any more. It is not known if TimeLeft is zero.
+	Slack time.Duration
+	// Work is the size of the request; zero if it is not known.
+	Work workcost.Work
+	// Returning reports that the caller was refused before and has returned.
+	Returning bool
 }
 
 // Place identifies a model, or an adapter as MODEL/ADAPTER, at an endpoint.
--- a/daemon/edgedaemon/peers.go
+++ b/daemon/edgedaemon/peers.go
@@ -234,7 +234,7 @@
 	caller := ctx
 	ctx, cancel := context.WithTimeout(ctx, wantTimeout)
 	defer cancel()
-	resp, err := d.fleet(address).Want(ctx, &fleetpb.WantRequest{Service: service, Model: w.Model, Adapter: w.Adapter, Rank: int32(w.Rank), Avoid: w.Avoid.ID, AvoidBorn: w.Avoid.StartUnixMs, Unreachable: w.Unreachable, Absent: w.MissingAt.ID, AbsentBorn: w.MissingAt.StartUnixMs, Daemon: w.Daemon, Full: incarnationsToWire(w.Full)})
+	resp, err := d.fleet(address).Want(ctx, wantToWire(service, w))
 	if err != nil {
 		if caller.Err() == nil && d.holders.failed(address, time.Now()) {
 			d.log.Warn(decisions.EventDependencyLost, "dependency", "coordinator", "service", service, "holder", address, "error", err)
@@ -256,11 +256,7 @@
 	if c == nil {
 		return &fleetpb.WantResponse{Refused: residency.RefusedNoCoordinator}, nil
 	}
-	a := c.Want(residency.Want{
-		Model: req.Model, Adapter: req.Adapter, Rank: int(req.Rank), Unreachable: req.Unreachable, Daemon: req.Daemon,
-		Avoid: fleet.Incarnation{ID: req.Avoid, StartUnixMs: req.AvoidBorn}, MissingAt: fleet.Incarnation{ID: req.Absent, StartUnixMs: req.AbsentBorn},
-		Full: incarnationsFromWire(req.Full),
-	})
+	a := c.Want(wantFromWire(req))
 	return &fleetpb.WantResponse{Endpoint: a.Endpoint.ID, Born: a.Endpoint.StartUnixMs, ReadyInMs: ceilMs(a.ReadyIn), StartsInMs: ceilMs(a.StartsIn), Level: int32(a.Level), Refused: a.Refused}, nil
 }
 
