workcost: samples are relative to an average engine

Cause: a sample was relative to the daemon's own estimate of the engine. When many daemons measure the same slow engine before the coordinator has answered, the coordinator would add up the same deviation for each of them. Change: a sample is relative to the average engine of the service, and MergeSample learns the difference to what is known already. Speeds are bounded by BoundedSpeed; PromptTime is available without an estimator.

--- a/coordination/workcost/estimator.go
+++ b/coordination/workcost/estimator.go
@@ -91,7 +91,13 @@
 
 // PromptTime returns how long an engine processes a number of prompt tokens.
 func (e *Estimator) PromptTime(now time.Time, engine fleet.Incarnation, model string, tokens int) time.Duration {
-	return time.Duration(float64(max(0, tokens)) / initialPromptRate * e.slowness(now, engine, model) * float64(time.Second))
+	return PromptTime(tokens, 1/e.slowness(now, engine, model))
+}
+
+// PromptTime returns how long an engine of a relative speed processes a number of prompt tokens of
+// a model of average pace, where no estimator has measured the service.
+func PromptTime(tokens int, speed float64) time.Duration {
+	return seconds(float64(max(0, tokens)) / initialPromptRate / speed)
 }
 
 // Estimate returns the expected course of a request that is sent to an engine now.
@@ -123,21 +129,25 @@
 	e.observe(now, engine, model, e.Estimate(now, engine, model, Work{}, load).Gap, gap)
 }
 
+// observe learns from a measured duration. Samples for the coordinator are relative to an average
+// engine: if they were relative to this daemon's estimate of the engine, the coordinator would add
+// up what many daemons have found before they received its answer.
 func (e *Estimator) observe(now time.Time, engine fleet.Incarnation, model string, predicted, measured time.Duration) {
 	if predicted < minMeasured || measured <= 0 {
 		return
 	}
 	residual := clamp(math.Log(measured.Seconds()/predicted.Seconds()), maxLogRatio)
-	e.service = clamp(e.service+serviceStep*residual, 2*maxLogFactor)
-	e.models[model] = clamp(e.models[model]+modelStep*residual, maxLogFactor)
-	e.engine(engine).learn(now, engineStep, residual)
+	f := e.engine(engine)
 	s := e.samples[engine]
 	if s == nil {
 		s = &Sample{Incarnation: engine}
 		e.samples[engine] = s
 	}
 	s.Count++
-	s.LogRatio += residual
+	s.LogRatio += clamp(f.decayed(now)+residual, maxLogFactor)
+	e.service = clamp(e.service+serviceStep*residual, 2*maxLogFactor)
+	e.models[model] = clamp(e.models[model]+modelStep*residual, maxLogFactor)
+	f.learn(now, engineStep, residual)
 }
 
 func (e *Estimator) engine(id fleet.Incarnation) *factor {
@@ -159,6 +169,9 @@
 	return math.Exp(-f.decayed(now)), max(0, now.Sub(f.at))
 }
 
+// Measured reports whether an engine's speed has been measured.
+func (e *Estimator) Measured(engine fleet.Incarnation) bool { return e.engines[engine] != nil }
+
 // TakeSamples returns the measurements since the last call, for the coordinator.
 func (e *Estimator) TakeSamples() []Sample {
 	out := make([]Sample, 0, len(e.samples))
@@ -173,21 +186,44 @@
 // Speeds that are not finite and positive are ignored.
 func (e *Estimator) Merge(now time.Time, speeds []Speed) {
 	for _, s := range speeds {
-		if !(s.Relative > 0) || math.IsInf(s.Relative, 0) {
+		relative := BoundedSpeed(s.Relative)
+		if relative == 0 {
 			continue
 		}
 		f := e.engine(s.Incarnation)
-		f.log, f.at = clamp(-math.Log(s.Relative), maxLogFactor), now
+		f.log, f.at = -math.Log(relative), now
 	}
 }
 
-// MergeSample learns an engine's factor from other daemons' measurements.
+// BoundedSpeed returns a relative speed within the bounds of speeds, or zero if it is not a finite
+// positive number and therefore not known.
+func BoundedSpeed(relative float64) float64 {
+	if !(relative > 0) || math.IsInf(relative, 0) {
+		return 0
+	}
+	return math.Exp(clamp(math.Log(relative), maxLogFactor))
+}
+
+// maxSampleCount bounds the weight of one report: with that many measurements, the factor is that
+// of the report.
+const maxSampleCount = 1000
+
+// MergeSample learns an engine's factor from other daemons' measurements. The service-wide value
+// follows the mean of all samples, so that factors stay relative to the average engine even if the
+// daemons' own estimates of the service are biased.
 func (e *Estimator) MergeSample(now time.Time, s Sample) {
 	if s.Count <= 0 || math.IsNaN(s.LogRatio) || math.IsInf(s.LogRatio, 0) {
 		return
 	}
-	mean := clamp(s.LogRatio/float64(s.Count), maxLogRatio)
-	e.engine(s.Incarnation).learn(now, 1-math.Pow(1-engineStep, float64(min(s.Count, 1000))), mean)
+	f := e.engine(s.Incarnation)
+	residual := clamp(clamp(s.LogRatio/float64(s.Count), maxLogFactor)-e.service-f.decayed(now), maxLogRatio)
+	e.service = clamp(e.service+weight(serviceStep, s.Count)*residual, 2*maxLogFactor)
+	f.learn(now, weight(engineStep, s.Count), residual)
+}
+
+// weight returns the weight of several measurements of which each has the weight step.
+func weight(step float64, count int) float64 {
+	return 1 - math.Pow(1-step, float64(min(count, maxSampleCount)))
 }
 
 // Retain removes the factors of engines that keep rejects.
