daemon: work and speeds of engines are exchanged

Cause: daemons and the coordinator know only how many requests run at an engine, whatever their prompts and whatever the engine's speed. Change: daemons report pending prompt tokens, held tokens and speed samples of each engine with Demand. The coordinator adds up the tokens, merges the samples and answers with one byte each for pending tokens, speed and held tokens, beside the byte for requests. Requests that an answer has directed to an engine count with their prompt tokens until they are reported. The cost of an engine's load includes the time that its pending prompt tokens take. Absent and unusable values are not known; old daemons ignore the new ones.

--- a/coordination/residency/draft.go
+++ b/coordination/residency/draft.go
@@ -95,13 +95,16 @@
 	}
 }
 
-// countRunning counts the running requests of each engine; requests for an adapter count
-// for its model.
+// countRunning counts the running requests of each engine and their work; requests for an
+// adapter count for its model.
 func (p *Planner) countRunning(d *draft) {
 	for _, e := range p.sorted {
-		e.running = 0
+		e.running, e.work = 0, EngineWork{}
 	}
 	p.addRunning(d.running, 1)
+	for _, report := range p.demands {
+		p.addWork(report.Work, 1)
+	}
 }
 
 // countReplicas counts the models of an engine, including those that are being loaded.
--- a/coordination/residency/planner.go
+++ b/coordination/residency/planner.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/doorvalve/doorvalve/coordination/workcost"
 	"github.com/doorvalve/doorvalve/state/fleet"
 )
 
@@ -65,11 +66,14 @@
 	// unloadedAt holds when unloads were accepted, by model. Older descriptions of the
 	// engine still list the model.
 	unloadedAt map[string]time.Time
-	probeAt    time.Time // time of the next probe; zero if none is due
-	probing    bool      // a probe is in progress
-	running    int       // requests that run here according to the daemons
-	unreported int       // requests directed here by an answer that no daemon has reported yet
-	lateOrders []lateOrder
+	probeAt    time.Time  // time of the next probe; zero if none is due
+	probing    bool       // a probe is in progress
+	running    int        // requests that run here according to the daemons
+	work       EngineWork // of these requests
+	unreported int        // requests directed here by an answer that no daemon has reported yet
+	// unreportedPrompt is the number of prompt tokens of these requests.
+	unreportedPrompt int
+	lateOrders       []lateOrder
 	// afterUnload reports that no order has been answered since the last unload.
 	afterUnload bool
 	// fullUntil is the time until which the engine counts as full under its rate limit.
@@ -124,13 +128,14 @@
 	// unloadTime is the learned estimate of how long engines take to carry out an unload.
 	unloadTime     time.Duration
 	limits         map[string]incarnationLimit // reported by engines, by id
+	costs          *workcost.Estimator         // speeds of the engines
 	sent           []sentRequest
 	storeWatchedAt time.Time // last update of the concurrency of loads in progress
 }
 
 // New returns a planner without any state.
 func New(opt Options) *Planner {
-	return &Planner{opt: opt, store: newStoreConcurrency(opt.InitialStoreConcurrency), engines: map[string]*engineState{}, limits: map[string]incarnationLimit{}, demands: map[string]*reportedDemand{}, wants: map[string]*wantedModel{}, values: map[string]*value{}, pressures: map[string]*pressure{}}
+	return &Planner{opt: opt, store: newStoreConcurrency(opt.InitialStoreConcurrency), engines: map[string]*engineState{}, limits: map[string]incarnationLimit{}, demands: map[string]*reportedDemand{}, wants: map[string]*wantedModel{}, values: map[string]*value{}, pressures: map[string]*pressure{}, costs: workcost.New()}
 }
 
 // Configure sets the service to plan for.
@@ -197,6 +202,7 @@
 			delete(p.engines, id)
 		}
 	}
+	p.costs.Retain(func(incarnation fleet.Incarnation) bool { return p.engineOf(incarnation) != nil })
 	p.sortEngines()
 }
 
@@ -259,9 +265,11 @@
 
 // ReceiveDemand replaces the demand of a daemon by its new report.
 func (p *Planner) ReceiveDemand(now time.Time, daemon string, d Demand) {
-	d.Running = p.ofCurrentIncarnations(d.Running)
-	p.countDelta(daemon, d.Running)
+	d.Running, d.Work = p.ofCurrentIncarnations(d.Running), boundedWork(d.Work)
+	p.countDelta(daemon, d)
 	p.pruneSent(now, daemon)
+	p.learnSpeeds(now, d.Samples)
+	d.Samples = nil
 	p.demands[daemon] = &reportedDemand{Demand: d, at: now}
 	for place, first := range d.FirstEvents {
 		p.addFirstEvents(now, place.Model, first)
--- a/coordination/residency/running.go
+++ b/coordination/residency/running.go
@@ -5,38 +5,50 @@
 	"strings"
 	"time"
 
+	"github.com/doorvalve/doorvalve/coordination/workcost"
 	"github.com/doorvalve/doorvalve/state/fleet"
 )
 
-// Running is the number of running requests at an engine, from the valid reports of all
-// daemons.
-type Running struct {
+// EngineLoad is the work at an engine, from the valid reports of all daemons.
+type EngineLoad struct {
 	Endpoint fleet.Incarnation
-	Requests int
+	Requests int // running requests
+	EngineWork
+	Speed float64 // relative to the average engine of the service; zero if it is not known
 }
 
-// Running returns the running requests of each engine, sorted by id, as of the last
-// planning step.
-func (p *Planner) Running() []Running {
-	list := make([]Running, len(p.sorted))
+// Loads returns the work at each engine as of the last planning step, and its speed now, sorted
+// by id. Requests that no daemon has reported yet are not included.
+func (p *Planner) Loads(now time.Time) []EngineLoad {
+	list := make([]EngineLoad, len(p.sorted))
 	for i, e := range p.sorted {
-		list[i] = Running{e.incarnation, e.running}
+		list[i] = EngineLoad{Endpoint: e.incarnation, Requests: e.running, EngineWork: e.work}
+		if speed, age := p.costs.Speed(now, e.incarnation); p.costs.Measured(e.incarnation) && age < maxSpeedAge {
+			list[i].Speed = speed
+		}
 	}
 	return list
 }
 
+// maxSpeedAge is the age of an engine's last measurement from which its speed counts as not
+// known. By then the estimate has decayed to a twentieth of what was measured.
+const maxSpeedAge = 35 * time.Second
+
 // sentRequest is a request that an answer has directed to an engine and that its daemon has
 // not reported yet.
 type sentRequest struct {
 	daemon      string
 	incarnation fleet.Incarnation
 	at          time.Time
+	prompt      int // prompt tokens
 }
 
-// addSent records that an answer has directed a daemon's request to an engine.
-func (p *Planner) addSent(now time.Time, e *engineState, daemon string) {
+// addSent records that an answer has directed a request to an engine.
+func (p *Planner) addSent(now time.Time, e *engineState, want Want) {
+	prompt := workcost.WorkOf(want.Work.Prompt, want.Work.Output, true).Prompt
 	e.unreported++
-	p.sent = append(p.sent, sentRequest{daemon, e.incarnation, now})
+	e.unreportedPrompt += prompt
+	p.sent = append(p.sent, sentRequest{want.Daemon, e.incarnation, now, prompt})
 }
 
 // answerDelay is the maximum time until an answer has reached its daemon and the request is
@@ -54,17 +66,20 @@
 		}
 		if e := p.engines[s.incarnation.ID]; e != nil && e.incarnation.Matches(s.incarnation) {
 			e.unreported--
+			e.unreportedPrompt -= s.prompt
 		}
 		return true
 	})
 }
 
 // countDelta adds the difference between a daemon's new report and its previous one.
-func (p *Planner) countDelta(daemon string, running map[Place]int) {
+func (p *Planner) countDelta(daemon string, d Demand) {
 	if before := p.demands[daemon]; before != nil {
 		p.addRunning(before.Running, -1)
+		p.addWork(before.Work, -1)
 	}
-	p.addRunning(running, 1)
+	p.addRunning(d.Running, 1)
+	p.addWork(d.Work, 1)
 }
 
 // addRunning adds the running requests of each engine, multiplied by sign; requests for an
@@ -77,6 +92,49 @@
 	}
 }
 
+// maxReportedTokens bounds the tokens of one daemon's requests at one engine. It is several times
+// what the cache of an engine holds, and a faulty report must not make an engine look busy for
+// minutes.
+const maxReportedTokens = 1 << 20
+
+// boundedWork returns the reported work of engines within the range that is safe to add up.
+func boundedWork(work map[fleet.Incarnation]EngineWork) map[fleet.Incarnation]EngineWork {
+	out := make(map[fleet.Incarnation]EngineWork, len(work))
+	for incarnation, w := range work {
+		out[incarnation] = EngineWork{PendingPrompt: min(maxReportedTokens, max(0, w.PendingPrompt)), Held: min(maxReportedTokens, max(0, w.Held))}
+	}
+	return out
+}
+
+// addWork adds the reported work of each engine, multiplied by sign. Work at earlier incarnations
+// of an engine has ended with them.
+func (p *Planner) addWork(work map[fleet.Incarnation]EngineWork, sign int) {
+	for incarnation, w := range work {
+		if e := p.engineOf(incarnation); e != nil {
+			e.work.PendingPrompt += sign * w.PendingPrompt
+			e.work.Held += sign * w.Held
+		}
+	}
+}
+
+// learnSpeeds takes over the durations that a daemon has measured at engines.
+func (p *Planner) learnSpeeds(now time.Time, samples []workcost.Sample) {
+	for _, s := range samples {
+		if e := p.engineOf(s.Incarnation); e != nil {
+			s.Incarnation = e.incarnation
+			p.costs.MergeSample(now, s)
+		}
+	}
+}
+
+// speedAndWork returns the speed of an engine relative to the average one, which is 1 if it is not
+// known, and the prompt tokens that it has not processed yet, including those of requests directed
+// there that no daemon has reported yet.
+func (p *Planner) speedAndWork(now time.Time, e *engineState) (speed float64, pendingPrompt int) {
+	speed, _ = p.costs.Speed(now, e.incarnation)
+	return speed, max(0, e.work.PendingPrompt+e.unreportedPrompt)
+}
+
 // load returns the number of requests that run or wait at an engine, including those
 // directed there that no daemon has reported yet.
 func (e *engineState) load() int { return e.running + e.unreported }
@@ -94,10 +152,12 @@
 	return time.Duration(float64(p.runTime()) * float64(queued) / float64(slots))
 }
 
-// loadCost returns the cost that an engine's load adds to sending a request there.
-func (p *Planner) loadCost(e *engineState) time.Duration {
+// loadCost returns the cost that an engine's load adds to sending a request there: the wait for a
+// slot, and the time until the prompts that were sent before are processed.
+func (p *Planner) loadCost(now time.Time, e *engineState) time.Duration {
 	full := min(1, float64(e.load())/float64(p.capacity(e)))
-	return p.startsIn(e) + time.Duration(full*float64(spreadCost))
+	speed, pendingPrompt := p.speedAndWork(now, e)
+	return p.startsIn(e) + time.Duration(full*float64(spreadCost)) + workcost.PromptTime(pendingPrompt, speed)
 }
 
 // runTime returns the mean duration of a request as of the last planning step.
--- a/coordination/residency/schedule.go
+++ b/coordination/residency/schedule.go
@@ -92,7 +92,7 @@
 		if !ok {
 			continue
 		}
-		penalty := r.cost + p.loadCost(e)
+		penalty := r.cost + p.loadCost(d.now, e)
 		s := scheduledLoad{model: model, engine: e, level: e.level(model)}
 		startIn := max(d.engines[e].freeIn, r.wait)
 		if s.level == Store {
--- a/coordination/residency/types.go
+++ b/coordination/residency/types.go
@@ -128,6 +128,17 @@
 	// FirstEvents counts how quickly endpoints began to answer since the daemon's previous
 	// report. Requests for an adapter count for its model.
 	FirstEvents map[Place]FirstEvents
+	// Work is the work of the daemon's running requests, by engine. Engines without an entry
+	// have none that is known.
+	Work map[fleet.Incarnation]EngineWork
+	// Samples are the durations that the daemon has measured since its previous report.
+	Samples []workcost.Sample
+}
+
+// EngineWork is the work of running requests at an engine.
+type EngineWork struct {
+	PendingPrompt int // prompt tokens of the requests that have no first event yet
+	Held          int // prompt and output tokens of all requests
 }
 
 // FirstEvents counts the first events of answers.
--- a/coordination/residency/want.go
+++ b/coordination/residency/want.go
@@ -82,7 +82,7 @@
 			continue
 		}
 		cost, ok := p.residentCost(now, e, r, want)
-		cost += p.loadCost(e)
+		cost += p.loadCost(now, e)
 		if want.Avoid.Matches(e.incarnation) {
 			cost += avoidedCost
 		}
@@ -96,7 +96,7 @@
 	r := best.models[want.Model]
 	r.lastUse, r.lastAnswered = now, now
 	startsIn := p.startsIn(best)
-	p.addSent(now, best, want.Daemon)
+	p.addSent(now, best, want)
 	a := Answer{Endpoint: best.incarnation, Level: Resident, StartsIn: startsIn, ReadyIn: max(0, r.readyAt.Sub(now))}
 	if want.Avoid.Matches(best.incarnation) {
 		a.ReadyIn = max(a.ReadyIn, avoidedPause)
--- a/daemon/edgedaemon/demand.go
+++ b/daemon/edgedaemon/demand.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/doorvalve/doorvalve/coordination/balance"
 	"github.com/doorvalve/doorvalve/coordination/residency"
 	"github.com/doorvalve/doorvalve/protocol/fleetpb"
 	"github.com/doorvalve/doorvalve/state/fleet"
@@ -51,71 +52,63 @@
 }
 
 // sendDemand sends this daemon's demand to a service's coordinator and applies the answer:
-// the number of requests that all daemons have at each endpoint. alive is the number of
-// daemons. Without requests, now and in the last message, it sends nothing.
+// the work that all daemons have at each endpoint. alive is the number of daemons. Without
+// requests, now and in the last message, it sends nothing.
 func (d *Daemon) sendDemand(ctx context.Context, service string, demand residency.Demand, alive int) {
 	if len(demand.Active) == 0 && d.lastSent[service] == 0 {
 		return
 	}
 	d.lastSent[service] = len(demand.Active)
-	mine := d.balancer.OwnRunning()
-	if own := d.localCoordinator(service); own != nil && own.Holds() {
-		own.ReceiveDemand(d.self, demand)
-		d.receiveRunning(service, own.Running(), mine, alive)
+	own := ofService(d.balancer.OwnLoads(), d.view.Endpoints(), service)
+	demand.Work = workOf(own)
+	demand.Samples = d.balancer.TakeSamples(service)
+	if c := d.localCoordinator(service); c != nil && c.Holds() {
+		c.ReceiveDemand(d.self, demand)
+		d.receiveLoads(service, c.Loads(), own, alive)
 		return
 	}
 	address := d.holder(service)
 	if address == "" {
 		return
 	}
-	req := &fleetpb.DemandRequest{Daemon: d.self, Service: service, Active: make(map[string]int32, len(demand.Active))}
-	for model, n := range demand.Active {
-		req.Active[model] = int32(n)
-	}
-	for place, n := range demand.Running {
-		first := demand.FirstEvents[place]
-		delete(demand.FirstEvents, place)
-		req.Running = append(req.Running, runningAt(place, n, first))
-	}
-	for place, first := range demand.FirstEvents {
-		req.Running = append(req.Running, runningAt(place, 0, first))
-	}
 	ctx, cancel := context.WithTimeout(ctx, wantTimeout)
 	defer cancel()
-	resp, err := d.fleet(address).Demand(ctx, req)
+	resp, err := d.fleet(address).Demand(ctx, demandToWire(d.self, service, demand))
 	if err != nil {
 		d.log.Debug("demand message failed", "service", service, "holder", address, "error", err)
 		return
 	}
-	d.receiveRunning(service, d.lists.unpackRunning(d.view.Endpoints().ByService[service], resp), mine, alive)
+	d.receiveLoads(service, d.lists.unpackLoads(d.view.Endpoints().ByService[service], resp), own, alive)
+}
+
+// ofService returns the loads at the endpoints of one service.
+func ofService(loads balance.EngineLoads, view *fleet.View, service string) balance.EngineLoads {
+	out := balance.EngineLoads{}
+	for incarnation, l := range loads {
+		if e := view.Find(incarnation); e != nil && e.Service == service {
+			out[incarnation] = l
+		}
+	}
+	return out
 }
 
-func runningAt(place residency.Place, requests int, first residency.FirstEvents) *fleetpb.Running {
-	return &fleetpb.Running{
-		Endpoint: place.Endpoint.ID, Born: place.Endpoint.StartUnixMs, Model: place.Model, Requests: int32(requests),
-		FirstEvents: int32(first.Count), Slow: int32(first.Slow), Rank: int32(first.Rank),
+// workOf returns the work that a daemon reports of its requests.
+func workOf(own balance.EngineLoads) map[fleet.Incarnation]residency.EngineWork {
+	work := make(map[fleet.Incarnation]residency.EngineWork, len(own))
+	for incarnation, l := range own {
+		if l.PendingPrompt > 0 || l.Held > 0 {
+			work[incarnation] = residency.EngineWork{PendingPrompt: l.PendingPrompt, Held: l.Held}
+		}
 	}
+	return work
 }
 
 // Demand implements fleetpb.Fleet.
 func (s *fleetServer) Demand(_ context.Context, req *fleetpb.DemandRequest) (*fleetpb.DemandResponse, error) {
 	if c := (*Daemon)(s).localCoordinator(req.Service); c != nil {
-		demand := residency.Demand{
-			Active: make(map[string]int, len(req.Active)), Running: make(map[residency.Place]int, len(req.Running)), FirstEvents: map[residency.Place]residency.FirstEvents{},
-		}
-		for model, n := range req.Active {
-			demand.Active[model] = int(n)
-		}
-		for _, r := range req.Running {
-			place := residency.Place{Endpoint: fleet.Incarnation{ID: r.Endpoint, StartUnixMs: r.Born}, Model: r.Model}
-			demand.Running[place] = int(r.Requests)
-			if r.FirstEvents > 0 {
-				demand.FirstEvents[place] = residency.FirstEvents{Count: int(r.FirstEvents), Slow: int(r.Slow), Rank: int(r.Rank)}
-			}
-		}
-		c.ReceiveDemand(req.Daemon, demand)
+		c.ReceiveDemand(req.Daemon, demandFromWire(req))
 		if c.Holds() {
-			return packRunning(c.Running()), nil
+			return packLoads(c.Loads()), nil
 		}
 	}
 	return &fleetpb.DemandResponse{}, nil
--- a/daemon/edgedaemon/loads.go
+++ b/daemon/edgedaemon/loads.go
@@ -2,36 +2,78 @@
 
 import (
 	"encoding/binary"
+	"math"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/doorvalve/doorvalve/coordination/balance"
 	"github.com/doorvalve/doorvalve/coordination/residency"
+	"github.com/doorvalve/doorvalve/coordination/workcost"
 	"github.com/doorvalve/doorvalve/internal/clock"
 	"github.com/doorvalve/doorvalve/protocol/fleetpb"
 	"github.com/doorvalve/doorvalve/state/fleet"
 )
 
-// A coordinator sends the number of requests at each endpoint to all daemons several times
-// a second. The message has one byte for each endpoint, in the order of their ids, and a
-// hash of that list of endpoints. Both sides have the list from the store. With 600
-// endpoints and the interval of residency.DemandDelay, the coordinator sends 0.2 MB a
-// second, whatever the number of daemons.
+// A coordinator sends the work at each endpoint to all daemons several times a second. The message
+// has four bytes for each endpoint: requests, pending prompt tokens, speed and held tokens, each in
+// the order of the endpoints' ids, and a hash of that list of endpoints. Both sides have the list
+// from the store. With 600 endpoints and the interval of residency.DemandDelay, the coordinator
+// sends 0.8 MB a second, whatever the number of daemons.
 
-// maxRunning is the largest count that a message can hold; larger counts are sent as
-// maxRunning.
-const maxRunning = 255
+const (
+	// maxCode is the largest value of a byte; larger counts are sent as maxCode.
+	maxCode = 255
+	// pendingUnit and heldUnit are the number of tokens that one step of a byte stands for. They let
+	// a byte reach 65,000 pending prompt tokens, two seconds of work, and 522,000 held tokens, twice
+	// the cache of an engine.
+	pendingUnit = 256
+	heldUnit    = 2048
+)
 
-// packRunning encodes the number of requests at each endpoint. list must be sorted by id.
-func packRunning(list []residency.Running) *fleetpb.DemandResponse {
-	counts := make([]byte, len(list))
+// packLoads encodes the work at each endpoint. list must be sorted by id.
+func packLoads(list []residency.EngineLoad) *fleetpb.DemandResponse {
+	n := len(list)
+	b := make([]byte, 4*n)
+	resp := &fleetpb.DemandResponse{Running: b[:n:n], Pending: b[n : 2*n : 2*n], Speed: b[2*n : 3*n : 3*n], Held: b[3*n:]}
 	hash := xxhash.New()
-	for i, r := range list {
-		counts[i] = byte(min(maxRunning, max(0, r.Requests)))
-		hashIncarnation(hash, r.Endpoint)
+	for i, l := range list {
+		resp.Running[i] = countToCode(l.Requests, 1)
+		resp.Pending[i] = countToCode(l.PendingPrompt, pendingUnit)
+		resp.Speed[i] = speedToCode(l.Speed)
+		resp.Held[i] = countToCode(l.Held, heldUnit)
+		hashIncarnation(hash, l.Endpoint)
+	}
+	resp.Endpoints = hash.Sum64()
+	return resp
+}
+
+// countToCode returns the nearest number of units. Rounding up would show work at an idle endpoint
+// that the receiver's own requests cause and that it has subtracted.
+func countToCode(count, unit int) byte {
+	return byte(min(maxCode, (max(0, count)+unit/2)/unit))
+}
+
+// Speeds are sent as speedCodeOfOne plus speedStepsPerDoubling steps for each doubling.
+const (
+	speedCodeOfOne        = 128
+	speedStepsPerDoubling = 32
+)
+
+func speedToCode(relative float64) byte {
+	relative = workcost.BoundedSpeed(relative)
+	if relative == 0 {
+		return 0
+	}
+	return byte(math.Round(speedCodeOfOne + speedStepsPerDoubling*math.Log2(relative)))
+}
+
+// speedFromCode returns zero if the speed is not known.
+func speedFromCode(code byte) float64 {
+	if code == 0 {
+		return 0
 	}
-	return &fleetpb.DemandResponse{Endpoints: hash.Sum64(), Running: counts}
+	return workcost.BoundedSpeed(math.Exp2((float64(code) - speedCodeOfOne) / speedStepsPerDoubling))
 }
 
 func hashIncarnation(hash *xxhash.Digest, incarnation fleet.Incarnation) {
@@ -56,10 +98,11 @@
 	incarnations []fleet.Incarnation
 }
 
-// unpackRunning decodes a coordinator's message with the endpoint list that it was encoded
-// with: present, which must be sorted by id, or an earlier list. It returns nil if that list
-// is not known here.
-func (l *endpointLists) unpackRunning(present []*fleet.Endpoint, resp *fleetpb.DemandResponse) []residency.Running {
+// unpackLoads decodes a coordinator's message with the endpoint list that it was encoded with:
+// present, which must be sorted by id, or an earlier list. It returns nil if that list is not known
+// here. Pending prompt tokens, speeds and held tokens that are absent, as from an old coordinator,
+// or that do not fit the list are not known, and are zero.
+func (l *endpointLists) unpackLoads(present []*fleet.Endpoint, resp *fleetpb.DemandResponse) []residency.EngineLoad {
 	l.add(present)
 	i := slices.IndexFunc(l.lists, func(e endpointList) bool {
 		return e.hash == resp.Endpoints && len(e.incarnations) == len(resp.Running)
@@ -67,13 +110,26 @@
 	if i < 0 {
 		return nil
 	}
-	list := make([]residency.Running, len(resp.Running))
-	for at, n := range resp.Running {
-		list[at] = residency.Running{Endpoint: l.lists[i].incarnations[at], Requests: int(n)}
+	n := len(resp.Running)
+	pending, speed, held := codes(resp.Pending, n), codes(resp.Speed, n), codes(resp.Held, n)
+	list := make([]residency.EngineLoad, n)
+	for at := range list {
+		list[at] = residency.EngineLoad{
+			Endpoint: l.lists[i].incarnations[at], Requests: int(resp.Running[at]), Speed: speedFromCode(speed[at]),
+			EngineWork: residency.EngineWork{PendingPrompt: int(pending[at]) * pendingUnit, Held: int(held[at]) * heldUnit},
+		}
 	}
 	return list
 }
 
+// codes returns b if it has one byte for each of n endpoints, otherwise zeros.
+func codes(b []byte, n int) []byte {
+	if len(b) != n {
+		return make([]byte, n)
+	}
+	return b
+}
+
 func (l *endpointLists) add(present []*fleet.Endpoint) {
 	digest := xxhash.New()
 	incarnations := make([]fleet.Incarnation, len(present))
@@ -89,18 +145,17 @@
 	}
 }
 
-// receiveRunning passes the number of requests at the endpoints of a service to the balancer.
-// mine is this daemon's part of them. The counts that the coordinator has of each daemon are
-// on average half a reporting interval old; alive, the number of daemons, determines that
-// interval.
-func (d *Daemon) receiveRunning(service string, list []residency.Running, mine balance.Running, alive int) {
+// receiveLoads passes the work at the endpoints of a service to the balancer. own is this daemon's
+// part of it. The reports that the coordinator has of each daemon are on average half a reporting
+// interval old; alive, the number of daemons, determines that interval.
+func (d *Daemon) receiveLoads(service string, list []residency.EngineLoad, own balance.EngineLoads, alive int) {
 	if list == nil {
 		return
 	}
-	all := make(balance.Running, len(list))
-	for _, r := range list {
-		all[r.Endpoint] = r.Requests
+	all := make(balance.EngineLoads, len(list))
+	for _, l := range list {
+		all[l.Endpoint] = balance.EngineLoad{Running: l.Requests, PendingPrompt: l.PendingPrompt, Held: l.Held, Speed: l.Speed}
 	}
 	interval := max(residency.DemandInterval, residency.DemandDelay(alive))
-	d.balancer.ReceiveRunning(service, clock.Now().Add(-interval/2), all, mine)
+	d.balancer.ReceiveLoads(service, clock.Now().Add(-interval/2), all, own)
 }
--- a/driver/coordinator/coordinator.go
+++ b/driver/coordinator/coordinator.go
@@ -176,11 +176,11 @@
 	c.plan.ReceiveDemand(c.opt.Clock(), daemon, d)
 }
 
-// Running returns the running requests at each engine, by the recent reports of all daemons.
-func (c *Coordinator) Running() []residency.Running {
+// Loads returns the work at each engine, by the recent reports of all daemons.
+func (c *Coordinator) Loads() []residency.EngineLoad {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.plan.Running()
+	return c.plan.Loads(c.opt.Clock())
 }
 
 // Holds reports whether this daemon holds the lease.
