daemon: round trip of work between old and new peers

Cause: the exchange was tested message by message only; speeds were computed anew for each of up to 300 answers a second; an answer had four bytes for each engine also where nothing is known. Change: speeds are those of the last planning step. A list of zeros is left out of an answer. Samples are sorted, so that equal input gives equal speeds.

--- a/coordination/residency/draft.go
+++ b/coordination/residency/draft.go
@@ -95,11 +95,11 @@
 	}
 }
 
-// countRunning counts the running requests of each engine and their work; requests for an
-// adapter count for its model.
+// countRunning counts the running requests of each engine and their work, and updates its speed;
+// requests for an adapter count for its model.
 func (p *Planner) countRunning(d *draft) {
 	for _, e := range p.sorted {
-		e.running, e.work = 0, EngineWork{}
+		e.running, e.work, e.speed = 0, EngineWork{}, p.knownSpeed(d.now, e)
 	}
 	p.addRunning(d.running, 1)
 	for _, report := range p.demands {
--- a/coordination/residency/planner.go
+++ b/coordination/residency/planner.go
@@ -70,6 +70,7 @@
 	probing    bool       // a probe is in progress
 	running    int        // requests that run here according to the daemons
 	work       EngineWork // of these requests
+	speed      float64    // as of the last planning step; zero if it is not known
 	unreported int        // requests directed here by an answer that no daemon has reported yet
 	// unreportedPrompt is the number of prompt tokens of these requests.
 	unreportedPrompt int
--- a/coordination/residency/running.go
+++ b/coordination/residency/running.go
@@ -17,19 +17,25 @@
 	Speed float64 // relative to the average engine of the service; zero if it is not known
 }
 
-// Loads returns the work at each engine as of the last planning step, and its speed now, sorted
-// by id. Requests that no daemon has reported yet are not included.
-func (p *Planner) Loads(now time.Time) []EngineLoad {
+// Loads returns the work and speed of each engine, sorted by id, as of the last planning step.
+// Requests that no daemon has reported yet are not included.
+func (p *Planner) Loads() []EngineLoad {
 	list := make([]EngineLoad, len(p.sorted))
 	for i, e := range p.sorted {
-		list[i] = EngineLoad{Endpoint: e.incarnation, Requests: e.running, EngineWork: e.work}
-		if speed, age := p.costs.Speed(now, e.incarnation); p.costs.Measured(e.incarnation) && age < maxSpeedAge {
-			list[i].Speed = speed
-		}
+		list[i] = EngineLoad{Endpoint: e.incarnation, Requests: e.running, EngineWork: e.work, Speed: e.speed}
 	}
 	return list
 }
 
+// knownSpeed returns the relative speed of an engine, or zero if it has not been measured lately.
+func (p *Planner) knownSpeed(now time.Time, e *engineState) float64 {
+	speed, age := p.costs.Speed(now, e.incarnation)
+	if !p.costs.Measured(e.incarnation) || age >= maxSpeedAge {
+		return 0
+	}
+	return speed
+}
+
 // maxSpeedAge is the age of an engine's last measurement from which its speed counts as not
 // known. By then the estimate has decayed to a twentieth of what was measured.
 const maxSpeedAge = 35 * time.Second
--- a/coordination/residency/work_test.go
+++ b/coordination/residency/work_test.go
@@ -29,7 +29,7 @@
 // loadOf returns the work at an engine after the next planning step.
 func (w *simCluster) loadOf(i int) EngineLoad {
 	w.step()
-	return w.p.Loads(w.now)[i]
+	return w.p.Loads()[i]
 }
 
 // Guards against work that is counted twice after the next report of the same daemon, that stays
@@ -43,7 +43,7 @@
 		t.Errorf("work of two daemons: %+v, want 10016 pending and 21000 held tokens", l)
 	}
 	w.p.ReceiveDemand(w.now, "a", workAt(e0, 0, 9240))
-	if l := w.p.Loads(w.now)[0]; l.PendingPrompt != 826 || l.Held != 10_240 {
+	if l := w.p.Loads()[0]; l.PendingPrompt != 826 || l.Held != 10_240 {
 		t.Errorf("after the next report, before the next step: %+v, want 826 pending and 10240 held tokens", l)
 	}
 	w.engines[0].restart(w.now)
--- a/coordination/workcost/estimator.go
+++ b/coordination/workcost/estimator.go
@@ -1,7 +1,9 @@
 package workcost
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/doorvalve/doorvalve/state/fleet"
@@ -299,13 +301,16 @@
 // Measured reports whether an engine's speed has been measured.
 func (e *Estimator) Measured(engine fleet.Incarnation) bool { return e.engines[engine] != nil }
 
-// TakeSamples returns the measurements since the last call, for the coordinator.
+// TakeSamples returns the measurements since the last call, for the coordinator, sorted by engine.
 func (e *Estimator) TakeSamples() []Sample {
 	out := make([]Sample, 0, len(e.samples))
 	for _, s := range e.samples {
 		out = append(out, *s)
 	}
 	clear(e.samples)
+	slices.SortFunc(out, func(a, b Sample) int {
+		return cmp.Or(cmp.Compare(a.Incarnation.ID, b.Incarnation.ID), cmp.Compare(a.Incarnation.StartUnixMs, b.Incarnation.StartUnixMs))
+	})
 	return out
 }
 
--- a/daemon/edgedaemon/loads.go
+++ b/daemon/edgedaemon/loads.go
@@ -16,10 +16,10 @@
 )
 
 // A coordinator sends the work at each endpoint to all daemons several times a second. The message
-// has four bytes for each endpoint: requests, pending prompt tokens, speed and held tokens, each in
-// the order of the endpoints' ids, and a hash of that list of endpoints. Both sides have the list
-// from the store. With 600 endpoints and the interval of residency.DemandDelay, the coordinator
-// sends 0.8 MB a second, whatever the number of daemons.
+// has four lists with a byte for each endpoint: requests, pending prompt tokens, speeds and held
+// tokens, each in the order of the endpoints' ids, and a hash of that list of endpoints. Both sides
+// have the list from the store. Of the last three, a list of zeros is left out. With 600 endpoints and the interval of residency.DemandDelay, the coordinator
+// sends at most 0.8 MB a second, whatever the number of daemons.
 
 const (
 	// maxCode is the largest value of a byte; larger counts are sent as maxCode.
@@ -45,9 +45,18 @@
 		hashIncarnation(hash, l.Endpoint)
 	}
 	resp.Endpoints = hash.Sum64()
+	resp.Pending, resp.Speed, resp.Held = unlessZero(resp.Pending), unlessZero(resp.Speed), unlessZero(resp.Held)
 	return resp
 }
 
+// unlessZero returns nil for a list of zeros: the receiver takes an absent list for zeros.
+func unlessZero(list []byte) []byte {
+	if !slices.ContainsFunc(list, func(b byte) bool { return b != 0 }) {
+		return nil
+	}
+	return list
+}
+
 // countToCode returns the nearest number of units. Rounding up would show work at an idle endpoint
 // that the receiver's own requests cause and that it has subtracted.
 func countToCode(count, unit int) byte {
--- a/driver/coordinator/coordinator.go
+++ b/driver/coordinator/coordinator.go
@@ -180,7 +180,7 @@
 func (c *Coordinator) Loads() []residency.EngineLoad {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.plan.Loads(c.opt.Clock())
+	return c.plan.Loads()
 }
 
 // Holds reports whether this daemon holds the lease.
