--- a/coordination/residency/types.go
+++ b/coordination/residency/types.go
@@ -9,6 +9,7 @@
 import (
 	"time"
 
+	"github.com/doorvalve/doorvalve/coordination/workcost"
 	"github.com/doorvalve/doorvalve/state/fleet"
 	"github.com/doorvalve/doorvalve/state/routing"
 )
@@ -103,6 +104,15 @@
 	// Full lists endpoints that hold the model but have no capacity left now under the rate
 	// limits that they report.
 	Full []fleet.Incarnation
+	// TimeLeft is the time until the caller gives up; zero if it is not known.
+	TimeLeft time.Duration
+	// Slack is the time until the request must start to meet its objective; negative if it
+	// cannot meet it any more. It is not known if TimeLeft is zero.
+	Slack time.Duration
+	// Work is the size of the request; zero if it is not known.
+	Work workcost.Work
+	// Returning reports that the caller was refused before and has returned.
+	Returning bool
 }
 
 // Place identifies a model, or an adapter as MODEL/ADAPTER, at an endpoint.
@@ -118,6 +128,17 @@
 	// FirstEvents counts how quickly endpoints began to answer since the daemon's previous
 	// report. Requests for an adapter count for its model.
 	FirstEvents map[Place]FirstEvents
+	// Work is the work of the daemon's running requests, by engine. Engines without an entry
+	// have none that is known.
+	Work map[fleet.Incarnation]EngineWork
+	// Samples are the durations that the daemon has measured since its previous report.
+	Samples []workcost.Sample
+}
+
+// EngineWork is the work of running requests at an engine.
+type EngineWork struct {
+	PendingPrompt int // prompt tokens of the requests that have no first event yet
+	Held          int // prompt and output tokens of all requests
 }
 
 // FirstEvents counts the first events of answers.
