residency: fields for the slack and work of a request

The planner orders models by a decaying sum over the requests for them. It cannot tell a request that is late in a second from one that can wait for ten, because Want has neither. Add Slack, TimeLeft, Work and Returning. The planner does not read them yet; zero values mean that they are not known.

--- a/coordination/residency/types.go
+++ b/coordination/residency/types.go
@@ -9,6 +9,7 @@
 import (
 	"time"
 
+	"github.com/doorvalve/doorvalve/coordination/workcost"
 	"github.com/doorvalve/doorvalve/state/fleet"
 	"github.com/doorvalve/doorvalve/state/routing"
 )
@@ -103,6 +104,14 @@
 	// Full lists endpoints that hold the model but have no capacity left now under the rate
 	// limits that they report.
 	Full []fleet.Incarnation
+	// Slack is how much longer the request can wait and still meet its latency objective,
+	// TimeLeft how long it can wait until its deadline. Neither is known if TimeLeft is
+	// zero.
+	Slack, TimeLeft time.Duration
+	// Work is the size of the request; zero if it is not known.
+	Work workcost.Work
+	// Returning reports that the caller was refused for lack of a loaded model and retries.
+	Returning bool
 }
 
 // Place identifies a model, or an adapter as MODEL/ADAPTER, at an endpoint.
