residency: a copy on a disk overtakes a load from the store

A model whose only replica is being loaded from the store now stays wanted, and is loaded from a nearby copy if that is ready before. The answer names the earlier of the two.

--- a/coordination/residency/draft.go
+++ b/coordination/residency/draft.go
@@ -22,6 +22,9 @@
 	storeFreeIn []time.Duration // time until each of the store's concurrent loads ends; zero for unused ones
 	// storeLoads is the number of loads from the store in progress.
 	storeLoads int
+	// storeReadyIn is the time until a model's load from the store in progress ends, by
+	// model.
+	storeReadyIn map[string]time.Duration
 }
 
 // engineDraft is the part of a draft that concerns one engine.
@@ -47,6 +50,7 @@
 		if e.order != nil && e.order.loadsFromStore() {
 			d.storeFreeIn = append(d.storeFreeIn, e.freeIn(now))
 			d.storeLoads++
+			d.addStoreLoad(e.order.order.Model, e.freeIn(now))
 		}
 		p.countReplicas(d, e)
 	}
@@ -61,16 +65,31 @@
 
 func (d *draft) reset(now time.Time) {
 	if d.engines == nil {
-		*d = draft{active: map[string]int{}, running: map[Place]int{}, replicas: map[string]int{}, ready: map[string]readiness{}, engines: map[*engineState]*engineDraft{}}
+		*d = draft{active: map[string]int{}, running: map[Place]int{}, replicas: map[string]int{}, ready: map[string]readiness{}, engines: map[*engineState]*engineDraft{}, storeReadyIn: map[string]time.Duration{}}
 	}
 	clear(d.active)
 	clear(d.running)
 	clear(d.replicas)
 	clear(d.ready)
 	clear(d.engines)
+	clear(d.storeReadyIn)
 	d.now, d.storeFreeIn, d.storeLoads = now, d.storeFreeIn[:0], 0
 }
 
+// addStoreLoad adds a load from the store that ends after the given time.
+func (d *draft) addStoreLoad(model string, readyIn time.Duration) {
+	if before, ok := d.storeReadyIn[model]; !ok || readyIn < before {
+		d.storeReadyIn[model] = readyIn
+	}
+}
+
+// awaitsStore reports whether all replicas of a model are still being loaded, one of them
+// from the store.
+func (d *draft) awaitsStore(model string) bool {
+	_, loading := d.storeReadyIn[model]
+	return loading && d.replicas[model] == 1
+}
+
 // perReplica returns the number of running requests that one replica should serve.
 func (p *Planner) perReplica() float64 { return max(1, replicaShare*float64(p.conf.Engine.Slots)) }
 
--- a/coordination/residency/schedule.go
+++ b/coordination/residency/schedule.go
@@ -35,7 +35,7 @@
 	var list []string
 	for model, w := range p.wants {
 		_, declared := p.conf.Engine.Models[model]
-		held := !w.extra && d.replicas[model] > 0
+		held := !w.extra && d.replicas[model] > 0 && !d.awaitsStore(model)
 		if !declared || held || now.Sub(w.requestedAt) > wantTTL {
 			delete(p.wants, model)
 			continue
@@ -62,9 +62,13 @@
 
 // placeModel chooses the engine that has the model ready first. Engines without a copy need
 // at least the time of a load from the store, so they are considered only if all others
-// take longer.
+// take longer. A model that is being loaded from the store is only placed at an engine with
+// a copy that has it ready before: such engines may have had no room when the load began.
 func (p *Planner) placeModel(d *draft, model string) (scheduledLoad, bool) {
 	best, cost := p.soonest(d, model, scheduledLoad{}, 0, func(l Level) bool { return l != Store })
+	if d.awaitsStore(model) && (best.engine == nil || cost >= d.storeReadyIn[model]) {
+		return scheduledLoad{}, false
+	}
 	if best.engine == nil || cost >= p.conf.Engine.Models[model].LoadFromStore {
 		best, _ = p.soonest(d, model, best, cost, func(l Level) bool { return l == Store })
 	}
--- a/coordination/residency/want.go
+++ b/coordination/residency/want.go
@@ -24,6 +24,9 @@
 	}
 	p.markFull(now, want.Full)
 	if a, ok := p.findResident(now, want); ok {
+		if a.ReadyIn > returnThreshold && want.Adapter == "" && p.lease.Held {
+			return p.overtakeLoad(now, want, a)
+		}
 		return a
 	}
 	if !p.lease.Held {
@@ -108,6 +111,15 @@
 	return a, true
 }
 
+// overtakeLoad plans a load from a nearby copy for a request whose model is ready only after
+// loading. It returns the earlier of the two.
+func (p *Planner) overtakeLoad(now time.Time, want Want, loading Answer) Answer {
+	if a, ok := p.planLoad(now, want); ok && a.ReadyIn < loading.ReadyIn {
+		return a
+	}
+	return loading
+}
+
 // keepFor returns how long a model stays loaded for a request that can start in readyIn.
 func keepFor(readyIn time.Duration) time.Duration {
 	if readyIn > returnThreshold {
