residency: surplus replicas in use make room for wanted models

Replicas beyond the number needed were unloaded only if unused. Replicas of a busy model are never unused, because daemons distribute its requests over all of them, so they stayed while rare models found no room: their requests were refused again and again, or their models were loaded from the weight store elsewhere, which takes 10.2 s.

Such a replica may now be unloaded although requests run there, as the last choice among the victims and not within 1.5 s of its load or while an answer directs requests to it. The answer's time and the next order to the engine allow for the running requests to end, and such an unload does not change the learned unload time. A model with less than eight requests keeps its replicas in use, as before.

--- a/coordination/residency/contended_test.go
+++ b/coordination/residency/contended_test.go
@@ -6,6 +6,7 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -489,18 +490,35 @@
 
 // bursts returns the sums of the figures of several runs with different seeds.
 func bursts(busyShare float64, seeds uint64) (calm, burst contendedStats) {
+	var calms, rests = make([]contendedStats, seeds), make([]contendedStats, seeds)
+	var runs sync.WaitGroup
 	for seed := range seeds {
-		c, b := newContendedLoad(busyShare, seed).burst()
-		calm.add(c)
-		burst.add(b)
+		runs.Go(func() { calms[seed], rests[seed] = newContendedLoad(busyShare, seed).burst() })
+	}
+	runs.Wait()
+	for seed := range seeds {
+		calm.add(calms[seed])
+		burst.add(rests[seed])
 	}
 	return calm, burst
 }
 
-func TestContendedTrial(t *testing.T) {
-	for _, share := range []float64{0.5, 0.85, 0.95} {
-		calm, burst := bursts(share, 4)
-		t.Logf("%.2f calm  %v", share, calm)
-		t.Logf("%.2f burst %v", share, burst)
+// Load: busy models hold nearly all placements, more than they need, when callers of rare
+// models compete for the rest. Replicas of busy models are never unused, and a planner that
+// only unloaded unused ones let rare requests wait, loaded their models from the weight
+// store and refused calm callers twice.
+func TestRareModelsGetSurplusPlacements(t *testing.T) {
+	calm, burst := bursts(0.95, 2)
+	t.Log("formerly, four seeds, calm:  rare: 0.925 in time, 0.067 late, 0.008 lost; 398 refused, 337 again; 930 loads (39 from the store); busy in time 0.963, urgent 0.977")
+	t.Log("now, calm: ", calm)
+	t.Log("formerly, four seeds, burst: rare: 0.943 in time, 0.055 late, 0.001 lost; 195 refused, 114 again; 1921 loads (70 from the store); busy in time 0.961, urgent 0.972")
+	t.Log("now, burst:", burst)
+	for _, s := range []contendedStats{calm, burst} {
+		if all := s.inTime + s.late + s.lost; float64(s.inTime) < 0.97*float64(all) {
+			t.Errorf("%d of %d rare requests in time, want 0.97", s.inTime, all)
+		}
+		if s.refusedAgain > s.arrived/1000 {
+			t.Errorf("%d of %d rare requests refused again, want at most 1 in 1000", s.refusedAgain, s.arrived)
+		}
 	}
 }
--- a/coordination/residency/outcome.go
+++ b/coordination/residency/outcome.go
@@ -16,7 +16,8 @@
 	if o.order.Unload {
 		delete(e.models, o.order.Model)
 		e.unloadedAt[o.order.Model] = now
-		e.noOrderBefore, e.afterUnload = maxTime(e.noOrderBefore, now.Add(p.unloadTime)), true
+		// The end of running requests says nothing about the unload time of idle models.
+		e.noOrderBefore, e.afterUnload = maxTime(e.noOrderBefore, now.Add(max(o.drain, p.unloadTime))), o.drain == 0
 		return
 	}
 	delete(e.unloadedAt, o.order.Model)
--- a/coordination/residency/planner.go
+++ b/coordination/residency/planner.go
@@ -34,11 +34,12 @@
 // pendingOrder is an order whose completion has not been observed yet.
 type pendingOrder struct {
 	order        Order
-	accepted     bool      // the engine carries it out
-	endsAt       time.Time // expected end
-	unansweredAt time.Time // when the wait for an answer ended; zero before
-	store        storeLoad // of a load from the store
-	requestedAt  time.Time // last request for the load; zero if there was none
+	accepted     bool          // the engine carries it out
+	endsAt       time.Time     // expected end
+	unansweredAt time.Time     // when the wait for an answer ended; zero before
+	store        storeLoad     // of a load from the store
+	drain        time.Duration // expected time that an unload waits for running requests
+	requestedAt  time.Time     // last request for the load; zero if there was none
 }
 
 func (o *pendingOrder) loadsFromStore() bool {
--- a/coordination/residency/ready.go
+++ b/coordination/residency/ready.go
@@ -113,7 +113,9 @@
 		for _, ed := range d.engines {
 			ed.victimsKnown = false
 		}
-		return p.send(now, e, Order{Unload: true, Model: victims[0].name}, Resident), true
+		o := p.send(now, e, Order{Unload: true, Model: victims[0].name}, Resident)
+		e.order.drain = victims[0].drain
+		return o, true
 	}
 	o := p.send(now, e, Order{Model: model}, e.level(model))
 	r := &replica{adapters: map[string]*adapter{}, readyAt: e.order.endsAt.Add(orderMargin), lastUse: now, lastAnswered: now, keepUntil: e.order.endsAt}
--- a/coordination/residency/schedule.go
+++ b/coordination/residency/schedule.go
@@ -98,7 +98,7 @@
 		}
 		penalty := r.cost + p.loadCost(e)
 		s := scheduledLoad{model: model, engine: e, level: e.level(model)}
-		startIn := max(d.engines[e].freeIn, r.wait)
+		startIn := max(d.engines[e].freeIn, r.wait) + r.drain
 		if s.level == Store {
 			startIn = max(startIn, d.storeFreeIn[0])
 			penalty += time.Duration(d.engines[e].inUse) * activeCost
--- a/coordination/residency/victims.go
+++ b/coordination/residency/victims.go
@@ -8,8 +8,9 @@
 
 // room describes the unloads that make room for a model at an engine.
 type room struct {
-	wait time.Duration // time until the last victim can be unloaded
-	cost time.Duration // penalty for the loss of the victims
+	wait  time.Duration // time until the last victim can be unloaded
+	drain time.Duration // time until the requests that run on victims have ended after that
+	cost  time.Duration // penalty for the loss of the victims
 }
 
 // roomFor returns how to make room for a model in addition to the memory reserved for
@@ -25,6 +26,7 @@
 		need -= p.conf.Engine.Models[v.name].SizeMB
 		r.cost += v.cost
 		r.wait = max(r.wait, v.wait)
+		r.drain += v.drain
 		if need <= p.conf.Engine.MemoryMB {
 			return r, true
 		}
@@ -34,13 +36,15 @@
 
 // victim is a model that may be unloaded.
 type victim struct {
-	name string
-	wait time.Duration // time until it can be unloaded; zero if now
-	cost time.Duration // cost of its loss
+	name  string
+	wait  time.Duration // time until it can be unloaded; zero if now
+	drain time.Duration // duration of the unload, which waits for running requests
+	cost  time.Duration // cost of its loss
 }
 
 // victimsOf returns the models of an engine that may be unloaded, the cheapest first:
-// replicas beyond the number needed, then the least recently used models.
+// replicas beyond the number needed, then the least recently used models, then replicas
+// beyond the number needed on which requests run.
 func (p *Planner) victimsOf(d *draft, e *engineState) []victim {
 	ed := d.engines[e]
 	if ed.victimsKnown {
@@ -79,7 +83,10 @@
 	idle := d.now.Sub(r.lastUse)
 	switch {
 	case d.replicas[name] > max(1, d.needed(name)):
-		return v, v.wait == 0 // only if unused: a replica in use keeps receiving requests
+		if v.wait > 0 && p.mayDrain(d, name, r) {
+			return victim{name: name, cost: d.runTime, drain: d.runTime}, true
+		}
+		return v, v.wait == 0 // otherwise only if unused: a replica in use keeps receiving requests
 	case d.active[name] == 0:
 		v.cost = maxIdleCost - max(0, min(maxIdleDiscount, idle/1000))
 		return v, true
@@ -90,6 +97,15 @@
 	return victim{}, false
 }
 
+// mayDrain reports whether a replica beyond the number needed may be unloaded while requests
+// run there. Replicas of a busy model are never unused, since daemons distribute its
+// requests over all of them. A replica stays if an answer has just directed a request to
+// it, or if it has not had time to show its effect.
+func (p *Planner) mayDrain(d *draft, name string, r *replica) bool {
+	answered := max(r.keepUntil.Sub(d.now), p.idleAfterAnswer()-d.now.Sub(r.lastAnswered))
+	return d.active[name] >= secondReplicaFrom && answered <= 0 && d.now.Sub(r.readyAt) > replicaSettleTime
+}
+
 // inUseFor estimates how long a model will still be used at an engine.
 func (p *Planner) inUseFor(d *draft, e *engineState, name string, r *replica) time.Duration {
 	t := max(0, r.keepUntil.Sub(d.now), r.readyAt.Sub(d.now), p.idleAfterAnswer()-d.now.Sub(r.lastAnswered), idleAfterRun-d.now.Sub(r.lastUse))
