edge: bytes held for callers are bounded

Cause: a caller that does not read held its answer until its deadline, while the engine cuts off a response that remains unread for some seconds; bodies and whole answers took memory without a bound on their sum. The failed write then counted against the endpoint, and a resumable stream was sent to another one. Change: each write to a caller has a deadline (half of the route's MaxWait, 1 to 3 s); a caller that misses it is closed with one line and the counter caller_slow_readers_closed_total by reason. The ledger of coordination/buffering holds bodies, whole answers and large incomplete events to a quarter of limits.memory_mb: the slowest reader is closed first, large bodies get 503 memory-full with a time to return, and a whole answer without room is forwarded as it is read. The send buffers of callers' connections are 64 KiB, since the kernel's own reach megabytes. A stream whose read filled the buffer is read again at once; before, each stream was read at 4 KiB per flush interval.

--- a/daemon/edgedaemon/daemon.go
+++ b/daemon/edgedaemon/daemon.go
@@ -64,6 +64,15 @@
 	// the soft limit of the garbage collector. The rest is for memory that the
 	// collector does not count.
 	memoryShare = 0.6
+	// heldShare is the share of the process's memory limit that bodies of requests and
+	// answers may take. A buffer that grows while it is read takes up to 2.25 times its
+	// content for a moment: together 0.56, within memoryShare.
+	heldShare = 0.25
+	// callerSendBuffer is the size of the kernel's send buffer of a caller's connection, in
+	// bytes (Linux doubles it). A buffer that the kernel may enlarge to megabytes would hold
+	// content that does not count against the memory limit, and hide for long that a caller
+	// reads slowly. At round trips of a millisecond it allows more than 100 MB a second.
+	callerSendBuffer = 64 << 10
 	// gcPercent is the growth of the heap, in percent, that starts the next
 	// garbage collection.
 	gcPercent = 100
@@ -168,6 +177,7 @@
 		Budget: d.budget, Quarantine: d.quarantine, Log: log, Metrics: d.metrics,
 		FlushEvery:  time.Duration(float64(set.Timing.Pass.D()) * flushShare),
 		Connections: int64(float64(set.Limits.Descriptors) * requestsPerDescriptor),
+		HeldBytes:   int64(float64(set.Limits.MemoryMB<<20) * heldShare),
 	})
 	return d, nil
 }
@@ -290,6 +300,7 @@
 	d.mu.Unlock()
 	var g run.Group
 	d.callerServer = d.addServer(&g, d.listeners.callers, d.callers.Handler())
+	d.callerServer.ConnContext = boundSendBuffer
 	d.addServer(&g, d.listeners.directory, platform.DirectoryHandler(d))
 	d.addServer(&g, d.listeners.readiness, platform.ReadinessHandler(d))
 	d.addServer(&g, d.listeners.peers, d.peerHandler())
@@ -309,6 +320,14 @@
 	return err
 }
 
+// boundSendBuffer bounds the kernel's send buffer of a caller's connection.
+func boundSendBuffer(ctx context.Context, c net.Conn) context.Context {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetWriteBuffer(callerSendBuffer) // fails on closed connections only
+	}
+	return ctx
+}
+
 const (
 	// callerHeaderTimeout bounds the time to read a request's header.
 	callerHeaderTimeout = 5 * time.Second
--- a/transport/edge/answer.go
+++ b/transport/edge/answer.go
@@ -14,7 +14,7 @@
 
 // answer writes an endpoint's answer to the caller and records its progress.
 type answer struct {
-	w            http.ResponseWriter
+	caller       *caller
 	server       *Server
 	q            *request
 	headerSent   bool // the header was sent to the caller
@@ -39,17 +39,27 @@
 
 // forwardWhole forwards an answer that is not a stream, once it has been read completely. mayRetry
 // reports whether the request may be retried at another endpoint: a server error is then a failure
-// of the attempt, and is not forwarded.
+// of the attempt, and is not forwarded. An answer for which this daemon has no memory is forwarded
+// while it is read.
 func (a *answer) forwardWhole(resp *http.Response, w *silenceWatch, mayRetry bool) *failure {
-	content, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
-	if err != nil {
+	held := int64(0)
+	defer func() { a.caller.release(held) }()
+	content, err := io.ReadAll(&meteredReader{io.LimitReader(resp.Body, maxAnswerBytes+1), func(n int64) bool {
+		admitted := a.caller.holdAnswer(n)
+		if admitted {
+			held += n
+		}
+		return admitted
+	}})
+	unread := errors.Is(err, errMemoryFull)
+	if err != nil && !unread {
 		return &failure{verdict: protocol.MayHaveRun, reason: "answer-cut", err: err, connBroken: true}
 	}
 	if !w.beginAnswer() {
 		return &failure{verdict: protocol.MayHaveRun, reason: "no-answer-in-time", err: errSilent}
 	}
 	if len(content) > maxAnswerBytes {
-		return &failure{verdict: protocol.MayHaveRun, reason: "answer-too-large"}
+		return errAnswerTooLarge()
 	}
 	if resp.StatusCode >= http.StatusInternalServerError && mayRetry {
 		return &failure{verdict: protocol.MayHaveRun, reason: "endpoint-error"}
@@ -59,18 +69,46 @@
 		return &failure{verdict: protocol.MayHaveRun, reason: "not-a-stream", err: errors.New(resp.Status)}
 	}
 	a.copyHeader(resp)
-	if resp.StatusCode != http.StatusNoContent && resp.StatusCode != http.StatusNotModified {
-		a.w.Header().Set("Content-Length", strconv.Itoa(len(content)))
+	if !unread && resp.StatusCode != http.StatusNoContent && resp.StatusCode != http.StatusNotModified {
+		a.caller.w.Header().Set("Content-Length", strconv.Itoa(len(content)))
+	}
+	a.caller.w.WriteHeader(resp.StatusCode)
+	if f := a.caller.write(content); f != nil || !unread {
+		return f
+	}
+	return a.forwardRest(resp, len(content))
+}
+
+// errAnswerTooLarge returns the failure of an answer that is larger than maxAnswerBytes.
+func errAnswerTooLarge() *failure {
+	return &failure{verdict: protocol.MayHaveRun, reason: "answer-too-large"}
+}
+
+// forwardRest forwards the rest of an answer piece by piece, after the given number of bytes. It
+// reads from the endpoint only as fast as the caller does.
+func (a *answer) forwardRest(resp *http.Response, forwarded int) *failure {
+	piece := make([]byte, pieceBytes)
+	for {
+		n, err := resp.Body.Read(piece)
+		if forwarded += n; forwarded > maxAnswerBytes {
+			return errAnswerTooLarge()
+		}
+		if f := a.caller.write(piece[:n]); f != nil {
+			return f
+		}
+		switch {
+		case errors.Is(err, io.EOF):
+			return nil
+		case err != nil:
+			return &failure{verdict: protocol.MayHaveRun, reason: "answer-cut", err: err, connBroken: true}
+		}
 	}
-	a.w.WriteHeader(resp.StatusCode)
-	_, _ = a.w.Write(content) // a disconnected caller shows in the request's context
-	return nil
 }
 
 // copyHeader copies the header of the endpoint's answer to the caller's.
 func (a *answer) copyHeader(resp *http.Response) {
 	a.headerSent, a.status = true, resp.StatusCode
-	h := a.w.Header()
+	h := a.caller.w.Header()
 	for name, values := range a.server.opt.Dialect.Inbound(resp.Header) {
 		h[name] = values
 	}
@@ -82,15 +120,27 @@
 // maxEventBytes bounds the buffered part of an incomplete event.
 const maxEventBytes = 1 << 20
 
+// uncountedBytes is the capacity for events from which the buffer of a stream counts as held bytes.
+// Nearly all streams stay below it.
+const uncountedBytes = 4 * bufferBytes
+
 // forwardStream forwards complete events as they arrive, unless the watch has abandoned the attempt
 // before the first. An incomplete event is never forwarded, so that another endpoint can
 // continue the stream after the last complete event.
 func (a *answer) forwardStream(resp *http.Response, w *silenceWatch) *failure {
 	var pending []byte // the received part of an incomplete event
+	held := int64(0)   // the part of its capacity that counts as held bytes
+	defer func() { a.caller.release(held) }()
 	buf := make([]byte, bufferBytes)
 	for {
 		n, err := resp.Body.Read(buf)
 		pending = append(pending, buf[:n]...)
+		if more := int64(cap(pending)) - max(held, uncountedBytes); more > 0 {
+			if !a.caller.holdAnswer(more) {
+				return &failure{verdict: protocol.MayHaveRun, reason: reasonMemoryFull, err: errMemoryFull, final: true}
+			}
+			held += more
+		}
 		if end := bytes.LastIndex(pending, eventEnd); end >= 0 {
 			end += len(eventEnd)
 			if !w.beginAnswer() {
@@ -112,7 +162,7 @@
 		case len(pending) > maxEventBytes:
 			return &failure{verdict: protocol.MayHaveRun, reason: "event-too-large"}
 		}
-		if !a.firstEventAt.IsZero() {
+		if !a.firstEventAt.IsZero() && n < len(buf) { // a full buffer means that more is ready
 			time.Sleep(a.server.opt.FlushEvery) // further events collect in the connection's buffer
 		}
 	}
@@ -123,8 +173,8 @@
 func (a *answer) finishStream(resp *http.Response) *failure {
 	if !a.headerSent {
 		a.copyHeader(resp)
-		a.w.Header().Del("Content-Length")
-		a.w.WriteHeader(resp.StatusCode)
+		a.caller.w.Header().Del("Content-Length")
+		a.caller.w.WriteHeader(resp.StatusCode)
 	}
 	return nil
 }
@@ -133,15 +183,12 @@
 func (a *answer) writeEvents(resp *http.Response, content []byte) *failure {
 	if !a.headerSent {
 		a.copyHeader(resp)
-		a.w.Header().Del("Content-Length")
-		a.w.WriteHeader(resp.StatusCode)
+		a.caller.w.Header().Del("Content-Length")
+		a.caller.w.WriteHeader(resp.StatusCode)
 	}
 	a.recordEventTimes(time.Now())
-	if _, err := a.w.Write(content); err != nil {
-		return &failure{verdict: protocol.MayHaveRun, reason: "caller-gone", err: err}
-	}
-	if f, ok := a.w.(http.Flusher); ok {
-		f.Flush()
+	if f := a.caller.write(content); f != nil {
+		return f
 	}
 	if id := lastEventID(content); id != "" {
 		a.lastEventID = id
--- a/transport/edge/arrive.go
+++ b/transport/edge/arrive.go
@@ -28,7 +28,7 @@
 
 // receive reads a request and runs the checks of receiveSteps on it. It returns the request also
 // with a refusal, except where the daemon has no desired state yet.
-func (s *Server) receive(w http.ResponseWriter, r *http.Request, arrived time.Time, active int64) (*request, *protocol.Refusal) {
+func (s *Server) receive(c *caller, r *http.Request, arrived time.Time, active int64) (*request, *protocol.Refusal) {
 	// The age is read before the table, so that the table is at most that old.
 	stateAge := s.opt.StateAge()
 	table := s.opt.Table()
@@ -48,7 +48,7 @@
 			return q, refusal
 		}
 	}
-	return q, s.readBody(w, r, q, table.Limits)
+	return q, s.readBody(c, r, q, table.Limits)
 }
 
 // checkTarget refuses request targets that endpoints might parse differently.
--- a/transport/edge/attempt.go
+++ b/transport/edge/attempt.go
@@ -69,6 +69,8 @@
 	connBroken      bool              // the connection to the endpoint broke
 	endpoint        fleet.Incarnation // the endpoint of the attempt
 	retryPaid       bool              // the retry was already taken out of the budget
+	// final: the endpoint has no part in the failure, and no other endpoint is tried.
+	final bool
 }
 
 // body hides the type of the content, so that the transport can't rewind it and resend a request
@@ -203,7 +205,7 @@
 		f.retryPaid = true
 		s.client.pooled.CloseIdleConnections() // they may be as unresponsive as the attempt's own
 	}
-	if f != nil && f.verdict != protocol.NotRun && a.firstEventAt.IsZero() {
+	if f != nil && !f.final && f.verdict != protocol.NotRun && a.firstEventAt.IsZero() {
 		s.countFirstEvent(q, e.Incarnation(), time.Since(a.sentAt))
 	}
 	ok = f == nil
--- /dev/null
+++ b/transport/edge/caller.go
@@ -0,0 +1,209 @@
+package edge
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/doorvalve/doorvalve/coordination/buffering"
+	"github.com/doorvalve/doorvalve/protocol"
+)
+
+// Why a caller that reads too slowly was closed.
+const (
+	closedUnread = "unread" // it has read nothing for the time of its route
+	closedMemory = "memory" // it was the slowest reader while the daemon's limit on bytes was reached
+)
+
+// reasonSlowCaller is the reason in the log of a request whose caller was closed because it read too
+// slowly, and reasonMemoryFull that of a refusal for lack of memory.
+const (
+	reasonSlowCaller = "caller-too-slow"
+	reasonMemoryFull = "memory-full"
+)
+
+var (
+	errSlowCaller = errors.New("the caller reads too slowly")
+	errMemoryFull = errors.New("this daemon holds as many bytes for callers as it may")
+)
+
+// pieceBytes is the size of the pieces in which content is read and written whose size counts
+// against the limit. Each piece has the time of its route to be read, so that a caller that reads
+// slowly but steadily is not closed.
+const pieceBytes = 32 << 10
+
+// heldBytes is the ledger of the bytes that a server holds, with the callers that hold them. It is
+// safe for concurrent use.
+type heldBytes struct {
+	mu      sync.Mutex
+	ledger  *buffering.Ledger
+	callers map[*buffering.Holder]*caller
+}
+
+func newHeldBytes(limit int64) *heldBytes {
+	return &heldBytes{ledger: buffering.New(limit), callers: map[*buffering.Holder]*caller{}}
+}
+
+// decide runs a decision of the ledger, and closes the caller that it names.
+func (h *heldBytes) decide(decision func(*buffering.Ledger) buffering.Decision) buffering.Decision {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	d := decision(h.ledger)
+	if c := h.callers[d.Evict]; c != nil {
+		_ = c.conn.SetWriteDeadline(time.Unix(1, 0)) // ends the blocked write; not all writers support deadlines
+	}
+	return d
+}
+
+func (h *heldBytes) held() int64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.ledger.Held()
+}
+
+// caller is the connection to a request's caller.
+type caller struct {
+	w      http.ResponseWriter
+	conn   *http.ResponseController
+	all    *heldBytes
+	holder buffering.Holder
+	unread time.Duration // how long the caller may leave an answer unread
+	latest time.Time     // when the answer must have been written
+	closed string        // why the caller was closed as a slow reader; empty if it was not
+}
+
+// open returns the caller of a request. end must be called when the request has ended; it may be called twice.
+func (h *heldBytes) open(w http.ResponseWriter) *caller {
+	c := &caller{w: w, conn: http.NewResponseController(w), all: h}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.callers[&c.holder] = c
+	return c
+}
+
+// end releases all bytes of the request.
+func (c *caller) end() {
+	c.all.mu.Lock()
+	defer c.all.mu.Unlock()
+	delete(c.all.callers, &c.holder)
+	c.all.ledger.End(time.Now(), &c.holder)
+}
+
+// setTimes sets how long the caller may leave an answer unread, and when the answer must have been
+// written.
+func (c *caller) setTimes(unread time.Duration, latest time.Time) {
+	c.unread, c.latest = unread, latest
+	_ = c.conn.SetWriteDeadline(latest) // not all writers support deadlines
+}
+
+// holdBody counts n more bytes of the request's body. size is the size of the body as far as known.
+func (c *caller) holdBody(n, size int64) buffering.Decision {
+	return c.all.decide(func(l *buffering.Ledger) buffering.Decision { return l.HoldBody(time.Now(), &c.holder, n, size) })
+}
+
+// holdAnswer counts n more bytes of the answer, and reports whether they may be held.
+func (c *caller) holdAnswer(n int64) bool {
+	return c.all.decide(func(l *buffering.Ledger) buffering.Decision { return l.HoldAnswer(time.Now(), &c.holder, n) }).Admitted
+}
+
+// release counts n bytes of the answer as released.
+func (c *caller) release(n int64) {
+	c.all.mu.Lock()
+	defer c.all.mu.Unlock()
+	c.all.ledger.Release(&c.holder, n)
+}
+
+// write writes content to the caller at once. It blocks while the caller does not read, and closes
+// the caller when that lasts too long.
+func (c *caller) write(content []byte) *failure {
+	for len(content) > 0 {
+		n := min(len(content), pieceBytes)
+		if err := c.writePiece(content[:n]); err != nil {
+			return c.writeFailure(err)
+		}
+		content = content[n:]
+	}
+	return nil
+}
+
+func (c *caller) writePiece(content []byte) error {
+	if !c.beginWrite() {
+		return errSlowCaller
+	}
+	defer c.endWrite()
+	if _, err := c.w.Write(content); err != nil {
+		return err
+	}
+	if err := c.conn.Flush(); !errors.Is(err, http.ErrNotSupported) {
+		return err
+	}
+	return nil
+}
+
+// beginWrite sets the time that the caller has to read the next piece. It reports false if the
+// caller was closed.
+func (c *caller) beginWrite() bool {
+	c.all.mu.Lock()
+	defer c.all.mu.Unlock()
+	now := time.Now()
+	if !c.all.ledger.WriteBegan(now, &c.holder) {
+		return false
+	}
+	deadline := now.Add(c.unread)
+	if c.latest.Before(deadline) {
+		deadline = c.latest
+	}
+	_ = c.conn.SetWriteDeadline(deadline) // not all writers support deadlines
+	return true
+}
+
+// endWrite restores the deadline for the rest of the answer, such as the end of a stream that comes
+// long after its last event.
+func (c *caller) endWrite() {
+	c.all.mu.Lock()
+	defer c.all.mu.Unlock()
+	c.all.ledger.WriteEnded(&c.holder)
+	if !c.holder.Evicted() {
+		_ = c.conn.SetWriteDeadline(c.latest)
+	}
+}
+
+// writeFailure returns the failure of a write to the caller. The endpoint has no part in it, and
+// another one could not help.
+func (c *caller) writeFailure(err error) *failure {
+	reason := "caller-gone"
+	switch {
+	case c.isEvicted():
+		c.closed = closedMemory
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		c.closed = closedUnread
+	}
+	if c.closed != "" {
+		reason = reasonSlowCaller
+	}
+	return &failure{verdict: protocol.MayHaveRun, reason: reason, err: err, final: true}
+}
+
+func (c *caller) isEvicted() bool {
+	c.all.mu.Lock()
+	defer c.all.mu.Unlock()
+	return c.holder.Evicted()
+}
+
+// meteredReader reads content that is held in memory, in pieces. hold counts each piece; the reader
+// returns errMemoryFull with the first piece that hold refuses.
+type meteredReader struct {
+	io.Reader
+	hold func(n int64) bool
+}
+
+func (r *meteredReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p[:min(len(p), pieceBytes)])
+	if n > 0 && !r.hold(int64(n)) {
+		return n, errMemoryFull
+	}
+	return n, err
+}
--- a/transport/edge/run.go
+++ b/transport/edge/run.go
@@ -90,6 +90,9 @@
 		s.reportToQuarantine(ctx, q, e, a, f)
 		t.record(f, e.Incarnation())
 		t.lastEventAt = a.lastEventAt
+		if f.final {
+			return s.finalRefusal(q, t)
+		}
 		if s.handleFailure(ctx, q, e, f) {
 			t.exclude = append(t.exclude, e.Incarnation())
 		}
--- a/transport/edge/server.go
+++ b/transport/edge/server.go
@@ -17,6 +17,7 @@
 
 	"github.com/doorvalve/doorvalve/coordination/access"
 	"github.com/doorvalve/doorvalve/coordination/balance"
+	"github.com/doorvalve/doorvalve/coordination/buffering"
 	"github.com/doorvalve/doorvalve/coordination/residency"
 	"github.com/doorvalve/doorvalve/coordination/retry"
 	"github.com/doorvalve/doorvalve/coordination/waiting"
@@ -72,6 +73,8 @@
 	FlushEvery time.Duration
 	// Connections bounds the requests in progress.
 	Connections int64
+	// HeldBytes bounds the bytes of request bodies and answers that are held; zero: unlimited.
+	HeldBytes int64
 }
 
 // Server serves callers. It is safe for concurrent use.
@@ -79,6 +82,7 @@
 	opt     Options
 	client  *client
 	active  atomic.Int64
+	held    *heldBytes
 	metrics metrics
 
 	mu             sync.Mutex
@@ -92,30 +96,38 @@
 type metrics struct {
 	answered, refused, failed, retried, resumed, disconnected, unknownHeaders tally.Counter
 	duration, firstEvent, waited, waitError                                   tally.Histogram
+	slowCallers                                                               map[string]tally.Counter // by why they were closed
 }
 
 // New returns a server.
 func New(opt Options) *Server {
 	m := opt.Metrics.SubScope("caller")
+	slow := func(why string) tally.Counter {
+		return m.Tagged(map[string]string{"reason": why}).Counter("slow_readers_closed_total")
+	}
 	buckets := tally.MustMakeExponentialDurationBuckets(5*time.Millisecond, 2, 14)
-	return &Server{opt: opt, client: newClient(), demand: map[string]residency.Demand{}, demandChanged: make(chan struct{}, 1), placeFreed: make(chan struct{}, 1), margins: waiting.NewMargins(), metrics: metrics{
+	return &Server{opt: opt, client: newClient(), held: newHeldBytes(opt.HeldBytes), demand: map[string]residency.Demand{}, demandChanged: make(chan struct{}, 1), placeFreed: make(chan struct{}, 1), margins: waiting.NewMargins(), metrics: metrics{
 		answered: m.Counter("requests_answered_total"), refused: m.Counter("requests_refused_total"),
 		failed: m.Counter("requests_failed_total"), retried: m.Counter("attempts_retried_total"),
 		resumed: m.Counter("streams_resumed_total"), disconnected: m.Counter("callers_gone_total"), unknownHeaders: m.Counter("answer_headers_unknown_total"),
 		duration: m.Histogram("request_duration_seconds", buckets), firstEvent: m.Histogram("first_event_seconds", buckets),
 		waited: m.Histogram("model_wait_seconds", buckets), waitError: m.Histogram("model_wait_beyond_estimate_seconds", buckets),
+		slowCallers: map[string]tally.Counter{closedUnread: slow(closedUnread), closedMemory: slow(closedMemory)},
 	}}
 }
 
 // InProgress returns the number of requests without a final answer.
 func (s *Server) InProgress() int { return int(s.active.Load()) }
 
+// HeldBytes returns the bytes of request bodies and answers that are held.
+func (s *Server) HeldBytes() int64 { return s.held.held() }
+
 // Handler returns the handler of callers' requests.
 func (s *Server) Handler() http.Handler {
 	e := echo.New()
 	e.Pre(func(echo.HandlerFunc) echo.HandlerFunc {
 		return func(c echo.Context) error {
-			s.serve(c.Response(), c.Request())
+			s.serve(c.Response().Writer, c.Request()) // echo's own writer hides the errors of flushes
 			return nil
 		}
 	})
@@ -212,7 +224,9 @@
 	if s.opt.Draining() {
 		w.Header().Set("Connection", "close")
 	}
-	q, refusal := s.receive(w, r, arrived, active)
+	c := s.held.open(w)
+	defer c.end()
+	q, refusal := s.receive(c, r, arrived, active)
 	if refusal != nil {
 		s.writeRefusal(w, r, q, refusal, "")
 		return
@@ -221,8 +235,8 @@
 	defer s.countActive(q, -1)
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
 	defer cancel()
-	_ = http.NewResponseController(w).SetWriteDeadline(q.deadline.Add(writeSlack)) // not all writers support deadlines
-	a := &answer{w: w, server: s, q: q}
+	c.setTimes(buffering.UnreadTimeout(q.route.MaxWait), q.deadline.Add(writeSlack))
+	a := &answer{caller: c, server: s, q: q}
 	refusal = s.run(ctx, q, a)
 	s.metrics.duration.RecordDuration(time.Since(arrived))
 	switch {
@@ -230,6 +244,10 @@
 		s.metrics.answered.Inc(1)
 		s.opt.Log.InfoSampled(decisions.EventAnswered, "request", q.call.ID, "route", q.route.Name, "model", q.unit(), "status", a.status,
 			"ms", time.Since(arrived).Milliseconds(), "first_event_ms", a.timeToFirstEvent().Milliseconds(), "longest_gap_ms", a.longestGap.Milliseconds(), "waited_ms", q.waited.Milliseconds(), "sent_ms", a.sentAt.Sub(arrived).Milliseconds(), "endpoints_age_ms", a.viewAge.Milliseconds(), "endpoint", a.endpoint.ID, "version", q.version(), "workspace", q.workspace())
+	case c.closed != "":
+		s.metrics.slowCallers[c.closed].Inc(1)
+		s.opt.Log.Info(decisions.EventFailed, "request", q.call.ID, "route", q.route.Name, "model", q.unit(), "reason", reasonSlowCaller, "detail", c.closed, "unread_limit_ms", c.unread.Milliseconds(), "held_bytes", s.HeldBytes(), "ms", time.Since(arrived).Milliseconds(), "endpoint", a.endpoint.ID)
+		panic(http.ErrAbortHandler)
 	case r.Context().Err() != nil:
 		s.metrics.disconnected.Inc(1)
 		s.opt.Log.Info(decisions.EventFailed, "request", q.call.ID, "route", q.route.Name, "model", q.unit(), "reason", "caller gone", "ms", time.Since(arrived).Milliseconds(), "endpoint", a.endpoint.ID)
@@ -291,6 +309,10 @@
 		h.Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 2, 64))
 	}
 	refusal.WriteTo(w)
+	if refusal.Reason == reasonMemoryFull {
+		_ = http.NewResponseController(w).Flush() // the refusal first: reading the rest of the body takes time
+		bodies.Drain(w, r)
+	}
 }
 
 // setDeadline sets the deadline by the shorter of the time limits of the caller and the route.
