--- /dev/null
+++ b/transport/edge/refusals.go
@@ -0,0 +1,45 @@
+package edge
+
+import (
+	"strings"
+	"sync"
+
+	"github.com/uber-go/tally/v4"
+)
+
+// maxRefusalReasons bounds the series of refusals by reason; further reasons count as otherReason.
+// The daemon's own reasons are some thirty; others come from the coordinator, another process.
+const (
+	maxRefusalReasons = 48
+	otherReason       = "other"
+)
+
+// refusals counts refused and failed requests by the reason of their final answer. It is safe for
+// concurrent use.
+type refusals struct {
+	scope tally.Scope
+
+	mu       sync.Mutex
+	byReason map[string]tally.Counter
+}
+
+func newRefusals(scope tally.Scope) *refusals {
+	return &refusals{scope: scope, byReason: map[string]tally.Counter{}}
+}
+
+// count counts a final answer with a reason.
+func (r *refusals) count(reason string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	reason = strings.ToValidUTF8(reason, "?") // labels of metrics must be valid
+	c := r.byReason[reason]
+	if c == nil && len(r.byReason) >= maxRefusalReasons {
+		reason = otherReason
+		c = r.byReason[reason]
+	}
+	if c == nil {
+		c = r.scope.Tagged(map[string]string{"reason": reason}).Counter("refusals_by_reason_total")
+		r.byReason[reason] = c
+	}
+	c.Inc(1)
+}
--- a/transport/edge/server.go
+++ b/transport/edge/server.go
@@ -97,6 +97,7 @@
 	answered, refused, failed, retried, resumed, disconnected, unknownHeaders tally.Counter
 	duration, firstEvent, waited, waitError                                   tally.Histogram
 	slowCallers                                                               map[string]tally.Counter // by why they were closed
+	refusals                                                                  *refusals
 }
 
 // New returns a server.
@@ -112,6 +113,7 @@
 		resumed: m.Counter("streams_resumed_total"), disconnected: m.Counter("callers_gone_total"), unknownHeaders: m.Counter("answer_headers_unknown_total"),
 		duration: m.Histogram("request_duration_seconds", buckets), firstEvent: m.Histogram("first_event_seconds", buckets),
 		waited: m.Histogram("model_wait_seconds", buckets), waitError: m.Histogram("model_wait_beyond_estimate_seconds", buckets),
+		refusals:    newRefusals(m),
 		slowCallers: map[string]tally.Counter{closedUnread: slow(closedUnread), closedMemory: slow(closedMemory)},
 	}}
 }
@@ -265,9 +267,10 @@
 // writeSlack is how long after the request's deadline its answer may still be written.
 const writeSlack = 2 * time.Second
 
-// logRefusal logs the refusal that ended a request. q is nil for a request refused before it was
+// logRefusal logs and counts by reason the refusal that ended a request. q is nil for a request refused before it was
 // read; endpoint is the last endpoint that answered, empty if none has.
 func (s *Server) logRefusal(event string, q *request, refusal *protocol.Refusal, endpoint string) {
+	s.metrics.refusals.count(refusal.Reason)
 	if q == nil {
 		s.opt.Log.Info(event, "reason", refusal.Reason, "detail", refusal.Detail, "status", refusal.Status)
 		return
