stall: the decision when a stream stands still or is lost

Cause: a stopped stream is waited for as long as a fixed share of MaxWait, whatever its pace, and a stream that may not be resumed until its caller's deadline, also when its engine is known to be gone. Change: a pure package: the patience with a stream from the mean and the longest of its gaps, and the silence after which a stream is lost by what is known about its engine. Nothing uses it yet.

--- /dev/null
+++ b/coordination/stall/stall.go
@@ -0,0 +1,81 @@
+// Package stall decides when a stream that stands still is taken from its engine or ended. It goes
+// by the stream's own pace, and by what the daemon knows about the engine. It does no I/O and reads
+// no clock.
+package stall
+
+import "time"
+
+const (
+	// minGaps is the number of gaps between events from which a stream's pace is known.
+	minGaps = 4
+	// gapStep is the weight of one gap in the moving average.
+	gapStep = 0.2
+	// A stream stands still after meanFactor times its mean gap and longestFactor times its longest
+	// one. A step with the prompts of other requests takes an engine 10 to 30 times as long as a step
+	// without; the longest gap shows such steps once the stream has met one.
+	meanFactor    = 10
+	longestFactor = 3
+	// unlistedSilence is the time of silence after which a stream counts as lost whose engine is not
+	// listed any more. An entry also lapses while its engine cannot reach the store, and a prompt of
+	// 40,000 tokens keeps an engine silent for up to 2 s.
+	unlistedSilence = 3 * time.Second
+)
+
+// Pace is the pace of a stream's events. The zero value is ready to use.
+type Pace struct {
+	gaps    int
+	mean    time.Duration
+	longest time.Duration
+}
+
+// Observe adds the gap between two events.
+func (p *Pace) Observe(gap time.Duration) {
+	gap = max(0, gap)
+	if p.gaps == 0 {
+		p.mean = gap
+	}
+	p.gaps++
+	p.mean += time.Duration(gapStep * float64(gap-p.mean))
+	p.longest = max(p.longest, gap)
+}
+
+// Bounds bound the silence after which a stream counts as standing still.
+type Bounds struct {
+	Min time.Duration // ordinary pauses are shorter
+	Max time.Duration // used while the pace is unknown
+}
+
+// Patience returns how long a stream may be silent before it counts as standing still.
+func (p *Pace) Patience(b Bounds) time.Duration {
+	most := max(b.Min, b.Max)
+	if p.gaps < minGaps || p.mean > most/meanFactor || p.longest > most/longestFactor {
+		return most
+	}
+	return max(b.Min, meanFactor*p.mean, longestFactor*p.longest)
+}
+
+// Evidence is what a daemon knows about the engine of a stream.
+type Evidence struct {
+	// Refused: connections to the engine are refused, or it was reported as ended.
+	Refused bool
+	// Replaced: a later incarnation of the engine is listed.
+	Replaced bool
+	// Unlisted: the engine's entry is not listed any more.
+	Unlisted bool
+	// Leaving: the engine is leaving. It may refuse connections and still end its streams.
+	Leaving bool
+}
+
+// LostAfter returns the time of silence after which a stream counts as lost, given its patience. It
+// returns false if nothing indicates that the engine is gone.
+func LostAfter(e Evidence, patience time.Duration, b Bounds) (time.Duration, bool) {
+	switch {
+	case e.Replaced, e.Refused && !e.Leaving:
+		return b.Min, true
+	case e.Refused:
+		return patience, true
+	case e.Unlisted:
+		return max(b.Min, min(patience, unlistedSilence)), true
+	}
+	return 0, false
+}
