edge: stopped streams are noticed by their pace and by what is known of the engine

Cause: a stream that stands still was waited for during half of MaxWait whatever its pace, and one that may not be resumed hung until its caller's deadline when its engine went dark. A write that the caller blocked counted as silence of the engine. Change: the silence watch uses coordination/stall. It moves a stream with a known pace sooner, and ends any silent stream whose engine refuses connections or was reported as ended (Balancer.Unreachable), has started again, or is not listed any more: reason endpoint-gone, may have run. Writes to the caller do not count as silence. The existing test of the silent engine reads its timeout from silenceBounds, same value.

--- a/transport/edge/answer.go
+++ b/transport/edge/answer.go
@@ -143,6 +143,7 @@
 		}
 		if end := bytes.LastIndex(pending, eventEnd); end >= 0 {
 			end += len(eventEnd)
+			w.observeArrival()
 			if !w.beginAnswer() {
 				return &failure{verdict: protocol.MayHaveRun, reason: "no-answer-in-time", err: errSilent}
 			}
--- a/transport/edge/attempt.go
+++ b/transport/edge/attempt.go
@@ -201,8 +201,7 @@
 		f.eventsForwarded = a.lastEventAt != lastEventBefore
 		f.connBroken = f.connBroken && ctx.Err() == nil // otherwise this daemon closed the connection
 	}
-	if f != nil && w.abandoned() {
-		f.retryPaid = true
+	if f = w.result(f); f != nil && w.abandoned() {
 		s.client.pooled.CloseIdleConnections() // they may be as unresponsive as the attempt's own
 	}
 	if f != nil && !f.final && f.verdict != protocol.NotRun && a.firstEventAt.IsZero() {
--- a/transport/edge/watch.go
+++ b/transport/edge/watch.go
@@ -3,109 +3,224 @@
 import (
 	"context"
 	"errors"
-	"sync/atomic"
+	"sync"
 	"time"
 
+	"github.com/doorvalve/doorvalve/coordination/stall"
+	"github.com/doorvalve/doorvalve/internal/clock"
+	"github.com/doorvalve/doorvalve/protocol"
 	"github.com/doorvalve/doorvalve/state/fleet"
 	"github.com/doorvalve/doorvalve/state/routing"
 )
 
 const (
 	// A streaming request that may be repeated is taken from a silent endpoint after the route's
-	// MaxWait divided by silenceDivisor, both before the first event and between two events.
+	// MaxWait divided by silenceDivisor, both before the first event and between two events while
+	// the pace of the stream is unknown.
 	silenceDivisor = 2
 	// minSilence is the minimum timeout, so that ordinary pauses don't count as silence.
 	minSilence = 250 * time.Millisecond
 	// silenceRecheck is the interval of checking whether another endpoint can take a request from
-	// a silent endpoint.
+	// a silent endpoint, and whether the endpoint of a silent stream is gone.
 	silenceRecheck = 100 * time.Millisecond
 )
 
-// silenceTimeout returns how long an endpoint may be silent before another one is tried.
-func silenceTimeout(q *request) time.Duration {
-	t := q.route.MaxWait / silenceDivisor
+// silenceBounds returns the bounds of the time for which an endpoint may be silent before another
+// one is tried. Pauses up to the route's target for the gap between events are no silence.
+func silenceBounds(q *request) stall.Bounds {
 	if q.route.Kind != routing.Streaming {
-		t = q.route.LatencyTarget
+		t := max(q.route.LatencyTarget, minSilence)
+		return stall.Bounds{Min: t, Max: t}
 	}
-	return max(t, minSilence)
+	return stall.Bounds{Min: max(minSilence, q.route.GapTarget), Max: max(q.route.MaxWait/silenceDivisor, minSilence)}
 }
 
-var errSilent = errors.New("the endpoint was silent for too long")
+var (
+	errSilent       = errors.New("the endpoint was silent for too long")
+	errEndpointGone = errors.New("the endpoint is gone, and its stream is silent")
+)
 
 // silenceWatch abandons an attempt when its endpoint is silent for too long and another endpoint can
-// take the request. Parts of the answer that arrive after that are dropped.
+// take the request. It abandons a silent stream also when its endpoint is known to be gone: if the
+// request may not be repeated, its caller learns at once that the stream has ended. Parts of the
+// answer that arrive after that are dropped.
 type silenceWatch struct {
-	state         atomic.Int32
-	betweenEvents bool          // the answer is a stream: watch it between events, too
-	after         time.Duration // the time of silence after which the attempt is abandoned
-	timer         *time.Timer   // nil if the attempt is never abandoned
-	stopped       atomic.Bool   // the watch was stopped
+	server   *Server
+	request  *request
+	endpoint *fleet.Endpoint
+	stream   bool // the answer is a stream: watch it between events, too
+	bounds   stall.Bounds
+	cancel   context.CancelCauseFunc
+	timer    *time.Timer // nil if the attempt is never abandoned
+
+	mu      sync.Mutex
+	state   int
+	stopped bool
+	// movable: another endpoint may take the request.
+	movable bool
+	writing bool // a write to the caller is in progress: the endpoint is not silent
+	pace    stall.Pace
+	lastAt  time.Time // when the attempt began, or the time of the last events
 }
 
 // States of the answer in a silenceWatch.
 const (
-	answerWaiting = iota
-	answerBegun
-	answerAbandoned
+	answerWaiting   = iota
+	answerBegun     // parts of it were forwarded
+	answerAbandoned // another endpoint takes the request; the retry was taken out of the budget
+	answerLost      // the endpoint is gone
 )
 
 // watch starts a watch of an attempt at an endpoint; cancel ends the attempt. more reports whether
-// another attempt may follow; without one, or if the request may not be repeated, the watch never
-// abandons the attempt.
+// another attempt may follow. Without one, or if the request may not be repeated, the watch abandons
+// the attempt only if it is a stream whose endpoint is gone.
 func (s *Server) watch(q *request, e *fleet.Endpoint, more bool, cancel context.CancelCauseFunc) *silenceWatch {
-	w := &silenceWatch{after: silenceTimeout(q), betweenEvents: q.route.Kind == routing.Streaming}
-	if !more || !q.route.Repeatable() {
-		return w
+	w := &silenceWatch{
+		server: s, request: q, endpoint: e, stream: q.route.Kind == routing.Streaming, bounds: silenceBounds(q), cancel: cancel,
+		movable: more && q.route.Repeatable(), lastAt: time.Now(),
+	}
+	if w.stream || w.movable {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.timer = time.AfterFunc(w.bounds.Min, w.check)
 	}
-	w.timer = time.AfterFunc(time.Hour, func() {
-		switch {
-		case w.stopped.Load():
-		case s.hasOther(q, e.ID) && w.abandon(s.opt.Budget.Spend):
-			cancel(errSilent)
-		default:
-			w.timer.Reset(silenceRecheck)
-		}
-	})
-	w.timer.Reset(w.after)
 	return w
 }
 
+// check runs when the timer fires: it abandons the attempt, or sets the timer for the next check.
+func (w *silenceWatch) check() {
+	w.mu.Lock()
+	silence, patience, movable := time.Since(w.lastAt), w.pace.Patience(w.bounds), w.movable
+	if w.writing {
+		silence = 0
+	}
+	stopped := w.stopped
+	w.mu.Unlock()
+	switch {
+	case stopped:
+	case w.stream && w.lost(silence, patience) && w.abandon(answerLost, silence, unpaid):
+		w.cancel(errEndpointGone)
+	case movable && silence >= patience && w.server.hasOther(w.request, w.endpoint.ID) && w.abandon(answerAbandoned, silence, w.server.opt.Budget.Spend):
+		w.cancel(errSilent)
+	default:
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.timer.Reset(untilCheck(silence, patience))
+	}
+}
+
+// unpaid is the payment for ending an attempt that is lost in any case.
+func unpaid() bool { return true }
+
+// untilCheck returns the time until the next check: an interval, or less if the patience ends sooner.
+func untilCheck(silence, patience time.Duration) time.Duration {
+	if left := patience - silence; left > 0 {
+		return min(left, silenceRecheck)
+	}
+	return silenceRecheck
+}
+
+// lost reports whether a stream counts as lost after the given silence, by what this daemon knows
+// about its endpoint.
+func (w *silenceWatch) lost(silence, patience time.Duration) bool {
+	if silence < w.bounds.Min {
+		return false
+	}
+	after, lost := stall.LostAfter(w.server.evidence(w.endpoint), patience, w.bounds)
+	return lost && silence >= after
+}
+
+// evidence returns what this daemon knows about an endpoint that may be gone.
+func (s *Server) evidence(e *fleet.Endpoint) stall.Evidence {
+	present := s.opt.View().ByID[e.ID]
+	same := present != nil && present.Incarnation().Matches(e.Incarnation())
+	return stall.Evidence{
+		Refused:  s.opt.Balancer.Unreachable(clock.Now(), e.Incarnation()),
+		Replaced: present != nil && e.Incarnation().Before(present.Incarnation()),
+		Unlisted: !same,
+		Leaving:  e.Leaving || same && present.Leaving,
+	}
+}
+
 // stop ends the watch, so that it does not abandon the attempt any more.
 func (w *silenceWatch) stop() {
-	w.stopped.Store(true)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stopped = true
 	if w.timer != nil {
 		w.timer.Stop()
 	}
 }
 
-// beginAnswer marks the answer as begun, and reports whether its parts may be forwarded: not after
-// the attempt was abandoned.
+// beginAnswer marks the answer as begun before parts of it are written to the caller, and reports
+// whether they may be: not after the attempt was abandoned.
 func (w *silenceWatch) beginAnswer() bool {
-	return w.state.CompareAndSwap(answerWaiting, answerBegun) || w.state.Load() == answerBegun
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.state > answerBegun {
+		return false
+	}
+	w.state, w.writing = answerBegun, true
+	return true
 }
 
-// observeEvents restarts the time of silence after events were forwarded. resumable reports whether
-// the stream can continue at another endpoint after them; if not, the watch ends.
+// observeEvents restarts the time of silence after events were written to the caller. resumable
+// reports whether the stream can continue at another endpoint after them.
 func (w *silenceWatch) observeEvents(resumable bool) {
-	if w.timer == nil {
-		return
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.movable = w.movable && resumable
+	w.writing = false
+	w.lastAt = time.Now()
+	if w.timer != nil && !w.stopped {
+		w.timer.Reset(w.bounds.Min)
 	}
-	if !w.betweenEvents || !resumable {
-		w.stop()
-		return
+}
+
+// observeArrival adds the arrival of events to the pace of the stream, except that of the first ones.
+func (w *silenceWatch) observeArrival() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.state == answerBegun {
+		w.pace.Observe(time.Since(w.lastAt))
 	}
-	w.timer.Reset(w.after)
 }
 
-// abandon abandons the attempt if spend allows the retry, and reports whether it did. An answer that
-// is not a stream is complete when it begins, so it is not abandoned after that.
-func (w *silenceWatch) abandon(spend func() bool) bool {
-	state := w.state.Load()
-	if state == answerAbandoned || state == answerBegun && !w.betweenEvents || !spend() {
+// abandon abandons the attempt if it is still as silent as the caller of abandon saw it and pay allows
+// it, and reports whether it did. An answer that is not a stream is complete when it begins, so it
+// is not abandoned after that.
+func (w *silenceWatch) abandon(state int, silence time.Duration, pay func() bool) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.stopped || w.writing || time.Since(w.lastAt) < silence || w.state > answerBegun || w.state == answerBegun && !w.stream || !pay() {
 		return false
 	}
-	return w.state.CompareAndSwap(state, answerAbandoned)
+	w.state = state
+	return true
+}
+
+// result completes the failure of the watched attempt; nil for none. An abandoned attempt has its
+// retry taken out of the budget.
+func (w *silenceWatch) result(f *failure) *failure {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	switch {
+	case f == nil:
+	case w.state == answerAbandoned:
+		f.retryPaid = true
+	case w.state == answerLost && f.verdict != protocol.NotRun:
+		f.reason, f.err = reasonEndpointGone, errEndpointGone
+	}
+	return f
 }
 
-// abandoned reports whether the attempt was abandoned. Its retry was then taken out of the budget.
-func (w *silenceWatch) abandoned() bool { return w.state.Load() == answerAbandoned }
+// reasonEndpointGone is the reason of a failed attempt whose silent stream was ended because its
+// endpoint is gone.
+const reasonEndpointGone = "endpoint-gone"
+
+// abandoned reports whether the attempt was abandoned.
+func (w *silenceWatch) abandoned() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.state > answerBegun
+}
--- a/transport/edge/watch_test.go
+++ b/transport/edge/watch_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"io"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,6 +16,7 @@
 	"github.com/doorvalve/doorvalve/coordination/balance"
 	"github.com/doorvalve/doorvalve/coordination/retry"
 	"github.com/doorvalve/doorvalve/driver/decisions"
+	"github.com/doorvalve/doorvalve/internal/clock"
 	"github.com/doorvalve/doorvalve/protocol"
 	"github.com/doorvalve/doorvalve/state/fleet"
 	"github.com/doorvalve/doorvalve/state/routing"
@@ -43,7 +46,7 @@
 		availableAt := time.Now().Add(2400 * time.Millisecond) // after four failures in a row, an endpoint is avoided for 2.4 s
 		w := s.watch(q, view.ByID["slow"], true, cancel)
 		defer w.stop()
-		time.Sleep(silenceTimeout(q) + 10*time.Millisecond)
+		time.Sleep(silenceBounds(q).Max + 10*time.Millisecond)
 		if ctx.Err() != nil {
 			t.Fatal("the attempt was abandoned though the other engine takes no requests")
 		}
@@ -75,6 +78,140 @@
 	})
 }
 
+// watched is a stream at endpoint "a" under watch; endpoint "b" holds its model, too.
+type watched struct {
+	server *Server
+	watch  *silenceWatch
+	view   atomic.Pointer[fleet.View]
+	ctx    context.Context
+}
+
+// watchStream starts the watch of a stream, in a bubble of synctest.
+func watchStream(t *testing.T, resumable bool) *watched {
+	log := decisions.New(io.Discard, "test", hclog.Off)
+	t.Cleanup(log.Close)
+	x := &watched{}
+	x.list(&fleet.Endpoint{ID: "a", StartUnixMs: 1000})
+	x.server = New(Options{View: x.view.Load, Balancer: balance.New("z", 1, newTracker()), Budget: retry.NewBudget(), Log: log, Metrics: tally.NoopScope})
+	q := testRequest()
+	q.service.Engine = &routing.Engine{}
+	q.route.Kind, q.route.Resumable, q.route.MaxAttempts, q.route.MaxWait, q.route.GapTarget = routing.Streaming, resumable, 2, 8*time.Second, 500*time.Millisecond
+	ctx, cancel := context.WithCancelCause(t.Context())
+	x.ctx, x.watch = ctx, x.server.watch(q, x.view.Load().ByID["a"], true, cancel)
+	return x
+}
+
+// list sets the view: endpoint "b" and the given ones.
+func (x *watched) list(list ...*fleet.Endpoint) {
+	list = append(list, &fleet.Endpoint{ID: "b"})
+	for _, e := range list {
+		e.Service, e.Models = "llm", []fleet.LoadedModel{{Model: "m"}}
+	}
+	x.view.Store(fleet.NewView(storeversion.Version{Revision: 1}, list))
+}
+
+// events forwards events at a steady pace.
+func (x *watched) events(n int, gap time.Duration) {
+	for range n {
+		time.Sleep(gap)
+		x.watch.observeArrival()
+		x.watch.beginAnswer()
+		x.watch.observeEvents(true)
+	}
+}
+
+// ended returns after how much silence the attempt was abandoned, and why; zero if it was not within
+// a limit.
+func (x *watched) ended(limit time.Duration) (time.Duration, error) {
+	from := time.Now()
+	select {
+	case <-x.ctx.Done():
+		return time.Since(from), context.Cause(x.ctx)
+	case <-time.After(limit):
+		return 0, nil
+	}
+}
+
+// A stream that stands still is left sooner than after the fixed time once its pace is known, but not
+// for a pause that its own pace or its route's target allows.
+func TestStandstillIsNoticedByThePace(t *testing.T) {
+	for name, c := range map[string]struct {
+		events int
+		gap    time.Duration
+		want   time.Duration
+	}{
+		"before the first event": {0, 0, 4 * time.Second},
+		"pace unknown":           {3, 30 * time.Millisecond, 4 * time.Second},
+		"fast stream":            {20, 30 * time.Millisecond, 500 * time.Millisecond},
+		"slow stream":            {20, 200 * time.Millisecond, 2 * time.Second},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			x := watchStream(t, true)
+			defer x.watch.stop()
+			x.events(c.events, c.gap)
+			if after, err := x.ended(time.Minute); !errors.Is(err, errSilent) || after < c.want || after > c.want+silenceRecheck {
+				t.Errorf("%s: abandoned after %v (%v), want %v", name, after, err, c.want)
+			}
+		})
+	}
+}
+
+// The caller of a stream that may not be resumed learns that the stream has ended when the engine is
+// silent and known to be gone, not only at its deadline. Silence alone does not end such a stream,
+// and no evidence ends one that proceeds.
+func TestSilentStreamEndsWhenItsEngineIsGone(t *testing.T) {
+	refuse := func(x *watched) {
+		x.server.opt.Balancer.MarkUnreachable(clock.Now(), fleet.Incarnation{ID: "a", StartUnixMs: 1000})
+	}
+	for name, c := range map[string]struct {
+		learn func(*watched)
+		want  time.Duration // of silence; zero: the stream goes on
+	}{
+		"nothing known":                  {func(*watched) {}, 0},
+		"refuses connections":            {refuse, 500 * time.Millisecond},
+		"started again":                  {func(x *watched) { x.list(&fleet.Endpoint{ID: "a", StartUnixMs: 2000}) }, 500 * time.Millisecond},
+		"not listed":                     {func(x *watched) { x.list() }, 2 * time.Second},
+		"leaving":                        {func(x *watched) { x.list(&fleet.Endpoint{ID: "a", StartUnixMs: 1000, Leaving: true}) }, 0},
+		"listed without its start":       {func(x *watched) { x.list(&fleet.Endpoint{ID: "a"}) }, 0},
+		"listed with an earlier start":   {func(x *watched) { x.list(&fleet.Endpoint{ID: "a", StartUnixMs: 500}) }, 2 * time.Second},
+		"refuses connections as leaving": {func(x *watched) { x.list(&fleet.Endpoint{ID: "a", StartUnixMs: 1000, Leaving: true}); refuse(x) }, 0},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			x := watchStream(t, false)
+			defer x.watch.stop()
+			x.events(20, 200*time.Millisecond)
+			c.learn(x)
+			x.events(20, 200*time.Millisecond)
+			if x.ctx.Err() != nil {
+				t.Fatalf("%s: a stream that proceeds was ended: %v", name, context.Cause(x.ctx))
+			}
+			c.learn(x)
+			after, err := x.ended(time.Minute)
+			if (c.want > 0) != errors.Is(err, errEndpointGone) || after < c.want || after > c.want+silenceRecheck {
+				t.Errorf("%s: ended after %v (%v), want %v", name, after, err, c.want)
+			}
+		})
+	}
+}
+
+// A write that a caller blocks is no silence of the engine.
+func TestBlockedWriteIsNoSilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := watchStream(t, true)
+		defer x.watch.stop()
+		x.events(20, 30*time.Millisecond)
+		x.list()
+		x.watch.beginAnswer()
+		if after, err := x.ended(time.Minute); err != nil {
+			t.Errorf("abandoned after %v of a blocked write: %v", after, err)
+		}
+		x.watch.observeEvents(true)
+		if after, err := x.ended(time.Minute); !errors.Is(err, errEndpointGone) {
+			t.Errorf("after the write: %v, %v", after, err)
+		}
+	})
+}
+
 // While the retry budget is empty, a begun answer waits for credit as long as its caller waits. A
 // request without a part of its answer fails at once, even if it may have run: its caller can retry.
 func TestOnlyBegunAnswersWaitForTheBudget(t *testing.T) {
