--- /dev/null
+++ b/transport/edge/caller_test.go
@@ -0,0 +1,124 @@
+package edge
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/iotest"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/doorvalve/doorvalve/protocol"
+	"github.com/doorvalve/doorvalve/state/routing"
+)
+
+const (
+	testLimit = 256 << 10
+	testHeld  = 180 << 10 // held by another request
+)
+
+// newLimitedServer returns a server that holds testHeld of testLimit bytes for another request.
+func newLimitedServer(t *testing.T) *Server {
+	s := New(Options{HeldBytes: testLimit, Dialect: plainDialect{}, Metrics: tally.NoopScope})
+	other := s.held.open(httptest.NewRecorder())
+	if !other.holdAnswer(testHeld) {
+		t.Fatal("the first bytes were refused")
+	}
+	t.Cleanup(other.end)
+	return s
+}
+
+// A body of unknown length is refused as soon as it exceeds the memory for bodies, and leaves no
+// bytes behind. Bodies that fit are read in full.
+func TestBodiesOfUnknownLengthAreBounded(t *testing.T) {
+	for _, c := range []struct {
+		size   int
+		reason string
+	}{{0, ""}, {8 << 10, ""}, {60 << 10, ""}, {100 << 10, reasonMemoryFull}, {10 << 20, reasonMemoryFull}} {
+		s := newLimitedServer(t)
+		sent := strings.Repeat("b", c.size)
+		r := httptest.NewRequest(http.MethodPost, "/", strings.NewReader(sent))
+		r.ContentLength = -1
+		conn, q := s.held.open(httptest.NewRecorder()), testRequest()
+		refusal := s.readBody(conn, r, q, routing.Limits{BodyBytes: 16 << 20})
+		switch {
+		case refusal == nil && (c.reason != "" || string(q.body) != sent):
+			t.Errorf("%d bytes: admitted, %d bytes read", c.size, len(q.body))
+		case refusal != nil && (refusal.Reason != c.reason || refusal.Status != http.StatusServiceUnavailable || refusal.RetryAfter <= 0):
+			t.Errorf("%d bytes: refused %+v", c.size, refusal)
+		}
+		conn.end()
+		if held := s.HeldBytes(); held != testHeld {
+			t.Errorf("%d bytes: %d held after the end, want %d", c.size, held, testHeld)
+		}
+	}
+}
+
+// plainDialect passes on the headers of answers.
+type plainDialect struct{ protocol.Dialect }
+
+func (plainDialect) Inbound(h http.Header) http.Header { return h }
+
+// forwardAnswer forwards an answer whose content comes from a reader.
+func forwardAnswer(s *Server, content io.Reader) (*httptest.ResponseRecorder, *failure) {
+	w := httptest.NewRecorder()
+	c := s.held.open(w)
+	defer c.end()
+	c.setTimes(time.Second, time.Now().Add(time.Minute))
+	q := testRequest()
+	a := &answer{caller: c, server: s, q: q}
+	watch := &silenceWatch{}
+	return w, a.forwardWhole(&http.Response{StatusCode: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(content)}, watch, false)
+}
+
+// heldReader records the most bytes that a server holds while its content is read.
+type heldReader struct {
+	io.Reader
+	server *Server
+	most   int64
+}
+
+func (r *heldReader) Read(p []byte) (int, error) {
+	r.most = max(r.most, r.server.HeldBytes())
+	return r.Reader.Read(p)
+}
+
+// An answer without room in memory reaches its caller complete, and no more bytes are held than the
+// limit.
+func TestAnswerWithoutRoomIsForwarded(t *testing.T) {
+	for _, size := range []int{1, 50 << 10, 1 << 20, maxAnswerBytes} {
+		s := newLimitedServer(t)
+		content := bytes.Repeat([]byte("0123456789abcdef"), size/16+1)[:size]
+		r := &heldReader{Reader: bytes.NewReader(content), server: s}
+		w, f := forwardAnswer(s, r)
+		if f != nil || !bytes.Equal(w.Body.Bytes(), content) {
+			t.Errorf("%d bytes: %v, %d bytes forwarded", size, f, w.Body.Len())
+		}
+		if r.most > testLimit {
+			t.Errorf("%d bytes: %d held, limit %d", size, r.most, testLimit)
+		}
+		if held := s.HeldBytes(); held != testHeld {
+			t.Errorf("%d bytes: %d held after the end, want %d", size, held, testHeld)
+		}
+	}
+}
+
+// An answer that is cut off or too large is a failure also while it is forwarded without room: its
+// caller must not take a part of it for the whole.
+func TestCutAnswerWithoutRoomFails(t *testing.T) {
+	part := strings.NewReader(strings.Repeat("x", 1<<20))
+	for reason, content := range map[string]io.Reader{
+		"answer-cut":       io.MultiReader(part, iotest.ErrReader(errors.New("reset"))),
+		"answer-too-large": strings.NewReader(strings.Repeat("x", maxAnswerBytes+1)),
+	} {
+		s := newLimitedServer(t)
+		if _, f := forwardAnswer(s, content); f == nil || f.reason != reason {
+			t.Errorf("%s: %+v", reason, f)
+		}
+	}
+}
--- a/transport/edge/watch.go
+++ b/transport/edge/watch.go
@@ -91,9 +91,6 @@
 func (w *silenceWatch) check() {
 	w.mu.Lock()
 	silence, patience, movable := time.Since(w.lastAt), w.pace.Patience(w.bounds), w.movable
-	if w.writing {
-		silence = 0
-	}
 	stopped := w.stopped
 	w.mu.Unlock()
 	switch {
