--- a/coordination/workcost/estimator_test.go
+++ b/coordination/workcost/estimator_test.go
@@ -176,3 +176,21 @@
 		_ = e.Estimate(start, ids[i%len(ids)], "model-007", Work{Prompt: 9190, Output: 50}, Load{Running: 8, PendingPrompt: 20_000})
 	}
 }
+
+// Daemons whose estimates of the service have a common bias find all engines slow. Guards against
+// speeds that follow the bias: in the end, engines that are alike have the speed 1, and the others
+// their speed relative to the mean.
+func TestSpeedsAreRelativeToTheMean(t *testing.T) {
+	e := New()
+	now := start
+	for range 2000 {
+		now = now.Add(100 * time.Millisecond)
+		e.MergeSample(now, Sample{e1, 1, math.Log(4)})
+		e.MergeSample(now, Sample{e2, 1, math.Log(2)})
+	}
+	slow, _ := e.Speed(now, e1)
+	fast, _ := e.Speed(now, e2)
+	if math.Abs(slow*math.Sqrt2-1) > 0.1 || math.Abs(fast/math.Sqrt2-1) > 0.1 {
+		t.Errorf("speeds %.3f and %.3f, want 0.707 and 1.414", slow, fast)
+	}
+}
