edgedaemon: the encoder of demand reports in small functions

Cause: one function of 45 lines encoded places, work and samples. Change: addPlaces, addEngines and entryOf; no behavior changes. Result: go test -race ./daemon/edgedaemon passes.

--- a/daemon/edgedaemon/demandwire.go
+++ b/daemon/edgedaemon/demandwire.go
@@ -11,42 +11,62 @@
 // an endpoint as a whole, its work and samples, is part of one of its entries; the receiver adds up
 // all of them. Old daemons ignore it.
 func demandToWire(daemon, service string, demand residency.Demand) *fleetpb.DemandRequest {
-	req := &fleetpb.DemandRequest{Daemon: daemon, Service: service, Active: make(map[string]int32, len(demand.Active))}
-	for model, n := range demand.Active {
-		req.Active[model] = int32(n)
+	e := demandEncoder{
+		req:     &fleetpb.DemandRequest{Daemon: daemon, Service: service, Active: make(map[string]int32, len(demand.Active))},
+		entries: make(map[fleet.Incarnation]*fleetpb.Running, len(demand.Work)),
 	}
-	entries := make(map[fleet.Incarnation]*fleetpb.Running, len(demand.Work)) // the last one of each endpoint
-	add := func(place residency.Place) *fleetpb.Running {
-		entry := &fleetpb.Running{Endpoint: place.Endpoint.ID, Born: place.Endpoint.StartUnixMs, Model: place.Model}
-		req.Running = append(req.Running, entry)
-		entries[place.Endpoint] = entry
-		return entry
+	for model, n := range demand.Active {
+		e.req.Active[model] = int32(n)
 	}
+	e.addPlaces(demand)
+	e.addEngines(demand)
+	return e.req
+}
+
+type demandEncoder struct {
+	req     *fleetpb.DemandRequest
+	entries map[fleet.Incarnation]*fleetpb.Running // the last one of each endpoint
+}
+
+// addPlaces adds what is about one model at one endpoint.
+func (e *demandEncoder) addPlaces(demand residency.Demand) {
 	for place, n := range demand.Running {
-		entry := add(place)
+		entry := e.add(place)
 		entry.Requests = int32(n)
 		setFirstEvents(entry, demand.FirstEvents[place])
 	}
 	for place, first := range demand.FirstEvents {
 		if _, done := demand.Running[place]; !done {
-			setFirstEvents(add(place), first)
-		}
-	}
-	of := func(incarnation fleet.Incarnation) *fleetpb.Running {
-		if entry := entries[incarnation]; entry != nil {
-			return entry
+			setFirstEvents(e.add(place), first)
 		}
-		return add(residency.Place{Endpoint: incarnation})
 	}
+}
+
+// addEngines adds what is about an endpoint as a whole.
+func (e *demandEncoder) addEngines(demand residency.Demand) {
 	for incarnation, w := range demand.Work {
-		entry := of(incarnation)
+		entry := e.entryOf(incarnation)
 		entry.PendingPrompt, entry.HeldTokens = int64(w.PendingPrompt), int64(w.Held)
 	}
 	for _, s := range demand.Samples {
-		entry := of(s.Incarnation)
+		entry := e.entryOf(s.Incarnation)
 		entry.Samples, entry.LogRatio = int32(min(maxWireCount, s.Count)), s.LogRatio
 	}
-	return req
+}
+
+func (e *demandEncoder) add(place residency.Place) *fleetpb.Running {
+	entry := &fleetpb.Running{Endpoint: place.Endpoint.ID, Born: place.Endpoint.StartUnixMs, Model: place.Model}
+	e.req.Running = append(e.req.Running, entry)
+	e.entries[place.Endpoint] = entry
+	return entry
+}
+
+// entryOf returns an entry of an endpoint, and adds one without a model if there is none.
+func (e *demandEncoder) entryOf(incarnation fleet.Incarnation) *fleetpb.Running {
+	if entry := e.entries[incarnation]; entry != nil {
+		return entry
+	}
+	return e.add(residency.Place{Endpoint: incarnation})
 }
 
 func setFirstEvents(entry *fleetpb.Running, first residency.FirstEvents) {
