platform: the parts of a prompt with their token counts

Cause: only the last shared part of a prompt is known to routing, so it can't tell how much of a prompt an engine holds already.

Change: protocol.Call has the leading parts with their token counts.

--- a/protocol/call.go
+++ b/protocol/call.go
@@ -17,11 +17,20 @@
 	PromptTokens, OutputTokens int
 	TokensKnown                bool
 	// Prefix identifies the shared part of the prompt; empty when unknown.
-	Prefix      string
+	Prefix string
+	// Parts are the leading parts of the prompt, in order; empty when unknown. An engine that has
+	// processed a prompt with the same first parts need not process them again.
+	Parts       []PromptPart
 	LastEventID string // the stream is resumed after this event
 	Credential  Credential
 }
 
+// PromptPart is one part of a prompt.
+type PromptPart struct {
+	ID     string // the same id has the same content
+	Tokens int    // zero when unknown
+}
+
 // Attempt holds what a daemon adds to a caller's request when it sends it to an endpoint.
 type Attempt struct {
 	EndpointID  string // any other process at the address rejects the request
