balance: engines are chosen by the time of their work

Cause: a request counted as one running request, whether its prompt has 826 or 40,000 tokens. Short prompts were sent to engines that process long ones, and slow engines got as much as fast ones.

Change: the balancer counts pending prompt tokens and held tokens of its own requests and, by the loads report, of all daemons. The level of an engine is its share of taken slots plus the expected time for the pending prompts and for the tokens of the request that the engine does not hold, as far as that exceeds one pause between events. Engines beyond the bound of pending prompts get no further long prompt while another is below it, engines whose cache would be exceeded come last. A bounded memory tells which engine holds which prompt parts. Requests of unknown size are routed as before.

Existing tests pass tickets now, as Started returns one; none is less strict.

OwnRunning and ReceiveRunning stay until the daemon passes loads.

--- a/coordination/balance/balance.go
+++ b/coordination/balance/balance.go
@@ -1,15 +1,17 @@
 // Package balance picks the endpoint of a request among those that can serve
-// it. It goes by the requests and failures of this daemon, and by the number of
-// requests that all daemons together report as running.
+// it. It goes by the requests and failures of this daemon, and by the work of all
+// daemons' requests at each endpoint: their number, the prompt tokens that wait to
+// be processed, and the tokens held.
 package balance
 
 import (
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
 	"github.com/doorvalve/doorvalve/coordination/backpressure"
+	"github.com/doorvalve/doorvalve/coordination/workcost"
+	"github.com/doorvalve/doorvalve/protocol"
 	"github.com/doorvalve/doorvalve/state/fleet"
 )
 
@@ -37,9 +39,9 @@
 
 // load is this daemon's state of one incarnation of an endpoint.
 type load struct {
-	running            int // running requests of this daemon
-	others             int // running requests of the other daemons, as last reported
-	failures           int // consecutive
+	own                EngineLoad // work of this daemon's requests
+	others             EngineLoad // work of the other daemons' requests, as last reported
+	failures           int        // consecutive
 	avoidUntil         time.Time
 	refusedConnections int                  // consecutive
 	unreachableUntil   time.Time            // nothing listens there until then
@@ -47,10 +49,24 @@
 	used               map[string]time.Time // by unit: last success
 }
 
+// running returns the number of running requests of all daemons.
+func (l *load) running() int { return l.own.Running + l.others.Running }
+
+// held returns the cache tokens of all daemons' running requests.
+func (l *load) held() int { return l.own.Held + l.others.Held }
+
 // service is the state of a service as a whole.
 type service struct {
 	reportedAt time.Time     // time as of which load.others was reported; zero: never
 	runTime    time.Duration // moving average of the requests that have ended at this daemon
+	// promptTime is the moving average of the seconds by which processing the prompt of a request of
+	// this daemon exceeds the pause between two events.
+	promptTime  float64
+	estimator   *workcost.Estimator
+	speeds      []workcost.Speed // buffer of ReceiveLoads
+	gapTarget   time.Duration    // the strictest of the requests; zero for none
+	gapTargetAt time.Time        // last request with gapTarget
+	askedAt     time.Time        // last question to the coordinator because of pending prompts
 }
 
 // Balancer picks endpoints for requests. It is safe for concurrent use.
@@ -63,12 +79,17 @@
 	loads    map[fleet.Incarnation]*load
 	services map[string]*service
 	daemons  int // number of daemons that share the requests
+	prefixes prefixes
+
+	// Buffers of usable and pickByReports, so that a choice allocates nothing.
+	sound, avoided []*fleet.Endpoint
+	options        []option
 }
 
 // New returns a balancer for a daemon in a failure domain, which respects the backpressure
 // signals of endpoints. seed is for its random choices.
 func New(domain string, seed uint64, signals *backpressure.Tracker) *Balancer {
-	return &Balancer{domain: domain, signals: signals, rng: rand.New(rand.NewPCG(seed, 0)), loads: map[fleet.Incarnation]*load{}, services: map[string]*service{}, daemons: 1}
+	return &Balancer{domain: domain, signals: signals, rng: rand.New(rand.NewPCG(seed, 0)), loads: map[fleet.Incarnation]*load{}, services: map[string]*service{}, daemons: 1, prefixes: newPrefixes()}
 }
 
 func (b *Balancer) load(id fleet.Incarnation) *load {
@@ -83,7 +104,7 @@
 func (b *Balancer) service(name string) *service {
 	s := b.services[name]
 	if s == nil {
-		s = &service{runTime: runTimeUnknown}
+		s = &service{runTime: runTimeUnknown, estimator: workcost.New()}
 		b.services[name] = s
 	}
 	return s
@@ -95,6 +116,22 @@
 	Affinity string // shared part of the prompt; empty for none
 	Exclude  []fleet.Incarnation
 	Request  backpressure.Request // its order among the requests that wait for an endpoint
+	// Work is the size of the request; zero if it is not known. The request is then routed by the
+	// number of requests alone.
+	Work        workcost.Work
+	Parts       []protocol.PromptPart // leading parts of the prompt; empty if not known
+	GapTarget   time.Duration         // longest pause that the request's stream tolerates; zero for any
+	CacheTokens int                   // cache tokens of an engine of the service; zero if not known
+}
+
+// excludes reports whether the request must not go to an endpoint.
+func (q *Query) excludes(e *fleet.Endpoint) bool {
+	for _, id := range q.Exclude {
+		if e.Incarnation().Matches(id) {
+			return true
+		}
+	}
+	return false
 }
 
 // Pick returns the endpoint for a request, or nil. Endpoints that have just failed
@@ -106,21 +143,23 @@
 	if len(usable) == 0 {
 		return nil
 	}
-	if s := b.service(usable[0].Service); now.Sub(s.reportedAt) < reportTTL {
+	s := b.service(usable[0].Service)
+	s.noteGapTarget(now, q.GapTarget)
+	if now.Sub(s.reportedAt) < reportTTL {
 		return b.pickByReports(now, s, usable, q)
 	}
-	return b.pickByOwn(usable, q)
+	return b.pickByOwn(now, s, usable, q)
 }
 
 // usable returns the candidates that may get the request. Left out are endpoints that are leaving,
 // unreachable, excluded, closed by a backpressure signal or without the unit, and those that have
-// just failed, unless all have.
+// just failed, unless all have. The list is valid until the next call.
 func (b *Balancer) usable(now time.Time, candidates []*fleet.Endpoint, q Query) []*fleet.Endpoint {
-	var sound, avoided []*fleet.Endpoint
+	sound, avoided := b.sound[:0], b.avoided[:0]
 	for _, e := range candidates {
 		l := b.load(e.Incarnation())
 		switch {
-		case e.Leaving, now.Before(l.unreachableUntil), !b.signals.Peek(now, e.Incarnation(), q.Request).Open, slices.ContainsFunc(q.Exclude, e.Incarnation().Matches):
+		case e.Leaving, now.Before(l.unreachableUntil), !b.signals.Peek(now, e.Incarnation(), q.Request).Open, q.excludes(e):
 		case q.Unit != "" && now.Before(l.absent[q.Unit]):
 		case now.Before(l.avoidUntil):
 			avoided = append(avoided, e)
@@ -128,6 +167,7 @@
 			sound = append(sound, e)
 		}
 	}
+	b.sound, b.avoided = sound, avoided
 	if len(sound) == 0 {
 		return avoided
 	}
@@ -145,13 +185,20 @@
 // pickByOwn picks the endpoint with the fewest running requests of this daemon. Where many
 // daemons share the requests, its own are a small share of all: affinity and failure domain
 // are therefore weighted by this daemon's share of the slots, and chance decides the rest.
-func (b *Balancer) pickByOwn(usable []*fleet.Endpoint, q Query) *fleet.Endpoint {
+// This daemon's own pending prompts are certain, and weigh at least as much as its share.
+func (b *Balancer) pickByOwn(now time.Time, s *service, usable []*fleet.Endpoint, q Query) *fleet.Endpoint {
+	r := b.requestWork(now, s, q)
 	var best *fleet.Endpoint
 	bestCost := 0.0
 	for _, e := range usable {
+		l := b.load(e.Incarnation())
 		share := float64(b.slots(e)) / float64(b.daemons)
-		cost := float64(b.load(e.Incarnation()).running) + b.rng.Float64() // spreads the choices of daemons with equal state
-		cost += min(maxOwnAffinity, affinity*share) * affinityRank(e, q)
+		cost := float64(l.own.Running) + b.rng.Float64() // spreads the choices of daemons with equal state
+		cost += min(maxOwnAffinity, r.affinity*share) * affinityRank(e, q)
+		if r.known {
+			tokenTime := r.tokenTime(now, e.Incarnation())
+			cost += max(1, share) * r.cost(e.Incarnation(), tokenTime, float64(l.own.PendingPrompt), l.own.Held)
+		}
 		switch {
 		case e.FailureDomain == b.domain:
 		case q.Unit == "":
@@ -166,30 +213,6 @@
 	return best
 }
 
-// Started counts a request that is sent to an endpoint.
-func (b *Balancer) Started(e *fleet.Endpoint) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.load(e.Incarnation()).running++
-}
-
-// Ended counts a request that has ended. ok says that the endpoint answered as it should;
-// only then are its failures reset and took is added to the service's mean run time.
-func (b *Balancer) Ended(now time.Time, e *fleet.Endpoint, unit string, took time.Duration, ok bool) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	l := b.load(e.Incarnation())
-	l.running--
-	if !ok {
-		return
-	}
-	l.failures, l.refusedConnections = 0, 0
-	l.avoidUntil, l.unreachableUntil = time.Time{}, time.Time{}
-	l.used[unit] = now
-	s := b.service(e.Service)
-	s.runTime += time.Duration(runTimeStep * float64(took-s.runTime))
-}
-
 // Failed keeps requests away from an endpoint for a time that grows with its
 // consecutive failures, and returns that time.
 func (b *Balancer) Failed(now time.Time, id fleet.Incarnation) time.Duration {
@@ -238,14 +261,17 @@
 	defer b.mu.Unlock()
 	var eligible []*fleet.Endpoint
 	for _, e := range candidates {
-		if l := b.load(e.Incarnation()); now.Before(l.unreachableUntil) || slices.ContainsFunc(q.Exclude, e.Incarnation().Matches) {
+		if l := b.load(e.Incarnation()); now.Before(l.unreachableUntil) || q.excludes(e) {
 			continue
 		}
 		if b.signals.Peek(now, e.Incarnation(), q.Request).LastResort {
 			eligible = append(eligible, e)
 		}
 	}
-	return b.pickByOwn(eligible, q)
+	if len(eligible) == 0 {
+		return nil
+	}
+	return b.pickByOwn(now, b.service(eligible[0].Service), eligible, q)
 }
 
 // Unavailable returns the candidates that are not leaving and, by their backpressure signals, take
@@ -284,6 +310,7 @@
 	l := b.load(id)
 	l.absent[unit] = now.Add(absentFor)
 	delete(l.used, unit)
+	b.prefixes.forget(unit, id)
 }
 
 // ClearAbsent undoes MarkAbsent after the coordinator has reported that the endpoint holds the unit.
@@ -308,10 +335,15 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for id, l := range b.loads {
-		if view.Find(id) == nil && l.running == 0 {
+		if view.Find(id) == nil && l.own.Running == 0 {
 			delete(b.loads, id)
 		}
 	}
+	present := func(id fleet.Incarnation) bool { return view.Find(id) != nil }
+	for _, s := range b.services {
+		s.estimator.Retain(present)
+	}
+	b.prefixes.retain(func(_ string, id fleet.Incarnation) bool { return present(id) })
 }
 
 // SetDaemons sets how many daemons share the requests.
--- a/coordination/balance/balance_test.go
+++ b/coordination/balance/balance_test.go
@@ -27,14 +27,15 @@
 func TestPickTakesTheLeastLoaded(t *testing.T) {
 	b := newBalancer("d-a", 1)
 	list := endpoints("a", "b")
+	var tickets []Ticket
 	for range 4 {
-		b.Started(list[0])
+		tickets = append(tickets, b.Started(start, list[0], Query{}))
 	}
 	if e := b.Pick(start, list, Query{}); e.ID != "b" {
 		t.Fatalf("picked %s with four requests running", e.ID)
 	}
-	for range 4 {
-		b.Ended(start, list[0], "", time.Second, true)
+	for i := range tickets {
+		b.Ended(start, &tickets[i], time.Second, true)
 	}
 	if e := b.Pick(start, list, Query{}); e.ID != "a" {
 		t.Fatalf("picked %s in another failure domain at equal load", e.ID)
@@ -108,13 +109,13 @@
 	b.MarkAbsent(start, before, "m")
 	old := endpoints("a")[0]
 	old.StartUnixMs = before.StartUnixMs
-	b.Started(old)
+	ticket := b.Started(start, old, Query{Unit: "m"})
 	list := endpoints("a")
 	list[0].StartUnixMs = 2000
 	if e := b.Pick(start, list, Query{Unit: "m"}); e == nil || b.Avoided(start, e.Incarnation()) {
 		t.Fatal("the next incarnation is avoided for failures of the one before")
 	}
-	b.Ended(start, old, "m", time.Second, true)
+	b.Ended(start, &ticket, time.Second, true)
 	if b.RecentlyServed(start, list[0].Incarnation(), "m") {
 		t.Fatal("a success of the incarnation before counts for the next one")
 	}
@@ -135,7 +136,7 @@
 	if b.NearCapacity(start, list, Query{}) {
 		t.Fatal("one of them has slots free")
 	}
-	b.Started(list[1])
+	b.Started(start, list[1], Query{})
 	if !b.NearCapacity(start, list, Query{}) {
 		t.Fatal("not near capacity with the request that was sent since the report")
 	}
@@ -167,7 +168,8 @@
 	if e := b.Pick(again.Add(2*unreachableFirst-time.Millisecond), list, Query{}); e != nil {
 		t.Fatal("the back-off did not grow with the second refusal")
 	}
-	b.Ended(again, list[0], "", time.Millisecond, true)
+	ticket := b.Started(again, list[0], Query{})
+	b.Ended(again, &ticket, time.Millisecond, true)
 	if e := b.Pick(again, list, Query{}); e == nil {
 		t.Fatal("not picked though it has answered")
 	}
--- a/coordination/balance/fleet_test.go
+++ b/coordination/balance/fleet_test.go
@@ -33,6 +33,7 @@
 type activeRequest struct {
 	daemon   int
 	endpoint *fleet.Endpoint
+	ticket   Ticket
 	began    time.Time
 	end      time.Time
 }
@@ -78,7 +79,7 @@
 			continue
 		}
 		s.running[r.endpoint.Incarnation()]--
-		s.daemons[r.daemon].Ended(s.now, r.endpoint, "m", r.end.Sub(r.began), true)
+		s.daemons[r.daemon].Ended(s.now, &r.ticket, r.end.Sub(r.began), true)
 	}
 	s.active = kept
 }
@@ -136,8 +137,8 @@
 		}
 	}
 	s.running[id]++
-	s.daemons[daemon].Started(e)
-	s.active = append(s.active, activeRequest{daemon, e, s.now, s.now.Add(time.Duration(float64(s.runTime) * (0.5 + rng.Float64())))})
+	ticket := s.daemons[daemon].Started(s.now, e, q)
+	s.active = append(s.active, activeRequest{daemon, e, ticket, s.now, s.now.Add(time.Duration(float64(s.runTime) * (0.5 + rng.Float64())))})
 }
 
 // queuedShare returns the share of the requests that queued while another holder of their
--- a/coordination/balance/limits_test.go
+++ b/coordination/balance/limits_test.go
@@ -65,8 +65,8 @@
 	b := newBalancer("x", 1)
 	list := endpoints("a", "b")
 	b.signals.ObservePause(start, incarnation("a"), 3*time.Second, 64)
-	b.Started(list[0])
-	b.Ended(start.Add(time.Second), list[0], "", time.Second, true)
+	ticket := b.Started(start, list[0], Query{})
+	b.Ended(start.Add(time.Second), &ticket, time.Second, true)
 	if e := b.Pick(start.Add(2*time.Second), list[:1], Query{}); e != nil {
 		t.Error("picked within the pause")
 	}
--- a/coordination/balance/loads.go
+++ b/coordination/balance/loads.go
@@ -18,12 +18,20 @@
 // EngineLoads is the work at each engine.
 type EngineLoads map[fleet.Incarnation]EngineLoad
 
+// maxReportedTokens bounds the pending and held tokens of an engine that a report may state, so that
+// sums stay finite. It is 16 requests of the largest size.
+const maxReportedTokens = 16_000_000
+
 // OwnLoads returns the work of this daemon's requests. The daemon reports it, and passes it to
 // ReceiveLoads together with the work of all daemons.
 func (b *Balancer) OwnLoads() EngineLoads {
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	own := EngineLoads{}
-	for id, n := range b.OwnRunning() {
-		own[id] = EngineLoad{Running: n}
+	for id, l := range b.loads {
+		if l.own.Running > 0 {
+			own[id] = l.own
+		}
 	}
 	return own
 }
@@ -31,16 +39,63 @@
 // ReceiveLoads sets the work of all daemons at the engines of a service as of a time. own is the
 // part of it that this daemon had reported.
 func (b *Balancer) ReceiveLoads(service string, asOf time.Time, all, own EngineLoads) {
-	runningAll, runningOwn := Running{}, Running{}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.service(service)
+	s.reportedAt = asOf
+	s.speeds = s.speeds[:0]
 	for id, l := range all {
-		runningAll[id] = l.Running
-	}
-	for id, l := range own {
-		runningOwn[id] = l.Running
+		mine := own[id]
+		b.load(id).others = EngineLoad{
+			Running:       max(0, l.Running-mine.Running),
+			PendingPrompt: othersTokens(l.PendingPrompt, mine.PendingPrompt),
+			Held:          othersTokens(l.Held, mine.Held),
+		}
+		if l.Speed != 0 {
+			s.speeds = append(s.speeds, workcost.Speed{Incarnation: id, Relative: l.Speed})
+		}
 	}
-	b.ReceiveRunning(service, asOf, runningAll, runningOwn)
+	s.estimator.Merge(asOf, s.speeds)
+}
+
+// othersTokens returns the other daemons' part of reported tokens.
+func othersTokens(all, own int) int {
+	return min(maxReportedTokens, max(0, min(maxReportedTokens, all)-own))
 }
 
 // TakeSamples returns the measurements at the engines of a service since the last call, which the
 // daemon reports to the coordinator.
-func (b *Balancer) TakeSamples(string) []workcost.Sample { return nil }
+func (b *Balancer) TakeSamples(service string) []workcost.Sample {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.services[service]
+	if s == nil {
+		return nil
+	}
+	return s.estimator.TakeSamples()
+}
+
+// Running is a count of requests for each endpoint.
+type Running map[fleet.Incarnation]int
+
+// OwnRunning returns the running requests of this daemon, for reports without the rest of the work.
+func (b *Balancer) OwnRunning() Running {
+	own := Running{}
+	for id, l := range b.OwnLoads() {
+		own[id] = l.Running
+	}
+	return own
+}
+
+// ReceiveRunning is ReceiveLoads for a report that has only the numbers of requests.
+func (b *Balancer) ReceiveRunning(service string, asOf time.Time, all, own Running) {
+	b.ReceiveLoads(service, asOf, runningLoads(all), runningLoads(own))
+}
+
+func runningLoads(counts Running) EngineLoads {
+	loads := make(EngineLoads, len(counts))
+	for id, n := range counts {
+		loads[id] = EngineLoad{Running: n}
+	}
+	return loads
+}
--- a/transport/edge/answer.go
+++ b/transport/edge/answer.go
@@ -8,6 +8,8 @@
 	"strconv"
 	"time"
 
+	"github.com/doorvalve/doorvalve/coordination/balance"
+	"github.com/doorvalve/doorvalve/internal/clock"
 	"github.com/doorvalve/doorvalve/protocol"
 	"github.com/doorvalve/doorvalve/state/fleet"
 )
@@ -21,6 +23,7 @@
 	status       int
 	endpoint     fleet.Incarnation // the last one that answered
 	sentAt       time.Time         // when the request was last sent to an endpoint
+	ticket       balance.Ticket    // of the last attempt
 	viewAge      time.Duration     // age of the view from which that endpoint was chosen
 	lastEventID  string            // id of the last forwarded event; empty before the first
 	firstEventAt time.Time         // when the first event was forwarded; zero before it
@@ -93,6 +96,9 @@
 		pending = append(pending, buf[:n]...)
 		if end := bytes.LastIndex(pending, eventEnd); end >= 0 {
 			end += len(eventEnd)
+			if a.ticket.Awaiting() {
+				a.server.opt.Balancer.FirstEvent(clock.Now(), &a.ticket, time.Since(a.sentAt))
+			}
 			if !w.beginAnswer() {
 				return &failure{verdict: protocol.MayHaveRun, reason: "no-answer-in-time", err: errSilent}
 			}
--- a/transport/edge/attempt.go
+++ b/transport/edge/attempt.go
@@ -179,12 +179,12 @@
 func (s *Server) attempt(ctx context.Context, q *request, e *fleet.Endpoint, a *answer, more bool) *failure {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	s.opt.Balancer.Started(e)
+	a.ticket = s.opt.Balancer.Started(clock.Now(), e, balanceQuery(q, nil))
 	startedAt := time.Now()
 	s.countRunning(q, e.Incarnation(), 1)
 	defer s.countRunning(q, e.Incarnation(), -1)
 	ok := false
-	defer func() { s.opt.Balancer.Ended(clock.Now(), e, q.unit(), time.Since(startedAt), ok) }()
+	defer func() { s.opt.Balancer.Ended(clock.Now(), &a.ticket, time.Since(startedAt), ok) }()
 	w := s.watch(q, e, more, cancel)
 	defer w.stop()
 	a.sentAt, a.viewAge = time.Now(), s.opt.ViewAge()
--- a/transport/edge/locate.go
+++ b/transport/edge/locate.go
@@ -10,11 +10,13 @@
 	"github.com/doorvalve/doorvalve/coordination/balance"
 	"github.com/doorvalve/doorvalve/coordination/residency"
 	"github.com/doorvalve/doorvalve/coordination/waiting"
+	"github.com/doorvalve/doorvalve/coordination/workcost"
 	"github.com/doorvalve/doorvalve/driver/decisions"
 	"github.com/doorvalve/doorvalve/internal/clock"
 	"github.com/doorvalve/doorvalve/internal/pause"
 	"github.com/doorvalve/doorvalve/protocol"
 	"github.com/doorvalve/doorvalve/state/fleet"
+	"github.com/doorvalve/doorvalve/state/routing"
 )
 
 const (
@@ -220,11 +222,13 @@
 		return nil
 	}
 	holders := s.holders(q)
-	e := s.opt.Balancer.Pick(clock.Now(), holders, balance.Query{Unit: q.unit(), Affinity: affinity(q), Exclude: exclude, Request: t.queueRequest(q)})
+	query := balanceQuery(q, exclude)
+	query.Request = t.queueRequest(q)
+	e := s.opt.Balancer.Pick(clock.Now(), holders, query)
 	if e == nil {
 		return nil
 	}
-	if s.opt.Balancer.NearCapacity(clock.Now(), holders, balance.Query{Unit: q.unit(), Exclude: exclude, Request: t.queueRequest(q)}) {
+	if s.opt.Balancer.NearCapacity(clock.Now(), holders, query) {
 		return nil // the coordinator counts all requests that it has assigned, so it can tell who has room
 	}
 	if len(holders) >= minSteadyHolders || s.opt.Balancer.RecentlyServed(clock.Now(), e.Incarnation(), q.unit()) {
@@ -240,7 +244,24 @@
 // locateAnyHolder picks any endpoint that holds the model by this daemon's view, where the
 // coordinator has named none.
 func (s *Server) locateAnyHolder(q *request, t *attemptState, exclude []fleet.Incarnation) *fleet.Endpoint {
-	return s.opt.Balancer.Pick(clock.Now(), s.holders(q), balance.Query{Unit: q.unit(), Affinity: affinity(q), Exclude: exclude, Request: t.queueRequest(q)})
+	query := balanceQuery(q, exclude)
+	query.Request = t.queueRequest(q)
+	return s.opt.Balancer.Pick(clock.Now(), s.holders(q), query)
+}
+
+// balanceQuery describes a request to the balancer. Its work counts only at engines.
+func balanceQuery(q *request, exclude []fleet.Incarnation) balance.Query {
+	query := balance.Query{Unit: q.unit(), Affinity: affinity(q), Exclude: exclude}
+	if q.service.Engine == nil || q.call.Model == "" || !q.call.TokensKnown {
+		return query
+	}
+	query.Work = workcost.WorkOf(q.call.PromptTokens, q.call.OutputTokens, true)
+	query.Parts = q.call.Parts
+	query.CacheTokens = q.service.Engine.CacheTokens
+	if q.route.Kind == routing.Streaming {
+		query.GapTarget = q.route.GapTarget
+	}
+	return query
 }
 
 // affinity returns the prefix by which requests of a sticky route share an endpoint; empty for other
