--- a/coordination/balance/balance.go
+++ b/coordination/balance/balance.go
@@ -185,7 +185,7 @@
 // pickByOwn picks the endpoint with the fewest running requests of this daemon. Where many
 // daemons share the requests, its own are a small share of all: affinity and failure domain
 // are therefore weighted by this daemon's share of the slots, and chance decides the rest.
-// This daemon's own pending prompts are certain, and weigh at least as much as its share.
+// This daemon's own pending prompts are certain, and weigh more than its share.
 func (b *Balancer) pickByOwn(now time.Time, s *service, usable []*fleet.Endpoint, q Query) *fleet.Endpoint {
 	r := b.requestWork(now, s, q)
 	var best *fleet.Endpoint
@@ -197,7 +197,7 @@
 		cost += min(maxOwnAffinity, r.affinity*share) * affinityRank(e, q)
 		if r.known {
 			tokenTime := r.tokenTime(now, e.Incarnation())
-			cost += max(1, share) * r.cost(e.Incarnation(), tokenTime, float64(l.own.PendingPrompt), l.own.Held)
+			cost += max(ownLevel, share) * r.cost(e.Incarnation(), tokenTime, float64(l.own.PendingPrompt), l.own.Held)
 		}
 		switch {
 		case e.FailureDomain == b.domain:
--- a/coordination/balance/work.go
+++ b/coordination/balance/work.go
@@ -24,6 +24,9 @@
 	// engine that holds their parts too often: engines then processed 0.25 of the shared parts again
 	// instead of 0.21 (trial, TestLongAndShortPromptsShareSevenReplicas).
 	crowding = 0.3
+	// ownLevel is the weight of a level of work among this daemon's own requests, where a running
+	// request weighs one: a wait of 150 ms. Each stands for others that are not known.
+	ownLevel = 4.0
 	// beyondPromptBound is the cost of an engine that gets no further long prompt, as a share of its
 	// slots. Ten times levelTime is longer than the wait at any engine that is below the bound.
 	beyondPromptBound = 10.0
