residency: wanted models are ordered by value and slack

Wanted models were ordered by the decaying sum over the requests for them, so a model with much slack could overtake one whose requests were about to be late, at the few engines with a copy of both. The weight of a wanted model now decreases with the slack of its most urgent request beyond the time of a load, and by half if all its requests are late (apparent tardiness cost). Requests that state no slack count as before.

--- a/coordination/residency/planner.go
+++ b/coordination/residency/planner.go
@@ -90,6 +90,11 @@
 	wantedSince time.Time // first request for it since it was last held
 	// extra reports that the model is loaded already and needs more replicas.
 	extra bool
+	// slackKnown reports that a request has stated its slack. dueAt is then the earliest
+	// time, among the requests that can still be in time, at which one must start to meet
+	// its objective; if it has passed, all are late.
+	slackKnown bool
+	dueAt      time.Time
 }
 
 // reportedDemand is the last demand report of one daemon.
--- a/coordination/residency/schedule.go
+++ b/coordination/residency/schedule.go
@@ -20,19 +20,25 @@
 // order is sent, so a faster option that appears before then is used.
 func (p *Planner) schedule(d *draft) {
 	p.loads, p.scheduledAt = p.loads[:0], d.now
-	for _, model := range p.wantedModels(d) {
-		if s, ok := p.placeModel(d, model); ok {
-			s.extra = p.wants[model].extra
+	for _, w := range p.wantedModels(d) {
+		if s, ok := p.placeModel(d, w.model); ok {
+			s.extra = p.wants[w.model].extra
 			p.loads = append(p.loads, s)
 		}
 	}
 }
 
+// weightedModel is a wanted model and its weight in the schedule.
+type weightedModel struct {
+	model  string
+	weight float64
+}
+
 // wantedModels returns the models to load, the most valuable first, and drops those that
 // are no longer requested.
-func (p *Planner) wantedModels(d *draft) []string {
+func (p *Planner) wantedModels(d *draft) []weightedModel {
 	now := d.now
-	var list []string
+	list := make([]weightedModel, 0, len(p.wants))
 	for model, w := range p.wants {
 		_, declared := p.conf.Engine.Models[model]
 		held := !w.extra && d.replicas[model] > 0 && !d.awaitsStore(model)
@@ -40,10 +46,10 @@
 			delete(p.wants, model)
 			continue
 		}
-		list = append(list, model)
+		list = append(list, weightedModel{model, p.weight(d, model)})
 	}
-	slices.SortFunc(list, func(a, b string) int {
-		return cmp.Or(cmp.Compare(p.weight(d, b), p.weight(d, a)), cmp.Compare(a, b))
+	slices.SortFunc(list, func(a, b weightedModel) int {
+		return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.model, b.model))
 	})
 	return list[:min(len(list), maxScheduled)]
 }
@@ -53,7 +59,7 @@
 // daemons that find the model loaded send no Want call for it.
 func (p *Planner) weight(d *draft, model string) float64 {
 	if !p.wants[model].extra {
-		return p.value(d.now, model)
+		return p.value(d.now, model) * p.wants[model].urgency(d.now, p.conf.Engine.Models[model].LoadFromDisk)
 	}
 	active, replicas := float64(d.active[model]), float64(max(1, d.replicas[model]))
 	full := min(1, active/replicas/d.perReplica)
--- a/coordination/residency/victims.go
+++ b/coordination/residency/victims.go
@@ -50,7 +50,7 @@
 	if ed.victimsKnown {
 		return ed.victims
 	}
-	var list []victim
+	list := make([]victim, 0, len(e.models))
 	for name, r := range e.models {
 		if v, ok := p.victim(d, e, name, r); ok {
 			list = append(list, v)
--- a/coordination/residency/want.go
+++ b/coordination/residency/want.go
@@ -205,6 +205,7 @@
 		p.loads = nil
 	}
 	w.requestedAt, w.extra = now, false
+	w.addSlack(now, want)
 	if p.loads == nil || now.Sub(p.scheduledAt) > scheduleTTL {
 		p.schedule(p.newDraft(now))
 	}
