--- a/coordination/residency/want.go
+++ b/coordination/residency/want.go
@@ -200,11 +200,12 @@
 func (p *Planner) planLoad(now time.Time, want Want) (Answer, bool) {
 	w := p.wants[want.Model]
 	if w == nil {
-		w = &wantedModel{}
+		w = &wantedModel{wantedSince: now}
 		p.wants[want.Model] = w
 		p.loads = nil
 	}
 	w.requestedAt, w.extra = now, false
+	w.addSlack(now, want)
 	if p.loads == nil || now.Sub(p.scheduledAt) > scheduleTTL {
 		p.schedule(p.newDraft(now))
 	}
