edge: the write deadline of a caller is renewed only when needed

Cause: changing it before and after each write cost 1.5 us of 5.6 us a write. Change: it is renewed when less than two thirds of the unread time are left of it, and restored at the end of the request.

--- a/transport/edge/caller.go
+++ b/transport/edge/caller.go
@@ -72,9 +72,15 @@
 	holder buffering.Holder
 	unread time.Duration // how long the caller may leave an answer unread
 	latest time.Time     // when the answer must have been written
-	closed string        // why the caller was closed as a slow reader; empty if it was not
+	// deadline is the connection's write deadline. It is renewed only when writeShare of unread is
+	// not left of it, since a change takes a microsecond or two and a stream has many writes.
+	deadline time.Time
+	closed   string // why the caller was closed as a slow reader; empty if it was not
 }
 
+// writeShare is the least share of the time for which an answer may remain unread that a write has.
+const writeShare = 2.0 / 3
+
 // open returns the caller of a request. end must be called when the request has ended; it may be called twice.
 func (h *heldBytes) open(w http.ResponseWriter) *caller {
 	c := &caller{w: w, conn: http.NewResponseController(w), all: h}
@@ -84,10 +90,14 @@
 	return c
 }
 
-// end releases all bytes of the request.
+// end releases all bytes of the request. It restores the deadline for the rest of the answer, such as
+// the end of a stream that comes long after its last event.
 func (c *caller) end() {
 	c.all.mu.Lock()
 	defer c.all.mu.Unlock()
+	if c.deadline != c.latest && !c.holder.Evicted() {
+		c.setDeadline(c.latest)
+	}
 	delete(c.all.callers, &c.holder)
 	c.all.ledger.End(time.Now(), &c.holder)
 }
@@ -96,7 +106,12 @@
 // written.
 func (c *caller) setTimes(unread time.Duration, latest time.Time) {
 	c.unread, c.latest = unread, latest
-	_ = c.conn.SetWriteDeadline(latest) // not all writers support deadlines
+	c.setDeadline(latest)
+}
+
+func (c *caller) setDeadline(t time.Time) {
+	c.deadline = t
+	_ = c.conn.SetWriteDeadline(t) // not all writers support deadlines
 }
 
 // holdBody counts n more bytes of the request's body. size is the size of the body as far as known.
@@ -152,23 +167,20 @@
 	if !c.all.ledger.WriteBegan(now, &c.holder) {
 		return false
 	}
-	deadline := now.Add(c.unread)
-	if c.latest.Before(deadline) {
-		deadline = c.latest
+	if left := c.deadline.Sub(now); left > c.unread || float64(left) < writeShare*float64(c.unread) {
+		deadline := now.Add(c.unread)
+		if c.latest.Before(deadline) {
+			deadline = c.latest
+		}
+		c.setDeadline(deadline)
 	}
-	_ = c.conn.SetWriteDeadline(deadline) // not all writers support deadlines
 	return true
 }
 
-// endWrite restores the deadline for the rest of the answer, such as the end of a stream that comes
-// long after its last event.
 func (c *caller) endWrite() {
 	c.all.mu.Lock()
 	defer c.all.mu.Unlock()
 	c.all.ledger.WriteEnded(&c.holder)
-	if !c.holder.Evicted() {
-		_ = c.conn.SetWriteDeadline(c.latest)
-	}
 }
 
 // writeFailure returns the failure of a write to the caller. The endpoint has no part in it, and
