--- a/transport/edge/work_test.go
+++ b/transport/edge/work_test.go
@@ -12,7 +12,6 @@
 
 	"github.com/doorvalve/doorvalve/coordination/balance"
 	"github.com/doorvalve/doorvalve/coordination/workcost"
-	"github.com/doorvalve/doorvalve/protocol"
 	"github.com/doorvalve/doorvalve/state/fleet"
 	"github.com/doorvalve/doorvalve/state/routing"
 )
@@ -57,10 +56,12 @@
 // one, whose caller has got events before.
 func TestFirstEventOfEachAttemptEndsItsPendingPrompt(t *testing.T) {
 	for _, resumed := range []bool{false, true} {
-		s := New(Options{Balancer: balance.New("z", 1, newTracker()), Metrics: tally.NoopScope, Dialect: passDialect{}})
+		s := New(Options{Balancer: balance.New("z", 1, newTracker()), Metrics: tally.NoopScope, Dialect: plainDialect{}})
 		q := sizedRequest()
 		e := &fleet.Endpoint{ID: "e", Service: "llm", Slots: 64}
-		a := &answer{w: httptest.NewRecorder(), server: s, q: q, sentAt: time.Now(), ticket: s.opt.Balancer.Started(time.Now(), e, balanceQuery(q, nil))}
+		c := s.held.open(httptest.NewRecorder())
+		c.setTimes(time.Second, time.Now().Add(time.Minute))
+		a := &answer{caller: c, server: s, q: q, sentAt: time.Now(), ticket: s.opt.Balancer.Started(time.Now(), e, balanceQuery(q, nil))}
 		if resumed {
 			a.headerSent, a.lastEventID, a.firstEventAt, a.lastEventAt = true, "1", time.Now(), time.Now()
 		}
@@ -76,8 +77,3 @@
 		}
 	}
 }
-
-// passDialect forwards all headers.
-type passDialect struct{ protocol.Dialect }
-
-func (passDialect) Inbound(h http.Header) http.Header { return h }
