residency: models of a leaving engine get a replica elsewhere

Engines that are leaving get no orders and their replicas do not count, but a model whose only replica is at such an engine was loaded elsewhere only when a daemon asked for it. Daemons find the model at the leaving engine and do not ask until it is gone. Models with running requests that are held only by leaving engines are now wanted like further replicas, with the weight of all their requests, and without the delay before a load from the store. The load starts at once, whatever time remains: nothing is gained by a later one.

--- a/coordination/residency/draft.go
+++ b/coordination/residency/draft.go
@@ -25,6 +25,7 @@
 	// storeReadyIn is the time until a model's load from the store in progress ends, by
 	// model.
 	storeReadyIn map[string]time.Duration
+	departing    map[string]bool // models loaded at engines that are leaving
 }
 
 // engineDraft is the part of a draft that concerns one engine.
@@ -65,7 +66,7 @@
 
 func (d *draft) reset(now time.Time) {
 	if d.engines == nil {
-		*d = draft{active: map[string]int{}, running: map[Place]int{}, replicas: map[string]int{}, ready: map[string]readiness{}, engines: map[*engineState]*engineDraft{}, storeReadyIn: map[string]time.Duration{}}
+		*d = draft{active: map[string]int{}, running: map[Place]int{}, replicas: map[string]int{}, ready: map[string]readiness{}, engines: map[*engineState]*engineDraft{}, storeReadyIn: map[string]time.Duration{}, departing: map[string]bool{}}
 	}
 	clear(d.active)
 	clear(d.running)
@@ -73,6 +74,7 @@
 	clear(d.ready)
 	clear(d.engines)
 	clear(d.storeReadyIn)
+	clear(d.departing)
 	d.now, d.storeFreeIn, d.storeLoads = now, d.storeFreeIn[:0], 0
 }
 
@@ -125,6 +127,11 @@
 
 // countReplicas counts the models of an engine, including those that are being loaded.
 func (p *Planner) countReplicas(d *draft, e *engineState) {
+	if e.endpoint.Leaving {
+		for model := range e.models {
+			d.departing[model] = true
+		}
+	}
 	if !e.usable() || e.isFull(d.now) {
 		return
 	}
--- a/coordination/residency/ready.go
+++ b/coordination/residency/ready.go
@@ -187,7 +187,9 @@
 	return o
 }
 
-// wantReplicas adds wants for models whose running requests need more replicas, and removes
+// wantReplicas adds wants for models whose running requests need more replicas, also those
+// whose only replicas are at engines that are leaving. Daemons send requests there until the
+// engine is gone, without a Want call. It removes
 // those of models that have enough replicas, loaded or being loaded.
 func (p *Planner) wantReplicas(d *draft) {
 	for model, w := range p.wants {
@@ -197,7 +199,7 @@
 	}
 	for model := range d.active {
 		have := d.replicas[model]
-		if _, ok := p.conf.Engine.Models[model]; !ok || have == 0 || have >= d.needed(model) {
+		if _, ok := p.conf.Engine.Models[model]; !ok || have == 0 && !d.departing[model] || have >= d.needed(model) {
 			continue
 		}
 		if p.wants[model] == nil {
@@ -207,18 +209,21 @@
 	}
 }
 
+// reservedStoreLoads is the number of concurrent loads of the store that are left for
+// requested models.
+const reservedStoreLoads = 1
+
 // copyMissing loads models without a copy at any engine while the store has spare
 // concurrency, so that later loads take only the time of a load from disk. One concurrent
 // load is left for requested models. Otherwise a store with a low concurrency would have
 // none to spare for the seconds of a load, and the replica of a model that demand has
 // shifted to would be delayed by as much.
 func (p *Planner) copyMissing(d *draft) []Order {
-	const reserved = 1
 	now := d.now
 	if now.Sub(p.engineAddedAt) < settleTime || now.Before(p.nextCopiesAt) {
 		return nil
 	}
-	free := p.store.Estimate - reserved - p.storeLoads()
+	free := p.store.Estimate - reservedStoreLoads - p.storeLoads()
 	for _, s := range p.loads {
 		if s.level == Store {
 			free--
--- a/coordination/residency/schedule.go
+++ b/coordination/residency/schedule.go
@@ -34,6 +34,11 @@
 	weight float64
 }
 
+// compareWeights sorts the largest weight first.
+func compareWeights(a, b weightedModel) int {
+	return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.model, b.model))
+}
+
 // wantedModels returns the models to load, the most valuable first, and drops those that
 // are no longer requested.
 func (p *Planner) wantedModels(d *draft) []weightedModel {
@@ -48,9 +53,7 @@
 		}
 		list = append(list, weightedModel{model, p.weight(d, model)})
 	}
-	slices.SortFunc(list, func(a, b weightedModel) int {
-		return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.model, b.model))
-	})
+	slices.SortFunc(list, compareWeights)
 	return list[:min(len(list), maxScheduled)]
 }
 
@@ -61,7 +64,10 @@
 	if !p.wants[model].extra {
 		return p.value(d.now, model) * p.wants[model].urgency(d.now, p.conf.Engine.Models[model].LoadFromDisk)
 	}
-	active, replicas := float64(d.active[model]), float64(max(1, d.replicas[model]))
+	active, replicas := float64(d.active[model]), float64(d.replicas[model])
+	if replicas == 0 {
+		return busyWeight * active // the last replica is leaving
+	}
 	full := min(1, active/replicas/d.perReplica)
 	return max(busyWeight*active*full*full, p.pressureWeight(d.now, model))
 }
@@ -134,7 +140,7 @@
 	if now.Sub(w.wantedSince) >= p.conf.Engine.Models[model].LoadFromStore/storeDelayDivisor {
 		return false
 	}
-	return w.extra || slices.ContainsFunc(p.sorted, func(e *engineState) bool {
+	return w.extra && !p.draft.departing[model] || slices.ContainsFunc(p.sorted, func(e *engineState) bool {
 		return e.usable() && e.models[model] == nil && e.level(model) != Store
 	})
 }
