residency: new engines get models at once

A new engine has no copies, so a load there takes 10.2 s from the weight store and it is never the soonest for a model with a copy elsewhere: added engines stayed empty. An engine that is free, has room and has no copies of models that it has not loaded now gets the most valuable recently requested model that lacks a replica. One concurrent load of the store is left for requests, as for copies of models that have none.

--- a/coordination/residency/ready.go
+++ b/coordination/residency/ready.go
@@ -37,6 +37,7 @@
 		}
 	}
 	r.Orders = append(r.Orders, p.copyMissing(d)...)
+	r.Orders = append(r.Orders, p.fillNew(d)...)
 	p.loads = nil
 	return r
 }
@@ -309,6 +310,11 @@
 	return slices.ContainsFunc(p.loads, func(s scheduledLoad) bool { return s.engine == e })
 }
 
+// scheduledModel reports whether the schedule has a load of a model.
+func (p *Planner) scheduledModel(model string) bool {
+	return slices.ContainsFunc(p.loads, func(s scheduledLoad) bool { return s.model == model })
+}
+
 // onlyCopies counts the models that are not loaded and whose only copy is at the engine.
 func (p *Planner) onlyCopies(e *engineState) int {
 	n := 0
