residency: refused models keep their entry until the told time

A caller that is refused for lack of room is told when to retry. The entry of its model was dropped 9 s after its request, and a retry counted like any other request. The entry now stays until the told time and the time for which a model is kept for a returning caller, and a request of a returning caller weighs three times as much as another one of its rank, which is less than one of the next rank.

--- a/coordination/residency/planner.go
+++ b/coordination/residency/planner.go
@@ -88,6 +88,8 @@
 type wantedModel struct {
 	requestedAt time.Time // last request for it
 	wantedSince time.Time // first request for it since it was last held
+	// returnsBy is the latest time at which a caller that was refused is expected to retry.
+	returnsBy time.Time
 	// extra reports that the model is loaded already and needs more replicas.
 	extra bool
 	// slackKnown reports that a request has stated its slack. dueAt is then the earliest
--- a/coordination/residency/schedule.go
+++ b/coordination/residency/schedule.go
@@ -47,7 +47,7 @@
 	for model, w := range p.wants {
 		_, declared := p.conf.Engine.Models[model]
 		held := !w.extra && d.replicas[model] > 0 && !d.awaitsStore(model)
-		if !declared || held || now.Sub(w.requestedAt) > wantTTL {
+		if !declared || held || now.After(maxTime(w.requestedAt.Add(wantTTL), w.returnsBy)) {
 			delete(p.wants, model)
 			continue
 		}
--- a/coordination/residency/types.go
+++ b/coordination/residency/types.go
@@ -235,6 +235,10 @@
 	// rankWeight is the ratio between the weights of a request and of one of the next lower
 	// rank.
 	rankWeight = 8
+	// returningWeight is the weight of a request whose caller was refused before, relative
+	// to another one of its rank. It is below rankWeight, so that such a request does not
+	// come before more urgent ones.
+	returningWeight = 3
 	// ranks is the number of ranks with different weights.
 	ranks = 4
 	// maxBusyMultiple limits the delay after consecutive orders that found the engine busy,
--- a/coordination/residency/value.go
+++ b/coordination/residency/value.go
@@ -18,7 +18,11 @@
 		v = &value{at: now}
 		p.values[want.Model] = v
 	}
-	v.sum, v.at = v.now(now)+rankValue(want.Rank), now
+	weight := rankValue(want.Rank)
+	if want.Returning {
+		weight *= returningWeight
+	}
+	v.sum, v.at = v.now(now)+weight, now
 }
 
 // rankValue returns the weight of one request of a rank.
--- a/coordination/residency/want.go
+++ b/coordination/residency/want.go
@@ -35,6 +35,9 @@
 	a, ok := p.planLoad(now, want)
 	if !ok {
 		a = Answer{Refused: RefusedNoRoom, ReadyIn: p.roomIn()}
+		if w := p.wants[want.Model]; w != nil {
+			w.returnsBy = maxTime(w.returnsBy, now.Add(a.ReadyIn+keepForReturning))
+		}
 	}
 	if wait := p.lease.OrdersFrom.Sub(now); wait > 0 {
 		a.ReadyIn += wait
