edge: guards of bounded bytes and stopped streams

Cause: the tests of these promises had not been shown red without their guards; the one of the unread answer stayed green, since the deadline of the request gave the same reason in the log.

--- a/transport/edge/caller.go
+++ b/transport/edge/caller.go
@@ -14,8 +14,9 @@
 
 // Why a caller that reads too slowly was closed.
 const (
-	closedUnread = "unread" // it has read nothing for the time of its route
-	closedMemory = "memory" // it was the slowest reader while the daemon's limit on bytes was reached
+	closedUnread   = "unread"   // it has read nothing for the time of its route
+	closedMemory   = "memory"   // it was the slowest reader while the daemon's limit on bytes was reached
+	closedDeadline = "deadline" // it had not read all when the time of its request was over
 )
 
 // reasonSlowCaller is the reason in the log of a request whose caller was closed because it read too
@@ -81,7 +82,8 @@
 // writeShare is the least share of the time for which an answer may remain unread that a write has.
 const writeShare = 2.0 / 3
 
-// open returns the caller of a request. end must be called when the request has ended; it may be called twice.
+// open returns the caller of a request. end must be called when the request has ended; it may be
+// called twice.
 func (h *heldBytes) open(w http.ResponseWriter) *caller {
 	c := &caller{w: w, conn: http.NewResponseController(w), all: h}
 	h.mu.Lock()
@@ -190,6 +192,8 @@
 	switch {
 	case c.isEvicted():
 		c.closed = closedMemory
+	case errors.Is(err, os.ErrDeadlineExceeded) && c.deadline.Equal(c.latest):
+		c.closed = closedDeadline
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		c.closed = closedUnread
 	}
--- a/transport/edge/caller_test.go
+++ b/transport/edge/caller_test.go
@@ -65,42 +65,41 @@
 func (plainDialect) Inbound(h http.Header) http.Header { return h }
 
 // forwardAnswer forwards an answer whose content comes from a reader.
-func forwardAnswer(s *Server, content io.Reader) (*httptest.ResponseRecorder, *failure) {
-	w := httptest.NewRecorder()
+func forwardAnswer(s *Server, w http.ResponseWriter, content io.Reader) *failure {
 	c := s.held.open(w)
 	defer c.end()
 	c.setTimes(time.Second, time.Now().Add(time.Minute))
-	q := testRequest()
-	a := &answer{caller: c, server: s, q: q}
-	watch := &silenceWatch{}
-	return w, a.forwardWhole(&http.Response{StatusCode: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(content)}, watch, false)
+	a := &answer{caller: c, server: s, q: testRequest()}
+	return a.forwardWhole(&http.Response{StatusCode: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(content)}, &silenceWatch{}, false)
 }
 
-// heldReader records the most bytes that a server holds while its content is read.
-type heldReader struct {
+// unwrittenReader records the most bytes that were read from it and not written to a caller yet.
+type unwrittenReader struct {
 	io.Reader
-	server *Server
-	most   int64
+	written    *bytes.Buffer
+	read, most int
 }
 
-func (r *heldReader) Read(p []byte) (int, error) {
-	r.most = max(r.most, r.server.HeldBytes())
-	return r.Reader.Read(p)
+func (r *unwrittenReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	r.read += n
+	r.most = max(r.most, r.read-r.written.Len())
+	return n, err
 }
 
-// An answer without room in memory reaches its caller complete, and no more bytes are held than the
-// limit.
+// An answer without room in memory reaches its caller complete, and no more of it is held than there
+// is room for, plus the piece that finds none.
 func TestAnswerWithoutRoomIsForwarded(t *testing.T) {
 	for _, size := range []int{1, 50 << 10, 1 << 20, maxAnswerBytes} {
 		s := newLimitedServer(t)
 		content := bytes.Repeat([]byte("0123456789abcdef"), size/16+1)[:size]
-		r := &heldReader{Reader: bytes.NewReader(content), server: s}
-		w, f := forwardAnswer(s, r)
-		if f != nil || !bytes.Equal(w.Body.Bytes(), content) {
+		w := httptest.NewRecorder()
+		r := &unwrittenReader{Reader: bytes.NewReader(content), written: w.Body}
+		if f := forwardAnswer(s, w, r); f != nil || !bytes.Equal(w.Body.Bytes(), content) {
 			t.Errorf("%d bytes: %v, %d bytes forwarded", size, f, w.Body.Len())
 		}
-		if r.most > testLimit {
-			t.Errorf("%d bytes: %d held, limit %d", size, r.most, testLimit)
+		if r.most > testLimit-testHeld+pieceBytes {
+			t.Errorf("%d bytes: %d were read and not written, with room for %d", size, r.most, testLimit-testHeld)
 		}
 		if held := s.HeldBytes(); held != testHeld {
 			t.Errorf("%d bytes: %d held after the end, want %d", size, held, testHeld)
@@ -117,7 +116,7 @@
 		"answer-too-large": strings.NewReader(strings.Repeat("x", maxAnswerBytes+1)),
 	} {
 		s := newLimitedServer(t)
-		if _, f := forwardAnswer(s, content); f == nil || f.reason != reason {
+		if f := forwardAnswer(s, httptest.NewRecorder(), content); f == nil || f.reason != reason {
 			t.Errorf("%s: %+v", reason, f)
 		}
 	}
--- a/transport/edge/server.go
+++ b/transport/edge/server.go
@@ -114,7 +114,7 @@
 		duration: m.Histogram("request_duration_seconds", buckets), firstEvent: m.Histogram("first_event_seconds", buckets),
 		waited: m.Histogram("model_wait_seconds", buckets), waitError: m.Histogram("model_wait_beyond_estimate_seconds", buckets),
 		refusals:    newRefusals(m),
-		slowCallers: map[string]tally.Counter{closedUnread: slow(closedUnread), closedMemory: slow(closedMemory)},
+		slowCallers: map[string]tally.Counter{closedUnread: slow(closedUnread), closedMemory: slow(closedMemory), closedDeadline: slow(closedDeadline)},
 	}}
 }
 
