--- a/coordination/quota/owner.go
+++ b/coordination/quota/owner.go
@@ -96,7 +96,7 @@
 	}
 	g.RetryAfter = max(g.NextDrawIn, o.retryAfter(now, b, d, l, slack))
 	b.noteHead(now, d, g)
-	if g.Selection = o.selection(now, b, rate, o.bounds.depth(l), b.level-withheld); g.Selection != nil {
+	if g.Selection = o.selection(now, b, rate, b.level-withheld); g.Selection != nil {
 		g.NearLimit, g.SpareRate = true, b.spareRate(now, rate)*b.shareOf(now, s)
 	}
 	if g.Units > 0 || g.Allowance > 0 {
--- a/coordination/quota/ranks.go
+++ b/coordination/quota/ranks.go
@@ -70,12 +70,12 @@
 // selects reports whether requests are selected by rank: the demand has exceeded the rate for some
 // time, or has emptied the bucket. level is the content of the bucket that may be granted.
 func (o *Owner) selects(now time.Time, b *bucket, rate, depth, level float64) bool {
-	return o.bounds.RankShare > 0 && b.demand.rate(now) > rate && (now.Sub(b.lastCalm) >= overloadAfter || level < reserveShare*depth)
+	return o.bounds.RankShare > 0 && b.demand.rate(now) > rate && (now.Sub(b.lastCalm) >= overloadAfter || level < emptyShare*depth)
 }
 
 // selection returns how daemons select requests; nil while they are not selected. level is as in
 // selects.
-func (o *Owner) selection(now time.Time, b *bucket, rate, depth, level float64) *Selection {
+func (o *Owner) selection(now time.Time, b *bucket, rate, level float64) *Selection {
 	if !b.selecting {
 		return nil
 	}
@@ -83,7 +83,7 @@
 	for rank := range needed {
 		needed[rank] = b.byRank[rank].rate(now)
 	}
-	available := max(0, rate+(level-reserveShare*depth)/surplusPer.Seconds())
+	available := overSelect * (rate + max(0, level)/surplusPer.Seconds())
 	s := selectByRank(available, needed, b.returned.rate(now), o.bounds.RankShare)
 	return &s
 }
@@ -110,22 +110,32 @@
 // Select decides whether a request may take units or draw, by the latest selection of the owner, and
 // counts it for the next draw. It is called once for each request.
 func (c *Client) Select(now time.Time, subject string, cost float64, rank int, returned bool) bool {
-	a, i := c.account(subject), rankIndex(rank)
-	share, credit := 1.0, &a.credit[i]
+	a, i, share := c.account(subject), rankIndex(rank), 1.0
+	selected := a.selection != nil && !now.After(a.selectionUntil)
 	if returned {
 		a.returned += cost
-		credit = &a.returnedCredit
+		if selected {
+			share = a.selection.Returned
+		}
 	} else {
 		a.byRank[i] += cost
+		if selected {
+			share = a.selection.New[i]
+		}
 	}
-	switch {
-	case a.selection == nil || now.After(a.selectionUntil):
-	case returned:
-		share = a.selection.Returned
-	default:
-		share = a.selection.New[i]
+	return pass(a.creditOf(rank, returned), share)
+}
+
+// Deselect gives back the credit of a selected request that did not run, for the next one like it.
+func (c *Client) Deselect(subject string, rank int, returned bool) {
+	*c.account(subject).creditOf(rank, returned)++
+}
+
+func (a *account) creditOf(rank int, returned bool) *float64 {
+	if returned {
+		return &a.returnedCredit
 	}
-	return pass(credit, share)
+	return &a.credit[rankIndex(rank)]
 }
 
 // phaseOf returns a number from -0.5 to 0.5 that differs between daemons, with which credits begin:
@@ -137,8 +147,11 @@
 // pass adds a share of a request to a credit, and takes a request out of it if it covers at least half
 // of one. Over many requests the given share passes, without random numbers.
 func pass(credit *float64, share float64) bool {
+	if share >= 1 {
+		return true
+	}
 	*credit += share
-	if share < 1 && *credit < 0.5 {
+	if *credit < 0.5 {
 		return false
 	}
 	*credit--
--- a/coordination/quota/types.go
+++ b/coordination/quota/types.go
@@ -142,9 +142,11 @@
 	// of its draws, half of the least retry time.
 	PromiseWait     = maxPace
 	minPromisePause = minRetryAfter / 2
-	// reserveShare is the share of the depth that the selection by rank leaves in the bucket, for
-	// the variation of the demand within surplusPer.
-	reserveShare = 0.1
+	// emptyShare is the share of the depth below which a bucket counts as empty for the selection.
+	emptyShare = 0.1
+	// overSelect is by how much the selected requests exceed the available units: the demand is known
+	// with a delay, and units must not stay unused because it has fallen.
+	overSelect = 1.25
 	// sameTime is how far apart the times may be that a daemon reports for one grant in two draws.
 	sameTime = 50 * time.Millisecond
 	// shareExpiry is how long an owner keeps the state of a daemon that does not draw.
--- a/driver/quotas/sharer.go
+++ b/driver/quotas/sharer.go
@@ -181,6 +181,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.client.Refund(now, t.subject, t.cost)
+	if t.selection != nil {
+		s.client.Deselect(t.subject, t.selection.rank, t.selection.returned)
+	}
 }
 
 // joinFlight adds a claim to the next draw for its subject, and starts that draw if none is under
--- a/driver/quotas/workspaces.go
+++ b/driver/quotas/workspaces.go
@@ -65,9 +65,10 @@
 		return Ticket{}, nil
 	}
 	_, version := k.opt.Directory()
-	if k.workspaces.shared.take(ctx, claim{subject: w.Name, limits: limitsOf(w), version: version, cost: r.Cost, selection: &selection{r.Rank, r.Returned}, late: r.Late}) {
+	by := &selection{r.Rank, r.Returned}
+	if k.workspaces.shared.take(ctx, claim{subject: w.Name, limits: limitsOf(w), version: version, cost: r.Cost, selection: by, late: r.Late}) {
 		k.workspaces.count(w.Name, counts{passed: 1})
-		return Ticket{w.Name, r.Cost, k.opt.Clock()}, nil
+		return Ticket{w.Name, r.Cost, k.opt.Clock(), by}, nil
 	}
 	k.workspaces.count(w.Name, counts{refused: 1})
 	return Ticket{}, k.workspaces.refuse(w, r)
