the coordinator directs requests with long prompts

Cause: reports of pending prompts are 200 to 600 ms old, and most prompts take less; daemons that choose engines by themselves meet prompts that they don't know of. Change: where prompts take longer than a pause between two events, the coordinator chooses the engine, by the prompts that it has directed there, the parts that the engine holds, its speed and its failure domain. Without a coordinator, or beyond 400 requests a second, daemons choose as before. The memory of prompt prefixes is a package of its own, used by both.

--- a/coordination/balance/balance.go
+++ b/coordination/balance/balance.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/doorvalve/doorvalve/coordination/backpressure"
+	"github.com/doorvalve/doorvalve/coordination/promptcache"
 	"github.com/doorvalve/doorvalve/coordination/workcost"
 	"github.com/doorvalve/doorvalve/protocol"
 	"github.com/doorvalve/doorvalve/state/fleet"
@@ -57,8 +58,10 @@
 
 // service is the state of a service as a whole.
 type service struct {
-	reportedAt time.Time     // time as of which load.others was reported; zero: never
-	runTime    time.Duration // moving average of the requests that have ended at this daemon
+	reportedAt time.Time // time as of which load.others was reported; zero: never
+	// reportedRunning is the number of requests of all daemons in that report.
+	reportedRunning int
+	runTime         time.Duration // moving average of the requests that have ended at this daemon
 	// promptTime is the moving average of the seconds by which processing the prompt of a request of
 	// this daemon exceeds the pause between two events.
 	promptTime  float64
@@ -79,7 +82,7 @@
 	loads    map[fleet.Incarnation]*load
 	services map[string]*service
 	daemons  int // number of daemons that share the requests
-	prefixes prefixes
+	prefixes promptcache.Memory
 
 	// Buffers of usable and pickByReports, so that a choice allocates nothing.
 	sound, avoided []*fleet.Endpoint
@@ -89,7 +92,7 @@
 // New returns a balancer for a daemon in a failure domain, which respects the backpressure
 // signals of endpoints. seed is for its random choices.
 func New(domain string, seed uint64, signals *backpressure.Tracker) *Balancer {
-	return &Balancer{domain: domain, signals: signals, rng: rand.New(rand.NewPCG(seed, 0)), loads: map[fleet.Incarnation]*load{}, services: map[string]*service{}, daemons: 1, prefixes: newPrefixes()}
+	return &Balancer{domain: domain, signals: signals, rng: rand.New(rand.NewPCG(seed, 0)), loads: map[fleet.Incarnation]*load{}, services: map[string]*service{}, daemons: 1, prefixes: promptcache.New()}
 }
 
 func (b *Balancer) load(id fleet.Incarnation) *load {
@@ -310,7 +313,7 @@
 	l := b.load(id)
 	l.absent[unit] = now.Add(absentFor)
 	delete(l.used, unit)
-	b.prefixes.forget(unit, id)
+	b.prefixes.Forget(unit, id)
 }
 
 // ClearAbsent undoes MarkAbsent after the coordinator has reported that the endpoint holds the unit.
@@ -343,7 +346,7 @@
 	for _, s := range b.services {
 		s.estimator.Retain(present)
 	}
-	b.prefixes.retain(func(_ string, id fleet.Incarnation) bool { return present(id) })
+	b.prefixes.Retain(func(_ string, id fleet.Incarnation) bool { return present(id) })
 }
 
 // SetDaemons sets how many daemons share the requests.
--- a/coordination/balance/loads.go
+++ b/coordination/balance/loads.go
@@ -42,10 +42,11 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.service(service)
-	s.reportedAt = asOf
+	s.reportedAt, s.reportedRunning = asOf, 0
 	s.speeds = s.speeds[:0]
 	for id, l := range all {
 		mine := own[id]
+		s.reportedRunning += l.Running
 		b.load(id).others = EngineLoad{
 			Running:       max(0, l.Running-mine.Running),
 			PendingPrompt: othersTokens(l.PendingPrompt, mine.PendingPrompt),
--- a/coordination/balance/ticket.go
+++ b/coordination/balance/ticket.go
@@ -64,7 +64,7 @@
 
 // processed records that the endpoint has processed the attempt's prompt.
 func (b *Balancer) processed(now time.Time, t *Ticket) {
-	b.prefixes.observe(now, t.unit, t.parts, t.endpoint.Incarnation())
+	b.prefixes.Observe(now, t.unit, t.parts, t.endpoint.Incarnation())
 	b.notPending(t)
 }
 
--- a/coordination/balance/work.go
+++ b/coordination/balance/work.go
@@ -4,6 +4,7 @@
 	"strings"
 	"time"
 
+	"github.com/doorvalve/doorvalve/coordination/promptcache"
 	"github.com/doorvalve/doorvalve/coordination/workcost"
 	"github.com/doorvalve/doorvalve/state/fleet"
 )
@@ -54,7 +55,7 @@
 	service     *service
 	model       string
 	work        workcost.Work
-	held        heldPrompt
+	held        promptcache.HeldPrompt
 	cacheTokens int
 	average     float64 // seconds for a prompt token on an average engine
 	pause       float64 // seconds between two events of an average stream
@@ -72,7 +73,7 @@
 	}
 	r.known, r.service, r.model = true, s, q.model()
 	r.work, r.cacheTokens = q.Work, q.CacheTokens
-	r.held = b.prefixes.held(now, q.Unit, q.Parts)
+	r.held = b.prefixes.Held(now, q.Unit, q.Parts)
 	r.average = s.tokenTime(now, fleet.Incarnation{}, r.model)
 	r.pause = s.pause(now, r.model).Seconds()
 	r.long = float64(q.Work.Prompt)*r.average > r.pause
@@ -120,7 +121,7 @@
 
 // uncached returns the prompt tokens that an engine has to process.
 func (r *requestWork) uncached(engine fleet.Incarnation) int {
-	return max(0, r.work.Prompt-r.held.at(engine))
+	return max(0, r.work.Prompt-r.held.At(engine))
 }
 
 // tokenTime returns the seconds that an engine needs for a prompt token. Differences from the average
@@ -157,3 +158,41 @@
 	}
 	return cost
 }
+
+const (
+	// directedPromptTime is the mean time by which processing a prompt exceeds a pause between two
+	// events, from which the coordinator chooses the engines: reports are older than most prompts take,
+	// so that daemons cannot tell which engine processes one.
+	directedPromptTime = 25 * time.Millisecond
+	// maxDirectedRate is the number of a service's requests a second up to which the coordinator is
+	// asked for each. An answer costs it some 0.1 ms of processor time, and a host may have a fifth
+	// of a core.
+	maxDirectedRate = 400.0
+)
+
+// PromptTime returns how long an average engine of a service processes the prompt of a request; zero
+// if its size is not known.
+func (b *Balancer) PromptTime(now time.Time, service string, q Query) time.Duration {
+	if !q.sized() {
+		return 0
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.service(service).estimator.PromptTime(now, fleet.Incarnation{}, q.model(), q.Work.Prompt)
+}
+
+// CoordinatorDirects reports whether the coordinator should choose the engine of a request among
+// several holders of its model: prompts are long, a report shows that there is a coordinator, and
+// all daemons together send it no more questions than it can answer.
+func (b *Balancer) CoordinatorDirects(now time.Time, service string, q Query, holders int) bool {
+	if !q.sized() || holders < 2 {
+		return false
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.service(service)
+	if now.Sub(s.reportedAt) >= reportTTL || s.promptTime < directedPromptTime.Seconds() {
+		return false
+	}
+	return float64(s.reportedRunning) <= maxDirectedRate*s.runTime.Seconds()
+}
--- a/coordination/balance/prefixes.go
+++ b/coordination/promptcache/memory.go
@@ -1,4 +1,7 @@
-package balance
+// Package promptcache remembers which engine has processed which prompt prefix, so that requests that
+// share it can be sent there: an engine does not process again what its cache holds. A Memory is a
+// state machine without I/O: callers pass the time. It is bounded and not safe for concurrent use.
+package promptcache
 
 import (
 	"slices"
@@ -16,14 +19,14 @@
 	maxPrefixes = 2048
 	// maxPrefixEngines bounds the engines remembered for one prefix; the most recent ones are kept.
 	maxPrefixEngines = 8
-	// prefixHeldFor is how long an engine is assumed to hold a prefix after its last use: at 1.6
+	// HeldFor is how long an engine is assumed to hold a prefix after its last use: at 1.6
 	// requests of 5,000 tokens a second, a cache of 232,000 tokens is replaced in 29 s.
-	prefixHeldFor = 30 * time.Second
+	HeldFor = 30 * time.Second
 )
 
-// prefixes remembers which engine has processed which prompt prefix: the least recently used one is
+// Memory remembers which engine has processed which prompt prefix: the least recently used one is
 // dropped for a new one. A prefix is identified by the hash of the unit and the ids of its parts.
-type prefixes struct {
+type Memory struct {
 	recent *simplelru.LRU[uint64, *prefix]
 }
 
@@ -37,12 +40,13 @@
 	usedAt      time.Time
 }
 
-func newPrefixes() prefixes {
+// New returns an empty memory.
+func New() Memory {
 	recent, err := simplelru.NewLRU[uint64, *prefix](maxPrefixes, nil)
 	if err != nil {
 		panic(err) // only for a size that is not positive
 	}
-	return prefixes{recent: recent}
+	return Memory{recent: recent}
 }
 
 // nextKey returns the key of a prefix that is one part longer than the one with the given key.
@@ -51,8 +55,8 @@
 	return (key ^ xxhash.Sum64String(id)) * multiplier
 }
 
-// observe records that an engine has processed a prompt.
-func (p prefixes) observe(now time.Time, unit string, parts []protocol.PromptPart, engine fleet.Incarnation) {
+// Observe records that an engine has processed a prompt.
+func (p Memory) Observe(now time.Time, unit string, parts []protocol.PromptPart, engine fleet.Incarnation) {
 	key := xxhash.Sum64String(unit)
 	for _, part := range parts {
 		key = nextKey(key, part.ID)
@@ -79,15 +83,15 @@
 	p.engines[0] = prefixEngine{incarnation: engine, usedAt: now}
 }
 
-// heldPrompt is how many tokens of one prompt engines hold.
-type heldPrompt struct {
+// HeldPrompt is how many tokens of one prompt engines hold.
+type HeldPrompt struct {
 	engines [maxPrefixEngines]fleet.Incarnation
 	tokens  [maxPrefixEngines]int
 	count   int
 }
 
-// held returns the tokens of a prompt that engines hold, by the longest prefixes remembered.
-func (p prefixes) held(now time.Time, unit string, parts []protocol.PromptPart) (out heldPrompt) {
+// Held returns the tokens of a prompt that engines hold, by the longest prefixes remembered.
+func (p Memory) Held(now time.Time, unit string, parts []protocol.PromptPart) (out HeldPrompt) {
 	key, tokens := xxhash.Sum64String(unit), 0
 	for _, part := range parts {
 		key = nextKey(key, part.ID)
@@ -97,7 +101,7 @@
 		}
 		tokens += part.Tokens
 		for _, e := range known.engines {
-			if now.Sub(e.usedAt) < prefixHeldFor {
+			if now.Sub(e.usedAt) < HeldFor {
 				out.set(e.incarnation, tokens)
 			}
 		}
@@ -105,7 +109,7 @@
 	return out
 }
 
-func (h *heldPrompt) set(engine fleet.Incarnation, tokens int) {
+func (h *HeldPrompt) set(engine fleet.Incarnation, tokens int) {
 	for i := range h.count {
 		if h.engines[i] == engine {
 			h.tokens[i] = tokens
@@ -118,7 +122,8 @@
 	}
 }
 
-func (h *heldPrompt) at(engine fleet.Incarnation) int {
+// At returns the tokens that an engine holds.
+func (h *HeldPrompt) At(engine fleet.Incarnation) int {
 	for i := range h.count {
 		if h.engines[i] == engine {
 			return h.tokens[i]
@@ -127,13 +132,13 @@
 	return 0
 }
 
-// forget removes an engine from the prefixes of a unit. It keeps the prefixes' order of use.
-func (p prefixes) forget(unit string, engine fleet.Incarnation) {
-	p.retain(func(u string, e fleet.Incarnation) bool { return u != unit || e != engine })
+// Forget removes an engine from the prefixes of a unit. It keeps the prefixes' order of use.
+func (p Memory) Forget(unit string, engine fleet.Incarnation) {
+	p.Retain(func(u string, e fleet.Incarnation) bool { return u != unit || e != engine })
 }
 
-// retain removes the engines that keep rejects, and prefixes without engines.
-func (p prefixes) retain(keep func(unit string, engine fleet.Incarnation) bool) {
+// Retain removes the engines that keep rejects, and prefixes without engines.
+func (p Memory) Retain(keep func(unit string, engine fleet.Incarnation) bool) {
 	for _, key := range p.recent.Keys() {
 		known, _ := p.recent.Peek(key)
 		known.engines = slices.DeleteFunc(known.engines, func(e prefixEngine) bool { return !keep(known.unit, e.incarnation) })
--- /dev/null
+++ b/coordination/residency/direct.go
@@ -0,0 +1,92 @@
+package residency
+
+import (
+	"time"
+
+	"github.com/doorvalve/doorvalve/coordination/promptcache"
+)
+
+const (
+	// otherDomainCost is the cost of an engine in another failure domain, which is worth a wait of
+	// about one pause between two events.
+	otherDomainCost = 30 * time.Millisecond
+	// reportedShare is the weight of reported pending prompts beside the backlog of the prompts that
+	// this planner has directed. Reports are some 200 to 600 ms old, in which most prompts have been
+	// processed; an engine that is slower than estimated still shows in them.
+	reportedShare = 0.5
+	// maxBacklog bounds the estimated time of the prompts that wait at one engine.
+	maxBacklog = 30 * time.Second
+	// maxPromptTime bounds the time of one prompt that a daemon may state.
+	maxPromptTime = 30 * time.Second
+)
+
+// direction is what a request costs at the engines that hold its model: the processing of its
+// prompt, where a part of it may be cached.
+type direction struct {
+	known      bool
+	held       promptcache.HeldPrompt
+	tokens     int
+	promptTime time.Duration // of the whole prompt, at an average engine
+	domain     string
+}
+
+// directionOf returns the direction of a request. It is unknown if the request does not state how
+// long its prompt takes.
+func (p *Planner) directionOf(now time.Time, want Want) direction {
+	if want.PromptTime <= 0 || want.Work.Prompt <= 0 {
+		return direction{}
+	}
+	return direction{
+		known: true, held: p.prompts.Held(now, want.unit(), want.Parts), tokens: want.Work.Prompt,
+		promptTime: min(maxPromptTime, want.PromptTime), domain: want.FailureDomain,
+	}
+}
+
+// unit returns MODEL or MODEL/ADAPTER.
+func (w *Want) unit() string {
+	if w.Adapter == "" {
+		return w.Model
+	}
+	return w.Model + "/" + w.Adapter
+}
+
+// processing returns how long an engine processes the part of the prompt that it does not hold.
+func (p *Planner) processing(now time.Time, e *engineState, d *direction) time.Duration {
+	uncached := max(0, d.tokens-d.held.At(e.incarnation))
+	speed, _ := p.costs.Speed(now, e.incarnation)
+	return time.Duration(float64(d.promptTime) * float64(uncached) / float64(d.tokens) / speed)
+}
+
+// backlog returns the time until an engine has processed the prompts that were directed there.
+func (e *engineState) backlog(now time.Time) time.Duration {
+	return max(0, e.promptsUntil.Sub(now))
+}
+
+// directCost returns the cost that an engine's work adds to sending a request there.
+func (p *Planner) directCost(now time.Time, e *engineState, d *direction) time.Duration {
+	if !d.known {
+		return p.loadCost(now, e)
+	}
+	cost := p.slotCost(e) + max(e.backlog(now), time.Duration(reportedShare*float64(p.pendingTime(now, e)))) + p.processing(now, e, d)
+	if d.domain != e.endpoint.FailureDomain {
+		cost += otherDomainCost
+	}
+	return cost
+}
+
+// noteDirected records that an answer has directed a request to an engine.
+func (p *Planner) noteDirected(now time.Time, e *engineState, want Want, d *direction) {
+	if !d.known {
+		return
+	}
+	until := now.Add(e.backlog(now) + p.processing(now, e, d))
+	e.promptsUntil = minTime(until, now.Add(maxBacklog))
+	p.prompts.Observe(now, want.unit(), want.Parts, e.incarnation)
+}
+
+func minTime(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
--- a/coordination/residency/planner.go
+++ b/coordination/residency/planner.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/doorvalve/doorvalve/coordination/promptcache"
 	"github.com/doorvalve/doorvalve/coordination/workcost"
 	"github.com/doorvalve/doorvalve/state/fleet"
 )
@@ -75,7 +76,9 @@
 	unreported int        // requests directed here by an answer that no daemon has reported yet
 	// unreportedPrompt is the number of prompt tokens of these requests.
 	unreportedPrompt int
-	lateOrders       []lateOrder
+	// promptsUntil is when the prompts that answers have directed here are processed, by estimate.
+	promptsUntil time.Time
+	lateOrders   []lateOrder
 	// afterUnload reports that no order has been answered since the last unload.
 	afterUnload bool
 	// fullUntil is the time until which the engine counts as full under its rate limit.
@@ -139,13 +142,14 @@
 	unloadTime     time.Duration
 	limits         map[string]incarnationLimit // reported by engines, by id
 	costs          *workcost.Estimator         // speeds of the engines
+	prompts        promptcache.Memory          // of all requests directed by answers
 	sent           []sentRequest
 	storeWatchedAt time.Time // last update of the concurrency of loads in progress
 }
 
 // New returns a planner without any state.
 func New(opt Options) *Planner {
-	return &Planner{opt: opt, store: newStoreConcurrency(opt.InitialStoreConcurrency), engines: map[string]*engineState{}, limits: map[string]incarnationLimit{}, demands: map[string]*reportedDemand{}, wants: map[string]*wantedModel{}, values: map[string]*value{}, pressures: map[string]*pressure{}, costs: workcost.New()}
+	return &Planner{opt: opt, store: newStoreConcurrency(opt.InitialStoreConcurrency), engines: map[string]*engineState{}, limits: map[string]incarnationLimit{}, demands: map[string]*reportedDemand{}, wants: map[string]*wantedModel{}, values: map[string]*value{}, pressures: map[string]*pressure{}, costs: workcost.New(), prompts: promptcache.New()}
 }
 
 // Configure sets the service to plan for.
@@ -213,6 +217,7 @@
 		}
 	}
 	p.costs.Retain(func(incarnation fleet.Incarnation) bool { return p.engineOf(incarnation) != nil })
+	p.prompts.Retain(func(_ string, incarnation fleet.Incarnation) bool { return p.engineOf(incarnation) != nil })
 	p.sortEngines()
 }
 
--- a/coordination/residency/running.go
+++ b/coordination/residency/running.go
@@ -161,9 +161,19 @@
 // loadCost returns the cost that an engine's load adds to sending a request there: the wait for a
 // slot, and the time until the prompts that were sent before are processed.
 func (p *Planner) loadCost(now time.Time, e *engineState) time.Duration {
+	return p.slotCost(e) + p.pendingTime(now, e)
+}
+
+// slotCost returns the cost of the running requests of an engine.
+func (p *Planner) slotCost(e *engineState) time.Duration {
 	full := min(1, float64(e.load())/float64(p.capacity(e)))
+	return p.startsIn(e) + time.Duration(full*float64(spreadCost))
+}
+
+// pendingTime returns how long an engine processes the reported prompts that wait there.
+func (p *Planner) pendingTime(now time.Time, e *engineState) time.Duration {
 	speed, pendingPrompt := p.speedAndWork(now, e)
-	return p.startsIn(e) + time.Duration(full*float64(spreadCost)) + workcost.PromptTime(pendingPrompt, speed)
+	return workcost.PromptTime(pendingPrompt, speed)
 }
 
 // runTime returns the mean duration of a request as of the last planning step.
--- a/coordination/residency/types.go
+++ b/coordination/residency/types.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/doorvalve/doorvalve/coordination/workcost"
+	"github.com/doorvalve/doorvalve/protocol"
 	"github.com/doorvalve/doorvalve/state/fleet"
 	"github.com/doorvalve/doorvalve/state/routing"
 )
@@ -109,8 +110,14 @@
 	// Slack is the time until the request must start to meet its objective; negative if it
 	// cannot meet it any more. It is not known if TimeLeft is zero.
 	Slack time.Duration
-	// Work is the size of the request; zero if it is not known.
-	Work workcost.Work
+	// Work is the size of the request; zero if it is not known. PromptTime is the time in which an
+	// average engine processes the whole prompt; zero if it is not known.
+	Work       workcost.Work
+	PromptTime time.Duration
+	// Parts are the leading parts of the prompt; empty if they are not known.
+	Parts []protocol.PromptPart
+	// FailureDomain is the failure domain of the asking daemon.
+	FailureDomain string
 	// Returning reports that the caller was refused before and has returned.
 	Returning bool
 }
--- a/coordination/residency/want.go
+++ b/coordination/residency/want.go
@@ -82,13 +82,14 @@
 func (p *Planner) findResident(now time.Time, want Want) (Answer, bool) {
 	var best *engineState
 	bestCost := time.Duration(0)
+	d := p.directionOf(now, want)
 	for _, e := range p.sorted {
 		r := e.models[want.Model]
 		if r == nil || !e.usable() || e.isFull(now) {
 			continue
 		}
 		cost, ok := p.residentCost(now, e, r, want)
-		cost += p.loadCost(now, e)
+		cost += p.directCost(now, e, &d)
 		if want.Avoid.Matches(e.incarnation) {
 			cost += avoidedCost
 		}
@@ -103,6 +104,7 @@
 	r.lastUse, r.lastAnswered = now, now
 	startsIn := p.startsIn(best)
 	p.addSent(now, best, want)
+	p.noteDirected(now, best, want, &d)
 	a := Answer{Endpoint: best.incarnation, Level: Resident, StartsIn: startsIn, ReadyIn: max(0, r.readyAt.Sub(now))}
 	if want.Avoid.Matches(best.incarnation) {
 		a.ReadyIn = max(a.ReadyIn, avoidedPause)
--- a/daemon/edgedaemon/daemon.go
+++ b/daemon/edgedaemon/daemon.go
@@ -172,7 +172,8 @@
 	d.gossip.OnFact(d.quotas.Endpoints().ReceiveFact)
 	d.gossip.OnFact(d.throttle.ReceiveFact)
 	d.callers = edge.New(edge.Options{
-		StateAge: d.stateAge, Access: access.Bounds{Apply: set.Timing.ApplyWithin.D(), Revoke: set.Timing.RevokeWithin.D()}, Quotas: d.quotas, Throttle: d.throttle,
+		FailureDomain: set.FailureDomain,
+		StateAge:      d.stateAge, Access: access.Bounds{Apply: set.Timing.ApplyWithin.D(), Revoke: set.Timing.RevokeWithin.D()}, Quotas: d.quotas, Throttle: d.throttle,
 		Table: d.view.Table, View: d.view.Endpoints, ViewAge: d.endpointsAge, Draining: d.draining, DrainDeadline: d.deadline, Dialect: platform.Dialect{}, Locator: d, Balancer: d.balancer,
 		Budget: d.budget, Quarantine: d.quarantine, Log: log, Metrics: d.metrics,
 		FlushEvery:  time.Duration(float64(set.Timing.Pass.D()) * flushShare),
--- a/daemon/edgedaemon/want.go
+++ b/daemon/edgedaemon/want.go
@@ -5,6 +5,7 @@
 
 	"github.com/doorvalve/doorvalve/coordination/residency"
 	"github.com/doorvalve/doorvalve/coordination/workcost"
+	"github.com/doorvalve/doorvalve/protocol"
 	"github.com/doorvalve/doorvalve/protocol/fleetpb"
 	"github.com/doorvalve/doorvalve/state/fleet"
 )
@@ -14,6 +15,7 @@
 		Service: service, Model: w.Model, Adapter: w.Adapter, Rank: int32(w.Rank), Daemon: w.Daemon, Full: incarnationsToWire(w.Full),
 		Avoid: w.Avoid.ID, AvoidBorn: w.Avoid.StartUnixMs, Unreachable: w.Unreachable, Absent: w.MissingAt.ID, AbsentBorn: w.MissingAt.StartUnixMs,
 		SlackMs: w.Slack.Milliseconds(), LeftMs: ceilMs(w.TimeLeft), PromptTokens: int64(w.Work.Prompt), OutputTokens: int64(w.Work.Output), Returning: w.Returning,
+		Domain: w.FailureDomain, PromptUs: w.PromptTime.Microseconds(), Parts: partsToWire(w.Parts),
 	}
 }
 
@@ -24,6 +26,7 @@
 		MissingAt: fleet.Incarnation{ID: req.Absent, StartUnixMs: req.AbsentBorn},
 		Slack:     boundedMs(req.SlackMs), TimeLeft: max(0, boundedMs(req.LeftMs)),
 		Work: workcost.WorkOf(boundedInt(req.PromptTokens), boundedInt(req.OutputTokens), true), Returning: req.Returning,
+		FailureDomain: req.Domain, PromptTime: time.Duration(boundedInt(req.PromptUs)) * time.Microsecond, Parts: partsFromWire(req.Parts),
 	}
 }
 
@@ -39,3 +42,22 @@
 const maxWireCount = 1 << 30
 
 func boundedInt(n int64) int { return int(min(maxWireCount, max(0, n))) }
+
+func partsToWire(parts []protocol.PromptPart) []*fleetpb.Part {
+	out := make([]*fleetpb.Part, len(parts))
+	for i, part := range parts {
+		out[i] = &fleetpb.Part{Id: part.ID, Tokens: int32(part.Tokens)}
+	}
+	return out
+}
+
+// partsFromWire returns at most protocol.MaxPromptParts parts: a faulty peer must not fill the
+// coordinator's memory of prompts.
+func partsFromWire(parts []*fleetpb.Part) []protocol.PromptPart {
+	parts = parts[:min(len(parts), protocol.MaxPromptParts)]
+	out := make([]protocol.PromptPart, len(parts))
+	for i, part := range parts {
+		out[i] = protocol.PromptPart{ID: part.GetId(), Tokens: boundedInt(int64(part.GetTokens()))}
+	}
+	return out
+}
--- a/protocol/call.go
+++ b/protocol/call.go
@@ -25,6 +25,10 @@
 	Credential  Credential
 }
 
+// MaxPromptParts bounds the parts of a prompt that are kept for one request: requests with the same
+// first parts share most of what can be shared.
+const MaxPromptParts = 64
+
 // PromptPart is one part of a prompt.
 type PromptPart struct {
 	ID     string // the same id has the same content
--- a/transport/edge/arrive.go
+++ b/transport/edge/arrive.go
@@ -120,16 +120,22 @@
 
 // returned reports whether the caller was refused before: the time left that it names is shorter
 // than the route's timeout by at least the shortest retry time.
-func (q *request) returned() bool {
-	return q.call.TimeLeft > 0 && q.route.Timeout-q.call.TimeLeft >= protocol.MinRetryAfter
-}
+func (q *request) returned() bool { return q.elapsedBefore() >= protocol.MinRetryAfter }
 
 // missedTarget reports whether the request missed its latency objective before it arrived: the time
 // left that its caller names is shorter than the route's timeout by more than the objective, as it
 // is when a caller retries after a refusal. It is false where the caller names no time or the route
 // has no timeout.
-func (q *request) missedTarget() bool {
-	return q.call.TimeLeft > 0 && q.route.Timeout > 0 && q.route.Timeout-q.call.TimeLeft > q.route.LatencyTarget
+func (q *request) missedTarget() bool { return q.elapsedBefore() > q.route.LatencyTarget }
+
+// elapsedBefore returns the time that had passed for the caller before the request arrived: by how much
+// the time left that it names is shorter than the route's timeout. It is zero where the caller names no
+// time or the route has no timeout.
+func (q *request) elapsedBefore() time.Duration {
+	if q.call.TimeLeft <= 0 || q.route.Timeout <= 0 {
+		return 0
+	}
+	return max(0, q.route.Timeout-q.call.TimeLeft)
 }
 
 // recheckKey refuses a request whose key was revoked while it waited.
--- a/transport/edge/locate.go
+++ b/transport/edge/locate.go
@@ -44,7 +44,7 @@
 			return e, nil
 		}
 		unavailable := s.unavailable(q, t, s.holders(q))
-		answer := s.opt.Locator.Want(ctx, q.service.Name, residency.Want{Model: q.call.Model, Adapter: q.call.Adapter, Rank: q.rank, Avoid: avoid, Unreachable: unreachable, MissingAt: absent, Full: unavailable.incarnations})
+		answer := s.opt.Locator.Want(ctx, q.service.Name, s.wantOf(q, residency.Want{Avoid: avoid, Unreachable: unreachable, MissingAt: absent, Full: unavailable.incarnations}))
 		absent, unreachable = fleet.Incarnation{}, false // reported to the coordinator only once
 		if ctx.Err() != nil {
 			return nil, s.outOfTime(protocol.NotRun)
@@ -78,6 +78,18 @@
 	}
 }
 
+// wantOf completes the description of a request for the coordinator.
+func (s *Server) wantOf(q *request, w residency.Want) residency.Want {
+	w.Model, w.Adapter, w.Rank = q.call.Model, q.call.Adapter, q.rank
+	w.FailureDomain = s.opt.FailureDomain
+	w.TimeLeft, w.Returning = q.timeLeft(), q.returned()
+	query := balanceQuery(q, nil)
+	w.Work, w.Parts = query.Work, query.Parts
+	w.PromptTime = s.opt.Balancer.PromptTime(clock.Now(), q.service.Name, query)
+	w.Slack = q.route.LatencyTarget - time.Since(q.arrived) - q.elapsedBefore() - w.PromptTime
+	return w
+}
+
 // accepts reports whether an endpoint takes a request now: it is not leaving, not known to be
 // unreachable, and open by its backpressure signals.
 func (s *Server) accepts(q *request, t *attemptState, e *fleet.Endpoint) bool {
@@ -228,7 +240,7 @@
 	if e == nil {
 		return nil
 	}
-	if s.opt.Balancer.NearCapacity(clock.Now(), holders, query) {
+	if s.opt.Balancer.NearCapacity(clock.Now(), holders, query) || s.opt.Balancer.CoordinatorDirects(clock.Now(), q.service.Name, query, len(holders)) {
 		return nil // the coordinator counts all requests that it has assigned, so it can tell who has room
 	}
 	if len(holders) >= minSteadyHolders || s.opt.Balancer.RecentlyServed(clock.Now(), e.Incarnation(), q.unit()) {
--- a/transport/edge/server.go
+++ b/transport/edge/server.go
@@ -52,6 +52,8 @@
 	// DrainDeadline returns when a draining daemon aborts the requests in progress; zero while the
 	// daemon is not draining.
 	DrainDeadline func() time.Time
+	// FailureDomain is that of the daemon's host.
+	FailureDomain string
 	Dialect       protocol.Dialect
 	Locator       Locator
 	Balancer      *balance.Balancer
--- a/transport/edge/work_test.go
+++ b/transport/edge/work_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/doorvalve/doorvalve/coordination/balance"
 	"github.com/doorvalve/doorvalve/coordination/workcost"
+	"github.com/doorvalve/doorvalve/protocol"
 	"github.com/doorvalve/doorvalve/state/fleet"
 	"github.com/doorvalve/doorvalve/state/routing"
 )
