quota: ranks share a workspace's quota, and returning callers find their units

Cause: the quota of a workspace did not know ranks: all draws of workspaces carried rank 0, so Owner.outranked never applied to them. While new requests alone exceeded the rate, the owner promised nothing to callers that were refused (SpareRate 0): all of them were told to return a window later, and were then refused again as late.

Change: daemons report new units by rank and returning units with each draw. While a workspace is over its quota, the owner answers with the share of each to let through: each rank 0.9 of the share of the next more urgent one (promised: 0.8 to 1), returning callers before new ones up to 0.8 of the rate. Half of the rate is promised to refused callers, one after the other, within 0.85 of a window; a returning request waits up to a second for its units. Callers beyond that are told to return a window later, without a promise. What is granted is bounded as before. Old peers send neither units by rank nor a selection, and are served as before. Limits of endpoints keep the strict order by rank.

TestCountersOfWorkspacesAreBounded calls refuse with its new parameter.

--- a/coordination/quota/client.go
+++ b/coordination/quota/client.go
@@ -34,12 +34,13 @@
 type Client struct {
 	self          string
 	maxRetryAfter time.Duration
+	phase         float64 // see phaseOf
 	accounts      map[string]*account
 }
 
 // NewClient returns the client of a daemon.
 func NewClient(self string, bounds Bounds) *Client {
-	c := &Client{self: self, maxRetryAfter: bounds.Window, accounts: map[string]*account{}}
+	c := &Client{self: self, phase: phaseOf(self), maxRetryAfter: bounds.Window, accounts: map[string]*account{}}
 	if c.maxRetryAfter <= 0 {
 		c.maxRetryAfter = defaultMaxRetryAfter
 	}
@@ -54,6 +55,12 @@
 	used           float64 // of the allowance, since the last draw
 	offered        float64 // units since the last draw
 	requests       int
+	byRank         RankUnits  // units of new requests since the last draw
+	returned       float64    // units of returning requests since the last draw
+	selection      *Selection // by the owner's latest grant; nil: all requests are let through
+	selectionUntil time.Time
+	credit         [MaxRanks]float64 // of new requests, by which the selection is carried out
+	returnedCredit float64           // of returning requests
 	drawFrom       time.Time
 	retryAt        time.Time // by the owner's latest grant
 	usedAt         time.Time // time of the latest request
@@ -81,7 +88,10 @@
 func (c *Client) account(subject string) *account {
 	a := c.accounts[subject]
 	if a == nil {
-		a = &account{}
+		a = &account{returnedCredit: c.phase}
+		for rank := range a.credit {
+			a.credit[rank] = c.phase
+		}
 		c.accounts[subject] = a
 	}
 	return a
@@ -138,8 +148,8 @@
 }
 
 // AddRefusal counts a refusal, and returns when the caller should retry: after the callers refused
-// before it, at the rate at which the quota has room for them. While new requests alone exceed the
-// quota there is no room for retries, and the caller should retry a window later.
+// before it, at the rate at which the quota has room for them. If the owner promises no room for
+// retries, the caller should retry a window later.
 func (c *Client) AddRefusal(now time.Time, subject string, cost float64) time.Duration {
 	a := c.account(subject)
 	if a.spareRate <= 0 {
@@ -151,6 +161,31 @@
 	return c.Wait(now, subject)
 }
 
+// AddPatientRefusal is AddRefusal for a caller that states for how long it waits. Units are promised
+// only for a time within its wait and within promiseShare of a window. A caller without a promise
+// should retry a window later, or when there is room if that is sooner.
+func (c *Client) AddPatientRefusal(now time.Time, subject string, cost float64, timeLeft time.Duration) time.Duration {
+	a := c.account(subject)
+	if a.spareRate <= 0 {
+		return c.AddRefusal(now, subject, cost)
+	}
+	backlog := a.currentBacklog(now) + cost
+	after := max(c.Wait(now, subject), time.Duration(backlog/a.spareRate*float64(time.Second)))
+	switch {
+	case after > time.Duration(promiseShare*float64(c.maxRetryAfter)):
+		return c.maxRetryAfter
+	case after < timeLeft:
+		a.backlog, a.backlogAt = backlog, now
+	}
+	return after
+}
+
+// MayBePromised reports whether units may have been promised to a caller that made its first attempt
+// the given time ago, and was then refused.
+func (c *Client) MayBePromised(age time.Duration) bool {
+	return age >= minRetryAfter && age < time.Duration(returnedShare*float64(c.maxRetryAfter))
+}
+
 // Wait returns the time until a request is admitted after the callers that were refused before it.
 func (c *Client) Wait(now time.Time, subject string) time.Duration {
 	a := c.account(subject)
@@ -197,7 +232,7 @@
 // BeginDraw returns the draw to send to an owner for the waiting requests.
 func (c *Client) BeginDraw(now time.Time, subject, owner string, l Limits, need float64, waiting int) Draw {
 	a := c.account(subject)
-	d := Draw{Daemon: c.self, Subject: subject, Limits: l, Need: need, Waiting: waiting, Used: a.used, Offered: a.offered, Requests: a.requests}
+	d := Draw{Daemon: c.self, Subject: subject, Limits: l, Need: need, Waiting: waiting, Used: a.used, Offered: a.offered, Requests: a.requests, ByRank: a.byRank, Returned: a.returned}
 	d.OtherGrants = a.otherGrants(now, owner, c.maxRetryAfter)
 	d.WantSummary = a.summaryOwner != owner || now.Sub(a.summaryAt) > summaryEvery
 	if a.summary != nil && a.summaryOwner != owner {
@@ -206,6 +241,7 @@
 		d.Summary = &latest
 	}
 	a.used, a.offered, a.requests, a.sent, a.sentAt = 0, 0, 0, d, now
+	a.byRank, a.returned = RankUnits{}, 0
 	a.allowance = 0 // the draw returns it
 	return d
 }
@@ -216,6 +252,7 @@
 	a.pay(now, g.Units)
 	a.allowance, a.allowanceUntil = g.Allowance, a.sentAt.Add(AllowanceLifetime) // not later than by the owner's clock
 	a.spareRate, a.rateShare = g.SpareRate, g.RateShare
+	a.selection, a.selectionUntil = g.Selection, now.Add(overloadFor)
 	a.overloadUntil = time.Time{}
 	if g.NearLimit && g.SpareRate <= 0 {
 		a.overloadUntil = now.Add(overloadFor)
@@ -269,4 +306,8 @@
 	a.used += a.sent.Used
 	a.offered += a.sent.Offered
 	a.requests += a.sent.Requests
+	a.returned += a.sent.Returned
+	for rank, units := range a.sent.ByRank {
+		a.byRank[rank] += units
+	}
 }
--- a/coordination/quota/owner.go
+++ b/coordination/quota/owner.go
@@ -30,8 +30,11 @@
 	grantedAt           time.Time // time of the latest grant
 	informedUntil       time.Time // time up to which the grants of other owners are known; zero if no summary has arrived
 	window              window
-	demand              meter // units
+	demand              meter           // units
+	byRank              [MaxRanks]meter // units of new requests
+	returned            meter           // units of returning requests
 	requests            meter
+	selecting           bool      // daemons select requests by rank
 	lastCalm            time.Time // latest time at which demand was below the rate
 	shares              map[string]*share
 	allowances          float64 // of all daemons
@@ -80,21 +83,26 @@
 	b.expireAllowances(now)
 	s := b.share(d.Daemon)
 	o.account(now, b, s, d)
+	slack := fraction * o.bounds.excess(d.Limits)
+	withheld := o.withheld(now, b, l, o.bounds.depth(l), startShare*slack)
+	b.selecting = o.selects(now, b, rate, o.bounds.depth(l), b.level-withheld)
 	g := Grant{NearLimit: true}
 	if !b.outranked(now, d.Rank) {
-		g = o.grant(now, b, s, d, l, fraction*o.bounds.excess(d.Limits))
+		g = o.grant(now, b, s, d, l, slack)
 		g.RateShare = rate * b.shareOf(now, s)
 	}
 	if g.Units < d.Need {
 		b.scarceAt[d.Rank] = now
 	}
-	g.RetryAfter = max(g.NextDrawIn, o.retryAfter(now, b, d, l, fraction*o.bounds.excess(d.Limits)))
+	g.RetryAfter = max(g.NextDrawIn, o.retryAfter(now, b, d, l, slack))
 	b.noteHead(now, d, g)
+	if g.Selection = o.selection(now, b, rate, b.level-withheld); g.Selection != nil {
+		g.NearLimit, g.SpareRate = true, b.spareRate(now, rate)*b.shareOf(now, s)
+	}
 	if g.Units > 0 || g.Allowance > 0 {
 		b.grantedAt = now
 	}
 	if d.WantSummary {
-		withheld := o.withheld(now, b, l, o.bounds.depth(l), startShare*fraction*o.bounds.excess(d.Limits))
 		g.Summary = &Summary{Level: b.level - withheld, Used: b.window.periods(now)}
 	}
 	return g
@@ -117,7 +125,7 @@
 	}
 	demandShare := s.demand.rate(now) / max(b.totalDemand(now), 1)
 	g := Grant{NearLimit: true, SpareRate: b.spareRate(now, rate) * demandShare}
-	if g.NextDrawIn = b.pace(now); g.NextDrawIn == 0 {
+	if g.NextDrawIn = o.pace(now, b, rate); g.NextDrawIn == 0 {
 		g.Units = b.take(now, d, room, depth)
 		return g
 	}
@@ -156,7 +164,10 @@
 	if b == nil {
 		b = &bucket{
 			level: burst, levelAt: now, keptSince: now, allowancesExpiredAt: now, lastCalm: now, window: newWindow(o.bounds.Window),
-			demand: meter{over: demandOver}, requests: meter{over: demandOver}, shares: map[string]*share{}, scarceAt: map[int]time.Time{}, heads: map[string]head{},
+			demand: meter{over: demandOver}, returned: meter{over: demandOver}, requests: meter{over: demandOver}, shares: map[string]*share{}, scarceAt: map[int]time.Time{}, heads: map[string]head{},
+		}
+		for rank := range b.byRank {
+			b.byRank[rank].over = demandOver
 		}
 		o.buckets[subject] = b
 	}
@@ -318,21 +329,17 @@
 	s.demand.add(now, d.Offered)
 	s.requests.add(now, float64(d.Requests))
 	b.demand.add(now, d.Offered)
+	b.accountRanks(now, d)
 	b.requests.add(now, float64(d.Requests))
 	if b.demand.rate(now) < d.Limits.Rate {
 		b.lastCalm = now
 	}
 }
 
-// spareRate returns what the rate leaves for retrying callers, in units a second. A crowd of
-// callers that all arrive at once, as after a start of all daemons, is over soon: half of the rate
-// is then expected to be left.
+// spareRate returns what is promised to retrying callers, in units a second: what the demand leaves
+// of the rate, and at least returnShare of it.
 func (b *bucket) spareRate(now time.Time, rate float64) float64 {
-	left := max(0, rate-b.demand.rate(now))
-	if now.Sub(b.lastCalm) < rushFor {
-		return max(left, rate/2)
-	}
-	return left
+	return max(rate-b.demand.rate(now), returnShare*rate)
 }
 
 // take takes the units that waiting requests need: as many of several requests as there is room
@@ -371,9 +378,13 @@
 }
 
 // pace returns the time between two draws of a daemon that keeps the owner's load within maxDraws;
-// zero where each request may have its own draw.
-func (b *bucket) pace(now time.Time) time.Duration {
-	if b.requests.rate(now) <= maxDraws {
+// zero where each request may have its own draw. Requests that are not selected need no draw.
+func (o *Owner) pace(now time.Time, b *bucket, rate float64) time.Duration {
+	requests := b.requests.rate(now)
+	if b.selecting {
+		requests *= min(1, rate/b.demand.rate(now))
+	}
+	if requests <= maxDraws {
 		return 0
 	}
 	return min(maxPace, time.Duration(len(b.shares))*time.Second/maxDraws)
--- a/coordination/quota/types.go
+++ b/coordination/quota/types.go
@@ -32,8 +32,16 @@
 	// NewOwnerShare is the share of the permitted excess that all owners started within one window
 	// may grant together before they learn what their predecessors granted.
 	NewOwnerShare float64
+	// RankShare is the least share of its offered units that a rank is admitted while the subject is
+	// over its limits, relative to the next more urgent rank. Zero: ranks are admitted alike, except
+	// for the order of queued requests and of requests that find no room.
+	RankShare float64
 }
 
+// DefaultRankShare is the value of Bounds.RankShare for workspaces. It lies between the promised
+// bounds of 0.8 and 1: shares that are measured over some seconds vary by chance.
+const DefaultRankShare = 0.9
+
 // perWindow returns the units that the limits allow in a window.
 func (b Bounds) perWindow(l Limits) float64 { return l.Rate*b.Window.Seconds() + l.Burst }
 
@@ -119,9 +127,31 @@
 	// recentOver is the time over which a daemon that cannot reach an owner sums up its past
 	// grants.
 	recentOver = 4 * time.Second
-	// rushFor is how long demand may exceed the rate before it is expected to last: callers that
-	// have waited for daemons to restart all arrive within it.
-	rushFor = 2 * time.Second
+	// returnShare is the share of the rate that is promised to callers that were refused. The rest
+	// goes to new requests, which can still be answered within their latency objectives.
+	returnShare = 0.5
+	// promiseShare is the share of a window within which units are promised, and returnedShare that
+	// within which a caller counts as returning for them. Callers without a promise return a window
+	// later, and must not take the units of others; promised ones may be late by the difference.
+	promiseShare  = 0.85
+	returnedShare = 0.95
+	// maxReturnedShare is the share of the rate that returning callers may take from new requests. It
+	// is above returnShare, since they return unevenly, and below 1, since callers may be taken for
+	// returning that state short waits.
+	maxReturnedShare = 0.8
+	// overloadAfter is how long demand must exceed the rate before requests are selected by rank. It
+	// is demandOver, so that a few requests of a small workspace don't count as overload.
+	overloadAfter = demandOver
+	// PromiseWait is how long a returning request waits for the units promised to it: as long as a
+	// daemon may have to wait before it draws again. minPromisePause is the least time between two
+	// of its draws, half of the least retry time.
+	PromiseWait     = maxPace
+	minPromisePause = minRetryAfter / 2
+	// emptyShare is the share of the depth below which a bucket counts as empty for the selection.
+	emptyShare = 0.1
+	// overSelect is by how much the selected requests exceed the available units: the demand is known
+	// with a delay, and units must not stay unused because it has fallen.
+	overSelect = 1.25
 	// sameTime is how far apart the times may be that a daemon reports for one grant in two draws.
 	sameTime = 50 * time.Millisecond
 	// shareExpiry is how long an owner keeps the state of a daemon that does not draw.
@@ -154,6 +184,10 @@
 	// since the last draw, including those that wait and those that were refused.
 	Offered  float64
 	Requests int
+	// ByRank is the part of Offered that new requests of each rank need, and Returned the part that
+	// callers need which were refused before. Daemons that do not know ranks leave both empty.
+	ByRank   RankUnits
+	Returned float64
 	// OtherGrants are the grants of other owners within the window; the receiver counts each of
 	// them once. Summary is the latest summary of another owner, nil if there is none.
 	OtherGrants []PastGrant
@@ -197,7 +231,9 @@
 	// RetryAfter is the time until there is room for one more request like the waiting ones, if
 	// nobody else takes it.
 	RetryAfter time.Duration
-	Summary    *Summary // set if the draw asked for it
+	// Selection is set if the subject is over its limits and its requests are selected by rank.
+	Selection *Selection
+	Summary   *Summary // set if the draw asked for it
 }
 
 // meter averages events that arrive in bursts.
--- a/driver/quotas/endpoints.go
+++ b/driver/quotas/endpoints.go
@@ -79,7 +79,7 @@
 	}
 	subject := incarnation.String()
 	if e.shared.take(ctx, claim{subject: subject, limits: report.Limits(), version: report.Version, cost: oneRequest, rank: req.Rank, queued: req.Waiter != nil, timeLeft: max(0, req.Deadline.Sub(e.opt.Clock()))}) {
-		return Ticket{subject, oneRequest, e.opt.Clock()}, true, 0
+		return Ticket{subject: subject, cost: oneRequest, at: e.opt.Clock()}, true, 0
 	}
 	e.metrics.heldBack.Inc(1)
 	return Ticket{}, false, max(e.shared.retryAfter(subject), minRetryAfter)
--- a/driver/quotas/fleet_test.go
+++ b/driver/quotas/fleet_test.go
@@ -39,6 +39,9 @@
 	offered     map[string][]passed
 	store       *record.Store
 	generations *generations.Tracker // of the store, shared by all daemons
+	// alterGrants changes the answers to draws, as owners of another version would give them; nil: it
+	// does not.
+	alterGrants func(*quotapb.DrawResponse)
 }
 
 // storeLatency is the time that a call to the store takes.
@@ -291,7 +294,11 @@
 	if k == nil {
 		return nil, errDaemonDown
 	}
-	return k.Draw(ctx, req)
+	resp, err := k.Draw(ctx, req)
+	if err == nil && in.alterGrants != nil {
+		in.alterGrants(resp)
+	}
+	return resp, err
 }
 
 // drawCount returns the number of draws so far.
--- a/driver/quotas/metrics_test.go
+++ b/driver/quotas/metrics_test.go
@@ -21,7 +21,7 @@
 	for range rounds {
 		for i := range workspaces {
 			d := declaration("workspace-"+strconv.Itoa(i), 1, 1)
-			_ = k.workspaces.refuse(&d.Workspace, 1)
+			_ = k.workspaces.refuse(&d.Workspace, Request{Cost: 1})
 		}
 	}
 	own, sum := 0, int64(0)
--- a/driver/quotas/quotas.go
+++ b/driver/quotas/quotas.go
@@ -119,6 +119,8 @@
 	subject string
 	cost    float64
 	at      time.Time // when the request was admitted
+	// selection is what the request was selected by; nil if requests are not selected.
+	selection *selection
 }
 
 // Run reads the record of limits, then publishes pending limits, writes the record and follows
--- a/driver/quotas/serve.go
+++ b/driver/quotas/serve.go
@@ -18,12 +18,12 @@
 	defer cancel()
 	resp, err := s.opt.Peer(m.PeerAddress).Draw(ctx, &quotapb.DrawRequest{
 		Daemon: d.Daemon, Subject: d.Subject, Kind: s.kind, Version: version, Rate: d.Limits.Rate, Burst: d.Limits.Burst, Need: d.Need, Waiting: int32(d.Waiting), Rank: int32(d.Rank), LeftMs: d.TimeLeft.Milliseconds(), Waits: d.Queued, Used: d.Used,
-		Offered: d.Offered, Requests: int32(d.Requests), Elsewhere: pastGrantsToWire(d.OtherGrants), Summary: summaryToWire(d.Summary), Inform: d.WantSummary, Forwarded: forwarded,
+		Offered: d.Offered, Requests: int32(d.Requests), OfferedByRank: ranksToWire(d.ByRank), Returned: d.Returned, Elsewhere: pastGrantsToWire(d.OtherGrants), Summary: summaryToWire(d.Summary), Inform: d.WantSummary, Forwarded: forwarded,
 	})
 	if err != nil {
 		return quota.Grant{}, "", err
 	}
-	return quota.Grant{Units: resp.Units, Allowance: resp.Ahead, NextDrawIn: time.Duration(resp.AgainMs) * time.Millisecond, RetryAfter: time.Duration(resp.RoomInMs) * time.Millisecond, NearLimit: resp.Over, SpareRate: resp.Spare, RateShare: resp.Part, Summary: summaryFromWire(resp.Summary)}, resp.Owner, nil
+	return quota.Grant{Units: resp.Units, Allowance: resp.Ahead, NextDrawIn: time.Duration(resp.AgainMs) * time.Millisecond, RetryAfter: time.Duration(resp.RoomInMs) * time.Millisecond, NearLimit: resp.Over, SpareRate: resp.Spare, RateShare: resp.Part, Selection: selectionFromWire(resp.Selection), Summary: summaryFromWire(resp.Summary)}, resp.Owner, nil
 }
 
 func isFinite(n float64) bool { return !math.IsNaN(n) && !math.IsInf(n, 0) }
@@ -33,7 +33,7 @@
 
 // Draw implements quotapb.Quotas.
 func (k *Controller) Draw(_ context.Context, req *quotapb.DrawRequest) (*quotapb.DrawResponse, error) {
-	for _, count := range []float64{req.Need, req.Used, req.Offered, req.Rate, req.Burst} {
+	for _, count := range append([]float64{req.Need, req.Used, req.Offered, req.Rate, req.Burst, req.Returned}, req.OfferedByRank...) {
 		if !(count >= 0 && count <= math.MaxFloat64) {
 			return nil, errInvalidCount
 		}
@@ -55,7 +55,7 @@
 		return toWire(quota.Grant{Units: req.Need}, s.opt.Self)
 	}
 	d := quota.Draw{
-		Daemon: req.Daemon, Subject: req.Subject, Limits: limits, Need: req.Need, Waiting: int(req.Waiting), Rank: int(req.Rank), TimeLeft: time.Duration(req.LeftMs) * time.Millisecond, Queued: req.Waits, Used: req.Used, Offered: req.Offered, Requests: int(req.Requests),
+		Daemon: req.Daemon, Subject: req.Subject, Limits: limits, Need: req.Need, Waiting: int(req.Waiting), Rank: int(req.Rank), TimeLeft: time.Duration(req.LeftMs) * time.Millisecond, Queued: req.Waits, Used: req.Used, Offered: req.Offered, Requests: int(req.Requests), ByRank: ranksFromWire(req.OfferedByRank), Returned: req.Returned,
 		OtherGrants: pastGrantsFromWire(req.Elsewhere), Summary: summaryFromWire(req.Summary), WantSummary: req.Inform,
 	}
 	if !req.Forwarded {
@@ -82,7 +82,38 @@
 }
 
 func toWire(g quota.Grant, owner string) *quotapb.DrawResponse {
-	return &quotapb.DrawResponse{Units: g.Units, Ahead: g.Allowance, AgainMs: g.NextDrawIn.Milliseconds(), RoomInMs: g.RetryAfter.Milliseconds(), Over: g.NearLimit, Spare: g.SpareRate, Part: g.RateShare, Owner: owner, Summary: summaryToWire(g.Summary)}
+	return &quotapb.DrawResponse{Units: g.Units, Ahead: g.Allowance, AgainMs: g.NextDrawIn.Milliseconds(), RoomInMs: g.RetryAfter.Milliseconds(), Over: g.NearLimit, Spare: g.SpareRate, Part: g.RateShare, Owner: owner, Selection: selectionToWire(g.Selection), Summary: summaryToWire(g.Summary)}
+}
+
+// ranksToWire leaves out the less urgent ranks that need nothing.
+func ranksToWire(units quota.RankUnits) []float64 {
+	n := len(units)
+	for n > 0 && units[n-1] == 0 {
+		n--
+	}
+	return units[:n]
+}
+
+func ranksFromWire(list []float64) quota.RankUnits {
+	var units quota.RankUnits
+	copy(units[:], list)
+	return units
+}
+
+func selectionToWire(s *quota.Selection) *quotapb.Selection {
+	if s == nil {
+		return nil
+	}
+	return &quotapb.Selection{New: s.New[:], Returned: s.Returned}
+}
+
+// selectionFromWire returns nil for a selection without usable numbers, which would let no request
+// through.
+func selectionFromWire(s *quotapb.Selection) *quota.Selection {
+	if s == nil || len(s.New) < quota.MaxRanks || slices.ContainsFunc(append(slices.Clone(s.New), s.Returned), func(n float64) bool { return !(n >= 0 && n <= 1) }) {
+		return nil
+	}
+	return &quota.Selection{New: ranksFromWire(s.New), Returned: s.Returned}
 }
 
 func pastGrantsToWire(list []quota.PastGrant) []*quotapb.Past {
--- a/driver/quotas/sharer.go
+++ b/driver/quotas/sharer.go
@@ -8,6 +8,7 @@
 	"github.com/doorvalve/doorvalve/coordination/membership"
 	"github.com/doorvalve/doorvalve/coordination/quota"
 	"github.com/doorvalve/doorvalve/driver/decisions"
+	"github.com/doorvalve/doorvalve/internal/pause"
 	"github.com/doorvalve/doorvalve/protocol/quotapb"
 )
 
@@ -54,12 +55,22 @@
 	cost    float64
 	rank    int  // 0 is most urgent
 	late    bool // the request has missed its latency objective already
+	// selection is set if requests are selected by rank while the subject is over its limits. Their
+	// draws carry no rank, since an owner grants nothing to a rank while more urgent ones find no
+	// room.
+	selection *selection
 	// queued says that the request asks again until it is admitted, and that its cost was counted
 	// as offered before; timeLeft is the time until its caller gives up.
 	queued   bool
 	timeLeft time.Duration
 }
 
+// selection is what requests are selected by.
+type selection struct {
+	rank     int
+	returned bool // the caller was refused before
+}
+
 // before reports whether c is served before o, a claim on the same subject: by rank, then by the
 // time left.
 func (c claim) before(o claim) bool {
@@ -82,7 +93,39 @@
 	if !c.queued {
 		s.client.Offer(now, c.subject, c.cost)
 	}
-	verdict := s.client.Take(now, c.subject, c.cost, c.late)
+	if c.selection != nil && !s.client.Select(now, c.subject, c.cost, c.selection.rank, c.selection.returned) {
+		return false
+	}
+	if s.takeOrDraw(ctx, c) {
+		return true
+	}
+	return c.selection != nil && c.selection.returned && s.awaitPromised(ctx, c)
+}
+
+// awaitPromised draws again for a returning request until it has the units that were promised to it,
+// or quota.PromiseWait has passed. The caller holds the mutex.
+func (s *sharer) awaitPromised(ctx context.Context, c claim) bool {
+	deadline := s.opt.Clock().Add(quota.PromiseWait)
+	for ctx.Err() == nil {
+		now := s.opt.Clock()
+		wait, promised := s.client.PromisedIn(now, c.subject)
+		if !promised || now.Add(wait).After(deadline) {
+			return false
+		}
+		s.mu.Unlock()
+		pause.For(ctx, wait)
+		s.mu.Lock()
+		if s.takeOrDraw(ctx, c) {
+			return true
+		}
+	}
+	return false
+}
+
+// takeOrDraw admits a request from what this daemon holds, or draws for it once. The caller holds
+// the mutex.
+func (s *sharer) takeOrDraw(ctx context.Context, c claim) bool {
+	verdict := s.client.Take(s.opt.Clock(), c.subject, c.cost, c.late)
 	if verdict == quota.AskOwner {
 		f := s.joinFlight(c)
 		s.mu.Unlock()
@@ -97,10 +140,13 @@
 }
 
 // addRefusal records a refusal, and returns the time until a retry is worthwhile for its caller.
-func (s *sharer) addRefusal(subject string, cost float64) time.Duration {
+func (s *sharer) addRefusal(subject string, r Request) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.client.AddRefusal(s.opt.Clock(), subject, cost)
+	if r.TimeLeft <= 0 {
+		return s.client.AddRefusal(s.opt.Clock(), subject, r.Cost)
+	}
+	return s.client.AddPatientRefusal(s.opt.Clock(), subject, r.Cost, r.TimeLeft)
 }
 
 // retryAfter returns the time until there is room for one more request.
@@ -135,6 +181,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.client.Refund(now, t.subject, t.cost)
+	if t.selection != nil {
+		s.client.Deselect(t.subject, t.selection.rank, t.selection.returned)
+	}
 }
 
 // joinFlight adds a claim to the next draw for its subject, and starts that draw if none is under
--- a/driver/quotas/workspaces.go
+++ b/driver/quotas/workspaces.go
@@ -34,25 +34,43 @@
 
 func newWorkspaces(k *Controller) *workspaces {
 	w := &workspaces{opt: &k.opt, metrics: &k.metrics, lastRefused: map[string]time.Time{}, counts: map[string]counts{}, refusals: map[string]tally.Counter{}}
-	w.shared = newSharer(k, quotapb.Kind_WORKSPACE, "quota", k.opt.Bounds)
+	bounds := k.opt.Bounds
+	bounds.RankShare = quota.DefaultRankShare
+	w.shared = newSharer(k, quotapb.Kind_WORKSPACE, "quota", bounds)
 	w.shared.latestLimits, w.shared.isolatedGrant = w.latestLimits, w.isolatedGrant
 	return w
 }
 
-// Admit counts a request against the quota of its workspace, or returns a refusal if the workspace
-// is over it. late says that the request has missed its latency objective already. Requests without
-// a workspace or cost, and workspaces without a quota, are admitted with a zero Ticket.
+// Request describes a request that is counted against a quota.
+type Request struct {
+	Cost float64 // units
+	Rank int     // 0 is most urgent
+	Late bool    // it has missed its latency objective already
+	// Age is the time since the caller's first attempt, and TimeLeft is how long it waits; zero if it
+	// does not state them.
+	Age, TimeLeft time.Duration
+}
+
+// Admit is AdmitRequest for most urgent requests of callers that do not state how long they wait.
 func (k *Controller) Admit(ctx context.Context, w *workspace.Workspace, cost float64, late bool) (Ticket, *protocol.Refusal) {
-	if w == nil || !w.Quota.Bounded() || cost <= 0 {
+	return k.AdmitRequest(ctx, w, Request{Cost: cost, Late: late})
+}
+
+// AdmitRequest counts a request against the quota of its workspace, or returns a refusal if the
+// workspace is over it. Requests without a workspace or cost, and workspaces without a quota, are
+// admitted with a zero Ticket.
+func (k *Controller) AdmitRequest(ctx context.Context, w *workspace.Workspace, r Request) (Ticket, *protocol.Refusal) {
+	if w == nil || !w.Quota.Bounded() || r.Cost <= 0 {
 		return Ticket{}, nil
 	}
 	_, version := k.opt.Directory()
-	if k.workspaces.shared.take(ctx, claim{subject: w.Name, limits: limitsOf(w), version: version, cost: cost, late: late}) {
+	by := &selection{r.Rank, k.workspaces.shared.client.MayBePromised(r.Age)}
+	if k.workspaces.shared.take(ctx, claim{subject: w.Name, limits: limitsOf(w), version: version, cost: r.Cost, selection: by, late: r.Late}) {
 		k.workspaces.count(w.Name, counts{passed: 1})
-		return Ticket{w.Name, cost, k.opt.Clock()}, nil
+		return Ticket{w.Name, r.Cost, k.opt.Clock(), by}, nil
 	}
 	k.workspaces.count(w.Name, counts{refused: 1})
-	return Ticket{}, k.workspaces.refuse(w, cost)
+	return Ticket{}, k.workspaces.refuse(w, r)
 }
 
 // Refund takes back the ticket of an admitted request that has not run.
@@ -66,18 +84,18 @@
 }
 
 // refuse counts and logs a refused request, and returns the refusal.
-func (s *workspaces) refuse(w *workspace.Workspace, cost float64) *protocol.Refusal {
-	after := s.shared.addRefusal(w.Name, cost)
+func (s *workspaces) refuse(w *workspace.Workspace, r Request) *protocol.Refusal {
+	after := s.shared.addRefusal(w.Name, r)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.opt.Clock()
 	s.metrics.refused.Inc(1)
 	s.refusalCounter(w.Name).Inc(1)
 	if last, ok := s.lastRefused[w.Name]; !ok || now.Sub(last) > overLogPause {
-		s.opt.Log.Info(decisions.EventOverQuota, "workspace", w.Name, "rate", w.Quota.Rate, "burst", w.Quota.Burst, "cost", cost)
+		s.opt.Log.Info(decisions.EventOverQuota, "workspace", w.Name, "rate", w.Quota.Rate, "burst", w.Quota.Burst, "cost", r.Cost)
 	}
 	s.lastRefused[w.Name] = now
-	detail := fmt.Sprintf("workspace %q is over its quota of %.0f a second; this request takes %.0f", w.Name, w.Quota.Rate, cost)
+	detail := fmt.Sprintf("workspace %q is over its quota of %.0f a second; this request takes %.0f", w.Name, w.Quota.Rate, r.Cost)
 	return protocol.Refuse(http.StatusTooManyRequests, ReasonQuotaExceeded, detail, after)
 }
 
--- a/transport/edge/arrive.go
+++ b/transport/edge/arrive.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/doorvalve/doorvalve/coordination/access"
+	"github.com/doorvalve/doorvalve/driver/quotas"
 	"github.com/doorvalve/doorvalve/internal/clock"
 	"github.com/doorvalve/doorvalve/protocol"
 	"github.com/doorvalve/doorvalve/state/routing"
@@ -111,10 +112,25 @@
 	}
 	cost := q.owner.Quota.Cost(q.call.PromptTokens+q.call.OutputTokens, q.call.TokensKnown)
 	var refusal *protocol.Refusal
-	q.ticket, refusal = s.opt.Quotas.Admit(ctx, q.owner, cost, q.missedTarget())
+	q.ticket, refusal = s.opt.Quotas.AdmitRequest(ctx, q.owner, quotas.Request{
+		Cost: cost, Rank: q.rank, Late: q.missedTarget(), Age: q.age(), TimeLeft: q.call.TimeLeft,
+	})
 	return refusal
 }
 
+// age returns the time since the caller's first attempt: by how much the time left that it names is
+// shorter than the route's timeout; zero if it names none.
+func (q *request) age() time.Duration {
+	if q.call.TimeLeft <= 0 {
+		return 0
+	}
+	return max(0, q.route.Timeout-q.call.TimeLeft)
+}
+
+// returned reports whether the caller was refused before: its first attempt was at least the
+// shortest retry time ago.
+func (q *request) returned() bool { return q.age() >= protocol.MinRetryAfter }
+
 // missedTarget reports whether the request missed its latency objective before it arrived: the time
 // left that its caller names is shorter than the route's timeout by more than the objective, as it
 // is when a caller retries after a refusal. It is false where the caller names no time or the route
