waiting: slack and the request's own work decide whether it waits

Cause: a request waited only within its objective, or if the whole margin of the estimate fitted into its time. In a burst the margin grows to 10 s, so that requests with 17 s were refused whose model was expected in 7 s. Each request was assumed to take 250 ms at the endpoint, whatever its size, and a new estimate could refuse a request in the middle of its wait or again after its return.

Change: one decision with the estimated time to the first event and to the end of the request (workcost), where its tokens are known. A request waits whatever the margin if it needs at most half of its time; one that waits already or was refused before is refused only if it cannot be in time by the estimate itself. A request that would not end before its deadline does not wait.

--- a/coordination/waiting/queue.go
+++ b/coordination/waiting/queue.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/doorvalve/doorvalve/coordination/workcost"
 	"github.com/doorvalve/doorvalve/protocol"
 )
 
@@ -12,6 +13,8 @@
 	Elapsed  time.Duration // since the request arrived
 	TimeLeft time.Duration // until the request's deadline
 	Target   time.Duration // latency objective of the request
+	// Work is the estimated course of the request at an endpoint; zero if its size is not known.
+	Work workcost.Estimate
 }
 
 // Join decides whether a request joins the queue of a full engine. If more requests arrive
@@ -21,7 +24,7 @@
 // delay until the requests ahead of it have started. It has not run yet, and more engines
 // may hold its model by then.
 func Join(in QueueInput) Decision {
-	if in.StartsIn <= 0 || in.Elapsed+in.StartsIn+firstEventTime <= in.Target {
+	if in.StartsIn <= 0 || in.Elapsed+in.StartsIn+firstEvent(in.Work) <= in.Target {
 		return Decision{Wait: true}
 	}
 	return Decision{RetryAfter: max(protocol.MinRetryAfter, min(in.StartsIn, in.TimeLeft/retryDivisor))}
--- a/transport/edge/locate.go
+++ b/transport/edge/locate.go
@@ -98,7 +98,7 @@
 	if t.verdict != protocol.NotRun || q.rank < q.service.LeastUrgentRank {
 		return nil
 	}
-	d := waiting.Join(waiting.QueueInput{StartsIn: answer.StartsIn, Elapsed: time.Since(q.arrived), TimeLeft: q.timeLeft(), Target: q.route.LatencyTarget})
+	d := waiting.Join(waiting.QueueInput{StartsIn: answer.StartsIn, Elapsed: time.Since(q.arrived), TimeLeft: q.timeLeft(), Target: q.route.LatencyTarget, Work: q.ownWork()})
 	if d.Wait {
 		return nil
 	}
@@ -116,7 +116,7 @@
 	margin := s.margins.Of(source)
 	d := waiting.Decide(waiting.Input{
 		ReadyIn: answer.ReadyIn, Margin: margin, Elapsed: t.callerSilence(q), TimeLeft: q.timeLeft(), Target: q.route.LatencyTarget,
-		MaxWait: q.route.MaxWait, Started: t.verdict != protocol.NotRun,
+		MaxWait: q.route.MaxWait, Work: q.ownWork(), Started: t.verdict != protocol.NotRun, Committed: q.returned() || !t.estimatedReady.IsZero(),
 	})
 	if !d.Wait {
 		reason := answer.Refused
--- a/transport/edge/unavailable.go
+++ b/transport/edge/unavailable.go
@@ -10,6 +10,7 @@
 	"github.com/doorvalve/doorvalve/coordination/backpressure"
 	"github.com/doorvalve/doorvalve/coordination/balance"
 	"github.com/doorvalve/doorvalve/coordination/waiting"
+	"github.com/doorvalve/doorvalve/coordination/workcost"
 	"github.com/doorvalve/doorvalve/internal/clock"
 	"github.com/doorvalve/doorvalve/internal/pause"
 	"github.com/doorvalve/doorvalve/protocol"
@@ -98,11 +99,21 @@
 // again only while it can still meet its latency objective.
 func (t *attemptState) worthWaiting(q *request, turnIn time.Duration) bool {
 	return waiting.Decide(waiting.Input{
-		ReadyIn: turnIn, Margin: turnMarginOf(turnIn), Elapsed: t.callerSilence(q), TimeLeft: q.timeLeft(), Target: q.route.LatencyTarget, MaxWait: q.route.MaxWait,
-		Started: t.verdict != protocol.NotRun, WaitedBefore: !t.waitDeadline.IsZero(),
+		ReadyIn: turnIn, Margin: turnMarginOf(turnIn), Elapsed: t.callerSilence(q), TimeLeft: q.timeLeft(), Target: q.route.LatencyTarget, MaxWait: q.route.MaxWait, Work: q.ownWork(),
+		Started: t.verdict != protocol.NotRun, WaitedBefore: !t.waitDeadline.IsZero(), Committed: q.returned(),
 	}).Wait
 }
 
+// ownWork returns the estimated course of the request at an idle endpoint of average speed; zero if
+// the caller does not state its tokens.
+func (q *request) ownWork() workcost.Estimate {
+	if !q.call.TokensKnown {
+		return workcost.Estimate{}
+	}
+	work := workcost.WorkOf(q.call.PromptTokens, q.call.OutputTokens, true)
+	return workcost.New().Estimate(clock.Now(), fleet.Incarnation{}, q.call.Model, work, workcost.Load{})
+}
+
 // leaveQueue removes the request from the queue in which it waits, if any. admitted reports whether
 // the request was admitted.
 func (s *Server) leaveQueue(t *attemptState, admitted bool) {
