residency: replicas by prompt work

The number of replicas followed the number of running requests, and slow answers one replica at a time. A request with 9,190 prompt tokens counted like one with 826, so bursts of rare requests took placements that busy models needed for their prompts. A model with known prompt sizes now needs as many replicas as keep the prompts of each below 0.35 of an engine's time. Sizes are the mean over recent Want calls, rates the first events in the demand reports, and the speed that of an average engine in workcost.

--- a/coordination/residency/planner.go
+++ b/coordination/residency/planner.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/doorvalve/doorvalve/coordination/workcost"
 	"github.com/doorvalve/doorvalve/state/fleet"
 )
 
@@ -122,6 +123,7 @@
 	wants          map[string]*wantedModel // models to load
 	values         map[string]*value       // value of the recent requests, by model
 	pressures      map[string]*pressure    // of models in use
+	cost           *workcost.Estimator     // without measurements: the average engine
 	loads          []scheduledLoad         // last schedule
 	scheduledAt    time.Time
 	storeStarts    []time.Time      // starts of loads from the store, newest last
@@ -139,7 +141,7 @@
 
 // New returns a planner without any state.
 func New(opt Options) *Planner {
-	return &Planner{opt: opt, store: newStoreConcurrency(opt.InitialStoreConcurrency), engines: map[string]*engineState{}, limits: map[string]incarnationLimit{}, demands: map[string]*reportedDemand{}, wants: map[string]*wantedModel{}, values: map[string]*value{}, pressures: map[string]*pressure{}}
+	return &Planner{opt: opt, cost: workcost.New(), store: newStoreConcurrency(opt.InitialStoreConcurrency), engines: map[string]*engineState{}, limits: map[string]incarnationLimit{}, demands: map[string]*reportedDemand{}, wants: map[string]*wantedModel{}, values: map[string]*value{}, pressures: map[string]*pressure{}}
 }
 
 // Configure sets the service to plan for.
--- a/coordination/residency/pressure.go
+++ b/coordination/residency/pressure.go
@@ -95,8 +95,12 @@
 		case s.perReplica > 0 && s.slow < normalShare*s.count:
 			s.perReplica = max(s.perReplica, each)
 		}
+		// One replica, or none, is no requirement: the model may be unloaded like any other.
+		if n := p.replicasForWork(d.now, model, s); n > 1 {
+			need[model] = min(n, max(1, len(p.sorted)/2))
+		}
 		if s.perReplica > 0 {
-			need[model] = min(int(math.Ceil(s.rate()/(s.perReplica*targetUtilization))), ready.replicas+1, max(1, len(p.sorted)/2))
+			need[model] = max(need[model], min(int(math.Ceil(s.rate()/(s.perReplica*targetUtilization))), ready.replicas+1, max(1, len(p.sorted)/2)))
 		}
 	}
 	return need
--- a/coordination/residency/value.go
+++ b/coordination/residency/value.go
@@ -3,14 +3,21 @@
 import (
 	"math"
 	"time"
+
+	"github.com/doorvalve/doorvalve/coordination/workcost"
 )
 
 // value is the decaying sum of the weights of the recent requests for a model.
 type value struct {
 	sum float64
 	at  time.Time
+	// prompt is the mean number of prompt tokens of recent requests; zero if unknown.
+	prompt float64
 }
 
+// promptStep is the weight of one request in the mean number of prompt tokens.
+const promptStep = 0.1
+
 // addValue adds the weight of a request to the value of its model.
 func (p *Planner) addValue(now time.Time, want Want) {
 	v := p.values[want.Model]
@@ -23,6 +30,13 @@
 		weight *= returningWeight
 	}
 	v.sum, v.at = v.now(now)+weight, now
+	switch prompt := float64(workcost.WorkOf(want.Work.Prompt, want.Work.Output, true).Prompt); {
+	case prompt == 0:
+	case v.prompt == 0:
+		v.prompt = prompt
+	default:
+		v.prompt += promptStep * (prompt - v.prompt)
+	}
 }
 
 // rankValue returns the weight of one request of a rank.
