residency: one estimator; replicas by the measured processing time of prompts

Cause: two parts kept an estimator each, and replicas counted whole prompts though engines hold parts of them. Change: one estimator; the mean processing time of directed prompts decides.

--- a/coordination/residency/direct.go
+++ b/coordination/residency/direct.go
@@ -88,7 +88,10 @@
 	if !d.known {
 		return
 	}
-	until := now.Add(e.backlog(now) + p.processing(now, e, d))
+	processing := p.processing(now, e, d)
+	until := now.Add(e.backlog(now) + processing)
+	speed, _ := p.costs.Speed(now, e.incarnation)
+	p.values[want.Model].observeProcessing(processing.Seconds() * speed)
 	e.promptsUntil = minTime(until, now.Add(maxBacklog))
 	p.prompts.Observe(now, want.unit(), want.Parts, e.incarnation)
 }
--- a/coordination/residency/value.go
+++ b/coordination/residency/value.go
@@ -13,9 +13,12 @@
 	at  time.Time
 	// prompt is the mean number of prompt tokens of recent requests; zero if unknown.
 	prompt float64
+	// processing is the mean time, in seconds, in which an average engine processes what it does not
+	// hold of the prompts of recent requests; zero if unknown.
+	processing float64
 }
 
-// promptStep is the weight of one request in the mean number of prompt tokens.
+// promptStep is the weight of one request in the means of prompt tokens and of processing times.
 const promptStep = 0.1
 
 // addValue adds the weight of a request to the value of its model.
@@ -39,6 +42,15 @@
 	}
 }
 
+// observeProcessing adds the processing time of a directed request's prompt to the mean.
+func (v *value) observeProcessing(seconds float64) {
+	if v.processing == 0 {
+		v.processing = seconds
+		return
+	}
+	v.processing += promptStep * (seconds - v.processing)
+}
+
 // rankValue returns the weight of one request of a rank.
 func rankValue(rank int) float64 {
 	return math.Pow(rankWeight, float64(ranks-1-min(ranks-1, max(0, rank))))
--- a/coordination/residency/work.go
+++ b/coordination/residency/work.go
@@ -24,6 +24,9 @@
 	if v == nil || v.prompt == 0 || s.count < minWorkEvents {
 		return 0
 	}
-	each := p.costs.PromptTime(now, fleet.Incarnation{}, model, int(v.prompt))
-	return int(math.Ceil(s.rate() * each.Seconds() / promptShare))
+	each := v.processing
+	if each == 0 {
+		each = p.costs.PromptTime(now, fleet.Incarnation{}, model, int(v.prompt)).Seconds()
+	}
+	return int(math.Ceil(s.rate() * each / promptShare))
 }
