--- a/coordination/residency/planner.go
+++ b/coordination/residency/planner.go
@@ -7,6 +7,8 @@
 	"strings"
 	"time"
 
+	"github.com/doorvalve/doorvalve/coordination/promptcache"
+	"github.com/doorvalve/doorvalve/coordination/workcost"
 	"github.com/doorvalve/doorvalve/state/fleet"
 )
 
@@ -34,11 +36,12 @@
 // pendingOrder is an order whose completion has not been observed yet.
 type pendingOrder struct {
 	order        Order
-	accepted     bool      // the engine carries it out
-	endsAt       time.Time // expected end
-	unansweredAt time.Time // when the wait for an answer ended; zero before
-	store        storeLoad // of a load from the store
-	requestedAt  time.Time // last request for the load; zero if there was none
+	accepted     bool          // the engine carries it out
+	endsAt       time.Time     // expected end
+	unansweredAt time.Time     // when the wait for an answer ended; zero before
+	store        storeLoad     // of a load from the store
+	drain        time.Duration // expected time that an unload waits for running requests
+	requestedAt  time.Time     // last request for the load; zero if there was none
 }
 
 func (o *pendingOrder) loadsFromStore() bool {
@@ -65,11 +68,17 @@
 	// unloadedAt holds when unloads were accepted, by model. Older descriptions of the
 	// engine still list the model.
 	unloadedAt map[string]time.Time
-	probeAt    time.Time // time of the next probe; zero if none is due
-	probing    bool      // a probe is in progress
-	running    int       // requests that run here according to the daemons
-	unreported int       // requests directed here by an answer that no daemon has reported yet
-	lateOrders []lateOrder
+	probeAt    time.Time  // time of the next probe; zero if none is due
+	probing    bool       // a probe is in progress
+	running    int        // requests that run here according to the daemons
+	work       EngineWork // of these requests
+	speed      float64    // as of the last planning step; zero if it is not known
+	unreported int        // requests directed here by an answer that no daemon has reported yet
+	// unreportedPrompt is the number of prompt tokens of these requests.
+	unreportedPrompt int
+	// promptsUntil is when the prompts that answers have directed here are processed, by estimate.
+	promptsUntil time.Time
+	lateOrders   []lateOrder
 	// afterUnload reports that no order has been answered since the last unload.
 	afterUnload bool
 	// fullUntil is the time until which the engine counts as full under its rate limit.
@@ -86,8 +95,16 @@
 // wantedModel is a model to be loaded.
 type wantedModel struct {
 	requestedAt time.Time // last request for it
+	wantedSince time.Time // first request for it since it was last held
+	// returnsBy is the latest time at which a caller that was refused is expected to retry.
+	returnsBy time.Time
 	// extra reports that the model is loaded already and needs more replicas.
 	extra bool
+	// slackKnown reports that a request has stated its slack. dueAt is then the earliest
+	// time, among the requests that can still be in time, at which one must start to meet
+	// its objective; if it has passed, all are late.
+	slackKnown bool
+	dueAt      time.Time
 }
 
 // reportedDemand is the last demand report of one daemon.
@@ -124,13 +141,15 @@
 	// unloadTime is the learned estimate of how long engines take to carry out an unload.
 	unloadTime     time.Duration
 	limits         map[string]incarnationLimit // reported by engines, by id
+	costs          *workcost.Estimator         // speeds of the engines
+	prompts        promptcache.Memory          // of all requests directed by answers
 	sent           []sentRequest
 	storeWatchedAt time.Time // last update of the concurrency of loads in progress
 }
 
 // New returns a planner without any state.
 func New(opt Options) *Planner {
-	return &Planner{opt: opt, store: newStoreConcurrency(opt.InitialStoreConcurrency), engines: map[string]*engineState{}, limits: map[string]incarnationLimit{}, demands: map[string]*reportedDemand{}, wants: map[string]*wantedModel{}, values: map[string]*value{}, pressures: map[string]*pressure{}}
+	return &Planner{opt: opt, store: newStoreConcurrency(opt.InitialStoreConcurrency), engines: map[string]*engineState{}, limits: map[string]incarnationLimit{}, demands: map[string]*reportedDemand{}, wants: map[string]*wantedModel{}, values: map[string]*value{}, pressures: map[string]*pressure{}, costs: workcost.New(), prompts: promptcache.New()}
 }
 
 // Configure sets the service to plan for.
@@ -197,6 +216,8 @@
 			delete(p.engines, id)
 		}
 	}
+	p.costs.Retain(func(incarnation fleet.Incarnation) bool { return p.engineOf(incarnation) != nil })
+	p.prompts.Retain(func(_ string, incarnation fleet.Incarnation) bool { return p.engineOf(incarnation) != nil })
 	p.sortEngines()
 }
 
@@ -259,9 +280,11 @@
 
 // ReceiveDemand replaces the demand of a daemon by its new report.
 func (p *Planner) ReceiveDemand(now time.Time, daemon string, d Demand) {
-	d.Running = p.ofCurrentIncarnations(d.Running)
-	p.countDelta(daemon, d.Running)
+	d.Running, d.Work = p.ofCurrentIncarnations(d.Running), boundedWork(d.Work)
+	p.countDelta(daemon, d)
 	p.pruneSent(now, daemon)
+	p.learnSpeeds(now, d.Samples)
+	d.Samples = nil
 	p.demands[daemon] = &reportedDemand{Demand: d, at: now}
 	for place, first := range d.FirstEvents {
 		p.addFirstEvents(now, place.Model, first)
--- a/coordination/residency/ready.go
+++ b/coordination/residency/ready.go
@@ -37,6 +37,7 @@
 		}
 	}
 	r.Orders = append(r.Orders, p.copyMissing(d)...)
+	r.Orders = append(r.Orders, p.fillNew(d)...)
 	p.loads = nil
 	return r
 }
@@ -113,7 +114,9 @@
 		for _, ed := range d.engines {
 			ed.victimsKnown = false
 		}
-		return p.send(now, e, Order{Unload: true, Model: victims[0].name}, Resident), true
+		o := p.send(now, e, Order{Unload: true, Model: victims[0].name}, Resident)
+		e.order.drain = victims[0].drain
+		return o, true
 	}
 	o := p.send(now, e, Order{Model: model}, e.level(model))
 	r := &replica{adapters: map[string]*adapter{}, readyAt: e.order.endsAt.Add(orderMargin), lastUse: now, lastAnswered: now, keepUntil: e.order.endsAt}
@@ -185,7 +188,9 @@
 	return o
 }
 
-// wantReplicas adds wants for models whose running requests need more replicas, and removes
+// wantReplicas adds wants for models whose running requests need more replicas, also those
+// whose only replicas are at engines that are leaving. Daemons send requests there until the
+// engine is gone, without a Want call. It removes
 // those of models that have enough replicas, loaded or being loaded.
 func (p *Planner) wantReplicas(d *draft) {
 	for model, w := range p.wants {
@@ -195,28 +200,31 @@
 	}
 	for model := range d.active {
 		have := d.replicas[model]
-		if _, ok := p.conf.Engine.Models[model]; !ok || have == 0 || have >= d.needed(model) {
+		if _, ok := p.conf.Engine.Models[model]; !ok || have == 0 && !d.departing[model] || have >= d.needed(model) {
 			continue
 		}
 		if p.wants[model] == nil {
-			p.wants[model] = &wantedModel{extra: true}
+			p.wants[model] = &wantedModel{extra: true, wantedSince: d.now}
 		}
 		p.wants[model].requestedAt = d.now
 	}
 }
 
+// reservedStoreLoads is the number of concurrent loads of the store that are left for
+// requested models.
+const reservedStoreLoads = 1
+
 // copyMissing loads models without a copy at any engine while the store has spare
 // concurrency, so that later loads take only the time of a load from disk. One concurrent
 // load is left for requested models. Otherwise a store with a low concurrency would have
 // none to spare for the seconds of a load, and the replica of a model that demand has
 // shifted to would be delayed by as much.
 func (p *Planner) copyMissing(d *draft) []Order {
-	const reserved = 1
 	now := d.now
 	if now.Sub(p.engineAddedAt) < settleTime || now.Before(p.nextCopiesAt) {
 		return nil
 	}
-	free := p.store.Estimate - reserved - p.storeLoads()
+	free := p.store.Estimate - reservedStoreLoads - p.storeLoads()
 	for _, s := range p.loads {
 		if s.level == Store {
 			free--
@@ -302,6 +310,11 @@
 	return slices.ContainsFunc(p.loads, func(s scheduledLoad) bool { return s.engine == e })
 }
 
+// scheduledModel reports whether the schedule has a load of a model.
+func (p *Planner) scheduledModel(model string) bool {
+	return slices.ContainsFunc(p.loads, func(s scheduledLoad) bool { return s.model == model })
+}
+
 // onlyCopies counts the models that are not loaded and whose only copy is at the engine.
 func (p *Planner) onlyCopies(e *engineState) int {
 	n := 0
--- a/coordination/residency/schedule.go
+++ b/coordination/residency/schedule.go
@@ -20,31 +20,40 @@
 // order is sent, so a faster option that appears before then is used.
 func (p *Planner) schedule(d *draft) {
 	p.loads, p.scheduledAt = p.loads[:0], d.now
-	for _, model := range p.wantedModels(d) {
-		if s, ok := p.placeModel(d, model); ok {
-			s.extra = p.wants[model].extra
+	for _, w := range p.wantedModels(d) {
+		if s, ok := p.placeModel(d, w.model); ok {
+			s.extra = p.wants[w.model].extra
 			p.loads = append(p.loads, s)
 		}
 	}
 }
 
+// weightedModel is a wanted model and its weight in the schedule.
+type weightedModel struct {
+	model  string
+	weight float64
+}
+
+// compareWeights sorts the largest weight first.
+func compareWeights(a, b weightedModel) int {
+	return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.model, b.model))
+}
+
 // wantedModels returns the models to load, the most valuable first, and drops those that
 // are no longer requested.
-func (p *Planner) wantedModels(d *draft) []string {
+func (p *Planner) wantedModels(d *draft) []weightedModel {
 	now := d.now
-	var list []string
+	list := make([]weightedModel, 0, len(p.wants))
 	for model, w := range p.wants {
 		_, declared := p.conf.Engine.Models[model]
-		held := !w.extra && d.replicas[model] > 0
-		if !declared || held || now.Sub(w.requestedAt) > wantTTL {
+		held := !w.extra && d.replicas[model] > 0 && !d.awaitsStore(model)
+		if !declared || held || now.After(maxTime(w.requestedAt.Add(wantTTL), w.returnsBy)) {
 			delete(p.wants, model)
 			continue
 		}
-		list = append(list, model)
+		list = append(list, weightedModel{model, p.weight(d, model)})
 	}
-	slices.SortFunc(list, func(a, b string) int {
-		return cmp.Or(cmp.Compare(p.weight(d, b), p.weight(d, a)), cmp.Compare(a, b))
-	})
+	slices.SortFunc(list, compareWeights)
 	return list[:min(len(list), maxScheduled)]
 }
 
@@ -53,18 +62,28 @@
 // daemons that find the model loaded send no Want call for it.
 func (p *Planner) weight(d *draft, model string) float64 {
 	if !p.wants[model].extra {
-		return p.value(d.now, model)
+		return p.value(d.now, model) * p.wants[model].urgency(d.now, p.conf.Engine.Models[model].LoadFromDisk)
+	}
+	active, replicas := float64(d.active[model]), float64(d.replicas[model])
+	if replicas == 0 {
+		return busyWeight * active // the last replica is leaving
 	}
-	active, replicas := float64(d.active[model]), float64(max(1, d.replicas[model]))
 	full := min(1, active/replicas/d.perReplica)
 	return max(busyWeight*active*full*full, p.pressureWeight(d.now, model))
 }
 
 // placeModel chooses the engine that has the model ready first. Engines without a copy need
 // at least the time of a load from the store, so they are considered only if all others
-// take longer.
+// take longer. A model that is being loaded from the store is only placed at an engine with
+// a copy that has it ready before: such engines may have had no room when the load began.
 func (p *Planner) placeModel(d *draft, model string) (scheduledLoad, bool) {
 	best, cost := p.soonest(d, model, scheduledLoad{}, 0, func(l Level) bool { return l != Store })
+	if d.awaitsStore(model) && (best.engine == nil || cost >= d.storeReadyIn[model]) {
+		return scheduledLoad{}, false
+	}
+	if best.engine == nil && p.awaitsCopy(d.now, model) {
+		return scheduledLoad{}, false
+	}
 	if best.engine == nil || cost >= p.conf.Engine.Models[model].LoadFromStore {
 		best, _ = p.soonest(d, model, best, cost, func(l Level) bool { return l == Store })
 	}
@@ -92,9 +111,9 @@
 		if !ok {
 			continue
 		}
-		penalty := r.cost + p.loadCost(e)
+		penalty := r.cost + p.loadCost(d.now, e)
 		s := scheduledLoad{model: model, engine: e, level: e.level(model)}
-		startIn := max(d.engines[e].freeIn, r.wait)
+		startIn := max(d.engines[e].freeIn, r.wait) + r.drain
 		if s.level == Store {
 			startIn = max(startIn, d.storeFreeIn[0])
 			penalty += time.Duration(d.engines[e].inUse) * activeCost
@@ -106,3 +125,22 @@
 	}
 	return best, bestCost
 }
+
+// storeDelayDivisor is the ratio of the time of a load from the store to the time that a model
+// waits for room at an engine with a copy before such a load. With loads of 10.2 s, a delay of
+// 3 s left 1 of 7 of the requests refused that a load without delay left.
+const storeDelayDivisor = 3
+
+// awaitsCopy reports whether a model waits for room at an engine with a copy. Placements there
+// become free within seconds, while a load from the store occupies an engine for longer, and
+// with it the copies of other models. One more replica waits in any case: the need for it often
+// ends before a load from the store does.
+func (p *Planner) awaitsCopy(now time.Time, model string) bool {
+	w := p.wants[model]
+	if now.Sub(w.wantedSince) >= p.conf.Engine.Models[model].LoadFromStore/storeDelayDivisor {
+		return false
+	}
+	return w.extra && !p.draft.departing[model] || slices.ContainsFunc(p.sorted, func(e *engineState) bool {
+		return e.usable() && e.models[model] == nil && e.level(model) != Store
+	})
+}
--- a/coordination/residency/want.go
+++ b/coordination/residency/want.go
@@ -24,6 +24,9 @@
 	}
 	p.markFull(now, want.Full)
 	if a, ok := p.findResident(now, want); ok {
+		if a.ReadyIn > returnThreshold && want.Adapter == "" && p.lease.Held {
+			return p.overtakeLoad(now, want, a)
+		}
 		return a
 	}
 	if !p.lease.Held {
@@ -32,6 +35,9 @@
 	a, ok := p.planLoad(now, want)
 	if !ok {
 		a = Answer{Refused: RefusedNoRoom, ReadyIn: p.roomIn()}
+		if w := p.wants[want.Model]; w != nil {
+			w.returnsBy = maxTime(w.returnsBy, now.Add(a.ReadyIn+keepForReturning))
+		}
 	}
 	if wait := p.lease.OrdersFrom.Sub(now); wait > 0 {
 		a.ReadyIn += wait
@@ -76,13 +82,14 @@
 func (p *Planner) findResident(now time.Time, want Want) (Answer, bool) {
 	var best *engineState
 	bestCost := time.Duration(0)
+	d := p.directionOf(now, want)
 	for _, e := range p.sorted {
 		r := e.models[want.Model]
 		if r == nil || !e.usable() || e.isFull(now) {
 			continue
 		}
 		cost, ok := p.residentCost(now, e, r, want)
-		cost += p.loadCost(e)
+		cost += p.directCost(now, e, &d)
 		if want.Avoid.Matches(e.incarnation) {
 			cost += avoidedCost
 		}
@@ -96,7 +103,8 @@
 	r := best.models[want.Model]
 	r.lastUse, r.lastAnswered = now, now
 	startsIn := p.startsIn(best)
-	p.addSent(now, best, want.Daemon)
+	p.addSent(now, best, want)
+	p.noteDirected(now, best, want, &d)
 	a := Answer{Endpoint: best.incarnation, Level: Resident, StartsIn: startsIn, ReadyIn: max(0, r.readyAt.Sub(now))}
 	if want.Avoid.Matches(best.incarnation) {
 		a.ReadyIn = max(a.ReadyIn, avoidedPause)
@@ -108,6 +116,15 @@
 	return a, true
 }
 
+// overtakeLoad plans a load from a nearby copy for a request whose model is ready only after
+// loading. It returns the earlier of the two.
+func (p *Planner) overtakeLoad(now time.Time, want Want, loading Answer) Answer {
+	if a, ok := p.planLoad(now, want); ok && a.ReadyIn < loading.ReadyIn {
+		return a
+	}
+	return loading
+}
+
 // keepFor returns how long a model stays loaded for a request that can start in readyIn.
 func keepFor(readyIn time.Duration) time.Duration {
 	if readyIn > returnThreshold {
@@ -188,11 +205,12 @@
 func (p *Planner) planLoad(now time.Time, want Want) (Answer, bool) {
 	w := p.wants[want.Model]
 	if w == nil {
-		w = &wantedModel{}
+		w = &wantedModel{wantedSince: now}
 		p.wants[want.Model] = w
 		p.loads = nil
 	}
 	w.requestedAt, w.extra = now, false
+	w.addSlack(now, want)
 	if p.loads == nil || now.Sub(p.scheduledAt) > scheduleTTL {
 		p.schedule(p.newDraft(now))
 	}
--- a/transport/edge/locate.go
+++ b/transport/edge/locate.go
@@ -10,11 +10,13 @@
 	"github.com/doorvalve/doorvalve/coordination/balance"
 	"github.com/doorvalve/doorvalve/coordination/residency"
 	"github.com/doorvalve/doorvalve/coordination/waiting"
+	"github.com/doorvalve/doorvalve/coordination/workcost"
 	"github.com/doorvalve/doorvalve/driver/decisions"
 	"github.com/doorvalve/doorvalve/internal/clock"
 	"github.com/doorvalve/doorvalve/internal/pause"
 	"github.com/doorvalve/doorvalve/protocol"
 	"github.com/doorvalve/doorvalve/state/fleet"
+	"github.com/doorvalve/doorvalve/state/routing"
 )
 
 const (
@@ -42,7 +44,7 @@
 			return e, nil
 		}
 		unavailable := s.unavailable(q, t, s.holders(q))
-		answer := s.opt.Locator.Want(ctx, q.service.Name, residency.Want{Model: q.call.Model, Adapter: q.call.Adapter, Rank: q.rank, Avoid: avoid, Unreachable: unreachable, MissingAt: absent, Full: unavailable.incarnations})
+		answer := s.opt.Locator.Want(ctx, q.service.Name, s.wantOf(q, residency.Want{Avoid: avoid, Unreachable: unreachable, MissingAt: absent, Full: unavailable.incarnations}))
 		absent, unreachable = fleet.Incarnation{}, false // reported to the coordinator only once
 		if ctx.Err() != nil {
 			return nil, s.outOfTime(protocol.NotRun)
@@ -76,6 +78,18 @@
 	}
 }
 
+// wantOf completes the description of a request for the coordinator.
+func (s *Server) wantOf(q *request, w residency.Want) residency.Want {
+	w.Model, w.Adapter, w.Rank = q.call.Model, q.call.Adapter, q.rank
+	w.FailureDomain = s.opt.FailureDomain
+	w.TimeLeft, w.Returning = q.timeLeft(), q.returned()
+	query := balanceQuery(q, nil)
+	w.Work, w.Parts = query.Work, query.Parts
+	w.PromptTime = s.opt.Balancer.PromptTime(clock.Now(), q.service.Name, query)
+	w.Slack = q.route.LatencyTarget - time.Since(q.arrived) - q.age() - w.PromptTime
+	return w
+}
+
 // accepts reports whether an endpoint takes a request now: it is not leaving, not known to be
 // unreachable, and open by its backpressure signals.
 func (s *Server) accepts(q *request, t *attemptState, e *fleet.Endpoint) bool {
@@ -98,7 +112,7 @@
 	if t.verdict != protocol.NotRun || q.rank < q.service.LeastUrgentRank {
 		return nil
 	}
-	d := waiting.Join(waiting.QueueInput{StartsIn: answer.StartsIn, Elapsed: time.Since(q.arrived), TimeLeft: q.timeLeft(), Target: q.route.LatencyTarget})
+	d := waiting.Join(waiting.QueueInput{StartsIn: answer.StartsIn, Elapsed: time.Since(q.arrived), TimeLeft: q.timeLeft(), Target: q.route.LatencyTarget, Work: q.ownWork()})
 	if d.Wait {
 		return nil
 	}
@@ -116,7 +130,7 @@
 	margin := s.margins.Of(source)
 	d := waiting.Decide(waiting.Input{
 		ReadyIn: answer.ReadyIn, Margin: margin, Elapsed: t.callerSilence(q), TimeLeft: q.timeLeft(), Target: q.route.LatencyTarget,
-		MaxWait: q.route.MaxWait, Started: t.verdict != protocol.NotRun,
+		MaxWait: q.route.MaxWait, Work: q.ownWork(), Started: t.verdict != protocol.NotRun, Committed: q.returned() || !t.estimatedReady.IsZero(),
 	})
 	if !d.Wait {
 		reason := answer.Refused
@@ -220,11 +234,13 @@
 		return nil
 	}
 	holders := s.holders(q)
-	e := s.opt.Balancer.Pick(clock.Now(), holders, balance.Query{Unit: q.unit(), Affinity: affinity(q), Exclude: exclude, Request: t.queueRequest(q)})
+	query := balanceQuery(q, exclude)
+	query.Request = t.queueRequest(q)
+	e := s.opt.Balancer.Pick(clock.Now(), holders, query)
 	if e == nil {
 		return nil
 	}
-	if s.opt.Balancer.NearCapacity(clock.Now(), holders, balance.Query{Unit: q.unit(), Exclude: exclude, Request: t.queueRequest(q)}) {
+	if s.opt.Balancer.NearCapacity(clock.Now(), holders, query) || s.opt.Balancer.CoordinatorDirects(clock.Now(), q.service.Name, query, len(holders)) {
 		return nil // the coordinator counts all requests that it has assigned, so it can tell who has room
 	}
 	if len(holders) >= minSteadyHolders || s.opt.Balancer.RecentlyServed(clock.Now(), e.Incarnation(), q.unit()) {
@@ -240,7 +256,24 @@
 // locateAnyHolder picks any endpoint that holds the model by this daemon's view, where the
 // coordinator has named none.
 func (s *Server) locateAnyHolder(q *request, t *attemptState, exclude []fleet.Incarnation) *fleet.Endpoint {
-	return s.opt.Balancer.Pick(clock.Now(), s.holders(q), balance.Query{Unit: q.unit(), Affinity: affinity(q), Exclude: exclude, Request: t.queueRequest(q)})
+	query := balanceQuery(q, exclude)
+	query.Request = t.queueRequest(q)
+	return s.opt.Balancer.Pick(clock.Now(), s.holders(q), query)
+}
+
+// balanceQuery describes a request to the balancer. Its work counts only at engines.
+func balanceQuery(q *request, exclude []fleet.Incarnation) balance.Query {
+	query := balance.Query{Unit: q.unit(), Affinity: affinity(q), Exclude: exclude}
+	if q.service.Engine == nil || q.call.Model == "" || !q.call.TokensKnown {
+		return query
+	}
+	query.Work = workcost.WorkOf(q.call.PromptTokens, q.call.OutputTokens, true)
+	query.Parts = q.call.Parts
+	query.CacheTokens = q.service.Engine.CacheTokens
+	if q.route.Kind == routing.Streaming {
+		query.GapTarget = q.route.GapTarget
+	}
+	return query
 }
 
 // affinity returns the prefix by which requests of a sticky route share an endpoint; empty for other
