--- a/coordination/residency/direct.go
+++ b/coordination/residency/direct.go
@@ -11,10 +11,6 @@
 	// steps of all others. With 64 slots one counts 9 ms, about what it delays ten others by over a
 	// stream of 1.7 s. It also keeps requests away from an engine where streams hang.
 	runningCost = 600 * time.Millisecond
-	// stalledStreamCost is the cost of each running request at an engine that would process the prompt
-	// for longer than the gap target: the events of all streams there pause meanwhile. A prompt waits
-	// some hundred milliseconds rather than make ten streams late.
-	stalledStreamCost = 30 * time.Millisecond
 	// otherDomainCost is the cost of an engine in another failure domain, which is worth a wait of
 	// about one pause between two events.
 	otherDomainCost = 30 * time.Millisecond
@@ -35,7 +31,6 @@
 	held       promptcache.HeldPrompt
 	tokens     int
 	promptTime time.Duration // of the whole prompt, at an average engine
-	gapTarget  time.Duration // zero for none
 	domain     string
 }
 
@@ -47,7 +42,7 @@
 	}
 	return direction{
 		known: true, held: p.prompts.Held(now, want.unit(), want.Parts), tokens: want.Work.Prompt,
-		promptTime: min(maxPromptTime, want.PromptTime), gapTarget: want.GapTarget, domain: want.FailureDomain,
+		promptTime: min(maxPromptTime, want.PromptTime), domain: want.FailureDomain,
 	}
 }
 
@@ -76,11 +71,7 @@
 	if !d.known {
 		return p.loadCost(now, e)
 	}
-	processing := p.processing(now, e, d)
-	cost := p.startsIn(e) + p.runningCost(e) + max(e.backlog(now), time.Duration(reportedShare*float64(p.pendingTime(now, e)))) + processing
-	if d.gapTarget > 0 && processing > d.gapTarget {
-		cost += time.Duration(e.load()) * stalledStreamCost
-	}
+	cost := p.startsIn(e) + p.runningCost(e) + max(e.backlog(now), time.Duration(reportedShare*float64(p.pendingTime(now, e)))) + p.processing(now, e, d)
 	if d.domain != e.endpoint.FailureDomain {
 		cost += otherDomainCost
 	}
--- a/coordination/residency/types.go
+++ b/coordination/residency/types.go
@@ -114,9 +114,6 @@
 	// average engine processes the whole prompt; zero if it is not known.
 	Work       workcost.Work
 	PromptTime time.Duration
-	// GapTarget is the longest pause between events that the streams beside the request tolerate; zero
-	// for any.
-	GapTarget time.Duration
 	// Parts are the leading parts of the prompt; empty if they are not known.
 	Parts []protocol.PromptPart
 	// FailureDomain is the failure domain of the asking daemon.
--- a/daemon/edgedaemon/want.go
+++ b/daemon/edgedaemon/want.go
@@ -15,7 +15,7 @@
 		Service: service, Model: w.Model, Adapter: w.Adapter, Rank: int32(w.Rank), Daemon: w.Daemon, Full: incarnationsToWire(w.Full),
 		Avoid: w.Avoid.ID, AvoidBorn: w.Avoid.StartUnixMs, Unreachable: w.Unreachable, Absent: w.MissingAt.ID, AbsentBorn: w.MissingAt.StartUnixMs,
 		SlackMs: w.Slack.Milliseconds(), LeftMs: ceilMs(w.TimeLeft), PromptTokens: int64(w.Work.Prompt), OutputTokens: int64(w.Work.Output), Returning: w.Returning,
-		Domain: w.FailureDomain, PromptUs: w.PromptTime.Microseconds(), GapMs: w.GapTarget.Milliseconds(), Parts: partsToWire(w.Parts),
+		Domain: w.FailureDomain, PromptUs: w.PromptTime.Microseconds(), Parts: partsToWire(w.Parts),
 	}
 }
 
@@ -26,7 +26,7 @@
 		MissingAt: fleet.Incarnation{ID: req.Absent, StartUnixMs: req.AbsentBorn},
 		Slack:     boundedMs(req.SlackMs), TimeLeft: max(0, boundedMs(req.LeftMs)),
 		Work: workcost.WorkOf(boundedInt(req.PromptTokens), boundedInt(req.OutputTokens), true), Returning: req.Returning,
-		FailureDomain: req.Domain, PromptTime: time.Duration(boundedInt(req.PromptUs)) * time.Microsecond, GapTarget: max(0, boundedMs(req.GapMs)), Parts: partsFromWire(req.Parts),
+		FailureDomain: req.Domain, PromptTime: time.Duration(boundedInt(req.PromptUs)) * time.Microsecond, Parts: partsFromWire(req.Parts),
 	}
 }
 
--- a/daemon/edgedaemon/want_test.go
+++ b/daemon/edgedaemon/want_test.go
@@ -21,7 +21,7 @@
 		Model: "m", Adapter: "a", Rank: 2, Daemon: "d", Avoid: fleet.Incarnation{ID: "e1", StartUnixMs: 1}, Unreachable: true,
 		MissingAt: fleet.Incarnation{ID: "e2", StartUnixMs: 2}, Full: []fleet.Incarnation{{ID: "e3", StartUnixMs: 3}},
 		Slack: -250 * time.Millisecond, TimeLeft: 17 * time.Second, Work: workcost.Work{Prompt: 9190, Output: 50}, Returning: true,
-		PromptTime: 250 * time.Millisecond, GapTarget: 500 * time.Millisecond, Parts: []protocol.PromptPart{{ID: "p1", Tokens: 2520}, {ID: "p2", Tokens: 3780}}, FailureDomain: "z",
+		PromptTime: 250 * time.Millisecond, Parts: []protocol.PromptPart{{ID: "p1", Tokens: 2520}, {ID: "p2", Tokens: 3780}}, FailureDomain: "z",
 	}
 	for f := range reflect.TypeFor[residency.Want]().NumField() {
 		if reflect.ValueOf(want).Field(f).IsZero() {
--- a/transport/edge/locate.go
+++ b/transport/edge/locate.go
@@ -84,7 +84,7 @@
 	w.FailureDomain = s.opt.FailureDomain
 	w.TimeLeft, w.Returning = q.timeLeft(), q.returned()
 	query := balanceQuery(q, nil)
-	w.Work, w.Parts, w.GapTarget = query.Work, query.Parts, query.GapTarget
+	w.Work, w.Parts = query.Work, query.Parts
 	w.PromptTime = s.opt.Balancer.PromptTime(clock.Now(), q.service.Name, query)
 	w.Slack = q.route.LatencyTarget - time.Since(q.arrived) - q.age() - w.PromptTime
 	return w
