--- a/coordination/balance/work_test.go
+++ b/coordination/balance/work_test.go
@@ -394,3 +394,35 @@
 		t.Errorf("%v allocations", n)
 	}
 }
+
+// The coordinator chooses engines only while it answers, prompts are long and it can answer all
+// requests. Guards against daemons that wait for a coordinator that is gone, and against one that is
+// asked more than it can answer.
+func TestWhenTheCoordinatorDirects(t *testing.T) {
+	for name, c := range map[string]struct {
+		prompt  int
+		running int           // requests of all daemons by the report
+		age     time.Duration // of the report
+		holders int
+		want    bool
+	}{
+		"long prompts":            {9000, 100, 200 * time.Millisecond, 3, true},
+		"short prompts":           {800, 100, 200 * time.Millisecond, 3, false},
+		"unknown size":            {0, 100, 200 * time.Millisecond, 3, false},
+		"one holder":              {9000, 100, 200 * time.Millisecond, 1, false},
+		"old report":              {9000, 100, reportTTL, 3, false},
+		"more than it can answer": {9000, 1000, 200 * time.Millisecond, 3, false},
+	} {
+		b := newBalancer("d", 1)
+		list := sameDomain("a", "b")
+		for range 200 {
+			ticket := b.Started(start, list[0], sized(c.prompt, 50))
+			b.FirstEvent(start, &ticket, 20*time.Millisecond+time.Duration(c.prompt)*35*time.Microsecond)
+			b.Ended(start, &ticket, time.Second, true)
+		}
+		b.ReceiveLoads("llm", start, EngineLoads{incarnation("a"): {Running: c.running}}, EngineLoads{})
+		if got := b.CoordinatorDirects(start.Add(c.age), "llm", sized(c.prompt, 50), c.holders); got != c.want {
+			t.Errorf("%s: %v", name, got)
+		}
+	}
+}
--- a/coordination/residency/promptload_test.go
+++ b/coordination/residency/promptload_test.go
@@ -18,6 +18,7 @@
 	*simCluster
 	rng      *rand.Rand
 	exchange bool // requests and reports state their work, and reports the engines' speeds
+	directed bool // requests state how long an average engine processes their prompts
 	speeds   []float64
 	busy     []time.Time // until when an engine processes prompts
 	worked   []time.Duration
@@ -56,6 +57,9 @@
 	if s.exchange {
 		want.Work = work
 	}
+	if s.directed {
+		want.PromptTime = workcost.PromptTime(work.Prompt, 1)
+	}
 	id := s.p.Want(s.now, want).Endpoint
 	engine := slices.IndexFunc(s.engines, func(e *simEngine) bool { return e.endpoint.Incarnation().Matches(id) })
 	took := workcost.PromptTime(work.Prompt, s.speeds[engine])
--- a/coordination/waiting/waiting.go
+++ b/coordination/waiting/waiting.go
@@ -57,10 +57,10 @@
 // Decide decides whether a request waits; it has no side effects. A request waits if it is
 // likely to be served: within its objective, or before its caller gives up, either including
 // the margin of the estimate or with so much slack that the margin does not matter. A request
-// that an endpoint has started continues as long as it can still be served. All others are refused immediately, with a retry delay after
-// which the model will be ready. The value of a request counts from the caller's first
-// attempt, so a refusal gains nothing if waiting would succeed, and a wait that fails costs
-// the caller more the longer it lasts.
+// that an endpoint has started continues as long as it can still be served. All others are
+// refused immediately, with a retry delay after which the model will be ready. The value of a
+// request counts from the caller's first attempt, so a refusal gains nothing if waiting would
+// succeed, and a wait that fails costs the caller more the longer it lasts.
 func Decide(in Input) Decision {
 	if in.Started {
 		return Decision{Wait: in.lasts(in.ReadyIn), RetryAfter: protocol.MinRetryAfter}
