quota: small requests are not selected by rank

Cause: while a workspace is over its quota, requests are selected by rank in proportion to their units. Change: requests below a tenth of the mean cost pass the selection; the bucket decides as before.

--- a/coordination/quota/client.go
+++ b/coordination/quota/client.go
@@ -61,6 +61,7 @@
 	selectionUntil time.Time
 	credit         [MaxRanks]float64 // of new requests, by which the selection is carried out
 	returnedCredit float64           // of returning requests
+	meanCost       float64           // moving average of the units of a request
 	drawFrom       time.Time
 	retryAt        time.Time // by the owner's latest grant
 	usedAt         time.Time // time of the latest request
--- a/coordination/quota/ranks.go
+++ b/coordination/quota/ranks.go
@@ -111,7 +111,8 @@
 // counts it for the next draw. It is called once for each request.
 func (c *Client) Select(now time.Time, subject string, cost float64, rank int, returned bool) bool {
 	a, i, share := c.account(subject), rankIndex(rank), 1.0
-	selected := a.selection != nil && !now.After(a.selectionUntil)
+	small := a.isSmall(cost)
+	selected := a.selection != nil && !now.After(a.selectionUntil) && !small
 	if returned {
 		a.returned += cost
 		if selected {
@@ -126,6 +127,16 @@
 	return pass(a.creditOf(rank, returned), share)
 }
 
+// isSmall reports whether a request takes few units compared with the mean of the subject's requests,
+// and adds it to the mean. To refuse such requests leaves hardly any units for others.
+func (a *account) isSmall(cost float64) bool {
+	if a.meanCost == 0 {
+		a.meanCost = cost
+	}
+	a.meanCost += meanCostStep * (cost - a.meanCost)
+	return cost < smallCostShare*a.meanCost
+}
+
 // Deselect gives back the credit of a selected request that did not run, for the next one like it.
 func (c *Client) Deselect(subject string, rank int, returned bool) {
 	*c.account(subject).creditOf(rank, returned)++
--- a/coordination/quota/ranks_test.go
+++ b/coordination/quota/ranks_test.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"testing"
+	"time"
 )
 
 // Guards against ranks that get nothing while more urgent ones find no room, against a less urgent
@@ -131,3 +132,23 @@
 		t.Errorf("reported %v, then %v and %.0f returned", first.ByRank, again.ByRank, again.Returned)
 	}
 }
+
+// Load: a workspace over its quota that sends large requests and, of the same rank, small ones that
+// take 2% as many units. Guards against small requests that are refused in proportion although they
+// leave hardly any units for others.
+func TestSmallRequestsAreNotSelected(t *testing.T) {
+	now := time.Date(2026, 12, 3, 9, 0, 0, 0, time.UTC)
+	c := NewClient("d", Bounds{Window: 8 * time.Second})
+	for range 20 {
+		c.Select(now, "w", 10_000, 2, false)
+	}
+	c.ReceiveGrant(now, "w", "owner", Grant{NearLimit: true, Selection: &Selection{}})
+	for range 20 {
+		if !c.Select(now, "w", 200, 2, false) {
+			t.Fatal("a small request was refused by its rank")
+		}
+		if c.Select(now, "w", 10_000, 2, false) {
+			t.Fatal("a large request passed a selection of none")
+		}
+	}
+}
--- a/coordination/quota/types.go
+++ b/coordination/quota/types.go
@@ -139,6 +139,10 @@
 	// is above returnShare, since they return unevenly, and below 1, since callers may be taken for
 	// returning that state short waits.
 	maxReturnedShare = 0.8
+	// smallCostShare is the share of the mean cost below which a request is not selected by rank, and
+	// meanCostStep the weight of one request in that mean.
+	smallCostShare = 0.1
+	meanCostStep   = 0.02
 	// overloadAfter is how long demand must exceed the rate before requests are selected by rank. It
 	// is demandOver, so that a few requests of a small workspace don't count as overload.
 	overloadAfter = demandOver
