--- a/coordination/residency/direct.go
+++ b/coordination/residency/direct.go
@@ -24,9 +24,9 @@
 	maxPromptTime = 30 * time.Second
 )
 
-// direction is what a request costs at the engines that hold its model: the processing of its
-// prompt, where a part of it may be cached.
-type direction struct {
+// promptWork is the processing that the prompt of a request needs at the engines that hold its
+// model, which may have cached a part of it.
+type promptWork struct {
 	known      bool
 	held       promptcache.HeldPrompt
 	tokens     int
@@ -34,13 +34,13 @@
 	domain     string
 }
 
-// directionOf returns the direction of a request. It is unknown if the request does not state how
+// promptWorkOf returns the prompt work of a request. It is unknown if the request does not state how
 // long its prompt takes.
-func (p *Planner) directionOf(now time.Time, want Want) direction {
+func (p *Planner) promptWorkOf(now time.Time, want Want) promptWork {
 	if want.PromptTime <= 0 || want.Work.Prompt <= 0 {
-		return direction{}
+		return promptWork{}
 	}
-	return direction{
+	return promptWork{
 		known: true, held: p.prompts.Held(now, want.unit(), want.Parts), tokens: want.Work.Prompt,
 		promptTime: min(maxPromptTime, want.PromptTime), domain: want.FailureDomain,
 	}
@@ -55,7 +55,7 @@
 }
 
 // processing returns how long an engine processes the part of the prompt that it does not hold.
-func (p *Planner) processing(now time.Time, e *engineState, d *direction) time.Duration {
+func (p *Planner) processing(now time.Time, e *engineState, d *promptWork) time.Duration {
 	uncached := max(0, d.tokens-d.held.At(e.incarnation))
 	speed, _ := p.costs.Speed(now, e.incarnation)
 	return time.Duration(float64(d.promptTime) * float64(uncached) / float64(d.tokens) / speed)
@@ -67,24 +67,24 @@
 }
 
 // directCost returns the cost that an engine's work adds to sending a request there.
-func (p *Planner) directCost(now time.Time, e *engineState, d *direction) time.Duration {
+func (p *Planner) directCost(now time.Time, e *engineState, d *promptWork) time.Duration {
 	if !d.known {
 		return p.loadCost(now, e)
 	}
-	cost := p.startsIn(e) + p.runningCost(e) + max(e.backlog(now), time.Duration(reportedShare*float64(p.pendingTime(now, e)))) + p.processing(now, e, d)
+	cost := p.startsIn(e) + p.occupancyCost(e) + max(e.backlog(now), time.Duration(reportedShare*float64(p.pendingTime(now, e)))) + p.processing(now, e, d)
 	if d.domain != e.endpoint.FailureDomain {
 		cost += otherDomainCost
 	}
 	return cost
 }
 
-// runningCost returns the cost of the running requests of an engine.
-func (p *Planner) runningCost(e *engineState) time.Duration {
+// occupancyCost returns the cost of the running requests of an engine.
+func (p *Planner) occupancyCost(e *engineState) time.Duration {
 	return time.Duration(min(1, float64(e.load())/float64(p.capacity(e))) * float64(runningCost))
 }
 
 // noteDirected records that an answer has directed a request to an engine.
-func (p *Planner) noteDirected(now time.Time, e *engineState, want Want, d *direction) {
+func (p *Planner) noteDirected(now time.Time, e *engineState, want Want, d *promptWork) {
 	if !d.known {
 		return
 	}
--- a/coordination/residency/want.go
+++ b/coordination/residency/want.go
@@ -82,7 +82,7 @@
 func (p *Planner) findResident(now time.Time, want Want) (Answer, bool) {
 	var best *engineState
 	bestCost := time.Duration(0)
-	d := p.directionOf(now, want)
+	d := p.promptWorkOf(now, want)
 	for _, e := range p.sorted {
 		r := e.models[want.Model]
 		if r == nil || !e.usable() || e.isFull(now) {
