balance, residency: remembered prompts are searched only when an engine is gone

Cause: each change of a view, also a model that was loaded, went over up to 2,048 remembered prompt prefixes at every daemon, though nothing was to be forgotten. Change: prefixes and speeds are forgotten when an engine or an incarnation is gone. Result: no change of decisions; tests of both packages pass. Time saved not measured.

--- a/coordination/balance/balance.go
+++ b/coordination/balance/balance.go
@@ -337,12 +337,20 @@
 func (b *Balancer) Retain(view *fleet.View) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	present := func(id fleet.Incarnation) bool { return view.Find(id) != nil }
+	gone := false
 	for id, l := range b.loads {
-		if view.Find(id) == nil && l.own.Running == 0 {
+		if present(id) {
+			continue
+		}
+		gone = true
+		if l.own.Running == 0 {
 			delete(b.loads, id)
 		}
 	}
-	present := func(id fleet.Incarnation) bool { return view.Find(id) != nil }
+	if !gone { // views change with each loaded model, and the prefixes are many
+		return
+	}
 	for _, s := range b.services {
 		s.estimator.Retain(present)
 	}
--- a/coordination/residency/incarnations.go
+++ b/coordination/residency/incarnations.go
@@ -84,6 +84,7 @@
 		next.addLateOrder(now, o.order)
 	}
 	p.engines[incarnation.ID] = next
+	p.forgetGone()
 	p.loads = nil
 	return next
 }
--- a/coordination/residency/planner.go
+++ b/coordination/residency/planner.go
@@ -211,16 +211,27 @@
 			p.adoptEntry(now, e)
 		}
 	}
+	gone := false
 	for id := range p.engines {
 		if !present[id] {
 			delete(p.engines, id)
+			gone = true
 		}
 	}
-	p.costs.Retain(func(incarnation fleet.Incarnation) bool { return p.engineOf(incarnation) != nil })
-	p.prompts.Retain(func(_ string, incarnation fleet.Incarnation) bool { return p.engineOf(incarnation) != nil })
+	if gone {
+		p.forgetGone()
+	}
 	p.sortEngines()
 }
 
+// forgetGone removes what was learned of incarnations that are gone. It goes over all remembered
+// prompts, so it must not run for each change of an engine.
+func (p *Planner) forgetGone() {
+	present := func(incarnation fleet.Incarnation) bool { return p.engineOf(incarnation) != nil }
+	p.costs.Retain(present)
+	p.prompts.Retain(func(_ string, incarnation fleet.Incarnation) bool { return present(incarnation) })
+}
+
 func newEngineState(now time.Time, incarnation fleet.Incarnation) *engineState {
 	return &engineState{incarnation: incarnation, models: map[string]*replica{}, inMemory: map[string]bool{}, onDisk: map[string]bool{}, unloadedAt: map[string]time.Time{}, probeAt: now}
 }
