--- a/coordination/residency/direct.go
+++ b/coordination/residency/direct.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/doorvalve/doorvalve/coordination/promptcache"
+	"github.com/doorvalve/doorvalve/state/fleet"
 )
 
 const (
@@ -54,11 +55,17 @@
 	return w.Model + "/" + w.Adapter
 }
 
+// averageTime returns how long an average engine processes the part of the prompt that an engine does
+// not hold.
+func (d *promptWork) averageTime(engine fleet.Incarnation) time.Duration {
+	uncached := max(0, d.tokens-d.held.At(engine))
+	return time.Duration(float64(d.promptTime) * float64(uncached) / float64(d.tokens))
+}
+
 // processing returns how long an engine processes the part of the prompt that it does not hold.
 func (p *Planner) processing(now time.Time, e *engineState, d *promptWork) time.Duration {
-	uncached := max(0, d.tokens-d.held.At(e.incarnation))
 	speed, _ := p.costs.Speed(now, e.incarnation)
-	return time.Duration(float64(d.promptTime) * float64(uncached) / float64(d.tokens) / speed)
+	return time.Duration(float64(d.averageTime(e.incarnation)) / speed)
 }
 
 // backlog returns the time until an engine has processed the prompts that were directed there.
@@ -88,17 +95,7 @@
 	if !d.known {
 		return
 	}
-	processing := p.processing(now, e, d)
-	until := now.Add(e.backlog(now) + processing)
-	speed, _ := p.costs.Speed(now, e.incarnation)
-	p.values[want.Model].observeProcessing(processing.Seconds() * speed)
-	e.promptsUntil = minTime(until, now.Add(maxBacklog))
+	p.values[want.Model].observeProcessing(d.averageTime(e.incarnation).Seconds())
+	e.promptsUntil = now.Add(min(maxBacklog, e.backlog(now)+p.processing(now, e, d)))
 	p.prompts.Observe(now, want.unit(), want.Parts, e.incarnation)
 }
-
-func minTime(a, b time.Time) time.Time {
-	if b.Before(a) {
-		return b
-	}
-	return a
-}
