quotas: one check of counts from peers

Cause: isFinite repeated the check that draws have. Change: isInvalidCount serves draws and summaries.

--- a/driver/quotas/serve.go
+++ b/driver/quotas/serve.go
@@ -26,17 +26,16 @@
 	return quota.Grant{Units: resp.Units, Allowance: resp.Ahead, NextDrawIn: time.Duration(resp.AgainMs) * time.Millisecond, RetryAfter: time.Duration(resp.RoomInMs) * time.Millisecond, NearLimit: resp.Over, SpareRate: resp.Spare, RateShare: resp.Part, Selection: selectionFromWire(resp.Selection), Summary: summaryFromWire(resp.Summary)}, resp.Owner, nil
 }
 
-func isFinite(n float64) bool { return !math.IsNaN(n) && !math.IsInf(n, 0) }
+// isInvalidCount reports whether a number is not a finite count of at least 0.
+func isInvalidCount(n float64) bool { return !(n >= 0 && n <= math.MaxFloat64) }
 
 // errInvalidCount rejects draws with counts that no daemon sends.
 var errInvalidCount = errors.New("counts of a draw must be numbers of at least 0")
 
 // Draw implements quotapb.Quotas.
 func (k *Controller) Draw(_ context.Context, req *quotapb.DrawRequest) (*quotapb.DrawResponse, error) {
-	for _, count := range append([]float64{req.Need, req.Used, req.Offered, req.Rate, req.Burst, req.Returned}, req.OfferedByRank...) {
-		if !(count >= 0 && count <= math.MaxFloat64) {
-			return nil, errInvalidCount
-		}
+	if slices.ContainsFunc(append([]float64{req.Need, req.Used, req.Offered, req.Rate, req.Burst, req.Returned}, req.OfferedByRank...), isInvalidCount) {
+		return nil, errInvalidCount
 	}
 	k.roster.notePeerContact()
 	shared := k.workspaces.shared
@@ -142,9 +141,9 @@
 }
 
 // summaryFromWire returns nil for a summary without usable numbers: an owner that took over an
-// infinite or negative level would grant everything or nothing.
+// infinite level would grant everything or nothing.
 func summaryFromWire(s *quotapb.Summary) *quota.Summary {
-	if s == nil || !isFinite(s.Level) || slices.ContainsFunc(s.Used, func(n float64) bool { return !(n >= 0) || !isFinite(n) }) {
+	if s == nil || isInvalidCount(math.Abs(s.Level)) || slices.ContainsFunc(s.Used, isInvalidCount) {
 		return nil
 	}
 	return &quota.Summary{Owner: s.Owner, Age: time.Duration(max(0, s.AgeMs)) * time.Millisecond, Level: s.Level, Used: s.Used}
