--- a/transport/edge/server.go
+++ b/transport/edge/server.go
@@ -269,8 +269,8 @@
 // writeSlack is how long after the request's deadline its answer may still be written.
 const writeSlack = 2 * time.Second
 
-// logRefusal logs and counts by reason the refusal that ended a request. q is nil for a request refused before it was
-// read; endpoint is the last endpoint that answered, empty if none has.
+// logRefusal logs and counts by reason the refusal that ended a request. q is nil for a request
+// refused before it was read; endpoint is the last endpoint that answered, empty if none has.
 func (s *Server) logRefusal(event string, q *request, refusal *protocol.Refusal, endpoint string) {
 	s.metrics.refusals.count(refusal.Reason)
 	if q == nil {
