--- a/cmd/doorvalvectl/client.go
+++ b/cmd/doorvalvectl/client.go
@@ -12,8 +12,8 @@
 	"os"
 	"time"
 
+	"github.com/doorvalve/doorvalve/internal/dial"
 	"github.com/doorvalve/doorvalve/protocol"
-	"github.com/doorvalve/doorvalve/transport/engine"
 )
 
 // errNoAnswer is returned when a change was sent to a daemon and no answer
@@ -73,7 +73,7 @@
 	}
 	for _, cl := range list {
 		var answer []byte
-		if answer, err = cl.call(method, path, body); err == nil || !engine.IsDialError(err) {
+		if answer, err = cl.call(method, path, body); err == nil || !dial.IsDialError(err) {
 			return answer, err
 		}
 	}
@@ -88,7 +88,7 @@
 	req.Header.Set("Authorization", "Bearer "+c.token)
 	resp, err := c.http.Do(req)
 	if err != nil {
-		if method != http.MethodGet && !engine.IsDialError(err) {
+		if method != http.MethodGet && !dial.IsDialError(err) {
 			return nil, fmt.Errorf("%w (%w)", errNoAnswer, err)
 		}
 		return nil, err
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -95,7 +95,8 @@
 
 // New returns a daemon with its listeners open, so that its addresses are
 // known before Run is called.
-func New(set settings.Settings, log *decisions.Log) (*Daemon, error) {
+func New(set settings.Settings, log *decisions.Log, list ...Option) (*Daemon, error) {
+	opt := optionsOf(list)
 	d := &Daemon{
 		set: set, self: set.Host + "-" + nonce(), started: time.Now(), drain: drain.New(),
 		backpressure: backpressure.New(backpressure.Options{Seed: uint64(time.Now().UnixNano())}),
@@ -117,7 +118,7 @@
 	d.metrics, d.closer = scope, closer
 	d.generations = generations.New(d.log, d.metrics)
 	d.platform = platform.New(platform.Options{URL: set.Platform.URL, Timeout: set.Platform.Timeout.D(), Generations: d.generations})
-	d.engines = engine.New(engineTimeout)
+	d.engines = engine.New(engineTimeout, opt.dial)
 	d.peers = peers.NewClient(set.Peers.Token)
 	d.gossip = gossip.New(d.log.Named("gossip"), d.peers, d.seeds, gossip.Options(quotas.StaleFact), d.member())
 	d.rollout = rollout.New(d.log.Component("rollout"), d.platform, d.peers, d.gossip)
@@ -127,7 +128,7 @@
 	})
 	d.generations.OnRise(d.claimer.PlatformRestored)
 	d.quarantine = quarantiner.New(quarantiner.Options{
-		Self: d.self, Members: d.gossip.Members, Peer: d.peers.Quarantines().To, Endpoint: d.endpointState, Store: d.platform, Generations: d.generations, Log: d.log.Component("quarantine"), Metrics: d.metrics,
+		Self: d.self, Members: d.gossip.Members, Peer: d.peers.Quarantines().To, Endpoint: d.endpointState, Dial: quarantiner.Check(opt.dial), Store: d.platform, Generations: d.generations, Log: d.log.Component("quarantine"), Metrics: d.metrics,
 	})
 	d.quotas = quotas.New(quotas.Options{
 		Self: d.self, Members: d.gossip.Members, Revision: d.gossip.Revision, Directory: d.workspaces, Listed: d.endpointListed, Publish: d.gossip.Set, OnLimitChange: func(incarnation fleet.Incarnation, report limit.Report) { d.throttle.SetLimit(incarnation, report) }, Store: d.platform, Generations: d.generations, Peer: d.peers.Quotas().To, Log: d.log.Component("quotas"), Metrics: d.metrics,
@@ -141,7 +142,7 @@
 	d.setPhase(drain.Serving)
 	d.callers = callers.New(callers.Options{
 		Self: d.self, Limits: set.Limits, Config: d.rollout.Current, Gate: d.gate, Members: d.gossip.Members, Phase: d.Phase,
-		Claimer: d.claimer, Quarantine: d.quarantine, Quotas: d.quotas, Throttle: d.throttle, Proxy: proxy.New(set.Limits.AnswerBytes), Log: d.log.Component("callers"), Metrics: d.metrics,
+		Claimer: d.claimer, Quarantine: d.quarantine, Quotas: d.quotas, Throttle: d.throttle, Proxy: proxy.New(set.Limits.AnswerBytes, opt.dial), Log: d.log.Component("callers"), Metrics: d.metrics,
 		OnEndpointLeaving: d.endpointLeaving,
 	})
 	return d, nil
--- a/daemon/edgedaemon/daemon.go
+++ b/daemon/edgedaemon/daemon.go
@@ -130,7 +130,8 @@
 type listeners struct{ callers, directory, readiness, peers, metrics net.Listener }
 
 // New returns a daemon with its listeners open. Run serves them.
-func New(set settings.Edge, log *decisions.Log) (*Daemon, error) {
+func New(set settings.Edge, log *decisions.Log, list ...Option) (*Daemon, error) {
+	opt := optionsOf(list)
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(float64(set.Limits.MemoryMB<<20) * memoryShare))
 	tracker := backpressure.New(backpressure.Options{LeaveWithin: set.Timing.LeaveWithin.D(), Seed: uint64(time.Now().UnixNano())})
@@ -152,7 +153,7 @@
 	d.shareRetries(1)
 	d.generations = generations.New(log, d.metrics)
 	d.store = platform.NewStore(set.Store.Address, set.Store.Timeout.D(), d.generations, d.metrics)
-	d.engines = platform.NewEngineClient(engineTimeout, d.observeEngineAnswer)
+	d.engines = platform.NewEngineClient(engineTimeout, opt.dial, d.observeEngineAnswer)
 	d.view = storeview.New(storeview.Options{
 		Store: d.store, Decode: platform.DecodeDesiredState, Log: log, Self: d.self, Peer: d.anyPeer, Upstreams: d.upstreams,
 		PropagationBound: min(set.Timing.LeaveWithin.D(), set.Timing.ApplyWithin.D()), Heartbeat: set.Timing.EndpointHeartbeat.D(), Generations: d.generations, Metrics: d.metrics,
@@ -160,7 +161,7 @@
 	d.view.OnChange(d.applyView)
 	d.gossip = gossip.New(hclog.NewNullLogger(), d.peers, d.seeds, gossip.Options(staleFact), d.member())
 	d.quarantine = quarantiner.New(quarantiner.Options{
-		Self: d.self, Members: d.alive, Peer: d.peers.Quarantines().To, Endpoint: d.endpointState, OnCrash: func(incarnation fleet.Incarnation) { d.balancer.MarkUnreachable(clock.Now(), incarnation) }, Store: d.store, Generations: d.generations, Log: log, Metrics: d.metrics,
+		Self: d.self, Members: d.alive, Peer: d.peers.Quarantines().To, Endpoint: d.endpointState, Dial: quarantiner.Check(opt.dial), OnCrash: func(incarnation fleet.Incarnation) { d.balancer.MarkUnreachable(clock.Now(), incarnation) }, Store: d.store, Generations: d.generations, Log: log, Metrics: d.metrics,
 	})
 	d.quotas = quotas.New(quotas.Options{
 		Self: d.self, Bounds: quota.Bounds{Window: set.Quotas.Window.D(), Overage: set.Quotas.Overage, Slack: set.Quotas.Slack, NewOwnerShare: quota.DefaultNewOwnerShare},
@@ -175,7 +176,7 @@
 		FailureDomain: set.FailureDomain,
 		StateAge:      d.stateAge, Access: access.Bounds{Apply: set.Timing.ApplyWithin.D(), Revoke: set.Timing.RevokeWithin.D()}, Quotas: d.quotas, Throttle: d.throttle,
 		Table: d.view.Table, View: d.view.Endpoints, ViewAge: d.endpointsAge, Draining: d.draining, DrainDeadline: d.deadline, Dialect: platform.Dialect{}, Locator: d, Balancer: d.balancer,
-		Budget: d.budget, Quarantine: d.quarantine, Log: log, Metrics: d.metrics,
+		Budget: d.budget, Quarantine: d.quarantine, Dial: opt.dial, Log: log, Metrics: d.metrics,
 		FlushEvery:  time.Duration(float64(set.Timing.Pass.D()) * flushShare),
 		Connections: int64(float64(set.Limits.Descriptors) * requestsPerDescriptor),
 		HeldBytes:   int64(float64(set.Limits.MemoryMB<<20) * heldShare),
--- a/driver/quarantiner/broken.go
+++ b/driver/quarantiner/broken.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"errors"
-	"net"
-	"syscall"
 	"time"
 
 	"github.com/doorvalve/doorvalve/coordination/quarantine"
 	"github.com/doorvalve/doorvalve/driver/decisions"
+	"github.com/doorvalve/doorvalve/internal/dial"
 	"github.com/doorvalve/doorvalve/internal/wake"
 	"github.com/doorvalve/doorvalve/protocol"
 	"github.com/doorvalve/doorvalve/state/fleet"
@@ -105,7 +103,7 @@
 // ObserveDialError processes a failure to connect to an endpoint: if nothing listens there, the
 // endpoint crashed during the attempts that broke shortly before.
 func (c *Controller) ObserveDialError(inc fleet.Incarnation, err error) {
-	if !IsConnectionRefused(err) {
+	if !dial.IsRefused(err) {
 		return
 	}
 	c.mu.Lock()
@@ -135,7 +133,7 @@
 	case own:
 		err := c.opt.Dial(context.WithoutCancel(ctx), b.address)
 		c.mu.Lock()
-		if IsConnectionRefused(err) {
+		if dial.IsRefused(err) {
 			b.markCrashed(c.opt.Clock())
 		}
 		close(b.checking)
@@ -214,14 +212,14 @@
 	}
 }
 
-// IsConnectionRefused reports whether an error means that nothing listens at the address.
-func IsConnectionRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
-
-// dial checks over TCP whether an endpoint is up.
-func dial(ctx context.Context, address string) error {
-	conn, err := (&net.Dialer{Timeout: checkTimeout, KeepAlive: -1}).DialContext(ctx, "tcp", address)
-	if err != nil {
-		return err
+// Check returns a function for Options.Dial, which opens and closes a connection.
+func Check(open dial.Func) func(ctx context.Context, address string) error {
+	open = open.Within(checkTimeout)
+	return func(ctx context.Context, address string) error {
+		conn, err := open(ctx, "tcp", address)
+		if err != nil {
+			return err
+		}
+		return conn.Close()
 	}
-	return conn.Close()
 }
--- a/driver/quarantiner/quarantiner.go
+++ b/driver/quarantiner/quarantiner.go
@@ -20,6 +20,7 @@
 	"github.com/doorvalve/doorvalve/driver/generations"
 	"github.com/doorvalve/doorvalve/driver/record"
 	"github.com/doorvalve/doorvalve/internal/clock"
+	"github.com/doorvalve/doorvalve/internal/dial"
 	"github.com/doorvalve/doorvalve/internal/pause"
 	"github.com/doorvalve/doorvalve/internal/wake"
 	"github.com/doorvalve/doorvalve/protocol"
@@ -125,7 +126,7 @@
 		opt.OnCrash = func(fleet.Incarnation) {}
 	}
 	if opt.Dial == nil {
-		opt.Dial = dial
+		opt.Dial = Check(dial.TCP)
 	}
 	s := opt.Metrics.SubScope("quarantine")
 	c := &Controller{opt: opt, synced: make(chan struct{}), started: opt.Clock(), wake: make(chan struct{}, 1), pending: make(chan struct{}, 1), m: quarantine.New(), record: record.New(opt.Store, opt.Generations, recordName), broken: map[fleet.Incarnation]*broken{}, metrics: metrics{
--- a/transport/edge/attempt.go
+++ b/transport/edge/attempt.go
@@ -3,18 +3,16 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/url"
 	"slices"
 	"time"
 
-	"github.com/doorvalve/doorvalve/driver/quarantiner"
 	"github.com/doorvalve/doorvalve/driver/throttle"
 	"github.com/doorvalve/doorvalve/internal/clock"
+	"github.com/doorvalve/doorvalve/internal/dial"
 	"github.com/doorvalve/doorvalve/protocol"
 	"github.com/doorvalve/doorvalve/state/fleet"
 	"github.com/doorvalve/doorvalve/state/routing"
@@ -42,11 +40,11 @@
 	perRequest *http.Transport
 }
 
-func newClient() *client {
-	dial := (&net.Dialer{Timeout: dialTimeout, KeepAlive: -1}).DialContext
+func newClient(open dial.Func) *client {
+	open = open.Within(dialTimeout)
 	return &client{
-		pooled:     &http.Transport{DialContext: dial, MaxIdleConnsPerHost: idlePerEndpoint, IdleConnTimeout: idleTimeout, DisableCompression: true, ReadBufferSize: bufferBytes, WriteBufferSize: bufferBytes},
-		perRequest: &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true, ReadBufferSize: bufferBytes, WriteBufferSize: bufferBytes},
+		pooled:     &http.Transport{DialContext: open, MaxIdleConnsPerHost: idlePerEndpoint, IdleConnTimeout: idleTimeout, DisableCompression: true, ReadBufferSize: bufferBytes, WriteBufferSize: bufferBytes},
+		perRequest: &http.Transport{DialContext: open, DisableKeepAlives: true, DisableCompression: true, ReadBufferSize: bufferBytes, WriteBufferSize: bufferBytes},
 	}
 }
 
@@ -135,9 +133,8 @@
 // classify turns an error before the answer's header into a failure, which says whether the
 // request may have run.
 func classify(ctx context.Context, err error) *failure {
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
-		return &failure{verdict: protocol.NotRun, reason: "endpoint-unreachable", err: err, unreachable: true, connRefused: quarantiner.IsConnectionRefused(err)}
+	if dial.IsDialError(err) {
+		return &failure{verdict: protocol.NotRun, reason: "endpoint-unreachable", err: err, unreachable: true, connRefused: dial.IsRefused(err)}
 	}
 	if ctx.Err() != nil {
 		return &failure{verdict: protocol.MayHaveRun, reason: "no-answer-in-time", err: ctx.Err()}
--- a/transport/edge/server.go
+++ b/transport/edge/server.go
@@ -26,6 +26,7 @@
 	"github.com/doorvalve/doorvalve/driver/quotas"
 	"github.com/doorvalve/doorvalve/driver/throttle"
 	"github.com/doorvalve/doorvalve/internal/clock"
+	"github.com/doorvalve/doorvalve/internal/dial"
 	"github.com/doorvalve/doorvalve/protocol"
 	"github.com/doorvalve/doorvalve/state/fleet"
 	"github.com/doorvalve/doorvalve/state/routing"
@@ -70,6 +71,8 @@
 	Quarantine *quarantiner.Controller
 	Log        *decisions.Log
 	Metrics    tally.Scope
+	// Dial opens connections to endpoints.
+	Dial dial.Func
 	// FlushEvery is how long the events of a stream may be buffered before they are written. The
 	// first event is written at once.
 	FlushEvery time.Duration
@@ -109,7 +112,7 @@
 		return m.Tagged(map[string]string{"reason": why}).Counter("slow_readers_closed_total")
 	}
 	buckets := tally.MustMakeExponentialDurationBuckets(5*time.Millisecond, 2, 14)
-	return &Server{opt: opt, client: newClient(), held: newHeldBytes(opt.HeldBytes), demand: map[string]residency.Demand{}, demandChanged: make(chan struct{}, 1), placeFreed: make(chan struct{}, 1), margins: waiting.NewMargins(), metrics: metrics{
+	return &Server{opt: opt, client: newClient(opt.Dial), held: newHeldBytes(opt.HeldBytes), demand: map[string]residency.Demand{}, demandChanged: make(chan struct{}, 1), placeFreed: make(chan struct{}, 1), margins: waiting.NewMargins(), metrics: metrics{
 		answered: m.Counter("requests_answered_total"), refused: m.Counter("requests_refused_total"),
 		failed: m.Counter("requests_failed_total"), retried: m.Counter("attempts_retried_total"),
 		resumed: m.Counter("streams_resumed_total"), disconnected: m.Counter("callers_gone_total"), unknownHeaders: m.Counter("answer_headers_unknown_total"),
--- a/transport/engine/client.go
+++ b/transport/engine/client.go
@@ -6,14 +6,13 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
-	"net"
 	"net/http"
 	"sync"
 	"time"
 
 	"github.com/zeebo/errs"
 
+	"github.com/doorvalve/doorvalve/internal/dial"
 	"github.com/doorvalve/doorvalve/protocol"
 	"github.com/doorvalve/doorvalve/state/bundle"
 	"github.com/doorvalve/doorvalve/transport/meter"
@@ -40,10 +39,10 @@
 	state protocol.EngineState
 }
 
-// New returns a client whose calls time out after timeout.
-func New(timeout time.Duration) *Client {
+// New returns a client whose calls time out after timeout, and which opens connections with open.
+func New(timeout time.Duration, open dial.Func) *Client {
 	c := &Client{last: map[string]cached{}}
-	t := &http.Transport{DialContext: c.meter.Dial(timeout), MaxIdleConnsPerHost: MaxIdlePerEndpoint, IdleConnTimeout: 30 * time.Second}
+	t := &http.Transport{DialContext: c.meter.Dial(open.Within(timeout)), MaxIdleConnsPerHost: MaxIdlePerEndpoint, IdleConnTimeout: 30 * time.Second}
 	c.http = &http.Client{Transport: t, Timeout: timeout}
 	return c
 }
@@ -120,7 +119,7 @@
 	req.GetBody = nil // so that the transport never resends the order
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return !IsDialError(err), Error.Wrap(err)
+		return !dial.IsDialError(err), Error.Wrap(err)
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if resp.StatusCode != http.StatusAccepted {
@@ -128,9 +127,3 @@
 	}
 	return true, nil
 }
-
-// IsDialError reports whether err is a failure to connect, so that no part of the request was sent.
-func IsDialError(err error) bool {
-	var op *net.OpError
-	return errors.As(err, &op) && op.Op == "dial"
-}
--- a/transport/meter/meter.go
+++ b/transport/meter/meter.go
@@ -6,7 +6,8 @@
 	"context"
 	"net"
 	"sync/atomic"
-	"time"
+
+	"github.com/doorvalve/doorvalve/internal/dial"
 )
 
 // Meter counts the bytes of connections in both directions. The zero value is ready to use. It is
@@ -22,11 +23,10 @@
 // Counts returns the totals.
 func (m *Meter) Counts() Counts { return Counts{In: m.in.Load(), Out: m.out.Load()} }
 
-// Dial returns a dial function whose connections are counted; timeout bounds each dial.
-func (m *Meter) Dial(timeout time.Duration) func(ctx context.Context, network, address string) (net.Conn, error) {
-	d := &net.Dialer{Timeout: timeout}
+// Dial returns a dial function whose connections, opened by open, are counted.
+func (m *Meter) Dial(open dial.Func) dial.Func {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		c, err := d.DialContext(ctx, network, address)
+		c, err := open(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
--- a/transport/peers/peers.go
+++ b/transport/peers/peers.go
@@ -5,6 +5,7 @@
 import (
 	"crypto/sha256"
 	"crypto/subtle"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -64,7 +65,7 @@
 // sent.
 func NewClient(token string) *Client {
 	c := &Client{}
-	t := silence.Transport{Transport: &http.Transport{DialContext: c.meter.Dial(CallTimeout), MaxIdleConnsPerHost: 4, IdleConnTimeout: 30 * time.Second}}
+	t := silence.Transport{Transport: &http.Transport{DialContext: c.meter.Dial((&net.Dialer{Timeout: CallTimeout}).DialContext), MaxIdleConnsPerHost: 4, IdleConnTimeout: 30 * time.Second}}
 	c.http = &http.Client{Transport: t, Timeout: CallTimeout}
 	if token != "" {
 		c.http.Transport = withToken{token, t}
--- a/transport/platform/client.go
+++ b/transport/platform/client.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strings"
@@ -99,7 +100,7 @@
 // New returns a client.
 func New(opt Options) *Client {
 	c := &Client{opt: opt}
-	c.http = &http.Client{Transport: &http.Transport{DialContext: c.meter.Dial(opt.Timeout), MaxIdleConnsPerHost: 16, IdleConnTimeout: 30 * time.Second}}
+	c.http = &http.Client{Transport: &http.Transport{DialContext: c.meter.Dial((&net.Dialer{Timeout: opt.Timeout}).DialContext), MaxIdleConnsPerHost: 16, IdleConnTimeout: 30 * time.Second}}
 	return c
 }
 
--- a/transport/proxy/proxy.go
+++ b/transport/proxy/proxy.go
@@ -8,13 +8,12 @@
 	"encoding/json"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"time"
 
+	"github.com/doorvalve/doorvalve/internal/dial"
 	"github.com/doorvalve/doorvalve/protocol"
-	"github.com/doorvalve/doorvalve/transport/engine"
 )
 
 // Request describes one attempt.
@@ -72,12 +71,13 @@
 // dialTimeout bounds the time to connect to an endpoint.
 const dialTimeout = 500 * time.Millisecond
 
-// New returns a client. answerBytes bounds the body of an answer that is not a stream.
-func New(answerBytes int64) *Client {
-	dial := (&net.Dialer{Timeout: dialTimeout}).DialContext
+// New returns a client that opens connections with open. answerBytes bounds the body of an answer
+// that is not a stream.
+func New(answerBytes int64, open dial.Func) *Client {
+	open = open.Within(dialTimeout)
 	return &Client{
-		pooled:      &http.Client{Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 256, IdleConnTimeout: 30 * time.Second, DisableCompression: true}},
-		perRequest:  &http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true}},
+		pooled:      &http.Client{Transport: &http.Transport{DialContext: open, MaxIdleConnsPerHost: 256, IdleConnTimeout: 30 * time.Second, DisableCompression: true}},
+		perRequest:  &http.Client{Transport: &http.Transport{DialContext: open, DisableKeepAlives: true, DisableCompression: true}},
 		answerBytes: answerBytes,
 	}
 }
@@ -154,7 +154,7 @@
 }
 
 func classify(err error) *Failure {
-	if engine.IsDialError(err) {
+	if dial.IsDialError(err) {
 		return &Failure{Verdict: protocol.NotRun, Reason: ReasonUnreachable, Err: err}
 	}
 	if errors.Is(err, context.DeadlineExceeded) {
