--- a/cmd/doorvalvectl/explain.go
+++ b/cmd/doorvalvectl/explain.go
@@ -97,12 +97,13 @@
 //     those of leases, dependencies and the desired state;
 //   - lines with the same fingerprint, however much earlier: the same request
 //     sent again under other ids;
+//   - lines of the connections through other daemons that it was sent over;
 //   - lines of backpressure signals of endpoints, however much earlier, if such
 //     a signal is the reason of the refusal.
 //
 // It returns nil if no line has the id.
 func explain(lines []logLine, id string, around time.Duration) []logLine {
-	subjects, fingerprints := map[string]bool{}, map[string]bool{}
+	subjects, fingerprints, tunnels := map[string]bool{}, map[string]bool{}, map[string]bool{}
 	var first, last time.Time
 	signalEvent := ""
 	for _, l := range lines {
@@ -118,6 +119,9 @@
 		if print, _ := l.Fields["fingerprint"].(string); print != "" {
 			fingerprints[print] = true
 		}
+		if tunnel, _ := l.Fields["tunnel"].(string); tunnel != "" {
+			tunnels[tunnel] = true
+		}
 		if reason, _ := l.Fields["reason"].(string); signalEvents[reason] != "" {
 			signalEvent = signalEvents[reason]
 		}
@@ -137,6 +141,12 @@
 			out = append(out, l)
 			continue
 		}
+		if tunnel, _ := l.Fields["tunnel"].(string); tunnel != "" && l.Fields["request"] == nil {
+			if tunnels[tunnel] { // written when the connection ends, after the request
+				out = append(out, l)
+			}
+			continue
+		}
 		if signalEvent != "" && l.Event == signalEvent && !l.At.After(last) {
 			out = append(out, l)
 			continue
--- a/cmd/doorvalvectl/explain_test.go
+++ b/cmd/doorvalvectl/explain_test.go
@@ -56,6 +56,20 @@
 	}
 }
 
+const relayedLog = `
+host-1 {"@message":"request sent through another daemon","@timestamp":"2026-10-14T04:07:35.000Z","request":"r1","relay":"d2","tunnel":"d1-7"}
+host-2 {"@message":"connection relayed","@timestamp":"2026-10-14T04:07:39.000Z","tunnel":"d1-7","from":"d1"}
+host-2 {"@message":"connection relayed","@timestamp":"2026-10-14T04:07:34.900Z","tunnel":"d1-6","from":"d1"}
+`
+
+// Guards against a hop at which the trace of a request ends.
+func TestExplainFollowsARelayedRequest(t *testing.T) {
+	got := explain(parseLog(strings.NewReader(relayedLog)), "r1", 10*time.Second)
+	if len(got) != 2 || got[1].Fields["tunnel"] != "d1-7" {
+		t.Fatalf("%+v", got)
+	}
+}
+
 const limitedLog = `
 host-1 {"@message":"limit of an endpoint changed","@timestamp":"2026-10-14T04:07:35.000Z","endpoint":"i-1","limited":true,"rate":2}
 host-2 {"@message":"request refused","@timestamp":"2026-10-14T04:09:35.000Z","request":"r1","reason":"endpoints-limited"}
--- a/coordination/balance/balance.go
+++ b/coordination/balance/balance.go
@@ -76,6 +76,7 @@
 type Balancer struct {
 	domain  string
 	signals *backpressure.Tracker
+	hasPath func(address string) bool
 
 	mu       sync.Mutex
 	rng      *rand.Rand
@@ -92,9 +93,13 @@
 // New returns a balancer for a daemon in a failure domain, which respects the backpressure
 // signals of endpoints. seed is for its random choices.
 func New(domain string, seed uint64, signals *backpressure.Tracker) *Balancer {
-	return &Balancer{domain: domain, signals: signals, rng: rand.New(rand.NewPCG(seed, 0)), loads: map[fleet.Incarnation]*load{}, services: map[string]*service{}, daemons: 1, prefixes: promptcache.New()}
+	return &Balancer{domain: domain, signals: signals, hasPath: func(string) bool { return true }, rng: rand.New(rand.NewPCG(seed, 0)), loads: map[fleet.Incarnation]*load{}, services: map[string]*service{}, daemons: 1, prefixes: promptcache.New()}
 }
 
+// UsePaths makes the balancer leave out endpoints to which no connection can be opened now, as
+// reported by hasPath. It must be called before the first use.
+func (b *Balancer) UsePaths(hasPath func(address string) bool) { b.hasPath = hasPath }
+
 func (b *Balancer) load(id fleet.Incarnation) *load {
 	l := b.loads[id]
 	if l == nil {
@@ -162,7 +167,7 @@
 	for _, e := range candidates {
 		l := b.load(e.Incarnation())
 		switch {
-		case e.Leaving, now.Before(l.unreachableUntil), !b.signals.Peek(now, e.Incarnation(), q.Request).Open, q.excludes(e):
+		case e.Leaving, b.unreachable(now, e), !b.signals.Peek(now, e.Incarnation(), q.Request).Open, q.excludes(e):
 		case q.Unit != "" && now.Before(l.absent[q.Unit]):
 		case now.Before(l.avoidUntil):
 			avoided = append(avoided, e)
@@ -242,13 +247,25 @@
 	l.refusedConnections++
 }
 
-// Unreachable reports whether an endpoint is marked as unreachable now.
-func (b *Balancer) Unreachable(now time.Time, id fleet.Incarnation) bool {
+// MarkedUnreachable reports whether an endpoint is marked as unreachable now.
+func (b *Balancer) MarkedUnreachable(now time.Time, id fleet.Incarnation) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return now.Before(b.load(id).unreachableUntil)
 }
 
+// Unreachable reports whether an endpoint is marked as unreachable now, or this daemon has no path to
+// it.
+func (b *Balancer) Unreachable(now time.Time, e *fleet.Endpoint) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.unreachable(now, e)
+}
+
+func (b *Balancer) unreachable(now time.Time, e *fleet.Endpoint) bool {
+	return now.Before(b.load(e.Incarnation()).unreachableUntil) || !b.hasPath(e.Address)
+}
+
 // Avoided reports whether requests avoid an endpoint now, because it has just failed or refused
 // requests, or because of a backpressure signal.
 func (b *Balancer) Avoided(now time.Time, id fleet.Incarnation) bool {
@@ -264,7 +281,7 @@
 	defer b.mu.Unlock()
 	var eligible []*fleet.Endpoint
 	for _, e := range candidates {
-		if l := b.load(e.Incarnation()); now.Before(l.unreachableUntil) || q.excludes(e) {
+		if b.unreachable(now, e) || q.excludes(e) {
 			continue
 		}
 		if b.signals.Peek(now, e.Incarnation(), q.Request).LastResort {
--- a/coordination/balance/balance_test.go
+++ b/coordination/balance/balance_test.go
@@ -157,7 +157,7 @@
 	for range 5 { // several requests notice the same failure
 		b.MarkUnreachable(start, incarnation("a"))
 	}
-	if e := b.Pick(start.Add(unreachableFirst-time.Millisecond), list, Query{}); e != nil || !b.Unreachable(start, incarnation("a")) {
+	if e := b.Pick(start.Add(unreachableFirst-time.Millisecond), list, Query{}); e != nil || !b.MarkedUnreachable(start, incarnation("a")) {
 		t.Fatalf("picked %v", e)
 	}
 	if e := b.Pick(start.Add(unreachableFirst), list, Query{}); e == nil {
--- /dev/null
+++ b/coordination/reach/reach_test.go
@@ -0,0 +1,174 @@
+package reach
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+var start = time.Unix(1000, 0)
+
+// newTable returns a table with n listed addresses, "a0" to "aN".
+func newTable(n int) *Table {
+	t := New("z1", 1)
+	var list []string
+	for i := range n {
+		list = append(list, fmt.Sprintf("a%d", i))
+	}
+	t.SetAddresses(list)
+	return t
+}
+
+func TestPathOfAnAddress(t *testing.T) {
+	const address = "a0"
+	later := start.Add(relayPause)
+	for _, c := range []struct {
+		name   string
+		events func(t *Table)
+		at     time.Time
+		path   Path
+		lost   bool
+	}{
+		{"nothing is known", func(*Table) {}, start, Direct, false},
+		{"refused", func(t *Table) { t.ObserveFailed(start, address, Refused) }, start, OpenOrRelayed, false},
+		{"silent", func(t *Table) { t.ObserveFailed(start, address, Silent) }, start, Relayed, false},
+		{"silent, and relayed", func(t *Table) {
+			t.ObserveFailed(start, address, Silent)
+			t.ObserveRelay(start, address, "d1", Opened)
+		}, start, Relayed, true},
+		{"no relay either", func(t *Table) { t.ObserveFailed(start, address, Refused); t.ObserveNoRelay(start, address) }, start, None, false},
+		{"no relay either, later", func(t *Table) { t.ObserveFailed(start, address, Refused); t.ObserveNoRelay(start, address) }, later, OpenOrRelayed, false},
+		{"relayed, then no more", func(t *Table) {
+			t.ObserveFailed(start, address, Refused)
+			t.ObserveRelay(start, address, "d1", Opened)
+			t.ObserveNoRelay(start, address)
+		}, start, None, false},
+		{"regained", func(t *Table) { t.ObserveFailed(start, address, Silent); t.ObserveOpened(start, address) }, start, Direct, false},
+		{"not listed any more", func(t *Table) { t.ObserveFailed(start, address, Silent); t.SetAddresses(nil) }, start, Direct, false},
+		{"another address", func(t *Table) { t.ObserveFailed(start, "a1", Silent) }, start, Direct, false},
+	} {
+		table := newTable(2)
+		c.events(table)
+		if path, lost := table.Path(c.at, address), table.Lost(address); path != c.path || lost != c.lost {
+			t.Errorf("%s: path %v, lost %v; want %v, %v", c.name, path, lost, c.path, c.lost)
+		}
+	}
+}
+
+func TestPartitionedNeedsARelay(t *testing.T) {
+	for _, c := range []struct {
+		lost, relayed int
+		partitioned   bool
+	}{{0, 0, false}, {2, 2, false}, {3, 0, false}, {3, 1, true}, {4, 0, false}, {4, 4, true}} {
+		table := newTable(4)
+		for i := range c.lost {
+			table.ObserveFailed(start, fmt.Sprintf("a%d", i), Refused)
+		}
+		for i := range c.relayed {
+			table.ObserveRelay(start, fmt.Sprintf("a%d", i), "d1", Opened)
+		}
+		if got := table.PartitionedFromAll(); got != c.partitioned {
+			t.Errorf("%d of 4 paths lost, %d relayed: partitioned %v", c.lost, c.relayed, got)
+		}
+	}
+}
+
+func TestChoiceOfARelay(t *testing.T) {
+	members := []Relay{{ID: "near", FailureDomain: "z1"}, {ID: "far", FailureDomain: "z2"}}
+	for _, c := range []struct {
+		name   string
+		events func(t *Table)
+		asked  []string
+		want   string // empty: none
+	}{
+		{"near first", func(*Table) {}, nil, "near"},
+		{"asked before", func(*Table) {}, []string{"near"}, "far"},
+		{"all asked before", func(*Table) {}, []string{"near", "far"}, ""},
+		{"busy", func(t *Table) { t.ObserveRelay(start, "a0", "near", Busy) }, nil, "far"},
+		{"an older version", func(t *Table) { t.ObserveRelay(start, "a0", "near", Unsupported) }, nil, "far"},
+		{"partitioned itself", func(t *Table) { t.SetPartitioned("near", true) }, nil, "far"},
+		{"healed", func(t *Table) { t.SetPartitioned("near", true); t.SetPartitioned("near", false) }, nil, "near"},
+		{"does not reach the address", func(t *Table) {
+			t.ObserveFailed(start, "a0", Refused)
+			t.ObserveRelay(start, "a0", "near", Unreached)
+		}, nil, "far"},
+		{"does not reach another address", func(t *Table) {
+			t.ObserveFailed(start, "a1", Refused)
+			t.ObserveRelay(start, "a1", "near", Unreached)
+		}, nil, "near"},
+		{"full", func(t *Table) {
+			for range farCost + 1 {
+				t.ObserveRelay(start, "a0", "near", Opened)
+			}
+		}, nil, "far"},
+	} {
+		table := newTable(2)
+		c.events(table)
+		if relay, _ := table.Choose(start, "a0", members, c.asked); relay.ID != c.want {
+			t.Errorf("%s: %q chosen, want %q", c.name, relay.ID, c.want)
+		}
+	}
+}
+
+func TestRelayedConnectionsAreSpreadByCapacity(t *testing.T) {
+	table := newTable(1)
+	members := []Relay{{ID: "small", FailureDomain: "z1", Capacity: 200}, {ID: "large", FailureDomain: "z1", Capacity: 800}, {ID: "far", FailureDomain: "z2", Capacity: 800}}
+	counts := map[string]int{}
+	for range 360 {
+		relay, _ := table.Choose(start, "a0", members, nil)
+		table.ObserveRelay(start, "a0", relay.ID, Opened)
+		counts[relay.ID]++
+	}
+	if counts["small"] > 60 || counts["large"] < 120 || counts["far"] < 120 {
+		t.Errorf("connections by relay: %v", counts)
+	}
+	for id, n := range counts {
+		for range n {
+			table.RelayClosed(id)
+		}
+	}
+	if table.RetainPeers(nil) || len(table.peers) > 0 {
+		t.Errorf("state of %d daemons is kept that have left", len(table.peers))
+	}
+}
+
+// A daemon that has lost hundreds of paths tries a few at a time, and all others soon after one works.
+func TestTrialsAreBounded(t *testing.T) {
+	table := newTable(600)
+	for a := range table.addresses {
+		table.ObserveFailed(start, a, Silent)
+	}
+	now, trials := start, 0
+	for range 100 {
+		now = now.Add(100 * time.Millisecond)
+		list := table.Trials(now)
+		trials += len(list)
+		for _, a := range list {
+			table.TrialEnded(now, a)
+		}
+	}
+	if trials > 100*maxTrials {
+		t.Errorf("%d trials in 10 s", trials)
+	}
+	healed := now
+	for _, lost := table.Counts(); lost > 0; _, lost = table.Counts() {
+		now = now.Add(10 * time.Millisecond)
+		for _, a := range table.Trials(now) {
+			table.ObserveOpened(now, a)
+		}
+	}
+	if took := now.Sub(healed); took > time.Second {
+		t.Errorf("all paths were regained %v after the partition", took)
+	}
+}
+
+func TestSilentConnectionIsCheckedOnceInAWhile(t *testing.T) {
+	table := newTable(1)
+	if !table.StartCheck(start, "a0") || table.StartCheck(start, "a0") || !table.StartCheck(start.Add(checkInterval), "a0") {
+		t.Error("want one check in each interval")
+	}
+	table.ObserveFailed(start, "a0", Silent)
+	if table.StartCheck(start.Add(2*checkInterval), "a0") || table.StartCheck(start, "other") {
+		t.Error("a lost path or an address that is not listed was checked")
+	}
+}
--- a/daemon/edgedaemon/daemon.go
+++ b/daemon/edgedaemon/daemon.go
@@ -26,6 +26,7 @@
 	"github.com/doorvalve/doorvalve/coordination/balance"
 	"github.com/doorvalve/doorvalve/coordination/membership"
 	"github.com/doorvalve/doorvalve/coordination/quota"
+	"github.com/doorvalve/doorvalve/coordination/reach"
 	"github.com/doorvalve/doorvalve/coordination/residency"
 	"github.com/doorvalve/doorvalve/coordination/retry"
 	"github.com/doorvalve/doorvalve/driver/coordinator"
@@ -33,11 +34,13 @@
 	"github.com/doorvalve/doorvalve/driver/generations"
 	"github.com/doorvalve/doorvalve/driver/gossip"
 	"github.com/doorvalve/doorvalve/driver/leaserelay"
+	"github.com/doorvalve/doorvalve/driver/paths"
 	"github.com/doorvalve/doorvalve/driver/quarantiner"
 	"github.com/doorvalve/doorvalve/driver/quotas"
 	"github.com/doorvalve/doorvalve/driver/storeview"
 	"github.com/doorvalve/doorvalve/driver/throttle"
 	"github.com/doorvalve/doorvalve/internal/clock"
+	"github.com/doorvalve/doorvalve/internal/dial"
 	"github.com/doorvalve/doorvalve/platform"
 	"github.com/doorvalve/doorvalve/protocol/fleetpb"
 	"github.com/doorvalve/doorvalve/protocol/peerpb"
@@ -48,6 +51,7 @@
 	"github.com/doorvalve/doorvalve/state/routing"
 	"github.com/doorvalve/doorvalve/transport/edge"
 	"github.com/doorvalve/doorvalve/transport/peers"
+	"github.com/doorvalve/doorvalve/transport/tunnel"
 )
 
 const (
@@ -84,6 +88,9 @@
 	// file descriptor: a request needs a connection to its caller and one to its
 	// endpoint, and idle connections take descriptors too.
 	requestsPerDescriptor = 0.3
+	// tunnelsPerDescriptor is the number of connections relayed for other daemons for each file
+	// descriptor. Each takes two, and the daemon's own requests need the rest.
+	tunnelsPerDescriptor = 0.12
 )
 
 // Daemon is one doorvalved process.
@@ -108,6 +115,8 @@
 	reporter    promreporter.Reporter
 	closer      io.Closer
 	engines     *platform.EngineClient
+	paths       *paths.Controller
+	tunnels     *tunnel.Handler
 
 	listeners listeners
 	// callerServer is shut down gracefully; the other servers are closed when
@@ -153,7 +162,15 @@
 	d.shareRetries(1)
 	d.generations = generations.New(log, d.metrics)
 	d.store = platform.NewStore(set.Store.Address, set.Store.Timeout.D(), d.generations, d.metrics)
-	d.engines = platform.NewEngineClient(engineTimeout, opt.dial, d.observeEngineAnswer)
+	d.paths = paths.New(paths.Options{
+		Self: d.self, FailureDomain: set.FailureDomain, Members: d.alive, Dial: opt.dial, Tunnel: &tunnel.Dialer{Open: dial.TCP, Self: d.self},
+		Publish: func(e membership.Entry) { d.gossip.Set(e) }, Seed: uint64(time.Now().UnixNano()), Log: log, Metrics: d.metrics,
+	})
+	d.balancer.UsePaths(func(address string) bool { return d.paths.Path(address) != reach.None })
+	d.tunnels = tunnel.NewHandler(tunnel.Options{
+		Listed: d.paths.Listed, Dial: d.paths.DialOwn, Limit: int64(float64(set.Limits.Descriptors) * tunnelsPerDescriptor), Draining: d.draining, Log: log, Metrics: d.metrics,
+	})
+	d.engines = platform.NewEngineClient(engineTimeout, d.paths.Transport(platform.EngineTransport(opt.dial)), d.paths.DialDirect, d.observeEngineAnswer)
 	d.view = storeview.New(storeview.Options{
 		Store: d.store, Decode: platform.DecodeDesiredState, Log: log, Self: d.self, Peer: d.anyPeer, Upstreams: d.upstreams,
 		PropagationBound: min(set.Timing.LeaveWithin.D(), set.Timing.ApplyWithin.D()), Heartbeat: set.Timing.EndpointHeartbeat.D(), Generations: d.generations, Metrics: d.metrics,
@@ -172,11 +189,12 @@
 	})
 	d.gossip.OnFact(d.quotas.Endpoints().ReceiveFact)
 	d.gossip.OnFact(d.throttle.ReceiveFact)
+	d.gossip.OnFact(d.paths.ReceiveFact)
 	d.callers = edge.New(edge.Options{
 		FailureDomain: set.FailureDomain,
 		StateAge:      d.stateAge, Access: access.Bounds{Apply: set.Timing.ApplyWithin.D(), Revoke: set.Timing.RevokeWithin.D()}, Quotas: d.quotas, Throttle: d.throttle,
 		Table: d.view.Table, View: d.view.Endpoints, ViewAge: d.endpointsAge, Draining: d.draining, DrainDeadline: d.deadline, Dialect: platform.Dialect{}, Locator: d, Balancer: d.balancer,
-		Budget: d.budget, Quarantine: d.quarantine, Dial: opt.dial, Log: log, Metrics: d.metrics,
+		Budget: d.budget, Quarantine: d.quarantine, Paths: d.paths, Log: log, Metrics: d.metrics,
 		FlushEvery:  time.Duration(float64(set.Timing.Pass.D()) * flushShare),
 		Connections: int64(float64(set.Limits.Descriptors) * requestsPerDescriptor),
 		HeldBytes:   int64(float64(set.Limits.MemoryMB<<20) * heldShare),
@@ -237,6 +255,7 @@
 }
 
 func (d *Daemon) useView(table *routing.Table, view *fleet.View) {
+	d.paths.SetAddresses(addressesOf(view.ByID))
 	d.balancer.Retain(view)
 	if table == nil {
 		return
@@ -252,6 +271,15 @@
 	}
 }
 
+// addressesOf returns the addresses of endpoints.
+func addressesOf(endpoints map[string]*fleet.Endpoint) []string {
+	list := make([]string, 0, len(endpoints))
+	for _, e := range endpoints {
+		list = append(list, e.Address)
+	}
+	return list
+}
+
 // announceState publishes, once, that this daemon has a desired state and can
 // serve. Later versions are not published: each one would send a record of every
 // member to every other member.
@@ -310,7 +338,7 @@
 		d.addServer(&g, d.listeners.metrics, d.reporter.HTTPHandler())
 	}
 	for _, actor := range []func(context.Context) error{
-		d.gossip.Run, d.view.RunDesiredState, d.view.RunEndpoints, d.view.RunRelay, d.view.RunCatchUp, d.view.RunPeers, d.quarantine.Run, d.quotas.Run, d.throttle.Run, d.runGauges, d.runDemand, d.runStop,
+		d.gossip.Run, d.view.RunDesiredState, d.view.RunEndpoints, d.view.RunRelay, d.view.RunCatchUp, d.view.RunPeers, d.quarantine.Run, d.quotas.Run, d.throttle.Run, d.paths.Run, d.runGauges, d.runDemand, d.runStop,
 	} {
 		actorCtx, stop := context.WithCancel(ctx)
 		g.Add(func() error { return actor(actorCtx) }, func(error) { stop() })
@@ -370,6 +398,7 @@
 	mux.Handle(fleetpb.FleetPathPrefix, fleetpb.NewFleetServer((*fleetServer)(d)))
 	mux.Handle(quarantinepb.QuarantinePathPrefix, quarantinepb.NewQuarantineServer(d.quarantine))
 	mux.Handle(quotapb.QuotasPathPrefix, quotapb.NewQuotasServer(d.quotas))
+	mux.Handle(tunnel.Path, d.tunnels)
 	mux.Handle(peerpb.PeerPathPrefix, peerpb.NewPeerServer(&gossipServer{gossip: d.gossip}))
 	return mux
 }
--- a/daemon/edgedaemon/peers.go
+++ b/daemon/edgedaemon/peers.go
@@ -16,6 +16,7 @@
 	"github.com/doorvalve/doorvalve/driver/coordinator"
 	"github.com/doorvalve/doorvalve/driver/decisions"
 	"github.com/doorvalve/doorvalve/driver/gossip"
+	"github.com/doorvalve/doorvalve/driver/paths"
 	"github.com/doorvalve/doorvalve/driver/quotas"
 	"github.com/doorvalve/doorvalve/driver/throttle"
 	"github.com/doorvalve/doorvalve/internal/clock"
@@ -177,7 +178,7 @@
 
 // staleFact reports whether a gossiped fact is too old to be kept.
 func staleFact(now time.Time, f membership.Entry) bool {
-	return quotas.StaleFact(now, f) || throttle.StaleFact(now, f)
+	return quotas.StaleFact(now, f) || throttle.StaleFact(now, f) || paths.StaleFact(now, f)
 }
 
 // anyPeer returns the client of another daemon, chosen at random, or nil if there is none.
--- a/daemon/edgedaemon/stop.go
+++ b/daemon/edgedaemon/stop.go
@@ -106,5 +106,6 @@
 	if err := d.callerServer.Shutdown(ctx); err != nil {
 		d.log.Warn("requests cut off at the end of the grace period", "in_progress", d.callers.InProgress(), "error", err)
 	}
+	d.tunnels.Wait(ctx)
 	return errStopped
 }
--- /dev/null
+++ b/driver/paths/paths.go
@@ -0,0 +1,432 @@
+// Package paths opens a daemon's connections to endpoints: over its own path, or relayed by another
+// daemon that reaches the endpoint. It drives coordination/reach, tries lost paths until they work
+// again, and tells the other daemons when this one has no path to the endpoints.
+package paths
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/doorvalve/doorvalve/coordination/membership"
+	"github.com/doorvalve/doorvalve/coordination/reach"
+	"github.com/doorvalve/doorvalve/driver/decisions"
+	"github.com/doorvalve/doorvalve/internal/clock"
+	"github.com/doorvalve/doorvalve/internal/dial"
+	"github.com/doorvalve/doorvalve/internal/wake"
+	"github.com/doorvalve/doorvalve/transport/tunnel"
+)
+
+const (
+	// directTimeout bounds opening a connection to an endpoint over the own path. Round trips to
+	// endpoints take a millisecond or two; an unreachable endpoint never answers.
+	directTimeout = 300 * time.Millisecond
+	// relayTimeout bounds asking one daemon for a relay. That daemon needs directTimeout if the
+	// endpoint does not answer it.
+	relayTimeout = directTimeout + 200*time.Millisecond
+	// maxRelaysAsked bounds the daemons that are asked for one connection.
+	maxRelaysAsked = 3
+	// unconfirmedTimeout and maxUnconfirmedAsked replace relayTimeout and maxRelaysAsked where the
+	// endpoint may be down: a daemon with a path to it answers within some milliseconds, and the
+	// request can go to another endpoint.
+	unconfirmedTimeout  = 60 * time.Millisecond
+	maxUnconfirmedAsked = 2
+	// credibleFor is how long the result of a control connection counts.
+	credibleFor = 200 * time.Millisecond
+	// tick is the interval of the controller's loop while paths are lost.
+	tick = 100 * time.Millisecond
+	// restTick is the same while none is lost.
+	restTick = time.Second
+	// maxChecks bounds the paths that are checked when the loss of another one was confirmed.
+	maxChecks = 16
+)
+
+// ErrNoPath is the error of a connection that could not be opened where it is not known whether the
+// endpoint is up: this daemon has no path to it, and no other daemon could be asked that has one.
+var ErrNoPath = errors.New("no path to the endpoint")
+
+// errNotOpen is the error of a request that needs a connection where only open ones may be used.
+var errNotOpen = errors.New("no open connection")
+
+// Options are the dependencies of a Controller. The functions must be safe for concurrent use and
+// cheap.
+type Options struct {
+	Self          string
+	FailureDomain string
+	// Members returns the daemons that are alive and not leaving, this one among them; nil: there are
+	// no others.
+	Members func() []membership.Member
+	// Dial opens connections to endpoints over the own path.
+	Dial dial.Func
+	// Tunnel opens connections through other daemons.
+	Tunnel *tunnel.Dialer
+	// Publish sends a fact to all daemons.
+	Publish func(membership.Entry)
+	Clock   clock.Clock // nil: the system clock
+	Seed    uint64
+	Log     *decisions.Log
+	Metrics tally.Scope
+}
+
+// Controller opens connections to endpoints. It is safe for concurrent use.
+type Controller struct {
+	opt     Options
+	wake    chan struct{}
+	tunnels atomic.Uint64 // number of tunnels opened, for their names
+	metrics metrics
+
+	transports transports
+
+	mu         sync.Mutex
+	table      *reach.Table
+	anyLost    atomic.Bool // whether the table has lost paths; read by each request
+	credible   bool        // result of the last control connection
+	credibleAt time.Time
+	logged     report // last logged
+	published  publication
+}
+
+type metrics struct {
+	relayed, relayFailed, trials tally.Counter
+	lost, reached                tally.Gauge
+	hop                          tally.Histogram
+}
+
+// New returns a controller whose own paths count as sound.
+func New(opt Options) *Controller {
+	if opt.Clock == nil {
+		opt.Clock = clock.Now
+	}
+	if opt.Members == nil {
+		opt.Members = func() []membership.Member { return nil }
+	}
+	m := opt.Metrics.SubScope("paths")
+	return &Controller{
+		opt: opt, wake: make(chan struct{}, 1), table: reach.New(opt.FailureDomain, opt.Seed), metrics: metrics{
+			relayed: m.Counter("connections_relayed_by_others_total"), relayFailed: m.Counter("relays_failed_total"), trials: m.Counter("trials_total"),
+			lost: m.Gauge("endpoints_not_reached"), reached: m.Gauge("endpoints_reached"),
+			hop: m.Histogram("relay_open_seconds", tally.MustMakeExponentialDurationBuckets(500*time.Microsecond, 2, 12)),
+		},
+	}
+}
+
+// SetAddresses sets the addresses of the listed endpoints.
+func (c *Controller) SetAddresses(list []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.table.SetAddresses(list)
+	c.updateLost()
+}
+
+// Listed reports whether an endpoint is listed at an address.
+func (c *Controller) Listed(address string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.table.Listed(address)
+}
+
+// Path returns how a connection to an address is opened now.
+func (c *Controller) Path(address string) reach.Path {
+	if !c.anyLost.Load() {
+		return reach.Direct
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.table.Path(c.opt.Clock(), address)
+}
+
+// Lost reports whether the own path to an address is lost although another daemon reaches it.
+func (c *Controller) Lost(address string) bool {
+	if !c.anyLost.Load() {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.table.Lost(address)
+}
+
+// Partitioned reports whether this daemon has lost its path to most of the given addresses, although
+// another daemon reaches some.
+func (c *Controller) Partitioned(addresses []string) bool {
+	if !c.anyLost.Load() {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.table.Partitioned(addresses)
+}
+
+// IsPartitioned reports whether another daemon has said that it has no path to the endpoints.
+func (c *Controller) IsPartitioned(id string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.table.IsPartitioned(id)
+}
+
+// updateLost updates what requests read. The caller holds the mutex.
+func (c *Controller) updateLost() {
+	_, lost := c.table.Counts()
+	c.anyLost.Store(lost > 0)
+}
+
+// Dial opens a connection to an endpoint, relayed if the own path is lost. A refused connection is
+// reported as such only if the endpoint, not the path, has refused it.
+func (c *Controller) Dial(ctx context.Context, network, address string) (net.Conn, error) {
+	var own error
+	if c.Path(address) == reach.Direct {
+		conn, err := c.DialDirect(ctx, network, address)
+		if err == nil || ctx.Err() != nil {
+			return conn, err
+		}
+		own = err
+	}
+	conn, err := c.dialRelayed(ctx, network, address)
+	if err != nil {
+		return nil, c.explain(ctx, network, address, own)
+	}
+	return conn, nil
+}
+
+// DialDirect opens a connection over the own path and records the result.
+func (c *Controller) DialDirect(ctx context.Context, network, address string) (net.Conn, error) {
+	started := time.Now()
+	limited, cancel := context.WithTimeout(ctx, directTimeout)
+	defer cancel()
+	conn, err := c.opt.Dial(limited, network, address)
+	switch {
+	case err == nil:
+		c.observeOpened(address)
+	case dial.IsRefused(err):
+		c.observeFailed(address, reach.Refused)
+	case time.Since(started) >= directTimeout: // a caller that leaves sooner shows nothing
+		c.observeFailed(address, reach.Silent)
+	}
+	return conn, err
+}
+
+// DialOwn is DialDirect for the connections of other daemons: it fails at once if the own path is
+// lost.
+func (c *Controller) DialOwn(ctx context.Context, network, address string) (net.Conn, error) {
+	if c.Path(address) != reach.Direct {
+		return nil, noPath(network)
+	}
+	return c.DialDirect(ctx, network, address)
+}
+
+func noPath(network string) error { return &net.OpError{Op: "dial", Net: network, Err: ErrNoPath} }
+
+func (c *Controller) observeOpened(address string) {
+	if !c.anyLost.Load() {
+		return
+	}
+	c.mu.Lock()
+	regained := c.table.ObserveOpened(c.opt.Clock(), address)
+	c.updateLost()
+	c.mu.Unlock()
+	if regained {
+		wake.Once(c.wake)
+	}
+}
+
+func (c *Controller) observeFailed(address string, failure reach.Failure) {
+	c.mu.Lock()
+	first := c.table.ObserveFailed(c.opt.Clock(), address, failure)
+	c.updateLost()
+	c.mu.Unlock()
+	if first {
+		wake.Once(c.wake)
+	}
+}
+
+// relayedConn is a connection through another daemon.
+type relayedConn struct {
+	net.Conn
+	Hop
+	once   sync.Once
+	closed func()
+}
+
+// Close implements net.Conn.
+func (c *relayedConn) Close() error {
+	c.once.Do(c.closed)
+	return c.Conn.Close()
+}
+
+// Hop describes a relayed connection.
+type Hop struct {
+	Relay  string // id of the daemon that relays it
+	Tunnel string // its name in the logs of both daemons
+}
+
+// dialRelayed opens a connection through another daemon. It asks several in turn.
+func (c *Controller) dialRelayed(ctx context.Context, network, address string) (net.Conn, error) {
+	var asked []string
+	limits := c.relayLimits(address)
+	for len(asked) < limits.asked && ctx.Err() == nil {
+		relay, ok := c.choose(address, asked)
+		if !ok {
+			break
+		}
+		asked = append(asked, relay.ID)
+		conn, err := c.dialThrough(ctx, relay, address, limits)
+		if err == nil {
+			return conn, nil
+		}
+	}
+	if ctx.Err() == nil {
+		c.mu.Lock()
+		c.table.ObserveNoRelay(c.opt.Clock(), address)
+		c.mu.Unlock()
+	}
+	return nil, noPath(network)
+}
+
+func (c *Controller) choose(address string, asked []string) (reach.Relay, bool) {
+	var relays []reach.Relay
+	for _, m := range c.opt.Members() {
+		if m.ID != c.opt.Self {
+			relays = append(relays, relayOf(m))
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.table.Choose(c.opt.Clock(), address, relays, asked)
+}
+
+func relayOf(m membership.Member) reach.Relay {
+	return reach.Relay{ID: m.ID, PeerAddress: m.PeerAddress, FailureDomain: m.FailureDomain, Capacity: m.Capacity}
+}
+
+// relayLimits bound the search for a relay.
+type relayLimits struct {
+	timeout time.Duration // for each daemon that is asked
+	asked   int           // daemons
+	// unanswered is what a daemon that has not answered in time has shown.
+	unanswered reach.Result
+}
+
+func (c *Controller) relayLimits(address string) relayLimits {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.table.Unconfirmed(address) {
+		return relayLimits{unconfirmedTimeout, maxUnconfirmedAsked, reach.Unreached}
+	}
+	return relayLimits{relayTimeout, maxRelaysAsked, reach.Failed}
+}
+
+func (c *Controller) dialThrough(ctx context.Context, relay reach.Relay, address string, limits relayLimits) (net.Conn, error) {
+	limited, cancel := context.WithTimeout(ctx, limits.timeout)
+	defer cancel()
+	started := time.Now()
+	name := fmt.Sprintf("%s-%d", c.opt.Self, c.tunnels.Add(1))
+	conn, err := c.opt.Tunnel.Dial(limited, relay.PeerAddress, address, name)
+	if err != nil {
+		c.metrics.relayFailed.Inc(1)
+		var failure *tunnel.Error
+		switch {
+		case ctx.Err() != nil:
+		case limited.Err() != nil:
+			c.observeRelay(address, relay.ID, limits.unanswered)
+		case errors.As(err, &failure):
+			c.observeRelay(address, relay.ID, failure.Result)
+		}
+		return nil, err
+	}
+	c.metrics.relayed.Inc(1)
+	c.metrics.hop.RecordDuration(time.Since(started))
+	c.observeRelay(address, relay.ID, reach.Opened)
+	return &relayedConn{Conn: conn, Hop: Hop{relay.ID, name}, closed: func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.table.RelayClosed(relay.ID)
+	}}, nil
+}
+
+// observeRelay records what a relay answered. The first connection relayed to an address confirms that
+// the own path is lost: the paths to the other endpoints are then checked, too.
+func (c *Controller) observeRelay(address, id string, r reach.Result) {
+	c.mu.Lock()
+	confirmed := r == reach.Opened && !c.table.Lost(address)
+	c.table.ObserveRelay(c.opt.Clock(), address, id, r)
+	confirmed = confirmed && c.table.Lost(address)
+	c.mu.Unlock()
+	if confirmed {
+		wake.Once(c.wake)
+		c.checkOthers()
+	}
+}
+
+// explain returns the error of a connection that neither the own path nor a relay has opened. own is
+// the error of the own path; nil if it was not tried.
+func (c *Controller) explain(ctx context.Context, network, address string, own error) error {
+	if own == nil || !c.reachesAnother(ctx, address) {
+		return noPath(network)
+	}
+	return own
+}
+
+// reachesAnother reports whether the own path reaches an endpoint at another address, or no other
+// endpoint is listed. Only then does a failure at the address show something about the endpoint there.
+func (c *Controller) reachesAnother(ctx context.Context, address string) bool {
+	now := c.opt.Clock()
+	c.mu.Lock()
+	listed, _ := c.table.Counts()
+	other, ok := c.table.Sound(address)
+	known, credible := now.Sub(c.credibleAt) < credibleFor, c.credible
+	c.mu.Unlock()
+	switch {
+	case listed <= 1:
+		return true
+	case !ok:
+		return false
+	case known:
+		return credible
+	}
+	conn, err := c.DialDirect(ctx, "tcp", other)
+	if err == nil {
+		_ = conn.Close()
+	}
+	c.mu.Lock()
+	c.credible, c.credibleAt = err == nil, now
+	c.mu.Unlock()
+	return err == nil
+}
+
+// Suspect checks the own path to an address in the background, because a connection there is silent.
+func (c *Controller) Suspect(address string) {
+	c.mu.Lock()
+	start := c.table.StartCheck(c.opt.Clock(), address)
+	c.mu.Unlock()
+	if start {
+		go c.check(context.Background(), address)
+	}
+}
+
+// check opens a connection over the own path, and if that fails through a relay, to find out whether
+// the path is lost or the endpoint does not answer.
+func (c *Controller) check(ctx context.Context, address string) {
+	conn, err := c.DialDirect(ctx, "tcp", address)
+	if err != nil {
+		conn, err = c.dialRelayed(ctx, "tcp", address)
+	}
+	if err == nil {
+		_ = conn.Close()
+	}
+}
+
+// checkOthers checks paths that count as sound.
+func (c *Controller) checkOthers() {
+	now := c.opt.Clock()
+	c.mu.Lock()
+	list := c.table.StartChecks(now, maxChecks)
+	c.mu.Unlock()
+	for _, address := range list {
+		go c.check(context.Background(), address)
+	}
+}
--- a/transport/edge/attempt.go
+++ b/transport/edge/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -10,6 +11,8 @@
 	"slices"
 	"time"
 
+	"github.com/doorvalve/doorvalve/driver/decisions"
+	"github.com/doorvalve/doorvalve/driver/paths"
 	"github.com/doorvalve/doorvalve/driver/throttle"
 	"github.com/doorvalve/doorvalve/internal/clock"
 	"github.com/doorvalve/doorvalve/internal/dial"
@@ -19,9 +22,6 @@
 )
 
 const (
-	// dialTimeout bounds connecting to an endpoint. Round trips to endpoints take a millisecond
-	// or two; an unreachable endpoint never answers.
-	dialTimeout = 300 * time.Millisecond
 	// idleTimeout is how long an unused connection to an endpoint is kept.
 	idleTimeout = 4 * time.Second
 	// maxAnswerBytes bounds the body of an answer that is not a stream.
@@ -33,18 +33,17 @@
 // client holds the transports for requests to endpoints.
 type client struct {
 	// pooled reuses connections. It serves requests that may be repeated.
-	pooled *http.Transport
+	pooled *paths.Transport
 	// perRequest opens a connection for each request. It serves requests that may run only once: on a
 	// reused connection that the endpoint has just closed, it would be unknown whether the
 	// request has run.
-	perRequest *http.Transport
+	perRequest *paths.Transport
 }
 
-func newClient(open dial.Func) *client {
-	open = open.Within(dialTimeout)
+func newClient(p *paths.Controller) *client {
 	return &client{
-		pooled:     &http.Transport{DialContext: open, MaxIdleConnsPerHost: idlePerEndpoint, IdleConnTimeout: idleTimeout, DisableCompression: true, ReadBufferSize: bufferBytes, WriteBufferSize: bufferBytes},
-		perRequest: &http.Transport{DialContext: open, DisableKeepAlives: true, DisableCompression: true, ReadBufferSize: bufferBytes, WriteBufferSize: bufferBytes},
+		pooled:     p.Transport(&http.Transport{MaxIdleConnsPerHost: idlePerEndpoint, IdleConnTimeout: idleTimeout, DisableCompression: true, ReadBufferSize: bufferBytes, WriteBufferSize: bufferBytes}),
+		perRequest: p.Transport(&http.Transport{DisableKeepAlives: true, DisableCompression: true, ReadBufferSize: bufferBytes, WriteBufferSize: bufferBytes}),
 	}
 }
 
@@ -59,8 +58,10 @@
 	absent  bool // the address belongs to another process, or the endpoint does not hold the model
 	// unreachable: no connection could be opened.
 	unreachable bool
-	// connRefused: the connection was refused, so that the request has not reached the endpoint.
-	connRefused     bool
+	// connRefused: nothing listens at the endpoint's address.
+	connRefused bool
+	// noPath: no connection could be opened, which shows nothing about the endpoint.
+	noPath          bool
 	loading         bool              // the endpoint is still loading the model
 	paused          bool              // the endpoint asked for a pause
 	eventsForwarded bool              // events of the answer had been forwarded
@@ -88,6 +89,9 @@
 		}),
 	}
 	sent := clock.Now()
+	ctx = paths.WithObserver(ctx, func(h paths.Hop) {
+		s.opt.Log.InfoSampled(decisions.EventSentRelayed, "request", q.call.ID, "endpoint", e.ID, "relay", h.Relay, "tunnel", h.Tunnel)
+	})
 	transport := s.client.perRequest
 	if q.route.Repeatable() {
 		transport = s.client.pooled
@@ -134,7 +138,7 @@
 // request may have run.
 func classify(ctx context.Context, err error) *failure {
 	if dial.IsDialError(err) {
-		return &failure{verdict: protocol.NotRun, reason: "endpoint-unreachable", err: err, unreachable: true, connRefused: dial.IsRefused(err)}
+		return &failure{verdict: protocol.NotRun, reason: "endpoint-unreachable", err: err, unreachable: true, connRefused: dial.IsRefused(err), noPath: errors.Is(err, paths.ErrNoPath)}
 	}
 	if ctx.Err() != nil {
 		return &failure{verdict: protocol.MayHaveRun, reason: "no-answer-in-time", err: ctx.Err()}
--- a/transport/edge/locate.go
+++ b/transport/edge/locate.go
@@ -30,7 +30,7 @@
 // locate finds the endpoint for a request. It waits for the model if the request is likely to be
 // served after that.
 func (s *Server) locate(ctx context.Context, q *request, t *attemptState) (*fleet.Endpoint, *protocol.Refusal) {
-	exclude, absent, unreachable := t.exclude, t.absentAt(), t.last != nil && t.last.unreachable
+	exclude, absent, unreachable := t.exclude, t.absentAt(), t.last != nil && t.last.unreachable && !t.last.noPath
 	if q.service.Engine == nil || q.call.Model == "" {
 		return s.locatePlain(ctx, q, t)
 	}
@@ -93,7 +93,7 @@
 // accepts reports whether an endpoint takes a request now: it is not leaving, not known to be
 // unreachable, and open by its backpressure signals.
 func (s *Server) accepts(q *request, t *attemptState, e *fleet.Endpoint) bool {
-	return !e.Leaving && !s.opt.Balancer.Unreachable(clock.Now(), e.Incarnation()) && s.opt.Throttle.Peek(e.Incarnation(), t.queueRequest(q)).Open
+	return !e.Leaving && !s.opt.Balancer.Unreachable(clock.Now(), e) && s.opt.Throttle.Peek(e.Incarnation(), t.queueRequest(q)).Open
 }
 
 // waitForEarliest waits for an unavailable endpoint that holds the model, or for the model to be
--- a/transport/edge/retry.go
+++ b/transport/edge/retry.go
@@ -37,8 +37,8 @@
 	if begun && !s.awaitEndpoint(ctx, q, t) {
 		return false
 	}
-	// A request whose connection was refused has reached no endpoint: its next attempt is no retry.
-	paid := t.last.retryPaid || t.last.connRefused || s.opt.Budget.Spend()
+	// A request for which no connection was opened has reached no endpoint: its next attempt is no retry.
+	paid := t.last.retryPaid || t.last.unreachable || s.opt.Budget.Spend()
 	if !paid && begun {
 		paid = s.awaitBudget(ctx, q, t)
 	}
--- a/transport/edge/run.go
+++ b/transport/edge/run.go
@@ -251,6 +251,12 @@
 	case f.paused:
 		return false // the endpoint's own backpressure signal keeps all requests away
 	}
+	if f.noPath {
+		return true // Balancer.Pick leaves out endpoints without a path
+	}
+	if f.connBroken && s.opt.Paths.Lost(e.Address) {
+		return false // the path broke, not the endpoint, which can be reached through another daemon
+	}
 	if f.connRefused {
 		s.opt.Balancer.MarkUnreachable(now, e.Incarnation())
 	}
--- a/transport/edge/server.go
+++ b/transport/edge/server.go
@@ -22,6 +22,7 @@
 	"github.com/doorvalve/doorvalve/coordination/retry"
 	"github.com/doorvalve/doorvalve/coordination/waiting"
 	"github.com/doorvalve/doorvalve/driver/decisions"
+	"github.com/doorvalve/doorvalve/driver/paths"
 	"github.com/doorvalve/doorvalve/driver/quarantiner"
 	"github.com/doorvalve/doorvalve/driver/quotas"
 	"github.com/doorvalve/doorvalve/driver/throttle"
@@ -71,8 +72,8 @@
 	Quarantine *quarantiner.Controller
 	Log        *decisions.Log
 	Metrics    tally.Scope
-	// Dial opens connections to endpoints.
-	Dial dial.Func
+	// Paths opens connections to endpoints; nil: over TCP, without other daemons.
+	Paths *paths.Controller
 	// FlushEvery is how long the events of a stream may be buffered before they are written. The
 	// first event is written at once.
 	FlushEvery time.Duration
@@ -107,12 +108,15 @@
 
 // New returns a server.
 func New(opt Options) *Server {
+	if opt.Paths == nil {
+		opt.Paths = paths.New(paths.Options{Dial: dial.TCP, Log: opt.Log, Metrics: opt.Metrics})
+	}
 	m := opt.Metrics.SubScope("caller")
 	slow := func(why string) tally.Counter {
 		return m.Tagged(map[string]string{"reason": why}).Counter("slow_readers_closed_total")
 	}
 	buckets := tally.MustMakeExponentialDurationBuckets(5*time.Millisecond, 2, 14)
-	return &Server{opt: opt, client: newClient(opt.Dial), held: newHeldBytes(opt.HeldBytes), demand: map[string]residency.Demand{}, demandChanged: make(chan struct{}, 1), placeFreed: make(chan struct{}, 1), margins: waiting.NewMargins(), metrics: metrics{
+	return &Server{opt: opt, client: newClient(opt.Paths), held: newHeldBytes(opt.HeldBytes), demand: map[string]residency.Demand{}, demandChanged: make(chan struct{}, 1), placeFreed: make(chan struct{}, 1), margins: waiting.NewMargins(), metrics: metrics{
 		answered: m.Counter("requests_answered_total"), refused: m.Counter("requests_refused_total"),
 		failed: m.Counter("requests_failed_total"), retried: m.Counter("attempts_retried_total"),
 		resumed: m.Counter("streams_resumed_total"), disconnected: m.Counter("callers_gone_total"), unknownHeaders: m.Counter("answer_headers_unknown_total"),
--- a/transport/edge/watch.go
+++ b/transport/edge/watch.go
@@ -23,6 +23,8 @@
 	// silenceRecheck is the interval of checking whether another endpoint can take a request from
 	// a silent endpoint, and whether the endpoint of a silent stream is gone.
 	silenceRecheck = 100 * time.Millisecond
+	// suspectAfter is the silence after which the path to the endpoint is checked.
+	suspectAfter = 400 * time.Millisecond
 )
 
 // silenceBounds returns the bounds of the time for which an endpoint may be silent before another
@@ -93,11 +95,18 @@
 	silence, patience, movable := time.Since(w.lastAt), w.pace.Patience(w.bounds), w.movable
 	stopped := w.stopped
 	w.mu.Unlock()
+	pathLost := w.server.opt.Paths.Lost(w.endpoint.Address)
+	if pathLost {
+		patience = w.bounds.Min
+	}
+	if silence >= suspectAfter && !stopped {
+		w.server.opt.Paths.Suspect(w.endpoint.Address)
+	}
 	switch {
 	case stopped:
 	case w.stream && w.lost(silence, patience) && w.abandon(answerLost, silence, unpaid):
 		w.cancel(errEndpointGone)
-	case movable && silence >= patience && w.server.hasOther(w.request, w.endpoint.ID) && w.abandon(answerAbandoned, silence, w.server.opt.Budget.Spend):
+	case movable && silence >= patience && (pathLost || w.server.hasOther(w.request, w.endpoint.ID)) && w.abandon(answerAbandoned, silence, w.server.opt.Budget.Spend):
 		w.cancel(errSilent)
 	default:
 		w.mu.Lock()
@@ -132,7 +141,7 @@
 	present := s.opt.View().ByID[e.ID]
 	same := present != nil && present.Incarnation().Matches(e.Incarnation())
 	return stall.Evidence{
-		Refused:  s.opt.Balancer.Unreachable(clock.Now(), e.Incarnation()),
+		Refused:  s.opt.Balancer.MarkedUnreachable(clock.Now(), e.Incarnation()),
 		Replaced: present != nil && e.Incarnation().Before(present.Incarnation()),
 		Unlisted: !same,
 		Leaving:  e.Leaving || same && present.Leaving,
--- a/transport/peers/peers.go
+++ b/transport/peers/peers.go
@@ -44,6 +44,15 @@
 	return w.next.RoundTrip(r)
 }
 
+// Authenticate returns a function that adds the shared secret to the header of a request.
+func Authenticate(token string) func(http.Header) {
+	return func(h http.Header) {
+		if token != "" {
+			h.Set(tokenHeader, token)
+		}
+	}
+}
+
 // Guard returns a handler that refuses calls without the shared secret token. If token is empty, it
 // returns next, so that all calls are served.
 func Guard(token string, next http.Handler) http.Handler {
--- /dev/null
+++ b/transport/tunnel/tunnel_test.go
@@ -0,0 +1,166 @@
+package tunnel
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/doorvalve/doorvalve/coordination/reach"
+	"github.com/doorvalve/doorvalve/driver/decisions"
+	"github.com/doorvalve/doorvalve/internal/dial"
+)
+
+// relay is a daemon that relays to one endpoint.
+type relay struct {
+	handler  *Handler
+	address  string // of the relay
+	endpoint net.Listener
+}
+
+func newRelay(t *testing.T, change func(*Options)) *relay {
+	endpoint, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	opt := Options{
+		Listed: func(a string) bool { return a == endpoint.Addr().String() }, Dial: dial.TCP, Limit: 2, Draining: func() bool { return false },
+		Log: decisions.New(io.Discard, "test", hclog.Off), Metrics: tally.NoopScope,
+	}
+	if change != nil {
+		change(&opt)
+	}
+	r := &relay{handler: NewHandler(opt), endpoint: endpoint}
+	mux := http.NewServeMux()
+	mux.Handle(Path, r.handler)
+	server := httptest.NewServer(mux)
+	r.address = server.Listener.Addr().String()
+	t.Cleanup(func() { server.Close(); _ = endpoint.Close() })
+	return r
+}
+
+// open opens a connection through the relay, and returns both of its ends.
+func (r *relay) open(t *testing.T) (caller, endpoint net.Conn) {
+	accepted := make(chan net.Conn, 1)
+	go func() {
+		c, err := r.endpoint.Accept()
+		if err == nil {
+			accepted <- c
+		}
+	}()
+	caller, err := (&Dialer{Open: dial.TCP, Self: "d1"}).Dial(t.Context(), r.address, r.endpoint.Addr().String(), "t1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	endpoint = <-accepted
+	t.Cleanup(func() { _ = caller.Close(); _ = endpoint.Close() })
+	return caller, endpoint
+}
+
+func TestBytesPassUnchanged(t *testing.T) {
+	r := newRelay(t, nil)
+	caller, endpoint := r.open(t)
+	content := strings.Repeat("0123456789", 100_000)
+	for _, way := range [][2]net.Conn{{caller, endpoint}, {endpoint, caller}} {
+		go func() {
+			_, _ = io.WriteString(way[0], content)
+			if way[0] == endpoint {
+				_ = endpoint.Close()
+			}
+		}()
+		got := make([]byte, len(content))
+		if _, err := io.ReadFull(way[1], got); err != nil || string(got) != content {
+			t.Fatalf("bytes were changed or lost, error %v", err)
+		}
+	}
+	if n, err := caller.Read(make([]byte, 1)); n != 0 || !errors.Is(err, io.EOF) {
+		t.Errorf("end of the connection: %d bytes, error %v; want EOF", n, err)
+	}
+}
+
+// Guards against an answer that a reset has cut and that looks complete after the hop.
+func TestResetOfTheEndpointIsNoEnd(t *testing.T) {
+	r := newRelay(t, nil)
+	caller, endpoint := r.open(t)
+	_, _ = io.WriteString(endpoint, "part")
+	_, _ = io.ReadFull(caller, make([]byte, 4))
+	_ = endpoint.(*net.TCPConn).SetLinger(0)
+	_ = endpoint.Close()
+	if _, err := caller.Read(make([]byte, 1)); !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("error %v, want a reset", err)
+	}
+}
+
+// Guards against endpoints that go on with the work for a caller that has left.
+func TestEndOfTheCallerEndsTheConnection(t *testing.T) {
+	r := newRelay(t, nil)
+	caller, endpoint := r.open(t)
+	_ = caller.Close()
+	if _, err := endpoint.Read(make([]byte, 1)); err == nil {
+		t.Error("the connection to the endpoint is open")
+	}
+	r.handler.Wait(t.Context())
+	if r.handler.Active() != 0 {
+		t.Errorf("%d connections are counted", r.handler.Active())
+	}
+}
+
+func TestRefusals(t *testing.T) {
+	refusing := func(context.Context, string, string) (net.Conn, error) { return nil, syscall.ECONNREFUSED }
+	for _, c := range []struct {
+		name    string
+		change  func(*Options)
+		address string // empty: the endpoint's
+		result  reach.Result
+	}{
+		{"not listed", nil, "127.0.0.1:1", reach.Unreached},
+		{"no path", func(o *Options) { o.Dial = refusing }, "", reach.Unreached},
+		{"stopping", func(o *Options) { o.Draining = func() bool { return true } }, "", reach.Busy},
+		{"full", func(o *Options) { o.Limit = 0 }, "", reach.Busy},
+		{"oversized", nil, strings.Repeat("a", maxHeaderValue+1), reach.Failed},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := newRelay(t, c.change)
+			if c.address == "" {
+				c.address = r.endpoint.Addr().String()
+			}
+			_, err := (&Dialer{Open: dial.TCP, Self: "d1"}).Dial(t.Context(), r.address, c.address, "t1")
+			var failure *Error
+			if !errors.As(err, &failure) || failure.Result != c.result {
+				t.Errorf("error %v, want result %d", err, c.result)
+			}
+		})
+	}
+}
+
+func TestDaemonThatDoesNotRelay(t *testing.T) {
+	old := httptest.NewServer(http.NotFoundHandler())
+	defer old.Close()
+	_, err := (&Dialer{Open: dial.TCP, Self: "d1"}).Dial(t.Context(), old.Listener.Addr().String(), "127.0.0.1:1", "t1")
+	var failure *Error
+	if !errors.As(err, &failure) || failure.Result != reach.Unsupported {
+		t.Errorf("error %v, want that it is not supported", err)
+	}
+}
+
+func TestDialEndsWithItsContext(t *testing.T) {
+	hanging := make(chan struct{})
+	r := newRelay(t, func(o *Options) {
+		o.Dial = func(context.Context, string, string) (net.Conn, error) { <-hanging; return nil, net.ErrClosed }
+	})
+	defer close(hanging)
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer cancel()
+	if _, err := (&Dialer{Open: dial.TCP, Self: "d1"}).Dial(ctx, r.address, r.endpoint.Addr().String(), "t1"); !errors.Is(err, context.DeadlineExceeded) {
+		t.Errorf("error %v, want that the time is over", err)
+	}
+}
