quarantine: a lost path is no crash of an endpoint

Callers at daemons with a sound path got 503 (no-endpoint, 8 requests within 2 s of the incident's partition), and their requests were recorded as those under which endpoints crash.

Cause: a connection that broke, followed by a refused one, counted as a crash. A partition that resets connections and refuses new ones looks the same. All daemons hear of a crash, and stop using the endpoint.

Evidence: 27 lines "endpoint ended under requests" in 11 s at the four daemons that were cut off, and none of the endpoints had ended.

Change: the check of an endpoint goes through driver/paths. It is refused only if the daemons that were asked do not reach the endpoint either and this daemon reaches another one. TestFailureIsThePathsOrTheEndpoints has the cases.

--- a/daemon/edgedaemon/daemon.go
+++ b/daemon/edgedaemon/daemon.go
@@ -178,7 +178,7 @@
 	d.view.OnChange(d.applyView)
 	d.gossip = gossip.New(hclog.NewNullLogger(), d.peers, d.seeds, gossip.Options(staleFact), d.member())
 	d.quarantine = quarantiner.New(quarantiner.Options{
-		Self: d.self, Members: d.alive, Peer: d.peers.Quarantines().To, Endpoint: d.endpointState, Dial: quarantiner.Check(opt.dial), OnCrash: func(incarnation fleet.Incarnation) { d.balancer.MarkUnreachable(clock.Now(), incarnation) }, Store: d.store, Generations: d.generations, Log: log, Metrics: d.metrics,
+		Self: d.self, Members: d.alive, Peer: d.peers.Quarantines().To, Endpoint: d.endpointState, Dial: quarantiner.Check(d.paths.Dial), OnCrash: func(incarnation fleet.Incarnation) { d.balancer.MarkUnreachable(clock.Now(), incarnation) }, Store: d.store, Generations: d.generations, Log: log, Metrics: d.metrics,
 	})
 	d.quotas = quotas.New(quotas.Options{
 		Self: d.self, Bounds: quota.Bounds{Window: set.Quotas.Window.D(), Overage: set.Quotas.Overage, Slack: set.Quotas.Slack, NewOwnerShare: quota.DefaultNewOwnerShare},
--- /dev/null
+++ b/driver/paths/paths_test.go
@@ -0,0 +1,190 @@
+package paths
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/doorvalve/doorvalve/coordination/membership"
+	"github.com/doorvalve/doorvalve/coordination/reach"
+	"github.com/doorvalve/doorvalve/driver/decisions"
+	"github.com/doorvalve/doorvalve/internal/dial"
+	"github.com/doorvalve/doorvalve/standin/link"
+	"github.com/doorvalve/doorvalve/transport/tunnel"
+)
+
+// fleet is a number of daemons, "d0" and further, which share endpoints.
+type fleet struct {
+	network   *link.Network
+	daemons   []*Controller
+	endpoints []*httptest.Server
+}
+
+func newFleet(t *testing.T, daemons, endpoints int) *fleet {
+	f := &fleet{network: link.New()}
+	var addresses []string
+	for i := range endpoints {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = fmt.Fprintf(w, "endpoint %d", i) }))
+		t.Cleanup(s.Close)
+		f.endpoints = append(f.endpoints, s)
+		addresses = append(addresses, s.Listener.Addr().String())
+	}
+	var members []membership.Member
+	for i := range daemons {
+		mux := http.NewServeMux()
+		s := httptest.NewServer(mux)
+		t.Cleanup(s.Close)
+		id := fmt.Sprintf("d%d", i)
+		log := decisions.New(io.Discard, "test", hclog.Off)
+		c := New(Options{
+			Self: id, Members: func() []membership.Member { return members }, Dial: f.network.Dial(id), Tunnel: &tunnel.Dialer{Open: dial.TCP, Self: id},
+			Publish: func(membership.Entry) {}, Log: log, Metrics: tally.NoopScope,
+		})
+		c.SetAddresses(addresses)
+		mux.Handle(tunnel.Path, tunnel.NewHandler(tunnel.Options{Listed: c.Listed, Dial: c.DialOwn, Limit: 16, Draining: func() bool { return false }, Log: log, Metrics: tally.NoopScope}))
+		members = append(members, membership.Member{ID: id, PeerAddress: s.Listener.Addr().String()})
+		f.daemons = append(f.daemons, c)
+	}
+	return f
+}
+
+func (f *fleet) address(endpoint int) string { return f.endpoints[endpoint].Listener.Addr().String() }
+
+// cut changes the links of daemons to endpoints.
+func (f *fleet) cut(mode link.Mode, daemons, endpoints []int) {
+	for _, d := range daemons {
+		for _, e := range endpoints {
+			f.network.Set(fmt.Sprintf("d%d", d), f.address(e), mode)
+		}
+	}
+}
+
+// Guards against a lost path that is taken for an endpoint that has crashed, and the other way round.
+func TestFailureIsThePathsOrTheEndpoints(t *testing.T) {
+	type outcome int
+	const (
+		opened outcome = iota
+		refusedByEndpoint
+		noPath
+		unanswered
+	)
+	for _, c := range []struct {
+		name               string
+		daemons, endpoints int
+		fault              func(f *fleet)
+		want               outcome
+	}{
+		{"own path refused", 2, 2, func(f *fleet) { f.cut(link.Refused, []int{0}, []int{0, 1}) }, opened},
+		{"own path silent", 2, 2, func(f *fleet) { f.cut(link.Silent, []int{0}, []int{0, 1}) }, opened},
+		{"own path to one endpoint refused", 3, 2, func(f *fleet) { f.cut(link.Refused, []int{0, 1}, []int{0}) }, opened},
+		{"endpoint down", 3, 2, func(f *fleet) { f.endpoints[0].Close() }, refusedByEndpoint},
+		{"endpoint down, alone", 1, 2, func(f *fleet) { f.endpoints[0].Close() }, refusedByEndpoint},
+		{"only endpoint down, alone", 1, 1, func(f *fleet) { f.endpoints[0].Close() }, refusedByEndpoint},
+		{"endpoint down behind a lost path", 3, 2, func(f *fleet) { f.cut(link.Refused, []int{0}, []int{0, 1}); f.endpoints[0].Close() }, noPath},
+		{"all paths of all daemons refused", 3, 2, func(f *fleet) { f.cut(link.Refused, []int{0, 1, 2}, []int{0, 1}) }, noPath},
+		{"all paths refused, alone", 1, 2, func(f *fleet) { f.cut(link.Refused, []int{0}, []int{0, 1}) }, noPath},
+		{"endpoint silent", 2, 2, func(f *fleet) { f.cut(link.Silent, []int{0, 1}, []int{0}) }, unanswered},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFleet(t, c.daemons, c.endpoints)
+			c.fault(f)
+			conn, err := f.daemons[0].Dial(t.Context(), "tcp", f.address(0))
+			got := unanswered
+			switch {
+			case err == nil:
+				got = opened
+				_ = conn.Close()
+			case dial.IsRefused(err):
+				got = refusedByEndpoint
+			case errors.Is(err, ErrNoPath):
+				got = noPath
+			}
+			if got != c.want || err != nil && !dial.IsDialError(err) {
+				t.Errorf("outcome %d, want %d; error %v", got, c.want, err)
+			}
+		})
+	}
+}
+
+// get sends a request to an endpoint, and returns the hop that it took.
+func (f *fleet) get(transport *Transport, endpoint int) (hop Hop, err error) {
+	ctx := WithObserver(context.Background(), func(h Hop) { hop = h })
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, f.endpoints[endpoint].URL, nil)
+	if err != nil {
+		return Hop{}, err
+	}
+	resp, err := transport.RoundTrip(req)
+	if err != nil {
+		return Hop{}, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return hop, err
+}
+
+// Guards against an open connection that is given up because new ones are refused.
+func TestOpenConnectionsAreUsedWhileNewOnesAreRefused(t *testing.T) {
+	f := newFleet(t, 2, 1)
+	pooled, perRequest := f.daemons[0].Transport(&http.Transport{}), f.daemons[0].Transport(&http.Transport{DisableKeepAlives: true})
+	if _, err := f.get(pooled, 0); err != nil {
+		t.Fatal(err)
+	}
+	f.cut(link.Refused, []int{0}, []int{0})
+	for i, c := range []struct {
+		transport *Transport
+		relayed   bool
+	}{{pooled, false}, {perRequest, true}, {pooled, false}, {perRequest, true}} {
+		if hop, err := f.get(c.transport, 0); err != nil || (hop.Relay != "") != c.relayed {
+			t.Errorf("request %d: relayed by %q, want relayed %v; error %v", i, hop.Relay, c.relayed, err)
+		}
+	}
+}
+
+// Guards against an own path that stays unused after it works again.
+func TestTrialsFindThatAPathWorksAgain(t *testing.T) {
+	f := newFleet(t, 2, 3)
+	transport := f.daemons[0].Transport(&http.Transport{})
+	f.cut(link.Reset, []int{0}, []int{0, 1, 2})
+	for i := range 3 {
+		if hop, err := f.get(transport, i); err != nil || hop.Relay != "d1" {
+			t.Fatalf("relayed by %q, error %v", hop.Relay, err)
+		}
+	}
+	if !f.daemons[0].Partitioned([]string{f.address(0), f.address(1)}) {
+		t.Error("the daemon does not count as partitioned")
+	}
+	f.cut(link.Up, []int{0}, []int{0, 1, 2})
+	f.daemons[0].try(t.Context(), f.address(0)) // one that succeeds makes all others due
+	f.daemons[0].mu.Lock()
+	due := f.daemons[0].table.Trials(f.daemons[0].opt.Clock())
+	f.daemons[0].mu.Unlock()
+	if len(due) != 2 || f.daemons[0].Path(f.address(0)) != reach.Direct {
+		t.Errorf("%d trials due after one has succeeded, path %v", len(due), f.daemons[0].Path(f.address(0)))
+	}
+}
+
+// Guards against requests that wait for connections while no daemon reaches an endpoint.
+func TestRequestsFailAtOnceWithoutAnyPath(t *testing.T) {
+	f := newFleet(t, 3, 2)
+	f.cut(link.Silent, []int{0, 1, 2}, []int{0, 1})
+	transport := f.daemons[0].Transport(&http.Transport{})
+	if _, err := f.get(transport, 0); err == nil {
+		t.Fatal("no error")
+	}
+	var dialed net.Conn
+	f.daemons[0].opt.Dial = func(context.Context, string, string) (net.Conn, error) {
+		t.Error("a connection was opened for a request")
+		return dialed, errors.ErrUnsupported
+	}
+	if _, err := f.get(transport, 0); !errors.Is(err, ErrNoPath) {
+		t.Errorf("error %v, want that there is no path", err)
+	}
+}
