coordinator: a daemon without a path to the engines gives up the lease

Callers of all daemons got 503 (no-room) for models that were not loaded, for as long as the coordinator was cut off from the engines.

Cause: the coordinator renewed its lease through the store, which it reached, and its orders reached no engine. Nothing tied the lease to the path.

Evidence:: front-fko-b-1 renewed its lease every 0.7 s from 5.0 to 17.05 s, and no engine accepted an order from 4.88 to 17.1 s.

Change: a coordinator whose path to more than half of the engines has been lost for a second, while another daemon reaches some of them, resigns: the record in the store names no holder then, so that another daemon takes the lease without waiting for its term. Daemons without a path are no candidates, and tell the others so. Engines that are down for all change no holder. The next holder leaves the same gap between the orders as before.

TestPartitionedCoordinatorIsReplaced: green in 4 s. TestLeaseOneHolder with resignations: 3000 histories green.

--- a/coordination/lease/lease.go
+++ b/coordination/lease/lease.go
@@ -53,6 +53,10 @@
 // Release gives up the lease for a planned stop.
 type Release struct{}
 
+// Resign gives up the lease that this daemon holds, if it holds one, so that another one can take it at
+// once. This daemon takes it again only as a candidate.
+type Resign struct{}
+
 // Candidate sets whether this daemon should try to take the lease.
 type Candidate struct{ Yes bool }
 
@@ -67,6 +71,7 @@
 func (ReadDone) leaseEvent()  {}
 func (WriteDone) leaseEvent() {}
 func (Release) leaseEvent()   {}
+func (Resign) leaseEvent()    {}
 func (Candidate) leaseEvent() {}
 func (PeerState) leaseEvent() {}
 
@@ -98,6 +103,7 @@
 	opt       Options
 	candidate bool
 	releasing bool
+	resigning bool // the lease is given up with the next write
 
 	record     Record               // last record read or written
 	found      bool                 // the object exists
@@ -194,6 +200,10 @@
 	case Release:
 		m.releasing = true
 		m.nextAt = now
+	case Resign:
+		if _, held := m.Holds(now); held {
+			m.resigning, m.nextAt = true, now
+		}
 	case PeerState:
 		m.observePeers(now, e)
 	case ReadDone:
@@ -325,9 +335,9 @@
 	if held && m.current() {
 		r := m.own
 		r.Renewals++
-		if m.releasing {
+		if m.releasing || m.resigning {
 			r.Holder = ""
-			m.heldUntil = time.Time{}
+			m.heldUntil, m.resigning = time.Time{}, false
 		}
 		return m.write(now, r)
 	}
--- a/coordination/lease/lease_test.go
+++ b/coordination/lease/lease_test.go
@@ -66,7 +66,7 @@
 }
 
 // Checks in random histories that two daemons never hold the lease at once and
-// that fences increase, while daemons freeze or release the lease, reads fail,
+// that fences increase, while daemons freeze, release the lease or resign, reads fail,
 // and writes or their responses are lost.
 func TestLeaseOneHolder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -96,6 +96,10 @@
 				if rapid.IntRange(0, 9).Draw(t, "release") == 0 {
 					d.m.Step(now, Release{})
 				}
+			case 2:
+				if rapid.IntRange(0, 4).Draw(t, "resign") == 0 {
+					d.m.Step(now, Resign{})
+				}
 			}
 			step(t, now, d, s)
 			check()
@@ -162,3 +166,39 @@
 		t.Errorf("%d writes per minute, want at most 32", writes)
 	}
 }
+
+// Guards against a daemon that resigns and keeps the lease, or takes it back though it is no candidate.
+func TestResignedLeaseIsFree(t *testing.T) {
+	s := &store{}
+	now := time.Unix(1_000_000, 0)
+	a, b := New(Options{Self: "a", Term: term, Margin: term / 4}), New(Options{Self: "b", Term: term, Margin: term / 4})
+	run := func(d time.Duration) {
+		for end := now.Add(d); now.Before(end); now = now.Add(10 * time.Millisecond) {
+			for _, m := range []*Machine{a, b} {
+				r := m.Ready(now)
+				if r.Read {
+					m.Step(now, ReadDone{Found: !s.version.Absent(), Record: s.rec, Version: s.version})
+				}
+				if r.Write != nil {
+					outcome := protocol.WriteConflict
+					if s.put(*r.Write) {
+						outcome = protocol.WriteOK
+					}
+					m.Step(now, WriteDone{Outcome: outcome, Version: s.version})
+				}
+			}
+		}
+	}
+	a.Step(now, Candidate{Yes: true})
+	run(time.Second)
+	a.Step(now, Candidate{Yes: false})
+	a.Step(now, Resign{})
+	b.Step(now, Candidate{Yes: true})
+	run(term / 2)
+	if _, held := a.Holds(now); held {
+		t.Error("the daemon that has resigned holds the lease")
+	}
+	if fence, held := b.Holds(now); !held || fence != 2 {
+		t.Errorf("the other daemon holds the lease %v under fence %d before the term is over, want fence 2", held, fence)
+	}
+}
--- a/daemon/edgedaemon/daemon.go
+++ b/daemon/edgedaemon/daemon.go
@@ -134,6 +134,7 @@
 	holders      holderHealth
 	views        viewApplier
 	vacancies    vacancies
+	partitions   partitions
 }
 
 type listeners struct{ callers, directory, readiness, peers, metrics net.Listener }
@@ -301,7 +302,7 @@
 	c = coordinator.New(coordinator.Options{
 		Service: service, Self: d.set.Listen.Peers, Lease: leaserelay.New(d.store, d.leasePeers, d.generations, d.log), Engines: d.engines, OrderGap: d.set.Timing.OrderGap.D(),
 		Planner:   residency.Options{InitialStoreConcurrency: d.set.Loads.AtOnce, RateWindow: d.set.Loads.Window.D(), RateFactor: d.set.Loads.Factor},
-		Candidate: d.candidate, OnLeaseChange: d.publishHolder, PeerState: d.leasePeerState, FirstStart: d.set.FirstStart, StoreConcurrency: d.storeConcurrency, OnStoreConcurrency: d.publishStoreConcurrency, Log: d.log, Metrics: d.metrics,
+		Candidate: d.candidate, Resigns: d.resigns, OnLeaseChange: d.publishHolder, PeerState: d.leasePeerState, FirstStart: d.set.FirstStart, StoreConcurrency: d.storeConcurrency, OnStoreConcurrency: d.publishStoreConcurrency, Log: d.log, Metrics: d.metrics,
 	})
 	for incarnation, report := range d.quotas.Endpoints().Limited() {
 		c.SetLimit(incarnation, report)
--- a/daemon/edgedaemon/peers.go
+++ b/daemon/edgedaemon/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"time"
 
@@ -38,13 +39,13 @@
 // candidate reports whether this daemon should try to hold a service's lease. A
 // former holder should in any case, since engines take it for the same holder.
 func (d *Daemon) candidate(service string, former bool) bool {
-	if d.draining() || d.view.StoreUnresponsive(clock.Now()) {
+	if d.draining() || d.view.StoreUnresponsive(clock.Now()) || d.partitionedFrom(service) {
 		return false
 	}
 	if former {
 		return true
 	}
-	ranked := membership.RendezvousByCapacity(service, d.alive())
+	ranked := membership.RendezvousByCapacity(service, d.withPath())
 	for i := range min(candidates, len(ranked)) {
 		if ranked[i].ID == d.self {
 			return true
@@ -53,6 +54,36 @@
 	return false
 }
 
+// partitionedFrom reports whether this daemon has lost its path to most endpoints of a service, although
+// another daemon reaches some.
+func (d *Daemon) partitionedFrom(service string) bool {
+	var addresses []string
+	for _, e := range d.view.Endpoints().ByService[service] {
+		addresses = append(addresses, e.Address)
+	}
+	return d.paths.Partitioned(addresses)
+}
+
+// resignAfter is how long a coordinator has no path to its engines before it gives up the lease. The
+// next one must leave a gap between their orders, which takes longer than a short partition.
+const resignAfter = time.Second
+
+// resigns reports whether this daemon should give up a service's lease, because its orders have not
+// reached the engines for resignAfter.
+func (d *Daemon) resigns(service string) bool {
+	return d.partitions.lastFor(clock.Now(), service, d.partitionedFrom(service)) >= resignAfter
+}
+
+// withPath returns the members of alive that have a path to the endpoints, or all of them if none has.
+func (d *Daemon) withPath() []membership.Member {
+	alive := d.alive()
+	list := slices.DeleteFunc(slices.Clone(alive), func(m membership.Member) bool { return d.paths.IsPartitioned(m.ID) })
+	if len(list) == 0 {
+		return alive
+	}
+	return list
+}
+
 // alive returns the members that are alive and not leaving, including this
 // daemon.
 func (d *Daemon) alive() []membership.Member {
--- a/driver/coordinator/coordinator.go
+++ b/driver/coordinator/coordinator.go
@@ -72,6 +72,8 @@
 	// Candidate reports whether this daemon should try to hold the lease. former
 	// says that the lease's record names this host as the holder.
 	Candidate func(service string, former bool) bool
+	// Resigns reports whether this daemon should give up the lease if it holds it; nil: never.
+	Resigns func(service string) bool
 	// OnLeaseChange is called when this daemon takes or loses the lease.
 	OnLeaseChange func(service string, fence uint64, held bool)
 	// PeerState returns the highest generation of the store and the highest fence of the
@@ -255,6 +257,9 @@
 func (c *Coordinator) stepLease(ctx context.Context, now time.Time) {
 	c.lease.Step(now, lease.Candidate{Yes: c.opt.Candidate(c.opt.Service, c.wasHolder())})
 	c.lease.Step(now, c.opt.PeerState(c.opt.Service))
+	if c.held && c.opt.Resigns != nil && c.opt.Resigns(c.opt.Service) {
+		c.lease.Step(now, lease.Resign{})
+	}
 	r := c.lease.Ready(now)
 	switch {
 	case r.Read:
