own interface: calls of a daemon without a path to an endpoint are relayed, too

Cause: as on the platform's interface: connections to endpoints were opened over the own path only, and a failed one counted against the endpoint.

Change: requests, states and orders go over driver/paths. Orders may be relayed here: they are ordered by the lease's fence and a number, not by the host that they come from, so a coordinator without a path needs no successor. dial.Transports builds the transports of both interfaces.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -9,6 +9,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -30,12 +31,14 @@
 	"github.com/doorvalve/doorvalve/driver/gate"
 	"github.com/doorvalve/doorvalve/driver/generations"
 	"github.com/doorvalve/doorvalve/driver/gossip"
+	"github.com/doorvalve/doorvalve/driver/paths"
 	"github.com/doorvalve/doorvalve/driver/placer"
 	"github.com/doorvalve/doorvalve/driver/quarantiner"
 	"github.com/doorvalve/doorvalve/driver/quotas"
 	"github.com/doorvalve/doorvalve/driver/rollout"
 	"github.com/doorvalve/doorvalve/driver/throttle"
 	"github.com/doorvalve/doorvalve/internal/clock"
+	"github.com/doorvalve/doorvalve/internal/dial"
 	"github.com/doorvalve/doorvalve/protocol/peerpb"
 	"github.com/doorvalve/doorvalve/protocol/quarantinepb"
 	"github.com/doorvalve/doorvalve/protocol/quotapb"
@@ -50,6 +53,7 @@
 	"github.com/doorvalve/doorvalve/transport/peers"
 	"github.com/doorvalve/doorvalve/transport/platform"
 	"github.com/doorvalve/doorvalve/transport/proxy"
+	"github.com/doorvalve/doorvalve/transport/tunnel"
 )
 
 // engineTimeout bounds each state request and each order to an endpoint.
@@ -66,6 +70,8 @@
 	// has received, from the platform or from peers.
 	generations  *generations.Tracker
 	engines      *engine.Client
+	paths        *paths.Controller
+	tunnels      *tunnel.Handler
 	peers        *peers.Client
 	gossip       *gossip.Gossip
 	rollout      *rollout.Rollout
@@ -118,9 +124,20 @@
 	d.metrics, d.closer = scope, closer
 	d.generations = generations.New(d.log, d.metrics)
 	d.platform = platform.New(platform.Options{URL: set.Platform.URL, Timeout: set.Platform.Timeout.D(), Generations: d.generations})
-	d.engines = engine.New(engineTimeout, opt.dial)
 	d.peers = peers.NewClient(set.Peers.Token)
-	d.gossip = gossip.New(d.log.Named("gossip"), d.peers, d.seeds, gossip.Options(quotas.StaleFact), d.member())
+	d.paths = paths.New(paths.Options{
+		Self: d.self, FailureDomain: set.FailureDomain, Members: d.alive, Dial: opt.dial,
+		Tunnel:  &tunnel.Dialer{Open: d.peers.Meter().Dial(dial.TCP), Authenticate: peers.Authenticate(set.Peers.Token), Self: d.self},
+		Publish: func(e membership.Entry) { d.gossip.Set(e) }, Seed: uint64(time.Now().UnixNano()), Log: d.log.Component("paths"), Metrics: d.metrics,
+	})
+	d.tunnels = tunnel.NewHandler(tunnel.Options{
+		Listed: d.paths.Listed, Dial: d.paths.DialOwn, Limit: int64(set.Limits.Connections) / tunnelDivisor, Draining: func() bool { return d.Phase() != drain.Serving },
+		Log: d.log.Component("paths"), Metrics: d.metrics,
+	})
+	d.engines = engine.New(engineTimeout, d.paths)
+	d.gossip = gossip.New(d.log.Named("gossip"), d.peers, d.seeds, gossip.Options(func(now time.Time, f membership.Entry) bool {
+		return quotas.StaleFact(now, f) || paths.StaleFact(now, f)
+	}), d.member())
 	d.rollout = rollout.New(d.log.Component("rollout"), d.platform, d.peers, d.gossip)
 	d.rollout.OnChange(d.configure)
 	d.claimer = claimer.New(claimer.Options{
@@ -128,7 +145,7 @@
 	})
 	d.generations.OnRise(d.claimer.PlatformRestored)
 	d.quarantine = quarantiner.New(quarantiner.Options{
-		Self: d.self, Members: d.gossip.Members, Peer: d.peers.Quarantines().To, Endpoint: d.endpointState, Dial: quarantiner.Check(opt.dial), Store: d.platform, Generations: d.generations, Log: d.log.Component("quarantine"), Metrics: d.metrics,
+		Self: d.self, Members: d.gossip.Members, Peer: d.peers.Quarantines().To, Endpoint: d.endpointState, Dial: quarantiner.Check(d.paths.Dial), Store: d.platform, Generations: d.generations, Log: d.log.Component("quarantine"), Metrics: d.metrics,
 	})
 	d.quotas = quotas.New(quotas.Options{
 		Self: d.self, Members: d.gossip.Members, Revision: d.gossip.Revision, Directory: d.workspaces, Listed: d.endpointListed, Publish: d.gossip.Set, OnLimitChange: func(incarnation fleet.Incarnation, report limit.Report) { d.throttle.SetLimit(incarnation, report) }, Store: d.platform, Generations: d.generations, Peer: d.peers.Quotas().To, Log: d.log.Component("quotas"), Metrics: d.metrics,
@@ -138,11 +155,12 @@
 		Daemons: func() int { return len(d.gossip.Members()) }, Listed: d.endpointListed, OnLeaving: func(fleet.Incarnation) {}, Publish: d.gossip.Set, Log: d.log.Component("throttle"), Metrics: d.metrics,
 	})
 	d.gossip.OnFact(d.quotas.Endpoints().ReceiveFact)
+	d.gossip.OnFact(d.paths.ReceiveFact)
 	d.gates.Store(&map[string]*gate.Gate{})
 	d.setPhase(drain.Serving)
 	d.callers = callers.New(callers.Options{
 		Self: d.self, Limits: set.Limits, Config: d.rollout.Current, Gate: d.gate, Members: d.gossip.Members, Phase: d.Phase,
-		Claimer: d.claimer, Quarantine: d.quarantine, Quotas: d.quotas, Throttle: d.throttle, Proxy: proxy.New(set.Limits.AnswerBytes, opt.dial), Log: d.log.Component("callers"), Metrics: d.metrics,
+		Claimer: d.claimer, Quarantine: d.quarantine, Quotas: d.quotas, Throttle: d.throttle, Proxy: proxy.New(set.Limits.AnswerBytes, d.paths), Log: d.log.Component("callers"), Metrics: d.metrics,
 		OnEndpointLeaving: d.endpointLeaving,
 	})
 	return d, nil
@@ -215,6 +233,7 @@
 func (d *Daemon) configure(s *snapshot.Snapshot) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.paths.SetAddresses(addressesOf(s.Bundle))
 	old := *d.gates.Load()
 	next := make(map[string]*gate.Gate, len(s.Units))
 	for _, svc := range s.Bundle.Services {
@@ -237,6 +256,24 @@
 	d.gates.Store(&next)
 }
 
+// tunnelDivisor is the share of the connections, as a divisor, that may be relayed for other daemons.
+const tunnelDivisor = 4
+
+// addressesOf returns the addresses of a bundle's endpoints.
+func addressesOf(b *bundle.Bundle) (list []string) {
+	for _, svc := range b.Services {
+		for _, e := range svc.Endpoints {
+			list = append(list, e.Address)
+		}
+	}
+	return list
+}
+
+// alive returns the members that are alive and not leaving, this daemon among them.
+func (d *Daemon) alive() []membership.Member {
+	return slices.DeleteFunc(slices.Clone(d.gossip.Members()), func(m membership.Member) bool { return m.Status != membership.Alive || m.Leaving })
+}
+
 // gateFor returns the unit's gate from old, or else a new one.
 func (d *Daemon) gateFor(old map[string]*gate.Gate, unit string, r *reporter) *gate.Gate {
 	if g := old[unit]; g != nil {
@@ -306,6 +343,7 @@
 	d.addActor(&g, ctx, d.quarantine.Run)
 	d.addActor(&g, ctx, d.quotas.Run)
 	d.addActor(&g, ctx, d.throttle.Run)
+	d.addActor(&g, ctx, d.paths.Run)
 	d.addActor(&g, ctx, d.runDrain)
 	d.addActor(&g, ctx, d.runReview)
 	d.log.Info(decisions.EventStart, "callers", d.CallerAddress(), "peers", d.PeerAddress(), "operators", d.OperatorAddress(), "failure_domain", d.set.FailureDomain)
@@ -320,6 +358,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(quarantinepb.QuarantinePathPrefix, quarantinepb.NewQuarantineServer(d.quarantine))
 	mux.Handle(quotapb.QuotasPathPrefix, quotapb.NewQuotasServer(d.quotas))
+	mux.Handle(tunnel.Path, d.tunnels)
 	mux.Handle(peerpb.PeerPathPrefix, peerpb.NewPeerServer((*peerServer)(d)))
 	return mux
 }
@@ -463,7 +502,7 @@
 	for _, p := range d.placers {
 		released = released && p.Released()
 	}
-	phase := d.drain.Step(now, d.callers.InProgress(), released)
+	phase := d.drain.Step(now, d.callers.InProgress()+d.tunnels.Active(), released)
 	if phase != d.Phase() {
 		d.log.Info(decisions.EventPhase, "phase", phase, "in_progress", d.callers.InProgress())
 	}
--- a/driver/paths/transport.go
+++ b/driver/paths/transport.go
@@ -20,16 +20,23 @@
 	relayed *http.Transport
 }
 
-// Transport returns a transport with the settings of t, whose dial function is replaced.
-func (c *Controller) Transport(t *http.Transport) *Transport {
+// Transport is RoundTripper without a wrapper.
+func (c *Controller) Transport(t *http.Transport) *Transport { return c.transport(t, nil) }
+
+// RoundTripper implements dial.Transports.
+func (c *Controller) RoundTripper(t *http.Transport, wrap func(dial.Func) dial.Func) http.RoundTripper {
+	return c.transport(t, wrap)
+}
+
+func (c *Controller) transport(t *http.Transport, wrap func(dial.Func) dial.Func) *Transport {
 	direct, relayed := t.Clone(), t.Clone()
-	direct.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+	direct.DialContext = dial.Wrap(func(ctx context.Context, network, address string) (net.Conn, error) {
 		if ctx.Value(openOnly{}) != nil {
 			return nil, errNotOpen
 		}
 		return c.DialDirect(ctx, network, address)
-	}
-	relayed.DialContext = c.dialRelayed
+	}, wrap)
+	relayed.DialContext = dial.Wrap(c.dialRelayed, wrap)
 	c.transports.add(relayed)
 	return &Transport{c, direct, relayed}
 }
--- a/driver/placer/placer_test.go
+++ b/driver/placer/placer_test.go
@@ -22,7 +22,7 @@
 	b := &bundle.Bundle{Services: []bundle.Service{{
 		Name: "g", Kind: bundle.KindEngine, Mode: bundle.ModeWatched, Endpoints: []bundle.Endpoint{{Name: "e", Address: "127.0.0.1:1"}},
 	}}}
-	p := New(Options{Group: "g", Self: "d", LeaseTerm: time.Second, Engines: engine.New(time.Second, dial.TCP), Log: decisions.New(io.Discard, "test", hclog.Off)})
+	p := New(Options{Group: "g", Self: "d", LeaseTerm: time.Second, Engines: engine.New(time.Second, dial.Direct(dial.TCP)), Log: decisions.New(io.Discard, "test", hclog.Off)})
 	p.Configure(snapshot.New(1, "", nil, b))
 	var wg sync.WaitGroup
 	for generation := uint64(2); generation < 50; generation++ {
--- a/e2e/harness_test.go
+++ b/e2e/harness_test.go
@@ -212,6 +212,15 @@
 }
 
 func (w *testbed) startDaemon(name, domain string, o options) *proc {
+	w.t.Helper()
+	p := w.newProc(name, domain, o)
+	p.start()
+	w.daemons = append(w.daemons, p)
+	return p
+}
+
+// newProc returns a daemon that is listed as a host and not started yet, with its settings written.
+func (w *testbed) newProc(name, domain string, o options) *proc {
 	w.t.Helper()
 	p := &proc{w: w, name: name, callers: freeAddress(w.t), peers: freeAddress(w.t), operator: freeAddress(w.t)}
 	p.settings = filepath.Join(w.t.TempDir(), name+".hujson")
@@ -228,8 +237,6 @@
 	}
 	w.hosts = append(w.hosts, standin.Host{Name: name, Address: p.peers, Role: "entry"})
 	w.platform.SetHosts(w.hosts)
-	p.start()
-	w.daemons = append(w.daemons, p)
 	return p
 }
 
--- a/transport/engine/client.go
+++ b/transport/engine/client.go
@@ -39,10 +39,10 @@
 	state protocol.EngineState
 }
 
-// New returns a client whose calls time out after timeout, and which opens connections with open.
-func New(timeout time.Duration, open dial.Func) *Client {
+// New returns a client whose calls time out after timeout.
+func New(timeout time.Duration, transports dial.Transports) *Client {
 	c := &Client{last: map[string]cached{}}
-	t := &http.Transport{DialContext: c.meter.Dial(open.Within(timeout)), MaxIdleConnsPerHost: MaxIdlePerEndpoint, IdleConnTimeout: 30 * time.Second}
+	t := transports.RoundTripper(&http.Transport{MaxIdleConnsPerHost: MaxIdlePerEndpoint, IdleConnTimeout: 30 * time.Second}, c.meter.Dial)
 	c.http = &http.Client{Transport: t, Timeout: timeout}
 	return c
 }
--- a/transport/proxy/proxy.go
+++ b/transport/proxy/proxy.go
@@ -68,16 +68,11 @@
 	answerBytes int64
 }
 
-// dialTimeout bounds the time to connect to an endpoint.
-const dialTimeout = 500 * time.Millisecond
-
-// New returns a client that opens connections with open. answerBytes bounds the body of an answer
-// that is not a stream.
-func New(answerBytes int64, open dial.Func) *Client {
-	open = open.Within(dialTimeout)
+// New returns a client. answerBytes bounds the body of an answer that is not a stream.
+func New(answerBytes int64, transports dial.Transports) *Client {
 	return &Client{
-		pooled:      &http.Client{Transport: &http.Transport{DialContext: open, MaxIdleConnsPerHost: 256, IdleConnTimeout: 30 * time.Second, DisableCompression: true}},
-		perRequest:  &http.Client{Transport: &http.Transport{DialContext: open, DisableKeepAlives: true, DisableCompression: true}},
+		pooled:      &http.Client{Transport: transports.RoundTripper(&http.Transport{MaxIdleConnsPerHost: 256, IdleConnTimeout: 30 * time.Second, DisableCompression: true}, nil)},
+		perRequest:  &http.Client{Transport: transports.RoundTripper(&http.Transport{DisableKeepAlives: true, DisableCompression: true}, nil)},
 		answerBytes: answerBytes,
 	}
 }
