backpressure: rejection limits of endpoints

Cause: a rejection closed an endpoint to one daemon for 0.3 s, and nothing bound what all daemons together send beyond its room.

Change: the limit is one more signal of coordination/backpressure, held for one incarnation with its age, and told to all daemons. While it is known, a daemon has no more requests at the endpoint than its part of the slots, and a rejection begins a pause after which all daemons together stay below half of the limit, also where it is below their number. Requests that find no room wait in the queue, go elsewhere or are refused with the time of their turn, as for limits and pauses. A value that is no whole number above zero counts as the strictest.

--- a/coordination/backpressure/book.go
+++ b/coordination/backpressure/book.go
@@ -27,6 +27,7 @@
 	Leaving Reason = "endpoint-leaving"
 	Paused  Reason = "endpoint-paused"
 	Limited Reason = "endpoints-limited"
+	Full    Reason = "endpoints-full"
 )
 
 // Decision says whether a request may go to an endpoint now.
@@ -39,6 +40,8 @@
 	// OpensIn is the time until the endpoint is open. It is meaningless if the endpoint is open or
 	// leaves.
 	OpensIn time.Duration
+	// Counted: the caller of Admit must call Ended when the request has ended.
+	Counted bool
 }
 
 // Closed reports whether the endpoint takes no requests at all now.
@@ -91,6 +94,7 @@
 	limitedUntil time.Time // the rate limit is used up until then
 	limit        limit.Report
 	lastSignal   time.Time // time of the latest signal
+	rejections   rejectionLimit
 	queue        queue
 }
 
@@ -151,7 +155,7 @@
 // reset clears the entry for another incarnation.
 func (e *entry) reset(inc fleet.Incarnation) {
 	e.incarnation, e.closesAt, e.pauseUntil, e.spread, e.resuming, e.probedAt = inc, time.Time{}, time.Time{}, 0, false, time.Time{}
-	e.limitedUntil, e.limit, e.queue = time.Time{}, limit.Report{}, queue{}
+	e.limitedUntil, e.limit, e.rejections, e.queue = time.Time{}, limit.Report{}, rejectionLimit{}, queue{}
 }
 
 // SetLeaving processes the report that an incarnation leaves, received from itself or from another
@@ -257,7 +261,7 @@
 		return Decision{Open: true}
 	}
 	defer e.mu.Unlock()
-	return e.decideFor(now, r)
+	return t.decideFor(now, e, r)
 }
 
 // Admit decides on a request immediately before it is sent. If the pause of the endpoint has just
@@ -269,23 +273,36 @@
 		return Decision{Open: true}
 	}
 	defer e.mu.Unlock()
-	d := e.decideFor(now, r)
-	if !d.Closed() && e.resuming {
+	d := t.decideFor(now, e, r)
+	if d.Closed() {
+		return d
+	}
+	if e.resuming {
 		e.probedAt = now
 	}
+	if e.rejections.known(now) {
+		e.rejections.running++
+		d.Counted = true
+	}
 	return d
 }
 
 // decideFor is decide for one request: the endpoint is not open if other requests wait before this
 // one.
-func (e *entry) decideFor(now time.Time, r Request) Decision {
+func (t *Tracker) decideFor(now time.Time, e *entry, r Request) Decision {
 	d := e.decide(now)
-	if d.Closed() || !e.ordered() || e.queue.ahead(r) == 0 {
+	if !d.Closed() && t.full(now, e) {
+		return Decision{Reason: Full, OpensIn: probeEvery}
+	}
+	if d.Closed() || !e.ordered(now) || e.queue.ahead(r) == 0 {
 		return d
 	}
 	reason := Limited
-	if e.resuming {
+	switch {
+	case e.resuming:
 		reason = Paused
+	case !e.limit.Limited:
+		reason = Full
 	}
 	return Decision{Reason: reason, OpensIn: probeEvery}
 }
--- a/coordination/backpressure/line.go
+++ b/coordination/backpressure/line.go
@@ -102,7 +102,9 @@
 
 // ordered reports whether the endpoint takes requests in the order of its queue. While it accepts
 // all requests it does not.
-func (e *entry) ordered() bool { return e.resuming || e.limit.Limited }
+func (e *entry) ordered(now time.Time) bool {
+	return e.resuming || e.limit.Limited || e.rejections.known(now)
+}
 
 // EstimateWait returns the time until an endpoint takes a request, at this daemon's share of the
 // rate that the endpoint accepts, in requests a second.
@@ -113,7 +115,7 @@
 	}
 	defer e.mu.Unlock()
 	d := e.decide(now)
-	if !e.ordered() {
+	if !e.ordered(now) {
 		return d.OpensIn
 	}
 	return e.queue.turn(now, now.Add(d.OpensIn), r, rate).Sub(now)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -152,7 +152,7 @@
 	})
 	d.throttle = throttle.New(throttle.Options{
 		Self: d.self, Tracker: d.backpressure, Limits: d.quotas.Endpoints(), LastReady: func(fleet.Incarnation) time.Time { return time.Time{} },
-		Daemons: func() int { return len(d.gossip.Members()) }, Listed: d.endpointListed, OnLeaving: func(fleet.Incarnation) {}, Publish: d.gossip.Set, Log: d.log.Component("throttle"), Metrics: d.metrics,
+		Daemons: func() int { return len(d.gossip.Members()) }, Slots: d.endpointSlots, Listed: d.endpointListed, OnLeaving: func(fleet.Incarnation) {}, Publish: d.gossip.Set, Log: d.log.Component("throttle"), Metrics: d.metrics,
 	})
 	d.gossip.OnFact(d.quotas.Endpoints().ReceiveFact)
 	d.gossip.OnFact(d.paths.ReceiveFact)
@@ -373,6 +373,22 @@
 	return s.Workspaces, s.Generation
 }
 
+// endpointSlots returns how many requests an endpoint works on at once; zero if it is not declared.
+func (d *Daemon) endpointSlots(incarnation fleet.Incarnation) int {
+	s := d.rollout.Current()
+	if s == nil {
+		return 0
+	}
+	for _, svc := range s.Bundle.Services {
+		for _, e := range svc.Endpoints {
+			if e.Name == incarnation.ID {
+				return e.Slots
+			}
+		}
+	}
+	return 0
+}
+
 // endpointListed reports whether an endpoint is declared in the configuration.
 func (d *Daemon) endpointListed(incarnation fleet.Incarnation) bool {
 	listed, _ := d.endpointState(incarnation)
--- a/daemon/edgedaemon/daemon.go
+++ b/daemon/edgedaemon/daemon.go
@@ -186,7 +186,7 @@
 		Members: d.gossip.Members, Revision: d.gossip.Revision, Directory: d.workspaces, Listed: d.endpointListed, Publish: d.gossip.Set, OnLimitChange: d.setEndpointLimit, Store: d.store, Generations: d.generations, Peer: d.peers.Quotas().To, Log: log, Metrics: d.metrics,
 	})
 	d.throttle = throttle.New(throttle.Options{
-		Self: d.self, Tracker: tracker, Limits: d.quotas.Endpoints(), LastReady: d.endpointLastReady, Daemons: func() int { return len(d.alive()) }, Listed: d.endpointListed, OnLeaving: d.view.ObserveLeaving, Publish: d.gossip.Set, Log: log, Metrics: d.metrics,
+		Self: d.self, Tracker: tracker, Limits: d.quotas.Endpoints(), LastReady: d.endpointLastReady, Daemons: func() int { return len(d.alive()) }, Slots: d.endpointSlots, Listed: d.endpointListed, OnLeaving: d.view.ObserveLeaving, Publish: d.gossip.Set, Log: log, Metrics: d.metrics,
 	})
 	d.gossip.OnFact(d.quotas.Endpoints().ReceiveFact)
 	d.gossip.OnFact(d.throttle.ReceiveFact)
--- a/daemon/edgedaemon/peers.go
+++ b/daemon/edgedaemon/peers.go
@@ -181,6 +181,14 @@
 	return d.view.Endpoints().Find(incarnation) != nil
 }
 
+// endpointSlots returns how many requests an endpoint works on at once; zero if it is not listed.
+func (d *Daemon) endpointSlots(incarnation fleet.Incarnation) int {
+	if e := d.view.Endpoints().Find(incarnation); e != nil {
+		return e.Slots
+	}
+	return 0
+}
+
 // endpointLastReady returns the latest time at which an endpoint is known to have been listed as
 // not leaving; zero if it is not listed so. During an outage of the store that is the present
 // time, since the store cannot have accepted the endpoint's announcement that it leaves.
@@ -200,11 +208,7 @@
 // observeEngineAnswer processes the backpressure signals in an engine's answer to one of this
 // daemon's coordinators.
 func (d *Daemon) observeEngineAnswer(incarnation fleet.Incarnation, signals protocol.Backpressure) {
-	slots := 1
-	if e := d.view.Endpoints().Find(incarnation); e != nil {
-		slots = e.Slots
-	}
-	d.throttle.ObserveAnswer(throttle.Answer{Incarnation: incarnation, Slots: slots, Sent: clock.Now(), Signals: signals})
+	d.throttle.ObserveAnswer(throttle.Answer{Incarnation: incarnation, Slots: max(1, d.endpointSlots(incarnation)), Sent: clock.Now(), Signals: signals})
 }
 
 // staleFact reports whether a gossiped fact is too old to be kept.
--- a/driver/decisions/log.go
+++ b/driver/decisions/log.go
@@ -54,6 +54,8 @@
 	EventEndpointLeaving      = "endpoint leaves, by its own word"
 	EventEndpointPaused       = "endpoint asks for a pause"
 	EventEndpointResumed      = "endpoint takes requests again"
+	EventRejectionLimit       = "rejection limit of an endpoint changed"
+	EventEndpointRejects      = "endpoint has no room"
 	EventPauseUnreadable      = "pause of an endpoint cannot be read"
 	EventPathLost             = "path to endpoints lost"
 	EventPathRegained         = "path to endpoints regained"
--- a/driver/throttle/throttle.go
+++ b/driver/throttle/throttle.go
@@ -8,6 +8,7 @@
 	"context"
 	"encoding/json"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -36,6 +37,8 @@
 	LastReady func(fleet.Incarnation) time.Time
 	// Daemons returns how many daemons share the requests.
 	Daemons func() int
+	// Slots returns how many requests an endpoint works on at once; zero if it is not listed.
+	Slots func(fleet.Incarnation) int
 	// Listed reports whether an incarnation of an endpoint is listed.
 	Listed func(fleet.Incarnation) bool
 	// OnLeaving is called for each incarnation that reports leaving, to this daemon or to another
@@ -54,12 +57,16 @@
 	opt     Options
 	metrics metrics
 
+	mu        sync.Mutex
+	published map[string]uint64 // versions of the known facts about rejection limits, by key
+
 	unreadable decisions.Once // endpoints for which an unreadable pause was logged
 }
 
 type metrics struct {
 	held                              map[backpressure.Reason]tally.Counter
 	leaves, pauses, unreadable        tally.Counter
+	rejections                        tally.Counter
 	endpointsLeaving, endpointsPaused tally.Gauge
 }
 
@@ -73,8 +80,9 @@
 	for _, r := range []backpressure.Reason{backpressure.Leaving, backpressure.Paused, backpressure.Limited} {
 		held[r] = m.Tagged(map[string]string{"reason": string(r)}).Counter("requests_held_back_total")
 	}
-	return &Controller{opt: opt, metrics: metrics{
-		held: held, leaves: m.Counter("endpoints_leaving_heard_total"), pauses: m.Counter("pauses_heard_total"), unreadable: m.Counter("pauses_unreadable_total"),
+	return &Controller{opt: opt, published: map[string]uint64{}, metrics: metrics{
+		rejections: m.Counter("rejections_heard_total"),
+		held:       held, leaves: m.Counter("endpoints_leaving_heard_total"), pauses: m.Counter("pauses_heard_total"), unreadable: m.Counter("pauses_unreadable_total"),
 		endpointsLeaving: m.Gauge("endpoints_leaving"), endpointsPaused: m.Gauge("endpoints_paused"),
 	}}
 }
@@ -89,6 +97,8 @@
 	// Authoritative is set if the answer is the endpoint's own, so that the absence of a signal
 	// counts, too.
 	Authoritative bool
+	// Rejected is set if the endpoint has rejected the request for lack of room.
+	Rejected bool
 }
 
 // ObserveAnswer processes the signals of an answer.
@@ -100,6 +110,7 @@
 	if a.Signals.Leaving {
 		c.setLeaving(now, a.Incarnation, c.opt.Self, a.Request)
 	}
+	c.observeRejectionLimit(now, a)
 	if a.Signals.Pause.Unreadable != "" {
 		c.countUnreadable(a)
 	}
@@ -111,6 +122,43 @@
 	}
 }
 
+// observeRejectionLimit processes the rejection limit of an answer, and a rejection that counts
+// against it.
+func (c *Controller) observeRejectionLimit(now time.Time, a Answer) {
+	l := a.Signals.Rejections
+	if l.Present || a.Authoritative {
+		c.setRejectionLimit(now, a.Sent, a.Incarnation, l, a.Slots)
+	}
+	if l.Present {
+		c.publishRejectionLimit(now, a.Incarnation, l.PerSecond)
+	}
+	if a.Rejected && c.opt.Tracker.ObserveRejection(now, a.Incarnation) {
+		c.metrics.rejections.Inc(1)
+		c.opt.Log.Info(decisions.EventEndpointRejects, "endpoint", a.Incarnation.ID, "born", a.Incarnation.StartUnixMs, "heard_on", a.Request, "for_ms", c.opt.Tracker.Peek(now, a.Incarnation, backpressure.Request{}).OpensIn.Milliseconds())
+	}
+}
+
+func (c *Controller) setRejectionLimit(now, heardAt time.Time, inc fleet.Incarnation, l protocol.RejectionLimit, slots int) {
+	c.opt.Tracker.SetDaemons(c.opt.Daemons())
+	if c.opt.Tracker.SetRejectionLimit(now, heardAt, inc, l, slots) {
+		c.opt.Log.Info(decisions.EventRejectionLimit, "endpoint", inc.ID, "born", inc.StartUnixMs, "limited", l.Present, "per_second", l.PerSecond, "unreadable", l.Unreadable)
+	}
+}
+
+// publishRejectionLimit tells the other daemons of a rejection limit, once in each rejectionFactStep.
+func (c *Controller) publishRejectionLimit(now time.Time, inc fleet.Incarnation, perSecond int) {
+	f := rejectionFact(now, inc, perSecond)
+	c.mu.Lock()
+	known := c.published[f.Key] >= f.Version
+	if !known {
+		c.published[f.Key] = f.Version
+	}
+	c.mu.Unlock()
+	if !known {
+		c.opt.Publish(f)
+	}
+}
+
 // observePause processes an endpoint's request for a pause.
 func (c *Controller) observePause(now time.Time, a Answer) {
 	c.metrics.pauses.Inc(1)
@@ -178,6 +226,9 @@
 	return d
 }
 
+// Ended records the end of a request whose decision was Counted.
+func (c *Controller) Ended(inc fleet.Incarnation) { c.opt.Tracker.Ended(inc) }
+
 // Refund gives back what a request was admitted with that has not reached the endpoint.
 func (c *Controller) Refund(t quotas.Ticket) { c.opt.Limits.Refund(t) }
 
@@ -221,6 +272,7 @@
 	for ctx.Err() == nil {
 		now := c.opt.Clock()
 		c.opt.Tracker.Prune(now, c.opt.Listed)
+		c.prunePublished(now)
 		leaving, paused := c.opt.Tracker.Counts(now)
 		c.metrics.endpointsLeaving.Update(float64(leaving))
 		c.metrics.endpointsPaused.Update(float64(paused))
@@ -253,11 +305,18 @@
 // StaleFact reports whether a fact is about an endpoint that reported leaving more than
 // factLifetime ago.
 func StaleFact(now time.Time, f membership.Entry) bool {
+	if strings.HasPrefix(f.Key, RejectionFactPrefix) {
+		return now.Sub(time.UnixMilli(int64(f.Version))) > rejectionFactLifetime
+	}
 	return strings.HasPrefix(f.Key, FactPrefix) && now.Sub(time.UnixMilli(int64(f.Version))) > factLifetime
 }
 
-// ReceiveFact processes the fact that an endpoint leaves, as received by another daemon.
+// ReceiveFact processes a fact about an endpoint, as received by another daemon.
 func (c *Controller) ReceiveFact(f membership.Entry) {
+	if subject, ok := strings.CutPrefix(f.Key, RejectionFactPrefix); ok {
+		c.receiveRejectionLimit(f, subject)
+		return
+	}
 	subject, ok := strings.CutPrefix(f.Key, FactPrefix)
 	if !ok {
 		return
--- a/protocol/backpressure.go
+++ b/protocol/backpressure.go
@@ -1,6 +1,7 @@
 package protocol
 
 import (
+	"errors"
 	"net/http"
 	"strconv"
 	"strings"
@@ -16,6 +17,43 @@
 	Pause Pause
 	// Limit is the rate that the endpoint accepts from all daemons together.
 	Limit RateLimit
+	// Rejections is how many requests the endpoint can reject in a second before it crashes.
+	Rejections RejectionLimit
+}
+
+// RejectionLimit is the number of requests that an endpoint can reject in a second for lack of room.
+// With more of them it crashes. Meanwhile it may keep fewer requests waiting than before.
+type RejectionLimit struct {
+	Present   bool
+	PerSecond int // at least 1 if present
+	// Unreadable is the quoted beginning of a value that is no whole number above zero; the strictest
+	// limit counts then.
+	Unreadable string
+}
+
+// maxRejectionLimit bounds a rejection limit. No endpoint gets as many requests in a second.
+const maxRejectionLimit = 1_000_000
+
+// ReadRejectionLimit reads the values of a header with a rejection limit. If there are several, the
+// lowest counts. A value of zero or below, or that is no number, counts as the strictest limit: the
+// endpoint says that it is fragile.
+func ReadRejectionLimit(values []string) RejectionLimit {
+	l := RejectionLimit{Present: len(values) > 0, PerSecond: maxRejectionLimit}
+	for _, value := range values {
+		n, err := strconv.Atoi(strings.TrimSpace(value))
+		if errors.Is(err, strconv.ErrRange) && n > 0 {
+			continue // too large to matter
+		}
+		if err != nil || n < 1 {
+			l.Unreadable = strconv.Quote(value[:min(len(value), maxPauseBytes)])
+			n = 1
+		}
+		l.PerSecond = min(l.PerSecond, n)
+	}
+	if !l.Present {
+		l.PerSecond = 0
+	}
+	return l
 }
 
 // Pause is the Retry-After of an endpoint that has rejected a request.
--- a/protocol/backpressure_test.go
+++ b/protocol/backpressure_test.go
@@ -68,3 +68,30 @@
 		t.Error("wrong result for no values or for several values")
 	}
 }
+
+func TestReadRejectionLimit(t *testing.T) {
+	for _, c := range []struct {
+		values     []string
+		want       int
+		unreadable bool
+	}{
+		{nil, 0, false},
+		{[]string{"5"}, 5, false},
+		{[]string{" 7 "}, 7, false},
+		{[]string{"9", "4"}, 4, false},
+		{[]string{"0"}, 1, true},
+		{[]string{"-3"}, 1, true},
+		{[]string{"soon"}, 1, true},
+		{[]string{""}, 1, true},
+		{[]string{"2.5"}, 1, true},
+		{[]string{"6", "soon"}, 1, true},
+		{[]string{"99999999999999999999999"}, maxRejectionLimit, false},
+		{[]string{"-99999999999999999999999"}, 1, true},
+		{[]string{strings.Repeat("x", 100_000)}, 1, true},
+	} {
+		got := ReadRejectionLimit(c.values)
+		if got.PerSecond != c.want || (got.Unreadable != "") != c.unreadable || got.Present != (len(c.values) > 0) || len(got.Unreadable) > 2*maxPauseBytes {
+			t.Errorf("%.40q: %+v, want %d, unreadable %v", c.values, got, c.want, c.unreadable)
+		}
+	}
+}
--- a/protocol/verdict.go
+++ b/protocol/verdict.go
@@ -73,6 +73,9 @@
 	HeaderVerdict = "Doorvalve-Verdict"
 	// HeaderLeaving is set to "true" by an endpoint that is leaving.
 	HeaderLeaving = "Doorvalve-Leaving"
+	// HeaderRejectionLimit is set by an endpoint to the number of requests that it can reject in a
+	// second for lack of room before it crashes.
+	HeaderRejectionLimit = "Doorvalve-Rejection-Limit"
 	// HeaderRateLimit is set by an overloaded endpoint in each of its answers: the requests
 	// per second, a decimal number, that it accepts from all daemons together.
 	HeaderRateLimit = "Doorvalve-Rate-Limit"
--- a/transport/callers/call.go
+++ b/transport/callers/call.go
@@ -50,6 +50,7 @@
 	probe       quarantiner.Probe // the probe that this attempt is; zero for none
 	ticket      quotas.Ticket     // what the request took of its workspace's quota
 	limitTicket quotas.Ticket     // what this attempt took of its endpoint's rate limit
+	counted     bool              // the throttle counts this attempt until it ends
 	version     string            // version of the model; empty for plain services
 	// The following fields are for the log.
 	class      string
@@ -236,6 +237,7 @@
 		cl.queued += time.Since(acquireStart)
 		if refusal == nil && cl.key != nil && !claimed {
 			if refusal = s.claim(ctx, cl); refusal != nil {
+				s.endCounted(cl, slot)
 				cl.gate.Release(slot, 0)
 				return refusal
 			}
@@ -275,6 +277,7 @@
 	}
 	if cl.probe, refusal = s.opt.Quarantine.Admit(ctx, cl.fingerprint, cl.software); refusal != nil {
 		s.opt.Throttle.Refund(cl.limitTicket)
+		s.endCounted(cl, slot)
 		cl.gate.Release(slot, 0)
 		return nil, refusal
 	}
@@ -313,8 +316,8 @@
 	req := &proxy.Request{
 		Method: cl.method, URI: cl.uri, Header: cl.header, Body: cl.body, RequestID: cl.id,
 		AttemptID: cl.id + "." + strconv.Itoa(n), Worth: cl.worth, Repeatable: cl.key == nil, MustEcho: cl.mustEcho,
-		ObserveBackpressure: func(signals protocol.Backpressure, whole bool) {
-			s.observeBackpressure(cl, slot.Endpoint, sent, signals, whole)
+		ObserveBackpressure: func(signals protocol.Backpressure, whole, rejected bool) {
+			s.observeBackpressure(cl, slot.Endpoint, sent, signals, whole, rejected)
 		},
 	}
 	var f *proxy.Failure
@@ -333,6 +336,7 @@
 		duration = 0
 		s.avoid(cl, slot, f)
 	}
+	s.endCounted(cl, slot)
 	cl.gate.Release(slot, duration)
 	if whole != nil {
 		out.writeWhole(whole) // after the release, so that a slow caller occupies no slot
@@ -340,6 +344,14 @@
 	return f
 }
 
+// endCounted records the end of an attempt that the throttle counts.
+func (s *Server) endCounted(cl *call, slot *gate.Slot) {
+	if cl.counted {
+		cl.counted = false
+		s.opt.Throttle.Ended(incarnationOf(slot.Endpoint))
+	}
+}
+
 // avoid keeps new requests away from an endpoint after a failure.
 func (s *Server) avoid(cl *call, slot *gate.Slot, f *proxy.Failure) {
 	avoid := avoidAfterError
--- a/transport/callers/unavailable.go
+++ b/transport/callers/unavailable.go
@@ -32,7 +32,7 @@
 		}
 		ticket, d := s.opt.Throttle.Admit(ctx, incarnationOf(slot.Endpoint), cl.queueRequest())
 		if !d.Closed() {
-			cl.limitTicket = ticket
+			cl.limitTicket, cl.counted = ticket, d.Counted
 			return slot, nil
 		}
 		cl.gate.Release(slot, 0)
@@ -63,13 +63,14 @@
 }
 
 // observeBackpressure passes the backpressure signals of an answer to the throttle; sent is when
-// the call was sent, and whole reports whether the absence of a signal counts, too. That an
+// the call was sent, whole reports whether the absence of a signal counts, too, and rejected that the
+// endpoint had no room. That an
 // endpoint is leaving goes to OnEndpointLeaving instead, since incarnations are not distinguished
 // here: it holds until the coordinator, which asks the endpoint itself, gives credit for it again.
-func (s *Server) observeBackpressure(cl *call, e bundle.Endpoint, sent time.Time, signals protocol.Backpressure, whole bool) {
+func (s *Server) observeBackpressure(cl *call, e bundle.Endpoint, sent time.Time, signals protocol.Backpressure, whole, rejected bool) {
 	if signals.Leaving {
 		signals.Leaving = false
 		s.opt.OnEndpointLeaving(e.Name)
 	}
-	s.opt.Throttle.ObserveAnswer(throttle.Answer{Incarnation: incarnationOf(e), Slots: e.Slots, Request: cl.id, Sent: sent, Signals: signals, Authoritative: whole})
+	s.opt.Throttle.ObserveAnswer(throttle.Answer{Incarnation: incarnationOf(e), Slots: e.Slots, Request: cl.id, Sent: sent, Signals: signals, Authoritative: whole, Rejected: rejected})
 }
--- a/transport/edge/attempt.go
+++ b/transport/edge/attempt.go
@@ -130,7 +130,7 @@
 		return
 	}
 	s.opt.Throttle.ObserveAnswer(throttle.Answer{
-		Incarnation: e.Incarnation(), Slots: e.Slots, Request: q.call.ID, Sent: sent, Signals: meta.Backpressure, Authoritative: authentic && !meta.NotRun,
+		Incarnation: e.Incarnation(), Slots: e.Slots, Request: q.call.ID, Sent: sent, Signals: meta.Backpressure, Authoritative: authentic && !meta.NotRun, Rejected: refused && !meta.WrongEndpoint,
 	})
 }
 
--- a/transport/edge/run.go
+++ b/transport/edge/run.go
@@ -83,6 +83,9 @@
 			s.metrics.resumed.Inc(1)
 		}
 		f := s.attempt(ctx, q, e, a, t.ran+1 < q.route.MaxAttempts)
+		if q.counted {
+			s.opt.Throttle.Ended(e.Incarnation())
+		}
 		if f == nil {
 			s.opt.Quarantine.ObserveSuccess(q.fingerprint, clock.Now().Add(-time.Since(a.sentAt)))
 			return nil
@@ -157,11 +160,14 @@
 		refusal = s.outOfTime(t.verdict)
 	}
 	if refusal != nil {
+		if d.Counted {
+			s.opt.Throttle.Ended(e.Incarnation())
+		}
 		s.opt.Throttle.Refund(ticket)
 		s.opt.Quarantine.ReturnProbe(q.probe)
 		return false, refusal
 	}
-	q.limitTicket = ticket
+	q.limitTicket, q.counted = ticket, d.Counted
 	s.leaveQueue(t, true)
 	return true, nil
 }
--- a/transport/edge/server.go
+++ b/transport/edge/server.go
@@ -163,6 +163,7 @@
 	owner           *workspace.Workspace  // the workspace charged for the request; nil for none
 	ticket          quotas.Ticket         // what the request took of its workspace's quota
 	limitTicket     quotas.Ticket         // what this attempt took of its endpoint's rate limit
+	counted         bool                  // the throttle counts this attempt until it ends
 	rank            int                   // priority; 0 is served first
 	active          int64                 // requests in progress on arrival, including this one
 	arrived         time.Time
--- a/transport/proxy/proxy.go
+++ b/transport/proxy/proxy.go
@@ -33,8 +33,9 @@
 	// failure.
 	MustEcho bool
 	// ObserveBackpressure receives the backpressure signals of an answer, if there is one. whole
-	// reports whether the absence of a signal counts, too. It may be nil.
-	ObserveBackpressure func(says protocol.Backpressure, whole bool)
+	// reports whether the absence of a signal counts, too, and rejected that the endpoint had no room.
+	// It may be nil.
+	ObserveBackpressure func(says protocol.Backpressure, whole, rejected bool)
 }
 
 // Failure describes an attempt that brought no complete answer.
@@ -119,20 +120,20 @@
 	if f := refusedNotRun(resp); f != nil {
 		_ = resp.Body.Close()
 		signals.Leaving, f.Paused = f.Leaving, signals.Pause.For > 0
-		r.observe(signals, false) // the refusal may come from a proxy in front of the endpoint
+		r.observe(signals, false, f.Full) // the refusal may come from a proxy in front of the endpoint
 		return nil, f
 	}
 	if got := resp.Header.Get(protocol.HeaderAttemptID); got != r.AttemptID && (got != "" || r.MustEcho) {
 		_ = resp.Body.Close()
 		return nil, &Failure{Verdict: protocol.MayHaveRun, Reason: "crossed-answer"}
 	}
-	r.observe(signals, true)
+	r.observe(signals, true, false)
 	return resp, nil
 }
 
-func (r *Request) observe(signals protocol.Backpressure, whole bool) {
+func (r *Request) observe(signals protocol.Backpressure, whole, rejected bool) {
 	if r.ObserveBackpressure != nil {
-		r.ObserveBackpressure(signals, whole)
+		r.ObserveBackpressure(signals, whole, rejected)
 	}
 }
 
@@ -141,6 +142,8 @@
 	signals := protocol.Backpressure{
 		Leaving: protocol.ReadLeaving(resp.Header[protocol.HeaderLeaving]),
 		Limit:   protocol.ReadRateLimit(resp.Header[protocol.HeaderRateLimit]),
+
+		Rejections: protocol.ReadRejectionLimit(resp.Header[protocol.HeaderRejectionLimit]),
 	}
 	if resp.StatusCode == http.StatusServiceUnavailable {
 		signals.Pause = protocol.ReadPause(resp.Header["Retry-After"], resp.Header.Get("Date"), time.Now())
