--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -136,7 +136,7 @@
 	})
 	d.engines = engine.New(engineTimeout, d.paths)
 	d.gossip = gossip.New(d.log.Named("gossip"), d.peers, d.seeds, gossip.Options(func(now time.Time, f membership.Entry) bool {
-		return quotas.StaleFact(now, f) || paths.StaleFact(now, f)
+		return quotas.StaleFact(now, f) || throttle.StaleFact(now, f) || paths.StaleFact(now, f)
 	}), d.member())
 	d.rollout = rollout.New(d.log.Component("rollout"), d.platform, d.peers, d.gossip)
 	d.rollout.OnChange(d.configure)
@@ -155,6 +155,7 @@
 		Daemons: func() int { return len(d.gossip.Members()) }, Slots: d.endpointSlots, Listed: d.endpointListed, OnLeaving: func(fleet.Incarnation) {}, Publish: d.gossip.Set, Log: d.log.Component("throttle"), Metrics: d.metrics,
 	})
 	d.gossip.OnFact(d.quotas.Endpoints().ReceiveFact)
+	d.gossip.OnFact(d.throttle.ReceiveRejectionLimit)
 	d.gossip.OnFact(d.paths.ReceiveFact)
 	d.gates.Store(&map[string]*gate.Gate{})
 	d.setPhase(drain.Serving)
--- a/driver/throttle/rejections.go
+++ b/driver/throttle/rejections.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"strings"
 	"time"
 
 	"github.com/doorvalve/doorvalve/coordination/membership"
@@ -31,8 +32,13 @@
 	return membership.Entry{Key: RejectionFactPrefix + inc.String(), Version: uint64(now.Truncate(rejectionFactStep).UnixMilli()), Value: value}
 }
 
-// receiveRejectionLimit processes the rejection limit of an endpoint as received by another daemon.
-func (c *Controller) receiveRejectionLimit(f membership.Entry, subject string) {
+// ReceiveRejectionLimit processes the fact of an endpoint's rejection limit, as received by another
+// daemon. It ignores other facts.
+func (c *Controller) ReceiveRejectionLimit(f membership.Entry) {
+	subject, ok := strings.CutPrefix(f.Key, RejectionFactPrefix)
+	if !ok {
+		return
+	}
 	inc, err := fleet.ParseIncarnation(subject)
 	var value limitFact
 	if err == nil {
--- a/driver/throttle/throttle.go
+++ b/driver/throttle/throttle.go
@@ -313,10 +313,7 @@
 
 // ReceiveFact processes a fact about an endpoint, as received by another daemon.
 func (c *Controller) ReceiveFact(f membership.Entry) {
-	if subject, ok := strings.CutPrefix(f.Key, RejectionFactPrefix); ok {
-		c.receiveRejectionLimit(f, subject)
-		return
-	}
+	c.ReceiveRejectionLimit(f)
 	subject, ok := strings.CutPrefix(f.Key, FactPrefix)
 	if !ok {
 		return
