paths: fewer trials of lost paths; tests of what a partition costs

By reading: a daemon cut off from all of 16 endpoints or more would have tried 40 paths a second. Now 10; a path that works again is still found within 0.9 s (0.3 s of a trial that hangs, 0.4 s to the next, 0.2 s of the loop), and makes all others due. TestFactsOfAPartitionAreFew: one fact at its beginning and one at its end. TestRelayedConnectionsOfManyDaemonsAreSpread: 6, 24 and 375 daemons, a failure domain cut off: no relay has more than six times the mean.

--- a/coordination/reach/reach.go
+++ b/coordination/reach/reach.go
@@ -18,7 +18,7 @@
 	TrialInterval = 400 * time.Millisecond
 	// maxTrials bounds the trials that are started at once. It also bounds those of a daemon that has
 	// lost the paths to all addresses: the first trial that succeeds makes all others due.
-	maxTrials = 4
+	maxTrials = 2
 	// maxTrialsAfterSuccess bounds the trials that are started at once after one has succeeded.
 	maxTrialsAfterSuccess = 32
 	// relayPause is how long no daemon is asked to relay to an address that none of those asked could
--- a/coordination/reach/reach_test.go
+++ b/coordination/reach/reach_test.go
@@ -172,3 +172,37 @@
 		t.Error("a lost path or an address that is not listed was checked")
 	}
 }
+
+// Guards against a crowd of relayed connections at few daemons: a whole failure domain is cut off, and
+// each of its daemons knows only its own connections.
+func TestRelayedConnectionsOfManyDaemonsAreSpread(t *testing.T) {
+	for _, daemons := range []int{6, 24, 375} {
+		var members []Relay
+		for i := range daemons {
+			members = append(members, Relay{ID: fmt.Sprint(i), FailureDomain: fmt.Sprintf("z%d", i%3)})
+		}
+		const connections = 8 // of each daemon
+		counts := map[string]int{}
+		for i := 0; i < daemons; i += 3 {
+			table := New("z0", uint64(i))
+			table.SetAddresses([]string{"a0"})
+			table.ObserveFailed(start, "a0", Refused)
+			for j := 0; j < daemons; j += 3 { // the daemons of one domain have told each other
+				table.SetPartitioned(fmt.Sprint(j), true)
+			}
+			for range connections {
+				relay, ok := table.Choose(start, "a0", members, nil)
+				if !ok || table.IsPartitioned(relay.ID) {
+					t.Fatalf("%d daemons: relay %q chosen", daemons, relay.ID)
+				}
+				table.ObserveRelay(start, "a0", relay.ID, Opened)
+				counts[relay.ID]++
+			}
+		}
+		for id, n := range counts {
+			if n > 3*connections { // half of connections is the mean
+				t.Errorf("%d daemons: %d connections at %s", daemons, n, id)
+			}
+		}
+	}
+}
--- a/driver/paths/paths.go
+++ b/driver/paths/paths.go
@@ -40,7 +40,7 @@
 	// credibleFor is how long the result of a control connection counts.
 	credibleFor = 200 * time.Millisecond
 	// tick is the interval of the controller's loop while paths are lost.
-	tick = 100 * time.Millisecond
+	tick = 200 * time.Millisecond
 	// restTick is the same while none is lost.
 	restTick = time.Second
 	// maxChecks bounds the paths that are checked when the loss of another one was confirmed.
--- a/driver/paths/paths_test.go
+++ b/driver/paths/paths_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/uber-go/tally/v4"
@@ -188,3 +189,56 @@
 		t.Errorf("error %v, want that there is no path", err)
 	}
 }
+
+// A partition and its end cost each daemon two facts, and one more in each repeatInterval; a path that
+// comes and goes costs one in each minPublishInterval at most.
+func TestFactsOfAPartitionAreFew(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var facts []membership.Entry
+	c := New(Options{Self: "d0", Clock: func() time.Time { return now }, Publish: func(e membership.Entry) { facts = append(facts, e) }, Log: decisions.New(io.Discard, "test", hclog.Off), Metrics: tally.NoopScope})
+	c.SetAddresses([]string{"a", "b"})
+	other := New(Options{Self: "d1", Log: c.opt.Log, Metrics: tally.NoopScope})
+	run := func(d time.Duration, change func()) (published int) {
+		before := len(facts)
+		for end := now.Add(d); now.Before(end); now = now.Add(tick) {
+			change()
+			c.publish(now)
+		}
+		return len(facts) - before
+	}
+	lose := func() {
+		for _, a := range []string{"a", "b"} {
+			c.table.ObserveFailed(now, a, reach.Silent)
+			c.table.ObserveRelay(now, a, "d1", reach.Opened)
+		}
+	}
+	regain := func() { c.table.ObserveOpened(now, "a"); c.table.ObserveOpened(now, "b") }
+	if n := run(9*time.Second, lose); n != 1 {
+		t.Errorf("%d facts in the first 9 s of a partition, want 1", n)
+	}
+	other.ReceiveFact(facts[len(facts)-1])
+	if !other.IsPartitioned("d0") {
+		t.Error("the fact does not say that the daemon is partitioned")
+	}
+	if n := run(9*time.Second, regain); n != 1 {
+		t.Errorf("%d facts after the partition, want 1", n)
+	}
+	other.ReceiveFact(facts[len(facts)-1])
+	if other.IsPartitioned("d0") {
+		t.Error("the fact does not say that the partition has ended")
+	}
+	flip := 0
+	if n := run(10*time.Second, func() {
+		if flip++; flip%2 == 0 {
+			lose()
+		} else {
+			regain()
+		}
+	}); n > 11 {
+		t.Errorf("%d facts in 10 s of a path that comes and goes", n)
+	}
+	if !StaleFact(now.Add(time.Minute), facts[len(facts)-1]) || StaleFact(now, facts[len(facts)-1]) {
+		t.Error("facts are kept for too long or not long enough")
+	}
+	other.ReceiveFact(membership.Entry{Key: FactPrefix + "d0", Value: []byte("{")}) // logged, changes nothing
+}
