backpressure: few requests at once to an endpoint that may reject them all

By reading: a daemon had up to its part of the slots on their way to an endpoint with a rejection limit before the first rejection arrived, so that a burst alone could exceed the limit where the endpoint has no room for other reasons than its slots, such as cache memory. No more are on their way now that are neither answered nor rejected than the daemon's part of half the limit, at least one.

--- a/coordination/backpressure/book.go
+++ b/coordination/backpressure/book.go
@@ -282,6 +282,7 @@
 	}
 	if e.rejections.known(now) {
 		e.rejections.running++
+		e.rejections.unanswered++
 		d.Counted = true
 	}
 	return d
--- a/coordination/backpressure/rejections.go
+++ b/coordination/backpressure/rejections.go
@@ -25,7 +25,9 @@
 	perSecond int // zero: none is known
 	heardAt   time.Time
 	slots     int // requests that the endpoint works on at once, by its declaration
-	running   int // requests of this daemon that were admitted since the limit is known
+	// running counts the requests of this daemon that were admitted since the limit is known, and
+	// unanswered those of them of which it is not known yet whether they are rejected.
+	running, unanswered int
 }
 
 func (l *rejectionLimit) known(now time.Time) bool {
@@ -82,17 +84,36 @@
 	return max(1, e.rejections.slots/int(t.daemons.Load()))
 }
 
+// mostUnanswered returns how many requests of this daemon an endpoint may reject at once: its part of
+// the limit, at least one.
+func (t *Tracker) mostUnanswered(e *entry) int {
+	return max(1, int(rejectionShare*float64(e.rejections.perSecond)/float64(t.daemons.Load())))
+}
+
 // full reports whether this daemon has as many requests at an endpoint as it may.
 func (t *Tracker) full(now time.Time, e *entry) bool {
-	return e.rejections.known(now) && e.rejections.running >= t.mostRunning(e)
+	r := &e.rejections
+	return r.known(now) && (r.running >= t.mostRunning(e) || r.unanswered >= t.mostUnanswered(e))
 }
 
-// Ended records the end of a request whose admission was Counted.
-func (t *Tracker) Ended(inc fleet.Incarnation) {
+// Answered records that an endpoint has not rejected a request whose admission was Counted.
+func (t *Tracker) Answered(inc fleet.Incarnation) {
+	if e := t.find(inc); e != nil {
+		e.rejections.unanswered = max(0, e.rejections.unanswered-1)
+		e.mu.Unlock()
+	}
+}
+
+// Ended records the end of a request whose admission was Counted; answered reports whether Answered
+// was called for it.
+func (t *Tracker) Ended(inc fleet.Incarnation, answered bool) {
 	e := t.find(inc)
 	if e == nil {
 		return
 	}
 	defer e.mu.Unlock()
 	e.rejections.running = max(0, e.rejections.running-1)
+	if !answered {
+		e.rejections.unanswered = max(0, e.rejections.unanswered-1)
+	}
 }
--- a/coordination/backpressure/rejections_test.go
+++ b/coordination/backpressure/rejections_test.go
@@ -8,6 +8,24 @@
 	"github.com/doorvalve/doorvalve/state/fleet"
 )
 
+// Guards against a burst of requests to an endpoint that rejects them all before the first rejection
+// has arrived.
+func TestRequestsThatMayBeRejectedAtOnce(t *testing.T) {
+	inc, now := fleet.Incarnation{ID: "e"}, time.Unix(1000, 0)
+	for _, c := range []struct{ daemons, limit, most int }{{7, 3, 1}, {7, 28, 2}, {2, 40, 10}} {
+		tracker := New(Options{})
+		tracker.SetDaemons(c.daemons)
+		tracker.SetRejectionLimit(now, now, inc, protocol.RejectionLimit{Present: true, PerSecond: c.limit}, 640)
+		n := 0
+		for tracker.Admit(now, inc, Request{}).Counted && n < 100 {
+			n++
+		}
+		if n != c.most {
+			t.Errorf("%d daemons, limit %d: %d requests sent before an answer, want %d", c.daemons, c.limit, n, c.most)
+		}
+	}
+}
+
 // Guards against daemons that together have more requests rejected in a second than an endpoint bears,
 // also where it bears fewer than there are daemons. Every request is rejected here.
 func TestRejectionsOfAllDaemonsStayBelowTheLimit(t *testing.T) {
@@ -26,7 +44,7 @@
 				for tracker.Admit(now, inc, Request{}).Open {
 					rejections = append(rejections, now)
 					tracker.ObserveRejection(now, inc)
-					tracker.Ended(inc)
+					tracker.Ended(inc, false)
 				}
 			}
 		}
@@ -56,6 +74,7 @@
 		tracker.SetRejectionLimit(now, now, inc, protocol.RejectionLimit{Present: true, PerSecond: 5}, c.slots)
 		n := 0
 		for tracker.Admit(now, inc, Request{}).Counted && n < 100 {
+			tracker.Answered(inc)
 			n++
 		}
 		if n != c.most {
@@ -64,7 +83,7 @@
 		if d := tracker.Peek(now, inc, Request{}); d.Reason != Full || d.OpensIn <= 0 {
 			t.Errorf("decision %+v, want that it is full", d)
 		}
-		tracker.Ended(inc)
+		tracker.Ended(inc, true)
 		if !tracker.Peek(now, inc, Request{}).Open {
 			t.Error("closed after a request has ended")
 		}
--- a/driver/throttle/throttle.go
+++ b/driver/throttle/throttle.go
@@ -226,8 +226,12 @@
 	return d
 }
 
-// Ended records the end of a request whose decision was Counted.
-func (c *Controller) Ended(inc fleet.Incarnation) { c.opt.Tracker.Ended(inc) }
+// Answered records that an endpoint has not rejected a request whose decision was Counted.
+func (c *Controller) Answered(inc fleet.Incarnation) { c.opt.Tracker.Answered(inc) }
+
+// Ended records the end of a request whose decision was Counted; answered reports whether Answered was
+// called for it.
+func (c *Controller) Ended(inc fleet.Incarnation, answered bool) { c.opt.Tracker.Ended(inc, answered) }
 
 // Refund gives back what a request was admitted with that has not reached the endpoint.
 func (c *Controller) Refund(t quotas.Ticket) { c.opt.Limits.Refund(t) }
--- a/transport/callers/call.go
+++ b/transport/callers/call.go
@@ -51,6 +51,7 @@
 	ticket      quotas.Ticket     // what the request took of its workspace's quota
 	limitTicket quotas.Ticket     // what this attempt took of its endpoint's rate limit
 	counted     bool              // the throttle counts this attempt until it ends
+	answered    bool              // the endpoint has not rejected this attempt
 	version     string            // version of the model; empty for plain services
 	// The following fields are for the log.
 	class      string
@@ -348,7 +349,7 @@
 func (s *Server) endCounted(cl *call, slot *gate.Slot) {
 	if cl.counted {
 		cl.counted = false
-		s.opt.Throttle.Ended(incarnationOf(slot.Endpoint))
+		s.opt.Throttle.Ended(incarnationOf(slot.Endpoint), cl.answered)
 	}
 }
 
--- a/transport/callers/unavailable.go
+++ b/transport/callers/unavailable.go
@@ -32,7 +32,7 @@
 		}
 		ticket, d := s.opt.Throttle.Admit(ctx, incarnationOf(slot.Endpoint), cl.queueRequest())
 		if !d.Closed() {
-			cl.limitTicket, cl.counted = ticket, d.Counted
+			cl.limitTicket, cl.counted, cl.answered = ticket, d.Counted, false
 			return slot, nil
 		}
 		cl.gate.Release(slot, 0)
@@ -68,6 +68,10 @@
 // endpoint is leaving goes to OnEndpointLeaving instead, since incarnations are not distinguished
 // here: it holds until the coordinator, which asks the endpoint itself, gives credit for it again.
 func (s *Server) observeBackpressure(cl *call, e bundle.Endpoint, sent time.Time, signals protocol.Backpressure, whole, rejected bool) {
+	if cl.counted && whole {
+		cl.answered = true
+		s.opt.Throttle.Answered(incarnationOf(e))
+	}
 	if signals.Leaving {
 		signals.Leaving = false
 		s.opt.OnEndpointLeaving(e.Name)
--- a/transport/edge/attempt.go
+++ b/transport/edge/attempt.go
@@ -108,6 +108,10 @@
 		_ = resp.Body.Close()
 		return nil, f
 	}
+	if q.counted {
+		q.answered = true
+		s.opt.Throttle.Answered(e.Incarnation())
+	}
 	if f := mismatchedAnswer(resp, meta, q); f != nil {
 		_ = resp.Body.Close()
 		return nil, f
--- a/transport/edge/run.go
+++ b/transport/edge/run.go
@@ -84,7 +84,7 @@
 		}
 		f := s.attempt(ctx, q, e, a, t.ran+1 < q.route.MaxAttempts)
 		if q.counted {
-			s.opt.Throttle.Ended(e.Incarnation())
+			s.opt.Throttle.Ended(e.Incarnation(), q.answered)
 		}
 		if f == nil {
 			s.opt.Quarantine.ObserveSuccess(q.fingerprint, clock.Now().Add(-time.Since(a.sentAt)))
@@ -161,13 +161,13 @@
 	}
 	if refusal != nil {
 		if d.Counted {
-			s.opt.Throttle.Ended(e.Incarnation())
+			s.opt.Throttle.Ended(e.Incarnation(), false)
 		}
 		s.opt.Throttle.Refund(ticket)
 		s.opt.Quarantine.ReturnProbe(q.probe)
 		return false, refusal
 	}
-	q.limitTicket, q.counted = ticket, d.Counted
+	q.limitTicket, q.counted, q.answered = ticket, d.Counted, false
 	s.leaveQueue(t, true)
 	return true, nil
 }
--- a/transport/edge/server.go
+++ b/transport/edge/server.go
@@ -164,6 +164,7 @@
 	ticket          quotas.Ticket         // what the request took of its workspace's quota
 	limitTicket     quotas.Ticket         // what this attempt took of its endpoint's rate limit
 	counted         bool                  // the throttle counts this attempt until it ends
+	answered        bool                  // the endpoint has not rejected this attempt
 	rank            int                   // priority; 0 is served first
 	active          int64                 // requests in progress on arrival, including this one
 	arrived         time.Time
