quota: what was drawn for waiting requests goes to them first

Callers whose requests waited for a grant could be refused because a request that came after them took it.

Cause: after a draw, waiters took their units when their goroutines ran; a request that arrived at that moment could be first.

Evidence: TestGrantGoesToThoseThatWaitForIt forces that order: without the change the request that has not waited is admitted and those that waited are not.

Change: a flight knows its waiters, and its grant is given to them, the most urgent first, under the lock under which it arrives.

--- a/driver/quotas/sharer.go
+++ b/driver/quotas/sharer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -40,13 +41,22 @@
 // wait for the next flight of the subject.
 type flight struct {
 	need       float64
-	waiting    int
+	waiters    []*waiter
 	mostUrgent claim // by claim.before
 	sent       bool  // the draw has been sent; no more requests may join
 	done       chan struct{}
 	next       *flight
 }
 
+// waiter is a request that waits for a flight. What the flight brings is given to its waiters in the
+// order of claim.before before any other request can take it.
+type waiter struct {
+	claim   claim
+	settled bool
+	verdict quota.Verdict // once settled
+	left    bool          // its caller has gone
+}
+
 // claim asks for units of a subject's rate on behalf of one request.
 type claim struct {
 	subject string
@@ -127,14 +137,17 @@
 func (s *sharer) takeOrDraw(ctx context.Context, c claim) bool {
 	verdict := s.client.Take(s.opt.Clock(), c.subject, c.cost, c.late)
 	if verdict == quota.AskOwner {
-		f := s.joinFlight(c)
+		f, w := s.joinFlight(c)
 		s.mu.Unlock()
 		select {
 		case <-f.done:
 		case <-ctx.Done():
 		}
 		s.mu.Lock()
-		verdict = s.client.Take(s.opt.Clock(), c.subject, c.cost, c.late)
+		w.left = true
+		if verdict = w.verdict; !w.settled {
+			verdict = s.client.Take(s.opt.Clock(), c.subject, c.cost, c.late)
+		}
 	}
 	return verdict == quota.Admit
 }
@@ -188,7 +201,7 @@
 
 // joinFlight adds a claim to the next draw for its subject, and starts that draw if none is under
 // way. The caller holds the mutex.
-func (s *sharer) joinFlight(c claim) *flight {
+func (s *sharer) joinFlight(c claim) (*flight, *waiter) {
 	f := s.flights[c.subject]
 	switch {
 	case f == nil:
@@ -201,12 +214,33 @@
 		}
 		f = f.next
 	}
-	if f.waiting == 0 || c.before(f.mostUrgent) {
+	if len(f.waiters) == 0 || c.before(f.mostUrgent) {
 		f.mostUrgent = c
 	}
 	f.need += c.cost
-	f.waiting++
-	return f
+	w := &waiter{claim: c}
+	f.waiters = append(f.waiters, w)
+	return f, w
+}
+
+// settle decides on the requests that wait for a flight, once its grant has come. The caller holds the
+// mutex.
+func (s *sharer) settle(f *flight) {
+	slices.SortStableFunc(f.waiters, func(a, b *waiter) int {
+		switch {
+		case a.claim.before(b.claim):
+			return -1
+		case b.claim.before(a.claim):
+			return 1
+		}
+		return 0
+	})
+	now := s.opt.Clock()
+	for _, w := range f.waiters {
+		if !w.left {
+			w.settled, w.verdict = true, s.client.Take(now, w.claim.subject, w.claim.cost, w.claim.late)
+		}
+	}
 }
 
 // runFlights draws for the requests of a flight, and for those that arrive meanwhile, until none
@@ -234,20 +268,20 @@
 	for _, m := range s.roster.drawTargets(key) {
 		d := s.beginDraw(c, m.ID, f)
 		if m.ID == s.opt.Self {
-			s.receiveGrant(c.subject, m.ID, s.ownerDraw(d, s.roster.ownerShare()))
+			s.receiveGrant(c.subject, m.ID, s.ownerDraw(d, s.roster.ownerShare()), f)
 			return
 		}
 		s.metrics.draws.Inc(1)
 		g, owner, err := s.draw(m, d, c.version, drawTimeout, false)
 		if err == nil {
 			s.roster.notePeerContact()
-			s.receiveGrant(c.subject, owner, g)
+			s.receiveGrant(c.subject, owner, g, f)
 			return
 		}
 		s.drawFailed(c.subject, m, err)
 	}
 	d := s.beginDraw(c, s.opt.Self, f)
-	s.receiveGrant(c.subject, s.opt.Self, s.isolatedGrant(s.opt.Clock(), d))
+	s.receiveGrant(c.subject, s.opt.Self, s.isolatedGrant(s.opt.Clock(), d), f)
 }
 
 // stopWaiting notifies the owner that a queued claim does not wait any more, so that the owner does
@@ -275,15 +309,17 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	f.sent = true
-	d := s.client.BeginDraw(s.opt.Clock(), c.subject, owner, c.limits, f.need, f.waiting)
+	d := s.client.BeginDraw(s.opt.Clock(), c.subject, owner, c.limits, f.need, len(f.waiters))
 	d.Rank, d.TimeLeft, d.Queued = f.mostUrgent.rank, f.mostUrgent.timeLeft, f.mostUrgent.queued
 	return d
 }
 
-func (s *sharer) receiveGrant(subject, owner string, g quota.Grant) {
+// receiveGrant applies the grant of a flight, and gives it to those that wait for it.
+func (s *sharer) receiveGrant(subject, owner string, g quota.Grant, f *flight) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.client.ReceiveGrant(s.opt.Clock(), subject, owner, g)
+	s.settle(f)
 }
 
 func (s *sharer) drawFailed(subject string, m membership.Member, err error) {
