doorvalvectl paths: which endpoints each daemon has lost its path to

The state dump of a daemon names the addresses that it has lost, how its own path fails, since when, and whether another daemon reaches them. The e2e test of a partitioned daemon reads it.

--- a/cmd/doorvalvectl/main.go
+++ b/cmd/doorvalvectl/main.go
@@ -31,6 +31,7 @@
 	Dump    dumpCmd    `cmd:"" help:"Print the state of one or all daemons."`
 
 	Limits     limitsCmd     `cmd:"" help:"Show endpoints that ask for fewer requests in their answers."`
+	Paths      pathsCmd      `cmd:"" help:"Show which endpoints the daemons reach over their own path."`
 	Workspaces workspacesCmd `cmd:"" help:"Show workspaces, what they use of their quota and what is refused."`
 
 	Explain  explainCmd  `cmd:"" help:"Print what the daemons' logs tell of one request."`
--- a/coordination/reach/reach.go
+++ b/coordination/reach/reach.go
@@ -388,6 +388,24 @@
 	return s
 }
 
+// LostPath describes an address to which the own path is lost.
+type LostPath struct {
+	Address string `json:"address"`
+	Failure string `json:"failure"` // how the own path fails
+	SinceMs int64  `json:"since_ms"`
+	Relayed bool   `json:"relayed"` // another daemon reaches the address
+}
+
+// LostPaths returns the lost paths, sorted by address.
+func (t *Table) LostPaths(now time.Time) []LostPath {
+	list := make([]LostPath, 0, len(t.lost))
+	for a, l := range t.lost {
+		list = append(list, LostPath{a, l.failure.String(), now.Sub(l.since).Milliseconds(), !l.relayed.IsZero()})
+	}
+	slices.SortFunc(list, func(a, b LostPath) int { return cmp.Compare(a.Address, b.Address) })
+	return list
+}
+
 // Partitioned reports whether this daemon has lost its path to more than half of the given addresses
 // while another daemon reaches at least one of them. Endpoints that are down for all don't make a
 // daemon partitioned.
--- a/daemon/dump.go
+++ b/daemon/dump.go
@@ -7,6 +7,7 @@
 
 	"github.com/doorvalve/doorvalve/coordination/drain"
 	"github.com/doorvalve/doorvalve/coordination/membership"
+	"github.com/doorvalve/doorvalve/coordination/reach"
 	"github.com/doorvalve/doorvalve/driver/gate"
 	"github.com/doorvalve/doorvalve/driver/placer"
 	"github.com/doorvalve/doorvalve/driver/quotas"
@@ -32,6 +33,14 @@
 	ClaimKeys     map[uint32]int      `json:"claim_keys"`
 	Workspaces    []quotas.View       `json:"workspaces"`
 	Limits        []quotas.LimitView  `json:"endpoint_limits"` // rate limits that endpoints report now
+	Paths         Paths               `json:"paths"`
+}
+
+// Paths says which endpoints the daemon reaches over its own path.
+type Paths struct {
+	Listed   int              `json:"endpoints"`
+	Lost     []reach.LostPath `json:"lost"`
+	Relaying int              `json:"relaying"` // connections relayed for other daemons
 }
 
 // ControlBytes counts the bytes of control traffic since the start, by the role of
@@ -50,6 +59,8 @@
 		PlatformCalls: d.platform.Calls(), PeerMessages: d.gossip.Messages(), Members: d.gossip.Members(), ClaimKeys: d.claimer.Sizes(), Workspaces: d.quotas.View(), Limits: d.quotas.Endpoints().Views(),
 		Bytes: ControlBytes{Platform: d.platform.Bytes(), Peers: d.peers.Meter().Counts(), Endpoints: d.engines.Bytes()},
 	}
+	out.Paths.Listed, out.Paths.Lost = d.paths.View()
+	out.Paths.Relaying = d.tunnels.Active()
 	if s := d.rollout.Current(); s != nil {
 		out.Generation, out.Digest = s.Generation, s.Digest
 	}
--- a/driver/paths/paths.go
+++ b/driver/paths/paths.go
@@ -169,6 +169,14 @@
 	return c.table.IsPartitioned(id)
 }
 
+// View returns the number of listed addresses, and those to which the own path is lost.
+func (c *Controller) View() (listed int, lost []reach.LostPath) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	listed, _ = c.table.Counts()
+	return listed, c.table.LostPaths(c.opt.Clock())
+}
+
 // updateLost updates what requests read. The caller holds the mutex.
 func (c *Controller) updateLost() {
 	_, lost := c.table.Counts()
--- a/e2e/partition_test.go
+++ b/e2e/partition_test.go
@@ -95,6 +95,9 @@
 			if served < attempts*98/100 {
 				t.Errorf("%d of %d requests were served", served, attempts)
 			}
+			if d, err := p.dump(); err != nil || len(d.Paths.Lost) == 0 || d.Paths.Lost[0].Failure == "" {
+				t.Errorf("the dump names the lost paths %+v, error %v", d.Paths, err)
+			}
 			if _, r := p.complete("m1", "a model that is not loaded", 4); !r.ok() {
 				t.Errorf("model that is not loaded: status %d, refusal %v", r.status, r.refusal)
 			}
