quarantine: the check of an endpoint tries the own path, also where it is known to be lost

Requests that crash endpoints could have gone on to others: where another request had found the endpoint gone a moment before, the check of its broken connections asked relays only, and what they do not reach does not count as a crash.

Evidence: TestFailureIsThePathsOrTheEndpoints with a second connection: "no path" in place of "refused" for an endpoint that is down, in three cases.

Change: paths.Dial, which only this check uses, always tries the own path first.

--- a/driver/paths/paths.go
+++ b/driver/paths/paths.go
@@ -183,16 +183,13 @@
 	c.anyLost.Store(lost > 0)
 }
 
-// Dial opens a connection to an endpoint, relayed if the own path is lost. A refused connection is
-// reported as such only if the endpoint, not the path, has refused it.
+// Dial opens a connection to find out whether an endpoint is up: over the own path, also if that is
+// known to be lost, and then through a relay. A refused connection is reported as such only if the
+// endpoint, not the path, has refused it.
 func (c *Controller) Dial(ctx context.Context, network, address string) (net.Conn, error) {
-	var own error
-	if c.Path(address) == reach.Direct {
-		conn, err := c.DialDirect(ctx, network, address)
-		if err == nil || ctx.Err() != nil {
-			return conn, err
-		}
-		own = err
+	conn, own := c.DialDirect(ctx, network, address)
+	if own == nil || ctx.Err() != nil {
+		return conn, own
 	}
 	conn, err := c.dialRelayed(ctx, network, address)
 	if err != nil {
--- a/driver/paths/paths_test.go
+++ b/driver/paths/paths_test.go
@@ -97,19 +97,21 @@
 		t.Run(c.name, func(t *testing.T) {
 			f := newFleet(t, c.daemons, c.endpoints)
 			c.fault(f)
-			conn, err := f.daemons[0].Dial(t.Context(), "tcp", f.address(0))
-			got := unanswered
-			switch {
-			case err == nil:
-				got = opened
-				_ = conn.Close()
-			case dial.IsRefused(err):
-				got = refusedByEndpoint
-			case errors.Is(err, ErrNoPath):
-				got = noPath
-			}
-			if got != c.want || err != nil && !dial.IsDialError(err) {
-				t.Errorf("outcome %d, want %d; error %v", got, c.want, err)
+			for n := range 2 { // the second time, the first failure is known
+				conn, err := f.daemons[0].Dial(t.Context(), "tcp", f.address(0))
+				got := unanswered
+				switch {
+				case err == nil:
+					got = opened
+					_ = conn.Close()
+				case dial.IsRefused(err):
+					got = refusedByEndpoint
+				case errors.Is(err, ErrNoPath):
+					got = noPath
+				}
+				if got != c.want || err != nil && !dial.IsDialError(err) {
+					t.Errorf("attempt %d: outcome %d, want %d; error %v", n, got, c.want, err)
+				}
 			}
 		})
 	}
