--- a/coordination/reach/reach.go
+++ b/coordination/reach/reach.go
@@ -1,7 +1,6 @@
 // Package reach decides how a daemon reaches the addresses of endpoints: over its own path, or relayed
 // by another daemon. What is known of the own path to an address is kept apart from whether the
-// endpoint there is up: the path is lost only if another daemon reaches the address or if no address
-// is reached at all.
+// endpoint there is up: only that another daemon reaches the address shows that the path is at fault.
 //
 // Table is a state machine without I/O: callers pass events and the time.
 package reach
--- /dev/null
+++ b/driver/paths/checks.go
@@ -0,0 +1,72 @@
+package paths
+
+import "context"
+
+// explain returns the error of a connection that neither the own path nor a relay has opened. own is
+// the error of the own path; nil if it was not tried.
+func (c *Controller) explain(ctx context.Context, network, address string, own error) error {
+	if own == nil || !c.reachesAnother(ctx, address) {
+		return noPath(network)
+	}
+	return own
+}
+
+// reachesAnother reports whether the own path reaches an endpoint at another address, or no other
+// endpoint is listed. Only then does a failure at the address show something about the endpoint there.
+func (c *Controller) reachesAnother(ctx context.Context, address string) bool {
+	now := c.opt.Clock()
+	c.mu.Lock()
+	listed, _ := c.table.Counts()
+	other, ok := c.table.Sound(address)
+	known, credible := now.Sub(c.credibleAt) < credibleFor, c.credible
+	c.mu.Unlock()
+	switch {
+	case listed <= 1:
+		return true
+	case !ok:
+		return false
+	case known:
+		return credible
+	}
+	conn, err := c.DialDirect(ctx, "tcp", other)
+	if err == nil {
+		_ = conn.Close()
+	}
+	c.mu.Lock()
+	c.credible, c.credibleAt = err == nil, now
+	c.mu.Unlock()
+	return err == nil
+}
+
+// Suspect checks the own path to an address in the background, because a connection there is silent.
+func (c *Controller) Suspect(address string) {
+	c.mu.Lock()
+	start := c.table.StartCheck(c.opt.Clock(), address)
+	c.mu.Unlock()
+	if start {
+		go c.check(context.Background(), address)
+	}
+}
+
+// check opens a connection over the own path, and if that fails through a relay, to find out whether
+// the path is lost or the endpoint does not answer.
+func (c *Controller) check(ctx context.Context, address string) {
+	conn, err := c.DialDirect(ctx, "tcp", address)
+	if err != nil {
+		conn, err = c.dialRelayed(ctx, "tcp", address)
+	}
+	if err == nil {
+		_ = conn.Close()
+	}
+}
+
+// checkOthers checks paths that count as sound.
+func (c *Controller) checkOthers() {
+	now := c.opt.Clock()
+	c.mu.Lock()
+	list := c.table.StartChecks(now, maxChecks)
+	c.mu.Unlock()
+	for _, address := range list {
+		go c.check(context.Background(), address)
+	}
+}
