quarantine: all daemons are asked before an endpoint counts as crashed

An endpoint was cut off from three of four daemons, one after the other; the fourth had its path back since 46 ms, and was not asked, because it had had none a second before.

Change: the check of an endpoint also asks daemons that have not reached it just before. TestAllDaemonsAreAskedBeforeAnEndpointCountsAsDown: "connection refused" before, a connection through the fourth daemon now.

--- a/coordination/reach/reach.go
+++ b/coordination/reach/reach.go
@@ -275,8 +275,9 @@
 
 // Choose returns the daemon to ask for a relay to an address, among those that were not asked before
 // for the same connection; ok is false if there is none. It prefers the own failure domain and
-// spreads connections by the capacity of the relays.
-func (t *Table) Choose(now time.Time, address string, members []Relay, asked []string) (relay Relay, ok bool) {
+// spreads connections by the capacity of the relays. again includes daemons that have not reached the
+// address just before.
+func (t *Table) Choose(now time.Time, address string, members []Relay, asked []string, again bool) (relay Relay, ok bool) {
 	l := t.lost[address]
 	best := 0.0
 	for _, m := range members {
@@ -286,7 +287,7 @@
 			continue
 		case p != nil && (p.partitioned || now.Before(p.notBefore)):
 			continue
-		case l != nil && now.Before(l.unreached[m.ID]):
+		case l != nil && !again && now.Before(l.unreached[m.ID]):
 			continue
 		}
 		cost := t.rng.Float64() // spreads the choices of daemons with equal state
--- a/driver/paths/paths.go
+++ b/driver/paths/paths.go
@@ -190,7 +190,7 @@
 	if own == nil || ctx.Err() != nil {
 		return conn, own
 	}
-	conn, err := c.dialRelayed(ctx, network, address)
+	conn, err := c.searchRelay(ctx, network, address, true)
 	if err != nil {
 		return nil, c.explain(ctx, network, address, own)
 	}
--- a/driver/paths/paths_test.go
+++ b/driver/paths/paths_test.go
@@ -244,3 +244,18 @@
 	}
 	other.ReceiveFact(membership.Entry{Key: FactPrefix + "d0", Value: []byte("{")}) // logged, changes nothing
 }
+
+// Guards against an endpoint that counts as crashed because the one daemon that reaches it again was not
+// asked.
+func TestAllDaemonsAreAskedBeforeAnEndpointCountsAsDown(t *testing.T) {
+	f := newFleet(t, 3, 2)
+	f.cut(link.Refused, []int{0, 1}, []int{0})
+	c := f.daemons[0]
+	c.observeFailed(f.address(0), reach.Refused)
+	c.observeRelay(f.address(0), "d2", reach.Unreached) // d2 had no path just before
+	conn, err := c.Dial(t.Context(), "tcp", f.address(0))
+	if err != nil {
+		t.Fatalf("error %v, want a connection through d2", err)
+	}
+	_ = conn.Close()
+}
--- a/driver/paths/relayed.go
+++ b/driver/paths/relayed.go
@@ -36,10 +36,16 @@
 
 // dialRelayed opens a connection through another daemon. It asks several in turn.
 func (c *Controller) dialRelayed(ctx context.Context, network, address string) (net.Conn, error) {
+	return c.searchRelay(ctx, network, address, false)
+}
+
+// searchRelay is dialRelayed; again says that daemons are asked, too, that have not reached the address
+// just before.
+func (c *Controller) searchRelay(ctx context.Context, network, address string, again bool) (net.Conn, error) {
 	var asked []string
 	limits := c.relayLimits(address)
 	for len(asked) < limits.asked && ctx.Err() == nil {
-		relay, ok := c.choose(address, asked)
+		relay, ok := c.choose(address, asked, again)
 		if !ok {
 			break
 		}
@@ -57,7 +63,7 @@
 	return nil, noPath(network)
 }
 
-func (c *Controller) choose(address string, asked []string) (reach.Relay, bool) {
+func (c *Controller) choose(address string, asked []string, again bool) (reach.Relay, bool) {
 	var relays []reach.Relay
 	for _, m := range c.opt.Members() {
 		if m.ID != c.opt.Self {
@@ -66,7 +72,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.table.Choose(c.opt.Clock(), address, relays, asked)
+	return c.table.Choose(c.opt.Clock(), address, relays, asked, again)
 }
 
 func relayOf(m membership.Member) reach.Relay {
