paths, daemon: one piece of code where two did the same

No change of behaviour; no test's assertions or bounds are touched.

- reach: Partitioned and PartitionedFromAll share one count of lost paths.
- paths: the summary of lost paths is made only for a line, not at each step.
- backpressure: a daemon's part of a rejection limit is computed in one place.
- peers: calls and tunnels add the shared secret by the same function.
- membership.Eligible replaces the loop of edgedaemon and its twin in daemon.
- daemon: endpointState and endpointSlots look an endpoint up by one function.
- daemon, edgedaemon: NewWithDial in place of two copies of a list of options.

--- a/coordination/backpressure/rejections.go
+++ b/coordination/backpressure/rejections.go
@@ -70,14 +70,18 @@
 	if !e.rejections.known(now) {
 		return false
 	}
-	share := rejectionShare * float64(e.rejections.perSecond) / float64(t.daemons.Load())
-	d := min(maxRejectionPause, max(minRejectionPause, time.Duration(float64(time.Second)/share)))
+	d := min(maxRejectionPause, max(minRejectionPause, time.Duration(float64(time.Second)/t.rejectionRate(e))))
 	begins := !now.Before(e.pauseUntil)
 	e.pauseUntil = later(e.pauseUntil, now.Add(d))
 	e.resuming, e.probedAt = true, time.Time{}
 	return begins
 }
 
+// rejectionRate returns how many requests a second an endpoint may reject of this daemon.
+func (t *Tracker) rejectionRate(e *entry) float64 {
+	return rejectionShare * float64(e.rejections.perSecond) / float64(t.daemons.Load())
+}
+
 // mostRunning returns how many requests this daemon may have at an endpoint that reports a rejection
 // limit: its part of the slots, at least one.
 func (t *Tracker) mostRunning(e *entry) int {
@@ -87,7 +91,7 @@
 // mostUnanswered returns how many requests of this daemon an endpoint may reject at once: its part of
 // the limit, at least one.
 func (t *Tracker) mostUnanswered(e *entry) int {
-	return max(1, int(rejectionShare*float64(e.rejections.perSecond)/float64(t.daemons.Load())))
+	return max(1, int(t.rejectionRate(e)))
 }
 
 // full reports whether this daemon has as many requests at an endpoint as it may.
--- a/coordination/membership/rank.go
+++ b/coordination/membership/rank.go
@@ -29,6 +29,11 @@
 	return rank(key, members, largeShare*float64(largest))
 }
 
+// Eligible returns the members that are alive and not leaving, in a list of its own.
+func Eligible(members []Member) []Member {
+	return slices.DeleteFunc(slices.Clone(members), func(m Member) bool { return !eligible(m) })
+}
+
 func eligible(m Member) bool { return !m.Leaving && m.Status == Alive }
 
 // ranked is a member with its sort keys.
--- a/coordination/reach/reach.go
+++ b/coordination/reach/reach.go
@@ -7,6 +7,8 @@
 
 import (
 	"cmp"
+	"iter"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -410,24 +412,24 @@
 // while another daemon reaches at least one of them. Endpoints that are down for all don't make a
 // daemon partitioned.
 func (t *Table) Partitioned(addresses []string) bool {
-	n, relayed := 0, false
-	for _, a := range addresses {
-		if l := t.lost[a]; l != nil {
-			n++
-			relayed = relayed || !l.relayed.IsZero()
-		}
-	}
-	return relayed && 2*n > len(addresses)
+	return t.partitioned(slices.Values(addresses), len(addresses))
 }
 
 // PartitionedFromAll is Partitioned for all listed addresses.
 func (t *Table) PartitionedFromAll() bool {
-	n, relayed := 0, false
-	for _, l := range t.lost {
-		n++
-		relayed = relayed || !l.relayed.IsZero()
+	return t.partitioned(maps.Keys(t.lost), len(t.addresses))
+}
+
+// partitioned is Partitioned for n addresses, among them all given ones; the others are not lost.
+func (t *Table) partitioned(addresses iter.Seq[string], n int) bool {
+	lost, relayed := 0, false
+	for a := range addresses {
+		if l := t.lost[a]; l != nil {
+			lost++
+			relayed = relayed || !l.relayed.IsZero()
+		}
 	}
-	return relayed && 2*n > len(t.addresses)
+	return relayed && 2*lost > n
 }
 
 // Counts returns the number of listed addresses, and of those to which the own path is lost.
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -9,7 +9,6 @@
 	"errors"
 	"net"
 	"net/http"
-	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -101,8 +100,12 @@
 
 // New returns a daemon with its listeners open, so that its addresses are
 // known before Run is called.
-func New(set settings.Settings, log *decisions.Log, list ...Option) (*Daemon, error) {
-	opt := optionsOf(list)
+func New(set settings.Settings, log *decisions.Log) (*Daemon, error) {
+	return NewWithDial(set, log, (&net.Dialer{}).DialContext)
+}
+
+// NewWithDial is New for a daemon that opens its connections to endpoints with open.
+func NewWithDial(set settings.Settings, log *decisions.Log, open dial.Func) (*Daemon, error) {
 	d := &Daemon{
 		set: set, self: set.Host + "-" + nonce(), started: time.Now(), drain: drain.New(),
 		backpressure: backpressure.New(backpressure.Options{Seed: uint64(time.Now().UnixNano())}),
@@ -126,7 +129,7 @@
 	d.platform = platform.New(platform.Options{URL: set.Platform.URL, Timeout: set.Platform.Timeout.D(), Generations: d.generations})
 	d.peers = peers.NewClient(set.Peers.Token)
 	d.paths = paths.New(paths.Options{
-		Self: d.self, FailureDomain: set.FailureDomain, Members: d.alive, Dial: opt.dial,
+		Self: d.self, FailureDomain: set.FailureDomain, Members: d.alive, Dial: open,
 		Tunnel:  &tunnel.Dialer{Open: d.peers.Meter().Dial(dial.TCP), Authenticate: peers.Authenticate(set.Peers.Token), Self: d.self},
 		Publish: func(e membership.Entry) { d.gossip.Set(e) }, Seed: uint64(time.Now().UnixNano()), Log: d.log.Component("paths"), Metrics: d.metrics,
 	})
@@ -272,7 +275,7 @@
 
 // alive returns the members that are alive and not leaving, this daemon among them.
 func (d *Daemon) alive() []membership.Member {
-	return slices.DeleteFunc(slices.Clone(d.gossip.Members()), func(m membership.Member) bool { return m.Status != membership.Alive || m.Leaving })
+	return membership.Eligible(d.gossip.Members())
 }
 
 // gateFor returns the unit's gate from old, or else a new one.
@@ -376,18 +379,23 @@
 
 // endpointSlots returns how many requests an endpoint works on at once; zero if it is not declared.
 func (d *Daemon) endpointSlots(incarnation fleet.Incarnation) int {
-	s := d.rollout.Current()
-	if s == nil {
-		return 0
+	if s := d.rollout.Current(); s != nil {
+		e, _ := declared(s.Bundle, incarnation.ID)
+		return e.Slots
 	}
-	for _, svc := range s.Bundle.Services {
+	return 0
+}
+
+// declared returns the endpoint with a name in a bundle.
+func declared(b *bundle.Bundle, name string) (e bundle.Endpoint, ok bool) {
+	for _, svc := range b.Services {
 		for _, e := range svc.Endpoints {
-			if e.Name == incarnation.ID {
-				return e.Slots
+			if e.Name == name {
+				return e, true
 			}
 		}
 	}
-	return 0
+	return bundle.Endpoint{}, false
 }
 
 // endpointListed reports whether an endpoint is declared in the configuration.
@@ -404,12 +412,8 @@
 	if s == nil {
 		return true, false // no configuration yet that could lack it
 	}
-	for _, svc := range s.Bundle.Services {
-		for _, e := range svc.Endpoints {
-			if e.Name == incarnation.ID {
-				return true, e.Drain
-			}
-		}
+	if e, ok := declared(s.Bundle, incarnation.ID); ok {
+		return true, e.Drain
 	}
 	return false, true // removed from the configuration
 }
--- a/daemon/edgedaemon/daemon.go
+++ b/daemon/edgedaemon/daemon.go
@@ -140,8 +140,12 @@
 type listeners struct{ callers, directory, readiness, peers, metrics net.Listener }
 
 // New returns a daemon with its listeners open. Run serves them.
-func New(set settings.Edge, log *decisions.Log, list ...Option) (*Daemon, error) {
-	opt := optionsOf(list)
+func New(set settings.Edge, log *decisions.Log) (*Daemon, error) {
+	return NewWithDial(set, log, dial.TCP)
+}
+
+// NewWithDial is New for a daemon that opens its connections to endpoints with open.
+func NewWithDial(set settings.Edge, log *decisions.Log, open dial.Func) (*Daemon, error) {
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(float64(set.Limits.MemoryMB<<20) * memoryShare))
 	tracker := backpressure.New(backpressure.Options{LeaveWithin: set.Timing.LeaveWithin.D(), Seed: uint64(time.Now().UnixNano())})
@@ -164,14 +168,14 @@
 	d.generations = generations.New(log, d.metrics)
 	d.store = platform.NewStore(set.Store.Address, set.Store.Timeout.D(), d.generations, d.metrics)
 	d.paths = paths.New(paths.Options{
-		Self: d.self, FailureDomain: set.FailureDomain, Members: d.alive, Dial: opt.dial, Tunnel: &tunnel.Dialer{Open: dial.TCP, Self: d.self},
+		Self: d.self, FailureDomain: set.FailureDomain, Members: d.alive, Dial: open, Tunnel: &tunnel.Dialer{Open: dial.TCP, Self: d.self},
 		Publish: func(e membership.Entry) { d.gossip.Set(e) }, Seed: uint64(time.Now().UnixNano()), Log: log, Metrics: d.metrics,
 	})
 	d.balancer.UsePaths(func(address string) bool { return d.paths.Path(address) != reach.None })
 	d.tunnels = tunnel.NewHandler(tunnel.Options{
 		Listed: d.paths.Listed, Dial: d.paths.DialOwn, Limit: int64(float64(set.Limits.Descriptors) * tunnelsPerDescriptor), Draining: d.draining, Log: log, Metrics: d.metrics,
 	})
-	d.engines = platform.NewEngineClient(engineTimeout, d.paths.Transport(platform.EngineTransport(opt.dial)), d.paths.DialDirect, d.observeEngineAnswer)
+	d.engines = platform.NewEngineClient(engineTimeout, d.paths.Transport(platform.EngineTransport(open)), d.paths.DialDirect, d.observeEngineAnswer)
 	d.view = storeview.New(storeview.Options{
 		Store: d.store, Decode: platform.DecodeDesiredState, Log: log, Self: d.self, Peer: d.anyPeer, Upstreams: d.upstreams,
 		PropagationBound: min(set.Timing.LeaveWithin.D(), set.Timing.ApplyWithin.D()), Heartbeat: set.Timing.EndpointHeartbeat.D(), Generations: d.generations, Metrics: d.metrics,
--- a/daemon/edgedaemon/peers.go
+++ b/daemon/edgedaemon/peers.go
@@ -87,13 +87,7 @@
 // alive returns the members that are alive and not leaving, including this
 // daemon.
 func (d *Daemon) alive() []membership.Member {
-	var list []membership.Member
-	for _, m := range d.gossip.Members() {
-		if m.Status == membership.Alive && !m.Leaving {
-			list = append(list, m)
-		}
-	}
-	return list
+	return membership.Eligible(d.gossip.Members())
 }
 
 // publishHolder publishes that this daemon coordinates a service, if held is
--- a/driver/paths/run.go
+++ b/driver/paths/run.go
@@ -90,10 +90,11 @@
 	listed, lost := c.table.Counts()
 	before := c.logged
 	changed := lost != before.lost && (before.lost == 0 || lost == 0 || now.Sub(before.at) >= minLogInterval)
+	summary := reach.Summary{}
 	if changed {
 		c.logged = report{lost, now}
+		summary = c.table.Summary(now, maxLogged)
 	}
-	summary := c.table.Summary(now, maxLogged)
 	c.mu.Unlock()
 	switch {
 	case !changed:
--- a/e2e/partition_test.go
+++ b/e2e/partition_test.go
@@ -24,7 +24,7 @@
 		w.t.Fatal(err)
 	}
 	p.log, p.exited = &syncbuf.Buffer{}, make(chan struct{})
-	d, err := daemon.New(set, decisions.New(p.log, "doorvalved", hclog.Info), daemon.WithDial(network.Dial(name)))
+	d, err := daemon.NewWithDial(set, decisions.New(p.log, "doorvalved", hclog.Info), network.Dial(name))
 	if err != nil {
 		w.t.Fatal(err)
 	}
--- a/transport/peers/peers.go
+++ b/transport/peers/peers.go
@@ -33,14 +33,14 @@
 
 // withToken is a transport that adds the shared secret to each request.
 type withToken struct {
-	token string
-	next  http.RoundTripper
+	authenticate func(http.Header)
+	next         http.RoundTripper
 }
 
 // RoundTrip implements http.RoundTripper.
 func (w withToken) RoundTrip(r *http.Request) (*http.Response, error) {
 	r = r.Clone(r.Context()) // a RoundTripper must not change the request
-	r.Header.Set(tokenHeader, w.token)
+	w.authenticate(r.Header)
 	return w.next.RoundTrip(r)
 }
 
@@ -77,7 +77,7 @@
 	t := silence.Transport{Transport: &http.Transport{DialContext: c.meter.Dial((&net.Dialer{Timeout: CallTimeout}).DialContext), MaxIdleConnsPerHost: 4, IdleConnTimeout: 30 * time.Second}}
 	c.http = &http.Client{Transport: t, Timeout: CallTimeout}
 	if token != "" {
-		c.http.Transport = withToken{token, t}
+		c.http.Transport = withToken{Authenticate(token), t}
 	}
 	c.peers = newClients(func(base string) peerpb.Peer { return peerpb.NewPeerProtobufClient(base, c.http) })
 	return c
