backpressure: the refusal of a draw closes no endpoint whose limit has ended meanwhile

Callers saw: an endpoint whose limit had ended stayed closed at single daemons for as long as the limit had said (up to four seconds at a limit of zero).

Cause: a draw that is under way when the limit ends is answered with a time to come back, and that time was noted after the end of the limit had cleared the earlier one.

--- a/coordination/backpressure/book.go
+++ b/coordination/backpressure/book.go
@@ -93,6 +93,7 @@
 	probedAt     time.Time
 	limitedUntil time.Time // the rate limit is used up until then
 	limit        limit.Report
+	limitEnded   bool      // a report has ended the limit
 	lastSignal   time.Time // time of the latest signal
 	rejections   rejectionLimit
 	queue        queue
@@ -155,7 +156,7 @@
 // reset clears the entry for another incarnation.
 func (e *entry) reset(inc fleet.Incarnation) {
 	e.incarnation, e.closesAt, e.pauseUntil, e.spread, e.resuming, e.probedAt = inc, time.Time{}, time.Time{}, 0, false, time.Time{}
-	e.limitedUntil, e.limit, e.rejections, e.queue = time.Time{}, limit.Report{}, rejectionLimit{}, queue{}
+	e.limitedUntil, e.limit, e.limitEnded, e.rejections, e.queue = time.Time{}, limit.Report{}, false, rejectionLimit{}, queue{}
 }
 
 // SetLeaving processes the report that an incarnation leaves, received from itself or from another
@@ -238,20 +239,23 @@
 		return
 	}
 	defer e.mu.Unlock()
-	e.limit = r
-	if !r.Limited {
+	e.limit, e.limitEnded = r, !r.Limited
+	if e.limitEnded {
 		e.limitedUntil = time.Time{}
 	}
 }
 
-// CloseFor closes an endpoint whose rate limit is used up for the given time.
+// CloseFor closes an endpoint whose rate limit is used up for the given time. A limit that has ended
+// meanwhile closes nothing.
 func (t *Tracker) CloseFor(now time.Time, inc fleet.Incarnation, d time.Duration) {
 	e := t.findOrAdd(now, inc)
 	if e == nil {
 		return
 	}
 	defer e.mu.Unlock()
-	e.limitedUntil = now.Add(d)
+	if !e.limitEnded {
+		e.limitedUntil = now.Add(d)
+	}
 }
 
 // Peek decides whether a request could go to an endpoint now, without admitting it.
--- a/coordination/backpressure/book_test.go
+++ b/coordination/backpressure/book_test.go
@@ -47,6 +47,23 @@
 	}
 }
 
+// Guards against an endpoint that stays closed after its limit has ended, because a draw from the limit
+// that was under way at the end was refused.
+func TestRefusalOfAnEndedLimitClosesNothing(t *testing.T) {
+	tr := newTracker()
+	tr.SetLimit(start, one, limit.Report{Rate: 0.25, Limited: true, Version: 1})
+	tr.SetLimit(at(time.Second), one, limit.Report{Version: 2})
+	tr.CloseFor(at(time.Second), one, 4*time.Second)
+	if got := tr.Peek(at(time.Second), one, Request{}); !got.Open {
+		t.Errorf("the limit has ended, and the endpoint is closed: %+v", got)
+	}
+	tr.SetLimit(at(2*time.Second), one, limit.Report{Rate: 0.25, Limited: true, Version: 3})
+	tr.CloseFor(at(2*time.Second), one, 4*time.Second)
+	if tr.Peek(at(2*time.Second), one, Request{}).Open {
+		t.Error("open without room in a new limit")
+	}
+}
+
 // Guards against many requests at once after a pause: one request at a time goes to the endpoint
 // until an answer to a request sent after the pause shows that it takes requests again.
 func TestAfterAPauseOneRequestTries(t *testing.T) {
