quotas: tests of limits close endpoints as the daemons do

Cause, by a trace of each host at the end of the four seconds: all daemons knew that the limit had ended, and four of seven skipped the endpoint for another 2.6 s. The skipping was the test's own: its hosts kept the time of the last refusal, which the daemons drop when a limit ends.

The hosts now use the daemons' own backpressure.Tracker, so that what is tested is what runs.

--- a/driver/quotas/fleet_test.go
+++ b/driver/quotas/fleet_test.go
@@ -13,6 +13,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/doorvalve/doorvalve/coordination/backpressure"
 	"github.com/doorvalve/doorvalve/coordination/limit"
 	"github.com/doorvalve/doorvalve/coordination/membership"
 	"github.com/doorvalve/doorvalve/coordination/quota"
@@ -20,6 +21,7 @@
 	"github.com/doorvalve/doorvalve/driver/generations"
 	"github.com/doorvalve/doorvalve/protocol/quotapb"
 	"github.com/doorvalve/doorvalve/standin/record"
+	"github.com/doorvalve/doorvalve/state/fleet"
 	"github.com/doorvalve/doorvalve/state/workspace"
 )
 
@@ -68,10 +70,10 @@
 	frozen           time.Time // until when the daemon is frozen
 	unreachableSince time.Time // since when other daemons do not reach this one; zero while they do
 	startedAt        time.Time // when this daemon started
-	// syncedAt is when the daemon had received the facts of the others, and noRoomUntil is until when
-	// it sends no requests to the endpoint, which has no room.
-	syncedAt    time.Time
-	noRoomUntil time.Time
+	// syncedAt is when the daemon had received the facts of the others, and signals are those by which
+	// it skips endpoints without room.
+	syncedAt time.Time
+	signals  *backpressure.Tracker
 }
 
 // deadAfter is how long other daemons list an unreachable daemon as alive, and joinFor is how long a
@@ -112,8 +114,10 @@
 	h.id = fmt.Sprintf("%s-%d", h.name, h.starts)
 	h.unreachableSince, h.startedAt = time.Time{}, time.Now()
 	h.mu.Unlock()
+	signals := backpressure.New(backpressure.Options{})
 	k := New(Options{
-		Self: h.id, Bounds: h.in.bounds, Members: h.members, Revision: func() uint64 { return uint64(time.Now().UnixNano() / int64(100*time.Millisecond)) },
+		OnLimitChange: func(i fleet.Incarnation, r limit.Report) { signals.SetLimit(time.Now(), i, r) },
+		Self:          h.id, Bounds: h.in.bounds, Members: h.members, Revision: func() uint64 { return uint64(time.Now().UnixNano() / int64(100*time.Millisecond)) },
 		Directory: h.in.workspaces, Publish: h.publishFact, Store: h.in.store, Generations: h.in.generations, Peer: func(address string) quotapb.Quotas { return link{h, address} }, Clock: time.Now, Log: h.in.log, Metrics: tally.NoopScope,
 	})
 	h.mu.Lock()
@@ -121,7 +125,7 @@
 		h.stop()
 	}
 	h.controller, h.stop = k, cancel
-	h.noRoomUntil = time.Time{}
+	h.signals = signals
 	h.mu.Unlock()
 	go func() { _ = k.Run(ctx) }()
 	go h.receiveFacts(k)
--- a/driver/quotas/target_test.go
+++ b/driver/quotas/target_test.go
@@ -65,12 +65,13 @@
 	return last
 }
 
-// serve offers a request for the endpoint to a host's daemon. Like the balancer, the daemon skips the
-// endpoint while that has no room.
+// serve offers a request for the endpoint to a host's daemon, which skips the endpoint while that has no
+// room.
 func (t *target) serve(h *host, rank int) {
 	k := h.current()
 	h.mu.Lock()
-	skip := h.syncedAt.Before(h.startedAt) || time.Now().Before(h.noRoomUntil)
+	signals := h.signals
+	skip := h.syncedAt.Before(h.startedAt) || signals.Peek(time.Now(), t.incarnation, backpressure.Request{}).Closed()
 	h.mu.Unlock()
 	if k == nil {
 		return
@@ -84,9 +85,7 @@
 	k.Endpoints().WaitSynced(context.Background())
 	_, ok, retryAfter := k.Endpoints().Admit(context.Background(), t.incarnation, backpressure.Request{Rank: rank})
 	if !ok {
-		h.mu.Lock()
-		h.noRoomUntil = time.Now().Add(retryAfter)
-		h.mu.Unlock()
+		signals.CloseFor(time.Now(), t.incarnation, retryAfter)
 		return
 	}
 	sent := time.Now()
