residency: a briefly silent engine causes no unload elsewhere

Cause, traced with the orders of a failing run: the copy of a model that nobody requests was ordered to the silent engine, which had room for it. The order was not sent in 300 ms, so the copy went to another engine, where an idle model was unloaded for it. In virtual time a second way: models whose only copy is at the silent engine count as missing, and are copied over idle models elsewhere.

Change: copies that nobody waits for unload nothing while any engine has room for them, whether or not it takes an order just now, and the copies of an engine that has been silent for less than two seconds count. Such an engine is probed every 250 ms for those two seconds; the growing delay between probes had it counted as down for up to a second after it was back.

--- a/coordination/residency/newengines_test.go
+++ b/coordination/residency/newengines_test.go
@@ -41,3 +41,37 @@
 	}
 	l.check(t)
 }
+
+// Guards against models that are unloaded because another engine says nothing for a second: their room
+// was taken for copies of models that nobody requests, and that the silent engine has room for, or has
+// a copy of.
+func TestSilentEngineTakesNoRoomElsewhere(t *testing.T) {
+	for _, missing := range []int{0, 1} {
+		t.Run(fmt.Sprint(missing, " models without a copy"), func(t *testing.T) {
+			w := newSimCluster(5, 2)
+			for i := range missing {
+				m := w.conf.Models["m00"]
+				m.Name = fmt.Sprintf("m%02d", 5+i)
+				w.conf.Models[m.Name] = m
+			}
+			unloads := 0
+			w.accepted = func(o Order) {
+				if o.Unload {
+					unloads++
+				}
+			}
+			w.run(settleTime - 100*time.Millisecond)
+			w.silent = "e1"
+			w.beforeStep = func(time.Duration) { w.p.observeUnreachable(w.now, incarnation("e1")) }
+			w.run(1200 * time.Millisecond)
+			w.silent, w.beforeStep = "", nil
+			w.run(10 * time.Second)
+			if unloads > 0 {
+				t.Errorf("%d models were unloaded", unloads)
+			}
+			if missing > 0 && w.holders("m05") != 1 {
+				t.Error("the model without a copy was not loaded afterwards")
+			}
+		})
+	}
+}
--- a/coordination/residency/outcome.go
+++ b/coordination/residency/outcome.go
@@ -82,6 +82,7 @@
 	case Refused, Unsent:
 		p.dropOrder(e)
 		e.down = true
+		e.noteSilence(now)
 		e.noOrderBefore = now.Add(unansweredRetryDelay)
 		e.probeAt = now
 	case Unanswered:
--- a/coordination/residency/planner.go
+++ b/coordination/residency/planner.go
@@ -55,6 +55,7 @@
 	synced        bool      // sequence and models are up to date
 	down          bool      // does not answer; gets no orders until it reports
 	missedReports int       // consecutive probes without a report
+	silentSince   time.Time // first sign that it does not answer; zero if it has reported since
 	reportedAt    time.Time // time of the last report
 	sequence      uint64
 	models        map[string]*replica
@@ -258,6 +259,7 @@
 		e.incarnation = r.Endpoint
 	}
 	e.probing, e.down, e.missedReports, e.reportedAt = false, false, 0, now
+	e.silentSince = time.Time{}
 	e.probeAt = time.Time{}
 	p.adopt(now, e, r)
 	if !e.synced || e.order != nil {
@@ -270,8 +272,9 @@
 	if e := p.engineOf(incarnation); e != nil {
 		e.probing = false
 		e.missedReports++
+		e.noteSilence(now)
 		e.down = e.down || e.missedReports >= maxMissedReports
-		e.probeAt = now.Add(min(maxProbeDelay, reportLag<<min(e.missedReports, maxProbeDoublings)))
+		e.probeAt = now.Add(e.probeDelay(now))
 	}
 }
 
@@ -289,6 +292,26 @@
 
 func (e *engineState) usable() bool { return !e.endpoint.Leaving && !e.down }
 
+// probeDelay returns the time until the next probe of an engine that did not answer the last one.
+func (e *engineState) probeDelay(now time.Time) time.Duration {
+	if e.brieflySilent(now) {
+		return reportLag
+	}
+	return min(maxProbeDelay, reportLag<<min(e.missedReports, maxProbeDoublings))
+}
+
+// noteSilence records a sign that the engine does not answer.
+func (e *engineState) noteSilence(now time.Time) {
+	if e.silentSince.IsZero() {
+		e.silentSince = now
+	}
+}
+
+// brieflySilent reports whether an engine has not answered for less than briefSilence.
+func (e *engineState) brieflySilent(now time.Time) bool {
+	return !e.silentSince.IsZero() && now.Sub(e.silentSince) < briefSilence && !e.endpoint.Leaving
+}
+
 // ReceiveDemand replaces the demand of a daemon by its new report.
 func (p *Planner) ReceiveDemand(now time.Time, daemon string, d Demand) {
 	d.Running, d.Work = p.ofCurrentIncarnations(d.Running), boundedWork(d.Work)
--- a/coordination/residency/planner_test.go
+++ b/coordination/residency/planner_test.go
@@ -40,6 +40,7 @@
 	beforeStep func(step time.Duration)
 	// noReport returns whether an engine fails to report; nil means that it always reports.
 	noReport func() bool
+	silent   string // id of an engine that answers nothing
 	orders   int
 	refused  int // orders that found an engine busy
 	// accepted is called for each order that an engine accepts if it is not nil.
@@ -124,7 +125,7 @@
 	}
 	r := w.p.Ready(w.now)
 	for _, incarnation := range r.Probes {
-		if e := w.engine(incarnation.ID); e != nil && (w.noReport == nil || !w.noReport()) {
+		if e := w.engine(incarnation.ID); e != nil && incarnation.ID != w.silent && (w.noReport == nil || !w.noReport()) {
 			w.p.ReceiveReport(w.now, e.report(w.now, w.reportLag))
 			continue
 		}
@@ -150,7 +151,7 @@
 	}
 	e := w.engine(o.Endpoint.ID)
 	switch {
-	case e == nil || fate == "unsent":
+	case e == nil || fate == "unsent" || o.Endpoint.ID == w.silent:
 		return Unsent
 	case fate == "lost":
 		return Unanswered
--- a/coordination/residency/ready.go
+++ b/coordination/residency/ready.go
@@ -251,12 +251,12 @@
 	return orders
 }
 
-// missingModels returns the models without a copy at any usable engine, the most valuable
-// first.
+// missingModels returns the models without a copy at any engine that is usable or briefly
+// silent, the most valuable first.
 func (p *Planner) missingModels(now time.Time) []string {
 	nearby := map[string]bool{}
 	for _, e := range p.sorted {
-		if e.usable() {
+		if e.expected(now) {
 			e.addCopies(nearby)
 		}
 	}
@@ -285,17 +285,24 @@
 	}
 }
 
+// expected reports whether an engine is usable, or silent so briefly that it may be sound.
+func (e *engineState) expected(now time.Time) bool {
+	return e.usable() || e.brieflySilent(now)
+}
+
 // leastUsedEngine returns the engine whose occupation by a load from the store costs least.
 // It has nothing scheduled, and the fewest models that are in use there or that only it has
-// a copy of.
+// a copy of. No model is unloaded for a copy that any engine has room for, though that engine
+// may take no orders just now.
 func (p *Planner) leastUsedEngine(d *draft, model string) *engineState {
+	anyRoom := slices.ContainsFunc(p.sorted, func(e *engineState) bool { return e.expected(d.now) && p.hasRoom(d, e, model) })
 	var best *engineState
 	bestOnly := 0
 	for _, e := range p.sorted {
 		if !p.free(d.now, e) || p.scheduled(e) {
 			continue
 		}
-		if r, ok := p.roomFor(d, e, model); !ok || r.wait > 0 {
+		if r, ok := p.roomFor(d, e, model); !ok || r.wait > 0 || r.unloads > 0 && anyRoom {
 			continue
 		}
 		if only := p.onlyCopies(e) + d.engines[e].inUse; best == nil || only < bestOnly {
--- a/coordination/residency/types.go
+++ b/coordination/residency/types.go
@@ -234,8 +234,11 @@
 	// maxMissedReports is the number of consecutive missing reports after which an engine
 	// counts as down.
 	maxMissedReports = 2
+	// briefSilence is how long an engine that does not answer is expected back: a sound one may say
+	// nothing for a second or so.
+	briefSilence = 2 * time.Second
 	// maxProbeDelay and maxProbeDoublings limit the growing delay between probes that are
-	// not answered.
+	// not answered after briefSilence.
 	maxProbeDelay     = 2 * time.Second
 	maxProbeDoublings = 3
 	// activeCost is the cost, for each model in use at an engine, of a load from the store
--- a/coordination/residency/victims.go
+++ b/coordination/residency/victims.go
@@ -8,9 +8,10 @@
 
 // room describes the unloads that make room for a model at an engine.
 type room struct {
-	wait  time.Duration // time until the last victim can be unloaded
-	drain time.Duration // time until the requests that run on victims have ended after that
-	cost  time.Duration // penalty for the loss of the victims
+	unloads int           // number of victims
+	wait    time.Duration // time until the last victim can be unloaded
+	drain   time.Duration // time until the requests that run on victims have ended after that
+	cost    time.Duration // penalty for the loss of the victims
 }
 
 // roomFor returns how to make room for a model in addition to the memory reserved for
@@ -24,6 +25,7 @@
 	}
 	for _, v := range p.victimsOf(d, e) {
 		need -= p.conf.Engine.Models[v.name].SizeMB
+		r.unloads++
 		r.cost += v.cost
 		r.wait = max(r.wait, v.wait)
 		r.drain += v.drain
