quarantine: a daemon that lost an endpoint earlier does not confirm its crash

Cause: other daemons were asked for a relayed connection. One that had lost its path to the endpoint before, for reasons of its own, answered so from memory, and that counted as "it refuses me, too". Any refused attempt of a request counted in the same way.

Change: the quarantine asks in a way of its own. Up to four daemons say what they see: reached, or refused and since when, if they reach another endpoint. A refused attempt has the endpoint checked again and decides nothing itself.

The case "endpoint down behind a lost path" of TestFailureIsThePathsOrTheEndpoints expected "not known", since nobody could tell; now the other daemons can, and it is expected to be found.

--- a/coordination/reach/reach.go
+++ b/coordination/reach/reach.go
@@ -275,11 +275,26 @@
 	return relaying
 }
 
+// Refused returns how long an address has refused the own connections; ok is false if it does not.
+func (t *Table) Refused(now time.Time, address string) (age time.Duration, ok bool) {
+	l := t.lost[address]
+	if l == nil || l.failure != Refused {
+		return 0, false
+	}
+	return now.Sub(l.since), true
+}
+
+// Witnesses returns up to n daemons, chosen at random, to ask whether they reach an endpoint.
+func (t *Table) Witnesses(members []Relay, n int) []Relay {
+	list := slices.DeleteFunc(slices.Clone(members), func(m Relay) bool { return t.IsPartitioned(m.ID) })
+	t.rng.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	return list[:min(n, len(list))]
+}
+
 // Choose returns the daemon to ask for a relay to an address, among those that were not asked before
 // for the same connection; ok is false if there is none. It prefers the own failure domain and
-// spreads connections by the capacity of the relays. again includes daemons that have not reached the
-// address just before.
-func (t *Table) Choose(now time.Time, address string, members []Relay, asked []string, again bool) (relay Relay, ok bool) {
+// spreads connections by the capacity of the relays.
+func (t *Table) Choose(now time.Time, address string, members []Relay, asked []string) (relay Relay, ok bool) {
 	l := t.lost[address]
 	best := 0.0
 	for _, m := range members {
@@ -289,7 +304,7 @@
 			continue
 		case p != nil && (p.partitioned || now.Before(p.notBefore)):
 			continue
-		case l != nil && !again && now.Before(l.unreached[m.ID]):
+		case l != nil && now.Before(l.unreached[m.ID]):
 			continue
 		}
 		cost := t.rng.Float64() // spreads the choices of daemons with equal state
--- a/coordination/reach/reach_test.go
+++ b/coordination/reach/reach_test.go
@@ -104,7 +104,7 @@
 	} {
 		table := newTable(2)
 		c.events(table)
-		if relay, _ := table.Choose(start, "a0", members, c.asked, false); relay.ID != c.want {
+		if relay, _ := table.Choose(start, "a0", members, c.asked); relay.ID != c.want {
 			t.Errorf("%s: %q chosen, want %q", c.name, relay.ID, c.want)
 		}
 	}
@@ -115,7 +115,7 @@
 	members := []Relay{{ID: "small", FailureDomain: "z1", Capacity: 200}, {ID: "large", FailureDomain: "z1", Capacity: 800}, {ID: "far", FailureDomain: "z2", Capacity: 800}}
 	counts := map[string]int{}
 	for range 360 {
-		relay, _ := table.Choose(start, "a0", members, nil, false)
+		relay, _ := table.Choose(start, "a0", members, nil)
 		table.ObserveRelay(start, "a0", relay.ID, Opened)
 		counts[relay.ID]++
 	}
@@ -191,7 +191,7 @@
 				table.SetPartitioned(fmt.Sprint(j), true)
 			}
 			for range connections {
-				relay, ok := table.Choose(start, "a0", members, nil, false)
+				relay, ok := table.Choose(start, "a0", members, nil)
 				if !ok || table.IsPartitioned(relay.ID) {
 					t.Fatalf("%d daemons: relay %q chosen", daemons, relay.ID)
 				}
--- a/daemon/edgedaemon/daemon.go
+++ b/daemon/edgedaemon/daemon.go
@@ -173,7 +173,7 @@
 	})
 	d.balancer.UsePaths(func(address string) bool { return d.paths.Path(address) != reach.None })
 	d.tunnels = tunnel.NewHandler(tunnel.Options{
-		Listed: d.paths.Listed, Dial: d.paths.DialOwn, Limit: int64(float64(set.Limits.Descriptors) * tunnelsPerDescriptor), Draining: d.draining, Log: log, Metrics: d.metrics,
+		Listed: d.paths.Listed, Dial: d.paths.DialOwn, Examine: d.paths.Examine, Limit: int64(float64(set.Limits.Descriptors) * tunnelsPerDescriptor), Draining: d.draining, Log: log, Metrics: d.metrics,
 	})
 	d.engines = platform.NewEngineClient(engineTimeout, d.paths.Transport(platform.EngineTransport(open)), d.paths.DialDirect, d.observeEngineAnswer)
 	d.view = storeview.New(storeview.Options{
@@ -183,7 +183,7 @@
 	d.view.OnChange(d.applyView)
 	d.gossip = gossip.New(hclog.NewNullLogger(), d.peers, d.seeds, gossip.Options(staleFact), d.member())
 	d.quarantine = quarantiner.New(quarantiner.Options{
-		Self: d.self, Members: d.alive, Peer: d.peers.Quarantines().To, Endpoint: d.endpointState, Dial: quarantiner.Check(d.paths.Dial), OnCrash: func(incarnation fleet.Incarnation) { d.balancer.MarkUnreachable(clock.Now(), incarnation) }, Store: d.store, Generations: d.generations, Log: log, Metrics: d.metrics,
+		Self: d.self, Members: d.alive, Peer: d.peers.Quarantines().To, Endpoint: d.endpointState, Check: d.paths.Check, OnCrash: func(incarnation fleet.Incarnation) { d.balancer.MarkUnreachable(clock.Now(), incarnation) }, Store: d.store, Generations: d.generations, Log: log, Metrics: d.metrics,
 	})
 	d.quotas = quotas.New(quotas.Options{
 		Self: d.self, Bounds: quota.Bounds{Window: set.Quotas.Window.D(), Overage: set.Quotas.Overage, Slack: set.Quotas.Slack, NewOwnerShare: quota.DefaultNewOwnerShare},
--- a/driver/paths/checks.go
+++ b/driver/paths/checks.go
@@ -11,29 +11,37 @@
 	return own
 }
 
-// reachesAnother reports whether the own path reaches an endpoint at another address, or no other
-// endpoint is listed. Only then does a failure at the address show something about the endpoint there.
+// reachesAnother is reachesAnotherNow, or its result of the last credibleFor.
 func (c *Controller) reachesAnother(ctx context.Context, address string) bool {
 	now := c.opt.Clock()
+	c.mu.Lock()
+	known, credible := now.Sub(c.credibleAt) < credibleFor, c.credible
+	c.mu.Unlock()
+	if known {
+		return credible
+	}
+	return c.reachesAnotherNow(ctx, address)
+}
+
+// reachesAnotherNow reports whether the own path reaches an endpoint at another address, or no other
+// endpoint is listed. Only then does a failure at the address show something about the endpoint there.
+func (c *Controller) reachesAnotherNow(ctx context.Context, address string) bool {
 	c.mu.Lock()
 	listed, _ := c.table.Counts()
 	other, ok := c.table.Sound(address)
-	known, credible := now.Sub(c.credibleAt) < credibleFor, c.credible
 	c.mu.Unlock()
 	switch {
 	case listed <= 1:
 		return true
 	case !ok:
 		return false
-	case known:
-		return credible
 	}
 	conn, err := c.DialDirect(ctx, "tcp", other)
 	if err == nil {
 		_ = conn.Close()
 	}
 	c.mu.Lock()
-	c.credible, c.credibleAt = err == nil, now
+	c.credible, c.credibleAt = err == nil, c.opt.Clock()
 	c.mu.Unlock()
 	return err == nil
 }
--- a/driver/paths/paths.go
+++ b/driver/paths/paths.go
@@ -182,21 +182,6 @@
 	c.anyLost.Store(lost > 0)
 }
 
-// Dial opens a connection to find out whether an endpoint is up: over the own path, also if that is
-// known to be lost, and then through a relay. A refused connection is reported as such only if the
-// endpoint, not the path, has refused it.
-func (c *Controller) Dial(ctx context.Context, network, address string) (net.Conn, error) {
-	conn, own := c.DialDirect(ctx, network, address)
-	if own == nil || ctx.Err() != nil {
-		return conn, own
-	}
-	conn, err := c.searchRelay(ctx, network, address, true)
-	if err != nil {
-		return nil, c.explain(ctx, network, address, own)
-	}
-	return conn, nil
-}
-
 // DialDirect opens a connection over the own path and records the result.
 func (c *Controller) DialDirect(ctx context.Context, network, address string) (net.Conn, error) {
 	started := time.Now()
--- a/driver/paths/paths_test.go
+++ b/driver/paths/paths_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -27,10 +28,28 @@
 	network   *link.Network
 	daemons   []*Controller
 	endpoints []*httptest.Server
+	now       atomic.Int64 // of the daemons' clock, in Unix nanoseconds
+	// dialed is called after each connection that a daemon has tried to open; nil: nothing is called.
+	dialed func(address string)
 }
 
+// dial returns the daemon's own paths.
+func (f *fleet) dial(daemon string) dial.Func {
+	own := f.network.Dial(daemon)
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := own(ctx, network, address)
+		if f.dialed != nil {
+			f.dialed(address)
+		}
+		return conn, err
+	}
+}
+
+func (f *fleet) clock() time.Time { return time.Unix(0, f.now.Load()) }
+
 func newFleet(t *testing.T, daemons, endpoints int) *fleet {
 	f := &fleet{network: link.New()}
+	f.now.Store(time.Now().UnixNano())
 	var addresses []string
 	for i := range endpoints {
 		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = fmt.Fprintf(w, "endpoint %d", i) }))
@@ -46,11 +65,11 @@
 		id := fmt.Sprintf("d%d", i)
 		log := decisions.New(io.Discard, "test", hclog.Off)
 		c := New(Options{
-			Self: id, Members: func() []membership.Member { return members }, Dial: f.network.Dial(id), Tunnel: &tunnel.Dialer{Open: dial.TCP, Self: id},
-			Publish: func(membership.Entry) {}, Log: log, Metrics: tally.NoopScope,
+			Self: id, Members: func() []membership.Member { return members }, Dial: f.dial(id), Tunnel: &tunnel.Dialer{Open: dial.TCP, Self: id},
+			Publish: func(membership.Entry) {}, Clock: f.clock, Log: log, Metrics: tally.NoopScope,
 		})
 		c.SetAddresses(addresses)
-		mux.Handle(tunnel.Path, tunnel.NewHandler(tunnel.Options{Listed: c.Listed, Dial: c.DialOwn, Limit: 16, Draining: func() bool { return false }, Log: log, Metrics: tally.NoopScope}))
+		mux.Handle(tunnel.Path, tunnel.NewHandler(tunnel.Options{Listed: c.Listed, Dial: c.DialOwn, Examine: c.Examine, Limit: 16, Draining: func() bool { return false }, Log: log, Metrics: tally.NoopScope}))
 		members = append(members, membership.Member{ID: id, PeerAddress: s.Listener.Addr().String()})
 		f.daemons = append(f.daemons, c)
 	}
@@ -89,7 +108,26 @@
 		{"endpoint down", 3, 2, func(f *fleet) { f.endpoints[0].Close() }, refusedByEndpoint},
 		{"endpoint down, alone", 1, 2, func(f *fleet) { f.endpoints[0].Close() }, refusedByEndpoint},
 		{"only endpoint down, alone", 1, 1, func(f *fleet) { f.endpoints[0].Close() }, refusedByEndpoint},
-		{"endpoint down behind a lost path", 3, 2, func(f *fleet) { f.cut(link.Refused, []int{0}, []int{0, 1}); f.endpoints[0].Close() }, noPath},
+		{"endpoint down behind a lost path", 3, 2, func(f *fleet) { f.cut(link.Refused, []int{0}, []int{0, 1}); f.endpoints[0].Close() }, refusedByEndpoint},
+		{"endpoint down behind lost paths of all", 3, 2, func(f *fleet) { f.cut(link.Refused, []int{0, 1, 2}, []int{0, 1}); f.endpoints[0].Close() }, noPath},
+		{"lost by all, one after the other", 4, 2, func(f *fleet) {
+			f.cut(link.Refused, []int{1, 2, 3}, []int{0})
+			for _, d := range f.daemons[1:] {
+				d.Examine(context.Background(), f.address(0))
+			}
+			f.now.Add(int64(time.Second))
+			f.cut(link.Reset, []int{0}, []int{0})
+		}, noPath},
+		{"partition that begins link by link", 4, 2, func(f *fleet) {
+			f.cut(link.Silent, []int{3}, []int{0})
+			f.cut(link.Reset, []int{0, 1, 2}, []int{0})
+			var control atomic.Int64
+			f.dialed = func(address string) {
+				if address == f.address(1) && control.Add(1) == 3 { // each of the three has seen the other endpoint
+					f.cut(link.Reset, []int{0, 1, 2}, []int{1})
+				}
+			}
+		}, noPath},
 		{"all paths of all daemons refused", 3, 2, func(f *fleet) { f.cut(link.Refused, []int{0, 1, 2}, []int{0, 1}) }, noPath},
 		{"all paths refused, alone", 1, 2, func(f *fleet) { f.cut(link.Refused, []int{0}, []int{0, 1}) }, noPath},
 		{"endpoint silent", 2, 2, func(f *fleet) { f.cut(link.Silent, []int{0, 1}, []int{0}) }, unanswered},
@@ -97,13 +135,13 @@
 		t.Run(c.name, func(t *testing.T) {
 			f := newFleet(t, c.daemons, c.endpoints)
 			c.fault(f)
+			broke := f.clock()
 			for n := range 2 { // the second time, the first failure is known
-				conn, err := f.daemons[0].Dial(t.Context(), "tcp", f.address(0))
+				err := f.daemons[0].Check(t.Context(), f.address(0), broke)
 				got := unanswered
 				switch {
 				case err == nil:
 					got = opened
-					_ = conn.Close()
 				case dial.IsRefused(err):
 					got = refusedByEndpoint
 				case errors.Is(err, ErrNoPath):
@@ -253,9 +291,7 @@
 	c := f.daemons[0]
 	c.observeFailed(f.address(0), reach.Refused)
 	c.observeRelay(f.address(0), "d2", reach.Unreached) // d2 had no path just before
-	conn, err := c.Dial(t.Context(), "tcp", f.address(0))
-	if err != nil {
-		t.Fatalf("error %v, want a connection through d2", err)
+	if err := c.Check(t.Context(), f.address(0), f.clock()); err != nil {
+		t.Fatalf("error %v, want that d2 reaches the endpoint", err)
 	}
-	_ = conn.Close()
 }
--- a/driver/paths/relayed.go
+++ b/driver/paths/relayed.go
@@ -36,16 +36,10 @@
 
 // dialRelayed opens a connection through another daemon. It asks several in turn.
 func (c *Controller) dialRelayed(ctx context.Context, network, address string) (net.Conn, error) {
-	return c.searchRelay(ctx, network, address, false)
-}
-
-// searchRelay is dialRelayed; again says that daemons are asked, too, that have not reached the address
-// just before.
-func (c *Controller) searchRelay(ctx context.Context, network, address string, again bool) (net.Conn, error) {
 	var asked []string
 	limits := c.relayLimits(address)
 	for len(asked) < limits.asked && ctx.Err() == nil {
-		relay, ok := c.choose(address, asked, again)
+		relay, ok := c.choose(address, asked)
 		if !ok {
 			break
 		}
@@ -63,16 +57,22 @@
 	return nil, noPath(network)
 }
 
-func (c *Controller) choose(address string, asked []string, again bool) (reach.Relay, bool) {
-	var relays []reach.Relay
+func (c *Controller) choose(address string, asked []string) (reach.Relay, bool) {
+	relays := c.relays()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.table.Choose(c.opt.Clock(), address, relays, asked)
+}
+
+// relays returns the other daemons.
+func (c *Controller) relays() []reach.Relay {
+	var list []reach.Relay
 	for _, m := range c.opt.Members() {
 		if m.ID != c.opt.Self {
-			relays = append(relays, relayOf(m))
+			list = append(list, relayOf(m))
 		}
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.table.Choose(c.opt.Clock(), address, relays, asked, again)
+	return list
 }
 
 func relayOf(m membership.Member) reach.Relay {
@@ -100,7 +100,7 @@
 	limited, cancel := context.WithTimeout(ctx, limits.timeout)
 	defer cancel()
 	started := time.Now()
-	name := fmt.Sprintf("%s-%d", c.opt.Self, c.tunnels.Add(1))
+	name := c.nextTunnel()
 	conn, err := c.opt.Tunnel.Dial(limited, relay.PeerAddress, address, name)
 	if err != nil {
 		c.metrics.relayFailed.Inc(1)
@@ -117,13 +117,18 @@
 	c.metrics.relayed.Inc(1)
 	c.metrics.hop.RecordDuration(time.Since(started))
 	c.observeRelay(address, relay.ID, reach.Opened)
-	return &relayedConn{Conn: conn, Hop: Hop{relay.ID, name}, closed: func() {
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		c.table.RelayClosed(relay.ID)
-	}}, nil
+	return &relayedConn{Conn: conn, Hop: Hop{relay.ID, name}, closed: func() { c.relayClosed(relay.ID) }}, nil
 }
 
+func (c *Controller) relayClosed(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.table.RelayClosed(id)
+}
+
+// nextTunnel returns the name of the next relayed connection in the logs of both daemons.
+func (c *Controller) nextTunnel() string { return fmt.Sprintf("%s-%d", c.opt.Self, c.tunnels.Add(1)) }
+
 // observeRelay records what a relay answered. The first connection relayed to an address confirms that
 // the own path is lost: the paths to the other endpoints are then checked, too.
 func (c *Controller) observeRelay(address, id string, r reach.Result) {
--- a/driver/quarantiner/broken.go
+++ b/driver/quarantiner/broken.go
@@ -52,6 +52,7 @@
 	crashedAt time.Time // when the crash was detected
 	checks    int
 	checkAt   time.Time       // of the next check
+	again     bool            // one check more than maxChecks has been allowed
 	checking  chan struct{}   // closed when the running check ends; nil if none is running
 	attempts  []BrokenAttempt // not counted yet
 }
@@ -100,20 +101,22 @@
 	}
 }
 
-// ObserveDialError processes a failure to connect to an endpoint: if nothing listens there, the
-// endpoint crashed during the attempts that broke shortly before.
+// ObserveDialError processes a failure to connect to an endpoint: if nothing listens there, it may have
+// crashed during the attempts that broke shortly before, so that it is checked again.
 func (c *Controller) ObserveDialError(inc fleet.Incarnation, err error) {
 	if !dial.IsRefused(err) {
 		return
 	}
 	c.mu.Lock()
 	b := c.broken[inc]
-	if b != nil {
-		b.markCrashed(c.opt.Clock())
+	again := b != nil && !b.crashed && b.checks == maxChecks && !b.again
+	if again {
+		b.again = true
+		b.checks--
 	}
 	c.mu.Unlock()
-	if b != nil {
-		c.count(inc, b)
+	if again {
+		wake.Once(c.wake)
 	}
 }
 
@@ -131,7 +134,9 @@
 	c.mu.Unlock()
 	switch {
 	case own:
-		err := c.opt.Dial(context.WithoutCancel(ctx), b.address)
+		limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), checkTimeout)
+		err := c.opt.Check(limited, b.address, b.since)
+		cancel()
 		c.mu.Lock()
 		if dial.IsRefused(err) {
 			b.markCrashed(c.opt.Clock())
@@ -212,14 +217,11 @@
 	}
 }
 
-// Check returns a function for Options.Dial, which opens and closes a connection.
-func Check(open dial.Func) func(ctx context.Context, address string) error {
-	open = open.Within(checkTimeout)
-	return func(ctx context.Context, address string) error {
-		conn, err := open(ctx, "tcp", address)
-		if err != nil {
-			return err
-		}
-		return conn.Close()
+// connect is the default of Options.Check.
+func connect(ctx context.Context, address string, _ time.Time) error {
+	conn, err := dial.TCP(ctx, "tcp", address)
+	if err != nil {
+		return err
 	}
+	return conn.Close()
 }
--- a/driver/quarantiner/fleet_test.go
+++ b/driver/quarantiner/fleet_test.go
@@ -93,7 +93,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	c := New(Options{
 		Self: h.name, Members: h.in.members, Peer: func(address string) quarantinepb.Quarantine { return link{h, address} },
-		Endpoint: h.in.endpoint, Dial: h.in.dial, Clock: h.now, Store: h.in.store, Generations: h.in.generations, Log: h.in.log, Metrics: tally.NoopScope,
+		Endpoint: h.in.endpoint, Check: h.in.check, Clock: h.now, Store: h.in.store, Generations: h.in.generations, Log: h.in.log, Metrics: tally.NoopScope,
 	})
 	h.mu.Lock()
 	if h.stop != nil {
@@ -239,7 +239,7 @@
 	return in.engines[i]
 }
 
-func (in *installation) dial(_ context.Context, address string) error {
+func (in *installation) check(_ context.Context, address string, _ time.Time) error {
 	if _, _, up := in.byName(address).incarnation(); !up {
 		return syscall.ECONNREFUSED
 	}
--- a/driver/quarantiner/quarantiner.go
+++ b/driver/quarantiner/quarantiner.go
@@ -20,7 +20,6 @@
 	"github.com/doorvalve/doorvalve/driver/generations"
 	"github.com/doorvalve/doorvalve/driver/record"
 	"github.com/doorvalve/doorvalve/internal/clock"
-	"github.com/doorvalve/doorvalve/internal/dial"
 	"github.com/doorvalve/doorvalve/internal/pause"
 	"github.com/doorvalve/doorvalve/internal/wake"
 	"github.com/doorvalve/doorvalve/protocol"
@@ -72,8 +71,9 @@
 	Peer func(address string) quarantinepb.Quarantine
 	// Endpoint reports whether an endpoint is listed, and as leaving.
 	Endpoint func(fleet.Incarnation) (listed, leaving bool)
-	// Dial connects to an endpoint to check whether it is up; nil: over TCP.
-	Dial func(ctx context.Context, address string) error
+	// Check finds out whether the endpoint at an address has crashed, whose connections broke at the
+	// given time; it has if dial.IsRefused reports the error. nil: by connecting to it over TCP.
+	Check func(ctx context.Context, address string, broke time.Time) error
 	// OnCrash is called for endpoints that have just crashed, as detected by this daemon or another
 	// one.
 	OnCrash func(fleet.Incarnation)
@@ -125,8 +125,8 @@
 	if opt.OnCrash == nil {
 		opt.OnCrash = func(fleet.Incarnation) {}
 	}
-	if opt.Dial == nil {
-		opt.Dial = Check(dial.TCP)
+	if opt.Check == nil {
+		opt.Check = connect
 	}
 	s := opt.Metrics.SubScope("quarantine")
 	c := &Controller{opt: opt, synced: make(chan struct{}), started: opt.Clock(), wake: make(chan struct{}, 1), pending: make(chan struct{}, 1), m: quarantine.New(), record: record.New(opt.Store, opt.Generations, recordName), broken: map[fleet.Incarnation]*broken{}, metrics: metrics{
--- a/driver/quarantiner/quarantiner_test.go
+++ b/driver/quarantiner/quarantiner_test.go
@@ -351,7 +351,7 @@
 		time.Sleep(2 * time.Second)
 		var dials atomic.Int64
 		c := in.hosts[0].current()
-		c.opt.Dial = func(context.Context, string) error { dials.Add(1); return nil }
+		c.opt.Check = func(context.Context, string, time.Time) error { dials.Add(1); return nil }
 		inc, _, _ := in.engines[0].incarnation()
 		for i := range 100 {
 			c.ObserveBroken(context.Background(), BrokenAttempt{Fingerprint: fingerprintOf(fmt.Sprint(i % 5))(), Incarnation: inc, Address: "e0", Sent: time.Now()})
@@ -378,7 +378,7 @@
 		c := in.hosts[0].current()
 		up := false
 		c.opt.Endpoint = func(fleet.Incarnation) (listed, leaving bool) { return true, false }
-		c.opt.Dial = func(context.Context, string) error {
+		c.opt.Check = func(context.Context, string, time.Time) error {
 			if up {
 				return nil
 			}
@@ -416,7 +416,7 @@
 		for i, h := range in.hosts[1:4] {
 			c := h.current()
 			c.opt.Endpoint = func(fleet.Incarnation) (listed, leaving bool) { return true, false }
-			c.opt.Dial = func(context.Context, string) error { return syscall.ECONNREFUSED }
+			c.opt.Check = func(context.Context, string, time.Time) error { return syscall.ECONNREFUSED }
 			for _, request := range []string{"popular", "bad"} {
 				c.ObserveBroken(context.Background(), BrokenAttempt{Request: fmt.Sprint(request, i), Fingerprint: fingerprintOf(request)(), Incarnation: inc, Address: "e0", Sent: time.Now().Add(-50 * time.Millisecond), Software: onV1()})
 			}
--- a/transport/tunnel/handler.go
+++ b/transport/tunnel/handler.go
@@ -6,12 +6,14 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/uber-go/tally/v4"
 
+	"github.com/doorvalve/doorvalve/coordination/reach"
 	"github.com/doorvalve/doorvalve/driver/decisions"
 	"github.com/doorvalve/doorvalve/internal/dial"
 )
@@ -29,6 +31,8 @@
 	Listed func(address string) bool
 	// Dial opens connections over the daemon's own path.
 	Dial dial.Func
+	// Examine tries the daemon's own path to an address.
+	Examine func(ctx context.Context, address string) reach.Observation
 	// Limit bounds the relayed connections.
 	Limit int64
 	// Draining reports whether the daemon is stopping. It then relays no new connections.
@@ -77,6 +81,10 @@
 		h.refuse(w, result, status)
 		return
 	}
+	if r.Header.Get(headerExamine) != "" {
+		h.answerExamine(w, h.opt.Examine(r.Context(), address))
+		return
+	}
 	endpoint, err := h.opt.Dial(r.Context(), "tcp", address)
 	if err != nil {
 		h.opt.Log.Info(decisions.EventRelayRefused, "tunnel", tunnel, "from", from, "address", address, "error", err)
@@ -96,6 +104,18 @@
 	h.opt.Log.InfoSampled(decisions.EventRelayed, "tunnel", tunnel, "from", from, "address", address, "bytes_sent", sent, "bytes_received", received, "ms", time.Since(started).Milliseconds())
 }
 
+func (h *Handler) answerExamine(w http.ResponseWriter, o reach.Observation) {
+	result := resultUnreached
+	if o.Reached {
+		result = resultOpened
+	}
+	w.Header().Set(headerResult, result)
+	if o.Refused {
+		w.Header().Set(headerRefusedMs, strconv.FormatInt(o.Age.Milliseconds(), 10))
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
 func (h *Handler) refuse(w http.ResponseWriter, result string, status int) {
 	h.refused.Inc(1)
 	w.Header().Set(headerResult, result)
--- a/transport/tunnel/tunnel.go
+++ b/transport/tunnel/tunnel.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"strconv"
 	"time"
 
 	"github.com/doorvalve/doorvalve/coordination/reach"
@@ -30,6 +31,10 @@
 	headerFrom    = "Doorvalve-Tunnel-From"
 	// headerResult marks the answers of a daemon that relays. Others answer 404 without it.
 	headerResult = "Doorvalve-Tunnel-Result"
+	// headerExamine asks what the daemon sees of the endpoint, in place of a connection. The answer
+	// has headerRefusedMs if the endpoint refuses it: since how many milliseconds.
+	headerExamine   = "Doorvalve-Tunnel-Examine"
+	headerRefusedMs = "Doorvalve-Tunnel-Refused-Ms"
 )
 
 // The values of headerResult.
@@ -70,44 +75,91 @@
 	if err != nil {
 		return nil, &Error{reach.Failed, err}
 	}
-	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
-	buffered, err := d.upgrade(c, peer, address, tunnel)
-	if !stop() {
-		err = &Error{reach.Failed, context.Cause(ctx)}
-	}
+	resp, buffered, err := d.ask(ctx, c, peer, d.header(address, tunnel))
 	if err != nil {
 		_ = c.Close()
 		return nil, err
 	}
+	result := resp.Header.Get(headerResult)
+	if resp.StatusCode != http.StatusSwitchingProtocols || result != resultOpened {
+		_ = resp.Body.Close()
+		_ = c.Close()
+		return nil, &Error{resultOf(result), answerError(resp)}
+	}
 	if buffered.Buffered() > 0 {
 		return &bufferedConn{c, buffered}, nil
 	}
 	return c, nil
 }
 
-// upgrade asks a daemon to relay the connection c.
-func (d *Dialer) upgrade(c net.Conn, peer, address, tunnel string) (*bufio.Reader, error) {
-	req := &http.Request{
-		Method: http.MethodGet, URL: &url.URL{Scheme: "http", Host: peer, Path: Path}, Host: peer, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
-		Header: http.Header{"Connection": {"Upgrade"}, "Upgrade": {protocolName}, headerAddress: {address}, headerTunnel: {tunnel}, headerFrom: {d.Self}},
+// Examine asks the daemon at a peer address what it sees of the endpoint at an address. name is that of
+// the question in the logs of both daemons.
+func (d *Dialer) Examine(ctx context.Context, peer, address, name string) (reach.Observation, error) {
+	c, err := d.Open(ctx, "tcp", peer)
+	if err != nil {
+		return reach.Observation{}, err
+	}
+	defer func() { _ = c.Close() }()
+	header := d.header(address, name)
+	header.Set(headerExamine, "1")
+	resp, _, err := d.ask(ctx, c, peer, header)
+	if err != nil {
+		return reach.Observation{}, err
+	}
+	_ = resp.Body.Close()
+	switch resp.Header.Get(headerResult) {
+	case resultOpened:
+		return reach.Observation{Reached: true}, nil
+	case resultUnreached:
+		return readRefusal(resp.Header)
+	}
+	return reach.Observation{}, answerError(resp)
+}
+
+// readRefusal reads headerRefusedMs.
+func readRefusal(h http.Header) (reach.Observation, error) {
+	value := h.Get(headerRefusedMs)
+	if value == "" {
+		return reach.Observation{}, nil
+	}
+	ms, err := strconv.ParseUint(value, 10, 32)
+	if err != nil {
+		return reach.Observation{}, err
 	}
+	return reach.Observation{Refused: true, Age: time.Duration(ms) * time.Millisecond}, nil
+}
+
+func answerError(resp *http.Response) error {
+	return fmt.Errorf("relay answered %d %q", resp.StatusCode, resp.Header.Get(headerResult))
+}
+
+func (d *Dialer) header(address, name string) http.Header {
+	h := http.Header{"Connection": {"Upgrade"}, "Upgrade": {protocolName}, headerAddress: {address}, headerTunnel: {name}, headerFrom: {d.Self}}
 	if d.Authenticate != nil {
-		d.Authenticate(req.Header)
+		d.Authenticate(h)
 	}
-	if err := req.Write(c); err != nil {
-		return nil, &Error{reach.Failed, err}
+	return h
+}
+
+// ask sends a request on the connection c and reads the answer's header. It fails with an *Error.
+func (d *Dialer) ask(ctx context.Context, c net.Conn, peer string, header http.Header) (*http.Response, *bufio.Reader, error) {
+	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
+	req := &http.Request{
+		Method: http.MethodGet, URL: &url.URL{Scheme: "http", Host: peer, Path: Path}, Host: peer, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Header: header,
 	}
 	r := bufio.NewReaderSize(c, answerBuffer)
-	resp, err := http.ReadResponse(r, req)
-	if err != nil {
-		return nil, &Error{reach.Failed, err}
+	err := req.Write(c)
+	var resp *http.Response
+	if err == nil {
+		resp, err = http.ReadResponse(r, req)
 	}
-	result := resp.Header.Get(headerResult)
-	if resp.StatusCode == http.StatusSwitchingProtocols && result == resultOpened {
-		return r, nil
+	if !stop() {
+		err = context.Cause(ctx)
 	}
-	_ = resp.Body.Close()
-	return nil, &Error{resultOf(result), fmt.Errorf("relay answered %d %q", resp.StatusCode, result)}
+	if err != nil {
+		return nil, nil, &Error{reach.Failed, err}
+	}
+	return resp, r, nil
 }
 
 // answerBuffer is the size of the buffer for the answer's header.
--- a/transport/tunnel/tunnel_test.go
+++ b/transport/tunnel/tunnel_test.go
@@ -142,6 +142,22 @@
 	}
 }
 
+func TestWhatADaemonSeesOfAnEndpoint(t *testing.T) {
+	for _, want := range []reach.Observation{{}, {Reached: true}, {Refused: true}, {Refused: true, Age: 1500 * time.Millisecond}} {
+		r := newRelay(t, func(o *Options) {
+			o.Examine = func(context.Context, string) reach.Observation { return want }
+		})
+		got, err := (&Dialer{Open: dial.TCP, Self: "d1"}).Examine(t.Context(), r.address, r.endpoint.Addr().String(), "t1")
+		if err != nil || got != want {
+			t.Errorf("got %+v, error %v; want %+v", got, err, want)
+		}
+	}
+	r := newRelay(t, nil)
+	if _, err := (&Dialer{Open: dial.TCP, Self: "d1"}).Examine(t.Context(), r.address, "127.0.0.1:1", "t1"); err == nil {
+		t.Error("no error for an endpoint that is not listed")
+	}
+}
+
 func TestDaemonThatDoesNotRelay(t *testing.T) {
 	old := httptest.NewServer(http.NotFoundHandler())
 	defer old.Close()
