reach: the search for a relay leaves a failure domain that is cut off

What callers would see: where a failure domain of four or more daemons is cut off from an endpoint, its daemons ask three of each other for each connection, since near daemons come first, and refuse the request; the pause after that doubles. With 24 daemons in three domains (users' size: 41 a domain) none finds the two domains that have a path until a second of such searches is over.

Cause: by reading, shown by a test. That a daemon is partitioned is told to the others only once a relay has confirmed it, which here never happens, so the memory of one second about single daemons was all there was.

Change: a domain of which one daemon was asked or had no path costs more than any other.

TestSearchLeavesACutDomain, red before: '7 daemons: connection 0 found no relay, asked [3 6]'.

--- a/coordination/reach/reach.go
+++ b/coordination/reach/reach.go
@@ -35,6 +35,8 @@
 	// farCost is the cost of a relay in another failure domain, in connections of this daemon that a
 	// relay of one core carries.
 	farCost = 4
+	// cutOffCost is the same for a relay in a domain of which another daemon has no path.
+	cutOffCost = 100
 	// unitCapacity is the capacity of a relay of one core, and the assumed one if none is known.
 	unitCapacity = 1000
 	// checkInterval is the least time between two checks of a path on which a connection is silent.
@@ -292,10 +294,12 @@
 }
 
 // Choose returns the daemon to ask for a relay to an address, among those that were not asked before
-// for the same connection; ok is false if there is none. It prefers the own failure domain and
+// for the same connection; ok is false if there is none. It prefers the own failure domain, avoids
+// domains of which a daemon has not reached the address, since domains are cut off as a whole, and
 // spreads connections by the capacity of the relays.
 func (t *Table) Choose(now time.Time, address string, members []Relay, asked []string) (relay Relay, ok bool) {
 	l := t.lost[address]
+	cutOff := t.domainsWithoutPath(now, l, members, asked)
 	best := 0.0
 	for _, m := range members {
 		p := t.peers[m.ID]
@@ -314,6 +318,9 @@
 		if m.FailureDomain != t.domain {
 			cost += farCost
 		}
+		if cutOff[m.FailureDomain] {
+			cost += cutOffCost
+		}
 		if !ok || cost < best {
 			relay, best, ok = m, cost, true
 		}
@@ -321,6 +328,18 @@
 	return relay, ok
 }
 
+// domainsWithoutPath returns the failure domains of the daemons that were asked for a connection, or
+// have not reached its address just before. l is the state of the address; it may be nil.
+func (t *Table) domainsWithoutPath(now time.Time, l *lost, members []Relay, asked []string) map[string]bool {
+	domains := map[string]bool{}
+	for _, m := range members {
+		if slices.Contains(asked, m.ID) || l != nil && now.Before(l.unreached[m.ID]) {
+			domains[m.FailureDomain] = true
+		}
+	}
+	return domains
+}
+
 // Trials returns the addresses whose lost path is to be tried now. The caller must call TrialEnded for
 // each.
 func (t *Table) Trials(now time.Time) []string {
--- a/coordination/reach/reach_test.go
+++ b/coordination/reach/reach_test.go
@@ -173,6 +173,41 @@
 	}
 }
 
+// Guards against requests that find no relay because the daemons of a failure domain that is cut off
+// ask each other: each connection asks a few daemons only, and the near ones came first.
+func TestSearchLeavesACutDomain(t *testing.T) {
+	for _, daemons := range []int{7, 24, 375} {
+		var members []Relay
+		for i := 1; i < daemons; i++ {
+			members = append(members, Relay{ID: fmt.Sprint(i), FailureDomain: fmt.Sprintf("z%d", i%3)})
+		}
+		table := New("z0", 1)
+		table.SetAddresses([]string{"a0"})
+		table.ObserveFailed(start, "a0", Refused)
+		const connections = 20 // within a second
+		asks := 0
+		for i := range connections {
+			var asked []string
+			for opened := false; !opened; asks++ {
+				relay, ok := table.Choose(start.Add(time.Duration(i)*unreachedFor/(connections+1)), "a0", members, asked)
+				if !ok || len(asked) == 2 {
+					t.Fatalf("%d daemons: connection %d found no relay, asked %v", daemons, i, asked)
+				}
+				asked = append(asked, relay.ID)
+				result := Opened
+				if relay.FailureDomain == "z0" {
+					result = Unreached
+				}
+				opened = result == Opened
+				table.ObserveRelay(start, "a0", relay.ID, result)
+			}
+		}
+		if asks > connections+2 {
+			t.Errorf("%d daemons: %d were asked for %d connections", daemons, asks, connections)
+		}
+	}
+}
+
 // Guards against a crowd of relayed connections at few daemons: a whole failure domain is cut off, and
 // each of its daemons knows only its own connections.
 func TestRelayedConnectionsOfManyDaemonsAreSpread(t *testing.T) {
