paths: a stopping daemon relays while it takes requests, if no other one has a path

Cause, by the logs: the only daemon with a path was stopped and took requests of its own callers for another two seconds, while it refused to relay (and was asked by nobody, since only members that are not leaving were asked).

Change: members that are leaving are asked last, and relay until they take no more requests.

--- a/coordination/membership/rank.go
+++ b/coordination/membership/rank.go
@@ -34,6 +34,12 @@
 	return slices.DeleteFunc(slices.Clone(members), func(m Member) bool { return !eligible(m) })
 }
 
+// AliveMembers returns the members that are alive, those that are leaving among them, in a list of its
+// own.
+func AliveMembers(members []Member) []Member {
+	return slices.DeleteFunc(slices.Clone(members), func(m Member) bool { return m.Status != Alive })
+}
+
 func eligible(m Member) bool { return !m.Leaving && m.Status == Alive }
 
 // ranked is a member with its sort keys.
--- a/coordination/reach/reach.go
+++ b/coordination/reach/reach.go
@@ -37,6 +37,8 @@
 	farCost = 4
 	// cutOffCost is the same for a relay in a domain of which another daemon has no path.
 	cutOffCost = 100
+	// stoppingCost is the same for a relay that is stopping: no other one comes after it.
+	stoppingCost = 1e6
 	// unitCapacity is the capacity of a relay of one core, and the assumed one if none is known.
 	unitCapacity = 1000
 	// checkInterval is the least time between two checks of a path on which a connection is silent.
@@ -92,6 +94,8 @@
 	PeerAddress   string
 	FailureDomain string
 	Capacity      int // thousandths of a core; zero if unknown
+	// Stopping daemons relay only what no other daemon relays.
+	Stopping bool
 }
 
 // lost is the state of an address to which the own path is lost.
@@ -263,11 +267,14 @@
 }
 
 // RetainPeers drops the state of daemons that are not members any more, and reports whether one of
-// them still relays connections of this daemon.
+// them, or one that is stopping, still relays connections of this daemon.
 func (t *Table) RetainPeers(members []Relay) (relaying bool) {
 	for id, p := range t.peers {
+		i := slices.IndexFunc(members, func(m Relay) bool { return m.ID == id })
 		switch {
-		case slices.ContainsFunc(members, func(m Relay) bool { return m.ID == id }):
+		case i >= 0 && members[i].Stopping:
+			relaying = relaying || p.open > 0
+		case i >= 0:
 		case p.open > 0:
 			relaying = true
 		default:
@@ -321,6 +328,9 @@
 		if cutOff[m.FailureDomain] {
 			cost += cutOffCost
 		}
+		if m.Stopping {
+			cost += stoppingCost
+		}
 		if !ok || cost < best {
 			relay, best, ok = m, cost, true
 		}
--- a/coordination/reach/reach_test.go
+++ b/coordination/reach/reach_test.go
@@ -74,7 +74,7 @@
 }
 
 func TestChoiceOfARelay(t *testing.T) {
-	members := []Relay{{ID: "near", FailureDomain: "z1"}, {ID: "far", FailureDomain: "z2"}}
+	members := []Relay{{ID: "stopping", FailureDomain: "z1", Stopping: true}, {ID: "near", FailureDomain: "z1"}, {ID: "far", FailureDomain: "z2"}}
 	for _, c := range []struct {
 		name   string
 		events func(t *Table)
@@ -83,7 +83,8 @@
 	}{
 		{"near first", func(*Table) {}, nil, "near"},
 		{"asked before", func(*Table) {}, []string{"near"}, "far"},
-		{"all asked before", func(*Table) {}, []string{"near", "far"}, ""},
+		{"only a stopping one is left", func(*Table) {}, []string{"near", "far"}, "stopping"},
+		{"all asked before", func(*Table) {}, []string{"near", "far", "stopping"}, ""},
 		{"busy", func(t *Table) { t.ObserveRelay(start, "a0", "near", Busy) }, nil, "far"},
 		{"an older version", func(t *Table) { t.ObserveRelay(start, "a0", "near", Unsupported) }, nil, "far"},
 		{"partitioned itself", func(t *Table) { t.SetPartitioned("near", true) }, nil, "far"},
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -129,12 +129,12 @@
 	d.platform = platform.New(platform.Options{URL: set.Platform.URL, Timeout: set.Platform.Timeout.D(), Generations: d.generations})
 	d.peers = peers.NewClient(set.Peers.Token)
 	d.paths = paths.New(paths.Options{
-		Self: d.self, FailureDomain: set.FailureDomain, Members: d.alive, Dial: open,
+		Self: d.self, FailureDomain: set.FailureDomain, Members: func() []membership.Member { return membership.AliveMembers(d.gossip.Members()) }, Dial: open,
 		Tunnel:  &tunnel.Dialer{Open: d.peers.Meter().Dial(dial.TCP), Authenticate: peers.Authenticate(set.Peers.Token), Self: d.self},
 		Publish: func(e membership.Entry) { d.gossip.Set(e) }, Seed: uint64(time.Now().UnixNano()), Log: d.log.Component("paths"), Metrics: d.metrics,
 	})
 	d.tunnels = tunnel.NewHandler(tunnel.Options{
-		Listed: d.paths.Listed, Dial: d.paths.DialOwn, Examine: d.paths.Examine, Limit: int64(set.Limits.Connections) / tunnelDivisor, Draining: func() bool { return d.Phase() != drain.Serving },
+		Listed: d.paths.Listed, Dial: d.paths.DialOwn, Examine: d.paths.Examine, Limit: int64(set.Limits.Connections) / tunnelDivisor, Closed: func() bool { return d.Phase() != drain.Serving && d.Phase() != drain.Lingering },
 		Log: d.log.Component("paths"), Metrics: d.metrics,
 	})
 	d.engines = engine.New(engineTimeout, d.paths)
--- a/daemon/edgedaemon/daemon.go
+++ b/daemon/edgedaemon/daemon.go
@@ -168,12 +168,12 @@
 	d.generations = generations.New(log, d.metrics)
 	d.store = platform.NewStore(set.Store.Address, set.Store.Timeout.D(), d.generations, d.metrics)
 	d.paths = paths.New(paths.Options{
-		Self: d.self, FailureDomain: set.FailureDomain, Members: d.alive, Dial: open, Tunnel: &tunnel.Dialer{Open: dial.TCP, Self: d.self},
+		Self: d.self, FailureDomain: set.FailureDomain, Members: func() []membership.Member { return membership.AliveMembers(d.gossip.Members()) }, Dial: open, Tunnel: &tunnel.Dialer{Open: dial.TCP, Self: d.self},
 		Publish: func(e membership.Entry) { d.gossip.Set(e) }, Seed: uint64(time.Now().UnixNano()), Log: log, Metrics: d.metrics,
 	})
 	d.balancer.UsePaths(func(address string) bool { return d.paths.Path(address) != reach.None })
 	d.tunnels = tunnel.NewHandler(tunnel.Options{
-		Listed: d.paths.Listed, Dial: d.paths.DialOwn, Examine: d.paths.Examine, Limit: int64(float64(set.Limits.Descriptors) * tunnelsPerDescriptor), Draining: d.draining, Log: log, Metrics: d.metrics,
+		Listed: d.paths.Listed, Dial: d.paths.DialOwn, Examine: d.paths.Examine, Limit: int64(float64(set.Limits.Descriptors) * tunnelsPerDescriptor), Closed: d.closedToCallers, Log: log, Metrics: d.metrics,
 	})
 	d.engines = platform.NewEngineClient(engineTimeout, d.paths.Transport(platform.EngineTransport(open)), d.paths.DialDirect, d.observeEngineAnswer)
 	d.view = storeview.New(storeview.Options{
--- a/daemon/edgedaemon/stop.go
+++ b/daemon/edgedaemon/stop.go
@@ -52,6 +52,22 @@
 	return since.Add(d.set.Timing.Grace.D() - exitReserve)
 }
 
+// closesAt returns the time from which a stopping daemon takes no more requests;
+// zero before the shutdown begins.
+func (d *Daemon) closesAt() time.Time {
+	since := d.stopStarted.Load()
+	if since == nil {
+		return time.Time{}
+	}
+	return since.Add(time.Duration(float64(d.set.Timing.Grace.D()) * lingerShare))
+}
+
+// closedToCallers reports whether the daemon takes no more requests.
+func (d *Daemon) closedToCallers() bool {
+	closesAt := d.closesAt()
+	return !closesAt.IsZero() && !time.Now().Before(closesAt)
+}
+
 // draining reports whether the shutdown has begun.
 func (d *Daemon) draining() bool { return d.stopStarted.Load() != nil }
 
@@ -99,8 +115,7 @@
 		return nil
 	case <-d.stopped:
 	}
-	since := *d.stopStarted.Load()
-	pause.For(ctx, time.Until(since.Add(time.Duration(float64(d.set.Timing.Grace.D())*lingerShare))))
+	pause.For(ctx, time.Until(d.closesAt()))
 	ctx, cancel := context.WithDeadline(ctx, d.deadline())
 	defer cancel()
 	if err := d.callerServer.Shutdown(ctx); err != nil {
--- a/driver/paths/paths.go
+++ b/driver/paths/paths.go
@@ -58,8 +58,8 @@
 type Options struct {
 	Self          string
 	FailureDomain string
-	// Members returns the daemons that are alive and not leaving, this one among them; nil: there are
-	// no others.
+	// Members returns the daemons that are alive, this one and those that are leaving among them; nil:
+	// there are no others.
 	Members func() []membership.Member
 	// Dial opens connections to endpoints over the own path.
 	Dial dial.Func
--- a/driver/paths/paths_test.go
+++ b/driver/paths/paths_test.go
@@ -69,7 +69,7 @@
 			Publish: func(membership.Entry) {}, Clock: f.clock, Log: log, Metrics: tally.NoopScope,
 		})
 		c.SetAddresses(addresses)
-		mux.Handle(tunnel.Path, tunnel.NewHandler(tunnel.Options{Listed: c.Listed, Dial: c.DialOwn, Examine: c.Examine, Limit: 16, Draining: func() bool { return false }, Log: log, Metrics: tally.NoopScope}))
+		mux.Handle(tunnel.Path, tunnel.NewHandler(tunnel.Options{Listed: c.Listed, Dial: c.DialOwn, Examine: c.Examine, Limit: 16, Closed: func() bool { return false }, Log: log, Metrics: tally.NoopScope}))
 		members = append(members, membership.Member{ID: id, PeerAddress: s.Listener.Addr().String()})
 		f.daemons = append(f.daemons, c)
 	}
--- a/driver/paths/relayed.go
+++ b/driver/paths/relayed.go
@@ -76,7 +76,7 @@
 }
 
 func relayOf(m membership.Member) reach.Relay {
-	return reach.Relay{ID: m.ID, PeerAddress: m.PeerAddress, FailureDomain: m.FailureDomain, Capacity: m.Capacity}
+	return reach.Relay{ID: m.ID, PeerAddress: m.PeerAddress, FailureDomain: m.FailureDomain, Capacity: m.Capacity, Stopping: m.Leaving}
 }
 
 // relayLimits bound the search for a relay.
--- a/transport/tunnel/handler.go
+++ b/transport/tunnel/handler.go
@@ -35,10 +35,11 @@
 	Examine func(ctx context.Context, address string) reach.Observation
 	// Limit bounds the relayed connections.
 	Limit int64
-	// Draining reports whether the daemon is stopping. It then relays no new connections.
-	Draining func() bool
-	Log      *decisions.Log
-	Metrics  tally.Scope
+	// Closed reports whether the daemon takes no more requests because it is stopping. It then relays
+	// no new connections.
+	Closed  func() bool
+	Log     *decisions.Log
+	Metrics tally.Scope
 }
 
 // Handler relays connections for other daemons. It is safe for concurrent use.
@@ -72,7 +73,7 @@
 	switch {
 	case r.Header.Get("Upgrade") != protocolName || address == "" || max(len(address), len(tunnel), len(from)) > maxHeaderValue:
 		result, status = resultInvalid, http.StatusBadRequest
-	case h.opt.Draining() || active > h.opt.Limit:
+	case h.opt.Closed() || active > h.opt.Limit:
 		result = resultBusy
 	case !h.opt.Listed(address):
 		result, status = resultUnknown, http.StatusNotFound
--- a/transport/tunnel/tunnel_test.go
+++ b/transport/tunnel/tunnel_test.go
@@ -33,7 +33,7 @@
 		t.Fatal(err)
 	}
 	opt := Options{
-		Listed: func(a string) bool { return a == endpoint.Addr().String() }, Dial: dial.TCP, Limit: 2, Draining: func() bool { return false },
+		Listed: func(a string) bool { return a == endpoint.Addr().String() }, Dial: dial.TCP, Limit: 2, Closed: func() bool { return false },
 		Log: decisions.New(io.Discard, "test", hclog.Off), Metrics: tally.NoopScope,
 	}
 	if change != nil {
@@ -124,7 +124,7 @@
 	}{
 		{"not listed", nil, "127.0.0.1:1", reach.Unreached},
 		{"no path", func(o *Options) { o.Dial = refusing }, "", reach.Unreached},
-		{"stopping", func(o *Options) { o.Draining = func() bool { return true } }, "", reach.Busy},
+		{"stopping", func(o *Options) { o.Closed = func() bool { return true } }, "", reach.Busy},
 		{"full", func(o *Options) { o.Limit = 0 }, "", reach.Busy},
 		{"oversized", nil, strings.Repeat("a", maxHeaderValue+1), reach.Failed},
 	} {
