reach: a daemon that starts or heals ends the pause without relays

Cause: a round of questions without a relay is followed by a pause that doubles with each round, and nothing ended it early. A daemon that did not list the address yet, as in its first 60 ms, counted like one without a path, for a second.

Change: a new member, and one that says that it has paths again, end the pauses; 'not listed' is an answer of its own, asked again after 100 ms.

--- a/coordination/reach/reach.go
+++ b/coordination/reach/reach.go
@@ -30,6 +30,9 @@
 	// failedFor the same for all addresses after a daemon did not answer or took no more connections.
 	unreachedFor = time.Second
 	failedFor    = 500 * time.Millisecond
+	// notListedFor is how long a daemon that does not list an address is not asked for it again: it may
+	// have just started.
+	notListedFor = 100 * time.Millisecond
 	// unsupportedFor is how long a daemon of an older version, which does not relay, is not asked.
 	unsupportedFor = 30 * time.Second
 	// farCost is the cost of a relay in another failure domain, in connections of this daemon that a
@@ -83,6 +86,7 @@
 const (
 	Opened      Result = iota // the connection is open
 	Unreached                 // that daemon has not reached the address either
+	NotListed                 // it does not list the address yet, or no more
 	Busy                      // it takes no more connections
 	Failed                    // it did not answer
 	Unsupported               // its version does not relay
@@ -122,6 +126,7 @@
 	domain    string
 	rng       *rand.Rand
 	addresses map[string]bool // of the listed endpoints
+	members   map[string]bool // ids of the daemons by the last SetMembers
 	lost      map[string]*lost
 	peers     map[string]*peer
 	checked   map[string]time.Time // last check of a silent connection, by address
@@ -226,6 +231,10 @@
 		if l != nil {
 			l.unreached[id] = now.Add(unreachedFor)
 		}
+	case NotListed:
+		if l != nil {
+			l.unreached[id] = now.Add(notListedFor)
+		}
 	case Busy, Failed:
 		p.notBefore = now.Add(failedFor)
 	case Unsupported:
@@ -252,7 +261,13 @@
 }
 
 // SetPartitioned records whether a daemon reports that it has no path to the endpoints.
-func (t *Table) SetPartitioned(id string, partitioned bool) { t.peer(id).partitioned = partitioned }
+func (t *Table) SetPartitioned(id string, partitioned bool) {
+	p := t.peer(id)
+	if p.partitioned && !partitioned {
+		t.searchAgain()
+	}
+	p.partitioned = partitioned
+}
 
 // IsPartitioned reports whether a daemon has reported that it has no path to the endpoints.
 func (t *Table) IsPartitioned(id string) bool { return t.peers[id] != nil && t.peers[id].partitioned }
@@ -266,24 +281,39 @@
 	return p
 }
 
-// RetainPeers drops the state of daemons that are not members any more, and reports whether one of
-// them, or one that is stopping, still relays connections of this daemon.
-func (t *Table) RetainPeers(members []Relay) (relaying bool) {
+// SetMembers sets the daemons that may relay. A new one may have a path to the addresses that no relay
+// has reached. The state of others is dropped; relaying reports whether one of them, or one that is
+// stopping, still relays connections of this daemon.
+func (t *Table) SetMembers(members []Relay) (relaying bool) {
+	stopping, known := map[string]bool{}, map[string]bool{}
+	joined := false
+	for _, m := range members {
+		stopping[m.ID], known[m.ID] = m.Stopping, true
+		joined = joined || !t.members[m.ID]
+	}
+	t.members = known
 	for id, p := range t.peers {
-		i := slices.IndexFunc(members, func(m Relay) bool { return m.ID == id })
-		switch {
-		case i >= 0 && members[i].Stopping:
-			relaying = relaying || p.open > 0
-		case i >= 0:
-		case p.open > 0:
-			relaying = true
-		default:
+		if known[id] && !stopping[id] {
+			continue
+		}
+		relaying = relaying || p.open > 0
+		if !known[id] && p.open == 0 {
 			delete(t.peers, id)
 		}
 	}
+	if joined {
+		t.searchAgain()
+	}
 	return relaying
 }
 
+// searchAgain ends the pauses in which no relay is asked.
+func (t *Table) searchAgain() {
+	for _, l := range t.lost {
+		l.noRelays, l.failures = time.Time{}, 0
+	}
+}
+
 // Refused returns how long an address has refused the own connections; ok is false if it does not.
 func (t *Table) Refused(now time.Time, address string) (age time.Duration, ok bool) {
 	l := t.lost[address]
--- a/coordination/reach/reach_test.go
+++ b/coordination/reach/reach_test.go
@@ -128,7 +128,7 @@
 			table.RelayClosed(id)
 		}
 	}
-	if table.RetainPeers(nil) || len(table.peers) > 0 {
+	if table.SetMembers(nil) || len(table.peers) > 0 {
 		t.Errorf("state of %d daemons is kept that have left", len(table.peers))
 	}
 }
@@ -174,6 +174,31 @@
 	}
 }
 
+// Guards against requests that are refused for the rest of a pause after a daemon with a path has
+// started, or has regained it: each round of questions without a relay doubles the pause.
+func TestNewPathEndsThePause(t *testing.T) {
+	for name, event := range map[string]func(*Table){
+		"daemon starts": func(t *Table) { t.SetMembers([]Relay{{ID: "d1"}, {ID: "d2"}}) },
+		"daemon heals":  func(t *Table) { t.SetPartitioned("d1", false) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			table := newTable(1)
+			table.SetMembers([]Relay{{ID: "d1"}})
+			table.SetPartitioned("d1", true)
+			table.ObserveFailed(start, "a0", Refused)
+			table.ObserveNoRelay(start, "a0")
+			table.SetMembers([]Relay{{ID: "d1"}})
+			if got := table.Path(start, "a0"); got != None {
+				t.Fatalf("path %v in the pause", got)
+			}
+			event(table)
+			if got := table.Path(start, "a0"); got != OpenOrRelayed {
+				t.Errorf("path %v, want that relays are asked", got)
+			}
+		})
+	}
+}
+
 // Guards against requests that find no relay because the daemons of a failure domain that is cut off
 // ask each other: each connection asks a few daemons only, and the near ones came first.
 func TestSearchLeavesACutDomain(t *testing.T) {
--- a/driver/paths/run.go
+++ b/driver/paths/run.go
@@ -70,7 +70,7 @@
 	}
 	c.report(now)
 	c.publish(now)
-	c.retainPeers()
+	c.updateMembers()
 }
 
 // try opens a connection over a lost path.
@@ -144,17 +144,14 @@
 	c.table.SetPartitioned(id, value.Partitioned)
 }
 
-// retainPeers drops the state of daemons that have left. Idle connections through them are closed, so
-// that they need not wait for them.
-func (c *Controller) retainPeers() {
-	var members []reach.Relay
-	for _, m := range c.opt.Members() {
-		members = append(members, relayOf(m))
-	}
+// updateMembers passes the present daemons to the table. While one that has left or is stopping still
+// relays, idle relayed connections are closed, so that it need not wait for them.
+func (c *Controller) updateMembers() {
+	members := c.relays()
 	c.mu.Lock()
-	leaving := c.table.RetainPeers(members)
+	relaying := c.table.SetMembers(members)
 	c.mu.Unlock()
-	if leaving {
+	if relaying {
 		c.transports.closeIdleRelayed()
 	}
 }
--- a/transport/tunnel/tunnel.go
+++ b/transport/tunnel/tunnel.go
@@ -167,8 +167,10 @@
 
 func resultOf(result string) reach.Result {
 	switch result {
-	case resultUnreached, resultUnknown:
+	case resultUnreached:
 		return reach.Unreached
+	case resultUnknown:
+		return reach.NotListed
 	case resultBusy:
 		return reach.Busy
 	case resultInvalid:
--- a/transport/tunnel/tunnel_test.go
+++ b/transport/tunnel/tunnel_test.go
@@ -122,7 +122,7 @@
 		address string // empty: the endpoint's
 		result  reach.Result
 	}{
-		{"not listed", nil, "127.0.0.1:1", reach.Unreached},
+		{"not listed", nil, "127.0.0.1:1", reach.NotListed},
 		{"no path", func(o *Options) { o.Dial = refusing }, "", reach.Unreached},
 		{"stopping", func(o *Options) { o.Closed = func() bool { return true } }, "", reach.Busy},
 		{"full", func(o *Options) { o.Limit = 0 }, "", reach.Busy},
