quarantine: paths that are silent speak against a crash, too

Cause: a silent path was no evidence at all, so that two daemons that lost the endpoint at once confirmed each other.

Change: an endpoint that ends refuses; a path that fails in another way shows that paths fail. More daemons must have seen the endpoint end than have lost their paths otherwise; those that do not answer count for neither.

New case 'lost by half at once, silent to the others', red before ('outcome 1, want 2').

--- a/coordination/reach/evidence_test.go
+++ b/coordination/reach/evidence_test.go
@@ -15,17 +15,17 @@
 		others list
 		want   bool
 	}{
-		{"alone", RefusedSince, nil, true},
-		{"alone, path lost before", RefusedBefore, nil, false},
-		{"alone, no evidence", NoEvidence, nil, false},
-		{"all see it end", RefusedSince, list{RefusedSince, RefusedSince}, true},
-		{"another reaches it", RefusedSince, list{RefusedSince, Reached}, false},
-		{"all others lost it before", RefusedSince, list{RefusedBefore, RefusedBefore, RefusedBefore}, false},
-		{"others do not answer", RefusedSince, list{NoEvidence, NoEvidence}, false},
-		{"one lost it before, most see it end", RefusedSince, list{RefusedBefore, RefusedSince}, true},
-		{"most lost it before", RefusedSince, list{RefusedBefore, RefusedBefore, RefusedSince}, false},
-		{"own path lost before, others see it end", RefusedBefore, list{RefusedSince, RefusedSince}, true},
-		{"own path silent, others see it end", NoEvidence, list{RefusedSince, NoEvidence}, true},
+		{"alone", Ended, nil, true},
+		{"alone, path lost", PathLost, nil, false},
+		{"all see it end", Ended, list{Ended, Ended}, true},
+		{"another reaches it", Ended, list{Ended, Reached}, false},
+		{"all others lost their paths", Ended, list{PathLost, PathLost, PathLost}, false},
+		{"others do not answer", Ended, list{NoEvidence, NoEvidence}, false},
+		{"one does not answer", Ended, list{NoEvidence, Ended}, true},
+		{"one lost its path, most see it end", Ended, list{PathLost, Ended}, true},
+		{"half lost their paths", Ended, list{PathLost, PathLost, Ended}, false},
+		{"own path lost, others see it end", PathLost, list{Ended, Ended}, true},
+		{"own path lost, one sees it end", PathLost, list{Ended, NoEvidence}, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			if got := Crashed(c.own, c.others); got != c.want {
@@ -44,10 +44,10 @@
 		want        Evidence
 	}{
 		{"reached", Observation{Reached: true}, 0, Reached},
-		{"not refused", Observation{}, 0, NoEvidence},
-		{"refused since the break", Observation{Refused: true, Age: time.Second}, 2 * time.Second, RefusedSince},
-		{"noticed a little earlier", Observation{Refused: true, Age: simultaneous}, 0, RefusedSince},
-		{"lost before", Observation{Refused: true, Age: time.Second}, 0, RefusedBefore},
+		{"silent", Observation{}, 0, PathLost},
+		{"refused since the break", Observation{Refused: true, Age: time.Second}, 2 * time.Second, Ended},
+		{"noticed a little earlier", Observation{Refused: true, Age: simultaneous}, 0, Ended},
+		{"lost before", Observation{Refused: true, Age: time.Second}, 0, PathLost},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			if got := c.observation.Evidence(now, now.Add(-c.brokeAgo)); got != c.want {
--- a/driver/paths/examine.go
+++ b/driver/paths/examine.go
@@ -16,6 +16,8 @@
 const (
 	// maxWitnesses bounds the daemons that are asked about one endpoint.
 	maxWitnesses = 4
+	// examineTimeout bounds a trial for another daemon, which waits for the answer.
+	examineTimeout = 100 * time.Millisecond
 	// confirmAfter is the time until a second look, which must confirm that an endpoint has crashed: a
 	// partition does not begin on all links at one instant.
 	confirmAfter = 20 * time.Millisecond
@@ -60,6 +62,8 @@
 	if c.Path(address) == reach.Relayed {
 		return reach.Observation{}
 	}
+	ctx, cancel := context.WithTimeout(ctx, examineTimeout)
+	defer cancel()
 	o, _ := c.examine(ctx, address)
 	return o
 }
--- a/driver/paths/paths_test.go
+++ b/driver/paths/paths_test.go
@@ -118,6 +118,10 @@
 			f.now.Add(int64(time.Second))
 			f.cut(link.Reset, []int{0}, []int{0})
 		}, noPath},
+		{"lost by half at once, silent to the others", 4, 2, func(f *fleet) {
+			f.cut(link.Silent, []int{2, 3}, []int{0})
+			f.cut(link.Reset, []int{0, 1}, []int{0})
+		}, noPath},
 		{"partition that begins link by link", 4, 2, func(f *fleet) {
 			f.cut(link.Silent, []int{3}, []int{0})
 			f.cut(link.Reset, []int{0, 1, 2}, []int{0})
