edge: a silent path releases requests that may be repeated

What callers saw: none yet; with four of seven daemons cut off silently from one engine and one plain service, one to four safe plain calls of the first second (of some 60) waited five seconds, until their callers left, for an answer on a connection that had gone silent.

Cause, by the log of each of these requests and the watch: an attempt is looked at for the first time after the shortest silence after which it may be abandoned, which is the whole latency target of a plain call (8 s in the tests). Only then was the path suspected and found lost.

Attempts that go through another daemon are not taken from there because the own path is silent, and an open connection is not given up because new ones are refused: both did.

--- a/coordination/reach/reach.go
+++ b/coordination/reach/reach.go
@@ -180,6 +180,11 @@
 	return l != nil && !l.relayed.IsZero()
 }
 
+// SilentlyLost is Lost for a path that is silent: what was sent over it does not arrive either.
+func (t *Table) SilentlyLost(address string) bool {
+	return t.Lost(address) && t.lost[address].failure == Silent
+}
+
 // Unconfirmed reports whether the own path to an address is silent and no other daemon has reached the
 // address: it is not known whether the path is lost or the endpoint does not answer.
 func (t *Table) Unconfirmed(address string) bool {
--- a/driver/paths/paths.go
+++ b/driver/paths/paths.go
@@ -150,6 +150,16 @@
 	return c.table.Lost(address)
 }
 
+// SilentlyLost reports whether the own path to an address is silent although another daemon reaches it.
+func (c *Controller) SilentlyLost(address string) bool {
+	if !c.anyLost.Load() {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.table.SilentlyLost(address)
+}
+
 // Partitioned reports whether this daemon has lost its path to most of the given addresses, although
 // another daemon reaches some.
 func (c *Controller) Partitioned(addresses []string) bool {
--- a/transport/edge/attempt.go
+++ b/transport/edge/attempt.go
@@ -89,9 +89,6 @@
 		}),
 	}
 	sent := clock.Now()
-	ctx = paths.WithObserver(ctx, func(h paths.Hop) {
-		s.opt.Log.InfoSampled(decisions.EventSentRelayed, "request", q.call.ID, "endpoint", e.ID, "relay", h.Relay, "tunnel", h.Tunnel)
-	})
 	transport := s.client.perRequest
 	if q.route.Repeatable() {
 		transport = s.client.pooled
@@ -194,6 +191,10 @@
 	defer func() { s.opt.Balancer.Ended(clock.Now(), &a.ticket, time.Since(startedAt), ok) }()
 	w := s.watch(q, e, more, cancel)
 	defer w.stop()
+	ctx = paths.WithObserver(ctx, func(h paths.Hop) {
+		w.setRelayed()
+		s.opt.Log.InfoSampled(decisions.EventSentRelayed, "request", q.call.ID, "endpoint", e.ID, "relay", h.Relay, "tunnel", h.Tunnel)
+	})
 	a.sentAt, a.viewAge = time.Now(), s.opt.ViewAge()
 	lastEventBefore := a.lastEventAt
 	resp, f := s.send(ctx, q, e, a.lastEventID)
--- a/transport/edge/watch.go
+++ b/transport/edge/watch.go
@@ -58,6 +58,7 @@
 	mu      sync.Mutex
 	state   int
 	stopped bool
+	relayed bool // the attempt goes through another daemon
 	// movable: another endpoint may take the request.
 	movable bool
 	writing bool // a write to the caller is in progress: the endpoint is not silent
@@ -84,20 +85,30 @@
 	if w.stream || w.movable {
 		w.mu.Lock()
 		defer w.mu.Unlock()
-		w.timer = time.AfterFunc(w.bounds.Min, w.check)
+		w.timer = time.AfterFunc(w.firstCheck(), w.check)
 	}
 	return w
 }
 
+// firstCheck is the silence after which the attempt is checked for the first time.
+func (w *silenceWatch) firstCheck() time.Duration { return min(w.bounds.Min, suspectAfter) }
+
+// setRelayed records that the attempt goes through another daemon.
+func (w *silenceWatch) setRelayed() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.relayed = true
+}
+
 // check runs when the timer fires: it abandons the attempt, or sets the timer for the next check.
 func (w *silenceWatch) check() {
 	w.mu.Lock()
 	silence, patience, movable := time.Since(w.lastAt), w.pace.Patience(w.bounds), w.movable
-	stopped := w.stopped
+	stopped, relayed := w.stopped, w.relayed
 	w.mu.Unlock()
-	pathLost := w.server.opt.Paths.Lost(w.endpoint.Address)
+	pathLost := !relayed && w.server.opt.Paths.SilentlyLost(w.endpoint.Address)
 	if pathLost {
-		patience = w.bounds.Min
+		patience = min(w.bounds.Min, suspectAfter)
 	}
 	if silence >= suspectAfter && !stopped {
 		w.server.opt.Paths.Suspect(w.endpoint.Address)
@@ -179,7 +190,7 @@
 	w.writing = false
 	w.lastAt = time.Now()
 	if w.timer != nil && !w.stopped {
-		w.timer.Reset(w.bounds.Min)
+		w.timer.Reset(w.firstCheck())
 	}
 }
 
