quota: what was used while the bucket was full does not lower it later

Cause, by a trace of each draw that was not granted: the owner's bucket is empty while demand is about half of the rate on average, and allowances of up to 30,000 units are out. A daemon reports what it has used of its allowance with its next draw, up to five seconds later. Until then the bucket is full and what the rate adds is lost; then the use is taken from it as a whole. One bucket would have been refilled in between. Not the order of goroutines (one request waits alone in each case), and not the depth of the bucket: as deep as the burst, 32 of 1,200 runs failed.

Change: the owner remembers for five seconds what a full bucket has lost. Use that a daemon reports, taken as even since its last draw, lowers the level only by what that loss would not have refilled. The bound of a window is not touched: windows count all use when it is reported, as before.

--- a/coordination/quota/owner.go
+++ b/coordination/quota/owner.go
@@ -25,6 +25,7 @@
 
 type bucket struct {
 	level               float64
+	overflow            overflow
 	levelAt             time.Time // time of level
 	keptSince           time.Time // start of the time for which this daemon has kept the bucket without interruption
 	grantedAt           time.Time // time of the latest grant
@@ -229,7 +230,10 @@
 		b.level += rate * d.Seconds()
 		b.levelAt = now
 	}
-	b.level = min(b.level, burst)
+	if lost := b.level - burst; lost > 0 {
+		b.level = burst
+		b.overflow.add(now, lost)
+	}
 }
 
 // outranked reports whether more urgent requests than those of a rank have recently found no room:
@@ -312,6 +316,7 @@
 // account applies what a daemon reports about the time since its last draw.
 func (o *Owner) account(now time.Time, b *bucket, s *share, d Draw) {
 	b.spend(now, d.Used)
+	b.level += b.overflow.take(s.lastDraw, now, d.Used)
 	b.window.add(now, -s.expired)
 	b.allowances -= s.allowance
 	s.expired, s.allowance = 0, 0
