quarantine: a line says why broken connections are not counted as a crash

An operator could see crashes that were confirmed, and not those that were not, nor by whose evidence: a request that ends engines and is not held back would have had no trace. The line names what this daemon and those that it asked have seen.

--- a/coordination/reach/evidence.go
+++ b/coordination/reach/evidence.go
@@ -17,6 +17,11 @@
 	PathLost
 )
 
+// String returns the name of the evidence as it appears in logs.
+func (e Evidence) String() string {
+	return [...]string{"none", "reached", "ended", "path-lost"}[e]
+}
+
 // simultaneous is how much earlier than the break of a connection another daemon may notice the end of
 // the same endpoint.
 const simultaneous = 250 * time.Millisecond
--- a/driver/decisions/log.go
+++ b/driver/decisions/log.go
@@ -43,6 +43,7 @@
 	EventRequestWaiting       = "request waits for a model"
 	EventEndpointAvoided      = "endpoint avoided"
 	EventEndpointCrashed      = "endpoint ended under requests"
+	EventCrashNotConfirmed    = "end of an endpoint not confirmed"
 	EventRequestQuarantined   = "request held back"
 	EventQuarantineLifted     = "request held back no more"
 	EventQuarantineProbe      = "trial of a request held back"
--- a/driver/paths/examine.go
+++ b/driver/paths/examine.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/doorvalve/doorvalve/coordination/reach"
+	"github.com/doorvalve/doorvalve/driver/decisions"
 	"github.com/doorvalve/doorvalve/internal/dial"
 	"github.com/doorvalve/doorvalve/internal/pause"
 )
@@ -43,20 +44,30 @@
 		return err
 	}
 	others := c.askWitnesses(ctx, address, broke)
-	now := c.opt.Clock()
+	evidence := own.Evidence(c.opt.Clock(), broke)
 	switch {
 	case ctx.Err() != nil:
 		return ctx.Err()
 	case slices.Contains(others, reach.Reached):
 		return nil
-	case reach.Crashed(own.Evidence(now, broke), others):
+	case reach.Crashed(evidence, others):
 		return &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ECONNREFUSED}
-	case dial.IsRefused(err):
+	}
+	c.opt.Log.InfoSampled(decisions.EventCrashNotConfirmed, "address", address, "own", evidence.String(), "others", namesOf(others), "error", err)
+	if dial.IsRefused(err) {
 		return noPath("tcp")
 	}
 	return c.explain(ctx, "tcp", address, err)
 }
 
+func namesOf(list []reach.Evidence) []string {
+	names := make([]string, len(list))
+	for i, e := range list {
+		names[i] = e.String()
+	}
+	return names
+}
+
 // Examine tries the own path to an address for another daemon, unless it is known to be silent.
 func (c *Controller) Examine(ctx context.Context, address string) reach.Observation {
 	if c.Path(address) == reach.Relayed {
