quarantine: partitioned daemons speak against a crash, too

Cause: daemons that say that they have no path to the endpoints were not among those that are asked, so that their lost paths did not count.

They count as paths lost now, without being asked. New case 'lost by half at once, the others partitioned', red before ('outcome 1, want 2').

--- a/coordination/reach/reach.go
+++ b/coordination/reach/reach.go
@@ -328,9 +328,10 @@
 	return now.Sub(l.since), true
 }
 
-// Witnesses returns up to n daemons, chosen at random, to ask whether they reach an endpoint.
+// Witnesses returns up to n daemons, chosen at random, to ask whether they reach an endpoint. Those that
+// have reported that they have no path are among them, and need not be asked: IsPartitioned.
 func (t *Table) Witnesses(members []Relay, n int) []Relay {
-	list := slices.DeleteFunc(slices.Clone(members), func(m Relay) bool { return t.IsPartitioned(m.ID) })
+	list := slices.Clone(members)
 	t.rng.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 	return list[:min(n, len(list))]
 }
--- a/driver/paths/examine.go
+++ b/driver/paths/examine.go
@@ -101,9 +101,6 @@
 	c.mu.Lock()
 	witnesses := c.table.Witnesses(members, maxWitnesses)
 	c.mu.Unlock()
-	if len(members) > 0 && len(witnesses) == 0 {
-		return []reach.Evidence{reach.NoEvidence}
-	}
 	list := make([]reach.Evidence, len(witnesses))
 	var wg sync.WaitGroup
 	for i, w := range witnesses {
@@ -114,6 +111,9 @@
 }
 
 func (c *Controller) askWitness(ctx context.Context, w reach.Relay, address string, broke time.Time) reach.Evidence {
+	if c.IsPartitioned(w.ID) {
+		return reach.PathLost
+	}
 	o, err := c.opt.Tunnel.Examine(ctx, w.PeerAddress, address, c.nextTunnel())
 	if err != nil {
 		return reach.NoEvidence
--- a/driver/paths/paths_test.go
+++ b/driver/paths/paths_test.go
@@ -122,6 +122,13 @@
 			f.cut(link.Silent, []int{2, 3}, []int{0})
 			f.cut(link.Reset, []int{0, 1}, []int{0})
 		}, noPath},
+		{"lost by half at once, the others partitioned", 4, 2, func(f *fleet) {
+			f.cut(link.Silent, []int{2, 3}, []int{0, 1})
+			for _, id := range []string{"d2", "d3"} {
+				f.daemons[0].ReceiveFact(membership.Entry{Key: FactPrefix + id, Value: []byte(`{"partitioned":true}`)})
+			}
+			f.cut(link.Reset, []int{0, 1}, []int{0})
+		}, noPath},
 		{"partition that begins link by link", 4, 2, func(f *fleet) {
 			f.cut(link.Silent, []int{3}, []int{0})
 			f.cut(link.Reset, []int{0, 1, 2}, []int{0})
