--- a/driver/paths/paths.go
+++ b/driver/paths/paths.go
@@ -142,33 +142,29 @@
 
 // Lost reports whether the own path to an address is lost although another daemon reaches it.
 func (c *Controller) Lost(address string) bool {
-	if !c.anyLost.Load() {
-		return false
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.table.Lost(address)
+	return c.ifAnyLost(func() bool { return c.table.Lost(address) })
 }
 
 // SilentlyLost reports whether the own path to an address is silent although another daemon reaches it.
 func (c *Controller) SilentlyLost(address string) bool {
-	if !c.anyLost.Load() {
-		return false
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.table.SilentlyLost(address)
+	return c.ifAnyLost(func() bool { return c.table.SilentlyLost(address) })
 }
 
 // Partitioned reports whether this daemon has lost its path to most of the given addresses, although
 // another daemon reaches some.
 func (c *Controller) Partitioned(addresses []string) bool {
+	return c.ifAnyLost(func() bool { return c.table.Partitioned(addresses) })
+}
+
+// ifAnyLost calls a condition of the table with the mutex held. It takes no lock and returns false while
+// no path is lost.
+func (c *Controller) ifAnyLost(condition func() bool) bool {
 	if !c.anyLost.Load() {
 		return false
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.table.Partitioned(addresses)
+	return condition()
 }
 
 // IsPartitioned reports whether another daemon has said that it has no path to the endpoints.
--- a/driver/quarantiner/broken.go
+++ b/driver/quarantiner/broken.go
@@ -52,7 +52,7 @@
 	crashedAt time.Time // when the crash was detected
 	checks    int
 	checkAt   time.Time       // of the next check
-	again     bool            // one check more than maxChecks has been allowed
+	again     bool            // a refused connection has allowed one check more than maxChecks
 	checking  chan struct{}   // closed when the running check ends; nil if none is running
 	attempts  []BrokenAttempt // not counted yet
 }
@@ -101,8 +101,8 @@
 	}
 }
 
-// ObserveDialError processes a failure to connect to an endpoint: if nothing listens there, it may have
-// crashed during the attempts that broke shortly before, so that it is checked again.
+// ObserveDialError processes a failure to connect to an endpoint. If it was refused, the endpoint may
+// have crashed during the attempts that broke shortly before, and is checked once more.
 func (c *Controller) ObserveDialError(inc fleet.Incarnation, err error) {
 	if !dial.IsRefused(err) {
 		return
