--- a/driver/quarantiner/broken.go
+++ b/driver/quarantiner/broken.go
@@ -20,7 +20,7 @@
 	// listener may close after its connections.
 	checkEvery = 250 * time.Millisecond
 	// maxChecks bounds the checks of one incarnation, so that broken connections cost an endpoint
-	// which is up only a few new connections.
+	// which is up only a few new connections. A refused connection allows one more.
 	maxChecks = 3
 	// brokenFor is how long a broken attempt waits for evidence that its endpoint has crashed. It
 	// is longer than removed endpoints stay in the list.
@@ -52,7 +52,7 @@
 	crashedAt time.Time // when the crash was detected
 	checks    int
 	checkAt   time.Time       // of the next check
-	again     bool            // a refused connection has allowed one check more than maxChecks
+	allowed   int             // number of checks
 	checking  chan struct{}   // closed when the running check ends; nil if none is running
 	attempts  []BrokenAttempt // not counted yet
 }
@@ -74,7 +74,7 @@
 			c.opt.Log.Warn(decisions.EventEndpointCrashed, "endpoint", a.Incarnation.ID, "error", "too many endpoints broke at once; this one is not looked at")
 			return
 		}
-		b = &broken{address: a.Address, leaving: leaving, since: now, order: time.Now().UnixMilli()}
+		b = &broken{address: a.Address, leaving: leaving, since: now, order: time.Now().UnixMilli(), allowed: maxChecks}
 		c.broken[a.Incarnation] = b
 	}
 	leaving = b.leaving
@@ -108,14 +108,9 @@
 		return
 	}
 	c.mu.Lock()
-	b := c.broken[inc]
-	again := b != nil && !b.crashed && b.checks == maxChecks && !b.again
-	if again {
-		b.again = true
-		b.checks--
-	}
-	c.mu.Unlock()
-	if again {
+	defer c.mu.Unlock()
+	if b := c.broken[inc]; b != nil && !b.crashed {
+		b.allowed = maxChecks + 1
 		wake.Once(c.wake)
 	}
 }
@@ -125,7 +120,7 @@
 	c.mu.Lock()
 	waiting := b.checking
 	now := c.opt.Clock()
-	own := !b.crashed && waiting == nil && b.checks < maxChecks && !now.Before(b.checkAt)
+	own := !b.crashed && waiting == nil && b.checks < b.allowed && !now.Before(b.checkAt)
 	if own {
 		b.checking = make(chan struct{})
 		b.checks++
@@ -204,7 +199,7 @@
 		if !listed && !b.leaving {
 			b.markCrashed(now)
 		}
-		checkNow := !b.leaving && !b.crashed && b.checks < maxChecks && b.checking == nil && !now.Before(b.checkAt)
+		checkNow := !b.leaving && !b.crashed && b.checks < b.allowed && b.checking == nil && !now.Before(b.checkAt)
 		c.mu.Unlock()
 		if checkNow {
 			go func() {
