--- a/transport/tunnel/handler.go
+++ b/transport/tunnel/handler.go
@@ -88,7 +88,7 @@
 	}
 	endpoint, err := h.opt.Dial(r.Context(), "tcp", address)
 	if err != nil {
-		h.opt.Log.Info(decisions.EventRelayRefused, "tunnel", tunnel, "from", from, "address", address, "error", err)
+		h.opt.Log.InfoSampled(decisions.EventRelayRefused, "tunnel", tunnel, "from", from, "address", address, "error", err)
 		h.refuse(w, resultUnreached, http.StatusBadGateway)
 		return
 	}
