paths: a silent path is confirmed by other daemons until one has answered

Cause: whether a silent path is lost was asked of two daemons, once.

Daemons that do not reach an endpoint are not asked to relay there for a second, as after a relay that failed.

TestUnconfirmedPathIsCheckedAgain, red before. The check of a silent connection now expects that a lost path is not checked if another daemon reaches the address; it had not told the two apart.

--- a/coordination/reach/reach.go
+++ b/coordination/reach/reach.go
@@ -46,6 +46,8 @@
 	unitCapacity = 1000
 	// checkInterval is the least time between two checks of a path on which a connection is silent.
 	checkInterval = 2 * time.Second
+	// confirmInterval is the same while it is not known whether the path or the endpoint is silent.
+	confirmInterval = 250 * time.Millisecond
 )
 
 // Path is the way on which connections to an address are opened.
@@ -419,10 +421,17 @@
 	}
 }
 
-// StartCheck reports whether the own path to an address should be checked because a connection there
-// is silent: at most once in a while, and only while the path counts as sound.
+// StartCheck reports whether the path to an address should be checked because a connection there is
+// silent, at most once in a while: the own path while it counts as sound, and whether another daemon
+// reaches the address while that is not known of a silent path.
 func (t *Table) StartCheck(now time.Time, address string) bool {
-	if t.lost[address] != nil || !t.addresses[address] || now.Sub(t.checked[address]) < checkInterval {
+	interval := checkInterval
+	if t.Unconfirmed(address) {
+		interval = confirmInterval
+	} else if t.lost[address] != nil {
+		return false
+	}
+	if !t.addresses[address] || now.Sub(t.checked[address]) < interval {
 		return false
 	}
 	t.checked[address] = now
--- a/coordination/reach/reach_test.go
+++ b/coordination/reach/reach_test.go
@@ -169,11 +169,25 @@
 		t.Error("want one check in each interval")
 	}
 	table.ObserveFailed(start, "a0", Silent)
+	table.ObserveRelay(start, "a0", "d1", Opened)
 	if table.StartCheck(start.Add(2*checkInterval), "a0") || table.StartCheck(start, "other") {
 		t.Error("a lost path or an address that is not listed was checked")
 	}
 }
 
+// Guards against requests that wait on a silent path for their whole time because the few daemons that
+// were asked had no path either, and no others were asked afterwards.
+func TestUnconfirmedPathIsCheckedAgain(t *testing.T) {
+	table := newTable(1)
+	table.StartCheck(start, "a0")
+	table.ObserveFailed(start, "a0", Silent)
+	table.ObserveRelay(start, "a0", "d1", Unreached)
+	table.ObserveNoRelay(start, "a0")
+	if table.StartCheck(start.Add(confirmInterval/2), "a0") || !table.StartCheck(start.Add(confirmInterval), "a0") {
+		t.Error("want that a path which may be lost is checked again, once in each interval")
+	}
+}
+
 // Guards against requests that are refused for the rest of a pause after a daemon with a path has
 // started, or has regained it: each round of questions without a relay doubles the pause.
 func TestNewPathEndsThePause(t *testing.T) {
--- a/driver/paths/checks.go
+++ b/driver/paths/checks.go
@@ -1,6 +1,11 @@
 package paths
 
-import "context"
+import (
+	"context"
+	"slices"
+
+	"github.com/doorvalve/doorvalve/coordination/reach"
+)
 
 // explain returns the error of a connection that neither the own path nor a relay has opened. own is
 // the error of the own path; nil if it was not tried.
@@ -56,16 +61,23 @@
 	}
 }
 
-// check opens a connection over the own path, and if that fails through a relay, to find out whether
+// check opens a connection over the own path, and if that fails asks other daemons, to find out whether
 // the path is lost or the endpoint does not answer.
 func (c *Controller) check(ctx context.Context, address string) {
-	conn, err := c.DialDirect(ctx, "tcp", address)
-	if err != nil {
-		conn, err = c.dialRelayed(ctx, "tcp", address)
+	if c.Path(address) == reach.Direct {
+		conn, err := c.DialDirect(ctx, "tcp", address)
+		if err == nil {
+			_ = conn.Close()
+			return
+		}
 	}
-	if err == nil {
-		_ = conn.Close()
+	now := c.opt.Clock()
+	if slices.Contains(c.askWitnesses(ctx, address, now), reach.Reached) {
+		return
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.table.ObserveNoRelay(now, address)
 }
 
 // checkOthers checks paths that count as sound.
--- a/driver/paths/examine.go
+++ b/driver/paths/examine.go
@@ -121,6 +121,8 @@
 	if o.Reached {
 		c.observeRelay(address, w.ID, reach.Opened)
 		c.relayClosed(w.ID)
+	} else {
+		c.observeRelay(address, w.ID, reach.Unreached)
 	}
 	return o.Evidence(c.opt.Clock(), broke)
 }
--- a/driver/paths/paths.go
+++ b/driver/paths/paths.go
@@ -150,6 +150,12 @@
 	return c.ifAnyLost(func() bool { return c.table.SilentlyLost(address) })
 }
 
+// unconfirmed reports whether the own path to an address is silent and it is not known whether another
+// daemon reaches it.
+func (c *Controller) unconfirmed(address string) bool {
+	return c.ifAnyLost(func() bool { return c.table.Unconfirmed(address) })
+}
+
 // Partitioned reports whether this daemon has lost its path to most of the given addresses, although
 // another daemon reaches some.
 func (c *Controller) Partitioned(addresses []string) bool {
--- a/driver/paths/silent.go
+++ b/driver/paths/silent.go
@@ -60,7 +60,7 @@
 	case w.paths.SilentlyLost(w.address):
 		w.end(ErrSilentPath)
 		return
-	case !w.suspected:
+	case !w.suspected || w.paths.unconfirmed(w.address):
 		w.suspected = true
 		w.paths.Suspect(w.address)
 	}
