paths: up to six daemons are asked to relay a connection

Cause: three daemons were asked. Where three of the six others have no path either, all three are cut off in one search of twenty; the request then waits for a pause and for the coordinator to name the engine again.

Change: six are asked, within a second. A daemon that has no path says so from memory, in a millisecond.

--- a/driver/paths/paths.go
+++ b/driver/paths/paths.go
@@ -29,8 +29,11 @@
 	// relayTimeout bounds asking one daemon for a relay. That daemon needs directTimeout if the
 	// endpoint does not answer it.
 	relayTimeout = directTimeout + 200*time.Millisecond
-	// maxRelaysAsked bounds the daemons that are asked for one connection.
-	maxRelaysAsked = 3
+	// maxRelaysAsked bounds the daemons that are asked for one connection: where half of them have no
+	// path either, one search in 64 finds none. searchTimeout is the time after which no further one is
+	// asked.
+	maxRelaysAsked = 6
+	searchTimeout  = time.Second
 	// unconfirmedTimeout and maxUnconfirmedAsked replace relayTimeout and maxRelaysAsked where the
 	// endpoint may be down: a daemon with a path to it answers within some milliseconds, and the
 	// request can go to another endpoint.
--- a/driver/paths/paths_test.go
+++ b/driver/paths/paths_test.go
@@ -294,6 +294,21 @@
 	other.ReceiveFact(membership.Entry{Key: FactPrefix + "d0", Value: []byte("{")}) // logged, changes nothing
 }
 
+// Guards against requests that are refused, or wait for a while, because the few daemons that were asked
+// to relay have no path either, though another one has.
+func TestSearchFindsTheDaemonWithAPath(t *testing.T) {
+	f := newFleet(t, 7, 8)
+	for e := range f.endpoints {
+		f.cut(link.Refused, []int{0, 1, 2, 3, 4, 5}, []int{e})
+	}
+	transport := f.daemons[0].Transport(&http.Transport{DisableKeepAlives: true})
+	for e := range f.endpoints {
+		if hop, err := f.get(transport, e); err != nil || hop.Relay != "d6" {
+			t.Errorf("endpoint %d: relay %q, error %v; want d6", e, hop.Relay, err)
+		}
+	}
+}
+
 // Guards against an endpoint that counts as crashed because the one daemon that reaches it again was not
 // asked.
 func TestAllDaemonsAreAskedBeforeAnEndpointCountsAsDown(t *testing.T) {
--- a/driver/paths/relayed.go
+++ b/driver/paths/relayed.go
@@ -38,7 +38,8 @@
 func (c *Controller) dialRelayed(ctx context.Context, network, address string) (net.Conn, error) {
 	var asked []string
 	limits := c.relayLimits(address)
-	for len(asked) < limits.asked && ctx.Err() == nil {
+	started := time.Now()
+	for len(asked) < limits.asked && time.Since(started) < searchTimeout && ctx.Err() == nil {
 		relay, ok := c.choose(address, asked)
 		if !ok {
 			break
