tunnel: questions about an endpoint do not count as relayed connections

By reading, while TestSearchFindsTheDaemonWithAPath was red: many questions at once would have a daemon answer that it relays no more, and be asked by nobody for half a second.

--- a/transport/tunnel/handler.go
+++ b/transport/tunnel/handler.go
@@ -66,24 +66,25 @@
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	address, tunnel, from := r.Header.Get(headerAddress), r.Header.Get(headerTunnel), r.Header.Get(headerFrom)
-	active := h.active.Add(1)
-	defer func() { h.open.Update(float64(h.active.Add(-1))) }()
-	h.open.Update(float64(active))
-	result, status := "", http.StatusServiceUnavailable
 	switch {
 	case r.Header.Get("Upgrade") != protocolName || address == "" || max(len(address), len(tunnel), len(from)) > maxHeaderValue:
-		result, status = resultInvalid, http.StatusBadRequest
-	case h.opt.Closed() || active > h.opt.Limit:
-		result = resultBusy
+		h.refuse(w, resultInvalid, http.StatusBadRequest)
 	case !h.opt.Listed(address):
-		result, status = resultUnknown, http.StatusNotFound
-	}
-	if result != "" {
-		h.refuse(w, result, status)
-		return
-	}
-	if r.Header.Get(headerExamine) != "" {
+		h.refuse(w, resultUnknown, http.StatusNotFound)
+	case r.Header.Get(headerExamine) != "":
 		h.answerExamine(w, h.opt.Examine(r.Context(), address))
+	default:
+		h.relayTo(w, r, address, tunnel, from)
+	}
+}
+
+// relayTo opens a connection to an endpoint and relays it until it ends.
+func (h *Handler) relayTo(w http.ResponseWriter, r *http.Request, address, tunnel, from string) {
+	active := h.active.Add(1)
+	defer func() { h.open.Update(float64(h.active.Add(-1))) }()
+	h.open.Update(float64(active))
+	if h.opt.Closed() || active > h.opt.Limit {
+		h.refuse(w, resultBusy, http.StatusServiceUnavailable)
 		return
 	}
 	endpoint, err := h.opt.Dial(r.Context(), "tcp", address)
--- a/transport/tunnel/tunnel_test.go
+++ b/transport/tunnel/tunnel_test.go
@@ -145,6 +145,7 @@
 func TestWhatADaemonSeesOfAnEndpoint(t *testing.T) {
 	for _, want := range []reach.Observation{{}, {Reached: true}, {Refused: true}, {Refused: true, Age: 1500 * time.Millisecond}} {
 		r := newRelay(t, func(o *Options) {
+			o.Limit = 0 // of relayed connections
 			o.Examine = func(context.Context, string) reach.Observation { return want }
 		})
 		got, err := (&Dialer{Open: dial.TCP, Self: "d1"}).Examine(t.Context(), r.address, r.endpoint.Addr().String(), "t1")
