paths: a check that has not asked all daemons ends no search

Cause: the check of a path asks up to four daemons whether they reach the endpoint, and where none does it had requests ask nobody for a pause, though others had not been asked.

--- a/driver/paths/checks.go
+++ b/driver/paths/checks.go
@@ -72,8 +72,9 @@
 		}
 	}
 	now := c.opt.Clock()
-	if slices.Contains(c.askWitnesses(ctx, address, now), reach.Reached) {
-		return
+	evidence := c.askWitnesses(ctx, address, now)
+	if slices.Contains(evidence, reach.Reached) || len(evidence) < len(c.relays()) {
+		return // a request may find a daemon with a path among those that were not asked
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
