--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -273,11 +273,6 @@
 	return list
 }
 
-// alive returns the members that are alive and not leaving, this daemon among them.
-func (d *Daemon) alive() []membership.Member {
-	return membership.Eligible(d.gossip.Members())
-}
-
 // gateFor returns the unit's gate from old, or else a new one.
 func (d *Daemon) gateFor(old map[string]*gate.Gate, unit string, r *reporter) *gate.Gate {
 	if g := old[unit]; g != nil {
