freeport: processes at the same time start further apart

Two soaks with neighbouring process ids started 37 ports apart, and one uses about 20 a seed, so that one came to the ports of the other after a few seeds, and could take that of a daemon that was being replaced (seen: TestPartitionSoak seed 13045). 997 ports are more than 25 seeds use.

--- a/internal/freeport/freeport.go
+++ b/internal/freeport/freeport.go
@@ -18,8 +18,8 @@
 )
 
 // spread separates the first ports of test processes that run at the same time:
-// neighbouring process ids start this many ports apart.
-const spread = 37
+// neighbouring process ids start this many ports apart, more than a soak uses.
+const spread = 997
 
 var next atomic.Int64
 
