edge: log the software of endpoints and the attempt that a request resumes

What callers saw: streams with events of two software versions. The log could not show it: lines about attempts name endpoints only, and no line says which attempt a request resumes, so attempts that one daemon makes within an answer cannot be told from those that callers make at other daemons. No decision reads them.

--- a/protocol/call.go
+++ b/protocol/call.go
@@ -22,7 +22,10 @@
 	// processed a prompt with the same first parts need not process them again.
 	Parts       []PromptPart
 	LastEventID string // the stream is resumed after this event
-	Credential  Credential
+	// Resumes is the ID of the attempt that brought the first event of the resumed stream; empty
+	// when unknown.
+	Resumes    string
+	Credential Credential
 }
 
 // MaxPromptParts bounds the parts of a prompt that are kept for one request: requests with the same
--- a/transport/edge/answer.go
+++ b/transport/edge/answer.go
@@ -22,6 +22,7 @@
 	headerSent   bool // the header was sent to the caller
 	status       int
 	endpoint     fleet.Incarnation // the last one that answered
+	software     string            // its software
 	sentAt       time.Time         // when the request was last sent to an endpoint
 	ticket       balance.Ticket    // of the last attempt
 	viewAge      time.Duration     // age of the view from which that endpoint was chosen
--- a/transport/edge/attempt.go
+++ b/transport/edge/attempt.go
@@ -199,7 +199,7 @@
 	lastEventBefore := a.lastEventAt
 	resp, f := s.send(ctx, q, e, a.lastEventID)
 	if f == nil {
-		a.endpoint = e.Incarnation()
+		a.endpoint, a.software = e.Incarnation(), e.Software
 		f = s.deliver(q, a, resp, w, more)
 		_ = resp.Body.Close()
 	}
--- a/transport/edge/run.go
+++ b/transport/edge/run.go
@@ -100,7 +100,7 @@
 			t.exclude = append(t.exclude, e.Incarnation())
 		}
 		mayRetry := t.mayRetry(q, a)
-		s.opt.Log.Info(decisions.EventAttemptFailed, "request", q.call.ID, "endpoint", e.ID, "endpoint_revision", e.Version, "reason", f.reason, "error", f.err,
+		s.opt.Log.Info(decisions.EventAttemptFailed, "request", q.call.ID, "endpoint", e.ID, "endpoint_revision", e.Version, "software", e.Software, "resumes", q.call.Resumes, "last_event", a.lastEventID, "reason", f.reason, "error", f.err,
 			"verdict", f.verdict.String(), "again", mayRetry, "fingerprint", q.fingerprint().String(), "began", f.eventsForwarded, "sent_ms", a.sentAt.Sub(q.arrived).Milliseconds(), "endpoints_age_ms", a.viewAge.Milliseconds(), "ms", time.Since(q.arrived).Milliseconds())
 		if !mayRetry && ctx.Err() == nil {
 			return s.finalRefusal(q, t)
--- a/transport/edge/server.go
+++ b/transport/edge/server.go
@@ -258,14 +258,14 @@
 	case refusal == nil:
 		s.metrics.answered.Inc(1)
 		s.opt.Log.InfoSampled(decisions.EventAnswered, "request", q.call.ID, "route", q.route.Name, "model", q.unit(), "status", a.status,
-			"ms", time.Since(arrived).Milliseconds(), "first_event_ms", a.timeToFirstEvent().Milliseconds(), "longest_gap_ms", a.longestGap.Milliseconds(), "waited_ms", q.waited.Milliseconds(), "sent_ms", a.sentAt.Sub(arrived).Milliseconds(), "endpoints_age_ms", a.viewAge.Milliseconds(), "endpoint", a.endpoint.ID, "version", q.version(), "workspace", q.workspace())
+			"ms", time.Since(arrived).Milliseconds(), "first_event_ms", a.timeToFirstEvent().Milliseconds(), "longest_gap_ms", a.longestGap.Milliseconds(), "waited_ms", q.waited.Milliseconds(), "sent_ms", a.sentAt.Sub(arrived).Milliseconds(), "endpoints_age_ms", a.viewAge.Milliseconds(), "endpoint", a.endpoint.ID, "software", a.software, "resumes", q.call.Resumes, "version", q.version(), "workspace", q.workspace())
 	case c.closed != "":
 		s.metrics.slowCallers[c.closed].Inc(1)
 		s.opt.Log.Info(decisions.EventFailed, "request", q.call.ID, "route", q.route.Name, "model", q.unit(), "reason", reasonSlowCaller, "detail", c.closed, "unread_limit_ms", c.unread.Milliseconds(), "held_bytes", s.HeldBytes(), "ms", time.Since(arrived).Milliseconds(), "endpoint", a.endpoint.ID)
 		panic(http.ErrAbortHandler)
 	case r.Context().Err() != nil:
 		s.metrics.disconnected.Inc(1)
-		s.opt.Log.Info(decisions.EventFailed, "request", q.call.ID, "route", q.route.Name, "model", q.unit(), "reason", "caller gone", "ms", time.Since(arrived).Milliseconds(), "endpoint", a.endpoint.ID)
+		s.opt.Log.Info(decisions.EventFailed, "request", q.call.ID, "route", q.route.Name, "model", q.unit(), "reason", "caller gone", "ms", time.Since(arrived).Milliseconds(), "endpoint", a.endpoint.ID, "software", a.software, "resumes", q.call.Resumes)
 		panic(http.ErrAbortHandler)
 	case a.headerSent:
 		// The caller has a part of the answer: only aborting the connection shows it the failure.
