edge: a stream continues only at the software version that began it

Cause: the endpoint that continues a stream was chosen as for a new request; which software began a stream was kept nowhere.

Change: coordination/continuation is the one decision where a begun stream may continue. Before the first event leaves, the daemon records the endpoint's software under the attempt's id; while a service runs more than one version, or may have, three other daemons get a copy first, chosen by rendezvous of the id, and the records of streams that began before the second version appeared follow. An attempt that resumes a stream (Last-Event-Id, Resumes) asks these daemons, then up to 64 others. If nobody knows, it goes on only where one version can have begun it; otherwise it is refused at once, truly as not run. While there was one version for longer than streams last, no message is sent. The constraint holds for all choices of an endpoint: picks, last resorts, moves away from silent endpoints, the coordinator's answers and its loads (a model is loaded at the version that is asked for). Resumes is read once and no longer forwarded; all attempts of a chain use the service of the first.

--- /dev/null
+++ b/coordination/continuation/table.go
@@ -0,0 +1,323 @@
+package continuation
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/doorvalve/doorvalve/state/fleet"
+)
+
+const (
+	// minRetention is the least time for which records are kept and after which a version that is
+	// no longer listed cannot have begun a stream that is still read.
+	minRetention = time.Minute
+	// retentionFactor is the ratio of that time to the longest timeout of a stream: callers resume a
+	// stream after its first attempt has ended.
+	retentionFactor = 2
+	// maxRecords bounds the memory: some 5 MB, at 150 bytes a record. The oldest are dropped first;
+	// their streams then count as unknown.
+	maxRecords = 1 << 15
+	// replacementLag is how late a daemon may see that an endpoint has started again under its id.
+	// A stream that began within this time before may have begun at either incarnation.
+	replacementLag = 10 * time.Second
+)
+
+// Record is what daemons keep of a stream that has begun.
+type Record struct {
+	Key    Key
+	Origin Origin
+	At     time.Time // when it began, by this daemon's clock
+}
+
+// Table holds one daemon's records of begun streams, and the software that it has seen in each
+// service. It is not safe for concurrent use.
+//
+// Invariant: records can be merged in any order. Two records of one key that differ make its origin
+// ambiguous for good.
+type Table struct {
+	records   map[Key]*entry
+	services  map[string]*history
+	listed    map[string]listing
+	replaced  map[string]time.Time // when an incarnation with other software took over an id
+	retention time.Duration
+	viewed    bool
+	since     time.Time // start of the time that this daemon has watched; zero: since the first start
+}
+
+type entry struct {
+	Record
+	own bool // began at this daemon
+}
+
+// listing is the latest description of an endpoint's id.
+type listing struct {
+	service, software string
+	incarnation       fleet.Incarnation
+}
+
+// history is the software seen in a service.
+type history struct {
+	current map[string]bool      // in the latest view
+	last    map[string]time.Time // when others were last listed
+	since   time.Time            // start of the time that the history covers
+}
+
+// New returns a table that watches services from the given time on. The zero time means that no
+// stream has begun before: the system has never run.
+func New(since time.Time) *Table {
+	return &Table{records: map[Key]*entry{}, services: map[string]*history{}, listed: map[string]listing{}, replaced: map[string]time.Time{}, retention: minRetention, since: since}
+}
+
+// SetLongestStream sets how long a stream may last, by the timeouts of the routes.
+func (t *Table) SetLongestStream(d time.Duration) { t.retention = max(minRetention, retentionFactor*d) }
+
+func (t *Table) history(service string) *history {
+	h := t.services[service]
+	if h == nil {
+		h = &history{current: map[string]bool{}, last: map[string]time.Time{}, since: t.since}
+		t.services[service] = h
+	}
+	return h
+}
+
+// ObserveView processes a new view of the endpoints. It returns the services in which a second
+// version has appeared, and whether the software of any service has changed.
+func (t *Table) ObserveView(now time.Time, view *fleet.View) (mixed []string, changed bool) {
+	before := map[string]bool{}
+	for service, h := range t.services {
+		before[service] = len(h.versions(now, t.retention)) > 1
+		for software := range h.current {
+			h.last[software] = now // it was listed until now
+		}
+	}
+	changed = t.replaceCurrent(view)
+	t.observeListings(now, view)
+	for service, h := range t.services {
+		if !before[service] && len(h.versions(now, t.retention)) > 1 {
+			mixed = append(mixed, service)
+		}
+	}
+	t.viewed = true
+	slices.Sort(mixed)
+	return mixed, changed
+}
+
+// replaceCurrent sets the software that is listed now, and reports whether that has changed.
+func (t *Table) replaceCurrent(view *fleet.View) (changed bool) {
+	next := map[string]map[string]bool{}
+	for service, list := range view.ByService {
+		next[service] = map[string]bool{}
+		for _, e := range list {
+			next[service][e.Software] = true
+		}
+	}
+	for service := range next {
+		t.history(service)
+	}
+	for service, h := range t.services {
+		current := next[service]
+		if !maps.Equal(h.current, current) {
+			changed = true
+		}
+		h.current = current
+	}
+	return changed
+}
+
+// observeListings records which ids were taken over by an incarnation with other software.
+func (t *Table) observeListings(now time.Time, view *fleet.View) {
+	for id, e := range view.ByID {
+		was, ok := t.listed[id]
+		if ok && !was.incarnation.Matches(e.Incarnation()) && (was.software != e.Software || was.service != e.Service) {
+			t.replaced[id] = now
+		}
+		t.listed[id] = listing{e.Service, e.Software, e.Incarnation()}
+	}
+	if len(t.listed) > len(view.ByID)+maxListings {
+		maps.DeleteFunc(t.listed, func(id string, _ listing) bool { return view.ByID[id] == nil })
+	}
+	maps.DeleteFunc(t.replaced, func(_ string, at time.Time) bool { return now.Sub(at) > t.retention })
+}
+
+// maxListings bounds the remembered descriptions of endpoints that are not listed: they may return
+// under their ids with other software.
+const maxListings = 4096
+
+// versions returns the software listed now or within the retention.
+func (h *history) versions(now time.Time, retention time.Duration) []string {
+	list := make([]string, 0, len(h.current))
+	for software := range h.current {
+		list = append(list, software)
+	}
+	for software, at := range h.last {
+		if !h.current[software] && now.Sub(at) < retention {
+			list = append(list, software)
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
+// sole returns the only software that can have begun a stream of a service. ok is false if there may
+// be more than one, or if this daemon has not watched for long enough to know.
+func (t *Table) sole(now time.Time, service string) (software string, ok bool) {
+	h := t.services[service]
+	if h == nil || !t.viewed || !h.since.IsZero() && now.Sub(h.since) < t.retention {
+		return "", false
+	}
+	list := h.versions(now, t.retention)
+	if len(list) != 1 {
+		return "", false
+	}
+	return list[0], true
+}
+
+// Mixed reports whether streams of a service may have begun at more than one version, so that their
+// records must outlast this daemon.
+func (t *Table) Mixed(now time.Time, service string) bool {
+	_, sole := t.sole(now, service)
+	return !sole
+}
+
+// Begin records that a stream has begun at this daemon. The software of an endpoint whose id another
+// incarnation has taken over meanwhile is ambiguous.
+func (t *Table) Begin(now time.Time, key Key, o Origin) Record {
+	if is, ok := t.listed[o.Incarnation.ID]; ok && !is.incarnation.Matches(o.Incarnation) && is.software != o.Software {
+		o.Ambiguous = true
+	}
+	r := Record{Key: key, Origin: o, At: now}
+	t.merge(r, true)
+	return t.records[key].Record
+}
+
+// Merge adds records from other daemons.
+func (t *Table) Merge(now time.Time, records []Record) {
+	for _, r := range records {
+		if now.Sub(r.At) < t.retention {
+			t.merge(r, false)
+		}
+	}
+}
+
+func (t *Table) merge(r Record, own bool) {
+	have := t.records[r.Key]
+	if have == nil {
+		t.records[r.Key] = &entry{Record: r, own: own}
+		t.enforceLimit()
+		return
+	}
+	have.own = have.own || own
+	if have.Origin != r.Origin {
+		have.Origin.Ambiguous = true
+	}
+}
+
+// enforceLimit drops an eighth of the records, the oldest ones, when there are too many.
+func (t *Table) enforceLimit() {
+	if len(t.records) <= maxRecords {
+		return
+	}
+	list := slices.Collect(maps.Values(t.records))
+	slices.SortFunc(list, func(a, b *entry) int { return a.At.Compare(b.At) })
+	for _, e := range list[:maxRecords/8] {
+		delete(t.records, e.Key)
+	}
+}
+
+// Expire drops the records of streams that have ended, and versions that were last listed too long
+// ago to matter.
+func (t *Table) Expire(now time.Time) {
+	maps.DeleteFunc(t.records, func(_ Key, e *entry) bool { return now.Sub(e.At) > t.retention })
+	for _, h := range t.services {
+		maps.DeleteFunc(h.last, func(_ string, at time.Time) bool { return now.Sub(at) > t.retention })
+	}
+}
+
+// Own returns the records of streams of a service that began at this daemon.
+func (t *Table) Own(service string) []Record {
+	var list []Record
+	for _, e := range t.records {
+		if e.own && e.Origin.Service == service {
+			list = append(list, e.Record)
+		}
+	}
+	return list
+}
+
+// Lookup returns the record of a stream.
+func (t *Table) Lookup(key Key) (Record, bool) {
+	if e := t.records[key]; e != nil {
+		return e.Record, true
+	}
+	return Record{}, false
+}
+
+// Len returns the number of records.
+func (t *Table) Len() int { return len(t.records) }
+
+// Decide returns where a stream may continue. decided is false if its origin is not known to this
+// daemon and more than one version may have begun it.
+func (t *Table) Decide(now time.Time, r Request) (c Constraint, decided bool) {
+	e := t.records[r.Key]
+	if r.Named && e != nil && r.matches(e.Origin) {
+		return t.constrain(now, e.Record)
+	}
+	if software, ok := t.sole(now, r.Service); ok {
+		return sameSoftware(software), true
+	}
+	return Constraint{}, false
+}
+
+// constrain returns where the stream of a record may continue.
+func (t *Table) constrain(now time.Time, r Record) (Constraint, bool) {
+	o := r.Origin
+	_, sole := t.sole(now, o.Service)
+	replacedAt, replaced := t.replaced[o.Incarnation.ID]
+	switch {
+	case o.Ambiguous, replaced && replacedAt.Sub(r.At) < replacementLag && !replacedAt.Before(r.At):
+		return Constraint{}, false
+	case o.Software == "" && !sole:
+		return sameIncarnation(o.Incarnation), true // endpoints without a version may differ
+	}
+	return sameSoftware(o.Software), true
+}
+
+// Seen is when a version was last listed.
+type Seen struct {
+	Software string
+	At       time.Time
+}
+
+// History returns the software that this daemon has seen in a service, and since when it has
+// watched; zero: since the first start of the system.
+func (t *Table) History(now time.Time, service string) (since time.Time, seen []Seen) {
+	h := t.history(service)
+	for software, at := range h.last {
+		if !h.current[software] {
+			seen = append(seen, Seen{software, at})
+		}
+	}
+	for software := range h.current {
+		seen = append(seen, Seen{software, now})
+	}
+	slices.SortFunc(seen, func(a, b Seen) int { return b.At.Compare(a.At) })
+	return h.since, seen
+}
+
+// AdoptHistory adds what another source has seen in a service, up to now and since the given time;
+// the zero time stands for the first start of the system.
+func (t *Table) AdoptHistory(service string, since time.Time, seen []Seen) {
+	h := t.history(service)
+	if since.Before(h.since) {
+		h.since = since
+	}
+	for _, s := range seen {
+		if len(h.last) < maxVersions && s.At.After(h.last[s.Software]) {
+			h.last[s.Software] = s.At
+		}
+	}
+}
+
+// maxVersions bounds the versions of a service that are remembered.
+const maxVersions = 64
--- a/coordination/residency/newengines.go
+++ b/coordination/residency/newengines.go
@@ -53,7 +53,7 @@
 			continue
 		}
 		if v := max(p.value(d.now, model), busyWeight*float64(d.active[model])); v >= minValue {
-			list = append(list, weightedModel{model, v})
+			list = append(list, weightedModel{anywhere(model), v})
 		}
 	}
 	slices.SortFunc(list, compareWeights)
--- a/coordination/residency/outcome.go
+++ b/coordination/residency/outcome.go
@@ -41,8 +41,8 @@
 		delete(r.adapters, o.order.Adapter)
 	case !r.confirmed:
 		delete(e.models, o.order.Model)
-		if !o.requestedAt.IsZero() && p.wants[o.order.Model] == nil {
-			p.wants[o.order.Model] = &wantedModel{requestedAt: o.requestedAt, wantedSince: o.requestedAt}
+		if !o.requestedAt.IsZero() && p.wants[anywhere(o.order.Model)] == nil {
+			p.wants[anywhere(o.order.Model)] = &wantedModel{requestedAt: o.requestedAt, wantedSince: o.requestedAt}
 		}
 	}
 }
--- a/coordination/residency/planner.go
+++ b/coordination/residency/planner.go
@@ -93,6 +93,15 @@
 // adapterWant is an adapter that a request waits for.
 type adapterWant struct{ model, adapter string }
 
+// wantedUnit is a model that is wanted at any engine, or at those with one version of the software.
+type wantedUnit struct {
+	model string
+	only  SoftwareFilter
+}
+
+// anywhere returns the model as wanted at any engine.
+func anywhere(model string) wantedUnit { return wantedUnit{model: model} }
+
 // wantedModel is a model to be loaded.
 type wantedModel struct {
 	requestedAt time.Time // last request for it
@@ -128,10 +137,10 @@
 	lease          Lease
 	tookOver       time.Time // time at which this daemon acquired the lease
 	demands        map[string]*reportedDemand
-	wants          map[string]*wantedModel // models to load
-	values         map[string]*value       // value of the recent requests, by model
-	pressures      map[string]*pressure    // of models in use
-	loads          []scheduledLoad         // last schedule
+	wants          map[wantedUnit]*wantedModel // models to load
+	values         map[string]*value           // value of the recent requests, by model
+	pressures      map[string]*pressure        // of models in use
+	loads          []scheduledLoad             // last schedule
 	scheduledAt    time.Time
 	storeStarts    []time.Time      // starts of loads from the store, newest last
 	engineAddedAt  time.Time        // last time that a new engine appeared
@@ -150,7 +159,7 @@
 
 // New returns a planner without any state.
 func New(opt Options) *Planner {
-	return &Planner{opt: opt, store: newStoreConcurrency(opt.InitialStoreConcurrency), engines: map[string]*engineState{}, limits: map[string]incarnationLimit{}, demands: map[string]*reportedDemand{}, wants: map[string]*wantedModel{}, values: map[string]*value{}, pressures: map[string]*pressure{}, costs: workcost.New(), prompts: promptcache.New()}
+	return &Planner{opt: opt, store: newStoreConcurrency(opt.InitialStoreConcurrency), engines: map[string]*engineState{}, limits: map[string]incarnationLimit{}, demands: map[string]*reportedDemand{}, wants: map[wantedUnit]*wantedModel{}, values: map[string]*value{}, pressures: map[string]*pressure{}, costs: workcost.New(), prompts: promptcache.New()}
 }
 
 // Configure sets the service to plan for.
--- a/coordination/residency/ready.go
+++ b/coordination/residency/ready.go
@@ -95,7 +95,7 @@
 	}
 	o, ok := p.modelOrder(d, s.engine, s.model, !s.extra)
 	if ok && !o.Unload && !s.extra {
-		s.engine.order.requestedAt = p.wants[s.model].requestedAt
+		s.engine.order.requestedAt = p.wants[s.wantedUnit].requestedAt
 	}
 	return o, ok
 }
@@ -193,9 +193,9 @@
 // engine is gone, without a Want call. It removes
 // those of models that have enough replicas, loaded or being loaded.
 func (p *Planner) wantReplicas(d *draft) {
-	for model, w := range p.wants {
-		if w.extra && d.replicas[model] >= d.needed(model) {
-			delete(p.wants, model)
+	for unit, w := range p.wants {
+		if w.extra && d.replicas[unit.model] >= d.needed(unit.model) {
+			delete(p.wants, unit)
 		}
 	}
 	for model := range d.active {
@@ -203,10 +203,11 @@
 		if _, ok := p.conf.Engine.Models[model]; !ok || have == 0 && !d.departing[model] || have >= d.needed(model) {
 			continue
 		}
-		if p.wants[model] == nil {
-			p.wants[model] = &wantedModel{extra: true, wantedSince: d.now}
+		unit := anywhere(model)
+		if p.wants[unit] == nil {
+			p.wants[unit] = &wantedModel{extra: true, wantedSince: d.now}
 		}
-		p.wants[model].requestedAt = d.now
+		p.wants[unit].requestedAt = d.now
 	}
 }
 
@@ -262,7 +263,7 @@
 	}
 	var list []string
 	for name := range p.conf.Engine.Models {
-		if !nearby[name] && p.wants[name] == nil {
+		if !nearby[name] && p.wants[anywhere(name)] == nil {
 			list = append(list, name)
 		}
 	}
--- a/coordination/residency/returning_test.go
+++ b/coordination/residency/returning_test.go
@@ -28,7 +28,7 @@
 	}{{a.ReadyIn, true}, {a.ReadyIn + 2*keepForReturning, false}} {
 		now := w.now.Add(c.after)
 		w.p.schedule(w.p.newDraft(now))
-		_, kept := w.p.wants["m03"]
+		_, kept := w.p.wants[anywhere("m03")]
 		t.Logf("entry %v after the refusal: formerly false, now %v", c.after, kept)
 		if kept != c.kept {
 			t.Errorf("entry %v after the refusal: %v, want %v", c.after, kept, c.kept)
--- a/coordination/residency/types.go
+++ b/coordination/residency/types.go
@@ -120,6 +120,18 @@
 	FailureDomain string
 	// Returning reports that the caller was refused before and has returned.
 	Returning bool
+	// Only limits the engines at which the request can run.
+	Only SoftwareFilter
+}
+
+// SoftwareFilter limits engines to one version of their software. The zero value accepts all.
+type SoftwareFilter struct {
+	Bound    bool
+	Software string
+}
+
+func (f SoftwareFilter) accepts(e *engineState) bool {
+	return !f.Bound || e.endpoint.Software == f.Software
 }
 
 // Place identifies a model, or an adapter as MODEL/ADAPTER, at an endpoint.
--- a/coordination/residency/want.go
+++ b/coordination/residency/want.go
@@ -1,6 +1,7 @@
 package residency
 
 import (
+	"slices"
 	"time"
 
 	"github.com/doorvalve/doorvalve/state/fleet"
@@ -32,10 +33,13 @@
 	if !p.lease.Held {
 		return Answer{Refused: RefusedNoCoordinator}
 	}
+	if want.Only.Bound && !slices.ContainsFunc(p.sorted, func(e *engineState) bool { return e.usable() && want.Only.accepts(e) }) {
+		return Answer{Refused: RefusedNoEngines}
+	}
 	a, ok := p.planLoad(now, want)
 	if !ok {
 		a = Answer{Refused: RefusedNoRoom, ReadyIn: p.roomIn()}
-		if w := p.wants[want.Model]; w != nil {
+		if w := p.wants[wantedUnit{want.Model, want.Only}]; w != nil {
 			w.returnsBy = maxTime(w.returnsBy, now.Add(a.ReadyIn+keepForReturning))
 		}
 	}
@@ -85,7 +89,7 @@
 	d := p.promptWorkOf(now, want)
 	for _, e := range p.sorted {
 		r := e.models[want.Model]
-		if r == nil || !e.usable() || e.isFull(now) {
+		if r == nil || !e.usable() || e.isFull(now) || !want.Only.accepts(e) {
 			continue
 		}
 		cost, ok := p.residentCost(now, e, r, want)
@@ -203,10 +207,11 @@
 // planLoad adds the model to the wanted models, and returns where and when it will be
 // ready.
 func (p *Planner) planLoad(now time.Time, want Want) (Answer, bool) {
-	w := p.wants[want.Model]
+	unit := wantedUnit{want.Model, want.Only}
+	w := p.wants[unit]
 	if w == nil {
 		w = &wantedModel{wantedSince: now}
-		p.wants[want.Model] = w
+		p.wants[unit] = w
 		p.loads = nil
 	}
 	w.requestedAt, w.extra = now, false
@@ -215,7 +220,7 @@
 		p.schedule(p.newDraft(now))
 	}
 	for _, s := range p.loads {
-		if s.model == want.Model {
+		if s.wantedUnit == unit {
 			return Answer{Endpoint: s.engine.incarnation, Level: s.level, ReadyIn: s.readyIn}, true
 		}
 	}
--- a/daemon/edgedaemon/daemon.go
+++ b/daemon/edgedaemon/daemon.go
@@ -38,6 +38,7 @@
 	"github.com/doorvalve/doorvalve/driver/quarantiner"
 	"github.com/doorvalve/doorvalve/driver/quotas"
 	"github.com/doorvalve/doorvalve/driver/storeview"
+	"github.com/doorvalve/doorvalve/driver/streams"
 	"github.com/doorvalve/doorvalve/driver/throttle"
 	"github.com/doorvalve/doorvalve/internal/clock"
 	"github.com/doorvalve/doorvalve/internal/dial"
@@ -46,6 +47,7 @@
 	"github.com/doorvalve/doorvalve/protocol/peerpb"
 	"github.com/doorvalve/doorvalve/protocol/quarantinepb"
 	"github.com/doorvalve/doorvalve/protocol/quotapb"
+	"github.com/doorvalve/doorvalve/protocol/streampb"
 	"github.com/doorvalve/doorvalve/settings"
 	"github.com/doorvalve/doorvalve/state/fleet"
 	"github.com/doorvalve/doorvalve/state/routing"
@@ -108,6 +110,7 @@
 	balancer    *balance.Balancer
 	budget      *retry.Budget
 	quarantine  *quarantiner.Controller
+	streams     *streams.Controller
 	quotas      *quotas.Controller
 	throttle    *throttle.Controller
 	callers     *edge.Server
@@ -185,6 +188,9 @@
 	d.quarantine = quarantiner.New(quarantiner.Options{
 		Self: d.self, Members: d.alive, Peer: d.peers.Quarantines().To, Endpoint: d.endpointState, Check: d.paths.Check, OnCrash: func(incarnation fleet.Incarnation) { d.balancer.MarkUnreachable(clock.Now(), incarnation) }, Store: d.store, Generations: d.generations, Log: log, Metrics: d.metrics,
 	})
+	d.streams = streams.New(streams.Options{
+		Self: d.self, Members: d.alive, Peer: d.peers.Streams().To, ViewAge: d.endpointsAge, FirstStart: set.FirstStart, Log: log, Metrics: d.metrics,
+	})
 	d.quotas = quotas.New(quotas.Options{
 		Self: d.self, Bounds: quota.Bounds{Window: set.Quotas.Window.D(), Overage: set.Quotas.Overage, Slack: set.Quotas.Slack, NewOwnerShare: quota.DefaultNewOwnerShare},
 		Members: d.gossip.Members, Revision: d.gossip.Revision, Directory: d.workspaces, Listed: d.endpointListed, Publish: d.gossip.Set, OnLimitChange: d.setEndpointLimit, Store: d.store, Generations: d.generations, Peer: d.peers.Quotas().To, Log: log, Metrics: d.metrics,
@@ -199,7 +205,7 @@
 		FailureDomain: set.FailureDomain,
 		StateAge:      d.stateAge, Access: access.Bounds{Apply: set.Timing.ApplyWithin.D(), Revoke: set.Timing.RevokeWithin.D()}, Quotas: d.quotas, Throttle: d.throttle,
 		Table: d.view.Table, View: d.view.Endpoints, ViewAge: d.endpointsAge, Draining: d.draining, DrainDeadline: d.deadline, Dialect: platform.Dialect{}, Locator: d, Balancer: d.balancer,
-		Budget: d.budget, Quarantine: d.quarantine, Paths: d.paths, Log: log, Metrics: d.metrics,
+		Budget: d.budget, Quarantine: d.quarantine, Streams: d.streams, Paths: d.paths, Log: log, Metrics: d.metrics,
 		FlushEvery:  time.Duration(float64(set.Timing.Pass.D()) * flushShare),
 		Connections: int64(float64(set.Limits.Descriptors) * requestsPerDescriptor),
 		HeldBytes:   int64(float64(set.Limits.MemoryMB<<20) * heldShare),
@@ -262,9 +268,11 @@
 func (d *Daemon) useView(table *routing.Table, view *fleet.View) {
 	d.paths.SetAddresses(addressesOf(view.ByID))
 	d.balancer.Retain(view)
+	d.streams.ObserveView(view)
 	if table == nil {
 		return
 	}
+	d.streams.SetLongestStream(table.LongestStream())
 	d.announceState(table.Version)
 	for name, svc := range table.Services {
 		if svc.Engine == nil {
@@ -343,7 +351,7 @@
 		d.addServer(&g, d.listeners.metrics, d.reporter.HTTPHandler())
 	}
 	for _, actor := range []func(context.Context) error{
-		d.gossip.Run, d.view.RunDesiredState, d.view.RunEndpoints, d.view.RunRelay, d.view.RunCatchUp, d.view.RunPeers, d.quarantine.Run, d.quotas.Run, d.throttle.Run, d.paths.Run, d.runGauges, d.runDemand, d.runStop,
+		d.gossip.Run, d.view.RunDesiredState, d.view.RunEndpoints, d.view.RunRelay, d.view.RunCatchUp, d.view.RunPeers, d.quarantine.Run, d.streams.Run, d.quotas.Run, d.throttle.Run, d.paths.Run, d.runGauges, d.runDemand, d.runStop,
 	} {
 		actorCtx, stop := context.WithCancel(ctx)
 		g.Add(func() error { return actor(actorCtx) }, func(error) { stop() })
@@ -402,6 +410,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(fleetpb.FleetPathPrefix, fleetpb.NewFleetServer((*fleetServer)(d)))
 	mux.Handle(quarantinepb.QuarantinePathPrefix, quarantinepb.NewQuarantineServer(d.quarantine))
+	mux.Handle(streampb.StreamsPathPrefix, streampb.NewStreamsServer(d.streams))
 	mux.Handle(quotapb.QuotasPathPrefix, quotapb.NewQuotasServer(d.quotas))
 	mux.Handle(tunnel.Path, d.tunnels)
 	mux.Handle(peerpb.PeerPathPrefix, peerpb.NewPeerServer(&gossipServer{gossip: d.gossip}))
--- a/daemon/edgedaemon/want.go
+++ b/daemon/edgedaemon/want.go
@@ -16,6 +16,7 @@
 		Avoid: w.Avoid.ID, AvoidBorn: w.Avoid.StartUnixMs, Unreachable: w.Unreachable, Absent: w.MissingAt.ID, AbsentBorn: w.MissingAt.StartUnixMs,
 		SlackMs: w.Slack.Milliseconds(), LeftMs: ceilMs(w.TimeLeft), PromptTokens: int64(w.Work.Prompt), OutputTokens: int64(w.Work.Output), Returning: w.Returning,
 		Domain: w.FailureDomain, PromptUs: w.PromptTime.Microseconds(), Parts: partsToWire(w.Parts),
+		SoftwareBound: w.Only.Bound, Software: w.Only.Software,
 	}
 }
 
@@ -27,6 +28,7 @@
 		Slack:     boundedMs(req.SlackMs), TimeLeft: max(0, boundedMs(req.LeftMs)),
 		Work: workcost.WorkOf(boundedInt(req.PromptTokens), boundedInt(req.OutputTokens), true), Returning: req.Returning,
 		FailureDomain: req.Domain, PromptTime: time.Duration(boundedInt(req.PromptUs)) * time.Microsecond, Parts: partsFromWire(req.Parts),
+		Only: residency.SoftwareFilter{Bound: req.SoftwareBound, Software: req.Software},
 	}
 }
 
--- a/daemon/edgedaemon/want_test.go
+++ b/daemon/edgedaemon/want_test.go
@@ -22,6 +22,7 @@
 		MissingAt: fleet.Incarnation{ID: "e2", StartUnixMs: 2}, Full: []fleet.Incarnation{{ID: "e3", StartUnixMs: 3}},
 		Slack: -250 * time.Millisecond, TimeLeft: 17 * time.Second, Work: workcost.Work{Prompt: 9190, Output: 50}, Returning: true,
 		PromptTime: 250 * time.Millisecond, Parts: []protocol.PromptPart{{ID: "p1", Tokens: 2520}, {ID: "p2", Tokens: 3780}}, FailureDomain: "z",
+		Only: residency.SoftwareFilter{Bound: true, Software: "v1"},
 	}
 	for f := range reflect.TypeFor[residency.Want]().NumField() {
 		if reflect.ValueOf(want).Field(f).IsZero() {
--- a/driver/decisions/log.go
+++ b/driver/decisions/log.go
@@ -40,6 +40,7 @@
 	EventFailed               = "request failed"
 	EventAttemptFailed        = "attempt failed"
 	EventNotResumed           = "request not resumed"
+	EventStreamsCopied        = "records of streams copied"
 	EventRequestWaiting       = "request waits for a model"
 	EventEndpointAvoided      = "endpoint avoided"
 	EventEndpointCrashed      = "endpoint ended under requests"
--- /dev/null
+++ b/driver/streams/wire.go
@@ -0,0 +1,60 @@
+package streams
+
+import (
+	"time"
+
+	"github.com/doorvalve/doorvalve/coordination/continuation"
+	"github.com/doorvalve/doorvalve/protocol/streampb"
+	"github.com/doorvalve/doorvalve/state/fleet"
+)
+
+// Times are sent between daemons as ages, since their clocks differ.
+
+func toWire(now time.Time, r continuation.Record) *streampb.Stream {
+	o := r.Origin
+	return &streampb.Stream{
+		Key: r.Key[:], Service: o.Service, Software: o.Software, Endpoint: o.Incarnation.ID, StartUnixMs: o.Incarnation.StartUnixMs,
+		Workspace: o.Workspace, Unit: o.Unit, AgeMs: age(now, r.At), Ambiguous: o.Ambiguous,
+	}
+}
+
+// fromWire decodes a record. It reports false for one without a complete key.
+func fromWire(now time.Time, s *streampb.Stream) (continuation.Record, bool) {
+	if len(s.GetKey()) != len(continuation.Key{}) {
+		return continuation.Record{}, false
+	}
+	return continuation.Record{Key: continuation.Key(s.Key), At: at(now, s.AgeMs), Origin: continuation.Origin{
+		Service: s.Service, Software: s.Software, Incarnation: fleet.Incarnation{ID: s.Endpoint, StartUnixMs: s.StartUnixMs},
+		Workspace: s.Workspace, Unit: s.Unit, Ambiguous: s.Ambiguous,
+	}}, true
+}
+
+// firstStartMs is the age of a history that reaches back to the first start of the system.
+const firstStartMs = -1
+
+func historyToWire(now, since time.Time, seen []continuation.Seen) *streampb.History {
+	h := &streampb.History{WatchedMs: firstStartMs}
+	if !since.IsZero() {
+		h.WatchedMs = age(now, since)
+	}
+	for _, s := range seen {
+		h.Seen = append(h.Seen, &streampb.Seen{Software: s.Software, AgeMs: age(now, s.At)})
+	}
+	return h
+}
+
+func historyFromWire(now time.Time, h *streampb.History) (since time.Time, seen []continuation.Seen) {
+	if h.WatchedMs != firstStartMs {
+		since = at(now, h.WatchedMs)
+	}
+	for _, s := range h.Seen {
+		seen = append(seen, continuation.Seen{Software: s.GetSoftware(), At: at(now, s.GetAgeMs())})
+	}
+	return since, seen
+}
+
+func age(now, then time.Time) int64 { return max(0, now.Sub(then).Milliseconds()) }
+
+func at(now time.Time, ageMs int64) time.Time {
+	return now.Add(-time.Duration(max(0, ageMs)) * time.Millisecond)
+}
--- a/state/routing/table.go
+++ b/state/routing/table.go
@@ -139,9 +139,13 @@
 	// Workspaces lists who may send requests; if it is empty, everybody may.
 	Workspaces *workspace.Directory
 
-	byHost map[string][]*Route // longest prefix first
+	byHost        map[string][]*Route // longest prefix first
+	longestStream time.Duration
 }
 
+// LongestStream returns the longest timeout of a stream; zero if there is no streaming route.
+func (t *Table) LongestStream() time.Duration { return t.longestStream }
+
 // NewTable indexes the routes.
 func NewTable(version uint64, limits Limits, services []*Service, routes []*Route, workspaces *workspace.Directory) *Table {
 	t := &Table{Version: version, Limits: limits, Workspaces: workspaces, Services: map[string]*Service{}, byHost: map[string][]*Route{}}
@@ -150,6 +154,9 @@
 	}
 	urgency := urgencyOf(workspaces)
 	for _, r := range routes {
+		if r.Kind == Streaming {
+			t.longestStream = max(t.longestStream, r.Timeout)
+		}
 		leastUrgent := urgency.least(r)
 		t.byHost[r.Host] = append(t.byHost[r.Host], r)
 		for _, share := range r.Shares {
--- a/transport/edge/answer.go
+++ b/transport/edge/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -131,7 +132,7 @@
 // forwardStream forwards complete events as they arrive, unless the watch has abandoned the attempt
 // before the first. An incomplete event is never forwarded, so that another endpoint can
 // continue the stream after the last complete event.
-func (a *answer) forwardStream(resp *http.Response, w *silenceWatch) *failure {
+func (a *answer) forwardStream(ctx context.Context, resp *http.Response, w *silenceWatch) *failure {
 	var pending []byte // the received part of an incomplete event
 	held := int64(0)   // the part of its capacity that counts as held bytes
 	defer func() { a.caller.release(held) }()
@@ -154,6 +155,7 @@
 			if !w.beginAnswer() {
 				return &failure{verdict: protocol.MayHaveRun, reason: "no-answer-in-time", err: errSilent}
 			}
+			a.recordOrigin(ctx)
 			if f := a.writeEvents(resp, pending[:end]); f != nil {
 				return f
 			}
--- a/transport/edge/arrive.go
+++ b/transport/edge/arrive.go
@@ -24,6 +24,7 @@
 	(*Server).identify,
 	(*Server).checkCapacity,
 	(*Server).chooseService,
+	(*Server).findOrigin,
 	(*Server).takeQuota,
 }
 
@@ -98,7 +99,7 @@
 
 // chooseService picks the request's service among those of its route.
 func (s *Server) chooseService(_ context.Context, q *request) *protocol.Refusal {
-	q.service = q.table.Services[q.route.Service(q.call.ID)]
+	q.service = q.table.Services[q.route.Service(q.originID())]
 	if q.service == nil {
 		return protocol.Refuse(http.StatusServiceUnavailable, "no-service", "the route's service is not declared", retryBusy)
 	}
--- a/transport/edge/attempt.go
+++ b/transport/edge/attempt.go
@@ -200,7 +200,7 @@
 	resp, f := s.send(ctx, q, e, a.lastEventID)
 	if f == nil {
 		a.endpoint, a.software = e.Incarnation(), e.Software
-		f = s.deliver(q, a, resp, w, more)
+		f = s.deliver(ctx, q, a, resp, w, more)
 		_ = resp.Body.Close()
 	}
 	if f != nil {
@@ -218,20 +218,20 @@
 }
 
 // deliver forwards an answer whose header has been received.
-func (s *Server) deliver(q *request, a *answer, resp *http.Response, w *silenceWatch, more bool) *failure {
+func (s *Server) deliver(ctx context.Context, q *request, a *answer, resp *http.Response, w *silenceWatch, more bool) *failure {
 	if q.route.Kind == routing.Streaming && resp.StatusCode == http.StatusOK {
-		return a.forwardStream(resp, w)
+		return a.forwardStream(ctx, resp, w)
 	}
 	return a.forwardWhole(resp, w, more && q.route.Repeatable())
 }
 
-// hasOther reports whether an endpoint other than id can serve a request now. Endpoints that have
-// just failed don't count: they would refuse this request too, and a stream taken from an engine
-// that is merely slow would break off.
-func (s *Server) hasOther(q *request, id string) bool {
+// hasOther reports whether another endpoint can serve a request now, whose answer has begun at the
+// present one or not. Endpoints that have just failed don't count: they would refuse this request
+// too, and a stream taken from an engine that is merely slow would break off.
+func (s *Server) hasOther(q *request, present *fleet.Endpoint, begun bool) bool {
 	now := clock.Now()
 	return slices.ContainsFunc(s.candidates(q), func(e *fleet.Endpoint) bool {
-		return e.ID != id && !e.Leaving && !s.opt.Balancer.Avoided(now, e.Incarnation())
+		return e.ID != present.ID && !e.Leaving && !s.opt.Balancer.Avoided(now, e.Incarnation()) && (!begun || e.Software == present.Software)
 	})
 }
 
@@ -240,5 +240,5 @@
 	if q.service.Engine != nil && q.call.Model != "" {
 		return s.holders(q)
 	}
-	return s.opt.View().ByService[q.service.Name]
+	return s.endpoints(q)
 }
--- a/transport/edge/locate.go
+++ b/transport/edge/locate.go
@@ -48,6 +48,9 @@
 			return e, nil
 		}
 		unavailable := s.unavailable(q, t, s.holders(q))
+		if !q.origin.Incarnation().IsZero() { // no load elsewhere could help
+			return s.locateOnly(q, t, exclude)
+		}
 		answer := s.opt.Locator.Want(ctx, q.service.Name, s.wantOf(q, residency.Want{Avoid: avoid, Unreachable: unreachable, MissingAt: absent, Full: unavailable.incarnations}))
 		absent, unreachable = fleet.Incarnation{}, false // reported to the coordinator only once
 		if ctx.Err() != nil {
@@ -62,7 +65,7 @@
 			}
 		}
 		if answer.Refused == "" && answer.ReadyIn <= 0 {
-			if e := s.opt.View().Find(answer.Endpoint); e != nil && s.accepts(q, t, e) {
+			if e := s.opt.View().Find(answer.Endpoint); e != nil && q.origin.Allows(e) && s.accepts(q, t, e) {
 				s.opt.Balancer.ClearAbsent(e.Incarnation(), q.unit())
 				q.assigned = true
 				return e, s.checkQueueWait(q, t, answer)
@@ -72,6 +75,9 @@
 		if e := s.pickLeaving(q, t); e != nil {
 			return e, nil
 		}
+		if answer.Refused == residency.RefusedNoEngines {
+			return nil, refuseVersionGone()
+		}
 		refusal := s.waitForEarliest(ctx, q, t, answer, unavailable)
 		if refusal != nil {
 			return nil, refusal
@@ -84,7 +90,7 @@
 
 // hasNoPath reports whether no connection to any endpoint of the request's service can be opened now.
 func (s *Server) hasNoPath(q *request) bool {
-	list := s.opt.View().ByService[q.service.Name]
+	list := s.endpoints(q)
 	return len(list) > 0 && !slices.ContainsFunc(list, func(e *fleet.Endpoint) bool { return s.opt.Paths.Path(e.Address) != reach.None })
 }
 
@@ -100,6 +106,7 @@
 	w.TimeLeft, w.Returning = q.timeLeft(), q.returned()
 	query := balanceQuery(q, nil)
 	w.Work, w.Parts = query.Work, query.Parts
+	w.Only = residency.SoftwareFilter{Bound: q.origin.Bound(), Software: q.origin.Software()}
 	w.PromptTime = s.opt.Balancer.PromptTime(clock.Now(), q.service.Name, query)
 	w.Slack = q.route.LatencyTarget - time.Since(q.arrived) - q.age() - w.PromptTime
 	return w
@@ -212,7 +219,7 @@
 // locatePlain is locate for requests that need no model.
 func (s *Server) locatePlain(ctx context.Context, q *request, t *attemptState) (*fleet.Endpoint, *protocol.Refusal) {
 	for {
-		list := s.opt.View().ByService[q.service.Name]
+		list := s.endpoints(q)
 		if e := s.opt.Balancer.Pick(clock.Now(), list, balance.Query{Exclude: t.exclude, Request: t.queueRequest(q)}); e != nil {
 			return e, nil
 		}
@@ -236,7 +243,7 @@
 // holders returns the endpoints that hold the request's model and adapter, according to the
 // daemon's view, and are not leaving.
 func (s *Server) holders(q *request) []*fleet.Endpoint {
-	held := withModel(s.opt.View().ByService[q.service.Name], q)
+	held := withModel(s.endpoints(q), q)
 	return slices.DeleteFunc(held, func(e *fleet.Endpoint) bool { return e.Leaving })
 }
 
--- /dev/null
+++ b/transport/edge/origin.go
@@ -0,0 +1,99 @@
+package edge
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/doorvalve/doorvalve/coordination/continuation"
+	"github.com/doorvalve/doorvalve/driver/streams"
+	"github.com/doorvalve/doorvalve/protocol"
+	"github.com/doorvalve/doorvalve/state/fleet"
+	"github.com/doorvalve/doorvalve/state/routing"
+)
+
+// retryVersionGone is the retry delay of a stream whose version no endpoint runs any more: endpoints
+// that have crashed are back after some seconds.
+const retryVersionGone = 2 * time.Second
+
+// resumes reports whether the request continues a stream that an earlier attempt of its caller began.
+func (q *request) resumes() bool {
+	return q.route.Kind == routing.Streaming && q.call.LastEventID != ""
+}
+
+// originID returns the id of the attempt that began the request's stream, as far as its caller names
+// it: its own id for a request that continues none. All attempts then choose the same service.
+func (q *request) originID() string {
+	if q.resumes() && q.call.Resumes != "" {
+		return q.call.Resumes
+	}
+	return q.call.ID
+}
+
+// continuationRequest identifies the stream that the request or its answer continues.
+func (q *request) continuationRequest(id string) continuation.Request {
+	return continuation.Request{Key: continuation.KeyOf(id), Named: id != "", Service: q.service.Name, Workspace: q.workspace(), Unit: q.unit()}
+}
+
+// findOrigin finds out which software began the stream that a caller resumes.
+func (s *Server) findOrigin(ctx context.Context, q *request) (refusal *protocol.Refusal) {
+	if !q.resumes() {
+		return nil
+	}
+	q.origin, refusal = s.opt.Streams.Resume(ctx, q.continuationRequest(q.call.Resumes))
+	if refusal != nil {
+		return refusal
+	}
+	return s.checkOrigin(q)
+}
+
+// checkOrigin refuses at once a stream whose version no endpoint runs any more.
+func (s *Server) checkOrigin(q *request) *protocol.Refusal {
+	if q.origin.Bound() && len(s.endpoints(q)) == 0 {
+		return refuseVersionGone()
+	}
+	return nil
+}
+
+func refuseVersionGone() *protocol.Refusal {
+	return protocol.Refuse(http.StatusServiceUnavailable, streams.ReasonVersionGone, "no endpoint runs the version of the software that began this stream, and no other can continue it", retryVersionGone)
+}
+
+// recordOrigin records which endpoint begins the request's stream, before its first event is
+// forwarded.
+func (a *answer) recordOrigin(ctx context.Context) {
+	if a.headerSent || a.q.origin.Bound() {
+		return
+	}
+	a.server.opt.Streams.Begin(ctx, a.q.call.ID, continuation.Origin{
+		Service: a.q.service.Name, Software: a.software, Incarnation: a.endpoint, Workspace: a.q.workspace(), Unit: a.q.unit(),
+	})
+}
+
+// bindToOrigin binds a request to the software that began its answer. It reports false if no endpoint
+// may continue the answer because that software is not known for certain.
+func (s *Server) bindToOrigin(q *request, a *answer) bool {
+	if !a.headerSent || q.origin.Bound() || q.route.Kind != routing.Streaming {
+		return true
+	}
+	found, decided := s.opt.Streams.Continue(q.continuationRequest(q.call.ID))
+	q.origin = found
+	return decided
+}
+
+// endpoints returns the endpoints of the request's service that may serve it, according to the
+// daemon's view. The list must not be changed.
+func (s *Server) endpoints(q *request) []*fleet.Endpoint {
+	return q.origin.Filter(s.opt.View().ByService[q.service.Name])
+}
+
+// locateOnly picks the only endpoint that may continue a stream.
+func (s *Server) locateOnly(q *request, t *attemptState, exclude []fleet.Incarnation) (*fleet.Endpoint, *protocol.Refusal) {
+	if e := s.locateAnyHolder(q, t, exclude); e != nil {
+		return e, nil
+	}
+	if e := s.pickLeaving(q, t); e != nil {
+		return e, nil
+	}
+	return nil, refuseVersionGone()
+}
--- a/transport/edge/run.go
+++ b/transport/edge/run.go
@@ -99,7 +99,7 @@
 		if s.handleFailure(ctx, q, e, f) {
 			t.exclude = append(t.exclude, e.Incarnation())
 		}
-		mayRetry := t.mayRetry(q, a)
+		mayRetry := t.mayRetry(q, a) && s.bindToOrigin(q, a)
 		s.opt.Log.Info(decisions.EventAttemptFailed, "request", q.call.ID, "endpoint", e.ID, "endpoint_revision", e.Version, "software", e.Software, "resumes", q.call.Resumes, "last_event", a.lastEventID, "reason", f.reason, "error", f.err,
 			"verdict", f.verdict.String(), "again", mayRetry, "fingerprint", q.fingerprint().String(), "began", f.eventsForwarded, "sent_ms", a.sentAt.Sub(q.arrived).Milliseconds(), "endpoints_age_ms", a.viewAge.Milliseconds(), "ms", time.Since(q.arrived).Milliseconds())
 		if !mayRetry && ctx.Err() == nil {
@@ -124,6 +124,9 @@
 		return nil, refusal
 	}
 	for range maxSelections {
+		if refusal := s.checkOrigin(q); refusal != nil {
+			return nil, refusal
+		}
 		e, refusal := s.locate(ctx, q, t)
 		s.observeWait(t, refusal == nil)
 		if refusal != nil {
--- a/transport/edge/server.go
+++ b/transport/edge/server.go
@@ -18,6 +18,8 @@
 	"github.com/doorvalve/doorvalve/coordination/access"
 	"github.com/doorvalve/doorvalve/coordination/balance"
 	"github.com/doorvalve/doorvalve/coordination/buffering"
+	"github.com/doorvalve/doorvalve/coordination/continuation"
+	"github.com/doorvalve/doorvalve/coordination/membership"
 	"github.com/doorvalve/doorvalve/coordination/residency"
 	"github.com/doorvalve/doorvalve/coordination/retry"
 	"github.com/doorvalve/doorvalve/coordination/waiting"
@@ -25,6 +27,7 @@
 	"github.com/doorvalve/doorvalve/driver/paths"
 	"github.com/doorvalve/doorvalve/driver/quarantiner"
 	"github.com/doorvalve/doorvalve/driver/quotas"
+	"github.com/doorvalve/doorvalve/driver/streams"
 	"github.com/doorvalve/doorvalve/driver/throttle"
 	"github.com/doorvalve/doorvalve/internal/clock"
 	"github.com/doorvalve/doorvalve/internal/dial"
@@ -70,8 +73,10 @@
 	Throttle *throttle.Controller
 	// Quarantine holds back requests under which endpoints crash.
 	Quarantine *quarantiner.Controller
-	Log        *decisions.Log
-	Metrics    tally.Scope
+	// Streams decides where streams that have begun may continue; nil: by this daemon's records only.
+	Streams *streams.Controller
+	Log     *decisions.Log
+	Metrics tally.Scope
 	// Paths opens connections to endpoints; nil: over TCP, without other daemons.
 	Paths *paths.Controller
 	// FlushEvery is how long the events of a stream may be buffered before they are written. The
@@ -111,6 +116,9 @@
 	if opt.Paths == nil {
 		opt.Paths = paths.New(paths.Options{Dial: dial.TCP, Log: opt.Log, Metrics: opt.Metrics})
 	}
+	if opt.Streams == nil {
+		opt.Streams = streams.New(streams.Options{Members: func() []membership.Member { return nil }, ViewAge: func() time.Duration { return 0 }, Log: opt.Log, Metrics: opt.Metrics})
+	}
 	m := opt.Metrics.SubScope("caller")
 	slow := func(why string) tally.Counter {
 		return m.Tagged(map[string]string{"reason": why}).Counter("slow_readers_closed_total")
@@ -172,6 +180,9 @@
 	suspendedBefore time.Duration // total time of the host's suspension on arrival
 	waited          time.Duration // since arrival, as of the end of the last wait for the model; zero if none
 	assigned        bool          // the coordinator assigned the endpoint
+	// origin limits the endpoints of a stream that continues; unbound for a stream that has not
+	// begun, and for other requests.
+	origin continuation.Constraint
 }
 
 // timeLeft returns how much longer the caller waits. It subtracts the time for which the host was
--- a/transport/edge/unavailable.go
+++ b/transport/edge/unavailable.go
@@ -138,7 +138,7 @@
 // pickLeaving returns a leaving endpoint that may still serve the request where no other
 // endpoint can; nil if there is none.
 func (s *Server) pickLeaving(q *request, t *attemptState) *fleet.Endpoint {
-	list := s.opt.View().ByService[q.service.Name]
+	list := s.endpoints(q)
 	if q.call.Model != "" && q.service.Engine != nil {
 		list = withModel(list, q)
 	}
--- a/transport/edge/watch.go
+++ b/transport/edge/watch.go
@@ -103,7 +103,7 @@
 func (w *silenceWatch) check() {
 	w.mu.Lock()
 	silence, patience, movable := time.Since(w.lastAt), w.pace.Patience(w.bounds), w.movable
-	stopped, relayed := w.stopped, w.relayed
+	stopped, relayed, begun := w.stopped, w.relayed, w.stream && w.state == answerBegun
 	w.mu.Unlock()
 	pathLost := !relayed && w.server.opt.Paths.SilentlyLost(w.endpoint.Address)
 	if pathLost {
@@ -116,7 +116,7 @@
 	case stopped:
 	case w.stream && w.lost(silence, patience) && w.abandon(answerLost, silence, unpaid):
 		w.cancel(errEndpointGone)
-	case movable && silence >= patience && (pathLost || w.server.hasOther(w.request, w.endpoint.ID)) && w.abandon(answerAbandoned, silence, w.server.opt.Budget.Spend):
+	case movable && silence >= patience && (pathLost || w.server.hasOther(w.request, w.endpoint, begun)) && w.abandon(answerAbandoned, silence, w.server.opt.Budget.Spend):
 		w.cancel(errSilent)
 	default:
 		w.mu.Lock()
--- a/transport/edge/work_test.go
+++ b/transport/edge/work_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -70,7 +71,7 @@
 			t.Fatalf("resumed %t: %+v after the start", resumed, got)
 		}
 		resp := &http.Response{StatusCode: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(strings.NewReader("id: 2\ndata: x\n\n"))}
-		if f := a.forwardStream(resp, &silenceWatch{}); f != nil {
+		if f := a.forwardStream(context.Background(), resp, &silenceWatch{}); f != nil {
 			t.Fatalf("%+v", f)
 		}
 		if got := s.opt.Balancer.OwnLoads()[e.Incarnation()]; got != (balance.EngineLoad{Running: 1, Held: 9050}) {
--- a/transport/peers/peers.go
+++ b/transport/peers/peers.go
@@ -14,6 +14,7 @@
 	"github.com/doorvalve/doorvalve/protocol/peerpb"
 	"github.com/doorvalve/doorvalve/protocol/quarantinepb"
 	"github.com/doorvalve/doorvalve/protocol/quotapb"
+	"github.com/doorvalve/doorvalve/protocol/streampb"
 	"github.com/doorvalve/doorvalve/transport/meter"
 	"github.com/doorvalve/doorvalve/transport/silence"
 )
@@ -106,6 +107,11 @@
 	return newClients(func(base string) quotapb.Quotas { return quotapb.NewQuotasProtobufClient(base, c.http) })
 }
 
+// Streams returns clients for the Streams service of daemons.
+func (c *Client) Streams() *Clients[streampb.Streams] {
+	return newClients(func(base string) streampb.Streams { return streampb.NewStreamsProtobufClient(base, c.http) })
+}
+
 // maxClients bounds a cache of clients. The cache is cleared when it is full, since it then holds
 // mostly addresses of daemons that have left.
 const maxClients = 1024
