proxy: a stream of the own interface continues at its software version only

What callers saw: the same fault on the own interface, where a daemon resumes a broken stream by its offset at whichever engine has a slot.

Change: engines name their software in answers (Doorvalve-Software); a resumed attempt asks for the version that began the stream, and an answer of another one, or of none, fails before any of its events is forwarded. The next attempt prefers another engine.

Evidence: TestAnswersOfOneSoftwareVersion, red without the check (whole streams with events of v1 and v2 in three of its cases), passes.

driver/streams: a resumed stream without a local record is always asked for. New streams still cost no message while there is one version.

--- a/coordination/continuation/table.go
+++ b/coordination/continuation/table.go
@@ -201,6 +201,8 @@
 }
 
 func (t *Table) merge(r Record, own bool) {
+	// A daemon whose view is old learns of a new version by the records of other daemons.
+	t.AdoptHistory(r.Origin.Service, t.history(r.Origin.Service).since, []Seen{{r.Origin.Software, r.At}})
 	have := t.records[r.Key]
 	if have == nil {
 		t.records[r.Key] = &entry{Record: r, own: own}
--- a/driver/streams/streams.go
+++ b/driver/streams/streams.go
@@ -2,9 +2,11 @@
 // continue. It copies the records of begun streams to other daemons and asks them for records that
 // this daemon lacks, so that a stream can be resumed at any daemon.
 //
-// While all endpoints of a service run one version of the software, no messages are sent. Otherwise
-// each new stream costs copies messages before its first event, and each resumed one at most
-// askedFirst, or one to each of up to maxAsked daemons if none of these has the record.
+// While all endpoints of a service run one version of the software, new streams cost no messages.
+// Otherwise each costs copies of them before its first event. A stream that is resumed at a daemon
+// without its record costs askedFirst, and one for each of up to maxAsked daemons if more than one
+// version may have begun it and none of the first has the record: a daemon that has not seen a new
+// version yet must not take the version that it knows for the only one.
 package streams
 
 import (
@@ -41,8 +43,8 @@
 	// callTimeout bounds a call to another daemon.
 	callTimeout = 150 * time.Millisecond
 	// maxViewAge is the age of the endpoint view up to which this daemon relies on having seen all
-	// software of a service.
-	maxViewAge = 3 * time.Second
+	// software of a service: somewhat more than the interval at which a sound view is confirmed.
+	maxViewAge = 1500 * time.Millisecond
 	// batch bounds the records of one message, at some 100 bytes each.
 	batch = 256
 	// expireEvery is the interval at which old records are dropped.
@@ -193,8 +195,10 @@
 // Resume returns where a stream may continue that a caller resumes, or the refusal if nobody knows
 // which of several versions began it.
 func (c *Controller) Resume(ctx context.Context, r continuation.Request) (continuation.Constraint, *protocol.Refusal) {
-	if found, ok := c.decideLocally(r); ok {
-		return found, nil
+	if c.hasRecord(r.Key) {
+		if found, ok := c.Continue(r); ok {
+			return found, nil
+		}
 	}
 	members := c.ranked(r.Key)
 	first := members[:min(askedFirst, len(members))]
@@ -237,24 +241,26 @@
 			answers <- resp
 		}()
 	}
-	answered := 0
 	for range members {
 		resp := <-answers
 		if resp == nil {
 			continue
 		}
-		answered++
 		c.adopt(r.Service, resp)
 		if resp.Stream != nil {
 			return c.Continue(r)
 		}
 	}
-	if answered == 0 {
-		return continuation.Constraint{}, false
-	}
 	return c.decideLocally(r)
 }
 
+func (c *Controller) hasRecord(key continuation.Key) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_, ok := c.t.Lookup(key)
+	return ok
+}
+
 // adopt merges the answer of another daemon.
 func (c *Controller) adopt(service string, resp *streampb.FindResponse) {
 	now := c.opt.Clock()
--- /dev/null
+++ b/driver/streams/streams_test.go
@@ -0,0 +1,370 @@
+package streams
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/doorvalve/doorvalve/coordination/continuation"
+	"github.com/doorvalve/doorvalve/coordination/membership"
+	"github.com/doorvalve/doorvalve/driver/decisions"
+	"github.com/doorvalve/doorvalve/protocol/streampb"
+	"github.com/doorvalve/doorvalve/state/fleet"
+)
+
+// Random faults by hand:
+//
+//	go test ./driver/streams -run TestStreamsUnderRandomFaults -streams.seed 1000 -streams.runs 500
+var (
+	firstSeed = flag.Uint64("streams.seed", 1, "first seed of the random faults")
+	runs      = flag.Int("streams.runs", 10, "runs with random faults")
+)
+
+// installation is a set of daemons that share a list of endpoints, which each of them sees late.
+type installation struct {
+	log       *decisions.Log
+	mu        sync.Mutex
+	hosts     []*host
+	endpoints map[string]*fleet.Endpoint
+	calls     int
+}
+
+type host struct {
+	in         *installation
+	name       string
+	mu         sync.Mutex
+	controller *Controller
+	stop       context.CancelFunc
+	group      int  // daemons of different groups don't reach each other
+	blind      bool // does not receive new views
+	viewAt     time.Time
+	view       *fleet.View
+}
+
+var errPartitioned = errors.New("partitioned")
+
+func newInstallation(hosts int, firstStart bool) *installation {
+	in := &installation{log: decisions.New(io.Discard, "test", hclog.Off), endpoints: map[string]*fleet.Endpoint{}}
+	for i := range hosts {
+		in.hosts = append(in.hosts, &host{in: in, name: fmt.Sprintf("h%d", i)})
+	}
+	for _, h := range in.hosts {
+		h.start(firstStart)
+	}
+	return in
+}
+
+func (in *installation) close() {
+	for _, h := range in.hosts {
+		h.stop()
+	}
+	time.Sleep(time.Minute) // calls in progress end
+	in.log.Close()
+}
+
+func (in *installation) members() []membership.Member {
+	var list []membership.Member
+	for _, h := range in.hosts {
+		list = append(list, membership.Member{ID: h.name, PeerAddress: h.name, Status: membership.Alive})
+	}
+	return list
+}
+
+// start starts a daemon without records.
+func (h *host) start(first bool) {
+	ctx, cancel := context.WithCancel(context.Background())
+	c := New(Options{
+		Self: h.name, Members: h.in.members, Peer: func(address string) streampb.Streams { return link{h, address} },
+		ViewAge: h.viewAge, FirstStart: first, Clock: time.Now, Log: h.in.log, Metrics: tally.NoopScope,
+	})
+	h.mu.Lock()
+	if h.stop != nil {
+		h.stop()
+	}
+	h.controller, h.stop = c, cancel
+	h.mu.Unlock()
+	go func() { _ = c.Run(ctx) }()
+	h.look()
+}
+
+func (h *host) viewAge() time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return time.Since(h.viewAt)
+}
+
+// look reads the list of endpoints, unless the daemon is blind.
+func (h *host) look() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.blind {
+		return
+	}
+	h.in.mu.Lock()
+	var list []*fleet.Endpoint
+	for _, e := range h.in.endpoints {
+		list = append(list, e)
+	}
+	h.in.mu.Unlock()
+	h.view, h.viewAt = fleet.NewView(fleet.View{}.Version, list), time.Now()
+	h.controller.ObserveView(h.view)
+}
+
+// link is the connection from one daemon to another.
+type link struct {
+	from *host
+	to   string
+}
+
+func (l link) target() (*Controller, error) {
+	time.Sleep(time.Millisecond)
+	l.from.in.mu.Lock()
+	l.from.in.calls++
+	l.from.in.mu.Unlock()
+	for _, h := range l.from.in.hosts {
+		h.mu.Lock()
+		c, group := h.controller, h.group
+		h.mu.Unlock()
+		if h.name != l.to {
+			continue
+		}
+		l.from.mu.Lock()
+		same := l.from.group == group
+		l.from.mu.Unlock()
+		if !same {
+			time.Sleep(callTimeout)
+			return nil, errPartitioned
+		}
+		return c, nil
+	}
+	return nil, errPartitioned
+}
+
+func (l link) Place(ctx context.Context, req *streampb.PlaceRequest) (*streampb.PlaceResponse, error) {
+	c, err := l.target()
+	if err != nil {
+		return nil, err
+	}
+	return c.Place(ctx, req)
+}
+
+func (l link) Find(ctx context.Context, req *streampb.FindRequest) (*streampb.FindResponse, error) {
+	c, err := l.target()
+	if err != nil {
+		return nil, err
+	}
+	return c.Find(ctx, req)
+}
+
+func (in *installation) set(id, software string) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if software == "" {
+		delete(in.endpoints, id)
+		return
+	}
+	in.endpoints[id] = &fleet.Endpoint{ID: id, Service: "llm", Software: software}
+}
+
+func (in *installation) lookAll() {
+	for _, h := range in.hosts {
+		h.look()
+	}
+}
+
+func request(id string) continuation.Request {
+	return continuation.Request{Key: continuation.KeyOf(id), Named: true, Service: "llm", Unit: "m"}
+}
+
+func (h *host) begin(id string, e *fleet.Endpoint) {
+	h.controller.Begin(context.Background(), id, continuation.Origin{Service: "llm", Software: e.Software, Incarnation: e.Incarnation(), Unit: "m"})
+}
+
+// Guards against messages for each stream while a service runs one version, and bounds those of a
+// stream while it runs two.
+func TestMessagesOfAStream(t *testing.T) {
+	for _, daemons := range []int{7, 24, 375} {
+		t.Run(fmt.Sprint(daemons), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				in := newInstallation(daemons, true)
+				defer in.close()
+				in.set("a", "v1")
+				in.lookAll()
+				count := func(f func()) int {
+					before := in.calls
+					f()
+					time.Sleep(time.Second)
+					return in.calls - before
+				}
+				a := in.endpoints["a"]
+				if n := count(func() { in.hosts[0].begin("one", a) }); n != 0 {
+					t.Errorf("one version: %d messages for a new stream", n)
+				}
+				if n := count(func() { resume(t, in.hosts[1], "one", "v1") }); n > askedFirst {
+					t.Errorf("one version: %d messages for a resumed stream", n)
+				}
+				in.set("b", "v2")
+				if n := count(in.lookAll); n > copies {
+					t.Errorf("a second version: %d messages for one record", n)
+				}
+				if n := count(func() { in.hosts[0].begin("two", in.endpoints["b"]) }); n > copies {
+					t.Errorf("two versions: %d messages for a new stream", n)
+				}
+				if n := count(func() { resume(t, in.hosts[daemons-1], "two", "v2"); resume(t, in.hosts[daemons-2], "one", "v1") }); n > 2*askedFirst {
+					t.Errorf("two versions: %d messages for two resumed streams", n)
+				}
+			})
+		})
+	}
+}
+
+func resume(t *testing.T, h *host, id, software string) {
+	t.Helper()
+	found, refusal := h.controller.Resume(context.Background(), request(id))
+	if refusal != nil || found.Software() != software {
+		t.Errorf("%s at %s: %q, %v, want %s", id, h.name, found.Software(), refusal, software)
+	}
+}
+
+// Guards against records that are lost with the daemons that began the streams, and against a
+// daemon that has just started and takes the version that it sees for the only one.
+func TestRecordsOutlastDaemons(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		in := newInstallation(7, true)
+		defer in.close()
+		in.set("a", "v1")
+		in.set("b", "v2")
+		in.lookAll()
+		for i := range 40 {
+			in.hosts[i%2].begin(fmt.Sprint("s", i), in.endpoints[[]string{"a", "b"}[i%2]])
+		}
+		in.hosts[0].start(false)
+		in.hosts[1].start(false)
+		for i := range 40 {
+			resume(t, in.hosts[i%7], fmt.Sprint("s", i), []string{"v1", "v2"}[i%2])
+		}
+		in.set("b", "")
+		for _, h := range in.hosts {
+			h.start(false) // all at once: whether v2 ran a moment ago is not known any more
+		}
+		if found, refusal := in.hosts[3].controller.Resume(context.Background(), request("s1")); refusal == nil {
+			t.Errorf("a stream of v2 continues at %q", found.Software())
+		}
+	})
+}
+
+// Guards against a stream that continues at another version than its own while daemons restart, are
+// partitioned or see old lists of endpoints, and against refusals in calm.
+func TestStreamsUnderRandomFaults(t *testing.T) {
+	for seed := *firstSeed; seed < *firstSeed+uint64(*runs); seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { randomFaults(t, seed) })
+		})
+	}
+}
+
+type begun struct {
+	id, software string
+	at           time.Time
+}
+
+// replace lets the next process of a slot start, with a version, or none.
+func (in *installation) replace(slots map[int]string, slot, step int, software string) {
+	in.set(slots[slot], "")
+	slots[slot] = fmt.Sprintf("e%d-%d", slot, step)
+	in.set(slots[slot], software)
+	in.lookAll()
+}
+
+// heal ends all partitions, and lets all daemons see the list of endpoints.
+func (in *installation) heal() {
+	for _, h := range in.hosts {
+		h.mu.Lock()
+		h.group, h.blind = 0, false
+		h.mu.Unlock()
+	}
+	in.lookAll()
+}
+
+func randomFaults(t *testing.T, seed uint64) {
+	rng := rand.New(rand.NewPCG(seed, 0))
+	in := newInstallation(3+rng.IntN(22), true)
+	defer in.close()
+	slots := map[int]string{}
+	for i := range 4 {
+		in.replace(slots, i, 0, "v1")
+	}
+	var streams []begun
+	calmSince, calm, continued := time.Now(), 0, 0
+	const never = 1000 * time.Hour
+	for step := range 1500 {
+		time.Sleep(time.Duration(rng.IntN(60)) * time.Millisecond)
+		h := in.hosts[rng.IntN(len(in.hosts))]
+		switch n := rng.IntN(100); {
+		case n < 45:
+			if e := randomEndpoint(rng, h.view); e != nil {
+				id := fmt.Sprint("s", step)
+				h.begin(id, e)
+				streams = append(streams, begun{id, e.Software, time.Now()})
+			}
+		case n < 85 && len(streams) > 0:
+			s := streams[max(0, len(streams)-1-rng.IntN(20))]
+			found, refusal := h.controller.Resume(context.Background(), request(s.id))
+			if refusal == nil && found.Software() != s.software {
+				t.Errorf("step %d: %s of %s continues at %s", step, s.id, s.software, found.Software())
+			}
+			if s.at.After(calmSince) {
+				calm++
+				if refusal == nil {
+					continued++
+				}
+			}
+		case n < 90:
+			in.replace(slots, rng.IntN(5), step, []string{"v1", "v1", "v2", "v3", ""}[rng.IntN(5)])
+		case n < 93:
+			if calmSince.Before(time.Now()) {
+				calmSince = time.Now()
+			}
+			h.start(false)
+		case n < 95:
+			calmSince = time.Now().Add(never)
+			for _, other := range in.hosts[:1+rng.IntN(len(in.hosts))] {
+				other.mu.Lock()
+				other.group = rng.IntN(2)
+				other.mu.Unlock()
+			}
+		case n < 96:
+			calmSince = time.Now().Add(never)
+			h.mu.Lock()
+			h.blind = true
+			h.mu.Unlock()
+		default:
+			if calmSince.After(time.Now()) {
+				calmSince = time.Now()
+			}
+			in.heal()
+		}
+	}
+	if float64(continued) < 0.98*float64(calm) {
+		t.Errorf("in calm, %d of %d streams continued", continued, calm)
+	}
+	t.Logf("%d daemons, %d streams begun; in calm %d of %d continued", len(in.hosts), len(streams), continued, calm)
+}
+
+func randomEndpoint(rng *rand.Rand, v *fleet.View) *fleet.Endpoint {
+	if v == nil || len(v.ByService["llm"]) == 0 {
+		return nil
+	}
+	list := v.ByService["llm"]
+	return list[rng.IntN(len(list))]
+}
--- a/e2e/answers_test.go
+++ b/e2e/answers_test.go
@@ -47,6 +47,39 @@
 	wg.Wait()
 }
 
+// Guards against a stream that goes on at another version of the engine's software than the one that
+// began it.
+func TestAnswersOfOneSoftwareVersion(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		versions []string
+		whole    bool
+	}{
+		{"the next engine runs the same version", []string{"v1", "v1"}, true},
+		{"the engine after the next does", []string{"v1", "v2", "v1"}, true},
+		{"none does", []string{"v1", "v2"}, false},
+		{"the next engine names none", []string{"v1", ""}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := newTestbed(t, defaults())
+			if _, _, r := w.daemons[0].stream("m0", "warm", 2); !r.ok() {
+				t.Fatalf("warm-up: %d %v", r.status, r.refusal)
+			}
+			for _, e := range w.engines {
+				e.CutStreamsAfter(7)
+				e.SetSoftware(c.versions...)
+			}
+			text, whole, r := w.daemons[0].stream("m0", "prompt", 12)
+			if whole != c.whole || c.whole && text != engine.Answer("prompt", 12) {
+				t.Errorf("whole: %v, %q, %d", whole, text, r.status)
+			}
+			if strings.Contains(r.body, `"software":"v2"`) || strings.Contains(r.body, `"software":""`) {
+				t.Errorf("events of two versions: %s", r.body)
+			}
+		})
+	}
+}
+
 // Engines answer with the id of another attempt. Such an answer may belong to
 // another request, so no part of it may reach a caller.
 func TestAnswersCrossedNeverDelivered(t *testing.T) {
--- a/protocol/verdict.go
+++ b/protocol/verdict.go
@@ -67,6 +67,12 @@
 	// HeaderResumeOffset asks an engine to resume the named attempt's
 	// stream from this event offset.
 	HeaderResumeOffset = "Doorvalve-Resume-Offset"
+	// HeaderSoftware names the version of an engine's software in its answers. What two versions
+	// write does not fit together.
+	HeaderSoftware = "Doorvalve-Software"
+	// HeaderExpectSoftware asks an engine that resumes a stream to refuse it if it runs another
+	// version than the one that began it.
+	HeaderExpectSoftware = "Doorvalve-Expect-Software"
 	// HeaderPriority carries the worth of the request to the engine.
 	HeaderPriority = "Doorvalve-Priority"
 	// HeaderVerdict carries the verdict on refusals.
--- a/standin/engine/complete.go
+++ b/standin/engine/complete.go
@@ -86,6 +86,10 @@
 }
 
 func (e *Engine) stream(w http.ResponseWriter, r *http.Request, req completionRequest, prompt, attempt string, from, cutAfter int) {
+	software := e.nextSoftware()
+	if software != "" {
+		w.Header().Set(protocol.HeaderSoftware, software)
+	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	flusher, _ := w.(http.Flusher)
 	for i := from; i < req.MaxTokens; i++ {
@@ -97,7 +101,7 @@
 		case <-r.Context().Done():
 			return
 		}
-		body, _ := json.Marshal(map[string]any{"choices": []any{map[string]any{"index": 0, "text": Token(prompt, i)}}})
+		body, _ := json.Marshal(map[string]any{"choices": []any{map[string]any{"index": 0, "text": Token(prompt, i)}}, "software": software})
 		if _, err := fmt.Fprintf(w, "id: %s:%d\ndata: %s\n\n", attempt, i+1, body); err != nil {
 			return
 		}
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -50,6 +50,7 @@
 	reportedAt     time.Time // last update of the reported running counts
 	cutAfter       int       // cut streams after this many tokens; 0: never
 	wrongAttemptID bool      // answer with a wrong attempt id
+	software       []string  // versions of its software as successive streams see them, the last for all further ones
 	pause          string    // Retry-After in seconds with which all requests are refused; empty: requests are served
 }
 
@@ -120,6 +121,28 @@
 	e.cutAfter = n
 }
 
+// SetSoftware makes the engine name the version of its software: in each new stream the next of the
+// list, as after a restart, and the last one in all further streams. Each event names it too.
+func (e *Engine) SetSoftware(versions ...string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.software = versions
+}
+
+// nextSoftware returns the version of the engine's software in a new stream.
+func (e *Engine) nextSoftware() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(e.software) == 0 {
+		return ""
+	}
+	version := e.software[0]
+	if len(e.software) > 1 {
+		e.software = e.software[1:]
+	}
+	return version
+}
+
 // SetWrongAttemptID makes the engine answer with the id of another attempt than
 // the one requested.
 func (e *Engine) SetWrongAttemptID(yes bool) {
--- a/transport/callers/call.go
+++ b/transport/callers/call.go
@@ -374,6 +374,9 @@
 		return // the endpoint can be reached through another daemon
 	case f.Leaving, f.Paused:
 		return // the endpoint's own backpressure signal keeps requests away
+	case f.Reason == proxy.ReasonOtherSoftware:
+		cl.affinity = 0 // the engine with the cached prompt can't continue the stream
+		avoid = avoidAfterFull
 	case f.Full:
 		avoid = avoidAfterFull
 	case f.Err == nil || f.Reason == "caller-gone" || f.Reason == "deadline-passed":
--- a/transport/proxy/proxy.go
+++ b/transport/proxy/proxy.go
@@ -29,6 +29,9 @@
 	// ResumeFrom is the offset of the last stream event that was forwarded; 0 for a new stream.
 	// Stream sets it.
 	ResumeFrom int
+	// ExpectSoftware is the version of the software that began the stream; empty if unknown. Stream
+	// sets it.
+	ExpectSoftware string
 	// MustEcho: the endpoint echoes AttemptID in its answers, so that an answer without it is a
 	// failure.
 	MustEcho bool
@@ -56,6 +59,10 @@
 // endpoint has no part in it.
 const ReasonSilentPath = "silent-path"
 
+// ReasonOtherSoftware is the reason of a failure because the endpoint runs another version of the
+// software than the one that began the stream.
+const ReasonOtherSoftware = "other-software"
+
 // Error implements error.
 func (f *Failure) Error() string {
 	if f.Err != nil {
@@ -111,6 +118,7 @@
 	req.Header.Set(protocol.HeaderPriority, strconv.FormatInt(r.Worth, 10))
 	if r.ResumeFrom > 0 {
 		req.Header.Set(protocol.HeaderResumeOffset, strconv.Itoa(r.ResumeFrom))
+		req.Header.Set(protocol.HeaderExpectSoftware, r.ExpectSoftware)
 	}
 	client := c.perRequest
 	if r.Repeatable {
--- a/transport/proxy/stream.go
+++ b/transport/proxy/stream.go
@@ -32,13 +32,15 @@
 type Progress struct {
 	Offset int  // offset of the last event forwarded; 0 before the first
 	Done   bool // the end mark was forwarded
+	// Software is the version of the software that wrote the events; empty if unknown.
+	Software string
 }
 
 // Stream writes the events of one attempt to the sink. It checks the attempt id and offset of each
 // event, so that an event of another request and a duplicate are never forwarded, and a gap is a
 // failure. After a failure, another attempt may continue from p.
 func (c *Client) Stream(ctx context.Context, address string, r *Request, p *Progress, sink Sink) *Failure {
-	r.ResumeFrom = p.Offset
+	r.ResumeFrom, r.ExpectSoftware = p.Offset, p.Software
 	resp, f := c.send(ctx, address, r)
 	if f != nil {
 		return f
@@ -49,6 +51,11 @@
 	}
 	scanner := bufio.NewScanner(resp.Body)
 	scanner.Buffer(make([]byte, 0, 4096), maxEventBytes)
+	software := resp.Header.Get(protocol.HeaderSoftware)
+	if p.Offset > 0 && software != p.Software {
+		return &Failure{Verdict: protocol.MayHaveRun, Reason: ReasonOtherSoftware, Err: fmt.Errorf("begun by %q, the endpoint runs %q", p.Software, software)}
+	}
+	p.Software = software
 	id := ""
 	for scanner.Scan() {
 		line := scanner.Bytes()
