edge: log the prompt parts of attempts that fail

What callers saw: requests with one part of their prompts in common crashed one engine after the other. Lines about attempts name the whole request's fingerprint, and no two of these requests are alike, so the log could not show what the attempts share. No decision reads them.

--- a/protocol/call.go
+++ b/protocol/call.go
@@ -20,7 +20,11 @@
 	Prefix string
 	// Parts are the leading parts of the prompt, in order; empty when unknown. An engine that has
 	// processed a prompt with the same first parts need not process them again.
-	Parts       []PromptPart
+	Parts []PromptPart
+	// SharedParts are the ids of all parts of the prompt that other requests may share, in order: all
+	// but the last one, which is the request's own, and at most MaxSharedParts. The same part has the
+	// same id in all requests.
+	SharedParts []string
 	LastEventID string // the stream is resumed after this event
 	// Resumes is the ID of the attempt that brought the first event of the resumed stream; empty
 	// when unknown.
@@ -32,6 +36,9 @@
 // first parts share most of what can be shared.
 const MaxPromptParts = 64
 
+// MaxSharedParts bounds the shared parts of a prompt that are kept for one request.
+const MaxSharedParts = 512
+
 // PromptPart is one part of a prompt.
 type PromptPart struct {
 	ID     string // the same id has the same content
--- a/transport/edge/run.go
+++ b/transport/edge/run.go
@@ -100,7 +100,7 @@
 			t.exclude = append(t.exclude, e.Incarnation())
 		}
 		mayRetry := t.mayRetry(q, a) && s.bindToOrigin(q, a)
-		s.opt.Log.Info(decisions.EventAttemptFailed, "request", q.call.ID, "endpoint", e.ID, "endpoint_revision", e.Version, "software", e.Software, "resumes", q.call.Resumes, "last_event", a.lastEventID, "reason", f.reason, "error", f.err,
+		s.opt.Log.Info(decisions.EventAttemptFailed, "request", q.call.ID, "endpoint", e.ID, "endpoint_revision", e.Version, "software", e.Software, "resumes", q.call.Resumes, "last_event", a.lastEventID, "parts", loggedParts(q), "reason", f.reason, "error", f.err,
 			"verdict", f.verdict.String(), "again", mayRetry, "fingerprint", q.fingerprint().String(), "began", f.eventsForwarded, "sent_ms", a.sentAt.Sub(q.arrived).Milliseconds(), "endpoints_age_ms", a.viewAge.Milliseconds(), "ms", time.Since(q.arrived).Milliseconds())
 		if !mayRetry && ctx.Err() == nil {
 			return s.finalRefusal(q, t)
@@ -111,6 +111,14 @@
 	}
 }
 
+// maxLoggedParts bounds the prompt parts that a log line names.
+const maxLoggedParts = 8
+
+// loggedParts returns the first shared parts of the request's prompt.
+func loggedParts(q *request) []string {
+	return q.call.SharedParts[:min(len(q.call.SharedParts), maxLoggedParts)]
+}
+
 // maxSelections bounds the endpoints chosen for one attempt that then turn out to take no requests.
 // All requests skip such an endpoint for a while, so that few requests have to choose again.
 const maxSelections = 8
