edge, proxy: an answer that ends with its crashed endpoint's connection is not complete

What callers saw: an answer with neither a length nor chunks ends with its connection. When the engine crashed between two events, or before the first, callers got a short or empty stream with status 200, and the quarantine counted it as served.

Cause: a clean end of the connection was taken for the end of the answer.

Change: where such an answer ends, the daemon finds out whether its endpoint has crashed just then, by the check that the quarantine uses for broken connections (one function for both interfaces). If it has, the answer has broken off and goes on as any other. A stream that may be repeated and ends so before its first event is tried elsewhere in any case. Endpoints that are leaving close their connections as expected and are not checked; other answers cost no check.

--- a/e2e/crashing_test.go
+++ b/e2e/crashing_test.go
@@ -102,13 +102,50 @@
 	go func() { _ = server.Serve(l) }() // ends with the server
 }
 
-// ServeHTTP implements http.Handler.
-func (c *crashingEndpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	body, _ := io.ReadAll(r.Body) // a truncated body differs from crashingBody and is served
-	if string(body) != crashingBody {
-		_, _ = io.WriteString(w, "served")
+// Guards against an answer without a length that is taken for complete although its endpoint crashed
+// while it wrote it.
+func TestUnframedAnswers(t *testing.T) {
+	o := defaults()
+	o.engines, o.models, o.plain = 0, 0, 1
+	var c *crashingEndpoint
+	o.change = func(b *bundle.Bundle) {
+		b.Services = b.Services[1:] // without the engines
+		c = newCrashingEndpoint(t)
+		b.Services[0].Endpoints[0].Address = c.address
+	}
+	w := newTestbed(t, o)
+	w.eventually("calls are served", func() bool { return w.daemons[0].call("POST", "/services/app/x", "innocent").ok() })
+	if r := w.daemons[0].call("POST", "/services/app/x", unframedBody); !r.ok() || r.body != unframedAnswer {
+		t.Errorf("a whole answer without a length: %d %q", r.status, r.body)
+	}
+	if r := w.daemons[0].call("POST", "/services/app/x", unframedCutBody); r.ok() {
+		t.Errorf("an answer that ended in the middle: %d %q", r.status, r.body)
+	}
+}
+
+const (
+	unframedBody    = "a call whose answer ends with its connection"
+	unframedCutBody = "a call whose answer ends with its endpoint"
+	unframedAnswer  = "first half, second half"
+)
+
+// writeUnframed writes an answer without a length, whole or up to the crash of the endpoint.
+func (c *crashingEndpoint) writeUnframed(w http.ResponseWriter, whole bool) {
+	conn, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		c.t.Error(err)
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"+unframedAnswer[:len("first half")])
+	if whole {
+		_, _ = io.WriteString(conn, unframedAnswer[len("first half"):])
 		return
 	}
+	c.crash()
+}
+
+func (c *crashingEndpoint) crash() {
 	c.mu.Lock()
 	c.crashes++
 	_ = c.server.Close()
@@ -116,6 +153,20 @@
 	time.AfterFunc(downtime, c.restart)
 }
 
+// ServeHTTP implements http.Handler.
+func (c *crashingEndpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body) // a truncated body differs from crashingBody and is served
+	if text := string(body); text == unframedBody || text == unframedCutBody {
+		c.writeUnframed(w, text == unframedBody)
+		return
+	}
+	if string(body) != crashingBody {
+		_, _ = io.WriteString(w, "served")
+		return
+	}
+	c.crash()
+}
+
 func (c *crashingEndpoint) restart() {
 	c.mu.Lock()
 	closed := c.closed
--- a/transport/callers/call.go
+++ b/transport/callers/call.go
@@ -318,6 +318,7 @@
 	req := &proxy.Request{
 		Method: cl.method, URI: cl.uri, Header: cl.header, Body: cl.body, RequestID: cl.id,
 		AttemptID: cl.id + "." + strconv.Itoa(n), Worth: cl.worth, Repeatable: cl.key == nil, MustEcho: cl.mustEcho,
+		Crashed: func(ctx context.Context) bool { return s.opt.Quarantine.Crashed(ctx, slot.Endpoint.Address) },
 		ObserveBackpressure: func(signals protocol.Backpressure, whole, rejected bool) {
 			s.observeBackpressure(cl, slot.Endpoint, sent, signals, whole, rejected)
 		},
--- a/transport/edge/answer.go
+++ b/transport/edge/answer.go
@@ -24,6 +24,7 @@
 	status       int
 	endpoint     fleet.Incarnation // the last one that answered
 	software     string            // its software
+	address      string            // its address
 	sentAt       time.Time         // when the request was last sent to an endpoint
 	ticket       balance.Ticket    // of the last attempt
 	viewAge      time.Duration     // age of the view from which that endpoint was chosen
@@ -46,7 +47,7 @@
 // reports whether the request may be retried at another endpoint: a server error is then a failure
 // of the attempt, and is not forwarded. An answer for which this daemon has no memory is forwarded
 // while it is read.
-func (a *answer) forwardWhole(resp *http.Response, w *silenceWatch, mayRetry bool) *failure {
+func (a *answer) forwardWhole(ctx context.Context, resp *http.Response, w *silenceWatch, mayRetry bool) *failure {
 	held := int64(0)
 	defer func() { a.caller.release(held) }()
 	content, err := io.ReadAll(&meteredReader{io.LimitReader(resp.Body, maxAnswerBytes+1), func(n int64) bool {
@@ -58,7 +59,12 @@
 	}})
 	unread := errors.Is(err, errMemoryFull)
 	if err != nil && !unread {
-		return &failure{verdict: protocol.MayHaveRun, reason: "answer-cut", err: err, connBroken: true}
+		return &failure{verdict: protocol.MayHaveRun, reason: reasonAnswerCut, err: err, connBroken: true}
+	}
+	if !unread {
+		if f := a.checkUnframedEnd(ctx, resp, reasonAnswerCut); f != nil {
+			return f
+		}
 	}
 	if !w.beginAnswer() {
 		return &failure{verdict: protocol.MayHaveRun, reason: "no-answer-in-time", err: errSilent}
@@ -81,7 +87,7 @@
 	if f := a.caller.write(content); f != nil || !unread {
 		return f
 	}
-	return a.forwardRest(resp, len(content))
+	return a.forwardRest(ctx, resp, len(content))
 }
 
 // errAnswerTooLarge returns the failure of an answer that is larger than maxAnswerBytes.
@@ -91,7 +97,7 @@
 
 // forwardRest forwards the rest of an answer piece by piece, after the given number of bytes. It
 // reads from the endpoint only as fast as the caller does.
-func (a *answer) forwardRest(resp *http.Response, forwarded int) *failure {
+func (a *answer) forwardRest(ctx context.Context, resp *http.Response, forwarded int) *failure {
 	piece := make([]byte, pieceBytes)
 	for {
 		n, err := resp.Body.Read(piece)
@@ -103,9 +109,9 @@
 		}
 		switch {
 		case errors.Is(err, io.EOF):
-			return nil
+			return a.checkUnframedEnd(ctx, resp, reasonAnswerCut)
 		case err != nil:
-			return &failure{verdict: protocol.MayHaveRun, reason: "answer-cut", err: err, connBroken: true}
+			return &failure{verdict: protocol.MayHaveRun, reason: reasonAnswerCut, err: err, connBroken: true}
 		}
 	}
 }
@@ -119,6 +125,12 @@
 	}
 }
 
+// Reasons of the failure of an answer that has ended early.
+const (
+	reasonStreamCut = "stream-cut"
+	reasonAnswerCut = "answer-cut"
+)
+
 // eventEnd separates the events of a stream.
 var eventEnd = []byte("\n\n")
 
@@ -164,11 +176,14 @@
 		}
 		switch {
 		case errors.Is(err, io.EOF) && len(bytes.TrimSpace(pending)) == 0:
+			if f := a.checkUnframedEnd(ctx, resp, reasonStreamCut); f != nil {
+				return f
+			}
 			return a.finishStream(resp)
 		case errors.Is(err, io.EOF):
-			return &failure{verdict: protocol.MayHaveRun, reason: "stream-cut", err: io.ErrUnexpectedEOF, connBroken: true}
+			return &failure{verdict: protocol.MayHaveRun, reason: reasonStreamCut, err: io.ErrUnexpectedEOF, connBroken: true}
 		case err != nil:
-			return &failure{verdict: protocol.MayHaveRun, reason: "stream-cut", err: err, connBroken: true}
+			return &failure{verdict: protocol.MayHaveRun, reason: reasonStreamCut, err: err, connBroken: true}
 		case len(pending) > maxEventBytes:
 			return &failure{verdict: protocol.MayHaveRun, reason: "event-too-large"}
 		}
--- a/transport/edge/attempt.go
+++ b/transport/edge/attempt.go
@@ -199,7 +199,7 @@
 	lastEventBefore := a.lastEventAt
 	resp, f := s.send(ctx, q, e, a.lastEventID)
 	if f == nil {
-		a.endpoint, a.software = e.Incarnation(), e.Software
+		a.endpoint, a.software, a.address = e.Incarnation(), e.Software, e.Address
 		f = s.deliver(ctx, q, a, resp, w, more)
 		_ = resp.Body.Close()
 	}
@@ -222,7 +222,7 @@
 	if q.route.Kind == routing.Streaming && resp.StatusCode == http.StatusOK {
 		return a.forwardStream(ctx, resp, w)
 	}
-	return a.forwardWhole(resp, w, more && q.route.Repeatable())
+	return a.forwardWhole(ctx, resp, w, more && q.route.Repeatable())
 }
 
 // hasOther reports whether another endpoint can serve a request now, whose answer has begun at the
--- a/transport/edge/caller_test.go
+++ b/transport/edge/caller_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -70,7 +71,7 @@
 	defer c.end()
 	c.setTimes(time.Second, time.Now().Add(time.Minute))
 	a := &answer{caller: c, server: s, q: testRequest()}
-	return a.forwardWhole(&http.Response{StatusCode: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(content)}, &silenceWatch{}, false)
+	return a.forwardWhole(context.Background(), &http.Response{StatusCode: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(content)}, &silenceWatch{}, false)
 }
 
 // unwrittenReader records the most bytes that were read from it and not written to a caller yet.
--- a/transport/proxy/proxy.go
+++ b/transport/proxy/proxy.go
@@ -35,6 +35,9 @@
 	// MustEcho: the endpoint echoes AttemptID in its answers, so that an answer without it is a
 	// failure.
 	MustEcho bool
+	// Crashed reports whether the endpoint has crashed just now. An answer without a length or chunks
+	// that ends with its connection is complete only if it has not. nil: it never has.
+	Crashed func(ctx context.Context) bool
 	// ObserveBackpressure receives the backpressure signals of an answer, if there is one. whole
 	// reports whether the absence of a signal counts, too, and rejected that the endpoint had no room.
 	// It may be nil.
@@ -191,6 +194,8 @@
 	}
 }
 
+var errUnframedCut = errors.New("the connection ended with the endpoint, in an answer without a length")
+
 // Answer is a complete answer.
 type Answer struct {
 	Status int
@@ -209,6 +214,9 @@
 	if err != nil {
 		return nil, &Failure{Verdict: protocol.MayHaveRun, Reason: "answer-cut", Err: err, Broken: true}
 	}
+	if unframed := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0; unframed && r.Crashed != nil && r.Crashed(ctx) {
+		return nil, &Failure{Verdict: protocol.MayHaveRun, Reason: "answer-cut", Err: errUnframedCut, Broken: true}
+	}
 	if int64(len(body)) > c.answerBytes {
 		return nil, &Failure{Verdict: protocol.MayHaveRun, Reason: "answer-too-large"}
 	}
