streams: which software ran is kept in the store, for a restart of all daemons

What callers saw: nothing yet; found by reading. After a restart of all daemons at once none knows whether one version can have begun the streams that callers resume, so all of them were refused for a minute although nothing but one version ever ran.

Change: one daemon keeps the versions seen in each service in a record of the store, written when they change; a daemon that cannot decide on a stream otherwise reads it. A record written under another generation of the store does not vouch for the time since the copy.

--- a/coordination/continuation/table.go
+++ b/coordination/continuation/table.go
@@ -307,6 +307,9 @@
 	return h.since, seen
 }
 
+// Services returns the services in which software has been seen.
+func (t *Table) Services() []string { return slices.Sorted(maps.Keys(t.services)) }
+
 // AdoptHistory adds what another source has seen in a service, up to now and since the given time;
 // the zero time stands for the first start of the system.
 func (t *Table) AdoptHistory(service string, since time.Time, seen []Seen) {
--- a/driver/decisions/log.go
+++ b/driver/decisions/log.go
@@ -41,6 +41,7 @@
 	EventAttemptFailed        = "attempt failed"
 	EventNotResumed           = "request not resumed"
 	EventStreamsCopied        = "records of streams copied"
+	EventSoftwareRecord       = "record of software seen"
 	EventRequestWaiting       = "request waits for a model"
 	EventEndpointAvoided      = "endpoint avoided"
 	EventEndpointCrashed      = "endpoint ended under requests"
--- a/driver/streams/streams.go
+++ b/driver/streams/streams.go
@@ -21,6 +21,8 @@
 	"github.com/doorvalve/doorvalve/coordination/continuation"
 	"github.com/doorvalve/doorvalve/coordination/membership"
 	"github.com/doorvalve/doorvalve/driver/decisions"
+	"github.com/doorvalve/doorvalve/driver/generations"
+	"github.com/doorvalve/doorvalve/driver/record"
 	"github.com/doorvalve/doorvalve/internal/clock"
 	"github.com/doorvalve/doorvalve/internal/pause"
 	"github.com/doorvalve/doorvalve/protocol"
@@ -47,6 +49,9 @@
 	maxViewAge = 1500 * time.Millisecond
 	// batch bounds the records of one message, at some 100 bytes each.
 	batch = 256
+	// recordEvery is the interval at which the record in the store is compared with what this daemon
+	// has seen.
+	recordEvery = time.Second
 	// expireEvery is the interval at which old records are dropped.
 	expireEvery = 10 * time.Second
 )
@@ -70,6 +75,11 @@
 	Peer func(address string) streampb.Streams
 	// ViewAge returns a bound on the age of the endpoint view.
 	ViewAge func() time.Duration
+	// Store keeps the software that was seen, for the case that all daemons restart; nil: it is not
+	// kept.
+	Store record.Store
+	// Generations tracks the highest generation of the store; nil: the store reports none.
+	Generations *generations.Tracker
 	// FirstStart reports that the system has never run before.
 	FirstStart bool
 	Clock      clock.Clock
@@ -83,6 +93,11 @@
 	metrics metrics
 	mixed   chan string // services in which a second version has appeared
 
+	// record and recorded, the signature of its content, belong to whom has sent to recordBusy.
+	recordBusy chan struct{}
+	record     record.Record
+	recorded   string
+
 	mu sync.Mutex
 	t  *continuation.Table
 }
@@ -102,7 +117,7 @@
 		since = time.Time{}
 	}
 	s := opt.Metrics.SubScope("streams")
-	return &Controller{opt: opt, t: continuation.New(since), mixed: make(chan string, 16), metrics: metrics{
+	return &Controller{opt: opt, t: continuation.New(since), record: record.New(opt.Store, opt.Generations, recordName), mixed: make(chan string, 16), recordBusy: make(chan struct{}, 1), metrics: metrics{
 		placed: s.Counter("records_placed_total"), unplaced: s.Counter("records_not_placed_total"), asked: s.Counter("records_asked_total"),
 		unknown: s.Counter("origins_unknown_total"), records: s.Gauge("records"),
 	}}
@@ -210,6 +225,9 @@
 			return found, nil
 		}
 	}
+	if found, ok := c.decideByRecord(ctx, r); ok {
+		return found, nil
+	}
 	c.metrics.unknown.Inc(1)
 	return continuation.Constraint{}, protocol.Refuse(http.StatusServiceUnavailable, ReasonUnknownOrigin, "no daemon that could be asked knows which version of the service's software began this stream, and several serve", retryUnknown)
 }
@@ -254,6 +272,22 @@
 	return c.decideLocally(r)
 }
 
+// decideByRecord decides by the record in the store, where this daemon has not read it lately.
+func (c *Controller) decideByRecord(ctx context.Context, r continuation.Request) (continuation.Constraint, bool) {
+	select {
+	case c.recordBusy <- struct{}{}:
+	case <-ctx.Done():
+		return continuation.Constraint{}, false
+	}
+	if now := c.opt.Clock(); c.record.Due(now) {
+		if err := c.readRecord(ctx, now); err != nil {
+			c.opt.Log.Info(decisions.EventSoftwareRecord, "error", err)
+		}
+	}
+	<-c.recordBusy
+	return c.decideLocally(r)
+}
+
 func (c *Controller) hasRecord(key continuation.Key) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -278,6 +312,7 @@
 // Run copies records when a second version appears in a service, and drops old ones, until ctx ends.
 func (c *Controller) Run(ctx context.Context) error {
 	go c.runExpire(ctx)
+	go c.runRecord(ctx)
 	for {
 		select {
 		case <-ctx.Done():
--- a/driver/streams/streams_test.go
+++ b/driver/streams/streams_test.go
@@ -18,7 +18,9 @@
 	"github.com/doorvalve/doorvalve/coordination/continuation"
 	"github.com/doorvalve/doorvalve/coordination/membership"
 	"github.com/doorvalve/doorvalve/driver/decisions"
+	"github.com/doorvalve/doorvalve/driver/generations"
 	"github.com/doorvalve/doorvalve/protocol/streampb"
+	"github.com/doorvalve/doorvalve/standin/record"
 	"github.com/doorvalve/doorvalve/state/fleet"
 )
 
@@ -37,6 +39,9 @@
 	hosts     []*host
 	endpoints map[string]*fleet.Endpoint
 	calls     int
+	store     *record.Store // nil: none
+	// generations tracks the store's generation.
+	generations *generations.Tracker
 }
 
 type host struct {
@@ -53,8 +58,9 @@
 
 var errPartitioned = errors.New("partitioned")
 
-func newInstallation(hosts int, firstStart bool) *installation {
-	in := &installation{log: decisions.New(io.Discard, "test", hclog.Off), endpoints: map[string]*fleet.Endpoint{}}
+func newInstallation(hosts int, firstStart bool, store *record.Store) *installation {
+	in := &installation{log: decisions.New(io.Discard, "test", hclog.Off), endpoints: map[string]*fleet.Endpoint{}, store: store}
+	in.generations = generations.New(in.log, tally.NoopScope)
 	for i := range hosts {
 		in.hosts = append(in.hosts, &host{in: in, name: fmt.Sprintf("h%d", i)})
 	}
@@ -83,10 +89,14 @@
 // start starts a daemon without records.
 func (h *host) start(first bool) {
 	ctx, cancel := context.WithCancel(context.Background())
-	c := New(Options{
+	opt := Options{
 		Self: h.name, Members: h.in.members, Peer: func(address string) streampb.Streams { return link{h, address} },
-		ViewAge: h.viewAge, FirstStart: first, Clock: time.Now, Log: h.in.log, Metrics: tally.NoopScope,
-	})
+		ViewAge: h.viewAge, FirstStart: first, Generations: h.in.generations, Clock: time.Now, Log: h.in.log, Metrics: tally.NoopScope,
+	}
+	if h.in.store != nil {
+		opt.Store = h.in.store
+	}
+	c := New(opt)
 	h.mu.Lock()
 	if h.stop != nil {
 		h.stop()
@@ -166,6 +176,12 @@
 	return c.Find(ctx, req)
 }
 
+func (in *installation) callCount() int {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return in.calls
+}
+
 func (in *installation) set(id, software string) {
 	in.mu.Lock()
 	defer in.mu.Unlock()
@@ -196,15 +212,15 @@
 	for _, daemons := range []int{7, 24, 375} {
 		t.Run(fmt.Sprint(daemons), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				in := newInstallation(daemons, true)
+				in := newInstallation(daemons, true, nil)
 				defer in.close()
 				in.set("a", "v1")
 				in.lookAll()
 				count := func(f func()) int {
-					before := in.calls
+					before := in.callCount()
 					f()
 					time.Sleep(time.Second)
-					return in.calls - before
+					return in.callCount() - before
 				}
 				a := in.endpoints["a"]
 				if n := count(func() { in.hosts[0].begin("one", a) }); n != 0 {
@@ -240,7 +256,7 @@
 // daemon that has just started and takes the version that it sees for the only one.
 func TestRecordsOutlastDaemons(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		in := newInstallation(7, true)
+		in := newInstallation(7, true, nil)
 		defer in.close()
 		in.set("a", "v1")
 		in.set("b", "v2")
@@ -263,6 +279,55 @@
 	})
 }
 
+// Guards against streams that are refused after a restart of all daemons though one version has run all
+// the time, and against those that continue at that version though another ran before the restart or
+// the store was restored from a copy since.
+func TestAllDaemonsRestart(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		change    func(in *installation) // while the first daemons run
+		continues bool
+	}{
+		{"one version", func(*installation) {}, true},
+		{"another one until just before", func(in *installation) { in.set("b", "v2"); in.lookAll(); in.set("b", "") }, false},
+		{"another one since the copy that the store was restored from", func(in *installation) {
+			backup := in.store.Backup()
+			in.set("b", "v2")
+			in.lookAll()
+			time.Sleep(3 * time.Second)
+			in.set("b", "")
+			in.store.Restore(backup)
+		}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				in := newInstallation(5, true, &record.Store{Latency: 4 * time.Millisecond})
+				defer in.close()
+				in.set("a", "v1")
+				in.lookAll()
+				time.Sleep(3 * time.Second)
+				in.lookAll()
+				time.Sleep(1200 * time.Millisecond)
+				c.change(in)
+				in.lookAll()
+				time.Sleep(1200 * time.Millisecond)
+				for _, h := range in.hosts {
+					h.stop()
+				}
+				for _, h := range in.hosts {
+					h.start(false)
+				}
+				for _, h := range in.hosts {
+					found, refusal := h.controller.Resume(context.Background(), request("lost"))
+					if (refusal == nil) != c.continues {
+						t.Errorf("%s: continues at %q, refused: %v", h.name, found.Software(), refusal)
+					}
+				}
+			})
+		})
+	}
+}
+
 // Guards against a stream that continues at another version than its own while daemons restart, are
 // partitioned or see old lists of endpoints, and against refusals in calm.
 func TestStreamsUnderRandomFaults(t *testing.T) {
@@ -298,7 +363,8 @@
 
 func randomFaults(t *testing.T, seed uint64) {
 	rng := rand.New(rand.NewPCG(seed, 0))
-	in := newInstallation(3+rng.IntN(22), true)
+	stores := []*record.Store{nil, {Latency: 4 * time.Millisecond}}
+	in := newInstallation(3+rng.IntN(22), true, stores[rng.IntN(len(stores))])
 	defer in.close()
 	slots := map[int]string{}
 	for i := range 4 {
