doorvalvectl explain: the part behind a refusal, and the attempt that began a stream

A refusal for a prompt part names the part; explain then shows the attempts that crashed endpoints with it, of any request, and when it was held back. For a request that resumes a stream it shows the attempt that began it. TestExplainShowsPartsAndOrigins, red before (1 line instead of 3).

--- a/cmd/doorvalvectl/explain.go
+++ b/cmd/doorvalvectl/explain.go
@@ -97,6 +97,9 @@
 //     those of leases, dependencies and the desired state;
 //   - lines with the same fingerprint, however much earlier: the same request
 //     sent again under other ids;
+//   - lines of the attempt that began the stream which the request resumes;
+//   - lines of attempts that failed with a prompt part that is held back, and of
+//     when it was held back, if that is the reason of the refusal;
 //   - lines of the connections through other daemons that it was sent over;
 //   - lines of backpressure signals of endpoints, however much earlier, if such
 //     a signal is the reason of the refusal.
@@ -105,6 +108,7 @@
 func explain(lines []logLine, id string, around time.Duration) []logLine {
 	subjects, fingerprints, tunnels := map[string]bool{}, map[string]bool{}, map[string]bool{}
 	var first, last time.Time
+	origins, parts := map[string]bool{}, map[string]bool{}
 	signalEvent := ""
 	for _, l := range lines {
 		if l.Fields["request"] != id {
@@ -119,6 +123,12 @@
 		if print, _ := l.Fields["fingerprint"].(string); print != "" {
 			fingerprints[print] = true
 		}
+		if origin, _ := l.Fields["resumes"].(string); origin != "" {
+			origins[origin] = true
+		}
+		for _, part := range l.list("held_parts") {
+			parts[part] = true
+		}
 		if tunnel, _ := l.Fields["tunnel"].(string); tunnel != "" {
 			tunnels[tunnel] = true
 		}
@@ -141,6 +151,10 @@
 			out = append(out, l)
 			continue
 		}
+		if l.isOrigin(origins) || !l.At.After(last) && l.namesPart(parts) {
+			out = append(out, l)
+			continue
+		}
 		if tunnel, _ := l.Fields["tunnel"].(string); tunnel != "" && l.Fields["request"] == nil {
 			if tunnels[tunnel] { // written when the connection ends, after the request
 				out = append(out, l)
@@ -159,6 +173,31 @@
 	return out
 }
 
+// list returns a field that holds a list of texts.
+func (l *logLine) list(field string) []string {
+	values, _ := l.Fields[field].([]any)
+	var out []string
+	for _, v := range values {
+		if text, ok := v.(string); ok {
+			out = append(out, text)
+		}
+	}
+	return out
+}
+
+// isOrigin reports whether the line is of one of the attempts that began streams.
+func (l *logLine) isOrigin(origins map[string]bool) bool {
+	request, _ := l.Fields["request"].(string)
+	return origins[request]
+}
+
+// namesPart reports whether the line says that one of the prompt parts is held back, or is of an attempt
+// that failed with it.
+func (l *logLine) namesPart(parts map[string]bool) bool {
+	part, _ := l.Fields["part"].(string)
+	return parts[part] || slices.ContainsFunc(l.list("parts"), func(id string) bool { return parts[id] })
+}
+
 // signalEvents maps the reason of a refusal to the log event of the endpoints' backpressure signals
 // that lead to such a refusal.
 var signalEvents = map[string]string{
--- a/cmd/doorvalvectl/explain_test.go
+++ b/cmd/doorvalvectl/explain_test.go
@@ -56,6 +56,28 @@
 	}
 }
 
+const heldPartLog = `
+host-1 {"@message":"attempt failed","@timestamp":"2026-10-14T04:07:35.000Z","request":"r0","fingerprint":"f1","endpoint":"i-1","parts":["aa","bad1"]}
+host-2 {"@message":"attempt failed","@timestamp":"2026-10-14T04:07:35.500Z","request":"r8","fingerprint":"f2","endpoint":"i-1","parts":["aa","cc"]}
+host-1 {"@message":"request held back","@timestamp":"2026-10-14T04:07:36.000Z","fingerprint":"p1","part":"bad1"}
+host-3 {"@message":"request refused","@timestamp":"2026-10-14T04:08:36.000Z","request":"r9","reason":"held-back","fingerprint":"f3","held_parts":["bad1"]}
+host-3 {"@message":"attempt failed","@timestamp":"2026-10-14T04:06:00.000Z","request":"a1","endpoint":"i-2","software":"v1"}
+host-3 {"@message":"request refused","@timestamp":"2026-10-14T04:09:36.000Z","request":"a2","reason":"stream-version-gone","resumes":"a1"}
+`
+
+// If a request is refused because of a prompt part, the output must include the crashes under other
+// requests with that part; for a stream that is resumed, the attempt that began it.
+func TestExplainShowsPartsAndOrigins(t *testing.T) {
+	got := explain(parseLog(strings.NewReader(heldPartLog)), "r9", time.Second)
+	if len(got) != 3 || got[0].Fields["request"] != "r0" || got[1].Event != "request held back" || got[2].Fields["request"] != "r9" {
+		t.Fatalf("%+v", got)
+	}
+	got = explain(parseLog(strings.NewReader(heldPartLog)), "a2", time.Second)
+	if len(got) != 2 || got[0].Fields["request"] != "a1" {
+		t.Fatalf("%+v", got)
+	}
+}
+
 const relayedLog = `
 host-1 {"@message":"request sent through another daemon","@timestamp":"2026-10-14T04:07:35.000Z","request":"r1","relay":"d2","tunnel":"d1-7"}
 host-2 {"@message":"connection relayed","@timestamp":"2026-10-14T04:07:39.000Z","tunnel":"d1-7","from":"d1"}
--- a/driver/quarantiner/holds.go
+++ b/driver/quarantiner/holds.go
@@ -64,6 +64,17 @@
 	return h
 }
 
+// Parts returns the ids of the prompt parts that are held back.
+func (h Holds) Parts() []string {
+	var list []string
+	for _, a := range h.held {
+		if a.Record.Part != "" {
+			list = append(list, a.Record.Part)
+		}
+	}
+	return list
+}
+
 // waived reports whether an assessment does not hold back the request.
 func (h Holds) waived(a quarantine.Assessment, on Target) bool {
 	return a.AllowedOn(on.Endpoint) || a.Tied && h.isolated
--- a/transport/edge/server.go
+++ b/transport/edge/server.go
@@ -301,8 +301,11 @@
 		"verdict", refusal.Verdict.String(), "retry_after_ms", refusal.RetryAfter.Milliseconds(), "ms", time.Since(q.arrived).Milliseconds(),
 		"time_left_ms", time.Until(q.deadline).Milliseconds(), "endpoint", endpoint, "version", q.version(), "state_age_ms", q.stateAge.Milliseconds(), "workspace", q.workspace(),
 		"endpoints_revision", s.opt.View().Version}
+	if q.call.Resumes != "" {
+		fields = append(fields, "resumes", q.call.Resumes)
+	}
 	if refusal.Reason == quarantiner.ReasonHeldBack {
-		fields = append(fields, "fingerprint", q.fingerprint().String())
+		fields = append(fields, "fingerprint", q.fingerprint().String(), "held_parts", s.opt.Quarantine.Holds(q.subject()).Parts())
 	}
 	s.opt.Log.Info(event, fields...)
 }
