edge: what the watch of an attempt reads of a request is safe to read

What callers would have seen: a request with a held part sent on, or a stream continued elsewhere than at its version, in the moment at which the silence of one attempt is checked and the next is prepared.

Cause: since endpoints are filtered by the quarantine and by the version that began a stream, the timer of an attempt's watch reads the request's fingerprint, parts and constraint. The first two were computed on first use without a lock, the last was replaced when the next attempt was chosen.

Change: values that are computed on first use are computed once; the constraint is replaced as a whole. No decision changes.

--- a/transport/edge/endpoints.go
+++ b/transport/edge/endpoints.go
@@ -15,7 +15,7 @@
 // originEndpoints returns the endpoints of the request's service, according to the daemon's view: for
 // a stream that continues, those at which it may. The list must not be changed.
 func (s *Server) originEndpoints(q *request) []*fleet.Endpoint {
-	return q.origin.Filter(s.opt.View().ByService[q.service.Name])
+	return q.constraint().Filter(s.opt.View().ByService[q.service.Name])
 }
 
 // endpoints returns the endpoints that may serve the request: those of originEndpoints less those to
@@ -39,8 +39,8 @@
 // softwareFilter limits the coordinator's choice to engines that may serve the request. Where the
 // quarantine lets it to more than one version, one of them is taken.
 func (s *Server) softwareFilter(q *request) residency.SoftwareFilter {
-	if q.origin.Bound() {
-		return residency.SoftwareFilter{Bound: true, Software: q.origin.Software()}
+	if c := q.constraint(); c.Bound() {
+		return residency.SoftwareFilter{Bound: true, Software: c.Software()}
 	}
 	if s.opt.Quarantine.Holds(q.subject()).Empty() {
 		return residency.SoftwareFilter{}
@@ -59,12 +59,13 @@
 
 // parts returns the parts of the request's prompt that other requests may share.
 func (q *request) parts() []quarantine.Part {
-	if q.promptParts == nil {
+	return q.promptParts.get(func() []quarantine.Part {
+		var list []quarantine.Part
 		for _, id := range q.call.SharedParts {
-			q.promptParts = append(q.promptParts, quarantine.PartOf(q.service.Name, id))
+			list = append(list, quarantine.PartOf(q.service.Name, id))
 		}
-	}
-	return q.promptParts
+		return list
+	})
 }
 
 // target returns the software on which the request runs at an endpoint.
@@ -107,10 +108,8 @@
 
 // fingerprint returns the same value when the caller sends the request again.
 func (q *request) fingerprint() protocol.Fingerprint {
-	if q.print == nil {
+	return q.print.get(func() protocol.Fingerprint {
 		path, query, _ := strings.Cut(q.uri, "?")
-		print := protocol.FingerprintOf(q.method, path, query, q.workspace(), q.body)
-		q.print = &print
-	}
-	return *q.print
+		return protocol.FingerprintOf(q.method, path, query, q.workspace(), q.body)
+	})
 }
--- a/transport/edge/locate.go
+++ b/transport/edge/locate.go
@@ -48,7 +48,7 @@
 			return e, nil
 		}
 		unavailable := s.unavailable(q, t, s.holders(q))
-		if !q.origin.Incarnation().IsZero() { // no load elsewhere could help
+		if !q.constraint().Incarnation().IsZero() { // no load elsewhere could help
 			return s.locateOnly(q, t, exclude)
 		}
 		answer := s.opt.Locator.Want(ctx, q.service.Name, s.wantOf(q, residency.Want{Avoid: avoid, Unreachable: unreachable, MissingAt: absent, Full: unavailable.incarnations}))
@@ -65,7 +65,7 @@
 			}
 		}
 		if answer.Refused == "" && answer.ReadyIn <= 0 {
-			if e := s.opt.View().Find(answer.Endpoint); e != nil && q.origin.Allows(e) && s.accepts(q, t, e) {
+			if e := s.opt.View().Find(answer.Endpoint); e != nil && q.constraint().Allows(e) && s.accepts(q, t, e) {
 				s.opt.Balancer.ClearAbsent(e.Incarnation(), q.unit())
 				q.assigned = true
 				return e, s.checkQueueWait(q, t, answer)
--- a/transport/edge/origin.go
+++ b/transport/edge/origin.go
@@ -30,26 +30,35 @@
 	return q.call.ID
 }
 
+// constraint limits the endpoints of the request's stream, if it continues one.
+func (q *request) constraint() continuation.Constraint {
+	if c := q.origin.Load(); c != nil {
+		return *c
+	}
+	return continuation.Constraint{}
+}
+
 // continuationRequest identifies the stream that the request or its answer continues.
 func (q *request) continuationRequest(id string) continuation.Request {
 	return continuation.Request{Key: continuation.KeyOf(id), Named: id != "", Service: q.service.Name, Workspace: q.workspace(), Unit: q.unit()}
 }
 
 // findOrigin finds out which software began the stream that a caller resumes.
-func (s *Server) findOrigin(ctx context.Context, q *request) (refusal *protocol.Refusal) {
+func (s *Server) findOrigin(ctx context.Context, q *request) *protocol.Refusal {
 	if !q.resumes() {
 		return nil
 	}
-	q.origin, refusal = s.opt.Streams.Resume(ctx, q.continuationRequest(q.call.Resumes))
+	found, refusal := s.opt.Streams.Resume(ctx, q.continuationRequest(q.call.Resumes))
 	if refusal != nil {
 		return refusal
 	}
+	q.origin.Store(&found)
 	return s.checkOrigin(q)
 }
 
 // checkOrigin refuses at once a stream whose version no endpoint runs any more.
 func (s *Server) checkOrigin(q *request) *protocol.Refusal {
-	if q.origin.Bound() && len(s.originEndpoints(q)) == 0 {
+	if q.constraint().Bound() && len(s.originEndpoints(q)) == 0 {
 		return refuseVersionGone()
 	}
 	return nil
@@ -62,7 +71,7 @@
 // recordOrigin records which endpoint begins the request's stream, before its first event is
 // forwarded.
 func (a *answer) recordOrigin(ctx context.Context) {
-	if a.headerSent || a.q.origin.Bound() {
+	if a.headerSent || a.q.constraint().Bound() {
 		return
 	}
 	a.server.opt.Streams.Begin(ctx, a.q.call.ID, continuation.Origin{
@@ -73,11 +82,11 @@
 // bindToOrigin binds a request to the software that began its answer. It reports false if no endpoint
 // may continue the answer because that software is not known for certain.
 func (s *Server) bindToOrigin(q *request, a *answer) bool {
-	if !a.headerSent || q.origin.Bound() || q.route.Kind != routing.Streaming {
+	if !a.headerSent || q.constraint().Bound() || q.route.Kind != routing.Streaming {
 		return true
 	}
 	found, decided := s.opt.Streams.Continue(q.continuationRequest(q.call.ID))
-	q.origin = found
+	q.origin.Store(&found)
 	return decided
 }
 
--- a/transport/edge/server.go
+++ b/transport/edge/server.go
@@ -167,26 +167,38 @@
 	host            string
 	header          http.Header
 	body            []byte
-	print           *protocol.Fingerprint // computed on first use; nil before
-	promptParts     []quarantine.Part     // computed on first use; nil before
-	probe           quarantiner.Probe     // the probe that this attempt is; nil for none
-	table           *routing.Table        // the desired state in force on arrival
-	stateAge        time.Duration         // bound on the age of table on arrival
-	owner           *workspace.Workspace  // the workspace charged for the request; nil for none
-	ticket          quotas.Ticket         // what the request took of its workspace's quota
-	limitTicket     quotas.Ticket         // what this attempt took of its endpoint's rate limit
-	counted         bool                  // the throttle counts this attempt until it ends
-	answered        bool                  // the endpoint has not rejected this attempt
-	rank            int                   // priority; 0 is served first
-	active          int64                 // requests in progress on arrival, including this one
+	print           lazy[protocol.Fingerprint]
+	promptParts     lazy[[]quarantine.Part]
+	probe           quarantiner.Probe    // the probe that this attempt is; nil for none
+	table           *routing.Table       // the desired state in force on arrival
+	stateAge        time.Duration        // bound on the age of table on arrival
+	owner           *workspace.Workspace // the workspace charged for the request; nil for none
+	ticket          quotas.Ticket        // what the request took of its workspace's quota
+	limitTicket     quotas.Ticket        // what this attempt took of its endpoint's rate limit
+	counted         bool                 // the throttle counts this attempt until it ends
+	answered        bool                 // the endpoint has not rejected this attempt
+	rank            int                  // priority; 0 is served first
+	active          int64                // requests in progress on arrival, including this one
 	arrived         time.Time
 	deadline        time.Time
 	suspendedBefore time.Duration // total time of the host's suspension on arrival
 	waited          time.Duration // since arrival, as of the end of the last wait for the model; zero if none
 	assigned        bool          // the coordinator assigned the endpoint
 	// origin limits the endpoints of a stream that continues; unbound for a stream that has not
-	// begun, and for other requests.
-	origin continuation.Constraint
+	// begun, and for other requests. The watch of an attempt may still read it when the next one is
+	// chosen.
+	origin atomic.Pointer[continuation.Constraint]
+}
+
+// lazy is a value that is computed on first use, by whichever goroutine needs it first.
+type lazy[T any] struct {
+	once  sync.Once
+	value T
+}
+
+func (l *lazy[T]) get(compute func() T) T {
+	l.once.Do(func() { l.value = compute() })
+	return l.value
 }
 
 // timeLeft returns how much longer the caller waits. It subtracts the time for which the host was
