streams, quarantine, edge: less of the same twice

- continuation: ObserveView's second result was used by nobody; a record notes its version without the detour of adopting a history.
- driver/streams: one function decides by what the daemon knows, instead of three that lock and look.
- quarantine: two loops over the other suspects of a crash are one.
- clock: ages on the wire are made and read in one place for both drivers.

--- a/coordination/continuation/table.go
+++ b/coordination/continuation/table.go
@@ -82,8 +82,8 @@
 }
 
 // ObserveView processes a new view of the endpoints. It returns the services in which a second
-// version has appeared, and whether the software of any service has changed.
-func (t *Table) ObserveView(now time.Time, view *fleet.View) (mixed []string, changed bool) {
+// version has appeared.
+func (t *Table) ObserveView(now time.Time, view *fleet.View) (mixed []string) {
 	before := map[string]bool{}
 	for service, h := range t.services {
 		before[service] = len(h.versions(now, t.retention)) > 1
@@ -91,7 +91,7 @@
 			h.last[software] = now // it was listed until now
 		}
 	}
-	changed = t.replaceCurrent(view)
+	t.replaceCurrent(view)
 	t.observeListings(now, view)
 	for service, h := range t.services {
 		if !before[service] && len(h.versions(now, t.retention)) > 1 {
@@ -100,29 +100,20 @@
 	}
 	t.viewed = true
 	slices.Sort(mixed)
-	return mixed, changed
+	return mixed
 }
 
-// replaceCurrent sets the software that is listed now, and reports whether that has changed.
-func (t *Table) replaceCurrent(view *fleet.View) (changed bool) {
-	next := map[string]map[string]bool{}
+// replaceCurrent sets the software that is listed now.
+func (t *Table) replaceCurrent(view *fleet.View) {
+	for _, h := range t.services {
+		h.current = map[string]bool{}
+	}
 	for service, list := range view.ByService {
-		next[service] = map[string]bool{}
+		h := t.history(service)
 		for _, e := range list {
-			next[service][e.Software] = true
-		}
-	}
-	for service := range next {
-		t.history(service)
-	}
-	for service, h := range t.services {
-		current := next[service]
-		if !maps.Equal(h.current, current) {
-			changed = true
+			h.current[e.Software] = true
 		}
-		h.current = current
 	}
-	return changed
 }
 
 // observeListings records which ids were taken over by an incarnation with other software.
@@ -202,7 +193,7 @@
 
 func (t *Table) merge(r Record, own bool) {
 	// A daemon whose view is old learns of a new version by the records of other daemons.
-	t.AdoptHistory(r.Origin.Service, t.history(r.Origin.Service).since, []Seen{{r.Origin.Software, r.At}})
+	t.history(r.Origin.Service).add(Seen{r.Origin.Software, r.At})
 	have := t.records[r.Key]
 	if have == nil {
 		t.records[r.Key] = &entry{Record: r, own: own}
@@ -318,9 +309,14 @@
 		h.since = since
 	}
 	for _, s := range seen {
-		if len(h.last) < maxVersions && s.At.After(h.last[s.Software]) {
-			h.last[s.Software] = s.At
-		}
+		h.add(s)
+	}
+}
+
+// add records that a version was listed.
+func (h *history) add(s Seen) {
+	if len(h.last) < maxVersions && s.At.After(h.last[s.Software]) {
+		h.last[s.Software] = s.At
 	}
 }
 
--- a/coordination/quarantine/blame.go
+++ b/coordination/quarantine/blame.go
@@ -37,21 +37,19 @@
 // hasWholePart reports whether another part that was in a request at the crashed endpoint counts in
 // full, as one that was never served does. It is then the more likely cause.
 func (m *Machine) hasWholePart(r *Record, crash Crash) bool {
-	for print := range m.byIncarnation[crash.Incarnation] {
-		other := m.records[print]
-		if other != r && other.Part != "" && !other.discounts(crash) {
-			return true
-		}
-	}
-	return false
+	return m.otherCounts(r, crash, func(other *Record) bool { return other.Part != "" })
 }
 
 // explainedByOther reports whether another request that ran at the same endpoint has crashed more
 // endpoints than this one. That request is then taken to be the cause of this crash, too.
 func (m *Machine) explainedByOther(r *Record, crash Crash, whole int) bool {
+	return m.otherCounts(r, crash, func(other *Record) bool { return other.wholeCrashes() > whole })
+}
+
+// otherCounts reports whether the crash counts in full for another record that match accepts.
+func (m *Machine) otherCounts(r *Record, crash Crash, match func(*Record) bool) bool {
 	for print := range m.byIncarnation[crash.Incarnation] {
-		other := m.records[print]
-		if other != r && other.wholeCrashes() > whole && !other.discounts(crash) {
+		if other := m.records[print]; other != r && match(other) && !other.discounts(crash) {
 			return true
 		}
 	}
--- a/driver/quarantiner/wire.go
+++ b/driver/quarantiner/wire.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/doorvalve/doorvalve/coordination/quarantine"
+	"github.com/doorvalve/doorvalve/internal/clock"
 	"github.com/doorvalve/doorvalve/protocol"
 	"github.com/doorvalve/doorvalve/protocol/quarantinepb"
 	"github.com/doorvalve/doorvalve/state/fleet"
@@ -25,14 +26,14 @@
 		out.ServedOn = append(out.ServedOn, uint64(s))
 	}
 	if r.Probes > 0 {
-		out.TriedAgeMs = age(now, r.ProbedAt)
+		out.TriedAgeMs = clock.AgeMs(now, r.ProbedAt)
 	}
 	for _, s := range r.Software {
 		out.Software = append(out.Software, uint64(s))
 	}
 	for _, crash := range r.Crashes {
 		out.Ends = append(out.Ends, &quarantinepb.End{
-			Endpoint: crash.Incarnation.ID, Born: crash.Incarnation.StartUnixMs, Doubtful: crash.Doubtful, Forgiven: crash.Cleared, AgeMs: age(now, crash.At), SentAgeMs: age(now, crash.Sent), OrderUnixMs: crash.Order, Attempts: crash.Attempts, Served: crash.ServedBefore, Software: uint64(crash.Software),
+			Endpoint: crash.Incarnation.ID, Born: crash.Incarnation.StartUnixMs, Doubtful: crash.Doubtful, Forgiven: crash.Cleared, AgeMs: clock.AgeMs(now, crash.At), SentAgeMs: clock.AgeMs(now, crash.Sent), OrderUnixMs: crash.Order, Attempts: crash.Attempts, Served: crash.ServedBefore, Software: uint64(crash.Software),
 		})
 	}
 	return out
@@ -57,7 +58,7 @@
 	}
 	r.Fingerprint = protocol.Fingerprint(in.Fingerprint)
 	if r.Probes > 0 {
-		r.ProbedAt = at(now, in.TriedAgeMs)
+		r.ProbedAt = clock.Ago(now, in.TriedAgeMs)
 	}
 	for _, s := range in.ServedOn {
 		r.ServedOn = append(r.ServedOn, quarantine.Software(s))
@@ -67,14 +68,8 @@
 	}
 	for _, crash := range in.Ends {
 		r.Crashes = append(r.Crashes, quarantine.Crash{
-			Incarnation: fleet.Incarnation{ID: crash.Endpoint, StartUnixMs: crash.Born}, Doubtful: crash.Doubtful, Cleared: crash.Forgiven, At: at(now, crash.AgeMs), Sent: at(now, crash.SentAgeMs), Order: crash.OrderUnixMs, Attempts: crash.Attempts, ServedBefore: crash.Served, Software: quarantine.Software(crash.Software),
+			Incarnation: fleet.Incarnation{ID: crash.Endpoint, StartUnixMs: crash.Born}, Doubtful: crash.Doubtful, Cleared: crash.Forgiven, At: clock.Ago(now, crash.AgeMs), Sent: clock.Ago(now, crash.SentAgeMs), Order: crash.OrderUnixMs, Attempts: crash.Attempts, ServedBefore: crash.Served, Software: quarantine.Software(crash.Software),
 		})
 	}
 	return r, true
 }
-
-func age(now, then time.Time) int64 { return max(0, now.Sub(then).Milliseconds()) }
-
-func at(now time.Time, ageMs int64) time.Time {
-	return now.Add(-time.Duration(max(0, ageMs)) * time.Millisecond)
-}
--- a/driver/streams/record.go
+++ b/driver/streams/record.go
@@ -45,7 +45,7 @@
 func (c *Controller) runRecord(ctx context.Context) {
 	for ctx.Err() == nil {
 		pause.For(ctx, recordEvery)
-		if c.opt.ViewAge() > maxViewAge {
+		if !c.viewIsFresh() {
 			continue // the next view may have other versions
 		}
 		select {
--- a/driver/streams/streams.go
+++ b/driver/streams/streams.go
@@ -133,7 +133,7 @@
 // ObserveView processes a new view of the endpoints.
 func (c *Controller) ObserveView(view *fleet.View) {
 	c.mu.Lock()
-	mixed, _ := c.t.ObserveView(c.opt.Clock(), view)
+	mixed := c.t.ObserveView(c.opt.Clock(), view)
 	c.mu.Unlock()
 	for _, service := range mixed {
 		select {
@@ -202,18 +202,14 @@
 
 // Continue returns where a stream that has begun at this daemon may continue within its answer.
 func (c *Controller) Continue(r continuation.Request) (continuation.Constraint, bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.t.Decide(c.opt.Clock(), r)
+	return c.decide(r, true)
 }
 
 // Resume returns where a stream may continue that a caller resumes, or the refusal if nobody knows
 // which of several versions began it.
 func (c *Controller) Resume(ctx context.Context, r continuation.Request) (continuation.Constraint, *protocol.Refusal) {
-	if c.hasRecord(r.Key) {
-		if found, ok := c.Continue(r); ok {
-			return found, nil
-		}
+	if found, ok := c.decide(r, false); ok {
+		return found, nil
 	}
 	members := c.ranked(r.Key)
 	first := members[:min(askedFirst, len(members))]
@@ -232,17 +228,19 @@
 	return continuation.Constraint{}, protocol.Refuse(http.StatusServiceUnavailable, ReasonUnknownOrigin, "no daemon that could be asked knows which version of the service's software began this stream, and several serve", retryUnknown)
 }
 
-// decideLocally decides by what this daemon knows. Without a record, an old view shows nothing.
-func (c *Controller) decideLocally(r continuation.Request) (continuation.Constraint, bool) {
-	fresh := c.opt.ViewAge() <= maxViewAge
+// decide decides by what this daemon knows. Without a record it decides only if its view counts.
+func (c *Controller) decide(r continuation.Request, viewCounts bool) (continuation.Constraint, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if _, known := c.t.Lookup(r.Key); !fresh && !known {
+	if _, known := c.t.Lookup(r.Key); !viewCounts && !known {
 		return continuation.Constraint{}, false
 	}
 	return c.t.Decide(c.opt.Clock(), r)
 }
 
+// viewIsFresh reports whether this daemon relies on having seen all software of a service.
+func (c *Controller) viewIsFresh() bool { return c.opt.ViewAge() <= maxViewAge }
+
 // ask asks daemons for the record of a stream, and decides as soon as an answer allows it.
 func (c *Controller) ask(ctx context.Context, r continuation.Request, members []membership.Member) (continuation.Constraint, bool) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -269,7 +267,7 @@
 			return c.Continue(r)
 		}
 	}
-	return c.decideLocally(r)
+	return c.decide(r, c.viewIsFresh())
 }
 
 // decideByRecord decides by the record in the store, where this daemon has not read it lately.
@@ -285,14 +283,7 @@
 		}
 	}
 	<-c.recordBusy
-	return c.decideLocally(r)
-}
-
-func (c *Controller) hasRecord(key continuation.Key) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	_, ok := c.t.Lookup(key)
-	return ok
+	return c.decide(r, c.viewIsFresh())
 }
 
 // adopt merges the answer of another daemon.
@@ -375,7 +366,7 @@
 // Find implements streampb.Streams.
 func (c *Controller) Find(_ context.Context, req *streampb.FindRequest) (*streampb.FindResponse, error) {
 	now, resp := c.opt.Clock(), &streampb.FindResponse{}
-	fresh := c.opt.ViewAge() <= maxViewAge
+	fresh := c.viewIsFresh()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(req.Key) == len(continuation.Key{}) {
--- a/driver/streams/wire.go
+++ b/driver/streams/wire.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/doorvalve/doorvalve/coordination/continuation"
+	"github.com/doorvalve/doorvalve/internal/clock"
 	"github.com/doorvalve/doorvalve/protocol/streampb"
 	"github.com/doorvalve/doorvalve/state/fleet"
 )
@@ -14,7 +15,7 @@
 	o := r.Origin
 	return &streampb.Stream{
 		Key: r.Key[:], Service: o.Service, Software: o.Software, Endpoint: o.Incarnation.ID, StartUnixMs: o.Incarnation.StartUnixMs,
-		Workspace: o.Workspace, Unit: o.Unit, AgeMs: age(now, r.At), Ambiguous: o.Ambiguous,
+		Workspace: o.Workspace, Unit: o.Unit, AgeMs: clock.AgeMs(now, r.At), Ambiguous: o.Ambiguous,
 	}
 }
 
@@ -23,7 +24,7 @@
 	if len(s.GetKey()) != len(continuation.Key{}) {
 		return continuation.Record{}, false
 	}
-	return continuation.Record{Key: continuation.Key(s.Key), At: at(now, s.AgeMs), Origin: continuation.Origin{
+	return continuation.Record{Key: continuation.Key(s.Key), At: clock.Ago(now, s.AgeMs), Origin: continuation.Origin{
 		Service: s.Service, Software: s.Software, Incarnation: fleet.Incarnation{ID: s.Endpoint, StartUnixMs: s.StartUnixMs},
 		Workspace: s.Workspace, Unit: s.Unit, Ambiguous: s.Ambiguous,
 	}}, true
@@ -35,26 +36,20 @@
 func historyToWire(now, since time.Time, seen []continuation.Seen) *streampb.History {
 	h := &streampb.History{WatchedMs: firstStartMs}
 	if !since.IsZero() {
-		h.WatchedMs = age(now, since)
+		h.WatchedMs = clock.AgeMs(now, since)
 	}
 	for _, s := range seen {
-		h.Seen = append(h.Seen, &streampb.Seen{Software: s.Software, AgeMs: age(now, s.At)})
+		h.Seen = append(h.Seen, &streampb.Seen{Software: s.Software, AgeMs: clock.AgeMs(now, s.At)})
 	}
 	return h
 }
 
 func historyFromWire(now time.Time, h *streampb.History) (since time.Time, seen []continuation.Seen) {
 	if h.WatchedMs != firstStartMs {
-		since = at(now, h.WatchedMs)
+		since = clock.Ago(now, h.WatchedMs)
 	}
 	for _, s := range h.Seen {
-		seen = append(seen, continuation.Seen{Software: s.GetSoftware(), At: at(now, s.GetAgeMs())})
+		seen = append(seen, continuation.Seen{Software: s.GetSoftware(), At: clock.Ago(now, s.GetAgeMs())})
 	}
 	return since, seen
 }
-
-func age(now, then time.Time) int64 { return max(0, now.Sub(then).Milliseconds()) }
-
-func at(now time.Time, ageMs int64) time.Time {
-	return now.Add(-time.Duration(max(0, ageMs)) * time.Millisecond)
-}
--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -66,3 +66,12 @@
 	}
 	return time.Duration(t.Nano())
 }
+
+// AgeMs returns the age, in milliseconds, of what happened at a time: clocks of daemons differ, so they
+// send ages to each other.
+func AgeMs(now, then time.Time) int64 { return max(0, now.Sub(then).Milliseconds()) }
+
+// Ago returns the time of what has the given age in milliseconds.
+func Ago(now time.Time, ageMs int64) time.Time {
+	return now.Add(-time.Duration(max(0, ageMs)) * time.Millisecond)
+}
--- a/transport/bodies/bodies.go
+++ b/transport/bodies/bodies.go
@@ -1,4 +1,5 @@
-// Package bodies reads the bodies of callers' requests up to a size limit.
+// Package bodies reads the bodies of callers' requests up to a size limit, and tells which answers end
+// with their connections.
 package bodies
 
 import (
--- a/transport/edge/run.go
+++ b/transport/edge/run.go
@@ -195,8 +195,9 @@
 	case f.unreachable:
 		s.opt.Quarantine.ObserveDialError(e.Incarnation(), f.err)
 	case f.connBroken:
+		on := s.target(q, e)
 		s.opt.Quarantine.ObserveBroken(ctx, quarantiner.BrokenAttempt{
-			Request: q.call.ID, Fingerprint: q.fingerprint(), Incarnation: e.Incarnation(), Address: e.Address, Sent: clock.Now().Add(-time.Since(a.sentAt)), AnswerBegan: f.eventsForwarded, Software: s.target(q, e).Request, Parts: q.parts(), Endpoint: s.target(q, e).Endpoint,
+			Request: q.call.ID, Fingerprint: q.fingerprint(), Incarnation: e.Incarnation(), Address: e.Address, Sent: clock.Now().Add(-time.Since(a.sentAt)), AnswerBegan: f.eventsForwarded, Software: on.Request, Parts: q.parts(), Endpoint: on.Endpoint,
 		})
 	}
 }
--- a/transport/proxy/proxy.go
+++ b/transport/proxy/proxy.go
@@ -14,6 +14,7 @@
 
 	"github.com/doorvalve/doorvalve/internal/dial"
 	"github.com/doorvalve/doorvalve/protocol"
+	"github.com/doorvalve/doorvalve/transport/bodies"
 )
 
 // Request describes one attempt.
@@ -194,8 +195,6 @@
 	}
 }
 
-var errUnframedCut = errors.New("the connection ended with the endpoint, in an answer without a length")
-
 // Answer is a complete answer.
 type Answer struct {
 	Status int
@@ -214,8 +213,8 @@
 	if err != nil {
 		return nil, &Failure{Verdict: protocol.MayHaveRun, Reason: "answer-cut", Err: err, Broken: true}
 	}
-	if unframed := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0; unframed && r.Crashed != nil && r.Crashed(ctx) {
-		return nil, &Failure{Verdict: protocol.MayHaveRun, Reason: "answer-cut", Err: errUnframedCut, Broken: true}
+	if bodies.Unframed(resp) && r.Crashed != nil && r.Crashed(ctx) {
+		return nil, &Failure{Verdict: protocol.MayHaveRun, Reason: "answer-cut", Err: bodies.ErrUnframedCut, Broken: true}
 	}
 	if int64(len(body)) > c.answerBytes {
 		return nil, &Failure{Verdict: protocol.MayHaveRun, Reason: "answer-too-large"}
