--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -14,13 +14,12 @@
 
 // plan says how a worker serves one stream.
 type plan struct {
-	events    int
-	gap       time.Duration
-	unframed  bool          // the answer has neither a length nor chunks, and ends with its channel
-	pauseAt   int           // number of the event before which the stream pauses; 0: none
-	pause     time.Duration // length of that pause
-	beginsAt  time.Duration // time until the first event
-	aboutOver func()        // called before the last event; may be nil
+	events   int
+	gap      time.Duration
+	unframed bool          // the answer has neither a length nor chunks, and ends with its channel
+	pauseAt  int           // number of the event before which the stream pauses; 0: none
+	pause    time.Duration // length of that pause
+	beginsAt time.Duration // time until the first event
 }
 
 // run is one run of a request at a worker.
