--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 plays the same without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/doorvalved ] && [ -x target/review-standin ] || { echo "build first: the deploy file's build line, then review/build.sh" >&2; exit 2; }
-exec target/review-standin silence review/2/record.txt
+exec target/review-standin late review/2/record.txt
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -16,6 +16,7 @@
 
 // cases are the cases by name. A case reports whether the rule held.
 var cases = map[string]func(s *os.File, trouble bool) (held bool, err error){
+	"late":    lateCase,
 	"relay":   relayCase,
 	"silence": silenceCase,
 }
--- a/review/standin/site.go
+++ b/review/standin/site.go
@@ -35,7 +35,7 @@
 	s := &site{dir: dir, store: newStore(), record: record, began: time.Now()}
 	var names []string
 	for i, models := range held {
-		w := &worker{id: fmt.Sprintf("i-%08x", 0x7f3a91c2+i), service: "assist-lm", models: models, store: s.store, plans: plans}
+		w := &worker{id: fmt.Sprintf("i-%08x", 0x7f3a91c2+i), service: "assist-lm", store: s.store, plans: plans, engine: newEngine(s, models)}
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			return nil, err
@@ -54,13 +54,22 @@
 	return s, nil
 }
 
+// newEngine returns an engine that holds models and answers all orders.
+func newEngine(s *site, models []string) *engine {
+	e := &engine{adapters: map[string][]string{}, onDisk: models, note: s.note, onChange: func() {}, crashed: make(chan struct{}), unanswered: func(order) <-chan struct{} { return nil }}
+	for _, m := range models {
+		e.adapters[m] = nil
+	}
+	return e
+}
+
 // desiredState has the routes of two kinds of streaming requests of a small site.
 func desiredState(version int, models []string) map[string]any {
 	var list []map[string]any
 	seen := map[string]bool{}
 	for _, m := range models {
 		if !seen[m] {
-			list = append(list, map[string]any{"name": m, "weights_mb": 72700, "load_time_s": 6, "adapters": 0, "adapter_mb": 66, "warm_s": 0.47, "disk_load_s": 0.84})
+			list = append(list, map[string]any{"name": m, "weights_mb": modelMB, "load_time_s": 6, "adapters": lateAdapters, "adapter_mb": adapterMB, "warm_s": 0.47, "disk_load_s": 0.84})
 		}
 		seen[m] = true
 	}
@@ -80,7 +89,7 @@
 			"name": "assist-lm", "health_path": "/health", "connection_limit": 360, "protocol": "h1", "tls": false,
 			"engine": map[string]any{
 				"slots": 64, "kv_cache_tokens": 135497, "kv_token_bytes": 163840, "link_mbps": 740000, "moves": true, "backups": true, "stride": 5, "upper_limit": 12,
-				"host_memory_mb": 150000, "disk_mb": 1300000, "pin_ms": 4000, "hold_ms": 2000, "handle_s": 5, "weights_mb": 230000, "adapter_slots": 8, "loads_per_s": 3.1, "models": list,
+				"host_memory_mb": 150000, "disk_mb": 1300000, "pin_ms": 4000, "hold_ms": 2000, "handle_s": 5, "weights_mb": engineMemoryMB, "adapter_slots": adapterSlots, "loads_per_s": 3.1, "models": list,
 			},
 		}},
 		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -2,12 +2,12 @@
 
 import (
 	"bufio"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -36,54 +36,47 @@
 type worker struct {
 	id      string
 	service string
-	models  []string
 	address string // as registered
 	store   *store
 	plans   func(id string) plan
+	engine  *engine
 
-	mu       sync.Mutex
-	sequence int
-	runs     []*run
+	mu   sync.Mutex
+	runs []*run
 }
 
 // register writes the worker's entry.
 func (w *worker) register() {
+	models := w.engine.models()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.store.set("servers", w.id, map[string]any{
 		"service": w.service, "address": w.address, "zone": "z1", "version": "v1", "slots": 64, "state": "ready", "cold_remaining_ms": 0,
-		"stage": "both", "models": w.modelList(), "sequence": 4,
+		"stage": "both", "models": models, "sequence": 4, "at_hand": map[string]any{"in_memory": []string{}, "on_disk": w.engine.onDisk},
 	})
 }
 
-func (w *worker) modelList() []map[string]any {
-	list := []map[string]any{}
-	for _, m := range w.models {
-		list = append(list, map[string]any{"name": m, "version": 1, "adapters": []string{}})
-	}
-	return list
-}
-
 // ServeHTTP implements http.Handler.
 func (w *worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
+	if w.engine.isOverloaded() {
+		if conn, _, err := rw.(http.Hijacker).Hijack(); err == nil {
+			reset(conn)
+		}
+		return
+	}
 	switch r.URL.Path {
 	case "/health":
 		rw.Header().Set("Doorvalve-Instance-Id", w.id)
 		rw.WriteHeader(http.StatusOK)
 	case "/report":
-		w.mu.Lock()
-		defer w.mu.Unlock()
-		_ = json.NewEncoder(rw).Encode(map[string]any{"stage": "both", "models": w.modelList(), "busy": false, "sequence": w.sequence, "waiting_requests": 0, "running_requests": 0})
+		w.engine.report(rw)
 	case "/order":
-		w.order(rw)
+		w.engine.order(rw, r)
 	default:
 		w.serve(rw, r)
 	}
 }
 
-// order answers that each order already holds: no case needs one.
-func (w *worker) order(rw http.ResponseWriter) { rw.WriteHeader(http.StatusOK) }
-
 // serve runs a stream.
 func (w *worker) serve(rw http.ResponseWriter, r *http.Request) {
 	if expected := r.Header.Get("Doorvalve-Expect-Instance"); expected != "" && expected != w.id {
@@ -91,6 +84,12 @@
 		rw.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	model, adapter, _ := strings.Cut(r.Header.Get("Doorvalve-Model"), "/")
+	if !w.engine.holds(model, adapter) {
+		rw.Header().Set("Doorvalve-Instance-Id", w.id)
+		rw.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
 	id := r.Header.Get("Doorvalve-Request-Id")
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	p := w.plans(id)
@@ -101,9 +100,20 @@
 	}
 	defer func() { _ = conn.Close() }()
 	gone := make(chan struct{})
+	var once sync.Once
 	go func() { // the end of the channel ends the work
 		_, _ = buffer.Reader.ReadByte()
-		close(gone)
+		once.Do(func() { close(gone) })
+	}()
+	stop := make(chan struct{})
+	defer close(stop)
+	go func() {
+		select {
+		case <-w.engine.crashed:
+			reset(conn)
+			once.Do(func() { close(gone) })
+		case <-stop:
+		}
 	}()
 	this := &run{worker: w.id, id: id, from: last + 1, begun: time.Now(), written: last}
 	w.mu.Lock()
