--- a/review/standin/engine.go
+++ b/review/standin/engine.go
@@ -55,6 +55,13 @@
 	return list
 }
 
+// empty drops all that the engine holds, as a restart does.
+func (e *engine) empty() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.adapters, e.sequence, e.busy = map[string][]string{}, 0, false
+}
+
 func (e *engine) holds(model, adapter string) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/review/standin/silence.go
+++ b/review/standin/silence.go
@@ -9,6 +9,7 @@
 
 const (
 	silenceRounds = 3
+	quietWorkers  = 9
 	quietEvents   = 18
 	quietGap      = 30 * time.Millisecond
 	quietAt       = 9                       // the stream pauses before this event
@@ -19,30 +20,37 @@
 // they drain. While it serves on, the machine with a stream from it gets SIGTERM. The stream pauses
 // for a moment.
 func silenceCase(record *os.File, trouble bool) (bool, error) {
+	held := make([][]string, quietWorkers+1)
+	for i := range held {
+		held[i] = []string{"m1"}
+	}
 	s, err := newSite(record, func(string) plan {
 		return plan{events: quietEvents, gap: quietGap, pauseAt: quietAt, pause: quietPause}
-	}, []string{"m1"}, []string{"m1"})
+	}, held...)
 	if err != nil {
 		return false, err
 	}
+	next := s.workers[quietWorkers] // takes the place of the first worker that is replaced
+	s.store.remove("servers", next.id)
 	defer func() { s.end(os.Getenv("KEEP_LOGS")) }()
 	if err := s.startDaemons(3); err != nil {
 		return false, err
 	}
-	held := true
+	kept := true
 	q := newRequester()
 	for round := range silenceRounds {
-		ok, err := s.silenceRound(q, round, trouble)
+		ok, err := s.silenceRound(q, round, trouble, &next)
 		if err != nil {
 			return false, err
 		}
-		held = held && ok
+		kept = kept && ok
 	}
-	return held, nil
+	return kept, nil
 }
 
-// silenceRound plays one round. A different machine is stopped in each.
-func (s *site) silenceRound(q *requester, round int, trouble bool) (held bool, err error) {
+// silenceRound plays one round. A different machine is stopped in each. next is the worker that takes the
+// place of the one that is replaced.
+func (s *site) silenceRound(q *requester, round int, trouble bool, next **worker) (held bool, err error) {
 	d := s.daemons[round]
 	if warm := q.stream(d.callers, host, "/report-draft/x", fmt.Sprintf("warm-%d", round), "m1", 25*time.Second); !inOrder(warm.events, quietEvents) {
 		return false, fmt.Errorf("before the disruption: %v", warm)
@@ -59,6 +67,8 @@
 		return false, fmt.Errorf("%s has not begun", id)
 	}
 	if trouble {
+		(*next).startAnew(fmt.Sprintf("i-%08x", 0x1c90e000+round))
+		s.note("worker %s starts, to take the place of %s", (*next).id, serving.id)
 		d.signal(syscall.SIGTERM)
 		s.note("%s gets SIGTERM", d.host)
 		s.store.remove("servers", serving.id)
@@ -78,7 +88,7 @@
 		if err := d.start(); err != nil {
 			return held, err
 		}
-		serving.replace(fmt.Sprintf("%s-%d", serving.id[:10], round+1))
+		*next = serving
 	}
 	if !within(10*time.Second, d.isReady) {
 		return held, fmt.Errorf("%s is not ready again", d.host)
@@ -97,10 +107,11 @@
 	return nil
 }
 
-// replace starts the worker again under a new id.
-func (w *worker) replace(id string) {
+// startAnew starts the worker under a new id, empty.
+func (w *worker) startAnew(id string) {
 	w.mu.Lock()
 	w.id = id
 	w.mu.Unlock()
+	w.engine.empty()
 	w.register()
 }
