--- a/review/standin/gate.go
+++ b/review/standin/gate.go
@@ -95,11 +95,16 @@
 	g.mu.Lock()
 	g.paused, g.fillers = true, nil
 	g.mu.Unlock()
-	for range 8 {
+	dropped := 0
+	for range 16 {
 		c, err := net.DialTimeout("tcp", g.address(), dropCheck)
 		if err != nil {
-			return nil
+			if dropped++; dropped == 2 { // once may be before the accept loop has stopped
+				return nil
+			}
+			continue
 		}
+		dropped = 0
 		g.mu.Lock()
 		g.fillers = append(g.fillers, c)
 		g.mu.Unlock()
