residency: what an engine lists decides which order took effect

Cause: a report with a higher count than the order in progress expected was taken for the acceptance of that order. An earlier order, which had been given up without an answer, expects the same count and may take effect in its place. The contents of reports were not adopted while an order was in progress, and the load was completed when its declared time had passed, so that the next order went out by a state that never was.

Change: a busy engine accepts nothing by its count; once it is not busy, what it lists decides whether the order in progress took effect or others in its place. Effects of unloads and of orders for adapters are looked for where they show. An order that was given up at a restart took its room twice; it takes it once.

Why it works: orders with the same expected count exclude each other at the engine. So no room is needed for late ones, as long as the belief at each count is what the engine holds at that count.

--- a/coordination/residency/adopt.go
+++ b/coordination/residency/adopt.go
@@ -120,24 +120,45 @@
 	}
 }
 
-// adoptDuringOrder checks whether a report shows how the order in progress ended.
+// adoptDuringOrder ends the order in progress if a report shows how. The count of a report shows that
+// orders were accepted, but not which: one that was given up may expect the same count, and may take effect
+// in place of the order in progress. Only what the engine holds once it is not busy decides.
 func (p *Planner) adoptDuringOrder(now time.Time, e *engineState, o *pendingOrder, rep Report) {
-	if rep.Sequence <= o.order.Expect {
-		if !o.accepted && !o.unansweredAt.IsZero() && now.After(o.unansweredAt.Add(reportLag)) {
+	switch {
+	case rep.Sequence <= o.order.Expect:
+		if !o.accepted && !o.inFlight() && now.After(o.unansweredAt.Add(reportLag)) {
 			p.dropOrder(e) // not accepted so far; Expect prevents a second execution
 		}
-		return
-	}
-	o.accepted = true
-	has := slices.ContainsFunc(rep.Models, func(m fleet.LoadedModel) bool { return m.Model == o.order.Model })
-	switch {
 	case rep.Busy:
 		p.learnStoreConcurrency(now, o, false)
-		o.endsAt = maxTime(o.endsAt, now.Add(busyRetryDelay))
-	case o.order.Unload && !has, !o.order.Unload && has:
+		p.extendOrder(now, e, o)
+	case o.shownBy(rep):
 		p.learnStoreConcurrency(now, o, true)
 		p.completeOrder(now, e)
+	case o.inFlight():
+		// The answer will show whether it was accepted.
+	case !o.accepted || rep.Sequence > o.order.Expect+1:
+		p.dropOrder(e) // others were accepted in its place, or after it
 	case now.After(o.endsAt.Add(loadTimeout)):
 		p.dropOrder(e)
 	}
 }
+
+// extendOrder moves the expected end of an order that a busy engine may be carrying out.
+func (p *Planner) extendOrder(now time.Time, e *engineState, o *pendingOrder) {
+	o.endsAt = maxTime(o.endsAt, now.Add(busyRetryDelay))
+	if r := e.models[o.order.Model]; r != nil && !o.accepted && !r.confirmed {
+		r.readyAt = maxTime(r.readyAt, o.endsAt.Add(orderMargin))
+	}
+}
+
+// shownBy reports whether a report of an engine that is not busy shows the effect of the order.
+func (o *pendingOrder) shownBy(rep Report) bool {
+	i := slices.IndexFunc(rep.Models, func(m fleet.LoadedModel) bool { return m.Model == o.order.Model })
+	present := i >= 0
+	if o.order.Adapter != "" {
+		ref := AdapterRef{o.order.Model, o.order.Adapter}
+		present = present && slices.Contains(rep.Models[i].Adapters, ref.Adapter) || slices.Contains(rep.LoadingAdapters, ref)
+	}
+	return present != o.order.Unload
+}
--- a/coordination/residency/incarnations.go
+++ b/coordination/residency/incarnations.go
@@ -40,8 +40,11 @@
 	}
 }
 
-// addLateOrder records an order that the engine may still carry out.
+// addLateOrder records an order that the engine may still carry out, unless it is recorded already.
 func (e *engineState) addLateOrder(now time.Time, o Order) {
+	if slices.ContainsFunc(e.lateOrders, func(l lateOrder) bool { return l.order == o }) {
+		return
+	}
 	e.lateOrders = append(e.lateOrders, lateOrder{o, now.Add(lateOrderTTL)})
 }
 
--- /dev/null
+++ b/coordination/residency/lateorders_test.go
@@ -0,0 +1,152 @@
+package residency
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/doorvalve/doorvalve/state/fleet"
+	"github.com/doorvalve/doorvalve/state/routing"
+)
+
+// lateOrderCluster returns engines with models and adapters of any sizes, which leave each order
+// unanswered with the given share and carry it out 2 to 12 s later.
+func lateOrderCluster(t *rapid.T) *simCluster {
+	models := rapid.IntRange(2, 6).Draw(t, "models")
+	w := newSimCluster(0, rapid.SampledFrom([]int{1, 1, 1, 2, 3}).Draw(t, "engines"))
+	w.conf.AdapterSlots = rapid.IntRange(1, 8).Draw(t, "slots")
+	for i := range models {
+		name := fmt.Sprintf("m%02d", i)
+		w.conf.Models[name] = routing.Model{
+			Name: name, SizeMB: float64(rapid.IntRange(20, 120).Draw(t, "size")), Adapters: 9, AdapterMB: float64(rapid.IntRange(1, 15).Draw(t, "adapter size")),
+			LoadFromStore: 3 * time.Second, LoadFromDisk: 800 * time.Millisecond, LoadFromMemory: 500 * time.Millisecond,
+		}
+		w.engines[0].onDisk[name] = true
+	}
+	w.reportLag = time.Duration(rapid.IntRange(0, 250).Draw(t, "lag")) * time.Millisecond
+	share := rapid.IntRange(20, 60).Draw(t, "percent unanswered")
+	w.fate = func() string {
+		if rapid.IntRange(0, 99).Draw(t, "fate") >= share {
+			return ""
+		}
+		w.lateDelay = time.Duration(rapid.IntRange(2000, 12000).Draw(t, "late ms")) * time.Millisecond
+		return "late"
+	}
+	return w
+}
+
+// checkBelieved checks that the planner believes of an engine nothing that its last report denies, but for
+// what it has ordered since.
+func (w *simCluster) checkBelieved(t *rapid.T, rep Report) {
+	e, actual := w.p.engines[rep.Endpoint.ID], w.engine(rep.Endpoint.ID)
+	if rep.Busy || rep.Sequence != actual.sequence || e.order != nil {
+		return
+	}
+	for name, r := range e.models {
+		i := slices.IndexFunc(rep.Models, func(m fleet.LoadedModel) bool { return m.Model == name })
+		if i < 0 {
+			if w.now.After(r.readyAt.Add(2 * reportLag)) {
+				t.Fatalf("%s is believed at %s, whose report has %v", name, rep.Endpoint.ID, rep.Models)
+			}
+			continue
+		}
+		for a, state := range r.adapters {
+			if !slices.Contains(rep.Models[i].Adapters, a) && !slices.Contains(rep.LoadingAdapters, AdapterRef{name, a}) && w.now.After(state.readyAt.Add(2*reportLag)) {
+				t.Fatalf("%s/%s is believed at %s, whose report has %v", name, a, rep.Endpoint.ID, rep.Models)
+			}
+		}
+	}
+}
+
+// Guards against orders beyond an engine's memory or slots, and against models that it does not hold,
+// after an order that was given up has taken effect in place of the one in progress.
+func TestOrdersThatTakeEffectLate(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := lateOrderCluster(t)
+		w.reported = func(rep Report) { w.checkBelieved(t, rep) }
+		names := sortedKeys(w.conf.Models)
+		for range rapid.IntRange(20, 120).Draw(t, "events") {
+			want := Want{Model: rapid.SampledFrom(names).Draw(t, "model")}
+			switch rapid.IntRange(0, 19).Draw(t, "event") {
+			case 0:
+				w.takeOver()
+				w.p.SetLease(w.now, Lease{Held: true, Fence: w.fence, OrdersFrom: w.now.Add(time.Second)})
+			case 1, 2, 3, 4, 5, 6, 7, 8:
+				want.Adapter = fmt.Sprintf("a%d", rapid.IntRange(1, 9).Draw(t, "adapter"))
+				w.p.Want(w.now, want)
+			default:
+				w.p.Want(w.now, want)
+			}
+			w.run(time.Duration(rapid.SampledFrom([]int{1, 5, 20, 20, 40, 100}).Draw(t, "steps")) * 20 * time.Millisecond)
+			w.check(t)
+		}
+	})
+}
+
+// Guards against the case of the review: an adapter's load that was given up takes effect while the load
+// of a model is in progress, and the next adapter is ordered into a slot that is taken.
+func TestLateAdapterIsNotTakenForTheModelInProgress(t *testing.T) {
+	w := newSimCluster(2, 1)
+	w.engines[0].models = map[string][]string{"m00": {"a1", "a2"}}
+	w.engines[0].onDisk["m01"] = true
+	w.engines[0].publish()
+	w.entries()
+	w.run(2 * time.Second)
+	var fates []string
+	w.fate = func() (fate string) {
+		if len(fates) > 0 {
+			fate, fates = fates[0], fates[1:]
+		}
+		return fate
+	}
+	w.lateDelay, fates = 2100*time.Millisecond, []string{"late"}
+	w.p.Want(w.now, Want{Model: "m00", Adapter: "a3"})
+	w.run(2 * time.Second)
+	fates = []string{"lost"}
+	w.p.Want(w.now, Want{Model: "m01"})
+	w.run(400 * time.Millisecond)
+	w.p.Want(w.now, Want{Model: "m00", Adapter: "a4"})
+	w.run(5 * time.Second)
+	w.check(t)
+	if a := w.p.Want(w.now, Want{Model: "m01"}); a.Refused != "" {
+		t.Errorf("the model was given up: %+v", a)
+	}
+}
+
+// Guards against a load that counts as accepted because the engine is busy with another order, and as
+// complete once its own declared time has passed.
+func TestBusyReportAcceptsNoOrder(t *testing.T) {
+	w := newSimCluster(1, 1)
+	e := w.engines[0]
+	e.onDisk["m01"], e.onDisk["m02"] = true, true
+	w.conf.Models = testEngine(3).Models
+	slow := w.conf.Models["m01"]
+	slow.LoadFromDisk = 5 * time.Second
+	w.conf.Models["m01"] = slow
+	e.publish()
+	w.entries()
+	w.run(time.Second)
+	fates := []string{"late", "lost"}
+	w.fate = func() (fate string) {
+		if len(fates) > 0 {
+			fate, fates = fates[0], fates[1:]
+		}
+		return fate
+	}
+	w.lateDelay = 520 * time.Millisecond
+	w.p.Want(w.now, Want{Model: "m01"})
+	w.run(20 * time.Millisecond)
+	w.beforeStep = func(time.Duration) { delete(w.p.wants, anywhere("m01")) } // its caller has left
+	w.run(460 * time.Millisecond)
+	w.p.Want(w.now, Want{Model: "m02"})
+	w.run(2 * time.Second)
+	if !e.busy || e.during.Model != "m01" {
+		t.Fatalf("the engine is to load m01: %+v", e.during)
+	}
+	if r := w.p.engines["e0"].models["m02"]; r != nil && !r.readyAt.After(w.now) {
+		t.Error("m02 counts as loaded while the engine loads m01")
+	}
+}
--- a/coordination/residency/planner_test.go
+++ b/coordination/residency/planner_test.go
@@ -43,6 +43,8 @@
 	silent   string // id of an engine that answers nothing
 	orders   int
 	refused  int // orders that found an engine busy
+	// reported is called after each report that the planner has received if it is not nil.
+	reported func(Report)
 	// accepted is called for each order that an engine accepts if it is not nil.
 	accepted func(Order)
 }
@@ -126,7 +128,11 @@
 	r := w.p.Ready(w.now)
 	for _, incarnation := range r.Probes {
 		if e := w.engine(incarnation.ID); e != nil && incarnation.ID != w.silent && (w.noReport == nil || !w.noReport()) {
-			w.p.ReceiveReport(w.now, e.report(w.now, w.reportLag))
+			rep := e.report(w.now, w.reportLag)
+			w.p.ReceiveReport(w.now, rep)
+			if w.reported != nil {
+				w.reported(rep)
+			}
 			continue
 		}
 		w.p.ReportFailed(w.now, incarnation)
