stall, edge: an entry that is gone ends no stream

Cause: an engine whose entry was gone counted as ended after the patience of its stream's own pace, 0.3 s there. An entry goes while its engine serves on: it never reports that it leaves, or cannot reach the store. The same for engines reported as ended, by another daemon's inference too, and without any stop of the daemon.

Change: a missing entry or a report only leads to a check of the engine's address, which runs beside the watch. An engine that takes connections is treated as a listed one. Where the check finds nothing, a stream that another engine can continue moves as before; one that none can continue ends after 4 s, and not while the daemon is stopping. stall.LostAfter has the whole table.

Why it works: no stream ends by silence or by a missing entry alone.

A stream that cannot move is told after 4 s of silence where nothing answers, before after 0.5 to 3 s; all others as before.

--- a/coordination/ending/ending.go
+++ b/coordination/ending/ending.go
@@ -2,6 +2,8 @@
 // connection is the end of its body, whether it is whole or not. It does no I/O.
 package ending
 
+import "github.com/doorvalve/doorvalve/coordination/reach"
+
 // End says how an answer has ended. The zero value is NotKnown.
 type End int
 
@@ -18,25 +20,11 @@
 // String returns the name of the end as it appears in logs.
 func (e End) String() string { return [...]string{"not-known", "whole", "broken"}[e] }
 
-// Endpoint is what is known of an endpoint just after it closed a connection. The zero value is Unknown.
-type Endpoint int
-
-const (
-	// Unknown: nobody who was asked could say.
-	Unknown Endpoint = iota
-	// Serving: it takes connections.
-	Serving
-	// Gone: it refuses connections, and no daemon that was asked reaches it.
-	Gone
-)
-
-// String returns the name of the state as it appears in logs.
-func (e Endpoint) String() string { return [...]string{"unknown", "serving", "gone"}[e] }
-
 // Evidence is what is known of an answer whose endpoint has closed its side of the connection. The end of
 // a connection that broke, or of a relay, is no such end.
 type Evidence struct {
-	Endpoint Endpoint
+	// Endpoint is what a check of the endpoint has shown just after the end.
+	Endpoint reach.Life
 	// Leaving: the endpoint is leaving. It may refuse connections and still complete its answers, or end
 	// while it writes them.
 	Leaving bool
@@ -49,9 +37,9 @@
 	switch {
 	case e.Empty:
 		return NotKnown
-	case e.Endpoint == Serving:
+	case e.Endpoint == reach.LifeServing:
 		return Whole
-	case e.Endpoint == Gone && !e.Leaving:
+	case e.Endpoint == reach.LifeGone && !e.Leaving:
 		return Broken
 	}
 	return NotKnown
--- a/coordination/stall/stall.go
+++ b/coordination/stall/stall.go
@@ -3,7 +3,11 @@
 // no clock.
 package stall
 
-import "time"
+import (
+	"time"
+
+	"github.com/doorvalve/doorvalve/coordination/reach"
+)
 
 const (
 	// minGaps is the number of gaps between events from which a stream's pace is known.
@@ -15,10 +19,12 @@
 	// without; the longest gap shows such steps once the stream has met one.
 	meanFactor    = 10
 	longestFactor = 3
-	// unlistedSilence is the time of silence after which a stream counts as lost whose engine is not
-	// listed any more. An entry also lapses while its engine cannot reach the store, and a prompt of
-	// 40,000 tokens keeps an engine silent for up to 2 s.
+	// unlistedSilence is the time of silence after which a stream leaves an engine that is not listed any
+	// more and answers nobody. An entry also lapses while its engine cannot reach the store, and a prompt
+	// of 40,000 tokens keeps an engine silent for up to 2 s.
 	unlistedSilence = 3 * time.Second
+	// longestPause is longer than any pause of an engine that goes on.
+	longestPause = 4 * time.Second
 )
 
 // Pace is the pace of a stream's events. The zero value is ready to use.
@@ -54,28 +60,51 @@
 	return max(b.Min, meanFactor*p.mean, longestFactor*p.longest)
 }
 
-// Evidence is what a daemon knows about the engine of a stream.
+// Evidence is what a daemon knows about the engine of a silent stream.
 type Evidence struct {
-	// Refused: connections to the engine are refused, or it was reported as ended.
-	Refused bool
 	// Replaced: a later incarnation of the engine is listed.
 	Replaced bool
-	// Unlisted: the engine's entry is not listed any more.
+	// Unlisted: the engine's entry is not listed any more. It may serve on all the same.
 	Unlisted bool
 	// Leaving: the engine is leaving. It may refuse connections and still end its streams.
 	Leaving bool
+	// Life is what a check of the engine has shown during the silence.
+	Life reach.Life
+}
+
+// Stream is what a daemon knows about a silent stream.
+type Stream struct {
+	// Movable: another engine can continue the stream.
+	Movable bool
+	// Stopping: the daemon is stopping, and waits for its streams.
+	Stopping bool
+	Patience time.Duration // see Pace.Patience
+	Bounds   Bounds
 }
 
-// LostAfter returns the time of silence after which a stream counts as lost, given its patience. It
-// returns false if nothing indicates that the engine is gone.
-func LostAfter(e Evidence, patience time.Duration, b Bounds) (time.Duration, bool) {
+// LostAfter returns the time of silence after which a stream counts as lost. It returns false if the
+// stream is waited for: an engine that is quiet, or whose entry is gone, has not ended by that. A stream
+// that no other engine can continue gains nothing by an early end.
+func LostAfter(e Evidence, s Stream) (time.Duration, bool) {
 	switch {
-	case e.Replaced, e.Refused && !e.Leaving:
-		return b.Min, true
-	case e.Refused:
-		return patience, true
-	case e.Unlisted:
-		return max(b.Min, min(patience, unlistedSilence)), true
+	case e.Replaced:
+		return s.Bounds.Min, true
+	case !e.endIsLikely():
+		return 0, false
+	case !s.Movable && s.Stopping:
+		return 0, false
+	case !s.Movable:
+		return max(s.Patience, longestPause), true
+	case e.Life == reach.LifeSilent:
+		return max(s.Bounds.Min, min(s.Patience, unlistedSilence)), true
+	case e.Leaving:
+		return s.Patience, true
 	}
-	return 0, false
+	return s.Bounds.Min, true
+}
+
+// endIsLikely reports whether a check has found nothing at the engine's address. A listed engine that
+// does not answer may be busy.
+func (e Evidence) endIsLikely() bool {
+	return e.Life == reach.LifeGone || e.Life == reach.LifeSilent && e.Unlisted
 }
--- a/driver/decisions/log.go
+++ b/driver/decisions/log.go
@@ -39,6 +39,7 @@
 	EventRefused              = "request refused"
 	EventFailed               = "request failed"
 	EventAttemptFailed        = "attempt failed"
+	EventStreamLost           = "silent stream lost"
 	EventNotResumed           = "request not resumed"
 	EventStreamsCopied        = "records of streams copied"
 	EventSoftwareRecord       = "record of software seen"
--- a/driver/quarantiner/ending.go
+++ b/driver/quarantiner/ending.go
@@ -6,8 +6,9 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/doorvalve/doorvalve/coordination/ending"
+	"github.com/doorvalve/doorvalve/coordination/reach"
 	"github.com/doorvalve/doorvalve/driver/decisions"
-	"github.com/doorvalve/doorvalve/internal/dial"
+	"github.com/doorvalve/doorvalve/driver/paths"
 	"github.com/doorvalve/doorvalve/state/fleet"
 )
 
@@ -42,22 +43,17 @@
 }
 
 // endpointNow finds out whether the endpoint at an address is up, just after it closed a connection.
-func (c *Controller) endpointNow(ctx context.Context, address string) ending.Endpoint {
+func (c *Controller) endpointNow(ctx context.Context, address string) (life reach.Life) {
 	broke := c.opt.Clock()
 	for range maxEndChecks {
 		limited, cancel := context.WithTimeout(ctx, checkTimeout)
-		err := c.opt.Check(limited, address, broke)
+		life = paths.LifeOf(c.opt.Check(limited, address, broke))
 		cancel()
-		switch {
-		case err == nil:
-			return ending.Serving
-		case dial.IsRefused(err):
-			return ending.Gone
-		case ctx.Err() != nil:
-			return ending.Unknown
+		if life == reach.LifeServing || life == reach.LifeGone || ctx.Err() != nil {
+			break
 		}
 	}
-	return ending.Unknown
+	return life
 }
 
 // endCounters returns the counters of ends.
--- a/transport/edge/server.go
+++ b/transport/edge/server.go
@@ -52,7 +52,7 @@
 	View func() *fleet.View
 	// ViewAge returns a bound on the age of the view.
 	ViewAge func() time.Duration
-	// Draining reports whether the daemon is stopping.
+	// Draining reports whether the daemon is stopping; nil: never.
 	Draining func() bool
 	// DrainDeadline returns when a draining daemon aborts the requests in progress; zero while the
 	// daemon is not draining.
@@ -116,6 +116,9 @@
 	if opt.Paths == nil {
 		opt.Paths = paths.New(paths.Options{Dial: dial.TCP, Log: opt.Log, Metrics: opt.Metrics})
 	}
+	if opt.Draining == nil {
+		opt.Draining = func() bool { return false }
+	}
 	if opt.Quarantine == nil {
 		opt.Quarantine = quarantiner.New(quarantiner.Options{Members: func() []membership.Member { return nil }, Log: opt.Log, Metrics: opt.Metrics})
 	}
--- a/transport/edge/watch.go
+++ b/transport/edge/watch.go
@@ -6,7 +6,9 @@
 	"sync"
 	"time"
 
+	"github.com/doorvalve/doorvalve/coordination/reach"
 	"github.com/doorvalve/doorvalve/coordination/stall"
+	"github.com/doorvalve/doorvalve/driver/decisions"
 	"github.com/doorvalve/doorvalve/driver/paths"
 	"github.com/doorvalve/doorvalve/internal/clock"
 	"github.com/doorvalve/doorvalve/protocol"
@@ -24,6 +26,11 @@
 	// silenceRecheck is the interval of checking whether another endpoint can take a request from
 	// a silent endpoint, and whether the endpoint of a silent stream is gone.
 	silenceRecheck = 100 * time.Millisecond
+	// examineInterval is the time between two checks of the endpoint of a silent stream. It doubles up
+	// to maxExamineInterval. examineTimeout bounds a check.
+	examineInterval    = 500 * time.Millisecond
+	maxExamineInterval = 4 * time.Second
+	examineTimeout     = time.Second
 )
 
 // silenceBounds returns the bounds of the time for which an endpoint may be silent before another
@@ -53,6 +60,9 @@
 	bounds   stall.Bounds
 	cancel   context.CancelCauseFunc
 	timer    *time.Timer // nil if the attempt is never abandoned
+	// checks is the context of checks of the endpoint, and endChecks ends them.
+	checks    context.Context
+	endChecks context.CancelFunc
 
 	mu      sync.Mutex
 	state   int
@@ -63,6 +73,12 @@
 	writing bool // a write to the caller is in progress: the endpoint is not silent
 	pace    stall.Pace
 	lastAt  time.Time // when the attempt began, or the time of the last events
+	// life is what the last check of the endpoint has shown during the present silence.
+	life     reach.Life
+	checking bool // such a check is in progress
+	// examineAt is the time of the next one, and examineWait the time between the last two.
+	examineAt   time.Time
+	examineWait time.Duration
 }
 
 // States of the answer in a silenceWatch.
@@ -81,6 +97,7 @@
 		server: s, request: q, endpoint: e, stream: q.route.Kind == routing.Streaming, bounds: silenceBounds(q), cancel: cancel,
 		movable: more && q.route.Repeatable(), lastAt: time.Now(),
 	}
+	w.checks, w.endChecks = context.WithCancel(context.Background())
 	if w.stream || w.movable {
 		w.mu.Lock()
 		defer w.mu.Unlock()
@@ -112,9 +129,12 @@
 	if silence >= paths.SuspectAfter && !stopped {
 		w.server.opt.Paths.Suspect(w.endpoint.Address)
 	}
+	evidence, lost := w.lost(silence, patience, movable, begun)
 	switch {
 	case stopped:
-	case w.stream && w.lost(silence, patience) && w.abandon(answerLost, silence, unpaid):
+	case lost && w.abandon(answerLost, silence, unpaid):
+		w.server.opt.Log.Info(decisions.EventStreamLost, "request", w.request.call.ID, "endpoint", w.endpoint.ID, "silence_ms", silence.Milliseconds(),
+			"replaced", evidence.Replaced, "unlisted", evidence.Unlisted, "leaving", evidence.Leaving, "check", evidence.Life.String(), "may_move", movable)
 		w.cancel(errEndpointGone)
 	case movable && silence >= patience && (pathLost || w.server.hasOther(w.request, w.endpoint, begun)) && w.abandon(answerAbandoned, silence, w.server.opt.Budget.Spend):
 		w.cancel(errSilent)
@@ -136,22 +156,55 @@
 	return silenceRecheck
 }
 
-// lost reports whether a stream counts as lost after the given silence, by what this daemon knows
-// about its endpoint.
-func (w *silenceWatch) lost(silence, patience time.Duration) bool {
-	if silence < w.bounds.Min {
-		return false
+// lost reports whether the answer is a stream that counts as lost after the given silence, and what this
+// daemon knows about its endpoint.
+func (w *silenceWatch) lost(silence, patience time.Duration, movable, begun bool) (stall.Evidence, bool) {
+	if !w.stream || silence < w.bounds.Min {
+		return stall.Evidence{}, false
+	}
+	evidence := w.server.evidence(w.endpoint)
+	if evidence.Unlisted || w.server.opt.Balancer.MarkedUnreachable(clock.Now(), w.endpoint.Incarnation()) {
+		evidence.Life = w.examine()
+	}
+	after, lost := stall.LostAfter(evidence, stall.Stream{
+		Movable: movable && w.server.hasOther(w.request, w.endpoint, begun), Stopping: w.server.opt.Draining(), Patience: patience, Bounds: w.bounds,
+	})
+	return evidence, lost && silence >= after
+}
+
+// examine returns what the last check of the endpoint has shown during the present silence, and begins the
+// next one if it is due.
+func (w *silenceWatch) examine() reach.Life {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if now := time.Now(); !w.checking && !now.Before(w.examineAt) {
+		w.examineWait = min(max(examineInterval, 2*w.examineWait), maxExamineInterval)
+		w.checking, w.examineAt = true, now.Add(w.examineWait)
+		go w.checkLife(w.lastAt)
+	}
+	return w.life
+}
+
+// checkLife checks whether the endpoint is up, which has been silent since the given time.
+func (w *silenceWatch) checkLife(silentSince time.Time) {
+	ctx, cancel := context.WithTimeout(w.checks, examineTimeout)
+	defer cancel()
+	life := w.server.opt.Paths.Life(ctx, w.endpoint.Address, clock.Now().Add(-time.Since(silentSince)))
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.checking = false
+	if w.stopped || !w.lastAt.Equal(silentSince) {
+		return
 	}
-	after, lost := stall.LostAfter(w.server.evidence(w.endpoint), patience, w.bounds)
-	return lost && silence >= after
+	w.life = life
+	w.timer.Reset(0)
 }
 
-// evidence returns what this daemon knows about an endpoint that may be gone.
+// evidence returns what this daemon knows about an endpoint that may be gone, without a check.
 func (s *Server) evidence(e *fleet.Endpoint) stall.Evidence {
 	present := s.opt.View().ByID[e.ID]
 	same := present != nil && present.Incarnation().Matches(e.Incarnation())
 	return stall.Evidence{
-		Refused:  s.opt.Balancer.MarkedUnreachable(clock.Now(), e.Incarnation()),
 		Replaced: present != nil && e.Incarnation().Before(present.Incarnation()),
 		Unlisted: !same,
 		Leaving:  e.Leaving || same && present.Leaving,
@@ -163,6 +216,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.stopped = true
+	w.endChecks()
 	if w.timer != nil {
 		w.timer.Stop()
 	}
@@ -188,6 +242,7 @@
 	w.movable = w.movable && resumable
 	w.writing = false
 	w.lastAt = time.Now()
+	w.life, w.examineAt, w.examineWait = reach.LifeNotKnown, time.Time{}, 0
 	if w.timer != nil && !w.stopped {
 		w.timer.Reset(w.firstCheck())
 	}
