residency: a count that was assumed is corrected by reports

Callers would see adapters that never load at an engine: all orders to it refused, all its reports discarded, until the coordinator changes.

Cause: an engine that answers "done already" may not count the order. The unload of an adapter that it no longer had was counted all the same; every report with the true, lower count was then taken for an old one.

Change: a report with a lower count is discarded only while it may be from before the last order that was counted. After a refused order the engine is asked again at the end of that time.

--- a/coordination/residency/adopt.go
+++ b/coordination/residency/adopt.go
@@ -32,10 +32,13 @@
 // adopt updates an engine's state from a report. A report from before the last accepted
 // order is discarded.
 func (p *Planner) adopt(now time.Time, e *engineState, rep Report) {
-	if e.synced && rep.Sequence < e.sequence {
+	if proven := e.countedAt.Add(2 * reportLag); e.synced && rep.Sequence < e.sequence && now.Before(proven) {
+		if e.busyCount > 0 {
+			e.probeAt = proven // the count may be wrong, as the engine has refused an order
+		}
 		return
 	}
-	newer := rep.Sequence > e.sequence || !e.synced
+	newer := rep.Sequence != e.sequence || !e.synced
 	if o := e.order; o != nil {
 		p.adoptDuringOrder(now, e, o, rep)
 		if e.order != nil {
--- a/coordination/residency/lateorders_test.go
+++ b/coordination/residency/lateorders_test.go
@@ -150,3 +150,24 @@
 		t.Error("m02 counts as loaded while the engine loads m01")
 	}
 }
+
+// Guards against an engine whose reports are all discarded, and whose orders are all refused, because an
+// order that it answered as done already was counted although the engine did not count it.
+func TestCountThatTheEngineDidNotRaise(t *testing.T) {
+	w := newSimCluster(1, 1)
+	e := w.engines[0]
+	w.run(time.Second)
+	for i := 1; i <= 3; i++ {
+		w.p.Want(w.now, Want{Model: "m00", Adapter: fmt.Sprintf("a%d", i)})
+		w.run(2 * time.Second)
+	}
+	e.models["m00"] = []string{"a2", "a3"} // the engine has lost one
+	w.p.Want(w.now, Want{Model: "m00", Adapter: "a4"})
+	w.run(3 * time.Second)
+	w.p.Want(w.now, Want{Model: "m00", Adapter: "a4"})
+	w.run(3 * time.Second)
+	if !slices.Contains(e.models["m00"], "a4") {
+		t.Errorf("a4 is not loaded, the engine holds %v and has counted %d orders; %d were refused", e.models["m00"], e.sequence, w.refused)
+	}
+	w.check(t)
+}
--- a/coordination/residency/outcome.go
+++ b/coordination/residency/outcome.go
@@ -6,7 +6,7 @@
 func (p *Planner) completeOrder(now time.Time, e *engineState) {
 	o := e.order
 	e.order = nil
-	e.sequence = max(e.sequence, o.order.Expect+1)
+	e.countOrder(now, o.order)
 	if o.order.Adapter != "" {
 		if r := e.models[o.order.Model]; r != nil && o.order.Unload {
 			delete(r.adapters, o.order.Adapter)
@@ -27,6 +27,14 @@
 	e.onDisk[o.order.Model] = true
 }
 
+// countOrder counts an order that the engine has accepted. It may have answered an order that was done
+// already without counting it: its reports show that some time later.
+func (e *engineState) countOrder(now time.Time, o Order) {
+	if e.sequence <= o.Expect {
+		e.sequence, e.countedAt = o.Expect+1, now
+	}
+}
+
 // dropOrder discards an order that has had no effect.
 func (p *Planner) dropOrder(e *engineState) {
 	o := e.order
@@ -126,7 +134,7 @@
 func (p *Planner) adapterUnloadAccepted(now time.Time, e *engineState) {
 	o := e.order.order
 	e.order, e.busyCount = nil, 0
-	e.sequence = o.Expect + 1
+	e.countOrder(now, o)
 	e.probeAt = now.Add(reportLag)
 	if r := e.models[o.Model]; r != nil && r.adapters[o.Adapter] != nil {
 		r.adapters[o.Adapter].unloading = true
@@ -145,7 +153,7 @@
 	e.busyCount = 0
 	p.countStart(now, o)
 	o.accepted = true
-	e.sequence = o.order.Expect + 1
+	e.countOrder(now, o.order)
 	switch {
 	case o.order.Adapter != "", o.order.Unload:
 		// Loading an adapter does not make the engine busy. Whether an unload is complete
--- a/coordination/residency/planner.go
+++ b/coordination/residency/planner.go
@@ -61,6 +61,7 @@
 	silentSince   time.Time // first sign that it does not answer; zero if it has reported since
 	reportedAt    time.Time // time of the last report
 	sequence      uint64
+	countedAt     time.Time // when an answer last raised sequence
 	models        map[string]*replica
 	inMemory      map[string]bool
 	onDisk        map[string]bool
