Revert "quarantine: an entry that is gone is no crash of an endpoint that serves"

Connections to an endpoint there go through a proxy, which takes connections while the endpoint is down: "takes connections" does not show that the endpoint lives, so the missing entry was the only evidence of the crash.

The fault that it was to mend is open again (docs/FINDINGS.md): a sound endpoint whose connections break and whose entry goes within 6 s counts as crashed. It was found by reading; no play has shown it.

--- a/driver/quarantiner/broken.go
+++ b/driver/quarantiner/broken.go
@@ -54,7 +54,6 @@
 	order     int64 // see quarantine.Crash
 	crashed   bool
 	crashedAt time.Time // when the crash was detected
-	serving   bool      // the last check has found that it takes connections
 	checks    int
 	checkAt   time.Time       // of the next check
 	allowed   int             // number of checks
@@ -138,7 +137,6 @@
 		err := c.opt.Check(limited, b.address, b.since)
 		cancel()
 		c.mu.Lock()
-		b.serving = err == nil
 		if dial.IsRefused(err) {
 			b.markCrashed(c.opt.Clock())
 		}
@@ -221,7 +219,7 @@
 }
 
 // check repeats the checks of endpoints whose connections broke. An endpoint that is no longer
-// listed although it had not reported leaving is taken to have crashed, unless it takes connections.
+// listed although it had not reported leaving is taken to have crashed.
 func (c *Controller) check(ctx context.Context) {
 	now := c.opt.Clock()
 	c.mu.Lock()
@@ -238,7 +236,7 @@
 		listed, leaving := c.opt.Endpoint(inc)
 		c.mu.Lock()
 		b.leaving = b.leaving || leaving
-		if !listed && !b.leaving && !b.serving {
+		if !listed && !b.leaving {
 			b.markCrashed(now)
 		}
 		checkNow := !b.leaving && !b.crashed && b.checks < b.allowed && b.checking == nil && !now.Before(b.checkAt)
--- a/driver/quarantiner/quarantiner_test.go
+++ b/driver/quarantiner/quarantiner_test.go
@@ -442,32 +442,6 @@
 	})
 }
 
-// Guards against a crash that is made of a missing entry: connections to an engine break, and its entry goes
-// while it takes connections. An engine that answers nobody and whose entry goes has ended.
-func TestMissingEntryIsNoCrash(t *testing.T) {
-	for name, c := range map[string]struct {
-		check error
-		cases int64
-	}{"serves on": {nil, 0}, "silent": {context.DeadlineExceeded, 1}, "refuses": {syscall.ECONNREFUSED, 1}} {
-		synctest.Test(t, func(t *testing.T) {
-			in := newInstallation(1, 1, 1)
-			defer in.stop()
-			time.Sleep(2 * time.Second)
-			h := in.hosts[0].current()
-			listed := atomic.Bool{}
-			listed.Store(true)
-			h.opt.Endpoint = func(fleet.Incarnation) (bool, bool) { return listed.Load(), false }
-			h.opt.Check = func(context.Context, string, time.Time) error { return c.check }
-			h.ObserveBroken(context.Background(), BrokenAttempt{Fingerprint: fingerprintOf("r")(), Incarnation: fleet.Incarnation{ID: "e0"}, Address: "e0", Sent: time.Now()})
-			listed.Store(false)
-			time.Sleep(2 * time.Second)
-			if n := h.recordCount.Load(); n != c.cases {
-				t.Errorf("%s: %d requests have a record, want %d", name, n, c.cases)
-			}
-		})
-	}
-}
-
 // Guards against a popular request that is held back: one daemon has just served it, it runs at
 // three others, and all three attempts fail when one engine crashes because of another request. The
 // report of the daemon that served it must be enough, although that daemon has not detected the
