residency: room for late orders where an engine may have started again

Callers would see an engine crash: one that starts again under its id without telling its start, while an order to its earlier life is on its way, could be ordered beyond its memory.

Cause: room for orders to earlier lives was kept only where a start time told the lives apart.

Change: a count that has fallen, or a model that is gone though no order has removed it, shows that the engine may have started again: late orders then take room as those to an earlier life.

--- a/coordination/residency/adopt.go
+++ b/coordination/residency/adopt.go
@@ -38,6 +38,9 @@
 		}
 		return
 	}
+	if rep.Sequence < e.sequence {
+		e.noteRestart()
+	}
 	newer := rep.Sequence != e.sequence || !e.synced
 	if o := e.order; o != nil {
 		p.adoptDuringOrder(now, e, o, rep)
@@ -64,9 +67,13 @@
 	for name, r := range e.models {
 		// If no order was accepted since, only a report that is newer than the load proves
 		// that a model is not loaded.
-		if !seen[name] && (newer || !rep.Busy && now.After(r.readyAt.Add(reportLag))) {
-			delete(e.models, name)
+		if seen[name] || !newer && (rep.Busy || !now.After(r.readyAt.Add(reportLag))) {
+			continue
+		}
+		if !newer {
+			e.noteRestart() // no order has removed the model
 		}
+		delete(e.models, name)
 	}
 	adoptLoading(now, e, rep.LoadingAdapters)
 }
--- a/coordination/residency/incarnations.go
+++ b/coordination/residency/incarnations.go
@@ -15,6 +15,20 @@
 type lateOrder struct {
 	order Order
 	until time.Time // the order cannot arrive any later
+	// restarted reports that the engine may have started again since, without telling its start.
+	restarted bool
+}
+
+// toEarlier reports whether the order may have been sent to an earlier incarnation of the engine.
+func (l lateOrder) toEarlier(e *engineState) bool {
+	return l.restarted || !l.order.Endpoint.Matches(e.incarnation)
+}
+
+// noteRestart records that the engine may have started again without telling its start.
+func (e *engineState) noteRestart() {
+	for i := range e.lateOrders {
+		e.lateOrders[i].restarted = true
+	}
 }
 
 // unplannedMemory returns the memory, in MB, that the effect of an order to an earlier
@@ -22,7 +36,7 @@
 func (e *engineState) unplannedMemory(l lateOrder, engine *routing.Engine) float64 {
 	m := engine.Models[l.order.Model]
 	switch {
-	case l.order.Unload, l.order.Endpoint.Matches(e.incarnation):
+	case l.order.Unload, !l.toEarlier(e):
 		return 0
 	case l.order.Adapter != "":
 		return m.AdapterMB
@@ -45,7 +59,7 @@
 	if slices.ContainsFunc(e.lateOrders, func(l lateOrder) bool { return l.order == o }) {
 		return
 	}
-	e.lateOrders = append(e.lateOrders, lateOrder{o, now.Add(lateOrderTTL)})
+	e.lateOrders = append(e.lateOrders, lateOrder{order: o, until: now.Add(lateOrderTTL)})
 }
 
 // pruneLate drops late orders that can have no effect any more: their time has passed, or
@@ -54,7 +68,7 @@
 // expected count.
 func (e *engineState) pruneLate(now time.Time) {
 	e.lateOrders = slices.DeleteFunc(e.lateOrders, func(l lateOrder) bool {
-		counted := e.synced && e.sequence > l.order.Expect && !l.order.Endpoint.Matches(e.incarnation)
+		counted := e.synced && e.sequence > l.order.Expect && l.toEarlier(e)
 		return counted || !now.Before(l.until)
 	})
 }
--- a/coordination/residency/lateorders_test.go
+++ b/coordination/residency/lateorders_test.go
@@ -171,3 +171,32 @@
 	}
 	w.check(t)
 }
+
+// Guards against a late order that overloads an engine which has started again without telling its start: its
+// count is lower then, and reaches the one that the order expects.
+func TestLateOrderAfterARestartWithoutAStart(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := lateOrderCluster(t)
+		for _, e := range w.engines {
+			e.endpoint.StartUnixMs = 0
+		}
+		w.takeOver()
+		names := sortedKeys(w.conf.Models)
+		for range rapid.IntRange(20, 80).Draw(t, "events") {
+			e := w.engines[rapid.IntRange(0, len(w.engines)-1).Draw(t, "engine")]
+			want := Want{Model: rapid.SampledFrom(names).Draw(t, "model")}
+			switch rapid.IntRange(0, 19).Draw(t, "event") {
+			case 0, 1:
+				e.restart(w.now)
+				e.endpoint.StartUnixMs = 0
+			case 2, 3, 4, 5, 6, 7, 8:
+				want.Adapter = fmt.Sprintf("a%d", rapid.IntRange(1, 9).Draw(t, "adapter"))
+				w.p.Want(w.now, want)
+			default:
+				w.p.Want(w.now, want)
+			}
+			w.run(time.Duration(rapid.SampledFrom([]int{1, 5, 20, 20, 40, 100}).Draw(t, "steps")) * 20 * time.Millisecond)
+			w.check(t)
+		}
+	})
+}
--- a/coordination/residency/want.go
+++ b/coordination/residency/want.go
@@ -168,7 +168,7 @@
 		n += len(r.adapters)
 	}
 	for _, l := range e.lateOrders {
-		if l.order.Adapter != "" && !l.order.Endpoint.Matches(e.incarnation) {
+		if l.order.Adapter != "" && l.toEarlier(e) {
 			n++
 		}
 	}
