--- a/transport/edge/watch.go
+++ b/transport/edge/watch.go
@@ -49,9 +49,9 @@
 )
 
 // silenceWatch abandons an attempt when its endpoint is silent for too long and another endpoint can
-// take the request. It abandons a silent stream also when its endpoint is known to be gone: if the
-// request may not be repeated, its caller learns at once that the stream has ended. Parts of the
-// answer that arrive after that are dropped.
+// take the request. It abandons a silent stream also when a check of its endpoint shows that it has ended
+// (coordination/stall): its caller then learns so before its deadline. Parts of the answer that arrive
+// after that are dropped.
 type silenceWatch struct {
 	server   *Server
 	request  *request
