stall: a stream of an unlisted engine ends after more silence than a sound one's

Cause: an engine that takes connections was treated as a listed one, also where its entry is gone and it is silent for good.

Change: a stream that no other engine can continue ends after 4 s of silence, or its patience, where the engine's entry is gone, whatever a check shows; not while the daemon is stopping. Pauses of up to 3 s are still waited for.

--- a/coordination/stall/stall.go
+++ b/coordination/stall/stall.go
@@ -83,18 +83,19 @@
 }
 
 // LostAfter returns the time of silence after which a stream counts as lost. It returns false if the
-// stream is waited for: an engine that is quiet, or whose entry is gone, has not ended by that. A stream
-// that no other engine can continue gains nothing by an early end.
+// stream is waited for: an engine that is quiet has not ended by that, nor one whose entry is gone, unless
+// it is quiet for longer than a sound one. A stream that no other engine can continue gains nothing by an
+// early end.
 func LostAfter(e Evidence, s Stream) (time.Duration, bool) {
 	switch {
 	case e.Replaced:
 		return s.Bounds.Min, true
-	case !e.endIsLikely():
-		return 0, false
 	case !s.Movable && s.Stopping:
 		return 0, false
-	case !s.Movable:
+	case !s.Movable && (e.Unlisted || e.endIsLikely()):
 		return max(s.Patience, longestPause), true
+	case !e.endIsLikely():
+		return 0, false
 	case e.Life == reach.LifeSilent:
 		return max(s.Bounds.Min, min(s.Patience, unlistedSilence)), true
 	case e.Leaving:
--- a/coordination/stall/stall_test.go
+++ b/coordination/stall/stall_test.go
@@ -68,13 +68,13 @@
 	}{
 		{"nothing known", Evidence{}, waited},
 		{"leaving", Evidence{Leaving: true}, waited},
-		{"not listed, not checked", Evidence{Unlisted: true}, waited},
-		{"not listed and leaving, not checked", Evidence{Unlisted: true, Leaving: true}, waited},
+		{"not listed, not checked", Evidence{Unlisted: true}, row{never, longestPause, never}},
+		{"not listed and leaving, not checked", Evidence{Unlisted: true, Leaving: true}, row{never, longestPause, never}},
 
 		{"takes connections", Evidence{Life: reach.LifeServing}, waited},
 		{"takes connections, leaving", Evidence{Life: reach.LifeServing, Leaving: true}, waited},
-		{"takes connections, not listed", Evidence{Life: reach.LifeServing, Unlisted: true}, waited},
-		{"takes connections, not listed and leaving", Evidence{Life: reach.LifeServing, Unlisted: true, Leaving: true}, waited},
+		{"takes connections, not listed", Evidence{Life: reach.LifeServing, Unlisted: true}, row{never, longestPause, never}},
+		{"takes connections, not listed and leaving", Evidence{Life: reach.LifeServing, Unlisted: true, Leaving: true}, row{never, longestPause, never}},
 
 		{"silent", Evidence{Life: reach.LifeSilent}, waited},
 		{"silent, leaving", Evidence{Life: reach.LifeSilent, Leaving: true}, waited},
--- a/transport/edge/watch_test.go
+++ b/transport/edge/watch_test.go
@@ -244,13 +244,13 @@
 	}{
 		"nothing known":                 {func(*watched) {}, 0, 0},
 		"started again":                 {func(x *watched) { x.list(&fleet.Endpoint{ID: "a", StartUnixMs: 2000}) }, 500 * time.Millisecond, 500 * time.Millisecond},
-		"not listed":                    {func(x *watched) { x.list() }, 0, 0},
+		"not listed":                    {func(x *watched) { x.list() }, longestPause, 0},
 		"not listed, refuses":           {func(x *watched) { x.list(); refuse(x) }, longestPause, 500 * time.Millisecond},
 		"not listed, silent":            {func(x *watched) { x.list(); x.endpointAnswers(errUnanswered) }, longestPause, 2 * time.Second},
 		"leaving":                       {func(x *watched) { x.list(&fleet.Endpoint{ID: "a", StartUnixMs: 1000, Leaving: true}) }, 0, 0},
 		"listed without its start":      {func(x *watched) { x.list(&fleet.Endpoint{ID: "a"}) }, 0, 0},
 		"an earlier start, refuses":     {func(x *watched) { x.list(&fleet.Endpoint{ID: "a", StartUnixMs: 500}); refuse(x) }, longestPause, 500 * time.Millisecond},
-		"an earlier start, and serving": {func(x *watched) { x.list(&fleet.Endpoint{ID: "a", StartUnixMs: 500}) }, 0, 0},
+		"an earlier start, and serving": {func(x *watched) { x.list(&fleet.Endpoint{ID: "a", StartUnixMs: 500}) }, longestPause, 0},
 	} {
 		for _, resumable := range []bool{false, true} {
 			synctest.Test(t, func(t *testing.T) {
