edge: the watch of a silent stream does less where nothing indicates an end

Where the endpoint is listed and not reported as ended, the watch looks for another endpoint once in a check, not twice, and not at all for a stream that cannot move. A stopped watch begins no check. A check of the endpoint has a context of its own, so that an attempt that is never checked creates none; one field in place of three says whether a check is in progress.

--- a/transport/edge/watch.go
+++ b/transport/edge/watch.go
@@ -60,9 +60,6 @@
 	bounds   stall.Bounds
 	cancel   context.CancelCauseFunc
 	timer    *time.Timer // nil if the attempt is never abandoned
-	// checks is the context of checks of the endpoint, and endChecks ends them.
-	checks    context.Context
-	endChecks context.CancelFunc
 
 	mu      sync.Mutex
 	state   int
@@ -74,9 +71,10 @@
 	pace    stall.Pace
 	lastAt  time.Time // when the attempt began, or the time of the last events
 	// life is what the last check of the endpoint has shown during the present silence.
-	life     reach.Life
-	checking bool // such a check is in progress
-	// examineAt is the time of the next one, and examineWait the time between the last two.
+	life reach.Life
+	// endExamine ends the check in progress; nil if there is none. examineAt is the time of the next one,
+	// and examineWait the time between the last two.
+	endExamine  context.CancelFunc
 	examineAt   time.Time
 	examineWait time.Duration
 }
@@ -97,7 +95,6 @@
 		server: s, request: q, endpoint: e, stream: q.route.Kind == routing.Streaming, bounds: silenceBounds(q), cancel: cancel,
 		movable: more && q.route.Repeatable(), lastAt: time.Now(),
 	}
-	w.checks, w.endChecks = context.WithCancel(context.Background())
 	if w.stream || w.movable {
 		w.mu.Lock()
 		defer w.mu.Unlock()
@@ -122,16 +119,18 @@
 	silence, patience, movable := time.Since(w.lastAt), w.pace.Patience(w.bounds), w.movable
 	stopped, relayed, begun := w.stopped, w.relayed, w.stream && w.state == answerBegun
 	w.mu.Unlock()
+	if stopped {
+		return
+	}
 	pathLost := !relayed && w.server.opt.Paths.SilentlyLost(w.endpoint.Address)
 	if pathLost {
 		patience = min(w.bounds.Min, paths.SuspectAfter)
 	}
-	if silence >= paths.SuspectAfter && !stopped {
+	if silence >= paths.SuspectAfter {
 		w.server.opt.Paths.Suspect(w.endpoint.Address)
 	}
 	evidence, lost := w.lost(silence, patience, movable, begun)
 	switch {
-	case stopped:
 	case lost && w.abandon(answerLost, silence, unpaid):
 		w.server.opt.Log.Info(decisions.EventStreamLost, "request", w.request.call.ID, "endpoint", w.endpoint.ID, "silence_ms", silence.Milliseconds(),
 			"replaced", evidence.Replaced, "unlisted", evidence.Unlisted, "leaving", evidence.Leaving, "check", evidence.Life.String(), "may_move", movable)
@@ -163,9 +162,10 @@
 		return stall.Evidence{}, false
 	}
 	evidence := w.server.evidence(w.endpoint)
-	if evidence.Unlisted || w.server.opt.Balancer.MarkedUnreachable(clock.Now(), w.endpoint.Incarnation()) {
-		evidence.Life = w.examine()
+	if !evidence.Unlisted && !w.server.opt.Balancer.MarkedUnreachable(clock.Now(), w.endpoint.Incarnation()) {
+		return evidence, false
 	}
+	evidence.Life = w.examine()
 	after, lost := stall.LostAfter(evidence, stall.Stream{
 		Movable: movable && w.server.hasOther(w.request, w.endpoint, begun), Stopping: w.server.opt.Draining(), Patience: patience, Bounds: w.bounds,
 	})
@@ -177,22 +177,23 @@
 func (w *silenceWatch) examine() reach.Life {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if now := time.Now(); !w.checking && !now.Before(w.examineAt) {
+	if now := time.Now(); !w.stopped && w.endExamine == nil && !now.Before(w.examineAt) {
 		w.examineWait = min(max(examineInterval, 2*w.examineWait), maxExamineInterval)
-		w.checking, w.examineAt = true, now.Add(w.examineWait)
-		go w.checkLife(w.lastAt)
+		w.examineAt = now.Add(w.examineWait)
+		var ctx context.Context
+		ctx, w.endExamine = context.WithTimeout(context.Background(), examineTimeout)
+		go w.checkLife(ctx, w.endExamine, w.lastAt)
 	}
 	return w.life
 }
 
 // checkLife checks whether the endpoint is up, which has been silent since the given time.
-func (w *silenceWatch) checkLife(silentSince time.Time) {
-	ctx, cancel := context.WithTimeout(w.checks, examineTimeout)
-	defer cancel()
+func (w *silenceWatch) checkLife(ctx context.Context, end context.CancelFunc, silentSince time.Time) {
+	defer end()
 	life := w.server.opt.Paths.Life(ctx, w.endpoint.Address, clock.Now().Add(-time.Since(silentSince)))
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.checking = false
+	w.endExamine = nil
 	if w.stopped || !w.lastAt.Equal(silentSince) {
 		return
 	}
@@ -216,7 +217,9 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.stopped = true
-	w.endChecks()
+	if w.endExamine != nil {
+		w.endExamine()
+	}
 	if w.timer != nil {
 		w.timer.Stop()
 	}
