residency: when an order is dropped, said without an empty case

Found while reading the change again; no decision changes. pendingOrder.unanswered replaces inFlight, whose negation was asked for beside the condition that it repeats.

--- a/coordination/residency/adopt.go
+++ b/coordination/residency/adopt.go
@@ -136,7 +136,7 @@
 func (p *Planner) adoptDuringOrder(now time.Time, e *engineState, o *pendingOrder, rep Report) {
 	switch {
 	case rep.Sequence <= o.order.Expect:
-		if !o.accepted && !o.inFlight() && now.After(o.unansweredAt.Add(reportLag)) {
+		if o.unanswered() && now.After(o.unansweredAt.Add(reportLag)) {
 			p.dropOrder(e) // not accepted so far; Expect prevents a second execution
 		}
 	case rep.Busy:
@@ -145,11 +145,9 @@
 	case o.shownBy(rep):
 		p.learnStoreConcurrency(now, o, true)
 		p.completeOrder(now, e)
-	case o.inFlight():
-		// The answer will show whether it was accepted.
-	case !o.accepted || rep.Sequence > o.order.Expect+1:
+	case o.unanswered(), o.accepted && rep.Sequence > o.order.Expect+1:
 		p.dropOrder(e) // others were accepted in its place, or after it
-	case now.After(o.endsAt.Add(loadTimeout)):
+	case o.accepted && now.After(o.endsAt.Add(loadTimeout)):
 		p.dropOrder(e)
 	}
 }
--- a/coordination/residency/planner.go
+++ b/coordination/residency/planner.go
@@ -44,8 +44,9 @@
 	requestedAt  time.Time     // last request for the load; zero if there was none
 }
 
-// inFlight reports whether the order's answer is still awaited.
-func (o *pendingOrder) inFlight() bool { return !o.accepted && o.unansweredAt.IsZero() }
+// unanswered reports whether the wait for the order's answer has ended without one. It may have been
+// accepted, or be so later.
+func (o *pendingOrder) unanswered() bool { return !o.accepted && !o.unansweredAt.IsZero() }
 
 func (o *pendingOrder) loadsFromStore() bool {
 	return o.order.Level == Store && !o.order.Unload && o.order.Adapter == ""
