--- a/coordination/residency/lateorders_test.go
+++ b/coordination/residency/lateorders_test.go
@@ -61,6 +61,17 @@
 	}
 }
 
+// requestAdapter requests any adapter of a model.
+func (w *simCluster) requestAdapter(t *rapid.T, model string) {
+	w.p.Want(w.now, Want{Model: model, Adapter: fmt.Sprintf("a%d", rapid.IntRange(1, 9).Draw(t, "adapter"))})
+}
+
+// runAndCheck lets some time pass, short or long.
+func (w *simCluster) runAndCheck(t *rapid.T) {
+	w.run(time.Duration(rapid.SampledFrom([]int{1, 5, 20, 20, 40, 100}).Draw(t, "steps")) * 20 * time.Millisecond)
+	w.check(t)
+}
+
 // Guards against orders beyond an engine's memory or slots, and against models that it does not hold,
 // after an order that was given up has taken effect in place of the one in progress.
 func TestOrdersThatTakeEffectLate(t *testing.T) {
@@ -69,25 +80,23 @@
 		w.reported = func(rep Report) { w.checkBelieved(t, rep) }
 		names := sortedKeys(w.conf.Models)
 		for range rapid.IntRange(20, 120).Draw(t, "events") {
-			want := Want{Model: rapid.SampledFrom(names).Draw(t, "model")}
+			model := rapid.SampledFrom(names).Draw(t, "model")
 			switch rapid.IntRange(0, 19).Draw(t, "event") {
 			case 0:
 				w.takeOver()
 				w.p.SetLease(w.now, Lease{Held: true, Fence: w.fence, OrdersFrom: w.now.Add(time.Second)})
 			case 1, 2, 3, 4, 5, 6, 7, 8:
-				want.Adapter = fmt.Sprintf("a%d", rapid.IntRange(1, 9).Draw(t, "adapter"))
-				w.p.Want(w.now, want)
+				w.requestAdapter(t, model)
 			default:
-				w.p.Want(w.now, want)
+				w.p.Want(w.now, Want{Model: model})
 			}
-			w.run(time.Duration(rapid.SampledFrom([]int{1, 5, 20, 20, 40, 100}).Draw(t, "steps")) * 20 * time.Millisecond)
-			w.check(t)
+			w.runAndCheck(t)
 		}
 	})
 }
 
-// Guards against the case of the review: an adapter's load that was given up takes effect while the load
-// of a model is in progress, and the next adapter is ordered into a slot that is taken.
+// Guards against an adapter's load that was given up, takes effect while the load of a model is in progress
+// and is taken for that one: the next adapter is then ordered into a slot that is taken.
 func TestLateAdapterIsNotTakenForTheModelInProgress(t *testing.T) {
 	w := newSimCluster(2, 1)
 	w.engines[0].models = map[string][]string{"m00": {"a1", "a2"}}
@@ -95,17 +104,11 @@
 	w.engines[0].publish()
 	w.entries()
 	w.run(2 * time.Second)
-	var fates []string
-	w.fate = func() (fate string) {
-		if len(fates) > 0 {
-			fate, fates = fates[0], fates[1:]
-		}
-		return fate
-	}
-	w.lateDelay, fates = 2100*time.Millisecond, []string{"late"}
+	w.lateDelay = 2100 * time.Millisecond
+	w.setFates("late")
 	w.p.Want(w.now, Want{Model: "m00", Adapter: "a3"})
 	w.run(2 * time.Second)
-	fates = []string{"lost"}
+	w.setFates("lost")
 	w.p.Want(w.now, Want{Model: "m01"})
 	w.run(400 * time.Millisecond)
 	w.p.Want(w.now, Want{Model: "m00", Adapter: "a4"})
@@ -129,13 +132,7 @@
 	e.publish()
 	w.entries()
 	w.run(time.Second)
-	fates := []string{"late", "lost"}
-	w.fate = func() (fate string) {
-		if len(fates) > 0 {
-			fate, fates = fates[0], fates[1:]
-		}
-		return fate
-	}
+	w.setFates("late", "lost")
 	w.lateDelay = 520 * time.Millisecond
 	w.p.Want(w.now, Want{Model: "m01"})
 	w.run(20 * time.Millisecond)
@@ -184,19 +181,17 @@
 		names := sortedKeys(w.conf.Models)
 		for range rapid.IntRange(20, 80).Draw(t, "events") {
 			e := w.engines[rapid.IntRange(0, len(w.engines)-1).Draw(t, "engine")]
-			want := Want{Model: rapid.SampledFrom(names).Draw(t, "model")}
+			model := rapid.SampledFrom(names).Draw(t, "model")
 			switch rapid.IntRange(0, 19).Draw(t, "event") {
 			case 0, 1:
 				e.restart(w.now)
 				e.endpoint.StartUnixMs = 0
 			case 2, 3, 4, 5, 6, 7, 8:
-				want.Adapter = fmt.Sprintf("a%d", rapid.IntRange(1, 9).Draw(t, "adapter"))
-				w.p.Want(w.now, want)
+				w.requestAdapter(t, model)
 			default:
-				w.p.Want(w.now, want)
+				w.p.Want(w.now, Want{Model: model})
 			}
-			w.run(time.Duration(rapid.SampledFrom([]int{1, 5, 20, 20, 40, 100}).Draw(t, "steps")) * 20 * time.Millisecond)
-			w.check(t)
+			w.runAndCheck(t)
 		}
 	})
 }
--- a/coordination/residency/planner_test.go
+++ b/coordination/residency/planner_test.go
@@ -171,6 +171,16 @@
 	return e.order(w.now, o)
 }
 
+// setFates sets the fates of the next orders; those after them are answered.
+func (w *simCluster) setFates(fates ...string) {
+	w.fate = func() (fate string) {
+		if len(fates) > 0 {
+			fate, fates = fates[0], fates[1:]
+		}
+		return fate
+	}
+}
+
 func (w *simCluster) run(d time.Duration) {
 	for end := w.now.Add(d); w.now.Before(end); {
 		w.step()
@@ -398,14 +408,7 @@
 		w.p.Want(w.now, Want{Model: "m00", Adapter: fmt.Sprintf("a%d", i)})
 		w.run(2 * time.Second)
 	}
-	fates := []string{"unsent"}
-	w.fate = func() string {
-		fate := ""
-		if len(fates) > 0 {
-			fate, fates = fates[0], fates[1:]
-		}
-		return fate
-	}
+	w.setFates("unsent")
 	w.noReport = func() bool { return true }
 	w.p.Want(w.now, Want{Model: "m00", Adapter: "a4"})
 	w.run(3 * time.Second)
--- a/transport/edge/watch_test.go
+++ b/transport/edge/watch_test.go
@@ -195,7 +195,7 @@
 }
 
 // Guards against a sound stream that is ended during a pause because its engine's entry is gone or the
-// engine refuses new connections: review/3 in virtual time, and pauses up to the longest one.
+// engine refuses new connections, for pauses up to the longest one.
 func TestPauseOfASoundEngineEndsNoStream(t *testing.T) {
 	refuses, unlisted := func(x *watched) {
 		x.endpointAnswers(syscall.ECONNREFUSED)
--- a/transport/tunnel/tunnel.go
+++ b/transport/tunnel/tunnel.go
@@ -1,7 +1,7 @@
 // Package tunnel lets a daemon that has no path to an endpoint open connections there through another
 // daemon. The connection carries the bytes of both directions, those from the endpoint in frames: all
-// decisions about a request stay with the daemon that serves its caller. A daemon relays over its own path only, so that there is
-// never a second hop.
+// decisions about a request stay with the daemon that serves its caller. A daemon relays over its own path
+// only, so that there is never a second hop.
 package tunnel
 
 import (
