edge: checks of a silent stream do not overlap

Callers saw nothing of this: a stream that could move left its silent engine either way. But whether the retry was taken out of the budget, and which reason the log gave, depended on goroutines.

Cause: a check of the engine's address that ends sets the timer to fire at once. The check that began it might still be deciding, and two decided about one attempt. And a check that had read a silence just before events were written began its look at the address for the silence after them.

Change: a check holds silenceWatch.deciding while it decides, ends if the attempt was abandoned meanwhile, and looks at the address only for the silence that it has read.

Measured: the watch's tests in virtual time (TestBlockedWriteIsNoSilence, TestSilentStream*, TestPauseOf*, TestStandstill*, TestSilentEngine*, TestEndedWatch*) 1,000 times with the race detector, none failed.

--- a/transport/edge/watch.go
+++ b/transport/edge/watch.go
@@ -60,6 +60,8 @@
 	bounds   stall.Bounds
 	cancel   context.CancelCauseFunc
 	timer    *time.Timer // nil if the attempt is never abandoned
+	// deciding is held by a check while it decides, so that no other one overlaps it.
+	deciding sync.Mutex
 
 	mu      sync.Mutex
 	state   int
@@ -115,11 +117,14 @@
 
 // check runs when the timer fires: it abandons the attempt, or sets the timer for the next check.
 func (w *silenceWatch) check() {
+	w.deciding.Lock()
+	defer w.deciding.Unlock()
 	w.mu.Lock()
-	silence, patience, movable := time.Since(w.lastAt), w.pace.Patience(w.bounds), w.movable
-	stopped, relayed, begun := w.stopped, w.relayed, w.stream && w.state == answerBegun
+	silentSince, patience, movable := w.lastAt, w.pace.Patience(w.bounds), w.movable
+	silence := time.Since(silentSince)
+	ended, relayed, begun := w.stopped || w.state > answerBegun, w.relayed, w.stream && w.state == answerBegun
 	w.mu.Unlock()
-	if stopped {
+	if ended {
 		return
 	}
 	pathLost := !relayed && w.server.opt.Paths.SilentlyLost(w.endpoint.Address)
@@ -129,7 +134,7 @@
 	if silence >= paths.SuspectAfter {
 		w.server.opt.Paths.Suspect(w.endpoint.Address)
 	}
-	evidence, lost := w.lost(silence, patience, movable, begun)
+	evidence, lost := w.lost(silentSince, patience, movable, begun)
 	switch {
 	case lost && w.abandon(answerLost, silence, unpaid):
 		w.server.opt.Log.Info(decisions.EventStreamLost, "request", w.request.call.ID, "endpoint", w.endpoint.ID, "silence_ms", silence.Milliseconds(),
@@ -155,9 +160,10 @@
 	return silenceRecheck
 }
 
-// lost reports whether the answer is a stream that counts as lost after the given silence, and what this
-// daemon knows about its endpoint.
-func (w *silenceWatch) lost(silence, patience time.Duration, movable, begun bool) (stall.Evidence, bool) {
+// lost reports whether the answer is a stream that counts as lost after its silence since the given time,
+// and what this daemon knows about its endpoint.
+func (w *silenceWatch) lost(silentSince time.Time, patience time.Duration, movable, begun bool) (stall.Evidence, bool) {
+	silence := time.Since(silentSince)
 	if !w.stream || silence < w.bounds.Min {
 		return stall.Evidence{}, false
 	}
@@ -165,24 +171,27 @@
 	if !evidence.Unlisted && !w.server.opt.Balancer.MarkedUnreachable(clock.Now(), w.endpoint.Incarnation()) {
 		return evidence, false
 	}
-	evidence.Life = w.examine()
+	evidence.Life = w.examine(silentSince)
 	after, lost := stall.LostAfter(evidence, stall.Stream{
 		Movable: movable && w.server.hasOther(w.request, w.endpoint, begun), Stopping: w.server.opt.Draining(), Patience: patience, Bounds: w.bounds,
 	})
 	return evidence, lost && silence >= after
 }
 
-// examine returns what the last check of the endpoint has shown during the present silence, and begins the
-// next one if it is due.
-func (w *silenceWatch) examine() reach.Life {
+// examine returns what the last check of the endpoint has shown during the silence since the given time, and
+// begins the next one if it is due. It does nothing once that silence has ended.
+func (w *silenceWatch) examine(silentSince time.Time) reach.Life {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if !w.lastAt.Equal(silentSince) {
+		return reach.LifeNotKnown
+	}
 	if now := time.Now(); !w.stopped && w.endExamine == nil && !now.Before(w.examineAt) {
 		w.examineWait = min(max(examineInterval, 2*w.examineWait), maxExamineInterval)
 		w.examineAt = now.Add(w.examineWait)
 		var ctx context.Context
 		ctx, w.endExamine = context.WithTimeout(context.Background(), examineTimeout)
-		go w.checkLife(ctx, w.endExamine, w.lastAt)
+		go w.checkLife(ctx, w.endExamine, silentSince)
 	}
 	return w.life
 }
