membership: a daemon is not alive through its successor

Cause: a probe goes to an address, and whoever answers there counts as the member. A daemon that is killed and starts again at once has a new id; its answers keep the member of its former life alive, for good. Such members are candidates for leases, followers of the store, relays and owners of quotas like any other. Where those ranked first have all ended, nobody takes the lease or follows the store.

In virtual time 3, 7, 24 and 195 daemons still list each of four former lives after ten minutes.

Change: a daemon that learns of a member with its own address marks it as ended, unless it is leaving itself and may have released the address.

Measured: TestKilledDaemonIsNotAliveThroughItsSuccessor red before at each size, now green within 7 s of virtual time.

--- a/coordination/membership/membership.go
+++ b/coordination/membership/membership.go
@@ -330,10 +330,13 @@
 		if old == nil && member.Status == Dead {
 			return false // unknown here, or dropped already
 		}
-		next.member = &member
-		if old == nil {
+		if m.tookOver(member) {
+			member.Status = Dead
+			next.Entry, spread = memberEntry(member), true
+		} else if old == nil {
 			m.probeInThisRound(member.ID)
 		}
+		next.member = &member
 	} else {
 		if m.opt.Stale != nil && m.opt.Stale(now, e) {
 			return false
@@ -352,6 +355,12 @@
 	return true
 }
 
+// tookOver reports whether a member has this daemon's address: its process has ended. Its probes would be
+// answered by this daemon. A daemon that is leaving may have released the address to the next one.
+func (m *Machine) tookOver(member Member) bool {
+	return !m.self.Leaving && member.ID != m.self.ID && member.PeerAddress != "" && member.PeerAddress == m.self.PeerAddress
+}
+
 // refute announces this daemon with a higher incarnation than that of a received
 // entry, which names it suspect or dead, or has an incarnation above its own.
 func (m *Machine) refute(now time.Time, seen Member) {
--- a/coordination/membership/membership_test.go
+++ b/coordination/membership/membership_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"reflect"
+	"slices"
 	"testing"
 	"time"
 )
@@ -34,14 +35,20 @@
 
 func id(i int) string { return fmt.Sprintf("d%03d", i) }
 
-func (w *network) add(i int) {
-	self := Member{ID: id(i), Host: id(i), PeerAddress: id(i), CallerAddress: "10.0.0.1:7001", OperatorAddr: "10.0.0.1:7201", FailureDomain: "hall-a", Generation: 1}
+func (w *network) add(i int) { w.start(i, id(i)) }
+
+// start starts a daemon with an id at the i-th address, in place of one that was killed there.
+func (w *network) start(i int, self string) {
+	w.startMember(i, Member{ID: self, Host: id(i), PeerAddress: id(i), CallerAddress: "10.0.0.1:7001", OperatorAddr: "10.0.0.1:7201", FailureDomain: "hall-a", Generation: 1})
+}
+
+func (w *network) startMember(i int, self Member) {
 	m := New(DefaultOptions(w.seed(i)), self, w.now)
 	w.machines[id(i)] = m
 	if i > 0 {
 		seed := w.machines[id(0)]
 		join := m.Join(id(0))
-		answer := seed.Receive(w.now, id(i), join.Digest, join.Entries, true)
+		answer := seed.Receive(w.now, self.ID, join.Digest, join.Entries, true)
 		m.Answer(w.now, id(0), true, seed.Digest(), answer, true)
 	}
 }
@@ -72,7 +79,7 @@
 				m.Answer(w.now, msg.To.ID, false, 0, nil, msg.Full)
 				continue
 			}
-			answer := to.Receive(w.now, from, msg.Digest, msg.Entries, msg.Full)
+			answer := to.Receive(w.now, m.Self().ID, msg.Digest, msg.Entries, msg.Full)
 			w.bytes[from] += size(answer)
 			m.Answer(w.now, msg.To.ID, true, to.Digest(), answer, msg.Full)
 		}
@@ -213,6 +220,38 @@
 	}
 }
 
+// Guards against daemons that count as alive for good after they were killed, as the processes that start at
+// their addresses answer their probes. No lease is taken while such members are its candidates.
+func TestKilledDaemonIsNotAliveThroughItsSuccessor(t *testing.T) {
+	for _, n := range []int{3, 7, 24, 195} {
+		w := newNetwork(n)
+		w.run(5 * time.Second)
+		for start := range 4 {
+			w.start(n-1, fmt.Sprint(id(n-1), "-", start))
+			w.run(time.Duration(300*start) * time.Millisecond)
+		}
+		last := w.machines[id(n-1)].Self().ID
+		took, ok := w.until(7*time.Second, func(m *Machine) bool {
+			list := Eligible(m.Members())
+			return len(list) == n && slices.ContainsFunc(list, func(o Member) bool { return o.ID == last })
+		})
+		if !ok {
+			t.Errorf("%d daemons: after %v some list %d as alive", n, took, len(Eligible(w.machines[id(0)].Members())))
+		}
+	}
+}
+
+// Guards against a daemon that marks its successor as dead while it is stopping and has released its address.
+func TestLeavingDaemonLeavesItsSuccessorAlive(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	m := New(DefaultOptions(1), Member{ID: "a", PeerAddress: "10.0.0.1:7203"}, now)
+	m.Update(now, func(self *Member) { self.Leaving = true })
+	m.Receive(now, "b", 0, []Entry{memberEntry(Member{ID: "b", PeerAddress: "10.0.0.1:7203", Status: Alive, Incarnation: 1})}, false)
+	if list := Eligible(m.Members()); len(list) != 1 || list[0].ID != "b" {
+		t.Errorf("eligible: %+v, want the successor", list)
+	}
+}
+
 // Checks that a lower version of an entry never replaces a higher one.
 func TestMembershipNeverGoesBack(t *testing.T) {
 	now := time.Unix(1_000_000, 0)
