edge: retries are spent at the service whose requests earned them

Cause: one retry budget for all services. What the requests for one had earned was spent at the other.

Change: retry.Budgets holds a budget for each service, read without a lock; each has the burst that the budget had. Budgets of services that are not configured any more are dropped.

--- a/coordination/retry/retry.go
+++ b/coordination/retry/retry.go
@@ -1,7 +1,11 @@
 // Package retry limits the number of retries of a daemon.
 package retry
 
-import "sync/atomic"
+import (
+	"maps"
+	"sync"
+	"sync/atomic"
+)
 
 // Budget limits retries to a share of the requests, so that a failing endpoint is not
 // flooded with them. It is safe for concurrent use.
@@ -70,3 +74,64 @@
 		}
 	}
 }
+
+// Budgets holds a budget for each service, so that the retries which the requests for one service earn
+// cannot be spent at another. It is safe for concurrent use.
+type Budgets struct {
+	create    func() *Budget
+	byService atomic.Pointer[map[string]*Budget] // never changed in place
+
+	mu    sync.Mutex // held to replace byService
+	burst float64    // of each budget; valid if shared
+	// shared: SetBurst has been called.
+	shared bool
+}
+
+// NewBudgets returns budgets that create makes when the first request for a service comes.
+func NewBudgets(create func() *Budget) *Budgets {
+	b := &Budgets{create: create}
+	b.byService.Store(&map[string]*Budget{})
+	return b
+}
+
+// Of returns the budget of a service.
+func (b *Budgets) Of(service string) *Budget {
+	if budget := (*b.byService.Load())[service]; budget != nil {
+		return budget
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	present := *b.byService.Load()
+	if budget := present[service]; budget != nil {
+		return budget
+	}
+	budget := b.create()
+	if b.shared {
+		budget.SetBurst(b.burst)
+	}
+	next := maps.Clone(present)
+	next[service] = budget
+	b.byService.Store(&next)
+	return budget
+}
+
+// SetBurst changes the maximum number of saved retries of each service.
+func (b *Budgets) SetBurst(burst float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.burst, b.shared = burst, true
+	for _, budget := range *b.byService.Load() {
+		budget.SetBurst(burst)
+	}
+}
+
+// Retain drops the budgets of services for which keep returns false.
+func (b *Budgets) Retain(keep func(service string) bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	next := maps.Clone(*b.byService.Load())
+	maps.DeleteFunc(next, func(service string, _ *Budget) bool { return !keep(service) })
+	if len(next) < len(*b.byService.Load()) {
+		b.byService.Store(&next)
+	}
+}
--- a/daemon/edgedaemon/daemon.go
+++ b/daemon/edgedaemon/daemon.go
@@ -108,7 +108,7 @@
 	gossip      *gossip.Gossip
 	peers       *peers.Client
 	balancer    *balance.Balancer
-	budget      *retry.Budget
+	budgets     *retry.Budgets
 	quarantine  *quarantiner.Controller
 	streams     *streams.Controller
 	quotas      *quotas.Controller
@@ -156,7 +156,7 @@
 		set: set, log: log, self: set.Host + "-" + nonce(), coordinators: map[string]*coordinator.Coordinator{},
 		lastSent: map[string]int{}, stopped: make(chan struct{}),
 		peers: peers.NewClient(""), balancer: balance.New(set.FailureDomain, uint64(time.Now().UnixNano()), tracker),
-		budget:    retry.NewEarnedBudget(set.Retries.Ratio * retryShare),
+		budgets:   retry.NewBudgets(func() *retry.Budget { return retry.NewEarnedBudget(set.Retries.Ratio * retryShare) }),
 		vacancies: vacancies{takeover: coordinator.TakeoverTime(set.Timing.OrderGap.D())},
 	}
 	d.fleets = d.peers.Fleets()
@@ -205,7 +205,7 @@
 		FailureDomain: set.FailureDomain,
 		StateAge:      d.stateAge, Access: access.Bounds{Apply: set.Timing.ApplyWithin.D(), Revoke: set.Timing.RevokeWithin.D()}, Quotas: d.quotas, Throttle: d.throttle,
 		Table: d.view.Table, View: d.view.Endpoints, ViewAge: d.endpointsAge, Draining: d.draining, DrainDeadline: d.deadline, Dialect: platform.Dialect{}, Locator: d, Balancer: d.balancer,
-		Budget: d.budget, Quarantine: d.quarantine, Streams: d.streams, Paths: d.paths, Log: log, Metrics: d.metrics,
+		Budgets: d.budgets, Quarantine: d.quarantine, Streams: d.streams, Paths: d.paths, Log: log, Metrics: d.metrics,
 		FlushEvery:  time.Duration(float64(set.Timing.Pass.D()) * flushShare),
 		Connections: int64(float64(set.Limits.Descriptors) * requestsPerDescriptor),
 		HeldBytes:   int64(float64(set.Limits.MemoryMB<<20) * heldShare),
--- a/daemon/edgedaemon/demand.go
+++ b/daemon/edgedaemon/demand.go
@@ -11,7 +11,7 @@
 )
 
 // runDemand sends this daemon's demand to the coordinators of its services until
-// ctx ends. It also keeps the retry budget and the balancer informed of the number
+// ctx ends. It also keeps the retry budgets and the balancer informed of the number
 // of daemons.
 func (d *Daemon) runDemand(ctx context.Context) error {
 	alive := len(d.alive())
@@ -31,6 +31,7 @@
 		case <-due.C:
 			alive = len(d.alive())
 			d.shareRetries(alive)
+			d.dropUnusedBudgets()
 			d.balancer.SetDaemons(alive)
 			for service, demand := range d.callers.Demand() {
 				d.sendDemand(ctx, service, demand, alive)
@@ -45,10 +46,17 @@
 // and must not use all retries itself.
 const minSharing = 6
 
-// shareRetries sets the burst of the retry budget to this daemon's share of the
-// retries that all daemons together may make.
+// shareRetries sets the burst of each service's retry budget to this daemon's share of the retries that all
+// daemons together may make.
 func (d *Daemon) shareRetries(alive int) {
-	d.budget.SetBurst(max(1, d.set.Retries.Extra*retryShare/float64(max(minSharing, alive))))
+	d.budgets.SetBurst(max(1, d.set.Retries.Extra*retryShare/float64(max(minSharing, alive))))
+}
+
+// dropUnusedBudgets drops the retry budgets of services that are not configured any more.
+func (d *Daemon) dropUnusedBudgets() {
+	if table := d.view.Table(); table != nil {
+		d.budgets.Retain(func(service string) bool { return table.Services[service] != nil })
+	}
 }
 
 // sendDemand sends this daemon's demand to a service's coordinator and applies the answer:
--- a/transport/edge/retry.go
+++ b/transport/edge/retry.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/doorvalve/doorvalve/coordination/retry"
 	"github.com/doorvalve/doorvalve/coordination/waiting"
 	"github.com/doorvalve/doorvalve/internal/pause"
 	"github.com/doorvalve/doorvalve/protocol"
@@ -26,6 +27,9 @@
 	budgetPause = 100 * time.Millisecond
 )
 
+// budget returns the retry budget of the request's service.
+func (s *Server) budget(q *request) *retry.Budget { return s.opt.Budgets.Of(q.service.Name) }
+
 // takeRetry reports whether the request may have a further attempt, and takes it out of the retry
 // budget. begun reports whether the caller has a part of the answer: then takeRetry waits for an
 // endpoint and for the budget as long as the caller waits, because the answer would break off
@@ -38,7 +42,7 @@
 		return false
 	}
 	// A request for which no connection was opened has reached no endpoint: its next attempt is no retry.
-	paid := t.last.retryPaid || t.last.unreachable || s.opt.Budget.Spend()
+	paid := t.last.retryPaid || t.last.unreachable || s.budget(q).Spend()
 	if !paid && begun {
 		paid = s.awaitBudget(ctx, q, t)
 	}
@@ -68,7 +72,7 @@
 func (s *Server) awaitBudget(ctx context.Context, q *request, t *attemptState) bool {
 	for ctx.Err() == nil && t.callerWaits(q, budgetPause) {
 		pause.For(ctx, budgetPause)
-		if s.opt.Budget.Spend() {
+		if s.budget(q).Spend() {
 			return true
 		}
 	}
--- a/transport/edge/run.go
+++ b/transport/edge/run.go
@@ -62,7 +62,7 @@
 
 // run tries endpoints until one has answered. It returns nil if the caller has got the answer.
 func (s *Server) run(ctx context.Context, q *request, a *answer) *protocol.Refusal {
-	s.opt.Budget.Earn()
+	s.budget(q).Earn()
 	t := &attemptState{}
 	defer func() { s.leaveQueue(t, false) }()
 	for ; ; t.sends++ {
--- a/transport/edge/server.go
+++ b/transport/edge/server.go
@@ -62,7 +62,8 @@
 	Dialect       protocol.Dialect
 	Locator       Locator
 	Balancer      *balance.Balancer
-	Budget        *retry.Budget
+	// Budgets limit the retries at each service.
+	Budgets *retry.Budgets
 	// StateAge returns a bound on the age of the desired state that a later call of Table returns.
 	StateAge func() time.Duration
 	// Access decides which keys are accepted, given the age of the desired state.
--- a/transport/edge/watch.go
+++ b/transport/edge/watch.go
@@ -140,7 +140,7 @@
 		w.server.opt.Log.Info(decisions.EventStreamLost, "request", w.request.call.ID, "endpoint", w.endpoint.ID, "silence_ms", silence.Milliseconds(),
 			"replaced", evidence.Replaced, "unlisted", evidence.Unlisted, "leaving", evidence.Leaving, "check", evidence.Life.String(), "may_move", movable)
 		w.cancel(errEndpointGone)
-	case movable && silence >= patience && (pathLost || w.server.hasOther(w.request, w.endpoint, begun)) && w.abandon(answerAbandoned, silence, w.server.opt.Budget.Spend):
+	case movable && silence >= patience && (pathLost || w.server.hasOther(w.request, w.endpoint, begun)) && w.abandon(answerAbandoned, silence, w.server.budget(w.request).Spend):
 		w.cancel(errSilent)
 	default:
 		w.mu.Lock()
--- a/transport/edge/watch_test.go
+++ b/transport/edge/watch_test.go
@@ -36,7 +36,7 @@
 		holds := []fleet.LoadedModel{{Model: "m"}}
 		view := fleet.NewView(storeversion.Version{Revision: 1}, []*fleet.Endpoint{{ID: "slow", Service: "llm", Models: holds}, {ID: "full", Service: "llm", Models: holds}})
 		s := New(Options{
-			View: func() *fleet.View { return view }, Balancer: balance.New("z", 1, newTracker()), Budget: retry.NewBudget(), Log: log, Metrics: tally.NoopScope,
+			View: func() *fleet.View { return view }, Balancer: balance.New("z", 1, newTracker()), Budgets: retry.NewBudgets(retry.NewBudget), Log: log, Metrics: tally.NoopScope,
 		})
 		q := testRequest()
 		q.service.Engine = &routing.Engine{}
@@ -68,7 +68,7 @@
 		holds := []fleet.LoadedModel{{Model: "m"}}
 		view := fleet.NewView(storeversion.Version{Revision: 1}, []*fleet.Endpoint{{ID: "a", Service: "llm", Models: holds}, {ID: "b", Service: "llm", Models: holds}})
 		budget := retry.NewBudgetOf(0, 1)
-		s := New(Options{View: func() *fleet.View { return view }, Balancer: balance.New("z", 1, newTracker()), Budget: budget, Log: log, Metrics: tally.NoopScope})
+		s := New(Options{View: func() *fleet.View { return view }, Balancer: balance.New("z", 1, newTracker()), Budgets: retry.NewBudgets(func() *retry.Budget { return budget }), Log: log, Metrics: tally.NoopScope})
 		q := testRequest()
 		q.service.Engine = &routing.Engine{}
 		q.route.Kind, q.route.Resumable, q.route.MaxAttempts, q.route.MaxWait = routing.Streaming, true, 2, 2*time.Second
@@ -128,7 +128,7 @@
 	x := &watched{}
 	x.list(&fleet.Endpoint{ID: "a", StartUnixMs: 1000})
 	x.server = New(Options{
-		View: x.view.Load, Balancer: balance.New("z", 1, newTracker()), Budget: retry.NewBudget(), Log: log, Metrics: tally.NoopScope,
+		View: x.view.Load, Balancer: balance.New("z", 1, newTracker()), Budgets: retry.NewBudgets(retry.NewBudget), Log: log, Metrics: tally.NoopScope,
 		Draining: x.stopping.Load, Paths: paths.New(paths.Options{Dial: x.open, Log: log, Metrics: tally.NoopScope}),
 	})
 	q := testRequest()
@@ -307,7 +307,7 @@
 	for _, begun := range []bool{false, true} {
 		synctest.Test(t, func(t *testing.T) {
 			view := fleet.NewView(storeversion.Version{Revision: 1}, nil)
-			s := New(Options{View: func() *fleet.View { return view }, Balancer: balance.New("z", 1, newTracker()), Budget: retry.NewBudgetOf(0, 0), Metrics: tally.NoopScope})
+			s := New(Options{View: func() *fleet.View { return view }, Balancer: balance.New("z", 1, newTracker()), Budgets: retry.NewBudgets(func() *retry.Budget { return retry.NewBudgetOf(0, 0) }), Metrics: tally.NoopScope})
 			q := testRequest()
 			q.arrived, q.deadline, q.route.MaxWait = time.Now(), time.Now().Add(time.Minute), maxWait
 			tr := &attemptState{sends: 1, ran: 1, verdict: protocol.MayHaveRun, last: &failure{verdict: protocol.MayHaveRun}}
@@ -321,5 +321,24 @@
 	}
 }
 
+// Guards against a service in trouble that gets the retries which requests for another service have earned.
+func TestRetriesOfOneServiceAreNotSpentAtAnother(t *testing.T) {
+	s := New(Options{Budgets: retry.NewBudgets(func() *retry.Budget { return retry.NewBudgetOf(0, 1) }), Metrics: tally.NoopScope})
+	for _, service := range []string{"llm", "app"} {
+		q := testRequest()
+		q.service.Name = service
+		q.arrived, q.deadline = time.Now(), time.Now().Add(time.Minute)
+		failed := func() *attemptState {
+			return &attemptState{sends: 1, ran: 1, verdict: protocol.MayHaveRun, last: &failure{verdict: protocol.MayHaveRun}}
+		}
+		if !s.takeRetry(t.Context(), q, failed(), false) {
+			t.Errorf("%s: no retry, though none was spent there", service)
+		}
+		if s.takeRetry(t.Context(), q, failed(), false) {
+			t.Errorf("%s: a retry that its own requests have not earned", service)
+		}
+	}
+}
+
 // newTracker returns a tracker without any reports of endpoints.
 func newTracker() *backpressure.Tracker { return backpressure.New(backpressure.Options{}) }
