inbound: how the bytes of a caller have ended

net/http tells a handler only that they have. Both interfaces follow their callers' connections; nothing is decided by it yet. TestEndOfACallersBytes.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -49,6 +49,7 @@
 	"github.com/doorvalve/doorvalve/state/workspace"
 	"github.com/doorvalve/doorvalve/transport/callers"
 	"github.com/doorvalve/doorvalve/transport/engine"
+	"github.com/doorvalve/doorvalve/transport/inbound"
 	"github.com/doorvalve/doorvalve/transport/operators"
 	"github.com/doorvalve/doorvalve/transport/peers"
 	"github.com/doorvalve/doorvalve/transport/platform"
@@ -358,7 +359,7 @@
 	defer func() { _ = d.closer.Close() }()
 	d.start(ctx)
 	var g run.Group
-	d.addServer(&g, 0, d.callers.Handler())
+	d.addServer(&g, 0, d.callers.Handler()).ConnContext = inbound.WithConn
 	d.addServer(&g, 1, peers.Guard(d.set.Peers.Token, d.peerHandler()))
 	d.addServer(&g, 2, operators.New(operators.Options{
 		Tokens: d.set.Operators.Tokens, Rollout: d.rollout, Members: d.gossip.Members, Dump: func() any { return d.Dump() }, Stop: d.Stop,
@@ -463,10 +464,13 @@
 // closeTimeout bounds the shutdown of each server after the last request has ended.
 const closeTimeout = time.Second
 
-func (d *Daemon) addServer(g *run.Group, i int, h http.Handler) {
+func (d *Daemon) addServer(g *run.Group, i int, h http.Handler) *http.Server {
 	srv := &http.Server{Handler: h, MaxHeaderBytes: d.set.Limits.HeaderBytes, ReadHeaderTimeout: 10 * time.Second, ErrorLog: d.log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug})}
 	listener := d.listeners[i]
-	if i == 1 {
+	switch i {
+	case 0:
+		listener = inbound.Listen(listener)
+	case 1:
 		listener = d.peers.Meter().Listener(listener)
 	}
 	serve := func() error { return srv.Serve(listener) }
@@ -486,6 +490,7 @@
 			_ = srv.Close()
 		}
 	})
+	return srv
 }
 
 // Phase returns the daemon's phase, from serving to the end of its shutdown.
--- a/daemon/edgedaemon/daemon.go
+++ b/daemon/edgedaemon/daemon.go
@@ -52,6 +52,7 @@
 	"github.com/doorvalve/doorvalve/state/fleet"
 	"github.com/doorvalve/doorvalve/state/routing"
 	"github.com/doorvalve/doorvalve/transport/edge"
+	"github.com/doorvalve/doorvalve/transport/inbound"
 	"github.com/doorvalve/doorvalve/transport/peers"
 	"github.com/doorvalve/doorvalve/transport/tunnel"
 )
@@ -345,8 +346,8 @@
 	d.runCtx = ctx
 	d.mu.Unlock()
 	var g run.Group
-	d.callerServer = d.addServer(&g, d.listeners.callers, d.callers.Handler())
-	d.callerServer.ConnContext = boundSendBuffer
+	d.callerServer = d.addServer(&g, inbound.Listen(d.listeners.callers), d.callers.Handler())
+	d.callerServer.ConnContext = callerContext
 	d.addServer(&g, d.listeners.directory, platform.DirectoryHandler(d))
 	d.addServer(&g, d.listeners.readiness, platform.ReadinessHandler(d))
 	d.addServer(&g, d.listeners.peers, d.peerHandler())
@@ -366,12 +367,12 @@
 	return err
 }
 
-// boundSendBuffer bounds the kernel's send buffer of a caller's connection.
-func boundSendBuffer(ctx context.Context, c net.Conn) context.Context {
-	if tcp, ok := c.(*net.TCPConn); ok {
-		_ = tcp.SetWriteBuffer(callerSendBuffer) // fails on closed connections only
+// callerContext bounds the kernel's send buffer of a caller's connection, and returns the context of its requests.
+func callerContext(ctx context.Context, c net.Conn) context.Context {
+	if conn, ok := c.(*inbound.Conn); ok {
+		_ = conn.SetWriteBuffer(callerSendBuffer) // fails on closed connections only
 	}
-	return ctx
+	return inbound.WithConn(ctx, c)
 }
 
 const (
--- /dev/null
+++ b/transport/inbound/inbound_test.go
@@ -0,0 +1,50 @@
+package inbound
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+)
+
+// Guards against a caller that has closed its sending side being taken for one whose connection broke.
+func TestEndOfACallersBytes(t *testing.T) {
+	for end, closeConn := range map[End]func(*net.TCPConn){
+		SendingClosed: func(c *net.TCPConn) { _ = c.CloseWrite() },
+		Broken: func(c *net.TCPConn) {
+			_ = c.SetLinger(0)
+			_ = c.Close()
+		},
+	} {
+		t.Run(end.String(), func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			before, after := make(chan End, 1), make(chan End, 1)
+			srv := &http.Server{ConnContext: WithConn, Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+				c := Of(r)
+				before <- c.End()
+				<-c.Ended()
+				after <- c.End()
+			})}
+			go func() { _ = srv.Serve(Listen(l)) }()
+			t.Cleanup(func() { _ = srv.Close() })
+			c, err := net.Dial("tcp", l.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = c.Close() }()
+			if _, err := fmt.Fprint(c, "GET / HTTP/1.1\r\nHost: a.example\r\n\r\n"); err != nil {
+				t.Fatal(err)
+			}
+			if got := <-before; got != NotEnded {
+				t.Errorf("before the caller ended: %v", got)
+			}
+			closeConn(c.(*net.TCPConn))
+			if got := <-after; got != end {
+				t.Errorf("got %v, want %v", got, end)
+			}
+		})
+	}
+}
