accounts: each request ends in exactly one outcome, also after a panic

What callers saw: a whole request with neither an answer nor a refusal. The logs could not tell why: a panic in a handler closed the connection, with one line of net/http at debug level; a caller that closed its sending side and one that was gone were logged alike; nothing counted the requests that were read.

Each request of both interfaces is counted as it begins, and when its handler ends, in one outcome: answered, refused, broken off, caller gone. A handler that ends without one (a panic, a return without a word) counts as unaccounted, is logged as an error with its stack, and answers 500 where no answer has begun. Refusals are flushed, so that one that could not be written is known, and have a write deadline of their own: that of the answer has passed where the host was suspended beyond it. Refusals keep their Content-Length.

--- a/driver/decisions/log.go
+++ b/driver/decisions/log.go
@@ -38,6 +38,7 @@
 	EventAnswered             = "request answered"
 	EventRefused              = "request refused"
 	EventFailed               = "request failed"
+	EventUnaccounted          = "request without an outcome"
 	EventAttemptFailed        = "attempt failed"
 	EventStreamLost           = "silent stream lost"
 	EventNotResumed           = "request not resumed"
--- a/protocol/verdict.go
+++ b/protocol/verdict.go
@@ -149,11 +149,13 @@
 	if r.RetryAfter > 0 {
 		h.Set("Retry-After", RetryAfterSeconds(r.RetryAfter))
 	}
-	w.WriteHeader(r.Status)
 	body, err := json.Marshal(r)
-	if err == nil {
-		_, _ = w.Write(body)
+	if err != nil { // a refusal holds numbers and strings only
+		body = nil
 	}
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(r.Status)
+	_, _ = w.Write(body)
 }
 
 // RetryAfterSeconds renders d as a Retry-After value: whole seconds, rounded
--- a/transport/callers/server.go
+++ b/transport/callers/server.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -24,6 +25,7 @@
 	"github.com/doorvalve/doorvalve/protocol"
 	"github.com/doorvalve/doorvalve/settings"
 	"github.com/doorvalve/doorvalve/state/snapshot"
+	"github.com/doorvalve/doorvalve/transport/inbound"
 	"github.com/doorvalve/doorvalve/transport/proxy"
 )
 
@@ -66,6 +68,7 @@
 	active   atomic.Int64
 	sequence atomic.Uint64
 	metrics  metrics
+	accounts *inbound.Accounts
 }
 
 type metrics struct {
@@ -80,7 +83,7 @@
 	if opt.ReleaseSilent == nil {
 		opt.ReleaseSilent = func(ctx context.Context, _ string) (context.Context, func()) { return ctx, func() {} }
 	}
-	return &Server{opt: opt, metrics: metrics{
+	return &Server{opt: opt, accounts: inbound.NewAccounts(opt.Log, m), metrics: metrics{
 		answered: m.Counter("requests_answered_total"), refusedNotRun: m.Counter("requests_refused_not_run_total"),
 		failedMayHaveRun: m.Counter("requests_failed_may_have_run_total"), retries: m.Counter("attempts_retried_total"),
 		withoutEnd: protocol.CountersOfEndless(m),
@@ -122,13 +125,13 @@
 		start := time.Now()
 		active := s.active.Add(1)
 		defer s.active.Add(-1)
+		account := s.accounts.Begin(c.Request())
+		defer account.Close(func() bool { return answerUnaccounted(c.Response()) })
 		refusal := s.admit(c, active, serve)
 		s.metrics.duration.RecordDuration(time.Since(start))
-		s.logOutcome(c, start, refusal)
 		switch {
 		case refusal == nil:
 			s.metrics.answered.Inc(1)
-			return nil
 		case refusal.Verdict == protocol.NotRun:
 			s.metrics.refusedNotRun.Inc(1)
 			if cl, ok := c.Get(callKey).(*call); ok {
@@ -137,13 +140,42 @@
 		default:
 			s.metrics.failedMayHaveRun.Inc(1)
 		}
-		if !c.Response().Committed {
-			refusal.WriteTo(c.Response())
-		}
+		outcome := writeOutcome(c.Response(), refusal)
+		account.End(outcome)
+		s.logOutcome(c, start, refusal, outcome)
 		return nil
 	}
 }
 
+// writeOutcome writes the refusal of a request whose answer has not begun, nil for none, and returns how the request
+// ended.
+func writeOutcome(w *echo.Response, refusal *protocol.Refusal) inbound.Outcome {
+	begun := w.Committed
+	if refusal != nil && !begun {
+		refusal.WriteTo(w)
+	}
+	err := http.NewResponseController(w.Writer).Flush() // echo's own writer hides the errors of flushes
+	switch {
+	case err != nil && !errors.Is(err, http.ErrNotSupported):
+		return inbound.CallerGone
+	case refusal == nil:
+		return inbound.Answered
+	case begun:
+		return inbound.BrokenOff
+	}
+	return inbound.Refused
+}
+
+// answerUnaccounted answers a request whose handler has ended without an outcome. It returns false if an answer has
+// begun already.
+func answerUnaccounted(w *echo.Response) bool {
+	if w.Committed {
+		return false
+	}
+	protocol.RefuseMayHaveRun(http.StatusInternalServerError, "internal-error", "this daemon failed while it served the request").WriteTo(w)
+	return true
+}
+
 // admit serves a request unless the daemon can't take it; active is the number of requests in
 // progress, including this one.
 func (s *Server) admit(c echo.Context, active int64, serve func(echo.Context, *snapshot.Snapshot) *protocol.Refusal) *protocol.Refusal {
--- a/transport/edge/caller.go
+++ b/transport/edge/caller.go
@@ -20,8 +20,10 @@
 )
 
 // reasonSlowCaller is the reason in the log of a request whose caller was closed because it read too
-// slowly, and reasonMemoryFull that of a refusal for lack of memory.
+// slowly, reasonCallerGone that of one whose caller has closed the connection, and reasonMemoryFull that
+// of a refusal for lack of memory.
 const (
+	reasonCallerGone = "caller-gone"
 	reasonSlowCaller = "caller-too-slow"
 	reasonMemoryFull = "memory-full"
 )
@@ -188,7 +190,7 @@
 // writeFailure returns the failure of a write to the caller. The endpoint has no part in it, and
 // another one could not help.
 func (c *caller) writeFailure(err error) *failure {
-	reason := "caller-gone"
+	reason := reasonCallerGone
 	switch {
 	case c.isEvicted():
 		c.closed = closedMemory
--- a/transport/edge/server.go
+++ b/transport/edge/server.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"strconv"
 	"sync"
@@ -37,6 +38,7 @@
 	"github.com/doorvalve/doorvalve/state/routing"
 	"github.com/doorvalve/doorvalve/state/workspace"
 	"github.com/doorvalve/doorvalve/transport/bodies"
+	"github.com/doorvalve/doorvalve/transport/inbound"
 )
 
 // Locator finds the engine that holds a model or will hold it.
@@ -97,6 +99,8 @@
 	active  atomic.Int64
 	held    *heldBytes
 	metrics metrics
+	// accounts count the requests and how they end.
+	accounts *inbound.Accounts
 	// largeAnswers are the turns of large answers.
 	largeAnswers largeanswers.Turns
 
@@ -135,7 +139,7 @@
 		return m.Tagged(map[string]string{"reason": why}).Counter("slow_readers_closed_total")
 	}
 	buckets := tally.MustMakeExponentialDurationBuckets(5*time.Millisecond, 2, 14)
-	return &Server{opt: opt, client: newClient(opt.Paths), held: newHeldBytes(opt.HeldBytes), demand: map[string]residency.Demand{}, demandChanged: make(chan struct{}, 1), placeFreed: make(chan struct{}, 1), margins: waiting.NewMargins(), metrics: metrics{
+	return &Server{opt: opt, client: newClient(opt.Paths), accounts: inbound.NewAccounts(opt.Log, m), held: newHeldBytes(opt.HeldBytes), demand: map[string]residency.Demand{}, demandChanged: make(chan struct{}, 1), placeFreed: make(chan struct{}, 1), margins: waiting.NewMargins(), metrics: metrics{
 		answered: m.Counter("requests_answered_total"), refused: m.Counter("requests_refused_total"),
 		failed: m.Counter("requests_failed_total"), retried: m.Counter("attempts_retried_total"),
 		resumed: m.Counter("streams_resumed_total"), disconnected: m.Counter("callers_gone_total"), unknownHeaders: m.Counter("answer_headers_unknown_total"),
@@ -262,6 +266,10 @@
 	arrived := time.Now()
 	active := s.active.Add(1)
 	defer s.active.Add(-1)
+	account := s.accounts.Begin(r)
+	var q *request
+	var a *answer
+	defer account.Close(func() bool { return s.answerUnaccounted(w, r, q, a) })
 	if s.opt.Draining() {
 		w.Header().Set("Connection", "close")
 	}
@@ -269,7 +277,7 @@
 	defer c.end()
 	q, refusal := s.receive(c, r, arrived, active)
 	if refusal != nil {
-		s.writeRefusal(w, r, q, refusal, "")
+		account.End(s.writeRefusal(w, r, q, refusal, ""))
 		return
 	}
 	s.countActive(q, 1)
@@ -277,30 +285,62 @@
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
 	defer cancel()
 	c.setTimes(buffering.UnreadTimeout(q.route.MaxWait), q.deadline.Add(writeSlack))
-	a := &answer{caller: c, server: s, q: q}
+	a = &answer{caller: c, server: s, q: q}
 	refusal = s.run(ctx, q, a)
 	s.metrics.duration.RecordDuration(time.Since(arrived))
+	if refusal != nil && !a.headerSent && c.closed == "" && r.Context().Err() == nil {
+		account.End(s.writeRefusal(w, r, q, refusal, a.endpoint.ID))
+		return
+	}
+	outcome := s.outcome(r, a, refusal)
+	account.End(outcome)
+	s.logOutcome(r, a, refusal, outcome)
+	if outcome != inbound.Answered {
+		panic(http.ErrAbortHandler) // a caller that has a part of the answer learns only so that it is not whole
+	}
+}
+
+// outcome returns how a request ended that was not refused before its answer began.
+func (s *Server) outcome(r *http.Request, a *answer, refusal *protocol.Refusal) inbound.Outcome {
 	switch {
 	case refusal == nil:
+		return inbound.Answered
+	case a.caller.closed != "":
+		return inbound.BrokenOff
+	case r.Context().Err() != nil, refusal.Reason == reasonCallerGone:
+		return inbound.CallerGone
+	}
+	return inbound.BrokenOff
+}
+
+// logOutcome logs and counts how a request ended that was not refused before its answer began.
+func (s *Server) logOutcome(r *http.Request, a *answer, refusal *protocol.Refusal, outcome inbound.Outcome) {
+	q, c, ms := a.q, a.caller, time.Since(a.q.arrived).Milliseconds()
+	switch {
+	case outcome == inbound.Answered:
 		s.metrics.answered.Inc(1)
 		s.opt.Log.InfoSampled(decisions.EventAnswered, "request", q.call.ID, "route", q.route.Name, "model", q.unit(), "status", a.status,
-			"ms", time.Since(arrived).Milliseconds(), "first_event_ms", a.timeToFirstEvent().Milliseconds(), "longest_gap_ms", a.longestGap.Milliseconds(), "waited_ms", q.waited.Milliseconds(), "sent_ms", a.sentAt.Sub(arrived).Milliseconds(), "endpoints_age_ms", a.viewAge.Milliseconds(), "endpoint", a.endpoint.ID, "software", a.software, "resumes", q.call.Resumes, "version", q.version(), "workspace", q.workspace())
+			"ms", ms, "first_event_ms", a.timeToFirstEvent().Milliseconds(), "longest_gap_ms", a.longestGap.Milliseconds(), "waited_ms", q.waited.Milliseconds(), "sent_ms", a.sentAt.Sub(q.arrived).Milliseconds(), "endpoints_age_ms", a.viewAge.Milliseconds(), "endpoint", a.endpoint.ID, "software", a.software, "resumes", q.call.Resumes, "version", q.version(), "workspace", q.workspace())
 	case c.closed != "":
 		s.metrics.slowCallers[c.closed].Inc(1)
-		s.opt.Log.Info(decisions.EventFailed, "request", q.call.ID, "route", q.route.Name, "model", q.unit(), "reason", reasonSlowCaller, "detail", c.closed, "unread_limit_ms", c.unread.Milliseconds(), "held_bytes", s.HeldBytes(), "ms", time.Since(arrived).Milliseconds(), "endpoint", a.endpoint.ID)
-		panic(http.ErrAbortHandler)
-	case r.Context().Err() != nil:
+		s.opt.Log.Info(decisions.EventFailed, "request", q.call.ID, "route", q.route.Name, "model", q.unit(), "outcome", outcome.String(), "reason", reasonSlowCaller, "detail", c.closed, "unread_limit_ms", c.unread.Milliseconds(), "held_bytes", s.HeldBytes(), "ms", ms, "endpoint", a.endpoint.ID)
+	case outcome == inbound.CallerGone:
 		s.metrics.disconnected.Inc(1)
-		s.opt.Log.Info(decisions.EventFailed, "request", q.call.ID, "route", q.route.Name, "model", q.unit(), "reason", "caller gone", "ms", time.Since(arrived).Milliseconds(), "endpoint", a.endpoint.ID, "software", a.software, "resumes", q.call.Resumes)
-		panic(http.ErrAbortHandler)
-	case a.headerSent:
-		// The caller has a part of the answer: only aborting the connection shows it the failure.
-		s.metrics.failed.Inc(1)
-		s.logRefusal(decisions.EventFailed, q, refusal, a.endpoint.ID)
-		panic(http.ErrAbortHandler)
+		s.opt.Log.Info(decisions.EventFailed, "request", q.call.ID, "route", q.route.Name, "model", q.unit(), "outcome", outcome.String(), "reason", "caller gone", "connection", inbound.EndOf(r), "begun", a.headerSent, "ms", ms, "endpoint", a.endpoint.ID, "software", a.software, "resumes", q.call.Resumes)
 	default:
-		s.writeRefusal(w, r, q, refusal, a.endpoint.ID)
+		s.metrics.failed.Inc(1)
+		s.logRefusal(decisions.EventFailed, q, refusal, a.endpoint.ID, outcome)
+	}
+}
+
+// answerUnaccounted answers a request whose handler has ended without an outcome. It returns false if an answer has
+// begun already.
+func (s *Server) answerUnaccounted(w http.ResponseWriter, r *http.Request, q *request, a *answer) bool {
+	if a != nil && a.headerSent {
+		return false
 	}
+	s.writeRefusal(w, r, q, protocol.RefuseMayHaveRun(http.StatusInternalServerError, "internal-error", "this daemon failed while it served the request"), "")
+	return true
 }
 
 // writeSlack is how long after the request's deadline its answer may still be written.
@@ -308,17 +348,17 @@
 
 // logRefusal logs and counts by reason the refusal that ended a request. q is nil for a request
 // refused before it was read; endpoint is the last endpoint that answered, empty if none has.
-func (s *Server) logRefusal(event string, q *request, refusal *protocol.Refusal, endpoint string) {
+func (s *Server) logRefusal(event string, q *request, refusal *protocol.Refusal, endpoint string, outcome inbound.Outcome) {
 	s.metrics.refusals.count(refusal.Reason)
 	if q == nil {
-		s.opt.Log.Info(event, "reason", refusal.Reason, "detail", refusal.Detail, "status", refusal.Status)
+		s.opt.Log.Info(event, "outcome", outcome.String(), "reason", refusal.Reason, "detail", refusal.Detail, "status", refusal.Status)
 		return
 	}
 	route := ""
 	if q.route != nil {
 		route = q.route.Name
 	}
-	fields := []any{"request", q.call.ID, "route", route, "model", q.unit(), "status", refusal.Status, "reason", refusal.Reason, "detail", refusal.Detail,
+	fields := []any{"request", q.call.ID, "route", route, "model", q.unit(), "outcome", outcome.String(), "status", refusal.Status, "reason", refusal.Reason, "detail", refusal.Detail,
 		"verdict", refusal.Verdict.String(), "retry_after_ms", refusal.RetryAfter.Milliseconds(), "ms", time.Since(q.arrived).Milliseconds(),
 		"time_left_ms", time.Until(q.deadline).Milliseconds(), "endpoint", endpoint, "version", q.version(), "state_age_ms", q.stateAge.Milliseconds(), "workspace", q.workspace(),
 		"endpoints_revision", s.opt.View().Version}
@@ -331,8 +371,9 @@
 	s.opt.Log.Info(event, fields...)
 }
 
-// writeRefusal writes a refusal as the final answer, counts it and logs it.
-func (s *Server) writeRefusal(w http.ResponseWriter, r *http.Request, q *request, refusal *protocol.Refusal, endpoint string) {
+// writeRefusal writes a refusal as the final answer, counts it and logs it. It returns CallerGone if the refusal could
+// not be written.
+func (s *Server) writeRefusal(w http.ResponseWriter, r *http.Request, q *request, refusal *protocol.Refusal, endpoint string) inbound.Outcome {
 	event, count := decisions.EventRefused, s.metrics.refused
 	if refusal.Verdict != protocol.NotRun {
 		event, count = decisions.EventFailed, s.metrics.failed
@@ -340,7 +381,6 @@
 		s.opt.Quotas.Refund(q.ticket)
 	}
 	count.Inc(1)
-	s.logRefusal(event, q, refusal, endpoint)
 	h := w.Header()
 	if q != nil && q.call.ID != "" {
 		h.Set(protocol.HeaderRequestID, q.call.ID)
@@ -348,16 +388,23 @@
 	if refusal.Status == http.StatusRequestEntityTooLarge {
 		bodies.Drain(w, r)
 	}
-	wait := refusal.RetryAfter
-	refusal.RetryAfter = 0 // set below with fractions of a second, not by WriteTo
-	if wait > 0 {
-		h.Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 2, 64))
+	answer := *refusal
+	answer.RetryAfter = 0 // set below with fractions of a second, not by WriteTo
+	if refusal.RetryAfter > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(refusal.RetryAfter.Seconds(), 'f', 2, 64))
 	}
-	refusal.WriteTo(w)
+	conn := http.NewResponseController(w)
+	_ = conn.SetWriteDeadline(time.Now().Add(writeSlack)) // that of the answer may have passed while the host was suspended
+	answer.WriteTo(w)
+	outcome := inbound.Refused
+	if err := conn.Flush(); err != nil && !errors.Is(err, http.ErrNotSupported) {
+		outcome = inbound.CallerGone
+	}
+	s.logRefusal(event, q, refusal, endpoint, outcome)
 	if refusal.Reason == reasonMemoryFull {
-		_ = http.NewResponseController(w).Flush() // the refusal first: reading the rest of the body takes time
-		bodies.Drain(w, r)
+		bodies.Drain(w, r) // after the refusal: reading the rest of the body takes time
 	}
+	return outcome
 }
 
 // setDeadline sets the deadline by the shorter of the time limits of the caller and the route.
