callers' limits of the desired state are applied, also to open connections

What callers saw: one that kept to the limits of the desired state was closed without an answer (a head of 6.5 s where 10 or 12 s are allowed; a connection that was opened and used 6.5 s later, where it may be idle for 15), or refused with 431 (a head of 50 kB where 64 are allowed). One beyond shorter limits was let in. A head that did not come in time had no answer at all.

Cause: header_timeout_ms, idle_timeout_ms and max_header_bytes were decoded, and nothing read them. The class: a decoded setting that nothing applies.

Change: coordination/intake decides how long a connection may be idle and a head may take and be; transport/inbound keeps callers to it as it reads, since net/http's limits are fixed while it serves. A change holds for open connections, and does not cut what has begun. What is beyond the limits is answered with 431 or 408, and the refusal outlasts the bytes that still come. The own interface keeps to its limit of heads in the same way.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -23,6 +23,7 @@
 
 	"github.com/doorvalve/doorvalve/coordination/backpressure"
 	"github.com/doorvalve/doorvalve/coordination/drain"
+	"github.com/doorvalve/doorvalve/coordination/intake"
 	"github.com/doorvalve/doorvalve/coordination/limit"
 	"github.com/doorvalve/doorvalve/coordination/membership"
 	"github.com/doorvalve/doorvalve/driver/claimer"
@@ -359,7 +360,7 @@
 	defer func() { _ = d.closer.Close() }()
 	d.start(ctx)
 	var g run.Group
-	d.addServer(&g, 0, d.callers.Handler()).ConnContext = inbound.WithConn
+	d.addServer(&g, 0, d.callers.Handler())
 	d.addServer(&g, 1, peers.Guard(d.set.Peers.Token, d.peerHandler()))
 	d.addServer(&g, 2, operators.New(operators.Options{
 		Tokens: d.set.Operators.Tokens, Rollout: d.rollout, Members: d.gossip.Members, Dump: func() any { return d.Dump() }, Stop: d.Stop,
@@ -464,12 +465,22 @@
 // closeTimeout bounds the shutdown of each server after the last request has ended.
 const closeTimeout = time.Second
 
-func (d *Daemon) addServer(g *run.Group, i int, h http.Handler) *http.Server {
-	srv := &http.Server{Handler: h, MaxHeaderBytes: d.set.Limits.HeaderBytes, ReadHeaderTimeout: 10 * time.Second, ErrorLog: d.log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug})}
+// headerTimeout bounds the time to read a request's header.
+const headerTimeout = 10 * time.Second
+
+// callerLimits returns the limits of callers' connections, which may be idle for any time.
+func (d *Daemon) callerLimits() intake.Limits {
+	return intake.Limits{HeadBytes: d.set.Limits.HeaderBytes, HeadTime: headerTimeout}
+}
+
+func (d *Daemon) addServer(g *run.Group, i int, h http.Handler) {
+	srv := &http.Server{Handler: h, MaxHeaderBytes: d.set.Limits.HeaderBytes, ReadHeaderTimeout: headerTimeout, ErrorLog: d.log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug})}
 	listener := d.listeners[i]
 	switch i {
 	case 0:
-		listener = inbound.Listen(listener)
+		followed := inbound.Listen(listener, inbound.Options{Limits: d.callerLimits(), OnRefused: d.callers.ObserveRefusedHead})
+		followed.Configure(srv)
+		listener = followed
 	case 1:
 		listener = d.peers.Meter().Listener(listener)
 	}
@@ -490,7 +501,6 @@
 			_ = srv.Close()
 		}
 	})
-	return srv
 }
 
 // Phase returns the daemon's phase, from serving to the end of its shutdown.
--- a/daemon/edgedaemon/daemon.go
+++ b/daemon/edgedaemon/daemon.go
@@ -24,6 +24,7 @@
 	"github.com/doorvalve/doorvalve/coordination/access"
 	"github.com/doorvalve/doorvalve/coordination/backpressure"
 	"github.com/doorvalve/doorvalve/coordination/balance"
+	"github.com/doorvalve/doorvalve/coordination/intake"
 	"github.com/doorvalve/doorvalve/coordination/membership"
 	"github.com/doorvalve/doorvalve/coordination/quota"
 	"github.com/doorvalve/doorvalve/coordination/reach"
@@ -119,6 +120,8 @@
 	tunnels     *tunnel.Handler
 
 	listeners listeners
+	// inbound is the listener of callers.
+	inbound *inbound.Listener
 	// callerServer is shut down gracefully; the other servers are closed when
 	// Run returns.
 	callerServer *http.Server
@@ -209,6 +212,7 @@
 		Connections: int64(float64(set.Limits.Descriptors) * requestsPerDescriptor),
 		HeldBytes:   int64(float64(set.Limits.MemoryMB<<20) * heldShare),
 	})
+	d.inbound = d.followCallers()
 	return d, nil
 }
 
@@ -276,6 +280,7 @@
 	if table == nil {
 		return
 	}
+	d.inbound.SetLimits(intakeLimits(table.Limits))
 	d.streams.SetLongestStream(table.LongestStream())
 	d.announceState(table.Version)
 	for name, svc := range table.Services {
@@ -346,8 +351,8 @@
 	d.runCtx = ctx
 	d.mu.Unlock()
 	var g run.Group
-	d.callerServer = d.addServer(&g, inbound.Listen(d.listeners.callers), d.callers.Handler())
-	d.callerServer.ConnContext = callerContext
+	d.callerServer = d.addServer(&g, d.inbound, d.callers.Handler())
+	d.inbound.Configure(d.callerServer)
 	d.addServer(&g, d.listeners.directory, platform.DirectoryHandler(d))
 	d.addServer(&g, d.listeners.readiness, platform.ReadinessHandler(d))
 	d.addServer(&g, d.listeners.peers, d.peerHandler())
@@ -367,28 +372,34 @@
 	return err
 }
 
-// callerContext bounds the kernel's send buffer of a caller's connection, and returns the context of its requests.
-func callerContext(ctx context.Context, c net.Conn) context.Context {
-	if conn, ok := c.(*inbound.Conn); ok {
-		_ = conn.SetWriteBuffer(callerSendBuffer) // fails on closed connections only
-	}
-	return inbound.WithConn(ctx, c)
-}
-
 const (
-	// callerHeaderTimeout bounds the time to read a request's header.
-	callerHeaderTimeout = 5 * time.Second
-	// callerIdleTimeout is how long an idle connection of a caller is kept:
-	// longer than callers are told to keep theirs, so that the callers close them.
-	callerIdleTimeout = 75 * time.Second
+	// headerTimeout bounds the time to read a request's header.
+	headerTimeout = 5 * time.Second
+	// idleTimeout is how long an idle connection is kept.
+	idleTimeout = 75 * time.Second
 	// maxHeaderBytes bounds the size of a request's header.
 	maxHeaderBytes = 32 << 10
 )
 
+// initialLimits are those of callers until the daemon has a desired state.
+var initialLimits = intake.Limits{HeadBytes: maxHeaderBytes, HeadTime: headerTimeout, IdleTime: idleTimeout}
+
+// followCallers returns the listener of callers, which keeps them to the limits of the desired state.
+func (d *Daemon) followCallers() *inbound.Listener {
+	return inbound.Listen(d.listeners.callers, inbound.Options{
+		Limits: initialLimits, Notice: d.set.Timing.ApplyWithin.D(), SendBuffer: callerSendBuffer, OnRefused: d.callers.ObserveRefusedHead,
+	})
+}
+
+// intakeLimits returns the limits of callers' connections.
+func intakeLimits(l routing.Limits) intake.Limits {
+	return intake.Limits{HeadBytes: l.HeaderBytes, HeadTime: l.HeaderTimeout, IdleTime: l.IdleTimeout}
+}
+
 // addServer adds an actor to g that serves a listener.
 func (d *Daemon) addServer(g *run.Group, l net.Listener, h http.Handler) *http.Server {
 	srv := &http.Server{
-		Handler: h, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout,
+		Handler: h, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		ErrorLog: d.log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 	}
 	interrupted := make(chan struct{})
--- a/protocol/verdict.go
+++ b/protocol/verdict.go
@@ -3,8 +3,10 @@
 package protocol
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
+	"io"
 	"math"
 	"net/http"
 	"strconv"
@@ -143,7 +145,22 @@
 
 // WriteTo writes the refusal as an HTTP answer.
 func (r *Refusal) WriteTo(w http.ResponseWriter) {
-	h := w.Header()
+	body := r.fill(w.Header())
+	w.WriteHeader(r.Status)
+	_, _ = w.Write(body)
+}
+
+// WriteLast writes the refusal as the last answer on a connection, whose request was not read.
+func (r *Refusal) WriteLast(w io.Writer) error {
+	resp := &http.Response{StatusCode: r.Status, ProtoMajor: 1, ProtoMinor: 1, Header: http.Header{}, Close: true}
+	body := r.fill(resp.Header)
+	resp.Header.Del("Content-Length") // written by resp
+	resp.ContentLength, resp.Body = int64(len(body)), io.NopCloser(bytes.NewReader(body))
+	return resp.Write(w)
+}
+
+// fill sets the header of the refusal's HTTP answer, and returns its body.
+func (r *Refusal) fill(h http.Header) (body []byte) {
 	h.Set("Content-Type", ContentTypeProblem)
 	h.Set(HeaderVerdict, r.Verdict.String())
 	if r.RetryAfter > 0 {
@@ -154,8 +171,7 @@
 		body = nil
 	}
 	h.Set("Content-Length", strconv.Itoa(len(body)))
-	w.WriteHeader(r.Status)
-	_, _ = w.Write(body)
+	return body
 }
 
 // RetryAfterSeconds renders d as a Retry-After value: whole seconds, rounded
--- a/transport/callers/server.go
+++ b/transport/callers/server.go
@@ -118,6 +118,12 @@
 // configuration yet or is about to stop.
 const retryAfterStart = time.Second
 
+// ObserveRefusedHead counts and logs the refusal of a request whose head was beyond the limits of callers.
+func (s *Server) ObserveRefusedHead(refusal *protocol.Refusal) {
+	s.metrics.refusedNotRun.Inc(1)
+	s.opt.Log.Info(decisions.EventRefused, "outcome", inbound.Refused.String(), "status", refusal.Status, "reason", refusal.Reason, "detail", refusal.Detail, "verdict", refusal.Verdict.String())
+}
+
 // counted wraps serve: it counts the requests in progress, records metrics and the log line, and
 // writes the refusal of a request that was refused.
 func (s *Server) counted(serve func(echo.Context, *snapshot.Snapshot) *protocol.Refusal) echo.HandlerFunc {
@@ -194,6 +200,8 @@
 func (s *Server) admit(c echo.Context, active int64, serve func(echo.Context, *snapshot.Snapshot) *protocol.Refusal) *protocol.Refusal {
 	config := s.opt.Config()
 	switch {
+	case inbound.ExceedsHead(c.Request()):
+		return inbound.RefuseHead()
 	case active > int64(s.opt.Limits.Connections):
 		return protocol.Refuse(http.StatusTooManyRequests, "too-many-requests", "this daemon serves as many requests as it may", retryAfterStart)
 	case config == nil:
--- a/transport/edge/arrive.go
+++ b/transport/edge/arrive.go
@@ -30,8 +30,11 @@
 }
 
 // receive reads a request and runs the checks of receiveSteps on it. It returns the request also
-// with a refusal, except where the daemon has no desired state yet.
+// with a refusal, except where the head is too large or the daemon has no desired state yet.
 func (s *Server) receive(ctx context.Context, c *caller, r *http.Request, work *inbound.Work, arrived time.Time, active int64) (*request, *protocol.Refusal) {
+	if inbound.ExceedsHead(r) {
+		return nil, inbound.RefuseHead()
+	}
 	// The age is read before the table, so that the table is at most that old.
 	stateAge := s.opt.StateAge()
 	table := s.opt.Table()
--- a/transport/edge/server.go
+++ b/transport/edge/server.go
@@ -387,6 +387,12 @@
 	s.opt.Log.Info(event, fields...)
 }
 
+// ObserveRefusedHead counts and logs the refusal of a request whose head was beyond the limits of callers.
+func (s *Server) ObserveRefusedHead(refusal *protocol.Refusal) {
+	s.metrics.refused.Inc(1)
+	s.logRefusal(decisions.EventRefused, nil, refusal, "", inbound.Refused)
+}
+
 // writeRefusal writes a refusal as the final answer, counts it and logs it. It returns CallerGone if the refusal could
 // not be written.
 func (s *Server) writeRefusal(w http.ResponseWriter, r *http.Request, q *request, refusal *protocol.Refusal, endpoint string) inbound.Outcome {
--- a/transport/inbound/inbound.go
+++ b/transport/inbound/inbound.go
@@ -1,5 +1,5 @@
-// Package inbound follows the connections of callers. net/http tells a handler only that a caller's bytes have ended; this
-// package tells how.
+// Package inbound follows the connections of callers: it keeps them to limits that may change, and tells how a caller's
+// bytes have ended. net/http has fixed limits, and tells a handler only that the bytes have ended.
 package inbound
 
 import (
@@ -10,6 +10,10 @@
 	"net/http"
 	"os"
 	"sync"
+	"time"
+
+	"github.com/doorvalve/doorvalve/coordination/intake"
+	"github.com/doorvalve/doorvalve/protocol"
 )
 
 // End is how the bytes of a caller have ended.
@@ -34,68 +38,179 @@
 // Conn is the connection of a caller. It is safe for concurrent use.
 type Conn struct {
 	*net.TCPConn
-	ended chan struct{} // see Ended
+	listener *Listener
+	ended    chan struct{} // see Ended
+
+	// refused: Read has refused a request. Only Read uses it, and net/http has one read at a time.
+	refused bool
 
-	mu  sync.Mutex
-	end End
+	mu     sync.Mutex
+	end    End
+	intake intake.Connection
 }
 
-// Listen returns a listener whose connections are followed. l accepts TCP connections.
-func Listen(l net.Listener) net.Listener { return &listener{l} }
+type contextKey struct{}
+
+// Of returns the connection of a request; nil if its server does not follow connections.
+func Of(r *http.Request) *Conn {
+	c, _ := r.Context().Value(contextKey{}).(*Conn)
+	return c
+}
 
-type listener struct{ net.Listener }
+// Read implements net.Conn. Outside of requests it keeps the caller to the limits: a head beyond them is answered here,
+// and the error is then io.EOF. It records how the caller's bytes end.
+func (c *Conn) Read(p []byte) (int, error) {
+	for {
+		if err := c.beginRead(); err != nil {
+			return 0, err
+		}
+		n, err := c.TCPConn.Read(p)
+		if c.observeRead(n, err) {
+			return n, err
+		}
+	}
+}
 
-// Accept implements net.Listener.
-func (l *listener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+// beginRead refuses what is beyond the limits, and sets the deadline of a read outside of requests.
+func (c *Conn) beginRead() error {
+	if c.refused {
+		return io.EOF
 	}
-	tcp, ok := c.(*net.TCPConn)
-	if !ok {
-		return c, nil
+	verdict, err := c.check()
+	switch verdict {
+	case intake.Expired:
+		return os.ErrDeadlineExceeded // net/http closes the connection without an answer
+	case intake.HeadTooSlow:
+		return c.refuse(protocol.Refuse(http.StatusRequestTimeout, "head-too-slow", "the head of the request did not arrive in time", 0))
+	case intake.HeadTooLarge:
+		return c.refuse(RefuseHead())
 	}
-	return &Conn{TCPConn: tcp, ended: make(chan struct{})}, nil
+	return err
 }
 
-type contextKey struct{}
+// check returns the verdict on a connection that has to read on. If it is open and outside of requests, check sets the
+// deadline of the read.
+func (c *Conn) check() (intake.Verdict, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	verdict := c.intake.Check(time.Now())
+	if verdict != intake.Open || !c.intake.ReadsHead() {
+		return verdict, nil
+	}
+	return verdict, c.TCPConn.SetReadDeadline(c.intake.Deadline())
+}
 
-// WithConn returns a context of the requests on a connection, from which Of returns it.
-func WithConn(ctx context.Context, c net.Conn) context.Context {
-	if followed, ok := c.(*Conn); ok {
-		return context.WithValue(ctx, contextKey{}, followed)
+// ExceedsHead reports whether the head of a request is larger than its connection's limit. Read refuses what takes more
+// than one read; this finds the others. White space that net/http drops does not count.
+func ExceedsHead(r *http.Request) bool {
+	c := Of(r)
+	return c != nil && headBytes(r) > c.headLimit()
+}
+
+func (c *Conn) headLimit() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.intake.HeadLimit()
+}
+
+// headBytes returns the size of the head of a request.
+func headBytes(r *http.Request) int {
+	const separators = 4 // of a header line, and of the request line
+	n := len(r.Method) + len(r.RequestURI) + len(r.Proto) + separators + len("\r\n")
+	if r.Host != "" {
+		n += len("Host") + len(r.Host) + separators
+	}
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + len(v) + separators
+		}
 	}
-	return ctx
+	return n
 }
 
-// Of returns the connection of a request; nil if its server does not follow connections.
-func Of(r *http.Request) *Conn {
-	c, _ := r.Context().Value(contextKey{}).(*Conn)
-	return c
+// RefuseHead returns the refusal of a request whose head is larger than the limit.
+func RefuseHead() *protocol.Refusal {
+	return protocol.Refuse(http.StatusRequestHeaderFieldsTooLarge, "head-too-large", "the head of the request is larger than the limit", 0)
 }
 
-// Read implements net.Conn. It records how the caller's bytes end.
-func (c *Conn) Read(p []byte) (int, error) {
-	n, err := c.TCPConn.Read(p)
+// observeRead records the outcome of a read, and reports whether it is final: a deadline outside of requests is this
+// package's own, which may have been moved.
+func (c *Conn) observeRead(n int, err error) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.intake.Receive(time.Now(), n)
 	switch {
-	case err == nil, errors.Is(err, os.ErrDeadlineExceeded): // net/http interrupts its reads by a deadline
+	case err == nil:
+	case errors.Is(err, os.ErrDeadlineExceeded): // net/http interrupts its reads during requests so
+		return n > 0 || !c.intake.ReadsHead()
 	case errors.Is(err, io.EOF):
 		c.setEnd(SendingClosed)
 	default:
 		c.setEnd(Broken)
 	}
-	return n, err
+	return true
 }
 
+// setEnd records the end of the caller's bytes. The caller holds c.mu.
 func (c *Conn) setEnd(end End) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	if c.end == NotEnded {
 		close(c.ended)
 	}
 	c.end = max(c.end, end)
 }
 
+const (
+	// The rest of a request that was refused in its head is read and discarded within these bounds: a connection that
+	// is closed with unread bytes is reset, and the refusal might be lost.
+	discardBytes = 1 << 20
+	discardTime  = time.Second
+	// refusalTime bounds the writing of a refusal.
+	refusalTime = time.Second
+)
+
+// refuse writes the last answer on the connection.
+func (c *Conn) refuse(r *protocol.Refusal) error {
+	c.refused = true
+	c.listener.opt.OnRefused(r)
+	_ = c.TCPConn.SetDeadline(time.Now().Add(refusalTime)) // fails on closed connections only
+	if err := r.WriteLast(c.TCPConn); err != nil {
+		return err
+	}
+	_ = c.TCPConn.CloseWrite()
+	_ = c.TCPConn.SetReadDeadline(time.Now().Add(discardTime))
+	_, _ = io.CopyN(io.Discard, c.TCPConn, discardBytes) // errors don't matter, as the bytes are discarded
+	return io.EOF
+}
+
+// Close implements net.Conn.
+func (c *Conn) Close() error {
+	c.listener.forget(c)
+	return c.TCPConn.Close()
+}
+
+// setState follows the state that net/http gives the connection.
+func (c *Conn) setState(state http.ConnState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch state {
+	case http.StateActive:
+		c.intake.BeginRequest()
+		_ = c.TCPConn.SetReadDeadline(time.Time{}) // fails on closed connections only
+	case http.StateIdle:
+		c.intake.BeginIdle(time.Now(), c.listener.Limits())
+	}
+}
+
+// changeLimits brings new limits into force, also for a read in progress.
+func (c *Conn) changeLimits(l intake.Limits, notice time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.intake.Change(time.Now(), l, notice)
+	if c.intake.ReadsHead() {
+		_ = c.TCPConn.SetReadDeadline(c.intake.Deadline()) // fails on closed connections only
+	}
+}
+
 // End returns how the caller's bytes have ended. A reset after SendingClosed shows in writes only.
 func (c *Conn) End() End {
 	c.mu.Lock()
@@ -105,3 +220,8 @@
 
 // Ended returns a channel that is closed when the caller's bytes have ended.
 func (c *Conn) Ended() <-chan struct{} { return c.ended }
+
+// context returns the context of the requests on the connection.
+func (c *Conn) context(ctx context.Context) context.Context {
+	return context.WithValue(ctx, contextKey{}, c)
+}
--- a/transport/inbound/inbound_test.go
+++ b/transport/inbound/inbound_test.go
@@ -5,6 +5,9 @@
 	"net"
 	"net/http"
 	"testing"
+	"time"
+
+	"github.com/doorvalve/doorvalve/coordination/intake"
 )
 
 // Guards against a caller that has closed its sending side being taken for one whose connection broke.
@@ -22,13 +25,15 @@
 				t.Fatal(err)
 			}
 			before, after := make(chan End, 1), make(chan End, 1)
-			srv := &http.Server{ConnContext: WithConn, Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			srv := &http.Server{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 				c := Of(r)
 				before <- c.End()
 				<-c.Ended()
 				after <- c.End()
 			})}
-			go func() { _ = srv.Serve(Listen(l)) }()
+			listener := Listen(l, Options{Limits: intake.Limits{HeadBytes: 1000, HeadTime: time.Minute}})
+			listener.Configure(srv)
+			go func() { _ = srv.Serve(listener) }()
 			t.Cleanup(func() { _ = srv.Close() })
 			c, err := net.Dial("tcp", l.Addr().String())
 			if err != nil {
--- /dev/null
+++ b/transport/inbound/listener.go
@@ -0,0 +1,112 @@
+package inbound
+
+import (
+	"context"
+	"maps"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/doorvalve/doorvalve/coordination/intake"
+	"github.com/doorvalve/doorvalve/protocol"
+)
+
+// Options configure a Listener.
+type Options struct {
+	// Limits are those in force until SetLimits is called.
+	Limits intake.Limits
+	// Notice is how long callers may go by earlier limits after a change.
+	Notice time.Duration
+	// SendBuffer is the size of the kernel's send buffer of a connection, in bytes; zero: the kernel's choice.
+	SendBuffer int
+	// OnRefused is called with each refusal of a request whose head is beyond the limits; nil: nothing is.
+	OnRefused func(*protocol.Refusal)
+}
+
+// Listener accepts the connections of callers. It is safe for concurrent use.
+type Listener struct {
+	net.Listener
+	opt Options
+
+	mu     sync.Mutex
+	limits intake.Limits
+	open   map[*Conn]struct{}
+}
+
+// Listen returns a listener that follows the connections which l accepts. l accepts TCP connections.
+func Listen(l net.Listener, opt Options) *Listener {
+	if opt.OnRefused == nil {
+		opt.OnRefused = func(*protocol.Refusal) {}
+	}
+	return &Listener{Listener: l, opt: opt, limits: opt.Limits, open: map[*Conn]struct{}{}}
+}
+
+// maxHeadBytes bounds the head of a request whatever the limits are.
+const maxHeadBytes = 1 << 20
+
+// Configure makes a server keep to the listener's limits in place of its own. It must be called before the server serves.
+func (l *Listener) Configure(srv *http.Server) {
+	srv.MaxHeaderBytes, srv.ReadHeaderTimeout, srv.IdleTimeout = maxHeadBytes, 0, 0
+	srv.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		if conn, ok := c.(*Conn); ok {
+			return conn.context(ctx)
+		}
+		return ctx
+	}
+	srv.ConnState = func(c net.Conn, state http.ConnState) {
+		if conn, ok := c.(*Conn); ok {
+			conn.setState(state)
+		}
+	}
+}
+
+// Accept implements net.Listener.
+func (l *Listener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	tcp, ok := c.(*net.TCPConn)
+	if !ok {
+		return c, nil
+	}
+	if l.opt.SendBuffer > 0 {
+		_ = tcp.SetWriteBuffer(l.opt.SendBuffer) // fails on closed connections only
+	}
+	conn := &Conn{TCPConn: tcp, listener: l, ended: make(chan struct{})}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	conn.intake.BeginIdle(time.Now(), l.limits)
+	l.open[conn] = struct{}{}
+	return conn, nil
+}
+
+func (l *Listener) forget(c *Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.open, c)
+}
+
+// Limits returns the limits in force.
+func (l *Listener) Limits() intake.Limits {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.limits
+}
+
+// SetLimits brings limits into force, also for open connections.
+func (l *Listener) SetLimits(limits intake.Limits) {
+	l.mu.Lock()
+	changed := limits != l.limits
+	l.limits = limits
+	open := slices.Collect(maps.Keys(l.open))
+	l.mu.Unlock()
+	if !changed {
+		return
+	}
+	for _, c := range open {
+		c.changeLimits(limits, l.opt.Notice)
+	}
+}
