--- a/transport/edge/demand_test.go
+++ b/transport/edge/demand_test.go
@@ -10,6 +10,7 @@
 	"github.com/doorvalve/doorvalve/protocol"
 	"github.com/doorvalve/doorvalve/state/fleet"
 	"github.com/doorvalve/doorvalve/state/routing"
+	"github.com/doorvalve/doorvalve/transport/inbound"
 )
 
 func demandChanged(s *Server) bool {
@@ -24,7 +25,7 @@
 func testRequest() *request {
 	return &request{
 		call: protocol.Call{ID: "r", Model: "m"}, service: &routing.Service{Name: "llm"},
-		route: &routing.Route{LatencyTarget: time.Second, Rank: 1}, rank: 1,
+		route: &routing.Route{LatencyTarget: time.Second, Rank: 1}, rank: 1, work: &inbound.Work{},
 	}
 }
 
