edge: no read deadline for requests without a body

What callers saw: a request without a body whose time was over before its body was to be read, as after a wait for the owner of its workspace's quota or while the host was suspended, could be closed with neither an answer nor a refusal, and was counted as "caller gone".

Cause: net/http waits for the end of the caller's bytes from the start of a request without a body. readBody sets the read deadline of the connection to the request's deadline; if that has passed, the wait can break. net/http then ends the request's context, and the end of the connection is "not-ended", which counts as broken. Whether the wait breaks before the deadline is taken back again is a matter of scheduling.

Change: the deadline is set only where a body is to be read; net/http begins its wait after that.

--- a/transport/edge/body.go
+++ b/transport/edge/body.go
@@ -29,9 +29,13 @@
 	if !d.Admitted {
 		return refuseMemoryFull(c, d)
 	}
-	_ = c.conn.SetReadDeadline(q.deadline) // not all writers support deadlines
+	if r.ContentLength != 0 {
+		// Without a body, net/http already waits for the end of the caller's bytes. A deadline that has passed would break
+		// that wait, and the caller would be taken for gone.
+		_ = c.conn.SetReadDeadline(q.deadline) // not all writers support deadlines
+		defer func() { _ = c.conn.SetReadDeadline(time.Time{}) }()
+	}
 	body, err := bodies.Read(r, limits.BodyBytes)
-	_ = c.conn.SetReadDeadline(time.Time{})
 	switch {
 	case errors.Is(err, bodies.ErrTooLarge):
 		return protocol.Refuse(http.StatusRequestEntityTooLarge, "body-too-large", err.Error(), 0)
