inbound: a head that begins in the request before has the time of heads

What callers saw: one that sends the first part of its next head together with a request, and the rest later than the idle time, was closed with net/http's own 400 ("400 Bad Request", since it parses the part that it has), though its head was within header_timeout_ms. The other way round, a head that does not end was open for the idle time in place of its own; on the own interface, where connections may be idle for any time, without a bound.

Cause: the bytes are in net/http's buffer when the idle time begins, and no later read shows them to transport/inbound. The class: a daemon counts what it does not see as not there.

Change: net/http sets the deadline of ReadHeaderTimeout when it has the first four bytes of a head, from its buffer or not. The connection takes this as the begin of the head. Outside of requests it drops net/http's deadlines, since Read sets its own before each read.

--- a/coordination/intake/intake.go
+++ b/coordination/intake/intake.go
@@ -67,10 +67,16 @@
 	if n == 0 || c.phase == serving {
 		return
 	}
+	c.BeginHead(now)
+	c.bytes += n
+}
+
+// BeginHead records that a head has begun of which no byte was received since the idle time began: a caller may send it
+// before the answer to the request before it.
+func (c *Connection) BeginHead(now time.Time) {
 	if c.phase == idle {
 		c.phase, c.since = head, now
 	}
-	c.bytes += n
 }
 
 // BeginRequest records that a head is complete. No limit of this package holds until the request has ended.
--- a/coordination/intake/intake_test.go
+++ b/coordination/intake/intake_test.go
@@ -24,6 +24,7 @@
 	change := func(s float64, l Limits) step { return func(c *Connection) { c.Change(at(s), l, notice) } }
 	serve := func(c *Connection) { c.BeginRequest() }
 	idleAgain := func(s float64, l Limits) step { return func(c *Connection) { c.BeginIdle(at(s), l) } }
+	begin := func(s float64) step { return func(c *Connection) { c.BeginHead(at(s)) } }
 	for name, c := range map[string]struct {
 		l     Limits
 		steps []step
@@ -35,6 +36,8 @@
 		"slow head":                    {long, []step{receive(3, 100)}, 12.9, HeadTooSlow},
 		"head byte by byte":            {short, []step{receive(1, 1), receive(1.5, 1), receive(2.5, 1)}, 2.9, HeadTooSlow},
 		"head within a larger limit":   {long, []step{receive(0, 40000)}, 9.9, HeadTooSlow},
+		"head without a byte yet":      {long, []step{begin(3), receive(5, 100)}, 12.9, HeadTooSlow},
+		"head that begins twice":       {long, []step{receive(3, 100), begin(5)}, 12.9, HeadTooSlow},
 		"request in progress":          {short, []step{receive(0, 100), serve}, 1e6, Open},
 		"idle, longer limit":           {short, []step{change(1, long)}, 60.9, Expired},
 		"idle, shorter limit":          {long, []step{change(20, short)}, 25.9, Expired},
--- a/transport/inbound/inbound.go
+++ b/transport/inbound/inbound.go
@@ -47,6 +47,7 @@
 	mu     sync.Mutex
 	end    End
 	intake intake.Connection
+	served bool // a request was answered
 }
 
 type contextKey struct{}
@@ -182,6 +183,21 @@
 	return io.EOF
 }
 
+// SetReadDeadline implements net.Conn. Outside of requests, Read sets the deadlines, and those of net/http tell only when
+// it has the first bytes of a head: they may have arrived with the request before, which no later read shows. Before its
+// first request, a connection has such a deadline from the start.
+func (c *Conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.intake.ReadsHead() {
+		return c.TCPConn.SetReadDeadline(t)
+	}
+	if c.served && !t.IsZero() {
+		c.intake.BeginHead(time.Now())
+	}
+	return nil
+}
+
 // Close implements net.Conn.
 func (c *Conn) Close() error {
 	c.listener.forget(c)
@@ -197,6 +213,7 @@
 		c.intake.BeginRequest()
 		_ = c.TCPConn.SetReadDeadline(time.Time{}) // fails on closed connections only
 	case http.StateIdle:
+		c.served = true
 		c.intake.BeginIdle(time.Now(), c.listener.Limits())
 	}
 }
--- a/transport/inbound/listener.go
+++ b/transport/inbound/listener.go
@@ -46,9 +46,13 @@
 // maxHeadBytes bounds the head of a request whatever the limits are.
 const maxHeadBytes = 1 << 20
 
+// headBegins makes net/http set a read deadline when it has the first bytes of a head (Conn.SetReadDeadline). Its length has no
+// effect.
+const headBegins = time.Hour
+
 // Configure makes a server keep to the listener's limits in place of its own. It must be called before the server serves.
 func (l *Listener) Configure(srv *http.Server) {
-	srv.MaxHeaderBytes, srv.ReadHeaderTimeout, srv.IdleTimeout = maxHeadBytes, 0, 0
+	srv.MaxHeaderBytes, srv.ReadHeaderTimeout, srv.ReadTimeout, srv.IdleTimeout = maxHeadBytes, headBegins, 0, 0
 	srv.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
 		if conn, ok := c.(*Conn); ok {
 			return conn.context(ctx)
