edge: unused connections keep to the connection_limit of a service

An endpoint resets connections beyond its limit, which then are those of requests: by reading, 195 daemons that keep eight unused connections each hold 1,560 where the users' sites allow 470 to 1,300.

Cause: connection_limit of the desired state was decoded, and nothing read it.

Change: coordination/connections decides how many unused connections a daemon keeps to an endpoint: its part of the limit less the endpoint's slots, eight at most as before. net/http fixes the number by transport, so there is one for each.

Red before: TestUnusedConnectionsKeepToTheLimit, 8 of 8 connections kept where 2 are allowed.

--- a/daemon/edgedaemon/daemon.go
+++ b/daemon/edgedaemon/daemon.go
@@ -209,6 +209,7 @@
 		Table: d.view.Table, View: d.view.Endpoints, ViewAge: d.endpointsAge, Draining: d.draining, DrainDeadline: d.deadline, Dialect: platform.Dialect{}, Locator: d, Balancer: d.balancer,
 		Retries: d.retries, Quarantine: d.quarantine, Streams: d.streams, Paths: d.paths, Log: log, Metrics: d.metrics,
 		FlushEvery:  time.Duration(float64(set.Timing.Pass.D()) * flushShare),
+		Daemons:     d.countDaemons,
 		Connections: int64(float64(set.Limits.Descriptors) * requestsPerDescriptor),
 		HeldBytes:   int64(float64(set.Limits.MemoryMB<<20) * heldShare),
 	})
@@ -252,6 +253,18 @@
 	return membership.Member{ID: d.self, Host: d.set.Host, FailureDomain: d.set.FailureDomain, CallerAddress: d.set.Listen.Callers, PeerAddress: d.set.Listen.Peers, Capacity: d.set.Limits.Capacity()}
 }
 
+// countDaemons returns the number of daemons that are not known to be dead, without allocating: each request asks.
+func (d *Daemon) countDaemons() int {
+	n := 0
+	members := d.gossip.Members()
+	for i := range members {
+		if members[i].Status != membership.Dead {
+			n++
+		}
+	}
+	return n
+}
+
 // seeds returns the addresses of the peers through which to join the
 // membership: the seeds of the settings and the holders of the leases that this
 // daemon has read.
--- a/transport/edge/attempt.go
+++ b/transport/edge/attempt.go
@@ -11,6 +11,7 @@
 	"slices"
 	"time"
 
+	"github.com/doorvalve/doorvalve/coordination/connections"
 	"github.com/doorvalve/doorvalve/driver/decisions"
 	"github.com/doorvalve/doorvalve/driver/paths"
 	"github.com/doorvalve/doorvalve/driver/throttle"
@@ -26,14 +27,13 @@
 	idleTimeout = 4 * time.Second
 	// maxAnswerBytes bounds the body of an answer that is not a stream.
 	maxAnswerBytes = 16 << 20
-	// idlePerEndpoint bounds the unused connections that are kept to one endpoint.
-	idlePerEndpoint = 8
 )
 
 // client holds the transports for requests to endpoints.
 type client struct {
-	// pooled reuses connections. It serves requests that may be repeated.
-	pooled *paths.Transport
+	// pooled reuses connections. It serves requests that may be repeated. The transport with index i keeps at most
+	// i+1 unused connections to an endpoint: net/http fixes that number for all endpoints of a transport.
+	pooled [connections.MaxUnused]*paths.Transport
 	// perRequest opens a connection for each request. It serves requests that may run only once: on a
 	// reused connection that the endpoint has just closed, it would be unknown whether the
 	// request has run.
@@ -41,9 +41,25 @@
 }
 
 func newClient(p *paths.Controller) *client {
-	return &client{
-		pooled:     p.Transport(&http.Transport{MaxIdleConnsPerHost: idlePerEndpoint, IdleConnTimeout: idleTimeout, DisableCompression: true, ReadBufferSize: bufferBytes, WriteBufferSize: bufferBytes}),
-		perRequest: p.Transport(&http.Transport{DisableKeepAlives: true, DisableCompression: true, ReadBufferSize: bufferBytes, WriteBufferSize: bufferBytes}),
+	c := &client{perRequest: p.Transport(&http.Transport{DisableKeepAlives: true, DisableCompression: true, ReadBufferSize: bufferBytes, WriteBufferSize: bufferBytes})}
+	for i := range c.pooled {
+		c.pooled[i] = p.Transport(&http.Transport{MaxIdleConnsPerHost: i + 1, IdleConnTimeout: idleTimeout, DisableCompression: true, ReadBufferSize: bufferBytes, WriteBufferSize: bufferBytes})
+	}
+	return c
+}
+
+// transport returns the transport for a request to an endpoint, to which so many unused connections may be kept.
+func (c *client) transport(repeatable bool, unused int) *paths.Transport {
+	if !repeatable || unused == 0 {
+		return c.perRequest
+	}
+	return c.pooled[min(unused, len(c.pooled))-1]
+}
+
+// closeUnused closes the unused connections of the own paths.
+func (c *client) closeUnused() {
+	for _, t := range c.pooled {
+		t.CloseIdleConnections()
 	}
 }
 
@@ -100,11 +116,8 @@
 		}),
 	}
 	sent := clock.Now()
-	transport := s.client.perRequest
-	if q.route.Repeatable() {
-		transport = s.client.pooled
-	}
-	resp, err := transport.RoundTrip(req.WithContext(ctx))
+	unused := connections.Unused(q.service.ConnectionLimit, e.Slots, s.opt.Daemons())
+	resp, err := s.client.transport(q.route.Repeatable(), unused).RoundTrip(req.WithContext(ctx))
 	if err != nil {
 		return nil, classify(ctx, err)
 	}
@@ -225,7 +238,7 @@
 		f.noteRelayEnd()
 	}
 	if f = w.result(f); f != nil && w.abandoned() {
-		s.client.pooled.CloseIdleConnections() // they may be as unresponsive as the attempt's own
+		s.client.closeUnused() // they may be as unresponsive as the attempt's own
 	}
 	if f != nil && !f.final && f.verdict != protocol.NotRun && a.firstEventAt.IsZero() {
 		s.countFirstEvent(q, e.Incarnation(), time.Since(a.sentAt))
--- a/transport/edge/server.go
+++ b/transport/edge/server.go
@@ -86,6 +86,8 @@
 	// FlushEvery is how long the events of a stream may be buffered before they are written. The
 	// first event is written at once.
 	FlushEvery time.Duration
+	// Daemons returns how many daemons share the connections that an endpoint accepts; nil: this one only.
+	Daemons func() int
 	// Connections bounds the requests in progress.
 	Connections int64
 	// HeldBytes bounds the bytes of request bodies and answers that are held; zero: unlimited.
@@ -128,6 +130,9 @@
 	if opt.Draining == nil {
 		opt.Draining = func() bool { return false }
 	}
+	if opt.Daemons == nil {
+		opt.Daemons = func() int { return 1 }
+	}
 	if opt.Quarantine == nil {
 		opt.Quarantine = quarantiner.New(quarantiner.Options{Members: func() []membership.Member { return nil }, Log: opt.Log, Metrics: opt.Metrics})
 	}
