--- a/coordination/residency/contended_test.go
+++ b/coordination/residency/contended_test.go
@@ -122,7 +122,7 @@
 	sizes := []float64{34_000, 62_000, 68_000, 70_000, 73_000}
 	addModel := func(name string) {
 		m := testEngine(1).Models["m00"]
-		m.Name, m.SizeMB = name, sizes[rng.IntN(len(sizes))]
+		m.SizeMB = sizes[rng.IntN(len(sizes))]
 		m.LoadFromStore = 10200 * time.Millisecond
 		m.LoadFromDisk = time.Duration(400+440*(m.SizeMB-34_000)/39_000) * time.Millisecond
 		m.LoadFromMemory = m.LoadFromDisk * 2 / 3
--- a/coordination/residency/lateorders_test.go
+++ b/coordination/residency/lateorders_test.go
@@ -21,7 +21,7 @@
 	for i := range models {
 		name := fmt.Sprintf("m%02d", i)
 		w.conf.Models[name] = routing.Model{
-			Name: name, SizeMB: float64(rapid.IntRange(20, 120).Draw(t, "size")), Adapters: 9, AdapterMB: float64(rapid.IntRange(1, 15).Draw(t, "adapter size")),
+			SizeMB: float64(rapid.IntRange(20, 120).Draw(t, "size")), AdapterMB: float64(rapid.IntRange(1, 15).Draw(t, "adapter size")),
 			LoadFromStore: 3 * time.Second, LoadFromDisk: 800 * time.Millisecond, LoadFromMemory: 500 * time.Millisecond,
 		}
 		w.engines[0].onDisk[name] = true
--- a/coordination/residency/newengines_test.go
+++ b/coordination/residency/newengines_test.go
@@ -51,8 +51,7 @@
 			w := newSimCluster(5, 2)
 			for i := range missing {
 				m := w.conf.Models["m00"]
-				m.Name = fmt.Sprintf("m%02d", 5+i)
-				w.conf.Models[m.Name] = m
+				w.conf.Models[fmt.Sprintf("m%02d", 5+i)] = m
 			}
 			unloads := 0
 			w.accepted = func(o Order) {
--- a/coordination/residency/planner_test.go
+++ b/coordination/residency/planner_test.go
@@ -19,7 +19,7 @@
 	e := &routing.Engine{Slots: 64, MemoryMB: 230, AdapterSlots: 3, LoadsPerSecond: 3, Models: map[string]routing.Model{}}
 	for i := range models {
 		name := fmt.Sprintf("m%02d", i)
-		e.Models[name] = routing.Model{Name: name, SizeMB: 70, Adapters: 4, AdapterMB: 1, LoadFromStore: 6 * time.Second, LoadFromDisk: 800 * time.Millisecond, LoadFromMemory: 500 * time.Millisecond}
+		e.Models[name] = routing.Model{SizeMB: 70, AdapterMB: 1, LoadFromStore: 6 * time.Second, LoadFromDisk: 800 * time.Millisecond, LoadFromMemory: 500 * time.Millisecond}
 	}
 	return e
 }
--- a/coordination/residency/rare_test.go
+++ b/coordination/residency/rare_test.go
@@ -73,7 +73,6 @@
 	for i := range 16 {
 		name := fmt.Sprintf("hot%02d", i)
 		m := l.conf.Models["m00"]
-		m.Name = name
 		l.conf.Models[name] = m
 	}
 	for m := range models {
--- a/daemon/edgedaemon/exchange_test.go
+++ b/daemon/edgedaemon/exchange_test.go
@@ -28,7 +28,7 @@
 func newExchange(t *testing.T, engines int) *exchange {
 	x := &exchange{t: t, now: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC), planner: residency.New(residency.Options{InitialStoreConcurrency: 1, RateWindow: time.Second, RateFactor: 1})}
 	x.endpoints, _ = endpointsStartedAt(1000, engines)
-	x.planner.Configure(residency.Config{Service: "s", Engine: &routing.Engine{Slots: 64, MemoryMB: 100, LoadsPerSecond: 1, Models: map[string]routing.Model{"m": {Name: "m", SizeMB: 10}}}})
+	x.planner.Configure(residency.Config{Service: "s", Engine: &routing.Engine{Slots: 64, MemoryMB: 100, LoadsPerSecond: 1, Models: map[string]routing.Model{"m": {SizeMB: 10}}}})
 	x.planner.SetLease(x.now, residency.Lease{Held: true, Fence: 1, First: true, OrdersFrom: x.now})
 	x.planner.SetEndpoints(x.now, x.endpoints)
 	return x
--- a/state/routing/table.go
+++ b/state/routing/table.go
@@ -93,9 +93,7 @@
 
 // Model is one model that a service's engines can load.
 type Model struct {
-	Name     string
-	SizeMB   float64 // of the weights
-	Adapters int
+	SizeMB float64 // of the weights
 	// Adapter size in MB; it shares the engine's memory with the weights.
 	AdapterMB float64
 	// Load times by the location of the nearest copy.
@@ -115,7 +113,6 @@
 // Service is a group of equal endpoints.
 type Service struct {
 	Name            string
-	HealthPath      string
 	ConnectionLimit int     // per endpoint, over all callers
 	Engine          *Engine // nil for a plain service
 	// LeastUrgentRank is the rank of the least urgent requests of its routes: its
