--- a/coordination/intake/intake.go
+++ b/coordination/intake/intake.go
@@ -67,10 +67,16 @@
 	if n == 0 || c.phase == serving {
 		return
 	}
+	c.BeginHead(now)
+	c.bytes += n
+}
+
+// BeginHead records that a head has begun of which no byte was received since the idle time began: a caller may send it
+// before the answer to the request before it.
+func (c *Connection) BeginHead(now time.Time) {
 	if c.phase == idle {
 		c.phase, c.since = head, now
 	}
-	c.bytes += n
 }
 
 // BeginRequest records that a head is complete. No limit of this package holds until the request has ended.
@@ -133,5 +139,8 @@
 // HeadLimit returns the bound of the head that is read or was read last, in bytes.
 func (c *Connection) HeadLimit() int { return c.limits.HeadBytes }
 
+// IsIdle reports whether no head has begun.
+func (c *Connection) IsIdle() bool { return c.phase == idle }
+
 // ReadsHead reports whether the connection is idle or in a head.
 func (c *Connection) ReadsHead() bool { return c.phase != serving }
--- a/transport/inbound/inbound.go
+++ b/transport/inbound/inbound.go
@@ -3,6 +3,7 @@
 package inbound
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -47,6 +48,7 @@
 	mu     sync.Mutex
 	end    End
 	intake intake.Connection
+	served bool // a request was answered
 }
 
 type contextKey struct{}
@@ -65,7 +67,7 @@
 			return 0, err
 		}
 		n, err := c.TCPConn.Read(p)
-		if c.observeRead(n, err) {
+		if c.observeRead(p[:n], err) {
 			return n, err
 		}
 	}
@@ -135,14 +137,18 @@
 
 // observeRead records the outcome of a read, and reports whether it is final: a deadline outside of requests is this
 // package's own, which may have been moved.
-func (c *Conn) observeRead(n int, err error) bool {
+func (c *Conn) observeRead(content []byte, err error) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.intake.Receive(time.Now(), n)
+	received := content
+	if c.intake.IsIdle() {
+		received = bytes.TrimLeft(content, "\r\n") // some callers end a body with a line break, which begins no head
+	}
+	c.intake.Receive(time.Now(), len(received))
 	switch {
 	case err == nil:
 	case errors.Is(err, os.ErrDeadlineExceeded): // net/http interrupts its reads during requests so
-		return n > 0 || !c.intake.ReadsHead()
+		return len(content) > 0 || !c.intake.ReadsHead()
 	case errors.Is(err, io.EOF):
 		c.setEnd(SendingClosed)
 	default:
@@ -182,6 +188,21 @@
 	return io.EOF
 }
 
+// SetReadDeadline implements net.Conn. Outside of requests, Read sets the deadlines, and those of net/http tell only when
+// it has the first bytes of a head: they may have arrived with the request before, which no later read shows. Before its
+// first request, a connection has such a deadline from the start.
+func (c *Conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.intake.ReadsHead() {
+		return c.TCPConn.SetReadDeadline(t)
+	}
+	if c.served && !t.IsZero() {
+		c.intake.BeginHead(time.Now())
+	}
+	return nil
+}
+
 // Close implements net.Conn.
 func (c *Conn) Close() error {
 	c.listener.forget(c)
@@ -197,6 +218,7 @@
 		c.intake.BeginRequest()
 		_ = c.TCPConn.SetReadDeadline(time.Time{}) // fails on closed connections only
 	case http.StateIdle:
+		c.served = true
 		c.intake.BeginIdle(time.Now(), c.listener.Limits())
 	}
 }
