inbound: refusals are written at once, whatever the caller still sends

What callers saw: a caller that was refused for its head (no route, bad request, no service, unknown token) and stopped in the middle of its body got nothing. A caller that sent a large body before it read lost the refusal, also one that sent more slowly than for 2 s. One that awaited "100 Continue" with too large a body was told to send it.

Cause: net/http reads up to 256 kB of an unread body before it writes an answer, without a deadline; the time to write the refusal (2 s) passes meanwhile. Beyond that it closes the connection with unread bytes, which resets it. What the daemon read itself was read before the refusal (413) or through the reader that counts bytes against the memory (memory-full), which refuses to read on.

Change: a refusal is written at once, and announces the end of the connection unless the body has arrived or does so within 20 ms; the daemon then closes its sending side and discards what comes until the caller has closed, too, for 10 s or 64 MB, while it stops for 2 s. Such requests don't count as in progress. Refusals without a body left keep the connection.

--- a/coordination/intake/intake.go
+++ b/coordination/intake/intake.go
@@ -135,3 +135,19 @@
 
 // ReadsHead reports whether the connection is idle or in a head.
 func (c *Connection) ReadsHead() bool { return c.phase != serving }
+
+const (
+	// discardTime bounds how long the rest of a refused request is read and discarded, and stoppingDiscardTime how long
+	// while the daemon stops: such a request keeps it from stopping.
+	discardTime         = 10 * time.Second
+	stoppingDiscardTime = 2 * time.Second
+)
+
+// DiscardTime returns how long the rest of a refused request is read and discarded. Its caller may read the refusal only after
+// it has sent everything.
+func DiscardTime(stopping bool) time.Duration {
+	if stopping {
+		return stoppingDiscardTime
+	}
+	return discardTime
+}
--- a/coordination/intake/intake_test.go
+++ b/coordination/intake/intake_test.go
@@ -117,3 +117,10 @@
 		}
 	})
 }
+
+// Guards against a stopping daemon that waits for refused callers which go on sending.
+func TestDiscardTimeIsShorterWhileStopping(t *testing.T) {
+	if serving, stopping := DiscardTime(false), DiscardTime(true); stopping <= 0 || stopping >= serving {
+		t.Errorf("%v while it stops, %v before", stopping, serving)
+	}
+}
--- /dev/null
+++ b/e2e/wholerequests_test.go
@@ -0,0 +1,65 @@
+package e2e_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// sendPart sends bytes on a connection of its own, which remains open, and reads one answer.
+func (p *proc) sendPart(t *testing.T, content string) reply {
+	t.Helper()
+	conn, err := net.Dial("tcp", p.callers)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	_ = conn.SetDeadline(time.Now().Add(eventTimeout))
+	if _, err := io.WriteString(conn, content); err != nil {
+		return reply{err: err}
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return reply{err: err}
+	}
+	text, err := io.ReadAll(resp.Body)
+	return reply{status: resp.StatusCode, body: string(text), header: resp.Header, err: err}
+}
+
+// Guards against refusals that callers don't get while they send a body that nobody needs, or lose as their connection is reset.
+func TestRefusalsArriveWhileTheBodyComes(t *testing.T) {
+	o := defaults()
+	o.daemons = 1
+	p := newTestbed(t, o).daemons[0]
+	const huge = 8 << 20
+	for name, c := range map[string]struct {
+		path, header string
+		size         int
+		sent         string
+		status       int
+		reason       string
+	}{
+		"no service, body stops":               {"/services/none/x", "", 1000, "part", 404, "unknown-service"},
+		"no path, body stops":                  {"/none", "", 1000, "part", 404, "no-such-path"},
+		"unknown token, body stops":            {"/v1/completions", "Authorization: Bearer none\r\n", 1000, "part", 401, ""},
+		"too large, body stops":                {"/v1/completions", "", 200000, "part", 413, "body-too-large"},
+		"too large, awaits 100":                {"/v1/completions", "Expect: 100-continue\r\n", 200000, "", 413, "body-too-large"},
+		"no service, all sent before reading":  {"/services/none/x", "", huge, strings.Repeat("b", huge), 404, "unknown-service"},
+		"no path, all sent before reading":     {"/none", "", huge, strings.Repeat("b", huge), 404, "no-such-path"},
+		"too large, all sent before reading":   {"/v1/completions", "", huge, strings.Repeat("b", huge), 413, "body-too-large"},
+		"bad timeout, all sent before reading": {"/v1/completions", "Doorvalve-Timeout-Ms: x\r\n", huge, strings.Repeat("b", huge), 400, "bad-timeout"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := p.sendPart(t, fmt.Sprintf("POST %s HTTP/1.1\r\nHost: d\r\n%sContent-Length: %d\r\n\r\n%s", c.path, c.header, c.size, c.sent))
+			if r.status != c.status || r.err != nil || !strings.Contains(r.body, c.reason) {
+				t.Errorf("got %d %q (%v), want %d with %q", r.status, r.body, r.err, c.status, c.reason)
+			}
+		})
+	}
+}
--- a/transport/callers/call.go
+++ b/transport/callers/call.go
@@ -150,11 +150,11 @@
 	}
 	switch {
 	case errors.Is(err, bodies.ErrTooLarge):
-		bodies.Drain(c.Response(), r)
 		return nil, ident, protocol.Refuse(http.StatusRequestEntityTooLarge, "body-too-large", fmt.Sprintf("a body may have %d bytes", s.opt.Limits.BodyBytes), 0)
 	case err != nil:
 		return nil, ident, protocol.Refuse(http.StatusBadRequest, "body-cut", "the body did not arrive whole", 0)
 	}
+	c.Get(restKey).(*inbound.Rest).Whole()
 	cl := &call{
 		id: id, method: r.Method, header: r.Header, body: body, worth: ident.Class.Worth, deadline: now.Add(timeout),
 		class: ident.Class.Name, generation: conf.Generation, ticket: ticket, work: workOf(c),
--- a/transport/callers/server.go
+++ b/transport/callers/server.go
@@ -15,6 +15,7 @@
 
 	"github.com/doorvalve/doorvalve/coordination/claims"
 	"github.com/doorvalve/doorvalve/coordination/drain"
+	"github.com/doorvalve/doorvalve/coordination/intake"
 	"github.com/doorvalve/doorvalve/coordination/membership"
 	"github.com/doorvalve/doorvalve/driver/decisions"
 	"github.com/doorvalve/doorvalve/driver/gate"
@@ -102,7 +103,9 @@
 	e := echo.New()
 	e.HTTPErrorHandler = func(err error, c echo.Context) {
 		if !c.Response().Committed {
-			protocol.Refuse(http.StatusNotFound, "no-such-path", err.Error(), 0).WriteTo(c.Response())
+			rest := inbound.RestOf(c.Response().Writer, c.Request())
+			writeOutcome(c.Response(), rest, protocol.Refuse(http.StatusNotFound, "no-such-path", err.Error(), 0))
+			s.discard(rest)
 		}
 	}
 	e.GET("/v1/addresses", s.addresses)
@@ -129,10 +132,13 @@
 func (s *Server) counted(serve func(echo.Context, *snapshot.Snapshot) *protocol.Refusal) echo.HandlerFunc {
 	return func(c echo.Context) error {
 		start := time.Now()
+		rest := inbound.RestOf(c.Response().Writer, c.Request())
+		c.Set(restKey, rest)
+		defer s.discard(rest) // deferred first: the request has its final answer then, and does not count as in progress
 		active := s.active.Add(1)
 		defer s.active.Add(-1)
 		account := s.accounts.Begin(c.Request())
-		defer account.Close(func() bool { return answerUnaccounted(c.Response()) })
+		defer account.Close(func() bool { return answerUnaccounted(c.Response(), rest) })
 		ctx, work := inbound.Follow(c.Request())
 		defer work.Stop()
 		c.SetRequest(c.Request().WithContext(ctx))
@@ -150,7 +156,7 @@
 		default:
 			s.metrics.failedMayHaveRun.Inc(1)
 		}
-		outcome := writeOutcome(c.Response(), refusal)
+		outcome := writeOutcome(c.Response(), rest, refusal)
 		if refusal != nil && errors.Is(context.Cause(ctx), inbound.ErrCallerGone) {
 			outcome = inbound.CallerGone
 		}
@@ -160,17 +166,26 @@
 	}
 }
 
-// workKey is the key of the work on a request in its echo context.
-const workKey = "work"
+// discard discards the rest of the body of a request that was refused.
+func (s *Server) discard(rest *inbound.Rest) {
+	rest.Discard(intake.DiscardTime(s.opt.Phase() != drain.Serving))
+}
+
+// Keys of the echo context of a request.
+const (
+	workKey = "work" // of the work on it
+	restKey = "rest" // of the rest of its body
+)
 
 // workOf returns the work on a request.
 func workOf(c echo.Context) *inbound.Work { return c.Get(workKey).(*inbound.Work) }
 
 // writeOutcome writes the refusal of a request whose answer has not begun, nil for none, and returns how the request
 // ended.
-func writeOutcome(w *echo.Response, refusal *protocol.Refusal) inbound.Outcome {
+func writeOutcome(w *echo.Response, rest *inbound.Rest, refusal *protocol.Refusal) inbound.Outcome {
 	begun := w.Committed
 	if refusal != nil && !begun {
+		rest.BeforeRefusal()
 		refusal.WriteTo(w)
 	}
 	err := http.NewResponseController(w.Writer).Flush() // echo's own writer hides the errors of flushes
@@ -187,11 +202,11 @@
 
 // answerUnaccounted answers a request whose handler has ended without an outcome. It returns false if an answer has
 // begun already.
-func answerUnaccounted(w *echo.Response) bool {
+func answerUnaccounted(w *echo.Response, rest *inbound.Rest) bool {
 	if w.Committed {
 		return false
 	}
-	protocol.RefuseMayHaveRun(http.StatusInternalServerError, "internal-error", "this daemon failed while it served the request").WriteTo(w)
+	writeOutcome(w, rest, protocol.RefuseMayHaveRun(http.StatusInternalServerError, "internal-error", "this daemon failed while it served the request"))
 	return true
 }
 
--- a/transport/edge/body.go
+++ b/transport/edge/body.go
@@ -38,7 +38,6 @@
 	case errors.Is(err, errMemoryFull):
 		return refuseMemoryFull(c, d)
 	case err != nil:
-		c.w.Header().Set("Connection", "close")
 		return protocol.Refuse(http.StatusRequestTimeout, "body-incomplete", "the body did not arrive: "+err.Error(), 0)
 	}
 	q.body = body
@@ -53,7 +52,6 @@
 
 // refuseMemoryFull refuses a request whose body does not fit into the memory for bodies and answers.
 func refuseMemoryFull(c *caller, d buffering.Decision) *protocol.Refusal {
-	c.end()                                 // the part that was read is not needed any more
-	c.w.Header().Set("Connection", "close") // the rest of the body is not read
+	c.end() // the part that was read is not needed any more
 	return protocol.Refuse(http.StatusServiceUnavailable, reasonMemoryFull, errMemoryFull.Error(), d.RetryAfter)
 }
--- a/transport/edge/server.go
+++ b/transport/edge/server.go
@@ -19,6 +19,7 @@
 	"github.com/doorvalve/doorvalve/coordination/balance"
 	"github.com/doorvalve/doorvalve/coordination/buffering"
 	"github.com/doorvalve/doorvalve/coordination/continuation"
+	"github.com/doorvalve/doorvalve/coordination/intake"
 	"github.com/doorvalve/doorvalve/coordination/membership"
 	"github.com/doorvalve/doorvalve/coordination/quarantine"
 	"github.com/doorvalve/doorvalve/coordination/residency"
@@ -37,7 +38,6 @@
 	"github.com/doorvalve/doorvalve/state/fleet"
 	"github.com/doorvalve/doorvalve/state/routing"
 	"github.com/doorvalve/doorvalve/state/workspace"
-	"github.com/doorvalve/doorvalve/transport/bodies"
 	"github.com/doorvalve/doorvalve/transport/inbound"
 )
 
@@ -265,12 +265,15 @@
 // serve serves one request, up to its final answer.
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
+	rest := inbound.RestOf(w, r)
+	// Deferred first: the request has its final answer then, and does not count as in progress.
+	defer func() { rest.Discard(intake.DiscardTime(s.opt.Draining())) }()
 	active := s.active.Add(1)
 	defer s.active.Add(-1)
 	account := s.accounts.Begin(r)
 	var q *request
 	var a *answer
-	defer account.Close(func() bool { return s.answerUnaccounted(w, r, q, a) })
+	defer account.Close(func() bool { return s.answerUnaccounted(w, rest, q, a) })
 	if s.opt.Draining() {
 		w.Header().Set("Connection", "close")
 	}
@@ -280,9 +283,10 @@
 	defer work.Stop()
 	q, refusal := s.receive(ctx, c, r, work, arrived, active)
 	if refusal != nil {
-		account.End(s.writeRefusal(w, r, q, refusal, ""))
+		account.End(s.writeRefusal(w, rest, q, refusal, ""))
 		return
 	}
+	rest.Whole()
 	s.countActive(q, 1)
 	defer s.countActive(q, -1)
 	ctx, cancel := context.WithDeadline(ctx, q.deadline)
@@ -293,7 +297,7 @@
 	s.metrics.duration.RecordDuration(time.Since(arrived))
 	cause := context.Cause(ctx)
 	if refusal != nil && !a.headerSent && c.closed == "" && !errors.Is(cause, inbound.ErrCallerGone) {
-		account.End(s.writeRefusal(w, r, q, explainGivenUp(refusal, cause), a.endpoint.ID))
+		account.End(s.writeRefusal(w, rest, q, explainGivenUp(refusal, cause), a.endpoint.ID))
 		return
 	}
 	outcome := outcomeOf(a, refusal, cause)
@@ -351,11 +355,11 @@
 
 // answerUnaccounted answers a request whose handler has ended without an outcome. It returns false if an answer has
 // begun already.
-func (s *Server) answerUnaccounted(w http.ResponseWriter, r *http.Request, q *request, a *answer) bool {
+func (s *Server) answerUnaccounted(w http.ResponseWriter, rest *inbound.Rest, q *request, a *answer) bool {
 	if a != nil && a.headerSent {
 		return false
 	}
-	s.writeRefusal(w, r, q, protocol.RefuseMayHaveRun(http.StatusInternalServerError, "internal-error", "this daemon failed while it served the request"), "")
+	s.writeRefusal(w, rest, q, protocol.RefuseMayHaveRun(http.StatusInternalServerError, "internal-error", "this daemon failed while it served the request"), "")
 	return true
 }
 
@@ -395,7 +399,7 @@
 
 // writeRefusal writes a refusal as the final answer, counts it and logs it. It returns CallerGone if the refusal could
 // not be written.
-func (s *Server) writeRefusal(w http.ResponseWriter, r *http.Request, q *request, refusal *protocol.Refusal, endpoint string) inbound.Outcome {
+func (s *Server) writeRefusal(w http.ResponseWriter, rest *inbound.Rest, q *request, refusal *protocol.Refusal, endpoint string) inbound.Outcome {
 	event, count := decisions.EventRefused, s.metrics.refused
 	if refusal.Verdict != protocol.NotRun {
 		event, count = decisions.EventFailed, s.metrics.failed
@@ -407,9 +411,7 @@
 	if q != nil && q.call.ID != "" {
 		h.Set(protocol.HeaderRequestID, q.call.ID)
 	}
-	if refusal.Status == http.StatusRequestEntityTooLarge {
-		bodies.Drain(w, r)
-	}
+	rest.BeforeRefusal()
 	answer := *refusal
 	answer.RetryAfter = 0 // set below with fractions of a second, not by WriteTo
 	if refusal.RetryAfter > 0 {
@@ -423,9 +425,6 @@
 		outcome = inbound.CallerGone
 	}
 	s.logRefusal(event, q, refusal, endpoint, outcome)
-	if refusal.Reason == reasonMemoryFull {
-		bodies.Drain(w, r) // after the refusal: reading the rest of the body takes time
-	}
 	return outcome
 }
 
--- a/transport/inbound/inbound.go
+++ b/transport/inbound/inbound.go
@@ -160,9 +160,9 @@
 }
 
 const (
-	// The rest of a request that was refused in its head is read and discarded within these bounds: a connection that
-	// is closed with unread bytes is reset, and the refusal might be lost.
-	discardBytes = 1 << 20
+	// discardBytes bounds how much of a refused request is read and discarded: a connection that is closed with unread
+	// bytes is reset, and the refusal might be lost. discardTime bounds it in time for one that was refused in its head.
+	discardBytes = 64 << 20
 	discardTime  = time.Second
 	// refusalTime bounds the writing of a refusal.
 	refusalTime = time.Second
@@ -176,10 +176,16 @@
 	if err := r.WriteLast(c.TCPConn); err != nil {
 		return err
 	}
+	c.discard(discardTime)
+	return io.EOF
+}
+
+// discard closes the connection in writing, and discards what arrives until the caller has closed it, too, or the given
+// time is over.
+func (c *Conn) discard(d time.Duration) {
 	_ = c.TCPConn.CloseWrite()
-	_ = c.TCPConn.SetReadDeadline(time.Now().Add(discardTime))
+	_ = c.TCPConn.SetReadDeadline(time.Now().Add(d))
 	_, _ = io.CopyN(io.Discard, c.TCPConn, discardBytes) // errors don't matter, as the bytes are discarded
-	return io.EOF
 }
 
 // Close implements net.Conn.
