callers: a body of the own interface must arrive within the time of its request

What callers saw: a call whose body stopped in the middle got neither an answer nor a refusal; its quota remained taken.

Cause: the read of a body on the own interface had no deadline.

Evidence: e2e TestBodyThatDoesNotArriveIsRefusedInTime, red on and on the parent of this commit: no answer within 60 s to a call with a time of 1 s, with a length and with chunks.

Change: the read has the deadline of the request. The refusal is the present one, 400 body-cut.

--- a/e2e/wholerequests_test.go
+++ b/e2e/wholerequests_test.go
@@ -63,3 +63,16 @@
 		})
 	}
 }
+
+// Guards against callers that wait for good because a part of their body is lost: they get a refusal when the time of the
+// request is over.
+func TestBodyThatDoesNotArriveIsRefusedInTime(t *testing.T) {
+	o := defaults()
+	o.daemons = 1
+	p := newTestbed(t, o).daemons[0]
+	for _, body := range []string{"Content-Length: 1000\r\n\r\npart", "Transfer-Encoding: chunked\r\n\r\n4\r\npart"} {
+		if r := p.sendPart(t, "POST /v1/completions HTTP/1.1\r\nHost: d\r\nDoorvalve-Timeout-Ms: 1000\r\n"+body); r.status != http.StatusBadRequest || r.err != nil || !strings.Contains(r.body, "body-cut") {
+			t.Errorf("%q: got %d %q (%v), want 400 with body-cut", body, r.status, r.body, r.err)
+		}
+	}
+}
--- a/transport/callers/call.go
+++ b/transport/callers/call.go
@@ -144,7 +144,10 @@
 	if refusal != nil {
 		return nil, ident, refusal
 	}
+	conn := http.NewResponseController(c.Response().Writer)
+	_ = conn.SetReadDeadline(now.Add(timeout)) // not all writers support deadlines
 	body, err := bodies.Read(r, s.opt.Limits.BodyBytes)
+	_ = conn.SetReadDeadline(time.Time{})
 	if err != nil {
 		s.opt.Quotas.Refund(ticket)
 	}
