--- a/transport/callers/call.go
+++ b/transport/callers/call.go
@@ -144,10 +144,12 @@
 	if refusal != nil {
 		return nil, ident, refusal
 	}
-	conn := http.NewResponseController(c.Response().Writer)
-	_ = conn.SetReadDeadline(now.Add(timeout)) // not all writers support deadlines
+	if r.ContentLength != 0 { // without a body, a deadline would end net/http's wait for the end of the caller's bytes
+		conn := http.NewResponseController(c.Response().Writer)
+		_ = conn.SetReadDeadline(now.Add(timeout)) // not all writers support deadlines
+		defer func() { _ = conn.SetReadDeadline(time.Time{}) }()
+	}
 	body, err := bodies.Read(r, s.opt.Limits.BodyBytes)
-	_ = conn.SetReadDeadline(time.Time{})
 	if err != nil {
 		s.opt.Quotas.Refund(ticket)
 	}
