--- a/transport/callers/call.go
+++ b/transport/callers/call.go
@@ -144,17 +144,22 @@
 	if refusal != nil {
 		return nil, ident, refusal
 	}
+	if r.ContentLength != 0 { // without a body, a deadline would end net/http's wait for the end of the caller's bytes
+		conn := http.NewResponseController(c.Response().Writer)
+		_ = conn.SetReadDeadline(now.Add(timeout)) // not all writers support deadlines
+		defer func() { _ = conn.SetReadDeadline(time.Time{}) }()
+	}
 	body, err := bodies.Read(r, s.opt.Limits.BodyBytes)
 	if err != nil {
 		s.opt.Quotas.Refund(ticket)
 	}
 	switch {
 	case errors.Is(err, bodies.ErrTooLarge):
-		bodies.Drain(c.Response(), r)
 		return nil, ident, protocol.Refuse(http.StatusRequestEntityTooLarge, "body-too-large", fmt.Sprintf("a body may have %d bytes", s.opt.Limits.BodyBytes), 0)
 	case err != nil:
 		return nil, ident, protocol.Refuse(http.StatusBadRequest, "body-cut", "the body did not arrive whole", 0)
 	}
+	c.Get(restKey).(*inbound.Rest).Whole()
 	cl := &call{
 		id: id, method: r.Method, header: r.Header, body: body, worth: ident.Class.Worth, deadline: now.Add(timeout),
 		class: ident.Class.Name, generation: conf.Generation, ticket: ticket, work: workOf(c),
