settings: a running daemon applies what it reads again

What operators saw: after SIGHUP, doorvalved edge logged "settings reloaded" and went on with the settings of its start. doorvalved run ended at once, with all that it had in progress. A SIGTERM right after two SIGHUPs could be lost.

Cause: Reload only wrote the line. The own interface asked for SIGTERM, SIGINT and SIGUSR1 only, and the default for SIGHUP ends a process. All signals shared a channel with room for one, which was made after the settings were read and the listeners opened.

Change: fields of the settings with a reload tag are applied by a running daemon: log_level, peers.seeds, retries.ratio and .extra on both interfaces, operators.tokens on the own one, timing.address_ttl, .grace and .revoke_within, limits.cpu_share and .cores on the platform. Those of other fields come into force at the next start; the log line names both kinds. Each signal has a channel of its own, made before the settings are read.

--- a/cmd/doorvalved/edge.go
+++ b/cmd/doorvalved/edge.go
@@ -16,6 +16,7 @@
 
 // Run starts the daemon and blocks until it has stopped.
 func (*edgeCmd) Run(c *cli) error {
+	signals := receiveSignals()
 	set, err := settings.LoadEdge(c.Settings)
 	if err != nil {
 		return err
@@ -26,15 +27,7 @@
 	if err != nil {
 		return err
 	}
-	return serve(d, edgedaemon.IsStopped, syscall.SIGHUP, func() { reload(d, log, c.Settings) })
-}
-
-// reload applies the settings file again. The daemon keeps its settings if the file has errors.
-func reload(d *edgedaemon.Daemon, log *decisions.Log, file string) {
-	set, err := settings.LoadEdge(file)
-	if err != nil {
-		log.Error("settings not reloaded", "file", file, "error", err)
-		return
-	}
-	d.Reload(set)
+	return serve(d, edgedaemon.IsStopped, signals, map[os.Signal]func(){
+		syscall.SIGHUP: func() { reload(c.Settings, settings.LoadEdge, d.Reload, log) },
+	})
 }
--- a/cmd/doorvalved/main.go
+++ b/cmd/doorvalved/main.go
@@ -19,7 +19,7 @@
 
 type cli struct {
 	Settings string   `required:"" env:"DOORVALVE_BOOT" help:"File with the settings, JSON with comments."`
-	Run      runCmd   `cmd:"" default:"1" help:"Serve. SIGTERM or SIGINT begins a graceful shutdown; SIGUSR1 logs the state."`
+	Run      runCmd   `cmd:"" default:"1" help:"Serve. SIGTERM or SIGINT begins a graceful shutdown; SIGHUP reads the settings again; SIGUSR1 logs the state."`
 	Edge     edgeCmd  `cmd:"" help:"Serve with desired state and endpoints from the platform's store. SIGTERM begins a graceful shutdown; SIGHUP reads the settings again."`
 	Check    checkCmd `cmd:"" help:"Check the settings and exit."`
 }
@@ -39,6 +39,7 @@
 
 // Run starts the daemon and blocks until it has stopped.
 func (*runCmd) Run(c *cli) error {
+	signals := receiveSignals(syscall.SIGUSR1)
 	set, err := settings.Load(c.Settings)
 	if err != nil {
 		return err
@@ -49,7 +50,10 @@
 	if err != nil {
 		return err
 	}
-	return serve(d, daemon.IsStopped, syscall.SIGUSR1, func() { dump(d, log) })
+	return serve(d, daemon.IsStopped, signals, map[os.Signal]func(){
+		syscall.SIGHUP:  func() { reload(c.Settings, settings.Load, d.Reload, log) },
+		syscall.SIGUSR1: func() { dump(d, log) },
+	})
 }
 
 func dump(d *daemon.Daemon, log *decisions.Log) {
--- a/coordination/retry/share.go
+++ b/coordination/retry/share.go
@@ -70,6 +70,9 @@
 	return s
 }
 
+// SetLimit changes the limit, but for its window: what was spent is known for the present one only.
+func (s *Sharing) SetLimit(limit Limit) { s.limit.Ratio, s.limit.Extra = limit.Ratio, limit.Extra }
+
 // Inform tells how many daemons there were before this one started, as far as any of them has seen; zero if there
 // were none. Until then, the daemon does not share the extra retries: during a partition it may see few daemons of
 // many.
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -63,7 +63,10 @@
 
 // Daemon is one doorvalved process.
 type Daemon struct {
-	set      settings.Settings
+	// set are the settings that the daemon was started with.
+	set settings.Settings
+	// inForce are the settings in force; see Reload.
+	inForce  atomic.Pointer[settings.Settings]
 	log      *decisions.Log
 	self     string
 	started  time.Time
@@ -115,6 +118,7 @@
 		backpressure: backpressure.New(backpressure.Options{Seed: uint64(time.Now().UnixNano())}),
 		placers:      map[string]*placer.Placer{}, reporters: map[string]*reporter{}, done: make(chan struct{}),
 	}
+	d.inForce.Store(&set)
 	d.log = log.With("daemon", d.self)
 	for i, address := range []string{set.Callers.Listen, set.Peers.Listen, set.Operators.Listen} {
 		l, err := net.Listen("tcp", address)
@@ -220,7 +224,7 @@
 // the seeds of the settings and, if the platform answers, the entry hosts in its
 // list that are not leaving.
 func (d *Daemon) seeds(ctx context.Context) []string {
-	list := append([]string(nil), d.set.Peers.Seeds...)
+	list := append([]string(nil), d.inForce.Load().Peers.Seeds...)
 	listed, _ := d.listedPeers(ctx) // without an answer, the settings' seeds remain
 	return append(list, listed...)
 }
@@ -363,7 +367,7 @@
 	d.addServer(&g, 0, d.callers.Handler())
 	d.addServer(&g, 1, peers.Guard(d.set.Peers.Token, d.peerHandler()))
 	d.addServer(&g, 2, operators.New(operators.Options{
-		Tokens: d.set.Operators.Tokens, Rollout: d.rollout, Members: d.gossip.Members, Dump: func() any { return d.Dump() }, Stop: d.Stop,
+		Tokens: func() []settings.OperatorToken { return d.inForce.Load().Operators.Tokens }, Rollout: d.rollout, Members: d.gossip.Members, Dump: func() any { return d.Dump() }, Stop: d.Stop,
 		Metrics: d.reporter.HTTPHandler(), Log: d.log.Component("operators"),
 	}).Handler())
 	d.addActor(&g, ctx, d.gossip.Run)
--- a/daemon/edgedaemon/daemon.go
+++ b/daemon/edgedaemon/daemon.go
@@ -21,7 +21,6 @@
 	"github.com/uber-go/tally/v4"
 	promreporter "github.com/uber-go/tally/v4/prometheus"
 
-	"github.com/doorvalve/doorvalve/coordination/access"
 	"github.com/doorvalve/doorvalve/coordination/backpressure"
 	"github.com/doorvalve/doorvalve/coordination/balance"
 	"github.com/doorvalve/doorvalve/coordination/intake"
@@ -95,10 +94,13 @@
 
 // Daemon is one doorvalved process.
 type Daemon struct {
-	set   settings.Edge
-	log   *decisions.Log
-	self  string
-	store *platform.Store
+	// set are the settings that the daemon was started with.
+	set settings.Edge
+	// inForce are the settings in force; see Reload.
+	inForce atomic.Pointer[settings.Edge]
+	log     *decisions.Log
+	self    string
+	store   *platform.Store
 	// generations tracks the highest generation of the store that this daemon
 	// has received, from the store or from peers.
 	generations *generations.Tracker
@@ -158,6 +160,7 @@
 		peers: peers.NewClient(""), balancer: balance.New(set.FailureDomain, uint64(time.Now().UnixNano()), tracker),
 		vacancies: vacancies{takeover: coordinator.TakeoverTime(set.Timing.OrderGap.D())},
 	}
+	d.inForce.Store(&set)
 	d.fleets = d.peers.Fleets()
 	if err := d.listen(); err != nil {
 		return nil, err
@@ -205,7 +208,7 @@
 	})
 	d.callers = edge.New(edge.Options{
 		FailureDomain: set.FailureDomain,
-		StateAge:      d.stateAge, Access: access.Bounds{Apply: set.Timing.ApplyWithin.D(), Revoke: set.Timing.RevokeWithin.D()}, Quotas: d.quotas, Throttle: d.throttle,
+		StateAge:      d.stateAge, Access: accessBounds(&set), Quotas: d.quotas, Throttle: d.throttle,
 		Table: d.view.Table, View: d.view.Endpoints, ViewAge: d.endpointsAge, Draining: d.draining, DrainDeadline: d.deadline, Dialect: platform.Dialect{}, Locator: d, Balancer: d.balancer,
 		Retries: d.retries, Quarantine: d.quarantine, Streams: d.streams, Paths: d.paths, Log: log, Metrics: d.metrics,
 		FlushEvery:  time.Duration(float64(set.Timing.Pass.D()) * flushShare),
@@ -269,7 +272,7 @@
 // membership: the seeds of the settings and the holders of the leases that this
 // daemon has read.
 func (d *Daemon) seeds(context.Context) []string {
-	list := append([]string(nil), d.set.Peers.Seeds...)
+	list := append([]string(nil), d.inForce.Load().Peers.Seeds...)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, c := range d.coordinators {
--- a/daemon/edgedaemon/stop.go
+++ b/daemon/edgedaemon/stop.go
@@ -9,7 +9,6 @@
 	"github.com/doorvalve/doorvalve/coordination/membership"
 	"github.com/doorvalve/doorvalve/driver/decisions"
 	"github.com/doorvalve/doorvalve/internal/pause"
-	"github.com/doorvalve/doorvalve/settings"
 )
 
 const (
@@ -31,17 +30,11 @@
 	if !d.stopStarted.CompareAndSwap(nil, &now) {
 		return
 	}
-	d.log.Info(decisions.EventStop, "daemon", d.self, "in_progress", d.callers.InProgress(), "grace_ms", d.set.Timing.Grace.D().Milliseconds())
+	d.log.Info(decisions.EventStop, "daemon", d.self, "in_progress", d.callers.InProgress(), "grace_ms", d.inForce.Load().Timing.Grace.D().Milliseconds())
 	d.gossip.Update(func(m *membership.Member) { m.Leaving = true })
 	close(d.stopped)
 }
 
-// Reload logs that the settings have changed. The daemon keeps those it was started
-// with, among them its addresses, until the next start.
-func (d *Daemon) Reload(set settings.Edge) {
-	d.log.Info(decisions.EventReload, "daemon", d.self, "retry_extra", set.Retries.Extra, "loads_at_once", set.Loads.AtOnce)
-}
-
 // deadline returns the time at which a stopping daemon cuts off requests in
 // progress; zero before the shutdown begins.
 func (d *Daemon) deadline() time.Time {
@@ -49,7 +42,7 @@
 	if since == nil {
 		return time.Time{}
 	}
-	return since.Add(d.set.Timing.Grace.D() - exitReserve)
+	return since.Add(d.inForce.Load().Timing.Grace.D() - exitReserve)
 }
 
 // closesAt returns the time from which a stopping daemon takes no more requests;
@@ -59,7 +52,7 @@
 	if since == nil {
 		return time.Time{}
 	}
-	return since.Add(time.Duration(float64(d.set.Timing.Grace.D()) * lingerShare))
+	return since.Add(time.Duration(float64(d.inForce.Load().Timing.Grace.D()) * lingerShare))
 }
 
 // closedToCallers reports whether the daemon takes no more requests.
@@ -99,7 +92,7 @@
 	all = slices.Compact(all)
 	// If there are more than maxAddresses, each answer has a different selection.
 	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
-	return all[:min(len(all), maxAddresses)], int(max(1, d.set.Timing.AddressTTL.D().Seconds()))
+	return all[:min(len(all), maxAddresses)], int(max(1, d.inForce.Load().Timing.AddressTTL.D().Seconds()))
 }
 
 // maxAddresses bounds the addresses in an answer of the directory: callers accept
--- a/driver/decisions/log.go
+++ b/driver/decisions/log.go
@@ -125,6 +125,14 @@
 // Component returns a log whose lines name a component of the daemon.
 func (l *Log) Component(name string) *Log { return &Log{shared: l.shared, Logger: l.Named(name)} }
 
+// ChangeLevel changes the level of this log and of all logs derived from the same one. It logs the event which changes it
+// by the lower of the two levels.
+func (l *Log) ChangeLevel(level hclog.Level, event string, args ...any) {
+	l.SetLevel(min(l.GetLevel(), level))
+	l.Info(event, args...)
+	l.SetLevel(level)
+}
+
 // InfoSampled logs a success, unless maxSampledPerSecond successes have been
 // logged in the current second.
 func (l *Log) InfoSampled(event string, args ...any) {
--- a/driver/retries/retries.go
+++ b/driver/retries/retries.go
@@ -83,6 +83,13 @@
 	}
 }
 
+// SetLimit changes the limit, but for its window.
+func (c *Controller) SetLimit(limit retry.Limit) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sharing.SetLimit(limit)
+}
+
 // NewFixed returns a controller whose share does not change, without Run: for one daemon on its own.
 func NewFixed(share retry.Share, log *decisions.Log, scope tally.Scope) *Controller {
 	return &Controller{
--- a/settings/edge.go
+++ b/settings/edge.go
@@ -27,7 +27,7 @@
 	FirstStart bool `json:"first_start"`
 	// Quotas is omitted if workspaces have no quotas.
 	Quotas   EdgeQuotas `json:"quotas"`
-	LogLevel string     `json:"log_level"`
+	LogLevel string     `json:"log_level" reload:"applied"`
 }
 
 // EdgeListen holds the addresses of the daemon's listeners.
@@ -41,7 +41,7 @@
 
 // EdgePeers holds the other daemons that are known at the start.
 type EdgePeers struct {
-	Seeds []string `json:"seeds"` // peer addresses; some may be out of date
+	Seeds []string `json:"seeds" reload:"applied"` // peer addresses; some may be out of date
 }
 
 // EdgeStore holds the address of the platform's store and the time-out of calls to it.
@@ -56,8 +56,8 @@
 	Descriptors int64 `json:"descriptors"`
 	// The daemon may use the fraction CPUShare of Cores processor cores; zero if not
 	// known.
-	CPUShare float64 `json:"cpu_share"`
-	Cores    float64 `json:"cores"`
+	CPUShare float64 `json:"cpu_share" reload:"applied"`
+	Cores    float64 `json:"cores" reload:"applied"`
 }
 
 // Capacity returns the daemon's processor time in thousandths of a core; zero if not
@@ -68,9 +68,9 @@
 type EdgeTiming struct {
 	// AddressTTL is how long callers cache an answer of the directory; some cache
 	// it three times as long.
-	AddressTTL bundle.Duration `json:"address_ttl"`
+	AddressTTL bundle.Duration `json:"address_ttl" reload:"applied"`
 	// Grace is the time between the request to stop a daemon and its kill.
-	Grace bundle.Duration `json:"grace"`
+	Grace bundle.Duration `json:"grace" reload:"applied"`
 	// OrderGap is the least time between the orders of two lease holders to one
 	// engine.
 	OrderGap bundle.Duration `json:"order_gap"`
@@ -81,7 +81,7 @@
 	ApplyWithin bundle.Duration `json:"apply_within"`
 	// RevokeWithin is the time after which a revoked key must not be accepted, even by a
 	// daemon that receives no updates; zero: no such bound.
-	RevokeWithin bundle.Duration `json:"revoke_within"`
+	RevokeWithin bundle.Duration `json:"revoke_within" reload:"applied"`
 	// EndpointHeartbeat is the interval between heartbeats of an endpoint.
 	EndpointHeartbeat bundle.Duration `json:"endpoint_heartbeat"`
 	// Pass is the time that the daemon may take to pass on an event of a stream.
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -27,7 +27,7 @@
 	Platform      Platform  `json:"platform"`
 	Limits        Limits    `json:"limits"`
 	Retries       Retries   `json:"retries"`
-	LogLevel      string    `json:"log_level"`
+	LogLevel      string    `json:"log_level" reload:"applied"`
 	// LeaseTerm is the time after which a placement lease expires without renewal.
 	LeaseTerm bundle.Duration `json:"lease_term"`
 	// FirstStart declares that the whole system starts for the first time. No daemon has held
@@ -43,7 +43,7 @@
 // Peers configures the listener for other daemons.
 type Peers struct {
 	Listen string   `json:"listen"`
-	Seeds  []string `json:"seeds,omitempty"` // used in addition to the platform's host list
+	Seeds  []string `json:"seeds,omitempty" reload:"applied"` // used in addition to the platform's host list
 	// Token is a secret that all daemons share; calls without it are refused.
 	// If it is empty, all calls are accepted: for trials on one host.
 	Token string `json:"token,omitempty"`
@@ -52,7 +52,7 @@
 // Operators configures the listener for operators.
 type Operators struct {
 	Listen string          `json:"listen"`
-	Tokens []OperatorToken `json:"tokens"`
+	Tokens []OperatorToken `json:"tokens" reload:"applied"`
 	TLS    *TLS            `json:"tls,omitempty"`
 }
 
@@ -85,8 +85,8 @@
 
 // Retries bound the retries of all daemons together, at each service.
 type Retries struct {
-	Ratio float64 `json:"ratio"` // retries as a fraction of the requests
-	Extra float64 `json:"extra"` // further retries within a window
+	Ratio float64 `json:"ratio" reload:"applied"` // retries as a fraction of the requests
+	Extra float64 `json:"extra" reload:"applied"` // further retries within a window
 	// Window is omitted for that of retry.DefaultLimit.
 	Window bundle.Duration `json:"window,omitempty"`
 }
--- a/transport/edge/arrive.go
+++ b/transport/edge/arrive.go
@@ -78,7 +78,7 @@
 
 // identify finds the workspace of the request, and decides whether its key is accepted.
 func (s *Server) identify(_ context.Context, q *request) *protocol.Refusal {
-	a := s.opt.Access.Decide(access.Request{Directory: q.table.Workspaces, Public: q.route.Public, Credential: q.call.Credential, Age: q.stateAge})
+	a := s.access.Load().Decide(access.Request{Directory: q.table.Workspaces, Public: q.route.Public, Credential: q.call.Credential, Age: q.stateAge})
 	q.owner = a.Workspace
 	q.rank = q.route.RankOf(q.owner)
 	switch a.Outcome {
--- a/transport/edge/server.go
+++ b/transport/edge/server.go
@@ -69,7 +69,7 @@
 	Retries *retries.Controller
 	// StateAge returns a bound on the age of the desired state that a later call of Table returns.
 	StateAge func() time.Duration
-	// Access decides which keys are accepted, given the age of the desired state.
+	// Access decides which keys are accepted, given the age of the desired state, until SetAccess is called.
 	Access access.Bounds
 	// Quotas enforces the quotas of workspaces.
 	Quotas *quotas.Controller
@@ -98,6 +98,7 @@
 type Server struct {
 	opt     Options
 	client  *client
+	access  atomic.Pointer[access.Bounds]
 	active  atomic.Int64
 	held    *heldBytes
 	metrics metrics
@@ -144,7 +145,7 @@
 		return m.Tagged(map[string]string{"reason": why}).Counter("slow_readers_closed_total")
 	}
 	buckets := tally.MustMakeExponentialDurationBuckets(5*time.Millisecond, 2, 14)
-	return &Server{opt: opt, client: newClient(opt.Paths), accounts: inbound.NewAccounts(opt.Log, m), held: newHeldBytes(opt.HeldBytes), demand: map[string]residency.Demand{}, demandChanged: make(chan struct{}, 1), placeFreed: make(chan struct{}, 1), margins: waiting.NewMargins(), metrics: metrics{
+	s := &Server{opt: opt, client: newClient(opt.Paths), accounts: inbound.NewAccounts(opt.Log, m), held: newHeldBytes(opt.HeldBytes), demand: map[string]residency.Demand{}, demandChanged: make(chan struct{}, 1), placeFreed: make(chan struct{}, 1), margins: waiting.NewMargins(), metrics: metrics{
 		answered: m.Counter("requests_answered_total"), refused: m.Counter("requests_refused_total"),
 		failed: m.Counter("requests_failed_total"), retried: m.Counter("attempts_retried_total"),
 		resumed: m.Counter("streams_resumed_total"), disconnected: m.Counter("callers_gone_total"), unknownHeaders: m.Counter("answer_headers_unknown_total"),
@@ -154,8 +155,13 @@
 		withoutEnd:  protocol.CountersOfEndless(m),
 		slowCallers: map[string]tally.Counter{closedUnread: slow(closedUnread), closedMemory: slow(closedMemory), closedDeadline: slow(closedDeadline)},
 	}}
+	s.SetAccess(opt.Access)
+	return s
 }
 
+// SetAccess changes the bounds by which keys are accepted.
+func (s *Server) SetAccess(bounds access.Bounds) { s.access.Store(&bounds) }
+
 // InProgress returns the number of requests without a final answer.
 func (s *Server) InProgress() int { return int(s.active.Load()) }
 
--- a/transport/operators/server.go
+++ b/transport/operators/server.go
@@ -37,7 +37,8 @@
 
 // Options configure a Server.
 type Options struct {
-	Tokens  []settings.OperatorToken
+	// Tokens returns the tokens of the operators.
+	Tokens  func() []settings.OperatorToken
 	Rollout Rollout
 	Members func() []membership.Member
 	// Dump returns the daemon's whole state as a value that marshals to JSON.
@@ -82,7 +83,7 @@
 		sum := sha256.Sum256([]byte(token))
 		given := []byte(hex.EncodeToString(sum[:]))
 		name := ""
-		for _, t := range s.opt.Tokens {
+		for _, t := range s.opt.Tokens() {
 			if subtle.ConstantTimeCompare(given, []byte(t.TokenSHA256)) == 1 {
 				name = t.Name
 			}
