intake: the rest of a refused request is read for as long as the request would have had

What callers saw: nothing; one that sends without end kept its connection for 13 s after a refusal at the end of its 3 s.

Cause: the time to discard what comes after a refusal was ten seconds whatever the request's own time was.

Change: it is what the request has left, between 2 and 10 s.

--- a/coordination/intake/intake.go
+++ b/coordination/intake/intake.go
@@ -145,18 +145,18 @@
 // ReadsHead reports whether the connection is idle or in a head.
 func (c *Connection) ReadsHead() bool { return c.phase != serving }
 
+// The rest of a refused request is read and discarded for as long as the request itself would have had, within these
+// bounds. While the daemon stops it is the lower one: such a request keeps it from stopping.
 const (
-	// discardTime bounds how long the rest of a refused request is read and discarded, and stoppingDiscardTime how long
-	// while the daemon stops: such a request keeps it from stopping.
-	discardTime         = 10 * time.Second
-	stoppingDiscardTime = 2 * time.Second
+	minDiscardTime = 2 * time.Second
+	maxDiscardTime = 10 * time.Second
 )
 
-// DiscardTime returns how long the rest of a refused request is read and discarded. Its caller may read the refusal only after
-// it has sent everything.
-func DiscardTime(stopping bool) time.Duration {
+// DiscardTime returns how long the rest of a refused request is read and discarded, which had the given time left. Its caller may
+// read the refusal only after it has sent everything.
+func DiscardTime(stopping bool, left time.Duration) time.Duration {
 	if stopping {
-		return stoppingDiscardTime
+		return minDiscardTime
 	}
-	return discardTime
+	return min(max(left, minDiscardTime), maxDiscardTime)
 }
--- a/coordination/intake/intake_test.go
+++ b/coordination/intake/intake_test.go
@@ -121,9 +121,20 @@
 	})
 }
 
-// Guards against a stopping daemon that waits for refused callers which go on sending.
-func TestDiscardTimeIsShorterWhileStopping(t *testing.T) {
-	if serving, stopping := DiscardTime(false), DiscardTime(true); stopping <= 0 || stopping >= serving {
-		t.Errorf("%v while it stops, %v before", stopping, serving)
+// Guards against refused requests that keep a daemon from stopping, or that go on without an end.
+func TestDiscardTime(t *testing.T) {
+	for _, c := range []struct {
+		stopping   bool
+		left, want time.Duration
+	}{
+		{false, 5 * time.Second, 5 * time.Second},
+		{false, 0, minDiscardTime},
+		{false, -time.Minute, minDiscardTime},
+		{false, time.Hour, maxDiscardTime},
+		{true, time.Hour, minDiscardTime},
+	} {
+		if got := DiscardTime(c.stopping, c.left); got != c.want {
+			t.Errorf("%+v: %v", c, got)
+		}
 	}
 }
--- a/transport/callers/call.go
+++ b/transport/callers/call.go
@@ -144,6 +144,7 @@
 	if refusal != nil {
 		return nil, ident, refusal
 	}
+	c.Set(deadlineKey, now.Add(timeout))
 	if r.ContentLength != 0 { // without a body, a deadline would end net/http's wait for the end of the caller's bytes
 		conn := http.NewResponseController(c.Response().Writer)
 		_ = conn.SetReadDeadline(now.Add(timeout)) // not all writers support deadlines
--- a/transport/callers/server.go
+++ b/transport/callers/server.go
@@ -105,7 +105,7 @@
 		if !c.Response().Committed {
 			rest := inbound.RestOf(c.Response().Writer, c.Request())
 			writeOutcome(c.Response(), rest, protocol.Refuse(http.StatusNotFound, "no-such-path", err.Error(), 0))
-			s.discard(rest)
+			s.discard(c, rest)
 		}
 	}
 	e.GET("/v1/addresses", s.addresses)
@@ -134,7 +134,7 @@
 		start := time.Now()
 		rest := inbound.RestOf(c.Response().Writer, c.Request())
 		c.Set(restKey, rest)
-		defer s.discard(rest) // deferred first: the request has its final answer then, and does not count as in progress
+		defer s.discard(c, rest) // deferred first: the request has its final answer then, and does not count as in progress
 		active := s.active.Add(1)
 		defer s.active.Add(-1)
 		account := s.accounts.Begin(c.Request())
@@ -167,14 +167,22 @@
 }
 
 // discard discards the rest of the body of a request that was refused.
-func (s *Server) discard(rest *inbound.Rest) {
-	rest.Discard(intake.DiscardTime(s.opt.Phase() != drain.Serving))
+func (s *Server) discard(c echo.Context, rest *inbound.Rest) {
+	left := unknownTimeLeft
+	if deadline, ok := c.Get(deadlineKey).(time.Time); ok {
+		left = time.Until(deadline)
+	}
+	rest.Discard(intake.DiscardTime(s.opt.Phase() != drain.Serving, left))
 }
 
+// unknownTimeLeft is taken for the time of a request that was refused before its own time was known.
+const unknownTimeLeft = 30 * time.Second
+
 // Keys of the echo context of a request.
 const (
-	workKey = "work" // of the work on it
-	restKey = "rest" // of the rest of its body
+	workKey     = "work" // of the work on it
+	restKey     = "rest" // of the rest of its body
+	deadlineKey = "deadline"
 )
 
 // workOf returns the work on a request.
--- a/transport/edge/server.go
+++ b/transport/edge/server.go
@@ -232,6 +232,15 @@
 	return time.Until(q.deadline) - (clock.Suspended() - q.suspendedBefore)
 }
 
+// discardable returns how much longer the caller of a refused request may send: as long as it would have waited. q is nil
+// for a request refused before it was read.
+func (q *request) discardable() time.Duration {
+	if q == nil {
+		return defaultTimeLeft
+	}
+	return q.timeLeft()
+}
+
 // workspace returns the name of the workspace charged for the request; empty if there is none.
 func (q *request) workspace() string {
 	if q.owner == nil {
@@ -277,12 +286,12 @@
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
 	rest := inbound.RestOf(w, r)
+	var q *request
 	// Deferred first: the request has its final answer then, and does not count as in progress.
-	defer func() { rest.Discard(intake.DiscardTime(s.opt.Draining())) }()
+	defer func() { rest.Discard(intake.DiscardTime(s.opt.Draining(), q.discardable())) }()
 	active := s.active.Add(1)
 	defer s.active.Add(-1)
 	account := s.accounts.Begin(r)
-	var q *request
 	var a *answer
 	defer account.Close(func() bool { return s.answerUnaccounted(w, rest, q, a) })
 	if s.opt.Draining() {
