daemon: a model that moves to another service is asked for there

What callers saw, on the own interface: after a rollout that gives a model another service, requests for it at a daemon that had used it were sent to its former endpoint and refused (endpoint-refused: not-loaded), or waited to the end of their time (deadline-cannot-be-met), for as long as the daemon ran.

Cause: the service of a model was applied once. A unit's gate lasts over rollouts, kept the credits of the former service, and asked that service's reporter for more; the new one is idle until it is asked.

Change: a gate asks the reporter of the service that its unit belongs to now. Credits are dropped when it changes, and answers to a reporter that still come for a unit that it does not have any more are ignored.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -91,8 +91,9 @@
 	reporter     promreporter.Reporter
 	closer       interface{ Close() error }
 
-	gates atomic.Pointer[map[string]*gate.Gate]
-	roles sync.Map // by group; values are role
+	gates      atomic.Pointer[map[string]*gate.Gate]
+	reporterOf atomic.Pointer[map[string]*reporter] // by unit, that of its service
+	roles      sync.Map                             // by group; values are role
 
 	mu      sync.Mutex // placers and drain
 	placers map[string]*placer.Placer
@@ -169,6 +170,7 @@
 	d.gossip.OnFact(d.throttle.ReceiveRejectionLimit)
 	d.gossip.OnFact(d.paths.ReceiveFact)
 	d.gates.Store(&map[string]*gate.Gate{})
+	d.reporterOf.Store(&map[string]*reporter{})
 	d.setPhase(drain.Serving)
 	d.retries = retries.New(retries.Options{
 		Limit: set.Retries.Limit(), FirstStart: set.FirstStart, Self: d.self, Store: d.platform, Listed: d.listedDaemons, Generations: d.generations, Members: d.aliveMembers,
@@ -271,26 +273,34 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.paths.SetAddresses(addressesOf(s.Bundle))
-	old := *d.gates.Load()
+	old, oldReporters := *d.gates.Load(), *d.reporterOf.Load()
+	reporterOf := map[string]*reporter{}
 	next := make(map[string]*gate.Gate, len(s.Units))
 	for _, svc := range s.Bundle.Services {
 		r := d.reporterFor(svc.Name)
 		gates := map[string]*gate.Gate{}
 		if svc.Kind == bundle.KindPlain {
-			gates[svc.Name] = d.gateFor(old, svc.Name, r)
+			gates[svc.Name] = d.gateFor(old, svc.Name)
 		}
 		for name, u := range s.Units {
 			if u.Service == svc.Name {
-				gates[name] = d.gateFor(old, name, r)
+				gates[name] = d.gateFor(old, name)
 			}
 		}
 		for name, g := range gates {
-			next[name] = g
+			next[name], reporterOf[name] = g, r
 		}
 		r.configure(svc, gates)
 		d.placerFor(svc.Name).Configure(s)
 	}
 	d.gates.Store(&next)
+	d.reporterOf.Store(&reporterOf)
+	for name, r := range reporterOf {
+		if before := oldReporters[name]; before != nil && before != r { // the unit has moved to another service
+			next[name].DropCredits()
+			r.kickNow() // for requests that wait already
+		}
+	}
 }
 
 // tunnelDivisor is the share of the connections, as a divisor, that may be relayed for other daemons.
@@ -307,11 +317,18 @@
 }
 
 // gateFor returns the unit's gate from old, or else a new one.
-func (d *Daemon) gateFor(old map[string]*gate.Gate, unit string, r *reporter) *gate.Gate {
+func (d *Daemon) gateFor(old map[string]*gate.Gate, unit string) *gate.Gate {
 	if g := old[unit]; g != nil {
 		return g
 	}
-	return gate.New(unit, d.set.Limits.QueueLength, r.kickNow, d.endpointClosed)
+	return gate.New(unit, d.set.Limits.QueueLength, func() { d.kickReporter(unit) }, d.endpointClosed)
+}
+
+// kickReporter requests a report of a unit's demand by the reporter of the service that it belongs to now.
+func (d *Daemon) kickReporter(unit string) {
+	if r := (*d.reporterOf.Load())[unit]; r != nil {
+		r.kickNow()
+	}
 }
 
 // reporterFor returns a service's reporter, and creates it on first use. The caller
--- a/daemon/reporter.go
+++ b/daemon/reporter.go
@@ -200,12 +200,15 @@
 		est.Slots = float64(e.ShareMillislots) / 1000
 		estimates[e.Unit] = est
 	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	for _, u := range units {
+		if r.gates[u.name] != u.gate {
+			continue // the unit has moved to another service, or is gone
+		}
 		u.gate.Update(now, credits[u.name], estimates[u.name])
 		if len(credits[u.name]) > 0 {
-			r.mu.Lock()
 			r.credited[u.name] = true
-			r.mu.Unlock()
 		}
 	}
 }
--- a/driver/gate/gate.go
+++ b/driver/gate/gate.go
@@ -315,6 +315,14 @@
 	g.refuse(g.queue.Review(now, g.estimate(now)))
 }
 
+// DropCredits takes all credits back and discards the estimate, as after the unit has moved to another service.
+func (g *Gate) DropCredits() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.setCredits(nil)
+	g.estAt = time.Time{}
+}
+
 // ForgetEstimate discards the estimate, as after a change of the configuration.
 func (g *Gate) ForgetEstimate() {
 	g.mu.Lock()
