rollout: claims.shards of a bundle in force cannot change

What callers saw, on the own interface: after a rollout that changes claims.shards, calls with an Idempotency-Key that had run were run again.

Cause: the shard that keeps a key follows from their number, and the number was applied at once, with nothing carried over.

Change: such a rollout is refused, with the reason. A bundle in force that is gone or cannot be read is no reason to refuse, so that operators can replace it. Keys could be carried over instead (claim in both shards for the time of claims.retention after a change); that needs the time of the change at each daemon, and is not done.

--- a/coordination/rollout/rollout.go
+++ b/coordination/rollout/rollout.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/zeebo/errs"
+
+	"github.com/doorvalve/doorvalve/state/bundle"
 )
 
 // Error is the class of every error that this package creates.
@@ -85,6 +87,15 @@
 	}, writeID), nil
 }
 
+// CheckChange returns an error if a bundle must not follow the one in force. Keys that were claimed are not found in
+// another number of shards, so that calls which may not be repeated would run again.
+func CheckChange(inForce, next *bundle.Bundle) error {
+	if inForce.Claims.Shards != next.Claims.Shards {
+		return Error.New("claims.shards is %d in force and cannot change to %d: keys that were claimed would not be found", inForce.Claims.Shards, next.Claims.Shards)
+	}
+	return nil
+}
+
 // MoveTo returns the pointer after a move to a step. The step before becomes the
 // first one of the history.
 func (p Pointer) MoveTo(s Step, writeID string) Pointer {
--- a/driver/rollout/actions.go
+++ b/driver/rollout/actions.go
@@ -110,6 +110,11 @@
 		if err != nil {
 			return p, err
 		}
+		if p.Generation > 0 {
+			if err := r.checkChange(ctx, p, next); err != nil {
+				return p, err
+			}
+		}
 		if _, out := r.platform.Put(ctx, platform.KindConfig, PointerName, version, next); out == protocol.WriteOK {
 			r.publishPointer(next)
 			return next, nil
@@ -118,6 +123,35 @@
 	return rules.Pointer{}, ErrOutcomeUnknown
 }
 
+// checkChange returns an error if the bundle of next must not follow that of p. A bundle in force that is gone, or that this
+// version cannot read, is no reason: operators could not replace it otherwise.
+func (r *Rollout) checkChange(ctx context.Context, p, next rules.Pointer) error {
+	inForce, err := r.bundleOf(ctx, p)
+	if errors.Is(err, platform.ErrNotFound) || errors.As(err, new(bundle.Issues)) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	following, err := r.bundleOf(ctx, next)
+	if err != nil {
+		return err
+	}
+	return rules.CheckChange(inForce, following)
+}
+
+// bundleOf returns the bundle that a pointer names.
+func (r *Rollout) bundleOf(ctx context.Context, p rules.Pointer) (*bundle.Bundle, error) {
+	if s := r.Current(); s != nil && s.Digest == p.Digest {
+		return s.Bundle, nil
+	}
+	content, err := r.Content(ctx, p.Digest)
+	if err != nil {
+		return nil, err
+	}
+	return bundle.Parse("bundle", []byte(content))
+}
+
 // Pointer reads the pointer with its history; it is zero if nothing has been rolled out.
 func (r *Rollout) Pointer(ctx context.Context) (rules.Pointer, error) {
 	var p rules.Pointer
--- a/e2e/configapplied_test.go
+++ b/e2e/configapplied_test.go
@@ -1,6 +1,8 @@
 package e2e_test
 
 import (
+	"fmt"
+	"net/http"
 	"slices"
 	"testing"
 	"time"
@@ -8,6 +10,35 @@
 	"github.com/doorvalve/doorvalve/state/bundle"
 )
 
+// Guards against keys that are not found any more when a bundle changes the number of shards that keep them: a call that
+// may not be repeated would run twice.
+func TestKeysOutlastAChangeOfShards(t *testing.T) {
+	o := defaults()
+	o.daemons = 2
+	w := newTestbed(t, o)
+	const keys = 12
+	for i := range keys {
+		if r := w.daemons[0].order(fmt.Sprint("key", i)); !r.ok() {
+			t.Fatalf("first call: %+v", r)
+		}
+	}
+	b := w.bundle
+	b.Claims.Shards = 7
+	p := w.daemons[0]
+	before := w.pointer(p)
+	status, err := p.advance(p.propose(b), before.Generation)
+	if status == http.StatusOK {
+		w.inForce(before.Generation + 1)
+	} else if status != http.StatusForbidden {
+		t.Fatalf("rollout: %d %v", status, err)
+	}
+	for i := range keys {
+		if r := w.daemons[1].order(fmt.Sprint("key", i)); r.status != http.StatusConflict {
+			t.Errorf("key%d, rollout answered with %d: a second call gets %d %s, want 409", i, status, r.status, r.body)
+		}
+	}
+}
+
 // Guards against a model whose requests wait for credit that is asked of its former service.
 func TestModelMovesToAnotherService(t *testing.T) {
 	o := defaults()
