claimer: a change of claims.retention holds for shards in use

By reading, on the own interface: a daemon kept the retention of the moment at which it first used a shard. After a rollout with a longer one it went on dropping keys early, so that calls that may not be repeated could run again; a claim of another daemon that came before the first bundle fixed it to an hour.

Change: the shard gets the retention in force with each claim and release. Before the first bundle keys are kept for ever.

Red before: TestClaimsReleaseAndRetention with the state machine's part taken out. That the claimer passes the time on is not tested by itself: a minute is the least that a bundle may set. TestClaims* and the package are green with the race detector.

--- a/coordination/claims/claims.go
+++ b/coordination/claims/claims.go
@@ -540,5 +540,8 @@
 	return slices.Contains(next.Open, r.record())
 }
 
+// SetRetention changes the retention of sealed records.
+func (s *Shard) SetRetention(d time.Duration) { s.opt.Retention = d }
+
 // Size returns the number of claimed keys in the shard.
 func (s *Shard) Size() int { return len(s.index) }
--- a/coordination/claims/claims_test.go
+++ b/coordination/claims/claims_test.go
@@ -311,7 +311,16 @@
 	}
 	o.s.Step(now, Claim{Key: k, ClaimID: "4"})
 	expect(Duplicate)
-	now = now.Add(2 * time.Hour)
+	// A retention that has become longer, or that is not known yet, holds for what was claimed before.
+	for i, retention := range []time.Duration{3 * time.Hour, math.MaxInt64} {
+		o.s.SetRetention(retention)
+		now = now.Add(time.Hour)
+		o.s.Step(now, Claim{Key: MakeKey("c", "s", fmt.Sprint("kept", i)), ClaimID: fmt.Sprint("kept", i)})
+		expect(Granted)
+		o.s.Step(now, Claim{Key: k, ClaimID: fmt.Sprint("again", i)})
+		expect(Duplicate)
+	}
+	o.s.SetRetention(time.Hour)
 	o.s.Step(now, Claim{Key: MakeKey("c", "s", "later"), ClaimID: "5"})
 	expect(Granted)
 	o.s.Step(now, Claim{Key: k, ClaimID: "6"})
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -7,6 +7,7 @@
 	"crypto/rand"
 	"encoding/hex"
 	"errors"
+	"math"
 	"net"
 	"net/http"
 	"strings"
@@ -249,13 +250,13 @@
 	return len(list), err
 }
 
-// claimsConfig returns the settings of claims in the configuration in force, or
-// defaults before the first one.
+// claimsConfig returns the settings of claims in the configuration in force. Before the first one, keys are kept for
+// ever: other daemons may claim keys here already, for which a longer time holds than any default.
 func (d *Daemon) claimsConfig() bundle.Claims {
 	if s := d.rollout.Current(); s != nil {
 		return s.Bundle.Claims
 	}
-	return bundle.Claims{Shards: 1, Retention: bundle.Duration(time.Hour)}
+	return bundle.Claims{Shards: 1, Retention: math.MaxInt64}
 }
 
 // serviceConfigured reports whether a service is configured. Before the first configuration, all are.
--- a/driver/claimer/claimer.go
+++ b/driver/claimer/claimer.go
@@ -112,7 +112,7 @@
 	return c.shard(n).do(ctx, key, claimID, release)
 }
 
-// shard returns the shard n, and creates it if there is none.
+// shard returns the shard n with the retention in force, and creates it if there is none.
 func (c *Claimer) shard(n uint32) *shard {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -121,10 +121,13 @@
 		s = &shard{name: strconv.Itoa(int(n)), platform: c.opt.Platform, waiters: map[waiter]chan claims.Outcome{}}
 		s.machine = claims.NewShard(claims.Options{
 			Owner: c.opt.Self, Shard: n, Interval: claims.DefaultInterval, RetryWait: readRetry,
-			Retention: c.opt.Config().Retention.D(), MaxOpen: claims.DefaultMaxOpen,
+			MaxOpen: claims.DefaultMaxOpen,
 		})
 		c.shards[n] = s
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.machine.SetRetention(c.opt.Config().Retention.D())
 	return s
 }
 
