inbound: a stopping daemon serves requests whose heads are on their way

What callers saw: when a stopping daemon takes no more connections (at 65% of its grace period), a request whose head had begun to arrive, on a used connection or a new one, got neither an answer nor a refusal.

Cause: net/http's graceful shutdown closes connections as idle until their heads are complete, and its serve loop returns without an answer when a head ends after the shutdown has begun ("if c.server.shuttingDown() { return }").

Tried first and given up: keeping net/http from closing such connections; it still drops the request.

Change: inbound.Listener shuts down itself: no new connections; idle ones end after 100 ms without a byte, as coordination/intake decides; heads and requests end within their own limits, up to the end of the grace period. Answers that begin while the daemon stops announce the end of the connection, also to requests that arrived before the stop.

--- a/coordination/intake/intake.go
+++ b/coordination/intake/intake.go
@@ -52,16 +52,32 @@
 	since  time.Time // when the phase began
 	until  time.Time // the end of an idle connection; zero: none
 	bytes  int       // of the head
+	// stopping: the server stops.
+	stopping bool
 }
 
+// stoppingIdle is how long a connection may be idle while the server stops: for a request that is on its way.
+const stoppingIdle = 100 * time.Millisecond
+
 // BeginIdle begins the time before the next request.
 func (c *Connection) BeginIdle(now time.Time, l Limits) {
-	*c = Connection{phase: idle, limits: l, since: now}
-	if l.IdleTime > 0 {
+	*c = Connection{phase: idle, limits: l, since: now, stopping: c.stopping}
+	switch {
+	case c.stopping:
+		c.until = now.Add(stoppingIdle)
+	case l.IdleTime > 0:
 		c.until = now.Add(l.IdleTime + idleMargin)
 	}
 }
 
+// Stop records that the server stops. A head that has begun may end, and its request is served.
+func (c *Connection) Stop(now time.Time) {
+	c.stopping = true
+	if c.phase == idle {
+		c.until = now.Add(stoppingIdle)
+	}
+}
+
 // Receive records that n bytes have arrived. The first ones after idle time begin a head.
 func (c *Connection) Receive(now time.Time, n int) {
 	if n == 0 || c.phase == serving {
@@ -84,6 +100,9 @@
 		c.limits = widest(c.limits, l)
 	case idle:
 		c.limits = l
+		if c.stopping {
+			return
+		}
 		c.until = c.changedEnd(now, l, notice)
 	}
 }
--- a/coordination/intake/intake_test.go
+++ b/coordination/intake/intake_test.go
@@ -124,3 +124,27 @@
 		t.Errorf("%v while it stops, %v before", stopping, serving)
 	}
 }
+
+// Guards against a stopping server that drops a request whose head has begun, or waits for idle connections.
+func TestStoppingClosesIdleConnectionsOnly(t *testing.T) {
+	now, limits := time.Now(), Limits{HeadBytes: 1000, HeadTime: 10 * time.Second, IdleTime: time.Minute}
+	var c Connection
+	c.BeginIdle(now, limits)
+	c.Receive(now, 10)
+	c.Stop(now)
+	if v := c.Check(now.Add(9 * time.Second)); v != Open {
+		t.Errorf("a head that has begun: %v", v)
+	}
+	c.BeginRequest()
+	c.BeginIdle(now, limits)
+	c.Change(now, limits, time.Minute)
+	if before, after := c.Check(now.Add(stoppingIdle-1)), c.Check(now.Add(stoppingIdle)); before != Open || after != Expired {
+		t.Errorf("after the request: %v, then %v", before, after)
+	}
+	c = Connection{}
+	c.BeginIdle(now, limits)
+	c.Stop(now)
+	if v := c.Check(now.Add(stoppingIdle)); v != Expired {
+		t.Errorf("an idle connection: %v", v)
+	}
+}
--- a/daemon/edgedaemon/stop.go
+++ b/daemon/edgedaemon/stop.go
@@ -118,7 +118,7 @@
 	pause.For(ctx, time.Until(d.closesAt()))
 	ctx, cancel := context.WithDeadline(ctx, d.deadline())
 	defer cancel()
-	if err := d.callerServer.Shutdown(ctx); err != nil {
+	if err := d.inbound.Shutdown(ctx); err != nil {
 		d.log.Warn("requests cut off at the end of the grace period", "in_progress", d.callers.InProgress(), "error", err)
 	}
 	d.tunnels.Wait(ctx)
--- a/transport/edge/answer.go
+++ b/transport/edge/answer.go
@@ -153,6 +153,7 @@
 	for name, values := range a.server.opt.Dialect.Inbound(resp.Header) {
 		h[name] = values
 	}
+	a.server.announceEnd(h)
 	return nil
 }
 
--- a/transport/edge/server.go
+++ b/transport/edge/server.go
@@ -279,9 +279,6 @@
 	var q *request
 	var a *answer
 	defer account.Close(func() bool { return s.answerUnaccounted(w, rest, q, a) })
-	if s.opt.Draining() {
-		w.Header().Set("Connection", "close")
-	}
 	c := s.held.open(w)
 	defer c.end()
 	ctx, work := inbound.Follow(r)
@@ -417,6 +414,7 @@
 		h.Set(protocol.HeaderRequestID, q.call.ID)
 	}
 	rest.BeforeRefusal()
+	s.announceEnd(h)
 	answer := *refusal
 	answer.RetryAfter = 0 // set below with fractions of a second, not by WriteTo
 	if refusal.RetryAfter > 0 {
@@ -433,6 +431,13 @@
 	return outcome
 }
 
+// announceEnd announces in the head of an answer that the daemon stops, and closes the connection after the answer.
+func (s *Server) announceEnd(h http.Header) {
+	if s.opt.Draining() {
+		h.Set("Connection", "close")
+	}
+}
+
 // setDeadline sets the deadline by the shorter of the time limits of the caller and the route.
 func (s *Server) setDeadline(q *request) {
 	left := q.call.TimeLeft
--- a/transport/inbound/inbound.go
+++ b/transport/inbound/inbound.go
@@ -217,6 +217,16 @@
 	}
 }
 
+// stop begins the end of the connection; see intake.Connection.Stop.
+func (c *Conn) stop() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.intake.Stop(time.Now())
+	if c.intake.ReadsHead() {
+		_ = c.TCPConn.SetReadDeadline(c.intake.Deadline()) // fails on closed connections only
+	}
+}
+
 // End returns how the caller's bytes have ended. A reset after SendingClosed shows in writes only.
 func (c *Conn) End() End {
 	c.mu.Lock()
--- a/transport/inbound/listener.go
+++ b/transport/inbound/listener.go
@@ -33,6 +33,9 @@
 	mu     sync.Mutex
 	limits intake.Limits
 	open   map[*Conn]struct{}
+	// stopping: Shutdown has begun. closed is closed once no connection is open after that.
+	stopping bool
+	closed   chan struct{}
 }
 
 // Listen returns a listener that follows the connections which l accepts. l accepts TCP connections.
@@ -40,7 +43,7 @@
 	if opt.OnRefused == nil {
 		opt.OnRefused = func(*protocol.Refusal) {}
 	}
-	return &Listener{Listener: l, opt: opt, limits: opt.Limits, open: map[*Conn]struct{}{}}
+	return &Listener{Listener: l, opt: opt, limits: opt.Limits, open: map[*Conn]struct{}{}, closed: make(chan struct{})}
 }
 
 // maxHeadBytes bounds the head of a request whatever the limits are.
@@ -66,6 +69,9 @@
 func (l *Listener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
 	if err != nil {
+		if l.isStopping() {
+			return nil, http.ErrServerClosed
+		}
 		return nil, err
 	}
 	tcp, ok := c.(*net.TCPConn)
@@ -79,6 +85,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	conn.intake.BeginIdle(time.Now(), l.limits)
+	if l.stopping {
+		conn.intake.Stop(time.Now())
+	}
 	l.open[conn] = struct{}{}
 	return conn, nil
 }
@@ -87,6 +96,48 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	delete(l.open, c)
+	l.signalClosed()
+}
+
+// signalClosed closes l.closed if the listener stops and no connection is open. The caller holds l.mu.
+func (l *Listener) signalClosed() {
+	if !l.stopping || len(l.open) > 0 {
+		return
+	}
+	select {
+	case <-l.closed:
+	default:
+		close(l.closed)
+	}
+}
+
+// Shutdown accepts no more connections, and waits until those that are open have ended: idle ones end now, the others after
+// their requests. net/http's own shutdown drops a request whose head ends after its begin. Shutdown returns the error of ctx
+// if that ends before.
+func (l *Listener) Shutdown(ctx context.Context) error {
+	l.mu.Lock()
+	l.stopping = true
+	open := slices.Collect(maps.Keys(l.open))
+	l.mu.Unlock()
+	_ = l.Listener.Close() // fails on closed listeners only
+	for _, c := range open {
+		c.stop()
+	}
+	l.mu.Lock()
+	l.signalClosed()
+	l.mu.Unlock()
+	select {
+	case <-l.closed:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (l *Listener) isStopping() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.stopping
 }
 
 // Limits returns the limits in force.
