edge: requests in progress at the end of the grace period are refused

What callers saw: a request that a stopping daemon could not finish in its grace period got neither an answer nor a refusal; its connection was closed.

Cause: the daemon closed its server at the end of the grace period, whatever was in progress.

Change: at the end of the grace period, requests whose answers have not begun end with the refusal "stopping" (504, or 503 if they have not run), within 200 of the 400 ms that are reserved for the exit. Begun answers are broken off, as before. The log line of that moment tells how many were given up and how many got no refusal.

--- a/daemon/edgedaemon/stop.go
+++ b/daemon/edgedaemon/stop.go
@@ -19,6 +19,8 @@
 	// exitReserve is the last part of the grace period, reserved for the exit of
 	// the process after the requests in progress have ended.
 	exitReserve = 400 * time.Millisecond
+	// refusalReserve is the part of exitReserve in which requests that have not ended are refused.
+	refusalReserve = 200 * time.Millisecond
 )
 
 // Stop begins the graceful shutdown; further calls do nothing. A lease that this
@@ -118,9 +120,19 @@
 	pause.For(ctx, time.Until(d.closesAt()))
 	ctx, cancel := context.WithDeadline(ctx, d.deadline())
 	defer cancel()
-	if err := d.inbound.Shutdown(ctx); err != nil {
-		d.log.Warn("requests cut off at the end of the grace period", "in_progress", d.callers.InProgress(), "error", err)
+	if d.inbound.Shutdown(ctx) != nil {
+		d.giveUpRequests()
 	}
 	d.tunnels.Wait(ctx)
 	return errStopped
 }
+
+// giveUpRequests refuses the requests that are in progress at the end of the grace period.
+func (d *Daemon) giveUpRequests() {
+	inProgress := d.callers.InProgress()
+	d.callers.GiveUp()
+	ctx, cancel := context.WithTimeout(context.Background(), refusalReserve)
+	defer cancel()
+	err := d.inbound.Shutdown(ctx)
+	d.log.Warn("requests given up at the end of the grace period", "in_progress", inProgress, "cut_off", d.callers.InProgress(), "error", err)
+}
--- a/transport/edge/arrive.go
+++ b/transport/edge/arrive.go
@@ -94,7 +94,7 @@
 // on requests in progress.
 func (s *Server) checkCapacity(_ context.Context, q *request) *protocol.Refusal {
 	if s.opt.Draining() && q.route.Kind == routing.Streaming && time.Until(s.opt.DrainDeadline()) < drainStreamReserve {
-		return protocol.Refuse(http.StatusServiceUnavailable, "stopping", "this daemon stops before the stream would end", retryDraining)
+		return protocol.Refuse(http.StatusServiceUnavailable, reasonStopping, "this daemon stops before the stream would end", retryDraining)
 	}
 	if q.active > s.opt.Connections {
 		return protocol.Refuse(http.StatusServiceUnavailable, "too-many-requests", "this daemon serves as many requests as it may", retryBusy)
--- a/transport/edge/body.go
+++ b/transport/edge/body.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -34,6 +35,7 @@
 		// that wait, and the caller would be taken for gone.
 		_ = c.conn.SetReadDeadline(q.deadline) // not all writers support deadlines
 		defer func() { _ = c.conn.SetReadDeadline(time.Time{}) }()
+		defer context.AfterFunc(s.stopping, func() { _ = c.conn.SetReadDeadline(time.Unix(1, 0)) })()
 	}
 	body, err := bodies.Read(r, limits.BodyBytes)
 	switch {
@@ -41,6 +43,8 @@
 		return protocol.Refuse(http.StatusRequestEntityTooLarge, "body-too-large", err.Error(), 0)
 	case errors.Is(err, errMemoryFull):
 		return refuseMemoryFull(c, d)
+	case err != nil && s.stopping.Err() != nil:
+		return protocol.Refuse(http.StatusServiceUnavailable, reasonStopping, errStopping.Error(), retryDraining)
 	case err != nil:
 		return protocol.Refuse(http.StatusRequestTimeout, "body-incomplete", "the body did not arrive: "+err.Error(), 0)
 	}
--- a/transport/edge/caller.go
+++ b/transport/edge/caller.go
@@ -23,6 +23,9 @@
 // begun soon after (coordination/hangup).
 const reasonSendingClosed = "sending-side-closed"
 
+// reasonStopping is the reason of a refusal because the daemon stops.
+const reasonStopping = "stopping"
+
 // reasonSlowCaller is the reason in the log of a request whose caller was closed because it read too
 // slowly, reasonCallerGone that of one whose caller has closed the connection, and reasonMemoryFull that
 // of a refusal for lack of memory.
--- a/transport/edge/locate.go
+++ b/transport/edge/locate.go
@@ -146,7 +146,7 @@
 func (s *Server) waitForModel(ctx context.Context, q *request, t *attemptState, answer residency.Answer) *protocol.Refusal {
 	elapsed := time.Since(q.arrived)
 	if s.stopsBefore(answer.ReadyIn) {
-		return protocol.Refuse(http.StatusServiceUnavailable, "stopping", "this daemon stops before the model is loaded", retryDraining)
+		return protocol.Refuse(http.StatusServiceUnavailable, reasonStopping, "this daemon stops before the model is loaded", retryDraining)
 	}
 	source := sourceOf(answer)
 	margin := s.margins.Of(source)
--- a/transport/edge/server.go
+++ b/transport/edge/server.go
@@ -101,6 +101,9 @@
 	active  atomic.Int64
 	held    *heldBytes
 	metrics metrics
+	// stopping ends when GiveUp is called.
+	stopping context.Context
+	giveUp   context.CancelFunc
 	// accounts count the requests and how they end.
 	accounts *inbound.Accounts
 	// largeAnswers are the turns of large answers.
@@ -144,7 +147,8 @@
 		return m.Tagged(map[string]string{"reason": why}).Counter("slow_readers_closed_total")
 	}
 	buckets := tally.MustMakeExponentialDurationBuckets(5*time.Millisecond, 2, 14)
-	return &Server{opt: opt, client: newClient(opt.Paths), accounts: inbound.NewAccounts(opt.Log, m), held: newHeldBytes(opt.HeldBytes), demand: map[string]residency.Demand{}, demandChanged: make(chan struct{}, 1), placeFreed: make(chan struct{}, 1), margins: waiting.NewMargins(), metrics: metrics{
+	stopping, giveUp := context.WithCancel(context.Background())
+	return &Server{opt: opt, stopping: stopping, giveUp: giveUp, client: newClient(opt.Paths), accounts: inbound.NewAccounts(opt.Log, m), held: newHeldBytes(opt.HeldBytes), demand: map[string]residency.Demand{}, demandChanged: make(chan struct{}, 1), placeFreed: make(chan struct{}, 1), margins: waiting.NewMargins(), metrics: metrics{
 		answered: m.Counter("requests_answered_total"), refused: m.Counter("requests_refused_total"),
 		failed: m.Counter("requests_failed_total"), retried: m.Counter("attempts_retried_total"),
 		resumed: m.Counter("streams_resumed_total"), disconnected: m.Counter("callers_gone_total"), unknownHeaders: m.Counter("answer_headers_unknown_total"),
@@ -283,6 +287,8 @@
 	defer c.end()
 	ctx, work := inbound.Follow(r)
 	defer work.Stop()
+	ctx, giveUp := context.WithCancelCause(ctx)
+	defer context.AfterFunc(s.stopping, func() { giveUp(errStopping) })()
 	q, refusal := s.receive(ctx, c, r, work, arrived, active)
 	if refusal != nil {
 		account.End(s.writeRefusal(w, rest, q, refusal, ""))
@@ -310,14 +316,25 @@
 	}
 }
 
-// explainGivenUp returns the refusal of a request that was given up because its caller has closed its sending side;
-// other refusals as they are.
+// errStopping is the cause of the end of requests that are in progress at the end of the grace period.
+var errStopping = errors.New("this daemon stops before the request has ended")
+
+// GiveUp refuses all requests in progress whose answers have not begun, and breaks the others off.
+func (s *Server) GiveUp() { s.giveUp() }
+
+// explainGivenUp returns the refusal of a request that was given up because its caller has closed its sending side or
+// the daemon stops; other refusals as they are.
 func explainGivenUp(refusal *protocol.Refusal, cause error) *protocol.Refusal {
-	if !errors.Is(cause, inbound.ErrSendingClosed) {
+	explained := *refusal
+	switch {
+	case errors.Is(cause, inbound.ErrSendingClosed):
+		explained.Reason = reasonSendingClosed
+	case errors.Is(cause, errStopping):
+		explained.Reason = reasonStopping
+	default:
 		return refusal
 	}
-	explained := *refusal
-	explained.Reason, explained.Detail = reasonSendingClosed, cause.Error()
+	explained.Detail = cause.Error()
 	return &explained
 }
 
--- a/transport/edge/unavailable.go
+++ b/transport/edge/unavailable.go
@@ -86,7 +86,7 @@
 		case t.verdict == protocol.NotRun && clock.Now().Add(now.turnIn).After(t.waitDeadline):
 			return s.refuseUnavailable(q, t, now)
 		case t.verdict == protocol.NotRun && s.stopsBefore(now.turnIn):
-			return protocol.Refuse(http.StatusServiceUnavailable, "stopping", "this daemon stops before the request has its turn", retryDraining)
+			return protocol.Refuse(http.StatusServiceUnavailable, reasonStopping, "this daemon stops before the request has its turn", retryDraining)
 		}
 		pause.For(ctx, min(now.turnIn, turnRecheck))
 		if ctx.Err() != nil {
