residency: a load is not ready before its engine has taken the order

Requests for a model whose order was on its way to a silent engine were sent there once the declared time of the load had passed (130 ms from disk), though the order was given up only after 300 ms: their engine refused them as not held, and each came to it a second time after the pause.

While an order is neither accepted nor given up, its model counts as ready some time after now at the earliest.

--- a/coordination/residency/pause_test.go
+++ b/coordination/residency/pause_test.go
@@ -11,10 +11,9 @@
 func TestPauseOfAnEngineCausesNoSecondOrder(t *testing.T) {
 	for pause := 300 * time.Millisecond; pause <= 2*time.Second; pause += 20 * time.Millisecond {
 		w := newSimCluster(3, 2)
-		m := w.conf.Models["m00"]
-		m.Name = "m03"
-		w.conf.Models[m.Name] = m
-		w.engine("e1").onDisk[m.Name] = true
+		const model = "m03"
+		w.conf.Models[model] = w.conf.Models["m00"]
+		w.engine("e1").onDisk[model] = true
 		w.engine("e1").publish()
 		w.entries()
 		w.run(time.Second)
@@ -22,7 +21,7 @@
 		sent, early := w.orders, 0
 		w.paused, w.pauseEnds = "e1", w.now.Add(pause)
 		for end := w.now.Add(6 * time.Second); w.now.Before(end); {
-			if a := w.p.Want(w.now, Want{Model: m.Name}); a.ReadyIn <= 0 && a.Refused == "" && w.holders(m.Name) == 0 {
+			if a := w.p.Want(w.now, Want{Model: model}); a.ReadyIn <= 0 && a.Refused == "" && w.holders(model) == 0 {
 				early++
 			}
 			w.step()
@@ -30,7 +29,7 @@
 		if early > 0 {
 			t.Errorf("pause of %v: %d requests are sent to an engine that has not loaded the model", pause, early)
 		}
-		if n := w.holders(m.Name); n != 1 || w.orders-sent != 1 {
+		if n := w.holders(model); n != 1 || w.orders-sent != 1 {
 			t.Errorf("pause of %v: the model is loaded at %d engines after %d orders, want 1 and 1", pause, n, w.orders-sent)
 		}
 	}
--- a/coordination/residency/ready.go
+++ b/coordination/residency/ready.go
@@ -54,6 +54,12 @@
 	e.pruneLate(now)
 	e.unknownLateOrder = p.mayHaveUnknownLate(now, e)
 	o := e.order
+	if o != nil && !o.accepted && !o.order.Unload && o.order.Adapter == "" {
+		// The load begins when the engine reads the order, which a pause may delay beyond the declared time of the load.
+		if r := e.models[o.order.Model]; r != nil && !r.confirmed {
+			r.readyAt = maxTime(r.readyAt, now.Add(2*orderMargin))
+		}
+	}
 	if o == nil || !o.accepted || o.order.Unload || o.order.Adapter != "" || now.Before(o.endsAt.Add(orderMargin)) {
 		return
 	}
