refusals: the time for writing one begins after the request's body

What callers saw: a whole request whose body came over more than 2 s, to a path without a route, got neither an answer nor a refusal; its connection was closed when the body was complete. Any refusal that is decided before the body is read could be lost so (no route, no desired state yet, a key, a quota, too many requests), so also beside a change of the configuration that drops a route.

Cause: writeRefusal set the write deadline of 2 s and then wrote. net/http reads the rest of a request's body before it writes the head of the answer on a connection that is kept; with a slow body the write deadline had passed by then. The log had the refusal, with the outcome "caller_gone", which was wrong, too.

Change: the rest of the body is read before the write deadline is set, until the request's own deadline. That goes beyond the 256 KB that net/http reads, after which it closes the connection beside a body that still comes. A refusal that could not be written in time counts as broken off. Connections that are closed anyway (stopping, memory full) get their refusal at once, as before.

Red before: TestEarlyRefusalArrivesAfterASlowBody, 2 of 2 cases (no answer with 1 kB; with 600 kB the refusal arrived, but the connection was closed).

--- a/transport/bodies/bodies.go
+++ b/transport/bodies/bodies.go
@@ -47,3 +47,19 @@
 	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(drainTime)) // not all writers support deadlines
 	_, _ = io.CopyN(io.Discard, r.Body, drainBytes)                              // errors don't matter, as the body is discarded
 }
+
+// DrainForNext reads and discards the rest of the body of a request that is refused, until a deadline, so that the
+// connection can be kept. If the body does not end in time, the connection is closed after the answer. A body that the
+// caller sends only once it is asked to is left alone.
+func DrainForNext(w http.ResponseWriter, r *http.Request, deadline time.Time) {
+	if r.Body == nil || r.Header.Get("Expect") != "" {
+		return // net/http closes the connection after the answer to a request with Expect
+	}
+	conn := http.NewResponseController(w)
+	_ = conn.SetReadDeadline(deadline) // not all writers support deadlines
+	if _, err := io.CopyN(io.Discard, r.Body, drainBytes); !errors.Is(err, io.EOF) {
+		w.Header().Set("Connection", "close") // the deadline stays, as net/http reads on before it closes
+		return
+	}
+	_ = conn.SetReadDeadline(time.Time{})
+}
--- a/transport/edge/server.go
+++ b/transport/edge/server.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"os"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -394,7 +395,7 @@
 }
 
 // writeRefusal writes a refusal as the final answer, counts it and logs it. It returns CallerGone if the refusal could
-// not be written.
+// not be written, and BrokenOff if that was not done in time.
 func (s *Server) writeRefusal(w http.ResponseWriter, r *http.Request, q *request, refusal *protocol.Refusal, endpoint string) inbound.Outcome {
 	event, count := decisions.EventRefused, s.metrics.refused
 	if refusal.Verdict != protocol.NotRun {
@@ -407,8 +408,11 @@
 	if q != nil && q.call.ID != "" {
 		h.Set(protocol.HeaderRequestID, q.call.ID)
 	}
-	if refusal.Status == http.StatusRequestEntityTooLarge {
+	switch {
+	case refusal.Status == http.StatusRequestEntityTooLarge:
 		bodies.Drain(w, r)
+	case h.Get("Connection") != "close":
+		bodies.DrainForNext(w, r, refusalDeadline(q)) // before the write deadline is set: net/http reads the rest of the body before it writes
 	}
 	answer := *refusal
 	answer.RetryAfter = 0 // set below with fractions of a second, not by WriteTo
@@ -419,7 +423,11 @@
 	_ = conn.SetWriteDeadline(time.Now().Add(writeSlack)) // that of the answer may have passed while the host was suspended
 	answer.WriteTo(w)
 	outcome := inbound.Refused
-	if err := conn.Flush(); err != nil && !errors.Is(err, http.ErrNotSupported) {
+	switch err := conn.Flush(); {
+	case err == nil || errors.Is(err, http.ErrNotSupported):
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		outcome = inbound.BrokenOff
+	default:
 		outcome = inbound.CallerGone
 	}
 	s.logRefusal(event, q, refusal, endpoint, outcome)
@@ -429,6 +437,15 @@
 	return outcome
 }
 
+// refusalDeadline returns until when the body of a refused request may arrive. q is nil for a request refused before it was
+// read.
+func refusalDeadline(q *request) time.Time {
+	if q == nil {
+		return time.Now().Add(defaultTimeLeft)
+	}
+	return q.deadline
+}
+
 // setDeadline sets the deadline by the shorter of the time limits of the caller and the route.
 func (s *Server) setDeadline(q *request) {
 	left := q.call.TimeLeft
