--- a/coordination/intake/intake_test.go
+++ b/coordination/intake/intake_test.go
@@ -120,3 +120,45 @@
 		}
 	})
 }
+
+// Guards against refused requests that keep a daemon from stopping, or that go on without an end.
+func TestDiscardTime(t *testing.T) {
+	for _, c := range []struct {
+		stopping   bool
+		left, want time.Duration
+	}{
+		{false, 5 * time.Second, 5 * time.Second},
+		{false, 0, minDiscardTime},
+		{false, -time.Minute, minDiscardTime},
+		{false, time.Hour, maxDiscardTime},
+		{true, time.Hour, minDiscardTime},
+	} {
+		if got := DiscardTime(c.stopping, c.left); got != c.want {
+			t.Errorf("%+v: %v", c, got)
+		}
+	}
+}
+
+// Guards against a stopping server that drops a request whose head has begun, or waits for idle connections.
+func TestStoppingClosesIdleConnectionsOnly(t *testing.T) {
+	now, limits := time.Now(), Limits{HeadBytes: 1000, HeadTime: 10 * time.Second, IdleTime: time.Minute}
+	var c Connection
+	c.BeginIdle(now, limits)
+	c.Receive(now, 10)
+	c.Stop(now)
+	if v := c.Check(now.Add(9 * time.Second)); v != Open {
+		t.Errorf("a head that has begun: %v", v)
+	}
+	c.BeginRequest()
+	c.BeginIdle(now, limits)
+	c.Change(now, limits, time.Minute)
+	if before, after := c.Check(now.Add(stoppingIdle-1)), c.Check(now.Add(stoppingIdle)); before != Open || after != Expired {
+		t.Errorf("after the request: %v, then %v", before, after)
+	}
+	c = Connection{}
+	c.BeginIdle(now, limits)
+	c.Stop(now)
+	if v := c.Check(now.Add(stoppingIdle)); v != Expired {
+		t.Errorf("an idle connection: %v", v)
+	}
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -7,6 +7,7 @@
 	"crypto/rand"
 	"encoding/hex"
 	"errors"
+	"math"
 	"net"
 	"net/http"
 	"strings"
@@ -63,7 +64,10 @@
 
 // Daemon is one doorvalved process.
 type Daemon struct {
-	set      settings.Settings
+	// set are the settings that the daemon was started with.
+	set settings.Settings
+	// inForce are the settings in force; see Reload.
+	inForce  atomic.Pointer[settings.Settings]
 	log      *decisions.Log
 	self     string
 	started  time.Time
@@ -88,8 +92,9 @@
 	reporter     promreporter.Reporter
 	closer       interface{ Close() error }
 
-	gates atomic.Pointer[map[string]*gate.Gate]
-	roles sync.Map // by group; values are role
+	gates      atomic.Pointer[map[string]*gate.Gate]
+	reporterOf atomic.Pointer[map[string]*reporter] // by unit, that of its service
+	roles      sync.Map                             // by group; values are role
 
 	mu      sync.Mutex // placers and drain
 	placers map[string]*placer.Placer
@@ -115,6 +120,7 @@
 		backpressure: backpressure.New(backpressure.Options{Seed: uint64(time.Now().UnixNano())}),
 		placers:      map[string]*placer.Placer{}, reporters: map[string]*reporter{}, done: make(chan struct{}),
 	}
+	d.inForce.Store(&set)
 	d.log = log.With("daemon", d.self)
 	for i, address := range []string{set.Callers.Listen, set.Peers.Listen, set.Operators.Listen} {
 		l, err := net.Listen("tcp", address)
@@ -165,6 +171,7 @@
 	d.gossip.OnFact(d.throttle.ReceiveRejectionLimit)
 	d.gossip.OnFact(d.paths.ReceiveFact)
 	d.gates.Store(&map[string]*gate.Gate{})
+	d.reporterOf.Store(&map[string]*reporter{})
 	d.setPhase(drain.Serving)
 	d.retries = retries.New(retries.Options{
 		Limit: set.Retries.Limit(), FirstStart: set.FirstStart, Self: d.self, Store: d.platform, Listed: d.listedDaemons, Generations: d.generations, Members: d.aliveMembers,
@@ -220,7 +227,7 @@
 // the seeds of the settings and, if the platform answers, the entry hosts in its
 // list that are not leaving.
 func (d *Daemon) seeds(ctx context.Context) []string {
-	list := append([]string(nil), d.set.Peers.Seeds...)
+	list := append([]string(nil), d.inForce.Load().Peers.Seeds...)
 	listed, _ := d.listedPeers(ctx) // without an answer, the settings' seeds remain
 	return append(list, listed...)
 }
@@ -243,13 +250,13 @@
 	return len(list), err
 }
 
-// claimsConfig returns the settings of claims in the configuration in force, or
-// defaults before the first one.
+// claimsConfig returns the settings of claims in the configuration in force. Before the first one, keys are kept for
+// ever: other daemons may claim keys here already, for which a longer time holds than any default.
 func (d *Daemon) claimsConfig() bundle.Claims {
 	if s := d.rollout.Current(); s != nil {
 		return s.Bundle.Claims
 	}
-	return bundle.Claims{Shards: 1, Retention: bundle.Duration(time.Hour)}
+	return bundle.Claims{Shards: 1, Retention: math.MaxInt64}
 }
 
 // serviceConfigured reports whether a service is configured. Before the first configuration, all are.
@@ -267,26 +274,34 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.paths.SetAddresses(addressesOf(s.Bundle))
-	old := *d.gates.Load()
+	old, oldReporters := *d.gates.Load(), *d.reporterOf.Load()
+	reporterOf := map[string]*reporter{}
 	next := make(map[string]*gate.Gate, len(s.Units))
 	for _, svc := range s.Bundle.Services {
 		r := d.reporterFor(svc.Name)
 		gates := map[string]*gate.Gate{}
 		if svc.Kind == bundle.KindPlain {
-			gates[svc.Name] = d.gateFor(old, svc.Name, r)
+			gates[svc.Name] = d.gateFor(old, svc.Name)
 		}
 		for name, u := range s.Units {
 			if u.Service == svc.Name {
-				gates[name] = d.gateFor(old, name, r)
+				gates[name] = d.gateFor(old, name)
 			}
 		}
 		for name, g := range gates {
-			next[name] = g
+			next[name], reporterOf[name] = g, r
 		}
 		r.configure(svc, gates)
 		d.placerFor(svc.Name).Configure(s)
 	}
 	d.gates.Store(&next)
+	d.reporterOf.Store(&reporterOf)
+	for name, r := range reporterOf {
+		if before := oldReporters[name]; before != nil && before != r { // the unit has moved to another service
+			next[name].DropCredits()
+			r.kickNow() // for requests that wait already
+		}
+	}
 }
 
 // tunnelDivisor is the share of the connections, as a divisor, that may be relayed for other daemons.
@@ -303,11 +318,18 @@
 }
 
 // gateFor returns the unit's gate from old, or else a new one.
-func (d *Daemon) gateFor(old map[string]*gate.Gate, unit string, r *reporter) *gate.Gate {
+func (d *Daemon) gateFor(old map[string]*gate.Gate, unit string) *gate.Gate {
 	if g := old[unit]; g != nil {
 		return g
 	}
-	return gate.New(unit, d.set.Limits.QueueLength, r.kickNow, d.endpointClosed)
+	return gate.New(unit, d.set.Limits.QueueLength, func() { d.kickReporter(unit) }, d.endpointClosed)
+}
+
+// kickReporter requests a report of a unit's demand by the reporter of the service that it belongs to now.
+func (d *Daemon) kickReporter(unit string) {
+	if r := (*d.reporterOf.Load())[unit]; r != nil {
+		r.kickNow()
+	}
 }
 
 // reporterFor returns a service's reporter, and creates it on first use. The caller
@@ -363,7 +385,7 @@
 	d.addServer(&g, 0, d.callers.Handler())
 	d.addServer(&g, 1, peers.Guard(d.set.Peers.Token, d.peerHandler()))
 	d.addServer(&g, 2, operators.New(operators.Options{
-		Tokens: d.set.Operators.Tokens, Rollout: d.rollout, Members: d.gossip.Members, Dump: func() any { return d.Dump() }, Stop: d.Stop,
+		Tokens: func() []settings.OperatorToken { return d.inForce.Load().Operators.Tokens }, Rollout: d.rollout, Members: d.gossip.Members, Dump: func() any { return d.Dump() }, Stop: d.Stop,
 		Metrics: d.reporter.HTTPHandler(), Log: d.log.Component("operators"),
 	}).Handler())
 	d.addActor(&g, ctx, d.gossip.Run)
--- a/daemon/edgedaemon/stop.go
+++ b/daemon/edgedaemon/stop.go
@@ -9,7 +9,6 @@
 	"github.com/doorvalve/doorvalve/coordination/membership"
 	"github.com/doorvalve/doorvalve/driver/decisions"
 	"github.com/doorvalve/doorvalve/internal/pause"
-	"github.com/doorvalve/doorvalve/settings"
 )
 
 const (
@@ -19,6 +18,8 @@
 	// exitReserve is the last part of the grace period, reserved for the exit of
 	// the process after the requests in progress have ended.
 	exitReserve = 400 * time.Millisecond
+	// refusalReserve is the part of exitReserve in which requests that have not ended are refused.
+	refusalReserve = 200 * time.Millisecond
 )
 
 // Stop begins the graceful shutdown; further calls do nothing. A lease that this
@@ -31,17 +32,11 @@
 	if !d.stopStarted.CompareAndSwap(nil, &now) {
 		return
 	}
-	d.log.Info(decisions.EventStop, "daemon", d.self, "in_progress", d.callers.InProgress(), "grace_ms", d.set.Timing.Grace.D().Milliseconds())
+	d.log.Info(decisions.EventStop, "daemon", d.self, "in_progress", d.callers.InProgress(), "grace_ms", d.inForce.Load().Timing.Grace.D().Milliseconds())
 	d.gossip.Update(func(m *membership.Member) { m.Leaving = true })
 	close(d.stopped)
 }
 
-// Reload logs that the settings have changed. The daemon keeps those it was started
-// with, among them its addresses, until the next start.
-func (d *Daemon) Reload(set settings.Edge) {
-	d.log.Info(decisions.EventReload, "daemon", d.self, "retry_extra", set.Retries.Extra, "loads_at_once", set.Loads.AtOnce)
-}
-
 // deadline returns the time at which a stopping daemon cuts off requests in
 // progress; zero before the shutdown begins.
 func (d *Daemon) deadline() time.Time {
@@ -49,7 +44,7 @@
 	if since == nil {
 		return time.Time{}
 	}
-	return since.Add(d.set.Timing.Grace.D() - exitReserve)
+	return since.Add(d.inForce.Load().Timing.Grace.D() - exitReserve)
 }
 
 // closesAt returns the time from which a stopping daemon takes no more requests;
@@ -59,7 +54,7 @@
 	if since == nil {
 		return time.Time{}
 	}
-	return since.Add(time.Duration(float64(d.set.Timing.Grace.D()) * lingerShare))
+	return since.Add(time.Duration(float64(d.inForce.Load().Timing.Grace.D()) * lingerShare))
 }
 
 // closedToCallers reports whether the daemon takes no more requests.
@@ -99,7 +94,7 @@
 	all = slices.Compact(all)
 	// If there are more than maxAddresses, each answer has a different selection.
 	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
-	return all[:min(len(all), maxAddresses)], int(max(1, d.set.Timing.AddressTTL.D().Seconds()))
+	return all[:min(len(all), maxAddresses)], int(max(1, d.inForce.Load().Timing.AddressTTL.D().Seconds()))
 }
 
 // maxAddresses bounds the addresses in an answer of the directory: callers accept
@@ -118,9 +113,19 @@
 	pause.For(ctx, time.Until(d.closesAt()))
 	ctx, cancel := context.WithDeadline(ctx, d.deadline())
 	defer cancel()
-	if err := d.callerServer.Shutdown(ctx); err != nil {
-		d.log.Warn("requests cut off at the end of the grace period", "in_progress", d.callers.InProgress(), "error", err)
+	if d.inbound.Shutdown(ctx) != nil {
+		d.giveUpRequests()
 	}
 	d.tunnels.Wait(ctx)
 	return errStopped
 }
+
+// giveUpRequests refuses the requests that are in progress at the end of the grace period.
+func (d *Daemon) giveUpRequests() {
+	inProgress := d.callers.InProgress()
+	d.callers.GiveUp()
+	ctx, cancel := context.WithTimeout(context.Background(), refusalReserve)
+	defer cancel()
+	err := d.inbound.Shutdown(ctx)
+	d.log.Warn("requests given up at the end of the grace period", "in_progress", inProgress, "cut_off", d.callers.InProgress(), "error", err)
+}
--- a/transport/edge/arrive.go
+++ b/transport/edge/arrive.go
@@ -78,7 +78,7 @@
 
 // identify finds the workspace of the request, and decides whether its key is accepted.
 func (s *Server) identify(_ context.Context, q *request) *protocol.Refusal {
-	a := s.opt.Access.Decide(access.Request{Directory: q.table.Workspaces, Public: q.route.Public, Credential: q.call.Credential, Age: q.stateAge})
+	a := s.access.Load().Decide(access.Request{Directory: q.table.Workspaces, Public: q.route.Public, Credential: q.call.Credential, Age: q.stateAge})
 	q.owner = a.Workspace
 	q.rank = q.route.RankOf(q.owner)
 	switch a.Outcome {
@@ -94,7 +94,7 @@
 // on requests in progress.
 func (s *Server) checkCapacity(_ context.Context, q *request) *protocol.Refusal {
 	if s.opt.Draining() && q.route.Kind == routing.Streaming && time.Until(s.opt.DrainDeadline()) < drainStreamReserve {
-		return protocol.Refuse(http.StatusServiceUnavailable, "stopping", "this daemon stops before the stream would end", retryDraining)
+		return protocol.Refuse(http.StatusServiceUnavailable, reasonStopping, "this daemon stops before the stream would end", retryDraining)
 	}
 	if q.active > s.opt.Connections {
 		return protocol.Refuse(http.StatusServiceUnavailable, "too-many-requests", "this daemon serves as many requests as it may", retryBusy)
--- a/transport/edge/server.go
+++ b/transport/edge/server.go
@@ -19,6 +19,7 @@
 	"github.com/doorvalve/doorvalve/coordination/balance"
 	"github.com/doorvalve/doorvalve/coordination/buffering"
 	"github.com/doorvalve/doorvalve/coordination/continuation"
+	"github.com/doorvalve/doorvalve/coordination/intake"
 	"github.com/doorvalve/doorvalve/coordination/membership"
 	"github.com/doorvalve/doorvalve/coordination/quarantine"
 	"github.com/doorvalve/doorvalve/coordination/residency"
@@ -37,7 +38,6 @@
 	"github.com/doorvalve/doorvalve/state/fleet"
 	"github.com/doorvalve/doorvalve/state/routing"
 	"github.com/doorvalve/doorvalve/state/workspace"
-	"github.com/doorvalve/doorvalve/transport/bodies"
 	"github.com/doorvalve/doorvalve/transport/inbound"
 )
 
@@ -69,7 +69,7 @@
 	Retries *retries.Controller
 	// StateAge returns a bound on the age of the desired state that a later call of Table returns.
 	StateAge func() time.Duration
-	// Access decides which keys are accepted, given the age of the desired state.
+	// Access decides which keys are accepted, given the age of the desired state, until SetAccess is called.
 	Access access.Bounds
 	// Quotas enforces the quotas of workspaces.
 	Quotas *quotas.Controller
@@ -86,6 +86,8 @@
 	// FlushEvery is how long the events of a stream may be buffered before they are written. The
 	// first event is written at once.
 	FlushEvery time.Duration
+	// Daemons returns how many daemons share the connections that an endpoint accepts; nil: this one only.
+	Daemons func() int
 	// Connections bounds the requests in progress.
 	Connections int64
 	// HeldBytes bounds the bytes of request bodies and answers that are held; zero: unlimited.
@@ -96,9 +98,13 @@
 type Server struct {
 	opt     Options
 	client  *client
+	access  atomic.Pointer[access.Bounds]
 	active  atomic.Int64
 	held    *heldBytes
 	metrics metrics
+	// stopping ends when GiveUp is called.
+	stopping context.Context
+	giveUp   context.CancelFunc
 	// accounts count the requests and how they end.
 	accounts *inbound.Accounts
 	// largeAnswers are the turns of large answers.
@@ -128,6 +134,9 @@
 	if opt.Draining == nil {
 		opt.Draining = func() bool { return false }
 	}
+	if opt.Daemons == nil {
+		opt.Daemons = func() int { return 1 }
+	}
 	if opt.Quarantine == nil {
 		opt.Quarantine = quarantiner.New(quarantiner.Options{Members: func() []membership.Member { return nil }, Log: opt.Log, Metrics: opt.Metrics})
 	}
@@ -139,7 +148,8 @@
 		return m.Tagged(map[string]string{"reason": why}).Counter("slow_readers_closed_total")
 	}
 	buckets := tally.MustMakeExponentialDurationBuckets(5*time.Millisecond, 2, 14)
-	return &Server{opt: opt, client: newClient(opt.Paths), accounts: inbound.NewAccounts(opt.Log, m), held: newHeldBytes(opt.HeldBytes), demand: map[string]residency.Demand{}, demandChanged: make(chan struct{}, 1), placeFreed: make(chan struct{}, 1), margins: waiting.NewMargins(), metrics: metrics{
+	stopping, giveUp := context.WithCancel(context.Background())
+	s := &Server{opt: opt, stopping: stopping, giveUp: giveUp, client: newClient(opt.Paths), accounts: inbound.NewAccounts(opt.Log, m), held: newHeldBytes(opt.HeldBytes), demand: map[string]residency.Demand{}, demandChanged: make(chan struct{}, 1), placeFreed: make(chan struct{}, 1), margins: waiting.NewMargins(), metrics: metrics{
 		answered: m.Counter("requests_answered_total"), refused: m.Counter("requests_refused_total"),
 		failed: m.Counter("requests_failed_total"), retried: m.Counter("attempts_retried_total"),
 		resumed: m.Counter("streams_resumed_total"), disconnected: m.Counter("callers_gone_total"), unknownHeaders: m.Counter("answer_headers_unknown_total"),
@@ -149,8 +159,13 @@
 		withoutEnd:  protocol.CountersOfEndless(m),
 		slowCallers: map[string]tally.Counter{closedUnread: slow(closedUnread), closedMemory: slow(closedMemory), closedDeadline: slow(closedDeadline)},
 	}}
+	s.SetAccess(opt.Access)
+	return s
 }
 
+// SetAccess changes the bounds by which keys are accepted.
+func (s *Server) SetAccess(bounds access.Bounds) { s.access.Store(&bounds) }
+
 // InProgress returns the number of requests without a final answer.
 func (s *Server) InProgress() int { return int(s.active.Load()) }
 
@@ -221,6 +236,15 @@
 	return time.Until(q.deadline) - (clock.Suspended() - q.suspendedBefore)
 }
 
+// discardable returns how much longer the caller of a refused request may send: as long as it would have waited. q is nil
+// for a request refused before it was read.
+func (q *request) discardable() time.Duration {
+	if q == nil {
+		return defaultTimeLeft
+	}
+	return q.timeLeft()
+}
+
 // workspace returns the name of the workspace charged for the request; empty if there is none.
 func (q *request) workspace() string {
 	if q.owner == nil {
@@ -265,24 +289,27 @@
 // serve serves one request, up to its final answer.
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
+	rest := inbound.RestOf(w, r)
+	var q *request
+	// Deferred first: the request has its final answer then, and does not count as in progress.
+	defer func() { rest.Discard(intake.DiscardTime(s.opt.Draining(), q.discardable())) }()
 	active := s.active.Add(1)
 	defer s.active.Add(-1)
 	account := s.accounts.Begin(r)
-	var q *request
 	var a *answer
-	defer account.Close(func() bool { return s.answerUnaccounted(w, r, q, a) })
-	if s.opt.Draining() {
-		w.Header().Set("Connection", "close")
-	}
+	defer account.Close(func() bool { return s.answerUnaccounted(w, rest, q, a) })
 	c := s.held.open(w)
 	defer c.end()
 	ctx, work := inbound.Follow(r)
 	defer work.Stop()
+	ctx, giveUp := context.WithCancelCause(ctx)
+	defer context.AfterFunc(s.stopping, func() { giveUp(errStopping) })()
 	q, refusal := s.receive(ctx, c, r, work, arrived, active)
 	if refusal != nil {
-		account.End(s.writeRefusal(w, r, q, refusal, ""))
+		account.End(s.writeRefusal(w, rest, q, refusal, ""))
 		return
 	}
+	rest.Whole()
 	s.countActive(q, 1)
 	defer s.countActive(q, -1)
 	ctx, cancel := context.WithDeadline(ctx, q.deadline)
@@ -293,7 +320,7 @@
 	s.metrics.duration.RecordDuration(time.Since(arrived))
 	cause := context.Cause(ctx)
 	if refusal != nil && !a.headerSent && c.closed == "" && !errors.Is(cause, inbound.ErrCallerGone) {
-		account.End(s.writeRefusal(w, r, q, explainGivenUp(refusal, cause), a.endpoint.ID))
+		account.End(s.writeRefusal(w, rest, q, explainGivenUp(refusal, cause), a.endpoint.ID))
 		return
 	}
 	outcome := outcomeOf(a, refusal, cause)
@@ -304,14 +331,25 @@
 	}
 }
 
-// explainGivenUp returns the refusal of a request that was given up because its caller has closed its sending side;
-// other refusals as they are.
+// errStopping is the cause of the end of requests that are in progress at the end of the grace period.
+var errStopping = errors.New("this daemon stops before the request has ended")
+
+// GiveUp refuses all requests in progress whose answers have not begun, and breaks the others off.
+func (s *Server) GiveUp() { s.giveUp() }
+
+// explainGivenUp returns the refusal of a request that was given up because its caller has closed its sending side or
+// the daemon stops; other refusals as they are.
 func explainGivenUp(refusal *protocol.Refusal, cause error) *protocol.Refusal {
-	if !errors.Is(cause, inbound.ErrSendingClosed) {
+	explained := *refusal
+	switch {
+	case errors.Is(cause, inbound.ErrSendingClosed):
+		explained.Reason = reasonSendingClosed
+	case errors.Is(cause, errStopping):
+		explained.Reason = reasonStopping
+	default:
 		return refusal
 	}
-	explained := *refusal
-	explained.Reason, explained.Detail = reasonSendingClosed, cause.Error()
+	explained.Detail = cause.Error()
 	return &explained
 }
 
@@ -351,11 +389,11 @@
 
 // answerUnaccounted answers a request whose handler has ended without an outcome. It returns false if an answer has
 // begun already.
-func (s *Server) answerUnaccounted(w http.ResponseWriter, r *http.Request, q *request, a *answer) bool {
+func (s *Server) answerUnaccounted(w http.ResponseWriter, rest *inbound.Rest, q *request, a *answer) bool {
 	if a != nil && a.headerSent {
 		return false
 	}
-	s.writeRefusal(w, r, q, protocol.RefuseMayHaveRun(http.StatusInternalServerError, "internal-error", "this daemon failed while it served the request"), "")
+	s.writeRefusal(w, rest, q, protocol.RefuseMayHaveRun(http.StatusInternalServerError, "internal-error", "this daemon failed while it served the request"), "")
 	return true
 }
 
@@ -395,7 +433,7 @@
 
 // writeRefusal writes a refusal as the final answer, counts it and logs it. It returns CallerGone if the refusal could
 // not be written.
-func (s *Server) writeRefusal(w http.ResponseWriter, r *http.Request, q *request, refusal *protocol.Refusal, endpoint string) inbound.Outcome {
+func (s *Server) writeRefusal(w http.ResponseWriter, rest *inbound.Rest, q *request, refusal *protocol.Refusal, endpoint string) inbound.Outcome {
 	event, count := decisions.EventRefused, s.metrics.refused
 	if refusal.Verdict != protocol.NotRun {
 		event, count = decisions.EventFailed, s.metrics.failed
@@ -407,9 +445,8 @@
 	if q != nil && q.call.ID != "" {
 		h.Set(protocol.HeaderRequestID, q.call.ID)
 	}
-	if refusal.Status == http.StatusRequestEntityTooLarge {
-		bodies.Drain(w, r)
-	}
+	rest.BeforeRefusal()
+	s.announceEnd(h)
 	answer := *refusal
 	answer.RetryAfter = 0 // set below with fractions of a second, not by WriteTo
 	if refusal.RetryAfter > 0 {
@@ -423,12 +460,16 @@
 		outcome = inbound.CallerGone
 	}
 	s.logRefusal(event, q, refusal, endpoint, outcome)
-	if refusal.Reason == reasonMemoryFull {
-		bodies.Drain(w, r) // after the refusal: reading the rest of the body takes time
-	}
 	return outcome
 }
 
+// announceEnd announces in the head of an answer that the daemon stops, and closes the connection after the answer.
+func (s *Server) announceEnd(h http.Header) {
+	if s.opt.Draining() {
+		h.Set("Connection", "close")
+	}
+}
+
 // setDeadline sets the deadline by the shorter of the time limits of the caller and the route.
 func (s *Server) setDeadline(q *request) {
 	left := q.call.TimeLeft
