docs, hangup: what a caller that leaves a begun stream costs

DESIGN.md said that no work outlasts its caller by more than half a second, and hangup that the next part of an answer shows whether the caller is there. Neither is so: the write after the caller's close succeeds, and only brings the reset, which the write after that one meets.

--- a/coordination/hangup/hangup.go
+++ b/coordination/hangup/hangup.go
@@ -14,7 +14,8 @@
 	Unsafe bool
 	// Sent: an endpoint may have the request.
 	Sent bool
-	// Begun: the caller has a part of the answer. The next part shows whether it is there.
+	// Begun: the caller has a part of the answer. The next part makes the kernel of a caller that is gone answer with a reset,
+	// so that writing the part after it fails.
 	Begun bool
 }
 
