edge: a silent endpoint's requests move only to one that is heard, and can return

A sound endpoint may be silent for up to 2 s and go on. Callers of begun streams there had them cut, and a pause of all endpoints sent all their resumable streams once more.

Cause: the watch ended the attempt at the silent endpoint for good as soon as any other endpoint held the model. If the other one then broke off, the request had used its attempts, and its caller's connection was aborted though the first endpoint had gone on. Endpoints that paused together counted as "other" for each other. Each stream that left an endpoint counted as one more failure in a row, so that one pause kept requests away for up to 4 s.

Now: - a request leaves a silent endpoint only for one that has given a sign of life within half of its silence, or runs nothing of this daemon; before its caller leaves, in any case (coordination/stall.TakesOver); - it may return to the endpoint that it has left, once, where no other one takes it or the other one fails; this is no further endpoint, so `attempts` holds. A retry for the return is reserved with the one for the move, and given back as soon as the other endpoint answers; - many requests that leave an endpoint at once are one silence; any byte from it ends the avoidance (coordination/balance/silence.go). While requests of this daemon wait there, it is avoided until it is heard, 4 s at most.

Weighed: ending the first attempt only once the other endpoint has answered. Callers of dead endpoints move as before while another endpoint is heard; where all others are silent, they move after half of MaxWait and 2 s, three quarters of MaxWait at most, in place of the stream's own pace. With one retry left in the budget they stay.

--- a/coordination/balance/balance.go
+++ b/coordination/balance/balance.go
@@ -44,6 +44,7 @@
 	others             EngineLoad // work of the other daemons' requests, as last reported
 	failures           int        // consecutive
 	avoidUntil         time.Time
+	silence            silence
 	refusedConnections int                  // consecutive
 	unreachableUntil   time.Time            // nothing listens there until then
 	absent             map[string]time.Time // by unit: not held by the endpoint until then
@@ -169,7 +170,7 @@
 		switch {
 		case e.Leaving, b.unreachable(now, e), !b.signals.Peek(now, e.Incarnation(), q.Request).Open, q.excludes(e):
 		case q.Unit != "" && now.Before(l.absent[q.Unit]):
-		case now.Before(l.avoidUntil):
+		case now.Before(l.avoidUntil), l.silence.avoided(now, l.own.Running):
 			avoided = append(avoided, e)
 		default:
 			sound = append(sound, e)
@@ -271,7 +272,8 @@
 func (b *Balancer) Avoided(now time.Time, id fleet.Incarnation) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return now.Before(b.load(id).avoidUntil) || !b.signals.Peek(now, id, backpressure.Request{}).Open
+	l := b.load(id)
+	return now.Before(l.avoidUntil) || l.silence.avoided(now, l.own.Running) || !b.signals.Peek(now, id, backpressure.Request{}).Open
 }
 
 // PickLeaving returns a leaving endpoint that may still serve a request that no other endpoint can,
--- a/coordination/balance/ticket.go
+++ b/coordination/balance/ticket.go
@@ -36,6 +36,9 @@
 		t.load = workcost.Load{Running: l.running(), PendingPrompt: int(l.pendingPrompt(now.Sub(s.reportedAt), tokenTime))}
 		s.observeWork(max(0, float64(t.work.Prompt)*tokenTime-r.pause))
 	}
+	if l.own.Running == 0 {
+		l.silence.heardAt = now
+	}
 	l.own.Running++
 	l.own.PendingPrompt += t.work.Prompt
 	l.own.Held += t.held
--- a/coordination/stall/stall.go
+++ b/coordination/stall/stall.go
@@ -23,6 +23,8 @@
 	// more and answers nobody. An entry also lapses while its engine cannot reach the store, and a prompt
 	// of 40,000 tokens keeps an engine silent for up to 2 s.
 	unlistedSilence = 3 * time.Second
+	// soundPause is the longest pause of a sound engine by the users' pages.
+	soundPause = 2 * time.Second
 	// longestPause is longer than any pause of an engine that goes on.
 	longestPause = 4 * time.Second
 )
@@ -109,3 +111,11 @@
 func (e Evidence) endIsLikely() bool {
 	return e.Life == reach.LifeGone || e.Life == reach.LifeSilent && e.Unlisted
 }
+
+// TakesOver reports whether a request that is silent for the given time may move to an engine that has given no sign of
+// life itself for quiet. Engines that pause together take nothing over from each other: all their requests would be sent
+// once more, and none would be answered sooner. Before its caller leaves after maxWait, a request moves in any case.
+func TakesOver(silence, quiet time.Duration, b Bounds, maxWait time.Duration) bool {
+	last := max(b.Max, min(b.Max+soundPause, maxWait*3/4))
+	return quiet < silence/2 || silence >= last
+}
--- a/coordination/stall/stall_test.go
+++ b/coordination/stall/stall_test.go
@@ -176,3 +176,29 @@
 		t.Errorf("%d of %d streams were taken for stopped", mistaken, len(longest))
 	}
 }
+
+// Guards against requests that move between engines that pause together, and against callers of a dead engine that leave
+// before their requests move.
+func TestTakesOver(t *testing.T) {
+	const maxWait = 8 * time.Second
+	for _, c := range []struct {
+		name           string
+		silence, quiet time.Duration
+		b              Bounds
+		want           bool
+	}{
+		{"an idle engine", 500 * ms, 0, bounds, true},
+		{"an engine that works", 500 * ms, 60 * ms, bounds, true},
+		{"both pause", 500 * ms, 500 * ms, bounds, false},
+		{"both pause, a little apart", 500 * ms, 450 * ms, bounds, false},
+		{"both pause, the longest pause", 2 * time.Second, 2 * time.Second, bounds, false},
+		{"the other has gone on", 2 * time.Second, 100 * ms, bounds, true},
+		{"the caller is about to leave", 6 * time.Second, 6 * time.Second, bounds, true},
+		{"a whole answer, in a pause", 3 * time.Second, 3 * time.Second, Bounds{time.Second + ms, time.Second + ms}, false},
+		{"a whole answer, after a pause", 3010 * ms, 3010 * ms, Bounds{time.Second, time.Second}, true},
+	} {
+		if got := TakesOver(c.silence, c.quiet, c.b, maxWait); got != c.want {
+			t.Errorf("%s: %v, want %v", c.name, got, c.want)
+		}
+	}
+}
--- a/transport/edge/answer.go
+++ b/transport/edge/answer.go
@@ -40,6 +40,7 @@
 	longestGap   time.Duration     // the longest pause between two writes of events
 	attemptBegan time.Time         // when the first events of the last attempt were forwarded
 	proven       bool              // the quarantine knows that the last attempt goes on
+	onTaken      func()            // called when an endpoint has begun to answer
 }
 
 // timeToFirstEvent returns the time from the request's arrival to the first event; zero if none was
@@ -190,6 +191,9 @@
 	buf := make([]byte, bufferBytes)
 	for {
 		n, err := resp.Body.Read(buf)
+		if n > 0 {
+			a.server.opt.Balancer.Heard(clock.Now(), a.endpoint)
+		}
 		pending = append(pending, buf[:n]...)
 		if more := int64(cap(pending)) - max(held, uncountedBytes); more > 0 {
 			if !a.caller.holdAnswer(more) {
--- a/transport/edge/attempt.go
+++ b/transport/edge/attempt.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/doorvalve/doorvalve/coordination/connections"
+	"github.com/doorvalve/doorvalve/coordination/stall"
 	"github.com/doorvalve/doorvalve/driver/decisions"
 	"github.com/doorvalve/doorvalve/driver/paths"
 	"github.com/doorvalve/doorvalve/driver/throttle"
@@ -85,6 +86,8 @@
 	relayEnded      bool              // the daemon that relayed the connection ended it; see dial.ErrRelayEnded
 	endpoint        fleet.Incarnation // the endpoint of the attempt
 	retryPaid       bool              // the retry was already taken out of the budget
+	// silent: the endpoint was left because it was silent. It may go on, and another retry is reserved for a return.
+	silent bool
 	// final: the endpoint has no part in the failure, and no other endpoint is tried.
 	final bool
 }
@@ -133,6 +136,7 @@
 		q.answered = true
 		s.opt.Throttle.Answered(e.Incarnation())
 	}
+	s.opt.Balancer.Heard(clock.Now(), e.Incarnation())
 	if f := mismatchedAnswer(resp, meta, q); f != nil {
 		_ = resp.Body.Close()
 		return nil, f
@@ -227,6 +231,7 @@
 	q.work.SetSent(true)
 	resp, f := s.send(ctx, q, e, a.lastEventID)
 	if f == nil {
+		a.onTaken()
 		a.endpoint, a.software, a.address = e.Incarnation(), e.Software, e.Address
 		f = s.deliver(ctx, q, a, resp, w, more)
 		_ = resp.Body.Close()
@@ -259,9 +264,23 @@
 // present one or not. Endpoints that have just failed don't count: they would refuse this request
 // too, and a stream taken from an engine that is merely slow would break off.
 func (s *Server) hasOther(q *request, present *fleet.Endpoint, begun bool) bool {
+	return s.hasOtherThat(q, present, begun, func(*fleet.Endpoint) bool { return true })
+}
+
+// hasOtherThat is hasOther for endpoints that suit.
+func (s *Server) hasOtherThat(q *request, present *fleet.Endpoint, begun bool, suits func(*fleet.Endpoint) bool) bool {
 	now := clock.Now()
 	return slices.ContainsFunc(s.candidates(q), func(e *fleet.Endpoint) bool {
-		return e.ID != present.ID && !e.Leaving && !s.opt.Balancer.Avoided(now, e.Incarnation()) && (!begun || e.Software == present.Software)
+		return e.ID != present.ID && !e.Leaving && !s.opt.Balancer.Avoided(now, e.Incarnation()) && (!begun || e.Software == present.Software) && suits(e)
+	})
+}
+
+// takesOver reports whether another endpoint can serve a request now that is silent for the given time, and is not silent
+// itself.
+func (s *Server) takesOver(q *request, present *fleet.Endpoint, begun bool, silence time.Duration) bool {
+	now := clock.Now()
+	return s.hasOtherThat(q, present, begun, func(e *fleet.Endpoint) bool {
+		return stall.TakesOver(silence, s.opt.Balancer.QuietFor(now, e.Incarnation()), silenceBounds(q), q.route.MaxWait)
 	})
 }
 
--- a/transport/edge/locate.go
+++ b/transport/edge/locate.go
@@ -31,6 +31,9 @@
 // locate finds the endpoint for a request. It waits for the model if the request is likely to be
 // served after that.
 func (s *Server) locate(ctx context.Context, q *request, t *attemptState) (*fleet.Endpoint, *protocol.Refusal) {
+	if t.returns {
+		return s.locateLeft(q, t)
+	}
 	exclude, absent, unreachable := t.exclude, t.absentAt(), t.last != nil && t.last.unreachable && !t.last.noPath
 	if q.service.Engine == nil || q.call.Model == "" {
 		return s.locatePlain(ctx, q, t)
@@ -78,6 +81,9 @@
 		if answer.Refused == residency.RefusedNoEngines {
 			return nil, refuseVersionGone()
 		}
+		if len(t.left) > 0 { // one of them is expected to go on sooner
+			return nil, refuseNotTaken()
+		}
 		refusal := s.waitForEarliest(ctx, q, t, answer, unavailable)
 		if refusal != nil {
 			return nil, refusal
@@ -88,6 +94,24 @@
 	}
 }
 
+// locateLeft picks an endpoint that the request has left because of its silence, once each.
+func (s *Server) locateLeft(q *request, t *attemptState) (*fleet.Endpoint, *protocol.Refusal) {
+	left := slices.DeleteFunc(slices.Clone(s.candidates(q)), func(e *fleet.Endpoint) bool { return !slices.ContainsFunc(t.left, e.Incarnation().Matches) })
+	query := balanceQuery(q, nil)
+	query.Request = t.queueRequest(q)
+	e := s.opt.Balancer.Pick(clock.Now(), left, query)
+	if e == nil {
+		return nil, refuseNotTaken()
+	}
+	t.left = slices.DeleteFunc(t.left, e.Incarnation().Matches)
+	return e, nil
+}
+
+// refuseNotTaken refuses a request that has left a silent endpoint and is taken by no other one.
+func refuseNotTaken() *protocol.Refusal {
+	return protocol.Refuse(http.StatusServiceUnavailable, "not-taken-over", "no endpoint has taken the request from a silent one", retryBusy)
+}
+
 // hasNoPath reports whether no connection to any endpoint of the request's service can be opened now.
 func (s *Server) hasNoPath(q *request) bool {
 	list := s.endpoints(q)
--- a/transport/edge/run.go
+++ b/transport/edge/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/doorvalve/doorvalve/coordination/backpressure"
@@ -24,7 +25,9 @@
 // attemptState is the state of a request's attempts so far.
 type attemptState struct {
 	sends       int                 // attempts started
-	ran         int                 // endpoints at which the request may have run
+	ran         []fleet.Incarnation // endpoints at which the request may have run
+	left        []fleet.Incarnation // endpoints that were left because of their silence, and may have gone on
+	returns     bool                // only endpoints in left may be chosen
 	verdict     protocol.Verdict    // the worst of all attempts
 	exclude     []fleet.Incarnation // endpoints that have failed the request
 	pauses      int                 // pauses made because all endpoints had refused the request
@@ -49,8 +52,15 @@
 	f.endpoint = endpoint
 	t.last = f
 	t.verdict = max(t.verdict, f.verdict)
-	if f.verdict != protocol.NotRun {
-		t.ran++
+	if f.verdict != protocol.NotRun && !slices.ContainsFunc(t.ran, endpoint.Matches) {
+		t.ran = append(t.ran, endpoint)
+	}
+	if f.silent {
+		t.left = append(t.left, endpoint)
+		return
+	}
+	for _, e := range t.left {
+		t.exclude = without(t.exclude, e)
 	}
 }
 
@@ -60,14 +70,21 @@
 	if t.verdict == protocol.NotRun {
 		return true
 	}
-	resumable := !a.headerSent || a.lastEventID != ""
-	return q.route.Repeatable() && t.ran < q.route.MaxAttempts && resumable
+	if resumable := !a.headerSent || a.lastEventID != ""; !q.route.Repeatable() || !resumable {
+		return false
+	}
+	if len(t.ran) < q.route.MaxAttempts {
+		return true
+	}
+	t.returns = len(t.left) > 0 // the request runs at no further endpoint
+	return t.returns
 }
 
 // run tries endpoints until one has answered. It returns nil if the caller has got the answer.
 func (s *Server) run(ctx context.Context, q *request, a *answer) *protocol.Refusal {
 	s.opt.Retries.Earn(q.service.Name)
 	t := &attemptState{}
+	a.onTaken = func() { s.releaseRetry(q, t) }
 	defer func() {
 		s.leaveQueue(t, false)
 		s.releaseRetry(q, t)
@@ -80,6 +97,10 @@
 			return s.finalRefusal(q, t)
 		}
 		e, refusal := s.selectEndpoint(ctx, q, t)
+		if refusal != nil && !t.returns && len(t.left) > 0 && ctx.Err() == nil {
+			t.returns = true
+			e, refusal = s.selectEndpoint(ctx, q, t)
+		}
 		switch {
 		case refusal != nil && t.verdict != protocol.NotRun:
 			s.opt.Log.Info(decisions.EventNotResumed, "request", q.call.ID, "reason", refusal.Reason, "detail", refusal.Detail, "ms", time.Since(q.arrived).Milliseconds())
@@ -90,7 +111,7 @@
 		if a.headerSent {
 			s.metrics.resumed.Inc(1)
 		}
-		f := s.attempt(ctx, q, e, a, t.ran+1 < q.route.MaxAttempts)
+		f := s.attempt(ctx, q, e, a, !t.returns && len(t.ran)+1 < q.route.MaxAttempts)
 		if q.counted {
 			s.opt.Throttle.Ended(e.Incarnation(), q.answered)
 		}
@@ -104,6 +125,10 @@
 		s.reportToQuarantine(ctx, q, e, a, f)
 		t.record(f, e.Incarnation())
 		t.lastEventAt = a.lastEventAt
+		if f.silent {
+			s.releaseRetry(q, t) // of an earlier return
+			t.retryReserved = true
+		}
 		if f.final {
 			return s.finalRefusal(q, t)
 		}
@@ -283,7 +308,12 @@
 	if f.connRefused {
 		s.opt.Balancer.MarkUnreachable(now, e.Incarnation())
 	}
-	d := s.opt.Balancer.Failed(now, e.Incarnation())
+	var d time.Duration
+	if f.silent {
+		d = s.opt.Balancer.MarkSilent(now, e.Incarnation())
+	} else {
+		d = s.opt.Balancer.Failed(now, e.Incarnation())
+	}
 	s.opt.Log.Info(decisions.EventEndpointAvoided, "request", q.call.ID, "endpoint", e.ID, "reason", f.reason, "for_ms", d.Milliseconds())
 	return true
 }
--- a/transport/edge/watch.go
+++ b/transport/edge/watch.go
@@ -140,7 +140,7 @@
 		w.server.opt.Log.Info(decisions.EventStreamLost, "request", w.request.call.ID, "endpoint", w.endpoint.ID, "silence_ms", silence.Milliseconds(),
 			"replaced", evidence.Replaced, "unlisted", evidence.Unlisted, "leaving", evidence.Leaving, "check", evidence.Life.String(), "may_move", movable)
 		w.cancel(errEndpointGone)
-	case movable && silence >= patience && (pathLost || w.server.hasOther(w.request, w.endpoint, begun)) && w.abandon(answerAbandoned, silence, w.payRetry):
+	case movable && silence >= patience && (pathLost || w.server.takesOver(w.request, w.endpoint, begun, silence)) && w.abandon(answerAbandoned, silence, w.payRetry):
 		w.cancel(errSilent)
 	default:
 		w.mu.Lock()
@@ -149,8 +149,19 @@
 	}
 }
 
-// payRetry takes the retry of the watched attempt out of the budget.
-func (w *silenceWatch) payRetry() bool { return w.server.opt.Retries.Spend(w.request.service.Name) }
+// payRetry takes the retry of the watched attempt out of the budget, and reserves another one: if the other endpoint does
+// not take the request, it returns to the silent one, which may have gone on.
+func (w *silenceWatch) payRetry() bool {
+	budget, service := w.server.opt.Retries, w.request.service.Name
+	if !budget.Reserve(service) {
+		return false
+	}
+	if !budget.Spend(service) {
+		budget.Release(service)
+		return false
+	}
+	return true
+}
 
 // unpaid is the payment for ending an attempt that is lost in any case.
 func unpaid() bool { return true }
@@ -286,14 +297,14 @@
 }
 
 // result completes the failure of the watched attempt; nil for none. An abandoned attempt has its
-// retry taken out of the budget.
+// retry taken out of the budget, and another one reserved.
 func (w *silenceWatch) result(f *failure) *failure {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	switch {
 	case f == nil:
 	case w.state == answerAbandoned:
-		f.retryPaid = true
+		f.retryPaid, f.silent = true, true
 	case w.state == answerLost && f.verdict != protocol.NotRun:
 		f.reason, f.err = reasonEndpointGone, errEndpointGone
 	}
--- a/transport/edge/watch_test.go
+++ b/transport/edge/watch_test.go
@@ -82,6 +82,25 @@
 	})
 }
 
+// Guards against a stream that leaves a silent engine with the last retry of its service, and breaks off because the other
+// engine does not take it: a retry for the return is reserved.
+func TestSilentEngineIsLeftOnlyWithARetryForTheReturn(t *testing.T) {
+	for _, unearned := range []int{1, 2} {
+		synctest.Test(t, func(t *testing.T) {
+			x := watchStream(t, true)
+			defer x.watch.stop()
+			x.server.opt.Retries = retries.NewFixed(retry.Share{Unearned: unearned}, nil, tally.NoopScope)
+			x.events(20, 30*time.Millisecond)
+			if _, err := x.ended(time.Second); (err != nil) != (unearned > 1) {
+				t.Errorf("%d retries: %v", unearned, err)
+			}
+			if spend := x.server.opt.Retries.Spend("llm"); spend != (unearned == 1) {
+				t.Errorf("%d retries: another request gets one: %v", unearned, spend)
+			}
+		})
+	}
+}
+
 // watched is a stream at endpoint "a" under watch; endpoint "b" holds its model, too.
 type watched struct {
 	server *Server
@@ -311,7 +330,7 @@
 			s := New(Options{View: func() *fleet.View { return view }, Balancer: balance.New("z", 1, newTracker()), Retries: retries.NewFixed(retry.Share{}, nil, tally.NoopScope), Metrics: tally.NoopScope})
 			q := testRequest()
 			q.arrived, q.deadline, q.route.MaxWait = time.Now(), time.Now().Add(time.Minute), maxWait
-			tr := &attemptState{sends: 1, ran: 1, verdict: protocol.MayHaveRun, last: &failure{verdict: protocol.MayHaveRun}}
+			tr := &attemptState{sends: 1, ran: []fleet.Incarnation{{ID: "a"}}, verdict: protocol.MayHaveRun, last: &failure{verdict: protocol.MayHaveRun}}
 			if s.mayAttemptAgain(t.Context(), q, tr, begun) {
 				t.Fatal("got a retry out of an empty budget")
 			}
@@ -330,7 +349,7 @@
 		q.service.Name = service
 		q.arrived, q.deadline = time.Now(), time.Now().Add(time.Minute)
 		failed := func() *attemptState {
-			return &attemptState{sends: 1, ran: 1, verdict: protocol.MayHaveRun, last: &failure{verdict: protocol.MayHaveRun}}
+			return &attemptState{sends: 1, ran: []fleet.Incarnation{{ID: "a"}}, verdict: protocol.MayHaveRun, last: &failure{verdict: protocol.MayHaveRun}}
 		}
 		first := failed()
 		if !s.mayAttemptAgain(t.Context(), q, first, false) || !s.payRetry(q, first) {
@@ -350,7 +369,7 @@
 		q := testRequest()
 		q.arrived, q.deadline = time.Now(), time.Now().Add(time.Minute)
 		failed := func() *attemptState {
-			return &attemptState{sends: 1, ran: 1, verdict: protocol.MayHaveRun, last: &failure{verdict: protocol.MayHaveRun}}
+			return &attemptState{sends: 1, ran: []fleet.Incarnation{{ID: "a"}}, verdict: protocol.MayHaveRun, last: &failure{verdict: protocol.MayHaveRun}}
 		}
 		waiting := failed()
 		if !s.mayAttemptAgain(t.Context(), q, waiting, false) {
