daemon: a service that is gone from the bundle is not placed any more

Eleven seconds after the rollout the lease of the former name was still held beside that of the new one, so that two daemons decided what the same engines load.

Cause: the removal of a service was not applied. Placers were configured with the services of the bundle, and those of others went on with what they had last.

Change: placers of services that are gone are configured, too. As for a service that is left to scripts, they send no orders and do not renew their lease. The state dump says held only while the lease lasts.

TestRemovedServiceIsNotPlaced is green (with the race detector too); with the placers configured and the dump as before it failed, since the dump went on to say held.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -294,6 +294,11 @@
 		r.configure(svc, gates)
 		d.placerFor(svc.Name).Configure(s)
 	}
+	for name, p := range d.placers {
+		if s.Bundle.Service(name) == nil {
+			p.Configure(s) // it sends no more orders and does not renew its lease
+		}
+	}
 	d.gates.Store(&next)
 	d.reporterOf.Store(&reporterOf)
 	for name, r := range reporterOf {
--- a/driver/placer/demand.go
+++ b/driver/placer/demand.go
@@ -5,6 +5,7 @@
 
 	"github.com/doorvalve/doorvalve/coordination/grants"
 	"github.com/doorvalve/doorvalve/coordination/placement"
+	"github.com/doorvalve/doorvalve/internal/clock"
 	"github.com/doorvalve/doorvalve/protocol/peerpb"
 	"github.com/doorvalve/doorvalve/state/bundle"
 )
@@ -101,7 +102,8 @@
 func (p *Placer) View() View {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	v := View{Group: p.opt.Group, Held: p.held, Until: p.lease.HeldUntil(), Reporting: p.allocator.Len()}
+	_, held := p.lease.Holds(clock.Now()) // p.held is not kept up to date for a service that is gone or left to scripts
+	v := View{Group: p.opt.Group, Held: held, Until: p.lease.HeldUntil(), Reporting: p.allocator.Len()}
 	if p.place == nil {
 		return v
 	}
--- a/e2e/configapplied_test.go
+++ b/e2e/configapplied_test.go
@@ -71,3 +71,35 @@
 		}
 	}
 }
+
+// Guards against a holder that goes on placing models at endpoints which its service does not have any more: another service
+// may have them.
+func TestRemovedServiceIsNotPlaced(t *testing.T) {
+	o := defaults()
+	o.daemons, o.models = 2, 2
+	w := newTestbed(t, o)
+	w.holder()
+	b := w.bundle
+	b.Models, b.Services = slices.Clone(b.Models), slices.Clone(b.Services)
+	for i := range b.Models {
+		b.Models[i].Service = "renamed"
+	}
+	b.Services[slices.IndexFunc(b.Services, func(s bundle.Service) bool { return s.Name == "lm" })].Name = "renamed"
+	w.rollout(b)
+	w.inForce(2)
+	held := func(group string) bool {
+		for _, p := range w.daemons {
+			d, err := p.dump()
+			for _, g := range d.Groups {
+				if err != nil || g.Group == group && g.Held {
+					return true
+				}
+			}
+		}
+		return false
+	}
+	w.eventually("nobody places the models of the service that is gone", func() bool { return !held("lm") && held("renamed") })
+	if _, r := w.daemons[0].complete("m0", "x", 1); !r.ok() {
+		t.Errorf("a model of the renamed service: %+v", r)
+	}
+}
