--- a/e2e/harness_test.go
+++ b/e2e/harness_test.go
@@ -28,6 +28,7 @@
 	"github.com/doorvalve/doorvalve/standin/fault"
 	standin "github.com/doorvalve/doorvalve/standin/platform"
 	"github.com/doorvalve/doorvalve/standin/service"
+	"github.com/doorvalve/doorvalve/standin/silence"
 	"github.com/doorvalve/doorvalve/state/bundle"
 	"github.com/doorvalve/doorvalve/transport/callers"
 	"github.com/doorvalve/doorvalve/transport/operators"
@@ -69,6 +70,7 @@
 	url      string // of the platform
 	bundle   bundle.Bundle
 	daemons  []*proc
+	silence  silence.Switch // of all endpoints
 	client   *http.Client
 }
 
@@ -152,8 +154,13 @@
 // serve runs a stand-in and returns its URL. At the end of the test its faults
 // are removed before the server closes, since closing waits for frozen calls.
 func (w *testbed) serve(h http.Handler, f *fault.Injector) string {
-	s := httptest.NewServer(h)
+	s := httptest.NewUnstartedServer(h)
+	if f != w.platform.Faults {
+		s.Listener = w.silence.Listen(s.Listener)
+	}
+	s.Start()
 	w.t.Cleanup(func() {
+		w.silence.End()
 		f.Set(fault.Settings{})
 		s.CloseClientConnections()
 		s.Close()
