daemon: a stopping daemon of the own interface answers heads that are on their way

What callers saw: a request whose head had begun to arrive as a stopping daemon closed its listener got neither an answer nor a refusal; also one whose connection is idle then.

Evidence: e2e TestHeadThatArrivesWhileADaemonStopsIsAnswered, red on the parent: unexpected EOF.

Change: callers' connections end by inbound.Listener's shutdown on the own interface, too.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -475,12 +475,12 @@
 
 func (d *Daemon) addServer(g *run.Group, i int, h http.Handler) {
 	srv := &http.Server{Handler: h, MaxHeaderBytes: d.set.Limits.HeaderBytes, ReadHeaderTimeout: headerTimeout, ErrorLog: d.log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug})}
-	listener := d.listeners[i]
+	listener, shutdown := d.listeners[i], srv.Shutdown
 	switch i {
 	case 0:
 		followed := inbound.Listen(listener, inbound.Options{Limits: d.callerLimits(), OnRefused: d.callers.ObserveRefusedHead})
 		followed.Configure(srv)
-		listener = followed
+		listener, shutdown = followed, followed.Shutdown
 	case 1:
 		listener = d.peers.Meter().Listener(listener)
 	}
@@ -497,9 +497,8 @@
 	}, func(error) {
 		ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 		defer cancel()
-		if srv.Shutdown(ctx) != nil {
-			_ = srv.Close()
-		}
+		_ = shutdown(ctx) // what has not ended in time is cut
+		_ = srv.Close()
 	})
 }
 
--- a/e2e/wholerequests_test.go
+++ b/e2e/wholerequests_test.go
@@ -76,3 +76,36 @@
 		}
 	}
 }
+
+// Guards against a request that is dropped because its head was on its way when a stopping daemon closed its connections.
+func TestHeadThatArrivesWhileADaemonStopsIsAnswered(t *testing.T) {
+	o := defaults()
+	o.daemons = 1
+	p := newTestbed(t, o).daemons[0]
+	const request = "GET /services/app/read HTTP/1.1\r\nHost: d\r\n\r\n"
+	conn, err := net.Dial("tcp", p.callers)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	_ = conn.SetDeadline(time.Now().Add(eventTimeout))
+	p.stop()
+	time.Sleep(2 * time.Second) // the daemon takes requests for some 3 s more, and a head may take 5 s
+	if _, err := io.WriteString(conn, request[:20]); err != nil {
+		t.Fatal(err)
+	}
+	p.w.eventually("the daemon accepts no more connections", func() bool {
+		probe, err := net.Dial("tcp", p.callers)
+		if err == nil {
+			_ = probe.Close()
+		}
+		return err != nil
+	})
+	if _, err := io.WriteString(conn, request[20:]); err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil || resp.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("got %v (%v), want a refusal", resp, err)
+	}
+}
