--- a/coordination/stall/stall.go
+++ b/coordination/stall/stall.go
@@ -23,7 +23,7 @@
 	// more and answers nobody. An entry also lapses while its engine cannot reach the store, and a prompt
 	// of 40,000 tokens keeps an engine silent for up to 2 s.
 	unlistedSilence = 3 * time.Second
-	// soundPause is the longest pause of a sound engine by the users' pages.
+	// soundPause is the longest pause of a sound engine that goes on by itself.
 	soundPause = 2 * time.Second
 	// longestPause is longer than any pause of an engine that goes on.
 	longestPause = 4 * time.Second
--- a/transport/inbound/listener.go
+++ b/transport/inbound/listener.go
@@ -53,7 +53,8 @@
 // effect.
 const headBegins = time.Hour
 
-// Configure makes a server keep to the listener's limits in place of its own, and pass each request to its handler. It must be called before the server serves.
+// Configure makes a server keep to the listener's limits in place of its own, and pass each request to its handler. It
+// must be called before the server serves.
 func (l *Listener) Configure(srv *http.Server) {
 	srv.MaxHeaderBytes, srv.ReadHeaderTimeout, srv.ReadTimeout, srv.IdleTimeout = maxHeadBytes, headBegins, 0, 0
 	srv.DisableGeneralOptionsHandler = true // net/http would answer OPTIONS * itself, with 200
