e2e: the pause of all endpoints is played with room at the engines

Traced by the log: the test sends nine requests to an engine of eight slots, whose places three daemons share by credits, so that one can come too early; the pause has no part in it. The engines have sixteen slots now, which the test never fills. Its checks are as before.

--- a/e2e/silence_test.go
+++ b/e2e/silence_test.go
@@ -18,6 +18,7 @@
 		t.Run(fmt.Sprint(pause), func(t *testing.T) {
 			o := defaults()
 			o.tokenTime, o.work = 20*time.Millisecond, 300*time.Millisecond
+			o.slots = 16 // room for all requests below at one engine: none may be refused
 			w := newTestbed(t, o)
 			for _, d := range w.daemons { // the models are loaded
 				for _, model := range []string{"m0", "m1"} {
