--- a/e2e/halfclosed_test.go
+++ b/e2e/halfclosed_test.go
@@ -1,11 +1,7 @@
 package e2e_test
 
 import (
-	"bufio"
 	"fmt"
-	"io"
-	"net"
-	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -14,24 +10,7 @@
 // callHalfClosed sends a request on a connection of its own, closes the sending side and reads the answer.
 func (p *proc) callHalfClosed(path, body, header string) reply {
 	p.w.t.Helper()
-	conn, err := net.Dial("tcp", p.callers)
-	if err != nil {
-		p.w.t.Fatal(err)
-	}
-	defer func() { _ = conn.Close() }()
-	_ = conn.SetDeadline(time.Now().Add(eventTimeout))
-	if _, err := fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: d\r\n%sContent-Length: %d\r\n\r\n%s", path, header, len(body), body); err != nil {
-		return reply{err: err}
-	}
-	if err := conn.(*net.TCPConn).CloseWrite(); err != nil {
-		return reply{err: err}
-	}
-	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
-	if err != nil {
-		return reply{err: err}
-	}
-	content, err := io.ReadAll(resp.Body)
-	return reply{status: resp.StatusCode, body: string(content), header: resp.Header, err: err}
+	return p.sendRaw(p.w.t, fmt.Sprintf("POST %s HTTP/1.1\r\nHost: d\r\n%sContent-Length: %d\r\n\r\n%s", path, header, len(body), body), true)
 }
 
 // Guards against calls that are dropped because their callers have closed their sending sides: each gets an answer or a
--- a/e2e/wholerequests_test.go
+++ b/e2e/wholerequests_test.go
@@ -13,6 +13,12 @@
 
 // sendPart sends bytes on a connection of its own, which remains open, and reads one answer.
 func (p *proc) sendPart(t *testing.T, content string) reply {
+	t.Helper()
+	return p.sendRaw(t, content, false)
+}
+
+// sendRaw sends bytes on a connection of its own, closes the sending side if closeSending is set, and reads one answer.
+func (p *proc) sendRaw(t *testing.T, content string, closeSending bool) reply {
 	t.Helper()
 	conn, err := net.Dial("tcp", p.callers)
 	if err != nil {
@@ -23,6 +29,11 @@
 	if _, err := io.WriteString(conn, content); err != nil {
 		return reply{err: err}
 	}
+	if closeSending {
+		if err := conn.(*net.TCPConn).CloseWrite(); err != nil {
+			return reply{err: err}
+		}
+	}
 	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
 		return reply{err: err}
