inbound: no channel for each connection that only a test waited on

A handler learns of the end of a caller's bytes by net/http's context, and how they ended from End. The test waits for that context; its assertions are as before. transport/inbound and transport/edge passed twice with the race detector.

--- a/transport/inbound/inbound.go
+++ b/transport/inbound/inbound.go
@@ -40,7 +40,6 @@
 type Conn struct {
 	*net.TCPConn
 	listener *Listener
-	ended    chan struct{} // see Ended
 
 	// refused: Read has refused a request. Only Read uses it, and net/http has one read at a time.
 	refused bool
@@ -159,9 +158,6 @@
 
 // setEnd records the end of the caller's bytes. The caller holds c.mu.
 func (c *Conn) setEnd(end End) {
-	if c.end == NotEnded {
-		close(c.ended)
-	}
 	c.end = max(c.end, end)
 }
 
@@ -256,9 +252,6 @@
 	return c.end
 }
 
-// Ended returns a channel that is closed when the caller's bytes have ended.
-func (c *Conn) Ended() <-chan struct{} { return c.ended }
-
 // context returns the context of the requests on the connection.
 func (c *Conn) context(ctx context.Context) context.Context {
 	return context.WithValue(ctx, contextKey{}, c)
--- a/transport/inbound/inbound_test.go
+++ b/transport/inbound/inbound_test.go
@@ -28,7 +28,7 @@
 			srv := &http.Server{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 				c := Of(r)
 				before <- c.End()
-				<-c.Ended()
+				<-r.Context().Done() // by net/http, when the caller's bytes have ended
 				after <- c.End()
 			})}
 			listener := Listen(l, Options{Limits: intake.Limits{HeadBytes: 1000, HeadTime: time.Minute}})
--- a/transport/inbound/listener.go
+++ b/transport/inbound/listener.go
@@ -87,7 +87,7 @@
 	if l.opt.SendBuffer > 0 {
 		_ = tcp.SetWriteBuffer(l.opt.SendBuffer) // fails on closed connections only
 	}
-	conn := &Conn{TCPConn: tcp, listener: l, ended: make(chan struct{})}
+	conn := &Conn{TCPConn: tcp, listener: l}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	conn.intake.BeginIdle(time.Now(), l.limits)
