streams: a version of the software begins streams only once it is recorded

Callers saw streams joined from two versions after all daemons had restarted: the first events from a version that had been in service for a moment, the rest from the one that was left, with nothing in the answer to show it.

Cause: state was used before what outlives its loss was written. The record of the versions that ran was compared with the view once a second, after a version had begun to serve. Daemons without memory took the recorded version for the only one. The record's times were of the writer's wall clock as well: a clock that is off by more than the retention made a version that had just served too old to matter.

Change: versions that are listed and not recorded are pending: no stream that callers may resume begins there, and they count in no decision. A view with one wakes the record's writer at once.

Why it works: an event leaves for a caller only after the store has acknowledged that its version exists, so that whoever reads the record afterwards, whatever it remembers, counts that version.

The case "until just before" listed the other version for no time at all, in which no stream can begin any more; it now lists it for 100 ms, begins a stream there and expects what it expected.

A stream whose origin nobody can learn is told apart from one that is not known yet, and its caller is told not to come back within its time.

--- a/coordination/continuation/continuation.go
+++ b/coordination/continuation/continuation.go
@@ -8,6 +8,7 @@
 
 import (
 	"crypto/sha256"
+	"slices"
 
 	"github.com/doorvalve/doorvalve/state/fleet"
 )
@@ -84,6 +85,36 @@
 // sameIncarnation returns the constraint to one incarnation of an endpoint.
 func sameIncarnation(i fleet.Incarnation) Constraint { return Constraint{incarnation: i, bound: true} }
 
+// Beginning limits the endpoints at which a stream begins to versions that are in service. The zero
+// value allows all.
+type Beginning struct {
+	pending   []string // versions that are not in service yet
+	inService []string
+}
+
+// Limited reports whether it excludes any version.
+func (b Beginning) Limited() bool { return len(b.pending) > 0 }
+
+// Allows reports whether a stream may begin at an endpoint of the service.
+func (b Beginning) Allows(e *fleet.Endpoint) bool { return !slices.Contains(b.pending, e.Software) }
+
+// Filter returns the endpoints of a list at which a stream may begin. It returns the list itself if
+// none is excluded.
+func (b Beginning) Filter(list []*fleet.Endpoint) []*fleet.Endpoint {
+	if !b.Limited() {
+		return list
+	}
+	return slices.DeleteFunc(slices.Clone(list), func(e *fleet.Endpoint) bool { return !b.Allows(e) })
+}
+
+// Version returns a version in service. ok is false if there is none.
+func (b Beginning) Version() (software string, ok bool) {
+	if len(b.inService) == 0 {
+		return "", false
+	}
+	return b.inService[0], true
+}
+
 // Request is an attempt to continue a stream.
 type Request struct {
 	Key       Key
--- a/coordination/continuation/table.go
+++ b/coordination/continuation/table.go
@@ -35,6 +35,10 @@
 //
 // Invariant: records can be merged in any order. Two records of one key that differ make its origin
 // ambiguous for good.
+//
+// Invariant, if versions are recorded: a stream begins only at a version that is in service, and a version
+// enters service only once a record of it outlasts all daemons. Versions that are listed and not in
+// service are pending; they count in no decision.
 type Table struct {
 	records   map[Key]*entry
 	services  map[string]*history
@@ -43,6 +47,7 @@
 	retention time.Duration
 	viewed    bool
 	since     time.Time // start of the time that this daemon has watched; zero: since the first start
+	recording bool      // versions enter service once they are recorded
 }
 
 type entry struct {
@@ -58,9 +63,11 @@
 
 // history is the software seen in a service.
 type history struct {
-	current map[string]bool      // in the latest view
-	last    map[string]time.Time // when others were last listed
-	since   time.Time            // start of the time that the history covers
+	current  map[string]bool      // in the latest view, and in service
+	pending  map[string]bool      // in the latest view, and not in service yet
+	recorded map[string]time.Time // when versions with a record were last in the view, or found in the record
+	last     map[string]time.Time // when others were last listed
+	since    time.Time            // start of the time that the history covers
 }
 
 // New returns a table that watches services from the given time on. The zero time means that no
@@ -69,13 +76,16 @@
 	return &Table{records: map[Key]*entry{}, services: map[string]*history{}, listed: map[string]listing{}, replaced: map[string]time.Time{}, retention: minRetention, since: since}
 }
 
+// RequireRecords lets versions enter service only once they are recorded.
+func (t *Table) RequireRecords() { t.recording = true }
+
 // SetLongestStream sets how long a stream may last, by the timeouts of the routes.
 func (t *Table) SetLongestStream(d time.Duration) { t.retention = max(minRetention, retentionFactor*d) }
 
 func (t *Table) history(service string) *history {
 	h := t.services[service]
 	if h == nil {
-		h = &history{current: map[string]bool{}, last: map[string]time.Time{}, since: t.since}
+		h = &history{current: map[string]bool{}, pending: map[string]bool{}, recorded: map[string]time.Time{}, last: map[string]time.Time{}, since: t.since}
 		t.services[service] = h
 	}
 	return h
@@ -84,34 +94,111 @@
 // ObserveView processes a new view of the endpoints. It returns the services in which a second
 // version has appeared.
 func (t *Table) ObserveView(now time.Time, view *fleet.View) (mixed []string) {
+	mixed = t.newlyMixed(now, func() {
+		for _, h := range t.services {
+			for software := range h.current {
+				h.last[software] = now // it was listed until now
+				h.recorded[software] = now
+			}
+		}
+		t.replaceCurrent(now, view)
+	})
+	t.observeListings(now, view)
+	t.viewed = true
+	return mixed
+}
+
+// newlyMixed returns the services in which change lets a second version appear.
+func (t *Table) newlyMixed(now time.Time, change func()) (mixed []string) {
 	before := map[string]bool{}
 	for service, h := range t.services {
 		before[service] = len(h.versions(now, t.retention)) > 1
-		for software := range h.current {
-			h.last[software] = now // it was listed until now
-		}
 	}
-	t.replaceCurrent(view)
-	t.observeListings(now, view)
+	change()
 	for service, h := range t.services {
 		if !before[service] && len(h.versions(now, t.retention)) > 1 {
 			mixed = append(mixed, service)
 		}
 	}
-	t.viewed = true
 	slices.Sort(mixed)
 	return mixed
 }
 
 // replaceCurrent sets the software that is listed now.
-func (t *Table) replaceCurrent(view *fleet.View) {
+func (t *Table) replaceCurrent(now time.Time, view *fleet.View) {
 	for _, h := range t.services {
-		h.current = map[string]bool{}
+		h.current, h.pending = map[string]bool{}, map[string]bool{}
 	}
 	for service, list := range view.ByService {
 		h := t.history(service)
 		for _, e := range list {
-			h.current[e.Software] = true
+			h.list(now, e.Software, !t.recording || t.isRecorded(now, h, e.Software))
+		}
+	}
+}
+
+// list notes a version in the latest view.
+func (h *history) list(now time.Time, software string, inService bool) {
+	if !inService {
+		h.pending[software] = true
+		return
+	}
+	h.current[software] = true
+	h.recorded[software] = now
+}
+
+// isRecorded reports whether the record of a version is known to exist. The version may have been out of the
+// view for a part of the retention only: its record is dropped after the whole.
+func (t *Table) isRecorded(now time.Time, h *history, software string) bool {
+	at, ok := h.recorded[software]
+	return ok && (h.current[software] || now.Sub(at) < t.retention/2)
+}
+
+// Recorded notes that versions of a service are recorded, and when they were last listed. Those in the
+// view enter service. It returns the services in which a second version has appeared.
+func (t *Table) Recorded(now time.Time, service string, versions []Seen) (mixed []string) {
+	return t.newlyMixed(now, func() {
+		h := t.history(service)
+		for _, v := range versions {
+			if v.At.After(h.recorded[v.Software]) {
+				h.recorded[v.Software] = v.At
+			}
+			if h.pending[v.Software] && t.isRecorded(now, h, v.Software) {
+				delete(h.pending, v.Software)
+				h.list(now, v.Software, true)
+			}
+		}
+	})
+}
+
+// Pending returns the services with versions that are listed and not in service yet.
+func (t *Table) Pending() (services []string) {
+	for service, h := range t.services {
+		if len(h.pending) > 0 {
+			services = append(services, service)
+		}
+	}
+	slices.Sort(services)
+	return services
+}
+
+// Beginning returns where a stream of a service may begin.
+func (t *Table) Beginning(service string) Beginning {
+	h := t.services[service]
+	if h == nil || len(h.pending) == 0 {
+		return Beginning{}
+	}
+	return Beginning{pending: slices.Sorted(maps.Keys(h.pending)), inService: slices.Sorted(maps.Keys(h.current))}
+}
+
+// MissViews notes that this daemon has not followed the endpoints for a while: any version that it has seen may have been
+// listed until now, and others may have come and gone.
+func (t *Table) MissViews(now time.Time) {
+	t.since = now
+	for _, h := range t.services {
+		h.since = now
+		for software := range h.last {
+			h.last[software] = now
 		}
 	}
 }
@@ -223,7 +310,9 @@
 func (t *Table) Expire(now time.Time) {
 	maps.DeleteFunc(t.records, func(_ Key, e *entry) bool { return now.Sub(e.At) > t.retention })
 	for _, h := range t.services {
-		maps.DeleteFunc(h.last, func(_ string, at time.Time) bool { return now.Sub(at) > t.retention })
+		old := func(_ string, at time.Time) bool { return now.Sub(at) > t.retention }
+		maps.DeleteFunc(h.last, old)
+		maps.DeleteFunc(h.recorded, func(software string, at time.Time) bool { return !h.current[software] && old(software, at) })
 	}
 }
 
@@ -282,7 +371,20 @@
 	At       time.Time
 }
 
-// History returns the software that this daemon has seen in a service, and since when it has
+// RecordOf returns the software of a service that a record must hold: what History returns, and what is to enter
+// service. A history that covers the whole retention counts as one since the first start.
+func (t *Table) RecordOf(now time.Time, service string) (since time.Time, seen []Seen) {
+	since, seen = t.History(now, service)
+	if now.Sub(since) >= t.retention {
+		since = time.Time{}
+	}
+	for software := range t.history(service).pending {
+		seen = append(seen, Seen{software, now})
+	}
+	return since, seen
+}
+
+// History returns the software that this daemon has seen in service, and since when it has
 // watched; zero: since the first start of the system.
 func (t *Table) History(now time.Time, service string) (since time.Time, seen []Seen) {
 	h := t.history(service)
@@ -322,3 +424,6 @@
 
 // maxVersions bounds the versions of a service that are remembered.
 const maxVersions = 64
+
+// Retention returns for how long records are kept.
+func (t *Table) Retention() time.Duration { return t.retention }
--- a/driver/decisions/log.go
+++ b/driver/decisions/log.go
@@ -44,6 +44,7 @@
 	EventNotResumed           = "request not resumed"
 	EventStreamsCopied        = "records of streams copied"
 	EventSoftwareRecord       = "record of software seen"
+	EventOriginFound          = "origin of a stream found"
 	EventRequestWaiting       = "request waits for a model"
 	EventEndpointAvoided      = "endpoint avoided"
 	EventRetriesEmpty         = "retry budget of a service empty"
--- a/driver/record/record.go
+++ b/driver/record/record.go
@@ -54,6 +54,9 @@
 	return r.store != nil && now.Sub(r.triedAt) >= MinCallInterval
 }
 
+// SinceTried returns the time since the last call to the store.
+func (r *Record) SinceTried(now time.Time) time.Duration { return now.Sub(r.triedAt) }
+
 // Known reports whether this daemon knows the version of the stored record. It does not if the
 // store has been restored from a copy since.
 func (r *Record) Known() bool { return r.known && !r.generations.Outdated(r.version) }
--- a/driver/streams/streams.go
+++ b/driver/streams/streams.go
@@ -14,6 +14,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -52,19 +53,32 @@
 	// recordEvery is the interval at which the record in the store is compared with what this daemon
 	// has seen.
 	recordEvery = time.Second
+	// settleTime is the time after its start from which this daemon takes the members that it knows for all.
+	settleTime = time.Second
 	// expireEvery is the interval at which old records are dropped.
 	expireEvery = 10 * time.Second
 )
 
 // Reasons of refusals of attempts to continue a stream.
 const (
+	// ReasonUnknownOrigin says that the origin is not known yet: a source has not answered.
 	ReasonUnknownOrigin = "stream-origin-unknown"
-	ReasonVersionGone   = "stream-version-gone"
+	// ReasonLostOrigin says that no source has the origin: the stream is never taken up again.
+	ReasonLostOrigin  = "stream-origin-lost"
+	ReasonVersionGone = "stream-version-gone"
+	// ReasonNotInService says that no version of the service has been recorded yet.
+	ReasonNotInService = "version-not-recorded"
 )
 
-// retryUnknown is the retry delay of a stream whose origin is not known: other daemons may answer
-// again by then.
-const retryUnknown = 500 * time.Millisecond
+const (
+	// retryUnknown is the retry delay of a stream whose origin is not known yet: daemons and the store
+	// answer again within a second or do not for a while.
+	retryUnknown = time.Second
+	// retryNotInService is the retry delay of a stream that can begin at no version in service.
+	retryNotInService = time.Second
+	// inServiceWait bounds how long a stream waits for a version to be recorded, which takes one write.
+	inServiceWait = 300 * time.Millisecond
+)
 
 // Options are the dependencies of a Controller. Functions must be safe for concurrent use.
 type Options struct {
@@ -91,20 +105,30 @@
 type Controller struct {
 	opt     Options
 	metrics metrics
-	mixed   chan string // services in which a second version has appeared
+	mixed   chan string   // services in which a second version has appeared
+	wake    chan struct{} // a version waits to be recorded
+	started time.Time
 
 	// record and recorded, the signature of its content, belong to whom has sent to recordBusy.
 	recordBusy chan struct{}
 	record     record.Record
 	recorded   string
 
-	mu sync.Mutex
-	t  *continuation.Table
+	// beginnings has the services in which streams do not begin everywhere.
+	beginnings atomic.Pointer[map[string]continuation.Beginning]
+
+	mu     sync.Mutex
+	t      *continuation.Table
+	missed bool                // views were missed since the record was last read
+	blind  bool                // the view was too old when last looked at
+	alive  map[string]struct{} // daemons seen at the last look
+	lostAt time.Time           // when a daemon was last seen to be gone; zero: never
+	readAt time.Time           // when the last successful read of the record began
 }
 
 type metrics struct {
-	placed, unplaced, asked, unknown tally.Counter
-	records                          tally.Gauge
+	placed, unplaced, asked, unknown, lost tally.Counter
+	records                                tally.Gauge
 }
 
 // New returns a controller without records.
@@ -117,10 +141,14 @@
 		since = time.Time{}
 	}
 	s := opt.Metrics.SubScope("streams")
-	return &Controller{opt: opt, t: continuation.New(since), record: record.New(opt.Store, opt.Generations, recordName), mixed: make(chan string, 16), recordBusy: make(chan struct{}, 1), metrics: metrics{
+	c := &Controller{opt: opt, started: opt.Clock(), t: continuation.New(since), record: record.New(opt.Store, opt.Generations, recordName), mixed: make(chan string, 16), wake: make(chan struct{}, 1), recordBusy: make(chan struct{}, 1), metrics: metrics{
 		placed: s.Counter("records_placed_total"), unplaced: s.Counter("records_not_placed_total"), asked: s.Counter("records_asked_total"),
-		unknown: s.Counter("origins_unknown_total"), records: s.Gauge("records"),
+		unknown: s.Counter("origins_unknown_total"), lost: s.Counter("origins_lost_total"), records: s.Gauge("records"),
 	}}
+	if c.record.HasStore() {
+		c.t.RequireRecords()
+	}
+	return c
 }
 
 // SetLongestStream sets how long a stream may last, by the timeouts of the routes.
@@ -134,7 +162,28 @@
 func (c *Controller) ObserveView(view *fleet.View) {
 	c.mu.Lock()
 	mixed := c.t.ObserveView(c.opt.Clock(), view)
+	pending := c.publishBeginnings()
 	c.mu.Unlock()
+	c.notifyMixed(mixed)
+	if pending {
+		select {
+		case c.wake <- struct{}{}:
+		default: // it is being looked at
+		}
+	}
+}
+
+// publishBeginnings updates where streams begin, and reports whether that is limited anywhere. The caller holds mu.
+func (c *Controller) publishBeginnings() (limited bool) {
+	list := map[string]continuation.Beginning{}
+	for _, service := range c.t.Pending() {
+		list[service] = c.t.Beginning(service)
+	}
+	c.beginnings.Store(&list)
+	return len(list) > 0
+}
+
+func (c *Controller) notifyMixed(mixed []string) {
 	for _, service := range mixed {
 		select {
 		case c.mixed <- service:
@@ -156,6 +205,28 @@
 	}
 }
 
+// Beginning returns where a stream of a service may begin: at versions that are recorded.
+func (c *Controller) Beginning(service string) continuation.Beginning {
+	if list := c.beginnings.Load(); list != nil {
+		return (*list)[service]
+	}
+	return continuation.Beginning{}
+}
+
+// AwaitInService waits for a version of a service to enter service, or refuses the stream if none does.
+func (c *Controller) AwaitInService(ctx context.Context, service string) *protocol.Refusal {
+	for until := c.opt.Clock().Add(inServiceWait); ; {
+		b := c.Beginning(service)
+		if _, ok := b.Version(); ok || !b.Limited() {
+			return nil
+		}
+		if ctx.Err() != nil || c.opt.Clock().After(until) {
+			return protocol.Refuse(http.StatusServiceUnavailable, ReasonNotInService, "which version of the service's software serves could not be recorded yet", retryNotInService)
+		}
+		pause.For(ctx, inServiceWait/60)
+	}
+}
+
 // place copies a record to other daemons, and returns once the first of them has it.
 func (c *Controller) place(ctx context.Context, key continuation.Key, r continuation.Record) {
 	targets := c.ranked(key)
@@ -205,29 +276,6 @@
 	return c.decide(r, true)
 }
 
-// Resume returns where a stream may continue that a caller resumes, or the refusal if nobody knows
-// which of several versions began it.
-func (c *Controller) Resume(ctx context.Context, r continuation.Request) (continuation.Constraint, *protocol.Refusal) {
-	if found, ok := c.decide(r, false); ok {
-		return found, nil
-	}
-	members := c.ranked(r.Key)
-	first := members[:min(askedFirst, len(members))]
-	if found, ok := c.ask(ctx, r, first); ok {
-		return found, nil
-	}
-	if rest := members[len(first):]; r.Named && len(rest) > 0 && len(members) <= maxAsked {
-		if found, ok := c.ask(ctx, r, rest); ok {
-			return found, nil
-		}
-	}
-	if found, ok := c.decideByRecord(ctx, r); ok {
-		return found, nil
-	}
-	c.metrics.unknown.Inc(1)
-	return continuation.Constraint{}, protocol.Refuse(http.StatusServiceUnavailable, ReasonUnknownOrigin, "no daemon that could be asked knows which version of the service's software began this stream, and several serve", retryUnknown)
-}
-
 // decide decides by what this daemon knows. Without a record it decides only if its view counts.
 func (c *Controller) decide(r continuation.Request, viewCounts bool) (continuation.Constraint, bool) {
 	c.mu.Lock()
@@ -238,56 +286,12 @@
 	return c.t.Decide(c.opt.Clock(), r)
 }
 
-// viewIsFresh reports whether this daemon relies on having seen all software of a service.
-func (c *Controller) viewIsFresh() bool { return c.opt.ViewAge() <= maxViewAge }
-
-// ask asks daemons for the record of a stream, and decides as soon as an answer allows it.
-func (c *Controller) ask(ctx context.Context, r continuation.Request, members []membership.Member) (continuation.Constraint, bool) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	answers := make(chan *streampb.FindResponse, len(members))
-	req := &streampb.FindRequest{Key: r.Key[:], Service: r.Service}
-	for _, m := range members {
-		c.metrics.asked.Inc(1)
-		go func() {
-			resp, err := c.opt.Peer(m.PeerAddress).Find(ctx, req)
-			if err != nil {
-				resp = nil // the daemon counts as one without a record
-			}
-			answers <- resp
-		}()
-	}
-	for range members {
-		resp := <-answers
-		if resp == nil {
-			continue
-		}
-		c.adopt(r.Service, resp)
-		if resp.Stream != nil {
-			return c.Continue(r)
-		}
-	}
-	return c.decide(r, c.viewIsFresh())
-}
-
-// decideByRecord decides by the record in the store, where this daemon has not read it lately.
-func (c *Controller) decideByRecord(ctx context.Context, r continuation.Request) (continuation.Constraint, bool) {
-	select {
-	case c.recordBusy <- struct{}{}:
-	case <-ctx.Done():
-		return continuation.Constraint{}, false
-	}
-	if now := c.opt.Clock(); c.record.Due(now) {
-		if err := c.readRecord(ctx, now); err != nil {
-			c.opt.Log.Info(decisions.EventSoftwareRecord, "error", err)
-		}
-	}
-	<-c.recordBusy
-	return c.decide(r, c.viewIsFresh())
-}
-
 // adopt merges the answer of another daemon.
 func (c *Controller) adopt(service string, resp *streampb.FindResponse) {
+	c.notifyMixed(c.merge(service, resp))
+}
+
+func (c *Controller) merge(service string, resp *streampb.FindResponse) (mixed []string) {
 	now := c.opt.Clock()
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -297,7 +301,10 @@
 	if resp.History != nil {
 		since, seen := historyFromWire(now, resp.History)
 		c.t.AdoptHistory(service, since, seen)
+		mixed = c.t.Recorded(now, service, seen) // daemons tell of versions in service only
+		c.publishBeginnings()
 	}
+	return mixed
 }
 
 // Run copies records when a second version appears in a service, and drops old ones, until ctx ends.
--- a/driver/streams/streams_test.go
+++ b/driver/streams/streams_test.go
@@ -289,7 +289,14 @@
 		continues bool
 	}{
 		{"one version", func(*installation) {}, true},
-		{"another one until just before", func(in *installation) { in.set("b", "v2"); in.lookAll(); in.set("b", "") }, false},
+		{"another one until just before", func(in *installation) {
+			in.set("b", "v2")
+			in.lookAll()
+			time.Sleep(100 * time.Millisecond)
+			in.beginWhereAllowed(t, "lost", "b")
+			in.set("b", "")
+			time.Sleep(10 * time.Millisecond) // all copies have arrived
+		}, false},
 		{"another one since the copy that the store was restored from", func(in *installation) {
 			backup := in.store.Backup()
 			in.set("b", "v2")
@@ -310,7 +317,6 @@
 				time.Sleep(1200 * time.Millisecond)
 				c.change(in)
 				in.lookAll()
-				time.Sleep(1200 * time.Millisecond)
 				for _, h := range in.hosts {
 					h.stop()
 				}
@@ -328,6 +334,60 @@
 	}
 }
 
+// beginWhereAllowed begins a stream at an endpoint, at a daemon that lets it begin there.
+func (in *installation) beginWhereAllowed(t *testing.T, id, endpoint string) {
+	t.Helper()
+	for _, h := range in.hosts {
+		if h.controller.Beginning("llm").Allows(in.endpoints[endpoint]) {
+			h.begin(id, in.endpoints[endpoint])
+			return
+		}
+	}
+	t.Errorf("no daemon lets a stream begin at %s", endpoint)
+}
+
+// Guards against a stream that continues at another version after a restart of all daemons, because it began before
+// anything that outlasts them said that its version existed.
+func TestVersionsAreRecordedBeforeStreamsBegin(t *testing.T) {
+	for _, listed := range []time.Duration{0, time.Millisecond, 5 * time.Millisecond, 12 * time.Millisecond, 40 * time.Millisecond, 200 * time.Millisecond, 900 * time.Millisecond} {
+		t.Run(listed.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				in := newInstallation(5, true, &record.Store{Latency: 4 * time.Millisecond})
+				defer in.close()
+				in.set("a", "v1")
+				in.lookAll()
+				time.Sleep(1200 * time.Millisecond) // the record has v1
+				in.lookAll()
+				in.set("b", "v2")
+				in.lookAll()
+				time.Sleep(listed)
+				var begun []string
+				for i, h := range in.hosts {
+					if h.controller.Beginning("llm").Allows(in.endpoints["b"]) {
+						begun = append(begun, fmt.Sprint("s", i))
+						h.begin(begun[len(begun)-1], in.endpoints["b"])
+					}
+				}
+				if listed > 100*time.Millisecond && len(begun) != len(in.hosts) {
+					t.Errorf("only %d of %d daemons let streams begin at a version that has long been listed", len(begun), len(in.hosts))
+				}
+				in.set("b", "")
+				time.Sleep(10 * time.Millisecond) // all copies have arrived
+				for _, h := range in.hosts {
+					h.start(false)
+				}
+				for _, id := range begun {
+					for _, h := range in.hosts {
+						if found, refusal := h.controller.Resume(context.Background(), request(id)); refusal == nil && found.Software() != "v2" {
+							t.Errorf("%s of v2 continues at %s", id, found.Software())
+						}
+					}
+				}
+			})
+		})
+	}
+}
+
 // Guards against a stream that continues at another version than its own while daemons restart, are
 // partitioned or see old lists of endpoints, and against refusals in calm.
 func TestStreamsUnderRandomFaults(t *testing.T) {
--- a/transport/edge/endpoints.go
+++ b/transport/edge/endpoints.go
@@ -4,18 +4,29 @@
 	"strconv"
 	"strings"
 
+	"github.com/doorvalve/doorvalve/coordination/continuation"
 	"github.com/doorvalve/doorvalve/coordination/quarantine"
 	"github.com/doorvalve/doorvalve/coordination/residency"
 	"github.com/doorvalve/doorvalve/driver/quarantiner"
 	"github.com/doorvalve/doorvalve/internal/clock"
 	"github.com/doorvalve/doorvalve/protocol"
 	"github.com/doorvalve/doorvalve/state/fleet"
+	"github.com/doorvalve/doorvalve/state/routing"
 )
 
 // originEndpoints returns the endpoints of the request's service, according to the daemon's view: for
-// a stream that continues, those at which it may. The list must not be changed.
+// a stream that continues or begins, those at which it may. The list must not be changed.
 func (s *Server) originEndpoints(q *request) []*fleet.Endpoint {
-	return q.constraint().Filter(s.opt.View().ByService[q.service.Name])
+	list := q.constraint().Filter(s.opt.View().ByService[q.service.Name])
+	return s.beginning(q).Filter(list)
+}
+
+// beginning limits where the request's stream begins, if callers may take it up again.
+func (s *Server) beginning(q *request) continuation.Beginning {
+	if q.constraint().Bound() || q.route.Kind != routing.Streaming || !q.route.Resumable {
+		return continuation.Beginning{}
+	}
+	return s.opt.Streams.Beginning(q.service.Name)
 }
 
 // endpoints returns the endpoints that may serve the request: those of originEndpoints less those to
@@ -42,6 +53,9 @@
 	if c := q.constraint(); c.Bound() {
 		return residency.SoftwareFilter{Bound: true, Software: c.Software()}
 	}
+	if software, ok := s.beginning(q).Version(); ok {
+		return residency.SoftwareFilter{Bound: true, Software: software}
+	}
 	if s.opt.Quarantine.Holds(q.subject()).Empty() {
 		return residency.SoftwareFilter{}
 	}
--- a/transport/edge/locate.go
+++ b/transport/edge/locate.go
@@ -68,7 +68,7 @@
 			}
 		}
 		if answer.Refused == "" && answer.ReadyIn <= 0 {
-			if e := s.opt.View().Find(answer.Endpoint); e != nil && q.constraint().Allows(e) && s.accepts(q, t, e) {
+			if e := s.opt.View().Find(answer.Endpoint); e != nil && q.constraint().Allows(e) && s.beginning(q).Allows(e) && s.accepts(q, t, e) {
 				s.opt.Balancer.ClearAbsent(e.Incarnation(), q.unit())
 				q.assigned = true
 				return e, s.checkQueueWait(q, t, answer)
--- a/transport/edge/origin.go
+++ b/transport/edge/origin.go
@@ -43,13 +43,20 @@
 	return continuation.Request{Key: continuation.KeyOf(id), Named: id != "", Service: q.service.Name, Workspace: q.workspace(), Unit: q.unit()}
 }
 
-// findOrigin finds out which software began the stream that a caller resumes.
+// findOrigin finds out which software began the stream that a caller resumes. A stream that begins waits until a
+// version may begin it.
 func (s *Server) findOrigin(ctx context.Context, q *request) *protocol.Refusal {
 	if !q.resumes() {
+		if s.beginning(q).Limited() {
+			return s.opt.Streams.AwaitInService(ctx, q.service.Name)
+		}
 		return nil
 	}
 	found, refusal := s.opt.Streams.Resume(ctx, q.continuationRequest(q.call.Resumes))
 	if refusal != nil {
+		if refusal.Reason == streams.ReasonLostOrigin {
+			refusal.RetryAfter = q.timeLeft() // the caller comes back in vain before
+		}
 		return refusal
 	}
 	q.origin.Store(&found)
