streams: begun streams outlast a restart of all daemons while versions are mixed

Cause: records of begun streams are in the memory of four daemons only.

Change: while versions are mixed, each daemon writes the streams that it has begun to an object of its own in the store, in batches 0.25 to 1 s after they begin; the first event does not wait. A daemon that nobody can answer reads the objects, or asks one of the readers in a fleet of more than 16. A stream that neither they nor the daemons know is refused as lost, for the whole time of its caller; "not known yet" is left for sources that have not answered.

With one version no calls (TestCallsToTheStore).

--- /dev/null
+++ b/coordination/continuation/stored.go
@@ -0,0 +1,61 @@
+package continuation
+
+import (
+	"crypto/sha256"
+	"fmt"
+	"time"
+)
+
+// Fingerprint identifies a begun stream, with its service, workspace and unit, in few bytes.
+type Fingerprint [12]byte
+
+func fingerprint(key Key, service, workspace, unit string) Fingerprint {
+	sum := sha256.Sum256(fmt.Appendf(key[:], "%q%q%q", service, workspace, unit))
+	return Fingerprint(sum[:])
+}
+
+// Fingerprint returns the fingerprint of the stream that the request continues.
+func (r Request) Fingerprint() Fingerprint {
+	return fingerprint(r.Key, r.Service, r.Workspace, r.Unit)
+}
+
+// Stored is what outlasts all daemons of begun streams: by the software that began them.
+type Stored map[string][]Fingerprint
+
+// OwnStored returns the streams that began at this daemon in services that run more than one version. Those whose
+// endpoint reports no version are left out: the version alone does not tell where they continue.
+func (t *Table) OwnStored(now time.Time) Stored {
+	list := Stored{}
+	for _, e := range t.records {
+		o := e.Origin
+		if e.own && !o.Ambiguous && o.Software != "" && now.Sub(e.At) < t.retention && t.Mixed(now, o.Service) {
+			list[o.Software] = append(list[o.Software], fingerprint(e.Key, o.Service, o.Workspace, o.Unit))
+		}
+	}
+	return list
+}
+
+// ReplaceStored sets what was read of all daemons' begun streams. A stream in two of them with
+// different software counts as unknown.
+func (t *Table) ReplaceStored(all []Stored) {
+	t.stored = map[Fingerprint]string{}
+	for _, s := range all {
+		t.AddStored(s)
+	}
+}
+
+// AddStored adds begun streams.
+func (t *Table) AddStored(s Stored) {
+	for software, list := range s {
+		for _, f := range list {
+			if have, ok := t.stored[f]; ok && have != software {
+				t.stored[f] = ""
+				continue
+			}
+			t.stored[f] = software
+		}
+	}
+}
+
+// StoredSoftware returns the software that began a stream; empty if it is not known.
+func (t *Table) StoredSoftware(f Fingerprint) string { return t.stored[f] }
--- a/coordination/continuation/table.go
+++ b/coordination/continuation/table.go
@@ -48,6 +48,7 @@
 	viewed    bool
 	since     time.Time // start of the time that this daemon has watched; zero: since the first start
 	recording bool      // versions enter service once they are recorded
+	stored    map[Fingerprint]string
 }
 
 type entry struct {
@@ -73,7 +74,7 @@
 // New returns a table that watches services from the given time on. The zero time means that no
 // stream has begun before: the system has never run.
 func New(since time.Time) *Table {
-	return &Table{records: map[Key]*entry{}, services: map[string]*history{}, listed: map[string]listing{}, replaced: map[string]time.Time{}, retention: minRetention, since: since}
+	return &Table{records: map[Key]*entry{}, services: map[string]*history{}, listed: map[string]listing{}, replaced: map[string]time.Time{}, stored: map[Fingerprint]string{}, retention: minRetention, since: since}
 }
 
 // RequireRecords lets versions enter service only once they are recorded.
@@ -345,6 +346,9 @@
 	if r.Named && e != nil && r.matches(e.Origin) {
 		return t.constrain(now, e.Record)
 	}
+	if software := t.StoredSoftware(r.Fingerprint()); r.Named && software != "" {
+		return sameSoftware(software), true
+	}
 	if software, ok := t.sole(now, r.Service); ok {
 		return sameSoftware(software), true
 	}
--- a/driver/decisions/log.go
+++ b/driver/decisions/log.go
@@ -44,6 +44,7 @@
 	EventNotResumed           = "request not resumed"
 	EventStreamsCopied        = "records of streams copied"
 	EventSoftwareRecord       = "record of software seen"
+	EventStoredOrigins        = "stored origins of streams"
 	EventOriginFound          = "origin of a stream found"
 	EventRequestWaiting       = "request waits for a model"
 	EventEndpointAvoided      = "endpoint avoided"
--- a/driver/streams/resume.go
+++ b/driver/streams/resume.go
@@ -28,7 +28,7 @@
 	if found, ok := c.decide(r, false); ok {
 		return found, nil
 	}
-	for _, source := range []func(context.Context, *question) (continuation.Constraint, bool){c.askDaemons, c.askRecord} {
+	for _, source := range []func(context.Context, *question) (continuation.Constraint, bool){c.askDaemons, c.askRecord, c.askStored} {
 		if found, ok := source(ctx, q); ok {
 			return found, nil
 		}
--- /dev/null
+++ b/driver/streams/stored.go
@@ -0,0 +1,325 @@
+package streams
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/doorvalve/doorvalve/coordination/continuation"
+	"github.com/doorvalve/doorvalve/coordination/membership"
+	"github.com/doorvalve/doorvalve/driver/decisions"
+	"github.com/doorvalve/doorvalve/driver/record"
+	"github.com/doorvalve/doorvalve/internal/pause"
+	"github.com/doorvalve/doorvalve/protocol/streampb"
+)
+
+// While a service runs several versions, each daemon keeps the streams that it has begun in an object of its own
+// in the store, for the case that all daemons that have their records end at once. New streams are
+// collected for a moment and written together, so that no event waits for the store. The object of a daemon that has
+// ended stays until its streams are over.
+
+const (
+	// minFlushInterval and maxFlushInterval bound the time for which new streams are collected.
+	minFlushInterval = 250 * time.Millisecond
+	maxFlushInterval = time.Second
+	// flushIntervalPerDaemon keeps the writes of all daemons together below some 80 a second.
+	flushIntervalPerDaemon = 12 * time.Millisecond
+	// smallFleet is the number of daemons up to which each of them reads the objects itself. Among more, a few
+	// readers do, and answer the others.
+	smallFleet = 16
+	// daemonsPerReader is the number of daemons for each reader beyond the first four.
+	daemonsPerReader = 16
+	minReaders       = 4
+	// storedTimeout bounds a list of the objects.
+	storedTimeout = 2 * time.Second
+)
+
+// readersName ranks the daemons that read the objects of a large fleet, and the one that removes old ones.
+const readersName = "stream-origins-readers"
+
+// OriginStore keeps an object of each daemon's begun streams.
+type OriginStore interface {
+	record.Store
+	// ListRecords passes the name and content of each object to use.
+	ListRecords(ctx context.Context, use func(name string, content json.RawMessage)) error
+	// DeleteRecord removes an object. It is no error if there is none.
+	DeleteRecord(ctx context.Context, name string) error
+}
+
+// storedOrigins is this daemon's part in the stored origins.
+type storedOrigins struct {
+	dirty chan struct{}
+	// The fields below belong to whom has sent to busy.
+	busy   chan struct{}
+	own    record.Record
+	exists bool                 // an object of this daemon is stored
+	readAt time.Time            // when the last successful list began
+	seen   map[string]time.Time // when an object was first listed, by name
+}
+
+func newStoredOrigins() storedOrigins {
+	return storedOrigins{dirty: make(chan struct{}, 1), busy: make(chan struct{}, 1), seen: map[string]time.Time{}}
+}
+
+// markDirty notes that there are streams to be stored.
+func (s *storedOrigins) markDirty() {
+	select {
+	case s.dirty <- struct{}{}:
+	default: // noted already
+	}
+}
+
+// originsObject is the object of one daemon. Streams are fingerprints, one after the other, by software.
+type originsObject struct {
+	Streams map[string][]byte `json:"streams"`
+}
+
+func encodeStored(s continuation.Stored) originsObject {
+	o := originsObject{Streams: map[string][]byte{}}
+	for software, list := range s {
+		var all []byte
+		for _, f := range list {
+			all = append(all, f[:]...)
+		}
+		o.Streams[software] = all
+	}
+	return o
+}
+
+func (o originsObject) decode() continuation.Stored {
+	s := continuation.Stored{}
+	for software, all := range o.Streams {
+		for part := range slices.Chunk(all, len(continuation.Fingerprint{})) {
+			if len(part) == len(continuation.Fingerprint{}) {
+				s[software] = append(s[software], continuation.Fingerprint(bytes.Clone(part)))
+			}
+		}
+	}
+	return s
+}
+
+// runStored stores begun streams, and removes objects that nobody needs, until ctx ends.
+func (c *Controller) runStored(ctx context.Context) {
+	if c.opt.Origins == nil {
+		return
+	}
+	c.stored.own = record.New(c.opt.Origins, c.opt.Generations, c.opt.Self)
+	for ctx.Err() == nil {
+		select {
+		case <-c.stored.dirty:
+			pause.For(ctx, flushInterval(len(c.opt.Members())))
+			c.flush(ctx)
+		case <-time.After(expireEvery):
+			c.removeStored(ctx)
+		case <-ctx.Done():
+		}
+	}
+}
+
+func flushInterval(daemons int) time.Duration {
+	return min(maxFlushInterval, max(minFlushInterval, time.Duration(daemons)*flushIntervalPerDaemon))
+}
+
+// flush stores the streams that this daemon has begun. If it fails, it is tried again.
+func (c *Controller) flush(ctx context.Context) {
+	if ctx.Err() != nil {
+		return
+	}
+	c.mu.Lock()
+	own := c.t.OwnStored(c.opt.Clock())
+	c.mu.Unlock()
+	if len(own) == 0 {
+		return
+	}
+	c.stored.busy <- struct{}{}
+	defer func() { <-c.stored.busy }()
+	now, s := c.opt.Clock(), &c.stored
+	var err error
+	if !s.own.Known() {
+		var ignored originsObject
+		err = s.own.Read(ctx, now, &ignored)
+	}
+	written := false
+	if err == nil {
+		written, err = s.own.Write(ctx, now, encodeStored(own))
+	}
+	if written {
+		s.exists = true
+		c.metrics.stored.Inc(1)
+		return
+	}
+	c.opt.Log.Info(decisions.EventStoredOrigins, "written", false, "error", err)
+	s.markDirty()
+}
+
+// removeStored removes this daemon's object when its streams are over, and one daemon removes those of daemons that have ended.
+func (c *Controller) removeStored(ctx context.Context) {
+	c.stored.busy <- struct{}{}
+	defer func() { <-c.stored.busy }()
+	now, s := c.opt.Clock(), &c.stored
+	c.mu.Lock()
+	over, retention := len(c.t.OwnStored(now)) == 0, c.t.Retention()
+	c.mu.Unlock()
+	if s.exists && over && c.deleteStored(ctx, c.opt.Self) {
+		s.exists = false
+		s.own = record.New(c.opt.Origins, c.opt.Generations, c.opt.Self)
+	}
+	members := c.opt.Members()
+	if membership.Rendezvous(readersName, members)[0].ID != c.opt.Self {
+		return
+	}
+	if now.Sub(s.readAt) > retention && c.mayBeStored(now) {
+		c.logStoredError(c.listStored(ctx, now))
+	}
+	for name, since := range s.seen {
+		alive := slices.ContainsFunc(members, func(m membership.Member) bool { return m.ID == name })
+		if !alive && now.Sub(since) > retention && c.deleteStored(ctx, name) {
+			delete(s.seen, name)
+		}
+	}
+}
+
+// mayBeStored reports whether daemons that have ended may have left objects which this one has not seen: it has
+// never looked, or versions are mixed.
+func (c *Controller) mayBeStored(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.stored.readAt.IsZero() && !c.opt.FirstStart {
+		return true
+	}
+	return slices.ContainsFunc(c.t.Services(), func(service string) bool { return c.t.Mixed(now, service) })
+}
+
+func (c *Controller) deleteStored(ctx context.Context, name string) bool {
+	ctx, cancel := context.WithTimeout(ctx, storedTimeout)
+	defer cancel()
+	err := c.opt.Origins.DeleteRecord(ctx, name)
+	c.logStoredError(err)
+	return err == nil
+}
+
+func (c *Controller) logStoredError(err error) {
+	if err != nil {
+		c.opt.Log.Info(decisions.EventStoredOrigins, "error", err)
+	}
+}
+
+// askStored decides by the stored streams of all daemons. In a large fleet it asks daemons that read them.
+func (c *Controller) askStored(ctx context.Context, q *question) (continuation.Constraint, bool) {
+	if c.opt.Origins == nil || !q.Named {
+		return continuation.Constraint{}, false
+	}
+	readers := c.readers()
+	if isMember(readers, c.opt.Self) {
+		if err := c.readStored(ctx, q.at); err != nil {
+			q.silent = true
+			c.logStoredError(err)
+			return continuation.Constraint{}, false
+		}
+	} else {
+		c.askReaders(ctx, q, membership.Rendezvous(string(q.Key[:]), readers)[:maxQuestions])
+	}
+	found, ok := c.decide(q.Request, false)
+	if ok {
+		c.opt.Log.Info(decisions.EventOriginFound, "source", "stored origins", "service", q.Service, "software", found.Software())
+	}
+	return found, ok
+}
+
+// askReaders asks daemons that read the objects, one after the other, for the software that began a stream.
+func (c *Controller) askReaders(ctx context.Context, q *question, readers []membership.Member) {
+	f := q.Fingerprint()
+	for _, m := range readers {
+		ctx, cancel := context.WithTimeout(ctx, storedTimeout)
+		resp, err := c.opt.Peer(m.PeerAddress).Find(ctx, &streampb.FindRequest{Key: f[:], Service: q.Service})
+		cancel()
+		if err != nil {
+			c.logStoredError(err)
+			continue
+		}
+		if software := resp.GetStream().GetSoftware(); software != "" {
+			c.mu.Lock()
+			c.t.AddStored(continuation.Stored{software: {f}})
+			c.mu.Unlock()
+		}
+		return
+	}
+	q.silent = true
+}
+
+// findStored answers another daemon that asks for a stored stream.
+func (c *Controller) findStored(ctx context.Context, f continuation.Fingerprint) (*streampb.FindResponse, error) {
+	if err := c.readStored(ctx, c.opt.Clock()); err != nil {
+		return nil, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	resp := &streampb.FindResponse{}
+	if software := c.t.StoredSoftware(f); software != "" {
+		resp.Stream = &streampb.Stream{Software: software}
+	}
+	return resp, nil
+}
+
+// readers returns the daemons that read the objects.
+func (c *Controller) readers() []membership.Member {
+	members := membership.Rendezvous(readersName, c.opt.Members())
+	if len(members) <= smallFleet {
+		return members
+	}
+	return members[:minReaders+len(members)/daemonsPerReader]
+}
+
+func isMember(list []membership.Member, id string) bool {
+	return slices.ContainsFunc(list, func(m membership.Member) bool { return m.ID == id })
+}
+
+// readStored reads the objects, unless a list that began after the given time has succeeded.
+func (c *Controller) readStored(ctx context.Context, at time.Time) error {
+	select {
+	case c.stored.busy <- struct{}{}:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	defer func() { <-c.stored.busy }()
+	if c.stored.readAt.After(at) {
+		return nil
+	}
+	now := c.opt.Clock()
+	if wait := minFlushInterval - now.Sub(c.stored.readAt); wait > 0 {
+		pause.For(ctx, wait)
+		now = c.opt.Clock()
+	}
+	return c.listStored(ctx, now)
+}
+
+// listStored reads the objects. The caller holds them.
+func (c *Controller) listStored(ctx context.Context, now time.Time) error {
+	ctx, cancel := context.WithTimeout(ctx, storedTimeout)
+	defer cancel()
+	var all []continuation.Stored
+	var unreadable []error
+	err := c.opt.Origins.ListRecords(ctx, func(name string, content json.RawMessage) {
+		if _, ok := c.stored.seen[name]; !ok {
+			c.stored.seen[name] = now
+		}
+		var o originsObject
+		if err := json.Unmarshal(content, &o); err != nil {
+			unreadable = append(unreadable, err)
+			return
+		}
+		all = append(all, o.decode())
+	})
+	if err != nil {
+		return err
+	}
+	c.stored.readAt = now
+	c.mu.Lock()
+	c.t.ReplaceStored(all)
+	c.mu.Unlock()
+	c.opt.Log.Info(decisions.EventStoredOrigins, "read", true, "daemons", len(all))
+	return errors.Join(unreadable...)
+}
--- /dev/null
+++ b/driver/streams/stored_test.go
@@ -0,0 +1,139 @@
+package streams
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/doorvalve/doorvalve/standin/record"
+)
+
+// mixedInstallation runs two versions of a service, for longer than the record of the second takes.
+func mixedInstallation(daemons int) *installation {
+	in := newInstallationWith(daemons, true, &record.Store{Latency: 4 * time.Millisecond}, &record.Records{Latency: 4 * time.Millisecond})
+	in.set("a", "v1")
+	in.set("b", "v2")
+	in.lookAll()
+	time.Sleep(500 * time.Millisecond)
+	in.lookAll()
+	return in
+}
+
+// beginAtBoth begins n streams, by turns at both versions and at all daemons.
+func (in *installation) beginAtBoth(n int) (ids []string, software map[string]string) {
+	software = map[string]string{}
+	for i := range n {
+		id, e := fmt.Sprint("s", i), in.endpoints[[]string{"a", "b"}[i%2]]
+		in.hosts[i%len(in.hosts)].begin(id, e)
+		ids, software[id] = append(ids, id), e.Software
+	}
+	return ids, software
+}
+
+// killAll starts all daemons anew, without records, at the same time.
+func (in *installation) killAll() {
+	time.Sleep(10 * time.Millisecond) // all copies have arrived
+	for _, h := range in.hosts {
+		h.name += "'"
+		h.start(false)
+	}
+}
+
+// Guards against streams that nobody can take up after a restart of all daemons while two versions serve, though they began
+// long before, and against those that go on at the other version.
+func TestStreamsOutlastAllDaemons(t *testing.T) {
+	const streams = 60
+	for _, daemons := range []int{3, 7, 24, 71} {
+		t.Run(fmt.Sprint(daemons), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				in := mixedInstallation(daemons)
+				defer in.close()
+				ids, software := in.beginAtBoth(streams)
+				time.Sleep(1500 * time.Millisecond)
+				for series := range 2 {
+					in.killAll()
+					continued := 0
+					for i, id := range ids {
+						found, refusal := in.hosts[(i+1)%daemons].controller.Resume(context.Background(), request(id))
+						if refusal == nil && found.Software() != software[id] {
+							t.Errorf("%s of %s continues at %s", id, software[id], found.Software())
+						}
+						if refusal == nil {
+							continued++
+						}
+					}
+					if continued < streams*95/100 {
+						t.Errorf("restart %d: %d of %d streams continue", series, continued, streams)
+					}
+				}
+			})
+		})
+	}
+}
+
+// Guards against callers that come back in vain for a stream that is lost, and against those that are told so while the store, which
+// knows the stream, is away.
+func TestLostIsToldFromNotKnownYet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		in := mixedInstallation(5)
+		defer in.close()
+		in.hosts[0].begin("kept", in.endpoints["b"])
+		time.Sleep(1500 * time.Millisecond)
+		in.hosts[1].begin("lost", in.endpoints["b"])
+		in.killAll()
+		time.Sleep(2 * settleTime)
+		in.lookAll()
+		in.origins.SetAway(true)
+		expect := func(id, reason string) {
+			t.Helper()
+			_, refusal := in.hosts[2].controller.Resume(context.Background(), request(id))
+			if refusal == nil || refusal.Reason != reason {
+				t.Errorf("%s: refusal %v, want %s", id, refusal, reason)
+			}
+		}
+		expect("kept", ReasonUnknownOrigin)
+		expect("lost", ReasonUnknownOrigin)
+		in.origins.SetAway(false)
+		expect("lost", ReasonLostOrigin)
+		resume(t, in.hosts[2], "kept", "v2")
+	})
+}
+
+// Guards against calls to the store while one version serves, and bounds those while two do.
+func TestCallsToTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		in := mixedInstallation(7)
+		defer in.close()
+		const seconds, perSecond = 10, 4
+		before := in.origins.Calls()
+		for i := range seconds * perSecond {
+			for j, h := range in.hosts {
+				h.begin(fmt.Sprintf("s%d-%d", i, j), in.endpoints["a"])
+			}
+			time.Sleep(time.Second / perSecond)
+		}
+		limit := len(in.hosts) * (seconds*int(time.Second/minFlushInterval) + 1) // each reads its object once
+		if n := in.origins.Calls() - before; n == 0 || n > limit {
+			t.Errorf("two versions: %d calls in %d s by %d daemons, want at most %d", n, seconds, len(in.hosts), limit)
+		}
+		in.set("b", "")
+		for range 200 { // the retention and the cleaning after it
+			time.Sleep(time.Second)
+			in.lookAll()
+		}
+		if n := in.origins.Len(); n != 0 {
+			t.Errorf("%d objects are left after the streams are over", n)
+		}
+		before = in.origins.Calls() + in.store.Calls()
+		for i := range 100 {
+			in.hosts[i%7].begin(fmt.Sprint("single-", i), in.endpoints["a"])
+			time.Sleep(time.Second)
+			in.lookAll()
+		}
+		if n := in.origins.Calls() + in.store.Calls() - before; n != 0 {
+			t.Errorf("one version: %d calls", n)
+		}
+	})
+}
--- a/driver/streams/streams.go
+++ b/driver/streams/streams.go
@@ -53,6 +53,8 @@
 	// recordEvery is the interval at which the record in the store is compared with what this daemon
 	// has seen.
 	recordEvery = time.Second
+	// maxQuestions bounds the readers of stored records that are asked for one stream.
+	maxQuestions = 2
 	// settleTime is the time after its start from which this daemon takes the members that it knows for all.
 	settleTime = time.Second
 	// expireEvery is the interval at which old records are dropped.
@@ -92,6 +94,8 @@
 	// Store keeps the software that was seen, for the case that all daemons restart; nil: it is not
 	// kept.
 	Store record.Store
+	// Origins keeps which software began streams while a service runs several versions; nil: they are not kept.
+	Origins OriginStore
 	// Generations tracks the highest generation of the store; nil: the store reports none.
 	Generations *generations.Tracker
 	// FirstStart reports that the system has never run before.
@@ -107,6 +111,7 @@
 	metrics metrics
 	mixed   chan string   // services in which a second version has appeared
 	wake    chan struct{} // a version waits to be recorded
+	stored  storedOrigins
 	started time.Time
 
 	// record and recorded, the signature of its content, belong to whom has sent to recordBusy.
@@ -127,8 +132,8 @@
 }
 
 type metrics struct {
-	placed, unplaced, asked, unknown, lost tally.Counter
-	records                                tally.Gauge
+	placed, unplaced, asked, unknown, lost, stored tally.Counter
+	records                                        tally.Gauge
 }
 
 // New returns a controller without records.
@@ -141,9 +146,9 @@
 		since = time.Time{}
 	}
 	s := opt.Metrics.SubScope("streams")
-	c := &Controller{opt: opt, started: opt.Clock(), t: continuation.New(since), record: record.New(opt.Store, opt.Generations, recordName), mixed: make(chan string, 16), wake: make(chan struct{}, 1), recordBusy: make(chan struct{}, 1), metrics: metrics{
+	c := &Controller{opt: opt, started: opt.Clock(), t: continuation.New(since), record: record.New(opt.Store, opt.Generations, recordName), mixed: make(chan string, 16), wake: make(chan struct{}, 1), recordBusy: make(chan struct{}, 1), stored: newStoredOrigins(), metrics: metrics{
 		placed: s.Counter("records_placed_total"), unplaced: s.Counter("records_not_placed_total"), asked: s.Counter("records_asked_total"),
-		unknown: s.Counter("origins_unknown_total"), lost: s.Counter("origins_lost_total"), records: s.Gauge("records"),
+		unknown: s.Counter("origins_unknown_total"), lost: s.Counter("origins_lost_total"), stored: s.Counter("records_stored_total"), records: s.Gauge("records"),
 	}}
 	if c.record.HasStore() {
 		c.t.RequireRecords()
@@ -201,6 +206,7 @@
 	mixed := c.t.Mixed(now, o.Service)
 	c.mu.Unlock()
 	if mixed {
+		c.stored.markDirty()
 		c.place(ctx, key, r)
 	}
 }
@@ -280,7 +286,9 @@
 func (c *Controller) decide(r continuation.Request, viewCounts bool) (continuation.Constraint, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if _, known := c.t.Lookup(r.Key); !viewCounts && !known {
+	_, known := c.t.Lookup(r.Key)
+	known = known || c.t.StoredSoftware(r.Fingerprint()) != ""
+	if !viewCounts && !known {
 		return continuation.Constraint{}, false
 	}
 	return c.t.Decide(c.opt.Clock(), r)
@@ -311,6 +319,7 @@
 func (c *Controller) Run(ctx context.Context) error {
 	go c.runExpire(ctx)
 	go c.runRecord(ctx)
+	go c.runStored(ctx)
 	for {
 		select {
 		case <-ctx.Done():
@@ -334,6 +343,7 @@
 
 // placeOwn copies the records of a service's streams that began here while there was one version.
 func (c *Controller) placeOwn(ctx context.Context, service string) {
+	c.stored.markDirty()
 	c.mu.Lock()
 	own := c.t.Own(service)
 	c.mu.Unlock()
@@ -371,7 +381,10 @@
 }
 
 // Find implements streampb.Streams.
-func (c *Controller) Find(_ context.Context, req *streampb.FindRequest) (*streampb.FindResponse, error) {
+func (c *Controller) Find(ctx context.Context, req *streampb.FindRequest) (*streampb.FindResponse, error) {
+	if len(req.Key) == len(continuation.Fingerprint{}) {
+		return c.findStored(ctx, continuation.Fingerprint(req.Key))
+	}
 	now, resp := c.opt.Clock(), &streampb.FindResponse{}
 	fresh := c.viewIsFresh()
 	c.mu.Lock()
--- a/driver/streams/streams_test.go
+++ b/driver/streams/streams_test.go
@@ -39,7 +39,8 @@
 	hosts     []*host
 	endpoints map[string]*fleet.Endpoint
 	calls     int
-	store     *record.Store // nil: none
+	store     *record.Store   // nil: none
+	origins   *record.Records // nil: none
 	// generations tracks the store's generation.
 	generations *generations.Tracker
 }
@@ -59,7 +60,11 @@
 var errPartitioned = errors.New("partitioned")
 
 func newInstallation(hosts int, firstStart bool, store *record.Store) *installation {
-	in := &installation{log: decisions.New(io.Discard, "test", hclog.Off), endpoints: map[string]*fleet.Endpoint{}, store: store}
+	return newInstallationWith(hosts, firstStart, store, nil)
+}
+
+func newInstallationWith(hosts int, firstStart bool, store *record.Store, origins *record.Records) *installation {
+	in := &installation{origins: origins, log: decisions.New(io.Discard, "test", hclog.Off), endpoints: map[string]*fleet.Endpoint{}, store: store}
 	in.generations = generations.New(in.log, tally.NoopScope)
 	for i := range hosts {
 		in.hosts = append(in.hosts, &host{in: in, name: fmt.Sprintf("h%d", i)})
@@ -96,6 +101,9 @@
 	if h.in.store != nil {
 		opt.Store = h.in.store
 	}
+	if h.in.origins != nil {
+		opt.Origins = h.in.origins
+	}
 	c := New(opt)
 	h.mu.Lock()
 	if h.stop != nil {
