streams: a lost stream is refused for good, and streams are stored as they begin

Change: a stream is stored at once, unless the last write is less than 0.1 s (at 7 daemons) to 1 s old. A lost stream is refused with 400, after which callers do not send the request again as it is; not known yet remains 503.

--- a/driver/streams/resume.go
+++ b/driver/streams/resume.go
@@ -36,14 +36,15 @@
 	return continuation.Constraint{}, c.refuseOrigin(q)
 }
 
-// refuseOrigin tells an origin that is lost from one that is not known yet.
+// refuseOrigin tells an origin that is lost from one that is not known yet. The refusal of a lost one has a status
+// after which callers do not repeat the request as it is.
 func (c *Controller) refuseOrigin(q *question) *protocol.Refusal {
-	if age := c.opt.Clock().Sub(c.started); q.Named && (q.silent || !c.viewIsFresh() || age < settleTime) {
+	if age := c.opt.Clock().Sub(c.started); q.Named && (q.silent || !c.viewIsFresh() || !c.opt.FirstStart && age < settleTime) {
 		c.metrics.unknown.Inc(1)
 		return protocol.Refuse(http.StatusServiceUnavailable, ReasonUnknownOrigin, "several versions of the service's software may have begun this stream, and what may tell which has not answered yet", retryUnknown)
 	}
 	c.metrics.lost.Inc(1)
-	return protocol.Refuse(http.StatusServiceUnavailable, ReasonLostOrigin, "no daemon and no record knows which version of the service's software began this stream: it cannot be taken up, begin it anew", 0)
+	return protocol.Refuse(http.StatusBadRequest, ReasonLostOrigin, "no daemon and no record knows which version of the service's software began this stream: it cannot be taken up, begin it anew", 0)
 }
 
 // askDaemons asks the daemons that hold copies of the stream's record, then others if several versions may have begun it.
--- a/driver/streams/stored.go
+++ b/driver/streams/stored.go
@@ -17,16 +17,18 @@
 )
 
 // While a service runs several versions, each daemon keeps the streams that it has begun in an object of its own
-// in the store, for the case that all daemons that have their records end at once. New streams are
-// collected for a moment and written together, so that no event waits for the store. The object of a daemon that has
+// in the store, for the case that all daemons that have their records end at once. A stream is written at once, or
+// with those that begin until the next write is due; no event waits for it. The object of a daemon that has
 // ended stays until its streams are over.
 
 const (
-	// minFlushInterval and maxFlushInterval bound the time for which new streams are collected.
-	minFlushInterval = 250 * time.Millisecond
+	// minFlushInterval and maxFlushInterval bound the time between two writes, for which new streams are collected.
+	minFlushInterval = 100 * time.Millisecond
 	maxFlushInterval = time.Second
 	// flushIntervalPerDaemon keeps the writes of all daemons together below some 80 a second.
 	flushIntervalPerDaemon = 12 * time.Millisecond
+	// minListInterval is the time between two lists of the objects.
+	minListInterval = 250 * time.Millisecond
 	// smallFleet is the number of daemons up to which each of them reads the objects itself. Among more, a few
 	// readers do, and answer the others.
 	smallFleet = 16
@@ -110,7 +112,7 @@
 	for ctx.Err() == nil {
 		select {
 		case <-c.stored.dirty:
-			pause.For(ctx, flushInterval(len(c.opt.Members())))
+			pause.For(ctx, flushInterval(len(c.opt.Members()))-c.stored.own.SinceTried(c.opt.Clock()))
 			c.flush(ctx)
 		case <-time.After(expireEvery):
 			c.removeStored(ctx)
@@ -289,7 +291,7 @@
 		return nil
 	}
 	now := c.opt.Clock()
-	if wait := minFlushInterval - now.Sub(c.stored.readAt); wait > 0 {
+	if wait := minListInterval - now.Sub(c.stored.readAt); wait > 0 {
 		pause.For(ctx, wait)
 		now = c.opt.Clock()
 	}
--- a/driver/streams/stored_test.go
+++ b/driver/streams/stored_test.go
@@ -81,11 +81,11 @@
 		defer in.close()
 		in.hosts[0].begin("kept", in.endpoints["b"])
 		time.Sleep(1500 * time.Millisecond)
+		in.origins.SetAway(true)
 		in.hosts[1].begin("lost", in.endpoints["b"])
 		in.killAll()
 		time.Sleep(2 * settleTime)
 		in.lookAll()
-		in.origins.SetAway(true)
 		expect := func(id, reason string) {
 			t.Helper()
 			_, refusal := in.hosts[2].controller.Resume(context.Background(), request(id))
--- a/driver/streams/streams.go
+++ b/driver/streams/streams.go
@@ -55,7 +55,7 @@
 	recordEvery = time.Second
 	// maxQuestions bounds the readers of stored records that are asked for one stream.
 	maxQuestions = 2
-	// settleTime is the time after its start from which this daemon takes the members that it knows for all.
+	// settleTime is the time after its start, unless it is the first one, from which this daemon takes the members that it knows for all.
 	settleTime = time.Second
 	// expireEvery is the interval at which old records are dropped.
 	expireEvery = 10 * time.Second
--- a/transport/edge/origin.go
+++ b/transport/edge/origin.go
@@ -54,9 +54,6 @@
 	}
 	found, refusal := s.opt.Streams.Resume(ctx, q.continuationRequest(q.call.Resumes))
 	if refusal != nil {
-		if refusal.Reason == streams.ReasonLostOrigin {
-			refusal.RetryAfter = q.timeLeft() // the caller comes back in vain before
-		}
 		return refusal
 	}
 	q.origin.Store(&found)
