streams: a daemon that has missed views reads the record again

Cause: a gap in the views resets what a daemon has watched, and only the writer read the record again.

--- a/driver/streams/record.go
+++ b/driver/streams/record.go
@@ -71,18 +71,30 @@
 	}
 }
 
-// keepRecord writes the record if this daemon is its writer and the versions have changed.
+// keepRecord writes the record if this daemon is its writer and the versions have changed, and reads it if
+// this daemon has missed versions: until then it takes each service for one of several versions.
 func (c *Controller) keepRecord(ctx context.Context) {
 	now := c.opt.Clock()
-	if !c.viewIsFresh() || !c.record.IsWriter(c.opt.Self, c.opt.Members()) || !c.lockRecord(ctx) {
+	if !c.viewIsFresh() || !c.lockRecord(ctx) {
 		return // the next view may have other versions
 	}
 	defer c.unlockRecord()
-	if c.record.Due(now) {
+	switch {
+	case !c.record.Due(now):
+	case c.record.IsWriter(c.opt.Self, c.opt.Members()):
 		c.logRecordError(c.writeRecord(ctx, now))
+	case c.missedViews():
+		c.logRecordError(c.readRecord(ctx, now))
 	}
 }
 
+// missedViews reports whether this daemon has missed versions since it last read the record.
+func (c *Controller) missedViews() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.missed
+}
+
 // recordPending lets the versions that are listed and not in service enter service: it writes them, or
 // reads that another daemon has written them.
 func (c *Controller) recordPending(ctx context.Context) {
@@ -153,10 +165,7 @@
 // writeRecord writes what the record must hold, unless it does. It reads the record first if this daemon
 // does not know it, or has missed versions that it may hold. The caller holds the record.
 func (c *Controller) writeRecord(ctx context.Context, now time.Time) error {
-	c.mu.Lock()
-	missed := c.missed
-	c.mu.Unlock()
-	if missed || !c.record.Known() {
+	if c.missedViews() || !c.record.Known() {
 		if err := c.readRecord(ctx, now); err != nil {
 			return err
 		}
