streams: the record is asked before the daemons that are unlikely to know

After the loss of a daemon, a take-up waited for the answers of all daemons, 150 ms more where one was gone, before one read of the store decided it.

--- a/driver/streams/resume.go
+++ b/driver/streams/resume.go
@@ -28,7 +28,7 @@
 	if found, ok := c.decide(r, false); ok {
 		return found, nil
 	}
-	for _, source := range []func(context.Context, *question) (continuation.Constraint, bool){c.askDaemons, c.askRecord, c.askStored} {
+	for _, source := range []func(context.Context, *question) (continuation.Constraint, bool){c.askHolders, c.askRecord, c.askOthers, c.askStored} {
 		if found, ok := source(ctx, q); ok {
 			return found, nil
 		}
@@ -47,21 +47,19 @@
 	return protocol.Refuse(http.StatusBadRequest, ReasonLostOrigin, "no daemon and no record knows which version of the service's software began this stream: it cannot be taken up, begin it anew", 0)
 }
 
-// askDaemons asks the daemons that hold copies of the stream's record, then others if several versions may have begun it.
-func (c *Controller) askDaemons(ctx context.Context, q *question) (continuation.Constraint, bool) {
+// askHolders asks the daemons that hold copies of the stream's record.
+func (c *Controller) askHolders(ctx context.Context, q *question) (continuation.Constraint, bool) {
 	members := c.ranked(q.Key)
-	first := members[:min(askedFirst, len(members))]
-	if found, ok := c.askAndDecide(ctx, q, first); ok {
-		return found, true
-	}
-	rest := members[len(first):]
-	if !q.Named || len(rest) == 0 {
-		return continuation.Constraint{}, false
-	}
-	if len(members) > maxAsked {
+	return c.askAndDecide(ctx, q, members[:min(askedFirst, len(members))])
+}
+
+// askOthers asks the other daemons, if there are not too many: several versions may have begun the stream.
+func (c *Controller) askOthers(ctx context.Context, q *question) (continuation.Constraint, bool) {
+	members := c.ranked(q.Key)
+	if !q.Named || len(members) <= askedFirst || len(members) > maxAsked {
 		return continuation.Constraint{}, false
 	}
-	return c.askAndDecide(ctx, q, rest)
+	return c.askAndDecide(ctx, q, members[askedFirst:])
 }
 
 // askAndDecide asks daemons for the record of a stream. Without one it decides by the versions that they and this daemon have
