--- a/coordination/continuation/stored.go
+++ b/coordination/continuation/stored.go
@@ -26,9 +26,13 @@
 // endpoint reports no version are left out: the version alone does not tell where they continue.
 func (t *Table) OwnStored(now time.Time) Stored {
 	list := Stored{}
+	mixed := map[string]bool{}
+	for service := range t.services {
+		mixed[service] = t.Mixed(now, service)
+	}
 	for _, e := range t.records {
 		o := e.Origin
-		if e.own && !o.Ambiguous && o.Software != "" && now.Sub(e.At) < t.retention && t.Mixed(now, o.Service) {
+		if e.own && !o.Ambiguous && o.Software != "" && now.Sub(e.At) < t.retention && mixed[o.Service] {
 			list[o.Software] = append(list[o.Software], fingerprint(e.Key, o.Service, o.Workspace, o.Unit))
 		}
 	}
@@ -37,15 +41,16 @@
 
 // ReplaceStored sets what was read of all daemons' begun streams. A stream in two of them with
 // different software counts as unknown.
-func (t *Table) ReplaceStored(all []Stored) {
-	t.stored = map[Fingerprint]string{}
+func (t *Table) ReplaceStored(now time.Time, all []Stored) {
+	t.stored, t.storedAt = map[Fingerprint]string{}, now
 	for _, s := range all {
-		t.AddStored(s)
+		t.AddStored(now, s)
 	}
 }
 
 // AddStored adds begun streams.
-func (t *Table) AddStored(s Stored) {
+func (t *Table) AddStored(now time.Time, s Stored) {
+	t.storedAt = now
 	for software, list := range s {
 		for _, f := range list {
 			if have, ok := t.stored[f]; ok && have != software {
--- a/coordination/continuation/table.go
+++ b/coordination/continuation/table.go
@@ -46,9 +46,10 @@
 	replaced  map[string]time.Time // when an incarnation with other software took over an id
 	retention time.Duration
 	viewed    bool
-	since     time.Time // start of the time that this daemon has watched; zero: since the first start
-	recording bool      // versions enter service once they are recorded
-	stored    map[Fingerprint]string
+	since     time.Time              // start of the time that this daemon has watched; zero: since the first start
+	recording bool                   // versions enter service once they are recorded
+	stored    map[Fingerprint]string // software of begun streams, as read from the store; empty: not known for certain
+	storedAt  time.Time              // when they were last read
 }
 
 type entry struct {
@@ -306,10 +307,13 @@
 	}
 }
 
-// Expire drops the records of streams that have ended, and versions that were last listed too long
+// Expire drops the records of streams that have ended, what was read of stored ones, and versions that were last listed too long
 // ago to matter.
 func (t *Table) Expire(now time.Time) {
 	maps.DeleteFunc(t.records, func(_ Key, e *entry) bool { return now.Sub(e.At) > t.retention })
+	if now.Sub(t.storedAt) > t.retention {
+		t.stored = map[Fingerprint]string{}
+	}
 	for _, h := range t.services {
 		old := func(_ string, at time.Time) bool { return now.Sub(at) > t.retention }
 		maps.DeleteFunc(h.last, old)
--- a/driver/streams/stored.go
+++ b/driver/streams/stored.go
@@ -244,7 +244,7 @@
 		}
 		if software := resp.GetStream().GetSoftware(); software != "" {
 			c.mu.Lock()
-			c.t.AddStored(continuation.Stored{software: {f}})
+			c.t.AddStored(c.opt.Clock(), continuation.Stored{software: {f}})
 			c.mu.Unlock()
 		}
 		return
@@ -320,7 +320,7 @@
 	}
 	c.stored.readAt = now
 	c.mu.Lock()
-	c.t.ReplaceStored(all)
+	c.t.ReplaceStored(now, all)
 	c.mu.Unlock()
 	c.opt.Log.Info(decisions.EventStoredOrigins, "read", true, "daemons", len(all))
 	return errors.Join(unreadable...)
