--- a/coordination/continuation/continuation.go
+++ b/coordination/continuation/continuation.go
@@ -107,9 +107,12 @@
 	return slices.DeleteFunc(slices.Clone(list), func(e *fleet.Endpoint) bool { return !b.Allows(e) })
 }
 
-// Version returns a version in service. ok is false if there is none.
-func (b Beginning) Version() (software string, ok bool) {
-	if len(b.inService) == 0 {
+// Any reports whether a version is in service.
+func (b Beginning) Any() bool { return len(b.inService) > 0 }
+
+// Sole returns the only version in service. ok is false if there are several, or none.
+func (b Beginning) Sole() (software string, ok bool) {
+	if len(b.inService) != 1 {
 		return "", false
 	}
 	return b.inService[0], true
--- a/coordination/continuation/stored.go
+++ b/coordination/continuation/stored.go
@@ -32,7 +32,10 @@
 	}
 	for _, e := range t.records {
 		o := e.Origin
-		if e.own && !o.Ambiguous && o.Software != "" && now.Sub(e.At) < t.retention && mixed[o.Service] {
+		if !e.own || o.Software == "" || now.Sub(e.At) >= t.retention || !mixed[o.Service] {
+			continue
+		}
+		if _, certain := t.constrain(now, e.Record); certain {
 			list[o.Software] = append(list[o.Software], fingerprint(e.Key, o.Service, o.Workspace, o.Unit))
 		}
 	}
@@ -50,7 +53,9 @@
 
 // AddStored adds begun streams.
 func (t *Table) AddStored(now time.Time, s Stored) {
-	t.storedAt = now
+	if len(t.stored) == 0 {
+		t.storedAt = now
+	}
 	for software, list := range s {
 		for _, f := range list {
 			if have, ok := t.stored[f]; ok && have != software {
--- a/driver/record/record.go
+++ b/driver/record/record.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/doorvalve/doorvalve/coordination/lease"
@@ -64,10 +65,15 @@
 // Version returns the last known version of the stored record; it is absent if there is no record.
 func (r *Record) Version() storeversion.Version { return r.version }
 
+// Rank returns the place of the daemon self among all members in the order in which they write the record; the writer has 0.
+func (r *Record) Rank(self string, members []membership.Member) int {
+	ranked := membership.Rendezvous(r.name+"-record", members)
+	return slices.IndexFunc(ranked, func(m membership.Member) bool { return m.ID == self })
+}
+
 // IsWriter reports whether the daemon self is the one of all members that writes the record.
 func (r *Record) IsWriter(self string, members []membership.Member) bool {
-	ranked := membership.Rendezvous(r.name+"-record", members)
-	return len(ranked) > 0 && ranked[0].ID == self
+	return r.Rank(self, members) == 0
 }
 
 // Read decodes the record into v. If there is no record, Read returns nil and leaves v unchanged.
--- a/driver/streams/record.go
+++ b/driver/streams/record.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"time"
@@ -24,7 +25,9 @@
 const (
 	// writerHead is the time that the writer of the record has for a new version before the other daemons look for it.
 	writerHead = 30 * time.Millisecond
-	// takeOverAfter is the time after which any daemon writes a version that the writer has not written.
+	// readSpread is the time, for each daemon, over which the daemons look for a new version.
+	readSpread = time.Millisecond
+	// takeOverAfter is the time after which the next daemon writes a version that those before it have not written.
 	takeOverAfter = 400 * time.Millisecond
 	// minRetryPause and maxRetryPause bound the pause between two attempts to record a version.
 	minRetryPause = 50 * time.Millisecond
@@ -45,15 +48,15 @@
 }
 
 type serviceRecord struct {
-	// SinceUnixMs is the start of the time that the record covers; zero: the first start of the system.
+	// SinceUnixMs is not zero if the record does not cover the whole retention.
 	SinceUnixMs int64           `json:"since_unix_ms"`
 	Versions    []versionRecord `json:"versions"`
 }
 
 type versionRecord struct {
 	Software string `json:"software"`
-	// LastUnixMs is when it was last listed; zero while it is.
-	LastUnixMs int64 `json:"last_unix_ms,omitempty"`
+	// UnlistedUnixMs is when the record was written, if it was not listed then; zero if it was.
+	UnlistedUnixMs int64 `json:"last_unix_ms,omitempty"`
 }
 
 // runRecord keeps the record until ctx ends.
@@ -64,8 +67,8 @@
 			c.recordPending(ctx)
 		case <-time.After(recordEvery):
 			c.observeMembers()
-			c.recordPending(ctx)
 			c.keepRecord(ctx)
+			c.recordPending(ctx)
 		case <-ctx.Done():
 		}
 	}
@@ -79,6 +82,7 @@
 		return // the next view may have other versions
 	}
 	defer c.unlockRecord()
+	c.confirm(now)
 	switch {
 	case !c.record.Due(now):
 	case c.record.IsWriter(c.opt.Self, c.opt.Members()):
@@ -88,6 +92,13 @@
 	}
 }
 
+// confirm notes that a view is in force that this daemon relies on.
+func (c *Controller) confirm(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.t.Confirm(now)
+}
+
 // missedViews reports whether this daemon has missed versions since it last read the record.
 func (c *Controller) missedViews() bool {
 	c.mu.Lock()
@@ -100,9 +111,11 @@
 func (c *Controller) recordPending(ctx context.Context) {
 	began := c.opt.Clock()
 	for pauseFor := minRetryPause; c.hasPending() && ctx.Err() == nil; pauseFor = min(2*pauseFor, maxRetryPause) {
-		writes := c.record.IsWriter(c.opt.Self, c.opt.Members()) || c.opt.Clock().Sub(began) >= takeOverAfter
+		members := c.opt.Members()
+		rank := c.record.Rank(c.opt.Self, members)
+		writes := rank >= 0 && c.opt.Clock().Sub(began) >= time.Duration(rank)*takeOverAfter
 		if !writes {
-			pause.For(ctx, writerHead)
+			pause.For(ctx, writerHead+rand.N(1+readSpread*time.Duration(len(members))))
 		}
 		if err := c.tryRecord(ctx, writes); err != nil {
 			c.logRecordError(err)
@@ -132,7 +145,7 @@
 	c.mu.Lock()
 	pending := c.t.Pending()
 	c.mu.Unlock()
-	members := c.ranked(continuation.Key{})
+	members := c.holders(continuation.Key{})
 	for _, service := range pending {
 		c.ask(ctx, continuation.Request{Service: service}, members[:min(askedFirst, len(members))])
 	}
@@ -172,14 +185,17 @@
 	}
 	next := c.seenNow(now)
 	next.Generation = c.record.Version().Generation
-	if signature(next) == c.recorded {
+	if signature(next) == c.recorded && !c.rewrite {
+		c.enterService(next)
 		return nil
 	}
 	written, err := c.record.Write(ctx, now, next)
+	// A write without an answer may still be executed, unless another one changes the revision before.
+	c.rewrite = !written
 	if written {
 		c.recorded = signature(next)
 		c.opt.Log.Info(decisions.EventSoftwareRecord, "written", true, "services", len(next.Services))
-		c.enterService(now, next)
+		c.enterService(next)
 	}
 	return err
 }
@@ -192,19 +208,18 @@
 	}
 	c.recorded = signature(rec)
 	c.opt.Log.Info(decisions.EventSoftwareRecord, "read", true, "services", len(rec.Services), "writer", rec.Writer, "age_ms", recordAgeMs(rec))
+	current := rec.Generation == c.record.Version().Generation
 	c.mu.Lock()
 	for service, s := range rec.Services {
-		since, seen := fromRecord(now, s)
-		if rec.Generation != c.record.Version().Generation {
-			since = now // it does not cover the time since the copy
+		since := time.Time{}
+		if s.SinceUnixMs != 0 || !current {
+			since = now // how much it covers cannot be told by another daemon's clock, and nothing since the copy
 		}
-		c.t.AdoptHistory(service, since, seen)
+		c.t.AdoptHistory(service, since, nil)
 	}
 	c.missed = false
 	c.mu.Unlock()
-	if rec.Generation == c.record.Version().Generation {
-		c.enterService(now, rec)
-	}
+	c.adoptRecord(rec, current)
 	return nil
 }
 
@@ -216,13 +231,23 @@
 	return time.Now().UnixMilli() - rec.WrittenUnixMs
 }
 
-// enterService lets the versions of a stored record enter service.
-func (c *Controller) enterService(now time.Time, rec seenRecord) {
+// enterService lets the versions of the stored record enter service.
+func (c *Controller) enterService(rec seenRecord) { c.adoptRecord(rec, true) }
+
+// adoptRecord adopts the versions of a record. One from before a restore of the store does not let them enter service.
+func (c *Controller) adoptRecord(rec seenRecord, current bool) {
+	now := c.opt.Clock()
 	c.mu.Lock()
 	var mixed []string
 	for service, s := range rec.Services {
-		_, seen := fromRecord(now, s)
-		mixed = append(mixed, c.t.Recorded(now, service, seen)...)
+		list := fromRecord(s)
+		if current {
+			mixed = append(mixed, c.t.Recorded(now, service, list)...)
+			continue
+		}
+		for _, v := range list {
+			c.t.AdoptHistory(service, now, []continuation.Seen{{Software: v.Software, At: now}})
+		}
 	}
 	c.publishBeginnings()
 	c.mu.Unlock()
@@ -237,7 +262,7 @@
 		s := rec.Services[service]
 		fmt.Fprintf(&b, "\n%q %t", service, s.SinceUnixMs == 0)
 		for _, v := range s.Versions {
-			fmt.Fprintf(&b, " %q", v.Software)
+			fmt.Fprintf(&b, " %q %t", v.Software, v.UnlistedUnixMs == 0)
 		}
 	}
 	return b.String()
@@ -249,38 +274,31 @@
 	defer c.mu.Unlock()
 	rec := seenRecord{Writer: c.opt.Self, WrittenUnixMs: time.Now().UnixMilli(), Services: map[string]serviceRecord{}}
 	for _, service := range c.t.Services() {
-		since, seen := c.t.RecordOf(now, service)
-		rec.Services[service] = toRecord(now, since, seen)
+		since, list := c.t.RecordOf(now, service)
+		rec.Services[service] = toRecord(since, list)
 	}
 	return rec
 }
 
-func toRecord(now, since time.Time, seen []continuation.Seen) serviceRecord {
-	unix := func(t time.Time) int64 { return time.Now().UnixMilli() - now.Sub(t).Milliseconds() }
+func toRecord(since time.Time, list []continuation.RecordedVersion) serviceRecord {
+	unix := time.Now().UnixMilli()
 	s := serviceRecord{}
 	if !since.IsZero() {
-		s.SinceUnixMs = unix(since)
+		s.SinceUnixMs = unix
 	}
-	for _, v := range seen {
+	for _, v := range list {
 		r := versionRecord{Software: v.Software}
-		if v.At.Before(now) {
-			r.LastUnixMs = unix(v.At)
+		if !v.Listed {
+			r.UnlistedUnixMs = unix
 		}
 		s.Versions = append(s.Versions, r)
 	}
-	slices.SortFunc(s.Versions, func(a, b versionRecord) int { return strings.Compare(a.Software, b.Software) })
 	return s
 }
 
-// fromRecord decodes a service's part of the record. Each version may have been listed until now, and
-// what is not covered from the first start on may not be covered at all: how long ago something was
-// cannot be told by another daemon's clock.
-func fromRecord(now time.Time, s serviceRecord) (since time.Time, seen []continuation.Seen) {
-	if s.SinceUnixMs != 0 {
-		since = now
-	}
+func fromRecord(s serviceRecord) (list []continuation.RecordedVersion) {
 	for _, v := range s.Versions {
-		seen = append(seen, continuation.Seen{Software: v.Software, At: now})
+		list = append(list, continuation.RecordedVersion{Software: v.Software, Listed: v.UnlistedUnixMs == 0})
 	}
-	return since, seen
+	return list
 }
--- a/driver/streams/resume.go
+++ b/driver/streams/resume.go
@@ -39,7 +39,7 @@
 // refuseOrigin tells an origin that is lost from one that is not known yet. The refusal of a lost one has a status
 // after which callers do not repeat the request as it is.
 func (c *Controller) refuseOrigin(q *question) *protocol.Refusal {
-	if age := c.opt.Clock().Sub(c.started); q.Named && (q.silent || !c.viewIsFresh() || !c.opt.FirstStart && age < settleTime) {
+	if q.silent || !c.viewIsFresh() || !c.isSettled() {
 		c.metrics.unknown.Inc(1)
 		return protocol.Refuse(http.StatusServiceUnavailable, ReasonUnknownOrigin, "several versions of the service's software may have begun this stream, and what may tell which has not answered yet", retryUnknown)
 	}
@@ -47,18 +47,35 @@
 	return protocol.Refuse(http.StatusBadRequest, ReasonLostOrigin, "no daemon and no record knows which version of the service's software began this stream: it cannot be taken up, begin it anew", 0)
 }
 
+// isSettled reports whether this daemon knows the other daemons, and they have told what they know.
+func (c *Controller) isSettled() bool {
+	now := c.opt.Clock()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	changed := func(at time.Time) bool { return !at.IsZero() && now.Sub(at) < changeTime }
+	if c.opt.FirstStart {
+		return !changed(c.lostAt) && !changed(c.mixedAt)
+	}
+	// The versions of a daemon without memory appear when it starts.
+	mixedSince := c.mixedAt.Sub(c.started) > settleTime && changed(c.mixedAt)
+	return now.Sub(c.started) >= settleTime && !changed(c.lostAt) && !mixedSince
+}
+
 // askHolders asks the daemons that hold copies of the stream's record.
 func (c *Controller) askHolders(ctx context.Context, q *question) (continuation.Constraint, bool) {
-	members := c.ranked(q.Key)
+	members := c.holders(q.Key)
 	return c.askAndDecide(ctx, q, members[:min(askedFirst, len(members))])
 }
 
 // askOthers asks the other daemons, if there are not too many: several versions may have begun the stream.
 func (c *Controller) askOthers(ctx context.Context, q *question) (continuation.Constraint, bool) {
-	members := c.ranked(q.Key)
-	if !q.Named || len(members) <= askedFirst || len(members) > maxAsked {
+	members := c.holders(q.Key)
+	if !q.Named || len(members) <= askedFirst {
 		return continuation.Constraint{}, false
 	}
+	if len(members) > maxAsked {
+		members = members[:maxAsked]
+	}
 	return c.askAndDecide(ctx, q, members[askedFirst:])
 }
 
@@ -70,13 +87,14 @@
 	if found {
 		return c.Continue(q.Request)
 	}
-	allSeen := !c.record.HasStore() || !q.silent && !c.daemonsWereLost()
+	allSeen := !c.record.HasStore() || !q.silent && !c.daemonsWereLost() && !c.Beginning(q.Service).Limited()
 	return c.decide(q.Request, c.viewIsFresh() && allSeen)
 }
 
 // daemonsWereLost reports whether a daemon has ended so lately that its streams may still be resumed. Its versions may be
 // known to nobody that is left.
 func (c *Controller) daemonsWereLost() bool {
+	c.observeMembers()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now, retention := c.opt.Clock(), c.t.Retention()
@@ -86,7 +104,7 @@
 // observeMembers notes when a daemon is gone.
 func (c *Controller) observeMembers() {
 	alive := map[string]struct{}{}
-	for _, m := range c.opt.Members() {
+	for _, m := range c.opt.Present() {
 		alive[m.ID] = struct{}{}
 	}
 	c.mu.Lock()
@@ -104,11 +122,9 @@
 	fresh := c.opt.ViewAge() <= maxViewAge
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.blind && fresh {
-		c.t.MissViews(c.opt.Clock())
+	if c.t.SetBlind(c.opt.Clock(), !fresh) {
 		c.missed = true
 	}
-	c.blind = !fresh
 	return fresh
 }
 
@@ -159,23 +175,26 @@
 	return found, ok
 }
 
-// readSince reads the record, unless a read that began after the given time has succeeded.
+// lastRead is the last read of something by any request. Requests that came before it began share its outcome, also a failure.
+type lastRead struct {
+	began time.Time
+	err   error
+}
+
+// readSince reads the record, unless a read has begun after the given time.
 func (c *Controller) readSince(ctx context.Context, at time.Time) error {
 	if !c.lockRecord(ctx) {
 		return ctx.Err()
 	}
 	defer c.unlockRecord()
-	if c.readAt.After(at) {
-		return nil
+	if c.reads.began.After(at) {
+		return c.reads.err
 	}
 	now := c.opt.Clock()
 	if wait := minReadInterval - c.record.SinceTried(now); wait > 0 {
 		pause.For(ctx, wait)
 		now = c.opt.Clock()
 	}
-	if err := c.readRecord(ctx, now); err != nil {
-		return err
-	}
-	c.readAt = now
-	return nil
+	c.reads = lastRead{now, c.readRecord(context.WithoutCancel(ctx), now)}
+	return c.reads.err
 }
--- a/driver/streams/stored.go
+++ b/driver/streams/stored.go
@@ -19,7 +19,7 @@
 // While a service runs several versions, each daemon keeps the streams that it has begun in an object of its own
 // in the store, for the case that all daemons that have their records end at once. A stream is written at once, or
 // with those that begin until the next write is due; no event waits for it. The object of a daemon that has
-// ended stays until its streams are over.
+// ended stays until none of its streams can be taken up.
 
 const (
 	// minFlushInterval and maxFlushInterval bound the time between two writes, for which new streams are collected.
@@ -35,8 +35,8 @@
 	// daemonsPerReader is the number of daemons for each reader beyond the first four.
 	daemonsPerReader = 16
 	minReaders       = 4
-	// storedTimeout bounds a list of the objects.
-	storedTimeout = 2 * time.Second
+	// storedTimeout bounds a list of the objects, and so how long a caller is held for it.
+	storedTimeout = time.Second
 )
 
 // readersName ranks the daemons that read the objects of a large fleet, and the one that removes old ones.
@@ -54,16 +54,17 @@
 // storedOrigins is this daemon's part in the stored origins.
 type storedOrigins struct {
 	dirty chan struct{}
-	// The fields below belong to whom has sent to busy.
-	busy   chan struct{}
+	// own and exists, whether an object of this daemon is stored, belong to runStored.
 	own    record.Record
-	exists bool                 // an object of this daemon is stored
-	readAt time.Time            // when the last successful list began
-	seen   map[string]time.Time // when an object was first listed, by name
+	exists bool
+	// The fields below belong to whom has sent to listing.
+	listing chan struct{}
+	reads   lastRead
+	absent  map[string]time.Time // since when the daemon of a listed object is gone, by name; zero: it is not
 }
 
 func newStoredOrigins() storedOrigins {
-	return storedOrigins{dirty: make(chan struct{}, 1), busy: make(chan struct{}, 1), seen: map[string]time.Time{}}
+	return storedOrigins{dirty: make(chan struct{}, 1), listing: make(chan struct{}, 1), absent: map[string]time.Time{}}
 }
 
 // markDirty notes that there are streams to be stored.
@@ -109,13 +110,20 @@
 		return
 	}
 	c.stored.own = record.New(c.opt.Origins, c.opt.Generations, c.opt.Self)
+	clean := time.NewTicker(expireEvery)
+	defer clean.Stop()
 	for ctx.Err() == nil {
 		select {
 		case <-c.stored.dirty:
 			pause.For(ctx, flushInterval(len(c.opt.Members()))-c.stored.own.SinceTried(c.opt.Clock()))
-			c.flush(ctx)
-		case <-time.After(expireEvery):
-			c.removeStored(ctx)
+			if err := c.flush(ctx); err != nil {
+				c.logStoredError(err)
+				c.stored.markDirty()
+				pause.For(ctx, maxFlushInterval)
+			}
+		case <-clean.C:
+			c.removeOwn(ctx)
+			c.removeAbsent(ctx)
 		case <-ctx.Done():
 		}
 	}
@@ -125,71 +133,103 @@
 	return min(maxFlushInterval, max(minFlushInterval, time.Duration(daemons)*flushIntervalPerDaemon))
 }
 
-// flush stores the streams that this daemon has begun. If it fails, it is tried again.
-func (c *Controller) flush(ctx context.Context) {
+var errNotWritten = errors.New("the object of this daemon's streams was not written")
+
+// flush stores the streams that this daemon has begun.
+func (c *Controller) flush(ctx context.Context) error {
 	if ctx.Err() != nil {
-		return
+		return nil
 	}
+	now, s := c.opt.Clock(), &c.stored
 	c.mu.Lock()
-	own := c.t.OwnStored(c.opt.Clock())
+	own := c.t.OwnStored(now)
 	c.mu.Unlock()
-	if len(own) == 0 {
-		return
+	if len(own) == 0 && !s.exists {
+		return nil
 	}
-	c.stored.busy <- struct{}{}
-	defer func() { <-c.stored.busy }()
-	now, s := c.opt.Clock(), &c.stored
-	var err error
 	if !s.own.Known() {
 		var ignored originsObject
-		err = s.own.Read(ctx, now, &ignored)
+		if err := s.own.Read(ctx, now, &ignored); err != nil {
+			return err
+		}
 	}
-	written := false
-	if err == nil {
-		written, err = s.own.Write(ctx, now, encodeStored(own))
+	written, err := s.own.Write(ctx, now, encodeStored(own))
+	if !written {
+		return errors.Join(errNotWritten, err)
 	}
-	if written {
-		s.exists = true
-		c.metrics.stored.Inc(1)
-		return
-	}
-	c.opt.Log.Info(decisions.EventStoredOrigins, "written", false, "error", err)
-	s.markDirty()
+	s.exists = true
+	c.metrics.stored.Inc(1)
+	return nil
 }
 
-// removeStored removes this daemon's object when its streams are over, and one daemon removes those of daemons that have ended.
-func (c *Controller) removeStored(ctx context.Context) {
-	c.stored.busy <- struct{}{}
-	defer func() { <-c.stored.busy }()
-	now, s := c.opt.Clock(), &c.stored
+// removeOwn removes this daemon's object when its streams are over.
+func (c *Controller) removeOwn(ctx context.Context) {
 	c.mu.Lock()
-	over, retention := len(c.t.OwnStored(now)) == 0, c.t.Retention()
+	over := len(c.t.OwnStored(c.opt.Clock())) == 0
 	c.mu.Unlock()
-	if s.exists && over && c.deleteStored(ctx, c.opt.Self) {
+	if s := &c.stored; s.exists && over && c.deleteStored(ctx, c.opt.Self) {
 		s.exists = false
 		s.own = record.New(c.opt.Origins, c.opt.Generations, c.opt.Self)
 	}
-	members := c.opt.Members()
-	if membership.Rendezvous(readersName, members)[0].ID != c.opt.Self {
+}
+
+// removeAbsent removes, at one of all daemons, the objects of daemons that have been gone for as long as their streams may be
+// taken up.
+func (c *Controller) removeAbsent(ctx context.Context) {
+	ranked := membership.Rendezvous(readersName, c.opt.Members())
+	if len(ranked) == 0 || ranked[0].ID != c.opt.Self || !c.lockListing(ctx) {
 		return
 	}
-	if now.Sub(s.readAt) > retention && c.mayBeStored(now) {
+	now, s := c.opt.Clock(), &c.stored
+	c.mu.Lock()
+	retention := c.t.Retention()
+	c.mu.Unlock()
+	if now.Sub(s.reads.began) > retention && c.mayBeStored(now) {
 		c.logStoredError(c.listStored(ctx, now))
 	}
-	for name, since := range s.seen {
-		alive := slices.ContainsFunc(members, func(m membership.Member) bool { return m.ID == name })
-		if !alive && now.Sub(since) > retention && c.deleteStored(ctx, name) {
-			delete(s.seen, name)
+	over := s.absentFor(now, retention, c.opt.Present())
+	<-s.listing
+	for _, name := range over {
+		if !c.deleteStored(ctx, name) {
+			return
+		}
+		if c.lockListing(ctx) {
+			delete(s.absent, name)
+			<-s.listing
 		}
 	}
 }
 
+// absentFor returns the listed objects whose daemons have been gone for a time.
+func (s *storedOrigins) absentFor(now time.Time, retention time.Duration, present []membership.Member) (names []string) {
+	for name, since := range s.absent {
+		switch {
+		case isMember(present, name):
+			s.absent[name] = time.Time{}
+		case since.IsZero():
+			s.absent[name] = now
+		case now.Sub(since) > retention:
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+func (c *Controller) lockListing(ctx context.Context) bool {
+	select {
+	case c.stored.listing <- struct{}{}:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // mayBeStored reports whether daemons that have ended may have left objects which this one has not seen: it has
-// never looked, or versions are mixed.
+// never looked, or versions are mixed. The caller holds the list.
 func (c *Controller) mayBeStored(now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.stored.readAt.IsZero() && !c.opt.FirstStart {
+	if c.stored.reads.began.IsZero() && !c.opt.FirstStart {
 		return true
 	}
 	return slices.ContainsFunc(c.t.Services(), func(service string) bool { return c.t.Mixed(now, service) })
@@ -215,6 +255,10 @@
 		return continuation.Constraint{}, false
 	}
 	readers := c.readers()
+	if len(readers) == 0 {
+		q.silent = true
+		return continuation.Constraint{}, false
+	}
 	if isMember(readers, c.opt.Self) {
 		if err := c.readStored(ctx, q.at); err != nil {
 			q.silent = true
@@ -222,7 +266,7 @@
 			return continuation.Constraint{}, false
 		}
 	} else {
-		c.askReaders(ctx, q, membership.Rendezvous(string(q.Key[:]), readers)[:maxQuestions])
+		c.askReaders(ctx, q, firstOf(membership.Rendezvous(string(q.Key[:]), readers), maxQuestions))
 	}
 	found, ok := c.decide(q.Request, false)
 	if ok {
@@ -275,38 +319,44 @@
 	return members[:minReaders+len(members)/daemonsPerReader]
 }
 
+func firstOf(list []membership.Member, n int) []membership.Member { return list[:min(n, len(list))] }
+
 func isMember(list []membership.Member, id string) bool {
 	return slices.ContainsFunc(list, func(m membership.Member) bool { return m.ID == id })
 }
 
-// readStored reads the objects, unless a list that began after the given time has succeeded.
+// readStored reads the objects, unless a list has begun after the given time.
 func (c *Controller) readStored(ctx context.Context, at time.Time) error {
-	select {
-	case c.stored.busy <- struct{}{}:
-	case <-ctx.Done():
+	if !c.lockListing(ctx) {
 		return ctx.Err()
 	}
-	defer func() { <-c.stored.busy }()
-	if c.stored.readAt.After(at) {
-		return nil
+	defer func() { <-c.stored.listing }()
+	if c.stored.reads.began.After(at) {
+		return c.stored.reads.err
 	}
 	now := c.opt.Clock()
-	if wait := minListInterval - now.Sub(c.stored.readAt); wait > 0 {
+	if wait := minListInterval - now.Sub(c.stored.reads.began); wait > 0 {
 		pause.For(ctx, wait)
 		now = c.opt.Clock()
 	}
-	return c.listStored(ctx, now)
+	return c.listStored(context.WithoutCancel(ctx), now)
 }
 
-// listStored reads the objects. The caller holds them.
+// listStored reads the objects. The caller holds the list.
 func (c *Controller) listStored(ctx context.Context, now time.Time) error {
+	err := c.list(ctx, now)
+	c.stored.reads = lastRead{now, err}
+	return err
+}
+
+func (c *Controller) list(ctx context.Context, now time.Time) error {
 	ctx, cancel := context.WithTimeout(ctx, storedTimeout)
 	defer cancel()
 	var all []continuation.Stored
 	var unreadable []error
 	err := c.opt.Origins.ListRecords(ctx, func(name string, content json.RawMessage) {
-		if _, ok := c.stored.seen[name]; !ok {
-			c.stored.seen[name] = now
+		if _, ok := c.stored.absent[name]; !ok {
+			c.stored.absent[name] = time.Time{}
 		}
 		var o originsObject
 		if err := json.Unmarshal(content, &o); err != nil {
@@ -318,7 +368,6 @@
 	if err != nil {
 		return err
 	}
-	c.stored.readAt = now
 	c.mu.Lock()
 	c.t.ReplaceStored(now, all)
 	c.mu.Unlock()
--- a/driver/streams/streams.go
+++ b/driver/streams/streams.go
@@ -48,6 +48,8 @@
 	// maxViewAge is the age of the endpoint view up to which this daemon relies on having seen all
 	// software of a service: somewhat more than the interval at which a sound view is confirmed.
 	maxViewAge = 1500 * time.Millisecond
+	// maxMixed bounds the services in which a second version has appeared and whose records are not copied yet.
+	maxMixed = 256
 	// batch bounds the records of one message, at some 100 bytes each.
 	batch = 256
 	// recordEvery is the interval at which the record in the store is compared with what this daemon
@@ -57,6 +59,9 @@
 	maxQuestions = 2
 	// settleTime is the time after its start, unless it is the first one, from which this daemon takes the members that it knows for all.
 	settleTime = time.Second
+	// changeTime is the time after which all daemons know that a second version has appeared or a daemon has ended, and have
+	// copied their records.
+	changeTime = 3 * time.Second
 	// expireEvery is the interval at which old records are dropped.
 	expireEvery = 10 * time.Second
 )
@@ -85,8 +90,10 @@
 // Options are the dependencies of a Controller. Functions must be safe for concurrent use.
 type Options struct {
 	Self string // id of this daemon
-	// Members returns the daemons that are alive, this one among them.
+	// Members returns the daemons that are alive and not leaving.
 	Members func() []membership.Member
+	// Present returns the daemons that are alive, those that are leaving among them; nil: Members.
+	Present func() []membership.Member
 	// Peer returns the client of another daemon.
 	Peer func(address string) streampb.Streams
 	// ViewAge returns a bound on the age of the endpoint view.
@@ -118,17 +125,20 @@
 	recordBusy chan struct{}
 	record     record.Record
 	recorded   string
+	rewrite    bool // a write had no answer
 
 	// beginnings has the services in which streams do not begin everywhere.
 	beginnings atomic.Pointer[map[string]continuation.Beginning]
 
-	mu     sync.Mutex
-	t      *continuation.Table
-	missed bool                // views were missed since the record was last read
-	blind  bool                // the view was too old when last looked at
-	alive  map[string]struct{} // daemons seen at the last look
-	lostAt time.Time           // when a daemon was last seen to be gone; zero: never
-	readAt time.Time           // when the last successful read of the record began
+	mu      sync.Mutex
+	t       *continuation.Table
+	missed  bool                // views were missed since the record was last read
+	alive   map[string]struct{} // daemons seen at the last look
+	lostAt  time.Time           // when a daemon was last seen to be gone; zero: never
+	mixedAt time.Time           // when a second version last appeared; zero: never
+
+	// reads belongs to whom has sent to recordBusy.
+	reads lastRead
 }
 
 type metrics struct {
@@ -141,12 +151,15 @@
 	if opt.Clock == nil {
 		opt.Clock = clock.Now
 	}
+	if opt.Present == nil {
+		opt.Present = opt.Members
+	}
 	since := opt.Clock()
 	if opt.FirstStart {
 		since = time.Time{}
 	}
 	s := opt.Metrics.SubScope("streams")
-	c := &Controller{opt: opt, started: opt.Clock(), t: continuation.New(since), record: record.New(opt.Store, opt.Generations, recordName), mixed: make(chan string, 16), wake: make(chan struct{}, 1), recordBusy: make(chan struct{}, 1), stored: newStoredOrigins(), metrics: metrics{
+	c := &Controller{opt: opt, started: opt.Clock(), t: continuation.New(since), record: record.New(opt.Store, opt.Generations, recordName), mixed: make(chan string, maxMixed), wake: make(chan struct{}, 1), recordBusy: make(chan struct{}, 1), stored: newStoredOrigins(), metrics: metrics{
 		placed: s.Counter("records_placed_total"), unplaced: s.Counter("records_not_placed_total"), asked: s.Counter("records_asked_total"),
 		unknown: s.Counter("origins_unknown_total"), lost: s.Counter("origins_lost_total"), stored: s.Counter("records_stored_total"), records: s.Gauge("records"),
 	}}
@@ -189,6 +202,11 @@
 }
 
 func (c *Controller) notifyMixed(mixed []string) {
+	if len(mixed) > 0 {
+		c.mu.Lock()
+		c.mixedAt = c.opt.Clock()
+		c.mu.Unlock()
+	}
 	for _, service := range mixed {
 		select {
 		case c.mixed <- service:
@@ -223,7 +241,7 @@
 func (c *Controller) AwaitInService(ctx context.Context, service string) *protocol.Refusal {
 	for until := c.opt.Clock().Add(inServiceWait); ; {
 		b := c.Beginning(service)
-		if _, ok := b.Version(); ok || !b.Limited() {
+		if b.Any() || !b.Limited() {
 			return nil
 		}
 		if ctx.Err() != nil || c.opt.Clock().After(until) {
@@ -233,6 +251,21 @@
 	}
 }
 
+// AwaitRecorded waits until the version that has begun a stream is recorded. It reports false if that takes too long: the
+// stream must then not begin.
+func (c *Controller) AwaitRecorded(ctx context.Context, service, software string) bool {
+	for until := c.opt.Clock().Add(inServiceWait); ; {
+		now := c.opt.Clock()
+		c.mu.Lock()
+		may := c.t.MayBegin(now, service, software)
+		c.mu.Unlock()
+		if may || ctx.Err() != nil || now.After(until) {
+			return may
+		}
+		pause.For(ctx, inServiceWait/60)
+	}
+}
+
 // place copies a record to other daemons, and returns once the first of them has it.
 func (c *Controller) place(ctx context.Context, key continuation.Key, r continuation.Record) {
 	targets := c.ranked(key)
@@ -277,6 +310,11 @@
 	return slices.DeleteFunc(membership.Rendezvous(string(key[:]), c.opt.Members()), func(m membership.Member) bool { return m.ID == c.opt.Self })
 }
 
+// holders returns the other daemons in the order in which they may hold copies of a record, those that are leaving among them.
+func (c *Controller) holders(key continuation.Key) []membership.Member {
+	return slices.DeleteFunc(membership.Rendezvous(string(key[:]), c.opt.Present()), func(m membership.Member) bool { return m.ID == c.opt.Self })
+}
+
 // Continue returns where a stream that has begun at this daemon may continue within its answer.
 func (c *Controller) Continue(r continuation.Request) (continuation.Constraint, bool) {
 	return c.decide(r, true)
@@ -309,7 +347,7 @@
 	if resp.History != nil {
 		since, seen := historyFromWire(now, resp.History)
 		c.t.AdoptHistory(service, since, seen)
-		mixed = c.t.Recorded(now, service, seen) // daemons tell of versions in service only
+		mixed = c.t.AdoptInService(now, service, seen) // daemons tell of versions in service only
 		c.publishBeginnings()
 	}
 	return mixed
@@ -394,9 +432,10 @@
 			resp.Stream = toWire(now, r)
 		}
 	}
-	if fresh {
-		since, seen := c.t.History(now, req.Service)
-		resp.History = historyToWire(now, since, seen)
+	since, seen := c.t.History(now, req.Service)
+	if !fresh {
+		since = now // what came and went unseen is not covered
 	}
+	resp.History = historyToWire(now, since, seen)
 	return resp, nil
 }
--- a/transport/edge/answer.go
+++ b/transport/edge/answer.go
@@ -211,7 +211,9 @@
 			if !w.beginAnswer() {
 				return &failure{verdict: protocol.MayHaveRun, reason: "no-answer-in-time", err: errSilent}
 			}
-			a.recordOrigin(ctx)
+			if f := a.recordOrigin(ctx); f != nil {
+				return f
+			}
 			if f := a.writeEvents(resp, pending[:end]); f != nil {
 				return f
 			}
--- a/transport/edge/endpoints.go
+++ b/transport/edge/endpoints.go
@@ -53,7 +53,7 @@
 	if c := q.constraint(); c.Bound() {
 		return residency.SoftwareFilter{Bound: true, Software: c.Software()}
 	}
-	if software, ok := s.beginning(q).Version(); ok {
+	if software, ok := s.beginning(q).Sole(); ok && s.beginning(q).Limited() {
 		return residency.SoftwareFilter{Bound: true, Software: software}
 	}
 	if s.opt.Quarantine.Holds(q.subject()).Empty() {
--- a/transport/edge/origin.go
+++ b/transport/edge/origin.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -73,16 +74,22 @@
 }
 
 // recordOrigin records which endpoint begins the request's stream, before its first event is
-// forwarded.
-func (a *answer) recordOrigin(ctx context.Context) {
+// forwarded. It fails if callers may take the stream up and no record has the endpoint's version.
+func (a *answer) recordOrigin(ctx context.Context) *failure {
 	if a.headerSent || a.q.constraint().Bound() {
-		return
+		return nil
+	}
+	if a.q.route.Resumable && !a.server.opt.Streams.AwaitRecorded(ctx, a.q.service.Name, a.software) {
+		return &failure{verdict: protocol.MayHaveRun, reason: streams.ReasonNotInService, err: errNotRecorded}
 	}
 	a.server.opt.Streams.Begin(ctx, a.q.call.ID, continuation.Origin{
 		Service: a.q.service.Name, Software: a.software, Incarnation: a.endpoint, Workspace: a.q.workspace(), Unit: a.q.unit(),
 	})
+	return nil
 }
 
+var errNotRecorded = errors.New("the endpoint's version is not recorded")
+
 // bindToOrigin binds a request to the software that began its answer. It reports false if no endpoint
 // may continue the answer because that software is not known for certain.
 func (s *Server) bindToOrigin(q *request, a *answer) bool {
