claims: a clock that is a minute off drops no claimed key early

A key that was claimed less than the retention ago was granted again after all daemons had restarted, where the next owner's clock was a minute ahead: the request could run twice.

Cause: the ages of sealed segments are differences of the time of day at two daemons, and were compared with the bare retention, which may be a minute.

Evidence: TestClaimsOutlastAllDaemons without the change: with a clock 1 minute ahead, "got Granted, want Duplicate" for a sealed key after 20 s of a retention of one minute.

Change: two minutes are added to the retention of sealed records, a minute for each of the two clocks.

Why it works: a segment is dropped only when it is older than the retention by any two clocks within that error. The price is two more minutes of sealed keys in memory and in the store.

--- a/coordination/claims/claims.go
+++ b/coordination/claims/claims.go
@@ -36,6 +36,10 @@
 	maxLevel   = 2 // 32*16*16 records, about 270 KB
 )
 
+// maxClockError is added to the retention of sealed records: the clocks of the daemon that seals a segment and of the one
+// that drops it may each be a minute off, and a key that is dropped early may run twice.
+const maxClockError = 2 * time.Minute
+
 // KeySize is the size of a hashed key in bytes.
 const KeySize = 16
 
@@ -486,8 +490,9 @@
 	return false
 }
 
+// expire drops the segments whose retention is over. Their times are of the time of day at the daemons that sealed them.
 func (s *Shard) expire(now time.Time, next *Head) {
-	oldest := now.Add(-s.opt.Retention).Unix()
+	oldest := now.Add(-maxClockError).Add(-s.opt.Retention).Unix()
 	s.expiring = nil
 	next.Sealed = slices.DeleteFunc(next.Sealed, func(ref SegmentRef) bool {
 		if ref.Unix >= oldest {
