clock: steps of the time of day are no time

A step of the host's time of day by a minute ended the window of a quota: its owner granted what it had granted a moment before once more. Other counts by Unix times of the same clock had the same fault: the contact with other daemons by which an owner knows that it is not cut off, the pause of the retry budget, the versions of limits.

Cause: clock.Now returned the time of day of each moment. Differences of two such times are monotonic in Go, their Unix times are not, and windows count in steps of Unix time.

Change: clock.Now returns the time of day at the start of the process and the monotonic time since.

Why it works: the Unix time of two such times differs by their monotonic difference.

--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -13,9 +13,16 @@
 // Clock returns the present time. Tests of suspended hosts provide their own.
 type Clock func() time.Time
 
-// Now returns time.Now plus the time that the host has been suspended since this process
-// started. Compare times of Now and time.Now only where that difference is harmless.
-func Now() time.Time { return time.Now().Add(Suspended()) }
+// Now returns the time of day at which this process started, plus the time that has passed since, suspensions of the host
+// included. Steps of the time of day don't change it, also where it is read as a Unix time: a step of a minute would end the
+// window of a quota early. Compare times of Now and time.Now only where their difference is harmless.
+func Now() time.Time { return steady(startedAt, time.Now()).Add(Suspended()) }
+
+// startedAt is when this process started.
+var startedAt = time.Now()
+
+// steady returns the present time by the time of day at start. Go's differences of two times are monotonic.
+func steady(start, now time.Time) time.Time { return start.Add(now.Sub(start)) }
 
 // Since returns the time elapsed since at, a time of Now.
 func Since(at time.Time) time.Duration { return Now().Sub(at) }
