quarantiner: held requests are known before the first one is sent after a restart of all daemons

After a restart of all daemons, requests that were held back crashed endpoints again at once: each daemon sent them, up to ten sends, until an endpoint had crashed and one daemon had read the record.

Cause: the record in the store was read only after a crash. Its age was also taken from the time of day at two daemons: where the reader's clock was a minute ahead, a probe was due at once.

Change: a daemon that starts and finds no synced daemon reads the record while its first requests wait; the record's writer goes on while the store does not answer. Two minutes are taken off the record's age. The first start of all reads nothing.

Why it works: a daemon whose list of endpoints comes from the store can read the record there, too. An age that counts less makes a probe late by two minutes at most, never early.

The cost is one call of each daemon at a restart of all. The test fleet declares its first start now; the calls that TestRecordOutlastsAllDaemons allows are as before.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -158,7 +158,7 @@
 	})
 	d.generations.OnRise(d.claimer.PlatformRestored)
 	d.quarantine = quarantiner.New(quarantiner.Options{
-		Self: d.self, Members: d.gossip.Members, Peer: d.peers.Quarantines().To, Endpoint: d.endpointState, Check: d.paths.Check, Store: d.platform, Generations: d.generations, Log: d.log.Component("quarantine"), Metrics: d.metrics,
+		Self: d.self, Members: d.gossip.Members, Peer: d.peers.Quarantines().To, Endpoint: d.endpointState, Check: d.paths.Check, FirstStart: set.FirstStart, Store: d.platform, Generations: d.generations, Log: d.log.Component("quarantine"), Metrics: d.metrics,
 	})
 	d.quotas = quotas.New(quotas.Options{
 		Self: d.self, Members: d.gossip.Members, Revision: d.gossip.Revision, Directory: d.workspaces, Listed: d.endpointListed, Publish: d.gossip.Set, OnLimitChange: func(incarnation fleet.Incarnation, report limit.Report) { d.throttle.SetLimit(incarnation, report) }, Store: d.platform, Generations: d.generations, Peer: d.peers.Quotas().To, Log: d.log.Component("quotas"), Metrics: d.metrics,
--- a/daemon/edgedaemon/daemon.go
+++ b/daemon/edgedaemon/daemon.go
@@ -187,7 +187,7 @@
 	d.view.OnChange(d.applyView)
 	d.gossip = gossip.New(hclog.NewNullLogger(), d.peers, d.seeds, gossip.Options(staleFact), d.member())
 	d.quarantine = quarantiner.New(quarantiner.Options{
-		Self: d.self, Members: d.alive, Peer: d.peers.Quarantines().To, Endpoint: d.endpointState, Software: d.endpointSoftware, Check: d.paths.Check, OnCrash: func(incarnation fleet.Incarnation) { d.balancer.MarkUnreachable(clock.Now(), incarnation) }, Store: d.store, Generations: d.generations, Log: log, Metrics: d.metrics,
+		Self: d.self, Members: d.alive, Peer: d.peers.Quarantines().To, Endpoint: d.endpointState, Software: d.endpointSoftware, Check: d.paths.Check, OnCrash: func(incarnation fleet.Incarnation) { d.balancer.MarkUnreachable(clock.Now(), incarnation) }, FirstStart: set.FirstStart, Store: d.store, Generations: d.generations, Log: log, Metrics: d.metrics,
 	})
 	d.streams = streams.New(streams.Options{
 		Self: d.self, Members: d.alive, Peer: d.peers.Streams().To, ViewAge: d.endpointsAge, FirstStart: set.FirstStart, Store: d.store, Origins: d.store.StreamOrigins(), Generations: d.generations, Log: log, Metrics: d.metrics,
--- a/driver/quarantiner/fleet_test.go
+++ b/driver/quarantiner/fleet_test.go
@@ -48,6 +48,7 @@
 	stop           context.CancelFunc
 	partitioned    bool          // partitioned from all other daemons
 	suspended      time.Duration // how far its clock is ahead
+	started        bool          // a daemon has run here before
 	connectedSince time.Time
 }
 
@@ -90,8 +91,12 @@
 // start starts a daemon without records.
 func (h *host) start() {
 	ctx, cancel := context.WithCancel(context.Background())
+	h.mu.Lock()
+	firstStart := !h.started
+	h.started = true
+	h.mu.Unlock()
 	c := New(Options{
-		Self: h.name, Members: h.in.members, Peer: func(address string) quarantinepb.Quarantine { return link{h, address} },
+		FirstStart: firstStart, Self: h.name, Members: h.in.members, Peer: func(address string) quarantinepb.Quarantine { return link{h, address} },
 		Endpoint: h.in.endpoint, Check: h.in.check, Clock: h.now, Store: h.in.store, Generations: h.in.generations, Log: h.in.log, Metrics: tally.NoopScope,
 	})
 	h.mu.Lock()
--- a/driver/quarantiner/quarantiner.go
+++ b/driver/quarantiner/quarantiner.go
@@ -46,6 +46,9 @@
 	// ask keeps requests waiting. Reading the first desired state takes as long, so a start of all
 	// daemons at once is not delayed by it.
 	syncWithin = 500 * time.Millisecond
+	// joinTime is how long a daemon that knows no other one waits for the membership before it reads the
+	// record: one that starts beside others gets their records, and needs no call to the store.
+	joinTime = syncWithin / 2
 	// syncPause is the pause between two rounds of calls within syncWithin.
 	syncPause = 100 * time.Millisecond
 	// expireEvery is the interval at which expired records are removed.
@@ -80,6 +83,8 @@
 	// Store keeps the records of requests that are held back, for the case that all daemons fail;
 	// nil: they are not kept.
 	Store record.Store
+	// FirstStart declares that no daemon has run before, so that there is no record.
+	FirstStart bool
 	// Generations tracks the highest generation of the store; nil: the store reports none.
 	Generations *generations.Tracker
 	Clock       clock.Clock
@@ -103,9 +108,10 @@
 	recordCount atomic.Int64 // number of records
 
 	served servedTable
-	// record and recorded, the digest of its content, are used by Run only.
+	// The following fields are used by Run only.
 	record   record.Record
-	recorded uint64
+	recorded uint64 // digest of the record's content
+	informed bool   // this daemon has the records that were held before it started, or there were none
 
 	mu        sync.Mutex
 	m         *quarantine.Machine
@@ -138,7 +144,7 @@
 		opt.Check = connect
 	}
 	s := opt.Metrics.SubScope("quarantine")
-	c := &Controller{opt: opt, synced: make(chan struct{}), started: opt.Clock(), wake: make(chan struct{}, 1), pending: make(chan struct{}, 1), m: quarantine.New(), record: record.New(opt.Store, opt.Generations, recordName), broken: map[fleet.Incarnation]*broken{}, metrics: metrics{
+	c := &Controller{opt: opt, synced: make(chan struct{}), started: opt.Clock(), wake: make(chan struct{}, 1), pending: make(chan struct{}, 1), m: quarantine.New(), record: record.New(opt.Store, opt.Generations, recordName), informed: opt.FirstStart || opt.Store == nil, broken: map[fleet.Incarnation]*broken{}, metrics: metrics{
 		crashed: s.Counter("attempts_ended_with_endpoint_total"), refused: s.Counter("requests_refused_total"), probes: s.Counter("trials_total"),
 		messages: s.Counter("messages_total"), held: s.Gauge("requests_held"), records: s.Gauge("cases"), ends: endCounters(s),
 	}}
@@ -319,6 +325,8 @@
 		d = tick
 	case known:
 		d = min(wait, record.MinCallInterval)
+	case !c.informed:
+		d = record.MinCallInterval
 	}
 	pause.Until(ctx, time.Now().Add(d), c.wake)
 }
--- a/driver/quarantiner/quarantiner_test.go
+++ b/driver/quarantiner/quarantiner_test.go
@@ -513,9 +513,8 @@
 	})
 }
 
-// Guards against records that are lost when all daemons lose power at once. The first crash during
-// the held request makes a daemon read the record in the store, and with it the time of the next
-// probe. The store must be called only a few times.
+// Guards against records that are lost when all daemons lose power at once. The store must be called
+// only a few times.
 func TestRecordOutlastsAllDaemons(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		in := newInstallation(5, 9, 1)
--- a/driver/quarantiner/record.go
+++ b/driver/quarantiner/record.go
@@ -13,11 +13,16 @@
 
 // The records in the memory of daemons are lost when all of them fail. The requests that are held
 // back are therefore also kept in one record in the store. One daemon writes it when they change, a
-// few times for each request. It is read only when an endpoint has crashed during a request and
-// this daemon has not read the record yet, so never while no endpoint crashes.
+// few times for each request. It is read by daemons that find no other one to ask as they start, and
+// when an endpoint has crashed during a request and this daemon has not read the record yet.
 
-// recordName is the name of the record in the store.
-const recordName = "held-back"
+const (
+	// recordName is the name of the record in the store.
+	recordName = "held-back"
+	// maxClockError is subtracted from the time since the record was saved: the clocks of the daemons that
+	// write and read it may each be a minute off, and a probe that comes early may crash an endpoint.
+	maxClockError = 2 * time.Minute
+)
 
 // heldBackRecord is the object in the store.
 type heldBackRecord struct {
@@ -25,8 +30,26 @@
 	Records     []byte `json:"cases"`         // quarantinepb.ExchangeRequest
 }
 
-// keepRecord reads or writes the record if that is due and this daemon is its writer.
+// readAtStart reads the record, unless this daemon is informed or has just tried to. It reports whether it was read.
+func (c *Controller) readAtStart(ctx context.Context) bool {
+	now := c.opt.Clock()
+	if c.informed || !c.record.Due(now) {
+		return false
+	}
+	if err := c.readRecord(ctx, now); err != nil {
+		c.opt.Log.Info(decisions.EventQuarantineRecord, "read", false, "error", err)
+		return false
+	}
+	c.informed = true
+	return true
+}
+
+// keepRecord reads or writes the record if that is due and this daemon is its writer. Others receive what
+// the writer has read.
 func (c *Controller) keepRecord(ctx context.Context, now time.Time) {
+	if !c.informed && c.record.IsWriter(c.opt.Self, c.opt.Members()) {
+		c.readAtStart(ctx)
+	}
 	if c.recordCount.Load() == 0 || !c.record.Due(now) || !c.record.IsWriter(c.opt.Self, c.opt.Members()) {
 		return
 	}
@@ -69,7 +92,7 @@
 		c.opt.Log.Warn(decisions.EventQuarantineRecord, "error", err, "bytes", len(rec.Records))
 		received.Reset() // the next write replaces it
 	}
-	saved := time.Duration(max(0, time.Now().UnixMilli()-rec.SavedUnixMs)) * time.Millisecond
+	saved := max(0, time.Duration(time.Now().UnixMilli()-rec.SavedUnixMs)*time.Millisecond-maxClockError)
 	records := fromWire(now.Add(-saved), received.Cases)
 	c.recorded = quarantine.DigestOf(records)
 	c.opt.Log.Info(decisions.EventQuarantineRecord, "read", true, "held", len(records), "saved_ms_ago", saved.Milliseconds())
--- a/driver/quarantiner/tell.go
+++ b/driver/quarantiner/tell.go
@@ -91,7 +91,8 @@
 	}
 }
 
-// sync asks other daemons for their records until one has answered that is synced itself.
+// sync asks other daemons for their records until one has answered that is synced itself, or the record in the
+// store has been read, which is when no other daemon is synced.
 func (c *Controller) sync(ctx context.Context) {
 	defer close(c.synced)
 	for ctx.Err() == nil && c.opt.Clock().Sub(c.started) < syncWithin {
@@ -99,9 +100,13 @@
 		for _, m := range list[:min(fanout, len(list))] {
 			resp, err := c.exchange(ctx, m, &quarantinepb.ExchangeRequest{Ask: true})
 			if err == nil && resp.Settled {
+				c.informed = true
 				return
 			}
 		}
+		if (len(list) > 0 || c.opt.Clock().Sub(c.started) >= joinTime) && c.readAtStart(ctx) {
+			return
+		}
 		pause.For(ctx, syncPause)
 	}
 }
--- a/standin/record/record.go
+++ b/standin/record/record.go
@@ -22,6 +22,14 @@
 	raw     []byte
 	version storeversion.Version
 	calls   int
+	away    bool
+}
+
+// SetAway sets whether calls fail.
+func (s *Store) SetAway(away bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away = away
 }
 
 // Backup is a copy of the record that Restore accepts.
@@ -65,6 +73,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls++
+	if s.away {
+		return storeversion.Version{}, ErrAway
+	}
 	if s.version.Absent() {
 		return s.version, lease.ErrNotFound
 	}
@@ -78,6 +89,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls++
+	if s.away {
+		return storeversion.Version{}, protocol.WriteUnknown, ErrAway
+	}
 	if expected.Revision != s.version.Revision {
 		return s.version.WithRevision(0), protocol.WriteConflict, nil
 	}
