quotas: the record of limits is read when the store is back, not at the start only

After a restart of all daemons while the store was away, an endpoint with a limit of 1.1 requests a second got 13 requests more in 4 s than its limit allows.

Cause: daemons tried to read the record of limits for half a second from their start, and never again while they knew of no limit. The endpoints themselves are listed in the store, so the first requests were sent when it was back, without limits.

Change: the first request that waits for the record makes it due at once, and half a second is counted from that request. Without requests it is tried once a second; after a wait in vain every ten seconds.

Why it works: a request can only be sent to a listed endpoint, and the store that lists it has the record, too.

--- a/driver/quotas/endpoints.go
+++ b/driver/quotas/endpoints.go
@@ -40,13 +40,15 @@
 	limited atomic.Pointer[map[fleet.Incarnation]limit.Report]
 
 	synced       chan struct{} // closed when the record has been read, or the time to read it is over
-	limitChanged chan struct{} // receives a value when a limit has begun, changed or ended
-	// record and recorded, the rates that it holds, are used only by Run.
+	limitChanged chan struct{} // receives a value when a limit has begun, changed or ended, or a request waits for the record
+	// record, recorded, the rates that it holds, and informed, whether it has been read, are used only by Run.
 	record   record.Record
 	recorded map[fleet.Incarnation]float64
+	informed bool
 
 	mu            sync.Mutex
 	tracker       *limit.Tracker
+	waitingSince  time.Time      // when the first request waited for the record; zero: none has
 	publishSecond time.Time      // start of the current second, for maxPublishedPerSecond
 	publishCount  int            // limits counted in that second, including those beyond the bound
 	unreadable    decisions.Once // endpoints whose limits were logged as unreadable
--- a/driver/quotas/quotas.go
+++ b/driver/quotas/quotas.go
@@ -131,6 +131,7 @@
 	for ctx.Err() == nil {
 		pause.Until(ctx, time.Now().Add(refreshInterval), k.endpoints.limitChanged)
 		k.endpoints.maintain()
+		k.endpoints.tryRead(ctx)
 		k.endpoints.syncRecord(ctx)
 		if directory, _ := k.opt.Directory(); !directory.RequiresKey() && !k.endpoints.any() {
 			pause.Until(ctx, time.Now().Add(idleInterval), k.endpoints.limitChanged)
--- a/driver/quotas/record.go
+++ b/driver/quotas/record.go
@@ -9,7 +9,9 @@
 
 	"github.com/doorvalve/doorvalve/coordination/limit"
 	"github.com/doorvalve/doorvalve/driver/decisions"
+	"github.com/doorvalve/doorvalve/driver/record"
 	"github.com/doorvalve/doorvalve/internal/pause"
+	"github.com/doorvalve/doorvalve/internal/wake"
 	"github.com/doorvalve/doorvalve/state/fleet"
 )
 
@@ -21,8 +23,10 @@
 const (
 	// recordName names the record in the store.
 	recordName = "limits"
-	// readPause is the pause between two attempts to read the record at the start of this daemon.
-	readPause = 100 * time.Millisecond
+	// readPause is the pause between two attempts to read the record at the start of this daemon, and while requests
+	// wait for it; lateReadPause is the pause once they have waited in vain.
+	readPause     = 100 * time.Millisecond
+	lateReadPause = 10 * time.Second
 	// recordChange is the relative change of a limit from which on it is written again. Smaller
 	// changes need no write: a daemon that has read the record gets the current limit with the
 	// endpoint's first answer.
@@ -43,27 +47,73 @@
 	Version  uint64  `json:"version"`
 }
 
-// WaitSynced waits until this daemon has read the record of limits, at most until joinTimeout after
-// its start.
+// WaitSynced waits until this daemon has read the record of limits, at most until joinTimeout after the first
+// request that waited for it. That one may come long after the start: while the store is away, no endpoint is known.
 func (e *Endpoints) WaitSynced(ctx context.Context) {
 	select {
 	case <-e.synced:
+		return
 	default:
-		pause.Until(ctx, time.Now().Add(joinTimeout-e.opt.Clock().Sub(e.shared.roster.started)), e.synced)
 	}
+	now := e.opt.Clock()
+	e.mu.Lock()
+	if e.waitingSince.IsZero() {
+		e.waitingSince = now
+	}
+	remaining := joinTimeout - now.Sub(e.waitingSince)
+	e.mu.Unlock()
+	wake.Once(e.limitChanged)
+	pause.Until(ctx, time.Now().Add(remaining), e.synced)
 }
 
 // readAtStart reads the record, and tries again until joinTimeout has passed since the start of
-// this daemon. It closes synced.
+// this daemon. tryRead goes on afterwards.
 func (e *Endpoints) readAtStart(ctx context.Context) {
-	defer close(e.synced)
-	for e.record.HasStore() && ctx.Err() == nil && e.opt.Clock().Sub(e.shared.roster.started) < joinTimeout {
-		err := e.readRecord(ctx)
-		if err == nil {
-			return
+	if !e.record.HasStore() {
+		e.stopWaiters()
+		return
+	}
+	for ctx.Err() == nil && !e.informed && e.opt.Clock().Sub(e.shared.roster.started) < joinTimeout {
+		if e.tryRead(ctx); !e.informed {
+			pause.For(ctx, readPause)
 		}
+	}
+}
+
+// tryRead reads the record if this daemon has not read it yet and an attempt is due: soon while requests
+// wait for it.
+func (e *Endpoints) tryRead(ctx context.Context) {
+	e.mu.Lock()
+	waitingSince := e.waitingSince
+	e.mu.Unlock()
+	now := e.opt.Clock()
+	waited := !waitingSince.IsZero() && now.Sub(waitingSince) >= joinTimeout
+	interval := readPause
+	switch {
+	case waited:
+		e.stopWaiters()
+		interval = lateReadPause
+	case waitingSince.IsZero() && now.Sub(e.shared.roster.started) >= joinTimeout:
+		interval = record.MinCallInterval
+	}
+	if !e.record.HasStore() || e.informed || e.record.SinceTried(now) < interval {
+		return
+	}
+	err := e.readRecord(ctx)
+	if err != nil {
 		e.opt.Log.Info(decisions.EventLimitsRecord, "read", false, "error", err)
-		pause.For(ctx, readPause)
+	}
+	if e.informed = err == nil; e.informed {
+		e.stopWaiters()
+	}
+}
+
+// stopWaiters lets the requests go on that wait for the record.
+func (e *Endpoints) stopWaiters() {
+	select {
+	case <-e.synced:
+	default:
+		close(e.synced)
 	}
 }
 
