storeview: a daemon without memory proves no desired state by a store that may just have lost one

A key that had been revoked was accepted after a restart of all daemons, for up to two seconds, where the store had come back from a copy while no daemon ran: the store returns the desired state of before the revocation until the operator has written again.

Cause: a daemon takes a later generation of the store for a restore. One that has just started knows no earlier generation, and took the first answer as a proof.

Evidence: TestProofOfKeysOutlastsAllDaemons with the wait taken out: version 1 counts as current 10 ms ago, 5 s after version 2 was confirmed, with one and with two restores.

Change: a record in the store names the latest generation that has lasted for two seconds; a watcher writes it once in each generation. A daemon that starts takes no keys for two seconds from its first sight of a generation, unless the record names it. A first start needs neither.

Why it works: a copy holds the record of an earlier generation. What names the present one was written after the operator had time to write again.

The cost is one read for each daemon that starts, and a write in each generation. A generation that begins again while a starting daemon waits begins the wait anew.

--- a/daemon/edgedaemon/daemon.go
+++ b/daemon/edgedaemon/daemon.go
@@ -183,6 +183,7 @@
 	d.view = storeview.New(storeview.Options{
 		Store: d.store, Decode: platform.DecodeDesiredState, Log: log, Self: d.self, Peer: d.anyPeer, Upstreams: d.upstreams,
 		PropagationBound: min(set.Timing.LeaveWithin.D(), set.Timing.ApplyWithin.D()), Heartbeat: set.Timing.EndpointHeartbeat.D(), Generations: d.generations, Metrics: d.metrics,
+		FirstStart: set.FirstStart, Records: d.store,
 	})
 	d.view.OnChange(d.applyView)
 	d.gossip = gossip.New(hclog.NewNullLogger(), d.peers, d.seeds, gossip.Options(staleFact), d.member())
@@ -376,7 +377,7 @@
 		d.addServer(&g, d.listeners.metrics, d.reporter.HTTPHandler())
 	}
 	for _, actor := range []func(context.Context) error{
-		d.gossip.Run, d.view.RunDesiredState, d.view.RunEndpoints, d.view.RunRelay, d.view.RunCatchUp, d.view.RunPeers, d.quarantine.Run, d.streams.Run, d.quotas.Run, d.throttle.Run, d.retries.Run, d.paths.Run, d.runGauges, d.runDemand, d.runStop,
+		d.gossip.Run, d.view.RunDesiredState, d.view.RunEndpoints, d.view.RunRelay, d.view.RunCatchUp, d.view.RunPeers, d.view.RunGeneration, d.quarantine.Run, d.streams.Run, d.quotas.Run, d.throttle.Run, d.retries.Run, d.paths.Run, d.runGauges, d.runDemand, d.runStop,
 	} {
 		actorCtx, stop := context.WithCancel(ctx)
 		g.Add(func() error { return actor(actorCtx) }, func(error) { stop() })
--- a/driver/decisions/log.go
+++ b/driver/decisions/log.go
@@ -75,6 +75,7 @@
 	EventSentRelayed          = "request sent through another daemon"
 	EventFactUnreadable       = "fact cannot be read"
 	EventLimitsRecord         = "record of endpoints' limits"
+	EventGenerationRecord     = "record of the store's generation"
 	EventLimitUnreadable      = "limit of an endpoint cannot be read"
 )
 
--- a/driver/storeview/proof.go
+++ b/driver/storeview/proof.go
@@ -14,6 +14,10 @@
 	generation    uint64    // of the store, the highest received
 	rewrittenBy   time.Time // lost states are written again by then; answers prove nothing before
 	beforeRestore time.Time // time proven before the restore, valid until then
+	// lostUntil is rewrittenBy also where this daemon's first start shows that nothing is lost.
+	lostUntil time.Time
+	// remembered: this daemon knew an earlier generation, so it has seen the present one begin.
+	remembered bool
 }
 
 // observeGeneration records the generation of the store in an answer; the caller holds the mutex.
@@ -21,8 +25,11 @@
 	if generation <= v.proof.generation {
 		return
 	}
-	if proven := v.provenAt(now); !proven.IsZero() {
-		v.proof.beforeRestore, v.proof.rewrittenBy = proven, now.Add(discovery.RestoreRewriteWindow)
+	v.proof.lostUntil = now.Add(discovery.RestoreRewriteWindow)
+	v.proof.remembered = v.proof.generation > 0
+	unknown := !v.proof.remembered && !v.opt.FirstStart && v.opt.Records != nil // whether the generation has just begun
+	if proven := v.provenAt(now); !proven.IsZero() || unknown || now.Before(v.proof.rewrittenBy) {
+		v.proof.beforeRestore, v.proof.rewrittenBy = proven, v.proof.lostUntil
 	}
 	v.proof.generation = generation
 }
--- a/driver/storeview/storeview.go
+++ b/driver/storeview/storeview.go
@@ -17,6 +17,7 @@
 	"github.com/doorvalve/doorvalve/coordination/relay"
 	"github.com/doorvalve/doorvalve/driver/decisions"
 	"github.com/doorvalve/doorvalve/driver/generations"
+	"github.com/doorvalve/doorvalve/driver/record"
 	"github.com/doorvalve/doorvalve/internal/clock"
 	"github.com/doorvalve/doorvalve/protocol/fleetpb"
 	"github.com/doorvalve/doorvalve/state/fleet"
@@ -56,6 +57,11 @@
 	// Generations tracks the highest generation of the store; nil: the view
 	// creates a tracker of its own.
 	Generations *generations.Tracker
+	// FirstStart declares that no daemon has run before, so that no desired state can be lost.
+	FirstStart bool
+	// Records holds the record of the store's generation; nil: a daemon that starts takes the store to have lost
+	// nothing.
+	Records record.Store
 	// Metrics receives the counters; nil: they are discarded.
 	Metrics tally.Scope
 	// Clock must advance while the host is suspended, so that the age of the view
