throttle: rejection limits hold where clocks are a minute apart

A rejection limit that a daemon with a clock a minute behind heard was unknown to all others; one that a daemon a minute ahead heard could not be ended or renewed for a minute by those that heard the endpoint themselves.

Cause: a fact's version, of the time of day at its publisher, was taken for the time at which the limit was heard, and compared with the receiver's clock.

Evidence: TestRejectionLimitsWithClocksApart before the change fails at -1 and +1 minute, and holds with equal clocks.

Change: a fact counts from its receipt; versions rise above the last known one of the endpoint, whoever published it; facts are kept two minutes longer, so that no clock within a minute drops them at once.

A daemon that starts may take a limit that ended up to two minutes ago for one of the present: it sends less until the endpoint's first answer.

--- a/driver/throttle/rejections.go
+++ b/driver/throttle/rejections.go
@@ -20,8 +20,17 @@
 	rejectionFactStep = 4 * time.Second
 	// rejectionFactLifetime is how long a fact is kept.
 	rejectionFactLifetime = 20 * time.Second
+	// maxClockError is added to the lifetime: the clocks of the daemons that publish and receive a fact may each
+	// be a minute off.
+	maxClockError = 2 * time.Minute
 )
 
+// publishedFact is a fact that this daemon has published or received.
+type publishedFact struct {
+	version uint64
+	knownAt time.Time // by this daemon's clock
+}
+
 // limitFact is the encoded value of such a fact.
 type limitFact struct {
 	PerSecond int `json:"per_second"`
@@ -48,19 +57,26 @@
 		c.opt.Log.Warn(decisions.EventFactUnreadable, "key", f.Key, "error", err)
 		return
 	}
+	now := c.opt.Clock()
 	c.mu.Lock()
-	c.published[f.Key] = max(c.published[f.Key], f.Version)
+	fresh := c.published[f.Key].version < f.Version
+	if fresh {
+		c.published[f.Key] = publishedFact{f.Version, now}
+	}
 	c.mu.Unlock()
-	now := c.opt.Clock()
-	c.setRejectionLimit(now, time.UnixMilli(int64(f.Version)), inc, protocol.RejectionLimit{Present: true, PerSecond: max(1, value.PerSecond)}, c.opt.Slots(inc))
+	if !fresh {
+		return
+	}
+	// A fact counts from when it was received: its version is of another daemon's clock.
+	c.setRejectionLimit(now, now, inc, protocol.RejectionLimit{Present: true, PerSecond: max(1, value.PerSecond)}, c.opt.Slots(inc))
 }
 
 // prunePublished drops the versions of facts that have expired.
 func (c *Controller) prunePublished(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for key, version := range c.published {
-		if now.Sub(time.UnixMilli(int64(version))) > rejectionFactLifetime {
+	for key, f := range c.published {
+		if now.Sub(f.knownAt) > rejectionFactLifetime+maxClockError {
 			delete(c.published, key)
 		}
 	}
--- a/driver/throttle/throttle.go
+++ b/driver/throttle/throttle.go
@@ -58,7 +58,7 @@
 	metrics metrics
 
 	mu        sync.Mutex
-	published map[string]uint64 // versions of the known facts about rejection limits, by key
+	published map[string]publishedFact // the latest known facts about rejection limits, by key
 
 	unreadable decisions.Once // endpoints for which an unreadable pause was logged
 }
@@ -80,7 +80,7 @@
 	for _, r := range []backpressure.Reason{backpressure.Leaving, backpressure.Paused, backpressure.Limited} {
 		held[r] = m.Tagged(map[string]string{"reason": string(r)}).Counter("requests_held_back_total")
 	}
-	return &Controller{opt: opt, published: map[string]uint64{}, metrics: metrics{
+	return &Controller{opt: opt, published: map[string]publishedFact{}, metrics: metrics{
 		rejections: m.Counter("rejections_heard_total"),
 		held:       held, leaves: m.Counter("endpoints_leaving_heard_total"), pauses: m.Counter("pauses_heard_total"), unreadable: m.Counter("pauses_unreadable_total"),
 		endpointsLeaving: m.Gauge("endpoints_leaving"), endpointsPaused: m.Gauge("endpoints_paused"),
@@ -149,12 +149,14 @@
 func (c *Controller) publishRejectionLimit(now time.Time, inc fleet.Incarnation, perSecond int) {
 	f := rejectionFact(now, inc, perSecond)
 	c.mu.Lock()
-	known := c.published[f.Key] >= f.Version
-	if !known {
-		c.published[f.Key] = f.Version
+	last, known := c.published[f.Key]
+	publish := !known || now.Sub(last.knownAt) >= rejectionFactStep
+	if publish {
+		f.Version = max(f.Version, last.version+1) // the last one may be of a daemon whose clock is ahead
+		c.published[f.Key] = publishedFact{f.Version, now}
 	}
 	c.mu.Unlock()
-	if !known {
+	if publish {
 		c.opt.Publish(f)
 	}
 }
@@ -310,7 +312,7 @@
 // factLifetime ago.
 func StaleFact(now time.Time, f membership.Entry) bool {
 	if strings.HasPrefix(f.Key, RejectionFactPrefix) {
-		return now.Sub(time.UnixMilli(int64(f.Version))) > rejectionFactLifetime
+		return now.Sub(time.UnixMilli(int64(f.Version))) > rejectionFactLifetime+maxClockError
 	}
 	return strings.HasPrefix(f.Key, FactPrefix) && now.Sub(time.UnixMilli(int64(f.Version))) > factLifetime
 }
--- a/driver/throttle/throttle_test.go
+++ b/driver/throttle/throttle_test.go
@@ -32,14 +32,16 @@
 	controllers []*Controller
 	leaving     [][]fleet.Incarnation // by daemon: the incarnations reported by OnLeaving
 	published   int                   // published facts
+	skew        []time.Duration       // by daemon: how far its clock is ahead
 	log         *syncbuf.Buffer
 }
 
 func newDaemons(n int) *daemons {
 	d := &daemons{now: time.Now(), leaving: make([][]fleet.Incarnation, n), log: &syncbuf.Buffer{}}
 	log := decisions.New(io.MultiWriter(d.log), "test", hclog.Info)
-	clock := func() time.Time { return d.now }
+	d.skew = make([]time.Duration, n)
 	for i := range n {
+		clock := func() time.Time { return d.now.Add(d.skew[i]) }
 		self := fmt.Sprint("d", i)
 		shares := quotas.New(quotas.Options{
 			Self: self, Members: func() []membership.Member { return []membership.Member{{ID: self}} }, Revision: func() uint64 { return 1 },
@@ -49,7 +51,7 @@
 			Self: self, Tracker: backpressure.New(backpressure.Options{LeaveWithin: leaveWithin}), Limits: shares.Endpoints(),
 			LastReady: func(fleet.Incarnation) time.Time { return d.now }, Listed: func(fleet.Incarnation) bool { return true }, Daemons: func() int { return n },
 			OnLeaving: func(inc fleet.Incarnation) { d.leaving[i] = append(d.leaving[i], inc) }, Publish: func(f membership.Entry) { d.publish(i, f) },
-			Clock: clock, Log: log, Metrics: tally.NoopScope,
+			Slots: func(fleet.Incarnation) int { return 64 }, Clock: clock, Log: log, Metrics: tally.NoopScope,
 		}))
 	}
 	d.now = d.now.Add(time.Minute) // they have searched for other daemons in vain
@@ -59,7 +61,7 @@
 func (d *daemons) publish(from int, f membership.Entry) {
 	d.published++
 	for i, c := range d.controllers {
-		if i != from && !StaleFact(d.now, f) {
+		if i != from && !StaleFact(d.now.Add(d.skew[i]), f) {
 			c.ReceiveFact(f)
 		}
 	}
@@ -96,6 +98,40 @@
 	}
 }
 
+// Guards against clocks that are a minute off: a rejection limit that one daemon hears must hold at all, what a daemon hears
+// itself must count at once, and the limit must go on while any daemon hears it.
+func TestRejectionLimitsWithClocksApart(t *testing.T) {
+	limited := answerWith(protocol.Backpressure{Rejections: protocol.RejectionLimit{Present: true, PerSecond: 8}})
+	for _, skew := range []time.Duration{-time.Minute, 0, time.Minute} {
+		d := newDaemons(3)
+		d.skew[0] = skew
+		hear := func(i int, a Answer) {
+			a.Sent = d.now.Add(d.skew[i])
+			d.controllers[i].ObserveAnswer(a)
+		}
+		knows := func(i int) bool { return d.controllers[i].opt.Tracker.ObserveRejection(d.now.Add(d.skew[i]), one) }
+		hear(0, limited)
+		if !knows(1) || !knows(2) {
+			t.Errorf("clock %v ahead: the others do not know the limit", skew)
+		}
+		d.now = d.now.Add(3 * time.Second)
+		hear(1, answerWith(protocol.Backpressure{}))
+		if knows(1) {
+			t.Errorf("clock %v ahead: the limit goes on where an answer ended it", skew)
+		}
+		for range 40 {
+			d.now = d.now.Add(2 * time.Second)
+			hear(2, limited)
+			if d.now = d.now.Add(5 * time.Second); !knows(0) || !knows(1) {
+				t.Fatalf("clock %v ahead: the others do not know a limit that was heard 5 s ago", skew)
+			}
+		}
+		if d.published > 45 {
+			t.Errorf("clock %v ahead: %d facts in 42 answers", skew, d.published)
+		}
+	}
+}
+
 // Guards against a pause that closes the endpoint for daemons which did not receive it, and against
 // a log line for each answer of a pause.
 func TestPauseConcernsOneDaemon(t *testing.T) {
