edgedaemon: a service that is gone from the desired state gives up its lease

Its coordinator kept the lease, renewed it and was read by all daemons without an end. It ends once all requests that have arrived before must have ended.

--- a/daemon/edgedaemon/daemon.go
+++ b/daemon/edgedaemon/daemon.go
@@ -129,7 +129,7 @@
 	callerServer *http.Server
 
 	mu           sync.Mutex
-	coordinators map[string]*coordinator.Coordinator
+	coordinators map[string]runningCoordinator
 	fleets       *peers.Clients[fleetpb.Fleet]
 	runCtx       context.Context
 	stopStarted  atomic.Pointer[time.Time] // when the shutdown began; nil before that
@@ -140,6 +140,7 @@
 	views        viewApplier
 	vacancies    vacancies
 	partitions   partitions
+	retirements  retirements
 }
 
 type listeners struct{ callers, directory, readiness, peers, metrics net.Listener }
@@ -155,7 +156,7 @@
 	debug.SetMemoryLimit(int64(float64(set.Limits.MemoryMB<<20) * memoryShare))
 	tracker := backpressure.New(backpressure.Options{LeaveWithin: set.Timing.LeaveWithin.D(), Seed: uint64(time.Now().UnixNano())})
 	d := &Daemon{
-		set: set, log: log, self: set.Host + "-" + nonce(), coordinators: map[string]*coordinator.Coordinator{},
+		set: set, log: log, self: set.Host + "-" + nonce(), coordinators: map[string]runningCoordinator{},
 		lastSent: map[string]int{}, stopped: make(chan struct{}),
 		peers: peers.NewClient(""), balancer: balance.New(set.FailureDomain, uint64(time.Now().UnixNano()), tracker),
 		vacancies: vacancies{takeover: coordinator.TakeoverTime(set.Timing.OrderGap.D())},
@@ -299,6 +300,7 @@
 	d.inbound.SetLimits(intakeLimits(table.Limits))
 	d.streams.SetLongestStream(table.LongestStream())
 	d.announceState(table.Version)
+	d.retirements.observe(time.Now(), table)
 	for name, svc := range table.Services {
 		if svc.Engine == nil {
 			continue
@@ -332,11 +334,10 @@
 func (d *Daemon) coordinatorFor(service string) *coordinator.Coordinator {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	c := d.coordinators[service]
-	if c != nil {
-		return c
+	if running, ok := d.coordinators[service]; ok {
+		return running.Coordinator
 	}
-	c = coordinator.New(coordinator.Options{
+	c := coordinator.New(coordinator.Options{
 		Service: service, Self: d.set.Listen.Peers, Lease: leaserelay.New(d.store, d.leasePeers, d.generations, d.log), Engines: d.engines, OrderGap: d.set.Timing.OrderGap.D(),
 		Planner:   residency.Options{InitialStoreConcurrency: d.set.Loads.AtOnce, RateWindow: d.set.Loads.Window.D(), RateFactor: d.set.Loads.Factor},
 		Candidate: d.candidate, Resigns: d.resigns, OnLeaseChange: d.publishHolder, PeerState: d.leasePeerState, FirstStart: d.set.FirstStart, StoreConcurrency: d.storeConcurrency, OnStoreConcurrency: d.publishStoreConcurrency, Log: d.log, Metrics: d.metrics,
@@ -344,10 +345,13 @@
 	for incarnation, report := range d.quotas.Endpoints().Limited() {
 		c.SetLimit(incarnation, report)
 	}
-	d.coordinators[service] = c
+	running := runningCoordinator{Coordinator: c}
 	if d.runCtx != nil {
-		go c.Run(d.runCtx)
+		var ctx context.Context
+		ctx, running.end = context.WithCancel(d.runCtx)
+		go c.Run(ctx)
 	}
+	d.coordinators[service] = running
 	return c
 }
 
@@ -376,7 +380,7 @@
 		d.addServer(&g, d.listeners.metrics, d.reporter.HTTPHandler())
 	}
 	for _, actor := range []func(context.Context) error{
-		d.gossip.Run, d.view.RunDesiredState, d.view.RunEndpoints, d.view.RunRelay, d.view.RunCatchUp, d.view.RunPeers, d.quarantine.Run, d.streams.Run, d.quotas.Run, d.throttle.Run, d.retries.Run, d.paths.Run, d.runGauges, d.runDemand, d.runStop,
+		d.gossip.Run, d.view.RunDesiredState, d.view.RunEndpoints, d.view.RunRelay, d.view.RunCatchUp, d.view.RunPeers, d.quarantine.Run, d.streams.Run, d.quotas.Run, d.throttle.Run, d.retries.Run, d.paths.Run, d.runGauges, d.runDemand, d.runRetirements, d.runStop,
 	} {
 		actorCtx, stop := context.WithCancel(ctx)
 		g.Add(func() error { return actor(actorCtx) }, func(error) { stop() })
--- a/daemon/edgedaemon/peers.go
+++ b/daemon/edgedaemon/peers.go
@@ -40,7 +40,7 @@
 // candidate reports whether this daemon should try to hold a service's lease. A
 // former holder should in any case, since engines take it for the same holder.
 func (d *Daemon) candidate(service string, former bool) bool {
-	if d.draining() || d.view.StoreUnresponsive(clock.Now()) || d.partitionedFrom(service) {
+	if d.draining() || d.view.StoreUnresponsive(clock.Now()) || d.partitionedFrom(service) || d.retirements.due(time.Now(), service) {
 		return false
 	}
 	if former {
@@ -72,7 +72,7 @@
 // resigns reports whether this daemon should give up a service's lease, because its orders have not
 // reached the engines for resignAfter.
 func (d *Daemon) resigns(service string) bool {
-	return d.partitions.lastFor(clock.Now(), service, d.partitionedFrom(service)) >= resignAfter
+	return d.retirements.due(time.Now(), service) || d.partitions.lastFor(clock.Now(), service, d.partitionedFrom(service)) >= resignAfter
 }
 
 // withPath returns the members of alive that have a path to the endpoints, or all of them if none has.
@@ -145,7 +145,7 @@
 func (d *Daemon) localCoordinator(service string) *coordinator.Coordinator {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.coordinators[service]
+	return d.coordinators[service].Coordinator
 }
 
 // fleet returns the client of the Fleet service of the daemon at address.
--- a/state/routing/table.go
+++ b/state/routing/table.go
@@ -138,14 +138,19 @@
 
 	byHost        map[string][]*Route // longest prefix first
 	longestStream time.Duration
+	// longestRequest is the longest timeout of a request, by service.
+	longestRequest map[string]time.Duration
 }
 
+// LongestRequest returns the longest timeout of a request to a service; zero if no route to it has a timeout.
+func (t *Table) LongestRequest(service string) time.Duration { return t.longestRequest[service] }
+
 // LongestStream returns the longest timeout of a stream; zero if there is no streaming route.
 func (t *Table) LongestStream() time.Duration { return t.longestStream }
 
 // NewTable indexes the routes.
 func NewTable(version uint64, limits Limits, services []*Service, routes []*Route, workspaces *workspace.Directory) *Table {
-	t := &Table{Version: version, Limits: limits, Workspaces: workspaces, Services: map[string]*Service{}, byHost: map[string][]*Route{}}
+	t := &Table{Version: version, Limits: limits, Workspaces: workspaces, Services: map[string]*Service{}, byHost: map[string][]*Route{}, longestRequest: map[string]time.Duration{}}
 	for _, s := range services {
 		t.Services[s.Name] = s
 	}
@@ -157,6 +162,7 @@
 		leastUrgent := urgency.least(r)
 		t.byHost[r.Host] = append(t.byHost[r.Host], r)
 		for _, share := range r.Shares {
+			t.longestRequest[share.Service] = max(t.longestRequest[share.Service], r.Timeout)
 			if s := t.Services[share.Service]; s != nil {
 				s.LeastUrgentRank = max(s.LeastUrgentRank, leastUrgent)
 			}
