intake: a head limit that becomes lower has a notice

A caller that crossed the change got 431 or 408, on kept and new connections. Heads that begin within half of the time in which a change must be in force have the wider limits.

--- a/coordination/intake/intake.go
+++ b/coordination/intake/intake.go
@@ -54,14 +54,39 @@
 	bytes  int       // of the head
 	// stopping: the server stops.
 	stopping bool
+	// earlier are limits that were in force before, for heads that begin until their notice is over.
+	earlier Earlier
+}
+
+// headNoticeShare is the share of the notice of a change that holds for heads. The notice is the time within which a change must
+// be in force, and a part of it passes before the daemon learns of the change.
+const headNoticeShare = 0.5
+
+// Earlier are the wider limits of heads that callers may still go by after a change.
+type Earlier struct {
+	limits Limits
+	until  time.Time
+}
+
+// Replace returns the earlier limits once limits in force are replaced.
+func (e Earlier) Replace(now time.Time, replaced Limits, notice time.Duration) Earlier {
+	return Earlier{e.widen(now, replaced), now.Add(time.Duration(headNoticeShare * float64(notice)))}
+}
+
+// widen returns the limits of a head that begins now, where l are in force.
+func (e Earlier) widen(now time.Time, l Limits) Limits {
+	if !now.Before(e.until) {
+		return l
+	}
+	return Limits{max(l.HeadBytes, e.limits.HeadBytes), max(l.HeadTime, e.limits.HeadTime), l.IdleTime}
 }
 
 // stoppingIdle is how long a connection may be idle while the server stops: for a request that is on its way.
 const stoppingIdle = 100 * time.Millisecond
 
-// BeginIdle begins the time before the next request.
-func (c *Connection) BeginIdle(now time.Time, l Limits) {
-	*c = Connection{phase: idle, limits: l, since: now, stopping: c.stopping}
+// BeginIdle begins the time before the next request. e are the limits that were in force before l.
+func (c *Connection) BeginIdle(now time.Time, l Limits, e Earlier) {
+	*c = Connection{phase: idle, limits: l, since: now, stopping: c.stopping, earlier: e}
 	switch {
 	case c.stopping:
 		c.until = now.Add(stoppingIdle)
@@ -91,21 +116,21 @@
 // before the answer to the request before it.
 func (c *Connection) BeginHead(now time.Time) {
 	if c.phase == idle {
-		c.phase, c.since = head, now
+		c.phase, c.since, c.limits = head, now, c.earlier.widen(now, c.limits)
 	}
 }
 
 // BeginRequest records that a head is complete. No limit of this package holds until the request has ended.
 func (c *Connection) BeginRequest() { c.phase = serving }
 
-// Change brings other limits into force. A head that has begun keeps the wider ones. An idle connection has the new idle
-// time from now on, at least notice, but no less than the old one if the new one is longer.
-func (c *Connection) Change(now time.Time, l Limits, notice time.Duration) {
+// Change brings other limits into force, and e as the earlier ones. A head that has begun keeps the wider ones. An idle connection has the new idle time from now on, at least
+// notice, but no less than the old one if the new one is longer.
+func (c *Connection) Change(now time.Time, l Limits, e Earlier, notice time.Duration) {
 	switch c.phase {
 	case head:
 		c.limits = widest(c.limits, l)
 	case idle:
-		c.limits = l
+		c.limits, c.earlier = l, e
 		if c.stopping {
 			return
 		}
--- a/coordination/intake/intake_test.go
+++ b/coordination/intake/intake_test.go
@@ -21,9 +21,11 @@
 func TestConnectionKeepsToTheLimits(t *testing.T) {
 	type step func(*Connection)
 	receive := func(s float64, n int) step { return func(c *Connection) { c.Receive(at(s), n) } }
-	change := func(s float64, l Limits) step { return func(c *Connection) { c.Change(at(s), l, notice) } }
+	change := func(s float64, l Limits) step {
+		return func(c *Connection) { c.Change(at(s), l, c.earlier.Replace(at(s), c.limits, notice), notice) }
+	}
 	serve := func(c *Connection) { c.BeginRequest() }
-	idleAgain := func(s float64, l Limits) step { return func(c *Connection) { c.BeginIdle(at(s), l) } }
+	idleAgain := func(s float64, l Limits) step { return func(c *Connection) { c.BeginIdle(at(s), l, Earlier{}) } }
 	begin := func(s float64) step { return func(c *Connection) { c.BeginHead(at(s)) } }
 	for name, c := range map[string]struct {
 		l     Limits
@@ -47,12 +49,15 @@
 		"idle, a limit for the first":  {Limits{}, []step{change(9, short)}, 14.9, Expired},
 		"head, longer limit":           {short, []step{receive(0, 100), change(1, long)}, 9.9, HeadTooSlow},
 		"head, shorter limit":          {long, []step{receive(0, 2000), change(1, short)}, 9.9, HeadTooSlow},
+		"head within the notice":       {long, []step{change(1, short), receive(1.9, 2000)}, 11.8, HeadTooSlow},
+		"large head after the notice":  {long, []step{change(1, short), receive(2.1, 999)}, 4.0, HeadTooSlow},
+		"head after a swift series":    {long, []step{change(1, short), change(1.5, Limits{HeadBytes: 900, HeadTime: time.Second}), receive(1.9, 2000)}, 11.8, HeadTooSlow},
 		"change in series":             {short, []step{change(1, long), change(2, short), change(3, long)}, 60.9, Expired},
 		"request, then shorter limits": {long, []step{receive(0, 10), serve, change(1, short), idleAgain(2, short)}, 7.9, Expired},
 	} {
 		t.Run(name, func(t *testing.T) {
 			x := &Connection{}
-			x.BeginIdle(start, c.l)
+			x.BeginIdle(start, c.l, Earlier{})
 			for _, s := range c.steps {
 				s(x)
 			}
@@ -66,7 +71,7 @@
 	}
 	t.Run("large head", func(t *testing.T) {
 		x := &Connection{}
-		x.BeginIdle(start, short)
+		x.BeginIdle(start, short, Earlier{})
 		x.Receive(start, 999)
 		if got := x.Check(start); got != Open {
 			t.Errorf("999 bytes: %v", got)
@@ -90,7 +95,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		now, l := start, limits.Draw(t, "first")
 		c := &Connection{}
-		c.BeginIdle(now, l)
+		c.BeginIdle(now, l, Earlier{})
 		narrowest := l
 		inHead := rapid.Bool().Draw(t, "in a head")
 		sent := 0
@@ -110,7 +115,7 @@
 			if now.Sub(began) >= allowed || inHead && sent >= narrowest.HeadBytes {
 				break
 			}
-			c.Change(now, l, notice)
+			c.Change(now, l, c.earlier.Replace(now, c.limits, notice), notice)
 			if got := c.Check(now); got != Open {
 				t.Fatalf("cut after %v within %+v: %v", now.Sub(began), narrowest, got)
 			}
@@ -143,20 +148,20 @@
 func TestStoppingClosesIdleConnectionsOnly(t *testing.T) {
 	now, limits := time.Now(), Limits{HeadBytes: 1000, HeadTime: 10 * time.Second, IdleTime: time.Minute}
 	var c Connection
-	c.BeginIdle(now, limits)
+	c.BeginIdle(now, limits, Earlier{})
 	c.Receive(now, 10)
 	c.Stop(now)
 	if v := c.Check(now.Add(9 * time.Second)); v != Open {
 		t.Errorf("a head that has begun: %v", v)
 	}
 	c.BeginRequest()
-	c.BeginIdle(now, limits)
-	c.Change(now, limits, time.Minute)
+	c.BeginIdle(now, limits, Earlier{})
+	c.Change(now, limits, Earlier{}, time.Minute)
 	if before, after := c.Check(now.Add(stoppingIdle-1)), c.Check(now.Add(stoppingIdle)); before != Open || after != Expired {
 		t.Errorf("after the request: %v, then %v", before, after)
 	}
 	c = Connection{}
-	c.BeginIdle(now, limits)
+	c.BeginIdle(now, limits, Earlier{})
 	c.Stop(now)
 	if v := c.Check(now.Add(stoppingIdle)); v != Expired {
 		t.Errorf("an idle connection: %v", v)
--- a/transport/inbound/inbound.go
+++ b/transport/inbound/inbound.go
@@ -221,15 +221,15 @@
 		_ = c.TCPConn.SetReadDeadline(time.Time{}) // fails on closed connections only
 	case http.StateIdle:
 		c.served = true
-		c.intake.BeginIdle(time.Now(), c.listener.Limits())
+		c.listener.beginIdle(c)
 	}
 }
 
 // changeLimits brings new limits into force, also for a read in progress.
-func (c *Conn) changeLimits(l intake.Limits, notice time.Duration) {
+func (c *Conn) changeLimits(l intake.Limits, e intake.Earlier, notice time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.intake.Change(time.Now(), l, notice)
+	c.intake.Change(time.Now(), l, e, notice)
 	if c.intake.ReadsHead() {
 		_ = c.TCPConn.SetReadDeadline(c.intake.Deadline()) // fails on closed connections only
 	}
--- a/transport/inbound/listener.go
+++ b/transport/inbound/listener.go
@@ -32,6 +32,9 @@
 
 	mu     sync.Mutex
 	limits intake.Limits
+	// earlier are the limits in force before; agreed: SetLimits was called.
+	earlier intake.Earlier
+	agreed  bool
 	open   map[*Conn]struct{}
 	// stopping: Shutdown has begun. closed is closed once no connection is open after that.
 	stopping bool
@@ -90,7 +93,7 @@
 	conn := &Conn{TCPConn: tcp, listener: l}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	conn.intake.BeginIdle(time.Now(), l.limits)
+	conn.intake.BeginIdle(time.Now(), l.limits, l.earlier)
 	if l.stopping {
 		conn.intake.Stop(time.Now())
 	}
@@ -146,11 +149,11 @@
 	return l.stopping
 }
 
-// Limits returns the limits in force.
-func (l *Listener) Limits() intake.Limits {
+// beginIdle begins the time of a connection before its next request. The caller holds c.mu.
+func (l *Listener) beginIdle(c *Conn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.limits
+	c.intake.BeginIdle(time.Now(), l.limits, l.earlier)
 }
 
 // SetLimits brings limits into force, also for open connections.
@@ -160,10 +163,14 @@
 		l.mu.Unlock()
 		return
 	}
-	l.limits = limits
+	if l.agreed { // no caller goes by the limits before the first ones
+		l.earlier = l.earlier.Replace(time.Now(), l.limits, l.opt.Notice)
+	}
+	l.limits, l.agreed = limits, true
+	earlier := l.earlier
 	open := slices.Collect(maps.Keys(l.open))
 	l.mu.Unlock()
 	for _, c := range open {
-		c.changeLimits(limits, l.opt.Notice)
+		c.changeLimits(limits, earlier, l.opt.Notice)
 	}
 }
