inbound: panics of handlers are logged as errors, also after the outcome

A panic after the outcome of a request, or outside of its account, was logged by net/http at the debug level only, and the request counted as it had ended before.

--- a/driver/decisions/log.go
+++ b/driver/decisions/log.go
@@ -39,6 +39,7 @@
 	EventRefused              = "request refused"
 	EventFailed               = "request failed"
 	EventUnaccounted          = "request without an outcome"
+	EventPanicked             = "request handler panicked"
 	EventAttemptFailed        = "attempt failed"
 	EventStreamLost           = "silent stream lost"
 	EventNotResumed           = "request not resumed"
--- a/transport/inbound/listener.go
+++ b/transport/inbound/listener.go
@@ -2,14 +2,17 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/doorvalve/doorvalve/coordination/intake"
+	"github.com/doorvalve/doorvalve/driver/decisions"
 	"github.com/doorvalve/doorvalve/protocol"
 )
 
@@ -21,6 +24,8 @@
 	Notice time.Duration
 	// SendBuffer is the size of the kernel's send buffer of a connection, in bytes; zero: the kernel's choice.
 	SendBuffer int
+	// Log gets panics of handlers; nil: they are not logged.
+	Log *decisions.Log
 	// OnRefused is called with each refusal of a request whose head is beyond the limits; nil: nothing is.
 	OnRefused func(*protocol.Refusal)
 }
@@ -35,7 +40,7 @@
 	// earlier are the limits in force before; agreed: SetLimits was called.
 	earlier intake.Earlier
 	agreed  bool
-	open   map[*Conn]struct{}
+	open    map[*Conn]struct{}
 	// stopping: Shutdown has begun. closed is closed once no connection is open after that.
 	stopping bool
 	closed   chan struct{}
@@ -59,6 +64,7 @@
 // Configure makes a server keep to the listener's limits in place of its own, and pass each request to its handler. It
 // must be called before the server serves.
 func (l *Listener) Configure(srv *http.Server) {
+	srv.Handler = l.logPanics(srv.Handler)
 	srv.MaxHeaderBytes, srv.ReadHeaderTimeout, srv.ReadTimeout, srv.IdleTimeout = maxHeadBytes, headBegins, 0, 0
 	srv.DisableGeneralOptionsHandler = true // net/http would answer OPTIONS * itself, with 200
 	srv.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
@@ -74,6 +80,24 @@
 	}
 }
 
+// logPanics logs panics in a handler as errors, also those after a request has its outcome, and aborts the connection. net/http's own
+// line about them has the level of callers' faults.
+func (l *Listener) logPanics(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		defer func() {
+			cause := recover()
+			if cause == nil {
+				return
+			}
+			if err, ok := cause.(error); l.opt.Log != nil && !(ok && errors.Is(err, http.ErrAbortHandler)) {
+				l.opt.Log.Error(decisions.EventPanicked, "method", r.Method, "host", r.Host, "path", r.URL.Path, "connection", EndOf(r), "panic", cause, "stack", string(debug.Stack()))
+			}
+			panic(http.ErrAbortHandler)
+		}()
+		h.ServeHTTP(w, r)
+	})
+}
+
 // Accept implements net.Listener.
 func (l *Listener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
