--- a/transport/edge/arrive.go
+++ b/transport/edge/arrive.go
@@ -143,10 +143,12 @@
 // has no timeout.
 func (q *request) missedTarget() bool { return q.age() > q.route.LatencyTarget }
 
-// recheckKey refuses a request whose key was revoked while it waited.
-func (s *Server) recheckKey(q *request) *protocol.Refusal {
+// recheckKey refuses a request whose key was revoked while it waited. One that an endpoint may have run goes on: it was admitted while
+// its key was in force, and its next attempt continues the same work. A begun answer would be cut otherwise, though the first
+// endpoint may only have paused.
+func (s *Server) recheckKey(q *request, t *attemptState) *protocol.Refusal {
 	newest := s.opt.Table()
-	if newest == q.table || access.StillValid(newest.Workspaces, q.call.Credential, q.route.Public, q.owner) {
+	if t.verdict != protocol.NotRun || newest == q.table || access.StillValid(newest.Workspaces, q.call.Credential, q.route.Public, q.owner) {
 		return nil
 	}
 	return protocol.Refuse(http.StatusUnauthorized, access.ReasonUnknownKey, "the key of this request was taken away while it waited", 0)
--- a/transport/edge/run.go
+++ b/transport/edge/run.go
@@ -205,7 +205,7 @@
 		s.opt.Quarantine.ReturnProbe(q.probe)
 		return false, nil
 	}
-	if refusal = s.recheckKey(q); refusal == nil && q.timeLeft() <= 0 { // as when the host was suspended during the wait
+	if refusal = s.recheckKey(q, t); refusal == nil && q.timeLeft() <= 0 { // as when the host was suspended during the wait
 		refusal = s.outOfTime(t.verdict)
 	}
 	if paid := refusal == nil && s.payRetry(q, t); !paid {
