streams: a second version is noticed by whatever source shows it first

Cause: records of a service's streams are copied, and stored, when a second version appears. Every daemon but the record's writer reads the version from the record, which put it into the history before the comparison that was to find it new. Only the writer copied its records.

Change: a service is remembered as mixed once that was reported, and each change of the history, also by a record that another daemon places, is compared with that.

TestStreamsBegunBeforeASecondVersionAreKept: red before in all three cases (all of seven daemons restart, three, one), green now.

--- a/coordination/continuation/table.go
+++ b/coordination/continuation/table.go
@@ -69,6 +69,7 @@
 	recorded map[string]time.Time // when versions with a record were last in the view, or found in the record
 	last     map[string]time.Time // when others were last listed
 	since    time.Time            // start of the time that the history covers
+	mixed    bool                 // a second version has been reported
 }
 
 // New returns a table that watches services from the given time on. The zero time means that no
@@ -95,29 +96,25 @@
 // ObserveView processes a new view of the endpoints. It returns the services in which a second
 // version has appeared.
 func (t *Table) ObserveView(now time.Time, view *fleet.View) (mixed []string) {
-	mixed = t.newlyMixed(now, func() {
-		for _, h := range t.services {
-			for software := range h.current {
-				h.last[software] = now // it was listed until now
-				h.recorded[software] = now
-			}
+	for _, h := range t.services {
+		for software := range h.current {
+			h.last[software] = now // it was listed until now
+			h.recorded[software] = now
 		}
-		t.replaceCurrent(now, view)
-	})
+	}
+	t.replaceCurrent(now, view)
 	t.observeListings(now, view)
 	t.viewed = true
-	return mixed
+	return t.NewlyMixed(now)
 }
 
-// newlyMixed returns the services in which change lets a second version appear.
-func (t *Table) newlyMixed(now time.Time, change func()) (mixed []string) {
-	before := map[string]bool{}
-	for service, h := range t.services {
-		before[service] = len(h.versions(now, t.retention)) > 1
-	}
-	change()
+// NewlyMixed returns the services in which a second version has appeared since it was last reported, from whatever source:
+// records of the store and of other daemons show versions before the view has them.
+func (t *Table) NewlyMixed(now time.Time) (mixed []string) {
 	for service, h := range t.services {
-		if !before[service] && len(h.versions(now, t.retention)) > 1 {
+		was := h.mixed
+		h.mixed = len(h.versions(now, t.retention)) > 1
+		if h.mixed && !was {
 			mixed = append(mixed, service)
 		}
 	}
@@ -158,18 +155,17 @@
 // Recorded notes that versions of a service are recorded, and when they were last listed. Those in the
 // view enter service. It returns the services in which a second version has appeared.
 func (t *Table) Recorded(now time.Time, service string, versions []Seen) (mixed []string) {
-	return t.newlyMixed(now, func() {
-		h := t.history(service)
-		for _, v := range versions {
-			if v.At.After(h.recorded[v.Software]) {
-				h.recorded[v.Software] = v.At
-			}
-			if h.pending[v.Software] && t.isRecorded(now, h, v.Software) {
-				delete(h.pending, v.Software)
-				h.list(now, v.Software, true)
-			}
+	h := t.history(service)
+	for _, v := range versions {
+		if v.At.After(h.recorded[v.Software]) {
+			h.recorded[v.Software] = v.At
 		}
-	})
+		if h.pending[v.Software] && t.isRecorded(now, h, v.Software) {
+			delete(h.pending, v.Software)
+			h.list(now, v.Software, true)
+		}
+	}
+	return t.NewlyMixed(now)
 }
 
 // Pending returns the services with versions that are listed and not in service yet.
--- a/driver/streams/stored_test.go
+++ b/driver/streams/stored_test.go
@@ -137,3 +137,36 @@
 		}
 	})
 }
+
+// Guards against streams of the only version that are kept by one daemon alone after a second version has appeared: of all
+// daemons but the record's writer, which learn of it by the record.
+func TestStreamsBegunBeforeASecondVersionAreKept(t *testing.T) {
+	const streams = 70
+	for _, restart := range []struct {
+		name  string
+		hosts int // that are started anew
+	}{{"all", 7}, {"one", 1}, {"three", 3}} {
+		t.Run(restart.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				in := newInstallationWith(7, true, &record.Store{Latency: 4 * time.Millisecond}, &record.Records{Latency: 4 * time.Millisecond})
+				defer in.close()
+				in.set("a", "v1")
+				in.lookAll()
+				time.Sleep(time.Second)
+				for i := range streams {
+					in.hosts[i%7].begin(fmt.Sprint("s", i), in.endpoints["a"])
+				}
+				in.set("b", "v2")
+				in.lookAll()
+				time.Sleep(1500 * time.Millisecond)
+				for _, h := range in.hosts[:restart.hosts] {
+					h.name += "'"
+					h.start(false)
+				}
+				for i := range streams {
+					resume(t, in.hosts[(i+3)%7], fmt.Sprint("s", i), "v1")
+				}
+			})
+		})
+	}
+}
--- a/driver/streams/streams.go
+++ b/driver/streams/streams.go
@@ -375,8 +375,10 @@
 		}
 	}
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.t.Merge(now, records)
+	mixed := c.t.NewlyMixed(now)
+	c.mu.Unlock()
+	c.notifyMixed(mixed)
 	return &streampb.PlaceResponse{}, nil
 }
 
