--- a/coordination/continuation/versions.go
+++ b/coordination/continuation/versions.go
@@ -16,6 +16,7 @@
 type history struct {
 	versions map[string]*version
 	since    time.Time // start of the time that the history covers
+	mixed    bool      // a second version has been reported
 }
 
 // version is what a daemon knows of one version of a service's software.
@@ -73,17 +74,15 @@
 // ObserveView processes a new view of the endpoints. It returns the services in which a second
 // version has appeared.
 func (t *Table) ObserveView(now time.Time, view *fleet.View) (mixed []string) {
-	mixed = t.newlyMixed(now, func() {
-		for service := range view.ByService {
-			t.history(service)
-		}
-		for service, h := range t.services {
-			t.listVersions(now, h, view.ByService[service])
-		}
-	})
+	for service := range view.ByService {
+		t.history(service)
+	}
+	for service, h := range t.services {
+		t.listVersions(now, h, view.ByService[service])
+	}
 	t.observeListings(now, view)
 	t.viewed = true
-	return mixed
+	return t.NewlyMixed(now)
 }
 
 // listVersions sets the versions of a service that are listed now. One whose record was last confirmed long ago leaves service
@@ -105,15 +104,13 @@
 	}
 }
 
-// newlyMixed returns the services in which change lets a second version appear.
-func (t *Table) newlyMixed(now time.Time, change func()) (mixed []string) {
-	before := map[string]bool{}
+// NewlyMixed returns the services in which a second version has appeared since it was last reported, from whatever source:
+// records of the store and of other daemons show versions before the view has them.
+func (t *Table) NewlyMixed(now time.Time) (mixed []string) {
 	for service, h := range t.services {
-		before[service] = len(h.counting(now, t.retention)) > 1
-	}
-	change()
-	for service, h := range t.services {
-		if !before[service] && len(h.counting(now, t.retention)) > 1 {
+		was := h.mixed
+		h.mixed = len(h.counting(now, t.retention)) > 1
+		if h.mixed && !was {
 			mixed = append(mixed, service)
 		}
 	}
@@ -188,29 +185,30 @@
 // Recorded notes what the record says of a service. Listed versions enter service. It returns the services in which a
 // second version has appeared.
 func (t *Table) Recorded(now time.Time, service string, record []RecordedVersion) (mixed []string) {
-	return t.newlyMixed(now, func() {
-		h := t.history(service)
-		recorded := map[string]bool{}
-		for _, r := range record {
-			recorded[r.Software] = true
-			v := h.version(r.Software)
-			if r.Listed {
-				v.confirmed, v.unlisted = now, time.Time{}
-				v.inService = v.listed
-			}
-			if r.Listed || v.seen.IsZero() {
-				v.see(now)
-			}
-			if !r.Listed {
-				v.noteUnlisted(now)
-			}
-		}
-		for software, v := range h.versions {
-			if !recorded[software] {
-				v.noteUnlisted(now)
-			}
+	h := t.history(service)
+	recorded := map[string]bool{}
+	for _, r := range record {
+		recorded[r.Software] = true
+		h.version(r.Software).adoptRecorded(now, r.Listed)
+	}
+	for software, v := range h.versions {
+		if !recorded[software] {
+			v.noteUnlisted(now)
 		}
-	})
+	}
+	return t.NewlyMixed(now)
+}
+
+func (v *version) adoptRecorded(now time.Time, listed bool) {
+	if listed || v.seen.IsZero() {
+		v.see(now)
+	}
+	if !listed {
+		v.noteUnlisted(now)
+		return
+	}
+	v.confirmed, v.unlisted = now, time.Time{}
+	v.inService = v.listed
 }
 
 func (v *version) noteUnlisted(now time.Time) {
@@ -321,15 +319,14 @@
 // AdoptInService lets versions enter service that are listed and that another daemon has in service, or had
 // lately.
 func (t *Table) AdoptInService(now time.Time, service string, seen []Seen) (mixed []string) {
-	return t.newlyMixed(now, func() {
-		h := t.history(service)
-		for _, s := range seen {
-			if now.Sub(s.At) < t.retention/2 {
-				v := h.version(s.Software)
-				v.inService = v.listed
-			}
+	h := t.history(service)
+	for _, s := range seen {
+		if now.Sub(s.At) < t.retention/2 {
+			v := h.version(s.Software)
+			v.inService = v.listed
 		}
-	})
+	}
+	return t.NewlyMixed(now)
 }
 
 // expireVersions drops versions that cannot matter any more.
