streams, doorvalvectl: a take-up names the record that decided, its age and its writer

An operator who asks why a stream was refused, or went on at a version, found a refusal without the record behind it: the line "origin of a stream found" had no request id, so that explain did not show it, and no line named who wrote the record that decided.

Change: that line has the request id, the source, the record's writer and age, and the versions that count; the line of the refusal has them too, and the sources that did not answer. explain shows, however old, when the versions were recorded, and writes large numbers without an exponent.

--- a/cmd/doorvalvectl/explain.go
+++ b/cmd/doorvalvectl/explain.go
@@ -7,8 +7,11 @@
 	"io"
 	"os"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
+
+	"github.com/doorvalve/doorvalve/driver/decisions"
 )
 
 // explainCmd prints the lines of the daemons' logs that are related to one request.
@@ -98,6 +101,8 @@
 //   - lines with the same fingerprint, however much earlier: the same request
 //     sent again under other ids;
 //   - lines of the attempt that began the stream which the request resumes;
+//   - lines of when the versions that a service ran were recorded, however much
+//     earlier, if the record decided about a stream that the request resumes;
 //   - lines of attempts that failed with a prompt part that is held back, and of
 //     when it was held back, if that is the reason of the refusal;
 //   - lines of the connections through other daemons that it was sent over;
@@ -109,7 +114,7 @@
 	subjects, fingerprints, tunnels := map[string]bool{}, map[string]bool{}, map[string]bool{}
 	var first, last time.Time
 	origins, parts := map[string]bool{}, map[string]bool{}
-	signalEvent := ""
+	signalEvent, byRecord := "", false
 	for _, l := range lines {
 		if l.Fields["request"] != id {
 			continue
@@ -135,6 +140,8 @@
 		if reason, _ := l.Fields["reason"].(string); signalEvents[reason] != "" {
 			signalEvent = signalEvents[reason]
 		}
+		_, named := l.Fields["record_writer"].(string)
+		byRecord = byRecord || named
 		for _, field := range []string{"endpoint", "model"} {
 			if v, _ := l.Fields[field].(string); v != "" {
 				model, _, _ := strings.Cut(v, "/")
@@ -165,6 +172,10 @@
 			out = append(out, l)
 			continue
 		}
+		if byRecord && l.Event == decisions.EventSoftwareRecord && l.Fields["written"] == true && !l.At.After(last) {
+			out = append(out, l)
+			continue
+		}
 		if l.Fields["request"] == id || l.Fields["request"] == nil && !l.At.Before(first.Add(-around)) && !l.At.After(last) && l.concerns(subjects) {
 			out = append(out, l)
 		}
@@ -230,7 +241,11 @@
 	var b strings.Builder
 	b.WriteString(l.At.Format("15:04:05.000") + "  " + l.Event)
 	for _, k := range keys {
-		fmt.Fprintf(&b, "  %s=%v", k, l.Fields[k])
+		v := l.Fields[k]
+		if n, ok := v.(float64); ok {
+			v = strconv.FormatFloat(n, 'f', -1, 64) // %v writes large numbers with an exponent
+		}
+		fmt.Fprintf(&b, "  %s=%v", k, v)
 	}
 	return b.String()
 }
--- a/cmd/doorvalvectl/explain_test.go
+++ b/cmd/doorvalvectl/explain_test.go
@@ -134,3 +134,28 @@
 		t.Fatalf("%+v", got)
 	}
 }
+
+const takenUpLog = `
+host-2 {"@message":"record of software seen","@timestamp":"2026-10-14T03:50:00.000Z","written":true,"writer":"h2-a1","versions":["llm@v1","llm@v2"]}
+host-2 {"@message":"record of software seen","@timestamp":"2026-10-14T03:51:00.000Z","read":true,"writer":"h2-a1"}
+host-1 {"@message":"request failed","@timestamp":"2026-10-14T04:07:35.000Z","request":"r0","software":"v1","outcome":"caller gone"}
+host-3 {"@message":"request refused","@timestamp":"2026-10-14T04:07:37.000Z","request":"r1","reason":"stream-origin-lost","resumes":"r0","record_writer":"h2-a1","record_age_ms":1057000,"versions":["v1","v2"]}
+host-3 {"@message":"origin of a stream found","@timestamp":"2026-10-14T04:07:38.000Z","request":"r2","source":"stored origins","record_writer":"h1-07","record_age_ms":2100,"software":"v1"}
+host-3 {"@message":"record of software seen","@timestamp":"2026-10-14T04:08:00.000Z","written":true,"writer":"h2-a1","versions":["llm@v2"]}
+`
+
+// Guards against a stream that was refused, or went on, by a record which the output does not name.
+func TestExplainNamesTheRecordThatDecided(t *testing.T) {
+	got := explain(parseLog(strings.NewReader(takenUpLog)), "r1", time.Second)
+	if len(got) != 3 || got[0].Fields["written"] != true || got[1].Fields["request"] != "r0" {
+		t.Fatalf("%+v", got)
+	}
+	want := "04:07:37.000  request refused  reason=stream-origin-lost  record_age_ms=1057000  record_writer=h2-a1  request=r1  resumes=r0  versions=[v1 v2]"
+	if text := got[2].String(); text != want {
+		t.Errorf("got\n%s\nwant\n%s", text, want)
+	}
+	got = explain(parseLog(strings.NewReader(takenUpLog)), "r2", 100*time.Millisecond)
+	if len(got) != 2 || got[1].Fields["record_writer"] != "h1-07" {
+		t.Fatalf("%+v", got)
+	}
+}
--- a/coordination/continuation/stored.go
+++ b/coordination/continuation/stored.go
@@ -35,27 +35,43 @@
 	return list
 }
 
+// StoredObject is what one daemon has stored of its begun streams.
+type StoredObject struct {
+	Writer        string // that daemon
+	WrittenUnixMs int64  // by its wall clock; for operators, no decision depends on it
+	Streams       Stored
+}
+
+// storedOrigin is the software that began a stream, and who has stored it.
+type storedOrigin struct {
+	software string // empty: two daemons have stored different software
+	object   *StoredObject
+}
+
 // ReplaceStored sets what was read of all daemons' begun streams. A stream in two of them with
 // different software counts as unknown.
-func (t *Table) ReplaceStored(all []Stored) {
-	t.stored = map[Fingerprint]string{}
-	for _, s := range all {
-		t.AddStored(s)
+func (t *Table) ReplaceStored(all []*StoredObject) {
+	t.stored = map[Fingerprint]storedOrigin{}
+	for _, o := range all {
+		t.AddStored(o)
 	}
 }
 
 // AddStored adds begun streams.
-func (t *Table) AddStored(s Stored) {
-	for software, list := range s {
+func (t *Table) AddStored(o *StoredObject) {
+	for software, list := range o.Streams {
 		for _, f := range list {
-			if have, ok := t.stored[f]; ok && have != software {
-				t.stored[f] = ""
+			if have, ok := t.stored[f]; ok && have.software != software {
+				t.stored[f] = storedOrigin{}
 				continue
 			}
-			t.stored[f] = software
+			t.stored[f] = storedOrigin{software, o}
 		}
 	}
 }
 
 // StoredSoftware returns the software that began a stream; empty if it is not known.
-func (t *Table) StoredSoftware(f Fingerprint) string { return t.stored[f] }
+func (t *Table) StoredSoftware(f Fingerprint) string { return t.stored[f].software }
+
+// StoredBy returns the object that has a stream; nil if there is none.
+func (t *Table) StoredBy(f Fingerprint) *StoredObject { return t.stored[f].object }
--- a/coordination/continuation/table.go
+++ b/coordination/continuation/table.go
@@ -48,7 +48,7 @@
 	viewed    bool
 	since     time.Time // start of the time that this daemon has watched; zero: since the first start
 	recording bool      // versions enter service once they are recorded
-	stored    map[Fingerprint]string
+	stored    map[Fingerprint]storedOrigin
 }
 
 type entry struct {
@@ -75,7 +75,7 @@
 // New returns a table that watches services from the given time on. The zero time means that no
 // stream has begun before: the system has never run.
 func New(since time.Time) *Table {
-	return &Table{records: map[Key]*entry{}, services: map[string]*history{}, listed: map[string]listing{}, replaced: map[string]time.Time{}, stored: map[Fingerprint]string{}, retention: minRetention, since: since}
+	return &Table{records: map[Key]*entry{}, services: map[string]*history{}, listed: map[string]listing{}, replaced: map[string]time.Time{}, stored: map[Fingerprint]storedOrigin{}, retention: minRetention, since: since}
 }
 
 // RequireRecords lets versions enter service only once they are recorded.
@@ -248,6 +248,14 @@
 	return list[0], true
 }
 
+// Versions returns the versions of a service that count in decisions: those that can have begun a stream.
+func (t *Table) Versions(now time.Time, service string) []string {
+	if h := t.services[service]; h != nil {
+		return h.versions(now, t.retention)
+	}
+	return nil
+}
+
 // Mixed reports whether streams of a service may have begun at more than one version, so that their
 // records must outlast this daemon.
 func (t *Table) Mixed(now time.Time, service string) bool {
--- a/driver/streams/record.go
+++ b/driver/streams/record.go
@@ -169,7 +169,8 @@
 	written, err := c.record.Write(ctx, now, next)
 	if written {
 		c.recorded = signature(next)
-		c.opt.Log.Info(decisions.EventSoftwareRecord, "written", true, "services", len(next.Services))
+		c.opt.Log.Info(decisions.EventSoftwareRecord, "written", true, "services", len(next.Services), "writer", next.Writer, "versions", next.versions())
+		c.setRecordInfo(next)
 		c.enterService(now, next)
 	}
 	return err
@@ -182,7 +183,8 @@
 		return err
 	}
 	c.recorded = signature(rec)
-	c.opt.Log.Info(decisions.EventSoftwareRecord, "read", true, "services", len(rec.Services), "writer", rec.Writer, "age_ms", recordAgeMs(rec))
+	c.opt.Log.Info(decisions.EventSoftwareRecord, "read", true, "services", len(rec.Services), "writer", rec.Writer, "age_ms", ageMs(rec.WrittenUnixMs), "versions", rec.versions())
+	c.setRecordInfo(rec)
 	c.mu.Lock()
 	for service, s := range rec.Services {
 		since, seen := fromRecord(now, s)
@@ -199,14 +201,6 @@
 	return nil
 }
 
-// recordAgeMs returns the age of a record by its writer's clock and this daemon's.
-func recordAgeMs(rec seenRecord) int64 {
-	if rec.WrittenUnixMs == 0 {
-		return 0
-	}
-	return time.Now().UnixMilli() - rec.WrittenUnixMs
-}
-
 // enterService lets the versions of a stored record enter service.
 func (c *Controller) enterService(now time.Time, rec seenRecord) {
 	c.mu.Lock()
@@ -220,6 +214,16 @@
 	c.notifyMixed(mixed)
 }
 
+// versions lists the versions in the record, for the log.
+func (rec seenRecord) versions() (list []string) {
+	for _, service := range slices.Sorted(maps.Keys(rec.Services)) {
+		for _, v := range rec.Services[service].Versions {
+			list = append(list, service+"@"+v.Software)
+		}
+	}
+	return list
+}
+
 // signature identifies the content of a record without its times and its writer.
 func signature(rec seenRecord) string {
 	var b strings.Builder
--- a/driver/streams/resume.go
+++ b/driver/streams/resume.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/doorvalve/doorvalve/coordination/continuation"
@@ -16,30 +17,38 @@
 // question is a search for the origin of one stream.
 type question struct {
 	continuation.Request
-	at time.Time // when it came
-	// silent is set if a source that may know the origin has not answered.
-	silent bool
+	at      time.Time // when it came
+	silent  []string  // sources that may know the origin and have not answered
+	finding Finding
 }
 
-// Resume returns where a stream may continue that a caller resumes, or the refusal if nobody knows
-// which of several versions began it.
-func (c *Controller) Resume(ctx context.Context, r continuation.Request) (continuation.Constraint, *protocol.Refusal) {
+func (q *question) addSilent(source string) {
+	if !slices.Contains(q.silent, source) {
+		q.silent = append(q.silent, source)
+	}
+}
+
+// Resume returns where a stream may continue that a caller resumes with the given attempt, or the refusal if
+// nobody knows which of several versions began it; and what decided.
+func (c *Controller) Resume(ctx context.Context, requestID string, r continuation.Request) (continuation.Constraint, Finding, *protocol.Refusal) {
 	q := &question{Request: r, at: c.opt.Clock()}
 	if found, ok := c.decide(r, false); ok {
-		return found, nil
+		return found, c.ownFinding(r), nil
 	}
 	for _, source := range []func(context.Context, *question) (continuation.Constraint, bool){c.askDaemons, c.askRecord, c.askStored} {
 		if found, ok := source(ctx, q); ok {
-			return found, nil
+			fields := append([]any{"request", requestID, "service", r.Service, "software", found.Software()}, q.finding.Fields()...)
+			c.opt.Log.Info(decisions.EventOriginFound, fields...)
+			return found, q.finding, nil
 		}
 	}
-	return continuation.Constraint{}, c.refuseOrigin(q)
+	return continuation.Constraint{}, c.notFound(q), c.refuseOrigin(q)
 }
 
 // refuseOrigin tells an origin that is lost from one that is not known yet. The refusal of a lost one has a status
 // after which callers do not repeat the request as it is.
 func (c *Controller) refuseOrigin(q *question) *protocol.Refusal {
-	if age := c.opt.Clock().Sub(c.started); q.Named && (q.silent || !c.viewIsFresh() || !c.opt.FirstStart && age < settleTime) {
+	if age := c.opt.Clock().Sub(c.started); q.Named && (len(q.silent) > 0 || !c.viewIsFresh() || !c.opt.FirstStart && age < settleTime) {
 		c.metrics.unknown.Inc(1)
 		return protocol.Refuse(http.StatusServiceUnavailable, ReasonUnknownOrigin, "several versions of the service's software may have begun this stream, and what may tell which has not answered yet", retryUnknown)
 	}
@@ -67,13 +76,20 @@
 // askAndDecide asks daemons for the record of a stream. Without one it decides by the versions that they and this daemon have
 // seen, unless a daemon that is gone may have begun the stream at another one.
 func (c *Controller) askAndDecide(ctx context.Context, q *question, members []membership.Member) (continuation.Constraint, bool) {
-	found, silent := c.ask(ctx, q.Request, members)
-	q.silent = q.silent || silent
-	if found {
+	holder, silent := c.ask(ctx, q.Request, members)
+	if silent {
+		q.addSilent(sourceDaemons)
+	}
+	if holder != "" {
+		q.finding = c.daemonFinding(q.Request, holder)
 		return c.Continue(q.Request)
 	}
-	allSeen := !c.record.HasStore() || !q.silent && !c.daemonsWereLost()
-	return c.decide(q.Request, c.viewIsFresh() && allSeen)
+	allSeen := !c.record.HasStore() || len(q.silent) == 0 && !c.daemonsWereLost()
+	found, ok := c.decide(q.Request, c.viewIsFresh() && allSeen)
+	if ok {
+		q.finding = c.viewFinding(q.Service)
+	}
+	return found, ok
 }
 
 // daemonsWereLost reports whether a daemon has ended so lately that its streams may still be resumed. Its versions may be
@@ -114,11 +130,16 @@
 	return fresh
 }
 
-// ask asks daemons for the record of a stream, and adopts what they have seen. silent is set if one has not answered.
-func (c *Controller) ask(ctx context.Context, r continuation.Request, members []membership.Member) (found, silent bool) {
+// ask asks daemons for the record of a stream, and adopts what they have seen. It returns the daemon that has the
+// record, if any does. silent is set if one has not answered.
+func (c *Controller) ask(ctx context.Context, r continuation.Request, members []membership.Member) (holder string, silent bool) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	answers := make(chan *streampb.FindResponse, len(members))
+	type answer struct {
+		*streampb.FindResponse
+		from string
+	}
+	answers := make(chan answer, len(members))
 	req := &streampb.FindRequest{Key: r.Key[:], Service: r.Service}
 	for _, m := range members {
 		c.metrics.asked.Inc(1)
@@ -127,21 +148,21 @@
 			if err != nil {
 				resp = nil // the daemon counts as silent
 			}
-			answers <- resp
+			answers <- answer{resp, m.ID}
 		}()
 	}
 	for range members {
 		resp := <-answers
-		if resp == nil {
+		if resp.FindResponse == nil {
 			silent = true
 			continue
 		}
-		c.adopt(r.Service, resp)
+		c.adopt(r.Service, resp.FindResponse)
 		if resp.Stream != nil {
-			return true, silent
+			return resp.from, silent
 		}
 	}
-	return false, silent
+	return "", silent
 }
 
 // askRecord decides by the record in the store, read after the stream was taken up.
@@ -150,13 +171,13 @@
 		return continuation.Constraint{}, false
 	}
 	if err := c.readSince(ctx, q.at); err != nil {
-		q.silent = true
+		q.addSilent(sourceRecord)
 		c.logRecordError(err)
 		return continuation.Constraint{}, false
 	}
 	found, ok := c.decide(q.Request, c.viewIsFresh())
 	if ok {
-		c.opt.Log.Info(decisions.EventOriginFound, "source", "record", "service", q.Service, "software", found.Software())
+		q.finding = c.recordFinding(q.Service, sourceRecord)
 	}
 	return found, ok
 }
--- a/driver/streams/stored.go
+++ b/driver/streams/stored.go
@@ -76,11 +76,13 @@
 
 // originsObject is the object of one daemon. Streams are fingerprints, one after the other, by software.
 type originsObject struct {
-	Streams map[string][]byte `json:"streams"`
+	// WrittenUnixMs is the writer's wall clock, for operators.
+	WrittenUnixMs int64             `json:"written_unix_ms,omitempty"`
+	Streams       map[string][]byte `json:"streams"`
 }
 
 func encodeStored(s continuation.Stored) originsObject {
-	o := originsObject{Streams: map[string][]byte{}}
+	o := originsObject{WrittenUnixMs: time.Now().UnixMilli(), Streams: map[string][]byte{}}
 	for software, list := range s {
 		var all []byte
 		for _, f := range list {
@@ -217,7 +219,7 @@
 	readers := c.readers()
 	if isMember(readers, c.opt.Self) {
 		if err := c.readStored(ctx, q.at); err != nil {
-			q.silent = true
+			q.addSilent(sourceStored)
 			c.logStoredError(err)
 			return continuation.Constraint{}, false
 		}
@@ -226,7 +228,7 @@
 	}
 	found, ok := c.decide(q.Request, false)
 	if ok {
-		c.opt.Log.Info(decisions.EventOriginFound, "source", "stored origins", "service", q.Service, "software", found.Software())
+		q.finding = c.storedFinding(q.Request)
 	}
 	return found, ok
 }
@@ -244,12 +246,12 @@
 		}
 		if software := resp.GetStream().GetSoftware(); software != "" {
 			c.mu.Lock()
-			c.t.AddStored(continuation.Stored{software: {f}})
+			c.t.AddStored(&continuation.StoredObject{Writer: "read by " + m.ID, Streams: continuation.Stored{software: {f}}})
 			c.mu.Unlock()
 		}
 		return
 	}
-	q.silent = true
+	q.addSilent(sourceStored)
 }
 
 // findStored answers another daemon that asks for a stored stream.
@@ -302,7 +304,7 @@
 func (c *Controller) listStored(ctx context.Context, now time.Time) error {
 	ctx, cancel := context.WithTimeout(ctx, storedTimeout)
 	defer cancel()
-	var all []continuation.Stored
+	var all []*continuation.StoredObject
 	var unreadable []error
 	err := c.opt.Origins.ListRecords(ctx, func(name string, content json.RawMessage) {
 		if _, ok := c.stored.seen[name]; !ok {
@@ -313,7 +315,7 @@
 			unreadable = append(unreadable, err)
 			return
 		}
-		all = append(all, o.decode())
+		all = append(all, &continuation.StoredObject{Writer: name, WrittenUnixMs: o.WrittenUnixMs, Streams: o.decode()})
 	})
 	if err != nil {
 		return err
--- a/driver/streams/stored_test.go
+++ b/driver/streams/stored_test.go
@@ -56,7 +56,7 @@
 					in.killAll()
 					continued := 0
 					for i, id := range ids {
-						found, refusal := in.hosts[(i+1)%daemons].controller.Resume(context.Background(), request(id))
+						found, _, refusal := in.hosts[(i+1)%daemons].controller.Resume(context.Background(), "next", request(id))
 						if refusal == nil && found.Software() != software[id] {
 							t.Errorf("%s of %s continues at %s", id, software[id], found.Software())
 						}
@@ -88,7 +88,7 @@
 		in.lookAll()
 		expect := func(id, reason string) {
 			t.Helper()
-			_, refusal := in.hosts[2].controller.Resume(context.Background(), request(id))
+			_, _, refusal := in.hosts[2].controller.Resume(context.Background(), "next", request(id))
 			if refusal == nil || refusal.Reason != reason {
 				t.Errorf("%s: refusal %v, want %s", id, refusal, reason)
 			}
@@ -170,3 +170,34 @@
 		})
 	}
 }
+
+// Guards against log lines that leave out which record decided about a stream that is taken up, how old it is and who wrote it.
+func TestWhatDecidedIsNamed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		in := mixedInstallation(5)
+		defer in.close()
+		in.hosts[1].begin("kept", in.endpoints["b"])
+		writer := in.hosts[1].name
+		time.Sleep(1500 * time.Millisecond)
+		_, f, _ := in.hosts[1].controller.Resume(context.Background(), "next", request("kept"))
+		if f.Source != sourceOwn || f.Writer != writer || f.AgeMs < 1500 {
+			t.Errorf("at the daemon that began it: %+v", f)
+		}
+		in.killAll()
+		time.Sleep(2 * settleTime)
+		in.lookAll()
+		_, f, refusal := in.hosts[2].controller.Resume(context.Background(), "next", request("kept"))
+		if refusal != nil || f.Source != sourceStored || f.Writer != writer || f.AgeMs < 3000 {
+			t.Errorf("by the store: %+v, %v", f, refusal)
+		}
+		_, f, refusal = in.hosts[2].controller.Resume(context.Background(), "next", request("lost"))
+		if refusal == nil || f.Source != "" || f.Writer == "" || f.AgeMs == 0 || fmt.Sprint(f.Versions) != "[v1 v2]" || len(f.Silent) != 0 {
+			t.Errorf("lost: %+v, %v", f, refusal)
+		}
+		in.origins.SetAway(true)
+		_, f, _ = in.hosts[2].controller.Resume(context.Background(), "next", request("unknown"))
+		if fmt.Sprint(f.Silent) != "["+sourceStored+"]" {
+			t.Errorf("the store is away: %+v", f)
+		}
+	})
+}
--- a/driver/streams/streams.go
+++ b/driver/streams/streams.go
@@ -129,6 +129,9 @@
 	alive  map[string]struct{} // daemons seen at the last look
 	lostAt time.Time           // when a daemon was last seen to be gone; zero: never
 	readAt time.Time           // when the last successful read of the record began
+	// recordWriter and recordUnixMs are the writer and the time of the record that this daemon knows.
+	recordWriter string
+	recordUnixMs int64
 }
 
 type metrics struct {
--- a/driver/streams/streams_test.go
+++ b/driver/streams/streams_test.go
@@ -254,7 +254,7 @@
 
 func resume(t *testing.T, h *host, id, software string) {
 	t.Helper()
-	found, refusal := h.controller.Resume(context.Background(), request(id))
+	found, _, refusal := h.controller.Resume(context.Background(), "next", request(id))
 	if refusal != nil || found.Software() != software {
 		t.Errorf("%s at %s: %q, %v, want %s", id, h.name, found.Software(), refusal, software)
 	}
@@ -281,7 +281,7 @@
 		for _, h := range in.hosts {
 			h.start(false) // all at once: whether v2 ran a moment ago is not known any more
 		}
-		if found, refusal := in.hosts[3].controller.Resume(context.Background(), request("s1")); refusal == nil {
+		if found, _, refusal := in.hosts[3].controller.Resume(context.Background(), "next", request("s1")); refusal == nil {
 			t.Errorf("a stream of v2 continues at %q", found.Software())
 		}
 	})
@@ -332,7 +332,7 @@
 					h.start(false)
 				}
 				for _, h := range in.hosts {
-					found, refusal := h.controller.Resume(context.Background(), request("lost"))
+					found, _, refusal := h.controller.Resume(context.Background(), "next", request("lost"))
 					if (refusal == nil) != c.continues {
 						t.Errorf("%s: continues at %q, refused: %v", h.name, found.Software(), refusal)
 					}
@@ -386,7 +386,7 @@
 				}
 				for _, id := range begun {
 					for _, h := range in.hosts {
-						if found, refusal := h.controller.Resume(context.Background(), request(id)); refusal == nil && found.Software() != "v2" {
+						if found, _, refusal := h.controller.Resume(context.Background(), "next", request(id)); refusal == nil && found.Software() != "v2" {
 							t.Errorf("%s of v2 continues at %s", id, found.Software())
 						}
 					}
@@ -453,7 +453,7 @@
 			}
 		case n < 85 && len(streams) > 0:
 			s := streams[max(0, len(streams)-1-rng.IntN(20))]
-			found, refusal := h.controller.Resume(context.Background(), request(s.id))
+			found, _, refusal := h.controller.Resume(context.Background(), "next", request(s.id))
 			if refusal == nil && found.Software() != s.software {
 				t.Errorf("step %d: %s of %s continues at %s", step, s.id, s.software, found.Software())
 			}
--- a/transport/edge/origin.go
+++ b/transport/edge/origin.go
@@ -52,7 +52,8 @@
 		}
 		return nil
 	}
-	found, refusal := s.opt.Streams.Resume(ctx, q.continuationRequest(q.call.Resumes))
+	found, finding, refusal := s.opt.Streams.Resume(ctx, q.call.ID, q.continuationRequest(q.call.Resumes))
+	q.finding = finding
 	if refusal != nil {
 		return refusal
 	}
--- a/transport/edge/server.go
+++ b/transport/edge/server.go
@@ -216,7 +216,9 @@
 	// begun, and for other requests. The watch of an attempt may still read it when the next one is
 	// chosen.
 	origin atomic.Pointer[continuation.Constraint]
-	work   *inbound.Work // how far the request has come
+	// finding says what decided about a stream that the caller resumes.
+	finding streams.Finding
+	work    *inbound.Work // how far the request has come
 }
 
 // lazy is a value that is computed on first use, by whichever goroutine needs it first.
@@ -419,6 +421,7 @@
 	if q.call.Resumes != "" {
 		fields = append(fields, "resumes", q.call.Resumes)
 	}
+	fields = append(fields, q.finding.Fields()...)
 	if refusal.Reason == quarantiner.ReasonHeldBack {
 		fields = append(fields, "fingerprint", q.fingerprint().String(), "held_parts", s.opt.Quarantine.Holds(q.subject()).Parts())
 	}
