edge: requests wait for the first desired state of a daemon that has just started

With one version of the software each of 24 streams that its caller took up after a restart of all daemons was refused once (no-desired-state, come back in 0.5 s), 48 of 24 streams in two restarts, before each went on.

Cause: a daemon takes connections before it has read its first desired state, which takes two calls to the store. Callers whose connections broke with the last daemon come back at once.

Change: for 0.3 s after the daemon's start a request waits for the first desired state. A store that is away for longer holds none.

TestRequestsWaitForTheFirstDesiredState.

--- a/transport/edge/arrive.go
+++ b/transport/edge/arrive.go
@@ -35,6 +35,7 @@
 	if inbound.ExceedsHead(r) {
 		return nil, inbound.RefuseHead()
 	}
+	s.awaitTable(ctx)
 	// The age is read before the table, so that the table is at most that old.
 	stateAge := s.opt.StateAge()
 	table := s.opt.Table()
--- a/transport/edge/origin.go
+++ b/transport/edge/origin.go
@@ -7,6 +7,7 @@
 
 	"github.com/doorvalve/doorvalve/coordination/continuation"
 	"github.com/doorvalve/doorvalve/driver/streams"
+	"github.com/doorvalve/doorvalve/internal/pause"
 	"github.com/doorvalve/doorvalve/protocol"
 	"github.com/doorvalve/doorvalve/state/fleet"
 	"github.com/doorvalve/doorvalve/state/routing"
@@ -43,6 +44,18 @@
 	return continuation.Request{Key: continuation.KeyOf(id), Named: id != "", Service: q.service.Name, Workspace: q.workspace(), Unit: q.unit()}
 }
 
+// firstTableWait is the time after the daemon's start for which requests wait for the first desired state. It takes
+// two calls to the store, some 10 to 100 ms; callers whose connections broke with the last daemon on this host come back at once. A store
+// that is away for longer must not hold requests.
+const firstTableWait = 300 * time.Millisecond
+
+// awaitTable waits for the first desired state, in the time after the daemon's start only.
+func (s *Server) awaitTable(ctx context.Context) {
+	for s.opt.Table() == nil && time.Since(s.started) < firstTableWait && ctx.Err() == nil && !s.opt.Draining() {
+		pause.For(ctx, firstTableWait/60)
+	}
+}
+
 // findOrigin finds out which software began the stream that a caller resumes. A stream that begins waits until a
 // version may begin it.
 func (s *Server) findOrigin(ctx context.Context, q *request) *protocol.Refusal {
--- a/transport/edge/origin_test.go
+++ b/transport/edge/origin_test.go
@@ -3,6 +3,7 @@
 import (
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -40,3 +41,34 @@
 	}
 	wg.Wait()
 }
+
+// Guards against requests that are refused by a daemon which is about to read its first desired state, and against those that
+// are held by one whose store is away.
+func TestRequestsWaitForTheFirstDesiredState(t *testing.T) {
+	for _, c := range []struct {
+		name                string
+		known, comes, until time.Duration // since the daemon's start: of the desired state, the request, the end of its wait
+	}{
+		{"known soon", 50 * time.Millisecond, 0, 50 * time.Millisecond},
+		{"known before", 0, 0, 0},
+		{"not known", time.Hour, 0, firstTableWait},
+		{"not known, later", time.Hour, 2 * firstTableWait, 2 * firstTableWait},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				start := time.Now()
+				s := New(Options{Balancer: balance.New("z", 1, newTracker()), Metrics: tally.NoopScope, Dialect: plainDialect{}, Table: func() *routing.Table {
+					if time.Since(start) < c.known {
+						return nil
+					}
+					return &routing.Table{}
+				}})
+				time.Sleep(c.comes)
+				s.awaitTable(t.Context())
+				if waited := time.Since(start); waited != c.until {
+					t.Errorf("until %v, want %v", waited, c.until)
+				}
+			})
+		})
+	}
+}
--- a/transport/edge/server.go
+++ b/transport/edge/server.go
@@ -96,6 +96,7 @@
 
 // Server serves callers. It is safe for concurrent use.
 type Server struct {
+	started time.Time
 	opt     Options
 	client  *client
 	access  atomic.Pointer[access.Bounds]
@@ -149,7 +150,7 @@
 	}
 	buckets := tally.MustMakeExponentialDurationBuckets(5*time.Millisecond, 2, 14)
 	stopping, giveUp := context.WithCancel(context.Background())
-	s := &Server{opt: opt, stopping: stopping, giveUp: giveUp, client: newClient(opt.Paths), accounts: inbound.NewAccounts(opt.Log, m), held: newHeldBytes(opt.HeldBytes), demand: map[string]residency.Demand{}, demandChanged: make(chan struct{}, 1), placeFreed: make(chan struct{}, 1), margins: waiting.NewMargins(), metrics: metrics{
+	s := &Server{opt: opt, started: time.Now(), stopping: stopping, giveUp: giveUp, client: newClient(opt.Paths), accounts: inbound.NewAccounts(opt.Log, m), held: newHeldBytes(opt.HeldBytes), demand: map[string]residency.Demand{}, demandChanged: make(chan struct{}, 1), placeFreed: make(chan struct{}, 1), margins: waiting.NewMargins(), metrics: metrics{
 		answered: m.Counter("requests_answered_total"), refused: m.Counter("requests_refused_total"),
 		failed: m.Counter("requests_failed_total"), retried: m.Counter("attempts_retried_total"),
 		resumed: m.Counter("streams_resumed_total"), disconnected: m.Counter("callers_gone_total"), unknownHeaders: m.Counter("answer_headers_unknown_total"),
