proxy: headers of resumed streams are the daemon's to set

Found by reading whether a stream can be joined on the own interface after a restart: a caller that sent Doorvalve-Resume-Offset had it forwarded to the engine, which began the stream in its middle. The daemon's check of the events' order ended each such request with 502 (stream-gap, may have run), so nothing was joined; the failure counts against an engine that is sound.

--- a/e2e/harness_test.go
+++ b/e2e/harness_test.go
@@ -495,8 +495,13 @@
 // stream sends a request for a streamed completion and returns the text of the
 // stream; whole is true if the stream's end marker was received.
 func (p *proc) stream(model, prompt string, tokens int) (text string, whole bool, r reply) {
+	return p.streamWith(model, prompt, tokens)
+}
+
+// streamWith is stream with additional headers, pairs of a name and a value.
+func (p *proc) streamWith(model, prompt string, tokens int, headers ...string) (text string, whole bool, r reply) {
 	body := fmt.Sprintf(`{"model":%q,"prompt":%q,"max_tokens":%d,"stream":true}`, model, prompt, tokens)
-	r = p.call("POST", "/v1/completions", body)
+	r = p.call("POST", "/v1/completions", body, headers...)
 	for line := range strings.SplitSeq(r.body, "\n") {
 		data, ok := strings.CutPrefix(line, "data: ")
 		if !ok {
--- a/transport/proxy/proxy.go
+++ b/transport/proxy/proxy.go
@@ -105,10 +105,12 @@
 // by itself.
 type bodyReader struct{ io.Reader }
 
-// hopHeaders are the request headers that are not forwarded to the endpoint.
+// hopHeaders are the request headers that are not forwarded to the endpoint. Those of resumed streams are the daemon's to
+// set: an engine would begin a caller's stream in its middle.
 var hopHeaders = []string{
 	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
 	"Transfer-Encoding", "Upgrade", "Authorization", protocol.HeaderTimeout, "Content-Length", "Accept-Encoding",
+	protocol.HeaderResumeOffset, protocol.HeaderExpectSoftware,
 }
 
 // send sends the request and reads the answer's header. Its failures say whether the request may
