--- a/coordination/continuation/table.go
+++ b/coordination/continuation/table.go
@@ -46,11 +46,11 @@
 	replaced  map[string]time.Time // when an incarnation with other software took over an id
 	retention time.Duration
 	viewed    bool
-	since     time.Time              // start of the time that this daemon has watched; zero: since the first start
-	blind     bool                   // the view is too old to rely on
-	recording bool                   // versions enter service once they are recorded
-	stored    map[Fingerprint]string // software of begun streams, as read from the store; empty: not known for certain
-	storedAt  time.Time              // when they were last read
+	since     time.Time // start of the time that this daemon has watched; zero: since the first start
+	blind     bool      // the view is too old to rely on
+	recording bool      // versions enter service once they are recorded
+	stored    map[Fingerprint]storedOrigin
+	storedAt  time.Time // when stored was last read
 }
 
 type entry struct {
@@ -67,7 +67,7 @@
 // New returns a table that watches services from the given time on. The zero time means that no
 // stream has begun before: the system has never run.
 func New(since time.Time) *Table {
-	return &Table{records: map[Key]*entry{}, services: map[string]*history{}, listed: map[string]listing{}, replaced: map[string]time.Time{}, stored: map[Fingerprint]string{}, retention: minRetention, since: since}
+	return &Table{records: map[Key]*entry{}, services: map[string]*history{}, listed: map[string]listing{}, replaced: map[string]time.Time{}, stored: map[Fingerprint]storedOrigin{}, retention: minRetention, since: since}
 }
 
 // RequireRecords lets versions enter service only once they are recorded.
@@ -147,7 +147,7 @@
 func (t *Table) Expire(now time.Time) {
 	maps.DeleteFunc(t.records, func(_ Key, e *entry) bool { return now.Sub(e.At) > t.retention })
 	if now.Sub(t.storedAt) > t.retention {
-		t.stored = map[Fingerprint]string{}
+		t.stored = map[Fingerprint]storedOrigin{}
 	}
 	t.expireVersions(now)
 }
--- a/coordination/continuation/versions.go
+++ b/coordination/continuation/versions.go
@@ -151,6 +151,14 @@
 	return !sole
 }
 
+// Versions returns the versions of a service that count in decisions: those that can have begun a stream.
+func (t *Table) Versions(now time.Time, service string) []string {
+	if h := t.services[service]; h != nil {
+		return h.counting(now, t.retention)
+	}
+	return nil
+}
+
 // SetBlind sets whether this daemon's view is too old to rely on. When it ends, any version that has been seen may have been in
 // service until now, and others may have come and gone.
 func (t *Table) SetBlind(now time.Time, blind bool) (ended bool) {
--- a/driver/streams/outage_test.go
+++ b/driver/streams/outage_test.go
@@ -75,7 +75,7 @@
 		}
 		n := 0
 		for i, id := range ids {
-			found, refusal := in.hosts[i%7].controller.Resume(context.Background(), request(id))
+			found, _, refusal := in.hosts[i%7].controller.Resume(context.Background(), "test", request(id))
 			if refusal == nil && found.Software() == software[id] {
 				n++
 			}
@@ -102,7 +102,7 @@
 		}
 		time.Sleep(100 * time.Millisecond)
 		for i := 1; i < 71; i += 10 {
-			_, refusal := in.hosts[i].controller.Resume(context.Background(), request("one"))
+			_, _, refusal := in.hosts[i].controller.Resume(context.Background(), "test", request("one"))
 			if refusal != nil {
 				t.Errorf("h%d: %d %s", i, refusal.Status, refusal.Reason)
 			}
@@ -127,7 +127,7 @@
 		for i := range n {
 			wg.Go(func() {
 				at := time.Now()
-				_, _ = in.hosts[0].controller.Resume(context.Background(), request(fmt.Sprint("q", i)))
+				_, _, _ = in.hosts[0].controller.Resume(context.Background(), "test", request(fmt.Sprint("q", i)))
 				mu.Lock()
 				longest = max(longest, time.Since(at))
 				mu.Unlock()
@@ -161,7 +161,7 @@
 			time.Sleep(500 * time.Millisecond)
 			in.lookAll()
 			if i%20 == 0 { // a caller takes up a stream that nobody knows
-				_, _ = reader.controller.Resume(context.Background(), request(fmt.Sprint("none", i)))
+				_, _, _ = reader.controller.Resume(context.Background(), "test", request(fmt.Sprint("none", i)))
 			}
 			var rec seenRecord
 			_, _ = store.ReadRecord(context.Background(), recordName, &rec)
@@ -201,7 +201,7 @@
 			time.Sleep(500 * time.Millisecond)
 			in.lookAll()
 			if i%20 == 0 {
-				_, _ = reader.controller.Resume(context.Background(), request(fmt.Sprint("none", i)))
+				_, _, _ = reader.controller.Resume(context.Background(), "test", request(fmt.Sprint("none", i)))
 			}
 			var rec seenRecord
 			_, _ = store.ReadRecord(context.Background(), recordName, &rec)
@@ -225,7 +225,7 @@
 		}
 		time.Sleep(3 * time.Second)
 		in.lookAll()
-		if found, refusal := in.hosts[2].controller.Resume(context.Background(), request("s")); began && refusal == nil && found.Software() != "v2" {
+		if found, _, refusal := in.hosts[2].controller.Resume(context.Background(), "test", request("s")); began && refusal == nil && found.Software() != "v2" {
 			t.Errorf("s of v2 goes on at %s", found.Software())
 		}
 	})
@@ -242,11 +242,11 @@
 			in.lookAll()
 			if i%20 == 0 {
 				for _, h := range in.hosts {
-					_, _ = h.controller.Resume(context.Background(), request(fmt.Sprint("none", i)))
+					_, _, _ = h.controller.Resume(context.Background(), "test", request(fmt.Sprint("none", i)))
 				}
 			}
 		}
-		_, refusal := in.hosts[0].controller.Resume(context.Background(), request("x"))
+		_, _, refusal := in.hosts[0].controller.Resume(context.Background(), "test", request("x"))
 		if refusal != nil {
 			t.Errorf("10 min after the second version has left: %d %s", refusal.Status, refusal.Reason)
 		}
@@ -277,7 +277,7 @@
 		members = members[:1] // x, which has written v2 and begun a stream there, has ended
 		mu.Unlock()
 		time.Sleep(3 * time.Second)
-		found, refusal := c.Resume(context.Background(), request("of v2, begun at x"))
+		found, _, refusal := c.Resume(context.Background(), "test", request("of v2, begun at x"))
 		if refusal == nil {
 			t.Errorf("continues at %s", found.Software())
 		}
--- a/driver/streams/record.go
+++ b/driver/streams/record.go
@@ -194,7 +194,8 @@
 	c.rewrite = !written
 	if written {
 		c.recorded = signature(next)
-		c.opt.Log.Info(decisions.EventSoftwareRecord, "written", true, "services", len(next.Services))
+		c.opt.Log.Info(decisions.EventSoftwareRecord, "written", true, "services", len(next.Services), "writer", next.Writer, "versions", next.versions())
+		c.setRecordInfo(next)
 		c.enterService(next)
 	}
 	return err
@@ -207,7 +208,8 @@
 		return err
 	}
 	c.recorded = signature(rec)
-	c.opt.Log.Info(decisions.EventSoftwareRecord, "read", true, "services", len(rec.Services), "writer", rec.Writer, "age_ms", recordAgeMs(rec))
+	c.opt.Log.Info(decisions.EventSoftwareRecord, "read", true, "services", len(rec.Services), "writer", rec.Writer, "age_ms", ageMs(rec.WrittenUnixMs), "versions", rec.versions())
+	c.setRecordInfo(rec)
 	current := rec.Generation == c.record.Version().Generation
 	c.mu.Lock()
 	for service, s := range rec.Services {
@@ -223,14 +225,6 @@
 	return nil
 }
 
-// recordAgeMs returns the age of a record by its writer's clock and this daemon's.
-func recordAgeMs(rec seenRecord) int64 {
-	if rec.WrittenUnixMs == 0 {
-		return 0
-	}
-	return time.Now().UnixMilli() - rec.WrittenUnixMs
-}
-
 // enterService lets the versions of the stored record enter service.
 func (c *Controller) enterService(rec seenRecord) { c.adoptRecord(rec, true) }
 
@@ -254,6 +248,16 @@
 	c.notifyMixed(mixed)
 }
 
+// versions lists the versions in the record, for the log.
+func (rec seenRecord) versions() (list []string) {
+	for _, service := range slices.Sorted(maps.Keys(rec.Services)) {
+		for _, v := range rec.Services[service].Versions {
+			list = append(list, service+"@"+v.Software)
+		}
+	}
+	return list
+}
+
 // signature identifies the content of a record without its times and its writer.
 func signature(rec seenRecord) string {
 	var b strings.Builder
--- a/driver/streams/stored.go
+++ b/driver/streams/stored.go
@@ -77,11 +77,13 @@
 
 // originsObject is the object of one daemon. Streams are fingerprints, one after the other, by software.
 type originsObject struct {
-	Streams map[string][]byte `json:"streams"`
+	// WrittenUnixMs is the writer's wall clock, for operators.
+	WrittenUnixMs int64             `json:"written_unix_ms,omitempty"`
+	Streams       map[string][]byte `json:"streams"`
 }
 
 func encodeStored(s continuation.Stored) originsObject {
-	o := originsObject{Streams: map[string][]byte{}}
+	o := originsObject{WrittenUnixMs: time.Now().UnixMilli(), Streams: map[string][]byte{}}
 	for software, list := range s {
 		var all []byte
 		for _, f := range list {
@@ -256,12 +258,12 @@
 	}
 	readers := c.readers()
 	if len(readers) == 0 {
-		q.silent = true
+		q.addSilent(sourceStored)
 		return continuation.Constraint{}, false
 	}
 	if isMember(readers, c.opt.Self) {
 		if err := c.readStored(ctx, q.at); err != nil {
-			q.silent = true
+			q.addSilent(sourceStored)
 			c.logStoredError(err)
 			return continuation.Constraint{}, false
 		}
@@ -270,7 +272,7 @@
 	}
 	found, ok := c.decide(q.Request, false)
 	if ok {
-		c.opt.Log.Info(decisions.EventOriginFound, "source", "stored origins", "service", q.Service, "software", found.Software())
+		q.finding = c.storedFinding(q.Request)
 	}
 	return found, ok
 }
@@ -288,12 +290,12 @@
 		}
 		if software := resp.GetStream().GetSoftware(); software != "" {
 			c.mu.Lock()
-			c.t.AddStored(c.opt.Clock(), continuation.Stored{software: {f}})
+			c.t.AddStored(c.opt.Clock(), &continuation.StoredObject{Writer: "read by " + m.ID, Streams: continuation.Stored{software: {f}}})
 			c.mu.Unlock()
 		}
 		return
 	}
-	q.silent = true
+	q.addSilent(sourceStored)
 }
 
 // findStored answers another daemon that asks for a stored stream.
@@ -352,7 +354,7 @@
 func (c *Controller) list(ctx context.Context, now time.Time) error {
 	ctx, cancel := context.WithTimeout(ctx, storedTimeout)
 	defer cancel()
-	var all []continuation.Stored
+	var all []*continuation.StoredObject
 	var unreadable []error
 	err := c.opt.Origins.ListRecords(ctx, func(name string, content json.RawMessage) {
 		if _, ok := c.stored.absent[name]; !ok {
@@ -363,7 +365,7 @@
 			unreadable = append(unreadable, err)
 			return
 		}
-		all = append(all, o.decode())
+		all = append(all, &continuation.StoredObject{Writer: name, WrittenUnixMs: o.WrittenUnixMs, Streams: o.decode()})
 	})
 	if err != nil {
 		return err
--- a/driver/streams/streams.go
+++ b/driver/streams/streams.go
@@ -136,6 +136,9 @@
 	alive   map[string]struct{} // daemons seen at the last look
 	lostAt  time.Time           // when a daemon was last seen to be gone; zero: never
 	mixedAt time.Time           // when a second version last appeared; zero: never
+	// recordWriter and recordUnixMs are the writer and the time of the record that this daemon knows.
+	recordWriter string
+	recordUnixMs int64
 
 	// reads belongs to whom has sent to recordBusy.
 	reads lastRead
