inbound, callers: net/http's own answers and paths that are no calls are in the accounts

Answers to what is no request, heads beyond the limits and, on the own interface, the addresses, the models and unknown paths were counted nowhere. Last bytes of an answer that cannot be written after its handler are counted and logged.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -505,7 +505,7 @@
 	listener, shutdown := d.listeners[i], srv.Shutdown
 	switch i {
 	case 0:
-		followed := inbound.Listen(listener, inbound.Options{Limits: d.callerLimits(), Log: d.log, OnRefused: d.callers.ObserveRefusedHead})
+		followed := inbound.Listen(listener, inbound.Options{Limits: d.callerLimits(), Log: d.log, OnRefused: d.callers.ObserveRefusedHead, OnOwn: d.callers.ObserveOwn, OnEndLost: d.callers.ObserveEndLost})
 		followed.Configure(srv)
 		listener, shutdown = followed, followed.Shutdown
 	case 1:
--- a/daemon/edgedaemon/daemon.go
+++ b/daemon/edgedaemon/daemon.go
@@ -407,7 +407,7 @@
 // followCallers returns the listener of callers, which keeps them to the limits of the desired state.
 func (d *Daemon) followCallers() *inbound.Listener {
 	return inbound.Listen(d.listeners.callers, inbound.Options{
-		Limits: initialLimits, Notice: d.set.Timing.ApplyWithin.D(), SendBuffer: callerSendBuffer, Log: d.log, OnRefused: d.callers.ObserveRefusedHead,
+		Limits: initialLimits, Notice: d.set.Timing.ApplyWithin.D(), SendBuffer: callerSendBuffer, Log: d.log, OnRefused: d.callers.ObserveRefusedHead, OnOwn: d.callers.ObserveOwn, OnEndLost: d.callers.ObserveEndLost,
 	})
 }
 
--- a/driver/decisions/log.go
+++ b/driver/decisions/log.go
@@ -39,6 +39,7 @@
 	EventRefused              = "request refused"
 	EventFailed               = "request failed"
 	EventUnaccounted          = "request without an outcome"
+	EventEndNotWritten        = "end of an answer not written"
 	EventPanicked             = "request handler panicked"
 	EventAttemptFailed        = "attempt failed"
 	EventStreamLost           = "silent stream lost"
--- a/transport/callers/server.go
+++ b/transport/callers/server.go
@@ -104,12 +104,14 @@
 	e.HTTPErrorHandler = func(err error, c echo.Context) {
 		if !c.Response().Committed {
 			rest := inbound.RestOf(c.Response().Writer, c.Request())
-			writeOutcome(c.Response(), rest, protocol.Refuse(http.StatusNotFound, "no-such-path", err.Error(), 0))
-			s.discard(c, rest)
+			defer s.discard(c, rest)
+			account := s.accounts.Begin(c.Request())
+			defer account.Close(func() bool { return answerUnaccounted(c.Response(), rest) })
+			account.End(writeOutcome(c.Response(), rest, protocol.Refuse(http.StatusNotFound, "no-such-path", err.Error(), 0)))
 		}
 	}
-	e.GET("/v1/addresses", s.addresses)
-	e.GET("/v1/models", s.models)
+	e.GET("/v1/addresses", s.accounted(s.addresses))
+	e.GET("/v1/models", s.accounted(s.models))
 	e.POST("/v1/chat/completions", s.counted(s.completion))
 	e.POST("/v1/completions", s.counted(s.completion))
 	e.Any(servicesPrefix+":service", s.counted(s.service))
@@ -123,10 +125,40 @@
 
 // ObserveRefusedHead counts and logs the refusal of a request whose head was beyond the limits of callers.
 func (s *Server) ObserveRefusedHead(refusal *protocol.Refusal) {
+	s.accounts.RefuseUnread()
 	s.metrics.refusedNotRun.Inc(1)
 	s.opt.Log.Info(decisions.EventRefused, "outcome", inbound.Refused.String(), "status", refusal.Status, "reason", refusal.Reason, "detail", refusal.Detail, "verdict", refusal.Verdict.String())
 }
 
+// ObserveOwn counts and logs an answer of net/http's own to what is no request.
+func (s *Server) ObserveOwn(status int) {
+	s.ObserveRefusedHead(protocol.Refuse(status, inbound.ReasonNoRequest, "what arrived is no request", 0))
+}
+
+// ObserveEndLost counts an answer of which the last bytes could not be written.
+func (s *Server) ObserveEndLost() { s.accounts.LoseEnd() }
+
+// accounted wraps the handler of a path that is no call: its requests are in the accounts, too.
+func (s *Server) accounted(handle echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		rest := inbound.RestOf(c.Response().Writer, c.Request())
+		account := s.accounts.Begin(c.Request())
+		defer account.Close(func() bool { return answerUnaccounted(c.Response(), rest) })
+		err := handle(c)
+		switch {
+		case err != nil && !c.Response().Committed:
+			account.End(writeOutcome(c.Response(), rest, protocol.RefuseMayHaveRun(http.StatusInternalServerError, "internal-error", err.Error())))
+		case err != nil:
+			account.End(inbound.CallerGone)
+		case c.Response().Status >= http.StatusBadRequest:
+			account.End(inbound.Refused)
+		default:
+			account.End(inbound.Answered)
+		}
+		return nil
+	}
+}
+
 // counted wraps serve: it counts the requests in progress, records metrics and the log line, and
 // writes the refusal of a request that was refused.
 func (s *Server) counted(serve func(echo.Context, *snapshot.Snapshot) *protocol.Refusal) echo.HandlerFunc {
--- a/transport/edge/server.go
+++ b/transport/edge/server.go
@@ -427,10 +427,19 @@
 
 // ObserveRefusedHead counts and logs the refusal of a request whose head was beyond the limits of callers.
 func (s *Server) ObserveRefusedHead(refusal *protocol.Refusal) {
+	s.accounts.RefuseUnread()
 	s.metrics.refused.Inc(1)
 	s.logRefusal(decisions.EventRefused, nil, refusal, "", inbound.Refused)
 }
 
+// ObserveOwn counts and logs an answer of net/http's own to what is no request.
+func (s *Server) ObserveOwn(status int) {
+	s.ObserveRefusedHead(protocol.Refuse(status, inbound.ReasonNoRequest, "what arrived is no request", 0))
+}
+
+// ObserveEndLost counts an answer of which the last bytes could not be written.
+func (s *Server) ObserveEndLost() { s.accounts.LoseEnd() }
+
 // writeRefusal writes a refusal as the final answer, counts it and logs it. It returns CallerGone if the refusal could
 // not be written.
 func (s *Server) writeRefusal(w http.ResponseWriter, rest *inbound.Rest, q *request, refusal *protocol.Refusal, endpoint string) inbound.Outcome {
--- a/transport/inbound/accounts.go
+++ b/transport/inbound/accounts.go
@@ -9,6 +9,9 @@
 	"github.com/doorvalve/doorvalve/driver/decisions"
 )
 
+// ReasonNoRequest is the reason of a refusal of what is no request.
+const ReasonNoRequest = "no-request"
+
 // Outcome is how a request has ended for its caller.
 type Outcome int
 
@@ -39,11 +42,14 @@
 	log   *decisions.Log
 	begun tally.Counter
 	ended [outcomes]tally.Counter
+	// endsLost counts answers of which the last bytes could not be written after the outcome: they are counted as answered.
+	endsLost tally.Counter
 }
 
 // NewAccounts returns accounts that log to log and count in scope.
 func NewAccounts(log *decisions.Log, scope tally.Scope) *Accounts {
-	a := &Accounts{log: log, begun: scope.Counter("requests_begun_total")}
+	a := &Accounts{log: log, begun: scope.Counter("requests_begun_total"), endsLost: scope.Counter("answer_ends_lost_total")}
+	a.endsLost.Inc(0) // shown before the first one
 	for o := range outcomes {
 		a.ended[o] = scope.Tagged(map[string]string{"outcome": o.String()}).Counter("requests_ended_total")
 		a.ended[o].Inc(0) // shown before the first one
@@ -51,6 +57,15 @@
 	return a
 }
 
+// RefuseUnread counts what was refused before a handler had it: a head beyond the limits, or what is no request.
+func (a *Accounts) RefuseUnread() {
+	a.begun.Inc(1)
+	a.ended[Refused].Inc(1)
+}
+
+// LoseEnd counts an answer of which the last bytes could not be written.
+func (a *Accounts) LoseEnd() { a.endsLost.Inc(1) }
+
 // Account is the account of one request. It belongs to the goroutine of the request's handler.
 type Account struct {
 	accounts *Accounts
--- a/transport/inbound/inbound.go
+++ b/transport/inbound/inbound.go
@@ -10,10 +10,13 @@
 	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/doorvalve/doorvalve/coordination/intake"
+	"github.com/doorvalve/doorvalve/driver/decisions"
 	"github.com/doorvalve/doorvalve/protocol"
 )
 
@@ -41,8 +44,11 @@
 	*net.TCPConn
 	listener *Listener
 
-	// refused: Read has refused a request. Only Read uses it, and net/http has one read at a time.
-	refused bool
+	// refused: Read has refused a request. net/http then answers the end of the bytes with a 400, which nobody gets.
+	refused atomic.Bool
+
+	// serving is what a handler does with the present request.
+	serving atomic.Int32
 
 	mu     sync.Mutex
 	end    End
@@ -50,6 +56,44 @@
 	served bool // a request was answered
 }
 
+// States of Conn.serving.
+const (
+	noHandler     = int32(iota) // there is no request yet, or net/http refuses it
+	handlerServes               // a handler serves it
+	handlerEnded                // net/http writes what is left of the answer
+)
+
+func (c *Conn) setServing(state int32) {
+	if c != nil {
+		c.serving.Store(state)
+	}
+}
+
+// Write implements net.Conn. It observes what net/http writes without a handler.
+func (c *Conn) Write(p []byte) (int, error) {
+	n, err := c.TCPConn.Write(p)
+	switch state := c.serving.Load(); {
+	case state == noHandler && !c.refused.Load() && c.serving.CompareAndSwap(noHandler, handlerServes): // once, however many writes it takes
+		c.listener.opt.OnOwn(statusOf(p))
+	case state == handlerEnded && err != nil && c.serving.CompareAndSwap(handlerEnded, handlerServes):
+		c.listener.opt.OnEndLost()
+		if log := c.listener.opt.Log; log != nil {
+			log.Info(decisions.EventEndNotWritten, "connection", c.End().String(), "error", err)
+		}
+	}
+	return n, err
+}
+
+// statusOf returns the status in the first line of an answer; zero if there is none.
+func statusOf(answer []byte) int {
+	_, rest, _ := bytes.Cut(answer[:min(len(answer), len("HTTP/1.1 400"))], []byte(" "))
+	status, err := strconv.Atoi(string(rest))
+	if err != nil {
+		return 0
+	}
+	return status
+}
+
 type contextKey struct{}
 
 // Of returns the connection of a request; nil if its server does not follow connections.
@@ -74,7 +118,7 @@
 
 // beginRead refuses what is beyond the limits, and sets the deadline of a read outside of requests.
 func (c *Conn) beginRead() error {
-	if c.refused {
+	if c.refused.Load() {
 		return io.EOF
 	}
 	verdict, err := c.check()
@@ -172,7 +216,7 @@
 
 // refuse writes the last answer on the connection.
 func (c *Conn) refuse(r *protocol.Refusal) error {
-	c.refused = true
+	c.refused.Store(true)
 	c.listener.opt.OnRefused(r)
 	_ = c.TCPConn.SetDeadline(time.Now().Add(refusalTime)) // fails on closed connections only
 	if err := r.WriteLast(c.TCPConn); err != nil {
@@ -217,9 +261,11 @@
 	defer c.mu.Unlock()
 	switch state {
 	case http.StateActive:
+		c.setServing(noHandler)
 		c.intake.BeginRequest()
 		_ = c.TCPConn.SetReadDeadline(time.Time{}) // fails on closed connections only
 	case http.StateIdle:
+		c.setServing(noHandler)
 		c.served = true
 		c.listener.beginIdle(c)
 	}
--- a/transport/inbound/listener.go
+++ b/transport/inbound/listener.go
@@ -24,8 +24,12 @@
 	Notice time.Duration
 	// SendBuffer is the size of the kernel's send buffer of a connection, in bytes; zero: the kernel's choice.
 	SendBuffer int
-	// Log gets panics of handlers; nil: they are not logged.
+	// Log gets panics of handlers, and answers whose end could not be written; nil: they are not logged.
 	Log *decisions.Log
+	// OnOwn is called with the status of each answer that net/http gives itself, to what is no request; nil: nothing is.
+	OnOwn func(status int)
+	// OnEndLost is called when the last bytes of an answer could not be written after its handler; nil: nothing is.
+	OnEndLost func()
 	// OnRefused is called with each refusal of a request whose head is beyond the limits; nil: nothing is.
 	OnRefused func(*protocol.Refusal)
 }
@@ -51,6 +55,12 @@
 	if opt.OnRefused == nil {
 		opt.OnRefused = func(*protocol.Refusal) {}
 	}
+	if opt.OnOwn == nil {
+		opt.OnOwn = func(int) {}
+	}
+	if opt.OnEndLost == nil {
+		opt.OnEndLost = func() {}
+	}
 	return &Listener{Listener: l, opt: opt, limits: opt.Limits, open: map[*Conn]struct{}{}, closed: make(chan struct{})}
 }
 
@@ -64,7 +74,7 @@
 // Configure makes a server keep to the listener's limits in place of its own, and pass each request to its handler. It
 // must be called before the server serves.
 func (l *Listener) Configure(srv *http.Server) {
-	srv.Handler = l.logPanics(srv.Handler)
+	srv.Handler = l.follow(srv.Handler)
 	srv.MaxHeaderBytes, srv.ReadHeaderTimeout, srv.ReadTimeout, srv.IdleTimeout = maxHeadBytes, headBegins, 0, 0
 	srv.DisableGeneralOptionsHandler = true // net/http would answer OPTIONS * itself, with 200
 	srv.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
@@ -80,11 +90,14 @@
 	}
 }
 
-// logPanics logs panics in a handler as errors, also those after a request has its outcome, and aborts the connection. net/http's own
-// line about them has the level of callers' faults.
-func (l *Listener) logPanics(h http.Handler) http.Handler {
+// follow tells each connection when a handler serves its request. It logs panics of the handler as errors, also those after the
+// request has its outcome, and aborts the connection. net/http's own line about them has the level of callers' faults.
+func (l *Listener) follow(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c := Of(r)
+		c.setServing(handlerServes)
 		defer func() {
+			c.setServing(handlerEnded)
 			cause := recover()
 			if cause == nil {
 				return
