--- a/transport/operators/server.go
+++ b/transport/operators/server.go
@@ -12,6 +12,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/labstack/echo/v4"
 
@@ -61,6 +62,7 @@
 // Handler returns the handler of the operators' API.
 func (s *Server) Handler() http.Handler {
 	e := echo.New()
+	e.Pre(detach)
 	e.Use(s.authenticate)
 	e.POST("/v1/bundles", s.propose)
 	e.GET("/v1/bundles/:digest", s.content)
@@ -75,6 +77,20 @@
 	return e
 }
 
+// callTime bounds a call of an operator. Calls to the store have shorter times of their own.
+const callTime = 30 * time.Second
+
+// detach gives a call a context that does not end with the caller's bytes: net/http ends that of an operator who closes the sending side
+// after the request and reads on. A change is then not left half done by a caller that has gone either.
+func detach(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(c.Request().Context()), callTime)
+		defer cancel()
+		c.SetRequest(c.Request().WithContext(ctx))
+		return next(c)
+	}
+}
+
 // authenticate finds the operator of a request by its bearer token, and refuses requests without a
 // known token. It compares all tokens, each in constant time.
 func (s *Server) authenticate(next echo.HandlerFunc) echo.HandlerFunc {
