quarantiner: requests wait for the record of what is held back where the store was away at the start

After a restart of all daemons while the store was away, requests that were held back were sent for up to a second after its return, until the record's writer had read it.

Cause: requests waited for half a second from the daemon's start, although no endpoint is known before the store is back, and only one daemon read the record later.

Evidence: TestHeldRequestsOutlastAllDaemons with callers from the store's return on (it left 1.5 s before): all five cases with the store away failed.

Change: as for the record of limits, half a second is counted from the first request that waits, and that request makes the reading due at each daemon.

--- a/driver/quarantiner/quarantiner.go
+++ b/driver/quarantiner/quarantiner.go
@@ -95,7 +95,7 @@
 // Controller runs the quarantine of one daemon. It is safe for concurrent use.
 type Controller struct {
 	opt     Options
-	synced  chan struct{} // closed when a synced daemon has answered, or after syncWithin
+	synced  chan struct{} // closed by Run when this daemon is informed, or requests have waited in vain
 	started time.Time
 	wake    chan struct{} // signals Run that there is something to do
 	pending chan struct{} // signals that there are pending records
@@ -118,6 +118,8 @@
 	broken    map[fleet.Incarnation]*broken
 	changedAt time.Time
 	expiredAt time.Time
+	// waitingSince is when the first request waited to be synced; zero: none has.
+	waitingSince time.Time
 }
 
 type metrics struct {
@@ -153,12 +155,22 @@
 	return c
 }
 
-// WaitSynced waits until a newly started daemon has received the records of a synced one, or has
-// found none within syncWithin.
+// WaitSynced waits until a newly started daemon has received the records of a synced one or has read the record in
+// the store, at most until syncWithin after the first request that waited. That one may come long after the start:
+// while the store is away, no endpoint is known.
 func (c *Controller) WaitSynced(ctx context.Context) {
-	if !c.settled() {
-		pause.Until(ctx, time.Now().Add(syncWithin), c.synced)
+	if c.settled() {
+		return
 	}
+	now := c.opt.Clock()
+	c.mu.Lock()
+	if c.waitingSince.IsZero() {
+		c.waitingSince = now
+	}
+	remaining := syncWithin - now.Sub(c.waitingSince)
+	c.mu.Unlock()
+	wake.Once(c.wake)
+	pause.Until(ctx, time.Now().Add(remaining), c.synced)
 }
 
 // ReturnProbe processes a probe that has reached no endpoint, so that another one may be sent at
--- a/driver/quarantiner/record.go
+++ b/driver/quarantiner/record.go
@@ -30,12 +30,8 @@
 	Records     []byte `json:"cases"`         // quarantinepb.ExchangeRequest
 }
 
-// readAtStart reads the record, unless this daemon is informed or has just tried to. It reports whether it was read.
-func (c *Controller) readAtStart(ctx context.Context) bool {
-	now := c.opt.Clock()
-	if c.informed || !c.record.Due(now) {
-		return false
-	}
+// readAtStart reads the record of what was held back before this daemon started, and reports whether it was read.
+func (c *Controller) readAtStart(ctx context.Context, now time.Time) bool {
 	if err := c.readRecord(ctx, now); err != nil {
 		c.opt.Log.Info(decisions.EventQuarantineRecord, "read", false, "error", err)
 		return false
@@ -44,11 +40,31 @@
 	return true
 }
 
-// keepRecord reads or writes the record if that is due and this daemon is its writer. Others receive what
-// the writer has read.
+// becomeInformed reads the record if this daemon could not at its start: soon while requests wait for it. Otherwise one
+// daemon reads it, and others receive what that one has read.
+func (c *Controller) becomeInformed(ctx context.Context, now time.Time) {
+	c.mu.Lock()
+	waitingSince := c.waitingSince
+	c.mu.Unlock()
+	waited := !waitingSince.IsZero() && now.Sub(waitingSince) >= syncWithin
+	due := c.record.Due(now)
+	if !waitingSince.IsZero() && !waited {
+		due = c.record.SinceTried(now) >= syncPause
+	} else if !c.record.IsWriter(c.opt.Self, c.opt.Members()) {
+		due = false
+	}
+	if due {
+		c.readAtStart(ctx, now)
+	}
+	if (c.informed || waited) && !c.settled() {
+		close(c.synced)
+	}
+}
+
+// keepRecord reads or writes the record if that is due and this daemon is its writer.
 func (c *Controller) keepRecord(ctx context.Context, now time.Time) {
-	if !c.informed && c.record.IsWriter(c.opt.Self, c.opt.Members()) {
-		c.readAtStart(ctx)
+	if !c.informed {
+		c.becomeInformed(ctx, now)
 	}
 	if c.recordCount.Load() == 0 || !c.record.Due(now) || !c.record.IsWriter(c.opt.Self, c.opt.Members()) {
 		return
--- a/driver/quarantiner/restart_test.go
+++ b/driver/quarantiner/restart_test.go
@@ -46,7 +46,6 @@
 	if away > 0 {
 		time.Sleep(away) // the endpoints are not known before: they are listed in the store
 		in.store.SetAway(false)
-		time.Sleep(1500 * time.Millisecond)
 	}
 	sends := func() int {
 		in.mu.Lock()
--- a/driver/quarantiner/tell.go
+++ b/driver/quarantiner/tell.go
@@ -94,7 +94,11 @@
 // sync asks other daemons for their records until one has answered that is synced itself, or the record in the
 // store has been read, which is when no other daemon is synced.
 func (c *Controller) sync(ctx context.Context) {
-	defer close(c.synced)
+	defer func() {
+		if c.informed {
+			close(c.synced)
+		}
+	}()
 	for ctx.Err() == nil && c.opt.Clock().Sub(c.started) < syncWithin {
 		list := c.others()
 		for _, m := range list[:min(fanout, len(list))] {
@@ -104,7 +108,8 @@
 				return
 			}
 		}
-		if (len(list) > 0 || c.opt.Clock().Sub(c.started) >= joinTime) && c.readAtStart(ctx) {
+		now := c.opt.Clock()
+		if !c.informed && c.record.Due(now) && (len(list) > 0 || now.Sub(c.started) >= joinTime) && c.readAtStart(ctx, now) {
 			return
 		}
 		pause.For(ctx, syncPause)
