residency: loads that are not answered yet count against the rate of the weight store

Where many models were wanted at once, one step of the planner ordered 40 loads from the store although 15 may begin in the window.

Cause: a load was counted when its engine had accepted it. All orders of one step are sent before the first answer; only the estimated concurrency of the store bounded them.

Change: orders on their way count beside the loads that have begun.

--- a/coordination/residency/outcome.go
+++ b/coordination/residency/outcome.go
@@ -146,9 +146,21 @@
 func (p *Planner) countStart(now time.Time, o *pendingOrder) {
 	if o.loadsFromStore() {
 		p.storeStarts = append(p.storeStarts, now)
+		o.startCounted = true
 	}
 }
 
+// uncountedStarts returns the number of loads from the store that were sent and are not among storeStarts yet.
+func (p *Planner) uncountedStarts() int {
+	n := 0
+	for _, e := range p.engines {
+		if e.order != nil && e.order.loadsFromStore() && !e.order.startCounted {
+			n++
+		}
+	}
+	return n
+}
+
 func (p *Planner) orderAccepted(now time.Time, e *engineState) {
 	o := e.order
 	e.busyCount = 0
--- a/coordination/residency/planner.go
+++ b/coordination/residency/planner.go
@@ -37,6 +37,7 @@
 type pendingOrder struct {
 	order        Order
 	accepted     bool          // the engine carries it out
+	startCounted bool          // it is among Planner.storeStarts
 	endsAt       time.Time     // expected end
 	unansweredAt time.Time     // when the wait for an answer ended; zero before
 	absentAt     time.Time     // time of the first report after that which does not include it; zero before
--- a/coordination/residency/ready.go
+++ b/coordination/residency/ready.go
@@ -141,7 +141,7 @@
 	}
 	p.storeStarts = slices.DeleteFunc(p.storeStarts, func(t time.Time) bool { return now.Sub(t) > p.opt.RateWindow })
 	allowed := p.conf.Engine.LoadsPerSecond * p.opt.RateWindow.Seconds() * min(1, p.opt.RateFactor)
-	return p.conf.Engine.LoadsPerSecond <= 0 || float64(len(p.storeStarts)) < allowed
+	return p.conf.Engine.LoadsPerSecond <= 0 || float64(len(p.storeStarts)+p.uncountedStarts()) < allowed
 }
 
 // adapterOrder returns the order to unload an adapter if the engine has no room for another
