residency: a planner that takes over counts the loads in progress against the rate of the weight store

After each restart of all daemons the coordinator began a whole window's loads from the weight store once more: with four restarts 40 loads began within 5 s, where 19 are allowed.

Cause: the starts of loads in the window are in the memory of the planner that ordered them. The next one took the window for empty.

Evidence: TestLoadsFromTheStoreOutlastAllDaemons without the change: 40 of 19 allowed; with it 15.

Change: an order that a first report shows in progress, and that this planner did not send, counts as a load from the store that has just begun. Until each usable engine has reported, a second at most, no load from the store is ordered by a planner that is not the first.

Why it works: a load from the store that began within the window is mostly still in progress, as it takes longer than the window (6 s to 5 s in the test). What has ended within the window already is not known; that needs loads shorter than the window.

--- a/coordination/residency/adopt.go
+++ b/coordination/residency/adopt.go
@@ -51,6 +51,11 @@
 	// The report does not include the effect of an order from another planner. The state
 	// becomes known when the engine has completed that order.
 	foreign := rep.Busy && newer
+	if foreign && !e.foreignCounted {
+		// The order may be a load from the store that the planner before has begun within the window.
+		p.storeStarts, e.foreignCounted = append(p.storeStarts, now), true
+	}
+	e.reported = true
 	e.sequence, e.synced = rep.Sequence, !foreign
 	e.inMemory, e.onDisk = set(rep.InMemory), set(rep.OnDisk)
 	if rep.Busy {
--- a/coordination/residency/planner.go
+++ b/coordination/residency/planner.go
@@ -71,16 +71,19 @@
 type engineState struct {
 	incarnation   fleet.Incarnation
 	endpoint      *fleet.Endpoint
-	synced        bool      // sequence and models are up to date
-	down          bool      // does not answer; gets no orders until it reports
-	missedReports int       // consecutive probes without a report
-	silentSince   time.Time // first sign that it does not answer; zero if it has reported since
-	reportedAt    time.Time // time of the last report
-	sequence      uint64
-	countedAt     time.Time // when an answer last raised sequence
-	models        map[string]*replica
-	inMemory      map[string]bool
-	onDisk        map[string]bool
+	synced        bool // sequence and models are up to date
+	down          bool // does not answer; gets no orders until it reports
+	missedReports int  // consecutive probes without a report
+	// reported: a report has arrived since this planner took over; foreignCounted: one of them has shown an order of the
+	// planner before in progress.
+	reported, foreignCounted bool
+	silentSince              time.Time // first sign that it does not answer; zero if it has reported since
+	reportedAt               time.Time // time of the last report
+	sequence                 uint64
+	countedAt                time.Time // when an answer last raised sequence
+	models                   map[string]*replica
+	inMemory                 map[string]bool
+	onDisk                   map[string]bool
 
 	order         *pendingOrder
 	adapterQueue  []adapterWant // adapters to load, in order
@@ -213,6 +216,7 @@
 				e.addLateOrder(now, o.order)
 			}
 			e.order, e.adapterQueue, e.synced = nil, nil, false
+			e.reported, e.foreignCounted = false, false
 			e.probeAt = now
 		}
 	}
--- a/coordination/residency/ready.go
+++ b/coordination/residency/ready.go
@@ -136,7 +136,7 @@
 // mayLoadFromStore reports whether the concurrency and rate limits of the store permit
 // another load.
 func (p *Planner) mayLoadFromStore(now time.Time) bool {
-	if p.storeLoads() >= p.store.Estimate {
+	if p.storeLoads() >= p.store.Estimate || p.mayHaveUnknownStarts(now) {
 		return false
 	}
 	p.storeStarts = slices.DeleteFunc(p.storeStarts, func(t time.Time) bool { return now.Sub(t) > p.opt.RateWindow })
@@ -144,6 +144,23 @@
 	return p.conf.Engine.LoadsPerSecond <= 0 || float64(len(p.storeStarts)+p.uncountedStarts()) < allowed
 }
 
+// takeoverReports is how long a planner that takes over waits for the first report of each engine before it loads from the
+// store: reports show the orders in progress.
+const takeoverReports = time.Second
+
+// mayHaveUnknownStarts reports whether the planner before may have begun loads that no report has shown yet.
+func (p *Planner) mayHaveUnknownStarts(now time.Time) bool {
+	if p.lease.First || now.Sub(p.tookOver) >= takeoverReports {
+		return false
+	}
+	for _, e := range p.engines {
+		if e.usable() && !e.reported {
+			return true
+		}
+	}
+	return false
+}
+
 // adapterOrder returns the order to unload an adapter if the engine has no room for another
 // one, or else the order to load the adapter.
 func (p *Planner) adapterOrder(now time.Time, e *engineState, a adapterWant) (Order, bool) {
