storeview: a store without generations costs no frequent checks

The check for the record of the store's generation ran every 20 ms for ever where the store names no generation. After five seconds it runs once a second.

--- a/driver/storeview/settled.go
+++ b/driver/storeview/settled.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/doorvalve/doorvalve/driver/decisions"
 	"github.com/doorvalve/doorvalve/driver/record"
@@ -17,6 +18,9 @@
 	generationRecord = "generation"
 	// generationCheckInterval is the interval of checks while the record may have to be read at once.
 	generationCheckInterval = startCheckInterval
+	// generationSoon is how long after its start a daemon expects the first answer of a store that names its
+	// generation; later checks are rare.
+	generationSoon = 5 * time.Second
 )
 
 // settledRecord is the object in the store.
@@ -31,6 +35,7 @@
 	}
 	rec := record.New(v.opt.Records, v.opt.Generations, generationRecord)
 	var stored settledRecord
+	startedAt := v.opt.Clock()
 	for ctx.Err() == nil {
 		now := v.opt.Clock()
 		v.mu.Lock()
@@ -55,7 +60,7 @@
 		if pending && generation > 0 && stored.Generation == generation {
 			v.settle(generation)
 		}
-		if generation == 0 || pending {
+		if pending || generation == 0 && now.Sub(startedAt) < generationSoon {
 			pause.For(ctx, generationCheckInterval)
 		} else {
 			pause.For(ctx, record.MinCallInterval)
