--- a/coordination/retry/bound_test.go
+++ b/coordination/retry/bound_test.go
@@ -359,3 +359,15 @@
 	slices.SortFunc(times, time.Time.Compare)
 	return times
 }
+
+// Guards against more repeats than the limit allows at a first start of more daemons than the limit has extra retries, before they
+// know their number.
+func TestFirstStartOfManyDaemonsKeepsTheLimit(t *testing.T) {
+	for seed := *boundSeed; seed < *boundSeed+uint64(10**boundRuns); seed++ {
+		rng := rand.New(rand.NewPCG(seed, 375))
+		p := newPlay(rng, 375, Limit{0.2, []float64{12, 52}[rng.IntN(2)], playedWindow})
+		p.failing, p.rate = 0.5, []float64{1, 30, 1000}[rng.IntN(3)]
+		p.run(2 * playedWindow)
+		p.check(t, seed)
+	}
+}
