edge: callers that are gone in the middle of a stream with long gaps are found

A closed connection looks like a closed sending side until something is written, and the endpoint worked on until the second event after the close: 12 s at gaps of 6 s. A leading zero of the next chunk's size is written instead, which changes nothing for a caller that reads on.

--- a/coordination/hangup/hangup.go
+++ b/coordination/hangup/hangup.go
@@ -8,6 +8,14 @@
 // half a second after a caller has left (docs/DESIGN.md, "Callers that close their sending side").
 const Grace = 300 * time.Millisecond
 
+// A begun stream whose caller has closed its sending side is probed: a byte that belongs to no event makes the kernel of a caller that
+// is gone answer with a reset, which the next byte finds. ProbeEvery is the time between two probes, and MaxProbes bounds those
+// between two events.
+const (
+	ProbeEvery = 150 * time.Millisecond
+	MaxProbes  = 3
+)
+
 // Work is how far a request has come.
 type Work struct {
 	// Unsafe: an endpoint that runs the request may change something, so that its caller cannot just repeat it.
--- a/transport/edge/answer.go
+++ b/transport/edge/answer.go
@@ -35,6 +35,7 @@
 	ticket       balance.Ticket    // of the last attempt
 	viewAge      time.Duration     // age of the view from which that endpoint was chosen
 	lastEventID  string            // id of the last forwarded event; empty before the first
+	conn         *inbound.Conn     // nil unless the answer is in chunks if its length is not known
 	firstEventAt time.Time         // when the first event was forwarded; zero before it
 	lastEventAt  time.Time         // when events were last forwarded
 	longestGap   time.Duration     // the longest pause between two writes of events
@@ -278,6 +279,14 @@
 	return nil
 }
 
+// probeCaller has the caller probed once it has closed its sending side, if the answer is in chunks: a stream with long gaps would keep
+// its endpoint at work until the second event after its caller has left.
+func (a *answer) probeCaller() {
+	if conn := a.conn; conn != nil {
+		a.q.work.SetProbe(func() error { return a.caller.probe(conn) })
+	}
+}
+
 // writeEvents forwards complete events.
 func (a *answer) writeEvents(resp *http.Response, content []byte) *failure {
 	if !a.headerSent {
@@ -288,10 +297,14 @@
 			return f
 		}
 	}
+	first := a.firstEventAt.IsZero()
 	a.recordEventTimes(time.Now())
 	if f := a.caller.write(content); f != nil {
 		return f
 	}
+	if first { // the head and a whole chunk were written
+		a.probeCaller()
+	}
 	if id := lastEventID(content); id != "" {
 		a.lastEventID = id
 	}
--- a/transport/edge/caller.go
+++ b/transport/edge/caller.go
@@ -9,7 +9,9 @@
 	"time"
 
 	"github.com/doorvalve/doorvalve/coordination/buffering"
+	"github.com/doorvalve/doorvalve/coordination/hangup"
 	"github.com/doorvalve/doorvalve/protocol"
+	"github.com/doorvalve/doorvalve/transport/inbound"
 )
 
 // Why a caller that reads too slowly was closed.
@@ -85,7 +87,11 @@
 	// deadline is the connection's write deadline. It is renewed only when writeShare of unread is
 	// not left of it, since a change takes a microsecond or two and a stream has many writes.
 	deadline time.Time
-	closed   string // why the caller was closed as a slow reader; empty if it was not
+	// writing is held while a piece or a probe is written. probes are those since the last piece; ended: the answer is complete.
+	writing sync.Mutex
+	probes  int
+	ended   bool
+	closed  string // why the caller was closed as a slow reader; empty if it was not
 }
 
 // writeShare is the least share of the time for which an answer may remain unread that a write has.
@@ -104,6 +110,9 @@
 // end releases all bytes of the request. It restores the deadline for the rest of the answer, such as
 // the end of a stream that comes long after its last event.
 func (c *caller) end() {
+	c.writing.Lock()
+	c.ended = true
+	c.writing.Unlock()
 	c.all.mu.Lock()
 	defer c.all.mu.Unlock()
 	if c.deadline != c.latest && !c.holder.Evicted() {
@@ -171,6 +180,9 @@
 		return errSlowCaller
 	}
 	defer c.endWrite()
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	c.probes = 0
 	if _, err := c.w.Write(content); err != nil {
 		return err
 	}
@@ -180,6 +192,22 @@
 	return nil
 }
 
+// probe writes a byte that makes the connection of a caller that is gone fail. A write in progress shows as much.
+func (c *caller) probe(conn *inbound.Conn) error {
+	if !c.writing.TryLock() {
+		return nil
+	}
+	defer c.writing.Unlock()
+	if c.ended || c.probes >= hangup.MaxProbes {
+		return nil
+	}
+	c.probes++
+	if err := conn.ProbeChunk(); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		return err
+	}
+	return nil
+}
+
 // beginWrite sets the time that the caller has to read the next piece. It reports false if the
 // caller was closed.
 func (c *caller) beginWrite() bool {
--- a/transport/edge/server.go
+++ b/transport/edge/server.go
@@ -316,6 +316,9 @@
 	defer cancel()
 	c.setTimes(buffering.UnreadTimeout(q.route.MaxWait), q.deadline.Add(writeSlack))
 	a = &answer{caller: c, server: s, q: q}
+	if r.ProtoAtLeast(1, 1) && r.Method != http.MethodHead {
+		a.conn = inbound.Of(r)
+	}
 	refusal = s.run(ctx, q, a)
 	s.metrics.duration.RecordDuration(time.Since(arrived))
 	cause := context.Cause(ctx)
--- a/transport/inbound/follow.go
+++ b/transport/inbound/follow.go
@@ -26,6 +26,8 @@
 
 	mu        sync.Mutex
 	work      hangup.Work
+	probe     func() error // nil: the answer cannot be probed
+	probing   bool
 	grace     *time.Timer // runs once the caller has closed its sending side; nil before
 	graceOver bool
 	givenUp   bool
@@ -64,9 +66,41 @@
 	defer w.mu.Unlock()
 	if !w.stopped {
 		w.grace = time.AfterFunc(hangup.Grace, w.endGrace)
+		w.startProbes()
 	}
 }
 
+// SetProbe sets what writes a byte that belongs to no event of the answer, and fails if the caller is gone. It is called from another
+// goroutine once the caller has closed its sending side.
+func (w *Work) SetProbe(probe func() error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.probe = probe
+	w.startProbes()
+}
+
+// startProbes begins to probe the caller if it has closed its sending side. The caller holds w.mu.
+func (w *Work) startProbes() {
+	if w.probe != nil && w.grace != nil && !w.probing && !w.stopped {
+		w.probing = true
+		time.AfterFunc(0, w.tryProbe)
+	}
+}
+
+func (w *Work) tryProbe() {
+	w.mu.Lock()
+	probe, stopped := w.probe, w.stopped
+	w.mu.Unlock()
+	if stopped {
+		return
+	}
+	if probe() != nil {
+		w.cancel(ErrCallerGone)
+		return
+	}
+	time.AfterFunc(hangup.ProbeEvery, w.tryProbe)
+}
+
 func (w *Work) endGrace() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/transport/inbound/inbound.go
+++ b/transport/inbound/inbound.go
@@ -84,6 +84,13 @@
 	return n, err
 }
 
+// ProbeChunk writes a leading zero of the size of the next chunk of an answer, which changes nothing for a caller that reads on. The
+// answer must be in chunks, and none may be in progress.
+func (c *Conn) ProbeChunk() error {
+	_, err := c.TCPConn.Write([]byte("0"))
+	return err
+}
+
 // statusOf returns the status in the first line of an answer; zero if there is none.
 func statusOf(answer []byte) int {
 	_, rest, _ := bytes.Cut(answer[:min(len(answer), len("HTTP/1.1 400"))], []byte(" "))
