--- a/driver/streams/streams_test.go
+++ b/driver/streams/streams_test.go
@@ -3,10 +3,8 @@
 import (
 	"context"
 	"errors"
-	"flag"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -24,14 +22,6 @@
 	"github.com/doorvalve/doorvalve/state/fleet"
 )
 
-// Random faults by hand:
-//
-//	go test ./driver/streams -run TestStreamsUnderRandomFaults -streams.seed 1000 -streams.runs 500
-var (
-	firstSeed = flag.Uint64("streams.seed", 1, "first seed of the random faults")
-	runs      = flag.Int("streams.runs", 10, "runs with random faults")
-)
-
 // installation is a set of daemons that share a list of endpoints, which each of them sees late.
 type installation struct {
 	log       *decisions.Log
@@ -43,6 +33,8 @@
 	origins   *record.Records // nil: none
 	// generations tracks the store's generation.
 	generations *generations.Tracker
+	// configure, if not nil, changes the options of each daemon before it starts.
+	configure func(*host, *Options)
 }
 
 type host struct {
@@ -53,6 +45,7 @@
 	stop       context.CancelFunc
 	group      int  // daemons of different groups don't reach each other
 	blind      bool // does not receive new views
+	down       bool // no daemon runs
 	viewAt     time.Time
 	view       *fleet.View
 }
@@ -104,12 +97,15 @@
 	if h.in.origins != nil {
 		opt.Origins = h.in.origins
 	}
+	if h.in.configure != nil {
+		h.in.configure(h, &opt)
+	}
 	c := New(opt)
 	h.mu.Lock()
 	if h.stop != nil {
 		h.stop()
 	}
-	h.controller, h.stop = c, cancel
+	h.controller, h.stop, h.down, h.view = c, cancel, false, nil
 	h.mu.Unlock()
 	go func() { _ = c.Run(ctx) }()
 	h.look()
@@ -125,7 +121,7 @@
 func (h *host) look() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.blind {
+	if h.blind || h.down {
 		return
 	}
 	h.in.mu.Lock()
@@ -151,11 +147,14 @@
 	l.from.in.mu.Unlock()
 	for _, h := range l.from.in.hosts {
 		h.mu.Lock()
-		c, group := h.controller, h.group
+		c, group, name, down := h.controller, h.group, h.name, h.down
 		h.mu.Unlock()
-		if h.name != l.to {
+		if name != l.to {
 			continue
 		}
+		if down {
+			return nil, errPartitioned
+		}
 		l.from.mu.Lock()
 		same := l.from.group == group
 		l.from.mu.Unlock()
@@ -395,110 +394,3 @@
 		})
 	}
 }
-
-// Guards against a stream that continues at another version than its own while daemons restart, are
-// partitioned or see old lists of endpoints, and against refusals in calm.
-func TestStreamsUnderRandomFaults(t *testing.T) {
-	for seed := *firstSeed; seed < *firstSeed+uint64(*runs); seed++ {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { randomFaults(t, seed) })
-		})
-	}
-}
-
-type begun struct {
-	id, software string
-	at           time.Time
-}
-
-// replace lets the next process of a slot start, with a version, or none.
-func (in *installation) replace(slots map[int]string, slot, step int, software string) {
-	in.set(slots[slot], "")
-	slots[slot] = fmt.Sprintf("e%d-%d", slot, step)
-	in.set(slots[slot], software)
-	in.lookAll()
-}
-
-// heal ends all partitions, and lets all daemons see the list of endpoints.
-func (in *installation) heal() {
-	for _, h := range in.hosts {
-		h.mu.Lock()
-		h.group, h.blind = 0, false
-		h.mu.Unlock()
-	}
-	in.lookAll()
-}
-
-func randomFaults(t *testing.T, seed uint64) {
-	rng := rand.New(rand.NewPCG(seed, 0))
-	stores := []*record.Store{nil, {Latency: 4 * time.Millisecond}}
-	in := newInstallation(3+rng.IntN(22), true, stores[rng.IntN(len(stores))])
-	defer in.close()
-	slots := map[int]string{}
-	for i := range 4 {
-		in.replace(slots, i, 0, "v1")
-	}
-	var streams []begun
-	calmSince, calm, continued := time.Now(), 0, 0
-	const never = 1000 * time.Hour
-	for step := range 1500 {
-		time.Sleep(time.Duration(rng.IntN(60)) * time.Millisecond)
-		h := in.hosts[rng.IntN(len(in.hosts))]
-		switch n := rng.IntN(100); {
-		case n < 45:
-			if e := randomEndpoint(rng, h.view); e != nil {
-				id := fmt.Sprint("s", step)
-				h.begin(id, e)
-				streams = append(streams, begun{id, e.Software, time.Now()})
-			}
-		case n < 85 && len(streams) > 0:
-			s := streams[max(0, len(streams)-1-rng.IntN(20))]
-			found, refusal := h.controller.Resume(context.Background(), request(s.id))
-			if refusal == nil && found.Software() != s.software {
-				t.Errorf("step %d: %s of %s continues at %s", step, s.id, s.software, found.Software())
-			}
-			if s.at.After(calmSince) {
-				calm++
-				if refusal == nil {
-					continued++
-				}
-			}
-		case n < 90:
-			in.replace(slots, rng.IntN(5), step, []string{"v1", "v1", "v2", "v3", ""}[rng.IntN(5)])
-		case n < 93:
-			if calmSince.Before(time.Now()) {
-				calmSince = time.Now()
-			}
-			h.start(false)
-		case n < 95:
-			calmSince = time.Now().Add(never)
-			for _, other := range in.hosts[:1+rng.IntN(len(in.hosts))] {
-				other.mu.Lock()
-				other.group = rng.IntN(2)
-				other.mu.Unlock()
-			}
-		case n < 96:
-			calmSince = time.Now().Add(never)
-			h.mu.Lock()
-			h.blind = true
-			h.mu.Unlock()
-		default:
-			if calmSince.After(time.Now()) {
-				calmSince = time.Now()
-			}
-			in.heal()
-		}
-	}
-	if float64(continued) < 0.98*float64(calm) {
-		t.Errorf("in calm, %d of %d streams continued", continued, calm)
-	}
-	t.Logf("%d daemons, %d streams begun; in calm %d of %d continued", len(in.hosts), len(streams), continued, calm)
-}
-
-func randomEndpoint(rng *rand.Rand, v *fleet.View) *fleet.Endpoint {
-	if v == nil || len(v.ByService["llm"]) == 0 {
-		return nil
-	}
-	list := v.ByService["llm"]
-	return list[rng.IntN(len(list))]
-}
