streams: streams are kept when others tell of a second version

Cause: a daemon copies and stores the streams that it has begun when it notices a second version. It noticed one in its own view, and not one that came with the record in the store, with a copy of a stream or with the answer of another daemon; when its view showed the version later, it was not new any more. So streams of the first version outlasted nothing where another daemon saw the second one first.

Change: Table.Merge and Table.AdoptHistory return the services in which a second version has appeared, and their callers act on it.

--- a/coordination/continuation/table.go
+++ b/coordination/continuation/table.go
@@ -270,13 +270,15 @@
 	return t.records[key].Record
 }
 
-// Merge adds records from other daemons.
-func (t *Table) Merge(now time.Time, records []Record) {
-	for _, r := range records {
-		if now.Sub(r.At) < t.retention {
-			t.merge(r, false)
+// Merge adds records from other daemons. It returns the services in which a second version has appeared.
+func (t *Table) Merge(now time.Time, records []Record) (mixed []string) {
+	return t.newlyMixed(now, func() {
+		for _, r := range records {
+			if now.Sub(r.At) < t.retention {
+				t.merge(r, false)
+			}
 		}
-	}
+	})
 }
 
 func (t *Table) merge(r Record, own bool) {
@@ -408,15 +410,17 @@
 func (t *Table) Services() []string { return slices.Sorted(maps.Keys(t.services)) }
 
 // AdoptHistory adds what another source has seen in a service, up to now and since the given time;
-// the zero time stands for the first start of the system.
-func (t *Table) AdoptHistory(service string, since time.Time, seen []Seen) {
-	h := t.history(service)
-	if since.Before(h.since) {
-		h.since = since
-	}
-	for _, s := range seen {
-		h.add(s)
-	}
+// the zero time stands for the first start of the system. It returns the services in which a second version has appeared.
+func (t *Table) AdoptHistory(now time.Time, service string, since time.Time, seen []Seen) (mixed []string) {
+	return t.newlyMixed(now, func() {
+		h := t.history(service)
+		if since.Before(h.since) {
+			h.since = since
+		}
+		for _, s := range seen {
+			h.add(s)
+		}
+	})
 }
 
 // add records that a version was listed.
--- a/driver/streams/record.go
+++ b/driver/streams/record.go
@@ -184,15 +184,17 @@
 	c.recorded = signature(rec)
 	c.opt.Log.Info(decisions.EventSoftwareRecord, "read", true, "services", len(rec.Services), "writer", rec.Writer, "age_ms", recordAgeMs(rec))
 	c.mu.Lock()
+	var mixed []string
 	for service, s := range rec.Services {
 		since, seen := fromRecord(now, s)
 		if rec.Generation != c.record.Version().Generation {
 			since = now // it does not cover the time since the copy
 		}
-		c.t.AdoptHistory(service, since, seen)
+		mixed = append(mixed, c.t.AdoptHistory(now, service, since, seen)...)
 	}
 	c.missed = false
 	c.mu.Unlock()
+	c.notifyMixed(mixed)
 	if rec.Generation == c.record.Version().Generation {
 		c.enterService(now, rec)
 	}
--- a/driver/streams/stored_test.go
+++ b/driver/streams/stored_test.go
@@ -137,3 +137,51 @@
 		}
 	})
 }
+
+// Guards against streams that only the daemon that began them knows, after it has learned from others, and not from its own list
+// of endpoints, that a second version serves: they were neither copied to other daemons nor stored.
+func TestStreamsAreKeptOnceOthersTellOfAVersion(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		learn func(in *installation)
+	}{
+		{"by the record, as the version has left", func(in *installation) {
+			in.set("b", "v2")
+			in.lookAll()
+			time.Sleep(20 * time.Millisecond) // one daemon writes it, the others look 30 ms later
+			in.set("b", "")
+			in.lookAll()
+		}},
+		{"by the copy of a stream, before they see the version", func(in *installation) {
+			in.set("b", "v2")
+			in.hosts[0].look()
+			time.Sleep(500 * time.Millisecond)
+			for i := range 20 {
+				in.hosts[0].begin(fmt.Sprint("other-", i), in.endpoints["b"])
+			}
+			time.Sleep(100 * time.Millisecond)
+			in.lookAll()
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				in := newInstallationWith(7, true, &record.Store{Latency: 4 * time.Millisecond}, &record.Records{Latency: 4 * time.Millisecond})
+				defer in.close()
+				in.set("a", "v1")
+				in.lookAll()
+				time.Sleep(1200 * time.Millisecond)
+				in.lookAll()
+				for i, h := range in.hosts {
+					h.begin(fmt.Sprint("s", i), in.endpoints["a"])
+				}
+				c.learn(in)
+				time.Sleep(1500 * time.Millisecond)
+				in.lookAll()
+				in.killAll()
+				for i := range in.hosts {
+					resume(t, in.hosts[(i+1)%len(in.hosts)], fmt.Sprint("s", i), "v1")
+				}
+			})
+		})
+	}
+}
--- a/driver/streams/streams.go
+++ b/driver/streams/streams.go
@@ -304,12 +304,12 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if r, ok := fromWire(now, resp.Stream); ok {
-		c.t.Merge(now, []continuation.Record{r})
+		mixed = c.t.Merge(now, []continuation.Record{r})
 	}
 	if resp.History != nil {
 		since, seen := historyFromWire(now, resp.History)
-		c.t.AdoptHistory(service, since, seen)
-		mixed = c.t.Recorded(now, service, seen) // daemons tell of versions in service only
+		mixed = append(mixed, c.t.AdoptHistory(now, service, since, seen)...)
+		mixed = append(mixed, c.t.Recorded(now, service, seen)...) // daemons tell of versions in service only
 		c.publishBeginnings()
 	}
 	return mixed
@@ -375,8 +375,9 @@
 		}
 	}
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.t.Merge(now, records)
+	mixed := c.t.Merge(now, records)
+	c.mu.Unlock()
+	c.notifyMixed(mixed)
 	return &streampb.PlaceResponse{}, nil
 }
 
