streams: tests rename restarted daemons under a lock

The race detector failed TestWhatDecidedIsNamed: killAll changed the name of a daemon that other daemons' loops read. Tests only; eight tests of the package pass with the race detector.

--- a/driver/streams/stored_test.go
+++ b/driver/streams/stored_test.go
@@ -36,8 +36,7 @@
 func (in *installation) killAll() {
 	time.Sleep(10 * time.Millisecond) // all copies have arrived
 	for _, h := range in.hosts {
-		h.name += "'"
-		h.start(false)
+		h.restart()
 	}
 }
 
@@ -160,8 +159,7 @@
 				in.lookAll()
 				time.Sleep(1500 * time.Millisecond)
 				for _, h := range in.hosts[:restart.hosts] {
-					h.name += "'"
-					h.start(false)
+					h.restart()
 				}
 				for i := range streams {
 					resume(t, in.hosts[(i+3)%7], fmt.Sprint("s", i), "v1")
--- a/driver/streams/streams_test.go
+++ b/driver/streams/streams_test.go
@@ -47,7 +47,8 @@
 
 type host struct {
 	in         *installation
-	name       string
+	nameMu     sync.Mutex
+	name       string // read by other daemons through id
 	mu         sync.Mutex
 	controller *Controller
 	stop       context.CancelFunc
@@ -83,10 +84,25 @@
 	in.log.Close()
 }
 
+// id returns the name of the daemon that runs now.
+func (h *host) id() string {
+	h.nameMu.Lock()
+	defer h.nameMu.Unlock()
+	return h.name
+}
+
+// restart starts the daemon anew under another name.
+func (h *host) restart() {
+	h.nameMu.Lock()
+	h.name += "'"
+	h.nameMu.Unlock()
+	h.start(false)
+}
+
 func (in *installation) members() []membership.Member {
 	var list []membership.Member
 	for _, h := range in.hosts {
-		list = append(list, membership.Member{ID: h.name, PeerAddress: h.name, Status: membership.Alive})
+		list = append(list, membership.Member{ID: h.id(), PeerAddress: h.id(), Status: membership.Alive})
 	}
 	return list
 }
@@ -153,7 +169,7 @@
 		h.mu.Lock()
 		c, group := h.controller, h.group
 		h.mu.Unlock()
-		if h.name != l.to {
+		if h.id() != l.to {
 			continue
 		}
 		l.from.mu.Lock()
