residency: a late order at an engine whose clock is a minute behind is known red

Found while the clocks of a restart of all daemons were read. After a takeover an engine counts as recently started by its host's time of day, with a second of room. TestLateOrderFindsRoomWithClocksApart fails at -1 minute in each run, and holds with equal clocks and at +1 minute.

--- a/coordination/residency/incarnations_test.go
+++ b/coordination/residency/incarnations_test.go
@@ -63,6 +63,39 @@
 	}
 }
 
+// Guards against a late order that overloads the next incarnation of its engine after a takeover where the clock of the engine's
+// host is a minute off: its start then seems too long ago for such an order.
+func TestLateOrderFindsRoomWithClocksApart(t *testing.T) {
+	for _, ahead := range []time.Duration{-time.Minute, 0, time.Minute} {
+		w := newSimCluster(0, 1)
+		w.conf.Models = testEngine(4).Models
+		w.fence = 0
+		w.takeOver()
+		e := w.engines[0]
+		e.onDisk = map[string]bool{"m00": true, "m01": true, "m02": true, "m03": true}
+		w.loadModels(t, e, "m00", "m01")
+		w.p.Want(w.now, Want{Model: "m00", Adapter: "a1"})
+		w.run(time.Second)
+		w.lateDelay, w.fate = 6*time.Second, func() string { return "late" }
+		for range 50 {
+			w.p.Want(w.now, Want{Model: "m03"})
+			w.step()
+		}
+		w.fate = nil
+		e.restart(w.now.Add(ahead))
+		w.takeOver()
+		for end := w.now.Add(9 * time.Second); w.now.Before(end) && !e.overloaded; {
+			for _, m := range []string{"m00", "m01", "m02"} {
+				w.p.Want(w.now, Want{Model: m})
+			}
+			w.step()
+		}
+		if e.overloaded {
+			t.Errorf("clock %v ahead: a late order overloaded the engine", ahead)
+		}
+	}
+}
+
 // An incarnation that the coordinator did not know of holds none of the models of its
 // predecessor, and gets orders as soon as it has reported. A report of the predecessor that
 // arrives later changes nothing.
