--- a/driver/streams/streams_test.go
+++ b/driver/streams/streams_test.go
@@ -163,7 +163,7 @@
 	l.from.in.mu.Unlock()
 	for _, h := range l.from.in.hosts {
 		h.mu.Lock()
-		c, group, name, down := h.controller, h.group, h.name, h.down
+		c, group, down := h.controller, h.group, h.down
 		h.mu.Unlock()
 		if h.id() != l.to {
 			continue
