--- a/driver/streams/outage_test.go
+++ b/driver/streams/outage_test.go
@@ -49,15 +49,15 @@
 		// All but the cleaner are killed.
 		var keep *host
 		for _, h := range in.hosts {
-			if membership.Rendezvous(readersName, in.members())[0].ID == h.name {
+			if membership.Rendezvous(readersName, in.members())[0].ID == h.id() {
 				keep = h
 			}
 		}
-		cleaner := func() bool { return membership.Rendezvous(readersName, in.members())[0].ID == keep.name }
+		cleaner := func() bool { return membership.Rendezvous(readersName, in.members())[0].ID == keep.id() }
 		for suffix := 0; ; suffix++ {
 			for i, h := range in.hosts {
 				if h != keep {
-					h.name = fmt.Sprintf("h%d-%d", i, suffix)
+					h.setName(fmt.Sprintf("h%d-%d", i, suffix))
 				}
 			}
 			if cleaner() {
@@ -119,7 +119,7 @@
 		time.Sleep(2 * time.Second)
 		in.lookAll()
 		in.origins.SetAway(true)
-		in.origins.Latency = 2 * time.Second
+		in.origins.SetLatency(2 * time.Second)
 		const n = 20
 		var wg sync.WaitGroup
 		var mu sync.Mutex
@@ -220,8 +220,7 @@
 		}
 		in.set("b", "")
 		for _, h := range in.hosts {
-			h.name += "'"
-			h.start(false)
+			h.restart()
 		}
 		time.Sleep(3 * time.Second)
 		in.lookAll()
--- a/driver/streams/random_test.go
+++ b/driver/streams/random_test.go
@@ -840,8 +840,7 @@
 		survivor.blind = false
 		in.store.Restore(backup)
 		for _, h := range in.hosts[:6] {
-			h.name += "'"
-			h.start(false)
+			h.restart()
 		}
 		for _, h := range in.hosts[:6] {
 			if found, _, refusal := h.controller.Resume(context.Background(), "next", request(id)); refusal == nil && found.Software() != "v2" {
--- a/driver/streams/streams_test.go
+++ b/driver/streams/streams_test.go
@@ -84,6 +84,12 @@
 	return h.name
 }
 
+func (h *host) setName(name string) {
+	h.nameMu.Lock()
+	defer h.nameMu.Unlock()
+	h.name = name
+}
+
 // restart starts the daemon anew under another name.
 func (h *host) restart() {
 	h.nameMu.Lock()
