streams: a daemon that has just ended counts as gone at once

Cause: a daemon decides by what it has seen unless a daemon has ended, and looked once a second whether one has. Until then it took itself for one of a complete fleet.

Change: it looks before each such decision. A daemon that starts and ends between two looks is still not noticed.

--- a/driver/streams/random_test.go
+++ b/driver/streams/random_test.go
@@ -828,13 +828,7 @@
 		in.set("b", "v2")
 		in.lookAll()
 		time.Sleep(200 * time.Millisecond)
-		id := ""
-		for i := 0; id == ""; i++ { // a stream of which the survivor gets no copy
-			targets := in.hosts[0].controller.ranked(continuation.KeyOf(fmt.Sprint("s", i)))[:copies]
-			if !slices.ContainsFunc(targets, func(m membership.Member) bool { return m.ID == survivor.name }) {
-				id = fmt.Sprint("s", i)
-			}
-		}
+		id := in.streamNotCopiedTo(survivor)
 		in.beginWhereAllowed(t, id, "b")
 		in.set("b", "")
 		survivor.blind = false
@@ -850,3 +844,42 @@
 		}
 	})
 }
+
+// streamNotCopiedTo returns the id of a stream of which a daemon gets no copy if the first one begins it.
+func (in *installation) streamNotCopiedTo(h *host) string {
+	for i := 0; ; i++ {
+		id := fmt.Sprint("s", i)
+		targets := in.hosts[0].controller.ranked(continuation.KeyOf(id))[:copies]
+		if !slices.ContainsFunc(targets, func(m membership.Member) bool { return m.ID == h.name }) {
+			return id
+		}
+	}
+}
+
+// Guards against a stream that continues at another version at the only daemon that is left, which has not seen the version that began
+// the stream and takes what it has seen for all, since it looks only once a second whether daemons have ended.
+func TestDaemonsEndBesideOneThatMissedAVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		in := newInstallation(7, true, &record.Store{Latency: 4 * time.Millisecond})
+		defer in.close()
+		in.set("a", "v1")
+		in.lookAll()
+		time.Sleep(1200 * time.Millisecond)
+		in.lookAll()
+		survivor := in.hosts[6]
+		survivor.blind = true // for less than a view may be old
+		in.set("b", "v2")
+		in.lookAll()
+		time.Sleep(200 * time.Millisecond)
+		id := in.streamNotCopiedTo(survivor)
+		in.beginWhereAllowed(t, id, "b")
+		in.set("b", "")
+		for _, h := range in.hosts[:6] {
+			h.stop()
+		}
+		in.hosts = in.hosts[6:]
+		if found, refusal := survivor.controller.Resume(context.Background(), request(id)); refusal == nil && found.Software() != "v2" {
+			t.Errorf("a stream of v2 continues at %s", found.Software())
+		}
+	})
+}
--- a/driver/streams/resume.go
+++ b/driver/streams/resume.go
@@ -79,6 +79,7 @@
 // daemonsWereLost reports whether a daemon has ended so lately that its streams may still be resumed. Its versions may be
 // known to nobody that is left.
 func (c *Controller) daemonsWereLost() bool {
+	c.observeMembers() // a daemon may have ended since the last look
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now, retention := c.opt.Clock(), c.t.Retention()
