edge: tell how attempts to take up a stream end

Callers whose streams broke off saw refusals, and no log or metric of ours told which share of them went on: answers are logged by sample, and refusals are counted with those of new requests. Attempts to take up a stream are counted by their end (streams_taken_up_total), and answered ones are logged without sampling.

--- a/coordination/waiting/waiting.go
+++ b/coordination/waiting/waiting.go
@@ -22,6 +22,9 @@
 	// Started reports that an endpoint has worked on the request. It can no longer be
 	// refused: if it ends now, it has failed.
 	Started bool
+	// Continued reports that an endpoint has begun the answer in an earlier attempt of the caller. Its caller has had the first
+	// event, so the objective for that does not count; it can be refused, as it has not run in this attempt.
+	Continued bool
 	// WaitedBefore reports that the request has already waited for a model that did not
 	// become ready in time. It then waits again only if it can meet its objective.
 	WaitedBefore bool
@@ -57,7 +60,7 @@
 // Decide decides whether a request waits; it has no side effects. A request waits if it is
 // likely to be served: within its objective, or before its caller gives up, either including
 // the margin of the estimate or with so much slack that the margin does not matter. A request
-// that an endpoint has started continues as long as it can still be served. All others are
+// that an endpoint has started, or whose answer a caller takes up again, continues as long as it can still be served. All others are
 // refused immediately, with a retry delay after which the model will be ready. The value of a
 // request counts from the caller's first attempt, so a refusal gains nothing if waiting would
 // succeed, and a wait that fails costs the caller more the longer it lasts.
@@ -65,9 +68,12 @@
 	if in.Started {
 		return Decision{Wait: in.lasts(in.ReadyIn), RetryAfter: protocol.MinRetryAfter}
 	}
+	if in.Continued && in.lasts(in.ReadyIn) {
+		return Decision{Wait: true}
+	}
 	inObjective := in.Elapsed+in.ReadyIn+firstEvent(in.Work) <= in.Target && in.lasts(in.ReadyIn)
 	likely := in.Committed && in.lasts(in.ReadyIn) || in.lasts(in.ReadyIn+in.Margin) || in.lasts(time.Duration(float64(in.ReadyIn)/slackShare))
-	if inObjective || !in.WaitedBefore && likely {
+	if !in.Continued && (inObjective || !in.WaitedBefore && likely) {
 		return Decision{Wait: true}
 	}
 	delay := min(in.ReadyIn+returnMargin, in.TimeLeft/retryDivisor)
@@ -79,7 +85,7 @@
 // is not known.
 func (in Input) lasts(t time.Duration) bool {
 	first, end := firstEvent(in.Work), in.Work.End
-	if in.Started {
+	if in.Started || in.Continued {
 		end = 0
 	}
 	return t+max(first, end) < in.TimeLeft && in.Elapsed+t+first < in.MaxWait
--- a/transport/edge/locate.go
+++ b/transport/edge/locate.go
@@ -152,10 +152,10 @@
 }
 
 // checkQueueWait refuses a request that would wait too long for a slot at the endpoint that the
-// coordinator has assigned. It lets requests pass that may have run at an endpoint already, and
-// those more urgent than the service's least urgent rank, as endpoints admit them first.
+// coordinator has assigned. It lets requests pass that have begun, and those more urgent than the
+// service's least urgent rank, as endpoints admit them first.
 func (s *Server) checkQueueWait(q *request, t *attemptState, answer residency.Answer) *protocol.Refusal {
-	if t.verdict != protocol.NotRun || q.rank < q.service.LeastUrgentRank {
+	if t.begun(q) || q.rank < q.service.LeastUrgentRank {
 		return nil
 	}
 	d := waiting.Join(waiting.QueueInput{StartsIn: answer.StartsIn, Elapsed: time.Since(q.arrived), TimeLeft: q.timeLeft(), Target: q.route.LatencyTarget, Work: q.ownWork()})
@@ -176,7 +176,7 @@
 	margin := s.margins.Of(source)
 	d := waiting.Decide(waiting.Input{
 		ReadyIn: answer.ReadyIn, Margin: margin, Elapsed: t.callerSilence(q), TimeLeft: q.timeLeft(), Target: q.route.LatencyTarget,
-		MaxWait: q.route.MaxWait, Work: q.ownWork(), Started: t.verdict != protocol.NotRun, Committed: q.returned() || !t.estimatedReady.IsZero(),
+		MaxWait: q.route.MaxWait, Work: q.ownWork(), Started: t.verdict != protocol.NotRun, Continued: q.continued(), Committed: q.returned() || !t.estimatedReady.IsZero(),
 	})
 	if !d.Wait {
 		reason := answer.Refused
--- a/transport/edge/origin.go
+++ b/transport/edge/origin.go
@@ -23,6 +23,16 @@
 	return q.route.Kind == routing.Streaming && q.call.LastEventID != ""
 }
 
+// continued reports whether the request continues a stream that an earlier attempt of its caller began, and whose version is
+// known.
+func (q *request) continued() bool { return q.resumes() && q.constraint().Bound() }
+
+// endpointRank returns the rank of an attempt at an endpoint. begun reports whether its answer has begun in this attempt of the
+// caller.
+func (q *request) endpointRank(begun bool) int {
+	return continuation.Rank(q.rank, q.service.LeastUrgentRank, begun || q.continued())
+}
+
 // originID returns the id of the attempt that began the request's stream, as far as its caller names
 // it: its own id for a request that continues none. All attempts then choose the same service.
 func (q *request) originID() string {
--- a/transport/edge/refusals.go
+++ b/transport/edge/refusals.go
@@ -14,17 +14,20 @@
 	otherReason       = "other"
 )
 
-// refusals counts refused and failed requests by the reason of their final answer. It is safe for
-// concurrent use.
+// refusals counts requests by the reason of their end. It is safe for concurrent use.
 type refusals struct {
 	scope tally.Scope
+	name  string
 
 	mu       sync.Mutex
 	byReason map[string]tally.Counter
 }
 
-func newRefusals(scope tally.Scope) *refusals {
-	return &refusals{scope: scope, byReason: map[string]tally.Counter{}}
+// newRefusals counts refused and failed requests by the reason of their final answer.
+func newRefusals(scope tally.Scope) *refusals { return newCounters(scope, "refusals_by_reason_total") }
+
+func newCounters(scope tally.Scope, name string) *refusals {
+	return &refusals{scope: scope, name: name, byReason: map[string]tally.Counter{}}
 }
 
 // count counts a final answer with a reason.
@@ -38,7 +41,7 @@
 		c = r.byReason[reason]
 	}
 	if c == nil {
-		c = r.scope.Tagged(map[string]string{"reason": reason}).Counter("refusals_by_reason_total")
+		c = r.scope.Tagged(map[string]string{"reason": reason}).Counter(r.name)
 		r.byReason[reason] = c
 	}
 	c.Inc(1)
--- a/transport/edge/retry.go
+++ b/transport/edge/retry.go
@@ -26,9 +26,9 @@
 )
 
 // mayAttemptAgain reports whether the request may have a further attempt, and reserves its retry, which payRetry
-// spends when it is sent. begun reports whether the caller has a part of the answer: then mayAttemptAgain waits for an
-// endpoint and for the budget as long as the caller waits, because the answer would break off
-// otherwise. Other requests fail at once, and their callers can retry themselves.
+// spends when it is sent. begun reports whether the caller has a part of the answer, from this attempt or an earlier one: then
+// mayAttemptAgain waits for an endpoint and for the budget as long as the caller waits, because the answer would break
+// off otherwise. Other requests fail at once, and their callers can retry themselves.
 func (s *Server) mayAttemptAgain(ctx context.Context, q *request, t *attemptState, begun bool) bool {
 	if !begun && t.sends >= maxSends {
 		return false
@@ -82,7 +82,7 @@
 // again, once the budget allows a retry of an answer that has begun.
 func (s *Server) refuseUnpaid(ctx context.Context, q *request, t *attemptState) *protocol.Refusal {
 	s.noteBudgetEmpty(q, t)
-	if begun := !t.lastEventAt.IsZero(); begun && s.awaitBudget(ctx, q, t) {
+	if begun := !t.lastEventAt.IsZero() || q.continued(); begun && s.awaitBudget(ctx, q, t) {
 		return nil
 	}
 	return s.finalRefusal(q, t)
--- a/transport/edge/run.go
+++ b/transport/edge/run.go
@@ -93,7 +93,7 @@
 		if ctx.Err() != nil || q.timeLeft() <= 0 {
 			return s.outOfTime(t.verdict)
 		}
-		if t.sends > 0 && !s.mayAttemptAgain(ctx, q, t, a.headerSent) {
+		if t.sends > 0 && !s.mayAttemptAgain(ctx, q, t, a.headerSent || q.continued()) {
 			return s.finalRefusal(q, t)
 		}
 		e, refusal := s.selectEndpoint(ctx, q, t)
--- a/transport/edge/server.go
+++ b/transport/edge/server.go
@@ -124,6 +124,7 @@
 	duration, firstEvent, waited, waitError                                   tally.Histogram
 	slowCallers                                                               map[string]tally.Counter // by why they were closed
 	refusals                                                                  *refusals
+	takenUp                                                                   *refusals                // attempts to take up a stream, by how they ended
 	withoutEnd                                                                map[string]tally.Counter // answers, by reason
 }
 
@@ -157,6 +158,7 @@
 		duration: m.Histogram("request_duration_seconds", buckets), firstEvent: m.Histogram("first_event_seconds", buckets),
 		waited: m.Histogram("model_wait_seconds", buckets), waitError: m.Histogram("model_wait_beyond_estimate_seconds", buckets),
 		refusals:    newRefusals(m),
+		takenUp:     newCounters(m, "streams_taken_up_total"),
 		withoutEnd:  protocol.CountersOfEndless(m),
 		slowCallers: map[string]tally.Counter{closedUnread: slow(closedUnread), closedMemory: slow(closedMemory), closedDeadline: slow(closedDeadline)},
 	}}
@@ -376,10 +378,15 @@
 // logOutcome logs and counts how a request ended that was not refused before its answer began.
 func (s *Server) logOutcome(r *http.Request, a *answer, refusal *protocol.Refusal, outcome inbound.Outcome) {
 	q, c, ms := a.q, a.caller, time.Since(a.q.arrived).Milliseconds()
+	s.countTakenUp(q, outcome.String())
 	switch {
 	case outcome == inbound.Answered:
 		s.metrics.answered.Inc(1)
-		s.opt.Log.InfoSampled(decisions.EventAnswered, "request", q.call.ID, "route", q.route.Name, "model", q.unit(), "status", a.status,
+		log := s.opt.Log.InfoSampled
+		if q.resumes() { // few, and each is a stream that had broken off
+			log = s.opt.Log.Info
+		}
+		log(decisions.EventAnswered, "request", q.call.ID, "route", q.route.Name, "model", q.unit(), "status", a.status,
 			"ms", ms, "first_event_ms", a.timeToFirstEvent().Milliseconds(), "longest_gap_ms", a.longestGap.Milliseconds(), "waited_ms", q.waited.Milliseconds(), "sent_ms", a.sentAt.Sub(q.arrived).Milliseconds(), "endpoints_age_ms", a.viewAge.Milliseconds(), "endpoint", a.endpoint.ID, "software", a.software, "resumes", q.call.Resumes, "version", q.version(), "workspace", q.workspace())
 	case c.closed != "":
 		s.metrics.slowCallers[c.closed].Inc(1)
@@ -393,6 +400,14 @@
 	}
 }
 
+// countTakenUp counts how an attempt to take up a stream ended: its outcome, or the reason of its refusal. q is nil for a request
+// refused before it was read.
+func (s *Server) countTakenUp(q *request, end string) {
+	if q != nil && q.route != nil && q.resumes() {
+		s.metrics.takenUp.count(end)
+	}
+}
+
 // answerUnaccounted answers a request whose handler has ended without an outcome. It returns false if an answer has
 // begun already.
 func (s *Server) answerUnaccounted(w http.ResponseWriter, rest *inbound.Rest, q *request, a *answer) bool {
@@ -457,6 +472,7 @@
 		s.opt.Quotas.Refund(q.ticket)
 	}
 	count.Inc(1)
+	s.countTakenUp(q, refusal.Reason)
 	h := w.Header()
 	if q != nil && q.call.ID != "" {
 		h.Set(protocol.HeaderRequestID, q.call.ID)
--- a/transport/edge/unavailable.go
+++ b/transport/edge/unavailable.go
@@ -41,11 +41,15 @@
 	reason       backpressure.Reason // why first does not take it now
 }
 
-// queueRequest returns the request's position in the queues of endpoints. Requests that may have
-// run already go before all others.
+// begun reports whether an endpoint has worked on the request, in this attempt of its caller or, of a stream that is
+// taken up again, in an earlier one. Such a request was let in, and is not judged again as a new one is.
+func (t *attemptState) begun(q *request) bool { return t.verdict != protocol.NotRun || q.continued() }
+
+// queueRequest returns the request's position in the queues of endpoints. Requests that have begun go before all
+// others.
 func (t *attemptState) queueRequest(q *request) backpressure.Request {
 	a := backpressure.Request{Rank: q.rank, Deadline: q.deadline, Waiter: t.waiter}
-	if t.verdict != protocol.NotRun {
+	if t.begun(q) {
 		a.Rank = -1
 	}
 	return a
@@ -83,7 +87,7 @@
 		switch {
 		case !slices.Contains(now.incarnations, t.waiter.Incarnation()) || now.turnIn <= 0 || !now.all:
 			return nil // the caller of awaitTurn chooses among all endpoints again
-		case t.verdict == protocol.NotRun && clock.Now().Add(now.turnIn).After(t.waitDeadline):
+		case !t.begun(q) && clock.Now().Add(now.turnIn).After(t.waitDeadline):
 			return s.refuseUnavailable(q, t, now)
 		case t.verdict == protocol.NotRun && s.stopsBefore(now.turnIn):
 			return protocol.Refuse(http.StatusServiceUnavailable, reasonStopping, "this daemon stops before the request has its turn", retryDraining)
@@ -100,7 +104,7 @@
 func (t *attemptState) worthWaiting(q *request, turnIn time.Duration) bool {
 	return waiting.Decide(waiting.Input{
 		ReadyIn: turnIn, Margin: turnMarginOf(turnIn), Elapsed: t.callerSilence(q), TimeLeft: q.timeLeft(), Target: q.route.LatencyTarget, MaxWait: q.route.MaxWait, Work: q.ownWork(),
-		Started: t.verdict != protocol.NotRun, WaitedBefore: !t.waitDeadline.IsZero(), Committed: q.returned(),
+		Started: t.verdict != protocol.NotRun, Continued: q.continued(), WaitedBefore: !t.waitDeadline.IsZero(), Committed: q.returned(),
 	}).Wait
 }
 
