--- a/coordination/waiting/waiting_test.go
+++ b/coordination/waiting/waiting_test.go
@@ -34,7 +34,9 @@
 			in.ReadyIn, in.Margin, in.Continued, in.WaitedBefore = 6*time.Second, 9*time.Second, true, true
 		}, true, 0, 0},
 		{"stream that is taken up does not wait beyond the wait limit", func(in *Input) { in.ReadyIn, in.Elapsed, in.Continued = 6*time.Second, 4*time.Second, true }, false, 6 * time.Second, 7 * time.Second},
-		{"stream that is taken up does not wait beyond the deadline", func(in *Input) { in.ReadyIn, in.TimeLeft, in.Target, in.Continued = 4*time.Second, 3*time.Second, 5*time.Second, true }, false, 900 * ms, time.Second},
+		{"stream that is taken up does not wait beyond the deadline", func(in *Input) {
+			in.ReadyIn, in.TimeLeft, in.Target, in.Continued = 4*time.Second, 3*time.Second, 5*time.Second, true
+		}, false, 900 * ms, time.Second},
 		{"does not wait beyond the deadline", func(in *Input) { in.ReadyIn, in.TimeLeft = 6*time.Second, 3*time.Second }, false, 100 * ms, time.Second},
 	}
 	for _, c := range cases {
--- a/transport/edge/server.go
+++ b/transport/edge/server.go
@@ -438,7 +438,7 @@
 		"time_left_ms", time.Until(q.deadline).Milliseconds(), "endpoint", endpoint, "version", q.version(), "state_age_ms", q.stateAge.Milliseconds(), "workspace", q.workspace(),
 		"endpoints_revision", s.opt.View().Version}
 	if q.call.Resumes != "" {
-		fields = append(fields, "resumes", q.call.Resumes)
+		fields = append(fields, "resumes", q.call.Resumes, "resumes_after", q.call.LastEventID)
 	}
 	fields = append(fields, q.finding.Fields()...)
 	if refusal.Reason == quarantiner.ReasonHeldBack {
