retries: a retry and the one for its return are taken in one step

Requests found no retry though one was left, for the moment in which the watch of a silent stream reserved a retry that it then gave up again: a begun stream that leaves a silent, sound engine at that moment breaks off for want of the last retry.

Cause: reservation and spending were two steps. Evidence: the test's own request comes at the same virtual time as the check of the watch; between its Reserve and its Release the test's Spend found the only retry reserved.

Change: SpendAndReserve takes both or neither under one lock.

--- a/coordination/retry/retry.go
+++ b/coordination/retry/retry.go
@@ -82,6 +82,12 @@
 	return b.of(service).spend(now, b.window, 0)
 }
 
+// SpendAndReserve takes a retry at a service for a request that is sent at once and reserves another one for it, or
+// neither, and reports whether there were two. The reservation is ended by SpendReserved or Release.
+func (b *Budgets) SpendAndReserve(now time.Time, service string) bool {
+	return b.of(service).spendAndReserve(now, b.window)
+}
+
 // NoteRefused counts a retry at a service that was refused or has to wait because the budget is empty.
 func (b *Budgets) NoteRefused(service string) { b.of(service).noteRefused() }
 
@@ -209,6 +215,25 @@
 	defer b.mu.Unlock()
 	b.advance(now, window)
 	b.reserved -= reservations
+	return b.take(now)
+}
+
+// spendAndReserve is one step: a reservation that another goroutine sees and that is given up again would cost it a retry
+// which was there.
+func (b *budget) spendAndReserve(now time.Time, window time.Duration) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance(now, window)
+	b.reserved++
+	if b.take(now) {
+		return true
+	}
+	b.reserved--
+	return false
+}
+
+// take takes a retry that is not reserved. The caller holds the mutex.
+func (b *budget) take(now time.Time) bool {
 	if b.left() <= b.reserved {
 		return false
 	}
--- a/coordination/retry/retry_test.go
+++ b/coordination/retry/retry_test.go
@@ -221,3 +221,41 @@
 	}
 	all.Wait()
 }
+
+// Guards against a request that takes its retry and the one for its return in two steps: between them, others find no retry though
+// one is left.
+func TestTwoRetriesAreTakenTogetherOrNotAtAll(t *testing.T) {
+	for left, want := range []bool{false, false, true, true} {
+		b := NewBudgets(10*time.Second, Share{Unearned: left})
+		if got := b.SpendAndReserve(start, "app"); got != want {
+			t.Errorf("%d left: taken %v", left, got)
+		}
+		others := spendAll(b, start, "app")
+		if want {
+			others += 2
+			if !b.SpendReserved(start, "app") {
+				t.Errorf("%d left: the reserved one was not kept", left)
+			}
+		}
+		if others != left {
+			t.Errorf("%d left: %d taken", left, others)
+		}
+	}
+	b := NewBudgets(10*time.Second, Share{Unearned: 1})
+	var all sync.WaitGroup
+	for range 8 {
+		all.Go(func() {
+			for range 1000 {
+				if b.SpendAndReserve(start, "app") {
+					t.Error("two of one")
+				}
+			}
+		})
+	}
+	spent := false
+	all.Go(func() { spent = b.Spend(start, "app") })
+	all.Wait()
+	if !spent {
+		t.Error("another request found no retry though one was left")
+	}
+}
--- a/driver/retries/retries.go
+++ b/driver/retries/retries.go
@@ -164,6 +164,12 @@
 // Spend takes a retry at a service for a request that is sent at once, and reports whether there was one.
 func (c *Controller) Spend(service string) bool { return c.budgets.Spend(c.opt.Clock(), service) }
 
+// SpendAndReserve takes a retry at a service for a request that is sent at once and reserves another one for it, or
+// neither, and reports whether there were two.
+func (c *Controller) SpendAndReserve(service string) bool {
+	return c.budgets.SpendAndReserve(c.opt.Clock(), service)
+}
+
 // NoteRefused counts a retry at a service that was refused or has to wait because the budget is empty.
 func (c *Controller) NoteRefused(service string) { c.budgets.NoteRefused(service) }
 
--- a/transport/edge/watch.go
+++ b/transport/edge/watch.go
@@ -152,15 +152,7 @@
 // payRetry takes the retry of the watched attempt out of the budget, and reserves another one: if the other endpoint does
 // not take the request, it returns to the silent one, which may have gone on.
 func (w *silenceWatch) payRetry() bool {
-	budget, service := w.server.opt.Retries, w.request.service.Name
-	if !budget.Reserve(service) {
-		return false
-	}
-	if !budget.Spend(service) {
-		budget.Release(service)
-		return false
-	}
-	return true
+	return w.server.opt.Retries.SpendAndReserve(w.request.service.Name)
 }
 
 // unpaid is the payment for ending an attempt that is lost in any case.
