streams: a restored record does not let what one daemon has seen count for all

Callers that took up streams after a restart of all daemons but one got events of two versions: the one had missed a version that was listed for a moment, and the store had come back from a copy without it.

Cause: the restarted daemons adopted the history of the one as covering all; it also wrote the record of the new generation as covering all, after which any daemon relied on it.

Change: a record that was restored covers nothing, and the one written in its place says so for the retention. A daemon that has lost others or its own memory does not decide by versions seen until the record covers the retention. Daemons that were there all along still do, so that streams of a single version are not refused for a restore alone.

--- a/coordination/continuation/versions.go
+++ b/coordination/continuation/versions.go
@@ -16,7 +16,11 @@
 type history struct {
 	versions map[string]*version
 	since    time.Time // start of the time that the history covers
-	mixed    bool      // a second version has been reported
+	// uncovered is when this daemon last read a record that does not cover what ran before; zero: never. daemonsLost is set if
+	// daemons were lost before that read: what the others have seen then does not cover it either.
+	uncovered   time.Time
+	daemonsLost bool
+	mixed       bool // a second version has been reported
 }
 
 // version is what a daemon knows of one version of a service's software.
@@ -134,7 +138,7 @@
 // be more than one, or if this daemon has not watched for long enough to know.
 func (t *Table) sole(now time.Time, service string) (software string, ok bool) {
 	h := t.services[service]
-	if h == nil || !t.viewed || !h.since.IsZero() && now.Sub(h.since) < t.retention {
+	if h == nil || !t.viewed || !h.since.IsZero() && now.Sub(h.since) < t.retention || h.daemonsLost && t.isUncovered(now, h) {
 		return "", false
 	}
 	list := h.counting(now, t.retention)
@@ -144,6 +148,18 @@
 	return list[0], true
 }
 
+// NoteUncovered notes that the record does not cover what ran in a service before, as after a restore of the store from a
+// copy. daemonsLost reports whether daemons have been lost whose versions may be known to nobody that is left.
+func (t *Table) NoteUncovered(now time.Time, service string, daemonsLost bool) {
+	h := t.history(service)
+	h.uncovered, h.daemonsLost = now, h.daemonsLost && t.isUncovered(now, h) || daemonsLost
+}
+
+// isUncovered reports whether versions that the record does not name may have begun streams which are still read.
+func (t *Table) isUncovered(now time.Time, h *history) bool {
+	return !h.uncovered.IsZero() && now.Sub(h.uncovered) < t.retention
+}
+
 // Mixed reports whether streams of a service may have begun at more than one version, so that their
 // records must outlast this daemon.
 func (t *Table) Mixed(now time.Time, service string) bool {
@@ -235,7 +251,10 @@
 		}
 	}
 	slices.SortFunc(list, func(a, b RecordedVersion) int { return strings.Compare(a.Software, b.Software) })
-	if now.Sub(h.since) >= t.retention {
+	switch {
+	case t.isUncovered(now, h):
+		return h.uncovered, list
+	case now.Sub(h.since) >= t.retention:
 		return time.Time{}, list
 	}
 	return h.since, list
--- a/driver/streams/random_test.go
+++ b/driver/streams/random_test.go
@@ -817,32 +817,55 @@
 // began the stream, while the store comes back from a copy that lacks it: what the one has seen counted for all that ran.
 // It was found by random faults.
 func TestStoreIsRestoredBesideADaemonThatMissedAVersion(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		in := newInstallation(7, true, &record.Store{Latency: 4 * time.Millisecond})
-		defer in.close()
-		in.set("a", "v1")
-		in.lookAll()
-		time.Sleep(1200 * time.Millisecond)
-		in.lookAll()
-		backup, survivor := in.store.Backup(), in.hosts[6]
-		survivor.blind = true // for less than a view may be old
-		in.set("b", "v2")
-		in.lookAll()
-		time.Sleep(200 * time.Millisecond)
-		id := in.streamNotCopiedTo(survivor)
-		in.beginWhereAllowed(t, id, "b")
-		in.set("b", "")
-		survivor.blind = false
-		in.store.Restore(backup)
-		for _, h := range in.hosts[:6] {
-			h.restart()
-		}
-		for _, h := range in.hosts[:6] {
-			if found, _, refusal := h.controller.Resume(context.Background(), "next", request(id)); refusal == nil && found.Software() != "v2" {
-				t.Errorf("%s: a stream of v2 continues at %s", h.id(), found.Software())
-			}
-		}
-	})
+	for _, c := range []struct {
+		name      string
+		copyEmpty bool          // the copy is older than the record
+		downFor   time.Duration // the one has written the record anew when the others are back
+	}{
+		{"the others are back at once", false, 0},
+		{"the one has written the record", false, 3 * time.Second},
+		{"the copy has no record", true, 0},
+		{"the copy has no record, the one has written it", true, 3 * time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				in := newInstallation(7, true, &record.Store{Latency: 4 * time.Millisecond})
+				defer in.close()
+				backup := in.store.Backup()
+				in.set("a", "v1")
+				in.lookAll()
+				time.Sleep(1200 * time.Millisecond)
+				in.lookAll()
+				if !c.copyEmpty {
+					backup = in.store.Backup()
+				}
+				survivor := in.hosts[6]
+				survivor.blind = true // for less than a view may be old
+				in.set("b", "v2")
+				in.lookAll()
+				time.Sleep(200 * time.Millisecond)
+				id := in.streamNotCopiedTo(survivor)
+				in.beginWhereAllowed(t, id, "b")
+				in.set("b", "")
+				survivor.blind = false
+				in.store.Restore(backup)
+				for _, h := range in.hosts[:6] {
+					h.stop()
+				}
+				for until := time.Now().Add(c.downFor); time.Now().Before(until); time.Sleep(confirmEvery) {
+					survivor.look()
+				}
+				for _, h := range in.hosts[:6] {
+					h.restart()
+				}
+				for _, h := range in.hosts[:6] {
+					if found, _, refusal := h.controller.Resume(context.Background(), "next", request(id)); refusal == nil && found.Software() != "v2" {
+						t.Errorf("%s: a stream of v2 continues at %s", h.id(), found.Software())
+					}
+				}
+			})
+		})
+	}
 }
 
 // streamNotCopiedTo returns the id of a stream of which a daemon gets no copy if the first one begins it.
--- a/driver/streams/record.go
+++ b/driver/streams/record.go
@@ -211,11 +211,18 @@
 	c.opt.Log.Info(decisions.EventSoftwareRecord, "read", true, "services", len(rec.Services), "writer", rec.Writer, "age_ms", ageMs(rec.WrittenUnixMs), "versions", rec.versions())
 	c.setRecordInfo(rec)
 	current := rec.Generation == c.record.Version().Generation
+	daemonsLost := c.daemonsWereLost()
 	c.mu.Lock()
+	if !current {
+		for _, service := range c.t.Services() {
+			c.t.NoteUncovered(now, service, daemonsLost)
+		}
+	}
 	for service, s := range rec.Services {
 		since := time.Time{}
 		if s.SinceUnixMs != 0 || !current {
 			since = now // how much it covers cannot be told by another daemon's clock, and nothing since the copy
+			c.t.NoteUncovered(now, service, daemonsLost)
 		}
 		c.t.AdoptHistory(service, since, nil)
 	}
