edge: a begun stream returns to its silent endpoint past checks for new requests

Callers of a begun stream saw their answer break off where its endpoint, which is sound, fell silent for a moment: the stream had left it, no other endpoint took it, and the return was refused ("not-taken-over", "held-back").

Cause: the return was judged as a new request is. It was refused if the endpoint had asked for a pause meanwhile, even one of 0.1 s; if the quarantine had begun to hold the request back, though it had run there already; and if the endpoint had begun to leave, though it still takes what no other one can serve.

Change: the return waits for an endpoint that only takes no requests now, as long as the caller waits; the quarantine has no say in it, unless a connection broke under the request, which may have crashed an endpoint; a leaving endpoint is the last resort, as for other requests. An endpoint counts as tried again once the request is admitted there.

--- a/transport/edge/locate.go
+++ b/transport/edge/locate.go
@@ -32,7 +32,7 @@
 // served after that.
 func (s *Server) locate(ctx context.Context, q *request, t *attemptState) (*fleet.Endpoint, *protocol.Refusal) {
 	if t.returns {
-		return s.locateLeft(q, t)
+		return s.locateLeft(ctx, q, t)
 	}
 	exclude, absent, unreachable := t.exclude, t.absentAt(), t.last != nil && t.last.unreachable && !t.last.noPath
 	if q.service.Engine == nil || q.call.Model == "" {
@@ -94,17 +94,40 @@
 	}
 }
 
-// locateLeft picks an endpoint that the request has left because of its silence, once each.
-func (s *Server) locateLeft(q *request, t *attemptState) (*fleet.Endpoint, *protocol.Refusal) {
-	left := slices.DeleteFunc(slices.Clone(s.candidates(q)), func(e *fleet.Endpoint) bool { return !slices.ContainsFunc(t.left, e.Incarnation().Matches) })
-	query := balanceQuery(q, nil)
-	query.Request = t.queueRequest(q)
-	e := s.opt.Balancer.Pick(clock.Now(), left, query)
-	if e == nil {
-		return nil, refuseNotTaken()
+// locateLeft picks an endpoint that the request has left because of its silence, once each. It waits for one that only takes
+// no requests now, by its own word, as long as the caller waits.
+func (s *Server) locateLeft(ctx context.Context, q *request, t *attemptState) (*fleet.Endpoint, *protocol.Refusal) {
+	for {
+		left := slices.DeleteFunc(slices.Clone(s.returnTargets(q, t)), func(e *fleet.Endpoint) bool { return !slices.ContainsFunc(t.left, e.Incarnation().Matches) })
+		query := balanceQuery(q, nil)
+		query.Request = t.queueRequest(q)
+		if e := s.opt.Balancer.Pick(clock.Now(), left, query); e != nil {
+			return e, nil
+		}
+		if e := s.opt.Balancer.PickLeaving(clock.Now(), left, query); e != nil {
+			return e, nil
+		}
+		if len(s.opt.Balancer.Unavailable(clock.Now(), left, query.Request)) == 0 || !t.callerWaits(q, turnRecheck) {
+			return nil, refuseNotTaken()
+		}
+		pause.For(ctx, turnRecheck)
+		if ctx.Err() != nil {
+			return nil, s.outOfTime(t.verdict)
+		}
+	}
+}
+
+// returnTargets returns the endpoints to which a request may return that has left them. The quarantine does not keep it away from
+// them unless an endpoint has broken off under it: it has run there already.
+func (s *Server) returnTargets(q *request, t *attemptState) []*fleet.Endpoint {
+	list := s.originEndpoints(q)
+	if t.broke {
+		list = s.endpoints(q)
+	}
+	if q.service.Engine != nil && q.call.Model != "" {
+		list = withModel(list, q)
 	}
-	t.left = slices.DeleteFunc(t.left, e.Incarnation().Matches)
-	return e, nil
+	return list
 }
 
 // refuseNotTaken refuses a request that has left a silent endpoint and is taken by no other one.
--- a/transport/edge/run.go
+++ b/transport/edge/run.go
@@ -28,6 +28,7 @@
 	ran         []fleet.Incarnation // endpoints at which the request may have run
 	left        []fleet.Incarnation // endpoints that were left because of their silence, and may have gone on
 	returns     bool                // only endpoints in left may be chosen
+	broke       bool                // a connection to an endpoint broke under the request
 	verdict     protocol.Verdict    // the worst of all attempts
 	exclude     []fleet.Incarnation // endpoints that have failed the request
 	pauses      int                 // pauses made because all endpoints had refused the request
@@ -52,6 +53,7 @@
 	f.endpoint = endpoint
 	t.last = f
 	t.verdict = max(t.verdict, f.verdict)
+	t.broke = t.broke || f.connBroken
 	if f.verdict != protocol.NotRun && !slices.ContainsFunc(t.ran, endpoint.Matches) {
 		t.ran = append(t.ran, endpoint)
 	}
@@ -170,7 +172,7 @@
 		if refusal := s.checkOrigin(q); refusal != nil {
 			return nil, refusal
 		}
-		if refusal := s.opt.Quarantine.CheckHeld(q.subject(), func() []quarantiner.Target { return s.targets(q) }); refusal != nil {
+		if refusal := s.checkHeld(q, t); refusal != nil {
 			return nil, refusal
 		}
 		e, refusal := s.locate(ctx, q, t)
@@ -183,12 +185,25 @@
 			return nil, refusal
 		}
 		if admitted {
+			t.left = slices.DeleteFunc(t.left, e.Incarnation().Matches)
 			return e, nil
 		}
 	}
 	return nil, s.refuseUnavailable(q, t, s.unavailable(q, t, s.candidates(q)))
 }
 
+// checkHeld refuses a request that the quarantine keeps away from all endpoints.
+func (s *Server) checkHeld(q *request, t *attemptState) *protocol.Refusal {
+	if t.returnsUnharmed() {
+		return nil
+	}
+	return s.opt.Quarantine.CheckHeld(q.subject(), func() []quarantiner.Target { return s.targets(q) })
+}
+
+// returnsUnharmed reports whether the request returns to endpoints that were silent, and none has broken off under it. The quarantine has
+// no say then: the request has run there already, and what is held back since may be a part that it only shares.
+func (t *attemptState) returnsUnharmed() bool { return t.returns && !t.broke }
+
 // admit is the last check before a request is sent to an endpoint, however the endpoint was chosen.
 // It sets q.probe and q.limitTicket to what the request takes. It returns false without a refusal
 // if the endpoint takes no requests now.
@@ -197,8 +212,11 @@
 	// suitable endpoint were refused before that.
 	s.opt.Quarantine.WaitSynced(ctx)
 	s.opt.Throttle.WaitSynced(ctx)
-	if q.probe, refusal = s.opt.Quarantine.Admit(ctx, q.subject(), s.target(q, e)); refusal != nil {
-		return false, refusal
+	q.probe = nil
+	if !t.returnsUnharmed() {
+		if q.probe, refusal = s.opt.Quarantine.Admit(ctx, q.subject(), s.target(q, e)); refusal != nil {
+			return false, refusal
+		}
 	}
 	ticket, d := s.opt.Throttle.Admit(ctx, e.Incarnation(), t.queueRequest(q))
 	if d.Closed() {
--- a/transport/edge/takeup_test.go
+++ b/transport/edge/takeup_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"maps"
 	"net/http"
 	"net/http/httptest"
@@ -10,16 +11,22 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/doorvalve/doorvalve/coordination/backpressure"
 	"github.com/doorvalve/doorvalve/coordination/balance"
 	"github.com/doorvalve/doorvalve/coordination/continuation"
+	"github.com/doorvalve/doorvalve/coordination/membership"
 	"github.com/doorvalve/doorvalve/coordination/residency"
+	"github.com/doorvalve/doorvalve/driver/decisions"
+	"github.com/doorvalve/doorvalve/driver/quotas"
 	"github.com/doorvalve/doorvalve/driver/throttle"
 	"github.com/doorvalve/doorvalve/protocol"
 	"github.com/doorvalve/doorvalve/state/fleet"
 	"github.com/doorvalve/doorvalve/state/routing"
 	"github.com/doorvalve/doorvalve/state/storeversion"
+	"github.com/doorvalve/doorvalve/state/workspace"
 )
 
 // assigning is a coordinator with one answer for all requests.
@@ -77,12 +84,23 @@
 // takeUp returns a server before one engine that takes a request after a time, and a request: a new stream, or one that began at
 // that engine's version and whose caller has the event lastID.
 func takeUp(t *testing.T, lastID string, startsIn time.Duration) (*Server, *request, *fleet.Endpoint) {
+	t.Helper()
+	return takeUpWith(t, newTracker(), lastID, startsIn)
+}
+
+// takeUpWith is takeUp with the backpressure signals of a tracker.
+func takeUpWith(t *testing.T, tracker *backpressure.Tracker, lastID string, startsIn time.Duration) (*Server, *request, *fleet.Endpoint) {
 	t.Helper()
 	e := &fleet.Endpoint{ID: "e", Service: "llm", Software: "v1", Slots: 16, Address: "127.0.0.1:1", Models: []fleet.LoadedModel{{Model: "m"}}}
 	view := fleet.NewView(storeversion.Version{Revision: 1}, []*fleet.Endpoint{e})
-	tracker := newTracker()
+	log := decisions.New(io.Discard, "test", hclog.Off)
+	t.Cleanup(log.Close)
+	shares := quotas.New(quotas.Options{
+		Self: "d", Members: func() []membership.Member { return []membership.Member{{ID: "d"}} }, Revision: func() uint64 { return 1 },
+		Directory: func() (*workspace.Directory, uint64) { return nil, 0 }, Log: log, Metrics: tally.NoopScope,
+	})
 	s := New(Options{
-		Balancer: balance.New("z", 1, tracker), Throttle: throttle.New(throttle.Options{Tracker: tracker, Metrics: tally.NoopScope}), Metrics: tally.NoopScope, Dialect: ranksDialect{}, View: func() *fleet.View { return view },
+		Balancer: balance.New("z", 1, tracker), Throttle: throttle.New(throttle.Options{Tracker: tracker, Limits: shares.Endpoints(), Log: log, Metrics: tally.NoopScope}), Log: log, Metrics: tally.NoopScope, Dialect: ranksDialect{}, View: func() *fleet.View { return view },
 		Locator: assigning{Endpoint: e.Incarnation(), Level: residency.Resident, StartsIn: startsIn}, DrainDeadline: func() time.Time { return time.Time{} },
 	})
 	s.opt.Streams.ObserveView(view)
