edge: a stopping daemon does not cut a begun stream that waits for its model

Callers of a begun stream whose endpoint had failed lost it at a daemon that was about to stop, though another endpoint had its model ready well before the end of the grace period.

Cause: the check that keeps new requests from daemons that stop was made for begun ones, too, in the wait for a model; the wait for a turn has left them out all along.

TestBegunStreamWaitsForItsModelAtAStoppingDaemon failed before for the begun stream.

--- a/transport/edge/locate.go
+++ b/transport/edge/locate.go
@@ -192,7 +192,7 @@
 // waitForModel waits for the request's model, or refuses the request if the wait is not worthwhile.
 func (s *Server) waitForModel(ctx context.Context, q *request, t *attemptState, answer residency.Answer) *protocol.Refusal {
 	elapsed := time.Since(q.arrived)
-	if s.stopsBefore(answer.ReadyIn) {
+	if t.verdict == protocol.NotRun && s.stopsBefore(answer.ReadyIn) {
 		return protocol.Refuse(http.StatusServiceUnavailable, reasonStopping, "this daemon stops before the model is loaded", retryDraining)
 	}
 	source := sourceOf(answer)
--- a/transport/edge/return_test.go
+++ b/transport/edge/return_test.go
@@ -9,6 +9,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/doorvalve/doorvalve/coordination/backpressure"
+	"github.com/doorvalve/doorvalve/coordination/residency"
 	"github.com/doorvalve/doorvalve/coordination/retry"
 	"github.com/doorvalve/doorvalve/driver/quarantiner"
 	"github.com/doorvalve/doorvalve/driver/retries"
@@ -97,3 +98,28 @@
 		panic("the request is not held back")
 	}
 }
+
+// Guards against a begun stream that a stopping daemon cuts, though its model is ready well before the daemon ends.
+func TestBegunStreamWaitsForItsModelAtAStoppingDaemon(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		verdict protocol.Verdict
+		refused string
+	}{
+		{"it has begun", protocol.MayHaveRun, ""},
+		{"it is new", protocol.NotRun, reasonStopping},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				x := newReturning(t)
+				x.state.verdict = c.verdict
+				stops := time.Now().Add(drainWaitReserve)
+				x.server.opt.DrainDeadline = func() time.Time { return stops }
+				refusal := x.server.waitForModel(t.Context(), x.request, x.state, residency.Answer{Endpoint: x.endpoint.Incarnation(), ReadyIn: 100 * time.Millisecond})
+				if got := refusal; (got != nil) != (c.refused != "") || got != nil && got.Reason != c.refused {
+					t.Errorf("%+v, want %q", got, c.refused)
+				}
+			})
+		})
+	}
+}
