streams: what only the store has is asked of its readers first

Callers that took up streams after all of 77 daemons were lost waited 0.3 to 0.9 s for the daemon to find the version that began them, of some 2 s that they had left, and were then out of time.

Cause: in a fleet of more than 16, a take-up asked the 4 daemons that hold copies and 64 others, none of which can know the stream after a restart of all, before it asked the few that read the stored origins; each of these listed the store anew for each question that came after its last list. All callers come at once, to hosts of a fifth of a core.

Change: the readers are asked before the other daemons, and answer from what they have read if it has the stream. For what no reader has the others are asked as before.

--- a/driver/streams/resume.go
+++ b/driver/streams/resume.go
@@ -35,7 +35,9 @@
 	if found, ok := c.decide(r, false); ok {
 		return found, c.ownFinding(r), nil
 	}
-	for _, source := range []func(context.Context, *question) (continuation.Constraint, bool){c.askHolders, c.askRecord, c.askOthers, c.askStored} {
+	// After a restart of all daemons only the stored origins have the stream, and all of its callers come at once: the others are
+	// asked last.
+	for _, source := range []func(context.Context, *question) (continuation.Constraint, bool){c.askHolders, c.askRecord, c.askStored, c.askOthers} {
 		if found, ok := source(ctx, q); ok {
 			fields := append([]any{"request", requestID, "service", r.Service, "software", found.Software()}, q.finding.Fields()...)
 			c.opt.Log.Info(decisions.EventOriginFound, fields...)
--- a/driver/streams/stored.go
+++ b/driver/streams/stored.go
@@ -298,18 +298,24 @@
 	q.addSilent(sourceStored)
 }
 
-// findStored answers another daemon that asks for a stored stream.
+// findStored answers another daemon that asks for a stored stream. What was read before is enough if it has the stream: its
+// origin does not change.
 func (c *Controller) findStored(ctx context.Context, f continuation.Fingerprint) (*streampb.FindResponse, error) {
-	if err := c.readStored(ctx, c.opt.Clock()); err != nil {
-		return nil, err
+	for _, since := range []time.Time{c.started, c.opt.Clock()} {
+		if err := c.readStored(ctx, since); err != nil {
+			return nil, err
+		}
+		if software := c.storedSoftware(f); software != "" {
+			return &streampb.FindResponse{Stream: &streampb.Stream{Software: software}}, nil
+		}
 	}
+	return &streampb.FindResponse{}, nil
+}
+
+func (c *Controller) storedSoftware(f continuation.Fingerprint) string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	resp := &streampb.FindResponse{}
-	if software := c.t.StoredSoftware(f); software != "" {
-		resp.Stream = &streampb.Stream{Software: software}
-	}
-	return resp, nil
+	return c.t.StoredSoftware(f)
 }
 
 // readers returns the daemons that read the objects.
--- a/driver/streams/stored_test.go
+++ b/driver/streams/stored_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -72,6 +73,40 @@
 	}
 }
 
+// Guards against take-ups that ask most daemons of a large fleet for a stream that only the store has, and against a list of the
+// store for each of them: after a restart of all daemons they come at once, and hosts of a fifth of a core answer late.
+func TestTakeUpsAfterARestartOfAllAskFewDaemons(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const streams, daemons = 200, 71
+		in := mixedInstallation(daemons)
+		defer in.close()
+		ids, _ := in.beginAtBoth(streams)
+		time.Sleep(1500 * time.Millisecond)
+		in.killAll()
+		calls, lists, began := in.callCount(), in.origins.Calls(), time.Now()
+		var all sync.WaitGroup
+		for i, id := range ids {
+			all.Go(func() {
+				if _, _, refusal := in.hosts[(i+1)%daemons].controller.Resume(context.Background(), "next", request(id)); refusal != nil {
+					t.Errorf("%s: %v", id, refusal)
+				}
+			})
+		}
+		all.Wait()
+		took := time.Since(began)
+		if n := in.callCount() - calls; n > streams*(askedFirst+maxQuestions) {
+			t.Errorf("%d messages for %d streams, want at most %d each", n, streams, askedFirst+maxQuestions)
+		}
+		readers := minReaders + daemons/daemonsPerReader
+		if n, most := in.origins.Calls()-lists, readers*(1+int(took/minListInterval)); n > most {
+			t.Errorf("%d lists by %d daemons, want at most %d", n, readers, most)
+		}
+		if took > 2*minListInterval {
+			t.Errorf("the last origin was found after %v", took)
+		}
+	})
+}
+
 // Guards against callers that come back in vain for a stream that is lost, and against those that are told so while the store, which
 // knows the stream, is away.
 func TestLostIsToldFromNotKnownYet(t *testing.T) {
