streams: a few daemons of a large fleet store begun streams for all

Cause: each daemon kept its streams in an object of its own, and so that all together write no more than 80 times a second, each wrote only once in 12 ms times the number of daemons, 0.95 s at 79.

Change: among more than 16 daemons those that read the objects also write them: each stream is told to one of them, which writes every 0.1 to 0.3 s. A daemon keeps itself what it could tell nobody. An object that grows is written less often.

TestStreamsAreStoredWithoutTheirKeeper guards the fallback.

--- a/coordination/continuation/stored.go
+++ b/coordination/continuation/stored.go
@@ -22,7 +22,24 @@
 // Stored is what outlasts all daemons of begun streams: by the software that began them.
 type Stored map[string][]Fingerprint
 
-// OwnStored returns the streams that began at this daemon in services that run more than one version. Those whose
+// Len returns the number of streams.
+func (s Stored) Len() (n int) {
+	for _, list := range s {
+		n += len(list)
+	}
+	return n
+}
+
+// SetStored sets whether this daemon keeps streams in its object in the store. At first it keeps those that began here.
+func (t *Table) SetStored(keys []Key, stored bool) {
+	for _, k := range keys {
+		if e := t.records[k]; e != nil {
+			e.stored = stored
+		}
+	}
+}
+
+// OwnStored returns the streams that this daemon keeps in its object, of services that run more than one version. Those whose
 // endpoint reports no version are left out: the version alone does not tell where they continue.
 func (t *Table) OwnStored(now time.Time) Stored {
 	list := Stored{}
@@ -32,11 +49,8 @@
 	}
 	for _, e := range t.records {
 		o := e.Origin
-		if !e.own || o.Software == "" || now.Sub(e.At) >= t.retention || !mixed[o.Service] {
-			continue
-		}
-		if _, certain := t.constrain(now, e.Record); certain {
-			list[o.Software] = append(list[o.Software], fingerprint(e.Key, o.Service, o.Workspace, o.Unit))
+		if e.stored && o.Software != "" && now.Sub(e.At) < t.retention && mixed[o.Service] && t.isCertain(e.Record) {
+			list[o.Software] = append(list[o.Software], e.print)
 		}
 	}
 	return list
--- a/coordination/continuation/table.go
+++ b/coordination/continuation/table.go
@@ -55,7 +55,9 @@
 
 type entry struct {
 	Record
-	own bool // began at this daemon
+	own    bool // began at this daemon
+	stored bool // this daemon keeps it in its object in the store
+	print  Fingerprint
 }
 
 // listing is the latest description of an endpoint's id.
@@ -120,11 +122,12 @@
 	t.history(r.Origin.Service).version(r.Origin.Software).see(r.At)
 	have := t.records[r.Key]
 	if have == nil {
-		t.records[r.Key] = &entry{Record: r, own: own}
+		o := r.Origin
+		t.records[r.Key] = &entry{Record: r, own: own, stored: own, print: fingerprint(r.Key, o.Service, o.Workspace, o.Unit)}
 		t.enforceLimit()
 		return
 	}
-	have.own = have.own || own
+	have.own, have.stored = have.own || own, have.stored || own
 	if have.Origin != r.Origin {
 		have.Origin.Ambiguous = true
 	}
@@ -192,16 +195,22 @@
 
 // constrain returns where the stream of a record may continue.
 func (t *Table) constrain(now time.Time, r Record) (Constraint, bool) {
-	o := r.Origin
-	_, sole := t.sole(now, o.Service)
-	replacedAt, replaced := t.replaced[o.Incarnation.ID]
-	switch {
-	case o.Ambiguous, replaced && replacedAt.Sub(r.At) < replacementLag && !replacedAt.Before(r.At):
+	if !t.isCertain(r) {
 		return Constraint{}, false
-	case o.Software == "" && !sole:
-		return sameIncarnation(o.Incarnation), true // endpoints without a version may differ
 	}
-	return sameSoftware(o.Software), true
+	if r.Origin.Software != "" {
+		return sameSoftware(r.Origin.Software), true
+	}
+	if _, sole := t.sole(now, r.Origin.Service); !sole {
+		return sameIncarnation(r.Origin.Incarnation), true // endpoints without a version may differ
+	}
+	return sameSoftware(""), true
+}
+
+// isCertain reports whether the software of a record is known for certain.
+func (t *Table) isCertain(r Record) bool {
+	replacedAt, replaced := t.replaced[r.Origin.Incarnation.ID]
+	return !r.Origin.Ambiguous && !(replaced && replacedAt.Sub(r.At) < replacementLag && !replacedAt.Before(r.At))
 }
 
 // Retention returns for how long records are kept.
--- a/driver/streams/stored.go
+++ b/driver/streams/stored.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/base64"
 	"encoding/json"
 	"errors"
 	"slices"
@@ -16,17 +17,20 @@
 	"github.com/doorvalve/doorvalve/protocol/streampb"
 )
 
-// While a service runs several versions, each daemon keeps the streams that it has begun in an object of its own
-// in the store, for the case that all daemons that have their records end at once. A stream is written at once, or
-// with those that begin until the next write is due; no event waits for it. The object of a daemon that has
-// ended stays until none of its streams can be taken up.
+// While a service runs several versions, begun streams are kept in objects in the store, for the case that all daemons that
+// have their records end at once. In a small fleet each daemon keeps those that it has begun in an object of its own. In a larger one
+// a few daemons keep those of all: many writers could each write only seldom. A stream is written at once, or with those that come
+// until the next write is due; no event waits for it. The object of a daemon that has ended stays until none of
+// its streams can be taken up.
 
 const (
 	// minFlushInterval and maxFlushInterval bound the time between two writes, for which new streams are collected.
 	minFlushInterval = 100 * time.Millisecond
 	maxFlushInterval = time.Second
-	// flushIntervalPerDaemon keeps the writes of all daemons together below some 80 a second.
-	flushIntervalPerDaemon = 12 * time.Millisecond
+	// flushIntervalPerWriter keeps the writes of all daemons together below some 80 a second.
+	flushIntervalPerWriter = 12 * time.Millisecond
+	// flushBytesPerSecond bounds what one daemon writes: an object has all streams of the retention each time.
+	flushBytesPerSecond = 32 << 10
 	// minListInterval is the time between two lists of the objects.
 	minListInterval = 250 * time.Millisecond
 	// smallFleet is the number of daemons up to which each of them reads the objects itself. Among more, a few
@@ -54,9 +58,10 @@
 // storedOrigins is this daemon's part in the stored origins.
 type storedOrigins struct {
 	dirty chan struct{}
-	// own and exists, whether an object of this daemon is stored, belong to runStored.
-	own    record.Record
-	exists bool
+	// own, streams, the number of streams in it, and exists, whether an object of this daemon is stored, belong to runStored.
+	own     record.Record
+	streams int
+	exists  bool
 	// The fields below belong to whom has sent to listing.
 	listing chan struct{}
 	reads   lastRead
@@ -117,7 +122,7 @@
 	for ctx.Err() == nil {
 		select {
 		case <-c.stored.dirty:
-			pause.For(ctx, flushInterval(len(c.opt.Members()))-c.stored.own.SinceTried(c.opt.Clock()))
+			pause.For(ctx, flushInterval(c.writers(), c.stored.streams)-c.stored.own.SinceTried(c.opt.Clock()))
 			if err := c.flush(ctx); err != nil {
 				c.logStoredError(err)
 				c.stored.markDirty()
@@ -131,8 +136,20 @@
 	}
 }
 
-func flushInterval(daemons int) time.Duration {
-	return min(maxFlushInterval, max(minFlushInterval, time.Duration(daemons)*flushIntervalPerDaemon))
+// flushInterval returns the time between two writes of an object with a number of streams, if so many daemons write.
+func flushInterval(writers, streams int) time.Duration {
+	size := streams * base64.StdEncoding.EncodedLen(len(continuation.Fingerprint{}))
+	interval := max(time.Duration(writers)*flushIntervalPerWriter, time.Duration(size)*time.Second/flushBytesPerSecond)
+	return min(maxFlushInterval, max(minFlushInterval, interval))
+}
+
+// writers returns the number of daemons that write as often as this one.
+func (c *Controller) writers() int {
+	members, readers := c.opt.Members(), c.readers()
+	if isMember(readers, c.opt.Self) {
+		return len(readers)
+	}
+	return len(members) // it writes only what no other daemon could be told
 }
 
 var errNotWritten = errors.New("the object of this daemon's streams was not written")
@@ -159,7 +176,7 @@
 	if !written {
 		return errors.Join(errNotWritten, err)
 	}
-	s.exists = true
+	s.exists, s.streams = true, own.Len()
 	c.metrics.stored.Inc(1)
 	return nil
 }
--- a/driver/streams/stored_test.go
+++ b/driver/streams/stored_test.go
@@ -107,6 +107,76 @@
 	})
 }
 
+// Guards against streams of a large fleet that began a good while before all daemons were lost and that nobody has stored, since so many
+// daemons may each write only once a second, and bounds the writes.
+func TestStreamsOfALargeFleetAreStoredSoon(t *testing.T) {
+	const seconds, perDaemon, writesPerSecond = 3, 3, 85 // streams a second begin at each daemon
+	for _, daemons := range []int{24, 79, 195} {
+		t.Run(fmt.Sprint(daemons), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				in := mixedInstallation(daemons)
+				defer in.close()
+				time.Sleep(1500 * time.Millisecond) // the first writes are over
+				writes, ids, software := in.origins.Calls(), []string(nil), map[string]string{}
+				for i := range seconds * perDaemon * daemons {
+					id, e := fmt.Sprint("late-", i), in.endpoints[[]string{"a", "b"}[i%2]]
+					in.hosts[i%daemons].begin(id, e)
+					ids, software[id] = append(ids, id), e.Software
+					time.Sleep(time.Second / time.Duration(perDaemon*daemons))
+				}
+				writes = in.origins.Calls() - writes
+				time.Sleep(400 * time.Millisecond)
+				in.killAll()
+				lost := 0
+				for i, id := range ids {
+					found, _, refusal := in.hosts[(i+1)%daemons].controller.Resume(context.Background(), "next", request(id))
+					if refusal != nil {
+						lost++
+					} else if found.Software() != software[id] {
+						t.Errorf("%s of %s continues at %s", id, software[id], found.Software())
+					}
+				}
+				if lost > 0 {
+					t.Errorf("%d of %d streams are lost", lost, len(ids))
+				}
+				if most := seconds*writesPerSecond + daemons; writes > most { // each daemon that writes reads its object once
+					t.Errorf("%d calls to the store in %d s, want at most %d", writes, seconds, most)
+				}
+			})
+		})
+	}
+}
+
+// Guards against streams that nobody stores where the daemon that is to keep them in the store does not answer.
+func TestStreamsAreStoredWithoutTheirKeeper(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const daemons, streams = 24, 48
+		in := mixedInstallation(daemons)
+		defer in.close()
+		readers := in.hosts[0].controller.readers()
+		for _, h := range in.hosts {
+			if isMember(readers, h.id()) {
+				h.mu.Lock()
+				h.down = true
+				h.mu.Unlock()
+			}
+		}
+		var ids []string
+		for i := range streams {
+			if h := in.hosts[i%daemons]; !isMember(readers, h.id()) {
+				id := fmt.Sprint("s", i)
+				h.begin(id, in.endpoints["a"])
+				ids = append(ids, id)
+			}
+		}
+		time.Sleep(1500 * time.Millisecond)
+		in.killAll()
+		for i, id := range ids {
+			resume(t, in.hosts[i%daemons], id, "v1")
+		}
+	})
+}
+
 // Guards against callers that come back in vain for a stream that is lost, and against those that are told so while the store, which
 // knows the stream, is away.
 func TestLostIsToldFromNotKnownYet(t *testing.T) {
--- a/driver/streams/streams.go
+++ b/driver/streams/streams.go
@@ -227,7 +227,6 @@
 	mixed := c.t.Mixed(now, o.Service)
 	c.mu.Unlock()
 	if mixed {
-		c.stored.markDirty()
 		c.place(ctx, key, r)
 	}
 }
@@ -269,16 +268,26 @@
 	}
 }
 
-// place copies a record to other daemons, and returns once the first of them has it.
+// place copies a record to other daemons, and returns once the first of them has it. It lets the record be stored.
 func (c *Controller) place(ctx context.Context, key continuation.Key, r continuation.Record) {
+	streams := []*streampb.Stream{toWire(c.opt.Clock(), r)}
+	background := context.WithoutCancel(ctx)
+	keeper, other := c.keeperOf(key)
+	if other {
+		go c.storeAt(background, keeper, streams)
+	} else {
+		c.stored.markDirty()
+	}
 	targets := c.ranked(key)
 	targets = targets[:min(copies, len(targets))]
+	if other {
+		targets = slices.DeleteFunc(slices.Clone(targets), func(m membership.Member) bool { return m.ID == keeper.ID }) // it has the record
+	}
 	if len(targets) == 0 {
 		return
 	}
-	req := &streampb.PlaceRequest{Streams: []*streampb.Stream{toWire(c.opt.Clock(), r)}}
+	req := &streampb.PlaceRequest{Streams: streams}
 	done := make(chan error, len(targets))
-	background := context.WithoutCancel(ctx)
 	for _, m := range targets {
 		go func() { done <- c.sendPlace(background, m, req) }()
 	}
@@ -308,6 +317,31 @@
 	return err
 }
 
+// keeperOf returns the daemon that keeps a stream of this daemon in its object in the store. In a small fleet each daemon keeps its
+// own. In a larger one a few keep those of all, so that they can write often. other is false if it is this daemon.
+func (c *Controller) keeperOf(key continuation.Key) (keeper membership.Member, other bool) {
+	if c.opt.Origins == nil || len(c.opt.Members()) <= smallFleet {
+		return membership.Member{}, false
+	}
+	keeper = membership.Rendezvous(string(key[:]), c.readers())[0]
+	return keeper, keeper.ID != c.opt.Self
+}
+
+// storeAt lets another daemon keep streams of this one in its object. This daemon keeps them itself if that one does not
+// answer.
+func (c *Controller) storeAt(ctx context.Context, keeper membership.Member, streams []*streampb.Stream) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	resp, err := c.opt.Peer(keeper.PeerAddress).Place(ctx, &streampb.PlaceRequest{Streams: streams, Store: true})
+	if err != nil || !resp.GetStored() {
+		c.stored.markDirty()
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.t.SetStored(keysOf(streams), false)
+}
+
 // ranked returns the other daemons in the order in which they hold copies of a record.
 func (c *Controller) ranked(key continuation.Key) []membership.Member {
 	return slices.DeleteFunc(membership.Rendezvous(string(key[:]), c.opt.Members()), func(m membership.Member) bool { return m.ID == c.opt.Self })
@@ -384,20 +418,30 @@
 
 // placeOwn copies the records of a service's streams that began here while there was one version.
 func (c *Controller) placeOwn(ctx context.Context, service string) {
-	c.stored.markDirty()
 	c.mu.Lock()
 	own := c.t.Own(service)
 	c.mu.Unlock()
 	now := c.opt.Clock()
-	byTarget := map[string][]*streampb.Stream{}
+	byTarget, byKeeper := map[string][]*streampb.Stream{}, map[string][]*streampb.Stream{}
 	targets := map[string]membership.Member{}
 	for _, r := range own {
+		if keeper, other := c.keeperOf(r.Key); other {
+			targets[keeper.ID] = keeper
+			byKeeper[keeper.ID] = append(byKeeper[keeper.ID], toWire(now, r))
+		} else {
+			c.stored.markDirty()
+		}
 		ranked := c.ranked(r.Key)
 		for _, m := range ranked[:min(copies, len(ranked))] {
 			targets[m.ID] = m
 			byTarget[m.ID] = append(byTarget[m.ID], toWire(now, r))
 		}
 	}
+	for id, list := range byKeeper {
+		for part := range slices.Chunk(list, batch) {
+			c.storeAt(ctx, targets[id], part)
+		}
+	}
 	for id, list := range byTarget {
 		for part := range slices.Chunk(list, batch) {
 			_ = c.sendPlace(ctx, targets[id], &streampb.PlaceRequest{Streams: part}) // other daemons have copies, and this one has the record
@@ -415,12 +459,19 @@
 			records = append(records, r)
 		}
 	}
+	store := req.Store && c.opt.Origins != nil
 	c.mu.Lock()
 	c.t.Merge(now, records)
+	if store {
+		c.t.SetStored(keysOf(req.Streams), true)
+	}
 	mixed := c.t.NewlyMixed(now)
 	c.mu.Unlock()
 	c.notifyMixed(mixed)
-	return &streampb.PlaceResponse{}, nil
+	if store {
+		c.stored.markDirty()
+	}
+	return &streampb.PlaceResponse{Stored: store}, nil
 }
 
 // Find implements streampb.Streams.
--- a/driver/streams/wire.go
+++ b/driver/streams/wire.go
@@ -53,3 +53,13 @@
 	}
 	return since, seen
 }
+
+// keysOf returns the keys of streams that have a complete one.
+func keysOf(streams []*streampb.Stream) (keys []continuation.Key) {
+	for _, s := range streams {
+		if len(s.GetKey()) == len(continuation.Key{}) {
+			keys = append(keys, continuation.Key(s.Key))
+		}
+	}
+	return keys
+}
