edge: a begun stream is not too late for its model

Callers of streams that had begun were refused as "no-room" or "model-loading" when they took them up some seconds later: the model was not loaded any more at the engines of their version, and its load yielded to others.

The slack of the request was that of a first event, counted from the caller's first attempt, so that the stream counted as late and its model as worth less.

Change: the slack of a request that has begun is the time until its caller leaves, and it counts as one that has returned.

--- a/transport/edge/locate.go
+++ b/transport/edge/locate.go
@@ -54,7 +54,7 @@
 		if !q.constraint().Incarnation().IsZero() { // no load elsewhere could help
 			return s.locateOnly(q, t, exclude)
 		}
-		answer := s.opt.Locator.Want(ctx, q.service.Name, s.wantOf(q, residency.Want{Avoid: avoid, Unreachable: unreachable, MissingAt: absent, Full: unavailable.incarnations}))
+		answer := s.opt.Locator.Want(ctx, q.service.Name, s.wantOf(q, t, residency.Want{Avoid: avoid, Unreachable: unreachable, MissingAt: absent, Full: unavailable.incarnations}))
 		absent, unreachable = fleet.Incarnation{}, false // reported to the coordinator only once
 		if ctx.Err() != nil {
 			return nil, s.outOfTime(protocol.NotRun)
@@ -146,16 +146,20 @@
 	return protocol.Refuse(http.StatusServiceUnavailable, "no-path", "neither this daemon nor those that it has asked reach an endpoint of the service", retryNoPath)
 }
 
-// wantOf completes the description of a request for the coordinator.
-func (s *Server) wantOf(q *request, w residency.Want) residency.Want {
+// wantOf completes the description of a request for the coordinator. One that has begun must go on before its caller leaves; the
+// objective of its first event does not count any more.
+func (s *Server) wantOf(q *request, t *attemptState, w residency.Want) residency.Want {
 	w.Model, w.Adapter, w.Rank = q.call.Model, q.call.Adapter, q.rank
 	w.FailureDomain = s.opt.FailureDomain
-	w.TimeLeft, w.Returning = q.timeLeft(), q.returned()
+	w.TimeLeft, w.Returning = q.timeLeft(), q.returned() || t.begun(q)
 	query := balanceQuery(q, nil)
 	w.Work, w.Parts = query.Work, query.Parts
 	w.Only = s.softwareFilter(q)
 	w.PromptTime = s.opt.Balancer.PromptTime(clock.Now(), q.service.Name, query)
 	w.Slack = q.route.LatencyTarget - time.Since(q.arrived) - q.age() - w.PromptTime
+	if t.begun(q) {
+		w.Slack = min(q.timeLeft(), q.route.MaxWait-t.callerSilence(q)) - w.PromptTime
+	}
 	return w
 }
 
--- a/transport/edge/takeup_test.go
+++ b/transport/edge/takeup_test.go
@@ -148,3 +148,31 @@
 		t.Errorf("%v, want %v", got, want)
 	}
 }
+
+// Guards against models whose load yields to others because the streams that wait for them, which have begun, count as too late
+// for their first event.
+func TestTakenUpStreamIsNotTooLateForItsModel(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		lastID string
+		begun  protocol.Verdict
+		late   bool
+	}{
+		{"a new stream that comes back beyond its objective", "", protocol.NotRun, true},
+		{"a stream that is taken up", "7", protocol.NotRun, false},
+		{"a stream that has begun in this attempt", "", protocol.MayHaveRun, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s, q, _ := takeUp(t, c.lastID, 0)
+				q.route.Timeout, q.call.TimeLeft = 11*time.Second, 4*time.Second // its first attempt was seven seconds ago
+				q.deadline = q.arrived.Add(q.call.TimeLeft)
+				time.Sleep(100 * time.Millisecond)
+				w := s.wantOf(q, &attemptState{verdict: c.begun}, residency.Want{})
+				if late := w.Slack <= 0; late != c.late || !w.Returning || !late && w.Slack != q.route.MaxWait-100*time.Millisecond {
+					t.Errorf("%+v, want late %v", w, c.late)
+				}
+			})
+		})
+	}
+}
