streams: a restored record does not decide beside daemons that do not answer

A daemon that was there all along continued a stream at another version: it had missed a version that was listed for a moment, the daemons that had seen it ended just then and were not known to be gone yet, and the store came back from a copy without the version.

Cause: the record decided whatever had not answered before.

Change: a record that does not cover the retention does not decide beside a source that is silent, or after the loss of a daemon.

--- a/coordination/continuation/versions.go
+++ b/coordination/continuation/versions.go
@@ -155,6 +155,11 @@
 	h.uncovered, h.daemonsLost = now, h.daemonsLost && t.isUncovered(now, h) || daemonsLost
 }
 
+// Covered reports whether the record covers what ran in a service within the retention, as far as this daemon knows.
+func (t *Table) Covered(now time.Time, service string) bool {
+	return !t.isUncovered(now, t.history(service))
+}
+
 // isUncovered reports whether versions that the record does not name may have begun streams which are still read.
 func (t *Table) isUncovered(now time.Time, h *history) bool {
 	return !h.uncovered.IsZero() && now.Sub(h.uncovered) < t.retention
--- a/driver/streams/random_test.go
+++ b/driver/streams/random_test.go
@@ -868,6 +868,39 @@
 	}
 }
 
+// Guards against a stream that continues at another version at a daemon that was there all along but missed the version that began the
+// stream: those that saw it have just ended and are not known to be gone yet, and the store comes back from a copy without it.
+// It was found by random faults.
+func TestStoreIsRestoredAsDaemonsThatSawAVersionEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		in := newInstallation(7, true, &record.Store{Latency: 4 * time.Millisecond})
+		defer in.close()
+		in.set("a", "v1")
+		in.lookAll()
+		time.Sleep(1200 * time.Millisecond)
+		in.lookAll()
+		backup, survivor := in.store.Backup(), in.hosts[6]
+		survivor.blind = true // for less than a view may be old
+		in.set("b", "v2")
+		in.lookAll()
+		time.Sleep(200 * time.Millisecond)
+		id := in.streamNotCopiedTo(survivor)
+		in.beginWhereAllowed(t, id, "b")
+		in.set("b", "")
+		survivor.blind = false
+		in.store.Restore(backup)
+		for _, h := range in.hosts[:6] {
+			h.mu.Lock()
+			h.down = true
+			h.mu.Unlock()
+		}
+		survivor.look()
+		if found, _, refusal := survivor.controller.Resume(context.Background(), "next", request(id)); refusal == nil {
+			t.Errorf("a stream of v2 continues at %s", found.Software())
+		}
+	})
+}
+
 // streamNotCopiedTo returns the id of a stream of which a daemon gets no copy if the first one begins it.
 func (in *installation) streamNotCopiedTo(h *host) string {
 	for i := 0; ; i++ {
--- a/driver/streams/resume.go
+++ b/driver/streams/resume.go
@@ -191,13 +191,22 @@
 		c.logRecordError(err)
 		return continuation.Constraint{}, false
 	}
-	found, ok := c.decide(q.Request, c.viewIsFresh())
+	// A daemon that does not answer may be one that has just ended, and a restored record lacks what it had seen.
+	covered := len(q.silent) == 0 && !c.daemonsWereLost() || c.recordCovers(q.Service)
+	found, ok := c.decide(q.Request, covered && c.viewIsFresh())
 	if ok {
 		q.finding = c.recordFinding(q.Service, sourceRecord)
 	}
 	return found, ok
 }
 
+// recordCovers reports whether the record names all versions that may have begun a stream which is still read.
+func (c *Controller) recordCovers(service string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.t.Covered(c.opt.Clock(), service)
+}
+
 // lastRead is the last read of something by any request. Requests that came before it began share its outcome, also a failure.
 type lastRead struct {
 	began time.Time
