streams: only streams that may be taken up again are recorded and stored

Cause: an object held every stream of the retention, a minute, and of routes whose streams nobody may take up again; so it was large at once when a second version appeared, and a large one is written only once a second.

Change: streams of routes that are not resumable are not recorded, as nobody may continue them. Others are stored until the time is over that their caller has named, with two seconds of slack.

--- a/coordination/continuation/continuation_test.go
+++ b/coordination/continuation/continuation_test.go
@@ -76,7 +76,7 @@
 			table, last, begun := New(c.since), view(), false
 			begin := func() {
 				if c.begins != nil && !begun {
-					table.Begin(at(100), KeyOf("first"), *c.begins)
+					table.Begin(at(100), KeyOf("first"), *c.begins, time.Time{})
 				}
 				begun = true
 			}
@@ -111,7 +111,7 @@
 // Guards against two streams of one id, one of which would continue at the other's version.
 func TestRecordsThatDifferDecideNothing(t *testing.T) {
 	a, c := ep("a", "v1", 1), ep("c", "v2", 1)
-	first, second := Record{KeyOf("x"), originAt(a), at(1)}, Record{KeyOf("x"), originAt(c), at(2)}
+	first, second := Record{Key: KeyOf("x"), Origin: originAt(a), At: at(1)}, Record{Key: KeyOf("x"), Origin: originAt(c), At: at(2)}
 	for _, order := range [][]Record{{first, second}, {second, first}, {first, second, first}} {
 		table := New(time.Time{})
 		table.ObserveView(at(0), view(a, c))
@@ -129,7 +129,7 @@
 	table := New(time.Time{})
 	table.ObserveView(at(0), view(ep("a", "v1", 1), ep("c", "v2", 1)))
 	for i := range maxRecords + maxRecords/4 {
-		table.Begin(at(float64(i)/1e4), KeyOf(fmt.Sprint(i)), originAt(ep("a", "v1", 1)))
+		table.Begin(at(float64(i)/1e4), KeyOf(fmt.Sprint(i)), originAt(ep("a", "v1", 1)), time.Time{})
 	}
 	if table.Len() > maxRecords {
 		t.Fatalf("%d records", table.Len())
--- a/coordination/continuation/stored.go
+++ b/coordination/continuation/stored.go
@@ -22,6 +22,9 @@
 // Stored is what outlasts all daemons of begun streams: by the software that began them.
 type Stored map[string][]Fingerprint
 
+// isWanted reports whether the caller of a stream may still take it up.
+func (r Record) isWanted(now time.Time) bool { return r.Until.IsZero() || now.Before(r.Until) }
+
 // Len returns the number of streams.
 func (s Stored) Len() (n int) {
 	for _, list := range s {
@@ -39,7 +42,7 @@
 	}
 }
 
-// OwnStored returns the streams that this daemon keeps in its object, of services that run more than one version. Those whose
+// OwnStored returns the streams that this daemon keeps in its object and that may still be taken up, of services that run more than one version. Those whose
 // endpoint reports no version are left out: the version alone does not tell where they continue.
 func (t *Table) OwnStored(now time.Time) Stored {
 	list := Stored{}
@@ -49,7 +52,7 @@
 	}
 	for _, e := range t.records {
 		o := e.Origin
-		if e.stored && o.Software != "" && now.Sub(e.At) < t.retention && mixed[o.Service] && t.isCertain(e.Record) {
+		if e.stored && o.Software != "" && now.Sub(e.At) < t.retention && e.isWanted(now) && mixed[o.Service] && t.isCertain(e.Record) {
 			list[o.Software] = append(list[o.Software], e.print)
 		}
 	}
--- a/coordination/continuation/table.go
+++ b/coordination/continuation/table.go
@@ -28,6 +28,8 @@
 	Key    Key
 	Origin Origin
 	At     time.Time // when it began, by this daemon's clock
+	// Until is when its caller has left, by this daemon's clock; zero: not known.
+	Until time.Time
 }
 
 // Table holds one daemon's records of begun streams, and the software that it has seen in each
@@ -97,13 +99,13 @@
 // under their ids with other software.
 const maxListings = 4096
 
-// Begin records that a stream has begun at this daemon. The software of an endpoint whose id another
+// Begin records that a stream has begun at this daemon; until is when its caller has left, zero if that is not known. The software of an endpoint whose id another
 // incarnation has taken over meanwhile is ambiguous.
-func (t *Table) Begin(now time.Time, key Key, o Origin) Record {
+func (t *Table) Begin(now time.Time, key Key, o Origin, until time.Time) Record {
 	if is, ok := t.listed[o.Incarnation.ID]; ok && !is.incarnation.Matches(o.Incarnation) && is.software != o.Software {
 		o.Ambiguous = true
 	}
-	r := Record{Key: key, Origin: o, At: now}
+	r := Record{Key: key, Origin: o, At: now, Until: until}
 	t.merge(r, true)
 	return t.records[key].Record
 }
--- a/driver/streams/random_test.go
+++ b/driver/streams/random_test.go
@@ -551,7 +551,7 @@
 		if !c.AwaitRecorded(context.Background(), "llm", e.Software) {
 			return // the attempt fails
 		}
-		c.Begin(context.Background(), id, continuation.Origin{Service: "llm", Software: e.Software, Incarnation: e.Incarnation(), Unit: "m"})
+		c.Begin(context.Background(), id, continuation.Origin{Service: "llm", Software: e.Software, Incarnation: e.Incarnation(), Unit: "m"}, 0)
 		if p.ended(l) { // the caller has got no event
 			return
 		}
--- a/driver/streams/streams.go
+++ b/driver/streams/streams.go
@@ -219,11 +219,16 @@
 }
 
 // Begin records that a stream has begun, and returns once another daemon has the record, if the
-// stream may begin at more than one version. It must be called before the first event is forwarded.
-func (c *Controller) Begin(ctx context.Context, requestID string, o continuation.Origin) {
+// stream may begin at more than one version. It must be called before the first event is forwarded. wanted is the time
+// for which its caller may take it up; zero if that is not known.
+func (c *Controller) Begin(ctx context.Context, requestID string, o continuation.Origin, wanted time.Duration) {
 	key, now := continuation.KeyOf(requestID), c.opt.Clock()
+	until := time.Time{}
+	if wanted > 0 {
+		until = now.Add(wanted)
+	}
 	c.mu.Lock()
-	r := c.t.Begin(now, key, o)
+	r := c.t.Begin(now, key, o, until)
 	mixed := c.t.Mixed(now, o.Service)
 	c.mu.Unlock()
 	if mixed {
--- a/driver/streams/streams_test.go
+++ b/driver/streams/streams_test.go
@@ -244,7 +244,7 @@
 }
 
 func (h *host) begin(id string, e *fleet.Endpoint) {
-	h.controller.Begin(context.Background(), id, continuation.Origin{Service: "llm", Software: e.Software, Incarnation: e.Incarnation(), Unit: "m"})
+	h.controller.Begin(context.Background(), id, continuation.Origin{Service: "llm", Software: e.Software, Incarnation: e.Incarnation(), Unit: "m"}, 0)
 }
 
 // Guards against messages for each stream while a service runs one version, and bounds those of a
--- a/driver/streams/wire.go
+++ b/driver/streams/wire.go
@@ -12,10 +12,13 @@
 // Times are sent between daemons as ages, since their clocks differ.
 
 func toWire(now time.Time, r continuation.Record) *streampb.Stream {
-	o := r.Origin
+	o, wantedMs := r.Origin, int64(0)
+	if !r.Until.IsZero() {
+		wantedMs = max(1, r.Until.Sub(now).Milliseconds())
+	}
 	return &streampb.Stream{
 		Key: r.Key[:], Service: o.Service, Software: o.Software, Endpoint: o.Incarnation.ID, StartUnixMs: o.Incarnation.StartUnixMs,
-		Workspace: o.Workspace, Unit: o.Unit, AgeMs: clock.AgeMs(now, r.At), Ambiguous: o.Ambiguous,
+		Workspace: o.Workspace, Unit: o.Unit, AgeMs: clock.AgeMs(now, r.At), Ambiguous: o.Ambiguous, WantedMs: wantedMs,
 	}
 }
 
@@ -24,12 +27,19 @@
 	if len(s.GetKey()) != len(continuation.Key{}) {
 		return continuation.Record{}, false
 	}
-	return continuation.Record{Key: continuation.Key(s.Key), At: clock.Ago(now, s.AgeMs), Origin: continuation.Origin{
+	until := time.Time{}
+	if s.WantedMs > 0 {
+		until = now.Add(min(time.Duration(s.WantedMs), maxWantedMs) * time.Millisecond)
+	}
+	return continuation.Record{Key: continuation.Key(s.Key), At: clock.Ago(now, s.AgeMs), Until: until, Origin: continuation.Origin{
 		Service: s.Service, Software: s.Software, Incarnation: fleet.Incarnation{ID: s.Endpoint, StartUnixMs: s.StartUnixMs},
 		Workspace: s.Workspace, Unit: s.Unit, Ambiguous: s.Ambiguous,
 	}}, true
 }
 
+// maxWantedMs is a day: longer times would overflow a time.Duration.
+const maxWantedMs = 24 * 60 * 60 * 1000
+
 // firstStartMs is the age of a history that reaches back to the first start of the system.
 const firstStartMs = -1
 
--- a/transport/edge/origin.go
+++ b/transport/edge/origin.go
@@ -97,21 +97,32 @@
 	return protocol.Refuse(http.StatusServiceUnavailable, streams.ReasonVersionGone, "no endpoint runs the version of the software that began this stream, and no other can continue it", retryVersionGone)
 }
 
-// recordOrigin records which endpoint begins the request's stream, before its first event is
+// recordOrigin records which endpoint begins the request's stream, if callers may take it up again, before its first event is
 // forwarded. It fails if callers may take the stream up and no record has the endpoint's version.
 func (a *answer) recordOrigin(ctx context.Context) *failure {
-	if a.headerSent || a.q.constraint().Bound() {
-		return nil
+	if a.headerSent || a.q.constraint().Bound() || !a.q.route.Resumable {
+		return nil // nobody may continue it, or it is known
 	}
-	if a.q.route.Resumable && !a.server.opt.Streams.AwaitRecorded(ctx, a.q.service.Name, a.software) {
+	if !a.server.opt.Streams.AwaitRecorded(ctx, a.q.service.Name, a.software) {
 		return &failure{verdict: protocol.MayHaveRun, reason: streams.ReasonNotInService, err: errNotRecorded}
 	}
 	a.server.opt.Streams.Begin(ctx, a.q.call.ID, continuation.Origin{
 		Service: a.q.service.Name, Software: a.software, Incarnation: a.endpoint, Workspace: a.q.workspace(), Unit: a.q.unit(),
-	})
+	}, a.q.takeUpTime())
 	return nil
 }
 
+// takeUpTime returns for how long from now the caller may come to take up the request's stream; zero if it names no time.
+func (q *request) takeUpTime() time.Duration {
+	if q.call.TimeLeft <= 0 {
+		return 0
+	}
+	return max(0, q.call.TimeLeft-time.Since(q.arrived)) + takeUpSlack
+}
+
+// takeUpSlack is how long after the time that it has named a caller may come to take up its stream: clocks and messages differ by less.
+const takeUpSlack = 2 * time.Second
+
 var errNotRecorded = errors.New("the endpoint's version is not recorded")
 
 // bindToOrigin binds a request to the software that began its answer. It reports false if no endpoint
--- a/transport/edge/origin_test.go
+++ b/transport/edge/origin_test.go
@@ -25,7 +25,7 @@
 	q := sizedRequest()
 	q.route = &routing.Route{Kind: routing.Streaming, Resumable: true}
 	q.call.ID, q.call.SharedParts = "r1", []string{"a", "b", "c"}
-	s.opt.Streams.Begin(t.Context(), q.call.ID, continuation.Origin{Service: q.service.Name, Software: e.Software, Incarnation: e.Incarnation(), Unit: q.unit()})
+	s.opt.Streams.Begin(t.Context(), q.call.ID, continuation.Origin{Service: q.service.Name, Software: e.Software, Incarnation: e.Incarnation(), Unit: q.unit()}, 0)
 	var wg sync.WaitGroup
 	for range 4 {
 		wg.Go(func() {
--- a/transport/edge/takeup_test.go
+++ b/transport/edge/takeup_test.go
@@ -110,7 +110,7 @@
 	q.route.Kind, q.route.Resumable, q.route.LatencyTarget, q.route.MaxWait = routing.Streaming, true, 400*time.Millisecond, 2400*time.Millisecond
 	if lastID != "" {
 		q.call.LastEventID, q.call.Resumes = lastID, "first"
-		s.opt.Streams.Begin(t.Context(), "first", continuation.Origin{Service: "llm", Software: e.Software, Incarnation: e.Incarnation(), Unit: q.unit()})
+		s.opt.Streams.Begin(t.Context(), "first", continuation.Origin{Service: "llm", Software: e.Software, Incarnation: e.Incarnation(), Unit: q.unit()}, 0)
 	}
 	if refusal := s.findOrigin(t.Context(), q); refusal != nil {
 		t.Fatalf("%+v", refusal)
