edge: a stream whose model is ready too late is refused for good

Cause: the Retry-After of a refusal is bounded by a third of the time left; nothing told "later than that" from "never in your time".

Change: a stream that is taken up and whose model is ready, by half of the estimate, only after its caller's time is over is refused with 400, as a lost stream is, with the advice to begin anew: a new request may be served by another version at once. Estimates of the coordinator have been off by a factor of two.

TestTakenUpStreamWhoseModelIsTooLateIsNotRetried failed before; TestOnlyHopelessStreamsAreInVain has the rule.

--- a/coordination/waiting/waiting.go
+++ b/coordination/waiting/waiting.go
@@ -39,6 +39,9 @@
 	Wait bool
 	// RetryAfter is the delay after which a refused request should be retried.
 	RetryAfter time.Duration
+	// InVain is set for a refused request that is continued if no retry can succeed: half of the estimate is more than its caller has
+	// time left.
+	InVain bool
 }
 
 const (
@@ -77,7 +80,7 @@
 		return Decision{Wait: true}
 	}
 	delay := min(in.ReadyIn+returnMargin, in.TimeLeft/retryDivisor)
-	return Decision{RetryAfter: max(protocol.MinRetryAfter, delay)}
+	return Decision{RetryAfter: max(protocol.MinRetryAfter, delay), InVain: in.Continued && time.Duration(slackShare*float64(in.ReadyIn)) > in.TimeLeft}
 }
 
 // lasts reports whether a request that is started after t gets its first event while the caller
--- a/coordination/waiting/waiting_test.go
+++ b/coordination/waiting/waiting_test.go
@@ -122,3 +122,25 @@
 		t.Errorf("margin %v", m.Of(WeightStore))
 	}
 }
+
+// Guards against callers that are told to come back for a stream that cannot go on in their time, and against ones that are not though
+// the estimate may be wrong.
+func TestOnlyHopelessStreamsAreInVain(t *testing.T) {
+	for _, c := range []struct {
+		ready, left time.Duration
+		continued   bool
+		want        bool
+	}{
+		{17 * time.Second, 7 * time.Second, true, true},
+		{17 * time.Second, 7 * time.Second, false, false}, // it may be served elsewhere by then
+		{13 * time.Second, 7 * time.Second, true, false},  // if the estimate is twice too long
+		{6 * time.Second, 7 * time.Second, true, false},
+		{time.Second, 7 * time.Second, true, false},
+		{time.Second, 400 * ms, true, true},
+	} {
+		d := Decide(Input{ReadyIn: c.ready, TimeLeft: c.left, Target: 400 * ms, MaxWait: 2400 * ms, Continued: c.continued})
+		if d.InVain != c.want || d.Wait && d.InVain {
+			t.Errorf("%+v: %+v", c, d)
+		}
+	}
+}
--- a/transport/edge/locate.go
+++ b/transport/edge/locate.go
@@ -205,6 +205,9 @@
 		ReadyIn: answer.ReadyIn, Margin: margin, Elapsed: t.callerSilence(q), TimeLeft: q.timeLeft(), Target: q.route.LatencyTarget,
 		MaxWait: q.route.MaxWait, Work: q.ownWork(), Started: t.verdict != protocol.NotRun, Continued: q.continued(), Committed: q.returned() || !t.estimatedReady.IsZero(),
 	})
+	if d.InVain && answer.Refused == "" {
+		return refuseInVain(answer)
+	}
 	if !d.Wait {
 		reason := answer.Refused
 		if reason == "" {
@@ -226,6 +229,17 @@
 	return nil
 }
 
+// reasonModelTooLate is the reason of a refusal because the model of a stream that is taken up is ready too late at the engines of its
+// version.
+const reasonModelTooLate = "stream-model-too-late"
+
+// refuseInVain refuses a stream that is taken up and that no engine of its version can serve before its caller's time is over. The
+// status is one after which callers do not repeat the request as it is: as a new request, it may be served at another version.
+func refuseInVain(answer residency.Answer) *protocol.Refusal {
+	detail := fmt.Sprintf("the model is ready at an engine of this stream's version after the caller's time is over, in %d ms, copy %s: it cannot be taken up, begin it anew", answer.ReadyIn.Milliseconds(), answer.Level)
+	return protocol.Refuse(http.StatusBadRequest, reasonModelTooLate, detail, 0)
+}
+
 // stopsBefore reports whether this daemon stops before it could answer a request that starts after
 // the given wait.
 func (s *Server) stopsBefore(wait time.Duration) bool {
--- a/transport/edge/takeup_test.go
+++ b/transport/edge/takeup_test.go
@@ -176,3 +176,28 @@
 		})
 	}
 }
+
+// Guards against callers that come back in vain, as often as they may, for a stream whose model is ready long after their time is over.
+func TestTakenUpStreamWhoseModelIsTooLateIsNotRetried(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		lastID  string
+		readyIn time.Duration
+		status  int
+	}{
+		{"a stream that is taken up, far too late", "7", 17 * time.Second, http.StatusBadRequest},
+		{"a stream that is taken up, too late by the estimate", "7", 9 * time.Second, http.StatusServiceUnavailable},
+		{"a new stream, far too late", "", 17 * time.Second, http.StatusServiceUnavailable},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s, q, e := takeUp(t, c.lastID, 0)
+				q.deadline = q.arrived.Add(7 * time.Second)
+				refusal := s.waitForModel(t.Context(), q, &attemptState{}, residency.Answer{Endpoint: e.Incarnation(), Level: residency.Store, ReadyIn: c.readyIn})
+				if refusal == nil || refusal.Status != c.status || (refusal.RetryAfter > 0) != (c.status == http.StatusServiceUnavailable) {
+					t.Errorf("%+v, want status %d", refusal, c.status)
+				}
+			})
+		})
+	}
+}
