edge, streams: names and places of the new parts; what is known red

reasonCounters counts take-ups as well as refusals; what lets other daemons store streams stands with the stored streams. No logic changes.

--- a/driver/streams/stored.go
+++ b/driver/streams/stored.go
@@ -268,6 +268,31 @@
 	}
 }
 
+// keeperOf returns the daemon that keeps a stream of this daemon in its object in the store. In a small fleet each daemon keeps its
+// own. In a larger one a few keep those of all, so that they can write often. other is false if it is this daemon.
+func (c *Controller) keeperOf(key continuation.Key) (keeper membership.Member, other bool) {
+	if c.opt.Origins == nil || len(c.opt.Members()) <= smallFleet {
+		return membership.Member{}, false
+	}
+	keeper = membership.Rendezvous(string(key[:]), c.readers())[0]
+	return keeper, keeper.ID != c.opt.Self
+}
+
+// storeAt lets another daemon keep streams of this one in its object. This daemon keeps them itself if that one does not
+// answer.
+func (c *Controller) storeAt(ctx context.Context, keeper membership.Member, streams []*streampb.Stream) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	resp, err := c.opt.Peer(keeper.PeerAddress).Place(ctx, &streampb.PlaceRequest{Streams: streams, Store: true})
+	if err != nil || !resp.GetStored() {
+		c.stored.markDirty()
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.t.SetStored(keysOf(streams), false)
+}
+
 // askStored decides by the stored streams of all daemons. In a large fleet it asks daemons that read them.
 func (c *Controller) askStored(ctx context.Context, q *question) (continuation.Constraint, bool) {
 	if c.opt.Origins == nil || !q.Named {
@@ -335,7 +360,7 @@
 	return c.t.StoredSoftware(f)
 }
 
-// readers returns the daemons that read the objects.
+// readers returns the daemons that read the objects and, in a large fleet, keep the streams of all in theirs.
 func (c *Controller) readers() []membership.Member {
 	members := membership.Rendezvous(readersName, c.opt.Members())
 	if len(members) <= smallFleet {
--- a/driver/streams/streams.go
+++ b/driver/streams/streams.go
@@ -322,31 +322,6 @@
 	return err
 }
 
-// keeperOf returns the daemon that keeps a stream of this daemon in its object in the store. In a small fleet each daemon keeps its
-// own. In a larger one a few keep those of all, so that they can write often. other is false if it is this daemon.
-func (c *Controller) keeperOf(key continuation.Key) (keeper membership.Member, other bool) {
-	if c.opt.Origins == nil || len(c.opt.Members()) <= smallFleet {
-		return membership.Member{}, false
-	}
-	keeper = membership.Rendezvous(string(key[:]), c.readers())[0]
-	return keeper, keeper.ID != c.opt.Self
-}
-
-// storeAt lets another daemon keep streams of this one in its object. This daemon keeps them itself if that one does not
-// answer.
-func (c *Controller) storeAt(ctx context.Context, keeper membership.Member, streams []*streampb.Stream) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	resp, err := c.opt.Peer(keeper.PeerAddress).Place(ctx, &streampb.PlaceRequest{Streams: streams, Store: true})
-	if err != nil || !resp.GetStored() {
-		c.stored.markDirty()
-		return
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.t.SetStored(keysOf(streams), false)
-}
-
 // ranked returns the other daemons in the order in which they hold copies of a record.
 func (c *Controller) ranked(key continuation.Key) []membership.Member {
 	return slices.DeleteFunc(membership.Rendezvous(string(key[:]), c.opt.Members()), func(m membership.Member) bool { return m.ID == c.opt.Self })
--- a/transport/edge/refusals.go
+++ b/transport/edge/refusals.go
@@ -14,8 +14,8 @@
 	otherReason       = "other"
 )
 
-// refusals counts requests by the reason of their end. It is safe for concurrent use.
-type refusals struct {
+// reasonCounters count requests by the reason of their end. They are safe for concurrent use.
+type reasonCounters struct {
 	scope tally.Scope
 	name  string
 
@@ -24,14 +24,16 @@
 }
 
 // newRefusals counts refused and failed requests by the reason of their final answer.
-func newRefusals(scope tally.Scope) *refusals { return newCounters(scope, "refusals_by_reason_total") }
+func newRefusals(scope tally.Scope) *reasonCounters {
+	return newReasonCounters(scope, "refusals_by_reason_total")
+}
 
-func newCounters(scope tally.Scope, name string) *refusals {
-	return &refusals{scope: scope, name: name, byReason: map[string]tally.Counter{}}
+func newReasonCounters(scope tally.Scope, name string) *reasonCounters {
+	return &reasonCounters{scope: scope, name: name, byReason: map[string]tally.Counter{}}
 }
 
-// count counts a final answer with a reason.
-func (r *refusals) count(reason string) {
+// count counts one end.
+func (r *reasonCounters) count(reason string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	reason = strings.ToValidUTF8(reason, "?") // labels of metrics must be valid
--- a/transport/edge/server.go
+++ b/transport/edge/server.go
@@ -94,7 +94,7 @@
 	HeldBytes int64
 }
 
-// Server serves callers. It is safe for concurrent use.
+// Server serves callers. They are safe for concurrent use.
 type Server struct {
 	started time.Time
 	opt     Options
@@ -123,8 +123,8 @@
 	answered, refused, failed, retried, resumed, disconnected, unknownHeaders tally.Counter
 	duration, firstEvent, waited, waitError                                   tally.Histogram
 	slowCallers                                                               map[string]tally.Counter // by why they were closed
-	refusals                                                                  *refusals
-	takenUp                                                                   *refusals                // attempts to take up a stream, by how they ended
+	refusals                                                                  *reasonCounters
+	takenUp                                                                   *reasonCounters          // attempts to take up a stream, by how they ended
 	withoutEnd                                                                map[string]tally.Counter // answers, by reason
 }
 
@@ -158,7 +158,7 @@
 		duration: m.Histogram("request_duration_seconds", buckets), firstEvent: m.Histogram("first_event_seconds", buckets),
 		waited: m.Histogram("model_wait_seconds", buckets), waitError: m.Histogram("model_wait_beyond_estimate_seconds", buckets),
 		refusals:    newRefusals(m),
-		takenUp:     newCounters(m, "streams_taken_up_total"),
+		takenUp:     newReasonCounters(m, "streams_taken_up_total"),
 		withoutEnd:  protocol.CountersOfEndless(m),
 		slowCallers: map[string]tally.Counter{closedUnread: slow(closedUnread), closedMemory: slow(closedMemory), closedDeadline: slow(closedDeadline)},
 	}}
--- a/transport/edge/takeup_test.go
+++ b/transport/edge/takeup_test.go
@@ -134,7 +134,7 @@
 	scope := tally.NewTestScope("", nil)
 	s, q, _ := takeUp(t, "7", 0)
 	fresh, fq, _ := takeUp(t, "", 0)
-	s.metrics.takenUp, fresh.metrics.takenUp = newCounters(scope, "taken_up"), newCounters(scope, "new")
+	s.metrics.takenUp, fresh.metrics.takenUp = newReasonCounters(scope, "taken_up"), newReasonCounters(scope, "new")
 	for _, end := range []string{"answered", "endpoints-full", "endpoints-full"} {
 		s.countTakenUp(q, end)
 		fresh.countTakenUp(fq, end)
