streams, edge: a slow store delays what daemons know; a pause that counts as a version gone

A stream that is bound to one endpoint, as that reports no version and others serve, is refused as if its version were gone when the endpoint has asked for a pause of 0.3 s: locateOnly takes no endpoint and does not wait for one. TestTakenUpStreamOfOneEndpointWaitsForItsPause.

--- a/driver/streams/stored_reader_test.go
+++ b/driver/streams/stored_reader_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/doorvalve/doorvalve/protocol/streampb"
+	"github.com/doorvalve/doorvalve/standin/record"
 )
 
 // Guards against a daemon that reads the stored streams for others and, after its first list of the store has failed, tells all that it
@@ -77,3 +78,30 @@
 		}
 	})
 }
+
+// Guards against callers that are held until they leave, because daemons that read a slow store are asked before one that has the stream.
+func TestSlowStoreDoesNotDelayWhatAnotherDaemonKnows(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const daemons = 24
+		in := mixedInstallation(daemons)
+		defer in.close()
+		in.hosts[0].begin("s", in.endpoints["b"])
+		time.Sleep(1500 * time.Millisecond)
+		key := request("s").Key
+		asker := in.hosts[1]
+		for _, h := range in.hosts { // whoever else has a record starts anew
+			h.controller.mu.Lock()
+			_, holds := h.controller.t.Lookup(key)
+			h.controller.mu.Unlock()
+			if holds && h != in.hosts[0] {
+				h.restart()
+			}
+		}
+		in.origins.SetFaults(record.Faults{Slow: time.Minute})
+		began := time.Now()
+		found, _, refusal := asker.controller.Resume(context.Background(), "next", request("s"))
+		if waited := time.Since(began); refusal != nil || found.Software() != "v2" || waited > time.Second {
+			t.Errorf("%v, %+v after %v, want v2 within a second", found, refusal, waited)
+		}
+	})
+}
--- a/transport/edge/takeup_limits_test.go
+++ b/transport/edge/takeup_limits_test.go
@@ -8,8 +8,10 @@
 	"time"
 
 	"github.com/doorvalve/doorvalve/coordination/backpressure"
+	"github.com/doorvalve/doorvalve/coordination/continuation"
 	"github.com/doorvalve/doorvalve/coordination/residency"
 	"github.com/doorvalve/doorvalve/state/fleet"
+	"github.com/doorvalve/doorvalve/state/storeversion"
 )
 
 // Guards against streams that are taken up, have not run in this attempt and are sent to an endpoint which has a slot for them only after their
@@ -57,3 +59,26 @@
 		}
 	})
 }
+
+// Guards against streams bound to one endpoint, which reports no version, that are refused as if it were gone when they are taken up,
+// because it has asked for a short pause.
+func TestTakenUpStreamOfOneEndpointWaitsForItsPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tracker := backpressure.New(backpressure.Options{LeaveWithin: 2 * time.Second})
+		s, q, e := takeUpWith(t, tracker, "", 0)
+		e.Software = ""
+		other := &fleet.Endpoint{ID: "f", Service: "llm", Software: "v2", Slots: 16, Address: "127.0.0.1:2", Models: e.Models}
+		view := fleet.NewView(storeversion.Version{Revision: 2}, []*fleet.Endpoint{e, other})
+		s.opt.View = func() *fleet.View { return view }
+		s.opt.Streams.ObserveView(view)
+		q.call.LastEventID, q.call.Resumes, q.deadline = "7", "first", q.arrived.Add(7*time.Second)
+		s.opt.Streams.Begin(t.Context(), "first", continuation.Origin{Service: "llm", Incarnation: e.Incarnation(), Unit: q.unit()}, 0)
+		if refusal := s.findOrigin(t.Context(), q); refusal != nil || q.constraint().Incarnation().IsZero() {
+			t.Fatalf("%+v, bound to %v", refusal, q.constraint().Incarnation())
+		}
+		tracker.ObservePause(time.Now(), e.Incarnation(), 300*time.Millisecond, e.Slots)
+		if got, refusal := s.locate(t.Context(), q, &attemptState{}); got != e {
+			t.Errorf("endpoint %v, refusal %+v, want the endpoint after its pause", got, refusal)
+		}
+	})
+}
