edge: leaving engines that still serve are not tried for streams after a restart

Callers of streams whose model only a leaving engine of their version holds are refused, now for good, although that engine takes requests for drain_ms after it was listed as leaving, and longer.

Cause: pickLeaving takes endpoints with Decision.LastResort only. That is set by an answer of the endpoint to a daemon that has seen it ready (SetLeaving with a time); a daemon that first sees it as leaving in the list, as all do after a restart of all, has none.

That the engine would have taken them is by the protocol page, not seen. TestTakenUpStreamGoesToALeavingEngineAfterARestart.

--- a/transport/edge/takeup_limits_test.go
+++ b/transport/edge/takeup_limits_test.go
@@ -82,3 +82,17 @@
 		}
 	})
 }
+
+// Guards against streams that are taken up after a restart of all daemons and refused, for good, while the only engine of their version that holds
+// their model is listed as leaving and still takes requests: a daemon that has not seen it ready does not try it.
+func TestTakenUpStreamGoesToALeavingEngineAfterARestart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, q, e := takeUpWith(t, backpressure.New(backpressure.Options{LeaveWithin: 3 * time.Second}), "7", 0)
+		q.deadline = q.arrived.Add(7 * time.Second)
+		e.Leaving = true
+		s.opt.Locator = assigning{Endpoint: fleet.Incarnation{ID: "other"}, Level: residency.Store, ReadyIn: 17 * time.Second}
+		if got, refusal := s.locate(t.Context(), q, &attemptState{}); got != e {
+			t.Errorf("endpoint %v, refusal %+v, want the leaving engine as the last resort", got, refusal)
+		}
+	})
+}
