streams: readers of stored origins that fail or are slow

Callers that took up streams were told "not known yet" by all daemons but the readers, until a reader listed the store for itself, if its first list had failed, as it may while all daemons and the store start at once. And they waited two seconds, as long as many do, for a stream that a living daemon has, if the store was slow.

Cause: a reader answered with the outcome of its last list since its start, also a failed one; two readers were asked for a second each before the other daemons.

Change: a failed list counts only if it was made for this question. The readers are asked for half a second before the others, and to the end after them.

--- a/driver/streams/resume.go
+++ b/driver/streams/resume.go
@@ -20,6 +20,8 @@
 	at      time.Time // when it came
 	silent  []string  // sources that may know the origin and have not answered
 	finding Finding
+	// notStored: all stored origins were read after the question came, and do not have the stream.
+	notStored bool
 }
 
 func (q *question) addSilent(source string) {
@@ -37,7 +39,7 @@
 	}
 	// After a restart of all daemons only the stored origins have the stream, and all of its callers come at once: the others are
 	// asked last.
-	for _, source := range []func(context.Context, *question) (continuation.Constraint, bool){c.askHolders, c.askRecord, c.askStored, c.askOthers} {
+	for _, source := range []func(context.Context, *question) (continuation.Constraint, bool){c.askHolders, c.askRecord, c.askStoredSoon, c.askOthers, c.askStored} {
 		if found, ok := source(ctx, q); ok {
 			fields := append([]any{"request", requestID, "service", r.Service, "software", found.Software()}, q.finding.Fields()...)
 			c.opt.Log.Info(decisions.EventOriginFound, fields...)
--- a/driver/streams/stored.go
+++ b/driver/streams/stored.go
@@ -39,6 +39,8 @@
 	// daemonsPerReader is the number of daemons for each reader beyond the first four.
 	daemonsPerReader = 16
 	minReaders       = 4
+	// storedSoon is the time for which stored origins are asked before other daemons. It takes two lists.
+	storedSoon = 2 * minListInterval
 	// storedTimeout bounds a list of the objects, and so how long a caller is held for it.
 	storedTimeout = time.Second
 )
@@ -293,9 +295,31 @@
 	c.t.SetStored(keysOf(streams), false)
 }
 
+// askStoredSoon is askStored for the time in which a store in reach answers: a slow one must not delay what a daemon knows.
+func (c *Controller) askStoredSoon(ctx context.Context, q *question) (continuation.Constraint, bool) {
+	ctx, cancel := context.WithTimeout(ctx, storedSoon)
+	defer cancel()
+	type answer struct {
+		found continuation.Constraint
+		ok    bool
+	}
+	part, done := &question{Request: q.Request, at: q.at}, make(chan answer, 1)
+	go func() {
+		found, ok := c.askStored(ctx, part)
+		done <- answer{found, ok}
+	}()
+	select {
+	case a := <-done:
+		q.finding, q.notStored = part.finding, !a.ok && len(part.silent) == 0
+		return a.found, a.ok
+	case <-ctx.Done(): // a list that this daemon has begun goes on
+		return continuation.Constraint{}, false
+	}
+}
+
 // askStored decides by the stored streams of all daemons. In a large fleet it asks daemons that read them.
 func (c *Controller) askStored(ctx context.Context, q *question) (continuation.Constraint, bool) {
-	if c.opt.Origins == nil || !q.Named {
+	if c.opt.Origins == nil || !q.Named || q.notStored {
 		return continuation.Constraint{}, false
 	}
 	readers := c.readers()
@@ -343,14 +367,16 @@
 // findStored answers another daemon that asks for a stored stream. What was read before is enough if it has the stream: its
 // origin does not change.
 func (c *Controller) findStored(ctx context.Context, f continuation.Fingerprint) (*streampb.FindResponse, error) {
+	var err error
 	for _, since := range []time.Time{c.started, c.opt.Clock()} {
-		if err := c.readStored(ctx, since); err != nil {
-			return nil, err
-		}
+		err = c.readStored(ctx, since) // the first list may have failed long ago
 		if software := c.storedSoftware(f); software != "" {
 			return &streampb.FindResponse{Stream: &streampb.Stream{Software: software}}, nil
 		}
 	}
+	if err != nil {
+		return nil, err
+	}
 	return &streampb.FindResponse{}, nil
 }
 
--- a/driver/streams/stored_reader_test.go
+++ b/driver/streams/stored_reader_test.go
@@ -103,5 +103,6 @@
 		if waited := time.Since(began); refusal != nil || found.Software() != "v2" || waited > time.Second {
 			t.Errorf("%v, %+v after %v, want v2 within a second", found, refusal, waited)
 		}
+		time.Sleep(10 * storedTimeout) // lists that have begun end
 	})
 }
