residency: room for a stream of one version is looked for at its engines

Callers that took up streams of one version were held for 0.4 s again and again for a model that no engine of theirs had room for: the time until there is room was that of any engine, also of another version.

Change: roomIn counts only engines that may serve the request.

--- a/coordination/residency/want.go
+++ b/coordination/residency/want.go
@@ -38,7 +38,7 @@
 	}
 	a, ok := p.planLoad(now, want)
 	if !ok {
-		a = Answer{Refused: RefusedNoRoom, ReadyIn: p.roomIn()}
+		a = Answer{Refused: RefusedNoRoom, ReadyIn: p.roomIn(want.Only)}
 		if w := p.wants[wantedUnit{want.Model, want.Only}]; w != nil {
 			w.returnsBy = maxTime(w.returnsBy, now.Add(a.ReadyIn+keepForReturning))
 		}
@@ -228,12 +228,12 @@
 }
 
 // roomIn estimates when there will be room for a model that the schedule has no engine for:
-// the first engine to finish its scheduled work runs requests for a while before it loads
-// another model.
-func (p *Planner) roomIn() time.Duration {
+// the first engine that may serve the request to finish its scheduled work runs requests for a
+// while before it loads another model.
+func (p *Planner) roomIn(only SoftwareFilter) time.Duration {
 	first := time.Duration(-1)
 	for _, e := range p.sorted {
-		if ed := p.draft.engines[e]; ed != nil && e.usable() && e.synced && (first < 0 || ed.freeIn < first) {
+		if ed := p.draft.engines[e]; ed != nil && e.usable() && e.synced && only.accepts(e) && (first < 0 || ed.freeIn < first) {
 			first = ed.freeIn
 		}
 	}
