edge: a stream is refused for good only if no engine holds its model

Found by review: callers of a stream that is taken up were told to begin anew though an engine of its version held its model, which was silent, paused or full for a moment: the coordinator leaves such engines out and plans a load.

Change: the final refusal is given only where no engine of the version holds the model by this daemon's view.

--- a/transport/edge/locate.go
+++ b/transport/edge/locate.go
@@ -205,7 +205,7 @@
 		ReadyIn: answer.ReadyIn, Margin: margin, Elapsed: t.callerSilence(q), TimeLeft: q.timeLeft(), Target: q.route.LatencyTarget,
 		MaxWait: q.route.MaxWait, Work: q.ownWork(), Started: t.verdict != protocol.NotRun, Continued: q.continued(), Committed: q.returned() || !t.estimatedReady.IsZero(),
 	})
-	if d.InVain && answer.Refused == "" {
+	if d.InVain && answer.Refused == "" && len(s.holders(q)) == 0 {
 		return refuseInVain(answer)
 	}
 	if !d.Wait {
