edge: a stream that is taken up is not held where it cannot be served in time

Found by review: a stream that is taken up was sent to a slot far beyond its caller's time, and was held to its end where its endpoint made a pause longer. What can't be served is refused at once.

Change: both checks ask whether the caller still waits by then; in the queue of an engine it goes before new requests, so half of the time that the coordinator names counts.

--- a/transport/edge/locate.go
+++ b/transport/edge/locate.go
@@ -182,7 +182,10 @@
 // coordinator has assigned. It lets requests pass that have begun, and those more urgent than the
 // service's least urgent rank, as endpoints admit them first.
 func (s *Server) checkQueueWait(q *request, t *attemptState, answer residency.Answer) *protocol.Refusal {
-	if t.begun(q) || q.rank < q.service.LeastUrgentRank {
+	if t.verdict != protocol.NotRun || !q.continued() && q.rank < q.service.LeastUrgentRank {
+		return nil
+	}
+	if q.continued() && t.worthWaiting(q, answer.StartsIn/2) {
 		return nil
 	}
 	d := waiting.Join(waiting.QueueInput{StartsIn: answer.StartsIn, Elapsed: time.Since(q.arrived), TimeLeft: q.timeLeft(), Target: q.route.LatencyTarget, Work: q.ownWork()})
--- a/transport/edge/unavailable.go
+++ b/transport/edge/unavailable.go
@@ -89,6 +89,8 @@
 			return nil // the caller of awaitTurn chooses among all endpoints again
 		case !t.begun(q) && clock.Now().Add(now.turnIn).After(t.waitDeadline):
 			return s.refuseUnavailable(q, t, now)
+		case t.verdict == protocol.NotRun && q.continued() && !t.worthWaiting(q, now.turnIn):
+			return s.refuseUnavailable(q, t, now)
 		case t.verdict == protocol.NotRun && s.stopsBefore(now.turnIn):
 			return protocol.Refuse(http.StatusServiceUnavailable, reasonStopping, "this daemon stops before the request has its turn", retryDraining)
 		}
