edge: a pause of the only endpoint of a stream is not its end

Found by review: a stream that may go on at one endpoint only, which reports no version, was refused as if the version were gone where the endpoint had asked for a pause of 0.3 s.

Change: it waits for the pause as other streams do.

Also mends the comment of Server.

--- a/transport/edge/locate.go
+++ b/transport/edge/locate.go
@@ -52,7 +52,7 @@
 		}
 		unavailable := s.unavailable(q, t, s.holders(q))
 		if !q.constraint().Incarnation().IsZero() { // no load elsewhere could help
-			return s.locateOnly(q, t, exclude)
+			return s.locateOnly(ctx, q, t, exclude)
 		}
 		answer := s.opt.Locator.Want(ctx, q.service.Name, s.wantOf(q, t, residency.Want{Avoid: avoid, Unreachable: unreachable, MissingAt: absent, Full: unavailable.incarnations}))
 		absent, unreachable = fleet.Incarnation{}, false // reported to the coordinator only once
--- a/transport/edge/origin.go
+++ b/transport/edge/origin.go
@@ -137,12 +137,20 @@
 }
 
 // locateOnly picks the only endpoint that may continue a stream.
-func (s *Server) locateOnly(q *request, t *attemptState, exclude []fleet.Incarnation) (*fleet.Endpoint, *protocol.Refusal) {
-	if e := s.locateAnyHolder(q, t, exclude); e != nil {
-		return e, nil
-	}
-	if e := s.pickLeaving(q, t); e != nil {
-		return e, nil
+func (s *Server) locateOnly(ctx context.Context, q *request, t *attemptState, exclude []fleet.Incarnation) (*fleet.Endpoint, *protocol.Refusal) {
+	for {
+		if e := s.locateAnyHolder(q, t, exclude); e != nil {
+			return e, nil
+		}
+		if e := s.pickLeaving(q, t); e != nil {
+			return e, nil
+		}
+		unavailable := s.unavailable(q, t, s.holders(q))
+		if len(unavailable.incarnations) == 0 {
+			return nil, refuseVersionGone()
+		}
+		if refusal := s.awaitTurn(ctx, q, t, unavailable); refusal != nil {
+			return nil, refusal
+		}
 	}
-	return nil, refuseVersionGone()
 }
--- a/transport/edge/server.go
+++ b/transport/edge/server.go
@@ -94,7 +94,7 @@
 	HeldBytes int64
 }
 
-// Server serves callers. They are safe for concurrent use.
+// Server serves callers. It is safe for concurrent use.
 type Server struct {
 	started time.Time
 	opt     Options
