streams: the first record of a system is not a restored one

Cause: a record that does not exist reads as generation 0. A store names its generation with that answer, 1 at first, so that the missing record counted as one from before a restore, and the first one that was written covered nothing. The stand-in of the unit tests begins with generation 0.

Change: a record that is missing at the first start has not been written yet, unless the store was restored since this daemon first read it.

--- a/driver/streams/record.go
+++ b/driver/streams/record.go
@@ -210,7 +210,13 @@
 	c.recorded = signature(rec)
 	c.opt.Log.Info(decisions.EventSoftwareRecord, "read", true, "services", len(rec.Services), "writer", rec.Writer, "age_ms", ageMs(rec.WrittenUnixMs), "versions", rec.versions())
 	c.setRecordInfo(rec)
-	current := rec.Generation == c.record.Version().Generation
+	version := c.record.Version()
+	if !c.recordRead {
+		c.recordRead, c.firstGeneration = true, version.Generation
+	}
+	// A record that is missing at the first start has not been written yet, unless the store was restored since this daemon's first read.
+	neverWritten := c.opt.FirstStart && version.Absent() && version.Generation == c.firstGeneration
+	current := rec.Generation == version.Generation || neverWritten
 	daemonsLost := c.daemonsWereLost()
 	c.mu.Lock()
 	if !current {
--- a/driver/streams/streams.go
+++ b/driver/streams/streams.go
@@ -123,9 +123,12 @@
 
 	// record and recorded, the signature of its content, belong to whom has sent to recordBusy.
 	recordBusy chan struct{}
-	record     record.Record
-	recorded   string
-	rewrite    bool // a write had no answer
+	// recordRead is set once the record has been read, and firstGeneration is the generation of the store then. Whoever holds the record uses them.
+	recordRead      bool
+	firstGeneration uint64
+	record          record.Record
+	recorded        string
+	rewrite         bool // a write had no answer
 
 	// beginnings has the services in which streams do not begin everywhere.
 	beginnings atomic.Pointer[map[string]continuation.Beginning]
