edge: a stream that goes on within its answer keeps its rank at endpoints

Change: only a stream that its caller takes up has the more urgent rank. What goes on within its answer goes first in the daemon's queues, as before, and has the rank that it had.

--- a/transport/edge/attempt.go
+++ b/transport/edge/attempt.go
@@ -114,7 +114,7 @@
 		URL:   &url.URL{Scheme: "http", Host: e.Address, Opaque: q.uri},
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 		Header: s.opt.Dialect.Outbound(q.header, protocol.Attempt{
-			EndpointID: e.ID, TimeLeft: q.timeLeft(), Rank: q.endpointRank(lastEventID != ""), LastEventID: lastEventID,
+			EndpointID: e.ID, TimeLeft: q.timeLeft(), Rank: q.endpointRank(), LastEventID: lastEventID,
 			KeyRequired: q.table.Workspaces.RequiresKey(), Workspace: q.workspace(),
 		}),
 	}
--- a/transport/edge/origin.go
+++ b/transport/edge/origin.go
@@ -27,10 +27,9 @@
 // known.
 func (q *request) continued() bool { return q.resumes() && q.constraint().Bound() }
 
-// endpointRank returns the rank of an attempt at an endpoint. begun reports whether its answer has begun in this attempt of the
-// caller.
-func (q *request) endpointRank(begun bool) int {
-	return continuation.Rank(q.rank, q.service.LeastUrgentRank, begun || q.continued())
+// endpointRank returns the rank of the request at an endpoint.
+func (q *request) endpointRank() int {
+	return continuation.Rank(q.rank, q.service.LeastUrgentRank, q.continued())
 }
 
 // originID returns the id of the attempt that began the request's stream, as far as its caller names
