edge: new requests have their own rank at endpoints again

Found by the whole check, whose last package ended late: endpoints got other ranks than the routes and workspaces state (TestAllKindsOfRequests, TestWhoAsks failed: rank 3 for 1, 5 for 2). Endpoints may read more into a rank than an order.

Change: a stream that is taken up has the next more urgent rank; all other requests have the one that they had before this work. At the most urgent rank it is first in the daemon's queues only.

--- a/protocol/call.go
+++ b/protocol/call.go
@@ -45,9 +45,6 @@
 	Tokens int    // zero when unknown
 }
 
-// MaxRank is the least urgent rank that endpoints tell apart.
-const MaxRank = 9
-
 // Attempt holds what a daemon adds to a caller's request when it sends it to an endpoint.
 type Attempt struct {
 	EndpointID  string // any other process at the address rejects the request
--- a/transport/edge/origin.go
+++ b/transport/edge/origin.go
@@ -29,7 +29,7 @@
 
 // endpointRank returns the rank of the request at an endpoint.
 func (q *request) endpointRank() int {
-	return continuation.Rank(q.rank, q.service.LeastUrgentRank, q.continued())
+	return continuation.Rank(q.rank, q.continued())
 }
 
 // originID returns the id of the attempt that began the request's stream, as far as its caller names
