--- a/coordination/continuation/stored.go
+++ b/coordination/continuation/stored.go
@@ -42,8 +42,9 @@
 	}
 }
 
-// OwnStored returns the streams that this daemon keeps in its object and that may still be taken up, of services that run more than one version. Those whose
-// endpoint reports no version are left out: the version alone does not tell where they continue.
+// OwnStored returns the streams that this daemon keeps in its object and that may still be taken up, of services that run
+// more than one version. Those whose endpoint reports no version are left out: the version alone does not tell where
+// they continue.
 func (t *Table) OwnStored(now time.Time) Stored {
 	list := Stored{}
 	mixed := map[string]bool{}
--- a/coordination/continuation/table.go
+++ b/coordination/continuation/table.go
@@ -99,8 +99,8 @@
 // under their ids with other software.
 const maxListings = 4096
 
-// Begin records that a stream has begun at this daemon; until is when its caller has left, zero if that is not known. The software of an endpoint whose id another
-// incarnation has taken over meanwhile is ambiguous.
+// Begin records that a stream has begun at this daemon; until is when its caller has left, zero if that is not known. The
+// software of an endpoint whose id another incarnation has taken over meanwhile is ambiguous.
 func (t *Table) Begin(now time.Time, key Key, o Origin, until time.Time) Record {
 	if is, ok := t.listed[o.Incarnation.ID]; ok && !is.incarnation.Matches(o.Incarnation) && is.software != o.Software {
 		o.Ambiguous = true
--- a/driver/streams/random_test.go
+++ b/driver/streams/random_test.go
@@ -840,13 +840,7 @@
 					backup = in.store.Backup()
 				}
 				survivor := in.hosts[6]
-				survivor.blind = true // for less than a view may be old
-				in.set("b", "v2")
-				in.lookAll()
-				time.Sleep(200 * time.Millisecond)
-				id := in.streamNotCopiedTo(survivor)
-				in.beginWhereAllowed(t, id, "b")
-				in.set("b", "")
+				id := in.beginUnseenBy(t, survivor)
 				survivor.blind = false
 				in.store.Restore(backup)
 				for _, h := range in.hosts[:6] {
@@ -880,13 +874,7 @@
 		time.Sleep(1200 * time.Millisecond)
 		in.lookAll()
 		backup, survivor := in.store.Backup(), in.hosts[6]
-		survivor.blind = true // for less than a view may be old
-		in.set("b", "v2")
-		in.lookAll()
-		time.Sleep(200 * time.Millisecond)
-		id := in.streamNotCopiedTo(survivor)
-		in.beginWhereAllowed(t, id, "b")
-		in.set("b", "")
+		id := in.beginUnseenBy(t, survivor)
 		survivor.blind = false
 		in.store.Restore(backup)
 		for _, h := range in.hosts[:6] {
@@ -901,6 +889,20 @@
 	})
 }
 
+// beginUnseenBy lets a second version serve for a moment that a daemon misses, and begins a stream there of which that daemon gets
+// no copy. The daemon stays blind.
+func (in *installation) beginUnseenBy(t *testing.T, h *host) (id string) {
+	t.Helper()
+	h.blind = true // for less than a view may be old
+	in.set("b", "v2")
+	in.lookAll()
+	time.Sleep(200 * time.Millisecond)
+	id = in.streamNotCopiedTo(h)
+	in.beginWhereAllowed(t, id, "b")
+	in.set("b", "")
+	return id
+}
+
 // streamNotCopiedTo returns the id of a stream of which a daemon gets no copy if the first one begins it.
 func (in *installation) streamNotCopiedTo(h *host) string {
 	for i := 0; ; i++ {
@@ -923,13 +925,7 @@
 		time.Sleep(1200 * time.Millisecond)
 		in.lookAll()
 		survivor := in.hosts[6]
-		survivor.blind = true // for less than a view may be old
-		in.set("b", "v2")
-		in.lookAll()
-		time.Sleep(200 * time.Millisecond)
-		id := in.streamNotCopiedTo(survivor)
-		in.beginWhereAllowed(t, id, "b")
-		in.set("b", "")
+		id := in.beginUnseenBy(t, survivor)
 		for _, h := range in.hosts[:6] {
 			h.stop()
 		}
--- a/driver/streams/record.go
+++ b/driver/streams/record.go
@@ -219,19 +219,18 @@
 	current := rec.Generation == version.Generation || neverWritten
 	daemonsLost := c.daemonsWereLost()
 	c.mu.Lock()
-	if !current {
-		for _, service := range c.t.Services() {
-			c.t.NoteUncovered(now, service, daemonsLost)
-		}
-	}
 	for service, s := range rec.Services {
 		since := time.Time{}
 		if s.SinceUnixMs != 0 || !current {
 			since = now // how much it covers cannot be told by another daemon's clock, and nothing since the copy
-			c.t.NoteUncovered(now, service, daemonsLost)
 		}
 		c.t.AdoptHistory(service, since, nil)
 	}
+	for _, service := range c.t.Services() {
+		if !current || rec.Services[service].SinceUnixMs != 0 {
+			c.t.NoteUncovered(now, service, daemonsLost)
+		}
+	}
 	c.missed = false
 	c.mu.Unlock()
 	c.adoptRecord(rec, current)
--- a/driver/streams/stored.go
+++ b/driver/streams/stored.go
@@ -29,7 +29,7 @@
 	maxFlushInterval = time.Second
 	// flushIntervalPerWriter keeps the writes of all daemons together below some 80 a second.
 	flushIntervalPerWriter = 12 * time.Millisecond
-	// flushBytesPerSecond bounds what one daemon writes: an object has all streams of the retention each time.
+	// flushBytesPerSecond bounds what one daemon writes: an object has all its streams each time.
 	flushBytesPerSecond = 32 << 10
 	// minListInterval is the time between two lists of the objects.
 	minListInterval = 250 * time.Millisecond
--- a/driver/streams/streams.go
+++ b/driver/streams/streams.go
@@ -123,7 +123,8 @@
 
 	// record and recorded, the signature of its content, belong to whom has sent to recordBusy.
 	recordBusy chan struct{}
-	// recordRead is set once the record has been read, and firstGeneration is the generation of the store then. Whoever holds the record uses them.
+	// recordRead is set once the record has been read, and firstGeneration is the generation of the store then. They belong
+	// to whom has sent to recordBusy, too.
 	recordRead      bool
 	firstGeneration uint64
 	record          record.Record
@@ -289,7 +290,7 @@
 	targets := c.ranked(key)
 	targets = targets[:min(copies, len(targets))]
 	if other {
-		targets = slices.DeleteFunc(slices.Clone(targets), func(m membership.Member) bool { return m.ID == keeper.ID }) // it has the record
+		targets = slices.DeleteFunc(targets, func(m membership.Member) bool { return m.ID == keeper.ID }) // it has the record
 	}
 	if len(targets) == 0 {
 		return
