review: cases move to make room for a graver one; the one of nested entries goes

The stand-in of workers writes its log when the engine over its limit ends, tells its start where it may start again, and the store can be deaf or down.

--- a/review/stand2/fleet.go
+++ b/review/stand2/fleet.go
@@ -25,6 +25,9 @@
 	self    string // this program
 	daemons []*process
 	version int
+	// revokeWithin is revoke_ms, zero where the site has none; tenants are those of the next desired state, nil for none.
+	revokeWithin time.Duration
+	tenants      []map[string]any
 
 	mu     sync.Mutex
 	record *os.File
@@ -137,7 +140,11 @@
 }
 
 // settings returns the settings of a daemon, as deploy/settings.hujson has them for the site hinokuni-bid.
-func settings(name, zone, store string, p *process, seeds []string) map[string]any {
+func settings(name, zone, store string, p *process, seeds []string, revokeWithin time.Duration) map[string]any {
+	within := "2000ms"
+	if revokeWithin > 0 { // the site tsasan-doorvalve-now-grown has such a bound, and these
+		within = "3000ms"
+	}
 	return map[string]any{
 		"host": name, "failure_domain": zone, "first_start": true,
 		"listen": map[string]any{"callers": p.callers, "directory": p.directory, "readiness": p.readiness, "peers": p.peers, "metrics": freeAddress()},
@@ -145,7 +152,7 @@
 		"store":  map[string]any{"address": store, "timeout": "1500ms"},
 		"limits": map[string]any{"memory_mb": 284, "descriptors": 4100, "cpu_share": 0.4, "cores": 1},
 		"timing": map[string]any{
-			"address_ttl": "2s", "grace": "8s", "order_gap": "3000ms", "leave_within": "2000ms", "apply_within": "2000ms", "revoke_within": "0ms",
+			"address_ttl": "2s", "grace": "8s", "order_gap": "3000ms", "leave_within": within, "apply_within": within, "revoke_within": revokeWithin.String(),
 			"endpoint_heartbeat": "1200ms", "pass": "120ms",
 		},
 		"retries": map[string]any{"ratio": 0.2, "extra": 54, "window": "10s"},
@@ -164,7 +171,7 @@
 			seeds = append(seeds, p.peers)
 		}
 		file := filepath.Join(f.dir, name+".json")
-		content, err := json.Marshal(settings(name, fmt.Sprintf("fko-%c", 'a'+i), f.store.address, p, seeds))
+		content, err := json.Marshal(settings(name, fmt.Sprintf("fko-%c", 'a'+i), f.store.address, p, seeds, f.revokeWithin))
 		if err != nil {
 			return err
 		}
@@ -239,10 +246,14 @@
 func (f *fleet) configure(routes, services []map[string]any) error {
 	f.version += 3
 	f.note("operator writes version %d", f.version)
-	return f.store.operate("config", "main", map[string]any{
+	state := map[string]any{
 		"version": f.version, "routes": routes, "services": services,
 		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-	})
+	}
+	if f.tenants != nil {
+		state["tenants"] = f.tenants
+	}
+	return f.store.operate("config", "main", state)
 }
 
 // result is what a requester got.
--- a/review/stand2/limit.go
+++ b/review/stand2/limit.go
@@ -16,12 +16,13 @@
 	modelMB   = 72700.0
 	engineMB  = 220000.0 // three models
 	modelLoad = 6.0      // seconds, from the weight store
+
 )
 
 func engineServices(list []string) []map[string]any {
 	var declared []map[string]any
 	for _, m := range list {
-		declared = append(declared, map[string]any{"name": m, "weights_mb": modelMB, "load_time_s": modelLoad, "adapters": 0, "adapter_mb": 66.0, "warm_s": 0.4, "disk_load_s": 0.84})
+		declared = append(declared, map[string]any{"name": m, "weights_mb": modelMB, "load_time_s": modelLoad, "adapters": 4, "adapter_mb": 1.0, "warm_s": 0.4, "disk_load_s": 0.84})
 	}
 	return []map[string]any{{"name": "bid-llm", "health_path": "/health", "connection_limit": 360, "protocol": "h1", "tls": false, "engine": map[string]any{
 		"slots": 64, "kv_cache_tokens": 156843, "kv_token_bytes": 163840, "link_mbps": 550000.0, "host_memory_mb": 0, "disk_mb": 1300000.0,
--- a/review/stand2/store.go
+++ b/review/stand2/store.go
@@ -1,12 +1,9 @@
 package main
 
 import (
-	"bytes"
 	"encoding/json"
-	"fmt"
 	"net"
 	"net/http"
-	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -52,6 +49,42 @@
 	kinds    map[string]map[string]*object
 	events   []event
 	changed  chan struct{} // closed at the next change
+	fault    int
+	oldest   uint64        // watches from an earlier revision are answered 410
+	cut      chan struct{} // closed when waiting watches are cut
+}
+
+// Faults of the store.
+const (
+	faultNone = iota
+	faultDeaf // watches hear nothing
+	faultDown // no call is answered
+)
+
+// setFault begins a fault, or ends it.
+func (s *store) setFault(fault int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fault = fault
+	for _, o := range s.kinds[serversKind] {
+		o.writtenAt = time.Now() // the entries of workers do not run out while they cannot be written
+	}
+}
+
+// isDown reports whether no call is answered now.
+func (s *store) isDown() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.fault == faultDown
+}
+
+// dropHistory drops the history of changes, and cuts the waiting watches.
+func (s *store) dropHistory() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.events, s.oldest = nil, s.revision
+	close(s.cut)
+	s.cut = make(chan struct{})
 }
 
 // startStore serves a store on a free port.
@@ -60,7 +93,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &store{address: l.Addr().String(), revision: 1, kinds: map[string]map[string]*object{}, changed: make(chan struct{})}
+	s := &store{address: l.Addr().String(), revision: 1, kinds: map[string]map[string]*object{}, changed: make(chan struct{}), cut: make(chan struct{})}
 	go func() { _ = http.Serve(l, s) }()
 	go s.expire()
 	return s, nil
@@ -72,7 +105,7 @@
 		time.Sleep(200 * time.Millisecond)
 		s.mu.Lock()
 		for name, o := range s.kinds[serversKind] {
-			if time.Since(o.writtenAt) > entryLife {
+			if s.fault != faultDown && time.Since(o.writtenAt) > entryLife {
 				s.remove(serversKind, name)
 			}
 		}
@@ -82,6 +115,10 @@
 
 // ServeHTTP implements http.Handler.
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if s.isDown() {
+		<-r.Context().Done() // silent
+		return
+	}
 	parts := strings.Split(strings.TrimPrefix(r.URL.Path, "/objects/"), "/")
 	kind := parts[0]
 	switch {
@@ -120,48 +157,7 @@
 func answer(w http.ResponseWriter, status int, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
-	_, _ = w.Write(encode(v))
-}
-
-// encode returns the JSON of a value. Specifications are copied as they are: encoding/json refuses values that are deeply nested.
-func encode(v any) []byte {
-	encoded, err := json.Marshal(v)
-	if err != nil {
-		panic(err)
-	}
-	return deep.expand(encoded)
-}
-
-// deep holds the deeply nested values that other writers have written.
-var deep deepValues
-
-type deepValues struct {
-	mu     sync.Mutex
-	values []json.RawMessage
-}
-
-// stand returns what stands for a value in stored objects until expand is called.
-func (d *deepValues) stand(value json.RawMessage) json.RawMessage {
-	if json.Valid(value) {
-		return value
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	i := slices.IndexFunc(d.values, func(known json.RawMessage) bool { return bytes.Equal(known, value) })
-	if i < 0 {
-		i = len(d.values)
-		d.values = append(d.values, value)
-	}
-	return fmt.Appendf(nil, `"deep value %d"`, i+1)
-}
-
-func (d *deepValues) expand(encoded []byte) []byte {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for i, value := range d.values {
-		encoded = bytes.ReplaceAll(encoded, fmt.Appendf(nil, `"deep value %d"`, i+1), value)
-	}
-	return encoded
+	_ = json.NewEncoder(w).Encode(v)
 }
 
 // write creates an object, or replaces it if its revision is the expected one or none is expected.
@@ -182,7 +178,7 @@
 // put writes an object whatever it was. The caller holds the mutex.
 func (s *store) put(kind, name string, specification json.RawMessage) *object {
 	s.revision++
-	o := &object{Metadata: metadata{Name: name, Revision: s.revision, Made: 1}, Specification: deep.stand(specification), writtenAt: time.Now()}
+	o := &object{Metadata: metadata{Name: name, Revision: s.revision, Made: 1}, Specification: specification, writtenAt: time.Now()}
 	if s.kinds[kind] == nil {
 		s.kinds[kind] = map[string]*object{}
 	}
@@ -237,20 +233,34 @@
 	timeout := time.After(time.Duration(wait) * time.Millisecond)
 	for over := false; ; {
 		s.mu.Lock()
+		if since < s.oldest {
+			s.mu.Unlock()
+			answer(w, http.StatusGone, struct{}{})
+			return
+		}
 		found := []event{}
+		as := since // what an answer without events is as of
 		for _, e := range s.events {
-			if e.kind == kind && e.at > since {
+			if e.kind == kind && e.at > since && s.fault != faultDeaf {
 				found = append(found, e)
 			}
 		}
-		revision, changed := s.revision, s.changed
+		if s.fault != faultDeaf {
+			as = s.revision
+		}
+		changed, cut := s.changed, s.cut
 		s.mu.Unlock()
 		if over || len(found) > 0 {
-			answer(w, http.StatusOK, map[string]any{"events": found, "as_of": revision})
+			if s.isDown() {
+				panic(http.ErrAbortHandler)
+			}
+			answer(w, http.StatusOK, map[string]any{"events": found, "as_of": as})
 			return
 		}
 		select {
 		case <-changed:
+		case <-cut:
+			panic(http.ErrAbortHandler)
 		case <-timeout:
 			over = true
 		case <-r.Context().Done():
@@ -259,14 +269,6 @@
 	}
 }
 
-// says reports whether the entry of a worker contains a text.
-func (s *store) says(name, text string) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	o := s.kinds[serversKind][name]
-	return o != nil && bytes.Contains(o.Specification, []byte(text))
-}
-
 // names returns the names of the objects of a kind.
 func (s *store) names(kind string) []string {
 	s.mu.Lock()
--- a/review/stand2/worker.go
+++ b/review/stand2/worker.go
@@ -8,11 +8,10 @@
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 )
 
@@ -41,12 +40,13 @@
 
 	mu       sync.Mutex
 	models   []string
+	adapters map[string][]string // by model
+	born     int64               // start in Unix ms, where workers tell it; else 0
 	copies   map[string]bool
 	busy     bool
 	sequence uint64
 	beats    uint64
 	running  int
-	draining bool
 	last     string // the entry without its count
 }
 
@@ -57,8 +57,9 @@
 
 // runWorker runs a worker until the process is killed.
 func runWorker(args []string) error {
-	w := &worker{zone: "fko-a", copies: map[string]bool{}}
-	var listen, models string
+	w := &worker{zone: "fko-a", copies: map[string]bool{}, adapters: map[string][]string{}}
+	var listen, models, copies string
+	var tellsStart bool
 	f := flag.NewFlagSet("worker", flag.ExitOnError)
 	f.StringVar(&listen, "listen", "", "address")
 	f.StringVar(&w.listed, "listed", "", "address in the entry")
@@ -70,6 +71,8 @@
 	f.DurationVar(&w.gap, "gap", time.Second, "between the two halves of such an answer")
 	f.BoolVar(&w.engine, "engine", false, "holds models")
 	f.StringVar(&models, "models", "", "models that it holds at first")
+	f.StringVar(&copies, "copies", "", "models on its disk")
+	f.BoolVar(&tellsStart, "born", false, "tells its start, since it may start again under its id")
 	f.Float64Var(&w.weightsMB, "weights", 220000, "memory for weights, in MB")
 	f.Float64Var(&w.modelMB, "model", 72700, "size of each model, in MB")
 	f.DurationVar(&w.load, "load", 6*time.Second, "load from the store")
@@ -78,6 +81,12 @@
 	if models != "" {
 		w.models = strings.Split(models, ",")
 	}
+	if tellsStart {
+		w.born = time.Now().UnixMilli()
+	}
+	for _, m := range strings.Split(copies, ",") {
+		w.copies[m] = copies != ""
+	}
 	for _, m := range w.models {
 		w.copies[m] = true
 	}
@@ -86,7 +95,6 @@
 		return err
 	}
 	go w.beat()
-	go w.drainOnSignal()
 	mux := http.NewServeMux()
 	mux.HandleFunc("/report", w.report)
 	mux.HandleFunc("/order", w.order)
@@ -95,22 +103,11 @@
 	return http.Serve(l, mux)
 }
 
-// drainOnSignal drains the worker at SIGTERM: it says so in the store and serves on.
-func (w *worker) drainOnSignal() {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM)
-	<-signals
-	w.mu.Lock()
-	w.draining = true
-	w.mu.Unlock()
-	record("worker %s drains", w.id)
-}
-
 // entry returns what the worker says of itself in the store.
 func (w *worker) entry() map[string]any {
 	e := map[string]any{"service": w.service, "address": w.listed, "zone": w.zone, "version": "v1", "slots": w.slots, "state": "ready", "cold_remaining_ms": 0}
-	if w.draining {
-		e["state"] = "draining"
+	if w.born != 0 {
+		e["born"] = w.born
 	}
 	if w.engine {
 		e["stage"], e["models"], e["at_hand"] = "both", w.listModels(), map[string]any{"in_memory": []string{}, "on_disk": w.onDisk()}
@@ -121,15 +118,17 @@
 func (w *worker) listModels() []map[string]any {
 	list := []map[string]any{}
 	for _, m := range w.models {
-		list = append(list, map[string]any{"name": m, "version": 1, "adapters": []string{}})
+		list = append(list, map[string]any{"name": m, "version": 1, "adapters": append([]string{}, w.adapters[m]...)})
 	}
 	return list
 }
 
 func (w *worker) onDisk() []string {
 	list := []string{}
-	for m := range w.copies {
-		list = append(list, m)
+	for m, has := range w.copies {
+		if has {
+			list = append(list, m)
+		}
 	}
 	return list
 }
@@ -138,7 +137,7 @@
 func (w *worker) beat() {
 	for next := time.Now(); ; time.Sleep(50 * time.Millisecond) {
 		w.mu.Lock()
-		plain, _ := json.Marshal(map[string]any{"models": w.listModels(), "draining": w.draining})
+		plain, _ := json.Marshal(map[string]any{"models": w.listModels()})
 		due := time.Now().After(next) || string(plain) != w.last
 		w.last = string(plain)
 		w.beats++
@@ -162,7 +161,8 @@
 	if err != nil {
 		return 0
 	}
-	resp, err := http.DefaultClient.Do(req)
+	client := http.Client{Timeout: time.Second} // the store may be silent
+	resp, err := client.Do(req)
 	if err != nil {
 		return 0
 	}
@@ -184,10 +184,14 @@
 func (w *worker) report(rw http.ResponseWriter, _ *http.Request) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	answer(rw, http.StatusOK, map[string]any{
+	said := map[string]any{
 		"stage": "both", "models": w.listModels(), "busy": w.busy, "sequence": w.sequence, "waiting_requests": 0, "running_requests": w.running,
 		"kv_cache_used": 0, "kv_cache_total": 156843, "handles": 0, "at_hand": map[string]any{"in_memory": []string{}, "on_disk": w.onDisk()},
-	})
+	}
+	if w.born != 0 {
+		said["born"] = w.born
+	}
+	answer(rw, http.StatusOK, said)
 }
 
 func (w *worker) order(rw http.ResponseWriter, r *http.Request) {
@@ -205,25 +209,40 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	held := false
-	for _, m := range w.models {
-		held = held || m == o.Model
+	hasModel := slices.Contains(w.models, o.Model)
+	held := hasModel
+	if o.Adapter != "" {
+		held = slices.Contains(w.adapters[o.Model], o.Adapter)
 	}
 	status := http.StatusAccepted
 	switch {
 	case w.busy, o.Expect != nil && *o.Expect != w.sequence:
 		status = http.StatusConflict
+	case o.Adapter != "" && !hasModel:
+		status = http.StatusBadRequest
 	case held == (o.Operation == "load"):
 		status = http.StatusOK
 	}
-	record("worker %s order %s %s expect %v holder %s fence %d: %d, holds %v", w.id, o.Operation, o.Model, o.Expect != nil, o.Holder, o.Fence, status, w.models)
+	expect := "nothing"
+	if o.Expect != nil {
+		expect = strconv.FormatUint(*o.Expect, 10)
+	}
+	record("worker %s order %s %s %s expects %s of %d, holder %s fence %d: %d, holds %v", w.id, o.Operation, o.Model, o.Adapter, expect, w.sequence, o.Holder, o.Fence, status, w.models)
 	rw.WriteHeader(status)
 	if status != http.StatusAccepted {
 		return
 	}
 	w.sequence++
+	if o.Adapter != "" {
+		w.adapters[o.Model] = without(w.adapters[o.Model], o.Adapter)
+		if o.Operation == "load" {
+			w.adapters[o.Model] = append(w.adapters[o.Model], o.Adapter)
+		}
+		return
+	}
 	if o.Operation == "unload" {
 		w.models = without(w.models, o.Model)
+		delete(w.adapters, o.Model)
 		return
 	}
 	if sum := float64(len(w.models)+1) * w.modelMB; sum > w.weightsMB {
@@ -310,12 +329,9 @@
 )
 
 func (w *worker) serveStream(rw http.ResponseWriter, r *http.Request, id string) {
-	model, _, _ := strings.Cut(r.Header.Get(headerModel), "/")
+	model, adapter, _ := strings.Cut(r.Header.Get(headerModel), "/")
 	w.mu.Lock()
-	held := false
-	for _, m := range w.models {
-		held = held || m == model
-	}
+	held := slices.Contains(w.models, model) && (adapter == "" || slices.Contains(w.adapters[model], adapter))
 	w.mu.Unlock()
 	rw.Header().Set(headerRequestID, id)
 	if !held {
