dial: a connection whose write has met its error does not end like an answer

What callers saw: an endpoint answered a long upload at once with a 200 without a length, wrote a part and reset the connection. The caller got the part as a whole answer, on own paths and through other daemons.

Cause: the kernel reports the error of a connection to one call only. Where the write of the upload meets the reset, the read that follows returns EOF, and an answer without a length ends with EOF. The check of such ends then asks whether the endpoint serves, which it does.

Change: connections keep the error that a write has met, and a read at their end returns it. EPIPE alone leaves the end as it is: the peer had closed its side. The daemons of the own interface opened theirs without it.

Why it works: whichever call the kernel tells, the reader learns of it before it can take the end for the peer's.

--- a/cmd/doorvalvectl/client.go
+++ b/cmd/doorvalvectl/client.go
@@ -42,7 +42,7 @@
 	if len(c.Address) == 0 {
 		return nil, errors.New("no daemon named: use --address or DOORVALVE_ADDRESS")
 	}
-	transport := &http.Transport{}
+	transport := &http.Transport{DialContext: dial.TCP}
 	scheme := "http://"
 	if c.CA != "" {
 		pem, err := os.ReadFile(c.CA)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -110,7 +110,7 @@
 // New returns a daemon with its listeners open, so that its addresses are
 // known before Run is called.
 func New(set settings.Settings, log *decisions.Log) (*Daemon, error) {
-	return NewWithDial(set, log, (&net.Dialer{}).DialContext)
+	return NewWithDial(set, log, dial.New(&net.Dialer{}))
 }
 
 // NewWithDial is New for a daemon that opens its connections to endpoints with open.
--- a/internal/dial/dial.go
+++ b/internal/dial/dial.go
@@ -18,7 +18,19 @@
 const receiveBuffer = 128 << 10
 
 // TCP opens connections over TCP, without keep-alive probes.
-var TCP Func = (&net.Dialer{KeepAlive: -1, Control: boundReceiveBuffer}).DialContext
+var TCP = New(&net.Dialer{KeepAlive: -1, Control: boundReceiveBuffer})
+
+// New returns a function that opens connections with d. All connections on which a daemon reads answers are opened by
+// such a function: they end with io.EOF only if the peer has closed its side, see stickyConn.
+func New(d *net.Dialer) Func {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := d.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &stickyConn{Conn: c}, nil
+	}
+}
 
 // boundReceiveBuffer sets the receive buffer before the connection is opened, when its size is told to the other side.
 func boundReceiveBuffer(_, _ string, c syscall.RawConn) error {
--- a/standin/link/link.go
+++ b/standin/link/link.go
@@ -10,6 +10,8 @@
 	"sync"
 	"sync/atomic"
 	"syscall"
+
+	"github.com/doorvalve/doorvalve/internal/dial"
 )
 
 // Mode is the state of a link.
@@ -113,7 +115,7 @@
 			case <-changed:
 			}
 		}
-		raw, err := (&net.Dialer{KeepAlive: -1}).DialContext(ctx, network, address)
+		raw, err := openTCP(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
@@ -126,6 +128,9 @@
 	}
 }
 
+// openTCP opens a connection as daemons do.
+var openTCP = dial.New(&net.Dialer{KeepAlive: -1})
+
 func dialError(network string, err error) error {
 	return &net.OpError{Op: "dial", Net: network, Err: err}
 }
@@ -193,8 +198,21 @@
 // reset resets the connection at both ends.
 func (c *conn) reset() {
 	c.wasReset.Store(true)
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0)
-	}
+	SetReset(c.Conn)
 	_ = c.Conn.Close() // the owner of the connection closes c
 }
+
+// SetReset makes the close of a connection reset it. It looks for the TCP connection below those that name what is
+// below them, as tls.Conn does.
+func SetReset(c net.Conn) {
+	for {
+		switch at := c.(type) {
+		case interface{ NetConn() net.Conn }:
+			c = at.NetConn()
+			continue
+		case *net.TCPConn:
+			_ = at.SetLinger(0)
+		}
+		return
+	}
+}
--- a/standin/silence/silence.go
+++ b/standin/silence/silence.go
@@ -75,3 +75,6 @@
 	c.s.wait()
 	return c.Conn.Write(b)
 }
+
+// NetConn returns the connection below.
+func (c *conn) NetConn() net.Conn { return c.Conn }
--- a/transport/peers/peers.go
+++ b/transport/peers/peers.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/doorvalve/doorvalve/internal/bounded"
+	"github.com/doorvalve/doorvalve/internal/dial"
 	"github.com/doorvalve/doorvalve/protocol/fleetpb"
 	"github.com/doorvalve/doorvalve/protocol/peerpb"
 	"github.com/doorvalve/doorvalve/protocol/quarantinepb"
@@ -84,7 +85,7 @@
 func NewClient(token string) *Client {
 	c := &Client{}
 	t := bounded.Transport{MaxBody: MaxMessageBytes, RoundTripper: silence.Transport{Transport: bounded.Head(&http.Transport{
-		DialContext: c.meter.Dial((&net.Dialer{Timeout: CallTimeout}).DialContext), MaxIdleConnsPerHost: 4, IdleConnTimeout: 30 * time.Second,
+		DialContext: c.meter.Dial(dial.New(&net.Dialer{Timeout: CallTimeout})), MaxIdleConnsPerHost: 4, IdleConnTimeout: 30 * time.Second,
 	})}}
 	c.http = &http.Client{Transport: t, Timeout: CallTimeout}
 	if token != "" {
--- a/transport/platform/client.go
+++ b/transport/platform/client.go
@@ -20,6 +20,7 @@
 	"github.com/doorvalve/doorvalve/coordination/lease"
 	"github.com/doorvalve/doorvalve/driver/generations"
 	"github.com/doorvalve/doorvalve/internal/bounded"
+	"github.com/doorvalve/doorvalve/internal/dial"
 	"github.com/doorvalve/doorvalve/protocol"
 	"github.com/doorvalve/doorvalve/state/storeversion"
 	"github.com/doorvalve/doorvalve/transport/meter"
@@ -104,7 +105,7 @@
 // New returns a client.
 func New(opt Options) *Client {
 	c := &Client{opt: opt}
-	t := bounded.Head(&http.Transport{DialContext: c.meter.Dial((&net.Dialer{Timeout: opt.Timeout}).DialContext), MaxIdleConnsPerHost: 16, IdleConnTimeout: 30 * time.Second})
+	t := bounded.Head(&http.Transport{DialContext: c.meter.Dial(dial.New(&net.Dialer{Timeout: opt.Timeout})), MaxIdleConnsPerHost: 16, IdleConnTimeout: 30 * time.Second})
 	c.http = &http.Client{Transport: bounded.Transport{RoundTripper: t, MaxBody: maxAnswerBytes}}
 	return c
 }
