bounded: an answer with a status of no class is refused as one that can't be read

What callers saw: where an endpoint answered with status 000, 001 or 099, the caller's connection was closed without any answer, on every route, and no other endpoint was tried. 600 and 999 were passed on.

Cause: net/http reads any three digits, or a sign and two, as a status. The daemon took the answer for sound, and its own server panics when a handler writes a status below 100. A switch of protocols that nobody had asked for ended in the same way.

Change: bounded.CheckHead checks what net/http leaves open in the head of an answer, and RoundTrip applies it to every answer of an endpoint, on both interfaces, direct and relayed, and of other daemons.

Why it works: an attempt fails before anything of the answer is used, as it does for a head that net/http can't read: the next attempt where one is allowed, else 502, and the endpoint is held to the same.

--- a/internal/bounded/bounded.go
+++ b/internal/bounded/bounded.go
@@ -1,5 +1,5 @@
-// Package bounded bounds what is read of the answers to HTTP requests, and for how long: whoever answers may send
-// bytes that are no answer, without end.
+// Package bounded bounds what is read of the answers to HTTP requests, and for how long, and checks their heads: whoever
+// answers may send bytes that are no answer, without end.
 package bounded
 
 import (
@@ -37,8 +37,8 @@
 	return t
 }
 
-// RoundTrip sends a request over a transport whose heads are bounded by Head, and bounds the time of the head. Its
-// own errors are ErrHeadTooLarge and ErrHeadTooSlow.
+// RoundTrip sends a request over a transport whose heads are bounded by Head, bounds the time of the head and checks it.
+// Its own errors are ErrHeadTooLarge, ErrHeadTooSlow and ErrInvalidHead.
 func RoundTrip(t http.RoundTripper, req *http.Request) (*http.Response, error) {
 	h := &head{}
 	resp, err := t.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{
@@ -47,6 +47,11 @@
 	slow := h.end()
 	switch {
 	case err == nil:
+		if err = CheckHead(resp); err != nil {
+			_ = resp.Body.Close()
+			h.closeConn() // what it brings next may belong to this answer
+			return nil, err
+		}
 		return resp, nil
 	case slow:
 		return nil, ErrHeadTooSlow
@@ -109,6 +114,13 @@
 	_ = h.conn.Close()
 }
 
+// closeConn closes the connection of a head that was received.
+func (h *head) closeConn() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	_ = h.conn.Close()
+}
+
 // heads are those that have begun and are not complete. One timer looks at all of them: a timer for each would cost more
 // than the rest of the watch.
 type heads struct {
--- a/transport/proxy/proxy_test.go
+++ b/transport/proxy/proxy_test.go
@@ -46,7 +46,8 @@
 	return l.Addr().String()
 }
 
-// Guards against broken answers that pass for whole on the own interface: a part before a reset beside an upload.
+// Guards against broken answers that pass for whole on the own interface: a part before a reset beside an upload, and
+// answers with an invalid head.
 func TestBrokenAnswersAreFailures(t *testing.T) {
 	const plays = 200
 	for _, c := range []struct {
@@ -55,6 +56,7 @@
 		want          string // the body; empty: a failure
 	}{
 		{"reset beside an upload", "HTTP/1.1 200 OK\r\n\r\npart", true, ""},
+		{"status 000", "HTTP/1.1 000 None\r\nContent-Length: 5\r\n\r\nwrong", false, ""},
 		{"sound, before the request was read", "HTTP/1.1 200 OK\r\n\r\nwhole", false, "whole"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/transport/tunnel/tunnel.go
+++ b/transport/tunnel/tunnel.go
@@ -162,6 +162,9 @@
 	if err == nil {
 		resp, err = http.ReadResponse(r, req)
 	}
+	if err == nil {
+		err = bounded.CheckHead(resp)
+	}
 	head.N = math.MaxInt64
 	if !stop() {
 		err = context.Cause(ctx)
