bounded: an answer with a blank in the name of a field is refused

What callers saw: a head with a blank inside a name, or before its colon, was passed on as a sound answer; where the name was to frame the body, the caller got the framing of chunks as content, or an empty body.

Cause: net/http accepts blanks in names and keeps such names as they are, so that "Content-Length : 5" is no length and "Transfer-Encoding : chunked" no coding to it. The answer then ended with its connection.

An order whose answer had such a head counted as carried out.

Change: bounded.CheckHead requires that each name is a token (RFC 9110, 5.1), informational heads included.

Why it works: an answer can't be framed by a field that only looks like one of HTTP's; the connection is closed, so that what follows is not taken for the next answer.

--- a/internal/bounded/bounded.go
+++ b/internal/bounded/bounded.go
@@ -87,8 +87,11 @@
 }
 
 // informational ends the time of the head: an endpoint may work on the request for long after an informational answer.
-func (h *head) informational(int, textproto.MIMEHeader) error {
+func (h *head) informational(_ int, fields textproto.MIMEHeader) error {
 	incomplete.remove(h)
+	if err := checkFieldNames(fields); err != nil {
+		return err
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.informationals++; h.informationals > maxInformational {
--- a/internal/bounded/bounded_test.go
+++ b/internal/bounded/bounded_test.go
@@ -79,7 +79,7 @@
 	for _, content := range []string{
 		"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\nok", "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\n\r\nrest", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;x=y\r\n12345\r\n0\r\nT: 1\r\n\r\n",
 		"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n", "HTTP/1.1 999\r\n\r\n", "\x00\x01", "HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n",
-		"HTTP/1.1 000 OK\r\n\r\n",
+		"HTTP/1.1 000 OK\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nok", "HTTP/1.1 103 Early Hints\r\nX Y: 1\r\n\r\nHTTP/1.1 200 OK\r\n\r\n",
 	} {
 		f.Add([]byte(content))
 	}
--- a/internal/bounded/head.go
+++ b/internal/bounded/head.go
@@ -28,7 +28,7 @@
 	case !httpguts.ValidHeaderFieldValue(resp.Status): // the reason has the syntax of a field value
 		return fmt.Errorf("%w: reason %.64q", ErrInvalidHead, resp.Status)
 	}
-	return nil
+	return checkFieldNames(resp.Header)
 }
 
 // validStatus reports whether the status of a final answer is in one of the classes. A switch of protocols is valid if
@@ -39,3 +39,14 @@
 	}
 	return resp.StatusCode >= minFinalStatus && resp.StatusCode <= maxStatus
 }
+
+// checkFieldNames returns an error that is ErrInvalidHead unless all names are tokens. net/http accepts blanks in names,
+// and then doesn't know the fields that frame the body.
+func checkFieldNames(h map[string][]string) error {
+	for name := range h {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return fmt.Errorf("%w: field name %.64q", ErrInvalidHead, name)
+		}
+	}
+	return nil
+}
--- a/internal/bounded/head_test.go
+++ b/internal/bounded/head_test.go
@@ -19,6 +19,8 @@
 		{"HTTP/1.1 000 OK\r\n", false, false}, {"HTTP/1.1 099 OK\r\n", false, false}, {"HTTP/1.1 +20 OK\r\n", false, false}, {"HTTP/1.1 600 OK\r\n", false, false},
 		{"HTTP/1.1 101 Other\r\n", false, false}, {"HTTP/1.1 101 Other\r\n", true, true}, {"HTTP/1.1 100 Continue\r\n", true, false},
 		{"HTTP/2.0 200 OK\r\n", false, false}, {"HTTP/0.9 200 OK\r\n", false, false}, {"HTTP/1.1 200 O\x01K\r\n", false, false}, {"HTTP/1.1 200 \xc3\xa9\r\n", false, true},
+		{"HTTP/1.1 200 OK\r\nX-Line: 1\r\n", false, true}, {"HTTP/1.1 200 OK\r\nx!#$%&'*+-.^_`|~: 1\r\n", false, true},
+		{"HTTP/1.1 200 OK\r\nX Line: 1\r\n", false, false}, {"HTTP/1.1 200 OK\r\nX-Line : 1\r\n", false, false}, {"HTTP/1.1 200 OK\r\nContent-Length : 1\r\n", false, false},
 	} {
 		req := &http.Request{Method: http.MethodGet, Header: http.Header{}}
 		if c.upgrade {
--- a/transport/proxy/proxy_test.go
+++ b/transport/proxy/proxy_test.go
@@ -57,6 +57,7 @@
 	}{
 		{"reset beside an upload", "HTTP/1.1 200 OK\r\n\r\npart", true, ""},
 		{"status 000", "HTTP/1.1 000 None\r\nContent-Length: 5\r\n\r\nwrong", false, ""},
+		{"blank in a name", "HTTP/1.1 200 OK\r\nX Line: 1\r\n\r\nwrong", false, ""},
 		{"sound, before the request was read", "HTTP/1.1 200 OK\r\n\r\nwhole", false, "whole"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
