discovery: the answer to a watch does not prove when the store had its version

Cause: Follower.Watched counted an answer without changes as of the end of its wait, and one with changes as of its request. A watch only proves that everything up to the version of its answer has been received, not when the store had that version. The age is used for keys, routes, removed endpoints, streams, and what watchers tell their followers.

Change: only a list or a Checkpoint advances the age: a version that the store reported to a request at a known time. Data that includes all changes up to that version is complete as of that request. The first of the watchers reads the version (a list without objects) just before its watches end; the other watchers get its age as followers do, and read themselves only if it is late. An empty answer that ends before the version of an earlier checkpoint shows a deaf watch: the objects are listed. Watches of both kinds end together, those of the endpoints later than before, so that the calls stay about the same; the slack of a watch is shorter where the bound is short.

maxViewAge of the streams is somewhat more than the interval at which a view is confirmed, and follows it.

--- a/coordination/discovery/follow.go
+++ b/coordination/discovery/follow.go
@@ -5,6 +5,7 @@
 package discovery
 
 import (
+	"slices"
 	"time"
 
 	"github.com/doorvalve/doorvalve/state/storeversion"
@@ -37,15 +38,18 @@
 //
 // Invariants: a watch continues only from the version up to which every change
 // has been received; after lost history, the follower lists again. AsOf is never
-// later than the time of the data, however long an answer took.
+// later than the time of the data, however long an answer took. The answer to a
+// watch proves that every change up to its version has been received, but not when
+// the store had that version: only a list or a Checkpoint advances AsOf.
 type Follower struct {
-	opt      FollowOptions
-	since    storeversion.Version
-	synced   bool
-	nextAt   time.Time
-	failures int       // failed calls in a row
-	failedAt time.Time // time of the first of them; zero after a success
-	asOf     time.Time // time up to which every change has been received
+	opt         FollowOptions
+	since       storeversion.Version
+	synced      bool
+	nextAt      time.Time
+	failures    int          // failed calls in a row
+	failedAt    time.Time    // time of the first of them; zero after a success
+	asOf        time.Time    // time up to which every change has been received
+	checkpoints []Checkpoint // of versions after since, the oldest first
 }
 
 // NewFollower returns a follower that has received nothing; it lists first.
@@ -65,6 +69,9 @@
 // Since returns the version after which a watch starts.
 func (f *Follower) Since() storeversion.Version { return f.since }
 
+// Watching reports whether the follower watches the store: its next call is no list.
+func (f *Follower) Watching() bool { return f.synced }
+
 // FailingSince returns the time of the first of the current failures in a row;
 // zero if the last call succeeded.
 func (f *Follower) FailingSince() time.Time { return f.failedAt }
@@ -80,34 +87,82 @@
 // time of the request.
 func (f *Follower) Listed(requestedAt, now time.Time, version storeversion.Version) {
 	f.since = version
-	f.succeeded(requestedAt, now)
+	f.succeeded(now)
+	f.advance(requestedAt)
+	f.settle()
+}
+
+// WatchAnswer is the answer to a watch.
+type WatchAnswer struct {
+	RequestedAt, ReceivedAt time.Time
+	Wait                    time.Duration        // that the store was asked to wait
+	Version                 storeversion.Version // up to which the answer contains every change
+	Changed                 bool                 // whether it contains any
+}
+
+// lacks reports whether the answer proves that watches miss changes: the store answered after it had
+// reported the version of a checkpoint, but only covers the changes up to an earlier one.
+func (a WatchAnswer) lacks(c Checkpoint) bool {
+	end := a.RequestedAt.Add(a.Wait)
+	return !a.Changed && !a.ReceivedAt.Before(end) && !c.ReceivedAt.After(end) && a.Version.Before(c.Version)
 }
 
-// Watched reports the answer to a watch that was asked to wait for the time wait.
-// changed reports whether the answer holds changes. If it holds none and took the
-// whole wait, nothing changed during the wait, and the answer counts as of the end
-// of the wait. Otherwise it counts as of requestedAt, as it is unknown how long the
-// answer was in transit.
-func (f *Follower) Watched(requestedAt, now time.Time, wait time.Duration, version storeversion.Version, changed bool) {
-	f.since = storeversion.Max(f.since, version)
-	asOf := requestedAt
-	if !changed && now.Sub(requestedAt) >= wait {
-		asOf = requestedAt.Add(wait)
+// Watched reports the answer to a watch. It returns false if the answer proves that watches miss
+// changes; the next call is then a list.
+func (f *Follower) Watched(a WatchAnswer) (sound bool) {
+	f.since = storeversion.Max(f.since, a.Version)
+	f.succeeded(a.ReceivedAt)
+	f.settle()
+	if a.Changed {
+		f.nextAt = a.ReceivedAt.Add(f.opt.Pause)
 	}
-	f.succeeded(asOf, now)
-	if changed {
-		f.nextAt = now.Add(f.opt.Pause)
+	if slices.ContainsFunc(f.checkpoints, a.lacks) {
+		f.Relist()
+		return false
 	}
+	return true
 }
 
-func (f *Follower) succeeded(asOf, now time.Time) {
-	f.Suspend()
-	f.synced, f.nextAt = true, now
+// EndPauseBy ends the pause after changes at the given time, if it would last longer.
+func (f *Follower) EndPauseBy(at time.Time) {
+	if f.failedAt.IsZero() && at.Before(f.nextAt) {
+		f.nextAt = at
+	}
+}
+
+// Observe records a checkpoint of the store. It reports whether AsOf has advanced.
+func (f *Follower) Observe(c Checkpoint) (advanced bool) {
+	before := f.asOf
+	if len(f.checkpoints) == maxCheckpoints {
+		f.checkpoints = slices.Delete(f.checkpoints, 0, 1)
+	}
+	f.checkpoints = append(f.checkpoints, c)
+	f.settle()
+	return f.asOf.After(before)
+}
+
+// settle advances AsOf to the checkpoints up to whose versions every change has been received.
+func (f *Follower) settle() {
+	f.checkpoints = slices.DeleteFunc(f.checkpoints, func(c Checkpoint) bool {
+		reached := !f.since.Before(c.Version)
+		if reached {
+			f.advance(c.RequestedAt)
+		}
+		return reached
+	})
+}
+
+func (f *Follower) advance(asOf time.Time) {
 	if asOf.After(f.asOf) {
 		f.asOf = asOf
 	}
 }
 
+func (f *Follower) succeeded(now time.Time) {
+	f.Suspend()
+	f.synced, f.nextAt = true, now
+}
+
 // HistoryLost reports that the store no longer has the changes after Since: the
 // store is available, but its answer contains no data.
 func (f *Follower) HistoryLost(now time.Time) {
--- a/coordination/relay/relay.go
+++ b/coordination/relay/relay.go
@@ -59,11 +59,16 @@
 
 // Upstreams reports whether the daemon self is a watcher. If not, it returns the
 // watchers to copy from, the preferred first: those of its own failure domain come
-// first, and each daemon has its own order within a domain, to spread the load.
+// first, and each daemon has its own order within a domain, to spread the load. A
+// watcher gets the first of all watchers, unless it is that one: its reads of the
+// store's version prove the age of the data of all.
 func Upstreams(self membership.Member, members []membership.Member) (watches bool, order []membership.Member) {
 	watchers := Watchers(members)
-	if len(watchers) == 0 || slices.ContainsFunc(watchers, func(m membership.Member) bool { return m.ID == self.ID }) {
+	switch i := slices.IndexFunc(watchers, func(m membership.Member) bool { return m.ID == self.ID }); {
+	case len(watchers) == 0 || i == 0:
 		return true, nil
+	case i > 0:
+		return true, watchers[:1]
 	}
 	order = membership.Rendezvous(self.ID, watchers)
 	slices.SortStableFunc(order, func(a, b membership.Member) int {
--- a/coordination/relay/source.go
+++ b/coordination/relay/source.go
@@ -50,6 +50,18 @@
 	return oldest
 }
 
+// Oldest returns the time up to which every change of all kinds is known; zero if nothing is known of
+// a kind.
+func (s Freshness) Oldest() time.Time {
+	oldest := s[0]
+	for _, at := range s {
+		if at.Before(oldest) {
+			oldest = at
+		}
+	}
+	return oldest
+}
+
 // Latest returns, for each kind, the later of the two times.
 func Latest(a, b Freshness) Freshness {
 	for k := range a {
--- a/driver/storeview/desired.go
+++ b/driver/storeview/desired.go
@@ -9,8 +9,10 @@
 	"io"
 	"sync"
 
+	"github.com/doorvalve/doorvalve/coordination/discovery"
 	"github.com/doorvalve/doorvalve/coordination/relay"
 	"github.com/doorvalve/doorvalve/internal/pause"
+	"github.com/doorvalve/doorvalve/state/storeversion"
 )
 
 // maxDesiredBytes bounds a desired state: the store takes no larger objects.
@@ -123,7 +125,9 @@
 		_ = v.adoptDesired(raw, "store", stored) // after an error, the previous state stays in force
 		v.mu.Lock()
 		defer v.mu.Unlock()
-		v.desiredFollower.Listed(requestedAt, v.opt.Clock(), stored)
+		now := v.opt.Clock()
+		v.desiredFollower.Listed(requestedAt, now, stored)
+		v.observeCheckpoint(discovery.Checkpoint{RequestedAt: requestedAt, ReceivedAt: now, Version: stored})
 		v.notify()
 		return nil, nil
 	})
@@ -131,19 +135,19 @@
 }
 
 func (v *View) watchDesired(ctx context.Context) error {
-	requestedAt, wait, since := v.beginWatch(v.desiredFollower, relay.DesiredState)
-	raw, stored, err := v.opt.Store.WatchDesiredState(ctx, since, wait, watchSlack)
-	v.logLate("store", relay.DesiredState, requestedAt.Add(wait), err)
-	if err == nil {
-		err = v.checkContinuity(since, stored, relay.DesiredState)
-	}
+	w := v.beginWatch(v.desiredFollower)
+	var raw []byte
+	err := v.watch(ctx, w, relay.DesiredState, func(ctx context.Context) (stored storeversion.Version, err error) {
+		raw, stored, err = v.opt.Store.WatchDesiredState(ctx, w.since, w.wait, v.slack(w.wait))
+		return stored, err
+	})
 	if err != nil {
 		return err
 	}
-	_ = v.adoptDesired(raw, "store", stored) // after an error, the previous state stays in force
+	_ = v.adoptDesired(raw, "store", w.stored) // after an error, the previous state stays in force
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.desiredFollower.Watched(requestedAt, v.opt.Clock(), wait, stored, raw != nil)
+	v.observeWatch(w, relay.DesiredState, raw != nil)
 	v.notify()
 	return nil
 }
--- a/driver/storeview/follow.go
+++ b/driver/storeview/follow.go
@@ -13,29 +13,32 @@
 )
 
 const (
-	// gatherShare, watchShare and desiredWatchShare are shares of the propagation
-	// bound. Changes of the endpoints gather for the first, so that changes which
-	// arrive together cost one call; a watch of the endpoints waits for the
-	// second, a watch of the desired state for the third: a watch that has become
-	// unresponsive must be detected before the platform expects this daemon to be
-	// up to date again.
-	gatherShare       = 0.2
-	watchShare        = 0.3
-	desiredWatchShare = 0.6
-	// maxWatch and maxDesiredWatch bound these waits if the propagation bound is
-	// long: the platform's windows do not grow with it.
-	maxWatch        = 900 * time.Millisecond
-	maxDesiredWatch = 1500 * time.Millisecond
-	// refreshShare and minWatchShare shorten a watch that follows one with
-	// changes, whose answer is only known to be as new as its request: it ends
-	// before the local data is older than the first, and waits for the second at
-	// least. At staleShare, followers of this daemon would change to another
+	// gatherShare is the share of the propagation bound for which changes of the
+	// endpoints gather, so that changes which arrive together cost one call.
+	gatherShare = 0.2
+	// refreshShare is the share of the propagation bound after which the watches end
+	// and the store's version has been read: a watch that has become unresponsive
+	// must be detected before the platform expects this daemon to be up to date
+	// again, and at staleShare, followers of this daemon would change to another
 	// upstream.
-	refreshShare  = 0.55
-	minWatchShare = 0.1
-	// watchSlack is how long after its end a slow store may begin to answer a
-	// watch before the watch counts as failed.
-	watchSlack = 600 * time.Millisecond
+	refreshShare = 0.58
+	// maxRefresh bounds this time if the propagation bound is long: the platform's
+	// windows do not grow with it.
+	maxRefresh = 1600 * time.Millisecond
+	// proofPatience is how long a watcher waits for the news of the watcher that reads the
+	// store's version for all before it reads it itself.
+	proofPatience = 150 * time.Millisecond
+	// minLead and maxLead bound the time by which the store's version is read before
+	// the watches end.
+	minLead = 50 * time.Millisecond
+	maxLead = 400 * time.Millisecond
+	// maxSlack is how long after its end a slow store may begin to answer a watch
+	// before the watch counts as failed. It is shorter, but at least minSlack, where
+	// the list that follows a failed watch would otherwise begin later than
+	// relistShare, a share of the propagation bound, after the watch.
+	maxSlack    = 600 * time.Millisecond
+	minSlack    = 250 * time.Millisecond
+	relistShare = 0.85
 	// minRetry is the pause after a failed call; it doubles up to maxRetry with
 	// each further failure, since failed calls are charged as well.
 	minRetry = 250 * time.Millisecond
@@ -86,20 +89,6 @@
 	return nil
 }
 
-// beginWatch returns the time at which a watch of a kind is requested, how long it may
-// wait and the version that it starts from.
-func (v *View) beginWatch(f *discovery.Follower, kind relay.Kind) (requestedAt time.Time, wait time.Duration, since storeversion.Version) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	requestedAt = v.opt.Clock()
-	wait = min(v.shareOfBound(watchShare), maxWatch)
-	if kind == relay.DesiredState {
-		wait = min(v.shareOfBound(desiredWatchShare), maxDesiredWatch)
-	}
-	left := v.shareOfBound(refreshShare) - requestedAt.Sub(f.AsOf())
-	return requestedAt, min(wait, max(left, v.shareOfBound(minWatchShare))), f.Since()
-}
-
 // logLate logs an answer that arrived long after it was due: its content may be older by
 // the same time.
 func (v *View) logLate(from string, kind relay.Kind, due time.Time, err error) {
@@ -166,6 +155,7 @@
 		fresh = v.recordUnusable(unusable, stored)
 		v.pruneUnusable(unusable)
 		v.endpointsFollower.Listed(requestedAt, now, stored)
+		v.observeCheckpoint(discovery.Checkpoint{RequestedAt: requestedAt, ReceivedAt: now, Version: stored})
 		return v.registry.List(now, list, stored, v.outage.GraceUntil())
 	})
 	v.logUnusable(fresh)
@@ -213,19 +203,19 @@
 }
 
 func (v *View) watchEndpoints(ctx context.Context) error {
-	requestedAt, wait, since := v.beginWatch(v.endpointsFollower, relay.Endpoints)
-	changes, stored, err := v.opt.Store.WatchEndpoints(ctx, since, wait, watchSlack)
-	v.logLate("store", relay.Endpoints, requestedAt.Add(wait), err)
-	if err == nil {
-		err = v.checkContinuity(since, stored, relay.Endpoints)
-	}
+	w := v.beginWatch(v.endpointsFollower)
+	var changes []discovery.Change
+	err := v.watch(ctx, w, relay.Endpoints, func(ctx context.Context) (stored storeversion.Version, err error) {
+		changes, stored, err = v.opt.Store.WatchEndpoints(ctx, w.since, w.wait, v.slack(w.wait))
+		return stored, err
+	})
 	if err != nil {
 		return err
 	}
 	var fresh []discovery.Unusable
 	v.update("store", func(now time.Time) (kept []string) {
 		kept, fresh = v.applyChanges(now, changes)
-		v.endpointsFollower.Watched(requestedAt, now, wait, stored, len(changes) > 0)
+		v.observeWatch(w, relay.Endpoints, len(changes) > 0)
 		return kept
 	})
 	v.logUnusable(fresh)
--- a/driver/storeview/relay.go
+++ b/driver/storeview/relay.go
@@ -54,14 +54,14 @@
 	version uint64
 }
 
-// RunRelay copies the store's data from upstreams, unless this daemon is a watcher,
-// until ctx ends.
+// RunRelay copies the store's data from upstreams until ctx ends. A watcher does so as well,
+// from the watcher that reads the store's version for all.
 func (v *View) RunRelay(ctx context.Context) error {
 	failing := false // the last poll failed, and this has been logged
 	for ctx.Err() == nil {
 		watcher, order := v.opt.Upstreams()
-		v.setRole(watcher)
-		if watcher {
+		v.setRole(watcher, len(order) > 0)
+		if len(order) == 0 {
 			pause.For(ctx, v.roleCheckPause())
 			continue
 		}
@@ -95,11 +95,12 @@
 	return roleCheckInterval
 }
 
-// setRole records and logs whether this daemon is a watcher. A daemon that becomes a
+// setRole records and logs whether this daemon is a watcher, and records whether it has an upstream. A daemon that becomes a
 // watcher reads the store at once, not when its copied data becomes stale, since others
 // may begin to copy from it.
-func (v *View) setRole(watcher bool) {
+func (v *View) setRole(watcher, hasUpstream bool) {
 	v.mu.Lock()
+	v.schedule.Rely(hasUpstream)
 	changed := watcher != v.watcher
 	v.watcher = watcher
 	if changed && watcher {
@@ -211,9 +212,14 @@
 	applied := freshness
 	if v.desiredVersion() < resp.ConfigVersion {
 		applied[relay.DesiredState] = time.Time{} // only its version has been received
-		v.wakeCatchUp()
+		if !v.watcher {
+			v.wakeCatchUp()
+		}
 	}
 	v.source.Receive(now, freshness, applied)
+	if v.watcher {
+		v.schedule.ObserveShared(applied.Oldest())
+	}
 	return kept
 }
 
--- a/driver/storeview/storeview.go
+++ b/driver/storeview/storeview.go
@@ -34,6 +34,8 @@
 	// size, not by time.
 	WatchEndpoints(ctx context.Context, since storeversion.Version, wait, slack time.Duration) (changes []discovery.Change, version storeversion.Version, err error)
 	WatchDesiredState(ctx context.Context, since storeversion.Version, wait, slack time.Duration) (raw []byte, version storeversion.Version, err error)
+	// CurrentVersion returns the store's version at some time after the call began.
+	CurrentVersion(ctx context.Context) (storeversion.Version, error)
 }
 
 // Options configure a View.
@@ -45,8 +47,9 @@
 	Self string
 	// Peer returns any other daemon, or nil if there is none.
 	Peer func() fleetpb.Fleet
-	// Upstreams reports whether this daemon is a watcher, and otherwise returns
-	// the daemons that it may copy from, the best first.
+	// Upstreams reports whether this daemon is a watcher, and returns the daemons
+	// that it may copy from, the best first; none for the watcher that reads the
+	// store's version for all.
 	Upstreams func() (watcher bool, order []fleetpb.Fleet)
 	// PropagationBound is the time within which a change in the store must be in
 	// force here: a leaving endpoint gets no more requests, and requests are
@@ -80,6 +83,7 @@
 	registry          *discovery.Registry
 	endpointsFollower *discovery.Follower
 	desiredFollower   *discovery.Follower
+	schedule          *discovery.Schedule
 	outage            *discovery.Outage
 	proof             proof
 	unusable          map[string]storeversion.Version // entries that describe no usable endpoint, by id
@@ -95,7 +99,7 @@
 	onChange          []func()
 	discarded         tally.Counter
 
-	reads          singleflight.Group // of the desired state
+	reads          singleflight.Group // of the desired state, and of the store's version
 	catchUpPending chan struct{}      // holds one element when an upstream has announced a newer desired state
 	maxPeerVersion atomic.Uint64      // highest desired state version reported by followers of this daemon
 }
@@ -118,6 +122,7 @@
 		desiredFollower: discovery.NewFollower(discovery.FollowOptions{Retry: minRetry, MaxRetry: maxRetry}),
 	}
 	v.endpointsFollower = discovery.NewFollower(discovery.FollowOptions{Pause: v.shareOfBound(gatherShare), Retry: minRetry, MaxRetry: maxRetry})
+	v.schedule = v.newSchedule()
 	v.source = relay.NewSource(v.shareOfBound(staleShare))
 	v.startGraceEnd = v.opt.Clock().Add(startGrace)
 	v.view.Store(fleet.NewView(storeversion.Version{}, nil))
--- a/driver/streams/streams.go
+++ b/driver/streams/streams.go
@@ -47,7 +47,7 @@
 	callTimeout = 150 * time.Millisecond
 	// maxViewAge is the age of the endpoint view up to which this daemon relies on having seen all
 	// software of a service: somewhat more than the interval at which a sound view is confirmed.
-	maxViewAge = 1500 * time.Millisecond
+	maxViewAge = 1800 * time.Millisecond
 	// maxMixed bounds the services in which a second version has appeared and whose records are not copied yet.
 	maxMixed = 256
 	// batch bounds the records of one message, at some 100 bytes each.
