residency: a late order is over when its time is, not when one incarnation has counted past it

Cause: an unanswered order was forgotten once the engine had counted past it. That holds for one incarnation; the next one counts from zero again. The same proof was used beyond what it proves where - an engine was not listed for a moment: its state was deleted, with the late orders; - the outcome of an order arrived while its engine was not listed: it was dropped; - an order with the same content was answered: the earlier one was forgotten with it; - a restart without a start was seen during an order: the order counted as one to the new incarnation; - several late orders overload a new incarnation by themselves, without any order to it.

Change: lateOrders says in one type what is known of unanswered orders: until when each may arrive, and which were certainly sent to the present incarnation (serial numbers tell equal orders apart). They outlast the engine's entry. Only what they need depends on the incarnation: nothing while its count is past them, and one load at most for each count that they expect. A load is sent only if it would fit after a restart beside the other late ones.

--- a/coordination/residency/adopt.go
+++ b/coordination/residency/adopt.go
@@ -39,7 +39,8 @@
 		return
 	}
 	if rep.Sequence < e.sequence {
-		e.noteRestart()
+		p.noteRestart(e, rep)
+		e.synced = false // also if the order in progress keeps this report from being adopted
 	}
 	newer := rep.Sequence != e.sequence || !e.synced
 	if o := e.order; o != nil {
@@ -76,7 +77,7 @@
 			continue
 		}
 		if !newer {
-			e.noteRestart() // no order has removed the model
+			p.noteRestart(e, rep) // no order has removed the model
 		}
 		delete(e.models, name)
 	}
--- a/coordination/residency/incarnations.go
+++ b/coordination/residency/incarnations.go
@@ -9,68 +9,149 @@
 	"github.com/doorvalve/doorvalve/state/routing"
 )
 
-// lateOrder is an unanswered order. The engine may carry it out seconds later, even in its
-// next incarnation, which counts orders from zero again and so can reach the count that the
-// order expects.
+// lateOrder is an unanswered order. The engine may carry it out seconds later, even in a later
+// incarnation, which counts orders from zero again and so can reach the count that the order expects.
+// Only time proves that it has no effect any more: a count beyond the expected one proves this for one
+// incarnation.
 type lateOrder struct {
 	order Order
 	until time.Time // the order cannot arrive any later
-	// restarted reports that the engine may have started again since, without telling its start.
-	restarted bool
 }
 
-// toEarlier reports whether the order may have been sent to an earlier incarnation of the engine.
-func (l lateOrder) toEarlier(e *engineState) bool {
-	return l.restarted || !l.order.Endpoint.Matches(e.incarnation)
+// lateOrders are the unanswered orders to the incarnations of one engine.
+type lateOrders struct {
+	incarnation fleet.Incarnation // the present one, or the last one that was listed
+	// firstSerial is the serial of the first order that was certainly sent to this incarnation.
+	firstSerial uint64
+	list        []lateOrder
+}
+
+// observe processes the outcome of an order: an unanswered order may arrive late, and an accepted
+// order to an earlier incarnation may have been accepted by the present one instead.
+func (l *lateOrders) observe(now time.Time, o Order, outcome Outcome) {
+	l.list = slices.DeleteFunc(l.list, func(known lateOrder) bool { return known.order == o })
+	if outcome == Unanswered || outcome == Accepted && l.toEarlier(o) {
+		l.add(now, o)
+	}
+}
+
+// add records an order that the engine may still carry out.
+func (l *lateOrders) add(now time.Time, o Order) {
+	l.list = append(l.list, lateOrder{order: o, until: now.Add(lateOrderTTL)})
+}
+
+// prune drops the orders whose time has passed.
+func (l *lateOrders) prune(now time.Time) {
+	l.list = slices.DeleteFunc(l.list, func(known lateOrder) bool { return !now.Before(known.until) })
+}
+
+// toEarlier reports whether an order may have been sent to an earlier incarnation.
+func (l *lateOrders) toEarlier(o Order) bool {
+	return o.serial < l.firstSerial || !o.Endpoint.Matches(l.incarnation)
+}
+
+// unplanned returns the late loads that the present incarnation, which has counted a number of orders,
+// may still carry out in addition to those planned for it.
+func (l *lateOrders) unplanned(counted uint64) possibleLoads {
+	possible := possibleLoads{}
+	for _, known := range l.list {
+		if known.order.Expect >= counted && l.toEarlier(known.order) {
+			possible.add(known.order)
+		}
+	}
+	return possible
+}
+
+// afterRestart returns the late loads that an incarnation after the present one may carry out, with an
+// order that is about to be sent.
+func (l *lateOrders) afterRestart(next Order) possibleLoads {
+	possible := possibleLoads{}
+	for _, known := range l.list {
+		possible.add(known.order)
+	}
+	possible.add(next)
+	return possible
 }
 
-// noteRestart records that the engine may have started again without telling its start.
-func (e *engineState) noteRestart() {
-	for i := range e.lateOrders {
-		e.lateOrders[i].restarted = true
+// possibleLoads are loads that an engine may carry out, by the count that they expect: of those that
+// expect the same one, it carries out one at most.
+type possibleLoads map[uint64][]Order
+
+func (l possibleLoads) add(o Order) {
+	if !o.Unload {
+		l[o.Expect] = append(l[o.Expect], o)
 	}
 }
 
-// unplannedMemory returns the memory, in MB, that the effect of an order to an earlier
-// incarnation would need in addition to everything planned for this one.
-func (e *engineState) unplannedMemory(l lateOrder, engine *routing.Engine) float64 {
-	m := engine.Models[l.order.Model]
-	switch {
-	case l.order.Unload, !l.toEarlier(e):
+// memory returns the most memory, in MB, that the loads need.
+func (l possibleLoads) memory(engine *routing.Engine) float64 {
+	sum := 0.0
+	for _, orders := range l {
+		most := 0.0
+		for _, o := range orders {
+			size := engine.Models[o.Model].SizeMB
+			if o.Adapter != "" {
+				size = engine.Models[o.Model].AdapterMB
+			}
+			most = max(most, size)
+		}
+		sum += most
+	}
+	return sum
+}
+
+// adapters returns the most adapters that the loads add.
+func (l possibleLoads) adapters() int {
+	n := 0
+	for _, orders := range l {
+		if slices.ContainsFunc(orders, func(o Order) bool { return o.Adapter != "" }) {
+			n++
+		}
+	}
+	return n
+}
+
+// counted returns the number of orders that the present incarnation has certainly counted.
+func (e *engineState) counted() uint64 {
+	if !e.synced {
 		return 0
-	case l.order.Adapter != "":
-		return m.AdapterMB
 	}
-	return m.SizeMB
+	return e.sequence
 }
 
-// recordLate processes the outcome of an order: an unanswered order may arrive late, and an
-// accepted order to an earlier incarnation may have been accepted by the present one
-// instead.
-func (e *engineState) recordLate(now time.Time, o Order, outcome Outcome) {
-	e.lateOrders = slices.DeleteFunc(e.lateOrders, func(l lateOrder) bool { return l.order == o })
-	if outcome == Unanswered || outcome == Accepted && !o.Endpoint.Matches(e.incarnation) {
-		e.addLateOrder(now, o)
+// unplannedMemory returns the memory, in MB, that late orders to earlier incarnations may need in
+// addition to everything planned for this one.
+func (e *engineState) unplannedMemory(engine *routing.Engine) float64 {
+	if len(e.late.list) == 0 {
+		return 0
 	}
+	return e.late.unplanned(e.counted()).memory(engine)
 }
 
-// addLateOrder records an order that the engine may still carry out, unless it is recorded already.
-func (e *engineState) addLateOrder(now time.Time, o Order) {
-	if slices.ContainsFunc(e.lateOrders, func(l lateOrder) bool { return l.order == o }) {
-		return
+// unplannedAdapters returns the number of adapters that late orders to earlier incarnations may load.
+func (e *engineState) unplannedAdapters() int {
+	if len(e.late.list) == 0 {
+		return 0
 	}
-	e.lateOrders = append(e.lateOrders, lateOrder{order: o, until: now.Add(lateOrderTTL)})
+	return e.late.unplanned(e.counted()).adapters()
 }
 
-// pruneLate drops late orders that can have no effect any more: their time has passed, or
-// this incarnation has accepted more orders than they expect. An order to this same
-// incarnation is kept until its time has passed, since the next incarnation may reach the
-// expected count.
-func (e *engineState) pruneLate(now time.Time) {
-	e.lateOrders = slices.DeleteFunc(e.lateOrders, func(l lateOrder) bool {
-		counted := e.synced && e.sequence > l.order.Expect && l.toEarlier(e)
-		return counted || !now.Before(l.until)
-	})
+// fitsAfterRestart reports whether a load may be sent: if it is late, and the engine starts again, it and
+// the other late orders must fit into the engine without any planning.
+func (p *Planner) fitsAfterRestart(e *engineState, o Order) bool {
+	if len(e.late.list) == 0 {
+		return true
+	}
+	o.Expect = e.sequence
+	possible := e.late.afterRestart(o)
+	return possible.memory(p.conf.Engine) <= p.conf.Engine.MemoryMB && possible.adapters() <= p.conf.Engine.AdapterSlots
+}
+
+// noteRestart records that an engine may have started again, unless its report tells the known start.
+func (p *Planner) noteRestart(e *engineState, rep Report) {
+	if rep.Endpoint.StartUnixMs == 0 {
+		e.late.firstSerial = p.serial + 1
+	}
 }
 
 // clockSlack is how far an engine's clock may be ahead of this host's, apart from clock
@@ -94,18 +175,66 @@
 // orders to the previous incarnation that may still arrive. No order is sent before that
 // report.
 func (p *Planner) replaceIncarnation(now time.Time, e *engineState, incarnation fleet.Incarnation) *engineState {
-	next := newEngineState(now, incarnation)
+	next := p.newEngineState(now, incarnation)
 	next.endpoint, next.onDisk = e.endpoint, maps.Clone(e.onDisk)
-	next.lateOrders = e.lateOrders
-	if o := e.order; o != nil && !o.accepted {
-		next.addLateOrder(now, o.order)
-	}
+	e.giveUpOrder(now)
+	next.late.list = e.late.list
 	p.engines[incarnation.ID] = next
 	p.forgetGone()
 	p.loads = nil
 	return next
 }
 
+// giveUpOrder records the order in progress as late if it has not been answered.
+func (e *engineState) giveUpOrder(now time.Time) {
+	if o := e.order; o != nil && !o.accepted && !slices.ContainsFunc(e.late.list, func(l lateOrder) bool { return l.order == o.order }) {
+		e.late.add(now, o.order)
+	}
+}
+
+// removeEngine forgets an engine that is not listed any more, except for its late orders: its entry
+// may have run out, and it may come back under its id while they can still arrive.
+func (p *Planner) removeEngine(now time.Time, id string) {
+	e := p.engines[id]
+	e.giveUpOrder(now)
+	if len(e.late.list) > 0 {
+		p.unlisted[id] = &e.late
+	}
+	delete(p.engines, id)
+}
+
+// observeUnlisted processes the outcome of an order to an engine that is not listed any more.
+func (p *Planner) observeUnlisted(now time.Time, o Order, outcome Outcome) {
+	late := p.unlisted[o.Endpoint.ID]
+	if late == nil {
+		late = &lateOrders{incarnation: o.Endpoint, firstSerial: p.serial + 1}
+		p.unlisted[o.Endpoint.ID] = late
+	}
+	late.observe(now, o, outcome)
+}
+
+// returnedEngine returns the state of an engine that is listed, and was not before or no longer.
+func (p *Planner) returnedEngine(now time.Time, incarnation fleet.Incarnation) *engineState {
+	e := p.newEngineState(now, incarnation)
+	if late := p.unlisted[incarnation.ID]; late != nil {
+		e.late.list = late.list
+		if late.incarnation.StartUnixMs != 0 && late.incarnation == incarnation {
+			e.late.firstSerial = late.firstSerial // it is the same incarnation
+		}
+		delete(p.unlisted, incarnation.ID)
+	}
+	return e
+}
+
+// pruneUnlisted forgets the late orders of unlisted engines whose time has passed.
+func (p *Planner) pruneUnlisted(now time.Time) {
+	for id, late := range p.unlisted {
+		if late.prune(now); len(late.list) == 0 {
+			delete(p.unlisted, id)
+		}
+	}
+}
+
 // replaceUnlistedIncarnation is like replaceIncarnation, for a new incarnation that the
 // store does not list yet. Its report came from the address in the previous entry.
 func (p *Planner) replaceUnlistedIncarnation(now time.Time, e *engineState, incarnation fleet.Incarnation) *engineState {
--- a/coordination/residency/outcome.go
+++ b/coordination/residency/outcome.go
@@ -59,9 +59,10 @@
 func (p *Planner) ObserveOutcome(now time.Time, order Order, outcome Outcome) {
 	e := p.engines[order.Endpoint.ID]
 	if e == nil {
+		p.observeUnlisted(now, order, outcome)
 		return
 	}
-	e.recordLate(now, order, outcome)
+	e.late.observe(now, order, outcome)
 	if e.order == nil || e.order.order != order {
 		return
 	}
--- a/coordination/residency/planner.go
+++ b/coordination/residency/planner.go
@@ -102,7 +102,7 @@
 	unreportedPrompt int
 	// promptsUntil is when the prompts that answers have directed here are processed, by estimate.
 	promptsUntil time.Time
-	lateOrders   []lateOrder
+	late         lateOrders
 	// afterUnload reports that no order has been answered since the last unload.
 	afterUnload bool
 	// fullUntil is the time until which the engine counts as full under its rate limit.
@@ -157,6 +157,8 @@
 	conf           Config
 	largestModelMB float64 // size of the largest model, in MB
 	engines        map[string]*engineState
+	unlisted       map[string]*lateOrders // of engines that are not listed any more, by id
+	serial         uint64                 // of the last order
 	lease          Lease
 	tookOver       time.Time // time at which this daemon acquired the lease
 	demands        map[string]*reportedDemand
@@ -182,7 +184,7 @@
 
 // New returns a planner without any state.
 func New(opt Options) *Planner {
-	return &Planner{opt: opt, store: newStoreConcurrency(opt.InitialStoreConcurrency), engines: map[string]*engineState{}, limits: map[string]incarnationLimit{}, demands: map[string]*reportedDemand{}, wants: map[wantedUnit]*wantedModel{}, values: map[string]*value{}, pressures: map[string]*pressure{}, costs: workcost.New(), prompts: promptcache.New()}
+	return &Planner{opt: opt, store: newStoreConcurrency(opt.InitialStoreConcurrency), engines: map[string]*engineState{}, unlisted: map[string]*lateOrders{}, limits: map[string]incarnationLimit{}, demands: map[string]*reportedDemand{}, wants: map[wantedUnit]*wantedModel{}, values: map[string]*value{}, pressures: map[string]*pressure{}, costs: workcost.New(), prompts: promptcache.New()}
 }
 
 // Configure sets the service to plan for.
@@ -212,9 +214,7 @@
 	if l.Held && !p.lease.Held || l.Fence != p.lease.Fence {
 		p.tookOver = now
 		for _, e := range p.engines {
-			if o := e.order; o != nil && !o.accepted {
-				e.addLateOrder(now, o.order)
-			}
+			e.giveUpOrder(now)
 			e.order, e.adapterQueue, e.synced = nil, nil, false
 			e.reported, e.foreignCounted = false, false
 			e.probeAt = now
@@ -231,7 +231,7 @@
 		e := p.engines[ep.ID]
 		switch {
 		case e == nil:
-			e = newEngineState(now, ep.Incarnation())
+			e = p.returnedEngine(now, ep.Incarnation())
 			p.engines[ep.ID] = e
 			p.engineAddedAt = now
 		case ep.Incarnation().Before(e.incarnation):
@@ -248,7 +248,7 @@
 	gone := false
 	for id := range p.engines {
 		if !present[id] {
-			delete(p.engines, id)
+			p.removeEngine(now, id)
 			gone = true
 		}
 	}
@@ -266,8 +266,8 @@
 	p.prompts.Retain(func(_ string, incarnation fleet.Incarnation) bool { return present(incarnation) })
 }
 
-func newEngineState(now time.Time, incarnation fleet.Incarnation) *engineState {
-	return &engineState{incarnation: incarnation, models: map[string]*replica{}, inMemory: map[string]bool{}, onDisk: map[string]bool{}, unloadedAt: map[string]time.Time{}, probeAt: now}
+func (p *Planner) newEngineState(now time.Time, incarnation fleet.Incarnation) *engineState {
+	return &engineState{incarnation: incarnation, late: lateOrders{incarnation: incarnation, firstSerial: p.serial + 1}, models: map[string]*replica{}, inMemory: map[string]bool{}, onDisk: map[string]bool{}, unloadedAt: map[string]time.Time{}, probeAt: now}
 }
 
 // sortEngines sets the order in which engines are visited.
@@ -289,7 +289,7 @@
 		e = p.replaceUnlistedIncarnation(now, e, r.Endpoint)
 	}
 	if e.incarnation.StartUnixMs == 0 {
-		e.incarnation = r.Endpoint
+		e.incarnation, e.late.incarnation = r.Endpoint, r.Endpoint
 	}
 	e.probing, e.down, e.missedReports, e.reportedAt = false, false, 0, now
 	e.silentSince = time.Time{}
@@ -400,9 +400,7 @@
 		m := p.conf.Engine.Models[name]
 		sum += m.SizeMB + float64(len(r.adapters))*m.AdapterMB
 	}
-	for _, l := range e.lateOrders {
-		sum += e.unplannedMemory(l, p.conf.Engine)
-	}
+	sum += e.unplannedMemory(p.conf.Engine)
 	if e.unknownLateOrder {
 		sum += p.largestModelMB
 	}
--- a/coordination/residency/ready.go
+++ b/coordination/residency/ready.go
@@ -12,6 +12,7 @@
 	if p.conf.Engine == nil {
 		return r
 	}
+	p.pruneUnlisted(now)
 	for _, e := range p.sorted {
 		p.advance(now, e)
 		if p.lease.Held && !e.probing && !e.probeAt.IsZero() && !now.Before(e.probeAt) {
@@ -51,7 +52,7 @@
 // from the store take longer beside others, so they are complete only when the engine
 // reports it.
 func (p *Planner) advance(now time.Time, e *engineState) {
-	e.pruneLate(now)
+	e.late.prune(now)
 	e.unknownLateOrder = p.mayHaveUnknownLate(now, e)
 	o := e.order
 	if o != nil && !o.accepted && !o.order.Unload && o.order.Adapter == "" {
@@ -124,6 +125,9 @@
 		e.order.drain = victims[0].drain
 		return o, true
 	}
+	if !p.fitsAfterRestart(e, Order{Model: model}) {
+		return Order{}, false
+	}
 	o := p.send(now, e, Order{Model: model}, e.level(model))
 	r := &replica{adapters: map[string]*adapter{}, readyAt: e.order.endsAt.Add(orderMargin), lastUse: now, lastAnswered: now, keepUntil: e.order.endsAt}
 	if urgent {
@@ -175,6 +179,9 @@
 		}
 		return p.send(now, e, Order{Unload: true, Model: model, Adapter: name}, Resident), true
 	}
+	if !p.fitsAfterRestart(e, Order{Model: a.model, Adapter: a.adapter}) {
+		return Order{}, false
+	}
 	e.adapterQueue = e.adapterQueue[1:]
 	e.models[a.model].adapters[a.adapter] = &adapter{readyAt: now.Add(adapterLoad), lastUse: now}
 	return p.send(now, e, Order{Model: a.model, Adapter: a.adapter}, Resident), true
@@ -202,6 +209,8 @@
 
 func (p *Planner) send(now time.Time, e *engineState, o Order, level Level) Order {
 	o.Endpoint, o.Address = e.incarnation, e.endpoint.Address
+	p.serial++
+	o.serial = p.serial
 	o.Expect, o.Holder, o.Fence, o.Level = e.sequence, p.opt.Holder, p.lease.Fence, level
 	end := now
 	if !o.Unload && o.Adapter == "" {
--- a/coordination/residency/types.go
+++ b/coordination/residency/types.go
@@ -30,6 +30,9 @@
 	Expect uint64
 	Holder string // host that sends the order
 	Fence  uint64 // increases with each new lease holder
+	// serial tells orders with the same content apart: an answer to one of them says nothing
+	// about the others.
+	serial uint64
 }
 
 // Outcome is the result of sending an order.
--- a/coordination/residency/want.go
+++ b/coordination/residency/want.go
@@ -167,11 +167,7 @@
 	for _, r := range e.models {
 		n += len(r.adapters)
 	}
-	for _, l := range e.lateOrders {
-		if l.order.Adapter != "" && l.toEarlier(e) {
-			n++
-		}
-	}
+	n += e.unplannedAdapters()
 	if e.unknownLateOrder {
 		n++
 	}
