doorvalvectl: an answer whose head breaks HTTP is no success

What operators saw: none yet. A status of 000 is below 300, so that a change answered with it passed for accepted, and its body for what was asked.

Change: the command line makes its calls over the round trip that checks heads, as all daemons' calls do.

--- a/cmd/doorvalvectl/client.go
+++ b/cmd/doorvalvectl/client.go
@@ -12,6 +12,7 @@
 	"os"
 	"time"
 
+	"github.com/doorvalve/doorvalve/internal/bounded"
 	"github.com/doorvalve/doorvalve/internal/dial"
 	"github.com/doorvalve/doorvalve/protocol"
 )
@@ -31,6 +32,9 @@
 
 const callTimeout = 15 * time.Second
 
+// maxAnswerBytes bounds an answer of a daemon; the largest are state dumps.
+const maxAnswerBytes = 256 << 20
+
 // client sends requests to the operators' listener of one daemon.
 type client struct {
 	base  string
@@ -42,7 +46,7 @@
 	if len(c.Address) == 0 {
 		return nil, errors.New("no daemon named: use --address or DOORVALVE_ADDRESS")
 	}
-	transport := &http.Transport{DialContext: dial.TCP}
+	transport := bounded.Head(&http.Transport{DialContext: dial.TCP})
 	scheme := "http://"
 	if c.CA != "" {
 		pem, err := os.ReadFile(c.CA)
@@ -58,7 +62,7 @@
 	}
 	var list []*client
 	for _, a := range c.Address {
-		list = append(list, &client{base: scheme + a, token: c.Token, http: &http.Client{Transport: transport, Timeout: callTimeout}})
+		list = append(list, &client{base: scheme + a, token: c.Token, http: &http.Client{Transport: bounded.Transport{RoundTripper: transport, MaxBody: maxAnswerBytes}, Timeout: callTimeout}})
 	}
 	return list, nil
 }
--- a/transport/peers/peers_test.go
+++ b/transport/peers/peers_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"errors"
 	"net/http/httptest"
 	"strconv"
 	"strings"
 	"testing"
 
+	"github.com/doorvalve/doorvalve/internal/bounded"
 	"github.com/doorvalve/doorvalve/protocol/peerpb"
+	"github.com/doorvalve/doorvalve/standin/rawanswer"
 )
 
 type server struct{ peerpb.Peer }
@@ -52,3 +55,12 @@
 		t.Errorf("the cache holds %d clients, want at most %d", n, maxClients)
 	}
 }
+
+// Guards against an answer of another daemon that is believed although its head breaks HTTP.
+func TestAnswersWithInvalidHeadsAreNotBelieved(t *testing.T) {
+	s := rawanswer.Serve("HTTP/1.1 000 OK\r\nContent-Type: application/protobuf\r\nContent-Length: 0\r\n\r\n")
+	defer s.Close()
+	if _, err := NewClient("").To(s.Address()).Probe(t.Context(), &peerpb.ProbeRequest{}); !errors.Is(err, bounded.ErrInvalidHead) {
+		t.Errorf("error %v", err)
+	}
+}
