storeview: a watcher that relies on another one for the age watches more calmly

Change: the watchers that take the age from the first one wait three times as long, and pause twice as long after changes, of which they hear from it at once. When its news is late, they read the version themselves, and list what lacks it, as their watches would end too late to prove it. A watch whose answer has begun is left to its transfer: a failed read of the version had ended it (TestAnswerInTransferIsNotGivenUp, red without the check: "the transfer was given up").

--- a/coordination/discovery/checkpoint.go
+++ b/coordination/discovery/checkpoint.go
@@ -58,9 +58,6 @@
 // Rely declares whether another daemon reads the store's version for this one.
 func (s *Schedule) Rely(relies bool) { s.relies = relies }
 
-// Relies reports whether another daemon reads the store's version for this one.
-func (s *Schedule) Relies() bool { return s.relies }
-
 // ObserveShared records that the data from the other daemon, which includes all kinds, is complete as
 // of a time.
 func (s *Schedule) ObserveShared(asOf time.Time) {
@@ -78,9 +75,36 @@
 	return due
 }
 
-// Plan returns how long a watch that is requested now is to wait, and after what part of this wait
-// the next checkpoint is due.
-func (s *Schedule) Plan(now time.Time) (wait, checkpointAfter time.Duration) {
+// Plan returns how long a watch is to wait that is requested now for data which is known to be complete
+// as of a time, and after what time the next checkpoint is due. The watches of a daemon that relies on
+// another one may take longer, unless the proof of the newest checkpoint is lacking.
+func (s *Schedule) Plan(now, asOf time.Time) (wait, checkpointAfter time.Duration) {
 	checkpointAfter = max(0, s.Due().Sub(now))
-	return checkpointAfter + s.lead, checkpointAfter
+	switch {
+	case !s.relies:
+		return checkpointAfter + s.lead, checkpointAfter
+	case s.ProofLate(asOf):
+		return s.lead, checkpointAfter
+	}
+	return relyingWait * s.opt.Interval, checkpointAfter
 }
+
+// relyingWait and relyingPause are the wait of a watch, in intervals, and the factor of the pause after
+// changes of a daemon that relies on another one, from which it hears of changes at once.
+const (
+	relyingWait  = 3
+	relyingPause = 2
+)
+
+// PauseEnd returns the end of a pause after changes: it does not delay the proof that these are all, for
+// which other daemons wait.
+func (s *Schedule) PauseEnd(now time.Time, pause time.Duration) time.Time {
+	if s.relies {
+		pause *= relyingPause
+	}
+	return now.Add(min(pause, max(0, s.Due().Sub(now))))
+}
+
+// ProofLate reports whether data, which is known to be complete as of a time, lacks the proof of the newest
+// checkpoint at a daemon whose watches would end too late to give it.
+func (s *Schedule) ProofLate(asOf time.Time) bool { return s.relies && asOf.Before(s.last) }
--- a/coordination/discovery/follow.go
+++ b/coordination/discovery/follow.go
@@ -123,12 +123,8 @@
 	return true
 }
 
-// EndPauseBy ends the pause after changes at the given time, if it would last longer.
-func (f *Follower) EndPauseBy(at time.Time) {
-	if f.failedAt.IsZero() && at.Before(f.nextAt) {
-		f.nextAt = at
-	}
-}
+// SetPause sets the end of the pause after changes.
+func (f *Follower) SetPause(end time.Time) { f.nextAt = end }
 
 // Observe records a checkpoint of the store. It reports whether AsOf has advanced.
 func (f *Follower) Observe(c Checkpoint) (advanced bool) {
--- a/driver/storeview/deaf_test.go
+++ b/driver/storeview/deaf_test.go
@@ -1,14 +1,19 @@
 package storeview
 
 import (
+	"context"
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"net/http/httptrace"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/doorvalve/doorvalve/coordination/relay"
+	"github.com/doorvalve/doorvalve/internal/pause"
 	"github.com/doorvalve/doorvalve/state/fleet"
+	"github.com/doorvalve/doorvalve/state/storeversion"
 )
 
 // For more runs: go test ./driver/storeview -run TestAgeUnderRandomFaultsOfTheStore -age.runs 5000
@@ -203,3 +208,49 @@
 	}()
 	return fmt.Sprint(name, " at ", time.Since(testStart), " for ", lasts)
 }
+
+// slowTransfer is a store whose answers to watches of the desired state take long to arrive once they have begun,
+// and whose version cannot be read meanwhile, as over a full link.
+type slowTransfer struct {
+	*fakeStore
+	transfer     time.Duration
+	transferring atomic.Int64 // answers that have begun
+}
+
+func (s *slowTransfer) WatchDesiredState(ctx context.Context, since storeversion.Version, wait, slack time.Duration) ([]byte, storeversion.Version, error) {
+	raw, version, err := s.fakeStore.WatchDesiredState(ctx, since, wait, slack)
+	if err != nil || raw == nil {
+		return raw, version, err
+	}
+	s.transferring.Add(1)
+	defer s.transferring.Add(-1)
+	httptrace.ContextClientTrace(ctx).GotFirstResponseByte()
+	pause.For(ctx, s.transfer)
+	return raw, version, ctx.Err()
+}
+
+func (s *slowTransfer) CurrentVersion(ctx context.Context) (storeversion.Version, error) {
+	if s.transferring.Load() > 0 {
+		return storeversion.Version{}, errUnreachable
+	}
+	return s.fakeStore.CurrentVersion(ctx)
+}
+
+// Guards against a desired state that is given up in the middle of its transfer because the store's version cannot
+// be read beside it.
+func TestAnswerInTransferIsNotGivenUp(t *testing.T) {
+	inBubble(t, func(b *bubble) {
+		s := &slowTransfer{fakeStore: newFakeStore(), transfer: 4 * time.Second}
+		v := b.view(s, nil)
+		time.Sleep(5 * time.Second)
+		s.setDesired(2)
+		time.Sleep(s.transfer - time.Millisecond)
+		if s.transferring.Load() != 1 {
+			t.Error("the transfer was given up")
+		}
+		time.Sleep(10 * time.Millisecond)
+		if v.Table().Version != 2 {
+			t.Error("the desired state is not in force")
+		}
+	})
+}
--- a/driver/storeview/desired.go
+++ b/driver/storeview/desired.go
@@ -135,7 +135,7 @@
 }
 
 func (v *View) watchDesired(ctx context.Context) error {
-	w := v.beginWatch(v.desiredFollower)
+	w := v.beginWatch(v.desiredFollower, relay.DesiredState)
 	var raw []byte
 	err := v.watch(ctx, w, relay.DesiredState, func(ctx context.Context) (stored storeversion.Version, err error) {
 		raw, stored, err = v.opt.Store.WatchDesiredState(ctx, w.since, w.wait, v.slack(w.wait))
--- a/driver/storeview/follow.go
+++ b/driver/storeview/follow.go
@@ -126,6 +126,8 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	switch {
+	case errors.Is(err, errProofLate):
+		f.Relist()
 	case errors.Is(err, discovery.ErrHistoryLost):
 		f.HistoryLost(now)
 		v.opt.Log.Info(decisions.EventDependencyLost, "dependency", "store history", "of", kind.String(), "since_revision", f.Since())
@@ -203,7 +205,7 @@
 }
 
 func (v *View) watchEndpoints(ctx context.Context) error {
-	w := v.beginWatch(v.endpointsFollower)
+	w := v.beginWatch(v.endpointsFollower, relay.Endpoints)
 	var changes []discovery.Change
 	err := v.watch(ctx, w, relay.Endpoints, func(ctx context.Context) (stored storeversion.Version, err error) {
 		changes, stored, err = v.opt.Store.WatchEndpoints(ctx, w.since, w.wait, v.slack(w.wait))
--- a/driver/storeview/relay.go
+++ b/driver/storeview/relay.go
@@ -100,7 +100,7 @@
 // may begin to copy from it.
 func (v *View) setRole(watcher, hasUpstream bool) {
 	v.mu.Lock()
-	v.schedule.Rely(hasUpstream)
+	v.schedule.Rely(watcher && hasUpstream)
 	changed := watcher != v.watcher
 	v.watcher = watcher
 	if changed && watcher {
--- a/driver/storeview/storeview.go
+++ b/driver/storeview/storeview.go
@@ -121,7 +121,7 @@
 		unusable: map[string]storeversion.Version{}, becameWatcher: make(chan struct{}), catchUpPending: make(chan struct{}, 1), outage: discovery.NewOutage(opt.Heartbeat),
 		desiredFollower: discovery.NewFollower(discovery.FollowOptions{Retry: minRetry, MaxRetry: maxRetry}),
 	}
-	v.endpointsFollower = discovery.NewFollower(discovery.FollowOptions{Pause: v.shareOfBound(gatherShare), Retry: minRetry, MaxRetry: maxRetry})
+	v.endpointsFollower = discovery.NewFollower(discovery.FollowOptions{Retry: minRetry, MaxRetry: maxRetry})
 	v.schedule = v.newSchedule()
 	v.source = relay.NewSource(v.shareOfBound(staleShare))
 	v.startGraceEnd = v.opt.Clock().Add(startGrace)
--- a/driver/storeview/watch.go
+++ b/driver/storeview/watch.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"errors"
+	"net/http/httptrace"
+	"sync/atomic"
 	"time"
 
 	"github.com/doorvalve/doorvalve/coordination/discovery"
 	"github.com/doorvalve/doorvalve/coordination/relay"
 	"github.com/doorvalve/doorvalve/driver/decisions"
+	"github.com/doorvalve/doorvalve/internal/pause"
 	"github.com/doorvalve/doorvalve/state/storeversion"
 )
 
@@ -17,7 +21,7 @@
 	requestedAt     time.Time
 	since           storeversion.Version
 	wait            time.Duration // for a change
-	checkpointAfter time.Duration // part of the wait after which the store's version is read
+	checkpointAfter time.Duration // time after which the store's version is read
 	stored          storeversion.Version
 }
 
@@ -29,11 +33,11 @@
 }
 
 // beginWatch returns a watch that is to be requested now.
-func (v *View) beginWatch(f *discovery.Follower) *storeWatch {
+func (v *View) beginWatch(f *discovery.Follower, of relay.Kind) *storeWatch {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	w := &storeWatch{follower: f, requestedAt: v.opt.Clock(), since: f.Since()}
-	w.wait, w.checkpointAfter = v.schedule.Plan(w.requestedAt)
+	w.wait, w.checkpointAfter = v.schedule.Plan(w.requestedAt, v.freshness()[of])
 	return w
 }
 
@@ -43,13 +47,14 @@
 }
 
 // watch makes the call of a watch, and reads the store's version when it is due. A failed read ends
-// the watch: its connection may be as unresponsive.
+// the watch, as its connection may be as unresponsive, and so does one that calls for a list, unless the
+// answer has begun: its transfer may take long.
 func (v *View) watch(ctx context.Context, w *storeWatch, of relay.Kind, call func(context.Context) (storeversion.Version, error)) error {
-	watchCtx, end := context.WithCancelCause(ctx)
+	var begun atomic.Bool
+	watchCtx, end := context.WithCancelCause(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotFirstResponseByte: func() { begun.Store(true) }}))
 	defer end(nil)
-	// The read also takes place if the watch has ended by then: the next one needs it.
-	time.AfterFunc(w.checkpointAfter, func() {
-		if err := v.readCheckpoint(ctx); err != nil {
+	go v.keepProven(ctx, watchCtx, w.checkpointAfter, of, func(err error) {
+		if !begun.Load() {
 			end(err)
 		}
 	})
@@ -65,12 +70,44 @@
 	return v.checkContinuity(w.since, stored, of)
 }
 
+// keepProven reads the store's version whenever it is due while a watch waits.
+func (v *View) keepProven(ctx, watchCtx context.Context, wait time.Duration, of relay.Kind, end func(error)) {
+	for ; ; wait = max(minLead, v.untilDue()) {
+		if pause.For(watchCtx, wait); watchCtx.Err() != nil {
+			return
+		}
+		err := v.readCheckpoint(ctx)
+		if err == nil && v.proofLate(of) {
+			err = errProofLate
+		}
+		if err != nil {
+			end(err)
+			return
+		}
+	}
+}
+
+// proofLate reports whether a watch of a kind is to end because it would prove the age of the data too late.
+func (v *View) proofLate(of relay.Kind) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.schedule.ProofLate(v.freshness()[of])
+}
+
+// untilDue returns the time until the store's version is to be read.
+func (v *View) untilDue() time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.schedule.Due().Sub(v.opt.Clock())
+}
+
 // observeWatch passes the answer of a watch, which has been applied, to its follower; the caller
 // holds the mutex.
 func (v *View) observeWatch(w *storeWatch, of relay.Kind, changed bool) {
-	sound := w.follower.Watched(discovery.WatchAnswer{RequestedAt: w.requestedAt, ReceivedAt: v.opt.Clock(), Wait: w.wait, Version: w.stored, Changed: changed})
-	if !v.schedule.Relies() {
-		w.follower.EndPauseBy(v.schedule.Due()) // all daemons wait for the proof that these changes are all
+	now := v.opt.Clock()
+	sound := w.follower.Watched(discovery.WatchAnswer{RequestedAt: w.requestedAt, ReceivedAt: now, Wait: w.wait, Version: w.stored, Changed: changed})
+	if changed && of == relay.Endpoints {
+		w.follower.SetPause(v.schedule.PauseEnd(now, v.shareOfBound(gatherShare)))
 	}
 	if !sound {
 		v.opt.Log.Warn(decisions.EventDependencyLost, "dependency", "store watch", "of", of.String(), "since_revision", w.since, "revision", w.stored)
@@ -105,6 +142,10 @@
 	return err
 }
 
+// errProofLate means that the store's version is known, and the watches would end too late to prove that all
+// changes up to it have been received: the objects must be listed.
+var errProofLate = errors.New("the data is behind the store's version")
+
 // observeCheckpoint records a version of the store as of a time. It reports whether this proves that
 // any of the data is newer than known before; the caller holds the mutex.
 func (v *View) observeCheckpoint(c discovery.Checkpoint) (advanced bool) {
